--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each ends with one JSON line."""
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; run them with `python -m test [module ...]`."""
--- /dev/null
+++ b/toucanspring/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Typed interfaces to the platform, one implementation each."""
--- /dev/null
+++ b/toucanspring/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command-line tool, one module each."""
--- /dev/null
+++ b/toucanspring/plugins/__init__.py
@@ -0,0 +1,1 @@
+"""Named plugins that listen to kernel events."""
