--- /dev/null
+++ b/toucanspring/admission.py
@@ -0,0 +1,118 @@
+"""Queues of requests with deadlines; sheds load by class."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import heapq
+
+from toucanspring import errors, job
+
+QUEUE_LIMIT = 512  # requests that wait in one process
+ORDER = tuple(job.JobClass)
+SECONDS_WEIGHT = 0.05  # of the newest request in the mean service time
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """Say that a request was queued, or is to be sent now."""
+
+    request_id: str
+    job_class: job.JobClass
+    deadline: float
+
+
+class Admission:
+    """Queue requests by class until a slot is free."""
+
+    def __init__(self, limit: int = QUEUE_LIMIT) -> None:
+        self._limit = limit
+        self._queues: dict[job.JobClass, collections.OrderedDict[str, Admitted]] = {
+            job_class: collections.OrderedDict() for job_class in ORDER
+        }
+        self._size = 0
+        self._ended: collections.deque[
+            tuple[str, errors.NotRun | errors.Overloaded]
+        ] = collections.deque()
+        self._deadlines: list[tuple[float, str, job.JobClass]] = []
+        self._seconds: dict[job.JobClass, float] = {}
+
+    def __len__(self) -> int:
+        return self._size
+
+    def offer(
+        self, request_id: str, job_class: job.JobClass, deadline: float, now: float
+    ) -> Admitted | errors.Overloaded:
+        """Queue a request, if need be in place of one of a lower class."""
+        self._expire(now)
+        if deadline - now < self._seconds.get(job_class, 0.0):
+            return errors.Overloaded(reason="the deadline cannot be met")
+        if self._size >= self._limit and not self._shed_below(job_class):
+            return errors.Overloaded(reason=f"the queue for {job_class} is full")
+        entry = Admitted(request_id, job_class, deadline)
+        self._queues[job_class][request_id] = entry
+        heapq.heappush(self._deadlines, (deadline, request_id, job_class))
+        self._size += 1
+        return entry
+
+    def next(
+        self, now: float
+    ) -> tuple[str, Admitted | errors.NotRun | errors.Overloaded] | None:
+        """Return the next request to send, or one that ended without being sent."""
+        self._expire(now)
+        if self._ended:
+            return self._ended.popleft()
+        for job_class in ORDER:
+            queue = self._queues[job_class]
+            if queue:
+                request_id, entry = queue.popitem(last=False)
+                self._size -= 1
+                return request_id, entry
+        return None
+
+    def put_back(self, entry: Admitted) -> None:
+        """Queue a request again, in front, that a full server refused."""
+        queue = self._queues[entry.job_class]
+        queue[entry.request_id] = entry
+        queue.move_to_end(entry.request_id, last=False)
+        heapq.heappush(
+            self._deadlines, (entry.deadline, entry.request_id, entry.job_class)
+        )
+        self._size += 1
+
+    def cancel(self, request_id: str) -> bool:
+        """Take a waiting request out; return whether it waited."""
+        for queue in self._queues.values():
+            if queue.pop(request_id, None) is not None:
+                self._size -= 1
+                return True
+        return False
+
+    def served(self, job_class: job.JobClass, seconds: float) -> None:
+        """Record the service time of a request."""
+        mean = self._seconds.get(job_class)
+        if mean is None:
+            self._seconds[job_class] = seconds
+        else:
+            self._seconds[job_class] = mean + SECONDS_WEIGHT * (seconds - mean)
+
+    def _expire(self, now: float) -> None:
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, request_id, job_class = heapq.heappop(self._deadlines)
+            if self._queues[job_class].pop(request_id, None) is not None:
+                self._size -= 1
+                failure = errors.NotRun(reason="the deadline passed before a start")
+                self._ended.append((request_id, failure))
+
+    def _shed_below(self, job_class: job.JobClass) -> bool:
+        for lower in reversed(ORDER):
+            if lower == job_class:
+                return False
+            queue = self._queues[lower]
+            if queue:
+                request_id, _ = queue.popitem(last=False)
+                self._size -= 1
+                failure = errors.Overloaded(reason=f"not run: displaced by {job_class}")
+                self._ended.append((request_id, failure))
+                return True
+        return False
--- /dev/null
+++ b/toucanspring/estimate.py
@@ -0,0 +1,116 @@
+"""Estimates of size and run time, learned from finished tasks."""
+
+from __future__ import annotations
+
+import collections
+import math
+
+from toucanspring import job, resources
+
+MAX_NAMES = 20_000  # names kept; the least recently observed is dropped first
+MAX_SAMPLES = 32  # latest tasks kept for each name
+MIN_SAMPLES = 5  # below this, observations can only raise an estimate
+SIZE_QUANTILE = 0.95
+RUN_QUANTILE = 0.9
+HEADROOM = 1.15  # of the observed size quantile
+# Declared sizes are often far off; without enough observations an estimate stays
+# below this multiple of the declared size.
+MAX_OF_DECLARED = 2.0
+
+
+class Samples:
+    """Hold the latest observations for one name of a team."""
+
+    __slots__ = ("cached", "cpus", "memory", "run_seconds")
+
+    def __init__(self) -> None:
+        self.cpus: collections.deque[int] = collections.deque(maxlen=MAX_SAMPLES)
+        self.memory: collections.deque[int] = collections.deque(maxlen=MAX_SAMPLES)
+        self.run_seconds: collections.deque[float] = collections.deque(
+            maxlen=MAX_SAMPLES
+        )
+        self.cached: tuple[int, int, float] | None = None
+
+    def high(self) -> tuple[int, int, float]:
+        """Return high quantiles of processors, memory and run time."""
+        if self.cached is None:
+            self.cached = (
+                quantile(self.cpus, SIZE_QUANTILE),
+                quantile(self.memory, SIZE_QUANTILE),
+                quantile(self.run_seconds, RUN_QUANTILE),
+            )
+        return self.cached
+
+
+def quantile(values: collections.deque, fraction: float) -> float:
+    """Return the smallest value that at least `fraction` of the values reach."""
+    ordered = sorted(values)
+    return ordered[max(0, math.ceil(fraction * len(ordered)) - 1)]
+
+
+class Estimator:
+    """Learn sizes and run times by team and job name."""
+
+    def __init__(self) -> None:
+        self._samples: collections.OrderedDict[tuple[str, str], Samples] = (
+            collections.OrderedDict()
+        )
+
+    def observe(
+        self,
+        name: str,
+        team: str,
+        declared: resources.Resources,
+        usage: resources.Resources,
+        run_seconds: float,
+    ) -> None:
+        """Record the peak usage and the run time of one finished task."""
+        key = (team, name)
+        samples = self._samples.get(key)
+        if samples is None:
+            samples = self._samples[key] = Samples()
+            if len(self._samples) > MAX_NAMES:
+                self._samples.popitem(last=False)
+        self._samples.move_to_end(key)
+        # A worker that reports no usage says nothing about the size.
+        samples.cpus.append(usage.cpus or declared.cpus)
+        samples.memory.append(usage.memory or declared.memory)
+        samples.run_seconds.append(run_seconds)
+        samples.cached = None
+
+    def demand(self, spec: job.JobSpec) -> resources.Resources:
+        """Return the amount to hold for one task.
+
+        Accelerators are held whole, so their declared count is kept.
+        """
+        declared = spec.demand
+        samples = self._samples.get((spec.team, spec.name))
+        if samples is None:
+            return declared
+        cpus, memory, _ = samples.high()
+        cpus, memory = math.ceil(cpus * HEADROOM), math.ceil(memory * HEADROOM)
+        if len(samples.cpus) < MIN_SAMPLES:
+            cpus = _between(declared.cpus, cpus)
+            memory = _between(declared.memory, memory)
+        return resources.Resources(cpus, memory, declared.accelerators)
+
+    def run_seconds(self, spec: job.JobSpec) -> float:
+        """Return the run time that most tasks of this name stay below."""
+        samples = self._samples.get((spec.team, spec.name))
+        if samples is None:
+            return spec.run_seconds
+        seconds = samples.high()[2]
+        if len(samples.run_seconds) < MIN_SAMPLES:
+            return max(seconds, spec.run_seconds)
+        return seconds
+
+    def latest_start(self, spec: job.JobSpec, accepted_at: float) -> float:
+        """Return when the tasks must start to meet the deadline; inf without one."""
+        if spec.deadline_seconds is None:
+            return math.inf
+        return accepted_at + spec.deadline_seconds - self.run_seconds(spec)
+
+
+def _between(declared: int, observed: int) -> int:
+    """Raise a declared size to the observed one, within the bound."""
+    return max(declared, min(observed, int(declared * MAX_OF_DECLARED)))
--- /dev/null
+++ b/toucanspring/waiting.py
@@ -0,0 +1,187 @@
+"""Queue of waiting work: one group per job, ordered by class and age."""
+
+from __future__ import annotations
+
+import bisect
+import collections
+import math
+from collections.abc import Iterable, Iterator
+
+from toucanspring import job
+
+# A group is served as if it had arrived so many seconds later, which orders the
+# classes and bounds how long a class can be passed over: a deferrable job is
+# ahead of normal jobs that arrive more than 55 minutes after it.
+CLASS_DELAYS_S = {
+    job.JobClass.CHECK: -600.0,
+    job.JobClass.URGENT: 0.0,
+    job.JobClass.DEADLINE: 120.0,
+    job.JobClass.NORMAL: 300.0,
+    job.JobClass.DEFERRABLE: 3600.0,
+}
+
+
+class Group:
+    """Hold the waiting tasks of one job."""
+
+    __slots__ = ("added_at", "indices", "key", "latest_start", "spec")
+
+    def __init__(
+        self, spec: job.JobSpec, added_at: float, latest_start: float, number: int
+    ) -> None:
+        self.spec = spec
+        self.added_at = added_at
+        self.latest_start = latest_start
+        self.indices: collections.deque[int] = collections.deque()
+        by_deadline = spec.job_class == job.JobClass.DEADLINE
+        self.key = (latest_start if by_deadline else added_at, number)
+
+    def __len__(self) -> int:
+        return len(self.indices)
+
+    @property
+    def urgency(self) -> float:
+        """Return the time by which groups of different classes are ordered."""
+        job_class = self.spec.job_class
+        urgency = self.added_at + CLASS_DELAYS_S[job_class]
+        if job_class == job.JobClass.DEADLINE:
+            floor = self.added_at + CLASS_DELAYS_S[job.JobClass.URGENT]
+            urgency = max(floor, min(urgency, self.latest_start))
+        return urgency
+
+
+class WaitingQueue:
+    """Order the groups of each team."""
+
+    def __init__(self) -> None:
+        self._groups: dict[str, Group] = {}
+        self._teams: dict[str, dict[job.JobClass, list[tuple[tuple, Group]]]] = {}
+        self._number = 0
+
+    def __len__(self) -> int:
+        return len(self._groups)
+
+    def __contains__(self, job_id: str) -> bool:
+        return job_id in self._groups
+
+    def add(
+        self,
+        spec: job.JobSpec,
+        indices: Iterable[int],
+        now: float,
+        latest_start: float | None = None,
+    ) -> None:
+        """Add tasks of a job; `latest_start` replaces the one by declared sizes."""
+        group = self._groups.get(spec.id)
+        if group is None:
+            indices = list(indices)
+            if not indices:
+                return
+            group = self._open(spec, now, latest_start)
+        group.indices.extend(indices)
+
+    def requeue(
+        self,
+        spec: job.JobSpec,
+        index: int,
+        now: float,
+        accepted_at: float | None = None,
+        latest_start: float | None = None,
+    ) -> None:
+        """Put a task back in front of its job, which keeps its place by age."""
+        group = self._groups.get(spec.id)
+        if group is None:
+            since = now if accepted_at is None else accepted_at
+            group = self._open(spec, since, latest_start)
+        group.indices.appendleft(index)
+
+    def remove(self, job_id: str) -> list[int]:
+        """Take a job out; return the indices that waited."""
+        group = self._groups.get(job_id)
+        if group is None:
+            return []
+        self._close(group)
+        return list(group.indices)
+
+    def take(self, job_id: str, count: int) -> list[int]:
+        """Take up to `count` tasks of a job out and return their indices."""
+        group = self._groups.get(job_id)
+        if group is None:
+            return []
+        taken = [group.indices.popleft() for _ in range(min(count, len(group)))]
+        if not group.indices:
+            self._close(group)
+        return taken
+
+    def find(self, job_id: str) -> Group | None:
+        """Return the group of a job, if it waits."""
+        return self._groups.get(job_id)
+
+    def next_groups(self, team: str, now: float | None = None) -> Iterator[Group]:
+        """Iterate over the groups of a team, the next to serve first.
+
+        The queue may change during the iteration. With `now`, groups that can no
+        longer meet their deadline come after the other deadline groups.
+        """
+        lists = [
+            self._in_order(job_class, entries, now)
+            for job_class, entries in self._teams.get(team, {}).items()
+        ]
+        heads = [(groups[0].urgency, groups[0].key[1], groups) for groups in lists]
+        positions = {id(groups): 0 for groups in lists}
+        while heads:
+            heads.sort(key=lambda head: head[:2])
+            _, _, groups = heads[0]
+            position = positions[id(groups)]
+            group = groups[position]
+            positions[id(groups)] = position = position + 1
+            if position < len(groups):
+                following = groups[position]
+                heads[0] = (following.urgency, following.key[1], groups)
+            else:
+                del heads[0]
+            if group.indices and self._groups.get(group.spec.id) is group:
+                yield group
+
+    def teams(self) -> list[str]:
+        """Return the teams that have waiting work."""
+        return list(self._teams)
+
+    def oldest_wait(self, now: float) -> float:
+        """Return the longest time that any group has waited, in seconds."""
+        oldest = min((group.added_at for group in self._groups.values()), default=now)
+        return max(0.0, now - oldest)
+
+    def _open(self, spec: job.JobSpec, now: float, latest_start: float | None) -> Group:
+        if latest_start is None:
+            latest_start = math.inf
+            if spec.deadline_seconds is not None:
+                latest_start = now + spec.deadline_seconds - spec.run_seconds
+        self._number += 1
+        group = Group(spec, now, latest_start, self._number)
+        self._groups[spec.id] = group
+        classes = self._teams.setdefault(spec.team, {})
+        entries = classes.setdefault(spec.job_class, [])
+        bisect.insort(entries, (group.key, group), key=lambda entry: entry[0])
+        return group
+
+    def _close(self, group: Group) -> None:
+        spec = group.spec
+        del self._groups[spec.id]
+        classes = self._teams[spec.team]
+        entries = classes[spec.job_class]
+        position = bisect.bisect_left(entries, group.key, key=lambda entry: entry[0])
+        del entries[position]
+        if not entries:
+            del classes[spec.job_class]
+        if not classes:
+            del self._teams[spec.team]
+
+    @staticmethod
+    def _in_order(
+        job_class: job.JobClass, entries: list[tuple[tuple, Group]], now: float | None
+    ) -> list[Group]:
+        groups = [group for _, group in entries]
+        if job_class == job.JobClass.DEADLINE and now is not None:
+            groups.sort(key=lambda group: group.latest_start < now)
+        return groups
