--- /dev/null
+++ b/toucanspring/allowance.py
@@ -0,0 +1,299 @@
+"""Division of a team's ceiling among partitions.
+
+The row `allowances/<team>` holds one part per partition. `resize` computes the
+next row; its result depends on absolute targets, so repeating a request whose
+answer was lost changes nothing. `Ledger` tracks what one partition holds and uses.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import msgspec
+
+from toucanspring import effects, resources
+
+RETURN_AFTER_S = 5.0  # unused for so long before it is given back
+RETRY_S = 1.0  # a request without answer is repeated
+CHUNKS = 16  # requests ask for up to this fraction of the ceiling
+
+Amount = tuple[int, int, int]
+ZERO: Amount = (0, 0, 0)
+UNLIMITED: Amount = msgspec.structs.astuple(resources.UNLIMITED)
+
+
+class Row(msgspec.Struct, frozen=True):
+    """Hold the part of one team's ceiling that each partition may use."""
+
+    parts: dict[int, resources.Resources] = {}
+
+
+def _tuple(amount: resources.Resources) -> Amount:
+    return (amount.cpus, amount.memory, amount.accelerators)
+
+
+def _shrink(values: list[int], limit: int) -> list[int]:
+    """Scale values down to a sum of `limit`; largest remainders get the rest."""
+    total = sum(values)
+    if total <= limit:
+        return values
+    shares = [value * limit // total for value in values]
+    order = sorted(
+        range(len(values)), key=lambda i: (-(values[i] * limit % total), -values[i], i)
+    )
+    for i in order[: limit - sum(shares)]:
+        shares[i] += 1
+    return shares
+
+
+def resize(
+    row: Row,
+    partition: int,
+    target: resources.Resources,
+    ceiling: resources.Resources,
+    ownerless: frozenset[int] = frozenset(),
+) -> Row:
+    """Return the row after `partition` asks to hold `target`.
+
+    A target below the present part returns the difference; one above is granted
+    from the unallocated remainder as far as that goes. If the sum exceeds the
+    ceiling because it was lowered, all parts shrink in proportion, except those of
+    `ownerless` partitions, since nobody could stop their work.
+    """
+    keys = sorted(set(row.parts) | {partition})
+    columns = []
+    for present, want, limit in zip(
+        zip(*(_tuple(row.parts.get(key, resources.ZERO)) for key in keys), strict=True),
+        _tuple(target),
+        _tuple(ceiling),
+        strict=True,
+    ):
+        fixed = sum(v for k, v in zip(keys, present, strict=True) if k in ownerless)
+        flexible = [k for k in keys if k not in ownerless]
+        shrunk = _shrink(
+            [present[keys.index(k)] for k in flexible], max(0, limit - fixed)
+        )
+        column = dict(zip(keys, present, strict=True))
+        column.update(zip(flexible, shrunk, strict=True))
+        remainder = max(0, limit - sum(column.values()))
+        column[partition] = min(want, column[partition] + remainder)
+        columns.append(column)
+    parts = {
+        key: resources.Resources(*(column[key] for column in columns)) for key in keys
+    }
+    return Row({key: part for key, part in parts.items() if part != resources.ZERO})
+
+
+class _Account:
+    __slots__ = (
+        "asked_at",
+        "ceiling",
+        "held",
+        "peak",
+        "possible",
+        "returning",
+        "since",
+        "target",
+        "used",
+    )
+
+    def __init__(self) -> None:
+        self.ceiling: Amount | None = None  # None: the team has no ceiling
+        self.held = ZERO  # as in the row
+        self.target: Amount | None = None  # of the request that is under way
+        self.returning = False
+        self.asked_at = 0.0
+        self.used = ZERO
+        self.possible = ZERO  # of the former owner, on workers not yet attached
+        self.peak = ZERO  # most used since `since`
+        self.since = 0.0
+
+    def usable(self) -> Amount:
+        """Return what may be used while a return may or may not have been written."""
+        if not self.returning:
+            return self.held
+        return tuple(map(min, self.held, self.target))
+
+
+class Ledger:
+    """Track what one partition holds and uses of each team's ceiling."""
+
+    def __init__(self) -> None:
+        self._accounts: dict[str, _Account] = {}
+        # Amounts that waiting work needs: all of it, and the least that helps.
+        self._short: dict[str, tuple[Amount, Amount]] = {}
+
+    def _account(self, team: str) -> _Account:
+        account = self._accounts.get(team)
+        if account is None:
+            account = self._accounts[team] = _Account()
+        return account
+
+    def set_ceilings(self, ceilings: Mapping[str, resources.Resources]) -> None:
+        """Set the ceilings in force; a team not named keeps its last one."""
+        for team, ceiling in ceilings.items():
+            limits = _tuple(ceiling)
+            account = self._account(team)
+            account.ceiling = None if limits == UNLIMITED else limits
+
+    def set_held(self, held: Mapping[str, resources.Resources], now: float) -> None:
+        """Set what the rows give to this partition."""
+        for team, amount in held.items():
+            account = self._account(team)
+            value = _tuple(amount)
+            changed, account.held = value != account.held, value
+            if account.target is None:
+                continue
+            if account.returning:
+                # Until the row confirms the return, the amount may be elsewhere.
+                answered = all(map(int.__le__, value, account.target))
+            else:
+                answered = changed
+            if answered:
+                account.target = None
+                account.returning = False
+                account.peak, account.since = account.used, now
+
+    def room(self, team: str, demand: resources.Resources) -> int:
+        """Return how many times `demand` may start within the allowance."""
+        account = self._account(team)
+        ceiling = account.ceiling
+        if ceiling is None:
+            return resources.UNBOUNDED_COUNT
+        count = resources.UNBOUNDED_COUNT
+        needs = (demand.cpus, demand.memory, demand.accelerators)
+        for need, limit, usable, used, unlimited in zip(
+            needs,
+            ceiling,
+            account.usable(),
+            map(int.__add__, account.used, account.possible),
+            UNLIMITED,
+            strict=True,
+        ):
+            if need and limit < unlimited:
+                count = min(count, (usable - used) // need)
+        return max(0, count)
+
+    def use(self, team: str, amount: resources.Resources) -> None:
+        """Count work that starts."""
+        account = self._account(team)
+        cpus, memory, accelerators = account.used
+        used = account.used = (
+            cpus + amount.cpus,
+            memory + amount.memory,
+            accelerators + amount.accelerators,
+        )
+        account.peak = tuple(map(max, account.peak, used))
+
+    def free(self, team: str, amount: resources.Resources) -> None:
+        """Count work that has ended."""
+        account = self._account(team)
+        cpus, memory, accelerators = account.used
+        account.used = (
+            cpus - amount.cpus,
+            memory - amount.memory,
+            accelerators - amount.accelerators,
+        )
+
+    def used(self, team: str) -> resources.Resources:
+        """Return what the team uses in this partition."""
+        return resources.Resources(*self._account(team).used)
+
+    def excess(self, team: str) -> resources.Resources:
+        """Return what is used beyond the part held, after a ceiling was lowered."""
+        account = self._account(team)
+        if account.ceiling is None:
+            return resources.ZERO
+        return resources.Resources(
+            *(
+                max(0, used - held) if limit < unlimited else 0
+                for used, held, limit, unlimited in zip(
+                    account.used, account.held, account.ceiling, UNLIMITED, strict=True
+                )
+            )
+        )
+
+    def teams(self) -> list[str]:
+        """Return the teams with an account."""
+        return list(self._accounts)
+
+    def set_possible(self, amounts: Mapping[str, resources.Resources]) -> None:
+        """Set what teams may be using on workers that cannot be asked yet."""
+        for team, account in self._accounts.items():
+            if team not in amounts:
+                account.possible = ZERO
+        for team, amount in amounts.items():
+            self._account(team).possible = _tuple(amount)
+
+    def want(
+        self, team: str, amount: resources.Resources, least: resources.Resources
+    ) -> None:
+        """Note that work of size `amount` waits only for allowance."""
+        present, floor = self._short.get(team, (ZERO, ZERO))
+        self._short[team] = (
+            tuple(map(max, present, _tuple(amount))),
+            tuple(map(max, floor, _tuple(least))),
+        )
+
+    def step(
+        self, now: float
+    ) -> list[effects.RequestAllowance | effects.ReturnAllowance]:
+        """Return the requests and returns that are due."""
+        due = []
+        for team, account in self._accounts.items():
+            short = self._short.get(team)
+            effect = self._next_effect(team, account, short, now)
+            if effect is not None:
+                due.append(effect)
+        self._short.clear()
+        return due
+
+    def _next_effect(
+        self,
+        team: str,
+        account: _Account,
+        short: tuple[Amount, Amount] | None,
+        now: float,
+    ) -> effects.RequestAllowance | effects.ReturnAllowance | None:
+        if account.ceiling is None:
+            return None
+        if account.target is not None:
+            if now - account.asked_at < RETRY_S:
+                return None
+            if account.returning:
+                # Repeating is harmless, because the target is absolute.
+                return self._ask(team, account, account.target, now)
+            account.target = None
+        if short is not None:
+            return self._ask(team, account, self._target(account, short), now)
+        if now - account.since < RETURN_AFTER_S:
+            return None
+        peak, account.peak, account.since = account.peak, account.used, now
+        target = tuple(map(min, account.held, map(max, peak, account.used)))
+        if target != account.held:
+            return self._ask(team, account, target, now)
+        return None
+
+    @staticmethod
+    def _target(account: _Account, short: tuple[Amount, Amount]) -> Amount:
+        """Return what to hold: the amount that waits, but one chunk at a time."""
+        return tuple(
+            min(limit, max(held, used + max(least, min(amount, limit // CHUNKS))))
+            for used, amount, least, held, limit in zip(
+                account.used, *short, account.held, account.ceiling, strict=True
+            )
+        )
+
+    @staticmethod
+    def _ask(
+        team: str, account: _Account, target: Amount, now: float
+    ) -> effects.RequestAllowance | effects.ReturnAllowance | None:
+        if target == account.held:
+            return None
+        account.target, account.asked_at = target, now
+        goal = resources.Resources(*target)
+        held = resources.Resources(*account.held)
+        account.returning = any(map(int.__lt__, target, account.held))
+        if not account.returning:
+            return effects.RequestAllowance(team, goal - held, goal)
+        return effects.ReturnAllowance(team, held - goal, goal)
--- /dev/null
+++ b/toucanspring/attempt.py
@@ -0,0 +1,266 @@
+"""Ends of attempts: reports, refused starts, lost workers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from toucanspring import effects, job, lifecycle, task_table, wire
+
+SERVICE_STABLE_S = 60.0  # a service that ran so long starts with a fresh delay
+
+
+def report(
+    core: lifecycle.Lifecycle,
+    worker: str,
+    finished: Iterable[wire.FinishedTask],
+    now: float,
+) -> None:
+    """Apply the ends of attempts that a worker reports, possibly again."""
+    for end in finished:
+        core.outbox.acknowledge(worker, end.task_id)
+        task = core.table.live.get(end.task_id)
+        if task is not None and task.worker == worker and task.attempt == end.attempt:
+            record = core.table.jobs[task.job_id]
+            core.vacate(record, task, now)
+            _learn(core, record, worker, end, now)
+            _end(core, record, task, end, now)
+            continue
+        _report_unattributed(core, worker, end, now)
+
+
+def _report_unattributed(
+    core: lifecycle.Lifecycle, worker: str, end: wire.FinishedTask, now: float
+) -> None:
+    """Handle a report of an old attempt, of a former owner or of an orphan."""
+    state = core.workers.get(worker)
+    orphan = state.orphans.get(end.task_id) if state else None
+    if orphan is not None and orphan.attempt == end.attempt:
+        del state.orphans[end.task_id]
+        core.index.release(worker, orphan.demand)
+        core.allowances.free(orphan.team, orphan.demand)
+        core.changed = True
+    record = core.table.jobs.get(job.job_of(end.task_id))
+    if record is None:
+        return
+    index = int(end.task_id.rpartition("/")[2])
+    # Keeps the number of the next attempt apart from reported ones.
+    if index not in record.finals:
+        record.attempts[index] = max(record.attempts.get(index, 0), end.attempt)
+    if index in record.held:
+        record.held.discard(index)
+        task = task_table.LiveTask(
+            end.task_id, record.spec.id, index, end.attempt, worker=worker
+        )
+        _learn(core, record, worker, end, now)
+        _end(core, record, task, end, now)
+
+
+def _learn(
+    core: lifecycle.Lifecycle,
+    record: task_table.JobRecord,
+    worker: str,
+    end: wire.FinishedTask,
+    now: float,
+) -> None:
+    """Learn sizes and run times from tasks that were not stopped."""
+    if end.state == "checkpointed":
+        return
+    spec = record.spec
+    ok = end.state == "done"
+    seconds = end.run_ms / 1000
+    if ok:
+        core.estimator.observe(spec.name, spec.team, spec.demand, end.usage, seconds)
+    before = core.quarantine.allows(worker, now)
+    core.quarantine.record(worker, spec.id, ok, seconds, now)
+    if core.quarantine.allows(worker, now) is not before:
+        core.update_schedulable(worker, now)
+
+
+def _end(
+    core: lifecycle.Lifecycle,
+    record: task_table.JobRecord,
+    task: task_table.LiveTask,
+    end: wire.FinishedTask,
+    now: float,
+) -> None:
+    """Decide what follows the end of an attempt that ran."""
+    spec, index = record.spec, task.index
+    stopped = task.stop_reason or record.gang_breaking
+    if end.state == "done" and (spec.kind is not job.Kind.SERVICE or record.cancelled):
+        outcome = task_table.DONE
+        if end.answer:
+            outcome = job.Outcome(job.State.DONE, "", end.answer)
+        core.finalize(record, index, outcome, now)
+        return
+    record.ran.add(index)
+    if end.state == "checkpointed":
+        record.progress[index] = end.answer
+    if record.cancelled:
+        core.finalize(record, index, lifecycle.FAILED_CANCELLED, now)
+    elif not spec.idempotent:
+        reason = end.reason or stopped or end.state
+        core.finalize(record, index, job.Outcome(job.State.FAILED, reason), now)
+    elif spec.kind is job.Kind.SERVICE:
+        _restart_service(core, record, task, end, now)
+    elif stopped or end.state == "checkpointed":
+        core.requeue(record, index, now, reason=stopped)
+    else:
+        _retry(core, record, task, end.reason or "failed", now)
+
+
+def _retry(
+    core: lifecycle.Lifecycle,
+    record: task_table.JobRecord,
+    task: task_table.LiveTask,
+    reason: str,
+    now: float,
+) -> None:
+    failures = record.failures.setdefault(task.index, [])
+    failures.append(task.worker)
+    bad = set(core.quarantine.quarantined())
+    counted = sum(1 for worker in failures if worker not in bad)
+    retries = record.spec.retries
+    if counted > retries or len(failures) > retries + lifecycle.UNCOUNTED_FAILURES:
+        core.finalize(record, task.index, job.Outcome(job.State.FAILED, reason), now)
+        return
+    core.requeue(record, task.index, now, retry_delay(core, len(failures)), reason)
+
+
+def _restart_service(
+    core: lifecycle.Lifecycle,
+    record: task_table.JobRecord,
+    task: task_table.LiveTask,
+    end: wire.FinishedTask,
+    now: float,
+) -> None:
+    failures = record.failures.setdefault(task.index, [])
+    if end.run_ms >= SERVICE_STABLE_S * 1000:
+        failures.clear()
+    delay = 0.0
+    if not task.stop_reason and end.state != "checkpointed":
+        failures.append(task.worker)
+        del failures[: -lifecycle.UNCOUNTED_FAILURES]  # only the delay depends on it
+        delay = retry_delay(core, len(failures))
+    core.requeue(record, task.index, now, delay)
+
+
+def retry_delay(core: lifecycle.Lifecycle, failures: int) -> float:
+    """Return a growing delay with jitter, in seconds."""
+    delay = lifecycle.RETRY_FIRST_S * lifecycle.RETRY_GROWTH ** (failures - 1)
+    return min(lifecycle.RETRY_MAX_S, delay) * core.rng.uniform(0.8, 1.2)
+
+
+def accepted(core: lifecycle.Lifecycle, worker: str, task_ids: Iterable[str]) -> None:
+    """Mark tasks as running."""
+    state = core.workers.get(worker)
+    if state is not None:
+        state.refusals = 0
+    live, running, starting = core.table.live, job.State.RUNNING, job.State.STARTING
+    for task_id in task_ids:
+        task = live.get(task_id)
+        if task is not None and task.worker == worker and task.state is starting:
+            task.state = running
+
+
+def refused(
+    core: lifecycle.Lifecycle,
+    worker: str,
+    refusals: Iterable[tuple[str, str]],
+    now: float,
+) -> None:
+    """Queue tasks again whose start was refused; they certainly did not run."""
+    state = core.workers.get(worker)
+    if state is not None and refusals:
+        pause = lifecycle.REFUSAL_PAUSE_S * 2**state.refusals
+        state.paused_until = now + min(pause, lifecycle.REFUSAL_PAUSE_MAX_S)
+        state.refusals = min(state.refusals + 1, 10)
+        core.paused.add(worker)
+        core.update_schedulable(worker, now)
+    for task_id, reason in refusals:
+        task = core.table.live.get(task_id)
+        if (
+            task is None
+            or task.worker != worker
+            or task.state is not job.State.STARTING
+        ):
+            continue
+        record = core.table.jobs[task.job_id]
+        core.vacate(record, task, now)
+        core.requeue(record, task.index, now, reason=f"start refused: {reason}")
+
+
+def intents_durable(
+    core: lifecycle.Lifecycle, intents: Iterable[effects.Intent], now: float
+) -> None:
+    """Send the starts whose intents are in the log, unless something changed."""
+    for task in _intended(core, intents):
+        record = core.table.jobs[task.job_id]
+        state = core.workers.get(task.worker)
+        usable = (
+            state is not None
+            and state.attached
+            and not state.leaving
+            and state.facts.incarnation == task.incarnation
+            and state.facts.availability_zone not in core.zones_out
+        )
+        if usable:
+            task.state = job.State.STARTING
+            core.outbox.start(task.worker, [core.message(record, task)])
+        else:
+            core.vacate(record, task, now)
+            core.requeue(record, task.index, now, reason="worker is no longer usable")
+
+
+def intents_failed(
+    core: lifecycle.Lifecycle, intents: Iterable[effects.Intent], now: float
+) -> None:
+    """Queue tasks again whose intents were not written; none was sent."""
+    for task in _intended(core, intents):
+        record = core.table.jobs[task.job_id]
+        core.vacate(record, task, now)
+        delay = lifecycle.RETRY_FIRST_S
+        core.requeue(record, task.index, now, delay, "the intent was not written")
+
+
+def _intended(
+    core: lifecycle.Lifecycle, intents: Iterable[effects.Intent]
+) -> Iterator[task_table.LiveTask]:
+    """Yield the tasks that still wait for exactly these intents."""
+    for intent in intents:
+        task = core.table.live.get(intent.task_id)
+        if (
+            task is not None
+            and task.attempt == intent.attempt
+            and task.worker == intent.worker
+            and task.state is job.State.INTENDED
+        ):
+            yield task
+
+
+def never_ran(core: lifecycle.Lifecycle, task: task_table.LiveTask, now: float) -> None:
+    """Queue a task again that the worker certainly never started nor will start."""
+    record = core.table.jobs[task.job_id]
+    core.vacate(record, task, now)
+    core.requeue(record, task.index, now, reason="the start did not reach the worker")
+
+
+def lost(
+    core: lifecycle.Lifecycle, task: task_table.LiveTask, reason: str, now: float
+) -> None:
+    """End an attempt whose worker is gone: it may have run, and runs no more."""
+    record = core.table.jobs[task.job_id]
+    index = task.index
+    if task.state is job.State.INTENDED:
+        core.vacate(record, task, now)  # was not sent
+        core.requeue(record, index, now, reason=reason)
+        return
+    core.vacate(record, task, now)
+    record.ran.add(index)
+    if not record.spec.idempotent:
+        core.finalize(record, index, job.Outcome(job.State.UNKNOWN, reason), now)
+        return
+    record.losses[index] = losses = record.losses.get(index, 0) + 1
+    if losses > lifecycle.MAX_LOSSES and record.spec.kind is not job.Kind.SERVICE:
+        core.finalize(record, index, job.Outcome(job.State.FAILED, reason), now)
+    else:
+        core.requeue(record, index, now, reason=reason)
--- /dev/null
+++ b/toucanspring/decisions.py
@@ -0,0 +1,73 @@
+"""Bounded record of scheduling decisions, shown by `explain`."""
+
+from __future__ import annotations
+
+import collections
+
+JOBS_KEPT = 10_000
+PLACEMENTS_KEPT = 32  # latest placements kept for each job
+
+
+class Record:
+    """Hold the last decisions about one job."""
+
+    __slots__ = ("placements", "rank", "rejected", "waits_for")
+
+    def __init__(self) -> None:
+        self.rank = 0  # place of its team when it was last considered, from 1
+        self.rejected: dict[str, int] = {}  # reason -> number of workers
+        self.waits_for: list[str] = []
+        self.placements: dict[str, str] = {}  # task ID -> worker and reason
+
+
+class Decisions:
+    """Keep the last decisions about the jobs considered most recently."""
+
+    def __init__(self, limit: int = JOBS_KEPT) -> None:
+        self._records: collections.OrderedDict[str, Record] = collections.OrderedDict()
+        self._limit = limit
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def _record(self, job_id: str) -> Record:
+        record = self._records.get(job_id)
+        if record is None:
+            record = self._records[job_id] = Record()
+            if len(self._records) > self._limit:
+                self._records.popitem(last=False)
+        else:
+            self._records.move_to_end(job_id)
+        return record
+
+    def wait(
+        self,
+        job_id: str,
+        rank: int,
+        waits_for: str,
+        rejected: dict[str, int] | None = None,
+    ) -> None:
+        """Record why a job was considered and not started."""
+        record = self._record(job_id)
+        record.rank = rank
+        record.waits_for = [waits_for]
+        record.rejected = rejected or {}
+
+    def place(
+        self, job_id: str, rank: int, task_ids: list[str], worker: str, reason: str
+    ) -> None:
+        """Record where tasks of a job were started, and why there."""
+        record = self._record(job_id)
+        record.rank = rank
+        record.waits_for = []
+        record.rejected = {}
+        placements = record.placements
+        for task_id in task_ids[-PLACEMENTS_KEPT:]:
+            placements.pop(task_id, None)
+            placements[task_id] = f"{worker}: {reason}"
+        while len(placements) > PLACEMENTS_KEPT:
+            del placements[next(iter(placements))]
+
+    def find(self, job_id: str) -> Record:
+        """Return what is known of a job; an empty record if nothing is."""
+        return self._records.get(job_id) or Record()
--- /dev/null
+++ b/toucanspring/dispatch.py
@@ -0,0 +1,153 @@
+"""Placement of waiting work, team by team."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+
+from toucanspring import (
+    gang,
+    job,
+    lifecycle,
+    placement,
+    quarantine,
+    task_table,
+    waiting,
+)
+
+CHUNK = 64  # tasks of one job started before the teams are ranked again
+STARTS_PER_TICK = 512  # bounds the time of one tick to a few tens of milliseconds
+GROUPS_PER_TEAM = 64  # jobs without room that are looked at for each team and tick
+IDLE_S = 1.0  # without changes, waiting work is looked at again after so long
+
+
+class Dispatcher:
+    """Start waiting work where there is room, allowance and an open zone."""
+
+    def __init__(self, core: lifecycle.Lifecycle) -> None:
+        self._core = core
+        self._next_look = 0.0
+        # Jobs that found no room in the last tick, in the order of service.
+        self.blocked: list[tuple[task_table.JobRecord, placement.NoRoom]] = []
+
+    def place(self, now: float) -> int:
+        """Start what can start; return the number of tasks."""
+        core = self._core
+        if not core.changed and now < self._next_look:
+            return 0
+        core.changed = False
+        self._next_look = now + IDLE_S
+        self.blocked = []
+        gang.expire(core, now)
+        candidates = set(core.queue.teams())
+        no_room: set[tuple] = set()
+        started = 0
+        while candidates and started < STARTS_PER_TICK:
+            active = candidates | core.using_teams()
+            ranked = core.shares.rank(active, now)
+            progress = 0
+            for rank, team in enumerate(ranked, 1):
+                if team not in candidates:
+                    continue
+                progress = self._place_team(team, rank, no_room, now)
+                if progress:
+                    break
+                candidates.discard(team)
+            started += progress
+            if not progress:
+                break
+            candidates &= set(core.queue.teams())
+        if started >= STARTS_PER_TICK:
+            core.changed = True  # the rest follows in the next tick
+        return started
+
+    def _place_team(self, team: str, rank: int, no_room: set, now: float) -> int:
+        groups = self._core.queue.next_groups(team, now)
+        for group in itertools.islice(groups, GROUPS_PER_TEAM):
+            if started := self._place_group(group, rank, no_room, now):
+                return started
+        return 0
+
+    def _place_group(
+        self, group: waiting.Group, rank: int, no_room: set, now: float
+    ) -> int:
+        core, spec = self._core, group.spec
+        record = core.table.jobs[spec.id]
+        together = spec.kind is job.Kind.GANG
+        count = len(group) if together else min(len(group), CHUNK)
+        demand = core.demand(spec)
+        room = core.allowances.room(spec.team, demand)
+        if room < (count if together else 1):
+            needed = demand.times(len(group))
+            core.allowances.want(spec.team, needed, demand.times(count))
+            core.decisions.wait(spec.id, rank, "allowance below the team's ceiling")
+            return 0
+        excluded = gang.excluded_for(core, spec, now)
+        shape = (demand, spec.availability_zones, excluded, together and count)
+        if shape in no_room:
+            core.decisions.wait(spec.id, rank, "room")
+            return 0
+        if room < count:
+            core.allowances.want(spec.team, demand.times(count), demand)
+            count = room
+        constraints = self._constraints(record, excluded)
+        if together:
+            chosen = gang.place(core, record, demand, constraints)
+            if isinstance(chosen, placement.NoRoom):
+                gang.reserve(core, spec, count, demand, now)
+                return self._note_no_room(record, rank, chosen, no_room, shape)
+        else:
+            found = core.index.choose_many(demand, count, constraints)
+            if not found:
+                rejected = placement.NoRoom(core.index.explain(demand, constraints))
+                return self._note_no_room(record, rank, rejected, no_room, shape)
+            chosen = [
+                (worker, core.queue.take(spec.id, self._share(worker, share, now)))
+                for worker, share in found
+            ]
+        started = 0
+        for worker, indices in chosen:
+            core.start(record, worker, indices, demand, now)
+            ids = [f"{spec.id}/{index}" for index in indices[-8:]]
+            core.decisions.place(spec.id, rank, ids, worker, "best fit")
+            started += len(indices)
+        return started
+
+    def _share(self, worker: str, share: int, now: float) -> int:
+        verdict = self._core.quarantine.allows(worker, now)
+        return 1 if verdict is quarantine.Verdict.PROBE else share
+
+    def _note_no_room(
+        self,
+        record: task_table.JobRecord,
+        rank: int,
+        rejected: placement.NoRoom,
+        no_room: set,
+        shape: tuple,
+    ) -> int:
+        no_room.add(shape)
+        self.blocked.append((record, rejected))
+        self._core.decisions.wait(record.spec.id, rank, "room", rejected.rejected)
+        return 0
+
+    def _constraints(
+        self, record: task_table.JobRecord, excluded: frozenset[str]
+    ) -> placement.Constraints:
+        core, spec = self._core, record.spec
+        if spec.kind is job.Kind.GANG:
+            # A worker on probation must not hold up a whole gang.
+            excluded |= frozenset(core.quarantine.quarantined())
+        zones = frozenset(spec.availability_zones) if spec.availability_zones else None
+        counts: collections.Counter[str] | None = None
+        if spec.spread or spec.compact:
+            counts = collections.Counter()
+            for task in record.live.values():
+                state = core.workers.get(task.worker)
+                if state is not None:
+                    counts[state.facts.availability_zone] += 1
+                    counts[state.facts.rack] += 1
+        if not (zones or excluded or counts is not None):
+            return placement.UNCONSTRAINED
+        return placement.Constraints(
+            zones, excluded, counts, spec.compact and not spec.spread
+        )
--- a/toucanspring/effects.py
+++ b/toucanspring/effects.py
@@ -24,6 +24,7 @@
 - `intents_durable(intents: list[Intent], now)` and `intents_failed(intents, now)`
 - `reservation_granted(job_id, partition, task_ids, now)`,
   `reservation_refused(job_id, partition, now)`
+- `dependency_finished(job_id, outcome, now)`: answers `WatchJobs`
 - `tick(now)`: place waiting work; called every 20 ms and after each event
 - `lookup(job_id) -> JobStatus | errors.NotFound`, `explain(job_id) -> Explanation`
 """
@@ -103,18 +104,27 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestAllowance:
-    """Ask for `amount` more of a team's ceiling."""
+    """Ask for `amount` more of a team's ceiling, up to `target` in all.
+
+    The caller writes `allowance.resize(row, partition, target, ceiling)`.
+    """
 
     team: str
     amount: resources.Resources
+    target: resources.Resources = resources.ZERO
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReturnAllowance:
-    """Give back `amount` of a team's ceiling that is not in use."""
+    """Give back `amount` of a team's ceiling that is not in use, and keep `target`.
+
+    The scheduler does not use the amount again before `set_allowances` shows that
+    the row was written.
+    """
 
     team: str
     amount: resources.Resources
+    target: resources.Resources = resources.ZERO
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -127,6 +137,18 @@
     demand: resources.Resources
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchJobs:
+    """Call `dependency_finished` for each of `job_ids`, once it is final.
+
+    The jobs are not known in this partition. An ID that no partition knows counts
+    as `not_run`.
+    """
+
+    job_id: str
+    job_ids: list[str]
+
+
 Effect = (
     StartTasks
     | StopTasks
@@ -137,6 +159,7 @@
     | RequestAllowance
     | ReturnAllowance
     | RequestReservation
+    | WatchJobs
 )
 
 
--- /dev/null
+++ b/toucanspring/gang.py
@@ -0,0 +1,195 @@
+"""Placement of gangs, and reservations held for work that waits for room."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+from toucanspring import job, placement, resources, task_table
+
+if TYPE_CHECKING:
+    from toucanspring import lifecycle
+
+RESERVATION_S = 1.0  # then the expected ends of tasks are looked at again
+# More reservations would leave little capacity for backfill.
+MAX_RESERVATIONS = 2
+OVERDUE_S = 1.0  # a task beyond its expected end is expected to end so soon
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reservation:
+    """Keep workers free for a job that is expected to start at `starts_at`."""
+
+    workers: frozenset[str]
+    starts_at: float
+    expires: float
+
+
+def excluded_for(
+    core: lifecycle.Lifecycle, spec: job.JobSpec, now: float
+) -> frozenset[str]:
+    """Return the reserved workers that a task of this job must not use.
+
+    A task that is expected to end before the reservation starts may backfill.
+    """
+    if not core.reservations:
+        return frozenset()
+    end = now + core.estimator.run_seconds(spec)
+    excluded: frozenset[str] = frozenset()
+    for job_id, reservation in core.reservations.items():
+        service = spec.kind is job.Kind.SERVICE
+        if job_id != spec.id and (service or end > reservation.starts_at):
+            excluded |= reservation.workers
+    return excluded
+
+
+def expire(core: lifecycle.Lifecycle, now: float) -> None:
+    """Drop reservations whose time is over or whose job no longer waits."""
+    for job_id, reservation in list(core.reservations.items()):
+        if now >= reservation.expires or job_id not in core.queue:
+            del core.reservations[job_id]
+            core.changed = True
+
+
+def place(
+    core: lifecycle.Lifecycle,
+    record: task_table.JobRecord,
+    demand: resources.Resources,
+    constraints: placement.Constraints,
+) -> list[tuple[str, list[int]]] | placement.NoRoom:
+    """Return workers and task indices for all waiting tasks, taken from the queue."""
+    spec = record.spec
+    count = record.waiting_count()
+    chosen = core.index.choose_gang(demand, count, constraints, spec.compact)
+    if isinstance(chosen, placement.NoRoom):
+        return chosen
+    core.reservations.pop(spec.id, None)
+    indices = core.queue.take(spec.id, count)
+    placed, position = [], 0
+    for worker, share in chosen:
+        placed.append((worker, indices[position : position + share]))
+        position += share
+    return placed
+
+
+def reserve(
+    core: lifecycle.Lifecycle,
+    spec: job.JobSpec,
+    count: int,
+    demand: resources.Resources,
+    now: float,
+) -> None:
+    """Hold the workers on which a gang is expected to have room first."""
+    if spec.id in core.reservations or len(core.reservations) >= MAX_RESERVATIONS:
+        return
+    taken: frozenset[str] = frozenset()
+    for reservation in core.reservations.values():
+        taken |= reservation.workers
+    found = earliest_room(core, spec, count, demand, taken, now)
+    if found is not None:
+        workers, starts_at = found
+        core.reservations[spec.id] = Reservation(
+            workers, starts_at, now + RESERVATION_S
+        )
+
+
+def earliest_room(
+    core: lifecycle.Lifecycle,
+    spec: job.JobSpec,
+    count: int,
+    demand: resources.Resources,
+    taken: frozenset[str],
+    now: float,
+) -> tuple[frozenset[str], float] | None:
+    """Return the workers and the time at which `count` tasks are expected to fit."""
+    zones = spec.availability_zones
+    free: dict[str, resources.Resources] = {}
+    ends: list[tuple[float, str, resources.Resources]] = []
+    for name, state in core.workers.items():
+        if not state.schedulable or name in taken:
+            continue
+        if zones and state.facts.availability_zone not in zones:
+            continue
+        free[name] = core.index.free(name)
+        for task in core.tasks_on[name].values():
+            if not math.isinf(task.expected_end):
+                end = max(task.expected_end, now + OVERDUE_S)
+                ends.append((end, name, task.demand))
+    fits = {name: demand.count_in(amount) for name, amount in free.items()}
+    total, starts_at = sum(fits.values()), now
+    ends.sort(key=lambda end: end[:2])
+    for end, name, amount in ends:
+        if total >= count:
+            break
+        free[name] += amount
+        more = demand.count_in(free[name])
+        total += more - fits[name]
+        fits[name], starts_at = more, end
+    if total < count:
+        return None
+    workers = set()
+    for name in sorted(fits, key=lambda name: (-fits[name], name)):
+        if count <= 0:
+            break
+        workers.add(name)
+        count -= fits[name]
+    return frozenset(workers), starts_at
+
+
+def break_up(
+    core: lifecycle.Lifecycle,
+    record: task_table.JobRecord,
+    reason: str,
+    now: float,
+    delay: float = 0.0,
+) -> None:
+    """Stop the members that run and queue all unfinished ones together again."""
+    record.gang_delay = max(record.gang_delay, delay)
+    if not record.gang_breaking:
+        record.gang_breaking = reason or "gang member stopped"
+        _stop_members(core, record, f"gang stopped: {record.gang_breaking}", now)
+    _settle(core, record, now)
+
+
+def abort(
+    core: lifecycle.Lifecycle, record: task_table.JobRecord, reason: str, now: float
+) -> None:
+    """End a gang of which one member ended for good without being done."""
+    first = not record.gang_aborted
+    record.gang_aborted = True
+    if first:
+        record.gang_breaking = record.gang_breaking or reason
+        _stop_members(core, record, f"gang ended: {reason}", now)
+    _settle(core, record, now)
+
+
+def _stop_members(
+    core: lifecycle.Lifecycle, record: task_table.JobRecord, reason: str, now: float
+) -> None:
+    mode = (
+        "checkpoint" if record.spec.idempotent and not record.gang_aborted else "kill"
+    )
+    for task in list(record.live.values()):
+        if task.state is job.State.INTENDED:
+            core.vacate(record, task, now)  # was not sent
+        else:
+            core.stop(task, reason, mode)
+
+
+def _settle(
+    core: lifecycle.Lifecycle, record: task_table.JobRecord, now: float
+) -> None:
+    """Go on once no member occupies a worker."""
+    if record.live or record.held or record.outcome is not None:
+        return
+    reason, record.gang_breaking = record.gang_breaking, ""
+    if not reason:
+        return
+    if record.gang_aborted or record.cancelled:
+        core.end_waiting(record, job.Outcome(job.State.NOT_RUN, reason), now)
+        return
+    delay, record.gang_delay = record.gang_delay, 0.0
+    record.delayed.update(record.waiting_indices())
+    core.queue.remove(record.spec.id)
+    core.delay(record, -1, now + delay)
--- /dev/null
+++ b/toucanspring/lifecycle.py
@@ -0,0 +1,429 @@
+"""Shared state of one partition and the transitions of its tasks."""
+
+from __future__ import annotations
+
+import heapq
+import random
+
+from toucanspring import (
+    allowance,
+    decisions,
+    effects,
+    estimate,
+    fairness,
+    gang,
+    job,
+    outbox,
+    placement,
+    quarantine,
+    resources,
+    task_table,
+    waiting,
+    wire,
+)
+
+RETRY_FIRST_S = 1.0
+RETRY_GROWTH = 2.0
+RETRY_MAX_S = 60.0
+# Ends a task whose failures were all on workers that were quarantined later.
+UNCOUNTED_FAILURES = 10
+# A task that was lost with its worker so often is likely to be the cause.
+MAX_LOSSES = 5
+# Pause of starts on a worker that refused one; doubled with each refusal in a row.
+REFUSAL_PAUSE_S = 0.1
+REFUSAL_PAUSE_MAX_S = 5.0
+CANCELLED = "cancelled"
+NOT_RUN_CANCELLED = job.Outcome(job.State.NOT_RUN, CANCELLED)
+FAILED_CANCELLED = job.Outcome(job.State.FAILED, CANCELLED)
+
+
+class WorkerState:
+    """Hold what is known of one attached worker."""
+
+    __slots__ = (
+        "attached",
+        "facts",
+        "leaving",
+        "orphans",
+        "paused_until",
+        "refusals",
+        "schedulable",
+    )
+
+    def __init__(self, facts: effects.WorkerFacts) -> None:
+        self.facts = facts
+        self.attached = True  # its stream works
+        self.leaving = False
+        self.schedulable = False
+        self.paused_until = 0.0
+        self.refusals = 0
+        # Tasks that run there but belong to no job or run elsewhere.
+        self.orphans: dict[str, wire.RunningTask] = {}
+
+
+class Lifecycle:
+    """Start, end, queue and finish the tasks of one partition."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.table = task_table.TaskTable()
+        self.outbox = outbox.Outbox()
+        self.index = placement.WorkerIndex(rng)
+        self.shares = fairness.Ledger([])
+        self.allowances = allowance.Ledger()
+        self.queue = waiting.WaitingQueue()
+        self.estimator = estimate.Estimator()
+        self.quarantine = quarantine.Quarantine()
+        self.decisions = decisions.Decisions()
+        self.workers: dict[str, WorkerState] = {}
+        self.tasks_on: dict[str, dict[str, task_table.LiveTask]] = {}
+        self.shapes: set[tuple[str, resources.Resources]] = set()  # ever attached
+        self.teams: dict[str, fairness.Team] = {}
+        self.zones_out: frozenset[str] = frozenset()
+        # Workers that may run tasks of the former owner, with their capacity.
+        self.expected: dict[str, resources.Resources | None] = {}
+        self.held_jobs: set[str] = set()  # jobs with tasks that may run there
+        self.reservations: dict[str, gang.Reservation] = {}
+        self.paused: set[str] = set()  # workers that refused a start
+        self.retries: list[tuple[float, int, str, int]] = []  # heap by due time
+        self._sequence = 0
+        self.changed = True  # something may have made room for waiting work
+
+    # Workers
+
+    def update_schedulable(self, worker: str, now: float) -> None:
+        """Apply stream, leaving, zone, refusals and quarantine to the index."""
+        state = self.workers.get(worker)
+        if state is None:
+            return
+        schedulable = (
+            state.attached
+            and not state.leaving
+            and state.facts.availability_zone not in self.zones_out
+            and now >= state.paused_until
+            and self.quarantine.allows(worker, now) is not quarantine.Verdict.NO
+        )
+        if schedulable != state.schedulable:
+            state.schedulable = schedulable
+            self.index.set_schedulable(worker, schedulable)
+            self.changed = True
+
+    def end_pauses(self, now: float) -> None:
+        """Use workers again whose pause is over or whose probe is due."""
+        for worker in [*self.paused, *self.quarantine.quarantined()]:
+            state = self.workers.get(worker)
+            if state is None or now >= state.paused_until:
+                self.paused.discard(worker)
+                self.update_schedulable(worker, now)
+
+    def using_teams(self) -> set[str]:
+        """Return the teams that have work on workers."""
+        return {
+            team
+            for team in self.allowances.teams()
+            if self.allowances.used(team) != resources.ZERO
+        }
+
+    # Jobs
+
+    def refusal(self, spec: job.JobSpec) -> str:
+        """Return why a job can never run, or an empty string."""
+        demand = spec.demand
+        if spec.task_count < 1:
+            return "task_count must be at least 1"
+        if min(demand.cpus, demand.memory, demand.accelerators) < 0:
+            return "demand must not be negative"
+        if spec.kind is job.Kind.SERVICE and not spec.idempotent:
+            return "a service is restarted when it ends, so it must be idempotent"
+        if self.table.depends_on_itself(spec):
+            return "the job depends on itself"
+        if self.teams:
+            team = self.teams.get(spec.team)
+            if team is None:
+                return f"team {spec.team} is not configured"
+            together = spec.task_count if spec.kind is job.Kind.GANG else 1
+            if not demand.times(together).fits(team.ceiling):
+                return f"demand of {together} task(s) is above the team's ceiling"
+        if self.shapes and not self.expected:
+            zones = spec.availability_zones
+            shapes = [s for zone, s in self.shapes if not zones or zone in zones]
+            if not any(demand.fits(shape) for shape in shapes):
+                return "no worker in the allowed availability zones is large enough"
+        return ""
+
+    def submit(self, spec: job.JobSpec, now: float) -> None:
+        """Accept a durable job; a repeated one is ignored."""
+        record = self.table.add(spec, now)
+        if record is None:
+            return
+        if reason := self.refusal(spec):
+            self.end_waiting(record, job.Outcome(job.State.NOT_RUN, reason), now)
+            return
+        if self.wait_for_dependencies(record, now):
+            self.enqueue(record, now)
+
+    def wait_for_dependencies(
+        self, record: task_table.JobRecord, now: float, watch: bool = True
+    ) -> bool:
+        """Return whether a job may start; end it if a dependency has failed."""
+        unknown = []
+        for job_id in record.spec.after:
+            other = self.table.jobs.get(job_id)
+            if other is None:
+                unknown.append(job_id)
+                self.table.block(record, job_id)
+            elif other.outcome is None:
+                self.table.block(record, job_id)
+            elif other.outcome.state is not job.State.DONE:
+                self.end_waiting(record, dependency_failed(job_id, other.outcome), now)
+                return False
+        if unknown and watch:
+            self.outbox.add(effects.WatchJobs(record.spec.id, unknown))
+        return not record.blocked_on
+
+    def dependency_finished(
+        self, job_id: str, outcome: job.Outcome, now: float
+    ) -> None:
+        """Release or end the jobs that wait for a finished job."""
+        finished = [(job_id, outcome)]
+        while finished:
+            job_id, outcome = finished.pop()
+            for record in self.table.unblock(job_id):
+                if outcome.state is not job.State.DONE:
+                    reason = dependency_failed(job_id, outcome)
+                    self._set_waiting_final(record, reason)
+                    if record.complete():
+                        finished.append((record.spec.id, self._close_job(record)))
+                elif not record.blocked_on:
+                    self.enqueue(record, now)
+
+    def enqueue(self, record: task_table.JobRecord, now: float) -> None:
+        """Queue the tasks of a job that wait for nothing else."""
+        held, delayed = record.held, record.delayed
+        indices = record.waiting_indices()
+        if held or delayed:
+            indices = (i for i in indices if i not in held and i not in delayed)
+        self.queue.add(record.spec, indices, now, self._latest_start(record))
+        self.changed = True
+
+    def end_waiting(
+        self, record: task_table.JobRecord, outcome: job.Outcome, now: float
+    ) -> None:
+        """Give all waiting tasks of a job the same final outcome."""
+        self._set_waiting_final(record, outcome)
+        if record.complete() and record.outcome is None:
+            job_outcome = self._close_job(record)
+            self.dependency_finished(record.spec.id, job_outcome, now)
+
+    def cancel(self, record: task_table.JobRecord, now: float) -> None:
+        """End waiting tasks as not run and stop the running ones."""
+        if record.outcome is not None or record.cancelled:
+            return
+        record.cancelled = True
+        for task in list(record.live.values()):
+            if task.state is job.State.INTENDED:
+                self.vacate(record, task, now)  # was not sent, so it cannot run
+            else:
+                self.stop(task, CANCELLED, "kill")
+        self.end_waiting(record, NOT_RUN_CANCELLED, now)
+
+    def _set_waiting_final(
+        self, record: task_table.JobRecord, outcome: job.Outcome
+    ) -> None:
+        """Make waiting tasks final, except those that may run on some worker."""
+        self.queue.remove(record.spec.id)
+        record.delayed.clear()
+        job_id, record_outcome = record.spec.id, self.outbox.record
+        for index in list(record.waiting_indices()):
+            if index in record.held:
+                continue
+            final = outcome
+            if index in record.ran and outcome.state is job.State.NOT_RUN:
+                # An earlier attempt ran, so "not run" would be wrong.
+                final = job.Outcome(job.State.FAILED, outcome.reason)
+            record.set_final(index, final)
+            record_outcome(job.task_id(job_id, index), final)
+
+    def _close_job(self, record: task_table.JobRecord) -> job.Outcome:
+        outcome = self.table.finish_job(record)
+        self.queue.remove(record.spec.id)
+        self.outbox.finish(record.spec.id, outcome)
+        return outcome
+
+    def _latest_start(self, record: task_table.JobRecord) -> float:
+        return self.estimator.latest_start(record.spec, record.accepted_at)
+
+    # Tasks
+
+    def demand(self, spec: job.JobSpec) -> resources.Resources:
+        """Return what a task holds: the learned size, if a worker can hold it."""
+        learned = self.estimator.demand(spec)
+        if learned is not spec.demand and not self.index.can_ever_fit(learned):
+            return spec.demand
+        return learned
+
+    def start(
+        self,
+        record: task_table.JobRecord,
+        worker: str,
+        indices: list[int],
+        demand: resources.Resources,
+        now: float,
+    ) -> None:
+        """Start tasks of one job on one worker, or record the intent to do so."""
+        spec = record.spec
+        team, idempotent = spec.team, spec.idempotent
+        incarnation = self.workers[worker].facts.incarnation
+        state = job.State.STARTING if idempotent else job.State.INTENDED
+        expected_end = now + self.estimator.run_seconds(spec)
+        on_worker = self.tasks_on[worker]
+        starts = []
+        for index in indices:
+            task = task_table.LiveTask(
+                f"{spec.id}/{index}",
+                spec.id,
+                index,
+                record.next_attempt(index),
+                state,
+                worker,
+                now,
+                0,
+                record.progress.get(index, b"") if record.progress else b"",
+                demand,
+                team,
+                incarnation,
+                expected_end,
+            )
+            self.table.open_task(record, task)
+            on_worker[task.id] = task
+            if idempotent:
+                starts.append(self.message(record, task))
+            else:
+                self.outbox.intend(
+                    effects.Intent(task.id, task.attempt, worker, incarnation)
+                )
+        if starts:
+            self.outbox.start(worker, starts)
+        total = demand.times(len(indices)) if len(indices) > 1 else demand
+        self.index.allocate(worker, total)
+        self.allowances.use(team, total)
+        self.shares.started(team, total, now)
+        if self.quarantine.allows(worker, now) is quarantine.Verdict.PROBE:
+            self.quarantine.probe_started(worker, now)
+            self.update_schedulable(worker, now)
+
+    @staticmethod
+    def message(
+        record: task_table.JobRecord, task: task_table.LiveTask
+    ) -> wire.TaskStart:
+        """Return the start message of an attempt."""
+        return wire.TaskStart(
+            task.id,
+            task.attempt,
+            task.demand,
+            task.team,
+            record.spec.idempotent,
+            record.spec.payload,
+            task.progress,
+        )
+
+    def adopt(
+        self, record: task_table.JobRecord, task: task_table.LiveTask, now: float
+    ) -> None:
+        """Count a task that already runs or may run on its worker."""
+        record.held.discard(task.index)
+        record.attempts[task.index] = max(
+            record.attempts.get(task.index, 0), task.attempt
+        )
+        self.table.open_task(record, task)
+        self.tasks_on.setdefault(task.worker, {})[task.id] = task
+        if task.worker in self.index:
+            self.index.allocate(task.worker, task.demand)
+        self.allowances.use(task.team, task.demand)
+        self.shares.started(task.team, task.demand, now)
+
+    def stop(self, task: task_table.LiveTask, reason: str, mode: str) -> None:
+        """Ask the worker to stop a task; its report ends the attempt."""
+        task.stop_reason = reason
+        self.outbox.stop(task.worker, task.id, mode)
+
+    def vacate(
+        self, record: task_table.JobRecord, task: task_table.LiveTask, now: float
+    ) -> None:
+        """Give back what a task held; it is waiting afterwards."""
+        self.table.close_task(record, task)
+        on_worker = self.tasks_on.get(task.worker)
+        if on_worker is not None:
+            on_worker.pop(task.id, None)
+        self.index.release(task.worker, task.demand)
+        self.allowances.free(task.team, task.demand)
+        self.shares.ended(task.team, task.demand, now)
+        self.changed = True
+
+    def finalize(
+        self,
+        record: task_table.JobRecord,
+        index: int,
+        outcome: job.Outcome,
+        now: float,
+    ) -> None:
+        """Record the final outcome of a task that occupies no worker."""
+        record.set_final(index, outcome)
+        self.outbox.record(f"{record.spec.id}/{index}", outcome)
+        if record.complete():
+            if record.outcome is None:
+                job_outcome = self._close_job(record)
+                self.dependency_finished(record.spec.id, job_outcome, now)
+        elif record.spec.kind is job.Kind.GANG and outcome.state is not job.State.DONE:
+            gang.abort(self, record, outcome.reason, now)
+
+    def requeue(
+        self,
+        record: task_table.JobRecord,
+        index: int,
+        now: float,
+        delay: float = 0.0,
+        reason: str = "",
+    ) -> None:
+        """Queue a task again that occupies no worker, after `delay` seconds."""
+        if record.cancelled:
+            ran = index in record.ran
+            outcome = FAILED_CANCELLED if ran else NOT_RUN_CANCELLED
+            self.finalize(record, index, outcome, now)
+        elif record.spec.kind is job.Kind.GANG:
+            gang.break_up(self, record, reason, now, delay)
+        elif delay > 0:
+            record.delayed.add(index)
+            self.delay(record, index, now + delay)
+        else:
+            self.queue.requeue(
+                record.spec, index, now, record.accepted_at, self._latest_start(record)
+            )
+            self.changed = True
+
+    def delay(self, record: task_table.JobRecord, index: int, due: float) -> None:
+        """Wake a task at `due`; index -1 wakes all tasks of a gang."""
+        self._sequence += 1
+        heapq.heappush(self.retries, (due, self._sequence, record.spec.id, index))
+
+    def wake_retries(self, now: float) -> None:
+        """Queue the tasks whose retry time has come."""
+        while self.retries and self.retries[0][0] <= now:
+            _, _, job_id, index = heapq.heappop(self.retries)
+            record = self.table.jobs.get(job_id)
+            if record is None or not record.delayed:
+                continue
+            if index < 0:
+                record.delayed.clear()
+                self.enqueue(record, now)
+            elif index in record.delayed:
+                record.delayed.discard(index)
+                self.requeue(record, index, now)
+
+
+def dependency_failed(job_id: str, outcome: job.Outcome) -> job.Outcome:
+    """Return the outcome of work that waited for a job that is not done."""
+    reason = f"dependency {job_id} ended {outcome.state.value}"
+    if outcome.reason:
+        reason = f"{reason}: {outcome.reason}"
+    return job.Outcome(job.State.NOT_RUN, reason)
--- /dev/null
+++ b/toucanspring/recovery.py
@@ -0,0 +1,278 @@
+"""Takeover of a partition, attached workers and lost workers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from toucanspring import (
+    attempt,
+    effects,
+    gang,
+    job,
+    lifecycle,
+    resources,
+    task_table,
+    wire,
+)
+
+
+def restore(
+    core: lifecycle.Lifecycle,
+    specs: Iterable[job.JobSpec],
+    finished: Mapping[str, job.Outcome],
+    intents: Mapping[str, effects.Intent],
+    cancelled: Iterable[str],
+    expected: Mapping[str, resources.Resources | None],
+    now: float,
+) -> None:
+    """Rebuild the state from the log; `expected` workers may run tasks."""
+    core.expected = dict(expected)
+    records = [record for spec in specs if (record := core.table.add(spec, now))]
+    for task_id, outcome in finished.items():
+        record = core.table.jobs.get(job.job_of(task_id))
+        if record is not None:
+            record.set_final(task_index(task_id), outcome)
+    for job_id in cancelled:
+        if record := core.table.jobs.get(job_id):
+            record.cancelled = True
+    for record in records:
+        if record.complete():
+            core.table.finish_job(record)
+    started: dict[str, list[effects.Intent]] = {}
+    for intent in intents.values():
+        started.setdefault(job.job_of(intent.task_id), []).append(intent)
+    for record in records:
+        if record.outcome is None:
+            _restore_job(core, record, started.get(record.spec.id, ()), now)
+    settle(core, now)
+
+
+def _restore_job(
+    core: lifecycle.Lifecycle,
+    record: task_table.JobRecord,
+    intents: Iterable[effects.Intent],
+    now: float,
+) -> None:
+    spec = record.spec
+    if not core.wait_for_dependencies(record, now):
+        return  # nothing of it has started
+    if spec.idempotent:
+        # Starts of idempotent tasks are not logged, so each may be running.
+        record.held.update(record.waiting_indices())
+        core.held_jobs.add(spec.id)
+        return
+    for intent in intents:
+        index = task_index(intent.task_id)
+        if index in record.finals:
+            continue
+        task = task_table.LiveTask(
+            intent.task_id,
+            spec.id,
+            index,
+            intent.attempt,
+            job.State.STARTING,
+            intent.worker,
+            now,
+            demand=spec.demand,
+            team=spec.team,
+            incarnation=intent.incarnation,
+            expected_end=now + spec.run_seconds,
+        )
+        core.adopt(record, task, now)
+    for task in list(record.live.values()):
+        if task.worker not in core.expected:
+            attempt.lost(core, task, f"worker {task.worker} is gone", now)
+    if record.outcome is not None:
+        return
+    if record.cancelled:
+        core.end_waiting(record, lifecycle.NOT_RUN_CANCELLED, now)
+    elif spec.kind is job.Kind.GANG and (record.live or record.gang_breaking):
+        core.held_jobs.add(spec.id)  # complete again once its workers are attached
+    else:
+        core.enqueue(record, now)
+
+
+def attach(
+    core: lifecycle.Lifecycle,
+    facts: effects.WorkerFacts,
+    running: Iterable[wire.RunningTask],
+    finished: Iterable[wire.FinishedTask],
+    now: float,
+) -> None:
+    """Compare a worker's tasks with the attributed ones.
+
+    The worker must have closed older streams of the partition before it answered,
+    so that a start it does not know will never arrive.
+    """
+    worker = facts.worker
+    former = core.workers.get(worker)
+    state = core.workers[worker] = lifecycle.WorkerState(facts)
+    if former is not None:
+        state.leaving = former.leaving
+        _drop_orphans(core, former)
+    core.shapes.add((facts.availability_zone, facts.capacity))
+    core.index.add(worker, facts.capacity, facts.availability_zone, facts.rack)
+    core.shares.set_total(core.index.total())
+    attributed = core.tasks_on.setdefault(worker, {})
+    for task in attributed.values():
+        core.index.allocate(worker, task.demand)
+    state.schedulable = True
+    core.update_schedulable(worker, now)
+    attempt.report(core, worker, finished, now)
+    present = set()
+    for entry in running:
+        present.add((entry.task_id, entry.attempt))
+        _attach_running(core, state, entry, now)
+    for task in list(attributed.values()):
+        if (task.id, task.attempt) not in present and task.id in core.table.live:
+            _attach_absent(core, task, facts, now)
+    core.expected.pop(worker, None)
+    settle(core, now)
+
+
+def _attach_running(
+    core: lifecycle.Lifecycle,
+    state: lifecycle.WorkerState,
+    entry: wire.RunningTask,
+    now: float,
+) -> None:
+    worker = state.facts.worker
+    task = core.table.live.get(entry.task_id)
+    if task is not None and task.worker == worker and task.attempt == entry.attempt:
+        task.state = job.State.RUNNING
+        task.incarnation = state.facts.incarnation
+        if task.stop_reason:
+            core.stop(task, task.stop_reason, "kill")  # the first one may be lost
+        return
+    record = core.table.jobs.get(job.job_of(entry.task_id))
+    index = task_index(entry.task_id)
+    if record is not None and index in record.held:
+        started_at = now - entry.age_ms / 1000
+        task = task_table.LiveTask(
+            entry.task_id,
+            record.spec.id,
+            index,
+            entry.attempt,
+            job.State.RUNNING,
+            worker,
+            started_at,
+            demand=entry.demand,
+            team=entry.team,
+            incarnation=state.facts.incarnation,
+            expected_end=started_at + core.estimator.run_seconds(record.spec),
+        )
+        core.adopt(record, task, now)
+        if record.cancelled:
+            core.stop(task, lifecycle.CANCELLED, "kill")
+        return
+    state.orphans[entry.task_id] = entry
+    core.index.allocate(worker, entry.demand)
+    core.allowances.use(entry.team, entry.demand)
+    core.outbox.stop(worker, entry.task_id, "kill")
+
+
+def _attach_absent(
+    core: lifecycle.Lifecycle,
+    task: task_table.LiveTask,
+    facts: effects.WorkerFacts,
+    now: float,
+) -> None:
+    """Handle an attributed task that the worker does not know."""
+    restarted = task.incarnation != facts.incarnation
+    match absent_task(task.state, restarted):
+        case "keep":
+            return
+        case "never_ran":
+            attempt.never_ran(core, task, now)
+        case _:
+            reason = "restarted" if restarted else "does not know the task"
+            attempt.lost(core, task, f"worker {facts.worker} {reason}", now)
+
+
+def absent_task(state: job.State, restarted: bool) -> str:
+    """Return what follows for an attempt that an attached worker does not know.
+
+    `keep`: it was not sent; `never_ran`: it certainly did not run and never will,
+    since the worker keeps ended tasks until they are acknowledged and refuses older
+    epochs; `lost`: it may have run.
+    """
+    if state is job.State.INTENDED:
+        return "never_ran" if restarted else "keep"
+    if state is job.State.STARTING and not restarted:
+        return "never_ran"
+    return "lost"
+
+
+def lose(core: lifecycle.Lifecycle, worker: str, now: float) -> None:
+    """End all attempts on a worker whose lease and grace have expired."""
+    state = core.workers.pop(worker, None)
+    if state is not None:
+        _drop_orphans(core, state)
+    core.index.remove(worker)
+    core.shares.set_total(core.index.total())
+    core.expected.pop(worker, None)
+    for task in list(core.tasks_on.pop(worker, {}).values()):
+        if task.id in core.table.live:
+            attempt.lost(core, task, f"worker {worker} was lost", now)
+    settle(core, now)
+
+
+def _drop_orphans(core: lifecycle.Lifecycle, state: lifecycle.WorkerState) -> None:
+    for orphan in state.orphans.values():
+        core.allowances.free(orphan.team, orphan.demand)
+    state.orphans.clear()
+
+
+def settle(core: lifecycle.Lifecycle, now: float) -> None:
+    """Queue the restored tasks that no worker can be running any more."""
+    count_possible_use(core)
+    if core.expected:
+        return
+    for job_id in sorted(core.held_jobs):
+        record = core.table.jobs[job_id]
+        record.held.clear()
+        if record.outcome is not None:
+            continue
+        if record.cancelled:
+            # An attempt may have run before the takeover.
+            core.end_waiting(record, lifecycle.FAILED_CANCELLED, now)
+        elif record.gang_breaking:
+            gang.break_up(core, record, record.gang_breaking, now)
+        elif record.spec.kind is not job.Kind.GANG or not record.live:
+            core.enqueue(record, now)
+        elif record.waiting_count():
+            gang.break_up(core, record, "members are missing after takeover", now)
+    core.held_jobs.clear()
+
+
+def count_possible_use(core: lifecycle.Lifecycle) -> None:
+    """Count restored tasks that may be running against their teams' allowances.
+
+    The bound is the capacity of the workers not yet attached, where it is known.
+    """
+    capacity: resources.Resources | None = resources.ZERO
+    for amount in core.expected.values():
+        capacity = None if amount is None or capacity is None else capacity + amount
+    possible: dict[str, resources.Resources] = {}
+    if core.expected:
+        for job_id in core.held_jobs:
+            record = core.table.jobs[job_id]
+            amount = record.spec.demand.times(len(record.held))
+            team = record.spec.team
+            possible[team] = possible.get(team, resources.ZERO) + amount
+    if capacity is not None:
+        possible = {
+            team: resources.Resources(
+                min(amount.cpus, capacity.cpus),
+                min(amount.memory, capacity.memory),
+                min(amount.accelerators, capacity.accelerators),
+            )
+            for team, amount in possible.items()
+        }
+    core.allowances.set_possible(possible)
+
+
+def task_index(task_id: str) -> int:
+    """Return the index part of a task ID; -1 if it has none."""
+    index = task_id.rpartition("/")[2]
+    return int(index) if index.isdecimal() else -1
--- /dev/null
+++ b/toucanspring/scheduler.py
@@ -0,0 +1,220 @@
+"""State machine of one partition; `effects` describes its interface."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Mapping
+
+from toucanspring import (
+    attempt,
+    dispatch,
+    effects,
+    errors,
+    fairness,
+    job,
+    lifecycle,
+    recovery,
+    resources,
+    wire,
+)
+
+TIMED_CHECKS_S = 0.1  # period of checks for ended pauses, probes and allowances
+
+
+class Scheduler:
+    """Decide for one partition; perform no I/O and read no clock."""
+
+    def __init__(self, partition: int, rng: random.Random) -> None:
+        self.partition = partition
+        self._core = lifecycle.Lifecycle(rng)
+        self._dispatcher = dispatch.Dispatcher(self._core)
+        self._next_checks = 0.0
+
+    def submit(self, specs: list[job.JobSpec], now: float) -> list[effects.Effect]:
+        """Queue durable jobs; known IDs are ignored."""
+        for spec in specs:
+            self._core.submit(spec, now)
+        return self._core.outbox.take()
+
+    def restore(
+        self,
+        specs: Iterable[job.JobSpec],
+        finished: Mapping[str, job.Outcome],
+        intents: Mapping[str, effects.Intent],
+        cancelled: Iterable[str],
+        expected_workers: Mapping[str, resources.Resources] | Iterable[str],
+        now: float,
+    ) -> list[effects.Effect]:
+        """Rebuild after takeover; a map of expected workers gives their capacity."""
+        expected: dict[str, resources.Resources | None]
+        if isinstance(expected_workers, Mapping):
+            expected = dict(expected_workers)
+        else:
+            expected = dict.fromkeys(expected_workers)
+        recovery.restore(self._core, specs, finished, intents, cancelled, expected, now)
+        return self._core.outbox.take()
+
+    def cancel(self, job_ids: Iterable[str], now: float) -> list[effects.Effect]:
+        """Cancel jobs; unknown and finished ones are ignored."""
+        for job_id in job_ids:
+            record = self._core.table.jobs.get(job_id)
+            if record is not None:
+                self._core.cancel(record, now)
+        return self._core.outbox.take()
+
+    def worker_attached(
+        self,
+        facts: effects.WorkerFacts,
+        running: list[wire.RunningTask],
+        finished: list[wire.FinishedTask],
+        now: float,
+    ) -> list[effects.Effect]:
+        """Add a worker or compare its tasks after the stream was replaced."""
+        recovery.attach(self._core, facts, running, finished, now)
+        return self._core.outbox.take()
+
+    def worker_report(
+        self,
+        worker: str,
+        finished: list[wire.FinishedTask],
+        usage: Mapping[str, resources.Resources],  # noqa: ARG002
+        now: float,
+    ) -> list[effects.Effect]:
+        """Apply the ends of attempts; repeated reports change nothing."""
+        attempt.report(self._core, worker, finished, now)
+        return self._core.outbox.take()
+
+    def starts_answered(
+        self,
+        worker: str,
+        accepted: list[str],
+        refused: list[tuple[str, str]],
+        now: float,
+    ) -> list[effects.Effect]:
+        """Note accepted starts and queue refused ones again."""
+        attempt.accepted(self._core, worker, accepted)
+        attempt.refused(self._core, worker, refused, now)
+        return self._core.outbox.take()
+
+    def starts_unanswered(
+        self,
+        worker: str,
+        task_ids: list[str],  # noqa: ARG002
+        now: float,
+    ) -> list[effects.Effect]:
+        """Start nothing on a worker whose stream broke until it is attached again.
+
+        Its tasks stay attributed to it.
+        """
+        state = self._core.workers.get(worker)
+        if state is not None:
+            state.attached = False
+            self._core.update_schedulable(worker, now)
+        return self._core.outbox.take()
+
+    def worker_lost(self, worker: str, now: float) -> list[effects.Effect]:
+        """End the attempts on a worker; its lease and grace must have expired."""
+        recovery.lose(self._core, worker, now)
+        return self._core.outbox.take()
+
+    def worker_leaving(
+        self, worker: str, leaving: bool, now: float
+    ) -> list[effects.Effect]:
+        """Start nothing on a worker while it is leaving."""
+        state = self._core.workers.get(worker)
+        if state is not None:
+            state.leaving = leaving
+            self._core.update_schedulable(worker, now)
+        return self._core.outbox.take()
+
+    def set_availability_zones(
+        self, out: frozenset[str], now: float
+    ) -> list[effects.Effect]:
+        """Start nothing in zones that are out of service."""
+        self._core.zones_out = out
+        for worker in self._core.workers:
+            self._core.update_schedulable(worker, now)
+        return self._core.outbox.take()
+
+    def set_teams(
+        self,
+        teams: Mapping[str, fairness.Team],
+        now: float,  # noqa: ARG002
+    ) -> list[effects.Effect]:
+        """Set shares and ceilings."""
+        core = self._core
+        core.teams = dict(teams)
+        core.shares.set_teams(teams.values())
+        core.allowances.set_ceilings(
+            {name: team.ceiling for name, team in teams.items()}
+        )
+        core.changed = True
+        return core.outbox.take()
+
+    def set_allowances(
+        self, held: Mapping[str, resources.Resources], now: float
+    ) -> list[effects.Effect]:
+        """Set the part of each team's ceiling that this partition holds."""
+        self._core.allowances.set_held(held, now)
+        self._core.changed = True
+        return self._core.outbox.take()
+
+    def intents_durable(
+        self, intents: list[effects.Intent], now: float
+    ) -> list[effects.Effect]:
+        """Send the starts whose intents are in the log."""
+        attempt.intents_durable(self._core, intents, now)
+        return self._core.outbox.take()
+
+    def intents_failed(
+        self, intents: list[effects.Intent], now: float
+    ) -> list[effects.Effect]:
+        """Queue tasks again whose intents were not written."""
+        attempt.intents_failed(self._core, intents, now)
+        return self._core.outbox.take()
+
+    def dependency_finished(
+        self, job_id: str, outcome: job.Outcome, now: float
+    ) -> list[effects.Effect]:
+        """Release or end the jobs that wait for a job of another partition."""
+        self._core.dependency_finished(job_id, outcome, now)
+        return self._core.outbox.take()
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Place waiting work and do what is due."""
+        core = self._core
+        core.wake_retries(now)
+        if now >= self._next_checks:
+            self._next_checks = now + TIMED_CHECKS_S
+            core.end_pauses(now)
+        self._dispatcher.place(now)
+        for effect in core.allowances.step(now):
+            core.outbox.add(effect)
+        return core.outbox.take()
+
+    def lookup(self, job_id: str) -> effects.JobStatus | errors.NotFound:
+        """Return the counts of tasks by state and the outcome of a job."""
+        return self._core.table.lookup(job_id)
+
+    def explain(self, job_id: str) -> effects.Explanation | errors.NotFound:
+        """Return what a job waits for, or where its tasks ran."""
+        status = self.lookup(job_id)
+        if isinstance(status, errors.NotFound):
+            return status
+        record = self._core.table.jobs[job_id]
+        noted = self._core.decisions.find(job_id)
+        waits_for = list(noted.waits_for)
+        if record.blocked_on:
+            waits_for = [f"job {other}" for other in sorted(record.blocked_on)]
+        elif record.held:
+            waits_for = [f"worker {name}" for name in sorted(self._core.expected)]
+        elif record.delayed:
+            waits_for = ["retry delay"]
+        state = "waiting"
+        if status.outcome is not None:
+            state, waits_for = status.outcome.state.value, []
+        elif record.live:
+            state = "running"
+        return effects.Explanation(
+            job_id, state, noted.rank, waits_for, noted.rejected, noted.placements
+        )
