Walk a team's queue once per tick

Each call of WaitingQueue.next_groups copies the list of waiting jobs. With 50,000 single-task jobs on 200 workers the tick asked for it once per start: 3654 us per task. One iterator per team and tick: 132 us.

--- a/toucanspring/dispatch.py
+++ b/toucanspring/dispatch.py
@@ -4,6 +4,7 @@
 
 import collections
 import itertools
+from collections.abc import Iterator
 
 from toucanspring import (
     gang,
@@ -15,7 +16,7 @@
     waiting,
 )
 
-CHUNK = 64  # tasks of one job started before the teams are ranked again
+CHUNK = 64  # tasks of one team started before the teams are ranked again
 STARTS_PER_TICK = 512  # bounds the time of one tick to a few tens of milliseconds
 GROUPS_PER_TEAM = 64  # jobs without room that are looked at for each team and tick
 IDLE_S = 1.0  # without changes, waiting work is looked at again after so long
@@ -27,6 +28,7 @@
     def __init__(self, core: lifecycle.Lifecycle) -> None:
         self._core = core
         self._next_look = 0.0
+        self._groups: dict[str, Iterator[waiting.Group]] = {}
         # Jobs that found no room in the last tick, in the order of service.
         self.blocked: list[tuple[task_table.JobRecord, placement.NoRoom]] = []
 
@@ -38,6 +40,7 @@
         core.changed = False
         self._next_look = now + IDLE_S
         self.blocked = []
+        self._groups = {}
         gang.expire(core, now)
         candidates = set(core.queue.teams())
         no_room: set[tuple] = set()
@@ -62,19 +65,30 @@
         return started
 
     def _place_team(self, team: str, rank: int, no_room: set, now: float) -> int:
-        groups = self._core.queue.next_groups(team, now)
-        for group in itertools.islice(groups, GROUPS_PER_TEAM):
-            if started := self._place_group(group, rank, no_room, now):
-                return started
-        return 0
+        # One iterator for the whole tick, since creating one costs time in
+        # proportion to the number of waiting jobs.
+        groups = self._groups.get(team)
+        if groups is None:
+            groups = self._groups[team] = self._core.queue.next_groups(team, now)
+        started = 0
+        without_room = 0
+        for group in groups:
+            placed = self._place_group(group, CHUNK - started, rank, no_room, now)
+            started += placed
+            without_room += not placed
+            if placed and group.indices:
+                self._groups[team] = itertools.chain([group], groups)
+            if started >= CHUNK or without_room >= GROUPS_PER_TEAM:
+                break
+        return started
 
     def _place_group(
-        self, group: waiting.Group, rank: int, no_room: set, now: float
+        self, group: waiting.Group, limit: int, rank: int, no_room: set, now: float
     ) -> int:
         core, spec = self._core, group.spec
         record = core.table.jobs[spec.id]
         together = spec.kind is job.Kind.GANG
-        count = len(group) if together else min(len(group), CHUNK)
+        count = len(group) if together else min(len(group), limit)
         demand = core.demand(spec)
         room = core.allowances.room(spec.team, demand)
         if room < (count if together else 1):
