Add preemption and a test of random faults

preemption.py stops the latest work above a lowered ceiling, checkpoints idempotent work in zones taken out and on leaving workers, and makes room for urgent work and for teams below their share.

The fault test found and this change fixes: tasks queued twice when a takeover settled after a retry; a gang that stayed stopped after its last restored member was done; gangs that waited forever for a quarantined worker; 'not run' for work that an earlier owner had run.

--- a/test/cell.py
+++ b/test/cell.py
@@ -1,12 +1,12 @@
-"""A cell in memory that carries out a scheduler's effects, for tests."""
+"""Workers and a log in memory that carry out a scheduler's effects, for tests."""
 
-import collections
 import random
 
 from toucanspring import effects, fairness, job, resources, scheduler, wire
 
 CAPACITY = resources.Resources(32_000, 65_536, 0)
 ONE = resources.Resources(1_000, 1_024, 0)
+TEAMS = (fairness.Team("zimna"), fairness.Team("kern"))
 
 
 def spec(job_id="a", **fields):
@@ -16,28 +16,44 @@
     return job.JobSpec(id=job_id, **fields)
 
 
+class Worker:
+    """Run tasks and keep ended ones until they are acknowledged."""
+
+    def __init__(self, name, zone, capacity):
+        self.name, self.zone, self.capacity = name, zone, capacity
+        self.incarnation = 1
+        self.connected = True
+        self.running = {}
+        self.ended = {}
+
+    def facts(self):
+        rack = f"{self.zone}-r0"
+        return effects.WorkerFacts(
+            self.name, self.incarnation, self.capacity, self.zone, rack
+        )
+
+
 class Cell:
-    """Keep the log, the workers' tasks and the effects that were seen."""
+    """Check the invariants on every effect."""
 
-    def __init__(self, workers=1, seed=1, teams=None, capacity=CAPACITY):
-        self.scheduler = scheduler.Scheduler(0, random.Random(seed))
+    def __init__(self, workers=1, seed=1, teams=TEAMS, capacity=CAPACITY):
         self.now = 100.0
+        self.seed = seed
+        self.teams = {team.name: team for team in teams}
         self.seen = []
-        self.running = collections.defaultdict(dict)  # worker -> task ID -> start
-        self.starts = collections.Counter()  # task ID -> accepted starts
-        self.outcomes = {}
-        self.finished = {}
-        self.intents = {}
+        self.specs, self.outcomes, self.intents, self.finished = {}, {}, {}, {}
+        self.cancelled = set()
+        self.starts, self.zones_out = {}, frozenset()
         self.pending_intents = []
-        self.manual_intents = False
-        self.silent = set()  # workers that receive nothing
-        self.facts = {}
-        self.capacity = capacity
-        if teams is None:
-            teams = [fairness.Team("zimna"), fairness.Team("kern")]
-        self.call("set_teams", {team.name: team for team in teams})
+        self.hold_intents = False
+        self.deliver_unanswered = True  # whether broken streams lose only answers
+        self.workers = {}
+        self.scheduler = scheduler.Scheduler(0, random.Random(seed))
+        self.call("set_teams", self.teams)
         for number in range(workers):
-            self.attach(f"w{number}", zone=f"z{number % 3}")
+            name = f"w{number}"
+            self.workers[name] = Worker(name, f"z{number % 3}", capacity)
+            self.attach(name)
 
     def call(self, method, *arguments):
         """Call a method, carry out its effects, and return them."""
@@ -51,61 +67,135 @@
         match effect:
             case effects.RecordIntents(intents):
                 self.pending_intents += intents
-                if not self.manual_intents:
+                if not self.hold_intents:
                     self.write_intents()
             case effects.RecordOutcomes(outcomes):
-                assert not self.outcomes.keys() & outcomes.keys(), "outcome changed"
-                self.outcomes.update(outcomes)
+                self.record(outcomes)
             case effects.JobFinished(job_id, outcome):
                 assert job_id not in self.finished
                 self.finished[job_id] = outcome
-            case effects.StartTasks(worker, tasks) if worker not in self.silent:
-                for task in tasks:
-                    assert task.task_id not in self.running[worker]
-                    self.running[worker][task.task_id] = task
-                    self.starts[task.task_id] += 1
-                used = sum(
-                    (t.demand for t in self.running[worker].values()), resources.ZERO
-                )
-                assert used.fits(self.facts[worker].capacity), (worker, used)
-                ids = [task.task_id for task in tasks]
-                self.call("starts_answered", worker, ids, [])
+            case effects.StartTasks(name, tasks):
+                self.start(self.workers[name], tasks)
+            case effects.StopTasks(name, task_ids, mode):
+                if self.workers[name].connected:
+                    self.stop(self.workers[name], task_ids, mode)
+            case effects.Acknowledge(name, task_ids):
+                if self.workers[name].connected:
+                    for task_id in task_ids:
+                        self.workers[name].ended.pop(task_id, None)
+
+    def record(self, outcomes):
+        assert not self.outcomes.keys() & outcomes.keys(), "outcome changed"
+        for task_id, outcome in outcomes.items():
+            if outcome.state is job.State.NOT_RUN:
+                assert task_id not in self.starts, f"{task_id} did run"
+        self.outcomes.update(outcomes)
+
+    def stop(self, worker, task_ids, mode):
+        state = "failed" if mode == "kill" else "checkpointed"
+        for task_id in task_ids:
+            if task_id in worker.running:
+                self.end(worker.name, task_id, state, report=False, answer=b"mark")
+
+    def start(self, worker, tasks):
+        if not worker.connected:
+            self.call("starts_unanswered", worker.name, [t.task_id for t in tasks])
+            if not self.deliver_unanswered:
+                return
+        assert worker.zone not in self.zones_out, "start in a closed zone"
+        for task in tasks:
+            owner = self.specs[job.job_of(task.task_id)]
+            places = [w for w in self.workers.values() if task.task_id in w.running]
+            assert not places, f"{task.task_id} runs twice"
+            assert task.task_id not in self.outcomes, "start after the outcome"
+            assert owner.idempotent or task.task_id not in self.starts, "second start"
+            worker.running[task.task_id] = task
+            self.starts[task.task_id] = self.starts.get(task.task_id, 0) + 1
+        demands = [task.demand for task in worker.running.values()]
+        used = sum(demands, resources.ZERO)
+        assert used.fits(worker.capacity), (worker.name, used)
+        if worker.connected:
+            self.call("starts_answered", worker.name, [t.task_id for t in tasks], [])
+
+    def submit(self, *specs):
+        self.specs.update((spec.id, spec) for spec in specs)
+        return self.call("submit", list(specs))
+
+    def cancel(self, job_id):
+        self.cancelled.add(job_id)
+        return self.call("cancel", [job_id])
 
     def write_intents(self):
         intents, self.pending_intents = self.pending_intents, []
         self.intents.update((intent.task_id, intent) for intent in intents)
         self.call("intents_durable", intents)
 
-    def attach(self, worker, zone="z0", incarnation=1, running=None, finished=()):
-        facts = effects.WorkerFacts(
-            worker, incarnation, self.capacity, zone, f"{zone}-r0"
-        )
-        self.facts[worker] = facts
-        self.silent.discard(worker)
-        if running is None:
-            running = [
-                wire.RunningTask(t.task_id, t.attempt, t.demand, t.team)
-                for t in self.running[worker].values()
-            ]
-        return self.call("worker_attached", facts, running, list(finished))
-
-    def end(self, worker, task_id, state="done", **fields):
-        """End a running task and report it."""
-        task = self.running[worker].pop(task_id)
+    def attach(self, name):
+        worker = self.workers[name]
+        worker.connected = True
+        running = [
+            wire.RunningTask(t.task_id, t.attempt, t.demand, t.team)
+            for t in worker.running.values()
+        ]
+        finished = list(worker.ended.values())
+        return self.call("worker_attached", worker.facts(), running, finished)
+
+    def disconnect(self, name):
+        """Break a stream; the scheduler learns of it with the next start."""
+        self.workers[name].connected = False
+
+    def lose(self, name):
+        """Let a worker's lease expire; it returns empty, with a new incarnation."""
+        worker = self.workers[name]
+        worker.connected = False
+        worker.running.clear()
+        worker.ended.clear()
+        worker.incarnation += 1
+        return self.call("worker_lost", name)
+
+    def take_over(self):
+        """Replace the scheduler by a successor that knows only the log."""
+        self.seed += 1
+        self.pending_intents = []  # were not written
+        self.scheduler = scheduler.Scheduler(0, random.Random(self.seed))
+        for worker in self.workers.values():
+            worker.connected = False
+        self.call("set_teams", self.teams)
+        self.call("set_availability_zones", self.zones_out)
+        names = set(self.workers)
+        specs = list(self.specs.values())
+        self.call("restore", specs, self.outcomes, self.intents, self.cancelled, names)
+
+    def end(self, name, task_id, state="done", report=True, **fields):
+        """End a running task, and report it if the stream works."""
+        worker = self.workers[name]
+        task = worker.running.pop(task_id)
         end = wire.FinishedTask(task_id, task.attempt, state, **fields)
-        self.call("worker_report", worker, [end], {})
+        worker.ended[task_id] = end
+        if report:
+            self.report(name)
         return end
 
+    def report(self, name):
+        """Report the tasks that are not acknowledged, possibly again."""
+        worker = self.workers[name]
+        if worker.connected:
+            self.call("worker_report", name, list(worker.ended.values()), {})
+
     def end_all(self, state="done", **fields):
-        for worker, tasks in list(self.running.items()):
-            if worker in self.silent:
-                continue
-            ends = [
-                wire.FinishedTask(t.task_id, t.attempt, state, **fields)
-                for t in tasks.values()
-            ]
-            tasks.clear()
-            self.call("worker_report", worker, ends, {})
+        for name, worker in self.workers.items():
+            for task_id in list(worker.running):
+                self.end(name, task_id, state, report=False, **fields)
+            self.report(name)
+
+    def running(self, job_id=""):
+        """Return task ID -> worker of what runs."""
+        return {
+            task_id: worker.name
+            for worker in self.workers.values()
+            for task_id in worker.running
+            if task_id.startswith(job_id)
+        }
 
     def stopped(self, mode=None):
         """Return the IDs of the tasks that were asked to stop."""
@@ -120,14 +210,12 @@
         self.now += seconds
         return self.call("tick")
 
-    def worker_of(self, task_id):
-        return next(w for w, tasks in self.running.items() if task_id in tasks)
-
     def run(self, limit=1000, step=1.0):
-        """Tick and end everything until nothing runs; return the ticks needed."""
+        """Tick and end everything until all jobs are final; return the ticks."""
         for ticks in range(limit):
-            self.tick(step)
-            if not any(self.running.values()) and not self.pending_intents:
+            if self.specs.keys() <= self.finished.keys():
                 return ticks
+            self.tick(step)
             self.end_all()
-        raise AssertionError("work never ended")
+        left = self.specs.keys() - self.finished.keys()
+        raise AssertionError(f"never final: {sorted(left)}")
--- a/toucanspring/allowance.py
+++ b/toucanspring/allowance.py
@@ -89,6 +89,7 @@
         "asked_at",
         "ceiling",
         "held",
+        "known",
         "peak",
         "possible",
         "returning",
@@ -100,6 +101,7 @@
     def __init__(self) -> None:
         self.ceiling: Amount | None = None  # None: the team has no ceiling
         self.held = ZERO  # as in the row
+        self.known = False  # whether the row was read
         self.target: Amount | None = None  # of the request that is under way
         self.returning = False
         self.asked_at = 0.0
@@ -142,6 +144,7 @@
             account = self._account(team)
             value = _tuple(amount)
             changed, account.held = value != account.held, value
+            account.known = True
             if account.target is None:
                 continue
             if account.returning:
@@ -202,7 +205,7 @@
     def excess(self, team: str) -> resources.Resources:
         """Return what is used beyond the part held, after a ceiling was lowered."""
         account = self._account(team)
-        if account.ceiling is None:
+        if account.ceiling is None or not account.known:
             return resources.ZERO
         return resources.Resources(
             *(
--- a/toucanspring/dispatch.py
+++ b/toucanspring/dispatch.py
@@ -19,6 +19,7 @@
 CHUNK = 64  # tasks of one team started before the teams are ranked again
 STARTS_PER_TICK = 512  # bounds the time of one tick to a few tens of milliseconds
 GROUPS_PER_TEAM = 64  # jobs without room that are looked at for each team and tick
+BLOCKED_KEPT = 256  # jobs without room that preemption looks at
 IDLE_S = 1.0  # without changes, waiting work is looked at again after so long
 
 
@@ -30,7 +31,7 @@
         self._next_look = 0.0
         self._groups: dict[str, Iterator[waiting.Group]] = {}
         # Jobs that found no room in the last tick, in the order of service.
-        self.blocked: list[tuple[task_table.JobRecord, placement.NoRoom]] = []
+        self.blocked: list[task_table.JobRecord] = []
 
     def place(self, now: float) -> int:
         """Start what can start; return the number of tasks."""
@@ -99,8 +100,7 @@
         excluded = gang.excluded_for(core, spec, now)
         shape = (demand, spec.availability_zones, excluded, together and count)
         if shape in no_room:
-            core.decisions.wait(spec.id, rank, "room")
-            return 0
+            return self._note_no_room(record, rank, placement.NoRoom({}))
         if room < count:
             core.allowances.want(spec.team, demand.times(count), demand)
             count = room
@@ -109,12 +109,14 @@
             chosen = gang.place(core, record, demand, constraints)
             if isinstance(chosen, placement.NoRoom):
                 gang.reserve(core, spec, count, demand, now)
-                return self._note_no_room(record, rank, chosen, no_room, shape)
+                no_room.add(shape)
+                return self._note_no_room(record, rank, chosen)
         else:
             found = core.index.choose_many(demand, count, constraints)
             if not found:
                 rejected = placement.NoRoom(core.index.explain(demand, constraints))
-                return self._note_no_room(record, rank, rejected, no_room, shape)
+                no_room.add(shape)
+                return self._note_no_room(record, rank, rejected)
             chosen = [
                 (worker, core.queue.take(spec.id, self._share(worker, share, now)))
                 for worker, share in found
@@ -132,15 +134,10 @@
         return 1 if verdict is quarantine.Verdict.PROBE else share
 
     def _note_no_room(
-        self,
-        record: task_table.JobRecord,
-        rank: int,
-        rejected: placement.NoRoom,
-        no_room: set,
-        shape: tuple,
+        self, record: task_table.JobRecord, rank: int, rejected: placement.NoRoom
     ) -> int:
-        no_room.add(shape)
-        self.blocked.append((record, rejected))
+        if len(self.blocked) < BLOCKED_KEPT:
+            self.blocked.append(record)
         self._core.decisions.wait(record.spec.id, rank, "room", rejected.rejected)
         return 0
 
@@ -148,9 +145,6 @@
         self, record: task_table.JobRecord, excluded: frozenset[str]
     ) -> placement.Constraints:
         core, spec = self._core, record.spec
-        if spec.kind is job.Kind.GANG:
-            # A worker on probation must not hold up a whole gang.
-            excluded |= frozenset(core.quarantine.quarantined())
         zones = frozenset(spec.availability_zones) if spec.availability_zones else None
         counts: collections.Counter[str] | None = None
         if spec.spread or spec.compact:
--- a/toucanspring/gang.py
+++ b/toucanspring/gang.py
@@ -24,6 +24,7 @@
     workers: frozenset[str]
     starts_at: float
     expires: float
+    making_room: bool = False  # running tasks were stopped for it
 
 
 def excluded_for(
@@ -61,7 +62,19 @@
     """Return workers and task indices for all waiting tasks, taken from the queue."""
     spec = record.spec
     count = record.waiting_count()
-    chosen = core.index.choose_gang(demand, count, constraints, spec.compact)
+    chosen: list[tuple[str, int]] | placement.NoRoom = placement.NoRoom({})
+    if quarantined := core.quarantine.quarantined():
+        # A worker whose probe is due takes part only if there is no room without
+        # it: it could hold up the whole gang, but without other work nobody probes.
+        without = constraints.excluded.union(quarantined)
+        chosen = core.index.choose_gang(
+            demand,
+            count,
+            dataclasses.replace(constraints, excluded=without),
+            spec.compact,
+        )
+    if isinstance(chosen, placement.NoRoom):
+        chosen = core.index.choose_gang(demand, count, constraints, spec.compact)
     if isinstance(chosen, placement.NoRoom):
         return chosen
     core.reservations.pop(spec.id, None)
@@ -164,6 +177,19 @@
     _settle(core, record, now)
 
 
+def member_ended(
+    core: lifecycle.Lifecycle,
+    record: task_table.JobRecord,
+    outcome: job.Outcome,
+    now: float,
+) -> None:
+    """Go on after one member became final and others did not."""
+    if outcome.state is not job.State.DONE:
+        abort(core, record, outcome.reason, now)
+    else:
+        _settle(core, record, now)
+
+
 def _stop_members(
     core: lifecycle.Lifecycle, record: task_table.JobRecord, reason: str, now: float
 ) -> None:
--- a/toucanspring/lifecycle.py
+++ b/toucanspring/lifecycle.py
@@ -4,6 +4,7 @@
 
 import heapq
 import random
+from collections.abc import Iterable
 
 from toucanspring import (
     allowance,
@@ -197,12 +198,20 @@
                 elif not record.blocked_on:
                     self.enqueue(record, now)
 
-    def enqueue(self, record: task_table.JobRecord, now: float) -> None:
-        """Queue the tasks of a job that wait for nothing else."""
-        held, delayed = record.held, record.delayed
-        indices = record.waiting_indices()
-        if held or delayed:
-            indices = (i for i in indices if i not in held and i not in delayed)
+    def enqueue(
+        self,
+        record: task_table.JobRecord,
+        now: float,
+        indices: Iterable[int] | None = None,
+    ) -> None:
+        """Queue tasks of a job, by default all that wait for nothing else."""
+        if indices is None:
+            held, delayed = record.held, record.delayed
+            indices = (
+                index
+                for index in record.waiting_indices()
+                if index not in held and index not in delayed
+            )
         self.queue.add(record.spec, indices, now, self._latest_start(record))
         self.changed = True
 
@@ -342,9 +351,21 @@
         self.allowances.use(task.team, task.demand)
         self.shares.started(task.team, task.demand, now)
 
+    def resize(
+        self, task: task_table.LiveTask, demand: resources.Resources, now: float
+    ) -> None:
+        """Correct what a task holds."""
+        self.index.release(task.worker, task.demand)
+        self.index.allocate(task.worker, demand)
+        self.allowances.free(task.team, task.demand)
+        self.allowances.use(task.team, demand)
+        self.shares.ended(task.team, task.demand, now)
+        self.shares.started(task.team, demand, now)
+        task.demand = demand
+
     def stop(self, task: task_table.LiveTask, reason: str, mode: str) -> None:
         """Ask the worker to stop a task; its report ends the attempt."""
-        task.stop_reason = reason
+        task.stop_reason, task.stop_mode = reason, mode
         self.outbox.stop(task.worker, task.id, mode)
 
     def vacate(
@@ -374,8 +395,8 @@
             if record.outcome is None:
                 job_outcome = self._close_job(record)
                 self.dependency_finished(record.spec.id, job_outcome, now)
-        elif record.spec.kind is job.Kind.GANG and outcome.state is not job.State.DONE:
-            gang.abort(self, record, outcome.reason, now)
+        elif record.spec.kind is job.Kind.GANG:
+            gang.member_ended(self, record, outcome, now)
 
     def requeue(
         self,
--- /dev/null
+++ b/toucanspring/preemption.py
@@ -0,0 +1,235 @@
+"""Stops of running work: ceilings, places taken out, urgent work and shares."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from toucanspring import gang, job, lifecycle, resources, task_table
+
+# A task that is expected to end so soon is left to end where it runs.
+FINISH_S = 5.0
+# Room that was made stays reserved for the work that needs it; covers the time
+# that workers take to checkpoint.
+ROOM_S = 5.0
+SHARE_WAIT_S = 5.0  # lent capacity is taken back for work that waited so long
+DEADLINE_MARGIN_S = 10.0  # deadline work may stop others so long before it is late
+JOBS_PER_STEP = 4
+TASKS_PER_JOB = 16  # for which room is made at a time
+CLASS_ORDER = {job_class: order for order, job_class in enumerate(job.JobClass)}
+NEVER_STOPPED = CLASS_ORDER[job.JobClass.URGENT]  # checks and urgent work go on
+
+
+def enforce_ceilings(core: lifecycle.Lifecycle, now: float) -> None:
+    """Stop the latest work of teams that use more than they hold."""
+    if core.expected:
+        return  # what restored tasks use is an upper bound so far
+    for team in core.allowances.teams():
+        excess = core.allowances.excess(team)
+        if excess != resources.ZERO:
+            _stop_latest(core, team, excess, now)
+
+
+def _stop_latest(
+    core: lifecycle.Lifecycle, team: str, excess: resources.Resources, now: float
+) -> None:
+    tasks = [task for task in core.table.live.values() if task.team == team]
+    for task in tasks:
+        if task.stop_reason:
+            excess -= task.demand
+    tasks.sort(key=lambda task: (not _idempotent(core, task), -task.started_at))
+    for task in tasks:
+        if excess.fits(resources.ZERO):
+            return
+        if task.stop_reason or not _overlaps(task.demand, excess):
+            continue
+        excess -= task.demand
+        record = core.table.jobs[task.job_id]
+        reason = "the team's ceiling was lowered"
+        if task.state is job.State.INTENDED:
+            core.vacate(record, task, now)  # was not sent
+            core.requeue(record, task.index, now, reason=reason)
+        else:
+            checkpoint = record.spec.idempotent
+            core.stop(task, reason, "checkpoint" if checkpoint else "kill")
+
+
+def drain(core: lifecycle.Lifecycle, now: float) -> None:
+    """Checkpoint idempotent work on workers that are leaving or in closed zones.
+
+    Non-idempotent work runs to its end, since it could not start again elsewhere.
+    """
+    for worker, state in core.workers.items():
+        if not state.leaving and state.facts.availability_zone not in core.zones_out:
+            continue
+        reason = "worker is leaving" if state.leaving else "zone is out of service"
+        for task in list(core.tasks_on[worker].values()):
+            if task.stop_reason or task.state is job.State.INTENDED:
+                continue
+            overdue = now > task.expected_end + FINISH_S
+            ends_soon = task.expected_end <= now + FINISH_S
+            if (overdue or not ends_soon) and _idempotent(core, task):
+                core.stop(task, reason, "checkpoint")
+
+
+def make_room(
+    core: lifecycle.Lifecycle, blocked: Iterable[task_table.JobRecord], now: float
+) -> None:
+    """Stop lower classes for urgent work, and lent capacity for its owner."""
+    made = 0
+    over: dict[str, float] | None = None
+    for record in blocked:
+        spec = record.spec
+        held = core.reservations.get(spec.id)
+        if (held and held.making_room) or spec.id not in core.queue:
+            continue
+        demand = core.demand(spec)
+        if _is_pressing(core, record, now):
+            order = CLASS_ORDER[spec.job_class]
+            victims = _victims(core, record, max(order, NEVER_STOPPED), None)
+        elif now - core.queue.find(spec.id).added_at >= SHARE_WAIT_S:
+            if over is None:
+                over = core.shares.over_share(_active(core), now)
+            if not over or not _below_target(core, spec.team, demand):
+                continue
+            victims = _victims(core, record, NEVER_STOPPED, over)
+        else:
+            continue
+        made += _stop_victims(core, record, demand, victims, now)
+        if made >= JOBS_PER_STEP:
+            break
+
+
+def _is_pressing(
+    core: lifecycle.Lifecycle, record: task_table.JobRecord, now: float
+) -> bool:
+    job_class = record.spec.job_class
+    if job_class is job.JobClass.DEADLINE:
+        start = core.estimator.latest_start(record.spec, record.accepted_at)
+        return start - DEADLINE_MARGIN_S <= now
+    return job_class in (job.JobClass.CHECK, job.JobClass.URGENT)
+
+
+def _active(core: lifecycle.Lifecycle) -> set[str]:
+    return core.using_teams() | set(core.queue.teams())
+
+
+def _below_target(
+    core: lifecycle.Lifecycle, team: str, demand: resources.Resources
+) -> bool:
+    target = core.shares.targets(_active(core)).get(team, 0.0)
+    use = core.shares.use(team) + demand
+    return use.dominant(core.index.total()) <= target
+
+
+def _victims(
+    core: lifecycle.Lifecycle,
+    record: task_table.JobRecord,
+    above: int,
+    over: dict[str, float] | None,
+) -> dict[str, list[task_table.LiveTask]]:
+    """Return the tasks that may be stopped on each usable worker, best first.
+
+    Only classes after `above` are stopped; with `over`, only tasks of teams beyond
+    their target, and no more of a team than that.
+    """
+    zones = record.spec.availability_zones
+    total = core.index.total()
+    left = dict(over) if over is not None else {}
+    found: dict[str, list[task_table.LiveTask]] = {}
+    tasks = [
+        (-order, spec.kind is job.Kind.GANG, -task.started_at, task.id, task)
+        for task in core.table.live.values()
+        if task.state is job.State.RUNNING and not task.stop_reason
+        for spec in (core.table.jobs[task.job_id].spec,)
+        if (order := CLASS_ORDER[spec.job_class]) > above
+        and spec.idempotent
+        and spec.id != record.spec.id
+        and (over is None or task.team in left)
+    ]
+    for *_, task in sorted(tasks, key=lambda entry: entry[:4]):
+        state = core.workers.get(task.worker)
+        if state is None or not state.schedulable:
+            continue
+        if zones and state.facts.availability_zone not in zones:
+            continue
+        if over is not None:
+            share = task.demand.dominant(total)
+            if share > left[task.team]:
+                continue
+            left[task.team] -= share
+        found.setdefault(task.worker, []).append(task)
+    return found
+
+
+def _stop_victims(
+    core: lifecycle.Lifecycle,
+    record: task_table.JobRecord,
+    demand: resources.Resources,
+    victims: dict[str, list[task_table.LiveTask]],
+    now: float,
+) -> int:
+    """Stop the fewest tasks that make room; return 1 if there is enough, else 0."""
+    spec = record.spec
+    count = record.waiting_count()
+    together = spec.kind is job.Kind.GANG
+    if not together:
+        count = min(count, TASKS_PER_JOB)
+    taken = frozenset().union(
+        *(r.workers for job_id, r in core.reservations.items() if job_id != spec.id)
+    )
+    plans = []
+    for worker, tasks in victims.items():
+        if worker not in taken:
+            plans += _plans(worker, tasks, core.index.free(worker), demand)
+    if together:
+        # Workers with room that need no stop belong to the place of the gang.
+        for worker, state in core.workers.items():
+            if state.schedulable and worker not in taken:
+                room = demand.count_in(core.index.free(worker))
+                plans += [(0, worker, ())] * min(room, count)
+    plans.sort(key=lambda plan: plan[:2])
+    chosen = plans[:count]
+    if not chosen or (together and len(chosen) < count):
+        return 0
+    reason = f"room for {spec.job_class.value} job {spec.id}"
+    for _, _, tasks in chosen:
+        for task in tasks:
+            core.stop(task, reason, "checkpoint")
+    workers = frozenset(worker for _, worker, _ in chosen)
+    core.reservations[spec.id] = gang.Reservation(workers, now, now + ROOM_S, True)
+    return 1
+
+
+def _plans(
+    worker: str,
+    tasks: list[task_table.LiveTask],
+    free: resources.Resources,
+    demand: resources.Resources,
+) -> list[tuple[int, str, tuple[task_table.LiveTask, ...]]]:
+    """Return sets of tasks to stop, each of which makes room for one more task."""
+    plans = []
+    room = demand.count_in(free)
+    pending: list[task_table.LiveTask] = []
+    for task in tasks:
+        if not _overlaps(task.demand, demand):
+            continue
+        free += task.demand
+        pending.append(task)
+        if (now_fits := demand.count_in(free)) > room:
+            plans.append((len(pending), worker, tuple(pending)))
+            plans += [(0, worker, ())] * (now_fits - room - 1)
+            room, pending = now_fits, []
+    return plans
+
+
+def _overlaps(demand: resources.Resources, needed: resources.Resources) -> bool:
+    """Return whether `demand` has some of what is needed."""
+    return (
+        (demand.cpus > 0 and needed.cpus > 0)
+        or (demand.memory > 0 and needed.memory > 0)
+        or (demand.accelerators > 0 and needed.accelerators > 0)
+    )
+
+
+def _idempotent(core: lifecycle.Lifecycle, task: task_table.LiveTask) -> bool:
+    return core.table.jobs[task.job_id].spec.idempotent
--- a/toucanspring/recovery.py
+++ b/toucanspring/recovery.py
@@ -141,8 +141,10 @@
     if task is not None and task.worker == worker and task.attempt == entry.attempt:
         task.state = job.State.RUNNING
         task.incarnation = state.facts.incarnation
+        if task.demand != entry.demand:
+            core.resize(task, entry.demand, now)  # the log does not hold the size
         if task.stop_reason:
-            core.stop(task, task.stop_reason, "kill")  # the first one may be lost
+            core.stop(task, task.stop_reason, task.stop_mode)  # may have been lost
         return
     record = core.table.jobs.get(job.job_of(entry.task_id))
     index = task_index(entry.task_id)
@@ -230,15 +232,21 @@
         return
     for job_id in sorted(core.held_jobs):
         record = core.table.jobs[job_id]
+        held = sorted(record.held)
         record.held.clear()
+        # An attempt may have run and failed before the takeover, so these tasks
+        # can no longer end as "not run".
+        record.ran.update(held)
         if record.outcome is not None:
             continue
         if record.cancelled:
-            # An attempt may have run before the takeover.
             core.end_waiting(record, lifecycle.FAILED_CANCELLED, now)
         elif record.gang_breaking:
             gang.break_up(core, record, record.gang_breaking, now)
-        elif record.spec.kind is not job.Kind.GANG or not record.live:
+        elif record.spec.kind is not job.Kind.GANG:
+            core.enqueue(record, now, held)  # the others are queued already
+        elif not record.live:
+            core.queue.remove(job_id)
             core.enqueue(record, now)
         elif record.waiting_count():
             gang.break_up(core, record, "members are missing after takeover", now)
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -13,6 +13,7 @@
     fairness,
     job,
     lifecycle,
+    preemption,
     recovery,
     resources,
     wire,
@@ -130,10 +131,11 @@
     def set_availability_zones(
         self, out: frozenset[str], now: float
     ) -> list[effects.Effect]:
-        """Start nothing in zones that are out of service."""
+        """Start nothing in zones that are out of service and stop work there."""
         self._core.zones_out = out
         for worker in self._core.workers:
             self._core.update_schedulable(worker, now)
+        preemption.drain(self._core, now)
         return self._core.outbox.take()
 
     def set_teams(
@@ -157,6 +159,7 @@
         """Set the part of each team's ceiling that this partition holds."""
         self._core.allowances.set_held(held, now)
         self._core.changed = True
+        preemption.enforce_ceilings(self._core, now)
         return self._core.outbox.take()
 
     def intents_durable(
@@ -187,6 +190,9 @@
         if now >= self._next_checks:
             self._next_checks = now + TIMED_CHECKS_S
             core.end_pauses(now)
+            preemption.enforce_ceilings(core, now)
+            preemption.drain(core, now)
+            preemption.make_room(core, self._dispatcher.blocked, now)
         self._dispatcher.place(now)
         for effect in core.allowances.step(now):
             core.outbox.add(effect)
--- a/toucanspring/task_table.py
+++ b/toucanspring/task_table.py
@@ -20,6 +20,7 @@
     incarnation: int = 0
     expected_end: float = 0.0  # monotonic seconds
     stop_reason: str = ""  # set once a stop was sent
+    stop_mode: str = ""
 
 
 class JobRecord:
