--- a/toucanspring/lifecycle.py
+++ b/toucanspring/lifecycle.py
@@ -265,10 +265,15 @@
     # Tasks
 
     def demand(self, spec: job.JobSpec) -> resources.Resources:
-        """Return what a task holds: the learned size, if a worker can hold it."""
+        """Return what a task holds: the learned size, if that has room at all."""
         learned = self.estimator.demand(spec)
-        if learned is not spec.demand and not self.index.can_ever_fit(learned):
-            return spec.demand
+        if learned != spec.demand:
+            together = spec.task_count if spec.kind is job.Kind.GANG else 1
+            team = self.teams.get(spec.team)
+            if not self.index.can_ever_fit(learned, together) or (
+                team is not None and not learned.times(together).fits(team.ceiling)
+            ):
+                return spec.demand
         return learned
 
     def start(
