Bound the cost of a placement decision in large indexes

Change: the search stops when a row of buckets cannot be better, buckets remember the largest free amounts of their members, refusals count their reasons in a sample above 64 workers.

--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,149 @@
+"""Measure the cost of placement decisions at 24 and at 26,000 workers.
+
+A decision is choice and allocation. The cell is held at each load in `LOADS` by
+ending random tasks, which counts into the time per decision too. Both sizes are
+measured in alternating blocks, so that a busy machine affects both alike; the
+figures are those of the worst load.
+"""
+
+import random
+import statistics
+import time
+
+from bench import work
+from toucanspring import placement
+
+SMALL = 24
+LARGE = 26_000
+BLOCKS = 10
+BLOCK_DECISIONS = 1500
+BASELINE_DECISIONS = 300
+FILL_TRIES = 25  # tasks that are tried on each worker to fill the baseline's cell
+LOADS = (0.5, 0.85, 1.0)  # of the processors; at 1.0 many choices find no room
+ZONES = {SMALL: 3, LARGE: 27}
+CONSTRAINED = 0.1  # fraction of the tasks that name two availability zones
+
+
+class Cell:
+    """Hold a cell at a load."""
+
+    def __init__(self, index, seed: int, count: int, load: float) -> None:
+        self.index = index
+        self.latencies: list[float] = []
+        self.block_means: list[float] = []
+        self._rng = random.Random(seed)
+        self._count = count
+        self._goal = load * count * work.PLAIN.cpus
+        self._used = 0
+        self._running: list[tuple] = []
+        for facts in work.worker_facts(count, ZONES[count]):
+            index.add(*facts)
+
+    def fill(self, index) -> None:
+        """Place tasks up to the load as `index` chooses."""
+        misses = 0
+        while self._used < self._goal and misses < 50:
+            demand = work.make_demand(self._rng)
+            worker = index.choose(demand)
+            if isinstance(worker, str):
+                index.allocate(worker, demand)
+                self._running.append((worker, demand))
+                self._used += demand.cpus
+            else:
+                misses += 1
+
+    def fill_in_order(self) -> None:
+        """Fill one worker after another, as first fit does, but in less time."""
+        for worker, *_ in work.worker_facts(self._count, ZONES[self._count]):
+            if self._used >= self._goal:
+                break
+            for _ in range(FILL_TRIES):
+                demand = work.make_demand(self._rng)
+                if demand.fits(self.index.free(worker)):
+                    self.index.allocate(worker, demand)
+                    self._running.append((worker, demand))
+                    self._used += demand.cpus
+
+    def measure(self, decisions: int, constrained: bool) -> None:
+        """Take decisions and record their time."""
+        rng, index = self._rng, self.index
+        names = [f"az{number}" for number in range(ZONES[self._count])]
+        spent = 0.0
+        for _ in range(decisions):
+            demand = work.make_demand(rng)
+            arguments = [demand]
+            if constrained and rng.random() < CONSTRAINED:
+                allowed = frozenset(rng.sample(names, 2))
+                arguments.append(placement.Constraints(availability_zones=allowed))
+            started = time.perf_counter()
+            worker = index.choose(*arguments)
+            placed = isinstance(worker, str)
+            if placed:
+                index.allocate(worker, demand)
+            decided = time.perf_counter()
+            self.latencies.append(decided - started)
+            spent += decided - started
+            if placed:
+                self._running.append((worker, demand))
+                self._used += demand.cpus
+            if not placed or self._used > self._goal:
+                spent += self._end_task()
+        self.block_means.append(spent / decisions)
+
+    def _end_task(self) -> float:
+        running = self._running
+        position = self._rng.randrange(len(running))
+        running[position], running[-1] = running[-1], running[position]
+        worker, demand = running.pop()
+        self._used -= demand.cpus
+        started = time.perf_counter()
+        self.index.release(worker, demand)
+        return time.perf_counter() - started
+
+
+def make_cell(seed: int, count: int, load: float) -> Cell:
+    """Return a filled cell with the index under test."""
+    cell = Cell(placement.WorkerIndex(random.Random(seed)), seed, count, load)
+    cell.fill(cell.index)
+    return cell
+
+
+def main() -> None:
+    """Run all sizes and loads."""
+    seed = work.parse_seed()
+    slowest = ratio = p99 = 0.0
+    baseline_mean = 0.0
+    for load in LOADS:
+        cells = {count: make_cell(seed, count, load) for count in (SMALL, LARGE)}
+        for _ in range(BLOCKS):
+            for cell in cells.values():
+                cell.measure(BLOCK_DECISIONS, constrained=True)
+        means = {
+            count: statistics.median(cell.block_means) for count, cell in cells.items()
+        }
+        for count, cell in cells.items():
+            cell_p99 = statistics.quantiles(cell.latencies, n=100)[98]
+            p99 = max(p99, cell_p99)
+            slowest = max(slowest, means[count])
+            print(
+                f"load {load}, {count} workers: {means[count] * 1e6:.1f} us,"
+                f" p99 {cell_p99 * 1e3:.3f} ms"
+            )
+        ratio = max(ratio, means[LARGE] / means[SMALL])
+        if load == 0.85:
+            baseline = Cell(work.FirstFit(), seed, LARGE, load)
+            baseline.fill_in_order()
+            baseline.measure(BASELINE_DECISIONS, constrained=False)
+            baseline_mean = baseline.block_means[0]
+    work.print_result(
+        bench="placement",
+        seed=seed,
+        decisions_per_s=1 / slowest,
+        p99_ms=p99 * 1e3,
+        cost_ratio=ratio,
+        baseline_decisions_per_s=1 / baseline_mean,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/toucanspring/placement.py
+++ b/toucanspring/placement.py
@@ -4,8 +4,9 @@
 
 import collections
 import dataclasses
+import math
 import random
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 
 from toucanspring import resources
 
@@ -14,7 +15,11 @@
 CLASS_BITS = 2
 # Upper bound on the members of one bucket that are compared; limits the cost of a
 # decision independently of the number of workers.
-MAX_PROBES = 8
+MAX_PROBES = 4
+# A refusal counts its reasons exactly in an index of up to EXACT_LIMIT workers, else
+# in a sample, so that it costs no more than a choice.
+EXACT_LIMIT = 64
+EXPLAIN_SAMPLE = 16
 # Weight of the difference between left over processors and left over memory.
 IMBALANCE_WEIGHT = 0.5
 
@@ -55,17 +60,31 @@
     return (shift << CLASS_BITS) + (amount >> shift)
 
 
+def class_floor(number: int) -> int:
+    """Return the smallest amount in a size class."""
+    if number < 2 << CLASS_BITS:
+        return number
+    shift = (number >> CLASS_BITS) - 1
+    return ((number & (1 << CLASS_BITS) - 1) + (1 << CLASS_BITS)) << shift
+
+
+CLASSES = 64 << CLASS_BITS  # enough for 64 bit amounts
+FLOORS = [class_floor(number) for number in range(CLASSES)]
+
+
 class Worker:
     """Hold the state of one worker in the index."""
 
     __slots__ = (
         "accelerators",
         "availability_zone",
+        "buckets",
         "capacity",
         "cpus",
         "memory",
         "name",
-        "places",
+        "number",
+        "positions",
         "rack",
         "schedulable",
     )
@@ -81,8 +100,10 @@
         self.memory = capacity.memory
         self.accelerators = capacity.accelerators
         self.schedulable = True
-        # (bucket, position) in the table of the cell and in that of the zone.
-        self.places: list[tuple[list[Worker], int]] = []
+        self.number = 0  # position in the list of all workers
+        # Buckets and positions in them: in the cell's shelf, then in the zone's.
+        self.buckets: tuple[Bucket, ...] = ()
+        self.positions = [0, 0]
 
     @property
     def free(self) -> resources.Resources:
@@ -90,43 +111,150 @@
         return resources.Resources(self.cpus, self.memory, self.accelerators)
 
 
+class Bucket:
+    """Hold the workers of one table whose free resources are of the same classes."""
+
+    __slots__ = ("column", "max_cpus", "max_memory", "members", "row", "table")
+
+    def __init__(self, table: Table, row: int, column: int) -> None:
+        self.table = table
+        self.row = row
+        self.column = column
+        self.members: list[Worker] = []
+        # Upper bounds on the free amounts of the members, made exact by `scan`.
+        self.max_cpus = 0
+        self.max_memory = 0
+
+    def scan(
+        self, demand: resources.Resources, excluded: frozenset[str]
+    ) -> Worker | None:
+        """Return any member with room; looks at all of them if need be."""
+        if demand.cpus > self.max_cpus or demand.memory > self.max_memory:
+            return None
+        max_cpus = max_memory = 0
+        for entry in self.members:
+            if (
+                entry.cpus >= demand.cpus
+                and entry.memory >= demand.memory
+                and entry.name not in excluded
+            ):
+                return entry
+            max_cpus = max(max_cpus, entry.cpus)
+            max_memory = max(max_memory, entry.memory)
+        self.max_cpus, self.max_memory = max_cpus, max_memory
+        return None
+
+
 class Table:
     """Sort workers into buckets by free processors and free memory."""
 
+    __slots__ = ("column_masks", "row_mask", "rows")
+
     def __init__(self) -> None:
-        self.rows: dict[int, dict[int, list[Worker]]] = {}
+        self.rows: dict[int, dict[int, Bucket]] = {}
         self.row_mask = 0  # bit per size class of processors that is not empty
-        self.column_masks: dict[int, int] = {}  # the same for memory, per row
-        self.size = 0
+        self.column_masks = [0] * CLASSES  # the same for memory, per row
 
-    def insert(self, worker: Worker, row: int, column: int) -> tuple[list, int]:
-        """Add a worker; return its bucket and position."""
+    def insert(self, worker: Worker, row: int, column: int, which: int) -> Bucket:
+        """Add a worker to a bucket and return the bucket."""
         columns = self.rows.get(row)
         if columns is None:
             columns = self.rows[row] = {}
-            self.column_masks[row] = 0
         bucket = columns.get(column)
         if bucket is None:
-            bucket = columns[column] = []
-        if not bucket:
+            bucket = columns[column] = Bucket(self, row, column)
+        members = bucket.members
+        if not members:
             self.column_masks[row] |= 1 << column
             self.row_mask |= 1 << row
-        bucket.append(worker)
-        self.size += 1
-        return bucket, len(bucket) - 1
+        worker.positions[which] = len(members)
+        members.append(worker)
+        return bucket
+
+    def remove(self, worker: Worker, which: int) -> None:
+        """Take a worker out of its bucket."""
+        bucket = worker.buckets[which]
+        members = bucket.members
+        last = members.pop()
+        if last is not worker:
+            position = worker.positions[which]
+            members[position] = last
+            last.positions[which] = position
+        if not members:
+            row = bucket.row
+            bucket.max_cpus = bucket.max_memory = 0
+            self.column_masks[row] &= ~(1 << bucket.column)
+            if not self.column_masks[row]:
+                self.row_mask &= ~(1 << row)
 
-    def emptied(self, row: int, column: int) -> None:
-        """Clear the mask bits of an empty bucket."""
-        self.column_masks[row] &= ~(1 << column)
-        if not self.column_masks[row]:
-            self.row_mask &= ~(1 << row)
+    def best(
+        self,
+        demand: resources.Resources,
+        first_row: int,
+        first_column: int,
+        excluded: frozenset[str],
+        units: tuple[float, float],
+    ) -> tuple[float, Worker] | None:
+        """Return cost and worker of the best fit.
 
-    def buckets(self) -> Iterator[tuple[int, int, list[Worker]]]:
-        """Iterate over row, column and members of buckets that are not empty."""
-        for row, columns in self.rows.items():
-            for column, bucket in columns.items():
-                if bucket:
-                    yield row, column, bucket
+        `first_row` and `first_column` are the size classes of the demand.
+
+        The cost is what is left over, in `units` of processors and memory, plus a
+        part of the difference of the two, since one without the other is stranded.
+        """
+        need_cpus, need_memory = demand.cpus, demand.memory
+        cpu_unit, memory_unit = units
+        best: Worker | None = None
+        best_cost = math.inf
+        unsure = []
+        masks = self.column_masks
+        rows = self.row_mask >> first_row << first_row
+        while rows:
+            bit = rows & -rows
+            rows ^= bit
+            row = bit.bit_length() - 1
+            columns = masks[row] >> first_column << first_column
+            if not columns:
+                continue
+            least_cost = (FLOORS[row] - need_cpus) * cpu_unit * (1 + IMBALANCE_WEIGHT)
+            if least_cost >= best_cost:
+                break
+            buckets = self.rows[row]
+            while columns:
+                bit = columns & -columns
+                columns ^= bit
+                bucket = buckets[bit.bit_length() - 1]
+                found = False
+                for entry in bucket.members[-MAX_PROBES:]:
+                    cpus = entry.cpus - need_cpus
+                    memory = entry.memory - need_memory
+                    if cpus < 0 or memory < 0 or entry.name in excluded:
+                        continue
+                    found = True
+                    left_cpus, left_memory = cpus * cpu_unit, memory * memory_unit
+                    cost = left_cpus + left_memory
+                    cost += IMBALANCE_WEIGHT * abs(left_cpus - left_memory)
+                    if cost < best_cost:
+                        best, best_cost = entry, cost
+                if found:
+                    # The other buckets of this row leave more memory over.
+                    break
+                if len(bucket.members) > MAX_PROBES:
+                    unsure.append(bucket)
+        if best is None:
+            best, best_cost = _scan(unsure, demand, excluded), 0.0
+        return None if best is None else (best_cost, best)
+
+
+def _scan(
+    buckets: list[Bucket], demand: resources.Resources, excluded: frozenset[str]
+) -> Worker | None:
+    """Return a worker with room from buckets that were only looked at in part."""
+    for bucket in buckets:
+        entry = bucket.scan(demand, excluded)
+        if entry is not None:
+            return entry
+    return None
 
 
 class Shelf:
@@ -169,6 +297,7 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._workers: dict[str, Worker] = {}
+        self._numbered: list[Worker] = []
         self._cell = Shelf()
         self._zones: dict[str, Shelf] = {}
         self._racks: dict[str, dict[str, Worker]] = {}
@@ -176,6 +305,7 @@
             collections.Counter()
         )
         self._total = resources.ZERO
+        self._units = (0.0, 0.0)  # 1 / mean processors and memory of a worker
 
     def __len__(self) -> int:
         return len(self._workers)
@@ -194,10 +324,12 @@
         self.remove(worker)
         entry = Worker(worker, capacity, availability_zone, rack)
         self._workers[worker] = entry
+        entry.number = len(self._numbered)
+        self._numbered.append(entry)
         self._racks.setdefault(rack, {})[worker] = entry
         self._capacities[availability_zone, capacity] += 1
-        self._total += capacity
-        self._insert(entry)
+        self._set_total(self._total + capacity)
+        self._insert(entry, size_class(entry.cpus), size_class(entry.memory))
 
     def remove(self, worker: str) -> None:
         """Forget a worker; unknown names are ignored."""
@@ -206,6 +338,10 @@
             return
         if entry.schedulable:
             self._withdraw(entry)
+        last = self._numbered.pop()
+        if last is not entry:
+            self._numbered[entry.number] = last
+            last.number = entry.number
         members = self._racks[entry.rack]
         del members[worker]
         if not members:
@@ -214,7 +350,7 @@
         self._capacities[key] -= 1
         if not self._capacities[key]:
             del self._capacities[key]
-        self._total -= entry.capacity
+        self._set_total(self._total - entry.capacity)
 
     def set_schedulable(self, worker: str, schedulable: bool) -> None:
         """Allow or forbid new tasks on a worker; unknown names are ignored."""
@@ -223,7 +359,7 @@
             return
         if schedulable:
             entry.schedulable = True
-            self._insert(entry)
+            self._insert(entry, size_class(entry.cpus), size_class(entry.memory))
         else:
             self._withdraw(entry)
             entry.schedulable = False
@@ -270,7 +406,7 @@
         else:
             found = self._best(self._shelves(constraints), demand, constraints.excluded)
         if found is None:
-            return NoRoom(self.explain(demand, constraints))
+            return self._no_room(demand, constraints)
         return found.name
 
     def choose_many(
@@ -325,16 +461,41 @@
                 return chosen
         chosen = self.choose_many(demand, count, constraints)
         if sum(share for _, share in chosen) < count:
-            return NoRoom(self.explain(demand, constraints))
+            return self._no_room(demand, constraints)
         return chosen
 
     def explain(
         self, demand: resources.Resources, constraints: Constraints = UNCONSTRAINED
     ) -> dict[str, int]:
-        """Count workers that cannot take the demand now by the first reason."""
+        """Count workers that cannot take the demand now by the first reason.
+
+        Looks at every worker.
+        """
+        return dict(self._count_reasons(self._numbered, demand, constraints))
+
+    def _no_room(self, demand: resources.Resources, constraints: Constraints) -> NoRoom:
+        """Return a refusal with counts, scaled up from a sample in a large index."""
+        size = len(self._numbered)
+        if size <= EXACT_LIMIT:
+            return NoRoom(self.explain(demand, constraints))
+        start = int(self._rng.random() * size)
+        step = size / EXPLAIN_SAMPLE
+        sample = [
+            self._numbered[(start + int(number * step)) % size]
+            for number in range(EXPLAIN_SAMPLE)
+        ]
+        reasons = self._count_reasons(sample, demand, constraints)
+        return NoRoom(
+            {reason: round(count * step) for reason, count in reasons.items()}
+        )
+
+    @staticmethod
+    def _count_reasons(
+        entries: list[Worker], demand: resources.Resources, constraints: Constraints
+    ) -> collections.Counter[str]:
         rejected: collections.Counter[str] = collections.Counter()
         zones = constraints.availability_zones
-        for entry in self._workers.values():
+        for entry in entries:
             if zones is not None and entry.availability_zone not in zones:
                 rejected["availability zone"] += 1
             elif not entry.schedulable:
@@ -347,46 +508,58 @@
                 rejected["cpus"] += 1
             elif entry.memory < demand.memory:
                 rejected["memory"] += 1
-        return dict(rejected)
+        return rejected
 
-    def _insert(self, entry: Worker) -> None:
-        row, column = size_class(entry.cpus), size_class(entry.memory)
+    def _set_total(self, total: resources.Resources) -> None:
+        self._total = total
+        size = len(self._workers)
+        self._units = (size / max(1, total.cpus), size / max(1, total.memory))
+
+    def _insert(self, entry: Worker, row: int, column: int) -> None:
         zone = self._zones.get(entry.availability_zone)
         if zone is None:
             zone = self._zones[entry.availability_zone] = Shelf()
-        entry.places = [
-            shelf.table_of(entry).insert(entry, row, column)
-            for shelf in (self._cell, zone)
-        ]
-
-    def _withdraw(self, entry: Worker) -> None:
-        row, column = size_class(entry.cpus), size_class(entry.memory)
-        shelves = (self._cell, self._zones[entry.availability_zone])
-        for which, (bucket, position) in enumerate(entry.places):
-            table = shelves[which].table_of(entry)
-            last = bucket.pop()
-            if last is not entry:
-                bucket[position] = last
-                last.places[which] = (bucket, position)
-            table.size -= 1
-            if not bucket:
-                table.emptied(row, column)
-        entry.places = []
+        entry.buckets = (
+            self._cell.table_of(entry).insert(entry, row, column, 0),
+            zone.table_of(entry).insert(entry, row, column, 1),
+        )
+        self._raise_bounds(entry)
+
+    @staticmethod
+    def _raise_bounds(entry: Worker) -> None:
+        for bucket in entry.buckets:
+            if entry.cpus > bucket.max_cpus:
+                bucket.max_cpus = entry.cpus
+            if entry.memory > bucket.max_memory:
+                bucket.max_memory = entry.memory
+
+    @staticmethod
+    def _withdraw(entry: Worker) -> None:
+        for which, bucket in enumerate(entry.buckets):
+            bucket.table.remove(entry, which)
+        entry.buckets = ()
 
     def _change(self, entry: Worker, amount: resources.Resources, sign: int) -> None:
         cpus = entry.cpus + sign * amount.cpus
         memory = entry.memory + sign * amount.memory
         accelerators = entry.accelerators + sign * amount.accelerators
-        moves = entry.schedulable and (
-            accelerators != entry.accelerators
-            or size_class(cpus) != size_class(entry.cpus)
-            or size_class(memory) != size_class(entry.memory)
-        )
-        if moves:
-            self._withdraw(entry)
+        if not entry.schedulable:
+            entry.cpus, entry.memory, entry.accelerators = cpus, memory, accelerators
+            return
+        row, column = size_class(cpus), size_class(memory)
+        bucket = entry.buckets[0]
+        if (
+            row == bucket.row
+            and column == bucket.column
+            and accelerators == entry.accelerators
+        ):
+            entry.cpus, entry.memory = cpus, memory
+            if sign > 0:
+                self._raise_bounds(entry)
+            return
+        self._withdraw(entry)
         entry.cpus, entry.memory, entry.accelerators = cpus, memory, accelerators
-        if moves:
-            self._insert(entry)
+        self._insert(entry, row, column)
 
     def _shelves(self, constraints: Constraints) -> list[Shelf]:
         zones = constraints.availability_zones
@@ -401,57 +574,19 @@
         excluded: frozenset[str],
     ) -> Worker | None:
         best: tuple[float, Worker] | None = None
+        units = self._units
+        row, column = size_class(demand.cpus), size_class(demand.memory)
         for shelf in shelves:
             for table in shelf.tables_for(demand.accelerators):
-                found = table.size and self._best_in(table, demand, excluded)
-                if found:
+                if not table.row_mask >> row:
+                    continue
+                found = table.best(demand, row, column, excluded, units)
+                if found is not None:
                     if best is None or found[0] < best[0]:
                         best = found
                     break
         return best[1] if best else None
 
-    def _best_in(
-        self, table: Table, demand: resources.Resources, excluded: frozenset[str]
-    ) -> tuple[float, Worker] | None:
-        """Return cost and worker of the best fit in one table."""
-        cpu_unit = 1 / max(1, self._total.cpus)
-        memory_unit = 1 / max(1, self._total.memory)
-        first_row = size_class(demand.cpus)
-        first_column = size_class(demand.memory)
-        rows = table.row_mask >> first_row << first_row
-        best: Worker | None = None
-        best_cost = float("inf")
-        while rows:
-            bit = rows & -rows
-            rows ^= bit
-            row = bit.bit_length() - 1
-            columns = table.column_masks[row] >> first_column << first_column
-            while columns:
-                bit = columns & -columns
-                columns ^= bit
-                bucket = table.rows[row][bit.bit_length() - 1]
-                probes = 0
-                for entry in reversed(bucket):
-                    cpus = entry.cpus - demand.cpus
-                    memory = entry.memory - demand.memory
-                    if cpus < 0 or memory < 0 or entry.name in excluded:
-                        continue
-                    left_cpus, left_memory = cpus * cpu_unit, memory * memory_unit
-                    cost = (
-                        left_cpus
-                        + left_memory
-                        + IMBALANCE_WEIGHT * abs(left_cpus - left_memory)
-                    )
-                    if cost < best_cost:
-                        best, best_cost = entry, cost
-                    probes += 1
-                    if probes >= MAX_PROBES:
-                        break
-                if probes:
-                    # Wider buckets of the same row leave more memory over.
-                    break
-        return (best_cost, best) if best else None
-
     def _choose_by_place(
         self, demand: resources.Resources, constraints: Constraints
     ) -> Worker | None:
@@ -471,8 +606,9 @@
             racks = {
                 entry.rack
                 for table in shelf.tables_for(demand.accelerators)
-                for _, _, bucket in table.buckets()
-                for entry in bucket
+                for columns in table.rows.values()
+                for bucket in columns.values()
+                for entry in bucket.members
             }
             for rack in sorted(
                 racks, key=lambda name: (sign * counts.get(name, 0), name)
