--- a/test/test_stream.py
+++ b/test/test_stream.py
@@ -35,18 +35,18 @@
             self.assertNotEqual(0, value)
 
     def test_messages_arrive_whole_and_in_order(self):
-        self.left.send(wire.Renew(3, 20_000))
+        self.left.send(wire.Renew(3, 20_000, 7))
         self.left.send(wire.Stop(3, ["a/0"], "kill"))
-        self.assertEqual(wire.Renew(3, 20_000), self.right.receive(1))
+        self.assertEqual(wire.Renew(3, 20_000, 7), self.right.receive(1))
         self.assertEqual(wire.Stop(3, ["a/0"], "kill"), self.right.receive(1))
 
     def test_a_timeout_in_mid_frame_loses_nothing(self):
         # Guards against a slow sender desynchronising the frame boundary.
-        frame = wire.encode(wire.Renew(4, 1))
+        frame = wire.encode(wire.Renew(4, 1, 7))
         self.raw_left.sendall(frame[:5])
         self.assertIsInstance(self.right.receive(0.02), errors.Timeout)
         self.raw_left.sendall(frame[5:])
-        self.assertEqual(wire.Renew(4, 1), self.right.receive(1))
+        self.assertEqual(wire.Renew(4, 1, 7), self.right.receive(1))
 
     def test_an_oversized_frame_is_refused_before_it_is_read(self):
         # Guards against unbounded memory for a hostile length.
--- a/toucanspring/errors.py
+++ b/toucanspring/errors.py
@@ -44,6 +44,11 @@
     """The service was not reached; the call certainly had no effect."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreUnavailable(Unavailable):
+    """The table service could not be reached; nothing was written."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Ambiguous(Failure):
     """The call was sent but its answer was lost; its effect is unknown."""
@@ -113,6 +118,7 @@
         Unknown,
         Conflict,
         Unavailable,
+        StoreUnavailable,
         Ambiguous,
         Invalid,
         Forbidden,
--- /dev/null
+++ b/toucanspring/fleet.py
@@ -0,0 +1,379 @@
+"""Streams to the workers of the partitions that this process owns."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import time
+from collections.abc import Callable
+
+import gevent
+import logbook
+import msgspec
+
+from toucanspring import errors, kernel, settings, stream, wire
+from toucanspring.adapters import tables, vms
+
+log = logbook.Logger(__name__)
+
+WORKER_LEASE_S = 20.0
+STOP_GRACE_S = 2.0  # a worker has stopped its tasks this long after its lease ended
+DRIFT_FRACTION = 0.05  # assumed bound on the drift between monotonic clocks
+RENEW_INTERVAL_S = 2.0
+SILENCE_LIMIT_S = 3.0  # a worker reports every 0.5 s; reconnect after this silence
+RECONNECT_PAUSE_S = 0.2
+MAX_RECONNECT_PAUSE_S = 3.0
+POLL_INTERVAL_S = 1.0
+FORGET_ABSENT_S = 600.0
+WORKERS_ROW = "workers"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FromWorker:
+    """Carry a worker's message to the partition that owns the worker."""
+
+    worker: str
+    message: wire.WorkerMessage
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """Say that a worker's lease and stop grace have certainly ended."""
+
+    worker: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Disconnected:
+    """Say that a worker's stream broke; its tasks may still run.
+
+    `unanswered` lists the tasks whose start was sent but not confirmed.
+    """
+
+    worker: str
+    unanswered: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving:
+    """Say whether the VM list shows the worker as leaving or absent."""
+
+    worker: str
+    leaving: bool
+
+
+def expiry_wait() -> float:
+    """Return the seconds after which a lease has certainly ended everywhere."""
+    return (WORKER_LEASE_S + STOP_GRACE_S) * (1 + DRIFT_FRACTION)
+
+
+class Link:
+    """Own the stream to one worker and watch its lease."""
+
+    def __init__(
+        self,
+        partition: int,
+        epoch: int,
+        vm: vms.Vm,
+        post: Callable[[object], None],
+        may_renew: Callable[[], bool],
+        former_lease_over: Callable[[], bool],
+    ) -> None:
+        self.partition = partition
+        self.epoch = epoch
+        self.vm = vm
+        self.tick = 0
+        self.tick_received_at = 0.0
+        self.attached = False
+        self._post = post
+        self._may_renew = may_renew
+        self._former_lease_over = former_lease_over
+        self._lease_base: float | None = None  # when the renewed tick was received
+        self.lost = False
+        self._stream: stream.Stream | None = None
+        self._batch = 0
+        self._sent: dict[int, list[str]] = {}
+        self._greenlet = gevent.spawn(self._run)
+        self._guard = gevent.spawn(self._watch_lease)
+
+    def close(self) -> None:
+        """Close the stream and stop watching."""
+        gevent.killall([self._greenlet, self._guard])
+        if self._stream is not None:
+            self._stream.close()
+
+    def start(self, tasks: list[wire.TaskStart]) -> bool:
+        """Send starts; return False if they certainly were not sent."""
+        if not self.attached or self._stream is None:
+            return False
+        self._batch += 1
+        batch = self._batch
+        self._sent[batch] = [task.task_id for task in tasks]
+        failure = self._stream.send(wire.Start(self.epoch, self.tick, batch, tasks))
+        if failure is None or isinstance(failure, errors.Ambiguous):
+            return True
+        self._sent.pop(batch, None)
+        return False
+
+    def send(self, message: wire.WorkerMessage) -> None:
+        """Send any other message if the worker is attached."""
+        if self.attached and self._stream is not None:
+            self._stream.send(message)
+
+    def _run(self) -> None:
+        pause = RECONNECT_PAUSE_S
+        while True:
+            opened = stream.connect(
+                self.vm.address, self.vm.port, wire.decode_worker, timeout_s=1.0
+            )
+            if isinstance(opened, stream.Stream):
+                with opened:
+                    self._stream = opened
+                    if self._serve(opened):
+                        pause = RECONNECT_PAUSE_S
+                    self._stream = None
+                self._detach()
+            gevent.sleep(pause * random.uniform(0.5, 1.0))
+            pause = min(MAX_RECONNECT_PAUSE_S, pause * 2)
+
+    def _detach(self) -> None:
+        if self.attached:
+            self.attached = False
+            unanswered = [name for batch in self._sent.values() for name in batch]
+            self._sent.clear()
+            self._post(Disconnected(self.vm.id, unanswered))
+
+    def _serve(self, opened: stream.Stream) -> bool:
+        """Exchange messages until the stream breaks; return whether it attached."""
+        opened.send(wire.Attach(self.partition, self.epoch, int(WORKER_LEASE_S * 1000)))
+        attached = False
+        renewed_at = 0.0
+        while True:
+            message = opened.receive(SILENCE_LIMIT_S)
+            match message:
+                case errors.Failure():
+                    return attached
+                case wire.Fenced(epoch=epoch):
+                    log.warning("worker {} refuses: epoch {}", self.vm.id, epoch)
+                    return attached
+                case wire.Attached(tick=tick):
+                    self._see_tick(tick)
+                    attached = self.attached = True
+                    self.lost = False
+                case wire.Report(tick=tick):
+                    self._see_tick(tick)
+                case wire.Started(batch=batch):
+                    self._sent.pop(batch, None)
+            now = time.monotonic()
+            if now - renewed_at >= RENEW_INTERVAL_S and self._renew(opened):
+                renewed_at = now
+            self._post(FromWorker(self.vm.id, message))
+
+    def _see_tick(self, tick: int) -> None:
+        if tick >= self.tick:
+            self.tick = tick
+            self.tick_received_at = time.monotonic()
+
+    def _renew(self, opened: stream.Stream) -> bool:
+        if not self._may_renew():
+            return False
+        self._lease_base = self.tick_received_at
+        opened.send(wire.Renew(self.epoch, int(WORKER_LEASE_S * 1000), self.tick))
+        return True
+
+    def _watch_lease(self) -> None:
+        """Report the worker as lost once no lease of anybody can still be valid."""
+        former_over_at: float | None = None
+        while True:
+            gevent.sleep(0.5)
+            now = time.monotonic()
+            if former_over_at is None and self._former_lease_over():
+                former_over_at = now
+            if self.lost or self.attached or former_over_at is None:
+                continue
+            base = max(former_over_at, self._lease_base or 0.0)
+            if now - base > expiry_wait():
+                self.lost = True
+                self._lease_base = None
+                self._post(Lost(self.vm.id))
+
+
+class Service:
+    """Keep links to the workers of owned partitions (kernel name `fleet`)."""
+
+    def __init__(self, core: kernel.Kernel, options: settings.Settings) -> None:
+        self._kernel = core
+        self._settings = options
+        self._links: dict[int, dict[str, Link]] = {}
+        self._assigned: dict[str, int] = {}
+        self._assigned_version = 0
+        self._vms: dict[str, vms.Vm] = {}
+        self._absent_since: dict[str, float] = {}
+        self._posts: dict[int, tuple[int, Callable[[object], None]]] = {}
+        self._leaving: dict[str, bool] = {}
+        self._greenlet: gevent.Greenlet | None = None
+        self.ready: set[int] = set()  # partitions whose worker map has been read
+
+    def start(self) -> None:
+        """Begin polling the VM list and the worker map."""
+        self._greenlet = gevent.spawn(self._poll)
+
+    def stop(self) -> None:
+        """Close all links."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+        for partition in list(self._posts):
+            self.remove_partition(partition)
+
+    def add_partition(
+        self, partition: int, epoch: int, post: Callable[[object], None]
+    ) -> None:
+        """Connect to the workers of a partition and post their messages."""
+        self._posts[partition] = (epoch, post)
+        self._links[partition] = {}
+        self._update_links(partition)
+
+    def remove_partition(self, partition: int) -> None:
+        """Close the links of a partition."""
+        self._posts.pop(partition, None)
+        for link in self._links.pop(partition, {}).values():
+            link.close()
+
+    def link(self, partition: int, worker: str) -> Link | None:
+        """Return the link to a worker of an owned partition."""
+        return self._links.get(partition, {}).get(worker)
+
+    def links(self, partition: int) -> dict[str, Link]:
+        """Return the links of an owned partition by worker."""
+        return self._links.get(partition, {})
+
+    def assigned(self, partition: int) -> set[str] | errors.Failure:
+        """Read which workers belong to a partition, from the table service."""
+        failure = self._read_assignment()
+        if failure is not None:
+            return failure
+        return {
+            worker for worker, owner in self._assigned.items() if owner == partition
+        }
+
+    def _poll(self) -> None:
+        while True:
+            try:
+                self._poll_once()
+            except Exception:
+                log.exception("polling the VM list failed")
+            gevent.sleep(POLL_INTERVAL_S)
+
+    def _poll_once(self) -> None:
+        if not self._posts:
+            return
+        listed = self._kernel.find("store").vms.list()
+        if not isinstance(listed, errors.Failure):
+            self._see_vms(listed)
+        if self._read_assignment() is None and 0 in self._posts:
+            self._assign_workers()
+        for partition in list(self._posts):
+            self._update_links(partition)
+
+    def _see_vms(self, listed: list[vms.Vm]) -> None:
+        now = time.monotonic()
+        workers = {vm.id: vm for vm in listed if vm.role == "worker"}
+        self._vms.update(workers)
+        for worker in self._vms:
+            if worker in workers:
+                self._absent_since.pop(worker, None)
+            else:
+                self._absent_since.setdefault(worker, now)
+        for worker in self._vms:
+            vm = workers.get(worker)
+            leaving = vm is None or vm.state == "leaving"
+            if self._leaving.get(worker, False) != leaving:
+                self._leaving[worker] = leaving
+                self._post_leaving(worker, leaving)
+
+    def _post_leaving(self, worker: str, leaving: bool) -> None:
+        entry = self._posts.get(self._assigned.get(worker, -1))
+        if entry is not None:
+            entry[1](Leaving(worker, leaving))
+
+    def _read_assignment(self) -> None | errors.Failure:
+        rows = self._kernel.find("store").tables.read([WORKERS_ROW])
+        if isinstance(rows, errors.Failure):
+            return rows
+        row = rows[WORKERS_ROW]
+        if row.version != self._assigned_version:
+            self._assigned = msgspec.msgpack.decode(row.value, type=dict[str, int])
+            self._assigned_version = row.version
+        return None
+
+    def _assign_workers(self) -> None:
+        """Give new workers to the partitions that have the fewest."""
+        now = time.monotonic()
+        forgotten = [
+            worker
+            for worker, since in self._absent_since.items()
+            if now - since > FORGET_ABSENT_S and worker in self._assigned
+        ]
+        new = sorted(
+            (worker for worker in self._vms if worker not in self._assigned),
+            key=lambda worker: (
+                self._vms[worker].availability_zone,
+                self._vms[worker].rack,
+                worker,
+            ),
+        )
+        new = [worker for worker in new if worker not in self._absent_since]
+        if not new and not forgotten:
+            return
+        assigned = {
+            worker: partition
+            for worker, partition in self._assigned.items()
+            if worker not in forgotten
+        }
+        assign(assigned, new, self._settings.partitions)
+        answer = self._kernel.find("store").tables.transact(
+            {WORKERS_ROW: self._assigned_version},
+            {WORKERS_ROW: msgspec.msgpack.encode(assigned)},
+            (),
+        )
+        if isinstance(answer, tables.Committed):
+            log.info("assigned {} workers, dropped {}", len(new), len(forgotten))
+        self._read_assignment()
+
+    def _update_links(self, partition: int) -> None:
+        epoch, post = self._posts[partition]
+        claims = self._kernel.find("claims")
+        links = self._links[partition]
+        wanted = {
+            worker
+            for worker, owner in self._assigned.items()
+            if owner == partition and worker in self._vms
+        }
+        for worker in wanted - links.keys():
+            links[worker] = Link(
+                partition,
+                epoch,
+                self._vms[worker],
+                post,
+                lambda: claims.may_renew_workers(partition, time.monotonic()),
+                lambda: claims.previous_owner_gone(partition, time.monotonic()),
+            )
+            if self._leaving.get(worker):
+                post(Leaving(worker, True))
+        for worker in wanted & links.keys():
+            links[worker].vm = self._vms[worker]  # a replaced VM has a new address
+        for worker in links.keys() - wanted:
+            if links[worker].lost:
+                links.pop(worker).close()
+
+
+def assign(assigned: dict[str, int], new: list[str], partitions: int) -> None:
+    """Add new workers to a worker map, each to the partition with the fewest."""
+    counts = dict.fromkeys(range(partitions), 0)
+    for partition in assigned.values():
+        if partition in counts:
+            counts[partition] += 1
+    for worker in new:
+        partition = min(counts, key=lambda index: (counts[index], index))
+        assigned[worker] = partition
+        counts[partition] += 1
--- /dev/null
+++ b/toucanspring/journal.py
@@ -0,0 +1,278 @@
+"""Append-only log of one partition in the table service."""
+
+from __future__ import annotations
+
+import dataclasses
+import uuid
+
+import gevent
+import gevent.event
+import logbook
+
+from toucanspring import errors, log_records
+from toucanspring.adapters import tables
+
+log = logbook.Logger(__name__)
+
+MIN_FLUSH_INTERVAL_S = 0.05
+LOG_WRITES_PER_S = 100  # budget of all partitions of one table service
+MAX_RECORDS_PER_ROW = 1000
+MAX_ROW_BYTES = 512 * 1024
+RETRY_PAUSE_S = 0.1
+MAX_RETRY_PAUSE_S = 2.0
+SCAN_ROWS = 200
+ROWS_BEFORE_SNAPSHOT = 400
+MAX_PENDING_RECORDS = 200_000
+
+
+def flush_interval(partitions: int) -> float:
+    """Return the pause between flushes in seconds that keeps the write budget."""
+    return max(MIN_FLUSH_INTERVAL_S, partitions / LOG_WRITES_PER_S)
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """Pair a record with the result that its writer waits for.
+
+    `droppable` records are given up at once when the store cannot be reached.
+    """
+
+    record: log_records.Record
+    droppable: bool
+    result: gevent.event.AsyncResult
+
+
+class Journal:
+    """Own the log of one partition; writes carry a check of the ownership row.
+
+    `append` returns a result that becomes None once the record is durable, or a
+    failure: `Unavailable` (not written), `Fenced` (not written, ownership lost).
+    """
+
+    def __init__(
+        self,
+        partition: int,
+        epoch: int,
+        row_version: int,
+        table: tables.TableClient,
+        objects: object,
+        interval_s: float = MIN_FLUSH_INTERVAL_S,
+    ) -> None:
+        self.partition = partition
+        self.epoch = epoch
+        self.state = log_records.State()
+        self.writes = 0
+        self._owner_check = {f"partitions/{partition}": row_version}
+        self._table = table
+        self._objects = objects
+        self._interval_s = interval_s
+        self._sequence = 0
+        self._first_row = 1
+        self._pending: list[Entry] = []
+        self._wakeup = gevent.event.Event()
+        self._idle = gevent.event.Event()
+        self._idle.set()
+        self._greenlet: gevent.Greenlet | None = None
+        self.fenced = False
+
+    def __enter__(self) -> Journal:
+        self._greenlet = gevent.spawn(self._run)
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        if self._greenlet is not None:
+            self._greenlet.kill()
+        self._fail_pending(errors.Unavailable(reason="the partition was given up"))
+
+    def key(self, sequence: int) -> str:
+        """Return the row key of a log row."""
+        return f"log/{self.partition}/{sequence:012d}"
+
+    # Reading after takeover
+
+    def load(self) -> None | errors.Failure:
+        """Read the snapshot and all later rows into `state`."""
+        snapshot_key = f"snapshot/{self.partition}"
+        rows = self._table.read([snapshot_key])
+        if isinstance(rows, errors.Failure):
+            return rows
+        if rows[snapshot_key].version:
+            failure = self._load_snapshot(rows[snapshot_key].value)
+            if failure is not None:
+                return failure
+        after = self.key(self._sequence)
+        while True:
+            found = self._table.scan(f"log/{self.partition}/", after, SCAN_ROWS)
+            if isinstance(found, errors.Failure):
+                return found
+            for row in found:
+                for record in log_records.decode_batch(row.value).records:
+                    self.state.apply(record)
+                after = row.key
+                self._sequence = int(row.key.rpartition("/")[2])
+            if len(found) < SCAN_ROWS:
+                return None
+
+    def _load_snapshot(self, value: bytes) -> None | errors.Failure:
+        snapshot = log_records.decode_snapshot(value)
+        content = self._objects.get(snapshot.object_key)
+        if isinstance(content, errors.Failure):
+            return content
+        for record in log_records.decode_batch(content).records:
+            self.state.apply(record)
+        self._sequence = snapshot.sequence
+        self._first_row = snapshot.sequence + 1
+        return None
+
+    # Writing
+
+    def append(
+        self, record: log_records.Record, droppable: bool
+    ) -> gevent.event.AsyncResult:
+        """Queue a record for the next flush."""
+        result = gevent.event.AsyncResult()
+        if self.fenced:
+            result.set(errors.Fenced(reason="another process owns the partition"))
+        elif droppable and len(self._pending) >= MAX_PENDING_RECORDS:
+            result.set(errors.Overloaded(reason="the log is full"))
+        else:
+            self._pending.append(Entry(record, droppable, result))
+            self._idle.clear()
+            self._wakeup.set()
+        return result
+
+    def drain(self, timeout_s: float) -> bool:
+        """Wait until everything appended is durable; return whether it is."""
+        return self._idle.wait(timeout_s)
+
+    def _run(self) -> None:
+        while not self.fenced:
+            self._wakeup.wait()
+            self._wakeup.clear()
+            while self._pending and not self.fenced:
+                batch = self._take_batch()
+                self._write(batch)
+                if self._sequence - self._first_row >= ROWS_BEFORE_SNAPSHOT:
+                    self._compact()
+                gevent.sleep(self._interval_s)
+            if not self._pending:
+                self._idle.set()
+
+    def _take_batch(self) -> list[Entry]:
+        batch: list[Entry] = []
+        size = 0
+        for entry in self._pending[:MAX_RECORDS_PER_ROW]:
+            size += len(log_records.encode(entry.record))
+            if batch and size > MAX_ROW_BYTES:
+                break
+            batch.append(entry)
+        del self._pending[: len(batch)]
+        return batch
+
+    def _write(self, batch: list[Entry]) -> None:
+        """Write one row; retry until the result is certain."""
+        batch_id = uuid.uuid4().hex
+        key = self.key(self._sequence + 1)
+        pause = RETRY_PAUSE_S
+        sent = False  # an earlier attempt may still take effect
+        while batch:
+            value = log_records.encode(
+                log_records.Batch(
+                    batch_id, self.epoch, [entry.record for entry in batch]
+                )
+            )
+            answer = self._table.transact(
+                {**self._owner_check, key: 0}, {key: value}, ()
+            )
+            self.writes += 1
+            match answer:
+                case tables.Committed():
+                    return self._confirm(batch)
+                case errors.Conflict():
+                    return self._resolve_conflict(batch, batch_id, key)
+                case errors.Ambiguous():
+                    sent = True
+                case _ if not sent:
+                    batch = self._drop(batch, answer)
+                    self._drop_pending(answer)
+            gevent.sleep(pause)
+            pause = min(MAX_RETRY_PAUSE_S, pause * 2)
+        return None
+
+    def _confirm(self, batch: list[Entry]) -> None:
+        self._sequence += 1
+        for entry in batch:
+            self.state.apply(entry.record)
+        for entry in batch:
+            entry.result.set(None)
+
+    def _resolve_conflict(self, batch: list[Entry], batch_id: str, key: str) -> None:
+        """Find out whether an earlier attempt of ours is what conflicts.
+
+        The ownership row has changed or the key exists. After either, no late
+        attempt of this batch can take effect any more, so one read is conclusive.
+        """
+        while True:
+            rows = self._table.read([key])
+            if not isinstance(rows, errors.Failure):
+                break
+            gevent.sleep(RETRY_PAUSE_S)
+        row = rows[key]
+        if row.version and log_records.decode_batch(row.value).batch_id == batch_id:
+            self._confirm(batch)
+            return
+        log.warning(
+            "partition {}: log row {} was not written; ownership is lost",
+            self.partition,
+            key,
+        )
+        self.fenced = True
+        failure = errors.Fenced(reason="another process owns the partition")
+        for entry in batch:
+            entry.result.set(failure)
+        self._fail_pending(failure)
+
+    def _drop(self, batch: list[Entry], answer: errors.Failure) -> list[Entry]:
+        kept = []
+        for entry in batch:
+            if entry.droppable:
+                entry.result.set(
+                    errors.StoreUnavailable(reason=f"store: {answer.reason}")
+                )
+            else:
+                kept.append(entry)
+        return kept
+
+    def _drop_pending(self, answer: errors.Failure) -> None:
+        self._pending = self._drop(self._pending, answer)
+
+    def _fail_pending(self, failure: errors.Failure) -> None:
+        for entry in self._pending:
+            entry.result.set(failure)
+        self._pending = []
+        self._idle.set()
+
+    # Compaction
+
+    def _compact(self) -> None:
+        """Replace the rows so far by a snapshot in the object store."""
+        self.state.forget_oldest()
+        batch = log_records.Batch("snapshot", self.epoch, self.state.to_records())
+        object_key = f"snapshot-{self.partition}-{self.epoch}-{self._sequence}"
+        failure = self._objects.put(object_key, log_records.encode(batch))
+        if isinstance(failure, errors.Failure):
+            log.warning("snapshot of partition {}: {}", self.partition, failure)
+            return
+        key = f"snapshot/{self.partition}"
+        pointer = log_records.encode(log_records.Snapshot(object_key, self._sequence))
+        answer = self._table.transact(self._owner_check, {key: pointer}, ())
+        self.writes += 1
+        if not isinstance(answer, tables.Committed):
+            log.warning("snapshot of partition {}: {}", self.partition, answer)
+            return
+        first, last = self._first_row, self._sequence
+        self._first_row = last + 1
+        for start in range(first, last + 1, SCAN_ROWS):
+            stop = min(last + 1, start + SCAN_ROWS)
+            keys = [self.key(sequence) for sequence in range(start, stop)]
+            self._table.transact(self._owner_check, {}, keys)
--- /dev/null
+++ b/toucanspring/log_records.py
@@ -0,0 +1,169 @@
+"""Records of a partition's log and the durable state that they add up to."""
+
+from __future__ import annotations
+
+import msgspec
+
+from toucanspring import effects, job
+
+# Finished jobs and requests are kept for look-ups up to this number per partition.
+MAX_FINISHED_KEPT = 20_000
+
+
+class Accepted(msgspec.Struct, frozen=True, tag="accepted"):
+    """A job was accepted."""
+
+    spec: job.JobSpec
+
+
+class Intended(msgspec.Struct, frozen=True, tag="intended"):
+    """Non-idempotent attempts may start from now on."""
+
+    intents: list[effects.Intent]
+
+
+class Finished(msgspec.Struct, frozen=True, tag="finished"):
+    """Tasks have reached their final outcome."""
+
+    outcomes: dict[str, job.Outcome]
+
+
+class Cancelled(msgspec.Struct, frozen=True, tag="cancelled"):
+    """Jobs were cancelled."""
+
+    job_ids: list[str]
+
+
+class RequestStarted(msgspec.Struct, frozen=True, tag="request_started"):
+    """A non-idempotent request may be sent to one backend server."""
+
+    request_id: str
+    server: str
+    epoch: int
+
+
+class RequestFinished(msgspec.Struct, frozen=True, tag="request_finished"):
+    """A non-idempotent request has its final outcome."""
+
+    request_id: str
+    outcome: job.Outcome
+
+
+Record = Accepted | Intended | Finished | Cancelled | RequestStarted | RequestFinished
+
+
+class Batch(msgspec.Struct, frozen=True):
+    """Hold the records of one log row; `batch_id` tells a retry from a rival."""
+
+    batch_id: str
+    epoch: int
+    records: list[Record]
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """Point to the object that replaces all log rows up to `sequence`."""
+
+    object_key: str
+    sequence: int
+
+
+class RequestEntry(msgspec.Struct):
+    """Track a non-idempotent request; no outcome means that it may be running."""
+
+    server: str
+    epoch: int
+    outcome: job.Outcome | None = None
+
+
+class State:
+    """Hold what a partition's log says."""
+
+    def __init__(self) -> None:
+        self.specs: dict[str, job.JobSpec] = {}
+        self.outcomes: dict[str, dict[str, job.Outcome]] = {}
+        self.intents: dict[str, effects.Intent] = {}
+        self.cancelled: set[str] = set()
+        self.requests: dict[str, RequestEntry] = {}
+
+    def apply(self, record: Record) -> None:
+        """Add one record; applying a record twice changes nothing."""
+        match record:
+            case Accepted(spec=spec):
+                self.specs.setdefault(spec.id, spec)
+            case Intended(intents=intents):
+                self.intents.update({intent.task_id: intent for intent in intents})
+            case Finished(outcomes=outcomes):
+                for task_id, outcome in outcomes.items():
+                    tasks = self.outcomes.setdefault(job.job_of(task_id), {})
+                    tasks.setdefault(task_id, outcome)
+                    self.intents.pop(task_id, None)
+            case Cancelled(job_ids=job_ids):
+                self.cancelled.update(job_ids)
+            case RequestStarted(request_id=request_id, server=server, epoch=epoch):
+                self.requests.setdefault(request_id, RequestEntry(server, epoch))
+            case RequestFinished(request_id=request_id, outcome=outcome):
+                entry = self.requests.setdefault(request_id, RequestEntry("", 0))
+                if entry.outcome is None:
+                    entry.outcome = outcome
+
+    def is_finished(self, job_id: str) -> bool:
+        """Return whether every task of a job has an outcome."""
+        spec = self.specs.get(job_id)
+        return spec is not None and (
+            len(self.outcomes.get(job_id, ())) >= spec.task_count
+        )
+
+    def outcome_map(self) -> dict[str, job.Outcome]:
+        """Return the outcomes of all tasks."""
+        return {
+            task_id: outcome
+            for tasks in self.outcomes.values()
+            for task_id, outcome in tasks.items()
+        }
+
+    def forget_oldest(self, keep: int = MAX_FINISHED_KEPT) -> list[str]:
+        """Drop the oldest finished jobs and requests beyond `keep`; return job IDs."""
+        finished = [job_id for job_id in self.specs if self.is_finished(job_id)]
+        dropped = finished[: max(0, len(finished) - keep)]
+        for job_id in dropped:
+            del self.specs[job_id]
+            self.outcomes.pop(job_id, None)
+            self.cancelled.discard(job_id)
+        answered = [key for key, entry in self.requests.items() if entry.outcome]
+        for key in answered[: max(0, len(answered) - keep)]:
+            del self.requests[key]
+        return dropped
+
+    def to_records(self) -> list[Record]:
+        """Return records that rebuild this state."""
+        found: list[Record] = [Accepted(spec) for spec in self.specs.values()]
+        if self.intents:
+            found.append(Intended(list(self.intents.values())))
+        found.extend(Finished(tasks) for tasks in self.outcomes.values())
+        if self.cancelled:
+            found.append(Cancelled(sorted(self.cancelled)))
+        for request_id, entry in self.requests.items():
+            found.append(RequestStarted(request_id, entry.server, entry.epoch))
+            if entry.outcome is not None:
+                found.append(RequestFinished(request_id, entry.outcome))
+        return found
+
+
+_encoder = msgspec.msgpack.Encoder()
+_batch_decoder = msgspec.msgpack.Decoder(Batch)
+_snapshot_decoder = msgspec.msgpack.Decoder(Snapshot)
+
+
+def encode(value: Batch | Snapshot) -> bytes:
+    """Return a batch or snapshot as bytes for a row or object."""
+    return _encoder.encode(value)
+
+
+def decode_batch(value: bytes) -> Batch:
+    """Return the batch in a log row; raise `msgspec.DecodeError` if damaged."""
+    return _batch_decoder.decode(value)
+
+
+def decode_snapshot(value: bytes) -> Snapshot:
+    """Return the snapshot pointer in a row."""
+    return _snapshot_decoder.decode(value)
--- /dev/null
+++ b/toucanspring/partitions.py
@@ -0,0 +1,396 @@
+"""Service `partitions`: runs owned partitions and routes calls to owners."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import time
+
+import gevent
+import gevent.event
+import gevent.pool
+import logbook
+import msgspec
+
+from toucanspring import (
+    claims,
+    documents,
+    effects,
+    errors,
+    job,
+    kernel,
+    partition,
+    resources,
+    settings,
+)
+
+log = logbook.Logger(__name__)
+
+ROUTE_LIMIT_S = 8.0  # covers one takeover with its load from the store
+CALL_TIMEOUT_S = 4.0
+RETRY_PAUSE_S = 0.2
+ASK_TIMEOUT_S = 3.0
+MAX_CONCURRENT_ROUTES = 32
+MAX_SPECS_PER_CALL = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerStatus:
+    """Describe a worker for operators."""
+
+    worker: str
+    partition: int
+    availability_zone: str
+    rack: str
+    capacity: resources.Resources
+    free: resources.Resources
+    state: str
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """Carry a value or a failure between processes."""
+
+    value: bytes | None = None
+    failure: dict[str, object] | None = None
+
+
+_encode = msgspec.msgpack.encode
+
+
+def encode_result(value: object) -> bytes:
+    """Return a value or failure as bytes for a peer."""
+    if isinstance(value, errors.Failure):
+        return _encode(Reply(failure=errors.to_dict(value)))
+    return _encode(Reply(value=_encode(value)))
+
+
+def decode_result(body: bytes, kind: type) -> object | errors.Failure:
+    """Return the value or failure that a peer sent."""
+    try:
+        reply = msgspec.msgpack.decode(body, type=Reply)
+        if reply.failure is not None:
+            return errors.from_dict(reply.failure)
+        return msgspec.msgpack.decode(reply.value or b"", type=kind)
+    except msgspec.DecodeError as error:
+        return errors.Malformed(reason=str(error))
+
+
+class Service:
+    """Own the partitions of this process and reach those of others."""
+
+    def __init__(self, core: kernel.Kernel, options: settings.Settings) -> None:
+        self._kernel = core
+        self._settings = options
+        self._owned: dict[int, partition.Partition] = {}
+        self._stopping = False
+
+    def start(self) -> None:
+        """Follow ownership and serve calls of other processes."""
+        self._kernel.subscribe(claims.PartitionAcquired, self._acquire)
+        self._kernel.subscribe(claims.PartitionLost, self._lose)
+        self._kernel.subscribe(documents.ConfigurationChanged, self._documents_changed)
+        self._kernel.subscribe(
+            documents.AvailabilityZonesChanged, self._documents_changed
+        )
+        peers = self._kernel.find("peers")
+        peers.handle("submit", self._serve_submit)
+        peers.handle("lookup", self._serve_lookup)
+        peers.handle("cancel", self._serve_cancel)
+        peers.handle("explain", self._serve_explain)
+        peers.handle("workers", self._serve_workers)
+
+    def stop(self) -> None:
+        """Give up all partitions after their logs are written."""
+        self._stopping = True
+        gevent.joinall(
+            [gevent.spawn(self._close, number) for number in list(self._owned)]
+        )
+
+    def _acquire(self, event: claims.PartitionAcquired) -> None:
+        if self._stopping:
+            return
+        self._close(event.partition)
+        owned = partition.Partition(
+            event.partition, event.epoch, self._kernel, self._settings
+        )
+        self._owned[event.partition] = owned
+        owned.__enter__()
+
+    def _lose(self, event: claims.PartitionLost) -> None:
+        self._close(event.partition)
+
+    def _close(self, number: int) -> None:
+        owned = self._owned.pop(number, None)
+        if owned is not None:
+            owned.__exit__()
+
+    def _documents_changed(self, _event: object) -> None:
+        for owned in self._owned.values():
+            owned.post(partition.TeamsChanged())
+
+    # Calls
+
+    def submit(self, specs: list[job.JobSpec]) -> list[str | errors.Failure]:
+        """Accept jobs; each answer is the job ID, once durable, or a failure.
+
+        A failure of type `Ambiguous` means that the job may still be accepted.
+        """
+        groups: dict[int, list[int]] = collections.defaultdict(list)
+        for index, spec in enumerate(specs):
+            groups[self.number_of(spec.id)].append(index)
+        answers: list[str | errors.Failure] = [errors.Unavailable()] * len(specs)
+
+        def submit_group(number: int, indices: list[int]) -> None:
+            body = _encode([specs[index] for index in indices])
+            found = self._route(number, "submit", body, list[str | dict[str, object]])
+            for position, index in enumerate(indices):
+                if isinstance(found, errors.Failure):
+                    answers[index] = found
+                else:
+                    answers[index] = _unpack(found[position])
+
+        pool = gevent.pool.Pool(MAX_CONCURRENT_ROUTES)
+        for number, indices in groups.items():
+            for start in range(0, len(indices), MAX_SPECS_PER_CALL):
+                pool.spawn(
+                    submit_group, number, indices[start : start + MAX_SPECS_PER_CALL]
+                )
+        pool.join()
+        return answers
+
+    def lookup(self, job_id: str) -> effects.JobStatus | errors.Failure:
+        """Return the state of a job, from its owner."""
+        return self._route(
+            self.number_of(job_id), "lookup", job_id.encode(), effects.JobStatus
+        )
+
+    def explain(self, job_id: str) -> effects.Explanation | errors.Failure:
+        """Return why a job waits or ran where it did, from its owner."""
+        return self._route(
+            self.number_of(job_id), "explain", job_id.encode(), effects.Explanation
+        )
+
+    def cancel(self, job_ids: list[str]) -> dict[str, str | errors.Failure]:
+        """Cancel jobs at their owners."""
+        groups: dict[int, list[str]] = collections.defaultdict(list)
+        for job_id in job_ids:
+            groups[self.number_of(job_id)].append(job_id)
+        answers: dict[str, str | errors.Failure] = {}
+
+        def cancel_group(number: int, names: list[str]) -> None:
+            found = self._route(
+                number, "cancel", _encode(names), dict[str, str | dict[str, object]]
+            )
+            for name in names:
+                if isinstance(found, errors.Failure):
+                    answers[name] = found
+                else:
+                    answers[name] = _unpack(found[name])
+
+        gevent.joinall([gevent.spawn(cancel_group, *group) for group in groups.items()])
+        return answers
+
+    def workers(self) -> list[WorkerStatus]:
+        """Return the workers of all partitions whose owners answer."""
+        jobs = [
+            gevent.spawn(self._route, number, "workers", b"", list[WorkerStatus])
+            for number in range(self._settings.partitions)
+        ]
+        gevent.joinall(jobs)
+        return [
+            status
+            for found in jobs
+            if isinstance(found.value, list)
+            for status in found.value
+        ]
+
+    def begin_request(
+        self, request_id: str, server: str
+    ) -> partition.Begun | partition.Finished | partition.Running | errors.Failure:
+        """Record that a request may be sent; only at the owner of its partition."""
+        owned = self._find_owned(request_id)
+        if isinstance(owned, errors.Failure):
+            return owned
+        return owned.begin_request(request_id, server)
+
+    def finish_request(
+        self, request_id: str, outcome: job.Outcome
+    ) -> None | errors.Failure:
+        """Record the outcome of a request; only at the owner of its partition."""
+        owned = self._find_owned(request_id)
+        if isinstance(owned, errors.Failure):
+            return owned
+        return owned.finish_request(request_id, outcome)
+
+    def request_entry(self, request_id: str) -> object | errors.Failure:
+        """Return the log entry of a request; only at the owner of its partition."""
+        owned = self._find_owned(request_id)
+        if isinstance(owned, errors.Failure):
+            return owned
+        entry = owned.journal.state.requests.get(request_id)
+        if entry is None:
+            return errors.NotFound(reason=f"no request {request_id}")
+        return entry
+
+    def number_of(self, name: str) -> int:
+        """Return the partition of a job or request ID."""
+        return job.partition_of(name, self._settings.partitions)
+
+    def owned(self) -> dict[int, partition.Partition]:
+        """Return the partitions that run in this process."""
+        return dict(self._owned)
+
+    def _find_owned(self, name: str) -> partition.Partition | errors.Failure:
+        owned = self._owned.get(self.number_of(name))
+        if owned is None or not owned.ready.wait(ASK_TIMEOUT_S):
+            return errors.NotFound(reason="this process does not own the partition")
+        if not self._kernel.find("claims").may_start(owned.number, time.monotonic()):
+            return errors.Unavailable(reason="ownership of the partition is in doubt")
+        return owned
+
+    # Routing
+
+    def _route(
+        self, number: int, method: str, body: bytes, kind: type
+    ) -> object | errors.Failure:
+        """Call the owner of a partition; wait through a takeover.
+
+        All routed calls are idempotent, so that an unanswered one is repeated.
+        """
+        deadline = time.monotonic() + ROUTE_LIMIT_S
+        envelope = _encode((number, body))
+        last: errors.Failure = errors.Unavailable(reason="no owner")
+        sent = False
+        while time.monotonic() < deadline:
+            found = self._call_owner(number, method, envelope)
+            match found:
+                case bytes():
+                    result = decode_result(found, kind)
+                    if not isinstance(result, errors.Unavailable):
+                        return result
+                    if isinstance(result, errors.StoreUnavailable):
+                        return result
+                    last = result
+                case errors.Ambiguous() | errors.Timeout():
+                    sent = True
+                    last = found
+                case errors.Failure():
+                    last = found
+            gevent.sleep(RETRY_PAUSE_S)
+        if sent:
+            return errors.Ambiguous(reason=f"no answer from the owner: {last.reason}")
+        return last
+
+    def _call_owner(
+        self, number: int, method: str, envelope: bytes
+    ) -> bytes | errors.Failure:
+        if number in self._owned:
+            return self._handlers[method](self, "", envelope)
+        owner = self._kernel.find("claims").owner_of(number)
+        if isinstance(owner, errors.Failure):
+            return errors.Unavailable(reason=owner.reason)
+        return self._kernel.find("peers").call(
+            owner.process, method, envelope, CALL_TIMEOUT_S
+        )
+
+    def _ask(self, number: int, make: object) -> object | errors.Failure:
+        owned = self._owned.get(number)
+        if owned is None or not owned.ready.wait(ASK_TIMEOUT_S):
+            return errors.Unavailable(reason="this process does not own the partition")
+        result = gevent.event.AsyncResult()
+        owned.post(make(result))
+        try:
+            return result.get(timeout=CALL_TIMEOUT_S)
+        except gevent.Timeout:
+            return errors.Ambiguous(reason="the partition did not answer in time")
+
+    def _serve_submit(self, _sender: str, envelope: bytes) -> bytes:
+        number, body = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
+        specs = msgspec.msgpack.decode(body, type=list[job.JobSpec])
+        found = self._ask(number, lambda result: partition.Submit(specs, result))
+        if isinstance(found, list):
+            moved = [
+                item
+                for item in found
+                if isinstance(item, errors.Fenced | errors.Unavailable)
+            ]
+            if len(moved) == len(found) and found:
+                if isinstance(moved[0], errors.StoreUnavailable):
+                    return encode_result(moved[0])
+                return encode_result(errors.Unavailable(reason=moved[0].reason))
+            found = [_pack(item) for item in found]
+        return encode_result(found)
+
+    def _serve_cancel(self, _sender: str, envelope: bytes) -> bytes:
+        number, body = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
+        names = msgspec.msgpack.decode(body, type=list[str])
+        found = self._ask(number, lambda result: partition.Cancel(names, result))
+        if isinstance(found, dict):
+            found = {name: _pack(item) for name, item in found.items()}
+        return encode_result(found)
+
+    def _serve_lookup(self, _sender: str, envelope: bytes) -> bytes:
+        number, body = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
+        name = body.decode()
+        return encode_result(
+            self._ask(
+                number,
+                lambda result: partition.Ask(lambda owner: owner.lookup(name), result),
+            )
+        )
+
+    def _serve_explain(self, _sender: str, envelope: bytes) -> bytes:
+        number, body = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
+        name = body.decode()
+        return encode_result(
+            self._ask(
+                number,
+                lambda result: partition.Ask(lambda owner: owner.explain(name), result),
+            )
+        )
+
+    def _serve_workers(self, _sender: str, envelope: bytes) -> bytes:
+        number, _ = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
+        owned = self._owned.get(number)
+        if owned is None:
+            return encode_result(errors.Unavailable(reason="not the owner"))
+        found = self._ask(number, lambda result: partition.Ask(_free, result))
+        if isinstance(found, errors.Failure):
+            return encode_result(found)
+        statuses = []
+        links = self._kernel.find("fleet").links(number)
+        facts = owned.facts()
+        for worker, link in sorted(links.items()):
+            known = facts.get(worker)
+            statuses.append(
+                WorkerStatus(
+                    worker,
+                    number,
+                    link.vm.availability_zone,
+                    link.vm.rack,
+                    known.capacity if known else resources.ZERO,
+                    found.get(worker, resources.ZERO),
+                    "attached" if link.attached else "unreachable",
+                )
+            )
+        return encode_result(statuses)
+
+    _handlers = {
+        "submit": _serve_submit,
+        "cancel": _serve_cancel,
+        "lookup": _serve_lookup,
+        "explain": _serve_explain,
+        "workers": _serve_workers,
+    }
+
+
+def _free(owner: object) -> dict[str, resources.Resources]:
+    return owner.free_by_worker()
+
+
+def _pack(item: str | errors.Failure) -> str | dict[str, object]:
+    return errors.to_dict(item) if isinstance(item, errors.Failure) else item
+
+
+def _unpack(item: str | dict[str, object]) -> str | errors.Failure:
+    return errors.from_dict(item) if isinstance(item, dict) else item
--- a/toucanspring/wire.py
+++ b/toucanspring/wire.py
@@ -45,7 +45,11 @@
 
 
 class Attach(msgspec.Struct, frozen=True, tag="attach", array_like=True):
-    """Open a worker stream for a partition; raises the epoch at the worker."""
+    """Open a worker stream for a partition; raises the epoch at the worker.
+
+    It does not extend the worker's lease: a delayed attach would otherwise extend
+    the lease of tasks that a former owner started.
+    """
 
     partition: int
     epoch: int
@@ -72,10 +76,16 @@
 
 
 class Renew(msgspec.Struct, frozen=True, tag="renew", array_like=True):
-    """Extend the lease of all tasks on the worker from the moment of receipt."""
+    """Extend the lease of all tasks to `lease_ms` after `tick`.
+
+    `tick` is the worker's own clock in the last report seen. Counting from it, and
+    not from the receipt of this message, keeps a delayed renewal from extending the
+    lease beyond what the sender assumes.
+    """
 
     epoch: int
     lease_ms: int
+    tick: int
 
 
 class Start(msgspec.Struct, frozen=True, tag="start", array_like=True):
