--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,368 @@
+"""HTTP server with fault injection and an event record, shared by the stand-ins."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import signal
+import socket
+import time
+import urllib.parse
+from collections.abc import Callable
+
+import gevent
+import msgspec
+from gevent import event, pywsgi
+from gevent import socket as gevent_socket
+
+MAX_RECORDED_EVENTS = 2_000_000
+LISTEN_BACKLOG = 1024
+STATUS_LINES = {
+    200: "200 OK",
+    202: "202 Accepted",
+    204: "204 No Content",
+    400: "400 Bad Request",
+    404: "404 Not Found",
+    409: "409 Conflict",
+    413: "413 Content Too Large",
+    500: "500 Internal Server Error",
+    503: "503 Service Unavailable",
+}
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """Faults of one HTTP service; `POST /faults` sets the given fields only.
+
+    `down` refuses connections, `delay_ms` waits before the operation takes effect and
+    `answer_delay_ms` after it, `error_fraction` answers 503 without an effect,
+    `lose_answers` drops that many answers after the effect, `blocked` hangs up on the
+    clients with these `X-Client` names before the effect.
+    """
+
+    down: bool = False
+    delay_ms: float = 0.0
+    answer_delay_ms: float = 0.0
+    error_fraction: float = 0.0
+    lose_answers: int = 0
+    blocked: list[str] = []
+
+
+class Record:
+    """Keep events with monotonic times, which all processes of a host share."""
+
+    def __init__(self, limit: int = MAX_RECORDED_EVENTS) -> None:
+        self._events: collections.deque[dict] = collections.deque(maxlen=limit)
+        self._added = 0
+
+    def add(self, kind: str, **fields: object) -> None:
+        """Append an event that happened now."""
+        self._added += 1
+        self._events.append({"at": time.monotonic(), "kind": kind, **fields})
+
+    def dump(self, after: int = 0) -> bytes:
+        """Return JSON with the events from number `after` on and the next number.
+
+        `dropped` counts events that no longer fitted; then the record is incomplete.
+        """
+        dropped = self._added - len(self._events)
+        skip = max(0, after - dropped)
+        events = list(self._events)[skip:] if skip else list(self._events)
+        return msgspec.json.encode(
+            {
+                "events": events,
+                "next": self._added,
+                "dropped": dropped,
+                "now": time.monotonic(),
+            }
+        )
+
+    def clear(self) -> None:
+        """Forget all events."""
+        self._events.clear()
+        self._added = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """One HTTP request; header names are in lower case."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    client: str
+
+
+@dataclasses.dataclass(slots=True)
+class Response:
+    """One HTTP answer; `cut_at` ends the connection after that many body bytes."""
+
+    status: int = 200
+    body: bytes = b""
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    cut_at: int | None = None
+    chunked: bool = False
+
+
+def json_response(value: object, status: int = 200) -> Response:
+    """Return an answer with a JSON body."""
+    return Response(
+        status, msgspec.json.encode(value), {"Content-Type": "application/json"}
+    )
+
+
+HANG_UP = None  # returned by a handler to close the connection without an answer
+Handler = Callable[[Request], Response | None]
+
+
+class _ConnectionHandler(pywsgi.WSGIHandler):
+    def get_environ(self) -> dict:
+        environ = super().get_environ()
+        environ["standins.socket"] = self.socket
+        return environ
+
+    def log_request(self) -> None:
+        pass
+
+    def log_error(self, msg: str, *args: object) -> None:
+        pass
+
+
+def listen(address: str, port: int, backlog: int = LISTEN_BACKLOG) -> socket.socket:
+    """Return a listening socket whose connections have TCP_NODELAY set."""
+    listener = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    listener.bind((address, port))
+    listener.listen(backlog)
+    return listener
+
+
+class HttpServer:
+    """Serve one handler on one port; it can be closed and opened again."""
+
+    def __init__(
+        self, address: str, port: int, handler: Handler, max_connections: int = 0
+    ) -> None:
+        self._address = address
+        self.port = port
+        self._handler = handler
+        self._max_connections = max_connections
+        self._sockets: set[socket.socket] = set()
+        self._server: pywsgi.WSGIServer | None = None
+
+    def open(self) -> None:
+        """Listen; a port of 0 is replaced by the port that was bound."""
+        if self._server is not None:
+            return
+        listener = listen(self._address, self.port)
+        self.port = listener.getsockname()[1]
+        self._server = _Server(self, listener)
+        self._server.start()
+
+    def close(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is None:
+            return
+        server, self._server = self._server, None
+        server.stop(timeout=0)
+        for sock in list(self._sockets):
+            hang_up(sock)
+
+    def serve_socket(self, serve: Callable, sock: socket.socket, *rest: object) -> None:
+        """Serve one connection unless there are too many."""
+        if self._max_connections and len(self._sockets) >= self._max_connections:
+            sock.sendall(
+                b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: connections\r\n"
+                b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+            )
+            return
+        self._sockets.add(sock)
+        try:
+            serve(sock, *rest)
+        finally:
+            self._sockets.discard(sock)
+
+    def application(self, environ: dict, start_response: Callable) -> list[bytes]:
+        """Answer one WSGI request."""
+        request = _parse(environ)
+        try:
+            response = self._handler(request)
+        except Exception as error:
+            response = Response(500, f"{type(error).__name__}: {error}".encode())
+        if response is HANG_UP:
+            hang_up(environ["standins.socket"])
+            start_response(STATUS_LINES[500], [("Content-Length", "0")])
+            return [b""]
+        headers = list(response.headers.items())
+        if not response.chunked:
+            headers.append(("Content-Length", str(len(response.body))))
+        start_response(STATUS_LINES[response.status], headers)
+        if response.cut_at is not None:
+            return _cut(environ["standins.socket"], response)
+        if response.chunked:
+            return _blocks(response.body)
+        return [response.body]
+
+
+class _Server(pywsgi.WSGIServer):
+    def __init__(self, owner: HttpServer, listener: socket.socket) -> None:
+        super().__init__(
+            listener,
+            owner.application,
+            handler_class=_ConnectionHandler,
+            log=None,
+            error_log=None,
+        )
+        self._owner = owner
+
+    def handle(self, sock: socket.socket, address: object) -> None:
+        self._owner.serve_socket(super().handle, sock, address)
+
+
+def hang_up(sock: socket.socket) -> None:
+    """End a connection in both directions."""
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        return  # it has ended already
+
+
+def _blocks(body: bytes, size: int = 1 << 15) -> list[bytes]:
+    return [body[start : start + size] for start in range(0, len(body), size)]
+
+
+def _cut(sock: socket.socket, response: Response):
+    yield response.body[: response.cut_at]
+    hang_up(sock)
+    yield response.body[response.cut_at :]
+
+
+def _parse(environ: dict) -> Request:
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    # PATH_INFO is percent-decoded and read as latin-1 by the WSGI rules.
+    path = environ["PATH_INFO"].encode("latin-1").decode()
+    return Request(
+        environ["REQUEST_METHOD"],
+        path,
+        dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", ""))),
+        headers,
+        environ["wsgi.input"].read(),
+        headers.get("x-client", ""),
+    )
+
+
+class FaultyService:
+    """Apply `Faults` around an operation handler and serve the control interface.
+
+    The control interface stays reachable on the control port while the service is
+    `down`. Without a control port it shares the service's port, and `down` then
+    hangs up on each call instead of refusing the connection.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        control_port: int | None,
+        handler: Handler,
+        record: Record,
+        rng: Callable[[], float],
+    ) -> None:
+        self.faults = Faults()
+        self.record = record
+        self._handler = handler
+        self._rng = rng
+        self._service = HttpServer(address, port, self._serve)
+        self._control = (
+            None
+            if control_port is None
+            else HttpServer(address, control_port, self._serve_control)
+        )
+
+    def open(self) -> None:
+        """Start to listen."""
+        self._service.open()
+        if self._control is not None:
+            self._control.open()
+
+    def _serve_control(self, request: Request) -> Response:
+        return control(request, self.record, self._set_faults) or Response(404)
+
+    def _set_faults(self, body: bytes) -> object:
+        self.faults = merge_faults(self.faults, body)
+        self.record.add("faults", **msgspec.structs.asdict(self.faults))
+        if self._control is not None:
+            if self.faults.down:
+                self._service.close()
+            else:
+                self._service.open()
+        return self.faults
+
+    def _serve(self, request: Request) -> Response | None:
+        answer = control(request, self.record, self._set_faults)
+        if answer is not None:
+            return answer
+        return apply_faults(self.faults, request, self._handler, self._rng)
+
+
+def merge_faults(current: Faults, body: bytes) -> Faults:
+    """Return the faults with the fields of a JSON object replaced."""
+    fields = msgspec.structs.asdict(current) | msgspec.json.decode(body, type=dict)
+    return msgspec.convert(fields, type(current))
+
+
+def apply_faults(
+    faults: Faults, request: Request, handler: Handler, rng: Callable[[], float]
+) -> Response | None:
+    """Run a handler under faults; `None` closes the connection."""
+    if faults.down or request.client in faults.blocked:
+        return HANG_UP
+    if faults.delay_ms:
+        gevent.sleep(faults.delay_ms / 1000)
+    if faults.error_fraction and rng() < faults.error_fraction:
+        return Response(503)
+    response = handler(request)
+    if faults.answer_delay_ms:
+        gevent.sleep(faults.answer_delay_ms / 1000)
+    if faults.lose_answers > 0:
+        faults.lose_answers -= 1
+        return HANG_UP
+    return response
+
+
+def control(
+    request: Request, record: Record, set_faults: Callable[[bytes], object]
+) -> Response | None:
+    """Answer a call of the control interface, or return `None` for other calls."""
+    match request.method, request.path:
+        case "POST", "/faults":
+            try:
+                return json_response(set_faults(request.body))
+            except (msgspec.DecodeError, msgspec.ValidationError) as error:
+                return Response(400, str(error).encode())
+        case "GET", "/record":
+            after = int(request.query.get("after", "0"))
+            body = record.dump(after)
+            return Response(200, body, {"Content-Type": "application/json"})
+        case "DELETE", "/record":
+            record.clear()
+            return Response(204)
+        case "GET", "/healthz":
+            return Response(200, b"ok")
+        case _:
+            return None
+
+
+def run_until_signal(ready: str) -> None:
+    """Print a line once serving, then wait for SIGTERM or SIGINT."""
+    ended = event.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, ended.set)
+    print(ready, flush=True)
+    ended.wait()
--- /dev/null
+++ b/toucanspring/adapters/exchange.py
@@ -0,0 +1,237 @@
+"""HTTP exchanges that tell a call that was never sent from one without an answer."""
+
+from __future__ import annotations
+
+import dataclasses
+import socket
+import time
+from collections.abc import Iterator
+
+import gevent
+from gevent import socket as gevent_socket
+from geventhttpclient import connectionpool, response
+
+from toucanspring import errors, stream
+
+CONNECT_TIMEOUT_S = 1.0
+BLOCK_BYTES = 1 << 16
+
+
+class Pool(connectionpool.ConnectionPool):
+    """Keep connections to one IP address and port, limited in number."""
+
+    def _create_socket(self) -> gevent_socket.socket:
+        # Connecting by IP address needs no resolver; gevent's default one starts
+        # native threads.
+        family = socket.AF_INET6 if ":" in self._connection_host else socket.AF_INET
+        sock = gevent_socket.socket(family, socket.SOCK_STREAM)
+        try:
+            stream.disable_nagle(sock)
+            sock.settimeout(self.connection_timeout)
+            sock.connect((self._connection_host, self._connection_port))
+            sock.settimeout(None)  # each call sets its own deadline
+        except BaseException:
+            sock.close()
+            raise
+        return sock
+
+    def _is_socket_alive(self, sock: gevent_socket.socket | None) -> bool:
+        # The inherited check uses select(), which fails above descriptor 1023.
+        if sock is None or sock.fileno() < 0:
+            return False
+        try:
+            sock.settimeout(0.0)
+            sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            sock.settimeout(None)
+            return True
+        except OSError:
+            return False
+        return False  # end of stream, or bytes that belong to no request
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Hold a complete answer; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class BrokenAnswer(Exception):
+    """Raised while reading an answer that ended early; `failure` says why."""
+
+    def __init__(self, failure: errors.Failure) -> None:
+        super().__init__(failure.reason)
+        self.failure = failure
+
+
+class OpenReply:
+    """Read the body of one answer in blocks until `deadline` (monotonic seconds)."""
+
+    def __init__(
+        self, parsed: response.HTTPSocketPoolResponse, method: str, deadline: float
+    ) -> None:
+        self._parsed = parsed
+        self._method = method
+        self._deadline = deadline
+        self.status: int = parsed.get_code()
+        self.headers = {name.lower(): str(value) for name, value in parsed.items()}
+
+    def close(self) -> None:
+        """Give the connection back, or close it if the body was not read."""
+        self._parsed.release()
+
+    def blocks(self) -> Iterator[bytes]:
+        """Yield the body; raises `BrokenAnswer` unless its declared end arrives."""
+        if not self._is_framed():
+            self.close()
+            raise BrokenAnswer(
+                errors.Ambiguous(reason="the answer declares neither length nor chunks")
+            )
+        limit = None
+        try:
+            while True:
+                limit = gevent.Timeout(max(0.001, self._deadline - time.monotonic()))
+                with limit:
+                    block = self._parsed.read(BLOCK_BYTES)
+                if not block:
+                    break
+                yield block
+        except gevent.Timeout as expired:
+            if expired is not limit:
+                raise
+            raise BrokenAnswer(
+                errors.Ambiguous(reason="the answer did not end before the deadline")
+            ) from None
+        except (OSError, response.HTTPParseError) as error:
+            raise BrokenAnswer(
+                errors.Ambiguous(reason=f"the answer ended early: {error}")
+            ) from None
+        finally:
+            self.close()
+        if not self._parsed.message_complete:
+            raise BrokenAnswer(errors.Ambiguous(reason="the answer ended early"))
+
+    def _is_framed(self) -> bool:
+        # Without a length or chunks a cut connection looks like a complete answer.
+        return (
+            self._parsed.message_complete
+            or "content-length" in self.headers
+            or "chunked" in self.headers.get("transfer-encoding", "").lower()
+        )
+
+
+class Endpoint:
+    """Call one HTTP server; calls beyond `connections` wait for a free connection."""
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        connections: int,
+        client: str = "",
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> None:
+        self._pool = Pool(
+            address,
+            port,
+            address,
+            port,
+            size=connections,
+            connection_timeout=connect_timeout_s,
+        )
+        host = f"[{address}]" if ":" in address else address
+        self._common = f"Host: {host}:{port}\r\n"
+        if client:
+            self._common += f"X-Client: {client}\r\n"
+
+    def close(self) -> None:
+        """Close the idle connections; those in use close when returned."""
+        self._pool.close()
+
+    def open(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 5.0,
+    ) -> OpenReply | errors.Unavailable | errors.Ambiguous:
+        """Send a request and return once the head of its answer has arrived."""
+        head = f"{method} {target} HTTP/1.1\r\n{self._common}"
+        for name, value in (headers or {}).items():
+            if not value.isprintable():  # a line break would start another header
+                raise ValueError(f"header {name} has the value {value!r}")
+            head += f"{name}: {value}\r\n"
+        head += f"Content-Length: {len(body)}\r\n\r\n"
+        deadline = time.monotonic() + timeout_s
+        sock = None
+        sent = False
+        limit = gevent.Timeout(timeout_s)
+        try:
+            with limit:
+                sock = self._pool.get_socket()
+                sent = True
+                sock.sendall(head.encode("latin-1") + body)
+                held, sock = sock, None  # from here the response releases the socket
+                parsed = response.HTTPSocketPoolResponse(
+                    held, self._pool, block_size=BLOCK_BYTES, method=method
+                )
+                return OpenReply(parsed, method, deadline)
+        except gevent.Timeout as expired:
+            if expired is not limit:
+                raise
+            reason = f"no answer within {timeout_s:g} s"
+        except (OSError, response.HTTPParseError) as error:
+            reason = str(error) or type(error).__name__
+        finally:
+            if sock is not None:
+                self._pool.release_socket(sock)
+        if sent:
+            return errors.Ambiguous(reason=reason)
+        return errors.Unavailable(reason=reason)
+
+    def call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 5.0,
+        max_bytes: int = 1 << 28,
+    ) -> Reply | errors.Unavailable | errors.Ambiguous | errors.Oversized:
+        """Exchange a request for a complete answer of at most `max_bytes`."""
+        opened = self.open(method, target, body, headers, timeout_s)
+        if isinstance(opened, errors.Failure):
+            return opened
+        return read_reply(opened, max_bytes)
+
+
+def read_reply(
+    opened: OpenReply, max_bytes: int
+) -> Reply | errors.Ambiguous | errors.Oversized:
+    """Read the rest of an answer of at most `max_bytes`."""
+    received = bytearray()
+    try:
+        for block in opened.blocks():
+            received += block
+            if len(received) > max_bytes:
+                opened.close()
+                return errors.Oversized(
+                    reason=f"the answer exceeds {max_bytes} bytes", limit=max_bytes
+                )
+    except BrokenAnswer as broken:
+        return broken.failure
+    return Reply(opened.status, opened.headers, bytes(received))
+
+
+def parse_address(text: str) -> tuple[str, int] | errors.Invalid:
+    """Split `address:port`; an IPv6 address stands in brackets."""
+    address, separator, port = text.rpartition(":")
+    if not separator or not port.isdigit() or not 0 < int(port) < 65536:
+        return errors.Invalid(
+            reason="not an address with a port", value=text, expected="address:port"
+        )
+    return address.strip("[]"), int(port)
--- /dev/null
+++ b/toucanspring/adapters/vms.py
@@ -0,0 +1,92 @@
+"""Client of the platform's VM list, which lags behind the real state."""
+
+from __future__ import annotations
+
+import enum
+from typing import Protocol
+
+import msgspec
+
+from toucanspring import errors, resources
+from toucanspring.adapters import exchange
+
+TIMEOUT_S = 2.0
+MAX_LIST_BYTES = 1 << 26
+
+
+class Role(enum.StrEnum):
+    """What a VM is for."""
+
+    WORKER = "worker"
+    BACKEND_SERVER = "backend_server"
+    ENTRY = "entry"
+
+
+class State(enum.StrEnum):
+    """State of a VM in the list; a VM that is gone is absent from it."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Vm(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe one listed VM; `service` names what a backend server serves."""
+
+    id: str
+    role: Role
+    availability_zone: str
+    rack: str = ""
+    address: str
+    port: int
+    state: State = State.LIVE
+    service: str = ""
+    resources: resources.Resources = resources.ZERO
+
+
+class VmClient(Protocol):
+    """Read the VM list."""
+
+    def list(self) -> list[Vm] | errors.Failure:
+        """Return all listed VMs."""
+
+    def close(self) -> None:
+        """Close idle connections."""
+
+
+_decoder = msgspec.json.Decoder(list[Vm])
+
+
+class HttpVmClient:
+    """Call the VM list over HTTP."""
+
+    def __init__(
+        self, address: str, port: int, client: str = "", timeout_s: float = TIMEOUT_S
+    ) -> None:
+        self._endpoint = exchange.Endpoint(address, port, 2, client)
+        self._timeout_s = timeout_s
+
+    def list(self) -> list[Vm] | errors.Failure:
+        """Return all listed VMs."""
+        reply = self._endpoint.call(
+            "GET", "/v1/vms", timeout_s=self._timeout_s, max_bytes=MAX_LIST_BYTES
+        )
+        match reply:
+            case exchange.Reply(status=200):
+                return _decode(reply.body)
+            case exchange.Reply():
+                return errors.Unavailable(reason=f"VM list answered {reply.status}")
+            case errors.Ambiguous():
+                return errors.Unavailable(reason=reply.reason)
+            case _:
+                return reply
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._endpoint.close()
+
+
+def _decode(body: bytes) -> list[Vm] | errors.Malformed:
+    try:
+        return _decoder.decode(body)
+    except msgspec.DecodeError as error:
+        return errors.Malformed(reason=f"VM list: {error}")
--- /dev/null
+++ b/toucanspring/store.py
@@ -0,0 +1,213 @@
+"""Kernel service for the platform's tables, objects and VM list."""
+
+from __future__ import annotations
+
+import collections
+import time
+from collections.abc import Callable
+
+import gevent
+
+from toucanspring import errors
+from toucanspring.adapters import exchange, objects, tables, vms
+
+RATE_WINDOW_S = 10
+RESOLVE_TIMEOUT_S = 10.0
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 1.0
+
+
+class OperationRate:
+    """Count operations by kind and second of a monotonic clock."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._seconds: collections.deque[tuple[int, collections.Counter]] = (
+            collections.deque(maxlen=RATE_WINDOW_S + 1)
+        )
+        self.totals: collections.Counter[str] = collections.Counter()
+
+    def add(self, kind: str) -> None:
+        """Count one operation now."""
+        second = int(self._clock())
+        if not self._seconds or self._seconds[-1][0] != second:
+            self._seconds.append((second, collections.Counter()))
+        self._seconds[-1][1][kind] += 1
+        self.totals[kind] += 1
+
+    def per_second(self) -> dict[str, float]:
+        """Return the mean rate by kind over the last complete seconds."""
+        now = int(self._clock())
+        counts: collections.Counter[str] = collections.Counter()
+        for second, counter in self._seconds:
+            if now - RATE_WINDOW_S <= second < now:
+                counts.update(counter)
+        return {kind: count / RATE_WINDOW_S for kind, count in counts.items()}
+
+
+class CountingTables:
+    """Count `write`, `read` and `scan` operations on a table client."""
+
+    def __init__(self, inner: tables.TableClient, rate: OperationRate) -> None:
+        self._inner = inner
+        self._rate = rate
+
+    def transact(
+        self,
+        checks: dict[str, int],
+        writes: dict[str, bytes],
+        deletes: tuple[str, ...] | list[str] = (),
+    ) -> tables.Committed | errors.Failure:
+        """Apply a transaction."""
+        self._rate.add("write")
+        return self._inner.transact(checks, writes, deletes)
+
+    def read(self, keys: list[str]) -> dict[str, tables.Row] | errors.Failure:
+        """Return the rows of all keys."""
+        self._rate.add("read")
+        return self._inner.read(keys)
+
+    def scan(
+        self, prefix: str, after: str = "", limit: int = 500
+    ) -> list[tables.KeyedRow] | errors.Failure:
+        """Return rows with the prefix."""
+        self._rate.add("scan")
+        return self._inner.scan(prefix, after, limit)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._inner.close()
+
+
+class CountingObjects:
+    """Count `object` operations on an object client."""
+
+    def __init__(self, inner: objects.ObjectClient, rate: OperationRate) -> None:
+        self._inner = inner
+        self._rate = rate
+
+    def put(self, key: str, content: bytes) -> None | errors.Failure:
+        """Store an object."""
+        self._rate.add("object")
+        return self._inner.put(key, content)
+
+    def get(self, key: str) -> bytes | errors.Failure:
+        """Return an object."""
+        self._rate.add("object")
+        return self._inner.get(key)
+
+    def delete(self, key: str) -> None | errors.Failure:
+        """Remove an object."""
+        self._rate.add("object")
+        return self._inner.delete(key)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._inner.close()
+
+
+class Store:
+    """Own the clients of the platform's services."""
+
+    def __init__(
+        self,
+        table_client: tables.TableClient,
+        object_client: objects.ObjectClient,
+        vm_client: vms.VmClient,
+    ) -> None:
+        self.rate = OperationRate()
+        self.tables: tables.TableClient = CountingTables(table_client, self.rate)
+        self.objects: objects.ObjectClient = CountingObjects(object_client, self.rate)
+        self.vms = vm_client
+
+    def start(self) -> None:
+        """Do nothing; connections open on first use."""
+
+    def stop(self) -> None:
+        """Close idle connections."""
+        self.tables.close()
+        self.objects.close()
+        self.vms.close()
+
+
+def connect(
+    table_address: str, object_address: str, vm_address: str, client: str
+) -> Store | errors.Invalid:
+    """Build the store from addresses `address:port`; `client` names this process."""
+    places = [
+        exchange.parse_address(text)
+        for text in (table_address, object_address, vm_address)
+    ]
+    for place in places:
+        if isinstance(place, errors.Invalid):
+            return place
+    return Store(
+        tables.HttpTableClient(*places[0], client=client),
+        objects.HttpObjectClient(*places[1], client=client),
+        vms.HttpVmClient(*places[2], client=client),
+    )
+
+
+def transact_resolved(
+    client: tables.TableClient,
+    checks: dict[str, int],
+    writes: dict[str, bytes],
+    deletes: tuple[str, ...] | list[str] = (),
+    timeout_s: float = RESOLVE_TIMEOUT_S,
+) -> tables.Committed | errors.Failure:
+    """Apply a transaction once, rereading its rows after a lost answer.
+
+    At least one written or deleted row must be checked: its version changes with
+    the first application, so a late or repeated one conflicts. Values must be
+    unique to this transaction (a batch ID or a counter) to be recognised. Returns
+    `Ambiguous` only if the rows cannot be read in time, or were changed again by
+    others so that their values no longer tell.
+    """
+    guard = {key: checks[key] for key in writes if key in checks}
+    guard |= {key: checks[key] for key in deletes if checks.get(key)}
+    if not guard:
+        raise ValueError("no written row is checked, so a retry could apply twice")
+    deadline = time.monotonic() + timeout_s
+    pause_s = FIRST_PAUSE_S
+    doubt: errors.Ambiguous | None = None
+    while True:
+        result = client.transact(checks, writes, deletes)
+        if isinstance(result, errors.Ambiguous):
+            doubt = result
+        elif doubt is None or isinstance(result, tables.Committed):
+            return result
+        if doubt is not None:
+            state = _compare(client, guard, writes, deletes)
+            if isinstance(state, tables.Committed):
+                return state
+            if isinstance(state, errors.Ambiguous):
+                return state
+            # The guard rows are unchanged. A conflict on another checked row then
+            # also defeats the earlier attempt, should it still arrive.
+            if state is None and isinstance(result, errors.Conflict):
+                return result
+        if time.monotonic() + pause_s > deadline:
+            return doubt
+        gevent.sleep(pause_s)
+        pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+
+
+def _compare(
+    client: tables.TableClient,
+    guard: dict[str, int],
+    writes: dict[str, bytes],
+    deletes: tuple[str, ...] | list[str],
+) -> tables.Committed | errors.Failure | None:
+    """Reread the rows: applied, `Ambiguous`, `None` if not applied, or unreadable."""
+    rows = client.read([*writes, *deletes])
+    if isinstance(rows, errors.Failure):
+        return errors.Unavailable(reason=rows.reason)
+    if all(rows[key].version == version for key, version in guard.items()):
+        return None
+    if all(rows[key].value == value for key, value in writes.items()) and all(
+        rows[key].version == 0 for key in deletes
+    ):
+        return tables.Committed({key: rows[key].version for key in writes})
+    return errors.Ambiguous(
+        reason="the answer was lost and the rows were changed again since"
+    )
--- a/toucanspring/wire.py
+++ b/toucanspring/wire.py
@@ -45,11 +45,15 @@
 
 
 class Attach(msgspec.Struct, frozen=True, tag="attach", array_like=True):
-    """Open a worker stream for a partition; raises the epoch at the worker."""
+    """Open a worker stream for a partition; raises the epoch at the worker.
+
+    `owner` names the calling process, for logs and records.
+    """
 
     partition: int
     epoch: int
     lease_ms: int
+    owner: str = ""
 
 
 class Attached(msgspec.Struct, frozen=True, tag="attached", array_like=True):
