--- a/standins/service.py
+++ b/standins/service.py
@@ -51,7 +51,7 @@
     """Keep events with monotonic times, which all processes of a host share."""
 
     def __init__(self, limit: int = MAX_RECORDED_EVENTS) -> None:
-        self._events: collections.deque[dict] = collections.deque(maxlen=limit)
+        self._events: collections.deque[object] = collections.deque(maxlen=limit)
         self._added = 0
 
     def add(self, kind: str, **fields: object) -> None:
@@ -59,6 +59,11 @@
         self._added += 1
         self._events.append({"at": time.monotonic(), "kind": kind, **fields})
 
+    def append(self, occurred: msgspec.Struct) -> None:
+        """Append an event that has its own fields `at` and `kind`."""
+        self._added += 1
+        self._events.append(occurred)
+
     def dump(self, after: int = 0) -> bytes:
         """Return JSON with the events from number `after` on and the next number.
 
@@ -202,7 +207,7 @@
         if response.cut_at is not None:
             return _cut(environ["standins.socket"], response)
         if response.chunked:
-            return _blocks(response.body)
+            return iter(_blocks(response.body))
         return [response.body]
 
 
