--- a/toucanspring/fleet.py
+++ b/toucanspring/fleet.py
@@ -8,11 +8,12 @@
 from collections.abc import Callable
 
 import gevent
+import gevent.event
 import logbook
 import msgspec
 
-from toucanspring import errors, kernel, settings, stream, wire
-from toucanspring.adapters import tables, vms
+from toucanspring import errors, kernel, settings, wire
+from toucanspring.adapters import tables, vms, workers
 
 log = logbook.Logger(__name__)
 
@@ -20,7 +21,7 @@
 STOP_GRACE_S = 2.0  # a worker has stopped its tasks this long after its lease ended
 DRIFT_FRACTION = 0.05  # assumed bound on the drift between monotonic clocks
 RENEW_INTERVAL_S = 2.0
-SILENCE_LIMIT_S = 3.0  # a worker reports every 0.5 s; reconnect after this silence
+CONNECT_TIMEOUT_S = 1.0
 RECONNECT_PAUSE_S = 0.2
 MAX_RECONNECT_PAUSE_S = 3.0
 POLL_INTERVAL_S = 1.0
@@ -78,109 +79,105 @@
         post: Callable[[object], None],
         may_renew: Callable[[], bool],
         former_lease_over: Callable[[], bool],
+        owner: str = "",
     ) -> None:
         self.partition = partition
         self.epoch = epoch
         self.vm = vm
-        self.tick = 0
-        self.tick_received_at = 0.0
         self.attached = False
+        self.lost = False
         self._post = post
         self._may_renew = may_renew
         self._former_lease_over = former_lease_over
+        self._owner = owner
+        self._stream: workers.WorkerLink | None = None
+        self._tick_received_at = 0.0
+        self._renewed_at = 0.0
         self._lease_base: float | None = None  # when the renewed tick was received
-        self.lost = False
-        self._stream: stream.Stream | None = None
-        self._batch = 0
-        self._sent: dict[int, list[str]] = {}
-        self._greenlet = gevent.spawn(self._run)
-        self._guard = gevent.spawn(self._watch_lease)
+        self._greenlets = [gevent.spawn(self._run), gevent.spawn(self._watch_lease)]
 
     def close(self) -> None:
         """Close the stream and stop watching."""
-        gevent.killall([self._greenlet, self._guard])
+        gevent.killall(self._greenlets)
         if self._stream is not None:
             self._stream.close()
 
     def start(self, tasks: list[wire.TaskStart]) -> bool:
         """Send starts; return False if they certainly were not sent."""
-        if not self.attached or self._stream is None:
+        if not self.attached or self._stream is None or self._stream.closed:
             return False
-        self._batch += 1
-        batch = self._batch
-        self._sent[batch] = [task.task_id for task in tasks]
-        failure = self._stream.send(wire.Start(self.epoch, self.tick, batch, tasks))
-        if failure is None or isinstance(failure, errors.Ambiguous):
-            return True
-        self._sent.pop(batch, None)
-        return False
-
-    def send(self, message: wire.WorkerMessage) -> None:
-        """Send any other message if the worker is attached."""
+        self._stream.start(self.epoch, tasks)
+        return True
+
+    def stop(self, task_ids: list[str], mode: str) -> None:
+        """Stop tasks; `mode` is `kill` or `checkpoint`."""
         if self.attached and self._stream is not None:
-            self._stream.send(message)
+            self._stream.stop(self.epoch, task_ids, mode)
+
+    def acknowledge(self, task_ids: list[str]) -> None:
+        """Let the worker forget finished tasks."""
+        if self.attached and self._stream is not None:
+            self._stream.acknowledge(self.epoch, task_ids)
 
     def _run(self) -> None:
         pause = RECONNECT_PAUSE_S
         while True:
-            opened = stream.connect(
-                self.vm.address, self.vm.port, wire.decode_worker, timeout_s=1.0
+            closed = gevent.event.AsyncResult()
+            opened = workers.connect(
+                self.vm.address,
+                self.vm.port,
+                self._receive,
+                lambda failure, unanswered, closed=closed: closed.set(
+                    (failure, unanswered)
+                ),
+                owner=self._owner,
+                timeout_s=CONNECT_TIMEOUT_S,
             )
-            if isinstance(opened, stream.Stream):
-                with opened:
-                    self._stream = opened
-                    if self._serve(opened):
-                        pause = RECONNECT_PAUSE_S
-                    self._stream = None
-                self._detach()
+            if not isinstance(opened, errors.Failure):
+                if self._attach(opened):
+                    pause = RECONNECT_PAUSE_S
+                    failure, unanswered = closed.get()
+                    self._detach(failure, unanswered)
+                opened.close()
             gevent.sleep(pause * random.uniform(0.5, 1.0))
             pause = min(MAX_RECONNECT_PAUSE_S, pause * 2)
 
-    def _detach(self) -> None:
-        if self.attached:
-            self.attached = False
-            unanswered = [name for batch in self._sent.values() for name in batch]
-            self._sent.clear()
-            self._post(Disconnected(self.vm.id, unanswered))
-
-    def _serve(self, opened: stream.Stream) -> bool:
-        """Exchange messages until the stream breaks; return whether it attached."""
-        opened.send(wire.Attach(self.partition, self.epoch, int(WORKER_LEASE_S * 1000)))
-        attached = False
-        renewed_at = 0.0
-        while True:
-            message = opened.receive(SILENCE_LIMIT_S)
-            match message:
-                case errors.Failure():
-                    return attached
-                case wire.Fenced(epoch=epoch):
-                    log.warning("worker {} refuses: epoch {}", self.vm.id, epoch)
-                    return attached
-                case wire.Attached(tick=tick):
-                    self._see_tick(tick)
-                    attached = self.attached = True
-                    self.lost = False
-                case wire.Report(tick=tick):
-                    self._see_tick(tick)
-                case wire.Started(batch=batch):
-                    self._sent.pop(batch, None)
-            now = time.monotonic()
-            if now - renewed_at >= RENEW_INTERVAL_S and self._renew(opened):
-                renewed_at = now
-            self._post(FromWorker(self.vm.id, message))
-
-    def _see_tick(self, tick: int) -> None:
-        if tick >= self.tick:
-            self.tick = tick
-            self.tick_received_at = time.monotonic()
-
-    def _renew(self, opened: stream.Stream) -> bool:
-        if not self._may_renew():
+    def _attach(self, opened: workers.WorkerLink) -> bool:
+        answer = opened.attach(self.partition, self.epoch, int(WORKER_LEASE_S * 1000))
+        if isinstance(answer, errors.Failure):
+            log.info("worker {}: not attached: {}", self.vm.id, answer)
             return False
-        self._lease_base = self.tick_received_at
-        opened.send(wire.Renew(self.epoch, int(WORKER_LEASE_S * 1000), self.tick))
+        self._stream = opened
+        self._tick_received_at = time.monotonic()
+        self._renewed_at = 0.0
+        self.attached = True
+        self.lost = False
+        self._renew()
+        self._post(FromWorker(self.vm.id, answer))
         return True
 
+    def _detach(self, failure: errors.Failure, unanswered: list[str]) -> None:
+        log.info("worker {}: disconnected: {}", self.vm.id, failure.reason)
+        self.attached = False
+        self._stream = None
+        self._post(Disconnected(self.vm.id, unanswered))
+
+    def _receive(self, message: workers.WorkerEvent) -> None:
+        if isinstance(message, wire.Report):
+            self._tick_received_at = time.monotonic()
+            if self._tick_received_at - self._renewed_at >= RENEW_INTERVAL_S:
+                self._renew()
+        self._post(FromWorker(self.vm.id, message))
+
+    def _renew(self) -> None:
+        if self._stream is None or not self._may_renew():
+            return
+        # The worker counts the lease from the tick, which it read before it sent the
+        # report. Counting from the receipt of that report is therefore never early.
+        self._lease_base = self._tick_received_at
+        self._renewed_at = time.monotonic()
+        self._stream.renew(self.epoch, int(WORKER_LEASE_S * 1000), self._stream.tick)
+
     def _watch_lease(self) -> None:
         """Report the worker as lost once no lease of anybody can still be valid."""
         former_over_at: float | None = None
@@ -357,6 +354,7 @@
                 post,
                 lambda: claims.may_renew_workers(partition, time.monotonic()),
                 lambda: claims.previous_owner_gone(partition, time.monotonic()),
+                self._settings.process,
             )
             if self._leaving.get(worker):
                 post(Leaving(worker, True))
--- a/toucanspring/partition.py
+++ b/toucanspring/partition.py
@@ -393,7 +393,7 @@
                 case effects.StartTasks(worker=worker, tasks=tasks):
                     self._start(worker, tasks)
                 case effects.StopTasks(worker=worker, task_ids=task_ids, mode=mode):
-                    self._send(worker, wire.Stop(self.epoch, task_ids, mode))
+                    self._stop(worker, task_ids, mode)
                 case effects.RecordIntents(intents=intents):
                     self._record_intents(intents)
                 case effects.RecordOutcomes(outcomes=outcomes):
@@ -412,18 +412,33 @@
                     self._kernel.find("partitions").reserve(self, effect)
 
     def _start(self, worker: str, tasks: list[wire.TaskStart]) -> None:
-        link = self._kernel.find("fleet").link(self.number, worker)
-        if link is not None and link.start(tasks):
-            return
-        refused = [(task.task_id, "worker is not attached") for task in tasks]
+        """Send starts if they are still allowed at this moment.
+
+        The link reads the worker's clock without yielding after this check, so that
+        the worker can tell how old the check is.
+        """
+        if self._may_send(worker, time.monotonic()):
+            link = self._kernel.find("fleet").link(self.number, worker)
+            if link is not None and link.start(tasks):
+                return
+        refused = [(task.task_id, "the worker may not be used now") for task in tasks]
         self._carry_out(
             self._scheduler.starts_answered(worker, [], refused, time.monotonic())
         )
 
-    def _send(self, worker: str, message: wire.WorkerMessage) -> None:
+    def _may_send(self, worker: str, now: float) -> bool:
+        facts = self._workers.get(worker)
+        zones_out = self._kernel.find("documents").zones_out()
+        return (
+            facts is not None
+            and facts.availability_zone not in zones_out
+            and self._may_start(now)
+        )
+
+    def _stop(self, worker: str, task_ids: list[str], mode: str) -> None:
         link = self._kernel.find("fleet").link(self.number, worker)
         if link is not None:
-            link.send(message)
+            link.stop(task_ids, mode)
 
     def _record_intents(self, intents: list[effects.Intent]) -> None:
         written = self.journal.append(log_records.Intended(intents), droppable=True)
@@ -446,7 +461,9 @@
 
         def forget(failure: errors.Failure | None) -> list[effects.Effect]:
             if failure is None:
-                self._send(worker, wire.Acknowledge(self.epoch, task_ids))
+                link = self._kernel.find("fleet").link(self.number, worker)
+                if link is not None:
+                    link.acknowledge(task_ids)
             return []
 
         if written is None:
--- a/toucanspring/wire.py
+++ b/toucanspring/wire.py
@@ -49,11 +49,13 @@
 
     It does not extend the worker's lease: a delayed attach would otherwise extend
     the lease of tasks that a former owner started.
+    `owner` names the calling process, for logs and records.
     """
 
     partition: int
     epoch: int
     lease_ms: int
+    owner: str = ""
 
 
 class Attached(msgspec.Struct, frozen=True, tag="attached", array_like=True):
