Deliver early worker reports after the attach answer

Cause: a report that arrived before the attaching greenlet ran was posted before the worker was known, and its finished tasks were ignored. Change: such reports are kept and posted after the attach answer.

--- a/toucanspring/fleet.py
+++ b/toucanspring/fleet.py
@@ -91,6 +91,7 @@
         self._former_lease_over = former_lease_over
         self._owner = owner
         self._stream: workers.WorkerLink | None = None
+        self._early: list[workers.WorkerEvent] = []
         self._tick_received_at = 0.0
         self._renewed_at = 0.0
         self._lease_base: float | None = None  # when the renewed tick was received
@@ -143,6 +144,7 @@
             pause = min(MAX_RECONNECT_PAUSE_S, pause * 2)
 
     def _attach(self, opened: workers.WorkerLink) -> bool:
+        self._early.clear()
         answer = opened.attach(self.partition, self.epoch, int(WORKER_LEASE_S * 1000))
         if isinstance(answer, errors.Failure):
             log.info("worker {}: not attached: {}", self.vm.id, answer)
@@ -154,6 +156,9 @@
         self.lost = False
         self._renew()
         self._post(FromWorker(self.vm.id, answer))
+        for message in self._early:
+            self._post(FromWorker(self.vm.id, message))
+        self._early.clear()
         return True
 
     def _detach(self, failure: errors.Failure, unanswered: list[str]) -> None:
@@ -167,7 +172,11 @@
             self._tick_received_at = time.monotonic()
             if self._tick_received_at - self._renewed_at >= RENEW_INTERVAL_S:
                 self._renew()
-        self._post(FromWorker(self.vm.id, message))
+        if self.attached:
+            self._post(FromWorker(self.vm.id, message))
+        else:
+            # Reports that overtake the attach answer are delivered after it.
+            self._early.append(message)
 
     def _renew(self) -> None:
         if self._stream is None or not self._may_renew():
