--- /dev/null
+++ b/toucanspring/claims.py
@@ -0,0 +1,365 @@
+"""Which partitions this process owns, and who owns the others."""
+
+from __future__ import annotations
+
+import dataclasses
+import zlib
+from collections.abc import Iterable, Mapping, Sequence
+
+import logbook
+import msgspec
+
+from toucanspring import errors, membership, ownership
+from toucanspring.adapters import tables
+
+log = logbook.Logger(__name__)
+
+PREFIX = "partitions/"
+# A process that is not the preferred owner waits this much longer for each rank.
+RANK_DELAY_S = 1.0
+# An uneven distribution is left alone for this long, since processes that restart
+# together come back one after the other.
+REBALANCE_AFTER_S = 10.0
+
+
+class PartitionRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Row `partitions/<p>`; an empty `process` means that it was released.
+
+    `former` holds the member lists of former owners that may still extend.
+    """
+
+    process: str = ""
+    incarnation: int = 0
+    epoch: int = 0
+    former: list[list[str]] = []
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Owner:
+    """Name the owner of a partition."""
+
+    process: str
+    incarnation: int
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartitionAcquired:
+    """This process now owns a partition."""
+
+    partition: int
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartitionLost:
+    """This process no longer owns a partition."""
+
+    partition: int
+
+
+@dataclasses.dataclass(slots=True)
+class Holding:
+    """Hold one own partition."""
+
+    epoch: int
+    version: int
+    claimed_at: float
+    former: list[list[str]]  # empty once all former owners are gone
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(PartitionRow)
+
+
+def key_of(partition: int) -> str:
+    """Return the key of a partition's ownership row."""
+    return f"{PREFIX}{partition}"
+
+
+def decode_row(row: tables.Row) -> PartitionRow | None:
+    """Return an ownership row; an absent row has epoch 0, a malformed one is `None`."""
+    if not row.version:
+        return PartitionRow()
+    try:
+        return _decoder.decode(row.value)
+    except msgspec.MsgspecError as error:
+        log.error("an ownership row is malformed: {}", error)
+        return None
+
+
+def score(partition: int, process: str) -> int:
+    """Return the rendezvous weight of a process for a partition."""
+    return zlib.crc32(f"{partition}\0{process}".encode())
+
+
+def rank(partition: int, processes: Iterable[str]) -> list[str]:
+    """Order processes by preference for a partition."""
+    return sorted(processes, key=lambda name: (-score(partition, name), name))
+
+
+def assign(partitions: int, processes: Sequence[str]) -> dict[int, str]:
+    """Return the preferred owner of each partition.
+
+    Rendezvous hashing alone may give one process several partitions while others have
+    none, so each takes at most its even part, rounded up.
+    """
+    preferred: dict[int, str] = {}
+    if not processes:
+        return preferred
+    limit = -(-partitions // len(processes))
+    load = dict.fromkeys(processes, 0)
+    for partition in range(partitions):
+        for name in rank(partition, processes):
+            if load[name] < limit:
+                preferred[partition] = name
+                load[name] += 1
+                break
+    return preferred
+
+
+class Service(membership.Guard):
+    """Claim, keep and release partitions."""
+
+    def __init__(self, kernel: object, settings: object) -> None:
+        self._kernel = kernel
+        self._count = settings.partitions
+        self._holdings: dict[int, Holding] = {}
+        self._rows: dict[int, tuple[int, PartitionRow]] = {}
+        self._claimable_since: dict[int, float] = {}
+        self._uneven_since: float | None = None
+        self._members: membership.Service | None = None
+
+    def start(self) -> None:
+        """Follow the ownership rows; claims are made after each poll."""
+        self._members = self._kernel.find("membership")
+        self._members.guard = self
+        self._members.watch(
+            lambda: [key_of(partition) for partition in range(self._count)],
+            self._take_rows,
+        )
+
+    def stop(self) -> None:
+        """Release all partitions."""
+        for partition in list(self._holdings):
+            self.release(partition)
+
+    # Interface
+
+    def owned(self) -> dict[int, int]:
+        """Return the epoch of each own partition."""
+        return {
+            partition: holding.epoch for partition, holding in self._holdings.items()
+        }
+
+    def owner_of(self, partition: int) -> Owner | errors.NotFound:
+        """Return the owner of a partition, as last read or heard from the owner."""
+        found = self._rows.get(partition)
+        epoch = found[1].epoch if found else 0
+        for name, message in self._members.peer_states().items():
+            claimed = message.owned.get(partition, 0)
+            # A claim is known from a heartbeat earlier than from the next poll.
+            if claimed > epoch:
+                return Owner(name, message.incarnation, claimed)
+        if found is None or not found[1].process:
+            return errors.NotFound(reason=f"partition {partition} has no owner")
+        row = found[1]
+        return Owner(row.process, row.incarnation, row.epoch)
+
+    def may_start(self, partition: int, now: float) -> bool:
+        """Return whether tasks of an own partition may be started."""
+        return partition in self._holdings and (
+            self._members.standing(now) is not ownership.Standing.NARROWED
+        )
+
+    def may_renew_workers(self, partition: int, now: float) -> bool:
+        """Return whether worker leases of an own partition may be renewed."""
+        return self.may_start(partition, now)
+
+    def row_version(self, partition: int) -> int:
+        """Return the version of the ownership row, for checks in transactions."""
+        holding = self._holdings.get(partition)
+        # No row ever has version -1, so a check for a lost partition always fails.
+        return holding.version if holding else -1
+
+    def previous_owner_gone(self, partition: int, now: float) -> bool:
+        """Return whether no former owner can extend its ownership any more.
+
+        A worker that it renewed last may still run tasks for its lease from then on.
+        """
+        del now
+        holding = self._holdings.get(partition)
+        if holding is None:
+            return False
+        if holding.former:
+            quiet = self._members.quiet()
+            holding.former = [
+                members
+                for members in holding.former
+                if not ownership.lost_majority(
+                    members, quiet, holding.claimed_at, self._members.timing
+                )
+            ]
+        return not holding.former
+
+    def release(self, partition: int) -> None | errors.Failure:
+        """Hand over a partition; `PartitionLost` is published before the row changes.
+
+        If the store does not answer, the successor waits for the lease instead.
+        """
+        holding = self._holdings.get(partition)
+        if holding is None:
+            return None
+        self.previous_owner_gone(partition, self._members.clock())
+        self._lose(partition)
+        row = PartitionRow(epoch=holding.epoch, former=holding.former)
+        return self._members.write_row(
+            {key_of(partition): holding.version},
+            {key_of(partition): _encoder.encode(row)},
+        )
+
+    # Guard of renewals
+
+    def checks(self) -> dict[str, int]:
+        """Return the versions of the ownership rows of own partitions."""
+        return {
+            key_of(partition): holding.version
+            for partition, holding in self._holdings.items()
+        }
+
+    def settled(self) -> list[int]:
+        """Return the own partitions whose former owners are gone."""
+        now = self._members.clock()
+        return [
+            partition
+            for partition in self._holdings
+            if self.previous_owner_gone(partition, now)
+        ]
+
+    def recheck(self, rows: Mapping[str, tables.Row]) -> None:
+        """Give up each partition whose ownership row has changed."""
+        for partition, holding in list(self._holdings.items()):
+            row = rows.get(key_of(partition))
+            if row is not None and row.version > holding.version:
+                log.warning("partition {} was claimed by another process", partition)
+                self._lose(partition)
+
+    # Claims
+
+    def _lose(self, partition: int) -> None:
+        del self._holdings[partition]
+        self._kernel.publish(PartitionLost(partition))
+
+    def _take_rows(self, rows: Mapping[str, tables.Row], sent_at: float) -> None:
+        del sent_at
+        for key, row in rows.items():
+            partition = int(key.removeprefix(PREFIX))
+            current = decode_row(row)
+            last = self._rows.get(partition)
+            if current is None or (last is not None and row.version < last[0]):
+                continue
+            self._rows[partition] = (row.version, current)
+        self.recheck(rows)
+        self._claim_all()
+        self._rebalance()
+
+    def _claim_all(self) -> None:
+        """Claim each partition without a live owner that prefers this process."""
+        members = self._members
+        now = members.clock()
+        candidates = members.candidates()
+        preferred = assign(self._count, candidates)
+        own = members.identity.process
+        if own not in candidates:
+            return
+        for partition in range(self._count):
+            if partition in self._holdings or partition not in self._rows:
+                continue
+            if not self._is_claimable(partition, now):
+                self._claimable_since.pop(partition, None)
+                continue
+            since = self._claimable_since.setdefault(partition, now)
+            order = rank(partition, candidates)
+            order.remove(preferred[partition])
+            place = [preferred[partition], *order].index(own)
+            if now - since >= place * RANK_DELAY_S:
+                self._claim(partition)
+
+    def _is_claimable(self, partition: int, now: float) -> bool:
+        members = self._members
+        _, row = self._rows[partition]
+        own = members.identity
+        if (row.process, row.incarnation) == (own.process, own.incarnation):
+            return True  # an own claim whose answer was lost
+        silent = not row.process or ownership.is_silent(
+            members.sightings.get(row.process), row.incarnation, now, members.timing
+        )
+        return ownership.may_claim(silent, members.promised_at(), now, members.timing)
+
+    def _claim(self, partition: int) -> None:
+        version, row = self._rows[partition]
+        members = self._members
+        own = members.identity
+        claim = PartitionRow(
+            process=own.process,
+            incarnation=own.incarnation,
+            epoch=row.epoch + 1,
+            former=self._former_lists(partition, row),
+        )
+        checks = {key_of(partition): version}
+        if row.process and row.process != own.process:
+            # Fails if the owner has renewed in the meantime.
+            seen = members.rows.get(row.process)
+            checks[membership.PREFIX + row.process] = seen[0] if seen else 0
+        result = members.write_row(checks, {key_of(partition): _encoder.encode(claim)})
+        if isinstance(result, errors.Failure):
+            log.info("no claim of partition {}: {}", partition, result.reason)
+            return
+        version = result.versions[key_of(partition)]
+        self._rows[partition] = (version, claim)
+        self._claimable_since.pop(partition, None)
+        self._holdings[partition] = Holding(
+            claim.epoch, version, members.clock(), claim.former
+        )
+        log.info("claimed partition {} with epoch {}", partition, claim.epoch)
+        self._kernel.publish(PartitionAcquired(partition, claim.epoch))
+
+    def _former_lists(self, partition: int, row: PartitionRow) -> list[list[str]]:
+        """Return the member lists of owners that may still extend after a claim."""
+        if not row.process:
+            return row.former
+        own = self._members.identity
+        if (row.process, row.incarnation) == (own.process, own.incarnation):
+            return row.former
+        found = self._members.rows.get(row.process)
+        former = list(row.former)
+        if found is None:
+            known = sorted(self._members.members())
+        elif found[1].member.incarnation == row.incarnation:
+            known = found[1].known
+            if partition in found[1].settled:
+                former = []
+        else:
+            known = found[1].former.get(str(row.incarnation), found[1].known)
+        return former if known in former else [*former, known]
+
+    def _rebalance(self) -> None:
+        """Release one partition above the even part, if that lasts."""
+        members = self._members
+        candidates = members.candidates()
+        now = members.clock()
+        limit = -(-self._count // max(len(candidates), 1))
+        if len(self._holdings) <= limit or len(self._rows) < self._count:
+            self._uneven_since = None
+            return
+        if self._uneven_since is None:
+            self._uneven_since = now
+        if now - self._uneven_since < REBALANCE_AFTER_S:
+            return
+        self._uneven_since = now
+        preferred = assign(self._count, candidates)
+        own = members.identity.process
+        foreign = [p for p in self._holdings if preferred[p] != own]
+        if foreign:
+            log.info("handing partition {} to {}", foreign[0], preferred[foreign[0]])
+            self.release(foreign[0])
--- /dev/null
+++ b/toucanspring/daemon.py
@@ -0,0 +1,129 @@
+"""Entry point `toucanspringd`: runs the services of one process of the cell."""
+
+import gevent.monkey
+
+gevent.monkey.patch_all()
+
+import importlib  # noqa: E402
+import importlib.util  # noqa: E402
+import os  # noqa: E402
+import signal  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+
+import gevent  # noqa: E402
+import logbook  # noqa: E402
+from gevent import event  # noqa: E402
+
+from toucanspring import errors, kernel, log, settings  # noqa: E402
+
+logger = logbook.Logger(__name__)
+
+# In the order of start; a service that is not installed is left out.
+SERVICES = (
+    "metrics",
+    "store",
+    "peers",
+    "membership",
+    "documents",
+    "claims",
+    "decisions",
+    "fleet",
+    "partitions",
+    "requests",
+    "gateway",
+)
+EXIT_SETTINGS = 2
+EXIT_REPLACED = 3
+IN_FLIGHT_POLL_S = 0.05
+
+
+def build_service(
+    name: str, core: kernel.Kernel, chosen: settings.Settings
+) -> kernel.Service | errors.Failure:
+    """Construct the service of the module with the given name."""
+    module = importlib.import_module(f"toucanspring.{name}")
+    if name == "store":
+        return module.connect(chosen.tables, chosen.objects, chosen.vms, chosen.process)
+    return module.Service(core, chosen)
+
+
+def build(chosen: settings.Settings) -> kernel.Kernel | errors.Failure:
+    """Register all installed services in a kernel."""
+    core = kernel.Kernel()
+    for name in SERVICES:
+        if importlib.util.find_spec(f"toucanspring.{name}") is None:
+            logger.warning("service {} is not installed", name)
+            continue
+        service = build_service(name, core, chosen)
+        if isinstance(service, errors.Failure):
+            return service
+        core.register(name, service)
+    return core
+
+
+def find(core: kernel.Kernel, name: str) -> object | None:
+    """Return a service, or `None` if it is not installed."""
+    try:
+        return core.find(name)
+    except kernel.UnknownService:
+        return None
+
+
+def drain(core: kernel.Kernel, limit_s: float) -> bool:
+    """Hand over partitions and finish requests; return whether all were finished.
+
+    A service may have `stop_accepting()`, which refuses new work, and `in_flight()`,
+    the number of requests that it still serves.
+    """
+    deadline = time.monotonic() + limit_s
+    services = [find(core, name) for name in reversed(SERVICES)]
+    for service in services:
+        if hasattr(service, "stop_accepting"):
+            service.stop_accepting()
+    core.find("membership").drain()
+    core.find("claims").stop()
+    counters = [service for service in services if hasattr(service, "in_flight")]
+    while any(service.in_flight() for service in counters):
+        if time.monotonic() >= deadline:
+            return False
+        gevent.sleep(IN_FLIGHT_POLL_S)
+    return True
+
+
+def run(chosen: settings.Settings) -> int:
+    """Serve until SIGTERM or SIGINT; return the exit status."""
+    core = build(chosen)
+    if isinstance(core, errors.Failure):
+        logger.error("cannot start: {}", core.reason)
+        return EXIT_SETTINGS
+    stopped = event.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stopped.set)
+    core.start()
+    logger.info("process {} of cell {} serves", chosen.process, chosen.cell)
+    members = core.find("membership")
+    while not stopped.wait(1.0):
+        if members.replaced:
+            core.stop()
+            return EXIT_REPLACED
+    logger.info("draining for at most {} s", chosen.drain_s)
+    if not drain(core, chosen.drain_s):
+        logger.warning("requests were still in flight after {} s", chosen.drain_s)
+    core.stop()
+    logger.info("process {} ends", chosen.process)
+    return 0
+
+
+def main() -> None:
+    """Read the settings and run the daemon."""
+    chosen = settings.load(sys.argv[1:], os.environ)
+    if isinstance(chosen, errors.Invalid):
+        print(f"toucanspringd: {chosen.reason}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    log.set_up(chosen.log_level, chosen.log_format)
+    sys.exit(run(chosen))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/toucanspring/heartbeat.py
@@ -0,0 +1,129 @@
+"""Heartbeats between processes and what can be concluded from them.
+
+`Ledger` has no I/O and takes time as an argument.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+
+from toucanspring import errors, freshness, ownership, resources
+
+REACHABLE_S = 2.0
+MICROSECONDS = 1_000_000
+
+
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
+    """State of the sender; clocks are monotonic microseconds.
+
+    `echo` is the latest clock that the sender has received from the receiver's
+    incarnation `echo_incarnation`.
+    """
+
+    incarnation: int
+    clock: int
+    echo: int
+    echo_incarnation: int
+    versions: freshness.Versions
+    view_age_ms: int
+    promise: bool
+    quiet_ms: int  # time without a promise, at most the time since the start
+    owned: dict[int, int]  # partition -> epoch
+    free: resources.Resources = resources.ZERO
+    draining: bool = False
+
+
+_decoder = msgspec.msgpack.Decoder(Heartbeat)
+encode = msgspec.msgpack.Encoder().encode
+
+
+def decode(body: bytes) -> Heartbeat | errors.Malformed:
+    """Return the heartbeat in a notice body."""
+    try:
+        return _decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        return errors.Malformed(reason=str(error))
+
+
+def to_clock(now: float) -> int:
+    """Return monotonic seconds as the clock of a heartbeat."""
+    return int(now * MICROSECONDS)
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """Hold the latest heartbeat of one process."""
+
+    message: Heartbeat
+    received_at: float
+    echoed_at: float = ownership.NEVER
+
+
+class Ledger:
+    """Keep what the heartbeats of the other processes prove."""
+
+    def __init__(self, incarnation: int, timing: ownership.Timing) -> None:
+        self.incarnation = incarnation
+        self.timing = timing
+        self.peers: dict[str, Peer] = {}
+        self.promises: dict[str, float] = {}
+        self.promised_versions: dict[str, freshness.Versions] = {}
+        self.quiet: dict[str, ownership.Quiet] = {}
+
+    def take(self, process: str, message: Heartbeat, now: float) -> bool:
+        """Take in a heartbeat; return whether it is news.
+
+        A duplicate or a heartbeat overtaken by a later one is dropped: its promise
+        may have been superseded.
+        """
+        last = self.peers.get(process)
+        if last is not None:
+            same = last.message.incarnation == message.incarnation
+            if same and message.clock <= last.message.clock:
+                return False
+        peer = Peer(message, now)
+        self.peers[process] = peer
+        echoed_at = message.echo / MICROSECONDS
+        # An echo of an earlier incarnation is a value of another clock.
+        if message.echo_incarnation != self.incarnation or not 0 < echoed_at <= now:
+            self._forget(process)
+            return True
+        peer.echoed_at = echoed_at
+        if message.promise:
+            self.promises[process] = echoed_at
+            self.promised_versions[process] = message.versions
+            self.quiet.pop(process, None)
+        else:
+            # A member with store access withdraws its promise: counting it on would
+            # be allowed but of no use, since that member may claim soon.
+            self.promises.pop(process, None)
+            self.quiet[process] = ownership.quiet_interval(
+                echoed_at, now, message.quiet_ms / 1000, self.timing
+            )
+        return True
+
+    def _forget(self, process: str) -> None:
+        self.promises.pop(process, None)
+        self.quiet.pop(process, None)
+
+    def reachable(self, now: float) -> set[str]:
+        """Return the processes with a recent heartbeat."""
+        return {
+            process
+            for process, peer in self.peers.items()
+            if now - peer.received_at <= REACHABLE_S
+        }
+
+    def echo_for(self, process: str) -> tuple[int, int]:
+        """Return the clock and incarnation to echo to a process."""
+        peer = self.peers.get(process)
+        if peer is None:
+            return 0, 0
+        return peer.message.clock, peer.message.incarnation
+
+    def drop(self, process: str) -> None:
+        """Forget a process that has left the cell."""
+        self.peers.pop(process, None)
+        self._forget(process)
--- /dev/null
+++ b/toucanspring/link.py
@@ -0,0 +1,320 @@
+"""Both ends of a stream between processes: a caller's link, a callee's calls."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+from collections.abc import Iterator
+
+import gevent
+import logbook
+from gevent import lock, pool, queue
+
+from toucanspring import errors, frames, outbox, stream, wire
+
+log = logbook.Logger(__name__)
+
+FIRST_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 2.0
+HELLO_TIMEOUT_S = 2.0
+MAX_JOINED_BYTES = 16 << 20
+MAX_BODY_BYTES = wire.MAX_FRAME_BYTES - 1024
+# How long an answer waits for room in the queue or in the caller's window.
+ANSWER_STALL_S = 10.0
+
+
+class StreamBroken(Exception):
+    """Raised by a streamed answer that ended before its end marker."""
+
+
+class Link:
+    """Own the stream that this process dials to another one."""
+
+    def __init__(self, peers: object, process: str, target: tuple[str, int]) -> None:
+        self.target = target
+        self._peers = peers
+        self._process = process
+        self._outbox: outbox.Outbox | None = None
+        self._waiting: dict[int, queue.SimpleQueue] = {}
+        self._correlations = itertools.count(1)
+        self._stream: stream.Stream | None = None
+        self._old_bytes = [0, 0]
+        self._dialler = gevent.spawn(self._run)
+
+    @property
+    def sent_bytes(self) -> int:
+        """Return the bytes sent since the link exists."""
+        return self._old_bytes[0] + (self._stream.sent_bytes if self._stream else 0)
+
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes received since the link exists."""
+        return self._old_bytes[1] + (self._stream.received_bytes if self._stream else 0)
+
+    def close(self) -> None:
+        """Close the stream and stop dialling."""
+        self._disconnect("the link was closed")
+        self._dialler.kill(block=False)
+
+    def notify(self, method: str, body: bytes) -> bool:
+        """Queue a notice if the stream is up and nothing else waits to be sent."""
+        box = self._outbox
+        if box is None or not box.idle:
+            return False
+        call = frames.encode(frames.Call(method, body))
+        return box.put(frames.Frame(frames.Kind.NOTICE, 0, call)) is not None
+
+    def call(
+        self, method: str, body: bytes, timeout_s: float
+    ) -> Iterator[bytes] | errors.Failure:
+        """Send a call and return its answer's chunks, once the first has arrived."""
+        box = self._outbox
+        if box is None:
+            return errors.Unavailable(reason=f"no stream to process {self._process}")
+        if len(body) > MAX_BODY_BYTES:
+            return errors.Oversized(
+                reason=f"call {method} of {len(body)} bytes", limit=MAX_BODY_BYTES
+            )
+        correlation = next(self._correlations)
+        answers = self._waiting[correlation] = queue.SimpleQueue()
+        call = frames.encode(frames.Call(method, body))
+        item = box.put(frames.Frame(frames.Kind.CALL, correlation, call))
+        if item is None:
+            del self._waiting[correlation]
+            return errors.Unavailable(reason=f"queue to {self._process} is full")
+        try:
+            first = answers.get(timeout=timeout_s)
+        except queue.Empty:
+            first = errors.Timeout(reason=f"no answer within {timeout_s} s")
+        if isinstance(first, errors.Timeout | errors.Closed):
+            self._forget(box, correlation)
+            reason = f"call {method} to {self._process}: {first.reason}"
+            if box.withdraw(item):
+                return errors.Unavailable(reason=reason)
+            return errors.Ambiguous(reason=reason)
+        if first.kind == frames.Kind.FAILURE:
+            self._waiting.pop(correlation, None)
+            return frames.decode_failure(first.body)
+        return self._chunks(box, correlation, answers, first, timeout_s)
+
+    def _chunks(
+        self,
+        box: outbox.Outbox,
+        correlation: int,
+        answers: queue.SimpleQueue,
+        frame: frames.Frame,
+        timeout_s: float,
+    ) -> Iterator[bytes]:
+        size = taken = 0
+        finished = False
+        try:
+            while True:
+                match frame:
+                    case frames.Frame(kind=frames.Kind.ANSWER, body=body):
+                        finished = True
+                        yield body
+                        return
+                    case frames.Frame(kind=frames.Kind.CHUNK, body=body):
+                        size += len(body)
+                        yield body
+                        taken += 1
+                        if taken * 2 >= frames.WINDOW_CHUNKS:
+                            room = frames.encode(taken)
+                            box.put(frames.Frame(frames.Kind.WINDOW, correlation, room))
+                            taken = 0
+                    case frames.Frame(kind=frames.Kind.END, body=body):
+                        finished = True
+                        length = frames.decode_as(int, body)
+                        if length != size:
+                            raise StreamBroken(f"got {size} bytes of {length}")
+                        return
+                    case frames.Frame(kind=frames.Kind.FAILURE, body=body):
+                        finished = True
+                        raise StreamBroken(frames.decode_failure(body).reason)
+                    case errors.Closed():
+                        finished = True
+                        raise StreamBroken(frame.reason)
+                try:
+                    frame = answers.get(timeout=timeout_s)
+                except queue.Empty:
+                    raise StreamBroken(f"no chunk within {timeout_s} s") from None
+        finally:
+            if finished:
+                self._waiting.pop(correlation, None)
+            else:
+                self._forget(box, correlation)
+
+    def _forget(self, box: outbox.Outbox, correlation: int) -> None:
+        """Stop waiting for a call and let the peer stop answering."""
+        if self._waiting.pop(correlation, None) is not None:
+            box.put(frames.Frame(frames.Kind.CANCEL, correlation))
+
+    def _run(self) -> None:
+        backoff = FIRST_BACKOFF_S
+        while True:
+            if self._connect():
+                backoff = FIRST_BACKOFF_S
+                self._receive()
+            # Jitter keeps the processes of a cell from dialling in step.
+            gevent.sleep(backoff * self._peers.rng.uniform(0.5, 1.5))
+            backoff = min(backoff * 2, MAX_BACKOFF_S)
+
+    def _connect(self) -> bool:
+        address, port = self.target
+        try:
+            with gevent.Timeout(HELLO_TIMEOUT_S * 2):
+                connected = stream.connect(
+                    address, port, frames.decode, tls=self._peers.client_tls
+                )
+                if isinstance(connected, errors.Failure):
+                    log.debug("no stream to {}: {}", self._process, connected.reason)
+                    return False
+                hello = frames.encode(self._peers.hello())
+                connected.send(frames.Frame(frames.Kind.HELLO, 0, hello))
+                message = connected.receive(HELLO_TIMEOUT_S)
+        except gevent.Timeout:
+            return False
+        if not isinstance(message, frames.Frame) or message.kind != frames.Kind.WELCOME:
+            reason = getattr(message, "reason", "unexpected frame")
+            log.warning("process {} did not welcome us: {}", self._process, reason)
+            connected.close()
+            return False
+        welcome = frames.decode_as(frames.Welcome, message.body)
+        if getattr(welcome, "process", None) != self._process:
+            log.warning("{}:{} is not process {}", address, port, self._process)
+            connected.close()
+            return False
+        self._stream = connected
+        self._outbox = outbox.Outbox(connected)
+        return True
+
+    def _receive(self) -> None:
+        while True:
+            message = self._stream.receive()
+            if not isinstance(message, frames.Frame):
+                self._disconnect(message.reason)
+                return
+            answers = self._waiting.get(message.correlation)
+            if answers is None:
+                continue
+            if answers.qsize() > frames.WINDOW_CHUNKS + 1:
+                self._disconnect("the peer sent more chunks than the window allows")
+                return
+            answers.put(message)
+
+    def _disconnect(self, reason: str) -> None:
+        if self._outbox is not None:
+            self._outbox.close()
+            self._outbox = None
+        if self._stream is not None:
+            self._old_bytes[0] += self._stream.sent_bytes
+            self._old_bytes[1] += self._stream.received_bytes
+            self._stream = None
+        waiting, self._waiting = self._waiting, {}
+        for answers in waiting.values():
+            answers.put(errors.Closed(reason=f"stream to {self._process}: {reason}"))
+
+
+class Calls:
+    """Run the calls that arrive on one accepted stream."""
+
+    def __init__(
+        self, handlers: dict, answers: outbox.Outbox, sender: str, limit: int
+    ) -> None:
+        self._handlers = handlers
+        self._answers = answers
+        self._sender = sender
+        self._limit = limit
+        self._greenlets = pool.Group()
+        self._running: dict[int, tuple[gevent.Greenlet, lock.Semaphore]] = {}
+
+    def take(self, frame: frames.Frame) -> None:
+        """Act on a frame of the caller."""
+        match frame.kind:
+            case frames.Kind.CALL:
+                self._start(frame)
+            case frames.Kind.WINDOW:
+                running = self._running.get(frame.correlation)
+                room = frames.decode_as(int, frame.body)
+                if running is not None and isinstance(room, int):
+                    for _ in range(min(room, frames.WINDOW_CHUNKS)):
+                        running[1].release()
+            case frames.Kind.CANCEL:
+                running = self._running.get(frame.correlation)
+                if running is not None:
+                    # Ends a streamed answer at its next chunk; a call that is still
+                    # computing goes on, since it may be in the middle of a write.
+                    running[0].cancelled = True
+                    running[1].release()
+
+    def close(self) -> None:
+        """Let running calls end without an answer."""
+        for greenlet, window in self._running.values():
+            greenlet.cancelled = True
+            window.release()
+
+    def _start(self, frame: frames.Frame) -> None:
+        if len(self._running) >= self._limit or frame.correlation in self._running:
+            refusal = errors.Overloaded(reason="too many calls on one stream")
+            self._reply(frames.Kind.FAILURE, frame, frames.encode_failure(refusal))
+            return
+        window = lock.Semaphore(frames.WINDOW_CHUNKS)
+        greenlet = gevent.Greenlet(self._run, frame, window)
+        greenlet.cancelled = False
+        self._running[frame.correlation] = (greenlet, window)
+        greenlet.start()
+
+    def _run(self, frame: frames.Frame, window: lock.Semaphore) -> None:
+        try:
+            result = self._invoke(frame)
+            if isinstance(result, errors.Failure):
+                self._reply(frames.Kind.FAILURE, frame, frames.encode_failure(result))
+            elif isinstance(result, bytes) and len(result) <= MAX_BODY_BYTES:
+                self._reply(frames.Kind.ANSWER, frame, result)
+            else:
+                chunks = [result] if isinstance(result, bytes) else result
+                self._stream_answer(frame, chunks, window)
+        finally:
+            del self._running[frame.correlation]
+
+    def _invoke(self, frame: frames.Frame) -> object:
+        call = frames.decode_as(frames.Call, frame.body)
+        if isinstance(call, errors.Failure):
+            return call
+        handler = self._handlers.get(call.method)
+        if handler is None:
+            return errors.NotFound(reason=f"no method {call.method!r}")
+        try:
+            return handler(self._sender, call.body)
+        except Exception as error:
+            log.exception("method {} failed", call.method)
+            return errors.Unknown(reason=f"method {call.method} failed: {error!r}")
+
+    def _stream_answer(
+        self, frame: frames.Frame, chunks: object, window: lock.Semaphore
+    ) -> None:
+        greenlet = gevent.getcurrent()
+        size = 0
+        with contextlib.ExitStack() as stack:
+            if hasattr(chunks, "close"):
+                stack.callback(chunks.close)
+            try:
+                for chunk in chunks:
+                    for start in range(0, len(chunk), frames.CHUNK_BYTES):
+                        part = chunk[start : start + frames.CHUNK_BYTES]
+                        waited = window.acquire(timeout=ANSWER_STALL_S)
+                        if greenlet.cancelled or not waited:
+                            return
+                        if not self._reply(frames.Kind.CHUNK, frame, part):
+                            return
+                        size += len(part)
+            except Exception as error:
+                log.warning("streamed answer to {} broke: {!r}", self._sender, error)
+                failure = errors.Unknown(reason=f"answer broke: {error!r}")
+                self._reply(frames.Kind.FAILURE, frame, frames.encode_failure(failure))
+                return
+        self._reply(frames.Kind.END, frame, frames.encode(size))
+
+    def _reply(self, kind: frames.Kind, call: frames.Frame, body: bytes) -> bool:
+        frame = frames.Frame(kind, call.correlation, body)
+        return self._answers.put_wait(frame, ANSWER_STALL_S) is not None
--- /dev/null
+++ b/toucanspring/outbox.py
@@ -0,0 +1,110 @@
+"""Bounded queue of frames to one stream."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+import gevent
+from gevent import event
+
+from toucanspring import errors, frames, stream
+
+MAX_QUEUED_BYTES = 4 << 20
+# A peer that takes no byte for this long is treated as lost.
+STALL_S = 5.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Item:
+    """Hold one queued frame; `sent` is set when its sending begins."""
+
+    frame: frames.Frame
+    sent: bool = False
+    withdrawn: bool = False
+
+    @property
+    def size(self) -> int:
+        """Return the bytes that count against the limit."""
+        return len(self.frame.body) + 16
+
+
+class Outbox:
+    """Queue frames and send them in order from one greenlet.
+
+    A slow receiver costs at most `max_bytes` and blocks no caller of `put`.
+    """
+
+    def __init__(
+        self, target: stream.Stream, max_bytes: int = MAX_QUEUED_BYTES
+    ) -> None:
+        self._stream = target
+        self._max_bytes = max_bytes
+        self._items: collections.deque[Item] = collections.deque()
+        self._bytes = 0
+        self._filled = event.Event()
+        self._drained = event.Event()
+        self._drained.set()
+        self.closed = False
+        self._sender = gevent.spawn(self._run)
+
+    @property
+    def idle(self) -> bool:
+        """Return whether nothing is queued or being sent."""
+        return not self._bytes
+
+    def put(self, frame: frames.Frame) -> Item | None:
+        """Queue a frame; `None` if the queue is full or closed."""
+        item = Item(frame)
+        if self.closed or (self._bytes and self._bytes + item.size > self._max_bytes):
+            return None
+        self._items.append(item)
+        self._bytes += item.size
+        self._drained.clear()
+        self._filled.set()
+        return item
+
+    def put_wait(self, frame: frames.Frame, timeout_s: float) -> Item | None:
+        """Queue a frame once the queue is empty; `None` if that takes too long."""
+        while (item := self.put(frame)) is None:
+            if self.closed or not self._drained.wait(timeout_s):
+                return None
+        return item
+
+    def withdraw(self, item: Item) -> bool:
+        """Remove a frame whose sending has not begun; return whether it was removed."""
+        if item.sent:
+            return False
+        item.withdrawn = True
+        return True
+
+    def close(self) -> None:
+        """Drop what is queued and close the stream."""
+        if not self.closed:
+            self.closed = True
+            self._items.clear()
+            self._drained.set()
+            self._filled.set()
+            self._stream.close()
+
+    def _run(self) -> None:
+        while not self.closed:
+            if not self._items:
+                self._drained.set()
+                self._filled.clear()
+                self._filled.wait()
+                continue
+            item = self._items.popleft()
+            if not item.withdrawn:
+                item.sent = True
+                if isinstance(self._send(item.frame), errors.Failure):
+                    self.close()
+                    return
+            self._bytes -= item.size
+
+    def _send(self, frame: frames.Frame) -> None | errors.Failure:
+        try:
+            with gevent.Timeout(STALL_S):
+                return self._stream.send(frame)
+        except gevent.Timeout:
+            return errors.Timeout(reason=f"the peer took no byte for {STALL_S} s")
--- /dev/null
+++ b/toucanspring/peers.py
@@ -0,0 +1,273 @@
+"""Calls and notices between the processes of a cell."""
+
+from __future__ import annotations
+
+import hmac
+import random
+import socket
+from collections.abc import Callable, Iterator
+
+import gevent
+import logbook
+from gevent import pool
+from gevent import socket as gevent_socket
+
+from toucanspring import errors, frames, link, outbox, stream
+
+log = logbook.Logger(__name__)
+
+HELLO_TIMEOUT_S = 2.0
+MAX_HELLO_BYTES = 4096
+# Streams that have not said hello; more are closed at once.
+MAX_UNIDENTIFIED = 64
+MAX_CALLS_PER_STREAM = 256
+BACKLOG = 128
+
+Handler = Callable[[str, bytes], "bytes | Iterator[bytes] | errors.Failure"]
+NoticeHandler = Callable[[str, bytes], None]
+
+
+def tls_contexts(settings: object) -> tuple[object, object] | None:
+    """Return the server and client TLS contexts, or `None` without certificates."""
+    if not settings.tls_certificate:
+        log.warning("peer streams are not encrypted: no TLS certificate is set")
+        return None
+    import ssl  # only needed here; it costs memory
+
+    server = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    client = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    for context in (server, client):
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        context.load_cert_chain(settings.tls_certificate, settings.tls_key)
+        context.load_verify_locations(settings.tls_ca)
+        context.verify_mode = ssl.CERT_REQUIRED
+    return server, client
+
+
+class Service:
+    """Own the streams to and from the other processes."""
+
+    def __init__(
+        self, kernel: object, settings: object, rng: random.Random | None = None
+    ) -> None:
+        del kernel
+        self.settings = settings
+        self.rng = rng or random.Random()
+        self.incarnation = 0
+        self.port = settings.peer_port
+        self._handlers: dict[str, Handler] = {}
+        self._notice_handlers: dict[str, NoticeHandler] = {}
+        self._links: dict[str, link.Link] = {}
+        self._accepted: dict[stream.Stream, outbox.Outbox | None] = {}
+        self._unidentified = 0
+        self._listener: socket.socket | None = None
+        self._greenlets = pool.Group()
+        self._server_tls = self.client_tls = None
+        self._closed_bytes = [0, 0]
+
+    def start(self) -> None:
+        """Listen on the peer port and accept streams."""
+        contexts = tls_contexts(self.settings)
+        if contexts is not None:
+            self._server_tls, self.client_tls = contexts
+        listener = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((self.settings.address, self.settings.peer_port))
+        listener.listen(BACKLOG)
+        self.port = listener.getsockname()[1]
+        self._listener = listener
+        self._greenlets.spawn(self._accept)
+
+    def stop(self) -> None:
+        """Close all streams; waiting calls end with a failure."""
+        if self._listener is not None:
+            self._listener.close()
+        for process in list(self._links):
+            self._links.pop(process).close()
+        for accepted in list(self._accepted):
+            accepted.close()
+        self._greenlets.kill()
+
+    def set_targets(self, targets: dict[str, tuple[str, int]]) -> None:
+        """Keep a stream to each process at the given address and port."""
+        for process in list(self._links):
+            if self._links[process].target != targets.get(process):
+                closed = self._links.pop(process)
+                closed.close()
+                self._count_closed(closed.sent_bytes, closed.received_bytes)
+        for process, target in targets.items():
+            if process not in self._links:
+                self._links[process] = link.Link(self, process, target)
+
+    def handle(self, method: str, function: Handler) -> None:
+        """Answer calls of a method with `function(sender, body)`."""
+        self._handlers[method] = function
+
+    def handle_notice(self, method: str, function: NoticeHandler) -> None:
+        """Pass notices to `function(sender, body)`, which must not block."""
+        self._notice_handlers[method] = function
+
+    def call(
+        self, process: str, method: str, body: bytes, timeout_s: float
+    ) -> bytes | errors.Failure:
+        """Return the answer of another process.
+
+        Fails with the peer's failure, `Unavailable` (certainly not sent) or
+        `Ambiguous` (sent, no answer). A streamed answer is joined, up to 16 MiB.
+        """
+        chunks = self.call_stream(process, method, body, timeout_s)
+        if isinstance(chunks, errors.Failure):
+            return chunks
+        parts = []
+        size = 0
+        try:
+            for chunk in chunks:
+                size += len(chunk)
+                if size > link.MAX_JOINED_BYTES:
+                    chunks.close()
+                    return errors.Oversized(
+                        reason=f"answer to {method} is too large for a call",
+                        limit=link.MAX_JOINED_BYTES,
+                    )
+                parts.append(chunk)
+        except link.StreamBroken as broken:
+            return errors.Ambiguous(reason=str(broken))
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
+    def call_stream(
+        self, process: str, method: str, body: bytes, timeout_s: float
+    ) -> Iterator[bytes] | errors.Failure:
+        """Return the chunks of an answer; raises `StreamBroken` in mid-answer.
+
+        `timeout_s` limits the wait for the first chunk and for each further one.
+        """
+        target = self._links.get(process)
+        if target is None:
+            return errors.Unavailable(reason=f"process {process} is not known")
+        return target.call(method, body, timeout_s)
+
+    def notify(self, process: str, method: str, body: bytes) -> bool:
+        """Send a notice unless the stream is down or busy; say whether it was sent."""
+        target = self._links.get(process)
+        return target is not None and target.notify(method, body)
+
+    def traffic(self) -> tuple[int, int]:
+        """Return the bytes sent to and received from other processes."""
+        streams = [*self._links.values(), *self._accepted]
+        sent = sum(each.sent_bytes for each in streams)
+        received = sum(each.received_bytes for each in streams)
+        return sent + self._closed_bytes[0], received + self._closed_bytes[1]
+
+    def hello(self) -> frames.Hello:
+        """Return the introduction of this process."""
+        return frames.Hello(
+            self.settings.process,
+            self.incarnation,
+            self.settings.cell,
+            self.settings.peer_token,
+        )
+
+    def _count_closed(self, sent: int, received: int) -> None:
+        self._closed_bytes[0] += sent
+        self._closed_bytes[1] += received
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, address = self._listener.accept()
+            except OSError as error:
+                if self._listener.fileno() < 0:
+                    return
+                # Out of file descriptors, for example; retry instead of ending.
+                log.error("cannot accept a peer stream: {}", error)
+                gevent.sleep(0.1)
+                continue
+            if self._unidentified >= MAX_UNIDENTIFIED:
+                log.warning("closing {}: too many streams without hello", address[0])
+                sock.close()
+                continue
+            self._unidentified += 1
+            self._greenlets.spawn(self._serve, sock, address)
+
+    def _serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
+        accepted = None
+        try:
+            try:
+                accepted, sender = self._identify(sock, address)
+            finally:
+                self._unidentified -= 1
+            if sender is not None:
+                self._serve_identified(accepted, sender)
+        finally:
+            (accepted or sock).close()
+            if accepted is not None:
+                self._accepted.pop(accepted, None)
+                self._count_closed(accepted.sent_bytes, accepted.received_bytes)
+
+    def _identify(
+        self, sock: socket.socket, address: tuple[str, int]
+    ) -> tuple[stream.Stream | None, str | None]:
+        """Return the stream and the name of the dialling process, once proven."""
+        try:
+            with gevent.Timeout(HELLO_TIMEOUT_S):
+                if self._server_tls is not None:
+                    sock = self._server_tls.wrap_socket(sock, server_side=True)
+                accepted = stream.Stream(sock, frames.decode, MAX_HELLO_BYTES)
+                self._accepted[accepted] = None
+                message = accepted.receive()
+        except (gevent.Timeout, OSError) as error:
+            log.warning("peer stream from {} gave no hello: {}", address[0], error)
+            return None, None
+        refusal = self._check_hello(message)
+        if refusal is not None:
+            log.warning("refusing peer stream from {}: {}", address[0], refusal)
+            return accepted, None
+        accepted.set_max_frame_bytes()
+        welcome = frames.Welcome(self.settings.process, self.incarnation)
+        accepted.send(frames.Frame(frames.Kind.WELCOME, 0, frames.encode(welcome)))
+        return accepted, frames.decode_as(frames.Hello, message.body).process
+
+    def _check_hello(self, message: object) -> str | None:
+        """Return why a first message is refused."""
+        if not isinstance(message, frames.Frame):
+            return message.reason
+        hello = frames.decode_as(frames.Hello, message.body)
+        if message.kind != frames.Kind.HELLO or not isinstance(hello, frames.Hello):
+            return "the first frame is not a hello"
+        if not hmac.compare_digest(
+            hello.token.encode(), self.settings.peer_token.encode()
+        ):
+            return f"process {hello.process!r} presented a wrong token"
+        if hello.cell != self.settings.cell:
+            return f"process {hello.process!r} belongs to cell {hello.cell!r}"
+        return None
+
+    def _serve_identified(self, accepted: stream.Stream, sender: str) -> None:
+        answers = outbox.Outbox(accepted)
+        self._accepted[accepted] = answers
+        calls = link.Calls(self._handlers, answers, sender, MAX_CALLS_PER_STREAM)
+        try:
+            while not answers.closed:
+                message = accepted.receive()
+                if not isinstance(message, frames.Frame):
+                    if not isinstance(message, errors.Closed):
+                        log.warning("closing stream of {}: {}", sender, message.reason)
+                    return
+                if message.kind == frames.Kind.NOTICE:
+                    self._take_notice(sender, message.body)
+                else:
+                    calls.take(message)
+        finally:
+            calls.close()
+            answers.close()
+
+    def _take_notice(self, sender: str, body: bytes) -> None:
+        notice = frames.decode_as(frames.Call, body)
+        handler = self._notice_handlers.get(getattr(notice, "method", ""))
+        if handler is None:
+            log.warning("ignoring a notice of {} without a handler", sender)
+            return
+        try:
+            handler(sender, notice.body)
+        except Exception:
+            log.exception("handler of notice {} failed", notice.method)
--- a/toucanspring/stream.py
+++ b/toucanspring/stream.py
@@ -57,6 +57,10 @@
                 self._socket.shutdown(socket.SHUT_RDWR)
             self._socket.close()
 
+    def set_max_frame_bytes(self, limit: int = wire.MAX_FRAME_BYTES) -> None:
+        """Change the limit, for example once the other side has proven its identity."""
+        self._max_frame_bytes = limit
+
     def send(self, message: object) -> None | errors.Failure:
         """Send one message; a failure after a partial write closes the stream."""
         frame = wire.encode(message)
