Split the partition task; submit the jobs that start with a text

Change: inbox, execution and request_log modules; service autostart; a job of another partition is polled until it is final. Conclusion: not yet run as a whole.

--- a/toucanspring/daemon.py
+++ b/toucanspring/daemon.py
@@ -30,6 +30,7 @@
     "decisions",
     "fleet",
     "partitions",
+    "autostart",
     "requests",
     "gateway",
 )
--- /dev/null
+++ b/toucanspring/execution.py
@@ -0,0 +1,190 @@
+"""Carries out the effects that a partition's scheduler asks for."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import gevent
+import gevent.event
+
+from toucanspring import (
+    allowances,
+    effects,
+    errors,
+    inbox,
+    job,
+    journal,
+    kernel,
+    log_records,
+    scheduler,
+    wire,
+)
+
+WATCH_INTERVAL_S = 0.5
+# A job may be submitted a little later than the jobs that wait for it.
+UNKNOWN_JOB_LIMIT_S = 30.0
+
+
+class Executor:
+    """Send starts and stops, write records and ask for allowances."""
+
+    def __init__(
+        self,
+        number: int,
+        core: kernel.Kernel,
+        decider: scheduler.Scheduler,
+        log: journal.Journal,
+        keeper: allowances.Keeper,
+        post: Callable[[object], None],
+    ) -> None:
+        self.workers: dict[str, effects.WorkerFacts] = {}  # that have attached
+        self._number = number
+        self._kernel = core
+        self._scheduler = decider
+        self._journal = log
+        self._allowances = keeper
+        self._post = post
+        self._watched: dict[str, gevent.Greenlet] = {}
+
+    def close(self) -> None:
+        """Stop following jobs of other partitions."""
+        gevent.killall(list(self._watched.values()), block=False)
+
+    def may_start(self, now: float) -> bool:
+        """Return whether tasks may be started at this moment."""
+        claims = self._kernel.find("claims")
+        documents = self._kernel.find("documents")
+        return claims.may_start(self._number, now) and documents.fresh(now)
+
+    def when_written(
+        self,
+        written: gevent.event.AsyncResult,
+        action: Callable[[errors.Failure | None], list[effects.Effect]],
+    ) -> None:
+        """Run `action` in the partition's task once an append has ended."""
+        written.rawlink(lambda result: self._post(inbox.Durable(action, result.value)))
+
+    def carry_out(self, found: list[effects.Effect]) -> None:
+        """Carry out effects in their order."""
+        written: gevent.event.AsyncResult | None = None
+        for effect in found:
+            match effect:
+                case effects.StartTasks(worker=worker, tasks=tasks):
+                    self._start(worker, tasks)
+                case effects.StopTasks(worker=worker, task_ids=task_ids, mode=mode):
+                    self._stop(worker, task_ids, mode)
+                case effects.RecordIntents(intents=intents):
+                    self._record_intents(intents)
+                case effects.RecordOutcomes(outcomes=outcomes):
+                    written = self._journal.append(
+                        log_records.Finished(outcomes), droppable=False
+                    )
+                case effects.Acknowledge(worker=worker, task_ids=task_ids):
+                    self._acknowledge(worker, task_ids, written)
+                case _:
+                    self._carry_out_call(effect)
+
+    def _carry_out_call(self, effect: effects.Effect) -> None:
+        """Carry out an effect that reaches beyond the partition."""
+        match effect:
+            case effects.RequestAllowance(team=team, target=target):
+                self._allowances.hold(team, target)
+            case effects.ReturnAllowance(team=team, target=target):
+                self._allowances.hold(team, target)
+            case effects.JobFinished(job_id=job_id, outcome=outcome):
+                self._kernel.publish(effects.JobFinished(job_id, outcome))
+            case effects.WatchJobs(job_ids=job_ids):
+                for job_id in job_ids:
+                    self._watch(job_id)
+            case effects.RequestReservation(job_id=job_id, partition=number):
+                # Gangs larger than a partition are refused at submission.
+                self.carry_out(
+                    self._scheduler.reservation_refused(
+                        job_id, number, time.monotonic()
+                    )
+                )
+
+    def _start(self, worker: str, tasks: list[wire.TaskStart]) -> None:
+        """Send starts if they are still allowed at this moment.
+
+        The link reads the worker's clock without yielding after this check, so that
+        the worker can tell how old the check is.
+        """
+        if self._may_send(worker, time.monotonic()):
+            link = self._kernel.find("fleet").link(self._number, worker)
+            if link is not None and link.start(tasks):
+                return
+        refused = [(task.task_id, "the worker may not be used now") for task in tasks]
+        self.carry_out(
+            self._scheduler.starts_answered(worker, [], refused, time.monotonic())
+        )
+
+    def _may_send(self, worker: str, now: float) -> bool:
+        facts = self.workers.get(worker)
+        zones_out = self._kernel.find("documents").zones_out()
+        return (
+            facts is not None
+            and facts.availability_zone not in zones_out
+            and self.may_start(now)
+        )
+
+    def _stop(self, worker: str, task_ids: list[str], mode: str) -> None:
+        link = self._kernel.find("fleet").link(self._number, worker)
+        if link is not None:
+            link.stop(task_ids, mode)
+
+    def _record_intents(self, intents: list[effects.Intent]) -> None:
+        written = self._journal.append(log_records.Intended(intents), droppable=True)
+
+        def resume(failure: errors.Failure | None) -> list[effects.Effect]:
+            now = time.monotonic()
+            if failure is not None or not self.may_start(now):
+                return self._scheduler.intents_failed(intents, now)
+            return self._scheduler.intents_durable(intents, now)
+
+        self.when_written(written, resume)
+
+    def _acknowledge(
+        self,
+        worker: str,
+        task_ids: list[str],
+        written: gevent.event.AsyncResult | None,
+    ) -> None:
+        """Let the worker forget tasks once the outcomes recorded before are durable."""
+
+        def forget(failure: errors.Failure | None) -> list[effects.Effect]:
+            if failure is None:
+                link = self._kernel.find("fleet").link(self._number, worker)
+                if link is not None:
+                    link.acknowledge(task_ids)
+            return []
+
+        if written is None:
+            forget(None)
+        else:
+            self.when_written(written, forget)
+
+    # Dependencies on jobs of other partitions
+
+    def _watch(self, job_id: str) -> None:
+        if job_id not in self._watched:
+            self._watched[job_id] = gevent.spawn(self._follow, job_id)
+
+    def _follow(self, job_id: str) -> None:
+        """Ask for a job's outcome until it is final, or until nobody knows the job."""
+        first_asked_at = time.monotonic()
+        while True:
+            status = self._kernel.find("partitions").lookup(job_id)
+            match status:
+                case effects.JobStatus(outcome=job.Outcome() as outcome):
+                    break
+                case errors.NotFound():
+                    if time.monotonic() - first_asked_at > UNKNOWN_JOB_LIMIT_S:
+                        outcome = job.Outcome(
+                            job.State.NOT_RUN, f"no job {job_id} exists"
+                        )
+                        break
+            gevent.sleep(WATCH_INTERVAL_S)
+        self._watched.pop(job_id, None)
+        self._post(inbox.DependencyFinished(job_id, outcome))
--- /dev/null
+++ b/toucanspring/inbox.py
@@ -0,0 +1,62 @@
+"""Messages to the task that owns a partition."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+
+import gevent.event
+
+from toucanspring import effects, errors, job, resources, scheduler
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submit:
+    """Accept jobs; the result is a list of job IDs and failures, once durable."""
+
+    specs: list[job.JobSpec]
+    result: gevent.event.AsyncResult
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """Cancel jobs; the result maps each job ID to `cancelled` or a failure."""
+
+    job_ids: list[str]
+    result: gevent.event.AsyncResult
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """Run a read-only function of the scheduler in the partition's task."""
+
+    function: Callable[[scheduler.Scheduler], object]
+    result: gevent.event.AsyncResult
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Durable:
+    """Say that an append has ended; `failure` is None when it is durable."""
+
+    action: Callable[[errors.Failure | None], list[effects.Effect]]
+    failure: errors.Failure | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TeamsChanged:
+    """Say that teams or availability zones have changed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AllowancesChanged:
+    """Deliver the parts of the ceilings that the partition holds."""
+
+    held: dict[str, resources.Resources]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DependencyFinished:
+    """Deliver the outcome of a job of another partition that jobs here wait for."""
+
+    job_id: str
+    outcome: job.Outcome
--- a/toucanspring/log_records.py
+++ b/toucanspring/log_records.py
@@ -8,6 +8,7 @@
 
 # Finished jobs and requests are kept for look-ups up to this number per partition.
 MAX_FINISHED_KEPT = 20_000
+APPLY_PREFIX = "apply."
 
 
 class Accepted(msgspec.Struct, frozen=True, tag="accepted"):
@@ -122,8 +123,16 @@
         }
 
     def forget_oldest(self, keep: int = MAX_FINISHED_KEPT) -> list[str]:
-        """Drop the oldest finished jobs and requests beyond `keep`; return job IDs."""
-        finished = [job_id for job_id in self.specs if self.is_finished(job_id)]
+        """Drop the oldest finished jobs and requests beyond `keep`; return job IDs.
+
+        Jobs that the operators' text starts are kept, since they are submitted again
+        after each change of the text and must not run twice.
+        """
+        finished = [
+            job_id
+            for job_id in self.specs
+            if self.is_finished(job_id) and not job_id.startswith(APPLY_PREFIX)
+        ]
         dropped = finished[: max(0, len(finished) - keep)]
         for job_id in dropped:
             del self.specs[job_id]
--- a/toucanspring/partitions.py
+++ b/toucanspring/partitions.py
@@ -17,9 +17,12 @@
     documents,
     effects,
     errors,
+    inbox,
     job,
     kernel,
+    log_records,
     partition,
+    request_log,
     resources,
     settings,
 )
@@ -99,6 +102,10 @@
         peers.handle("explain", self._serve_explain)
         peers.handle("workers", self._serve_workers)
 
+    def stop_accepting(self) -> None:
+        """Give up all partitions after their logs are written."""
+        self.stop()
+
     def stop(self) -> None:
         """Give up all partitions after their logs are written."""
         self._stopping = True
@@ -126,7 +133,7 @@
 
     def _documents_changed(self, _event: object) -> None:
         for owned in self._owned.values():
-            owned.post(partition.TeamsChanged())
+            owned.post(inbox.TeamsChanged())
 
     # Calls
 
@@ -206,12 +213,14 @@
 
     def begin_request(
         self, request_id: str, server: str
-    ) -> partition.Begun | partition.Finished | partition.Running | errors.Failure:
+    ) -> (
+        request_log.Begun | request_log.Finished | request_log.Running | errors.Failure
+    ):
         """Record that a request may be sent; only at the owner of its partition."""
         owned = self._find_owned(request_id)
         if isinstance(owned, errors.Failure):
             return owned
-        return owned.begin_request(request_id, server)
+        return owned.requests.begin(request_id, server)
 
     def finish_request(
         self, request_id: str, outcome: job.Outcome
@@ -220,17 +229,16 @@
         owned = self._find_owned(request_id)
         if isinstance(owned, errors.Failure):
             return owned
-        return owned.finish_request(request_id, outcome)
+        return owned.requests.finish(request_id, outcome)
 
-    def request_entry(self, request_id: str) -> object | errors.Failure:
+    def request_entry(
+        self, request_id: str
+    ) -> log_records.RequestEntry | errors.Failure:
         """Return the log entry of a request; only at the owner of its partition."""
         owned = self._find_owned(request_id)
         if isinstance(owned, errors.Failure):
             return owned
-        entry = owned.journal.state.requests.get(request_id)
-        if entry is None:
-            return errors.NotFound(reason=f"no request {request_id}")
-        return entry
+        return owned.requests.find(request_id)
 
     def number_of(self, name: str) -> int:
         """Return the partition of a job or request ID."""
@@ -307,7 +315,7 @@
     def _serve_submit(self, _sender: str, envelope: bytes) -> bytes:
         number, body = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
         specs = msgspec.msgpack.decode(body, type=list[job.JobSpec])
-        found = self._ask(number, lambda result: partition.Submit(specs, result))
+        found = self._ask(number, lambda result: inbox.Submit(specs, result))
         if isinstance(found, list):
             moved = [
                 item
@@ -324,7 +332,7 @@
     def _serve_cancel(self, _sender: str, envelope: bytes) -> bytes:
         number, body = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
         names = msgspec.msgpack.decode(body, type=list[str])
-        found = self._ask(number, lambda result: partition.Cancel(names, result))
+        found = self._ask(number, lambda result: inbox.Cancel(names, result))
         if isinstance(found, dict):
             found = {name: _pack(item) for name, item in found.items()}
         return encode_result(found)
@@ -335,7 +343,7 @@
         return encode_result(
             self._ask(
                 number,
-                lambda result: partition.Ask(lambda owner: owner.lookup(name), result),
+                lambda result: inbox.Ask(lambda owner: owner.lookup(name), result),
             )
         )
 
@@ -345,7 +353,7 @@
         return encode_result(
             self._ask(
                 number,
-                lambda result: partition.Ask(lambda owner: owner.explain(name), result),
+                lambda result: inbox.Ask(lambda owner: owner.explain(name), result),
             )
         )
 
@@ -354,7 +362,7 @@
         owned = self._owned.get(number)
         if owned is None:
             return encode_result(errors.Unavailable(reason="not the owner"))
-        found = self._ask(number, lambda result: partition.Ask(_free, result))
+        found = self._ask(number, lambda result: inbox.Ask(_free, result))
         if isinstance(found, errors.Failure):
             return encode_result(found)
         statuses = []
