--- a/standins/service.py
+++ b/standins/service.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import os
 import signal
 import socket
 import time
@@ -17,6 +18,7 @@
 
 MAX_RECORDED_EVENTS = 2_000_000
 LISTEN_BACKLOG = 1024
+PARENT_POLL_S = 1.0
 STATUS_LINES = {
     200: "200 OK",
     202: "202 Accepted",
@@ -365,9 +367,15 @@
 
 
 def run_until_signal(ready: str) -> None:
-    """Print a line once serving, then wait for SIGTERM or SIGINT."""
+    """Print a line once serving, then wait for SIGTERM, SIGINT or the parent's end.
+
+    A stand-in whose test process was killed would otherwise stay behind.
+    """
+    parent = os.getppid()
     ended = event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, ended.set)
     print(ready, flush=True)
-    ended.wait()
+    while not ended.wait(timeout=PARENT_POLL_S):
+        if os.getppid() != parent:
+            return
--- a/toucanspring/adapters/exchange.py
+++ b/toucanspring/adapters/exchange.py
@@ -228,8 +228,9 @@
 
 
 def parse_address(text: str) -> tuple[str, int] | errors.Invalid:
-    """Split `address:port`; an IPv6 address stands in brackets."""
-    address, separator, port = text.rpartition(":")
+    """Split `address:port` or `http://address:port`, with IPv6 in brackets."""
+    place = text.removeprefix("http://").rstrip("/")
+    address, separator, port = place.rpartition(":")
     if not separator or not port.isdigit() or not 0 < int(port) < 65536:
         return errors.Invalid(
             reason="not an address with a port", value=text, expected="address:port"
