Split renewals and changes into modules; save memory of the flags parser

Change: modules renewal and changes; the promise is checked again just before a claim is sent; only processes that have read the head themselves count for the freshness majority; latest notice replaces a waiting one; the daemon restarts itself with its settings in the environment, without the flags parser.

--- a/toucanspring/claims.py
+++ b/toucanspring/claims.py
@@ -4,12 +4,12 @@
 
 import dataclasses
 import zlib
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import logbook
 import msgspec
 
-from toucanspring import errors, membership, ownership
+from toucanspring import errors, membership, ownership, renewal
 from toucanspring.adapters import tables
 
 log = logbook.Logger(__name__)
@@ -118,7 +118,7 @@
     return preferred
 
 
-class Service(membership.Guard):
+class Service(renewal.Guard):
     """Claim, keep and release partitions."""
 
     def __init__(self, kernel: object, settings: object) -> None:
@@ -133,7 +133,7 @@
     def start(self) -> None:
         """Follow the ownership rows; claims are made after each poll."""
         self._members = self._kernel.find("membership")
-        self._members.guard = self
+        self._members.own.guard = self
         self._members.watch(
             lambda: [key_of(partition) for partition in range(self._count)],
             self._take_rows,
@@ -213,10 +213,15 @@
         self.previous_owner_gone(partition, self._members.clock())
         self._lose(partition)
         row = PartitionRow(epoch=holding.epoch, former=holding.former)
-        return self._members.write_row(
-            {key_of(partition): holding.version},
-            {key_of(partition): _encoder.encode(row)},
+        key = key_of(partition)
+        result = self._members.own.write(
+            {key: holding.version}, {key: _encoder.encode(row)}
         )
+        if isinstance(result, errors.Failure):
+            log.warning("partition {} is not released: {}", partition, result.reason)
+            return result
+        self._rows[partition] = (result.versions[key], row)
+        return None
 
     # Guard of renewals
 
@@ -237,10 +242,25 @@
         ]
 
     def recheck(self, rows: Mapping[str, tables.Row]) -> None:
-        """Give up each partition whose ownership row has changed."""
+        """Give up each partition whose ownership row was changed or deleted."""
+        self._give_up(
+            lambda holding, row: row is not None and row.version != holding.version,
+            rows,
+        )
+
+    def named(self) -> set[str] | None:
+        """Return the processes in ownership rows; `None` if not all rows are known."""
+        if len(self._rows) < self._count:
+            return None
+        return {row.process for _, row in self._rows.values() if row.process}
+
+    def _give_up(
+        self,
+        changed: Callable[[Holding, tables.Row | None], bool],
+        rows: Mapping[str, tables.Row],
+    ) -> None:
         for partition, holding in list(self._holdings.items()):
-            row = rows.get(key_of(partition))
-            if row is not None and row.version > holding.version:
+            if changed(holding, rows.get(key_of(partition))):
                 log.warning("partition {} was claimed by another process", partition)
                 self._lose(partition)
 
@@ -259,7 +279,11 @@
             if current is None or (last is not None and row.version < last[0]):
                 continue
             self._rows[partition] = (row.version, current)
-        self.recheck(rows)
+        # These rows may have been read before an own claim, so only newer ones count.
+        self._give_up(
+            lambda holding, row: row is not None and row.version > holding.version,
+            rows,
+        )
         self._claim_all()
         self._rebalance()
 
@@ -294,7 +318,7 @@
         silent = not row.process or ownership.is_silent(
             members.sightings.get(row.process), row.incarnation, now, members.timing
         )
-        return ownership.may_claim(silent, members.promised_at(), now, members.timing)
+        return ownership.may_claim(silent, members.own.promised_at, now, members.timing)
 
     def _claim(self, partition: int) -> None:
         version, row = self._rows[partition]
@@ -310,8 +334,9 @@
         if row.process and row.process != own.process:
             # Fails if the owner has renewed in the meantime.
             seen = members.rows.get(row.process)
-            checks[membership.PREFIX + row.process] = seen[0] if seen else 0
-        result = members.write_row(checks, {key_of(partition): _encoder.encode(claim)})
+            checks[renewal.key_of(row.process)] = seen[0] if seen else 0
+        writes = {key_of(partition): _encoder.encode(claim)}
+        result = members.own.write(checks, writes, claim=True)
         if isinstance(result, errors.Failure):
             log.info("no claim of partition {}: {}", partition, result.reason)
             return
--- a/toucanspring/daemon.py
+++ b/toucanspring/daemon.py
@@ -15,7 +15,7 @@
 import logbook  # noqa: E402
 from gevent import event  # noqa: E402
 
-from toucanspring import errors, kernel, log, settings  # noqa: E402
+from toucanspring import errors, kernel, log, ownership, settings  # noqa: E402
 
 logger = logbook.Logger(__name__)
 
@@ -63,6 +63,37 @@
     return core
 
 
+def publish_gauges(core: kernel.Kernel) -> None:
+    """Show the state of the control services in the metrics."""
+    metrics = core.find("metrics")
+    members = core.find("membership")
+    documents = core.find("documents")
+    traffic = metrics.counter(
+        "toucanspring_peer_bytes_total", "Bytes exchanged with other processes."
+    )
+    state = metrics.gauge("toucanspring_control", "State of the control services.")
+
+    def read() -> None:
+        now = members.clock()
+        sent, received = core.find("peers").traffic()
+        traffic.set({"direction": "sent"}, sent)
+        traffic.set({"direction": "received"}, received)
+        held = members.standing(now) is not ownership.Standing.NARROWED
+        view_age_s = min(now - documents.view().confirmed_at, members.clock())
+        for name, value in (
+            ("members", len(members.members())),
+            ("members_reachable", len(members.reachable())),
+            ("store_age_seconds", members.store_age(now)),
+            ("view_age_seconds", view_age_s),
+            ("view_fresh", int(documents.fresh(now))),
+            ("may_own", int(held)),
+            ("partitions_owned", len(core.find("claims").owned())),
+        ):
+            state.set({"name": name}, value)
+
+    metrics.on_render(read)
+
+
 def find(core: kernel.Kernel, name: str) -> object | None:
     """Return a service, or `None` if it is not installed."""
     try:
@@ -101,6 +132,7 @@
     stopped = event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopped.set)
+    publish_gauges(core)
     core.start()
     logger.info("process {} of cell {} serves", chosen.process, chosen.cell)
     members = core.find("membership")
@@ -116,12 +148,24 @@
     return 0
 
 
+def restart_without_flags(chosen: settings.Settings) -> None:
+    """Replace this program image by one that has its settings in the environment.
+
+    The parser of flags costs 6 MB, and flags with secrets show in process lists.
+    """
+    environment = {**os.environ, **settings.to_environment(chosen)}
+    command = sys.orig_argv[: len(sys.orig_argv) - len(sys.argv) + 1]
+    os.execve(sys.executable, command, environment)
+
+
 def main() -> None:
     """Read the settings and run the daemon."""
     chosen = settings.load(sys.argv[1:], os.environ)
     if isinstance(chosen, errors.Invalid):
         print(f"toucanspringd: {chosen.reason}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
+    if sys.argv[1:]:
+        restart_without_flags(chosen)
     log.set_up(chosen.log_level, chosen.log_format)
     sys.exit(run(chosen))
 
--- a/toucanspring/documents.py
+++ b/toucanspring/documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import hmac
 import time
 from collections.abc import Callable, Mapping
 
@@ -11,25 +12,27 @@
 import msgspec
 from gevent import event, pool
 
-from toucanspring import errors, freshness, heartbeat, membership, ownership, records
+from toucanspring import (
+    changes,
+    errors,
+    freshness,
+    heartbeat,
+    membership,
+    ownership,
+    records,
+    renewal,
+)
 from toucanspring.adapters import tables
 
 log = logbook.Logger(__name__)
 
 MAX_SOURCE_BYTES = 512 << 10
-KEPT_HISTORY = 1000
 HISTORY_PAGE = 100
 FETCH_TIMEOUT_S = 2.0
 RETRY_S = 0.1
-# An operator's change is retried for this long after lost answers and conflicts.
-CHANGE_LIMIT_S = 5.0
 # How long a stored change waits until half of the members have it in force.
 CONFIRM_LIMIT_S = 2.5
-ROWS = {
-    "config": (records.CONFIG, records.ConfigVersion),
-    "keys": (records.KEYS, records.Keys),
-    "zones": (records.ZONES, records.Zones),
-}
+STALE_HEADS = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,34 +57,6 @@
     out: frozenset[str]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Plan:
-    """Hold one document to be written and further rows of the same transaction."""
-
-    name: str
-    document: records.Document
-    writes: dict[str, bytes] = dataclasses.field(default_factory=dict)
-    deletes: tuple[str, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class InEffect:
-    """An earlier attempt, whose answer was lost, took effect with this document."""
-
-    name: str
-    document: records.Document
-
-
-Planner = Callable[
-    [Mapping[str, tables.Row], freshness.Versions], "Plan | InEffect | errors.Failure"
-]
-
-
-def history_key(version: int) -> str:
-    """Return the key of a configuration version; padded, so that scans are in order."""
-    return f"{records.HISTORY}{version:010d}"
-
-
 def import_parser() -> Callable[[str], object]:
     """Return the parser of the configuration text."""
     from toucanspring import text
@@ -102,11 +77,13 @@
         self._settings = settings
         self._parse = parse or import_parser()
         self._documents: dict[str, records.Document] = {
-            name: kind() for name, (_, kind) in ROWS.items()
+            name: kind() for name, (_, kind) in records.ROWS.items()
         }
         self._cell = self._parse("")
         self._view = freshness.View()
         self._wanted = freshness.Versions()
+        self._witness = False
+        self._stale_heads = 0
         self._pending: tuple[freshness.Versions, float] | None = None
         self._wake = event.Event()
         self._confirmed = event.Event()
@@ -149,22 +126,27 @@
 
     def fresh(self, now: float) -> bool:
         """Return whether keyed work may be accepted and tasks may be started."""
-        if now - self._view.confirmed_at <= freshness.MAX_AGE_S:
+        if freshness.is_young(self._view, now):
             return True
         members = self._members
+        # A process that has not read the head itself has no list to count against.
+        if not self._witness or not self._view.versions.covers(self._wanted):
+            return False
+        lists = members.own.lists
+        known = dict(members.ledger.promised_versions)
+        known[members.identity.process] = self._view.versions
         promises = members.promises()
-        return all(
-            freshness.is_fresh(
-                self._view,
-                now,
-                known,
-                promises,
-                members.ledger.promised_versions,
-                members.timing,
+        return bool(lists) and all(
+            freshness.is_vouched(
+                self._view, now, names, promises, known, members.timing
             )
-            for known in members.lists()
+            for names in lists
         )
 
+    def is_witness(self) -> bool:
+        """Return whether this process has read the head row since it started."""
+        return self._witness
+
     def keys(self) -> list[records.KeyFacts]:
         """Return all granted keys."""
         return [
@@ -176,10 +158,16 @@
         """Return the key that a secret belongs to."""
         return records.find_key(self._documents["keys"], secret)
 
+    def check_operator(self, secret: str) -> bool:
+        """Return whether a secret is the operators' key."""
+        expected = self._settings.operator_key_hash
+        digest = records.hash_secret(secret).hex()
+        return bool(expected) and hmac.compare_digest(digest, expected)
+
     def history(self) -> list[records.ConfigVersion] | errors.Failure:
         """Return the latest configuration versions, the newest first."""
         first = max(self._view.versions.config - HISTORY_PAGE, 0)
-        rows = self._tables.scan(records.HISTORY, history_key(first))
+        rows = self._tables.scan(records.HISTORY, records.history_key(first))
         if isinstance(rows, errors.Failure):
             return rows
         found = [records.decode(records.ConfigVersion, row.value) for row in rows]
@@ -208,83 +196,31 @@
         cell = self._parse(source)
         if isinstance(cell, errors.Failure):
             return cell
-        change = records.new_change()
-        version = expected_version + 1
-        key = history_key(version)
-
-        def plan(
-            rows: Mapping[str, tables.Row], current: freshness.Versions
-        ) -> Plan | InEffect | errors.Failure:
-            if current.config != expected_version:
-                written = records.decode(records.ConfigVersion, rows[key].value)
-                if getattr(written, "change", "") == change:
-                    return InEffect("config", written)
-                return errors.Conflict(
-                    reason="another configuration is in force",
-                    key=records.CONFIG,
-                    current_version=current.config,
-                    given_version=expected_version,
-                )
-            document = records.ConfigVersion(
-                version=version,
-                source=source,
-                operator=operator,
-                change=change,
-                applied_at=time.time(),
-            )
-            deletes = (
-                (history_key(version - KEPT_HISTORY),) if version > KEPT_HISTORY else ()
-            )
-            return Plan("config", document, {key: records.encode(document)}, deletes)
-
-        return self._change([records.HEAD, key], plan)
+        return self._change(changes.ConfigChange(source, expected_version, operator))
 
     def set_zone(self, name: str, out: bool, operator: str) -> int | errors.Failure:
         """Take an availability zone out of service or return it."""
-
-        def edit(zones: records.Zones, change: str) -> records.Zones:
-            entries = {key: by for key, by in zones.out.items() if key != name}
-            if out:
-                entries[name] = operator
-            return records.Zones(
-                version=zones.version + 1,
-                out=entries,
-                changes=records.with_change(zones.changes, change),
-            )
-
-        return self._edit("zones", edit)
+        declared = getattr(self._cell, "availability_zones", None)
+        # A zone that is out but no longer declared can still be returned.
+        if declared and name not in declared and name not in self.zones_out():
+            return errors.NotFound(reason=f"no availability zone {name!r} is declared")
+        return self._change(changes.ZoneChange(name, out, operator))
 
     def grant_key(
         self, team: str, operator: str
     ) -> records.GrantedKey | errors.Failure:
         """Grant a new key to a team."""
+        declared = getattr(self._cell, "teams", None)
+        if declared and team not in declared:
+            return errors.NotFound(reason=f"no team {team!r} is declared")
         stored, granted = records.create_key(team, operator)
-
-        def edit(keys: records.Keys, change: str) -> records.Keys:
-            return records.Keys(
-                version=keys.version + 1,
-                keys={**keys.keys, stored.id: stored},
-                changes=records.with_change(keys.changes, change),
-            )
-
-        result = self._edit("keys", edit)
+        result = self._change(changes.KeyGrant(stored))
         return result if isinstance(result, errors.Failure) else granted
 
     def withdraw_key(self, key_id: str, operator: str) -> int | errors.Failure:
         """Withdraw a key; it stops working within seconds."""
         log.info("operator {} withdraws key {}", operator, key_id)
-
-        def edit(keys: records.Keys, change: str) -> records.Keys | errors.NotFound:
-            if key_id not in keys.keys:
-                return errors.NotFound(reason=f"no key {key_id}")
-            kept = {name: key for name, key in keys.keys.items() if name != key_id}
-            return records.Keys(
-                version=keys.version + 1,
-                keys=kept,
-                changes=records.with_change(keys.changes, change),
-            )
-
-        return self._edit("keys", edit)
+        return self._change(changes.KeyWithdrawal(key_id))
 
     # Changes
 
@@ -292,83 +228,11 @@
     def _tables(self) -> tables.TableClient:
         return self._kernel.find("store").tables
 
-    def _edit(
-        self, name: str, edit: Callable[[object, str], object]
-    ) -> int | errors.Failure:
-        """Change a document that has no expected version."""
-        key, kind = ROWS[name]
-        change = records.new_change()
-
-        def plan(
-            rows: Mapping[str, tables.Row], _current: freshness.Versions
-        ) -> Plan | InEffect | errors.Failure:
-            document = records.decode(kind, rows[key].value)
-            if isinstance(document, errors.Failure):
-                return document
-            if change in document.changes:
-                return InEffect(name, document)
-            edited = edit(document, change)
-            return edited if isinstance(edited, errors.Failure) else Plan(name, edited)
-
-        return self._change([records.HEAD, key], plan)
-
-    def _change(self, reads: list[str], plan: Planner) -> int | errors.Failure:
-        """Write a document and raise the head; retry after lost answers and races.
-
-        Each attempt checks the head row, so once the head has moved on, a former
-        attempt of this change can no longer take effect.
-        """
-        deadline = time.monotonic() + CHANGE_LIMIT_S
-        lost: errors.Ambiguous | None = None
-        result: object = errors.Unavailable(reason="no attempt was made")
-        while time.monotonic() < deadline:
-            result = self._attempt(reads, plan)
-            match result:
-                case InEffect(name=name, document=document):
-                    return self._finish(name, document)
-                case errors.Ambiguous():
-                    lost = result
-                case errors.Conflict(key=records.HEAD):
-                    pass
-                case errors.Unavailable() if lost is not None:
-                    pass
-                case _:
-                    return result
-            gevent.sleep(RETRY_S)
-        return lost or result
-
-    def _attempt(self, reads: list[str], plan: Planner) -> InEffect | errors.Failure:
-        rows = self._tables.read(reads)
-        if isinstance(rows, errors.Failure):
-            # A lost answer to a read has no effect.
-            return errors.Unavailable(reason=rows.reason)
-        head_row = rows[records.HEAD]
-        head = records.decode(records.Head, head_row.value)
-        if isinstance(head, errors.Failure):
-            return head
-        if not head.versions.covers(self._view.versions):
-            return errors.Refused(
-                reason=f"the store shows {head.versions}, older than what is in force"
-            )
-        planned = plan(rows, head.versions)
-        if not isinstance(planned, Plan):
-            return planned
-        document = planned.document
-        versions = msgspec.structs.replace(
-            head.versions, **{planned.name: document.version}
-        )
-        result = self._tables.transact(
-            {records.HEAD: head_row.version},
-            {
-                **planned.writes,
-                records.HEAD: records.encode(records.Head(versions)),
-                ROWS[planned.name][0]: records.encode(document),
-            },
-            planned.deletes,
-        )
-        if isinstance(result, tables.Committed):
-            return InEffect(planned.name, document)
-        return result
+    def _change(self, change: changes.Change) -> int | errors.Failure:
+        document = changes.commit(self._tables, change, self.versions)
+        if isinstance(document, errors.Failure):
+            return document
+        return self._finish(change.name, document)
 
     def _finish(self, name: str, document: records.Document) -> int | errors.Ambiguous:
         """Put a stored change into force and wait until half of the members have it.
@@ -409,9 +273,14 @@
             log.error("{}", head.reason)
             return
         if not head.versions.covers(self._view.versions):
-            if sent_at > self._view.confirmed_at:
-                log.warning("ignoring a stale head {}", head.versions)
+            # One may be a read that a change has overtaken; a series is a store that
+            # has lost changes. The view then ages, and keyed work stops.
+            self._stale_heads += 1
+            if self._stale_heads % STALE_HEADS == 0:
+                log.error("the store shows {}, which is too old", head.versions)
             return
+        self._stale_heads = 0
+        self._witness = True
         self._view = freshness.confirm(self._view, head.versions, sent_at)
         if head.versions != self._view.versions:
             self._pending = (head.versions, sent_at)
@@ -455,15 +324,16 @@
         """Fetch the documents that are behind; return whether one was adopted."""
         behind = [
             name
-            for name in ROWS
+            for name in records.ROWS
             if getattr(self._view.versions, name) < getattr(self._wanted, name)
         ]
         now = self._members.clock()
-        if self._members.store_age(now) < membership.NO_ACCESS_S:
-            rows = self._tables.read([ROWS[name][0] for name in behind])
+        if self._members.store_age(now) < renewal.NO_ACCESS_S:
+            rows = self._tables.read([records.ROWS[name][0] for name in behind])
             if not isinstance(rows, errors.Failure):
                 adopted = [
-                    self._adopt_row(name, rows[ROWS[name][0]].value) for name in behind
+                    self._adopt_row(name, rows[records.ROWS[name][0]].value)
+                    for name in behind
                 ]
                 if any(adopted):
                     return True
@@ -488,7 +358,7 @@
         return records.encode(document)
 
     def _adopt_row(self, name: str, value: bytes) -> bool:
-        document = records.decode(ROWS[name][1], value)
+        document = records.decode(records.ROWS[name][1], value)
         if isinstance(document, errors.Failure):
             log.error("{}", document.reason)
             return False
--- a/toucanspring/freshness.py
+++ b/toucanspring/freshness.py
@@ -73,28 +73,27 @@
     return dataclasses.replace(view, confirmed_at=confirmed_at)
 
 
-def is_fresh(
+def is_young(view: View, now: float) -> bool:
+    """Return whether the view was the latest a short time ago."""
+    return now - view.confirmed_at <= MAX_AGE_S
+
+
+def is_vouched(
     view: View,
     now: float,
     members: Collection[str],
     promises: Mapping[str, float],
-    promised_versions: Mapping[str, Versions],
+    known: Mapping[str, Versions],
     timing: ownership.Timing,
 ) -> bool:
-    """Return whether keyed work may be accepted and tasks may be started.
+    """Return whether a majority promises that nobody changes documents.
 
-    Without store access the view counts as the latest while a majority promises that
-    it has none either and none of that majority knows a newer version. A change is
-    answered as accepted only once half of the members have it, so such a majority
-    includes a member that knows it.
+    `known` holds the versions of the witnesses: members that have read the head row
+    since they started. A change is answered as accepted only once half of the members
+    have it, so a majority of witnesses with the same versions as this view includes
+    one that would know the change.
     """
-    if now - view.confirmed_at <= MAX_AGE_S:
-        return True
-    if view.confirmed_at == ownership.NEVER:
-        return False
     standing = {
-        name: at
-        for name, at in promises.items()
-        if view.versions.covers(promised_versions.get(name, Versions()))
+        name: at for name, at in promises.items() if known.get(name) == view.versions
     }
     return now < ownership.majority_until(members, standing, timing)
--- a/toucanspring/heartbeat.py
+++ b/toucanspring/heartbeat.py
@@ -28,6 +28,9 @@
     echo_incarnation: int
     versions: freshness.Versions
     view_age_ms: int
+    # The sender has read the head row itself since it started, so that it knows each
+    # change that it has ever confirmed.
+    witness: bool
     promise: bool
     quiet_ms: int  # time without a promise, at most the time since the start
     owned: dict[int, int]  # partition -> epoch
@@ -47,6 +50,13 @@
         return errors.Malformed(reason=str(error))
 
 
+def encode_for(message: Heartbeat, echo: int, echo_incarnation: int) -> bytes:
+    """Return a heartbeat's body with the echo for one receiver."""
+    return encode(
+        msgspec.structs.replace(message, echo=echo, echo_incarnation=echo_incarnation)
+    )
+
+
 def to_clock(now: float) -> int:
     """Return monotonic seconds as the clock of a heartbeat."""
     return int(now * MICROSECONDS)
@@ -69,6 +79,7 @@
         self.timing = timing
         self.peers: dict[str, Peer] = {}
         self.promises: dict[str, float] = {}
+        # Versions known to the promising members that are witnesses.
         self.promised_versions: dict[str, freshness.Versions] = {}
         self.quiet: dict[str, ownership.Quiet] = {}
 
@@ -93,7 +104,9 @@
         peer.echoed_at = echoed_at
         if message.promise:
             self.promises[process] = echoed_at
-            self.promised_versions[process] = message.versions
+            self.promised_versions.pop(process, None)
+            if message.witness:
+                self.promised_versions[process] = message.versions
             self.quiet.pop(process, None)
         else:
             # A member with store access withdraws its promise: counting it on would
--- a/toucanspring/link.py
+++ b/toucanspring/link.py
@@ -8,7 +8,7 @@
 
 import gevent
 import logbook
-from gevent import lock, pool, queue
+from gevent import event, lock, queue
 
 from toucanspring import errors, frames, outbox, stream, wire
 
@@ -19,6 +19,8 @@
 HELLO_TIMEOUT_S = 2.0
 MAX_JOINED_BYTES = 16 << 20
 MAX_BODY_BYTES = wire.MAX_FRAME_BYTES - 1024
+# Bodies of running calls of one stream.
+MAX_RUNNING_BYTES = 8 << 20
 # How long an answer waits for room in the queue or in the caller's window.
 ANSWER_STALL_S = 10.0
 
@@ -36,6 +38,8 @@
         self._process = process
         self._outbox: outbox.Outbox | None = None
         self._waiting: dict[int, queue.SimpleQueue] = {}
+        self._notices: dict[str, outbox.Item | None] = {}
+        self._woken = event.Event()
         self._correlations = itertools.count(1)
         self._stream: stream.Stream | None = None
         self._old_bytes = [0, 0]
@@ -56,13 +60,20 @@
         self._disconnect("the link was closed")
         self._dialler.kill(block=False)
 
+    def hurry(self) -> None:
+        """Dial now, since the other process has just shown that it is up."""
+        if self._outbox is None:
+            self._woken.set()
+
     def notify(self, method: str, body: bytes) -> bool:
-        """Queue a notice if the stream is up and nothing else waits to be sent."""
+        """Queue a notice; it replaces an earlier one that was not sent yet."""
         box = self._outbox
-        if box is None or not box.idle:
+        if box is None:
             return False
         call = frames.encode(frames.Call(method, body))
-        return box.put(frames.Frame(frames.Kind.NOTICE, 0, call)) is not None
+        frame = frames.Frame(frames.Kind.NOTICE, 0, call)
+        self._notices[method] = box.put_first(frame, self._notices.get(method))
+        return self._notices[method] is not None
 
     def call(
         self, method: str, body: bytes, timeout_s: float
@@ -151,13 +162,17 @@
 
     def _run(self) -> None:
         backoff = FIRST_BACKOFF_S
-        while True:
-            if self._connect():
-                backoff = FIRST_BACKOFF_S
-                self._receive()
-            # Jitter keeps the processes of a cell from dialling in step.
-            gevent.sleep(backoff * self._peers.rng.uniform(0.5, 1.5))
-            backoff = min(backoff * 2, MAX_BACKOFF_S)
+        try:
+            while True:
+                if self._connect():
+                    backoff = FIRST_BACKOFF_S
+                    self._receive()
+                # Jitter keeps the processes of a cell from dialling in step.
+                self._woken.clear()
+                self._woken.wait(backoff * self._peers.rng.uniform(0.5, 1.5))
+                backoff = min(backoff * 2, MAX_BACKOFF_S)
+        finally:
+            self._disconnect("the link was closed")
 
     def _connect(self) -> bool:
         address, port = self.target
@@ -185,6 +200,7 @@
             connected.close()
             return False
         self._stream = connected
+        self._notices.clear()
         self._outbox = outbox.Outbox(connected)
         return True
 
@@ -225,7 +241,7 @@
         self._answers = answers
         self._sender = sender
         self._limit = limit
-        self._greenlets = pool.Group()
+        self._body_bytes = 0
         self._running: dict[int, tuple[gevent.Greenlet, lock.Semaphore]] = {}
 
     def take(self, frame: frames.Frame) -> None:
@@ -254,7 +270,11 @@
             window.release()
 
     def _start(self, frame: frames.Frame) -> None:
-        if len(self._running) >= self._limit or frame.correlation in self._running:
+        if (
+            len(self._running) >= self._limit
+            or self._body_bytes + len(frame.body) > MAX_RUNNING_BYTES
+            or frame.correlation in self._running
+        ):
             refusal = errors.Overloaded(reason="too many calls on one stream")
             self._reply(frames.Kind.FAILURE, frame, frames.encode_failure(refusal))
             return
@@ -262,6 +282,7 @@
         greenlet = gevent.Greenlet(self._run, frame, window)
         greenlet.cancelled = False
         self._running[frame.correlation] = (greenlet, window)
+        self._body_bytes += len(frame.body)
         greenlet.start()
 
     def _run(self, frame: frames.Frame, window: lock.Semaphore) -> None:
@@ -276,6 +297,7 @@
                 self._stream_answer(frame, chunks, window)
         finally:
             del self._running[frame.correlation]
+            self._body_bytes -= len(frame.body)
 
     def _invoke(self, frame: frames.Frame) -> object:
         call = frames.decode_as(frames.Call, frame.body)
--- a/toucanspring/outbox.py
+++ b/toucanspring/outbox.py
@@ -11,6 +11,7 @@
 from toucanspring import errors, frames, stream
 
 MAX_QUEUED_BYTES = 4 << 20
+FRAME_OVERHEAD_BYTES = 256  # of one queued frame in memory
 # A peer that takes no byte for this long is treated as lost.
 STALL_S = 5.0
 
@@ -20,14 +21,10 @@
     """Hold one queued frame; `sent` is set when its sending begins."""
 
     frame: frames.Frame
+    size: int  # bytes that count against the limit
     sent: bool = False
     withdrawn: bool = False
 
-    @property
-    def size(self) -> int:
-        """Return the bytes that count against the limit."""
-        return len(self.frame.body) + 16
-
 
 class Outbox:
     """Queue frames and send them in order from one greenlet.
@@ -48,14 +45,9 @@
         self.closed = False
         self._sender = gevent.spawn(self._run)
 
-    @property
-    def idle(self) -> bool:
-        """Return whether nothing is queued or being sent."""
-        return not self._bytes
-
     def put(self, frame: frames.Frame) -> Item | None:
         """Queue a frame; `None` if the queue is full or closed."""
-        item = Item(frame)
+        item = Item(frame, len(frame.body) + FRAME_OVERHEAD_BYTES)
         if self.closed or (self._bytes and self._bytes + item.size > self._max_bytes):
             return None
         self._items.append(item)
@@ -64,6 +56,19 @@
         self._filled.set()
         return item
 
+    def put_first(self, frame: frames.Frame, waiting: Item | None) -> Item | None:
+        """Queue a small frame before all others, in place of one that still waits.
+
+        Notices carry the latest state, so a slow stream needs to hold only one.
+        """
+        if waiting is not None and not waiting.sent and not self.closed:
+            waiting.frame = frame
+            return waiting
+        item = self.put(frame)
+        if item is not None:
+            self._items.rotate(1)
+        return item
+
     def put_wait(self, frame: frames.Frame, timeout_s: float) -> Item | None:
         """Queue a frame once the queue is empty; `None` if that takes too long."""
         while (item := self.put(frame)) is None:
--- a/toucanspring/peers.py
+++ b/toucanspring/peers.py
@@ -5,6 +5,7 @@
 import hmac
 import random
 import socket
+import time
 from collections.abc import Callable, Iterator
 
 import gevent
@@ -22,6 +23,8 @@
 MAX_UNIDENTIFIED = 64
 MAX_CALLS_PER_STREAM = 256
 BACKLOG = 128
+# Heartbeats arrive every 0.5 s; a silent stream belongs to a lost VM.
+IDLE_S = 10.0
 
 Handler = Callable[[str, bytes], "bytes | Iterator[bytes] | errors.Failure"]
 NoticeHandler = Callable[[str, bytes], None]
@@ -120,9 +123,13 @@
             return chunks
         parts = []
         size = 0
+        deadline = time.monotonic() + timeout_s
         try:
             for chunk in chunks:
                 size += len(chunk)
+                if time.monotonic() > deadline:
+                    chunks.close()
+                    return errors.Ambiguous(reason=f"no whole answer to {method}")
                 if size > link.MAX_JOINED_BYTES:
                     chunks.close()
                     return errors.Oversized(
@@ -245,10 +252,12 @@
     def _serve_identified(self, accepted: stream.Stream, sender: str) -> None:
         answers = outbox.Outbox(accepted)
         self._accepted[accepted] = answers
+        if sender in self._links:
+            self._links[sender].hurry()
         calls = link.Calls(self._handlers, answers, sender, MAX_CALLS_PER_STREAM)
         try:
             while not answers.closed:
-                message = accepted.receive()
+                message = accepted.receive(IDLE_S)
                 if not isinstance(message, frames.Frame):
                     if not isinstance(message, errors.Closed):
                         log.warning("closing stream of {}: {}", sender, message.reason)
--- a/toucanspring/records.py
+++ b/toucanspring/records.py
@@ -62,6 +62,13 @@
     changes: list[str] = []
 
 
+ROWS = {
+    "config": (CONFIG, ConfigVersion),
+    "keys": (KEYS, Keys),
+    "zones": (ZONES, Zones),
+}
+
+
 class KeyFacts(msgspec.Struct, frozen=True):
     """Describe a granted key without its secret."""
 
@@ -100,16 +107,16 @@
         return errors.Malformed(reason=f"{kind.__name__} row: {error}")
 
 
+def history_key(version: int) -> str:
+    """Return the key of a configuration version; padded, so that scans are in order."""
+    return f"{HISTORY}{version:010d}"
+
+
 def new_change() -> str:
     """Return an ID that recognises a change after its answer was lost."""
     return secrets.token_hex(8)
 
 
-def with_change(changes: list[str], change: str) -> list[str]:
-    """Return the latest change IDs."""
-    return [*changes, change][-KEPT_CHANGES:]
-
-
 def hash_secret(secret: str) -> bytes:
     """Return the hash that is stored in place of a secret.
 
--- /dev/null
+++ b/toucanspring/renewal.py
@@ -0,0 +1,323 @@
+"""The row of this process in the table service: renewals, claims and promises."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import logbook
+import msgspec
+from gevent import lock
+
+from toucanspring import errors, ownership
+from toucanspring.adapters import tables
+
+log = logbook.Logger(__name__)
+
+PREFIX = "members/"
+# Two polls without an answer; early enough that all members have promised before the
+# ownership lease ends.
+NO_ACCESS_S = 1.0
+WRITE_ATTEMPTS = 3
+KEPT_FORMER = 3
+
+Rows = dict[str, tables.Row]
+
+
+class Member(msgspec.Struct, frozen=True):
+    """Describe one process."""
+
+    process: str
+    incarnation: int
+    address: str
+    peer_port: int
+    http_port: int
+    availability_zone: str
+
+
+class MemberRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Row `members/<process>`; `known` is the list that majorities count against."""
+
+    member: Member
+    counter: int = 0
+    known: list[str] = []
+    settled: list[int] = []  # own partitions whose former owners are gone
+    draining: bool = False
+    # Lists of former incarnations of this process, for successors of their partitions.
+    former: dict[str, list[str]] = {}
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(MemberRow)
+
+
+def key_of(process: str) -> str:
+    """Return the key of a member row."""
+    return PREFIX + process
+
+
+def decode_row(row: tables.Row) -> MemberRow | None:
+    """Return the member in a row, or `None` if it is absent or malformed."""
+    if not row.version:
+        return None
+    try:
+        return _decoder.decode(row.value)
+    except msgspec.MsgspecError as error:
+        log.error("a member row is malformed: {}", error)
+        return None
+
+
+class Guard:
+    """Rows that each renewal must find unchanged; `claims` replaces this default."""
+
+    def checks(self) -> dict[str, int]:
+        """Return the versions of the ownership rows of own partitions."""
+        return {}
+
+    def recheck(self, rows: Rows) -> None:
+        """Take in the own ownership rows after a renewal found one changed."""
+
+    def settled(self) -> list[int]:
+        """Return the own partitions whose former owners are gone."""
+        return []
+
+    def owned(self) -> dict[int, int]:
+        """Return the epoch of each own partition."""
+        return {}
+
+    def named(self) -> set[str] | None:
+        """Return the processes in ownership rows; `None` if not all rows are known."""
+        return set()
+
+
+class OwnRow:
+    """Write the row of this process and hold what its answers prove.
+
+    All writes go through `write`, so that a claim and a renewal with a lost answer
+    are resolved in one way: by the counter in the row.
+    """
+
+    def __init__(
+        self,
+        identity: Member,
+        timing: ownership.Timing,
+        clock: Callable[[], float],
+        client: Callable[[], tables.TableClient],
+        known: Callable[[], list[str]],
+    ) -> None:
+        self.identity = identity
+        self.timing = timing
+        self.guard = Guard()
+        self.tenure = ownership.Tenure()
+        # Each member list that the row may contain; two after a lost answer.
+        self.lists: list[list[str]] = []
+        self.draining = False
+        self.replaced = False  # another incarnation has taken this process's name
+        self.started_at = clock()
+        # A former incarnation may have promised until just before the start.
+        self.promised_at = self.started_at
+        self.answered_at = ownership.NEVER
+        self._clock = clock
+        self._client = client
+        self._known = known
+        self._version = 0
+        self._counter = 0
+        self._former: dict[str, list[str]] = {}
+        self._claims_under_way = 0
+        self._claim_unresolved = False
+        self._registered = False
+        self._lock = lock.RLock()
+
+    @property
+    def key(self) -> str:
+        """Return the key of the row."""
+        return key_of(self.identity.process)
+
+    # Promises
+
+    def store_age(self, now: float) -> float:
+        """Return seconds since the last request that the store answered was sent."""
+        return now - max(self.answered_at, self.started_at)
+
+    def answered(self, sent_at: float) -> None:
+        """Note that the store answered a request sent at `sent_at`."""
+        self.answered_at = max(self.answered_at, sent_at)
+
+    def promise(self, now: float) -> bool:
+        """Promise to claim nothing, if the store cannot be reached.
+
+        A claim with a lost answer may still take effect until a later write of the own
+        row, which the claim checks, has succeeded; until then there is no promise.
+        """
+        if self.store_age(now) < NO_ACCESS_S:
+            return False
+        if self._claims_under_way or self._claim_unresolved:
+            return False
+        self.promised_at = now
+        return True
+
+    def extend(self, promises: dict[str, float], now: float) -> None:
+        """Extend the tenure by promises of members."""
+        if self.tenure.ended:
+            return
+        self.tenure = ownership.extend(
+            self.tenure, self.lists, promises, now, self.timing
+        )
+        if self.tenure.ended:
+            log.warning("ownership has ended: neither the store nor a majority answers")
+
+    # Writes
+
+    def write(
+        self,
+        checks: Rows | None = None,
+        writes: dict[str, bytes] | None = None,
+        claim: bool = False,
+    ) -> tables.Committed | errors.Failure:
+        """Renew the row, together with further checks and writes.
+
+        The renewal checks the ownership rows, so a success proves that no other
+        process had claimed a partition of this one.
+        """
+        with self._lock:
+            if self.replaced:
+                return errors.Fenced(reason="another process uses this name")
+            self._claims_under_way += claim
+            try:
+                return self._write(checks or {}, writes or {}, claim)
+            finally:
+                self._claims_under_way -= claim
+
+    def remove(self) -> None:
+        """Delete the row at shutdown, unless an ownership row still needs it."""
+        with self._lock:
+            named = self.guard.named()
+            if not self._registered or self.replaced or named is None:
+                return
+            if self.identity.process not in named:
+                self._client().transact({self.key: self._version}, {}, [self.key])
+
+    def _write(
+        self, checks: dict[str, int], writes: dict[str, bytes], claim: bool
+    ) -> tables.Committed | errors.Failure:
+        result: tables.Committed | errors.Failure = errors.Unavailable()
+        for _ in range(WRITE_ATTEMPTS):
+            if not self._registered:
+                failure = self._register()
+                if failure is not None:
+                    return failure
+            # The lock may have been waited for, with a promise made meanwhile.
+            silent_s = self._clock() - self.promised_at
+            if claim and silent_s < self.timing.quiet_s:
+                return errors.Refused(reason="promised to claim nothing")
+            guarded = {self.key, *self.guard.checks()}
+            result = self._attempt(checks, writes)
+            if not isinstance(result, errors.Conflict) or result.key not in guarded:
+                return result
+            reread = self._reread()
+            if reread is not None:
+                return reread
+        return result
+
+    def _attempt(
+        self, checks: dict[str, int], writes: dict[str, bytes]
+    ) -> tables.Committed | errors.Failure:
+        counter = self._counter + 1
+        known = self._known()
+        row = MemberRow(
+            member=self.identity,
+            counter=counter,
+            known=known,
+            settled=self.guard.settled(),
+            draining=self.draining,
+            former=self._former,
+        )
+        if known not in self.lists:
+            self.lists.append(known)
+        if writes:
+            self._claim_unresolved = True
+        sent_at = self._clock()
+        result = self._client().transact(
+            {**self.guard.checks(), **checks, self.key: self._version},
+            {**writes, self.key: _encoder.encode(row)},
+        )
+        if isinstance(result, errors.Ambiguous):
+            result = self._resolve(counter, result, writes)
+        match result:
+            case tables.Committed(versions=versions):
+                self._counter = counter
+                self._version = versions[self.key]
+                self.lists = [known]
+                self._claim_unresolved = False
+                self.answered(sent_at)
+                self.tenure = ownership.renew(self.tenure, sent_at, self.timing)
+                for key, value in writes.items():
+                    if versions[key] == 0:
+                        return self._overtaken(key, value)
+            case errors.Conflict():
+                self.answered(sent_at)
+        return result
+
+    def _resolve(
+        self, counter: int, lost: errors.Ambiguous, writes: dict[str, bytes]
+    ) -> tables.Committed | errors.Failure:
+        """Find out whether a transaction with a lost answer took effect.
+
+        A further row that another process has changed since gets version 0.
+        """
+        rows = self._client().read([self.key, *writes])
+        if isinstance(rows, errors.Failure):
+            return lost
+        current = decode_row(rows[self.key])
+        if (
+            current is None
+            or current.member.incarnation != self.identity.incarnation
+            or current.counter != counter
+        ):
+            return errors.Unavailable(reason=f"not in effect: {lost.reason}")
+        versions = {
+            key: rows[key].version if rows[key].value == value else 0
+            for key, value in writes.items()
+        }
+        return tables.Committed({**versions, self.key: rows[self.key].version})
+
+    @staticmethod
+    def _overtaken(key: str, value: bytes) -> errors.Conflict:
+        return errors.Conflict(
+            reason=f"row {key} of {len(value)} bytes was written and then changed",
+            key=key,
+        )
+
+    def _register(self) -> errors.Failure | None:
+        """Take over the row of a former incarnation of this process."""
+        sent_at = self._clock()
+        rows = self._client().read([self.key])
+        if isinstance(rows, errors.Failure):
+            return rows
+        self.answered(sent_at)
+        row = rows[self.key]
+        previous = decode_row(row)
+        if previous is not None and previous.member != self.identity:
+            kept = list(previous.former.items())[-KEPT_FORMER:]
+            incarnation = str(previous.member.incarnation)
+            self._former = {**dict(kept), incarnation: previous.known}
+        self._version = row.version
+        self._registered = True
+        return None
+
+    def _reread(self) -> None | errors.Failure:
+        """Learn why a renewal conflicted."""
+        rows = self._client().read([self.key, *self.guard.checks()])
+        if isinstance(rows, errors.Failure):
+            return rows
+        row = rows[self.key]
+        current = decode_row(row)
+        if current is not None:
+            if current.member.incarnation != self.identity.incarnation:
+                self.replaced = True
+                self.tenure = ownership.Tenure()
+                log.critical("another process uses the name {}", self.identity.process)
+                return errors.Fenced(reason="another process uses this name")
+            self._counter = max(self._counter, current.counter)
+        self._version = row.version
+        self.guard.recheck(rows)
+        return None
--- a/toucanspring/settings.py
+++ b/toucanspring/settings.py
@@ -133,20 +133,29 @@
     return values
 
 
+def to_environment(settings: Settings) -> dict[str, str]:
+    """Return the environment variables that state all settings."""
+    return {PREFIX + name.upper(): str(getattr(settings, name)) for name in TYPES}
+
+
 def load(
     arguments: Sequence[str],
     environment: Mapping[str, str] = types.MappingProxyType(os.environ),
 ) -> Settings | errors.Invalid:
     """Build checked settings; flags win over environment variables."""
-    # Imported here since it costs 11 MB and only the command line needs it.
-    import defopt
-
     values = from_environment(environment)
     if isinstance(values, errors.Invalid):
         return values
-    parsed = defopt.run(
-        with_defaults(values), argv=list(arguments), cli_options="all", short={}
-    )
+    if not arguments and "process" in values:
+        parsed = Settings(**values)
+    else:
+        # Costs 5 MB of memory; a daemon set up by environment variables alone is
+        # spared that.
+        import defopt
+
+        parsed = defopt.run(
+            with_defaults(values), argv=list(arguments), cli_options="all", short={}
+        )
     return check(parsed) or parsed
 
 
--- a/toucanspring/stream.py
+++ b/toucanspring/stream.py
@@ -13,6 +13,7 @@
 from toucanspring import errors, wire
 
 CONNECT_TIMEOUT_S = 2.0
+UNACKNOWLEDGED_MS = 4000
 READ_CHUNK_BYTES = 1 << 16
 
 
@@ -21,6 +22,11 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def limit_unanswered(sock: socket.socket) -> None:
+    """Break the connection once sent bytes stay unacknowledged, as by a lost VM."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
 class Stream:
     """Own a connected socket and exchange frames on it.
 
@@ -34,6 +40,7 @@
         max_frame_bytes: int = wire.MAX_FRAME_BYTES,
     ) -> None:
         disable_nagle(sock)
+        limit_unanswered(sock)
         self._socket = sock
         self._decode = decode
         self._max_frame_bytes = max_frame_bytes
