Make the counter of each renewal attempt unique

Cause: an attempt whose answer was lost and that took effect could be taken for a later attempt with the same counter, whose lease then counted from too late. Change: the counter is raised by each attempt; adds a cell in controlled time.

--- /dev/null
+++ b/test/fake_cell.py
@@ -0,0 +1,159 @@
+"""A cell in controlled time: each step runs the due work of every process."""
+
+import gevent
+
+from test import fake_tables
+from toucanspring import claims, documents, kernel, membership, ownership
+
+STEP_S = 0.1
+
+
+class NoGreenlets:
+    """Keep a service from running its loops in real time."""
+
+    def spawn(self, *_args):
+        pass
+
+    def kill(self):
+        pass
+
+
+class Wire:
+    """Deliver notices between nodes at once, unless the pair is cut."""
+
+    port = 1
+    incarnation = 0
+
+    def __init__(self, cell, name):
+        self.cell = cell
+        self.name = name
+        self.handlers = {}
+
+    def set_targets(self, targets):
+        pass
+
+    def handle(self, method, function):
+        self.handlers[method] = function
+
+    handle_notice = handle
+
+    def notify(self, process, method, body):
+        node = self.cell.nodes.get(process)
+        if node is None or node.dead or {self.name, process} in self.cell.cuts:
+            return False
+        node.inbox.append((self.name, method, body))
+        return True
+
+    def call(self, process, method, body, timeout_s):
+        return self.cell.nodes[process].wire.handlers[method](self.name, body)
+
+
+class Node:
+    """Run the control services of one process without greenlets or sockets."""
+
+    def __init__(self, cell, name, rate=1.0, partitions=3):
+        self.cell = cell
+        self.name = name
+        self.rate = rate
+        self.client = cell.shared.client()
+        self.paused = self.dead = False
+        self.inbox = []
+        self.events = []
+        self.steps = len(cell.nodes)  # spreads the work of the nodes over time
+        settings = fake_tables.settings_of(name, partitions=partitions)
+        self.kernel = kernel.Kernel()
+        self.wire = Wire(cell, name)
+        self.membership = membership.Service(self.kernel, settings, self.clock)
+        self.membership._greenlets = NoGreenlets()
+        # Nodes created within one microsecond would share an incarnation.
+        cell.incarnations += 1
+        self.set_incarnation(cell.incarnations)
+        self.documents = documents.Service(self.kernel, settings, fake_tables.parse)
+        self.claims = claims.Service(self.kernel, settings)
+        self.kernel.register("store", fake_tables.FakeStore(self.client))
+        self.kernel.register("peers", self.wire)
+        for event in (claims.PartitionAcquired, claims.PartitionLost):
+            self.kernel.subscribe(event, self.events.append)
+        for service in ("membership", "documents", "claims"):
+            self.kernel.register(service, getattr(self, service))
+            getattr(self, service).start()
+
+    def set_incarnation(self, incarnation):
+        own = self.membership.own
+        own.identity = membership.msgspec.structs.replace(
+            own.identity, incarnation=incarnation
+        )
+        self.membership.ledger.incarnation = incarnation
+
+    def clock(self):
+        return 100.0 + self.cell.now * self.rate
+
+    def step(self):
+        if self.paused or self.dead:
+            return
+        inbox, self.inbox = self.inbox, []
+        for sender, method, body in inbox:
+            self.wire.handlers[method](sender, body)
+        self.steps += 1
+        if self.steps % 5 == 0:
+            self.membership.poll()
+            self.membership.send_heartbeats()
+        if self.steps % 10 == 3:
+            self.membership._renew()
+
+    def owns(self, partition):
+        """Return whether this node would act as owner now."""
+        return self.claims.may_start(partition, self.clock())
+
+    def held(self):
+        """Return whether the lease in the store is valid."""
+        standing = self.membership.standing(self.clock())
+        return standing is ownership.Standing.HELD
+
+    def kill(self):
+        self.dead = True
+        self.documents.stop()
+
+
+class Cell:
+    def __init__(self, count, partitions=3, rates=None):
+        self.now = 0.0
+        self.shared = fake_tables.FakeTables()
+        self.cuts = []
+        self.incarnations = 0
+        self.nodes = {}
+        for index in range(count):
+            rate = rates[index] if rates else 1.0
+            self.add(f"p{index}", rate, partitions)
+
+    def __getitem__(self, index):
+        return self.nodes[f"p{index}"]
+
+    def add(self, name, rate=1.0, partitions=3):
+        self.nodes[name] = Node(self, name, rate, partitions)
+        return self.nodes[name]
+
+    def run(self, seconds, check=None):
+        for _ in range(round(seconds / STEP_S)):
+            self.now += STEP_S
+            for node in list(self.nodes.values()):
+                node.step()
+            gevent.sleep(0)  # lets documents be fetched
+            if check is not None:
+                check()
+
+    def run_until(self, condition, limit_s=30.0):
+        """Return the seconds until a condition holds, or `None`."""
+        started = self.now
+        while self.now - started < limit_s:
+            if condition():
+                return self.now - started
+            self.run(STEP_S)
+        return None
+
+    def owners(self, partition):
+        return [node.name for node in self.nodes.values() if node.owns(partition)]
+
+    def stop(self):
+        for node in self.nodes.values():
+            node.kill()
--- a/toucanspring/renewal.py
+++ b/toucanspring/renewal.py
@@ -221,7 +221,10 @@
     def _attempt(
         self, checks: dict[str, int], writes: dict[str, bytes]
     ) -> tables.Committed | errors.Failure:
-        counter = self._counter + 1
+        # Unique to the attempt: an earlier one whose answer was lost may be in effect,
+        # and its lease counts from its own send time.
+        self._counter += 1
+        counter = self._counter
         known = self._known()
         row = MemberRow(
             member=self.identity,
@@ -244,7 +247,6 @@
             result = self._resolve(counter, result, writes)
         match result:
             case tables.Committed(versions=versions):
-                self._counter = counter
                 self._version = versions[self.key]
                 self.lists = [known]
                 self._claim_unresolved = False
