Test documents under lost answers, races, stale heads and outages

Cause: an accepted change must never be lost, applied twice or reverted. Change: tests against the fake table service with several processes over loopback streams.

--- /dev/null
+++ b/test/test_documents.py
@@ -0,0 +1,227 @@
+import dataclasses
+import time
+
+import gevent
+import testtools
+
+from test import fake_tables
+from toucanspring import changes, documents, errors, freshness, records
+
+
+class DocumentsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.shared = fake_tables.FakeTables()
+        self.processes = []
+
+    def start(self, count, **values):
+        values = {"poll_s": 0.1, "heartbeat_s": 0.1, "renew_s": 0.2, **values}
+        for _ in range(count):
+            name = f"p{len(self.processes)}"
+            process = fake_tables.Process(name, self.shared.client(), **values)
+            self.processes.append(process)
+            self.addCleanup(process.kill)
+        joined = fake_tables.wait_for(
+            lambda: all(
+                len(p.membership.members()) == len(p.membership.reachable()) == count
+                and p.documents.fresh(time.monotonic())
+                for p in self.processes
+            )
+        )
+        self.assertTrue(joined)
+        return self.processes
+
+    def assert_soon(self, condition, limit_s=3.0):
+        self.assertTrue(fake_tables.wait_for(condition, limit_s))
+
+    def test_a_change_is_in_force_everywhere_and_confirmed(self):
+        cell = self.start(3)
+        started = time.monotonic()
+        self.assertEqual(1, cell[0].documents.apply("one", 0, "operator"))
+        self.assert_soon(lambda: all(p.documents.cell() == "one" for p in cell))
+        self.assertTrue(time.monotonic() - started < 1.0)
+        self.assert_soon(lambda: all(cell[0].documents.confirmations(1).values()))
+        (version,) = cell[2].documents.history()
+        self.assertEqual(("one", "operator"), (version.source, version.operator))
+
+    def test_of_two_operators_one_gets_a_conflict_with_both_versions(self):
+        cell = self.start(2)
+        results = []
+        rivals = [
+            gevent.spawn(lambda p=p: results.append(p.documents.apply(str(p), 0, "x")))
+            for p in cell
+        ]
+        gevent.joinall(rivals)
+        (conflict,) = [r for r in results if isinstance(r, errors.Conflict)]
+        self.assertIn(1, results)
+        self.assertEqual((1, 0), (conflict.current_version, conflict.given_version))
+
+    def test_a_lost_answer_does_not_apply_a_change_twice(self):
+        # Guards against a second version, a second key or a false conflict.
+        (process,) = self.start(1)
+        service, client = process.documents, process.client
+        for failure in (client.lose, client.drop):
+            before = service.versions()
+            failure[records.HEAD] = 1
+            version = service.apply("text", before.config, "operator")
+            self.assertEqual(before.config + 1, version)
+            failure[records.HEAD] = 1
+            granted = service.grant_key("team", "operator")
+            (facts,) = service.keys()
+            self.assertEqual(granted.id, facts.id)
+            failure[records.HEAD] = 1
+            self.assertEqual(before.keys + 2, service.withdraw_key(granted.id, "x"))
+            self.assertIsInstance(service.check_key(granted.secret), errors.Forbidden)
+            failure[records.HEAD] = 1
+            self.assertEqual(before.zones + 1, service.set_zone("a", True, "operator"))
+        self.assertEqual({"a"}, service.zones_out())
+        self.assertEqual(2, len(service.history()))
+
+    def test_a_write_that_takes_effect_late_is_recognised(self):
+        # Guards against a retry that conflicts with its own earlier attempt.
+        (process,) = self.start(1)
+        process.client.late[records.HEAD] = 1
+        process.client.before_commit = None
+        granting = gevent.spawn(process.documents.grant_key, "team", "operator")
+        self.assert_soon(lambda: process.client.kept_back)
+        process.client.deliver_late()
+        granting.get(timeout=3)
+        self.assertEqual(1, len(process.documents.keys()))
+
+    def test_without_an_answer_in_time_the_outcome_is_ambiguous(self):
+        (process,) = self.start(1)
+        self.patch(changes, "LIMIT_S", 0.3)
+        process.client.lose[records.HEAD] = 9
+        process.client.before_commit = lambda: setattr(process.client, "down", True)
+        result = process.documents.apply("text", 0, "operator")
+        self.assertIsInstance(result, errors.Ambiguous)
+
+    def test_a_change_without_the_store_is_refused(self):
+        (process,) = self.start(1)
+        process.client.down = True
+        result = process.documents.set_zone("a", True, "operator")
+        self.assertIsInstance(result, errors.Unavailable)
+        self.assertEqual(frozenset(), process.documents.zones_out())
+
+    def test_edits_of_several_operators_all_take_effect(self):
+        # Guards against edits that overwrite each other.
+        cell = self.start(2)
+        names = [f"zone-{index}" for index in range(12)]
+        edits = [
+            gevent.spawn(cell[index % 2].documents.set_zone, name, True, "operator")
+            for index, name in enumerate(names)
+        ]
+        gevent.joinall(edits)
+        self.assertEqual([], [e.value for e in edits if not isinstance(e.value, int)])
+        expected = frozenset(names)
+        self.assert_soon(lambda: all(p.documents.zones_out() == expected for p in cell))
+
+    def test_a_stale_head_neither_reverts_nor_confirms(self):
+        # Guards against a store replica that lags or was restored from a copy.
+        (process,) = self.start(1)
+        stale = dict(self.shared.rows)
+        process.documents.apply("one", 0, "operator")
+        absent = changes.tables.Row(0, b"")
+        process.client.stale_rows = {
+            key: stale.get(key, absent) for key in (records.HEAD, records.CONFIG)
+        }
+        self.assert_soon(lambda: not process.documents.fresh(time.monotonic()))
+        self.assertEqual("one", process.documents.cell())
+        refused = process.documents.apply("two", 0, "operator")
+        self.assertIsInstance(refused, errors.Refused)
+        process.client.stale_rows = {}
+        self.assert_soon(lambda: process.documents.fresh(time.monotonic()))
+
+    def test_a_process_without_the_store_follows_its_peers(self):
+        # Guards against a process that serves an old view, and against one that stops
+        # although its peers vouch for its view.
+        cell = self.start(3)
+        cell[2].client.down = True
+        self.assertEqual(1, cell[0].documents.apply("one", 0, "operator"))
+        granted = cell[1].documents.grant_key("team", "operator")
+        self.assert_soon(lambda: cell[2].documents.keys())
+        self.assertEqual("one", cell[2].documents.cell())
+        gevent.sleep(1.8)
+        self.assertTrue(cell[2].documents.fresh(time.monotonic()))
+        self.assertEqual("team", cell[2].documents.check_key(granted.secret).team)
+        cell[0].documents.withdraw_key(granted.id, "operator")
+        self.assert_soon(lambda: not cell[2].documents.keys(), 1.5)
+
+    def test_an_outage_for_all_keeps_the_view_fresh_but_one_cut_off_stops(self):
+        cell = self.start(3)
+        for process in cell:
+            process.client.down = True
+        gevent.sleep(2.2)
+        now = time.monotonic()
+        self.assertEqual([True] * 3, [p.documents.fresh(now) for p in cell])
+        for process in cell[1:]:
+            process.kill()
+        self.assert_soon(lambda: not cell[0].documents.fresh(time.monotonic()))
+
+    def test_a_change_that_half_of_the_members_did_not_confirm_is_ambiguous(self):
+        # Guards against an accepted change that an outage right after it could hide.
+        cell = self.start(3)
+        for process in cell[1:]:
+            process.kill()
+        self.patch(documents, "CONFIRM_LIMIT_S", 0.3)
+        result = cell[0].documents.apply("one", 0, "operator")
+        self.assertIsInstance(result, errors.Ambiguous)
+        self.assertIn("1 of 3", result.reason)
+
+    def test_invalid_and_oversized_texts_are_refused(self):
+        (process,) = self.start(1)
+        service = process.documents
+        self.assertIsInstance(service.apply("bad", 0, "x"), errors.Invalid)
+        long = "x" * (documents.MAX_SOURCE_BYTES + 1)
+        self.assertIsInstance(service.apply(long, 0, "x"), errors.Oversized)
+        self.assertIsInstance(service.withdraw_key("none", "x"), errors.NotFound)
+        self.assertEqual(freshness.Versions(), service.versions())
+
+    def test_a_configuration_that_is_invalid_here_is_not_confirmed(self):
+        # Guards against a process of an older release that claims to follow.
+        cell = self.start(2)
+        cell[1].documents._parse = lambda _source: errors.Invalid(reason="unknown")
+        self.assertEqual(1, cell[0].documents.apply("new", 0, "operator"))
+        gevent.sleep(2.0)
+        self.assertEqual({"p0": True, "p1": False}, cell[0].documents.confirmations(1))
+        self.assertFalse(cell[1].documents.fresh(time.monotonic()))
+
+
+class KeysTest(testtools.TestCase):
+    def test_only_a_hash_of_a_key_is_stored(self):
+        stored, granted = records.create_key("team", "operator")
+        random_part = granted.secret.split("_", 2)[2]
+        row = records.encode(records.Keys(version=1, keys={stored.id: stored}))
+        self.assertNotIn(random_part.encode(), row)
+        self.assertIn(records.hash_secret(granted.secret), row)
+
+    def test_a_secret_must_match_completely(self):
+        stored, granted = records.create_key("team", "operator")
+        keys = records.Keys(version=1, keys={stored.id: stored})
+        self.assertEqual("team", records.find_key(keys, granted.secret).team)
+        for wrong in (
+            "",
+            "_",
+            granted.secret[:-1],
+            granted.secret + "x",
+            granted.secret.replace("ts_", "xx_"),
+            f"ts_{stored.id}_",
+            f"ts_{stored.id}",
+            "ts_\0_\udcff".encode(errors="replace").decode(),
+        ):
+            self.assertIsInstance(records.find_key(keys, wrong), errors.Forbidden)
+
+    def test_the_operators_key_is_checked_against_its_hash(self):
+        hashed = records.hash_secret("operator secret").hex()
+        client = fake_tables.FakeTables().client()
+        process = fake_tables.Process("p", client, start=False)
+        for configured, secret, allowed in (
+            (hashed, "operator secret", True),
+            (hashed, "other", False),
+            ("", "", False),
+            ("", "operator secret", False),
+        ):
+            process.documents._settings = dataclasses.replace(
+                process.settings, operator_key_hash=configured
+            )
+            self.assertEqual(allowed, process.documents.check_operator(secret))
