--- /dev/null
+++ b/toucanspring/documents.py
@@ -0,0 +1,397 @@
+"""Configuration, keys and availability zones: read, spread, changed and kept fresh."""
+
+from __future__ import annotations
+
+import dataclasses
+import hmac
+import time
+from collections.abc import Callable, Mapping
+
+import gevent
+import logbook
+import msgspec
+from gevent import event, pool
+
+from toucanspring import (
+    changes,
+    errors,
+    freshness,
+    heartbeat,
+    membership,
+    ownership,
+    records,
+    renewal,
+)
+from toucanspring.adapters import tables
+
+log = logbook.Logger(__name__)
+
+MAX_SOURCE_BYTES = 512 << 10
+HISTORY_PAGE = 100
+FETCH_TIMEOUT_S = 2.0
+RETRY_S = 0.1
+# How long a stored change waits until half of the members have it in force.
+CONFIRM_LIMIT_S = 2.5
+STALE_HEADS = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationChanged:
+    """A configuration version came into force in this process."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeysChanged:
+    """A version of the keys came into force in this process."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AvailabilityZonesChanged:
+    """A version of the zones came into force in this process."""
+
+    version: int
+    out: frozenset[str]
+
+
+def import_parser() -> Callable[[str], object]:
+    """Return the parser of the configuration text."""
+    from toucanspring import text
+
+    return text.parse
+
+
+class Service:
+    """Own the documents in force in this process."""
+
+    def __init__(
+        self,
+        kernel: object,
+        settings: object,
+        parse: Callable[[str], object] | None = None,
+    ) -> None:
+        self._kernel = kernel
+        self._settings = settings
+        self._parse = parse or import_parser()
+        self._documents: dict[str, records.Document] = {
+            name: kind() for name, (_, kind) in records.ROWS.items()
+        }
+        self._cell = self._parse("")
+        self._view = freshness.View()
+        self._wanted = freshness.Versions()
+        self._witness = False
+        self._stale_heads = 0
+        self._pending: tuple[freshness.Versions, float] | None = None
+        self._wake = event.Event()
+        self._confirmed = event.Event()
+        self._greenlets = pool.Group()
+        self._members: membership.Service | None = None
+
+    def start(self) -> None:
+        """Follow the head row and the versions that other processes announce."""
+        self._members = self._kernel.find("membership")
+        self._members.watch(lambda: [records.HEAD], self._take_head)
+        self._members.on_heartbeat(self._take_heartbeat)
+        self._kernel.find("peers").handle("fetch_document", self._serve_document)
+        self._greenlets.spawn(self._follow)
+
+    def stop(self) -> None:
+        """Stop following."""
+        self._greenlets.kill()
+
+    # Interface: reading
+
+    def cell(self) -> object:
+        """Return the parsed configuration in force."""
+        return self._cell
+
+    def source(self) -> records.ConfigVersion:
+        """Return the configuration in force with its text."""
+        return self._documents["config"]
+
+    def versions(self) -> freshness.Versions:
+        """Return the versions in force."""
+        return self._view.versions
+
+    def view(self) -> freshness.View:
+        """Return the versions in force and when they were known to be the latest."""
+        return self._view
+
+    def zones_out(self) -> frozenset[str]:
+        """Return the availability zones that are out of service."""
+        return frozenset(self._documents["zones"].out)
+
+    def fresh(self, now: float) -> bool:
+        """Return whether keyed work may be accepted and tasks may be started."""
+        if freshness.is_young(self._view, now):
+            return True
+        members = self._members
+        # A process that has not read the head itself has no list to count against.
+        if not self._witness or not self._view.versions.covers(self._wanted):
+            return False
+        lists = members.own.lists
+        known = dict(members.ledger.promised_versions)
+        known[members.identity.process] = self._view.versions
+        promises = members.promises()
+        return bool(lists) and all(
+            freshness.is_vouched(
+                self._view, now, names, promises, known, members.timing
+            )
+            for names in lists
+        )
+
+    def is_witness(self) -> bool:
+        """Return whether this process has read the head row since it started."""
+        return self._witness
+
+    def keys(self) -> list[records.KeyFacts]:
+        """Return all granted keys."""
+        return [
+            records.KeyFacts(key.id, key.team, key.granted_by)
+            for key in self._documents["keys"].keys.values()
+        ]
+
+    def check_key(self, secret: str) -> records.KeyFacts | errors.Forbidden:
+        """Return the key that a secret belongs to."""
+        return records.find_key(self._documents["keys"], secret)
+
+    def check_operator(self, secret: str) -> bool:
+        """Return whether a secret is the operators' key."""
+        expected = self._settings.operator_key_hash
+        digest = records.hash_secret(secret).hex()
+        return bool(expected) and hmac.compare_digest(digest, expected)
+
+    def history(self) -> list[records.ConfigVersion] | errors.Failure:
+        """Return the latest configuration versions, the newest first."""
+        first = max(self._view.versions.config - HISTORY_PAGE, 0)
+        rows = self._tables.scan(records.HISTORY, records.history_key(first))
+        if isinstance(rows, errors.Failure):
+            return rows
+        found = [records.decode(records.ConfigVersion, row.value) for row in rows]
+        return [
+            each for each in reversed(found) if isinstance(each, records.ConfigVersion)
+        ]
+
+    def confirmations(self, version: int) -> dict[str, bool]:
+        """Return which members have a configuration version in force."""
+        return self._confirmations("config", version)
+
+    # Interface: changes
+
+    def apply(
+        self, source: str, expected_version: int, operator: str
+    ) -> int | errors.Failure:
+        """Put a configuration text into force; return its version.
+
+        Fails with `Invalid`, `Conflict` with both versions, `Unavailable` (not in
+        force) or `Ambiguous`.
+        """
+        if len(source.encode()) > MAX_SOURCE_BYTES:
+            return errors.Oversized(
+                reason="the configuration is too long", limit=MAX_SOURCE_BYTES
+            )
+        cell = self._parse(source)
+        if isinstance(cell, errors.Failure):
+            return cell
+        return self._change(changes.ConfigChange(source, expected_version, operator))
+
+    def set_zone(self, name: str, out: bool, operator: str) -> int | errors.Failure:
+        """Take an availability zone out of service or return it."""
+        declared = getattr(self._cell, "availability_zones", None)
+        # A zone that is out but no longer declared can still be returned.
+        if declared and name not in declared and name not in self.zones_out():
+            return errors.NotFound(reason=f"no availability zone {name!r} is declared")
+        return self._change(changes.ZoneChange(name, out, operator))
+
+    def grant_key(
+        self, team: str, operator: str
+    ) -> records.GrantedKey | errors.Failure:
+        """Grant a new key to a team."""
+        declared = getattr(self._cell, "teams", None)
+        if declared and team not in declared:
+            return errors.NotFound(reason=f"no team {team!r} is declared")
+        stored, granted = records.create_key(team, operator)
+        result = self._change(changes.KeyGrant(stored))
+        return result if isinstance(result, errors.Failure) else granted
+
+    def withdraw_key(self, key_id: str, operator: str) -> int | errors.Failure:
+        """Withdraw a key; it stops working within seconds."""
+        log.info("operator {} withdraws key {}", operator, key_id)
+        return self._change(changes.KeyWithdrawal(key_id))
+
+    # Changes
+
+    @property
+    def _tables(self) -> tables.TableClient:
+        return self._kernel.find("store").tables
+
+    def _change(self, change: changes.Change) -> int | errors.Failure:
+        document = changes.commit(self._tables, change, self.versions)
+        if isinstance(document, errors.Failure):
+            return document
+        return self._finish(change.name, document)
+
+    def _finish(self, name: str, document: records.Document) -> int | errors.Ambiguous:
+        """Put a stored change into force and wait until half of the members have it.
+
+        A majority that vouches for an old view during an outage of the store then
+        always includes a member that knows the change.
+        """
+        self._adopt(name, document)
+        deadline = time.monotonic() + CONFIRM_LIMIT_S
+        while True:
+            self._confirmed.clear()
+            found = self._confirmations(name, document.version)
+            have = sum(found.values())
+            if have * 2 >= len(found):
+                return document.version
+            wait_s = deadline - time.monotonic()
+            if wait_s <= 0:
+                return errors.Ambiguous(
+                    reason=f"version {document.version} is stored, but only {have} of "
+                    f"{len(found)} processes have confirmed it"
+                )
+            self._confirmed.wait(wait_s)
+
+    def _confirmations(self, name: str, version: int) -> dict[str, bool]:
+        found = dict.fromkeys(self._members.members(), False)
+        for process, message in self._members.peer_states().items():
+            if process in found:
+                found[process] = getattr(message.versions, name) >= version
+        own = self._members.identity.process
+        found[own] = getattr(self._view.versions, name) >= version
+        return found
+
+    # Following
+
+    def _take_head(self, rows: Mapping[str, tables.Row], sent_at: float) -> None:
+        head = records.decode(records.Head, rows[records.HEAD].value)
+        if isinstance(head, errors.Failure):
+            log.error("{}", head.reason)
+            return
+        if not head.versions.covers(self._view.versions):
+            # One may be a read that a change has overtaken; a series is a store that
+            # has lost changes. The view then ages, and keyed work stops.
+            self._stale_heads += 1
+            if self._stale_heads % STALE_HEADS == 0:
+                log.error("the store shows {}, which is too old", head.versions)
+            return
+        self._stale_heads = 0
+        self._witness = True
+        self._view = freshness.confirm(self._view, head.versions, sent_at)
+        if head.versions != self._view.versions:
+            self._pending = (head.versions, sent_at)
+            self._want(head.versions)
+
+    def _take_heartbeat(
+        self, _process: str, message: heartbeat.Heartbeat, echoed_at: float
+    ) -> None:
+        self._confirmed.set()
+        if not self._view.versions.covers(message.versions):
+            self._want(message.versions)
+        elif echoed_at > ownership.NEVER:
+            drift = self._members.timing.drift
+            age_s = message.view_age_ms / 1000
+            self._view = freshness.vouch(
+                self._view, message.versions, age_s, echoed_at, drift
+            )
+
+    def _want(self, versions: freshness.Versions) -> None:
+        self._wanted = freshness.merge(self._wanted, versions)
+        self._wake.set()
+
+    def _follow(self) -> None:
+        """Fetch documents whenever a newer version is known to exist."""
+        while True:
+            self._wake.wait()
+            self._wake.clear()
+            while not self._view.versions.covers(self._wanted):
+                try:
+                    progressed = self._fetch()
+                except Exception:
+                    log.exception("fetching documents failed")
+                    progressed = False
+                if not progressed:
+                    gevent.sleep(RETRY_S)
+            if self._pending is not None:
+                self._view = freshness.confirm(self._view, *self._pending)
+                self._pending = None
+
+    def _fetch(self) -> bool:
+        """Fetch the documents that are behind; return whether one was adopted."""
+        behind = [
+            name
+            for name in records.ROWS
+            if getattr(self._view.versions, name) < getattr(self._wanted, name)
+        ]
+        now = self._members.clock()
+        if self._members.store_age(now) < renewal.NO_ACCESS_S:
+            rows = self._tables.read([records.ROWS[name][0] for name in behind])
+            if not isinstance(rows, errors.Failure):
+                adopted = [
+                    self._adopt_row(name, rows[records.ROWS[name][0]].value)
+                    for name in behind
+                ]
+                if any(adopted):
+                    return True
+        return any(list(map(self._fetch_from_peers, behind)))
+
+    def _fetch_from_peers(self, name: str) -> bool:
+        wanted = getattr(self._wanted, name)
+        for process, message in self._members.peer_states().items():
+            if getattr(message.versions, name) < wanted:
+                continue
+            value = self._kernel.find("peers").call(
+                process, "fetch_document", name.encode(), FETCH_TIMEOUT_S
+            )
+            if isinstance(value, bytes) and self._adopt_row(name, value):
+                return True
+        return False
+
+    def _serve_document(self, sender: str, body: bytes) -> bytes | errors.Failure:
+        document = self._documents.get(body.decode(errors="replace"))
+        if document is None:
+            return errors.NotFound(reason=f"{sender} asked for an unknown document")
+        return records.encode(document)
+
+    def _adopt_row(self, name: str, value: bytes) -> bool:
+        document = records.decode(records.ROWS[name][1], value)
+        if isinstance(document, errors.Failure):
+            log.error("{}", document.reason)
+            return False
+        return self._adopt(name, document)
+
+    def _adopt(self, name: str, document: records.Document) -> bool:
+        """Put a document into force unless a newer one is; versions never go back."""
+        if document.version <= getattr(self._view.versions, name):
+            return False
+        if name == "config":
+            cell = self._parse(document.source)
+            if isinstance(cell, errors.Failure):
+                # Not in force here, hence not confirmed and, soon, not fresh.
+                log.error(
+                    "configuration {} is invalid here: {}", document.version, cell
+                )
+                return False
+            self._cell = cell
+        self._documents[name] = document
+        versions = msgspec.structs.replace(
+            self._view.versions, **{name: document.version}
+        )
+        self._view = dataclasses.replace(self._view, versions=versions)
+        self._publish(name, document)
+        self._members.send_heartbeats()
+        return True
+
+    def _publish(self, name: str, document: records.Document) -> None:
+        match name:
+            case "config":
+                self._kernel.publish(ConfigurationChanged(document.version))
+            case "keys":
+                self._kernel.publish(KeysChanged(document.version))
+            case "zones":
+                out = frozenset(document.out)
+                self._kernel.publish(AvailabilityZonesChanged(document.version, out))
--- a/toucanspring/lifecycle.py
+++ b/toucanspring/lifecycle.py
@@ -8,13 +8,13 @@
 
 from toucanspring import (
     allowance,
+    collector,
     decisions,
     effects,
     estimate,
     fairness,
     gang,
     job,
-    outbox,
     placement,
     quarantine,
     resources,
@@ -68,7 +68,7 @@
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
         self.table = task_table.TaskTable()
-        self.outbox = outbox.Outbox()
+        self.effects = collector.Collector()
         self.index = placement.WorkerIndex(rng)
         self.shares = fairness.Ledger([])
         self.allowances = allowance.Ledger()
@@ -179,7 +179,7 @@
                 self.end_waiting(record, dependency_failed(job_id, other.outcome), now)
                 return False
         if unknown and watch:
-            self.outbox.add(effects.WatchJobs(record.spec.id, unknown))
+            self.effects.add(effects.WatchJobs(record.spec.id, unknown))
         return not record.blocked_on
 
     def dependency_finished(
@@ -242,7 +242,7 @@
         """Make waiting tasks final, except those that may run on some worker."""
         self.queue.remove(record.spec.id)
         record.delayed.clear()
-        job_id, record_outcome = record.spec.id, self.outbox.record
+        job_id, record_outcome = record.spec.id, self.effects.record
         for index in list(record.waiting_indices()):
             if index in record.held:
                 continue
@@ -256,7 +256,7 @@
     def _close_job(self, record: task_table.JobRecord) -> job.Outcome:
         outcome = self.table.finish_job(record)
         self.queue.remove(record.spec.id)
-        self.outbox.finish(record.spec.id, outcome)
+        self.effects.finish(record.spec.id, outcome)
         return outcome
 
     def _latest_start(self, record: task_table.JobRecord) -> float:
@@ -313,11 +313,11 @@
             if idempotent:
                 starts.append(self.message(record, task))
             else:
-                self.outbox.intend(
+                self.effects.intend(
                     effects.Intent(task.id, task.attempt, worker, incarnation)
                 )
         if starts:
-            self.outbox.start(worker, starts)
+            self.effects.start(worker, starts)
         total = demand.times(len(indices)) if len(indices) > 1 else demand
         self.index.allocate(worker, total)
         self.allowances.use(team, total)
@@ -371,7 +371,7 @@
     def stop(self, task: task_table.LiveTask, reason: str, mode: str) -> None:
         """Ask the worker to stop a task; its report ends the attempt."""
         task.stop_reason, task.stop_mode = reason, mode
-        self.outbox.stop(task.worker, task.id, mode)
+        self.effects.stop(task.worker, task.id, mode)
 
     def vacate(
         self, record: task_table.JobRecord, task: task_table.LiveTask, now: float
@@ -395,7 +395,7 @@
     ) -> None:
         """Record the final outcome of a task that occupies no worker."""
         record.set_final(index, outcome)
-        self.outbox.record(f"{record.spec.id}/{index}", outcome)
+        self.effects.record(f"{record.spec.id}/{index}", outcome)
         if record.complete():
             if record.outcome is None:
                 job_outcome = self._close_job(record)
--- a/toucanspring/outbox.py
+++ b/toucanspring/outbox.py
@@ -1,85 +1,115 @@
-"""Collection of effects, merged into few large ones."""
+"""Bounded queue of frames to one stream."""
 
 from __future__ import annotations
 
-from toucanspring import effects, job, wire
+import collections
+import dataclasses
+
+import gevent
+from gevent import event
+
+from toucanspring import errors, frames, stream
+
+MAX_QUEUED_BYTES = 4 << 20
+FRAME_OVERHEAD_BYTES = 256  # of one queued frame in memory
+# A peer that takes no byte for this long is treated as lost.
+STALL_S = 5.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Item:
+    """Hold one queued frame; `sent` is set when its sending begins."""
+
+    frame: frames.Frame
+    size: int  # bytes that count against the limit
+    sent: bool = False
+    withdrawn: bool = False
 
 
 class Outbox:
-    """Collect effects until the caller takes them."""
-
-    def __init__(self) -> None:
-        self._starts: dict[str, list[wire.TaskStart]] = {}
-        self._stops: dict[tuple[str, str], list[str]] = {}
-        self._intents: list[effects.Intent] = []
-        self._outcomes: dict[str, job.Outcome] = {}
-        self._finished: list[effects.JobFinished] = []
-        self._acknowledged: dict[str, list[str]] = {}
-        self._others: list[effects.Effect] = []
-
-    def start(self, worker: str, starts: list[wire.TaskStart]) -> None:
-        """Add starts on a worker."""
-        self._starts.setdefault(worker, []).extend(starts)
-
-    def stop(self, worker: str, task_id: str, mode: str) -> None:
-        """Add a stop on a worker."""
-        self._stops.setdefault((worker, mode), []).append(task_id)
-
-    def intend(self, intent: effects.Intent) -> None:
-        """Add an intent to the log."""
-        self._intents.append(intent)
-
-    def record(self, task_id: str, outcome: job.Outcome) -> None:
-        """Add a task outcome to the log."""
-        self._outcomes[task_id] = outcome
-
-    def finish(self, job_id: str, outcome: job.Outcome) -> None:
-        """Add the end of a job."""
-        self._finished.append(effects.JobFinished(job_id, outcome))
-
-    def acknowledge(self, worker: str, task_id: str) -> None:
-        """Let a worker forget a task."""
-        self._acknowledged.setdefault(worker, []).append(task_id)
-
-    def add(self, effect: effects.Effect) -> None:
-        """Add any other effect."""
-        self._others.append(effect)
-
-    def take(self) -> list[effects.Effect]:
-        """Return all effects and forget them.
-
-        Outcomes come before the acknowledgements that depend on them, and stops
-        before the starts that use the room they give.
+    """Queue frames and send them in order from one greenlet.
+
+    A slow receiver costs at most `max_bytes` and blocks no caller of `put`.
+    """
+
+    def __init__(
+        self, target: stream.Stream, max_bytes: int = MAX_QUEUED_BYTES
+    ) -> None:
+        self._stream = target
+        self._max_bytes = max_bytes
+        self._items: collections.deque[Item] = collections.deque()
+        self._bytes = 0
+        self._filled = event.Event()
+        self._drained = event.Event()
+        self._drained.set()
+        self.closed = False
+        self._sender = gevent.spawn(self._run)
+
+    def put(self, frame: frames.Frame) -> Item | None:
+        """Queue a frame; `None` if the queue is full or closed."""
+        item = Item(frame, len(frame.body) + FRAME_OVERHEAD_BYTES)
+        if self.closed or (self._bytes and self._bytes + item.size > self._max_bytes):
+            return None
+        self._items.append(item)
+        self._bytes += item.size
+        self._drained.clear()
+        self._filled.set()
+        return item
+
+    def put_first(self, frame: frames.Frame, waiting: Item | None) -> Item | None:
+        """Queue a small frame before all others, in place of one that still waits.
+
+        Notices carry the latest state, so a slow stream needs to hold only one.
         """
-        taken: list[effects.Effect] = []
-        if self._intents:
-            taken.append(effects.RecordIntents(self._intents))
-            self._intents = []
-        if self._outcomes:
-            taken.append(effects.RecordOutcomes(self._outcomes))
-            self._outcomes = {}
-        if self._finished:
-            taken += self._finished
-            self._finished = []
-        if self._acknowledged:
-            taken += [
-                effects.Acknowledge(worker, task_ids)
-                for worker, task_ids in self._acknowledged.items()
-            ]
-            self._acknowledged = {}
-        if self._stops:
-            taken += [
-                effects.StopTasks(worker, task_ids, mode)
-                for (worker, mode), task_ids in self._stops.items()
-            ]
-            self._stops = {}
-        if self._starts:
-            taken += [
-                effects.StartTasks(worker, tasks)
-                for worker, tasks in self._starts.items()
-            ]
-            self._starts = {}
-        if self._others:
-            taken += self._others
-            self._others = []
-        return taken
+        if waiting is not None and not waiting.sent and not self.closed:
+            waiting.frame = frame
+            return waiting
+        item = self.put(frame)
+        if item is not None:
+            self._items.rotate(1)
+        return item
+
+    def put_wait(self, frame: frames.Frame, timeout_s: float) -> Item | None:
+        """Queue a frame once the queue is empty; `None` if that takes too long."""
+        while (item := self.put(frame)) is None:
+            if self.closed or not self._drained.wait(timeout_s):
+                return None
+        return item
+
+    def withdraw(self, item: Item) -> bool:
+        """Remove a frame whose sending has not begun; return whether it was removed."""
+        if item.sent:
+            return False
+        item.withdrawn = True
+        return True
+
+    def close(self) -> None:
+        """Drop what is queued and close the stream."""
+        if not self.closed:
+            self.closed = True
+            self._items.clear()
+            self._drained.set()
+            self._filled.set()
+            self._stream.close()
+
+    def _run(self) -> None:
+        while not self.closed:
+            if not self._items:
+                self._drained.set()
+                self._filled.clear()
+                self._filled.wait()
+                continue
+            item = self._items.popleft()
+            if not item.withdrawn:
+                item.sent = True
+                if isinstance(self._send(item.frame), errors.Failure):
+                    self.close()
+                    return
+            self._bytes -= item.size
+
+    def _send(self, frame: frames.Frame) -> None | errors.Failure:
+        try:
+            with gevent.Timeout(STALL_S):
+                return self._stream.send(frame)
+        except gevent.Timeout:
+            return errors.Timeout(reason=f"the peer took no byte for {STALL_S} s")
--- /dev/null
+++ b/toucanspring/partition.py
@@ -0,0 +1,330 @@
+"""The task that owns one partition: its queue, its log and its workers."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import gevent
+import gevent.event
+import gevent.queue
+import logbook
+
+from toucanspring import (
+    allowances,
+    effects,
+    errors,
+    execution,
+    fairness,
+    fleet,
+    inbox,
+    job,
+    journal,
+    kernel,
+    log_records,
+    request_log,
+    scheduler,
+    settings,
+    wire,
+)
+
+log = logbook.Logger(__name__)
+
+TICK_INTERVAL_S = 0.02
+MAX_MESSAGES_PER_ROUND = 256
+LOAD_RETRY_S = 0.3
+DRAIN_LIMIT_S = 2.0
+
+
+class Partition:
+    """Own one partition from the moment it is claimed until it is lost."""
+
+    def __init__(
+        self,
+        number: int,
+        epoch: int,
+        core: kernel.Kernel,
+        options: settings.Settings,
+    ) -> None:
+        self.number = number
+        self.epoch = epoch
+        self.ready = gevent.event.Event()
+        self._kernel = core
+        self._settings = options
+        self._inbox: gevent.queue.Queue = gevent.queue.Queue()
+        self._scheduler = scheduler.Scheduler(number, random.Random())
+        self._accepting: dict[str, tuple[job.JobSpec, gevent.event.AsyncResult]] = {}
+        self._greenlet: gevent.Greenlet | None = None
+        claims = core.find("claims")
+        store = core.find("store")
+        self.journal = journal.Journal(
+            number,
+            epoch,
+            claims.row_version(number),
+            store.tables,
+            store.objects,
+            journal.flush_interval(options.partitions),
+        )
+        self.allowances = allowances.Keeper(
+            number,
+            core,
+            lambda held: self.post(inbox.AllowancesChanged(held)),
+        )
+        self.requests = request_log.RequestLog(self.journal)
+        self._executor = execution.Executor(
+            number, core, self._scheduler, self.journal, self.allowances, self.post
+        )
+
+    def __enter__(self) -> Partition:
+        self.journal.__enter__()
+        self._greenlet = gevent.spawn(self._run)
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        self.journal.drain(DRAIN_LIMIT_S if not self.journal.fenced else 0)
+        self._kernel.find("fleet").remove_partition(self.number)
+        if self._greenlet is not None:
+            self._greenlet.kill()
+        self._executor.close()
+        self.allowances.close()
+        self.journal.__exit__()
+        self._refuse_inbox()
+
+    def post(self, message: object) -> None:
+        """Queue a message for the partition's task."""
+        self._inbox.put(message)
+
+    def facts(self) -> dict[str, effects.WorkerFacts]:
+        """Return the workers that have attached."""
+        return dict(self._executor.workers)
+
+    # The task
+
+    def _run(self) -> None:
+        self._load()
+        self.ready.set()
+        last_tick = 0.0
+        while not self.journal.fenced:
+            handled = self._handle_messages()
+            now = time.monotonic()
+            if handled or now - last_tick >= TICK_INTERVAL_S:
+                last_tick = now
+                if self._executor.may_start(now):
+                    self._executor.carry_out(self._scheduler.tick(now))
+        log.warning("partition {}: fenced under epoch {}", self.number, self.epoch)
+        # In a greenlet of its own, because the release ends this one.
+        gevent.spawn(self._kernel.find("claims").release, self.number)
+
+    def _handle_messages(self) -> int:
+        handled = 0
+        timeout_s: float | None = TICK_INTERVAL_S
+        while handled < MAX_MESSAGES_PER_ROUND:
+            try:
+                message = self._inbox.get(timeout=timeout_s)
+            except gevent.queue.Empty:
+                break
+            timeout_s = 0
+            handled += 1
+            try:
+                self._handle(message)
+            except Exception:
+                log.exception("partition {}: {!r}", self.number, type(message))
+        return handled
+
+    def _load(self) -> None:
+        """Read the log and the worker map, then rebuild the scheduler."""
+        while True:
+            failure = self.journal.load()
+            expected = self._kernel.find("fleet").assigned(self.number)
+            if failure is None and isinstance(expected, set):
+                break
+            log.warning("partition {}: loading: {}", self.number, failure or expected)
+            self.journal.state = log_records.State()
+            gevent.sleep(LOAD_RETRY_S)
+        state = self.journal.state
+        now = time.monotonic()
+        self._update_documents(now)
+        self._executor.carry_out(
+            self._scheduler.restore(
+                list(state.specs.values()),
+                state.outcome_map(),
+                dict(state.intents),
+                set(state.cancelled),
+                expected,
+                now,
+            )
+        )
+        self.allowances.start()
+        self._kernel.find("fleet").add_partition(self.number, self.epoch, self.post)
+        log.info(
+            "partition {}: owner under epoch {}, {} jobs, {} workers expected",
+            self.number,
+            self.epoch,
+            len(state.specs),
+            len(expected),
+        )
+
+    def _handle(self, message: object) -> None:
+        now = time.monotonic()
+        match message:
+            case fleet.FromWorker(worker=worker, message=content):
+                self._handle_worker(worker, content, now)
+            case fleet.Lost(worker=worker):
+                self._executor.workers.pop(worker, None)
+                self._executor.carry_out(self._scheduler.worker_lost(worker, now))
+            case fleet.Disconnected(worker=worker, unanswered=unanswered):
+                self._executor.carry_out(
+                    self._scheduler.starts_unanswered(worker, unanswered, now)
+                )
+            case fleet.Leaving(worker=worker, leaving=leaving):
+                self._executor.carry_out(
+                    self._scheduler.worker_leaving(worker, leaving, now)
+                )
+            case inbox.Submit(specs=specs, result=result):
+                self._submit(specs, result)
+            case inbox.Cancel(job_ids=job_ids, result=result):
+                self._cancel(job_ids, result)
+            case inbox.Ask(function=function, result=result):
+                result.set(function(self._scheduler))
+            case inbox.Durable(action=action, failure=failure):
+                self._executor.carry_out(action(failure))
+            case inbox.TeamsChanged():
+                self._update_documents(now)
+            case inbox.DependencyFinished(job_id=job_id, outcome=outcome):
+                self._executor.carry_out(
+                    self._scheduler.dependency_finished(job_id, outcome, now)
+                )
+            case inbox.AllowancesChanged(held=held):
+                self._executor.carry_out(self._scheduler.set_allowances(held, now))
+            case _:
+                log.error("partition {}: unexpected {!r}", self.number, message)
+
+    def _update_documents(self, now: float) -> None:
+        documents = self._kernel.find("documents")
+        teams = {
+            team.name: fairness.Team(
+                team.name, team.organisation, team.share, team.ceiling
+            )
+            for team in documents.cell().teams.values()
+        }
+        self.allowances.set_teams(teams)
+        self._executor.carry_out(self._scheduler.set_teams(teams, now))
+        self._executor.carry_out(
+            self._scheduler.set_availability_zones(documents.zones_out(), now)
+        )
+
+    def _handle_worker(
+        self, worker: str, message: wire.WorkerMessage, now: float
+    ) -> None:
+        match message:
+            case wire.Attached():
+                facts = effects.WorkerFacts(
+                    worker,
+                    message.incarnation,
+                    message.capacity,
+                    message.availability_zone,
+                    message.rack,
+                )
+                self._executor.workers[worker] = facts
+                self._executor.carry_out(
+                    self._scheduler.worker_attached(
+                        facts, message.running, message.finished, now
+                    )
+                )
+            case wire.Report(finished=finished, usage=usage):
+                if finished or usage:
+                    self._executor.carry_out(
+                        self._scheduler.worker_report(worker, finished, usage, now)
+                    )
+            case wire.Started(accepted=accepted, refused=refused):
+                self._executor.carry_out(
+                    self._scheduler.starts_answered(worker, accepted, refused, now)
+                )
+
+    # Submission and cancellation
+
+    def _submit(
+        self, specs: list[job.JobSpec], result: gevent.event.AsyncResult
+    ) -> None:
+        answers: list[object] = [None] * len(specs)
+        waiting: list[tuple[int, gevent.event.AsyncResult]] = []
+        for index, spec in enumerate(specs):
+            known = self.journal.state.specs.get(spec.id)
+            pending = self._accepting.get(spec.id)
+            if known is None and pending is not None:
+                known = pending[0]
+            if known is not None and known != spec:
+                answers[index] = errors.Conflict(
+                    key=spec.id, reason="another job with this ID was accepted"
+                )
+            elif spec.id in self.journal.state.specs:
+                answers[index] = spec.id
+            elif pending is not None:
+                waiting.append((index, pending[1]))
+            else:
+                waiting.append((index, self._accept(spec)))
+        gevent.spawn(self._answer_submit, specs, answers, waiting, result)
+
+    def _accept(self, spec: job.JobSpec) -> gevent.event.AsyncResult:
+        written = self.journal.append(log_records.Accepted(spec), droppable=True)
+        self._accepting[spec.id] = (spec, written)
+
+        def enter(failure: errors.Failure | None) -> list[effects.Effect]:
+            self._accepting.pop(spec.id, None)
+            if failure is not None:
+                return []
+            return self._scheduler.submit([spec], time.monotonic())
+
+        self._executor.when_written(written, enter)
+        return written
+
+    def _answer_submit(
+        self,
+        specs: list[job.JobSpec],
+        answers: list[object],
+        waiting: list[tuple[int, gevent.event.AsyncResult]],
+        result: gevent.event.AsyncResult,
+    ) -> None:
+        for index, written in waiting:
+            failure = written.get()
+            answers[index] = specs[index].id if failure is None else failure
+        result.set(answers)
+
+    def _cancel(self, job_ids: list[str], result: gevent.event.AsyncResult) -> None:
+        known = [name for name in job_ids if name in self.journal.state.specs]
+        answers: dict[str, object] = {
+            name: errors.NotFound(reason=f"no job {name}")
+            for name in job_ids
+            if name not in self.journal.state.specs
+        }
+        if not known:
+            result.set(answers)
+            return
+        written = self.journal.append(log_records.Cancelled(known), droppable=True)
+
+        def cancel(failure: errors.Failure | None) -> list[effects.Effect]:
+            answers.update(dict.fromkeys(known, failure or "cancelled"))
+            if failure is not None:
+                result.set(answers)
+                return []
+            found = self._scheduler.cancel(known, time.monotonic())
+            result.set(answers)
+            return found
+
+        self._executor.when_written(written, cancel)
+
+    def _refuse_inbox(self) -> None:
+        """Answer callers whose messages were not handled; nothing of them ran."""
+        failure = errors.Unavailable(reason="the partition is moving to another owner")
+        while True:
+            try:
+                message = self._inbox.get_nowait()
+            except gevent.queue.Empty:
+                return
+            match message:
+                case inbox.Submit(specs=specs, result=result):
+                    result.set([failure] * len(specs))
+                case inbox.Cancel(job_ids=job_ids, result=result):
+                    result.set(dict.fromkeys(job_ids, failure))
+                case inbox.Ask(result=result):
+                    result.set(failure)
--- a/toucanspring/recovery.py
+++ b/toucanspring/recovery.py
@@ -170,7 +170,7 @@
     state.orphans[entry.task_id] = entry
     core.index.allocate(worker, entry.demand)
     core.allowances.use(entry.team, entry.demand)
-    core.outbox.stop(worker, entry.task_id, "kill")
+    core.effects.stop(worker, entry.task_id, "kill")
 
 
 def _attach_absent(
