Test scheduling under failures, takeover, gangs and allowances

Fixed on the way: a cancelled non-idempotent task found running after takeover was not stopped; a part of a ceiling was returned at once after the first read; stops were sent to workers that are not attached.

--- /dev/null
+++ b/test/test_allowance.py
@@ -0,0 +1,104 @@
+import hypothesis
+import testtools
+from hypothesis import strategies
+
+from toucanspring import allowance, effects, resources
+
+AMOUNT = strategies.builds(resources.Resources, *[strategies.integers(0, 1000)] * 3)
+
+
+def total(row):
+    return sum(row.parts.values(), resources.ZERO)
+
+
+class ResizeTest(testtools.TestCase):
+    @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 4),
+                AMOUNT,
+                AMOUNT,
+                strategies.frozensets(strategies.integers(0, 4), max_size=2),
+            ),
+            max_size=12,
+        )
+    )
+    def test_the_sum_stays_within_the_ceiling(self, changes):
+        # Guards against teams above their ceiling after any order of changes.
+        row = allowance.Row()
+        for partition, target, ceiling, ownerless in changes:
+            before = row
+            row = allowance.resize(row, partition, target, ceiling, ownerless)
+            fixed = sum(
+                (before.parts.get(p, resources.ZERO) for p in ownerless - {partition}),
+                resources.ZERO,
+            )
+            for name in ("cpus", "memory", "accelerators"):
+                limit = max(getattr(ceiling, name), getattr(fixed, name))
+                if partition not in ownerless:
+                    self.assertLessEqual(getattr(total(row), name), limit)
+            part = row.parts.get(partition, resources.ZERO)
+            self.assertTrue(part.fits(target))
+            again = allowance.resize(row, partition, target, ceiling, ownerless)
+            self.assertEqual(row, again)  # a lost answer may be repeated
+
+    def test_a_lowered_ceiling_shrinks_holders_in_proportion(self):
+        # Guards against one partition that bears the whole cut, and against a cut of
+        # a partition whose work nobody could stop.
+        parts = {0: 6, 1: 3, 2: 3, 3: 4}
+        row = allowance.Row({p: resources.Resources(n, 0, n) for p, n in parts.items()})
+        ceiling = resources.Resources(10, 0, 10)
+        row = allowance.resize(row, 0, row.parts[0], ceiling, frozenset({3}))
+        self.assertEqual(
+            {0: 3, 1: 2, 2: 1, 3: 4}, {p: part.cpus for p, part in row.parts.items()}
+        )
+
+
+class LedgerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.one = resources.Resources(1, 0, 0)
+        self.ledger = allowance.Ledger()
+        self.ledger.set_ceilings({"zimna": resources.Resources(160, 160, 0)})
+        self.hold(40, 0.0)
+
+    def hold(self, cpus, now):
+        self.ledger.set_held({"zimna": resources.Resources(cpus, 0, 0)}, now)
+
+    def test_unused_allowance_is_returned_after_5_s_and_not_used_meanwhile(self):
+        # Guards against idle parts, and against use of a part given away.
+        self.ledger.use("zimna", self.one.times(10))
+        self.ledger.free("zimna", self.one.times(4))
+        self.assertEqual([], self.ledger.step(4.9))
+        (given,) = self.ledger.step(5.0)
+        expected = effects.ReturnAllowance(
+            "zimna", self.one.times(30), self.one.times(10)
+        )
+        self.assertEqual(expected, given)
+        self.hold(40, 5.1)  # a stale read
+        self.assertEqual(4, self.ledger.room("zimna", self.one))
+        self.hold(10, 5.2)
+        self.hold(40, 5.3)  # granted again later
+        self.assertEqual(34, self.ledger.room("zimna", self.one))
+
+    def test_a_request_asks_for_a_chunk_and_is_repeated(self):
+        # Guards against a store write for each start, and against a lost request.
+        self.ledger.use("zimna", self.one.times(40))
+        want = self.one.times(500)
+        self.ledger.want("zimna", want, self.one)
+        (asked,) = self.ledger.step(1.0)
+        self.assertEqual(self.one.times(50), asked.target)
+        self.ledger.want("zimna", want, self.one)
+        self.assertEqual([], self.ledger.step(1.5))
+        self.ledger.want("zimna", want, self.one)
+        self.assertEqual([asked], self.ledger.step(2.1))
+
+    def test_nothing_counts_as_excess_before_the_row_was_read(self):
+        # Guards against a successor that stops all work because it holds nothing yet.
+        ledger = allowance.Ledger()
+        ledger.set_ceilings({"zimna": self.one.times(100)})
+        ledger.use("zimna", self.one.times(50))
+        self.assertEqual(resources.ZERO, ledger.excess("zimna"))
+        ledger.set_held({"zimna": self.one.times(30)}, 1.0)
+        self.assertEqual(self.one.times(20), ledger.excess("zimna"))
--- /dev/null
+++ b/test/test_gang.py
@@ -0,0 +1,91 @@
+import testtools
+
+from test import cell
+from toucanspring import job
+
+GANG = job.Kind.GANG
+State = job.State
+
+
+class GangTest(testtools.TestCase):
+    def test_all_members_start_or_none(self):
+        # Guards against members that hold room while others wait.
+        c = cell.Cell(workers=2)
+        c.submit(cell.spec("one", task_count=10))
+        c.tick()
+        c.submit(cell.spec("gang", kind=GANG, task_count=60))
+        c.tick()
+        self.assertEqual({}, c.running("gang"))
+        c.end_all()
+        c.tick()
+        self.assertEqual(60, len(c.running("gang")))
+
+    def test_a_lost_member_stops_the_others_and_all_start_again(self):
+        # Guards against a gang that goes on with a part of its members.
+        c = cell.Cell(workers=3)
+        c.submit(cell.spec("gang", kind=GANG, task_count=50))
+        c.tick()
+        lost = {t for t, w in c.running().items() if w == "w0"}
+        self.assertNotEqual(set(), lost)
+        c.lose("w0")
+        self.assertEqual(50 - len(lost), len(c.stopped("checkpoint")))
+        c.attach("w0")
+        for name in c.workers:
+            c.report(name)
+        c.tick()
+        self.assertEqual(50, len(c.running("gang")))
+        c.run()
+        self.assertIs(State.DONE, c.finished["gang"].state)
+
+    def test_a_refused_member_of_a_non_idempotent_gang_ends_it(self):
+        # Guards against starting members of such a gang a second time.
+        c = cell.Cell(workers=2)
+        c.submit(cell.spec("gang", kind=GANG, task_count=40, idempotent=False))
+        start = c.start
+
+        def start_others(worker, tasks):
+            start(worker, [t for t in tasks if t.task_id != "gang/0"])
+
+        c.start = start_others
+        c.tick()
+        name = c.intents["gang/0"].worker
+        c.call("starts_answered", name, [], [("gang/0", "capacity")])
+        for name in c.workers:
+            c.report(name)
+        for _ in range(50):
+            c.tick(1)
+        self.assertIn("gang", c.finished)
+        self.assertIs(State.FAILED, c.finished["gang"].state)
+        self.assertEqual(1, max(c.starts.values()))
+
+    def test_a_waiting_gang_holds_a_reservation_that_short_work_may_use(self):
+        # Guards against gangs that starve behind a stream of small tasks, and against
+        # capacity that idles until the gang starts.
+        c = cell.Cell(workers=1)
+        c.submit(cell.spec("long", task_count=16, run_seconds=100))
+        c.tick()
+        c.submit(cell.spec("gang", kind=GANG, task_count=32, run_seconds=10))
+        c.tick()
+        c.submit(cell.spec("late", task_count=8, run_seconds=500))
+        c.submit(cell.spec("short", task_count=8, run_seconds=5))
+        c.tick()
+        c.tick()
+        self.assertEqual(8, len(c.running("short")))
+        self.assertEqual({}, c.running("late"))
+        c.end_all()
+        c.tick(1)
+        self.assertEqual(32, len(c.running("gang")))
+
+    def test_a_member_out_of_retries_ends_the_gang(self):
+        # Guards against members that run on without the failed one.
+        c = cell.Cell(workers=2)
+        c.submit(cell.spec("gang", kind=GANG, task_count=40, retries=1))
+        for _ in range(2):
+            c.tick(5)
+            c.end(
+                c.running()["gang/7"], "gang/7", "failed", reason="nan", run_ms=20_000
+            )
+            for name in c.workers:
+                c.report(name)
+        self.assertEqual(job.Outcome(State.FAILED, "nan"), c.finished["gang"])
+        self.assertEqual({}, c.running())
--- a/toucanspring/allowance.py
+++ b/toucanspring/allowance.py
@@ -144,7 +144,9 @@
             account = self._account(team)
             value = _tuple(amount)
             changed, account.held = value != account.held, value
-            account.known = True
+            if not account.known:
+                account.known = True
+                account.peak, account.since = account.used, now
             if account.target is None:
                 continue
             if account.returning:
--- a/toucanspring/lifecycle.py
+++ b/toucanspring/lifecycle.py
@@ -369,9 +369,14 @@
         task.demand = demand
 
     def stop(self, task: task_table.LiveTask, reason: str, mode: str) -> None:
-        """Ask the worker to stop a task; its report ends the attempt."""
+        """Ask the worker to stop a task; its report ends the attempt.
+
+        A worker that is not attached is asked once it is.
+        """
         task.stop_reason, task.stop_mode = reason, mode
-        self.effects.stop(task.worker, task.id, mode)
+        state = self.workers.get(task.worker)
+        if state is not None and state.attached:
+            self.effects.stop(task.worker, task.id, mode)
 
     def vacate(
         self, record: task_table.JobRecord, task: task_table.LiveTask, now: float
--- a/toucanspring/recovery.py
+++ b/toucanspring/recovery.py
@@ -145,6 +145,8 @@
             core.resize(task, entry.demand, now)  # the log does not hold the size
         if task.stop_reason:
             core.stop(task, task.stop_reason, task.stop_mode)  # may have been lost
+        elif core.table.jobs[task.job_id].cancelled:
+            core.stop(task, lifecycle.CANCELLED, "kill")
         return
     record = core.table.jobs.get(job.job_of(entry.task_id))
     index = task_index(entry.task_id)
@@ -159,7 +161,7 @@
             worker,
             started_at,
             demand=entry.demand,
-            team=entry.team,
+            team=record.spec.team,
             incarnation=state.facts.incarnation,
             expected_end=started_at + core.estimator.run_seconds(record.spec),
         )
