Test the platform clients under lost, cut and late answers

Cause: the clients must never present a cut answer as complete, apply a transaction twice or lose a start. Conclusion: reading waited for full 64 KiB blocks before; a slow answer was held back until its end.

--- a/standins/backend_servers.py
+++ b/standins/backend_servers.py
@@ -96,7 +96,7 @@
 
     def set_faults(self, changes: dict[str, object]) -> None:
         """Replace the given faults; `down` refuses connections."""
-        self.faults = service.merge_faults(self.faults, msgspec.json.encode(changes))
+        self.faults = service.merge_faults(self.faults, changes)
         if self.faults.down:
             self.server.close()
         else:
--- a/standins/service.py
+++ b/standins/service.py
@@ -298,11 +298,20 @@
         if self._control is not None:
             self._control.open()
 
-    def _serve_control(self, request: Request) -> Response:
-        return control(request, self.record, self._set_faults) or Response(404)
+    def close(self) -> None:
+        """Stop to listen and close all connections."""
+        self._service.close()
+        if self._control is not None:
+            self._control.close()
+
+    @property
+    def port(self) -> int:
+        """Return the port of the service."""
+        return self._service.port
 
-    def _set_faults(self, body: bytes) -> object:
-        self.faults = merge_faults(self.faults, body)
+    def set_faults(self, changes: dict[str, object]) -> Faults:
+        """Replace the given faults."""
+        self.faults = merge_faults(self.faults, changes)
         self.record.add("faults", **msgspec.structs.asdict(self.faults))
         if self._control is not None:
             if self.faults.down:
@@ -311,6 +320,12 @@
                 self._service.open()
         return self.faults
 
+    def _serve_control(self, request: Request) -> Response:
+        return control(request, self.record, self._set_faults) or Response(404)
+
+    def _set_faults(self, body: bytes) -> Faults:
+        return self.set_faults(msgspec.json.decode(body, type=dict))
+
     def _serve(self, request: Request) -> Response | None:
         answer = control(request, self.record, self._set_faults)
         if answer is not None:
@@ -318,10 +333,9 @@
         return apply_faults(self.faults, request, self._handler, self._rng)
 
 
-def merge_faults(current: Faults, body: bytes) -> Faults:
-    """Return the faults with the fields of a JSON object replaced."""
-    fields = msgspec.structs.asdict(current) | msgspec.json.decode(body, type=dict)
-    return msgspec.convert(fields, type(current))
+def merge_faults(current: Faults, changes: dict[str, object]) -> Faults:
+    """Return the faults with some fields replaced."""
+    return msgspec.convert(msgspec.structs.asdict(current) | changes, type(current))
 
 
 def apply_faults(
--- /dev/null
+++ b/test/test_exchange.py
@@ -0,0 +1,187 @@
+import contextlib
+import time
+
+import gevent
+import testtools
+from gevent import server
+
+from standins import service
+from toucanspring import errors
+from toucanspring.adapters import exchange
+
+OK_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: "
+
+
+class RawServer:
+    """Answers each connection with a script of byte strings and pauses."""
+
+    def __init__(self, *script, end=True):
+        self.requests = []
+        self.connections = 0
+        self._script = script
+        self._end = end
+        self._server = server.StreamServer(service.listen("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.port = self._server.server_port
+
+    def _serve(self, sock, _address):
+        self.connections += 1
+        with contextlib.suppress(OSError):  # clients that give up reset connections
+            self._answer(sock)
+
+    def _answer(self, sock):
+        while received := sock.recv(65536):
+            self.requests.append(received)
+            for step in self._script:
+                if isinstance(step, bytes):
+                    sock.sendall(step)
+                else:
+                    gevent.sleep(step)
+            if self._end:
+                sock.close()
+                return
+
+    def stop(self):
+        self._server.stop(timeout=0)
+
+
+class ExchangeTest(testtools.TestCase):
+    def serve(self, *script, **options):
+        started = RawServer(*script, **options)
+        self.addCleanup(started.stop)
+        return started
+
+    def endpoint(self, port, connections=1):
+        opened = exchange.Endpoint("127.0.0.1", port, connections, "tester")
+        self.addCleanup(opened.close)
+        return opened
+
+    def exchange(self, *script, timeout_s=0.3, **options):
+        port = self.serve(*script, **options).port
+        return self.endpoint(port).call("POST", "/x", b"body", timeout_s=timeout_s)
+
+    def test_a_refused_connection_certainly_has_no_effect(self):
+        started = RawServer()
+        started.stop()
+        reply = self.endpoint(started.port).call("POST", "/x")
+        self.assertIsInstance(reply, errors.Unavailable)
+
+    def test_a_lost_answer_is_ambiguous(self):
+        # Guards against repeating a call that may have taken effect.
+        for script in ((), (b"HTTP/1.1 20",), (5.0,)):
+            self.assertIsInstance(self.exchange(*script), errors.Ambiguous)
+
+    def test_garbage_is_ambiguous(self):
+        self.assertIsInstance(
+            self.exchange(b"\xff\xfe nonsense\r\n\r\n"), errors.Ambiguous
+        )
+
+    def test_a_short_body_is_never_complete(self):
+        # Guards against presenting the part before a cut as the whole answer.
+        for script in (
+            (OK_HEAD + b"10\r\n\r\n123456789",),
+            (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n",),
+            (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n123",),
+            (b"HTTP/1.1 200 OK\r\n\r\nthe end of this body is not declared",),
+        ):
+            self.assertIsInstance(self.exchange(*script), errors.Ambiguous, script)
+
+    def test_a_complete_body_in_slow_pieces_is_accepted(self):
+        pieces = [OK_HEAD + b"3\r\n\r\n", 0.02, b"a", 0.02, b"b", 0.02, b"c"]
+        self.assertEqual(b"abc", self.exchange(*pieces).body)
+
+    def test_a_slow_body_ends_at_the_deadline(self):
+        # Guards against a sender that keeps each single read alive.
+        pieces = [OK_HEAD + b"1000\r\n\r\n"] + [b"x", 0.05] * 100
+        began = time.monotonic()
+        self.assertIsInstance(self.exchange(*pieces), errors.Ambiguous)
+        self.assertLess(time.monotonic() - began, 0.6)
+
+    def test_an_oversized_answer_is_not_collected(self):
+        port = self.serve(OK_HEAD + b"200000\r\n\r\n" + b"x" * 200_000).port
+        reply = self.endpoint(port).call("GET", "/", max_bytes=100_000)
+        self.assertIsInstance(reply, errors.Oversized)
+
+    def test_an_endless_head_is_not_collected(self):
+        # Guards against memory that grows until the deadline.
+        filler = b"X-Filler: " + b"x" * 65_536 + b"\r\n"
+        reply = self.exchange(b"HTTP/1.1 200 OK\r\n", *[filler] * 1000, timeout_s=5)
+        self.assertIn("head exceeds", reply.reason)
+
+    def test_pieces_are_passed_on_as_they_arrive(self):
+        # Guards against holding back a slow answer until a block is full.
+        script = [OK_HEAD + b"4\r\n\r\nab", 0.2, b"cd"]
+        opened = self.endpoint(self.serve(*script).port).open("GET", "/")
+        began = time.monotonic()
+        blocks = opened.blocks()
+        self.assertEqual(b"ab", next(blocks))
+        self.assertLess(time.monotonic() - began, 0.15)
+        self.assertEqual([b"cd"], list(blocks))
+
+    def test_the_pool_limits_connections_and_waiting_is_not_sending(self):
+        started = self.serve(0.2, OK_HEAD + b"0\r\n\r\n", end=False)
+        endpoint = self.endpoint(started.port, connections=2)
+        calls = [
+            gevent.spawn(endpoint.call, "POST", "/", timeout_s=0.3) for _ in range(6)
+        ]
+        replies = [call.get(timeout=2) for call in calls]
+        kinds = [type(reply) for reply in replies]
+        self.assertEqual(2, started.connections)
+        self.assertEqual(2, kinds.count(exchange.Reply))
+        # Those that waited were sent late or not at all.
+        self.assertEqual(2, kinds.count(errors.Unavailable), kinds)
+
+    def test_no_failure_keeps_a_connection_from_the_pool(self):
+        # Guards against a pool of one that is empty for good after a failure.
+        failing = self.serve(OK_HEAD + b"9\r\n\r\n1", 0.2)
+        endpoint = self.endpoint(failing.port)
+        for _ in range(3):
+            endpoint.call("GET", "/", timeout_s=0.05)
+            with gevent.Timeout(0.02, False):
+                endpoint.call("GET", "/", timeout_s=5.0)
+            killed = gevent.spawn(endpoint.call, "GET", "/", timeout_s=5.0)
+            gevent.sleep(0.01)
+            killed.kill()
+            opened = endpoint.open("GET", "/", timeout_s=0.5)
+            opened.close()
+        self.assertIsInstance(endpoint.open("GET", "/"), exchange.OpenReply)
+
+    def test_an_answer_abandoned_in_the_middle_is_not_mixed_into_the_next(self):
+        # Guards against a caller who gets the rest of someone else's answer.
+        started = self.serve(OK_HEAD + b"200000\r\n\r\n" + b"x" * 200_000, end=False)
+        endpoint = self.endpoint(started.port)
+        opened = endpoint.open("GET", "/")
+        self.assertTrue(next(opened.blocks()))
+        opened.close()
+        self.assertEqual(200_000, len(endpoint.call("GET", "/").body))
+        self.assertEqual(2, started.connections)
+
+    def test_a_connection_closed_while_idle_is_replaced(self):
+        started = self.serve(OK_HEAD + b"2\r\n\r\nok")
+        endpoint = self.endpoint(started.port)
+        for _ in range(3):
+            self.assertEqual(b"ok", endpoint.call("POST", "/").body)
+            gevent.sleep(0.01)
+
+    def test_late_bytes_on_an_idle_connection_are_not_the_next_answer(self):
+        # Guards against an answer that arrives twice being taken for the next one.
+        twice = OK_HEAD + b"1\r\n\r\n1"
+        started = self.serve(twice, 0.01, twice, end=False)
+        endpoint = self.endpoint(started.port)
+        endpoint.call("GET", "/")
+        gevent.sleep(0.05)
+        endpoint.call("GET", "/")
+        self.assertEqual(2, started.connections)
+
+    def test_a_line_break_in_a_header_is_refused(self):
+        endpoint = self.endpoint(1)
+        self.assertRaises(
+            ValueError, endpoint.call, "GET", "/", headers={"X-A": "1\r\nX-B: 2"}
+        )
+
+    def test_addresses(self):
+        for text in ("10.0.0.1:80", "http://10.0.0.1:80", "http://10.0.0.1:80/"):
+            self.assertEqual(("10.0.0.1", 80), exchange.parse_address(text))
+        self.assertEqual(("::1", 80), exchange.parse_address("[::1]:80"))
+        for text in ("", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "a:70000", "a:-1"):
+            self.assertIsInstance(exchange.parse_address(text), errors.Invalid, text)
--- a/toucanspring/adapters/exchange.py
+++ b/toucanspring/adapters/exchange.py
@@ -15,6 +15,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 BLOCK_BYTES = 1 << 16
+MAX_HEAD_BYTES = 1 << 18
 
 
 class Pool(connectionpool.ConnectionPool):
@@ -50,6 +51,34 @@
         return False  # end of stream, or bytes that belong to no request
 
 
+class ParsedReply(response.HTTPSocketPoolResponse):
+    """Parse one answer; limits its head and returns body bytes as they arrive."""
+
+    _head_bytes = 0
+
+    def feed(self, data: bytes) -> None:
+        """Parse more bytes; raises `HTTPParseError` for a head without an end."""
+        if not self.headers_complete:
+            self._head_bytes += len(data)
+            if self._head_bytes > MAX_HEAD_BYTES:
+                raise response.HTTPParseError(f"head exceeds {MAX_HEAD_BYTES} bytes")
+        super().feed(data)
+
+    def read_available(self) -> bytes:
+        """Wait for body bytes; the inherited `read` waits for whole blocks."""
+        try:
+            while not self._body_buffer and not self.message_complete:
+                if self._sock is None:
+                    raise response.HTTPParseError("the answer was closed")
+                self.feed(self._sock.recv(BLOCK_BYTES))
+        except BaseException:
+            self.release()
+            raise
+        available = bytes(self._body_buffer)
+        self._body_buffer.clear()
+        return available
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
     """Hold a complete answer; header names are in lower case."""
@@ -70,11 +99,8 @@
 class OpenReply:
     """Read the body of one answer in blocks until `deadline` (monotonic seconds)."""
 
-    def __init__(
-        self, parsed: response.HTTPSocketPoolResponse, method: str, deadline: float
-    ) -> None:
+    def __init__(self, parsed: ParsedReply, deadline: float) -> None:
         self._parsed = parsed
-        self._method = method
         self._deadline = deadline
         self.status: int = parsed.get_code()
         self.headers = {name.lower(): str(value) for name, value in parsed.items()}
@@ -95,7 +121,7 @@
             while True:
                 limit = gevent.Timeout(max(0.001, self._deadline - time.monotonic()))
                 with limit:
-                    block = self._parsed.read(BLOCK_BYTES)
+                    block = self._parsed.read_available()
                 if not block:
                     break
                 yield block
@@ -176,10 +202,10 @@
                 sent = True
                 sock.sendall(head.encode("latin-1") + body)
                 held, sock = sock, None  # from here the response releases the socket
-                parsed = response.HTTPSocketPoolResponse(
+                parsed = ParsedReply(
                     held, self._pool, block_size=BLOCK_BYTES, method=method
                 )
-                return OpenReply(parsed, method, deadline)
+                return OpenReply(parsed, deadline)
         except gevent.Timeout as expired:
             if expired is not limit:
                 raise
