--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -316,9 +316,9 @@
                 peer_port=port + 1,
                 availability_zone=availability_zone or zone,
                 partitions=self.partitions,
-                tables=self._url("tables"),
-                objects=self._url("objects"),
-                vms=self._url("vms"),
+                tables=self.url("tables"),
+                objects=self.url("objects"),
+                vms=self.url("vms"),
                 peer_token=self.peer_token,
                 operator_key_hash=hashlib.sha256(
                     self.operator_key.encode()
@@ -352,7 +352,8 @@
         """End a daemon gracefully and return its exit status."""
         return self.processes.pop(name).stop(timeout_s)
 
-    def _url(self, name: str) -> str:
+    def url(self, name: str) -> str:
+        """Return the URL of the tables, the objects or the VM list."""
         return f"http://{ADDRESS}:{self.service_ports[name]}"
 
 
