--- /dev/null
+++ b/toucanspring/syntax.py
@@ -0,0 +1,164 @@
+"""YAML of the operators' text, read into plain values with line numbers.
+
+Only the core of YAML is accepted: anchors, aliases and tags are refused, because
+a short text with aliases expands to an arbitrarily large one. Plain scalars follow
+the YAML 1.2 core schema, so that `no` is a name and not a truth value.
+"""
+
+import dataclasses
+import re
+
+import yaml
+
+from toucanspring import errors
+
+# The text travels in one peer frame and one table row of at most 1 MiB.
+MAX_TEXT_BYTES = 768 * 1024
+MAX_DEPTH = 12
+MAX_SHOWN_CHARACTERS = 80
+
+Path = tuple[str | int, ...]
+
+_INTEGER = re.compile(r"[-+]?[0-9]{1,18}")
+_FLOAT = re.compile(r"[-+]?(\.[0-9]+|[0-9]+(\.[0-9]*)?)([eE][-+]?[0-9]+)?")
+_WORDS = {"": None, "~": None, "null": None, "true": True, "false": False}
+_LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Document:
+    """Hold the plain value of a text and the 1-based line of each path in it."""
+
+    value: object
+    lines: dict[Path, int]
+
+    def line(self, path: Path) -> int:
+        """Return the line of a path, or of its nearest parent that exists."""
+        while path and path not in self.lines:
+            path = path[:-1]
+        return self.lines.get(path, 1)
+
+
+class _Fault(Exception):
+    """Carry the failure out of the recursive reader."""
+
+    def __init__(self, failure: errors.Invalid) -> None:
+        super().__init__(failure.reason)
+        self.failure = failure
+
+
+def show(path: Path) -> str:
+    """Return a path in the form `teams.rep-checks.share`."""
+    return ".".join(str(part) for part in path)
+
+
+def shorten(value: object) -> str:
+    """Return a value in printable form, cut to a length fit for messages."""
+    text = value if isinstance(value, str) else repr(value)
+    text = "".join(character if character.isprintable() else "?" for character in text)
+    if len(text) > MAX_SHOWN_CHARACTERS:
+        return text[: MAX_SHOWN_CHARACTERS - 3] + "..."
+    return text
+
+
+def read(source: str) -> Document | errors.Invalid:
+    """Read a text; the failure names the line at which it breaks YAML or a limit."""
+    size = len(source.encode("utf-8", "surrogatepass"))
+    if size > MAX_TEXT_BYTES:
+        return errors.Invalid(
+            reason="the text is oversized",
+            line=1,
+            value=f"{size} bytes",
+            expected=f"at most {MAX_TEXT_BYTES} bytes",
+        )
+    lines: dict[Path, int] = {}
+    try:
+        events = iter(yaml.parse(source, Loader=_LOADER))
+        next(events)  # start of the stream
+        if isinstance(next(events), yaml.StreamEndEvent):
+            return Document(None, {})
+        value = _read_node(next(events), events, (), lines)
+        next(events)  # end of the document
+        after = next(events)
+        if not isinstance(after, yaml.StreamEndEvent):
+            raise _fault(after, (), "a second document", "one YAML document")
+    except _Fault as fault:
+        return fault.failure
+    except yaml.YAMLError as error:
+        mark = getattr(error, "problem_mark", None) or getattr(
+            error, "context_mark", None
+        )
+        problem = getattr(error, "problem", None) or getattr(error, "reason", None)
+        return errors.Invalid(
+            reason=f"not YAML: {problem or 'unreadable'}",
+            line=mark.line + 1 if mark else 1,
+            expected="a YAML text",
+        )
+    except UnicodeError as error:
+        return errors.Invalid(
+            reason=f"not UTF-8: {error.reason}", line=1, expected="a YAML text"
+        )
+    return Document(value, lines)
+
+
+def _fault(event: yaml.Event, path: Path, value: str, expected: str) -> _Fault:
+    return _Fault(
+        errors.Invalid(
+            reason=f"{value} is not accepted here",
+            path=show(path),
+            line=event.start_mark.line + 1,
+            value=shorten(value),
+            expected=expected,
+        )
+    )
+
+
+def _read_node(event: yaml.Event, events, path: Path, lines: dict[Path, int]) -> object:
+    if isinstance(event, yaml.AliasEvent) or event.anchor is not None:
+        raise _fault(event, path, "an anchor or alias", "the value itself")
+    lines.setdefault(path, event.start_mark.line + 1)
+    if len(path) > MAX_DEPTH:
+        raise _fault(event, path, "deeper nesting", f"at most {MAX_DEPTH} levels")
+    if event.tag is not None and not (
+        isinstance(event, yaml.ScalarEvent) and event.tag == "!"
+    ):
+        raise _fault(event, path, f"tag {event.tag}", "a value without a tag")
+    if isinstance(event, yaml.ScalarEvent):
+        return _scalar(event.value) if event.implicit[0] else event.value
+    if isinstance(event, yaml.SequenceStartEvent):
+        items: list[object] = []
+        while not isinstance(item := next(events), yaml.SequenceEndEvent):
+            items.append(_read_node(item, events, (*path, len(items)), lines))
+        return items
+    return _read_mapping(events, path, lines)
+
+
+def _read_mapping(events, path: Path, lines: dict[Path, int]) -> dict[str, object]:
+    entries: dict[str, object] = {}
+    while not isinstance(key := next(events), yaml.MappingEndEvent):
+        if not isinstance(key, yaml.ScalarEvent):
+            raise _fault(key, path, "a compound key", "a plain name as key")
+        inner = (*path, key.value)
+        if key.value in entries:
+            raise _Fault(
+                errors.Invalid(
+                    reason="duplicate key",
+                    path=show(inner),
+                    line=key.start_mark.line + 1,
+                    value=shorten(key.value),
+                    expected=f"one entry (the first is on line {lines[inner]})",
+                )
+            )
+        lines[inner] = key.start_mark.line + 1
+        entries[key.value] = _read_node(next(events), events, inner, lines)
+    return entries
+
+
+def _scalar(text: str) -> object:
+    if text in _WORDS:
+        return _WORDS[text]
+    if _INTEGER.fullmatch(text):
+        return int(text)
+    if _FLOAT.fullmatch(text):
+        return float(text)
+    return text
--- /dev/null
+++ b/toucanspring/text.py
@@ -0,0 +1,310 @@
+"""Operators' text: the cell it declares, differences between texts, job templates."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from toucanspring import errors, job, resources, syntax
+
+# A text with many faults is usually one mistake repeated; the first ones show it.
+MAX_FAULTS = 100
+APPLY_PREFIX = "apply"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AvailabilityZone:
+    """Name an availability zone and the region it belongs to."""
+
+    name: str
+    region: str = ""
+    description: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Organisation:
+    """Name an organisation; `host` marks the operator of the cell."""
+
+    name: str
+    host: bool = False
+    description: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Team:
+    """Hold a team's share (a positive weight) and its ceiling in the whole cell."""
+
+    name: str
+    organisation: str
+    share: float
+    ceiling: resources.Resources
+    description: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Queue:
+    """Say for which team a queue accepts work; an `open` one needs no key."""
+
+    name: str
+    team: str
+    access: str = "keyed"
+    description: str = ""
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether work is accepted without a key."""
+        return self.access == "open"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClassRule:
+    """Limit requests of one class; times are in seconds.
+
+    `idempotent` is the operators' word on the class; None leaves it to the caller.
+    A request is good when it is answered within `within_seconds`.
+    """
+
+    timeout_seconds: float
+    max_waiting: int = 1000
+    idempotent: bool | None = None
+    within_seconds: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """Describe a service; `objective` is the percentage of requests to be good."""
+
+    name: str
+    queue: str
+    backend_servers: str
+    timeout_seconds: float
+    retries: int
+    classes: dict[job.JobClass, ClassRule]
+    default_class: job.JobClass
+    objective: float
+    description: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobTemplate:
+    """Describe a job; `after` holds names of templates, `run` numbers its starts."""
+
+    name: str
+    team: str
+    queue: str
+    kind: job.Kind
+    task_count: int
+    demand: resources.Resources
+    run_seconds: float
+    job_class: job.JobClass
+    deadline_seconds: float | None
+    idempotent: bool
+    retries: int
+    after: tuple[str, ...]
+    availability_zones: tuple[str, ...]
+    compact: bool
+    spread: bool
+    payload: bytes
+    start: str
+    run: int
+    description: str = ""
+
+    @property
+    def starts_on_apply(self) -> bool:
+        """Return whether the job starts once the text is accepted."""
+        return self.start == "apply"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cell:
+    """Hold everything that one operators' text declares, by name."""
+
+    name: str = ""
+    availability_zones: dict[str, AvailabilityZone] = dataclasses.field(
+        default_factory=dict
+    )
+    organisations: dict[str, Organisation] = dataclasses.field(default_factory=dict)
+    teams: dict[str, Team] = dataclasses.field(default_factory=dict)
+    queues: dict[str, Queue] = dataclasses.field(default_factory=dict)
+    services: dict[str, Service] = dataclasses.field(default_factory=dict)
+    jobs: dict[str, JobTemplate] = dataclasses.field(default_factory=dict)
+    largest_task: resources.Resources | None = None
+
+
+SECTIONS = (
+    "availability_zones",
+    "organisations",
+    "teams",
+    "queues",
+    "services",
+    "jobs",
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Added:
+    """An entry that only the new text has."""
+
+    section: str
+    name: str
+    new: object
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Removed:
+    """An entry that only the old text has."""
+
+    section: str
+    name: str
+    old: object
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changed:
+    """An entry with fields of other values: field -> (old, new)."""
+
+    section: str
+    name: str
+    fields: dict[str, tuple[object, object]]
+
+
+Change = Added | Removed | Changed
+
+
+def parse(source: str) -> Cell | errors.Invalid:
+    """Return the cell that a text declares, or its first fault."""
+    match parse_all(source):
+        case Cell() as cell:
+            return cell
+        case [first, *_]:
+            return first
+
+
+def parse_all(source: str) -> Cell | list[errors.Invalid]:
+    """Return the cell that a text declares, or its faults in the order of lines."""
+    # Imported here because the reader builds the classes of this module.
+    from toucanspring import reader
+
+    document = syntax.read(source)
+    if isinstance(document, errors.Invalid):
+        return [document]
+    cell, faults = reader.read_cell(document)
+    if faults:
+        return sorted(faults, key=lambda fault: fault.line)[:MAX_FAULTS]
+    return cell
+
+
+def diff(old: Cell, new: Cell) -> list[Change]:
+    """Return what changes from one cell to another, by section and name."""
+    changes: list[Change] = []
+    for field in ("name", "largest_task"):
+        values = getattr(old, field), getattr(new, field)
+        if values[0] != values[1]:
+            changes.append(Changed("cell", field, {field: values}))
+    for section in SECTIONS:
+        before, after = getattr(old, section), getattr(new, section)
+        for name in sorted(before.keys() | after.keys()):
+            if name not in before:
+                changes.append(Added(section, name, after[name]))
+            elif name not in after:
+                changes.append(Removed(section, name, before[name]))
+            elif fields := _changed_fields(before[name], after[name]):
+                changes.append(Changed(section, name, fields))
+    return changes
+
+
+def _changed_fields(old: object, new: object) -> dict[str, tuple[object, object]]:
+    return {
+        field.name: (getattr(old, field.name), getattr(new, field.name))
+        for field in dataclasses.fields(old)
+        if getattr(old, field.name) != getattr(new, field.name)
+    }
+
+
+def apply_id(template: JobTemplate) -> str:
+    """Return the ID of the job that acceptance of the text starts.
+
+    It depends on the name and the run number only, so that every process that
+    submits it names the same job, and an edit of other fields starts nothing.
+    """
+    return f"{APPLY_PREFIX}.{template.name}.{template.run}"
+
+
+def introduced(old: Cell, new: Cell) -> list[JobTemplate]:
+    """Return the templates that acceptance of the new text starts, in its order."""
+    known = {apply_id(item) for item in old.jobs.values() if item.starts_on_apply}
+    return [
+        item
+        for item in new.jobs.values()
+        if item.starts_on_apply and apply_id(item) not in known
+    ]
+
+
+def job_spec(
+    cell: Cell,
+    template: JobTemplate,
+    job_id: str,
+    overrides: dict[str, object] | None = None,
+) -> job.JobSpec:
+    """Return the job of a template.
+
+    `overrides` replaces fields of `job.JobSpec`. Without an override of `after`, a
+    dependency that starts on acceptance has its own ID there, any other one the ID
+    `<job_id>.<name>`, under which `job_specs` submits it.
+    """
+    fields = {
+        "after": _after_ids(cell, template, job_id),
+        "name": template.name,
+        "team": template.team,
+        "queue": template.queue,
+        "kind": template.kind,
+        "task_count": template.task_count,
+        "demand": template.demand,
+        "run_seconds": template.run_seconds,
+        "idempotent": template.idempotent,
+        "job_class": template.job_class,
+        "deadline_seconds": template.deadline_seconds,
+        "retries": template.retries,
+        "availability_zones": template.availability_zones,
+        "compact": template.compact,
+        "spread": template.spread,
+        "payload": template.payload,
+    }
+    return job.JobSpec(id=job_id, **{**fields, **(overrides or {})})
+
+
+def job_specs(
+    cell: Cell,
+    template: JobTemplate,
+    job_id: str,
+    overrides: dict[str, object] | None = None,
+) -> list[job.JobSpec]:
+    """Return the job of a template preceded by the dependencies it is submitted with.
+
+    Dependencies with `start: submit` run anew with each submission, under the IDs
+    `<job_id>.<name>`; those with `start: apply` already have a job.
+    """
+    needed: dict[str, JobTemplate] = {}
+    pending = [template]
+    while pending:
+        for name in pending.pop().after:
+            dependency = cell.jobs[name]
+            if not dependency.starts_on_apply and name not in needed:
+                needed[name] = dependency
+                pending.append(dependency)
+    specs = [
+        job_spec(
+            cell, item, f"{job_id}.{name}", {"after": _after_ids(cell, item, job_id)}
+        )
+        for name, item in reversed(needed.items())
+    ]
+    return [*specs, job_spec(cell, template, job_id, overrides)]
+
+
+def _after_ids(cell: Cell, template: JobTemplate, root_id: str) -> tuple[str, ...]:
+    """Return the job IDs that a template waits for in the submission `root_id`."""
+    return tuple(
+        apply_id(cell.jobs[name])
+        if cell.jobs[name].starts_on_apply
+        else f"{root_id}.{name}"
+        for name in template.after
+    )
