--- /dev/null
+++ b/toucanspring/handler.py
@@ -0,0 +1,349 @@
+"""HTTP/1.1 connections of callers: limits on size and time, and a clean cut.
+
+The base class reads headers and bodies without a limit on time, and discards the
+unread rest of any body; both let one slow or large client hold a connection.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import re
+import socket
+import struct
+from http import client
+
+import gevent
+import logbook
+import msgspec
+from gevent import pool, pywsgi
+
+from toucanspring import errors, stream
+
+log = logbook.Logger(__name__)
+
+MAX_HEAD_BYTES = 32 * 1024
+MAX_HEADERS = 100
+MAX_BODY_BYTES = 16 << 20
+# More than this of an unread body is not worth reading to keep the connection.
+MAX_DISCARDED_BYTES = 64 * 1024
+MAX_CONNECTIONS = 4096
+HEAD_TIMEOUT_S = 10.0
+BODY_TIMEOUT_S = 30.0
+IDLE_TIMEOUT_S = 75.0
+# Idle connections are closed sooner when few are left for new callers.
+BUSY_FRACTION = 0.75
+BUSY_IDLE_TIMEOUT_S = 1.0
+# A client that takes no part of an answer for this long is cut off.
+SEND_TIMEOUT_S = 30.0
+# Time for a client to read a refusal before the connection is closed: closing with
+# unread bytes resets it, and the client may lose the refusal.
+LINGER_S = 1.0
+# Callers find an idle connection closed only after this time into a graceful stop;
+# one more request on it is still answered.
+DRAIN_IDLE_S = 1.0
+ACCEPTS_AT_STOP = 4  # of 100 connections each; the backlog holds 256
+
+_CONTENT_LENGTH = re.compile(r"[0-9]{1,15}")
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_REASONS = {
+    400: "Bad Request",
+    408: "Request Timeout",
+    411: "Length Required",
+    413: "Content Too Large",
+    414: "URI Too Long",
+    431: "Request Header Fields Too Large",
+    505: "HTTP Version Not Supported",
+}
+
+
+class BadRequest(ValueError):
+    """Raised while a request is read; `status` is the HTTP status to answer."""
+
+    def __init__(self, status: int, failure: errors.Failure) -> None:
+        super().__init__(failure.reason)
+        self.status = status
+        self.failure = failure
+
+
+class AnswerCut(Exception):
+    """Raised by an application to cut an answer of which a part was sent."""
+
+
+def render(failure: errors.Failure) -> bytes:
+    """Return the JSON body that describes a failure."""
+    return msgspec.json.encode({"error": errors.to_dict(failure)})
+
+
+class HeadReader:
+    """Read lines of a request head within a total size."""
+
+    def __init__(self, rfile: object) -> None:
+        self._rfile = rfile
+        self._left = MAX_HEAD_BYTES
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return the next line; raises `BadRequest` once the head is too large."""
+        line = self._rfile.readline(min(limit, self._left + 1) if limit > 0 else limit)
+        self._left -= len(line)
+        if self._left < 0:
+            reason = f"the request head exceeds {MAX_HEAD_BYTES} bytes"
+            failure = errors.Oversized(reason=reason, limit=MAX_HEAD_BYTES)
+            raise BadRequest(431, failure)
+        return line
+
+
+class Input(pywsgi.Input):
+    """Read a request body; leave a large unread rest unread and close instead."""
+
+    __slots__ = ("handler",)
+
+    def _discard(self) -> None:
+        if self._chunked_input_error:
+            return
+        if self.handler.close_connection:
+            return
+        left = (self.content_length or 0) - self.position
+        waits_for_continue = self.socket is not None
+        if waits_for_continue or left > MAX_DISCARDED_BYTES:
+            self.handler.close_connection = True
+            return
+        if self.chunked_input:
+            discarded = len(self.read(MAX_DISCARDED_BYTES))
+            if discarded >= MAX_DISCARDED_BYTES:
+                self.handler.close_connection = True
+        elif left > 0:
+            with gevent.Timeout(BODY_TIMEOUT_S, OSError("slow body")):
+                self.read(left)
+
+
+class Handler(pywsgi.WSGIHandler):
+    """Serve the requests of one connection."""
+
+    def handle(self) -> None:
+        """Serve requests until either side ends the connection."""
+        stream.disable_nagle(self.socket)
+        self.server.connections.add(self)
+        self.busy = False
+        self.aborted = False
+        try:
+            while True:
+                result = self.handle_one_request()
+                if result is None:
+                    break
+                if result is not True:
+                    _, answer = result
+                    self.socket.settimeout(SEND_TIMEOUT_S)
+                    self.socket.sendall(answer)
+                    self._linger()
+                    break
+        except OSError:
+            pass  # the client is gone
+        finally:
+            self.server.connections.discard(self)
+            self.busy = False
+            self._close()
+
+    def handle_one_request(self) -> object:
+        """Wait for a request, read its head in limited time, and answer it."""
+        self.busy = False
+        try:
+            self.socket.settimeout(self.server.idle_timeout())
+            line = self.rfile.readline(pywsgi.MAX_REQUEST_LINE)
+        except OSError:
+            return None
+        if not line or line.strip() == b"":
+            return None
+        self.busy = True
+        self.response_length = 0
+        self.socket.settimeout(SEND_TIMEOUT_S)
+        try:
+            with gevent.Timeout(HEAD_TIMEOUT_S, _too_slow("head", HEAD_TIMEOUT_S)):
+                if len(line) >= pywsgi.MAX_REQUEST_LINE:
+                    reason = f"the request line exceeds {len(line)} bytes"
+                    raise BadRequest(414, errors.Oversized(reason=reason))
+                self._read_head(line.decode("latin-1"))
+        except BadRequest as error:
+            return error.status, _refusal(error)
+        except (ValueError, client.HTTPException) as error:
+            failure = errors.Malformed(reason=str(error) or "unreadable request")
+            return 400, _refusal(BadRequest(400, failure))
+        self.environ = self.get_environ()
+        self.application = self.server.application
+        self.handle_one_response()
+        if self.aborted:
+            return None
+        if self.close_connection:
+            self._linger()
+            return None
+        return True
+
+    def _read_head(self, line: str) -> None:
+        if len(line.split()) != 3:
+            raise BadRequest(400, errors.Malformed(reason="not an HTTP/1.1 request"))
+        plain, self.rfile = self.rfile, HeadReader(self.rfile)
+        try:
+            self.read_request(line)
+        finally:
+            self.rfile = plain
+        if (self.content_length or 0) > MAX_BODY_BYTES:
+            reason = f"the body exceeds {MAX_BODY_BYTES} bytes"
+            raise BadRequest(413, errors.Oversized(reason=reason, limit=MAX_BODY_BYTES))
+
+    def MessageClass(self, *arguments):  # noqa: N802 - name of the base class
+        """Parse the headers; refuse two framings or two lengths of one body.
+
+        They let a proxy and this server read different requests from the same bytes.
+        """
+        headers = super().MessageClass(*arguments)
+        coding = [name.lower() for name in headers.get_all("transfer-encoding", [])]
+        lengths = headers.get_all("content-length", [])
+        if coding and (lengths or coding != ["chunked"]):
+            raise BadRequest(400, errors.Malformed(reason="unclear body framing"))
+        if len(lengths) > 1 or not all(map(_CONTENT_LENGTH.fullmatch, lengths)):
+            raise BadRequest(400, errors.Malformed(reason="unclear body length"))
+        return headers
+
+    def get_environ(self) -> dict[str, object]:
+        """Return the WSGI environment with an input that bounds what it discards."""
+        environ = super().get_environ()
+        plain = self.wsgi_input
+        bounded = Input(
+            plain.rfile,
+            plain.content_length,
+            socket=plain.socket,
+            chunked_input=plain.chunked_input,
+        )
+        bounded.handler = self
+        self.wsgi_input = bounded
+        environ["wsgi.input"] = bounded
+        environ["wsgi.input_terminated"] = True
+        return environ
+
+    def start_response(self, status, headers, exc_info=None):
+        """Start the answer; while the server stops, say that the connection ends."""
+        if self.server.draining:
+            headers = [item for item in headers if item[0].lower() != "connection"]
+            headers.append(("Connection", "close"))
+        return super().start_response(status, headers, exc_info)
+
+    def handle_error(self, kind, value, trace) -> None:
+        """Cut the answer if a part of it was sent, else answer with status 500."""
+        if not isinstance(value, AnswerCut):
+            log.error("request failed: {}", value, exc_info=(kind, value, trace))
+        if self.headers_sent:
+            self._abort()
+        else:
+            failure = errors.Unknown(reason="internal error")
+            body = render(failure)
+            self.close_connection = True
+            with contextlib.suppress(OSError):
+                self.start_response(
+                    "500 Internal Server Error",
+                    [
+                        ("Content-Type", "application/json"),
+                        ("Content-Length", str(len(body))),
+                        ("Connection", "close"),
+                    ],
+                )
+                self.write(body)
+
+    def log_request(self) -> None:
+        """Write no access log; the metrics count requests."""
+
+    def _abort(self) -> None:
+        """Reset the connection, so that no client takes the part for the whole.
+
+        An orderly close ends an answer without a length as if it were complete.
+        """
+        self.aborted = True
+        self.close_connection = True
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
+    def _linger(self) -> None:
+        with contextlib.suppress(OSError, gevent.Timeout):
+            self.socket.shutdown(socket.SHUT_WR)
+            with gevent.Timeout(LINGER_S):
+                left = 4 * MAX_DISCARDED_BYTES
+                while left > 0 and (got := len(self.socket.recv(MAX_DISCARDED_BYTES))):
+                    left -= got
+
+    def _close(self) -> None:
+        sock = self.__dict__.pop("socket", None)
+        self.__dict__.pop("rfile", None)
+        self.__dict__.pop("wsgi_input", None)
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                # The reader's file object keeps a reference that close() alone waits
+                # for.
+                sock._sock.close()
+                sock.close()
+
+
+def _too_slow(part: str, limit_s: float) -> BadRequest:
+    reason = f"the request {part} took longer than {limit_s:g} s"
+    return BadRequest(408, errors.Timeout(reason=reason))
+
+
+def _refusal(error: BadRequest) -> bytes:
+    body = render(error.failure)
+    head = (
+        f"HTTP/1.1 {error.status} {_REASONS[error.status]}\r\n"
+        "Content-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+class _ErrorLog:
+    """Send messages of the base class to the log."""
+
+    def write(self, message: str) -> None:
+        """Log one message."""
+        log.debug("{}", message.strip())
+
+    def flush(self) -> None:
+        """Do nothing; the log flushes itself."""
+
+
+class Server(pywsgi.WSGIServer):
+    """Accept connections up to a limit and stop without interrupting requests."""
+
+    handler_class = Handler
+
+    def __init__(self, listener: object, application: object) -> None:
+        super().__init__(
+            listener,
+            application,
+            spawn=pool.Pool(MAX_CONNECTIONS),
+            log=None,
+            error_log=_ErrorLog(),
+        )
+        self.connections: set[Handler] = set()
+        self.draining = False
+
+    def idle_timeout(self) -> float:
+        """Return how many seconds a connection may wait for its next request."""
+        if len(self.connections) > MAX_CONNECTIONS * BUSY_FRACTION:
+            return BUSY_IDLE_TIMEOUT_S
+        return IDLE_TIMEOUT_S
+
+    def in_flight(self) -> int:
+        """Return the number of requests being read or answered."""
+        return sum(handler.busy for handler in self.connections)
+
+    def drain(self, limit_s: float) -> int:
+        """Stop accepting, wait for requests, and return how many were interrupted."""
+        self.draining = True
+        for _ in range(ACCEPTS_AT_STOP):  # connections the kernel has completed
+            self._do_read()
+        self.close()
+        with gevent.Timeout(limit_s, False):
+            # A request that was under way when draining began may arrive on an
+            # idle connection; it is answered and the connection closed.
+            gevent.sleep(min(DRAIN_IDLE_S, limit_s / 2))
+            while self.in_flight():
+                gevent.sleep(0.02)
+        interrupted = self.in_flight()
+        self.pool.kill(timeout=LINGER_S)
+        return interrupted
