--- /dev/null
+++ b/toucanspring/api_operators.py
@@ -0,0 +1,204 @@
+"""HTTP resources for operators: configuration, availability zones, keys."""
+
+from __future__ import annotations
+
+import falcon
+import logbook
+import msgspec
+
+from toucanspring import api, errors, kernel, syntax, text
+
+log = logbook.Logger(__name__)
+
+MAX_KEY_REQUEST_BYTES = 4096
+YAML = "application/yaml"
+
+
+class KeyRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of `POST /v1/keys`."""
+
+    team: str
+
+
+class Resource:
+    """Hold what each resource of operators needs."""
+
+    def __init__(self, core: kernel.Kernel, access: api.Access) -> None:
+        self._kernel = core
+        self._access = access
+
+    @property
+    def _documents(self):
+        return self._kernel.find("documents")
+
+
+class Config(Resource):
+    """`GET` and `PUT /v1/config`."""
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Answer with the text in force; `ETag` is its version."""
+        self._access.require_operator(request)
+        source = self._documents.source()
+        response.content_type = YAML
+        response.set_header("ETag", f'"{source.version}"')
+        response.set_header("X-Operator", source.operator)
+        response.data = source.source.encode()
+
+    def on_put(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Put a text into force if `If-Match` names the version in force."""
+        operator = self._access.require_operator(request)
+        expected = _expected_version(request)
+        body = api.read_body(request, syntax.MAX_TEXT_BYTES)
+        try:
+            source = body.decode()
+        except UnicodeDecodeError as error:
+            raise api.Failed(errors.Malformed(reason=f"not UTF-8: {error.reason}"))
+        cell = text.parse_all(source)
+        if isinstance(cell, list):
+            faults = [errors.to_dict(fault) for fault in cell]
+            raise api.Failed(cell[0], extra={"faults": faults})
+        if not cell.name:
+            raise api.Failed(
+                errors.Invalid(reason="empty text", path="cell", expected="a cell")
+            )
+        before = self._documents.cell()
+        version = api.unwrap(self._documents.apply(source, expected, operator))
+        log.info("operator {} put configuration {} into force", operator, version)
+        started = self._start_jobs(before, cell)
+        api.send_json(
+            response, {"version": version, "started": started}, ETag=f'"{version}"'
+        )
+
+    def _start_jobs(self, before: text.Cell, cell: text.Cell) -> list[dict]:
+        """Submit the jobs that the text introduces; their IDs make repeats safe."""
+        specs = [
+            text.job_spec(cell, template, text.apply_id(template))
+            for template in text.introduced(before, cell)
+        ]
+        if not specs:
+            return []
+        results = self._kernel.find("partitions").submit(specs)
+        return [
+            {"id": spec.id, "error": errors.to_dict(result)}
+            if isinstance(result, errors.Failure)
+            else {"id": spec.id}
+            for spec, result in zip(specs, results, strict=True)
+        ]
+
+
+def _expected_version(request: falcon.Request) -> int:
+    given = (request.get_header("If-Match") or "").strip('" ')
+    if not given.isdecimal() or len(given) > 18:
+        raise api.Failed(
+            errors.Invalid(
+                reason="the version in force is needed, so that no change is lost",
+                path="If-Match",
+                value=given[:80],
+                expected="the version that the change is based on",
+            )
+        )
+    return int(given)
+
+
+class ConfigHistory(Resource):
+    """`GET /v1/config/history`."""
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Answer with the versions, the newest first; `source=1` adds their texts."""
+        self._access.require_operator(request)
+        wanted = request.get_param_as_bool("source", default=False)
+        items = []
+        for version in api.unwrap(self._documents.history()):
+            fields = msgspec.to_builtins(version)
+            if not wanted:
+                fields.pop("source", None)
+            items.append(fields)
+        api.send_json(response, {"versions": items})
+
+
+class Confirmations(Resource):
+    """`GET /v1/config/confirmations?version=<n>`."""
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Answer with the processes and whether the version is in force there."""
+        self._access.require_operator(request)
+        version = request.get_param_as_int("version", required=True, min_value=0)
+        found = self._documents.confirmations(version)
+        api.send_json(response, {"version": version, "processes": found})
+
+
+class Zones(Resource):
+    """`GET /v1/zones`."""
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Answer with the availability zones and whether they are in service."""
+        self._access.require_operator(request)
+        out = self._documents.zones_out()
+        zones = [
+            {"name": name, "region": zone.region, "out": name in out}
+            for name, zone in self._documents.cell().availability_zones.items()
+        ]
+        # A zone that was taken out stays out when the text no longer names it.
+        declared = {zone["name"] for zone in zones}
+        zones += [
+            {"name": name, "region": "", "out": True} for name in sorted(out - declared)
+        ]
+        api.send_json(
+            response, {"version": self._documents.versions().zones, "zones": zones}
+        )
+
+
+class ZoneChange(Resource):
+    """`POST /v1/zones/<name>/out` and `/in`."""
+
+    def __init__(self, core: kernel.Kernel, access: api.Access, out: bool) -> None:
+        super().__init__(core, access)
+        self._out = out
+
+    def on_post(self, request, response, name: str) -> None:
+        """Take a zone out of service or return it."""
+        operator = self._access.require_operator(request)
+        documents = self._documents
+        known = name in documents.cell().availability_zones
+        if not known and not (name in documents.zones_out() and not self._out):
+            raise api.Failed(
+                errors.NotFound(reason=f"no availability zone {name[:80]}")
+            )
+        version = api.unwrap(documents.set_zone(name, self._out, operator))
+        log.info(
+            "operator {} {} availability zone {}",
+            operator,
+            "took out" if self._out else "returned",
+            name,
+        )
+        api.send_json(response, {"version": version, "name": name, "out": self._out})
+
+
+class Keys(Resource):
+    """`GET` and `POST /v1/keys`."""
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Answer with the keys in force, without their secrets."""
+        self._access.require_operator(request)
+        api.send_json(response, {"keys": self._documents.keys()})
+
+    def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Grant a key; its secret is in this answer only."""
+        operator = self._access.require_operator(request)
+        body = api.read_json(request, KeyRequest, MAX_KEY_REQUEST_BYTES)
+        if body.team not in self._documents.cell().teams:
+            raise api.Failed(errors.NotFound(reason=f"no team {body.team[:80]}"))
+        granted = api.unwrap(self._documents.grant_key(body.team, operator))
+        log.info("operator {} granted key {} to {}", operator, granted.id, body.team)
+        api.send_json(response, granted, 201, Cache_Control="no-store")
+
+
+class Key(Resource):
+    """`DELETE /v1/keys/<id>`."""
+
+    def on_delete(self, request, response, key_id: str) -> None:
+        """Withdraw a key."""
+        operator = self._access.require_operator(request)
+        version = api.unwrap(self._documents.withdraw_key(key_id, operator))
+        log.info("operator {} withdrew key {}", operator, key_id)
+        api.send_json(response, {"version": version, "id": key_id})
--- /dev/null
+++ b/toucanspring/api_status.py
@@ -0,0 +1,130 @@
+"""HTTP resources that describe the cell: workers, processes, reports, health."""
+
+from __future__ import annotations
+
+import time
+
+import falcon
+import msgspec
+from gevent import pool
+
+from toucanspring import api, errors, kernel, report
+
+REPORT_TIMEOUT_S = 2.0
+MAX_PEER_CALLS = 32
+
+
+class Resource:
+    """Hold what each resource needs."""
+
+    def __init__(self, core: kernel.Kernel, access: api.Access) -> None:
+        self._kernel = core
+        self._access = access
+
+
+class Workers(Resource):
+    """`GET /v1/workers`."""
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Answer with the workers of the cell."""
+        self._access.require_operator(request)
+        workers = api.unwrap(self._kernel.find("partitions").workers())
+        api.send_json(response, {"workers": workers})
+
+
+class Members(Resource):
+    """`GET /v1/members`."""
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Answer with the toucanspring processes that this one knows."""
+        self._access.require_operator(request)
+        membership = self._kernel.find("membership")
+        documents = self._kernel.find("documents")
+        reachable = membership.reachable()
+        own = membership.identity.process
+        members = [
+            {
+                **msgspec.to_builtins(member),
+                "reachable": name in reachable or name == own,
+            }
+            for name, member in sorted(membership.members().items())
+        ]
+        api.send_json(
+            response,
+            {
+                "answered_by": own,
+                "members": members,
+                "versions": msgspec.structs.asdict(documents.versions()),
+                "fresh": documents.fresh(time.monotonic()),
+            },
+        )
+
+
+class Reports(Resource):
+    """`GET /v1/reports/<share|waiting|burn>`."""
+
+    def on_get(self, request, response, name: str) -> None:
+        """Answer with a report that joins what all reachable processes count."""
+        self._access.require_operator(request)
+        if name not in report.NAMES:
+            raise api.Failed(errors.NotFound(reason=f"no report {name[:80]}"))
+        membership = self._kernel.find("membership")
+        peers = self._kernel.find("peers")
+        own = membership.identity.process
+        others = [process for process in membership.members() if process != own]
+
+        def ask(process: str) -> bytes | errors.Failure:
+            return peers.call(process, "report", name.encode(), REPORT_TIMEOUT_S)
+
+        answers = pool.Pool(MAX_PEER_CALLS).map(ask, others)
+        parts = {own: report.collect(self._kernel, name)}
+        missing = []
+        for process, answer in zip(others, answers, strict=True):
+            if isinstance(answer, errors.Failure):
+                missing.append(process)
+            else:
+                parts[process] = msgspec.msgpack.decode(answer)
+        cell = self._kernel.find("documents").cell()
+        built = report.build(name, cell, list(parts.values()))
+        api.send_json(response, {"report": name, "missing": missing, **built})
+
+
+class Health:
+    """`GET /healthz`: the process serves HTTP."""
+
+    def on_get(self, _request: falcon.Request, response: falcon.Response) -> None:
+        """Answer that the process is alive."""
+        api.send_json(response, {"status": "alive"})
+
+
+class Ready:
+    """`GET /readyz`: the balancer may send callers here."""
+
+    def __init__(self, core: kernel.Kernel, is_draining) -> None:
+        self._kernel = core
+        self._is_draining = is_draining
+
+    def on_get(self, _request: falcon.Request, response: falcon.Response) -> None:
+        """Answer 503 while the process starts or stops.
+
+        An old view of the documents does not count: during an outage of the store
+        all processes have one, and idempotent requests are still served.
+        """
+        if self._is_draining():
+            api.send_json(response, {"status": "stopping"}, 503)
+        elif not self._kernel.find("documents").cell().name:
+            api.send_json(response, {"status": "no configuration"}, 503)
+        else:
+            api.send_json(response, {"status": "ready"})
+
+
+class Metrics:
+    """`GET /metrics`."""
+
+    def __init__(self, core: kernel.Kernel) -> None:
+        self._kernel = core
+
+    def on_get(self, _request: falcon.Request, response: falcon.Response) -> None:
+        """Answer with the metrics in the Prometheus text format."""
+        response.content_type = "text/plain; version=0.0.4; charset=utf-8"
+        response.data = self._kernel.find("metrics").render()
--- /dev/null
+++ b/toucanspring/execution.py
@@ -0,0 +1,338 @@
+"""Non-idempotent requests in the process that owns the partition of their ID.
+
+The log holds the server of each request before the request is sent, so a successor
+knows whom to ask. `partitions.begin_request` gets that server together with what is
+needed to compare a repeated request with the first one; the log keeps this as text.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from collections.abc import Callable
+
+import gevent
+import logbook
+from gevent import event
+
+from toucanspring import (
+    answers,
+    errors,
+    forwarding,
+    job,
+    kernel,
+    lane,
+    outcomes,
+    routing,
+)
+from toucanspring.adapters import backend_servers
+
+log = logbook.Logger(__name__)
+
+Clock = Callable[[], float]
+
+# Whole answers are held in memory until they are durable.
+MAX_ANSWER_BYTES = 16 << 20
+RESEND_PAUSE_S = 0.02
+CONNECT_LIMIT_S = 1.0  # of attempts to reach the chosen server
+LOOKUP_TIMEOUT_S = 2.0
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 1.0
+# After its deadline a request is followed for this long, so that its outcome can
+# still be looked up; then it is recorded as unknown.
+FOLLOW_S = 120.0
+# The refusal of a request that waits until its deadline arrives just after it.
+REFUSAL_GRACE_S = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Running:
+    """Say that a request was begun and has no outcome yet."""
+
+
+def kind(value: object) -> str:
+    """Return the name of the kind of result that `partitions` gave."""
+    return type(value).__name__
+
+
+class Execution:
+    """Run each request of the own partitions once and remember its outcome."""
+
+    def __init__(
+        self,
+        core: kernel.Kernel,
+        partitions: int,
+        lane_of: Callable[[str], lane.Lane | None],
+        client: backend_servers.BackendServerClient,
+        clock: Clock = time.monotonic,
+    ) -> None:
+        self._kernel = core
+        self._partitions = partitions
+        self._lane_of = lane_of
+        self._client = client
+        self._clock = clock
+        self._outcomes = outcomes.Outcomes(core)
+        # Requests under way in this process: ID -> digest and result.
+        self._running: dict[str, tuple[bytes, event.AsyncResult]] = {}
+
+    def in_flight(self) -> int:
+        """Return the number of requests under way."""
+        return len(self._running)
+
+    def run(self, request: answers.Request) -> answers.Stored | errors.Failure:
+        """Return the outcome of a request, running it unless its ID is known."""
+        known = self._running.get(request.id)
+        digest = answers.digest(request)
+        if known is not None:
+            if known[0] != digest:
+                return _other_content(request.id)
+            result = known[1]
+        else:
+            result = self._spawn(
+                request.id, digest, lambda: self._execute(request, digest)
+            )
+        outcome = _wait(result, request.deadline_s + REFUSAL_GRACE_S)
+        if isinstance(outcome, answers.Stored) and outcome.digest != digest:
+            return _other_content(request.id)
+        return outcome
+
+    def find(self, request_id: str) -> answers.Stored | Running | errors.Failure:
+        """Return the outcome of a request, or its state."""
+        if request_id in self._running:
+            return Running()
+        if self._epoch(request_id) is None:
+            return errors.Refused(reason="not the owner of this request ID")
+        state = self._kernel.find("partitions").find_request(request_id)
+        match kind(state):
+            case "Finished":
+                return self._outcomes.restore(state.outcome)
+            case "Running":
+                start = outcomes.decode_start(state.server)
+                self._spawn(
+                    request_id, start.digest, lambda: self._resolve(request_id, start)
+                )
+                return Running()
+        return state
+
+    def recover(self, request_id: str, server: str) -> None:
+        """Find out what became of a request that a former owner began."""
+        if request_id not in self._running:
+            start = outcomes.decode_start(server)
+            self._spawn(
+                request_id, start.digest, lambda: self._resolve(request_id, start)
+            )
+
+    def _spawn(
+        self, request_id: str, digest: bytes, work: Callable[[], object]
+    ) -> event.AsyncResult:
+        """Run work that outlives the caller; others that ask for the ID join it."""
+        result = event.AsyncResult()
+        self._running[request_id] = (digest, result)
+
+        def run() -> None:
+            outcome: object = errors.Unknown(reason="outcome unknown: internal error")
+            try:
+                outcome = work()
+            except Exception:
+                log.exception("request {} failed", request_id)
+            finally:
+                del self._running[request_id]
+                result.set(outcome)
+
+        gevent.spawn(run)
+        return result
+
+    def _epoch(self, request_id: str) -> int | None:
+        partition = job.partition_of(request_id, self._partitions)
+        return self._kernel.find("claims").owned().get(partition)
+
+    def _execute(
+        self, request: answers.Request, digest: bytes
+    ) -> answers.Stored | errors.Failure:
+        deadline = self._clock() + request.deadline_s
+        target = self._lane_of(request.service)
+        if target is None:
+            return errors.NotFound(reason=f"no service {request.service}")
+        if self._epoch(request.id) is None:
+            return errors.Refused(reason="not the owner of this request ID")
+        partitions = self._kernel.find("partitions")
+        # A refusal below is certain only if the log shows that the ID is new.
+        state = partitions.find_request(request.id)
+        if not isinstance(state, errors.NotFound):
+            return self._continue(request.id, state)
+        server = target.acquire(request.job_class, deadline)
+        if isinstance(server, errors.Failure):
+            if self._epoch(request.id) is None:
+                return errors.Refused(reason="not the owner of this request ID")
+            return server
+        start = outcomes.Start(
+            forwarding.address_of(server), request.team, request.service, digest
+        )
+        begun = partitions.begin_request(request.id, start.encode())
+        if kind(begun) != "Begun":
+            target.release(server.id)
+            return self._continue(request.id, begun)
+        epoch = backend_servers.Epoch(
+            job.partition_of(request.id, self._partitions), begun.epoch
+        )
+        started = self._clock()
+        result = self._send(request, start, epoch, deadline)
+        failed = isinstance(result, errors.Failure) and not isinstance(
+            result, errors.Oversized
+        )
+        target.finished(
+            server.id,
+            routing.Outcome.FAILED if failed else routing.Outcome.OK,
+            request.job_class,
+            self._clock() - started,
+        )
+        return self._outcomes.record(request.id, start, result)
+
+    def _continue(
+        self, request_id: str, state: object
+    ) -> answers.Stored | errors.Failure:
+        """Return the outcome of a request that this call did not begin."""
+        match kind(state):
+            case "Finished":
+                return self._outcomes.restore(state.outcome)
+            case "Running":
+                return self._resolve(request_id, outcomes.decode_start(state.server))
+        match state:
+            case errors.Fenced() | errors.Refused() | errors.NotRun():
+                return state
+            case errors.Failure():
+                return errors.NotRun(reason=f"not run: {state.reason}")
+        return errors.Unknown(reason=f"outcome unknown: {kind(state)}")
+
+    def _send(
+        self,
+        request: answers.Request,
+        start: outcomes.Start,
+        epoch: backend_servers.Epoch,
+        deadline: float,
+    ) -> answers.Stored | errors.Failure:
+        """Send a begun request until the server takes it; it takes it at most once.
+
+        A server that refuses has certainly not run it, and stays the one that the
+        log names, so sending again to the same server keeps the record true.
+        """
+        unreached_since: float | None = None
+        while True:
+            left_s = deadline - self._clock()
+            if left_s <= 0:
+                return errors.NotRun(reason="not run: no free slot before the deadline")
+            result = self._client.send(
+                start.server,
+                request.id,
+                request.body,
+                left_s,
+                epoch,
+                forwarding.headers_of(request),
+            )
+            match result:
+                case errors.NotRun(reason="epoch"):
+                    return errors.Fenced(reason="the server knows a later owner")
+                case errors.NotRun():
+                    unreached_since = None
+                case errors.Unavailable():
+                    now = self._clock()
+                    unreached_since = unreached_since or now
+                    if now - unreached_since > CONNECT_LIMIT_S:
+                        return errors.NotRun(reason=f"not run: {result.reason}")
+                case errors.Failure():
+                    return self._look_up(request.id, start, FOLLOW_S, certain=False)
+                case _:
+                    received = _receive(result, start)
+                    if isinstance(received, errors.Ambiguous):
+                        # The server remembers the answer of which a part was lost.
+                        return self._look_up(request.id, start, FOLLOW_S, certain=False)
+                    return received
+            gevent.sleep(min(RESEND_PAUSE_S, left_s))
+
+    def _look_up(
+        self, request_id: str, start: outcomes.Start, limit_s: float, certain: bool
+    ) -> answers.Stored | errors.Failure:
+        """Ask a server what became of a request.
+
+        `certain` says that the epoch was raised there, so that an ID it never saw
+        will not run any more.
+        """
+        give_up = self._clock() + limit_s
+        pause = FIRST_PAUSE_S
+        reason = "no answer"
+        while self._clock() < give_up:
+            state = self._client.lookup(start.server, request_id, LOOKUP_TIMEOUT_S)
+            match state:
+                case backend_servers.Answer():
+                    received = _receive(state, start)
+                    if not isinstance(received, errors.Ambiguous):
+                        return received
+                    reason = received.reason
+                case errors.NotFound() if certain:
+                    return errors.NotRun(reason="not run: the server never saw it")
+                case errors.Failure():
+                    reason = state.reason
+            gevent.sleep(pause)
+            pause = min(2 * pause, LONGEST_PAUSE_S)
+        return errors.Unknown(reason=f"outcome unknown: {start.server}: {reason}")
+
+    def _resolve(
+        self, request_id: str, start: outcomes.Start
+    ) -> answers.Stored | errors.Failure:
+        """Find out the outcome of a request that a former owner may have sent."""
+        give_up = self._clock() + FOLLOW_S
+        pause = FIRST_PAUSE_S
+        while True:
+            number = self._epoch(request_id)
+            if number is None:
+                return errors.Refused(reason="not the owner of this request ID")
+            partition = job.partition_of(request_id, self._partitions)
+            raised = self._client.raise_epoch(
+                start.server, backend_servers.Epoch(partition, number)
+            )
+            if raised is None:
+                break
+            if isinstance(raised, errors.Fenced):
+                return raised
+            if self._clock() > give_up:
+                lost = errors.Unknown(reason=f"outcome unknown: {raised.reason}")
+                return self._outcomes.record(request_id, start, lost)
+            gevent.sleep(pause)
+            pause = min(2 * pause, LONGEST_PAUSE_S)
+        left_s = max(LOOKUP_TIMEOUT_S, give_up - self._clock())
+        result = self._look_up(request_id, start, left_s, certain=True)
+        return self._outcomes.record(request_id, start, result)
+
+
+def _receive(
+    answer: backend_servers.Answer, start: outcomes.Start
+) -> answers.Stored | errors.Ambiguous | errors.Unknown:
+    """Receive a whole answer."""
+    body = answer.read(MAX_ANSWER_BYTES)
+    match body:
+        case errors.Oversized():
+            return errors.Unknown(reason=f"ran, but its answer: {body.reason}")
+        case errors.Failure():
+            return body
+    return answers.Stored(
+        team=start.team,
+        service=start.service,
+        digest=start.digest,
+        status=answer.status,
+        headers=answers.end_to_end(answer.headers),
+        body=body,
+        length=len(body),
+    )
+
+
+def _wait(result: event.AsyncResult, limit_s: float) -> object:
+    try:
+        return result.get(timeout=limit_s)
+    except gevent.Timeout:
+        return errors.Unknown(reason="outcome unknown: still running at the deadline")
+
+
+def _other_content(request_id: str) -> errors.Conflict:
+    return errors.Conflict(
+        reason=f"request ID {request_id} was used for another request", key=request_id
+    )
--- /dev/null
+++ b/toucanspring/forwarding.py
@@ -0,0 +1,205 @@
+"""Idempotent requests: sent by any process, again elsewhere after a failure."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+
+from toucanspring import answers, errors, handler, lane, routing
+from toucanspring.adapters import backend_servers
+
+# Part of an answer that is received before any of it is passed on. A failure within
+# it leads to a retry that the caller does not notice.
+PREFETCH_BYTES = 256 * 1024
+# Refused connections are certain not to have run anything, so they need no budget,
+# but each costs time; a caller with a long deadline still gets an answer.
+MAX_UNREACHED = 8
+# Statuses with which a server says that it failed, not the request.
+SERVER_FAULTS = frozenset({502, 503, 504})
+
+Clock = Callable[[], float]
+
+
+def address_of(server: routing.ServerFacts) -> str:
+    """Return the name of a server for the backend server client."""
+    host = f"[{server.address}]" if ":" in server.address else server.address
+    return f"{host}:{server.port}"
+
+
+def headers_of(request: answers.Request) -> dict[str, str]:
+    """Return the headers that a backend server gets with a request."""
+    headers = {"X-Class": str(request.job_class), "X-Team": request.team}
+    if request.content_type:
+        headers["Content-Type"] = request.content_type
+    return headers
+
+
+class Stream:
+    """Pass on an answer in parts; frees the slot at its end or when closed."""
+
+    def __init__(
+        self,
+        first: list[bytes],
+        answer: backend_servers.Answer | None,
+        finish: Callable[[routing.Outcome], None],
+    ) -> None:
+        self._first = iter(first)
+        self._answer = answer
+        self._rest: Iterator[bytes] = answer.chunks if answer else iter(())
+        self._finish = finish
+        self._ended = answer is None
+
+    def __iter__(self) -> Stream:
+        return self
+
+    def __next__(self) -> bytes:
+        for chunk in self._first:
+            return chunk
+        if self._ended:
+            raise StopIteration
+        try:
+            return next(self._rest)
+        except StopIteration:
+            self._end(routing.Outcome.OK)
+            raise
+        except backend_servers.BrokenAnswer as broken:
+            self._end(routing.Outcome.FAILED)
+            raise handler.AnswerCut(broken.failure.reason) from None
+
+    def close(self) -> None:
+        """Abandon the rest of the answer, if there is one."""
+        if not self._ended:
+            self._answer.close()
+            self._end(routing.Outcome.OK)
+
+    def _end(self, outcome: routing.Outcome) -> None:
+        self._ended = True
+        self._finish(outcome)
+
+
+class Attempt:
+    """Hold one request while it is tried at one server after the other."""
+
+    def __init__(
+        self,
+        target: lane.Lane,
+        client: backend_servers.BackendServerClient,
+        request: answers.Request,
+        clock: Clock = time.monotonic,
+    ) -> None:
+        self._lane = target
+        self._client = client
+        self._request = request
+        self._clock = clock
+        self._deadline = clock() + request.deadline_s
+        self._excluded: frozenset[str] = frozenset()
+        self._retries = 0
+        self._unreached = 0
+        self._may_have_run = False
+        self._last: errors.Failure | None = None
+
+    def run(self) -> answers.Answer | errors.Failure:
+        """Return the answer of the first server that gives a whole beginning of one."""
+        request = self._request
+        while True:
+            server = self._lane.acquire(
+                request.job_class, self._deadline, self._excluded, self._retries > 0
+            )
+            if isinstance(server, errors.Failure):
+                return self._give_up(server)
+            result = self._try(server)
+            if isinstance(result, answers.Answer):
+                return result
+            self._last = result
+            if not self._may_try_again(server, result):
+                return self._give_up(result)
+
+    def _try(self, server: routing.ServerFacts) -> answers.Answer | errors.Failure:
+        started = self._clock()
+        left_s = self._deadline - started
+
+        def finish(outcome: routing.Outcome) -> None:
+            seconds = self._clock() - started
+            self._lane.finished(server.id, outcome, self._request.job_class, seconds)
+
+        if left_s <= 0:
+            self._lane.release(server.id)
+            return errors.NotRun(reason="not run: the deadline passed before a start")
+        result = self._client.send(
+            address_of(server),
+            self._request.id,
+            self._request.body,
+            left_s,
+            headers=headers_of(self._request),
+        )
+        match result:
+            case errors.NotRun():
+                finish(routing.Outcome.REFUSED)
+                return result
+            case errors.Failure():
+                finish(routing.Outcome.FAILED)
+                return result
+        return self._receive(result, finish)
+
+    def _receive(
+        self,
+        answer: backend_servers.Answer,
+        finish: Callable[[routing.Outcome], None],
+    ) -> answers.Answer | errors.Failure:
+        """Receive the beginning of an answer; a small one is received whole."""
+        first: list[bytes] = []
+        size = 0
+        whole = False
+        try:
+            while size < PREFETCH_BYTES:
+                chunk = next(answer.chunks, None)
+                if chunk is None:
+                    whole = True
+                    break
+                first.append(chunk)
+                size += len(chunk)
+        except backend_servers.BrokenAnswer as broken:
+            finish(routing.Outcome.FAILED)
+            return broken.failure
+        headers = answers.end_to_end(answer.headers)
+        if whole:
+            fault = answer.status in SERVER_FAULTS
+            finish(routing.Outcome.FAILED if fault else routing.Outcome.OK)
+            body = Stream(first, None, finish)
+            return answers.Answer(answer.status, headers, body, size)
+        declared = answer.headers.get("content-length", "")
+        length = int(declared) if declared.isdigit() else None
+        return answers.Answer(
+            answer.status, headers, Stream(first, answer, finish), length
+        )
+
+    def _may_try_again(
+        self, server: routing.ServerFacts, failure: errors.Failure
+    ) -> bool:
+        now = self._clock()
+        if now >= self._deadline:
+            self._may_have_run |= isinstance(failure, errors.Ambiguous)
+            return False
+        match failure:
+            case errors.NotRun():  # the router avoids the full server by itself
+                return True
+            case errors.Unavailable():
+                self._excluded |= {server.id}
+                self._unreached += 1
+                return self._unreached <= MAX_UNREACHED
+        self._may_have_run = True
+        self._excluded |= {server.id}
+        self._retries += 1
+        return self._retries <= self._lane.service.retries and (
+            self._lane.router.retry_allowed(now)
+        )
+
+    def _give_up(self, failure: errors.Failure) -> errors.Failure:
+        """Say `not run` only if no server can have begun the request."""
+        if self._may_have_run:
+            last = self._last or failure
+            return errors.Unknown(reason=f"outcome unknown: {last.reason}")
+        match failure:
+            case errors.Overloaded() | errors.NotRun():
+                return failure
+        return errors.NotRun(reason=f"not run: {failure.reason}")
--- /dev/null
+++ b/toucanspring/gateway.py
@@ -0,0 +1,145 @@
+"""HTTP service for callers and operators."""
+
+from __future__ import annotations
+
+import time
+
+import falcon
+import logbook
+import msgspec
+
+from toucanspring import (
+    api,
+    api_jobs,
+    api_operators,
+    api_services,
+    api_status,
+    errors,
+    handler,
+    kernel,
+    report,
+)
+
+log = logbook.Logger(__name__)
+
+
+class Timing:
+    """Count requests and their seconds by route and status."""
+
+    def __init__(self, core: kernel.Kernel) -> None:
+        metrics = core.find("metrics")
+        self._requests = metrics.counter(
+            "toucanspring_http_requests_total", "HTTP requests by route and status."
+        )
+        self._seconds = metrics.histogram(
+            "toucanspring_http_seconds", "Seconds until the head of the answer."
+        )
+
+    def process_request(self, request: falcon.Request, _response) -> None:
+        """Note when a request began."""
+        request.context.started = time.monotonic()
+
+    def process_response(
+        self, request: falcon.Request, response: falcon.Response, _resource, _ok
+    ) -> None:
+        """Count an answered request."""
+        route = request.uri_template or "none"
+        status = response.status[:3]
+        self._requests.inc({"route": route, "status": status})
+        seconds = time.monotonic() - request.context.started
+        self._seconds.observe({"route": route}, seconds)
+
+
+def build_application(core: kernel.Kernel, settings: object, is_draining) -> falcon.App:
+    """Return the WSGI application with all routes of the page."""
+    application = falcon.App(middleware=[Timing(core)])
+    application.req_options.strip_url_path_trailing_slash = True
+    application.add_error_handler(api.Failed, api.answer_failure)
+    application.add_error_handler(falcon.HTTPError, api.answer_http_error)
+    application.add_error_handler(Exception, _answer_fault)
+    access = api.Access(core, settings)
+    routes = {
+        "/v1/jobs": api_jobs.Jobs(core, access),
+        "/v1/jobs/{job_id}": api_jobs.JobStatus(core, access),
+        "/v1/jobs/{job_id}/explain": api_jobs.Explain(core, access),
+        "/v1/cancellations": api_jobs.Cancel(core, access),
+        "/v1/services/{name}/requests": api_services.Requests(core, access),
+        "/v1/requests/{request_id}": api_services.RequestStatus(core, access),
+        "/v1/config": api_operators.Config(core, access),
+        "/v1/config/history": api_operators.ConfigHistory(core, access),
+        "/v1/config/confirmations": api_operators.Confirmations(core, access),
+        "/v1/zones": api_operators.Zones(core, access),
+        "/v1/zones/{name}/out": api_operators.ZoneChange(core, access, True),
+        "/v1/zones/{name}/in": api_operators.ZoneChange(core, access, False),
+        "/v1/keys": api_operators.Keys(core, access),
+        "/v1/keys/{key_id}": api_operators.Key(core, access),
+        "/v1/workers": api_status.Workers(core, access),
+        "/v1/members": api_status.Members(core, access),
+        "/v1/reports/{name}": api_status.Reports(core, access),
+        "/metrics": api_status.Metrics(core),
+        "/healthz": api_status.Health(),
+        "/readyz": api_status.Ready(core, is_draining),
+    }
+    for path, resource in routes.items():
+        application.add_route(path, resource)
+    return application
+
+
+def _answer_fault(_request, response: falcon.Response, error: Exception, _params):
+    """Answer a programming error; whether work ran is then unknown."""
+    log.error("request failed: {!r}", error, exc_info=True)
+    response.status = falcon.HTTP_500
+    response.content_type = api.JSON
+    response.data = handler.render(errors.Unknown(reason="internal error"))
+
+
+class Service:
+    """Own the HTTP server of this process."""
+
+    def __init__(self, core: kernel.Kernel, settings: object) -> None:
+        self._kernel = core
+        self._settings = settings
+        self._server: handler.Server | None = None
+        self._draining = False
+
+    @property
+    def port(self) -> int:
+        """Return the port that the server listens on."""
+        return self._server.server_port
+
+    def start(self) -> None:
+        """Listen for callers."""
+        self._kernel.find("peers").handle("report", self._serve_report)
+        application = build_application(
+            self._kernel, self._settings, lambda: self._draining
+        )
+        self._server = handler.Server(
+            (self._settings.address, self._settings.http_port), application
+        )
+        self._server.start()
+
+    def stop_accepting(self) -> None:
+        """Close the listener; answers under way end their connections."""
+        self._draining = True
+        if self._server is not None:
+            self._server.stop_accepting_connections()
+
+    def in_flight(self) -> int:
+        """Return the number of requests under way, counting those on their way in."""
+        return 0 if self._server is None else self._server.in_flight()
+
+    def stop(self) -> None:
+        """Wait for the requests under way, then close all connections."""
+        if self._server is None:
+            return
+        self.stop_accepting()
+        interrupted = self._server.drain(self._settings.drain_s)
+        if interrupted:
+            log.warning("{} requests were interrupted by the stop", interrupted)
+        self._server = None
+
+    def _serve_report(self, _sender: str, body: bytes) -> bytes | errors.Failure:
+        name = body.decode(errors="replace")
+        if name not in report.NAMES:
+            return errors.NotFound(reason=f"no report {name}")
+        return msgspec.msgpack.encode(report.collect(self._kernel, name))
--- a/toucanspring/handler.py
+++ b/toucanspring/handler.py
@@ -10,6 +10,7 @@
 import re
 import socket
 import struct
+import time
 from http import client
 
 import gevent
@@ -321,6 +322,7 @@
         )
         self.connections: set[Handler] = set()
         self.draining = False
+        self._idle_until = 0.0
 
     def idle_timeout(self) -> float:
         """Return how many seconds a connection may wait for its next request."""
@@ -329,21 +331,31 @@
         return IDLE_TIMEOUT_S
 
     def in_flight(self) -> int:
-        """Return the number of requests being read or answered."""
-        return sum(handler.busy for handler in self.connections)
+        """Return the number of requests being read or answered.
 
-    def drain(self, limit_s: float) -> int:
-        """Stop accepting, wait for requests, and return how many were interrupted."""
+        While draining has just begun, one more stands for requests that were sent
+        on idle connections and have not arrived yet.
+        """
+        busy = sum(each.busy for each in self.connections)
+        expecting = self.draining and time.monotonic() < self._idle_until
+        return busy + bool(expecting and self.connections)
+
+    def stop_accepting_connections(self) -> None:
+        """Serve the connections that the kernel has completed, accept no others."""
+        if self.draining:
+            return
         self.draining = True
-        for _ in range(ACCEPTS_AT_STOP):  # connections the kernel has completed
+        self._idle_until = time.monotonic() + DRAIN_IDLE_S
+        for _ in range(ACCEPTS_AT_STOP):
             self._do_read()
         self.close()
-        with gevent.Timeout(limit_s, False):
-            # A request that was under way when draining began may arrive on an
-            # idle connection; it is answered and the connection closed.
-            gevent.sleep(min(DRAIN_IDLE_S, limit_s / 2))
-            while self.in_flight():
-                gevent.sleep(0.02)
-        interrupted = self.in_flight()
+
+    def drain(self, limit_s: float) -> int:
+        """Stop accepting, wait for requests, and return how many were interrupted."""
+        self.stop_accepting_connections()
+        deadline = time.monotonic() + limit_s
+        while self.in_flight() and time.monotonic() < deadline:
+            gevent.sleep(0.02)
+        interrupted = sum(each.busy for each in self.connections)
         self.pool.kill(timeout=LINGER_S)
         return interrupted
--- /dev/null
+++ b/toucanspring/lane.py
@@ -0,0 +1,171 @@
+"""Backend servers of one service: who waits for a slot, and who gets the next one."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+import random
+import time
+from collections.abc import Callable
+
+import gevent
+from gevent import event
+
+from toucanspring import admission, errors, job, routing, text
+
+# A server may free a slot at any moment without this process being told, so waiting
+# requests are offered again at this interval at least.
+LONGEST_PAUSE_S = 0.1
+SHORTEST_PAUSE_S = 0.002
+
+
+class Waiter:
+    """Stand for one request that waits for a slot."""
+
+    __slots__ = ("deadline", "excluded", "job_class", "result", "retry")
+
+    def __init__(
+        self,
+        job_class: job.JobClass,
+        deadline: float,
+        excluded: frozenset[str],
+        retry: bool,
+    ) -> None:
+        self.job_class = job_class
+        self.deadline = deadline
+        self.excluded = excluded
+        self.retry = retry
+        self.result = event.AsyncResult()
+
+
+class Lane:
+    """Own the router and the queue of one service in this process."""
+
+    def __init__(
+        self,
+        service: text.Service,
+        rng: random.Random,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.service = service
+        self.router = routing.Router(rng)
+        self._admission = admission.Admission()
+        self._clock = clock
+        self._keys = itertools.count()
+        self._waiters: dict[str, Waiter] = {}
+        self._waiting: collections.Counter[job.JobClass] = collections.Counter()
+        self._timer: gevent.Greenlet | None = None
+        self._servers: dict[str, routing.ServerFacts] = {}
+
+    def close(self) -> None:
+        """Stop offering slots; requests that wait end as not run."""
+        if self._timer is not None:
+            self._timer.kill()
+            self._timer = None
+        for waiter in list(self._waiters.values()):
+            waiter.result.set(errors.NotRun(reason="not run: the process stops"))
+
+    def set_servers(self, servers: list[routing.ServerFacts]) -> None:
+        """Replace the backend servers and serve waiting requests."""
+        self._servers = {facts.id: facts for facts in servers}
+        self.router.set_servers(servers)
+        self.pump()
+
+    def set_zones_out(self, zones: frozenset[str]) -> None:
+        """Use no server in these availability zones."""
+        self.router.set_zones_out(zones)
+        self.pump()
+
+    def waiting(self) -> dict[str, int]:
+        """Return the number of waiting requests by class."""
+        return {str(name): count for name, count in self._waiting.items() if count}
+
+    def acquire(
+        self,
+        job_class: job.JobClass,
+        deadline: float,
+        excluded: frozenset[str] = frozenset(),
+        retry: bool = False,
+    ) -> routing.ServerFacts | errors.Failure:
+        """Wait for a server; the caller then sends and calls `finished` once.
+
+        Fails with `NotRun` at the deadline and `Overloaded` when shed.
+        """
+        now = self._clock()
+        if now >= deadline:
+            return errors.NotRun(reason="not run: the deadline passed before a start")
+        rule = self.service.classes.get(job_class)
+        if rule is not None and self._waiting[job_class] >= rule.max_waiting:
+            return errors.Overloaded(
+                reason=f"not run: {rule.max_waiting} {job_class} requests wait already"
+            )
+        key = str(next(self._keys))
+        waiter = Waiter(job_class, deadline, excluded, retry)
+        self._waiters[key] = waiter
+        self._waiting[job_class] += 1
+        try:
+            offered = self._admission.offer(key, job_class, deadline, now)
+            if isinstance(offered, errors.Failure):
+                return offered
+            self.pump()
+            return waiter.result.get(timeout=deadline - now)
+        except gevent.Timeout:
+            if waiter.result.ready():  # a server was given in the same moment
+                return waiter.result.get()
+            return errors.NotRun(reason="not run: the deadline passed before a start")
+        finally:
+            self._waiting[job_class] -= 1
+            del self._waiters[key]
+            self._admission.cancel(key)
+
+    def finished(
+        self,
+        server_id: str,
+        outcome: routing.Outcome,
+        job_class: job.JobClass,
+        seconds: float,
+    ) -> None:
+        """Record how a request ended at a server and serve the next one."""
+        self.router.finished(server_id, outcome, seconds, self._clock())
+        if outcome is routing.Outcome.OK:
+            self._admission.served(job_class, seconds)
+        self.pump()
+
+    def release(self, server_id: str) -> None:
+        """Give back a server to which nothing was sent."""
+        self.router.finished(server_id, routing.Outcome.OK, 0.0, self._clock())
+        self.pump()
+
+    def pump(self) -> None:
+        """Give servers to waiting requests while there are both."""
+        while self._waiters:
+            now = self._clock()
+            probe = self.router.choose(now)
+            if isinstance(probe, errors.Failure):
+                self._arm(probe.retry_after_s)
+                return
+            item = self._admission.next(now)
+            if item is None:
+                return
+            key, entry = item
+            waiter = self._waiters.get(key)
+            if waiter is None or waiter.result.ready():
+                continue
+            if isinstance(entry, errors.Failure):
+                waiter.result.set(entry)
+                continue
+            server = self.router.choose(now, waiter.excluded)
+            if isinstance(server, errors.Failure):
+                # All others are full; a second try at the same one beats waiting.
+                server = probe
+            self.router.sent(server.id, waiter.retry)
+            waiter.result.set(server)
+
+    def _arm(self, delay_s: float) -> None:
+        if self._timer is None:
+            pause = min(LONGEST_PAUSE_S, max(SHORTEST_PAUSE_S, delay_s))
+            self._timer = gevent.spawn_later(pause, self._run_timer)
+
+    def _run_timer(self) -> None:
+        self._timer = None
+        self.pump()
--- /dev/null
+++ b/toucanspring/requests.py
@@ -0,0 +1,352 @@
+"""Requests of callers to services: sent from here, or by the owner of their ID."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Iterator
+
+import gevent
+import logbook
+import msgspec
+
+from toucanspring import (
+    answers,
+    burn,
+    errors,
+    execution,
+    forwarding,
+    job,
+    kernel,
+    lane,
+    routing,
+    text,
+)
+from toucanspring.adapters import backend_servers, vms
+
+log = logbook.Logger(__name__)
+
+Request = answers.Request
+Answer = answers.Answer
+
+POLL_S = 1.0  # of the VM list
+RETRY_S = 0.05  # until the owner of a partition is asked again
+STATUS_TIMEOUT_S = 2.0
+# The owner refuses just after the deadline; its refusal is awaited this much longer.
+OWNER_GRACE_S = 0.5
+RETRY_FAILURES = (errors.Unavailable, errors.Fenced, errors.Refused)
+LOST_FAILURES = (errors.Ambiguous, errors.Timeout, errors.Closed)
+
+
+class Head(msgspec.Struct, frozen=True, kw_only=True):
+    """Begin the answer to a forwarded request; `length` bytes of body follow."""
+
+    status: int
+    headers: dict[str, str] = {}
+    length: int = 0
+
+
+class State(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer the question for the state of a request ID."""
+
+    running: bool = False
+    stored: answers.Stored | None = None
+
+
+_encoder = msgspec.msgpack.Encoder()
+_head_decoder = msgspec.msgpack.Decoder(Head)
+_state_decoder = msgspec.msgpack.Decoder(State)
+
+
+class Service:
+    """Own the lanes of all services and the requests under way."""
+
+    def __init__(
+        self,
+        core: kernel.Kernel,
+        settings: object,
+        client: backend_servers.BackendServerClient | None = None,
+    ) -> None:
+        self._kernel = core
+        self._settings = settings
+        self._client = client or backend_servers.HttpBackendServerClient(
+            settings.process
+        )
+        self._rng = random.Random()
+        self._lanes: dict[str, lane.Lane] = {}
+        self._cell: text.Cell | None = None
+        self._zones_out: frozenset[str] = frozenset()
+        self._vms: list[vms.Vm] = []
+        self._poller: gevent.Greenlet | None = None
+        self._serving = 0
+        self.burn = burn.Recorder()
+        self._execution = execution.Execution(
+            core, settings.partitions, self._lane_of, self._client
+        )
+
+    def start(self) -> None:
+        """Answer the other processes and follow the VM list."""
+        peers = self._kernel.find("peers")
+        peers.handle("request", self._serve_forwarded)
+        peers.handle("request_status", self._serve_status)
+        self._poller = gevent.spawn(self._poll)
+
+    def stop(self) -> None:
+        """Stop following the VM list and close idle connections."""
+        if self._poller is not None:
+            self._poller.kill()
+        for each in self._lanes.values():
+            each.close()
+        self._client.close()
+
+    def in_flight(self) -> int:
+        """Return the number of requests that this process still works on."""
+        return self._serving + self._execution.in_flight()
+
+    def serve(self, request: Request) -> Answer | errors.Failure:
+        """Run a request and return its answer; see the page for the guarantees."""
+        target = self._lane_of(request.service)
+        if target is None:
+            return errors.NotFound(reason=f"no service {request.service}")
+        started = time.monotonic()
+        self._serving += 1
+        try:
+            if request.idempotent:
+                result = forwarding.Attempt(target, self._client, request).run()
+            else:
+                result = self._forward(request)
+        finally:
+            self._serving -= 1
+        now = time.monotonic()
+        self._record(target.service, request, result, now - started, now)
+        return result
+
+    def lookup(
+        self, request_id: str
+    ) -> answers.Stored | execution.Running | errors.Failure:
+        """Return the outcome of a non-idempotent request, wherever it is owned."""
+        deadline = time.monotonic() + STATUS_TIMEOUT_S
+        while True:
+            result = self._ask(request_id, deadline - time.monotonic())
+            retry = isinstance(result, RETRY_FAILURES + LOST_FAILURES)
+            if not retry or time.monotonic() + RETRY_S >= deadline:
+                break
+            gevent.sleep(RETRY_S)
+        if isinstance(result, LOST_FAILURES):
+            return errors.Unavailable(reason=result.reason)  # a read has no effect
+        return result
+
+    def waiting(self) -> dict[str, dict[str, int]]:
+        """Return the number of waiting requests by service and class."""
+        return {name: each.waiting() for name, each in self._lanes.items()}
+
+    def recover(self, request_id: str, server: str) -> None:
+        """Find out what became of a request that a former owner began."""
+        self._execution.recover(request_id, server)
+
+    # Entry side
+
+    def _owner(self, request_id: str) -> object:
+        partition = job.partition_of(request_id, self._settings.partitions)
+        return self._kernel.find("claims").owner_of(partition)
+
+    def _forward(self, request: Request) -> Answer | errors.Failure:
+        """Pass a request to the owner of its ID, again after a lost owner.
+
+        The owner runs an ID once, so asking again is safe at any time.
+        """
+        deadline = time.monotonic() + request.deadline_s
+        lost: errors.Failure | None = None
+        while True:
+            left_s = deadline - time.monotonic()
+            result = self._forward_once(request, max(0.001, left_s))
+            match result:
+                case Answer():
+                    return result
+                case errors.NotRun() | errors.Overloaded() if lost is not None:
+                    # The refusal is of this attempt; the lost one may yet arrive.
+                    return errors.Unknown(reason=f"outcome unknown: {lost.reason}")
+            if isinstance(result, LOST_FAILURES):
+                lost = result
+            elif not isinstance(result, RETRY_FAILURES):
+                return result
+            if time.monotonic() + RETRY_S >= deadline:
+                break
+            gevent.sleep(RETRY_S)
+        if lost is not None:
+            return errors.Unknown(reason=f"outcome unknown: {lost.reason}")
+        return errors.NotRun(reason=f"not run: {result.reason}")
+
+    def _forward_once(self, request: Request, left_s: float) -> Answer | errors.Failure:
+        owner = self._owner(request.id)
+        if isinstance(owner, errors.Failure):
+            return errors.Unavailable(reason=owner.reason or "no owner")
+        sent = msgspec.structs.replace(request, deadline_s=left_s)
+        if owner.process == self._kernel.find("membership").identity.process:
+            stored = self._execution.run(sent)
+            if isinstance(stored, errors.Failure):
+                return stored
+            return _answer(stored.status, stored.headers, stored.body)
+        chunks = self._kernel.find("peers").call_stream(
+            owner.process, "request", answers.encode(sent), left_s + OWNER_GRACE_S
+        )
+        if isinstance(chunks, errors.Failure):
+            return chunks
+        return _receive(chunks)
+
+    def _ask(
+        self, request_id: str, left_s: float
+    ) -> answers.Stored | execution.Running | errors.Failure:
+        owner = self._owner(request_id)
+        if isinstance(owner, errors.Failure):
+            return errors.Unavailable(reason=owner.reason or "no owner")
+        if owner.process == self._kernel.find("membership").identity.process:
+            return self._execution.find(request_id)
+        body = self._kernel.find("peers").call(
+            owner.process, "request_status", request_id.encode(), max(0.05, left_s)
+        )
+        if isinstance(body, errors.Failure):
+            return body
+        try:
+            state = _state_decoder.decode(body)
+        except msgspec.MsgspecError as error:
+            return errors.Malformed(reason=f"state of {request_id}: {error}")
+        return execution.Running() if state.running else state.stored
+
+    # Owner side
+
+    def _serve_forwarded(
+        self, sender: str, body: bytes
+    ) -> Iterator[bytes] | errors.Failure:
+        request = answers.decode_request(body)
+        if isinstance(request, errors.Failure):
+            log.error("from {}: {}", sender, request.reason)
+            return request
+        stored = self._execution.run(request)
+        if isinstance(stored, errors.Failure):
+            return stored
+        return _send(stored)
+
+    def _serve_status(self, _sender: str, body: bytes) -> bytes | errors.Failure:
+        found = self._execution.find(body.decode(errors="replace"))
+        match found:
+            case errors.Failure():
+                return found
+            case execution.Running():
+                return _encoder.encode(State(running=True))
+        return _encoder.encode(State(stored=found))
+
+    # Lanes
+
+    def _lane_of(self, service: str) -> lane.Lane | None:
+        self._follow_documents()
+        return self._lanes.get(service)
+
+    def _follow_documents(self) -> None:
+        """Take in another configuration or other zones out of service."""
+        documents = self._kernel.find("documents")
+        cell = documents.cell()
+        if cell is not self._cell:
+            self._cell = cell
+            for name in [name for name in self._lanes if name not in cell.services]:
+                self._lanes.pop(name).close()
+            for name, service in cell.services.items():
+                if name in self._lanes:
+                    self._lanes[name].service = service
+                else:
+                    self._lanes[name] = lane.Lane(service, self._rng)
+                    self._lanes[name].set_zones_out(self._zones_out)
+            self._set_servers()
+        zones_out = documents.zones_out()
+        if zones_out != self._zones_out:
+            self._zones_out = zones_out
+            for each in self._lanes.values():
+                each.set_zones_out(zones_out)
+
+    def _set_servers(self) -> None:
+        for each in self._lanes.values():
+            each.set_servers(
+                [
+                    routing.ServerFacts(
+                        vm.id,
+                        vm.address,
+                        vm.port,
+                        vm.availability_zone,
+                        vm.state is vms.State.LEAVING,
+                    )
+                    for vm in self._vms
+                    if vm.role is vms.Role.BACKEND_SERVER
+                    and vm.service == each.service.backend_servers
+                ]
+            )
+
+    def _poll(self) -> None:
+        store = self._kernel.find("store")
+        while True:
+            try:
+                listed = store.vms.list()
+                if isinstance(listed, errors.Failure):
+                    # The last list stays in use; servers that do not answer are
+                    # avoided in any case.
+                    log.warning("VM list: {}", listed.reason)
+                elif listed != self._vms:
+                    self._forget(listed)
+                    self._vms = listed
+                    self._set_servers()
+                self._follow_documents()
+            except Exception:
+                log.exception("following the VM list failed")
+            gevent.sleep(POLL_S)
+
+    def _forget(self, listed: list[vms.Vm]) -> None:
+        """Close connections to servers that are no longer listed."""
+        before = {f"{vm.address}:{vm.port}" for vm in self._vms}
+        after = {f"{vm.address}:{vm.port}" for vm in listed}
+        for server in before - after:
+            self._client.forget(server)
+
+    def _record(
+        self,
+        service: text.Service,
+        request: Request,
+        result: object,
+        seconds: float,
+        now: float,
+    ) -> None:
+        match result:
+            case Answer(status=status):
+                good = status < 500
+            case errors.Conflict() | errors.NotFound() | errors.Forbidden():
+                return  # the caller's fault spends no budget
+            case _:
+                good = False
+        rule = service.classes.get(request.job_class)
+        if rule is not None and rule.within_seconds is not None:
+            good = good and seconds <= rule.within_seconds
+        self.burn.record(service.name, request.team, good, now)
+
+
+def _answer(status: int, headers: dict[str, str], body: bytes) -> Answer:
+    return Answer(status, headers, answers.split(body), len(body))
+
+
+def _send(stored: answers.Stored) -> Iterator[bytes]:
+    head = Head(status=stored.status, headers=stored.headers, length=len(stored.body))
+    yield _encoder.encode(head)
+    yield from answers.split(stored.body)
+
+
+def _receive(chunks: Iterator[bytes]) -> Answer | errors.Failure:
+    """Receive a whole answer; a broken one is asked for again."""
+    received = bytearray()
+    try:
+        head = _head_decoder.decode(next(chunks))
+        for chunk in chunks:
+            received += chunk
+    except (StopIteration, msgspec.MsgspecError) as error:
+        return errors.Ambiguous(reason=f"the owner's answer has no head: {error}")
+    except Exception as error:  # StreamBroken of the peers service
+        return errors.Ambiguous(reason=f"the owner's answer broke: {error}")
+    if len(received) != head.length:
+        return errors.Ambiguous(reason="the owner's answer is incomplete")
+    return _answer(head.status, head.headers, bytes(received))
--- a/toucanspring/syntax.py
+++ b/toucanspring/syntax.py
@@ -13,7 +13,7 @@
 from toucanspring import errors
 
 # The text travels in one peer frame and one table row of at most 1 MiB.
-MAX_TEXT_BYTES = 768 * 1024
+MAX_TEXT_BYTES = 512 * 1024
 MAX_DEPTH = 12
 MAX_SHOWN_CHARACTERS = 80
 
--- a/toucanspring/text.py
+++ b/toucanspring/text.py
@@ -180,7 +180,12 @@
 
 
 def parse_all(source: str) -> Cell | list[errors.Invalid]:
-    """Return the cell that a text declares, or its faults in the order of lines."""
+    """Return the cell that a text declares, or its faults in the order of lines.
+
+    An empty text is the cell before the first configuration, without any entry.
+    """
+    if not source:
+        return Cell()
     # Imported here because the reader builds the classes of this module.
     from toucanspring import reader
 
