--- a/standins/service.py
+++ b/standins/service.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import os
 import signal
 import socket
 import time
@@ -17,6 +18,7 @@
 
 MAX_RECORDED_EVENTS = 2_000_000
 LISTEN_BACKLOG = 1024
+PARENT_POLL_S = 1.0
 STATUS_LINES = {
     200: "200 OK",
     202: "202 Accepted",
@@ -51,7 +53,7 @@
     """Keep events with monotonic times, which all processes of a host share."""
 
     def __init__(self, limit: int = MAX_RECORDED_EVENTS) -> None:
-        self._events: collections.deque[dict] = collections.deque(maxlen=limit)
+        self._events: collections.deque[object] = collections.deque(maxlen=limit)
         self._added = 0
 
     def add(self, kind: str, **fields: object) -> None:
@@ -59,6 +61,11 @@
         self._added += 1
         self._events.append({"at": time.monotonic(), "kind": kind, **fields})
 
+    def append(self, occurred: msgspec.Struct) -> None:
+        """Append an event that has its own fields `at` and `kind`."""
+        self._added += 1
+        self._events.append(occurred)
+
     def dump(self, after: int = 0) -> bytes:
         """Return JSON with the events from number `after` on and the next number.
 
@@ -202,7 +209,7 @@
         if response.cut_at is not None:
             return _cut(environ["standins.socket"], response)
         if response.chunked:
-            return _blocks(response.body)
+            return iter(_blocks(response.body))
         return [response.body]
 
 
@@ -360,9 +367,15 @@
 
 
 def run_until_signal(ready: str) -> None:
-    """Print a line once serving, then wait for SIGTERM or SIGINT."""
+    """Print a line once serving, then wait for SIGTERM, SIGINT or the parent's end.
+
+    A stand-in whose test process was killed would otherwise stay behind.
+    """
+    parent = os.getppid()
     ended = event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, ended.set)
     print(ready, flush=True)
-    ended.wait()
+    while not ended.wait(timeout=PARENT_POLL_S):
+        if os.getppid() != parent:
+            return
--- a/toucanspring/api_services.py
+++ b/toucanspring/api_services.py
@@ -6,7 +6,7 @@
 
 import falcon
 
-from toucanspring import answers, api, errors, execution, job, kernel, text
+from toucanspring import answers, api, errors, job, kernel, runner, text
 
 MAX_DEADLINE_MS = 3_600_000
 FALSE_WORDS = {"false", "0", "no"}
@@ -142,7 +142,7 @@
         if reader == "" and not request_id.startswith(api.OPEN_PREFIX):
             raise api.Failed(errors.Forbidden(reason="a team key is required"), 401)
         found = api.unwrap(self._kernel.find("requests").lookup(request_id))
-        if isinstance(found, execution.Running):
+        if isinstance(found, runner.Running):
             response.set_header("X-State", "running")
             api.send_json(response, {"id": request_id, "state": "running"}, 202)
             return
--- a/toucanspring/requests.py
+++ b/toucanspring/requests.py
@@ -14,12 +14,12 @@
     answers,
     burn,
     errors,
-    execution,
     forwarding,
     job,
     kernel,
     lane,
     routing,
+    runner,
     text,
 )
 from toucanspring.adapters import backend_servers, vms
@@ -80,7 +80,7 @@
         self._poller: gevent.Greenlet | None = None
         self._serving = 0
         self.burn = burn.Recorder()
-        self._execution = execution.Execution(
+        self._runner = runner.Runner(
             core, settings.partitions, self._lane_of, self._client
         )
 
@@ -101,7 +101,7 @@
 
     def in_flight(self) -> int:
         """Return the number of requests that this process still works on."""
-        return self._serving + self._execution.in_flight()
+        return self._serving + self._runner.in_flight()
 
     def serve(self, request: Request) -> Answer | errors.Failure:
         """Run a request and return its answer; see the page for the guarantees."""
@@ -123,7 +123,7 @@
 
     def lookup(
         self, request_id: str
-    ) -> answers.Stored | execution.Running | errors.Failure:
+    ) -> answers.Stored | runner.Running | errors.Failure:
         """Return the outcome of a non-idempotent request, wherever it is owned."""
         deadline = time.monotonic() + STATUS_TIMEOUT_S
         while True:
@@ -142,7 +142,7 @@
 
     def recover(self, request_id: str, server: str) -> None:
         """Find out what became of a request that a former owner began."""
-        self._execution.recover(request_id, server)
+        self._runner.recover(request_id, server)
 
     # Entry side
 
@@ -183,7 +183,7 @@
             return errors.Unavailable(reason=owner.reason or "no owner")
         sent = msgspec.structs.replace(request, deadline_s=left_s)
         if owner.process == self._kernel.find("membership").identity.process:
-            stored = self._execution.run(sent)
+            stored = self._runner.run(sent)
             if isinstance(stored, errors.Failure):
                 return stored
             return _answer(stored.status, stored.headers, stored.body)
@@ -196,12 +196,12 @@
 
     def _ask(
         self, request_id: str, left_s: float
-    ) -> answers.Stored | execution.Running | errors.Failure:
+    ) -> answers.Stored | runner.Running | errors.Failure:
         owner = self._owner(request_id)
         if isinstance(owner, errors.Failure):
             return errors.Unavailable(reason=owner.reason or "no owner")
         if owner.process == self._kernel.find("membership").identity.process:
-            return self._execution.find(request_id)
+            return self._runner.find(request_id)
         body = self._kernel.find("peers").call(
             owner.process, "request_status", request_id.encode(), max(0.05, left_s)
         )
@@ -211,7 +211,7 @@
             state = _state_decoder.decode(body)
         except msgspec.MsgspecError as error:
             return errors.Malformed(reason=f"state of {request_id}: {error}")
-        return execution.Running() if state.running else state.stored
+        return runner.Running() if state.running else state.stored
 
     # Owner side
 
@@ -222,17 +222,17 @@
         if isinstance(request, errors.Failure):
             log.error("from {}: {}", sender, request.reason)
             return request
-        stored = self._execution.run(request)
+        stored = self._runner.run(request)
         if isinstance(stored, errors.Failure):
             return stored
         return _send(stored)
 
     def _serve_status(self, _sender: str, body: bytes) -> bytes | errors.Failure:
-        found = self._execution.find(body.decode(errors="replace"))
+        found = self._runner.find(body.decode(errors="replace"))
         match found:
             case errors.Failure():
                 return found
-            case execution.Running():
+            case runner.Running():
                 return _encoder.encode(State(running=True))
         return _encoder.encode(State(stored=found))
 
