--- a/toucanspring/api.py
+++ b/toucanspring/api.py
@@ -43,9 +43,15 @@
     errors.Unavailable: 503,
     errors.Fenced: 503,
     errors.Timeout: 504,
+    errors.Failure: 500,
 }
 
 
+def status_of(failure: errors.Failure) -> int:
+    """Return the HTTP status of a failure; a subtype has that of its base."""
+    return next(STATUS[kind] for kind in type(failure).__mro__ if kind in STATUS)
+
+
 class Failed(Exception):
     """Carry a failure out of a resource; `extra` is added to the JSON body."""
 
@@ -57,7 +63,7 @@
     ) -> None:
         super().__init__(failure.reason)
         self.failure = failure
-        self.status = status or STATUS.get(type(failure), 500)
+        self.status = status or status_of(failure)
         self.extra = extra or {}
 
 
--- a/toucanspring/api_operators.py
+++ b/toucanspring/api_operators.py
@@ -64,27 +64,12 @@
         before = self._documents.cell()
         version = api.unwrap(self._documents.apply(source, expected, operator))
         log.info("operator {} put configuration {} into force", operator, version)
-        started = self._start_jobs(before, cell)
+        # The autostart service submits them once the text is in force.
+        starts = [text.apply_id(each) for each in text.introduced(before, cell)]
         api.send_json(
-            response, {"version": version, "started": started}, ETag=f'"{version}"'
+            response, {"version": version, "starts": starts}, ETag=f'"{version}"'
         )
 
-    def _start_jobs(self, before: text.Cell, cell: text.Cell) -> list[dict]:
-        """Submit the jobs that the text introduces; their IDs make repeats safe."""
-        specs = [
-            text.job_spec(cell, template, text.apply_id(template))
-            for template in text.introduced(before, cell)
-        ]
-        if not specs:
-            return []
-        results = self._kernel.find("partitions").submit(specs)
-        return [
-            {"id": spec.id, "error": errors.to_dict(result)}
-            if isinstance(result, errors.Failure)
-            else {"id": spec.id}
-            for spec, result in zip(specs, results, strict=True)
-        ]
-
 
 def _expected_version(request: falcon.Request) -> int:
     given = (request.get_header("If-Match") or "").strip('" ')
--- a/toucanspring/gateway.py
+++ b/toucanspring/gateway.py
@@ -47,7 +47,7 @@
         status = response.status[:3]
         self._requests.inc({"route": route, "status": status})
         seconds = time.monotonic() - request.context.started
-        self._seconds.observe({"route": route}, seconds)
+        self._seconds.add({"route": route}, seconds)
 
 
 def build_application(core: kernel.Kernel, settings: object, is_draining) -> falcon.App:
--- a/toucanspring/partitions.py
+++ b/toucanspring/partitions.py
@@ -251,7 +251,8 @@
     def _find_owned(self, name: str) -> partition.Partition | errors.Failure:
         owned = self._owned.get(self.number_of(name))
         if owned is None or not owned.ready.wait(ASK_TIMEOUT_S):
-            return errors.NotFound(reason="this process does not own the partition")
+            # Not `NotFound`, which says that the log has no such request.
+            return errors.Refused(reason="this process does not own the partition")
         if not self._kernel.find("claims").may_start(owned.number, time.monotonic()):
             return errors.Unavailable(reason="ownership of the partition is in doubt")
         return owned
--- a/toucanspring/request_log.py
+++ b/toucanspring/request_log.py
@@ -77,3 +77,11 @@
         if entry is None:
             return errors.NotFound(reason=f"no request {request_id}")
         return entry
+
+    def interrupted(self) -> dict[str, str]:
+        """Return the server by ID of requests that an earlier owner began."""
+        return {
+            request_id: entry.server
+            for request_id, entry in self._journal.state.requests.items()
+            if entry.outcome is None and entry.epoch != self._journal.epoch
+        }
--- a/toucanspring/requests.py
+++ b/toucanspring/requests.py
@@ -13,11 +13,13 @@
 from toucanspring import (
     answers,
     burn,
+    claims,
     errors,
     forwarding,
     job,
     kernel,
     lane,
+    link,
     routing,
     runner,
     text,
@@ -32,6 +34,7 @@
 POLL_S = 1.0  # of the VM list
 RETRY_S = 0.05  # until the owner of a partition is asked again
 STATUS_TIMEOUT_S = 2.0
+RECOVER_LIMIT_S = 60.0  # until the log of a claimed partition is read
 # The owner refuses just after the deadline; its refusal is awaited this much longer.
 OWNER_GRACE_S = 0.5
 RETRY_FAILURES = (errors.Unavailable, errors.Fenced, errors.Refused)
@@ -89,6 +92,7 @@
         peers = self._kernel.find("peers")
         peers.handle("request", self._serve_forwarded)
         peers.handle("request_status", self._serve_status)
+        self._kernel.subscribe(claims.PartitionAcquired, self._recover)
         self._poller = gevent.spawn(self._poll)
 
     def stop(self) -> None:
@@ -140,9 +144,15 @@
         """Return the number of waiting requests by service and class."""
         return {name: each.waiting() for name, each in self._lanes.items()}
 
-    def recover(self, request_id: str, server: str) -> None:
-        """Find out what became of a request that a former owner began."""
-        self._runner.recover(request_id, server)
+    def _recover(self, event: claims.PartitionAcquired) -> None:
+        """Find out what became of requests that the former owner began."""
+        gevent.spawn(self._recover_partition, event.partition)
+
+    def _recover_partition(self, number: int) -> None:
+        owned = self._kernel.find("partitions").owned().get(number)
+        if owned is not None and owned.ready.wait(RECOVER_LIMIT_S):
+            for request_id, server in owned.requests.interrupted().items():
+                self._runner.recover(request_id, server)
 
     # Entry side
 
@@ -345,7 +355,7 @@
             received += chunk
     except (StopIteration, msgspec.MsgspecError) as error:
         return errors.Ambiguous(reason=f"the owner's answer has no head: {error}")
-    except Exception as error:  # StreamBroken of the peers service
+    except link.StreamBroken as error:
         return errors.Ambiguous(reason=f"the owner's answer broke: {error}")
     if len(received) != head.length:
         return errors.Ambiguous(reason="the owner's answer is incomplete")
--- a/toucanspring/runner.py
+++ b/toucanspring/runner.py
@@ -22,7 +22,9 @@
     job,
     kernel,
     lane,
+    log_records,
     outcomes,
+    request_log,
     routing,
 )
 from toucanspring.adapters import backend_servers
@@ -50,11 +52,6 @@
     """Say that a request was begun and has no outcome yet."""
 
 
-def kind(value: object) -> str:
-    """Return the name of the kind of result that `partitions` gave."""
-    return type(value).__name__
-
-
 class Runner:
     """Run each request of the own partitions once and remember its outcome."""
 
@@ -102,17 +99,13 @@
             return Running()
         if self._epoch(request_id) is None:
             return errors.Refused(reason="not the owner of this request ID")
-        state = self._kernel.find("partitions").find_request(request_id)
-        match kind(state):
-            case "Finished":
-                return self._outcomes.restore(state.outcome)
-            case "Running":
-                start = outcomes.decode_start(state.server)
-                self._spawn(
-                    request_id, start.digest, lambda: self._resolve(request_id, start)
-                )
-                return Running()
-        return state
+        entry = self._kernel.find("partitions").request_entry(request_id)
+        if isinstance(entry, errors.Failure):
+            return entry
+        if entry.outcome is not None:
+            return self._outcomes.restore(entry.outcome)
+        self.recover(request_id, entry.server)
+        return Running()
 
     def recover(self, request_id: str, server: str) -> None:
         """Find out what became of a request that a former owner began."""
@@ -157,9 +150,9 @@
             return errors.Refused(reason="not the owner of this request ID")
         partitions = self._kernel.find("partitions")
         # A refusal below is certain only if the log shows that the ID is new.
-        state = partitions.find_request(request.id)
-        if not isinstance(state, errors.NotFound):
-            return self._continue(request.id, state)
+        entry = partitions.request_entry(request.id)
+        if not isinstance(entry, errors.NotFound):
+            return self._continue(request.id, entry)
         server = target.acquire(request.job_class, deadline)
         if isinstance(server, errors.Failure):
             if self._epoch(request.id) is None:
@@ -169,7 +162,7 @@
             forwarding.address_of(server), request.team, request.service, digest
         )
         begun = partitions.begin_request(request.id, start.encode())
-        if kind(begun) != "Begun":
+        if not isinstance(begun, request_log.Begun):
             target.release(server.id)
             return self._continue(request.id, begun)
         epoch = backend_servers.Epoch(
@@ -192,17 +185,18 @@
         self, request_id: str, state: object
     ) -> answers.Stored | errors.Failure:
         """Return the outcome of a request that this call did not begin."""
-        match kind(state):
-            case "Finished":
-                return self._outcomes.restore(state.outcome)
-            case "Running":
-                return self._resolve(request_id, outcomes.decode_start(state.server))
         match state:
+            case request_log.Finished(outcome=outcome):
+                return self._outcomes.restore(outcome)
+            case log_records.RequestEntry(outcome=job.Outcome() as outcome):
+                return self._outcomes.restore(outcome)
+            case request_log.Running() | log_records.RequestEntry():
+                return self._resolve(request_id, outcomes.decode_start(state.server))
             case errors.Fenced() | errors.Refused() | errors.NotRun():
                 return state
             case errors.Failure():
                 return errors.NotRun(reason=f"not run: {state.reason}")
-        return errors.Unknown(reason=f"outcome unknown: {kind(state)}")
+        raise TypeError(f"unexpected state {state!r}")
 
     def _send(
         self,
