--- a/toucanspring/api_status.py
+++ b/toucanspring/api_status.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 
 import falcon
 import msgspec
@@ -100,20 +101,23 @@
 class Ready:
     """`GET /readyz`: the balancer may send callers here."""
 
-    def __init__(self, core: kernel.Kernel, is_draining) -> None:
+    def __init__(self, core: kernel.Kernel, is_draining: Callable[[], bool]) -> None:
         self._kernel = core
         self._is_draining = is_draining
+        self._was_fresh = False
 
     def on_get(self, _request: falcon.Request, response: falcon.Response) -> None:
-        """Answer 503 while the process starts or stops.
+        """Answer 503 until the documents were read once, and while stopping.
 
-        An old view of the documents does not count: during an outage of the store
-        all processes have one, and idempotent requests are still served.
+        An old view of the documents does not count later: during an outage of the
+        store all processes have one, and idempotent requests are still served.
         """
+        documents = self._kernel.find("documents")
+        self._was_fresh = self._was_fresh or documents.fresh(time.monotonic())
         if self._is_draining():
             api.send_json(response, {"status": "stopping"}, 503)
-        elif not self._kernel.find("documents").cell().name:
-            api.send_json(response, {"status": "no configuration"}, 503)
+        elif not self._was_fresh:
+            api.send_json(response, {"status": "documents not read yet"}, 503)
         else:
             api.send_json(response, {"status": "ready"})
 
