--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -205,7 +205,14 @@
     )
 
     def members(self):
-        return {"entry-1": None}
+        return {
+            "entry-1": {
+                "process": "entry-1",
+                "availability_zone": "zug-1",
+                "address": "127.0.0.1",
+                "http_port": 1,
+            }
+        }
 
     def reachable(self):
         return {"entry-1"}
--- /dev/null
+++ b/toucanspring/cli.py
@@ -0,0 +1,196 @@
+"""Entry point `toucanspring`: the command line of operators and submitters.
+
+Exit codes: 0 success, 1 other failure, 2 wrong use, 3 invalid input, 4 conflict,
+5 forbidden, 6 not found, 7 not run or unavailable, 8 outcome unknown, 9 the job
+failed or did not run, 10 time limit.
+"""
+
+from __future__ import annotations
+
+import getpass
+import inspect
+import os
+import sys
+from collections.abc import Callable, Mapping
+
+import defopt
+
+from toucanspring import client, console, errors
+from toucanspring.commands import (
+    apply,
+    cancel,
+    diff,
+    explain,
+    history,
+    key,
+    report,
+    show,
+    status,
+    submit,
+    validate,
+    wait,
+    workers,
+    zone,
+)
+
+PREFIX = "TOUCANSPRING_"
+COMMANDS = {
+    "validate": validate.run,
+    "apply": apply.run,
+    "show": show.run,
+    "diff": diff.run,
+    "history": history.run,
+    "submit": submit.run,
+    "status": status.run,
+    "cancel": cancel.run,
+    "wait": wait.run,
+    "zone": {"out": zone.take_out, "in": zone.take_in, "list": zone.list_zones},
+    "key": {"grant": key.grant, "withdraw": key.withdraw, "list": key.list_keys},
+    "workers": workers.run,
+    "explain": explain.run,
+    "report": report.run,
+}
+COMMON_DOC = """
+    :param endpoints: entry processes as host:port in order of preference, separated
+        by commas (TOUCANSPRING_ENDPOINTS)
+    :param key: team key (TOUCANSPRING_KEY)
+    :param operator_key: key of operators (TOUCANSPRING_OPERATOR_KEY)
+    :param operator: name recorded with changes (TOUCANSPRING_OPERATOR)
+    :param timeout_s: limit on each call in seconds (TOUCANSPRING_TIMEOUT_S)
+    :param json: print JSON (TOUCANSPRING_JSON=1)
+"""
+
+
+def common_defaults(environment: Mapping[str, str]) -> dict[str, object]:
+    """Return the defaults of the options that all commands have."""
+
+    def read(name: str, default: str = "") -> str:
+        return environment.get(PREFIX + name, default)
+
+    return {
+        "endpoints": read("ENDPOINTS") or "127.0.0.1:8080",
+        # The keys are filled in later, since the help shows defaults.
+        "key": "",
+        "operator_key": "",
+        "operator": read("OPERATOR") or _user(),
+        "timeout_s": float(read("TIMEOUT_S", "30")),
+        "json": read("JSON") not in ("", "0", "false"),
+    }
+
+
+def _user() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return ""
+
+
+def extend(
+    command: Callable[..., console.Result],
+    defaults: Mapping[str, object],
+    environment: Mapping[str, str],
+) -> Callable[..., int]:
+    """Add the common options to a command and run it with a context."""
+    kinds = {
+        "endpoints": str,
+        "key": str,
+        "operator_key": str,
+        "operator": str,
+        "timeout_s": float,
+        "json": bool,
+    }
+
+    def run(*arguments: object, **options: object) -> int:
+        common = {name: options.pop(name) for name in kinds}
+        for name in ("key", "operator_key"):
+            common[name] = common[name] or environment.get(PREFIX + name.upper(), "")
+        return execute(
+            lambda context: command(context, *arguments, **options), **common
+        )
+
+    signature = inspect.signature(command, eval_str=True)
+    own = list(signature.parameters.values())[1:]
+    common = [
+        inspect.Parameter(
+            name,
+            inspect.Parameter.KEYWORD_ONLY,
+            default=defaults[name],
+            annotation=kind,
+        )
+        for name, kind in kinds.items()
+    ]
+    run.__signature__ = inspect.Signature([*own, *common], return_annotation=int)
+    run.__annotations__ = {each.name: each.annotation for each in [*own, *common]}
+    run.__name__ = command.__name__
+    run.__module__ = command.__module__
+    run.__doc__ = (
+        inspect.cleandoc(command.__doc__) + "\n" + inspect.cleandoc(COMMON_DOC)
+    )
+    if ":param" not in command.__doc__:
+        run.__doc__ = (
+            inspect.cleandoc(command.__doc__) + "\n\n" + inspect.cleandoc(COMMON_DOC)
+        )
+    return run
+
+
+def execute(
+    command: Callable[[console.Context], console.Result],
+    endpoints: str,
+    key: str,
+    operator_key: str,
+    operator: str,
+    timeout_s: float,
+    json: bool,
+) -> int:
+    """Run a command, print its result or failure, and return the exit code."""
+    try:
+        places = [
+            console.unwrap(client.parse_endpoint(item.strip()))
+            for item in endpoints.split(",")
+            if item.strip()
+        ]
+        connection = client.Client(places, key, operator_key, operator, timeout_s)
+        try:
+            result = command(console.Context(connection, json, timeout_s))
+        finally:
+            connection.close()
+    except console.Failed as failed:
+        console.print_failure(failed, json)
+        return console.exit_code(failed.failure)
+    console.print_result(result, json)
+    return result.status
+
+
+def run(arguments: list[str], environment: Mapping[str, str] = os.environ) -> int:
+    """Run one command line and return its exit code."""
+    try:
+        defaults = common_defaults(environment)
+    except ValueError:
+        failure = errors.Invalid(reason="not a number", path=f"{PREFIX}TIMEOUT_S")
+        console.print_failure(console.Failed(failure), False)
+        return console.EXIT_USAGE
+    commands = {
+        name: {
+            inner: extend(each, defaults, environment) for inner, each in entry.items()
+        }
+        if isinstance(entry, dict)
+        else extend(entry, defaults, environment)
+        for name, entry in COMMANDS.items()
+    }
+    return defopt.run(commands, argv=arguments, short={}, no_negated_flags=True)
+
+
+def main() -> None:
+    """Run the command line of this process."""
+    try:
+        sys.exit(run(sys.argv[1:]))
+    except KeyboardInterrupt:
+        sys.exit(130)
+    except BrokenPipeError:
+        # The reader of the output has ended; writing at exit would fail again.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(console.EXIT_FAILURE)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/toucanspring/client.py
@@ -0,0 +1,142 @@
+"""HTTP client of the command line, with failover between endpoints."""
+
+from __future__ import annotations
+
+import dataclasses
+import urllib.parse
+
+import msgspec
+
+from toucanspring import errors
+from toucanspring.adapters import exchange
+
+DEFAULT_PORT = 8080
+CONNECT_TIMEOUT_S = 3.0
+MAX_ANSWER_BYTES = 1 << 26
+# Failures after which another process may do better; none of them had an effect.
+ELSEWHERE = (errors.NotRun, errors.Unavailable, errors.Overloaded, errors.Fenced)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold a successful answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> object:
+        """Return the body decoded from JSON."""
+        return msgspec.json.decode(self.body)
+
+
+def parse_endpoint(text: str) -> tuple[str, int] | errors.Invalid:
+    """Return host and port of `host`, `host:port` or `http://host:port`."""
+    expected = "host:port or http://host:port"
+    parts = urllib.parse.urlsplit(text if "//" in text else f"//{text}", "http")
+    try:
+        port = parts.port or DEFAULT_PORT
+    except ValueError:
+        port = 0
+    if (
+        parts.scheme != "http"
+        or not parts.hostname
+        or parts.path.strip("/")
+        or not port
+    ):
+        return errors.Invalid(
+            reason="not an endpoint", path="endpoints", value=text, expected=expected
+        )
+    return parts.hostname, port
+
+
+class Client:
+    """Call the first endpoint that answers."""
+
+    def __init__(
+        self,
+        endpoints: list[tuple[str, int]],
+        key: str,
+        operator_key: str,
+        operator: str,
+        timeout_s: float,
+    ) -> None:
+        self._endpoints = [
+            exchange.Endpoint(
+                host, port, 1, connect_timeout_s=min(CONNECT_TIMEOUT_S, timeout_s)
+            )
+            for host, port in endpoints
+        ]
+        self._key = key
+        self._operator_key = operator_key
+        self._operator = operator
+        self._timeout_s = timeout_s
+
+    def close(self) -> None:
+        """Close all connections."""
+        for endpoint in self._endpoints:
+            endpoint.close()
+
+    def get(self, target: str, operator: bool = False) -> Answer | errors.Failure:
+        """Read a resource."""
+        return self.call("GET", target, operator=operator)
+
+    def call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        operator: bool = False,
+        repeatable: bool = True,
+    ) -> Answer | errors.Failure:
+        """Call one endpoint after the other until one gives an answer.
+
+        After a lost answer the call goes to the next endpoint only if it is
+        `repeatable`, otherwise the result is `Ambiguous`. The endpoint that answered
+        is asked first from then on.
+        """
+        sent = self._headers(operator) | (headers or {})
+        last: errors.Failure = errors.Unavailable(reason="no endpoint")
+        lost: errors.Ambiguous | None = None
+        for endpoint in list(self._endpoints):
+            reply = endpoint.call(
+                method, target, body, sent, self._timeout_s, MAX_ANSWER_BYTES
+            )
+            match reply:
+                case exchange.Reply():
+                    result = _interpret(reply)
+                    if not isinstance(result, ELSEWHERE):
+                        self._prefer(endpoint)
+                        return result
+                    last = result
+                case errors.Ambiguous():
+                    if not repeatable:
+                        return reply
+                    last = lost = reply
+                case _:
+                    last = reply
+        return lost or last
+
+    def _prefer(self, endpoint: exchange.Endpoint) -> None:
+        self._endpoints.remove(endpoint)
+        self._endpoints.insert(0, endpoint)
+
+    def _headers(self, operator: bool) -> dict[str, str]:
+        headers = {"Accept": "application/json"}
+        secret = self._operator_key if operator or not self._key else self._key
+        if secret:
+            headers["Authorization"] = f"Bearer {secret}"
+        if operator and self._operator:
+            headers["X-Operator"] = self._operator
+        return headers
+
+
+def _interpret(reply: exchange.Reply) -> Answer | errors.Failure:
+    if reply.status < 400:
+        return Answer(reply.status, reply.headers, reply.body)
+    try:
+        fields = msgspec.json.decode(reply.body)["error"]
+        return errors.from_dict(fields)
+    except (msgspec.DecodeError, KeyError, TypeError):
+        return errors.Malformed(reason=f"the endpoint answered {reply.status}")
--- /dev/null
+++ b/toucanspring/commands/apply.py
@@ -0,0 +1,85 @@
+"""Command `apply`."""
+
+import time
+
+import gevent
+
+from toucanspring import client, console, errors, source, text
+
+CONFIRM_POLL_S = 0.2
+
+
+def run(
+    context: console.Context,
+    path: str,
+    *,
+    base: int | None = None,
+    wait: bool = False,
+    wait_s: float = 60.0,
+) -> console.Result:
+    """Put an operators' text into force.
+
+    :param path: file with the text, or `-` for the standard input
+    :param base: version that the change is based on; by default the one in force now
+    :param wait: wait until every live process has the version in force
+    :param wait_s: limit on that wait in seconds
+    """
+    new_source, new = source.parse(path)
+    version, old_source = source.fetch(context.client)
+    old = text.parse(old_source)
+    changes = text.diff(old, new) if isinstance(old, text.Cell) else []
+    given = version if base is None else base
+    applied = _put(context.client, new_source, given)
+    lines = [source.show_changes(changes), f"version {applied} is in force"]
+    value: dict[str, object] = {
+        "version": applied,
+        "changes": source.changes_value(changes),
+    }
+    if wait:
+        value["confirmed"] = _wait(context.client, applied, wait_s)
+        lines.append(f"confirmed by {len(value['confirmed'])} processes")
+    return console.Result(value, "\n".join(lines))
+
+
+def _put(connection: client.Client, content: str, given: int) -> int:
+    result = connection.call(
+        "PUT",
+        "/v1/config",
+        content.encode(),
+        {"If-Match": f'"{given}"', "Content-Type": "application/yaml"},
+        operator=True,
+    )
+    match result:
+        case client.Answer():
+            return result.json()["version"]
+        case errors.Conflict(current_version=current) if current == given + 1:
+            # An earlier try at another endpoint may have succeeded without an
+            # answer; the same text in force is what was asked for.
+            version, source_in_force = source.fetch(connection)
+            if version == current and source_in_force == content:
+                return version
+    raise console.Failed(result)
+
+
+def _wait(connection: client.Client, version: int, limit_s: float) -> list[str]:
+    deadline = time.monotonic() + limit_s
+    progress = console.Progress()
+    while True:
+        answer = console.unwrap(
+            connection.get(f"/v1/config/confirmations?version={version}", operator=True)
+        )
+        found = answer.json()["processes"]
+        missing = sorted(name for name, has in found.items() if not has)
+        if not missing:
+            progress.end()
+            return sorted(found)
+        progress.show(
+            f"version {version}: {len(found) - len(missing)} of {len(found)} confirmed"
+        )
+        if time.monotonic() > deadline:
+            progress.end()
+            names = ", ".join(missing)
+            raise console.Failed(
+                errors.Timeout(reason=f"version {version} not confirmed by {names}")
+            )
+        gevent.sleep(CONFIRM_POLL_S)
--- /dev/null
+++ b/toucanspring/commands/diff.py
@@ -0,0 +1,32 @@
+"""Command `diff`."""
+
+from toucanspring import console, source, text
+
+
+def run(
+    context: console.Context, path: str, *, against: str | None = None
+) -> console.Result:
+    """Show what a text would change.
+
+    :param path: file with the new text, or `-` for the standard input
+    :param against: file to compare with instead of the text in force
+    """
+    _, new = source.parse(path)
+    if against is None:
+        version, in_force = source.fetch(context.client)
+        old = console.unwrap(text.parse(in_force))
+    else:
+        version, (_, old) = 0, source.parse(against)
+    changes = text.diff(old, new)
+    starts = [text.apply_id(each) for each in text.introduced(old, new)]
+    shown = source.show_changes(changes)
+    if starts:
+        shown += "\nstarts: " + ", ".join(starts)
+    return console.Result(
+        {
+            "version": version,
+            "changes": source.changes_value(changes),
+            "starts": starts,
+        },
+        shown,
+    )
--- /dev/null
+++ b/toucanspring/commands/validate.py
@@ -0,0 +1,26 @@
+"""Command `validate`."""
+
+from toucanspring import console, errors, source, text
+
+
+def run(_context: console.Context, path: str) -> console.Result:
+    """Check an operators' text without an endpoint.
+
+    :param path: file with the text, or `-` for the standard input
+    """
+    cell = text.parse_all(source.read(path))
+    if isinstance(cell, text.Cell):
+        counts = {name: len(getattr(cell, name)) for name in text.SECTIONS}
+        summary = ", ".join(
+            f"{count} {name.replace('_', ' ')}" for name, count in counts.items()
+        )
+        return console.Result(
+            {"valid": True, "cell": cell.name, **counts},
+            f"cell {cell.name} is valid: {summary}",
+        )
+    faults = [errors.to_dict(fault) for fault in cell]
+    return console.Result(
+        {"valid": False, "faults": faults},
+        source.show_faults(path, cell),
+        console.EXIT_INVALID,
+    )
