Show free capacity of workers; start the daemon without a decisions service

Cause: 'toucanspring workers' failed in a run with three daemons. Change: Scheduler.free_by_worker; decisions is a pure module.

--- a/toucanspring/daemon.py
+++ b/toucanspring/daemon.py
@@ -27,7 +27,6 @@
     "membership",
     "documents",
     "claims",
-    "decisions",
     "fleet",
     "partitions",
     "autostart",
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -196,6 +196,15 @@
         """Return the counts of tasks by state and the outcome of a job."""
         return self._core.table.lookup(job_id)
 
+    def free_by_worker(self) -> dict[str, resources.Resources]:
+        """Return the free amount of each attached worker."""
+        core = self._core
+        return {
+            worker: core.index.free(worker)
+            for worker, state in core.workers.items()
+            if state.attached
+        }
+
     def explain(self, job_id: str) -> effects.Explanation | errors.NotFound:
         """Return what a job waits for, or where its tasks ran."""
         status = self.lookup(job_id)
