Add the demonstration of both deployments

Cause: nothing showed the whole system at work. Change: make demo runs nine daemons per deployment on stand-ins, with checks, builds, batch work, a gang, a graceful shutdown under load, a withdrawn key and a zone taken out and back; the judge checks the records.

--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,61 @@
+"""Entry point of `make demo`."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import os  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+
+import defopt  # noqa: E402
+import gevent  # noqa: E402
+
+from demo import deployment  # noqa: E402
+
+
+def run(*, keep: bool = False) -> int:
+    """Run both deployments and print an account.
+
+    :param keep: Keep the first deployment running until interrupted.
+    """
+    began = time.monotonic()
+
+    def say(line: str) -> None:
+        print(f"[{time.monotonic() - began:5.1f} s] {line}", flush=True)
+
+    if keep:
+        return keep_running(say)
+    accounts = [deployment.execute(each, say) for each in deployment.DEPLOYMENTS]
+    print()
+    for account in accounts:
+        print("\n".join(account.lines()))
+    print()
+    print("To keep a deployment running and use the command line on it:")
+    print("    .venv/bin/python -m demo --keep")
+    print(f"took {time.monotonic() - began:.1f} s")
+    return 0 if all(account.good for account in accounts) else 1
+
+
+def keep_running(say) -> int:
+    """Run the first deployment and print how to reach it."""
+    with deployment.start(deployment.DEPLOYMENTS[0], say) as running:
+        facts = running.cluster.daemon_facts.values()
+        endpoints = ",".join(f"127.0.0.1:{item.http_port}" for item in facts)
+        print("In another terminal:")
+        print(f"    export TOUCANSPRING_ENDPOINTS={endpoints}")
+        print(f"    export TOUCANSPRING_OPERATOR_KEY={running.cluster.operator_key}")
+        print(f"    export TOUCANSPRING_KEY={running.keys['labels']['secret']}")
+        print("    .venv/bin/toucanspring submit proof-rendering --id first")
+        print("    .venv/bin/toucanspring wait first")
+        print("    .venv/bin/toucanspring workers")
+        print(f"Interrupt this process ({os.getpid()}) to stop.", flush=True)
+        try:
+            gevent.sleep(24 * 3600)
+        except KeyboardInterrupt:
+            say("stopping")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(run))
--- /dev/null
+++ b/demo/deployment.py
@@ -0,0 +1,200 @@
+"""The two deployments of the examples, each with nine daemons in three zones."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import json
+import time
+from collections.abc import Callable, Iterator
+
+import gevent
+import yaml
+
+from demo import account, callers, entry
+from standins import cluster, judge
+from toucanspring import errors, text
+
+DAEMONS = 9
+EXAMPLES = cluster.ROOT / "examples"
+IN_FORCE_S = 3.0
+JOB_LIMIT_S = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """Describe one deployment: its text, its service and what is run on it."""
+
+    name: str
+    source: str
+    service: str
+    run: Callable[[Run], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """Hold one running deployment and what is known about it."""
+
+    cluster: cluster.Cluster
+    front: entry.Entry
+    counts: account.Account
+    keys: dict[str, dict]
+    say: Callable[[str], None]
+    outages: list[judge.ZoneOutage] = dataclasses.field(default_factory=list)
+    gangs: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def submitter(self, team: str = "") -> callers.Submitter:
+        """Return a submitter with the key of a team, or without a key."""
+        secret = self.keys[team]["secret"] if team else ""
+        return callers.Submitter(self.front, self.counts, secret)
+
+    def expect(self, holds: bool, problem: str) -> None:
+        """Note a problem unless `holds`."""
+        if not holds:
+            self.counts.problems.append(problem)
+
+
+def work(run_ms: int, answer: str = "") -> str:
+    """Return the payload of a task for the worker stand-in."""
+    return json.dumps({"run_ms": run_ms, "answer": answer})
+
+
+def run_kernhalde(run: Run) -> None:
+    """Serve checks and builds while a daemon is shut down and a key withdrawn."""
+    load = callers.Callers(
+        run.front, run.counts, "request-desk", run.keys["desk"]["secret"]
+    )
+    load.start(callers.Kind("check", True, 400, 5), 12)
+    load.start(callers.Kind("normal", False, 2000, 20), 6)
+    load.start(callers.Kind("deferrable", True, 200_000, 50), 3)
+    labels = run.submitter("labels")
+    labels.submit(
+        [
+            {"id": f"proofs-{n}", "template": "proof-rendering", "payload": work(60)}
+            for n in range(20)
+        ]
+    )
+    desk = run.submitter("desk")
+    desk.submit(
+        [
+            {"id": f"invoices-{n}", "template": "invoice-run", "payload": work(30)}
+            for n in range(40)
+        ]
+    )
+    gevent.sleep(2)
+    run.say("shutting down entry-4 under load")
+    status = run.cluster.stop_daemon("entry-4")
+    run.expect(status == 0, f"entry-4 ended with status {status}")
+    run.cluster.start_daemon("entry-4")
+    run.say("entry-4 ended with all requests answered, and is back")
+    _withdraw_key(run)
+    gevent.sleep(1)
+    load.stop()
+    labels.wait(JOB_LIMIT_S)
+    desk.wait(JOB_LIMIT_S)
+
+
+def _withdraw_key(run: Run) -> None:
+    key = run.keys["analytics"]
+    run.front.operate("DELETE", f"/v1/keys/{key['id']}")
+    gevent.sleep(IN_FORCE_S)
+    accepted = 0
+    for number in range(18):
+        item = {"id": f"late-{number}", "template": "sales-cubes"}
+        reply = run.front.call("POST", "/v1/jobs", {"jobs": [item]}, key["secret"])
+        accepted += reply.status < 400
+    run.expect(accepted == 0, f"{accepted} jobs accepted with a withdrawn key")
+    run.say("withdrew the key of team analytics: 18 of 18 later jobs were refused")
+
+
+def run_zimna_patna(run: Run) -> None:
+    """Run a gang and batch work while an availability zone leaves and returns."""
+    load = callers.Callers(
+        run.front, run.counts, "road-ice", run.keys["dispatch"]["secret"]
+    )
+    load.start(callers.Kind("check", True, 300, 5), 8)
+    load.start(callers.Kind("urgent", False, 500, 20), 4)
+    ensembles = run.submitter("ensembles")
+    gang = {"id": "night-1", "template": "night-ensemble", "payload": work(2500)}
+    # Submitted with its dependencies, each under an ID of its own.
+    ensembles.submit([gang])
+    run.gangs["night-1"] = 20
+    refreshes = run.submitter("sofia-roads")
+    refreshes.submit(
+        [
+            {
+                "id": f"refresh-{number}",
+                "template": "route-temperatures-sofia",
+                "payload": work(400),
+            }
+            for number in range(12)
+        ]
+    )
+    gevent.sleep(1)
+    zone = run.cluster.zones[0]
+    run.say(f"taking availability zone {zone} out of service")
+    run.front.operate("POST", f"/v1/zones/{zone}/out")
+    out_at = time.monotonic()
+    gevent.sleep(IN_FORCE_S + 3)
+    run.front.operate("POST", f"/v1/zones/{zone}/in")
+    run.outages.append(judge.ZoneOutage(zone, out_at, time.monotonic()))
+    run.say(f"availability zone {zone} is back in service")
+    gevent.sleep(1)
+    load.stop()
+    ensembles.wait(JOB_LIMIT_S)
+    refreshes.wait(JOB_LIMIT_S)
+
+
+DEPLOYMENTS = (
+    Deployment("Kernhalde", "kernhalde.yaml", "request-desk", run_kernhalde),
+    Deployment("Zimna Patna", "zimna-patna.yaml", "road-ice", run_zimna_patna),
+)
+
+
+@contextlib.contextmanager
+def start(deployment: Deployment, say: Callable[[str], None]) -> Iterator[Run]:
+    """Start stand-ins and daemons, apply the text and grant the keys."""
+    source = (EXAMPLES / deployment.source).read_text()
+    cell = text.parse(source)
+    if isinstance(cell, errors.Invalid):
+        raise ValueError(cell)
+    with cluster.Cluster(
+        workers=24,
+        backend_servers=24,
+        zones=tuple(cell.availability_zones),
+        worker_options=("--accelerators", "4", "--accelerated", "24"),
+        backend_options=("--service-name", deployment.service),
+    ) as running:
+        names = [f"entry-{number}" for number in range(1, DAEMONS + 1)]
+        for name in names:
+            running.start_daemon(name, wait=False)
+        for name in names:
+            running.wait_ready(name)
+        front = entry.Entry(running, seed=7)
+        counts = account.Account(deployment.name)
+        version = front.apply(_with_short_tasks(source), 0)
+        front.wait_in_force(version, DAEMONS)
+        keys = {team: front.grant(team) for team in cell.teams}
+        say(
+            f"{deployment.name}: {DAEMONS} daemons, 24 workers, 24 executors, "
+            f"configuration {version}, {len(keys)} keys"
+        )
+        yield Run(running, front, counts, keys, say)
+
+
+def _with_short_tasks(source: str) -> str:
+    """Give the templates payloads that end within the demonstration."""
+    document = yaml.safe_load(source)
+    for template in document["jobs"].values():
+        if template.get("kind") != "service":
+            template["payload"] = work(300)
+    return yaml.safe_dump(document, sort_keys=False)
+
+
+def execute(deployment: Deployment, say: Callable[[str], None]) -> account.Account:
+    """Run one deployment from start to end and judge it."""
+    with start(deployment, say) as run:
+        deployment.run(run)
+        known = judge.Known(zone_outages=tuple(run.outages), gang_sizes=run.gangs)
+        run.counts.violations = judge.check(run.cluster.records(), known)
+        return run.counts
--- /dev/null
+++ b/demo/entry.py
@@ -0,0 +1,110 @@
+"""Calls to the entry processes, spread as the platform's balancer spreads them."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import random
+import time
+
+from standins import cluster
+
+ATTEMPTS = 20
+RETRY_S = 0.1
+CONFIRM_ATTEMPTS = 100
+
+
+class CallFailed(Exception):
+    """Raised when an operator call is refused."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Hold an answer; `status` 0 means that it was lost after sending."""
+
+    status: int
+    body: bytes
+
+    @property
+    def failure(self) -> str:
+        """Return the type of the failure, or an empty string."""
+        if 0 < self.status < 400:
+            return ""
+        try:
+            return json.loads(self.body)["error"]["type"]
+        except (ValueError, KeyError, TypeError):
+            return "Ambiguous"
+
+    def json(self) -> dict:
+        """Return the decoded body."""
+        return json.loads(self.body)
+
+
+class Entry:
+    """Call one of the daemons that take connections."""
+
+    def __init__(self, running: cluster.Cluster, seed: int) -> None:
+        self._cluster = running
+        self._rng = random.Random(seed)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        key: str = "",
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Call any daemon; one that refuses the connection is passed over."""
+        sent = dict(headers or {})
+        if key:
+            sent["Authorization"] = f"Bearer {key}"
+        for _ in range(ATTEMPTS):
+            facts = self._rng.choice(list(self._cluster.daemon_facts.values()))
+            if facts.process not in self._cluster.processes:
+                continue
+            try:
+                answer = cluster.call(
+                    facts.http_port, method, path, body, sent, timeout_s=40.0
+                )
+            except ConnectionRefusedError:
+                continue
+            except OSError:
+                return Reply(0, b"")
+            return Reply(*answer)
+        return Reply(0, b"")
+
+    def operate(self, method: str, path: str, body: object = None, **headers) -> Reply:
+        """Make an operator's call and raise `CallFailed` unless it succeeds."""
+        reply = Reply(0, b"")
+        for _ in range(ATTEMPTS):
+            reply = self.call(
+                method, path, body, key=self._cluster.operator_key, headers=headers
+            )
+            if 0 < reply.status < 400:
+                return reply
+            if reply.status and reply.status != 503:
+                break
+            time.sleep(RETRY_S)
+        raise CallFailed(f"{method} {path}: {reply.status} {reply.body.decode()}")
+
+    def apply(self, source: str, version: int) -> int:
+        """Put a text into force; return its version."""
+        reply = self.operate(
+            "PUT", "/v1/config", source.encode(), **{"If-Match": str(version)}
+        )
+        return reply.json()["version"]
+
+    def wait_in_force(self, version: int, processes: int) -> None:
+        """Wait until so many processes confirm a configuration version."""
+        for _ in range(CONFIRM_ATTEMPTS):
+            found = self.operate("GET", f"/v1/config/confirmations?version={version}")
+            confirmed = found.json()["processes"]
+            if len(confirmed) >= processes and all(confirmed.values()):
+                return
+            time.sleep(RETRY_S)
+        raise CallFailed(f"configuration {version} is not in force everywhere")
+
+    def grant(self, team: str) -> dict:
+        """Grant a key to a team."""
+        return self.operate("POST", "/v1/keys", {"team": team}).json()
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -129,10 +129,10 @@
     headers: dict[str, str] | None = None,
     timeout_s: float = 10.0,
 ) -> tuple[int, bytes]:
-    """Make one HTTP call on the loopback address; `body` is sent as JSON."""
+    """Make one HTTP call on the loopback address; bytes are sent as they are."""
     connection = http.client.HTTPConnection(ADDRESS, port, timeout=timeout_s)
     with contextlib.closing(connection):
-        content = None if body is None else msgspec.json.encode(body)
+        content = body if isinstance(body, bytes | None) else msgspec.json.encode(body)
         connection.request(method, path, content, headers or {})
         answer = connection.getresponse()
         return answer.status, answer.read()
