Harden the stand-ins and describe their control interface

Cause: executors kept all answers without limit, and took faults in another form than the other stand-ins.

--- a/standins/backend_servers.py
+++ b/standins/backend_servers.py
@@ -21,6 +21,7 @@
 MAX_CONNECTIONS = 64
 DEFAULT_RUN_MS = 5.0
 MAX_REMEMBERED = 20_000
+MAX_REMEMBERED_BYTES = 1 << 27
 PREFIX = "/requests/"
 
 
@@ -39,7 +40,9 @@
 
 
 class ExecutorFaults(service.Faults):
-    """Faults of an executor.
+    """Faults of an executor; `executors` in the body names those concerned.
+
+    The list is absent or empty for all of them.
 
     `cut_answers` ends that many answers in the middle, `no_slot` refuses all work,
     and `large_bytes` replaces the length of generated answers.
@@ -50,13 +53,6 @@
     large_bytes: int = 0
 
 
-class FaultCall(msgspec.Struct):
-    """Body of `POST /faults`: the executors concerned (none means all) and changes."""
-
-    executors: list[str] = []
-    faults: dict[str, object] = {}
-
-
 class Outcome(msgspec.Struct):
     """Keep what a request led to."""
 
@@ -86,6 +82,7 @@
         self.faults = ExecutorFaults()
         self._slots = slots
         self._busy = 0
+        self._remembered_bytes = 0
         self._record = record
         self._rng = rng
         self._epochs: dict[int, int] = {}
@@ -172,9 +169,8 @@
     ) -> service.Response:
         work = _parse(request.body)
         self._busy += 1
+        self._forget(self._outcomes.pop(request_id, None))
         outcome = self._outcomes[request_id] = Outcome(event.Event())
-        if len(self._outcomes) > MAX_REMEMBERED:
-            self._outcomes.popitem(last=False)
         self._record.add(
             "run",
             executor=self.name,
@@ -197,9 +193,23 @@
                 chunked=work.chunked,
             )
             outcome.done.set()
+            if self._outcomes.get(request_id) is outcome:
+                self._remembered_bytes += len(body)
+                self._forget_oldest()
             self._record.add("ran", executor=self.name, request=request_id)
         return self._cut(work, outcome.response)
 
+    def _forget_oldest(self) -> None:
+        while (
+            len(self._outcomes) > MAX_REMEMBERED
+            or self._remembered_bytes > MAX_REMEMBERED_BYTES
+        ):
+            self._forget(self._outcomes.popitem(last=False)[1])
+
+    def _forget(self, outcome: Outcome | None) -> None:
+        if outcome is not None and outcome.response is not None:
+            self._remembered_bytes -= len(outcome.response.body)
+
     def _cut(self, work: Work, response: service.Response) -> service.Response:
         cut_at = work.cut_at
         if self.faults.cut_answers > 0:
@@ -237,14 +247,14 @@
         return answer or service.Response(404)
 
     def _set_faults(self, body: bytes) -> dict[str, ExecutorFaults]:
-        call = msgspec.json.decode(body, type=FaultCall)
-        names = call.executors or list(self._executors)
+        changes = msgspec.json.decode(body, type=dict)
+        names = changes.pop("executors", None) or list(self._executors)
         unknown = sorted(set(names) - set(self._executors))
         if unknown:
             raise msgspec.ValidationError(f"no executor named {', '.join(unknown)}")
         for name in names:
-            self._executors[name].set_faults(call.faults)
-        self._record.add("faults", executors=names, changes=call.faults)
+            self._executors[name].set_faults(changes)
+        self._record.add("faults", executors=names, changes=changes)
         return {name: self._executors[name].faults for name in names}
 
 
--- a/test/test_backend_servers.py
+++ b/test/test_backend_servers.py
@@ -146,6 +146,18 @@
         self.assertEqual(64, len(self.send("r2", epoch=other)))
         self.assertEqual([], self.runs("r1"))
 
+    def test_only_old_outcomes_are_forgotten(self):
+        # Guards against a stand-in that grows without limit, or forgets too early.
+        self.patch(standin, "MAX_REMEMBERED_BYTES", 1000)
+        for name in ("r1", "r1", "r2", "r2", "r3"):
+            self.send(name, answer_bytes=400)
+        states = [
+            type(self.client.lookup(self.servers[0], name, 1.0))
+            for name in ("r1", "r2", "r3")
+        ]
+        kept = backend_servers.Answer
+        self.assertEqual([errors.NotFound, kept, kept], states)
+
     def test_a_lost_answer_is_ambiguous_for_calls_and_lookups(self):
         self.executors[0].set_faults({"lose_answers": 2})
         self.assertIsInstance(self.send("r1"), errors.Ambiguous)
--- a/test/test_cluster.py
+++ b/test/test_cluster.py
@@ -32,6 +32,10 @@
             self.check_pause(cell, connected.tables)
             self.assertRaises(ValueError, cell.set_faults, "workers", workers=["no"])
             self.assertRaises(ValueError, cell.set_faults, "tables", nonsense=1)
+            self.assertRaises(
+                ValueError, cell.set_faults, "backend_servers", executors=["no"]
+            )
+            cell.set_faults("backend_servers", executors=[], delay_ms=1)
             processes = list(cell.processes.values())
             self.assertEqual(6, len(processes))
             self.assertEqual(set(cell.processes), set(cell.records()))
--- a/test/test_exchange.py
+++ b/test/test_exchange.py
@@ -146,6 +146,18 @@
             opened.close()
         self.assertIsInstance(endpoint.open("GET", "/"), exchange.OpenReply)
 
+    def test_a_server_that_does_not_read_keeps_no_connection(self):
+        # Guards against a pool that loses one connection for each blocked send.
+        idle = server.StreamServer(
+            service.listen("127.0.0.1", 0), lambda _sock, _address: gevent.sleep(9)
+        )
+        idle.start()
+        self.addCleanup(idle.stop, timeout=0)
+        endpoint = self.endpoint(idle.server_port)
+        for _ in range(3):
+            reply = endpoint.call("PUT", "/", bytes(1 << 24), timeout_s=0.05)
+            self.assertIsInstance(reply, errors.Ambiguous)
+
     def test_an_answer_abandoned_in_the_middle_is_not_mixed_into_the_next(self):
         # Guards against a caller who gets the rest of someone else's answer.
         started = self.serve(OK_HEAD + b"200000\r\n\r\n" + b"x" * 200_000, end=False)
--- a/toucanspring/adapters/exchange.py
+++ b/toucanspring/adapters/exchange.py
@@ -65,15 +65,15 @@
         super().feed(data)
 
     def read_available(self) -> bytes:
-        """Wait for body bytes; the inherited `read` waits for whole blocks."""
-        try:
-            while not self._body_buffer and not self.message_complete:
-                if self._sock is None:
-                    raise response.HTTPParseError("the answer was closed")
-                self.feed(self._sock.recv(BLOCK_BYTES))
-        except BaseException:
-            self.release()
-            raise
+        """Wait for body bytes and return them, none at the declared end.
+
+        Raises `HTTPParseError` if the connection ends before. The inherited `read`
+        waits for whole blocks.
+        """
+        while not self._body_buffer and not self.message_complete:
+            if self._sock is None:
+                raise response.HTTPParseError("the answer was closed")
+            self.feed(self._sock.recv(BLOCK_BYTES))
         available = bytes(self._body_buffer)
         self._body_buffer.clear()
         return available
@@ -137,8 +137,6 @@
             ) from None
         finally:
             self.close()
-        if not self._parsed.message_complete:
-            raise BrokenAnswer(errors.Ambiguous(reason="the answer ended early"))
 
     def _is_framed(self) -> bool:
         # Without a length or chunks a cut connection looks like a complete answer.
--- a/toucanspring/adapters/workers.py
+++ b/toucanspring/adapters/workers.py
@@ -184,7 +184,6 @@
             self.closed = True
             self._stream.close()
             unanswered = [task for ids in self._pending.values() for task in ids]
-            self._pending.clear()
             if self._attached is not None:
                 self._attached.set(errors.Ambiguous(reason=failure.reason))
             self._on_closed(failure, unanswered)
