--- a/test/test_backend_servers.py
+++ b/test/test_backend_servers.py
@@ -173,6 +173,16 @@
         self.executors[0].set_faults({"down": False})
         self.assertEqual(64, len(self.send("r1")))
 
+    def test_waiting_for_a_connection_is_not_a_failure_of_the_server(self):
+        # Guards against taking a busy server for one that cannot be reached.
+        client = self.connect(1)
+        first = gevent.spawn(self.send, "r1", client=client, run_ms=150)
+        gevent.sleep(0.02)
+        waited = self.send("r2", 0.05, client=client)
+        self.assertEqual("no free connection within 0.05 s", waited.reason)
+        self.assertIsInstance(waited, errors.NotRun)
+        first.join()
+
     def test_an_error_without_the_not_run_header_is_an_answer(self):
         # Guards against a refusal that claims more than the server said.
         answer = self.client.send(self.servers[0], "r1", b'{"status": 503}', 1.0)
--- a/toucanspring/adapters/backend_servers.py
+++ b/toucanspring/adapters/backend_servers.py
@@ -72,8 +72,9 @@
     ) -> Answer | errors.Failure:
         """Run a request and return its answer once the head has arrived.
 
-        `NotRun` and `Unavailable` mean that it certainly did not run; `Ambiguous`
-        that it may have. `epoch` is given for non-idempotent requests.
+        `NotRun` (refused, or no connection was free) and `Unavailable` (the server was
+        not reached) mean that it certainly did not run, `Ambiguous` that it may have.
+        `epoch` is given for non-idempotent requests.
         """
 
     def lookup(
@@ -127,6 +128,8 @@
         if epoch is not None:
             sent["X-Epoch"] = f"{epoch.partition}:{epoch.epoch}"
         reply = self._open(server, "POST", _target(request_id), body, sent, timeout_s)
+        if isinstance(reply, errors.Overloaded):
+            return errors.NotRun(reason=reply.reason)
         if isinstance(reply, errors.Failure):
             return reply
         cause = reply.headers.get("x-not-run")
@@ -141,7 +144,7 @@
         """Return the state of a request; `NotFound` if the server never saw it."""
         reply = self._open(server, "GET", _target(request_id), b"", None, timeout_s)
         match reply:
-            case errors.Ambiguous():
+            case errors.Ambiguous() | errors.Overloaded():
                 return errors.Unavailable(reason=reply.reason)  # a read has no effect
             case errors.Failure():
                 return reply
--- a/toucanspring/adapters/exchange.py
+++ b/toucanspring/adapters/exchange.py
@@ -21,6 +21,11 @@
 class Pool(connectionpool.ConnectionPool):
     """Keep connections to one IP address and port, limited in number."""
 
+    @property
+    def exhausted(self) -> bool:
+        """Return whether all connections are in use."""
+        return self._semaphore.locked()
+
     def _create_socket(self) -> gevent_socket.socket:
         # Connecting by IP address needs no resolver; gevent's default one starts
         # native threads.
@@ -182,8 +187,12 @@
         body: bytes = b"",
         headers: dict[str, str] | None = None,
         timeout_s: float = 5.0,
-    ) -> OpenReply | errors.Unavailable | errors.Ambiguous:
-        """Send a request and return once the head of its answer has arrived."""
+    ) -> OpenReply | errors.Unavailable | errors.Overloaded | errors.Ambiguous:
+        """Send a request and return once the head of its answer has arrived.
+
+        `Overloaded` means that no connection became free, `Unavailable` that the
+        server was not reached; in both cases nothing was sent.
+        """
         head = f"{method} {target} HTTP/1.1\r\n{self._common}"
         for name, value in (headers or {}).items():
             if not value.isprintable():  # a line break would start another header
@@ -207,7 +216,11 @@
         except gevent.Timeout as expired:
             if expired is not limit:
                 raise
-            reason = f"no answer within {timeout_s:g} s"
+            if not sent and self._pool.exhausted:
+                return errors.Overloaded(
+                    reason=f"no free connection within {timeout_s:g} s"
+                )
+            reason = f"no {'answer' if sent else 'connection'} within {timeout_s:g} s"
         except (OSError, response.HTTPParseError) as error:
             reason = str(error) or type(error).__name__
         finally:
@@ -228,6 +241,8 @@
     ) -> Reply | errors.Unavailable | errors.Ambiguous | errors.Oversized:
         """Exchange a request for a complete answer of at most `max_bytes`."""
         opened = self.open(method, target, body, headers, timeout_s)
+        if isinstance(opened, errors.Overloaded):
+            return errors.Unavailable(reason=opened.reason)
         if isinstance(opened, errors.Failure):
             return opened
         return read_reply(opened, max_bytes)
