--- a/standins/workers.py
+++ b/standins/workers.py
@@ -374,7 +374,7 @@
             case wire.Start():
                 self._start(link, message)
             case wire.Renew():
-                self._renew(message.lease_ms)
+                self._renew(message.lease_ms, message.tick)
             case wire.Stop():
                 self._stop(message)
             case wire.Throttle():
@@ -419,7 +419,6 @@
             partition=message.partition,
             epoch=message.epoch,
         )
-        self._renew(message.lease_ms)
         self._post_attached(link, now)
         return True
 
@@ -558,8 +557,15 @@
         except msgspec.DecodeError as error:
             return Plan(run_ms=0.0, fail=f"payload: {error}")
 
-    def _renew(self, lease_ms: int) -> None:
-        self._lease_until = time.monotonic() + lease_ms / 1000
+    def _renew(self, lease_ms: int, tick: int) -> None:
+        """Extend the lease, counted from a clock value that this worker reported."""
+        now = time.monotonic()
+        if tick > self._tick(now):
+            return  # from an earlier incarnation
+        counted_from = (tick - self._tick_offset_ms) / 1000
+        self._lease_until = max(self._lease_until, counted_from + lease_ms / 1000)
+        if now >= self._lease_until:
+            return
         if not self._lease_timer:
             self._lease_timer = True
             self._clock.at(self._lease_until, self._check_lease, self._incarnation)
--- a/toucanspring/adapters/workers.py
+++ b/toucanspring/adapters/workers.py
@@ -42,8 +42,8 @@
     ) -> None:
         """Send starts; `tick` is the value of `self.tick` when starting was allowed."""
 
-    def renew(self, epoch: int, lease_ms: int) -> None | errors.Failure:
-        """Extend the worker's lease."""
+    def renew(self, epoch: int, lease_ms: int, tick: int) -> None | errors.Failure:
+        """Extend the worker's lease to `lease_ms` after `tick`."""
 
     def stop(self, epoch: int, task_ids: list[str], mode: str) -> None | errors.Failure:
         """Stop tasks; `mode` is `kill` or `checkpoint`."""
@@ -132,9 +132,9 @@
         if batch:
             self._send_batch(epoch, given_tick, batch)
 
-    def renew(self, epoch: int, lease_ms: int) -> None | errors.Failure:
-        """Extend the worker's lease."""
-        return self._stream.send(wire.Renew(epoch, lease_ms))
+    def renew(self, epoch: int, lease_ms: int, tick: int) -> None | errors.Failure:
+        """Extend the worker's lease to `lease_ms` after `tick`."""
+        return self._stream.send(wire.Renew(epoch, lease_ms, tick))
 
     def stop(self, epoch: int, task_ids: list[str], mode: str) -> None | errors.Failure:
         """Stop tasks; `mode` is `kill` or `checkpoint`."""
