--- a/test/test_backend_servers.py
+++ b/test/test_backend_servers.py
@@ -146,6 +146,18 @@
         self.assertEqual(64, len(self.send("r2", epoch=other)))
         self.assertEqual([], self.runs("r1"))
 
+    def test_only_old_outcomes_are_forgotten(self):
+        # Guards against a stand-in that grows without limit, or forgets too early.
+        self.patch(standin, "MAX_REMEMBERED_BYTES", 1000)
+        for name in ("r1", "r1", "r2", "r2", "r3"):
+            self.send(name, answer_bytes=400)
+        states = [
+            type(self.client.lookup(self.servers[0], name, 1.0))
+            for name in ("r1", "r2", "r3")
+        ]
+        kept = backend_servers.Answer
+        self.assertEqual([errors.NotFound, kept, kept], states)
+
     def test_a_lost_answer_is_ambiguous_for_calls_and_lookups(self):
         self.executors[0].set_faults({"lose_answers": 2})
         self.assertIsInstance(self.send("r1"), errors.Ambiguous)
@@ -161,6 +173,16 @@
         self.executors[0].set_faults({"down": False})
         self.assertEqual(64, len(self.send("r1")))
 
+    def test_waiting_for_a_connection_is_not_a_failure_of_the_server(self):
+        # Guards against taking a busy server for one that cannot be reached.
+        client = self.connect(1)
+        first = gevent.spawn(self.send, "r1", client=client, run_ms=150)
+        gevent.sleep(0.02)
+        waited = self.send("r2", 0.05, client=client)
+        self.assertEqual("no free connection within 0.05 s", waited.reason)
+        self.assertIsInstance(waited, errors.NotRun)
+        first.join()
+
     def test_an_error_without_the_not_run_header_is_an_answer(self):
         # Guards against a refusal that claims more than the server said.
         answer = self.client.send(self.servers[0], "r1", b'{"status": 503}', 1.0)
