--- a/toucanspring/effect_outbox.py
+++ b/toucanspring/collector.py
@@ -5,7 +5,7 @@
 from toucanspring import effects, job, wire
 
 
-class Outbox:
+class Collector:
     """Collect effects until the caller takes them."""
 
     def __init__(self) -> None:
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -13,6 +13,7 @@
     fairness,
     job,
     lifecycle,
+    preemption,
     recovery,
     resources,
     wire,
@@ -34,7 +35,7 @@
         """Queue durable jobs; known IDs are ignored."""
         for spec in specs:
             self._core.submit(spec, now)
-        return self._core.outbox.take()
+        return self._core.effects.take()
 
     def restore(
         self,
@@ -52,7 +53,7 @@
         else:
             expected = dict.fromkeys(expected_workers)
         recovery.restore(self._core, specs, finished, intents, cancelled, expected, now)
-        return self._core.outbox.take()
+        return self._core.effects.take()
 
     def cancel(self, job_ids: Iterable[str], now: float) -> list[effects.Effect]:
         """Cancel jobs; unknown and finished ones are ignored."""
@@ -60,7 +61,7 @@
             record = self._core.table.jobs.get(job_id)
             if record is not None:
                 self._core.cancel(record, now)
-        return self._core.outbox.take()
+        return self._core.effects.take()
 
     def worker_attached(
         self,
@@ -71,7 +72,7 @@
     ) -> list[effects.Effect]:
         """Add a worker or compare its tasks after the stream was replaced."""
         recovery.attach(self._core, facts, running, finished, now)
-        return self._core.outbox.take()
+        return self._core.effects.take()
 
     def worker_report(
         self,
@@ -82,7 +83,7 @@
     ) -> list[effects.Effect]:
         """Apply the ends of attempts; repeated reports change nothing."""
         attempt.report(self._core, worker, finished, now)
-        return self._core.outbox.take()
+        return self._core.effects.take()
 
     def starts_answered(
         self,
@@ -94,7 +95,7 @@
         """Note accepted starts and queue refused ones again."""
         attempt.accepted(self._core, worker, accepted)
         attempt.refused(self._core, worker, refused, now)
-        return self._core.outbox.take()
+        return self._core.effects.take()
 
     def starts_unanswered(
         self,
@@ -110,12 +111,12 @@
         if state is not None:
             state.attached = False
             self._core.update_schedulable(worker, now)
-        return self._core.outbox.take()
+        return self._core.effects.take()
 
     def worker_lost(self, worker: str, now: float) -> list[effects.Effect]:
         """End the attempts on a worker; its lease and grace must have expired."""
         recovery.lose(self._core, worker, now)
-        return self._core.outbox.take()
+        return self._core.effects.take()
 
     def worker_leaving(
         self, worker: str, leaving: bool, now: float
@@ -125,16 +126,17 @@
         if state is not None:
             state.leaving = leaving
             self._core.update_schedulable(worker, now)
-        return self._core.outbox.take()
+        return self._core.effects.take()
 
     def set_availability_zones(
         self, out: frozenset[str], now: float
     ) -> list[effects.Effect]:
-        """Start nothing in zones that are out of service."""
+        """Start nothing in zones that are out of service and stop work there."""
         self._core.zones_out = out
         for worker in self._core.workers:
             self._core.update_schedulable(worker, now)
-        return self._core.outbox.take()
+        preemption.drain(self._core, now)
+        return self._core.effects.take()
 
     def set_teams(
         self,
@@ -149,7 +151,7 @@
             {name: team.ceiling for name, team in teams.items()}
         )
         core.changed = True
-        return core.outbox.take()
+        return core.effects.take()
 
     def set_allowances(
         self, held: Mapping[str, resources.Resources], now: float
@@ -157,28 +159,29 @@
         """Set the part of each team's ceiling that this partition holds."""
         self._core.allowances.set_held(held, now)
         self._core.changed = True
-        return self._core.outbox.take()
+        preemption.enforce_ceilings(self._core, now)
+        return self._core.effects.take()
 
     def intents_durable(
         self, intents: list[effects.Intent], now: float
     ) -> list[effects.Effect]:
         """Send the starts whose intents are in the log."""
         attempt.intents_durable(self._core, intents, now)
-        return self._core.outbox.take()
+        return self._core.effects.take()
 
     def intents_failed(
         self, intents: list[effects.Intent], now: float
     ) -> list[effects.Effect]:
         """Queue tasks again whose intents were not written."""
         attempt.intents_failed(self._core, intents, now)
-        return self._core.outbox.take()
+        return self._core.effects.take()
 
     def dependency_finished(
         self, job_id: str, outcome: job.Outcome, now: float
     ) -> list[effects.Effect]:
         """Release or end the jobs that wait for a job of another partition."""
         self._core.dependency_finished(job_id, outcome, now)
-        return self._core.outbox.take()
+        return self._core.effects.take()
 
     def tick(self, now: float) -> list[effects.Effect]:
         """Place waiting work and do what is due."""
@@ -187,10 +190,13 @@
         if now >= self._next_checks:
             self._next_checks = now + TIMED_CHECKS_S
             core.end_pauses(now)
+            preemption.enforce_ceilings(core, now)
+            preemption.drain(core, now)
+            preemption.make_room(core, self._dispatcher.blocked, now)
         self._dispatcher.place(now)
         for effect in core.allowances.step(now):
-            core.outbox.add(effect)
-        return core.outbox.take()
+            core.effects.add(effect)
+        return core.effects.take()
 
     def lookup(self, job_id: str) -> effects.JobStatus | errors.NotFound:
         """Return the counts of tasks by state and the outcome of a job."""
