--- /dev/null
+++ b/test/test_handler.py
@@ -0,0 +1,226 @@
+import json
+import socket
+
+import gevent
+import hypothesis
+import testtools
+from hypothesis import strategies
+
+from toucanspring import handler
+
+SETTINGS = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=60, database=None
+)
+LARGE = 300_000
+
+
+def application(environ, start_response):
+    """Serve the paths that the tests need."""
+    path = environ["PATH_INFO"]
+    if path == "/echo":
+        body = environ["wsgi.input"].read()
+        start_response("200 OK", [("Content-Length", str(len(body)))])
+        return [body]
+    if path == "/slow":
+        gevent.sleep(0.4)
+        start_response("200 OK", [("Content-Length", "4")])
+        return [b"slow"]
+    if path == "/cut":
+        start_response("200 OK", [])
+        return cut()
+    if path == "/large":
+        start_response("200 OK", [])
+        return (b"x" * 65536 for _ in range(400))
+    start_response("200 OK", [("Content-Length", "2")])
+    return [b"ok"]
+
+
+def cut():
+    yield b"first part"
+    gevent.sleep(0.05)
+    raise handler.AnswerCut("the backend server ended early")
+
+
+class Connection:
+    def __init__(self, port):
+        self.socket = socket.create_connection(("127.0.0.1", port), timeout=10)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_exc):
+        self.socket.close()
+
+    def send(self, data):
+        self.socket.sendall(data)
+        return self
+
+    def receive(self):
+        """Return everything until the end; a reset raises ConnectionResetError."""
+        received = b""
+        while chunk := self.socket.recv(65536):
+            received += chunk
+        return received
+
+
+class HandlerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.server = handler.Server(("127.0.0.1", 0), application)
+        self.server.start()
+        self.port = self.server.server_port
+        self.addCleanup(self.server.drain, 0.1)
+
+    def exchange(self, data):
+        with Connection(self.port) as connection:
+            return connection.send(data).receive()
+
+    def check_refused(self, status, kind, data):
+        answer = self.exchange(data)
+        head, _, body = answer.partition(b"\r\n\r\n")
+        self.assertIn(str(status).encode(), head.split(b"\r\n")[0], answer)
+        self.assertIn(b"connection: close", head.lower())
+        self.assertEqual(kind, json.loads(body)["error"]["type"])
+
+    def test_heads_over_the_limits_are_refused_with_a_reason(self):
+        # Guards against a caller that fills memory with an endless head.
+        many = b"".join(b"X-%d: 1\r\n" % number for number in range(200))
+        large = b"X-A: " + b"a" * handler.MAX_HEAD_BYTES
+        line = b"GET /" + b"a" * 9000 + b" HTTP/1.1\r\n\r\n"
+        self.check_refused(400, "Malformed", b"GET / HTTP/1.1\r\n" + many + b"\r\n")
+        self.check_refused(
+            431, "Oversized", b"GET / HTTP/1.1\r\n" + large + b"\r\n\r\n"
+        )
+        self.check_refused(414, "Oversized", line)
+
+    def test_unclear_framing_is_refused(self):
+        # Guards against a request that is smuggled past a proxy.
+        for headers in (
+            b"Content-Length: 5\r\nContent-Length: 6\r\n",
+            b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+            b"Transfer-Encoding: gzip, chunked\r\n",
+            b"Content-Length: +5\r\n",
+            b"Content-Length: -5\r\n",
+        ):
+            data = b"POST /echo HTTP/1.1\r\n" + headers + b"\r\nhello"
+            self.check_refused(400, "Malformed", data)
+
+    def test_an_oversized_body_is_refused_before_it_is_read(self):
+        length = handler.MAX_BODY_BYTES + 1
+        head = b"POST /echo HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % length
+        self.check_refused(413, "Oversized", head)
+
+    def test_a_slow_head_does_not_hold_a_connection(self):
+        # Guards against callers that send one byte now and then.
+        self.patch(handler, "HEAD_TIMEOUT_S", 0.2)
+        with Connection(self.port) as connection:
+            connection.send(b"GET / HTTP/1.1\r\nHost: ")
+            started = gevent.get_hub().loop.now()
+            self.assertIn(b"408", connection.receive())
+            self.assertLess(gevent.get_hub().loop.now() - started, 5)
+
+    def test_idle_connections_end_sooner_when_few_are_left(self):
+        # Guards against idle callers that keep all others out.
+        self.patch(handler, "MAX_CONNECTIONS", 2)
+        self.patch(handler, "BUSY_IDLE_TIMEOUT_S", 0.1)
+        idle = [Connection(self.port) for _ in range(2)]
+        for connection in idle:
+            connection.send(b"GET / HTTP/1.1\r\n\r\n")
+        for connection in idle:
+            with connection:
+                self.assertTrue(connection.receive().endswith(b"ok"))
+
+    def test_a_reader_that_stops_reading_is_cut_off(self):
+        # Guards against answers that stay in memory for callers that never read.
+        self.patch(handler, "SEND_TIMEOUT_S", 0.2)
+        with Connection(self.port) as connection:
+            connection.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            connection.send(b"GET /large HTTP/1.1\r\n\r\n")
+            gevent.sleep(1.0)
+            self.assertEqual(0, self.server.in_flight())
+
+    def test_a_cut_answer_never_looks_complete(self):
+        # Guards against the truncated answer of a dead backend server that a rep
+        # takes for the whole one; HTTP/1.0 callers see the end of a connection as
+        # the end of an answer, so they need a reset.
+        for version in (b"1.0", b"1.1"):
+            with Connection(self.port) as connection:
+                connection.send(b"GET /cut HTTP/" + version + b"\r\n\r\n")
+                try:
+                    answer = connection.receive()
+                except ConnectionResetError:
+                    continue
+                self.assertNotEqual(b"1.0", version)
+                self.assertFalse(answer.endswith(b"0\r\n\r\n"))
+
+    def test_requests_under_way_survive_a_graceful_stop(self):
+        # Guards against a restart that interrupts callers: requests under way,
+        # requests on idle connections, and connections not accepted yet.
+        idle = Connection(self.port)
+        idle.send(b"GET / HTTP/1.1\r\n\r\n")
+        self.assertTrue(idle.socket.recv(65536).endswith(b"ok"))
+        busy = [
+            Connection(self.port).send(b"GET /slow HTTP/1.1\r\n\r\n") for _ in range(50)
+        ]
+        gevent.sleep(0.1)
+        late = Connection(self.port).send(b"GET /slow HTTP/1.1\r\n\r\n")
+        stop = gevent.spawn(self.server.drain, 5.0)
+        gevent.sleep(0.1)
+        idle.send(b"GET /slow HTTP/1.1\r\n\r\n")
+        for connection in [*busy, late, idle]:
+            with connection:
+                answer = connection.receive()
+                self.assertTrue(answer.endswith(b"slow"), answer)
+                self.assertIn(b"connection: close", answer.lower())
+        self.assertEqual(0, stop.get(timeout=5))
+        with testtools.ExpectedException(ConnectionRefusedError):
+            Connection(self.port)
+
+    def test_a_stop_reports_requests_that_it_had_to_interrupt(self):
+        with Connection(self.port) as connection:
+            connection.send(b"GET /slow HTTP/1.1\r\n\r\n")
+            gevent.sleep(0.1)
+            self.assertEqual(1, self.server.drain(0.1))
+
+    def test_a_refused_upload_reads_the_reason(self):
+        # Guards against a reset that hides the refusal from the caller.
+        length = handler.MAX_BODY_BYTES + 1
+        head = b"POST /echo HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % length
+        self.check_refused(413, "Oversized", head + b"x" * LARGE)
+
+    @SETTINGS
+    @hypothesis.given(
+        strategies.lists(
+            strategies.one_of(
+                strategies.binary(max_size=40),
+                strategies.sampled_from(
+                    [
+                        b"GET / HTTP/1.1\r\n",
+                        b"POST /echo HTTP/1.1\r\n",
+                        b"Content-Length: 3\r\n",
+                        b"Transfer-Encoding: chunked\r\n",
+                        b"\r\n",
+                        b"3\r\nabc\r\n",
+                        b"0\r\n\r\n",
+                        b": \r\n",
+                        b"\0\xff",
+                    ]
+                ),
+            ),
+            max_size=8,
+        )
+    )
+    def test_any_bytes_get_answers_in_http_or_an_end(self, parts):
+        # Guards against input that stops the server or makes it answer status 500.
+        data = b"".join(parts)
+        with Connection(self.port) as connection:
+            connection.send(data)
+            connection.socket.shutdown(socket.SHUT_WR)
+            try:
+                answer = connection.receive()
+            except ConnectionResetError:
+                answer = b""
+        self.assertTrue(answer == b"" or answer.startswith(b"HTTP/1.1 "), answer)
+        self.assertNotIn(b"HTTP/1.1 500", answer)
+        alive = self.exchange(b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
+        self.assertTrue(alive.endswith(b"ok"))
--- a/toucanspring/handler.py
+++ b/toucanspring/handler.py
@@ -44,6 +44,8 @@
 DRAIN_IDLE_S = 1.0
 ACCEPTS_AT_STOP = 4  # of 100 connections each; the backlog holds 256
 
+_TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,32}")
+_VERSION = re.compile(r"HTTP/1\.[01]")
 _CONTENT_LENGTH = re.compile(r"[0-9]{1,15}")
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _REASONS = {
@@ -179,8 +181,12 @@
         return True
 
     def _read_head(self, line: str) -> None:
-        if len(line.split()) != 3:
+        words = line.split()
+        if len(words) != 3 or not _TOKEN.fullmatch(words[0]):
             raise BadRequest(400, errors.Malformed(reason="not an HTTP/1.1 request"))
+        if not _VERSION.fullmatch(words[2]):
+            reason = "only HTTP/1.0 and HTTP/1.1 are served"
+            raise BadRequest(505, errors.Malformed(reason=reason))
         plain, self.rfile = self.rfile, HeadReader(self.rfile)
         try:
             self.read_request(line)
@@ -228,25 +234,29 @@
         return super().start_response(status, headers, exc_info)
 
     def handle_error(self, kind, value, trace) -> None:
-        """Cut the answer if a part of it was sent, else answer with status 500."""
-        if not isinstance(value, AnswerCut):
+        """Cut the answer if a part of it was sent, else answer with a failure."""
+        if not isinstance(value, AnswerCut | OSError):
             log.error("request failed: {}", value, exc_info=(kind, value, trace))
         if self.headers_sent:
             self._abort()
-        else:
-            failure = errors.Unknown(reason="internal error")
-            body = render(failure)
-            self.close_connection = True
-            with contextlib.suppress(OSError):
-                self.start_response(
-                    "500 Internal Server Error",
-                    [
-                        ("Content-Type", "application/json"),
-                        ("Content-Length", str(len(body))),
-                        ("Connection", "close"),
-                    ],
-                )
-                self.write(body)
+            return
+        self.close_connection = True
+        status = "500 Internal Server Error"
+        failure: errors.Failure = errors.Unknown(reason="internal error")
+        if isinstance(value, OSError):
+            status = "400 Bad Request"
+            failure = errors.Malformed(reason="the body ended early")
+        body = render(failure)
+        with contextlib.suppress(OSError):
+            self.start_response(
+                status,
+                [
+                    ("Content-Type", "application/json"),
+                    ("Content-Length", str(len(body))),
+                    ("Connection", "close"),
+                ],
+            )
+            self.write(body)
 
     def log_request(self) -> None:
         """Write no access log; the metrics count requests."""
