Acknowledge a repeated report only after a second record

A worker that reattached while the outcome's record was not durable was told to forget the task at once; after a crash of the owner, the successor would have found a non-idempotent task unknown at its worker and started it again. Jobs that are too large are refused by the capacity of all known workers, once these are known.

--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -80,6 +80,7 @@
     def test_work_that_can_never_run_is_refused_with_the_reason(self):
         # Guards against jobs that wait forever.
         c = cell.Cell(teams=[fairness.Team("zimna", ceiling=cell.CAPACITY)])
+        c.tick(10)  # all workers are known by then
         big = cell.CAPACITY.times(2)
         cases = {
             "size": (cell.spec("size", demand=big), "ceiling"),
--- a/toucanspring/attempt.py
+++ b/toucanspring/attempt.py
@@ -42,10 +42,15 @@
     record = core.table.jobs.get(job.job_of(end.task_id))
     if record is None:
         return
-    index = int(end.task_id.rpartition("/")[2])
+    index = task_table.task_index(end.task_id)
+    if index in record.finals:
+        # The first record may not be durable yet. A worker that forgot the task
+        # before would let a successor start it again, so the acknowledgement waits
+        # for a second record.
+        core.effects.record(end.task_id, record.finals[index])
+        return
     # Keeps the number of the next attempt apart from reported ones.
-    if index not in record.finals:
-        record.attempts[index] = max(record.attempts.get(index, 0), end.attempt)
+    record.attempts[index] = max(record.attempts.get(index, 0), end.attempt)
     if index in record.held:
         record.held.discard(index)
         task = task_table.LiveTask(
--- a/toucanspring/lifecycle.py
+++ b/toucanspring/lifecycle.py
@@ -33,6 +33,8 @@
 # Pause of starts on a worker that refused one; doubled with each refusal in a row.
 REFUSAL_PAUSE_S = 0.1
 REFUSAL_PAUSE_MAX_S = 5.0
+# Without a new worker for so long, all workers of the partition are known.
+FLEET_SETTLED_S = 5.0
 CANCELLED = "cancelled"
 NOT_RUN_CANCELLED = job.Outcome(job.State.NOT_RUN, CANCELLED)
 FAILED_CANCELLED = job.Outcome(job.State.FAILED, CANCELLED)
@@ -78,7 +80,10 @@
         self.decisions = decisions.Decisions()
         self.workers: dict[str, WorkerState] = {}
         self.tasks_on: dict[str, dict[str, task_table.LiveTask]] = {}
-        self.shapes: set[tuple[str, resources.Resources]] = set()  # ever attached
+        # Every worker that was ever attached, present or not.
+        self.known_workers: dict[str, effects.WorkerFacts] = {}
+        self._new_worker_at = 0.0
+        self._too_large: set[str] = set()  # jobs to check again once all are known
         self.teams: dict[str, fairness.Team] = {}
         self.zones_out: frozenset[str] = frozenset()
         # Workers that may run tasks of the former owner, with their capacity.
@@ -145,13 +150,42 @@
             together = spec.task_count if spec.kind is job.Kind.GANG else 1
             if not demand.times(together).fits(team.ceiling):
                 return f"demand of {together} task(s) is above the team's ceiling"
-        if self.shapes and not self.expected:
-            zones = spec.availability_zones
-            shapes = [s for zone, s in self.shapes if not zones or zone in zones]
-            if not any(demand.fits(shape) for shape in shapes):
-                return "no worker in the allowed availability zones is large enough"
         return ""
 
+    def is_too_large(self, spec: job.JobSpec) -> bool:
+        """Return whether the known workers together, empty, have no room for a job."""
+        room = 0
+        needed = spec.task_count if spec.kind is job.Kind.GANG else 1
+        zones = spec.availability_zones
+        for facts in self.known_workers.values():
+            if not zones or facts.availability_zone in zones:
+                room += spec.demand.count_in(facts.capacity)
+                if room >= needed:
+                    return False
+        return True
+
+    def know_worker(self, facts: effects.WorkerFacts, now: float) -> None:
+        """Remember a worker's capacity."""
+        if facts.worker not in self.known_workers:
+            self._new_worker_at = now
+        self.known_workers[facts.worker] = facts
+
+    def refuse_too_large(self, now: float) -> None:
+        """End the jobs that no set of workers has room for, once all are known."""
+        if not self._too_large or not self.known_workers or self.expected:
+            return
+        if now - self._new_worker_at < FLEET_SETTLED_S:
+            return
+        job_ids, self._too_large = self._too_large, set()
+        for job_id in sorted(job_ids):
+            record = self.table.jobs.get(job_id)
+            if record and record.outcome is None and self.is_too_large(record.spec):
+                what = (
+                    "workers are" if record.spec.kind is job.Kind.GANG else "worker is"
+                )
+                reason = f"no {what} large enough in the allowed availability zones"
+                self.end_waiting(record, job.Outcome(job.State.NOT_RUN, reason), now)
+
     def submit(self, spec: job.JobSpec, now: float) -> None:
         """Accept a durable job; a repeated one is ignored."""
         record = self.table.add(spec, now)
@@ -160,7 +194,10 @@
         if reason := self.refusal(spec):
             self.end_waiting(record, job.Outcome(job.State.NOT_RUN, reason), now)
             return
-        if self.wait_for_dependencies(record, now):
+        if self.is_too_large(spec):
+            self._too_large.add(spec.id)
+            self.refuse_too_large(now)
+        if record.outcome is None and self.wait_for_dependencies(record, now):
             self.enqueue(record, now)
 
     def wait_for_dependencies(
--- a/toucanspring/recovery.py
+++ b/toucanspring/recovery.py
@@ -31,7 +31,7 @@
     for task_id, outcome in finished.items():
         record = core.table.jobs.get(job.job_of(task_id))
         if record is not None:
-            record.set_final(task_index(task_id), outcome)
+            record.set_final(task_table.task_index(task_id), outcome)
     for job_id in cancelled:
         if record := core.table.jobs.get(job_id):
             record.cancelled = True
@@ -62,7 +62,7 @@
         core.held_jobs.add(spec.id)
         return
     for intent in intents:
-        index = task_index(intent.task_id)
+        index = task_table.task_index(intent.task_id)
         if index in record.finals:
             continue
         task = task_table.LiveTask(
@@ -110,7 +110,7 @@
     if former is not None:
         state.leaving = former.leaving
         _drop_orphans(core, former)
-    core.shapes.add((facts.availability_zone, facts.capacity))
+    core.know_worker(facts, now)
     core.index.add(worker, facts.capacity, facts.availability_zone, facts.rack)
     core.shares.set_total(core.index.total())
     attributed = core.tasks_on.setdefault(worker, {})
@@ -149,7 +149,7 @@
             core.stop(task, lifecycle.CANCELLED, "kill")
         return
     record = core.table.jobs.get(job.job_of(entry.task_id))
-    index = task_index(entry.task_id)
+    index = task_table.task_index(entry.task_id)
     if record is not None and index in record.held:
         started_at = now - entry.age_ms / 1000
         task = task_table.LiveTask(
@@ -280,9 +280,3 @@
             for team, amount in possible.items()
         }
     core.allowances.set_possible(possible)
-
-
-def task_index(task_id: str) -> int:
-    """Return the index part of a task ID; -1 if it has none."""
-    index = task_id.rpartition("/")[2]
-    return int(index) if index.isdecimal() else -1
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -190,6 +190,7 @@
         if now >= self._next_checks:
             self._next_checks = now + TIMED_CHECKS_S
             core.end_pauses(now)
+            core.refuse_too_large(now)
             preemption.enforce_ceilings(core, now)
             preemption.drain(core, now)
             preemption.make_room(core, self._dispatcher.blocked, now)
--- a/toucanspring/task_table.py
+++ b/toucanspring/task_table.py
@@ -213,3 +213,9 @@
         if record is None:
             return errors.NotFound(reason=f"no job {job_id} in this partition")
         return record.status()
+
+
+def task_index(task_id: str) -> int:
+    """Return the index part of a task ID; -1 if it has none."""
+    index = task_id.rpartition("/")[2]
+    return int(index) if index.isdecimal() else -1
