--- a/toucanspring/attempt.py
+++ b/toucanspring/attempt.py
@@ -255,13 +255,13 @@
     """End an attempt whose worker is gone: it may have run, and runs no more."""
     record = core.table.jobs[task.job_id]
     index = task.index
-    if task.state is job.State.INTENDED:
-        core.vacate(record, task, now)  # was not sent
+    core.vacate(record, task, now)
+    follows = after_loss(task.state, record.spec.idempotent)
+    if follows == "never_ran":
         core.requeue(record, index, now, reason=reason)
         return
-    core.vacate(record, task, now)
     record.ran.add(index)
-    if not record.spec.idempotent:
+    if follows == "unknown":
         core.finalize(record, index, job.Outcome(job.State.UNKNOWN, reason), now)
         return
     record.losses[index] = losses = record.losses.get(index, 0) + 1
@@ -269,3 +269,14 @@
         core.finalize(record, index, job.Outcome(job.State.FAILED, reason), now)
     else:
         core.requeue(record, index, now, reason=reason)
+
+
+def after_loss(state: job.State, idempotent: bool) -> str:
+    """Return what follows for an attempt whose worker is gone.
+
+    `never_ran`: it was not sent; `requeue`: it runs no more and may run again;
+    `unknown`: it may have run, so it must not run again.
+    """
+    if state is job.State.INTENDED:
+        return "never_ran"
+    return "requeue" if idempotent else "unknown"
--- /dev/null
+++ b/toucanspring/intake.py
@@ -0,0 +1,106 @@
+"""Acceptance of jobs: checks, dependencies, and sizes that can never run."""
+
+from __future__ import annotations
+
+from toucanspring import effects, job, lifecycle, task_table
+
+# Without a new worker for so long, all workers of the partition are known.
+FLEET_SETTLED_S = 5.0
+
+
+def refusal(core: lifecycle.Lifecycle, spec: job.JobSpec) -> str:
+    """Return why a job can never run, or an empty string."""
+    demand = spec.demand
+    if spec.task_count < 1:
+        return "task_count must be at least 1"
+    if min(demand.cpus, demand.memory, demand.accelerators) < 0:
+        return "demand must not be negative"
+    if spec.kind is job.Kind.SERVICE and not spec.idempotent:
+        return "a service is restarted when it ends, so it must be idempotent"
+    if core.table.depends_on_itself(spec):
+        return "the job depends on itself"
+    if core.teams:
+        team = core.teams.get(spec.team)
+        if team is None:
+            return f"team {spec.team} is not configured"
+        together = spec.task_count if spec.kind is job.Kind.GANG else 1
+        if not demand.times(together).fits(team.ceiling):
+            return f"demand of {together} task(s) is above the team's ceiling"
+    return ""
+
+
+def is_too_large(core: lifecycle.Lifecycle, spec: job.JobSpec) -> bool:
+    """Return whether the known workers together, empty, have no room for a job."""
+    room = 0
+    needed = spec.task_count if spec.kind is job.Kind.GANG else 1
+    zones = spec.availability_zones
+    for facts in core.known_workers.values():
+        if not zones or facts.availability_zone in zones:
+            room += spec.demand.count_in(facts.capacity)
+            if room >= needed:
+                return False
+    return True
+
+
+def know_worker(
+    core: lifecycle.Lifecycle, facts: effects.WorkerFacts, now: float
+) -> None:
+    """Remember a worker's capacity."""
+    if facts.worker not in core.known_workers:
+        core.new_worker_at = now
+    core.known_workers[facts.worker] = facts
+
+
+def refuse_too_large(core: lifecycle.Lifecycle, now: float) -> None:
+    """End the jobs that no set of workers has room for, once all are known."""
+    if not core.too_large or not core.known_workers or core.expected:
+        return
+    if now - core.new_worker_at < FLEET_SETTLED_S:
+        return
+    job_ids, core.too_large = core.too_large, set()
+    for job_id in sorted(job_ids):
+        record = core.table.jobs.get(job_id)
+        if record and record.outcome is None and is_too_large(core, record.spec):
+            what = "workers are" if record.spec.kind is job.Kind.GANG else "worker is"
+            reason = f"no {what} large enough in the allowed availability zones"
+            core.end_waiting(record, job.Outcome(job.State.NOT_RUN, reason), now)
+
+
+def submit(core: lifecycle.Lifecycle, spec: job.JobSpec, now: float) -> None:
+    """Accept a durable job; a repeated one is ignored."""
+    record = core.table.add(spec, now)
+    if record is None:
+        return
+    if reason := refusal(core, spec):
+        core.end_waiting(record, job.Outcome(job.State.NOT_RUN, reason), now)
+        return
+    if is_too_large(core, spec):
+        core.too_large.add(spec.id)
+        refuse_too_large(core, now)
+    if record.outcome is None and wait_for_dependencies(core, record, now):
+        core.enqueue(record, now)
+
+
+def wait_for_dependencies(
+    core: lifecycle.Lifecycle,
+    record: task_table.JobRecord,
+    now: float,
+    watch: bool = True,
+) -> bool:
+    """Return whether a job may start; end it if a dependency has failed."""
+    unknown = []
+    for job_id in record.spec.after:
+        other = core.table.jobs.get(job_id)
+        if other is None:
+            unknown.append(job_id)
+            core.table.block(record, job_id)
+        elif other.outcome is None:
+            core.table.block(record, job_id)
+        elif other.outcome.state is not job.State.DONE:
+            core.end_waiting(
+                record, lifecycle.dependency_failed(job_id, other.outcome), now
+            )
+            return False
+    if unknown and watch:
+        core.effects.add(effects.WatchJobs(record.spec.id, unknown))
+    return not record.blocked_on
--- a/toucanspring/lifecycle.py
+++ b/toucanspring/lifecycle.py
@@ -33,8 +33,6 @@
 # Pause of starts on a worker that refused one; doubled with each refusal in a row.
 REFUSAL_PAUSE_S = 0.1
 REFUSAL_PAUSE_MAX_S = 5.0
-# Without a new worker for so long, all workers of the partition are known.
-FLEET_SETTLED_S = 5.0
 CANCELLED = "cancelled"
 NOT_RUN_CANCELLED = job.Outcome(job.State.NOT_RUN, CANCELLED)
 FAILED_CANCELLED = job.Outcome(job.State.FAILED, CANCELLED)
@@ -82,8 +80,8 @@
         self.tasks_on: dict[str, dict[str, task_table.LiveTask]] = {}
         # Every worker that was ever attached, present or not.
         self.known_workers: dict[str, effects.WorkerFacts] = {}
-        self._new_worker_at = 0.0
-        self._too_large: set[str] = set()  # jobs to check again once all are known
+        self.new_worker_at = 0.0
+        self.too_large: set[str] = set()  # jobs to check again once all are known
         self.teams: dict[str, fairness.Team] = {}
         self.zones_out: frozenset[str] = frozenset()
         # Workers that may run tasks of the former owner, with their capacity.
@@ -132,93 +130,6 @@
 
     # Jobs
 
-    def refusal(self, spec: job.JobSpec) -> str:
-        """Return why a job can never run, or an empty string."""
-        demand = spec.demand
-        if spec.task_count < 1:
-            return "task_count must be at least 1"
-        if min(demand.cpus, demand.memory, demand.accelerators) < 0:
-            return "demand must not be negative"
-        if spec.kind is job.Kind.SERVICE and not spec.idempotent:
-            return "a service is restarted when it ends, so it must be idempotent"
-        if self.table.depends_on_itself(spec):
-            return "the job depends on itself"
-        if self.teams:
-            team = self.teams.get(spec.team)
-            if team is None:
-                return f"team {spec.team} is not configured"
-            together = spec.task_count if spec.kind is job.Kind.GANG else 1
-            if not demand.times(together).fits(team.ceiling):
-                return f"demand of {together} task(s) is above the team's ceiling"
-        return ""
-
-    def is_too_large(self, spec: job.JobSpec) -> bool:
-        """Return whether the known workers together, empty, have no room for a job."""
-        room = 0
-        needed = spec.task_count if spec.kind is job.Kind.GANG else 1
-        zones = spec.availability_zones
-        for facts in self.known_workers.values():
-            if not zones or facts.availability_zone in zones:
-                room += spec.demand.count_in(facts.capacity)
-                if room >= needed:
-                    return False
-        return True
-
-    def know_worker(self, facts: effects.WorkerFacts, now: float) -> None:
-        """Remember a worker's capacity."""
-        if facts.worker not in self.known_workers:
-            self._new_worker_at = now
-        self.known_workers[facts.worker] = facts
-
-    def refuse_too_large(self, now: float) -> None:
-        """End the jobs that no set of workers has room for, once all are known."""
-        if not self._too_large or not self.known_workers or self.expected:
-            return
-        if now - self._new_worker_at < FLEET_SETTLED_S:
-            return
-        job_ids, self._too_large = self._too_large, set()
-        for job_id in sorted(job_ids):
-            record = self.table.jobs.get(job_id)
-            if record and record.outcome is None and self.is_too_large(record.spec):
-                what = (
-                    "workers are" if record.spec.kind is job.Kind.GANG else "worker is"
-                )
-                reason = f"no {what} large enough in the allowed availability zones"
-                self.end_waiting(record, job.Outcome(job.State.NOT_RUN, reason), now)
-
-    def submit(self, spec: job.JobSpec, now: float) -> None:
-        """Accept a durable job; a repeated one is ignored."""
-        record = self.table.add(spec, now)
-        if record is None:
-            return
-        if reason := self.refusal(spec):
-            self.end_waiting(record, job.Outcome(job.State.NOT_RUN, reason), now)
-            return
-        if self.is_too_large(spec):
-            self._too_large.add(spec.id)
-            self.refuse_too_large(now)
-        if record.outcome is None and self.wait_for_dependencies(record, now):
-            self.enqueue(record, now)
-
-    def wait_for_dependencies(
-        self, record: task_table.JobRecord, now: float, watch: bool = True
-    ) -> bool:
-        """Return whether a job may start; end it if a dependency has failed."""
-        unknown = []
-        for job_id in record.spec.after:
-            other = self.table.jobs.get(job_id)
-            if other is None:
-                unknown.append(job_id)
-                self.table.block(record, job_id)
-            elif other.outcome is None:
-                self.table.block(record, job_id)
-            elif other.outcome.state is not job.State.DONE:
-                self.end_waiting(record, dependency_failed(job_id, other.outcome), now)
-                return False
-        if unknown and watch:
-            self.effects.add(effects.WatchJobs(record.spec.id, unknown))
-        return not record.blocked_on
-
     def dependency_finished(
         self, job_id: str, outcome: job.Outcome, now: float
     ) -> None:
--- a/toucanspring/recovery.py
+++ b/toucanspring/recovery.py
@@ -8,6 +8,7 @@
     attempt,
     effects,
     gang,
+    intake,
     job,
     lifecycle,
     resources,
@@ -54,10 +55,9 @@
     now: float,
 ) -> None:
     spec = record.spec
-    if not core.wait_for_dependencies(record, now):
+    if not intake.wait_for_dependencies(core, record, now):
         return  # nothing of it has started
-    if spec.idempotent:
-        # Starts of idempotent tasks are not logged, so each may be running.
+    if restored_task(spec.idempotent, intent=False, expected=True) == "held":
         record.held.update(record.waiting_indices())
         core.held_jobs.add(spec.id)
         return
@@ -80,7 +80,8 @@
         )
         core.adopt(record, task, now)
     for task in list(record.live.values()):
-        if task.worker not in core.expected:
+        expected = task.worker in core.expected
+        if restored_task(spec.idempotent, intent=True, expected=expected) == "lost":
             attempt.lost(core, task, f"worker {task.worker} is gone", now)
     if record.outcome is not None:
         return
@@ -92,6 +93,20 @@
         core.enqueue(record, now)
 
 
+def restored_task(idempotent: bool, intent: bool, expected: bool) -> str:
+    """Return the state of an unfinished task after a takeover.
+
+    `held`: it may run on any worker, since starts of idempotent tasks are not logged;
+    `attributed`: it may run on the worker that its intent names; `lost`: that worker
+    is gone; `waiting`: it never started.
+    """
+    if idempotent:
+        return "held"
+    if not intent:
+        return "waiting"
+    return "attributed" if expected else "lost"
+
+
 def attach(
     core: lifecycle.Lifecycle,
     facts: effects.WorkerFacts,
@@ -110,7 +125,7 @@
     if former is not None:
         state.leaving = former.leaving
         _drop_orphans(core, former)
-    core.know_worker(facts, now)
+    intake.know_worker(core, facts, now)
     core.index.add(worker, facts.capacity, facts.availability_zone, facts.rack)
     core.shares.set_total(core.index.total())
     attributed = core.tasks_on.setdefault(worker, {})
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -11,6 +11,7 @@
     effects,
     errors,
     fairness,
+    intake,
     job,
     lifecycle,
     preemption,
@@ -34,7 +35,7 @@
     def submit(self, specs: list[job.JobSpec], now: float) -> list[effects.Effect]:
         """Queue durable jobs; known IDs are ignored."""
         for spec in specs:
-            self._core.submit(spec, now)
+            intake.submit(self._core, spec, now)
         return self._core.effects.take()
 
     def restore(
@@ -190,7 +191,7 @@
         if now >= self._next_checks:
             self._next_checks = now + TIMED_CHECKS_S
             core.end_pauses(now)
-            core.refuse_too_large(now)
+            intake.refuse_too_large(core, now)
             preemption.enforce_ceilings(core, now)
             preemption.drain(core, now)
             preemption.make_room(core, self._dispatcher.blocked, now)
--- a/toucanspring/task_table.py
+++ b/toucanspring/task_table.py
@@ -102,7 +102,7 @@
 
     def complete(self) -> bool:
         """Return whether all tasks are final."""
-        return len(self.finals) == self.spec.task_count
+        return len(self.finals) >= self.spec.task_count
 
     def combined_outcome(self) -> job.Outcome:
         """Return the outcome of the job from the final outcomes of its tasks.
@@ -111,6 +111,8 @@
         """
         tally = self.tally
         count = self.spec.task_count
+        if not self.finals:
+            return job.Outcome(job.State.NOT_RUN, "the job has no tasks")
         if tally.get(job.State.DONE, 0) == count:
             answer = self.finals[0].answer if count == 1 else b""
             return job.Outcome(job.State.DONE, "", answer) if answer else DONE
