--- a/toucanspring/adapters/exchange.py
+++ b/toucanspring/adapters/exchange.py
@@ -15,11 +15,17 @@
 
 CONNECT_TIMEOUT_S = 1.0
 BLOCK_BYTES = 1 << 16
+MAX_HEAD_BYTES = 1 << 18
 
 
 class Pool(connectionpool.ConnectionPool):
     """Keep connections to one IP address and port, limited in number."""
 
+    @property
+    def exhausted(self) -> bool:
+        """Return whether all connections are in use."""
+        return self._semaphore.locked()
+
     def _create_socket(self) -> gevent_socket.socket:
         # Connecting by IP address needs no resolver; gevent's default one starts
         # native threads.
@@ -50,6 +56,34 @@
         return False  # end of stream, or bytes that belong to no request
 
 
+class ParsedReply(response.HTTPSocketPoolResponse):
+    """Parse one answer; limits its head and returns body bytes as they arrive."""
+
+    _head_bytes = 0
+
+    def feed(self, data: bytes) -> None:
+        """Parse more bytes; raises `HTTPParseError` for a head without an end."""
+        if not self.headers_complete:
+            self._head_bytes += len(data)
+            if self._head_bytes > MAX_HEAD_BYTES:
+                raise response.HTTPParseError(f"head exceeds {MAX_HEAD_BYTES} bytes")
+        super().feed(data)
+
+    def read_available(self) -> bytes:
+        """Wait for body bytes and return them, none at the declared end.
+
+        Raises `HTTPParseError` if the connection ends before. The inherited `read`
+        waits for whole blocks.
+        """
+        while not self._body_buffer and not self.message_complete:
+            if self._sock is None:
+                raise response.HTTPParseError("the answer was closed")
+            self.feed(self._sock.recv(BLOCK_BYTES))
+        available = bytes(self._body_buffer)
+        self._body_buffer.clear()
+        return available
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
     """Hold a complete answer; header names are in lower case."""
@@ -70,11 +104,8 @@
 class OpenReply:
     """Read the body of one answer in blocks until `deadline` (monotonic seconds)."""
 
-    def __init__(
-        self, parsed: response.HTTPSocketPoolResponse, method: str, deadline: float
-    ) -> None:
+    def __init__(self, parsed: ParsedReply, deadline: float) -> None:
         self._parsed = parsed
-        self._method = method
         self._deadline = deadline
         self.status: int = parsed.get_code()
         self.headers = {name.lower(): str(value) for name, value in parsed.items()}
@@ -95,7 +126,7 @@
             while True:
                 limit = gevent.Timeout(max(0.001, self._deadline - time.monotonic()))
                 with limit:
-                    block = self._parsed.read(BLOCK_BYTES)
+                    block = self._parsed.read_available()
                 if not block:
                     break
                 yield block
@@ -111,8 +142,6 @@
             ) from None
         finally:
             self.close()
-        if not self._parsed.message_complete:
-            raise BrokenAnswer(errors.Ambiguous(reason="the answer ended early"))
 
     def _is_framed(self) -> bool:
         # Without a length or chunks a cut connection looks like a complete answer.
@@ -158,8 +187,12 @@
         body: bytes = b"",
         headers: dict[str, str] | None = None,
         timeout_s: float = 5.0,
-    ) -> OpenReply | errors.Unavailable | errors.Ambiguous:
-        """Send a request and return once the head of its answer has arrived."""
+    ) -> OpenReply | errors.Unavailable | errors.Overloaded | errors.Ambiguous:
+        """Send a request and return once the head of its answer has arrived.
+
+        `Overloaded` means that no connection became free, `Unavailable` that the
+        server was not reached; in both cases nothing was sent.
+        """
         head = f"{method} {target} HTTP/1.1\r\n{self._common}"
         for name, value in (headers or {}).items():
             if not value.isprintable():  # a line break would start another header
@@ -176,14 +209,18 @@
                 sent = True
                 sock.sendall(head.encode("latin-1") + body)
                 held, sock = sock, None  # from here the response releases the socket
-                parsed = response.HTTPSocketPoolResponse(
+                parsed = ParsedReply(
                     held, self._pool, block_size=BLOCK_BYTES, method=method
                 )
-                return OpenReply(parsed, method, deadline)
+                return OpenReply(parsed, deadline)
         except gevent.Timeout as expired:
             if expired is not limit:
                 raise
-            reason = f"no answer within {timeout_s:g} s"
+            if not sent and self._pool.exhausted:
+                return errors.Overloaded(
+                    reason=f"no free connection within {timeout_s:g} s"
+                )
+            reason = f"no {'answer' if sent else 'connection'} within {timeout_s:g} s"
         except (OSError, response.HTTPParseError) as error:
             reason = str(error) or type(error).__name__
         finally:
@@ -204,6 +241,8 @@
     ) -> Reply | errors.Unavailable | errors.Ambiguous | errors.Oversized:
         """Exchange a request for a complete answer of at most `max_bytes`."""
         opened = self.open(method, target, body, headers, timeout_s)
+        if isinstance(opened, errors.Overloaded):
+            return errors.Unavailable(reason=opened.reason)
         if isinstance(opened, errors.Failure):
             return opened
         return read_reply(opened, max_bytes)
