--- a/toucanspring/lifecycle.py
+++ b/toucanspring/lifecycle.py
@@ -4,11 +4,12 @@
 
 import heapq
 import random
+from collections.abc import Iterable
 
 from toucanspring import (
     allowance,
+    collector,
     decisions,
-    effect_outbox,
     effects,
     estimate,
     fairness,
@@ -67,7 +68,7 @@
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
         self.table = task_table.TaskTable()
-        self.outbox = effect_outbox.Outbox()
+        self.effects = collector.Collector()
         self.index = placement.WorkerIndex(rng)
         self.shares = fairness.Ledger([])
         self.allowances = allowance.Ledger()
@@ -178,7 +179,7 @@
                 self.end_waiting(record, dependency_failed(job_id, other.outcome), now)
                 return False
         if unknown and watch:
-            self.outbox.add(effects.WatchJobs(record.spec.id, unknown))
+            self.effects.add(effects.WatchJobs(record.spec.id, unknown))
         return not record.blocked_on
 
     def dependency_finished(
@@ -197,12 +198,20 @@
                 elif not record.blocked_on:
                     self.enqueue(record, now)
 
-    def enqueue(self, record: task_table.JobRecord, now: float) -> None:
-        """Queue the tasks of a job that wait for nothing else."""
-        held, delayed = record.held, record.delayed
-        indices = record.waiting_indices()
-        if held or delayed:
-            indices = (i for i in indices if i not in held and i not in delayed)
+    def enqueue(
+        self,
+        record: task_table.JobRecord,
+        now: float,
+        indices: Iterable[int] | None = None,
+    ) -> None:
+        """Queue tasks of a job, by default all that wait for nothing else."""
+        if indices is None:
+            held, delayed = record.held, record.delayed
+            indices = (
+                index
+                for index in record.waiting_indices()
+                if index not in held and index not in delayed
+            )
         self.queue.add(record.spec, indices, now, self._latest_start(record))
         self.changed = True
 
@@ -233,7 +242,7 @@
         """Make waiting tasks final, except those that may run on some worker."""
         self.queue.remove(record.spec.id)
         record.delayed.clear()
-        job_id, record_outcome = record.spec.id, self.outbox.record
+        job_id, record_outcome = record.spec.id, self.effects.record
         for index in list(record.waiting_indices()):
             if index in record.held:
                 continue
@@ -247,7 +256,7 @@
     def _close_job(self, record: task_table.JobRecord) -> job.Outcome:
         outcome = self.table.finish_job(record)
         self.queue.remove(record.spec.id)
-        self.outbox.finish(record.spec.id, outcome)
+        self.effects.finish(record.spec.id, outcome)
         return outcome
 
     def _latest_start(self, record: task_table.JobRecord) -> float:
@@ -256,10 +265,15 @@
     # Tasks
 
     def demand(self, spec: job.JobSpec) -> resources.Resources:
-        """Return what a task holds: the learned size, if a worker can hold it."""
+        """Return what a task holds: the learned size, if that has room at all."""
         learned = self.estimator.demand(spec)
-        if learned is not spec.demand and not self.index.can_ever_fit(learned):
-            return spec.demand
+        if learned != spec.demand:
+            together = spec.task_count if spec.kind is job.Kind.GANG else 1
+            team = self.teams.get(spec.team)
+            if not self.index.can_ever_fit(learned, together) or (
+                team is not None and not learned.times(together).fits(team.ceiling)
+            ):
+                return spec.demand
         return learned
 
     def start(
@@ -299,11 +313,11 @@
             if idempotent:
                 starts.append(self.message(record, task))
             else:
-                self.outbox.intend(
+                self.effects.intend(
                     effects.Intent(task.id, task.attempt, worker, incarnation)
                 )
         if starts:
-            self.outbox.start(worker, starts)
+            self.effects.start(worker, starts)
         total = demand.times(len(indices)) if len(indices) > 1 else demand
         self.index.allocate(worker, total)
         self.allowances.use(team, total)
@@ -342,10 +356,22 @@
         self.allowances.use(task.team, task.demand)
         self.shares.started(task.team, task.demand, now)
 
+    def resize(
+        self, task: task_table.LiveTask, demand: resources.Resources, now: float
+    ) -> None:
+        """Correct what a task holds."""
+        self.index.release(task.worker, task.demand)
+        self.index.allocate(task.worker, demand)
+        self.allowances.free(task.team, task.demand)
+        self.allowances.use(task.team, demand)
+        self.shares.ended(task.team, task.demand, now)
+        self.shares.started(task.team, demand, now)
+        task.demand = demand
+
     def stop(self, task: task_table.LiveTask, reason: str, mode: str) -> None:
         """Ask the worker to stop a task; its report ends the attempt."""
-        task.stop_reason = reason
-        self.outbox.stop(task.worker, task.id, mode)
+        task.stop_reason, task.stop_mode = reason, mode
+        self.effects.stop(task.worker, task.id, mode)
 
     def vacate(
         self, record: task_table.JobRecord, task: task_table.LiveTask, now: float
@@ -369,13 +395,13 @@
     ) -> None:
         """Record the final outcome of a task that occupies no worker."""
         record.set_final(index, outcome)
-        self.outbox.record(f"{record.spec.id}/{index}", outcome)
+        self.effects.record(f"{record.spec.id}/{index}", outcome)
         if record.complete():
             if record.outcome is None:
                 job_outcome = self._close_job(record)
                 self.dependency_finished(record.spec.id, job_outcome, now)
-        elif record.spec.kind is job.Kind.GANG and outcome.state is not job.State.DONE:
-            gang.abort(self, record, outcome.reason, now)
+        elif record.spec.kind is job.Kind.GANG:
+            gang.member_ended(self, record, outcome, now)
 
     def requeue(
         self,
