Divide contended ceilings among partitions; bound learned sizes

Cause: in the demonstration 1,280 tasks of 60 ms waited 17 to 25 s. One partition held the whole ceiling and gave it back only after 5 s without use; lost races for the row were repeated after 1 s; and learned sizes rose from 2,000 to 18,734 millicores, since the worker stand-in reported the granted size as usage and the estimate added headroom each time. Ruled out: placement and worker links, which were idle meanwhile. Change: the row names partitions that want more, holders return what is above an even part at once, a large want goes first; a lost race is repeated at once; sizes are learned from reported usage only and bounded by four times the declared size; a daemon refuses calls with 503 until it has read its documents once (a restarted one answered 'no service').

--- a/demo/entry.py
+++ b/demo/entry.py
@@ -55,14 +55,16 @@
         key: str = "",
         headers: dict[str, str] | None = None,
     ) -> Reply:
-        """Call any daemon; one that refuses the connection is passed over."""
+        """Call any ready daemon; one that refuses the connection is passed over."""
         sent = dict(headers or {})
         if key:
             sent["Authorization"] = f"Bearer {key}"
         for _ in range(ATTEMPTS):
-            facts = self._rng.choice(list(self._cluster.daemon_facts.values()))
-            if facts.process not in self._cluster.processes:
+            ready = sorted(self._cluster.ready_daemons)
+            if not ready:
+                time.sleep(RETRY_S)
                 continue
+            facts = self._cluster.daemon_facts[self._rng.choice(ready)]
             try:
                 answer = cluster.call(
                     facts.http_port, method, path, body, sent, timeout_s=40.0
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -182,6 +182,7 @@
         self.control_ports: dict[str, int] = {}
         self.service_ports: dict[str, int] = {}
         self.daemon_facts: dict[str, DaemonFacts] = {}
+        self.ready_daemons: set[str] = set()  # those a balancer would send callers to
         self._workers = workers
         self._worker_processes = worker_processes
         self._backend_servers = backend_servers
@@ -343,13 +344,16 @@
                 return False
 
         _wait_until(self.processes[name], is_ready, timeout_s)
+        self.ready_daemons.add(name)
 
     def kill_daemon(self, name: str) -> None:
         """End a daemon at once, as a crash of its VM would."""
+        self.ready_daemons.discard(name)
         self.processes.pop(name).kill()
 
     def stop_daemon(self, name: str, timeout_s: float = 60.0) -> int:
         """End a daemon gracefully and return its exit status."""
+        self.ready_daemons.discard(name)
         return self.processes.pop(name).stop(timeout_s)
 
     def url(self, name: str) -> str:
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -37,7 +37,10 @@
 
 
 class Plan(msgspec.Struct, frozen=True):
-    """Payload of a task, in JSON: how it behaves; `run_ms` null runs until stopped."""
+    """Payload of a task, in JSON: how it behaves; `run_ms` null runs until stopped.
+
+    Without `usage` none is reported, so that the scheduler learns no size.
+    """
 
     run_ms: float | None = 10.0
     fail: bool | str = False
@@ -714,7 +717,7 @@
             reason,
             answer,
             int((now - running.started_at) * 1000),
-            running.plan.usage or running.start.demand,
+            running.plan.usage or resources.ZERO,
         )
         self._finished[task_id] = (running.partition, finished)
         self._unreported.append((running.partition, finished))
@@ -744,7 +747,7 @@
             return  # `resume` and `revive` begin a new series
         now = time.monotonic()
         usage = {
-            task_id: running.plan.usage or running.start.demand
+            task_id: running.plan.usage or resources.ZERO
             for task_id, running in self._running.items()
             if now - running.started_at >= USAGE_LAG_S
         }
--- a/toucanspring/allowance.py
+++ b/toucanspring/allowance.py
@@ -14,6 +14,7 @@
 from toucanspring import effects, resources
 
 RETURN_AFTER_S = 5.0  # unused for so long before it is given back
+CONTENDED_RETURN_AFTER_S = 0.5  # the same while other partitions want more
 RETRY_S = 1.0  # a request without answer is repeated
 CHUNKS = 16  # requests ask for up to this fraction of the ceiling
 
@@ -23,9 +24,44 @@
 
 
 class Row(msgspec.Struct, frozen=True):
-    """Hold the part of one team's ceiling that each partition may use."""
+    """Hold the part of one team's ceiling that each partition may use.
+
+    `wants` names the partitions that were granted less than they asked for, with the
+    least amount that is of use to each.
+    """
 
     parts: dict[int, resources.Resources] = {}
+    wants: dict[int, resources.Resources] = {}
+
+
+def limit_of(
+    row: Row, partition: int, ceiling: resources.Resources
+) -> resources.Resources | None:
+    """Return what a partition may hold while others want more; None if none does.
+
+    All that hold or want get the same. A want above that, such as a gang's, is met
+    first, the one of the lowest partition if there are several, since partitions
+    that each hold half of what they need would wait for each other.
+    """
+    if not row.wants.keys() - {partition}:
+        return None
+    contenders = row.parts.keys() | row.wants.keys() | {partition}
+    fair = _divide(ceiling, len(contenders))
+    large = sorted(name for name, least in row.wants.items() if not least.fits(fair))
+    if not large:
+        return fair
+    if large[0] == partition:
+        return ceiling
+    rest = ceiling - row.wants[large[0]]
+    return _divide(rest, len(contenders) - 1) if rest.fits(ceiling) else fair
+
+
+def _divide(amount: resources.Resources, count: int) -> resources.Resources:
+    return resources.Resources(
+        max(0, amount.cpus) // count,
+        max(0, amount.memory) // count,
+        max(0, amount.accelerators) // count,
+    )
 
 
 def _tuple(amount: resources.Resources) -> Amount:
@@ -52,9 +88,11 @@
     target: resources.Resources,
     ceiling: resources.Resources,
     ownerless: frozenset[int] = frozenset(),
+    least: resources.Resources = resources.ZERO,
 ) -> Row:
     """Return the row after `partition` asks to hold `target`.
 
+    If it gets less, the row names it among the partitions that want more.
     A target below the present part returns the difference; one above is granted
     from the unallocated remainder as far as that goes. If the sum exceeds the
     ceiling because it was lowered, all parts shrink in proportion, except those of
@@ -81,7 +119,12 @@
     parts = {
         key: resources.Resources(*(column[key] for column in columns)) for key in keys
     }
-    return Row({key: part for key, part in parts.items() if part != resources.ZERO})
+    wants = {key: want for key, want in row.wants.items() if key != partition}
+    if not target.fits(parts[partition]):
+        wants[partition] = least
+    return Row(
+        {key: part for key, part in parts.items() if part != resources.ZERO}, wants
+    )
 
 
 class _Account:
@@ -90,6 +133,7 @@
         "ceiling",
         "held",
         "known",
+        "limit",
         "peak",
         "possible",
         "returning",
@@ -101,6 +145,7 @@
     def __init__(self) -> None:
         self.ceiling: Amount | None = None  # None: the team has no ceiling
         self.held = ZERO  # as in the row
+        self.limit: Amount | None = None  # while other partitions want more
         self.known = False  # whether the row was read
         self.target: Amount | None = None  # of the request that is under way
         self.returning = False
@@ -112,9 +157,12 @@
 
     def usable(self) -> Amount:
         """Return what may be used while a return may or may not have been written."""
-        if not self.returning:
-            return self.held
-        return tuple(map(min, self.held, self.target))
+        usable = self.held
+        if self.returning:
+            usable = tuple(map(min, usable, self.target))
+        if self.limit is not None:
+            usable = tuple(map(min, usable, self.limit))
+        return usable
 
 
 class Ledger:
@@ -159,6 +207,12 @@
                 account.returning = False
                 account.peak, account.since = account.used, now
 
+    def set_limits(self, limits: Mapping[str, resources.Resources]) -> None:
+        """Set what may be held of ceilings of which other partitions want more."""
+        for team, account in self._accounts.items():
+            limit = limits.get(team)
+            account.limit = None if limit is None else _tuple(limit)
+
     def room(self, team: str, demand: resources.Resources) -> int:
         """Return how many times `demand` may start within the allowance."""
         account = self._account(team)
@@ -269,8 +323,13 @@
                 # Repeating is harmless, because the target is absolute.
                 return self._ask(team, account, account.target, now)
             account.target = None
+        if account.limit is not None:
+            excess = self._contended_target(account, short is not None, now)
+            if excess != account.held:
+                return self._ask(team, account, excess, now)
         if short is not None:
-            return self._ask(team, account, self._target(account, short), now)
+            target = self._target(account, short)
+            return self._ask(team, account, target, now, least=short[1])
         if now - account.since < RETURN_AFTER_S:
             return None
         peak, account.peak, account.since = account.peak, account.used, now
@@ -279,19 +338,37 @@
             return self._ask(team, account, target, now)
         return None
 
+    @staticmethod
+    def _contended_target(account: _Account, is_short: bool, now: float) -> Amount:
+        """Return what to keep while others want more.
+
+        What is above the limit goes at once. Within the limit a short pause keeps
+        teams with short tasks from returning and asking again for each of them.
+        """
+        keep = tuple(map(max, account.used, account.limit))
+        if not is_short and now - account.since >= CONTENDED_RETURN_AFTER_S:
+            keep = tuple(map(max, account.used, account.peak))
+            account.peak, account.since = account.used, now
+        return tuple(map(min, account.held, keep))
+
     @staticmethod
     def _target(account: _Account, short: tuple[Amount, Amount]) -> Amount:
         """Return what to hold: the amount that waits, but one chunk at a time."""
+        limits = account.ceiling if account.limit is None else account.limit
         return tuple(
-            min(limit, max(held, used + max(least, min(amount, limit // CHUNKS))))
-            for used, amount, least, held, limit in zip(
-                account.used, *short, account.held, account.ceiling, strict=True
+            max(held, min(limit, used + max(least, min(amount, ceiling // CHUNKS))))
+            for used, amount, least, held, limit, ceiling in zip(
+                account.used, *short, account.held, limits, account.ceiling, strict=True
             )
         )
 
     @staticmethod
     def _ask(
-        team: str, account: _Account, target: Amount, now: float
+        team: str,
+        account: _Account,
+        target: Amount,
+        now: float,
+        least: Amount = ZERO,
     ) -> effects.RequestAllowance | effects.ReturnAllowance | None:
         if target == account.held:
             return None
@@ -300,5 +377,6 @@
         held = resources.Resources(*account.held)
         account.returning = any(map(int.__lt__, target, account.held))
         if not account.returning:
-            return effects.RequestAllowance(team, goal - held, goal)
+            needed = resources.Resources(*least)
+            return effects.RequestAllowance(team, goal - held, goal, needed)
         return effects.ReturnAllowance(team, held - goal, goal)
--- a/toucanspring/allowances.py
+++ b/toucanspring/allowances.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+import time
 from collections.abc import Callable, Mapping
 
 import gevent
@@ -15,13 +17,25 @@
 log = logbook.Logger(__name__)
 
 BATCH_INTERVAL_S = 0.05  # collects the requests of one round
-POLL_INTERVAL_S = 1.0  # finds parts that shrank because a ceiling was lowered
+# Finds wants of other partitions and parts that shrank with a lowered ceiling.
+POLL_INTERVAL_S = 1.0
+BUSY_POLL_INTERVAL_S = 0.25  # while the partition holds or wants something
+# A want that the ledger has not repeated for this long is withdrawn.
+WANT_LIMIT_S = 2.5
 ROW_PREFIX = "allowances/"
 
 _encode = msgspec.msgpack.encode
 _decoder = msgspec.msgpack.Decoder(allowance.Row)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """Ask to hold `amount`; room for less than `least` is of no use."""
+
+    amount: resources.Resources
+    least: resources.Resources
+
+
 class Keeper:
     """Own the writes to allowance rows on behalf of one partition."""
 
@@ -29,13 +43,17 @@
         self,
         partition: int,
         core: kernel.Kernel,
-        deliver: Callable[[dict[str, resources.Resources]], None],
+        deliver: Callable[
+            [dict[str, resources.Resources], dict[str, resources.Resources]], None
+        ],
     ) -> None:
         self._partition = partition
         self._kernel = core
         self._deliver = deliver
         self._ceilings: dict[str, resources.Resources] = {}
-        self._targets: dict[str, resources.Resources] = {}
+        self._targets: dict[str, Target] = {}
+        self._asked_at: dict[str, float] = {}
+        self._busy = False
         self._wakeup = gevent.event.Event()
         self._greenlet: gevent.Greenlet | None = None
 
@@ -55,14 +73,20 @@
             self._ceilings = ceilings
             self._wakeup.set()
 
-    def hold(self, team: str, target: resources.Resources) -> None:
-        """Ask to hold exactly `target` of a team's ceiling."""
-        self._targets[team] = target
+    def hold(
+        self,
+        team: str,
+        target: resources.Resources,
+        least: resources.Resources = resources.ZERO,
+    ) -> None:
+        """Ask to hold exactly `target` of a team's ceiling, or `least` of it."""
+        self._targets[team] = Target(target, least)
+        self._asked_at[team] = time.monotonic()
         self._wakeup.set()
 
     def _run(self) -> None:
         while True:
-            self._wakeup.wait(POLL_INTERVAL_S)
+            self._wakeup.wait(BUSY_POLL_INTERVAL_S if self._busy else POLL_INTERVAL_S)
             gevent.sleep(BATCH_INTERVAL_S)
             self._wakeup.clear()
             try:
@@ -73,18 +97,28 @@
     def _serve(self) -> None:
         targets, self._targets = self._targets, {}
         table = self._kernel.find("store").tables
-        keys = [ROW_PREFIX + team for team in self._limited_teams()]
-        rows = table.read(keys) if keys else {}
+        teams = self._limited_teams()
+        rows = table.read([ROW_PREFIX + team for team in teams]) if teams else {}
         if isinstance(rows, errors.Failure):
             return  # the ledger repeats requests that stay unanswered
-        held = {
-            key.removeprefix(ROW_PREFIX): self._update(
-                table, key, row, targets.get(key.removeprefix(ROW_PREFIX))
+        held: dict[str, resources.Resources] = {}
+        limits: dict[str, resources.Resources] = {}
+        for team in teams:
+            row = rows[ROW_PREFIX + team]
+            present = _decoder.decode(row.value) if row.version else allowance.Row()
+            found, held[team] = self._update(
+                table, team, row.version, present, targets.get(team)
             )
-            for key, row in rows.items()
-        }
+            limit = allowance.limit_of(found, self._partition, self._ceilings[team])
+            if limit is not None:
+                limits[team] = limit
+        self._busy = (
+            bool(limits)
+            or any(part != resources.ZERO for part in held.values())
+            or bool(targets)
+        )
         if held:
-            self._deliver(held)
+            self._deliver(held, limits)
 
     def _limited_teams(self) -> list[str]:
         """Return the teams that have a ceiling in at least one dimension."""
@@ -97,24 +131,47 @@
     def _update(
         self,
         table: tables.TableClient,
-        key: str,
-        row: tables.Row,
-        target: resources.Resources | None,
-    ) -> resources.Resources:
-        """Write a new division if one is due; return the part that is certain."""
-        present = _decoder.decode(row.value) if row.version else allowance.Row()
+        team: str,
+        version: int,
+        present: allowance.Row,
+        target: Target | None,
+    ) -> tuple[allowance.Row, resources.Resources]:
+        """Write a new division if one is due; return it and the certain part."""
         part = present.parts.get(self._partition, resources.ZERO)
-        ceiling = self._ceilings[key.removeprefix(ROW_PREFIX)]
-        wanted = allowance.resize(
-            present, self._partition, part if target is None else target, ceiling
-        )
+        wanted = self._divide(team, present, part, target)
         if wanted == present:
-            return part
-        answer = table.transact({key: row.version}, {key: _encode(wanted)}, ())
+            return present, part
+        key = ROW_PREFIX + team
+        answer = table.transact({key: version}, {key: _encode(wanted)}, ())
+        new_part = wanted.parts.get(self._partition, resources.ZERO)
         if isinstance(answer, tables.Committed):
-            return wanted.parts.get(self._partition, resources.ZERO)
+            return wanted, new_part
         # Another partition wrote first or the answer was lost. A part that may
         # have shrunk must not be used in full until the row is read again.
+        if target is not None:
+            self._targets.setdefault(team, target)
         self._wakeup.set()
-        new_part = wanted.parts.get(self._partition, resources.ZERO)
-        return new_part if new_part.fits(part) else part
+        return present, new_part if new_part.fits(part) else part
+
+    def _divide(
+        self,
+        team: str,
+        present: allowance.Row,
+        part: resources.Resources,
+        target: Target | None,
+    ) -> allowance.Row:
+        if target is not None:
+            amount, least = target.amount, target.least
+        elif self._keeps_want(team, present):
+            return present
+        else:
+            amount, least = part, resources.ZERO
+        return allowance.resize(
+            present, self._partition, amount, self._ceilings[team], least=least
+        )
+
+    def _keeps_want(self, team: str, present: allowance.Row) -> bool:
+        """Return whether an unmet want is still recent, so that it stays in the row."""
+        if self._partition not in present.wants:
+            return False
+        return time.monotonic() - self._asked_at.get(team, 0.0) < WANT_LIMIT_S
--- a/toucanspring/api_status.py
+++ b/toucanspring/api_status.py
@@ -101,22 +101,17 @@
 class Ready:
     """`GET /readyz`: the balancer may send callers here."""
 
-    def __init__(self, core: kernel.Kernel, is_draining: Callable[[], bool]) -> None:
-        self._kernel = core
+    def __init__(
+        self, has_documents: Callable[[], bool], is_draining: Callable[[], bool]
+    ) -> None:
+        self._has_documents = has_documents
         self._is_draining = is_draining
-        self._was_fresh = False
 
     def on_get(self, _request: falcon.Request, response: falcon.Response) -> None:
-        """Answer 503 until the documents were read once, and while stopping.
-
-        An old view of the documents does not count later: during an outage of the
-        store all processes have one, and idempotent requests are still served.
-        """
-        documents = self._kernel.find("documents")
-        self._was_fresh = self._was_fresh or documents.fresh(time.monotonic())
+        """Answer 503 until the documents were read once, and while stopping."""
         if self._is_draining():
             api.send_json(response, {"status": "stopping"}, 503)
-        elif not self._was_fresh:
+        elif not self._has_documents():
             api.send_json(response, {"status": "documents not read yet"}, 503)
         else:
             api.send_json(response, {"status": "ready"})
--- a/toucanspring/dispatch.py
+++ b/toucanspring/dispatch.py
@@ -94,7 +94,8 @@
         room = core.allowances.room(spec.team, demand)
         if room < (count if together else 1):
             needed = demand.times(len(group))
-            core.allowances.want(spec.team, needed, demand.times(count))
+            least = demand.times(count) if together else demand
+            core.allowances.want(spec.team, needed, least)
             core.decisions.wait(spec.id, rank, "allowance below the team's ceiling")
             return 0
         excluded = gang.excluded_for(core, spec, now)
--- a/toucanspring/effects.py
+++ b/toucanspring/effects.py
@@ -106,12 +106,14 @@
 class RequestAllowance:
     """Ask for `amount` more of a team's ceiling, up to `target` in all.
 
-    The caller writes `allowance.resize(row, partition, target, ceiling)`.
+    The caller writes `allowance.resize(row, partition, target, ceiling, least)`.
+    Room for less than `least` is of no use.
     """
 
     team: str
     amount: resources.Resources
     target: resources.Resources = resources.ZERO
+    least: resources.Resources = resources.ZERO
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/toucanspring/estimate.py
+++ b/toucanspring/estimate.py
@@ -16,6 +16,9 @@
 # Declared sizes are often far off; without enough observations an estimate stays
 # below this multiple of the declared size.
 MAX_OF_DECLARED = 2.0
+# Bounds a learned size. A task that fills what it was given reports that as its usage,
+# and the headroom on top would raise the next size without end.
+MAX_LEARNED_OF_DECLARED = 4.0
 
 
 class Samples:
@@ -43,7 +46,12 @@
 
 
 def quantile(values: collections.deque, fraction: float) -> float:
-    """Return the smallest value that at least `fraction` of the values reach."""
+    """Return the smallest value that at least `fraction` of the values reach.
+
+    Without values it is 0.
+    """
+    if not values:
+        return 0
     ordered = sorted(values)
     return ordered[max(0, math.ceil(fraction * len(ordered)) - 1)]
 
@@ -73,8 +81,9 @@
                 self._samples.popitem(last=False)
         self._samples.move_to_end(key)
         # A worker that reports no usage says nothing about the size.
-        samples.cpus.append(usage.cpus or declared.cpus)
-        samples.memory.append(usage.memory or declared.memory)
+        if usage.cpus or usage.memory:
+            samples.cpus.append(usage.cpus or declared.cpus)
+            samples.memory.append(usage.memory or declared.memory)
         samples.run_seconds.append(run_seconds)
         samples.cached = None
 
@@ -85,10 +94,11 @@
         """
         declared = spec.demand
         samples = self._samples.get((spec.team, spec.name))
-        if samples is None:
+        if samples is None or not samples.cpus:
             return declared
         cpus, memory, _ = samples.high()
-        cpus, memory = math.ceil(cpus * HEADROOM), math.ceil(memory * HEADROOM)
+        cpus = _bound(declared.cpus, math.ceil(cpus * HEADROOM))
+        memory = _bound(declared.memory, math.ceil(memory * HEADROOM))
         if len(samples.cpus) < MIN_SAMPLES:
             cpus = _between(declared.cpus, cpus)
             memory = _between(declared.memory, memory)
@@ -114,3 +124,8 @@
 def _between(declared: int, observed: int) -> int:
     """Raise a declared size to the observed one, within the bound."""
     return max(declared, min(observed, int(declared * MAX_OF_DECLARED)))
+
+
+def _bound(declared: int, learned: int) -> int:
+    """Bound a learned size by a multiple of the declared one."""
+    return min(learned, int(declared * MAX_LEARNED_OF_DECLARED))
--- a/toucanspring/execution.py
+++ b/toucanspring/execution.py
@@ -88,8 +88,8 @@
     def _carry_out_call(self, effect: effects.Effect) -> None:
         """Carry out an effect that reaches beyond the partition."""
         match effect:
-            case effects.RequestAllowance(team=team, target=target):
-                self._allowances.hold(team, target)
+            case effects.RequestAllowance(team=team, target=target, least=least):
+                self._allowances.hold(team, target, least)
             case effects.ReturnAllowance(team=team, target=target):
                 self._allowances.hold(team, target)
             case effects.JobFinished(job_id=job_id, outcome=outcome):
--- a/toucanspring/gateway.py
+++ b/toucanspring/gateway.py
@@ -50,9 +50,40 @@
         self._seconds.add({"route": route}, seconds)
 
 
+class Startup:
+    """Refuse calls until the documents were read once.
+
+    Before that, every team, queue and service looks unknown, and a caller would be
+    told so although another process knows them.
+    """
+
+    def __init__(self, core: kernel.Kernel) -> None:
+        self._kernel = core
+        self._was_fresh = False
+
+    def is_over(self) -> bool:
+        """Return whether the documents were read.
+
+        An old view does not count later: during an outage of the store all processes
+        have one, and idempotent requests are still served.
+        """
+        if not self._was_fresh:
+            documents = self._kernel.find("documents")
+            self._was_fresh = documents.fresh(time.monotonic())
+        return self._was_fresh
+
+    def process_request(self, request: falcon.Request, _response) -> None:
+        """Answer 503 for all but the status routes."""
+        if request.path.startswith("/v1/") and not self.is_over():
+            raise api.Failed(
+                errors.Unavailable(reason="documents not read yet; not run")
+            )
+
+
 def build_application(core: kernel.Kernel, settings: object, is_draining) -> falcon.App:
     """Return the WSGI application with all routes of the page."""
-    application = falcon.App(middleware=[Timing(core)])
+    startup = Startup(core)
+    application = falcon.App(middleware=[Timing(core), startup])
     application.req_options.strip_url_path_trailing_slash = True
     application.add_error_handler(api.Failed, api.answer_failure)
     application.add_error_handler(falcon.HTTPError, api.answer_http_error)
@@ -78,7 +109,7 @@
         "/v1/reports/{name}": api_status.Reports(core, access),
         "/metrics": api_status.Metrics(core),
         "/healthz": api_status.Health(),
-        "/readyz": api_status.Ready(core, is_draining),
+        "/readyz": api_status.Ready(startup.is_over, is_draining),
     }
     for path, resource in routes.items():
         application.add_route(path, resource)
--- a/toucanspring/inbox.py
+++ b/toucanspring/inbox.py
@@ -49,9 +49,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AllowancesChanged:
-    """Deliver the parts of the ceilings that the partition holds."""
+    """Deliver the parts of the ceilings that the partition holds.
+
+    `limits` has an entry for each team of whose ceiling other partitions want more.
+    """
 
     held: dict[str, resources.Resources]
+    limits: dict[str, resources.Resources]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/toucanspring/partition.py
+++ b/toucanspring/partition.py
@@ -68,7 +68,7 @@
         self.allowances = allowances.Keeper(
             number,
             core,
-            lambda held: self.post(inbox.AllowancesChanged(held)),
+            lambda held, limits: self.post(inbox.AllowancesChanged(held, limits)),
         )
         self.requests = request_log.RequestLog(self.journal)
         self._executor = execution.Executor(
@@ -194,8 +194,10 @@
                 self._executor.carry_out(
                     self._scheduler.dependency_finished(job_id, outcome, now)
                 )
-            case inbox.AllowancesChanged(held=held):
-                self._executor.carry_out(self._scheduler.set_allowances(held, now))
+            case inbox.AllowancesChanged(held=held, limits=limits):
+                self._executor.carry_out(
+                    self._scheduler.set_allowances(held, now, limits)
+                )
             case _:
                 log.error("partition {}: unexpected {!r}", self.number, message)
 
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import types
 from collections.abc import Iterable, Mapping
 
 from toucanspring import (
@@ -155,10 +156,17 @@
         return core.effects.take()
 
     def set_allowances(
-        self, held: Mapping[str, resources.Resources], now: float
+        self,
+        held: Mapping[str, resources.Resources],
+        now: float,
+        limits: Mapping[str, resources.Resources] = types.MappingProxyType({}),
     ) -> list[effects.Effect]:
-        """Set the part of each team's ceiling that this partition holds."""
+        """Set the part of each team's ceiling that this partition holds.
+
+        `limits` says what it may hold of ceilings of which other partitions want more.
+        """
         self._core.allowances.set_held(held, now)
+        self._core.allowances.set_limits(limits)
         self._core.changed = True
         preemption.enforce_ceilings(self._core, now)
         return self._core.effects.take()
