Test workers under random faults, and restore a check of their reports

Cause: the records of the stand-in had been judged only from hand-made events; dropped the check that a finished task is reported at once. Change: an owner that waits for leases runs 100 tasks on four workers that are cut, paused, blocked and killed; one that restarts at once must be found out. The check of the report's delay (100 ms) is back; a late renewal is tested.

--- /dev/null
+++ b/test/test_worker_faults.py
@@ -0,0 +1,176 @@
+import dataclasses
+import random
+import time
+
+import gevent
+import msgspec
+import testtools
+
+from standins import cluster, judge, service
+from standins import workers as standin
+from toucanspring import errors, resources, wire
+from toucanspring.adapters import vms, workers
+
+LEASE_S = 0.4
+GRACE_S = 0.2
+TASKS = 100
+DEMAND = resources.Resources(1000, 1000)
+
+
+@dataclasses.dataclass
+class Slot:
+    """What an owner knows of one worker."""
+
+    port: int
+    link: workers.StreamWorkerLink | None = None
+    incarnation: int = 0
+    renewed_at: float = 0.0
+    tasks: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+class Owner:
+    """Runs tasks on workers by the rules of the design, or restarts them too early."""
+
+    def __init__(self, ports, patient):
+        self.slots = [Slot(port) for port in ports]
+        self.waiting = [(f"j{index}/0", 0) for index in range(TASKS)]
+        self.done = set()
+        self.epoch = 0
+        self.patient = patient
+
+    def run(self, until):
+        gevent.joinall([gevent.spawn(self.own, slot, until) for slot in self.slots])
+
+    def own(self, slot, until):
+        while time.monotonic() < until and len(self.done) < TASKS:
+            self.step(slot)
+            gevent.sleep(0.01)
+        if slot.link is not None:
+            slot.link.close()
+
+    def step(self, slot):
+        now = time.monotonic()
+        if slot.link is None or slot.link.closed:
+            wait_s = LEASE_S + GRACE_S * 1.05 if self.patient else 0.0
+            if now > slot.renewed_at + wait_s:
+                self.requeue(slot, set())
+            self.attach(slot)
+            return
+        if now > slot.renewed_at + LEASE_S / 4:
+            slot.renewed_at = now
+            slot.link.renew(slot.link.epoch, int(LEASE_S * 1000), slot.link.tick)
+        batch = []
+        while self.waiting and len(slot.tasks) < 4:
+            name, attempt = self.waiting.pop()
+            slot.tasks[name] = attempt
+            payload = b'{"run_ms": 400, "checkpoint_ms": 20}'
+            batch.append(wire.TaskStart(name, attempt, DEMAND, "t", True, payload))
+        if batch:
+            slot.link.start(slot.link.epoch, batch)
+
+    def attach(self, slot):
+        link = workers.connect(
+            "127.0.0.1",
+            slot.port,
+            lambda message: self.take(slot, message),
+            lambda _failure, _unanswered: None,
+            report_timeout_s=0.3,
+        )
+        if isinstance(link, errors.Failure):
+            return
+        self.epoch += 1
+        link.epoch = self.epoch
+        attached = link.attach(0, self.epoch, int(LEASE_S * 1000), timeout_s=0.2)
+        if isinstance(attached, errors.Failure):
+            link.close()
+            return
+        slot.link = link
+        known = {task.task_id for task in (*attached.running, *attached.finished)}
+        self.requeue(slot, known)
+        self.finish(slot, attached.finished)
+
+    def requeue(self, slot, known):
+        for name in [name for name in slot.tasks if name not in known]:
+            self.waiting.append((name, slot.tasks.pop(name) + 1))
+
+    def take(self, slot, message):
+        if isinstance(message, wire.Started):
+            refused = {name for name, _ in message.refused}
+            self.requeue(slot, slot.tasks.keys() - refused)
+        elif isinstance(message, wire.Report):
+            self.finish(slot, message.finished)
+
+    def finish(self, slot, finished):
+        for task in finished:
+            if slot.tasks.get(task.task_id) != task.attempt:
+                continue  # it was started elsewhere after the lease had expired
+            del slot.tasks[task.task_id]
+            if task.state == "done":
+                self.done.add(task.task_id)
+            else:
+                self.waiting.append((task.task_id, task.attempt + 1))
+        if finished and slot.link is not None:
+            slot.link.acknowledge(slot.link.epoch, [task.task_id for task in finished])
+
+
+class WorkerFaultsTest(testtools.TestCase):
+    """Guards against records of the stand-in that hide or invent violations."""
+
+    def setUp(self):
+        super().setUp()
+        self.patch(standin, "LEASE_GRACE_S", GRACE_S)
+        self.patch(standin, "CHECKPOINT_LIMIT_S", 0.9 * GRACE_S)
+        self.record = service.Record()
+        self.rng = random.Random(11)
+        clock = standin.Clock()
+        ticking = gevent.spawn(clock.run)
+        self.addCleanup(ticking.kill)
+        first = cluster.find_ports(4)
+        self.ports = range(first, first + 4)
+        self.workers = []
+        for port in self.ports:
+            listed = vms.Vm(
+                id=f"w{port}",
+                role=vms.Role.WORKER,
+                availability_zone="zone-a",
+                address="127.0.0.1",
+                port=port,
+                resources=resources.Resources(4000, 4000),
+            )
+            worker = standin.Worker(listed, clock, self.record, self.rng)
+            worker.revive()
+            self.addCleanup(worker.die)
+            self.workers.append(worker)
+
+    def run_owner(self, patient):
+        owner = Owner(self.ports, patient)
+        began = time.monotonic()
+        running = gevent.spawn(owner.run, began + 15)
+        while time.monotonic() < began + 4:
+            gevent.sleep(0.25)
+            fault = self.rng.choice(
+                [
+                    {"cut": True},
+                    {"pause_ms": 200},
+                    {"pause_ms": 900},
+                    {"die": True, "return_after_ms": 100},
+                    {"blocked_addresses": ["127.0.0.1"]},
+                ]
+            )
+            faulty = self.rng.choice(self.workers)
+            faulty.apply(standin.WorkerFaults(**{"blocked_addresses": []} | fault))
+        for worker in self.workers:
+            worker.apply(standin.WorkerFaults(blocked_addresses=[]))
+        running.get(timeout=16)
+        record = msgspec.json.decode(self.record.dump())
+        return owner, judge.check({"workers": record})
+
+    def test_an_owner_that_waits_for_leases_breaks_nothing(self):
+        owner, violations = self.run_owner(patient=True)
+        self.assertEqual([], violations)
+        self.assertEqual(TASKS, len(owner.done))
+
+    def test_an_owner_that_does_not_wait_is_found_out(self):
+        _, violations = self.run_owner(patient=False)
+        kinds = {type(violation) for violation in violations}
+        self.assertEqual({judge.TwoPlaces}, kinds)
--- a/test/test_workers.py
+++ b/test/test_workers.py
@@ -104,7 +104,9 @@
     def test_tasks_run_are_reported_at_once_and_kept_until_acknowledged(self):
         owner = self.own()
         owner.link.start(1, [task("j/0", answer="a"), task("j/1", fail="broken")])
+        began = time.monotonic()
         wait(lambda: len(owner.finished) == 2)
+        self.assertLess(time.monotonic() - began, 0.1)
         self.assertEqual(b"a", owner.finished["j/0"].answer)
         self.assertEqual("broken", owner.finished["j/1"].reason)
         owner.link.acknowledge(1, ["j/0"])
@@ -175,6 +177,17 @@
         owner.link.start(1, [task("j/0", 1, progress=saved.answer, run_ms=rest_ms)])
         wait(lambda: owner.finished["j/0"].state == "done", timeout_s=0.3)
 
+    def test_a_late_renewal_does_not_extend_the_lease(self):
+        # Guards against a lease that outlasts what its sender waits for.
+        owner = self.own(lease_ms=100)
+        late = self.worker._tick(time.monotonic())
+        gevent.sleep(0.25)
+        for tick in (late, late + 60_000):  # from before, and of another incarnation
+            owner.link.renew(1, 200, tick)
+        owner.link.start(1, [task("j/0")])
+        wait(lambda: owner.refused)
+        self.assertEqual({"j/0": "lease"}, owner.refused)
+
     def test_a_throttled_task_takes_longer(self):
         owner = self.own()
         owner.link.start(1, [task("j/0", run_ms=200)])
