Let stand-ins limit their rate and stall in the middle of an answer

Cause: the platform's table service takes several hundred writes a second, the stand-in took thousands. Change: calls_per_second by path; stall_ms in a request's body. Figures: eleven transactions at a limit of 50 a second take 0.2 s.

--- a/standins/backend_servers.py
+++ b/standins/backend_servers.py
@@ -5,6 +5,7 @@
 monkey.patch_all()
 
 import collections  # noqa: E402
+import dataclasses  # noqa: E402
 import hashlib  # noqa: E402
 import random  # noqa: E402
 from collections.abc import Callable  # noqa: E402
@@ -37,6 +38,7 @@
     status: int = 200
     chunked: bool = False
     cut_at: int | None = None
+    stall_ms: float = 0.0
 
 
 class ExecutorFaults(service.Faults):
@@ -191,6 +193,7 @@
                 body,
                 {"Content-Type": "application/octet-stream"},
                 chunked=work.chunked,
+                stall_ms=work.stall_ms,
             )
             outcome.done.set()
             if self._outcomes.get(request_id) is outcome:
@@ -217,9 +220,7 @@
             cut_at = len(response.body) // 2
         if cut_at is None:
             return response
-        return service.Response(
-            response.status, response.body, response.headers, cut_at, response.chunked
-        )
+        return dataclasses.replace(response, cut_at=cut_at)
 
 
 def _parse(body: bytes) -> Work:
--- a/standins/service.py
+++ b/standins/service.py
@@ -9,7 +9,7 @@
 import socket
 import time
 import urllib.parse
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import gevent
 import msgspec
@@ -49,6 +49,16 @@
     blocked: list[str] = []
 
 
+class ServiceFaults(Faults):
+    """Faults of the tables, the objects and the VM list.
+
+    `calls_per_second` limits the calls whose path begins with each key, such as
+    `{"/v1/transactions": 400}`; calls beyond it wait their turn.
+    """
+
+    calls_per_second: dict[str, float] = {}
+
+
 class Record:
     """Keep events with monotonic times, which all processes of a host share."""
 
@@ -103,13 +113,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Response:
-    """One HTTP answer; `cut_at` ends the connection after that many body bytes."""
+    """One HTTP answer.
+
+    `cut_at` ends the connection after that many body bytes; `stall_ms` waits after
+    half of the body.
+    """
 
     status: int = 200
     body: bytes = b""
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
     cut_at: int | None = None
     chunked: bool = False
+    stall_ms: float = 0.0
 
 
 def json_response(value: object, status: int = 200) -> Response:
@@ -208,6 +223,8 @@
         start_response(STATUS_LINES[response.status], headers)
         if response.cut_at is not None:
             return _cut(environ["standins.socket"], response)
+        if response.stall_ms:
+            return _stall(response)
         if response.chunked:
             return iter(_blocks(response.body))
         return [response.body]
@@ -240,12 +257,19 @@
     return [body[start : start + size] for start in range(0, len(body), size)]
 
 
-def _cut(sock: socket.socket, response: Response):
+def _cut(sock: socket.socket, response: Response) -> Iterator[bytes]:
     yield response.body[: response.cut_at]
     hang_up(sock)
     yield response.body[response.cut_at :]
 
 
+def _stall(response: Response) -> Iterator[bytes]:
+    half = len(response.body) // 2
+    yield response.body[:half]
+    gevent.sleep(response.stall_ms / 1000)
+    yield response.body[half:]
+
+
 def _parse(environ: dict) -> Request:
     headers = {
         name[5:].replace("_", "-").lower(): value
@@ -281,8 +305,9 @@
         record: Record,
         rng: Callable[[], float],
     ) -> None:
-        self.faults = Faults()
+        self.faults = ServiceFaults()
         self.record = record
+        self._next_turns: dict[str, float] = {}
         self._handler = handler
         self._rng = rng
         self._service = HttpServer(address, port, self._serve)
@@ -309,7 +334,7 @@
         """Return the port of the service."""
         return self._service.port
 
-    def set_faults(self, changes: dict[str, object]) -> Faults:
+    def set_faults(self, changes: dict[str, object]) -> ServiceFaults:
         """Replace the given faults."""
         self.faults = merge_faults(self.faults, changes)
         self.record.add("faults", **msgspec.structs.asdict(self.faults))
@@ -323,15 +348,24 @@
     def _serve_control(self, request: Request) -> Response:
         return control(request, self.record, self._set_faults) or Response(404)
 
-    def _set_faults(self, body: bytes) -> Faults:
+    def _set_faults(self, body: bytes) -> ServiceFaults:
         return self.set_faults(msgspec.json.decode(body, type=dict))
 
     def _serve(self, request: Request) -> Response | None:
         answer = control(request, self.record, self._set_faults)
         if answer is not None:
             return answer
+        self._wait_for_turn(request.path)
         return apply_faults(self.faults, request, self._handler, self._rng)
 
+    def _wait_for_turn(self, path: str) -> None:
+        for prefix, rate in self.faults.calls_per_second.items():
+            if path.startswith(prefix):
+                now = time.monotonic()
+                turn = max(now, self._next_turns.get(prefix, 0.0))
+                self._next_turns[prefix] = turn + 1 / rate
+                gevent.sleep(turn - now)
+
 
 def merge_faults(current: Faults, changes: dict[str, object]) -> Faults:
     """Return the faults with some fields replaced."""
--- a/test/test_backend_servers.py
+++ b/test/test_backend_servers.py
@@ -103,7 +103,10 @@
                     "r", answer_bytes=100_000, chunked=chunked, cut_at=cut_at
                 )
                 self.assertIsInstance(got, errors.Ambiguous)
-        self.assertEqual(100_000, len(self.send("r", answer_bytes=100_000)))
+        stalled = self.send("r", 0.2, answer_bytes=100_000, stall_ms=500)
+        self.assertIsInstance(stalled, errors.Ambiguous)
+        whole = self.send("r", answer_bytes=100_000, stall_ms=50)
+        self.assertEqual(100_000, len(whole))
 
     def test_iterating_a_cut_answer_raises(self):
         # Guards against a stream forwarded to a caller that seems to end normally.
--- a/test/test_store.py
+++ b/test/test_store.py
@@ -1,4 +1,5 @@
 import random
+import time
 
 import testtools
 from gevent import server
@@ -227,6 +228,15 @@
         self.faults(down=False)
         self.assertIsInstance(self.client.transact({}, {}), tables.Committed)
 
+    def test_a_limited_service_makes_calls_wait(self):
+        # Guards against benches on a table service without any limit.
+        self.faults(calls_per_second={"/v1/transactions": 50})
+        began = time.monotonic()
+        for _ in range(11):
+            self.client.transact({}, {"a": b"1"})
+        elapsed_s = time.monotonic() - began
+        self.assertTrue(0.19 < elapsed_s < 0.5, elapsed_s)
+
     def test_only_named_clients_are_blocked(self):
         other = tables.HttpTableClient("127.0.0.1", self.port, "other", 0.3)
         self.addCleanup(other.close)
