--- a/toucanspring/attempt.py
+++ b/toucanspring/attempt.py
@@ -17,7 +17,7 @@
 ) -> None:
     """Apply the ends of attempts that a worker reports, possibly again."""
     for end in finished:
-        core.outbox.acknowledge(worker, end.task_id)
+        core.effects.acknowledge(worker, end.task_id)
         task = core.table.live.get(end.task_id)
         if task is not None and task.worker == worker and task.attempt == end.attempt:
             record = core.table.jobs[task.job_id]
@@ -205,7 +205,7 @@
         )
         if usable:
             task.state = job.State.STARTING
-            core.outbox.start(task.worker, [core.message(record, task)])
+            core.effects.start(task.worker, [core.message(record, task)])
         else:
             core.vacate(record, task, now)
             core.requeue(record, task.index, now, reason="worker is no longer usable")
