--- a/toucanspring/attempt.py
+++ b/toucanspring/attempt.py
@@ -42,10 +42,15 @@
     record = core.table.jobs.get(job.job_of(end.task_id))
     if record is None:
         return
-    index = int(end.task_id.rpartition("/")[2])
+    index = task_table.task_index(end.task_id)
+    if index in record.finals:
+        # The first record may not be durable yet. A worker that forgot the task
+        # before would let a successor start it again, so the acknowledgement waits
+        # for a second record.
+        core.effects.record(end.task_id, record.finals[index])
+        return
     # Keeps the number of the next attempt apart from reported ones.
-    if index not in record.finals:
-        record.attempts[index] = max(record.attempts.get(index, 0), end.attempt)
+    record.attempts[index] = max(record.attempts.get(index, 0), end.attempt)
     if index in record.held:
         record.held.discard(index)
         task = task_table.LiveTask(
@@ -250,13 +255,13 @@
     """End an attempt whose worker is gone: it may have run, and runs no more."""
     record = core.table.jobs[task.job_id]
     index = task.index
-    if task.state is job.State.INTENDED:
-        core.vacate(record, task, now)  # was not sent
+    core.vacate(record, task, now)
+    follows = after_loss(task.state, record.spec.idempotent)
+    if follows == "never_ran":
         core.requeue(record, index, now, reason=reason)
         return
-    core.vacate(record, task, now)
     record.ran.add(index)
-    if not record.spec.idempotent:
+    if follows == "unknown":
         core.finalize(record, index, job.Outcome(job.State.UNKNOWN, reason), now)
         return
     record.losses[index] = losses = record.losses.get(index, 0) + 1
@@ -264,3 +269,14 @@
         core.finalize(record, index, job.Outcome(job.State.FAILED, reason), now)
     else:
         core.requeue(record, index, now, reason=reason)
+
+
+def after_loss(state: job.State, idempotent: bool) -> str:
+    """Return what follows for an attempt whose worker is gone.
+
+    `never_ran`: it was not sent; `requeue`: it runs no more and may run again;
+    `unknown`: it may have run, so it must not run again.
+    """
+    if state is job.State.INTENDED:
+        return "never_ran"
+    return "requeue" if idempotent else "unknown"
