Repay missed share and let teams above their target yield

Change: the ledger keeps a decayed sum of missed share, repaid within 1.5 s and at most once the target at a time; Ledger.yielding names the teams that start nothing while a team under its target is blocked, as long as under a tenth is idle.

--- a/toucanspring/fairness.py
+++ b/toucanspring/fairness.py
@@ -8,6 +8,19 @@
 
 from toucanspring import resources
 
+ROUNDING = 1e-9  # of sums of shares
+# Time in which a team should get back what it missed. Measured with bench.share:
+# shorter times overshoot, longer ones and none at all leave large tasks behind.
+REPAY_S = 1.5
+# Bound on what is repaid at once, as a multiple of the target, so that a team that
+# missed much does not fill the cell with long tasks.
+MAX_REPAY = 1.0
+# A team this far above its target, as a fraction of it, yields to blocked teams.
+YIELD_ABOVE = 0.25
+# With a larger part of the cell idle, no team yields: what keeps a blocked team from
+# starting is then not the use by others.
+MAX_IDLE = 0.1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Team:
@@ -22,13 +35,23 @@
 class Account:
     """Hold the use of one team, now and averaged over the recent past."""
 
-    __slots__ = ("average", "deficit", "target", "updated_at", "use")
+    __slots__ = (
+        "average",
+        "deficit",
+        "ranked_integral",
+        "integral",
+        "updated_at",
+        "use",
+    )
 
     def __init__(self, now: float) -> None:
         self.use = resources.ZERO
         self.average = 0.0  # decayed mean of the dominant share
-        self.deficit = 0.0  # decayed integral of target minus use, in share seconds
-        self.target = 0.0  # target since `updated_at`
+        self.integral = 0.0  # of the dominant share since the start, in seconds
+        self.ranked_integral = 0.0  # `integral` when the deficit was last updated
+        # Decayed sum of what the team was entitled to and did not use, in share
+        # seconds; negative if it used more.
+        self.deficit = 0.0
         self.updated_at = now
 
 
@@ -44,6 +67,8 @@
         self._accounts: dict[str, Account] = {}
         self._window_s = window_s
         self._total = resources.ZERO
+        self._ranked_at = 0.0
+        self._demanding: frozenset[str] = frozenset()  # active when last ranked
 
     def set_teams(self, teams: Iterable[Team]) -> None:
         """Replace the teams; use by teams that are gone stays recorded."""
@@ -96,48 +121,119 @@
 
     def rank(self, active: Iterable[str], now: float) -> list[str]:
         """Return the active teams, the one most below its target first."""
-        targets = self._set_targets(active, now)
-        keys = {}
-        for name, target in targets.items():
+        lacks = self._lacks(active, now)
+
+        def key(name: str) -> tuple:
+            lack, target = lacks[name]
+            return (-lack / target if target > 0 else math.inf, -lack, name)
+
+        return sorted(lacks, key=key)
+
+    def shortfalls(self, active: Iterable[str], now: float) -> dict[str, float]:
+        """Return what each active team lacks, in dominant share; negative if over.
+
+        That is its target part of all use, less its own use, plus what it missed in
+        the window.
+        """
+        return {name: lack for name, (lack, _) in self._lacks(active, now).items()}
+
+    def yielding(self, active: Iterable[str], now: float) -> set[str]:
+        """Return the teams that are to start nothing while a lower one is blocked.
+
+        Blocked means that a team under its target finds no room for lack of
+        processors or memory. Otherwise small tasks of teams over their target take
+        each gap before it is large enough.
+        """
+        held = resources.ZERO
+        for account in self._accounts.values():
+            held += account.use
+        if held.dominant(self._total) < 1 - MAX_IDLE:
+            return set()
+        return {
+            name
+            for name, (lack, target) in self._lacks(active, now).items()
+            if lack < -YIELD_ABOVE * target
+        }
+
+    def _lacks(
+        self, active: Iterable[str], now: float
+    ) -> dict[str, tuple[float, float]]:
+        """Return shortfall and target of the active teams."""
+        names = list(active)
+        targets = self.targets(self._with_users(names))
+        self._update_deficits(frozenset(names), targets, now)
+        everything = sum(
+            account.use.dominant(self._total) for account in self._accounts.values()
+        )
+        lacks = {}
+        for name in names:
             account = self._accounts[name]
-            use = account.use.dominant(self._total)
-            aim = target + account.deficit / self._window_s
-            keys[name] = (
-                use / aim if aim > 0 else math.inf,
-                use / target if target > 0 else math.inf,
-                name,
-            )
-        return sorted(keys, key=keys.__getitem__)
+            entitled = targets[name] * everything
+            bound = MAX_REPAY * entitled
+            repaid = max(-bound, min(bound, account.deficit / REPAY_S))
+            lack = entitled - account.use.dominant(self._total) + repaid
+            lacks[name] = (lack, targets[name])
+        return lacks
 
     def actual(self, now: float) -> dict[str, float]:
         """Return the decayed mean of the dominant share of every team."""
         return {name: self._advance(name, now).average for name in list(self._accounts)}
 
     def over_share(self, active: Iterable[str], now: float) -> dict[str, float]:
-        """Return by how much teams exceed their target now, the largest first.
+        """Return by how much teams exceed their share now, the largest first.
 
-        Teams that are not active but still run work have the target 0.
+        Teams that only run work count as active: they keep their share. A team is
+        not over its share while the teams together use less than the cell.
         """
-        targets = self._set_targets(active, now)
-        excess = {}
-        for name, account in self._accounts.items():
-            over = account.use.dominant(self._total) - targets.get(name, 0.0)
-            if over > 1e-9:
-                excess[name] = over
-        return dict(sorted(excess.items(), key=lambda item: (-item[1], item[0])))
+        targets = self.targets(self._with_users(active))
+        uses = {
+            name: self._advance(name, now).use.dominant(self._total) for name in targets
+        }
+        everything = max(1.0, sum(uses.values()))
+        excess = {name: uses[name] - targets[name] * everything for name in targets}
+        over = [name for name in excess if excess[name] > ROUNDING]
+        return {
+            name: excess[name]
+            for name in sorted(over, key=lambda name: (-excess[name], name))
+        }
 
     def _limit(self, name: str) -> float:
         team = self._teams.get(name)
         return min(1.0, team.ceiling.dominant(self._total)) if team else 0.0
 
-    def _set_targets(self, active: Iterable[str], now: float) -> dict[str, float]:
-        targets = self.targets(active)
+    def _with_users(self, names: Iterable[str]) -> dict[str, None]:
+        """Return the given teams and those that run work."""
+        users = (
+            name
+            for name, account in self._accounts.items()
+            if account.use != resources.ZERO
+        )
+        return dict.fromkeys((*names, *users))
+
+    def _update_deficits(
+        self, demanding: frozenset[str], targets: dict[str, float], now: float
+    ) -> None:
+        """Add what teams were entitled to since the last update, less their use.
+
+        A team is entitled to its target part of what all teams used. A team that was
+        not active at the last update gains nothing, so idle time earns no credit.
+        """
         for name in targets:
-            self._advance(name, now).target = targets[name]
+            self._advance(name, now)
+        used = {}
         for name, account in self._accounts.items():
-            if name not in targets and account.target:
-                self._advance(name, now).target = 0.0
-        return targets
+            self._advance(name, now)
+            used[name] = account.integral - account.ranked_integral
+            account.ranked_integral = account.integral
+        everything = sum(used.values())
+        kept = math.exp(-max(0.0, now - self._ranked_at) / self._window_s)
+        self._ranked_at = now
+        for name, account in self._accounts.items():
+            gain = targets.get(name, 0.0) * everything - used[name]
+            if name not in self._demanding:
+                gain = min(0.0, gain)
+            account.deficit = account.deficit * kept + gain
+        self._demanding = demanding
 
     def _advance(self, name: str, now: float) -> Account:
         account = self._accounts.get(name)
@@ -149,8 +245,6 @@
             kept = math.exp(-elapsed / self._window_s)
             use = account.use.dominant(self._total)
             account.average = account.average * kept + use * (1 - kept)
-            account.deficit = account.deficit * kept
-            if account.target > 0:
-                account.deficit += (account.target - use) * self._window_s * (1 - kept)
+            account.integral += use * elapsed
             account.updated_at = now
         return account
