--- a/toucanspring/handler.py
+++ b/toucanspring/handler.py
@@ -122,6 +122,8 @@
 class Handler(pywsgi.WSGIHandler):
     """Serve the requests of one connection."""
 
+    body_length = 0  # bytes of the present answer that were handed to the socket
+
     def handle(self) -> None:
         """Serve requests until either side ends the connection."""
         stream.disable_nagle(self.socket)
@@ -233,11 +235,24 @@
             headers.append(("Connection", "close"))
         return super().start_response(status, headers, exc_info)
 
+    def process_result(self) -> None:
+        """Send the answer; one of another length than declared is cut."""
+        self.body_length = 0
+        super().process_result()
+        declared = self.provided_content_length
+        if declared is not None and int(declared) != self.body_length:
+            raise AnswerCut(f"{self.body_length} bytes instead of {declared}")
+
+    def _write(self, data: bytes) -> None:
+        self.body_length += len(data)
+        super()._write(data)
+
     def handle_error(self, kind, value, trace) -> None:
         """Cut the answer if a part of it was sent, else answer with a failure."""
         if not isinstance(value, AnswerCut | OSError):
             log.error("request failed: {}", value, exc_info=(kind, value, trace))
         if self.headers_sent:
+            log.debug("answer cut: {}", value)
             self._abort()
             return
         self.close_connection = True
