--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -27,24 +27,9 @@
         | strategies.dictionaries(
             strategies.sampled_from(
                 [
-                    "jobs",
-                    "id",
-                    "queue",
-                    "tasks",
-                    "resources",
-                    "cpus",
-                    "memory",
-                    "class",
-                    "after",
-                    "kind",
-                    "payload",
-                    "payload_base64",
-                    "zones",
-                    "deadline",
-                    "run_time",
-                    "retries",
-                    "template",
-                    "team",
+                    *("jobs", "id", "queue", "team", "template", "tasks", "retries"),
+                    *("resources", "cpus", "memory", "class", "kind", "after", "zones"),
+                    *("payload", "payload_base64", "deadline", "run_time"),
                 ]
             ),
             inner,
