Report shares and waiting work from the partitions' own sums

Cause: the reports had no source for use and waiting work. Change: summary.py sums capacity, use by team and waiting tasks by team and class over one partition; Scheduler.summary gives it and reports join it over all processes.

--- a/toucanspring/api_status.py
+++ b/toucanspring/api_status.py
@@ -78,15 +78,16 @@
             return peers.call(process, "report", name.encode(), REPORT_TIMEOUT_S)
 
         answers = pool.Pool(MAX_PEER_CALLS).map(ask, others)
-        parts = {own: report.collect(self._kernel, name)}
+        parts = [report.collect(self._kernel, name)]
         missing = []
         for process, answer in zip(others, answers, strict=True):
-            if isinstance(answer, errors.Failure):
+            part = report.decode(answer) if isinstance(answer, bytes) else answer
+            if isinstance(part, errors.Failure):
                 missing.append(process)
             else:
-                parts[process] = msgspec.msgpack.decode(answer)
+                parts.append(part)
         cell = self._kernel.find("documents").cell()
-        built = report.build(name, cell, list(parts.values()))
+        built = report.build(name, cell, parts)
         api.send_json(response, {"report": name, "missing": missing, **built})
 
 
--- a/toucanspring/gateway.py
+++ b/toucanspring/gateway.py
@@ -6,7 +6,6 @@
 
 import falcon
 import logbook
-import msgspec
 
 from toucanspring import (
     api,
@@ -142,4 +141,4 @@
         name = body.decode(errors="replace")
         if name not in report.NAMES:
             return errors.NotFound(reason=f"no report {name}")
-        return msgspec.msgpack.encode(report.collect(self._kernel, name))
+        return report.encode(report.collect(self._kernel, name))
--- a/toucanspring/report.py
+++ b/toucanspring/report.py
@@ -9,55 +9,92 @@
 import dataclasses
 import time
 
-from toucanspring import burn, kernel, resources, text
+import gevent
+import msgspec
+from gevent import event
+
+from toucanspring import burn, errors, inbox, kernel, resources, summary, text
 
 NAMES = ("share", "waiting", "burn")
+# A partition that loads its log answers late; the report does without it.
+ASK_LIMIT_S = 1.0
+
+
+class Part(msgspec.Struct):
+    """Hold what one process contributes to a report."""
+
+    summary: summary.Summary | None = None
+    requests: dict[str, dict[str, int]] = {}
+    buckets: list[tuple[str, str, int, int, int]] = []
+
+
+_part_decoder = msgspec.msgpack.Decoder(Part)
+
 
+def encode(part: Part) -> bytes:
+    """Return a contribution as bytes for a peer."""
+    return msgspec.msgpack.encode(part)
 
-def collect(core: kernel.Kernel, name: str) -> dict[str, object]:
+
+def decode(body: bytes) -> Part | errors.Malformed:
+    """Return the contribution of a peer."""
+    try:
+        return _part_decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        return errors.Malformed(reason=str(error))
+
+
+def collect(core: kernel.Kernel, name: str) -> Part:
     """Return the contribution of this process to a report."""
     if name == "burn":
-        return {"buckets": core.find("requests").burn.export(time.monotonic())}
-    # Sums over the partitions that this process owns: `capacity` and `use` by team
-    # in cpus, memory, accelerators, `waiting` by team and class with tasks and the
-    # seconds that the oldest waits.
-    summary = core.find("partitions").summary()
-    if name == "share":
-        return {"capacity": summary["capacity"], "use": summary["use"]}
-    return {"jobs": summary["waiting"], "requests": core.find("requests").waiting()}
-
-
-def build(
-    name: str, cell: text.Cell, parts: list[dict[str, object]]
-) -> dict[str, object]:
+        return Part(buckets=core.find("requests").burn.export(time.monotonic()))
+    part = Part(summary=_summarise_owned(core))
+    if name == "waiting":
+        part.requests = core.find("requests").waiting()
+    return part
+
+
+def _summarise_owned(core: kernel.Kernel) -> summary.Summary:
+    """Return the sums over the partitions of this process that answer in time."""
+    now = time.monotonic()
+    results = []
+    for owned in core.find("partitions").owned().values():
+        result = event.AsyncResult()
+        owned.post(inbox.Ask(lambda decider: decider.summary(now), result))
+        results.append(result)
+    joined = summary.Summary()
+    for result in gevent.wait(results, timeout=ASK_LIMIT_S):
+        joined.add(result.get())
+    return joined
+
+
+def build(name: str, cell: text.Cell, parts: list[Part]) -> dict[str, object]:
     """Return a report from the contributions of all processes."""
+    joined = summary.Summary()
+    for part in parts:
+        if part.summary is not None:
+            joined.add(part.summary)
     match name:
         case "share":
-            return {"teams": _shares(cell, parts)}
+            return {"teams": _shares(cell, joined)}
         case "waiting":
-            return {"jobs": _waiting_jobs(parts), "requests": _waiting_requests(parts)}
+            return {"jobs": _waiting_jobs(joined), "requests": _waiting_requests(parts)}
     objectives = {service.name: service.objective for service in cell.services.values()}
-    budgets = burn.evaluate([part["buckets"] for part in parts], objectives)
+    budgets = burn.evaluate([part.buckets for part in parts], objectives)
     return {"budgets": [dataclasses.asdict(budget) for budget in budgets]}
 
 
-def _shares(cell: text.Cell, parts: list[dict[str, object]]) -> list[dict[str, object]]:
+def _shares(cell: text.Cell, joined: summary.Summary) -> list[dict[str, object]]:
     """Return the use of each team next to what its share entitles it to.
 
     The entitlement counts all teams; a team whose neighbours are idle may use more.
     """
-    capacity = resources.ZERO
-    use: dict[str, resources.Resources] = {}
-    for part in parts:
-        capacity += resources.Resources(*part["capacity"])
-        for team, amount in part["use"].items():
-            use[team] = use.get(team, resources.ZERO) + resources.Resources(*amount)
     total = sum(team.share for team in cell.teams.values()) or 1.0
     rows = []
     for team in cell.teams.values():
-        used = use.get(team.name, resources.ZERO)
+        used = joined.use.get(team.name, resources.ZERO)
         entitled = team.share / total
-        fraction = used.dominant(capacity)
+        fraction = used.dominant(joined.capacity)
         rows.append(
             {
                 "team": team.name,
@@ -74,24 +111,23 @@
     return rows
 
 
-def _waiting_jobs(parts: list[dict[str, object]]) -> list[dict[str, object]]:
-    joined: dict[tuple[str, str], list[float]] = {}
-    for part in parts:
-        for team, classes in part["jobs"].items():
-            for job_class, (tasks, oldest_s) in classes.items():
-                row = joined.setdefault((team, job_class), [0, 0.0])
-                row[0] += tasks
-                row[1] = max(row[1], oldest_s)
+def _waiting_jobs(joined: summary.Summary) -> list[dict[str, object]]:
     return [
-        {"team": team, "class": job_class, "tasks": tasks, "oldest_s": oldest_s}
-        for (team, job_class), (tasks, oldest_s) in sorted(joined.items())
+        {
+            "team": team,
+            "class": job_class,
+            "tasks": entry.tasks,
+            "oldest_s": entry.oldest_s,
+        }
+        for team, classes in sorted(joined.waiting.items())
+        for job_class, entry in sorted(classes.items())
     ]
 
 
-def _waiting_requests(parts: list[dict[str, object]]) -> list[dict[str, object]]:
+def _waiting_requests(parts: list[Part]) -> list[dict[str, object]]:
     joined: dict[tuple[str, str], int] = {}
     for part in parts:
-        for service, classes in part["requests"].items():
+        for service, classes in part.requests.items():
             for job_class, count in classes.items():
                 key = (service, job_class)
                 joined[key] = joined.get(key, 0) + count
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -16,6 +16,7 @@
     preemption,
     recovery,
     resources,
+    summary,
     wire,
 )
 
@@ -211,6 +212,10 @@
             if state.attached
         }
 
+    def summary(self, now: float) -> summary.Summary:
+        """Return capacity, use by team and waiting work, for reports."""
+        return summary.summarise(self._core, now)
+
     def explain(self, job_id: str) -> effects.Explanation | errors.NotFound:
         """Return what a job waits for, or where its tasks ran."""
         status = self.lookup(job_id)
