Test the command line; take only a lost answer for an own change

Cause: apply reported success on a conflict whenever the text in force was equal. Change: only after a lost answer is the text in force compared with the own one.

--- /dev/null
+++ b/test/test_cli.py
@@ -0,0 +1,170 @@
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+
+import testtools
+
+from test import edge_fakes
+from toucanspring import cli, client, console, effects, errors, job
+from toucanspring.adapters import exchange
+
+UNUSED = "127.0.0.1:1"
+
+
+class CliTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.core = edge_fakes.build()
+        self.core.start()
+        self.addCleanup(self.core.stop)
+        port = self.core.find("gateway").port
+        self.partitions = self.core.find("partitions")
+        self.documents = self.core.find("documents")
+        self.environment = {
+            "TOUCANSPRING_ENDPOINTS": f"{UNUSED},127.0.0.1:{port}",
+            "TOUCANSPRING_KEY": "desk-key",
+            "TOUCANSPRING_OPERATOR_KEY": edge_fakes.OPERATOR_KEY,
+            "TOUCANSPRING_TIMEOUT_S": "5",
+        }
+
+    def run_cli(self, *arguments, **environment):
+        """Return exit code, standard output and error output of a command line."""
+        output, failures = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(output), contextlib.redirect_stderr(failures):
+            try:
+                code = cli.run(list(arguments), {**self.environment, **environment})
+            except SystemExit as ended:
+                code = ended.code
+        return code, output.getvalue(), failures.getvalue()
+
+    def write(self, source):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        path = pathlib.Path(directory.name) / "cell.yaml"
+        path.write_text(source)
+        return str(path)
+
+    def test_exit_codes_and_types_of_failures(self):
+        # Guards against scripts that take a failure for success.
+        example = str(edge_fakes.ROOT / "examples" / "kernhalde.yaml")
+        faulty = self.write(edge_fakes.KERNHALDE.replace("share: 5", "share: 0"))
+        self.partitions.submit([job.JobSpec(id="a", name="a", team="labels")])
+        for expected, kind, arguments in (
+            (0, "", ["validate", example]),
+            (2, "usage", ["nothing"]),
+            (3, "", ["validate", faulty]),
+            (3, "Invalid", ["apply", faulty]),
+            (3, "Invalid", ["apply", "/nothing/there"]),
+            (4, "Conflict", ["apply", example, "--base", "7"]),
+            (5, "Forbidden", ["status", "a"]),
+            (5, "Forbidden", ["zone", "list", "--operator-key", "wrong"]),
+            (6, "NotFound", ["status", "nothing"]),
+            (6, "NotFound", ["key", "withdraw", "nothing"]),
+            (7, "Unavailable", ["status", "a", "--endpoints", UNUSED]),
+            (3, "Invalid", ["status", "a", "--endpoints", "ftp://x"]),
+            (10, "Timeout", ["wait", "--key", edge_fakes.OPERATOR_KEY, "a",
+                             "--limit-s", "0.1"]),
+        ):  # fmt: skip
+            code, _, failures = self.run_cli(*arguments)
+            self.assertEqual(expected, code, (arguments, failures))
+            self.assertIn(kind, failures)
+
+    def test_json_goes_to_the_output_and_json_failures_to_the_error_output(self):
+        code, output, _ = self.run_cli("zone", "out", "zug-1", "--json")
+        self.assertEqual((0, True), (code, json.loads(output)["out"]))
+        code, output, failures = self.run_cli("status", "nothing", "--json")
+        self.assertEqual((6, ""), (code, output))
+        self.assertEqual("NotFound", json.loads(failures)["error"]["type"])
+
+    def test_every_command_has_help_without_the_keys(self):
+        # Guards against keys from the environment that the help shows as defaults.
+        for name, entry in cli.COMMANDS.items():
+            inner = [[name, each] for each in entry] if isinstance(entry, dict) else []
+            for arguments in inner or [[name]]:
+                code, output, _ = self.run_cli(*arguments, "--help")
+                self.assertEqual(0, code)
+                self.assertIn("--json", output)
+                self.assertNotIn(edge_fakes.OPERATOR_KEY, output)
+                self.assertNotIn("desk-key", output)
+
+    def test_apply_reports_both_versions_of_a_conflict(self):
+        path = self.write(edge_fakes.KERNHALDE)
+        self.assertEqual(0, self.run_cli("apply", path, "--wait")[0])
+        _, _, failures = self.run_cli("apply", path, "--base", "1")
+        self.assertIn("version 2 is in force", failures)
+        self.assertIn("based on version 1", failures)
+
+    def test_apply_after_a_lost_answer_recognises_its_own_change(self):
+        # Guards against an operator who is told of a conflict with themselves.
+        path = self.write(edge_fakes.KERNHALDE + "# changed\n")
+        plain = exchange.Endpoint.call
+        lost = []
+
+        def call(endpoint, method, *arguments, **options):
+            reply = plain(endpoint, method, *arguments, **options)
+            if method == "PUT" and not lost and isinstance(reply, exchange.Reply):
+                lost.append(reply.status)
+                return errors.Ambiguous(reason="the answer was lost")
+            return reply
+
+        self.patch(exchange.Endpoint, "call", call)
+        port = self.core.find("gateway").port
+        both = f"127.0.0.1:{port},127.0.0.1:{port}"
+        code, output, failures = self.run_cli("apply", path, "--endpoints", both)
+        self.assertEqual((0, [200]), (code, lost), failures)
+        self.assertIn("version 2 is in force", output)
+
+    def test_a_key_is_not_granted_twice_after_a_lost_answer(self):
+        plain = exchange.Endpoint.call
+
+        def call(endpoint, method, *arguments, **options):
+            plain(endpoint, method, *arguments, **options)
+            return errors.Ambiguous(reason="the answer was lost")
+
+        self.patch(exchange.Endpoint, "call", call)
+        code, _, failures = self.run_cli("key", "grant", "labels")
+        self.assertEqual(8, code)
+        self.assertIn("Ambiguous", failures)
+
+    def test_submit_with_an_id_twice_starts_one_job(self):
+        for _ in range(2):
+            self.assertEqual(0, self.run_cli("submit", "stock-index", "--id", "a")[0])
+        self.assertEqual(["a"], list(self.partitions.jobs))
+        code, _, failures = self.run_cli(
+            "submit", "stock-index", "--id", "a", "--tasks", "3"
+        )
+        self.assertEqual(4, code, failures)
+
+    def test_wait_ends_with_the_outcome_of_the_jobs(self):
+        # Guards against a nightly script that goes on after a failed job.
+        for state, expected in (("done", 0), ("failed", 9), ("unknown", 8)):
+            outcome = job.Outcome(job.State(state), "why")
+            status = effects.JobStatus("a", "a", "desk", {state: 1}, outcome, {})
+            self.patch(self.partitions, "lookup", lambda _, status=status: status)
+            code, output, _ = self.run_cli("wait", "a")
+            self.assertEqual(expected, code)
+            self.assertIn(state, output)
+
+    def test_control_characters_of_others_do_not_reach_the_terminal(self):
+        shown = console.table(("A",), [("\x1b[2Jx",)])
+        self.assertNotIn("\x1b", shown)
+        failure = errors.Refused(reason="\x1b[2J")
+        self.assertNotIn("\x1b", console.describe(failure))
+
+    def test_the_endpoint_that_answered_is_asked_first(self):
+        port = self.core.find("gateway").port
+        places = [client.parse_endpoint(UNUSED), ("127.0.0.1", port)]
+        connection = client.Client(places, "", edge_fakes.OPERATOR_KEY, "", 5.0)
+        asked = []
+        plain = exchange.Endpoint.call
+        self.patch(
+            exchange.Endpoint,
+            "call",
+            lambda endpoint, *rest: asked.append(endpoint) or plain(endpoint, *rest),
+        )
+        for _ in range(3):
+            connection.get("/v1/zones", operator=True)
+        self.assertEqual(4, len(asked))
+        connection.close()
--- a/toucanspring/client.py
+++ b/toucanspring/client.py
@@ -71,6 +71,7 @@
         self._operator_key = operator_key
         self._operator = operator
         self._timeout_s = timeout_s
+        self.answer_was_lost = False  # in the last call, before it was repeated
 
     def close(self) -> None:
         """Close all connections."""
@@ -99,6 +100,7 @@
         sent = self._headers(operator) | (headers or {})
         last: errors.Failure = errors.Unavailable(reason="no endpoint")
         lost: errors.Ambiguous | None = None
+        self.answer_was_lost = False
         for endpoint in list(self._endpoints):
             reply = endpoint.call(
                 method, target, body, sent, self._timeout_s, MAX_ANSWER_BYTES
@@ -114,6 +116,7 @@
                     if not repeatable:
                         return reply
                     last = lost = reply
+                    self.answer_was_lost = True
                 case _:
                     last = reply
         return lost or last
--- a/toucanspring/commands/apply.py
+++ b/toucanspring/commands/apply.py
@@ -52,9 +52,10 @@
     match result:
         case client.Answer():
             return result.json()["version"]
-        case errors.Conflict(current_version=current) if current == given + 1:
-            # An earlier try at another endpoint may have succeeded without an
-            # answer; the same text in force is what was asked for.
+        case errors.Conflict(current_version=current) if (
+            connection.answer_was_lost and current == given + 1
+        ):
+            # The try whose answer was lost may be what is in force now.
             version, source_in_force = source.fetch(connection)
             if version == current and source_in_force == content:
                 return version
