Send the head and a small answer in one packet

Cause: a small answer took three packets. Change: the head is joined with the first part up to 16 KiB; small answers of backend servers are one part.

--- a/toucanspring/forwarding.py
+++ b/toucanspring/forwarding.py
@@ -165,7 +165,7 @@
         if whole:
             fault = answer.status in SERVER_FAULTS
             finish(routing.Outcome.FAILED if fault else routing.Outcome.OK)
-            body = Stream(first, None, finish)
+            body = Stream([b"".join(first)], None, finish)
             return answers.Answer(answer.status, headers, body, size)
         declared = answer.headers.get("content-length", "")
         length = int(declared) if declared.isdigit() else None
--- a/toucanspring/handler.py
+++ b/toucanspring/handler.py
@@ -39,6 +39,7 @@
 # Time for a client to read a refusal before the connection is closed: closing with
 # unread bytes resets it, and the client may lose the refusal.
 LINGER_S = 1.0
+MAX_JOINED_BYTES = 16 * 1024  # copied to save a packet
 # Callers find an idle connection closed only after this time into a graceful stop;
 # one more request on it is still answered.
 DRAIN_IDLE_S = 1.0
@@ -243,6 +244,19 @@
         if declared is not None and int(declared) != self.body_length:
             raise AnswerCut(f"{self.body_length} bytes instead of {declared}")
 
+    def _write_with_headers(self, data: bytes) -> None:
+        """Send the head and a small first part in one packet."""
+        if len(data) > MAX_JOINED_BYTES:
+            super()._write_with_headers(data)
+            return
+        plain, held = self._sendall, bytearray()
+        self._sendall = held.extend
+        try:
+            super()._write_with_headers(data)
+        finally:
+            del self._sendall  # the method of the class shows again
+        plain(bytes(held))
+
     def _write(self, data: bytes) -> None:
         self.body_length += len(data)
         super()._write(data)
