Say not run only when the log of the request ID was read

It also found that a server taken out of service during a slow record of the start still got the request. Change: these end as Unavailable (no effect of this call) or Unknown; a request ID that the gateway made up is still not run. The server is checked again before each send. Tests of the old results now expect the more careful ones. A stop no longer waits for requests that are only followed for their record.

--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -389,11 +389,16 @@
             (errors.StoreUnavailable(reason="store"), 503),
         ):
             self.serve_with(failure)
-            answer = self.ask()
+            answer = self.ask(X_Request_Id="r1")
             self.check_failure(answer, status, failure.kind)
             if isinstance(failure, errors.Overloaded):
                 self.assertEqual("3", answer[2]["Retry-After"])
 
+    def test_a_new_id_that_reached_no_owner_is_not_run(self):
+        self.serve_with(errors.Unavailable(reason="no owner"))
+        self.check_failure(self.ask(), 503, "NotRun")
+        self.check_failure(self.ask(X_Request_Id="r1"), 503, "Unavailable")
+
     def test_a_truncated_answer_reaches_the_caller_as_truncated(self):
         def chunks():
             yield b"part"
--- a/test/test_requests.py
+++ b/test/test_requests.py
@@ -303,6 +303,28 @@
         self.assertIsInstance(self.serve(), errors.NotRun)
         self.assertEqual([], self.client.sent)
 
+    def test_a_log_that_cannot_be_read_proves_nothing(self):
+        # Guards against "not run" for the repeat of an ID that ran before.
+        self.start()
+        doubt = errors.Unavailable(reason="ownership is in doubt")
+        self.patch(self.partitions, "request_entry", lambda _: doubt)
+        self.assertIsInstance(self.serve(deadline_s=0.2), errors.Unavailable)
+
+    def test_a_server_that_leaves_during_the_record_gets_nothing(self):
+        # Guards against new work on a leaving server after a slow write.
+        self.start()
+        plain = self.partitions.begin_request
+
+        def begin(request_id, server):
+            self.core.find("documents").out = frozenset({"zug-1"})
+            self.service._follow_documents()
+            return plain(request_id, server)
+
+        self.patch(self.partitions, "begin_request", begin)
+        self.assertIsInstance(self.serve(), errors.NotRun)
+        self.assertEqual([], self.client.sent)
+        self.assertEqual("not_run", self.partitions.requests["r1"].outcome.state)
+
     def test_a_lost_answer_is_asked_for_and_not_sent_again(self):
         self.start(LOST)
         self.client.lookups = collections.deque([backend_servers.Running(), b"late"])
@@ -320,7 +342,7 @@
         # Guards against a paused owner whose refusal contradicts its successor.
         self.start(FENCED)
         self.client.raise_answer = errors.Fenced(epoch=9)
-        self.assertIsInstance(self.serve(deadline_s=0.2), errors.NotRun)
+        self.assertIsInstance(self.serve(deadline_s=0.2), errors.Unknown)
         self.assertIsNone(self.partitions.requests["r1"].outcome)
 
     def take_over(self, lookup):
@@ -396,7 +418,9 @@
         moved = errors.Refused(reason="not the owner")
         self.check_whole(self.forward(moved, UNREACHED, self.chunks()))
         started = time.monotonic()
-        self.assertIsInstance(self.forward(moved, deadline_s=0.2), errors.NotRun)
+        result = self.forward(moved, deadline_s=0.2)
+        # Not `NotRun`: an earlier call with the same ID may have run.
+        self.assertIsInstance(result, errors.Unavailable)
         self.assertLess(time.monotonic() - started, 1.0)
 
     def test_the_owner_refuses_ids_of_other_partitions(self):
--- a/toucanspring/api_services.py
+++ b/toucanspring/api_services.py
@@ -81,7 +81,8 @@
         rule = service.classes[job_class]
         idempotent = _is_idempotent(rule, request.get_header("X-Idempotent"))
         deadline_s = _deadline_s(rule, request.get_header("X-Deadline-Ms"))
-        request_id = self._request_id(request, queue)
+        given = request.get_header("X-Request-Id")
+        request_id = _request_id(given, queue)
         body = api.read_body(request, answers.MAX_BODY_BYTES)
         response.set_header("X-Request-Id", request_id)
         result = self._kernel.find("requests").serve(
@@ -96,24 +97,27 @@
                 content_type=request.content_type or "",
             )
         )
+        if given is None and isinstance(result, errors.Unavailable):
+            # The ID is new, so no earlier call with it can have run.
+            result = errors.NotRun(reason=result.reason)
         send_answer(response, api.unwrap(result))
 
-    def _request_id(self, request: falcon.Request, queue: text.Queue) -> str:
-        given = request.get_header("X-Request-Id")
-        prefix = api.OPEN_PREFIX if queue.is_open else ""
-        if given is None:
-            return f"{prefix}{secrets.token_hex(10)}"
-        api.check_id(given, "X-Request-Id")
-        if given.startswith(api.OPEN_PREFIX) != queue.is_open:
-            raise api.Failed(
-                errors.Invalid(
-                    reason="request ID of another access; not run",
-                    path="X-Request-Id",
-                    value=given,
-                    expected=f"the prefix {api.OPEN_PREFIX} on open queues only",
-                )
+
+def _request_id(given: str | None, queue: text.Queue) -> str:
+    prefix = api.OPEN_PREFIX if queue.is_open else ""
+    if given is None:
+        return f"{prefix}{secrets.token_hex(10)}"
+    api.check_id(given, "X-Request-Id")
+    if given.startswith(api.OPEN_PREFIX) != queue.is_open:
+        raise api.Failed(
+            errors.Invalid(
+                reason="request ID of another access; not run",
+                path="X-Request-Id",
+                value=given,
+                expected=f"the prefix {api.OPEN_PREFIX} on open queues only",
             )
-        return given
+        )
+    return given
 
 
 def send_answer(response: falcon.Response, answer: answers.Answer) -> None:
--- a/toucanspring/lane.py
+++ b/toucanspring/lane.py
@@ -56,6 +56,7 @@
         self._waiting: collections.Counter[job.JobClass] = collections.Counter()
         self._timer: gevent.Greenlet | None = None
         self._servers: dict[str, routing.ServerFacts] = {}
+        self._zones_out: frozenset[str] = frozenset()
 
     def close(self) -> None:
         """Stop offering slots; requests that wait end as not run."""
@@ -73,9 +74,19 @@
 
     def set_zones_out(self, zones: frozenset[str]) -> None:
         """Use no server in these availability zones."""
+        self._zones_out = zones
         self.router.set_zones_out(zones)
         self.pump()
 
+    def is_usable(self, server_id: str) -> bool:
+        """Return whether a server is listed, not leaving and in a zone in service."""
+        facts = self._servers.get(server_id)
+        return (
+            facts is not None
+            and not facts.leaving
+            and facts.availability_zone not in self._zones_out
+        )
+
     def waiting(self) -> dict[str, int]:
         """Return the number of waiting requests by class."""
         return {str(name): count for name, count in self._waiting.items() if count}
--- a/toucanspring/requests.py
+++ b/toucanspring/requests.py
@@ -37,8 +37,11 @@
 RECOVER_LIMIT_S = 60.0  # until the log of a claimed partition is read
 # The owner refuses just after the deadline; its refusal is awaited this much longer.
 OWNER_GRACE_S = 0.5
-RETRY_FAILURES = (errors.Unavailable, errors.Fenced, errors.Refused)
-LOST_FAILURES = (errors.Ambiguous, errors.Timeout, errors.Closed)
+# The owner was not reached, or refused before it looked at the ID.
+RETRY_FAILURES = (errors.Unavailable, errors.Refused)
+# The request may have run: the owner's answer was lost, or the owner lost its
+# ownership while it dealt with the request.
+LOST_FAILURES = (errors.Ambiguous, errors.Timeout, errors.Closed, errors.Fenced)
 
 
 class Head(msgspec.Struct, frozen=True, kw_only=True):
@@ -185,7 +188,8 @@
             gevent.sleep(RETRY_S)
         if lost is not None:
             return errors.Unknown(reason=f"outcome unknown: {lost.reason}")
-        return errors.NotRun(reason=f"not run: {result.reason}")
+        # No log was read, so an earlier call with this ID may have run.
+        return errors.Unavailable(reason=f"not run by this call: {result.reason}")
 
     def _forward_once(self, request: Request, left_s: float) -> Answer | errors.Failure:
         owner = self._owner(request.id)
--- a/toucanspring/runner.py
+++ b/toucanspring/runner.py
@@ -45,6 +45,8 @@
 FOLLOW_S = 120.0
 # The refusal of a request that waits until its deadline arrives just after it.
 REFUSAL_GRACE_S = 0.25
+# Another process may own the partition by now; a concurrent repeat may run there.
+MOVED = (errors.Fenced, errors.Refused)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,10 +73,15 @@
         self._outcomes = outcomes.Outcomes(core)
         # Requests under way in this process: ID -> digest and result.
         self._running: dict[str, tuple[bytes, event.AsyncResult]] = {}
+        self._waiting = 0
 
     def in_flight(self) -> int:
-        """Return the number of requests under way."""
-        return len(self._running)
+        """Return the number of callers that wait for a request.
+
+        Requests that are only followed for their record do not count; a successor
+        asks the server for them.
+        """
+        return self._waiting
 
     def run(self, request: answers.Request) -> answers.Stored | errors.Failure:
         """Return the outcome of a request, running it unless its ID is known."""
@@ -88,7 +95,11 @@
             result = self._spawn(
                 request.id, digest, lambda: self._execute(request, digest)
             )
-        outcome = _wait(result, request.deadline_s + REFUSAL_GRACE_S)
+        self._waiting += 1
+        try:
+            outcome = _wait(result, request.deadline_s + REFUSAL_GRACE_S)
+        finally:
+            self._waiting -= 1
         if isinstance(outcome, answers.Stored) and outcome.digest != digest:
             return _other_content(request.id)
         return outcome
@@ -164,12 +175,19 @@
         begun = partitions.begin_request(request.id, start.encode())
         if not isinstance(begun, request_log.Begun):
             target.release(server.id)
+            if isinstance(begun, errors.Failure) and not isinstance(begun, MOVED):
+                # The log had no such ID, and only a durable start is sent.
+                return errors.NotRun(reason=f"not run: {begun.reason}")
             return self._continue(request.id, begun)
         epoch = backend_servers.Epoch(
             job.partition_of(request.id, self._partitions), begun.epoch
         )
         started = self._clock()
-        result = self._send(request, start, epoch, deadline)
+
+        def may_send() -> bool:
+            return target.is_usable(server.id)
+
+        result = self._send(request, start, epoch, deadline, may_send)
         failed = isinstance(result, errors.Failure) and not isinstance(
             result, errors.Oversized
         )
@@ -192,10 +210,8 @@
                 return self._outcomes.restore(outcome)
             case request_log.Running() | log_records.RequestEntry():
                 return self._resolve(request_id, outcomes.decode_start(state.server))
-            case errors.Fenced() | errors.Refused() | errors.NotRun():
-                return state
             case errors.Failure():
-                return errors.NotRun(reason=f"not run: {state.reason}")
+                return state
         raise TypeError(f"unexpected state {state!r}")
 
     def _send(
@@ -204,6 +220,7 @@
         start: outcomes.Start,
         epoch: backend_servers.Epoch,
         deadline: float,
+        may_send: Callable[[], bool],
     ) -> answers.Stored | errors.Failure:
         """Send a begun request until the server takes it; it takes it at most once.
 
@@ -215,6 +232,8 @@
             left_s = deadline - self._clock()
             if left_s <= 0:
                 return errors.NotRun(reason="not run: no free slot before the deadline")
+            if not may_send():  # the record of the start may have taken long
+                return errors.NotRun(reason="not run: the server goes out of service")
             result = self._client.send(
                 start.server,
                 request.id,
@@ -279,7 +298,7 @@
         while True:
             number = self._epoch(request_id)
             if number is None:
-                return errors.Refused(reason="not the owner of this request ID")
+                return errors.Fenced(reason="ownership was lost; it may have run")
             partition = job.partition_of(request_id, self._partitions)
             raised = self._client.raise_epoch(
                 start.server, backend_servers.Epoch(partition, number)
