--- a/toucanspring/handler.py
+++ b/toucanspring/handler.py
@@ -39,6 +39,7 @@
 # Time for a client to read a refusal before the connection is closed: closing with
 # unread bytes resets it, and the client may lose the refusal.
 LINGER_S = 1.0
+MAX_JOINED_BYTES = 16 * 1024  # copied to save a packet
 # Callers find an idle connection closed only after this time into a graceful stop;
 # one more request on it is still answered.
 DRAIN_IDLE_S = 1.0
@@ -122,6 +123,8 @@
 class Handler(pywsgi.WSGIHandler):
     """Serve the requests of one connection."""
 
+    body_length = 0  # bytes of the present answer that were handed to the socket
+
     def handle(self) -> None:
         """Serve requests until either side ends the connection."""
         stream.disable_nagle(self.socket)
@@ -233,11 +236,37 @@
             headers.append(("Connection", "close"))
         return super().start_response(status, headers, exc_info)
 
+    def process_result(self) -> None:
+        """Send the answer; one of another length than declared is cut."""
+        self.body_length = 0
+        super().process_result()
+        declared = self.provided_content_length
+        if declared is not None and int(declared) != self.body_length:
+            raise AnswerCut(f"{self.body_length} bytes instead of {declared}")
+
+    def _write_with_headers(self, data: bytes) -> None:
+        """Send the head and a small first part in one packet."""
+        if len(data) > MAX_JOINED_BYTES:
+            super()._write_with_headers(data)
+            return
+        plain, held = self._sendall, bytearray()
+        self._sendall = held.extend
+        try:
+            super()._write_with_headers(data)
+        finally:
+            del self._sendall  # the method of the class shows again
+        plain(bytes(held))
+
+    def _write(self, data: bytes) -> None:
+        self.body_length += len(data)
+        super()._write(data)
+
     def handle_error(self, kind, value, trace) -> None:
         """Cut the answer if a part of it was sent, else answer with a failure."""
         if not isinstance(value, AnswerCut | OSError):
             log.error("request failed: {}", value, exc_info=(kind, value, trace))
         if self.headers_sent:
+            log.debug("answer cut: {}", value)
             self._abort()
             return
         self.close_connection = True
