Deliver ownership events without holding up renewals

Cause: PartitionLost was published inside a renewal, so that a listener that writes a log to a slow store delayed the lease of all partitions. Releasing n partitions took n transactions, each with its timeouts. Change: events are delivered in order by their own greenlet, a release waits for the delivery; all partitions are released in one transaction; preferred owners are computed only when the members change.

--- /dev/null
+++ b/toucanspring/assignment.py
@@ -0,0 +1,36 @@
+"""Which process should own each partition."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Iterable, Sequence
+
+
+def score(partition: int, process: str) -> int:
+    """Return the rendezvous weight of a process for a partition."""
+    return zlib.crc32(f"{partition}\0{process}".encode())
+
+
+def rank(partition: int, processes: Iterable[str]) -> list[str]:
+    """Order processes by preference for a partition."""
+    return sorted(processes, key=lambda name: (-score(partition, name), name))
+
+
+def assign(partitions: int, processes: Sequence[str]) -> dict[int, str]:
+    """Return the preferred owner of each partition.
+
+    Rendezvous hashing alone may give one process several partitions while others have
+    none, so each takes at most its even part, rounded up.
+    """
+    preferred: dict[int, str] = {}
+    if not processes:
+        return preferred
+    limit = -(-partitions // len(processes))
+    load = dict.fromkeys(processes, 0)
+    for partition in range(partitions):
+        for name in rank(partition, processes):
+            if load[name] < limit:
+                preferred[partition] = name
+                load[name] += 1
+                break
+    return preferred
--- a/toucanspring/claims.py
+++ b/toucanspring/claims.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
-import zlib
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 
+import gevent
 import logbook
 import msgspec
+from gevent import event, queue
 
-from toucanspring import errors, membership, ownership, renewal
+from toucanspring import assignment, errors, membership, ownership, renewal
 from toucanspring.adapters import tables
 
 log = logbook.Logger(__name__)
@@ -20,6 +21,8 @@
 # An uneven distribution is left alone for this long, since processes that restart
 # together come back one after the other.
 REBALANCE_AFTER_S = 10.0
+# How long a release waits for listeners to write what is pending.
+DELIVERY_LIMIT_S = 10.0
 
 
 class PartitionRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -88,36 +91,6 @@
         return None
 
 
-def score(partition: int, process: str) -> int:
-    """Return the rendezvous weight of a process for a partition."""
-    return zlib.crc32(f"{partition}\0{process}".encode())
-
-
-def rank(partition: int, processes: Iterable[str]) -> list[str]:
-    """Order processes by preference for a partition."""
-    return sorted(processes, key=lambda name: (-score(partition, name), name))
-
-
-def assign(partitions: int, processes: Sequence[str]) -> dict[int, str]:
-    """Return the preferred owner of each partition.
-
-    Rendezvous hashing alone may give one process several partitions while others have
-    none, so each takes at most its even part, rounded up.
-    """
-    preferred: dict[int, str] = {}
-    if not processes:
-        return preferred
-    limit = -(-partitions // len(processes))
-    load = dict.fromkeys(processes, 0)
-    for partition in range(partitions):
-        for name in rank(partition, processes):
-            if load[name] < limit:
-                preferred[partition] = name
-                load[name] += 1
-                break
-    return preferred
-
-
 class Service(renewal.Guard):
     """Claim, keep and release partitions."""
 
@@ -128,10 +101,14 @@
         self._rows: dict[int, tuple[int, PartitionRow]] = {}
         self._claimable_since: dict[int, float] = {}
         self._uneven_since: float | None = None
+        self._assignment: tuple[list[str], dict[int, str]] = ([], {})
+        self._events: queue.Queue = queue.Queue()
+        self._publisher: gevent.Greenlet | None = None
         self._members: membership.Service | None = None
 
     def start(self) -> None:
         """Follow the ownership rows; claims are made after each poll."""
+        self._publisher = gevent.spawn(self._publish_events)
         self._members = self._kernel.find("membership")
         self._members.own.guard = self
         self._members.watch(
@@ -141,8 +118,9 @@
 
     def stop(self) -> None:
         """Release all partitions."""
-        for partition in list(self._holdings):
-            self.release(partition)
+        self._release(list(self._holdings))
+        if self._publisher is not None:
+            self._publisher.kill()
 
     # Interface
 
@@ -203,24 +181,31 @@
         return not holding.former
 
     def release(self, partition: int) -> None | errors.Failure:
-        """Hand over a partition; `PartitionLost` is published before the row changes.
+        """Hand over a partition; `PartitionLost` is delivered before the row changes.
 
         If the store does not answer, the successor waits for the lease instead.
         """
-        holding = self._holdings.get(partition)
-        if holding is None:
+        return self._release([partition] if partition in self._holdings else [])
+
+    def _release(self, partitions: list[int]) -> None | errors.Failure:
+        """Release partitions in one transaction; a slow store delays it only once."""
+        if not partitions:
             return None
-        self.previous_owner_gone(partition, self._members.clock())
-        self._lose(partition)
-        row = PartitionRow(epoch=holding.epoch, former=holding.former)
-        key = key_of(partition)
-        result = self._members.own.write(
-            {key: holding.version}, {key: _encoder.encode(row)}
-        )
+        checks, rows, delivered = {}, {}, []
+        for partition in partitions:
+            holding = self._holdings[partition]
+            self.previous_owner_gone(partition, self._members.clock())
+            checks[key_of(partition)] = holding.version
+            rows[partition] = PartitionRow(epoch=holding.epoch, former=holding.former)
+            delivered.append(self._lose(partition))
+        gevent.wait(delivered, timeout=DELIVERY_LIMIT_S)
+        writes = {key_of(p): _encoder.encode(row) for p, row in rows.items()}
+        result = self._members.own.write(checks, writes)
         if isinstance(result, errors.Failure):
-            log.warning("partition {} is not released: {}", partition, result.reason)
+            log.warning("partitions {} are not released: {}", partitions, result.reason)
             return result
-        self._rows[partition] = (result.versions[key], row)
+        for partition, row in rows.items():
+            self._rows[partition] = (result.versions[key_of(partition)], row)
         return None
 
     # Guard of renewals
@@ -266,9 +251,31 @@
 
     # Claims
 
-    def _lose(self, partition: int) -> None:
+    def _lose(self, partition: int) -> event.Event:
         del self._holdings[partition]
-        self._kernel.publish(PartitionLost(partition))
+        return self._publish(PartitionLost(partition))
+
+    def _publish(self, occurrence: object) -> event.Event:
+        """Queue an event; the result is set once all listeners have handled it."""
+        delivered = event.Event()
+        self._events.put((occurrence, delivered))
+        return delivered
+
+    def _publish_events(self) -> None:
+        """Deliver events in order, without holding up renewals and polls.
+
+        A listener may write a partition's log and wait for the store.
+        """
+        while True:
+            occurrence, delivered = self._events.get()
+            self._kernel.publish(occurrence)
+            delivered.set()
+
+    def _preferred(self, candidates: list[str]) -> dict[int, str]:
+        """Return the preferred owners, computed again only if the members changed."""
+        if self._assignment[0] != candidates:
+            self._assignment = (candidates, assignment.assign(self._count, candidates))
+        return self._assignment[1]
 
     def _take_rows(self, rows: Mapping[str, tables.Row], sent_at: float) -> None:
         del sent_at
@@ -292,7 +299,7 @@
         members = self._members
         now = members.clock()
         candidates = members.candidates()
-        preferred = assign(self._count, candidates)
+        preferred = self._preferred(candidates)
         own = members.identity.process
         if own not in candidates:
             return
@@ -303,7 +310,7 @@
                 self._claimable_since.pop(partition, None)
                 continue
             since = self._claimable_since.setdefault(partition, now)
-            order = rank(partition, candidates)
+            order = assignment.rank(partition, candidates)
             order.remove(preferred[partition])
             place = [preferred[partition], *order].index(own)
             if now - since >= place * RANK_DELAY_S:
@@ -347,7 +354,7 @@
             claim.epoch, version, members.clock(), claim.former
         )
         log.info("claimed partition {} with epoch {}", partition, claim.epoch)
-        self._kernel.publish(PartitionAcquired(partition, claim.epoch))
+        self._publish(PartitionAcquired(partition, claim.epoch))
 
     def _former_lists(self, partition: int, row: PartitionRow) -> list[list[str]]:
         """Return the member lists of owners that may still extend after a claim."""
@@ -382,7 +389,7 @@
         if now - self._uneven_since < REBALANCE_AFTER_S:
             return
         self._uneven_since = now
-        preferred = assign(self._count, candidates)
+        preferred = self._preferred(candidates)
         own = members.identity.process
         foreign = [p for p in self._holdings if preferred[p] != own]
         if foreign:
