Add the scenario language and six scenarios

Cause: faults of real processes were covered by the demonstration only. Change: scenarios/ holds a small language on lark, its runner and six scenarios; the table stand-in can lose answers to writes of chosen rows.

--- /dev/null
+++ b/scenarios/actions.py
@@ -0,0 +1,372 @@
+"""Carries out the steps of a scenario; each method is named after its verb."""
+
+from __future__ import annotations
+
+import signal
+import time
+from collections.abc import Callable
+
+import gevent
+import msgspec
+
+from scenarios import cell, expectations, language, loads
+from toucanspring.adapters import vms
+
+ROW_PREFIXES = {
+    "configuration": "config/",
+    "keys": "keys",
+    "zones": "zones",
+    "ownership": "partitions/",
+    "log": "log/",
+    "renewals": "members/",
+    "allowances": "allowances/",
+}
+DEFAULT_RUN_S = 0.01
+DEFAULT_ANSWER_BYTES = 400
+# A stop hands over partitions and finishes requests, 30 s at most by the settings.
+STOP_LIMIT_S = 40.0
+
+
+class Player(expectations.Expectations):
+    """Run steps against a cell; `say` prints a line of progress."""
+
+    def __init__(self, running: cell.Cell, say: Callable[[str], None]) -> None:
+        super().__init__(running)
+        self._say = say
+        self._names: dict[str, str] = {}
+        self._blocked: list[str] = []
+        self._blocked_owners: dict[str, list[str]] = {}
+        self._listed: list[vms.Vm] = []
+        self._shown: list[vms.Vm] | None = None
+
+    def play(self, steps: tuple[language.Step, ...]) -> None:
+        """Carry out steps; raises `language.ScenarioError` at the one that fails."""
+        for step in steps:
+            self._play_step(step)
+
+    def _play_step(self, step: language.Step) -> None:
+        if step.verb == "together":
+            parts = [gevent.spawn(self._play_step, inner) for inner in step.steps]
+            gevent.joinall(parts, raise_error=True)
+        elif step.verb == "repeat":
+            for _ in range(step.args[0]):
+                self.play(step.steps)
+        else:
+            self._say(f"line {step.line}: {step.source}")
+            try:
+                getattr(self, step.verb)(*step.args)
+            except cell.Failed as failed:
+                raise cell.Failed(
+                    f"line {step.line}: {step.source}: {failed}"
+                ) from None
+
+    # Daemons
+
+    def resolve(self, name: str) -> str:
+        """Return the daemon that a name stands for."""
+        return self._names.get(name, name)
+
+    def let_owner(self, name: str, partition: int) -> None:
+        """Give the owner of a partition a name."""
+        self._names[name] = self._cell.owner(partition)
+        self._say(f"  {name} is {self._names[name]}")
+
+    def start_all(self) -> None:
+        """Start all daemons."""
+        self._cell.start_all()
+
+    def start_daemon(self, daemon: str) -> None:
+        """Start one daemon."""
+        self._cell.start_daemon(self.resolve(daemon))
+
+    def pause(self, daemon: str) -> None:
+        """Send SIGSTOP."""
+        name = self.resolve(daemon)
+        self._cell.cluster.processes[name].signal(signal.SIGSTOP)
+        self._cell.front.paused[name] = time.monotonic()
+
+    def resume(self, daemon: str) -> None:
+        """Send SIGCONT."""
+        name = self.resolve(daemon)
+        self._cell.cluster.processes[name].signal(signal.SIGCONT)
+        self._cell.front.paused.pop(name, None)
+
+    def kill(self, daemon: str) -> None:
+        """Send SIGKILL."""
+        name = self.resolve(daemon)
+        self._cell.cluster.kill_daemon(name)
+        self._cell.front.paused.pop(name, None)
+
+    def restart(self, daemon: str) -> None:
+        """Start a daemon that was killed or stopped."""
+        self._cell.start_daemon(self.resolve(daemon))
+
+    def stop(self, daemon: str) -> None:
+        """Send SIGTERM and wait for the end."""
+        name = self.resolve(daemon)
+        process = self._cell.cluster.processes[name]
+        # Callers reach the daemon until it closes its port, and its requests end.
+        process.signal(signal.SIGTERM)
+        deadline = time.monotonic() + STOP_LIMIT_S
+        while process.status() is None:
+            if time.monotonic() > deadline:
+                raise cell.Failed(f"{name} did not end within {STOP_LIMIT_S:g} s")
+            gevent.sleep(0.02)
+        self._cell.cluster.processes.pop(name)
+        if process.status() != 0:
+            raise cell.Failed(f"{name} ended with status {process.status()}")
+
+    def replace_all(self) -> None:
+        """Stop and start each daemon, one after the other."""
+        for name in self._cell.daemons:
+            self.stop(name)
+            self._cell.start_daemon(name)
+
+    # Operators
+
+    def apply(self, ceiling: language.Ceiling | None, daemon: str | None) -> None:
+        """Put the text into force."""
+        ceilings = {ceiling.team: ceiling.cpus} if ceiling else {}
+        self._cell.apply(ceilings, self.resolve(daemon or ""))
+
+    def race(
+        self,
+        first: language.Ceiling,
+        one: str,
+        second: language.Ceiling,
+        other: str,
+    ) -> None:
+        """Put two texts into force at once; exactly one operator may succeed."""
+        before = time.monotonic()
+        sources = [
+            cell.with_ceilings(self._cell.source, {each.team: each.cpus})
+            for each in (first, second)
+        ]
+        calls = [
+            gevent.spawn(
+                self._cell.operator_call,
+                "PUT",
+                "/v1/config",
+                self.resolve(daemon),
+                source.encode(),
+                headers={"If-Match": str(self._cell.version)},
+                timeout_s=15.0,
+            )
+            for source, daemon in zip(sources, (one, other), strict=True)
+        ]
+        replies = [call.get() for call in calls]
+        kinds = sorted(reply.failure or "accepted" for reply in replies)
+        if kinds != ["Conflict", "accepted"]:
+            bodies = [reply.body[:200] for reply in replies]
+            raise cell.Failed(f"the operators were told {kinds}: {bodies}")
+        won = 0 if not replies[0].failure else 1
+        lost = replies[1 - won].error
+        version = replies[won].json()["version"]
+        if (lost["current_version"], lost["given_version"]) != (
+            version,
+            self._cell.version,
+        ):
+            raise cell.Failed(f"the conflict names other versions: {lost}")
+        self._cell.in_force(sources[won], version, before)
+
+    def grant(self, team: str) -> None:
+        """Grant a key."""
+        self._cell.grant(team)
+
+    def withdraw(self, team: str) -> None:
+        """Withdraw a key."""
+        self._cell.withdraw(team)
+
+    def zone_out(self, zone: str) -> None:
+        """Take a zone out of service."""
+        self._cell.take_out(zone)
+
+    def zone_in(self, zone: str) -> None:
+        """Return a zone to service."""
+        self._cell.bring_in(zone)
+
+    # Work
+
+    def submit(self, count: int, name: str, template: str, options: dict) -> None:
+        """Submit jobs."""
+        fields, tasks = self._cell.job_fields(template, options)
+        jobs = self._cell.job_set(name, template)
+        jobs.submit(count, fields, tasks, self.resolve(options.get("through", "")))
+        if self._cell.is_gang(template):
+            self._cell.gangs |= dict.fromkeys(jobs.accepted, tasks)
+
+    def keep_submitting(
+        self, name: str, template: str, every_s: float, options: dict
+    ) -> None:
+        """Submit jobs in the background."""
+        fields, tasks = self._cell.job_fields(template, options)
+        jobs = self._cell.job_set(name, template)
+        jobs.spawn(jobs.keep_submitting, fields, tasks, every_s)
+
+    def keep_sending(
+        self, name: str, job_class: str, callers: int, options: dict
+    ) -> None:
+        """Send requests in the background."""
+        service = next(iter(self._cell.model.services.values()))
+        team = self._cell.model.queues[service.queue].team
+        rule = service.classes[job_class]
+        kind = loads.Kind(
+            service=service.name,
+            job_class=job_class,
+            idempotent=rule.idempotent is not False and "not_idempotent" not in options,
+            run_ms=options.get("running", DEFAULT_RUN_S) * 1000,
+            answer_bytes=options.get("answering", DEFAULT_ANSWER_BYTES),
+            give_up_s=options.get("giving_up", 0.0),
+        )
+        key = self._cell.keys.get(team, loads.Key())
+        load = loads.Requests(name, self._cell.front, key, kind)
+        self._cell.requests[name] = load
+        load.start(callers)
+
+    def finish(self, name: str) -> None:
+        """Stop a load and wait for what is under way."""
+        self._cell.load(name).stop()
+
+    def cancel(self, name: str) -> None:
+        """Cancel all jobs of a set."""
+        self._cell.jobs[name].cancel()
+
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        gevent.sleep(seconds)
+
+    # Faults of the platform
+
+    def cut_store(self, daemon: str) -> None:
+        """Hang up on a daemon's calls of the table service and the object store."""
+        self._blocked.append(self.resolve(daemon))
+        self._set_blocked()
+
+    def heal_store(self, daemon: str) -> None:
+        """Serve a daemon again."""
+        self._blocked.remove(self.resolve(daemon))
+        self._set_blocked()
+
+    def _set_blocked(self) -> None:
+        for name in ("tables", "objects"):
+            self._cell.cluster.set_faults(name, blocked=self._blocked)
+
+    def store_down(self) -> None:
+        """Refuse all connections to the store."""
+        for name in ("tables", "objects"):
+            self._cell.cluster.set_faults(name, down=True)
+
+    def store_up(self) -> None:
+        """End all faults of the store."""
+        for name in ("tables", "objects"):
+            self._cell.cluster.set_faults(name, down=False, delay_ms=0)
+
+    def store_slow(self, seconds: float) -> None:
+        """Delay each operation of the store."""
+        for name in ("tables", "objects"):
+            self._cell.cluster.set_faults(name, delay_ms=seconds * 1000)
+
+    def lose_writes(self, count: int, document: str) -> None:
+        """Drop answers to writes of one kind of row after they took effect."""
+        lost = {ROW_PREFIXES[document]: count}
+        self._cell.cluster.set_faults("tables", lose_writes=lost)
+
+    def _places(self, place: language.Place) -> list[str]:
+        listed = [vm for vm in self._vms() if vm.role is vms.Role.WORKER]
+        match place.kind:
+            case "worker":
+                return [listed[place.number - 1].id]
+            case "rack":
+                rack = f"{place.zone}-rack-{place.number - 1}"
+                return [vm.id for vm in listed if vm.rack == rack]
+            case _:
+                return [vm.id for vm in listed if vm.availability_zone == place.zone]
+
+    def _vms(self) -> list[vms.Vm]:
+        if not self._listed:
+            self._listed = self._cell.cluster.listed()
+        return self._listed
+
+    def _set_workers(self, place: language.Place, **faults: object) -> None:
+        names = self._places(place)
+        if not names:
+            raise cell.Failed("no such workers")
+        self._cell.cluster.set_faults("workers", workers=names, **faults)
+
+    def cut_place(self, daemon: str, place: language.Place) -> None:
+        """Hold back the traffic between a daemon and workers."""
+        self._block(place, {self.resolve(daemon)}, set())
+
+    def heal_place(self, daemon: str, place: language.Place) -> None:
+        """Deliver the traffic between a daemon and workers."""
+        self._block(place, set(), {self.resolve(daemon)})
+
+    def _block(self, place: language.Place, add: set[str], drop: set[str]) -> None:
+        for name in self._places(place):
+            blocked = (set(self._blocked_owners.get(name, [])) | add) - drop
+            self._blocked_owners[name] = sorted(blocked)
+            self._cell.cluster.set_faults(
+                "workers", workers=[name], blocked_owners=sorted(blocked)
+            )
+
+    def lose(self, place: language.Place, seconds: float | None) -> None:
+        """End workers with their tasks, for good or for a time."""
+        back = None if seconds is None else seconds * 1000
+        self._set_workers(place, die=True, return_after_ms=back)
+
+    def revive(self, place: language.Place) -> None:
+        """Start workers that were lost."""
+        self._set_workers(place, revive=True)
+
+    def fail_tasks(self, place: language.Place) -> None:
+        """Let each new task on these workers fail."""
+        self._set_workers(place, fail_all=True)
+
+    def mend(self, place: language.Place) -> None:
+        """Let tasks on these workers end as planned again."""
+        self._set_workers(place, fail_all=False)
+
+    def list_as(self, host: language.Host, listed_as: str) -> None:
+        """Change the entry of a VM in the VM list."""
+        target = self._host(host)
+        known = self._cell.cluster.listed() if not self._shown else self._shown
+        known = [vm for vm in known if vm.id != target.id]
+        if listed_as != "gone":
+            state = vms.State.LEAVING if listed_as == "leaving" else vms.State.LIVE
+            known.append(msgspec.structs.replace(target, state=state))
+        self._shown = known
+        self._cell.cluster.publish(known)
+
+    def _host(self, host: language.Host) -> vms.Vm:
+        role = vms.Role.WORKER if host.role == "worker" else vms.Role.BACKEND_SERVER
+        return [vm for vm in self._vms() if vm.role is role][host.number - 1]
+
+    def _set_executors(self, number: int | None = None, **faults: object) -> None:
+        names = [] if number is None else [self._host(language.Host("e", number)).id]
+        self._cell.cluster.set_faults("backend_servers", executors=names, **faults)
+
+    def kill_executor(self, number: int) -> None:
+        """Refuse all connections to a backend server."""
+        self._set_executors(number, down=True)
+
+    def revive_executor(self, number: int) -> None:
+        """Serve again."""
+        self._set_executors(number, down=False)
+
+    def answers_late(self, seconds: float) -> None:
+        """Delay the answers of all backend servers after the work."""
+        self._set_executors(answer_delay_ms=seconds * 1000)
+
+    def answers_cut(self, count: int) -> None:
+        """End that many answers of each backend server in the middle."""
+        self._set_executors(cut_answers=count)
+
+    def answers_large(self, size: int) -> None:
+        """Replace the length of all answers."""
+        for load in self._cell.requests.values():
+            load.answer_bytes = size
+        self._set_executors(large_bytes=size)
+
+    def answers_normal(self) -> None:
+        """End the faults of all backend servers."""
+        self._set_executors(answer_delay_ms=0, cut_answers=0)
--- /dev/null
+++ b/scenarios/client.py
@@ -0,0 +1,120 @@
+"""HTTP calls to the daemons, spread as the platform's balancer spreads them."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import random
+import time
+
+import gevent
+
+from standins import cluster
+
+TIMEOUT_S = 5.0
+CONNECT_ATTEMPTS = 40
+RETRY_S = 0.05
+# A balancer takes a VM out after failed health checks; until then callers reach it.
+HEALTH_CHECK_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Hold an answer; `status` 0 means that none arrived after the call was sent.
+
+    `cut_off` tells a connection that broke from a caller that gave up waiting.
+    """
+
+    status: int
+    body: bytes = b""
+    cut_off: bool = False
+    daemon: str = ""
+
+    @property
+    def failure(self) -> str:
+        """Return the type of the failure, or an empty string."""
+        if 0 < self.status < 400:
+            return ""
+        return str(self.error.get("type", "Ambiguous"))
+
+    @property
+    def error(self) -> dict:
+        """Return the fields of the failure."""
+        try:
+            found = json.loads(self.body)["error"]
+        except (ValueError, KeyError, TypeError):
+            return {}
+        return found if isinstance(found, dict) else {}
+
+    def json(self) -> dict:
+        """Return the decoded body."""
+        return json.loads(self.body)
+
+
+class Client:
+    """Call daemons that are in service.
+
+    `paused` maps a daemon to the time of its pause, `starting` holds the daemons that
+    were not ready yet, to which the balancer sends nobody.
+    """
+
+    def __init__(self, running: cluster.Cluster, seed: int = 0) -> None:
+        self._cluster = running
+        self._rng = random.Random(seed)
+        self.paused: dict[str, float] = {}
+        self.starting: set[str] = set()
+
+    def in_service(self) -> list[str]:
+        """Return the daemons that the balancer sends callers to."""
+        limit = time.monotonic() - HEALTH_CHECK_S
+        return [
+            name
+            for name in self._cluster.daemon_facts
+            if name in self._cluster.processes
+            and name not in self.starting
+            and self.paused.get(name, limit + 1) > limit
+        ]
+
+    def active(self) -> list[str]:
+        """Return the daemons that run and are not paused."""
+        return [name for name in self.in_service() if name not in self.paused]
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        key: str = "",
+        headers: dict[str, str] | None = None,
+        daemon: str = "",
+        timeout_s: float = TIMEOUT_S,
+        avoid: str = "",
+    ) -> Reply:
+        """Call a daemon, or any but `avoid`; a refused connection is tried again."""
+        sent = dict(headers or {})
+        if key:
+            sent["Authorization"] = f"Bearer {key}"
+        for _ in range(CONNECT_ATTEMPTS):
+            name = daemon or self._choose(avoid)
+            if not name:
+                gevent.sleep(RETRY_S)
+                continue
+            port = self._cluster.daemon_facts[name].http_port
+            try:
+                answer = cluster.call(port, method, path, body, sent, timeout_s)
+            except ConnectionRefusedError:
+                if daemon:
+                    return Reply(0, daemon=name)
+                gevent.sleep(RETRY_S)
+            except TimeoutError:
+                return Reply(0, daemon=name)
+            except Exception:  # http.client raises many kinds for a cut answer
+                return Reply(0, cut_off=True, daemon=name)
+            else:
+                return Reply(*answer, daemon=name)
+        return Reply(0)
+
+    def _choose(self, avoid: str) -> str:
+        names = self.in_service()
+        others = [name for name in names if name != avoid]
+        return self._rng.choice(others or names) if names else ""
--- /dev/null
+++ b/scenarios/expectations.py
@@ -0,0 +1,173 @@
+"""Checks what a scenario expects; a check raises `Failed` with what was seen."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import gevent
+
+from scenarios import cell, language
+
+POLL_S = 0.1
+IN_FORCE_S = 3.0
+MAX_SHOWN = 5
+
+
+class Expectations:
+    """Compare the state of a cell with the expected one."""
+
+    def __init__(self, running: cell.Cell) -> None:
+        self._cell = running
+
+    def resolve(self, name: str) -> str:
+        """Return the daemon that a name stands for."""
+        return name
+
+    def _until(self, within_s: float | None, look: Callable[[], str]) -> None:
+        """Repeat `look`, which returns what is wrong, until nothing is."""
+        deadline = time.monotonic() + (within_s or 0.0)
+        while True:
+            wrong = look()
+            if not wrong:
+                return
+            if time.monotonic() >= deadline:
+                raise cell.Failed(wrong)
+            gevent.sleep(POLL_S)
+
+    def _count(self, name: str, state: str) -> int:
+        if state in ("running", "started"):
+            self._cell.history.refresh()
+            return self._cell.history.count(name, state)
+        load = self._cell.load(name)
+        if name in self._cell.jobs and state not in ("accepted", "refused"):
+            load.refresh()
+        return load.count(state)
+
+    def expect_count(
+        self,
+        amount: language.Amount,
+        name: str,
+        state: str,
+        within_s: float | None,
+    ) -> None:
+        """Compare the number of jobs, requests or tasks in a state."""
+
+        def look() -> str:
+            count = self._count(name, state)
+            total = self._cell.load(name).total(state)
+            if amount.holds(count, total):
+                return ""
+            counts = dict(self._cell.load(name).counts)
+            return f"{count} of {total} are {state}; counts {counts}"
+
+        self._until(within_s, look)
+
+    def expect_more(self, number: int, name: str, state: str, within_s: float) -> None:
+        """Compare the growth of a count from now on."""
+        before = self._count(name, state)
+
+        def look() -> str:
+            more = self._count(name, state) - before
+            return "" if more >= number else f"{more} more are {state}"
+
+        self._until(within_s, look)
+
+    def expect_version(self, version: int, within_s: float | None) -> None:
+        """Check that all running daemons have a configuration in force."""
+
+        def look() -> str:
+            found = {}
+            for name in self._cell.front.active():
+                reply = self._cell.operator_call(
+                    "GET", "/v1/members", name, timeout_s=1.0
+                )
+                found[name] = (
+                    reply.json()["versions"]["config"] if reply.status == 200 else None
+                )
+            good = found and set(found.values()) == {version}
+            return "" if good else f"configurations in force: {found}"
+
+        self._until(within_s or IN_FORCE_S, look)
+
+    def _present(self, team: str) -> dict[str, int]:
+        """Present the key of a team at each daemon, with a job ID unknown to all."""
+        secret = self._cell.keys[team].secret
+        return {
+            name: self._cell.front.call(
+                "GET", "/v1/jobs/no-such-job", key=secret, daemon=name
+            ).status
+            for name in self._cell.front.active()
+        }
+
+    def expect_key_refused(self, team: str) -> None:
+        """Check that no daemon accepts a key 3 s after its withdrawal."""
+        key = self._cell.keys[team]
+        in_force = self._cell.withdrawn.get(key.id, 0.0) + IN_FORCE_S
+        gevent.sleep(max(0.0, in_force - time.monotonic()))
+        found = self._present(team)
+        if set(found.values()) != {403}:
+            raise cell.Failed(f"status by daemon: {found}")
+
+    def expect_key_accepted(self, team: str) -> None:
+        """Check that all daemons accept a key within 3 s."""
+
+        def look() -> str:
+            found = self._present(team)
+            return "" if set(found.values()) == {404} else f"status: {found}"
+
+        self._until(IN_FORCE_S, look)
+
+    def expect_owned(self, within_s: float) -> None:
+        """Check that each partition has an owner that runs."""
+
+        def look() -> str:
+            active = self._cell.front.active()
+            owners = [
+                self._cell.owner(number)
+                for number in range(self._cell.cluster.partitions)
+            ]
+            return "" if set(owners) <= set(active) else f"owners: {owners}"
+
+        self._until(within_s, look)
+
+    def expect_takeover(self, partition: int, daemon: str, within_s: float) -> None:
+        """Check that another daemon owns a partition."""
+        former = self.resolve(daemon)
+
+        def look() -> str:
+            owner = self._cell.owner(partition)
+            return "" if owner not in ("", former) else f"the owner is {owner!r}"
+
+        self._until(within_s, look)
+
+    def expect_no_start(self, zone: str) -> None:
+        """Check that nothing started in a zone later than 3 s after it was out."""
+        since = self._cell.out[zone] + IN_FORCE_S
+        self._cell.history.refresh()
+        late = [
+            run
+            for run in self._cell.history.runs
+            if run.availability_zone == zone and run.at > since
+        ]
+        if late:
+            raise cell.Failed(f"{len(late)} starts, such as {late[:MAX_SHOWN]}")
+
+    def expect_nothing_lost(self) -> None:
+        """Wait for all accepted work; each piece has an outcome then."""
+        self._cell.finish(self.finish_within_s)
+        lost = [problem for problem in self._cell.problems() if "lost" in problem]
+        if lost:
+            raise cell.Failed("; ".join(lost))
+
+    finish_within_s = 40.0
+
+    def expect_invariants(self) -> None:
+        """Let the judge check all records so far, apart from unfinished work."""
+        found = [
+            item
+            for item in self._cell.judge()
+            if type(item).__name__ not in ("LostWork",)
+        ]
+        if found:
+            raise cell.Failed(f"{len(found)} violations: {found[:MAX_SHOWN]}")
--- /dev/null
+++ b/scenarios/loads.py
@@ -0,0 +1,306 @@
+"""Jobs and requests of callers, who follow each one to its outcome."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import time
+
+import gevent
+from gevent import pool
+
+from scenarios import client
+from standins import backend_servers, judge
+
+# Refusals that promise that the work did not run and will not.
+NOT_RUN = frozenset(
+    {"NotRun", "Overloaded", "Unavailable", "StoreUnavailable", "Forbidden", "Invalid"}
+)
+RETRY_S = 0.2
+# A caller asks again for a lost answer or an unknown outcome for this long.
+FOLLOW_S = 40.0
+UNKNOWN_ATTEMPTS = 6
+BULK = 200
+FOLLOWERS = 8
+KEPT_ANSWER_BYTES = 1000
+CALLER_PAUSE_S = 0.02
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Key:
+    """Hold a granted key; `id` is empty for open queues."""
+
+    id: str = ""
+    team: str = ""
+    secret: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Load:
+    """Count what callers sent and what they were told, by state."""
+
+    name: str
+    counts: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    key_uses: list[judge.KeyUse] = dataclasses.field(default_factory=list)
+    problems: list[str] = dataclasses.field(default_factory=list)
+    stopping: bool = False
+    greenlets: list[gevent.Greenlet] = dataclasses.field(default_factory=list)
+
+    def spawn(self, function, *args: object) -> None:
+        """Run a part of the load until `stop`."""
+        self.greenlets.append(gevent.spawn(function, *args))
+
+    def stop(self) -> None:
+        """Send nothing more and wait for what is under way."""
+        self.stopping = True
+        gevent.joinall(self.greenlets, raise_error=True)
+
+    def note_use(self, key: Key, sent_at: float) -> None:
+        """Note that work was accepted with a key."""
+        if key.id:
+            self.key_uses.append(judge.KeyUse(key.id, sent_at))
+
+
+class Jobs(Load):
+    """Submit jobs and follow them to their outcomes."""
+
+    def __init__(self, name: str, front: client.Client, key: Key) -> None:
+        super().__init__(name)
+        self._front = front
+        self._key = key
+        self._number = 0
+        self.accepted: dict[str, int] = {}  # job ID -> number of tasks
+        self.outcomes: dict[str, str] = {}
+        self.task_counts: dict[str, dict[str, int]] = {}
+        self.refused: set[str] = set()
+
+    def submit(self, count: int, fields: dict, tasks: int, daemon: str = "") -> None:
+        """Submit jobs of one kind in bulk."""
+        items = []
+        for _ in range(count):
+            self._number += 1
+            items.append({"id": f"{self.name}-{self._number}", **fields})
+        for start in range(0, len(items), BULK):
+            self._submit(items[start : start + BULK], tasks, daemon)
+
+    def keep_submitting(self, fields: dict, tasks: int, every_s: float) -> None:
+        """Submit one job after the other until stopped."""
+        due = time.monotonic()
+        while not self.stopping:
+            self.submit(1, fields, tasks)
+            due = max(due + every_s, time.monotonic())
+            gevent.sleep(due - time.monotonic())
+
+    def _submit(self, items: list[dict], tasks: int, daemon: str) -> None:
+        """Submit until each job is accepted or refused; the IDs make it repeatable."""
+        self.counts["submitted"] += len(items)
+        deadline = time.monotonic() + FOLLOW_S
+        doubtful: set[str] = set()
+        avoid = ""
+        while items and time.monotonic() < deadline:
+            sent_at = time.monotonic()
+            reply = self._front.call(
+                "POST",
+                "/v1/jobs",
+                {"jobs": items},
+                self._key.secret,
+                daemon=daemon,
+                avoid=avoid,
+            )
+            avoid = reply.daemon
+            left = []
+            for item, failure in zip(items, _failures(reply, items), strict=True):
+                if not failure:
+                    self.accepted[item["id"]] = tasks
+                    self.note_use(self._key, sent_at)
+                elif failure in NOT_RUN and item["id"] not in doubtful:
+                    self.refused.add(item["id"])
+                    self.counts[f"refused {failure}"] += 1
+                else:
+                    if failure not in NOT_RUN:
+                        doubtful.add(item["id"])
+                    left.append(item)
+            items = left
+            if items:
+                gevent.sleep(RETRY_S)
+        for item in items:
+            self.problems.append(f"{item['id']}: neither accepted nor refused")
+
+    def cancel(self) -> None:
+        """Cancel all accepted jobs; a lost answer is repeated."""
+        ids = list(self.accepted)
+
+        def send(part: list[str]) -> None:
+            for _ in range(20):
+                reply = self._front.call(
+                    "POST", "/v1/cancellations", {"ids": part}, self._key.secret
+                )
+                if reply.status == 200:
+                    return
+                gevent.sleep(RETRY_S)
+            self.problems.append(f"cancellation: {reply.status} {reply.body[:200]!r}")
+
+        parts = [ids[start : start + BULK] for start in range(0, len(ids), BULK)]
+        gevent.joinall([gevent.spawn(send, part) for part in parts], raise_error=True)
+
+    def refresh(self) -> None:
+        """Ask for the outcomes of the jobs that had none yet."""
+        open_ids = [job_id for job_id in self.accepted if job_id not in self.outcomes]
+        pool.Pool(FOLLOWERS).map(self._look_up, open_ids)
+
+    def _look_up(self, job_id: str) -> None:
+        reply = self._front.call("GET", f"/v1/jobs/{job_id}", key=self._key.secret)
+        if reply.status != 200:
+            return
+        status = reply.json()
+        self.task_counts[job_id] = status["counts"]
+        if status["outcome"]:
+            self.outcomes[job_id] = status["outcome"]["state"]
+
+    def count(self, state: str) -> int:
+        """Return the number of jobs in a state."""
+        match state:
+            case "accepted":
+                return len(self.accepted)
+            case "refused":
+                return len(self.refused)
+            case "finished":
+                return len(self.outcomes)
+            case "lost":
+                return len(self.accepted) - len(self.outcomes)
+            case _:
+                return sum(outcome == state for outcome in self.outcomes.values())
+
+    def total(self, state: str) -> int:
+        """Return the number that `all` stands for."""
+        if state in ("accepted", "refused"):
+            return self.counts["submitted"]
+        return len(self.accepted)
+
+
+def _failures(reply: client.Reply, items: list[dict]) -> list[str]:
+    """Return the type of the failure of each job; empty for an accepted one."""
+    if reply.status in (202, 207) or (reply.status >= 400 and _has_jobs(reply)):
+        told = {item["id"]: item.get("error") for item in reply.json()["jobs"]}
+        found = []
+        for item in items:
+            error = told.get(item["id"], {"type": "Ambiguous"})
+            found.append(str(error["type"]) if error else "")
+        return found
+    return [reply.failure or "Ambiguous"] * len(items)
+
+
+def _has_jobs(reply: client.Reply) -> bool:
+    try:
+        return "jobs" in reply.json()
+    except (ValueError, TypeError):
+        return False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """Describe the requests of one load."""
+
+    service: str
+    job_class: str
+    idempotent: bool
+    run_ms: float
+    answer_bytes: int
+    give_up_s: float = 0.0
+
+
+class Requests(Load):
+    """Send requests of one kind from several callers."""
+
+    def __init__(self, name: str, front: client.Client, key: Key, kind: Kind) -> None:
+        super().__init__(name)
+        self._front = front
+        self._key = key
+        self._kind = kind
+        self._number = 0
+        self.not_run: set[str] = set()
+        self.answers: list[judge.Answered] = []
+        self.answer_bytes = kind.answer_bytes
+
+    def start(self, callers: int) -> None:
+        """Start callers that each send one request after the other."""
+        for _ in range(callers):
+            self.spawn(self._run)
+
+    def _run(self) -> None:
+        while not self.stopping:
+            self._number += 1
+            request_id = f"{self.name}-{self._number}"
+            state = self._send(request_id)
+            self.counts[state] += 1
+            gevent.sleep(CALLER_PAUSE_S)
+
+    def _send(self, request_id: str) -> str:
+        """Send a request until its outcome is known, at another daemon each time."""
+        kind = self._kind
+        headers = {
+            "X-Request-Id": request_id,
+            "X-Class": kind.job_class,
+            "X-Idempotent": "true" if kind.idempotent else "false",
+        }
+        body = {"run_ms": kind.run_ms, "answer_bytes": kind.answer_bytes}
+        path = f"/v1/services/{kind.service}/requests"
+        deadline = time.monotonic() + FOLLOW_S
+        state = "lost"
+        doubtful = False
+        avoid = ""
+        unknown = 0
+        self.counts["sent"] += 1
+        while time.monotonic() < deadline and unknown < UNKNOWN_ATTEMPTS:
+            sent_at = time.monotonic()
+            reply = self._front.call(
+                "POST",
+                path,
+                body,
+                self._key.secret,
+                headers,
+                timeout_s=kind.give_up_s or client.TIMEOUT_S,
+                avoid=avoid,
+            )
+            avoid = reply.daemon
+            self.counts["interrupted"] += reply.cut_off
+            if reply.status == 200:
+                self._check(request_id, reply)
+                self.note_use(self._key, sent_at)
+                return "done"
+            failure = reply.failure
+            if failure in NOT_RUN and not doubtful:
+                self.not_run.add(request_id)
+                self.counts[f"not_run {failure}"] += 1
+                return "not_run"
+            if kind.give_up_s:
+                return "given_up"
+            if failure == "Refused" and not doubtful:
+                self.problems.append(f"{request_id}: {reply.body[:200]!r}")
+                return "lost"
+            doubtful = True
+            if failure == "Unknown":
+                unknown += 1
+                state = "unknown"
+            gevent.sleep(RETRY_S)
+        return "unknown" if not kind.idempotent else state
+
+    def _check(self, request_id: str, reply: client.Reply) -> None:
+        expected = backend_servers.expected_answer(request_id, self.answer_bytes)
+        if reply.body != expected or len(reply.body) <= KEPT_ANSWER_BYTES:
+            self.answers.append(judge.Answered(request_id, reply.body, expected))
+
+    def count(self, state: str) -> int:
+        """Return the number of requests in a state."""
+        if state == "accepted":
+            return self.total(state) - self.counts["not_run"]
+        if state == "refused":
+            return self.counts["not_run"]
+        return self.counts[state]
+
+    def total(self, state: str) -> int:
+        """Return the number that `all` stands for: what has been answered for."""
+        states = ("done", "not_run", "unknown", "lost", "given_up")
+        return sum(self.counts[each] for each in states)
--- /dev/null
+++ b/scenarios/report.py
@@ -0,0 +1,72 @@
+"""Runs one scenario from start to end and prints what happened."""
+
+from __future__ import annotations
+
+import time
+import traceback
+
+from scenarios import actions, cell, language
+
+MAX_SHOWN = 8
+MAX_LINE = 600
+
+
+def run(scenario: language.Scenario) -> int:
+    """Run a scenario; return the exit status."""
+    began = time.monotonic()
+
+    def say(line: str) -> None:
+        print(f"[{time.monotonic() - began:5.1f} s] {line}"[:MAX_LINE], flush=True)
+
+    problems: list[str] = []
+    settings = scenario.settings
+    directory = ""
+    try:
+        with cell.run(
+            settings["deployment"],
+            settings["daemons"],
+            settings["workers"],
+            settings["executors"],
+            settings["partitions"],
+        ) as running:
+            directory = str(running.cluster.directory)
+            problems = play(scenario, running, say)
+            if problems:
+                # Leaving by an exception keeps the logs of the processes.
+                raise cell.Failed(problems[0])
+    except cell.Failed as failed:
+        problems = problems or [str(failed)]
+    except Exception as error:
+        traceback.print_exc()
+        problems = problems or [f"{type(error).__name__}: {error}"]
+    for problem in problems[:MAX_SHOWN]:
+        print(f"FAILED {problem}"[:MAX_LINE])
+    if problems:
+        print(f"logs of the processes: {directory}")
+    say("failed" if problems else "passed")
+    return 1 if problems else 0
+
+
+def play(scenario: language.Scenario, running: cell.Cell, say) -> list[str]:
+    """Play all steps and judge the records; return what is wrong."""
+    player = actions.Player(running, say)
+    player.finish_within_s = scenario.settings["finish_within"]
+    problems = []
+    try:
+        player.play(scenario.steps)
+    except cell.Failed as failed:
+        problems.append(str(failed))
+    try:
+        running.finish(player.finish_within_s if not problems else 5.0)
+        problems += running.problems()
+        violations = running.judge()
+        problems += [f"violation {item}" for item in violations]
+    finally:
+        for load in (*running.jobs.values(), *running.requests.values()):
+            shown = {
+                state: load.count(state)
+                for state in ("accepted", "done", "failed", "not_run", "unknown")
+                if load.count(state)
+            }
+            say(f"{load.name}: {shown} {dict(load.counts)}")
+    return problems
--- a/standins/service.py
+++ b/standins/service.py
@@ -38,7 +38,8 @@
     `down` refuses connections, `delay_ms` waits before the operation takes effect and
     `answer_delay_ms` after it, `error_fraction` answers 503 without an effect,
     `lose_answers` drops that many answers after the effect, `blocked` hangs up on the
-    clients with these `X-Client` names before the effect.
+    clients with these `X-Client` names before the effect. `lose_writes` maps the prefix
+    of a row key to the number of answers to drop after writes of such rows.
     """
 
     down: bool = False
@@ -47,6 +48,7 @@
     error_fraction: float = 0.0
     lose_answers: int = 0
     blocked: list[str] = []
+    lose_writes: dict[str, int] = {}
 
 
 class Record:
@@ -103,13 +105,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Response:
-    """One HTTP answer; `cut_at` ends the connection after that many body bytes."""
+    """One HTTP answer; `cut_at` ends the connection after that many body bytes.
+
+    `written` names the rows that the operation wrote, for `lose_writes`.
+    """
 
     status: int = 200
     body: bytes = b""
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
     cut_at: int | None = None
     chunked: bool = False
+    written: tuple[str, ...] = ()
 
 
 def json_response(value: object, status: int = 200) -> Response:
@@ -354,6 +360,10 @@
     if faults.lose_answers > 0:
         faults.lose_answers -= 1
         return HANG_UP
+    for prefix, left in faults.lose_writes.items():
+        if left > 0 and any(key.startswith(prefix) for key in response.written):
+            faults.lose_writes[prefix] = left - 1
+            return HANG_UP
     return response
 
 
--- a/standins/tables.py
+++ b/standins/tables.py
@@ -68,7 +68,9 @@
         self._record.add(
             "commit", client=client, versions=versions, deletes=body.deletes
         )
-        return service.Response(200, _encode(tables.TransactionAnswer(versions)))
+        return service.Response(
+            200, _encode(tables.TransactionAnswer(versions)), written=tuple(versions)
+        )
 
     def _answer_read(self, body: tables.ReadBody, client: str) -> service.Response:
         rows = {
