--- a/test/fake_tables.py
+++ b/test/fake_tables.py
@@ -114,32 +114,6 @@
         pass
 
 
-class FakePeers:
-    """Record targets and notices without sockets."""
-
-    port = 1
-    incarnation = 0
-
-    def __init__(self):
-        self.sent = []
-        self.handlers = {}
-
-    def set_targets(self, targets):
-        self.targets = targets
-
-    def handle(self, method, function):
-        self.handlers[method] = function
-
-    handle_notice = handle
-
-    def notify(self, process, method, body):
-        self.sent.append((process, method, body))
-        return True
-
-    def call(self, process, method, body, timeout_s):
-        return errors.Unavailable(reason="no peers")
-
-
 def settings_of(process, **values):
     return settings_module.Settings(
         process=process, peer_port=0, peer_token="token", **values
--- a/test/test_documents.py
+++ b/test/test_documents.py
@@ -84,7 +84,6 @@
         # Guards against a retry that conflicts with its own earlier attempt.
         (process,) = self.start(1)
         process.client.late[records.HEAD] = 1
-        process.client.before_commit = None
         granting = gevent.spawn(process.documents.grant_key, "team", "operator")
         self.assert_soon(lambda: process.client.kept_back)
         process.client.deliver_late()
