--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -112,11 +112,18 @@
 
     def test_an_old_view_refuses_keyed_work_and_accepts_open_work(self):
         # Guards against a withdrawn key that works where its withdrawal is unknown.
+        self.assertEqual(202, self.submit(JOB)[0])
         self.documents.is_fresh = False
         self.check_failure(self.submit(JOB), 503, "NotRun")
         status, _ = self.submit({**JOB, "queue": "label-previews"}, key=None)
         self.assertEqual(202, status)
 
+    def test_nothing_is_answered_before_the_documents_were_read(self):
+        # A restarted daemon told callers that their service does not exist.
+        self.documents.is_fresh = False
+        self.check_failure(self.submit(JOB), 503, "Unavailable")
+        self.check_failure(self.call("GET", "/v1/jobs/a"), 503, "Unavailable")
+
     def test_open_and_keyed_ids_are_apart(self):
         # Guards against anyone taking the ID of, or reading, keyed work.
         open_job = {**JOB, "queue": "label-previews"}
