Reserve the ports of a cluster until it stops

Change: a cluster keeps its ports bound; children that set SO_REUSEADDR can listen on them, other clusters cannot reserve them.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -30,6 +30,7 @@
 FIRST_PORT = 12_000
 LAST_PORT = 32_000
 START_ATTEMPTS = 5
+RESERVE_ATTEMPTS = 1000
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 5.0
 POLL_S = 0.02
@@ -140,20 +141,46 @@
 
 def find_ports(count: int) -> int:
     """Return the first of `count` consecutive ports that are free at present."""
-    for _ in range(1000):
-        first = random.randrange(FIRST_PORT, LAST_PORT - count)
-        if all(_is_free(port) for port in range(first, first + count)):
-            return first
-    raise StartFailed(f"no {count} consecutive free ports")
+    with PortReservation(count) as reserved:
+        return reserved.first
 
 
-def _is_free(port: int) -> bool:
-    with contextlib.closing(socket.socket()) as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+class PortReservation:
+    """Keep consecutive ports from other clusters on this host until closed.
+
+    The sockets bind exclusively and allow reuse only afterwards, so that a child that
+    sets SO_REUSEADDR can listen while another reservation fails. Without it a cluster
+    that starts during the restart of a daemon could take the daemon's port.
+    """
+
+    def __init__(self, count: int) -> None:
+        self._sockets: list[socket.socket] = []
+        for _ in range(RESERVE_ATTEMPTS):
+            self.first = random.randrange(FIRST_PORT, LAST_PORT - count)
+            if all(map(self._bind, range(self.first, self.first + count))):
+                return
+            self.close()
+        raise StartFailed(f"no {count} consecutive free ports")
+
+    def __enter__(self) -> PortReservation:
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Release the ports."""
+        while self._sockets:
+            self._sockets.pop().close()
+
+    def _bind(self, port: int) -> bool:
+        sock = socket.socket()
+        self._sockets.append(sock)
         try:
             sock.bind((ADDRESS, port))
         except OSError:
             return False
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         return True
 
 
@@ -178,6 +205,7 @@
         self.partitions = partitions
         self.operator_key = "operator-key-of-this-test-cluster"
         self.peer_token = "peer-token-of-this-test-cluster"
+        self._reservations: list[PortReservation] = []
         self.processes: dict[str, ManagedProcess] = {}
         self.control_ports: dict[str, int] = {}
         self.service_ports: dict[str, int] = {}
@@ -226,6 +254,8 @@
         """Stop the daemons, then the stand-ins."""
         for name in reversed(list(self.processes)):
             self.processes.pop(name).stop()
+        while self._reservations:
+            self._reservations.pop().close()
 
     # Stand-ins
 
@@ -259,9 +289,13 @@
         """Return the records of all stand-ins by name."""
         return {name: self.record(name) for name in self.control_ports}
 
+    def _reserve(self, count: int) -> int:
+        self._reservations.append(PortReservation(count))
+        return self._reservations[-1].first
+
     def _start_service(self, name: str) -> None:
         for attempt in range(START_ATTEMPTS):
-            port = find_ports(2)
+            port = self._reserve(2)
             options = ["--port", str(port), "--control-port", str(port + 1)]
             if self._try(name, name, options, attempt):
                 self.service_ports[name] = port
@@ -272,7 +306,7 @@
         self, name: str, module: str, count: int, extra: Sequence[str]
     ) -> None:
         for attempt in range(START_ATTEMPTS):
-            port = find_ports(count + 1)
+            port = self._reserve(count + 1)
             options = ["--port", str(port), "--first-port", str(port + 1)]
             options += ["--count", str(count), "--zones", *self.zones, *extra]
             if self._try(name, module, options, attempt):
@@ -307,7 +341,7 @@
         """Start a `toucanspringd`; a known name restarts on its former ports."""
         facts = self.daemon_facts.get(name)
         if facts is None:
-            port = find_ports(2)
+            port = self._reserve(2)
             zone = self.zones[len(self.daemon_facts) % len(self.zones)]
             facts = DaemonFacts(
                 process=name,
--- a/test/test_cluster.py
+++ b/test/test_cluster.py
@@ -4,7 +4,7 @@
 import gevent
 import testtools
 
-from standins import cluster
+from standins import cluster, service
 from toucanspring import errors, store
 from toucanspring.adapters import vms
 
@@ -78,6 +78,18 @@
         self.assertIn("no-such-option", str(raised))
         self.assertEqual({}, cell.processes)
 
+    def test_reserved_ports_can_be_listened_on_but_not_reserved_again(self):
+        # Guards against another cluster that takes the ports of a restarting daemon.
+        with cluster.PortReservation(3) as reserved:
+            self.patch(cluster, "FIRST_PORT", reserved.first)
+            self.patch(cluster, "LAST_PORT", reserved.first + 4)
+            for _ in range(2):
+                listener = service.listen("127.0.0.1", reserved.first + 1)
+                self.assertRaises(cluster.StartFailed, cluster.find_ports, 3)
+                listener.close()
+                self.assertRaises(cluster.StartFailed, cluster.find_ports, 3)
+        self.assertEqual(reserved.first, cluster.find_ports(3))
+
     def test_a_daemon_restarts_on_its_ports_and_is_killed_by_pid(self):
         def command(facts):
             code = (
