--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import types
 from collections.abc import Iterable, Mapping
 
 from toucanspring import (
@@ -17,6 +18,7 @@
     preemption,
     recovery,
     resources,
+    summary,
     wire,
 )
 
@@ -155,10 +157,17 @@
         return core.effects.take()
 
     def set_allowances(
-        self, held: Mapping[str, resources.Resources], now: float
+        self,
+        held: Mapping[str, resources.Resources],
+        now: float,
+        limits: Mapping[str, resources.Resources] = types.MappingProxyType({}),
     ) -> list[effects.Effect]:
-        """Set the part of each team's ceiling that this partition holds."""
+        """Set the part of each team's ceiling that this partition holds.
+
+        `limits` says what it may hold of ceilings of which other partitions want more.
+        """
         self._core.allowances.set_held(held, now)
+        self._core.allowances.set_limits(limits)
         self._core.changed = True
         preemption.enforce_ceilings(self._core, now)
         return self._core.effects.take()
@@ -213,6 +222,10 @@
             if state.attached
         }
 
+    def summary(self, now: float) -> summary.Summary:
+        """Return capacity, use by team and waiting work, for reports."""
+        return summary.summarise(self._core, now)
+
     def explain(self, job_id: str) -> effects.Explanation | errors.NotFound:
         """Return what a job waits for, or where its tasks ran."""
         status = self.lookup(job_id)
