Read member rows once in a poll that scans; ignore overtaken reads

Cause: a scanning poll read all member rows twice; a change reads them beside the poll, so that an older answer could replace a newer row. Change: the scan's rows are used; a row with a lower version is dropped.

--- a/toucanspring/membership.py
+++ b/toucanspring/membership.py
@@ -185,15 +185,14 @@
 
     def poll(self) -> None | errors.Failure:
         """Read the member rows and the watched rows in one request."""
-        wanted = {renewal.key_of(name) for name in self.rows}
         watched = [(list(keys()), take) for keys, take in self._watches]
-        for keys, _ in watched:
-            wanted.update(keys)
+        wanted = {key for keys, _ in watched for key in keys}
         scanning = self._polls % SCAN_EVERY_POLLS == 0
         if scanning:
             failure = self.read_members()
             if failure is not None:
                 return failure
+        else:
             wanted.update(renewal.key_of(name) for name in self.rows)
         sent_at = self.clock()
         rows = self._tables.read(sorted(wanted))
@@ -231,6 +230,9 @@
             if not key.startswith(renewal.PREFIX):
                 continue
             name = key.removeprefix(renewal.PREFIX)
+            # Two reads under way at once may be answered in the other order.
+            if 0 < row.version < self.rows.get(name, (0, None))[0]:
+                continue
             current = renewal.decode_row(row)
             self.sightings[name] = ownership.observe(
                 self.sightings.get(name),
