--- a/test/cell.py
+++ b/test/cell.py
@@ -2,10 +2,11 @@
 
 import random
 
-from toucanspring import effects, fairness, job, resources, scheduler, wire
+from toucanspring import allowance, effects, fairness, job, resources, scheduler, wire
 
 CAPACITY = resources.Resources(32_000, 65_536, 0)
 ONE = resources.Resources(1_000, 1_024, 0)
+UNLIMITED = resources.UNLIMITED
 TEAMS = (fairness.Team("zimna"), fairness.Team("kern"))
 
 
@@ -46,6 +47,8 @@
         self.starts, self.zones_out = {}, frozenset()
         self.pending_intents = []
         self.hold_intents = False
+        self.rows = {t.name: allowance.Row() for t in teams if t.ceiling != UNLIMITED}
+        self.targets = {}  # team -> part asked for
         self.deliver_unanswered = True  # whether broken streams lose only answers
         self.workers = {}
         self.scheduler = scheduler.Scheduler(0, random.Random(seed))
@@ -79,6 +82,8 @@
             case effects.StopTasks(name, task_ids, mode):
                 if self.workers[name].connected:
                     self.stop(self.workers[name], task_ids, mode)
+            case effects.RequestAllowance() | effects.ReturnAllowance():
+                self.targets[effect.team] = effect.target
             case effects.Acknowledge(name, task_ids):
                 if self.workers[name].connected:
                     for task_id in task_ids:
@@ -114,9 +119,27 @@
         demands = [task.demand for task in worker.running.values()]
         used = sum(demands, resources.ZERO)
         assert used.fits(worker.capacity), (worker.name, used)
+        for team, row in self.rows.items():
+            used, part = self.used(team), row.parts.get(0, resources.ZERO)
+            assert used.cpus <= part.cpus, (team, used, part)
         if worker.connected:
             self.call("starts_answered", worker.name, [t.task_id for t in tasks], [])
 
+    def used(self, team):
+        """Return what really runs for a team."""
+        tasks = [t for w in self.workers.values() for t in w.running.values()]
+        return sum((t.demand for t in tasks if t.team == team), resources.ZERO)
+
+    def serve_allowances(self):
+        """Write the rows and deliver the parts of partition 0."""
+        held = {}
+        for team, row in self.rows.items():
+            target = self.targets.pop(team, row.parts.get(0, resources.ZERO))
+            ceiling = self.teams[team].ceiling
+            self.rows[team] = row = allowance.resize(row, 0, target, ceiling)
+            held[team] = row.parts.get(0, resources.ZERO)
+        self.call("set_allowances", held)
+
     def submit(self, *specs):
         self.specs.update((spec.id, spec) for spec in specs)
         return self.call("submit", list(specs))
@@ -157,6 +180,7 @@
         """Replace the scheduler by a successor that knows only the log."""
         self.seed += 1
         self.pending_intents = []  # were not written
+        self.targets = {}
         self.scheduler = scheduler.Scheduler(0, random.Random(self.seed))
         for worker in self.workers.values():
             worker.connected = False
@@ -216,6 +240,7 @@
             if self.specs.keys() <= self.finished.keys():
                 return ticks
             self.tick(step)
+            self.serve_allowances()
             self.end_all()
         left = self.specs.keys() - self.finished.keys()
         raise AssertionError(f"never final: {sorted(left)}")
--- a/test/test_scheduler_faults.py
+++ b/test/test_scheduler_faults.py
@@ -14,7 +14,12 @@
 class Faults:
     def __init__(self, seed):
         self.rng = random.Random(seed)
-        self.cell = cell.Cell(workers=6, seed=seed)
+        ceiling = cell.resources.Resources(120_000, cell.UNLIMITED.memory, 0)
+        teams = (
+            cell.fairness.Team("zimna"),
+            cell.fairness.Team("kern", ceiling=ceiling),
+        )
+        self.cell = cell.Cell(workers=6, seed=seed, teams=teams)
         self.cell.hold_intents = True
         self.jobs = 0
 
@@ -32,6 +37,8 @@
             self.repeat_report: 2,
             self.change_zones: 1,
             self.take_over: 0.3,
+            self.cell.serve_allowances: 4,
+            self.use_elsewhere: 1,
         }
         choice = self.rng.choices(list(actions), list(actions.values()))[0]
         choice()
@@ -111,10 +118,23 @@
         self.cell.zones_out = out
         self.cell.call("set_availability_zones", out)
 
+    def use_elsewhere(self):
+        """Let another partition ask for a part of the ceiling."""
+        target = cell.resources.Resources(self.rng.randrange(0, 120_000), 1 << 30, 0)
+        ceiling = self.cell.teams["kern"].ceiling
+        row = self.cell.rows["kern"]
+        self.cell.rows["kern"] = cell.allowance.resize(row, 1, target, ceiling)
+
     def take_over(self):
         self.cell.take_over()
 
     def heal(self):
+        self.cell.rows["kern"] = cell.allowance.resize(
+            self.cell.rows["kern"],
+            1,
+            cell.resources.ZERO,
+            self.cell.teams["kern"].ceiling,
+        )
         self.cell.zones_out = frozenset()
         self.cell.call("set_availability_zones", frozenset())
         self.write_intents()
--- a/toucanspring/allowance.py
+++ b/toucanspring/allowance.py
@@ -274,7 +274,8 @@
         if now - account.since < RETURN_AFTER_S:
             return None
         peak, account.peak, account.since = account.peak, account.used, now
-        target = tuple(map(min, account.held, map(max, peak, account.used)))
+        needed = map(int.__add__, map(max, peak, account.used), account.possible)
+        target = tuple(map(min, account.held, needed))
         if target != account.held:
             return self._ask(team, account, target, now)
         return None
@@ -283,9 +284,16 @@
     def _target(account: _Account, short: tuple[Amount, Amount]) -> Amount:
         """Return what to hold: the amount that waits, but one chunk at a time."""
         return tuple(
-            min(limit, max(held, used + max(least, min(amount, limit // CHUNKS))))
-            for used, amount, least, held, limit in zip(
-                account.used, *short, account.held, account.ceiling, strict=True
+            held
+            if limit >= unlimited
+            else min(limit, max(held, used + max(least, min(amount, limit // CHUNKS))))
+            for used, amount, least, held, limit, unlimited in zip(
+                account.used,
+                *short,
+                account.held,
+                account.ceiling,
+                UNLIMITED,
+                strict=True,
             )
         )
 
