--- a/test/cell.py
+++ b/test/cell.py
@@ -130,6 +130,11 @@
         tasks = [t for w in self.workers.values() for t in w.running.values()]
         return sum((t.demand for t in tasks if t.team == team), resources.ZERO)
 
+    def grant(self, team, part):
+        """Give partition 0 a part of a team's ceiling."""
+        self.rows[team] = allowance.Row({0: part})
+        return self.call("set_allowances", {team: part})
+
     def serve_allowances(self):
         """Write the rows and deliver the parts of partition 0."""
         held = {}
--- a/toucanspring/allowance.py
+++ b/toucanspring/allowance.py
@@ -260,7 +260,9 @@
         short: tuple[Amount, Amount] | None,
         now: float,
     ) -> effects.RequestAllowance | effects.ReturnAllowance | None:
-        if account.ceiling is None:
+        if account.ceiling is None or not account.known:
+            # A target chosen before the row is read could be below the present part
+            # and give away what running work uses.
             return None
         if account.target is not None:
             if now - account.asked_at < RETRY_S:
--- a/toucanspring/effects.py
+++ b/toucanspring/effects.py
@@ -53,6 +53,7 @@
     attempt: int
     worker: str
     incarnation: int
+    demand: resources.Resources | None = None  # what the attempt holds there
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/toucanspring/lifecycle.py
+++ b/toucanspring/lifecycle.py
@@ -262,7 +262,7 @@
                 starts.append(self.message(record, task))
             else:
                 self.effects.intend(
-                    effects.Intent(task.id, task.attempt, worker, incarnation)
+                    effects.Intent(task.id, task.attempt, worker, incarnation, demand)
                 )
         if starts:
             self.effects.start(worker, starts)
--- a/toucanspring/recovery.py
+++ b/toucanspring/recovery.py
@@ -73,7 +73,7 @@
             job.State.STARTING,
             intent.worker,
             now,
-            demand=spec.demand,
+            demand=intent.demand or spec.demand,
             team=spec.team,
             incarnation=intent.incarnation,
             expected_end=now + spec.run_seconds,
@@ -273,25 +273,14 @@
 def count_possible_use(core: lifecycle.Lifecycle) -> None:
     """Count restored tasks that may be running against their teams' allowances.
 
-    The bound is the capacity of the workers not yet attached, where it is known.
+    Their real sizes are not in the log and may be above the declared ones, so the
+    bound is the capacity of the workers not yet attached: unlimited if unknown.
     """
-    capacity: resources.Resources | None = resources.ZERO
+    capacity = resources.ZERO
     for amount in core.expected.values():
-        capacity = None if amount is None or capacity is None else capacity + amount
-    possible: dict[str, resources.Resources] = {}
-    if core.expected:
-        for job_id in core.held_jobs:
-            record = core.table.jobs[job_id]
-            amount = record.spec.demand.times(len(record.held))
-            team = record.spec.team
-            possible[team] = possible.get(team, resources.ZERO) + amount
-    if capacity is not None:
-        possible = {
-            team: resources.Resources(
-                min(amount.cpus, capacity.cpus),
-                min(amount.memory, capacity.memory),
-                min(amount.accelerators, capacity.accelerators),
-            )
-            for team, amount in possible.items()
-        }
-    core.allowances.set_possible(possible)
+        if amount is None:
+            capacity = resources.UNLIMITED
+            break
+        capacity += amount
+    teams = {core.table.jobs[job_id].spec.team for job_id in core.held_jobs}
+    core.allowances.set_possible(dict.fromkeys(teams, capacity))
