Restart workers in the fault test

A trial that let absent_task call every absent attempt never run went unnoticed, because no worker came back with a new incarnation before it was lost.

--- a/test/cell.py
+++ b/test/cell.py
@@ -172,13 +172,17 @@
         """Break a stream; the scheduler learns of it with the next start."""
         self.workers[name].connected = False
 
-    def lose(self, name):
-        """Let a worker's lease expire; it returns empty, with a new incarnation."""
+    def restart(self, name):
+        """Lose a worker's tasks; it returns with a new incarnation."""
         worker = self.workers[name]
         worker.connected = False
         worker.running.clear()
         worker.ended.clear()
         worker.incarnation += 1
+
+    def lose(self, name):
+        """Let a worker's lease expire; it returns empty, with a new incarnation."""
+        self.restart(name)
         return self.call("worker_lost", name)
 
     def take_over(self):
--- a/test/test_scheduler_faults.py
+++ b/test/test_scheduler_faults.py
@@ -34,6 +34,7 @@
             self.break_stream: 2,
             self.attach: 4,
             self.lose: 1,
+            self.restart: 1,
             self.repeat_report: 2,
             self.change_zones: 1,
             self.take_over: 0.3,
@@ -107,6 +108,10 @@
         if name := self.any_worker(False):
             self.cell.lose(name)
 
+    def restart(self):
+        if name := self.any_worker(True):
+            self.cell.restart(name)
+
     def repeat_report(self):
         if name := self.any_worker(True):
             worker = self.cell.workers[name]
