--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -5,30 +5,30 @@
 
 import minicheck
 
-from spec import model
+from spec import model, world
 
 MAX_STATES = 2_000_000
 
 # Together they cover both tasks on one worker, each task on two workers, a
 # restarted worker and two takeovers.
 SPACES = (
-    model.Bounds(workers=1, epochs=2, attempts=2),
-    model.Bounds(workers=2, epochs=2, attempts=2, tasks="I"),
-    model.Bounds(workers=2, epochs=2, attempts=2, tasks="N"),
-    model.Bounds(workers=1, epochs=2, attempts=2, restarts=1, tasks="N"),
-    model.Bounds(workers=1, epochs=3, attempts=2, tasks="N"),
+    world.Bounds(workers=1, epochs=2, attempts=2),
+    world.Bounds(workers=2, epochs=2, attempts=2, tasks="I"),
+    world.Bounds(workers=2, epochs=2, attempts=2, tasks="N"),
+    world.Bounds(workers=1, epochs=2, attempts=2, restarts=1, tasks="N"),
+    world.Bounds(workers=1, epochs=3, attempts=2, tasks="N"),
 )
 
 # Removed rule -> bounds that are large enough for the shortest counterexample.
 REMOVALS = {
-    "fence": (model.Rules(fence=False), model.Bounds(tasks="N")),
+    "fence": (world.Rules(fence=False), world.Bounds(tasks="N")),
     "takeover_wait": (
-        model.Rules(takeover_wait=False),
-        model.Bounds(workers=2, tasks="I"),
+        world.Rules(takeover_wait=False),
+        world.Bounds(workers=2, tasks="I"),
     ),
-    "intent_record": (model.Rules(intent_record=False), model.Bounds(tasks="N")),
-    "hold": (model.Rules(hold=False), model.Bounds(workers=2, tasks="I")),
-    "lost_wait": (model.Rules(lost_wait=False), model.Bounds(workers=2, tasks="I")),
+    "intent_record": (world.Rules(intent_record=False), world.Bounds(tasks="N")),
+    "hold": (world.Rules(hold=False), world.Bounds(workers=2, tasks="I")),
+    "lost_wait": (world.Rules(lost_wait=False), world.Bounds(workers=2, tasks="I")),
 }
 # The search for a counterexample may stop early: a violation found is a violation.
 REMOVAL_STATES = 25_000
@@ -43,9 +43,9 @@
         self.largest = 0
         protocol.transitions = self._measure
 
-    def _measure(self, state: model.State) -> list[tuple[str, model.State]]:
-        found = self._transitions(state)
-        depth = self._depths[state] + 1
+    def _measure(self, before: world.State) -> list[tuple[str, world.State]]:
+        found = self._transitions(before)
+        depth = self._depths[before] + 1
         for _, after in found:
             if after not in self._depths:
                 self._depths[after] = depth
@@ -54,7 +54,7 @@
 
 
 def check(
-    rules: model.Rules, bounds: model.Bounds, max_states: int = MAX_STATES
+    rules: world.Rules, bounds: world.Bounds, max_states: int = MAX_STATES
 ) -> tuple[dict, int]:
     """Return minicheck's result and the depth of the search."""
     protocol = model.Model(rules, bounds).protocol()
@@ -79,7 +79,7 @@
         print(f"  {action}: {function}")
     for bounds in SPACES:
         started = time.monotonic()
-        result, depth = check(model.Rules(), bounds)
+        result, depth = check(world.Rules(), bounds)
         proved = all(found["holds"] for found in result["properties"].values())
         failed += not proved
         print(
--- /dev/null
+++ b/spec/world.py
@@ -0,0 +1,145 @@
+"""States, bounds and invariants of the model."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import NamedTuple
+
+from toucanspring import job, ownership
+
+LEASE = 1  # units of time; a tenure holds while its age is below
+WORKER_LEASE = 2
+TIMING = ownership.Timing(lease_s=LEASE, promise_s=0, drift=0.0)
+IDEMPOTENT = {"I": True, "N": False}
+STARTING, RUNNING = job.State.STARTING, job.State.RUNNING
+INTENDED = job.State.INTENDED
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """Limit the space; all states within the bounds are visited."""
+
+    workers: int = 1
+    epochs: int = 2
+    attempts: int = 2
+    restarts: int = 0  # of worker 0
+    tasks: str = "IN"  # the others are final from the start
+
+
+@dataclasses.dataclass(frozen=True)
+class Rules:
+    """Say which rules are in force; removing one must break an invariant."""
+
+    fence: bool = True  # workers refuse lower epochs
+    takeover_wait: bool = True  # a claim waits for the owner's lease
+    intent_record: bool = True  # a start of N waits for its durable intent
+    hold: bool = True  # restored work waits for all workers
+    lost_wait: bool = True  # a lost worker's lease must have expired
+
+
+class Process(NamedTuple):
+    """A process; `epoch` is 0 while it does not believe to own the partition.
+
+    `n` and `i` are its views of the tasks: state, worker, attempt and incarnation.
+    """
+
+    epoch: int
+    age: int  # since its last successful renewal was sent
+    renewal: int  # age of a renewal without answer; -1 for none
+    written: bool  # whether that renewal has reached the store
+    seen: int  # age of the sighting of the other's counter; -1 if that has changed
+    attached: tuple[bool, ...]
+    settled: tuple[bool, ...]  # attached or lost since the takeover
+    waited: tuple[int, ...]  # since it last renewed each worker
+    n: tuple
+    i: tuple
+
+
+class Worker(NamedTuple):
+    """A worker; `running` and `ended` hold (task, attempt)."""
+
+    epoch: int  # highest seen
+    lease: int  # age of the lease
+    incarnation: int
+    running: frozenset
+    ended: frozenset
+
+
+class State(NamedTuple):
+    """The store, the processes, the workers and the starts under way."""
+
+    epoch: int
+    owner: int
+    intent: tuple | None  # worker, attempt, incarnation
+    final: tuple[str, ...]  # tasks with an outcome in the log
+    processes: tuple[Process, Process]
+    workers: tuple[Worker, ...]
+    starts: frozenset  # of (epoch, task, attempt, worker)
+    n_runs: int
+
+
+WAITING = ("waiting", 0, 1, 0)
+HELD = ("held", 0, 1, 0)
+FINAL = ("final", 0, 0, 0)
+
+
+def initial(bounds: Bounds) -> State:
+    """Return the state in which process 0 owns and has attached all workers."""
+    count = bounds.workers
+    owner = Process(
+        1,
+        0,
+        -1,
+        False,
+        -1,
+        (True,) * count,
+        (True,) * count,
+        (0,) * count,
+        WAITING if "N" in bounds.tasks else FINAL,
+        WAITING if "I" in bounds.tasks else FINAL,
+    )
+    other = owner._replace(epoch=0, attached=(False,) * count)
+    worker = Worker(1, 0, 0, frozenset(), frozenset())
+    final = tuple(task for task in IDEMPOTENT if task not in bounds.tasks)
+    return State(1, 0, None, final, (owner, other), (worker,) * count, frozenset(), 0)
+
+
+def put(items: tuple, index: int, item: object) -> tuple:
+    """Return the tuple with one item replaced."""
+    return (*items[:index], item, *items[index + 1 :])
+
+
+def holds(process: Process) -> bool:
+    """Return whether a process may act as the owner, by its own clock."""
+    if not process.epoch:
+        return False
+    tenure = ownership.renew(ownership.Tenure(), -process.age, TIMING)
+    return ownership.judge(tenure, 0) is ownership.Standing.HELD
+
+
+def forget(me: Process) -> Process:
+    """Return a process without the memory of a partition it does not own."""
+    count = len(me.attached)
+    return me._replace(
+        age=0,
+        attached=(False,) * count,
+        settled=(False,) * count,
+        waited=(0,) * count,
+        n=FINAL,
+        i=FINAL,
+    )
+
+
+INVARIANTS = {
+    "one owner at a time": lambda d: (
+        sum(holds(process) for process in d["processes"]) <= 1
+    ),
+    "a non-idempotent task starts at most once": lambda d: d["n_runs"] <= 1,
+    "no task runs in two places": lambda d: all(
+        sum(task == name for worker in d["workers"] for name, _ in worker.running) <= 1
+        for task in IDEMPOTENT
+    ),
+    "a non-idempotent task that ran has an intent or an outcome": lambda d: (
+        not d["n_runs"] or d["intent"] is not None or "N" in d["final"]
+    ),
+}
--- a/test/test_spec.py
+++ b/test/test_spec.py
@@ -3,7 +3,7 @@
 import testtools
 
 from spec import __main__ as runner
-from spec import model
+from spec import model, world
 
 
 class SpecTest(testtools.TestCase):
@@ -11,7 +11,7 @@
         # Guards against a change of a decision function that breaks ownership or
         # at-most-once starts. `python -m spec` checks the larger spaces.
         for bounds in runner.SPACES[3:]:
-            result, depth = runner.check(model.Rules(), bounds)
+            result, depth = runner.check(world.Rules(), bounds)
             self.assertTrue(result["exhaustive"])
             self.assertEqual({}, runner.broken(result))
             self.assertGreater(result["reachable_states"], 10_000)
@@ -33,12 +33,12 @@
     def test_every_action_names_an_existing_implementation(self):
         # Guards against a model of functions that were renamed or removed.
         seen = set()
-        protocol = model.Model(model.Rules(), model.Bounds(tasks="N")).protocol()
+        protocol = model.Model(world.Rules(), world.Bounds(tasks="N")).protocol()
         frontier = [protocol.initial]
         for _ in range(9):
             following = [step for s in frontier for step in protocol.transitions(s)]
             seen.update(label for label, _ in following)
-            frontier = {state for _, state in following}
+            frontier = {after for _, after in following}
         named = set(model.ACTIONS)
         unseen = set(named)
         for label in seen:
