--- a/toucanspring/allowance.py
+++ b/toucanspring/allowance.py
@@ -348,9 +348,10 @@
         What is above the limit goes at once. Within the limit a short pause keeps
         teams with short tasks from returning and asking again for each of them.
         """
-        keep = tuple(map(max, account.used, account.limit))
+        used = tuple(map(int.__add__, account.used, account.possible))
+        keep = tuple(map(max, used, account.limit))
         if not is_short and now - account.since >= CONTENDED_RETURN_AFTER_S:
-            keep = tuple(map(max, account.used, account.peak))
+            keep = tuple(map(max, used, account.peak))
             account.peak, account.since = account.used, now
         return tuple(map(min, account.held, keep))
 
