Move a begun request to another server while it certainly has not run

Change: after refusals for 0.2 s the log names another server (move_request) before the request is sent there; sends keep the epoch under which the request was begun. Questions to servers are in inquiry.py.

--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -166,6 +166,10 @@
         self.begun.append(request_id)
         return request_log.Begun(1)
 
+    def move_request(self, request_id, server):
+        self.requests[request_id].server = server
+        return self.begin_answer or request_log.Begun(1)
+
     def finish_request(self, request_id, outcome):
         self.requests[request_id].outcome = outcome
 
--- a/test/test_requests.py
+++ b/test/test_requests.py
@@ -12,6 +12,7 @@
     answers,
     errors,
     handler,
+    inquiry,
     job,
     link,
     log_records,
@@ -295,8 +296,58 @@
         self.assertEqual(1, len({server for server, _, _ in self.client.sent}))
         self.assertEqual(["r1"], self.partitions.begun)
 
+    def test_a_server_that_stays_full_is_replaced_in_the_log_before_the_send(self):
+        # Guards against an order that is stuck with one server, and against a
+        # successor that asks the wrong server.
+        self.patch(runner, "MOVE_AFTER_S", 0.0)
+        self.start(REFUSED, UNREACHED, b"whole")
+        named = []
+        plain = self.partitions.move_request
+
+        def move(request_id, server):
+            named.append(outcomes.decode_start(server).server)
+            return plain(request_id, server)
+
+        self.patch(self.partitions, "move_request", move)
+        self.check_whole(self.serve())
+        sent = [server for server, _, _ in self.client.sent]
+        self.assertEqual(3, len(set(sent)))
+        self.assertEqual(sent[1:], named)
+        entry = self.partitions.requests["r1"]
+        self.assertEqual(sent[-1], outcomes.decode_start(entry.server).server)
+
+    def test_a_lost_answer_never_moves_a_request(self):
+        # Guards against one order at two servers.
+        self.patch(runner, "MOVE_AFTER_S", 0.0)
+        self.patch(inquiry, "UNSEEN_LIMIT_S", 0.1)
+        self.start(REFUSED, LOST, b"whole")
+        self.assertIsInstance(self.serve(), errors.Unknown)
+        self.assertEqual(["r1"], self.client.ran)
+
+    def test_a_move_that_is_not_durable_is_not_sent(self):
+        self.patch(runner, "MOVE_AFTER_S", 0.0)
+        self.start(REFUSED, b"whole")
+        failure = errors.StoreUnavailable(reason="store")
+        self.patch(self.partitions, "move_request", lambda *_: failure)
+        self.assertIsInstance(self.serve(), errors.NotRun)
+        self.assertEqual([], self.client.ran)
+
+    def test_an_owner_that_claimed_again_does_not_send_under_the_new_epoch(self):
+        # Guards against a send after another owner recorded the ID as not run.
+        self.start()
+        plain = self.partitions.begin_request
+
+        def begin(request_id, server):
+            self.core.find("claims").partitions = {0: 3, 1: 3, 2: 3}
+            return plain(request_id, server)
+
+        self.patch(self.partitions, "begin_request", begin)
+        self.client.raise_answer = errors.Fenced(epoch=9)
+        self.assertIsInstance(self.serve(deadline_s=0.2), errors.Unknown)
+        self.assertEqual([], self.client.sent)
+
     def test_an_unreached_server_ends_as_not_run_for_good(self):
-        self.patch(runner, "CONNECT_LIMIT_S", 0.05)
+        self.patch(runner, "MOVE_AFTER_S", 0.05)
         self.start(UNREACHED)
         for _ in range(2):
             self.assertIsInstance(self.serve(), errors.NotRun)
@@ -319,7 +370,7 @@
 
     def test_a_request_that_its_server_does_not_know_ends_as_unknown(self):
         # Guards against callers that wait until their deadline for nothing.
-        self.patch(runner, "UNSEEN_LIMIT_S", 0.1)
+        self.patch(inquiry, "UNSEEN_LIMIT_S", 0.1)
         self.start(LOST)
         started = time.monotonic()
         self.assertIsInstance(self.serve(deadline_s=5.0), errors.Unknown)
@@ -400,7 +451,7 @@
 
     def test_a_dead_server_leaves_the_outcome_unknown(self):
         self.patch(runner, "FOLLOW_S", 0.2)
-        self.patch(runner, "LOOKUP_TIMEOUT_S", 0.1)
+        self.patch(inquiry, "LOOKUP_TIMEOUT_S", 0.1)
         self.take_over(UNREACHED)
         for _ in range(2):
             self.assertIsInstance(self.serve(), errors.Unknown)
--- /dev/null
+++ b/toucanspring/inquiry.py
@@ -0,0 +1,88 @@
+"""Questions to backend servers about requests whose answers were lost."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import gevent
+
+from toucanspring import answers, errors, outcomes
+from toucanspring.adapters import backend_servers
+
+# Whole answers are held in memory until they are durable.
+MAX_ANSWER_BYTES = 16 << 20
+LOOKUP_TIMEOUT_S = 2.0
+# A request whose connection broke may still wait in a buffer of its server. One that
+# a responsive server has not seen for this long ends as unknown; a trial with servers
+# that hung up kept callers waiting for 25 s without this limit.
+UNSEEN_LIMIT_S = 3.0
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 1.0
+
+
+class Inquiry:
+    """Ask servers what became of requests."""
+
+    def __init__(
+        self,
+        client: backend_servers.BackendServerClient,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._client = client
+        self._clock = clock
+
+    def look_up(
+        self, request_id: str, start: outcomes.Start, limit_s: float, certain: bool
+    ) -> answers.Stored | errors.Failure:
+        """Ask a server what became of a request.
+
+        `certain` says that the epoch was raised there, so that an ID it never saw
+        will not run any more.
+        """
+        give_up = self._clock() + limit_s
+        pause = FIRST_PAUSE_S
+        reason = "no answer"
+        unseen_since: float | None = None
+        while self._clock() < give_up:
+            state = self._client.lookup(start.server, request_id, LOOKUP_TIMEOUT_S)
+            match state:
+                case backend_servers.Answer():
+                    received = receive(state, start)
+                    if not isinstance(received, errors.Ambiguous):
+                        return received
+                    reason = received.reason
+                case errors.NotFound() if certain:
+                    return errors.NotRun(reason="not run: the server never saw it")
+                case errors.NotFound():
+                    reason = state.reason
+                    now = self._clock()
+                    unseen_since = unseen_since or now
+                    if now - unseen_since >= UNSEEN_LIMIT_S:
+                        break
+                case errors.Failure():
+                    reason = state.reason
+            gevent.sleep(pause)
+            pause = min(2 * pause, LONGEST_PAUSE_S)
+        return errors.Unknown(reason=f"outcome unknown: {start.server}: {reason}")
+
+
+def receive(
+    answer: backend_servers.Answer, start: outcomes.Start
+) -> answers.Stored | errors.Ambiguous | errors.Unknown:
+    """Receive a whole answer."""
+    body = answer.read(MAX_ANSWER_BYTES)
+    match body:
+        case errors.Oversized():
+            return errors.Unknown(reason=f"ran, but its answer: {body.reason}")
+        case errors.Failure():
+            return body
+    return answers.Stored(
+        team=start.team,
+        service=start.service,
+        digest=start.digest,
+        status=answer.status,
+        headers=answers.end_to_end(answer.headers),
+        body=body,
+        length=len(body),
+    )
--- a/toucanspring/log_records.py
+++ b/toucanspring/log_records.py
@@ -101,7 +101,12 @@
             case Cancelled(job_ids=job_ids):
                 self.cancelled.update(job_ids)
             case RequestStarted(request_id=request_id, server=server, epoch=epoch):
-                self.requests.setdefault(request_id, RequestEntry(server, epoch))
+                # A later start names another server; the former refused the request.
+                entry = self.requests.setdefault(
+                    request_id, RequestEntry(server, epoch)
+                )
+                if entry.outcome is None:
+                    entry.server, entry.epoch = server, epoch
             case RequestFinished(request_id=request_id, outcome=outcome):
                 entry = self.requests.setdefault(request_id, RequestEntry("", 0))
                 if entry.outcome is None:
--- a/toucanspring/partitions.py
+++ b/toucanspring/partitions.py
@@ -222,6 +222,15 @@
             return owned
         return owned.requests.begin(request_id, server)
 
+    def move_request(
+        self, request_id: str, server: str
+    ) -> request_log.Begun | errors.Failure:
+        """Record another server for a request that certainly did not run yet."""
+        owned = self._find_owned(request_id)
+        if isinstance(owned, errors.Failure):
+            return owned
+        return owned.requests.move(request_id, server)
+
     def finish_request(
         self, request_id: str, outcome: job.Outcome
     ) -> None | errors.Failure:
--- a/toucanspring/request_log.py
+++ b/toucanspring/request_log.py
@@ -65,6 +65,20 @@
             self._beginning.discard(request_id)
         return failure if failure is not None else Begun(self._journal.epoch)
 
+    def move(self, request_id: str, server: str) -> Begun | errors.Failure:
+        """Name another server, after the one named certainly did not run a request.
+
+        Only the caller that got `Begun` may call this, and sends once more.
+        """
+        entry = self._journal.state.requests.get(request_id)
+        epoch = self._journal.epoch
+        if entry is None or entry.outcome is not None or entry.epoch != epoch:
+            return errors.Refused(reason=f"request {request_id} is not running here")
+        failure = self._journal.append(
+            log_records.RequestStarted(request_id, server, epoch), droppable=True
+        ).get()
+        return failure if failure is not None else Begun(epoch)
+
     def finish(self, request_id: str, outcome: job.Outcome) -> None | errors.Failure:
         """Record the outcome of a request."""
         return self._journal.append(
--- a/toucanspring/runner.py
+++ b/toucanspring/runner.py
@@ -19,6 +19,7 @@
     answers,
     errors,
     forwarding,
+    inquiry,
     job,
     kernel,
     lane,
@@ -33,18 +34,10 @@
 
 Clock = Callable[[], float]
 
-# Whole answers are held in memory until they are durable.
-MAX_ANSWER_BYTES = 16 << 20
 RESEND_PAUSE_S = 0.02
-CONNECT_LIMIT_S = 1.0  # of attempts to reach the chosen server
-LOOKUP_TIMEOUT_S = 2.0
+# A server that refuses for this long is given up for another one.
+MOVE_AFTER_S = 0.2
 PROBE_TIMEOUT_S = 0.5
-# A request whose connection broke may still wait in a buffer of its server. One that
-# a responsive server has not seen for this long ends as unknown; a trial with servers
-# that hung up kept callers waiting for 25 s without this limit.
-UNSEEN_LIMIT_S = 3.0
-FIRST_PAUSE_S = 0.05
-LONGEST_PAUSE_S = 1.0
 # After its deadline a request is followed for this long, so that its outcome can
 # still be looked up; then it is recorded as unknown.
 FOLLOW_S = 120.0
@@ -76,6 +69,7 @@
         self._client = client
         self._clock = clock
         self._outcomes = outcomes.Outcomes(core)
+        self._inquiry = inquiry.Inquiry(client, clock)
         # Requests under way in this process: ID -> digest and result.
         self._running: dict[str, tuple[bytes, event.AsyncResult]] = {}
         self._waiting = 0
@@ -184,34 +178,67 @@
                 # The log had no such ID, and only a durable start is sent.
                 return errors.NotRun(reason=f"not run: {begun.reason}")
             return self._continue(request.id, begun)
-        epoch = backend_servers.Epoch(
-            job.partition_of(request.id, self._partitions), begun.epoch
+        start, result = self._send_or_move(
+            request, target, server, start, begun.epoch, deadline
         )
-        started = self._clock()
+        return self._outcomes.record(request.id, start, result)
 
-        def may_send() -> bool:
-            return target.is_usable(server.id)
+    def _send_or_move(
+        self,
+        request: answers.Request,
+        target: lane.Lane,
+        server: routing.ServerFacts,
+        start: outcomes.Start,
+        epoch: int,
+        deadline: float,
+    ) -> tuple[outcomes.Start, answers.Stored | errors.Failure]:
+        """Send a begun request; return its last start and its result.
 
-        result = self._send(request, start, epoch, deadline, may_send)
-        failed = isinstance(result, errors.Failure) and not isinstance(
-            result, errors.Oversized
-        )
-        target.finished(
-            server.id,
-            routing.Outcome.FAILED if failed else routing.Outcome.OK,
-            request.job_class,
-            self._clock() - started,
-        )
-        return self._outcomes.record(request.id, start, result)
+        While every server so far has certainly not run it, the log may name another
+        one in place of a server that stays full or goes down.
+        """
+        excluded: frozenset[str] = frozenset()
+        while True:
+            started = self._clock()
+            result = self._send(request, target, server, start, epoch, deadline)
+            verdict = routing.Outcome.OK
+            if isinstance(result, errors.NotRun):
+                verdict = routing.Outcome.REFUSED
+            elif isinstance(result, errors.Failure):
+                verdict = routing.Outcome.FAILED
+            seconds = self._clock() - started
+            target.finished(server.id, verdict, request.job_class, seconds)
+            if not isinstance(result, errors.NotRun):
+                return start, result
+            excluded |= {server.id}
+            other = self._find_server(request, target, deadline, excluded)
+            if isinstance(other, errors.Failure):
+                return start, result
+            server = other
+            moved = outcomes.Start(
+                forwarding.address_of(server), start.team, start.service, start.digest
+            )
+            begun = self._kernel.find("partitions").move_request(
+                request.id, moved.encode()
+            )
+            if not isinstance(begun, request_log.Begun):
+                target.release(server.id)
+                if isinstance(begun, MOVED):
+                    return start, errors.Fenced(reason=begun.reason)
+                return start, errors.NotRun(reason=f"not run: {begun.reason}")
+            start = moved
 
     def _find_server(
-        self, request: answers.Request, target: lane.Lane, deadline: float
+        self,
+        request: answers.Request,
+        target: lane.Lane,
+        deadline: float,
+        excluded: frozenset[str] = frozenset(),
     ) -> routing.ServerFacts | errors.Failure:
-        """Wait for a server and see that it answers, while another may be taken.
+        """Wait for a server and see that it answers, before the log names it.
 
-        Once the log names a server, a dead one ends the request as not run.
+        To name another one later costs one more write to the log.
         """
-        excluded: frozenset[str] = frozenset()
         while True:
             server = target.acquire(request.job_class, deadline, excluded)
             if isinstance(server, errors.Failure):
@@ -252,91 +279,66 @@
     def _send(
         self,
         request: answers.Request,
+        target: lane.Lane,
+        server: routing.ServerFacts,
         start: outcomes.Start,
-        epoch: backend_servers.Epoch,
+        epoch: int,
         deadline: float,
-        may_send: Callable[[], bool],
     ) -> answers.Stored | errors.Failure:
-        """Send a begun request until the server takes it; it takes it at most once.
+        """Send a begun request until the server that the log names takes it once.
 
-        A server that refuses has certainly not run it, and stays the one that the
-        log names, so sending again to the same server keeps the record true.
+        `NotRun` says that this server has certainly not run it. A refusal by a full
+        server is followed by another send for a short time, which is cheaper than a
+        write to the log.
         """
-        unreached_since: float | None = None
+        refused_since: float | None = None
         while True:
-            left_s = deadline - self._clock()
-            if left_s <= 0:
+            now = self._clock()
+            if now >= deadline:
                 return errors.NotRun(reason="not run: no free slot before the deadline")
-            if not may_send():  # the record of the start may have taken long
+            if not target.is_usable(server.id):  # the write may have taken long
                 return errors.NotRun(reason="not run: the server goes out of service")
+            # Never the epoch of a later claim: another owner may have looked into
+            # the request in between, and only the old epoch is refused then.
+            if self._epoch(request.id) != epoch:
+                return errors.Fenced(reason="ownership was lost before the send")
             result = self._client.send(
                 start.server,
                 request.id,
                 request.body,
-                left_s,
-                epoch,
+                deadline - now,
+                backend_servers.Epoch(
+                    job.partition_of(request.id, self._partitions), epoch
+                ),
                 forwarding.headers_of(request),
             )
             match result:
                 case errors.NotRun(reason="epoch"):
                     return errors.Fenced(reason="the server knows a later owner")
-                case errors.NotRun():
-                    unreached_since = None
-                case errors.Unavailable():
-                    now = self._clock()
-                    unreached_since = unreached_since or now
-                    if now - unreached_since > CONNECT_LIMIT_S:
+                case errors.NotRun() | errors.Unavailable():
+                    refused_since = refused_since or now
+                    if self._clock() - refused_since >= MOVE_AFTER_S:
                         return errors.NotRun(reason=f"not run: {result.reason}")
                 case errors.Failure():
-                    return self._look_up(request.id, start, FOLLOW_S, certain=False)
+                    return self._inquiry.look_up(
+                        request.id, start, FOLLOW_S, certain=False
+                    )
                 case _:
-                    received = _receive(result, start)
+                    received = inquiry.receive(result, start)
                     if isinstance(received, errors.Ambiguous):
                         # The server remembers the answer of which a part was lost.
-                        return self._look_up(request.id, start, FOLLOW_S, certain=False)
+                        return self._inquiry.look_up(
+                            request.id, start, FOLLOW_S, certain=False
+                        )
                     return received
-            gevent.sleep(min(RESEND_PAUSE_S, left_s))
-
-    def _look_up(
-        self, request_id: str, start: outcomes.Start, limit_s: float, certain: bool
-    ) -> answers.Stored | errors.Failure:
-        """Ask a server what became of a request.
-
-        `certain` says that the epoch was raised there, so that an ID it never saw
-        will not run any more.
-        """
-        give_up = self._clock() + limit_s
-        pause = FIRST_PAUSE_S
-        reason = "no answer"
-        unseen_since: float | None = None
-        while self._clock() < give_up:
-            state = self._client.lookup(start.server, request_id, LOOKUP_TIMEOUT_S)
-            match state:
-                case backend_servers.Answer():
-                    received = _receive(state, start)
-                    if not isinstance(received, errors.Ambiguous):
-                        return received
-                    reason = received.reason
-                case errors.NotFound() if certain:
-                    return errors.NotRun(reason="not run: the server never saw it")
-                case errors.NotFound():
-                    reason = state.reason
-                    now = self._clock()
-                    unseen_since = unseen_since or now
-                    if now - unseen_since >= UNSEEN_LIMIT_S:
-                        break
-                case errors.Failure():
-                    reason = state.reason
-            gevent.sleep(pause)
-            pause = min(2 * pause, LONGEST_PAUSE_S)
-        return errors.Unknown(reason=f"outcome unknown: {start.server}: {reason}")
+            gevent.sleep(RESEND_PAUSE_S)
 
     def _resolve(
         self, request_id: str, start: outcomes.Start
     ) -> answers.Stored | errors.Failure:
         """Find out the outcome of a request that a former owner may have sent."""
         give_up = self._clock() + FOLLOW_S
-        pause = FIRST_PAUSE_S
+        pause = inquiry.FIRST_PAUSE_S
         while True:
             number = self._epoch(request_id)
             if number is None:
@@ -353,33 +355,12 @@
                 lost = errors.Unknown(reason=f"outcome unknown: {raised.reason}")
                 return self._outcomes.record(request_id, start, lost)
             gevent.sleep(pause)
-            pause = min(2 * pause, LONGEST_PAUSE_S)
-        left_s = max(LOOKUP_TIMEOUT_S, give_up - self._clock())
-        result = self._look_up(request_id, start, left_s, certain=True)
+            pause = min(2 * pause, inquiry.LONGEST_PAUSE_S)
+        left_s = max(inquiry.LOOKUP_TIMEOUT_S, give_up - self._clock())
+        result = self._inquiry.look_up(request_id, start, left_s, certain=True)
         return self._outcomes.record(request_id, start, result)
 
 
-def _receive(
-    answer: backend_servers.Answer, start: outcomes.Start
-) -> answers.Stored | errors.Ambiguous | errors.Unknown:
-    """Receive a whole answer."""
-    body = answer.read(MAX_ANSWER_BYTES)
-    match body:
-        case errors.Oversized():
-            return errors.Unknown(reason=f"ran, but its answer: {body.reason}")
-        case errors.Failure():
-            return body
-    return answers.Stored(
-        team=start.team,
-        service=start.service,
-        digest=start.digest,
-        status=answer.status,
-        headers=answers.end_to_end(answer.headers),
-        body=body,
-        length=len(body),
-    )
-
-
 def _wait(result: event.AsyncResult, limit_s: float) -> object:
     try:
         return result.get(timeout=limit_s)
