--- a/test/test_requests.py
+++ b/test/test_requests.py
@@ -445,10 +445,20 @@
 
     def test_a_request_that_the_server_never_saw_is_not_run_for_good(self):
         self.take_over(errors.NotFound(reason="unseen"))
+        run = self.service._runner.run
         for _ in range(2):
             self.assertIsInstance(self.serve(), errors.NotRun)
+            proof = run(make_request(idempotent=False))
+            self.assertIsInstance(proof, errors.RecordedNotRun)
         self.assertEqual([], self.client.sent)
 
+    def test_a_refusal_that_is_not_durable_is_no_record(self):
+        # Guards against "recorded" for an ID that a successor may still run.
+        self.take_over(errors.NotFound(reason="unseen"))
+        self.patch(self.partitions, "finish_request", lambda *_: errors.Fenced(epoch=9))
+        result = self.service._runner.run(make_request(idempotent=False))
+        self.assertIs(errors.NotRun, type(result))
+
     def test_a_dead_server_leaves_the_outcome_unknown(self):
         self.patch(runner, "FOLLOW_S", 0.2)
         self.patch(inquiry, "LOOKUP_TIMEOUT_S", 0.1)
@@ -494,6 +504,11 @@
         result = self.forward(LOST, errors.NotRun(reason="full"))
         self.assertIsInstance(result, errors.Unknown)
 
+    def test_a_recorded_refusal_is_proof_after_a_lost_call(self):
+        # Guards against "unknown" for each order under way during a handover.
+        result = self.forward(LOST, errors.RecordedNotRun(reason="never seen"))
+        self.assertEqual(errors.NotRun(reason="never seen"), result)
+
     def test_an_owner_that_moved_is_looked_for_until_the_deadline(self):
         moved = errors.Refused(reason="not the owner")
         self.check_whole(self.forward(moved, UNREACHED, self.chunks()))
--- a/toucanspring/errors.py
+++ b/toucanspring/errors.py
@@ -25,6 +25,11 @@
     """The work certainly did not run and will not run."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RecordedNotRun(NotRun):
+    """The log says durably that a request did not run, so no attempt at it will."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Unknown(Failure):
     """The work may or may not have run."""
@@ -115,6 +120,7 @@
     for kind in (
         Refused,
         NotRun,
+        RecordedNotRun,
         Unknown,
         Conflict,
         Unavailable,
--- a/toucanspring/outcomes.py
+++ b/toucanspring/outcomes.py
@@ -71,16 +71,20 @@
                 outcome = None
         writing = gevent.spawn(self._write, request_id, outcome, result)
         writing.join(timeout=RECORD_LIMIT_S)
+        if isinstance(result, errors.NotRun) and writing.value is True:
+            return errors.RecordedNotRun(reason=result.reason)
         return result
 
     def _write(
         self, request_id: str, outcome: job.Outcome | None, result: object
-    ) -> None:
+    ) -> bool:
+        """Write an outcome to the log; return whether it is durable."""
         if outcome is None:
             outcome = self._done(request_id, result)
         recorded = self._kernel.find("partitions").finish_request(request_id, outcome)
         if isinstance(recorded, errors.Failure):
             log.warning("outcome of {} not recorded: {}", request_id, recorded.reason)
+        return recorded is None
 
     def _done(self, request_id: str, stored: answers.Stored) -> job.Outcome:
         if len(stored.body) <= answers.MAX_LOGGED_BYTES:
@@ -102,7 +106,7 @@
         if isinstance(stored, errors.Failure):
             return errors.Unknown(reason=f"{outcome.state}: {stored.reason}")
         if outcome.state is job.State.NOT_RUN:
-            return errors.NotRun(reason=outcome.reason)
+            return errors.RecordedNotRun(reason=outcome.reason)
         if outcome.state is not job.State.DONE:
             return errors.Unknown(reason=outcome.reason)
         if not stored.object_key:
--- a/toucanspring/requests.py
+++ b/toucanspring/requests.py
@@ -145,6 +145,8 @@
             gevent.sleep(RETRY_S)
         if isinstance(result, LOST_FAILURES):
             return errors.Unavailable(reason=result.reason)  # a read has no effect
+        if isinstance(result, errors.RecordedNotRun):
+            return errors.NotRun(reason=result.reason)
         return result
 
     def waiting(self) -> dict[str, dict[str, int]]:
@@ -180,6 +182,8 @@
             match result:
                 case Answer():
                     return result
+                case errors.RecordedNotRun():
+                    return errors.NotRun(reason=result.reason)
                 case errors.NotRun() | errors.Overloaded() if lost is not None:
                     # The refusal is of this attempt; the lost one may yet arrive.
                     return errors.Unknown(reason=f"outcome unknown: {lost.reason}")
