--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -380,6 +380,18 @@
         self.check_failure(answer, 413, "Oversized")
         self.assertEqual([], self.seen)
 
+    def test_a_key_that_is_withdrawn_during_the_upload_admits_nothing(self):
+        # Guards against a slow upload that outlives the withdrawal by 30 s.
+        self.serve_with(make_answer)
+        with socket.create_connection(("127.0.0.1", self.port)) as sock:
+            head = f"POST {self.PATH} HTTP/1.1\r\nAuthorization: {DESK}\r\n"
+            sock.sendall(f"{head}Content-Length: 3\r\n\r\na".encode())
+            gevent.sleep(0.05)
+            del self.documents.secrets["desk-key"]
+            sock.sendall(b"sk")
+            self.assertIn(b"403", sock.recv(65536))
+        self.assertEqual([], self.seen)
+
     def test_the_deadline_is_the_shorter_one(self):
         self.serve_with(make_answer)
         for word, expected in (("500", 0.5), ("999999", 2.0)):
--- a/toucanspring/api_services.py
+++ b/toucanspring/api_services.py
@@ -84,6 +84,9 @@
         given = request.get_header("X-Request-Id")
         request_id = _request_id(given, queue)
         body = api.read_body(request, answers.MAX_BODY_BYTES)
+        if not queue.is_open:
+            # The body may have taken longer than a withdrawn key may work.
+            self._access.require_team(request)
         response.set_header("X-Request-Id", request_id)
         result = self._kernel.find("requests").serve(
             answers.Request(
