--- a/scenarios/actions.py
+++ b/scenarios/actions.py
@@ -170,8 +170,9 @@
         self._cell.in_force(sources[won], version, before)
 
     def grant(self, team: str) -> None:
-        """Grant a key."""
+        """Grant a key, which all daemons accept within 3 s."""
         self._cell.grant(team)
+        self.expect_key_accepted(team)
 
     def withdraw(self, team: str) -> None:
         """Withdraw a key."""
@@ -191,6 +192,7 @@
         """Submit jobs."""
         fields, tasks = self._cell.job_fields(template, options)
         jobs = self._cell.job_set(name, template)
+        jobs.retrying = "retrying" in options
         jobs.submit(count, fields, tasks, self.resolve(options.get("through", "")))
         if self._cell.is_gang(template):
             self._cell.gangs |= dict.fromkeys(jobs.accepted, tasks)
@@ -201,6 +203,7 @@
         """Submit jobs in the background."""
         fields, tasks = self._cell.job_fields(template, options)
         jobs = self._cell.job_set(name, template)
+        jobs.retrying = "retrying" in options
         jobs.spawn(jobs.keep_submitting, fields, tasks, every_s)
 
     def keep_sending(
--- a/scenarios/cell.py
+++ b/scenarios/cell.py
@@ -159,6 +159,16 @@
         granted = self.operate("POST", "/v1/keys", {"team": team}).json()
         self.keys[team] = loads.Key(granted["id"], team, granted["secret"])
 
+    def explain_lost(self) -> list[str]:
+        """Return why some jobs without an outcome still wait."""
+        found = []
+        for each in self.jobs.values():
+            for job_id in [j for j in each.accepted if j not in each.outcomes][:2]:
+                for path in (f"/v1/jobs/{job_id}", f"/v1/jobs/{job_id}/explain"):
+                    reply = self.operator_call("GET", path)
+                    found.append(f"{job_id}: {reply.status} {reply.body[:600]!r}")
+        return found
+
     def withdraw(self, team: str) -> None:
         """Withdraw the key of a team."""
         key = self.keys[team]
--- a/scenarios/language.py
+++ b/scenarios/language.py
@@ -176,6 +176,7 @@
         "not_idempotent",
         "giving_up",
         "through",
+        "retrying",
     }
 )
 
--- a/scenarios/loads.py
+++ b/scenarios/loads.py
@@ -16,6 +16,8 @@
 NOT_RUN = frozenset(
     {"NotRun", "Overloaded", "Unavailable", "StoreUnavailable", "Forbidden", "Invalid"}
 )
+# Refusals after which a caller may try another entry VM.
+RETRIED = frozenset({"NotRun", "Overloaded", "Unavailable", "StoreUnavailable"})
 RETRY_S = 0.2
 # A caller asks again for a lost answer or an unknown outcome for this long.
 FOLLOW_S = 40.0
@@ -71,6 +73,7 @@
         self._front = front
         self._key = key
         self._number = 0
+        self.retrying = False
         self.accepted: dict[str, int] = {}  # job ID -> number of tasks
         self.outcomes: dict[str, str] = {}
         self.task_counts: dict[str, dict[str, int]] = {}
@@ -115,9 +118,14 @@
                 if not failure:
                     self.accepted[item["id"]] = tasks
                     self.note_use(self._key, sent_at)
-                elif failure in NOT_RUN and item["id"] not in doubtful:
+                elif (
+                    failure in NOT_RUN
+                    and item["id"] not in doubtful
+                    and not (self.retrying and failure in RETRIED)
+                ):
                     self.refused.add(item["id"])
                     self.counts[f"refused {failure}"] += 1
+                    self.counts[str(reply.error.get("reason", reply.body[:300]))[:90]] += 1
                 else:
                     if failure not in NOT_RUN:
                         doubtful.add(item["id"])
--- a/scenarios/report.py
+++ b/scenarios/report.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import json
 import time
 import traceback
 
 from scenarios import actions, cell, language
 
 MAX_SHOWN = 8
-MAX_LINE = 600
+MAX_LINE = 900
 
 
 def run(scenario: language.Scenario) -> int:
@@ -59,8 +60,13 @@
     try:
         running.finish(player.finish_within_s if not problems else 5.0)
         problems += running.problems()
+        for line in running.explain_lost():
+            say(line)
         violations = running.judge()
         problems += [f"violation {item}" for item in violations]
+        if problems:
+            path = running.cluster.directory / "records.json"
+            path.write_text(json.dumps(running.cluster.records()))
     finally:
         for load in (*running.jobs.values(), *running.requests.values()):
             shown = {
