--- a/toucanspring/lifecycle.py
+++ b/toucanspring/lifecycle.py
@@ -78,7 +78,10 @@
         self.decisions = decisions.Decisions()
         self.workers: dict[str, WorkerState] = {}
         self.tasks_on: dict[str, dict[str, task_table.LiveTask]] = {}
-        self.shapes: set[tuple[str, resources.Resources]] = set()  # ever attached
+        # Every worker that was ever attached, present or not.
+        self.known_workers: dict[str, effects.WorkerFacts] = {}
+        self.new_worker_at = 0.0
+        self.too_large: set[str] = set()  # jobs to check again once all are known
         self.teams: dict[str, fairness.Team] = {}
         self.zones_out: frozenset[str] = frozenset()
         # Workers that may run tasks of the former owner, with their capacity.
@@ -127,61 +130,6 @@
 
     # Jobs
 
-    def refusal(self, spec: job.JobSpec) -> str:
-        """Return why a job can never run, or an empty string."""
-        demand = spec.demand
-        if spec.task_count < 1:
-            return "task_count must be at least 1"
-        if min(demand.cpus, demand.memory, demand.accelerators) < 0:
-            return "demand must not be negative"
-        if spec.kind is job.Kind.SERVICE and not spec.idempotent:
-            return "a service is restarted when it ends, so it must be idempotent"
-        if self.table.depends_on_itself(spec):
-            return "the job depends on itself"
-        if self.teams:
-            team = self.teams.get(spec.team)
-            if team is None:
-                return f"team {spec.team} is not configured"
-            together = spec.task_count if spec.kind is job.Kind.GANG else 1
-            if not demand.times(together).fits(team.ceiling):
-                return f"demand of {together} task(s) is above the team's ceiling"
-        if self.shapes and not self.expected:
-            zones = spec.availability_zones
-            shapes = [s for zone, s in self.shapes if not zones or zone in zones]
-            if not any(demand.fits(shape) for shape in shapes):
-                return "no worker in the allowed availability zones is large enough"
-        return ""
-
-    def submit(self, spec: job.JobSpec, now: float) -> None:
-        """Accept a durable job; a repeated one is ignored."""
-        record = self.table.add(spec, now)
-        if record is None:
-            return
-        if reason := self.refusal(spec):
-            self.end_waiting(record, job.Outcome(job.State.NOT_RUN, reason), now)
-            return
-        if self.wait_for_dependencies(record, now):
-            self.enqueue(record, now)
-
-    def wait_for_dependencies(
-        self, record: task_table.JobRecord, now: float, watch: bool = True
-    ) -> bool:
-        """Return whether a job may start; end it if a dependency has failed."""
-        unknown = []
-        for job_id in record.spec.after:
-            other = self.table.jobs.get(job_id)
-            if other is None:
-                unknown.append(job_id)
-                self.table.block(record, job_id)
-            elif other.outcome is None:
-                self.table.block(record, job_id)
-            elif other.outcome.state is not job.State.DONE:
-                self.end_waiting(record, dependency_failed(job_id, other.outcome), now)
-                return False
-        if unknown and watch:
-            self.effects.add(effects.WatchJobs(record.spec.id, unknown))
-        return not record.blocked_on
-
     def dependency_finished(
         self, job_id: str, outcome: job.Outcome, now: float
     ) -> None:
@@ -369,9 +317,14 @@
         task.demand = demand
 
     def stop(self, task: task_table.LiveTask, reason: str, mode: str) -> None:
-        """Ask the worker to stop a task; its report ends the attempt."""
+        """Ask the worker to stop a task; its report ends the attempt.
+
+        A worker that is not attached is asked once it is.
+        """
         task.stop_reason, task.stop_mode = reason, mode
-        self.effects.stop(task.worker, task.id, mode)
+        state = self.workers.get(task.worker)
+        if state is not None and state.attached:
+            self.effects.stop(task.worker, task.id, mode)
 
     def vacate(
         self, record: task_table.JobRecord, task: task_table.LiveTask, now: float
--- a/toucanspring/recovery.py
+++ b/toucanspring/recovery.py
@@ -8,6 +8,7 @@
     attempt,
     effects,
     gang,
+    intake,
     job,
     lifecycle,
     resources,
@@ -31,7 +32,7 @@
     for task_id, outcome in finished.items():
         record = core.table.jobs.get(job.job_of(task_id))
         if record is not None:
-            record.set_final(task_index(task_id), outcome)
+            record.set_final(task_table.task_index(task_id), outcome)
     for job_id in cancelled:
         if record := core.table.jobs.get(job_id):
             record.cancelled = True
@@ -54,15 +55,14 @@
     now: float,
 ) -> None:
     spec = record.spec
-    if not core.wait_for_dependencies(record, now):
+    if not intake.wait_for_dependencies(core, record, now):
         return  # nothing of it has started
-    if spec.idempotent:
-        # Starts of idempotent tasks are not logged, so each may be running.
+    if restored_task(spec.idempotent, intent=False, expected=True) == "held":
         record.held.update(record.waiting_indices())
         core.held_jobs.add(spec.id)
         return
     for intent in intents:
-        index = task_index(intent.task_id)
+        index = task_table.task_index(intent.task_id)
         if index in record.finals:
             continue
         task = task_table.LiveTask(
@@ -80,7 +80,8 @@
         )
         core.adopt(record, task, now)
     for task in list(record.live.values()):
-        if task.worker not in core.expected:
+        expected = task.worker in core.expected
+        if restored_task(spec.idempotent, intent=True, expected=expected) == "lost":
             attempt.lost(core, task, f"worker {task.worker} is gone", now)
     if record.outcome is not None:
         return
@@ -92,6 +93,20 @@
         core.enqueue(record, now)
 
 
+def restored_task(idempotent: bool, intent: bool, expected: bool) -> str:
+    """Return the state of an unfinished task after a takeover.
+
+    `held`: it may run on any worker, since starts of idempotent tasks are not logged;
+    `attributed`: it may run on the worker that its intent names; `lost`: that worker
+    is gone; `waiting`: it never started.
+    """
+    if idempotent:
+        return "held"
+    if not intent:
+        return "waiting"
+    return "attributed" if expected else "lost"
+
+
 def attach(
     core: lifecycle.Lifecycle,
     facts: effects.WorkerFacts,
@@ -110,7 +125,7 @@
     if former is not None:
         state.leaving = former.leaving
         _drop_orphans(core, former)
-    core.shapes.add((facts.availability_zone, facts.capacity))
+    intake.know_worker(core, facts, now)
     core.index.add(worker, facts.capacity, facts.availability_zone, facts.rack)
     core.shares.set_total(core.index.total())
     attributed = core.tasks_on.setdefault(worker, {})
@@ -145,9 +160,11 @@
             core.resize(task, entry.demand, now)  # the log does not hold the size
         if task.stop_reason:
             core.stop(task, task.stop_reason, task.stop_mode)  # may have been lost
+        elif core.table.jobs[task.job_id].cancelled:
+            core.stop(task, lifecycle.CANCELLED, "kill")
         return
     record = core.table.jobs.get(job.job_of(entry.task_id))
-    index = task_index(entry.task_id)
+    index = task_table.task_index(entry.task_id)
     if record is not None and index in record.held:
         started_at = now - entry.age_ms / 1000
         task = task_table.LiveTask(
@@ -159,7 +176,7 @@
             worker,
             started_at,
             demand=entry.demand,
-            team=entry.team,
+            team=record.spec.team,
             incarnation=state.facts.incarnation,
             expected_end=started_at + core.estimator.run_seconds(record.spec),
         )
@@ -278,9 +295,3 @@
             for team, amount in possible.items()
         }
     core.allowances.set_possible(possible)
-
-
-def task_index(task_id: str) -> int:
-    """Return the index part of a task ID; -1 if it has none."""
-    index = task_id.rpartition("/")[2]
-    return int(index) if index.isdecimal() else -1
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import types
 from collections.abc import Iterable, Mapping
 
 from toucanspring import (
@@ -11,11 +12,13 @@
     effects,
     errors,
     fairness,
+    intake,
     job,
     lifecycle,
     preemption,
     recovery,
     resources,
+    summary,
     wire,
 )
 
@@ -34,7 +37,7 @@
     def submit(self, specs: list[job.JobSpec], now: float) -> list[effects.Effect]:
         """Queue durable jobs; known IDs are ignored."""
         for spec in specs:
-            self._core.submit(spec, now)
+            intake.submit(self._core, spec, now)
         return self._core.effects.take()
 
     def restore(
@@ -154,10 +157,17 @@
         return core.effects.take()
 
     def set_allowances(
-        self, held: Mapping[str, resources.Resources], now: float
+        self,
+        held: Mapping[str, resources.Resources],
+        now: float,
+        limits: Mapping[str, resources.Resources] = types.MappingProxyType({}),
     ) -> list[effects.Effect]:
-        """Set the part of each team's ceiling that this partition holds."""
+        """Set the part of each team's ceiling that this partition holds.
+
+        `limits` says what it may hold of ceilings of which other partitions want more.
+        """
         self._core.allowances.set_held(held, now)
+        self._core.allowances.set_limits(limits)
         self._core.changed = True
         preemption.enforce_ceilings(self._core, now)
         return self._core.effects.take()
@@ -190,6 +200,7 @@
         if now >= self._next_checks:
             self._next_checks = now + TIMED_CHECKS_S
             core.end_pauses(now)
+            intake.refuse_too_large(core, now)
             preemption.enforce_ceilings(core, now)
             preemption.drain(core, now)
             preemption.make_room(core, self._dispatcher.blocked, now)
@@ -211,6 +222,10 @@
             if state.attached
         }
 
+    def summary(self, now: float) -> summary.Summary:
+        """Return capacity, use by team and waiting work, for reports."""
+        return summary.summarise(self._core, now)
+
     def explain(self, job_id: str) -> effects.Explanation | errors.NotFound:
         """Return what a job waits for, or where its tasks ran."""
         status = self.lookup(job_id)
