Add bench/faults: random mixes of faults under load

Cause: scripted scenarios cover chosen combinations only. Change: a seed chooses one to three of 13 faults at once for 15 s.

--- /dev/null
+++ b/bench/faults.py
@@ -0,0 +1,336 @@
+"""Random mixes of faults on a running cluster under load; ends with one JSON line.
+
+Run: .venv/bin/python -m bench.faults --seed 1
+"""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import collections  # noqa: E402
+import json  # noqa: E402
+import random  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+from collections.abc import Callable, Iterator  # noqa: E402
+
+import defopt  # noqa: E402
+import gevent  # noqa: E402
+
+from scenarios import actions, cell, language  # noqa: E402
+from standins import judge  # noqa: E402
+
+DAEMONS = 5
+WORKERS = 12
+EXECUTORS = 6
+FAULTS_S = 15.0
+# Counted from the start; the judge and the end of the processes follow.
+FINISH_AT_S = 42.0
+MAX_UNKNOWN = 0.01
+# Load of each deployment: the class of non-idempotent requests, the team and template
+# of idempotent and of non-idempotent jobs, of a gang, and of a key that is withdrawn.
+LOADS = {
+    "kernhalde": ("normal", "proof-rendering", "invoice-run", "demand-model",
+                  "sales-cubes"),
+    "zimna-patna": ("urgent", "route-temperatures-sofia", "council-warnings",
+                    "night-ensemble", "timetable-search"),
+}  # fmt: skip
+DOUBLED = (judge.TwoPlaces, judge.StartedAgain, judge.RequestRanAgain)
+COUNTED = {
+    judge.OverCapacity: "over_capacity",
+    judge.OverCeiling: "over_ceiling",
+    judge.ZoneStart: "late_zone_starts",
+    judge.KeyAccepted: "late_key_accepts",
+    judge.LostWork: "lost",
+}
+MUST_BE_ZERO = (
+    "lost",
+    "doubled",
+    "over_capacity",
+    "over_ceiling",
+    "late_zone_starts",
+    "late_key_accepts",
+    "cut_off",
+    "config_reverts",
+)
+
+# A fault is a generator: it begins the fault, yields, and ends it.
+Fault = Callable[["Mix"], Iterator[None]]
+
+
+class Mix:
+    """Begin and end faults; no daemon has two at a time."""
+
+    def __init__(self, running: cell.Cell, rng: random.Random) -> None:
+        self.cell = running
+        self.rng = rng
+        self.player = actions.Player(running, lambda line: None)
+        self.busy: set[str] = set()
+        self.changing = False
+        self.began: collections.Counter[str] = collections.Counter()
+
+    def daemon(self) -> str:
+        """Return a daemon that has no fault at present."""
+        free = [name for name in self.cell.daemons if name not in self.busy]
+        name = self.rng.choice(free)
+        self.busy.add(name)
+        return name
+
+    def worker(self) -> language.Place:
+        """Return a worker."""
+        return language.Place("worker", self.rng.randint(1, WORKERS))
+
+    def run(self, fault: Fault, seconds: float) -> None:
+        """Begin a fault and end it after a time."""
+        steps = fault(self)
+        self.began[fault.__name__] += 1
+        next(steps)
+        gevent.sleep(seconds)
+        next(steps, None)
+
+
+def kill(mix: Mix) -> Iterator[None]:
+    """Kill a daemon and start it again."""
+    name = mix.daemon()
+    mix.player.kill(name)
+    yield
+    mix.player.restart(name)
+    mix.busy.discard(name)
+
+
+def pause(mix: Mix) -> Iterator[None]:
+    """Pause a daemon."""
+    name = mix.daemon()
+    mix.player.pause(name)
+    yield
+    mix.player.resume(name)
+    mix.busy.discard(name)
+
+
+def stop(mix: Mix) -> Iterator[None]:
+    """Stop a daemon gracefully and start it again."""
+    name = mix.daemon()
+    mix.player.stop(name)
+    yield
+    mix.player.restart(name)
+    mix.busy.discard(name)
+
+
+def cut_store(mix: Mix) -> Iterator[None]:
+    """Cut a daemon off from the store."""
+    name = mix.daemon()
+    mix.player.cut_store(name)
+    yield
+    mix.player.heal_store(name)
+    mix.busy.discard(name)
+
+
+def store_down(mix: Mix) -> Iterator[None]:
+    """Take the store down for all."""
+    mix.player.store_down()
+    yield
+    mix.player.store_up()
+
+
+def store_slow(mix: Mix) -> Iterator[None]:
+    """Slow the store down for all."""
+    mix.player.store_slow(mix.rng.uniform(0.05, 0.5))
+    yield
+    mix.player.store_up()
+
+
+def lose_answers(mix: Mix) -> Iterator[None]:
+    """Lose answers to writes of one kind."""
+    document = mix.rng.choice(sorted(actions.ROW_PREFIXES))
+    mix.player.lose_writes(mix.rng.randint(1, 3), document)
+    yield
+
+
+def lose_worker(mix: Mix) -> Iterator[None]:
+    """End a worker, which returns."""
+    mix.player.lose(mix.worker(), mix.rng.uniform(0.2, 2.0))
+    yield
+
+
+def cut_worker(mix: Mix) -> Iterator[None]:
+    """Cut a worker off from one daemon."""
+    place = mix.worker()
+    name = mix.rng.choice(mix.cell.daemons)
+    mix.player.cut_place(name, place)
+    yield
+    mix.player.heal_place(name, place)
+
+
+def take_zone(mix: Mix) -> Iterator[None]:
+    """Take a zone out of service and return it."""
+    if mix.cell.out:
+        yield
+        return
+    zone = mix.rng.choice(sorted(mix.cell.model.availability_zones))
+    mix.cell.out[zone] = float("inf")  # not another one meanwhile
+    mix.player.zone_out(zone)
+    yield
+    mix.player.zone_in(zone)
+
+
+def change_ceiling(mix: Mix) -> Iterator[None]:
+    """Put a text with another ceiling into force."""
+    if mix.changing:
+        yield
+        return
+    mix.changing = True
+    team = mix.rng.choice(sorted(mix.cell.model.teams))
+    mix.player.apply(language.Ceiling(team, mix.rng.randint(20, 200)), None)
+    mix.changing = False
+    yield
+
+
+def withdraw_key(mix: Mix) -> Iterator[None]:
+    """Withdraw the key of the team that has one to lose."""
+    team = mix.cell.model.jobs[LOADS[mix.cell.model.name][4]].team
+    if mix.cell.keys[team].id not in mix.cell.withdrawn:
+        mix.player.withdraw(team)
+    yield
+
+
+def fail_executor(mix: Mix) -> Iterator[None]:
+    """Stop a backend server, or cut some answers."""
+    if mix.rng.random() < 0.5:
+        mix.player.answers_cut(1)
+        yield
+        return
+    number = mix.rng.randint(1, EXECUTORS)
+    mix.player.kill_executor(number)
+    yield
+    mix.player.revive_executor(number)
+
+
+FAULTS: tuple[Fault, ...] = (
+    kill,
+    pause,
+    stop,
+    cut_store,
+    store_down,
+    store_slow,
+    lose_answers,
+    lose_worker,
+    cut_worker,
+    take_zone,
+    change_ceiling,
+    withdraw_key,
+    fail_executor,
+)
+# Two of these at once would end each other's effect.
+EXCLUSIVE = {store_down, store_slow}
+NEEDS_STORE = {take_zone, change_ceiling, withdraw_key}
+
+
+def choose(rng: random.Random) -> list[Fault]:
+    """Return one to three faults that do not undo each other."""
+    chosen = rng.sample(FAULTS, rng.randint(1, 3))
+    if set(chosen) >= EXCLUSIVE:
+        chosen.remove(store_slow)
+    if store_down in chosen:
+        # Operators' changes are refused during an outage.
+        chosen = [fault for fault in chosen if fault not in NEEDS_STORE]
+    return chosen
+
+
+def start_load(running: cell.Cell, player: actions.Player) -> None:
+    """Start all kinds of work."""
+    keyed, batch, single, gang, withdrawn = LOADS[running.model.name]
+    jobs = running.model.jobs
+    service = next(iter(running.model.services.values()))
+    teams = {jobs[name].team for name in (batch, single, gang, withdrawn)}
+    for team in sorted(teams | {running.model.queues[service.queue].team}):
+        player.grant(team)
+    player.keep_sending("checks", "check", 4, {"running": 0.005})
+    player.keep_sending("keyed", keyed, 4, {"running": 0.03})
+    player.keep_submitting("batch", batch, 0.2, {"running": 0.3, "tasks": 4})
+    player.keep_submitting("single", single, 0.1, {"running": 0.3})
+    player.keep_submitting("withdrawn", withdrawn, 0.3, {"running": 0.2, "tasks": 2})
+    player.submit(1, "gang", gang, {"running": 2.0, "tasks": 6})
+
+
+def run(running: cell.Cell, seed: int, began: float) -> dict[str, int]:
+    """Run the load and the faults; return the counts."""
+    rng = random.Random(seed)
+    mix = Mix(running, rng)
+    running.start_all()
+    running.apply({})
+    mix.player.expect_version(1, None)
+    start_load(running, mix.player)
+    rounds = 0
+    end = time.monotonic() + FAULTS_S
+    while time.monotonic() < end:
+        chosen = choose(rng)
+        rounds += 1
+        print(f"{time.monotonic() - began:5.1f} s: ", end="")
+        print(", ".join(fault.__name__ for fault in chosen), flush=True)
+        parts = [
+            gevent.spawn(mix.run, fault, rng.uniform(0.5, 5.0)) for fault in chosen
+        ]
+        gevent.joinall(parts, raise_error=True)
+        gevent.sleep(rng.uniform(0.0, 0.5))
+    running.finish(FINISH_AT_S - (time.monotonic() - began))
+    return count(running, rounds, sum(mix.began.values()))
+
+
+def count(running: cell.Cell, rounds: int, faults: int) -> dict[str, int]:
+    """Return the counts of a finished run; print what is wrong."""
+    loads = (*running.jobs.values(), *running.requests.values())
+    result = {"runs": rounds, "faults": faults}
+    for state in ("accepted", "done", "not_run", "unknown"):
+        result[state] = sum(each.count(state) for each in loads)
+    result |= dict.fromkeys(MUST_BE_ZERO, 0)
+    result["lost"] = sum(each.count("lost") for each in loads)
+    result["cut_off"] = sum(each.counts["cut_off_by_stop"] for each in loads)
+    result["config_reverts"] = len(running.reverts)
+    others = 0
+    violations = running.judge()
+    for violation in violations:
+        kind = type(violation)
+        if kind is judge.LostWork:
+            continue  # counted by job above
+        if kind in DOUBLED:
+            result["doubled"] += 1
+        elif kind in COUNTED:
+            result[COUNTED[kind]] += 1
+        else:
+            others += 1
+    for line in [*violations[:8], *running.problems()[:8], *running.explain_lost()[:4]]:
+        print(str(line)[:500])
+    if others:
+        print(f"{others} other violations")
+        result["runs"] = -1  # no valid run
+    return result
+
+
+def main(*, seed: int = 1) -> int:
+    """Run random faults and print the counts as JSON.
+
+    :param seed: Seed of the choice of faults; odd seeds run the first deployment.
+    """
+    began = time.monotonic()
+    deployment = sorted(LOADS)[(seed + 1) % 2]
+    with cell.run(deployment, DAEMONS, WORKERS, EXECUTORS, 3) as running:
+        result = run(running, seed, began)
+        good = not any(result[name] for name in MUST_BE_ZERO)
+        good = good and result["unknown"] <= MAX_UNKNOWN * result["accepted"]
+        good = good and result["runs"] > 0
+        if not good:
+            path = running.cluster.directory / "records.json"
+            path.write_text(json.dumps(running.cluster.records()))
+            kept = running.cluster.directory.rename(
+                running.cluster.directory.with_name(f"toucanspring-faults-{seed}")
+            )
+            print(f"records and logs: {kept}")
+    print(f"took {time.monotonic() - began:.1f} s", file=sys.stderr)
+    print(json.dumps(result))
+    return 0 if good else 1
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(main, short={}))
--- a/scenarios/actions.py
+++ b/scenarios/actions.py
@@ -107,6 +107,7 @@
         name = self.resolve(daemon)
         process = self._cell.cluster.processes[name]
         # Callers reach the daemon until it closes its port, and its requests end.
+        self._cell.front.stopping.add(name)
         process.signal(signal.SIGTERM)
         deadline = time.monotonic() + STOP_LIMIT_S
         while process.status() is None:
@@ -114,6 +115,7 @@
                 raise cell.Failed(f"{name} did not end within {STOP_LIMIT_S:g} s")
             gevent.sleep(0.02)
         self._cell.cluster.processes.pop(name)
+        self._cell.front.stopping.discard(name)
         if process.status() != 0:
             raise cell.Failed(f"{name} ended with status {process.status()}")
 
--- a/scenarios/client.py
+++ b/scenarios/client.py
@@ -29,6 +29,7 @@
     body: bytes = b""
     cut_off: bool = False
     daemon: str = ""
+    while_stopping: bool = False
 
     @property
     def failure(self) -> str:
@@ -55,7 +56,8 @@
     """Call daemons that are in service.
 
     `paused` maps a daemon to the time of its pause, `starting` holds the daemons that
-    were not ready yet, to which the balancer sends nobody.
+    were not ready yet, to which the balancer sends nobody, `stopping` those that end
+    gracefully.
     """
 
     def __init__(self, running: cluster.Cluster, seed: int = 0) -> None:
@@ -63,6 +65,8 @@
         self._rng = random.Random(seed)
         self.paused: dict[str, float] = {}
         self.starting: set[str] = set()
+        self.stopping: set[str] = set()
+        self.operator_key = running.operator_key
 
     def in_service(self) -> list[str]:
         """Return the daemons that the balancer sends callers to."""
@@ -109,7 +113,8 @@
             except TimeoutError:
                 return Reply(0, daemon=name)
             except Exception:  # http.client raises many kinds for a cut answer
-                return Reply(0, cut_off=True, daemon=name)
+                stopping = name in self.stopping
+                return Reply(0, cut_off=True, daemon=name, while_stopping=stopping)
             else:
                 return Reply(*answer, daemon=name)
         return Reply(0)
--- a/scenarios/loads.py
+++ b/scenarios/loads.py
@@ -125,7 +125,9 @@
                 ):
                     self.refused.add(item["id"])
                     self.counts[f"refused {failure}"] += 1
-                    self.counts[str(reply.error.get("reason", reply.body[:300]))[:90]] += 1
+                    self.counts[
+                        str(reply.error.get("reason", reply.body[:300]))[:90]
+                    ] += 1
                 else:
                     if failure not in NOT_RUN:
                         doubtful.add(item["id"])
@@ -159,7 +161,10 @@
         pool.Pool(FOLLOWERS).map(self._look_up, open_ids)
 
     def _look_up(self, job_id: str) -> None:
-        reply = self._front.call("GET", f"/v1/jobs/{job_id}", key=self._key.secret)
+        path = f"/v1/jobs/{job_id}"
+        reply = self._front.call("GET", path, key=self._key.secret)
+        if reply.status == 403:  # the key was withdrawn; operators read all
+            reply = self._front.call("GET", path, key=self._front.operator_key)
         if reply.status != 200:
             return
         status = reply.json()
@@ -274,6 +279,7 @@
             )
             avoid = reply.daemon
             self.counts["interrupted"] += reply.cut_off
+            self.counts["cut_off_by_stop"] += reply.cut_off and reply.while_stopping
             if reply.status == 200:
                 self._check(request_id, reply)
                 self.note_use(self._key, sent_at)
