--- /dev/null
+++ b/test/test_scenario_checks.py
@@ -0,0 +1,233 @@
+"""Shows that expectations and the judgement of a scenario can fail."""
+
+import collections
+import dataclasses
+import json
+import time
+import types
+
+import testtools
+
+from scenarios import actions, cell, client, history, language, loads
+from standins import judge
+
+
+def reply(status, body=None, **more):
+    return client.Reply(status, json.dumps(body).encode() if body else b"", **more)
+
+
+def refusal(kind):
+    return {"error": {"type": kind, "reason": ""}}
+
+
+class Front:
+    """Answers calls with prepared replies; the last one is repeated."""
+
+    operator_key = "operator"
+
+    def __init__(self, *replies):
+        self.replies = collections.deque(replies)
+        self.calls = []
+
+    def call(self, method, path, body=None, key="", headers=None, **_more):
+        self.calls.append((method, path, body, key))
+        if len(self.replies) > 1:
+            return self.replies.popleft()
+        return self.replies[0]
+
+    def active(self):
+        return ["entry-1"]
+
+
+KEY = loads.Key("k1", "desk", "secret")
+KIND = loads.Kind("request-desk", "normal", False, 1, 4)
+
+
+class RequestsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(loads, "RETRY_S", 0.0)
+
+    def send(self, *replies, kind=KIND):
+        load = loads.Requests("r", Front(*replies), KEY, kind)
+        return load, load._send("r-1")
+
+    def test_a_wrong_answer_reaches_the_judge(self):
+        load, state = self.send(client.Reply(200, b"cut"))
+        self.assertEqual("done", state)
+        known = judge.Known(answers=tuple(load.answers))
+        (violation,) = judge.check({}, known)
+        self.assertIsInstance(violation, judge.WrongAnswer)
+
+    def test_a_refusal_after_a_lost_answer_is_no_proof_that_it_did_not_run(self):
+        # Otherwise the judge would blame a refusal of the second attempt only.
+        answer = client.Reply(200, b"x")
+        load, state = self.send(
+            client.Reply(0, cut_off=True), reply(503, refusal("NotRun")), answer
+        )
+        self.assertEqual("done", state)
+        self.assertEqual(set(), load.not_run)
+        self.assertEqual(1, load.counts["interrupted"])
+
+    def test_a_first_refusal_is_a_promise(self):
+        load, state = self.send(reply(503, refusal("NotRun")))
+        self.assertEqual("not_run", state)
+        self.assertEqual({"r-1"}, load.not_run)
+
+    def test_an_unknown_outcome_is_counted(self):
+        _, state = self.send(reply(502, refusal("Unknown")))
+        self.assertEqual("unknown", state)
+
+    def test_idempotent_requests_without_an_answer_are_lost(self):
+        self.patch(loads, "FOLLOW_S", 0.01)
+        _, state = self.send(
+            client.Reply(0), kind=dataclasses.replace(KIND, idempotent=True)
+        )
+        self.assertEqual("lost", state)
+
+    def test_late_acceptance_of_a_withdrawn_key_reaches_the_judge(self):
+        load, _ = self.send(client.Reply(200, b"x"))
+        known = judge.Known(
+            key_uses=tuple(load.key_uses), withdrawn_keys={"k1": time.monotonic() - 4}
+        )
+        (violation,) = judge.check({}, known)
+        self.assertIsInstance(violation, judge.KeyAccepted)
+
+
+class JobsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(loads, "RETRY_S", 0.0)
+
+    def submit(self, *replies, count=1):
+        jobs = loads.Jobs("j", Front(*replies), KEY)
+        jobs.submit(count, {"template": "invoice-run"}, 1)
+        return jobs
+
+    def test_each_job_of_a_call_has_its_own_result(self):
+        error = refusal("NotRun")["error"]
+        body = {"jobs": [{"id": "j-1"}, {"id": "j-2", "error": error}]}
+        jobs = self.submit(reply(207, body), count=2)
+        self.assertEqual({"j-1": 1}, jobs.accepted)
+        self.assertEqual({"j-2"}, jobs.refused)
+
+    def test_a_lost_answer_is_asked_for_again(self):
+        accepted = reply(202, {"jobs": [{"id": "j-1"}]})
+        jobs = self.submit(client.Reply(0), reply(503, refusal("NotRun")), accepted)
+        self.assertEqual({"j-1": 1}, jobs.accepted)
+        self.assertEqual(set(), jobs.refused)
+
+    def test_a_job_that_is_neither_accepted_nor_refused_is_a_problem(self):
+        self.patch(loads, "FOLLOW_S", 0.01)
+        jobs = self.submit(client.Reply(0))
+        self.assertEqual(1, len(jobs.problems))
+
+    def test_a_job_without_an_outcome_is_lost(self):
+        jobs = self.submit(reply(202, {"jobs": [{"id": "j-1"}]}))
+        status = {"counts": {"running": 1}, "outcome": None}
+        jobs._front.replies = [reply(200, status)]
+        jobs.refresh()
+        self.assertEqual((1, 0), (jobs.count("lost"), jobs.count("finished")))
+        status = {"counts": {"done": 1}, "outcome": {"state": "done"}}
+        jobs._front.replies = [reply(200, status)]
+        jobs.refresh()
+        self.assertEqual((0, 1), (jobs.count("lost"), jobs.count("done")))
+
+
+class CellTest(testtools.TestCase):
+    """Uses a cell without processes."""
+
+    def setUp(self):
+        super().setUp()
+        self.cell = made = cell.Cell.__new__(cell.Cell)
+        made.front = Front(reply(200, {"versions": {"config": 1}}))
+        made.cluster = types.SimpleNamespace(
+            partitions=1, operator_key="operator", records=dict
+        )
+        made.jobs, made.requests, made.keys = {}, {}, {"desk": KEY}
+        made.outages, made.out, made.ceilings = [], {}, []
+        made.gangs, made.withdrawn, made.reverts, made._seen = {}, {}, [], {}
+        made.owner = lambda partition: "entry-2"
+        made.history = types.SimpleNamespace(runs=[], refresh=lambda: None)
+        self.player = actions.Player(made, lambda line: None)
+        self.player.finish_within_s = 0.0
+
+    def fails(self, function, *args):
+        return self.assertRaises(cell.Failed, function, *args)
+
+    def add_jobs(self, **outcomes):
+        jobs = self.cell.jobs["j"] = loads.Jobs("j", self.cell.front, KEY)
+        jobs.refresh = lambda: None
+        jobs.accepted = dict.fromkeys(outcomes, 1)
+        jobs.outcomes = {name: state for name, state in outcomes.items() if state}
+        return jobs
+
+    def test_a_count(self):
+        self.add_jobs(a="done", b="unknown")
+        self.player.expect_count(language.Amount("exactly", 1), "j", "done", None)
+        failed = self.fails(
+            self.player.expect_count, language.Amount("all"), "j", "done", None
+        )
+        self.assertIn("1 of 2 are done", str(failed))
+
+    def test_a_version(self):
+        self.player.expect_version(1, 0.01)
+        self.fails(self.player.expect_version, 2, 0.01)
+
+    def test_an_accepted_withdrawn_key(self):
+        self.cell.withdrawn["k1"] = 0.0
+        self.fails(self.player.expect_key_refused, "desk")
+        self.cell.front.replies = [reply(403, refusal("Forbidden"))]
+        self.player.expect_key_refused("desk")
+
+    def test_an_owner_that_does_not_run(self):
+        self.fails(self.player.expect_owned, 0.0)
+        self.fails(self.player.expect_takeover, 0, "entry-2", 0.0)
+        self.player.expect_takeover(0, "entry-1", 0.0)
+
+    def test_a_late_start_in_a_zone(self):
+        self.cell.out["zug-1"] = 100.0
+        for at, zone in ((102.9, "zug-1"), (104.0, "luzern-1")):
+            self.cell.history.runs.append(history.Run("j/0", "w", zone, at))
+        self.player.expect_no_start("zug-1")
+        self.cell.history.runs.append(history.Run("j/0", "w", "zug-1", 103.1))
+        self.fails(self.player.expect_no_start, "zug-1")
+
+    def test_lost_work(self):
+        self.add_jobs(a="done")
+        self.player.expect_nothing_lost()
+        self.add_jobs(a="done", b="")
+        self.fails(self.player.expect_nothing_lost)
+        self.assertIn(judge.LostWork(work="b/0"), self.cell.judge())
+
+    def test_an_outcome_without_a_run(self):
+        self.add_jobs(a="done")
+        self.cell.cluster.records = lambda: {"workers": {"events": []}}
+        failed = self.fails(self.player.expect_invariants)
+        self.assertIn("FalseOutcome", str(failed))
+
+    def test_a_version_that_goes_back(self):
+        self.cell._compare("entry-1", {"config": 2, "keys": 1, "zones": 0})
+        self.cell._compare("entry-1", {"config": 2, "keys": 3, "zones": 0})
+        self.assertEqual([], self.cell.problems())
+        self.cell._compare("entry-1", {"config": 1, "keys": 3, "zones": 0})
+        self.assertEqual(1, len(self.cell.problems()))
+
+    def test_operators_who_both_succeed(self):
+        self.cell.source = cell.prepare("kernhalde")
+        self.cell.version = 1
+        self.cell.front.replies = [reply(200, {"version": 2})]
+        ceiling = language.Ceiling("desk", 10)
+        self.fails(self.player.race, ceiling, "entry-1", ceiling, "entry-2")
+
+    def test_a_lowered_ceiling_counts_from_its_acceptance(self):
+        self.cell.source = cell.prepare("kernhalde")
+        self.cell.in_force(self.cell.source, 1, before=5.0)
+        before = time.monotonic()
+        lowered = cell.with_ceilings(self.cell.source, {"desk": 10})
+        self.cell.in_force(lowered, 2, before)
+        last = self.cell.ceilings[-1]
+        self.assertEqual(("desk", 10_000), (last.team, last.amount.cpus))
+        self.assertGreaterEqual(last.from_at, before)
+        self.cell.in_force(cell.with_ceilings(lowered, {"desk": 20}), 3, before)
+        self.assertEqual(before, self.cell.ceilings[-1].from_at)
