--- a/scenarios/actions.py
+++ b/scenarios/actions.py
@@ -39,6 +39,7 @@
         self._large = 0
         self._listed: list[vms.Vm] = []
         self._shown: list[vms.Vm] | None = None
+        self._listed_at: dict[str, float] = {}
 
     def play(self, steps: tuple[language.Step, ...]) -> None:
         """Carry out steps; raises `language.ScenarioError` at the one that fails."""
@@ -343,6 +344,27 @@
             known.append(msgspec.structs.replace(target, state=state))
         self._shown = known
         self._cell.cluster.publish(known)
+        self._listed_at[target.id] = time.monotonic()
+
+    def expect_no_start_on(self, host: language.Host) -> None:
+        """Check that a VM got no work later than 3 s after its entry was changed."""
+        target = self._host(host)
+        since = self._listed_at[target.id] + expectations.IN_FORCE_S
+        if host.role == "worker":
+            self._cell.history.refresh()
+            runs = self._cell.history.runs
+            late = [run for run in runs if run.worker == target.id and run.at > since]
+        else:
+            record = self._cell.cluster.record("backend_servers")["events"]
+            late = [
+                event
+                for event in record
+                if event["kind"] == "run"
+                and event["executor"] == target.id
+                and event["at"] > since
+            ]
+        if late:
+            raise cell.Failed(f"{len(late)} starts on {target.id}, such as {late[0]}")
 
     def _host(self, host: language.Host) -> vms.Vm:
         role = vms.Role.WORKER if host.role == "worker" else vms.Role.BACKEND_SERVER
