--- a/test/test_cluster.py
+++ b/test/test_cluster.py
@@ -1,3 +1,4 @@
+import shutil
 import signal
 import sys
 
@@ -74,6 +75,7 @@
         cell = cluster.Cluster(
             workers=1, backend_servers=0, worker_options=["--no-such-option"]
         )
+        self.addCleanup(shutil.rmtree, cell.directory)
         raised = self.assertRaises(cluster.StartFailed, cell.__enter__)
         self.assertIn("no-such-option", str(raised))
         self.assertEqual({}, cell.processes)
