--- a/demo/callers.py
+++ b/demo/callers.py
@@ -114,13 +114,21 @@
         for _ in range(entry.ATTEMPTS):
             reply = self._front.call("POST", "/v1/jobs", {"jobs": items}, self._key)
             if 0 < reply.status < 300:
-                self.accepted += [item["id"] for item in items]
+                self._note(reply)
                 return
             if reply.status and reply.failure not in ("Unavailable", "Ambiguous"):
                 break
             gevent.sleep(0.2)
         self._counts.problems.append(f"submission: {reply.status} {reply.body[:300]!r}")
 
+    def _note(self, reply: entry.Reply) -> None:
+        """Count jobs that were accepted and those that were refused one by one."""
+        for item in reply.json()["jobs"]:
+            if "error" in item:
+                self._counts.problems.append(f"{item['id']}: {item['error']}")
+            else:
+                self.accepted.append(item["id"])
+
     def wait(self, limit_s: float) -> None:
         """Wait for all accepted jobs; what has no outcome then is lost."""
         deadline = time.monotonic() + limit_s
--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -28,6 +28,7 @@
     name: str
     source: str
     service: str
+    partitions: int
     run: Callable[[Run], None]
 
 
@@ -146,8 +147,9 @@
 
 
 DEPLOYMENTS = (
-    Deployment("Kernhalde", "kernhalde.yaml", "request-desk", run_kernhalde),
-    Deployment("Zimna Patna", "zimna-patna.yaml", "road-ice", run_zimna_patna),
+    # Three partitions show the division of ceilings; one is the default.
+    Deployment("Kernhalde", "kernhalde.yaml", "request-desk", 3, run_kernhalde),
+    Deployment("Zimna Patna", "zimna-patna.yaml", "road-ice", 1, run_zimna_patna),
 )
 
 
@@ -162,6 +164,7 @@
         workers=24,
         backend_servers=24,
         zones=tuple(cell.availability_zones),
+        partitions=deployment.partitions,
         worker_options=("--accelerators", "4", "--accelerated", "24"),
         backend_options=("--service-name", deployment.service),
     ) as running:
--- a/test/test_journal.py
+++ b/test/test_journal.py
@@ -122,6 +122,7 @@
         owner.drain(1)
         rows = self.shared.client().scan("log/1/")
         self.assertLess(len(rows), 8)
+        self.assertEqual(1, len(self.objects.content))
         names = {f"job-{index}" for index in range(12)}
         self.assertEqual(names, set(self.reload().state.specs))
 
--- a/toucanspring/execution.py
+++ b/toucanspring/execution.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import time
 from collections.abc import Callable
 
@@ -46,6 +47,7 @@
         self._allowances = keeper
         self._post = post
         self._watched: dict[str, gevent.Greenlet] = {}
+        self._unwritten: collections.Counter[str] = collections.Counter()
 
     def close(self) -> None:
         """Stop following jobs of other partitions."""
@@ -77,9 +79,7 @@
                 case effects.RecordIntents(intents=intents):
                     self._record_intents(intents)
                 case effects.RecordOutcomes(outcomes=outcomes):
-                    written = self._journal.append(
-                        log_records.Finished(outcomes), droppable=False
-                    )
+                    written = self._record_outcomes(outcomes)
                 case effects.Acknowledge(worker=worker, task_ids=task_ids):
                     self._acknowledge(worker, task_ids, written)
                 case _:
@@ -134,6 +134,29 @@
         if link is not None:
             link.stop(task_ids, mode)
 
+    def is_durable(self, job_id: str) -> bool:
+        """Return whether all outcomes of a job so far are in the log.
+
+        An outcome that is not could change after a takeover, so that callers must
+        not be told yet.
+        """
+        return job_id not in self._unwritten
+
+    def _record_outcomes(
+        self, outcomes: dict[str, job.Outcome]
+    ) -> gevent.event.AsyncResult:
+        job_ids = {job.job_of(task_id) for task_id in outcomes}
+        self._unwritten.update(job_ids)
+        written = self._journal.append(log_records.Finished(outcomes), droppable=False)
+
+        def forget(failure: errors.Failure | None) -> list[effects.Effect]:
+            if failure is None:
+                self._unwritten -= collections.Counter(job_ids)
+            return []
+
+        self.when_written(written, forget)
+        return written
+
     def _record_intents(self, intents: list[effects.Intent]) -> None:
         written = self._journal.append(log_records.Intended(intents), droppable=True)
 
--- a/toucanspring/journal.py
+++ b/toucanspring/journal.py
@@ -68,6 +68,7 @@
         self._interval_s = interval_s
         self._sequence = 0
         self._first_row = 1
+        self._snapshot_key = ""
         self._pending: list[Entry] = []
         self._wakeup = gevent.event.Event()
         self._idle = gevent.event.Event()
@@ -120,6 +121,7 @@
             return content
         for record in log_records.decode_batch(content).records:
             self.state.apply(record)
+        self._snapshot_key = snapshot.object_key
         self._sequence = snapshot.sequence
         self._first_row = snapshot.sequence + 1
         return None
@@ -270,6 +272,9 @@
         if not isinstance(answer, tables.Committed):
             log.warning("snapshot of partition {}: {}", self.partition, answer)
             return
+        if self._snapshot_key:
+            self._objects.delete(self._snapshot_key)
+        self._snapshot_key = object_key
         first, last = self._first_row, self._sequence
         self._first_row = last + 1
         for start in range(first, last + 1, SCAN_ROWS):
--- a/toucanspring/partition.py
+++ b/toucanspring/partition.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from collections.abc import Callable
 
 import gevent
 import gevent.event
@@ -98,6 +99,10 @@
         """Return the workers that have attached."""
         return dict(self._executor.workers)
 
+    def is_durable(self, job_id: str) -> bool:
+        """Return whether all outcomes of a job so far are in the log."""
+        return self._executor.is_durable(job_id)
+
     # The task
 
     def _run(self) -> None:
@@ -185,7 +190,7 @@
             case inbox.Cancel(job_ids=job_ids, result=result):
                 self._cancel(job_ids, result)
             case inbox.Ask(function=function, result=result):
-                result.set(function(self._scheduler))
+                result.set(self._answer(function))
             case inbox.Durable(action=action, failure=failure):
                 self._executor.carry_out(action(failure))
             case inbox.TeamsChanged():
@@ -243,6 +248,15 @@
                     self._scheduler.starts_answered(worker, accepted, refused, now)
                 )
 
+    def _answer(
+        self, function: Callable[[scheduler.Scheduler], object]
+    ) -> object | errors.Unknown:
+        try:
+            return function(self._scheduler)
+        except Exception:
+            log.exception("partition {}: a question failed", self.number)
+            return errors.Unknown(reason="internal error")
+
     # Submission and cancellation
 
     def _submit(
--- a/toucanspring/partitions.py
+++ b/toucanspring/partitions.py
@@ -350,12 +350,15 @@
     def _serve_lookup(self, _sender: str, envelope: bytes) -> bytes:
         number, body = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
         name = body.decode()
-        return encode_result(
-            self._ask(
-                number,
-                lambda result: inbox.Ask(lambda owner: owner.lookup(name), result),
-            )
+        found = self._ask(
+            number, lambda result: inbox.Ask(lambda owner: owner.lookup(name), result)
         )
+        owned = self._owned.get(number)
+        if isinstance(found, effects.JobStatus) and not (
+            owned is not None and owned.is_durable(name)
+        ):
+            found = dataclasses.replace(found, outcome=None)
+        return encode_result(found)
 
     def _serve_explain(self, _sender: str, envelope: bytes) -> bytes:
         number, body = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
--- a/toucanspring/settings.py
+++ b/toucanspring/settings.py
@@ -53,7 +53,7 @@
     http_port: int = 8080
     peer_port: int = 8081
     availability_zone: str = ""
-    partitions: int = 3
+    partitions: int = 1
     tables: str = "127.0.0.1:9001"
     objects: str = "127.0.0.1:9002"
     vms: str = "127.0.0.1:9003"
