--- a/toucanspring/allowance.py
+++ b/toucanspring/allowance.py
@@ -295,13 +295,16 @@
         )
 
     def step(
-        self, now: float
+        self, now: float, all_teams: bool = True
     ) -> list[effects.RequestAllowance | effects.ReturnAllowance]:
-        """Return the requests and returns that are due."""
+        """Return the requests and returns that are due.
+
+        With `all_teams` false, only teams whose work waits are looked at.
+        """
         due = []
-        for team, account in self._accounts.items():
+        for team in list(self._accounts if all_teams else self._short):
             short = self._short.get(team)
-            effect = self._next_effect(team, account, short, now)
+            effect = self._next_effect(team, self._accounts[team], short, now)
             if effect is not None:
                 due.append(effect)
         self._short.clear()
--- a/toucanspring/dispatch.py
+++ b/toucanspring/dispatch.py
@@ -46,8 +46,8 @@
         candidates = set(core.queue.teams())
         no_room: set[tuple] = set()
         started = 0
+        active = candidates | core.using_teams()
         while candidates and started < STARTS_PER_TICK:
-            active = candidates | core.using_teams()
             ranked = core.shares.rank(active, now)
             progress = 0
             for rank, team in enumerate(ranked, 1):
--- a/toucanspring/preemption.py
+++ b/toucanspring/preemption.py
@@ -13,7 +13,7 @@
 ROOM_S = 5.0
 SHARE_WAIT_S = 5.0  # lent capacity is taken back for work that waited so long
 DEADLINE_MARGIN_S = 10.0  # deadline work may stop others so long before it is late
-JOBS_PER_STEP = 4
+TRIES_PER_STEP = 8  # each looks at all running tasks
 TASKS_PER_JOB = 16  # for which room is made at a time
 CLASS_ORDER = {job_class: order for order, job_class in enumerate(job.JobClass)}
 NEVER_STOPPED = CLASS_ORDER[job.JobClass.URGENT]  # checks and urgent work go on
@@ -75,8 +75,9 @@
     core: lifecycle.Lifecycle, blocked: Iterable[task_table.JobRecord], now: float
 ) -> None:
     """Stop lower classes for urgent work, and lent capacity for its owner."""
-    made = 0
+    tries = 0
     over: dict[str, float] | None = None
+    targets: dict[str, float] = {}
     for record in blocked:
         spec = record.spec
         held = core.reservations.get(spec.id)
@@ -88,14 +89,18 @@
             victims = _victims(core, record, max(order, NEVER_STOPPED), None)
         elif now - core.queue.find(spec.id).added_at >= SHARE_WAIT_S:
             if over is None:
-                over = core.shares.over_share(_active(core), now)
-            if not over or not _below_target(core, spec.team, demand):
+                active = core.using_teams() | set(core.queue.teams())
+                over = core.shares.over_share(active, now)
+                targets = core.shares.targets(active)
+            use = (core.shares.use(spec.team) + demand).dominant(core.index.total())
+            if not over or use > targets.get(spec.team, 0.0):
                 continue
             victims = _victims(core, record, NEVER_STOPPED, over)
         else:
             continue
-        made += _stop_victims(core, record, demand, victims, now)
-        if made >= JOBS_PER_STEP:
+        _stop_victims(core, record, demand, victims, now)
+        tries += 1
+        if tries >= TRIES_PER_STEP:
             break
 
 
@@ -109,18 +114,6 @@
     return job_class in (job.JobClass.CHECK, job.JobClass.URGENT)
 
 
-def _active(core: lifecycle.Lifecycle) -> set[str]:
-    return core.using_teams() | set(core.queue.teams())
-
-
-def _below_target(
-    core: lifecycle.Lifecycle, team: str, demand: resources.Resources
-) -> bool:
-    target = core.shares.targets(_active(core)).get(team, 0.0)
-    use = core.shares.use(team) + demand
-    return use.dominant(core.index.total()) <= target
-
-
 def _victims(
     core: lifecycle.Lifecycle,
     record: task_table.JobRecord,
@@ -167,8 +160,8 @@
     demand: resources.Resources,
     victims: dict[str, list[task_table.LiveTask]],
     now: float,
-) -> int:
-    """Stop the fewest tasks that make room; return 1 if there is enough, else 0."""
+) -> None:
+    """Stop the fewest tasks that make room, if there are enough."""
     spec = record.spec
     count = record.waiting_count()
     together = spec.kind is job.Kind.GANG
@@ -190,14 +183,13 @@
     plans.sort(key=lambda plan: plan[:2])
     chosen = plans[:count]
     if not chosen or (together and len(chosen) < count):
-        return 0
+        return
     reason = f"room for {spec.job_class.value} job {spec.id}"
     for _, _, tasks in chosen:
         for task in tasks:
             core.stop(task, reason, "checkpoint")
     workers = frozenset(worker for _, worker, _ in chosen)
     core.reservations[spec.id] = gang.Reservation(workers, now, now + ROOM_S, True)
-    return 1
 
 
 def _plans(
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -197,7 +197,7 @@
         """Place waiting work and do what is due."""
         core = self._core
         core.wake_retries(now)
-        if now >= self._next_checks:
+        if checks_due := now >= self._next_checks:
             self._next_checks = now + TIMED_CHECKS_S
             core.end_pauses(now)
             intake.refuse_too_large(core, now)
@@ -205,7 +205,7 @@
             preemption.drain(core, now)
             preemption.make_room(core, self._dispatcher.blocked, now)
         self._dispatcher.place(now)
-        for effect in core.allowances.step(now):
+        for effect in core.allowances.step(now, checks_due):
             core.effects.add(effect)
         return core.effects.take()
 
