Adopt running attempts before ended ones when a worker attaches

A worker that reports an older ended attempt and a newer running one of the same task made the successor queue the task while the newer attempt still ran; found because the state counts of the model differed between runs of it. The model now prefers running attempts, too, and is deterministic. The new test fails with the former order.

--- a/spec/model.py
+++ b/spec/model.py
@@ -237,6 +237,8 @@
         for task in world.IDEMPOTENT:
             view = self._view(me, task)
             here = [number for name, number in known if name == task]
+            # Running attempts count before ended ones, the latest first.
+            here.sort(key=lambda n: ((task, n) in worker.running, n), reverse=True)
             mine = (
                 view[0] in (world.INTENDED, world.STARTING, world.RUNNING)
                 and view[1] == w
--- a/test/test_recovery.py
+++ b/test/test_recovery.py
@@ -103,6 +103,21 @@
         c.tick()
         self.assertEqual({}, c.running("new"))
 
+    def test_an_older_ended_attempt_does_not_hide_the_running_one(self):
+        # Guards against a second copy when an acknowledgement was lost before a retry
+        # on the same worker.
+        c = cell.Cell()
+        c.submit(cell.spec())
+        c.tick()
+        old = c.end("w0", "a/0", "failed")
+        c.tick(5)
+        c.workers["w0"].ended["a/0"] = old
+        c.take_over()
+        c.attach("w0")
+        c.tick(5)
+        self.assertEqual({"a/0": "w0"}, c.running())
+        self.assertEqual([], c.stopped())
+
 
 class WorkerTest(testtools.TestCase):
     def test_the_rules_for_a_task_that_its_worker_does_not_know(self):
--- a/toucanspring/recovery.py
+++ b/toucanspring/recovery.py
@@ -133,11 +133,13 @@
         core.index.allocate(worker, task.demand)
     state.schedulable = True
     core.update_schedulable(worker, now)
-    attempt.report(core, worker, finished, now)
     present = set()
+    # Running attempts first: an older ended attempt of the same task must not queue
+    # the task again while the newer one runs.
     for entry in running:
         present.add((entry.task_id, entry.attempt))
         _attach_running(core, state, entry, now)
+    attempt.report(core, worker, finished, now)
     for task in list(attributed.values()):
         if (task.id, task.attempt) not in present and task.id in core.table.live:
             _attach_absent(core, task, facts, now)
