--- /dev/null
+++ b/toucanspring/membership.py
@@ -0,0 +1,365 @@
+"""The processes of the cell: member rows, heartbeats and what they prove."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable
+
+import gevent
+import logbook
+import msgspec
+from gevent import pool
+
+from toucanspring import errors, heartbeat, ownership, renewal, resources
+from toucanspring.adapters import tables
+
+log = logbook.Logger(__name__)
+
+# A member whose counter stands still this long is not counted for majorities.
+COUNTED_S = 10.0
+# Rows of members that own nothing are deleted after this time.
+DELETE_AFTER_S = 60.0
+SCAN_EVERY_POLLS = 4
+SCAN_ROWS = 500
+
+Member = renewal.Member
+Rows = renewal.Rows
+HeartbeatListener = Callable[[str, heartbeat.Heartbeat, float], None]
+
+
+class Service:
+    """Own the row of this process and the view of the other processes."""
+
+    def __init__(
+        self,
+        kernel: object,
+        settings: object,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._kernel = kernel
+        self._settings = settings
+        self.clock = clock
+        self.timing = ownership.Timing(lease_s=settings.lease_s)
+        # Only compared for equality, so a step of the wall clock does no harm.
+        incarnation = time.time_ns() // 1000
+        identity = Member(
+            settings.process,
+            incarnation,
+            settings.address,
+            settings.peer_port,
+            settings.http_port,
+            settings.availability_zone,
+        )
+        self.own = renewal.OwnRow(
+            identity,
+            self.timing,
+            clock,
+            lambda: self._tables,
+            lambda: sorted(self.members()),
+        )
+        self.ledger = heartbeat.Ledger(incarnation, self.timing)
+        self.sightings: dict[str, ownership.Sighting] = {}
+        self.rows: dict[str, tuple[int, renewal.MemberRow]] = {}
+        self.free_resources: Callable[[], resources.Resources] = lambda: resources.ZERO
+        self._watches: list[tuple[Callable, Callable]] = []
+        self._listeners: list[HeartbeatListener] = []
+        self._polls = 0
+        self._greenlets = pool.Group()
+
+    def start(self) -> None:
+        """Start renewing, polling and sending heartbeats."""
+        peers = self._kernel.find("peers")
+        peers.incarnation = self.identity.incarnation
+        if not self._settings.peer_port:
+            self.own.identity = msgspec.structs.replace(
+                self.identity, peer_port=peers.port
+            )
+        peers.handle_notice("heartbeat", self._take_heartbeat)
+        self._greenlets.spawn(self._repeat, self._settings.renew_s, self._renew)
+        self._greenlets.spawn(self._repeat, self._settings.poll_s, self.poll)
+        self._greenlets.spawn(self._send_heartbeats)
+
+    def stop(self) -> None:
+        """Stop all loops and delete the own row, which tells the others at once."""
+        self._greenlets.kill()
+        self.own.remove()
+
+    def drain(self) -> None:
+        """Tell the other processes that this one is about to stop."""
+        self.own.draining = True
+        self.own.write()
+        self.send_heartbeats()
+
+    # Interface
+
+    @property
+    def identity(self) -> Member:
+        """Return this process."""
+        return self.own.identity
+
+    @property
+    def replaced(self) -> bool:
+        """Return whether another process has taken this one's name."""
+        return self.own.replaced
+
+    def members(self) -> dict[str, Member]:
+        """Return the processes that count as members, this one included."""
+        found = {
+            name: row.member
+            for name, (_, row) in self.rows.items()
+            if self._counts(name)
+        }
+        found[self.identity.process] = self.identity
+        return found
+
+    def candidates(self) -> list[str]:
+        """Return the live processes that may own partitions."""
+        now = self.clock()
+        names = {
+            name
+            for name, (_, row) in self.rows.items()
+            if not row.draining
+            and not ownership.is_silent(
+                self.sightings[name], row.member.incarnation, now, self.timing
+            )
+        }
+        names.discard(self.identity.process)
+        if not self.own.draining:
+            names.add(self.identity.process)
+        return sorted(names)
+
+    def store_age(self, now: float) -> float:
+        """Return seconds since the last request that the store answered was sent."""
+        return self.own.store_age(now)
+
+    def reachable(self) -> set[str]:
+        """Return the processes with a heartbeat within 2 s, this one included."""
+        return self.ledger.reachable(self.clock()) | {self.identity.process}
+
+    def peer_states(self) -> dict[str, heartbeat.Heartbeat]:
+        """Return the latest heartbeat of each reachable process."""
+        reachable = self.ledger.reachable(self.clock())
+        return {name: self.ledger.peers[name].message for name in reachable}
+
+    def watch(
+        self, keys: Callable[[], Iterable[str]], take: Callable[[Rows, float], None]
+    ) -> None:
+        """Read rows with each poll; `take(rows, sent_at)` gets them.
+
+        Sharing one read among the services keeps the load on the store low.
+        """
+        self._watches.append((keys, take))
+
+    def on_heartbeat(self, listener: HeartbeatListener) -> None:
+        """Call `listener(process, message, echoed_at)` for each new heartbeat."""
+        self._listeners.append(listener)
+
+    def promises(self) -> dict[str, float]:
+        """Return the promises of all members, this one's included."""
+        now = self.clock()
+        found = dict(self.ledger.promises)
+        if self.own.promise(now):
+            found[self.identity.process] = now
+        return found
+
+    def quiet(self) -> dict[str, ownership.Quiet]:
+        """Return in which interval each member certainly sent no promise."""
+        own = ownership.Quiet(self.own.promised_at, self.clock())
+        return {**self.ledger.quiet, self.identity.process: own}
+
+    def standing(self, now: float) -> ownership.Standing:
+        """Return what this process may do as an owner."""
+        return ownership.judge(self.own.tenure, now)
+
+    def known_lists(self) -> dict[str, list[str]]:
+        """Return the list in each member row, those of silent members included."""
+        lists = {name: row.known for name, (_, row) in self.rows.items()}
+        lists[self.identity.process] = sorted(self.members())
+        return lists
+
+    # Polls
+
+    @property
+    def _tables(self) -> tables.TableClient:
+        return self._kernel.find("store").tables
+
+    def poll(self) -> None | errors.Failure:
+        """Read the member rows and the watched rows in one request."""
+        wanted = {renewal.key_of(name) for name in self.rows}
+        watched = [(list(keys()), take) for keys, take in self._watches]
+        for keys, _ in watched:
+            wanted.update(keys)
+        scanning = self._polls % SCAN_EVERY_POLLS == 0
+        if scanning:
+            failure = self.read_members()
+            if failure is not None:
+                return failure
+            wanted.update(renewal.key_of(name) for name in self.rows)
+        sent_at = self.clock()
+        rows = self._tables.read(sorted(wanted))
+        if isinstance(rows, errors.Failure):
+            return rows
+        self._polls += 1
+        self.own.answered(sent_at)
+        self._take_rows(rows)
+        for keys, take in watched:
+            take({key: rows[key] for key in keys}, sent_at)
+        if scanning:
+            self._delete_dead()
+        return None
+
+    def read_members(self) -> None | errors.Failure:
+        """Read all member rows, also those that are new."""
+        sent_at = self.clock()
+        found: dict[str, tables.Row] = {}
+        after = ""
+        while True:
+            rows = self._tables.scan(renewal.PREFIX, after, SCAN_ROWS)
+            if isinstance(rows, errors.Failure):
+                return rows
+            found.update({row.key: tables.Row(row.version, row.value) for row in rows})
+            if len(rows) < SCAN_ROWS:
+                break
+            after = rows[-1].key
+        self.own.answered(sent_at)
+        self._take_rows(found)
+        return None
+
+    def _take_rows(self, rows: Rows) -> None:
+        received_at = self.clock()
+        for key, row in rows.items():
+            if not key.startswith(renewal.PREFIX):
+                continue
+            name = key.removeprefix(renewal.PREFIX)
+            current = renewal.decode_row(row)
+            self.sightings[name] = ownership.observe(
+                self.sightings.get(name),
+                current.member.incarnation if current else 0,
+                current.counter if current else 0,
+                received_at,
+            )
+            if current is None:
+                self.rows.pop(name, None)
+                self.ledger.drop(name)
+            else:
+                self.rows[name] = (row.version, current)
+        self._kernel.find("peers").set_targets(
+            {
+                name: (row.member.address, row.member.peer_port)
+                for name, (_, row) in self.rows.items()
+                if name != self.identity.process and self._counts(name)
+            }
+        )
+
+    def _counts(self, name: str) -> bool:
+        """Return whether a member is recent enough to be counted for majorities.
+
+        Without store access the list stays as it was last read.
+        """
+        seen_at = self.sightings[name].counter_at
+        return max(self.own.answered_at, seen_at) - seen_at <= COUNTED_S
+
+    def _delete_dead(self) -> None:
+        """Delete rows of long dead members, from one process only.
+
+        A member that owns a partition keeps its row: successors need its list. So does
+        one that a majority of its list may still extend. The version check lets a
+        member that came back win.
+        """
+        live = self.candidates()
+        named = self.own.guard.named()
+        if not live or live[0] != self.identity.process or named is None:
+            return
+        now = self.clock()
+        quiet = self.quiet()
+        for name, (version, row) in list(self.rows.items()):
+            seen_at = self.sightings[name].counter_at
+            ended = ownership.lost_majority(
+                row.known, quiet, seen_at + self.timing.silence_s, self.timing
+            )
+            if ended and now - seen_at >= DELETE_AFTER_S and name not in named:
+                key = renewal.key_of(name)
+                self._tables.transact({key: version}, {}, [key])
+
+    # Loops
+
+    def _repeat(self, interval_s: float, work: Callable[[], object]) -> None:
+        """Call `work` at a fixed rate; an overrun skips calls instead of piling up."""
+        due = self.clock()
+        while not self.replaced:
+            try:
+                work()
+            except Exception:
+                log.exception("{} failed", getattr(work, "__name__", "loop"))
+            due = max(due + interval_s, self.clock())
+            gevent.sleep(max(due - self.clock(), 0.001))
+
+    def _renew(self) -> None:
+        # The list in the first row must come from a read: a list of this process alone
+        # would make it a majority of its own.
+        if not self._polls:
+            return
+        result = self.own.write()
+        if isinstance(result, errors.Failure):
+            log.warning("renewal failed: {}", result.reason)
+
+    # Heartbeats
+
+    def _send_heartbeats(self) -> None:
+        """Send heartbeats at a fixed rate, and at once when store access is lost.
+
+        The ownership lease may end half a second after that, so promises must not wait
+        for the next regular heartbeat.
+        """
+        while True:
+            try:
+                self.send_heartbeats()
+            except Exception:
+                log.exception("heartbeats failed")
+            wait_s = self._settings.heartbeat_s
+            lost_in_s = renewal.NO_ACCESS_S - self.store_age(self.clock())
+            if 0 < lost_in_s < wait_s:
+                wait_s = lost_in_s + 0.001
+            gevent.sleep(wait_s)
+
+    def send_heartbeats(self) -> None:
+        """Send the own state to all other members."""
+        now = self.clock()
+        peers = self._kernel.find("peers")
+        documents = self._kernel.find("documents")
+        view = documents.view()
+        promise = self.own.promise(now)
+        message = heartbeat.Heartbeat(
+            incarnation=self.identity.incarnation,
+            clock=heartbeat.to_clock(now),
+            echo=0,
+            echo_incarnation=0,
+            versions=view.versions,
+            view_age_ms=int(min(now - view.confirmed_at, 1e6) * 1000) + 1,
+            witness=documents.is_witness(),
+            promise=promise,
+            quiet_ms=int((now - self.own.promised_at) * 1000),
+            owned=self.own.guard.owned(),
+            free=self.free_resources(),
+            draining=self.own.draining,
+        )
+        for name in self.members():
+            if name != self.identity.process:
+                body = heartbeat.encode_for(message, *self.ledger.echo_for(name))
+                peers.notify(name, "heartbeat", body)
+        self.own.extend(self.promises(), now)
+        documents.extend(now)
+
+    def _take_heartbeat(self, sender: str, body: bytes) -> None:
+        message = heartbeat.decode(body)
+        if isinstance(message, errors.Failure):
+            log.warning("malformed heartbeat of {}: {}", sender, message.reason)
+            return
+        now = self.clock()
+        if not self.ledger.take(sender, message, now):
+            return
+        if message.promise:
+            self.own.extend(self.promises(), now)
+        echoed_at = self.ledger.peers[sender].echoed_at
+        for listener in self._listeners:
+            listener(sender, message, echoed_at)
