--- /dev/null
+++ b/test/test_fleet.py
@@ -0,0 +1,154 @@
+import random
+import time
+
+import gevent
+import testtools
+
+from standins import cluster, service
+from standins import workers as standin
+from test import fake_tables
+from toucanspring import fleet, resources, wire
+from toucanspring.adapters import vms
+
+CAPACITY = resources.Resources(4000, 4000)
+
+
+class LinkTest(testtools.TestCase):
+    """Run a link against a stand-in worker with leases of a second."""
+
+    def setUp(self):
+        super().setUp()
+        self.patch(fleet, "WORKER_LEASE_S", 1.0)
+        self.patch(fleet, "STOP_GRACE_S", 0.3)
+        self.patch(fleet, "RENEW_INTERVAL_S", 0.2)
+        self.patch(standin, "LEASE_GRACE_S", 0.3)
+        self.patch(standin, "CHECKPOINT_LIMIT_S", 0.25)
+        self.patch(standin, "REPORT_INTERVAL_S", 0.1)
+        clock = standin.Clock()
+        self.addCleanup(gevent.spawn(clock.run).kill)
+        self.vm = vms.Vm(
+            id="w1",
+            role=vms.Role.WORKER,
+            availability_zone="zone-a",
+            address="127.0.0.1",
+            port=cluster.find_ports(1),
+            resources=CAPACITY,
+        )
+        self.record = service.Record()
+        self.worker = standin.Worker(self.vm, clock, self.record, random.Random(5))
+        self.worker.revive()
+        self.addCleanup(self.worker.die)
+        self.posted = []
+        self.may_renew = True
+        self.former_over = True
+
+    def open(self, epoch=1, post=None):
+        link = fleet.Link(
+            0,
+            epoch,
+            self.vm,
+            post or self.posted.append,
+            lambda: self.may_renew,
+            lambda: self.former_over,
+            f"owner-{epoch}",
+        )
+        self.addCleanup(link.close)
+        return link
+
+    def wait(self, condition, limit_s=5):
+        self.assertTrue(fake_tables.wait_for(condition, limit_s))
+
+    def messages(self, kind):
+        return [
+            posted.message
+            for posted in self.posted
+            if isinstance(posted, fleet.FromWorker) and isinstance(posted.message, kind)
+        ]
+
+    def start_task(self, link, name="a/0"):
+        self.wait(lambda: link.attached)
+        payload = b'{"run_ms": 60000}'
+        start = wire.TaskStart(name, 1, CAPACITY, "labels", True, payload)
+        self.assertTrue(link.start([start]))
+        self.wait(lambda: any(m.accepted for m in self.messages(wire.Started)))
+
+    def is_posted(self, kind):
+        return any(isinstance(posted, kind) for posted in self.posted)
+
+    def test_renewals_keep_a_task_running_beyond_the_lease(self):
+        link = self.open()
+        self.start_task(link)
+        gevent.sleep(2.0)
+        self.assertEqual([], [m for m in self.messages(wire.Report) if m.finished])
+        self.assertFalse(self.is_posted(fleet.Lost))
+
+    def test_without_renewals_the_worker_stops_its_tasks(self):
+        link = self.open()
+        self.start_task(link)
+        self.may_renew = False
+        self.wait(lambda: any(m.finished for m in self.messages(wire.Report)))
+
+    def test_a_worker_is_lost_only_after_its_tasks_have_stopped(self):
+        # Guards against a second place for a task that still runs on a cut off
+        # worker: compares the loss with the worker's own record.
+        lost_at = []
+
+        def post(message):
+            self.posted.append(message)
+            if isinstance(message, fleet.Lost):
+                lost_at.append(time.monotonic())
+
+        link = self.open(post=post)
+        self.start_task(link)
+        self.worker.apply(standin.WorkerFaults(cut=True))
+        self.wait(lambda: lost_at, limit_s=10)
+        self.assertEqual({}, self.worker._running)
+        self.assertFalse(link.attached)
+
+    def test_a_worker_is_not_lost_while_a_former_owner_may_renew(self):
+        self.former_over = False
+        self.worker.apply(standin.WorkerFaults(cut=True))
+        self.open()
+        gevent.sleep(2.5)
+        self.assertFalse(self.is_posted(fleet.Lost))
+        self.former_over = True
+        self.wait(lambda: self.is_posted(fleet.Lost), limit_s=10)
+
+    def test_a_successor_takes_the_worker_and_its_tasks(self):
+        former_posts = []
+        former = self.open(1, former_posts.append)
+        self.wait(lambda: former.attached)
+        former.start(
+            [wire.TaskStart("a/0", 1, CAPACITY, "labels", True, b'{"run_ms": 60000}')]
+        )
+        self.wait(lambda: self.worker._running)
+        self.open(2)
+        self.wait(lambda: self.messages(wire.Attached))
+        [attached] = self.messages(wire.Attached)
+        self.assertEqual(["a/0"], [task.task_id for task in attached.running])
+        self.wait(lambda: not former.attached)
+        self.assertFalse(former.start([]))
+
+    def test_a_dead_worker_comes_back_with_another_incarnation(self):
+        self.open()
+        self.wait(lambda: self.messages(wire.Attached))
+        self.worker.die()
+        self.wait(lambda: self.is_posted(fleet.Disconnected))
+        self.worker.revive()
+        self.wait(lambda: len(self.messages(wire.Attached)) == 2, limit_s=10)
+        first, second = self.messages(wire.Attached)
+        self.assertNotEqual(first.incarnation, second.incarnation)
+
+
+class AssignTest(testtools.TestCase):
+    def test_new_workers_go_to_the_partitions_with_the_fewest(self):
+        assigned = {"a": 0, "b": 0, "c": 1}
+        fleet.assign(assigned, ["d", "e", "f"], 3)
+        counts = [list(assigned.values()).count(number) for number in range(3)]
+        self.assertEqual([2, 2, 2], counts)
+
+    def test_assigned_workers_do_not_move(self):
+        # A worker that moved would run tasks of one partition under another.
+        assigned = {"a": 0, "b": 0, "c": 0}
+        fleet.assign(assigned, ["d"], 2)
+        self.assertEqual({"a": 0, "b": 0, "c": 0, "d": 1}, assigned)
