--- a/scenarios/cell.py
+++ b/scenarios/cell.py
@@ -131,14 +131,32 @@
         """Put the text, with other ceilings in processors, into force."""
         before = time.monotonic()
         source = with_ceilings(self.source, ceilings)
-        reply = self.operate(
-            "PUT",
-            "/v1/config",
-            source.encode(),
-            daemon,
-            **{"If-Match": str(self.version)},
-        )
-        self.in_force(source, reply.json()["version"], before)
+        lost: list[str] = []
+        while True:
+            reply = self.operator_call(
+                "PUT",
+                "/v1/config",
+                daemon,
+                source.encode(),
+                headers={"If-Match": str(self.version)},
+            )
+            if reply.status == 200:
+                version = reply.json()["version"]
+                break
+            # Another operator's text cannot be in force: scenarios have only one.
+            if reply.failure == "Conflict" and lost:
+                version = reply.error["current_version"]
+                break
+            told = f"{reply.status} {reply.body[:300]!r}"
+            if reply.status == 0 or reply.failure in ("Ambiguous", "Unknown"):
+                lost.append(told)
+            elif reply.status < 500:
+                raise Failed(f"PUT /v1/config: {told}")
+            if time.monotonic() > before + OPERATE_LIMIT_S:
+                raise Failed(f"PUT /v1/config: {told}")
+            print(f"  PUT /v1/config: {told}, repeated", flush=True)
+            gevent.sleep(RETRY_S)
+        self.in_force(source, version, before)
 
     def in_force(self, source: str, version: int, before: float) -> None:
         """Note an accepted text; a lower ceiling counts from its acceptance."""
--- a/scenarios/loads.py
+++ b/scenarios/loads.py
@@ -291,6 +291,8 @@
                 return "not_run"
             if kind.give_up_s:
                 return "given_up"
+            if failure == "Forbidden":
+                return self._look_up(request_id)
             if failure == "Refused" and not doubtful:
                 self.problems.append(f"{request_id}: {reply.body[:200]!r}")
                 return "lost"
@@ -301,6 +303,14 @@
             gevent.sleep(RETRY_S)
         return "unknown" if not kind.idempotent else state
 
+    def _look_up(self, request_id: str) -> str:
+        """Return the outcome of a request whose key was withdrawn meanwhile."""
+        if self._kind.idempotent:
+            return "given_up"
+        path = f"/v1/requests/{request_id}"
+        reply = self._front.call("GET", path, key=self._front.operator_key)
+        return "done" if reply.status == 200 else "unknown"
+
     def _check(self, request_id: str, reply: client.Reply) -> None:
         expected = backend_servers.expected_answer(request_id, self.answer_bytes)
         if reply.body != expected or len(reply.body) <= KEPT_ANSWER_BYTES:
