--- a/toucanspring/allowance.py
+++ b/toucanspring/allowance.py
@@ -314,7 +314,9 @@
         short: tuple[Amount, Amount] | None,
         now: float,
     ) -> effects.RequestAllowance | effects.ReturnAllowance | None:
-        if account.ceiling is None:
+        if account.ceiling is None or not account.known:
+            # A target chosen before the row is read could be below the present part
+            # and give away what running work uses.
             return None
         if account.target is not None:
             if now - account.asked_at < RETRY_S:
@@ -333,7 +335,8 @@
         if now - account.since < RETURN_AFTER_S:
             return None
         peak, account.peak, account.since = account.peak, account.used, now
-        target = tuple(map(min, account.held, map(max, peak, account.used)))
+        needed = map(int.__add__, map(max, peak, account.used), account.possible)
+        target = tuple(map(min, account.held, needed))
         if target != account.held:
             return self._ask(team, account, target, now)
         return None
@@ -345,9 +348,10 @@
         What is above the limit goes at once. Within the limit a short pause keeps
         teams with short tasks from returning and asking again for each of them.
         """
-        keep = tuple(map(max, account.used, account.limit))
+        used = tuple(map(int.__add__, account.used, account.possible))
+        keep = tuple(map(max, used, account.limit))
         if not is_short and now - account.since >= CONTENDED_RETURN_AFTER_S:
-            keep = tuple(map(max, account.used, account.peak))
+            keep = tuple(map(max, used, account.peak))
             account.peak, account.since = account.used, now
         return tuple(map(min, account.held, keep))
 
@@ -356,9 +360,19 @@
         """Return what to hold: the amount that waits, but one chunk at a time."""
         limits = account.ceiling if account.limit is None else account.limit
         return tuple(
-            max(held, min(limit, used + max(least, min(amount, ceiling // CHUNKS))))
-            for used, amount, least, held, limit, ceiling in zip(
-                account.used, *short, account.held, limits, account.ceiling, strict=True
+            held
+            if ceiling >= unlimited
+            else max(
+                held, min(limit, used + max(least, min(amount, ceiling // CHUNKS)))
+            )
+            for used, amount, least, held, limit, ceiling, unlimited in zip(
+                account.used,
+                *short,
+                account.held,
+                limits,
+                account.ceiling,
+                UNLIMITED,
+                strict=True,
             )
         )
 
