--- /dev/null
+++ b/bench/cell.py
@@ -0,0 +1,236 @@
+"""A cell of nine daemons on stand-ins, and counters of what its processes use."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import os
+import pathlib
+import re
+import sys
+import time
+
+import yaml
+
+from demo import entry
+from standins import cluster
+from toucanspring import settings
+
+DAEMONS = 9
+PAGE_KB = os.sysconf("SC_PAGE_SIZE") // 1024
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+TRAFFIC = re.compile(rb"^toucanspring_\w*bytes\w*\{[^}]*\} (\S+)$", re.MULTILINE)
+SETTLE_LIMIT_S = 20.0
+MAX_JOBS_A_CALL = 500
+MAX_TASKS_A_CALL = 10_000
+
+
+def environment_command(facts: cluster.DaemonFacts) -> list[str]:
+    """Return a command with settings in the environment, which spares memory."""
+    given = [
+        f"{settings.PREFIX}{field.name.upper()}={getattr(facts, field.name)}"
+        for field in dataclasses.fields(facts)
+        if field.name != "extra"
+    ]
+    return ["env", *given, sys.executable, "-m", "toucanspring.daemon", *facts.extra]
+
+
+def text_for(zones: tuple[str, ...], teams: int = 1, ceiling: bool = False) -> str:
+    """Return a text with a number of teams, each with one queue of its own."""
+    amounts = {"cpus": 700, "memory": "1400 GiB"}
+    document = {
+        "cell": "bench",
+        "availability_zones": {zone: {"region": "bench"} for zone in zones},
+        "organisations": {"bench": {"host": True}},
+        "teams": {
+            f"team-{number}": {
+                "organisation": "bench",
+                "share": 1,
+                "ceiling": amounts if ceiling else {"cpus": 100_000, "memory": "9 TiB"},
+            }
+            for number in range(teams)
+        },
+        "queues": {
+            f"queue-{number}": {"team": f"team-{number}"} for number in range(teams)
+        },
+    }
+    return yaml.safe_dump(document, sort_keys=False)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """Hold the counters of the daemons and of the table service at one moment."""
+
+    at: float
+    cpu_s: dict[str, float]
+    bytes: dict[str, float]
+    writes: int
+    reads: int
+
+
+class Cell:
+    """Run daemons; a context manager."""
+
+    def __init__(
+        self,
+        seed: int,
+        workers: int = 24,
+        daemons: int = DAEMONS,
+        teams: int = 1,
+        **more,
+    ) -> None:
+        self.cluster = cluster.Cluster(
+            workers=workers,
+            backend_servers=0,
+            build_command=environment_command,
+            **more,
+        )
+        self.front = entry.Entry(self.cluster, seed)
+        self.names = [f"entry-{number}" for number in range(1, daemons + 1)]
+        self.source = text_for(self.cluster.zones, teams)
+        self.version = 0
+        self.keys: list[str] = []
+        self._seen_rows = 0
+
+    def __enter__(self) -> Cell:
+        self.cluster.__enter__()
+        try:
+            for name in self.names:
+                self.cluster.start_daemon(name, wait=False)
+            for name in self.names:
+                self.cluster.wait_ready(name)
+            self.version = self.front.apply(self.source, 0)
+            self.front.wait_in_force(self.version, len(self.names))
+            self.keys = [self.front.grant("team-0")["secret"]]
+        except BaseException:
+            self.cluster.stop()
+            raise
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        self.cluster.__exit__(*exc)
+
+    # Counters
+
+    def sample(self) -> Sample:
+        """Read the counters of the daemons and the operations of the tables."""
+        counts = self.operations()
+        names = [name for name in self.names if name in self.cluster.processes]
+        at = time.monotonic()
+        return Sample(
+            at,
+            {name: cpu_seconds(self.pid(name)) for name in names},
+            {name: self._traffic(name) for name in names},
+            *counts,
+        )
+
+    def pid(self, name: str) -> int:
+        """Return the process ID of a daemon or stand-in."""
+        return self.cluster.processes[name].pid
+
+    def operations(self) -> tuple[int, int]:
+        """Return the transactions and the reads and scans that the tables served."""
+        events = self.cluster.record("tables")["events"]
+        writes = sum(item["kind"] in ("commit", "conflict") for item in events)
+        reads = sum(item["kind"] in ("read", "scan") for item in events)
+        return writes, reads
+
+    def resident_mb(self) -> dict[str, float]:
+        """Return the resident memory of each daemon in MB of 2^20 bytes."""
+        return {name: resident_mb(self.pid(name)) for name in self.names}
+
+    def _traffic(self, name: str) -> float:
+        port = self.cluster.daemon_facts[name].http_port
+        _, body = cluster.call(port, "GET", "/metrics")
+        return sum(float(value) for value in TRAFFIC.findall(body))
+
+    # Work
+
+    def submit(
+        self,
+        prefix: str,
+        jobs: int,
+        tasks: int,
+        run_ms: float | None,
+        cpus: float = 0.5,
+        **more: object,
+    ) -> list[str]:
+        """Submit jobs of equal tasks; return their IDs once accepted."""
+        payload = json.dumps({"run_ms": run_ms})
+        items = [
+            {
+                "id": f"{prefix}-{number}",
+                "queue": "queue-0",
+                "tasks": tasks,
+                "resources": {"cpus": cpus, "memory": "64 MiB"},
+                "run_time": "1 h" if run_ms is None else "1 s",
+                "payload": payload,
+                **more,
+            }
+            for number in range(jobs)
+        ]
+        step = max(1, min(MAX_JOBS_A_CALL, MAX_TASKS_A_CALL // tasks))
+        for start in range(0, jobs, step):
+            body = {"jobs": items[start : start + step]}
+            reply = self.front.call("POST", "/v1/jobs", body, self.keys[0])
+            if reply.status != 202:
+                raise RuntimeError(f"{reply.status} {reply.body[:300]!r}")
+        return [item["id"] for item in items]
+
+    def status(self, job_id: str) -> dict:
+        """Return the status of a job."""
+        reply = self.front.call("GET", f"/v1/jobs/{job_id}", key=self.keys[0])
+        return reply.json() if reply.status == 200 else {}
+
+    def wait_running(self, job_ids: list[str], tasks: int) -> bool:
+        """Wait until all tasks of the jobs run."""
+        deadline = time.monotonic() + SETTLE_LIMIT_S
+        while time.monotonic() < deadline:
+            running = sum(
+                self.status(name).get("counts", {}).get("running", 0)
+                for name in job_ids
+            )
+            if running >= tasks:
+                return True
+            time.sleep(0.2)
+        return False
+
+    def wait_done(self, job_ids: list[str], limit_s: float) -> bool:
+        """Wait until all jobs have an outcome; return whether they are done."""
+        deadline = time.monotonic() + limit_s
+        left = list(job_ids)
+        while left and time.monotonic() < deadline:
+            outcome = self.status(left[-1]).get("outcome")
+            if outcome is None:
+                time.sleep(0.05)
+            else:
+                left.pop()
+        return not left
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time of a process, user and system, in seconds."""
+    content = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    fields = content.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process in MB of 2^20 bytes."""
+    content = pathlib.Path(f"/proc/{pid}/statm").read_text()
+    return int(content.split()[1]) * PAGE_KB / 1024
+
+
+def per_second(before: Sample, after: Sample) -> dict[str, float]:
+    """Return the rates between two samples; CPU and bytes are those of a mean node."""
+    elapsed = after.at - before.at
+    nodes = len(after.cpu_s)
+    cpu = {name: after.cpu_s[name] - before.cpu_s[name] for name in after.cpu_s}
+    moved = sum(after.bytes[name] - before.bytes[name] for name in after.bytes)
+    return {
+        "core_percent": round(100 * sum(cpu.values()) / nodes / elapsed, 2),
+        "core_percent_max": round(100 * max(cpu.values()) / elapsed, 2),
+        "bytes_per_s": round(moved / nodes / elapsed),
+        "store_writes_per_s": round((after.writes - before.writes) / elapsed, 1),
+        "store_reads_per_s": round((after.reads - before.reads) / elapsed, 1),
+    }
