--- a/bench/cell.py
+++ b/bench/cell.py
@@ -221,6 +221,11 @@
     return int(content.split()[1]) * PAGE_KB / 1024
 
 
+def resident_mb_self() -> float:
+    """Return the resident memory of this process in MB of 2^20 bytes."""
+    return resident_mb(os.getpid())
+
+
 def per_second(before: Sample, after: Sample) -> dict[str, float]:
     """Return the rates between two samples; CPU and bytes are those of a mean node."""
     elapsed = after.at - before.at
--- a/toucanspring/daemon.py
+++ b/toucanspring/daemon.py
@@ -70,6 +70,10 @@
     traffic = metrics.counter(
         "toucanspring_peer_bytes_total", "Bytes exchanged with other processes."
     )
+    # A gauge: the bytes of a closed stream leave the sum.
+    worker_traffic = metrics.gauge(
+        "toucanspring_worker_bytes", "Bytes exchanged on present streams to workers."
+    )
     state = metrics.gauge("toucanspring_control", "State of the control services.")
 
     def read() -> None:
@@ -77,6 +81,9 @@
         sent, received = core.find("peers").traffic()
         traffic.set({"direction": "sent"}, sent)
         traffic.set({"direction": "received"}, received)
+        sent, received = core.find("fleet").traffic()
+        worker_traffic.set({"direction": "sent"}, sent)
+        worker_traffic.set({"direction": "received"}, received)
         held = members.standing(now) is not ownership.Standing.NARROWED
         view_age_s = min(now - documents.view().confirmed_at, members.clock())
         for name, value in (
--- a/toucanspring/fleet.py
+++ b/toucanspring/fleet.py
@@ -120,6 +120,12 @@
         if self.attached and self._stream is not None:
             self._stream.acknowledge(self.epoch, task_ids)
 
+    def traffic(self) -> tuple[int, int]:
+        """Return the bytes sent and received on the present stream."""
+        if self._stream is None:
+            return 0, 0
+        return self._stream.sent_bytes, self._stream.received_bytes
+
     def _run(self) -> None:
         pause = RECONNECT_PAUSE_S
         while True:
@@ -251,6 +257,13 @@
         """Return the link to a worker of an owned partition."""
         return self._links.get(partition, {}).get(worker)
 
+    def traffic(self) -> tuple[int, int]:
+        """Return the bytes sent to and received from workers over present streams."""
+        pairs = [
+            link.traffic() for links in self._links.values() for link in links.values()
+        ]
+        return sum(pair[0] for pair in pairs), sum(pair[1] for pair in pairs)
+
     def links(self, partition: int) -> dict[str, Link]:
         """Return the links of an owned partition by worker."""
         return self._links.get(partition, {})
