Pass listed capacities to a recovering scheduler; drop unused reservations

Cause: without capacities a successor starts nothing new for teams with a ceiling until every worker is attached or lost; RequestReservation was never emitted and its handler called methods that do not exist.

--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -102,7 +102,7 @@
         self.found = {worker: Link() for worker in workers}
 
     def assigned(self, _number):
-        return set(self.found)
+        return dict.fromkeys(self.found, CAPACITY)
 
     def add_partition(self, _number, _epoch, _post):
         pass
--- a/toucanspring/effects.py
+++ b/toucanspring/effects.py
@@ -22,8 +22,6 @@
 - `set_teams(teams: dict[str, fairness.Team], now)`
 - `set_allowances(held: dict[str, Resources], now)`
 - `intents_durable(intents: list[Intent], now)` and `intents_failed(intents, now)`
-- `reservation_granted(job_id, partition, task_ids, now)`,
-  `reservation_refused(job_id, partition, now)`
 - `dependency_finished(job_id, outcome, now)`: answers `WatchJobs`
 - `tick(now)`: place waiting work; called every 20 ms and after each event
 - `lookup(job_id) -> JobStatus | errors.NotFound`, `explain(job_id) -> Explanation`
@@ -130,16 +128,6 @@
     target: resources.Resources = resources.ZERO
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RequestReservation:
-    """Ask the owner of another partition to hold room for tasks."""
-
-    job_id: str
-    partition: int
-    task_ids: list[str]
-    demand: resources.Resources
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class WatchJobs:
     """Call `dependency_finished` for each of `job_ids`, once it is final.
@@ -161,7 +149,6 @@
     | Acknowledge
     | RequestAllowance
     | ReturnAllowance
-    | RequestReservation
     | WatchJobs
 )
 
--- a/toucanspring/execution.py
+++ b/toucanspring/execution.py
@@ -97,13 +97,6 @@
             case effects.WatchJobs(job_ids=job_ids):
                 for job_id in job_ids:
                     self._watch(job_id)
-            case effects.RequestReservation(job_id=job_id, partition=number):
-                # Gangs larger than a partition are refused at submission.
-                self.carry_out(
-                    self._scheduler.reservation_refused(
-                        job_id, number, time.monotonic()
-                    )
-                )
 
     def _start(self, worker: str, tasks: list[wire.TaskStart]) -> None:
         """Send starts if they are still allowed at this moment.
--- a/toucanspring/fleet.py
+++ b/toucanspring/fleet.py
@@ -12,7 +12,7 @@
 import logbook
 import msgspec
 
-from toucanspring import errors, kernel, settings, wire
+from toucanspring import errors, kernel, resources, settings, wire
 from toucanspring.adapters import tables, vms, workers
 
 log = logbook.Logger(__name__)
@@ -268,15 +268,29 @@
         """Return the links of an owned partition by worker."""
         return self._links.get(partition, {})
 
-    def assigned(self, partition: int) -> set[str] | errors.Failure:
-        """Read which workers belong to a partition, from the table service."""
+    def assigned(
+        self, partition: int
+    ) -> dict[str, resources.Resources | None] | errors.Failure:
+        """Read which workers belong to a partition, with their listed capacity."""
         failure = self._read_assignment()
         if failure is not None:
             return failure
+        if not self._vms:
+            listed = self._kernel.find("store").vms.list()
+            if not isinstance(listed, errors.Failure):
+                self._see_vms(listed)
         return {
-            worker for worker, owner in self._assigned.items() if owner == partition
+            worker: self._capacity(worker)
+            for worker, owner in self._assigned.items()
+            if owner == partition
         }
 
+    def _capacity(self, worker: str) -> resources.Resources | None:
+        listed = self._vms.get(worker)
+        if listed is None or listed.resources == resources.ZERO:
+            return None
+        return listed.resources
+
     def _poll(self) -> None:
         while True:
             try:
--- a/toucanspring/partition.py
+++ b/toucanspring/partition.py
@@ -149,7 +149,7 @@
         while True:
             failure = self.journal.load()
             expected = self._kernel.find("fleet").assigned(self.number)
-            if failure is None and isinstance(expected, set):
+            if failure is None and isinstance(expected, dict):
                 break
             log.warning("partition {}: loading: {}", self.number, failure or expected)
             self.journal.state = log_records.State()
