--- a/bench/cell.py
+++ b/bench/cell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -14,7 +15,7 @@
 
 from demo import entry
 from standins import cluster
-from toucanspring import settings
+from toucanspring import job, settings
 
 DAEMONS = 9
 PAGE_KB = os.sysconf("SC_PAGE_SIZE") // 1024
@@ -153,13 +154,14 @@
         tasks: int,
         run_ms: float | None,
         cpus: float = 0.5,
+        names: list[str] | None = None,
         **more: object,
     ) -> list[str]:
         """Submit jobs of equal tasks; return their IDs once accepted."""
         payload = json.dumps({"run_ms": run_ms})
         items = [
             {
-                "id": f"{prefix}-{number}",
+                "id": names[number] if names else f"{prefix}-{number}",
                 "queue": "queue-0",
                 "tasks": tasks,
                 "resources": {"cpus": cpus, "memory": "64 MiB"},
@@ -177,6 +179,20 @@
                 raise RuntimeError(f"{reply.status} {reply.body[:300]!r}")
         return [item["id"] for item in items]
 
+    def submit_evenly(
+        self, prefix: str, jobs: int, tasks: int, run_ms: float | None, **more: object
+    ) -> list[str]:
+        """Submit jobs whose IDs fall on the partitions in turn."""
+        partitions = self.cluster.partitions
+        names: list[str] = []
+        for number in itertools.count():
+            name = f"{prefix}-{number}"
+            if job.partition_of(name, partitions) == len(names) % partitions:
+                names.append(name)
+            if len(names) == jobs:
+                break
+        return self.submit("", jobs, tasks, run_ms, names=names, **more)
+
     def status(self, job_id: str) -> dict:
         """Return the status of a job."""
         reply = self.front.call("GET", f"/v1/jobs/{job_id}", key=self.keys[0])
--- /dev/null
+++ b/bench/zone.py
@@ -0,0 +1,93 @@
+"""Measure the work completed while an availability zone leaves and returns."""
+
+from __future__ import annotations
+
+import collections
+import json
+import sys
+import time
+
+import defopt
+
+from bench import cell, change
+from standins import judge
+
+TASK_MS = 200.0
+STEADY_S = 5.0
+OUT_S = 6.0
+AFTER_S = 4.0
+IN_FORCE_S = 3.0
+DRAIN_S = 20.0
+CORES = 24 * 32
+
+
+def work_done(ends: list[dict], first: float, last: float) -> float:
+    """Return the core seconds of the tasks that were done in a window."""
+    done = sum(
+        event["state"] == "done" and first <= event["at"] < last for event in ends
+    )
+    return done * TASK_MS / 1000
+
+
+def measure(*, seed: int = 1) -> None:
+    """Print the ratios and counts, and one JSON line.
+
+    :param seed: Seed of the choice of entry processes.
+    """
+    with cell.Cell(seed) as running:
+        zone = running.cluster.zones[0]
+        with change.Load(running, TASK_MS) as load:
+            time.sleep(3)
+            began = time.monotonic()
+            time.sleep(STEADY_S)
+            steady = time.monotonic()
+            running.front.operate("POST", f"/v1/zones/{zone}/out")
+            out_at = time.monotonic()
+            time.sleep(OUT_S)
+            # Starts are allowed from the call on, which may be before its answer.
+            in_at = time.monotonic()
+            running.front.operate("POST", f"/v1/zones/{zone}/in")
+            time.sleep(AFTER_S)
+            ended = time.monotonic()
+        left_over = not running.wait_done(load.submitted, DRAIN_S)
+        outcomes = collections.Counter(
+            (running.status(name).get("outcome") or {}).get("state", "none")
+            for name in load.submitted
+        )
+        records = running.cluster.records()
+    events = records["workers"]["events"]
+    ends = [event for event in events if event["kind"] == "end"]
+    starts = [event for event in events if event["kind"] == "start"]
+    per_task = collections.Counter(
+        event["task"] for event in ends if event["state"] == "done"
+    )
+    outage = judge.ZoneOutage(zone, out_at, in_at)
+    violations = judge.check(records, judge.Known(zone_outages=(outage,)))
+    window = work_done(ends, out_at, ended)
+    allowed = CORES * (ended - out_at) - CORES / 3 * (in_at - out_at)
+    without = work_done(ends, began, steady) / (CORES * (steady - began))
+    result = {
+        "bench": "zone",
+        "seed": seed,
+        "completed_ratio": round(window / allowed, 3),
+        # The same load without an outage, against all workers.
+        "baseline_ratio": round(without, 3),
+        "late_starts": sum(
+            event["availability_zone"] == zone
+            and out_at + IN_FORCE_S < event["at"] < in_at
+            for event in starts
+        ),
+        "lost": outcomes["none"],
+        "doubled": sum(count > 1 for count in per_task.values()),
+        "outcomes": outcomes,
+        "all_ended": not left_over,
+        "violations": len(violations),
+        "events_dropped": records["workers"]["dropped"],
+    }
+    if violations:
+        print(violations[:3])
+    print(json.dumps(result))
+
+
+if __name__ == "__main__":
+    defopt.run(measure, argv=sys.argv[1:])
