Run the deadline part of bench.wait on the scheduler

Cause: the bench drove the queue and the index itself, so it said nothing about the state machine that decides in production, and a job with a lost task counted by its other tasks. Change: jobs run on scheduler.Scheduler with stand-in workers; a job counts as in time only when all of its tasks ended.

--- a/bench/wait.py
+++ b/bench/wait.py
@@ -1,6 +1,7 @@
 """Measure waits of checks and met deadlines at 1.5 times the capacity.
 
-Both deployments of the design page are run in simulated time. Requests: the model of
+Both deployments of the design page are run in simulated time, with the scheduler of one
+partition. Requests: the model of
 `bench.overload` at 1.5 times the capacity, with 9 entry processes for Kernhalde and 8
 for Zimna Patna. Jobs: a cell of 24 workers gets 1.5 times the work it can do, of which
 0.6 times the capacity has a deadline that earliest-deadline order alone can meet;
@@ -8,18 +9,21 @@
 order, on random servers and on the first worker with room.
 """
 
+import collections
 import dataclasses
 import heapq
+import math
 import random
 
 from bench import overload, work
-from toucanspring import job, placement, resources, waiting
+from toucanspring import effects, fairness, job, resources, scheduler, wire
 
 LOAD = 1.5
 DEADLINE_LOAD = 0.6  # of the capacity, part of the load
 WORKERS = 24
 SPAN_S = 3600.0  # in which jobs arrive
-WINDOW = 100  # waiting groups that are looked at in one pass
+TICK_S = 2.0
+TEAM = "team"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,7 +61,7 @@
             spec = job.JobSpec(
                 id=f"{job_class}{len(jobs)}",
                 name=job_class,
-                team="team",
+                team=TEAM,
                 kind=job.Kind.GANG if with_deadline and deployment.gang else "batch",
                 task_count=members,
                 demand=resources.Resources(cpus, rng.randrange(1, 3) * cpus),
@@ -79,41 +83,71 @@
 
 
 class Policy:
-    """Serve in the order of the waiting queue; gangs ahead keep room free."""
+    """Run jobs on the state machine of one partition; workers do what it says."""
 
     def __init__(self, seed: int) -> None:
-        self.index = placement.WorkerIndex(random.Random(seed))
-        self._queue = waiting.WaitingQueue()
-
-    def submit(self, spec: job.JobSpec, now: float) -> None:
-        """Queue a job."""
-        self._queue.add(spec, range(spec.task_count), now)
-
-    def start(self, now: float) -> list[tuple[job.JobSpec, str]]:
-        """Return (job, worker) for each task to start now."""
-        started = []
-        blocked = False  # a deadline job waits for room
-        groups = self._queue.next_groups("team", now)
-        for looked_at, group in enumerate(groups):
-            if looked_at >= WINDOW:
-                break
-            spec = group.spec
-            with_deadline = spec.job_class == job.JobClass.DEADLINE
-            if blocked and not with_deadline:
-                break
-            if spec.kind == job.Kind.GANG:
-                chosen = self.index.choose_gang(spec.demand, len(group))
-                if isinstance(chosen, placement.NoRoom):
-                    chosen = []
-            else:
-                chosen = self.index.choose_many(spec.demand, len(group))
-            for worker, count in chosen:
-                self.index.allocate(worker, spec.demand.times(count))
-                started += [(spec, worker)] * count
-            count = sum(share for _, share in chosen)
-            blocked = blocked or (with_deadline and count < len(group))
-            self._queue.take(spec.id, count)
-        return started
+        self._machine = scheduler.Scheduler(0, random.Random(seed))
+        self._machine.set_teams({TEAM: fairness.Team(TEAM)}, 0.0)
+        self._seconds_left: dict[str, float] = {}
+        self._running: dict[str, tuple[int, float, str]] = {}  # attempt, start, worker
+        self._ends: list[tuple[float, str, int]] = []
+        self._ended: dict[str, list[float]] = collections.defaultdict(list)
+
+    def run(self, jobs: list[tuple[float, job.JobSpec]], end: float) -> None:
+        """Submit jobs at their arrival and tick until the end."""
+        for name, capacity, zone, rack in work.worker_facts(WORKERS, 3):
+            plain = resources.Resources(capacity.cpus, capacity.memory)
+            facts = effects.WorkerFacts(name, 1, plain, zone, rack)
+            self._apply(self._machine.worker_attached(facts, [], [], 0.0), 0.0)
+        position = 0
+        now = 0.0
+        while now < end:
+            now += TICK_S
+            while self._ends and self._ends[0][0] <= now:
+                self._end(*heapq.heappop(self._ends))
+            while position < len(jobs) and jobs[position][0] <= now:
+                spec = jobs[position][1]
+                for index in range(spec.task_count):
+                    self._seconds_left[job.task_id(spec.id, index)] = spec.run_seconds
+                self._apply(self._machine.submit([spec], now), now)
+                position += 1
+            self._apply(self._machine.tick(now), now)
+
+    def ended_at(self, spec: job.JobSpec) -> float:
+        """Return when the last task of a job ended; inf if any did not."""
+        ended = self._ended[spec.id]
+        return max(ended) if len(ended) == spec.task_count else math.inf
+
+    def _end(self, at: float, task_id: str, attempt: int) -> None:
+        if self._running.get(task_id, (None,))[0] == attempt:
+            self._ended[job.job_of(task_id)].append(at)
+            self._report(task_id, "done", at)
+
+    def _report(self, task_id: str, state: str, now: float) -> None:
+        attempt, started_at, worker = self._running.pop(task_id)
+        run_ms = round((now - started_at) * 1000)
+        finished = wire.FinishedTask(task_id, attempt, state, run_ms=run_ms)
+        self._apply(self._machine.worker_report(worker, [finished], {}, now), now)
+
+    def _apply(self, found: list[effects.Effect], now: float) -> None:
+        for effect in found:
+            match effect:
+                case effects.StartTasks(worker, tasks):
+                    for task in tasks:
+                        key = task.task_id
+                        self._running[key] = (task.attempt, now, worker)
+                        ends_at = now + self._seconds_left[key]
+                        heapq.heappush(self._ends, (ends_at, key, task.attempt))
+                    ids = [task.task_id for task in tasks]
+                    self._apply(
+                        self._machine.starts_answered(worker, ids, [], now), now
+                    )
+                case effects.StopTasks(_, task_ids, _):
+                    # The task goes on from its checkpoint when it starts again.
+                    for key in task_ids:
+                        if key in self._running:
+                            self._seconds_left[key] -= now - self._running[key][1]
+                            self._report(key, "checkpointed", now)
 
 
 class Baseline:
@@ -121,13 +155,15 @@
 
     def __init__(self, _seed: int) -> None:
         self.index = work.FirstFit()
+        self._ended: dict[str, list[float]] = collections.defaultdict(list)
         self._waiting: list[tuple[job.JobSpec, int]] = []
 
-    def submit(self, spec: job.JobSpec, _now: float) -> None:
-        """Queue a job."""
-        self._waiting.append((spec, spec.task_count))
+    def ended_at(self, spec: job.JobSpec) -> float:
+        """Return when the last task of a job ended; inf if any did not."""
+        ended = self._ended[spec.id]
+        return max(ended) if len(ended) == spec.task_count else math.inf
 
-    def start(self, _now: float) -> list[tuple[job.JobSpec, str]]:
+    def _start(self) -> list[tuple[job.JobSpec, str]]:
         """Return (job, worker) for each task to start now."""
         started = []
         while self._waiting:
@@ -150,35 +186,36 @@
             del self._waiting[0]
         return started
 
+    def run(self, jobs: list[tuple[float, job.JobSpec]], end: float) -> None:
+        """Run jobs until the end, with a start at each arrival and end."""
+        for name, capacity, zone, rack in work.worker_facts(WORKERS, 3):
+            plain = resources.Resources(capacity.cpus, capacity.memory)
+            self.index.add(name, plain, zone, rack)
+        events = [(at, number, spec, "") for number, (at, spec) in enumerate(jobs)]
+        heapq.heapify(events)
+        number = len(events)
+        while events and events[0][0] <= end:
+            now, _, spec, worker = heapq.heappop(events)
+            if worker:
+                self.index.release(worker, spec.demand)
+                self._ended[spec.id].append(now)
+            else:
+                self._waiting.append((spec, spec.task_count))
+            for started, on_worker in self._start():
+                number += 1
+                ends_at = now + started.run_seconds
+                heapq.heappush(events, (ends_at, number, started, on_worker))
+
 
-def run_jobs(policy, jobs: list[tuple[float, job.JobSpec]]) -> float:
+def met_ratio(policy, jobs: list[tuple[float, job.JobSpec]]) -> float:
     """Return the part of the deadline jobs that ended in time."""
-    for name, capacity, zone, rack in work.worker_facts(WORKERS, 3):
-        plain = resources.Resources(capacity.cpus, capacity.memory)
-        policy.index.add(name, plain, zone, rack)
-    arrivals = {spec.id: at for at, spec in jobs}
-    left = {spec.id: spec.task_count for _, spec in jobs}
-    due = [spec for _, spec in jobs if spec.deadline_seconds is not None]
-    met = 0
-    events: list[tuple] = [
-        (at, number, spec, "") for number, (at, spec) in enumerate(jobs)
+    due = [
+        (at + spec.deadline_seconds, spec)
+        for at, spec in jobs
+        if spec.deadline_seconds is not None
     ]
-    heapq.heapify(events)
-    number = len(events)
-    end = SPAN_S + max(spec.deadline_seconds for spec in due)
-    while events and events[0][0] <= end:
-        now, _, spec, worker = heapq.heappop(events)
-        if worker:
-            policy.index.release(worker, spec.demand)
-            left[spec.id] -= 1
-            if not left[spec.id] and spec.deadline_seconds is not None:
-                met += now <= arrivals[spec.id] + spec.deadline_seconds + 1e-6
-        else:
-            policy.submit(spec, now)
-        for started, on_worker in policy.start(now):
-            number += 1
-            ends_at = now + started.run_seconds
-            heapq.heappush(events, (ends_at, number, started, on_worker))
+    policy.run(jobs, max(deadline for deadline, _ in due) + TICK_S)
+    met = sum(policy.ended_at(spec) <= deadline + 1e-6 for deadline, spec in due)
     return met / len(due)
 
 
@@ -195,7 +232,7 @@
             ("baseline", overload.Baseline, Baseline),
         ):
             _, p99 = overload.simulate(requests_policy, LOAD, seed)
-            ratio = run_jobs(jobs_policy(seed), jobs)
+            ratio = met_ratio(jobs_policy(seed), jobs)
             print(f"{deployment.name} {name}: deadlines met {ratio:.4f}")
             waits[name] = max(waits[name], p99)
             met[name] = min(met[name], ratio)
