Let the scheduler follow shares; keep a slot for checks in lanes

Cause: two teams with equal tasks and shares of 3 to 1 got 52% and 48% of a worker over 50 s. After 5 s the one below its share made room by stopping one task, and the reservation for it kept the whole worker for that job for 5 s. The wait was counted from submission, also for jobs that were served all along. Teams that only run work were ranked and gained credit. Change: a reservation for a share is not exclusive, the wait counts from the last start, only teams with waiting work are ranked, and teams above their share leave gaps to a blocked team below it, except for work that may stop others. Request lanes keep a freed slot of a full server for checks and take back sends that did not happen.

--- /dev/null
+++ b/test/test_dispatch.py
@@ -0,0 +1,64 @@
+import random
+
+import testtools
+
+from toucanspring import effects, fairness, job, resources, scheduler, wire
+
+CAPACITY = resources.Resources(32_000, 65_536)
+
+
+def spec(name, team, cpus):
+    demand = resources.Resources(cpus, 1024)
+    return job.JobSpec(
+        id=name, name=name, team=team, demand=demand, task_count=5000, run_seconds=1.0
+    )
+
+
+class ShareTest(testtools.TestCase):
+    def use(self, shares, cpus):
+        """Return the mean processors of each team after the first ten seconds."""
+        owner = scheduler.Scheduler(0, random.Random(3))
+        teams = {
+            name: fairness.Team(name, "o", share) for name, share in shares.items()
+        }
+        owner.set_teams(teams, 0.0)
+        facts = effects.WorkerFacts("w1", 1, CAPACITY, "zone-a", "rack-1")
+        owner.worker_attached(facts, [], [], 0.0)
+        owner.submit([spec(name, name, cpus[name]) for name in shares], 0.0)
+        rng = random.Random(4)
+        used = dict.fromkeys(shares, 0.0)
+        live: dict[str, tuple] = {}  # task ID -> (end, attempt, team)
+        stopped: set[str] = set()
+        for step in range(3000):
+            now = step * 0.02
+            over = [name for name, task in live.items() if task[0] <= now]
+            ended = []
+            for name in {*over, *(stopped & live.keys())}:
+                _, attempt, _ = live.pop(name)
+                state = "done" if name in over else "checkpointed"
+                ended.append(wire.FinishedTask(name, attempt, state))
+            stopped.clear()
+            found = owner.worker_report("w1", ended, {}, now) if ended else []
+            for effect in [*found, *owner.tick(now)]:
+                match effect:
+                    case effects.StartTasks(tasks=tasks):
+                        ids = [task.task_id for task in tasks]
+                        owner.starts_answered("w1", ids, [], now)
+                        for task in tasks:
+                            end = now + rng.uniform(0.5, 1.5)
+                            live[task.task_id] = (end, task.attempt, task.team)
+                    case effects.StopTasks(task_ids=task_ids):
+                        stopped.update(task_ids)
+            if now >= 10:
+                for _, _, team in live.values():
+                    used[team] += cpus[team] / 2500
+        return used
+
+    def test_large_tasks_get_their_share_beside_many_small_ones(self):
+        # Guards against small tasks taking each gap before it is large enough.
+        used = self.use({"small": 1.0, "large": 1.0}, {"small": 1000, "large": 8000})
+        self.assertGreater(used["large"], 0.4 * CAPACITY.cpus)
+
+    def test_equal_tasks_follow_unequal_shares(self):
+        used = self.use({"a": 3.0, "b": 1.0}, {"a": 1000, "b": 1000})
+        self.assertAlmostEqual(0.75, used["a"] / CAPACITY.cpus, delta=0.05)
--- a/toucanspring/dispatch.py
+++ b/toucanspring/dispatch.py
@@ -11,6 +11,7 @@
     job,
     lifecycle,
     placement,
+    preemption,
     quarantine,
     task_table,
     waiting,
@@ -20,6 +21,7 @@
 STARTS_PER_TICK = 512  # bounds the time of one tick to a few tens of milliseconds
 GROUPS_PER_TEAM = 64  # jobs without room that are looked at for each team and tick
 BLOCKED_KEPT = 256  # jobs without room that preemption looks at
+SIZE_REASONS = frozenset({"cpus", "memory"})
 IDLE_S = 1.0  # without changes, waiting work is looked at again after so long
 
 
@@ -30,6 +32,7 @@
         self._core = core
         self._next_look = 0.0
         self._groups: dict[str, Iterator[waiting.Group]] = {}
+        self._lacks_size = False  # a group found no worker with enough free
         # Jobs that found no room in the last tick, in the order of service.
         self.blocked: list[task_table.JobRecord] = []
 
@@ -46,17 +49,23 @@
         candidates = set(core.queue.teams())
         no_room: set[tuple] = set()
         started = 0
-        active = candidates | core.using_teams()
+        # Teams that use the cell but have nothing waiting are not ranked: they would
+        # gain credit for a share that they do not ask for.
+        waiting_teams = frozenset(candidates)
+        yielding: set[str] = set()
         while candidates and started < STARTS_PER_TICK:
-            ranked = core.shares.rank(active, now)
+            ranked = core.shares.rank(waiting_teams, now)
             progress = 0
             for rank, team in enumerate(ranked, 1):
                 if team not in candidates:
                     continue
-                progress = self._place_team(team, rank, no_room, now)
+                self._lacks_size = False
+                progress = self._place_team(team, rank, no_room, now, team in yielding)
                 if progress:
                     break
                 candidates.discard(team)
+                if self._lacks_size and not yielding:
+                    yielding = self._yielding(team, waiting_teams, now)
             started += progress
             if not progress:
                 break
@@ -65,7 +74,16 @@
             core.changed = True  # the rest follows in the next tick
         return started
 
-    def _place_team(self, team: str, rank: int, no_room: set, now: float) -> int:
+    def _yielding(self, team: str, waiting: frozenset[str], now: float) -> set[str]:
+        """Return the teams that leave the gaps to a blocked team below its share."""
+        shares = self._core.shares
+        if shares.shortfalls(waiting, now)[team] <= 0:
+            return set()
+        return shares.yielding(waiting, now)
+
+    def _place_team(
+        self, team: str, rank: int, no_room: set, now: float, only_pressing: bool
+    ) -> int:
         # One iterator for the whole tick, since creating one costs time in
         # proportion to the number of waiting jobs.
         groups = self._groups.get(team)
@@ -74,6 +92,9 @@
         started = 0
         without_room = 0
         for group in groups:
+            if only_pressing and not self._is_pressing(group.spec.id, now):
+                self._groups[team] = itertools.chain([group], groups)
+                break
             placed = self._place_group(group, CHUNK - started, rank, no_room, now)
             started += placed
             without_room += not placed
@@ -83,6 +104,10 @@
                 break
         return started
 
+    def _is_pressing(self, job_id: str, now: float) -> bool:
+        """Return whether a job may stop others, and so need not yield to them."""
+        return preemption.is_pressing(self._core, self._core.table.jobs[job_id], now)
+
     def _place_group(
         self, group: waiting.Group, limit: int, rank: int, no_room: set, now: float
     ) -> int:
@@ -137,6 +162,8 @@
     def _note_no_room(
         self, record: task_table.JobRecord, rank: int, rejected: placement.NoRoom
     ) -> int:
+        if not SIZE_REASONS.isdisjoint(rejected.rejected):
+            self._lacks_size = True
         if len(self.blocked) < BLOCKED_KEPT:
             self.blocked.append(record)
         self._core.decisions.wait(record.spec.id, rank, "room", rejected.rejected)
--- a/toucanspring/gang.py
+++ b/toucanspring/gang.py
@@ -25,6 +25,7 @@
     starts_at: float
     expires: float
     making_room: bool = False  # running tasks were stopped for it
+    exclusive: bool = True  # tasks of other jobs stay off the workers
 
 
 def excluded_for(
@@ -40,7 +41,9 @@
     excluded: frozenset[str] = frozenset()
     for job_id, reservation in core.reservations.items():
         service = spec.kind is job.Kind.SERVICE
-        if job_id != spec.id and (service or end > reservation.starts_at):
+        if not reservation.exclusive or job_id == spec.id:
+            continue
+        if service or end > reservation.starts_at:
             excluded |= reservation.workers
     return excluded
 
--- a/toucanspring/lane.py
+++ b/toucanspring/lane.py
@@ -17,6 +17,8 @@
 # requests are offered again at this interval at least.
 LONGEST_PAUSE_S = 0.1
 SHORTEST_PAUSE_S = 0.002
+# Classes that leave a slot that becomes free on a full server to checks for a moment.
+BACKGROUND = frozenset({job.JobClass.NORMAL, job.JobClass.DEFERRABLE})
 
 
 class Waiter:
@@ -144,14 +146,15 @@
 
     def release(self, server_id: str) -> None:
         """Give back a server to which nothing was sent."""
-        self.router.finished(server_id, routing.Outcome.OK, 0.0, self._clock())
+        self.router.unsent(server_id)
         self.pump()
 
     def pump(self) -> None:
         """Give servers to waiting requests while there are both."""
         while self._waiters:
             now = self._clock()
-            probe = self.router.choose(now)
+            background = self._admission.head() in BACKGROUND
+            probe = self.router.choose(now, background=background)
             if isinstance(probe, errors.Failure):
                 self._arm(probe.retry_after_s)
                 return
@@ -165,7 +168,7 @@
             if isinstance(entry, errors.Failure):
                 waiter.result.set(entry)
                 continue
-            server = self.router.choose(now, waiter.excluded)
+            server = self.router.choose(now, waiter.excluded, background)
             if isinstance(server, errors.Failure):
                 # All others are full; a second try at the same one beats waiting.
                 server = probe
--- a/toucanspring/preemption.py
+++ b/toucanspring/preemption.py
@@ -84,10 +84,10 @@
         if (held and held.making_room) or spec.id not in core.queue:
             continue
         demand = core.demand(spec)
-        if _is_pressing(core, record, now):
+        if is_pressing(core, record, now):
             order = CLASS_ORDER[spec.job_class]
             victims = _victims(core, record, max(order, NEVER_STOPPED), None)
-        elif now - core.queue.find(spec.id).added_at >= SHARE_WAIT_S:
+        elif now - _served_at(core, record) >= SHARE_WAIT_S:
             if over is None:
                 active = core.using_teams() | set(core.queue.teams())
                 over = core.shares.over_share(active, now)
@@ -104,9 +104,16 @@
             break
 
 
-def _is_pressing(
+def _served_at(core: lifecycle.Lifecycle, record: task_table.JobRecord) -> float:
+    """Return when a job last got room, or when it was queued."""
+    started = max((task.started_at for task in record.live.values()), default=0.0)
+    return max(started, core.queue.find(record.spec.id).added_at)
+
+
+def is_pressing(
     core: lifecycle.Lifecycle, record: task_table.JobRecord, now: float
 ) -> bool:
+    """Return whether a job may stop work of lower classes, whatever its share."""
     job_class = record.spec.job_class
     if job_class is job.JobClass.DEADLINE:
         start = core.estimator.latest_start(record.spec, record.accepted_at)
@@ -168,7 +175,11 @@
     if not together:
         count = min(count, TASKS_PER_JOB)
     taken = frozenset().union(
-        *(r.workers for job_id, r in core.reservations.items() if job_id != spec.id)
+        *(
+            held.workers
+            for job_id, held in core.reservations.items()
+            if job_id != spec.id and held.exclusive
+        )
     )
     plans = []
     for worker, tasks in victims.items():
@@ -189,7 +200,12 @@
         for task in tasks:
             core.stop(task, reason, "checkpoint")
     workers = frozenset(worker for _, worker, _ in chosen)
-    core.reservations[spec.id] = gang.Reservation(workers, now, now + ROOM_S, True)
+    # Room taken back for a share goes to its owner by rank. Keeping whole workers for
+    # it gave one job all of a worker for ROOM_S, far beyond its share.
+    exclusive = together or is_pressing(core, record, now)
+    core.reservations[spec.id] = gang.Reservation(
+        workers, now, now + ROOM_S, making_room=True, exclusive=exclusive
+    )
 
 
 def _plans(
