--- a/toucanspring/daemon.py
+++ b/toucanspring/daemon.py
@@ -15,7 +15,7 @@
 import logbook  # noqa: E402
 from gevent import event  # noqa: E402
 
-from toucanspring import errors, kernel, log, ownership, settings  # noqa: E402
+from toucanspring import errors, kernel, log, ownership, plugins, settings  # noqa: E402
 
 logger = logbook.Logger(__name__)
 
@@ -59,7 +59,8 @@
         if isinstance(service, errors.Failure):
             return service
         core.register(name, service)
-    return core
+    failure = plugins.load(chosen.plugins, core)
+    return core if failure is None else failure
 
 
 def publish_gauges(core: kernel.Kernel) -> None:
--- /dev/null
+++ b/toucanspring/plugins/joblog.py
@@ -0,0 +1,19 @@
+"""Logs the outcome of each job."""
+
+from __future__ import annotations
+
+import logbook
+
+from toucanspring import effects, kernel
+
+log = logbook.Logger(__name__)
+
+
+def attach(core: kernel.Kernel) -> None:
+    """Log each job that has ended in a partition of this process."""
+    core.subscribe(effects.JobFinished, _note)
+
+
+def _note(event: effects.JobFinished) -> None:
+    outcome = event.outcome
+    log.info("job {} ended: {} {}", event.job_id, outcome.state.value, outcome.reason)
--- a/toucanspring/settings.py
+++ b/toucanspring/settings.py
@@ -45,6 +45,7 @@
     :param poll_s: interval of reads of the head, member and ownership rows
     :param heartbeat_s: interval of heartbeats between processes
     :param drain_s: limit on waiting for in-flight requests at shutdown
+    :param plugins: names of plugins to load, separated by commas
     """
 
     process: str
@@ -69,6 +70,7 @@
     poll_s: float = 0.5
     heartbeat_s: float = 0.5
     drain_s: float = 30.0
+    plugins: str = ""
 
 
 FIELDS = {field.name: field for field in dataclasses.fields(Settings)}
