--- a/scenarios/actions.py
+++ b/scenarios/actions.py
@@ -36,8 +36,10 @@
         self._names: dict[str, str] = {}
         self._blocked: list[str] = []
         self._blocked_owners: dict[str, list[str]] = {}
+        self._large = 0
         self._listed: list[vms.Vm] = []
         self._shown: list[vms.Vm] | None = None
+        self._listed_at: dict[str, float] = {}
 
     def play(self, steps: tuple[language.Step, ...]) -> None:
         """Carry out steps; raises `language.ScenarioError` at the one that fails."""
@@ -106,6 +108,7 @@
         name = self.resolve(daemon)
         process = self._cell.cluster.processes[name]
         # Callers reach the daemon until it closes its port, and its requests end.
+        self._cell.front.stopping.add(name)
         process.signal(signal.SIGTERM)
         deadline = time.monotonic() + STOP_LIMIT_S
         while process.status() is None:
@@ -113,6 +116,7 @@
                 raise cell.Failed(f"{name} did not end within {STOP_LIMIT_S:g} s")
             gevent.sleep(0.02)
         self._cell.cluster.processes.pop(name)
+        self._cell.front.stopping.discard(name)
         if process.status() != 0:
             raise cell.Failed(f"{name} ended with status {process.status()}")
 
@@ -170,8 +174,9 @@
         self._cell.in_force(sources[won], version, before)
 
     def grant(self, team: str) -> None:
-        """Grant a key."""
+        """Grant a key, which all daemons accept within 3 s."""
         self._cell.grant(team)
+        self.expect_key_accepted(team)
 
     def withdraw(self, team: str) -> None:
         """Withdraw a key."""
@@ -191,6 +196,7 @@
         """Submit jobs."""
         fields, tasks = self._cell.job_fields(template, options)
         jobs = self._cell.job_set(name, template)
+        jobs.retrying = "retrying" in options
         jobs.submit(count, fields, tasks, self.resolve(options.get("through", "")))
         if self._cell.is_gang(template):
             self._cell.gangs |= dict.fromkeys(jobs.accepted, tasks)
@@ -201,6 +207,7 @@
         """Submit jobs in the background."""
         fields, tasks = self._cell.job_fields(template, options)
         jobs = self._cell.job_set(name, template)
+        jobs.retrying = "retrying" in options
         jobs.spawn(jobs.keep_submitting, fields, tasks, every_s)
 
     def keep_sending(
@@ -220,6 +227,7 @@
         )
         key = self._cell.keys.get(team, loads.Key())
         load = loads.Requests(name, self._cell.front, key, kind)
+        load.answer_bytes = self._large or kind.answer_bytes
         self._cell.requests[name] = load
         load.start(callers)
 
@@ -336,6 +344,27 @@
             known.append(msgspec.structs.replace(target, state=state))
         self._shown = known
         self._cell.cluster.publish(known)
+        self._listed_at[target.id] = time.monotonic()
+
+    def expect_no_start_on(self, host: language.Host) -> None:
+        """Check that a VM got no work later than 3 s after its entry was changed."""
+        target = self._host(host)
+        since = self._listed_at[target.id] + expectations.IN_FORCE_S
+        if host.role == "worker":
+            self._cell.history.refresh()
+            runs = self._cell.history.runs
+            late = [run for run in runs if run.worker == target.id and run.at > since]
+        else:
+            record = self._cell.cluster.record("backend_servers")["events"]
+            late = [
+                event
+                for event in record
+                if event["kind"] == "run"
+                and event["executor"] == target.id
+                and event["at"] > since
+            ]
+        if late:
+            raise cell.Failed(f"{len(late)} starts on {target.id}, such as {late[0]}")
 
     def _host(self, host: language.Host) -> vms.Vm:
         role = vms.Role.WORKER if host.role == "worker" else vms.Role.BACKEND_SERVER
@@ -362,9 +391,8 @@
         self._set_executors(cut_answers=count)
 
     def answers_large(self, size: int) -> None:
-        """Replace the length of all answers."""
-        for load in self._cell.requests.values():
-            load.answer_bytes = size
+        """Replace the length of the answers of requests sent from now on."""
+        self._large = size
         self._set_executors(large_bytes=size)
 
     def answers_normal(self) -> None:
--- a/toucanspring/allowance.py
+++ b/toucanspring/allowance.py
@@ -296,13 +296,16 @@
         )
 
     def step(
-        self, now: float
+        self, now: float, all_teams: bool = True
     ) -> list[effects.RequestAllowance | effects.ReturnAllowance]:
-        """Return the requests and returns that are due."""
+        """Return the requests and returns that are due.
+
+        With `all_teams` false, only teams whose work waits are looked at.
+        """
         due = []
-        for team, account in self._accounts.items():
+        for team in list(self._accounts if all_teams else self._short):
             short = self._short.get(team)
-            effect = self._next_effect(team, account, short, now)
+            effect = self._next_effect(team, self._accounts[team], short, now)
             if effect is not None:
                 due.append(effect)
         self._short.clear()
@@ -315,7 +318,9 @@
         short: tuple[Amount, Amount] | None,
         now: float,
     ) -> effects.RequestAllowance | effects.ReturnAllowance | None:
-        if account.ceiling is None:
+        if account.ceiling is None or not account.known:
+            # A target chosen before the row is read could be below the present part
+            # and give away what running work uses.
             return None
         if account.target is not None:
             if now - account.asked_at < RETRY_S:
@@ -334,7 +339,8 @@
         if now - account.since < RETURN_AFTER_S:
             return None
         peak, account.peak, account.since = account.peak, account.used, now
-        target = tuple(map(min, account.held, map(max, peak, account.used)))
+        needed = map(int.__add__, map(max, peak, account.used), account.possible)
+        target = tuple(map(min, account.held, needed))
         if target != account.held:
             return self._ask(team, account, target, now)
         return None
@@ -346,9 +352,10 @@
         What is above the limit goes at once. Within the limit a short pause keeps
         teams with short tasks from returning and asking again for each of them.
         """
-        keep = tuple(map(max, account.used, account.limit))
+        used = tuple(map(int.__add__, account.used, account.possible))
+        keep = tuple(map(max, used, account.limit))
         if not is_short and now - account.since >= CONTENDED_RETURN_AFTER_S:
-            keep = tuple(map(max, account.used, account.peak))
+            keep = tuple(map(max, used, account.peak))
             account.peak, account.since = account.used, now
         return tuple(map(min, account.held, keep))
 
@@ -357,9 +364,19 @@
         """Return what to hold: the amount that waits, but one chunk at a time."""
         limits = account.ceiling if account.limit is None else account.limit
         return tuple(
-            max(held, min(limit, used + max(least, min(amount, ceiling // CHUNKS))))
-            for used, amount, least, held, limit, ceiling in zip(
-                account.used, *short, account.held, limits, account.ceiling, strict=True
+            held
+            if ceiling >= unlimited
+            else max(
+                held, min(limit, used + max(least, min(amount, ceiling // CHUNKS)))
+            )
+            for used, amount, least, held, limit, ceiling, unlimited in zip(
+                account.used,
+                *short,
+                account.held,
+                limits,
+                account.ceiling,
+                UNLIMITED,
+                strict=True,
             )
         )
 
