--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -5,6 +5,7 @@
 monkey.patch_all()
 
 import os  # noqa: E402
+import signal  # noqa: E402
 import sys  # noqa: E402
 import time  # noqa: E402
 
@@ -13,12 +14,18 @@
 
 from demo import deployment  # noqa: E402
 
+EXIT_STOPPED = 128 + signal.SIGTERM
+
 
 def run(*, keep: bool = False) -> int:
     """Run both deployments and print an account.
 
     :param keep: Keep the first deployment running until interrupted.
     """
+    # A stop ends the processes that were started, also with SIGTERM or from a shell
+    # that lets background jobs ignore SIGINT.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_STOPPED))
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     began = time.monotonic()
 
     def say(line: str) -> None:
--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -279,6 +279,17 @@
         self.wait(lambda: self.fleet.found["w1"].started)
         return self.take_over()
 
+    def test_a_job_that_has_ended_cannot_be_cancelled(self):
+        # Callers were told "cancelled" of work that was done.
+        self.attach(self.owner)
+        self.submit(self.owner, "a", "b")
+        self.wait(lambda: len(self.fleet.found["w1"].started) == 2)
+        self.finish(self.owner, "a/0")
+        self.wait(lambda: self.fleet.found["w1"].acknowledged == ["a/0"])
+        found = self.ask(self.owner, lambda result: inbox.Cancel(["a", "b"], result))
+        self.assertIsInstance(found["a"], errors.Refused)
+        self.assertEqual("cancelled", found["b"])
+
     def test_a_successor_starts_what_certainly_never_ran(self):
         successor = self.start_elsewhere(idempotent=False)
         self.attach(successor)
--- a/toucanspring/changes.py
+++ b/toucanspring/changes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import dataclasses
 import time
 from collections.abc import Callable
@@ -88,7 +89,7 @@
         )
 
 
-class _Edit:
+class _Edit(abc.ABC):
     """Edit a document whose changes commute, whatever its version is."""
 
     name: ClassVar[str]
@@ -118,8 +119,9 @@
             )
         )
 
+    @abc.abstractmethod
     def _edit(self, document: object) -> object | errors.Failure:
-        raise NotImplementedError
+        """Return the changed document."""
 
 
 class ZoneChange(_Edit):
--- a/toucanspring/fleet.py
+++ b/toucanspring/fleet.py
@@ -268,6 +268,10 @@
         """Return the links of an owned partition by worker."""
         return self._links.get(partition, {})
 
+    def is_leaving(self, worker: str) -> bool:
+        """Return whether the VM list shows a worker as leaving or not at all."""
+        return self._leaving.get(worker, False)
+
     def assigned(
         self, partition: int
     ) -> dict[str, resources.Resources | None] | errors.Failure:
--- a/toucanspring/partition.py
+++ b/toucanspring/partition.py
@@ -315,12 +315,16 @@
         result.set(answers)
 
     def _cancel(self, job_ids: list[str], result: gevent.event.AsyncResult) -> None:
-        known = [name for name in job_ids if name in self.journal.state.specs]
-        answers: dict[str, object] = {
-            name: errors.NotFound(reason=f"no job {name}")
-            for name in job_ids
-            if name not in self.journal.state.specs
-        }
+        state = self.journal.state
+        answers: dict[str, object] = {}
+        known: list[str] = []
+        for name in job_ids:
+            if name not in state.specs:
+                answers[name] = errors.NotFound(reason=f"no job {name}")
+            elif state.is_finished(name):
+                answers[name] = errors.Refused(reason=f"job {name} has already ended")
+            else:
+                known.append(name)
         if not known:
             result.set(answers)
             return
--- a/toucanspring/partitions.py
+++ b/toucanspring/partitions.py
@@ -17,6 +17,7 @@
     documents,
     effects,
     errors,
+    fleet,
     inbox,
     job,
     kernel,
@@ -391,11 +392,17 @@
                     link.vm.rack,
                     known.capacity if known else resources.ZERO,
                     found.get(worker, resources.ZERO),
-                    "attached" if link.attached else "unreachable",
+                    self._worker_state(link),
                 )
             )
         return encode_result(statuses)
 
+    def _worker_state(self, link: fleet.Link) -> str:
+        if not link.attached:
+            return "unreachable"
+        leaving = self._kernel.find("fleet").is_leaving(link.vm.id)
+        return "leaving" if leaving else "attached"
+
     _handlers = {
         "submit": _serve_submit,
         "cancel": _serve_cancel,
