Split the worker stand-in

Change: task_runs.py (plans, timers, checkpoints, ends) and worker_link.py (connections); workers.py keeps lease, epochs, capacity and faults.

--- a/standins/workers.py
+++ b/standins/workers.py
@@ -6,54 +6,24 @@
 
 monkey.patch_all()
 
-import collections  # noqa: E402
-import heapq  # noqa: E402
-import itertools  # noqa: E402
 import random  # noqa: E402
 import time  # noqa: E402
-from collections.abc import Callable  # noqa: E402
 
 import defopt  # noqa: E402
 import gevent  # noqa: E402
 import msgspec  # noqa: E402
 from gevent import event, server  # noqa: E402
 
-from standins import events, service  # noqa: E402
-from toucanspring import errors, resources, stream, wire  # noqa: E402
+from standins import service, task_runs, worker_link  # noqa: E402
+from toucanspring import resources, stream, wire  # noqa: E402
 from toucanspring.adapters import vms  # noqa: E402
 
 RACK_SIZE = 8
 REPORT_INTERVAL_S = 0.5
-FINISH_BATCH_S = 0.015  # the design allows 20 ms from the end of a task to its report
 MAX_TICK_AGE_MS = 1000
 LEASE_GRACE_S = 2.0
 CHECKPOINT_LIMIT_S = 0.9 * LEASE_GRACE_S
 USAGE_LAG_S = 1.0
-CLOCK_STEP_S = 0.004
-MAX_OUTBOX_MESSAGES = 20_000
-MAX_REPORT_BYTES = wire.MAX_FRAME_BYTES - (1 << 16)
-FINISHED_OVERHEAD_BYTES = 200
-FAIL_ALL_RUN_MS = 10.0
-
-
-class Plan(msgspec.Struct, frozen=True):
-    """Payload of a task, in JSON: how it behaves; `run_ms` null runs until stopped.
-
-    Without `usage` none is reported, so that the scheduler learns no size.
-    """
-
-    run_ms: float | None = 10.0
-    fail: bool | str = False
-    answer: str = ""
-    answer_bytes: int = 0
-    usage: resources.Resources | None = None
-    checkpoint_ms: float = 50.0
-
-
-class Progress(msgspec.Struct, frozen=True):
-    """Checkpoint of a task: the part of its run time that is done."""
-
-    done_ms: float
 
 
 class WorkerFaults(msgspec.Struct, forbid_unknown_fields=True):
@@ -77,164 +47,26 @@
     blocked_addresses: list[str] | None = None
 
 
-class Clock:
-    """Run callbacks at monotonic times from one greenlet and one heap."""
-
-    def __init__(self) -> None:
-        self._heap: list[tuple[float, int, Callable, tuple]] = []
-        self._numbers = itertools.count()
-
-    def at(self, when: float, function: Callable, *args: object) -> None:
-        """Call a function, which must not block, at or shortly after `when`."""
-        heapq.heappush(self._heap, (when, next(self._numbers), function, args))
-
-    def run(self) -> None:
-        """Run callbacks forever."""
-        heap = self._heap
-        while True:
-            now = time.monotonic()
-            while heap and heap[0][0] <= now:
-                _, _, function, args = heapq.heappop(heap)
-                function(*args)
-            gevent.sleep(CLOCK_STEP_S)
-
-
-class Running:
-    """Track one running attempt; its work advances at `rate` per unit of time."""
-
-    __slots__ = (
-        "start",
-        "plan",
-        "partition",
-        "started_at",
-        "left_ms",
-        "done_ms",
-        "rate",
-        "changed_at",
-        "generation",
-        "stopping",
-    )
-
-    def __init__(
-        self, start: wire.TaskStart, plan: Plan, partition: int, now: float
-    ) -> None:
-        self.start = start
-        self.plan = plan
-        self.partition = partition
-        self.started_at = now
-        self.done_ms = 0.0
-        self.left_ms = plan.run_ms
-        self.rate = 1.0
-        self.changed_at = now
-        self.generation = 0
-        self.stopping = False
-
-    def advance(self, now: float) -> None:
-        """Count the work done since the last change."""
-        worked_ms = (now - self.changed_at) * 1000 * self.rate
-        self.done_ms += worked_ms
-        if self.left_ms is not None:
-            self.left_ms = max(0.0, self.left_ms - worked_ms)
-        self.changed_at = now
-
-    def end_time(self) -> float | None:
-        """Return when the work is complete at the present rate, if ever."""
-        if self.left_ms is None or self.rate <= 0:
-            return None
-        return self.changed_at + self.left_ms / 1000 / self.rate
-
-
-class Link:
-    """Own one connection: a reader, and a writer that drains an outbox."""
-
-    def __init__(self, worker: Worker, connected: stream.Stream, peer: str) -> None:
-        self.worker = worker
-        self.stream = connected
-        self.peer = peer
-        self.owner = ""
-        self.partition = -1
-        self.epoch = -1
-        self._outbox: collections.deque[object] = collections.deque()
-        self._filled = event.Event()
-
-    def serve(self) -> None:
-        """Handle messages until the connection ends."""
-        writer = gevent.spawn(self._write)
-        try:
-            while True:
-                message = self.stream.receive()
-                if isinstance(message, errors.Failure):
-                    return
-                if isinstance(message, wire.Attach):
-                    self.owner = message.owner
-                self._wait_until_open()
-                if self.stream.closed or not self.worker.handle(self, message):
-                    return
-        finally:
-            self.worker.links.discard(self)
-            self.close_when_sent()
-            writer.join(timeout=1.0)
-            self.stream.close()
-
-    def post(self, message: object) -> None:
-        """Queue a message; a receiver that stays far behind is disconnected."""
-        if len(self._outbox) >= MAX_OUTBOX_MESSAGES:
-            self.stream.close()
-            return
-        self._outbox.append(message)
-        self._filled.set()
-
-    def close_when_sent(self) -> None:
-        """Let the writer end after the queued messages."""
-        self.post(None)
-
-    def _write(self) -> None:
-        while True:
-            self._filled.wait()
-            self._filled.clear()
-            while self._outbox:
-                self._wait_until_open()
-                message = self._outbox.popleft()
-                if message is None or self.stream.send(message) is not None:
-                    self.stream.close()
-                    return
-
-    def _wait_until_open(self) -> None:
-        while self.worker.holds_back(self) and not self.stream.closed:
-            self.worker.gate.wait(timeout=1.0)
-
-
-class Worker:
+class Worker(task_runs.TaskHost):
     """Run tasks by timers under a lease, and enforce epoch, tick age and capacity."""
 
     def __init__(
         self,
         listed: vms.Vm,
-        clock: Clock,
+        clock: task_runs.Clock,
         record: service.Record,
         rng: random.Random,
     ) -> None:
-        self.listed = listed
-        self.links: set[Link] = set()
+        super().__init__(listed, clock, record)
+        self.links: set[worker_link.Link] = set()
         self.gate = event.Event()
-        self._clock = clock
-        self._record = record
         self._rng = rng
-        self._incarnation = 0
         self._server: server.StreamServer | None = None
-        self._running: dict[str, Running] = {}
-        self._finished: dict[str, tuple[int, wire.FinishedTask]] = {}
-        self._unreported: list[tuple[int, wire.FinishedTask]] = []
-        self._used = resources.ZERO
         self._epochs: dict[int, int] = {}
         self._partition = -1
         self._lease_until = 0.0
         self._lease_timer = False
-        self._flush_timer = False
         self._report_series = 0
-        self._tick_offset_ms = 0
-        self._paused_at: float | None = None
-        self._fail_all = False
         self._blocked_owners: frozenset[str] = frozenset()
         self._blocked_addresses: frozenset[str] = frozenset()
 
@@ -340,7 +172,7 @@
             self._clock.at(now + faults.return_after_ms / 1000, self.revive)
         self._open_gate()
 
-    def holds_back(self, link: Link) -> bool:
+    def holds_back(self, link: worker_link.Link) -> bool:
         """Return whether traffic on a link waits at present."""
         return (
             self._paused_at is not None
@@ -355,13 +187,13 @@
 
     def _accept(self, sock: object, address: tuple[str, int]) -> None:
         connected = stream.Stream(sock, wire.decode_worker)
-        link = Link(self, connected, f"{address[0]}:{address[1]}")
+        link = worker_link.Link(self, connected, f"{address[0]}:{address[1]}")
         self.links.add(link)
         link.serve()
 
     # Messages
 
-    def handle(self, link: Link, message: object) -> bool:
+    def handle(self, link: worker_link.Link, message: object) -> bool:
         """Carry out one message; `False` ends the connection."""
         if isinstance(message, wire.Attach):
             return self._attach(link, message)
@@ -389,7 +221,7 @@
                 return False
         return True
 
-    def _attach(self, link: Link, message: wire.Attach) -> bool:
+    def _attach(self, link: worker_link.Link, message: wire.Attach) -> bool:
         now = time.monotonic()
         highest = self._epochs.get(message.partition, 0)
         if message.epoch < highest:
@@ -425,7 +257,7 @@
         self._post_attached(link, now)
         return True
 
-    def _post_attached(self, link: Link, now: float) -> None:
+    def _post_attached(self, link: worker_link.Link, now: float) -> None:
         running = [
             wire.RunningTask(
                 task_id,
@@ -443,12 +275,12 @@
         ]
         # Finished tasks beyond the frame limit are shown as running and reported as
         # finished right after; omitted, they would be taken for tasks never started.
-        size = FINISHED_OVERHEAD_BYTES * len(running)
+        size = task_runs.FINISHED_OVERHEAD_BYTES * len(running)
         shown = []
         later = []
         for task in finished:
-            size += len(task.answer) + FINISHED_OVERHEAD_BYTES
-            if size <= MAX_REPORT_BYTES:
+            size += len(task.answer) + task_runs.FINISHED_OVERHEAD_BYTES
+            if size <= task_runs.MAX_REPORT_BYTES:
                 shown.append(task)
             else:
                 size -= len(task.answer)
@@ -472,7 +304,7 @@
         for report in self._split(later, {}, now):
             link.post(report)
 
-    def _start(self, link: Link, message: wire.Start) -> None:
+    def _start(self, link: worker_link.Link, message: wire.Start) -> None:
         now = time.monotonic()
         tick_age_ms = self._tick(now) - message.tick
         if now >= self._lease_until:
@@ -495,7 +327,7 @@
                 refused.append((task.task_id, cause))
                 continue
             accepted.append(task.task_id)
-            self._run(task, link, now, tick_age_ms)
+            self._run(task, link.partition, link.epoch, now, tick_age_ms)
         if refused:
             self._record_refusals(link, refused)
         link.post(wire.Started(message.batch, accepted, refused))
@@ -510,56 +342,20 @@
             return "" if finished[1].attempt == task.attempt else "attempt"
         return None
 
-    def _refuse_all(self, link: Link, message: wire.Start, cause: str) -> None:
+    def _refuse_all(
+        self, link: worker_link.Link, message: wire.Start, cause: str
+    ) -> None:
         refused = [(task.task_id, cause) for task in message.tasks]
         self._record_refusals(link, refused)
         link.post(wire.Started(message.batch, [], refused))
 
-    def _record_refusals(self, link: Link, refused: list[tuple[str, str]]) -> None:
+    def _record_refusals(
+        self, link: worker_link.Link, refused: list[tuple[str, str]]
+    ) -> None:
         self._record.add(
             "refused", worker=self.listed.id, owner=link.owner, refused=refused
         )
 
-    def _run(
-        self, task: wire.TaskStart, link: Link, now: float, tick_age_ms: int
-    ) -> None:
-        running = Running(task, self._plan(task), link.partition, now)
-        if task.progress:
-            done_ms = msgspec.json.decode(task.progress, type=Progress).done_ms
-            running.done_ms = done_ms
-            if running.left_ms is not None:
-                running.left_ms = max(0.0, running.left_ms - done_ms)
-        self._running[task.task_id] = running
-        self._used += task.demand
-        self._record.append(
-            events.Start(
-                at=now,
-                worker=self.listed.id,
-                incarnation=self._incarnation,
-                availability_zone=self.listed.availability_zone,
-                partition=link.partition,
-                epoch=link.epoch,
-                task=task.task_id,
-                attempt=task.attempt,
-                team=task.team,
-                demand=task.demand,
-                idempotent=task.idempotent,
-                resumed=bool(task.progress),
-                tick_age_ms=tick_age_ms,
-            )
-        )
-        self._schedule_end(task.task_id, running)
-
-    def _plan(self, task: wire.TaskStart) -> Plan:
-        if self._fail_all:
-            return Plan(run_ms=FAIL_ALL_RUN_MS, fail="the worker fails every task")
-        if not task.payload:
-            return Plan()
-        try:
-            return _plan_decoder.decode(task.payload)
-        except msgspec.DecodeError as error:
-            return Plan(run_ms=0.0, fail=f"payload: {error}")
-
     def _renew(self, lease_ms: int, tick: int) -> None:
         """Extend the lease, counted from a clock value that this worker reported."""
         now = time.monotonic()
@@ -606,142 +402,8 @@
             else:
                 self._finish(task_id, running, "failed", "stopped", b"", now)
 
-    def _begin_checkpoint(self, task_id: str, now: float, limit: float) -> None:
-        running = self._running[task_id]
-        if running.stopping:
-            return
-        running.advance(now)
-        running.stopping = True
-        running.generation += 1
-        self._clock.at(
-            min(now + running.plan.checkpoint_ms / 1000, limit),
-            self._end_checkpoint,
-            self._incarnation,
-            task_id,
-            running,
-            running.generation,
-        )
-
-    def _end_checkpoint(
-        self, incarnation: int, task_id: str, running: Running, generation: int
-    ) -> None:
-        if self._is_current(incarnation, task_id, running, generation):
-            self._checkpoint_now(task_id, running, time.monotonic())
-
-    def _checkpoint_now(
-        self,
-        task_id: str,
-        running: Running,
-        now: float,
-        ran_until: float | None = None,
-    ) -> None:
-        progress = msgspec.json.encode(Progress(running.done_ms))
-        self._finish(task_id, running, "checkpointed", "", progress, now, ran_until)
-
-    def _throttle(self, message: wire.Throttle) -> None:
-        running = self._running.get(message.task_id)
-        if running is not None and not running.stopping:
-            running.advance(time.monotonic())
-            running.rate = min(1.0, max(0.0, message.fraction))
-            self._schedule_end(message.task_id, running)
-
     # Ends and reports
 
-    def _schedule_end(self, task_id: str, running: Running) -> None:
-        running.generation += 1
-        if running.stopping:
-            self._clock.at(
-                time.monotonic(),
-                self._end_checkpoint,
-                self._incarnation,
-                task_id,
-                running,
-                running.generation,
-            )
-            return
-        when = running.end_time()
-        if when is not None:
-            self._clock.at(
-                when,
-                self._end,
-                self._incarnation,
-                task_id,
-                running,
-                running.generation,
-            )
-
-    def _is_current(
-        self, incarnation: int, task_id: str, running: Running, generation: int
-    ) -> bool:
-        return (
-            incarnation == self._incarnation
-            and self._paused_at is None
-            and running.generation == generation
-            and self._running.get(task_id) is running
-        )
-
-    def _end(
-        self, incarnation: int, task_id: str, running: Running, generation: int
-    ) -> None:
-        if not self._is_current(incarnation, task_id, running, generation):
-            return
-        now = time.monotonic()
-        plan = running.plan
-        if plan.fail:
-            reason = plan.fail if isinstance(plan.fail, str) else "failed as planned"
-            self._finish(task_id, running, "failed", reason, b"", now)
-            return
-        answer = plan.answer.encode() or b"x" * plan.answer_bytes
-        if len(answer) > MAX_REPORT_BYTES - FINISHED_OVERHEAD_BYTES:
-            reason = f"answer of {len(answer)} bytes"
-            self._finish(task_id, running, "failed", reason, b"", now)
-            return
-        self._finish(task_id, running, "done", "", answer, now)
-
-    def _finish(
-        self,
-        task_id: str,
-        running: Running,
-        state: str,
-        reason: str,
-        answer: bytes,
-        now: float,
-        ran_until: float | None = None,
-    ) -> None:
-        del self._running[task_id]
-        self._used -= running.start.demand
-        finished = wire.FinishedTask(
-            task_id,
-            running.start.attempt,
-            state,
-            reason,
-            answer,
-            int((now - running.started_at) * 1000),
-            running.plan.usage or resources.ZERO,
-        )
-        self._finished[task_id] = (running.partition, finished)
-        self._unreported.append((running.partition, finished))
-        self._record.append(
-            events.End(
-                at=now,
-                worker=self.listed.id,
-                incarnation=self._incarnation,
-                task=task_id,
-                attempt=running.start.attempt,
-                state=state,
-                reason=reason,
-                ran_until=now if ran_until is None else ran_until,
-            )
-        )
-        if not self._flush_timer:
-            self._flush_timer = True
-            self._clock.at(now + FINISH_BATCH_S, self._flush)
-
-    def _flush(self) -> None:
-        self._flush_timer = False
-        if self._unreported and self._paused_at is None:
-            self._report({})
-
     def _report_regularly(self, series: int) -> None:
         if series != self._report_series or self._paused_at is not None:
             return  # `resume` and `revive` begin a new series
@@ -777,10 +439,10 @@
         """Return reports below the frame limit, none if there is nothing finished."""
         reports = []
         batch: list[wire.FinishedTask] = []
-        size = FINISHED_OVERHEAD_BYTES * len(usage)
+        size = task_runs.FINISHED_OVERHEAD_BYTES * len(usage)
         for task in finished:
-            added = len(task.answer) + FINISHED_OVERHEAD_BYTES
-            if batch and size + added > MAX_REPORT_BYTES:
+            added = len(task.answer) + task_runs.FINISHED_OVERHEAD_BYTES
+            if batch and size + added > task_runs.MAX_REPORT_BYTES:
                 reports.append(wire.Report(self._tick(now), batch, usage))
                 batch, size, usage = [], 0, {}
             batch.append(task)
@@ -789,12 +451,6 @@
             reports.append(wire.Report(self._tick(now), batch, usage))
         return reports
 
-    def _tick(self, now: float) -> int:
-        return int(now * 1000) + self._tick_offset_ms
-
-
-_plan_decoder = msgspec.json.Decoder(Plan)
-
 
 class Workers:
     """Host the workers and their common control interface."""
@@ -850,7 +506,7 @@
     :param seed: Seed of incarnations and clock offsets.
     """
     record = service.Record()
-    clock = Clock()
+    clock = task_runs.Clock()
     rng = random.Random(f"{seed}/{first_port}/{time.monotonic_ns()}")
     workers = []
     for index in range(count):
--- a/test/test_fleet.py
+++ b/test/test_fleet.py
@@ -4,7 +4,7 @@
 import gevent
 import testtools
 
-from standins import cluster, service
+from standins import cluster, service, task_runs
 from standins import workers as standin
 from test import fake_tables
 from toucanspring import fleet, resources, wire
@@ -24,7 +24,7 @@
         self.patch(standin, "LEASE_GRACE_S", 0.3)
         self.patch(standin, "CHECKPOINT_LIMIT_S", 0.25)
         self.patch(standin, "REPORT_INTERVAL_S", 0.1)
-        clock = standin.Clock()
+        clock = task_runs.Clock()
         self.addCleanup(gevent.spawn(clock.run).kill)
         self.vm = vms.Vm(
             id="w1",
--- a/test/test_worker_faults.py
+++ b/test/test_worker_faults.py
@@ -6,7 +6,7 @@
 import msgspec
 import testtools
 
-from standins import cluster, judge, service
+from standins import cluster, judge, service, task_runs
 from standins import workers as standin
 from toucanspring import errors, resources, wire
 from toucanspring.adapters import vms, workers
@@ -122,7 +122,7 @@
         self.patch(standin, "CHECKPOINT_LIMIT_S", 0.9 * GRACE_S)
         self.record = service.Record()
         self.rng = random.Random(11)
-        clock = standin.Clock()
+        clock = task_runs.Clock()
         ticking = gevent.spawn(clock.run)
         self.addCleanup(ticking.kill)
         first = cluster.find_ports(4)
--- a/test/test_workers.py
+++ b/test/test_workers.py
@@ -6,7 +6,7 @@
 import testtools
 from gevent import server
 
-from standins import cluster, judge, service
+from standins import cluster, judge, service, task_runs
 from standins import workers as standin
 from toucanspring import errors, resources, wire
 from toucanspring.adapters import vms, workers
@@ -71,7 +71,7 @@
     def setUp(self):
         super().setUp()
         self.record = service.Record()
-        clock = standin.Clock()
+        clock = task_runs.Clock()
         ticking = gevent.spawn(clock.run)
         self.addCleanup(ticking.kill)
         self.port = cluster.find_ports(1)
