Bound the extension of ownership to 30 minutes

Change: an owner is extended for at most 30 minutes after its last renewal, and a successor stops waiting after 31.5 minutes. Conclusion: the wait is bounded; 30 minutes is three times the outage of ten minutes that running tasks must survive.

--- a/test/test_ownership.py
+++ b/test/test_ownership.py
@@ -85,10 +85,27 @@
             ({"a": free, "b": free, "c": short}, False),
             ({"a": free, "b": free, "c": apart}, False),
         ):
-            found = ownership.lost_majority(FIVE, quiet, 19.0, TIMING)
+            found = ownership.lost_majority(FIVE, quiet, 19.0, 23.0, TIMING)
             self.assertEqual(gone, found)
         quiet = {"a": free, "b": free, "c": free}
-        self.assertFalse(ownership.lost_majority(FIVE, quiet, 22.3, TIMING))
+        self.assertFalse(ownership.lost_majority(FIVE, quiet, 22.3, 23.0, TIMING))
+
+    def test_an_extension_ends_after_its_limit(self):
+        # Guards against a successor that waits for ever, because all members of the
+        # former owner's list are gone; the successor must not be early either.
+        limit = TIMING.extension_s
+        tenure = ownership.renew(ownership.Tenure(), 0.0, TIMING)
+        now = 1.0
+        while ownership.judge(tenure, now) is not ownership.Standing.NARROWED:
+            promises = dict.fromkeys(FIVE, now)
+            tenure = ownership.extend(tenure, [FIVE], promises, now, TIMING)
+            now += 1.0
+        self.assertLessEqual(now, TIMING.lease_s + limit + 1)
+        self.assertGreater(now, limit)
+        # The owner's clock may be slower than the successor's by the drift.
+        ended_at = (TIMING.lease_s + limit) * (1 + TIMING.drift)
+        self.assertFalse(ownership.lost_majority(FIVE, {}, 0.0, ended_at - 0.1, TIMING))
+        self.assertTrue(ownership.lost_majority(FIVE, {}, 0.0, ended_at, TIMING))
 
     def test_quiet_time_is_counted_short_on_both_ends(self):
         quiet = ownership.quiet_interval(30.0, 30.4, 10.0, TIMING)
--- a/toucanspring/claims.py
+++ b/toucanspring/claims.py
@@ -165,7 +165,6 @@
 
         A worker that it renewed last may still run tasks for its lease from then on.
         """
-        del now
         holding = self._holdings.get(partition)
         if holding is None:
             return False
@@ -175,7 +174,7 @@
                 members
                 for members in holding.former
                 if not ownership.lost_majority(
-                    members, quiet, holding.claimed_at, self._members.timing
+                    members, quiet, holding.claimed_at, now, self._members.timing
                 )
             ]
         return not holding.former
--- a/toucanspring/membership.py
+++ b/toucanspring/membership.py
@@ -277,7 +277,7 @@
         for name, (version, row) in list(self.rows.items()):
             seen_at = self.sightings[name].counter_at
             ended = ownership.lost_majority(
-                row.known, quiet, seen_at + self.timing.silence_s, self.timing
+                row.known, quiet, seen_at + self.timing.silence_s, now, self.timing
             )
             if ended and now - seen_at >= DELETE_AFTER_S and name not in named:
                 key = renewal.key_of(name)
--- a/toucanspring/ownership.py
+++ b/toucanspring/ownership.py
@@ -21,6 +21,15 @@
     promise_s: float = 2.0
     # The only clock assumption: over a lease, two monotonic clocks differ by less.
     drift: float = 0.05
+    # Longest extension after the last renewal. It outlasts an outage of ten minutes
+    # three times, and bounds the wait of a successor when all members of the former
+    # owner's list are gone for good, since nobody can then say that none promised.
+    extension_s: float = 1800.0
+
+    @property
+    def extension_over_s(self) -> float:
+        """Return how long after a claim no former owner can be extended any more."""
+        return (self.lease_s + self.extension_s) * (1 + self.drift)
 
     @property
     def silence_s(self) -> float:
@@ -98,6 +107,7 @@
     until = min(
         (majority_until(members, promises, timing) for members in lists), default=NEVER
     )
+    until = min(until, tenure.lease_until + timing.extension_s)
     return dataclasses.replace(tenure, valid_until=max(tenure.valid_until, until))
 
 
@@ -177,14 +187,17 @@
     members: Collection[str],
     quiet: Mapping[str, Quiet],
     claimed_at: float,
+    now: float,
     timing: Timing,
 ) -> bool:
     """Return whether an owner with this list must have ended since `claimed_at`.
 
     That holds if at one moment after the claim at least half of the list had sent no
     promise for as long as a promise can count: then no majority stood, and an ended
-    extension is not resumed.
+    extension is not resumed. It also holds once no extension can last any longer.
     """
+    if now - claimed_at >= timing.extension_over_s:
+        return True
     known = [quiet[name] for name in members if name in quiet]
     for moment in {interval.until for interval in known}:
         if moment < claimed_at:
