Keep leaving workers out after their first attach; move no partition in need

Ruled out: takeover by failure (no claim was lost), the VM list stand-in (it served the change at once). Change: an attach applies what the list said before; a partition is not handed over to even out while one of its workers cannot be reached.

--- a/test/test_claims.py
+++ b/test/test_claims.py
@@ -247,6 +247,19 @@
         owners = {self.cell.owners(partition)[0] for partition in range(3)}
         self.assertEqual(3, len(owners))
 
+    def test_a_partition_with_an_unreachable_worker_is_not_moved_to_even_out(self):
+        # Each new owner waits for the worker's lease from the beginning; in a
+        # scenario a hand-over after 20 s more than doubled the wait.
+        self.make(count=1)
+        first = self.cell.nodes["p0"]
+        first.claims.holds_back = lambda partition: partition == 0
+        for index in (1, 2):
+            self.cell.add(f"p{index}")
+        self.cell.run(40)
+        self.assertEqual(["p0"], self.cell.owners(0))
+        owners = {self.cell.owners(partition)[0] for partition in (1, 2)}
+        self.assertNotIn("p0", owners)
+
     def test_rows_of_dead_members_are_deleted_once_they_own_nothing(self):
         self.make(count=3)
         dead = self.owner()
--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -100,6 +100,7 @@
 class Fleet(Service):
     def __init__(self, workers):
         self.found = {worker: Link() for worker in workers}
+        self.leaving = set()
 
     def assigned(self, _number):
         return dict.fromkeys(self.found, CAPACITY)
@@ -110,6 +111,9 @@
     def remove_partition(self, _number):
         pass
 
+    def is_leaving(self, worker):
+        return worker in self.leaving
+
     def link(self, _number, worker):
         return self.found.get(worker)
 
@@ -230,6 +234,18 @@
         self.attach(self.owner, "w2")
         self.wait(lambda: self.fleet.found["w2"].started == ["a/0"])
 
+    def test_a_worker_that_left_before_it_was_attached_gets_no_work(self):
+        # The VM list dropped a worker just before its first attach; it was then used
+        # for as long as the list stayed the same (scenario vm_list).
+        self.fleet.leaving.add("w1")
+        self.owner.post(fleet.Leaving("w1", True))
+        self.attach(self.owner, "w1")
+        self.submit(self.owner, "a")
+        gevent.sleep(0.1)
+        self.assertEqual([], self.fleet.found["w1"].started)
+        self.attach(self.owner, "w2")
+        self.wait(lambda: self.fleet.found["w2"].started == ["a/0"])
+
     def test_nothing_starts_with_an_old_view_or_without_ownership(self):
         for name in ("is_fresh", "allowed"):
             holder = self.documents if name == "is_fresh" else self.claims
--- a/toucanspring/claims.py
+++ b/toucanspring/claims.py
@@ -105,6 +105,8 @@
         self._events: queue.Queue = queue.Queue()
         self._publisher: gevent.Greenlet | None = None
         self._members: membership.Service | None = None
+        # A partition for which this is true is not handed over to even out.
+        self.holds_back: Callable[[int], bool] = lambda _partition: False
 
     def start(self) -> None:
         """Follow the ownership rows; claims are made after each poll."""
@@ -390,7 +392,9 @@
         self._uneven_since = now
         preferred = self._preferred(candidates)
         own = members.identity.process
-        foreign = [p for p in self._holdings if preferred[p] != own]
+        foreign = [
+            p for p in self._holdings if preferred[p] != own and not self.holds_back(p)
+        ]
         if foreign:
             log.info("handing partition {} to {}", foreign[0], preferred[foreign[0]])
             self.release(foreign[0])
--- a/toucanspring/fleet.py
+++ b/toucanspring/fleet.py
@@ -230,6 +230,7 @@
 
     def start(self) -> None:
         """Begin polling the VM list and the worker map."""
+        self._kernel.find("claims").holds_back = self.has_unreachable
         self._greenlet = gevent.spawn(self._poll)
 
     def stop(self) -> None:
@@ -268,6 +269,15 @@
         """Return the links of an owned partition by worker."""
         return self._links.get(partition, {})
 
+    def has_unreachable(self, partition: int) -> bool:
+        """Return whether a worker may still run tasks but cannot be reached.
+
+        A new owner would have to wait for its lease from the beginning.
+        """
+        return any(
+            not (link.attached or link.lost) for link in self.links(partition).values()
+        )
+
     def is_leaving(self, worker: str) -> bool:
         """Return whether the VM list shows a worker as leaving or not at all."""
         return self._leaving.get(worker, False)
--- a/toucanspring/partition.py
+++ b/toucanspring/partition.py
@@ -246,6 +246,11 @@
                         facts, message.running, message.finished, now
                     )
                 )
+                # What the VM list said before the worker was known had no effect.
+                leaving = self._kernel.find("fleet").is_leaving(worker)
+                self._executor.carry_out(
+                    self._scheduler.worker_leaving(worker, leaving, now)
+                )
             case wire.Report(finished=finished, usage=usage):
                 if finished or usage:
                     self._executor.carry_out(
