--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -305,6 +305,9 @@
         found = self.ask(self.owner, lambda result: inbox.Cancel(["a", "b"], result))
         self.assertIsInstance(found["a"], errors.Refused)
         self.assertEqual("cancelled", found["b"])
+        # A repeated call, such as after a lost answer, gets the same answer.
+        again = self.ask(self.owner, lambda result: inbox.Cancel(["b"], result))
+        self.assertEqual({"b": "cancelled"}, again)
 
     def test_a_successor_starts_what_certainly_never_ran(self):
         successor = self.start_elsewhere(idempotent=False)
--- a/toucanspring/partition.py
+++ b/toucanspring/partition.py
@@ -326,7 +326,7 @@
         for name in job_ids:
             if name not in state.specs:
                 answers[name] = errors.NotFound(reason=f"no job {name}")
-            elif state.is_finished(name):
+            elif state.is_finished(name) and name not in state.cancelled:
                 answers[name] = errors.Refused(reason=f"job {name} has already ended")
             else:
                 known.append(name)
