--- a/toucanspring/fairness.py
+++ b/toucanspring/fairness.py
@@ -1,4 +1,9 @@
-"""Shares of teams: use, targets and the order in which teams are served."""
+"""Shares of teams: use, targets and the order in which teams are served.
+
+Targets among active teams only and a history of use in a window follow the
+documentation of FairShare Groups in Altair Accelerator; bench.share compares them with
+ranking by present use.
+"""
 
 from __future__ import annotations
 
