Start the platform stand-ins through one function

Cause: objects, tables and the VM list each wrote the same start twice; the fleet kept a set that nothing read. Change: standins/host.py; the unused attribute is gone. Conclusion: no change of behaviour intended or seen.

--- /dev/null
+++ b/standins/host.py
@@ -0,0 +1,32 @@
+"""Runs one stand-in service with its faults until the process is signalled."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from standins import service
+
+
+def run(
+    name: str,
+    address: str,
+    port: int,
+    control_port: int | None,
+    seed: int,
+    make_handler: Callable[
+        [service.Record], Callable[[service.Request], service.Response]
+    ],
+) -> None:
+    """Serve on `port`; the control interface is there and on `control_port`."""
+    record = service.Record()
+    served = service.FaultyService(
+        address,
+        port,
+        control_port,
+        make_handler(record),
+        record,
+        random.Random(seed).random,
+    )
+    served.open()
+    service.run_until_signal(f"{name} ready on {address}:{port}")
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -4,11 +4,9 @@
 
 monkey.patch_all()
 
-import random  # noqa: E402
-
 import defopt  # noqa: E402
 
-from standins import service  # noqa: E402
+from standins import host, service  # noqa: E402
 
 PREFIX = "/v1/objects/"
 
@@ -61,17 +59,14 @@
         is down.
     :param seed: Seed of the random choice of failing calls.
     """
-    record = service.Record()
-    served = service.FaultyService(
+    host.run(
+        "objects",
         address,
         port,
         control_port,
-        Objects(record).handle,
-        record,
-        random.Random(seed).random,
+        seed,
+        lambda record: Objects(record).handle,
     )
-    served.open()
-    service.run_until_signal(f"objects ready on {address}:{port}")
 
 
 if __name__ == "__main__":
--- a/standins/tables.py
+++ b/standins/tables.py
@@ -5,12 +5,11 @@
 monkey.patch_all()
 
 import bisect  # noqa: E402
-import random  # noqa: E402
 
 import defopt  # noqa: E402
 import msgspec  # noqa: E402
 
-from standins import service  # noqa: E402
+from standins import host, service  # noqa: E402
 from toucanspring.adapters import tables  # noqa: E402
 
 MAX_SCAN_ROWS = 1000
@@ -107,17 +106,14 @@
         is down.
     :param seed: Seed of the random choice of failing calls.
     """
-    record = service.Record()
-    served = service.FaultyService(
+    host.run(
+        "tables",
         address,
         port,
         control_port,
-        Tables(record).handle,
-        record,
-        random.Random(seed).random,
+        seed,
+        lambda record: Tables(record).handle,
     )
-    served.open()
-    service.run_until_signal(f"tables ready on {address}:{port}")
 
 
 if __name__ == "__main__":
--- a/standins/vms.py
+++ b/standins/vms.py
@@ -5,13 +5,12 @@
 monkey.patch_all()
 
 import collections  # noqa: E402
-import random  # noqa: E402
 import time  # noqa: E402
 
 import defopt  # noqa: E402
 import msgspec  # noqa: E402
 
-from standins import service  # noqa: E402
+from standins import host, service  # noqa: E402
 from toucanspring.adapters import vms  # noqa: E402
 
 
@@ -78,17 +77,14 @@
     :param lag_ms: Time in milliseconds until a change shows; `PUT /v1/lag` sets it.
     :param seed: Seed of the random choice of failing calls.
     """
-    record = service.Record()
-    served = service.FaultyService(
+    host.run(
+        "VM list",
         address,
         port,
         control_port,
-        VmList(record, lag_ms).handle,
-        record,
-        random.Random(seed).random,
+        seed,
+        lambda record: VmList(record, lag_ms).handle,
     )
-    served.open()
-    service.run_until_signal(f"VM list ready on {address}:{port}")
 
 
 if __name__ == "__main__":
--- a/toucanspring/fleet.py
+++ b/toucanspring/fleet.py
@@ -226,7 +226,6 @@
         self._posts: dict[int, tuple[int, Callable[[object], None]]] = {}
         self._leaving: dict[str, bool] = {}
         self._greenlet: gevent.Greenlet | None = None
-        self.ready: set[int] = set()  # partitions whose worker map has been read
 
     def start(self) -> None:
         """Begin polling the VM list and the worker map."""
