Let a job avoid workers and racks on which it fails at once

Cause: quarantine waits for the failures of two jobs and takes a job that fails on three workers for broken. Workers that fail at once always have room, so they attracted the retries of a single job until these were used up. Ruled out: counting failures of one job for quarantine, since a broken job would empty the cell. Change: avoidance.py keeps, for each job, the workers where it failed quickly (10 s, doubled with each failed trial) and avoids a rack after two of its workers, unless no other worker could run the job. Gang reservations and preemption leave these workers out too. The avoided workers are forgotten at a takeover and learned again.

--- a/toucanspring/attempt.py
+++ b/toucanspring/attempt.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Iterator
 
-from toucanspring import effects, job, lifecycle, task_table, wire
+from toucanspring import avoidance, effects, job, lifecycle, task_table, wire
 
 SERVICE_STABLE_S = 60.0  # a service that ran so long starts with a fresh delay
 
@@ -75,6 +75,7 @@
     seconds = end.run_ms / 1000
     if ok:
         core.estimator.observe(spec.name, spec.team, spec.demand, end.usage, seconds)
+    avoidance.record_end(core, record, worker, ok, seconds, now)
     before = core.quarantine.allows(worker, now)
     core.quarantine.record(worker, spec.id, ok, seconds, now)
     if core.quarantine.allows(worker, now) is not before:
--- a/toucanspring/dispatch.py
+++ b/toucanspring/dispatch.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 
 from toucanspring import (
+    avoidance,
     gang,
     job,
     lifecycle,
@@ -123,7 +124,8 @@
             core.allowances.want(spec.team, needed, least)
             core.decisions.wait(spec.id, rank, "allowance below the team's ceiling")
             return 0
-        excluded = gang.excluded_for(core, spec, now)
+        avoided = avoidance.avoided(core, record, demand, now)
+        excluded = gang.excluded_for(core, spec, now) | avoided
         shape = (demand, spec.availability_zones, excluded, together and count)
         if shape in no_room:
             return self._note_no_room(record, rank, placement.NoRoom({}))
@@ -134,7 +136,7 @@
         if together:
             chosen = gang.place(core, record, demand, constraints)
             if isinstance(chosen, placement.NoRoom):
-                gang.reserve(core, spec, count, demand, now)
+                gang.reserve(core, spec, count, demand, avoided, now)
                 no_room.add(shape)
                 return self._note_no_room(record, rank, chosen)
         else:
--- a/toucanspring/gang.py
+++ b/toucanspring/gang.py
@@ -94,12 +94,13 @@
     spec: job.JobSpec,
     count: int,
     demand: resources.Resources,
+    avoided: frozenset[str],
     now: float,
 ) -> None:
     """Hold the workers on which a gang is expected to have room first."""
     if spec.id in core.reservations or len(core.reservations) >= MAX_RESERVATIONS:
         return
-    taken: frozenset[str] = frozenset()
+    taken = avoided
     for reservation in core.reservations.values():
         taken |= reservation.workers
     found = earliest_room(core, spec, count, demand, taken, now)
--- a/toucanspring/preemption.py
+++ b/toucanspring/preemption.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from toucanspring import gang, job, lifecycle, resources, task_table
+from toucanspring import avoidance, gang, job, lifecycle, resources, task_table
 
 # A task that is expected to end so soon is left to end where it runs.
 FINISH_S = 5.0
@@ -179,7 +179,8 @@
             held.workers
             for job_id, held in core.reservations.items()
             if job_id != spec.id and held.exclusive
-        )
+        ),
+        avoidance.avoided(core, record, demand, now),
     )
     plans = []
     for worker, tasks in victims.items():
