Let operators confirm that a process is gone for good

Cause: after all processes were destroyed and replaced under other names, nobody can say that the former ones promised nothing. Changes stayed ambiguous and waiting work next to an unreachable worker waited for 31.5 minutes. Ruled out: taking absence from the VM list as proof, since the list may be wrong. The process counts as silent and finds its name taken if it runs after all. A process that is heard or has renewed within its lease is refused.

--- a/toucanspring/api_operators.py
+++ b/toucanspring/api_operators.py
@@ -172,6 +172,17 @@
         api.send_json(response, {"version": version, "name": name, "out": self._out})
 
 
+class Departure(Resource):
+    """`POST /v1/members/<name>/gone`."""
+
+    def on_post(self, request: falcon.Request, response: falcon.Response, name) -> None:
+        """Confirm that a process was destroyed and never runs again."""
+        operator = self._access.require_operator(request)
+        api.unwrap(self._kernel.find("membership").confirm_gone(name))
+        log.info("operator {} confirmed that process {} is gone", operator, name)
+        api.send_json(response, {"process": name, "gone": True})
+
+
 class Keys(Resource):
     """`GET` and `POST /v1/keys`."""
 
--- /dev/null
+++ b/toucanspring/departure.py
@@ -0,0 +1,76 @@
+"""Operators' confirmations that a process is gone for good.
+
+Majorities count the members in an owner's last list, since each of them could have
+promised. When more than half of a list are destroyed at once, nobody can say that they
+promised nothing, and successors wait until no extension can last (31.5 minutes). Only
+the operators can know better.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from toucanspring import errors, ownership, renewal
+from toucanspring.adapters import tables
+
+if TYPE_CHECKING:
+    from toucanspring import membership
+
+ATTEMPTS = 5
+
+
+def confirm(
+    members: membership.Service, client: tables.TableClient, process: str
+) -> None | errors.Failure:
+    """Replace the row of a dead process by one that fences it.
+
+    The row gets a higher incarnation, so that the process, should it run after all,
+    finds its name taken at its next renewal and stops. Its list is empty: it can no
+    longer extend an ownership or a view.
+    """
+    key = renewal.key_of(process)
+    result: object = errors.Unavailable(reason=f"{key} was not written")
+    for _ in range(ATTEMPTS):
+        rows = client.read([key])
+        if isinstance(rows, errors.Failure):
+            return rows
+        row = renewal.decode_row(rows[key])
+        if row is None:
+            return errors.NotFound(reason=f"no process {process!r} is registered")
+        if row.gone:
+            return None
+        if _is_alive(members, process, row):
+            return errors.Refused(
+                reason=f"process {process} is alive: it renews its row or is heard"
+            )
+        fenced = renewal.MemberRow(
+            member=msgspec.structs.replace(
+                row.member, incarnation=row.member.incarnation + 1
+            ),
+            gone=True,
+        )
+        result = client.transact(
+            {key: rows[key].version}, {key: renewal.encode_row(fenced)}
+        )
+        if isinstance(result, tables.Committed):
+            return members.read_members()
+        if not isinstance(result, errors.Conflict | errors.Ambiguous):
+            return result
+    return result
+
+
+def _is_alive(
+    members: membership.Service, process: str, row: renewal.MemberRow
+) -> bool:
+    """Return whether a process was heard, or renewed within its lease."""
+    if process in members.reachable():
+        return True
+    sighting = members.sightings.get(process)
+    if sighting is None or sighting.counter != row.counter:
+        return True
+    incarnation, now = row.member.incarnation, members.clock()
+    if sighting.incarnation != incarnation:
+        return True
+    return not ownership.is_silent(sighting, incarnation, now, members.timing)
--- a/toucanspring/gateway.py
+++ b/toucanspring/gateway.py
@@ -105,6 +105,7 @@
         "/v1/keys": api_operators.Keys(core, access),
         "/v1/keys/{key_id}": api_operators.Key(core, access),
         "/v1/workers": api_status.Workers(core, access),
+        "/v1/members/{name}/gone": api_operators.Departure(core, access),
         "/v1/members": api_status.Members(core, access),
         "/v1/reports/{name}": api_status.Reports(core, access),
         "/metrics": api_status.Metrics(core),
--- a/toucanspring/membership.py
+++ b/toucanspring/membership.py
@@ -10,7 +10,7 @@
 import msgspec
 from gevent import pool
 
-from toucanspring import errors, heartbeat, ownership, renewal, resources
+from toucanspring import departure, errors, heartbeat, ownership, renewal, resources
 from toucanspring.adapters import tables
 
 log = logbook.Logger(__name__)
@@ -107,7 +107,7 @@
         found = {
             name: row.member
             for name, (_, row) in self.rows.items()
-            if self._counts(name)
+            if self._counts(name) and not row.gone
         }
         found[self.identity.process] = self.identity
         return found
@@ -118,7 +118,7 @@
         names = {
             name
             for name, (_, row) in self.rows.items()
-            if not row.draining
+            if not (row.draining or row.gone)
             and not ownership.is_silent(
                 self.sightings[name], row.member.incarnation, now, self.timing
             )
@@ -164,8 +164,13 @@
 
     def quiet(self) -> dict[str, ownership.Quiet]:
         """Return in which interval each member certainly sent no promise."""
-        own = ownership.Quiet(self.own.promised_at, self.clock())
-        return {**self.ledger.quiet, self.identity.process: own}
+        now = self.clock()
+        found = dict(self.ledger.quiet)
+        for name, (_, row) in self.rows.items():
+            if row.gone:
+                found[name] = ownership.Quiet(ownership.NEVER, now)
+        found[self.identity.process] = ownership.Quiet(self.own.promised_at, now)
+        return found
 
     def standing(self, now: float) -> ownership.Standing:
         """Return what this process may do as an owner."""
@@ -177,6 +182,14 @@
         lists[self.identity.process] = sorted(self.members())
         return lists
 
+    def confirm_gone(self, process: str) -> None | errors.Failure:
+        """Take an operator's word that no incarnation of a process runs any more.
+
+        Fails with `NotFound`, `Refused` if the process was seen alive, or a failure of
+        the store.
+        """
+        return departure.confirm(self, self._tables, process)
+
     # Polls
 
     @property
@@ -249,7 +262,7 @@
             {
                 name: (row.member.address, row.member.peer_port)
                 for name, (_, row) in self.rows.items()
-                if name != self.identity.process and self._counts(name)
+                if name != self.identity.process and self._counts(name) and not row.gone
             }
         )
 
--- a/toucanspring/ownership.py
+++ b/toucanspring/ownership.py
@@ -196,8 +196,8 @@
     promise for as long as a promise can count: then no majority stood, and an ended
     extension is not resumed. It also holds once no extension can last any longer.
     """
-    if now - claimed_at >= timing.extension_over_s:
-        return True
+    if not members or now - claimed_at >= timing.extension_over_s:
+        return True  # nobody's promise counts, or none counts any longer
     known = [quiet[name] for name in members if name in quiet]
     for moment in {interval.until for interval in known}:
         if moment < claimed_at:
--- a/toucanspring/renewal.py
+++ b/toucanspring/renewal.py
@@ -35,7 +35,10 @@
 
 
 class MemberRow(msgspec.Struct, frozen=True, kw_only=True):
-    """Row `members/<process>`; `known` is the list that majorities count against."""
+    """Row `members/<process>`; `known` is the list that majorities count against.
+
+    `gone` says that operators confirmed that no incarnation up to this one runs.
+    """
 
     member: Member
     counter: int = 0
@@ -44,6 +47,7 @@
     draining: bool = False
     # Lists of former incarnations of this process, for successors of their partitions.
     former: dict[str, list[str]] = {}
+    gone: bool = False
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -55,6 +59,11 @@
     return PREFIX + process
 
 
+def encode_row(row: MemberRow) -> bytes:
+    """Return the value of a member row."""
+    return _encoder.encode(row)
+
+
 def decode_row(row: tables.Row) -> MemberRow | None:
     """Return the member in a row, or `None` if it is absent or malformed."""
     if not row.version:
