Throttle and checkpoint tasks that overload their worker

Cause: usage reports of running tasks were read and dropped. Sizes are declared wrong, so tasks that fit by what they hold could use more than their VM has, and the worker protocol's throttle had no caller. Change: overuse.py compares the reported use of a worker with its capacity. Over its processors, tasks beyond what they hold are throttled to that; over its memory, idempotent tasks are checkpointed until the rest fits. Nothing starts on such a worker, and the estimator learns from tasks that still run. Workers tell a successor each task's throttle. Before: no task was ever throttled or stopped for its use.

--- a/toucanspring/effects.py
+++ b/toucanspring/effects.py
@@ -71,6 +71,15 @@
     mode: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ThrottleTask:
+    """Limit a task to a fraction (0 to 1) of the processors that it would use."""
+
+    worker: str
+    task_id: str
+    fraction: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordIntents:
     """Write intents to the log, then call `intents_durable`."""
@@ -143,6 +152,7 @@
 Effect = (
     StartTasks
     | StopTasks
+    | ThrottleTask
     | RecordIntents
     | RecordOutcomes
     | JobFinished
--- a/toucanspring/estimate.py
+++ b/toucanspring/estimate.py
@@ -73,6 +73,12 @@
         run_seconds: float,
     ) -> None:
         """Record the peak usage and the run time of one finished task."""
+        samples = self._samples_of(name, team)
+        _add_size(samples, declared, usage)
+        samples.run_seconds.append(run_seconds)
+        samples.cached = None
+
+    def _samples_of(self, name: str, team: str) -> Samples:
         key = (team, name)
         samples = self._samples.get(key)
         if samples is None:
@@ -80,11 +86,18 @@
             if len(self._samples) > MAX_NAMES:
                 self._samples.popitem(last=False)
         self._samples.move_to_end(key)
-        # A worker that reports no usage says nothing about the size.
-        if usage.cpus or usage.memory:
-            samples.cpus.append(usage.cpus or declared.cpus)
-            samples.memory.append(usage.memory or declared.memory)
-        samples.run_seconds.append(run_seconds)
+        return samples
+
+    def observe_size(
+        self,
+        name: str,
+        team: str,
+        declared: resources.Resources,
+        usage: resources.Resources,
+    ) -> None:
+        """Record the usage of a task that still runs."""
+        samples = self._samples_of(name, team)
+        _add_size(samples, declared, usage)
         samples.cached = None
 
     def demand(self, spec: job.JobSpec) -> resources.Resources:
@@ -121,6 +134,15 @@
         return accepted_at + spec.deadline_seconds - self.run_seconds(spec)
 
 
+def _add_size(
+    samples: Samples, declared: resources.Resources, usage: resources.Resources
+) -> None:
+    # A worker that reports no usage says nothing about the size.
+    if usage.cpus or usage.memory:
+        samples.cpus.append(usage.cpus or declared.cpus)
+        samples.memory.append(usage.memory or declared.memory)
+
+
 def _between(declared: int, observed: int) -> int:
     """Raise a declared size to the observed one, within the bound."""
     return max(declared, min(observed, int(declared * MAX_OF_DECLARED)))
--- a/toucanspring/execution.py
+++ b/toucanspring/execution.py
@@ -76,6 +76,8 @@
                     self._start(worker, tasks)
                 case effects.StopTasks(worker=worker, task_ids=task_ids, mode=mode):
                     self._stop(worker, task_ids, mode)
+                case effects.ThrottleTask():
+                    self._throttle(effect)
                 case effects.RecordIntents(intents=intents):
                     self._record_intents(intents)
                 case effects.RecordOutcomes(outcomes=outcomes):
@@ -127,6 +129,11 @@
         if link is not None:
             link.stop(task_ids, mode)
 
+    def _throttle(self, effect: effects.ThrottleTask) -> None:
+        link = self._kernel.find("fleet").link(self._number, effect.worker)
+        if link is not None:
+            link.throttle(effect.task_id, effect.fraction)
+
     def is_durable(self, job_id: str) -> bool:
         """Return whether all outcomes of a job so far are in the log.
 
--- a/toucanspring/fleet.py
+++ b/toucanspring/fleet.py
@@ -115,6 +115,11 @@
         if self.attached and self._stream is not None:
             self._stream.stop(self.epoch, task_ids, mode)
 
+    def throttle(self, task_id: str, fraction: float) -> None:
+        """Limit a task to a fraction of its processors."""
+        if self.attached and self._stream is not None:
+            self._stream.throttle(self.epoch, task_id, fraction)
+
     def acknowledge(self, task_ids: list[str]) -> None:
         """Let the worker forget finished tasks."""
         if self.attached and self._stream is not None:
--- a/toucanspring/lifecycle.py
+++ b/toucanspring/lifecycle.py
@@ -46,6 +46,7 @@
         "facts",
         "leaving",
         "orphans",
+        "overused",
         "paused_until",
         "refusals",
         "schedulable",
@@ -58,6 +59,7 @@
         self.schedulable = False
         self.paused_until = 0.0
         self.refusals = 0
+        self.overused = False  # its tasks use more than it has
         # Tasks that run there but belong to no job or run elsewhere.
         self.orphans: dict[str, wire.RunningTask] = {}
 
@@ -104,6 +106,7 @@
             state.attached
             and not state.leaving
             and state.facts.availability_zone not in self.zones_out
+            and not state.overused
             and now >= state.paused_until
             and self.quarantine.allows(worker, now) is not quarantine.Verdict.NO
         )
--- /dev/null
+++ b/toucanspring/overuse.py
@@ -0,0 +1,117 @@
+"""Running tasks that use more than they hold, on workers that run out.
+
+Declared sizes are often far off, so tasks that fit by what they hold may together use
+more than their worker has. A worker over its processors slows everything on it, one
+over its memory kills tasks that did nothing wrong.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from toucanspring import effects, preemption, resources
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from toucanspring import lifecycle, task_table
+
+# Reports lag, so the effect of a change shows only after this time.
+SETTLE_S = 3.0
+MIN_FRACTION = 0.05
+REASON = "the worker ran out of memory"
+
+
+def report(
+    core: lifecycle.Lifecycle,
+    worker: str,
+    usage: Mapping[str, resources.Resources],
+    now: float,
+) -> None:
+    """Keep the reported use of a worker's tasks within its capacity."""
+    state = core.workers.get(worker)
+    if state is None:
+        return
+    tasks = core.tasks_on.get(worker, {})
+    for task_id, amount in usage.items():
+        if task_id in tasks:
+            tasks[task_id].usage = amount
+    capacity = state.facts.capacity
+    running = [task for task in tasks.values() if not task.stop_reason]
+    used = sum((task.usage for task in tasks.values()), resources.ZERO)
+    over = used.cpus > capacity.cpus or used.memory > capacity.memory
+    if over is not state.overused:
+        state.overused = over
+        core.update_schedulable(worker, now)
+    if used.cpus > capacity.cpus:
+        _throttle(core, running, now)
+    elif any(task.throttle < 1.0 for task in running):
+        _release(core, running, capacity.cpus - used.cpus, now)
+    excess = sum(task.usage.memory for task in running) - capacity.memory
+    if excess > 0:
+        _free_memory(core, running, excess)
+
+
+def _throttle(
+    core: lifecycle.Lifecycle, running: Iterable[task_table.LiveTask], now: float
+) -> None:
+    """Limit the tasks that use more processors than they hold to what they hold."""
+    for task in running:
+        if task.usage.cpus <= task.demand.cpus or now < task.settled_at:
+            continue
+        _learn(core, task)
+        fraction = task.throttle * task.demand.cpus / task.usage.cpus
+        _set(core, task, max(MIN_FRACTION, fraction), now)
+
+
+def _release(
+    core: lifecycle.Lifecycle,
+    running: Iterable[task_table.LiveTask],
+    free: int,
+    now: float,
+) -> None:
+    """Lift the limits of the longest running tasks for whose full use there is room."""
+    for task in sorted(running, key=lambda task: task.started_at):
+        if task.throttle >= 1.0 or now < task.settled_at:
+            continue
+        more = task.usage.cpus / task.throttle - task.usage.cpus
+        if more <= free:
+            free -= more
+            _set(core, task, 1.0, now)
+
+
+def _set(
+    core: lifecycle.Lifecycle, task: task_table.LiveTask, fraction: float, now: float
+) -> None:
+    task.throttle, task.settled_at = fraction, now + SETTLE_S
+    core.effects.add(effects.ThrottleTask(task.worker, task.id, fraction))
+
+
+def _free_memory(
+    core: lifecycle.Lifecycle, running: Iterable[task_table.LiveTask], excess: int
+) -> None:
+    """Checkpoint tasks until the rest fits: those beyond what they hold come first.
+
+    Non-idempotent tasks would not be started again, so they go on.
+    """
+    jobs = core.table.jobs
+
+    def order(task: task_table.LiveTask) -> tuple[bool, int, int]:
+        beyond = task.usage.memory - task.demand.memory
+        job_class = jobs[task.job_id].spec.job_class
+        return (beyond <= 0, -preemption.CLASS_ORDER[job_class], -beyond)
+
+    for task in sorted(running, key=order):
+        if excess <= 0:
+            return
+        if not jobs[task.job_id].spec.idempotent or not task.usage.memory:
+            continue
+        _learn(core, task)
+        core.stop(task, REASON, "checkpoint")
+        excess -= task.usage.memory
+
+
+def _learn(core: lifecycle.Lifecycle, task: task_table.LiveTask) -> None:
+    """Let later starts of the same name hold what this task uses."""
+    spec = core.table.jobs[task.job_id].spec
+    core.estimator.observe_size(spec.name, spec.team, spec.demand, task.usage)
--- a/toucanspring/recovery.py
+++ b/toucanspring/recovery.py
@@ -157,6 +157,7 @@
     task = core.table.live.get(entry.task_id)
     if task is not None and task.worker == worker and task.attempt == entry.attempt:
         task.state = job.State.RUNNING
+        task.throttle = entry.throttle
         task.incarnation = state.facts.incarnation
         if task.demand != entry.demand:
             core.resize(task, entry.demand, now)  # the log does not hold the size
@@ -181,6 +182,7 @@
             team=record.spec.team,
             incarnation=state.facts.incarnation,
             expected_end=started_at + core.estimator.run_seconds(record.spec),
+            throttle=entry.throttle,
         )
         core.adopt(record, task, now)
         if record.cancelled:
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -15,6 +15,7 @@
     intake,
     job,
     lifecycle,
+    overuse,
     preemption,
     recovery,
     resources,
@@ -81,11 +82,12 @@
         self,
         worker: str,
         finished: list[wire.FinishedTask],
-        usage: Mapping[str, resources.Resources],  # noqa: ARG002
+        usage: Mapping[str, resources.Resources],
         now: float,
     ) -> list[effects.Effect]:
-        """Apply the ends of attempts; repeated reports change nothing."""
+        """Apply the ends of attempts and the usage; repeated ones change nothing."""
         attempt.report(self._core, worker, finished, now)
+        overuse.report(self._core, worker, usage, now)
         return self._core.effects.take()
 
     def starts_answered(
--- a/toucanspring/task_table.py
+++ b/toucanspring/task_table.py
@@ -21,6 +21,9 @@
     expected_end: float = 0.0  # monotonic seconds
     stop_reason: str = ""  # set once a stop was sent
     stop_mode: str = ""
+    usage: resources.Resources = resources.ZERO  # as last reported
+    throttle: float = 1.0  # the fraction of its processors that it may use
+    settled_at: float = 0.0  # when reports show the effect of the last throttling
 
 
 class JobRecord:
--- a/toucanspring/wire.py
+++ b/toucanspring/wire.py
@@ -23,13 +23,17 @@
 
 
 class RunningTask(msgspec.Struct, frozen=True, array_like=True):
-    """Describe a task that a worker runs; `age_ms` counts from its start."""
+    """Describe a task that a worker runs; `age_ms` counts from its start.
+
+    `throttle` is the fraction of its processors that it may use.
+    """
 
     task_id: str
     attempt: int
     demand: resources.Resources
     team: str
     age_ms: int = 0
+    throttle: float = 1.0
 
 
 class FinishedTask(msgspec.Struct, frozen=True, array_like=True):
