Measure deadlines and use of capacity while a zone is out

Cause: bench.zone counts completed work only; nothing showed whether deadline work is on time on the zones that remain, or how fast a returned zone is filled. Change: bench.outage runs the jobs of bench.wait on the scheduler of one partition with one of three zones out for a third of the span, against the same scheduler without classes. Before: not measured.

--- /dev/null
+++ b/bench/outage.py
@@ -0,0 +1,129 @@
+"""Measure deadlines and completed work while an availability zone leaves and returns.
+
+The jobs are those of `bench.wait`, with less deadline work, so that earliest-deadline
+order can meet the deadlines on two of three zones. One zone is out of service in the
+middle third of the span. The policy is the scheduler of one partition; the baseline is
+the same scheduler without classes and deadlines: every job is a normal one.
+"""
+
+import msgspec
+
+from bench import wait, work
+from toucanspring import job
+
+DEADLINE_LOAD = 0.4  # of the capacity of all zones; two thirds of it remain
+SPAN_S = 1800.0  # in which jobs arrive
+OUT_FROM_S = SPAN_S / 3
+OUT_UNTIL_S = 2 * SPAN_S / 3
+# Workers whose tasks end soon are left to end them, so the drain takes a moment.
+DRAIN_S = 30.0
+ZONE = "az0"
+FACTS = work.worker_facts(wait.WORKERS, 3)
+ZONES = {name: zone for name, _, zone, _ in FACTS}
+
+
+class Policy(wait.Policy):
+    """Take a zone out of service and return it."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        self._is_out = False
+        self.use: list[tuple[float, int, int]] = []  # time, used and usable millicores
+        self.late_starts = 0
+
+    def step(self, now: float) -> None:
+        """Change the zone when due, let the machine work, and note what is used."""
+        is_out = OUT_FROM_S <= now < OUT_UNTIL_S
+        if is_out != self._is_out:
+            self._is_out = is_out
+            out = frozenset([ZONE]) if is_out else frozenset()
+            self._apply(self._machine.set_availability_zones(out, now), now)
+        super().step(now)
+        free = self._machine.free_by_worker()
+        used = usable = 0
+        for name, capacity, zone, _ in FACTS:
+            if not (is_out and zone == ZONE):
+                used += capacity.cpus - free[name].cpus
+                usable += capacity.cpus
+        self.use.append((now, used, usable))
+        self._count_late(now)
+
+    def _count_late(self, now: float) -> None:
+        if self._is_out:
+            self.late_starts += sum(
+                ZONES[worker] == ZONE and started_at >= OUT_FROM_S + wait.TICK_S
+                for _, started_at, worker in self._running.values()
+            )
+
+
+def used_ratio(policy: Policy, start: float, end: float) -> float:
+    """Return the used part of what was usable in an interval."""
+    found = [entry for entry in policy.use if start <= entry[0] < end]
+    return sum(used for _, used, _ in found) / sum(usable for *_, usable in found)
+
+
+def without_classes(
+    jobs: list[tuple[float, job.JobSpec]],
+) -> list[tuple[float, job.JobSpec]]:
+    """Return the jobs as normal ones without deadlines, in the order of arrival."""
+    return [
+        (
+            at,
+            msgspec.structs.replace(
+                spec, job_class=job.JobClass.NORMAL, deadline_seconds=None
+            ),
+        )
+        for at, spec in jobs
+    ]
+
+
+def met_ratio(policy: Policy, jobs: list[tuple[float, job.JobSpec]]) -> float:
+    """Return the part of the deadline jobs of `jobs` that ended in time."""
+    due = [(at, spec) for at, spec in jobs if spec.deadline_seconds is not None]
+    met = sum(
+        policy.ended_at(spec) <= at + spec.deadline_seconds + 1e-6 for at, spec in due
+    )
+    return met / len(due)
+
+
+def main() -> None:
+    """Run both deployments with and without classes."""
+    seed = work.parse_seed()
+    wait.DEADLINE_LOAD = DEADLINE_LOAD
+    wait.SPAN_S = SPAN_S
+    met = {"policy": 1.0, "baseline": 1.0}
+    used = {"policy": 1.0, "baseline": 1.0}
+    refilled = 1.0
+    late = 0
+    for deployment in wait.DEPLOYMENTS:
+        jobs = wait.make_jobs(deployment, seed)
+        latest = max(at + (spec.deadline_seconds or 0.0) for at, spec in jobs)
+        for name, given in (("policy", jobs), ("baseline", without_classes(jobs))):
+            policy = Policy(seed)
+            policy.run(given, latest + wait.TICK_S)
+            ratio = met_ratio(policy, jobs)
+            out = used_ratio(policy, OUT_FROM_S + DRAIN_S, OUT_UNTIL_S)
+            back = used_ratio(policy, OUT_UNTIL_S, OUT_UNTIL_S + DRAIN_S)
+            print(
+                f"{deployment.name} {name}: deadlines met {ratio:.4f}, "
+                f"used while out {out:.4f}, in the {DRAIN_S:g} s after {back:.4f}"
+            )
+            met[name] = min(met[name], ratio)
+            used[name] = min(used[name], out)
+            if name == "policy":
+                refilled = min(refilled, back)
+                late += policy.late_starts
+    work.print_result(
+        bench="outage",
+        seed=seed,
+        deadline_met_ratio=met["policy"],
+        baseline_deadline_met_ratio=met["baseline"],
+        used_ratio=used["policy"],
+        baseline_used_ratio=used["baseline"],
+        refilled_ratio=refilled,
+        late_starts=late,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/wait.py
+++ b/bench/wait.py
@@ -111,7 +111,11 @@
                     self._seconds_left[job.task_id(spec.id, index)] = spec.run_seconds
                 self._apply(self._machine.submit([spec], now), now)
                 position += 1
-            self._apply(self._machine.tick(now), now)
+            self.step(now)
+
+    def step(self, now: float) -> None:
+        """Let the machine do what is due."""
+        self._apply(self._machine.tick(now), now)
 
     def ended_at(self, spec: job.JobSpec) -> float:
         """Return when the last task of a job ended; inf if any did not."""
@@ -186,6 +190,11 @@
             del self._waiting[0]
         return started
 
+    def end(self, spec: job.JobSpec, worker: str, now: float) -> None:
+        """Note the end of a task."""
+        self.index.release(worker, spec.demand)
+        self._ended[spec.id].append(now)
+
     def run(self, jobs: list[tuple[float, job.JobSpec]], end: float) -> None:
         """Run jobs until the end, with a start at each arrival and end."""
         for name, capacity, zone, rack in work.worker_facts(WORKERS, 3):
@@ -197,8 +206,7 @@
         while events and events[0][0] <= end:
             now, _, spec, worker = heapq.heappop(events)
             if worker:
-                self.index.release(worker, spec.demand)
-                self._ended[spec.id].append(now)
+                self.end(spec, worker, now)
             else:
                 self._waiting.append((spec, spec.task_count))
             for started, on_worker in self._start():
