Split the worker stand-in into host, worker and reports

Tests import `standins.worker` for `Worker` and `WorkerFaults`.

Conclusion: no change of behaviour or of wire formats.

--- a/spec/model.py
+++ b/spec/model.py
@@ -38,10 +38,10 @@
     "write intent": "toucanspring.attempt.intents_durable",
     "intent answer lost": "toucanspring.journal.Journal",
     "intent fails": "toucanspring.attempt.intents_failed",
-    "start of": "standins.workers.Worker.handle",
-    "task": "standins.workers.Worker",
+    "start of": "standins.worker.Worker.handle",
+    "task": "standins.worker.Worker",
     "report": "toucanspring.attempt.report",
-    "restart worker": "standins.workers.Worker",
+    "restart worker": "standins.worker.Worker",
 }
 
 
--- a/standins/task_runs.py
+++ b/standins/task_runs.py
@@ -113,7 +113,7 @@
 
 
 class TaskHost(abc.ABC):
-    """Run tasks by timers; `workers.Worker` adds the lease and the streams."""
+    """Run tasks by timers; `worker_reports` adds the streams, `worker` the lease."""
 
     def __init__(self, listed: vms.Vm, clock: Clock, record: service.Record) -> None:
         self.listed = listed
--- /dev/null
+++ b/standins/worker_reports.py
@@ -0,0 +1,118 @@
+"""Reports of a worker stand-in: usage, ends, and what an owner learns at attach."""
+
+from __future__ import annotations
+
+import time
+
+from standins import service, task_runs, worker_link
+from toucanspring import resources, wire
+from toucanspring.adapters import vms
+
+REPORT_INTERVAL_S = 0.5
+USAGE_LAG_S = 1.0
+
+
+class ReportingHost(task_runs.TaskHost):
+    """Report to the owner of the worker's partition; `worker.Worker` adds the lease."""
+
+    def __init__(
+        self, listed: vms.Vm, clock: task_runs.Clock, record: service.Record
+    ) -> None:
+        super().__init__(listed, clock, record)
+        self.links: set[worker_link.Link] = set()
+        self._partition = -1
+        self._report_series = 0
+
+    def _post_attached(self, link: worker_link.Link, now: float) -> None:
+        running = [
+            wire.RunningTask(
+                task_id,
+                entry.start.attempt,
+                entry.start.demand,
+                entry.start.team,
+                int((now - entry.started_at) * 1000),
+            )
+            for task_id, entry in self._running.items()
+        ]
+        finished = [
+            task
+            for partition, task in self._finished.values()
+            if partition == link.partition
+        ]
+        # Finished tasks beyond the frame limit are shown as running and reported as
+        # finished right after; omitted, they would be taken for tasks never started.
+        size = task_runs.FINISHED_OVERHEAD_BYTES * len(running)
+        shown = []
+        later = []
+        for task in finished:
+            size += len(task.answer) + task_runs.FINISHED_OVERHEAD_BYTES
+            if size <= task_runs.MAX_REPORT_BYTES:
+                shown.append(task)
+            else:
+                size -= len(task.answer)
+                later.append(task)
+                running.append(
+                    wire.RunningTask(task.task_id, task.attempt, resources.ZERO, "")
+                )
+        self._unreported = []
+        link.post(
+            wire.Attached(
+                self.listed.id,
+                self._incarnation,
+                self.listed.resources,
+                self.listed.availability_zone,
+                self.listed.rack,
+                self._tick(now),
+                running,
+                shown,
+            )
+        )
+        for report in self._split(later, {}, now):
+            link.post(report)
+
+    def _report_regularly(self, series: int) -> None:
+        if series != self._report_series or self._paused_at is not None:
+            return  # `resume` and `revive` begin a new series
+        now = time.monotonic()
+        usage = {
+            task_id: running.plan.usage or resources.ZERO
+            for task_id, running in self._running.items()
+            if now - running.started_at >= USAGE_LAG_S
+        }
+        self._report(usage)
+        self._clock.at(now + REPORT_INTERVAL_S, self._report_regularly, series)
+
+    def _report(self, usage: dict[str, resources.Resources]) -> None:
+        unreported, self._unreported = self._unreported, []
+        now = time.monotonic()
+        for link in self.links:
+            if link.partition < 0 or link.partition != self._partition:
+                continue
+            finished = [
+                task for partition, task in unreported if partition == link.partition
+            ]
+            for report in self._split(finished, usage, now) or [
+                wire.Report(self._tick(now), [], usage)
+            ]:
+                link.post(report)
+
+    def _split(
+        self,
+        finished: list[wire.FinishedTask],
+        usage: dict[str, resources.Resources],
+        now: float,
+    ) -> list[wire.Report]:
+        """Return reports below the frame limit, none if there is nothing finished."""
+        reports = []
+        batch: list[wire.FinishedTask] = []
+        size = task_runs.FINISHED_OVERHEAD_BYTES * len(usage)
+        for task in finished:
+            added = len(task.answer) + task_runs.FINISHED_OVERHEAD_BYTES
+            if batch and size + added > task_runs.MAX_REPORT_BYTES:
+                reports.append(wire.Report(self._tick(now), batch, usage))
+                batch, size, usage = [], 0, {}
+            batch.append(task)
+            size += added
+        if batch:
+            reports.append(wire.Report(self._tick(now), batch, usage))
+        return reports
--- a/test/test_fleet.py
+++ b/test/test_fleet.py
@@ -5,7 +5,7 @@
 import testtools
 
 from standins import cluster, service, task_runs
-from standins import workers as standin
+from standins import worker as standin
 from test import fake_tables
 from toucanspring import fleet, resources, wire
 from toucanspring.adapters import vms
--- a/test/test_workers.py
+++ b/test/test_workers.py
@@ -7,7 +7,7 @@
 from gevent import server
 
 from standins import cluster, judge, service, task_runs
-from standins import workers as standin
+from standins import worker as standin
 from toucanspring import errors, resources, wire
 from toucanspring.adapters import vms, workers
 
