Split the judge; pair starts with ends in one place

Scenarios paired starts with ends a second time, and the demonstration and bench.faults each had their own tuple of doubled work.

Change: - standins/violations.py: the kinds of violations, and `DOUBLED`. - standins/facts.py: `Known` and its parts. - standins/executions.py: `Attempt` and `Attempts`, which take events one by one. - standins/judge.py: the checks; `History` uses `executions.Attempts`. - scenarios/history.py uses `executions.Attempts` in place of its own `Run`. - The scenarios take `IN_FORCE_S` from the judge.

Conclusion: the checks are unchanged.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -20,7 +20,7 @@
 import gevent  # noqa: E402
 
 from scenarios import actions, cell, language, loads  # noqa: E402
-from standins import judge  # noqa: E402
+from standins import violations  # noqa: E402
 
 DAEMONS = 5
 WORKERS = 12
@@ -39,13 +39,12 @@
     "zimna-patna": ("urgent", "route-temperatures-sofia", "council-warnings",
                     "night-ensemble", "timetable-search"),
 }  # fmt: skip
-DOUBLED = (judge.TwoPlaces, judge.StartedAgain, judge.RequestRanAgain)
 COUNTED = {
-    judge.OverCapacity: "over_capacity",
-    judge.OverCeiling: "over_ceiling",
-    judge.ZoneStart: "late_zone_starts",
-    judge.KeyAccepted: "late_key_accepts",
-    judge.LostWork: "lost",
+    violations.OverCapacity: "over_capacity",
+    violations.OverCeiling: "over_ceiling",
+    violations.ZoneStart: "late_zone_starts",
+    violations.KeyAccepted: "late_key_accepts",
+    violations.LostWork: "lost",
 }
 MUST_BE_ZERO = (
     "lost",
@@ -291,18 +290,18 @@
     result["cut_off"] = sum(each.counts["cut_off_by_stop"] for each in loads)
     result["config_reverts"] = len(running.reverts)
     others = 0
-    violations = running.judge()
-    for violation in violations:
+    found = running.judge()
+    for violation in found:
         kind = type(violation)
-        if kind is judge.LostWork:
+        if kind is violations.LostWork:
             continue  # counted by job above
-        if kind in DOUBLED:
+        if kind in violations.DOUBLED:
             result["doubled"] += 1
         elif kind in COUNTED:
             result[COUNTED[kind]] += 1
         else:
             others += 1
-    for line in [*violations[:8], *running.problems()[:8], *running.explain_lost()[:4]]:
+    for line in [*found[:8], *running.problems()[:8], *running.explain_lost()[:4]]:
         print(str(line)[:500])
     if others:
         print(f"{others} other violations")
--- a/bench/zone.py
+++ b/bench/zone.py
@@ -10,7 +10,7 @@
 import defopt
 
 from bench import cell, change
-from standins import judge
+from standins import facts, judge
 
 TASK_MS = 200.0
 STEADY_S = 5.0
@@ -62,8 +62,8 @@
     per_task = collections.Counter(
         event["task"] for event in ends if event["state"] == "done"
     )
-    outage = judge.ZoneOutage(zone, out_at, in_at)
-    violations = judge.check(records, judge.Known(zone_outages=(outage,)))
+    outage = facts.ZoneOutage(zone, out_at, in_at)
+    violations = judge.check(records, facts.Known(zone_outages=(outage,)))
     window = work_done(ends, out_at, ended, run_ms)
     allowed = CORES * (ended - out_at) - CORES / 3 * (in_at - out_at)
     without = work_done(ends, began, steady, run_ms) / (CORES * (steady - began))
--- a/demo/account.py
+++ b/demo/account.py
@@ -5,9 +5,7 @@
 import collections
 import dataclasses
 
-from standins import judge
-
-DOUBLED = (judge.TwoPlaces, judge.StartedAgain, judge.RequestRanAgain)
+from standins import violations
 
 
 @dataclasses.dataclass(slots=True)
@@ -19,13 +17,13 @@
         default_factory=collections.Counter
     )
     lost: list[str] = dataclasses.field(default_factory=list)
-    violations: list[judge.Violation] = dataclasses.field(default_factory=list)
+    violations: list[violations.Violation] = dataclasses.field(default_factory=list)
     problems: list[str] = dataclasses.field(default_factory=list)
 
     @property
     def doubled(self) -> int:
         """Return how often work ran more than once."""
-        return sum(isinstance(item, DOUBLED) for item in self.violations)
+        return sum(isinstance(item, violations.DOUBLED) for item in self.violations)
 
     @property
     def good(self) -> bool:
--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -12,7 +12,7 @@
 import yaml
 
 from demo import account, callers, entry
-from standins import cluster, judge
+from standins import cluster, facts, judge
 from toucanspring import errors, text
 
 DAEMONS = 9
@@ -41,7 +41,7 @@
     counts: account.Account
     keys: dict[str, dict]
     say: Callable[[str], None]
-    outages: list[judge.ZoneOutage] = dataclasses.field(default_factory=list)
+    outages: list[facts.ZoneOutage] = dataclasses.field(default_factory=list)
     gangs: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def submitter(self, team: str = "") -> callers.Submitter:
@@ -138,7 +138,7 @@
     out_at = time.monotonic()
     gevent.sleep(IN_FORCE_S + 3)
     run.front.operate("POST", f"/v1/zones/{zone}/in")
-    run.outages.append(judge.ZoneOutage(zone, out_at, time.monotonic()))
+    run.outages.append(facts.ZoneOutage(zone, out_at, time.monotonic()))
     run.say(f"availability zone {zone} is back in service")
     gevent.sleep(1)
     load.stop()
@@ -198,6 +198,6 @@
     """Run one deployment from start to end and judge it."""
     with start(deployment, say) as run:
         deployment.run(run)
-        known = judge.Known(zone_outages=tuple(run.outages), gang_sizes=run.gangs)
+        known = facts.Known(zone_outages=tuple(run.outages), gang_sizes=run.gangs)
         run.counts.violations = judge.check(run.cluster.records(), known)
         return run.counts
--- a/scenarios/actions.py
+++ b/scenarios/actions.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from scenarios import cell, expectations, language, loads
+from standins import judge
 from toucanspring.adapters import vms
 
 ROW_PREFIXES = {
@@ -349,11 +350,14 @@
     def expect_no_start_on(self, host: language.Host) -> None:
         """Check that a VM got no work later than 3 s after its entry was changed."""
         target = self._host(host)
-        since = self._listed_at[target.id] + expectations.IN_FORCE_S
+        since = self._listed_at[target.id] + judge.IN_FORCE_S
         if host.role == "worker":
             self._cell.history.refresh()
-            runs = self._cell.history.runs
-            late = [run for run in runs if run.worker == target.id and run.at > since]
+            late = [
+                attempt.start
+                for attempt in self._cell.history.attempts
+                if attempt.start.worker == target.id and attempt.start.at > since
+            ]
         else:
             record = self._cell.cluster.record("backend_servers")["events"]
             late = [
--- a/scenarios/cell.py
+++ b/scenarios/cell.py
@@ -12,7 +12,7 @@
 import yaml
 
 from scenarios import client, history, loads
-from standins import cluster, judge
+from standins import cluster, facts, judge, violations
 from toucanspring import claims, errors, text
 from toucanspring.adapters import tables
 
@@ -42,9 +42,9 @@
         self.requests: dict[str, loads.Requests] = {}
         self.keys: dict[str, loads.Key] = {}
         self.version = 0
-        self.outages: list[judge.ZoneOutage] = []
+        self.outages: list[facts.ZoneOutage] = []
         self.out: dict[str, float] = {}
-        self.ceilings: list[judge.Ceiling] = []
+        self.ceilings: list[facts.Ceiling] = []
         self.gangs: dict[str, int] = {}
         self.withdrawn: dict[str, float] = {}
         self.reverts: list[str] = []
@@ -169,7 +169,7 @@
             if former != team.ceiling:
                 lowered = former is not None and team.ceiling.fits(former)
                 at = after if lowered else (before if former else 0.0)
-                self.ceilings.append(judge.Ceiling(name, team.ceiling, at))
+                self.ceilings.append(facts.Ceiling(name, team.ceiling, at))
         self.version = version
 
     def grant(self, team: str) -> None:
@@ -208,7 +208,7 @@
     def bring_in(self, zone: str) -> None:
         """Return a zone to service."""
         if zone in self.out:
-            outage = judge.ZoneOutage(zone, self.out.pop(zone), time.monotonic())
+            outage = facts.ZoneOutage(zone, self.out.pop(zone), time.monotonic())
             self.outages.append(outage)
         self.operate("POST", f"/v1/zones/{zone}/in")
 
@@ -263,7 +263,7 @@
                 return
             gevent.sleep(0.3)
 
-    def known(self) -> judge.Known:
+    def known(self) -> facts.Known:
         """Return what operators and callers know."""
         outcomes: dict[str, str] = {}
         accepted: set[str] = set()
@@ -279,8 +279,8 @@
                     accepted.update(names)
                     outcomes |= dict.fromkeys(names, state)
         every = (*self.jobs.values(), *self.requests.values())
-        open_outages = [judge.ZoneOutage(zone, at) for zone, at in self.out.items()]
-        return judge.Known(
+        open_outages = [facts.ZoneOutage(zone, at) for zone, at in self.out.items()]
+        return facts.Known(
             zone_outages=(*self.outages, *open_outages),
             ceilings=tuple(self.ceilings),
             gang_sizes=self.gangs,
@@ -307,7 +307,7 @@
         ]
         return found + [f"reverted: {item}" for item in self.reverts]
 
-    def judge(self) -> list[judge.Violation]:
+    def judge(self) -> list[violations.Violation]:
         """Check all records."""
         return judge.check(self.cluster.records(), self.known())
 
--- a/scenarios/history.py
+++ b/scenarios/history.py
@@ -2,21 +2,9 @@
 
 from __future__ import annotations
 
-import dataclasses
 import json
 
-from standins import cluster
-
-
-@dataclasses.dataclass(slots=True)
-class Run:
-    """One attempt of a task; `ended` is false while it runs."""
-
-    task: str
-    worker: str
-    availability_zone: str
-    at: float
-    ended: bool = False
+from standins import cluster, executions
 
 
 class History:
@@ -25,8 +13,12 @@
     def __init__(self, running: cluster.Cluster) -> None:
         self._cluster = running
         self._next = 0
-        self._open: dict[tuple[str, str, int], Run] = {}
-        self.runs: list[Run] = []
+        self._attempts = executions.Attempts()
+
+    @property
+    def attempts(self) -> list[executions.Attempt]:
+        """Return the attempts that were started, in the order of time."""
+        return self._attempts.started
 
     def refresh(self) -> None:
         """Fetch the events since the last call."""
@@ -37,31 +29,12 @@
         found = json.loads(body)
         self._next = found["next"]
         for event in found["events"]:
-            self._add(event)
-
-    def _add(self, event: dict) -> None:
-        match event["kind"]:
-            case "start":
-                run = Run(
-                    event["task"],
-                    event["worker"],
-                    event["availability_zone"],
-                    event["at"],
-                )
-                self.runs.append(run)
-                self._open[event["worker"], event["task"], event["attempt"]] = run
-            case "end":
-                place = (event["worker"], event["task"], event["attempt"])
-                if place in self._open:
-                    self._open.pop(place).ended = True
-            case "died":
-                for place in [p for p in self._open if p[0] == event["worker"]]:
-                    self._open.pop(place).ended = True
+            self._attempts.add(event)
 
     def count(self, load: str, state: str) -> int:
         """Return how many tasks of a load run, or how many attempts were started."""
         return sum(
-            run.task.rpartition("/")[0].rpartition("-")[0] == load
-            and (state == "started" or not run.ended)
-            for run in self.runs
+            attempt.start.task.rpartition("/")[0].rpartition("-")[0] == load
+            and (state == "started" or not attempt.ended)
+            for attempt in self.attempts
         )
--- a/scenarios/loads.py
+++ b/scenarios/loads.py
@@ -10,7 +10,7 @@
 from gevent import pool
 
 from scenarios import client
-from standins import backend_servers, judge
+from standins import backend_servers, facts
 
 # Refusals that promise that the work did not run and will not.
 NOT_RUN = frozenset(
@@ -45,7 +45,7 @@
     counts: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
-    key_uses: list[judge.KeyUse] = dataclasses.field(default_factory=list)
+    key_uses: list[facts.KeyUse] = dataclasses.field(default_factory=list)
     problems: list[str] = dataclasses.field(default_factory=list)
     stopping: bool = False
     greenlets: list[gevent.Greenlet] = dataclasses.field(default_factory=list)
@@ -62,7 +62,7 @@
     def note_use(self, key: Key, sent_at: float) -> None:
         """Note that work was accepted with a key."""
         if key.id:
-            self.key_uses.append(judge.KeyUse(key.id, sent_at))
+            self.key_uses.append(facts.KeyUse(key.id, sent_at))
 
 
 class Jobs(Load):
@@ -243,7 +243,7 @@
         self._kind = kind
         self._number = 0
         self.not_run: set[str] = set()
-        self.answers: list[judge.Answered] = []
+        self.answers: list[facts.Answered] = []
         self.answer_bytes = kind.answer_bytes
 
     def start(self, callers: int) -> None:
@@ -323,7 +323,7 @@
     def _check(self, request_id: str, reply: client.Reply) -> None:
         expected = backend_servers.expected_answer(request_id, self.answer_bytes)
         if reply.body != expected or len(reply.body) <= KEPT_ANSWER_BYTES:
-            self.answers.append(judge.Answered(request_id, reply.body, expected))
+            self.answers.append(facts.Answered(request_id, reply.body, expected))
 
     def count(self, state: str) -> int:
         """Return the number of requests in a state."""
--- /dev/null
+++ b/standins/facts.py
@@ -0,0 +1,62 @@
+"""What operators and callers of a run know, for the judge."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+from toucanspring import resources
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZoneOutage:
+    """State when operators took a zone out, and when it came back."""
+
+    availability_zone: str
+    out_at: float
+    in_at: float = math.inf
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ceiling:
+    """State a team's ceiling from a time on."""
+
+    team: str
+    amount: resources.Resources
+    from_at: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """State what a caller received as a complete answer, and what was right."""
+
+    request: str
+    body: bytes
+    expected: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyUse:
+    """State that work was accepted with a key."""
+
+    key: str
+    accepted_at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Known:
+    """What operators and callers know in addition to the records.
+
+    `task_outcomes` maps task IDs to the final state that callers were given,
+    `requests_not_run` holds the request IDs that were refused as not run.
+    """
+
+    zone_outages: tuple[ZoneOutage, ...] = ()
+    ceilings: tuple[Ceiling, ...] = ()
+    gang_sizes: dict[str, int] = dataclasses.field(default_factory=dict)
+    accepted_tasks: frozenset[str] = frozenset()
+    task_outcomes: dict[str, str] = dataclasses.field(default_factory=dict)
+    requests_not_run: frozenset[str] = frozenset()
+    answers: tuple[Answered, ...] = ()
+    key_uses: tuple[KeyUse, ...] = ()
+    withdrawn_keys: dict[str, float] = dataclasses.field(default_factory=dict)
--- a/test/test_judge.py
+++ b/test/test_judge.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from standins import judge
+from standins import facts, judge, violations
 from toucanspring import resources
 
 CORE = (1000, 100, 0)
@@ -62,7 +62,7 @@
 
     def check(self, **known):
         record = {"events": self.events, "dropped": self.dropped}
-        return judge.check({"all": record}, judge.Known(**known))
+        return judge.check({"all": record}, facts.Known(**known))
 
 
 class JudgeTest(testtools.TestCase):
@@ -89,30 +89,30 @@
         records.run(1, "e1", "r1")
         records.add(2, "ran", executor="e1", request="r1")
         found = records.check(
-            ceilings=(judge.Ceiling("t", resources.Resources(4000, 400, 0)),),
+            ceilings=(facts.Ceiling("t", resources.Resources(4000, 400, 0)),),
             accepted_tasks=frozenset({"k/0"}),
             task_outcomes={"k/0": "done"},
             gang_sizes={"j": 4},
-            zone_outages=(judge.ZoneOutage(ZONE, 10.0),),
+            zone_outages=(facts.ZoneOutage(ZONE, 10.0),),
         )
         self.assertEqual([], found)
 
     def test_dropped_events(self):
         self.records.dropped = 3
-        self.expect(judge.IncompleteRecord)
+        self.expect(violations.IncompleteRecord)
 
     def test_capacity_in_each_dimension(self):
         for demand in ((1001, 0, 0), (0, 101, 0), (0, 0, 1)):
             self.records = Records()
             for index in range(4):
                 self.records.start(1 + index, "w1", f"j/{index}", demand=demand)
-            self.expect(judge.OverCapacity)
+            self.expect(violations.OverCapacity)
 
     def test_overlap_on_two_workers(self):
         self.records.start(1, "w1", "j/0")
         self.records.start(5, "w2", "j/0", attempt=1)
         self.records.end(6, "w1", "j/0")
-        self.assertEqual(("w1", "w2"), self.expect(judge.TwoPlaces).workers)
+        self.assertEqual(("w1", "w2"), self.expect(violations.TwoPlaces).workers)
 
     def test_overlap_with_an_attempt_before_the_previous_one(self):
         self.records.start(1, "w1", "j/0")
@@ -125,7 +125,7 @@
     def test_the_same_attempt_started_twice_on_one_worker(self):
         self.records.start(1, "w1", "j/0")
         self.records.start(2, "w1", "j/0")
-        self.expect(judge.TwoPlaces)
+        self.expect(violations.TwoPlaces)
 
     def test_no_overlap_with_a_dead_or_frozen_worker(self):
         self.records.start(1, "w1", "j/0")
@@ -144,43 +144,43 @@
         self.records.start(30, "w3", "j/0", attempt=1)
         self.records.add(31, "resumed", worker="w2", incarnation=1)
         self.records.end(32, "w2", "j/0")
-        self.expect(judge.TwoPlaces)
+        self.expect(violations.TwoPlaces)
 
     def test_second_start_of_a_non_idempotent_task(self):
         self.records.start(1, "w1", "j/0", idempotent=False)
         self.records.end(2, "w1", "j/0", state="failed")
         self.records.start(3, "w2", "j/0", attempt=1, idempotent=False)
-        self.expect(judge.StartedAgain)
+        self.expect(violations.StartedAgain)
 
     def test_second_run_of_a_non_idempotent_request(self):
         self.records.run(1, "e1", "r1")
         self.records.run(2, "e2", "r1")
         self.records.run(3, "e1", "r2", idempotent=True)
         self.records.run(4, "e2", "r2", idempotent=True)
-        self.expect(judge.RequestRanAgain)
+        self.expect(violations.RequestRanAgain)
 
     def test_start_in_a_zone_taken_out(self):
         for at in (12.9, 40.0):  # in the time limit, and after its return
             self.records.start(at, "w1", f"a{at}/0")
-        outages = (judge.ZoneOutage(ZONE, 10.0, 39.0),)
+        outages = (facts.ZoneOutage(ZONE, 10.0, 39.0),)
         self.assertEqual([], self.records.check(zone_outages=outages))
         self.records.start(13.1, "w1", "b/0")
-        self.expect(judge.ZoneStart, zone_outages=outages)
+        self.expect(violations.ZoneStart, zone_outages=outages)
 
     def test_ceiling_across_workers(self):
         self.records.start(1, "w1", "j/0")
         self.records.start(2, "w2", "j/1")
-        ceilings = (judge.Ceiling("t", resources.Resources(1500, 1000, 0)),)
-        self.expect(judge.OverCeiling, ceilings=ceilings)
+        ceilings = (facts.Ceiling("t", resources.Resources(1500, 1000, 0)),)
+        self.expect(violations.OverCeiling, ceilings=ceilings)
 
     def test_lowered_ceiling_without_any_later_start(self):
         self.records.start(1, "w1", "j/0")
         self.records.start(2, "w2", "j/1")
-        before = judge.Ceiling("t", resources.Resources(2000, 1000, 0))
+        before = facts.Ceiling("t", resources.Resources(2000, 1000, 0))
         lowered = dataclasses.replace(
             before, amount=resources.Resources(1000, 1000, 0), from_at=10.0
         )
-        found = self.expect(judge.OverCeiling, ceilings=(before, lowered))
+        found = self.expect(violations.OverCeiling, ceilings=(before, lowered))
         self.assertEqual(15.0, found.at)
         self.records.end(14, "w2", "j/1", state="checkpointed")
         self.assertEqual([], self.records.check(ceilings=(before, lowered)))
@@ -188,7 +188,7 @@
     def test_start_by_a_superseded_owner(self):
         self.records.add(1, "attach", worker="w1", incarnation=1, partition=0, epoch=2)
         self.records.start(2, "w1", "j/0", epoch=1)
-        self.expect(judge.StaleEpoch)
+        self.expect(violations.StaleEpoch)
 
     def test_gang_that_stays_partial(self):
         self.records.start(1, "w1", "g/0")
@@ -196,44 +196,46 @@
         self.records.add(20, "read")
         self.assertEqual([], self.records.check(gang_sizes={"g": 3}))
         self.records.add(28, "read")
-        self.expect(judge.PartialGang, gang_sizes={"g": 3})
+        self.expect(violations.PartialGang, gang_sizes={"g": 3})
 
     def test_work_that_ran_although_refused(self):
         self.records.run(1, "e1", "r1")
-        self.expect(judge.RanAfterNotRun, requests_not_run=frozenset({"r1"}))
+        self.expect(violations.RanAfterNotRun, requests_not_run=frozenset({"r1"}))
         self.records = Records()
         self.records.start(1, "w1", "j/0")
-        self.expect(judge.RanAfterNotRun, task_outcomes={"j/0": "not_run"})
+        self.expect(violations.RanAfterNotRun, task_outcomes={"j/0": "not_run"})
 
     def test_outcomes_that_did_not_happen(self):
-        self.expect(judge.FalseOutcome, task_outcomes={"j/0": "done"})
+        self.expect(violations.FalseOutcome, task_outcomes={"j/0": "done"})
         self.records.start(1, "w1", "j/0")
         self.records.end(2, "w1", "j/0", state="done")
-        self.expect(judge.FalseOutcome, task_outcomes={"j/0": "failed"})
+        self.expect(violations.FalseOutcome, task_outcomes={"j/0": "failed"})
 
     def test_accepted_work_without_outcome(self):
-        self.expect(judge.LostWork, accepted_tasks=frozenset({"j/0"}))
+        self.expect(violations.LostWork, accepted_tasks=frozenset({"j/0"}))
 
     def test_cut_or_foreign_answers(self):
         for body in (b"righ", b"wrong"):
-            answer = judge.Answered("r1", body, b"right")
-            self.expect(judge.WrongAnswer, answers=(answer,))
+            answer = facts.Answered("r1", body, b"right")
+            self.expect(violations.WrongAnswer, answers=(answer,))
 
     def test_more_requests_than_slots(self):
         for index in range(3):
             self.records.run(1 + index, "e1", f"r{index}")
-        self.expect(judge.OverCapacity)
+        self.expect(violations.OverCapacity)
 
     def test_new_work_for_a_leaving_backend_server(self):
         self.records.add(1, "list", states={"e1": "leaving"}, lag_ms=1000.0)
         self.records.run(4.9, "e1", "r1")
         self.assertEqual([], self.records.check())
         self.records.run(5.1, "e1", "r2")
-        self.expect(judge.LeavingRun)
+        self.expect(violations.LeavingRun)
 
     def test_work_accepted_with_a_withdrawn_key(self):
-        use = judge.KeyUse("k1", 13.5)
-        self.expect(judge.KeyAccepted, key_uses=(use,), withdrawn_keys={"k1": 10.0})
+        use = facts.KeyUse("k1", 13.5)
+        self.expect(
+            violations.KeyAccepted, key_uses=(use,), withdrawn_keys={"k1": 10.0}
+        )
         self.assertEqual(
             [], self.records.check(key_uses=(use,), withdrawn_keys={"k1": 11.0})
         )
--- a/test/test_scenario_checks.py
+++ b/test/test_scenario_checks.py
@@ -8,8 +8,9 @@
 
 import testtools
 
-from scenarios import actions, cell, client, history, language, loads
-from standins import judge
+from scenarios import actions, cell, client, language, loads
+from standins import events, executions, facts, judge, violations
+from toucanspring import resources
 
 
 def reply(status, body=None, **more):
@@ -55,9 +56,9 @@
     def test_a_wrong_answer_reaches_the_judge(self):
         load, state = self.send(client.Reply(200, b"cut"))
         self.assertEqual("done", state)
-        known = judge.Known(answers=tuple(load.answers))
+        known = facts.Known(answers=tuple(load.answers))
         (violation,) = judge.check({}, known)
-        self.assertIsInstance(violation, judge.WrongAnswer)
+        self.assertIsInstance(violation, violations.WrongAnswer)
 
     def test_a_refusal_after_a_lost_answer_is_no_proof_that_it_did_not_run(self):
         # Otherwise the judge would blame a refusal of the second attempt only.
@@ -87,11 +88,11 @@
 
     def test_late_acceptance_of_a_withdrawn_key_reaches_the_judge(self):
         load, _ = self.send(client.Reply(200, b"x"))
-        known = judge.Known(
+        known = facts.Known(
             key_uses=tuple(load.key_uses), withdrawn_keys={"k1": time.monotonic() - 4}
         )
         (violation,) = judge.check({}, known)
-        self.assertIsInstance(violation, judge.KeyAccepted)
+        self.assertIsInstance(violation, violations.KeyAccepted)
 
 
 class JobsTest(testtools.TestCase):
@@ -155,7 +156,7 @@
         made.outages, made.out, made.ceilings = [], {}, []
         made.gangs, made.withdrawn, made.reverts, made._seen = {}, {}, [], {}
         made.owner = lambda partition: "entry-2"
-        made.history = types.SimpleNamespace(runs=[], refresh=lambda: None)
+        made.history = types.SimpleNamespace(attempts=[], refresh=lambda: None)
         self.player = actions.Player(made, lambda line: None)
         self.player.finish_within_s = 0.0
 
@@ -192,12 +193,30 @@
         self.fails(self.player.expect_takeover, 0, "entry-2", 0.0)
         self.player.expect_takeover(0, "entry-1", 0.0)
 
+    def add_start(self, zone, at):
+        start = events.Start(
+            at=at,
+            worker="w",
+            incarnation=1,
+            availability_zone=zone,
+            partition=0,
+            epoch=1,
+            task="j/0",
+            attempt=0,
+            team="desk",
+            demand=resources.ZERO,
+            idempotent=True,
+            resumed=False,
+            tick_age_ms=0,
+        )
+        self.cell.history.attempts.append(executions.Attempt(start))
+
     def test_a_late_start_in_a_zone(self):
         self.cell.out["zug-1"] = 100.0
         for at, zone in ((102.9, "zug-1"), (104.0, "luzern-1")):
-            self.cell.history.runs.append(history.Run("j/0", "w", zone, at))
+            self.add_start(zone, at)
         self.player.expect_no_start("zug-1")
-        self.cell.history.runs.append(history.Run("j/0", "w", "zug-1", 103.1))
+        self.add_start("zug-1", 103.1)
         self.fails(self.player.expect_no_start, "zug-1")
 
     def test_lost_work(self):
@@ -205,7 +224,7 @@
         self.player.expect_nothing_lost()
         self.add_jobs(a="done", b="")
         self.fails(self.player.expect_nothing_lost)
-        self.assertIn(judge.LostWork(work="b/0"), self.cell.judge())
+        self.assertIn(violations.LostWork(work="b/0"), self.cell.judge())
 
     def test_an_outcome_without_a_run(self):
         self.add_jobs(a="done")
--- a/test/test_worker_faults.py
+++ b/test/test_worker_faults.py
@@ -6,7 +6,7 @@
 import msgspec
 import testtools
 
-from standins import cluster, judge, service, task_runs
+from standins import cluster, judge, service, task_runs, violations
 from standins import worker as standin
 from toucanspring import errors, resources, wire
 from toucanspring.adapters import vms, workers
@@ -166,11 +166,11 @@
         return owner, judge.check({"workers": record})
 
     def test_an_owner_that_waits_for_leases_breaks_nothing(self):
-        owner, violations = self.run_owner(patient=True)
-        self.assertEqual([], violations)
+        owner, found = self.run_owner(patient=True)
+        self.assertEqual([], found)
         self.assertEqual(TASKS, len(owner.done))
 
     def test_an_owner_that_does_not_wait_is_found_out(self):
-        _, violations = self.run_owner(patient=False)
-        kinds = {type(violation) for violation in violations}
-        self.assertEqual({judge.TwoPlaces}, kinds)
+        _, found = self.run_owner(patient=False)
+        kinds = {type(violation) for violation in found}
+        self.assertEqual({violations.TwoPlaces}, kinds)
