Report throttled use and throttles from the stand-in worker

Cause: the stand-in reported a task's planned use whatever its throttle, and an attach did not say how far tasks are throttled. Change: reported processors follow the throttle; RunningTask carries it. Before: use stayed at 4,000 millicores under a throttle of 0.25.

--- a/standins/task_runs.py
+++ b/standins/task_runs.py
@@ -102,6 +102,13 @@
             self.left_ms = max(0.0, self.left_ms - worked_ms)
         self.changed_at = now
 
+    def usage(self) -> resources.Resources:
+        """Return what the task uses at present; throttling limits processors only."""
+        full = self.plan.usage or resources.ZERO
+        return resources.Resources(
+            int(full.cpus * self.rate), full.memory, full.accelerators
+        )
+
     def end_time(self) -> float | None:
         """Return when the work is complete at the present rate, if ever."""
         if self.left_ms is None or self.rate <= 0:
--- a/standins/worker_reports.py
+++ b/standins/worker_reports.py
@@ -31,6 +31,7 @@
                 entry.start.demand,
                 entry.start.team,
                 int((now - entry.started_at) * 1000),
+                entry.rate,
             )
             for task_id, entry in self._running.items()
         ]
@@ -75,7 +76,7 @@
             return  # `resume` and `revive` begin a new series
         now = time.monotonic()
         usage = {
-            task_id: running.plan.usage or resources.ZERO
+            task_id: running.usage()
             for task_id, running in self._running.items()
             if now - running.started_at >= USAGE_LAG_S
         }
--- a/test/test_workers.py
+++ b/test/test_workers.py
@@ -194,6 +194,24 @@
         self.assertEqual({}, owner.finished)
         wait(lambda: owner.finished, timeout_s=0.8)
 
+    def test_throttling_shows_in_usage_and_at_the_next_attach(self):
+        # Guards against an owner that takes a throttled task for a small one, or
+        # never lifts the limit of its predecessor.
+        owner = self.own()
+        usage = [4000, 500, 0]
+        owner.link.start(1, [task("j/0", run_ms=60_000, usage=usage)])
+        wait(lambda: owner.accepted)
+        owner.link.throttle(1, "j/0", 0.25)
+
+        def reported():
+            return [r.usage["j/0"] for r in owner.reports if "j/0" in r.usage]
+
+        wait(reported)
+        self.assertEqual(resources.Resources(1000, 500), reported()[-1])
+        successor = self.own(epoch=2)
+        (running,) = successor.attached.running
+        self.assertEqual(0.25, running.throttle)
+
     def test_death_loses_everything_and_changes_the_incarnation(self):
         owner = self.own()
         owner.link.start(1, [task("j/0", run_ms=None), task("j/1", run_ms=0)])
