Split the stand-ins' HTTP server and the test cluster by job

Cause: standins/service.py (437 lines) held an HTTP server, the event record and fault injection; standins/cluster.py (414) held child processes, port reservation and the cluster.

Change: - standins/service.py: the HTTP server only (235). - standins/injection.py: `Faults`, `ServiceFaults`, `FaultyService`, `merge_faults`, `apply_faults`, `control` (175). - standins/events.py: also `Record` (40 -> 87). - standins/processes.py: `StartFailed`, `ManagedProcess`, `wait_until`, `ROOT`. - standins/ports.py: `ADDRESS`, `PortReservation`, `find_ports`. - standins/cluster.py: `DaemonFacts`, `daemon_command`, `call`, `Cluster` (282).

--- a/bench/control.py
+++ b/bench/control.py
@@ -8,6 +8,7 @@
 import defopt
 
 from bench import cell
+from standins import processes
 
 HELD_TASKS = 1000
 HELD_JOBS = 10
@@ -28,7 +29,7 @@
     """Return the resident memory of a process that only imports the daemon."""
     command = [sys.executable, "-c", IMPORTS]
     with subprocess.Popen(
-        command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, cwd=cell.cluster.ROOT
+        command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, cwd=processes.ROOT
     ) as child:
         child.stdout.readline()
         found = cell.resident_mb(child.pid)
--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -12,11 +12,11 @@
 import yaml
 
 from demo import account, callers, entry
-from standins import cluster, facts, judge
+from standins import cluster, facts, judge, processes
 from toucanspring import errors, text
 
 DAEMONS = 9
-EXAMPLES = cluster.ROOT / "examples"
+EXAMPLES = processes.ROOT / "examples"
 IN_FORCE_S = 3.0
 JOB_LIMIT_S = 30.0
 
--- a/scenarios/__main__.py
+++ b/scenarios/__main__.py
@@ -17,7 +17,7 @@
 from gevent import pool  # noqa: E402
 
 from scenarios import language, names, report  # noqa: E402
-from standins import cluster  # noqa: E402
+from standins import processes  # noqa: E402
 
 DIRECTORY = pathlib.Path(__file__).parent
 # Each scenario takes one to two processors while it runs.
@@ -71,7 +71,7 @@
         [sys.executable, "-m", "scenarios", scenario.file, "--inner"],
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
-        cwd=cluster.ROOT,
+        cwd=processes.ROOT,
         env={**os.environ, "PYTHONUNBUFFERED": "1"},
     )
     timer = gevent.spawn_later(LIMIT_S, child.terminate)
--- a/scenarios/cell.py
+++ b/scenarios/cell.py
@@ -12,11 +12,11 @@
 import yaml
 
 from scenarios import client, history, loads
-from standins import cluster, facts, judge, violations
+from standins import cluster, facts, judge, ports, processes, violations
 from toucanspring import claims, errors, text
 from toucanspring.adapters import tables
 
-EXAMPLES = cluster.ROOT / "examples"
+EXAMPLES = processes.ROOT / "examples"
 WATCH_S = 0.5
 OPERATE_LIMIT_S = 15.0
 RETRY_S = 0.1
@@ -51,7 +51,7 @@
         self._seen: dict[str, dict[str, int]] = {}
         self._owners: dict[int, claims.PartitionRow] = {}
         port = running.service_ports["tables"]
-        self._tables = tables.HttpTableClient(cluster.ADDRESS, port, "observer", 1.0)
+        self._tables = tables.HttpTableClient(ports.ADDRESS, port, "observer", 1.0)
         self._watcher = gevent.spawn(self._watch)
 
     def close(self) -> None:
--- a/standins/backend_servers.py
+++ b/standins/backend_servers.py
@@ -15,7 +15,7 @@
 import msgspec  # noqa: E402
 from gevent import event  # noqa: E402
 
-from standins import service  # noqa: E402
+from standins import events, injection, service  # noqa: E402
 from toucanspring.adapters import backend_servers, vms  # noqa: E402
 
 SLOTS = 8
@@ -41,7 +41,7 @@
     stall_ms: float = 0.0
 
 
-class ExecutorFaults(service.Faults):
+class ExecutorFaults(injection.Faults):
     """Faults of an executor; `executors` in the body names those concerned.
 
     The list is absent or empty for all of them.
@@ -77,7 +77,7 @@
         address: str,
         port: int,
         slots: int,
-        record: service.Record,
+        record: events.Record,
         rng: Callable[[], float],
     ) -> None:
         self.name = name
@@ -95,14 +95,14 @@
 
     def set_faults(self, changes: dict[str, object]) -> None:
         """Replace the given faults; `down` refuses connections."""
-        self.faults = service.merge_faults(self.faults, changes)
+        self.faults = injection.merge_faults(self.faults, changes)
         if self.faults.down:
             self.server.close()
         else:
             self.server.open()
 
     def _serve(self, request: service.Request) -> service.Response | None:
-        return service.apply_faults(self.faults, request, self._handle, self._rng)
+        return injection.apply_faults(self.faults, request, self._handle, self._rng)
 
     def _handle(self, request: service.Request) -> service.Response:
         if request.method == "POST" and request.path == "/epochs":
@@ -234,7 +234,7 @@
     """Host the executors and their common control interface."""
 
     def __init__(
-        self, executors: list[Executor], listed: list[vms.Vm], record: service.Record
+        self, executors: list[Executor], listed: list[vms.Vm], record: events.Record
     ) -> None:
         self._executors = {executor.name: executor for executor in executors}
         self._listed = listed
@@ -244,7 +244,7 @@
         """Answer one call of the control interface."""
         if request.method == "GET" and request.path == "/v1/vms":
             return service.json_response(self._listed)
-        answer = service.control(request, self._record, self._set_faults)
+        answer = injection.control(request, self._record, self._set_faults)
         return answer or service.Response(404)
 
     def _set_faults(self, body: bytes) -> dict[str, ExecutorFaults]:
@@ -281,7 +281,7 @@
     :param zones: Availability zones, assigned in turn.
     :param seed: Seed of the random choice of failing calls.
     """
-    record = service.Record()
+    record = events.Record()
     rng = random.Random(seed).random
     executors = []
     listed = []
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -7,37 +7,19 @@
 import hashlib
 import http.client
 import json
-import os
 import pathlib
-import random
 import shutil
-import signal
-import socket
-import subprocess
 import sys
 import tempfile
-import time
 from collections.abc import Callable, Sequence
 
 import msgspec
 
+from standins import ports, processes
 from toucanspring.adapters import vms
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-ADDRESS = "127.0.0.1"
 ZONES = ("zone-a", "zone-b", "zone-c")
-# Below the range from which the system takes ports of outgoing connections.
-FIRST_PORT = 12_000
-LAST_PORT = 32_000
 START_ATTEMPTS = 5
-RESERVE_ATTEMPTS = 1000
-START_TIMEOUT_S = 20.0
-STOP_TIMEOUT_S = 5.0
-POLL_S = 0.02
-
-
-class StartFailed(Exception):
-    """Raised when a process ended or did not get ready; holds its output."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -68,60 +50,6 @@
     return [*command, *facts.extra]
 
 
-class ManagedProcess:
-    """Own one child process whose output goes to a file."""
-
-    def __init__(
-        self, name: str, command: Sequence[str], directory: pathlib.Path
-    ) -> None:
-        self.name = name
-        self.command = list(command)
-        self.output = directory / f"{name}.log"
-        environment = {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
-        with self.output.open("ab") as sink:
-            self._child = subprocess.Popen(
-                self.command,
-                stdin=subprocess.DEVNULL,
-                stdout=sink,
-                stderr=subprocess.STDOUT,
-                cwd=ROOT,
-                env=environment,
-            )
-
-    @property
-    def pid(self) -> int:
-        """Return the process ID."""
-        return self._child.pid
-
-    def status(self) -> int | None:
-        """Return the exit status, or `None` while the process runs."""
-        return self._child.poll()
-
-    def signal(self, number: int) -> None:
-        """Send a signal, such as SIGSTOP to pause and SIGCONT to resume."""
-        if self.status() is None:
-            self._child.send_signal(number)
-
-    def kill(self) -> None:
-        """End the process at once."""
-        self.signal(signal.SIGKILL)
-        self._child.wait()
-
-    def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
-        """End the process with SIGTERM, or after the time limit with SIGKILL."""
-        self.signal(signal.SIGCONT)  # a stopped process would not see SIGTERM
-        self.signal(signal.SIGTERM)
-        try:
-            return self._child.wait(timeout=timeout_s)
-        except subprocess.TimeoutExpired:
-            self.kill()
-            return self._child.returncode
-
-    def text(self) -> str:
-        """Return the output so far."""
-        return self.output.read_text(errors="replace")
-
-
 def call(
     port: int,
     method: str,
@@ -131,7 +59,7 @@
     timeout_s: float = 10.0,
 ) -> tuple[int, bytes]:
     """Make one HTTP call on the loopback address; bytes are sent as they are."""
-    connection = http.client.HTTPConnection(ADDRESS, port, timeout=timeout_s)
+    connection = http.client.HTTPConnection(ports.ADDRESS, port, timeout=timeout_s)
     with contextlib.closing(connection):
         content = body if isinstance(body, bytes | None) else msgspec.json.encode(body)
         connection.request(method, path, content, headers or {})
@@ -139,51 +67,6 @@
         return answer.status, answer.read()
 
 
-def find_ports(count: int) -> int:
-    """Return the first of `count` consecutive ports that are free at present."""
-    with PortReservation(count) as reserved:
-        return reserved.first
-
-
-class PortReservation:
-    """Keep consecutive ports from other clusters on this host until closed.
-
-    The sockets bind exclusively and allow reuse only afterwards, so that a child that
-    sets SO_REUSEADDR can listen while another reservation fails. Without it a cluster
-    that starts during the restart of a daemon could take the daemon's port.
-    """
-
-    def __init__(self, count: int) -> None:
-        self._sockets: list[socket.socket] = []
-        for _ in range(RESERVE_ATTEMPTS):
-            self.first = random.randrange(FIRST_PORT, LAST_PORT - count)
-            if all(map(self._bind, range(self.first, self.first + count))):
-                return
-            self.close()
-        raise StartFailed(f"no {count} consecutive free ports")
-
-    def __enter__(self) -> PortReservation:
-        return self
-
-    def __exit__(self, *_exc: object) -> None:
-        self.close()
-
-    def close(self) -> None:
-        """Release the ports."""
-        while self._sockets:
-            self._sockets.pop().close()
-
-    def _bind(self, port: int) -> bool:
-        sock = socket.socket()
-        self._sockets.append(sock)
-        try:
-            sock.bind((ADDRESS, port))
-        except OSError:
-            return False
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        return True
-
-
 class Cluster:
     """Run a platform of stand-ins, and daemons on request; a context manager.
 
@@ -205,8 +88,8 @@
         self.partitions = partitions
         self.operator_key = "operator-key-of-this-test-cluster"
         self.peer_token = "peer-token-of-this-test-cluster"
-        self._reservations: list[PortReservation] = []
-        self.processes: dict[str, ManagedProcess] = {}
+        self._reservations: list[ports.PortReservation] = []
+        self.processes: dict[str, processes.ManagedProcess] = {}
         self.control_ports: dict[str, int] = {}
         self.service_ports: dict[str, int] = {}
         self.daemon_facts: dict[str, DaemonFacts] = {}
@@ -291,7 +174,7 @@
         return {name: self.record(name) for name in self.control_ports}
 
     def _reserve(self, count: int) -> int:
-        self._reservations.append(PortReservation(count))
+        self._reservations.append(ports.PortReservation(count))
         return self._reservations[-1].first
 
     def _start_service(self, name: str) -> None:
@@ -319,10 +202,10 @@
     ) -> bool:
         """Start a stand-in; another process may take its port in between."""
         command = [sys.executable, "-m", f"standins.{module}", *options]
-        process = ManagedProcess(name, command, self.directory)
+        process = processes.ManagedProcess(name, command, self.directory)
         try:
-            _wait_until(process, lambda: " ready on " in process.text())
-        except StartFailed:
+            processes.wait_until(process, lambda: " ready on " in process.text())
+        except processes.StartFailed:
             if attempt == START_ATTEMPTS - 1 or "in use" not in process.text():
                 raise
             process.output.unlink()
@@ -346,7 +229,7 @@
             zone = self.zones[len(self.daemon_facts) % len(self.zones)]
             facts = DaemonFacts(
                 process=name,
-                address=ADDRESS,
+                address=ports.ADDRESS,
                 http_port=port,
                 peer_port=port + 1,
                 availability_zone=availability_zone or zone,
@@ -361,13 +244,17 @@
                 extra=tuple(extra),
             )
             self.daemon_facts[name] = facts
-        process = ManagedProcess(name, self._build_command(facts), self.directory)
+        process = processes.ManagedProcess(
+            name, self._build_command(facts), self.directory
+        )
         self.processes[name] = process
         if wait:
             self.wait_ready(name)
         return facts
 
-    def wait_ready(self, name: str, timeout_s: float = START_TIMEOUT_S) -> None:
+    def wait_ready(
+        self, name: str, timeout_s: float = processes.START_TIMEOUT_S
+    ) -> None:
         """Wait until a daemon answers `/readyz` with 200."""
         port = self.daemon_facts[name].http_port
 
@@ -377,7 +264,7 @@
             except OSError:
                 return False
 
-        _wait_until(self.processes[name], is_ready, timeout_s)
+        processes.wait_until(self.processes[name], is_ready, timeout_s)
         self.ready_daemons.add(name)
 
     def kill_daemon(self, name: str) -> None:
@@ -392,23 +279,4 @@
 
     def url(self, name: str) -> str:
         """Return the URL of the tables, the objects or the VM list."""
-        return f"http://{ADDRESS}:{self.service_ports[name]}"
-
-
-def _wait_until(
-    process: ManagedProcess,
-    is_ready: Callable[[], bool],
-    timeout_s: float = START_TIMEOUT_S,
-) -> None:
-    deadline = time.monotonic() + timeout_s
-    while not is_ready():
-        if process.status() is not None:
-            raise StartFailed(
-                f"{process.name} ended with {process.status()}:\n{process.text()}"
-            )
-        if time.monotonic() > deadline:
-            process.stop()
-            raise StartFailed(
-                f"{process.name} not ready in {timeout_s} s:\n{process.text()}"
-            )
-        time.sleep(POLL_S)
+        return f"http://{ports.ADDRESS}:{self.service_ports[name]}"
--- a/standins/events.py
+++ b/standins/events.py
@@ -1,9 +1,16 @@
-"""Events of the stand-ins that occur thousands of times a second."""
+"""Record of a stand-in, and the events that occur thousands of times a second."""
+
+from __future__ import annotations
+
+import collections
+import time
 
 import msgspec
 
 from toucanspring import resources
 
+MAX_RECORDED_EVENTS = 2_000_000
+
 
 class Start(
     msgspec.Struct, frozen=True, gc=False, tag_field="kind", tag="start", kw_only=True
@@ -38,3 +45,43 @@
     state: str
     reason: str
     ran_until: float
+
+
+class Record:
+    """Keep events with monotonic times, which all processes of a host share."""
+
+    def __init__(self, limit: int = MAX_RECORDED_EVENTS) -> None:
+        self._events: collections.deque[object] = collections.deque(maxlen=limit)
+        self._added = 0
+
+    def add(self, kind: str, **fields: object) -> None:
+        """Append an event that happened now."""
+        self._added += 1
+        self._events.append({"at": time.monotonic(), "kind": kind, **fields})
+
+    def append(self, occurred: msgspec.Struct) -> None:
+        """Append an event that has its own fields `at` and `kind`."""
+        self._added += 1
+        self._events.append(occurred)
+
+    def dump(self, after: int = 0) -> bytes:
+        """Return JSON with the events from number `after` on and the next number.
+
+        `dropped` counts events that no longer fitted; then the record is incomplete.
+        """
+        dropped = self._added - len(self._events)
+        skip = max(0, after - dropped)
+        events = list(self._events)[skip:] if skip else list(self._events)
+        return msgspec.json.encode(
+            {
+                "events": events,
+                "next": self._added,
+                "dropped": dropped,
+                "now": time.monotonic(),
+            }
+        )
+
+    def clear(self) -> None:
+        """Forget all events."""
+        self._events.clear()
+        self._added = 0
--- a/standins/host.py
+++ b/standins/host.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable
 
-from standins import service
+from standins import events, injection, service
 
 
 def run(
@@ -15,12 +15,12 @@
     control_port: int | None,
     seed: int,
     make_handler: Callable[
-        [service.Record], Callable[[service.Request], service.Response]
+        [events.Record], Callable[[service.Request], service.Response]
     ],
 ) -> None:
     """Serve on `port`; the control interface is there and on `control_port`."""
-    record = service.Record()
-    served = service.FaultyService(
+    record = events.Record()
+    served = injection.FaultyService(
         address,
         port,
         control_port,
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -6,7 +6,7 @@
 
 import defopt  # noqa: E402
 
-from standins import host, service  # noqa: E402
+from standins import events, host, service  # noqa: E402
 
 PREFIX = "/v1/objects/"
 
@@ -14,7 +14,7 @@
 class Objects:
     """Hold all objects in memory."""
 
-    def __init__(self, record: service.Record) -> None:
+    def __init__(self, record: events.Record) -> None:
         self._objects: dict[str, bytes] = {}
         self._record = record
 
--- a/standins/tables.py
+++ b/standins/tables.py
@@ -9,7 +9,7 @@
 import defopt  # noqa: E402
 import msgspec  # noqa: E402
 
-from standins import host, service  # noqa: E402
+from standins import events, host, service  # noqa: E402
 from toucanspring.adapters import tables  # noqa: E402
 
 MAX_SCAN_ROWS = 1000
@@ -23,7 +23,7 @@
 class Tables:
     """Hold all rows in memory; row versions come from one counter, never reused."""
 
-    def __init__(self, record: service.Record) -> None:
+    def __init__(self, record: events.Record) -> None:
         self._rows: dict[str, tuple[int, bytes]] = {}
         self._keys: list[str] = []
         self._version = 0
--- a/standins/task_runs.py
+++ b/standins/task_runs.py
@@ -11,7 +11,7 @@
 import gevent
 import msgspec
 
-from standins import events, service
+from standins import events
 from toucanspring import resources, wire
 from toucanspring.adapters import vms
 
@@ -115,7 +115,7 @@
 class TaskHost(abc.ABC):
     """Run tasks by timers; `worker_reports` adds the streams, `worker` the lease."""
 
-    def __init__(self, listed: vms.Vm, clock: Clock, record: service.Record) -> None:
+    def __init__(self, listed: vms.Vm, clock: Clock, record: events.Record) -> None:
         self.listed = listed
         self._clock = clock
         self._record = record
--- a/standins/vms.py
+++ b/standins/vms.py
@@ -10,14 +10,14 @@
 import defopt  # noqa: E402
 import msgspec  # noqa: E402
 
-from standins import host, service  # noqa: E402
+from standins import events, host, service  # noqa: E402
 from toucanspring.adapters import vms  # noqa: E402
 
 
 class VmList:
     """Show the list that was set `lag_ms` ago; the first list shows at once."""
 
-    def __init__(self, record: service.Record, lag_ms: float) -> None:
+    def __init__(self, record: events.Record, lag_ms: float) -> None:
         self._record = record
         self._lag_ms = lag_ms
         self._pending: collections.deque[tuple[float, bytes]] = collections.deque()
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -8,7 +8,7 @@
 import msgspec
 from gevent import event, server
 
-from standins import service, task_runs, worker_link, worker_reports
+from standins import events, service, task_runs, worker_link, worker_reports
 from toucanspring import resources, stream, wire
 from toucanspring.adapters import vms
 
@@ -45,7 +45,7 @@
         self,
         listed: vms.Vm,
         clock: task_runs.Clock,
-        record: service.Record,
+        record: events.Record,
         rng: random.Random,
     ) -> None:
         super().__init__(listed, clock, record)
--- a/standins/worker_reports.py
+++ b/standins/worker_reports.py
@@ -4,7 +4,7 @@
 
 import time
 
-from standins import service, task_runs, worker_link
+from standins import events, task_runs, worker_link
 from toucanspring import resources, wire
 from toucanspring.adapters import vms
 
@@ -16,7 +16,7 @@
     """Report to the owner of the worker's partition; `worker.Worker` adds the lease."""
 
     def __init__(
-        self, listed: vms.Vm, clock: task_runs.Clock, record: service.Record
+        self, listed: vms.Vm, clock: task_runs.Clock, record: events.Record
     ) -> None:
         super().__init__(listed, clock, record)
         self.links: set[worker_link.Link] = set()
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -13,7 +13,7 @@
 import gevent  # noqa: E402
 import msgspec  # noqa: E402
 
-from standins import service, task_runs, worker  # noqa: E402
+from standins import events, injection, service, task_runs, worker  # noqa: E402
 from toucanspring import resources  # noqa: E402
 from toucanspring.adapters import vms  # noqa: E402
 
@@ -23,7 +23,7 @@
 class Workers:
     """Host the workers and their common control interface."""
 
-    def __init__(self, workers: list[worker.Worker], record: service.Record) -> None:
+    def __init__(self, workers: list[worker.Worker], record: events.Record) -> None:
         self._workers = {host.listed.id: host for host in workers}
         self._record = record
 
@@ -32,7 +32,7 @@
         if request.method == "GET" and request.path == "/v1/vms":
             listed = [host.listed for host in self._workers.values()]
             return service.json_response(listed)
-        answer = service.control(request, self._record, self._set_faults)
+        answer = injection.control(request, self._record, self._set_faults)
         return answer or service.Response(404)
 
     def _set_faults(self, body: bytes) -> list[str]:
@@ -73,7 +73,7 @@
     :param accelerated: Number of workers that have accelerators.
     :param seed: Seed of incarnations and clock offsets.
     """
-    record = service.Record()
+    record = events.Record()
     clock = task_runs.Clock()
     rng = random.Random(f"{seed}/{first_port}/{time.monotonic_ns()}")
     workers = []
--- a/test/test_backend_servers.py
+++ b/test/test_backend_servers.py
@@ -6,7 +6,7 @@
 import testtools
 
 from standins import backend_servers as standin
-from standins import cluster, judge, service
+from standins import events, judge, ports
 from toucanspring import errors
 from toucanspring.adapters import backend_servers
 
@@ -16,9 +16,9 @@
 
     def setUp(self):
         super().setUp()
-        self.record = service.Record()
+        self.record = events.Record()
         rng = random.Random(3).random
-        port = cluster.find_ports(2)
+        port = ports.find_ports(2)
         self.servers = [f"127.0.0.1:{port + index}" for index in range(2)]
         self.executors = [
             standin.Executor(
--- a/test/test_cluster.py
+++ b/test/test_cluster.py
@@ -5,7 +5,7 @@
 import gevent
 import testtools
 
-from standins import cluster, service
+from standins import cluster, ports, processes, service
 from toucanspring import errors, store
 from toucanspring.adapters import vms
 
@@ -76,21 +76,21 @@
             workers=1, backend_servers=0, worker_options=["--no-such-option"]
         )
         self.addCleanup(shutil.rmtree, cell.directory)
-        raised = self.assertRaises(cluster.StartFailed, cell.__enter__)
+        raised = self.assertRaises(processes.StartFailed, cell.__enter__)
         self.assertIn("no-such-option", str(raised))
         self.assertEqual({}, cell.processes)
 
     def test_reserved_ports_can_be_listened_on_but_not_reserved_again(self):
         # Guards against another cluster that takes the ports of a restarting daemon.
-        with cluster.PortReservation(3) as reserved:
-            self.patch(cluster, "FIRST_PORT", reserved.first)
-            self.patch(cluster, "LAST_PORT", reserved.first + 4)
+        with ports.PortReservation(3) as reserved:
+            self.patch(ports, "FIRST_PORT", reserved.first)
+            self.patch(ports, "LAST_PORT", reserved.first + 4)
             for _ in range(2):
                 listener = service.listen("127.0.0.1", reserved.first + 1)
-                self.assertRaises(cluster.StartFailed, cluster.find_ports, 3)
+                self.assertRaises(processes.StartFailed, ports.find_ports, 3)
                 listener.close()
-                self.assertRaises(cluster.StartFailed, cluster.find_ports, 3)
-        self.assertEqual(reserved.first, cluster.find_ports(3))
+                self.assertRaises(processes.StartFailed, ports.find_ports, 3)
+        self.assertEqual(reserved.first, ports.find_ports(3))
 
     def test_a_daemon_restarts_on_its_ports_and_is_killed_by_pid(self):
         def command(facts):
--- a/test/test_fleet.py
+++ b/test/test_fleet.py
@@ -4,7 +4,7 @@
 import gevent
 import testtools
 
-from standins import cluster, service, task_runs
+from standins import events, ports, task_runs
 from standins import worker as standin
 from test import fake_tables
 from toucanspring import fleet, resources, wire
@@ -31,10 +31,10 @@
             role=vms.Role.WORKER,
             availability_zone="zone-a",
             address="127.0.0.1",
-            port=cluster.find_ports(1),
+            port=ports.find_ports(1),
             resources=CAPACITY,
         )
-        self.record = service.Record()
+        self.record = events.Record()
         self.worker = standin.Worker(self.vm, clock, self.record, random.Random(5))
         self.worker.revive()
         self.addCleanup(self.worker.die)
--- a/test/test_scenario_faults.py
+++ b/test/test_scenario_faults.py
@@ -3,13 +3,13 @@
 import testtools
 
 from bench import faults
-from standins import service
+from standins import injection, service
 
 
 class LostWritesTest(testtools.TestCase):
     def call(self, given, *written):
         request = service.Request("POST", "/", {}, {}, b"", "")
-        return service.apply_faults(
+        return injection.apply_faults(
             given,
             request,
             lambda _request: service.Response(written=written),
@@ -17,7 +17,7 @@
         )
 
     def test_answers_to_writes_of_one_kind_are_lost_as_often_as_given(self):
-        given = service.Faults(lose_writes={"log/": 2})
+        given = injection.Faults(lose_writes={"log/": 2})
         self.assertIsNotNone(self.call(given, "members/entry-1"))
         self.assertIsNotNone(self.call(given))
         self.assertIs(service.HANG_UP, self.call(given, "head", "log/0/1"))
--- a/test/test_store.py
+++ b/test/test_store.py
@@ -4,7 +4,7 @@
 import testtools
 from gevent import server
 
-from standins import service
+from standins import events, injection, service
 from standins import tables as standin
 from toucanspring import errors, store
 from toucanspring.adapters import tables
@@ -167,9 +167,9 @@
 
     def setUp(self):
         super().setUp()
-        self.record = service.Record()
+        self.record = events.Record()
         self.rows = standin.Tables(self.record)
-        self.served = service.FaultyService(
+        self.served = injection.FaultyService(
             "127.0.0.1", 0, 0, self.rows.handle, self.record, random.Random(1).random
         )
         self.served.open()
--- a/test/test_worker_faults.py
+++ b/test/test_worker_faults.py
@@ -6,7 +6,7 @@
 import msgspec
 import testtools
 
-from standins import cluster, judge, service, task_runs, violations
+from standins import events, judge, ports, task_runs, violations
 from standins import worker as standin
 from toucanspring import errors, resources, wire
 from toucanspring.adapters import vms, workers
@@ -120,12 +120,12 @@
         super().setUp()
         self.patch(standin, "LEASE_GRACE_S", GRACE_S)
         self.patch(standin, "CHECKPOINT_LIMIT_S", 0.9 * GRACE_S)
-        self.record = service.Record()
+        self.record = events.Record()
         self.rng = random.Random(11)
         clock = task_runs.Clock()
         ticking = gevent.spawn(clock.run)
         self.addCleanup(ticking.kill)
-        first = cluster.find_ports(4)
+        first = ports.find_ports(4)
         self.ports = range(first, first + 4)
         self.workers = []
         for port in self.ports:
--- a/test/test_workers.py
+++ b/test/test_workers.py
@@ -6,7 +6,7 @@
 import testtools
 from gevent import server
 
-from standins import cluster, judge, service, task_runs
+from standins import events, judge, ports, service, task_runs
 from standins import worker as standin
 from toucanspring import errors, resources, wire
 from toucanspring.adapters import vms, workers
@@ -70,11 +70,11 @@
 
     def setUp(self):
         super().setUp()
-        self.record = service.Record()
+        self.record = events.Record()
         clock = task_runs.Clock()
         ticking = gevent.spawn(clock.run)
         self.addCleanup(ticking.kill)
-        self.port = cluster.find_ports(1)
+        self.port = ports.find_ports(1)
         listed = vms.Vm(
             id="w1",
             role=vms.Role.WORKER,
