Split the tests of the gateway and of requests by module

Change: - test/gateway_case.py and test/request_fakes.py hold the shared fakes. - test_gateway.py -> test_api.py (access), test_api_jobs.py, test_api_operators.py, test_api_services.py, test_submission.py; the graceful stop stays. - test_requests.py -> test_runner.py (non-idempotent), test_forwarding.py; the idempotent requests stay. Tests moved unchanged but for the prefix of shared names.

--- /dev/null
+++ b/test/test_api_operators.py
@@ -0,0 +1,53 @@
+from test import edge_fakes, gateway_case
+
+
+class OperatorsTest(gateway_case.GatewayCase):
+    def put(self, source, version):
+        return self.call(
+            "PUT", "/v1/config", source, gateway_case.OPERATOR, If_Match=f'"{version}"'
+        )
+
+    def test_concurrent_changes_name_both_versions(self):
+        status, body, headers = self.put(edge_fakes.KERNHALDE, 1)
+        self.assertEqual((200, 2, '"2"'), (status, body["version"], headers["ETag"]))
+        answer = self.put(edge_fakes.KERNHALDE, 1)
+        self.check_failure(answer, 409, "Conflict")
+        error = answer[1]["error"]
+        self.assertEqual((2, 1), (error["current_version"], error["given_version"]))
+
+    def test_a_refused_text_changes_nothing(self):
+        # Guards against a text of which a part comes into force.
+        for source, status in (
+            (edge_fakes.KERNHALDE.replace("share: 5", "share: 0"), 400),
+            ("", 400),
+            (b"\xff", 400),
+            ("#" * 600_000, 413),
+        ):
+            self.assertEqual(status, self.put(source, 1)[0])
+        self.assertEqual(
+            400, self.call("PUT", "/v1/config", "x", gateway_case.OPERATOR)[0]
+        )
+        self.assertEqual(1, self.documents.version)
+
+    def test_all_faults_of_a_text_are_named(self):
+        source = edge_fakes.KERNHALDE.replace("share: ", "share: -")
+        faults = self.put(source, 1)[1]["faults"]
+        self.assertEqual(7, len(faults))
+
+    def test_zones_and_teams_must_exist(self):
+        for method, path, body in (
+            ("POST", "/v1/zones/atlantis/out", None),
+            ("POST", "/v1/zones/atlantis/in", None),
+            ("POST", "/v1/keys", {"team": "nobody"}),
+            ("DELETE", "/v1/keys/nothing", None),
+            ("GET", "/v1/reports/nothing", None),
+        ):
+            answer = self.call(method, path, body, gateway_case.OPERATOR)
+            self.check_failure(answer, 404, "NotFound")
+
+    def test_a_zone_that_left_the_text_can_be_returned(self):
+        self.documents.out = frozenset({"old-1"})
+        self.assertEqual(
+            200, self.call("POST", "/v1/zones/old-1/in", key=gateway_case.OPERATOR)[0]
+        )
+        self.assertEqual(frozenset(), self.documents.out)
--- /dev/null
+++ b/test/test_forwarding.py
@@ -0,0 +1,86 @@
+import collections
+import time
+
+from test import request_fakes
+from toucanspring import (
+    answers,
+    errors,
+    link,
+    outcomes,
+    request_log,
+    requests,
+)
+
+
+class ForwardingTest(request_fakes.RequestsCase):
+    """Requests whose ID belongs to another process."""
+
+    def forward(self, *results, deadline_s=0.5):
+        self.start()
+        self.core.find("claims").owner = "entry-2"
+        script = collections.deque(results)
+        self.calls = 0
+
+        def call(method, body):
+            self.calls += 1
+            return script.popleft() if len(script) > 1 else script[0]
+
+        self.core.find("peers").stream = call
+        return self.serve(idempotent=False, deadline_s=deadline_s)
+
+    def chunks(self, body=b"whole", cut=False):
+        stored = answers.Stored(
+            team="desk", service="s", digest=b"", status=200, body=body
+        )
+        for part in requests._send(stored):
+            yield part
+            if cut:
+                raise link.StreamBroken("the owner ended")
+
+    def test_a_broken_answer_of_the_owner_is_asked_for_again(self):
+        # Guards against a truncated answer, and against giving up on a retry that
+        # the owner's log makes safe.
+        result = self.forward(self.chunks(cut=True), request_fakes.LOST, self.chunks())
+        self.check_whole(result)
+        self.assertEqual(3, self.calls)
+
+    def test_a_refusal_after_a_lost_call_is_no_proof(self):
+        # Guards against "not run" while the first call may still arrive.
+        result = self.forward(request_fakes.LOST, errors.NotRun(reason="full"))
+        self.assertIsInstance(result, errors.Unknown)
+
+    def test_a_recorded_refusal_is_proof_after_a_lost_call(self):
+        # Guards against "unknown" for each order under way during a handover.
+        result = self.forward(
+            request_fakes.LOST, errors.RecordedNotRun(reason="never seen")
+        )
+        self.assertEqual(errors.NotRun(reason="never seen"), result)
+
+    def test_an_owner_that_moved_is_looked_for_until_the_deadline(self):
+        moved = errors.Refused(reason="not the owner")
+        self.check_whole(self.forward(moved, request_fakes.UNREACHED, self.chunks()))
+        started = time.monotonic()
+        result = self.forward(moved, deadline_s=0.2)
+        # Not `NotRun`: an earlier call with the same ID may have run.
+        self.assertIsInstance(result, errors.Unavailable)
+        self.assertLess(time.monotonic() - started, 1.0)
+
+    def test_the_owner_refuses_ids_of_other_partitions(self):
+        self.start()
+        self.core.find("claims").partitions = {}
+        serve = self.core.find("peers").handlers["request"]
+        result = serve(
+            "entry-2", answers.encode(request_fakes.make_request(idempotent=False))
+        )
+        self.assertIsInstance(result, errors.Refused)
+        self.assertEqual([], self.client.sent)
+
+    def test_a_running_state_of_the_log_is_followed_up(self):
+        self.start()
+        start = outcomes.Start("10.0.0.9:80", "desk", "request-desk", b"")
+        self.partitions.begin_answer = request_log.Running(start.encode(), 1, True)
+        self.patch(self.partitions, "finish_request", lambda *_: None)
+        self.client.lookups = collections.deque([b"late"])
+        result = self.serve(idempotent=False)
+        self.assertIsInstance(result, errors.Conflict)  # unknown content of the ID
+        self.assertEqual([], self.client.sent)
