Let workers report every 4 s and poll for a fresh tick before a start

Cause: in a profile of an owner of 192 idle workers, receiving their reports (384 a second, each with a gevent timeout) and the 192 loops that watched leases every 0.5 s were most of the processor time; usage of every task in each report was most of the bytes.

Change: workers report every 4 s, and usage only when it changed (all of it every 60 s and to a new owner). An owner whose last tick is older than 0.7 s asks for one with the new message `poll`; starts wait for it, and stops wait behind them. One timer a link replaces the timeout a frame, and the lease of an attached worker is not watched.

Bounds touched: (a) a start carries a tick of at most 1 s, enforced by the worker as before; the check that a start is allowed is repeated after the polled tick has arrived, so the tick is never younger than the check, and 1.5 s + 1 s < 3 s holds. (b) The worker lease of 20 s is renewed with each report, so at least 15 s remain for the takeover of about 3.2 s. It still counts from the worker's tick. (c) A worker is lost 23.1 s after the tick of its last renewal; a silent one is disconnected after 9 s (2 s before), or 2 s after a start or a poll, which is well before that. Starts that waited for a tick were certainly not sent and are queued again at once.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -17,8 +17,9 @@
 from bench import cell
 from toucanspring import fairness, job, log_records, resources, scheduler
 
-WINDOW_S = 5.0
+WINDOW_S = 8.0  # a multiple of the interval of the workers' reports
 SETTLE_S = 3.0
+ATTACH_LIMIT_S = 30.0
 PARTS = ("log", "recovery", "workers", "tasks", "teams", "members")
 RATES = ("core_percent", "bytes_per_s", "store_writes_per_s", "store_reads_per_s")
 
@@ -53,6 +54,20 @@
     return found
 
 
+def wait_attached(running: cell.Cell, workers: int) -> None:
+    """Wait until the owner's link to each worker is attached."""
+    deadline = time.monotonic() + ATTACH_LIMIT_S
+    while time.monotonic() < deadline:
+        reply = running.front.call(
+            "GET", "/v1/workers", key=running.cluster.operator_key
+        )
+        found = reply.json()["workers"] if reply.status == 200 else []
+        if sum(worker["state"] == "attached" for worker in found) == workers:
+            return
+        time.sleep(0.2)
+    raise RuntimeError(f"{workers} workers were not attached within the limit")
+
+
 def measure_workers(seed: int) -> dict:
     """Return the cost of one daemon by the number of its idle workers."""
     rows = []
@@ -60,6 +75,7 @@
         with cell.Cell(
             seed, workers=workers, daemons=1, partitions=1, worker_processes=2
         ) as running:
+            wait_attached(running, workers)
             rows.append({"workers": workers, **window(running)})
     return report("workers", "worker", rows, "workers")
 
--- a/spec/model.py
+++ b/spec/model.py
@@ -32,7 +32,7 @@
     "claim answer lost": "toucanspring.ownership.may_claim",
     "attach": "toucanspring.recovery.attach",
     "stream breaks": "toucanspring.scheduler.Scheduler.starts_unanswered",
-    "renew worker": "toucanspring.fleet.Link",
+    "renew worker": "toucanspring.worker_link.Link",
     "lose worker": "toucanspring.recovery.lose",
     "place": "toucanspring.lifecycle.Lifecycle.start",
     "write intent": "toucanspring.attempt.intents_durable",
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -19,7 +19,8 @@
 from toucanspring.adapters import vms  # noqa: E402
 
 RACK_SIZE = 8
-REPORT_INTERVAL_S = 0.5
+REPORT_INTERVAL_S = 4.0
+USAGE_REFRESH_S = 60.0  # unchanged usage is repeated this rarely
 MAX_TICK_AGE_MS = 1000
 LEASE_GRACE_S = 2.0
 CHECKPOINT_LIMIT_S = 0.9 * LEASE_GRACE_S
@@ -67,6 +68,8 @@
         self._lease_until = 0.0
         self._lease_timer = False
         self._report_series = 0
+        self._reported_usage: dict[str, resources.Resources] = {}
+        self._usage_refreshed_at = 0.0
         self._blocked_owners: frozenset[str] = frozenset()
         self._blocked_addresses: frozenset[str] = frozenset()
 
@@ -112,6 +115,7 @@
         self._partition = -1
         self._lease_until = 0.0
         self._paused_at = None
+        self._reported_usage = {}
         self.cut()
 
     def cut(self) -> None:
@@ -210,6 +214,8 @@
                 self._start(link, message)
             case wire.Renew():
                 self._renew(message.lease_ms, message.tick)
+            case wire.Poll():
+                link.post(wire.Report(self._tick(time.monotonic()), [], {}))
             case wire.Stop():
                 self._stop(message)
             case wire.Throttle():
@@ -289,6 +295,7 @@
                     wire.RunningTask(task.task_id, task.attempt, resources.ZERO, "")
                 )
         self._unreported = []
+        self._reported_usage = {}  # a new owner knows none
         link.post(
             wire.Attached(
                 self.listed.id,
@@ -408,12 +415,21 @@
         if series != self._report_series or self._paused_at is not None:
             return  # `resume` and `revive` begin a new series
         now = time.monotonic()
+        if now - self._usage_refreshed_at >= USAGE_REFRESH_S:
+            self._usage_refreshed_at = now
+            self._reported_usage = {}
         usage = {
             task_id: running.plan.usage or resources.ZERO
             for task_id, running in self._running.items()
             if now - running.started_at >= USAGE_LAG_S
         }
-        self._report(usage)
+        reported, self._reported_usage = self._reported_usage, usage
+        changed = {
+            task_id: amount
+            for task_id, amount in usage.items()
+            if reported.get(task_id) != amount
+        }
+        self._report(changed)
         self._clock.at(now + REPORT_INTERVAL_S, self._report_regularly, series)
 
     def _report(self, usage: dict[str, resources.Resources]) -> None:
--- a/test/test_fleet.py
+++ b/test/test_fleet.py
@@ -7,8 +7,8 @@
 from standins import cluster, service, task_runs
 from standins import workers as standin
 from test import fake_tables
-from toucanspring import fleet, resources, wire
-from toucanspring.adapters import vms
+from toucanspring import fleet, resources, wire, worker_link
+from toucanspring.adapters import vms, workers
 
 CAPACITY = resources.Resources(4000, 4000)
 
@@ -18,9 +18,9 @@
 
     def setUp(self):
         super().setUp()
-        self.patch(fleet, "WORKER_LEASE_S", 1.0)
-        self.patch(fleet, "STOP_GRACE_S", 0.3)
-        self.patch(fleet, "RENEW_INTERVAL_S", 0.2)
+        self.patch(worker_link, "WORKER_LEASE_S", 1.0)
+        self.patch(worker_link, "STOP_GRACE_S", 0.3)
+        self.patch(worker_link, "RENEW_INTERVAL_S", 0.2)
         self.patch(standin, "LEASE_GRACE_S", 0.3)
         self.patch(standin, "CHECKPOINT_LIMIT_S", 0.25)
         self.patch(standin, "REPORT_INTERVAL_S", 0.1)
@@ -43,7 +43,7 @@
         self.former_over = True
 
     def open(self, epoch=1, post=None):
-        link = fleet.Link(
+        link = worker_link.Link(
             0,
             epoch,
             self.vm,
@@ -62,14 +62,15 @@
         return [
             posted.message
             for posted in self.posted
-            if isinstance(posted, fleet.FromWorker) and isinstance(posted.message, kind)
+            if isinstance(posted, worker_link.FromWorker)
+            and isinstance(posted.message, kind)
         ]
 
     def start_task(self, link, name="a/0"):
         self.wait(lambda: link.attached)
         payload = b'{"run_ms": 60000}'
         start = wire.TaskStart(name, 1, CAPACITY, "labels", True, payload)
-        self.assertTrue(link.start([start]))
+        self.assertTrue(link.start([start], lambda: True))
         self.wait(lambda: any(m.accepted for m in self.messages(wire.Started)))
 
     def is_posted(self, kind):
@@ -80,7 +81,7 @@
         self.start_task(link)
         gevent.sleep(2.0)
         self.assertEqual([], [m for m in self.messages(wire.Report) if m.finished])
-        self.assertFalse(self.is_posted(fleet.Lost))
+        self.assertFalse(self.is_posted(worker_link.Lost))
 
     def test_without_renewals_the_worker_stops_its_tasks(self):
         link = self.open()
@@ -95,7 +96,7 @@
 
         def post(message):
             self.posted.append(message)
-            if isinstance(message, fleet.Lost):
+            if isinstance(message, worker_link.Lost):
                 lost_at.append(time.monotonic())
 
         link = self.open(post=post)
@@ -110,16 +111,17 @@
         self.worker.apply(standin.WorkerFaults(blocked_owners=["owner-1"]))
         self.open()
         gevent.sleep(2.5)
-        self.assertFalse(self.is_posted(fleet.Lost))
+        self.assertFalse(self.is_posted(worker_link.Lost))
         self.former_over = True
-        self.wait(lambda: self.is_posted(fleet.Lost), limit_s=10)
+        self.wait(lambda: self.is_posted(worker_link.Lost), limit_s=10)
 
     def test_a_successor_takes_the_worker_and_its_tasks(self):
         former_posts = []
         former = self.open(1, former_posts.append)
         self.wait(lambda: former.attached)
         former.start(
-            [wire.TaskStart("a/0", 1, CAPACITY, "labels", True, b'{"run_ms": 60000}')]
+            [wire.TaskStart("a/0", 1, CAPACITY, "labels", True, b'{"run_ms": 60000}')],
+            lambda: True,
         )
         self.wait(lambda: self.worker._running)
         self.open(2)
@@ -127,13 +129,57 @@
         [attached] = self.messages(wire.Attached)
         self.assertEqual(["a/0"], [task.task_id for task in attached.running])
         self.wait(lambda: not former.attached)
-        self.assertFalse(former.start([]))
+        self.assertFalse(former.start([], lambda: True))
+
+    def open_with_old_tick(self):
+        self.patch(standin, "REPORT_INTERVAL_S", 3600.0)
+        link = self.open()
+        self.wait(lambda: link.attached)
+        link._tick_received_at -= 2 * worker_link.FRESH_TICK_S
+        return link
+
+    def test_a_start_with_an_old_tick_asks_for_a_new_one(self):
+        # Guards against refusals by workers that report rarely.
+        link = self.open_with_old_tick()
+        self.start_task(link)
+        self.assertEqual(["a/0"], list(self.worker._running))
+
+    def test_a_start_is_checked_again_after_the_new_tick(self):
+        # Guards against a late start in a zone that was taken out meanwhile.
+        link = self.open_with_old_tick()
+        start = wire.TaskStart("a/0", 1, CAPACITY, "labels", True)
+        self.assertTrue(link.start([start], lambda: False))
+        self.wait(lambda: self.messages(wire.Started))
+        [answer] = self.messages(wire.Started)
+        self.assertEqual(["a/0"], [task_id for task_id, _ in answer.refused])
+        self.assertEqual({}, self.worker._running)
+
+    def test_a_stop_does_not_overtake_a_start_that_waits_for_a_tick(self):
+        # Guards against a stopped task that starts afterwards.
+        link = self.open_with_old_tick()
+        start = wire.TaskStart("a/0", 1, CAPACITY, "labels", True, b'{"run_ms": 60000}')
+        link.start([start], lambda: True)
+        link.stop(["a/0"], "kill")
+        self.wait(lambda: any(m.finished for m in self.messages(wire.Report)))
+        self.assertEqual({}, self.worker._running)
+
+    def test_starts_that_wait_for_a_silent_worker_are_refused(self):
+        # Guards against tasks that wait for the worker's lease although their start
+        # was never sent.
+        self.patch(workers, "ANSWER_TIMEOUT_S", 0.2)
+        link = self.open_with_old_tick()
+        self.worker.pause()
+        link.start([wire.TaskStart("a/0", 1, CAPACITY, "t", True)], lambda: True)
+        self.wait(lambda: self.messages(wire.Started))
+        kinds = [type(getattr(each, "message", each)) for each in self.posted[-2:]]
+        self.assertEqual([worker_link.Disconnected, wire.Started], kinds)
+        self.assertEqual([], self.posted[-2].unanswered)
 
     def test_a_dead_worker_comes_back_with_another_incarnation(self):
         self.open()
         self.wait(lambda: self.messages(wire.Attached))
         self.worker.die()
-        self.wait(lambda: self.is_posted(fleet.Disconnected))
+        self.wait(lambda: self.is_posted(worker_link.Disconnected))
         self.worker.revive()
         self.wait(lambda: len(self.messages(wire.Attached)) == 2, limit_s=10)
         first, second = self.messages(wire.Attached)
--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -6,7 +6,6 @@
 from toucanspring import (
     effects,
     errors,
-    fleet,
     inbox,
     job,
     kernel,
@@ -17,6 +16,7 @@
     settings,
     text,
     wire,
+    worker_link,
 )
 
 CAPACITY = resources.Resources(32_000, 65_536, 0)
@@ -83,7 +83,7 @@
         self.acknowledged = []
         self.before_start = None
 
-    def start(self, tasks):
+    def start(self, tasks, _allowed):
         if self.before_start is not None:
             self.before_start(tasks)
         self.started += [task.task_id for task in tasks]
@@ -157,12 +157,12 @@
         zone = {"w1": "zone-a", "w2": "zone-b"}[worker]
         facts = (worker, incarnation, CAPACITY, zone, "rack-1", 5)
         message = wire.Attached(*facts, list(running), list(finished))
-        owner.post(fleet.FromWorker(worker, message))
+        owner.post(worker_link.FromWorker(worker, message))
 
     def finish(self, owner, name, worker="w1"):
         attempt = self.fleet.found[worker].attempts[name]
         ended = wire.FinishedTask(name, attempt, "done", answer=b"label")
-        owner.post(fleet.FromWorker(worker, wire.Report(6, [ended], {})))
+        owner.post(worker_link.FromWorker(worker, wire.Report(6, [ended], {})))
 
     def ask(self, owner, make):
         result = gevent.event.AsyncResult()
@@ -238,7 +238,7 @@
         # The VM list dropped a worker just before its first attach; it was then used
         # for as long as the list stayed the same (scenario vm_list).
         self.fleet.leaving.add("w1")
-        self.owner.post(fleet.Leaving("w1", True))
+        self.owner.post(worker_link.Leaving("w1", True))
         self.attach(self.owner, "w1")
         self.submit(self.owner, "a")
         gevent.sleep(0.1)
@@ -329,7 +329,7 @@
         self.attach(successor, "w2")
         gevent.sleep(0.1)
         self.assertEqual([], self.fleet.found["w2"].started)
-        successor.post(fleet.Lost("w1"))
+        successor.post(worker_link.Lost("w1"))
         self.wait(lambda: self.fleet.found["w2"].started == ["a/0"])
 
     def test_a_successor_takes_the_result_that_the_worker_kept(self):
--- a/test/test_workers.py
+++ b/test/test_workers.py
@@ -131,6 +131,27 @@
         wait(lambda: len(owner.refused) == 2)
         self.assertEqual({"tick"}, set(owner.refused.values()))
 
+    def test_usage_is_reported_when_it_changes_and_to_a_new_owner(self):
+        self.patch(standin, "REPORT_INTERVAL_S", 0.02)
+        self.patch(standin, "USAGE_LAG_S", 0.0)
+        self.faults(pause_ms=1)  # begins a series of reports at the patched interval
+        owner = self.own()
+        owner.link.start(1, [task("j/0", run_ms=None, usage=CORE)])
+        wait(lambda: any(report.usage for report in owner.reports))
+        seen = len(owner.reports)
+        wait(lambda: len(owner.reports) >= seen + 5)
+        self.assertEqual([{"j/0": CORE}], [r.usage for r in owner.reports if r.usage])
+        successor = self.own(epoch=2)
+        wait(lambda: any(report.usage for report in successor.reports))
+
+    def test_a_poll_is_answered_with_a_fresh_tick(self):
+        owner = self.own()
+        before = owner.link.tick
+        gevent.sleep(0.01)
+        owner.link.poll(1)
+        wait(lambda: owner.reports)
+        self.assertGreater(owner.link.tick, before)
+
     def test_a_former_owner_is_fenced_and_its_starts_do_not_run(self):
         former = self.own(epoch=1)
         successor = self.own(epoch=2)
--- a/toucanspring/adapters/workers.py
+++ b/toucanspring/adapters/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -10,8 +11,10 @@
 
 from toucanspring import errors, stream, wire
 
-# A worker reports every 0.5 s; four missing reports mean that it cannot be reached.
-REPORT_TIMEOUT_S = 2.0
+# A worker reports every 4 s at least; two missing reports mean that it cannot be
+# reached. Work does not wait for that: starts and polls have the shorter limit.
+REPORT_TIMEOUT_S = 9.0
+ANSWER_TIMEOUT_S = 2.0
 ATTACH_TIMEOUT_S = 2.0
 # Leaves room below the frame limit for the frame's own fields.
 MAX_BATCH_BYTES = wire.MAX_FRAME_BYTES - 4096
@@ -45,6 +48,9 @@
     def renew(self, epoch: int, lease_ms: int, tick: int) -> None | errors.Failure:
         """Extend the worker's lease to `lease_ms` after `tick`."""
 
+    def poll(self, epoch: int) -> None | errors.Failure:
+        """Ask for a report; without one the link closes after `ANSWER_TIMEOUT_S`."""
+
     def stop(self, epoch: int, task_ids: list[str], mode: str) -> None | errors.Failure:
         """Stop tasks; `mode` is `kill` or `checkpoint`."""
 
@@ -76,11 +82,18 @@
         self._on_closed = on_closed
         self._owner = owner
         self._report_timeout_s = report_timeout_s
+        self._answer_timeout_s = min(ANSWER_TIMEOUT_S, report_timeout_s)
+        self._received_at = time.monotonic()
+        self._asked_at: float | None = None  # since when an answer is due
+        self._expired: errors.Timeout | None = None
+        self._check_at = 0.0
+        self._timer: object | None = None
         self._attached: event.AsyncResult | None = None
         self._batch = 0
         self._pending: dict[int, list[str]] = {}
         self.tick = 0
         self.closed = False
+        self._schedule_check(report_timeout_s)
         self._reader = gevent.spawn(self._read)
 
     @property
@@ -136,6 +149,11 @@
         """Extend the worker's lease to `lease_ms` after `tick`."""
         return self._stream.send(wire.Renew(epoch, lease_ms, tick))
 
+    def poll(self, epoch: int) -> None | errors.Failure:
+        """Ask for a report; without one the link closes after `ANSWER_TIMEOUT_S`."""
+        self._expect_answer()
+        return self._stream.send(wire.Poll(epoch))
+
     def stop(self, epoch: int, task_ids: list[str], mode: str) -> None | errors.Failure:
         """Stop tasks; `mode` is `kill` or `checkpoint`."""
         return self._stream.send(wire.Stop(epoch, task_ids, mode))
@@ -160,6 +178,7 @@
             return
         self._batch += 1
         self._pending[self._batch] = [task.task_id for task in tasks]
+        self._expect_answer()
         # After a failed send the reader finds the stream closed and reports the batch.
         self._stream.send(wire.Start(epoch, tick, self._batch, tasks))
 
@@ -172,22 +191,56 @@
         failure: errors.Failure = errors.Closed(reason="the link was closed")
         try:
             while True:
-                message = self._stream.receive(self._report_timeout_s)
+                message = self._stream.receive()
                 if isinstance(message, errors.Failure):
-                    failure = message
+                    failure = self._expired or message
                     return
+                self._received_at = time.monotonic()
+                self._asked_at = None
                 unexpected = self._deliver(message)
                 if unexpected is not None:
                     failure = unexpected
                     return
         finally:
             self.closed = True
+            self._timer.close()
             self._stream.close()
             unanswered = [task for ids in self._pending.values() for task in ids]
             if self._attached is not None:
                 self._attached.set(errors.Ambiguous(reason=failure.reason))
             self._on_closed(failure, unanswered)
 
+    # One timer a link that is rarely set anew costs less than a timeout a frame.
+
+    def _expect_answer(self) -> None:
+        if self._asked_at is not None or self.closed:
+            return
+        self._asked_at = time.monotonic()
+        if self._check_at > self._asked_at + self._answer_timeout_s:
+            self._schedule_check(self._answer_timeout_s)
+
+    def _schedule_check(self, delay_s: float) -> None:
+        if self._timer is not None:
+            self._timer.close()
+        self._check_at = time.monotonic() + delay_s
+        self._timer = gevent.get_hub().loop.timer(delay_s)
+        self._timer.start(self._check_silence)
+
+    def _check_silence(self) -> None:
+        """Close the stream of a worker that is overdue; runs in the hub."""
+        limit_s, since = self._report_timeout_s, self._received_at
+        due_at = since + limit_s
+        if self._asked_at is not None:
+            asked_due_at = self._asked_at + self._answer_timeout_s
+            if asked_due_at < due_at:
+                due_at, limit_s = asked_due_at, self._answer_timeout_s
+        left_s = due_at - time.monotonic()
+        if left_s > 0:
+            self._schedule_check(left_s)
+            return
+        self._expired = errors.Timeout(reason=f"no frame within {limit_s} s")
+        self._stream.close()
+
     def _deliver(self, message: object) -> errors.Malformed | None:
         match message:
             case wire.Attached():
--- a/toucanspring/execution.py
+++ b/toucanspring/execution.py
@@ -104,9 +104,13 @@
         The link reads the worker's clock without yielding after this check, so that
         the worker can tell how old the check is.
         """
-        if self._may_send(worker, time.monotonic()):
+
+        def is_allowed() -> bool:
+            return self._may_send(worker, time.monotonic())
+
+        if is_allowed():
             link = self._kernel.find("fleet").link(self._number, worker)
-            if link is not None and link.start(tasks):
+            if link is not None and link.start(tasks, is_allowed):
                 return
         refused = [(task.task_id, "the worker may not be used now") for task in tasks]
         self.carry_out(
--- a/toucanspring/fleet.py
+++ b/toucanspring/fleet.py
@@ -2,223 +2,30 @@
 
 from __future__ import annotations
 
-import dataclasses
-import random
 import time
 from collections.abc import Callable
 
 import gevent
-import gevent.event
 import logbook
 import msgspec
 
-from toucanspring import errors, kernel, resources, settings, wire
-from toucanspring.adapters import tables, vms, workers
+from toucanspring import errors, kernel, resources, settings, worker_link
+from toucanspring.adapters import tables, vms
 
 log = logbook.Logger(__name__)
 
-WORKER_LEASE_S = 20.0
-STOP_GRACE_S = 2.0  # a worker has stopped its tasks this long after its lease ended
-DRIFT_FRACTION = 0.05  # assumed bound on the drift between monotonic clocks
-RENEW_INTERVAL_S = 2.0
-CONNECT_TIMEOUT_S = 1.0
-RECONNECT_PAUSE_S = 0.2
-MAX_RECONNECT_PAUSE_S = 3.0
 POLL_INTERVAL_S = 1.0
 FORGET_ABSENT_S = 600.0
 WORKERS_ROW = "workers"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FromWorker:
-    """Carry a worker's message to the partition that owns the worker."""
-
-    worker: str
-    message: wire.WorkerMessage
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Lost:
-    """Say that a worker's lease and stop grace have certainly ended."""
-
-    worker: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Disconnected:
-    """Say that a worker's stream broke; its tasks may still run.
-
-    `unanswered` lists the tasks whose start was sent but not confirmed.
-    """
-
-    worker: str
-    unanswered: list[str]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Leaving:
-    """Say whether the VM list shows the worker as leaving or absent."""
-
-    worker: str
-    leaving: bool
-
-
-def expiry_wait() -> float:
-    """Return the seconds after which a lease has certainly ended everywhere."""
-    return (WORKER_LEASE_S + STOP_GRACE_S) * (1 + DRIFT_FRACTION)
-
-
-class Link:
-    """Own the stream to one worker and watch its lease."""
-
-    def __init__(
-        self,
-        partition: int,
-        epoch: int,
-        vm: vms.Vm,
-        post: Callable[[object], None],
-        may_renew: Callable[[], bool],
-        former_lease_over: Callable[[], bool],
-        owner: str = "",
-    ) -> None:
-        self.partition = partition
-        self.epoch = epoch
-        self.vm = vm
-        self.attached = False
-        self.lost = False
-        self._post = post
-        self._may_renew = may_renew
-        self._former_lease_over = former_lease_over
-        self._owner = owner
-        self._stream: workers.WorkerLink | None = None
-        self._early: list[workers.WorkerEvent] = []
-        self._tick_received_at = 0.0
-        self._renewed_at = 0.0
-        self._lease_base: float | None = None  # when the renewed tick was received
-        self._greenlets = [gevent.spawn(self._run), gevent.spawn(self._watch_lease)]
-
-    def close(self) -> None:
-        """Close the stream and stop watching."""
-        gevent.killall(self._greenlets)
-        if self._stream is not None:
-            self._stream.close()
-
-    def start(self, tasks: list[wire.TaskStart]) -> bool:
-        """Send starts; return False if they certainly were not sent."""
-        if not self.attached or self._stream is None or self._stream.closed:
-            return False
-        self._stream.start(self.epoch, tasks)
-        return True
-
-    def stop(self, task_ids: list[str], mode: str) -> None:
-        """Stop tasks; `mode` is `kill` or `checkpoint`."""
-        if self.attached and self._stream is not None:
-            self._stream.stop(self.epoch, task_ids, mode)
-
-    def acknowledge(self, task_ids: list[str]) -> None:
-        """Let the worker forget finished tasks."""
-        if self.attached and self._stream is not None:
-            self._stream.acknowledge(self.epoch, task_ids)
-
-    def traffic(self) -> tuple[int, int]:
-        """Return the bytes sent and received on the present stream."""
-        if self._stream is None:
-            return 0, 0
-        return self._stream.sent_bytes, self._stream.received_bytes
-
-    def _run(self) -> None:
-        pause = RECONNECT_PAUSE_S
-        while True:
-            closed = gevent.event.AsyncResult()
-            opened = workers.connect(
-                self.vm.address,
-                self.vm.port,
-                self._receive,
-                lambda failure, unanswered, closed=closed: closed.set(
-                    (failure, unanswered)
-                ),
-                owner=self._owner,
-                timeout_s=CONNECT_TIMEOUT_S,
-            )
-            if not isinstance(opened, errors.Failure):
-                if self._attach(opened):
-                    pause = RECONNECT_PAUSE_S
-                    failure, unanswered = closed.get()
-                    self._detach(failure, unanswered)
-                opened.close()
-            gevent.sleep(pause * random.uniform(0.5, 1.0))
-            pause = min(MAX_RECONNECT_PAUSE_S, pause * 2)
-
-    def _attach(self, opened: workers.WorkerLink) -> bool:
-        self._early.clear()
-        answer = opened.attach(self.partition, self.epoch, int(WORKER_LEASE_S * 1000))
-        if isinstance(answer, errors.Failure):
-            log.info("worker {}: not attached: {}", self.vm.id, answer)
-            return False
-        self._stream = opened
-        self._tick_received_at = time.monotonic()
-        self._renewed_at = 0.0
-        self.attached = True
-        self.lost = False
-        self._renew()
-        self._post(FromWorker(self.vm.id, answer))
-        for message in self._early:
-            self._post(FromWorker(self.vm.id, message))
-        self._early.clear()
-        return True
-
-    def _detach(self, failure: errors.Failure, unanswered: list[str]) -> None:
-        log.info("worker {}: disconnected: {}", self.vm.id, failure.reason)
-        self.attached = False
-        self._stream = None
-        self._post(Disconnected(self.vm.id, unanswered))
-
-    def _receive(self, message: workers.WorkerEvent) -> None:
-        if isinstance(message, wire.Report):
-            self._tick_received_at = time.monotonic()
-            if self._tick_received_at - self._renewed_at >= RENEW_INTERVAL_S:
-                self._renew()
-            if not message.finished and not message.usage:
-                return  # tells the partition nothing and would wake its task
-        if self.attached:
-            self._post(FromWorker(self.vm.id, message))
-        else:
-            # Reports that overtake the attach answer are delivered after it.
-            self._early.append(message)
-
-    def _renew(self) -> None:
-        if self._stream is None or not self._may_renew():
-            return
-        # The worker counts the lease from the tick, which it read before it sent the
-        # report. Counting from the receipt of that report is therefore never early.
-        self._lease_base = self._tick_received_at
-        self._renewed_at = time.monotonic()
-        self._stream.renew(self.epoch, int(WORKER_LEASE_S * 1000), self._stream.tick)
-
-    def _watch_lease(self) -> None:
-        """Report the worker as lost once no lease of anybody can still be valid."""
-        former_over_at: float | None = None
-        while True:
-            gevent.sleep(0.5)
-            now = time.monotonic()
-            if former_over_at is None and self._former_lease_over():
-                former_over_at = now
-            if self.lost or self.attached or former_over_at is None:
-                continue
-            base = max(former_over_at, self._lease_base or 0.0)
-            if now - base > expiry_wait():
-                self.lost = True
-                self._lease_base = None
-                self._post(Lost(self.vm.id))
-
-
 class Service:
     """Keep links to the workers of owned partitions (kernel name `fleet`)."""
 
     def __init__(self, core: kernel.Kernel, options: settings.Settings) -> None:
         self._kernel = core
         self._settings = options
-        self._links: dict[int, dict[str, Link]] = {}
+        self._links: dict[int, dict[str, worker_link.Link]] = {}
         self._assigned: dict[str, int] = {}
         self._assigned_version = 0
         self._vms: dict[str, vms.Vm] = {}
@@ -253,7 +60,7 @@
         for link in self._links.pop(partition, {}).values():
             link.close()
 
-    def link(self, partition: int, worker: str) -> Link | None:
+    def link(self, partition: int, worker: str) -> worker_link.Link | None:
         """Return the link to a worker of an owned partition."""
         return self._links.get(partition, {}).get(worker)
 
@@ -264,7 +71,7 @@
         ]
         return sum(pair[0] for pair in pairs), sum(pair[1] for pair in pairs)
 
-    def links(self, partition: int) -> dict[str, Link]:
+    def links(self, partition: int) -> dict[str, worker_link.Link]:
         """Return the links of an owned partition by worker."""
         return self._links.get(partition, {})
 
@@ -342,7 +149,7 @@
     def _post_leaving(self, worker: str, leaving: bool) -> None:
         entry = self._posts.get(self._assigned.get(worker, -1))
         if entry is not None:
-            entry[1](Leaving(worker, leaving))
+            entry[1](worker_link.Leaving(worker, leaving))
 
     def _read_assignment(self) -> None | errors.Failure:
         rows = self._kernel.find("store").tables.read([WORKERS_ROW])
@@ -398,7 +205,7 @@
             if owner == partition and worker in self._vms
         }
         for worker in wanted - links.keys():
-            links[worker] = Link(
+            links[worker] = worker_link.Link(
                 partition,
                 epoch,
                 self._vms[worker],
@@ -408,7 +215,7 @@
                 self._settings.process,
             )
             if self._leaving.get(worker):
-                post(Leaving(worker, True))
+                post(worker_link.Leaving(worker, True))
         for worker in wanted & links.keys():
             links[worker].vm = self._vms[worker]  # a replaced VM has a new address
         for worker in links.keys() - wanted:
--- a/toucanspring/partition.py
+++ b/toucanspring/partition.py
@@ -17,7 +17,6 @@
     errors,
     execution,
     fairness,
-    fleet,
     inbox,
     job,
     journal,
@@ -27,6 +26,7 @@
     scheduler,
     settings,
     wire,
+    worker_link,
 )
 
 log = logbook.Logger(__name__)
@@ -180,16 +180,16 @@
     def _handle(self, message: object) -> None:
         now = time.monotonic()
         match message:
-            case fleet.FromWorker(worker=worker, message=content):
+            case worker_link.FromWorker(worker=worker, message=content):
                 self._handle_worker(worker, content, now)
-            case fleet.Lost(worker=worker):
+            case worker_link.Lost(worker=worker):
                 self._executor.workers.pop(worker, None)
                 self._executor.carry_out(self._scheduler.worker_lost(worker, now))
-            case fleet.Disconnected(worker=worker, unanswered=unanswered):
+            case worker_link.Disconnected(worker=worker, unanswered=unanswered):
                 self._executor.carry_out(
                     self._scheduler.starts_unanswered(worker, unanswered, now)
                 )
-            case fleet.Leaving(worker=worker, leaving=leaving):
+            case worker_link.Leaving(worker=worker, leaving=leaving):
                 self._executor.carry_out(
                     self._scheduler.worker_leaving(worker, leaving, now)
                 )
--- a/toucanspring/partitions.py
+++ b/toucanspring/partitions.py
@@ -17,7 +17,6 @@
     documents,
     effects,
     errors,
-    fleet,
     inbox,
     job,
     kernel,
@@ -26,6 +25,7 @@
     request_log,
     resources,
     settings,
+    worker_link,
 )
 
 log = logbook.Logger(__name__)
@@ -397,7 +397,7 @@
             )
         return encode_result(statuses)
 
-    def _worker_state(self, link: fleet.Link) -> str:
+    def _worker_state(self, link: worker_link.Link) -> str:
         if not link.attached:
             return "unreachable"
         leaving = self._kernel.find("fleet").is_leaving(link.vm.id)
--- a/toucanspring/wire.py
+++ b/toucanspring/wire.py
@@ -130,8 +130,14 @@
     task_ids: list[str]
 
 
+class Poll(msgspec.Struct, frozen=True, tag="poll", array_like=True):
+    """Ask for a report at once, for its tick."""
+
+    epoch: int
+
+
 class Report(msgspec.Struct, frozen=True, tag="report", array_like=True):
-    """Report finished tasks and lagging usage per running task."""
+    """Report finished tasks and the lagging usage of running tasks where it changed."""
 
     tick: int
     finished: list[FinishedTask]
@@ -148,6 +154,7 @@
     | Stop
     | Throttle
     | Acknowledge
+    | Poll
     | Report
 )
 
--- /dev/null
+++ b/toucanspring/worker_link.py
@@ -0,0 +1,272 @@
+"""Stream to one worker of an owned partition, and the watch on its lease."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import time
+from collections.abc import Callable
+
+import gevent
+import gevent.event
+import logbook
+
+from toucanspring import errors, wire
+from toucanspring.adapters import vms, workers
+
+log = logbook.Logger(__name__)
+
+WORKER_LEASE_S = 20.0
+STOP_GRACE_S = 2.0  # a worker has stopped its tasks this long after its lease ended
+DRIFT_FRACTION = 0.05  # assumed bound on the drift between monotonic clocks
+RENEW_INTERVAL_S = 2.0
+CONNECT_TIMEOUT_S = 1.0
+RECONNECT_PAUSE_S = 0.2
+MAX_RECONNECT_PAUSE_S = 3.0
+WATCH_INTERVAL_S = 0.5
+# A worker refuses starts whose tick is older than 1 s; the rest is for the way there.
+FRESH_TICK_S = 0.7
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FromWorker:
+    """Carry a worker's message to the partition that owns the worker."""
+
+    worker: str
+    message: wire.WorkerMessage
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """Say that a worker's lease and stop grace have certainly ended."""
+
+    worker: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Disconnected:
+    """Say that a worker's stream broke; its tasks may still run.
+
+    `unanswered` lists the tasks whose start was sent but not confirmed.
+    """
+
+    worker: str
+    unanswered: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving:
+    """Say whether the VM list shows the worker as leaving or absent."""
+
+    worker: str
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Deferred:
+    """Hold starts, or a stop (then without `is_allowed`), until a tick arrives."""
+
+    tasks: list[wire.TaskStart] = dataclasses.field(default_factory=list)
+    is_allowed: Callable[[], bool] | None = None
+    stopped: list[str] = dataclasses.field(default_factory=list)
+    mode: str = ""
+
+
+def expiry_wait() -> float:
+    """Return the seconds after which a lease has certainly ended everywhere."""
+    return (WORKER_LEASE_S + STOP_GRACE_S) * (1 + DRIFT_FRACTION)
+
+
+class Link:
+    """Own the stream to one worker and watch its lease."""
+
+    def __init__(
+        self,
+        partition: int,
+        epoch: int,
+        vm: vms.Vm,
+        post: Callable[[object], None],
+        may_renew: Callable[[], bool],
+        former_lease_over: Callable[[], bool],
+        owner: str = "",
+    ) -> None:
+        self.partition = partition
+        self.epoch = epoch
+        self.vm = vm
+        self.attached = False
+        self.lost = False
+        self._post = post
+        self._may_renew = may_renew
+        self._former_lease_over = former_lease_over
+        self._owner = owner
+        self._stream: workers.WorkerLink | None = None
+        self._early: list[workers.WorkerEvent] = []
+        self._tick_received_at = 0.0
+        self._renewed_at = 0.0
+        self._lease_base: float | None = None  # when the renewed tick was received
+        self._former_over_at: float | None = None
+        # Commands that wait for a fresh tick, in order.
+        self._deferred: list[Deferred] = []
+        self._runner = gevent.spawn(self._run)
+        self._watcher = gevent.spawn(self._watch_lease)
+
+    def close(self) -> None:
+        """Close the stream and stop watching."""
+        gevent.killall([self._runner, self._watcher])
+        if self._stream is not None:
+            self._stream.close()
+
+    def start(
+        self, tasks: list[wire.TaskStart], is_allowed: Callable[[], bool]
+    ) -> bool:
+        """Send starts; return False if they certainly were not sent.
+
+        The caller has checked that they are allowed. If the last tick is too old, a
+        new one is asked for, and `is_allowed` is called once more after it arrives:
+        a start must not carry a tick that is younger than its check.
+        """
+        if not self.attached or self._stream is None or self._stream.closed:
+            return False
+        age_s = time.monotonic() - self._tick_received_at
+        if not self._deferred and age_s <= FRESH_TICK_S:
+            self._stream.start(self.epoch, tasks)
+            return True
+        self._deferred.append(Deferred(tasks=tasks, is_allowed=is_allowed))
+        if len(self._deferred) == 1:
+            self._stream.poll(self.epoch)
+        return True
+
+    def stop(self, task_ids: list[str], mode: str) -> None:
+        """Stop tasks; `mode` is `kill` or `checkpoint`."""
+        if self._deferred:
+            # Sent before a start that waits, it would leave that task running.
+            self._deferred.append(Deferred(stopped=task_ids, mode=mode))
+        elif self.attached and self._stream is not None:
+            self._stream.stop(self.epoch, task_ids, mode)
+
+    def acknowledge(self, task_ids: list[str]) -> None:
+        """Let the worker forget finished tasks."""
+        if self.attached and self._stream is not None:
+            self._stream.acknowledge(self.epoch, task_ids)
+
+    def traffic(self) -> tuple[int, int]:
+        """Return the bytes sent and received on the present stream."""
+        if self._stream is None:
+            return 0, 0
+        return self._stream.sent_bytes, self._stream.received_bytes
+
+    def _run(self) -> None:
+        pause = RECONNECT_PAUSE_S
+        while True:
+            closed = gevent.event.AsyncResult()
+            opened = workers.connect(
+                self.vm.address,
+                self.vm.port,
+                self._receive,
+                lambda failure, unanswered, closed=closed: closed.set(
+                    (failure, unanswered)
+                ),
+                owner=self._owner,
+                timeout_s=CONNECT_TIMEOUT_S,
+            )
+            if not isinstance(opened, errors.Failure):
+                if self._attach(opened):
+                    pause = RECONNECT_PAUSE_S
+                    failure, unanswered = closed.get()
+                    self._detach(failure, unanswered)
+                opened.close()
+            gevent.sleep(pause * random.uniform(0.5, 1.0))
+            pause = min(MAX_RECONNECT_PAUSE_S, pause * 2)
+
+    def _attach(self, opened: workers.WorkerLink) -> bool:
+        self._early.clear()
+        answer = opened.attach(self.partition, self.epoch, int(WORKER_LEASE_S * 1000))
+        if isinstance(answer, errors.Failure):
+            log.info("worker {}: not attached: {}", self.vm.id, answer)
+            return False
+        self._stream = opened
+        self._tick_received_at = time.monotonic()
+        self._renewed_at = 0.0
+        self.attached = True
+        self.lost = False
+        self._watcher.kill(block=False)
+        self._renew()
+        self._post(FromWorker(self.vm.id, answer))
+        for message in self._early:
+            self._post(FromWorker(self.vm.id, message))
+        self._early.clear()
+        return True
+
+    def _detach(self, failure: errors.Failure, unanswered: list[str]) -> None:
+        log.info("worker {}: disconnected: {}", self.vm.id, failure.reason)
+        self.attached = False
+        self._stream = None
+        self._watcher = gevent.spawn(self._watch_lease)
+        deferred, self._deferred = self._deferred, []
+        self._post(Disconnected(self.vm.id, unanswered))
+        # Posted last, so that the tasks are not placed on this worker again.
+        for command in deferred:
+            self._refuse(command, "the worker gave no tick")
+
+    def _receive(self, message: workers.WorkerEvent) -> None:
+        if isinstance(message, wire.Report):
+            self._tick_received_at = time.monotonic()
+            if self._tick_received_at - self._renewed_at >= RENEW_INTERVAL_S:
+                self._renew()
+            if self._deferred:
+                self._send_deferred()
+            if not message.finished and not message.usage:
+                return  # tells the partition nothing and would wake its task
+        if self.attached:
+            self._post(FromWorker(self.vm.id, message))
+        else:
+            # Reports that overtake the attach answer are delivered after it.
+            self._early.append(message)
+
+    def _send_deferred(self) -> None:
+        deferred, self._deferred = self._deferred, []
+        for command in deferred:
+            if command.is_allowed is None:
+                self.stop(command.stopped, command.mode)
+            elif not command.is_allowed() or not self.start(
+                command.tasks, command.is_allowed
+            ):
+                self._refuse(command, "the worker may not be used now")
+
+    def _refuse(self, command: Deferred, reason: str) -> None:
+        """Answer starts that were never sent as refused."""
+        refused = [(task.task_id, reason) for task in command.tasks]
+        if refused:
+            self._post(FromWorker(self.vm.id, wire.Started(0, [], refused)))
+
+    def _renew(self) -> None:
+        self._observe_former(time.monotonic())
+        if self._stream is None or not self._may_renew():
+            return
+        # The worker counts the lease from the tick, which it read before it sent the
+        # report. Counting from the receipt of that report is therefore never early.
+        self._lease_base = self._tick_received_at
+        self._renewed_at = time.monotonic()
+        self._stream.renew(self.epoch, int(WORKER_LEASE_S * 1000), self._stream.tick)
+
+    def _observe_former(self, now: float) -> None:
+        if self._former_over_at is None and self._former_lease_over():
+            self._former_over_at = now
+
+    def _watch_lease(self) -> None:
+        """Report the worker as lost once no lease of anybody can still be valid.
+
+        Runs only while the worker is not attached; seeing the end of the former
+        owner's lease late only makes the loss later.
+        """
+        while not self.lost:
+            gevent.sleep(WATCH_INTERVAL_S)
+            now = time.monotonic()
+            self._observe_former(now)
+            if self._former_over_at is None:
+                continue
+            base = max(self._former_over_at, self._lease_base or 0.0)
+            if now - base > expiry_wait():
+                self.lost = True
+                self._lease_base = None
+                self._post(Lost(self.vm.id))
