--- a/standins/worker.py
+++ b/standins/worker.py
@@ -100,6 +100,7 @@
         self._partition = -1
         self._lease_until = 0.0
         self._paused_at = None
+        self._reported_usage = {}
         self.cut()
 
     def cut(self) -> None:
@@ -198,6 +199,8 @@
                 self._start(link, message)
             case wire.Renew():
                 self._renew(message.lease_ms, message.tick)
+            case wire.Poll():
+                link.post(wire.Report(self._tick(time.monotonic()), [], {}))
             case wire.Stop():
                 self._stop(message)
             case wire.Throttle():
--- a/toucanspring/overuse.py
+++ b/toucanspring/overuse.py
@@ -16,8 +16,9 @@
 
     from toucanspring import lifecycle, task_table
 
-# Reports lag, so the effect of a change shows only after this time.
-SETTLE_S = 3.0
+# Workers report every 4 s, with use of up to 1 s before: the effect of a change shows
+# only after this time.
+SETTLE_S = 6.0
 MIN_FRACTION = 0.05
 REASON = "the worker ran out of memory"
 
