Make room for each blocked job in turn

Cause: preemption tried the first 8 blocked jobs in the order of service every 0.1 s. Jobs for which no room can be made stayed first, so later urgent work that needed one stop waited for good. Change: a job that had its try is passed over until the other blocked jobs have had theirs, or until 256 tries. The new test has 20 urgent jobs that need more than can be freed before one that needs a single stop. Conclusion: the order of service decides who is tried first in a turn, as before.

--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -248,6 +248,26 @@
         ]
         self.assertEqual(3, sum(task.progress == b"mark" for task in marks))
 
+    def test_jobs_for_which_no_room_can_be_made_do_not_hold_up_later_ones(self):
+        # Guards against urgent work that waits behind hopeless work for good.
+        c = cell.Cell(workers=1)
+        c.submit(cell.spec("kept", task_count=16, idempotent=False, run_seconds=1000))
+        c.tick()
+        low = job.JobClass.DEFERRABLE
+        c.submit(cell.spec("low", task_count=16, job_class=low, run_seconds=1000))
+        c.tick()
+        large = resources.Resources(20_000, 1024)
+        for number in range(20):
+            name = f"large-{number}"
+            c.submit(cell.spec(name, job_class=job.JobClass.URGENT, demand=large))
+        c.submit(cell.spec("now", job_class=job.JobClass.URGENT))
+        for _ in range(5):
+            c.tick(0.2)
+        self.assertEqual(1, len(c.stopped("checkpoint")))
+        c.report("w0")
+        c.tick()
+        self.assertEqual(1, len(c.running("now")))
+
     def test_non_idempotent_work_is_never_stopped_for_other_work(self):
         # Guards against losing work that cannot be started again.
         c = cell.Cell(workers=2)
--- a/toucanspring/preemption.py
+++ b/toucanspring/preemption.py
@@ -14,6 +14,9 @@
 SHARE_WAIT_S = 5.0  # lent capacity is taken back for work that waited so long
 DEADLINE_MARGIN_S = 10.0  # deadline work may stop others so long before it is late
 TRIES_PER_STEP = 8  # each looks at all running tasks
+# Jobs tried in one turn; bounds the wait for the next try of a job although new jobs
+# keep arriving.
+TRIES_PER_TURN = 256
 TASKS_PER_JOB = 16  # for which room is made at a time
 CLASS_ORDER = {job_class: order for order, job_class in enumerate(job.JobClass)}
 NEVER_STOPPED = CLASS_ORDER[job.JobClass.URGENT]  # checks and urgent work go on
@@ -72,16 +75,25 @@
 
 
 def make_room(
-    core: lifecycle.Lifecycle, blocked: Iterable[task_table.JobRecord], now: float
+    core: lifecycle.Lifecycle,
+    blocked: Iterable[task_table.JobRecord],
+    tried: set[str],
+    now: float,
 ) -> None:
-    """Stop lower classes for urgent work, and lent capacity for its owner."""
+    """Stop lower classes for urgent work, and lent capacity for its owner.
+
+    `tried` holds the jobs that had their try in this turn, between calls. Without it,
+    a few jobs for which no room can be made would use all tries of every step.
+    """
     tries = 0
     over: dict[str, float] | None = None
     targets: dict[str, float] = {}
     for record in blocked:
         spec = record.spec
         held = core.reservations.get(spec.id)
-        if (held and held.making_room) or spec.id not in core.queue:
+        if spec.id in tried or spec.id not in core.queue:
+            continue
+        if held and held.making_room:
             continue
         demand = core.demand(spec)
         if is_pressing(core, record, now):
@@ -99,9 +111,12 @@
         else:
             continue
         _stop_victims(core, record, demand, victims, now)
+        tried.add(spec.id)
         tries += 1
         if tries >= TRIES_PER_STEP:
             break
+    if tries < TRIES_PER_STEP or len(tried) >= TRIES_PER_TURN:
+        tried.clear()  # every blocked job had its try
 
 
 def _served_at(core: lifecycle.Lifecycle, record: task_table.JobRecord) -> float:
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -33,6 +33,7 @@
         self._core = lifecycle.Lifecycle(rng)
         self._dispatcher = dispatch.Dispatcher(self._core)
         self._next_checks = 0.0
+        self._tried: set[str] = set()  # blocked jobs, in this turn of preemption
 
     def submit(self, specs: list[job.JobSpec], now: float) -> list[effects.Effect]:
         """Queue durable jobs; known IDs are ignored."""
@@ -203,7 +204,7 @@
             intake.refuse_too_large(core, now)
             preemption.enforce_ceilings(core, now)
             preemption.drain(core, now)
-            preemption.make_room(core, self._dispatcher.blocked, now)
+            preemption.make_room(core, self._dispatcher.blocked, self._tried, now)
         self._dispatcher.place(now)
         for effect in core.allowances.step(now, checks_due):
             core.effects.add(effect)
