--- a/standins/workers.py
+++ b/standins/workers.py
@@ -214,13 +214,20 @@
                 self._stop(message)
             case wire.Throttle():
                 self._throttle(message)
-            case wire.Acknowledge():
-                for task_id in message.task_ids:
-                    self._finished.pop(task_id, None)
+            case wire.Acknowledge() | wire.Release():
+                self._forget(message)
             case _:
                 return False
         return True
 
+    def _forget(self, message: wire.Acknowledge | wire.Release) -> None:
+        """Forget finished tasks, or the lease of an owner that needs it no more."""
+        if isinstance(message, wire.Acknowledge):
+            for task_id in message.task_ids:
+                self._finished.pop(task_id, None)
+        elif not self._running:
+            self._lease_until = 0.0
+
     def _attach(self, link: worker_link.Link, message: wire.Attach) -> bool:
         now = time.monotonic()
         highest = self._epochs.get(message.partition, 0)
--- /dev/null
+++ b/test/partitioned.py
@@ -0,0 +1,215 @@
+"""Partitions with an owner each that share a table service and their workers."""
+
+import types
+
+from test import cell, fake_tables
+from toucanspring import (
+    claims,
+    errors,
+    inbox,
+    job,
+    kernel,
+    mover,
+    need,
+    roster,
+)
+
+STEP_S = 0.5
+
+
+class Clock:
+    now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+class Claims:
+    def __init__(self, owner):
+        self.owner = owner
+
+    def owned(self):
+        return {self.owner.number: self.owner.epoch}
+
+    def may_start(self, _number, _now):
+        return True
+
+
+class Fleet:
+    """Follow the row `workers` and attach what belongs to the partition."""
+
+    def __init__(self, owner):
+        self.owner = owner
+        self.roster = roster.Roster()
+        self.closed = []
+
+    def reread(self):
+        rows = self.owner.client.read([roster.WORKERS_ROW])
+        if isinstance(rows, errors.Failure):
+            return rows
+        self.roster.take(rows[roster.WORKERS_ROW], self.owner.clock())
+        return None
+
+    def follow(self):
+        self.reread()
+        owner = self.owner
+        for name in sorted(self.roster.workers_of(owner.number)):
+            if name not in owner.cell.scheduler._core.workers:
+                owner.cell.workers[name] = owner.shared.workers[name]
+                owner.cell.attach(name)
+
+    def listed(self, partition):
+        return self._listed(lambda owner: owner == partition)
+
+    def elsewhere(self, partition):
+        return self._listed(lambda owner: owner != partition)
+
+    def _listed(self, matches):
+        return {
+            name: need.Listed(worker.zone, worker.capacity)
+            for name, worker in self.owner.shared.workers.items()
+            if matches(self.roster.partitions.get(name))
+        }
+
+    def hand_over(self, _number, worker):
+        self.closed.append(worker)
+
+
+class Owner:
+    """Run the scheduler and the mover of one partition; stands for the process."""
+
+    def __init__(self, shared, number, epoch):
+        self.shared, self.number, self.epoch = shared, number, epoch
+        self.clock = shared.clock
+        self.client = shared.tables.client()
+        answer = self.client.transact({}, {claims.key_of(number): b""}, ())
+        self.row_version = answer.versions[claims.key_of(number)]
+        self.paused = False
+        self.bound = frozenset()
+        self.state = types.SimpleNamespace(accepted_ms=shared.accepted_ms)
+        self.journal = types.SimpleNamespace(state=self.state)
+        self.fleet = Fleet(self)
+        self.cell = cell.Cell(workers=0)
+        self.cell.specs = shared.specs[number]
+        self.cell.now = self.clock()
+        core = kernel.Kernel()
+        core.register("claims", Claims(self))
+        core.register("store", fake_tables.FakeStore(self.client))
+        core.register("fleet", self.fleet)
+        core.register("membership", self)
+        options = fake_tables.settings_of(f"p{number}", partitions=3)
+        self.mover = mover.Service(core, options, self.clock)
+        self.cell.scheduler.expect_elsewhere()
+        if self.cell.specs:
+            self.fleet.reread()
+            specs = list(self.cell.specs.values())
+            expected = self.fleet.roster.workers_of(number)
+            self.cell.call("restore", specs, {}, {}, set(), expected)
+        self.fleet.follow()
+
+    def peer_states(self):
+        return {
+            f"p{owner.number}": types.SimpleNamespace(
+                statements=owner.mover.statements(),
+                owned={owner.number: owner.epoch},
+            )
+            for owner in self.shared.owners.values()
+            if owner is not self and not owner.paused
+        }
+
+    # What the mover uses of a partition
+
+    def ask(self, function):
+        return function(self.cell.scheduler)
+
+    def post(self, message):
+        assert isinstance(message, inbox.WorkerMoved)
+        for task in self.cell.workers[message.worker].running:
+            assert job.job_of(task) not in self.cell.specs, "moved with tasks"
+        self.cell.call("worker_lost", message.worker)
+        del self.cell.workers[message.worker]
+
+    def facts(self):
+        return self.cell.scheduler._core.workers
+
+    def bound_workers(self):
+        return self.bound
+
+    @property
+    def withheld(self):
+        return self.cell.scheduler._core.withheld
+
+    def move(self):
+        self.mover.step(self)
+
+    def step(self):
+        if self.paused:
+            return
+        self.cell.now = self.clock()
+        self.fleet.follow()
+        self.cell.call("tick")
+        self.move()
+        self.cell.call("tick")
+
+
+class Partitions:
+    def __init__(self, *counts):
+        self.tables = fake_tables.FakeTables()
+        self.clock = Clock()
+        self.accepted_ms = {}
+        self.workers = {}
+        self.specs = {number: {} for number in range(len(counts))}
+        assigned = {}
+        for number, count in enumerate(counts):
+            for index in range(count):
+                name = f"w{number}{index}"
+                self.workers[name] = cell.Worker(name, f"z{index % 3}", cell.CAPACITY)
+                assigned[name] = number
+        self.write_row(assigned)
+        self.owners = {}
+        for number in range(len(counts)):
+            self.take_over(number)
+
+    def __getitem__(self, number):
+        return self.owners[number]
+
+    def write_row(self, assigned):
+        self.tables.client().transact(
+            {}, {roster.WORKERS_ROW: roster.encode(assigned)}, ()
+        )
+
+    def row(self):
+        """Return the workers by partition as the row has them."""
+        found = roster.Roster()
+        found.take(self.tables.rows[roster.WORKERS_ROW], 0)
+        return {number: found.workers_of(number) for number in self.specs}
+
+    def take_over(self, number):
+        """Let a new owner claim a partition; return the former one."""
+        former = self.owners.get(number)
+        epoch = former.epoch + 1 if former else 1
+        self.owners[number] = Owner(self, number, epoch)
+        return former
+
+    def submit(self, number, name, **fields):
+        self.accepted_ms[name] = int(self.clock.now * 1000)
+        self[number].cell.now = self.clock.now
+        self[number].cell.submit(cell.spec(name, **fields))
+
+    def gang(self, number, name, workers):
+        """Submit a gang that needs a number of whole workers."""
+        fields = {"kind": job.Kind.GANG, "task_count": workers}
+        self.submit(number, name, demand=cell.CAPACITY, **fields)
+
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.now += STEP_S
+            for owner in self.owners.values():
+                owner.step()
+
+    def running(self, name):
+        return sum(
+            task.startswith(f"{name}/")
+            for worker in self.workers.values()
+            for task in worker.running
+        )
--- a/test/test_fleet.py
+++ b/test/test_fleet.py
@@ -42,9 +42,9 @@
         self.may_renew = True
         self.former_over = True
 
-    def open(self, epoch=1, post=None):
+    def open(self, epoch=1, post=None, partition=0):
         link = fleet.Link(
-            0,
+            partition,
             epoch,
             self.vm,
             post or self.posted.append,
@@ -129,6 +129,25 @@
         self.wait(lambda: not former.attached)
         self.assertFalse(former.start([]))
 
+    def test_a_released_worker_attaches_to_another_partition_at_once(self):
+        # Guards against a moved worker that is of no use until its lease has ended.
+        former = self.open(partition=1)
+        self.wait(lambda: former.attached)
+        self.patch(fleet, "WORKER_LEASE_S", 60.0)
+        former._renew()
+        former.release()
+        link = self.open()
+        self.wait(lambda: link.attached)
+
+    def test_a_worker_with_tasks_is_not_released(self):
+        # Guards against a second partition on a worker that still runs tasks.
+        former = self.open(partition=1)
+        self.start_task(former)
+        former.release()
+        link = self.open()
+        gevent.sleep(0.5)
+        self.assertFalse(link.attached)
+
     def test_a_dead_worker_comes_back_with_another_incarnation(self):
         self.open()
         self.wait(lambda: self.messages(wire.Attached))
--- a/test/test_journal.py
+++ b/test/test_journal.py
@@ -158,6 +158,14 @@
         state.forget_oldest(keep=0)
         self.assertEqual(["apply.nightly.1"], list(state.specs))
 
+    def test_acceptance_times_are_kept_in_a_snapshot(self):
+        # Guards against gangs that change their order after a takeover.
+        state, copy = log_records.State(), log_records.State()
+        state.apply(log_records.Accepted(spec("a"), 7))
+        for record in state.to_records():
+            copy.apply(record)
+        self.assertEqual({"a": 7}, copy.accepted_ms)
+
     def test_unfinished_work_is_never_forgotten(self):
         state = log_records.State()
         state.apply(log_records.Accepted(spec("a")))
--- /dev/null
+++ b/test/test_mover.py
@@ -0,0 +1,419 @@
+import testtools
+
+from test import cell, partitioned
+from toucanspring import job, moves, need, roster
+
+WHOLE = cell.CAPACITY
+ROW = roster.WORKERS_ROW
+
+
+class MoveTest(testtools.TestCase):
+    def partitions(self, *counts):
+        self.cells = partitioned.Partitions(*counts)
+        return self.cells
+
+    def in_need(self, *counts):
+        """Return partitions of which the first waits for more workers."""
+        p = self.partitions(*counts)
+        p.submit(0, "a", demand=WHOLE, task_count=counts[0] + 1)
+        return p
+
+    def test_waiting_work_gets_an_idle_worker_of_another_partition(self):
+        p = self.in_need(2, 3)
+        p.run(4)
+        self.assertEqual({0: {"w00", "w01", "w10"}, 1: {"w11", "w12"}}, p.row())
+        self.assertEqual(3, p.running("a"))
+        self.assertEqual(["w10"], p[1].fleet.closed)
+
+    def test_a_donor_keeps_what_its_own_waiting_work_needs(self):
+        # Guards against workers that leave while own work is about to use them.
+        p = self.in_need(1, 3)
+        p.run(0.5)
+        core = p[1].cell.scheduler._core
+        core.withheld = {"w10", "w11", "w12"}
+        for name in core.withheld:
+            core.update_schedulable(name, p.clock.now)
+        p.submit(1, "own", demand=WHOLE, task_count=3)
+        p.run(1)
+        self.assertEqual({"w10", "w11", "w12"}, p.row()[1])
+        self.assertEqual(3, p.running("own"))
+
+    def test_a_partition_keeps_its_last_worker(self):
+        p = self.in_need(1, 1)
+        p.run(20)
+        self.assertEqual({"w10"}, p.row()[1])
+
+    def test_a_busy_worker_does_not_move_for_waiting_work(self):
+        # Guards against work that is stopped or held back for work of another kind.
+        p = self.partitions(1, 2)
+        p.submit(1, "own", demand=WHOLE, task_count=2)
+        p.run(1)
+        p.submit(0, "a", demand=WHOLE, task_count=3)
+        p.run(20)
+        self.assertEqual({"w10", "w11"}, p.row()[1])
+        self.assertEqual(set(), p[1].withheld)
+
+    def test_a_worker_named_by_an_incomplete_record_stays(self):
+        # Guards against a successor that cannot ask the worker about an end or a
+        # start whose record it lacks.
+        p = self.in_need(1, 3)
+        p[1].bound = frozenset({"w10", "w11", "w12"})
+        p.run(5)
+        p.gang(0, "gang", 3)
+        p.run(15)
+        self.assertEqual({"w10", "w11", "w12"}, p.row()[1])
+
+    def test_a_worker_that_has_just_attached_counts_before_placement_uses_it(self):
+        # Guards against a second worker for a need that is met already.
+        p = self.in_need(1, 2)
+        p.run(1)
+        self.assertEqual(1, len(p[0].mover.statements()[0].waiting))
+        p.write_row({"w00": 0, "w10": 0, "w11": 1})
+        p[0].fleet.follow()
+        p[0].move()
+        self.assertEqual([], p[0].mover.statements()[0].waiting)
+
+    def return_moved(self):
+        """Move one worker, let it become idle, and let its donor lack it."""
+        p = self.in_need(1, 3)
+        p.run(4)
+        [task] = p.workers["w10"].running
+        p[0].cell.end("w10", task)
+        p.submit(1, "b", demand=WHOLE, task_count=3)
+        p.run(4)
+        return p
+
+    def test_a_moved_worker_rests_before_it_moves_for_waiting_work(self):
+        # Guards against a worker that goes back and forth.
+        p = self.return_moved()
+        self.assertEqual({"w00", "w10"}, p.row()[0])
+        p.run(moves.REST_S)
+        self.assertEqual(3, p.running("b"))
+
+    def test_a_moved_worker_moves_at_once_for_a_gang(self):
+        p = self.return_moved()
+        p[1].cell.cancel("b")
+        for name in list(p[1].cell.workers):
+            p[1].cell.report(name)
+        p.gang(1, "gang", 3)
+        p.run(3)
+        self.assertEqual(3, p.running("gang"))
+
+
+class TransactionTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.cells = p = partitioned.Partitions(1, 3)
+        p.submit(0, "a", demand=WHOLE, task_count=2)
+        self.donor = p[1]
+
+    def run_until_moving(self, action):
+        """Run `action` between a move's checks and its transaction."""
+        seen = []
+
+        def act():
+            seen.append(True)
+            action()
+
+        self.donor.client.before_commit = act
+        for _ in range(20):
+            if seen:
+                return
+            self.cells.run(0.5)
+        self.fail("no move was tried")
+
+    def test_a_paused_former_donor_moves_nothing(self):
+        # Guards against a worker that leaves while the successor starts tasks there.
+        p = self.cells
+        self.run_until_moving(lambda: p.take_over(1))
+        self.assertEqual({"w10", "w11", "w12"}, p.row()[1])
+        p.submit(1, "own", demand=WHOLE, task_count=3)
+        p.run(1)
+        self.donor.move()
+        self.donor.move()
+        self.assertEqual({"w10", "w11", "w12"}, p.row()[1])
+        self.assertEqual([], self.donor.fleet.closed)
+
+    def test_a_late_transaction_of_a_dead_donor_has_no_effect(self):
+        p = self.cells
+        self.donor.client.late[ROW] = 1
+        self.run_until_moving(lambda: None)
+        p.take_over(1)
+        self.donor.client.deliver_late()
+        self.assertEqual({"w10", "w11", "w12"}, p.row()[1])
+        p.run(3)
+        self.assertEqual(2, p.running("a"))
+
+    def test_the_successor_of_a_donor_that_died_after_a_move_lets_the_worker_go(self):
+        # Guards against an owner that starts tasks on a worker of another partition.
+        p = self.cells
+        self.donor.client.lose[ROW] = 1
+        self.run_until_moving(lambda: None)
+        p.submit(1, "own", demand=WHOLE, task_count=3)
+        p.take_over(1)
+        self.assertEqual({"w11", "w12"}, set(p[1].cell.workers))
+        p.run(1.5)
+        self.assertEqual((2, 2), (p.running("a"), p.running("own")))
+
+    def test_a_worker_in_doubt_is_not_used_until_the_row_is_read(self):
+        # Guards against tasks on a worker that may belong to the receiver already.
+        p = self.cells
+        client = self.donor.client
+        client.lose[ROW] = 1
+        self.run_until_moving(lambda: None)
+        client.down = True
+        p[0].paused = True  # the need is not heard any more
+        p.submit(1, "own", demand=WHOLE, task_count=3)
+        p.run(3)
+        self.assertEqual({}, p.workers["w10"].running)
+        self.assertEqual(2, p.running("own"))
+        client.down = False
+        p.run(1)
+        self.assertEqual(["w10"], self.donor.fleet.closed)
+
+    def test_a_worker_whose_move_certainly_failed_is_used_again(self):
+        p = self.cells
+        client = self.donor.client
+        client.drop[ROW] = 1
+        self.run_until_moving(lambda: None)
+        p[0].paused = True
+        # After this change the lost transaction can never take effect.
+        p.write_row({"w00": 0, "w10": 1, "w11": 1, "w12": 1, "w13": 1})
+        p.workers["w13"] = cell.Worker("w13", "z0", WHOLE)
+        p.submit(1, "own", demand=WHOLE, task_count=4)
+        p.run(2)
+        self.assertEqual(4, p.running("own"))
+        self.assertEqual([], self.donor.fleet.closed)
+
+    def test_a_lost_transaction_is_repeated_until_its_effect_is_known(self):
+        # Guards against a doubt that lasts because nobody else writes the row, and
+        # against a late first transaction that takes the worker after its return.
+        p = self.cells
+        self.donor.client.late[ROW] = 1
+        self.run_until_moving(lambda: None)
+        p.run(2)
+        self.donor.client.deliver_late()
+        p.run(2)
+        self.assertEqual({"w00", "w10"}, p.row()[0])
+        self.assertEqual(2, p.running("a"))
+
+    def test_a_late_transaction_before_its_repetition_counts_as_the_move(self):
+        # Guards against a conflict with the own first attempt taken for a failure.
+        p = self.cells
+        client = self.donor.client
+        client.late[ROW] = 1
+        self.run_until_moving(lambda: None)
+        client.before_commit = client.deliver_late
+        p.run(2)
+        self.assertEqual({"w00", "w10"}, p.row()[0])
+        self.assertEqual(["w10"], self.donor.fleet.closed)
+        self.assertNotIn("w10", self.donor.cell.workers)
+
+    def test_a_conflict_keeps_what_the_other_writer_changed(self):
+        p = self.cells
+        p.workers["w13"] = cell.Worker("w13", "z0", WHOLE)
+        row = {"w00": 0, "w10": 1, "w11": 1, "w12": 1, "w13": 1}
+        self.run_until_moving(lambda: p.write_row(row))
+        p.run(2)
+        self.assertEqual({0: {"w00", "w10"}, 1: {"w11", "w12", "w13"}}, p.row())
+
+    def test_the_successor_of_a_receiver_uses_the_moved_worker(self):
+        p = self.cells
+        self.run_until_moving(lambda: setattr(p[0], "paused", True))
+        p.run(3)
+        self.assertEqual({"w00", "w10"}, p.row()[0])
+        former = p.take_over(0)
+        self.assertNotIn("w10", former.cell.workers)
+        p.run(2)
+        self.assertEqual(2, p.running("a"))
+
+    def test_a_statement_from_before_a_move_moves_no_second_worker(self):
+        # Guards against one need that is met once by each statement heard.
+        p = self.cells
+        self.run_until_moving(lambda: None)
+        p[0].paused = True
+        p[0].paused, p[0].step = False, lambda: None  # heard, but not renewed
+        p.run(5)
+        self.assertEqual({"w00", "w10"}, p.row()[0])
+
+
+class GangTest(testtools.TestCase):
+    def end(self, p, number, name):
+        for worker in list(p[number].cell.workers.values()):
+            for task in list(worker.running):
+                if task.startswith(f"{name}/"):
+                    p[number].cell.end(worker.name, task)
+
+    def test_a_gang_larger_than_its_partition_gets_workers(self):
+        p = partitioned.Partitions(2, 2, 2)
+        p.gang(0, "gang", 4)
+        p.run(5)
+        self.assertEqual(4, p.running("gang"))
+        self.assertEqual([1, 1], [len(p.row()[number]) for number in (1, 2)])
+
+    def test_a_gang_of_the_whole_cell_gets_the_last_workers(self):
+        p = partitioned.Partitions(2, 2, 2)
+        p.gang(0, "gang", 6)
+        p.run(moves.LAST_AFTER_S + 5)
+        self.assertEqual(6, p.running("gang"))
+
+    def test_two_gangs_are_served_one_after_the_other(self):
+        # Guards against gangs that hold a part of the workers each, for ever.
+        p = partitioned.Partitions(2, 2, 2)
+        p.gang(1, "first", 5)
+        p.clock.now += 0.1
+        p.gang(0, "second", 5)
+        p.run(moves.LAST_AFTER_S + 5)
+        self.assertEqual((5, 0), (p.running("first"), p.running("second")))
+        self.end(p, 1, "first")
+        p.run(moves.LAST_AFTER_S + 10)
+        self.assertEqual(5, p.running("second"))
+
+    def test_the_order_survives_a_takeover(self):
+        # Guards against an older gang that falls behind when its owner dies.
+        p = partitioned.Partitions(2, 2, 2)
+        p.gang(1, "first", 5)
+        p.clock.now += 0.1
+        p.gang(0, "second", 5)
+        p.run(3)
+        p.take_over(1)
+        p.run(moves.LAST_AFTER_S + 10)
+        self.assertEqual((5, 0), (p.running("first"), p.running("second")))
+
+    def test_a_gang_keeps_its_workers_until_it_starts(self):
+        # Guards against a second gang that is served while the first one waits for
+        # the last tasks that were here before.
+        p = partitioned.Partitions(2, 2, 3)
+        p.submit(0, "own", demand=WHOLE, task_count=2)
+        p.run(1)
+        p.gang(0, "first", 4)
+        p.run(3)
+        p.gang(1, "second", 2)
+        p.run(5)
+        self.assertEqual([4, 1, 2], [len(p.row()[number]) for number in range(3)])
+        self.end(p, 0, "own")
+        p.run(2)
+        self.assertEqual(4, p.running("first"))
+        p.run(3)
+        self.assertEqual(2, p.running("second"))
+
+    def test_a_donor_serves_its_own_older_gang_first(self):
+        # Guards against two gangs that take the same workers in turn.
+        p = partitioned.Partitions(2, 2)
+        p.submit(0, "own", demand=WHOLE, task_count=2)
+        p.run(1)
+        p.gang(0, "first", 2)
+        p.run(0.5)
+        p.gang(1, "second", 3)
+        p.run(moves.LAST_AFTER_S + 3)
+        self.assertEqual(set(), p[0].withheld)
+        self.end(p, 0, "own")
+        p.run(1)
+        self.assertEqual((2, 0), (p.running("first"), p.running("second")))
+
+    def test_a_gang_beyond_the_present_workers_holds_up_no_other(self):
+        p = partitioned.Partitions(2, 2, 2)
+        p.gang(0, "first", 6)
+        for owner in p.owners.values():
+            owner.cell.call("set_availability_zones", frozenset({"z1"}))
+        p.run(0.5)
+        p.gang(1, "second", 3)
+        p.run(moves.LAST_AFTER_S + 5)
+        self.assertEqual((0, 3), (p.running("first"), p.running("second")))
+
+    def test_gangs_of_equal_age_are_ordered_by_job_id(self):
+        wanted = [need.Need(5, name, WHOLE, 1) for name in ("b", "a")]
+        stated = {number: need.Statement(0, each) for number, each in enumerate(wanted)}
+        self.assertEqual((1, wanted[1]), need.oldest_gang(stated))
+
+    def test_busy_workers_are_drained_after_the_limit_only(self):
+        p = partitioned.Partitions(2, 2)
+        p.submit(1, "own", demand=WHOLE, task_count=9)
+        p.run(1)
+        p.gang(0, "gang", 3)
+        p.run(moves.DRAIN_AFTER_S - 1)
+        self.assertEqual(set(), p[1].withheld)
+        p.run(2)
+        [drained] = p[1].withheld
+        [task] = p.workers[drained].running
+        p[1].cell.end(drained, task)
+        p.run(3)
+        self.assertEqual(3, p.running("gang"))
+        self.assertEqual(1, p.running("own"))
+
+    def test_drained_workers_are_used_again_when_the_need_is_gone(self):
+        p = partitioned.Partitions(2, 2)
+        p.submit(1, "own", demand=WHOLE, task_count=9)
+        p.run(1)
+        p.gang(0, "gang", 3)
+        p.run(moves.DRAIN_AFTER_S + 1)
+        [drained] = p[1].withheld
+        p[0].cell.cancel("gang")
+        p.run(1)
+        self.assertEqual(set(), p[1].withheld)
+        [task] = p.workers[drained].running
+        p[1].cell.end(drained, task, "checkpointed")
+        p.run(0.5)
+        self.assertNotEqual({}, p.workers[drained].running)
+
+    def test_services_leave_a_drained_worker(self):
+        # Guards against a gang that waits for tasks that never end.
+        p = partitioned.Partitions(1, 3)
+        p.submit(1, "feed", kind=job.Kind.SERVICE, task_count=3, spread=True)
+        p.run(1)
+        p.gang(0, "gang", 3)
+        p.run(moves.DRAIN_AFTER_S + 1)
+        for name in list(p[1].cell.workers):
+            p[1].cell.report(name)
+        p.run(4)
+        self.assertEqual(3, p.running("gang"))
+        self.assertEqual(3, p.running("feed"))
+
+    def test_other_work_does_not_take_the_workers_that_arrive_for_a_gang(self):
+        # Guards against a gang that never has all its workers at one time.
+        p = partitioned.Partitions(1, 2, 2)
+        p.submit(2, "busy", demand=WHOLE, task_count=2)
+        p.run(1)
+        p.gang(0, "gang", 4)
+        p.run(3)
+        p.submit(0, "small", task_count=200)
+        p.run(2)
+        self.assertEqual(0, p.running("small"))
+        p.run(moves.DRAIN_AFTER_S)
+        self.end(p, 2, "busy")
+        p.run(moves.LAST_AFTER_S + 3)
+        self.assertEqual(4, p.running("gang"))
+
+
+class ImpossibleTest(testtools.TestCase):
+    def outcome(self, name, settle_s=8, **fields):
+        p = partitioned.Partitions(1, 2)
+        p.submit(0, name, **fields)
+        p.run(settle_s)
+        return p[0].cell.finished.get(name)
+
+    def test_a_job_that_another_partition_can_run_is_not_refused(self):
+        p = partitioned.Partitions(1, 2)
+        large = cell.resources.Resources(64_000, 131_072, 8)
+        p.workers["w10"].capacity = large
+        p.take_over(1)
+        p.submit(0, "a", demand=large)
+        p.run(10)
+        self.assertEqual(1, p.running("a"))
+
+    def test_a_gang_that_the_cell_can_hold_waits(self):
+        gang = {"kind": job.Kind.GANG, "demand": WHOLE}
+        self.assertIsNone(self.outcome("a", task_count=3, **gang))
+        refused = self.outcome("a", task_count=4, **gang)
+        self.assertIs(job.State.NOT_RUN, refused.state)
+
+    def test_a_task_that_fits_no_worker_of_the_cell_is_refused(self):
+        refused = self.outcome("a", demand=WHOLE + cell.ONE)
+        self.assertIs(job.State.NOT_RUN, refused.state)
+
+    def test_nothing_is_refused_before_the_other_workers_are_known(self):
+        p = partitioned.Partitions(1, 2)
+        p[0].move = lambda: None
+        p.submit(0, "a", kind=job.Kind.GANG, demand=WHOLE, task_count=4)
+        p.run(20)
+        self.assertNotIn("a", p[0].cell.finished)
--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -271,6 +271,30 @@
         self.wait(lambda: self.fleet.found["w1"].acknowledged == ["a/0"])
         self.assertTrue(self.owner.is_durable("a"))
 
+    def test_a_worker_is_bound_until_its_results_are_in_the_log(self):
+        # Guards against a move that leaves the only record of a result behind: the
+        # successor would run the task again.
+        self.attach(self.owner)
+        self.submit(self.owner, "a")
+        link = self.fleet.found["w1"]
+        self.wait(lambda: link.started)
+        self.table.down = True
+        self.finish(self.owner, "a/0")
+        self.wait(lambda: self.owner.bound_workers() == {"w1"})
+        self.table.down = False
+        self.wait(lambda: link.acknowledged)
+        self.assertEqual(frozenset(), self.owner.bound_workers())
+
+    def test_a_worker_is_bound_by_an_intent_without_outcome(self):
+        # Guards against an unknown outcome of a task that certainly never ran: its
+        # start was refused, and only this worker can tell a successor so.
+        self.attach(self.owner)
+        self.submit(self.owner, "a", idempotent=False)
+        self.wait(lambda: self.fleet.found["w1"].started)
+        self.assertEqual({"w1"}, self.owner.bound_workers())
+        self.finish(self.owner, "a/0")
+        self.wait(lambda: not self.owner.bound_workers())
+
     def test_an_outage_refuses_new_jobs_and_starts_accepted_ones(self):
         self.submit(self.owner, "a")
         self.table.down = True
--- a/toucanspring/adapters/workers.py
+++ b/toucanspring/adapters/workers.py
@@ -56,6 +56,9 @@
     def acknowledge(self, epoch: int, task_ids: list[str]) -> None | errors.Failure:
         """Let the worker forget finished tasks."""
 
+    def release(self, epoch: int) -> None | errors.Failure:
+        """End the lease of a worker that has no tasks."""
+
     def close(self) -> None:
         """End the stream; tasks keep running until the lease expires."""
 
@@ -150,6 +153,10 @@
         """Let the worker forget finished tasks."""
         return self._stream.send(wire.Acknowledge(epoch, task_ids))
 
+    def release(self, epoch: int) -> None | errors.Failure:
+        """End the lease of a worker that has no tasks."""
+        return self._stream.send(wire.Release(epoch))
+
     def close(self) -> None:
         """End the stream; tasks keep running until the lease expires."""
         self._stream.close()
--- a/toucanspring/daemon.py
+++ b/toucanspring/daemon.py
@@ -29,6 +29,7 @@
     "claims",
     "fleet",
     "partitions",
+    "mover",
     "autostart",
     "requests",
     "gateway",
--- a/toucanspring/execution.py
+++ b/toucanspring/execution.py
@@ -48,6 +48,8 @@
         self._post = post
         self._watched: dict[str, gevent.Greenlet] = {}
         self._unwritten: collections.Counter[str] = collections.Counter()
+        # Worker -> acknowledgements that wait for the log.
+        self.unacknowledged: collections.Counter[str] = collections.Counter()
 
     def close(self) -> None:
         """Stop following jobs of other partitions."""
@@ -171,6 +173,8 @@
 
         def forget(failure: errors.Failure | None) -> list[effects.Effect]:
             if failure is None:
+                if written is not None:
+                    self.unacknowledged -= collections.Counter([worker])
                 link = self._kernel.find("fleet").link(self._number, worker)
                 if link is not None:
                     link.acknowledge(task_ids)
@@ -179,6 +183,7 @@
         if written is None:
             forget(None)
         else:
+            self.unacknowledged[worker] += 1
             self.when_written(written, forget)
 
     # Dependencies on jobs of other partitions
--- a/toucanspring/fleet.py
+++ b/toucanspring/fleet.py
@@ -10,9 +10,8 @@
 import gevent
 import gevent.event
 import logbook
-import msgspec
 
-from toucanspring import errors, kernel, resources, settings, wire
+from toucanspring import errors, kernel, need, resources, roster, settings, wire
 from toucanspring.adapters import tables, vms, workers
 
 log = logbook.Logger(__name__)
@@ -26,7 +25,7 @@
 MAX_RECONNECT_PAUSE_S = 3.0
 POLL_INTERVAL_S = 1.0
 FORGET_ABSENT_S = 600.0
-WORKERS_ROW = "workers"
+WORKERS_ROW = roster.WORKERS_ROW
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,6 +119,13 @@
         if self.attached and self._stream is not None:
             self._stream.acknowledge(self.epoch, task_ids)
 
+    def release(self) -> None:
+        """End the worker's lease, so that another partition may attach, and close."""
+        self.attached = False
+        if self._stream is not None:
+            self._stream.release(self.epoch)
+        self.close()
+
     def traffic(self) -> tuple[int, int]:
         """Return the bytes sent and received on the present stream."""
         if self._stream is None:
@@ -219,8 +225,7 @@
         self._kernel = core
         self._settings = options
         self._links: dict[int, dict[str, Link]] = {}
-        self._assigned: dict[str, int] = {}
-        self._assigned_version = 0
+        self.roster = roster.Roster()
         self._vms: dict[str, vms.Vm] = {}
         self._absent_since: dict[str, float] = {}
         self._posts: dict[int, tuple[int, Callable[[object], None]]] = {}
@@ -294,10 +299,42 @@
                 self._see_vms(listed)
         return {
             worker: self._capacity(worker)
-            for worker, owner in self._assigned.items()
-            if owner == partition
+            for worker in self.roster.workers_of(partition)
         }
 
+    def listed(self, partition: int) -> dict[str, need.Listed]:
+        """Return the workers of a partition by their entries in the VM list."""
+        return self._listed(lambda owner: owner == partition)
+
+    def elsewhere(self, partition: int) -> dict[str, need.Listed]:
+        """Return the workers of all other partitions."""
+        return self._listed(lambda owner: owner != partition)
+
+    def _listed(self, matches: Callable[[int], bool]) -> dict[str, need.Listed]:
+        return {
+            worker: need.Listed(
+                self._vms[worker].availability_zone,
+                self._capacity(worker),
+                self.is_leaving(worker),
+            )
+            for worker, owner in self.roster.partitions.items()
+            if matches(owner) and worker in self._vms
+        }
+
+    def reread(self) -> None | errors.Failure:
+        """Read which workers belong to which partition, and follow changes."""
+        failure = self._read_assignment()
+        if failure is None:
+            for partition in list(self._posts):
+                self._update_links(partition)
+        return failure
+
+    def hand_over(self, partition: int, worker: str) -> None:
+        """Close the link to a worker that was moved to another partition."""
+        link = self._links.get(partition, {}).pop(worker, None)
+        if link is not None:
+            link.release()
+
     def _capacity(self, worker: str) -> resources.Resources | None:
         listed = self._vms.get(worker)
         if listed is None or listed.resources == resources.ZERO:
@@ -340,7 +377,7 @@
                 self._post_leaving(worker, leaving)
 
     def _post_leaving(self, worker: str, leaving: bool) -> None:
-        entry = self._posts.get(self._assigned.get(worker, -1))
+        entry = self._posts.get(self.roster.partitions.get(worker, -1))
         if entry is not None:
             entry[1](Leaving(worker, leaving))
 
@@ -349,9 +386,7 @@
         if isinstance(rows, errors.Failure):
             return rows
         row = rows[WORKERS_ROW]
-        if row.version != self._assigned_version:
-            self._assigned = msgspec.msgpack.decode(row.value, type=dict[str, int])
-            self._assigned_version = row.version
+        self.roster.take(row, time.monotonic())
         return None
 
     def _assign_workers(self) -> None:
@@ -360,10 +395,10 @@
         forgotten = [
             worker
             for worker, since in self._absent_since.items()
-            if now - since > FORGET_ABSENT_S and worker in self._assigned
+            if now - since > FORGET_ABSENT_S and worker in self.roster.partitions
         ]
         new = sorted(
-            (worker for worker in self._vms if worker not in self._assigned),
+            (worker for worker in self._vms if worker not in self.roster.partitions),
             key=lambda worker: (
                 self._vms[worker].availability_zone,
                 self._vms[worker].rack,
@@ -375,13 +410,13 @@
             return
         assigned = {
             worker: partition
-            for worker, partition in self._assigned.items()
+            for worker, partition in self.roster.partitions.items()
             if worker not in forgotten
         }
         assign(assigned, new, self._settings.partitions)
         answer = self._kernel.find("store").tables.transact(
-            {WORKERS_ROW: self._assigned_version},
-            {WORKERS_ROW: msgspec.msgpack.encode(assigned)},
+            {WORKERS_ROW: self.roster.version},
+            {WORKERS_ROW: roster.encode(assigned)},
             (),
         )
         if isinstance(answer, tables.Committed):
@@ -392,11 +427,7 @@
         epoch, post = self._posts[partition]
         claims = self._kernel.find("claims")
         links = self._links[partition]
-        wanted = {
-            worker
-            for worker, owner in self._assigned.items()
-            if owner == partition and worker in self._vms
-        }
+        wanted = self.roster.workers_of(partition) & self._vms.keys()
         for worker in wanted - links.keys():
             links[worker] = Link(
                 partition,
--- a/toucanspring/gang.py
+++ b/toucanspring/gang.py
@@ -35,10 +35,16 @@
 
     A task that is expected to end before the reservation starts may backfill.
     """
+    excluded: frozenset[str] = frozenset()
+    if core.collecting == spec.id:
+        # Reservations of later gangs would hold the workers that it gets.
+        return excluded
+    urgent = spec.job_class in (job.JobClass.CHECK, job.JobClass.URGENT)
+    if core.collecting and not urgent:
+        excluded = core.collected
     if not core.reservations:
-        return frozenset()
+        return excluded
     end = now + core.estimator.run_seconds(spec)
-    excluded: frozenset[str] = frozenset()
     for job_id, reservation in core.reservations.items():
         service = spec.kind is job.Kind.SERVICE
         if not reservation.exclusive or job_id == spec.id:
--- a/toucanspring/heartbeat.py
+++ b/toucanspring/heartbeat.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from toucanspring import errors, freshness, ownership, resources
+from toucanspring import errors, freshness, need, ownership, resources
 
 REACHABLE_S = 2.0
 MICROSECONDS = 1_000_000
@@ -36,6 +36,7 @@
     owned: dict[int, int]  # partition -> epoch
     free: resources.Resources = resources.ZERO
     draining: bool = False
+    statements: dict[int, need.Statement] = {}  # by own partition
 
 
 _decoder = msgspec.msgpack.Decoder(Heartbeat)
--- a/toucanspring/inbox.py
+++ b/toucanspring/inbox.py
@@ -28,7 +28,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ask:
-    """Run a read-only function of the scheduler in the partition's task."""
+    """Run a function of the scheduler without effects in the partition's task."""
 
     function: Callable[[scheduler.Scheduler], object]
     result: gevent.event.AsyncResult
@@ -42,6 +42,13 @@
     failure: errors.Failure | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerMoved:
+    """Say that a worker without tasks belongs to another partition now."""
+
+    worker: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TeamsChanged:
     """Say that teams or availability zones have changed."""
--- a/toucanspring/intake.py
+++ b/toucanspring/intake.py
@@ -30,7 +30,7 @@
 
 
 def is_too_large(core: lifecycle.Lifecycle, spec: job.JobSpec) -> bool:
-    """Return whether the known workers together, empty, have no room for a job."""
+    """Return whether the known workers of the cell, empty, have no room for a job."""
     room = 0
     needed = spec.task_count if spec.kind is job.Kind.GANG else 1
     zones = spec.availability_zones
@@ -39,6 +39,15 @@
             room += spec.demand.count_in(facts.capacity)
             if room >= needed:
                 return False
+    for worker, listed in (core.elsewhere or {}).items():
+        if worker in core.known_workers:
+            continue  # was here before it moved
+        if not zones or listed.availability_zone in zones:
+            # A worker of unknown size may be large enough.
+            amount = listed.capacity
+            room += needed if amount is None else spec.demand.count_in(amount)
+            if room >= needed:
+                return False
     return True
 
 
@@ -53,7 +62,9 @@
 
 def refuse_too_large(core: lifecycle.Lifecycle, now: float) -> None:
     """End the jobs that no set of workers has room for, once all are known."""
-    if not core.too_large or not core.known_workers or core.expected:
+    if not core.too_large or core.expected or core.elsewhere is None:
+        return
+    if not (core.known_workers or core.elsewhere):
         return
     if now - core.new_worker_at < FLEET_SETTLED_S:
         return
@@ -74,7 +85,7 @@
     if reason := refusal(core, spec):
         core.end_waiting(record, job.Outcome(job.State.NOT_RUN, reason), now)
         return
-    if is_too_large(core, spec):
+    if core.elsewhere is None or is_too_large(core, spec):
         core.too_large.add(spec.id)
         refuse_too_large(core, now)
     if record.outcome is None and wait_for_dependencies(core, record, now):
--- a/toucanspring/lifecycle.py
+++ b/toucanspring/lifecycle.py
@@ -15,6 +15,7 @@
     fairness,
     gang,
     job,
+    need,
     placement,
     quarantine,
     resources,
@@ -89,6 +90,13 @@
         self.held_jobs: set[str] = set()  # jobs with tasks that may run there
         self.reservations: dict[str, gang.Reservation] = {}
         self.paused: set[str] = set()  # workers that refused a start
+        # Workers that get no new tasks: drained for a gang elsewhere, or being moved.
+        self.withheld: set[str] = set()
+        # The gang that other partitions give workers to, and the workers it has.
+        self.collecting = ""
+        self.collected: frozenset[str] = frozenset()
+        # Workers of other partitions; `None` until they are known.
+        self.elsewhere: dict[str, need.Listed] | None = {}
         self.retries: list[tuple[float, int, str, int]] = []  # heap by due time
         self._sequence = 0
         self.changed = True  # something may have made room for waiting work
@@ -105,6 +113,7 @@
             and not state.leaving
             and state.facts.availability_zone not in self.zones_out
             and now >= state.paused_until
+            and worker not in self.withheld
             and self.quarantine.allows(worker, now) is not quarantine.Verdict.NO
         )
         if schedulable != state.schedulable:
--- a/toucanspring/log_records.py
+++ b/toucanspring/log_records.py
@@ -12,9 +12,10 @@
 
 
 class Accepted(msgspec.Struct, frozen=True, tag="accepted"):
-    """A job was accepted."""
+    """A job was accepted; `at_ms` is the owner's wall clock and only orders jobs."""
 
     spec: job.JobSpec
+    at_ms: int = 0
 
 
 class Intended(msgspec.Struct, frozen=True, tag="intended"):
@@ -84,13 +85,15 @@
         self.outcomes: dict[str, dict[str, job.Outcome]] = {}
         self.intents: dict[str, effects.Intent] = {}
         self.cancelled: set[str] = set()
+        self.accepted_ms: dict[str, int] = {}
         self.requests: dict[str, RequestEntry] = {}
 
     def apply(self, record: Record) -> None:
         """Add one record; applying a record twice changes nothing."""
         match record:
-            case Accepted(spec=spec):
+            case Accepted(spec=spec, at_ms=at_ms):
                 self.specs.setdefault(spec.id, spec)
+                self.accepted_ms.setdefault(spec.id, at_ms)
             case Intended(intents=intents):
                 self.intents.update({intent.task_id: intent for intent in intents})
             case Finished(outcomes=outcomes):
@@ -141,6 +144,7 @@
         dropped = finished[: max(0, len(finished) - keep)]
         for job_id in dropped:
             del self.specs[job_id]
+            self.accepted_ms.pop(job_id, None)
             self.outcomes.pop(job_id, None)
             self.cancelled.discard(job_id)
         answered = [key for key, entry in self.requests.items() if entry.outcome]
@@ -150,7 +154,10 @@
 
     def to_records(self) -> list[Record]:
         """Return records that rebuild this state."""
-        found: list[Record] = [Accepted(spec) for spec in self.specs.values()]
+        found: list[Record] = [
+            Accepted(spec, self.accepted_ms.get(job_id, 0))
+            for job_id, spec in self.specs.items()
+        ]
         if self.intents:
             found.append(Intended(list(self.intents.values())))
         found.extend(Finished(tasks) for tasks in self.outcomes.values())
--- a/toucanspring/membership.py
+++ b/toucanspring/membership.py
@@ -10,7 +10,7 @@
 import msgspec
 from gevent import pool
 
-from toucanspring import errors, heartbeat, ownership, renewal, resources
+from toucanspring import errors, heartbeat, need, ownership, renewal, resources
 from toucanspring.adapters import tables
 
 log = logbook.Logger(__name__)
@@ -61,6 +61,7 @@
         self.sightings: dict[str, ownership.Sighting] = {}
         self.rows: dict[str, tuple[int, renewal.MemberRow]] = {}
         self.free_resources: Callable[[], resources.Resources] = lambda: resources.ZERO
+        self.statements: Callable[[], dict[int, need.Statement]] = dict
         self._watches: list[tuple[Callable, Callable]] = []
         self._listeners: list[HeartbeatListener] = []
         self._polls = 0
@@ -344,6 +345,7 @@
             owned=self.own.guard.owned(),
             free=self.free_resources(),
             draining=self.own.draining,
+            statements=self.statements(),
         )
         for name in self.members():
             if name != self.identity.process:
--- /dev/null
+++ b/toucanspring/mover.py
@@ -0,0 +1,217 @@
+"""Service `mover`: moves idle workers of owned partitions to others in need."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from collections.abc import Callable
+
+import gevent
+import logbook
+
+from toucanspring import (
+    claims,
+    errors,
+    inbox,
+    kernel,
+    moves,
+    need,
+    partition,
+    roster,
+    settings,
+)
+from toucanspring.adapters import tables
+
+log = logbook.Logger(__name__)
+
+STEP_INTERVAL_S = 0.5
+# A worker that has not attached so long after its move cannot be counted on.
+ARRIVAL_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Doubt:
+    """Hold a move whose transaction may or may not have taken effect."""
+
+    epoch: int
+    batch: moves.Batch
+    checked_version: int
+
+
+class Service:
+    """State the needs of owned partitions and move their workers."""
+
+    def __init__(
+        self,
+        core: kernel.Kernel,
+        options: settings.Settings,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._kernel = core
+        self._clock = clock
+        self._enabled = options.partitions > 1 and options.moves == "on"
+        self._stated: dict[int, need.Statement] = {}
+        self._doubts: dict[int, Doubt] = {}
+        self._steps: dict[int, gevent.Greenlet] = {}
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to state needs and to move workers."""
+        if self._enabled:
+            self._kernel.find("membership").statements = self.statements
+            self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Move no more workers."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+        gevent.killall(list(self._steps.values()))
+
+    def statements(self) -> dict[int, need.Statement]:
+        """Return the statements on owned partitions, for heartbeats."""
+        owned = self._kernel.find("claims").owned()
+        return {
+            number: stated for number, stated in self._stated.items() if number in owned
+        }
+
+    def known(self) -> dict[int, need.Statement]:
+        """Return the latest statement on each partition from its present owner."""
+        found: dict[int, tuple[int, need.Statement]] = {}
+        peers = self._kernel.find("membership").peer_states()
+        for message in peers.values():
+            for number, stated in message.statements.items():
+                epoch = message.owned.get(number, 0)
+                if epoch > found.get(number, (0, None))[0]:
+                    found[number] = epoch, stated
+        owned = self._kernel.find("claims").owned()
+        for number, stated in self.statements().items():
+            if owned[number] >= found.get(number, (0, None))[0]:
+                found[number] = owned[number], stated
+        return {number: stated for number, (_, stated) in found.items()}
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(STEP_INTERVAL_S)
+            owned = self._kernel.find("partitions").owned()
+            for number in self._stated.keys() - owned.keys():
+                del self._stated[number]
+            for number, owner in owned.items():
+                # A step that waits for the store holds up its own partition only.
+                running = self._steps.get(number)
+                if owner.ready.is_set() and (running is None or running.dead):
+                    self._steps[number] = gevent.spawn(self.step, owner)
+
+    def step(self, owner: partition.Partition) -> None:
+        """State what a partition lacks, then move workers that others lack."""
+        number = owner.number
+        fleet = self._kernel.find("fleet")
+        if not self._kernel.find("claims").may_start(number, self._clock()):
+            return
+        doubt = self._doubts.get(number)
+        if doubt is not None:
+            self._resolve(owner, doubt)
+        statements = self.known()
+        latest = max((each.workers_version for each in statements.values()), default=0)
+        if latest > fleet.roster.version:
+            fleet.reread()
+        facts = self._facts(owner)
+        doubt = self._doubts.get(number)
+        moving = frozenset(doubt.batch.workers if doubt else ())
+
+        def decide(scheduler: object) -> tuple[need.Statement, moves.Batch | None]:
+            now = self._clock()
+            stated = scheduler.moves.state(facts, now)
+            batch = scheduler.moves.plan(
+                number, {**statements, number: stated}, facts, now, moving
+            )
+            return stated, batch
+
+        decided = owner.ask(decide)
+        if isinstance(decided, errors.Failure):
+            return
+        self._stated[number], batch = decided
+        if batch is not None:
+            self._move(owner, batch)
+
+    def _facts(self, owner: partition.Partition) -> moves.Facts:
+        fleet = self._kernel.find("fleet")
+        now = self._clock()
+        attached = owner.facts()
+        return moves.Facts(
+            fleet.roster.version,
+            dict(fleet.roster.changed_at),
+            dict(fleet.roster.moved_at),
+            owner.journal.state.accepted_ms,
+            {
+                worker: listed
+                for worker, listed in fleet.listed(owner.number).items()
+                if worker not in attached
+                and now - fleet.roster.moved_at.get(worker, -ARRIVAL_S) < ARRIVAL_S
+            },
+            fleet.elsewhere(owner.number),
+            owner.bound_workers(),
+        )
+
+    # Transactions
+
+    def _move(self, owner: partition.Partition, batch: moves.Batch) -> None:
+        """Rewrite the row `workers` for empty workers that get no new tasks."""
+        number = owner.number
+        fleet = self._kernel.find("fleet")
+        known = fleet.roster
+        if any(known.partitions.get(worker) != number for worker in batch.workers):
+            fleet.reread()
+            return
+        changed = {**known.partitions, **dict.fromkeys(batch.workers, batch.receiver)}
+        version = known.version
+        answer = self._kernel.find("store").tables.transact(
+            # A former owner must not move a worker on which its successor starts
+            # tasks, so the ownership row is checked in the same transaction.
+            {roster.WORKERS_ROW: version, claims.key_of(number): owner.row_version},
+            {roster.WORKERS_ROW: roster.encode(changed)},
+            (),
+        )
+        match answer:
+            case tables.Committed(versions=versions):
+                if versions[roster.WORKERS_ROW] > known.version:
+                    known.replace(versions[roster.WORKERS_ROW], changed, self._clock())
+                self._hand_over(owner, batch)
+            case errors.Ambiguous():
+                self._doubts[number] = Doubt(owner.epoch, batch, version)
+            case errors.Conflict():
+                # In a repetition the first attempt may be what conflicts, so a doubt
+                # is left to the next look at the row.
+                fleet.reread()
+            case _:
+                log.info("partition {}: no move: {}", number, answer.reason)
+
+    def _resolve(self, owner: partition.Partition, doubt: Doubt) -> None:
+        """Find out whether a move whose answer was lost has taken effect."""
+        number = owner.number
+        if doubt.epoch != owner.epoch:
+            # The claim of the later epoch came before its read of the row, so the
+            # transaction has either been read or fails by its ownership check.
+            del self._doubts[number]
+            return
+        fleet = self._kernel.find("fleet")
+        if fleet.reread() is not None:
+            return
+        if fleet.roster.version == doubt.checked_version:
+            # May still take effect; the repetition settles which of the two does.
+            self._move(owner, doubt.batch)
+            return
+        del self._doubts[number]
+        if fleet.roster.partitions.get(doubt.batch.workers[0]) != number:
+            self._hand_over(owner, doubt.batch)
+
+    def _hand_over(self, owner: partition.Partition, batch: moves.Batch) -> None:
+        self._doubts.pop(owner.number, None)
+        for worker in batch.workers:
+            self._kernel.find("fleet").hand_over(owner.number, worker)
+            owner.post(inbox.WorkerMoved(worker))
+        log.info(
+            "partition {}: moved {} to partition {}",
+            owner.number,
+            ", ".join(batch.workers),
+            batch.receiver,
+        )
--- a/toucanspring/partition.py
+++ b/toucanspring/partition.py
@@ -38,6 +38,7 @@
 MAX_MESSAGES_PER_ROUND = 256
 LOAD_RETRY_S = 0.3
 DRAIN_LIMIT_S = 2.0
+ASK_TIMEOUT_S = 3.0
 
 
 class Partition:
@@ -59,12 +60,16 @@
         self._scheduler = scheduler.Scheduler(number, random.Random())
         self._accepting: dict[str, tuple[job.JobSpec, gevent.event.AsyncResult]] = {}
         self._greenlet: gevent.Greenlet | None = None
+        if options.partitions > 1 and options.moves == "on":
+            self._scheduler.expect_elsewhere()
         claims = core.find("claims")
+        # Of this epoch: a later one of the same process must not be used for it.
+        self.row_version = claims.row_version(number)
         store = core.find("store")
         self.journal = journal.Journal(
             number,
             epoch,
-            claims.row_version(number),
+            self.row_version,
             store.tables,
             store.objects,
             journal.flush_interval(options.partitions),
@@ -102,6 +107,25 @@
         """Return the workers that have attached."""
         return dict(self._executor.workers)
 
+    def ask(self, function: Callable[[scheduler.Scheduler], object]) -> object:
+        """Return what a function says of the scheduler, or a failure."""
+        result = gevent.event.AsyncResult()
+        self.post(inbox.Ask(function, result))
+        try:
+            return result.get(timeout=ASK_TIMEOUT_S)
+        except gevent.Timeout:
+            return errors.Timeout(reason="the partition did not answer in time")
+
+    def bound_workers(self) -> frozenset[str]:
+        """Return the workers of incomplete records, which must stay here.
+
+        A successor asks them about ends and starts whose records it lacks.
+        """
+        intents = self.journal.state.intents.values()
+        return frozenset(intent.worker for intent in intents).union(
+            self._executor.unacknowledged
+        )
+
     def is_durable(self, job_id: str) -> bool:
         """Return whether all outcomes of a job so far are in the log."""
         return self._executor.is_durable(job_id)
@@ -182,7 +206,7 @@
         match message:
             case fleet.FromWorker(worker=worker, message=content):
                 self._handle_worker(worker, content, now)
-            case fleet.Lost(worker=worker):
+            case fleet.Lost(worker=worker) | inbox.WorkerMoved(worker=worker):
                 self._executor.workers.pop(worker, None)
                 self._executor.carry_out(self._scheduler.worker_lost(worker, now))
             case fleet.Disconnected(worker=worker, unanswered=unanswered):
@@ -295,7 +319,8 @@
         gevent.spawn(self._answer_submit, specs, answers, waiting, result)
 
     def _accept(self, spec: job.JobSpec) -> gevent.event.AsyncResult:
-        written = self.journal.append(log_records.Accepted(spec), droppable=True)
+        record = log_records.Accepted(spec, time.time_ns() // 1_000_000)
+        written = self.journal.append(record, droppable=True)
         self._accepting[spec.id] = (spec, written)
 
         def enter(failure: errors.Failure | None) -> list[effects.Effect]:
--- a/toucanspring/preemption.py
+++ b/toucanspring/preemption.py
@@ -174,7 +174,8 @@
     together = spec.kind is job.Kind.GANG
     if not together:
         count = min(count, TASKS_PER_JOB)
-    taken = frozenset().union(
+    taken = core.collected if core.collecting != spec.id else frozenset()
+    taken = taken.union(
         *(
             held.workers
             for job_id, held in core.reservations.items()
--- a/toucanspring/recovery.py
+++ b/toucanspring/recovery.py
@@ -132,6 +132,10 @@
     for task in attributed.values():
         core.index.allocate(worker, task.demand)
     state.schedulable = True
+    core.changed = True
+    if core.collecting:
+        # May have moved here for the gang; `moves` frees it if the gang has enough.
+        core.collected |= {worker}
     core.update_schedulable(worker, now)
     present = set()
     # Running attempts first: an older ended attempt of the same task must not queue
--- /dev/null
+++ b/toucanspring/roster.py
@@ -0,0 +1,54 @@
+"""The row `workers`, which says which partition each worker belongs to."""
+
+from __future__ import annotations
+
+import msgspec
+
+from toucanspring.adapters import tables
+
+WORKERS_ROW = "workers"
+
+_decoder = msgspec.msgpack.Decoder(dict[str, int])
+encode = msgspec.msgpack.encode
+
+
+class Roster:
+    """Hold the latest version of the row that this process has read or written."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.partitions: dict[str, int] = {}  # worker -> partition
+        # Partition -> version with which its set of workers last changed.
+        self.changed_at: dict[int, int] = {}
+        self.moved_at: dict[str, float] = {}  # worker -> when a move was seen
+
+    def take(self, row: tables.Row, now: float) -> None:
+        """Take in a row unless a later version is known.
+
+        Reads under way at once may be answered in the other order; an older one
+        would bring back a worker that has moved away.
+        """
+        if row.version > self.version:
+            self.replace(row.version, _decoder.decode(row.value), now)
+
+    def replace(self, version: int, partitions: dict[str, int], now: float) -> None:
+        """Set a later version of the row."""
+        former = self.partitions
+        for worker in former.keys() | partitions.keys():
+            before, after = former.get(worker), partitions.get(worker)
+            if before == after:
+                continue
+            for partition in (before, after):
+                if partition is not None:
+                    self.changed_at[partition] = version
+            if after is None:
+                self.moved_at.pop(worker, None)
+            elif before is not None:
+                self.moved_at[worker] = now
+        self.version, self.partitions = version, partitions
+
+    def workers_of(self, partition: int) -> set[str]:
+        """Return the workers of a partition."""
+        return {
+            worker for worker, owner in self.partitions.items() if owner == partition
+        }
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -15,6 +15,7 @@
     intake,
     job,
     lifecycle,
+    moves,
     preemption,
     recovery,
     resources,
@@ -32,6 +33,7 @@
         self.partition = partition
         self._core = lifecycle.Lifecycle(rng)
         self._dispatcher = dispatch.Dispatcher(self._core)
+        self.moves = moves.Moves(self._core, self._dispatcher)
         self._next_checks = 0.0
 
     def submit(self, specs: list[job.JobSpec], now: float) -> list[effects.Effect]:
@@ -117,10 +119,17 @@
         return self._core.effects.take()
 
     def worker_lost(self, worker: str, now: float) -> list[effects.Effect]:
-        """End the attempts on a worker; its lease and grace must have expired."""
+        """End the attempts on a worker whose lease and grace have expired.
+
+        A worker that was moved to another partition has no attempts.
+        """
         recovery.lose(self._core, worker, now)
         return self._core.effects.take()
 
+    def expect_elsewhere(self) -> None:
+        """Refuse no job for its size until other partitions' workers are known."""
+        self._core.elsewhere = None
+
     def worker_leaving(
         self, worker: str, leaving: bool, now: float
     ) -> list[effects.Effect]:
--- a/toucanspring/settings.py
+++ b/toucanspring/settings.py
@@ -45,6 +45,7 @@
     :param poll_s: interval of reads of the head, member and ownership rows
     :param heartbeat_s: interval of heartbeats between processes
     :param drain_s: limit on waiting for in-flight requests at shutdown
+    :param moves: on, or off to keep each worker in its first partition
     :param plugins: names of plugins to load, separated by commas
     """
 
@@ -70,6 +71,7 @@
     poll_s: float = 0.5
     heartbeat_s: float = 0.5
     drain_s: float = 30.0
+    moves: str = "on"
     plugins: str = ""
 
 
@@ -99,6 +101,7 @@
          "at most half of lease_s"),
         ("poll_s", 0 < settings.poll_s <= 1, "more than 0, at most 1"),
         ("heartbeat_s", 0 < settings.heartbeat_s <= 1, "more than 0, at most 1"),
+        ("moves", settings.moves in ("on", "off"), "on or off"),
         ("drain_s", settings.drain_s >= 0, "0 or more"),
         ("tls_key", bool(settings.tls_certificate) == bool(settings.tls_key),
          "set together with tls_certificate"),
--- a/toucanspring/wire.py
+++ b/toucanspring/wire.py
@@ -130,6 +130,12 @@
     task_ids: list[str]
 
 
+class Release(msgspec.Struct, frozen=True, tag="release", array_like=True):
+    """End the lease of a worker without tasks, so that another partition may attach."""
+
+    epoch: int
+
+
 class Report(msgspec.Struct, frozen=True, tag="report", array_like=True):
     """Report finished tasks and lagging usage per running task."""
 
@@ -148,6 +154,7 @@
     | Stop
     | Throttle
     | Acknowledge
+    | Release
     | Report
 )
 
