--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -15,6 +15,7 @@
     intake,
     job,
     lifecycle,
+    moves,
     overuse,
     preemption,
     recovery,
@@ -33,6 +34,7 @@
         self.partition = partition
         self._core = lifecycle.Lifecycle(rng)
         self._dispatcher = dispatch.Dispatcher(self._core)
+        self.moves = moves.Moves(self._core, self._dispatcher)
         self._next_checks = 0.0
         self._tried: set[str] = set()  # blocked jobs, in this turn of preemption
 
@@ -120,10 +122,17 @@
         return self._core.effects.take()
 
     def worker_lost(self, worker: str, now: float) -> list[effects.Effect]:
-        """End the attempts on a worker; its lease and grace must have expired."""
+        """End the attempts on a worker whose lease and grace have expired.
+
+        A worker that was moved to another partition has no attempts.
+        """
         recovery.lose(self._core, worker, now)
         return self._core.effects.take()
 
+    def expect_elsewhere(self) -> None:
+        """Refuse no job for its size until other partitions' workers are known."""
+        self._core.elsewhere = None
+
     def worker_leaving(
         self, worker: str, leaving: bool, now: float
     ) -> list[effects.Effect]:
--- a/toucanspring/wire.py
+++ b/toucanspring/wire.py
@@ -140,6 +140,12 @@
     epoch: int
 
 
+class Release(msgspec.Struct, frozen=True, tag="release", array_like=True):
+    """End the lease of a worker without tasks, so that another partition may attach."""
+
+    epoch: int
+
+
 class Report(msgspec.Struct, frozen=True, tag="report", array_like=True):
     """Report finished tasks and the lagging usage of running tasks where it changed."""
 
@@ -159,6 +165,7 @@
     | Throttle
     | Acknowledge
     | Poll
+    | Release
     | Report
 )
 
--- a/toucanspring/worker_link.py
+++ b/toucanspring/worker_link.py
@@ -154,6 +154,13 @@
         if self.attached and self._stream is not None:
             self._stream.acknowledge(self.epoch, task_ids)
 
+    def release(self) -> None:
+        """End the worker's lease, so that another partition may attach, and close."""
+        self.attached = False
+        if self._stream is not None:
+            self._stream.release(self.epoch)
+        self.close()
+
     def traffic(self) -> tuple[int, int]:
         """Return the bytes sent and received on the present stream."""
         if self._stream is None:
