Keep the counts of error budgets in the table service

Cause: counts lived in the memory of each process, so the windows of 6 hours and 3 days began anew with each replaced entry VM.

Change: the service `budgets` writes closed minutes every 120 s into one row for each run of a process, with a check of the row's version; a write without an answer is settled by rereading before the next one. Rows of ended runs are folded into the row of a live writer in one transaction. A report reads the rows, then asks the live processes, and takes each count from one of them; it names what is missing. Reports between processes are sent in blocks, since the counts of many teams exceed one frame. Requests touch memory only.

Conclusion: before, a replaced process forgot everything; now a killed one loses up to 192 s.

--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -7,7 +7,9 @@
 
 import gevent
 
+from test import fake_tables
 from toucanspring import (
+    budgets,
     claims,
     effects,
     errors,
@@ -227,6 +229,7 @@
         self.listed = list(listed)
         self.kept = {}
         self.vms = types.SimpleNamespace(list=lambda: list(self.listed))
+        self.tables = fake_tables.FakeTables().client()
         self.objects = types.SimpleNamespace(
             put=self.kept.__setitem__, get=self.kept.__getitem__
         )
@@ -245,6 +248,7 @@
         ("claims", Claims()),
         ("partitions", Partitions()),
         ("requests", requests.Service(core, chosen, client)),
+        ("budgets", budgets.Service(core, chosen)),
         ("gateway", gateway.Service(core, chosen)),
     ):
         core.register(name, service)
--- a/toucanspring/api_status.py
+++ b/toucanspring/api_status.py
@@ -77,6 +77,7 @@
         def ask(process: str) -> bytes | errors.Failure:
             return peers.call(process, "report", name.encode(), REPORT_TIMEOUT_S)
 
+        stored = report.read_store(self._kernel, name)
         answers = pool.Pool(MAX_PEER_CALLS).map(ask, others)
         parts = [report.collect(self._kernel, name)]
         missing = []
@@ -87,7 +88,7 @@
             else:
                 parts.append(part)
         cell = self._kernel.find("documents").cell()
-        built = report.build(name, cell, parts)
+        built = report.build(name, cell, parts, stored)
         api.send_json(response, {"report": name, "missing": missing, **built})
 
 
--- a/toucanspring/burn.py
+++ b/toucanspring/burn.py
@@ -9,6 +9,9 @@
 
 import collections
 import dataclasses
+from collections.abc import Callable, Iterable
+
+import msgspec
 
 BUCKET_S = 60
 BUDGET_PERIOD_S = 3 * 86400
@@ -20,7 +23,17 @@
 SLOW_RATE = 6.0
 WINDOWS_S = (300, 1800, 3600, 6 * 3600, BUDGET_PERIOD_S)
 
+# Lengths of stored buckets and the age from which they are used, in minutes. The
+# windows of up to an hour are made of whole minutes; at the edge of the longer ones a
+# bucket is counted by its middle, an error of 5 min in 6 h and of 30 min in 3 days.
+SPANS = ((60, 370), (10, 65))
+# A day more than the budget period: a clock that is wrong by less deletes nothing that
+# a report needs.
+KEPT_MINUTES = BUDGET_PERIOD_S // 60 + 1440
+
 Key = tuple[str, str]  # service, team
+# Service, team, age in buckets, good, bad.
+Sample = tuple[str, str, float, int, int]
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,17 +64,131 @@
         else:
             buckets[-1].bad += 1
 
-    def export(self, now: float) -> list[list[object]]:
-        """Return `[service, team, age in buckets, good, bad]` of all buckets."""
+    def export(self, now: float) -> list[Sample]:
+        """Return `(service, team, age in buckets, good, bad)` of all buckets."""
         current = int(now // BUCKET_S)
         oldest = current - BUDGET_PERIOD_S // BUCKET_S
         return [
-            [service, team, current - bucket.start, bucket.good, bucket.bad]
+            (service, team, current - bucket.start, bucket.good, bucket.bad)
             for (service, team), buckets in self._buckets.items()
             for bucket in buckets
             if bucket.start > oldest
         ]
 
+    def take(self, now: float, with_open: bool = False) -> list[Sample]:
+        """Remove and return the closed buckets, on request also the present one."""
+        current = int(now // BUCKET_S)
+        taken: list[Sample] = []
+        for (service, team), buckets in list(self._buckets.items()):
+            while buckets and (with_open or buckets[0].start < current):
+                bucket = buckets.popleft()
+                age = current - bucket.start
+                taken.append((service, team, age, bucket.good, bucket.bad))
+            if not buckets:
+                del self._buckets[service, team]
+        return taken
+
+
+class Series(msgspec.Struct, frozen=True, array_like=True):
+    """Hold the buckets `(start, span, good, bad)` of a service and team.
+
+    `start` and `span` are in minutes; `start` counts from the Unix epoch.
+    """
+
+    service: str
+    team: str
+    buckets: list[tuple[int, int, int, int]]
+
+
+class Counts:
+    """Sum good and bad requests by service, team and minutes of a wall clock.
+
+    Buckets grow longer with age, so that the counts of three days stay small. `pause`
+    is called after each service and team, so that long work can let others run; the
+    counts must not be changed during a pause.
+    """
+
+    def __init__(
+        self,
+        series: Iterable[Series] = (),
+        pause: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._buckets: dict[Key, dict[tuple[int, int], list[int]]] = {}
+        self._pause = pause
+        self.add(series)
+
+    def __bool__(self) -> bool:
+        return bool(self._buckets)
+
+    def add(self, series: Iterable[Series]) -> None:
+        """Include other counts."""
+        for each in series:
+            for start, span, good, bad in each.buckets:
+                self._add((each.service, each.team), start, span, good, bad)
+            self._pause()
+
+    def add_samples(self, samples: Iterable[Sample], minute: int) -> None:
+        """Include single minutes whose age is counted back from `minute`."""
+        for service, team, age, good, bad in samples:
+            self._add((service, team), minute - int(age), 1, good, bad)
+
+    def series(self) -> list[Series]:
+        """Return the counts in their stored form."""
+        found = []
+        for key, buckets in sorted(self._buckets.items()):
+            listed = [(*place, *count) for place, count in sorted(buckets.items())]
+            found.append(Series(*key, listed))
+            self._pause()
+        return found
+
+    def merged(self, minute: int) -> Counts:
+        """Return a copy with old buckets merged, and those out of use left out."""
+        found = Counts(pause=self._pause)
+        for key, buckets in self._buckets.items():
+            for (start, span), (good, bad) in buckets.items():
+                if abs(minute - start) < KEPT_MINUTES:
+                    found._add(key, *_merge(start, span, minute), good, bad)
+            self._pause()
+        return found
+
+    def newest(self) -> int:
+        """Return the start of the latest bucket, 0 without any."""
+        return max(
+            (start for buckets in self._buckets.values() for start, _ in buckets),
+            default=0,
+        )
+
+    def requests(self) -> int:
+        """Return the number of requests counted."""
+        return sum(
+            sum(count)
+            for buckets in self._buckets.values()
+            for count in buckets.values()
+        )
+
+    def _add(self, key: Key, start: int, span: int, good: int, bad: int) -> None:
+        count = self._buckets.setdefault(key, {}).setdefault((start, span), [0, 0])
+        count[0] += good
+        count[1] += bad
+
+
+def _merge(start: int, span: int, minute: int) -> tuple[int, int]:
+    """Return the longest bucket that this one belongs to at its age."""
+    for longer, age in SPANS:
+        whole = start - start % longer
+        if span < longer and minute - (whole + longer) >= age:
+            return whole, longer
+    return start, span
+
+
+def samples(series: Iterable[Series], minute: int) -> list[Sample]:
+    """Return stored counts by age; a long bucket has the age of its middle."""
+    return [
+        (each.service, each.team, minute - start - (span - 1) / 2, good, bad)
+        for each in series
+        for start, span, good, bad in each.buckets
+    ]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Window:
@@ -97,14 +224,15 @@
 
 
 def evaluate(
-    exports: list[list[list[object]]], objectives: dict[str, float]
+    exports: Iterable[Iterable[Sample]], objectives: dict[str, float]
 ) -> list[Budget]:
     """Return the budgets of services and teams from the exports of all processes."""
-    counts: dict[Key, dict[int, list[int]]] = {}
+    counts: dict[Key, dict[float, list[int]]] = {}
     for export in exports:
         for service, team, age, good, bad in export:
-            if service not in objectives:
+            if service not in objectives or age * BUCKET_S >= BUDGET_PERIOD_S:
                 continue
+            age = max(age, 0)  # counted by a clock ahead of this one
             for key in ((service, ""), (service, team)):
                 bucket = counts.setdefault(key, {}).setdefault(age, [0, 0])
                 bucket[0] += good
@@ -115,7 +243,7 @@
     ]
 
 
-def _budget(key: Key, buckets: dict[int, list[int]], objective: float) -> Budget:
+def _budget(key: Key, buckets: dict[float, list[int]], objective: float) -> Budget:
     windows = {seconds: _window(buckets, seconds, objective) for seconds in WINDOWS_S}
     fast = all(windows[seconds].rate >= FAST_RATE for seconds in FAST_WINDOWS_S)
     slow = all(windows[seconds].rate >= SLOW_RATE for seconds in SLOW_WINDOWS_S)
@@ -130,17 +258,17 @@
     )
 
 
-def _window(buckets: dict[int, list[int]], seconds: int, objective: float) -> Window:
+def _window(buckets: dict[float, list[int]], seconds: int, objective: float) -> Window:
     recent = [count for age, count in buckets.items() if age * BUCKET_S < seconds]
     good = sum(count[0] for count in recent)
     bad = sum(count[1] for count in recent)
     return Window(seconds, good, bad, burn_rate(good, bad, objective))
 
 
-def _history(buckets: dict[int, list[int]]) -> list[float]:
+def _history(buckets: dict[float, list[int]]) -> list[float]:
     hours: dict[int, list[int]] = {}
     for age, (good, bad) in buckets.items():
-        hour = hours.setdefault(age * BUCKET_S // 3600, [0, 0])
+        hour = hours.setdefault(int(age * BUCKET_S // 3600), [0, 0])
         hour[0] += good
         hour[1] += bad
     if not hours:
--- a/toucanspring/daemon.py
+++ b/toucanspring/daemon.py
@@ -31,6 +31,7 @@
     "partitions",
     "autostart",
     "requests",
+    "budgets",
     "gateway",
 )
 EXIT_SETTINGS = 2
--- a/toucanspring/gateway.py
+++ b/toucanspring/gateway.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Iterator
 
 import falcon
 import logbook
 
 from toucanspring import (
+    answers,
     api,
     api_jobs,
     api_operators,
@@ -169,8 +171,11 @@
             log.warning("{} requests were interrupted by the stop", interrupted)
         self._server = None
 
-    def _serve_report(self, _sender: str, body: bytes) -> bytes | errors.Failure:
+    def _serve_report(
+        self, _sender: str, body: bytes
+    ) -> Iterator[bytes] | errors.Failure:
         name = body.decode(errors="replace")
         if name not in report.NAMES:
             return errors.NotFound(reason=f"no report {name}")
-        return report.encode(report.collect(self._kernel, name))
+        # In blocks: the error budgets of many teams exceed one frame.
+        return answers.split(report.encode(report.collect(self._kernel, name)))
--- a/toucanspring/report.py
+++ b/toucanspring/report.py
@@ -13,7 +13,16 @@
 import msgspec
 from gevent import event
 
-from toucanspring import burn, errors, inbox, kernel, resources, summary, text
+from toucanspring import (
+    budgets,
+    burn,
+    errors,
+    inbox,
+    kernel,
+    resources,
+    summary,
+    text,
+)
 
 NAMES = ("share", "waiting", "burn")
 # A partition that loads its log answers late; the report does without it.
@@ -25,7 +34,7 @@
 
     summary: summary.Summary | None = None
     requests: dict[str, dict[str, int]] = {}
-    buckets: list[tuple[str, str, int, int, int]] = []
+    budgets: budgets.Export | None = None
 
 
 _part_decoder = msgspec.msgpack.Decoder(Part)
@@ -47,7 +56,7 @@
 def collect(core: kernel.Kernel, name: str) -> Part:
     """Return the contribution of this process to a report."""
     if name == "burn":
-        return Part(buckets=core.find("requests").burn.export(time.monotonic()))
+        return Part(budgets=core.find("budgets").export())
     part = Part(summary=_summarise_owned(core))
     if name == "waiting":
         part.requests = core.find("requests").waiting()
@@ -68,8 +77,23 @@
     return joined
 
 
-def build(name: str, cell: text.Cell, parts: list[Part]) -> dict[str, object]:
-    """Return a report from the contributions of all processes."""
+def read_store(core: kernel.Kernel, name: str) -> list[budgets.Row] | errors.Failure:
+    """Return what the store holds for a report; to be read before the other parts."""
+    if name != "burn":
+        return []
+    rows = budgets.read_rows(core.find("store").tables)
+    if isinstance(rows, errors.Failure):
+        return rows
+    return [row for _, row in rows.values()]
+
+
+def build(
+    name: str,
+    cell: text.Cell,
+    parts: list[Part],
+    stored: list[budgets.Row] | errors.Failure = (),
+) -> dict[str, object]:
+    """Return a report from the contributions of all processes and of the store."""
     joined = summary.Summary()
     for part in parts:
         if part.summary is not None:
@@ -79,9 +103,25 @@
             return {"teams": _shares(cell, joined)}
         case "waiting":
             return {"jobs": _waiting_jobs(joined), "requests": _waiting_requests(parts)}
+    return _budgets(cell, parts, stored)
+
+
+def _budgets(
+    cell: text.Cell, parts: list[Part], stored: list[budgets.Row] | errors.Failure
+) -> dict[str, object]:
     objectives = {service.name: service.objective for service in cell.services.values()}
-    budgets = burn.evaluate([part.buckets for part in parts], objectives)
-    return {"budgets": [dataclasses.asdict(budget) for budget in budgets]}
+    exports = [part.budgets for part in parts if part.budgets is not None]
+    unread = isinstance(stored, errors.Failure)
+    minute = int(time.time() // 60)
+    found = budgets.join([] if unread else stored, exports, minute)
+    return {
+        "budgets": [
+            dataclasses.asdict(budget) for budget in burn.evaluate(found, objectives)
+        ],
+        # Without the store, the counts of processes that have ended are missing.
+        "store_missing": stored.reason or stored.kind if unread else "",
+        "lost": sum(export.lost for export in exports),
+    }
 
 
 def _shares(cell: text.Cell, joined: summary.Summary) -> list[dict[str, object]]:
