Name the workers that a list of workers lacks

Cause: `workers` and `GET /v1/workers` silently left out partitions whose owner did not answer and workers that a new owner had not connected to yet; one list after a takeover had 16 of 24 workers.

Change: the answer has `silent_partitions` with the reason, `not_attached` with the workers of the VM list that no owner names and the reason for each, and `unchecked` when the VM list could not be read. The terminal shows all three.

Conclusion: a short list now says that it is short. A worker that the VM list does not name yet is still not shown.

--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -21,6 +21,7 @@
     records,
     request_log,
     requests,
+    survey,
     text,
 )
 
@@ -126,6 +127,7 @@
         self.requests = {}
         self.begun = []
         self.begin_answer = None
+        self.survey = survey.WorkerSurvey([], {})
 
     def submit(self, specs):
         answers = []
@@ -153,7 +155,10 @@
         return effects.Explanation(job_id, "waiting", 1, [], {}, {})
 
     def workers(self):
-        return []
+        return self.survey
+
+    def owned(self):
+        return {}
 
     def request_entry(self, request_id):
         return self.requests.get(request_id) or errors.NotFound(reason="unseen")
--- a/toucanspring/api_status.py
+++ b/toucanspring/api_status.py
@@ -9,7 +9,7 @@
 import msgspec
 from gevent import pool
 
-from toucanspring import api, errors, kernel, report
+from toucanspring import api, errors, kernel, report, survey
 
 REPORT_TIMEOUT_S = 2.0
 MAX_PEER_CALLS = 32
@@ -27,10 +27,9 @@
     """`GET /v1/workers`."""
 
     def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
-        """Answer with the workers of the cell."""
+        """Answer with the workers of the cell, and what this list lacks."""
         self._access.require_operator(request)
-        workers = api.unwrap(self._kernel.find("partitions").workers())
-        api.send_json(response, {"workers": workers})
+        api.send_json(response, survey.describe(self._kernel))
 
 
 class Members(Resource):
--- a/toucanspring/commands/workers.py
+++ b/toucanspring/commands/workers.py
@@ -29,7 +29,35 @@
         "FREE GIB",
         "FREE ACCELERATORS",
     )
-    return console.Result(value, console.table(header, rows))
+    shown = [console.table(header, rows)]
+    shown += [
+        f"partition {item['partition']} did not answer: {item['reason']}"
+        for item in value["silent_partitions"]
+    ]
+    if value["unchecked"]:
+        shown.append(f"workers may be missing: {value['unchecked']}")
+    if value["not_attached"]:
+        shown.append(_show_missing(value))
+    return console.Result(value, "\n".join(shown))
+
+
+def _show_missing(value: dict) -> str:
+    rows = [
+        (
+            item["worker"],
+            item["availability_zone"],
+            item["rack"],
+            item["partition"],
+            item["listed_as"],
+            item["reason"],
+        )
+        for item in value["not_attached"]
+    ]
+    header = ("NOT ATTACHED", "ZONE", "RACK", "PARTITION", "LISTED AS", "REASON")
+    return (
+        f"\n{len(rows)} workers of the VM list are named by no owner:\n"
+        + console.table(header, rows)
+    )
 
 
 def _cpus(free: list[int], capacity: list[int]) -> str:
--- a/toucanspring/partitions.py
+++ b/toucanspring/partitions.py
@@ -17,7 +17,6 @@
     documents,
     effects,
     errors,
-    fleet,
     inbox,
     job,
     kernel,
@@ -26,6 +25,7 @@
     request_log,
     resources,
     settings,
+    survey,
 )
 
 log = logbook.Logger(__name__)
@@ -38,19 +38,6 @@
 MAX_SPECS_PER_CALL = 200
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WorkerStatus:
-    """Describe a worker for operators."""
-
-    worker: str
-    partition: int
-    availability_zone: str
-    rack: str
-    capacity: resources.Resources
-    free: resources.Resources
-    state: str
-
-
 class Reply(msgspec.Struct, frozen=True):
     """Carry a value or a failure between processes."""
 
@@ -198,19 +185,23 @@
         gevent.joinall([gevent.spawn(cancel_group, *group) for group in groups.items()])
         return answers
 
-    def workers(self) -> list[WorkerStatus]:
-        """Return the workers of all partitions whose owners answer."""
+    def workers(self) -> survey.WorkerSurvey:
+        """Return the workers of all partitions, and which owners did not answer."""
         jobs = [
-            gevent.spawn(self._route, number, "workers", b"", list[WorkerStatus])
+            gevent.spawn(self._route, number, "workers", b"", list[survey.WorkerStatus])
             for number in range(self._settings.partitions)
         ]
         gevent.joinall(jobs)
-        return [
-            status
-            for found in jobs
-            if isinstance(found.value, list)
-            for status in found.value
-        ]
+        answered = survey.WorkerSurvey([], {})
+        for number, found in enumerate(jobs):
+            match found.value:
+                case list():
+                    answered.workers.extend(found.value)
+                case errors.Failure():
+                    answered.silent[number] = found.value
+                case _:
+                    answered.silent[number] = errors.Unknown(reason="internal error")
+        return answered
 
     def begin_request(
         self, request_id: str, server: str
@@ -379,29 +370,11 @@
         found = self._ask(number, lambda result: inbox.Ask(_free, result))
         if isinstance(found, errors.Failure):
             return encode_result(found)
-        statuses = []
         links = self._kernel.find("fleet").links(number)
-        facts = owned.facts()
-        for worker, link in sorted(links.items()):
-            known = facts.get(worker)
-            statuses.append(
-                WorkerStatus(
-                    worker,
-                    number,
-                    link.vm.availability_zone,
-                    link.vm.rack,
-                    known.capacity if known else resources.ZERO,
-                    found.get(worker, resources.ZERO),
-                    self._worker_state(link),
-                )
-            )
-        return encode_result(statuses)
-
-    def _worker_state(self, link: fleet.Link) -> str:
-        if not link.attached:
-            return "unreachable"
-        leaving = self._kernel.find("fleet").is_leaving(link.vm.id)
-        return "leaving" if leaving else "attached"
+        is_leaving = self._kernel.find("fleet").is_leaving
+        return encode_result(
+            survey.list_links(number, links, owned.facts(), found, is_leaving)
+        )
 
     _handlers = {
         "submit": _serve_submit,
