Serve and call HTTPS, and stop under TLS as without

Cause: the command line spoke plain HTTP only and the HTTP port had no TLS, so keys and answers were readable on the way unless the balancer ended TLS.

Change: endpoints may be `https://...`; `--ca-file` (TOUCANSPRING_CA_FILE) names the authorities, chain and host name are always checked. With `http_certificate` and `http_key` the HTTP port serves TLS only. A handshake is limited to 10 s and holds a stop no longer than a caller who has sent nothing. The server states the end of its bytes (close_notify) when it ends a connection in order and not when it cuts one: the tests of the handler, run under TLS, showed that a TLS client takes a reset for an orderly end, so an answer without a length that was cut looked complete. Whether a request has been sent is also looked up in the TLS decoder. A daemon that cannot start because of a port or a certificate ends with one line and status 2.

Tests: all tests of the server and of the handler, but the one with generated bytes, also run under TLS. One of them now lets both handshakes end before it goes on. The one with generated bytes moves to a class of its own, since hypothesis refuses to run it from two classes. Three real daemons with peer TLS answer a report and are replaced.

Conclusion: the graceful stop keeps its guarantees under TLS in the tests; no figure for the cost of TLS was taken.

--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -37,6 +37,8 @@
         "http_port": 0,
         "partitions": 3,
         "drain_s": 5.0,
+        "http_certificate": "",
+        "http_key": "",
         "operator_key_hash": hashlib.sha256(OPERATOR_KEY.encode()).hexdigest(),
     }
     return types.SimpleNamespace(**{**fields, **changes})
--- a/test/test_daemon.py
+++ b/test/test_daemon.py
@@ -1,3 +1,4 @@
+import json
 import pathlib
 import re
 import time
@@ -5,7 +6,7 @@
 import testtools
 
 from standins import cluster
-from test import fake_tables
+from test import certificates, fake_tables
 from toucanspring import daemon, kernel
 
 
@@ -74,6 +75,60 @@
             self.assertTrue(self.wait(lambda: sum(self.owned(cell)) == 3))
             self.assertEqual([0, 0], [cell.stop_daemon(n) for n in ("p1", "p2")])
 
+    def test_daemons_under_tls_keep_error_budgets_over_their_replacement(self):
+        # Guards against peer streams that work in one process only, and against
+        # error budgets that end with the last process that counted them.
+        made = certificates.Certificates(self)
+        options = ["--tls-certificate", made.certificate, "--tls-key", made.key]
+        options += ["--tls-ca", made.ca_file]
+        source = (cluster.ROOT / "examples" / "kernhalde.yaml").read_bytes()
+        with cluster.Cluster(workers=1, backend_servers=0) as cell:
+            operator = {"Authorization": f"Bearer {cell.operator_key}"}
+
+            def start(name):
+                return cell.start_daemon(name, extra=options).http_port
+
+            def call(port, method, path, body=None, **headers):
+                sent = {name.replace("_", "-"): each for name, each in headers.items()}
+                status, content = cluster.call(
+                    port, method, path, body, {**operator, **sent}
+                )
+                self.assertTrue(status < 400 or status == 503, content)
+                return json.loads(content)
+
+            def count(port):
+                found = call(port, "GET", "/v1/reports/burn")
+                self.assertEqual("", found["store_missing"])
+                budgets = found["budgets"]
+                return budgets[0]["windows"][-1]["bad"] if budgets else 0
+
+            ports = [start(name) for name in ("p0", "p1", "p2")]
+            call(ports[0], "PUT", "/v1/config", source, If_Match="0")
+            secret = call(ports[0], "POST", "/v1/keys", {"team": "desk"})["secret"]
+            self.assertTrue(self.wait(lambda: sum(self.owned(cell)) == 3))
+            for port in ports:
+                # Each process reaches the two others over TLS.
+                def reaches(port=port):
+                    members = call(port, "GET", "/v1/members")["members"]
+                    return [each["reachable"] for each in members] == [True] * 3
+
+                self.assertTrue(self.wait(reaches))
+                workers = call(port, "GET", "/v1/workers")
+                self.assertEqual([], workers["silent_partitions"])
+                call(
+                    port,
+                    "POST",
+                    "/v1/services/request-desk/requests",
+                    b"x",
+                    Authorization=f"Bearer {secret}",
+                    X_Class="check",
+                    X_Idempotent="true",
+                    X_Deadline_Ms="200",
+                )
+            self.assertEqual(3, count(ports[0]))
+            self.assertEqual([0, 0, 0], [cell.stop_daemon(f"p{n}") for n in range(3)])
+            self.assertEqual(3, count(start("q0")))
+
     def wait(self, condition):
         # Daemons that start one after the other even out after 10 s per partition.
         return fake_tables.wait_for(condition, 40)
--- a/test/test_handler.py
+++ b/test/test_handler.py
@@ -1,5 +1,6 @@
 import json
 import socket
+import ssl
 
 import gevent
 import hypothesis
@@ -42,8 +43,12 @@
 
 
 class Connection:
-    def __init__(self, port):
+    def __init__(self, port, tls=None):
         self.socket = socket.create_connection(("127.0.0.1", port), timeout=10)
+        if tls is not None:
+            self.socket = tls.wrap_socket(
+                self.socket, server_hostname="127.0.0.1", suppress_ragged_eofs=False
+            )
 
     def __enter__(self):
         return self
@@ -56,23 +61,35 @@
         return self
 
     def receive(self):
-        """Return everything until the end; a reset raises ConnectionResetError."""
+        """Return everything until the end.
+
+        A reset raises ConnectionResetError or, under TLS, SSLEOFError, as does an end
+        of the connection that the server does not state.
+        """
         received = b""
         while chunk := self.socket.recv(65536):
             received += chunk
         return received
 
 
-class HandlerTest(testtools.TestCase):
+class HandlerCase(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.server = server.Server(("127.0.0.1", 0), application)
+        contexts = self.tls_contexts()
+        self.server = server.Server(("127.0.0.1", 0), application, contexts[0])
+        self.client_tls = contexts[1]
         self.server.start()
         self.port = self.server.server_port
         self.addCleanup(self.server.drain, 0.1)
 
+    def tls_contexts(self):
+        return None, None
+
+    def connect(self):
+        return Connection(self.port, self.client_tls)
+
     def exchange(self, data):
-        with Connection(self.port) as connection:
+        with self.connect() as connection:
             return connection.send(data).receive()
 
     def check_refused(self, status, kind, data):
@@ -82,6 +99,8 @@
         self.assertIn(b"connection: close", head.lower())
         self.assertEqual(kind, json.loads(body)["error"]["type"])
 
+
+class HandlerTest(HandlerCase):
     def test_heads_over_the_limits_are_refused_with_a_reason(self):
         # Guards against a caller that fills memory with an endless head.
         many = b"".join(b"X-%d: 1\r\n" % number for number in range(200))
@@ -113,7 +132,7 @@
     def test_a_slow_head_does_not_hold_a_connection(self):
         # Guards against callers that send one byte now and then.
         self.patch(handler, "HEAD_TIMEOUT_S", 0.2)
-        with Connection(self.port) as connection:
+        with self.connect() as connection:
             connection.send(b"GET / HTTP/1.1\r\nHost: ")
             started = gevent.get_hub().loop.now()
             self.assertIn(b"408", connection.receive())
@@ -123,7 +142,8 @@
         # Guards against idle callers that keep all others out.
         self.patch(server, "MAX_CONNECTIONS", 2)
         self.patch(server, "BUSY_IDLE_TIMEOUT_S", 0.1)
-        idle = [Connection(self.port) for _ in range(2)]
+        idle = [self.connect() for _ in range(2)]
+        gevent.sleep(0.05)  # until both handshakes have ended at the server
         for connection in idle:
             connection.send(b"GET / HTTP/1.1\r\n\r\n")
         for connection in idle:
@@ -133,7 +153,7 @@
     def test_a_reader_that_stops_reading_is_cut_off(self):
         # Guards against answers that stay in memory for callers that never read.
         self.patch(handler, "SEND_TIMEOUT_S", 0.2)
-        with Connection(self.port) as connection:
+        with self.connect() as connection:
             connection.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             connection.send(b"GET /large HTTP/1.1\r\n\r\n")
             gevent.sleep(1.0)
@@ -144,11 +164,11 @@
         # takes for the whole one; HTTP/1.0 callers see the end of a connection as
         # the end of an answer, so they need a reset.
         for version in (b"1.0", b"1.1"):
-            with Connection(self.port) as connection:
+            with self.connect() as connection:
                 connection.send(b"GET /cut HTTP/" + version + b"\r\n\r\n")
                 try:
                     answer = connection.receive()
-                except ConnectionResetError:
+                except (ConnectionResetError, ssl.SSLEOFError):
                     continue
                 self.assertNotEqual(b"1.0", version)
                 self.assertFalse(answer.endswith(b"0\r\n\r\n"))
@@ -159,6 +179,8 @@
         head = b"POST /echo HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % length
         self.check_refused(413, "Oversized", head + b"x" * LARGE)
 
+
+class AnyBytesTest(HandlerCase):
     @SETTINGS
     @hypothesis.given(
         strategies.lists(
@@ -184,7 +206,7 @@
     def test_any_bytes_get_answers_in_http_or_an_end(self, parts):
         # Guards against input that stops the server or makes it answer status 500.
         data = b"".join(parts)
-        with Connection(self.port) as connection:
+        with self.connect() as connection:
             connection.send(data)
             connection.socket.shutdown(socket.SHUT_WR)
             try:
--- a/test/test_server.py
+++ b/test/test_server.py
@@ -1,31 +1,36 @@
 import gevent
 import testtools
 
-from test import test_handler
+from test import certificates, test_handler
 from toucanspring import listener, server
 
-Connection = test_handler.Connection
-
 
 class ServerTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.server = server.Server(("127.0.0.1", 0), test_handler.application)
+        contexts = self.tls_contexts()
+        application = test_handler.application
+        self.server = server.Server(("127.0.0.1", 0), application, contexts[0])
+        self.client_tls = contexts[1]
         self.server.start()
         self.port = self.server.server_port
         self.addCleanup(self.server.drain, 0.1)
 
+    def tls_contexts(self):
+        return None, None
+
+    def connect(self):
+        return test_handler.Connection(self.port, self.client_tls)
+
     def test_requests_under_way_survive_a_graceful_stop(self):
         # Guards against a restart that interrupts callers: requests under way,
         # requests on idle connections, and connections not accepted yet.
-        idle = Connection(self.port)
+        idle = self.connect()
         idle.send(b"GET / HTTP/1.1\r\n\r\n")
         self.assertTrue(idle.socket.recv(65536).endswith(b"ok"))
-        busy = [
-            Connection(self.port).send(b"GET /slow HTTP/1.1\r\n\r\n") for _ in range(50)
-        ]
+        busy = [self.connect().send(b"GET /slow HTTP/1.1\r\n\r\n") for _ in range(50)]
         gevent.sleep(0.1)
-        late = Connection(self.port).send(b"GET /slow HTTP/1.1\r\n\r\n")
+        late = self.connect().send(b"GET /slow HTTP/1.1\r\n\r\n")
         stop = gevent.spawn(self.server.drain, 5.0)
         gevent.sleep(0.1)
         idle.send(b"GET /slow HTTP/1.1\r\n\r\n")
@@ -36,10 +41,10 @@
                 self.assertIn(b"connection: close", answer.lower())
         self.assertEqual(0, stop.get(timeout=5))
         with testtools.ExpectedException(ConnectionRefusedError):
-            Connection(self.port)
+            self.connect()
 
     def test_a_stop_reports_requests_that_it_had_to_interrupt(self):
-        with Connection(self.port) as connection:
+        with self.connect() as connection:
             connection.send(b"GET /slow HTTP/1.1\r\n\r\n")
             gevent.sleep(0.1)
             self.assertEqual(1, self.server.drain(0.1))
@@ -67,7 +72,7 @@
 
     def test_a_handshake_that_has_begun_is_completed(self):
         # Guards against a filter that drops the packets of accepted connections.
-        with Connection(self.port) as connection:
+        with self.connect() as connection:
             self.assertTrue(listener.ignore_new_connections(self.server.socket))
             connection.send(b"GET /slow HTTP/1.1\r\n\r\n")
             self.assertEqual(0, self.server.drain(5.0))
@@ -77,7 +82,7 @@
         # Guards against a stop that cuts a caller who has connected and sends its
         # request after the time that idle connections get.
         self.patch(server, "DRAIN_IDLE_S", 0.05)
-        with Connection(self.port) as connection:
+        with self.connect() as connection:
             stop = gevent.spawn(self.server.drain, 5.0)
             gevent.sleep(0.3)
             connection.send(b"GET / HTTP/1.1\r\n\r\n")
@@ -89,17 +94,53 @@
         # to its limit.
         self.patch(server, "DRAIN_IDLE_S", 0.05)
         self.patch(server, "FIRST_REQUEST_S", 0.1)
-        with Connection(self.port):
+        with self.connect():
             self.assertEqual(0, self.server.drain(60.0))
 
     def test_a_request_that_was_sent_and_not_read_counts_as_under_way(self):
         # Guards against a stop that closes a connection whose next request has
         # arrived in the kernel only.
-        with Connection(self.port) as connection:
+        with self.connect() as connection:
             connection.send(b"GET / HTTP/1.1\r\n\r\n")
             self.assertTrue(connection.socket.recv(65536).endswith(b"ok"))
             [held] = self.server.connections
             self.assertFalse(held.is_awaited())
             # No switch between the send and the look at the connection.
-            connection.socket._sock.send(b"GET / HTTP/1.1\r\n\r\n")
+            connection.socket.send(b"GET / HTTP/1.1\r\n\r\n")
             self.assertTrue(held.is_awaited())
+
+
+class TlsServerTest(ServerTest):
+    """Guards against a stop that interrupts callers under TLS only."""
+
+    def tls_contexts(self):
+        made = certificates.Certificates(self)
+        return made.server_context(), made.client_context()
+
+    def test_a_slow_handshake_holds_neither_the_server_nor_the_stop(self):
+        # Guards against callers that connect, send nothing and fill the server.
+        self.patch(server, "TLS_HANDSHAKE_S", 0.1)
+        with test_handler.Connection(self.port) as connection:
+            self.assertEqual(b"", connection.receive())
+        self.patch(server, "TLS_HANDSHAKE_S", 30.0)
+        self.patch(server, "DRAIN_IDLE_S", 0.05)
+        self.patch(server, "FIRST_REQUEST_S", 0.1)
+        with test_handler.Connection(self.port):
+            gevent.sleep(0.05)
+            self.assertEqual(1, self.server._handshakes)
+            self.assertEqual(0, self.server.drain(60.0))
+
+    def test_plain_http_on_the_port_is_refused(self):
+        with test_handler.Connection(self.port) as connection:
+            connection.send(b"GET / HTTP/1.1\r\n\r\n")
+            try:
+                answer = connection.receive()
+            except ConnectionResetError:
+                answer = b""
+            self.assertNotIn(b"HTTP/1.1", answer)
+
+
+class TlsHandlerTest(test_handler.HandlerTest):
+    """Guards against limits and cuts that hold without TLS only."""
+
+    tls_contexts = TlsServerTest.tls_contexts
--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -43,6 +43,8 @@
             ("operator_key_hash", "secret"),
             ("log_level", "loud"),
             ("tls_certificate", "only.pem"),
+            ("http_certificate", "only.pem"),
+            ("http_key", "only.key"),
         ):
             environment = {
                 "TOUCANSPRING_PROCESS": "p",
--- a/toucanspring/adapters/exchange.py
+++ b/toucanspring/adapters/exchange.py
@@ -19,7 +19,12 @@
 
 
 class Pool(connectionpool.ConnectionPool):
-    """Keep connections to one IP address and port, limited in number."""
+    """Keep connections to one address and port, limited in number.
+
+    `tls` is a client `ssl.SSLContext` of gevent.
+    """
+
+    tls: object | None = None
 
     @property
     def exhausted(self) -> bool:
@@ -35,6 +40,8 @@
             stream.disable_nagle(sock)
             sock.settimeout(self.connection_timeout)
             sock.connect((self._connection_host, self._connection_port))
+            if self.tls is not None:
+                sock = self.tls.wrap_socket(sock, server_hostname=self._connection_host)
             sock.settimeout(None)  # each call sets its own deadline
         except BaseException:
             sock.close()
@@ -46,10 +53,9 @@
         if sock is None or sock.fileno() < 0:
             return False
         try:
-            sock.settimeout(0.0)
-            sock.recv(1, socket.MSG_PEEK)
+            # The socket below an encrypted one: that takes no flags.
+            sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
-            sock.settimeout(None)
             return True
         except OSError:
             return False
@@ -162,6 +168,7 @@
         connections: int,
         client: str = "",
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        tls: object | None = None,
     ) -> None:
         self._pool = Pool(
             address,
@@ -171,6 +178,7 @@
             size=connections,
             connection_timeout=connect_timeout_s,
         )
+        self._pool.tls = tls
         host = f"[{address}]" if ":" in address else address
         self._common = f"Host: {host}:{port}\r\n"
         if client:
--- a/toucanspring/cli.py
+++ b/toucanspring/cli.py
@@ -51,8 +51,10 @@
     "report": report.run,
 }
 COMMON_DOC = """
-    :param endpoints: entry processes as host:port in order of preference, separated
-        by commas (TOUCANSPRING_ENDPOINTS)
+    :param endpoints: entry processes as host:port or https://host:port in order of
+        preference, separated by commas (TOUCANSPRING_ENDPOINTS)
+    :param ca_file: PEM file with the authorities whose certificates are accepted, by
+        default those of the host (TOUCANSPRING_CA_FILE)
     :param key: team key (TOUCANSPRING_KEY)
     :param operator_key: key of operators (TOUCANSPRING_OPERATOR_KEY)
     :param operator: name recorded with changes (TOUCANSPRING_OPERATOR)
@@ -69,6 +71,7 @@
 
     return {
         "endpoints": read("ENDPOINTS") or "127.0.0.1:8080",
+        "ca_file": read("CA_FILE"),
         # The keys are filled in later, since the help shows defaults.
         "key": "",
         "operator_key": "",
@@ -93,6 +96,7 @@
     """Add the common options to a command and run it with a context."""
     kinds = {
         "endpoints": str,
+        "ca_file": str,
         "key": str,
         "operator_key": str,
         "operator": str,
@@ -136,6 +140,7 @@
 def execute(
     command: Callable[[console.Context], console.Result],
     endpoints: str,
+    ca_file: str,
     key: str,
     operator_key: str,
     operator: str,
@@ -149,7 +154,10 @@
             for item in endpoints.split(",")
             if item.strip()
         ]
-        connection = client.Client(places, key, operator_key, operator, timeout_s)
+        tls = None
+        if any(place.secure for place in places):
+            tls = console.unwrap(client.load_authorities(ca_file))
+        connection = client.Client(places, key, operator_key, operator, timeout_s, tls)
         try:
             result = command(console.Context(connection, json, timeout_s))
         finally:
--- a/toucanspring/client.py
+++ b/toucanspring/client.py
@@ -30,16 +30,25 @@
         return msgspec.json.decode(self.body)
 
 
-def parse_endpoint(text: str) -> tuple[str, int] | errors.Invalid:
-    """Return host and port of `host`, `host:port` or `http://host:port`."""
-    expected = "host:port or http://host:port"
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Locate one endpoint; `secure` means HTTPS."""
+
+    host: str
+    port: int
+    secure: bool = False
+
+
+def parse_endpoint(text: str) -> Place | errors.Invalid:
+    """Return the place of `host`, `host:port`, `http://...` or `https://...`."""
+    expected = "host:port, http://host:port or https://host:port"
     parts = urllib.parse.urlsplit(text if "//" in text else f"//{text}", "http")
     try:
         port = parts.port or DEFAULT_PORT
     except ValueError:
         port = 0
     if (
-        parts.scheme != "http"
+        parts.scheme not in ("http", "https")
         or not parts.hostname
         or parts.path.strip("/")
         or not port
@@ -47,7 +56,31 @@
         return errors.Invalid(
             reason="not an endpoint", path="endpoints", value=text, expected=expected
         )
-    return parts.hostname, port
+    return Place(parts.hostname, port, parts.scheme == "https")
+
+
+def load_authorities(ca_file: str) -> object | errors.Invalid:
+    """Return a TLS context that accepts certificates of the authorities in a file.
+
+    Without a file, those of the host are accepted.
+    """
+    from gevent import ssl  # costs memory and time, and most calls need none
+
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)  # checks chain and host name
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    try:
+        if ca_file:
+            context.load_verify_locations(ca_file)
+        else:
+            context.load_default_certs()
+    except OSError as error:
+        return errors.Invalid(
+            reason=f"not read: {error.strerror or error}",
+            path="ca_file",
+            value=ca_file,
+            expected="a PEM file with certificates of authorities",
+        )
+    return context
 
 
 class Client:
@@ -55,17 +88,22 @@
 
     def __init__(
         self,
-        endpoints: list[tuple[str, int]],
+        endpoints: list[Place],
         key: str,
         operator_key: str,
         operator: str,
         timeout_s: float,
+        tls: object | None = None,
     ) -> None:
         self._endpoints = [
             exchange.Endpoint(
-                host, port, 1, connect_timeout_s=min(CONNECT_TIMEOUT_S, timeout_s)
+                place.host,
+                place.port,
+                1,
+                connect_timeout_s=min(CONNECT_TIMEOUT_S, timeout_s),
+                tls=tls if place.secure else None,
             )
-            for host, port in endpoints
+            for place in endpoints
         ]
         self._key = key
         self._operator_key = operator_key
--- a/toucanspring/daemon.py
+++ b/toucanspring/daemon.py
@@ -141,7 +141,12 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopped.set)
     publish_gauges(core)
-    core.start()
+    try:
+        core.start()
+    except OSError as error:  # an address or port in use, a certificate without its key
+        logger.error("cannot start: {}", error)
+        core.stop()
+        return EXIT_SETTINGS
     logger.info("process {} of cell {} serves", chosen.process, chosen.cell)
     members = core.find("membership")
     while not stopped.wait(1.0):
--- a/toucanspring/gateway.py
+++ b/toucanspring/gateway.py
@@ -126,6 +126,25 @@
     response.data = handler.render(errors.Unknown(reason="internal error"))
 
 
+def load_certificate(settings: object) -> object | None:
+    """Return the TLS context of the server, or `None` for plain HTTP.
+
+    Raises `OSError` if the files cannot be used.
+    """
+    if not settings.http_certificate:
+        return None
+    from gevent import ssl  # only needed here; it costs memory
+
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    try:
+        context.load_cert_chain(settings.http_certificate, settings.http_key)
+    except OSError as error:
+        names = f"{settings.http_certificate} and {settings.http_key}"
+        raise OSError(f"http_certificate and http_key, {names}: {error}") from None
+    return context
+
+
 class Service:
     """Own the HTTP server of this process."""
 
@@ -147,7 +166,9 @@
             self._kernel, self._settings, lambda: self._draining
         )
         self._server = server.Server(
-            (self._settings.address, self._settings.http_port), application
+            (self._settings.address, self._settings.http_port),
+            application,
+            load_certificate(self._settings),
         )
         self._server.start()
 
--- a/toucanspring/handler.py
+++ b/toucanspring/handler.py
@@ -137,6 +137,8 @@
             pass  # the client is gone
         finally:
             self.server.connections.discard(self)
+            if not self.busy:
+                _end_encryption(self.socket)
             self.busy = False
             self._close()
 
@@ -182,6 +184,9 @@
         if sock is None:
             return False
         try:
+            # Under TLS, bytes are in the decoder or, encrypted, still in the kernel.
+            if hasattr(sock, "pending") and sock.pending():
+                return True
             return bool(sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
         except OSError:
             return False
@@ -304,6 +309,7 @@
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
 
     def _linger(self) -> None:
+        _end_encryption(self.socket)
         with contextlib.suppress(OSError, gevent.Timeout):
             self.socket.shutdown(socket.SHUT_WR)
             with gevent.Timeout(LINGER_S):
@@ -323,6 +329,18 @@
                 sock.close()
 
 
+def _end_encryption(sock: object) -> None:
+    """Tell a TLS client that the bytes so far are complete.
+
+    Under TLS the end of the connection alone looks like a cut, and a cut like the end.
+    """
+    encryption = getattr(sock, "_sslobj", None)
+    if encryption is not None:
+        # Sends the notice; that of the client is not awaited, as `unwrap` would.
+        with contextlib.suppress(OSError):
+            encryption.shutdown()
+
+
 def _too_slow(part: str, limit_s: float) -> BadRequest:
     reason = f"the request {part} took longer than {limit_s:g} s"
     return BadRequest(408, errors.Timeout(reason=reason))
--- a/toucanspring/server.py
+++ b/toucanspring/server.py
@@ -27,6 +27,8 @@
 # A caller that has connected sends its first request within this time, or a graceful
 # stop no longer waits for it.
 FIRST_REQUEST_S = 3.0
+# Limit on a TLS handshake, which comes before the limit on the head of a request.
+TLS_HANDSHAKE_S = 10.0
 
 
 class _ErrorLog:
@@ -45,19 +47,37 @@
 
     handler_class = handler.Handler
 
-    def __init__(self, address: object, application: object) -> None:
+    def __init__(
+        self, address: object, application: object, tls: object | None = None
+    ) -> None:
         super().__init__(
             address,
             application,
             spawn=pool.Pool(MAX_CONNECTIONS),
             log=None,
             error_log=_ErrorLog(),
+            **({} if tls is None else {"ssl_context": tls}),
         )
+        self._handshakes = 0  # TLS handshakes under way
         self.connections: set[handler.Handler] = set()
         self.draining = False
         self._idle_until = 0.0  # monotonic seconds
         self._first_requests_until = 0.0
 
+    def wrap_socket_and_handle(self, client_socket, address) -> None:
+        """Serve a caller after the TLS handshake, which is limited in time."""
+        self._handshakes += 1
+        try:
+            with gevent.Timeout(TLS_HANDSHAKE_S, TimeoutError("slow TLS handshake")):
+                wrapped = self.wrap_socket(client_socket, **self.ssl_args)
+        except OSError as error:
+            log.debug("TLS handshake with {}: {}", address, error)
+            return
+        finally:
+            self._handshakes -= 1
+        with wrapped:
+            self.handle(wrapped, address)
+
     def idle_timeout(self) -> float:
         """Return how many seconds a connection may wait for its next request."""
         if len(self.connections) > MAX_CONNECTIONS * BUSY_FRACTION:
@@ -74,12 +94,13 @@
             return sum(each.busy for each in self.connections)
         awaited = sum(each.is_awaited() for each in self.connections)
         # Handlers of connections that were accepted a moment ago have not run yet.
-        awaited += max(0, len(self.pool) - len(self.connections))
+        awaited += max(0, len(self.pool) - len(self.connections) - self._handshakes)
         now = time.monotonic()
         if now < self._idle_until:
-            return awaited + bool(self.connections)
+            return awaited + bool(self.connections) + self._handshakes
         if now < self._first_requests_until:
-            return awaited + any(not each.served for each in self.connections)
+            first = any(not each.served for each in self.connections)
+            return awaited + first + self._handshakes
         return awaited
 
     def stop_accepting_connections(self) -> None:
--- a/toucanspring/settings.py
+++ b/toucanspring/settings.py
@@ -37,6 +37,8 @@
     :param tls_certificate: PEM file with the certificate for peer streams
     :param tls_key: PEM file with the private key for peer streams
     :param tls_ca: PEM file with the authority that signs peer certificates
+    :param http_certificate: PEM file with the certificate for callers and operators
+    :param http_key: PEM file with the private key for callers and operators
     :param operator_key_hash: SHA-256 of the operators' key in hexadecimal
     :param log_level: least level that is logged
     :param log_format: plain or json
@@ -62,6 +64,8 @@
     tls_certificate: str = ""
     tls_key: str = ""
     tls_ca: str = ""
+    http_certificate: str = ""
+    http_key: str = ""
     operator_key_hash: str = ""
     log_level: str = "info"
     log_format: str = "plain"
@@ -104,6 +108,8 @@
          "set together with tls_certificate"),
         ("tls_ca", bool(settings.tls_certificate) == bool(settings.tls_ca),
          "set together with tls_certificate"),
+        ("http_key", bool(settings.http_certificate) == bool(settings.http_key),
+         "set together with http_certificate"),
     ]  # fmt: skip
     for name, holds, expected in rules:
         if not holds:
