Show resources by name, keep unchanged texts, wait once at a stop

Cause: `diff` showed ceilings as lists of three numbers; a text that equals the one in force got a new version that every process had to take in; `report waiting` printed a bare `none`; `gateway.stop` waited for `drain_s` after `daemon.drain` had done so.

Change: `diff` names cpus, memory and accelerators, in JSON as an object. A change whose text equals the stored one at the expected version is answered with that version and `unchanged`; an older expected version is still a conflict, also for the same text. Empty reports say what is absent. The limit of a stop counts from `stop_accepting`.

--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -103,6 +103,8 @@
                 current_version=self.version,
                 given_version=expected_version,
             )
+        if source == self.log[0].source:
+            return self.version
         self.version += 1
         self.parsed = text.parse(source)
         entry = records.ConfigVersion(
--- a/toucanspring/api_operators.py
+++ b/toucanspring/api_operators.py
@@ -63,11 +63,16 @@
             )
         before = self._documents.cell()
         version = api.unwrap(self._documents.apply(source, expected, operator))
-        log.info("operator {} put configuration {} into force", operator, version)
+        unchanged = version == expected
+        if not unchanged:
+            log.info("operator {} put configuration {} into force", operator, version)
         # The autostart service submits them once the text is in force.
-        starts = [text.apply_id(each) for each in text.introduced(before, cell)]
+        introduced = [] if unchanged else text.introduced(before, cell)
+        starts = [text.apply_id(each) for each in introduced]
         api.send_json(
-            response, {"version": version, "starts": starts}, ETag=f'"{version}"'
+            response,
+            {"version": version, "unchanged": unchanged, "starts": starts},
+            ETag=f'"{version}"',
         )
 
 
--- a/toucanspring/changes.py
+++ b/toucanspring/changes.py
@@ -51,7 +51,10 @@
 
 
 class ConfigChange:
-    """Replace the configuration text if its version is as expected."""
+    """Replace the configuration text if its version is as expected.
+
+    A text that equals the one in force at that version changes nothing.
+    """
 
     name = "config"
 
@@ -65,13 +68,19 @@
             applied_at=time.time(),
         )
         self._history = records.history_key(self._document.version)
-        self.reads = [self._history]
+        self.reads = [self._history, records.CONFIG]
 
     def plan(
         self, rows: Rows, current: freshness.Versions
     ) -> Plan | InEffect | errors.Failure:
         """Write the text and its history row."""
         if current.config == self._expected:
+            present = records.decode(records.ConfigVersion, rows[records.CONFIG].value)
+            if isinstance(present, errors.Failure):
+                return present
+            unchanged = present.source == self._document.source
+            if unchanged and 0 < present.version == self._expected:
+                return InEffect(present)
             expired = self._document.version - KEPT_HISTORY
             return Plan(
                 self._document,
--- a/toucanspring/commands/apply.py
+++ b/toucanspring/commands/apply.py
@@ -31,8 +31,11 @@
     given = version if base is None else base
     applied = _put(context.client, new_source, given)
     lines = [source.show_changes(changes), f"version {applied} is in force"]
+    if applied == given:
+        lines = [f"unchanged: version {applied} is in force"]
     value: dict[str, object] = {
         "version": applied,
+        "unchanged": applied == given,
         "changes": source.changes_value(changes),
     }
     if wait:
--- a/toucanspring/commands/report.py
+++ b/toucanspring/commands/report.py
@@ -57,13 +57,19 @@
     ]
     return "\n\n".join(
         (
-            console.table(("TEAM", "CLASS", "TASKS", "OLDEST"), jobs),
-            console.table(("SERVICE", "CLASS", "REQUESTS"), requests),
+            console.table(("TEAM", "CLASS", "TASKS", "OLDEST"), jobs)
+            if jobs
+            else "no tasks wait",
+            console.table(("SERVICE", "CLASS", "REQUESTS"), requests)
+            if requests
+            else "no requests wait",
         )
     )
 
 
 def _show_burn(value: dict) -> str:
+    if not value["budgets"]:
+        return "no requests were counted"
     rows = [
         (
             item["service"],
@@ -75,7 +81,7 @@
         )
         for item in value["budgets"]
     ]
-    windows = value["budgets"][0]["windows"] if value["budgets"] else []
+    windows = value["budgets"][0]["windows"]
     names = [console.seconds(window["seconds"]).upper() for window in windows]
     header = ("SERVICE", "TEAM", "OBJECTIVE", *names, "LEFT", "ALERT")
     return console.table(header, rows)
--- a/toucanspring/gateway.py
+++ b/toucanspring/gateway.py
@@ -153,6 +153,7 @@
         self._settings = settings
         self._server: server.Server | None = None
         self._draining = False
+        self._drain_until = 0.0  # monotonic seconds
 
     @property
     def port(self) -> int:
@@ -174,6 +175,8 @@
 
     def stop_accepting(self) -> None:
         """Close the listener; answers under way end their connections."""
+        if not self._draining:
+            self._drain_until = time.monotonic() + self._settings.drain_s
         self._draining = True
         if self._server is not None:
             self._server.stop_accepting_connections()
@@ -187,7 +190,9 @@
         if self._server is None:
             return
         self.stop_accepting()
-        interrupted = self._server.drain(self._settings.drain_s)
+        # The daemon has waited before; both waits together take `drain_s` at most.
+        left_s = max(0.0, self._drain_until - time.monotonic())
+        interrupted = self._server.drain(left_s)
         if interrupted:
             log.warning("{} requests were interrupted by the stop", interrupted)
         self._server = None
--- a/toucanspring/source.py
+++ b/toucanspring/source.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
 import pathlib
 import sys
 from collections.abc import Iterable
 
 import msgspec
 
-from toucanspring import client, console, errors, syntax, text
+from toucanspring import client, console, errors, resources, syntax, text
 
 
 def read(path: str) -> str:
@@ -71,12 +72,29 @@
 def changes_value(changes: list[text.Change]) -> list[dict[str, object]]:
     """Return the changes between two cells for JSON."""
     return [
-        {"change": type(change).__name__.lower(), **msgspec.to_builtins(change)}
+        {"change": type(change).__name__.lower(), **_by_name(change)}
         for change in changes
     ]
 
 
+def _by_name(value: object) -> object:
+    """Return a value for JSON, with the parts of resources by name."""
+    if dataclasses.is_dataclass(value) or isinstance(value, resources.Resources):
+        names = type(value).__match_args__
+        return {name: _by_name(getattr(value, name)) for name in names}
+    if isinstance(value, dict):
+        return {name: _by_name(each) for name, each in value.items()}
+    if isinstance(value, list | tuple):
+        return [_by_name(each) for each in value]
+    return msgspec.to_builtins(value)
+
+
 def _plain(value: object) -> str:
+    if isinstance(value, resources.Resources):
+        return (
+            f"cpus {value.cpus / 1000:g}, memory {value.memory} MiB, "
+            f"accelerators {value.accelerators}"
+        )
     return msgspec.json.encode(value).decode()
 
 
