--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -7,7 +7,9 @@
 
 import gevent
 
+from test import fake_tables
 from toucanspring import (
+    budgets,
     claims,
     effects,
     errors,
@@ -19,6 +21,7 @@
     records,
     request_log,
     requests,
+    survey,
     text,
 )
 
@@ -34,6 +37,8 @@
         "http_port": 0,
         "partitions": 3,
         "drain_s": 5.0,
+        "http_certificate": "",
+        "http_key": "",
         "operator_key_hash": hashlib.sha256(OPERATOR_KEY.encode()).hexdigest(),
     }
     return types.SimpleNamespace(**{**fields, **changes})
@@ -98,6 +103,8 @@
                 current_version=self.version,
                 given_version=expected_version,
             )
+        if source == self.log[0].source:
+            return self.version
         self.version += 1
         self.parsed = text.parse(source)
         entry = records.ConfigVersion(
@@ -124,6 +131,7 @@
         self.requests = {}
         self.begun = []
         self.begin_answer = None
+        self.survey = survey.WorkerSurvey([], {})
 
     def submit(self, specs):
         answers = []
@@ -151,7 +159,10 @@
         return effects.Explanation(job_id, "waiting", 1, [], {}, {})
 
     def workers(self):
-        return []
+        return self.survey
+
+    def owned(self):
+        return {}
 
     def request_entry(self, request_id):
         return self.requests.get(request_id) or errors.NotFound(reason="unseen")
@@ -227,6 +238,7 @@
         self.listed = list(listed)
         self.kept = {}
         self.vms = types.SimpleNamespace(list=lambda: list(self.listed))
+        self.tables = fake_tables.FakeTables().client()
         self.objects = types.SimpleNamespace(
             put=self.kept.__setitem__, get=self.kept.__getitem__
         )
@@ -245,6 +257,7 @@
         ("claims", Claims()),
         ("partitions", Partitions()),
         ("requests", requests.Service(core, chosen, client)),
+        ("budgets", budgets.Service(core, chosen)),
         ("gateway", gateway.Service(core, chosen)),
     ):
         core.register(name, service)
--- a/test/test_api_operators.py
+++ b/test/test_api_operators.py
@@ -8,13 +8,20 @@
         )
 
     def test_concurrent_changes_name_both_versions(self):
-        status, body, headers = self.put(edge_fakes.KERNHALDE, 1)
+        changed = edge_fakes.KERNHALDE + "# changed\n"
+        status, body, headers = self.put(changed, 1)
         self.assertEqual((200, 2, '"2"'), (status, body["version"], headers["ETag"]))
-        answer = self.put(edge_fakes.KERNHALDE, 1)
+        # Also the text in force conflicts, if it is based on an older version.
+        answer = self.put(changed, 1)
         self.check_failure(answer, 409, "Conflict")
         error = answer[1]["error"]
         self.assertEqual((2, 1), (error["current_version"], error["given_version"]))
 
+    def test_an_unchanged_text_makes_no_version(self):
+        status, body, headers = self.put(edge_fakes.KERNHALDE, 1)
+        self.assertEqual((200, 1, '"1"'), (status, body["version"], headers["ETag"]))
+        self.assertTrue(body["unchanged"])
+
     def test_a_refused_text_changes_nothing(self):
         # Guards against a text of which a part comes into force.
         for source, status in (
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -1,13 +1,30 @@
 import json
+import time
 
 import gevent
 import gevent.event
 
 from test import gateway_case
+from toucanspring import gateway
 
 PATH = "/v1/services/request-desk/requests"
 
 
+class StopTest(gateway_case.GatewayCase):
+    def test_the_stop_waits_once_for_its_limit(self):
+        # Guards against a daemon that waits `drain_s` while it drains and again
+        # when it stops.
+        service = self.core.find("gateway")
+        waited = []
+        self.patch(service._server, "drain", lambda limit_s: waited.append(limit_s))
+        now = time.monotonic()
+        self.patch(gateway.time, "monotonic", lambda: now)
+        service.stop_accepting()
+        now += 4.0
+        service.stop()
+        self.assertEqual([1.0], [round(limit_s, 6) for limit_s in waited])
+
+
 class GatewayTest(gateway_case.GatewayCase):
     def test_a_stop_under_load_interrupts_no_request(self):
         # Guards against a restart that loses answers of requests under way.
@@ -27,11 +44,11 @@
         # Callers that connect only after the stop are refused, so all come first.
         while len(arrived) < len(calls):
             gevent.sleep(0.01)
-        gateway = self.core.find("gateway")
-        gateway.stop_accepting()
+        service = self.core.find("gateway")
+        service.stop_accepting()
         self.assertEqual("stopping", self.ready_state())
         gevent.spawn_later(0.3, go_on.set)
-        gateway.stop()
+        service.stop()
         for each in calls:
             status, body, headers = each.get(timeout=5)
             self.assertEqual((200, b"ok"), (status, body))
@@ -42,7 +59,7 @@
         from toucanspring import api_status
 
         response = type("Response", (), {"set_header": lambda *_: None})()
-        gateway = self.core.find("gateway")
-        ready = api_status.Ready(self.core, lambda: gateway._draining)
+        service = self.core.find("gateway")
+        ready = api_status.Ready(self.core, lambda: service._draining)
         ready.on_get(None, response)
         return json.loads(response.data)["status"]
--- a/toucanspring/api_status.py
+++ b/toucanspring/api_status.py
@@ -9,7 +9,7 @@
 import msgspec
 from gevent import pool
 
-from toucanspring import api, errors, kernel, report
+from toucanspring import api, errors, kernel, report, survey
 
 REPORT_TIMEOUT_S = 2.0
 MAX_PEER_CALLS = 32
@@ -27,10 +27,9 @@
     """`GET /v1/workers`."""
 
     def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
-        """Answer with the workers of the cell."""
+        """Answer with the workers of the cell, and what this list lacks."""
         self._access.require_operator(request)
-        workers = api.unwrap(self._kernel.find("partitions").workers())
-        api.send_json(response, {"workers": workers})
+        api.send_json(response, survey.describe(self._kernel))
 
 
 class Members(Resource):
@@ -77,6 +76,7 @@
         def ask(process: str) -> bytes | errors.Failure:
             return peers.call(process, "report", name.encode(), REPORT_TIMEOUT_S)
 
+        stored = report.read_store(self._kernel, name)
         answers = pool.Pool(MAX_PEER_CALLS).map(ask, others)
         parts = [report.collect(self._kernel, name)]
         missing = []
@@ -87,7 +87,7 @@
             else:
                 parts.append(part)
         cell = self._kernel.find("documents").cell()
-        built = report.build(name, cell, parts)
+        built = report.build(name, cell, parts, stored)
         api.send_json(response, {"report": name, "missing": missing, **built})
 
 
--- a/toucanspring/gateway.py
+++ b/toucanspring/gateway.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Iterator
 
 import falcon
 import logbook
 
 from toucanspring import (
+    answers,
     api,
     api_jobs,
     api_operators,
@@ -125,6 +127,25 @@
     response.data = handler.render(errors.Unknown(reason="internal error"))
 
 
+def load_certificate(settings: object) -> object | None:
+    """Return the TLS context of the server, or `None` for plain HTTP.
+
+    Raises `OSError` if the files cannot be used.
+    """
+    if not settings.http_certificate:
+        return None
+    from gevent import ssl  # only needed here; it costs memory
+
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    try:
+        context.load_cert_chain(settings.http_certificate, settings.http_key)
+    except OSError as error:
+        names = f"{settings.http_certificate} and {settings.http_key}"
+        raise OSError(f"http_certificate and http_key, {names}: {error}") from None
+    return context
+
+
 class Service:
     """Own the HTTP server of this process."""
 
@@ -133,6 +154,7 @@
         self._settings = settings
         self._server: server.Server | None = None
         self._draining = False
+        self._drain_until = 0.0  # monotonic seconds
 
     @property
     def port(self) -> int:
@@ -146,12 +168,16 @@
             self._kernel, self._settings, lambda: self._draining
         )
         self._server = server.Server(
-            (self._settings.address, self._settings.http_port), application
+            (self._settings.address, self._settings.http_port),
+            application,
+            load_certificate(self._settings),
         )
         self._server.start()
 
     def stop_accepting(self) -> None:
         """Close the listener; answers under way end their connections."""
+        if not self._draining:
+            self._drain_until = time.monotonic() + self._settings.drain_s
         self._draining = True
         if self._server is not None:
             self._server.stop_accepting_connections()
@@ -165,13 +191,18 @@
         if self._server is None:
             return
         self.stop_accepting()
-        interrupted = self._server.drain(self._settings.drain_s)
+        # The daemon has waited before; both waits together take `drain_s` at most.
+        left_s = max(0.0, self._drain_until - time.monotonic())
+        interrupted = self._server.drain(left_s)
         if interrupted:
             log.warning("{} requests were interrupted by the stop", interrupted)
         self._server = None
 
-    def _serve_report(self, _sender: str, body: bytes) -> bytes | errors.Failure:
+    def _serve_report(
+        self, _sender: str, body: bytes
+    ) -> Iterator[bytes] | errors.Failure:
         name = body.decode(errors="replace")
         if name not in report.NAMES:
             return errors.NotFound(reason=f"no report {name}")
-        return report.encode(report.collect(self._kernel, name))
+        # In blocks: the error budgets of many teams exceed one frame.
+        return answers.split(report.encode(report.collect(self._kernel, name)))
