--- /dev/null
+++ b/spec/tenure.py
@@ -0,0 +1,90 @@
+"""Steps of processes that renew, claim and lose the partition."""
+
+from __future__ import annotations
+
+from spec import world
+from toucanspring import ownership, recovery
+
+
+class Tenure:
+    """Enumerate the renewals and claims of one process."""
+
+    def __init__(self, rules: world.Rules, bounds: world.Bounds) -> None:
+        self._rules = rules
+        self._bounds = bounds
+
+    def steps(self, s: world.State, p: int) -> world.Steps:
+        """Return what process `p` may do about its ownership."""
+        me, other = s.processes[p], s.processes[1 - p]
+        if me.renewal < 0 and (me.epoch or s.owner == p):
+            yield _step(s, p, "send renewal", renewal=0, written=False)
+        if me.renewal >= 0:
+            if not me.written:
+                stale = s._replace(
+                    processes=world.put(s.processes, 1 - p, other._replace(seen=-1))
+                )
+                yield _step(stale, p, "renewal reaches store", written=True)
+            else:
+                yield self._answer_renewal(s, p)
+                yield _step(s, p, "renewal answer lost", renewal=-1)
+        if s.owner == p:
+            return
+        if me.seen < 0:
+            yield _step(s, p, "read member row", seen=0)
+        elif s.epoch < self._bounds.epochs and self._may_claim(me):
+            claimed = s._replace(epoch=s.epoch + 1, owner=p)
+            owner = self._take_over(claimed, p, 0)
+            yield f"claim by {p}", world.with_process(claimed, p, owner)
+            lost = me._replace(epoch=0)
+            yield f"claim answer lost by {p}", world.with_process(claimed, p, lost)
+
+    def _may_claim(self, me: world.Process) -> bool:
+        if not self._rules.takeover_wait:
+            return True
+        sighting = ownership.Sighting(1, 1, -me.seen, -me.seen)
+        silent = ownership.is_silent(sighting, 1, 0, world.TIMING)
+        return ownership.may_claim(silent, ownership.NEVER, 0, world.TIMING)
+
+    def _answer_renewal(self, s: world.State, p: int) -> tuple[str, world.State]:
+        me = s.processes[p]._replace(renewal=-1)
+        if s.owner != p:
+            me = me._replace(epoch=0)
+        elif me.epoch == s.epoch:
+            me = me._replace(age=min(me.age, s.processes[p].renewal))
+        else:
+            # The claim had succeeded although its answer was lost.
+            me = self._take_over(s, p, s.processes[p].renewal)._replace(renewal=-1)
+        return f"renewal answered to {p}", world.with_process(s, p, me)
+
+    def _take_over(self, s: world.State, p: int, age: int) -> world.Process:
+        """Return the process after it has rebuilt its state from the log."""
+        count = self._bounds.workers
+        nobody = (False,) * count
+        views = {}
+        for task, idempotent in world.IDEMPOTENT.items():
+            intent = s.intent is not None and not idempotent
+            match recovery.restored_task(idempotent, intent, expected=True):
+                case _ if task in s.final:
+                    views[task] = world.FINAL
+                case "held" if self._rules.hold:
+                    views[task] = world.HELD
+                case "attributed":
+                    views[task] = world.View(world.STARTING, *s.intent)
+                case _:
+                    views[task] = world.WAITING
+        return s.processes[p]._replace(
+            epoch=s.epoch,
+            age=age,
+            attached=nobody,
+            settled=nobody,
+            waited=(0,) * count,
+            n=views["N"],
+            i=views["I"],
+        )
+
+
+def _step(
+    s: world.State, p: int, label: str, **fields: object
+) -> tuple[str, world.State]:
+    changed = s.processes[p]._replace(**fields)
+    return f"{label} by {p}", world.with_process(s, p, changed)
--- a/spec/world.py
+++ b/spec/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from toucanspring import job, ownership
@@ -37,10 +38,36 @@
     lost_wait: bool = True  # a lost worker's lease must have expired
 
 
+class View(NamedTuple):
+    """What a process knows of a task; `worker` is 0 while none has it."""
+
+    state: str
+    worker: int
+    attempt: int
+    incarnation: int  # of the worker
+
+
+class Start(NamedTuple):
+    """A start message under way."""
+
+    epoch: int
+    task: str
+    attempt: int
+    worker: int
+
+
+class Intent(NamedTuple):
+    """The logged intent to start task `N`."""
+
+    worker: int
+    attempt: int
+    incarnation: int
+
+
 class Process(NamedTuple):
     """A process; `epoch` is 0 while it does not believe to own the partition.
 
-    `n` and `i` are its views of the tasks: state, worker, attempt and incarnation.
+    `n` and `i` are its views of the tasks `N` and `I`.
     """
 
     epoch: int
@@ -51,8 +78,8 @@
     attached: tuple[bool, ...]
     settled: tuple[bool, ...]  # attached or lost since the takeover
     waited: tuple[int, ...]  # since it last renewed each worker
-    n: tuple
-    i: tuple
+    n: View
+    i: View
 
 
 class Worker(NamedTuple):
@@ -61,8 +88,8 @@
     epoch: int  # highest seen
     lease: int  # age of the lease
     incarnation: int
-    running: frozenset
-    ended: frozenset
+    running: frozenset[tuple[str, int]]
+    ended: frozenset[tuple[str, int]]
 
 
 class State(NamedTuple):
@@ -70,17 +97,27 @@
 
     epoch: int
     owner: int
-    intent: tuple | None  # worker, attempt, incarnation
+    intent: Intent | None
     final: tuple[str, ...]  # tasks with an outcome in the log
     processes: tuple[Process, Process]
     workers: tuple[Worker, ...]
-    starts: frozenset  # of (epoch, task, attempt, worker)
-    n_runs: int
+    starts: frozenset[Start]
+    n_runs: int  # of task N
 
 
-WAITING = ("waiting", 0, 1, 0)
-HELD = ("held", 0, 1, 0)
-FINAL = ("final", 0, 0, 0)
+# Labelled successors of a state, named `s` in the modules of the steps; `p` is the
+# number of a process and `w` that of a worker.
+Steps = Iterator[tuple[str, State]]
+
+
+def waiting(attempt: int) -> View:
+    """Return the view of a task whose next start has this attempt number."""
+    return View("waiting", 0, attempt, 0)
+
+
+WAITING = waiting(1)
+HELD = View("held", 0, 1, 0)
+FINAL = View("final", 0, 0, 0)
 
 
 def initial(bounds: Bounds) -> State:
@@ -109,6 +146,21 @@
     return (*items[:index], item, *items[index + 1 :])
 
 
+def view_of(process: Process, task: str) -> View:
+    """Return what a process knows of a task."""
+    return process.n if task == "N" else process.i
+
+
+def with_view(process: Process, task: str, view: View) -> Process:
+    """Return a process with another view of a task."""
+    return process._replace(n=view) if task == "N" else process._replace(i=view)
+
+
+def with_process(state: State, number: int, process: Process) -> State:
+    """Return the state with one process replaced."""
+    return state._replace(processes=put(state.processes, number, process))
+
+
 def holds(process: Process) -> bool:
     """Return whether a process may act as the owner, by its own clock."""
     if not process.epoch:
