Split confirmations from documents, and the worker state from the lifecycle

Change: - toucanspring/confirmation.py: `Confirmation`, which says which processes have a version in force and waits for enough of them (`wait` was `Service._finish`, `processes` was `confirmed_by`, `LIMIT_S` was `documents.CONFIRM_LIMIT_S`). - toucanspring/worker_state.py: `WorkerState`; the pauses after refused starts are constants of attempt.py, which alone uses them.

Conclusion: no change of behaviour.

--- a/test/test_documents.py
+++ b/test/test_documents.py
@@ -8,7 +8,7 @@
 from testtools import content
 
 from test import fake_cell, fake_tables
-from toucanspring import changes, documents, errors, freshness, records
+from toucanspring import changes, confirmation, documents, errors, freshness, records
 
 
 class DocumentsTest(testtools.TestCase):
@@ -226,11 +226,11 @@
     def check(self):
         for change in list(self.stored):
             version, node, stored_at = change
-            if node.dead or self.cell.now - stored_at > documents.CONFIRM_LIMIT_S:
+            if node.dead or self.cell.now - stored_at > confirmation.LIMIT_S:
                 self.stored.remove(change)
             elif not node.paused and node.membership.read_members() is None:
                 lists = node.membership.known_lists()
-                confirmed = node.documents.confirmed_by("config", version)
+                confirmed = node.documents.confirmation.processes("config", version)
                 if freshness.is_accepted(lists, confirmed):
                     self.accepted.append((version, self.cell.now))
                     self.stored.remove(change)
--- a/toucanspring/attempt.py
+++ b/toucanspring/attempt.py
@@ -8,6 +8,10 @@
 
 SERVICE_STABLE_S = 60.0  # a service that ran so long starts with a fresh delay
 
+# Pause of starts on a worker that refused one; doubled with each refusal in a row.
+REFUSAL_PAUSE_S = 0.1
+REFUSAL_PAUSE_MAX_S = 5.0
+
 
 def report(
     core: lifecycle.Lifecycle,
@@ -176,8 +180,8 @@
     """Queue tasks again whose start was refused; they certainly did not run."""
     state = core.workers.get(worker)
     if state is not None and refusals:
-        pause = lifecycle.REFUSAL_PAUSE_S * 2**state.refusals
-        state.paused_until = now + min(pause, lifecycle.REFUSAL_PAUSE_MAX_S)
+        pause = REFUSAL_PAUSE_S * 2**state.refusals
+        state.paused_until = now + min(pause, REFUSAL_PAUSE_MAX_S)
         state.refusals = min(state.refusals + 1, 10)
         core.paused.add(worker)
         core.update_schedulable(worker, now)
--- a/toucanspring/documents.py
+++ b/toucanspring/documents.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import hmac
-import time
 from collections.abc import Callable, Mapping
 
 import gevent
@@ -14,6 +13,7 @@
 
 from toucanspring import (
     changes,
+    confirmation,
     errors,
     freshness,
     heartbeat,
@@ -30,8 +30,6 @@
 HISTORY_PAGE = 100
 FETCH_TIMEOUT_S = 2.0
 RETRY_S = 0.1
-# How long a stored change waits until half of the members have it in force.
-CONFIRM_LIMIT_S = 2.5
 STALE_HEADS = 4
 
 
@@ -87,13 +85,14 @@
         self._stale_heads = 0
         self._pending: tuple[freshness.Versions, float] | None = None
         self._wake = event.Event()
-        self._confirmed = event.Event()
         self._greenlets = pool.Group()
         self._members: membership.Service | None = None
+        self.confirmation: confirmation.Confirmation | None = None
 
     def start(self) -> None:
         """Follow the head row and the versions that other processes announce."""
         self._members = self._kernel.find("membership")
+        self.confirmation = confirmation.Confirmation(self._members, self.versions)
         self._members.watch(lambda: [records.HEAD], self._take_head)
         self._members.on_heartbeat(self._take_heartbeat)
         self._kernel.find("peers").handle("fetch_document", self._serve_document)
@@ -182,7 +181,7 @@
 
     def confirmations(self, version: int) -> dict[str, bool]:
         """Return which members have a configuration version in force."""
-        return self._confirmations("config", version)
+        return self.confirmation.by_process("config", version)
 
     # Interface: changes
 
@@ -240,46 +239,10 @@
         return self._finish(change.name, document)
 
     def _finish(self, name: str, document: records.Document) -> int | errors.Ambiguous:
-        """Put a stored change into force and wait until enough members have it.
-
-        A majority that vouches for an old view during an outage of the store then
-        always includes a member that knows the change.
-        """
+        """Put a stored change into force and wait until enough members have it."""
         self._adopt(name, document)
-        deadline = time.monotonic() + CONFIRM_LIMIT_S
-        # A member that wrote its row before the change but was not read yet counts too.
-        scanned = False
-        while True:
-            self._confirmed.clear()
-            scanned = scanned or self._members.read_members() is None
-            confirmed = self.confirmed_by(name, document.version)
-            rows = self._members.known_lists()
-            if scanned and freshness.is_accepted(rows, confirmed):
-                return document.version
-            wait_s = deadline - time.monotonic()
-            if wait_s <= 0:
-                return errors.Ambiguous(
-                    reason=f"version {document.version} is stored, but too few "
-                    f"processes confirmed it: {sorted(confirmed)} of {sorted(rows)}"
-                )
-            self._confirmed.wait(min(wait_s, RETRY_S if not scanned else wait_s))
-
-    def confirmed_by(self, name: str, version: int) -> set[str]:
-        """Return the processes that have a version of a document in force."""
-        return {
-            process
-            for process, done in self._confirmations(name, version).items()
-            if done
-        }
-
-    def _confirmations(self, name: str, version: int) -> dict[str, bool]:
-        found = dict.fromkeys(self._members.members(), False)
-        for process, message in self._members.peer_states().items():
-            if process in found:
-                found[process] = getattr(message.versions, name) >= version
-        own = self._members.identity.process
-        found[own] = getattr(self._view.versions, name) >= version
-        return found
+        failure = self.confirmation.wait(name, document.version)
+        return document.version if failure is None else failure
 
     # Following
 
@@ -305,7 +268,7 @@
     def _take_heartbeat(
         self, _process: str, message: heartbeat.Heartbeat, echoed_at: float
     ) -> None:
-        self._confirmed.set()
+        self.confirmation.notice()
         if not self._view.versions.covers(message.versions):
             self._want(message.versions)
         elif echoed_at > ownership.NEVER:
--- a/toucanspring/lifecycle.py
+++ b/toucanspring/lifecycle.py
@@ -21,6 +21,7 @@
     task_table,
     waiting,
     wire,
+    worker_state,
 )
 
 RETRY_FIRST_S = 1.0
@@ -30,38 +31,11 @@
 UNCOUNTED_FAILURES = 10
 # A task that was lost with its worker so often is likely to be the cause.
 MAX_LOSSES = 5
-# Pause of starts on a worker that refused one; doubled with each refusal in a row.
-REFUSAL_PAUSE_S = 0.1
-REFUSAL_PAUSE_MAX_S = 5.0
 CANCELLED = "cancelled"
 NOT_RUN_CANCELLED = job.Outcome(job.State.NOT_RUN, CANCELLED)
 FAILED_CANCELLED = job.Outcome(job.State.FAILED, CANCELLED)
 
 
-class WorkerState:
-    """Hold what is known of one attached worker."""
-
-    __slots__ = (
-        "attached",
-        "facts",
-        "leaving",
-        "orphans",
-        "paused_until",
-        "refusals",
-        "schedulable",
-    )
-
-    def __init__(self, facts: effects.WorkerFacts) -> None:
-        self.facts = facts
-        self.attached = True  # its stream works
-        self.leaving = False
-        self.schedulable = False
-        self.paused_until = 0.0
-        self.refusals = 0
-        # Tasks that run there but belong to no job or run elsewhere.
-        self.orphans: dict[str, wire.RunningTask] = {}
-
-
 class Lifecycle:
     """Start, end, queue and finish the tasks of one partition."""
 
@@ -76,7 +50,7 @@
         self.estimator = estimate.Estimator()
         self.quarantine = quarantine.Quarantine()
         self.decisions = decisions.Decisions()
-        self.workers: dict[str, WorkerState] = {}
+        self.workers: dict[str, worker_state.WorkerState] = {}
         self.tasks_on: dict[str, dict[str, task_table.LiveTask]] = {}
         # Every worker that was ever attached, present or not.
         self.known_workers: dict[str, effects.WorkerFacts] = {}
--- a/toucanspring/recovery.py
+++ b/toucanspring/recovery.py
@@ -14,6 +14,7 @@
     resources,
     task_table,
     wire,
+    worker_state,
 )
 
 
@@ -121,7 +122,7 @@
     """
     worker = facts.worker
     former = core.workers.get(worker)
-    state = core.workers[worker] = lifecycle.WorkerState(facts)
+    state = core.workers[worker] = worker_state.WorkerState(facts)
     if former is not None:
         state.leaving = former.leaving
         _drop_orphans(core, former)
@@ -149,7 +150,7 @@
 
 def _attach_running(
     core: lifecycle.Lifecycle,
-    state: lifecycle.WorkerState,
+    state: worker_state.WorkerState,
     entry: wire.RunningTask,
     now: float,
 ) -> None:
@@ -238,7 +239,7 @@
     settle(core, now)
 
 
-def _drop_orphans(core: lifecycle.Lifecycle, state: lifecycle.WorkerState) -> None:
+def _drop_orphans(core: lifecycle.Lifecycle, state: worker_state.WorkerState) -> None:
     for orphan in state.orphans.values():
         core.allowances.free(orphan.team, orphan.demand)
     state.orphans.clear()
--- /dev/null
+++ b/toucanspring/worker_state.py
@@ -0,0 +1,29 @@
+"""What a partition knows of one of its workers."""
+
+from __future__ import annotations
+
+from toucanspring import effects, wire
+
+
+class WorkerState:
+    """Hold what is known of one attached worker."""
+
+    __slots__ = (
+        "attached",
+        "facts",
+        "leaving",
+        "orphans",
+        "paused_until",
+        "refusals",
+        "schedulable",
+    )
+
+    def __init__(self, facts: effects.WorkerFacts) -> None:
+        self.facts = facts
+        self.attached = True  # its stream works
+        self.leaving = False
+        self.schedulable = False
+        self.paused_until = 0.0
+        self.refusals = 0  # in a row
+        # Tasks that run there but belong to no job or run elsewhere.
+        self.orphans: dict[str, wire.RunningTask] = {}
