Share the calls of the platform's HTTP clients

Cause: the clients of the tables, the objects and the VM list each had the same constructor and `close`, and the same four cases that turn an answer into a failure.

Change: toucanspring/adapters/platform.py has `HttpClient`, their base, with `_read_failure`, `_write_failure` and `_decode`. The reason of a malformed VM list reads "answer of the VM list: …" as it does for the tables.

Conclusion: the kinds of failures are unchanged. backend_servers.py keeps its own cases, since it has one endpoint a server and its answers are streamed.

--- a/toucanspring/adapters/objects.py
+++ b/toucanspring/adapters/objects.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from toucanspring import errors
-from toucanspring.adapters import exchange
+from toucanspring.adapters import exchange, platform
 
 TIMEOUT_S = 10.0
 CONNECTIONS = 4
@@ -29,9 +29,11 @@
         """Close idle connections."""
 
 
-class HttpObjectClient:
+class HttpObjectClient(platform.HttpClient):
     """Call the object store over HTTP."""
 
+    service = "object store"
+
     def __init__(
         self,
         address: str,
@@ -40,8 +42,7 @@
         timeout_s: float = TIMEOUT_S,
         connections: int = CONNECTIONS,
     ) -> None:
-        self._endpoint = exchange.Endpoint(address, port, connections, client)
-        self._timeout_s = timeout_s
+        super().__init__(address, port, client, timeout_s, connections)
 
     def put(self, key: str, content: bytes) -> None | errors.Failure:
         """Store an object; after `Ambiguous` the same put may be repeated."""
@@ -53,10 +54,8 @@
         match reply:
             case exchange.Reply(status=status) if 200 <= status < 300:
                 return None
-            case exchange.Reply():
-                return errors.Ambiguous(reason=f"object store answered {reply.status}")
             case _:
-                return reply
+                return self._write_failure(reply)
 
     def get(self, key: str) -> bytes | errors.Failure:
         """Return an object, or `NotFound`; never a part of one."""
@@ -66,14 +65,8 @@
                 return reply.body
             case exchange.Reply(status=404):
                 return errors.NotFound(reason=f"no object {key}")
-            case exchange.Reply():
-                return errors.Unavailable(
-                    reason=f"object store answered {reply.status}"
-                )
-            case errors.Ambiguous():
-                return errors.Unavailable(reason=reply.reason)
             case _:
-                return reply
+                return self._read_failure(reply)
 
     def delete(self, key: str) -> None | errors.Failure:
         """Remove an object; removing an absent one succeeds."""
@@ -81,14 +74,8 @@
         match reply:
             case exchange.Reply(status=status) if status < 300 or status == 404:
                 return None
-            case exchange.Reply():
-                return errors.Ambiguous(reason=f"object store answered {reply.status}")
             case _:
-                return reply
-
-    def close(self) -> None:
-        """Close idle connections."""
-        self._endpoint.close()
+                return self._write_failure(reply)
 
     def _call(
         self, method: str, key: str, body: bytes = b""
--- a/toucanspring/adapters/tables.py
+++ b/toucanspring/adapters/tables.py
@@ -8,9 +8,8 @@
 import msgspec
 
 from toucanspring import errors
-from toucanspring.adapters import exchange
+from toucanspring.adapters import exchange, platform
 
-TIMEOUT_S = 2.0
 CONNECTIONS = 8
 MAX_ANSWER_BYTES = 1 << 26
 
@@ -117,19 +116,20 @@
 _scan = msgspec.msgpack.Decoder(ScanAnswer)
 
 
-class HttpTableClient:
+class HttpTableClient(platform.HttpClient):
     """Call the table service over HTTP with msgpack bodies."""
 
+    service = "table service"
+
     def __init__(
         self,
         address: str,
         port: int,
         client: str = "",
-        timeout_s: float = TIMEOUT_S,
+        timeout_s: float = platform.TIMEOUT_S,
         connections: int = CONNECTIONS,
     ) -> None:
-        self._endpoint = exchange.Endpoint(address, port, connections, client)
-        self._timeout_s = timeout_s
+        super().__init__(address, port, client, timeout_s, connections)
 
     def transact(
         self,
@@ -144,12 +144,12 @@
         reply = self._call("/v1/transactions", body)
         match reply:
             case exchange.Reply(status=200):
-                answer = _decode(_committed, reply.body)
+                answer = self._decode(_committed, reply.body)
                 if isinstance(answer, errors.Failure):
                     return errors.Ambiguous(reason=answer.reason)
                 return Committed(answer.versions)
             case exchange.Reply(status=409):
-                conflict = _decode(_conflict, reply.body)
+                conflict = self._decode(_conflict, reply.body)
                 if isinstance(conflict, errors.Failure):
                     return errors.Ambiguous(reason=conflict.reason)
                 return errors.Conflict(
@@ -160,13 +160,10 @@
                 )
             case exchange.Reply(status=status) if 400 <= status < 500:
                 return _refused(reply)
-            case exchange.Reply(status=status):
-                # A server error does not say whether the writes took effect.
-                return errors.Ambiguous(reason=f"table service answered {status}")
             case errors.Oversized():
                 return errors.Ambiguous(reason=reply.reason)
             case _:
-                return reply
+                return self._write_failure(reply)
 
     def read(self, keys: list[str]) -> dict[str, Row] | errors.Failure:
         """Return the rows of all keys; an absent row has version 0."""
@@ -183,10 +180,6 @@
         answer = self._query("/v1/scans", ScanBody(prefix, after, limit), _scan)
         return answer if isinstance(answer, errors.Failure) else answer.rows
 
-    def close(self) -> None:
-        """Close idle connections."""
-        self._endpoint.close()
-
     def _call(self, target: str, body: object) -> exchange.Reply | errors.Failure:
         return self._endpoint.call(
             "POST",
@@ -203,24 +196,13 @@
         reply = self._call(target, body)
         match reply:
             case exchange.Reply(status=200):
-                return _decode(decoder, reply.body)
+                return self._decode(decoder, reply.body)
             case exchange.Reply(status=status) if 400 <= status < 500:
                 return _refused(reply)
-            case exchange.Reply(status=status):
-                return errors.Unavailable(reason=f"table service answered {status}")
-            case errors.Ambiguous():
-                return errors.Unavailable(reason=reply.reason)  # a read has no effect
             case _:
-                return reply
+                return self._read_failure(reply)
 
 
 def _refused(reply: exchange.Reply) -> errors.Refused:
     text = reply.body[:200].decode(errors="replace")
     return errors.Refused(reason=f"table service answered {reply.status}: {text}")
-
-
-def _decode(decoder: msgspec.msgpack.Decoder, body: bytes) -> object | errors.Malformed:
-    try:
-        return decoder.decode(body)
-    except msgspec.DecodeError as error:
-        return errors.Malformed(reason=f"answer of the table service: {error}")
--- a/toucanspring/adapters/vms.py
+++ b/toucanspring/adapters/vms.py
@@ -8,9 +8,8 @@
 import msgspec
 
 from toucanspring import errors, resources
-from toucanspring.adapters import exchange
+from toucanspring.adapters import exchange, platform
 
-TIMEOUT_S = 2.0
 MAX_LIST_BYTES = 1 << 26
 
 
@@ -56,14 +55,10 @@
 _decoder = msgspec.json.Decoder(list[Vm])
 
 
-class HttpVmClient:
+class HttpVmClient(platform.HttpClient):
     """Call the VM list over HTTP."""
 
-    def __init__(
-        self, address: str, port: int, client: str = "", timeout_s: float = TIMEOUT_S
-    ) -> None:
-        self._endpoint = exchange.Endpoint(address, port, 2, client)
-        self._timeout_s = timeout_s
+    service = "VM list"
 
     def list(self) -> list[Vm] | errors.Failure:
         """Return all listed VMs."""
@@ -72,21 +67,6 @@
         )
         match reply:
             case exchange.Reply(status=200):
-                return _decode(reply.body)
-            case exchange.Reply():
-                return errors.Unavailable(reason=f"VM list answered {reply.status}")
-            case errors.Ambiguous():
-                return errors.Unavailable(reason=reply.reason)
+                return self._decode(_decoder, reply.body)
             case _:
-                return reply
-
-    def close(self) -> None:
-        """Close idle connections."""
-        self._endpoint.close()
-
-
-def _decode(body: bytes) -> list[Vm] | errors.Malformed:
-    try:
-        return _decoder.decode(body)
-    except msgspec.DecodeError as error:
-        return errors.Malformed(reason=f"VM list: {error}")
+                return self._read_failure(reply)
