Share the shapes of scenarios and bench.faults, and split long functions

Cause: scenarios/actions.py had 404 lines with the steps of operators and callers and those that let the platform fail. bench.faults had the same begin, yield, end four times, and its loads as bare tuples read by index.

Change: - scenarios/disturbances.py: the steps on the store, workers, backend servers and the VM list, and `ROW_PREFIXES`; `actions.Player` extends it. - bench/faults.py: `_on_daemon` serves four faults; `Templates` names the parts of a load. Its faults were steps of `actions.Player` already. - standins/workers.py `describe`; scenarios/loads.py `_is_final`, `_refuse`. - Units in names: `WORKERS_PER_RACK`, `JOBS_PER_CALL`, `MAX_REMEMBERED_REQUESTS`, `MAX_REASON_CHARACTERS`.

`_is_final` and the former conditions agree for all kinds of failures, doubt and retrying (checked by a script).

Conclusion: no change of behaviour.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -10,6 +10,7 @@
 monkey.patch_all()
 
 import collections  # noqa: E402
+import dataclasses  # noqa: E402
 import json  # noqa: E402
 import random  # noqa: E402
 import sys  # noqa: E402
@@ -19,7 +20,7 @@
 import defopt  # noqa: E402
 import gevent  # noqa: E402
 
-from scenarios import actions, cell, language, loads  # noqa: E402
+from scenarios import actions, cell, disturbances, language, loads  # noqa: E402
 from standins import violations  # noqa: E402
 
 DAEMONS = 5
@@ -31,14 +32,35 @@
 # Counted from the start; the judge and the end of the processes follow.
 FINISH_AT_S = 42.0
 MAX_UNKNOWN = 0.01
-# Load of each deployment: the class of non-idempotent requests, the team and template
-# of idempotent and of non-idempotent jobs, of a gang, and of a key that is withdrawn.
-LOADS = {
-    "kernhalde": ("normal", "proof-rendering", "invoice-run", "demand-model",
-                  "sales-cubes"),
-    "zimna-patna": ("urgent", "route-temperatures-sofia", "council-warnings",
-                    "night-ensemble", "timetable-search"),
-}  # fmt: skip
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Templates:
+    """Name what the load of a deployment is made of."""
+
+    keyed_class: str  # of non-idempotent requests
+    batch: str
+    single: str  # of non-idempotent jobs
+    gang: str
+    withdrawn: str  # of the team whose key is withdrawn
+
+
+TEMPLATES = {
+    "kernhalde": Templates(
+        keyed_class="normal",
+        batch="proof-rendering",
+        single="invoice-run",
+        gang="demand-model",
+        withdrawn="sales-cubes",
+    ),
+    "zimna-patna": Templates(
+        keyed_class="urgent",
+        batch="route-temperatures-sofia",
+        single="council-warnings",
+        gang="night-ensemble",
+        withdrawn="timetable-search",
+    ),
+}
 COUNTED = {
     violations.OverCapacity: "over_capacity",
     violations.OverCeiling: "over_ceiling",
@@ -92,40 +114,34 @@
         next(steps, None)
 
 
-def kill(mix: Mix) -> Iterator[None]:
-    """Kill a daemon and start it again."""
+def _on_daemon(
+    mix: Mix, begin: Callable[[str], None], end: Callable[[str], None]
+) -> Iterator[None]:
     name = mix.daemon()
-    mix.player.kill(name)
+    begin(name)
     yield
-    mix.player.restart(name)
+    end(name)
     mix.busy.discard(name)
 
 
+def kill(mix: Mix) -> Iterator[None]:
+    """Kill a daemon and start it again."""
+    return _on_daemon(mix, mix.player.kill, mix.player.restart)
+
+
 def pause(mix: Mix) -> Iterator[None]:
     """Pause a daemon."""
-    name = mix.daemon()
-    mix.player.pause(name)
-    yield
-    mix.player.resume(name)
-    mix.busy.discard(name)
+    return _on_daemon(mix, mix.player.pause, mix.player.resume)
 
 
 def stop(mix: Mix) -> Iterator[None]:
     """Stop a daemon gracefully and start it again."""
-    name = mix.daemon()
-    mix.player.stop(name)
-    yield
-    mix.player.restart(name)
-    mix.busy.discard(name)
+    return _on_daemon(mix, mix.player.stop, mix.player.restart)
 
 
 def cut_store(mix: Mix) -> Iterator[None]:
     """Cut a daemon off from the store."""
-    name = mix.daemon()
-    mix.player.cut_store(name)
-    yield
-    mix.player.heal_store(name)
-    mix.busy.discard(name)
+    return _on_daemon(mix, mix.player.cut_store, mix.player.heal_store)
 
 
 def store_down(mix: Mix) -> Iterator[None]:
@@ -144,7 +160,7 @@
 
 def lose_answers(mix: Mix) -> Iterator[None]:
     """Lose answers to writes of one kind."""
-    document = mix.rng.choice(sorted(actions.ROW_PREFIXES))
+    document = mix.rng.choice(sorted(disturbances.ROW_PREFIXES))
     mix.player.lose_writes(mix.rng.randint(1, 3), document)
     yield
 
@@ -190,7 +206,8 @@
 
 def withdraw_key(mix: Mix) -> Iterator[None]:
     """Withdraw the key of the team that has one to lose."""
-    team = mix.cell.model.jobs[LOADS[mix.cell.model.name][4]].team
+    template = TEMPLATES[mix.cell.model.name].withdrawn
+    team = mix.cell.model.jobs[template].team
     if mix.cell.keys[team].id not in mix.cell.withdrawn:
         mix.player.withdraw(team)
     yield
@@ -241,18 +258,22 @@
 
 def start_load(running: cell.Cell, player: actions.Player) -> None:
     """Start all kinds of work."""
-    keyed, batch, single, gang, withdrawn = LOADS[running.model.name]
+    load = TEMPLATES[running.model.name]
     jobs = running.model.jobs
     service = next(iter(running.model.services.values()))
-    teams = {jobs[name].team for name in (batch, single, gang, withdrawn)}
+    teams = {
+        jobs[name].team for name in (load.batch, load.single, load.gang, load.withdrawn)
+    }
     for team in sorted(teams | {running.model.queues[service.queue].team}):
         player.grant(team)
     player.keep_sending("checks", "check", 4, {"running": 0.005})
-    player.keep_sending("keyed", keyed, 4, {"running": 0.03})
-    player.keep_submitting("batch", batch, 0.2, {"running": 0.3, "tasks": 4})
-    player.keep_submitting("single", single, 0.1, {"running": 0.3})
-    player.keep_submitting("withdrawn", withdrawn, 0.3, {"running": 0.2, "tasks": 2})
-    player.submit(1, "gang", gang, {"running": 2.0, "tasks": 6})
+    player.keep_sending("keyed", load.keyed_class, 4, {"running": 0.03})
+    player.keep_submitting("batch", load.batch, 0.2, {"running": 0.3, "tasks": 4})
+    player.keep_submitting("single", load.single, 0.1, {"running": 0.3})
+    player.keep_submitting(
+        "withdrawn", load.withdrawn, 0.3, {"running": 0.2, "tasks": 2}
+    )
+    player.submit(1, "gang", load.gang, {"running": 2.0, "tasks": 6})
 
 
 def run(running: cell.Cell, seed: int, began: float) -> dict[str, int]:
@@ -316,7 +337,7 @@
     """
     began = time.monotonic()
     loads.FOLLOW_S = FOLLOW_S
-    deployment = sorted(LOADS)[(seed + 1) % 2]
+    deployment = sorted(TEMPLATES)[(seed + 1) % 2]
     with cell.run(deployment, DAEMONS, WORKERS, EXECUTORS, 3) as running:
         result = run(running, seed, began)
         good = not any(result[name] for name in MUST_BE_ZERO)
--- a/scenarios/actions.py
+++ b/scenarios/actions.py
@@ -7,40 +7,22 @@
 from collections.abc import Callable
 
 import gevent
-import msgspec
-
-from scenarios import cell, expectations, language, loads
-from standins import judge
-from toucanspring.adapters import vms
-
-ROW_PREFIXES = {
-    "configuration": "config/",
-    "keys": "keys",
-    "zones": "zones",
-    "ownership": "partitions/",
-    "log": "log/",
-    "renewals": "members/",
-    "allowances": "allowances/",
-}
+
+from scenarios import cell, disturbances, language, loads
+
 DEFAULT_RUN_S = 0.01
 DEFAULT_ANSWER_BYTES = 400
 # A stop hands over partitions and finishes requests, 30 s at most by the settings.
 STOP_LIMIT_S = 40.0
 
 
-class Player(expectations.Expectations):
+class Player(disturbances.Disturbances):
     """Run steps against a cell; `say` prints a line of progress."""
 
     def __init__(self, running: cell.Cell, say: Callable[[str], None]) -> None:
         super().__init__(running)
         self._say = say
         self._names: dict[str, str] = {}
-        self._blocked: list[str] = []
-        self._blocked_owners: dict[str, list[str]] = {}
-        self._large = 0
-        self._listed: list[vms.Vm] = []
-        self._shown: list[vms.Vm] | None = None
-        self._listed_at: dict[str, float] = {}
 
     def play(self, steps: tuple[language.Step, ...]) -> None:
         """Carry out steps; raises `language.ScenarioError` at the one that fails."""
@@ -243,162 +225,3 @@
     def wait(self, seconds: float) -> None:
         """Let time pass."""
         gevent.sleep(seconds)
-
-    # Faults of the platform
-
-    def cut_store(self, daemon: str) -> None:
-        """Hang up on a daemon's calls of the table service and the object store."""
-        self._blocked.append(self.resolve(daemon))
-        self._set_blocked()
-
-    def heal_store(self, daemon: str) -> None:
-        """Serve a daemon again."""
-        self._blocked.remove(self.resolve(daemon))
-        self._set_blocked()
-
-    def _set_blocked(self) -> None:
-        for name in ("tables", "objects"):
-            self._cell.cluster.set_faults(name, blocked=self._blocked)
-
-    def store_down(self) -> None:
-        """Refuse all connections to the store."""
-        for name in ("tables", "objects"):
-            self._cell.cluster.set_faults(name, down=True)
-
-    def store_up(self) -> None:
-        """End all faults of the store."""
-        for name in ("tables", "objects"):
-            self._cell.cluster.set_faults(name, down=False, delay_ms=0)
-
-    def store_slow(self, seconds: float) -> None:
-        """Delay each operation of the store."""
-        for name in ("tables", "objects"):
-            self._cell.cluster.set_faults(name, delay_ms=seconds * 1000)
-
-    def lose_writes(self, count: int, document: str) -> None:
-        """Drop answers to writes of one kind of row after they took effect."""
-        lost = {ROW_PREFIXES[document]: count}
-        self._cell.cluster.set_faults("tables", lose_writes=lost)
-
-    def _places(self, place: language.Place) -> list[str]:
-        listed = [vm for vm in self._vms() if vm.role is vms.Role.WORKER]
-        match place.kind:
-            case "worker":
-                return [listed[place.number - 1].id]
-            case "rack":
-                rack = f"{place.zone}-rack-{place.number - 1}"
-                return [vm.id for vm in listed if vm.rack == rack]
-            case _:
-                return [vm.id for vm in listed if vm.availability_zone == place.zone]
-
-    def _vms(self) -> list[vms.Vm]:
-        if not self._listed:
-            self._listed = self._cell.cluster.listed()
-        return self._listed
-
-    def _set_workers(self, place: language.Place, **faults: object) -> None:
-        names = self._places(place)
-        if not names:
-            raise cell.Failed("no such workers")
-        self._cell.cluster.set_faults("workers", workers=names, **faults)
-
-    def cut_place(self, daemon: str, place: language.Place) -> None:
-        """Hold back the traffic between a daemon and workers."""
-        self._block(place, {self.resolve(daemon)}, set())
-
-    def heal_place(self, daemon: str, place: language.Place) -> None:
-        """Deliver the traffic between a daemon and workers."""
-        self._block(place, set(), {self.resolve(daemon)})
-
-    def _block(self, place: language.Place, add: set[str], drop: set[str]) -> None:
-        for name in self._places(place):
-            blocked = (set(self._blocked_owners.get(name, [])) | add) - drop
-            self._blocked_owners[name] = sorted(blocked)
-            self._cell.cluster.set_faults(
-                "workers", workers=[name], blocked_owners=sorted(blocked)
-            )
-
-    def lose(self, place: language.Place, seconds: float | None) -> None:
-        """End workers with their tasks, for good or for a time."""
-        back = None if seconds is None else seconds * 1000
-        self._set_workers(place, die=True, return_after_ms=back)
-
-    def revive(self, place: language.Place) -> None:
-        """Start workers that were lost."""
-        self._set_workers(place, revive=True)
-
-    def fail_tasks(self, place: language.Place) -> None:
-        """Let each new task on these workers fail."""
-        self._set_workers(place, fail_all=True)
-
-    def mend(self, place: language.Place) -> None:
-        """Let tasks on these workers end as planned again."""
-        self._set_workers(place, fail_all=False)
-
-    def list_as(self, host: language.Host, listed_as: str) -> None:
-        """Change the entry of a VM in the VM list."""
-        target = self._host(host)
-        known = self._cell.cluster.listed() if not self._shown else self._shown
-        known = [vm for vm in known if vm.id != target.id]
-        if listed_as != "gone":
-            state = vms.State.LEAVING if listed_as == "leaving" else vms.State.LIVE
-            known.append(msgspec.structs.replace(target, state=state))
-        self._shown = known
-        self._cell.cluster.publish(known)
-        self._listed_at[target.id] = time.monotonic()
-
-    def expect_no_start_on(self, host: language.Host) -> None:
-        """Check that a VM got no work later than 3 s after its entry was changed."""
-        target = self._host(host)
-        since = self._listed_at[target.id] + judge.IN_FORCE_S
-        if host.role == "worker":
-            self._cell.history.refresh()
-            late = [
-                attempt.start
-                for attempt in self._cell.history.attempts
-                if attempt.start.worker == target.id and attempt.start.at > since
-            ]
-        else:
-            record = self._cell.cluster.record("backend_servers")["events"]
-            late = [
-                event
-                for event in record
-                if event["kind"] == "run"
-                and event["executor"] == target.id
-                and event["at"] > since
-            ]
-        if late:
-            raise cell.Failed(f"{len(late)} starts on {target.id}, such as {late[0]}")
-
-    def _host(self, host: language.Host) -> vms.Vm:
-        role = vms.Role.WORKER if host.role == "worker" else vms.Role.BACKEND_SERVER
-        return [vm for vm in self._vms() if vm.role is role][host.number - 1]
-
-    def _set_executors(self, number: int | None = None, **faults: object) -> None:
-        names = [] if number is None else [self._host(language.Host("e", number)).id]
-        self._cell.cluster.set_faults("backend_servers", executors=names, **faults)
-
-    def kill_executor(self, number: int) -> None:
-        """Refuse all connections to a backend server."""
-        self._set_executors(number, down=True)
-
-    def revive_executor(self, number: int) -> None:
-        """Serve again."""
-        self._set_executors(number, down=False)
-
-    def answers_late(self, seconds: float) -> None:
-        """Delay the answers of all backend servers after the work."""
-        self._set_executors(answer_delay_ms=seconds * 1000)
-
-    def answers_cut(self, count: int) -> None:
-        """End that many answers of each backend server in the middle."""
-        self._set_executors(cut_answers=count)
-
-    def answers_large(self, size: int) -> None:
-        """Replace the length of the answers of requests sent from now on."""
-        self._large = size
-        self._set_executors(large_bytes=size)
-
-    def answers_normal(self) -> None:
-        """End the faults of all backend servers."""
-        self._set_executors(answer_delay_ms=0, cut_answers=0)
--- a/scenarios/loads.py
+++ b/scenarios/loads.py
@@ -22,10 +22,12 @@
 # A caller asks again for a lost answer or an unknown outcome for this long.
 FOLLOW_S = 40.0
 UNKNOWN_ATTEMPTS = 6
-BULK = 200
+JOBS_PER_CALL = 200
 FOLLOWERS = 8
 KEPT_ANSWER_BYTES = 1000
 CALLER_PAUSE_S = 0.02
+MAX_REASON_CHARACTERS = 90
+CANCEL_ATTEMPTS = 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,8 +87,8 @@
         for _ in range(count):
             self._number += 1
             items.append({"id": f"{self.name}-{self._number}", **fields})
-        for start in range(0, len(items), BULK):
-            self._submit(items[start : start + BULK], tasks, daemon)
+        for start in range(0, len(items), JOBS_PER_CALL):
+            self._submit(items[start : start + JOBS_PER_CALL], tasks, daemon)
 
     def keep_submitting(self, fields: dict, tasks: int, every_s: float) -> None:
         """Submit one job after the other until stopped."""
@@ -118,31 +120,35 @@
                 if not failure:
                     self.accepted[item["id"]] = tasks
                     self.note_use(self._key, sent_at)
-                elif (
-                    failure in NOT_RUN
-                    and item["id"] not in doubtful
-                    and not (self.retrying and failure in RETRIED)
-                ):
-                    self.refused.add(item["id"])
-                    self.counts[f"refused {failure}"] += 1
-                    self.counts[
-                        str(reply.error.get("reason", reply.body[:300]))[:90]
-                    ] += 1
-                elif failure == "Forbidden":
+                elif not self._is_final(item["id"], failure, doubtful):
+                    if failure not in NOT_RUN:
+                        doubtful.add(item["id"])
+                    left.append(item)
+                elif item["id"] not in doubtful:
+                    self._refuse(item["id"], failure, reply)
+                else:
                     # The key was withdrawn after an answer was lost.
                     if self._is_known(item["id"]):
                         self.accepted[item["id"]] = tasks
                     self.counts["doubtful"] += 1
-                else:
-                    if failure not in NOT_RUN:
-                        doubtful.add(item["id"])
-                    left.append(item)
             items = left
             if items:
                 gevent.sleep(RETRY_S)
         for item in items:
             self.problems.append(f"{item['id']}: neither accepted nor refused")
 
+    def _is_final(self, job_id: str, failure: str, doubtful: set[str]) -> bool:
+        """Return whether a failure ends the submission of a job."""
+        if job_id in doubtful:  # an earlier call may have been accepted
+            return failure == "Forbidden"
+        return failure in NOT_RUN and not (self.retrying and failure in RETRIED)
+
+    def _refuse(self, job_id: str, failure: str, reply: client.Reply) -> None:
+        self.refused.add(job_id)
+        self.counts[f"refused {failure}"] += 1
+        reason = str(reply.error.get("reason", reply.body[:300]))
+        self.counts[reason[:MAX_REASON_CHARACTERS]] += 1
+
     def _is_known(self, job_id: str) -> bool:
         path = f"/v1/jobs/{job_id}"
         return self._front.call("GET", path, key=self._front.operator_key).status == 200
@@ -152,7 +158,7 @@
         ids = list(self.accepted)
 
         def send(part: list[str]) -> None:
-            for _ in range(20):
+            for _ in range(CANCEL_ATTEMPTS):
                 reply = self._front.call(
                     "POST", "/v1/cancellations", {"ids": part}, self._key.secret
                 )
@@ -161,7 +167,10 @@
                 gevent.sleep(RETRY_S)
             self.problems.append(f"cancellation: {reply.status} {reply.body[:200]!r}")
 
-        parts = [ids[start : start + BULK] for start in range(0, len(ids), BULK)]
+        parts = [
+            ids[start : start + JOBS_PER_CALL]
+            for start in range(0, len(ids), JOBS_PER_CALL)
+        ]
         gevent.joinall([gevent.spawn(send, part) for part in parts], raise_error=True)
 
     def refresh(self) -> None:
--- a/standins/backend_servers.py
+++ b/standins/backend_servers.py
@@ -21,7 +21,7 @@
 SLOTS = 8
 MAX_CONNECTIONS = 64
 DEFAULT_RUN_MS = 5.0
-MAX_REMEMBERED = 20_000
+MAX_REMEMBERED_REQUESTS = 20_000
 MAX_REMEMBERED_BYTES = 1 << 27
 PREFIX = "/requests/"
 
@@ -204,7 +204,7 @@
 
     def _forget_oldest(self) -> None:
         while (
-            len(self._outcomes) > MAX_REMEMBERED
+            len(self._outcomes) > MAX_REMEMBERED_REQUESTS
             or self._remembered_bytes > MAX_REMEMBERED_BYTES
         ):
             self._forget(self._outcomes.popitem(last=False)[1])
@@ -283,23 +283,22 @@
     """
     record = events.Record()
     rng = random.Random(seed).random
-    executors = []
-    listed = []
-    for index in range(count):
-        name = f"backend-{first_port + index}"
-        executor = Executor(name, address, first_port + index, slots, record, rng)
-        executor.server.open()
-        executors.append(executor)
-        listed.append(
-            vms.Vm(
-                id=name,
-                role=vms.Role.BACKEND_SERVER,
-                availability_zone=zones[index % len(zones)],
-                address=address,
-                port=first_port + index,
-                service=service_name,
-            )
+    listed = [
+        vms.Vm(
+            id=f"backend-{first_port + index}",
+            role=vms.Role.BACKEND_SERVER,
+            availability_zone=zones[index % len(zones)],
+            address=address,
+            port=first_port + index,
+            service=service_name,
         )
+        for index in range(count)
+    ]
+    executors = [
+        Executor(vm.id, vm.address, vm.port, slots, record, rng) for vm in listed
+    ]
+    for executor in executors:
+        executor.server.open()
     host = Executors(executors, listed, record)
     control = service.HttpServer(address, port, host.handle)
     control.open()
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -17,7 +17,7 @@
 from toucanspring import resources  # noqa: E402
 from toucanspring.adapters import vms  # noqa: E402
 
-RACK_SIZE = 8
+WORKERS_PER_RACK = 8
 
 
 class Workers:
@@ -47,6 +47,27 @@
         return names
 
 
+def describe(
+    index: int,
+    address: str,
+    first_port: int,
+    zones: list[str],
+    size: resources.Resources,
+) -> vms.Vm:
+    """Return the entry of one worker in the VM list."""
+    zone = zones[index % len(zones)]
+    rack = index // len(zones) // WORKERS_PER_RACK
+    return vms.Vm(
+        id=f"worker-{first_port + index}",
+        role=vms.Role.WORKER,
+        availability_zone=zone,
+        rack=f"{zone}-rack-{rack}",
+        address=address,
+        port=first_port + index,
+        resources=size,
+    )
+
+
 def main(
     *,
     address: str = "127.0.0.1",
@@ -78,19 +99,10 @@
     rng = random.Random(f"{seed}/{first_port}/{time.monotonic_ns()}")
     workers = []
     for index in range(count):
-        zone = zones[index % len(zones)]
-        rack = index // len(zones) // RACK_SIZE
-        listed = vms.Vm(
-            id=f"worker-{first_port + index}",
-            role=vms.Role.WORKER,
-            availability_zone=zone,
-            rack=f"{zone}-rack-{rack}",
-            address=address,
-            port=first_port + index,
-            resources=resources.Resources(
-                cpus, memory, accelerators if index < accelerated else 0
-            ),
+        size = resources.Resources(
+            cpus, memory, accelerators if index < accelerated else 0
         )
+        listed = describe(index, address, first_port, zones, size)
         host = worker.Worker(listed, clock, record, rng)
         host.revive()
         workers.append(host)
