Share the reply of HTTP calls between the scenarios and the demonstration

Change: standins/replies.py has `Reply`; scenarios extend it by where an answer came from. `judge.IN_FORCE_S` is the one constant. `Requests._send` is split into `_call` and `_final_state`.

--- a/bench/zone.py
+++ b/bench/zone.py
@@ -16,7 +16,6 @@
 STEADY_S = 5.0
 OUT_S = 6.0
 AFTER_S = 4.0
-IN_FORCE_S = 3.0
 DRAIN_S = 20.0
 CORES = 24 * 32
 
@@ -76,7 +75,7 @@
         "baseline_ratio": round(without, 3),
         "late_starts": sum(
             event["availability_zone"] == zone
-            and out_at + IN_FORCE_S < event["at"] < in_at
+            and out_at + judge.IN_FORCE_S < event["at"] < in_at
             for event in starts
         ),
         "lost": outcomes["none"],
--- a/demo/callers.py
+++ b/demo/callers.py
@@ -8,7 +8,7 @@
 import gevent
 
 from demo import account, entry
-from standins import backend_servers
+from standins import backend_servers, replies
 
 NOT_RUN = {
     "NotRun",
@@ -82,7 +82,7 @@
             reply = self._front.call("POST", path, body, self._key, headers)
         self._note(kind, request_id, reply)
 
-    def _note(self, kind: Kind, request_id: str, reply: entry.Reply) -> None:
+    def _note(self, kind: Kind, request_id: str, reply: replies.Reply) -> None:
         if reply.status == 200:
             expected = backend_servers.expected_answer(request_id, kind.answer_bytes)
             if reply.body != expected:
@@ -121,7 +121,7 @@
             gevent.sleep(0.2)
         self._counts.problems.append(f"submission: {reply.status} {reply.body[:300]!r}")
 
-    def _note(self, reply: entry.Reply) -> None:
+    def _note(self, reply: replies.Reply) -> None:
         """Count jobs that were accepted and those that were refused one by one."""
         for item in reply.json()["jobs"]:
             if "error" in item:
--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -17,7 +17,6 @@
 
 DAEMONS = 9
 EXAMPLES = processes.ROOT / "examples"
-IN_FORCE_S = 3.0
 JOB_LIMIT_S = 30.0
 
 
@@ -98,7 +97,7 @@
 def _withdraw_key(run: Run) -> None:
     key = run.keys["analytics"]
     run.front.operate("DELETE", f"/v1/keys/{key['id']}")
-    gevent.sleep(IN_FORCE_S)
+    gevent.sleep(judge.IN_FORCE_S)
     accepted = 0
     for number in range(18):
         item = {"id": f"late-{number}", "template": "sales-cubes"}
@@ -136,7 +135,7 @@
     run.say(f"taking availability zone {zone} out of service")
     run.front.operate("POST", f"/v1/zones/{zone}/out")
     out_at = time.monotonic()
-    gevent.sleep(IN_FORCE_S + 3)
+    gevent.sleep(judge.IN_FORCE_S + 3)
     run.front.operate("POST", f"/v1/zones/{zone}/in")
     run.outages.append(facts.ZoneOutage(zone, out_at, time.monotonic()))
     run.say(f"availability zone {zone} is back in service")
--- a/demo/entry.py
+++ b/demo/entry.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
-import json
 import random
 import time
 
-from standins import cluster
+from standins import cluster, replies
 
 ATTEMPTS = 20
 RETRY_S = 0.1
@@ -18,28 +16,6 @@
     """Raised when an operator call is refused."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reply:
-    """Hold an answer; `status` 0 means that it was lost after sending."""
-
-    status: int
-    body: bytes
-
-    @property
-    def failure(self) -> str:
-        """Return the type of the failure, or an empty string."""
-        if 0 < self.status < 400:
-            return ""
-        try:
-            return json.loads(self.body)["error"]["type"]
-        except (ValueError, KeyError, TypeError):
-            return "Ambiguous"
-
-    def json(self) -> dict:
-        """Return the decoded body."""
-        return json.loads(self.body)
-
-
 class Entry:
     """Call one of the daemons that take connections."""
 
@@ -54,7 +30,7 @@
         body: object = None,
         key: str = "",
         headers: dict[str, str] | None = None,
-    ) -> Reply:
+    ) -> replies.Reply:
         """Call any ready daemon; one that refuses the connection is passed over."""
         sent = dict(headers or {})
         if key:
@@ -72,13 +48,15 @@
             except ConnectionRefusedError:
                 continue
             except OSError:
-                return Reply(0, b"")
-            return Reply(*answer)
-        return Reply(0, b"")
+                return replies.Reply(0, b"")
+            return replies.Reply(*answer)
+        return replies.Reply(0, b"")
 
-    def operate(self, method: str, path: str, body: object = None, **headers) -> Reply:
+    def operate(
+        self, method: str, path: str, body: object = None, **headers
+    ) -> replies.Reply:
         """Make an operator's call and raise `CallFailed` unless it succeeds."""
-        reply = Reply(0, b"")
+        reply = replies.Reply(0, b"")
         for _ in range(ATTEMPTS):
             reply = self.call(
                 method, path, body, key=self._cluster.operator_key, headers=headers
--- a/scenarios/client.py
+++ b/scenarios/client.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
-import json
 import random
 import time
 
 import gevent
 
-from standins import cluster
+from standins import cluster, replies
 
 TIMEOUT_S = 5.0
 CONNECT_ATTEMPTS = 40
@@ -19,38 +18,16 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Reply:
-    """Hold an answer; `status` 0 means that none arrived after the call was sent.
+class Reply(replies.Reply):
+    """Hold an answer and where it came from.
 
     `cut_off` tells a connection that broke from a caller that gave up waiting.
     """
 
-    status: int
-    body: bytes = b""
     cut_off: bool = False
     daemon: str = ""
     while_stopping: bool = False
 
-    @property
-    def failure(self) -> str:
-        """Return the type of the failure, or an empty string."""
-        if 0 < self.status < 400:
-            return ""
-        return str(self.error.get("type", "Ambiguous"))
-
-    @property
-    def error(self) -> dict:
-        """Return the fields of the failure."""
-        try:
-            found = json.loads(self.body)["error"]
-        except (ValueError, KeyError, TypeError):
-            return {}
-        return found if isinstance(found, dict) else {}
-
-    def json(self) -> dict:
-        """Return the decoded body."""
-        return json.loads(self.body)
-
 
 class Client:
     """Call daemons that are in service.
--- a/scenarios/loads.py
+++ b/scenarios/loads.py
@@ -270,14 +270,6 @@
 
     def _send(self, request_id: str) -> str:
         """Send a request until its outcome is known, at another daemon each time."""
-        kind = self._kind
-        headers = {
-            "X-Request-Id": request_id,
-            "X-Class": kind.job_class,
-            "X-Idempotent": "true" if kind.idempotent else "false",
-        }
-        body = {"run_ms": kind.run_ms, "answer_bytes": kind.answer_bytes}
-        path = f"/v1/services/{kind.service}/requests"
         deadline = time.monotonic() + FOLLOW_S
         state = "lost"
         doubtful = False
@@ -286,40 +278,63 @@
         self.counts["sent"] += 1
         while time.monotonic() < deadline and unknown < UNKNOWN_ATTEMPTS:
             sent_at = time.monotonic()
-            reply = self._front.call(
-                "POST",
-                path,
-                body,
-                self._key.secret,
-                headers,
-                timeout_s=kind.give_up_s or client.TIMEOUT_S,
-                avoid=avoid,
-            )
+            reply = self._call(request_id, avoid)
             avoid = reply.daemon
-            self.counts["interrupted"] += reply.cut_off
-            self.counts["cut_off_by_stop"] += reply.cut_off and reply.while_stopping
-            if reply.status == 200:
-                self._check(request_id, reply)
-                self.note_use(self._key, sent_at)
-                return "done"
-            failure = reply.failure
-            if failure in NOT_RUN and not doubtful:
-                self.not_run.add(request_id)
-                self.counts[f"not_run {failure}"] += 1
-                return "not_run"
-            if kind.give_up_s:
-                return "given_up"
-            if failure == "Forbidden":
-                return self._look_up(request_id)
-            if failure == "Refused" and not doubtful:
-                self.problems.append(f"{request_id}: {reply.body[:200]!r}")
-                return "lost"
+            final = self._final_state(request_id, reply, sent_at, doubtful)
+            if final:
+                return final
             doubtful = True
-            if failure == "Unknown":
+            if reply.failure == "Unknown":
                 unknown += 1
                 state = "unknown"
             gevent.sleep(RETRY_S)
-        return "unknown" if not kind.idempotent else state
+        return "unknown" if not self._kind.idempotent else state
+
+    def _call(self, request_id: str, avoid: str) -> client.Reply:
+        kind = self._kind
+        headers = {
+            "X-Request-Id": request_id,
+            "X-Class": kind.job_class,
+            "X-Idempotent": "true" if kind.idempotent else "false",
+        }
+        body = {"run_ms": kind.run_ms, "answer_bytes": kind.answer_bytes}
+        reply = self._front.call(
+            "POST",
+            f"/v1/services/{kind.service}/requests",
+            body,
+            self._key.secret,
+            headers,
+            timeout_s=kind.give_up_s or client.TIMEOUT_S,
+            avoid=avoid,
+        )
+        self.counts["interrupted"] += reply.cut_off
+        self.counts["cut_off_by_stop"] += reply.cut_off and reply.while_stopping
+        return reply
+
+    def _final_state(
+        self, request_id: str, reply: client.Reply, sent_at: float, doubtful: bool
+    ) -> str:
+        """Return the state that a reply leaves a request in; empty to send it again.
+
+        `doubtful` says that an earlier call may have run.
+        """
+        failure = reply.failure
+        if reply.status == 200:
+            self._check(request_id, reply)
+            self.note_use(self._key, sent_at)
+            return "done"
+        if failure in NOT_RUN and not doubtful:
+            self.not_run.add(request_id)
+            self.counts[f"not_run {failure}"] += 1
+            return "not_run"
+        if self._kind.give_up_s:
+            return "given_up"
+        if failure == "Forbidden":
+            return self._look_up(request_id)
+        if failure == "Refused" and not doubtful:
+            self.problems.append(f"{request_id}: {reply.body[:200]!r}")
+            return "lost"
+        return ""
 
     def _look_up(self, request_id: str) -> str:
         """Return the outcome of a request whose key was withdrawn meanwhile."""
