--- a/scenarios/loads.py
+++ b/scenarios/loads.py
@@ -22,10 +22,12 @@
 # A caller asks again for a lost answer or an unknown outcome for this long.
 FOLLOW_S = 40.0
 UNKNOWN_ATTEMPTS = 6
-BULK = 200
+JOBS_PER_CALL = 200
 FOLLOWERS = 8
 KEPT_ANSWER_BYTES = 1000
 CALLER_PAUSE_S = 0.02
+MAX_REASON_CHARACTERS = 90
+CANCEL_ATTEMPTS = 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,8 +87,8 @@
         for _ in range(count):
             self._number += 1
             items.append({"id": f"{self.name}-{self._number}", **fields})
-        for start in range(0, len(items), BULK):
-            self._submit(items[start : start + BULK], tasks, daemon)
+        for start in range(0, len(items), JOBS_PER_CALL):
+            self._submit(items[start : start + JOBS_PER_CALL], tasks, daemon)
 
     def keep_submitting(self, fields: dict, tasks: int, every_s: float) -> None:
         """Submit one job after the other until stopped."""
@@ -118,31 +120,35 @@
                 if not failure:
                     self.accepted[item["id"]] = tasks
                     self.note_use(self._key, sent_at)
-                elif (
-                    failure in NOT_RUN
-                    and item["id"] not in doubtful
-                    and not (self.retrying and failure in RETRIED)
-                ):
-                    self.refused.add(item["id"])
-                    self.counts[f"refused {failure}"] += 1
-                    self.counts[
-                        str(reply.error.get("reason", reply.body[:300]))[:90]
-                    ] += 1
-                elif failure == "Forbidden":
+                elif not self._is_final(item["id"], failure, doubtful):
+                    if failure not in NOT_RUN:
+                        doubtful.add(item["id"])
+                    left.append(item)
+                elif item["id"] not in doubtful:
+                    self._refuse(item["id"], failure, reply)
+                else:
                     # The key was withdrawn after an answer was lost.
                     if self._is_known(item["id"]):
                         self.accepted[item["id"]] = tasks
                     self.counts["doubtful"] += 1
-                else:
-                    if failure not in NOT_RUN:
-                        doubtful.add(item["id"])
-                    left.append(item)
             items = left
             if items:
                 gevent.sleep(RETRY_S)
         for item in items:
             self.problems.append(f"{item['id']}: neither accepted nor refused")
 
+    def _is_final(self, job_id: str, failure: str, doubtful: set[str]) -> bool:
+        """Return whether a failure ends the submission of a job."""
+        if job_id in doubtful:  # an earlier call may have been accepted
+            return failure == "Forbidden"
+        return failure in NOT_RUN and not (self.retrying and failure in RETRIED)
+
+    def _refuse(self, job_id: str, failure: str, reply: client.Reply) -> None:
+        self.refused.add(job_id)
+        self.counts[f"refused {failure}"] += 1
+        reason = str(reply.error.get("reason", reply.body[:300]))
+        self.counts[reason[:MAX_REASON_CHARACTERS]] += 1
+
     def _is_known(self, job_id: str) -> bool:
         path = f"/v1/jobs/{job_id}"
         return self._front.call("GET", path, key=self._front.operator_key).status == 200
@@ -152,7 +158,7 @@
         ids = list(self.accepted)
 
         def send(part: list[str]) -> None:
-            for _ in range(20):
+            for _ in range(CANCEL_ATTEMPTS):
                 reply = self._front.call(
                     "POST", "/v1/cancellations", {"ids": part}, self._key.secret
                 )
@@ -161,7 +167,10 @@
                 gevent.sleep(RETRY_S)
             self.problems.append(f"cancellation: {reply.status} {reply.body[:200]!r}")
 
-        parts = [ids[start : start + BULK] for start in range(0, len(ids), BULK)]
+        parts = [
+            ids[start : start + JOBS_PER_CALL]
+            for start in range(0, len(ids), JOBS_PER_CALL)
+        ]
         gevent.joinall([gevent.spawn(send, part) for part in parts], raise_error=True)
 
     def refresh(self) -> None:
@@ -261,14 +270,6 @@
 
     def _send(self, request_id: str) -> str:
         """Send a request until its outcome is known, at another daemon each time."""
-        kind = self._kind
-        headers = {
-            "X-Request-Id": request_id,
-            "X-Class": kind.job_class,
-            "X-Idempotent": "true" if kind.idempotent else "false",
-        }
-        body = {"run_ms": kind.run_ms, "answer_bytes": kind.answer_bytes}
-        path = f"/v1/services/{kind.service}/requests"
         deadline = time.monotonic() + FOLLOW_S
         state = "lost"
         doubtful = False
@@ -277,40 +278,63 @@
         self.counts["sent"] += 1
         while time.monotonic() < deadline and unknown < UNKNOWN_ATTEMPTS:
             sent_at = time.monotonic()
-            reply = self._front.call(
-                "POST",
-                path,
-                body,
-                self._key.secret,
-                headers,
-                timeout_s=kind.give_up_s or client.TIMEOUT_S,
-                avoid=avoid,
-            )
+            reply = self._call(request_id, avoid)
             avoid = reply.daemon
-            self.counts["interrupted"] += reply.cut_off
-            self.counts["cut_off_by_stop"] += reply.cut_off and reply.while_stopping
-            if reply.status == 200:
-                self._check(request_id, reply)
-                self.note_use(self._key, sent_at)
-                return "done"
-            failure = reply.failure
-            if failure in NOT_RUN and not doubtful:
-                self.not_run.add(request_id)
-                self.counts[f"not_run {failure}"] += 1
-                return "not_run"
-            if kind.give_up_s:
-                return "given_up"
-            if failure == "Forbidden":
-                return self._look_up(request_id)
-            if failure == "Refused" and not doubtful:
-                self.problems.append(f"{request_id}: {reply.body[:200]!r}")
-                return "lost"
+            final = self._final_state(request_id, reply, sent_at, doubtful)
+            if final:
+                return final
             doubtful = True
-            if failure == "Unknown":
+            if reply.failure == "Unknown":
                 unknown += 1
                 state = "unknown"
             gevent.sleep(RETRY_S)
-        return "unknown" if not kind.idempotent else state
+        return "unknown" if not self._kind.idempotent else state
+
+    def _call(self, request_id: str, avoid: str) -> client.Reply:
+        kind = self._kind
+        headers = {
+            "X-Request-Id": request_id,
+            "X-Class": kind.job_class,
+            "X-Idempotent": "true" if kind.idempotent else "false",
+        }
+        body = {"run_ms": kind.run_ms, "answer_bytes": kind.answer_bytes}
+        reply = self._front.call(
+            "POST",
+            f"/v1/services/{kind.service}/requests",
+            body,
+            self._key.secret,
+            headers,
+            timeout_s=kind.give_up_s or client.TIMEOUT_S,
+            avoid=avoid,
+        )
+        self.counts["interrupted"] += reply.cut_off
+        self.counts["cut_off_by_stop"] += reply.cut_off and reply.while_stopping
+        return reply
+
+    def _final_state(
+        self, request_id: str, reply: client.Reply, sent_at: float, doubtful: bool
+    ) -> str:
+        """Return the state that a reply leaves a request in; empty to send it again.
+
+        `doubtful` says that an earlier call may have run.
+        """
+        failure = reply.failure
+        if reply.status == 200:
+            self._check(request_id, reply)
+            self.note_use(self._key, sent_at)
+            return "done"
+        if failure in NOT_RUN and not doubtful:
+            self.not_run.add(request_id)
+            self.counts[f"not_run {failure}"] += 1
+            return "not_run"
+        if self._kind.give_up_s:
+            return "given_up"
+        if failure == "Forbidden":
+            return self._look_up(request_id)
+        if failure == "Refused" and not doubtful:
+            self.problems.append(f"{request_id}: {reply.body[:200]!r}")
+            return "lost"
+        return ""
 
     def _look_up(self, request_id: str) -> str:
         """Return the outcome of a request whose key was withdrawn meanwhile."""
--- a/test/test_departure.py
+++ b/test/test_departure.py
@@ -2,13 +2,13 @@
 import testtools
 
 from test import fake_cell
-from toucanspring import documents, errors, renewal
+from toucanspring import confirmation, errors, renewal
 
 
 class DepartureTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.patch(documents, "CONFIRM_LIMIT_S", 1.0)
+        self.patch(confirmation, "LIMIT_S", 1.0)
         self.cell = fake_cell.Cell(3, partitions=1)
         self.addCleanup(self.cell.stop)
         self.cell.run(6)
--- a/toucanspring/moves.py
+++ b/toucanspring/moves.py
@@ -16,6 +16,7 @@
     need,
     resources,
     task_table,
+    worker_state,
 )
 
 # Work that has waited less mostly gets room sooner from tasks that end than from a
@@ -211,7 +212,7 @@
 
     # Workers
 
-    def _usable(self) -> Iterator[tuple[str, lifecycle.WorkerState]]:
+    def _usable(self) -> Iterator[tuple[str, worker_state.WorkerState]]:
         core = self._core
         bad = set(core.quarantine.quarantined())
         for worker, state in core.workers.items():
