Read and check allowances only of the teams in use

Cause: each poll of a partition read the rows of all teams with a ceiling, and each round looked at the accounts of all of them ten times a second.

Change: a team of which the partition holds nothing, and for which nothing is asked or uncertain, is unused; each poll reads only 1/64 of those rows, to find a part that a late write by a former owner gave. The ledger looks at the teams that hold, use or ask for something. While a part is held and nobody wants more, the rows are read every 0.5 s instead of 0.25 s.

Bounds touched: none on ceilings. A part that is zero stays so until its own partition asks; parts above a lowered ceiling are shrunk by each partition that holds one, as before within 1 s. A want of another partition is noticed 0.25 s later at most.

The rates of store calls do not change, their number of rows does: a partition that uses one of 700 teams reads 12 rows a poll instead of 700.

--- a/test/test_allowance.py
+++ b/test/test_allowance.py
@@ -94,6 +94,22 @@
         self.ledger.want("zimna", want, self.one)
         self.assertEqual([asked], self.ledger.step(2.1))
 
+    def test_only_teams_that_hold_or_use_something_are_looked_at(self):
+        # Guards against rounds that look at 700 teams of which few are in use.
+        self.ledger.set_ceilings({f"t{n}": self.one.times(10) for n in range(700)})
+        self.ledger.set_held({f"t{n}": resources.ZERO for n in range(700)}, 0.0)
+        self.assertEqual(["zimna"], self.ledger.teams())
+        self.ledger.want("t1", self.one, self.one)
+        (asked,) = self.ledger.step(1.0)
+        self.assertEqual("t1", asked.team)
+        self.assertEqual(["t1", "zimna"], self.ledger.teams())
+        self.ledger.step(5.0)
+        self.hold(0, 5.1)
+        self.ledger.step(5.2)
+        self.assertNotIn("zimna", self.ledger.teams())
+        self.ledger.use("zimna", self.one)
+        self.assertIn("zimna", self.ledger.teams())
+
     def test_nothing_counts_as_excess_before_the_row_was_read(self):
         # Guards against a successor that stops all work because it holds nothing yet.
         ledger = allowance.Ledger()
--- a/test/test_allowances.py
+++ b/test/test_allowances.py
@@ -68,3 +68,43 @@
         self.assertEqual({"team": FIVE}, self.delivered)
         self.keeper._serve()
         self.assertEqual({"team": FIVE}, self.delivered)
+
+    def return_all(self):
+        self.keeper.hold("team", resources.ZERO)
+        for _ in range(2):
+            self.keeper._serve()
+
+    def test_only_rows_in_use_are_read(self):
+        # Guards against a read of 700 rows by each partition in each poll.
+        limited = {f"t{number}": fairness.Team("", ceiling=TEN) for number in range(64)}
+        self.keeper.set_teams({"team": fairness.Team("team", ceiling=TEN), **limited})
+        self.keeper._serve()
+        reads = []
+        read = self.table.read
+        self.patch(self.table, "read", lambda keys: reads.append(keys) or read(keys))
+        for _ in range(64):
+            self.keeper._serve()
+        self.assertTrue(all(len(keys) == 2 and KEY in keys for keys in reads))
+        self.assertEqual(65, len({key for keys in reads for key in keys}))
+
+    def test_a_part_given_by_a_former_owner_is_found(self):
+        # Guards against a part of the ceiling that nobody uses or returns.
+        self.return_all()
+        row = allowance.Row(parts={0: FIVE})
+        self.table.transact({}, {KEY: allowances._encode(row)})
+        self.keeper._serve()
+        self.assertEqual({"team": FIVE}, self.delivered)
+
+    def test_a_want_without_a_part_is_still_read(self):
+        # Guards against a want that is never met because its row is taken as unused.
+        self.return_all()
+        row = allowance.Row(parts={1: TEN})
+        self.table.transact({}, {KEY: allowances._encode(row)})
+        self.keeper.hold("team", FIVE)
+        for _ in range(2):
+            self.keeper._serve()
+        self.patch(allowances, "UNUSED_FRACTION", 0.0)
+        row = allowance.Row(parts={0: FIVE, 1: FIVE})
+        self.table.transact({}, {KEY: allowances._encode(row)})
+        self.keeper._serve()
+        self.assertEqual({"team": FIVE}, self.delivered)
--- /dev/null
+++ b/toucanspring/accounts.py
@@ -0,0 +1,50 @@
+"""Account of one team in the allowance ledger of a partition."""
+
+from __future__ import annotations
+
+Amount = tuple[int, int, int]  # millicores, MiB, accelerators
+ZERO: Amount = (0, 0, 0)
+
+
+class Account:
+    """Track the use and the part of one team; amounts are tuples for speed."""
+
+    __slots__ = (
+        "asked_at",
+        "ceiling",
+        "held",
+        "known",
+        "limit",
+        "peak",
+        "possible",
+        "returning",
+        "since",
+        "target",
+        "used",
+    )
+
+    def __init__(self) -> None:
+        self.ceiling: Amount | None = None  # None: the team has no ceiling
+        self.held = ZERO  # as in the row
+        self.limit: Amount | None = None  # while other partitions want more
+        self.known = False  # whether the row was read
+        self.target: Amount | None = None  # of the request that is under way
+        self.returning = False
+        self.asked_at = 0.0
+        self.used = ZERO
+        self.possible = ZERO  # of the former owner, on workers not yet attached
+        self.peak = ZERO  # most used since `since`
+        self.since = 0.0
+
+    def is_idle(self) -> bool:
+        """Return whether the account holds, uses and asks for nothing."""
+        return self.target is None and self.held == self.used == self.possible == ZERO
+
+    def usable(self) -> Amount:
+        """Return what may be used while a return may or may not have been written."""
+        usable = self.held
+        if self.returning:
+            usable = tuple(map(min, usable, self.target))
+        if self.limit is not None:
+            usable = tuple(map(min, usable, self.limit))
+        return usable
--- a/toucanspring/allowance.py
+++ b/toucanspring/allowance.py
@@ -11,15 +11,15 @@
 
 import msgspec
 
-from toucanspring import effects, resources
+from toucanspring import accounts, effects, resources
 
 RETURN_AFTER_S = 5.0  # unused for so long before it is given back
 CONTENDED_RETURN_AFTER_S = 0.5  # the same while other partitions want more
 RETRY_S = 1.0  # a request without answer is repeated
 CHUNKS = 16  # requests ask for up to this fraction of the ceiling
 
-Amount = tuple[int, int, int]
-ZERO: Amount = (0, 0, 0)
+Amount = accounts.Amount
+ZERO = accounts.ZERO
 UNLIMITED: Amount = msgspec.structs.astuple(resources.UNLIMITED)
 
 
@@ -127,56 +127,19 @@
     )
 
 
-class _Account:
-    __slots__ = (
-        "asked_at",
-        "ceiling",
-        "held",
-        "known",
-        "limit",
-        "peak",
-        "possible",
-        "returning",
-        "since",
-        "target",
-        "used",
-    )
-
-    def __init__(self) -> None:
-        self.ceiling: Amount | None = None  # None: the team has no ceiling
-        self.held = ZERO  # as in the row
-        self.limit: Amount | None = None  # while other partitions want more
-        self.known = False  # whether the row was read
-        self.target: Amount | None = None  # of the request that is under way
-        self.returning = False
-        self.asked_at = 0.0
-        self.used = ZERO
-        self.possible = ZERO  # of the former owner, on workers not yet attached
-        self.peak = ZERO  # most used since `since`
-        self.since = 0.0
-
-    def usable(self) -> Amount:
-        """Return what may be used while a return may or may not have been written."""
-        usable = self.held
-        if self.returning:
-            usable = tuple(map(min, usable, self.target))
-        if self.limit is not None:
-            usable = tuple(map(min, usable, self.limit))
-        return usable
-
-
 class Ledger:
     """Track what one partition holds and uses of each team's ceiling."""
 
     def __init__(self) -> None:
-        self._accounts: dict[str, _Account] = {}
+        self._accounts: dict[str, accounts.Account] = {}
+        self._active: set[str] = set()  # all others hold, use and ask for nothing
         # Amounts that waiting work needs: all of it, and the least that helps.
         self._short: dict[str, tuple[Amount, Amount]] = {}
 
-    def _account(self, team: str) -> _Account:
+    def _account(self, team: str) -> accounts.Account:
         account = self._accounts.get(team)
         if account is None:
-            account = self._accounts[team] = _Account()
+            account = self._accounts[team] = accounts.Account()
         return account
 
     def set_ceilings(self, ceilings: Mapping[str, resources.Resources]) -> None:
@@ -192,6 +155,8 @@
             account = self._account(team)
             value = _tuple(amount)
             changed, account.held = value != account.held, value
+            if value != ZERO:
+                self._active.add(team)
             if not account.known:
                 account.known = True
                 account.peak, account.since = account.used, now
@@ -243,6 +208,7 @@
             accelerators + amount.accelerators,
         )
         account.peak = tuple(map(max, account.peak, used))
+        self._active.add(team)
 
     def free(self, team: str, amount: resources.Resources) -> None:
         """Count work that has ended."""
@@ -274,8 +240,8 @@
         )
 
     def teams(self) -> list[str]:
-        """Return the teams with an account."""
-        return list(self._accounts)
+        """Return the teams that may hold, use or ask for something."""
+        return sorted(self._active)
 
     def set_possible(self, amounts: Mapping[str, resources.Resources]) -> None:
         """Set what teams may be using on workers that cannot be asked yet."""
@@ -284,6 +250,7 @@
                 account.possible = ZERO
         for team, amount in amounts.items():
             self._account(team).possible = _tuple(amount)
+            self._active.add(team)
 
     def want(
         self, team: str, amount: resources.Resources, least: resources.Resources
@@ -303,18 +270,21 @@
         With `all_teams` false, only teams whose work waits are looked at.
         """
         due = []
-        for team in list(self._accounts if all_teams else self._short):
-            short = self._short.get(team)
-            effect = self._next_effect(team, self._accounts[team], short, now)
+        self._active.update(self._short)
+        for team in self.teams() if all_teams else list(self._short):
+            account = self._accounts[team]
+            effect = self._next_effect(team, account, self._short.get(team), now)
             if effect is not None:
                 due.append(effect)
+            elif account.is_idle():
+                self._active.discard(team)
         self._short.clear()
         return due
 
     def _next_effect(
         self,
         team: str,
-        account: _Account,
+        account: accounts.Account,
         short: tuple[Amount, Amount] | None,
         now: float,
     ) -> effects.RequestAllowance | effects.ReturnAllowance | None:
@@ -346,7 +316,9 @@
         return None
 
     @staticmethod
-    def _contended_target(account: _Account, is_short: bool, now: float) -> Amount:
+    def _contended_target(
+        account: accounts.Account, is_short: bool, now: float
+    ) -> Amount:
         """Return what to keep while others want more.
 
         What is above the limit goes at once. Within the limit a short pause keeps
@@ -360,7 +332,7 @@
         return tuple(map(min, account.held, keep))
 
     @staticmethod
-    def _target(account: _Account, short: tuple[Amount, Amount]) -> Amount:
+    def _target(account: accounts.Account, short: tuple[Amount, Amount]) -> Amount:
         """Return what to hold: the amount that waits, but one chunk at a time."""
         limits = account.ceiling if account.limit is None else account.limit
         return tuple(
@@ -383,7 +355,7 @@
     @staticmethod
     def _ask(
         team: str,
-        account: _Account,
+        account: accounts.Account,
         target: Amount,
         now: float,
         least: Amount = ZERO,
--- a/toucanspring/allowances.py
+++ b/toucanspring/allowances.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import time
 from collections.abc import Callable, Mapping
 
@@ -19,7 +20,11 @@
 BATCH_INTERVAL_S = 0.05  # collects the requests of one round
 # Finds wants of other partitions and parts that shrank with a lowered ceiling.
 POLL_INTERVAL_S = 1.0
-BUSY_POLL_INTERVAL_S = 0.25  # while the partition holds or wants something
+HOLDING_POLL_INTERVAL_S = 0.5  # finds wants of others that this partition can meet
+BUSY_POLL_INTERVAL_S = 0.25  # while this partition or another wants more
+# Each poll also reads this part of the rows that the partition does not use: a late
+# write by its former owner may have given it something.
+UNUSED_FRACTION = 1 / 64
 # A want that the ledger has not repeated for this long is withdrawn.
 WANT_LIMIT_S = 2.5
 ROW_PREFIX = "allowances/"
@@ -64,7 +69,8 @@
         self._targets: dict[str, Target] = {}
         self._asked_at: dict[str, float] = {}
         self._settled: dict[str, Settled] = {}
-        self._busy = False
+        self._interval_s = POLL_INTERVAL_S
+        self._next_unused = 0
         self._wakeup = gevent.event.Event()
         self._greenlet: gevent.Greenlet | None = None
 
@@ -97,7 +103,7 @@
 
     def _run(self) -> None:
         while True:
-            self._wakeup.wait(BUSY_POLL_INTERVAL_S if self._busy else POLL_INTERVAL_S)
+            self._wakeup.wait(self._interval_s)
             gevent.sleep(BATCH_INTERVAL_S)
             self._wakeup.clear()
             try:
@@ -108,7 +114,7 @@
     def _serve(self) -> None:
         targets, self._targets = self._targets, {}
         table = self._kernel.find("store").tables
-        teams = self._limited_teams()
+        teams = self._due_teams(targets)
         rows = table.read([ROW_PREFIX + team for team in teams]) if teams else {}
         if isinstance(rows, errors.Failure):
             return  # the ledger repeats requests that stay unanswered
@@ -134,11 +140,11 @@
             limit = allowance.limit_of(found, self._partition, self._ceilings[team])
             if limit is not None:
                 limits[team] = limit
-        self._busy = (
-            bool(limits)
-            or any(part != resources.ZERO for part in held.values())
-            or bool(targets)
-        )
+        self._interval_s = POLL_INTERVAL_S
+        if limits or targets or any(team not in self._settled for team in held):
+            self._interval_s = BUSY_POLL_INTERVAL_S
+        elif any(part != resources.ZERO for part in held.values()):
+            self._interval_s = HOLDING_POLL_INTERVAL_S
         if held:
             self._deliver(held, limits)
 
@@ -150,6 +156,29 @@
             if ceiling != resources.UNLIMITED
         ]
 
+    def _due_teams(self, targets: Mapping[str, Target]) -> list[str]:
+        """Return the teams to read: those in use and a few of the others.
+
+        A part that is zero stays so until this partition asks for more. A write
+        without a certain answer leaves its team unsettled, hence in use.
+        """
+        due, unused = [], []
+        for team in self._limited_teams():
+            known = self._settled.get(team)
+            is_unused = (
+                known is not None
+                and team not in targets
+                and known.held == resources.ZERO
+                and known.ceiling == self._ceilings[team]
+            )
+            (unused if is_unused else due).append(team)
+        if unused:
+            start = self._next_unused % len(unused)
+            count = math.ceil(len(unused) * UNUSED_FRACTION)
+            due += unused[start : start + count]
+            self._next_unused = start + count
+        return due
+
     def _update(
         self,
         table: tables.TableClient,
