--- a/test/test_journal.py
+++ b/test/test_journal.py
@@ -126,6 +126,36 @@
         names = {f"job-{index}" for index in range(12)}
         self.assertEqual(names, set(self.reload().state.specs))
 
+    def test_a_snapshot_waits_until_the_log_has_grown_by_its_size(self):
+        # Guards against writing all kept jobs again for each few rows.
+        self.patch(journal, "ROWS_BEFORE_SNAPSHOT", 2)
+        owner = self.open()
+        puts = []
+        put = self.objects.put
+        self.objects.put = lambda key, content: puts.append(key) or put(key, content)
+        for index in range(40):
+            self.append(owner, f"job-{index}")
+        owner.drain(1)
+        # The size doubles from one snapshot to the next.
+        self.assertLess(len(puts), 8)
+        self.patch(journal, "MAX_ROWS_BEFORE_SNAPSHOT", 3)
+        before = len(puts)
+        for index in range(40, 60):
+            self.append(owner, f"job-{index}")
+        owner.drain(1)
+        self.assertGreaterEqual(len(puts) - before, 5)
+
+    def test_a_successor_knows_the_sizes_of_snapshot_and_log(self):
+        # Guards against a snapshot at each takeover, and against none for long.
+        self.patch(journal, "ROWS_BEFORE_SNAPSHOT", 2)
+        owner = self.open()
+        for index in range(20):
+            self.append(owner, f"job-{index}")
+        owner.drain(1)
+        successor = self.reload()
+        self.assertEqual(owner._snapshot_bytes, successor._snapshot_bytes)
+        self.assertEqual(owner._bytes_since, successor._bytes_since)
+
     def test_a_failed_snapshot_keeps_the_rows(self):
         # Guards against deleting rows whose content is nowhere else.
         self.patch(journal, "ROWS_BEFORE_SNAPSHOT", 2)
--- a/toucanspring/journal.py
+++ b/toucanspring/journal.py
@@ -21,7 +21,11 @@
 RETRY_PAUSE_S = 0.1
 MAX_RETRY_PAUSE_S = 2.0
 SCAN_ROWS = 200
+# A snapshot holds everything and is written once the log has grown by as much, so that
+# snapshots cost no more than the log. The second limit bounds the rows that a successor
+# reads, ten scans of some milliseconds each.
 ROWS_BEFORE_SNAPSHOT = 400
+MAX_ROWS_BEFORE_SNAPSHOT = 2000
 MAX_PENDING_RECORDS = 200_000
 
 
@@ -69,6 +73,8 @@
         self._sequence = 0
         self._first_row = 1
         self._snapshot_key = ""
+        self._snapshot_bytes = 0
+        self._bytes_since = 0  # of the rows after the snapshot
         self._pending: list[Entry] = []
         self._wakeup = gevent.event.Event()
         self._idle = gevent.event.Event()
@@ -107,6 +113,7 @@
             if isinstance(found, errors.Failure):
                 return found
             for row in found:
+                self._bytes_since += len(row.value)
                 for record in log_records.decode_batch(row.value).records:
                     self.state.apply(record)
                 after = row.key
@@ -122,6 +129,7 @@
         for record in log_records.decode_batch(content).records:
             self.state.apply(record)
         self._snapshot_key = snapshot.object_key
+        self._snapshot_bytes = len(content)
         self._sequence = snapshot.sequence
         self._first_row = snapshot.sequence + 1
         return None
@@ -154,7 +162,7 @@
             while self._pending and not self.fenced:
                 batch = self._take_batch()
                 self._write(batch)
-                if self._sequence - self._first_row >= ROWS_BEFORE_SNAPSHOT:
+                if self._needs_snapshot():
                     self._compact()
                 gevent.sleep(self._interval_s)
             if not self._pending:
@@ -189,7 +197,7 @@
             self.writes += 1
             match answer:
                 case tables.Committed():
-                    return self._confirm(batch)
+                    return self._confirm(batch, len(value))
                 case errors.Conflict():
                     return self._resolve_conflict(batch, batch_id, key)
                 case errors.Ambiguous():
@@ -201,8 +209,9 @@
             pause = min(MAX_RETRY_PAUSE_S, pause * 2)
         return None
 
-    def _confirm(self, batch: list[Entry]) -> None:
+    def _confirm(self, batch: list[Entry], size: int) -> None:
         self._sequence += 1
+        self._bytes_since += size
         for entry in batch:
             self.state.apply(entry.record)
         for entry in batch:
@@ -221,7 +230,7 @@
             gevent.sleep(RETRY_PAUSE_S)
         row = rows[key]
         if row.version and log_records.decode_batch(row.value).batch_id == batch_id:
-            self._confirm(batch)
+            self._confirm(batch, len(row.value))
             return
         log.warning(
             "partition {}: log row {} was not written; ownership is lost",
@@ -256,12 +265,20 @@
 
     # Compaction
 
+    def _needs_snapshot(self) -> bool:
+        rows = self._sequence - self._first_row
+        if rows >= MAX_ROWS_BEFORE_SNAPSHOT:
+            return True
+        grown = self._bytes_since >= self._snapshot_bytes
+        return rows >= ROWS_BEFORE_SNAPSHOT and grown
+
     def _compact(self) -> None:
         """Replace the rows so far by a snapshot in the object store."""
         self.state.forget_oldest()
         batch = log_records.Batch("snapshot", self.epoch, self.state.to_records())
         object_key = f"snapshot-{self.partition}-{self.epoch}-{self._sequence}"
-        failure = self._objects.put(object_key, log_records.encode(batch))
+        content = log_records.encode(batch)
+        failure = self._objects.put(object_key, content)
         if isinstance(failure, errors.Failure):
             log.warning("snapshot of partition {}: {}", self.partition, failure)
             return
@@ -275,6 +292,7 @@
         if self._snapshot_key:
             self._objects.delete(self._snapshot_key)
         self._snapshot_key = object_key
+        self._snapshot_bytes, self._bytes_since = len(content), 0
         first, last = self._first_row, self._sequence
         self._first_row = last + 1
         for start in range(first, last + 1, SCAN_ROWS):
