Share the VM list's answers and look only at leaving workers

Cause: at an owner the VM list was read and decoded twice a second, the view of all VMs compared once a second, and preemption.drain looked at all workers ten times a second (14 of 344 ms in a profile with 192 workers).

Change: the client gives its last answer again within 0.5 s, and the same list object while the body is unchanged, which the fleet recognises. The scheduler keeps the set of leaving workers.

Bound touched: a VM's state is read every 1 s as before and may be 0.5 s older; a backend server that is leaving gets no new work after a few seconds.

--- a/toucanspring/adapters/vms.py
+++ b/toucanspring/adapters/vms.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import time
 from typing import Protocol
 
 import msgspec
@@ -12,6 +13,8 @@
 
 TIMEOUT_S = 2.0
 MAX_LIST_BYTES = 1 << 26
+# Two services read the list every second; with this they share the answers.
+REUSE_S = 0.5
 
 
 class Role(enum.StrEnum):
@@ -64,15 +67,27 @@
     ) -> None:
         self._endpoint = exchange.Endpoint(address, port, 2, client)
         self._timeout_s = timeout_s
+        self._body = b""
+        self._listed: list[Vm] = []
+        self._read_at = float("-inf")
 
     def list(self) -> list[Vm] | errors.Failure:
-        """Return all listed VMs."""
+        """Return all listed VMs; the same list object while nothing has changed."""
+        asked_at = time.monotonic()
+        if asked_at - self._read_at < REUSE_S:
+            return self._listed
         reply = self._endpoint.call(
             "GET", "/v1/vms", timeout_s=self._timeout_s, max_bytes=MAX_LIST_BYTES
         )
         match reply:
             case exchange.Reply(status=200):
-                return _decode(reply.body)
+                if reply.body != self._body:
+                    listed = _decode(reply.body)
+                    if isinstance(listed, errors.Failure):
+                        return listed
+                    self._body, self._listed = reply.body, listed
+                self._read_at = asked_at
+                return self._listed
             case exchange.Reply():
                 return errors.Unavailable(reason=f"VM list answered {reply.status}")
             case errors.Ambiguous():
--- a/toucanspring/fleet.py
+++ b/toucanspring/fleet.py
@@ -29,6 +29,7 @@
         self._assigned: dict[str, int] = {}
         self._assigned_version = 0
         self._vms: dict[str, vms.Vm] = {}
+        self._listed: list[vms.Vm] | None = None
         self._absent_since: dict[str, float] = {}
         self._posts: dict[int, tuple[int, Callable[[object], None]]] = {}
         self._leaving: dict[str, bool] = {}
@@ -131,6 +132,9 @@
             self._update_links(partition)
 
     def _see_vms(self, listed: list[vms.Vm]) -> None:
+        if listed is self._listed:
+            return
+        self._listed = listed
         now = time.monotonic()
         workers = {vm.id: vm for vm in listed if vm.role == "worker"}
         self._vms.update(workers)
--- a/toucanspring/lifecycle.py
+++ b/toucanspring/lifecycle.py
@@ -89,6 +89,7 @@
         self.held_jobs: set[str] = set()  # jobs with tasks that may run there
         self.reservations: dict[str, gang.Reservation] = {}
         self.paused: set[str] = set()  # workers that refused a start
+        self.leaving: set[str] = set()  # workers for which `leaving` is set
         self.retries: list[tuple[float, int, str, int]] = []  # heap by due time
         self._sequence = 0
         self.changed = True  # something may have made room for waiting work
--- a/toucanspring/preemption.py
+++ b/toucanspring/preemption.py
@@ -58,8 +58,11 @@
 
     Non-idempotent work runs to its end, since it could not start again elsewhere.
     """
-    for worker, state in core.workers.items():
-        if not state.leaving and state.facts.availability_zone not in core.zones_out:
+    for worker in core.workers if core.zones_out else sorted(core.leaving):
+        state = core.workers.get(worker)
+        if state is None or not (
+            state.leaving or state.facts.availability_zone in core.zones_out
+        ):
             continue
         reason = "worker is leaving" if state.leaving else "zone is out of service"
         for task in list(core.tasks_on[worker].values()):
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -128,6 +128,7 @@
         state = self._core.workers.get(worker)
         if state is not None:
             state.leaving = leaving
+            (self._core.leaving.add if leaving else self._core.leaving.discard)(worker)
             self._core.update_schedulable(worker, now)
         return self._core.effects.take()
 
