--- a/toucanspring/adapters/vms.py
+++ b/toucanspring/adapters/vms.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import time
 from typing import Protocol
 
 import msgspec
@@ -11,6 +12,8 @@
 from toucanspring.adapters import exchange, platform
 
 MAX_LIST_BYTES = 1 << 26
+# Two services read the list every second; with this they share the answers.
+REUSE_S = 0.5
 
 
 class Role(enum.StrEnum):
@@ -60,13 +63,28 @@
 
     service = "VM list"
 
+    def __init__(self, address: str, port: int, client: str = "") -> None:
+        super().__init__(address, port, client)
+        self._body = b""
+        self._listed: list[Vm] = []
+        self._read_at = float("-inf")
+
     def list(self) -> list[Vm] | errors.Failure:
-        """Return all listed VMs."""
+        """Return all listed VMs; the same list object while nothing has changed."""
+        asked_at = time.monotonic()
+        if asked_at - self._read_at < REUSE_S:
+            return self._listed
         reply = self._endpoint.call(
             "GET", "/v1/vms", timeout_s=self._timeout_s, max_bytes=MAX_LIST_BYTES
         )
         match reply:
             case exchange.Reply(status=200):
-                return self._decode(_decoder, reply.body)
+                if reply.body != self._body:
+                    listed = self._decode(_decoder, reply.body)
+                    if isinstance(listed, errors.Failure):
+                        return listed
+                    self._body, self._listed = reply.body, listed
+                self._read_at = asked_at
+                return self._listed
             case _:
                 return self._read_failure(reply)
--- a/toucanspring/lifecycle.py
+++ b/toucanspring/lifecycle.py
@@ -71,6 +71,7 @@
         self.collected: frozenset[str] = frozenset()
         # Workers of other partitions; `None` until they are known.
         self.elsewhere: dict[str, need.Listed] | None = {}
+        self.leaving: set[str] = set()  # workers for which `leaving` is set
         self.retries: list[tuple[float, int, str, int]] = []  # heap by due time
         self._sequence = 0
         self.changed = True  # something may have made room for waiting work
--- a/toucanspring/membership.py
+++ b/toucanspring/membership.py
@@ -28,6 +28,9 @@
 # Rows of members that own nothing are deleted after this time.
 DELETE_AFTER_S = 60.0
 SCAN_EVERY_POLLS = 4
+# With polls of the store every 0.5 s, an age beyond this means that one was missed.
+CALM_AGE_S = 0.75
+MAX_CALM_INTERVAL_S = heartbeat.REACHABLE_S / 2
 SCAN_ROWS = 500
 
 Member = renewal.Member
@@ -73,6 +76,7 @@
         self._watches: list[tuple[Callable, Callable]] = []
         self._listeners: list[HeartbeatListener] = []
         self._polls = 0
+        self._left_out = False
         self._greenlets = pool.Group()
 
     def start(self) -> None:
@@ -159,6 +163,10 @@
         """
         self._watches.append((keys, take))
 
+    def unwatch(self, take: Callable[[Rows, float], None]) -> None:
+        """Stop reading rows for `take`."""
+        self._watches = [watch for watch in self._watches if watch[1] != take]
+
     def on_heartbeat(self, listener: HeartbeatListener) -> None:
         """Call `listener(process, message, echoed_at)` for each new heartbeat."""
         self._listeners.append(listener)
@@ -337,7 +345,7 @@
         """
         while True:
             try:
-                self.send_heartbeats()
+                self.beat()
             except Exception:
                 log.exception("heartbeats failed")
             wait_s = self._settings.heartbeat_s
@@ -346,6 +354,30 @@
                 wait_s = lost_in_s + 0.001
             gevent.sleep(wait_s)
 
+    def beat(self) -> None:
+        """Send heartbeats, every other time only while all is calm.
+
+        Promises and views that others vouch for count from an echoed clock. As soon as
+        any process may need them, all that hear of it send at the full rate.
+        """
+        self._left_out = not self._left_out and self.is_calm(self.clock())
+        if not self._left_out:
+            self.send_heartbeats()
+
+    def is_calm(self, now: float) -> bool:
+        """Return whether all members are heard, read the store and promise nothing."""
+        interval_s = 2 * self._settings.heartbeat_s
+        if interval_s > MAX_CALM_INTERVAL_S or self.store_age(now) > CALM_AGE_S:
+            return False
+        names = self.members().keys() - {self.identity.process}
+        messages = self.peer_states()
+        return names <= messages.keys() and not any(
+            messages[name].promise
+            or messages[name].view_age_ms > CALM_AGE_S * 1000
+            or messages[name].draining
+            for name in names
+        )
+
     def send_heartbeats(self) -> None:
         """Send the own state to all other members."""
         now = self.clock()
