Control the server in the test of the connection pool

Cause: the test relied on 0.2 s and 0.3 s of real time; on a busy machine a waiting call got a connection of its own before its deadline (3 instead of 2 connections over the whole test, never more than 2 at once). Change: the server answers on an event. Calls that waited must be Unavailable and unsent, all four of them instead of two; later ones reuse the connections. Conclusion: the same promise, no longer dependent on load.

--- a/test/test_exchange.py
+++ b/test/test_exchange.py
@@ -120,17 +120,27 @@
         self.assertEqual([b"cd"], list(blocks))
 
     def test_the_pool_limits_connections_and_waiting_is_not_sending(self):
-        started = self.serve(0.2, OK_HEAD + b"0\r\n\r\n", end=False)
+        # Guards against calls that are reported as perhaps sent while they waited for
+        # a connection, and against connections beyond the limit.
+        go_on = event.Event()
+        started = self.serve(go_on, OK_HEAD + b"0\r\n\r\n", end=False)
         endpoint = self.endpoint(started.port, connections=2)
-        calls = [
-            gevent.spawn(endpoint.call, "POST", "/", timeout_s=0.3) for _ in range(6)
-        ]
-        replies = [call.get(timeout=2) for call in calls]
-        kinds = [type(reply) for reply in replies]
-        self.assertEqual(2, started.connections)
-        self.assertEqual(2, kinds.count(exchange.Reply))
-        # Those that waited were sent late or not at all.
-        self.assertEqual(2, kinds.count(errors.Unavailable), kinds)
+
+        def call(timeout_s):
+            return gevent.spawn(endpoint.call, "POST", "/", timeout_s=timeout_s)
+
+        served = [call(5.0) for _ in range(2)]
+        while len(started.requests) < 2:
+            gevent.sleep(0.01)
+        waiting = [call(0.1) for _ in range(4)]
+        late = [call(5.0) for _ in range(2)]
+        refused = [type(each.get(timeout=5)) for each in waiting]
+        self.assertEqual([errors.Unavailable] * 4, refused)
+        self.assertEqual(2, len(started.requests))
+        go_on.set()
+        answered = [type(each.get(timeout=5)) for each in served + late]
+        self.assertEqual([exchange.Reply] * 4, answered)
+        self.assertEqual((2, 4), (started.connections, len(started.requests)))
 
     def test_no_failure_keeps_a_connection_from_the_pool(self):
         # Guards against a pool of one that is empty for good after a failure.
