--- a/scenarios/actions.py
+++ b/scenarios/actions.py
@@ -20,6 +20,7 @@
     "log": "log/",
     "renewals": "members/",
     "allowances": "allowances/",
+    "moves": "workers",
 }
 DEFAULT_RUN_S = 0.01
 DEFAULT_ANSWER_BYTES = 400
--- a/test/test_fleet.py
+++ b/test/test_fleet.py
@@ -139,6 +139,18 @@
         link = self.open()
         self.wait(lambda: link.attached)
 
+    def test_a_former_owner_cannot_take_a_moved_worker_back(self):
+        # Guards against a paused donor that resumes after the receiver has attached.
+        former = self.open(partition=1)
+        self.wait(lambda: former.attached)
+        former.release()
+        link = self.open()
+        self.wait(lambda: link.attached)
+        resumed = self.open(epoch=1, partition=1)
+        gevent.sleep(1.5)
+        self.assertFalse(resumed.attached)
+        self.assertTrue(link.attached)
+
     def test_a_worker_with_tasks_is_not_released(self):
         # Guards against a second partition on a worker that still runs tasks.
         former = self.open(partition=1)
--- a/test/test_mover.py
+++ b/test/test_mover.py
@@ -411,6 +411,16 @@
         refused = self.outcome("a", demand=WHOLE + cell.ONE)
         self.assertIs(job.State.NOT_RUN, refused.state)
 
+    def test_nothing_is_refused_while_workers_are_still_being_listed(self):
+        # Guards against a partition that has no worker yet and sees the first one.
+        p = partitioned.Partitions(0, 1)
+        p.submit(0, "a", demand=WHOLE, kind=job.Kind.GANG, task_count=2)
+        p.run(3)
+        p.workers["w11"] = cell.Worker("w11", "z0", WHOLE)
+        p.write_row({"w10": 1, "w11": 1})
+        p.run(20)
+        self.assertEqual(2, p.running("a"))
+
     def test_nothing_is_refused_before_the_other_workers_are_known(self):
         p = partitioned.Partitions(1, 2)
         p[0].move = lambda: None
--- a/toucanspring/mover.py
+++ b/toucanspring/mover.py
@@ -54,11 +54,17 @@
         self._doubts: dict[int, Doubt] = {}
         self._steps: dict[int, gevent.Greenlet] = {}
         self._greenlet: gevent.Greenlet | None = None
+        self._count: Callable[[int], None] = lambda _moved: None
 
     def start(self) -> None:
         """Begin to state needs and to move workers."""
         if self._enabled:
             self._kernel.find("membership").statements = self.statements
+            counter = self._kernel.find("metrics").counter(
+                "toucanspring_worker_moves_total",
+                "Workers that this process has moved to other partitions.",
+            )
+            self._count = lambda moved: counter.add({}, moved)
             self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
@@ -106,6 +112,7 @@
         number = owner.number
         fleet = self._kernel.find("fleet")
         if not self._kernel.find("claims").may_start(number, self._clock()):
+            self._stated.pop(number, None)
             return
         doubt = self._doubts.get(number)
         if doubt is not None:
@@ -209,6 +216,7 @@
         for worker in batch.workers:
             self._kernel.find("fleet").hand_over(owner.number, worker)
             owner.post(inbox.WorkerMoved(worker))
+        self._count(len(batch.workers))
         log.info(
             "partition {}: moved {} to partition {}",
             owner.number,
--- a/toucanspring/moves.py
+++ b/toucanspring/moves.py
@@ -6,8 +6,6 @@
 import math
 from collections.abc import Iterator, Mapping
 
-import msgspec
-
 from toucanspring import (
     dispatch,
     gang,
@@ -71,6 +69,9 @@
     def state(self, facts: Facts, now: float) -> need.Statement:
         """Return what the partition lacks and what it does not use."""
         core = self._core
+        new = facts.elsewhere.keys() - (core.elsewhere or {}).keys()
+        if new - core.known_workers.keys():
+            core.new_worker_at = now  # others may follow
         core.elsewhere = dict(facts.elsewhere)
         self._note_idle(now)
         gangs: list[need.Need] = []
@@ -82,9 +83,9 @@
                     gangs.append(stated)
             elif stated.waited_ms >= WAIT_BEFORE_MOVE_S * 1000:
                 free = self._free_room(record, stated, now)
-                stated = _with_tasks(stated, max(0, stated.tasks - free))
+                stated = stated.with_tasks(max(0, stated.tasks - free))
                 shape = (stated.demand, stated.availability_zones)
-                waiting[shape] = _join(waiting.get(shape), stated)
+                waiting[shape] = need.join(waiting.get(shape), stated)
         lacking = [
             short
             for entry in sorted(waiting.values(), key=lambda entry: entry.order)
@@ -172,7 +173,7 @@
         # A gang beyond the present workers would hold up all others.
         if lacking > self._listed_room(wanted, facts.elsewhere):
             return None
-        return _with_tasks(wanted, lacking)
+        return wanted.with_tasks(lacking)
 
     def _own_room(self, wanted: need.Need) -> int:
         return sum(
@@ -196,7 +197,7 @@
         left = wanted.tasks - self._listed_room(wanted, facts.arriving)
         if left <= 0 or not self._listed_room(wanted, facts.elsewhere):
             return None
-        return _with_tasks(wanted, left)
+        return wanted.with_tasks(left)
 
     def _listed_room(self, wanted: need.Need, listed: Mapping[str, need.Listed]) -> int:
         room = 0
@@ -372,7 +373,7 @@
             group = core.queue.find(wanted.job_id)
             if group is not None:
                 job_id = wanted.job_id
-                whole = _with_tasks(wanted, len(group))
+                whole = wanted.with_tasks(len(group))
                 workers = frozenset(self._choose_for_gang(whole, give=False))
         if (job_id, workers) != (core.collecting, core.collected):
             core.collecting, core.collected = job_id, workers
@@ -384,15 +385,3 @@
         core.withheld = set(workers)
         for worker in changed:
             core.update_schedulable(worker, now)
-
-
-def _with_tasks(wanted: need.Need, tasks: int) -> need.Need:
-    return msgspec.structs.replace(wanted, tasks=tasks)
-
-
-def _join(first: need.Need | None, second: need.Need) -> need.Need:
-    """Return the need of two jobs of one shape, in the place of the older one."""
-    if first is None:
-        return second
-    older = min(first, second, key=lambda entry: entry.order)
-    return _with_tasks(older, first.tasks + second.tasks)
--- a/toucanspring/need.py
+++ b/toucanspring/need.py
@@ -31,6 +31,10 @@
         """Return the place in the order of service."""
         return self.accepted_ms, self.job_id
 
+    def with_tasks(self, tasks: int) -> Need:
+        """Return this need with another number of tasks."""
+        return msgspec.structs.replace(self, tasks=tasks)
+
     def room_in(self, availability_zone: str, amount: resources.Resources) -> int:
         """Return how many of the tasks fit into an amount in a zone."""
         zones = self.availability_zones
@@ -67,6 +71,14 @@
     leaving: bool = False
 
 
+def join(first: Need | None, second: Need) -> Need:
+    """Return the need of two jobs of one shape, in the place of the older one."""
+    if first is None:
+        return second
+    older = min(first, second, key=lambda entry: entry.order)
+    return older.with_tasks(first.tasks + second.tasks)
+
+
 def oldest_gang(statements: dict[int, Statement]) -> tuple[int, Need] | None:
     """Return the gang that is served now, and its partition.
 
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -249,6 +249,8 @@
             waits_for = [f"worker {name}" for name in sorted(self._core.expected)]
         elif record.delayed:
             waits_for = ["retry delay"]
+        elif self._core.collecting == job_id:
+            waits_for = ["workers of other partitions"]
         state = "waiting"
         if status.outcome is not None:
             state, waits_for = status.outcome.state.value, []
