--- a/test/partitioned.py
+++ b/test/partitioned.py
@@ -91,6 +91,8 @@
         self.fleet = Fleet(self)
         self.cell = cell.Cell(workers=0)
         self.cell.specs = shared.specs[number]
+        self.cell.outcomes = shared.outcomes[number]
+        self.cell.finished = shared.finished
         self.cell.now = self.clock()
         core = kernel.Kernel()
         core.register("claims", Claims(self))
@@ -104,7 +106,8 @@
             self.fleet.reread()
             specs = list(self.cell.specs.values())
             expected = self.fleet.roster.workers_of(number)
-            self.cell.call("restore", specs, {}, {}, set(), expected)
+            outcomes = dict(self.cell.outcomes)
+            self.cell.call("restore", specs, outcomes, {}, set(), expected)
         self.fleet.follow()
 
     def peer_states(self):
@@ -159,6 +162,8 @@
         self.accepted_ms = {}
         self.workers = {}
         self.specs = {number: {} for number in range(len(counts))}
+        self.outcomes = {number: {} for number in range(len(counts))}
+        self.finished = {}
         assigned = {}
         for number, count in enumerate(counts):
             for index in range(count):
--- a/test/test_mover.py
+++ b/test/test_mover.py
@@ -1,3 +1,5 @@
+import random
+
 import testtools
 
 from test import cell, partitioned
@@ -427,3 +429,73 @@
         p.submit(0, "a", kind=job.Kind.GANG, demand=WHOLE, task_count=4)
         p.run(20)
         self.assertNotIn("a", p[0].cell.finished)
+
+
+class FaultsTest(testtools.TestCase):
+    """Mix takeovers, paused former owners and lost writes at random."""
+
+    def submit(self, p, rng):
+        for number in range(15):
+            partition = rng.choice((0, 0, 1, 2))
+            name = f"{partition}-{number}"
+            if rng.random() < 0.3:
+                p.gang(partition, name, rng.randrange(2, 8))
+            else:
+                demand = rng.choice((WHOLE, cell.ONE.times(9)))
+                count = rng.randrange(1, 9)
+                p.submit(partition, name, demand=demand, task_count=count)
+
+    def end_some(self, p, rng, share):
+        for owner in p.owners.values():
+            for worker in list(owner.cell.workers.values()):
+                for task in list(worker.running):
+                    if task[0] == str(owner.number) and rng.random() < share:
+                        demand = worker.running[task].demand
+                        owner.cell.end(worker.name, task, usage=demand)
+
+    def disturb(self, p, rng, former):
+        number = rng.randrange(3)
+        client = p[number].client
+        match rng.randrange(6):
+            case 0:
+                client.lose[ROW] = 1
+            case 1:
+                client.drop[ROW] = 1
+            case 2:
+                client.late[ROW] = 1
+            case 3:
+                former.append(p.take_over(number))
+            case 4:
+                client.before_commit = lambda: former.append(p.take_over(number))
+            case 5:
+                for owner in [*former, *p.owners.values()]:
+                    owner.client.deliver_late()
+                    owner.client.kept_back.clear()
+        for owner in former:
+            owner.move()
+
+    def check(self, p):
+        """Check that each worker runs tasks of its own partition only."""
+        for number, workers in p.row().items():
+            for name in workers:
+                for task in p.workers[name].running:
+                    self.assertEqual(str(number), task[0], (name, task))
+
+    def test_random_faults_lose_no_work_and_mix_no_partitions(self):
+        # Guards against two partitions on one worker, and gangs that never start.
+        for seed in range(12):
+            rng = random.Random(seed)
+            p, former = partitioned.Partitions(3, 3, 3), []
+            self.submit(p, rng)
+            for _ in range(60):
+                if rng.random() < 0.4:
+                    self.disturb(p, rng, former)
+                p.run(0.5)
+                self.check(p)
+                self.end_some(p, rng, 0.2)
+            for _ in range(400):
+                p.run(0.5)
+                self.check(p)
+                self.end_some(p, rng, 0.5)
+            names = {name for specs in p.specs.values() for name in specs}
+            self.assertEqual(names, p.finished.keys(), seed)
