Look for moves once a second while no partition lacks workers

Cause: each step wakes the partition's task; at rest, moves took 0.26% of a core of a mean node and 0.67% of the busiest one. Change: steps every 1 s instead of 0.5 s until a need is stated; idle workers are looked for only then.

--- a/toucanspring/mover.py
+++ b/toucanspring/mover.py
@@ -25,6 +25,8 @@
 log = logbook.Logger(__name__)
 
 STEP_INTERVAL_S = 0.5
+# Each step wakes the partition's task, which is most of what moves cost at rest.
+REST_INTERVAL_S = 1.0
 # A worker that has not attached so long after its move cannot be counted on.
 ARRIVAL_S = 10.0
 
@@ -97,7 +99,10 @@
 
     def _run(self) -> None:
         while True:
-            gevent.sleep(STEP_INTERVAL_S)
+            needed = any(
+                stated.gang or stated.waiting for stated in self.known().values()
+            )
+            gevent.sleep(STEP_INTERVAL_S if needed else REST_INTERVAL_S)
             owned = self._kernel.find("partitions").owned()
             for number in self._stated.keys() - owned.keys():
                 del self._stated[number]
--- a/toucanspring/moves.py
+++ b/toucanspring/moves.py
@@ -342,13 +342,15 @@
     ) -> Batch | None:
         """Return idle workers for the oldest waiting work that they have room for."""
         core = self._core
-        spare = [each for each in self._spare(facts, now) if each not in drained]
         wanted = sorted(
             (entry.order, partition, entry)
             for partition, stated in statements.items()
             if partition != own
             for entry in stated.waiting
         )
+        if not wanted:
+            return None
+        spare = [each for each in self._spare(facts, now) if each not in drained]
         for _, partition, entry in wanted:
             chosen, left = [], entry.tasks
             for worker in spare:
