--- a/scenarios/disturbances.py
+++ b/scenarios/disturbances.py
@@ -18,6 +18,7 @@
     "log": "log/",
     "renewals": "members/",
     "allowances": "allowances/",
+    "moves": "workers",
 }
 
 
--- a/toucanspring/mover.py
+++ b/toucanspring/mover.py
@@ -25,6 +25,8 @@
 log = logbook.Logger(__name__)
 
 STEP_INTERVAL_S = 0.5
+# Each step wakes the partition's task, which is most of what moves cost at rest.
+REST_INTERVAL_S = 1.0
 # A worker that has not attached so long after its move cannot be counted on.
 ARRIVAL_S = 10.0
 
@@ -54,11 +56,17 @@
         self._doubts: dict[int, Doubt] = {}
         self._steps: dict[int, gevent.Greenlet] = {}
         self._greenlet: gevent.Greenlet | None = None
+        self._count: Callable[[int], None] = lambda _moved: None
 
     def start(self) -> None:
         """Begin to state needs and to move workers."""
         if self._enabled:
             self._kernel.find("membership").statements = self.statements
+            counter = self._kernel.find("metrics").counter(
+                "toucanspring_worker_moves_total",
+                "Workers that this process has moved to other partitions.",
+            )
+            self._count = lambda moved: counter.add({}, moved)
             self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
@@ -91,7 +99,10 @@
 
     def _run(self) -> None:
         while True:
-            gevent.sleep(STEP_INTERVAL_S)
+            needed = any(
+                stated.gang or stated.waiting for stated in self.known().values()
+            )
+            gevent.sleep(STEP_INTERVAL_S if needed else REST_INTERVAL_S)
             owned = self._kernel.find("partitions").owned()
             for number in self._stated.keys() - owned.keys():
                 del self._stated[number]
@@ -106,6 +117,7 @@
         number = owner.number
         fleet = self._kernel.find("fleet")
         if not self._kernel.find("claims").may_start(number, self._clock()):
+            self._stated.pop(number, None)
             return
         doubt = self._doubts.get(number)
         if doubt is not None:
@@ -209,6 +221,7 @@
         for worker in batch.workers:
             self._kernel.find("fleet").hand_over(owner.number, worker)
             owner.post(inbox.WorkerMoved(worker))
+        self._count(len(batch.workers))
         log.info(
             "partition {}: moved {} to partition {}",
             owner.number,
