Choose racks and zones without looking at each worker in Python objects

Change: placement.py is split by job: racks.py chooses by rack and zone, refusal.py counts why there is no room. Racks are kept sorted by name, and only those with tasks of the job are sorted for a decision. Compact gangs use tables of what is free, with sums for each rack that rule out racks with too little and with more room than the best one; a gang with no room anywhere is refused without a further search.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -1,11 +1,15 @@
 """Measure the cost of placement decisions at 24 and at 26,000 workers.
 
+Spread decisions place the tasks of jobs of `JOB_TASKS` one by one; compact decisions
+choose the workers of whole gangs. Both are measured at 26,000 workers only.
+
 A decision is choice and allocation. The cell is held at each load in `LOADS` by
 ending random tasks, which counts into the time per decision too. Both sizes are
 measured in alternating blocks, so that a busy machine affects both alike; the
 figures are those of the worst load.
 """
 
+import collections
 import random
 import statistics
 import time
@@ -22,6 +26,10 @@
 LOADS = (0.5, 0.85, 1.0)  # of the processors; at 1.0 many choices find no room
 ZONES = {SMALL: 3, LARGE: 27}
 CONSTRAINED = 0.1  # fraction of the tasks that name two availability zones
+SPREAD_JOBS = 5
+JOB_TASKS = 40
+GANGS = 60
+GANG_SIZES = (4, 8, 16, 32, 64, 128)
 
 
 class Cell:
@@ -94,6 +102,42 @@
                 spent += self._end_task()
         self.block_means.append(spent / decisions)
 
+    def measure_spread(self) -> list[float]:
+        """Return the seconds of decisions for tasks that are spread over racks."""
+        rng, index = self._rng, self.index
+        places = {facts[0]: facts[2:] for facts in work.worker_facts(*self._size())}
+        spent = []
+        for _ in range(SPREAD_JOBS):
+            demand = work.make_demand(rng)
+            counts: collections.Counter[str] = collections.Counter()
+            placed = []
+            for _ in range(JOB_TASKS):
+                constraints = placement.Constraints(spread_counts=counts)
+                started = time.perf_counter()
+                worker = index.choose(demand, constraints)
+                spent.append(time.perf_counter() - started)
+                if isinstance(worker, str):
+                    index.allocate(worker, demand)
+                    counts.update(places[worker])
+                    placed.append(worker)
+            for worker in placed:
+                index.release(worker, demand)
+        return spent
+
+    def measure_compact(self, gangs: int = GANGS) -> list[float]:
+        """Return the seconds of decisions for gangs in one rack or zone."""
+        spent = []
+        for _ in range(gangs):
+            demand = work.make_demand(self._rng)
+            count = self._rng.choice(GANG_SIZES)
+            started = time.perf_counter()
+            self.index.choose_gang(demand, count, compact=True)
+            spent.append(time.perf_counter() - started)
+        return spent
+
+    def _size(self) -> tuple[int, int]:
+        return self._count, ZONES[self._count]
+
     def _end_task(self) -> float:
         running = self._running
         position = self._rng.randrange(len(running))
@@ -113,9 +157,11 @@
 def main() -> None:
     """Run all sizes and loads."""
     seed = work.parse_seed()
-    slowest = ratio = p99 = 0.0
+    slowest = ratio = p99 = spread = compact = compact_max = 0.0
     baseline_mean = 0.0
     cells = {count: make_cell(seed, count) for count in (SMALL, LARGE)}
+    # The first decision builds the tables that the later ones use.
+    first = cells[LARGE].measure_compact(1)[0]
     for load in LOADS:
         for cell in cells.values():
             cell.raise_load(load)
@@ -134,6 +180,16 @@
                 f" p99 {cell_p99 * 1e3:.3f} ms"
             )
         ratio = max(ratio, means[LARGE] / means[SMALL])
+        by_rack = cells[LARGE].measure_spread()
+        gangs = cells[LARGE].measure_compact()
+        spread = max(spread, statistics.mean(by_rack))
+        compact = max(compact, statistics.mean(gangs))
+        compact_max = max(compact_max, *gangs)
+        print(
+            f"load {load}: spread {statistics.mean(by_rack) * 1e3:.3f} ms,"
+            f" compact {statistics.mean(gangs) * 1e3:.3f} ms,"
+            f" max {max(gangs) * 1e3:.1f} ms"
+        )
         if load == 0.85:
             baseline = Cell(work.FirstFit(), seed, LARGE, load)
             baseline.fill_in_order()
@@ -146,6 +202,10 @@
         p99_ms=p99 * 1e3,
         cost_ratio=ratio,
         baseline_decisions_per_s=1 / baseline_mean,
+        spread_ms=spread * 1e3,
+        compact_ms=compact * 1e3,
+        compact_max_ms=compact_max * 1e3,
+        compact_first_ms=first * 1e3,
     )
 
 
--- a/toucanspring/inventory.py
+++ b/toucanspring/inventory.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import math
+from typing import TYPE_CHECKING
 
 from toucanspring import resources
 
+if TYPE_CHECKING:
+    from toucanspring import racks
+
 # Free processors and memory are sorted into size classes, four for each power of
 # two, so that a class differs from the next by at most 25%.
 CLASS_BITS = 2
@@ -48,12 +52,14 @@
         "buckets",
         "capacity",
         "cpus",
+        "home",
         "memory",
         "name",
         "number",
         "positions",
         "rack",
         "schedulable",
+        "slot",
     )
 
     def __init__(
@@ -68,6 +74,8 @@
         self.accelerators = capacity.accelerators
         self.schedulable = True
         self.number = 0  # position in the list of all workers
+        self.home: racks.Rack | None = None
+        self.slot = 0  # position in the table of the zone
         # Buckets and positions in them: in the cell's shelf, then in the zone's.
         self.buckets: tuple[Bucket, ...] = ()
         self.positions = [0, 0]
--- a/toucanspring/placement.py
+++ b/toucanspring/placement.py
@@ -7,12 +7,7 @@
 import random
 from collections.abc import Mapping
 
-from toucanspring import inventory, resources
-
-# A refusal counts its reasons exactly in an index of up to EXACT_LIMIT workers, else
-# in a sample, so that it costs no more than a choice.
-EXACT_LIMIT = 64
-EXPLAIN_SAMPLE = 16
+from toucanspring import inventory, racks, refusal, resources
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,7 +44,7 @@
         self._numbered: list[inventory.Worker] = []
         self._cell = inventory.Shelf()
         self._zones: dict[str, inventory.Shelf] = {}
-        self._racks: dict[tuple[str, str], dict[str, inventory.Worker]] = {}
+        self._racks = racks.Racks()
         self._capacities: collections.Counter[tuple[str, resources.Resources]] = (
             collections.Counter()
         )
@@ -75,7 +70,7 @@
         self._workers[worker] = entry
         entry.number = len(self._numbered)
         self._numbered.append(entry)
-        self._racks.setdefault((availability_zone, rack), {})[worker] = entry
+        self._racks.add(entry)
         self._capacities[availability_zone, capacity] += 1
         self._set_total(self._total + capacity)
         self._insert(
@@ -93,11 +88,7 @@
         if last is not entry:
             self._numbered[entry.number] = last
             last.number = entry.number
-        rack = (entry.availability_zone, entry.rack)
-        members = self._racks[rack]
-        del members[worker]
-        if not members:
-            del self._racks[rack]
+        self._racks.remove(entry)
         key = (entry.availability_zone, entry.capacity)
         self._capacities[key] -= 1
         if not self._capacities[key]:
@@ -119,6 +110,7 @@
         else:
             self._withdraw(entry)
             entry.schedulable = False
+        self._racks.note_change(entry)
 
     def allocate(self, worker: str, demand: resources.Resources) -> None:
         """Take `demand` from a worker; free amounts may become negative."""
@@ -212,9 +204,16 @@
         availability zone, else anywhere.
         """
         if compact:
-            chosen = self._compact_gang(demand, count, constraints)
-            if chosen is not None:
+            chosen = self._racks.compact_gang(
+                demand,
+                count,
+                constraints.excluded,
+                constraints.availability_zones,
+            )
+            if isinstance(chosen, list):
                 return chosen
+            if chosen < count:
+                return self._no_room(demand, constraints)
         chosen = self.choose_many(demand, count, constraints)
         if sum(share for _, share in chosen) < count:
             return self._no_room(demand, constraints)
@@ -227,47 +226,24 @@
 
         Looks at every worker.
         """
-        return dict(self._count_reasons(self._numbered, demand, constraints))
+        return refusal.count_reasons(
+            self._numbered,
+            demand,
+            constraints.availability_zones,
+            constraints.excluded,
+        )
 
     def _no_room(self, demand: resources.Resources, constraints: Constraints) -> NoRoom:
-        """Return a refusal with counts, scaled up from a sample in a large index."""
-        size = len(self._numbered)
-        if size <= EXACT_LIMIT:
-            return NoRoom(self.explain(demand, constraints))
-        start = int(self._rng.random() * size)
-        step = size / EXPLAIN_SAMPLE
-        sample = [
-            self._numbered[(start + int(number * step)) % size]
-            for number in range(EXPLAIN_SAMPLE)
-        ]
-        reasons = self._count_reasons(sample, demand, constraints)
         return NoRoom(
-            {reason: round(count * step) for reason, count in reasons.items()}
+            refusal.estimate_reasons(
+                self._numbered,
+                demand,
+                constraints.availability_zones,
+                constraints.excluded,
+                self._rng,
+            )
         )
 
-    @staticmethod
-    def _count_reasons(
-        entries: list[inventory.Worker],
-        demand: resources.Resources,
-        constraints: Constraints,
-    ) -> collections.Counter[str]:
-        rejected: collections.Counter[str] = collections.Counter()
-        zones = constraints.availability_zones
-        for entry in entries:
-            if zones is not None and entry.availability_zone not in zones:
-                rejected["availability zone"] += 1
-            elif not entry.schedulable:
-                rejected["not schedulable"] += 1
-            elif entry.name in constraints.excluded:
-                rejected["excluded"] += 1
-            elif entry.accelerators < demand.accelerators:
-                rejected["accelerators"] += 1
-            elif entry.cpus < demand.cpus:
-                rejected["cpus"] += 1
-            elif entry.memory < demand.memory:
-                rejected["memory"] += 1
-        return rejected
-
     def _set_total(self, total: resources.Resources) -> None:
         self._total = total
         size = len(self._workers)
@@ -316,10 +292,11 @@
             entry.cpus, entry.memory = cpus, memory
             if sign > 0:
                 self._raise_bounds(entry)
-            return
-        self._withdraw(entry)
-        entry.cpus, entry.memory, entry.accelerators = cpus, memory, accelerators
-        self._insert(entry, row, column)
+        else:
+            self._withdraw(entry)
+            entry.cpus, entry.memory, entry.accelerators = cpus, memory, accelerators
+            self._insert(entry, row, column)
+        self._racks.note_change(entry)
 
     def _shelves(self, constraints: Constraints) -> list[inventory.Shelf]:
         zones = constraints.availability_zones
@@ -364,86 +341,9 @@
             found = self._best([shelf], demand, constraints.excluded)
             if found is None:
                 continue
-            if not any(rack in counts for _, rack in self._racks):
+            if not self._racks.have_any(counts):
                 return found
-            racks = {
-                entry.rack
-                for table in shelf.tables_for(demand.accelerators)
-                for columns in table.rows.values()
-                for bucket in columns.values()
-                for entry in bucket.members
-            }
-            for rack in sorted(
-                racks, key=lambda name: (sign * counts.get(name, 0), name)
-            ):
-                entry = self._pick_in_rack((zone, rack), demand, constraints)
-                if entry is not None:
-                    return entry
+            return self._racks.choose(
+                zone, demand, constraints.excluded, counts, constraints.compact
+            )
         return None
-
-    def _pick_in_rack(
-        self,
-        rack: tuple[str, str],
-        demand: resources.Resources,
-        constraints: Constraints,
-    ) -> inventory.Worker | None:
-        """Return the fullest worker with room, or the emptiest one to spread."""
-        suitable = [
-            entry
-            for entry in self._racks[rack].values()
-            if entry.schedulable
-            and entry.name not in constraints.excluded
-            and demand.fits(entry.free)
-        ]
-        sign = 1 if constraints.compact else -1
-        return min(
-            suitable,
-            key=lambda entry: (
-                entry.accelerators if not demand.accelerators else 0,
-                sign * entry.cpus,
-                sign * entry.memory,
-            ),
-            default=None,
-        )
-
-    def _compact_gang(
-        self, demand: resources.Resources, count: int, constraints: Constraints
-    ) -> list[tuple[str, int]] | None:
-        """Return workers in one rack, else in one zone, with the least room over."""
-        allowed = constraints.availability_zones
-        by_zone: dict[str, list[tuple[int, list[tuple[str, int]]]]] = {}
-        best: tuple[int, list[tuple[str, int]]] | None = None
-        for (zone, _), members in self._racks.items():
-            if allowed is not None and zone not in allowed:
-                continue
-            rooms = [
-                (entry.name, demand.count_in(entry.free))
-                for entry in members.values()
-                if entry.schedulable and entry.name not in constraints.excluded
-            ]
-            rooms = [pair for pair in rooms if pair[1] > 0]
-            room = sum(pair[1] for pair in rooms)
-            if room >= count and (best is None or room < best[0]):
-                best = (room, rooms)
-            elif room:
-                by_zone.setdefault(zone, []).append((room, rooms))
-        if best is None:
-            for racks in by_zone.values():
-                room = sum(pair[0] for pair in racks)
-                if room >= count and (best is None or room < best[0]):
-                    racks.sort(key=lambda pair: -pair[0])
-                    best = (room, [pair for rack in racks for pair in rack[1]])
-        if best is None:
-            return None
-        return _fill(best[1], count)
-
-
-def _fill(rooms: list[tuple[str, int]], count: int) -> list[tuple[str, int]]:
-    """Return how many of `count` tasks each worker takes, in the given order."""
-    chosen = []
-    for name, room in rooms:
-        share = min(room, count)
-        if share:
-            chosen.append((name, share))
-            count -= share
-    return chosen
--- /dev/null
+++ b/toucanspring/refusal.py
@@ -0,0 +1,57 @@
+"""Reasons why workers cannot take a task now."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+from toucanspring import inventory, resources
+
+# A refusal counts its reasons exactly in an index of up to EXACT_LIMIT workers, else
+# in a sample, so that it costs no more than a choice.
+EXACT_LIMIT = 64
+EXPLAIN_SAMPLE = 16
+
+
+def count_reasons(
+    entries: list[inventory.Worker],
+    demand: resources.Resources,
+    zones: frozenset[str] | None,
+    excluded: frozenset[str],
+) -> dict[str, int]:
+    """Count workers that cannot take the demand by the first reason."""
+    rejected: collections.Counter[str] = collections.Counter()
+    for entry in entries:
+        if zones is not None and entry.availability_zone not in zones:
+            rejected["availability zone"] += 1
+        elif not entry.schedulable:
+            rejected["not schedulable"] += 1
+        elif entry.name in excluded:
+            rejected["excluded"] += 1
+        elif entry.accelerators < demand.accelerators:
+            rejected["accelerators"] += 1
+        elif entry.cpus < demand.cpus:
+            rejected["cpus"] += 1
+        elif entry.memory < demand.memory:
+            rejected["memory"] += 1
+    return dict(rejected)
+
+
+def estimate_reasons(
+    entries: list[inventory.Worker],
+    demand: resources.Resources,
+    zones: frozenset[str] | None,
+    excluded: frozenset[str],
+    rng: random.Random,
+) -> dict[str, int]:
+    """Return the same counts, scaled up from a sample if there are many workers."""
+    size = len(entries)
+    if size <= EXACT_LIMIT:
+        return count_reasons(entries, demand, zones, excluded)
+    start = int(rng.random() * size)
+    step = size / EXPLAIN_SAMPLE
+    sample = [
+        entries[(start + int(number * step)) % size] for number in range(EXPLAIN_SAMPLE)
+    ]
+    reasons = count_reasons(sample, demand, zones, excluded)
+    return {reason: round(count * step) for reason, count in reasons.items()}
