Hold the memory that tasks use, and judge real use

Cause: nothing ran overuse.py against workers, and the judge knew declared sizes only. Found on the way: (a) the room of a checkpointed task was given to the next one while others used more than they held, so a worker stayed over its memory for 16 s; (b) the stand-in reported usage only when it changed by task ID, so a new attempt with the same usage was never reported; (c) an attribute and a method of the fleet had the same name after a merge, so no worker moved. Change: tasks hold the memory they use as far as it is free; usage is compared by attempt; the list is named _last_list. Conclusion: invariant 1 is now checked for what really runs.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -63,6 +63,7 @@
 }
 COUNTED = {
     violations.OverCapacity: "over_capacity",
+    violations.Overused: "over_capacity",
     violations.OverCeiling: "over_ceiling",
     violations.ZoneStart: "late_zone_starts",
     violations.KeyAccepted: "late_key_accepts",
--- a/scenarios/cell.py
+++ b/scenarios/cell.py
@@ -223,7 +223,11 @@
         declared = self.model.jobs[template]
         fields: dict[str, object] = {"template": template, "after": []}
         if "running" in options:
-            fields["payload"] = json.dumps({"run_ms": options["running"] * 1000})
+            plan: dict[str, object] = {"run_ms": options["running"] * 1000}
+            used = (options.get("using_cpus", 0), options.get("using_memory", 0))
+            if any(used):
+                plan["usage"] = [used[0] * 1000, used[1], 0]
+            fields["payload"] = json.dumps(plan)
         if "tasks" in options:
             fields["tasks"] = options["tasks"]
         if "cpus" in options:
--- a/scenarios/language.py
+++ b/scenarios/language.py
@@ -173,6 +173,8 @@
         "answering",
         "tasks",
         "cpus",
+        "using_cpus",
+        "using_memory",
         "in_zone",
         "not_idempotent",
         "giving_up",
--- a/standins/events.py
+++ b/standins/events.py
@@ -47,6 +47,17 @@
     ran_until: float
 
 
+class Use(
+    msgspec.Struct, frozen=True, gc=False, tag_field="kind", tag="use", kw_only=True
+):
+    """The real use of a worker's tasks went above its capacity, or below again."""
+
+    at: float
+    worker: str
+    is_over: bool
+    used: resources.Resources
+
+
 class Record:
     """Keep events with monotonic times, which all processes of a host share."""
 
--- a/standins/judge.py
+++ b/standins/judge.py
@@ -19,6 +19,9 @@
 # A lost gang member is noticed after the worker lease (20 s), its grace (2 s) and the
 # drift allowance (1.1 s); then the other members are stopped (2 s).
 GANG_SETTLE_S = 26.0
+# Workers report every 4 s what was used up to 1 s before, the owner may just have
+# died (3.2 s until the next one attaches), and a checkpoint takes 2 s.
+OVERUSE_S = 12.0
 NOTHING_KNOWN = facts.Known()
 
 
@@ -30,6 +33,7 @@
     found = [
         *history.incomplete,
         *check_capacity(history),
+        *check_use(history),
         *check_places(history),
         *check_single_starts(history),
         *check_zones(history, known.zone_outages),
@@ -92,6 +96,30 @@
                 break
 
 
+def check_use(history: History) -> Iterator[violations.Overused]:
+    """Invariant 1 for what tasks really use, whatever their declared sizes."""
+    over: dict[str, tuple[float, dict]] = {}
+    last = history.events[-1]["at"] if history.events else 0.0
+    ended = []
+    for event in history.events:
+        ends = event["kind"] in ("died", "paused")
+        if not ends and event["kind"] != "use":
+            continue
+        if found := over.pop(event["worker"], None):
+            ended.append((*found, event["at"]))
+        if not ends and event["is_over"]:
+            over[event["worker"]] = (event["at"], event)
+    ended += [(*found, last) for found in over.values()]
+    for since, event, until in ended:
+        if until - since > OVERUSE_S:
+            yield violations.Overused(
+                at=since,
+                place=event["worker"],
+                used=tuple(event["used"]),
+                seconds=until - since,
+            )
+
+
 def check_places(history: History) -> Iterator[violations.TwoPlaces]:
     """Invariant 2: no task runs in two places at once."""
     for task, attempts in executions.group_by(history.attempts, "task").items():
--- a/standins/task_runs.py
+++ b/standins/task_runs.py
@@ -135,6 +135,8 @@
         self._finished: dict[str, tuple[int, wire.FinishedTask]] = {}
         self._unreported: list[tuple[int, wire.FinishedTask]] = []
         self._used = resources.ZERO
+        self._in_use = resources.ZERO  # what the tasks really use
+        self._is_over = False
         self._flush_timer = False
         self._flushed_at = 0.0
         self._tick_offset_ms = 0
@@ -157,6 +159,7 @@
                 running.left_ms = max(0.0, running.left_ms - done_ms)
         self._running[task.task_id] = running
         self._used += task.demand
+        self._change_use(resources.ZERO, running.usage(), now)
         self._record.append(
             events.Start(
                 at=now,
@@ -176,6 +179,20 @@
         )
         self._schedule_end(task.task_id, running)
 
+    def _change_use(
+        self, before: resources.Resources, after: resources.Resources, now: float
+    ) -> None:
+        self._in_use += after - before
+        is_over = not self._in_use.fits(self.listed.resources)
+        if is_over is self._is_over:
+            return
+        self._is_over = is_over
+        self._record.append(
+            events.Use(
+                at=now, worker=self.listed.id, is_over=is_over, used=self._in_use
+            )
+        )
+
     def _plan(self, task: wire.TaskStart) -> Plan:
         if self._fail_all:
             return Plan(run_ms=FAIL_ALL_RUN_MS, fail="the worker fails every task")
@@ -221,8 +238,11 @@
     def _throttle(self, message: wire.Throttle) -> None:
         running = self._running.get(message.task_id)
         if running is not None and not running.stopping:
-            running.advance(time.monotonic())
+            now = time.monotonic()
+            running.advance(now)
+            before = running.usage()
             running.rate = min(1.0, max(0.0, message.fraction))
+            self._change_use(before, running.usage(), now)
             self._schedule_end(message.task_id, running)
 
     def _schedule_end(self, task_id: str, running: Running) -> None:
@@ -288,6 +308,7 @@
     ) -> None:
         del self._running[task_id]
         self._used -= running.start.demand
+        self._change_use(running.usage(), resources.ZERO, now)
         finished = wire.FinishedTask(
             task_id,
             running.start.attempt,
--- a/standins/violations.py
+++ b/standins/violations.py
@@ -29,6 +29,15 @@
     capacity: tuple[int, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Overused(Violation):
+    """The tasks of a worker really used more than it has for long."""
+
+    place: str
+    used: tuple[int, ...]
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class TwoPlaces(Violation):
     """Two attempts of one task ran at the same time."""
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -95,7 +95,8 @@
         self._running.clear()
         self._finished.clear()
         self._unreported.clear()
-        self._used = resources.ZERO
+        self._used = self._in_use = resources.ZERO
+        self._is_over = False
         self._epochs.clear()
         self._partition = -1
         self._lease_until = 0.0
--- a/standins/worker_reports.py
+++ b/standins/worker_reports.py
@@ -23,7 +23,7 @@
         self.links: set[worker_link.Link] = set()
         self._partition = -1
         self._report_series = 0
-        self._reported_usage: dict[str, resources.Resources] = {}
+        self._reported_usage: dict[tuple[str, int], resources.Resources] = {}
         self._usage_refreshed_at = 0.0
 
     def _post_attached(self, link: worker_link.Link, now: float) -> None:
@@ -82,16 +82,17 @@
         if now - self._usage_refreshed_at >= USAGE_REFRESH_S:
             self._usage_refreshed_at = now
             self._reported_usage = {}
+        # By attempt: an owner knows nothing of one that has just started.
         usage = {
-            task_id: running.usage()
+            (task_id, running.start.attempt): running.usage()
             for task_id, running in self._running.items()
             if now - running.started_at >= USAGE_LAG_S
         }
         reported, self._reported_usage = self._reported_usage, usage
         changed = {
-            task_id: amount
-            for task_id, amount in usage.items()
-            if reported.get(task_id) != amount
+            key[0]: amount
+            for key, amount in usage.items()
+            if reported.get(key) != amount
         }
         self._report(changed)
         self._clock.at(now + REPORT_INTERVAL_S, self._report_regularly, series)
--- a/test/test_judge.py
+++ b/test/test_judge.py
@@ -108,6 +108,21 @@
                 self.records.start(1 + index, "w1", f"j/{index}", demand=demand)
             self.expect(violations.OverCapacity)
 
+    def test_real_use_beyond_the_capacity_for_long(self):
+        # Guards against tasks whose declared sizes fit while the VM is overloaded.
+        def use(at, worker, is_over):
+            used = (5000, 100, 0)
+            self.records.add(at, "use", worker=worker, is_over=is_over, used=used)
+
+        use(10, "w1", True)
+        use(20, "w1", False)  # in time
+        use(30, "w2", True)
+        self.records.add(35, "died", worker="w2", incarnation=1)
+        use(40, "w3", True)
+        use(40 + judge.OVERUSE_S + 1, "w3", False)
+        found = self.expect(violations.Overused)
+        self.assertEqual(("w3", 40.0), (found.place, found.at))
+
     def test_overlap_on_two_workers(self):
         self.records.start(1, "w1", "j/0")
         self.records.start(5, "w2", "j/0", attempt=1)
--- a/test/test_overuse.py
+++ b/test/test_overuse.py
@@ -78,6 +78,16 @@
         self.cell.report("w0")
         self.assertNotIn("a/1", self.cell.running())
 
+    def test_used_memory_is_not_given_to_other_tasks(self):
+        # Guards against a worker that is filled again with each task that is stopped.
+        self.start(count=3, demand=resources.Resources(1_000, 2_048, 0))
+        self.report({f"a/{index}": amount(1_000, 21_000) for index in range(3)})
+        self.cell.submit(cell.spec("b", demand=EIGHT))
+        self.cell.call("tick")
+        self.assertEqual({}, self.cell.running("b"))
+        free = self.cell.scheduler._core.index.free("w0")
+        self.assertEqual(65_536 - 63_000, free.memory)
+
     def test_a_stop_under_way_is_counted_once(self):
         self.start()
         self.cell.workers["w0"].connected = True
--- a/test/test_workers.py
+++ b/test/test_workers.py
@@ -236,6 +236,25 @@
         (running,) = successor.attached.running
         self.assertEqual(0.25, running.throttle)
 
+    def test_the_usage_of_a_new_attempt_is_reported(self):
+        # Guards against an owner that takes a task for idle because the attempt
+        # before used as much.
+        self.patch(worker_reports, "REPORT_INTERVAL_S", 0.02)
+        self.patch(worker_reports, "USAGE_LAG_S", 0.0)
+        self.faults(pause_ms=1)  # begins a series of reports at the patched interval
+        owner = self.own()
+
+        def reports():
+            return sum("j/0" in report.usage for report in owner.reports)
+
+        for attempt in range(2):
+            work = task("j/0", attempt, run_ms=60_000, usage=[500, 500, 0])
+            owner.link.start(1, [work])
+            wait(lambda: reports() > attempt)  # noqa: B023
+            owner.link.stop(1, ["j/0"], "kill")
+            wait(lambda: "j/0" in owner.finished)
+            owner.link.acknowledge(1, ["j/0"])
+
     def test_death_loses_everything_and_changes_the_incarnation(self):
         owner = self.own()
         owner.link.start(1, [task("j/0", run_ms=None), task("j/1", run_ms=0)])
--- a/toucanspring/fleet.py
+++ b/toucanspring/fleet.py
@@ -35,7 +35,7 @@
         self._links: dict[int, dict[str, worker_link.Link]] = {}
         self.roster = roster.Roster()
         self._vms: dict[str, vms.Vm] = {}
-        self._listed: list[vms.Vm] | None = None
+        self._last_list: list[vms.Vm] | None = None
         self._absent_since: dict[str, float] = {}
         self._posts: dict[int, tuple[int, Callable[[object], None]]] = {}
         self._leaving: dict[str, bool] = {}
@@ -170,9 +170,9 @@
             self._update_links(partition)
 
     def _see_vms(self, listed: list[vms.Vm]) -> None:
-        if listed is self._listed:
+        if listed is self._last_list:
             return
-        self._listed = listed
+        self._last_list = listed
         now = time.monotonic()
         workers = {vm.id: vm for vm in listed if vm.role == "worker"}
         self._vms.update(workers)
--- a/toucanspring/overuse.py
+++ b/toucanspring/overuse.py
@@ -37,6 +37,7 @@
     for task_id, amount in usage.items():
         if task_id in tasks:
             tasks[task_id].usage = amount
+            _hold_memory(core, tasks[task_id], now)
     capacity = state.facts.capacity
     running = [task for task in tasks.values() if not task.stop_reason]
     used = sum((task.usage for task in tasks.values()), resources.ZERO)
@@ -53,6 +54,22 @@
         _free_memory(core, running, excess)
 
 
+def _hold_memory(
+    core: lifecycle.Lifecycle, task: task_table.LiveTask, now: float
+) -> None:
+    """Let a task hold the memory that it uses, as far as its worker has it free.
+
+    Otherwise the room that a stopped task leaves is given to the next one, although
+    the tasks that go on use it.
+    """
+    more = task.usage.memory - task.demand.memory
+    more = min(more, core.index.free(task.worker).memory)
+    if more <= 0:
+        return
+    task.granted_memory = task.granted_memory or task.demand.memory
+    core.resize(task, task.demand + resources.Resources(0, more, 0), now)
+
+
 def _throttle(
     core: lifecycle.Lifecycle, running: Iterable[task_table.LiveTask], now: float
 ) -> None:
@@ -98,7 +115,8 @@
     jobs = core.table.jobs
 
     def order(task: task_table.LiveTask) -> tuple[bool, int, int]:
-        beyond = task.usage.memory - task.demand.memory
+        granted = task.granted_memory or task.demand.memory
+        beyond = task.usage.memory - granted
         job_class = jobs[task.job_id].spec.job_class
         return (beyond <= 0, -preemption.CLASS_ORDER[job_class], -beyond)
 
--- a/toucanspring/task_table.py
+++ b/toucanspring/task_table.py
@@ -22,6 +22,7 @@
     stop_reason: str = ""  # set once a stop was sent
     stop_mode: str = ""
     usage: resources.Resources = resources.ZERO  # as last reported
+    granted_memory: int = 0  # before what it holds was raised to its use, if it was
     throttle: float = 1.0  # the fraction of its processors that it may use
     settled_at: float = 0.0  # when reports show the effect of the last throttling
 
