--- a/toucanspring/moves.py
+++ b/toucanspring/moves.py
@@ -82,19 +82,18 @@
                 if stated := self._gang_need(stated, facts):
                     gangs.append(stated)
             elif stated.waited_ms >= WAIT_BEFORE_MOVE_S * 1000:
-                free = self._free_room(record, stated, now)
-                stated = stated.with_tasks(max(0, stated.tasks - free))
                 shape = (stated.demand, stated.availability_zones)
                 waiting[shape] = need.join(waiting.get(shape), stated)
-        lacking = [
-            short
-            for entry in sorted(waiting.values(), key=lambda entry: entry.order)
-            if (short := self._still_lacking(entry, facts)) is not None
-        ]
+        lacking: list[need.Need] = []
+        for entry in sorted(waiting.values(), key=lambda entry: entry.order):
+            if len(lacking) == need.MAX_WAITING:
+                break
+            if short := self._still_lacking(entry, facts, now):
+                lacking.append(short)
         return need.Statement(
             facts.version,
             min(gangs, key=lambda entry: entry.order, default=None),
-            lacking[: need.MAX_WAITING],
+            lacking,
             [
                 need.Idle(worker, state.availability_zone, state.capacity)
                 for worker in self._spare(facts, now)[: need.MAX_IDLE]
@@ -181,20 +180,23 @@
             for worker, state in self._usable()
         )
 
-    def _free_room(
-        self, record: task_table.JobRecord, wanted: need.Need, now: float
-    ) -> int:
+    def _free_room(self, wanted: need.Need, now: float) -> int:
         """Return the room of workers that came after placement last looked."""
         core = self._core
-        excluded = gang.excluded_for(core, record.spec, now)
+        spec = core.table.jobs[wanted.job_id].spec
+        excluded = gang.excluded_for(core, spec, now)
         return sum(
             wanted.room_in(state.facts.availability_zone, core.index.free(worker))
             for worker, state in self._usable()
             if state.schedulable and worker not in excluded
         )
 
-    def _still_lacking(self, wanted: need.Need, facts: Facts) -> need.Need | None:
+    def _still_lacking(
+        self, wanted: need.Need, facts: Facts, now: float
+    ) -> need.Need | None:
+        """Return a need without what is free or on its way, if others can meet it."""
         left = wanted.tasks - self._listed_room(wanted, facts.arriving)
+        left -= self._free_room(wanted, now)
         if left <= 0 or not self._listed_room(wanted, facts.elsewhere):
             return None
         return wanted.with_tasks(left)
