Measure the time from an end to the next start in bench.zone

Change: bench.zone prints `refill_ms`, the mean time from an end to the next start on a worker in the window without an outage.

--- a/bench/zone.py
+++ b/bench/zone.py
@@ -4,6 +4,7 @@
 
 import collections
 import json
+import statistics
 import sys
 import time
 
@@ -29,6 +30,23 @@
     return done * run_ms / 1000
 
 
+def refill_ms(events: list[dict], first: float, last: float) -> float:
+    """Return the mean time from an end to the next start in its place, in ms.
+
+    The ends and the starts on a worker are paired in their order.
+    """
+    vacant: dict[str, collections.deque] = collections.defaultdict(collections.deque)
+    gaps = []
+    for event in sorted(events, key=lambda event: event["at"]):
+        if event["kind"] == "end":
+            vacant[event["worker"]].append(event["at"])
+        elif event["kind"] == "start" and vacant[event["worker"]]:
+            ended_at = vacant[event["worker"]].popleft()
+            if first <= event["at"] < last:
+                gaps.append(event["at"] - ended_at)
+    return statistics.mean(gaps) * 1000
+
+
 def measure(*, seed: int = 1, run_ms: float = TASK_MS) -> None:
     """Print the ratios and counts, and one JSON line.
 
@@ -74,6 +92,7 @@
         "completed_ratio": round(window / allowed, 3),
         # The same load without an outage, against all workers.
         "baseline_ratio": round(without, 3),
+        "refill_ms": round(refill_ms(events, began, steady), 1),
         "late_starts": sum(
             event["availability_zone"] == zone
             and out_at + IN_FORCE_S < event["at"] < in_at
