Look at waiting work behind many jobs that find no room

Cause: in each tick the dispatcher looked at the first 64 jobs of a team that found no room, always the same ones. Work behind them neither started in room that was free nor got room by preemption. Change: of the 64, 32 are the first ones and 32 move on through the queue from tick to tick until one of the team starts. Blocked jobs are kept over several ticks for preemption, which tries pressing ones first. Before and after: an urgent job behind 400 hopeless ones gets its room, and a small job behind 300 without room starts; both tests fail on the parent. Conclusion: a job far back is looked at after as many ticks as there are 32 jobs without room before it; ticks without changes are 1 s apart.

--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -62,3 +62,19 @@
     def test_equal_tasks_follow_unequal_shares(self):
         used = self.use({"a": 3.0, "b": 1.0}, {"a": 1000, "b": 1000})
         self.assertAlmostEqual(0.75, used["a"] / CAPACITY.cpus, delta=0.05)
+
+
+class OrderTest(testtools.TestCase):
+    def test_a_job_behind_many_without_room_starts(self):
+        # Guards against free processors that work behind many jobs never gets.
+        owner = scheduler.Scheduler(0, random.Random(3))
+        owner.set_teams({"a": fairness.Team("a", "o", 1.0)}, 0.0)
+        facts = effects.WorkerFacts("w1", 1, CAPACITY, "zone-a", "rack-1")
+        owner.worker_attached(facts, [], [], 0.0)
+        owner.submit([spec("held", "a", 12_000)], 0.0)
+        owner.tick(0.0)  # two tasks, which do not end
+        large = [spec(f"large-{number}", "a", 12_000) for number in range(300)]
+        owner.submit([*large, spec("last", "a", 1_000)], 0.0)
+        for step in range(1, 30):
+            owner.tick(float(step))
+        self.assertEqual("running", owner.explain("last").state)
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -257,15 +257,14 @@
         c.submit(cell.spec("low", task_count=16, job_class=low, run_seconds=1000))
         c.tick()
         large = resources.Resources(20_000, 1024)
-        for number in range(20):
+        for number in range(400):
             name = f"large-{number}"
             c.submit(cell.spec(name, job_class=job.JobClass.URGENT, demand=large))
         c.submit(cell.spec("now", job_class=job.JobClass.URGENT))
-        for _ in range(5):
+        for _ in range(150):
             c.tick(0.2)
+            c.report("w0")
         self.assertEqual(1, len(c.stopped("checkpoint")))
-        c.report("w0")
-        c.tick()
         self.assertEqual(1, len(c.running("now")))
 
     def test_non_idempotent_work_is_never_stopped_for_other_work(self):
--- a/toucanspring/dispatch.py
+++ b/toucanspring/dispatch.py
@@ -20,6 +20,10 @@
 CHUNK = 64  # tasks of one team started before the teams are ranked again
 STARTS_PER_TICK = 512  # bounds the time of one tick to a few tens of milliseconds
 GROUPS_PER_TEAM = 64  # jobs without room that are looked at for each team and tick
+# Of these, so many are the first ones in each tick. The others move on through the
+# queue from tick to tick as long as none of the team starts, so that no job waits
+# behind many that find no room; after a start the order of service counts again.
+FIRST_GROUPS = 32
 BLOCKED_KEPT = 256  # jobs without room that preemption looks at
 SIZE_REASONS = frozenset({"cpus", "memory"})
 IDLE_S = 1.0  # without changes, waiting work is looked at again after so long
@@ -33,8 +37,10 @@
         self._next_look = 0.0
         self._groups: dict[str, Iterator[waiting.Group]] = {}
         self._lacks_size = False  # a group found no worker with enough free
-        # Jobs that found no room in the last tick, in the order of service.
-        self.blocked: list[task_table.JobRecord] = []
+        self._passed: dict[str, int] = {}  # groups after the first ones, by team
+        self._started: set[str] = set()  # teams that started tasks in the last tick
+        # Jobs that found no room when they were last looked at, by ID.
+        self.blocked: dict[str, task_table.JobRecord] = {}
 
     def place(self, now: float) -> int:
         """Start what can start; return the number of tasks."""
@@ -43,8 +49,15 @@
             return 0
         core.changed = False
         self._next_look = now + IDLE_S
-        self.blocked = []
+        self.blocked = {
+            job_id: record
+            for job_id, record in self.blocked.items()
+            if job_id in core.queue
+        }
         self._groups = {}
+        for team in self._started:
+            self._passed.pop(team, None)
+        self._started.clear()
         gang.expire(core, now)
         candidates = set(core.queue.teams())
         no_room: set[tuple] = set()
@@ -88,7 +101,7 @@
         # proportion to the number of waiting jobs.
         groups = self._groups.get(team)
         if groups is None:
-            groups = self._groups[team] = self._core.queue.next_groups(team, now)
+            groups = self._groups[team] = self._next_groups(team, now)
         started = 0
         without_room = 0
         for group in groups:
@@ -98,12 +111,26 @@
             placed = self._place_group(group, CHUNK - started, rank, no_room, now)
             started += placed
             without_room += not placed
+            if placed:
+                self._started.add(team)
             if placed and group.indices:
                 self._groups[team] = itertools.chain([group], groups)
             if started >= CHUNK or without_room >= GROUPS_PER_TEAM:
                 break
         return started
 
+    def _next_groups(self, team: str, now: float) -> Iterator[waiting.Group]:
+        """Yield the first groups of a team, then those after the last one seen."""
+        skipped_until = FIRST_GROUPS + self._passed.pop(team, 0)
+        groups = self._core.queue.next_groups(team, now)
+        for position, group in enumerate(groups):
+            if FIRST_GROUPS <= position < skipped_until:
+                continue
+            if position >= FIRST_GROUPS:
+                self._passed[team] = position + 1 - FIRST_GROUPS
+            yield group
+        self._passed.pop(team, None)  # all were seen; the next tick begins again
+
     def _is_pressing(self, job_id: str, now: float) -> bool:
         """Return whether a job may stop others, and so need not yield to them."""
         return preemption.is_pressing(self._core, self._core.table.jobs[job_id], now)
@@ -147,6 +174,7 @@
                 (worker, core.queue.take(spec.id, self._share(worker, share, now)))
                 for worker, share in found
             ]
+        self.blocked.pop(spec.id, None)
         started = 0
         for worker, indices in chosen:
             core.start(record, worker, indices, demand, now)
@@ -164,8 +192,10 @@
     ) -> int:
         if not SIZE_REASONS.isdisjoint(rejected.rejected):
             self._lacks_size = True
-        if len(self.blocked) < BLOCKED_KEPT:
-            self.blocked.append(record)
+        if record.spec.id not in self.blocked:
+            if len(self.blocked) >= BLOCKED_KEPT:
+                del self.blocked[next(iter(self.blocked))]
+            self.blocked[record.spec.id] = record
         self._core.decisions.wait(record.spec.id, rank, "room", rejected.rejected)
         return 0
 
--- a/toucanspring/preemption.py
+++ b/toucanspring/preemption.py
@@ -88,7 +88,9 @@
     tries = 0
     over: dict[str, float] | None = None
     targets: dict[str, float] = {}
-    for record in blocked:
+    for record in sorted(
+        blocked, key=lambda record: not is_pressing(core, record, now)
+    ):
         spec = record.spec
         held = core.reservations.get(spec.id)
         if spec.id in tried or spec.id not in core.queue:
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -204,7 +204,8 @@
             intake.refuse_too_large(core, now)
             preemption.enforce_ceilings(core, now)
             preemption.drain(core, now)
-            preemption.make_room(core, self._dispatcher.blocked, self._tried, now)
+            blocked = self._dispatcher.blocked.values()
+            preemption.make_room(core, blocked, self._tried, now)
         self._dispatcher.place(now)
         for effect in core.allowances.step(now, checks_due):
             core.effects.add(effect)
