Let readers of the VM list say which age they accept

Change: `list(max_age_s)` reuses an answer only for callers that accept its age, the fleet and the request service with 0.5 s. The fakes of the tests take the argument.

--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -226,7 +226,7 @@
     def __init__(self, listed=()):
         self.listed = list(listed)
         self.kept = {}
-        self.vms = types.SimpleNamespace(list=lambda: list(self.listed))
+        self.vms = types.SimpleNamespace(list=lambda _age: list(self.listed))
         self.objects = types.SimpleNamespace(
             put=self.kept.__setitem__, get=self.kept.__getitem__
         )
--- a/test/test_requests.py
+++ b/test/test_requests.py
@@ -215,7 +215,9 @@
 
     def test_the_last_list_is_used_while_the_vm_list_is_down(self):
         self.start()
-        self.core.find("store").vms.list = lambda: errors.Unavailable(reason="down")
+        self.core.find("store").vms.list = lambda _age: errors.Unavailable(
+            reason="down"
+        )
         self.patch(requests, "POLL_S", 0.01)
         gevent.sleep(0.05)
         self.check_whole(self.serve())
--- a/test/test_vms.py
+++ b/test/test_vms.py
@@ -39,17 +39,14 @@
         # Guards against a call for each reader, and against a list that stays old.
         first = self.client.list()
         self.show("leaving")
-        self.assertIs(first, self.client.list())
+        self.assertIs(first, self.client.list(60))
         self.assertEqual(1, self.endpoint.calls)
-        self.client._read_at -= vms.REUSE_S
         self.assertEqual(vms.State.LEAVING, self.client.list()[0].state)
 
     def test_an_unchanged_list_is_the_same_object(self):
-        self.patch(vms, "REUSE_S", 0.0)
         self.assertIs(self.client.list(), self.client.list())
 
     def test_a_failure_is_not_hidden_by_an_earlier_list(self):
-        self.patch(vms, "REUSE_S", 0.0)
         self.client.list()
         for reply in (errors.Unavailable(reason="down"), exchange.Reply(200, {}, b"{")):
             self.endpoint.reply = reply
--- a/toucanspring/adapters/vms.py
+++ b/toucanspring/adapters/vms.py
@@ -13,8 +13,8 @@
 
 TIMEOUT_S = 2.0
 MAX_LIST_BYTES = 1 << 26
-# Two services read the list every second; with this they share the answers.
-REUSE_S = 0.5
+# Two services read the list every second; accepting this age they share the answers.
+SHARED_AGE_S = 0.5
 
 
 class Role(enum.StrEnum):
@@ -49,8 +49,8 @@
 class VmClient(Protocol):
     """Read the VM list."""
 
-    def list(self) -> list[Vm] | errors.Failure:
-        """Return all listed VMs."""
+    def list(self, max_age_s: float = 0.0) -> list[Vm] | errors.Failure:
+        """Return all listed VMs, from an answer of at most the given age."""
 
     def close(self) -> None:
         """Close idle connections."""
@@ -71,10 +71,10 @@
         self._listed: list[Vm] = []
         self._read_at = float("-inf")
 
-    def list(self) -> list[Vm] | errors.Failure:
+    def list(self, max_age_s: float = 0.0) -> list[Vm] | errors.Failure:
         """Return all listed VMs; the same list object while nothing has changed."""
         asked_at = time.monotonic()
-        if asked_at - self._read_at < REUSE_S:
+        if asked_at - self._read_at < max_age_s:
             return self._listed
         reply = self._endpoint.call(
             "GET", "/v1/vms", timeout_s=self._timeout_s, max_bytes=MAX_LIST_BYTES
--- a/toucanspring/fleet.py
+++ b/toucanspring/fleet.py
@@ -97,7 +97,7 @@
         if failure is not None:
             return failure
         if not self._vms:
-            listed = self._kernel.find("store").vms.list()
+            listed = self._kernel.find("store").vms.list(vms.SHARED_AGE_S)
             if not isinstance(listed, errors.Failure):
                 self._see_vms(listed)
         return {
@@ -123,7 +123,7 @@
     def _poll_once(self) -> None:
         if not self._posts:
             return
-        listed = self._kernel.find("store").vms.list()
+        listed = self._kernel.find("store").vms.list(vms.SHARED_AGE_S)
         if not isinstance(listed, errors.Failure):
             self._see_vms(listed)
         if self._read_assignment() is None and 0 in self._posts:
--- a/toucanspring/requests.py
+++ b/toucanspring/requests.py
@@ -306,7 +306,7 @@
         store = self._kernel.find("store")
         while True:
             try:
-                listed = store.vms.list()
+                listed = store.vms.list(vms.SHARED_AGE_S)
                 if isinstance(listed, errors.Failure):
                     # The last list stays in use; servers that do not answer are
                     # avoided in any case.
