--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -237,7 +237,7 @@
     def __init__(self, listed=()):
         self.listed = list(listed)
         self.kept = {}
-        self.vms = types.SimpleNamespace(list=lambda: list(self.listed))
+        self.vms = types.SimpleNamespace(list=lambda _age=0.0: list(self.listed))
         self.tables = fake_tables.FakeTables().client()
         self.objects = types.SimpleNamespace(
             put=self.kept.__setitem__, get=self.kept.__getitem__
--- a/toucanspring/moves.py
+++ b/toucanspring/moves.py
@@ -143,7 +143,7 @@
     # Needs
 
     def _blocked(self) -> Iterator[task_table.JobRecord]:
-        for record in self._dispatcher.blocked:
+        for record in self._dispatcher.blocked.values():
             if record.spec.id in self._core.queue and record.outcome is None:
                 yield record
 
