Send no request on a VM list read before a pause of the process

Cause: a request is sent to a server chosen from the VM list that was last read.

Change: toucanspring/listing.py reads the list once a second, counted from the start of the read, and says until when it may be used: an overdue turn shows a pause, and an answer that took longer than the client's limit is read again. No server is given out after that time; `forwarding` and `runner` look again right before the send, and the HTTP client after it has waited for a connection (`send_by`, the earlier of the deadline behind `X-Deadline-Ms` and the end of use of the list). While the VM list is down the last list stays in use, as before. A read of the VM list ends after 1.5 s (2 s before), so that a list in use is at most 2.75 s old, below the 3 s of the invariant; answers of a VM list that take between 1.5 and 2 s now count as failures.

A key is checked when a request is accepted and not again before the send: a request that waits, or whose process is paused, may run up to its deadline after its key was withdrawn, as work accepted before the withdrawal does.

--- a/test/request_fakes.py
+++ b/test/request_fakes.py
@@ -1,6 +1,7 @@
 """Requests against scripted backend servers."""
 
 import collections
+import math
 
 import gevent
 import testtools
@@ -52,7 +53,16 @@
         self.dead = set()
         self.lookups = collections.deque([errors.NotFound(reason="unseen")])
 
-    def send(self, server, request_id, body, timeout_s, epoch=None, headers=None):
+    def send(
+        self,
+        server,
+        request_id,
+        body,
+        timeout_s,
+        epoch=None,
+        headers=None,
+        send_by=math.inf,
+    ):
         self.sent.append((server, request_id, epoch))
         step = self.script.popleft() if len(self.script) > 1 else self.script[0]
         if isinstance(step, float):
--- a/test/test_exchange.py
+++ b/test/test_exchange.py
@@ -1,4 +1,5 @@
 import contextlib
+import time
 
 import gevent
 import testtools
@@ -132,6 +133,17 @@
         # Those that waited were sent late or not at all.
         self.assertEqual(2, kinds.count(errors.Unavailable), kinds)
 
+    def test_nothing_is_sent_after_the_last_time_to_send(self):
+        # Guards against a request that waited for a connection and is sent on a
+        # choice of a server that is too old.
+        started = self.serve(OK_HEAD + b"0\r\n\r\n", end=False)
+        endpoint = self.endpoint(started.port)
+        late = endpoint.open("POST", "/", send_by=time.monotonic() - 0.001)
+        self.assertIsInstance(late, errors.Overloaded)
+        self.assertEqual(200, endpoint.call("POST", "/").status)
+        self.assertEqual(1, started.connections)  # given back unused
+        self.assertEqual(1, len(started.requests))
+
     def test_no_failure_keeps_a_connection_from_the_pool(self):
         # Guards against a pool of one that is empty for good after a failure.
         failing = self.serve(OK_HEAD + b"9\r\n\r\n1", 0.2)
--- a/test/test_requests.py
+++ b/test/test_requests.py
@@ -10,6 +10,7 @@
     errors,
     handler,
     job,
+    listing,
     requests,
 )
 from toucanspring.adapters import vms
@@ -84,7 +85,7 @@
     def test_the_last_list_is_used_while_the_vm_list_is_down(self):
         self.start()
         self.core.find("store").vms.list = lambda: errors.Unavailable(reason="down")
-        self.patch(requests, "POLL_S", 0.01)
+        self.patch(listing, "POLL_S", 0.01)
         gevent.sleep(0.05)
         self.check_whole(self.serve())
 
--- a/toucanspring/adapters/backend_servers.py
+++ b/toucanspring/adapters/backend_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import urllib.parse
 from collections.abc import Iterator
 from typing import Protocol
@@ -69,12 +70,14 @@
         timeout_s: float,
         epoch: Epoch | None = None,
         headers: dict[str, str] | None = None,
+        send_by: float = math.inf,
     ) -> Answer | errors.Failure:
         """Run a request and return its answer once the head has arrived.
 
         `NotRun` (refused, or no connection was free) and `Unavailable` (the server was
         not reached) mean that it certainly did not run, `Ambiguous` that it may have.
-        `epoch` is given for non-idempotent requests.
+        `epoch` is given for non-idempotent requests. Nothing is sent after `send_by`
+        (monotonic seconds).
         """
 
     def lookup(
@@ -121,13 +124,19 @@
         timeout_s: float,
         epoch: Epoch | None = None,
         headers: dict[str, str] | None = None,
+        send_by: float = math.inf,
     ) -> Answer | errors.Failure:
         """Run a request and return its answer once the head has arrived."""
         sent = dict(headers or {})
         sent["X-Deadline-Ms"] = str(int(timeout_s * 1000))
         if epoch is not None:
             sent["X-Epoch"] = f"{epoch.partition}:{epoch.epoch}"
-        reply = self._open(server, "POST", _target(request_id), body, sent, timeout_s)
+        endpoint = self._endpoint(server)
+        if isinstance(endpoint, errors.Failure):
+            return endpoint
+        reply = endpoint.open(
+            "POST", _target(request_id), body, sent, timeout_s, send_by
+        )
         if isinstance(reply, errors.Overloaded):
             return errors.NotRun(reason=reply.reason)
         if isinstance(reply, errors.Failure):
@@ -142,7 +151,10 @@
         self, server: str, request_id: str, timeout_s: float
     ) -> Running | Answer | errors.Failure:
         """Return the state of a request; `NotFound` if the server never saw it."""
-        reply = self._open(server, "GET", _target(request_id), b"", None, timeout_s)
+        endpoint = self._endpoint(server)
+        if isinstance(endpoint, errors.Failure):
+            return endpoint
+        reply = endpoint.open("GET", _target(request_id), timeout_s=timeout_s)
         match reply:
             case errors.Ambiguous() | errors.Overloaded():
                 return errors.Unavailable(reason=reply.reason)  # a read has no effect
@@ -201,20 +213,6 @@
         for server in list(self._endpoints):
             self.forget(server)
 
-    def _open(
-        self,
-        server: str,
-        method: str,
-        target: str,
-        body: bytes,
-        headers: dict[str, str] | None,
-        timeout_s: float,
-    ) -> exchange.OpenReply | errors.Failure:
-        endpoint = self._endpoint(server)
-        if isinstance(endpoint, errors.Failure):
-            return endpoint
-        return endpoint.open(method, target, body, headers, timeout_s)
-
     def _endpoint(self, server: str) -> exchange.Endpoint | errors.Invalid:
         endpoint = self._endpoints.get(server)
         if endpoint is None:
--- a/toucanspring/adapters/exchange.py
+++ b/toucanspring/adapters/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import socket
 import time
 from collections.abc import Iterator
@@ -14,7 +15,9 @@
 from toucanspring import errors, stream
 
 CONNECT_TIMEOUT_S = 1.0
+TIMEOUT_S = 5.0
 BLOCK_BYTES = 1 << 16
+MAX_BODY_BYTES = 1 << 28
 MAX_HEAD_BYTES = 1 << 18
 
 
@@ -186,19 +189,16 @@
         target: str,
         body: bytes = b"",
         headers: dict[str, str] | None = None,
-        timeout_s: float = 5.0,
+        timeout_s: float = TIMEOUT_S,
+        send_by: float = math.inf,
     ) -> OpenReply | errors.Unavailable | errors.Overloaded | errors.Ambiguous:
         """Send a request and return once the head of its answer has arrived.
 
-        `Overloaded` means that no connection became free, `Unavailable` that the
-        server was not reached; in both cases nothing was sent.
+        `Overloaded` means that no connection became free before `send_by` (monotonic
+        seconds), `Unavailable` that the server was not reached; in both cases nothing
+        was sent.
         """
-        head = f"{method} {target} HTTP/1.1\r\n{self._common}"
-        for name, value in (headers or {}).items():
-            if not value.isprintable():  # a line break would start another header
-                raise ValueError(f"header {name} has the value {value!r}")
-            head += f"{name}: {value}\r\n"
-        head += f"Content-Length: {len(body)}\r\n\r\n"
+        head = self._head(method, target, headers or {}, len(body))
         deadline = time.monotonic() + timeout_s
         sock = None
         sent = False
@@ -206,8 +206,12 @@
         try:
             with limit:
                 sock = self._pool.get_socket()
+                if time.monotonic() > send_by:
+                    self._pool.return_socket(sock)
+                    sock = None
+                    return errors.Overloaded(reason="no connection in time to send")
                 sent = True
-                sock.sendall(head.encode("latin-1") + body)
+                sock.sendall(head + body)
                 held, sock = sock, None  # from here the response releases the socket
                 parsed = ParsedReply(
                     held, self._pool, block_size=BLOCK_BYTES, method=method
@@ -230,14 +234,24 @@
             return errors.Ambiguous(reason=reason)
         return errors.Unavailable(reason=reason)
 
+    def _head(
+        self, method: str, target: str, headers: dict[str, str], length: int
+    ) -> bytes:
+        head = f"{method} {target} HTTP/1.1\r\n{self._common}"
+        for name, value in headers.items():
+            if not value.isprintable():  # a line break would start another header
+                raise ValueError(f"header {name} has the value {value!r}")
+            head += f"{name}: {value}\r\n"
+        return f"{head}Content-Length: {length}\r\n\r\n".encode("latin-1")
+
     def call(
         self,
         method: str,
         target: str,
         body: bytes = b"",
         headers: dict[str, str] | None = None,
-        timeout_s: float = 5.0,
-        max_bytes: int = 1 << 28,
+        timeout_s: float = TIMEOUT_S,
+        max_bytes: int = MAX_BODY_BYTES,
     ) -> Reply | errors.Unavailable | errors.Ambiguous | errors.Oversized:
         """Exchange a request for a complete answer of at most `max_bytes`."""
         opened = self.open(method, target, body, headers, timeout_s)
--- a/toucanspring/adapters/vms.py
+++ b/toucanspring/adapters/vms.py
@@ -10,6 +10,8 @@
 from toucanspring import errors, resources
 from toucanspring.adapters import exchange, platform
 
+# The list is read once a second; `listing` relies on an end of each read.
+TIMEOUT_S = 1.5
 MAX_LIST_BYTES = 1 << 26
 
 
@@ -60,6 +62,11 @@
 
     service = "VM list"
 
+    def __init__(
+        self, address: str, port: int, client: str = "", timeout_s: float = TIMEOUT_S
+    ) -> None:
+        super().__init__(address, port, client, timeout_s)
+
     def list(self) -> list[Vm] | errors.Failure:
         """Return all listed VMs."""
         reply = self._endpoint.call(
--- a/toucanspring/forwarding.py
+++ b/toucanspring/forwarding.py
@@ -128,12 +128,17 @@
         if left_s <= 0:
             self._lane.release(server.id)
             return errors.NotRun(reason="not run: the deadline passed before a start")
+        if started > self._lane.usable_until():
+            # The process was paused since the server was chosen.
+            self._lane.release(server.id)
+            return errors.NotRun(reason="not run: the VM list was read too long ago")
         result = self._client.send(
             address_of(server),
             self._request.id,
             self._request.body,
             left_s,
             headers=headers_of(self._request),
+            send_by=min(self._deadline, self._lane.usable_until()),
         )
         match result:
             case errors.NotRun():
--- a/toucanspring/lane.py
+++ b/toucanspring/lane.py
@@ -4,6 +4,7 @@
 
 import collections
 import itertools
+import math
 import random
 import time
 from collections.abc import Callable
@@ -48,8 +49,11 @@
         service: text.Service,
         rng: random.Random,
         clock: Callable[[], float] = time.monotonic,
+        usable_until: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self.service = service
+        # When the servers must be listed again before the next request is sent.
+        self.usable_until = usable_until
         self.router = routing.Router(rng)
         self._admission = admission.Admission()
         self._clock = clock
@@ -153,6 +157,9 @@
         """Give servers to waiting requests while there are both."""
         while self._waiters:
             now = self._clock()
+            if now > self.usable_until():
+                self._arm(LONGEST_PAUSE_S)
+                return
             background = self._admission.head() in BACKGROUND
             probe = self.router.choose(now, background=background)
             if isinstance(probe, errors.Failure):
--- /dev/null
+++ b/toucanspring/listing.py
@@ -0,0 +1,57 @@
+"""The VM list as last read, and until when it may be used to send requests."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import logbook
+
+from toucanspring import errors, ownership
+from toucanspring.adapters import vms
+
+log = logbook.Logger(__name__)
+
+POLL_S = 1.0
+# A read that is on time ends within the client's limit; one that takes longer, and a
+# poll that begins later, show that the process was paused. With the poll this bounds
+# the age of a list in use to 2.75 s, below the 3 s after which a leaving backend server
+# gets no new work. While the VM list is down the last list stays in use.
+SLACK_S = 0.25
+
+
+class Listing:
+    """Read the VM list in turns, and notice turns that come late."""
+
+    def __init__(
+        self,
+        read: Callable[[], list[vms.Vm] | errors.Failure],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.vms: list[vms.Vm] = []
+        self._read = read
+        self._clock = clock
+        self._usable_until = ownership.NEVER
+
+    def usable_until(self) -> float:
+        """Return the monotonic time after which the list must be read again first."""
+        return self._usable_until
+
+    def update(self) -> float:
+        """Read the list; return the seconds until the next turn."""
+        while True:
+            sent_at = self._clock()
+            if sent_at <= self._usable_until:
+                self._usable_until = sent_at + vms.TIMEOUT_S + SLACK_S
+            listed = self._read()
+            now = self._clock()
+            if now <= sent_at + vms.TIMEOUT_S + SLACK_S:
+                break
+            # The answer may be as old as the pause.
+        if isinstance(listed, errors.Failure):
+            log.warning("VM list: {}", listed.reason)
+        else:
+            self.vms = listed
+        pause_s = max(0.0, sent_at + POLL_S - now)
+        self._usable_until = now + pause_s + SLACK_S
+        return pause_s
--- a/toucanspring/requests.py
+++ b/toucanspring/requests.py
@@ -20,6 +20,7 @@
     kernel,
     lane,
     link,
+    listing,
     routing,
     runner,
     text,
@@ -31,7 +32,6 @@
 Request = answers.Request
 Answer = answers.Answer
 
-POLL_S = 1.0  # of the VM list
 RETRY_S = 0.05  # until the owner of a partition is asked again
 STATUS_TIMEOUT_S = 2.0
 RECOVER_LIMIT_S = 60.0  # until the log of a claimed partition is read
@@ -82,7 +82,7 @@
         self._lanes: dict[str, lane.Lane] = {}
         self._cell: text.Cell | None = None
         self._zones_out: frozenset[str] = frozenset()
-        self._vms: list[vms.Vm] = []
+        self._listing = listing.Listing(lambda: core.find("store").vms.list())
         self._poller: gevent.Greenlet | None = None
         self._serving = 0
         self.burn = burn.Recorder()
@@ -276,7 +276,9 @@
                 if name in self._lanes:
                     self._lanes[name].service = service
                 else:
-                    self._lanes[name] = lane.Lane(service, self._rng)
+                    self._lanes[name] = lane.Lane(
+                        service, self._rng, usable_until=self._listing.usable_until
+                    )
                     self._lanes[name].set_zones_out(self._zones_out)
             self._set_servers()
         zones_out = documents.zones_out()
@@ -296,35 +298,32 @@
                         vm.availability_zone,
                         vm.state is vms.State.LEAVING,
                     )
-                    for vm in self._vms
+                    for vm in self._listing.vms
                     if vm.role is vms.Role.BACKEND_SERVER
                     and vm.service == each.service.backend_servers
                 ]
             )
 
     def _poll(self) -> None:
-        store = self._kernel.find("store")
         while True:
+            pause_s = listing.POLL_S
             try:
-                listed = store.vms.list()
-                if isinstance(listed, errors.Failure):
-                    # The last list stays in use; servers that do not answer are
-                    # avoided in any case.
-                    log.warning("VM list: {}", listed.reason)
-                elif listed != self._vms:
-                    self._forget(listed)
-                    self._vms = listed
+                before = self._listing.vms
+                pause_s = self._listing.update()
+                if self._listing.vms != before:
+                    self._forget(before)
                     self._set_servers()
                 self._follow_documents()
+                for each in self._lanes.values():
+                    each.pump()
             except Exception:
                 log.exception("following the VM list failed")
-            gevent.sleep(POLL_S)
+            gevent.sleep(pause_s)
 
-    def _forget(self, listed: list[vms.Vm]) -> None:
+    def _forget(self, before: list[vms.Vm]) -> None:
         """Close connections to servers that are no longer listed."""
-        before = {f"{vm.address}:{vm.port}" for vm in self._vms}
-        after = {f"{vm.address}:{vm.port}" for vm in listed}
-        for server in before - after:
+        listed = {f"{vm.address}:{vm.port}" for vm in self._listing.vms}
+        for server in {f"{vm.address}:{vm.port}" for vm in before} - listed:
             self._client.forget(server)
 
     def _record(
--- a/toucanspring/runner.py
+++ b/toucanspring/runner.py
@@ -296,6 +296,9 @@
             now = self._clock()
             if now >= deadline:
                 return errors.NotRun(reason="not run: no free slot before the deadline")
+            if now > target.usable_until():  # the process was paused
+                gevent.sleep(RESEND_PAUSE_S)
+                continue
             if not target.is_usable(server.id):  # the write may have taken long
                 return errors.NotRun(reason="not run: the server goes out of service")
             # Never the epoch of a later claim: another owner may have looked into
@@ -311,6 +314,7 @@
                     job.partition_of(request.id, self._partitions), epoch
                 ),
                 forwarding.headers_of(request),
+                min(deadline, target.usable_until()),
             )
             match result:
                 case errors.NotRun(reason="epoch"):
