Name the parts of requests under way and of document rows

Change: `runner.UnderWay` and `records.DocumentRow`; `Runner._refusal` holds the reasons not to send now.

Conclusion: no change of behaviour.

--- a/toucanspring/changes.py
+++ b/toucanspring/changes.py
@@ -96,7 +96,7 @@
 
     def __init__(self) -> None:
         self._change = records.new_change()
-        self.reads = [records.ROWS[self.name][0]]
+        self.reads = [records.ROWS[self.name].key]
 
     def plan(
         self, rows: Rows, _current: freshness.Versions
@@ -227,7 +227,7 @@
         {
             **planned.writes,
             records.HEAD: records.encode(records.Head(versions)),
-            records.ROWS[change.name][0]: records.encode(document),
+            records.ROWS[change.name].key: records.encode(document),
         },
         planned.deletes,
     )
--- a/toucanspring/documents.py
+++ b/toucanspring/documents.py
@@ -75,7 +75,7 @@
         self._settings = settings
         self._parse = parse or import_parser()
         self._documents: dict[str, records.Document] = {
-            name: kind() for name, (_, kind) in records.ROWS.items()
+            name: row.kind() for name, row in records.ROWS.items()
         }
         self._cell = self._parse("")
         self._view = freshness.View()
@@ -314,10 +314,10 @@
         ]
         now = self._members.clock()
         if self._members.store_age(now) < renewal.NO_ACCESS_S:
-            rows = self._tables.read([records.ROWS[name][0] for name in behind])
+            rows = self._tables.read([records.ROWS[name].key for name in behind])
             if not isinstance(rows, errors.Failure):
                 adopted = [
-                    self._adopt_row(name, rows[records.ROWS[name][0]].value)
+                    self._adopt_row(name, rows[records.ROWS[name].key].value)
                     for name in behind
                 ]
                 if any(adopted):
@@ -343,7 +343,7 @@
         return records.encode(document)
 
     def _adopt_row(self, name: str, value: bytes) -> bool:
-        document = records.decode(records.ROWS[name][1], value)
+        document = records.decode(records.ROWS[name].kind, value)
         if isinstance(document, errors.Failure):
             log.error("{}", document.reason)
             return False
--- a/toucanspring/records.py
+++ b/toucanspring/records.py
@@ -5,6 +5,7 @@
 import hashlib
 import hmac
 import secrets
+from typing import NamedTuple
 
 import msgspec
 
@@ -62,10 +63,17 @@
     changes: list[str] = []
 
 
+class DocumentRow(NamedTuple):
+    """Name the row of a document and the type of its value."""
+
+    key: str
+    kind: type[ConfigVersion] | type[Keys] | type[Zones]
+
+
 ROWS = {
-    "config": (CONFIG, ConfigVersion),
-    "keys": (KEYS, Keys),
-    "zones": (ZONES, Zones),
+    "config": DocumentRow(CONFIG, ConfigVersion),
+    "keys": DocumentRow(KEYS, Keys),
+    "zones": DocumentRow(ZONES, Zones),
 }
 
 
--- a/toucanspring/runner.py
+++ b/toucanspring/runner.py
@@ -52,6 +52,14 @@
     """Say that a request was begun and has no outcome yet."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnderWay:
+    """Hold a request that this process runs or follows."""
+
+    digest: bytes
+    result: event.AsyncResult
+
+
 class Runner:
     """Run each request of the own partitions once and remember its outcome."""
 
@@ -70,8 +78,7 @@
         self._clock = clock
         self._outcomes = outcomes.Outcomes(core)
         self._inquiry = inquiry.Inquiry(client, clock)
-        # Requests under way in this process: ID -> digest and result.
-        self._running: dict[str, tuple[bytes, event.AsyncResult]] = {}
+        self._running: dict[str, UnderWay] = {}  # by request ID
         self._waiting = 0
 
     def in_flight(self) -> int:
@@ -87,9 +94,9 @@
         known = self._running.get(request.id)
         digest = answers.digest(request)
         if known is not None:
-            if known[0] != digest:
+            if known.digest != digest:
                 return _other_content(request.id)
-            result = known[1]
+            result = known.result
         else:
             result = self._spawn(
                 request.id, digest, lambda: self._execute(request, digest)
@@ -130,7 +137,7 @@
     ) -> event.AsyncResult:
         """Run work that outlives the caller; others that ask for the ID join it."""
         result = event.AsyncResult()
-        self._running[request_id] = (digest, result)
+        self._running[request_id] = UnderWay(digest, result)
 
         def run() -> None:
             outcome: object = errors.Unknown(reason="outcome unknown: internal error")
@@ -294,17 +301,12 @@
         refused_since: float | None = None
         while True:
             now = self._clock()
-            if now >= deadline:
-                return errors.NotRun(reason="not run: no free slot before the deadline")
-            if now > target.usable_until():  # the process was paused
+            if deadline > now > target.usable_until():  # the process was paused
                 gevent.sleep(RESEND_PAUSE_S)
                 continue
-            if not target.is_usable(server.id):  # the write may have taken long
-                return errors.NotRun(reason="not run: the server goes out of service")
-            # Never the epoch of a later claim: another owner may have looked into
-            # the request in between, and only the old epoch is refused then.
-            if self._epoch(request.id) != epoch:
-                return errors.Fenced(reason="ownership was lost before the send")
+            refusal = self._refusal(request, target, server, epoch, now >= deadline)
+            if refusal is not None:
+                return refusal
             result = self._client.send(
                 start.server,
                 request.id,
@@ -337,6 +339,25 @@
                     return received
             gevent.sleep(RESEND_PAUSE_S)
 
+    def _refusal(
+        self,
+        request: answers.Request,
+        target: lane.Lane,
+        server: routing.ServerFacts,
+        epoch: int,
+        expired: bool,
+    ) -> errors.Failure | None:
+        """Return why a begun request may not be sent now, if so."""
+        if expired:
+            return errors.NotRun(reason="not run: no free slot before the deadline")
+        if not target.is_usable(server.id):  # the write may have taken long
+            return errors.NotRun(reason="not run: the server goes out of service")
+        # Never the epoch of a later claim: another owner may have looked into
+        # the request in between, and only the old epoch is refused then.
+        if self._epoch(request.id) != epoch:
+            return errors.Fenced(reason="ownership was lost before the send")
+        return None
+
     def _resolve(
         self, request_id: str, start: outcomes.Start
     ) -> answers.Stored | errors.Failure:
