Use named rows and changes in the stand-ins and the judge

Cause: the table stand-in held rows, and the judge the starts and ends of attempts, as bare tuples; two limits of bytes stood as numbers.

Change: `adapters.tables.Row` in the stand-in, `executions.Change`, and `MAX_SHORT_ANSWER_BYTES` in adapters/backend_servers.py.

Conclusion: checks and wire formats are unchanged.

--- a/standins/backend_servers.py
+++ b/standins/backend_servers.py
@@ -42,10 +42,9 @@
 
 
 class ExecutorFaults(injection.Faults):
-    """Faults of an executor; `executors` in the body names those concerned.
-
-    The list is absent or empty for all of them.
+    """Faults of an executor; the body also takes `executors`, their names.
 
+    Without names, or with an empty list, all executors are concerned.
     `cut_answers` ends that many answers in the middle, `no_slot` refuses all work,
     and `large_bytes` replaces the length of generated answers.
     """
--- a/standins/executions.py
+++ b/standins/executions.py
@@ -6,6 +6,7 @@
 import dataclasses
 import math
 from collections.abc import Iterable
+from typing import NamedTuple
 
 import msgspec
 
@@ -81,15 +82,23 @@
     return {name: value for name, value in event.items() if name != "kind"}
 
 
-def list_changes(attempts: Iterable[Attempt]) -> list[tuple[float, int, Attempt]]:
-    """Return starts (1) and ends (-1) by time; at equal times ends come first."""
+class Change(NamedTuple):
+    """A start (`sign` 1) or an end (-1) of an attempt, or a time to look at (0)."""
+
+    at: float
+    sign: int
+    attempt: Attempt | None
+
+
+def list_changes(attempts: Iterable[Attempt]) -> list[Change]:
+    """Return starts and ends by time; at equal times ends come first."""
     changes = []
     for attempt in attempts:
         if attempt.until > attempt.start.at:
-            changes.append((attempt.start.at, 1, attempt))
+            changes.append(Change(attempt.start.at, 1, attempt))
             if attempt.until < math.inf:
-                changes.append((attempt.until, -1, attempt))
-    changes.sort(key=lambda change: change[:2])
+                changes.append(Change(attempt.until, -1, attempt))
+    changes.sort(key=lambda change: (change.at, change.sign))
     return changes
 
 
--- a/standins/judge.py
+++ b/standins/judge.py
@@ -150,13 +150,12 @@
         by_team[ceiling.team].append(ceiling)
     groups = executions.group_by(history.attempts, "team")
     for team, steps in by_team.items():
-        changes: list[tuple[float, int, executions.Attempt | None]] = list(
-            executions.list_changes(groups.get(team, []))
-        )
+        changes = executions.list_changes(groups.get(team, []))
         changes += [
-            (step.from_at + IN_FORCE_S + STOP_GRACE_S, 0, None) for step in steps
+            executions.Change(step.from_at + IN_FORCE_S + STOP_GRACE_S, 0, None)
+            for step in steps
         ]
-        changes.sort(key=lambda change: change[:2])
+        changes.sort(key=lambda change: (change.at, change.sign))
         used = resources.ZERO
         for at, sign, attempt in changes:
             if attempt is not None:
@@ -223,7 +222,10 @@
     running: set[str] = set()
     done: set[str] = set()
     partial_since: float | None = None
-    changes = [*executions.list_changes(attempts), (last, 0, None)]
+    changes = [
+        *executions.list_changes(attempts),
+        executions.Change(last, 0, None),
+    ]
     for at, sign, attempt in changes:
         if partial_since is not None and at - partial_since > GANG_SETTLE_S:
             yield violations.PartialGang(
--- a/standins/tables.py
+++ b/standins/tables.py
@@ -13,6 +13,7 @@
 from toucanspring.adapters import tables  # noqa: E402
 
 MAX_SCAN_ROWS = 1000
+ABSENT = tables.Row(0, b"")
 
 _encode = msgspec.msgpack.Encoder().encode
 _transaction = msgspec.msgpack.Decoder(tables.TransactionBody)
@@ -24,7 +25,7 @@
     """Hold all rows in memory; row versions come from one counter, never reused."""
 
     def __init__(self, record: events.Record) -> None:
-        self._rows: dict[str, tuple[int, bytes]] = {}
+        self._rows: dict[str, tables.Row] = {}
         self._keys: list[str] = []
         self._version = 0
         self._record = record
@@ -48,7 +49,7 @@
 
     def _transact(self, body: tables.TransactionBody, client: str) -> service.Response:
         for key, version in body.checks:
-            current = self._rows.get(key, (0, b""))[0]
+            current = self._rows.get(key, ABSENT).version
             if current != version:
                 self._record.add("conflict", client=client, key=key)
                 return service.Response(
@@ -59,7 +60,7 @@
             self._version += 1
             if key not in self._rows:
                 bisect.insort(self._keys, key)
-            self._rows[key] = (self._version, value)
+            self._rows[key] = tables.Row(self._version, value)
             versions[key] = self._version
         for key in body.deletes:
             if self._rows.pop(key, None) is not None:
@@ -72,9 +73,7 @@
         )
 
     def _answer_read(self, body: tables.ReadBody, client: str) -> service.Response:
-        rows = {
-            key: tables.Row(*self._rows[key]) for key in body.keys if key in self._rows
-        }
+        rows = {key: self._rows[key] for key in body.keys if key in self._rows}
         self._record.add("read", client=client, keys=len(body.keys))
         return service.Response(200, _encode(tables.ReadAnswer(rows)))
 
@@ -86,7 +85,8 @@
         for key in self._keys[first : first + min(body.limit, MAX_SCAN_ROWS)]:
             if not key.startswith(body.prefix):
                 break
-            rows.append(tables.KeyedRow(key, *self._rows[key]))
+            row = self._rows[key]
+            rows.append(tables.KeyedRow(key, row.version, row.value))
         self._record.add("scan", client=client, prefix=body.prefix)
         return service.Response(200, _encode(tables.ScanAnswer(rows)))
 
--- a/toucanspring/adapters/backend_servers.py
+++ b/toucanspring/adapters/backend_servers.py
@@ -17,6 +17,7 @@
 CONNECTIONS_PER_SERVER = 7
 EPOCH_TIMEOUT_S = 2.0
 MAX_WHOLE_ANSWER_BYTES = 1 << 26
+MAX_SHORT_ANSWER_BYTES = 1 << 16  # of refusals, and of answers to `POST /epochs`
 
 BrokenAnswer = exchange.BrokenAnswer
 
@@ -183,7 +184,7 @@
             msgspec.json.encode(EpochBody(epoch.partition, epoch.epoch)),
             {"Content-Type": "application/json"},
             EPOCH_TIMEOUT_S,
-            1 << 16,
+            MAX_SHORT_ANSWER_BYTES,
         )
         match reply:
             case exchange.Reply(status=200):
@@ -236,4 +237,4 @@
 
 def _discard(reply: exchange.OpenReply) -> None:
     """Read a short body so that the connection can be used again."""
-    exchange.read_reply(reply, 1 << 16)
+    exchange.read_reply(reply, MAX_SHORT_ANSWER_BYTES)
