--- a/test/test_exchange.py
+++ b/test/test_exchange.py
@@ -1,4 +1,5 @@
 import contextlib
+import time
 
 import gevent
 import testtools
@@ -142,6 +143,17 @@
         self.assertEqual([exchange.Reply] * 4, answered)
         self.assertEqual((2, 4), (started.connections, len(started.requests)))
 
+    def test_nothing_is_sent_after_the_last_time_to_send(self):
+        # Guards against a request that waited for a connection and is sent on a
+        # choice of a server that is too old.
+        started = self.serve(OK_HEAD + b"0\r\n\r\n", end=False)
+        endpoint = self.endpoint(started.port)
+        late = endpoint.open("POST", "/", send_by=time.monotonic() - 0.001)
+        self.assertIsInstance(late, errors.Overloaded)
+        self.assertEqual(200, endpoint.call("POST", "/").status)
+        self.assertEqual(1, started.connections)  # given back unused
+        self.assertEqual(1, len(started.requests))
+
     def test_no_failure_keeps_a_connection_from_the_pool(self):
         # Guards against a pool of one that is empty for good after a failure.
         failing = self.serve(OK_HEAD + b"9\r\n\r\n1", 0.2)
--- a/toucanspring/adapters/vms.py
+++ b/toucanspring/adapters/vms.py
@@ -11,6 +11,8 @@
 from toucanspring import errors, resources
 from toucanspring.adapters import exchange, platform
 
+# The list is read once a second; `listing` relies on an end of each read.
+TIMEOUT_S = 1.5
 MAX_LIST_BYTES = 1 << 26
 # Two services read the list every second; accepting this age they share the answers.
 SHARED_AGE_S = 0.5
@@ -63,8 +65,10 @@
 
     service = "VM list"
 
-    def __init__(self, address: str, port: int, client: str = "") -> None:
-        super().__init__(address, port, client)
+    def __init__(
+        self, address: str, port: int, client: str = "", timeout_s: float = TIMEOUT_S
+    ) -> None:
+        super().__init__(address, port, client, timeout_s)
         self._body = b""
         self._listed: list[Vm] = []
         self._read_at = float("-inf")
