--- a/toucanspring/departure.py
+++ b/toucanspring/departure.py
@@ -1,4 +1,4 @@
-"""Operators' confirmations that a process is gone for good.
+"""Rows of processes that are gone: their deletion, and operators' confirmations.
 
 Majorities count the members in an owner's last list, since each of them could have
 promised. When more than half of a list are destroyed at once, nobody can say that they
@@ -19,6 +19,8 @@
     from toucanspring import membership
 
 ATTEMPTS = 5
+# Rows of members that own nothing are deleted after this time.
+DELETE_AFTER_S = 60.0
 
 
 def confirm(
@@ -74,3 +76,27 @@
     if sighting.incarnation != incarnation:
         return True
     return not ownership.is_silent(sighting, incarnation, now, members.timing)
+
+
+def delete_dead(members: membership.Service, client: tables.TableClient) -> None:
+    """Delete rows of long dead members, from one process only.
+
+    A member that owns a partition keeps its row: successors need its list. So does
+    one that a majority of its list may still extend. The version check lets a
+    member that came back win.
+    """
+    live = members.candidates()
+    named = members.own.guard.named()
+    if not live or live[0] != members.identity.process or named is None:
+        return
+    now = members.clock()
+    quiet = members.quiet()
+    timing = members.timing
+    for name, (version, row) in list(members.rows.items()):
+        seen_at = members.sightings[name].counter_at
+        ended = ownership.lost_majority(
+            row.known, quiet, seen_at + timing.silence_s, now, timing
+        )
+        if ended and now - seen_at >= DELETE_AFTER_S and name not in named:
+            key = renewal.key_of(name)
+            client.transact({key: version}, {}, [key])
--- a/toucanspring/membership.py
+++ b/toucanspring/membership.py
@@ -25,8 +25,6 @@
 
 # A member whose counter stands still this long is not counted for majorities.
 COUNTED_S = 10.0
-# Rows of members that own nothing are deleted after this time.
-DELETE_AFTER_S = 60.0
 SCAN_EVERY_POLLS = 4
 # With polls of the store every 0.5 s, an age beyond this means that one was missed.
 CALM_AGE_S = 0.75
@@ -234,7 +232,7 @@
         for keys, take in watched:
             take({key: rows[key] for key in keys}, sent_at)
         if scanning:
-            self._delete_dead()
+            departure.delete_dead(self, self._tables)
         return None
 
     def read_members(self) -> None | errors.Failure:
@@ -291,28 +289,6 @@
         seen_at = self.sightings[name].counter_at
         return max(self.own.answered_at, seen_at) - seen_at <= COUNTED_S
 
-    def _delete_dead(self) -> None:
-        """Delete rows of long dead members, from one process only.
-
-        A member that owns a partition keeps its row: successors need its list. So does
-        one that a majority of its list may still extend. The version check lets a
-        member that came back win.
-        """
-        live = self.candidates()
-        named = self.own.guard.named()
-        if not live or live[0] != self.identity.process or named is None:
-            return
-        now = self.clock()
-        quiet = self.quiet()
-        for name, (version, row) in list(self.rows.items()):
-            seen_at = self.sightings[name].counter_at
-            ended = ownership.lost_majority(
-                row.known, quiet, seen_at + self.timing.silence_s, now, self.timing
-            )
-            if ended and now - seen_at >= DELETE_AFTER_S and name not in named:
-                key = renewal.key_of(name)
-                self._tables.transact({key: version}, {}, [key])
-
     # Loops
 
     def _repeat(self, interval_s: float, work: Callable[[], object]) -> None:
