--- a/scenarios/expectations.py
+++ b/scenarios/expectations.py
@@ -19,17 +19,26 @@
 
     def __init__(self, running: cell.Cell) -> None:
         self._cell = running
+        self._say: Callable[[str], None] = lambda _line: None
 
     def resolve(self, name: str) -> str:
         """Return the daemon that a name stands for."""
         return name
 
     def _until(self, within_s: float | None, look: Callable[[], str]) -> None:
-        """Repeat `look`, which returns what is wrong, until nothing is."""
-        deadline = time.monotonic() + (within_s or 0.0)
+        """Repeat `look`, which returns what is wrong, until nothing is.
+
+        The time that was left is printed, since a check that holds in the last moment
+        fails on a slower machine.
+        """
+        began = time.monotonic()
+        deadline = began + (within_s or 0.0)
         while True:
             wrong = look()
             if not wrong:
+                if within_s:
+                    took = time.monotonic() - began
+                    self._say(f"  holds after {took:.1f} s of {within_s:g} s")
                 return
             if time.monotonic() >= deadline:
                 raise cell.Failed(wrong)
