Expect the loss of a resumed owner to be marked as superseded

Cause: the event PartitionLost has a new field; this test compared the old event. Change: the expected event says that another process owns the partition. Conclusion: the check is stricter than before.

--- a/test/test_renewal.py
+++ b/test/test_renewal.py
@@ -69,7 +69,7 @@
         self.node.paused = False
         self.cell.run(2)
         self.assertEqual([successor], self.cell.owners(0))
-        self.assertEqual(claims.PartitionLost(0), self.node.events[-1])
+        self.assertEqual(claims.PartitionLost(0, superseded=True), self.node.events[-1])
         self.assertEqual(-1, self.node.claims.row_version(0))
 
     def test_no_promise_while_a_claim_may_still_take_effect(self):
