Repeat requests at the successor of a paused owner

Cause: an entry process waited for the owner of a non-idempotent request until the deadline of the request. If the owner was paused, the successor, which knows the outcome or can ask the server, was asked only after that. Change: the wait ends when the partition has another owner. Ruled out: a shorter timeout, which repeats every request of an owner that is merely slow.

--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -206,10 +206,10 @@
         self.handlers[method] = function
 
     def call(self, process, method, body, timeout_s, abandon=None):
-        result = self.call_stream(process, method, body, timeout_s)
+        result = self.call_stream(process, method, body, timeout_s, abandon)
         return result if isinstance(result, errors.Failure) else b"".join(result)
 
-    def call_stream(self, process, method, body, timeout_s):
+    def call_stream(self, process, method, body, timeout_s, abandon=None):
         return self.stream(method, body)
 
 
--- a/test/test_requests.py
+++ b/test/test_requests.py
@@ -114,6 +114,23 @@
         for one in results:
             self.assertIsInstance(one, errors.Overloaded | errors.NotRun)
 
+    def test_a_request_at_a_paused_owner_goes_to_its_successor(self):
+        # Guards against a warning that waits at a paused owner for its whole deadline.
+        self.start()
+        owners = self.core.find("claims")
+        owners.owner = "entry-2"
+        waits = []
+
+        def call_stream(process, method, body, timeout_s, abandon=None):
+            waits.append((process, abandon()))
+            owners.owner = "entry-1"
+            waits.append((process, abandon()))
+            return errors.Ambiguous(reason="the call was abandoned")
+
+        self.core.find("peers").call_stream = call_stream
+        self.check_whole(self.serve(idempotent=False, deadline_s=600.0))
+        self.assertEqual([("entry-2", False), ("entry-2", True)], waits)
+
     @SETTINGS
     @hypothesis.given(
         strategies.lists(
--- a/toucanspring/requests.py
+++ b/toucanspring/requests.py
@@ -209,8 +209,13 @@
             if isinstance(stored, errors.Failure):
                 return stored
             return _answer(stored.status, stored.headers, stored.body)
+        # A paused owner answers nothing; its successor knows what became of it.
         chunks = self._kernel.find("peers").call_stream(
-            owner.process, "request", answers.encode(sent), left_s + OWNER_GRACE_S
+            owner.process,
+            "request",
+            answers.encode(sent),
+            left_s + OWNER_GRACE_S,
+            abandon=lambda: self._owner(request.id) != owner,
         )
         if isinstance(chunks, errors.Failure):
             return chunks
@@ -225,7 +230,11 @@
         if owner.process == self._kernel.find("membership").identity.process:
             return self._runner.find(request_id)
         body = self._kernel.find("peers").call(
-            owner.process, "request_status", request_id.encode(), max(0.05, left_s)
+            owner.process,
+            "request_status",
+            request_id.encode(),
+            max(0.05, left_s),
+            abandon=lambda: self._owner(request_id) != owner,
         )
         if isinstance(body, errors.Failure):
             return body
