Record what processes do by themselves as typed events

What the cell did by itself was in the logs of each process only, and the processes are diskless and replaced at any time.

Typed events are published in the kernel where they happen; decision modules return them as the effect Publish. The service events folds equal events of a minute into one entry, keeps a bounded buffer, and rewrites the rows events/<hour>/<process>/<writer>-<segment> of its run. A row is replaced as a whole, so a repeated write or a lost answer doubles nothing. GET /v1/events and toucanspring events read the rows first and then ask the live processes; explain names the actions on a job. Workers that a job avoids are counted as avoided, the others as held for other work.

--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -1,3 +1,5 @@
+import types
+
 import gevent
 import gevent.event
 import testtools
@@ -90,6 +92,7 @@
         self.stopped = []
         self.acknowledged = []
         self.before_start = None
+        self.vm = types.SimpleNamespace(availability_zone="z0", rack="r0")
 
     def start(self, tasks, _allowed):
         if self.before_start is not None:
--- a/toucanspring/api_jobs.py
+++ b/toucanspring/api_jobs.py
@@ -9,7 +9,7 @@
 import msgspec
 from gevent import pool
 
-from toucanspring import api, errors, job, kernel, submission
+from toucanspring import api, api_events, errors, job, kernel, submission
 
 MAX_SUBMISSION_BYTES = 16 << 20
 MAX_CANCELLATIONS = 1000
@@ -108,7 +108,10 @@
         if reader is not None:
             status = api.unwrap(partitions.lookup(job_id))
             api.check_reader(reader, status.team, job_id)
-        api.send_json(response, api.unwrap(partitions.explain(job_id)))
+        found = dataclasses.asdict(api.unwrap(partitions.explain(job_id)))
+        events = self._kernel.find("events")
+        found |= api_events.describe_actions(events, job_id, reader is None)
+        api.send_json(response, found)
 
 
 class Cancel:
--- a/toucanspring/attempt.py
+++ b/toucanspring/attempt.py
@@ -4,7 +4,16 @@
 
 from collections.abc import Iterable, Iterator
 
-from toucanspring import avoidance, effects, job, lifecycle, task_table, wire
+from toucanspring import (
+    avoidance,
+    effects,
+    event_kinds,
+    job,
+    lifecycle,
+    quarantine,
+    task_table,
+    wire,
+)
 
 SERVICE_STABLE_S = 60.0  # a service that ran so long starts with a fresh delay
 
@@ -82,8 +91,14 @@
     avoidance.record_end(core, record, worker, ok, seconds, now)
     before = core.quarantine.allows(worker, now)
     core.quarantine.record(worker, spec.id, ok, seconds, now)
-    if core.quarantine.allows(worker, now) is not before:
-        core.update_schedulable(worker, now)
+    after = core.quarantine.allows(worker, now)
+    if after is before:
+        return
+    core.update_schedulable(worker, now)
+    if before is quarantine.Verdict.YES:
+        core.effects.publish(event_kinds.WorkerQuarantined(worker))
+    elif after is quarantine.Verdict.YES:
+        core.effects.publish(event_kinds.WorkerReleased(worker))
 
 
 def _end(
--- a/toucanspring/avoidance.py
+++ b/toucanspring/avoidance.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING
 
-from toucanspring import quarantine, resources
+from toucanspring import event_kinds, quarantine, resources
 
 if TYPE_CHECKING:
     from toucanspring import lifecycle, task_table
@@ -51,6 +51,10 @@
         place.delay_s = min(MAX_AVOID_S, place.delay_s * AVOID_GROWTH)
         place.until = now + place.delay_s
 
+    def delay_s(self, worker: str) -> float:
+        """Return for how long a worker was last to be avoided."""
+        return self._places[worker].delay_s
+
     def workers(self, now: float) -> set[str]:
         """Return the workers to avoid."""
         return {name for name, place in self._places.items() if now < place.until}
@@ -79,7 +83,14 @@
         record.avoidance = Avoidance()
     state = core.workers.get(worker)
     rack = state.facts.rack if state is not None else ""
-    record.avoidance.record(worker, rack, ok, run_seconds, now)
+    places = record.avoidance
+    before, racks = places.workers(now), places.racks(now)
+    places.record(worker, rack, ok, run_seconds, now)
+    if worker in places.workers(now) - before:
+        seconds = places.delay_s(worker)
+        core.effects.publish(event_kinds.WorkerAvoided(record.spec.id, worker, seconds))
+    for name in places.racks(now) - racks:
+        core.effects.publish(event_kinds.RackAvoided(record.spec.id, name))
 
 
 def avoided(
--- a/toucanspring/claims.py
+++ b/toucanspring/claims.py
@@ -10,7 +10,15 @@
 import msgspec
 from gevent import event, queue
 
-from toucanspring import assignment, errors, membership, ownership, renewal
+from toucanspring import (
+    assignment,
+    errors,
+    event_kinds,
+    former,
+    membership,
+    ownership,
+    renewal,
+)
 from toucanspring.adapters import tables
 
 log = logbook.Logger(__name__)
@@ -120,7 +128,7 @@
 
     def stop(self) -> None:
         """Release all partitions."""
-        self._release(list(self._holdings))
+        self._release(list(self._holdings), "stopping")
         if self._publisher is not None:
             self._publisher.kill()
 
@@ -181,14 +189,14 @@
             ]
         return not holding.former
 
-    def release(self, partition: int) -> None | errors.Failure:
+    def release(self, partition: int, why: str = "fenced") -> None | errors.Failure:
         """Hand over a partition; `PartitionLost` is delivered before the row changes.
 
         If the store does not answer, the successor waits for the lease instead.
         """
-        return self._release([partition] if partition in self._holdings else [])
+        return self._release([partition] if partition in self._holdings else [], why)
 
-    def _release(self, partitions: list[int]) -> None | errors.Failure:
+    def _release(self, partitions: list[int], why: str) -> None | errors.Failure:
         """Release partitions in one transaction; a slow store delays it only once."""
         if not partitions:
             return None
@@ -199,6 +207,9 @@
             checks[key_of(partition)] = holding.version
             rows[partition] = PartitionRow(epoch=holding.epoch, former=holding.former)
             delivered.append(self._lose(partition))
+            self._kernel.publish(
+                event_kinds.PartitionReleased(partition, holding.epoch, why)
+            )
         gevent.wait(delivered, timeout=DELIVERY_LIMIT_S)
         writes = {key_of(p): _encoder.encode(row) for p, row in rows.items()}
         result = self._members.own.write(checks, writes)
@@ -249,6 +260,9 @@
             if changed(holding, rows.get(key_of(partition))):
                 log.warning("partition {} was claimed by another process", partition)
                 self._lose(partition)
+                self._kernel.publish(
+                    event_kinds.OwnershipEnded(partition, holding.epoch)
+                )
 
     # Claims
 
@@ -336,7 +350,7 @@
             process=own.process,
             incarnation=own.incarnation,
             epoch=row.epoch + 1,
-            former=self._former_lists(partition, row),
+            former=former.member_lists(members, partition, row),
         )
         checks = {key_of(partition): version}
         if row.process and row.process != own.process:
@@ -355,27 +369,12 @@
             claim.epoch, version, members.clock(), claim.former
         )
         log.info("claimed partition {} with epoch {}", partition, claim.epoch)
+        why = former.explain_claim(row, own)
+        self._kernel.publish(
+            event_kinds.PartitionClaimed(partition, claim.epoch, row.process, why)
+        )
         self._publish(PartitionAcquired(partition, claim.epoch))
 
-    def _former_lists(self, partition: int, row: PartitionRow) -> list[list[str]]:
-        """Return the member lists of owners that may still extend after a claim."""
-        if not row.process:
-            return row.former
-        own = self._members.identity
-        if (row.process, row.incarnation) == (own.process, own.incarnation):
-            return row.former
-        found = self._members.rows.get(row.process)
-        former = list(row.former)
-        if found is None:
-            known = sorted(self._members.members())
-        elif found[1].member.incarnation == row.incarnation:
-            known = found[1].known
-            if partition in found[1].settled:
-                former = []
-        else:
-            known = found[1].former.get(str(row.incarnation), found[1].known)
-        return former if known in former else [*former, known]
-
     def _rebalance(self) -> None:
         """Release one partition above the even part, if that lasts."""
         members = self._members
@@ -397,4 +396,4 @@
         ]
         if foreign:
             log.info("handing partition {} to {}", foreign[0], preferred[foreign[0]])
-            self.release(foreign[0])
+            self.release(foreign[0], "even_out")
--- a/toucanspring/cli.py
+++ b/toucanspring/cli.py
@@ -20,6 +20,7 @@
     apply,
     cancel,
     diff,
+    events,
     explain,
     history,
     key,
@@ -51,6 +52,7 @@
     "workers": workers.run,
     "explain": explain.run,
     "report": report.run,
+    "events": events.run,
 }
 COMMON_DOC = """
     :param endpoints: entry processes as host:port or https://host:port in order of
--- a/toucanspring/collector.py
+++ b/toucanspring/collector.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from toucanspring import effects, job, wire
+from toucanspring import effects, event_kinds, job, wire
 
 
 class Collector:
@@ -41,6 +41,10 @@
         """Let a worker forget a task."""
         self._acknowledged.setdefault(worker, []).append(task_id)
 
+    def publish(self, event: event_kinds.Event) -> None:
+        """Add an event for operators."""
+        self._others.append(effects.Publish(event))
+
     def add(self, effect: effects.Effect) -> None:
         """Add any other effect."""
         self._others.append(effect)
--- a/toucanspring/daemon.py
+++ b/toucanspring/daemon.py
@@ -24,6 +24,7 @@
     "metrics",
     "store",
     "peers",
+    "events",
     "membership",
     "documents",
     "claims",
--- a/toucanspring/dispatch.py
+++ b/toucanspring/dispatch.py
@@ -159,7 +159,7 @@
         if room < count:
             core.allowances.want(spec.team, demand.times(count), demand)
             count = room
-        constraints = self._constraints(record, excluded)
+        constraints = self._constraints(record, excluded, avoided)
         if together:
             chosen = gang.place(core, record, demand, constraints)
             if isinstance(chosen, placement.NoRoom):
@@ -202,7 +202,10 @@
         return 0
 
     def _constraints(
-        self, record: task_table.JobRecord, excluded: frozenset[str]
+        self,
+        record: task_table.JobRecord,
+        excluded: frozenset[str],
+        avoided: frozenset[str],
     ) -> placement.Constraints:
         core, spec = self._core, record.spec
         zones = frozenset(spec.availability_zones) if spec.availability_zones else None
@@ -217,5 +220,5 @@
         if not (zones or excluded or counts is not None):
             return placement.UNCONSTRAINED
         return placement.Constraints(
-            zones, excluded, counts, spec.compact and not spec.spread
+            zones, excluded, counts, spec.compact and not spec.spread, avoided
         )
--- a/toucanspring/documents.py
+++ b/toucanspring/documents.py
@@ -15,6 +15,7 @@
     changes,
     confirmation,
     errors,
+    event_kinds,
     freshness,
     heartbeat,
     membership,
@@ -372,6 +373,7 @@
         return True
 
     def _publish(self, name: str, document: records.Document) -> None:
+        self._kernel.publish(event_kinds.VersionInForce(name, document.version))
         match name:
             case "config":
                 self._kernel.publish(ConfigurationChanged(document.version))
--- a/toucanspring/effects.py
+++ b/toucanspring/effects.py
@@ -29,7 +29,7 @@
 
 import dataclasses
 
-from toucanspring import job, resources, wire
+from toucanspring import event_kinds, job, resources, wire
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -149,6 +149,13 @@
     job_ids: list[str]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Publish:
+    """Tell listeners of this process what was decided."""
+
+    event: event_kinds.Event
+
+
 Effect = (
     StartTasks
     | StopTasks
@@ -160,6 +167,7 @@
     | RequestAllowance
     | ReturnAllowance
     | WatchJobs
+    | Publish
 )
 
 
--- /dev/null
+++ b/toucanspring/event_buffer.py
@@ -0,0 +1,136 @@
+"""Bounded buffer of events, folded by minute and divided into segments.
+
+A segment is what one row holds. The image in memory is complete, and a write replaces
+the whole row, so a repeated write or a lost answer never doubles an entry.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+
+from toucanspring import event_kinds
+
+SEGMENT_BYTES = 8 * 1024
+# Bounds what a process writes in an hour, and with the retention its rows: 96 hours
+# of 64 KiB are 6 MiB. Urgent events may use as much again.
+HOUR_BYTES = 64 * 1024
+# Bounds the memory during an outage of the store.
+HELD_BYTES = 512 * 1024
+# Entries of a minute that keep their subjects; further ones count by kind and cause.
+ENTRIES_PER_MINUTE = 200
+# A written segment stays for this long, so that a reader who saw its row too early
+# still gets it from the process. It also outlasts the minute of its last entry.
+KEPT_S = 120.0
+HOUR_S = 3600
+
+
+class Entry(msgspec.Struct, array_like=True):
+    """Hold equal events of one minute; times are Unix seconds."""
+
+    number: int
+    first: float
+    last: float
+    count: int
+    event: event_kinds.Event
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Segment:
+    """Hold the entries of one row.
+
+    `version` is that of the row as last known; with `in_doubt` it must be read again.
+    """
+
+    hour: int
+    number: int
+    entries: list[Entry] = dataclasses.field(default_factory=list)
+    size: int = 0
+    unwritten: bool = True
+    in_doubt: bool = False
+    version: int = 0
+    written_at: float = 0.0
+
+
+class Buffer:
+    """Fold events into the entries of the present minute.
+
+    Times are Unix seconds, except in `drop_written`.
+    """
+
+    def __init__(self) -> None:
+        self.segments: list[Segment] = []
+        self.lost = 0
+        self._numbers = 0
+        self._segment_numbers = 0
+        self._minute = 0
+        self._index: dict[tuple[object, ...], tuple[Segment, Entry]] = {}
+        self._hour = 0
+        self._hour_bytes = 0
+
+    def add(self, event: event_kinds.Event, wall: float) -> None:
+        """Take in an event, or count it as lost beyond the bounds."""
+        minute = int(wall // 60)
+        if minute != self._minute:
+            self._minute = minute
+            self._index = {}
+        key = event_kinds.fold_key(event)
+        full = len(self._index) >= ENTRIES_PER_MINUTE and not event.URGENT
+        if full and key not in self._index:
+            event = event_kinds.without_subjects(event)
+            key = event_kinds.fold_key(event)
+        found = self._index.get(key)
+        if found is None:
+            self._append(key, event, wall)
+            return
+        segment, entry = found
+        entry.event = event_kinds.fold(entry.event, event)
+        entry.count += 1
+        entry.last = wall
+        segment.unwritten = True
+
+    def unwritten(self) -> list[Segment]:
+        """Return the segments with changes, the oldest first."""
+        return [segment for segment in self.segments if segment.unwritten]
+
+    def drop_written(self, now: float) -> None:
+        """Forget segments that were written long enough ago; the last stays open."""
+        self.segments = [
+            segment
+            for segment in self.segments[:-1]
+            if segment.unwritten or now - segment.written_at < KEPT_S
+        ] + self.segments[-1:]
+
+    def _append(
+        self, key: tuple[object, ...], event: event_kinds.Event, wall: float
+    ) -> None:
+        hour = int(wall // HOUR_S)
+        if hour != self._hour:
+            self._hour, self._hour_bytes = hour, 0
+        entry = Entry(self._numbers, wall, wall, 1, event)
+        size = len(msgspec.msgpack.encode(entry))
+        factor = 2 if event.URGENT else 1
+        held = sum(segment.size for segment in self.segments)
+        if (
+            self._hour_bytes + size > factor * HOUR_BYTES
+            or held + size > factor * HELD_BYTES
+        ):
+            self.lost += 1
+            return
+        segment = self._open_segment(hour, size)
+        segment.entries.append(entry)
+        segment.size += size
+        segment.unwritten = True
+        self._numbers += 1
+        self._hour_bytes += size
+        self._index[key] = segment, entry
+
+    def _open_segment(self, hour: int, size: int) -> Segment:
+        if self.segments:
+            last = self.segments[-1]
+            if last.hour == hour and last.size + size <= SEGMENT_BYTES:
+                return last
+        self._segment_numbers += 1
+        self.segments.append(Segment(hour, self._segment_numbers))
+        return self.segments[-1]
--- /dev/null
+++ b/toucanspring/event_rows.py
@@ -0,0 +1,173 @@
+"""Rows of events in the table service, and what a reader joins them with."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import logbook
+import msgspec
+
+from toucanspring import errors, event_buffer, event_kinds
+from toucanspring.adapters import tables
+
+log = logbook.Logger(__name__)
+
+PREFIX = "events/"
+PAGE_ROWS = 50
+RETENTION_HOURS = 96
+ROWS_PER_REMOVAL = 50
+FILTERED = ("process", *event_kinds.SUBJECTS)
+
+
+class Found(msgspec.Struct, array_like=True, frozen=True):
+    """Hold a stored entry; the event may be of a kind that this version lacks."""
+
+    number: int
+    first: float
+    last: float
+    count: int
+    event: dict[str, object]
+
+
+class Row(msgspec.Struct, frozen=True):
+    """Row `events/<hour>/<process>/<writer>-<segment>`.
+
+    A writer is one run of a process; writer and number identify an entry. `lost`
+    counts the events that the writer has dropped so far.
+    """
+
+    process: str
+    writer: str
+    lost: int
+    entries: list[Found]
+
+
+_decoder = msgspec.msgpack.Decoder(Row)
+
+
+def key_of(process: str, writer: str, segment: event_buffer.Segment) -> str:
+    """Return the key of a segment's row; keys sort by hour."""
+    return f"{_prefix_of(segment.hour)}/{process}/{writer}-{segment.number}"
+
+
+def _prefix_of(hour: int) -> str:
+    return f"{PREFIX}{max(0, hour):07d}"
+
+
+def encode(
+    process: str, writer: str, lost: int, entries: list[event_buffer.Entry]
+) -> bytes:
+    """Return entries in the form of a row."""
+    fields = {"process": process, "writer": writer, "lost": lost, "entries": entries}
+    return msgspec.msgpack.encode(fields)
+
+
+def decode(body: bytes) -> Row | errors.Malformed:
+    """Return the entries in a row or in the answer of a process."""
+    try:
+        return _decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        return errors.Malformed(reason=f"events: {error}")
+
+
+def read(client: tables.TableClient, since: float) -> list[Row] | errors.Failure:
+    """Return the rows with entries since a Unix time."""
+    found: list[Row] = []
+    # An hour more, since each hour is that of its writer's clock.
+    after = _prefix_of(int(since // event_buffer.HOUR_S) - 1)
+    while True:
+        page = client.scan(PREFIX, after, PAGE_ROWS)
+        if isinstance(page, errors.Failure):
+            return page
+        for keyed in page:
+            row = decode(keyed.value)
+            if isinstance(row, errors.Failure):
+                log.error("row {}: {}", keyed.key, row.reason)
+            else:
+                found.append(row)
+        if len(page) < PAGE_ROWS:
+            return found
+        after = page[-1].key
+
+
+def remove_old(client: tables.TableClient, wall: float) -> int | errors.Failure:
+    """Delete rows out of the retention; return how many.
+
+    Rows of clocks that are far ahead are deleted as well, or they would stay for ever.
+    """
+    hour = int(wall // event_buffer.HOUR_S)
+    oldest = _prefix_of(hour - RETENTION_HOURS)
+    removed = 0
+    for after, limit in (("", oldest), (_prefix_of(hour + RETENTION_HOURS), "")):
+        while True:
+            page = client.scan(PREFIX, after, ROWS_PER_REMOVAL)
+            if isinstance(page, errors.Failure):
+                return page
+            old = [row for row in page if not limit or row.key < limit]
+            if old:
+                checks = {row.key: row.version for row in old}
+                result = client.transact(checks, {}, list(checks))
+                if isinstance(result, errors.Failure):
+                    return result
+                removed += len(old)
+            if len(old) < ROWS_PER_REMOVAL:
+                break
+    return removed
+
+
+def join(rows: Iterable[Row], live: Iterable[Row]) -> list[dict[str, object]]:
+    """Return each entry once, sorted by time.
+
+    The rows must be read before the live processes are asked: an entry that is in
+    both is taken from the process, whose count is later.
+    """
+    entries: dict[tuple[str, int], dict[str, object]] = {}
+    for row in [*rows, *live]:
+        for entry in row.entries:
+            entries[row.writer, entry.number] = {
+                "time": entry.first,
+                "last": entry.last,
+                "count": entry.count,
+                "process": row.process,
+                **entry.event,
+            }
+    return [
+        item for _, item in sorted(entries.items(), key=lambda e: (e[1]["time"], e[0]))
+    ]
+
+
+def count_lost(rows: Iterable[Row]) -> int:
+    """Return the events that writers have dropped, by their latest statements."""
+    lost: dict[str, int] = {}
+    for row in rows:
+        lost[row.writer] = max(lost.get(row.writer, 0), row.lost)
+    return sum(lost.values())
+
+
+def select(
+    items: Iterable[dict[str, object]],
+    since: float = 0.0,
+    kind: str = "",
+    subject: str = "",
+) -> list[dict[str, object]]:
+    """Return the entries of a kind about a subject, such as `w-3` or `partition:2`."""
+    return [
+        item
+        for item in items
+        if item["last"] >= since
+        and (not kind or item["kind"] == kind)
+        and (not subject or _is_about(item, subject))
+    ]
+
+
+def _is_about(item: dict[str, object], subject: str) -> bool:
+    field, separator, name = subject.partition(":")
+    if separator and field in FILTERED:
+        return _matches(item.get(field), name)
+    return any(_matches(item.get(field), subject) for field in FILTERED)
+
+
+def _matches(value: object, name: str) -> bool:
+    if isinstance(value, list):
+        return name in value
+    return value is not None and str(value) == name
--- a/toucanspring/execution.py
+++ b/toucanspring/execution.py
@@ -96,6 +96,8 @@
                 self._allowances.hold(team, target, least)
             case effects.ReturnAllowance(team=team, target=target):
                 self._allowances.hold(team, target)
+            case effects.Publish(event=event):
+                self._kernel.publish(event)
             case effects.JobFinished(job_id=job_id, outcome=outcome):
                 self._kernel.publish(effects.JobFinished(job_id, outcome))
             case effects.WatchJobs(job_ids=job_ids):
--- /dev/null
+++ b/toucanspring/former.py
@@ -0,0 +1,38 @@
+"""Former owners of a partition that this process claims."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from toucanspring import claims, membership
+
+
+def member_lists(
+    members: membership.Service, partition: int, row: claims.PartitionRow
+) -> list[list[str]]:
+    """Return the member lists of owners that may still extend after a claim."""
+    if not row.process:
+        return row.former
+    own = members.identity
+    if (row.process, row.incarnation) == (own.process, own.incarnation):
+        return row.former
+    found = members.rows.get(row.process)
+    former = list(row.former)
+    if found is None:
+        known = sorted(members.members())
+    elif found[1].member.incarnation == row.incarnation:
+        known = found[1].known
+        if partition in found[1].settled:
+            former = []
+    else:
+        known = found[1].former.get(str(row.incarnation), found[1].known)
+    return former if known in former else [*former, known]
+
+
+def explain_claim(row: claims.PartitionRow, own: membership.Member) -> str:
+    """Return why a claim of the partition with this row was allowed."""
+    if not row.process:
+        return "released" if row.epoch else "first"
+    is_own = (row.process, row.incarnation) == (own.process, own.incarnation)
+    return "own_claim" if is_own else "silent"
--- a/toucanspring/gang.py
+++ b/toucanspring/gang.py
@@ -6,7 +6,14 @@
 import math
 from typing import TYPE_CHECKING
 
-from toucanspring import job, placement, resources, task_table
+from toucanspring import (
+    event_kinds,
+    interruption,
+    job,
+    placement,
+    resources,
+    task_table,
+)
 
 if TYPE_CHECKING:
     from toucanspring import lifecycle
@@ -171,6 +178,11 @@
     record.gang_delay = max(record.gang_delay, delay)
     if not record.gang_breaking:
         record.gang_breaking = reason or "gang member stopped"
+        core.effects.publish(
+            event_kinds.GangRequeued(
+                record.spec.id, len(record.live), record.gang_breaking
+            )
+        )
         _stop_members(core, record, f"gang stopped: {record.gang_breaking}", now)
     _settle(core, record, now)
 
@@ -210,7 +222,7 @@
         if task.state is job.State.INTENDED:
             core.vacate(record, task, now)  # was not sent
         else:
-            core.stop(task, reason, mode)
+            interruption.interrupt(core, task, reason, mode, event_kinds.StopCause.GANG)
 
 
 def _settle(
--- a/toucanspring/gateway.py
+++ b/toucanspring/gateway.py
@@ -11,6 +11,7 @@
 from toucanspring import (
     answers,
     api,
+    api_events,
     api_jobs,
     api_operators,
     api_services,
@@ -106,6 +107,7 @@
         "/v1/zones/{name}/in": api_operators.ZoneChange(core, access, False),
         "/v1/keys": api_operators.Keys(core, access),
         "/v1/keys/{key_id}": api_operators.Key(core, access),
+        "/v1/events": api_events.Events(core, access),
         "/v1/workers": api_status.Workers(core, access),
         "/v1/members/{name}/gone": api_operators.Departure(core, access),
         "/v1/members": api_status.Members(core, access),
--- a/toucanspring/lifecycle.py
+++ b/toucanspring/lifecycle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import heapq
 import random
 from collections.abc import Iterable
@@ -12,6 +13,7 @@
     decisions,
     effects,
     estimate,
+    event_kinds,
     fairness,
     gang,
     job,
@@ -59,6 +61,8 @@
         self.too_large: set[str] = set()  # jobs to check again once all are known
         self.teams: dict[str, fairness.Team] = {}
         self.zones_out: frozenset[str] = frozenset()
+        # Tasks that were stopped to leave each zone, until it is in service again.
+        self.left_zones: collections.Counter[str] = collections.Counter()
         # Workers that may run tasks of the former owner, with their capacity.
         self.expected: dict[str, resources.Resources | None] = {}
         self.held_jobs: set[str] = set()  # jobs with tasks that may run there
@@ -257,6 +261,7 @@
         self.shares.started(team, total, now)
         if self.quarantine.allows(worker, now) is quarantine.Verdict.PROBE:
             self.quarantine.probe_started(worker, now)
+            self.effects.publish(event_kinds.WorkerProbed(worker))
             self.update_schedulable(worker, now)
 
     @staticmethod
--- a/toucanspring/membership.py
+++ b/toucanspring/membership.py
@@ -18,6 +18,8 @@
     ownership,
     renewal,
     resources,
+    rounds,
+    transitions,
 )
 from toucanspring.adapters import tables
 
@@ -75,6 +77,7 @@
         self._listeners: list[HeartbeatListener] = []
         self._polls = 0
         self._left_out = False
+        self._reporter = transitions.Reporter(self, kernel)
         self._greenlets = pool.Group()
 
     def start(self) -> None:
@@ -292,15 +295,8 @@
     # Loops
 
     def _repeat(self, interval_s: float, work: Callable[[], object]) -> None:
-        """Call `work` at a fixed rate; an overrun skips calls instead of piling up."""
-        due = self.clock()
-        while not self.replaced:
-            try:
-                work()
-            except Exception:
-                log.exception("{} failed", getattr(work, "__name__", "loop"))
-            due = max(due + interval_s, self.clock())
-            gevent.sleep(max(due - self.clock(), 0.001))
+        on_pause = self._reporter.note_pause
+        rounds.repeat(interval_s, work, self.clock, lambda: self.replaced, on_pause)
 
     def _renew(self) -> None:
         # The list in the first row must come from a read: a list of this process alone
@@ -336,6 +332,7 @@
         Promises and views that others vouch for count from an echoed clock. As soon as
         any process may need them, all that hear of it send at the full rate.
         """
+        self._reporter.look()
         self._left_out = not self._left_out and self.is_calm(self.clock())
         if not self._left_out:
             self.send_heartbeats()
--- a/toucanspring/mover.py
+++ b/toucanspring/mover.py
@@ -12,6 +12,7 @@
 from toucanspring import (
     claims,
     errors,
+    event_kinds,
     inbox,
     kernel,
     moves,
@@ -222,6 +223,9 @@
             self._kernel.find("fleet").hand_over(owner.number, worker)
             owner.post(inbox.WorkerMoved(worker))
         self._count(len(batch.workers))
+        self._kernel.publish(
+            event_kinds.WorkersMoved(tuple(batch.workers), owner.number, batch.receiver)
+        )
         log.info(
             "partition {}: moved {} to partition {}",
             owner.number,
--- a/toucanspring/moves.py
+++ b/toucanspring/moves.py
@@ -8,7 +8,9 @@
 
 from toucanspring import (
     dispatch,
+    event_kinds,
     gang,
+    interruption,
     job,
     lifecycle,
     need,
@@ -323,7 +325,13 @@
             for task in self._services(worker):
                 if not task.stop_reason and task.state is not job.State.INTENDED:
                     reason = "the worker moves to a gang's partition"
-                    self._core.stop(task, reason, "checkpoint")
+                    interruption.interrupt(
+                        self._core,
+                        task,
+                        reason,
+                        "checkpoint",
+                        event_kinds.StopCause.MOVE,
+                    )
 
     def _empty_batch(
         self, receiver: int, chosen: list[str], facts: Facts
--- a/toucanspring/overuse.py
+++ b/toucanspring/overuse.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING
 
-from toucanspring import effects, preemption, resources
+from toucanspring import effects, event_kinds, interruption, preemption, resources
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -103,6 +103,11 @@
 ) -> None:
     task.throttle, task.settled_at = fraction, now + SETTLE_S
     core.effects.add(effects.ThrottleTask(task.worker, task.id, fraction))
+    if fraction < 1.0:
+        event = event_kinds.TasksThrottled(task.job_id, task.worker, fraction)
+    else:
+        event = event_kinds.ThrottlesLifted(task.job_id, task.worker)
+    core.effects.publish(event)
 
 
 def _free_memory(
@@ -126,7 +131,9 @@
         if not jobs[task.job_id].spec.idempotent or not task.usage.memory:
             continue
         _learn(core, task)
-        core.stop(task, REASON, "checkpoint")
+        interruption.interrupt(
+            core, task, REASON, "checkpoint", event_kinds.StopCause.MEMORY
+        )
         excess -= task.usage.memory
 
 
--- a/toucanspring/partition.py
+++ b/toucanspring/partition.py
@@ -27,6 +27,7 @@
     settings,
     wire,
     worker_link,
+    worker_watch,
 )
 
 log = logbook.Logger(__name__)
@@ -80,6 +81,7 @@
             lambda held, limits: self.post(inbox.AllowancesChanged(held, limits)),
         )
         self.requests = request_log.RequestLog(self.journal)
+        self._watch = worker_watch.Watch(number, epoch, core)
         self._executor = execution.Executor(
             number, core, self._scheduler, self.journal, self.allowances, self.post
         )
@@ -206,9 +208,8 @@
         match message:
             case worker_link.FromWorker(worker=worker, message=content):
                 self._handle_worker(worker, content, now)
-            case worker_link.Lost(worker=worker) | inbox.WorkerMoved(worker=worker):
-                self._executor.workers.pop(worker, None)
-                self._executor.carry_out(self._scheduler.worker_lost(worker, now))
+            case worker_link.EpochRefused() | worker_link.Lost() | inbox.WorkerMoved():
+                self._handle_absence(message, now)
             case worker_link.Disconnected(worker=worker, unanswered=unanswered):
                 self._executor.carry_out(
                     self._scheduler.starts_unanswered(worker, unanswered, now)
@@ -238,6 +239,20 @@
             case _:
                 log.error("partition {}: unexpected {!r}", self.number, message)
 
+    def _handle_absence(
+        self,
+        message: worker_link.EpochRefused | worker_link.Lost | inbox.WorkerMoved,
+        now: float,
+    ) -> None:
+        worker = message.worker
+        if isinstance(message, worker_link.EpochRefused):
+            self._watch.refused(message)
+            return
+        if isinstance(message, worker_link.Lost):
+            self._watch.lost(worker, self._scheduler.count_tasks(worker))
+        self._executor.workers.pop(worker, None)
+        self._executor.carry_out(self._scheduler.worker_lost(worker, now))
+
     def _update_documents(self, now: float) -> None:
         documents = self._kernel.find("documents")
         teams = {
@@ -265,6 +280,7 @@
                     message.rack,
                 )
                 self._executor.workers[worker] = facts
+                self._watch.attached(facts)
                 self._executor.carry_out(
                     self._scheduler.worker_attached(
                         facts, message.running, message.finished, now
--- a/toucanspring/placement.py
+++ b/toucanspring/placement.py
@@ -23,6 +23,7 @@
     excluded: frozenset[str] = frozenset()
     spread_counts: Mapping[str, int] | None = None
     compact: bool = False
+    avoided: frozenset[str] = frozenset()  # the part of `excluded` that a job avoids
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -231,6 +232,7 @@
             demand,
             constraints.availability_zones,
             constraints.excluded,
+            constraints.avoided,
         )
 
     def _no_room(self, demand: resources.Resources, constraints: Constraints) -> NoRoom:
@@ -241,6 +243,7 @@
                 constraints.availability_zones,
                 constraints.excluded,
                 self._rng,
+                constraints.avoided,
             )
         )
 
--- a/toucanspring/preemption.py
+++ b/toucanspring/preemption.py
@@ -4,7 +4,16 @@
 
 from collections.abc import Iterable
 
-from toucanspring import avoidance, gang, job, lifecycle, resources, task_table
+from toucanspring import (
+    avoidance,
+    event_kinds,
+    gang,
+    interruption,
+    job,
+    lifecycle,
+    resources,
+    task_table,
+)
 
 # A task that is expected to end so soon is left to end where it runs.
 FINISH_S = 5.0
@@ -52,8 +61,10 @@
             core.vacate(record, task, now)  # was not sent
             core.requeue(record, task.index, now, reason=reason)
         else:
-            checkpoint = record.spec.idempotent
-            core.stop(task, reason, "checkpoint" if checkpoint else "kill")
+            mode = "checkpoint" if record.spec.idempotent else "kill"
+            interruption.interrupt(
+                core, task, reason, mode, event_kinds.StopCause.CEILING
+            )
 
 
 def drain(core: lifecycle.Lifecycle, now: float) -> None:
@@ -67,14 +78,16 @@
             state.leaving or state.facts.availability_zone in core.zones_out
         ):
             continue
-        reason = "worker is leaving" if state.leaving else "zone is out of service"
+        reason, cause = "zone is out of service", event_kinds.StopCause.ZONE_OUT
+        if state.leaving:
+            reason, cause = "worker is leaving", event_kinds.StopCause.LEAVING
         for task in list(core.tasks_on[worker].values()):
             if task.stop_reason or task.state is job.State.INTENDED:
                 continue
             overdue = now > task.expected_end + FINISH_S
             ends_soon = task.expected_end <= now + FINISH_S
             if (overdue or not ends_soon) and _idempotent(core, task):
-                core.stop(task, reason, "checkpoint")
+                interruption.interrupt(core, task, reason, "checkpoint", cause)
 
 
 def make_room(
@@ -220,7 +233,14 @@
     reason = f"room for {spec.job_class.value} job {spec.id}"
     for _, _, tasks in chosen:
         for task in tasks:
-            core.stop(task, reason, "checkpoint")
+            interruption.interrupt(
+                core,
+                task,
+                reason,
+                "checkpoint",
+                event_kinds.StopCause.PREEMPTED,
+                spec.id,
+            )
     workers = frozenset(worker for _, worker, _ in chosen)
     # Room taken back for a share goes to its owner by rank. Keeping whole workers for
     # it gave one job all of a worker for ROOM_S, far beyond its share.
--- a/toucanspring/refusal.py
+++ b/toucanspring/refusal.py
@@ -18,6 +18,7 @@
     demand: resources.Resources,
     zones: frozenset[str] | None,
     excluded: frozenset[str],
+    avoided: frozenset[str] = frozenset(),
 ) -> dict[str, int]:
     """Count workers that cannot take the demand by the first reason."""
     rejected: collections.Counter[str] = collections.Counter()
@@ -26,8 +27,10 @@
             rejected["availability zone"] += 1
         elif not entry.schedulable:
             rejected["not schedulable"] += 1
+        elif entry.name in avoided:
+            rejected["avoided"] += 1
         elif entry.name in excluded:
-            rejected["excluded"] += 1
+            rejected["held for other work"] += 1
         elif entry.accelerators < demand.accelerators:
             rejected["accelerators"] += 1
         elif entry.cpus < demand.cpus:
@@ -43,15 +46,16 @@
     zones: frozenset[str] | None,
     excluded: frozenset[str],
     rng: random.Random,
+    avoided: frozenset[str] = frozenset(),
 ) -> dict[str, int]:
     """Return the same counts, scaled up from a sample if there are many workers."""
     size = len(entries)
     if size <= EXACT_LIMIT:
-        return count_reasons(entries, demand, zones, excluded)
+        return count_reasons(entries, demand, zones, excluded, avoided)
     start = int(rng.random() * size)
     step = size / EXPLAIN_SAMPLE
     sample = [
         entries[(start + int(number * step)) % size] for number in range(EXPLAIN_SAMPLE)
     ]
-    reasons = count_reasons(sample, demand, zones, excluded)
+    reasons = count_reasons(sample, demand, zones, excluded, avoided)
     return {reason: round(count * step) for reason, count in reasons.items()}
--- a/toucanspring/requests.py
+++ b/toucanspring/requests.py
@@ -15,6 +15,7 @@
     burn,
     claims,
     errors,
+    event_kinds,
     forwarding,
     job,
     kernel,
@@ -126,6 +127,10 @@
             self._serving -= 1
         now = time.monotonic()
         self._record(target.service, request, result, now - started, now)
+        if isinstance(result, errors.Overloaded):
+            self._kernel.publish(
+                event_kinds.RequestsRefused(request.service, request.job_class)
+            )
         if isinstance(result, Answer) and isinstance(result.chunks, forwarding.Stream):
             result.chunks.on_cut = lambda: self.burn.record(
                 request.service, request.team, False, time.monotonic()
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -11,6 +11,7 @@
     dispatch,
     effects,
     errors,
+    event_kinds,
     fairness,
     intake,
     job,
@@ -148,12 +149,34 @@
         self, out: frozenset[str], now: float
     ) -> list[effects.Effect]:
         """Start nothing in zones that are out of service and stop work there."""
-        self._core.zones_out = out
+        before, self._core.zones_out = self._core.zones_out, out
+        self._publish_zones(before, out)
         for worker in self._core.workers:
             self._core.update_schedulable(worker, now)
         preemption.drain(self._core, now)
         return self._core.effects.take()
 
+    def _publish_zones(self, before: frozenset[str], out: frozenset[str]) -> None:
+        core = self._core
+        if not core.workers:
+            return  # nothing is known yet, as at a takeover
+        for zone in sorted(out - before):
+            there = [
+                len(core.tasks_on.get(worker, ()))
+                for worker, state in core.workers.items()
+                if state.facts.availability_zone == zone
+            ]
+            core.effects.publish(
+                event_kinds.ZoneTakenOut(zone, self.partition, len(there), sum(there))
+            )
+        for zone in sorted(before - out):
+            left = core.left_zones.pop(zone, 0)
+            core.effects.publish(event_kinds.ZoneReturned(zone, self.partition, left))
+
+    def count_tasks(self, worker: str) -> int:
+        """Return the number of tasks that may be on a worker."""
+        return len(self._core.tasks_on.get(worker, ()))
+
     def set_teams(
         self,
         teams: Mapping[str, fairness.Team],
--- a/toucanspring/worker_link.py
+++ b/toucanspring/worker_link.py
@@ -54,6 +54,14 @@
     unanswered: list[str]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EpochRefused:
+    """Say that the worker refused to attach, since it knows a higher epoch."""
+
+    worker: str
+    known: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Leaving:
     """Say whether the VM list shows the worker as leaving or absent."""
@@ -195,6 +203,8 @@
         answer = opened.attach(self.partition, self.epoch, int(WORKER_LEASE_S * 1000))
         if isinstance(answer, errors.Failure):
             log.info("worker {}: not attached: {}", self.vm.id, answer)
+            if isinstance(answer, errors.Fenced):
+                self._post(EpochRefused(self.vm.id, answer.epoch))
             return False
         self._stream = opened
         self._tick_received_at = time.monotonic()
