--- a/bench/cell.py
+++ b/bench/cell.py
@@ -14,8 +14,9 @@
 import yaml
 
 from demo import entry
-from standins import cluster
+from standins import cluster, ports
 from toucanspring import job, settings
+from toucanspring.adapters import tables
 
 DAEMONS = 9
 PAGE_KB = os.sysconf("SC_PAGE_SIZE") // 1024
@@ -136,6 +137,11 @@
         reads = sum(item["kind"] in ("read", "scan") for item in events)
         return writes, reads
 
+    def tables(self) -> tables.HttpTableClient:
+        """Return a client of the table service that only looks."""
+        port = self.cluster.service_ports["tables"]
+        return tables.HttpTableClient(ports.ADDRESS, port, "observer", 1.0)
+
     def resident_mb(self) -> dict[str, float]:
         """Return the resident memory of each daemon in MB of 2^20 bytes."""
         return {name: resident_mb(self.pid(name)) for name in self.names}
--- /dev/null
+++ b/bench/events.py
@@ -0,0 +1,109 @@
+"""Measure what the record of events costs the store: at rest, in bulk, after losses.
+
+Run: .venv/bin/python -m bench.events --seed 1
+"""
+
+import json
+import sys
+import time
+
+import defopt
+
+from bench import cell
+from toucanspring import event_rows
+
+REST_S = 60.0
+BULK_JOBS = 60
+BULK_TASKS = 1000
+BULK_RUN_MS = 60.0
+BULK_CPUS = 0.2
+BULK_LIMIT_S = 40.0
+HELD_JOBS = 10
+HELD_TASKS = 1000
+WORKERS = 24
+# Lease and grace of a worker are 23.1 s; the record must be written within 5 s more.
+LOSS_LIMIT_S = 45.0
+
+
+class Counter:
+    """Count the writes of rows of events from one moment to the next."""
+
+    def __init__(self, running: cell.Cell) -> None:
+        self._cell = running
+        self._seen = 0
+        self.take()
+
+    def take(self) -> dict[str, float]:
+        """Return the writes and bytes since the last call."""
+        found = self._cell.cluster.record("tables")
+        new = found["events"][self._seen :]
+        self._seen = len(found["events"])
+        sizes = [
+            size
+            for item in new
+            if item["kind"] == "commit"
+            for key, size in item["sizes"].items()
+            if key.startswith(event_rows.PREFIX)
+        ]
+        return {"writes": len(sizes), "bytes": sum(sizes)}
+
+
+def measure(*, seed: int = 1) -> None:
+    """Print the costs, and one JSON line.
+
+    :param seed: Seed of the choice of entry processes.
+    """
+    result: dict[str, object] = {"bench": "events", "seed": seed}
+    with cell.Cell(seed, workers=WORKERS) as running:
+        time.sleep(cell.SETTLE_LIMIT_S)
+        counter = Counter(running)
+        result["rest"] = timed(counter, lambda: time.sleep(REST_S))
+        result["bulk"] = timed(counter, lambda: run_bulk(running))
+        held = running.submit("held", HELD_JOBS, HELD_TASKS // HELD_JOBS, None)
+        result["held"] = running.wait_running(held, HELD_TASKS)
+        counter.take()
+        result["losses"] = timed(counter, lambda: lose_all(running, result))
+    print(json.dumps(result))
+
+
+def timed(counter: Counter, work) -> dict[str, float]:
+    """Return the writes and bytes of some work in all and for each second."""
+    started = time.monotonic()
+    work()
+    seconds = time.monotonic() - started
+    found = counter.take()
+    return {
+        **found,
+        "seconds": round(seconds, 1),
+        "writes_per_s": round(found["writes"] / seconds, 3),
+        "bytes_per_s": round(found["bytes"] / seconds),
+    }
+
+
+def run_bulk(running: cell.Cell) -> None:
+    """Run batch tasks in bulk, and the write interval after them."""
+    submitted = running.submit(
+        "bulk", BULK_JOBS, BULK_TASKS, BULK_RUN_MS, cpus=BULK_CPUS
+    )
+    running.wait_done(submitted, BULK_LIMIT_S)
+    time.sleep(35.0)
+
+
+def lose_all(running: cell.Cell, result: dict[str, object]) -> None:
+    """Let all workers fail at once and wait until the record names them."""
+    names = [vm.id for vm in running.cluster.listed() if vm.role == "worker"]
+    failed_at = time.monotonic()
+    running.cluster.set_faults("workers", workers=names, die=True)
+    client = running.tables()
+    while time.monotonic() - failed_at < LOSS_LIMIT_S:
+        rows = event_rows.read(client, time.time() - 3600)
+        found = event_rows.select(event_rows.join(rows, []), kind="worker_lost")
+        if len({item["worker"] for item in found}) == WORKERS:
+            break
+        time.sleep(0.2)
+    result["workers_named"] = len({item["worker"] for item in found})
+    result["written_after_s"] = round(time.time() - max(i["time"] for i in found), 1)
+
+
+if __name__ == "__main__":
+    defopt.run(measure, argv=sys.argv[1:])
--- a/scenarios/disturbances.py
+++ b/scenarios/disturbances.py
@@ -8,6 +8,7 @@
 
 from scenarios import cell, expectations, language
 from standins import judge
+from toucanspring import event_rows
 from toucanspring.adapters import vms
 
 ROW_PREFIXES = {
@@ -158,6 +159,35 @@
         if late:
             raise cell.Failed(f"{len(late)} starts on {target.id}, such as {late[0]}")
 
+    def expect_event(
+        self, kind: str, about: language.Subject | language.Place, within_s: float
+    ) -> None:
+        """Check that the record of the cell names each worker, or the subject."""
+        match about:
+            case language.Subject(kind="process"):
+                # Each process may tell of itself, or of the former owner.
+                field = "former" if kind == "partition_claimed" else "process"
+                subjects = [f"{field}:{self.resolve(about.name)}"]
+            case language.Subject():
+                subjects = [f"{about.kind}:{about.name}"]
+            case language.Place(kind="zone"):
+                subjects = [about.zone]
+            case _:
+                subjects = self._places(about)
+
+        def look() -> str:
+            path = f"/v1/events?kind={kind}"
+            reply = self._cell.operator_call("GET", path, timeout_s=4.0)
+            if reply.status != 200:
+                return f"events: {reply.status}"
+            found = reply.json()["events"]
+            absent = [
+                name for name in subjects if not event_rows.select(found, subject=name)
+            ]
+            return f"no {kind} about {absent} among {found}" if absent else ""
+
+        self._until(within_s, look)
+
     def _host(self, host: language.Host) -> vms.Vm:
         role = vms.Role.WORKER if host.role == "worker" else vms.Role.BACKEND_SERVER
         return [vm for vm in self._vms() if vm.role is role][host.number - 1]
--- a/scenarios/language.py
+++ b/scenarios/language.py
@@ -27,6 +27,7 @@
     "DOCUMENT": "configuration, keys, zones, ownership, log, renewals, allowances "
     "or moves",
     "LISTED": "live, leaving or gone",
+    "KIND": "a kind of event such as worker_lost",
     "_NL": "the end of the line",
     "$END": "the end of the text",
 }
@@ -73,6 +74,14 @@
     number: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Subject:
+    """Name what an event is about: a partition, or a daemon as `process`."""
+
+    kind: str
+    name: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ceiling:
     """State processors for the ceiling of a team."""
@@ -122,6 +131,7 @@
     STATE = str
     DOCUMENT = str
     LISTED = str
+    KIND = str
 
     def STRING(self, token: lark.Token) -> str:  # noqa: N802
         return token[1:-1]
@@ -145,6 +155,12 @@
     def place_zone(self, children: list) -> Place:
         return Place("zone", zone=children[0])
 
+    def about_partition(self, children: list) -> Subject:
+        return Subject("partition", str(children[0]))
+
+    def about_daemon(self, children: list) -> Subject:
+        return Subject("process", children[0])
+
     def host_worker(self, children: list) -> Host:
         return Host("worker", children[0])
 
--- a/scenarios/names.py
+++ b/scenarios/names.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from scenarios import cell, language
-from toucanspring import text
+from toucanspring import event_kinds, text
 
 DEPLOYMENTS = ("kernhalde", "zimna-patna")
 # Verbs whose value at the given index is a daemon.
@@ -87,6 +87,9 @@
         ):
             if verb in table:
                 self._require(step, kind, args[table[verb]], known)
+        if verb == "expect_event":
+            kinds = {each.__struct_config__.tag for each in event_kinds.KINDS}
+            self._require(step, "kind of event", args[0], kinds)
         for value in args:
             self._check_value(step, value)
         if verb == "let_owner":
@@ -103,6 +106,11 @@
         match value:
             case language.Ceiling():
                 self._require(step, "team", value.team, self._model.teams)
+            case language.Subject(kind="process"):
+                self._require(step, "daemon", value.name, self._daemons)
+            case language.Subject():
+                numbers = {str(n) for n in range(self._settings["partitions"])}
+                self._require(step, value.kind, value.name, numbers)
             case language.Place(kind="worker"):
                 self._check_number(step, "worker", value.number, "workers")
             case language.Place():
--- a/standins/tables.py
+++ b/standins/tables.py
@@ -66,7 +66,11 @@
             if self._rows.pop(key, None) is not None:
                 del self._keys[bisect.bisect_left(self._keys, key)]
         self._record.add(
-            "commit", client=client, versions=versions, deletes=body.deletes
+            "commit",
+            client=client,
+            versions=versions,
+            sizes={key: len(value) for key, value in body.writes},
+            deletes=body.deletes,
         )
         return service.Response(
             200, _encode(tables.TransactionAnswer(versions)), written=tuple(versions)
--- a/test/test_claims.py
+++ b/test/test_claims.py
@@ -3,7 +3,7 @@
 from gevent import event
 
 from test import fake_cell
-from toucanspring import claims, errors, renewal
+from toucanspring import claims, errors, event_kinds, renewal
 
 
 class ClaimsTest(testtools.TestCase):
@@ -32,6 +32,28 @@
         self.assertTrue(1.5 <= taken_s <= 3.4, taken_s)
         self.assertEqual(2, self.owner().claims.owned()[0])
 
+    def test_changes_of_owners_are_told_with_their_cause(self):
+        self.make(count=2, partitions=1)
+        former = self.owner()
+        (successor,) = [n for n in self.cell.nodes.values() if n is not former]
+        told = []
+        for node in (former, successor):
+            for kind in event_kinds.KINDS:
+                node.kernel.subscribe(kind, told.append)
+        former.paused = True
+        self.assertIsNotNone(self.cell.run_until(lambda: successor.claims.owned()))
+        former.paused = False
+        self.cell.run(1)
+        claimed = event_kinds.PartitionClaimed(0, 2, former.name, "silent")
+        self.assertIn(claimed, told)
+        self.assertIn(event_kinds.OwnershipEnded(0, 1), told)
+        told.clear()
+        successor.membership.drain()
+        successor.claims.stop()
+        self.assertIn(event_kinds.PartitionReleased(0, 2, "stopping"), told)
+        self.assertIsNotNone(self.cell.run_until(lambda: former.claims.owned()))
+        self.assertIn(event_kinds.PartitionClaimed(0, 3, "", "released"), told)
+
     def test_lists_of_owners_that_are_gone_do_not_pile_up(self):
         # Guards against an ownership row that grows with each takeover.
         self.make(count=4, partitions=1)
--- a/test/test_cli.py
+++ b/test/test_cli.py
@@ -7,7 +7,16 @@
 import testtools
 
 from test import certificates, edge_fakes
-from toucanspring import cli, client, console, effects, errors, job, survey
+from toucanspring import (
+    cli,
+    client,
+    console,
+    effects,
+    errors,
+    event_kinds,
+    job,
+    survey,
+)
 from toucanspring.adapters import exchange, vms
 
 UNUSED = "127.0.0.1:1"
@@ -175,6 +184,28 @@
         failure = errors.Refused(reason="\x1b[2J")
         self.assertNotIn("\x1b", console.describe(failure))
 
+    def test_the_table_of_events_says_what_it_lacks(self):
+        self.core.publish(event_kinds.WorkerLost("w1", "zug-1", "r1", 0, 3))
+        self.core.find("events")._buffer.lost = 2
+        self.core.find("store").tables.down = True
+        code, output, _ = self.run_cli("events", "--since", "2h", "--subject", "w1")
+        self.assertEqual(0, code)
+        self.assertIn("worker=w1 zone=zug-1 rack=r1 partition=0 tasks=3", output)
+        self.assertIn("without written events: down", output)
+        self.assertIn("without 2 events that were dropped", output)
+        _, output, _ = self.run_cli("events", "--json")
+        self.assertEqual("w1", json.loads(output)["events"][0]["worker"])
+        code, _, _ = self.run_cli("events", "--since", "soon")
+        self.assertEqual(3, code)
+
+    def test_explain_shows_actions_with_time_and_process(self):
+        self.partitions.submit([job.JobSpec(id="a", name="a", team="desk")])
+        self.core.publish(event_kinds.GangRequeued("a", 3, "worker w1 was lost"))
+        code, output, _ = self.run_cli("explain", "a")
+        self.assertEqual(0, code)
+        self.assertRegex(output, r"\d\d:\d\d:\d\d \S+: gang_requeued members=3")
+        self.assertIn("worker w1 was lost", output)
+
     def test_diff_names_the_resources_of_a_ceiling(self):
         path = self.write(edge_fakes.KERNHALDE.replace("cpus: 256,", "cpus: 250.5,", 1))
         _, output, _ = self.run_cli("diff", path)
--- /dev/null
+++ b/test/test_transitions.py
@@ -0,0 +1,65 @@
+import testtools
+
+from toucanspring import event_kinds, ownership, rounds, transitions
+
+HELD = ownership.Standing.HELD
+EXTENDED = ownership.Standing.EXTENDED
+NARROWED = ownership.Standing.NARROWED
+
+
+class TransitionsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.transitions = transitions.Transitions()
+        self.now = 0.0
+
+    def look(self, standing=HELD, partitions=2, age_s=0.1, seconds=0.5):
+        self.now += seconds
+        return self.transitions.look(standing, partitions, age_s, self.now)
+
+    def test_each_change_of_standing_is_told_once(self):
+        self.assertEqual([], self.look())
+        self.assertEqual([event_kinds.OwnershipExtended(2)], self.look(EXTENDED))
+        self.assertEqual([], self.look(EXTENDED))
+        self.assertEqual([event_kinds.OwnershipNarrowed(2)], self.look(NARROWED))
+        self.assertEqual([event_kinds.OwnershipResumed(2, 1.5)], self.look())
+
+    def test_a_process_without_partitions_has_no_standing(self):
+        # Guards against events of each start, when no lease exists yet.
+        self.assertEqual([], self.look(NARROWED, 0))
+        self.assertEqual([], self.look(HELD, 0))
+
+    def test_an_outage_of_the_store_is_told_with_its_length(self):
+        self.look()
+        self.assertEqual([], self.look(age_s=1.1))
+        (lost,) = self.look(age_s=1.6)
+        self.assertIsInstance(lost, event_kinds.StoreUnavailable)
+        self.assertEqual([], self.look(age_s=2.1))
+        (back,) = self.look(age_s=0.1)
+        self.assertAlmostEqual(2.5, back.seconds)
+
+    def test_a_pause_is_no_outage_of_the_store(self):
+        self.look()
+        self.assertEqual([], self.look(age_s=5.0, seconds=5.0))
+        self.assertEqual([], self.look())
+
+
+class RoundsTest(testtools.TestCase):
+    def test_a_round_that_comes_late_is_a_pause(self):
+        # Guards against slow work, such as a store that answers late, taken for one.
+        now, pauses, calls = [0.0], [], []
+
+        def work():
+            calls.append(now[0])
+            now[0] += 3.0
+
+        def clock():
+            return now[0]
+
+        self.patch(rounds.gevent, "sleep", lambda _s: now.__setitem__(0, now[0] + late))
+        late = 0.001
+        rounds.repeat(1.0, work, clock, lambda: len(calls) == 2, pauses.append)
+        self.assertEqual([], pauses)
+        late = 4.0
+        rounds.repeat(1.0, work, clock, lambda: len(calls) == 3, pauses.append)
+        self.assertEqual([4.0], pauses)
--- a/toucanspring/events.py
+++ b/toucanspring/events.py
@@ -149,7 +149,7 @@
                     self._remove_old()
             except Exception:
                 log.exception("writing events failed")
-                self._due = max(self._due, self._clock() + RETRY_S)
+                self._due = self._clock() + RETRY_S
 
     def _write_segment(self, segment: event_buffer.Segment) -> bool:
         """Replace the row of a segment; return whether it certainly was."""
