Measure the writes of events; pause, store outage and lost answers in their scenario

The first removal of old rows comes after 10 min instead of an hour, since processes may be replaced sooner.

--- a/scenarios/disturbances.py
+++ b/scenarios/disturbances.py
@@ -20,6 +20,7 @@
     "renewals": "members/",
     "allowances": "allowances/",
     "moves": "workers",
+    "events": "events/",
 }
 
 
--- a/toucanspring/events.py
+++ b/toucanspring/events.py
@@ -29,7 +29,9 @@
 # Urgent events are written this long after the last write, so within 5 s in all.
 URGENT_INTERVAL_S = 3.5
 RETRY_S = 5.0
+# Old rows are looked for; the first time sooner, since processes may live shortly.
 REMOVE_INTERVAL_S = 3600.0
+REMOVE_FIRST_S = 600.0
 STOP_LIMIT_S = 3.0
 ASK_TIMEOUT_S = 2.0
 MAX_PEER_CALLS = 32
@@ -66,7 +68,7 @@
         self._buffer = event_buffer.Buffer()
         self._due = math.inf
         self._written_at = -math.inf
-        self._remove_at = clock() + REMOVE_INTERVAL_S
+        self._remove_at = clock() + REMOVE_FIRST_S
         self._changed = gevent.event.Event()
         # A reader may scan all rows, so there is one at a time.
         self._reading = gevent.lock.BoundedSemaphore()
