--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -15,7 +15,9 @@
     errors,
     freshness,
     gateway,
+    job,
     kernel,
+    layout,
     log_records,
     metrics,
     records,
@@ -167,6 +169,12 @@
     def request_entry(self, request_id):
         return self.requests.get(request_id) or errors.NotFound(reason="unseen")
 
+    def entry_in(self, _number, request_id):
+        return self.request_entry(request_id)
+
+    def request_partition(self, request_id):
+        return job.partition_of(request_id, 3)
+
     def begin_request(self, request_id, server):
         if self.begin_answer is not None:
             return self.begin_answer
@@ -219,6 +227,9 @@
         default_factory=lambda: types.SimpleNamespace(process="entry-1")
     )
 
+    def watch(self, _keys, _take):
+        pass
+
     def members(self):
         return {
             "entry-1": {
@@ -253,6 +264,7 @@
         ("store", Store(listed)),
         ("peers", Peers()),
         ("membership", Membership()),
+        ("layout", layout.Service(core, chosen)),
         ("documents", Documents()),
         ("claims", Claims()),
         ("partitions", Partitions()),
--- a/test/fake_cell.py
+++ b/test/fake_cell.py
@@ -3,7 +3,7 @@
 import gevent
 
 from test import fake_tables
-from toucanspring import claims, documents, kernel, membership, ownership
+from toucanspring import claims, documents, kernel, layout, membership, ownership
 
 STEP_S = 0.1
 
@@ -69,13 +69,14 @@
         # Nodes created within one microsecond would share an incarnation.
         cell.incarnations += 1
         self.set_incarnation(cell.incarnations)
+        self.layout = layout.Service(self.kernel, settings, self.clock)
         self.documents = documents.Service(self.kernel, settings, fake_tables.parse)
         self.claims = claims.Service(self.kernel, settings)
         self.kernel.register("store", fake_tables.FakeStore(self.client))
         self.kernel.register("peers", self.wire)
         for event in (claims.PartitionAcquired, claims.PartitionLost):
             self.kernel.subscribe(event, self.events.append)
-        for service in ("membership", "documents", "claims"):
+        for service in ("membership", "layout", "documents", "claims"):
             self.kernel.register(service, getattr(self, service))
             getattr(self, service).start()
 
--- a/test/fake_tables.py
+++ b/test/fake_tables.py
@@ -2,7 +2,7 @@
 
 import gevent
 
-from toucanspring import claims, documents, errors, kernel, membership, peers
+from toucanspring import claims, documents, errors, kernel, layout, membership, peers
 from toucanspring import settings as settings_module
 from toucanspring.adapters import tables
 
@@ -134,10 +134,11 @@
         self.kernel = kernel.Kernel()
         self.peers = peers.Service(self.kernel, self.settings)
         self.membership = membership.Service(self.kernel, self.settings)
+        self.layout = layout.Service(self.kernel, self.settings)
         self.documents = documents.Service(self.kernel, self.settings, parse)
         self.claims = claims.Service(self.kernel, self.settings)
         self.kernel.register("store", FakeStore(client))
-        for service in ("peers", "membership", "documents", "claims"):
+        for service in ("peers", "membership", "layout", "documents", "claims"):
             self.kernel.register(service, getattr(self, service))
         if start:
             self.kernel.start()
--- a/test/partitioned.py
+++ b/test/partitioned.py
@@ -9,6 +9,7 @@
     inbox,
     job,
     kernel,
+    layout,
     mover,
     need,
     roster,
@@ -100,6 +101,7 @@
         core.register("fleet", self.fleet)
         core.register("membership", self)
         options = fake_tables.settings_of(f"p{number}", partitions=3)
+        core.register("layout", layout.Service(core, options))
         self.mover = mover.Service(core, options, self.clock)
         self.cell.scheduler.expect_elsewhere()
         if self.cell.specs:
--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -9,6 +9,7 @@
     inbox,
     job,
     kernel,
+    layout,
     log_records,
     partition,
     request_log,
@@ -151,6 +152,8 @@
         core.register("partitions", Service())
         core.register("membership", Members())
         options = settings.Settings(process="entry-1", partitions=1)
+        self.layout = layout.Service(core, options)
+        core.register("layout", self.layout)
         owner = partition.Partition(0, epoch, core, options)
         owner.__enter__()
         self.addCleanup(owner.__exit__)
--- a/test/test_request_log.py
+++ b/test/test_request_log.py
@@ -22,7 +22,7 @@
         self.written = []
         self.failure = None
 
-    def append(self, record, droppable):
+    def append(self, record, droppable, layout_version=None):
         if self.failure is None:
             self.written.append(record)
             self.state.apply(record)
--- a/test/test_survey.py
+++ b/test/test_survey.py
@@ -4,7 +4,7 @@
 import testtools
 
 from test import edge_fakes
-from toucanspring import errors, fleet, partitions, resources, survey
+from toucanspring import errors, fleet, partitions, reply, resources, routes, survey
 from toucanspring.adapters import tables, vms
 
 
@@ -59,13 +59,13 @@
         self.assertIn("no list", found["unchecked"])
 
     def test_owners_that_do_not_answer_are_named(self):
-        self.patch(partitions, "ROUTE_LIMIT_S", 0.05)
+        self.patch(routes, "ROUTE_LIMIT_S", 0.05)
         service = partitions.Service(self.core, edge_fakes.make_settings())
         owners = {0: types.SimpleNamespace(process="entry-2")}
         self.core.find("claims").owner_of = lambda number: owners.get(
             number, errors.NotFound(reason="no claim")
         )
-        statuses = partitions.encode_result([make_status("w0", 0)])
+        statuses = reply.encode_result([make_status("w0", 0)])
         self.core.find("peers").call = lambda *_: statuses
         found = service.workers()
         self.assertEqual(["w0"], [each.worker for each in found.workers])
--- a/toucanspring/allowances.py
+++ b/toucanspring/allowances.py
@@ -85,6 +85,11 @@
         if self._greenlet is not None:
             self._greenlet.kill()
 
+    def holds_any(self) -> bool:
+        """Return whether the partition may hold a part of any ceiling."""
+        used, _ = self._split_teams(self._targets)
+        return bool(used)
+
     def set_teams(self, teams: Mapping[str, fairness.Team]) -> None:
         """Set the ceilings in force; lowered ones shrink the parts in the rows."""
         ceilings = {name: team.ceiling for name, team in teams.items()}
--- a/toucanspring/claims.py
+++ b/toucanspring/claims.py
@@ -10,7 +10,14 @@
 import msgspec
 from gevent import event, queue
 
-from toucanspring import assignment, errors, membership, ownership, renewal
+from toucanspring import (
+    assignment,
+    errors,
+    layout,
+    membership,
+    ownership,
+    renewal,
+)
 from toucanspring.adapters import tables
 
 log = logbook.Logger(__name__)
@@ -95,16 +102,17 @@
     """Claim, keep and release partitions."""
 
     def __init__(self, kernel: object, settings: object) -> None:
+        del settings
         self._kernel = kernel
-        self._count = settings.partitions
         self._holdings: dict[int, Holding] = {}
         self._rows: dict[int, tuple[int, PartitionRow]] = {}
         self._claimable_since: dict[int, float] = {}
         self._uneven_since: float | None = None
-        self._assignment: tuple[list[str], dict[int, str]] = ([], {})
+        self._assignment: tuple[object, dict[int, str]] = (None, {})
         self._events: queue.Queue = queue.Queue()
         self._publisher: gevent.Greenlet | None = None
         self._members: membership.Service | None = None
+        self._layout: layout.Service | None = None
         # A partition for which this is true is not handed over to even out.
         self.holds_back: Callable[[int], bool] = lambda _partition: False
 
@@ -112,6 +120,7 @@
         """Follow the ownership rows; claims are made after each poll."""
         self._publisher = gevent.spawn(self._publish_events)
         self._members = self._kernel.find("membership")
+        self._layout = self._kernel.find("layout")
         self._members.own.guard = self
         self._members.watch(
             lambda: [key_of(partition) for partition in range(self._count)],
@@ -126,6 +135,10 @@
 
     # Interface
 
+    @property
+    def _count(self) -> int:
+        return self._layout.layout.count
+
     def owned(self) -> dict[int, int]:
         """Return the epoch of each own partition."""
         return {
@@ -236,7 +249,7 @@
 
     def named(self) -> set[str] | None:
         """Return the processes in ownership rows; `None` if not all rows are known."""
-        if len(self._rows) < self._count:
+        if any(number not in self._rows for number in range(self._count)):
             return None
         return {row.process for _, row in self._rows.values() if row.process}
 
@@ -274,8 +287,9 @@
 
     def _preferred(self, candidates: list[str]) -> dict[int, str]:
         """Return the preferred owners, computed again only if the members changed."""
-        if self._assignment[0] != candidates:
-            self._assignment = (candidates, assignment.assign(self._count, candidates))
+        basis = (self._count, candidates)
+        if self._assignment[0] != basis:
+            self._assignment = (basis, assignment.assign(*basis))
         return self._assignment[1]
 
     def _take_rows(self, rows: Mapping[str, tables.Row], sent_at: float) -> None:
@@ -292,9 +306,19 @@
             lambda holding, row: row is not None and row.version > holding.version,
             rows,
         )
+        self._release_surplus()
         self._claim_all()
         self._rebalance()
 
+    def _release_surplus(self) -> None:
+        """Give up partitions that hold nothing after the number has shrunk."""
+        surplus = [number for number in self._holdings if number >= self._count]
+        if surplus:
+            log.info("releasing partitions {}, which are not used any more", surplus)
+            self._release(surplus)
+        for number in [each for each in self._rows if each >= self._count]:
+            del self._rows[number]
+
     def _claim_all(self) -> None:
         """Claim each partition without a live owner that prefers this process."""
         members = self._members
--- /dev/null
+++ b/toucanspring/clearance.py
@@ -0,0 +1,147 @@
+"""Questions of an owner whether former partitions hold the IDs that it is to accept."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+import gevent
+import msgspec
+
+from toucanspring import (
+    errors,
+    job,
+    kernel,
+    layout,
+    log_records,
+    partition,
+    reply,
+    routes,
+)
+
+# Within the time that the caller of a submission waits for this owner's answer.
+ASK_LIMIT_S = 2.5
+UNHELD, HELD, HELD_WITH_OTHER_CONTENT = range(3)
+
+
+class Question(msgspec.Struct, frozen=True):
+    """Ask which IDs a partition holds; the answer has an entry for each, in order."""
+
+    generation: int
+    specs: list[job.JobSpec] = []
+    requests: list[str] = []
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cleared:
+    """Hold the answers for jobs that may not be accepted; all others may be."""
+
+    layout_version: int
+    answers: dict[str, str | errors.Failure]
+
+
+class Clearance:
+    """Ask the owners of the partitions to which former numbers map an ID."""
+
+    def __init__(self, core: kernel.Kernel, calls: routes.Routes) -> None:
+        self._kernel = core
+        self._routes = calls
+
+    @property
+    def _view(self) -> layout.View:
+        return self._kernel.find("layout").view
+
+    def clear(self, owner: partition.Partition, specs: list[job.JobSpec]) -> Cleared:
+        """Find out which unknown jobs the owner of a partition may accept."""
+        self._follow([each.id for each in specs], owner)
+        view = self._view
+        answers: dict[str, str | errors.Failure] = {}
+        asked: dict[int, list[job.JobSpec]] = collections.defaultdict(list)
+        for spec in specs:
+            if owner.holds_job(spec.id):
+                continue
+            first, *others = view.layout.numbers_of(spec.id)
+            if first != owner.number:
+                answers[spec.id] = not_here()
+                continue
+            for number in others:
+                asked[number].append(spec)
+        if asked:
+            self._ask_all(view.layout.generation, asked, answers)
+        return Cleared(view.version, answers)
+
+    def clear_request(
+        self, owner: partition.Partition, request_id: str
+    ) -> int | errors.Failure:
+        """Return the version of the row under which a request may be begun here."""
+        self._follow([request_id], owner)
+        view = self._view
+        first, *others = view.layout.numbers_of(request_id)
+        if first != owner.number:
+            return not_here()
+        question = Question(view.layout.generation, requests=[request_id])
+        for number in others:
+            found = self._ask(number, question)
+            if isinstance(found, errors.Failure):
+                return found
+            if found != [UNHELD]:
+                return errors.HeldElsewhere(
+                    reason=f"partition {number} has the request", partition=number
+                )
+        return view.version
+
+    def _follow(self, names: list[str], owner: partition.Partition) -> None:
+        """Read the row if callers may know a later layout than this process."""
+        present = self._view.layout
+        if any(present.number_of(name) != owner.number for name in names):
+            self._kernel.find("layout").reread()
+
+    def _ask_all(
+        self,
+        generation: int,
+        asked: dict[int, list[job.JobSpec]],
+        answers: dict[str, str | errors.Failure],
+    ) -> None:
+        def ask(number: int, specs: list[job.JobSpec]) -> None:
+            found = self._ask(number, Question(generation, specs=specs))
+            for index, spec in enumerate(specs):
+                if isinstance(found, errors.Failure):
+                    # An answer of another partition that holds the job is certain.
+                    answers.setdefault(spec.id, found)
+                elif found[index] == HELD:
+                    answers[spec.id] = spec.id
+                elif found[index] == HELD_WITH_OTHER_CONTENT:
+                    answers[spec.id] = errors.Conflict(
+                        key=spec.id, reason="another job with this ID was accepted"
+                    )
+
+        gevent.joinall([gevent.spawn(ask, *each) for each in asked.items()])
+
+    def _ask(self, number: int, question: Question) -> list[int] | errors.Failure:
+        """Ask the owner of a partition; no certain answer becomes `Unavailable`."""
+        found = self._routes.call(
+            number, "held", reply.encode(question), list[int], ASK_LIMIT_S
+        )
+        if isinstance(found, errors.Failure):
+            return errors.Unavailable(
+                reason=f"not known whether partition {number} has it: {found.reason}"
+            )
+        return found
+
+
+def answer(state: log_records.State, question: Question) -> list[int]:
+    """Return what a partition's log says of the IDs in a question."""
+    found = [_compare(state.specs.get(each.id), each) for each in question.specs]
+    found += [HELD if each in state.requests else UNHELD for each in question.requests]
+    return found
+
+
+def not_here() -> errors.LayoutChanged:
+    """Return the failure of an owner that may not accept an ID."""
+    return errors.LayoutChanged(reason="the ID belongs to another partition")
+
+
+def _compare(known: job.JobSpec | None, given: job.JobSpec) -> int:
+    if known is None:
+        return UNHELD
+    return HELD if known == given else HELD_WITH_OTHER_CONTENT
--- a/toucanspring/errors.py
+++ b/toucanspring/errors.py
@@ -54,6 +54,18 @@
     """The table service could not be reached; nothing was written."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LayoutChanged(Unavailable):
+    """The number of partitions changed; nothing was done, another owner may do it."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HeldElsewhere(Refused):
+    """The log of another partition, accepted under a former number, has the ID."""
+
+    partition: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Ambiguous(Failure):
     """The call was sent but its answer was lost; its effect is unknown."""
@@ -125,6 +137,8 @@
         Conflict,
         Unavailable,
         StoreUnavailable,
+        LayoutChanged,
+        HeldElsewhere,
         Ambiguous,
         Invalid,
         Forbidden,
--- a/toucanspring/fleet.py
+++ b/toucanspring/fleet.py
@@ -204,13 +204,21 @@
     def _assign_workers(self) -> None:
         """Give new workers to the partitions that have the fewest."""
         now = time.monotonic()
+        layout = self._kernel.find("layout").layout
         forgotten = [
             worker
             for worker, since in self._absent_since.items()
             if now - since > FORGET_ABSENT_S and worker in self.roster.partitions
         ]
+        # A move that another process had decided on before the number shrank.
+        forgotten += [
+            worker
+            for worker, number in self.roster.partitions.items()
+            if number >= layout.count and worker not in forgotten
+        ]
+        kept = self.roster.partitions.keys() - forgotten
         new = sorted(
-            (worker for worker in self._vms if worker not in self.roster.partitions),
+            (worker for worker in self._vms if worker not in kept),
             key=lambda worker: (
                 self._vms[worker].availability_zone,
                 self._vms[worker].rack,
@@ -223,9 +231,9 @@
         assigned = {
             worker: partition
             for worker, partition in self.roster.partitions.items()
-            if worker not in forgotten
+            if worker in kept
         }
-        assign(assigned, new, self._settings.partitions)
+        assign(assigned, new, layout.current)
         answer = self._kernel.find("store").tables.transact(
             {WORKERS_ROW: self.roster.version},
             {WORKERS_ROW: roster.encode(assigned)},
--- a/toucanspring/inbox.py
+++ b/toucanspring/inbox.py
@@ -12,10 +12,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Submit:
-    """Accept jobs; the result is a list of job IDs and failures, once durable."""
+    """Accept jobs; the result is a list of job IDs and failures, once durable.
+
+    `answers` are those of the owners of former partitions; other new jobs may be
+    accepted while the row `layout` has the given version.
+    """
 
     specs: list[job.JobSpec]
     result: gevent.event.AsyncResult
+    layout_version: int | None = None
+    answers: dict[str, str | errors.Failure] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/toucanspring/journal.py
+++ b/toucanspring/journal.py
@@ -9,7 +9,7 @@
 import gevent.event
 import logbook
 
-from toucanspring import errors, log_records
+from toucanspring import errors, layout, log_records
 from toucanspring.adapters import tables
 
 log = logbook.Logger(__name__)
@@ -38,12 +38,14 @@
 class Entry:
     """Pair a record with the result that its writer waits for.
 
-    `droppable` records are given up at once when the store cannot be reached.
+    `droppable` records are given up at once when the store cannot be reached. A record
+    that accepts an ID names the version of the row `layout` under which it may.
     """
 
     record: log_records.Record
     droppable: bool
     result: gevent.event.AsyncResult
+    layout_version: int | None = None
 
 
 class Journal:
@@ -61,15 +63,19 @@
         table: tables.TableClient,
         objects: object,
         interval_s: float = MIN_FLUSH_INTERVAL_S,
+        view: layout.Service | None = None,
     ) -> None:
         self.partition = partition
         self.epoch = epoch
         self.state = log_records.State()
         self.writes = 0
-        self._owner_check = {f"partitions/{partition}": row_version}
+        self.interval_s = interval_s
+        self._owner_key = f"partitions/{partition}"
+        self._owner_check = {self._owner_key: row_version}
+        self._layout = view
+        self._version = view.view.version if view else 0  # of what is pending
         self._table = table
         self._objects = objects
-        self._interval_s = interval_s
         self._sequence = 0
         self._first_row = 1
         self._snapshot_key = ""
@@ -79,6 +85,8 @@
         self._wakeup = gevent.event.Event()
         self._idle = gevent.event.Event()
         self._idle.set()
+        self._settled = gevent.event.Event()  # cleared while a row is written
+        self._settled.set()
         self._greenlet: gevent.Greenlet | None = None
         self.fenced = False
 
@@ -137,16 +145,25 @@
     # Writing
 
     def append(
-        self, record: log_records.Record, droppable: bool
+        self,
+        record: log_records.Record,
+        droppable: bool,
+        layout_version: int | None = None,
     ) -> gevent.event.AsyncResult:
-        """Queue a record for the next flush."""
+        """Queue a record for the next flush.
+
+        With `layout_version` the record is written only while the row `layout` has
+        that version, and fails with `LayoutChanged` otherwise.
+        """
         result = gevent.event.AsyncResult()
         if self.fenced:
             result.set(errors.Fenced(reason="another process owns the partition"))
         elif droppable and len(self._pending) >= MAX_PENDING_RECORDS:
             result.set(errors.Overloaded(reason="the log is full"))
-        else:
-            self._pending.append(Entry(record, droppable, result))
+        elif entry := self._drop_outdated(
+            [Entry(record, droppable, result, layout_version)]
+        ):
+            self._pending += entry
             self._idle.clear()
             self._wakeup.set()
         return result
@@ -155,20 +172,29 @@
         """Wait until everything appended is durable; return whether it is."""
         return self._idle.wait(timeout_s)
 
+    def settle(self, timeout_s: float) -> bool:
+        """Wait until no row is being written; return whether that is so."""
+        return self._settled.wait(timeout_s)
+
     def _run(self) -> None:
         while not self.fenced:
             self._wakeup.wait()
             self._wakeup.clear()
             while self._pending and not self.fenced:
                 batch = self._take_batch()
+                self._settled.clear()
                 self._write(batch)
+                self._settled.set()
                 if self._needs_snapshot():
                     self._compact()
-                gevent.sleep(self._interval_s)
+                gevent.sleep(self.interval_s)
             if not self._pending:
                 self._idle.set()
 
     def _take_batch(self) -> list[Entry]:
+        if self._layout is not None and self._layout.view.version != self._version:
+            self._version = self._layout.view.version
+            self._pending = self._drop_outdated(self._pending)
         batch: list[Entry] = []
         size = 0
         for entry in self._pending[:MAX_RECORDS_PER_ROW]:
@@ -192,14 +218,18 @@
                 )
             )
             answer = self._table.transact(
-                {**self._owner_check, key: 0}, {key: value}, ()
+                {**self._checks(batch), key: 0}, {key: value}, ()
             )
             self.writes += 1
             match answer:
                 case tables.Committed():
                     return self._confirm(batch, len(value))
                 case errors.Conflict():
-                    return self._resolve_conflict(batch, batch_id, key)
+                    batch = self._resolve_conflict(batch, batch_id, key)
+                    if not batch:
+                        return None
+                    batch_id = uuid.uuid4().hex  # what is left is another batch
+                    sent = False
                 case errors.Ambiguous():
                     sent = True
                 case _ if not sent:
@@ -217,21 +247,36 @@
         for entry in batch:
             entry.result.set(None)
 
-    def _resolve_conflict(self, batch: list[Entry], batch_id: str, key: str) -> None:
+    def _checks(self, batch: list[Entry]) -> dict[str, int]:
+        """Return the rows that must be unchanged when a batch is written."""
+        checks = dict(self._owner_check)
+        for entry in batch:
+            if entry.layout_version is not None:  # the same in all, see `_take_batch`
+                checks[layout.ROW] = entry.layout_version
+        return checks
+
+    def _resolve_conflict(
+        self, batch: list[Entry], batch_id: str, key: str
+    ) -> list[Entry]:
         """Find out whether an earlier attempt of ours is what conflicts.
 
-        The ownership row has changed or the key exists. After either, no late
-        attempt of this batch can take effect any more, so one read is conclusive.
+        The ownership row or the layout has changed, or the key exists. After any of
+        these, no late attempt of this batch can take effect any more, so one read is
+        conclusive. Returns what is to be written again after a change of the layout.
         """
         while True:
-            rows = self._table.read([key])
+            rows = self._table.read([key, *self._checks(batch)])
             if not isinstance(rows, errors.Failure):
                 break
             gevent.sleep(RETRY_PAUSE_S)
         row = rows[key]
         if row.version and log_records.decode_batch(row.value).batch_id == batch_id:
             self._confirm(batch, len(row.value))
-            return
+            return []
+        owned = rows[self._owner_key].version == self._owner_check[self._owner_key]
+        if not row.version and owned and layout.ROW in rows:
+            self._layout.take(rows[layout.ROW])
+            return self._drop_outdated(batch)
         log.warning(
             "partition {}: log row {} was not written; ownership is lost",
             self.partition,
@@ -242,6 +287,20 @@
         for entry in batch:
             entry.result.set(failure)
         self._fail_pending(failure)
+        return []
+
+    def _drop_outdated(self, entries: list[Entry]) -> list[Entry]:
+        """Give up entries that another layout than the present one allowed."""
+        kept = []
+        for entry in entries:
+            named = entry.layout_version
+            if named is None or named == self._layout.view.version:
+                kept.append(entry)
+            else:
+                entry.result.set(
+                    errors.LayoutChanged(reason="the number of partitions changed")
+                )
+        return kept
 
     def _drop(self, batch: list[Entry], answer: errors.Failure) -> list[Entry]:
         kept = []
--- a/toucanspring/log_records.py
+++ b/toucanspring/log_records.py
@@ -51,7 +51,50 @@
     outcome: job.Outcome
 
 
-Record = Accepted | Intended | Finished | Cancelled | RequestStarted | RequestFinished
+class RequestEntry(msgspec.Struct):
+    """Track a non-idempotent request; no outcome means that it may be running."""
+
+    server: str
+    epoch: int
+    outcome: job.Outcome | None = None
+
+
+class EndedJob(msgspec.Struct, frozen=True):
+    """Hold all that a log says of a job whose tasks have ended."""
+
+    spec: job.JobSpec
+    at_ms: int
+    outcomes: dict[str, job.Outcome]
+    cancelled: bool = False
+
+
+class Adopted(msgspec.Struct, frozen=True, tag="adopted"):
+    """Ended work came from a partition of a former number.
+
+    One record, so that no successor finds a job without its outcomes.
+    """
+
+    jobs: list[EndedJob] = []
+    requests: dict[str, RequestEntry] = {}
+
+
+class HandedOver(msgspec.Struct, frozen=True, tag="handed_over"):
+    """Ended work is in the log of the partition of the present number."""
+
+    job_ids: list[str] = []
+    request_ids: list[str] = []
+
+
+Record = (
+    Accepted
+    | Intended
+    | Finished
+    | Cancelled
+    | RequestStarted
+    | RequestFinished
+    | Adopted
+    | HandedOver
+)
 
 
 class Batch(msgspec.Struct, frozen=True):
@@ -69,14 +112,6 @@
     sequence: int
 
 
-class RequestEntry(msgspec.Struct):
-    """Track a non-idempotent request; no outcome means that it may be running."""
-
-    server: str
-    epoch: int
-    outcome: job.Outcome | None = None
-
-
 class State:
     """Hold what a partition's log says."""
 
@@ -114,6 +149,44 @@
                 entry = self.requests.setdefault(request_id, RequestEntry("", 0))
                 if entry.outcome is None:
                     entry.outcome = outcome
+            case Adopted() | HandedOver():
+                self._apply_handover(record)
+
+    def _apply_handover(self, record: Adopted | HandedOver) -> None:
+        if isinstance(record, Adopted):
+            for ended in record.jobs:
+                self._adopt(ended)
+            for request_id, entry in record.requests.items():
+                self.requests.setdefault(request_id, entry)
+            return
+        for job_id in record.job_ids:
+            self._forget(job_id)
+        for request_id in record.request_ids:
+            self.requests.pop(request_id, None)
+
+    def _adopt(self, ended: EndedJob) -> None:
+        job_id = ended.spec.id
+        if job_id not in self.specs:
+            self.specs[job_id] = ended.spec
+            self.accepted_ms[job_id] = ended.at_ms
+            self.outcomes[job_id] = dict(ended.outcomes)
+            if ended.cancelled:
+                self.cancelled.add(job_id)
+
+    def _forget(self, job_id: str) -> None:
+        self.specs.pop(job_id, None)
+        self.accepted_ms.pop(job_id, None)
+        self.outcomes.pop(job_id, None)
+        self.cancelled.discard(job_id)
+
+    def ended(self, job_id: str) -> EndedJob:
+        """Return what the log says of a finished job."""
+        return EndedJob(
+            self.specs[job_id],
+            self.accepted_ms.get(job_id, 0),
+            self.outcomes.get(job_id, {}),
+            job_id in self.cancelled,
+        )
 
     def is_finished(self, job_id: str) -> bool:
         """Return whether every task of a job has an outcome."""
@@ -143,10 +216,7 @@
         ]
         dropped = finished[: max(0, len(finished) - keep)]
         for job_id in dropped:
-            del self.specs[job_id]
-            self.accepted_ms.pop(job_id, None)
-            self.outcomes.pop(job_id, None)
-            self.cancelled.discard(job_id)
+            self._forget(job_id)
         answered = [key for key, entry in self.requests.items() if entry.outcome]
         for key in answered[: max(0, len(answered) - keep)]:
             del self.requests[key]
--- a/toucanspring/mover.py
+++ b/toucanspring/mover.py
@@ -51,7 +51,7 @@
     ) -> None:
         self._kernel = core
         self._clock = clock
-        self._enabled = options.partitions > 1 and options.moves == "on"
+        self._enabled = options.moves == "on"
         self._stated: dict[int, need.Statement] = {}
         self._doubts: dict[int, Doubt] = {}
         self._steps: dict[int, gevent.Greenlet] = {}
@@ -103,6 +103,9 @@
                 stated.gang or stated.waiting for stated in self.known().values()
             )
             gevent.sleep(STEP_INTERVAL_S if needed else REST_INTERVAL_S)
+            if self._kernel.find("layout").layout.count == 1:
+                self._stated.clear()
+                continue
             owned = self._kernel.find("partitions").owned()
             for number in self._stated.keys() - owned.keys():
                 del self._stated[number]
--- a/toucanspring/partition.py
+++ b/toucanspring/partition.py
@@ -24,6 +24,7 @@
     log_records,
     request_log,
     scheduler,
+    seal,
     settings,
     wire,
     worker_link,
@@ -60,11 +61,12 @@
         self._scheduler = scheduler.Scheduler(number, random.Random())
         self._accepting: dict[str, tuple[job.JobSpec, gevent.event.AsyncResult]] = {}
         self._greenlet: gevent.Greenlet | None = None
-        if options.partitions > 1 and options.moves == "on":
-            self._scheduler.expect_elsewhere()
-        claims = core.find("claims")
+        self._layout = core.find("layout")
+        count = self._layout.layout.count
+        self._spread = False  # whether other partitions have workers to give
+        self._follow_count(count)
         # Of this epoch: a later one of the same process must not be used for it.
-        self.row_version = claims.row_version(number)
+        self.row_version = core.find("claims").row_version(number)
         store = core.find("store")
         self.journal = journal.Journal(
             number,
@@ -72,8 +74,10 @@
             self.row_version,
             store.tables,
             store.objects,
-            journal.flush_interval(options.partitions),
+            journal.flush_interval(count),
+            self._layout,
         )
+        self.seal = seal.Seal(core, self.journal, self.row_version)
         self.allowances = allowances.Keeper(
             number,
             core,
@@ -116,6 +120,28 @@
         except gevent.Timeout:
             return errors.Timeout(reason="the partition did not answer in time")
 
+    def holds_job(self, job_id: str) -> bool:
+        """Return whether a job was accepted here, durably or not yet."""
+        return job_id in self.journal.state.specs or job_id in self._accepting
+
+    def follow_layout(self) -> None:
+        """Take in another number of partitions."""
+        count = self._layout.layout.count
+        self.journal.interval_s = journal.flush_interval(count)
+        # The listener must not wait for the partition's task.
+        self.post(
+            inbox.Ask(
+                lambda _scheduler: self._follow_count(count),
+                gevent.event.AsyncResult(),
+            )
+        )
+
+    def _follow_count(self, count: int) -> None:
+        spread = count > 1 and self._settings.moves == "on"
+        if spread != self._spread:
+            self._spread = spread
+            self._scheduler.expect_elsewhere(spread)
+
     def bound_workers(self) -> frozenset[str]:
         """Return the workers of incomplete records, which must stay here.
 
@@ -217,8 +243,8 @@
                 self._executor.carry_out(
                     self._scheduler.worker_leaving(worker, leaving, now)
                 )
-            case inbox.Submit(specs=specs, result=result):
-                self._submit(specs, result)
+            case inbox.Submit():
+                self._submit(message)
             case inbox.Cancel(job_ids=job_ids, result=result):
                 self._cancel(job_ids, result)
             case inbox.Ask(function=function, result=result):
@@ -296,9 +322,8 @@
 
     # Submission and cancellation
 
-    def _submit(
-        self, specs: list[job.JobSpec], result: gevent.event.AsyncResult
-    ) -> None:
+    def _submit(self, message: inbox.Submit) -> None:
+        specs = message.specs
         answers: list[object] = [None] * len(specs)
         waiting: list[tuple[int, gevent.event.AsyncResult]] = []
         for index, spec in enumerate(specs):
@@ -314,13 +339,18 @@
                 answers[index] = spec.id
             elif pending is not None:
                 waiting.append((index, pending[1]))
+            elif spec.id in message.answers:
+                answers[index] = message.answers[spec.id]
             else:
-                waiting.append((index, self._accept(spec)))
-        gevent.spawn(self._answer_submit, specs, answers, waiting, result)
+                written = self._accept(spec, message.layout_version)
+                waiting.append((index, written))
+        gevent.spawn(self._answer_submit, specs, answers, waiting, message.result)
 
-    def _accept(self, spec: job.JobSpec) -> gevent.event.AsyncResult:
+    def _accept(
+        self, spec: job.JobSpec, layout_version: int | None
+    ) -> gevent.event.AsyncResult:
         record = log_records.Accepted(spec, time.time_ns() // 1_000_000)
-        written = self.journal.append(record, droppable=True)
+        written = self.journal.append(record, True, layout_version)
         self._accepting[spec.id] = (spec, written)
 
         def enter(failure: errors.Failure | None) -> list[effects.Effect]:
--- a/toucanspring/partitions.py
+++ b/toucanspring/partitions.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import time
+from collections.abc import Mapping
 
 import gevent
 import gevent.event
@@ -14,58 +15,32 @@
 
 from toucanspring import (
     claims,
+    clearance,
     documents,
     effects,
     errors,
     inbox,
     job,
     kernel,
+    layout,
     log_records,
     partition,
+    reply,
     request_log,
     resources,
+    routes,
+    search,
     settings,
     survey,
 )
 
 log = logbook.Logger(__name__)
 
-ROUTE_LIMIT_S = 8.0  # covers one takeover with its load from the store
-CALL_TIMEOUT_S = 4.0
-RETRY_PAUSE_S = 0.2
 ASK_TIMEOUT_S = 3.0
 MAX_CONCURRENT_ROUTES = 32
 MAX_SPECS_PER_CALL = 200
 
 
-class Reply(msgspec.Struct, frozen=True):
-    """Carry a value or a failure between processes."""
-
-    value: bytes | None = None
-    failure: dict[str, object] | None = None
-
-
-_encode = msgspec.msgpack.encode
-
-
-def encode_result(value: object) -> bytes:
-    """Return a value or failure as bytes for a peer."""
-    if isinstance(value, errors.Failure):
-        return _encode(Reply(failure=errors.to_dict(value)))
-    return _encode(Reply(value=_encode(value)))
-
-
-def decode_result(body: bytes, kind: type) -> object | errors.Failure:
-    """Return the value or failure that a peer sent."""
-    try:
-        reply = msgspec.msgpack.decode(body, type=Reply)
-        if reply.failure is not None:
-            return errors.from_dict(reply.failure)
-        return msgspec.msgpack.decode(reply.value or b"", type=kind)
-    except msgspec.DecodeError as error:
-        return errors.Malformed(reason=str(error))
-
-
 class Service:
     """Own the partitions of this process and reach those of others."""
 
@@ -74,6 +49,8 @@
         self._settings = options
         self._owned: dict[int, partition.Partition] = {}
         self._stopping = False
+        self.routes = routes.Routes(core, self._owned)
+        self._clearance = clearance.Clearance(core, self.routes)
 
     def start(self) -> None:
         """Follow ownership and serve calls of other processes."""
@@ -83,12 +60,15 @@
         self._kernel.subscribe(
             documents.AvailabilityZonesChanged, self._documents_changed
         )
-        peers = self._kernel.find("peers")
-        peers.handle("submit", self._serve_submit)
-        peers.handle("lookup", self._serve_lookup)
-        peers.handle("cancel", self._serve_cancel)
-        peers.handle("explain", self._serve_explain)
-        peers.handle("workers", self._serve_workers)
+        self._kernel.subscribe(layout.LayoutChanged, self._layout_changed)
+        for method, function in (
+            ("submit", self._serve_submit),
+            ("lookup", self._serve_lookup),
+            ("cancel", self._serve_cancel),
+            ("explain", self._serve_explain),
+            ("workers", self._serve_workers),
+        ):
+            self.routes.serve(method, function)
 
     def stop_accepting(self) -> None:
         """Give up all partitions after their logs are written."""
@@ -123,6 +103,14 @@
         for owned in self._owned.values():
             owned.post(inbox.TeamsChanged())
 
+    def _layout_changed(self, _event: object) -> None:
+        for owned in self._owned.values():
+            owned.follow_layout()
+
+    @property
+    def _layout(self) -> layout.Service:
+        return self._kernel.find("layout")
+
     # Calls
 
     def submit(self, specs: list[job.JobSpec]) -> list[str | errors.Failure]:
@@ -130,19 +118,43 @@
 
         A failure of type `Ambiguous` means that the job may still be accepted.
         """
-        groups: dict[int, list[int]] = collections.defaultdict(list)
-        for index, spec in enumerate(specs):
-            groups[self.number_of(spec.id)].append(index)
         answers: list[str | errors.Failure] = [errors.Unavailable()] * len(specs)
+        left = list(range(len(specs)))
+        deadline = time.monotonic() + routes.ROUTE_LIMIT_S
+        while left:
+            self._submit_once(specs, left, answers)
+            left = [
+                index
+                for index in left
+                if isinstance(answers[index], errors.LayoutChanged)
+            ]
+            if not left or time.monotonic() >= deadline:
+                break
+            gevent.sleep(routes.RETRY_PAUSE_S)
+            self._layout.reread()
+        return answers
+
+    def _submit_once(
+        self,
+        specs: list[job.JobSpec],
+        left: list[int],
+        answers: list[str | errors.Failure],
+    ) -> None:
+        """Submit the jobs with the given indices to the present owners of their IDs."""
+        groups: dict[int, list[int]] = collections.defaultdict(list)
+        for index in left:
+            groups[self.number_of(specs[index].id)].append(index)
 
         def submit_group(number: int, indices: list[int]) -> None:
-            body = _encode([specs[index] for index in indices])
-            found = self._route(number, "submit", body, list[str | dict[str, object]])
+            body = reply.encode([specs[index] for index in indices])
+            found = self.routes.call(
+                number, "submit", body, list[str | dict[str, object]]
+            )
             for position, index in enumerate(indices):
                 if isinstance(found, errors.Failure):
                     answers[index] = found
                 else:
-                    answers[index] = _unpack(found[position])
+                    answers[index] = reply.unpack(found[position])
 
         pool = gevent.pool.Pool(MAX_CONCURRENT_ROUTES)
         for number, indices in groups.items():
@@ -151,19 +163,22 @@
                     submit_group, number, indices[start : start + MAX_SPECS_PER_CALL]
                 )
         pool.join()
-        return answers
 
     def lookup(self, job_id: str) -> effects.JobStatus | errors.Failure:
         """Return the state of a job, from its owner."""
-        return self._route(
-            self.number_of(job_id), "lookup", job_id.encode(), effects.JobStatus
-        )
+        return self._find(job_id, "lookup", effects.JobStatus)
 
     def explain(self, job_id: str) -> effects.Explanation | errors.Failure:
         """Return why a job waits or ran where it did, from its owner."""
-        return self._route(
-            self.number_of(job_id), "explain", job_id.encode(), effects.Explanation
-        )
+        return self._find(job_id, "explain", effects.Explanation)
+
+    def _find(self, job_id: str, method: str, kind: type) -> object | errors.Failure:
+        """Ask each partition that may hold a job, the accepting one first."""
+
+        def ask(number: int) -> object | errors.Failure:
+            return self.routes.call(number, method, job_id.encode(), kind)
+
+        return search.find(self._layout, job_id, ask)
 
     def cancel(self, job_ids: list[str]) -> dict[str, str | errors.Failure]:
         """Cancel jobs at their owners."""
@@ -171,25 +186,50 @@
         for job_id in job_ids:
             groups[self.number_of(job_id)].append(job_id)
         answers: dict[str, str | errors.Failure] = {}
+        self._cancel_groups(groups, answers)
+        unknown = [
+            name for name in job_ids if isinstance(answers[name], errors.NotFound)
+        ]
+
+        def search_for(name: str) -> None:
+            def ask(number: int) -> str | errors.Failure:
+                found: dict[str, str | errors.Failure] = {}
+                self._cancel_groups({number: [name]}, found)
+                return found[name]
+
+            answers[name] = search.find(self._layout, name, ask)
+
+        pool = gevent.pool.Pool(MAX_CONCURRENT_ROUTES)
+        pool.map(search_for, unknown)
+        return answers
 
+    def _cancel_groups(
+        self,
+        groups: Mapping[int, list[str]],
+        answers: dict[str, str | errors.Failure],
+    ) -> None:
         def cancel_group(number: int, names: list[str]) -> None:
-            found = self._route(
-                number, "cancel", _encode(names), dict[str, str | dict[str, object]]
+            found = self.routes.call(
+                number,
+                "cancel",
+                reply.encode(names),
+                dict[str, str | dict[str, object]],
             )
             for name in names:
                 if isinstance(found, errors.Failure):
                     answers[name] = found
                 else:
-                    answers[name] = _unpack(found[name])
+                    answers[name] = reply.unpack(found[name])
 
         gevent.joinall([gevent.spawn(cancel_group, *group) for group in groups.items()])
-        return answers
 
     def workers(self) -> survey.WorkerSurvey:
         """Return the workers of all partitions, and which owners did not answer."""
         jobs = [
-            gevent.spawn(self._route, number, "workers", b"", list[survey.WorkerStatus])
-            for number in range(self._settings.partitions)
+            gevent.spawn(
+                self.routes.call, number, "workers", b"", list[survey.WorkerStatus]
+            )
+            for number in range(self._layout.layout.count)
         ]
         gevent.joinall(jobs)
         answered = survey.WorkerSurvey([], {})
@@ -212,7 +252,12 @@
         owned = self._find_owned(request_id)
         if isinstance(owned, errors.Failure):
             return owned
-        return owned.requests.begin(request_id, server)
+        version = None
+        if not owned.requests.holds(request_id):
+            version = self._clearance.clear_request(owned, request_id)
+            if isinstance(version, errors.Failure):
+                return version
+        return owned.requests.begin(request_id, server, version)
 
     def move_request(
         self, request_id: str, server: str
@@ -235,22 +280,52 @@
     def request_entry(
         self, request_id: str
     ) -> log_records.RequestEntry | errors.Failure:
-        """Return the log entry of a request; only at the owner of its partition."""
+        """Return the log entry of a request; only at the owner of its partition.
+
+        `NotFound` says that no other partition has the request either.
+        """
         owned = self._find_owned(request_id)
+        if isinstance(owned, errors.Failure):
+            return owned
+        found = owned.requests.find(request_id)
+        if isinstance(found, errors.NotFound):
+            cleared = self._clearance.clear_request(owned, request_id)
+            if isinstance(cleared, errors.Failure):
+                return cleared
+            found = owned.requests.find(request_id)  # may have come meanwhile
+        return found
+
+    def entry_in(
+        self, number: int, request_id: str
+    ) -> log_records.RequestEntry | errors.Failure:
+        """Return the log entry of a request in one partition, if it is owned here."""
+        owned = self._ready(number)
         if isinstance(owned, errors.Failure):
             return owned
         return owned.requests.find(request_id)
 
     def number_of(self, name: str) -> int:
-        """Return the partition of a job or request ID."""
-        return job.partition_of(name, self._settings.partitions)
+        """Return the partition that accepts a job or request ID."""
+        return self._layout.layout.number_of(name)
+
+    def request_partition(self, request_id: str) -> int:
+        """Return the owned partition that has a request, else the accepting one."""
+        numbers = self._layout.layout.numbers_of(request_id)
+        for number in numbers:
+            owned = self._owned.get(number)
+            if owned is not None and owned.requests.holds(request_id):
+                return number
+        return numbers[0]
 
     def owned(self) -> dict[int, partition.Partition]:
         """Return the partitions that run in this process."""
         return dict(self._owned)
 
     def _find_owned(self, name: str) -> partition.Partition | errors.Failure:
-        owned = self._owned.get(self.number_of(name))
+        return self._ready(self.request_partition(name))
+
+    def _ready(self, number: int) -> partition.Partition | errors.Failure:
+        owned = self._owned.get(number)
         if owned is None or not owned.ready.wait(ASK_TIMEOUT_S):
             # Not `NotFound`, which says that the log has no such request.
             return errors.Refused(reason="this process does not own the partition")
@@ -258,66 +333,38 @@
             return errors.Unavailable(reason="ownership of the partition is in doubt")
         return owned
 
-    # Routing
-
-    def _route(
-        self, number: int, method: str, body: bytes, kind: type
-    ) -> object | errors.Failure:
-        """Call the owner of a partition; wait through a takeover.
-
-        All routed calls are idempotent, so that an unanswered one is repeated.
-        """
-        deadline = time.monotonic() + ROUTE_LIMIT_S
-        envelope = _encode((number, body))
-        last: errors.Failure = errors.Unavailable(reason="no owner")
-        sent = False
-        while time.monotonic() < deadline:
-            found = self._call_owner(number, method, envelope)
-            match found:
-                case bytes():
-                    result = decode_result(found, kind)
-                    if not isinstance(result, errors.Unavailable):
-                        return result
-                    if isinstance(result, errors.StoreUnavailable):
-                        return result
-                    last = result
-                case errors.Ambiguous() | errors.Timeout():
-                    sent = True
-                    last = found
-                case errors.Failure():
-                    last = found
-            gevent.sleep(RETRY_PAUSE_S)
-        if sent:
-            return errors.Ambiguous(reason=f"no answer from the owner: {last.reason}")
-        return last
-
-    def _call_owner(
-        self, number: int, method: str, envelope: bytes
-    ) -> bytes | errors.Failure:
-        if number in self._owned:
-            return self._handlers[method](self, "", envelope)
-        owner = self._kernel.find("claims").owner_of(number)
-        if isinstance(owner, errors.Failure):
-            return errors.Unavailable(reason=owner.reason)
-        return self._kernel.find("peers").call(
-            owner.process, method, envelope, CALL_TIMEOUT_S
-        )
+    # Answers of an owner
 
-    def _ask(self, number: int, make: object) -> object | errors.Failure:
+    def _ready_to_ask(self, number: int) -> partition.Partition | errors.Unavailable:
         owned = self._owned.get(number)
         if owned is None or not owned.ready.wait(ASK_TIMEOUT_S):
             return errors.Unavailable(reason="this process does not own the partition")
+        return owned
+
+    def _ask(self, number: int, make: object) -> object | errors.Failure:
+        owned = self._ready_to_ask(number)
+        if isinstance(owned, errors.Failure):
+            return owned
         result = gevent.event.AsyncResult()
         owned.post(make(result))
         try:
-            return result.get(timeout=CALL_TIMEOUT_S)
+            return result.get(timeout=routes.CALL_TIMEOUT_S)
         except gevent.Timeout:
             return errors.Ambiguous(reason="the partition did not answer in time")
 
     def _serve_submit(self, _sender: str, envelope: bytes) -> bytes:
         number, body = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
         specs = msgspec.msgpack.decode(body, type=list[job.JobSpec])
-        found = self._ask(number, lambda result: inbox.Submit(specs, result))
+        owned = self._ready_to_ask(number)
+        if isinstance(owned, errors.Failure):
+            return reply.encode_result(owned)
+        cleared = self._clearance.clear(owned, specs)
+        found = self._ask(
+            number,
+            lambda result: inbox.Submit(
+                specs, result, cleared.layout_version, cleared.answers
+            ),
+        )
         if isinstance(found, list):
             moved = [
                 item
@@ -325,19 +372,19 @@
                 if isinstance(item, errors.Fenced | errors.Unavailable)
             ]
             if len(moved) == len(found) and found:
-                if isinstance(moved[0], errors.StoreUnavailable):
-                    return encode_result(moved[0])
-                return encode_result(errors.Unavailable(reason=moved[0].reason))
-            found = [_pack(item) for item in found]
-        return encode_result(found)
+                if isinstance(moved[0], errors.StoreUnavailable | errors.LayoutChanged):
+                    return reply.encode_result(moved[0])
+                return reply.encode_result(errors.Unavailable(reason=moved[0].reason))
+            found = [reply.pack(item) for item in found]
+        return reply.encode_result(found)
 
     def _serve_cancel(self, _sender: str, envelope: bytes) -> bytes:
         number, body = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
         names = msgspec.msgpack.decode(body, type=list[str])
         found = self._ask(number, lambda result: inbox.Cancel(names, result))
         if isinstance(found, dict):
-            found = {name: _pack(item) for name, item in found.items()}
-        return encode_result(found)
+            found = {name: reply.pack(item) for name, item in found.items()}
+        return reply.encode_result(found)
 
     def _serve_lookup(self, _sender: str, envelope: bytes) -> bytes:
         number, body = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
@@ -350,12 +397,12 @@
             owned is not None and owned.is_durable(name)
         ):
             found = dataclasses.replace(found, outcome=None)
-        return encode_result(found)
+        return reply.encode_result(found)
 
     def _serve_explain(self, _sender: str, envelope: bytes) -> bytes:
         number, body = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
         name = body.decode()
-        return encode_result(
+        return reply.encode_result(
             self._ask(
                 number,
                 lambda result: inbox.Ask(lambda owner: owner.explain(name), result),
@@ -366,32 +413,16 @@
         number, _ = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
         owned = self._owned.get(number)
         if owned is None:
-            return encode_result(errors.Unavailable(reason="not the owner"))
+            return reply.encode_result(errors.Unavailable(reason="not the owner"))
         found = self._ask(number, lambda result: inbox.Ask(_free, result))
         if isinstance(found, errors.Failure):
-            return encode_result(found)
+            return reply.encode_result(found)
         links = self._kernel.find("fleet").links(number)
         is_leaving = self._kernel.find("fleet").is_leaving
-        return encode_result(
+        return reply.encode_result(
             survey.list_links(number, links, owned.facts(), found, is_leaving)
         )
 
-    _handlers = {
-        "submit": _serve_submit,
-        "cancel": _serve_cancel,
-        "lookup": _serve_lookup,
-        "explain": _serve_explain,
-        "workers": _serve_workers,
-    }
-
 
 def _free(owner: object) -> dict[str, resources.Resources]:
     return owner.free_by_worker()
-
-
-def _pack(item: str | errors.Failure) -> str | dict[str, object]:
-    return errors.to_dict(item) if isinstance(item, errors.Failure) else item
-
-
-def _unpack(item: str | dict[str, object]) -> str | errors.Failure:
-    return errors.from_dict(item) if isinstance(item, dict) else item
--- a/toucanspring/recovery.py
+++ b/toucanspring/recovery.py
@@ -11,6 +11,7 @@
     intake,
     job,
     lifecycle,
+    log_records,
     resources,
     task_table,
     wire,
@@ -49,6 +50,20 @@
     settle(core, now)
 
 
+def adopt(
+    core: lifecycle.Lifecycle, ended: Iterable[log_records.EndedJob], now: float
+) -> None:
+    """Add jobs that ended in another partition, for look-ups and dependencies."""
+    for each in ended:
+        record = core.table.add(each.spec, now)
+        if record is None:
+            continue
+        for task_id, outcome in each.outcomes.items():
+            record.set_final(task_table.task_index(task_id), outcome)
+        record.cancelled = each.cancelled
+        core.table.finish_job(record)
+
+
 def _restore_job(
     core: lifecycle.Lifecycle,
     record: task_table.JobRecord,
--- a/toucanspring/request_log.py
+++ b/toucanspring/request_log.py
@@ -44,8 +44,13 @@
         self._journal = owner
         self._beginning: set[str] = set()
 
-    def begin(self, request_id: str, server: str) -> Answer | errors.Failure:
-        """Record that a request may be sent, unless it is known already."""
+    def begin(
+        self, request_id: str, server: str, layout_version: int | None = None
+    ) -> Answer | errors.Failure:
+        """Record that a request may be sent, unless it is known already.
+
+        A new one is begun only while the row `layout` has the given version.
+        """
         entry = self._journal.state.requests.get(request_id)
         if entry is not None:
             if entry.outcome is not None:
@@ -59,7 +64,8 @@
         try:
             failure = self._journal.append(
                 log_records.RequestStarted(request_id, server, self._journal.epoch),
-                droppable=True,
+                True,
+                layout_version,
             ).get()
         finally:
             self._beginning.discard(request_id)
@@ -92,6 +98,11 @@
             return errors.NotFound(reason=f"no request {request_id}")
         return entry
 
+    def holds(self, request_id: str) -> bool:
+        """Return whether a request was begun here, durably or not yet."""
+        known = self._journal.state.requests
+        return request_id in known or request_id in self._beginning
+
     def interrupted(self) -> dict[str, str]:
         """Return the server by ID of requests that an earlier owner began."""
         return {
--- a/toucanspring/requests.py
+++ b/toucanspring/requests.py
@@ -16,13 +16,13 @@
     claims,
     errors,
     forwarding,
-    job,
     kernel,
     lane,
     link,
     listing,
     routing,
     runner,
+    search,
     text,
 )
 from toucanspring.adapters import backend_servers, vms
@@ -86,9 +86,7 @@
         self._poller: gevent.Greenlet | None = None
         self._serving = 0
         self.burn = burn.Recorder()
-        self._runner = runner.Runner(
-            core, settings.partitions, self._lane_of, self._client
-        )
+        self._runner = runner.Runner(core, self._lane_of, self._client)
 
     def start(self) -> None:
         """Answer the other processes and follow the VM list."""
@@ -138,7 +136,13 @@
         """Return the outcome of a non-idempotent request, wherever it is owned."""
         deadline = time.monotonic() + STATUS_TIMEOUT_S
         while True:
-            result = self._ask(request_id, deadline - time.monotonic())
+            result = search.find(
+                self._kernel.find("layout"),
+                request_id,
+                lambda number: self._ask(
+                    number, request_id, deadline - time.monotonic()
+                ),
+            )
             retry = isinstance(result, RETRY_FAILURES + LOST_FAILURES)
             if not retry or time.monotonic() + RETRY_S >= deadline:
                 break
@@ -165,10 +169,6 @@
 
     # Entry side
 
-    def _owner(self, request_id: str) -> object:
-        partition = job.partition_of(request_id, self._settings.partitions)
-        return self._kernel.find("claims").owner_of(partition)
-
     def _forward(self, request: Request) -> Answer | errors.Failure:
         """Pass a request to the owner of its ID, again after a lost owner.
 
@@ -176,12 +176,16 @@
         """
         deadline = time.monotonic() + request.deadline_s
         lost: errors.Failure | None = None
+        number: int | None = None  # of a former number, where the request was begun
         while True:
             left_s = deadline - time.monotonic()
-            result = self._forward_once(request, max(0.001, left_s))
+            result = self._forward_once(request, number, max(0.001, left_s))
+            number = None
             match result:
                 case Answer():
                     return result
+                case errors.HeldElsewhere():
+                    number = result.partition
                 case errors.RecordedNotRun():
                     return errors.NotRun(reason=result.reason)
                 case errors.NotRun() | errors.Overloaded() if lost is not None:
@@ -199,8 +203,12 @@
         # No log was read, so an earlier call with this ID may have run.
         return errors.Unavailable(reason=f"not run by this call: {result.reason}")
 
-    def _forward_once(self, request: Request, left_s: float) -> Answer | errors.Failure:
-        owner = self._owner(request.id)
+    def _forward_once(
+        self, request: Request, number: int | None, left_s: float
+    ) -> Answer | errors.Failure:
+        if number is None:
+            number = self._kernel.find("layout").layout.number_of(request.id)
+        owner = self._kernel.find("claims").owner_of(number)
         if isinstance(owner, errors.Failure):
             return errors.Unavailable(reason=owner.reason or "no owner")
         sent = msgspec.structs.replace(request, deadline_s=left_s)
@@ -217,15 +225,18 @@
         return _receive(chunks)
 
     def _ask(
-        self, request_id: str, left_s: float
+        self, number: int, request_id: str, left_s: float
     ) -> answers.Stored | runner.Running | errors.Failure:
-        owner = self._owner(request_id)
+        owner = self._kernel.find("claims").owner_of(number)
         if isinstance(owner, errors.Failure):
             return errors.Unavailable(reason=owner.reason or "no owner")
         if owner.process == self._kernel.find("membership").identity.process:
-            return self._runner.find(request_id)
+            return self._runner.find(number, request_id)
         body = self._kernel.find("peers").call(
-            owner.process, "request_status", request_id.encode(), max(0.05, left_s)
+            owner.process,
+            "request_status",
+            _encoder.encode((number, request_id)),
+            max(0.05, left_s),
         )
         if isinstance(body, errors.Failure):
             return body
@@ -250,7 +261,8 @@
         return _send(stored)
 
     def _serve_status(self, _sender: str, body: bytes) -> bytes | errors.Failure:
-        found = self._runner.find(body.decode(errors="replace"))
+        number, request_id = msgspec.msgpack.decode(body, type=tuple[int, str])
+        found = self._runner.find(number, request_id)
         match found:
             case errors.Failure():
                 return found
--- /dev/null
+++ b/toucanspring/routes.py
@@ -0,0 +1,79 @@
+"""Calls to the owners of partitions, in this or another process."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Container
+
+import gevent
+
+from toucanspring import errors, kernel, reply
+
+ROUTE_LIMIT_S = 8.0  # covers one takeover with its load from the store
+CALL_TIMEOUT_S = 4.0
+RETRY_PAUSE_S = 0.2
+
+Handler = Callable[[str, bytes], bytes]
+
+
+class Routes:
+    """Call the owner of a partition by the name of a method."""
+
+    def __init__(self, core: kernel.Kernel, owned: Container[int]) -> None:
+        self._kernel = core
+        self._owned = owned
+        self._handlers: dict[str, Handler] = {}
+
+    def serve(self, method: str, function: Handler) -> None:
+        """Answer a method, whose body is a partition and its arguments."""
+        self._handlers[method] = function
+        self._kernel.find("peers").handle(method, function)
+
+    def call(
+        self,
+        number: int,
+        method: str,
+        body: bytes,
+        kind: type,
+        limit_s: float | None = None,
+    ) -> object | errors.Failure:
+        """Call the owner of a partition; wait through a takeover.
+
+        All routed calls are idempotent, so that an unanswered one is repeated.
+        """
+        deadline = time.monotonic() + (ROUTE_LIMIT_S if limit_s is None else limit_s)
+        timeout_s = min(CALL_TIMEOUT_S, limit_s or CALL_TIMEOUT_S)
+        envelope = reply.encode((number, body))
+        last: errors.Failure = errors.Unavailable(reason="no owner")
+        sent = False
+        while time.monotonic() < deadline:
+            found = self._call_owner(number, method, envelope, timeout_s)
+            match found:
+                case bytes():
+                    result = reply.decode_result(found, kind)
+                    if not isinstance(result, errors.Unavailable) or isinstance(
+                        result, errors.StoreUnavailable | errors.LayoutChanged
+                    ):
+                        return result
+                    last = result
+                case errors.Ambiguous() | errors.Timeout():
+                    sent = True
+                    last = found
+                case errors.Failure():
+                    last = found
+            gevent.sleep(RETRY_PAUSE_S)
+        if sent:
+            return errors.Ambiguous(reason=f"no answer from the owner: {last.reason}")
+        return last
+
+    def _call_owner(
+        self, number: int, method: str, envelope: bytes, timeout_s: float
+    ) -> bytes | errors.Failure:
+        if number in self._owned:
+            return self._handlers[method]("", envelope)
+        owner = self._kernel.find("claims").owner_of(number)
+        if isinstance(owner, errors.Failure):
+            return errors.Unavailable(reason=owner.reason)
+        return self._kernel.find("peers").call(
+            owner.process, method, envelope, timeout_s
+        )
--- a/toucanspring/runner.py
+++ b/toucanspring/runner.py
@@ -44,7 +44,7 @@
 # The refusal of a request that waits until its deadline arrives just after it.
 REFUSAL_GRACE_S = 0.25
 # Another process may own the partition by now; a concurrent repeat may run there.
-MOVED = (errors.Fenced, errors.Refused)
+MOVED = (errors.Fenced, errors.Refused, errors.LayoutChanged)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,13 +66,11 @@
     def __init__(
         self,
         core: kernel.Kernel,
-        partitions: int,
         lane_of: Callable[[str], lane.Lane | None],
         client: backend_servers.BackendServerClient,
         clock: Clock = time.monotonic,
     ) -> None:
         self._kernel = core
-        self._partitions = partitions
         self._lane_of = lane_of
         self._client = client
         self._clock = clock
@@ -110,13 +108,15 @@
             return _other_content(request.id)
         return outcome
 
-    def find(self, request_id: str) -> answers.Stored | Running | errors.Failure:
-        """Return the outcome of a request, or its state."""
+    def find(
+        self, number: int, request_id: str
+    ) -> answers.Stored | Running | errors.Failure:
+        """Return the outcome of a request of one partition, or its state."""
         if request_id in self._running:
             return Running()
-        if self._epoch(request_id) is None:
+        if number not in self._kernel.find("claims").owned():
             return errors.Refused(reason="not the owner of this request ID")
-        entry = self._kernel.find("partitions").request_entry(request_id)
+        entry = self._kernel.find("partitions").entry_in(number, request_id)
         if isinstance(entry, errors.Failure):
             return entry
         if entry.outcome is not None:
@@ -152,8 +152,11 @@
         gevent.spawn(run)
         return result
 
+    def _partition(self, request_id: str) -> int:
+        return self._kernel.find("partitions").request_partition(request_id)
+
     def _epoch(self, request_id: str) -> int | None:
-        partition = job.partition_of(request_id, self._partitions)
+        partition = self._partition(request_id)
         return self._kernel.find("claims").owned().get(partition)
 
     def _execute(
@@ -312,9 +315,7 @@
                 request.id,
                 request.body,
                 deadline - now,
-                backend_servers.Epoch(
-                    job.partition_of(request.id, self._partitions), epoch
-                ),
+                backend_servers.Epoch(self._partition(request.id), epoch),
                 forwarding.headers_of(request),
                 min(deadline, target.usable_until()),
             )
@@ -368,7 +369,7 @@
             number = self._epoch(request_id)
             if number is None:
                 return errors.Fenced(reason="ownership was lost; it may have run")
-            partition = job.partition_of(request_id, self._partitions)
+            partition = self._partition(request_id)
             raised = self._client.raise_epoch(
                 start.server, backend_servers.Epoch(partition, number)
             )
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -15,6 +15,7 @@
     intake,
     job,
     lifecycle,
+    log_records,
     moves,
     overuse,
     preemption,
@@ -129,9 +130,16 @@
         recovery.lose(self._core, worker, now)
         return self._core.effects.take()
 
-    def expect_elsewhere(self) -> None:
-        """Refuse no job for its size until other partitions' workers are known."""
-        self._core.elsewhere = None
+    def expect_elsewhere(self, expected: bool = True) -> None:
+        """Refuse no job for its size until other partitions' workers are known.
+
+        If none are `expected`, only the own workers count.
+        """
+        self._core.elsewhere = None if expected else {}
+
+    def adopt(self, ended: Iterable[log_records.EndedJob], now: float) -> None:
+        """Add jobs that ended in another partition; known ones are ignored."""
+        recovery.adopt(self._core, ended, now)
 
     def worker_leaving(
         self, worker: str, leaving: bool, now: float
