Let operators change the number of partitions while the cell holds work

Cause: a cell kept the number of partitions that it was set up with.

Surplus partitions give their workers away once nothing waits in them; a partition that has less than half its even part and work that waits gets workers that others drain. Scenario partitions_resized: the number goes from 2 to 5 and back under load, with a lost answer to the change and two killed owners.

Jobs that have not ended are not moved.

--- a/scenarios/actions.py
+++ b/scenarios/actions.py
@@ -173,6 +173,10 @@
         """Return a zone to service."""
         self._cell.bring_in(zone)
 
+    def set_partitions(self, number: int) -> None:
+        """Change the number of partitions."""
+        self._cell.set_partitions(number)
+
     # Work
 
     def submit(self, count: int, name: str, template: str, options: dict) -> None:
--- a/scenarios/cell.py
+++ b/scenarios/cell.py
@@ -33,6 +33,7 @@
 
     def __init__(self, running: cluster.Cluster, source: str, daemons: int) -> None:
         self.cluster = running
+        self.partitions = running.partitions
         self.source = source
         self.model = text.parse(source)
         self.daemons = [f"entry-{number}" for number in range(1, daemons + 1)]
@@ -212,6 +213,28 @@
             self.outages.append(outage)
         self.operate("POST", f"/v1/zones/{zone}/in")
 
+    def read_layout(self) -> dict[str, object]:
+        """Return the number of partitions and former ones."""
+        return self.operate("GET", "/v1/partitions").json()
+
+    def set_partitions(self, number: int) -> None:
+        """Change the number of partitions."""
+        deadline = time.monotonic() + OPERATE_LIMIT_S
+        while True:
+            # After a lost answer, the row tells whether the change took effect.
+            present = self.read_layout()
+            if present["partitions"] == number:
+                self.partitions = number
+                return
+            reply = self.operator_call(
+                "PUT",
+                "/v1/partitions",
+                body={"partitions": number},
+                headers={"If-Match": str(present["generation"])},
+            )
+            if time.monotonic() > deadline:
+                raise Failed(f"set partitions: {reply.status} {reply.body[:300]!r}")
+
     # Loads
 
     def load(self, name: str) -> loads.Jobs | loads.Requests:
--- a/scenarios/disturbances.py
+++ b/scenarios/disturbances.py
@@ -19,6 +19,7 @@
     "renewals": "members/",
     "allowances": "allowances/",
     "moves": "workers",
+    "layout": "layout",
 }
 
 
--- /dev/null
+++ b/test/test_search.py
@@ -0,0 +1,51 @@
+import types
+
+import testtools
+
+from toucanspring import errors, job, layout, search
+
+NAME = next(
+    name
+    for name in (f"job-{index}" for index in range(100))
+    if len({job.partition_of(name, number) for number in (2, 3, 5)}) == 3
+)
+UNKNOWN = errors.NotFound(reason="none")
+
+
+class SearchTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.stored = self.view = layout.View(layout.Layout(current=5, former=(2,)), 1)
+        self.asked = []
+
+    def reread(self):
+        self.service.view = self.stored
+
+    def find(self, holder):
+        self.service = types.SimpleNamespace(view=self.view, reread=self.reread)
+
+        def ask(number):
+            self.asked.append(number)
+            return number if holder() == number else UNKNOWN
+
+        return search.find(self.service, NAME, ask)
+
+    def test_work_that_moves_between_the_questions_is_found(self):
+        # Guards against `NotFound` for a job that is handed over meanwhile.
+        first, second = self.view.layout.numbers_of(NAME)
+        found = self.find(lambda: first if len(self.asked) > 2 else second)
+        self.assertEqual(second, found)
+        self.asked.clear()
+        found = self.find(lambda: first if len(self.asked) > 1 else second)
+        self.assertEqual(first, found)
+
+    def test_a_change_that_was_not_known_here_begins_another_round(self):
+        # Guards against `NotFound` under a former number.
+        self.stored = layout.View(layout.Layout(current=3, former=(2, 5)), 2)
+        accepting = self.stored.layout.number_of(NAME)
+        self.assertEqual(accepting, self.find(lambda: accepting))
+        self.assertEqual(UNKNOWN, self.find(lambda: None))
+
+    def test_without_the_store_nothing_is_certainly_absent(self):
+        self.reread = lambda: errors.Unavailable(reason="down")
+        self.assertIsInstance(self.find(lambda: None), errors.Unavailable)
--- a/toucanspring/api_operators.py
+++ b/toucanspring/api_operators.py
@@ -47,7 +47,7 @@
     def on_put(self, request: falcon.Request, response: falcon.Response) -> None:
         """Put a text into force if `If-Match` names the version in force."""
         operator = self._access.require_operator(request)
-        expected = _expected_version(request)
+        expected = expected_version(request)
         body = api.read_body(request, syntax.MAX_TEXT_BYTES)
         try:
             source = body.decode()
@@ -76,7 +76,8 @@
         )
 
 
-def _expected_version(request: falcon.Request) -> int:
+def expected_version(request: falcon.Request) -> int:
+    """Return the version in `If-Match`; raise `Failed` without one."""
     given = (request.get_header("If-Match") or "").strip('" ')
     if not given.isdecimal() or len(given) > 18:
         raise api.Failed(
--- a/toucanspring/mover.py
+++ b/toucanspring/mover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import time
 from collections.abc import Callable
@@ -165,6 +166,8 @@
             },
             fleet.elsewhere(owner.number),
             owner.bound_workers(),
+            self._kernel.find("layout").layout.current,
+            collections.Counter(fleet.roster.partitions.values()),
         )
 
     # Transactions
--- a/toucanspring/moves.py
+++ b/toucanspring/moves.py
@@ -12,6 +12,7 @@
     job,
     lifecycle,
     need,
+    resizing,
     resources,
     task_table,
     worker_state,
@@ -37,7 +38,8 @@
     """Hold what the partition's own state does not tell.
 
     `arriving` workers belong to the partition but have not attached yet; `bound`
-    workers are named by records that are not complete in the log.
+    workers are named by records that are not complete in the log; `counts` has the
+    workers of each partition.
     """
 
     version: int = 0
@@ -47,6 +49,8 @@
     arriving: Mapping[str, need.Listed] = dataclasses.field(default_factory=dict)
     elsewhere: Mapping[str, need.Listed] = dataclasses.field(default_factory=dict)
     bound: frozenset[str] = frozenset()
+    current: int = 0  # number of partitions; 0 keeps `resizing` out
+    counts: Mapping[int, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,6 +139,12 @@
             batch = None
         if batch is None:
             batch = self._spare_batch(own, fresh, frozenset(chosen), facts, now)
+        if batch is None and facts.current:
+            resized = self._resize(own, fresh, frozenset(chosen), facts, now)
+            if resized is not None:
+                receiver, freed = resized
+                chosen = [*chosen, *freed]
+                batch = self._empty_batch(receiver, freed, facts)
         if moving:
             batch = None
         self._withhold(moving.union(chosen, batch.workers if batch else ()), now)
@@ -366,6 +376,39 @@
                 return Batch(partition, tuple(chosen))
         return None
 
+    def _resize(
+        self,
+        own: int,
+        statements: Mapping[int, need.Statement],
+        drained: frozenset[str],
+        facts: Facts,
+        now: float,
+    ) -> tuple[int, list[str]] | None:
+        """Return workers to free because the number of partitions has changed."""
+        core = self._core
+        held = core.collected.union(
+            drained, facts.bound, *(each.workers for each in core.reservations.values())
+        )
+        has_jobs = own >= facts.current and any(
+            each.outcome is None for each in core.table.jobs.values()
+        )
+        candidates = [
+            resizing.Candidate(
+                not self._is_empty(worker), self._emptied_at(worker), worker
+            )
+            for worker, _ in self._usable()
+            if worker not in held
+            and not self._services(worker)
+            and now - facts.moved_at.get(worker, -math.inf) >= REST_S
+        ]
+        starving = [
+            partition
+            for partition, stated in statements.items()
+            if any(each.waited_ms >= DRAIN_AFTER_S * 1000 for each in stated.waiting)
+        ]
+        donor = resizing.Donor(own, has_jobs, bool(len(core.queue)))
+        return resizing.choose(donor, candidates, facts.current, facts.counts, starving)
+
     def _collect(self, own: int, served: tuple[int, need.Need] | None) -> None:
         """Keep other work off the workers that the served gang of this partition needs.
 
