--- a/scenarios/disturbances.py
+++ b/scenarios/disturbances.py
@@ -21,6 +21,7 @@
     "allowances": "allowances/",
     "moves": "workers",
     "events": "events/",
+    "layout": "layout",
 }
 
 
--- a/scenarios/language.py
+++ b/scenarios/language.py
@@ -25,7 +25,7 @@
     "STRING": "a title in quotes",
     "STATE": "a state such as done or unknown",
     "DOCUMENT": "configuration, keys, zones, ownership, log, renewals, allowances, "
-    "moves or events",
+    "moves, events or layout",
     "LISTED": "live, leaving or gone",
     "KIND": "a kind of event such as worker_lost",
     "_NL": "the end of the line",
--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -16,7 +16,9 @@
     events,
     freshness,
     gateway,
+    job,
     kernel,
+    layout,
     log_records,
     metrics,
     records,
@@ -168,6 +170,12 @@
     def request_entry(self, request_id):
         return self.requests.get(request_id) or errors.NotFound(reason="unseen")
 
+    def entry_in(self, _number, request_id):
+        return self.request_entry(request_id)
+
+    def request_partition(self, request_id):
+        return job.partition_of(request_id, 3)
+
     def begin_request(self, request_id, server):
         if self.begin_answer is not None:
             return self.begin_answer
@@ -220,6 +228,9 @@
         default_factory=lambda: types.SimpleNamespace(process="entry-1")
     )
 
+    def watch(self, _keys, _take):
+        pass
+
     def members(self):
         return {
             "entry-1": {
@@ -255,6 +266,7 @@
         ("peers", Peers()),
         ("events", events.Service(core, chosen)),
         ("membership", Membership()),
+        ("layout", layout.Service(core, chosen)),
         ("documents", Documents()),
         ("claims", Claims()),
         ("partitions", Partitions()),
--- a/test/test_partitions.py
+++ b/test/test_partitions.py
@@ -3,7 +3,7 @@
 import testtools
 
 from test import edge_fakes
-from toucanspring import claims, errors, inbox, job, partitions
+from toucanspring import claims, errors, inbox, job, partitions, reply
 
 JOB = job.JobSpec(id="a", name="proofs", team="labels")
 
@@ -11,6 +11,8 @@
 class Owned:
     """Stand in for a partition that answers nothing until it is closed."""
 
+    number = 0
+
     def __init__(self):
         self.ready = gevent.event.Event()
         self.ready.set()
@@ -21,6 +23,9 @@
     def post(self, message):
         self.posted.append(message)
 
+    def holds_job(self, _job_id):
+        return False
+
     def __exit__(self, *_exc):
         self.closed.set()
 
@@ -32,6 +37,7 @@
         self.service = partitions.Service(
             self.core, edge_fakes.make_settings(partitions=1)
         )
+        self.service.start()
         self.owners = ["entry-1"]
         self.core.find("claims").owner_of = lambda _number: claims.Owner(
             self.owners[-1], 1, len(self.owners)
@@ -42,7 +48,7 @@
     def call_peer(self, process, method, body, timeout_s, abandon):
         self.called.append(process)
         self.abandon = abandon
-        return partitions.encode_result(["a"])
+        return reply.encode_result(["a"])
 
     def test_a_call_that_waits_for_a_former_owner_goes_to_the_next_one(self):
         # Guards against callers of a process that alone lost the store: each waited
@@ -81,6 +87,14 @@
         self.assertEqual([refusal], self.service.submit([JOB]))
         self.assertEqual([], self.called)
 
+    def test_an_accepted_job_is_never_reported_as_certainly_not_accepted(self):
+        # Guards against one failed job of a submission that hides the accepted ones.
+        failure = errors.Unavailable(reason="no answer of a former partition")
+        self.assertIsNone(reply.moved(["a", failure]))
+        self.assertIsInstance(reply.moved([failure]), errors.Unavailable)
+        for lost in (errors.Fenced(reason="moved"), errors.Ambiguous(reason="write")):
+            self.assertIsInstance(reply.moved(["a", lost]), errors.Fenced)
+
     def test_the_wait_for_an_owner_ends_when_it_is_replaced(self):
         # Guards against calls sent right before a takeover that wait for the timeout.
         self.service.submit([JOB])
--- a/toucanspring/mover.py
+++ b/toucanspring/mover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import time
 from collections.abc import Callable
@@ -52,7 +53,7 @@
     ) -> None:
         self._kernel = core
         self._clock = clock
-        self._enabled = options.partitions > 1 and options.moves == "on"
+        self._enabled = options.moves == "on"
         self._stated: dict[int, need.Statement] = {}
         self._doubts: dict[int, Doubt] = {}
         self._steps: dict[int, gevent.Greenlet] = {}
@@ -104,6 +105,9 @@
                 stated.gang or stated.waiting for stated in self.known().values()
             )
             gevent.sleep(STEP_INTERVAL_S if needed else REST_INTERVAL_S)
+            if self._kernel.find("layout").layout.count == 1:
+                self._stated.clear()
+                continue
             owned = self._kernel.find("partitions").owned()
             for number in self._stated.keys() - owned.keys():
                 del self._stated[number]
@@ -163,6 +167,8 @@
             },
             fleet.elsewhere(owner.number),
             owner.bound_workers(),
+            self._kernel.find("layout").layout.current,
+            collections.Counter(fleet.roster.partitions.values()),
         )
 
     # Transactions
--- /dev/null
+++ b/toucanspring/reply.py
@@ -0,0 +1,64 @@
+"""Values and failures as bytes between processes."""
+
+from __future__ import annotations
+
+import msgspec
+
+from toucanspring import errors
+
+encode = msgspec.msgpack.encode
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """Carry a value or a failure between processes."""
+
+    value: bytes | None = None
+    failure: dict[str, object] | None = None
+
+
+def encode_result(value: object) -> bytes:
+    """Return a value or failure as bytes for a peer."""
+    if isinstance(value, errors.Failure):
+        return encode(Reply(failure=errors.to_dict(value)))
+    return encode(Reply(value=encode(value)))
+
+
+def decode_result(body: bytes, kind: type) -> object | errors.Failure:
+    """Return the value or failure that a peer sent."""
+    try:
+        reply = msgspec.msgpack.decode(body, type=Reply)
+        if reply.failure is not None:
+            return errors.from_dict(reply.failure)
+        return msgspec.msgpack.decode(reply.value or b"", type=kind)
+    except msgspec.DecodeError as error:
+        return errors.Malformed(reason=str(error))
+
+
+def pack(item: str | errors.Failure) -> str | dict[str, object]:
+    """Return an item of a list of results in the form that is encoded."""
+    return errors.to_dict(item) if isinstance(item, errors.Failure) else item
+
+
+def unpack(item: str | dict[str, object]) -> str | errors.Failure:
+    """Return an item of a decoded list of results."""
+    return errors.from_dict(item) if isinstance(item, dict) else item
+
+
+def moved(answers: list[str | errors.Failure]) -> errors.Failure | None:
+    """Return why a whole submission is to be repeated, to the successor of an owner.
+
+    `Fenced` says that some of its jobs may be in the log. Jobs that were accepted are
+    repeated with the others, which changes nothing.
+    """
+    lost = [each for each in answers if isinstance(each, errors.Failure)]
+    for failure in lost:
+        fenced = isinstance(failure, errors.Fenced) and len(lost) < len(answers)
+        if fenced or isinstance(failure, errors.Ambiguous):
+            return errors.Fenced(reason=failure.reason)
+    if not lost or len(lost) < len(answers):
+        return None
+    if not all(isinstance(each, errors.Fenced | errors.Unavailable) for each in lost):
+        return None
+    if isinstance(lost[0], errors.StoreUnavailable | errors.LayoutChanged):
+        return lost[0]
+    return errors.Unavailable(reason=lost[0].reason)
