Connect to workers and peers without a resolver

Cause: a trace of the allocations of a running daemon showed gevent's thread pool, the tables of the idna codec and a table of file types. create_connection resolves even IP addresses, in native threads; falcon reads the VM's tables of file types.

Change: streams and HTTP connections share one function that connects by IP address without a resolver; the tables of file types are not read, since no files are served.

--- a/test/test_stream.py
+++ b/test/test_stream.py
@@ -28,6 +28,16 @@
         self.addCleanup(self.left.close)
         self.addCleanup(self.right.close)
 
+    def test_connecting_to_an_ip_address_uses_no_resolver(self):
+        # Guards against native threads and 1 MB of tables in each process.
+        self.patch(gevent.get_hub(), "resolver", object())
+        listener = gevent_socket.socket()
+        self.addCleanup(listener.close)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(1)
+        port = listener.getsockname()[1]
+        stream.connect("127.0.0.1", port, wire.decode_worker).close()
+
     def test_both_ends_have_nagle_disabled(self):
         # Guards against 40 ms stalls of small frames.
         for end in (self.left, self.right):
--- a/toucanspring/adapters/exchange.py
+++ b/toucanspring/adapters/exchange.py
@@ -35,17 +35,15 @@
         return self._semaphore.locked()
 
     def _create_socket(self) -> gevent_socket.socket:
-        # Connecting by IP address needs no resolver; gevent's default one starts
-        # native threads.
-        family = socket.AF_INET6 if ":" in self._connection_host else socket.AF_INET
-        sock = gevent_socket.socket(family, socket.SOCK_STREAM)
+        sock = stream.open_socket(
+            self._connection_host, self._connection_port, self.connection_timeout
+        )
         try:
             stream.disable_nagle(sock)
-            sock.settimeout(self.connection_timeout)
-            sock.connect((self._connection_host, self._connection_port))
             if self.tls is not None:
+                sock.settimeout(self.connection_timeout)
                 sock = self.tls.wrap_socket(sock, server_hostname=self._connection_host)
-            sock.settimeout(None)  # each call sets its own deadline
+                sock.settimeout(None)  # each call sets its own deadline
         except BaseException:
             sock.close()
             raise
--- a/toucanspring/gateway.py
+++ b/toucanspring/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import mimetypes
 import time
 from collections.abc import Iterator
 
@@ -85,6 +86,8 @@
 def build_application(core: kernel.Kernel, settings: object, is_draining) -> falcon.App:
     """Return the WSGI application with all routes of the page."""
     startup = Startup(core)
+    # falcon would read the VM's tables of file types, 0.3 MB; no files are served here.
+    mimetypes.knownfiles.clear()
     application = falcon.App(middleware=[Timing(core), startup])
     application.req_options.strip_url_path_trailing_slash = True
     application.add_error_handler(api.Failed, api.answer_failure)
--- a/toucanspring/stream.py
+++ b/toucanspring/stream.py
@@ -129,6 +129,24 @@
         return None
 
 
+def open_socket(address: str, port: int, timeout_s: float) -> gevent_socket.socket:
+    """Connect to an IP address; the socket has no time limit, raises `OSError`.
+
+    Without a resolver: gevent's default one starts native threads and imports the
+    tables of the idna codec, together about 1 MB.
+    """
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    sock = gevent_socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.settimeout(timeout_s)
+        sock.connect((address, port))
+        sock.settimeout(None)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
 def connect(
     address: str,
     port: int,
@@ -138,8 +156,7 @@
 ) -> Stream | errors.Unavailable:
     """Open a stream to an IP address; `tls` is a client `ssl.SSLContext`."""
     try:
-        sock = gevent_socket.create_connection((address, port), timeout=timeout_s)
-        sock.settimeout(None)
+        sock = open_socket(address, port, timeout_s)
         if tls is not None:
             sock = tls.wrap_socket(sock, server_hostname=address)
     except OSError as error:
