Stop all tasks on a worker that the room for a job depends on

Cause: room on a worker was planned as a list of stops, each counted on top of the stops before it, but the plans of all workers were sorted by length and the shortest taken. The stop of the one task that would suffice after two others was chosen without these two, so the job got no room, its reservation ran out after 5 s, and the next try stopped other tasks.

Change: a step on a worker is available only once the steps before it are taken. The next step is the one with the fewest stops for each task that gets room.

--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -248,6 +248,23 @@
         ]
         self.assertEqual(3, sum(task.progress == b"mark" for task in marks))
 
+    def test_the_stops_make_room_on_one_worker(self):
+        # Guards against stopping the one task that would suffice after two others.
+        c = cell.Cell(workers=1)
+        for name, cpus, count in (("early", 2000, 13), ("late", 3000, 2)):
+            demand = resources.Resources(cpus, 1024)
+            low = job.JobClass.DEFERRABLE
+            c.submit(cell.spec(name, demand=demand, task_count=count, job_class=low))
+            c.tick()
+        large = resources.Resources(4000, 1024)
+        c.submit(cell.spec("now", job_class=job.JobClass.URGENT, demand=large))
+        c.tick()
+        c.tick(0.2)
+        self.assertEqual({"late/0", "late/1"}, set(c.stopped("checkpoint")))
+        c.report("w0")
+        c.tick()
+        self.assertEqual(1, len(c.running("now")))
+
     def test_jobs_for_which_no_room_can_be_made_do_not_hold_up_later_ones(self):
         # Guards against urgent work that waits behind hopeless work for good.
         c = cell.Cell(workers=1)
--- a/toucanspring/preemption.py
+++ b/toucanspring/preemption.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+import dataclasses
+import heapq
 from collections.abc import Iterable
 
-from toucanspring import avoidance, gang, job, lifecycle, resources, task_table
+from toucanspring import (
+    avoidance,
+    gang,
+    job,
+    lifecycle,
+    resources,
+    task_table,
+)
 
 # A task that is expected to end so soon is left to end where it runs.
 FINISH_S = 5.0
@@ -203,25 +212,25 @@
         ),
         avoidance.avoided(core, record, demand, now),
     )
-    plans = []
-    for worker, tasks in victims.items():
-        if worker not in taken:
-            plans += _plans(worker, tasks, core.index.free(worker), demand)
+    steps = {
+        worker: _steps(tasks, core.index.free(worker), demand)
+        for worker, tasks in victims.items()
+        if worker not in taken
+    }
     if together:
         # Workers with room that need no stop belong to the place of the gang.
         for worker, state in core.workers.items():
-            if state.schedulable and worker not in taken:
-                room = demand.count_in(core.index.free(worker))
-                plans += [(0, worker, ())] * min(room, count)
-    plans.sort(key=lambda plan: plan[:2])
-    chosen = plans[:count]
-    if not chosen or (together and len(chosen) < count):
+            room = demand.count_in(core.index.free(worker))
+            if room and state.schedulable and worker not in taken:
+                steps[worker] = [Step((), room), *steps.get(worker, [])]
+    chosen, room = _cheapest(steps, count)
+    if not chosen or (together and room < count):
         return
+    stopped = [task for _, step in chosen for task in step.tasks]
     reason = f"room for {spec.job_class.value} job {spec.id}"
-    for _, _, tasks in chosen:
-        for task in tasks:
-            core.stop(task, reason, "checkpoint")
-    workers = frozenset(worker for _, worker, _ in chosen)
+    for task in stopped:
+        core.stop(task, reason, "checkpoint")
+    workers = frozenset(worker for worker, _ in chosen)
     # Room taken back for a share goes to its owner by rank. Keeping whole workers for
     # it gave one job all of a worker for ROOM_S, far beyond its share.
     exclusive = together or is_pressing(core, record, now)
@@ -230,14 +239,24 @@
     )
 
 
-def _plans(
-    worker: str,
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """Hold tasks of one worker to stop, and for how many tasks that makes room.
+
+    The tasks of the steps before it on the worker have to be stopped too.
+    """
+
+    tasks: tuple[task_table.LiveTask, ...]
+    room: int
+
+
+def _steps(
     tasks: list[task_table.LiveTask],
     free: resources.Resources,
     demand: resources.Resources,
-) -> list[tuple[int, str, tuple[task_table.LiveTask, ...]]]:
-    """Return sets of tasks to stop, each of which makes room for one more task."""
-    plans = []
+) -> list[Step]:
+    """Return the steps on a worker, in the order of its tasks."""
+    steps = []
     room = demand.count_in(free)
     pending: list[task_table.LiveTask] = []
     for task in tasks:
@@ -246,10 +265,35 @@
         free += task.demand
         pending.append(task)
         if (now_fits := demand.count_in(free)) > room:
-            plans.append((len(pending), worker, tuple(pending)))
-            plans += [(0, worker, ())] * (now_fits - room - 1)
+            steps.append(Step(tuple(pending), now_fits - room))
             room, pending = now_fits, []
-    return plans
+    return steps
+
+
+def _cheapest(
+    steps: dict[str, list[Step]], count: int
+) -> tuple[list[tuple[str, Step]], int]:
+    """Return steps with room for `count` tasks, if there is so much, and their room.
+
+    The next step is the one with the fewest stops for each task that gets room.
+    """
+    heads = [
+        (len(found[0].tasks) / found[0].room, worker, 0)
+        for worker, found in steps.items()
+        if found
+    ]
+    heapq.heapify(heads)
+    chosen: list[tuple[str, Step]] = []
+    room = 0
+    while heads and room < count:
+        _, worker, position = heapq.heappop(heads)
+        found = steps[worker]
+        chosen.append((worker, found[position]))
+        room += found[position].room
+        if (position := position + 1) < len(found):
+            step = found[position]
+            heapq.heappush(heads, (len(step.tasks) / step.room, worker, position))
+    return chosen, room
 
 
 def _overlaps(demand: resources.Resources, needed: resources.Resources) -> bool:
