Checkpoint lower classes when draining workers for a gang costs more

Cause: a trace of bench.outage by worker and reason showed that a tenth of the remaining capacity stood idle on workers that drained for a gang, while other waiting work would have fit; nothing else exceeded 0.007. Backfill could not use it, since run times learned by name spread from 20 to 200 s.

Change: with each reservation of a deadline gang, the idle time until its expected start is compared with what checkpoints of idempotent tasks of lower classes cost at most (10 s and all they have run); the cheaper way is taken. Shares hold: a gang beyond its team's share replaces only work of its team. A job for which work was stopped is looked at first; behind more than 64 jobs its reservation ended before it was looked at, and its work was stopped again.

--- a/bench/outage.py
+++ b/bench/outage.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from bench import wait, work
-from toucanspring import job
+from toucanspring import effects, job
 
 DEADLINE_LOAD = 0.4  # of the capacity of all zones; two thirds of it remain
 SPAN_S = 1800.0  # in which jobs arrive
@@ -25,11 +25,14 @@
 class Policy(wait.Policy):
     """Take a zone out of service and return it."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, jobs: list[tuple[float, job.JobSpec]]) -> None:
         super().__init__(seed)
+        self._demands = {spec.id: spec.demand for _, spec in jobs}
         self._is_out = False
         self.use: list[tuple[float, int, int]] = []  # time, used and usable millicores
         self.late_starts = 0
+        self.checkpoints = 0  # while the zone is out and drained
+        self.stopped_run = 0.0  # millicore seconds that these tasks had run
 
     def step(self, now: float) -> None:
         """Change the zone when due, let the machine work, and note what is used."""
@@ -48,6 +51,19 @@
         self.use.append((now, used, usable))
         self._count_late(now)
 
+    def _apply(self, found: list[effects.Effect], now: float) -> None:
+        if OUT_FROM_S + DRAIN_S <= now < OUT_UNTIL_S:
+            for effect in found:
+                if isinstance(effect, effects.StopTasks):
+                    self._count_stops(effect.task_ids, now)
+        super()._apply(found, now)
+
+    def _count_stops(self, task_ids: list[str], now: float) -> None:
+        for key in self._running.keys() & set(task_ids):
+            self.checkpoints += 1
+            cpus = self._demands[job.job_of(key)].cpus
+            self.stopped_run += cpus * (now - self._running[key][1])
+
     def _count_late(self, now: float) -> None:
         if self._is_out:
             self.late_starts += sum(
@@ -62,6 +78,16 @@
     return sum(used for _, used, _ in found) / sum(usable for *_, usable in found)
 
 
+def redone_ratio(policy: Policy) -> float:
+    """Return the part of what was usable while out that stopped tasks had used.
+
+    So much is done again if the work does not support checkpoints.
+    """
+    start, end = OUT_FROM_S + DRAIN_S, OUT_UNTIL_S
+    usable = [entry[2] for entry in policy.use if start <= entry[0] < end]
+    return policy.stopped_run / (sum(usable) * wait.TICK_S)
+
+
 def without_classes(
     jobs: list[tuple[float, job.JobSpec]],
 ) -> list[tuple[float, job.JobSpec]]:
@@ -95,11 +121,12 @@
     used = {"policy": 1.0, "baseline": 1.0}
     refilled = 1.0
     late = 0
+    checkpoints, redone = 0, 0.0
     for deployment in wait.DEPLOYMENTS:
         jobs = wait.make_jobs(deployment, seed)
         latest = max(at + (spec.deadline_seconds or 0.0) for at, spec in jobs)
         for name, given in (("policy", jobs), ("baseline", without_classes(jobs))):
-            policy = Policy(seed)
+            policy = Policy(seed, jobs)
             policy.run(given, latest + wait.TICK_S)
             ratio = met_ratio(policy, jobs)
             out = used_ratio(policy, OUT_FROM_S + DRAIN_S, OUT_UNTIL_S)
@@ -113,6 +140,8 @@
             if name == "policy":
                 refilled = min(refilled, back)
                 late += policy.late_starts
+                checkpoints += policy.checkpoints
+                redone = max(redone, redone_ratio(policy))
     work.print_result(
         bench="outage",
         seed=seed,
@@ -122,6 +151,8 @@
         baseline_used_ratio=used["baseline"],
         refilled_ratio=refilled,
         late_starts=late,
+        checkpoints=checkpoints,
+        redone_ratio=redone,
     )
 
 
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -1,7 +1,9 @@
 import random
 
+import msgspec
 import testtools
 
+from test import cell
 from toucanspring import effects, fairness, job, resources, scheduler, wire
 
 CAPACITY = resources.Resources(32_000, 65_536)
@@ -78,3 +80,25 @@
         for step in range(1, 30):
             owner.tick(float(step))
         self.assertEqual("running", owner.explain("last").state)
+
+    def test_a_job_for_which_work_was_stopped_is_looked_at_first(self):
+        # Guards against room that is made again and again for a job far back in the
+        # queue, which is not looked at before its reservation ends.
+        c = cell.Cell(workers=1)
+        c.submit(cell.spec("fill", task_count=32, run_seconds=9000))
+        large = resources.Resources(32_000, 1024)
+        for number in range(300):
+            c.submit(cell.spec(f"large-{number}", demand=large, run_seconds=9000))
+        c.tick()
+        c.now += 1000
+        due = job.JobClass.DEADLINE
+        gang = cell.spec("gang", kind=job.Kind.GANG, task_count=16, job_class=due)
+        c.submit(msgspec.structs.replace(gang, deadline_seconds=9000.0))
+        for _ in range(30):
+            if c.stopped("checkpoint"):
+                break
+            c.tick(1)
+        self.assertEqual(16, len(c.stopped("checkpoint")))
+        c.report("w0")
+        c.tick(1)
+        self.assertEqual(16, len(c.running("gang")))
--- a/test/test_gang.py
+++ b/test/test_gang.py
@@ -89,3 +89,54 @@
                 c.report(name)
         self.assertEqual(job.Outcome(State.FAILED, "nan"), c.finished["gang"])
         self.assertEqual({}, c.running())
+
+
+class DrainTest(testtools.TestCase):
+    def cell_with_gang(self, fill_seconds, **fields):
+        """Return a full cell in which a gang and more work wait."""
+        c = cell.Cell(workers=2)
+        low = job.JobClass.DEFERRABLE
+        fill = cell.spec("fill", task_count=64, run_seconds=fill_seconds, job_class=low)
+        c.submit(fill)
+        c.tick()
+        fields = {"job_class": job.JobClass.DEADLINE, "team": "zimna", **fields}
+        gang = cell.spec(
+            "gang", kind=GANG, task_count=40, deadline_seconds=3600, **fields
+        )
+        more = cell.spec("more", team=gang.team, task_count=64, run_seconds=1000)
+        c.submit(gang, more)
+        return c
+
+    def let_pass(self, c, ticks=20):
+        for _ in range(ticks):
+            c.tick(0.2)
+            for name in c.workers:
+                c.report(name)
+
+    def test_checkpoints_replace_a_long_drain_for_a_deadline_gang(self):
+        # Guards against workers that stand idle until the last long task has ended.
+        c = self.cell_with_gang(fill_seconds=1000)
+        c.end("w0", "fill/0")
+        self.let_pass(c)
+        self.assertEqual(40, len(c.running("gang")))
+        self.assertEqual(39, len(c.stopped("checkpoint")))
+
+    def test_tasks_that_end_soon_are_left_to_end(self):
+        # Guards against checkpoints that cost more than the idle time they save.
+        c = self.cell_with_gang(fill_seconds=6)
+        self.let_pass(c)
+        self.assertEqual([], c.stopped())
+        self.assertEqual({}, c.running("gang"))
+
+    def test_a_gang_beyond_the_share_of_its_team_stops_no_work_of_others(self):
+        # Guards against deadlines far away that override the shares.
+        c = self.cell_with_gang(fill_seconds=1000, team="kern")
+        self.let_pass(c)
+        self.assertEqual({}, c.running("gang"))
+        self.assertEqual([], c.stopped())
+
+    def test_gangs_of_other_classes_stop_nothing(self):
+        # Guards against stops for gangs that may wait, whatever else waits.
+        c = self.cell_with_gang(fill_seconds=1000, job_class=job.JobClass.NORMAL)
+        self.let_pass(c)
+        self.assertEqual([], c.stopped())
--- a/toucanspring/dispatch.py
+++ b/toucanspring/dispatch.py
@@ -121,11 +121,22 @@
         return started
 
     def _next_groups(self, team: str, now: float) -> Iterator[waiting.Group]:
-        """Yield the first groups of a team, then those after the last one seen."""
+        """Yield the first groups of a team, then those after the last one seen.
+
+        Those for which running work was stopped are the very first: far back in the
+        queue they would not be looked at before their reservation ends.
+        """
         skipped_until = FIRST_GROUPS + self._passed.pop(team, 0)
-        groups = self._core.queue.next_groups(team, now)
-        for position, group in enumerate(groups):
-            if FIRST_GROUPS <= position < skipped_until:
+        queue = self._core.queue
+        served = {
+            job_id for job_id in self._core.reservations if self._has_room(job_id)
+        }
+        for job_id in sorted(served):
+            group = queue.find(job_id)
+            if group is not None and group.spec.team == team:
+                yield group
+        for position, group in enumerate(queue.next_groups(team, now)):
+            if FIRST_GROUPS <= position < skipped_until or group.spec.id in served:
                 continue
             if position >= FIRST_GROUPS:
                 self._passed[team] = position + 1 - FIRST_GROUPS
@@ -134,7 +145,13 @@
 
     def _is_pressing(self, job_id: str, now: float) -> bool:
         """Return whether a job may stop others, and so need not yield to them."""
-        return preemption.is_pressing(self._core, self._core.table.jobs[job_id], now)
+        record = self._core.table.jobs[job_id]
+        return self._has_room(job_id) or preemption.is_pressing(self._core, record, now)
+
+    def _has_room(self, job_id: str) -> bool:
+        """Return whether running work was stopped for a job."""
+        held = self._core.reservations.get(job_id)
+        return held is not None and held.making_room
 
     def _place_group(
         self, group: waiting.Group, limit: int, rank: int, no_room: set, now: float
--- a/toucanspring/gang.py
+++ b/toucanspring/gang.py
@@ -6,7 +6,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from toucanspring import job, placement, resources, task_table
+from toucanspring import draining, job, placement, resources, task_table
 
 if TYPE_CHECKING:
     from toucanspring import lifecycle
@@ -14,7 +14,6 @@
 RESERVATION_S = 1.0  # then the expected ends of tasks are looked at again
 # More reservations would leave little capacity for backfill.
 MAX_RESERVATIONS = 2
-OVERDUE_S = 1.0  # a task beyond its expected end is expected to end so soon
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,6 +25,9 @@
     expires: float
     making_room: bool = False  # running tasks were stopped for it
     exclusive: bool = True  # tasks of other jobs stay off the workers
+    # What waiting for `starts_at` leaves idle, in seconds of the whole cell.
+    idle_cost: float = 0.0
+    weighed: bool = False  # the cost was compared with that of checkpoints
 
 
 def excluded_for(
@@ -113,7 +115,10 @@
     if found is not None:
         workers, starts_at = found
         core.reservations[spec.id] = Reservation(
-            workers, starts_at, now + RESERVATION_S
+            workers,
+            starts_at,
+            now + RESERVATION_S,
+            idle_cost=draining.idle_cost(core, workers, starts_at, now),
         )
 
 
@@ -137,7 +142,7 @@
         free[name] = core.index.free(name)
         for task in core.tasks_on[name].values():
             if not math.isinf(task.expected_end):
-                end = max(task.expected_end, now + OVERDUE_S)
+                end = max(task.expected_end, now + draining.OVERDUE_S)
                 ends.append((end, name, task.demand))
     fits = {name: demand.count_in(amount) for name, amount in free.items()}
     total, starts_at = sum(fits.values()), now
--- a/toucanspring/preemption.py
+++ b/toucanspring/preemption.py
@@ -4,10 +4,12 @@
 
 import dataclasses
 import heapq
-from collections.abc import Iterable
+import math
+from collections.abc import Callable, Iterable
 
 from toucanspring import (
     avoidance,
+    draining,
     gang,
     job,
     lifecycle,
@@ -110,9 +112,15 @@
         if held and held.making_room:
             continue
         demand = core.demand(spec)
+        limit = math.inf
         if is_pressing(core, record, now):
             order = CLASS_ORDER[spec.job_class]
             victims = _victims(core, record, max(order, NEVER_STOPPED), None)
+        elif held and draining.may_end(record, held):
+            core.reservations[spec.id] = dataclasses.replace(held, weighed=True)
+            victims = _victims(core, record, CLASS_ORDER[spec.job_class], None)
+            victims = draining.select_victims(core, record, victims, demand)
+            limit = held.idle_cost
         elif now - _served_at(core, record) >= SHARE_WAIT_S:
             if over is None:
                 active = core.using_teams() | set(core.queue.teams())
@@ -124,7 +132,7 @@
             victims = _victims(core, record, NEVER_STOPPED, over)
         else:
             continue
-        _stop_victims(core, record, demand, victims, now)
+        _stop_victims(core, record, demand, victims, now, limit)
         tried.add(spec.id)
         tries += 1
         if tries >= TRIES_PER_STEP:
@@ -196,8 +204,12 @@
     demand: resources.Resources,
     victims: dict[str, list[task_table.LiveTask]],
     now: float,
+    limit: float = math.inf,
 ) -> None:
-    """Stop the fewest tasks that make room, if there are enough."""
+    """Stop the fewest tasks that make room, if there are enough.
+
+    Nothing is stopped if that costs `limit` or more, in seconds of the whole cell.
+    """
     spec = record.spec
     count = record.waiting_count()
     together = spec.kind is job.Kind.GANG
@@ -212,8 +224,12 @@
         ),
         avoidance.avoided(core, record, demand, now),
     )
+
+    def cost_of(task: task_table.LiveTask) -> float:
+        return 1.0 if limit == math.inf else draining.checkpoint_cost(core, task, now)
+
     steps = {
-        worker: _steps(tasks, core.index.free(worker), demand)
+        worker: _steps(tasks, core.index.free(worker), demand, cost_of)
         for worker, tasks in victims.items()
         if worker not in taken
     }
@@ -222,11 +238,13 @@
         for worker, state in core.workers.items():
             room = demand.count_in(core.index.free(worker))
             if room and state.schedulable and worker not in taken:
-                steps[worker] = [Step((), room), *steps.get(worker, [])]
+                steps[worker] = [Step((), room, 0.0), *steps.get(worker, [])]
     chosen, room = _cheapest(steps, count)
     if not chosen or (together and room < count):
         return
     stopped = [task for _, step in chosen for task in step.tasks]
+    if sum(step.cost for _, step in chosen) >= limit:
+        return
     reason = f"room for {spec.job_class.value} job {spec.id}"
     for task in stopped:
         core.stop(task, reason, "checkpoint")
@@ -248,12 +266,14 @@
 
     tasks: tuple[task_table.LiveTask, ...]
     room: int
+    cost: float
 
 
 def _steps(
     tasks: list[task_table.LiveTask],
     free: resources.Resources,
     demand: resources.Resources,
+    cost_of: Callable[[task_table.LiveTask], float],
 ) -> list[Step]:
     """Return the steps on a worker, in the order of its tasks."""
     steps = []
@@ -265,7 +285,8 @@
         free += task.demand
         pending.append(task)
         if (now_fits := demand.count_in(free)) > room:
-            steps.append(Step(tuple(pending), now_fits - room))
+            cost = sum(cost_of(pended) for pended in pending)
+            steps.append(Step(tuple(pending), now_fits - room, cost))
             room, pending = now_fits, []
     return steps
 
@@ -275,10 +296,10 @@
 ) -> tuple[list[tuple[str, Step]], int]:
     """Return steps with room for `count` tasks, if there is so much, and their room.
 
-    The next step is the one with the fewest stops for each task that gets room.
+    The next step is the one with the lowest cost for each task that gets room.
     """
     heads = [
-        (len(found[0].tasks) / found[0].room, worker, 0)
+        (found[0].cost / found[0].room, worker, 0)
         for worker, found in steps.items()
         if found
     ]
@@ -292,7 +313,7 @@
         room += found[position].room
         if (position := position + 1) < len(found):
             step = found[position]
-            heapq.heappush(heads, (len(step.tasks) / step.room, worker, position))
+            heapq.heappush(heads, (step.cost / step.room, worker, position))
     return chosen, room
 
 
