Keep sums of racks and choose compact gangs by bounds

Cause: a compact gang that fits in no rack counted the room on each of 26,000 workers, and the tables for this were built again after 10,000 changes of workers: 58 ms for the first decision.

Change: each change of a worker adjusts the sums of its rack, so nothing is built again. A decision starts with the total room from the buckets of the index, which refuses at once in a full cell. Racks are counted in the order of their upper bounds, at most 256 once one has room, and zones are compared by the sums of their racks. The room of the chosen rack or zone is at most the upper bound of each other one with enough room. Bounds are plain numbers, since thousands of tuples in a decision started full collections of garbage.

The test's search of all workers now follows the rule for zones, exactly as before for racks, and another test checks the bound with few racks counted. It no longer sets MAX_CHANGES, which is gone.

--- a/test/test_racks.py
+++ b/test/test_racks.py
@@ -24,6 +24,7 @@
         self.number = 0
         self.places = {}  # worker -> zone and rack
         self.racks = []  # in the order in which they were added
+        self.zones = []  # the same
         self.closed = set()
         for _ in range(workers):
             self.add()
@@ -35,12 +36,16 @@
         self.index.add(f"w{self.number}", self.rng.choice(CAPACITIES), *place)
         if place not in self.racks:
             self.racks.append(place)
+        if place[0] not in self.zones:
+            self.zones.append(place[0])
 
     def remove(self, name):
         place = self.places.pop(name)
         self.index.remove(name)
         if place not in self.places.values():
             self.racks.remove(place)
+        if place[0] not in {zone for zone, _ in self.racks}:
+            self.zones.remove(place[0])
 
     def change(self):
         """Use, close, open, add or remove random workers."""
@@ -101,6 +106,24 @@
             return best
         return best and self.places[best][0]
 
+    def upper_room(self, place, demand):
+        """Return what fits in a rack by the sums of what is free there."""
+        total = resources.ZERO
+        for name, where in self.places.items():
+            if where == place and name not in self.closed:
+                free = self.index.free(name)
+                total += resources.Resources(
+                    max(0, free.cpus), max(0, free.memory), max(0, free.accelerators)
+                )
+        return demand.count_in(total)
+
+    def upper_rooms(self, demand):
+        """Return what fits in each zone by the sums of its racks."""
+        uppers = dict.fromkeys(ZONES, 0)
+        for place in self.racks:
+            uppers[place[0]] += self.upper_room(place, demand)
+        return uppers
+
     def gang(self, demand, count, constraints):
         """Return the workers of a compact gang, or None without room in one zone."""
         racks, zones = {}, {}
@@ -112,11 +135,16 @@
             ]
             if racks[place]:
                 zones.setdefault(place[0], []).append(racks[place])
-        whole = [group for group in racks.values() if size(group) >= count] or [
-            group
-            for parts in zones.values()
-            if size(group := sum(sorted(parts, key=size, reverse=True), [])) >= count
-        ]
+        whole = [group for group in racks.values() if size(group) >= count]
+        if not whole:
+            uppers = self.upper_rooms(demand)
+            whole = [
+                sum(sorted(zones[zone], key=size, reverse=True), [])
+                for zone in sorted(
+                    zones, key=lambda zone: (uppers[zone], self.zones.index(zone))
+                )
+                if sum(map(size, zones[zone])) >= count
+            ][:1]
         chosen = []
         for name, room in min(whole, key=size, default=[]):
             if count:
@@ -147,9 +175,8 @@
                 plain.change()
 
     def test_compact_gangs_agree_with_a_search_of_all_workers(self):
-        # Guards against counts that stop too early, racks that are left out, and tables
+        # Guards against counts that stop too early, racks that are left out, and sums
         # that miss a change.
-        self.patch(racks, "MAX_CHANGES", 10)
         rng = random.Random(12)
         for _ in range(25):
             plain = Plain(rng)
@@ -167,3 +194,24 @@
                     self.assertEqual(expected, chosen)
                 else:
                     self.assertEqual(count, size(chosen))
+
+    def test_a_rack_has_at_most_the_upper_bound_of_those_not_counted(self):
+        # Guards against racks far larger than needed when few are counted, and against
+        # no rack although one has room.
+        self.patch(racks, "MAX_COUNTED", 2)
+        rng = random.Random(13)
+        for _ in range(100):
+            plain = Plain(rng)
+            for _ in range(20):
+                plain.change()
+            demand, constraints = plain.question()
+            count = rng.choice((1, 2, 8))
+            rooms = dict.fromkeys(plain.racks, 0)
+            for name, room in plain.rooms(demand, constraints).items():
+                rooms[plain.places[name]] += room
+            whole = [place for place, room in rooms.items() if room >= count]
+            if whole and demand != resources.ZERO:  # which has no bound
+                chosen = plain.index.choose_gang(demand, count, constraints, True)
+                (place,) = {plain.places[name] for name, _ in chosen}
+                uppers = [plain.upper_room(other, demand) for other in whole]
+                self.assertLessEqual(rooms[place], min(uppers))
--- a/toucanspring/inventory.py
+++ b/toucanspring/inventory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
 from toucanspring import resources
@@ -59,7 +60,6 @@
         "positions",
         "rack",
         "schedulable",
-        "slot",
     )
 
     def __init__(
@@ -75,7 +75,6 @@
         self.schedulable = True
         self.number = 0  # position in the list of all workers
         self.home: racks.Rack | None = None
-        self.slot = 0  # position in the table of the zone
         # Buckets and positions in them: in the cell's shelf, then in the zone's.
         self.buckets: tuple[Bucket, ...] = ()
         self.positions = [0, 0]
@@ -264,3 +263,17 @@
             if count >= accelerators
         ]
         return tables if accelerators else [self.plain, *tables]
+
+    def members_with(self, demand: resources.Resources) -> Iterator[list[Worker]]:
+        """Yield the buckets that may hold workers with room, the emptiest first."""
+        row, column = size_class(demand.cpus), size_class(demand.memory)
+        for table in self.tables_for(demand.accelerators):
+            rows = table.row_mask >> row << row
+            while rows:
+                number = rows.bit_length() - 1
+                rows ^= 1 << number
+                columns = table.column_masks[number] >> column << column
+                while columns:
+                    position = columns.bit_length() - 1
+                    columns ^= 1 << position
+                    yield table.rows[number][position].members
--- a/toucanspring/placement.py
+++ b/toucanspring/placement.py
@@ -110,7 +110,7 @@
         else:
             self._withdraw(entry)
             entry.schedulable = False
-        self._racks.note_change(entry)
+        entry.home.count(entry, 1 if schedulable else -1)
 
     def allocate(self, worker: str, demand: resources.Resources) -> None:
         """Take `demand` from a worker; free amounts may become negative."""
@@ -204,11 +204,18 @@
         availability zone, else anywhere.
         """
         if compact:
+            allowed = constraints.availability_zones
+            zones = {
+                name: shelf
+                for name, shelf in self._zones.items()
+                if allowed is None or name in allowed
+            }
             chosen = self._racks.compact_gang(
                 demand,
                 count,
                 constraints.excluded,
-                constraints.availability_zones,
+                self._shelves(constraints),
+                zones,
             )
             if isinstance(chosen, list):
                 return chosen
@@ -282,6 +289,7 @@
         if not entry.schedulable:
             entry.cpus, entry.memory, entry.accelerators = cpus, memory, accelerators
             return
+        before = entry.cpus, entry.memory, entry.accelerators
         row, column = inventory.size_class(cpus), inventory.size_class(memory)
         bucket = entry.buckets[0]
         if (
@@ -296,7 +304,7 @@
             self._withdraw(entry)
             entry.cpus, entry.memory, entry.accelerators = cpus, memory, accelerators
             self._insert(entry, row, column)
-        self._racks.note_change(entry)
+        entry.home.note_change(*before, entry)
 
     def _shelves(self, constraints: Constraints) -> list[inventory.Shelf]:
         zones = constraints.availability_zones
--- a/toucanspring/racks.py
+++ b/toucanspring/racks.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import array
 import bisect
 import collections
+import heapq
 import math
 from collections.abc import Iterable, Iterator, Mapping
 
@@ -14,105 +14,82 @@
 # MiB that are paired with a millicore for a lower bound on the room of a rack. Any
 # value is correct; the bound is tightest for demands of this proportion.
 MEMORY_PER_CPU = 2
-# After so many changes of workers between two compact gangs the tables are built anew.
-MAX_CHANGES = 10_000
+# Racks whose workers are looked at to find the one with the least room for a gang.
+MAX_COUNTED = 256
+NUMBER_BITS = 32  # of a rack in the order of racks
 
 
 class Zone:
-    """Hold the racks of one availability zone, and what is free in one table.
+    """Hold the racks of one availability zone."""
 
-    The table has columns for processors, memory and accelerators, and a slot for each
-    worker, with the workers of a rack in succession. Amounts below 0 count as 0, as
-    does everything on a worker that is not schedulable. Compact gangs look at each
-    worker of a large cell; with `Worker` objects and `Resources.count_in` that took
-    most of the time of a decision.
-    """
-
-    __slots__ = ("accelerators", "cpus", "memory", "names", "racks", "stale")
+    __slots__ = ("names", "number", "racks")
 
-    def __init__(self) -> None:
+    def __init__(self, number: int) -> None:
+        self.number = number  # in the order in which zones were added
         self.racks: dict[str, Rack] = {}
         self.names: list[str] = []  # of the racks, sorted
-        self.cpus = array.array("q")
-        self.memory = array.array("q")
-        self.accelerators = array.array("q")
-        self.stale = True  # the table has to be built again
-
-    def build(self) -> None:
-        """Build the table."""
-        self.stale = False
-        all_cpus, all_memory, all_accelerators = [], [], []
-        for rack in self.racks.values():
-            rack.first = len(all_cpus)
-            rack.cpus = rack.memory = rack.accelerators = rack.paired = 0
-            for entry in rack.members.values():
-                entry.slot = len(all_cpus)
-                cpus, memory, accelerators = _usable(entry)
-                all_cpus.append(cpus)
-                all_memory.append(memory)
-                all_accelerators.append(accelerators)
-                rack.cpus += cpus
-                rack.memory += memory
-                rack.accelerators += accelerators
-                rack.paired += min(cpus, memory // MEMORY_PER_CPU)
-            rack.last = len(all_cpus)
-        self.cpus = array.array("q", all_cpus)
-        self.memory = array.array("q", all_memory)
-        self.accelerators = array.array("q", all_accelerators)
-
-    def room(self, demand: resources.Resources, excluded: frozenset[str]) -> int:
-        """Return how many tasks fit."""
-        if demand == resources.ZERO:
-            return sum(rack.room(demand, excluded) for rack in self.racks.values())
-        room = _count_room(self, 0, len(self.cpus), demand)
-        if excluded:
-            for rack in self.racks.values():
-                if not excluded.isdisjoint(rack.members):
-                    room += rack.room(demand, excluded)
-                    room -= _count_room(self, rack.first, rack.last, demand)
-        return room
+
+    def upper_room(self, demand: resources.Resources) -> int:
+        """Return an upper bound on how many tasks fit, by the sums of the racks."""
+        return sum(_upper_rooms(self.racks.values(), demand))
 
 
 class Rack:
-    """Hold the workers of one rack in the order in which they were added."""
-
-    __slots__ = (
-        "accelerators",
-        "cpus",
-        "first",
-        "last",
-        "members",
-        "memory",
-        "paired",
-        "zone",
-    )
+    """Hold the workers of one rack in the order in which they were added.
+
+    The sums of what may be used on them are kept up to date with each change, so that
+    a decision for a compact gang looks only at the workers of a few racks. Amounts
+    below 0 count as 0, as does everything on a worker that is not schedulable.
+    """
+
+    __slots__ = ("accelerators", "cpus", "members", "memory", "paired", "zone")
 
     def __init__(self, zone: Zone) -> None:
         self.zone = zone
         self.members: dict[str, inventory.Worker] = {}
-        # Sums of the columns in the slots of the rack.
         self.cpus = self.memory = self.accelerators = 0
-        self.first = self.last = 0
         # Sum of the processors for which a worker has MEMORY_PER_CPU each.
         self.paired = 0
 
-    def note_free(self, entry: inventory.Worker) -> None:
-        """Take in what may be used on a worker now."""
-        zone = self.zone
-        if zone.stale:
-            return
-        slot = entry.slot
-        cpus, memory, accelerators = _usable(entry)
-        cpus_before, memory_before = zone.cpus[slot], zone.memory[slot]
+    @property
+    def free(self) -> resources.Resources:
+        """Return the sums."""
+        return resources.Resources(self.cpus, self.memory, self.accelerators)
+
+    def count(self, entry: inventory.Worker, sign: int) -> None:
+        """Add what a worker has free to the sums, or take it out."""
+        cpus, memory = max(0, entry.cpus), max(0, entry.memory)
+        self.cpus += sign * cpus
+        self.memory += sign * memory
+        self.accelerators += sign * max(0, entry.accelerators)
+        self.paired += sign * min(cpus, memory // MEMORY_PER_CPU)
+
+    def note_change(
+        self,
+        cpus_before: int,
+        memory_before: int,
+        accelerators_before: int,
+        entry: inventory.Worker,
+    ) -> None:
+        """Take in that other amounts are free on a worker."""
+        cpus, memory, accelerators = entry.cpus, entry.memory, entry.accelerators
+        if (
+            cpus < 0
+            or memory < 0
+            or cpus_before < 0
+            or memory_before < 0
+            or accelerators != accelerators_before
+        ):
+            self.accelerators += max(0, accelerators) - max(0, accelerators_before)
+            cpus, memory = max(0, cpus), max(0, memory)
+            cpus_before, memory_before = max(0, cpus_before), max(0, memory_before)
         self.cpus += cpus - cpus_before
         self.memory += memory - memory_before
-        self.paired += min(cpus, memory // MEMORY_PER_CPU)
-        self.paired -= min(cpus_before, memory_before // MEMORY_PER_CPU)
-        zone.cpus[slot] = cpus
-        zone.memory[slot] = memory
-        if accelerators != zone.accelerators[slot]:
-            self.accelerators += accelerators - zone.accelerators[slot]
-            zone.accelerators[slot] = accelerators
+        paired = memory // MEMORY_PER_CPU
+        paired_before = memory_before // MEMORY_PER_CPU
+        self.paired += (cpus if cpus < paired else paired) - (
+            cpus_before if cpus_before < paired_before else paired_before
+        )
 
     def best(
         self, demand: resources.Resources, excluded: frozenset[str], compact: bool
@@ -136,30 +113,30 @@
                 best, best_order = entry, order
         return best
 
+    def room(
+        self,
+        demand: resources.Resources,
+        excluded: frozenset[str],
+        limit: float = math.inf,
+    ) -> int:
+        """Return how many tasks fit; may stop counting above `limit`."""
+        return _count_room(self.members.values(), demand, excluded, limit)
+
     def rooms(
         self, demand: resources.Resources, excluded: frozenset[str]
     ) -> list[tuple[str, int]]:
         """Return the workers with room and how many tasks each can take."""
+        cpus, memory = demand.cpus, demand.memory
         return [
             (entry.name, room)
             for entry in self.members.values()
-            if entry.schedulable
+            if (entry.cpus >= cpus or not cpus)
+            and (entry.memory >= memory or not memory)
+            and entry.schedulable
             and entry.name not in excluded
             and (room := demand.count_in(entry.free)) > 0
         ]
 
-    def room(
-        self,
-        demand: resources.Resources,
-        excluded: frozenset[str],
-        limit: float = math.inf,
-    ) -> int:
-        """Return how many tasks fit; may stop counting above `limit`."""
-        hit = excluded and not excluded.isdisjoint(self.members)
-        if hit or demand == resources.ZERO:  # which fits into empty slots too
-            return sum(room for _, room in self.rooms(demand, excluded))
-        return _count_room(self.zone, self.first, self.last, demand, limit)
-
 
 class Racks:
     """Know all racks and choose among them by what runs there."""
@@ -169,23 +146,22 @@
         self._racks: dict[tuple[str, str], Rack] = {}
         # Number of zones that have a rack of the name.
         self._zones_with: collections.Counter[str] = collections.Counter()
-        # Workers that changed since the tables were brought up to date, or `None` as
-        # long as no table is in use. Each choice of a worker comes through here, and
-        # writing to the tables at once raised the cost ratio of bench.placement
-        # above 2.
-        self._changed: list[inventory.Worker] | None = None
+        self._number = 0  # of the zone that was added last
 
     def add(self, entry: inventory.Worker) -> None:
         """Add a worker."""
         key = (entry.availability_zone, entry.rack)
         rack = self._racks.get(key)
         if rack is None:
-            zone = self._zones.setdefault(key[0], Zone())
+            zone = self._zones.get(key[0])
+            if zone is None:
+                self._number += 1
+                zone = self._zones[key[0]] = Zone(self._number)
             rack = self._racks[key] = zone.racks[key[1]] = Rack(zone)
             bisect.insort(zone.names, key[1])
             self._zones_with[key[1]] += 1
         rack.members[entry.name] = entry
-        rack.zone.stale = True
+        rack.count(entry, 1)
         entry.home = rack
 
     def remove(self, entry: inventory.Worker) -> None:
@@ -193,7 +169,8 @@
         zone_name, name = key = (entry.availability_zone, entry.rack)
         rack = self._racks[key]
         zone = rack.zone
-        zone.stale = True
+        if entry.schedulable:
+            rack.count(entry, -1)
         del rack.members[entry.name]
         if rack.members:
             return
@@ -206,27 +183,6 @@
         if not self._zones_with[name]:
             del self._zones_with[name]
 
-    def note_change(self, entry: inventory.Worker) -> None:
-        """Take in that what may be used on a worker has changed."""
-        changed = self._changed
-        if changed is None:
-            return
-        if len(changed) < MAX_CHANGES:
-            changed.append(entry)
-            return
-        self._changed = None
-        for zone in self._zones.values():
-            zone.stale = True
-
-    def _refresh(self) -> None:
-        """Bring the tables up to date."""
-        for entry in dict.fromkeys(self._changed or ()):
-            entry.home.note_free(entry)
-        self._changed = []
-        for zone in self._zones.values():
-            if zone.stale:
-                zone.build()
-
     def have_any(self, names: Iterable[str]) -> bool:
         """Return whether one of the names is that of a rack."""
         return any(name in self._zones_with for name in names)
@@ -256,36 +212,40 @@
         demand: resources.Resources,
         count: int,
         excluded: frozenset[str],
-        allowed: frozenset[str] | None,
+        shelves: list[inventory.Shelf],
+        by_zone: Mapping[str, inventory.Shelf],
     ) -> list[tuple[str, int]] | int:
-        """Return workers in one rack, else in one zone, with the least room over.
+        """Return workers in one rack, else in one zone.
+
+        `shelves` holds the workers that may be used, as does `by_zone`.
 
-        Without enough room in one zone, return how many tasks fit in all zones.
+        Both have the least room, but only `MAX_COUNTED` racks are counted, and zones
+        are compared by the sums of their racks: to count all workers took most of the
+        time of a decision. So the room of the chosen rack or zone is at most the upper
+        bound of any other that has enough room and was not counted. Without enough
+        room in one zone, return how many tasks fit in all zones, or `count` if it is
+        more.
         """
-        zones = [
-            zone
-            for name, zone in self._zones.items()
-            if allowed is None or name in allowed
-        ]
-        self._refresh()
-        racks: Iterable[Rack] = self._racks.values()
-        if allowed is not None:
-            racks = [rack for key, rack in self._racks.items() if key[0] in allowed]
+        total = _room_on(shelves, demand, excluded, count)
+        if total < count:
+            return total
+        racks = list(self._racks.values())
+        if not by_zone.keys() >= self._zones.keys():
+            racks = [rack for key, rack in self._racks.items() if key[0] in by_zone]
         best = _tightest(racks, demand, count, excluded)
         if best is not None:
             return _fill(best.rooms(demand, excluded), count)
-        rooms = [(zone.room(demand, excluded), zone) for zone in zones]
-        least = min((room for room, _ in rooms if room >= count), default=None)
-        if least is None:
-            return sum(room for room, _ in rooms)
-        tied = [zone for room, zone in rooms if room == least]
-        # The zone whose first rack with room was added first wins a tie.
-        first = next(
-            rack for rack in racks if rack.zone in tied and rack.room(demand, excluded)
-        )
-        parts = [rack.rooms(demand, excluded) for rack in first.zone.racks.values()]
-        parts.sort(key=lambda part: -sum(room for _, room in part))
-        return _fill([pair for part in parts for pair in part], count)
+        zones = [
+            (upper, zone.number, name, zone)
+            for name, zone in self._zones.items()
+            if name in by_zone and (upper := zone.upper_room(demand)) >= count
+        ]
+        for _, _, name, zone in sorted(zones):
+            if _room_on([by_zone[name]], demand, excluded, count) >= count:
+                parts = [rack.rooms(demand, excluded) for rack in zone.racks.values()]
+                parts.sort(key=lambda part: -sum(room for _, room in part))
+                return _fill([pair for part in parts for pair in part], count)
+        return count
 
 
 def _in_order(zone: Zone, counts: Mapping[str, int], compact: bool) -> Iterator[str]:
@@ -305,63 +265,110 @@
 
 
 def _tightest(
-    racks: Iterable[Rack],
+    racks: list[Rack],
     demand: resources.Resources,
     count: int,
     excluded: frozenset[str],
 ) -> Rack | None:
-    """Return the first rack with the least room for at least `count` tasks."""
-    needed = demand.times(count)
-    cpus, memory, accelerators = needed.cpus, needed.memory, needed.accelerators
-    best, least = None, math.inf
+    """Return the first rack with the least room for at least `count` tasks.
+
+    Beyond `MAX_COUNTED` racks only the upper bounds are compared.
+    """
+    # Plain numbers: tuples for thousands of racks made the garbage collector look at
+    # all objects of the process, which took up to 100 ms.
+    bounds = [
+        upper << NUMBER_BITS | number
+        for number, upper in enumerate(_upper_rooms(racks, demand))
+        if upper >= count
+    ]
+    heapq.heapify(bounds)
     # A task takes at most so much of `Rack.paired`, and what is left on each worker is
     # less, so a rack with enough of it has more room than the best one so far.
     paired = max(demand.cpus, demand.memory / MEMORY_PER_CPU)
-    bounded = paired > 0 and not accelerators and not excluded
-    for rack in racks:
-        if rack.cpus < cpus or rack.memory < memory or rack.accelerators < accelerators:
-            continue
-        if bounded and rack.paired > (least + rack.last - rack.first) * paired:
+    is_bounded = paired > 0 and not demand.accelerators
+    best, least, counted = None, (math.inf, 0), 0
+    while bounds and (best is None or counted < MAX_COUNTED):
+        number = heapq.heappop(bounds) & (1 << NUMBER_BITS) - 1
+        rack = racks[number]
+        if (
+            is_bounded
+            and rack.paired > (least[0] + len(rack.members)) * paired
+            and (not excluded or excluded.isdisjoint(rack.members))
+        ):
             continue
-        room = rack.room(demand, excluded, least)
-        if count <= room < least:
-            best, least = rack, room
-            if room == count:
-                break
+        counted += 1
+        room = rack.room(demand, excluded, least[0])
+        if room >= count and (room, number) < least:
+            best, least = rack, (room, number)
     return best
 
 
-def _usable(entry: inventory.Worker) -> tuple[int, int, int]:
-    """Return what may be used on a worker: processors, memory, accelerators."""
-    if not entry.schedulable:
-        return 0, 0, 0
-    cpus, memory, accelerators = entry.cpus, entry.memory, entry.accelerators
-    if cpus < 0 or memory < 0 or accelerators < 0:
-        return max(0, cpus), max(0, memory), max(0, accelerators)
-    return cpus, memory, accelerators
+def _upper_rooms(racks: Iterable[Rack], demand: resources.Resources) -> list[int]:
+    """Return for each rack an upper bound on how many tasks fit, by its sums."""
+    cpus, memory, accelerators = demand.cpus, demand.memory, demand.accelerators
+    if cpus <= 0 or memory <= 0:
+        return [demand.count_in(rack.free) for rack in racks]
+    # Without a call for each rack, since a large cell has thousands of them.
+    if accelerators:
+        return [
+            min(
+                rack.cpus // cpus,
+                rack.memory // memory,
+                rack.accelerators // accelerators,
+            )
+            for rack in racks
+        ]
+    return [
+        fitting
+        if (fitting := rack.cpus // cpus) < (by_memory := rack.memory // memory)
+        else by_memory
+        for rack in racks
+    ]
+
+
+def _room_on(
+    shelves: list[inventory.Shelf],
+    demand: resources.Resources,
+    excluded: frozenset[str],
+    limit: int,
+) -> int:
+    """Return how many tasks fit, but at most `limit`."""
+    room = 0
+    for shelf in shelves:
+        for members in shelf.members_with(demand):
+            room += _count_room(members, demand, excluded, limit - room)
+            if room >= limit:
+                return limit
+    return room
 
 
 def _count_room(
-    zone: Zone,
-    first: int,
-    last: int,
+    entries: Iterable[inventory.Worker],
     demand: resources.Resources,
-    limit: float = math.inf,
+    excluded: frozenset[str],
+    limit: float,
 ) -> int:
     """Return how many tasks fit on workers; may stop counting above `limit`."""
-    cpus, memory, accelerators = demand.cpus, demand.memory, demand.accelerators
-    all_cpus, all_memory = zone.cpus[first:last], zone.memory[first:last]
+    cpus, memory = demand.cpus, demand.memory
     room = 0
-    if cpus <= 0 or memory <= 0 or accelerators:
-        columns = zip(all_cpus, all_memory, zone.accelerators[first:last], strict=True)
-        for free in columns:
-            if free[2] >= accelerators and free[0] >= cpus and free[1] >= memory:
-                room += demand.count_in(resources.Resources(*free))
+    if cpus <= 0 or memory <= 0 or demand.accelerators:
+        for entry in entries:
+            if (
+                entry.accelerators >= demand.accelerators
+                and entry.schedulable
+                and entry.name not in excluded
+            ):
+                room += demand.count_in(entry.free)
         return room
-    for free_cpus, free_memory in zip(all_cpus, all_memory, strict=True):
-        if free_cpus >= cpus and free_memory >= memory:
-            fitting = free_cpus // cpus
-            by_memory = free_memory // memory
+    for entry in entries:
+        free_cpus, free_memory = entry.cpus, entry.memory
+        if (
+            free_cpus >= cpus
+            and free_memory >= memory
+            and entry.schedulable
+            and not (excluded and entry.name in excluded)
+        ):
+            fitting, by_memory = free_cpus // cpus, free_memory // memory
             room += by_memory if by_memory < fitting else fitting
             if room > limit:
                 break
