Restore the spread of services after an availability zone returns

Cause: a trace of a zone that leaves and returns showed that waiting work flows back at once and that the return stops nothing, but that services with `spread` stayed out of the zone for good: 6, 0 and 6 of 12 tasks.

Change: every `spread_move_s` (setting, 10 s, 0 for none), one task of a service whose zones differ by two or more is checkpointed, if an emptiest zone has room. A reservation keeps the room until the task has started there; without it waiting work took the room and the task started where it was.

--- a/toucanspring/effects.py
+++ b/toucanspring/effects.py
@@ -1,7 +1,7 @@
 """Effects that a partition's scheduler asks its owner to carry out.
 
-`scheduler.Scheduler(partition, rng)` has these methods. Times are monotonic
-seconds; each returns the list of effects, in the order to carry them out.
+`scheduler.Scheduler(partition, rng, spread_move_s)` has these methods. Times are
+monotonic seconds; each returns the list of effects, in the order to carry them out.
 
 - `submit(specs: list[JobSpec], now)`: queue durable jobs; a job that can never
   run yields `RecordOutcomes` with `not_run` and the reason
--- a/toucanspring/gang.py
+++ b/toucanspring/gang.py
@@ -28,6 +28,7 @@
     # What waiting for `starts_at` leaves idle, in seconds of the whole cell.
     idle_cost: float = 0.0
     weighed: bool = False  # the cost was compared with that of checkpoints
+    moving: bool = False  # the job waits only once its task has stopped
 
 
 def excluded_for(
@@ -59,7 +60,8 @@
 def expire(core: lifecycle.Lifecycle, now: float) -> None:
     """Drop reservations whose time is over or whose job no longer waits."""
     for job_id, reservation in list(core.reservations.items()):
-        if now >= reservation.expires or job_id not in core.queue:
+        waits = job_id in core.queue or reservation.moving
+        if now >= reservation.expires or not waits:
             del core.reservations[job_id]
             core.changed = True
 
--- a/toucanspring/partition.py
+++ b/toucanspring/partition.py
@@ -57,7 +57,9 @@
         self._kernel = core
         self._settings = options
         self._inbox: gevent.queue.Queue = gevent.queue.Queue()
-        self._scheduler = scheduler.Scheduler(number, random.Random())
+        self._scheduler = scheduler.Scheduler(
+            number, random.Random(), options.spread_move_s
+        )
         self._accepting: dict[str, tuple[job.JobSpec, gevent.event.AsyncResult]] = {}
         self._greenlet: gevent.Greenlet | None = None
         if options.partitions > 1 and options.moves == "on":
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -20,6 +20,7 @@
     preemption,
     recovery,
     resources,
+    spreading,
     summary,
     wire,
 )
@@ -30,10 +31,16 @@
 class Scheduler:
     """Decide for one partition; perform no I/O and read no clock."""
 
-    def __init__(self, partition: int, rng: random.Random) -> None:
+    def __init__(
+        self,
+        partition: int,
+        rng: random.Random,
+        spread_move_s: float = spreading.MOVE_S,
+    ) -> None:
         self.partition = partition
         self._core = lifecycle.Lifecycle(rng)
         self._dispatcher = dispatch.Dispatcher(self._core)
+        self._spreader = spreading.Spreader(self._core, spread_move_s)
         self.moves = moves.Moves(self._core, self._dispatcher)
         self._next_checks = 0.0
         self._tried: set[str] = set()  # blocked jobs, in this turn of preemption
@@ -218,6 +225,7 @@
             preemption.drain(core, now)
             blocked = self._dispatcher.blocked.values()
             preemption.make_room(core, blocked, self._tried, now)
+            self._spreader.step(now)
         self._dispatcher.place(now)
         for effect in core.allowances.step(now, checks_due):
             core.effects.add(effect)
--- a/toucanspring/settings.py
+++ b/toucanspring/settings.py
@@ -48,6 +48,7 @@
     :param heartbeat_s: interval of heartbeats between processes
     :param drain_s: limit on waiting for in-flight requests at shutdown
     :param moves: on, or off to keep each worker in its first partition
+    :param spread_move_s: interval of moves of services to emptier zones; 0 for none
     :param plugins: names of plugins to load, separated by commas
     """
 
@@ -76,6 +77,7 @@
     heartbeat_s: float = 0.5
     drain_s: float = 30.0
     moves: str = "on"
+    spread_move_s: float = 10.0
     plugins: str = ""
 
 
@@ -106,6 +108,7 @@
         ("poll_s", 0 < settings.poll_s <= 1, "more than 0, at most 1"),
         ("heartbeat_s", 0 < settings.heartbeat_s <= 1, "more than 0, at most 1"),
         ("moves", settings.moves in ("on", "off"), "on or off"),
+        ("spread_move_s", settings.spread_move_s >= 0, "0 or more"),
         ("drain_s", settings.drain_s >= 0, "0 or more"),
         ("tls_key", bool(settings.tls_certificate) == bool(settings.tls_key),
          "set together with tls_certificate"),
