--- a/toucanspring/event_kinds.py
+++ b/toucanspring/event_kinds.py
@@ -54,6 +54,7 @@
     MEMORY = "worker_out_of_memory"
     GANG = "gang_stopped"
     MOVE = "worker_drained_for_move"
+    SPREAD = "service_spread_again"
 
 
 class PartitionClaimed(Event, frozen=True):
--- a/toucanspring/gang.py
+++ b/toucanspring/gang.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from toucanspring import (
+    draining,
     event_kinds,
     interruption,
     job,
@@ -21,7 +22,6 @@
 RESERVATION_S = 1.0  # then the expected ends of tasks are looked at again
 # More reservations would leave little capacity for backfill.
 MAX_RESERVATIONS = 2
-OVERDUE_S = 1.0  # a task beyond its expected end is expected to end so soon
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,6 +33,10 @@
     expires: float
     making_room: bool = False  # running tasks were stopped for it
     exclusive: bool = True  # tasks of other jobs stay off the workers
+    # What waiting for `starts_at` leaves idle, in seconds of the whole cell.
+    idle_cost: float = 0.0
+    weighed: bool = False  # the cost was compared with that of checkpoints
+    moving: bool = False  # the job waits only once its task has stopped
 
 
 def excluded_for(
@@ -64,7 +68,8 @@
 def expire(core: lifecycle.Lifecycle, now: float) -> None:
     """Drop reservations whose time is over or whose job no longer waits."""
     for job_id, reservation in list(core.reservations.items()):
-        if now >= reservation.expires or job_id not in core.queue:
+        waits = job_id in core.queue or reservation.moving
+        if now >= reservation.expires or not waits:
             del core.reservations[job_id]
             core.changed = True
 
@@ -120,7 +125,10 @@
     if found is not None:
         workers, starts_at = found
         core.reservations[spec.id] = Reservation(
-            workers, starts_at, now + RESERVATION_S
+            workers,
+            starts_at,
+            now + RESERVATION_S,
+            idle_cost=draining.idle_cost(core, workers, starts_at, now),
         )
 
 
@@ -144,7 +152,7 @@
         free[name] = core.index.free(name)
         for task in core.tasks_on[name].values():
             if not math.isinf(task.expected_end):
-                end = max(task.expected_end, now + OVERDUE_S)
+                end = max(task.expected_end, now + draining.OVERDUE_S)
                 ends.append((end, name, task.demand))
     fits = {name: demand.count_in(amount) for name, amount in free.items()}
     total, starts_at = sum(fits.values()), now
--- a/toucanspring/preemption.py
+++ b/toucanspring/preemption.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import dataclasses
+import heapq
+import math
+from collections.abc import Callable, Iterable
 
 from toucanspring import (
     avoidance,
+    draining,
     event_kinds,
     gang,
     interruption,
@@ -114,9 +118,15 @@
         if held and held.making_room:
             continue
         demand = core.demand(spec)
+        limit = math.inf
         if is_pressing(core, record, now):
             order = CLASS_ORDER[spec.job_class]
             victims = _victims(core, record, max(order, NEVER_STOPPED), None)
+        elif held and draining.may_end(record, held):
+            core.reservations[spec.id] = dataclasses.replace(held, weighed=True)
+            victims = _victims(core, record, CLASS_ORDER[spec.job_class], None)
+            victims = draining.select_victims(core, record, victims, demand)
+            limit = held.idle_cost
         elif now - _served_at(core, record) >= SHARE_WAIT_S:
             if over is None:
                 active = core.using_teams() | set(core.queue.teams())
@@ -128,7 +138,7 @@
             victims = _victims(core, record, NEVER_STOPPED, over)
         else:
             continue
-        _stop_victims(core, record, demand, victims, now)
+        _stop_victims(core, record, demand, victims, now, limit)
         tried.add(spec.id)
         tries += 1
         if tries >= TRIES_PER_STEP:
@@ -200,8 +210,12 @@
     demand: resources.Resources,
     victims: dict[str, list[task_table.LiveTask]],
     now: float,
+    limit: float = math.inf,
 ) -> None:
-    """Stop the fewest tasks that make room, if there are enough."""
+    """Stop the fewest tasks that make room, if there are enough.
+
+    Nothing is stopped if that costs `limit` or more, in seconds of the whole cell.
+    """
     spec = record.spec
     count = record.waiting_count()
     together = spec.kind is job.Kind.GANG
@@ -216,32 +230,38 @@
         ),
         avoidance.avoided(core, record, demand, now),
     )
-    plans = []
-    for worker, tasks in victims.items():
-        if worker not in taken:
-            plans += _plans(worker, tasks, core.index.free(worker), demand)
+
+    def cost_of(task: task_table.LiveTask) -> float:
+        return 1.0 if limit == math.inf else draining.checkpoint_cost(core, task, now)
+
+    steps = {
+        worker: _steps(tasks, core.index.free(worker), demand, cost_of)
+        for worker, tasks in victims.items()
+        if worker not in taken
+    }
     if together:
         # Workers with room that need no stop belong to the place of the gang.
         for worker, state in core.workers.items():
-            if state.schedulable and worker not in taken:
-                room = demand.count_in(core.index.free(worker))
-                plans += [(0, worker, ())] * min(room, count)
-    plans.sort(key=lambda plan: plan[:2])
-    chosen = plans[:count]
-    if not chosen or (together and len(chosen) < count):
+            room = demand.count_in(core.index.free(worker))
+            if room and state.schedulable and worker not in taken:
+                steps[worker] = [Step((), room, 0.0), *steps.get(worker, [])]
+    chosen, room = _cheapest(steps, count)
+    if not chosen or (together and room < count):
+        return
+    stopped = [task for _, step in chosen for task in step.tasks]
+    if sum(step.cost for _, step in chosen) >= limit:
         return
     reason = f"room for {spec.job_class.value} job {spec.id}"
-    for _, _, tasks in chosen:
-        for task in tasks:
-            interruption.interrupt(
-                core,
-                task,
-                reason,
-                "checkpoint",
-                event_kinds.StopCause.PREEMPTED,
-                spec.id,
-            )
-    workers = frozenset(worker for _, worker, _ in chosen)
+    for task in stopped:
+        interruption.interrupt(
+            core,
+            task,
+            reason,
+            "checkpoint",
+            event_kinds.StopCause.PREEMPTED,
+            spec.id,
+        )
+    workers = frozenset(worker for worker, _ in chosen)
     # Room taken back for a share goes to its owner by rank. Keeping whole workers for
     # it gave one job all of a worker for ROOM_S, far beyond its share.
     exclusive = together or is_pressing(core, record, now)
@@ -250,14 +270,26 @@
     )
 
 
-def _plans(
-    worker: str,
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """Hold tasks of one worker to stop, and for how many tasks that makes room.
+
+    The tasks of the steps before it on the worker have to be stopped too.
+    """
+
+    tasks: tuple[task_table.LiveTask, ...]
+    room: int
+    cost: float
+
+
+def _steps(
     tasks: list[task_table.LiveTask],
     free: resources.Resources,
     demand: resources.Resources,
-) -> list[tuple[int, str, tuple[task_table.LiveTask, ...]]]:
-    """Return sets of tasks to stop, each of which makes room for one more task."""
-    plans = []
+    cost_of: Callable[[task_table.LiveTask], float],
+) -> list[Step]:
+    """Return the steps on a worker, in the order of its tasks."""
+    steps = []
     room = demand.count_in(free)
     pending: list[task_table.LiveTask] = []
     for task in tasks:
@@ -266,10 +298,36 @@
         free += task.demand
         pending.append(task)
         if (now_fits := demand.count_in(free)) > room:
-            plans.append((len(pending), worker, tuple(pending)))
-            plans += [(0, worker, ())] * (now_fits - room - 1)
+            cost = sum(cost_of(pended) for pended in pending)
+            steps.append(Step(tuple(pending), now_fits - room, cost))
             room, pending = now_fits, []
-    return plans
+    return steps
+
+
+def _cheapest(
+    steps: dict[str, list[Step]], count: int
+) -> tuple[list[tuple[str, Step]], int]:
+    """Return steps with room for `count` tasks, if there is so much, and their room.
+
+    The next step is the one with the lowest cost for each task that gets room.
+    """
+    heads = [
+        (found[0].cost / found[0].room, worker, 0)
+        for worker, found in steps.items()
+        if found
+    ]
+    heapq.heapify(heads)
+    chosen: list[tuple[str, Step]] = []
+    room = 0
+    while heads and room < count:
+        _, worker, position = heapq.heappop(heads)
+        found = steps[worker]
+        chosen.append((worker, found[position]))
+        room += found[position].room
+        if (position := position + 1) < len(found):
+            step = found[position]
+            heapq.heappush(heads, (step.cost / step.room, worker, position))
+    return chosen, room
 
 
 def _overlaps(demand: resources.Resources, needed: resources.Resources) -> bool:
