State lost events in a row, and test what partitions and requests publish

A loss of events changed no segment, so no row stated it unless another event followed. The last segment is now written again; the new check in test_event_buffer fails without this.

--- a/test/test_event_buffer.py
+++ b/test/test_event_buffer.py
@@ -73,6 +73,11 @@
         held = sum(segment.size for segment in self.buffer.segments)
         self.assertTrue(held <= 2 * event_buffer.HELD_BYTES)
         self.assertTrue(self.buffer.lost > 0)
+        # Guards against a loss that no row ever states.
+        for segment in self.buffer.segments:
+            segment.unwritten = False
+        self.buffer.add(lost(), START + 3600 * 51)
+        self.assertEqual(1, len(self.buffer.unwritten()))
 
     def test_written_segments_are_forgotten_after_a_while(self):
         for number in range(300):
--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -8,6 +8,7 @@
 from toucanspring import (
     effects,
     errors,
+    event_kinds,
     inbox,
     job,
     kernel,
@@ -368,6 +369,30 @@
         successor.post(worker_link.Lost("w1"))
         self.wait(lambda: self.fleet.found["w2"].started == ["a/0"])
 
+    def test_what_happens_to_workers_is_published(self):
+        # Guards against losses and decisions that only the log of a process names.
+        owner = self.open(1)
+        told = []
+        for kind in event_kinds.KINDS:
+            owner._kernel.subscribe(kind, told.append)
+        self.attach(owner)
+        self.submit(owner, "a")
+        self.wait(lambda: self.fleet.found["w1"].started == ["a/0"])
+        self.documents.out = frozenset({"zone-a"})
+        owner.post(inbox.TeamsChanged())
+        owner.post(worker_link.EpochRefused("w2", 3))
+        owner.post(worker_link.Lost("w1"))
+        expected = [
+            event_kinds.ZoneTakenOut("zone-a", 0, 1, 1),
+            event_kinds.TasksStopped(
+                "a", "w1", "zone-a", event_kinds.StopCause.ZONE_OUT, "checkpoint", ""
+            ),
+            event_kinds.EpochRefused("w2", 0, 1, 3),
+            event_kinds.WorkerLost("w1", "z0", "r0", 0, 1),
+        ]
+        self.wait(lambda: len(told) >= 4)
+        self.assertEqual(expected, told)
+
     def test_a_successor_takes_the_result_that_the_worker_kept(self):
         former = self.fleet.found["w1"]
         successor = self.start_elsewhere(idempotent=False)
--- a/test/test_requests.py
+++ b/test/test_requests.py
@@ -113,6 +113,9 @@
         self.assertGreaterEqual(len(shed), 1)
         for one in results:
             self.assertIsInstance(one, errors.Overloaded | errors.NotRun)
+        (told,) = self.core.find("events").report(60.0).events
+        self.assertEqual("requests_refused", told["kind"])
+        self.assertEqual((len(shed), "check"), (told["count"], told["job_class"]))
 
     @SETTINGS
     @hypothesis.given(
--- a/toucanspring/event_buffer.py
+++ b/toucanspring/event_buffer.py
@@ -117,6 +117,8 @@
             or held + size > factor * HELD_BYTES
         ):
             self.lost += 1
+            if self.segments:
+                self.segments[-1].unwritten = True  # its row states what was lost
             return
         segment = self._open_segment(hour, size)
         segment.entries.append(entry)
