Look for newly avoided places only when a worker becomes one

Each end of a task of a job that avoids workers built four sets over these workers to find what to publish; now only an end that makes a worker avoided counts those of its rack.

--- a/toucanspring/avoidance.py
+++ b/toucanspring/avoidance.py
@@ -40,20 +40,27 @@
 
     def record(
         self, worker: str, rack: str, ok: bool, run_seconds: float, now: float
-    ) -> None:
-        """Record the end of a task; a success or a long run clears the worker."""
+    ) -> float:
+        """Record the end of a task; a success or a long run clears the worker.
+
+        Return for how many seconds the worker is avoided from now on, or 0.
+        """
         if ok or run_seconds > quarantine.QUICK_FAILURE_S:
             self._places.pop(worker, None)
-            return
+            return 0.0
         place = self._places.setdefault(worker, _Place(rack))
         if now < place.until:
-            return  # started before the worker was avoided
+            return 0.0  # started before the worker was avoided
         place.delay_s = min(MAX_AVOID_S, place.delay_s * AVOID_GROWTH)
         place.until = now + place.delay_s
+        return place.delay_s
 
-    def delay_s(self, worker: str) -> float:
-        """Return for how long a worker was last to be avoided."""
-        return self._places[worker].delay_s
+    def count_in(self, rack: str, now: float) -> int:
+        """Return the number of avoided workers of a rack; 0 without a name."""
+        return sum(
+            place.rack == rack != "" and now < place.until
+            for place in self._places.values()
+        )
 
     def workers(self, now: float) -> set[str]:
         """Return the workers to avoid."""
@@ -83,14 +90,13 @@
         record.avoidance = Avoidance()
     state = core.workers.get(worker)
     rack = state.facts.rack if state is not None else ""
-    places = record.avoidance
-    before, racks = places.workers(now), places.racks(now)
-    places.record(worker, rack, ok, run_seconds, now)
-    if worker in places.workers(now) - before:
-        seconds = places.delay_s(worker)
-        core.effects.publish(event_kinds.WorkerAvoided(record.spec.id, worker, seconds))
-    for name in places.racks(now) - racks:
-        core.effects.publish(event_kinds.RackAvoided(record.spec.id, name))
+    avoided_s = record.avoidance.record(worker, rack, ok, run_seconds, now)
+    if not avoided_s:
+        return
+    job_id = record.spec.id
+    core.effects.publish(event_kinds.WorkerAvoided(job_id, worker, avoided_s))
+    if record.avoidance.count_in(rack, now) == WORKERS_OF_BAD_RACK:
+        core.effects.publish(event_kinds.RackAvoided(job_id, rack))
 
 
 def avoided(
--- a/toucanspring/event_kinds.py
+++ b/toucanspring/event_kinds.py
@@ -186,7 +186,7 @@
 
 
 class WorkerAvoided(Event, frozen=True):
-    """A job stays away from a worker on which its tasks fail."""
+    """A job stays away from a worker on which its tasks fail, if others can run it."""
 
     job: str
     worker: str
