--- a/test/test_requests.py
+++ b/test/test_requests.py
@@ -113,6 +113,9 @@
         self.assertGreaterEqual(len(shed), 1)
         for one in results:
             self.assertIsInstance(one, errors.Overloaded | errors.NotRun)
+        (told,) = self.core.find("events").report(60.0).events
+        self.assertEqual("requests_refused", told["kind"])
+        self.assertEqual((len(shed), "check"), (told["count"], told["job_class"]))
 
     def test_a_request_at_a_paused_owner_goes_to_its_successor(self):
         # Guards against a warning that waits at a paused owner for its whole deadline.
