Forget handed over work only under the layout of the handover

Cause: the new model of a change of the number (spec/resizing.py) found a path on which accepted work is lost. Ended work goes from partition 0 to partition 1, where it is durable; before partition 0 forgets it, operators set the former number again. Partition 1 hands the work to partition 0, which still has it, and forgets; then partition 0 forgets as well, since partition 1 had taken it. A repeat of the job or request would run again.

Change: the record HandedOver checks the version of the row under which the work was sent. The test of a handover that crosses a change back fails without it.

A request repeated after the change is passed on to the owner that has it; a test of the service shows that it is sent once.

--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -5,7 +5,7 @@
 
 import minicheck
 
-from spec import model, world
+from spec import model, resizing, world
 
 MAX_STATES = 2_000_000
 
@@ -54,10 +54,13 @@
 
 
 def check(
-    rules: world.Rules, bounds: world.Bounds, max_states: int = MAX_STATES
+    rules: world.Rules | resizing.Rules,
+    bounds: world.Bounds | resizing.Bounds,
+    max_states: int = MAX_STATES,
 ) -> tuple[dict, int]:
     """Return minicheck's result and the depth of the search."""
-    protocol = model.Model(rules, bounds).protocol()
+    kind = model.Model if isinstance(rules, world.Rules) else resizing.Model
+    protocol = kind(rules, bounds).protocol()
     depth = Depth(protocol)
     return minicheck.check_safety(protocol, max_states=max_states), depth.largest
 
@@ -75,11 +78,13 @@
     """Check all spaces and all removals; return 1 if one is not as expected."""
     failed = 0
     print("actions and their implementation:")
-    for action, function in model.ACTIONS.items():
+    for action, function in [*model.ACTIONS.items(), *resizing.ACTIONS.items()]:
         print(f"  {action}: {function}")
-    for bounds in SPACES:
+    spaces = [(world.Rules(), bounds) for bounds in SPACES]
+    spaces += [(resizing.Rules(), bounds) for bounds in resizing.SPACES]
+    for rules, bounds in spaces:
         started = time.monotonic()
-        result, depth = check(world.Rules(), bounds)
+        result, depth = check(rules, bounds)
         proved = all(found["holds"] for found in result["properties"].values())
         failed += not proved
         print(
@@ -90,7 +95,7 @@
         )
         for name, path in broken(result).items():
             print(f"  {name}: " + "; ".join(path))
-    for rule, (rules, bounds) in REMOVALS.items():
+    for rule, (rules, bounds) in [*REMOVALS.items(), *resizing.REMOVALS.items()]:
         result, _ = check(rules, bounds, REMOVAL_STATES)
         found = broken(result)
         failed += not found
--- a/test/test_handover.py
+++ b/test/test_handover.py
@@ -230,6 +230,39 @@
         accepting = job.partition_of(self.name, 3)
         self.assertTrue(self.cell.owner(accepting).holds_job(self.name))
 
+    def test_handovers_that_cross_a_change_back_lose_nothing(self):
+        # Guards against two logs that both forget, since each was told that the other
+        # one has the work.
+        self.submit("a")
+        self.cell.change(5)
+        self.cell.end(self.name)
+        sender = self.cell.owner(self.former)
+        node = self.cell[self.cell.owners[self.former][0]]
+        plain = node.partitions.routes.call
+
+        def call(number, method, *more):
+            answer = plain(number, method, *more)
+            if method == "adopt":
+                node.partitions.routes.call = plain
+                node.change(2)
+                self.cell.reread()
+            return answer
+
+        node.partitions.routes.call = call
+        self.assertIsNone(sender.seal.renew())
+        node.handover._hand_over(sender)
+        self.assertTrue(sender.holds_job(self.name))
+        self.cell.step(3)
+        self.cell.reread()
+        self.assertEqual((2, ()), self.layout_numbers())
+        self.assertTrue(self.cell.owner(self.former).holds_job(self.name))
+        self.assertEqual([self.name], self.submit("b"))
+        self.assertEqual({self.name: [self.former]}, self.cell.accepted())
+
+    def layout_numbers(self):
+        present = self.cell["a"].layout.layout
+        return present.current, present.former
+
     def test_a_successor_finds_handed_over_work_once(self):
         # Guards against a job without its outcomes after a takeover.
         self.submit("a")
--- a/test/test_requests.py
+++ b/test/test_requests.py
@@ -47,6 +47,32 @@
         with testtools.ExpectedException(handler.AnswerCut):
             list(result.chunks)
 
+    def test_a_request_begun_under_a_former_number_is_asked_for_there(self):
+        # Guards against a non-idempotent request that is refused, or run again, when
+        # it is repeated after a change of the number of partitions.
+        self.start(b"whole")
+        self.check_whole(self.serve(idempotent=False))
+        present = self.partitions.request_entry
+        asked = []
+
+        def find(request_id):
+            asked.append(request_id)
+            if len(asked) == 1:
+                return errors.HeldElsewhere(reason="former", partition=2)
+            return present(request_id)
+
+        self.patch(self.partitions, "request_entry", find)
+        owners = []
+        owner_of = self.core.find("claims").owner_of
+        self.patch(
+            self.core.find("claims"),
+            "owner_of",
+            lambda number: (owners.append(number), owner_of(number))[1],
+        )
+        self.check_whole(self.serve(idempotent=False))
+        self.assertEqual(1, len(self.client.sent))
+        self.assertEqual(2, owners[-1])
+
     def test_a_lost_answer_makes_the_outcome_unknown(self):
         # Guards against "not run" for a request that a server may have begun.
         for script in (
--- a/test/test_spec.py
+++ b/test/test_spec.py
@@ -3,7 +3,7 @@
 import testtools
 
 from spec import __main__ as runner
-from spec import model, world
+from spec import model, resizing, world
 
 
 class SpecTest(testtools.TestCase):
@@ -30,6 +30,18 @@
             result, _ = runner.check(rules, bounds, runner.REMOVAL_STATES)
             self.assertIn(expected[rule], runner.broken(result), rule)
 
+    def test_a_change_of_the_number_accepts_an_id_once_and_loses_none(self):
+        # Guards against rules of a change that the code states and nothing needs, and
+        # against an ID that two partitions accept or that none has any more.
+        bounds = resizing.Bounds(takeovers=0)
+        result, _ = runner.check(resizing.Rules(), bounds)
+        self.assertTrue(result["exhaustive"])
+        self.assertEqual({}, runner.broken(result))
+        for rule, (rules, bounds) in resizing.REMOVALS.items():
+            result, _ = runner.check(rules, bounds, runner.REMOVAL_STATES)
+            broken = runner.broken(result)
+            self.assertIn("an ID is accepted at most once", broken, rule)
+
     def test_every_action_names_an_existing_implementation(self):
         # Guards against a model of functions that were renamed or removed.
         seen = set()
@@ -46,5 +58,5 @@
             self.assertNotEqual(set(), found, label)
             unseen -= found
         self.assertEqual({"restart worker"}, unseen)  # outside of these bounds
-        for name in model.ACTIONS.values():
+        for name in [*model.ACTIONS.values(), *resizing.ACTIONS.values()]:
             pkgutil.resolve_name(name)
--- a/toucanspring/handover.py
+++ b/toucanspring/handover.py
@@ -272,7 +272,14 @@
         receiver: int,
         names: list[str],
     ) -> None:
-        """Hand over some entries; forget them once they are durable there."""
+        """Hand over some entries; forget them once they are durable there.
+
+        They are forgotten only under the same layout: in a later one, the receiver may
+        hand them over itself, to this partition as well, which has them already.
+        """
+        view = self._view
+        if view.layout.generation != generation:
+            return
         entries = _pack(owner.journal.state, names)
         found = self._routes.call(
             receiver,
@@ -288,7 +295,8 @@
             log_records.HandedOver(
                 [each.spec.id for each in entries.jobs], list(entries.requests)
             ),
-            droppable=True,
+            True,
+            view.version,
         ).get()
 
     def _release(self, owner: partition.Partition) -> None:
