--- a/test/test_api_operators.py
+++ b/test/test_api_operators.py
@@ -52,6 +52,31 @@
             answer = self.call(method, path, body, gateway_case.OPERATOR)
             self.check_failure(answer, 404, "NotFound")
 
+    def set_partitions(self, number, generation, key=gateway_case.OPERATOR):
+        body, given = {"partitions": number}, f'"{generation}"'
+        return self.call("PUT", "/v1/partitions", body, key, If_Match=given)
+
+    def test_the_number_of_partitions_is_based_on_a_generation(self):
+        # Guards against a change that undoes that of another operator unseen.
+        status, shown, *_ = self.call(
+            "GET", "/v1/partitions", key=gateway_case.OPERATOR
+        )
+        self.assertEqual(
+            (200, 3, 0), (status, shown["partitions"], shown["generation"])
+        )
+        status, changed, *_ = self.set_partitions(5, 0)
+        self.assertEqual(
+            (200, 5, [3]), (status, changed["partitions"], changed["former"])
+        )
+        self.check_failure(self.set_partitions(7, 0), 409, "Conflict")
+        self.check_failure(self.set_partitions(0, 1), 400, "Invalid")
+        self.check_failure(
+            self.set_partitions(7, 1, "Bearer desk-key"), 403, "Forbidden"
+        )
+        self.core.find("store").tables.down = True
+        self.check_failure(self.set_partitions(7, 1), 503, "StoreUnavailable")
+        self.assertEqual(5, self.core.find("layout").layout.current)
+
     def test_a_zone_that_left_the_text_can_be_returned(self):
         self.documents.out = frozenset({"old-1"})
         self.assertEqual(
--- a/test/test_cli.py
+++ b/test/test_cli.py
@@ -3,12 +3,14 @@
 import json
 import pathlib
 import tempfile
+import types
 
 import testtools
 
 from test import certificates, edge_fakes
-from toucanspring import cli, client, console, effects, errors, job, survey
+from toucanspring import cli, client, console, effects, errors, handover, job, survey
 from toucanspring.adapters import exchange, vms
+from toucanspring.commands import partitions
 
 UNUSED = "127.0.0.1:1"
 
@@ -71,6 +73,33 @@
             self.assertEqual(expected, code, (arguments, failures))
             self.assertIn(kind, failures)
 
+    def test_the_number_of_partitions_is_shown_and_set(self):
+        code, output, _ = self.run_cli("partitions", "set", "5")
+        self.assertEqual((0, "5 partitions (generation 1)\n"), (code, output))
+        self.register_handover()
+        code, output, _ = self.run_cli("partitions", "show")
+        self.assertEqual(0, code)
+        for shown in ("former numbers: 3", "no owner"):
+            self.assertIn(shown, output)
+
+    def register_handover(self):
+        held = handover.Remaining(1, [3], 2, 1, False)
+        found = {0: held, 1: errors.Unavailable(reason="no owner")}
+        service = types.SimpleNamespace(survey=lambda: found, stop=lambda: None)
+        self.core.register("handover", service)
+
+    def test_a_lost_answer_to_a_change_of_the_number_is_settled(self):
+        # Guards against a conflict of the repeated call with its first attempt.
+        rows = [{"partitions": number, "generation": number} for number in (2, 5)]
+        answers = [client.Answer(200, {}, json.dumps(row).encode()) for row in rows]
+        connection = types.SimpleNamespace(
+            get=lambda *_, **__: answers.pop(0),
+            call=lambda *_, **__: errors.Conflict(reason="changed"),
+            answer_was_lost=True,
+        )
+        found = partitions.change(console.Context(connection, False), 5)
+        self.assertEqual(rows[1], found.value)
+
     def test_json_goes_to_the_output_and_json_failures_to_the_error_output(self):
         code, output, _ = self.run_cli("zone", "out", "zug-1", "--json")
         self.assertEqual((0, True), (code, json.loads(output)["out"]))
--- a/toucanspring/daemon.py
+++ b/toucanspring/daemon.py
@@ -98,6 +98,7 @@
             ("view_age_seconds", view_age_s),
             ("view_fresh", int(documents.fresh(now))),
             ("may_own", int(held)),
+            ("partitions", core.find("layout").layout.count),
             ("partitions_owned", len(core.find("claims").owned())),
         ):
             state.set({"name": name}, value)
