Name the HTTP server by its IP address

Cause: pywsgi asks a resolver for the name of the address at the start, which imports gevent's resolver and the idna codec, and waits if the name service does not answer.

Change: the server's name is its IP address.

--- a/test/test_server.py
+++ b/test/test_server.py
@@ -22,6 +22,14 @@
     def connect(self):
         return test_handler.Connection(self.port, self.client_tls)
 
+    def test_a_server_starts_without_a_resolver(self):
+        # Guards against a start that waits for a name service, and its memory.
+        self.patch(gevent.get_hub(), "resolver", object())
+        other = server.Server(("127.0.0.1", 0), test_handler.application)
+        self.addCleanup(other.stop)
+        other.start()
+        self.assertEqual("127.0.0.1", other.environ["SERVER_NAME"])
+
     def test_requests_under_way_survive_a_graceful_stop(self):
         # Guards against a restart that interrupts callers: requests under way,
         # requests on idle connections, and connections not accepted yet.
--- a/toucanspring/server.py
+++ b/toucanspring/server.py
@@ -64,6 +64,16 @@
         self._idle_until = 0.0  # monotonic seconds
         self._first_requests_until = 0.0
 
+    def update_environ(self) -> None:
+        """Name the server by its IP address.
+
+        The base class asks a resolver for the name, which can take long, starts native
+        threads and imports tables.
+        """
+        if isinstance(self.address, tuple):
+            self.environ.setdefault("SERVER_NAME", str(self.address[0]))
+        super().update_environ()
+
     def wrap_socket_and_handle(self, client_socket, address) -> None:
         """Serve a caller after the TLS handshake, which is limited in time."""
         self._handshakes += 1
