Let only the owner of a worker's partition drop it from the row

The owner of partition 0 took workers out of the row that its VM list had not shown for 10 min.

The worker's own owner now drops it once it is lost, with the link closed first, in a transaction that also checks the ownership row. Until the row's version has changed the worker gets no link, since the transaction may still take effect.

--- /dev/null
+++ b/spec/moves_hosting.py
@@ -0,0 +1,149 @@
+"""Steps of owners that use the worker, and of the worker, in the model of moves."""
+
+from __future__ import annotations
+
+from spec import moves_world
+from toucanspring import attempt, job, recovery
+
+
+class Hosting:
+    """Enumerate what owners do with the worker and what it does itself."""
+
+    def __init__(self, rules: moves_world.Rules, bounds: moves_world.Bounds) -> None:
+        self._rules = rules
+        self._bounds = bounds
+
+    def _use(
+        self, s: moves_world.State, p: int, e: int, me: moves_world.Owner
+    ) -> moves_world.Steps:
+        if me.link in ("open", "lost"):
+            yield from self._attach(s, p, e, me)
+        if me.link == "open" and me.waited == moves_world.STOPPED:
+            alone = lost(me)._replace(link="lost")
+            yield f"lose worker {p}.{e}", moves_world.with_owner(s, p, e, alone)
+        if me.link == "attached" and me.holds:
+            yield from self._use_link(s, p, e, me)
+        # The worker that never moves is fenced by the latest epoch.
+        if e != s.epochs[p]:
+            return
+        if me.holds and me.task == "waiting":
+            after = s._replace(home=s.home | {p})
+            started = me._replace(task="home")
+            yield f"start at home {p}.{e}", moves_world.with_owner(after, p, e, started)
+        if me.task == "home":
+            after = s._replace(home=s.home - {p}, final=s.final | {p})
+            ended = me._replace(task="final")
+            yield f"end at home {p}.{e}", moves_world.with_owner(after, p, e, ended)
+
+    def _use_link(
+        self, s: moves_world.State, p: int, e: int, me: moves_world.Owner
+    ) -> moves_world.Steps:
+        def then(owner: moves_world.Owner, **fields: object) -> moves_world.State:
+            return moves_world.with_owner(s._replace(**fields), p, e, owner)
+
+        worker = s.worker
+        broken = frozenset(x for x in s.starts if (x.partition, x.epoch) != (p, e))
+        yield f"stream breaks {p}.{e}", then(me._replace(link="open"), starts=broken)
+        if worker.lease or me.waited:
+            renewed = worker._replace(lease=0)
+            yield f"renew {p}.{e}", then(me._replace(waited=0), worker=renewed)
+        withheld = me.move is not None and self._rules.withhold
+        may_start = me.task == "waiting" and me.attempt <= self._bounds.attempts
+        if may_start and not withheld:
+            starts = s.starts | {moves_world.Start(p, e, me.attempt)}
+            started = me._replace(task="worker")
+            yield f"start on worker by {p}.{e}", then(started, starts=starts)
+        if e == s.epochs[p]:
+            for entry in worker.ended:
+                yield f"report to {p}.{e}", self._report(s, p, e, me, entry)
+        for entry in worker.running:
+            if entry != (p, me.attempt) or me.task != "worker":
+                rest = worker._replace(running=worker.running - {entry})
+                yield f"orphan stops {entry}", s._replace(worker=rest)
+
+    def _attach(
+        self, s: moves_world.State, p: int, e: int, me: moves_world.Owner
+    ) -> moves_world.Steps:
+        worker = s.worker
+        if e < worker.epochs[p]:
+            return
+        other = worker.partition != p and worker.lease < moves_world.LEASE
+        if other and self._rules.lease_wait:
+            return
+        owners = tuple(
+            tuple(
+                x and (x._replace(link="open") if x.link == "attached" else x)
+                for x in own
+            )
+            for own in s.owners
+        )
+        epochs = tuple(e if q == p else x for q, x in enumerate(worker.epochs))
+        there = moves_world.present(worker) | worker.ended
+        known = {number for q, number in there if q == p}
+        if me.task == "held":
+            if known:
+                me = me._replace(task="worker", attempt=max(known))
+            else:
+                me = me._replace(task="waiting")
+        elif (
+            me.task == "worker"
+            and me.attempt not in known
+            and recovery.absent_task(job.State.STARTING, False) == "never_ran"
+        ):
+            me = me._replace(task="waiting", attempt=me.attempt + 1)
+        after = s._replace(
+            owners=owners,
+            starts=frozenset(),  # older streams are closed
+            worker=worker._replace(partition=p, epochs=epochs),
+        )
+        me = me._replace(link="attached")
+        yield f"attach {p}.{e}", moves_world.with_owner(after, p, e, me)
+
+    def _report(
+        self,
+        s: moves_world.State,
+        p: int,
+        e: int,
+        me: moves_world.Owner,
+        entry: tuple[int, int],
+    ) -> moves_world.State:
+        worker = s.worker._replace(ended=s.worker.ended - {entry})
+        s = s._replace(worker=worker)
+        if me.task == "worker" and entry == (p, me.attempt):
+            s = s._replace(final=s.final | {p})
+            return moves_world.with_owner(s, p, e, me._replace(task="final"))
+        return s
+
+    def host(self, s: moves_world.State) -> moves_world.Steps:
+        """Return what may happen on the worker."""
+        worker = s.worker
+        for start in s.starts:
+            p, e, number = start
+            after = s._replace(starts=s.starts - {start})
+            valid = worker.partition == p and e >= worker.epochs[p]
+            if valid and worker.lease < moves_world.LEASE:
+                entry = (p, number)
+                ran = worker._replace(running=worker.running | {entry})
+                yield f"start arrives from {p}.{e}", after._replace(worker=ran)
+                continue
+            me = s.owners[p][e - 1]
+            if me is not None and me.task == "worker" and me.attempt == number:
+                me = me._replace(task="waiting", attempt=number + 1)
+                after = moves_world.with_owner(after, p, e, me)
+            yield f"start arrives from {p}.{e}, refused", after
+        for entry in moves_world.present(worker):
+            ended = worker._replace(
+                running=worker.running - {entry},
+                stopping=worker.stopping - {entry},
+                ended=worker.ended | {entry},
+            )
+            yield f"task ends {entry}", s._replace(worker=ended)
+
+
+def lost(me: moves_world.Owner) -> moves_world.Owner:
+    """Return what an owner knows of its task once it does not count the worker."""
+    if me.task == "worker":
+        if attempt.after_loss(job.State.RUNNING, True) == "unknown":
+            return me._replace(task="final")
+        return me._replace(task="waiting", attempt=me.attempt + 1)
+    return me._replace(task="waiting") if me.task == "held" else me
--- /dev/null
+++ b/spec/runs.py
@@ -0,0 +1,88 @@
+"""The searches that together check the models."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from spec import model, moves_model, moves_world, search, world
+
+MAX_STATES = 2_000_000
+# The search for a counterexample may stop early: a violation found is a violation.
+REMOVAL_STATES = 60_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """Name the bounds and rules of one search.
+
+    `without` is the removed rule; then a property must be broken.
+    """
+
+    bounds: world.Bounds | moves_world.Bounds
+    without: str = ""
+
+
+# Together they cover both tasks on one worker, each task on two workers, a
+# restarted worker and two takeovers.
+SPACES = tuple(
+    Run(bounds)
+    for bounds in (
+        world.Bounds(workers=1, epochs=2, attempts=2),
+        world.Bounds(workers=2, epochs=2, attempts=2, tasks="I"),
+        world.Bounds(workers=2, epochs=2, attempts=2, tasks="N"),
+        world.Bounds(workers=1, epochs=2, attempts=2, restarts=1, tasks="N"),
+        world.Bounds(workers=1, epochs=3, attempts=2, tasks="N"),
+    )
+)
+
+# Together they cover a move and its return, other writers of the row, a takeover of
+# the donor and of the receiver, tasks of both partitions, and lost workers that leave
+# the row.
+MOVES_SPACES = tuple(
+    Run(bounds)
+    for bounds in (
+        moves_world.Bounds(epochs=(1, 1), writes=True),
+        moves_world.Bounds(epochs=(2, 1), versions=2),
+        moves_world.Bounds(epochs=(1, 2), versions=2),
+        moves_world.Bounds(epochs=(1, 1), versions=2, tasks=(0, 1)),
+        moves_world.Bounds(epochs=(2, 1), versions=2, drops=True),
+    )
+)
+
+# Removed rule -> bounds that are large enough for the shortest counterexample.
+REMOVALS = (
+    Run(world.Bounds(tasks="N"), "fence"),
+    Run(world.Bounds(workers=2, tasks="I"), "takeover_wait"),
+    Run(world.Bounds(tasks="N"), "intent_record"),
+    Run(world.Bounds(workers=2, tasks="I"), "hold"),
+    Run(world.Bounds(workers=2, tasks="I"), "lost_wait"),
+)
+MOVES_REMOVALS = (
+    Run(moves_world.Bounds(epochs=(2, 1), versions=2), "ownership_check"),
+    Run(moves_world.Bounds(epochs=(1, 1), versions=2, writes=True), "version_check"),
+    Run(moves_world.Bounds(epochs=(1, 1), versions=3), "lease_wait"),
+    Run(moves_world.Bounds(epochs=(1, 1), versions=2), "drain"),
+    Run(moves_world.Bounds(epochs=(1, 1), versions=2), "withhold"),
+    Run(moves_world.Bounds(epochs=(1, 1), versions=2), "release"),
+    Run(moves_world.Bounds(versions=2, drops=True), "own_drop"),
+)
+
+ALL = SPACES + MOVES_SPACES + REMOVALS + MOVES_REMOVALS
+
+
+def check(run: Run) -> search.Result:
+    """Search the space of one run."""
+    removed = {run.without: False} if run.without else {}
+    most = REMOVAL_STATES if run.without else MAX_STATES
+    if isinstance(run.bounds, world.Bounds):
+        protocol = model.Model(world.Rules(**removed), run.bounds).protocol()
+        return search.check(protocol, most)
+    rules = moves_world.Rules(**removed)
+    protocol = moves_model.Model(rules, run.bounds).protocol()
+    return search.check(
+        protocol,
+        most,
+        moves_world.GOALS,
+        moves_model.is_forced,
+        stop_early=bool(run.without),
+    )
--- /dev/null
+++ b/test/test_fleet_drops.py
@@ -0,0 +1,124 @@
+import types
+
+import testtools
+
+from test import fake_tables
+from toucanspring import claims, fleet, kernel, resources, roster, worker_link
+from toucanspring.adapters import vms
+
+ROW = roster.WORKERS_ROW
+
+
+class Link:
+    """Stand for the link to a worker."""
+
+    def __init__(self, _partition, _epoch, vm, *_functions):
+        self.vm = vm
+        self.attached, self.lost, self.closed = True, False, False
+
+    def close(self):
+        self.closed = True
+
+    def lose(self):
+        self.attached, self.lost = False, True
+
+
+class Owner:
+    """Run the fleet of a process that owns one partition of two."""
+
+    def __init__(self, tables, number, clock):
+        self.client = tables.client()
+        self.listed = []
+        key = claims.key_of(number)
+        version = self.client.transact({}, {key: b""}).versions[key]
+        store = fake_tables.FakeStore(self.client)
+        store.vms = types.SimpleNamespace(list=lambda _age: list(self.listed))
+        core = kernel.Kernel()
+        core.register("store", store)
+        core.register("claims", types.SimpleNamespace(row_version=lambda _: version))
+        options = fake_tables.settings_of(f"p{number}", partitions=2)
+        self.fleet = fleet.Service(core, options, clock)
+        self.fleet.add_partition(number, 1, version, lambda _message: None)
+        self.links = self.fleet.links(number)
+
+    def poll(self, *names):
+        """Poll with a VM list that holds some workers."""
+        zone = {"availability_zone": "z", "resources": resources.Resources(1, 1)}
+        self.listed = [
+            vms.Vm(id=name, role=vms.Role.WORKER, address="", port=1, **zone)
+            for name in names
+        ]
+        self.fleet._poll_once()
+
+
+class DropTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(worker_link, "Link", Link)
+        self.now = 100.0
+        self.tables = fake_tables.FakeTables()
+        self.write({"a": 0, "b": 1})
+        self.first = self.own(0)
+        self.second = self.own(1)
+        for owner in (self.first, self.second):
+            owner.poll("a", "b")
+        self.link = self.second.links["b"]
+
+    def own(self, number):
+        return Owner(self.tables, number, lambda: self.now)
+
+    def write(self, assigned):
+        self.tables.client().transact({}, {ROW: roster.encode(assigned)})
+
+    def row(self):
+        found = roster.Roster()
+        found.take(self.tables.rows[ROW], 0)
+        return found.partitions
+
+    def poll_absent(self):
+        """Let all see a list without worker `b` for longer than the limit."""
+        for _ in range(2):
+            for owner in (self.first, self.second):
+                owner.poll("a")
+            self.now += fleet.FORGET_ABSENT_S + 1
+        for owner in (self.first, self.second):
+            owner.poll("a")
+
+    def test_a_worker_in_use_is_not_dropped(self):
+        # Guards against a successor that starts the tasks of a worker again while
+        # they run there, since it finds the worker no more in the row.
+        self.poll_absent()
+        self.assertEqual({"a": 0, "b": 1}, self.row())
+
+    def test_a_lost_worker_is_dropped_by_its_owner(self):
+        self.link.lose()
+        self.poll_absent()
+        self.assertEqual({"a": 0}, self.row())
+        self.assertTrue(self.link.closed)
+        self.first.poll("a", "b")
+        self.assertEqual({"a": 0, "b": 1}, self.row())
+        self.second.poll("a", "b")
+        self.assertFalse(self.second.links["b"].closed)
+
+    def test_a_former_owner_drops_nothing(self):
+        # Guards against a worker that leaves while the successor uses it.
+        self.link.lose()
+        self.own(1)
+        self.poll_absent()
+        self.assertEqual({"a": 0, "b": 1}, self.row())
+
+    def test_a_worker_in_doubt_is_not_used_until_the_row_has_changed(self):
+        # Guards against a late transaction that drops a worker in use.
+        self.link.lose()
+        self.second.client.late[ROW] = 1
+        self.second.client.drop[ROW] = 1
+        self.poll_absent()
+        self.assertEqual({"a": 0, "b": 1}, self.row())
+        self.second.client.drop[ROW] = 1
+        self.second.poll("a", "b")
+        self.assertNotIn("b", self.second.links)
+        self.write({"a": 0, "b": 1, "c": 0})
+        self.second.poll("a", "b")
+        self.second.client.deliver_late()
+        self.assertEqual({"a": 0, "b": 1, "c": 0}, self.row())
+        self.assertIn("b", self.second.links)
--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -113,7 +113,7 @@
     def assigned(self, _number):
         return dict.fromkeys(self.found, CAPACITY)
 
-    def add_partition(self, _number, _epoch, _post):
+    def add_partition(self, _number, _epoch, _row_version, _post):
         pass
 
     def remove_partition(self, _number):
--- a/test/test_spec.py
+++ b/test/test_spec.py
@@ -2,20 +2,19 @@
 
 import testtools
 
-from spec import __main__ as runner
-from spec import model, world
+from spec import model, runs, world
 
 
 class SpecTest(testtools.TestCase):
     def test_the_invariants_hold_in_the_full_small_spaces(self):
         # Guards against a change of a decision function that breaks ownership or
         # at-most-once starts. `python -m spec` checks the larger spaces.
-        for bounds in runner.SPACES[3:]:
-            result, depth = runner.check(world.Rules(), bounds)
-            self.assertTrue(result["exhaustive"])
-            self.assertEqual({}, runner.broken(result))
-            self.assertGreater(result["reachable_states"], 10_000)
-            self.assertGreater(depth, 20)
+        for run in runs.SPACES[3:]:
+            result = runs.check(run)
+            self.assertTrue(result.exhaustive)
+            self.assertEqual({}, result.broken)
+            self.assertGreater(result.states, 10_000)
+            self.assertGreater(result.depth, 20)
 
     def test_each_removed_rule_breaks_an_invariant(self):
         # Guards against a model that could not notice the loss of a rule.
@@ -26,9 +25,10 @@
             "hold": "no task runs in two places",
             "lost_wait": "no task runs in two places",
         }
-        for rule, (rules, bounds) in runner.REMOVALS.items():
-            result, _ = runner.check(rules, bounds, runner.REMOVAL_STATES)
-            self.assertIn(expected[rule], runner.broken(result), rule)
+        found = {run.without: runs.check(run).broken for run in runs.REMOVALS}
+        for rule, broken in found.items():
+            self.assertIn(expected[rule], broken, rule)
+        self.assertEqual(expected.keys(), found.keys())
 
     def test_every_action_names_an_existing_implementation(self):
         # Guards against a model of functions that were renamed or removed.
--- a/toucanspring/fleet.py
+++ b/toucanspring/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 from collections.abc import Callable
 
@@ -9,6 +10,7 @@
 import logbook
 
 from toucanspring import (
+    claims,
     errors,
     kernel,
     need,
@@ -26,18 +28,45 @@
 WORKERS_ROW = roster.WORKERS_ROW
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holder:
+    """Describe the ownership of a partition that uses workers."""
+
+    epoch: int
+    row_version: int  # of the ownership row
+    post: Callable[[object], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drop:
+    """Hold lost workers that leave the row; they are not used meanwhile.
+
+    The transaction may take effect while the row has the version that it checks.
+    """
+
+    checked_version: int
+    workers: frozenset[str]
+
+
 class Service:
     """Keep links to the workers of owned partitions (kernel name `fleet`)."""
 
-    def __init__(self, core: kernel.Kernel, options: settings.Settings) -> None:
+    def __init__(
+        self,
+        core: kernel.Kernel,
+        options: settings.Settings,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._kernel = core
         self._settings = options
+        self._clock = clock
         self._links: dict[int, dict[str, worker_link.Link]] = {}
         self.roster = roster.Roster()
         self._vms: dict[str, vms.Vm] = {}
         self._last_list: list[vms.Vm] | None = None
         self._absent_since: dict[str, float] = {}
-        self._posts: dict[int, tuple[int, Callable[[object], None]]] = {}
+        self._holders: dict[int, Holder] = {}
+        self._drops: dict[int, Drop] = {}
         self._leaving: dict[str, bool] = {}
         self._greenlet: gevent.Greenlet | None = None
 
@@ -50,20 +79,25 @@
         """Close all links."""
         if self._greenlet is not None:
             self._greenlet.kill()
-        for partition in list(self._posts):
+        for partition in list(self._holders):
             self.remove_partition(partition)
 
     def add_partition(
-        self, partition: int, epoch: int, post: Callable[[object], None]
+        self,
+        partition: int,
+        epoch: int,
+        row_version: int,
+        post: Callable[[object], None],
     ) -> None:
         """Connect to the workers of a partition and post their messages."""
-        self._posts[partition] = (epoch, post)
+        self._holders[partition] = Holder(epoch, row_version, post)
         self._links[partition] = {}
         self._update_links(partition)
 
     def remove_partition(self, partition: int) -> None:
         """Close the links of a partition."""
-        self._posts.pop(partition, None)
+        self._holders.pop(partition, None)
+        self._drops.pop(partition, None)
         for link in self._links.pop(partition, {}).values():
             link.close()
 
@@ -134,7 +168,7 @@
         """Read which workers belong to which partition, and follow changes."""
         failure = self._read_assignment()
         if failure is None:
-            for partition in list(self._posts):
+            for partition in list(self._holders):
                 self._update_links(partition)
         return failure
 
@@ -159,21 +193,25 @@
             gevent.sleep(POLL_INTERVAL_S)
 
     def _poll_once(self) -> None:
-        if not self._posts:
+        if not self._holders:
             return
         listed = self._kernel.find("store").vms.list(vms.SHARED_AGE_S)
         if not isinstance(listed, errors.Failure):
             self._see_vms(listed)
-        if self._read_assignment() is None and 0 in self._posts:
-            self._assign_workers()
-        for partition in list(self._posts):
+        if self._read_assignment() is None:
+            if 0 in self._holders:
+                self._assign_workers()
+            for partition in list(self._holders):
+                if partition in self._holders:  # may be lost during a transaction
+                    self._drop_lost(partition)
+        for partition in list(self._holders):
             self._update_links(partition)
 
     def _see_vms(self, listed: list[vms.Vm]) -> None:
         if listed is self._last_list:
             return
         self._last_list = listed
-        now = time.monotonic()
+        now = self._clock()
         workers = {vm.id: vm for vm in listed if vm.role == "worker"}
         self._vms.update(workers)
         for worker in self._vms:
@@ -189,9 +227,9 @@
                 self._post_leaving(worker, leaving)
 
     def _post_leaving(self, worker: str, leaving: bool) -> None:
-        entry = self._posts.get(self.roster.partitions.get(worker, -1))
-        if entry is not None:
-            entry[1](worker_link.Leaving(worker, leaving))
+        holder = self._holders.get(self.roster.partitions.get(worker, -1))
+        if holder is not None:
+            holder.post(worker_link.Leaving(worker, leaving))
 
     def _read_assignment(self) -> None | errors.Failure:
         rows = self._kernel.find("store").tables.read([WORKERS_ROW])
@@ -203,28 +241,19 @@
 
     def _assign_workers(self) -> None:
         """Give new workers to the partitions that have the fewest."""
-        now = time.monotonic()
-        forgotten = [
-            worker
-            for worker, since in self._absent_since.items()
-            if now - since > FORGET_ABSENT_S and worker in self.roster.partitions
-        ]
         new = sorted(
-            (worker for worker in self._vms if worker not in self.roster.partitions),
+            self._vms.keys()
+            - self.roster.partitions.keys()
+            - self._absent_since.keys(),
             key=lambda worker: (
                 self._vms[worker].availability_zone,
                 self._vms[worker].rack,
                 worker,
             ),
         )
-        new = [worker for worker in new if worker not in self._absent_since]
-        if not new and not forgotten:
+        if not new:
             return
-        assigned = {
-            worker: partition
-            for worker, partition in self.roster.partitions.items()
-            if worker not in forgotten
-        }
+        assigned = dict(self.roster.partitions)
         assign(assigned, new, self._settings.partitions)
         answer = self._kernel.find("store").tables.transact(
             {WORKERS_ROW: self.roster.version},
@@ -232,26 +261,73 @@
             (),
         )
         if isinstance(answer, tables.Committed):
-            log.info("assigned {} workers, dropped {}", len(new), len(forgotten))
+            log.info("assigned {} workers", len(new))
         self._read_assignment()
 
+    def _drop_lost(self, partition: int) -> None:
+        """Take lost workers that are long absent from the VM list out of the row.
+
+        Only the owner knows that no task of the partition can run on a worker; its
+        successor starts again what ran on a worker that the row does not name.
+        """
+        drop = self._drops.get(partition)
+        if drop is None or drop.checked_version != self.roster.version:
+            self._drops.pop(partition, None)
+            drop = self._choose_drop(partition)
+            if drop is None:
+                return
+            # Closed before the transaction, since the worker might return.
+            for worker in drop.workers:
+                self._links[partition].pop(worker).close()
+            self._drops[partition] = drop
+        left = {
+            worker: owner
+            for worker, owner in self.roster.partitions.items()
+            if worker not in drop.workers
+        }
+        answer = self._kernel.find("store").tables.transact(
+            {
+                WORKERS_ROW: drop.checked_version,
+                claims.key_of(partition): self._holders[partition].row_version,
+            },
+            {WORKERS_ROW: roster.encode(left)},
+            (),
+        )
+        if isinstance(answer, tables.Committed):
+            log.info("partition {}: dropped {}", partition, sorted(drop.workers))
+        self._read_assignment()
+
+    def _choose_drop(self, partition: int) -> Drop | None:
+        now = self._clock()
+        links = self._links[partition]
+        workers = frozenset(
+            worker
+            for worker in self.roster.workers_of(partition) & links.keys()
+            if links[worker].lost
+            and now - self._absent_since.get(worker, now) > FORGET_ABSENT_S
+        )
+        return Drop(self.roster.version, workers) if workers else None
+
     def _update_links(self, partition: int) -> None:
-        epoch, post = self._posts[partition]
-        claims = self._kernel.find("claims")
+        holder = self._holders[partition]
+        owners = self._kernel.find("claims")
         links = self._links[partition]
         wanted = self.roster.workers_of(partition) & self._vms.keys()
+        drop = self._drops.get(partition)
+        if drop is not None and drop.checked_version == self.roster.version:
+            wanted -= drop.workers
         for worker in wanted - links.keys():
             links[worker] = worker_link.Link(
                 partition,
-                epoch,
+                holder.epoch,
                 self._vms[worker],
-                post,
-                lambda: claims.may_renew_workers(partition, time.monotonic()),
-                lambda: claims.previous_owner_gone(partition, time.monotonic()),
+                holder.post,
+                lambda: owners.may_renew_workers(partition, time.monotonic()),
+                lambda: owners.previous_owner_gone(partition, time.monotonic()),
                 self._settings.process,
             )
             if self._leaving.get(worker):
-                post(worker_link.Leaving(worker, True))
+                holder.post(worker_link.Leaving(worker, True))
         for worker in wanted & links.keys():
             links[worker].vm = self._vms[worker]  # a replaced VM has a new address
         for worker in links.keys() - wanted:
--- a/toucanspring/mover.py
+++ b/toucanspring/mover.py
@@ -208,13 +208,15 @@
         fleet = self._kernel.find("fleet")
         if fleet.reread() is not None:
             return
-        if fleet.roster.version == doubt.checked_version:
-            # May still take effect; the repetition settles which of the two does.
-            self._move(owner, doubt.batch)
-            return
-        del self._doubts[number]
-        if fleet.roster.partitions.get(doubt.batch.workers[0]) != number:
-            self._hand_over(owner, doubt.batch)
+        mine = fleet.roster.partitions.get(doubt.batch.workers[0]) == number
+        match roster.after_doubt(fleet.roster.version, doubt.checked_version, mine):
+            case "repeat":
+                # The repetition settles which of the two takes effect.
+                self._move(owner, doubt.batch)
+            case "moved":
+                self._hand_over(owner, doubt.batch)
+            case _:
+                del self._doubts[number]
 
     def _hand_over(self, owner: partition.Partition, batch: moves.Batch) -> None:
         self._doubts.pop(owner.number, None)
--- a/toucanspring/partition.py
+++ b/toucanspring/partition.py
@@ -192,7 +192,9 @@
             )
         )
         self.allowances.start()
-        self._kernel.find("fleet").add_partition(self.number, self.epoch, self.post)
+        self._kernel.find("fleet").add_partition(
+            self.number, self.epoch, self.row_version, self.post
+        )
         log.info(
             "partition {}: owner under epoch {}, {} jobs, {} workers expected",
             self.number,
--- a/toucanspring/roster.py
+++ b/toucanspring/roster.py
@@ -52,3 +52,15 @@
         return {
             worker for worker, owner in self.partitions.items() if owner == partition
         }
+
+
+def after_doubt(version: int, checked_version: int, mine: bool) -> str:
+    """Return what follows once the row has been read after a lost answer.
+
+    `repeat`: the transaction that checked `checked_version` may still take effect;
+    `moved`: the worker is not `mine` any more; `kept`: it is, and the transaction can
+    no longer take effect.
+    """
+    if version == checked_version:
+        return "repeat"
+    return "kept" if mine else "moved"
