--- a/spec/search.py
+++ b/spec/search.py
@@ -104,22 +104,25 @@
         for name, each in found["properties"].items()
         if each["holds"] is False
     }
+    exhaustive = found["exhaustive"] and not (stop_early and broken)
     # In a part of the space a state may seem stuck because its successors are missing.
-    if goals and found["exhaustive"]:
+    if goals and exhaustive:
         for name, goal in goals.items():
             if (path := graph.stuck(goal)) is not None:
                 broken[name] = path
-    return Result(found["reachable_states"], graph.depth, found["exhaustive"], broken)
+    return Result(found["reachable_states"], graph.depth, exhaustive, broken)
 
 
 def _stop_early(protocol: minicheck.Protocol) -> None:
     transitions = protocol.transitions
     invariants = list(protocol.invariants.values())
+    broken = False
 
     def follow(state: State) -> list[tuple[str, State]]:
+        nonlocal broken
         facts = protocol.d(state)
-        if all(holds(facts) for holds in invariants):
-            return transitions(state)
-        raise minicheck.StateSpaceExceeded("an invariant is broken")
+        broken = broken or not all(holds(facts) for holds in invariants)
+        # minicheck has no other way to end a search: no state has a successor.
+        return [] if broken else transitions(state)
 
     protocol.transitions = follow
