Name the parts of ownership rows and preferences in claims

Pairs of version and row, and of candidates and preferred owners, become KnownRow and assignment.Preferences. No change of behaviour; test_claims, test_ownership, test_renewal and test_assignment pass.

--- a/toucanspring/assignment.py
+++ b/toucanspring/assignment.py
@@ -34,3 +34,19 @@
                 load[name] += 1
                 break
     return preferred
+
+
+class Preferences:
+    """Keep the preferred owners until the candidates change."""
+
+    def __init__(self, partitions: int) -> None:
+        self._partitions = partitions
+        self._candidates: list[str] = []
+        self._preferred: dict[int, str] = {}
+
+    def among(self, candidates: list[str]) -> dict[int, str]:
+        """Return the preferred owner of each partition among some processes."""
+        if self._candidates != candidates:
+            self._candidates = candidates
+            self._preferred = assign(self._partitions, candidates)
+        return self._preferred
--- a/toucanspring/claims.py
+++ b/toucanspring/claims.py
@@ -37,6 +37,14 @@
     former: list[list[str]] = []
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownRow:
+    """Hold an ownership row as last read or written."""
+
+    version: int
+    row: PartitionRow
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Owner:
     """Name the owner of a partition."""
@@ -98,10 +106,10 @@
         self._kernel = kernel
         self._count = settings.partitions
         self._holdings: dict[int, Holding] = {}
-        self._rows: dict[int, tuple[int, PartitionRow]] = {}
+        self._rows: dict[int, KnownRow] = {}
         self._claimable_since: dict[int, float] = {}
         self._uneven_since: float | None = None
-        self._assignment: tuple[list[str], dict[int, str]] = ([], {})
+        self._preferred = assignment.Preferences(settings.partitions)
         self._events: queue.Queue = queue.Queue()
         self._publisher: gevent.Greenlet | None = None
         self._members: membership.Service | None = None
@@ -135,15 +143,15 @@
     def owner_of(self, partition: int) -> Owner | errors.NotFound:
         """Return the owner of a partition, as last read or heard from the owner."""
         found = self._rows.get(partition)
-        epoch = found[1].epoch if found else 0
+        epoch = found.row.epoch if found else 0
         for name, message in self._members.peer_states().items():
             claimed = message.owned.get(partition, 0)
             # A claim is known from a heartbeat earlier than from the next poll.
             if claimed > epoch:
                 return Owner(name, message.incarnation, claimed)
-        if found is None or not found[1].process:
+        if found is None or not found.row.process:
             return errors.NotFound(reason=f"partition {partition} has no owner")
-        row = found[1]
+        row = found.row
         return Owner(row.process, row.incarnation, row.epoch)
 
     def may_start(self, partition: int, now: float) -> bool:
@@ -206,7 +214,7 @@
             log.warning("partitions {} are not released: {}", partitions, result.reason)
             return result
         for partition, row in rows.items():
-            self._rows[partition] = (result.versions[key_of(partition)], row)
+            self._rows[partition] = KnownRow(result.versions[key_of(partition)], row)
         return None
 
     # Guard of renewals
@@ -238,7 +246,7 @@
         """Return the processes in ownership rows; `None` if not all rows are known."""
         if len(self._rows) < self._count:
             return None
-        return {row.process for _, row in self._rows.values() if row.process}
+        return {known.row.process for known in self._rows.values() if known.row.process}
 
     def _give_up(
         self,
@@ -272,21 +280,15 @@
             self._kernel.publish(occurrence)
             delivered.set()
 
-    def _preferred(self, candidates: list[str]) -> dict[int, str]:
-        """Return the preferred owners, computed again only if the members changed."""
-        if self._assignment[0] != candidates:
-            self._assignment = (candidates, assignment.assign(self._count, candidates))
-        return self._assignment[1]
-
     def _take_rows(self, rows: Mapping[str, tables.Row], sent_at: float) -> None:
         del sent_at
         for key, row in rows.items():
             partition = int(key.removeprefix(PREFIX))
             current = decode_row(row)
             last = self._rows.get(partition)
-            if current is None or (last is not None and row.version < last[0]):
+            if current is None or (last is not None and row.version < last.version):
                 continue
-            self._rows[partition] = (row.version, current)
+            self._rows[partition] = KnownRow(row.version, current)
         # These rows may have been read before an own claim, so only newer ones count.
         self._give_up(
             lambda holding, row: row is not None and row.version > holding.version,
@@ -300,7 +302,7 @@
         members = self._members
         now = members.clock()
         candidates = members.candidates()
-        preferred = self._preferred(candidates)
+        preferred = self._preferred.among(candidates)
         own = members.identity.process
         if own not in candidates:
             return
@@ -319,7 +321,7 @@
 
     def _is_claimable(self, partition: int, now: float) -> bool:
         members = self._members
-        _, row = self._rows[partition]
+        row = self._rows[partition].row
         own = members.identity
         if (row.process, row.incarnation) == (own.process, own.incarnation):
             return True  # an own claim whose answer was lost
@@ -329,7 +331,8 @@
         return ownership.may_claim(silent, members.own.promised_at, now, members.timing)
 
     def _claim(self, partition: int) -> None:
-        version, row = self._rows[partition]
+        known = self._rows[partition]
+        row = known.row
         members = self._members
         own = members.identity
         claim = PartitionRow(
@@ -338,7 +341,7 @@
             epoch=row.epoch + 1,
             former=self._former_lists(partition, row),
         )
-        checks = {key_of(partition): version}
+        checks = {key_of(partition): known.version}
         if row.process and row.process != own.process:
             # Fails if the owner has renewed in the meantime.
             seen = members.rows.get(row.process)
@@ -349,7 +352,7 @@
             log.info("no claim of partition {}: {}", partition, result.reason)
             return
         version = result.versions[key_of(partition)]
-        self._rows[partition] = (version, claim)
+        self._rows[partition] = KnownRow(version, claim)
         self._claimable_since.pop(partition, None)
         self._holdings[partition] = Holding(
             claim.epoch, version, members.clock(), claim.former
@@ -390,7 +393,7 @@
         if now - self._uneven_since < REBALANCE_AFTER_S:
             return
         self._uneven_since = now
-        preferred = self._preferred(candidates)
+        preferred = self._preferred.among(candidates)
         own = members.identity.process
         foreign = [
             p for p in self._holdings if preferred[p] != own and not self.holds_back(p)
