--- a/spec/resizing.py
+++ b/spec/resizing.py
@@ -294,11 +294,11 @@
 )
 # Removed rule -> bounds that are large enough for the shortest counterexample.
 REMOVALS = {
-    "row_check": (Rules(row_check=False), Bounds(takeovers=0)),
-    "questions": (Rules(questions=False), Bounds(takeovers=0)),
-    "settling": (Rules(settling=False), Bounds(takeovers=0)),
-    "ownership": (Rules(ownership=False), Bounds(changes=1)),
-    "generation": (Rules(generation=False), Bounds(takeovers=0)),
-    "forgetting_check": (Rules(forgetting_check=False), Bounds(takeovers=0)),
-    "adopted_first": (Rules(adopted_first=False), Bounds(takeovers=0)),
+    "row_check": Bounds(takeovers=0),
+    "questions": Bounds(takeovers=0),
+    "settling": Bounds(takeovers=0),
+    "ownership": Bounds(changes=1),
+    "generation": Bounds(takeovers=0),
+    "forgetting_check": Bounds(takeovers=0),
+    "adopted_first": Bounds(takeovers=0),
 }
--- a/toucanspring/assignment.py
+++ b/toucanspring/assignment.py
@@ -34,3 +34,19 @@
                 load[name] += 1
                 break
     return preferred
+
+
+class Preferences:
+    """Keep the preferred owners until the partitions or the candidates change."""
+
+    def __init__(self) -> None:
+        self._partitions = 0
+        self._candidates: list[str] = []
+        self._preferred: dict[int, str] = {}
+
+    def among(self, partitions: int, candidates: list[str]) -> dict[int, str]:
+        """Return the preferred owner of each partition among some processes."""
+        if (self._partitions, self._candidates) != (partitions, candidates):
+            self._partitions, self._candidates = partitions, candidates
+            self._preferred = assign(partitions, candidates)
+        return self._preferred
