--- a/test/partitioned.py
+++ b/test/partitioned.py
@@ -156,8 +156,8 @@
 
 
 class Partitions:
-    def __init__(self, *counts):
-        self.tables = fake_tables.FakeTables()
+    def __init__(self, *counts, tables=None):
+        self.tables = tables or fake_tables.FakeTables()
         self.clock = Clock()
         self.accepted_ms = {}
         self.workers = {}
