Give the tests of dropped workers the number of partitions

Cause: after the merge the fleet reads the number of partitions from the service layout, which these tests did not register; 4 of 799 tests ended with UnknownService. Change: the service is registered. After: test_fleet_drops passes.

--- a/test/test_fleet_drops.py
+++ b/test/test_fleet_drops.py
@@ -3,7 +3,7 @@
 import testtools
 
 from test import fake_tables
-from toucanspring import claims, fleet, kernel, resources, roster, worker_link
+from toucanspring import claims, fleet, kernel, layout, resources, roster, worker_link
 from toucanspring.adapters import vms
 
 ROW = roster.WORKERS_ROW
@@ -37,6 +37,7 @@
         core.register("store", store)
         core.register("claims", types.SimpleNamespace(row_version=lambda _: version))
         options = fake_tables.settings_of(f"p{number}", partitions=2)
+        core.register("layout", layout.Service(core, options))
         self.fleet = fleet.Service(core, options, clock)
         self.fleet.add_partition(number, 1, version, lambda _message: None)
         self.links = self.fleet.links(number)
