--- a/scenarios/cell.py
+++ b/scenarios/cell.py
@@ -13,7 +13,11 @@
 
 from scenarios import client, history, loads
 from standins import cluster, facts, judge, ports, processes, violations
-from toucanspring import claims, errors, text
+from toucanspring import (
+    errors,
+    ownership_rows,
+    text,
+)
 from toucanspring.adapters import tables
 
 EXAMPLES = processes.ROOT / "examples"
@@ -21,7 +25,7 @@
 OPERATE_LIMIT_S = 15.0
 RETRY_S = 0.1
 TASK_MS = 300
-_decode_partition = msgspec.msgpack.Decoder(claims.PartitionRow).decode
+_decode_partition = msgspec.msgpack.Decoder(ownership_rows.PartitionRow).decode
 
 
 class Failed(Exception):
@@ -50,7 +54,7 @@
         self.withdrawn: dict[str, float] = {}
         self.reverts: list[str] = []
         self._seen: dict[str, dict[str, int]] = {}
-        self._owners: dict[int, claims.PartitionRow] = {}
+        self._owners: dict[int, ownership_rows.PartitionRow] = {}
         port = running.service_ports["tables"]
         self._tables = tables.HttpTableClient(ports.ADDRESS, port, "observer", 1.0)
         self._watcher = gevent.spawn(self._watch)
--- a/test/partitioned.py
+++ b/test/partitioned.py
@@ -4,7 +4,6 @@
 
 from test import cell, fake_tables
 from toucanspring import (
-    claims,
     errors,
     inbox,
     job,
@@ -12,6 +11,7 @@
     layout,
     mover,
     need,
+    ownership_rows,
     roster,
 )
 
@@ -83,8 +83,8 @@
         self.shared, self.number, self.epoch = shared, number, epoch
         self.clock = shared.clock
         self.client = shared.tables.client()
-        answer = self.client.transact({}, {claims.key_of(number): b""}, ())
-        self.row_version = answer.versions[claims.key_of(number)]
+        answer = self.client.transact({}, {ownership_rows.key_of(number): b""}, ())
+        self.row_version = answer.versions[ownership_rows.key_of(number)]
         self.paused = False
         self.bound = frozenset()
         self.state = types.SimpleNamespace(accepted_ms=shared.accepted_ms)
--- a/test/resized.py
+++ b/test/resized.py
@@ -14,6 +14,7 @@
     kernel,
     layout,
     log_records,
+    ownership_rows,
     partitions,
     resources,
     roster,
@@ -169,7 +170,7 @@
     def claim(self, number, name):
         """Let a process claim a partition without news to its former owner."""
         epoch = self.owners[number][1] + 1 if number in self.owners else 1
-        key = claims.key_of(number)
+        key = ownership_rows.key_of(number)
         answer = self.shared.client().transact({}, {key: name.encode()}, ())
         self.owners[number] = (name, epoch, answer.versions[key])
         self.nodes[name].acquire(number, epoch)
--- a/test/test_claims.py
+++ b/test/test_claims.py
@@ -1,9 +1,16 @@
 import gevent
+import msgspec
 import testtools
 from gevent import event
 
 from test import fake_cell
-from toucanspring import claims, errors, event_kinds, renewal
+from toucanspring import (
+    claims,
+    errors,
+    event_kinds,
+    ownership_rows,
+    renewal,
+)
 
 
 class ClaimsTest(testtools.TestCase):
@@ -18,8 +25,8 @@
         return self.cell.nodes[self.cell.owners(partition)[0]]
 
     def stored(self, partition=0):
-        row = self.cell.shared.rows[claims.key_of(partition)]
-        return claims.decode_row(row)
+        row = self.cell.shared.rows[ownership_rows.key_of(partition)]
+        return ownership_rows.decode_row(row)
 
     def test_a_dead_owner_is_replaced_within_the_takeover_time(self):
         self.make()
@@ -151,7 +158,7 @@
         (other,) = [n for n in self.cell.nodes.values() if n is not owner]
         message = other.membership.ledger.peers[owner.name].message
         for epoch, held in ((0, {0: 1}), (1, {0: 1}), (2, {})):
-            late = claims.msgspec.structs.replace(message, owned={0: epoch})
+            late = msgspec.structs.replace(message, owned={0: epoch})
             owner.claims._take_heartbeat(other.name, late, 0.0)
             self.assertEqual(held, owner.claims.owned())
 
--- a/test/test_fleet_drops.py
+++ b/test/test_fleet_drops.py
@@ -3,7 +3,15 @@
 import testtools
 
 from test import fake_tables
-from toucanspring import claims, fleet, kernel, layout, resources, roster, worker_link
+from toucanspring import (
+    fleet,
+    kernel,
+    layout,
+    ownership_rows,
+    resources,
+    roster,
+    worker_link,
+)
 from toucanspring.adapters import vms
 
 ROW = roster.WORKERS_ROW
@@ -29,7 +37,7 @@
     def __init__(self, tables, number, clock):
         self.client = tables.client()
         self.listed = []
-        key = claims.key_of(number)
+        key = ownership_rows.key_of(number)
         version = self.client.transact({}, {key: b""}).versions[key]
         store = fake_tables.FakeStore(self.client)
         store.vms = types.SimpleNamespace(list=lambda _age: list(self.listed))
--- a/test/test_spec_moves.py
+++ b/test/test_spec_moves.py
@@ -12,12 +12,12 @@
 from spec import moves_model, moves_world, runs
 from test import fake_tables
 from toucanspring import (
-    claims,
     errors,
     fleet,
     kernel,
     mover,
     moves,
+    ownership_rows,
     resources,
     roster,
     worker_link,
@@ -134,7 +134,7 @@
         return found.partitions["w"]
 
     def claim(self, number):
-        key = claims.key_of(number)
+        key = ownership_rows.key_of(number)
         answer = self.direct.transact({}, {key: b""})
         self.row_versions[number] = answer.versions[key]
 
--- a/toucanspring/claims.py
+++ b/toucanspring/claims.py
@@ -7,11 +7,11 @@
 
 import gevent
 import logbook
-import msgspec
-from gevent import event, queue
+from gevent import event
 
 from toucanspring import (
     assignment,
+    deliveries,
     errors,
     event_kinds,
     former,
@@ -19,13 +19,13 @@
     layout,
     membership,
     ownership,
+    ownership_rows,
     renewal,
 )
 from toucanspring.adapters import tables
 
 log = logbook.Logger(__name__)
 
-PREFIX = "partitions/"
 # A process that is not the preferred owner waits this much longer for each rank.
 RANK_DELAY_S = 1.0
 # An uneven distribution is left alone for this long, since processes that restart
@@ -35,26 +35,6 @@
 DELIVERY_LIMIT_S = 10.0
 
 
-class PartitionRow(msgspec.Struct, frozen=True, kw_only=True):
-    """Row `partitions/<p>`; an empty `process` means that it was released.
-
-    `former` holds the member lists of former owners that may still extend.
-    """
-
-    process: str = ""
-    incarnation: int = 0
-    epoch: int = 0
-    former: list[list[str]] = []
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class KnownRow:
-    """Hold an ownership row as last read or written."""
-
-    version: int
-    row: PartitionRow
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Owner:
     """Name the owner of a partition."""
@@ -94,26 +74,6 @@
     former: list[list[str]]  # empty once all former owners are gone
 
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(PartitionRow)
-
-
-def key_of(partition: int) -> str:
-    """Return the key of a partition's ownership row."""
-    return f"{PREFIX}{partition}"
-
-
-def decode_row(row: tables.Row) -> PartitionRow | None:
-    """Return an ownership row; an absent row has epoch 0, a malformed one is `None`."""
-    if not row.version:
-        return PartitionRow()
-    try:
-        return _decoder.decode(row.value)
-    except msgspec.MsgspecError as error:
-        log.error("an ownership row is malformed: {}", error)
-        return None
-
-
 class Service(renewal.Guard):
     """Claim, keep and release partitions."""
 
@@ -121,12 +81,13 @@
         del settings
         self._kernel = kernel
         self._holdings: dict[int, Holding] = {}
-        self._rows: dict[int, KnownRow] = {}
+        self._rows: dict[int, ownership_rows.KnownRow] = {}
         self._claimable_since: dict[int, float] = {}
         self._uneven_since: float | None = None
         self._preferred = assignment.Preferences()
-        self._events: queue.Queue = queue.Queue()
-        self._publisher: gevent.Greenlet | None = None
+        # A listener may write the log of a partition and wait for the store, which must
+        # not hold up renewals and polls.
+        self._deliveries = deliveries.Deliveries(kernel)
         self._members: membership.Service | None = None
         self._layout: layout.Service | None = None
         # A partition for which this is true is not handed over to even out.
@@ -134,21 +95,22 @@
 
     def start(self) -> None:
         """Follow the ownership rows; claims are made after each poll."""
-        self._publisher = gevent.spawn(self._publish_events)
+        self._deliveries.start()
         self._members = self._kernel.find("membership")
         self._layout = self._kernel.find("layout")
         self._members.own.guard = self
         self._members.on_heartbeat(self._take_heartbeat)
         self._members.watch(
-            lambda: [key_of(partition) for partition in range(self._count)],
+            lambda: [
+                ownership_rows.key_of(partition) for partition in range(self._count)
+            ],
             self._take_rows,
         )
 
     def stop(self) -> None:
         """Release all partitions."""
         self._release(list(self._holdings), "stopping")
-        if self._publisher is not None:
-            self._publisher.kill()
+        self._deliveries.stop()
 
     # Interface
 
@@ -226,20 +188,27 @@
         for partition in partitions:
             holding = self._holdings[partition]
             self.previous_owner_gone(partition, self._members.clock())
-            checks[key_of(partition)] = holding.version
-            rows[partition] = PartitionRow(epoch=holding.epoch, former=holding.former)
+            checks[ownership_rows.key_of(partition)] = holding.version
+            rows[partition] = ownership_rows.PartitionRow(
+                epoch=holding.epoch, former=holding.former
+            )
             delivered.append(self._lose(partition))
             self._kernel.publish(
                 event_kinds.PartitionReleased(partition, holding.epoch, why)
             )
         gevent.wait(delivered, timeout=DELIVERY_LIMIT_S)
-        writes = {key_of(p): _encoder.encode(row) for p, row in rows.items()}
+        writes = {
+            ownership_rows.key_of(p): ownership_rows.encode(row)
+            for p, row in rows.items()
+        }
         result = self._members.own.write(checks, writes)
         if isinstance(result, errors.Failure):
             log.warning("partitions {} are not released: {}", partitions, result.reason)
             return result
         for partition, row in rows.items():
-            self._rows[partition] = KnownRow(result.versions[key_of(partition)], row)
+            self._rows[partition] = ownership_rows.KnownRow(
+                result.versions[ownership_rows.key_of(partition)], row
+            )
         return None
 
     # Guard of renewals
@@ -247,7 +216,7 @@
     def checks(self) -> dict[str, int]:
         """Return the versions of the ownership rows of own partitions."""
         return {
-            key_of(partition): holding.version
+            ownership_rows.key_of(partition): holding.version
             for partition, holding in self._holdings.items()
         }
 
@@ -279,7 +248,7 @@
         rows: Mapping[str, tables.Row],
     ) -> None:
         for partition, holding in list(self._holdings.items()):
-            if changed(holding, rows.get(key_of(partition))):
+            if changed(holding, rows.get(ownership_rows.key_of(partition))):
                 log.warning("partition {} was claimed by another process", partition)
                 self._end(partition, holding)
 
@@ -305,33 +274,17 @@
 
     def _lose(self, partition: int, superseded: bool = False) -> event.Event:
         del self._holdings[partition]
-        return self._publish(PartitionLost(partition, superseded))
-
-    def _publish(self, occurrence: object) -> event.Event:
-        """Queue an event; the result is set once all listeners have handled it."""
-        delivered = event.Event()
-        self._events.put((occurrence, delivered))
-        return delivered
-
-    def _publish_events(self) -> None:
-        """Deliver events in order, without holding up renewals and polls.
-
-        A listener may write a partition's log and wait for the store.
-        """
-        while True:
-            occurrence, delivered = self._events.get()
-            self._kernel.publish(occurrence)
-            delivered.set()
+        return self._deliveries.publish(PartitionLost(partition, superseded))
 
     def _take_rows(self, rows: Mapping[str, tables.Row], sent_at: float) -> None:
         del sent_at
         for key, row in rows.items():
-            partition = int(key.removeprefix(PREFIX))
-            current = decode_row(row)
+            partition = int(key.removeprefix(ownership_rows.PREFIX))
+            current = ownership_rows.decode_row(row)
             last = self._rows.get(partition)
             if current is None or (last is not None and row.version < last.version):
                 continue
-            self._rows[partition] = KnownRow(row.version, current)
+            self._rows[partition] = ownership_rows.KnownRow(row.version, current)
         # These rows may have been read before an own claim, so only newer ones count.
         self._give_up(
             lambda holding, row: row is not None and row.version > holding.version,
@@ -388,24 +341,24 @@
         row = known.row
         members = self._members
         own = members.identity
-        claim = PartitionRow(
+        claim = ownership_rows.PartitionRow(
             process=own.process,
             incarnation=own.incarnation,
             epoch=row.epoch + 1,
             former=former.member_lists(members, partition, row),
         )
-        checks = {key_of(partition): known.version}
+        checks = {ownership_rows.key_of(partition): known.version}
         if row.process and row.process != own.process:
             # Fails if the owner has renewed in the meantime.
             seen = members.rows.get(row.process)
             checks[renewal.key_of(row.process)] = seen[0] if seen else 0
-        writes = {key_of(partition): _encoder.encode(claim)}
+        writes = {ownership_rows.key_of(partition): ownership_rows.encode(claim)}
         result = members.own.write(checks, writes, claim=True)
         if isinstance(result, errors.Failure):
             log.info("no claim of partition {}: {}", partition, result.reason)
             return
-        version = result.versions[key_of(partition)]
-        self._rows[partition] = KnownRow(version, claim)
+        version = result.versions[ownership_rows.key_of(partition)]
+        self._rows[partition] = ownership_rows.KnownRow(version, claim)
         self._claimable_since.pop(partition, None)
         self._holdings[partition] = Holding(
             claim.epoch, version, members.clock(), claim.former
@@ -415,7 +368,7 @@
         self._kernel.publish(
             event_kinds.PartitionClaimed(partition, claim.epoch, row.process, why)
         )
-        self._publish(PartitionAcquired(partition, claim.epoch))
+        self._deliveries.publish(PartitionAcquired(partition, claim.epoch))
 
     def _rebalance(self) -> None:
         """Release one partition above the even part, if that lasts."""
--- /dev/null
+++ b/toucanspring/deliveries.py
@@ -0,0 +1,48 @@
+"""Delivery of events in order, apart from the task that publishes them."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import gevent
+from gevent import event, queue
+
+from toucanspring import kernel
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delivery:
+    """Pair an event with what is set once all listeners have handled it."""
+
+    occurrence: object
+    done: event.Event
+
+
+class Deliveries:
+    """Own the greenlet in which listeners handle the events of one service."""
+
+    def __init__(self, core: kernel.Kernel) -> None:
+        self._kernel = core
+        self._waiting: queue.Queue = queue.Queue()
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Start to deliver."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Deliver nothing more."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    def publish(self, occurrence: object) -> event.Event:
+        """Queue an event; the result is set once all listeners have handled it."""
+        delivery = Delivery(occurrence, event.Event())
+        self._waiting.put(delivery)
+        return delivery.done
+
+    def _run(self) -> None:
+        while True:
+            delivery = self._waiting.get()
+            self._kernel.publish(delivery.occurrence)
+            delivery.done.set()
--- a/toucanspring/fleet.py
+++ b/toucanspring/fleet.py
@@ -10,10 +10,10 @@
 import logbook
 
 from toucanspring import (
-    claims,
     errors,
     kernel,
     need,
+    ownership_rows,
     resources,
     roster,
     settings,
@@ -294,7 +294,7 @@
         answer = self._kernel.find("store").tables.transact(
             {
                 WORKERS_ROW: drop.checked_version,
-                claims.key_of(partition): self._holders[partition].row_version,
+                ownership_rows.key_of(partition): self._holders[partition].row_version,
             },
             {WORKERS_ROW: roster.encode(left)},
             (),
--- a/toucanspring/former.py
+++ b/toucanspring/former.py
@@ -5,11 +5,14 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from toucanspring import claims, membership
+    from toucanspring import (
+        membership,
+        ownership_rows,
+    )
 
 
 def member_lists(
-    members: membership.Service, partition: int, row: claims.PartitionRow
+    members: membership.Service, partition: int, row: ownership_rows.PartitionRow
 ) -> list[list[str]]:
     """Return the member lists of owners that may still extend after a claim."""
     if not row.process:
@@ -30,7 +33,7 @@
     return former if known in former else [*former, known]
 
 
-def explain_claim(row: claims.PartitionRow, own: membership.Member) -> str:
+def explain_claim(row: ownership_rows.PartitionRow, own: membership.Member) -> str:
     """Return why a claim of the partition with this row was allowed."""
     if not row.process:
         return "released" if row.epoch else "first"
--- a/toucanspring/handover.py
+++ b/toucanspring/handover.py
@@ -17,13 +17,13 @@
 import msgspec
 
 from toucanspring import (
-    claims,
     clearance,
     errors,
     job,
     kernel,
     layout,
     log_records,
+    ownership_rows,
     partition,
     reply,
     roster,
@@ -325,7 +325,7 @@
             ended,
             present.generation,
             {
-                claims.key_of(owner.number): owner.row_version,
+                ownership_rows.key_of(owner.number): owner.row_version,
                 roster.WORKERS_ROW: workers.version,
             },
         )
--- a/toucanspring/mover.py
+++ b/toucanspring/mover.py
@@ -11,13 +11,13 @@
 import logbook
 
 from toucanspring import (
-    claims,
     errors,
     event_kinds,
     inbox,
     kernel,
     moves,
     need,
+    ownership_rows,
     partition,
     roster,
     settings,
@@ -186,7 +186,10 @@
         answer = self._kernel.find("store").tables.transact(
             # A former owner must not move a worker on which its successor starts
             # tasks, so the ownership row is checked in the same transaction.
-            {roster.WORKERS_ROW: version, claims.key_of(number): owner.row_version},
+            {
+                roster.WORKERS_ROW: version,
+                ownership_rows.key_of(number): owner.row_version,
+            },
             {roster.WORKERS_ROW: roster.encode(changed)},
             (),
         )
--- a/toucanspring/moves.py
+++ b/toucanspring/moves.py
@@ -9,15 +9,13 @@
 from toucanspring import (
     dispatch,
     event_kinds,
-    gang,
     interruption,
     job,
     lifecycle,
     need,
     resizing,
-    resources,
+    room,
     task_table,
-    worker_state,
 )
 
 # Work that has waited less mostly gets room sooner from tasks that end than from a
@@ -71,6 +69,7 @@
     ) -> None:
         self._core = core
         self._dispatcher = dispatcher
+        self._room = room.Room(core)
         self._idle_since: dict[str, float] = {}
 
     def state(self, facts: Facts, now: float) -> need.Statement:
@@ -178,80 +177,31 @@
         A gang that gets workers is stated until it starts, so that no other gang is
         served before.
         """
-        own = self._own_room(wanted) + self._listed_room(wanted, facts.arriving)
+        own = self._room.own(wanted) + self._room.listed(wanted, facts.arriving)
         lacking = max(0, wanted.tasks - own)
         if not lacking and self._core.collecting != wanted.job_id:
             return None
         # A gang beyond the present workers would hold up all others.
-        if lacking > self._listed_room(wanted, facts.elsewhere):
+        if lacking > self._room.listed(wanted, facts.elsewhere):
             return None
         return wanted.with_tasks(lacking)
 
-    def _own_room(self, wanted: need.Need) -> int:
-        return sum(
-            wanted.room_in(state.facts.availability_zone, self._lasting(worker))
-            for worker, state in self._usable()
-        )
-
-    def _free_room(self, wanted: need.Need, now: float) -> int:
-        """Return the room of workers that came after placement last looked."""
-        core = self._core
-        spec = core.table.jobs[wanted.job_id].spec
-        excluded = gang.excluded_for(core, spec, now)
-        return sum(
-            wanted.room_in(state.facts.availability_zone, core.index.free(worker))
-            for worker, state in self._usable()
-            if state.schedulable and worker not in excluded
-        )
-
     def _still_lacking(
         self, wanted: need.Need, facts: Facts, now: float
     ) -> need.Need | None:
         """Return a need without what is free or on its way, if others can meet it."""
-        left = wanted.tasks - self._listed_room(wanted, facts.arriving)
-        left -= self._free_room(wanted, now)
-        if left <= 0 or not self._listed_room(wanted, facts.elsewhere):
+        left = wanted.tasks - self._room.listed(wanted, facts.arriving)
+        left -= self._room.free(wanted, now)
+        if left <= 0 or not self._room.listed(wanted, facts.elsewhere):
             return None
         return wanted.with_tasks(left)
 
-    def _listed_room(self, wanted: need.Need, listed: Mapping[str, need.Listed]) -> int:
-        room = 0
-        for entry in listed.values():
-            if entry.leaving or entry.availability_zone in self._core.zones_out:
-                continue
-            # A worker of unknown size may be large enough.
-            amount = entry.capacity
-            amount = resources.UNLIMITED if amount is None else amount
-            room += wanted.room_in(entry.availability_zone, amount)
-        return room
-
     # Workers
 
-    def _usable(self) -> Iterator[tuple[str, worker_state.WorkerState]]:
-        core = self._core
-        bad = set(core.quarantine.quarantined())
-        for worker, state in core.workers.items():
-            out = state.facts.availability_zone in core.zones_out
-            if state.attached and not state.leaving and not out and worker not in bad:
-                yield worker, state
-
     def _is_empty(self, worker: str) -> bool:
         core = self._core
         return not core.tasks_on.get(worker) and not core.workers[worker].orphans
 
-    def _services(self, worker: str) -> list[task_table.LiveTask]:
-        jobs = self._core.table.jobs
-        return [
-            task
-            for task in self._core.tasks_on.get(worker, {}).values()
-            if jobs[task.job_id].spec.kind is job.Kind.SERVICE
-        ]
-
-    def _lasting(self, worker: str) -> resources.Resources:
-        """Return a worker's capacity without what services use."""
-        used = (task.demand for task in self._services(worker))
-        return self._core.workers[worker].facts.capacity - sum(used, resources.ZERO)
-
     def _emptied_at(self, worker: str) -> float:
         """Return when the last task is expected to end, in monotonic seconds."""
         tasks = self._core.tasks_on.get(worker, {}).values()
@@ -269,7 +219,7 @@
         held = core.collected.union(
             facts.bound, *(entry.workers for entry in core.reservations.values())
         )
-        usable = dict(self._usable())
+        usable = dict(self._room.usable())
         spare = [
             worker
             for worker, state in usable.items()
@@ -298,7 +248,7 @@
             if record.spec.kind is not job.Kind.GANG:
                 continue
             wanted = self._need(record, facts, now)
-            if wanted.order < other.order and self._own_room(wanted) >= wanted.tasks:
+            if wanted.order < other.order and self._room.own(wanted) >= wanted.tasks:
                 return True
         return False
 
@@ -309,17 +259,17 @@
         gang has waited for long, busy workers are included: they are drained.
         """
         found = []
-        for worker, state in self._usable():
-            amount = state.facts.capacity if give else self._lasting(worker)
+        for worker, state in self._room.usable():
+            amount = state.facts.capacity if give else self._room.lasting(worker)
             room = wanted.room_in(state.facts.availability_zone, amount)
             empty = self._is_empty(worker)
             if room and (empty or wanted.waited_ms >= DRAIN_AFTER_S * 1000):
-                serving = bool(self._services(worker))
+                serving = bool(self._room.services(worker))
                 ends_at = self._emptied_at(worker)
                 found.append((not empty, serving, ends_at, worker, room))
         found.sort()
         if give and wanted.waited_ms < LAST_AFTER_S * 1000:
-            usable = sum(1 for _ in self._usable())
+            usable = sum(1 for _ in self._room.usable())
             found = found[: max(0, usable - KEPT_WORKERS)]
         chosen, left = [], wanted.tasks
         for *_, worker, room in found:
@@ -332,7 +282,7 @@
     def _stop_services(self, workers: list[str]) -> None:
         """Let services on drained workers start again elsewhere; they never end."""
         for worker in workers:
-            for task in self._services(worker):
+            for task in self._room.services(worker):
                 if not task.stop_reason and task.state is not job.State.INTENDED:
                     reason = "the worker moves to a gang's partition"
                     interruption.interrupt(
@@ -404,9 +354,9 @@
             resizing.Candidate(
                 not self._is_empty(worker), self._emptied_at(worker), worker
             )
-            for worker, _ in self._usable()
+            for worker, _ in self._room.usable()
             if worker not in held
-            and not self._services(worker)
+            and not self._room.services(worker)
             and now - facts.moved_at.get(worker, -math.inf) >= REST_S
         ]
         starving = [
--- /dev/null
+++ b/toucanspring/owner_calls.py
@@ -0,0 +1,140 @@
+"""Answers of an owner to calls for its partitions."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+import gevent
+import gevent.event
+import msgspec
+
+from toucanspring import (
+    clearance,
+    effects,
+    errors,
+    inbox,
+    job,
+    kernel,
+    partition,
+    reply,
+    resources,
+    routes,
+    survey,
+)
+
+READY_LIMIT_S = 3.0
+
+
+class OwnerCalls:
+    """Serve the calls that `routes` sends to the owner of a partition."""
+
+    def __init__(
+        self,
+        core: kernel.Kernel,
+        owned: Mapping[int, partition.Partition],
+        questions: clearance.Clearance,
+    ) -> None:
+        self._kernel = core
+        self._owned = owned
+        self._clearance = questions
+
+    def serve(self, calls: routes.Routes) -> None:
+        """Answer calls of this and of other processes."""
+        for method, function in (
+            ("submit", self._serve_submit),
+            ("lookup", self._serve_lookup),
+            ("cancel", self._serve_cancel),
+            ("explain", self._serve_explain),
+            ("workers", self._serve_workers),
+        ):
+            calls.serve(method, function)
+
+    def _ready_to_ask(self, number: int) -> partition.Partition | errors.Unavailable:
+        owned = self._owned.get(number)
+        if owned is None or not owned.ready.wait(READY_LIMIT_S):
+            return errors.Unavailable(reason="this process does not own the partition")
+        return owned
+
+    def _ask(self, number: int, make: object) -> object | errors.Failure:
+        owned = self._ready_to_ask(number)
+        if isinstance(owned, errors.Failure):
+            return owned
+        result = gevent.event.AsyncResult()
+        owned.post(make(result))
+        gevent.wait([result, owned.closed], timeout=routes.CALL_TIMEOUT_S, count=1)
+        if result.ready():
+            return result.get()
+        if owned.closed.is_set():
+            return errors.Fenced(reason="the partition has moved to another owner")
+        return errors.Ambiguous(reason="the partition did not answer in time")
+
+    def _serve_submit(self, _sender: str, envelope: bytes) -> bytes:
+        number, body = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
+        specs = msgspec.msgpack.decode(body, type=list[job.JobSpec])
+        owned = self._ready_to_ask(number)
+        if isinstance(owned, errors.Failure):
+            return reply.encode_result(owned)
+        cleared = self._clearance.clear(owned, specs)
+        found = self._ask(
+            number,
+            lambda result: inbox.Submit(
+                specs, result, cleared.layout_version, cleared.answers
+            ),
+        )
+        if isinstance(found, list):
+            found = reply.moved(found) or [reply.pack(item) for item in found]
+        return reply.encode_result(found)
+
+    def _serve_cancel(self, _sender: str, envelope: bytes) -> bytes:
+        number, body = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
+        names = msgspec.msgpack.decode(body, type=list[str])
+        found = self._ask(number, lambda result: inbox.Cancel(names, result))
+        if isinstance(found, dict):
+            # A cancellation may be repeated, so the successor is asked for all.
+            for item in found.values():
+                if isinstance(item, errors.Ambiguous | errors.Fenced):
+                    return reply.encode_result(errors.Fenced(reason=item.reason))
+            found = {name: reply.pack(item) for name, item in found.items()}
+        return reply.encode_result(found)
+
+    def _serve_lookup(self, _sender: str, envelope: bytes) -> bytes:
+        number, body = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
+        name = body.decode()
+        found = self._ask(
+            number, lambda result: inbox.Ask(lambda owner: owner.lookup(name), result)
+        )
+        owned = self._owned.get(number)
+        if isinstance(found, effects.JobStatus) and not (
+            owned is not None and owned.is_durable(name)
+        ):
+            found = dataclasses.replace(found, outcome=None)
+        return reply.encode_result(found)
+
+    def _serve_explain(self, _sender: str, envelope: bytes) -> bytes:
+        number, body = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
+        name = body.decode()
+        return reply.encode_result(
+            self._ask(
+                number,
+                lambda result: inbox.Ask(lambda owner: owner.explain(name), result),
+            )
+        )
+
+    def _serve_workers(self, _sender: str, envelope: bytes) -> bytes:
+        number, _ = msgspec.msgpack.decode(envelope, type=tuple[int, bytes])
+        owned = self._owned.get(number)
+        if owned is None:
+            return reply.encode_result(errors.Unavailable(reason="not the owner"))
+        found = self._ask(number, lambda result: inbox.Ask(_free, result))
+        if isinstance(found, errors.Failure):
+            return reply.encode_result(found)
+        links = self._kernel.find("fleet").links(number)
+        is_leaving = self._kernel.find("fleet").is_leaving
+        return reply.encode_result(
+            survey.list_links(number, links, owned.facts(), found, is_leaving)
+        )
+
+
+def _free(owner: object) -> dict[str, resources.Resources]:
+    return owner.free_by_worker()
--- a/toucanspring/partition.py
+++ b/toucanspring/partition.py
@@ -12,13 +12,13 @@
 import logbook
 
 from toucanspring import (
+    acceptance,
     allowances,
     effects,
     errors,
     execution,
     fairness,
     inbox,
-    job,
     journal,
     kernel,
     log_records,
@@ -61,7 +61,6 @@
         self._scheduler = scheduler.Scheduler(
             number, random.Random(), options.spread_move_s
         )
-        self._accepting: dict[str, tuple[job.JobSpec, gevent.event.AsyncResult]] = {}
         self._greenlet: gevent.Greenlet | None = None
         self._layout = core.find("layout")
         count = self._layout.layout.count
@@ -90,6 +89,9 @@
         self._executor = execution.Executor(
             number, core, self._scheduler, self.journal, self.allowances, self.post
         )
+        self._acceptance = acceptance.Acceptance(
+            self._scheduler, self.journal, self._executor
+        )
 
     def __enter__(self) -> Partition:
         self.journal.__enter__()
@@ -127,7 +129,7 @@
 
     def holds_job(self, job_id: str) -> bool:
         """Return whether a job was accepted here, durably or not yet."""
-        return job_id in self.journal.state.specs or job_id in self._accepting
+        return self._acceptance.holds(job_id)
 
     def follow_layout(self) -> None:
         """Take in another number of partitions."""
@@ -251,9 +253,9 @@
                     self._scheduler.worker_leaving(worker, leaving, now)
                 )
             case inbox.Submit():
-                self._submit(message)
+                self._acceptance.submit(message)
             case inbox.Cancel(job_ids=job_ids, result=result):
-                self._cancel(job_ids, result)
+                self._acceptance.cancel(job_ids, result)
             case inbox.Ask(function=function, result=result):
                 result.set(self._answer(function))
             case inbox.Durable(action=action, failure=failure):
@@ -342,87 +344,6 @@
             log.exception("partition {}: a question failed", self.number)
             return errors.Unknown(reason="internal error")
 
-    # Submission and cancellation
-
-    def _submit(self, message: inbox.Submit) -> None:
-        specs = message.specs
-        answers: list[object] = [None] * len(specs)
-        waiting: list[tuple[int, gevent.event.AsyncResult]] = []
-        for index, spec in enumerate(specs):
-            known = self.journal.state.specs.get(spec.id)
-            pending = self._accepting.get(spec.id)
-            if known is None and pending is not None:
-                known = pending[0]
-            if known is not None and known != spec:
-                answers[index] = errors.Conflict(
-                    key=spec.id, reason="another job with this ID was accepted"
-                )
-            elif spec.id in self.journal.state.specs:
-                answers[index] = spec.id
-            elif pending is not None:
-                waiting.append((index, pending[1]))
-            elif spec.id in message.answers:
-                answers[index] = message.answers[spec.id]
-            else:
-                written = self._accept(spec, message.layout_version)
-                waiting.append((index, written))
-        gevent.spawn(self._answer_submit, specs, answers, waiting, message.result)
-
-    def _accept(
-        self, spec: job.JobSpec, layout_version: int | None
-    ) -> gevent.event.AsyncResult:
-        record = log_records.Accepted(spec, time.time_ns() // 1_000_000)
-        written = self.journal.append(record, True, layout_version)
-        self._accepting[spec.id] = (spec, written)
-
-        def enter(failure: errors.Failure | None) -> list[effects.Effect]:
-            self._accepting.pop(spec.id, None)
-            if failure is not None:
-                return []
-            return self._scheduler.submit([spec], time.monotonic())
-
-        self._executor.when_written(written, enter)
-        return written
-
-    def _answer_submit(
-        self,
-        specs: list[job.JobSpec],
-        answers: list[object],
-        waiting: list[tuple[int, gevent.event.AsyncResult]],
-        result: gevent.event.AsyncResult,
-    ) -> None:
-        for index, written in waiting:
-            failure = written.get()
-            answers[index] = specs[index].id if failure is None else failure
-        result.set(answers)
-
-    def _cancel(self, job_ids: list[str], result: gevent.event.AsyncResult) -> None:
-        state = self.journal.state
-        answers: dict[str, object] = {}
-        known: list[str] = []
-        for name in job_ids:
-            if name not in state.specs:
-                answers[name] = errors.NotFound(reason=f"no job {name}")
-            elif state.is_finished(name) and name not in state.cancelled:
-                answers[name] = errors.Refused(reason=f"job {name} has already ended")
-            else:
-                known.append(name)
-        if not known:
-            result.set(answers)
-            return
-        written = self.journal.append(log_records.Cancelled(known), droppable=True)
-
-        def cancel(failure: errors.Failure | None) -> list[effects.Effect]:
-            answers.update(dict.fromkeys(known, failure or "cancelled"))
-            if failure is not None:
-                result.set(answers)
-                return []
-            found = self._scheduler.cancel(known, time.monotonic())
-            result.set(answers)
-            return found
-
-        self._executor.when_written(written, cancel)
-
     def _refuse_inbox(self) -> None:
         """Answer callers whose messages were not handled; nothing of them ran."""
         failure = errors.Unavailable(reason="the partition is moving to another owner")
--- a/toucanspring/seal.py
+++ b/toucanspring/seal.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from toucanspring import claims, errors, journal, kernel
+from toucanspring import (
+    errors,
+    journal,
+    kernel,
+    ownership_rows,
+)
 
 SETTLE_TIMEOUT_S = 3.0
 
@@ -32,7 +37,7 @@
             return None
         if not self._journal.settle(SETTLE_TIMEOUT_S):
             return errors.Unavailable(reason="the log is being written")
-        key = claims.key_of(self._journal.partition)
+        key = ownership_rows.key_of(self._journal.partition)
         rows = self._kernel.find("store").tables.read([key])
         if isinstance(rows, errors.Failure):
             return errors.Unavailable(reason=f"store: {rows.reason}")
