Share the reads of the row layout among look-ups

Cause: found in the review of the merge: each look-up of an ID that no partition has reads the row, so a caller with a key could use up the reads of the table service. Change: callers share a read that begins after their call, at most one each 50 ms. Ruled out: an answer from the last poll, which may be older than the last change, so that a job that exists would be reported as not found. Conclusion: 20 reads a second for each process at most.

--- a/toucanspring/layout.py
+++ b/toucanspring/layout.py
@@ -15,7 +15,7 @@
 import logbook
 import msgspec
 
-from toucanspring import errors, job, kernel, settings
+from toucanspring import errors, job, kernel, settings, shared_read
 from toucanspring.adapters import tables
 
 log = logbook.Logger(__name__)
@@ -24,6 +24,9 @@
 # Each former number may cost one question for each new ID.
 MAX_FORMER = 3
 CHANGE_LIMIT_S = 5.0
+# Each look-up of an unknown ID needs a read. 20 reads a second leave the store to the
+# others even if all of 16 processes of a region get such look-ups without end.
+READ_INTERVAL_S = 0.05
 RETRY_S = 0.1
 
 
@@ -112,6 +115,7 @@
     ) -> None:
         self._kernel = core
         self._clock = clock
+        self._shared = shared_read.SharedRead(self._read, READ_INTERVAL_S)
         self._resizable = getattr(options, "moves", "on") == "on"
         # Applies until the row exists.
         self.view = View(Layout(current=options.partitions), 0)
@@ -130,6 +134,9 @@
 
     def reread(self) -> None | errors.Failure:
         """Read the row; a success shows all changes made before the call."""
+        return self._shared.get()
+
+    def _read(self) -> None | errors.Failure:
         rows = self._tables.read([ROW])
         if isinstance(rows, errors.Failure):
             return rows
