--- /dev/null
+++ b/toucanspring/coordinator/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of dependent steps, scheduled by one elected process over a table service."""
--- /dev/null
+++ b/toucanspring/coordinator/book.py
@@ -0,0 +1,540 @@
+"""State machine of all jobs of the cell: what is accepted, runs, has ended.
+
+It does no I/O. Changed jobs are collected in `dirty` and orders to stop tasks in
+`stops`; the coordinator makes the former durable and sends the latter.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from collections.abc import Iterable
+
+import logbook
+
+from toucanspring import errors, log as structured, resources
+from toucanspring.coordinator import catalogue, ports, rows, state, work, workers
+
+log = logbook.Logger(__name__)
+
+# How a run ended, as workers report it.
+DONE = "done"
+FAILED = "failed"
+# Without a queue in the configuration a job keeps the attempts of a careful one.
+DEFAULT_ATTEMPTS = 1
+ENDED_JOBS_KEPT_S = 150.0  # callers may ask for 120 s
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop:
+    """Order a worker to stop a run."""
+
+    worker: str
+    task: str
+    run: int
+
+
+class Book:
+    """Own the jobs and workers of the cell as one coordinator knows them."""
+
+    def __init__(self) -> None:
+        self.catalogue = catalogue.Catalogue()
+        self.zones_out: frozenset[str] = frozenset()
+        self.jobs: dict[str, state.JobRecord] = {}
+        self.workers: dict[str, workers.Worker] = {}
+        self.ready: dict[str, state.StepRun] = {}  # steps with waiting tasks, by ID
+        self.used: dict[str, resources.Resources] = collections.defaultdict(
+            lambda: resources.ZERO
+        )
+        self.dirty: dict[str, state.JobRecord] = {}
+        self.stops: list[Stop] = []
+        self.capacity_version = 0
+        self._pools: dict[str, list[workers.Worker]] = {}
+
+    # Jobs
+
+    def accept(self, spec: work.Job, now: float, age_s: float = 0.0) -> None:
+        """Take in an accepted job; a known one is left alone."""
+        if spec.id in self.jobs:
+            return
+        record = self._add(spec, now, age_s)
+        self.open_steps(record, now)
+
+    def restore(
+        self, spec: work.Job, progress: rows.Progress | None, now: float, age_s: float
+    ) -> None:
+        """Take in a job with its durable progress, after a takeover."""
+        record = self._add(spec, now, age_s)
+        if progress is not None:
+            state.restore(record, progress, now)
+        for run in record.steps.values():
+            for task in run.tasks:
+                if task.phase is state.Phase.IN_DOUBT:
+                    self._occupy(run, task)
+        if not record.is_final:
+            for run in record.steps.values():
+                self._queue(run)
+            self.open_steps(record, now)
+            return
+        record.ended_at = now
+        self._stop_all(record)
+
+    def _add(self, spec: work.Job, now: float, age_s: float) -> state.JobRecord:
+        record = state.JobRecord(spec, now - age_s)
+        queue = self.catalogue.queue(spec.queue)
+        chain_s = sum(step.estimate_ms for step in spec.steps) / 1000
+        if queue is not None:
+            record.due_at = now - age_s + queue.stretch * chain_s + queue.target_s
+        self.jobs[spec.id] = record
+        return record
+
+    def open_steps(self, record: state.JobRecord, now: float) -> None:
+        """Make the steps ready whose predecessors are done."""
+        for occurrence in range(max(1, record.spec.repeats)):
+            for number, step in enumerate(record.spec.steps):
+                if (occurrence, number) in record.steps:
+                    continue
+                if self._may_open(record, occurrence, step):
+                    self._queue(state.new_step(record, occurrence, number, now))
+
+    def due_occurrences(self, unix_ms: int, now: float) -> None:
+        """Open the steps of occurrences whose time has come."""
+        for record in self.jobs.values():
+            if record.spec.repeats and not record.is_final:
+                due = (unix_ms - record.spec.first_at_ms) // max(
+                    1, record.spec.interval_ms
+                ) + 1
+                for occurrence in range(min(due, record.spec.repeats)):
+                    for number, step in enumerate(record.spec.steps):
+                        key = (occurrence, number)
+                        if key not in record.steps and not step.after:
+                            self._queue(
+                                state.new_step(record, occurrence, number, now)
+                            )
+
+    def _may_open(
+        self, record: state.JobRecord, occurrence: int, step: work.Step
+    ) -> bool:
+        if record.spec.repeats and not step.after:
+            return False  # waits for its time
+        return all(
+            (found := record.steps.get((occurrence, before))) is not None
+            and found.unfinished == 0
+            for before in step.after
+        )
+
+    def _queue(self, run: state.StepRun) -> None:
+        if run.waiting:
+            run.blocked_at = -1
+            self.ready[run.id] = run
+
+    def cancel(self, job_id: str, now: float) -> state.JobRecord | None:
+        """End a job at its caller's wish; one that has ended stays as it is."""
+        record = self.jobs.get(job_id)
+        if record is not None and not record.is_final:
+            self._finish(record, state.JobState.CANCELLED, now)
+        return record
+
+    def _finish(
+        self, record: state.JobRecord, outcome: state.JobState, now: float
+    ) -> None:
+        record.state = outcome
+        record.ended_at = now
+        self.dirty[record.spec.id] = record
+        self._stop_all(record)
+        structured.decide(
+            log,
+            "job_ended",
+            job=record.spec.id,
+            outcome=outcome.value,
+            age_s=round(now - record.learned_at, 3),
+        )
+
+    def _stop_all(self, record: state.JobRecord) -> None:
+        for run in record.steps.values():
+            self.ready.pop(run.id, None)
+            for task in run.tasks:
+                self.stop(run, task)
+
+    def stop(self, run: state.StepRun, task: state.Task) -> None:
+        """Order a running task to stop."""
+        if task.phase in (state.Phase.RUNNING, state.Phase.IN_DOUBT):
+            task.phase = state.Phase.STOPPING
+            task.settled_at = float("inf")
+            self.stops.append(Stop(task.worker, run.task_id(task.index), task.run))
+
+    def forget_ended(self, now: float) -> list[str]:
+        """Return the jobs that ended so long ago that they may be removed."""
+        return [
+            job_id
+            for job_id, record in self.jobs.items()
+            if record.is_final
+            and record.shown is record.state
+            and now - record.ended_at > ENDED_JOBS_KEPT_S
+        ]
+
+    # Workers
+
+    def take_entry(self, entry: ports.WorkerEntry) -> workers.Worker:
+        """Take in what a worker has registered."""
+        worker = self.workers.get(entry.id)
+        if worker is None:
+            worker = self.workers[entry.id] = workers.Worker(entry)
+            self._adopt(worker)
+        worker.entry = entry
+        worker.registered = True
+        self._pools.clear()
+        self.capacity_version += 1
+        return worker
+
+    def _adopt(self, worker: workers.Worker) -> None:
+        """Let a worker hold the tasks that restored intents name."""
+        for record in self.jobs.values():
+            for run in record.steps.values():
+                for task in run.tasks:
+                    if task.worker == worker.id and task.phase in state.OCCUPYING:
+                        self._hold(worker, run, task)
+
+    def expect_worker(self, worker_id: str) -> workers.Worker:
+        """Return a worker that intents name but that is not registered."""
+        entry = ports.WorkerEntry(
+            id=worker_id, pool="", address="", zone="", rack="",
+            labels=frozenset(), capacity=resources.ZERO,
+        )  # fmt: skip
+        worker = self.workers[worker_id] = workers.Worker(entry, registered=False)
+        return worker
+
+    def worker_left(self, worker_id: str) -> None:
+        """Take note that a worker's entry is gone; it may still run tasks."""
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            worker.registered = False
+            self._pools.clear()
+
+    def remove_worker(self, worker_id: str) -> None:
+        """Forget a worker that holds nothing."""
+        self.workers.pop(worker_id, None)
+        self._pools.clear()
+
+    def pool(self, name: str) -> list[workers.Worker]:
+        """Return the registered workers of a pool."""
+        found = self._pools.get(name)
+        if found is None:
+            found = self._pools[name] = [
+                worker
+                for worker in self.workers.values()
+                if worker.registered and worker.entry.pool == name
+            ]
+        return found
+
+    def _hold(
+        self, worker: workers.Worker, run: state.StepRun, task: state.Task
+    ) -> None:
+        worker.held[run.task_id(task.index)] = workers.Held(run, task)
+        worker.used = worker.used + run.step.occupied()
+
+    def _occupy(self, run: state.StepRun, task: state.Task) -> None:
+        worker = self.workers.get(task.worker)
+        if worker is None:
+            worker = self.expect_worker(task.worker)
+        self._hold(worker, run, task)
+        owner = run.job.spec.organisation
+        self.used[owner] = self.used[owner] + run.step.demand
+
+    def release(self, run: state.StepRun, task: state.Task) -> None:
+        """Take a task off its worker, which certainly does not run it any more."""
+        worker = self.workers.get(task.worker)
+        if worker is not None:
+            if worker.held.pop(run.task_id(task.index), None) is not None:
+                worker.used = worker.used - run.step.occupied()
+        owner = run.job.spec.organisation
+        self.used[owner] = self.used[owner] - run.step.demand
+        task.worker = ""
+        self.capacity_version += 1
+
+    # Starts
+
+    def begin(
+        self, run: state.StepRun, task: state.Task, worker: workers.Worker, number: int
+    ) -> None:
+        """Take room for a run that is about to be ordered."""
+        task.phase = state.Phase.STARTING
+        task.run = number
+        task.worker, task.born = worker.id, worker.born
+        task.settled_at = float("inf")
+        task.percent = 0
+        run.waiting.discard(task.index)
+        if not run.waiting:
+            self.ready.pop(run.id, None)
+        self._occupy(run, task)
+        if run.job.state is state.JobState.QUEUED:
+            run.job.state = state.JobState.ACTIVE
+        self.dirty[run.job.spec.id] = run.job
+
+    def started(
+        self, run: state.StepRun, task: state.Task, number: int, now: float
+    ) -> None:
+        """Take note that a worker has confirmed a start."""
+        if task.run != number or task.phase is not state.Phase.STARTING:
+            return
+        task.phase = state.Phase.RUNNING
+        task.started_at = task.percent_at = now
+        task.settled_at = now
+        if run.job.is_final or self._gang_broken(run, task):
+            self.stop(run, task)
+
+    def _gang_broken(self, run: state.StepRun, task: state.Task) -> bool:
+        return run.step.gang and any(
+            other.run != task.run or other.phase is state.Phase.WAITING
+            for other in run.tasks
+        )
+
+    def not_started(
+        self, run: state.StepRun, task: state.Task, number: int, now: float
+    ) -> None:
+        """Take note that an order to start certainly had and will have no effect."""
+        if task.run != number or task.phase is not state.Phase.STARTING:
+            return
+        self._requeue(run, task, now)
+
+    def start_unanswered(
+        self, run: state.StepRun, task: state.Task, number: int
+    ) -> None:
+        """Take note that a run may or may not have started: it is stopped."""
+        if task.run != number or task.phase is not state.Phase.STARTING:
+            return
+        task.phase = state.Phase.IN_DOUBT
+        self.stop(run, task)
+
+    def stop_confirmed(self, worker_id: str, task_id: str, run: int, now: float) -> None:
+        """Take note that a worker has confirmed a stop: the run ends or never starts."""
+        worker = self.workers.get(worker_id)
+        held = worker.held.get(task_id) if worker is not None else None
+        if held is not None and held.task.run == run:
+            held.task.settled_at = min(held.task.settled_at, now)
+
+    # What workers say
+
+    def looked(
+        self, worker: workers.Worker, look: ports.Look, sent_at: float, now: float
+    ) -> list[str]:
+        """Take in what a worker runs and what has ended; return the jobs concerned."""
+        if look.born != worker.born:
+            if worker.born and worker.confirmed:
+                structured.decide(
+                    log, "worker_restarted", worker=worker.id, held=len(worker.held)
+                )
+            worker.restart(look.born)
+        if not worker.confirmed or not worker.answering:
+            self.capacity_version += 1
+        worker.confirmed = worker.answering = True
+        worker.take_clock(look.clock_ms, now)
+        listed = {(row.task, row.run) for row in look.running}
+        touched = []
+        for end in look.ended:
+            if end.number > worker.seen_end and self._end(worker, end, now):
+                touched.append(end.task.partition(".")[0])
+            listed.add((end.task, end.run))
+        self._compare(worker, look.running, now)
+        for task_id, held in list(worker.held.items()):
+            task = held.task
+            if (task_id, task.run) not in listed and task.settled_at < sent_at:
+                structured.decide(
+                    log, "run_vanished", task=task_id, run=task.run, worker=worker.id
+                )
+                self._requeue(held.step, task, now)
+                touched.append(held.step.job.spec.id)
+        return touched
+
+    def _compare(
+        self,
+        worker: workers.Worker,
+        running: Iterable[ports.RunningTask],
+        now: float,
+    ) -> None:
+        foreign = {}
+        for row in running:
+            held = worker.held.get(row.task)
+            if held is None or held.task.run != row.run:
+                foreign[row.task] = self._size_of(row.task)
+                if row.task not in worker.foreign:
+                    self.stops.append(Stop(worker.id, row.task, row.run))
+                continue
+            task = held.task
+            if row.checkpoint:
+                task.checkpoint = row.checkpoint
+            if row.percent != task.percent or not task.percent_at:
+                task.percent, task.percent_at = row.percent, now
+            if task.phase is state.Phase.IN_DOUBT:
+                task.phase = state.Phase.RUNNING
+                task.started_at = task.started_at or now
+                task.settled_at = now
+                if held.step.job.is_final:
+                    self.stop(held.step, task)
+        if len(foreign) < len(worker.foreign):
+            self.capacity_version += 1
+        worker.foreign = foreign
+
+    def _size_of(self, task_id: str) -> resources.Resources:
+        name = state.parse_task_id(task_id)
+        record = self.jobs.get(name.job) if name is not None else None
+        if record is None or name.step >= len(record.spec.steps):
+            # An unknown task may be of any size, so nothing starts beside it.
+            return resources.UNLIMITED
+        return record.spec.steps[name.step].occupied()
+
+    def _end(self, worker: workers.Worker, end: ports.EndedTask, now: float) -> bool:
+        """Take in how a run ended; return whether it changed a job."""
+        name = state.parse_task_id(end.task)
+        record = self.jobs.get(name.job) if name is not None else None
+        run = record.steps.get((name.occurrence, name.step)) if record else None
+        if run is None or name.index >= len(run.tasks):
+            return False
+        task = run.tasks[name.index]
+        if task.run != end.run or task.phase not in state.OCCUPYING:
+            return False
+        if end.checkpoint:
+            task.checkpoint = end.checkpoint
+        structured.decide(
+            log,
+            "run_ended",
+            task=end.task,
+            run=end.run,
+            how=end.how,
+            worker=worker.id,
+            lasted_s=round(now - task.started_at, 3) if task.started_at else 0,
+        )
+        self.release(run, task)
+        if end.how == DONE:
+            worker.note_success()
+            self._done(run, task, now)
+        elif end.how == FAILED:
+            if worker.note_failure(record.spec.id, now):
+                structured.decide(
+                    log,
+                    "worker_quarantined",
+                    worker=worker.id,
+                    for_s=round(worker.quarantined_until - now, 1),
+                )
+            self._failed(run, task, worker.id, now)
+        else:
+            self._back_to_queue(run, task, now)
+        self.dirty[record.spec.id] = record
+        return True
+
+    def _done(self, run: state.StepRun, task: state.Task, now: float) -> None:
+        if run.step.long_running:
+            self._back_to_queue(run, task, now)
+            return
+        task.phase = state.Phase.DONE
+        run.unfinished -= 1
+        if run.step.gang:
+            # The members end together, and one end stands for all.
+            for other in run.tasks:
+                if other.phase in state.OCCUPYING and other.run == task.run:
+                    self.release(run, other)
+                    other.phase = state.Phase.DONE
+                    run.unfinished -= 1
+        if run.unfinished == 0 and not run.job.is_final:
+            self._step_done(run, now)
+
+    def _step_done(self, run: state.StepRun, now: float) -> None:
+        record = run.job
+        occurrences = max(1, record.spec.repeats)
+        complete = sum(step.unfinished == 0 for step in record.steps.values())
+        if complete == occurrences * len(record.spec.steps):
+            self._finish(record, state.JobState.COMPLETED, now)
+            return
+        for number, step in enumerate(record.spec.steps):
+            key = (run.occurrence, number)
+            if key not in record.steps and step.after:
+                if self._may_open(record, run.occurrence, step):
+                    self._queue(state.new_step(record, run.occurrence, number, now))
+
+    def _failed(
+        self, run: state.StepRun, task: state.Task, worker_id: str, now: float
+    ) -> None:
+        if run.step.gang:
+            if task.run not in run.failed_runs:
+                run.failed_runs.add(task.run)
+                for other in run.tasks:
+                    other.failures += 1
+        else:
+            task.failures += 1
+        task.avoided = task.avoided | {worker_id}
+        self._back_to_queue(run, task, now)
+        queue = self.catalogue.queue(run.job.spec.queue)
+        attempts = queue.max_attempts if queue is not None else DEFAULT_ATTEMPTS
+        if task.failures >= attempts and not run.step.long_running:
+            if not run.job.is_final:
+                self._finish(run.job, state.JobState.FAILED, now)
+
+    def _back_to_queue(
+        self, run: state.StepRun, task: state.Task, now: float
+    ) -> None:
+        task.phase = state.Phase.WAITING
+        task.started_at = task.percent_at = 0.0
+        run.waiting.add(task.index)
+        if run.step.gang:
+            for other in run.tasks:
+                self.stop(run, other)
+        if run.job.is_final:
+            return
+        run.ready_at = now
+        self._queue(run)
+
+    def _requeue(self, run: state.StepRun, task: state.Task, now: float) -> None:
+        if task.phase in state.OCCUPYING:
+            self.release(run, task)
+        self._back_to_queue(run, task, now)
+        self.dirty[run.job.spec.id] = run.job
+
+    # Losses
+
+    def lapsed(self, worker: workers.Worker, now: float) -> None:
+        """Take note that a silent worker's lease is over: it runs nothing."""
+        worker.answering = worker.confirmed = False
+        structured.decide(
+            log, "worker_lost", worker=worker.id, tasks=len(worker.held)
+        )
+        for held in list(worker.held.values()):
+            self._requeue(held.step, held.task, now)
+        worker.foreign.clear()
+
+    def stuck_tasks(
+        self, worker: workers.Worker, now: float
+    ) -> list[workers.Held]:
+        """Return the tasks whose progress stands still although the worker answers."""
+        found = []
+        for held in worker.held.values():
+            task, step = held.task, held.step.step
+            if task.phase is not state.Phase.RUNNING or step.long_running:
+                continue
+            if not task.percent_at or now - task.percent_at < workers.STUCK_S:
+                continue
+            if step.gang and any(
+                other.phase is not state.Phase.RUNNING
+                or now - other.started_at < workers.STUCK_S
+                for other in held.step.tasks
+            ):
+                continue
+            # One percent of a long task takes longer than the usual limit.
+            if now - task.percent_at > workers.STUCK_S + step.estimate_ms / 1000 / 20:
+                found.append(held)
+        return found
+
+    def pending(self, queue: str) -> int:
+        """Return how many accepted jobs of a queue have not begun."""
+        return sum(
+            record.spec.queue == queue
+            and record.state is state.JobState.QUEUED
+            and not record.spec.repeats
+            for record in self.jobs.values()
+        )
+
+    def lookup(self, job_id: str) -> state.JobState | errors.NotFound:
+        """Return the durable state of a job."""
+        record = self.jobs.get(job_id)
+        if record is None:
+            return errors.NotFound(reason=f"no job {job_id}")
+        return record.shown
--- /dev/null
+++ b/toucanspring/coordinator/feeds.py
@@ -0,0 +1,149 @@
+"""Copies of the store's tables, kept up to date through its change feed."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import gevent
+import logbook
+
+from toucanspring import errors
+from toucanspring.coordinator import ports
+
+log = logbook.Logger(__name__)
+
+# A feed without changes is asked again this often, which bounds the age of the copy.
+WAIT_S = 0.8
+RETRY_FIRST_S = 0.05
+RETRY_MAX_S = 0.4
+
+Listener = Callable[[ports.Row], None]
+
+
+def read_table(
+    store: ports.Store, table: str
+) -> tuple[dict[ports.Place, ports.Row], int] | errors.Failure:
+    """Return all rows of a table and a version whose later changes may be missing."""
+    parts = store.parts(table)
+    if isinstance(parts, errors.Failure):
+        return parts
+    found: dict[ports.Place, ports.Row] = {}
+    oldest: int | None = None
+    # The empty part is read even if it holds nothing: the answer tells the version.
+    for part in {"", *parts}:
+        start = ""
+        while True:
+            page = store.read(table, part, start)
+            if isinstance(page, errors.Failure):
+                return page
+            found.update((row.place, row) for row in page.rows)
+            oldest = (
+                page.at.version if oldest is None else min(oldest, page.at.version)
+            )
+            if not page.has_more:
+                break
+            start = page.rows[-1].place.key + "\0"
+    return found, oldest or 0
+
+
+class Feed:
+    """Own the copy of one table; `changed(row)` is called for each change."""
+
+    def __init__(
+        self,
+        store: ports.Store,
+        table: str,
+        changed: Listener,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.rows: dict[ports.Place, ports.Row] = {}
+        # The copy holds everything that was in the store at this (monotonic) time.
+        self.complete_at = float("-inf")
+        self._store = store
+        self._table = table
+        self._changed = changed
+        self._clock = clock
+        self._version: int | None = None
+        self._greenlet: gevent.Greenlet | None = None
+        self._lost = False
+
+    def __enter__(self) -> Feed:
+        self._greenlet = gevent.spawn(self._run)
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Stop following."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+            self._greenlet = None
+
+    def age(self, now: float) -> float:
+        """Return for how many seconds changes may have been missed."""
+        return now - self.complete_at
+
+    def step(self) -> None | errors.Failure:
+        """Read the table, or wait for its next changes."""
+        sent = self._clock()
+        if self._version is None:
+            read = read_table(self._store, self._table)
+            if isinstance(read, errors.Failure):
+                return read
+            rows, version = read
+            self._replace(rows)
+            self._version = version
+        else:
+            answer = self._store.follow(self._table, self._version, WAIT_S)
+            match answer:
+                case ports.Changes(rows=rows, at=at):
+                    for row in rows:
+                        self._take(row)
+                    self._version = max(self._version, at.version)
+                case ports.HistoryGone():
+                    log.info("table {}: reading all rows again", self._table)
+                    self._version = None
+                    return None
+                case errors.Failure():
+                    return answer
+        self.complete_at = sent
+        return None
+
+    def _run(self) -> None:
+        pause = RETRY_FIRST_S
+        while True:
+            try:
+                failure = self.step()
+            except Exception:
+                log.exception("table {}", self._table)
+                failure = errors.Unknown(reason="internal error")
+            if failure is None:
+                if self._lost:
+                    log.info("table {}: followed again", self._table)
+                self._lost, pause = False, RETRY_FIRST_S
+                continue
+            if not self._lost:
+                log.warning("table {}: not followed: {}", self._table, failure)
+            self._lost = True
+            gevent.sleep(pause)
+            pause = min(RETRY_MAX_S, pause * 2)
+
+    def _replace(self, rows: dict[ports.Place, ports.Row]) -> None:
+        for place in [place for place in self.rows if place not in rows]:
+            self._take(ports.Row(place, b"", 0))
+        for row in rows.values():
+            known = self.rows.get(row.place)
+            if known is None or known.version != row.version:
+                self._take(row)
+
+    def _take(self, row: ports.Row) -> None:
+        if row.version:
+            self.rows[row.place] = row
+        else:
+            self.rows.pop(row.place, None)
+        try:
+            self._changed(row)
+        except Exception:
+            log.exception("table {}: row {}", self._table, row.place.key)
--- /dev/null
+++ b/toucanspring/coordinator/intake.py
@@ -0,0 +1,159 @@
+"""Acceptance of jobs by any process: a job is accepted once its row is in the store."""
+
+from __future__ import annotations
+
+import collections
+import time
+
+import gevent
+import logbook
+from gevent import event
+
+from toucanspring import errors
+from toucanspring.coordinator import ports, rows, work
+
+log = logbook.Logger(__name__)
+
+MAX_JOBS_PER_WRITE = 40
+MAX_BYTES_PER_WRITE = 400_000
+RETRY_FIRST_S = 0.03
+RETRY_MAX_S = 0.4
+
+
+class Waiting:
+    """Hold one job until its row is written or certainly not."""
+
+    def __init__(self, spec: work.Job, give_up_at: float) -> None:
+        self.spec = spec
+        self.value = rows.encode(spec)
+        self.give_up_at = give_up_at
+        self.result = event.AsyncResult()
+        self.uncertain = False  # a write that had no answer may have taken effect
+
+
+class Intake:
+    """Own the writers of accepted jobs, one for each part of the table."""
+
+    def __init__(self, store: ports.Store) -> None:
+        self._store = store
+        self._queues: dict[str, collections.deque[Waiting]] = {}
+        self._woken: dict[str, event.Event] = {}
+        self._greenlets: list[gevent.Greenlet] = []
+
+    def __enter__(self) -> Intake:
+        for number in range(rows.JOB_PARTS):
+            part = f"{number}"
+            self._queues[part] = collections.deque()
+            self._woken[part] = event.Event()
+            self._greenlets.append(gevent.spawn(self._run, part))
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        gevent.killall(self._greenlets, block=False)
+
+    def accept(self, spec: work.Job, timeout_s: float) -> None | errors.Failure:
+        """Return once a job is stored; a repeat of the same job is accepted again.
+
+        `Unavailable` means that it was not accepted and never will be by this call,
+        `Ambiguous` that it may be; `Conflict` that another job has its ID.
+        """
+        waiting = Waiting(spec, time.monotonic() + timeout_s)
+        part = rows.job_place(spec.id).part
+        self._queues[part].append(waiting)
+        self._woken[part].set()
+        return waiting.result.get()
+
+    def _run(self, part: str) -> None:
+        queue, woken = self._queues[part], self._woken[part]
+        while True:
+            woken.wait()
+            woken.clear()
+            while queue:
+                batch = self._take(queue)
+                try:
+                    self._write(batch)
+                except Exception:
+                    log.exception("part {}: accepting {} jobs", part, len(batch))
+                    self._finish(batch, errors.Ambiguous(reason="internal error"))
+
+    @staticmethod
+    def _take(queue: collections.deque[Waiting]) -> list[Waiting]:
+        batch, size, places = [], 0, set()
+        while queue and len(batch) < MAX_JOBS_PER_WRITE and size < MAX_BYTES_PER_WRITE:
+            if queue[0].spec.id in places:
+                break  # the same job twice: the second finds the row of the first
+            places.add(queue[0].spec.id)
+            size += len(queue[0].value)
+            batch.append(queue.popleft())
+        return batch
+
+    def _write(self, batch: list[Waiting]) -> None:
+        pause = RETRY_FIRST_S
+        while batch:
+            places = {rows.job_place(each.spec.id): each for each in batch}
+            answer = self._store.transact(
+                dict.fromkeys(places, 0),
+                {place: each.value for place, each in places.items()},
+            )
+            match answer:
+                case ports.Committed():
+                    self._finish(batch, None)
+                    return
+                case ports.Rejected(rows=found):
+                    batch = self._settle(places, found)
+                    continue
+                case errors.Ambiguous():
+                    for each in batch:
+                        each.uncertain = True
+                case _:
+                    refused = [each for each in batch if not each.uncertain]
+                    self._finish(refused, answer)
+                    batch = [each for each in batch if each.uncertain]
+            batch = self._give_up(batch)
+            gevent.sleep(pause)
+            pause = min(RETRY_MAX_S, pause * 2)
+
+    @staticmethod
+    def _settle(
+        places: dict[ports.Place, Waiting], found: tuple[ports.Row, ...]
+    ) -> list[Waiting]:
+        """Answer the jobs whose rows exist; return the others."""
+        existing = {row.place: row for row in found if row.version}
+        left = []
+        for place, each in places.items():
+            row = existing.get(place)
+            if row is None:
+                left.append(each)
+                continue
+            known = rows.decode(work.Job, row.value)
+            same = isinstance(known, work.Job) and (
+                known.organisation,
+                known.queue,
+                known.payload,
+                known.steps,
+            ) == (
+                each.spec.organisation,
+                each.spec.queue,
+                each.spec.payload,
+                each.spec.steps,
+            )
+            each.result.set(
+                None if same else errors.Conflict(reason="another job has this ID")
+            )
+        return left
+
+    @staticmethod
+    def _give_up(batch: list[Waiting]) -> list[Waiting]:
+        now = time.monotonic()
+        left = []
+        for each in batch:
+            if now < each.give_up_at:
+                left.append(each)
+            else:
+                each.result.set(errors.Ambiguous(reason="the store did not answer"))
+        return left
+
+    @staticmethod
+    def _finish(batch: list[Waiting], result: None | errors.Failure) -> None:
+        for each in batch:
+            each.result.set(result)
--- /dev/null
+++ b/toucanspring/coordinator/service.py
@@ -0,0 +1,360 @@
+"""The coordinator's side of each process: candidacy, calls to whoever coordinates."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import time
+import uuid
+from collections.abc import Callable
+
+import gevent
+import logbook
+import msgspec
+from gevent import event
+
+from toucanspring import errors, log as structured
+from toucanspring.coordinator import (
+    approval_desk,
+    feeds,
+    intake,
+    planner,
+    ports,
+    rows,
+    seat,
+    state,
+    tenure,
+    work,
+)
+
+log = logbook.Logger(__name__)
+
+LOOK_AT_SEAT_S = 1.0
+RETRY_S = 0.15
+CALL_TIMEOUT_S = 1.2
+KEEPALIVE_S = 3.0  # streams of peers close after 10 s of silence
+RELAY_LINKS = 2  # processes beside the coordinator that calls may be relayed to
+ANNOUNCE = "seat"
+METHODS = ("status", "cancel", "pending")
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Options:
+    """Settings of one process; `max_lease_ms` is the longest lease of a worker."""
+
+    process: str
+    address: str
+    peer_port: int
+    max_lease_ms: int
+
+
+class Service:
+    """Run for the seat, coordinate while it is held, and call who holds it."""
+
+    def __init__(
+        self,
+        kernel: object,
+        options: Options,
+        store: ports.Store,
+        client: ports.Workers,
+        approvals: ports.Approvals,
+        directory: tenure.Directory,
+    ) -> None:
+        self._kernel = kernel
+        self._options = options
+        self._store = store
+        self._client = client
+        self._directory = directory
+        self._life = uuid.uuid4().hex[:12]
+        self._clock = seat.StoreClock()
+        self._seat: rows.Seat | None = None
+        self._tenure: tenure.Tenure | None = None
+        self._draining = False
+        self._looked = event.Event()
+        self._members = feeds.Feed(store, rows.MEMBERS, self._take_member)
+        self._intake = intake.Intake(store)
+        self._approvals = approval_desk.Desk(kernel, approvals, self._answered)
+        self._greenlets: list[gevent.Greenlet] = []
+
+    # Life
+
+    def start(self) -> None:
+        """Register, follow the members and run for the seat."""
+        peers = self._kernel.find("peers")
+        for method in METHODS:
+            peers.handle(method, self._handler(method))
+        peers.handle(approval_desk.METHOD, self._approvals.serve)
+        peers.handle_notice(ANNOUNCE, self._take_announcement)
+        self._intake.__enter__()
+        self._members.__enter__()
+        self._greenlets = [
+            gevent.spawn(self._register),
+            gevent.spawn(self._run_for_seat),
+            gevent.spawn(self._keep_streams),
+        ]
+
+    def stop_accepting(self) -> None:
+        """Leave the seat to others."""
+        self._draining = True
+        if self._tenure is not None:
+            self._tenure.release()
+            self._tenure.wake()
+        self._announce_vacancy()
+
+    def stop(self) -> None:
+        """End all work of this process."""
+        gevent.killall(self._greenlets, block=False)
+        self._members.close()
+        self._intake.__exit__()
+        place = ports.Place(rows.MEMBERS, "", self._options.process)
+        row = self._members.rows.get(place)
+        if row is not None:
+            answer = self._store.transact({place: row.version}, {}, (place,))
+            if isinstance(answer, errors.Failure):
+                log.warning("the row of this process stays: {}", answer)
+
+    # Calls
+
+    def submit(self, spec: work.Job, timeout_s: float) -> None | errors.Failure:
+        """Store a job; see `intake.Intake.accept`."""
+        return self._intake.accept(spec, timeout_s)
+
+    def status(self, job_id: str) -> state.JobState | errors.Failure:
+        """Return the state of a job, from the store if nobody coordinates."""
+        answer = self._call("status", job_id)
+        if isinstance(answer, errors.Failure) and not isinstance(
+            answer, errors.NotFound
+        ):
+            return self._read_status(job_id)
+        return answer if isinstance(answer, errors.Failure) else state.JobState(answer)
+
+    def cancel(self, job_id: str) -> state.JobState | errors.Failure:
+        """Cancel a job; returns once that is durable."""
+        answer = self._call("cancel", job_id)
+        return answer if isinstance(answer, errors.Failure) else state.JobState(answer)
+
+    def pending(self, queue: str) -> int | errors.Failure:
+        """Return how many accepted jobs of a queue have not begun."""
+        return self._call("pending", queue)
+
+    def relays(self) -> list[str]:
+        """Return processes that calls may be passed to, the coordinator first."""
+        names = self._targets()
+        first = self._seat.process if self._seat is not None else ""
+        return sorted(names, key=lambda name: (name != first, name))
+
+    def _call(self, method: str, argument: str) -> object | errors.Failure:
+        held = self._seat
+        if held is None:
+            return errors.Unavailable(reason="no coordinator is known")
+        if held.process == self._options.process:
+            return self._answer(method, argument)
+        body = self._kernel.find("peers").call(
+            held.process, method, argument.encode(), CALL_TIMEOUT_S
+        )
+        if isinstance(body, errors.Failure):
+            return body
+        return msgspec.msgpack.decode(body)
+
+    def _handler(self, method: str) -> Callable[[str, bytes], bytes | errors.Failure]:
+        def handle(_sender: str, body: bytes) -> bytes | errors.Failure:
+            answer = self._answer(method, body.decode())
+            if isinstance(answer, errors.Failure):
+                return answer
+            return msgspec.msgpack.encode(answer)
+
+        return handle
+
+    def _answer(self, method: str, argument: str) -> object | errors.Failure:
+        held = self._tenure
+        if held is None or not held.ready.is_set():
+            return errors.Unavailable(reason="this process does not coordinate")
+        match method:
+            case "status":
+                found = held.status(argument)
+                return found if isinstance(found, errors.Failure) else found.value
+            case "cancel":
+                found = held.cancel(argument)
+                return found if isinstance(found, errors.Failure) else found.value
+            case _:
+                return held.book.pending(argument)
+
+    def _read_status(self, job_id: str) -> state.JobState | errors.Failure:
+        """Return the state of a job from its rows."""
+        place = rows.progress_place(job_id)
+        page = self._store.read(place.table, place.part, job_id, job_id + "\0")
+        if isinstance(page, errors.Failure):
+            return page
+        if page.rows:
+            progress = rows.decode(rows.Progress, page.rows[0].value)
+            if isinstance(progress, errors.Malformed):
+                return progress
+            return state.JobState(progress.state)
+        place = rows.job_place(job_id)
+        page = self._store.read(place.table, place.part, job_id, job_id + "\0")
+        if isinstance(page, errors.Failure):
+            return page
+        if page.rows:
+            return state.JobState.QUEUED
+        return errors.NotFound(reason=f"no job {job_id}")
+
+    # Approvals
+
+    def _answered(self, question: planner.Question) -> None:
+        del question
+        if self._tenure is not None:
+            self._tenure.wake()
+
+    # Members
+
+    def _register(self) -> None:
+        """Write where this process listens."""
+        options = self._options
+        place = ports.Place(rows.MEMBERS, "", options.process)
+        value = rows.encode(
+            rows.MemberRow(options.process, options.address, options.peer_port)
+        )
+        while True:
+            answer = self._store.transact({}, {place: value})
+            if isinstance(answer, ports.Committed):
+                return
+            gevent.sleep(RETRY_S * (1 + random.random()))
+
+    def _take_member(self, _row: ports.Row) -> None:
+        self._set_targets()
+
+    def _member_rows(self) -> dict[str, rows.MemberRow]:
+        found = {}
+        for row in self._members.rows.values():
+            member = rows.decode(rows.MemberRow, row.value)
+            if isinstance(member, rows.MemberRow):
+                found[member.process] = member
+        found.pop(self._options.process, None)
+        return found
+
+    def _targets(self) -> list[str]:
+        """Return the processes that this one keeps a stream to."""
+        members = sorted(self._member_rows())
+        if self._tenure is not None:
+            return members
+        chosen = members
+        own = self._options.process
+        ring = [name for name in members if name > own]
+        ring += [name for name in members if name < own]
+        chosen = ring[:RELAY_LINKS]
+        if self._seat is not None and self._seat.process in members:
+            chosen = [self._seat.process, *chosen]
+        return list(dict.fromkeys(chosen))
+
+    def _set_targets(self) -> None:
+        members = self._member_rows()
+        self._kernel.find("peers").set_targets(
+            {
+                name: (members[name].address, members[name].port)
+                for name in self._targets()
+            }
+        )
+
+    def _keep_streams(self) -> None:
+        while True:
+            gevent.sleep(KEEPALIVE_S)
+            self._announce()
+
+    def _announce(self) -> None:
+        """Tell the others who coordinates; keeps the streams to them open."""
+        peers = self._kernel.find("peers")
+        held = self._seat
+        body = rows.encode(held) if held is not None else b""
+        for name in self._targets():
+            peers.notify(name, ANNOUNCE, body)
+
+    def _announce_vacancy(self) -> None:
+        held = self._seat
+        if held is None or held.process != self._options.process:
+            return
+        vacant = rows.Seat("", "", held.epoch, held.commit, 0, "")
+        for name in self._targets():
+            self._kernel.find("peers").notify(name, ANNOUNCE, rows.encode(vacant))
+
+    def _take_announcement(self, _sender: str, body: bytes) -> None:
+        if not body:
+            return
+        heard = rows.decode(rows.Seat, body)
+        if isinstance(heard, errors.Malformed):
+            log.warning("announcement of the seat: {}", heard)
+            return
+        known = self._seat
+        if not heard.process:
+            if known is None or heard.epoch >= known.epoch:
+                self._looked.set()  # the seat is vacant
+        elif known is None or heard.epoch > known.epoch:
+            self._take_seat(heard)
+
+    def _take_seat(self, held: rows.Seat) -> None:
+        changed = self._seat is None or held.epoch != self._seat.epoch
+        self._seat = held
+        if changed:
+            structured.decide(
+                log, "coordinator_known", process=held.process, epoch=held.epoch
+            )
+            self._set_targets()
+
+    # The seat
+
+    def _run_for_seat(self) -> None:
+        while True:
+            if self._draining:
+                self._follow_seat()
+                continue
+            found = seat.claim(
+                self._store,
+                self._options.process,
+                self._options.address,
+                self._life,
+            )
+            match found:
+                case seat.Tenure():
+                    self._coordinate(found)
+                    self._looked.wait(LOOK_AT_SEAT_S)
+                case seat.Held(seat=held, expires_in_s=left_s):
+                    if held.process:
+                        self._take_seat(held)
+                    pause = min(LOOK_AT_SEAT_S, left_s + 0.05 * random.random())
+                    self._looked.wait(pause)
+                case errors.Conflict():
+                    gevent.sleep(0.02)
+                case errors.Failure():
+                    log.debug("seat: {}", found)
+                    gevent.sleep(RETRY_S * (1 + random.random()))
+            self._looked.clear()
+
+    def _follow_seat(self) -> None:
+        found = seat.read(self._store)
+        if not isinstance(found, errors.Failure) and found[0] is not None:
+            self._take_seat(found[0])
+        gevent.sleep(LOOK_AT_SEAT_S / 2)
+
+    def _coordinate(self, taken: seat.Tenure) -> None:
+        self._take_seat(taken.seat)
+        structured.decide(log, "seat_taken", epoch=taken.seat.epoch)
+        self._clock = seat.StoreClock()
+        self._clock.take(taken.seat.expires_ms - seat.LEASE_MS, time.monotonic())
+        self._tenure = tenure.Tenure(
+            self._store,
+            self._client,
+            self._directory,
+            taken,
+            self._clock,
+            self._approvals.ask,
+            self._options.max_lease_ms,
+        )
+        self._set_targets()
+        self._announce()
+        try:
+            self._tenure.run()
+        except Exception:
+            log.exception("epoch {}: the tenure ended", taken.seat.epoch)
+        finally:
+            self._tenure = None
+            self._approvals.clear()
+            structured.decide(log, "seat_left", epoch=taken.seat.epoch)
--- /dev/null
+++ b/toucanspring/coordinator/state.py
@@ -0,0 +1,183 @@
+"""Tasks, steps and jobs as the coordinator knows them."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from toucanspring.coordinator import ports, rows, work
+
+
+class Phase(enum.Enum):
+    """Say where a task stands; all but the first and last occupy a worker."""
+
+    WAITING = "waiting"
+    STARTING = "starting"  # the intent is being written or the order is under way
+    IN_DOUBT = "in doubt"  # it may be running; its worker has to tell
+    RUNNING = "running"
+    STOPPING = "stopping"
+    DONE = "done"
+
+
+OCCUPYING = frozenset({Phase.STARTING, Phase.IN_DOUBT, Phase.RUNNING, Phase.STOPPING})
+
+
+class JobState(enum.Enum):
+    """Say what callers are told of a job."""
+
+    QUEUED = "queued"
+    ACTIVE = "active"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+FINAL = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Task:
+    """Hold one task; times are monotonic seconds."""
+
+    index: int
+    phase: Phase = Phase.WAITING
+    run: int = 0
+    failures: int = 0
+    worker: str = ""
+    born: int = 0
+    checkpoint: str = ""
+    percent: int = 0
+    percent_at: float = 0.0
+    started_at: float = 0.0
+    # When the worker last confirmed an order about the task; a later look that does
+    # not list the task proves that it is gone. Infinite while that is not known.
+    settled_at: float = float("inf")
+    avoided: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class StepRun:
+    """Hold the tasks of one step in one occurrence of a job."""
+
+    job: JobRecord
+    occurrence: int
+    number: int
+    step: work.Step
+    tasks: list[Task]
+    waiting: set[int]
+    unfinished: int
+    ready_at: float = 0.0
+    failed_runs: set[int] = dataclasses.field(default_factory=set)
+    # Approval of workers: a known answer never changes, tickets expire.
+    tickets: dict[str, ports.Ticket] = dataclasses.field(default_factory=dict)
+    allowed: dict[str, bool] = dataclasses.field(default_factory=dict)
+    asking: bool = False
+    ask_again_at: float = 0.0
+    blocked_at: int = -1  # capacity version at which no task found room
+
+    @property
+    def id(self) -> str:
+        """Return the step's name, unique in the cell."""
+        return f"{self.job.spec.id}.{self.occurrence}.{self.number}"
+
+    def task_id(self, index: int) -> str:
+        """Return the name of a task, unique in the cell."""
+        return f"{self.id}.{index}"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class JobRecord:
+    """Hold an accepted job and its steps, by occurrence and number."""
+
+    spec: work.Job
+    learned_at: float
+    steps: dict[tuple[int, int], StepRun] = dataclasses.field(default_factory=dict)
+    state: JobState = JobState.QUEUED
+    shown: JobState = JobState.QUEUED  # what is durable
+    due_at: float = 0.0  # when an answer in time must be there
+    ended_at: float = 0.0
+
+    @property
+    def is_final(self) -> bool:
+        """Return whether the job has ended."""
+        return self.state in FINAL
+
+
+def parse_task_id(text: str) -> work.TaskId | None:
+    """Return the parts of a task's name; None if it has another form."""
+    parts = text.split(".")
+    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+        return None
+    return work.TaskId(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+
+
+def new_step(record: JobRecord, occurrence: int, number: int, now: float) -> StepRun:
+    """Add a step whose tasks all wait."""
+    step = record.spec.steps[number]
+    run = StepRun(
+        record,
+        occurrence,
+        number,
+        step,
+        [Task(index) for index in range(step.count)],
+        set(range(step.count)),
+        step.count,
+        ready_at=now,
+    )
+    record.steps[occurrence, number] = run
+    return run
+
+
+def to_progress(record: JobRecord) -> rows.Progress:
+    """Return the durable part of a job's state."""
+    steps = []
+    for (occurrence, number), run in record.steps.items():
+        if run.unfinished == 0:
+            steps.append(rows.StepRow(occurrence, number, (), True))
+            continue
+        tasks = tuple(
+            rows.TaskRow(
+                task.index,
+                task.run,
+                task.failures,
+                task.worker if task.phase in OCCUPYING else "",
+                task.born if task.phase in OCCUPYING else 0,
+                task.checkpoint,
+                task.phase is Phase.DONE,
+            )
+            for task in run.tasks
+            if task.run
+        )
+        steps.append(rows.StepRow(occurrence, number, tasks))
+    return rows.Progress(record.state.value, tuple(steps))
+
+
+def restore(record: JobRecord, progress: rows.Progress, now: float) -> list[Task]:
+    """Take in the durable state; return the tasks that may be running."""
+    record.state = record.shown = JobState(progress.state)
+    uncertain = []
+    for row in progress.steps:
+        run = record.steps.get((row.occurrence, row.step))
+        if run is None:
+            run = new_step(record, row.occurrence, row.step, now)
+        if row.complete:
+            for task in run.tasks:
+                task.phase = Phase.DONE
+            run.waiting.clear()
+            run.unfinished = 0
+            continue
+        for saved in row.tasks:
+            task = run.tasks[saved.index]
+            task.run, task.failures = saved.run, saved.failures
+            task.checkpoint = saved.checkpoint
+            if saved.done:
+                task.phase = Phase.DONE
+                run.waiting.discard(task.index)
+                run.unfinished -= 1
+            elif saved.worker:
+                task.phase = Phase.IN_DOUBT
+                task.worker, task.born = saved.worker, saved.born
+                task.settled_at = 0.0  # the new epoch bars all earlier orders
+                run.waiting.discard(task.index)
+                uncertain.append(task)
+    return uncertain
--- /dev/null
+++ b/toucanspring/coordinator/tenure.py
@@ -0,0 +1,362 @@
+"""One tenure of the coordinator: recovery, planning, durable intents, orders."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+import gevent
+import logbook
+from gevent import event
+
+from toucanspring import errors, log as structured
+from toucanspring.coordinator import (
+    book,
+    catalogue,
+    feeds,
+    ledger,
+    orders,
+    planner,
+    ports,
+    rows,
+    seat,
+    state,
+    work,
+    workers,
+)
+
+log = logbook.Logger(__name__)
+
+# Starts need a view of the operators' wishes that is younger than this; the bounds
+# on evacuation and configuration are 2 s and more.
+MAX_VIEW_AGE_S = 1.8
+HOUSEKEEPING_S = 0.25
+LOAD_RETRY_S = 0.1
+DURABLE_LIMIT_S = 3.0
+
+
+class Directory(Protocol):
+    """Know the operators' wishes and the workers, as kept up by the platform."""
+
+    catalogue: catalogue.Catalogue | None
+    zones_out: frozenset[str]
+
+    def age(self, now: float) -> float:
+        """Return for how many seconds changes may have been missed."""
+
+    def entries(self) -> dict[str, ports.WorkerEntry]:
+        """Return the registered workers."""
+
+    def follow_workers(self, changed: Callable[[], None]) -> object:
+        """Keep `entries` up to date while the returned context is open."""
+
+
+@dataclasses.dataclass(slots=True)
+class Note:
+    """Wait for jobs to become durable before a worker forgets its ends."""
+
+    worker: workers.Worker
+    last_end: int
+    born: int
+
+
+class Tenure:
+    """Own the cell's jobs from the claim of the seat until it is lost."""
+
+    def __init__(
+        self,
+        store: ports.Store,
+        client: ports.Workers,
+        directory: Directory,
+        taken: seat.Tenure,
+        store_clock: seat.StoreClock,
+        ask: Callable[[planner.Question], None],
+        max_lease_ms: int,
+    ) -> None:
+        self.book = book.Book()
+        self.epoch = taken.seat.epoch
+        self.ready = event.Event()
+        self.ended = event.Event()
+        self._store = store
+        self._directory = directory
+        self._taken = taken
+        self._claimed_at = time.monotonic()
+        self._ledger = ledger.Ledger(store, taken, store_clock)
+        self._planner = planner.Planner(self.book)
+        self._desk = orders.Desk(self, client, max_lease_ms)
+        self._max_lease_s = max_lease_ms / 1000
+        self._ask = ask
+        self._woken = event.Event()
+        self._notes: list[Note] = []
+        self._waiters: list[event.AsyncResult] = []
+        self._jobs = feeds.Feed(store, rows.JOBS, self._take_job)
+        self._removals: list[ports.Place] = []
+        self._housekept_at = 0.0
+
+    def run(self) -> None:
+        """Coordinate until the seat is lost or released."""
+        try:
+            if not self._load():
+                return
+            with (
+                self._directory.follow_workers(self._take_workers),
+                self._desk,
+                self._jobs,
+            ):
+                self._take_workers()
+                for worker in list(self.book.workers.values()):
+                    self._desk.attend(worker)
+                self.ready.set()
+                log.info(
+                    "epoch {}: coordinating {} jobs and {} workers",
+                    self.epoch, len(self.book.jobs), len(self.book.workers),
+                )  # fmt: skip
+                while not self._ledger.lost:
+                    self._woken.wait(seat.RENEW_S / 4)
+                    self._woken.clear()
+                    self._round()
+        finally:
+            self.ready.clear()
+            self.ended.set()
+            failure = errors.Unavailable(reason="the seat has moved")
+            for waiter in self._waiters:
+                waiter.set(failure)
+
+    def release(self) -> None:
+        """Give the seat up, as at a graceful stop."""
+        failure = self._ledger.release()
+        if failure is not None:
+            log.warning("epoch {}: not released: {}", self.epoch, failure)
+        self.wake()
+
+    # For orders
+
+    def wake(self) -> None:
+        """Plan again soon."""
+        self._woken.set()
+
+    def may_renew(self, now: float) -> bool:
+        """Return whether leases of workers may be renewed."""
+        lost = self._ledger.lost
+        return not lost and self._ledger.overdue_s(now) < orders.OUTAGE_HOLD_S
+
+    def note(self, worker: workers.Worker, last_end: int, jobs: list[str]) -> None:
+        """Forget ends at the worker once the changes of these jobs are durable."""
+        del jobs  # all changed jobs go into the next commit
+        self._notes.append(Note(worker, last_end, worker.born))
+        self.wake()
+
+    def superseded(self, reason: str) -> None:
+        """End the tenure, since a worker has seen a higher epoch."""
+        if not self._ledger.lost:
+            log.warning("epoch {}: superseded: {}", self.epoch, reason)
+        self._ledger.lost = True
+        self.wake()
+
+    # For callers
+
+    def status(self, job_id: str) -> state.JobState | errors.Failure:
+        """Return the durable state of a job."""
+        found = self.book.lookup(job_id)
+        if isinstance(found, errors.NotFound):
+            failure = self._fetch(job_id)
+            if failure is not None:
+                return failure
+            found = self.book.lookup(job_id)
+        return found
+
+    def cancel(self, job_id: str) -> state.JobState | errors.Failure:
+        """Cancel a job durably; one that has ended keeps its outcome."""
+        if job_id not in self.book.jobs:
+            failure = self._fetch(job_id)
+            if failure is not None:
+                return failure
+        record = self.book.cancel(job_id, time.monotonic())
+        if record.shown is record.state:
+            return record.shown
+        waiter = event.AsyncResult()
+        self._waiters.append(waiter)
+        self.wake()
+        try:
+            failure = waiter.get(timeout=DURABLE_LIMIT_S)
+        except gevent.Timeout:
+            return errors.Ambiguous(reason="the cancellation is not durable yet")
+        return record.shown if failure is None else failure
+
+    def _fetch(self, job_id: str) -> None | errors.Failure:
+        """Read a job that the feed has not brought yet."""
+        place = rows.job_place(job_id)
+        page = self._store.read(rows.JOBS, place.part, job_id, job_id + "\0")
+        if isinstance(page, errors.Failure):
+            return page
+        if not page.rows:
+            return errors.NotFound(reason=f"no job {job_id}")
+        self._take_job(page.rows[0])
+        return None
+
+    # Recovery
+
+    def _load(self) -> bool:
+        """Read all jobs and their progress; return whether the seat is still ours."""
+        while not self._ledger.lost:
+            failure = self._try_load()
+            if failure is None:
+                return True
+            log.warning("epoch {}: loading: {}", self.epoch, failure)
+            if self._ledger.overdue_s(time.monotonic()):
+                return False
+            gevent.sleep(LOAD_RETRY_S)
+        return False
+
+    def _try_load(self) -> None | errors.Failure:
+        # After the claim no earlier commit can take effect, so this is final.
+        progress = feeds.read_table(self._store, rows.PROGRESS)
+        if isinstance(progress, errors.Failure):
+            return progress
+        failure = self._jobs.step()
+        if failure is not None:
+            return failure
+        now = time.monotonic()
+        self._take_operators()
+        found: dict[str, rows.Progress] = {}
+        for row in progress[0].values():
+            decoded = rows.decode(rows.Progress, row.value)
+            if isinstance(decoded, errors.Malformed):
+                log.error("progress of {}: {}", row.place.key, decoded)
+                continue
+            found[row.place.key] = decoded
+        self.book.jobs.clear()
+        for entry in self._directory.entries().values():
+            self.book.take_entry(entry)
+        for row in self._jobs.rows.values():
+            spec = rows.decode(work.Job, row.value)
+            if isinstance(spec, work.Job):
+                self.book.restore(spec, found.get(spec.id), now, _age_s(spec))
+        renewed_until = self._claimed_at + self._max_lease_s
+        if self._taken.predecessor_may_live:
+            renewed_until += orders.OUTAGE_HOLD_S
+        for worker in self.book.workers.values():
+            worker.lapses_at = (
+                renewed_until
+                + self._max_lease_s * workers.CLOCK_SLOWNESS
+                + workers.LAPSE_SLACK_S
+            )
+        return None
+
+    def _take_job(self, row: ports.Row) -> None:
+        if not row.version or row.place.key in self.book.jobs or not self.ready.is_set():
+            return
+        spec = rows.decode(work.Job, row.value)
+        if isinstance(spec, errors.Malformed):
+            log.error("job {}: {}", row.place.key, spec)
+            return
+        self.book.accept(spec, time.monotonic(), _age_s(spec))
+        structured.decide(
+            log, "job_learned", job=spec.id, queue=spec.queue,
+            organisation=spec.organisation, age_s=round(_age_s(spec), 3),
+        )  # fmt: skip
+        self.wake()
+
+    def _take_workers(self) -> None:
+        entries = self._directory.entries()
+        for entry in entries.values():
+            known = self.book.workers.get(entry.id)
+            if known is None or known.entry != entry or not known.registered:
+                self._desk.attend(self.book.take_entry(entry))
+        for worker in list(self.book.workers.values()):
+            if worker.registered and worker.id not in entries:
+                structured.decide(log, "worker_unregistered", worker=worker.id)
+                self.book.worker_left(worker.id)
+        self.wake()
+
+    def _take_operators(self) -> None:
+        if self._directory.catalogue is not None:
+            if self.book.catalogue is not self._directory.catalogue:
+                self.book.catalogue = self._directory.catalogue
+                self.book.capacity_version += 1
+        if self.book.zones_out != self._directory.zones_out:
+            self.book.zones_out = self._directory.zones_out
+            self.book.capacity_version += 1
+
+    # Rounds
+
+    def _round(self) -> None:
+        now = time.monotonic()
+        self._take_operators()
+        self._keep_house(now)
+        plan = planner.Plan()
+        if self._directory.age(now) < MAX_VIEW_AGE_S and self._ledger.holds(now):
+            plan = self._planner.plan(now)
+        for question in plan.questions:
+            self._ask(question)
+        stops, self.book.stops[:] = list(self.book.stops), []
+        for stop in stops:
+            self._desk.stop(stop)
+        self._commit(plan.starts, now)
+
+    def _commit(self, starts: list[planner.Start], now: float) -> None:
+        dirty = dict(self.book.dirty)
+        self.book.dirty.clear()
+        notes, self._notes = self._notes, []
+        waiters, self._waiters = self._waiters, []
+        removals, self._removals = tuple(self._removals), []
+        renewal_due = now - self._ledger.committed_at >= seat.RENEW_S
+        if not (dirty or waiters or removals or renewal_due):
+            self._noted(notes)
+            return
+        puts = {
+            rows.progress_place(job_id): rows.encode(state.to_progress(record))
+            for job_id, record in dirty.items()
+        }
+        states = {job_id: record.state for job_id, record in dirty.items()}
+        failure = self._ledger.commit(puts, removals)
+        if failure is not None:
+            self._waiters.extend(waiters)
+            return
+        for job_id, record in dirty.items():
+            record.shown = states[job_id]
+        if starts:
+            structured.decide(
+                log, "starts_recorded", commit=self._ledger.writes,
+                tasks=[
+                    f"{start.step.task_id(start.task.index)}@{start.worker.id}"
+                    for start in starts[:20]
+                ],
+                count=len(starts), took_ms=round((time.monotonic() - now) * 1000),
+            )  # fmt: skip
+        for start in starts:
+            self._desk.start(start)
+        self._noted(notes)
+        for waiter in waiters:
+            waiter.set(None)
+
+    def _noted(self, notes: list[Note]) -> None:
+        for note in notes:
+            if note.worker.born == note.born:
+                note.worker.seen_end = max(note.worker.seen_end, note.last_end)
+            self._desk.noted(note.worker)
+
+    def _keep_house(self, now: float) -> None:
+        if now - self._housekept_at < HOUSEKEEPING_S:
+            return
+        self._housekept_at = now
+        self.book.due_occurrences(round(time.time() * 1000), now)
+        for job_id in self.book.forget_ended(now):
+            self._forget(job_id)
+
+    def _forget(self, job_id: str) -> None:
+        """Remove an ended job; its progress goes last, or it would run again."""
+        place = rows.job_place(job_id)
+        row = self._jobs.rows.get(place)
+        if row is not None:
+            self._store.transact({place: row.version}, {}, (place,))
+            return  # the feed tells when it is gone
+        del self.book.jobs[job_id]
+        self._removals.append(rows.progress_place(job_id))
+
+
+def _age_s(spec: work.Job) -> float:
+    """Return how long ago a job was accepted, by the wall clocks of two processes."""
+    return max(0.0, min(600.0, time.time() - spec.accepted_at_ms / 1000))
--- a/toucanspring/link.py
+++ b/toucanspring/link.py
@@ -72,6 +72,11 @@
         """Return the bytes received since the link exists."""
         return self._old_bytes[1] + (self._stream.received_bytes if self._stream else 0)
 
+    @property
+    def is_up(self) -> bool:
+        """Return whether calls can be sent now."""
+        return self._outbox is not None
+
     def close(self) -> None:
         """Close the stream and stop dialling."""
         self._disconnect("the link was closed")
--- a/toucanspring/log.py
+++ b/toucanspring/log.py
@@ -1,4 +1,4 @@
-"""Logging to standard error as plain text or JSON lines."""
+"""Logging as plain text or JSON lines."""
 
 from __future__ import annotations
 
@@ -24,7 +24,8 @@
 
 def format_plain(record: logbook.LogRecord, _handler: object) -> str:
     """Return a record as one line, followed by its traceback if it has one."""
-    ids = "".join(f" {name}={value}" for name, value in ids_of(record).items())
+    shown = {**ids_of(record), **(record.extra.get("decision") or {})}
+    ids = "".join(f" {name}={value}" for name, value in shown.items())
     line = (
         f"{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} {record.channel}: "
         f"{record.message}{ids}"
@@ -42,6 +43,7 @@
         "logger": record.channel,
         "message": record.message,
         **ids_of(record),
+        **(record.extra.get("decision") or {}),
     }
     if record.formatted_exception:
         fields["exception"] = record.formatted_exception
@@ -51,6 +53,11 @@
 FORMATTERS = {"plain": format_plain, "json": format_json}
 
 
+def decide(logger: logbook.Logger, event: str, **inputs: object) -> None:
+    """Log one decision as an event name with the inputs that led to it."""
+    logger.info(event, extra={"decision": inputs})
+
+
 def set_up(level: str, form: str, output: TextIO | None = None) -> logbook.Handler:
     """Send records of at least `level` to `output`, standard error by default."""
     handler = logbook.StreamHandler(
--- a/toucanspring/peers.py
+++ b/toucanspring/peers.py
@@ -169,6 +169,10 @@
         target = self._links.get(process)
         return target is not None and target.notify(method, body)
 
+    def connected(self) -> list[str]:
+        """Return the processes that calls can be sent to now."""
+        return [name for name, target in self._links.items() if target.is_up]
+
     def traffic(self) -> tuple[int, int]:
         """Return the bytes sent to and received from other processes."""
         streams = [*self._links.values(), *self._accepted]
