Take the first clock of a worker as it is

Cause: the estimate for a worker not yet heard of was this process's own clock, so the worker's true clock counted as an old answer, no look carried a lease, and what ran longer than 6 s on a worker without new starts lapsed.

--- /dev/null
+++ b/test/coordinator_case.py
@@ -0,0 +1,107 @@
+"""Builds books, workers and jobs for tests of the coordinator's decisions."""
+
+from toucanspring import resources
+from toucanspring.coordinator import (
+    book,
+    catalogue,
+    ports,
+    state,
+    work,
+)
+
+QUEUE = "builds"
+POOL = "pool"
+
+
+def queue(name=QUEUE, **changes):
+    values = {
+        "name": name,
+        "host": "h.example",
+        "path_prefix": f"/{name}/",
+        "pool": POOL,
+        "max_attempts": 2,
+        "stretch": 2.0,
+        "target_s": 1.0,
+    }
+    return catalogue.Queue(**{**values, **changes})
+
+
+def configure(*queues, organisations=()):
+    return catalogue.Catalogue(
+        version=1,
+        queues=queues or (queue(),),
+        organisations={each.name: each for each in organisations},
+    )
+
+
+def entry(name="w1", cpus=32_000, memory=65_536, **changes):
+    values = {
+        "id": name,
+        "pool": POOL,
+        "address": "10.0.0.1:80",
+        "zone": "zone-a",
+        "rack": "r1",
+        "labels": frozenset({"a", "r1"}),
+        "capacity": resources.Resources(cpus, memory, 0),
+        "born": 1,
+    }
+    return ports.WorkerEntry(**{**values, **changes})
+
+
+def step(count=1, cpus=1000, memory=1024, **changes):
+    demand = resources.Resources(cpus, memory, 0)
+    return work.Step(count=count, demand=demand, estimate_ms=1000, **changes)
+
+
+def job(job_id="0" * 16, *steps, **changes):
+    values = {
+        "id": job_id,
+        "queue": QUEUE,
+        "organisation": "desk",
+        "payload": "",
+        "steps": steps or (step(),),
+    }
+    return work.Job(**{**values, **changes})
+
+
+def new_book(*entries, now=0.0, catalogue_=None):
+    """Return a book whose workers have answered once."""
+    records = book.Book()
+    records.catalogue = catalogue_ or configure()
+    for each in entries or (entry(),):
+        worker = records.take_entry(each)
+        look(records, worker.id, now=now)
+    return records
+
+
+def look(records, worker_id, running=(), ended=(), now=0.0, born=1, sent_at=None):
+    """Let a worker answer a look."""
+    answer = ports.Look(round(now * 1000) + 1, born, tuple(running), tuple(ended))
+    worker = records.workers[worker_id]
+    sent = now if sent_at is None else sent_at
+    return records.looked(worker, answer, sent, now)
+
+
+def running(task, run=1, checkpoint="", percent=10):
+    return ports.RunningTask(task, run, checkpoint, percent)
+
+
+def ended(number, task, run=1, how="done", checkpoint=""):
+    return ports.EndedTask(number, task, run, how, checkpoint)
+
+
+def confirm(records, plan, now=0.0):
+    """Let the workers confirm all starts of a plan."""
+    for start in plan.starts:
+        records.started(start.step, start.task, start.run, now)
+
+
+def phases(records, job_id="0" * 16, number=0):
+    run = records.jobs[job_id].steps[0, number]
+    return [task.phase for task in run.tasks]
+
+
+WAITING = state.Phase.WAITING
+RUNNING = state.Phase.RUNNING
+STOPPING = state.Phase.STOPPING
+DONE = state.Phase.DONE
--- /dev/null
+++ b/test/test_coordinator_workers.py
@@ -0,0 +1,55 @@
+"""Room, leases and behaviour of workers as the coordinator sees them."""
+
+import testtools
+
+from test import coordinator_case as case
+from toucanspring.coordinator import workers
+
+
+class LeaseTest(testtools.TestCase):
+    def test_the_first_clock_of_a_worker_is_taken(self):
+        # The process has run for long, the worker's clock starts at zero.
+        worker = workers.Worker(case.entry())
+        worker.take_clock(1_500, received_at=11_000.0)
+        self.assertEqual(1_500, worker.estimate_clock(11_000.0))
+        worker.take_clock(2_500, received_at=11_001.0)
+        self.assertEqual(2_500, worker.estimate_clock(11_001.0))
+
+    def test_a_delayed_answer_does_not_set_the_clock_back(self):
+        worker = workers.Worker(case.entry())
+        worker.take_clock(5_000, received_at=10.0)
+        worker.take_clock(5_100, received_at=12.0)
+        self.assertEqual(5_000 + 1_960, worker.estimate_clock(12.0))
+
+    def test_a_lease_lapses_after_its_end_on_a_slow_clock(self):
+        worker = workers.Worker(case.entry())
+        worker.take_clock(1_000, received_at=10.0)
+        worker.promise_lease(7_000, now=10.0)
+        self.assertGreater(worker.lapses_at, 10.0 + 6.0 / 0.98)
+
+    def test_a_restarted_worker_has_no_lease(self):
+        worker = workers.Worker(case.entry())
+        worker.take_clock(1_000, received_at=10.0)
+        worker.promise_lease(7_000, now=10.0)
+        worker.restart(2)
+        self.assertEqual(float("inf"), worker.lapses_at)
+        worker.take_clock(10, received_at=11.0)
+        self.assertEqual(10, worker.estimate_clock(11.0))
+
+
+class QuarantineTest(testtools.TestCase):
+    def test_failures_of_one_job_do_not_quarantine(self):
+        worker = workers.Worker(case.entry())
+        self.assertFalse(worker.note_failure("a", 1.0))
+        self.assertFalse(worker.note_failure("a", 1.1))
+
+    def test_failures_of_two_jobs_quarantine_until_a_run_ends_well(self):
+        worker = workers.Worker(case.entry())
+        worker.note_failure("a", 1.0)
+        self.assertTrue(worker.note_failure("b", 1.1))
+        worker.confirmed = worker.answering = True
+        self.assertFalse(worker.is_usable(1.2, frozenset()))
+        self.assertTrue(worker.is_usable(5.0, frozenset()))
+        self.assertTrue(worker.note_failure("c", 5.1))
+        worker.note_success()
+        self.assertFalse(worker.note_failure("d", 20.0))
--- a/toucanspring/coordinator/workers.py
+++ b/toucanspring/coordinator/workers.py
@@ -83,7 +83,7 @@
 
     def take_clock(self, clock_ms: int, received_at: float) -> None:
         """Take in the worker's clock from an answer."""
-        if clock_ms >= self.estimate_clock(received_at):
+        if not self.clock_ms or clock_ms >= self.estimate_clock(received_at):
             self.clock_ms, self.clock_at = clock_ms, received_at
 
     def promise_lease(self, until_ms: int, now: float) -> None:
