Let a status wait for the write under way; age feeds by what the store waited

Change: a status of a job whose tasks all run waits up to 80 ms, for an end that is being written up to 0.4 s; an empty answer counts from the end of the store's wait.

--- a/toucanspring/coordinator/book.py
+++ b/toucanspring/coordinator/book.py
@@ -12,7 +12,7 @@
 
 import logbook
 
-from toucanspring import errors, log as structured, resources
+from toucanspring import log as structured, resources
 from toucanspring.coordinator import catalogue, ports, rows, state, work, workers
 
 log = logbook.Logger(__name__)
@@ -531,10 +531,3 @@
             and not record.spec.repeats
             for record in self.jobs.values()
         )
-
-    def lookup(self, job_id: str) -> state.JobState | errors.NotFound:
-        """Return the durable state of a job."""
-        record = self.jobs.get(job_id)
-        if record is None:
-            return errors.NotFound(reason=f"no job {job_id}")
-        return record.shown
--- a/toucanspring/coordinator/feeds.py
+++ b/toucanspring/coordinator/feeds.py
@@ -102,6 +102,9 @@
                     for row in rows:
                         self._take(row)
                     self._version = max(self._version, at.version)
+                    if not rows and self._clock() - sent >= WAIT_S:
+                        # The store found nothing until its wait was over.
+                        sent += WAIT_S
                 case ports.HistoryGone():
                     log.info("table {}: reading all rows again", self._table)
                     self._version = None
--- a/toucanspring/coordinator/tenure.py
+++ b/toucanspring/coordinator/tenure.py
@@ -35,6 +35,10 @@
 HOUSEKEEPING_S = 0.25
 LOAD_RETRY_S = 0.1
 DURABLE_LIMIT_S = 3.0
+# A status asked for while the last tasks end waits for the write under way: an answer
+# that is stale by a few milliseconds makes the caller ask again much later.
+STATUS_WAIT_S = 0.08
+STATUS_DURABLE_LIMIT_S = 0.4
 
 
 class Directory(Protocol):
@@ -89,6 +93,7 @@
         self._max_lease_s = max_lease_ms / 1000
         self._ask = ask
         self._woken = event.Event()
+        self._committed = event.Event()
         self._notes: list[Note] = []
         self._waiters: list[event.AsyncResult] = []
         self._jobs = feeds.Feed(store, rows.JOBS, self._take_job)
@@ -159,13 +164,31 @@
 
     def status(self, job_id: str) -> state.JobState | errors.Failure:
         """Return the durable state of a job."""
-        found = self.book.lookup(job_id)
-        if isinstance(found, errors.NotFound):
+        if job_id not in self.book.jobs:
             failure = self._fetch(job_id)
             if failure is not None:
                 return failure
-            found = self.book.lookup(job_id)
-        return found
+        return self._await_outcome(self.book.jobs[job_id])
+
+    def _await_outcome(self, record: state.JobRecord) -> state.JobState:
+        """Return the durable state, waiting shortly for one that is about to change."""
+        asked = time.monotonic()
+        while record.shown not in state.FINAL:
+            ending = record.state in state.FINAL
+            limit_s = STATUS_DURABLE_LIMIT_S if ending else STATUS_WAIT_S
+            left_s = asked + limit_s - time.monotonic()
+            if left_s <= 0 or not (ending or self._is_ending(record)):
+                break
+            self._committed.clear()
+            self._committed.wait(left_s)
+        return record.shown
+
+    @staticmethod
+    def _is_ending(record: state.JobRecord) -> bool:
+        """Return whether all remaining tasks of a job run."""
+        return not record.spec.repeats and all(
+            not run.waiting for run in record.steps.values()
+        )
 
     def cancel(self, job_id: str) -> state.JobState | errors.Failure:
         """Cancel a job durably; one that has ended keeps its outcome."""
@@ -317,6 +340,7 @@
             return
         for job_id, record in dirty.items():
             record.shown = states[job_id]
+        self._committed.set()
         if starts:
             structured.decide(
                 log, "starts_recorded", commit=self._ledger.writes,
