Ask a blocked step's unknown workers, and reserve fixed workers for gangs

Ruled out: an empty queue (the job was ready) and the ceiling (a third used). Change: a blocked step asks about workers with room that it does not know; a gang keeps the workers that it chose for 3 s and stops work there only after 1.5 s; a failed task avoids its worker for 2 s, not for good.

--- /dev/null
+++ b/test/test_coordinator_planner.py
@@ -0,0 +1,198 @@
+"""Choice of workers, approvals and room for gangs."""
+
+import testtools
+
+from test import coordinator_case as case
+from toucanspring import resources
+from toucanspring.coordinator import catalogue, planner
+
+JOB = "0" * 16
+APPROVED = catalogue.Approval(decision_s=0.05, per_worker_s=0.001, validity_s=2.5)
+
+
+def approve(question, names, now):
+    planner.take_answer(question, dict.fromkeys(names, "t"), now + 2.5)
+
+
+class ApprovalTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.catalogue = case.configure(case.queue(approval=APPROVED))
+
+    def test_a_step_starts_only_on_approved_workers(self):
+        records = case.new_book(
+            case.entry("w1"), case.entry("w2"), catalogue_=self.catalogue
+        )
+        records.accept(case.job(JOB, case.step(4)), 1.0)
+        plans = planner.Planner(records)
+        plan = plans.plan(1.0)
+        self.assertEqual([], plan.starts)
+        [question] = plan.questions
+        self.assertEqual(("w1", "w2"), question.workers)
+        self.assertEqual([], plans.plan(1.01).questions)
+        approve(question, ["w2"], 1.1)
+        self.assertEqual({"w2"}, {each.worker.id for each in plans.plan(1.1).starts})
+
+    def test_an_expired_ticket_is_asked_for_again(self):
+        records = case.new_book(case.entry("w1"), catalogue_=self.catalogue)
+        records.accept(case.job(JOB, case.step(1)), 1.0)
+        plans = planner.Planner(records)
+        [question] = plans.plan(1.0).questions
+        approve(question, ["w1"], 1.1)
+        plan = plans.plan(5.0)
+        self.assertEqual([], plan.starts)
+        self.assertEqual([("w1",)], [each.workers for each in plan.questions])
+
+    def test_a_blocked_step_asks_about_workers_that_came_later(self):
+        """After a takeover or an evacuation a job knew one full worker only."""
+        entries = [case.entry(f"w{number}") for number in range(18)]
+        records = case.new_book(*entries, catalogue_=self.catalogue)
+        records.accept(case.job(JOB, case.step(40, cpus=1000)), 1.0)
+        plans = planner.Planner(records)
+        [question] = plans.plan(1.0).questions
+        approve(question, ["w3"], 1.1)
+        self.assertEqual(32, len(plans.plan(1.1).starts))
+        for number in range(18, 22):  # too few to be asked about at once
+            records.take_entry(case.entry(f"w{number}"))
+            case.look(records, f"w{number}", now=1.2)
+        [question] = plans.plan(1.3).questions
+        self.assertEqual(("w18", "w19", "w20", "w21"), question.workers)
+
+
+class RoomTest(testtools.TestCase):
+    def test_no_worker_gets_more_than_it_has(self):
+        records = case.new_book(case.entry("w1", cpus=10_000))
+        records.accept(case.job(JOB, case.step(20, cpus=3000)), 1.0)
+        plan = planner.Planner(records).plan(1.0)
+        self.assertEqual(3, len(plan.starts))
+        self.assertEqual(
+            resources.Resources(1000, 65_536 - 3 * 1024, 0),
+            records.workers["w1"].free(),
+        )
+
+    def test_an_organisation_stays_below_its_ceiling(self):
+        desk = catalogue.Organisation(
+            name="desk",
+            keys=frozenset({"k"}),
+            ceiling=resources.Resources(cpus=2500),
+        )
+        records = case.new_book(catalogue_=case.configure(organisations=[desk]))
+        records.accept(case.job(JOB, case.step(5)), 1.0)
+        self.assertEqual(2, len(planner.Planner(records).plan(1.0).starts))
+
+    def test_a_draining_worker_and_a_zone_out_of_service_get_nothing(self):
+        records = case.new_book(
+            case.entry("w1", draining=True),
+            case.entry("w2", zone="zone-b"),
+            case.entry("w3"),
+        )
+        records.zones_out = frozenset({"zone-b"})
+        records.accept(case.job(JOB, case.step(3)), 1.0)
+        plan = planner.Planner(records).plan(1.0)
+        self.assertEqual({"w3"}, {start.worker.id for start in plan.starts})
+
+    def test_at_most_so_many_tasks_of_a_step_on_one_worker(self):
+        records = case.new_book(case.entry("w1"), case.entry("w2"))
+        records.accept(case.job(JOB, case.step(5, max_per_worker=2)), 1.0)
+        self.assertEqual(4, len(planner.Planner(records).plan(1.0).starts))
+
+    def test_a_failed_task_goes_elsewhere_then_back(self):
+        records = case.new_book(case.entry("w1"))
+        records.accept(case.job(JOB, case.step(1)), 1.0)
+        plans = planner.Planner(records)
+        case.confirm(records, plans.plan(1.0), 1.0)
+        end = case.ended(1, f"{JOB}.0.0.0", how="failed")
+        case.look(records, "w1", ended=[end], now=1.5)
+        self.assertEqual([], plans.plan(1.6).starts)
+        self.assertEqual(1, len(plans.plan(4.0).starts))
+
+
+class UrgencyTest(testtools.TestCase):
+    def test_urgent_work_and_work_due_sooner_start_first(self):
+        records = case.new_book(
+            case.entry(cpus=2000),
+            catalogue_=case.configure(
+                case.queue("builds", priority=1), case.queue("checks", priority=0)
+            ),
+        )
+        records.accept(case.job("a" * 16), 1.0)
+        records.accept(case.job("b" * 16, queue="checks"), 1.1)
+        records.accept(case.job("c" * 16, queue="checks"), 1.2)
+        plan = planner.Planner(records).plan(1.3)
+        self.assertEqual(
+            ["b" * 16, "c" * 16], [each.step.job.spec.id for each in plan.starts]
+        )
+
+    def test_a_team_beyond_its_share_comes_after_the_others(self):
+        teams = [
+            catalogue.Organisation(name=name, keys=frozenset(), weight=1.0)
+            for name in ("desk", "labels")
+        ]
+        records = case.new_book(
+            case.entry(cpus=10_000),
+            catalogue_=case.configure(organisations=teams),
+        )
+        records.accept(case.job("a" * 16, case.step(9)), 1.0)
+        plans = planner.Planner(records)
+        plans.plan(1.0)
+        records.accept(case.job("b" * 16, case.step(1)), 1.1)
+        records.accept(case.job("c" * 16, case.step(1), organisation="labels"), 1.2)
+        [start] = plans.plan(1.3).starts
+        self.assertEqual("c" * 16, start.step.job.spec.id)
+
+
+class GangTest(testtools.TestCase):
+    """Gangs that find the workers full of less urgent work."""
+
+    def setUp(self):
+        super().setUp()
+        self.records = case.new_book(
+            *(case.entry(f"w{number}", cpus=10_000) for number in range(3)),
+            catalogue_=case.configure(
+                case.queue("builds", priority=1), case.queue("labels", priority=2)
+            ),
+        )
+        self.plans = planner.Planner(self.records)
+
+    def fill(self, now=1.0):
+        labels = case.step(30, checkpointing=True)
+        self.records.accept(case.job("a" * 16, labels, queue="labels"), now)
+        case.confirm(self.records, self.plans.plan(now), now)
+
+    def test_a_gang_starts_whole_or_not_at_all(self):
+        gang = case.step(4, cpus=9000, gang=True)
+        self.records.accept(case.job(JOB, gang), 1.0)
+        self.assertEqual([], self.plans.plan(1.0).starts)
+        smaller = case.step(3, cpus=9000, gang=True)
+        self.records.accept(case.job("1" * 16, smaller), 1.1)
+        starts = self.plans.plan(1.1).starts
+        self.assertEqual([1, 1, 1], [start.run for start in starts])
+
+    def test_a_gang_waits_for_ends_before_it_stops_work(self):
+        self.fill()
+        self.records.accept(case.job(JOB, case.step(1, cpus=9000, gang=True)), 1.0)
+        self.plans.plan(1.3)
+        self.assertEqual([], self.records.stops)
+        self.plans.plan(1.0 + planner.PREEMPT_AFTER_S + 0.1)
+        self.assertEqual(9, len(self.records.stops))
+
+    def test_a_gang_clears_the_same_workers_in_each_round(self):
+        self.fill()
+        self.records.accept(case.job(JOB, case.step(1, cpus=9000, gang=True)), 1.0)
+        for tick in range(20):
+            self.plans.plan(3.0 + tick * 0.01)
+        self.assertEqual(1, len({stop.worker for stop in self.records.stops}))
+
+    def test_no_other_work_takes_the_room_that_a_gang_waits_for(self):
+        self.fill()
+        self.records.accept(case.job(JOB, case.step(3, cpus=9000, gang=True)), 1.0)
+        self.plans.plan(1.3)
+        ends = [
+            case.ended(number + 1, f"{'a' * 16}.0.0.{held.task.index}")
+            for number, held in enumerate(
+                list(self.records.workers["w1"].held.values())[:2]
+            )
+        ]
+        case.look(self.records, "w1", ended=ends, now=1.4, sent_at=0.0)
+        self.records.accept(case.job("b" * 16, queue="labels"), 1.4)
+        self.assertEqual([], self.plans.plan(1.45).starts)
--- a/toucanspring/coordinator/approval_desk.py
+++ b/toucanspring/coordinator/approval_desk.py
@@ -16,7 +16,8 @@
 import msgspec
 from gevent import pool
 
-from toucanspring import errors, log as structured
+from toucanspring import errors
+from toucanspring import log as structured
 from toucanspring.coordinator import planner, ports
 
 log = logbook.Logger(__name__)
--- a/toucanspring/coordinator/book.py
+++ b/toucanspring/coordinator/book.py
@@ -12,7 +12,8 @@
 
 import logbook
 
-from toucanspring import log as structured, resources
+from toucanspring import log as structured
+from toucanspring import resources
 from toucanspring.coordinator import catalogue, ports, rows, state, work, workers
 
 log = logbook.Logger(__name__)
@@ -22,6 +23,9 @@
 FAILED = "failed"
 # Without a queue in the configuration a job keeps the attempts of a careful one.
 DEFAULT_ATTEMPTS = 1
+# A task does not go back to a worker where it failed for this long, so that others
+# may take it; with few attempts each one should be elsewhere.
+AVOID_S = 2.0
 ENDED_JOBS_KEPT_S = 150.0  # callers may ask for 120 s
 
 
@@ -108,9 +112,7 @@
                     for number, step in enumerate(record.spec.steps):
                         key = (occurrence, number)
                         if key not in record.steps and not step.after:
-                            self._queue(
-                                state.new_step(record, occurrence, number, now)
-                            )
+                            self._queue(state.new_step(record, occurrence, number, now))
 
     def _may_open(
         self, record: state.JobRecord, occurrence: int, step: work.Step
@@ -244,9 +246,9 @@
     def release(self, run: state.StepRun, task: state.Task) -> None:
         """Take a task off its worker, which certainly does not run it any more."""
         worker = self.workers.get(task.worker)
-        if worker is not None:
-            if worker.held.pop(run.task_id(task.index), None) is not None:
-                worker.used = worker.used - run.step.occupied()
+        name = run.task_id(task.index)
+        if worker is not None and worker.held.pop(name, None) is not None:
+            worker.used = worker.used - run.step.occupied()
         owner = run.job.spec.organisation
         self.used[owner] = self.used[owner] - run.step.demand
         task.worker = ""
@@ -306,8 +308,10 @@
         task.phase = state.Phase.IN_DOUBT
         self.stop(run, task)
 
-    def stop_confirmed(self, worker_id: str, task_id: str, run: int, now: float) -> None:
-        """Take note that a worker has confirmed a stop: the run ends or never starts."""
+    def stop_confirmed(
+        self, worker_id: str, task_id: str, run: int, now: float
+    ) -> None:
+        """Take note of a confirmed stop: the run ends or never starts."""
         worker = self.workers.get(worker_id)
         held = worker.held.get(task_id) if worker is not None else None
         if held is not None and held.task.run == run:
@@ -447,9 +451,10 @@
             return
         for number, step in enumerate(record.spec.steps):
             key = (run.occurrence, number)
-            if key not in record.steps and step.after:
-                if self._may_open(record, run.occurrence, step):
-                    self._queue(state.new_step(record, run.occurrence, number, now))
+            if key in record.steps or not step.after:
+                continue
+            if self._may_open(record, run.occurrence, step):
+                self._queue(state.new_step(record, run.occurrence, number, now))
 
     def _failed(
         self, run: state.StepRun, task: state.Task, worker_id: str, now: float
@@ -462,16 +467,15 @@
         else:
             task.failures += 1
         task.avoided = task.avoided | {worker_id}
+        task.avoid_until = now + AVOID_S
         self._back_to_queue(run, task, now)
         queue = self.catalogue.queue(run.job.spec.queue)
         attempts = queue.max_attempts if queue is not None else DEFAULT_ATTEMPTS
-        if task.failures >= attempts and not run.step.long_running:
-            if not run.job.is_final:
-                self._finish(run.job, state.JobState.FAILED, now)
+        exhausted = task.failures >= attempts and not run.step.long_running
+        if exhausted and not run.job.is_final:
+            self._finish(run.job, state.JobState.FAILED, now)
 
-    def _back_to_queue(
-        self, run: state.StepRun, task: state.Task, now: float
-    ) -> None:
+    def _back_to_queue(self, run: state.StepRun, task: state.Task, now: float) -> None:
         task.phase = state.Phase.WAITING
         task.started_at = task.percent_at = 0.0
         run.waiting.add(task.index)
@@ -494,16 +498,12 @@
     def lapsed(self, worker: workers.Worker, now: float) -> None:
         """Take note that a silent worker's lease is over: it runs nothing."""
         worker.answering = worker.confirmed = False
-        structured.decide(
-            log, "worker_lost", worker=worker.id, tasks=len(worker.held)
-        )
+        structured.decide(log, "worker_lost", worker=worker.id, tasks=len(worker.held))
         for held in list(worker.held.values()):
             self._requeue(held.step, held.task, now)
         worker.foreign.clear()
 
-    def stuck_tasks(
-        self, worker: workers.Worker, now: float
-    ) -> list[workers.Held]:
+    def stuck_tasks(self, worker: workers.Worker, now: float) -> list[workers.Held]:
         """Return the tasks whose progress stands still although the worker answers."""
         found = []
         for held in worker.held.values():
--- a/toucanspring/coordinator/feeds.py
+++ b/toucanspring/coordinator/feeds.py
@@ -38,9 +38,7 @@
             if isinstance(page, errors.Failure):
                 return page
             found.update((row.place, row) for row in page.rows)
-            oldest = (
-                page.at.version if oldest is None else min(oldest, page.at.version)
-            )
+            oldest = page.at.version if oldest is None else min(oldest, page.at.version)
             if not page.has_more:
                 break
             start = page.rows[-1].place.key + "\0"
--- a/toucanspring/coordinator/orders.py
+++ b/toucanspring/coordinator/orders.py
@@ -10,7 +10,8 @@
 import logbook
 from gevent import event, pool
 
-from toucanspring import errors, log as structured
+from toucanspring import errors
+from toucanspring import log as structured
 from toucanspring.coordinator import book, planner, ports, workers
 
 log = logbook.Logger(__name__)
@@ -242,6 +243,7 @@
             worker.penalty_until = now + workers.PENALTY_S
         elif reason == ports.INVALID:
             start.task.avoided = start.task.avoided | {worker.id}
+            start.task.avoid_until = now + book.AVOID_S
         if repeated or reason == ports.OLD_RUN:
             # The first order may have been carried out, or its run has ended.
             records.start_unanswered(run, start.task, start.run)
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -15,9 +15,13 @@
 # More steps than this are not looked at in one round, to bound its time.
 MAX_STEPS = 400
 MAX_STARTS = 120
-# A blocked gang makes room, or keeps others off, after this time.
+# A blocked gang keeps other work off the workers that it needs after this time, and
+# stops less urgent work there after that one, if the work does not end by itself.
 GANG_PATIENCE_S = 0.2
-MAX_GANGS_MAKING_ROOM = 2
+PREEMPT_AFTER_S = 1.5
+# It keeps to the workers that it chose for this long.
+RESERVATION_S = 3.0
+MAX_GANGS_MAKING_ROOM = 3
 # Work of a preempted task that has no checkpoint is lost; tasks further than this
 # are left alone.
 MAX_LOST_S = 0.5
@@ -115,6 +119,7 @@
             return
         if queue.approval is not None:
             self._ask_new(run, queue, eligible, plan, now)
+            run.unasked = [each for each in eligible if each.id not in run.allowed]
             eligible = [worker for worker in eligible if run.allowed.get(worker.id)]
         # Capacity alone decides here; without a change nothing new can fit.
         if run.blocked_at == self._book.capacity_version and not run.step.gang:
@@ -161,6 +166,13 @@
             )
         )
 
+    @staticmethod
+    def _unasked_with_room(run: state.StepRun, count: int) -> list[str]:
+        """Return workers with room that the approval service was not asked about."""
+        demand = run.step.occupied()
+        found = [each for each in run.unasked if demand.fits(each.free())]
+        return [worker.id for worker in found] if len(found) >= count else []
+
     def _ticket(
         self, run: state.StepRun, queue: catalogue.Queue, worker: str, now: float
     ) -> str | None:
@@ -191,7 +203,7 @@
             best: workers.Worker | None = None
             best_key: tuple = ()
             for worker in eligible:
-                if not _allows(run, task, worker, on_worker):
+                if not _allows(run, task, worker, on_worker, now):
                     continue
                 if worker.id in plan.reserved and queue.priority > 0:
                     continue
@@ -205,9 +217,10 @@
                 if best is None or key < best_key:
                     best, best_key = worker, key
             if best is None:
-                if expired:
-                    self._ask(run, queue, sorted(set(expired)), plan, now)
-                elif not run.asking:
+                names = expired or self._unasked_with_room(run, 1)
+                if names:
+                    self._ask(run, queue, sorted(set(names)), plan, now)
+                elif not run.asking and now >= task.avoid_until:
                     run.blocked_at = self._book.capacity_version
                 return
             on_worker[best.id] = on_worker.get(best.id, 0) + 1
@@ -228,9 +241,7 @@
         plan.starts.append(Start(run, task, worker, number, ticket))
 
     def _within_ceiling(self, run: state.StepRun, count: int) -> bool:
-        organisation = self._book.catalogue.organisations.get(
-            run.job.spec.organisation
-        )
+        organisation = self._book.catalogue.organisations.get(run.job.spec.organisation)
         if organisation is None:
             return True
         ceiling = organisation.ceiling
@@ -239,8 +250,7 @@
             (not ceiling.cpus or wanted.cpus <= ceiling.cpus)
             and (not ceiling.memory or wanted.memory <= ceiling.memory)
             and (
-                not ceiling.accelerators
-                or wanted.accelerators <= ceiling.accelerators
+                not ceiling.accelerators or wanted.accelerators <= ceiling.accelerators
             )
         )
 
@@ -259,12 +269,12 @@
             return
         if len({run.tasks[index].checkpoint for index in run.waiting}) > 1:
             self._align_checkpoints(run)
-        avoided = run.tasks[0].avoided
         open_workers = [
             worker
             for worker in eligible
-            if worker.id not in plan.reserved and worker.id not in avoided
-        ] or eligible
+            if worker.id not in plan.reserved
+            and all(_is_tried(task, worker, now) for task in run.tasks)
+        ]
         chosen = _place_gang(run, open_workers, {})
         if chosen is None:
             if now - run.ready_at >= GANG_PATIENCE_S:
@@ -303,23 +313,23 @@
         plan: Plan,
         now: float,
     ) -> None:
-        """Stop less urgent work for a blocked gang, and keep others off its workers."""
+        """Keep others off the workers that a blocked gang needs, and clear them."""
         if plan.gangs_making_room >= MAX_GANGS_MAKING_ROOM:
             return
         plan.gangs_making_room += 1
-        plan.reserved.update(worker.id for worker in eligible)
+        open_workers = [each for each in eligible if each.id not in plan.reserved]
         victims = {
             worker.id: self._victims(worker, queue.priority, now)
-            for worker in eligible
+            for worker in open_workers
         }
-        extra = {
-            name: sum(
-                (held.step.step.occupied() for held in found), start=resources.ZERO
-            )
-            for name, found in victims.items()
-        }
-        chosen = _place_gang(run, eligible, extra)
+        chosen = self._reserve(run, open_workers, victims, now)
         if chosen is None:
+            names = self._unasked_with_room(run, 1)
+            if names:
+                self._ask(run, queue, names, plan, now)
+            return
+        plan.reserved.update(worker.id for worker, _ in chosen)
+        if now - run.ready_at < PREEMPT_AFTER_S:
             return
         for worker, share in chosen:
             lack = run.step.occupied().times(share)
@@ -331,6 +341,31 @@
                 if held.task.phase is state.Phase.RUNNING:
                     self._book.stop(held.step, held.task)
 
+    @staticmethod
+    def _reserve(
+        run: state.StepRun,
+        open_workers: list[workers.Worker],
+        victims: dict[str, list[workers.Held]],
+        now: float,
+    ) -> list[tuple[workers.Worker, int]] | None:
+        """Return the workers that a gang waits for, the same as before if possible."""
+        extra = {
+            name: sum(
+                (held.step.step.occupied() for held in found), start=resources.ZERO
+            )
+            for name, found in victims.items()
+        }
+        if now < run.reserved_until:
+            kept = [each for each in open_workers if each.id in run.reserved]
+            chosen = _place_gang(run, kept, extra)
+            if chosen is not None:
+                return chosen
+        chosen = _place_gang(run, open_workers, extra)
+        if chosen is not None:
+            run.reserved = frozenset(worker.id for worker, _ in chosen)
+            run.reserved_until = now + RESERVATION_S
+        return chosen
+
     def _victims(
         self, worker: workers.Worker, priority: int, now: float
     ) -> list[workers.Held]:
@@ -366,11 +401,17 @@
     task: state.Task,
     worker: workers.Worker,
     on_worker: dict[str, int],
+    now: float,
 ) -> bool:
     limit = run.step.max_per_worker
     if limit and on_worker.get(worker.id, 0) >= limit:
         return False
-    return worker.id not in task.avoided or len(task.avoided) > 3
+    return _is_tried(task, worker, now)
+
+
+def _is_tried(task: state.Task, worker: workers.Worker, now: float) -> bool:
+    """Return whether a task may go to a worker, where it may have failed before."""
+    return worker.id not in task.avoided or now >= task.avoid_until
 
 
 def _count_on_workers(run: state.StepRun) -> dict[str, int]:
--- a/toucanspring/coordinator/seat.py
+++ b/toucanspring/coordinator/seat.py
@@ -98,9 +98,7 @@
     match answer:
         case ports.Committed(at=moment):
             may_live = seat is not None and seat.expires_ms > 0
-            return Tenure(
-                wanted, moment.version, may_live and seat.process != process
-            )
+            return Tenure(wanted, moment.version, may_live and seat.process != process)
         case ports.Rejected():
             return errors.Conflict(reason="another process took the seat")
         case _:
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -13,7 +13,8 @@
 import msgspec
 from gevent import event
 
-from toucanspring import errors, log as structured
+from toucanspring import errors
+from toucanspring import log as structured
 from toucanspring.coordinator import (
     approval_desk,
     feeds,
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -52,7 +52,9 @@
     # When the worker last confirmed an order about the task; a later look that does
     # not list the task proves that it is gone. Infinite while that is not known.
     settled_at: float = float("inf")
+    # Workers where it failed; it goes back to them once the others had their chance.
     avoided: frozenset[str] = frozenset()
+    avoid_until: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -71,9 +73,13 @@
     # Approval of workers: a known answer never changes, tickets expire.
     tickets: dict[str, ports.Ticket] = dataclasses.field(default_factory=dict)
     allowed: dict[str, bool] = dataclasses.field(default_factory=dict)
+    unasked: list = dataclasses.field(default_factory=list)
     asking: bool = False
     ask_again_at: float = 0.0
     blocked_at: int = -1  # capacity version at which no task found room
+    # Workers that a gang waits for.
+    reserved: frozenset[str] = frozenset()
+    reserved_until: float = 0.0
 
     @property
     def id(self) -> str:
--- a/toucanspring/coordinator/tenure.py
+++ b/toucanspring/coordinator/tenure.py
@@ -11,7 +11,8 @@
 import logbook
 from gevent import event
 
-from toucanspring import errors, log as structured
+from toucanspring import errors
+from toucanspring import log as structured
 from toucanspring.coordinator import (
     book,
     catalogue,
@@ -269,7 +270,11 @@
         return None
 
     def _take_job(self, row: ports.Row) -> None:
-        if not row.version or row.place.key in self.book.jobs or not self.ready.is_set():
+        if (
+            not row.version
+            or row.place.key in self.book.jobs
+            or not self.ready.is_set()
+        ):
             return
         spec = rows.decode(work.Job, row.value)
         if isinstance(spec, errors.Malformed):
