Accept and recover jobs while parts of the store are down

Jobs whose part was down were answered 504, and the coordinator that came up in the outage waited for all parts: nothing ran from 34 to 36.7 s. Change: a job has three places and is accepted in the first that takes it; with its first progress the coordinator keeps a copy in its own part; feeds go on without parts that cannot be read and read them later.

--- a/toucanspring/coordinator/feeds.py
+++ b/toucanspring/coordinator/feeds.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Container, Iterable
 
 import gevent
 import logbook
@@ -23,27 +24,47 @@
 Listener = Callable[[ports.Row], None]
 
 
-def read_table(
-    store: ports.Store, table: str
-) -> tuple[dict[ports.Place, ports.Row], int] | errors.Failure:
-    """Return all rows of a table and a version whose later changes may be missing."""
+@dataclasses.dataclass(slots=True)
+class Reading:
+    """Hold the rows of a table; changes after `version` may be missing.
+
+    `unread` maps the parts that could not be read to the reason.
+    """
+
+    rows: dict[ports.Place, ports.Row]
+    version: int
+    unread: dict[str, errors.Failure]
+
+
+def read_table(store: ports.Store, table: str) -> Reading | errors.Failure:
+    """Return the rows of all parts of a table that can be read."""
     parts = store.parts(table)
     if isinstance(parts, errors.Failure):
         return parts
-    found: dict[ports.Place, ports.Row] = {}
-    versions = []
     # The empty part is read even if it holds nothing: the answer tells the version.
+    return read_parts(store, table, {"", *parts})
+
+
+def read_parts(
+    store: ports.Store, table: str, parts: Iterable[str]
+) -> Reading | errors.Failure:
+    """Return the rows of some parts; a failure if none can be read."""
+    found: dict[ports.Place, ports.Row] = {}
+    versions: list[int] = []
+    unread: dict[str, errors.Failure] = {}
+    wanted = list(parts)
     readers = pool.Pool(PARTS_AT_ONCE)
-    for read in readers.imap_unordered(
-        lambda part: _read_part(store, table, part), {"", *parts}
-    ):
+    answers = readers.imap(lambda part: _read_part(store, table, part), wanted)
+    for part, read in zip(wanted, answers, strict=True):
         if isinstance(read, errors.Failure):
-            readers.kill(block=False)
-            return read
+            unread[part] = read
+            continue
         rows, version = read
         found.update((row.place, row) for row in rows)
         versions.append(version)
-    return found, min(versions)
+    if not versions:
+        return next(iter(unread.values()))
+    return Reading(found, min(versions), unread)
 
 
 def _read_part(
@@ -79,8 +100,10 @@
         self._table = table
         self._changed = changed
         self._clock = clock
+        self.unread: frozenset[str] = frozenset()  # parts that could not be read yet
         self._version: int | None = None
         self._greenlet: gevent.Greenlet | None = None
+        self._reader: gevent.Greenlet | None = None
         self._lost = False
 
     def __enter__(self) -> Feed:
@@ -95,6 +118,8 @@
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
             self._greenlet = None
+        if self._reader is not None:
+            self._reader.kill(block=False)
 
     def age(self, now: float) -> float:
         """Return for how many seconds changes may have been missed."""
@@ -107,9 +132,9 @@
             read = read_table(self._store, self._table)
             if isinstance(read, errors.Failure):
                 return read
-            rows, version = read
-            self._replace(rows)
-            self._version = version
+            self._replace(read.rows, read.unread)
+            self._version = read.version
+            self.unread = frozenset(read.unread)
         else:
             answer = self._store.follow(self._table, self._version, WAIT_S)
             match answer:
@@ -126,9 +151,24 @@
                     return None
                 case errors.Failure():
                     return answer
-        self.complete_at = sent
+        if not self.unread:
+            self.complete_at = sent
+        elif self._reader is None or self._reader.ready():
+            self._reader = gevent.spawn(self._read_rest)
         return None
 
+    def _read_rest(self) -> None:
+        """Read the parts that could not be read before; changes of them do arrive."""
+        gevent.sleep(RETRY_MAX_S)
+        read = read_parts(self._store, self._table, self.unread)
+        if isinstance(read, errors.Failure):
+            return
+        for row in read.rows.values():
+            known = self.rows.get(row.place)
+            if known is None or known.version < row.version:
+                self._take(row)
+        self.unread = frozenset(read.unread)
+
     def _run(self) -> None:
         pause = RETRY_FIRST_S
         while True:
@@ -148,8 +188,15 @@
             gevent.sleep(pause)
             pause = min(RETRY_MAX_S, pause * 2)
 
-    def _replace(self, rows: dict[ports.Place, ports.Row]) -> None:
-        for place in [place for place in self.rows if place not in rows]:
+    def _replace(
+        self, rows: dict[ports.Place, ports.Row], unread: Container[str]
+    ) -> None:
+        gone = [
+            place
+            for place in self.rows
+            if place not in rows and place.part not in unread
+        ]
+        for place in gone:
             self._take(ports.Row(place, b"", 0))
         for row in rows.values():
             known = self.rows.get(row.place)
--- a/toucanspring/coordinator/intake.py
+++ b/toucanspring/coordinator/intake.py
@@ -28,8 +28,15 @@
         self.value = rows.encode(spec)
         self.give_up_at = give_up_at
         self.result = event.AsyncResult()
+        self.places = rows.job_places(spec.id)
+        self.tries = 0
         self.uncertain = False  # a write that had no answer may have taken effect
 
+    @property
+    def place(self) -> ports.Place:
+        """Return the row that is tried now."""
+        return self.places[self.tries % len(self.places)]
+
 
 class Intake:
     """Own the writers of accepted jobs, one for each part of the table."""
@@ -58,22 +65,24 @@
         `Ambiguous` that it may be; `Conflict` that another job has its ID.
         """
         waiting = Waiting(spec, time.monotonic() + timeout_s)
-        part = rows.job_place(spec.id).part
-        self._queues[part].append(waiting)
-        self._woken[part].set()
+        self._enqueue(waiting)
         try:
             return waiting.result.get(timeout=timeout_s)
         except gevent.Timeout:
-            return self._withdraw(waiting, self._queues[part])
+            return self._withdraw(waiting)
 
-    @staticmethod
-    def _withdraw(
-        waiting: Waiting, queue: collections.deque[Waiting]
-    ) -> errors.Unavailable | errors.Ambiguous:
+    def _enqueue(self, waiting: Waiting) -> None:
+        part = waiting.place.part
+        self._queues[part].append(waiting)
+        self._woken[part].set()
+
+    def _withdraw(self, waiting: Waiting) -> errors.Unavailable | errors.Ambiguous:
         """Give up a job; one whose write has not begun is certainly not accepted."""
+        queue = self._queues[waiting.place.part]
         if waiting in queue:
             queue.remove(waiting)
-            return errors.Unavailable(reason="the store is too slow")
+            if not waiting.uncertain:
+                return errors.Unavailable(reason="the store is too slow")
         return errors.Ambiguous(reason="the store did not answer in time")
 
     def _run(self, part: str) -> None:
@@ -101,9 +110,8 @@
         return batch
 
     def _write(self, batch: list[Waiting]) -> None:
-        pause = RETRY_FIRST_S
         while batch:
-            places = {rows.job_place(each.spec.id): each for each in batch}
+            places = {each.place: each for each in batch}
             answer = self._store.transact(
                 dict.fromkeys(places, 0),
                 {place: each.value for place, each in places.items()},
@@ -114,17 +122,25 @@
                     return
                 case ports.Rejected(rows=found):
                     batch = self._settle(places, found)
-                    continue
-                case errors.Ambiguous():
-                    for each in batch:
-                        each.uncertain = True
                 case _:
-                    refused = [each for each in batch if not each.uncertain]
-                    self._finish(refused, answer)
-                    batch = [each for each in batch if each.uncertain]
-            batch = self._give_up(batch)
-            gevent.sleep(pause)
-            pause = min(RETRY_MAX_S, pause * 2)
+                    for each in batch:
+                        each.uncertain |= isinstance(answer, errors.Ambiguous)
+                        self._try_elsewhere(each, answer)
+                    return
+
+    def _try_elsewhere(self, waiting: Waiting, failure: errors.Failure) -> None:
+        """Go on with another part of the store, which may be up."""
+        waiting.tries += 1
+        rounds, place = divmod(waiting.tries, len(waiting.places))
+        if place == 0 and not waiting.uncertain:
+            waiting.result.set(failure)
+        elif waiting.result.ready() or time.monotonic() >= waiting.give_up_at:
+            waiting.result.set(errors.Ambiguous(reason="the store did not answer"))
+        elif place == 0:
+            pause = min(RETRY_MAX_S, RETRY_FIRST_S * 2**rounds)
+            gevent.spawn_later(pause, self._enqueue, waiting)
+        else:
+            self._enqueue(waiting)
 
     @staticmethod
     def _settle(
@@ -155,17 +171,6 @@
             )
         return left
 
-    @staticmethod
-    def _give_up(batch: list[Waiting]) -> list[Waiting]:
-        now = time.monotonic()
-        left = []
-        for each in batch:
-            if now < each.give_up_at:
-                left.append(each)
-            else:
-                each.result.set(errors.Ambiguous(reason="the store did not answer"))
-        return left
-
     @staticmethod
     def _finish(batch: list[Waiting], result: None | errors.Failure) -> None:
         for each in batch:
--- a/toucanspring/coordinator/rows.py
+++ b/toucanspring/coordinator/rows.py
@@ -17,6 +17,8 @@
 # Acceptance is spread over parts, since a part takes its transactions one by one. While
 # the store is 70 times slower, each takes 0.4 s; at 40 jobs a second 17 are under way.
 JOB_PARTS = 32
+JOB_PLACES = 3
+PART_STRIDE = 11  # no divisor of the number of parts
 
 SEAT_PLACE = ports.Place(SEAT, COORDINATOR_PART, "coordinator")
 
@@ -88,10 +90,34 @@
         return errors.Malformed(reason=f"{kind.__name__} row: {error}")
 
 
-def job_place(job_id: str) -> ports.Place:
-    """Return the row of an accepted job."""
-    part = zlib.crc32(job_id.encode()) % JOB_PARTS
-    return ports.Place(JOBS, f"{part}", job_id)
+def job_places(job_id: str) -> list[ports.Place]:
+    """Return where an accepted job may be, in the order in which that is tried.
+
+    A part of the store may be down alone. A job in several places is one job, since
+    all that becomes of it is kept under its ID.
+    """
+    first = zlib.crc32(job_id.encode()) % JOB_PARTS
+    return [
+        ports.Place(JOBS, f"{(first + number * PART_STRIDE) % JOB_PARTS}", job_id)
+        for number in range(JOB_PLACES)
+    ]
+
+
+def find_job(store: ports.Store, job_id: str) -> ports.Row | errors.Failure:
+    """Return the row of an accepted job; `NotFound` only if no place has it."""
+    failure: errors.Failure | None = None
+    for place in (*job_places(job_id), copy_place(job_id)):
+        page = store.read(place.table, place.part, job_id, job_id + "\0")
+        if isinstance(page, errors.Failure):
+            failure = page
+        elif page.rows:
+            return page.rows[0]
+    return failure or errors.NotFound(reason=f"no job {job_id}")
+
+
+def copy_place(job_id: str) -> ports.Place:
+    """Return the coordinator's copy of a job, written with its first progress."""
+    return ports.Place(JOBS, COORDINATOR_PART, job_id)
 
 
 def progress_place(job_id: str) -> ports.Place:
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -191,13 +191,8 @@
             if isinstance(progress, errors.Malformed):
                 return progress
             return state.JobState(progress.state)
-        place = rows.job_place(job_id)
-        page = self._store.read(place.table, place.part, job_id, job_id + "\0")
-        if isinstance(page, errors.Failure):
-            return page
-        if page.rows:
-            return state.JobState.QUEUED
-        return errors.NotFound(reason=f"no job {job_id}")
+        found = rows.find_job(self._store, job_id)
+        return found if isinstance(found, errors.Failure) else state.JobState.QUEUED
 
     # Approvals
 
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -102,6 +102,7 @@
     shown: JobState = JobState.QUEUED  # what is durable
     due_at: float = 0.0  # when an answer in time must be there
     ended_at: float = 0.0
+    copied: bool = False  # the coordinator's part holds a copy of the job
 
     @property
     def is_final(self) -> bool:
@@ -161,6 +162,7 @@
 def restore(record: JobRecord, progress: rows.Progress, now: float) -> list[Task]:
     """Take in the durable state; return the tasks that may be running."""
     record.state = record.shown = JobState(progress.state)
+    record.copied = True
     uncertain = []
     for row in progress.steps:
         run = record.steps.get((row.occurrence, row.step))
--- a/toucanspring/coordinator/tenure.py
+++ b/toucanspring/coordinator/tenure.py
@@ -211,13 +211,12 @@
 
     def _fetch(self, job_id: str) -> None | errors.Failure:
         """Read a job that the feed has not brought yet."""
-        place = rows.job_place(job_id)
-        page = self._store.read(rows.JOBS, place.part, job_id, job_id + "\0")
-        if isinstance(page, errors.Failure):
-            return page
-        if not page.rows:
-            return errors.NotFound(reason=f"no job {job_id}")
-        self._take_job(page.rows[0])
+        row = rows.find_job(self._store, job_id)
+        if isinstance(row, errors.Failure):
+            return row
+        self._take_job(row)
+        if job_id not in self.book.jobs:
+            return errors.Malformed(reason=f"job {job_id} is unreadable")
         return None
 
     # Recovery
@@ -242,10 +241,13 @@
         failure = self._jobs.step()
         if failure is not None:
             return failure
+        for unread in (progress.unread, self._jobs.unread):
+            if rows.COORDINATOR_PART in unread:
+                return errors.Unavailable(reason="the coordinator's part is down")
         now = time.monotonic()
         self._take_operators()
         found: dict[str, rows.Progress] = {}
-        for row in progress[0].values():
+        for row in progress.rows.values():
             decoded = rows.decode(rows.Progress, row.value)
             if isinstance(decoded, errors.Malformed):
                 log.error("progress of {}: {}", row.place.key, decoded)
@@ -256,7 +258,7 @@
             self.book.take_entry(entry)
         for row in self._jobs.rows.values():
             spec = rows.decode(work.Job, row.value)
-            if isinstance(spec, work.Job):
+            if isinstance(spec, work.Job) and spec.id not in self.book.jobs:
                 self.book.restore(spec, found.get(spec.id), now, _age_s(spec))
         renewed_until = self._claimed_at + self._max_lease_s
         if self._taken.predecessor_may_live:
@@ -338,6 +340,9 @@
             rows.progress_place(job_id): rows.encode(state.to_progress(record))
             for job_id, record in dirty.items()
         }
+        for job_id, record in dirty.items():
+            if not record.copied:
+                puts[rows.copy_place(job_id)] = rows.encode(record.spec)
         states = {job_id: record.state for job_id, record in dirty.items()}
         failure = self._ledger.commit(puts, removals)
         if failure is not None:
@@ -345,6 +350,7 @@
             return
         for job_id, record in dirty.items():
             record.shown = states[job_id]
+            record.copied = True
         self._committed.set()
         if starts:
             structured.decide(
@@ -377,13 +383,17 @@
 
     def _forget(self, job_id: str) -> None:
         """Remove an ended job; its progress goes last, or it would run again."""
-        place = rows.job_place(job_id)
-        row = self._jobs.rows.get(place)
-        if row is not None:
-            self._store.transact({place: row.version}, {}, (place,))
-            return  # the feed tells when it is gone
+        left = [
+            self._jobs.rows[place]
+            for place in rows.job_places(job_id)
+            if place in self._jobs.rows
+        ]
+        for row in left:
+            self._store.transact({row.place: row.version}, {}, (row.place,))
+        if left or self._jobs.unread:
+            return  # the feed tells when they are gone
         del self.book.jobs[job_id]
-        self._removals.append(rows.progress_place(job_id))
+        self._removals += [rows.copy_place(job_id), rows.progress_place(job_id)]
 
 
 def _age_s(spec: work.Job) -> float:
