Send no lease in a look to a worker that did not answer the last one

Ruled out: approvals and reservations, by a trace of the blocked gangs (five of six members waiting, room free).

--- a/test/test_coordinator_tenure.py
+++ b/test/test_coordinator_tenure.py
@@ -213,6 +213,20 @@
         worker = held.book.workers[busy]
         self.assertGreater(worker.lapses_at - held._claimed_at, MAX_LEASE_MS / 1000)
 
+    def test_looks_without_answer_do_not_prolong_the_lease(self):
+        """Else the work of a worker that is gone for good never runs again."""
+        self.workers.run_s = 30
+        held = self.coordinate()
+        self.accept(case.step(1))
+        self.wait_for(lambda: self.workers.starts == 1)
+        [busy] = [name for name, each in self.workers.lives.items() if each.runs]
+        worker = held.book.workers[busy]
+        self.workers.silent.add(busy)
+        self.wait_for(lambda: not worker.answering)
+        lapses_at = worker.lapses_at
+        gevent.sleep(0.6)
+        self.assertEqual(lapses_at, worker.lapses_at)
+
     def test_other_work_starts_at_once_beside_a_silent_worker(self):
         self.coordinate()
         self.kill()
--- a/toucanspring/coordinator/orders.py
+++ b/toucanspring/coordinator/orders.py
@@ -128,7 +128,9 @@
     def _look(self, worker: workers.Worker) -> bool:
         sent = self._clock()
         until = None
-        if worker.clock_ms:
+        # A look that is not answered may still arrive: without a lease in it, the work
+        # of a worker that is gone is given up in time.
+        if worker.clock_ms and not worker.missed_look:
             until = worker.estimate_clock(sent) + self._max_lease_ms
             worker.promise_lease(until, sent)
         wait_ms = LOOK_WAIT_MS if worker.confirmed and worker.answering else 0
@@ -136,6 +138,7 @@
             worker.entry, self._owner.epoch, worker.seen_end, until, wait_ms
         )
         now = self._clock()
+        worker.missed_look = not isinstance(answer, ports.Look)
         match answer:
             case ports.Look():
                 self._take(worker, answer, sent, now)
--- a/toucanspring/coordinator/workers.py
+++ b/toucanspring/coordinator/workers.py
@@ -38,6 +38,7 @@
     registered: bool = True  # its entry is in the store
     confirmed: bool = False  # it has answered under the present epoch
     answering: bool = False
+    missed_look: bool = False  # it has not answered the latest look
     used: resources.Resources = resources.ZERO
     held: dict[str, Held] = dataclasses.field(default_factory=dict)
     # Tasks that it runs and that nobody asked this coordinator to keep.
