--- a/test/test_coordinator_store.py
+++ b/test/test_coordinator_store.py
@@ -27,7 +27,9 @@
 
     def stored(self):
         """Return the IDs of the stored jobs; one may be in several places."""
-        found = {rows.decode(work.Job, row.value).id for row in self.store.rows.values()}
+        found = {
+            rows.decode(work.Job, row.value).id for row in self.store.rows.values()
+        }
         return sorted(found)
 
     def test_a_job_is_accepted_once_it_is_stored(self):
@@ -181,6 +183,17 @@
         self.assertIsInstance(self.claim(), errors.Ambiguous)
         self.assertEqual(2, self.claim().seat.epoch)
 
+    def test_a_holder_that_is_given_up_is_replaced_at_once(self):
+        holder = self.ledger(self.claim())
+        taken = seat.claim(self.store, "two", "10.0.0.2", "two", vacated=1)
+        self.assertEqual(2, taken.seat.epoch)
+        self.assertTrue(taken.predecessor_may_live)
+        place = ports.Place("progress", rows.COORDINATOR_PART, "job")
+        self.assertIsInstance(holder.commit({place: b"old"}), errors.Fenced)
+        self.assertIsInstance(
+            seat.claim(self.store, "three", "10.0.0.3", "three", vacated=1), seat.Held
+        )
+
     def test_a_released_seat_is_free_at_once(self):
         book = self.ledger(self.claim())
         self.assertIsNone(book.release())
--- a/test/test_coordinator_tenure.py
+++ b/test/test_coordinator_tenure.py
@@ -173,6 +173,16 @@
 
 
 class TakeoverTest(TenureCase):
+    def test_a_seat_is_released_although_a_write_is_under_way(self):
+        held = self.coordinate()
+        self.accept(case.step(30))
+        self.wait_for(lambda: self.workers.starts > 0)
+        held.release()
+        self.assertTrue(held.ended.is_set())
+        taken = seat.claim(self.store, "two", "10.0.0.2", "two")
+        self.assertIsInstance(taken, seat.Tenure)
+        self.assertFalse(taken.predecessor_may_live)
+
     def test_a_successor_goes_on_with_what_runs(self):
         self.workers.run_s = 0.5
         self.coordinate()
--- a/toucanspring/coordinator/ledger.py
+++ b/toucanspring/coordinator/ledger.py
@@ -40,6 +40,8 @@
         self._store_clock = store_clock
         self._clock = clock
         self.lost = False
+        # Called while writes fail, at most once for each try.
+        self.on_failing: Callable[[float], None] = lambda _for_s: None
         self.committed_at = clock()
         self.writes = 0
 
@@ -81,7 +83,12 @@
             {rows.SEAT_PLACE: self._version}, {rows.SEAT_PLACE: rows.encode(last)}
         )
         self.lost = True
-        return answer if isinstance(answer, errors.Failure) else None
+        match answer:
+            case ports.Rejected():
+                return errors.Conflict(reason="another process took the seat")
+            case errors.Failure():
+                return answer
+        return None
 
     def _next(self, expires_ms: int) -> rows.Seat:
         held = self._seat
@@ -101,6 +108,7 @@
         removals = tuple(place for place, value in chunk if value is None)
         pause = RETRY_FIRST_S
         uncertain = False  # an earlier attempt may have taken effect
+        began = self._clock()
         while not self.lost:
             sent = self._clock()
             wanted = self._next(self._store_clock.latest(sent) + seat.LEASE_MS)
@@ -119,6 +127,7 @@
                 case errors.Ambiguous():
                     uncertain = True
             log.warning("commit {}: {}", wanted.commit, answer)
+            self.on_failing(self._clock() - began)
             gevent.sleep(pause)
             pause = min(RETRY_MAX_S, pause * 2)
         return errors.Fenced(reason="the seat was lost", epoch=self.epoch)
--- a/toucanspring/coordinator/seat.py
+++ b/toucanspring/coordinator/seat.py
@@ -77,17 +77,21 @@
 
 
 def claim(
-    store: ports.Store, process: str, address: str, life: str
+    store: ports.Store, process: str, address: str, life: str, vacated: int = 0
 ) -> Tenure | Held | errors.Failure:
-    """Take the seat if nobody holds it."""
+    """Take the seat if nobody holds it, or its holder of epoch `vacated` is given up.
+
+    To give a live holder up by mistake does no harm but the takeover: its writes and
+    its orders are refused from then on.
+    """
     found = read(store)
     if isinstance(found, errors.Failure):
         return found
     seat, version, at = found
     if seat is not None:
         # An earlier life of this very process has ended, or this one would not run.
-        own = seat.process == process
-        if not own and not is_expired(seat, at.store_ms):
+        free = seat.process == process or seat.epoch == vacated
+        if not free and not is_expired(seat, at.store_ms):
             left_ms = seat.expires_ms + MARGIN_MS - at.store_ms
             return Held(seat, left_ms / 1000)
     epoch = 1 if seat is None else seat.epoch + 1
--- a/toucanspring/coordinator/tenure.py
+++ b/toucanspring/coordinator/tenure.py
@@ -36,6 +36,7 @@
 HOUSEKEEPING_S = 0.25
 LOAD_RETRY_S = 0.1
 DURABLE_LIMIT_S = 3.0
+RELEASE_LIMIT_S = 1.5  # of the time for a graceful stop
 # A status asked for while the last tasks end waits for the write under way: an answer
 # that is stale by a few milliseconds makes the caller ask again much later.
 STATUS_WAIT_S = 0.08
@@ -79,6 +80,7 @@
         store_clock: seat.StoreClock,
         ask: Callable[[planner.Question], None],
         max_lease_ms: int,
+        on_failing: Callable[[float], None] = lambda _for_s: None,
     ) -> None:
         self.book = book.Book()
         self.epoch = taken.seat.epoch
@@ -89,6 +91,7 @@
         self._taken = taken
         self._claimed_at = time.monotonic()
         self._ledger = ledger.Ledger(store, taken, store_clock)
+        self._ledger.on_failing = on_failing
         self._planner = planner.Planner(self.book)
         self._desk = orders.Desk(self, client, max_lease_ms)
         self._max_lease_s = max_lease_ms / 1000
@@ -100,6 +103,7 @@
         self._jobs = feeds.Feed(store, rows.JOBS, self._take_job)
         self._removals: list[ports.Place] = []
         self._housekept_at = 0.0
+        self._releasing = False
 
     def run(self) -> None:
         """Coordinate until the seat is lost or released."""
@@ -123,6 +127,8 @@
                     self._woken.wait(seat.RENEW_S / 4)
                     self._woken.clear()
                     self._round()
+                    if self._releasing:
+                        self._leave()
         finally:
             self.ready.clear()
             self.ended.set()
@@ -131,11 +137,15 @@
                 waiter.set(failure)
 
     def release(self) -> None:
-        """Give the seat up, as at a graceful stop."""
+        """Give the seat up after the round under way, as at a graceful stop."""
+        self._releasing = True
+        self.wake()
+        self.ended.wait(RELEASE_LIMIT_S)
+
+    def _leave(self) -> None:
         failure = self._ledger.release()
         if failure is not None:
             log.warning("epoch {}: not released: {}", self.epoch, failure)
-        self.wake()
 
     # For orders
 
