--- a/test/coordinator_case.py
+++ b/test/coordinator_case.py
@@ -5,6 +5,7 @@
     book,
     catalogue,
     ports,
+    reports,
     state,
     work,
 )
@@ -79,7 +80,7 @@
     answer = ports.Look(round(now * 1000) + 1, born, tuple(running), tuple(ended))
     worker = records.workers[worker_id]
     sent = now if sent_at is None else sent_at
-    return records.looked(worker, answer, sent, now)
+    return reports.take_look(records, worker, answer, sent, now)
 
 
 def running(task, run=1, checkpoint="", percent=10):
--- a/toucanspring/coordinator/book.py
+++ b/toucanspring/coordinator/book.py
@@ -8,7 +8,6 @@
 
 import collections
 import dataclasses
-from collections.abc import Iterable
 
 import logbook
 
@@ -18,11 +17,6 @@
 
 log = logbook.Logger(__name__)
 
-# How a run ended, as workers report it.
-DONE = "done"
-FAILED = "failed"
-# Without a queue in the configuration a job keeps the attempts of a careful one.
-DEFAULT_ATTEMPTS = 1
 # A task does not go back to a worker where it failed for this long, so that others
 # may take it; with few attempts each one should be elsewhere.
 AVOID_S = 2.0
@@ -77,7 +71,7 @@
                     self._occupy(run, task)
         if not record.is_final:
             for run in record.steps.values():
-                self._queue(run)
+                self.queue(run)
             self.open_steps(record, now)
             return
         record.ended_at = now
@@ -98,8 +92,8 @@
             for number, step in enumerate(record.spec.steps):
                 if (occurrence, number) in record.steps:
                     continue
-                if self._may_open(record, occurrence, step):
-                    self._queue(state.new_step(record, occurrence, number, now))
+                if self.may_open(record, occurrence, step):
+                    self.queue(state.new_step(record, occurrence, number, now))
 
     def due_occurrences(self, unix_ms: int, now: float) -> None:
         """Open the steps of occurrences whose time has come."""
@@ -112,11 +106,12 @@
                     for number, step in enumerate(record.spec.steps):
                         key = (occurrence, number)
                         if key not in record.steps and not step.after:
-                            self._queue(state.new_step(record, occurrence, number, now))
+                            self.queue(state.new_step(record, occurrence, number, now))
 
-    def _may_open(
+    def may_open(
         self, record: state.JobRecord, occurrence: int, step: work.Step
     ) -> bool:
+        """Return whether all steps before a step are done."""
         if record.spec.repeats and not step.after:
             return False  # waits for its time
         return all(
@@ -125,7 +120,8 @@
             for before in step.after
         )
 
-    def _queue(self, run: state.StepRun) -> None:
+    def queue(self, run: state.StepRun) -> None:
+        """Offer a step with waiting tasks to the planner."""
         if run.waiting:
             run.blocked_at = -1
             self.ready[run.id] = run
@@ -134,12 +130,13 @@
         """End a job at its caller's wish; one that has ended stays as it is."""
         record = self.jobs.get(job_id)
         if record is not None and not record.is_final:
-            self._finish(record, state.JobState.CANCELLED, now)
+            self.finish(record, state.JobState.CANCELLED, now)
         return record
 
-    def _finish(
+    def finish(
         self, record: state.JobRecord, outcome: state.JobState, now: float
     ) -> None:
+        """Set the outcome of a job and stop what still runs of it."""
         record.state = outcome
         record.ended_at = now
         self.dirty[record.spec.id] = record
@@ -297,7 +294,7 @@
         """Take note that an order to start certainly had and will have no effect."""
         if task.run != number or task.phase is not state.Phase.STARTING:
             return
-        self._requeue(run, task, now)
+        self.requeue(run, task, now)
 
     def start_unanswered(
         self, run: state.StepRun, task: state.Task, number: int
@@ -317,165 +314,10 @@
         if held is not None and held.task.run == run:
             held.task.settled_at = min(held.task.settled_at, now)
 
-    # What workers say
-
-    def looked(
-        self, worker: workers.Worker, look: ports.Look, sent_at: float, now: float
-    ) -> list[str]:
-        """Take in what a worker runs and what has ended; return the jobs concerned."""
-        if look.born != worker.born:
-            if worker.born and worker.confirmed:
-                structured.decide(
-                    log, "worker_restarted", worker=worker.id, held=len(worker.held)
-                )
-            worker.restart(look.born)
-        if not worker.confirmed or not worker.answering:
-            self.capacity_version += 1
-        worker.confirmed = worker.answering = True
-        worker.take_clock(look.clock_ms, now)
-        listed = {(row.task, row.run) for row in look.running}
-        touched = []
-        for end in look.ended:
-            if end.number > worker.seen_end and self._end(worker, end, now):
-                touched.append(end.task.partition(".")[0])
-            listed.add((end.task, end.run))
-        self._compare(worker, look.running, now)
-        for task_id, held in list(worker.held.items()):
-            task = held.task
-            if (task_id, task.run) not in listed and task.settled_at < sent_at:
-                structured.decide(
-                    log, "run_vanished", task=task_id, run=task.run, worker=worker.id
-                )
-                self._requeue(held.step, task, now)
-                touched.append(held.step.job.spec.id)
-        return touched
-
-    def _compare(
-        self,
-        worker: workers.Worker,
-        running: Iterable[ports.RunningTask],
-        now: float,
-    ) -> None:
-        foreign = {}
-        for row in running:
-            held = worker.held.get(row.task)
-            if held is None or held.task.run != row.run:
-                foreign[row.task] = self._size_of(row.task)
-                if row.task not in worker.foreign:
-                    self.stops.append(Stop(worker.id, row.task, row.run))
-                continue
-            task = held.task
-            if row.checkpoint:
-                task.checkpoint = row.checkpoint
-            if row.percent != task.percent or not task.percent_at:
-                task.percent, task.percent_at = row.percent, now
-            if task.phase is state.Phase.IN_DOUBT:
-                task.phase = state.Phase.RUNNING
-                task.started_at = task.started_at or now
-                task.settled_at = now
-                if held.step.job.is_final:
-                    self.stop(held.step, task)
-        if len(foreign) < len(worker.foreign):
-            self.capacity_version += 1
-        worker.foreign = foreign
-
-    def _size_of(self, task_id: str) -> resources.Resources:
-        name = state.parse_task_id(task_id)
-        record = self.jobs.get(name.job) if name is not None else None
-        if record is None or name.step >= len(record.spec.steps):
-            # An unknown task may be of any size, so nothing starts beside it.
-            return resources.UNLIMITED
-        return record.spec.steps[name.step].occupied()
-
-    def _end(self, worker: workers.Worker, end: ports.EndedTask, now: float) -> bool:
-        """Take in how a run ended; return whether it changed a job."""
-        name = state.parse_task_id(end.task)
-        record = self.jobs.get(name.job) if name is not None else None
-        run = record.steps.get((name.occurrence, name.step)) if record else None
-        if run is None or name.index >= len(run.tasks):
-            return False
-        task = run.tasks[name.index]
-        if task.run != end.run or task.phase not in state.OCCUPYING:
-            return False
-        if end.checkpoint:
-            task.checkpoint = end.checkpoint
-        structured.decide(
-            log,
-            "run_ended",
-            task=end.task,
-            run=end.run,
-            how=end.how,
-            worker=worker.id,
-            lasted_s=round(now - task.started_at, 3) if task.started_at else 0,
-        )
-        self.release(run, task)
-        if end.how == DONE:
-            worker.note_success()
-            self._done(run, task, now)
-        elif end.how == FAILED:
-            if worker.note_failure(record.spec.id, now):
-                structured.decide(
-                    log,
-                    "worker_quarantined",
-                    worker=worker.id,
-                    for_s=round(worker.quarantined_until - now, 1),
-                )
-            self._failed(run, task, worker.id, now)
-        else:
-            self._back_to_queue(run, task, now)
-        self.dirty[record.spec.id] = record
-        return True
+    # Returns to the queue
 
-    def _done(self, run: state.StepRun, task: state.Task, now: float) -> None:
-        if run.step.long_running:
-            self._back_to_queue(run, task, now)
-            return
-        task.phase = state.Phase.DONE
-        run.unfinished -= 1
-        if run.step.gang:
-            # The members end together, and one end stands for all.
-            for other in run.tasks:
-                if other.phase in state.OCCUPYING and other.run == task.run:
-                    self.release(run, other)
-                    other.phase = state.Phase.DONE
-                    run.unfinished -= 1
-        if run.unfinished == 0 and not run.job.is_final:
-            self._step_done(run, now)
-
-    def _step_done(self, run: state.StepRun, now: float) -> None:
-        record = run.job
-        occurrences = max(1, record.spec.repeats)
-        complete = sum(step.unfinished == 0 for step in record.steps.values())
-        if complete == occurrences * len(record.spec.steps):
-            self._finish(record, state.JobState.COMPLETED, now)
-            return
-        for number, step in enumerate(record.spec.steps):
-            key = (run.occurrence, number)
-            if key in record.steps or not step.after:
-                continue
-            if self._may_open(record, run.occurrence, step):
-                self._queue(state.new_step(record, run.occurrence, number, now))
-
-    def _failed(
-        self, run: state.StepRun, task: state.Task, worker_id: str, now: float
-    ) -> None:
-        if run.step.gang:
-            if task.run not in run.failed_runs:
-                run.failed_runs.add(task.run)
-                for other in run.tasks:
-                    other.failures += 1
-        else:
-            task.failures += 1
-        task.avoided = task.avoided | {worker_id}
-        task.avoid_until = now + AVOID_S
-        self._back_to_queue(run, task, now)
-        queue = self.catalogue.queue(run.job.spec.queue)
-        attempts = queue.max_attempts if queue is not None else DEFAULT_ATTEMPTS
-        exhausted = task.failures >= attempts and not run.step.long_running
-        if exhausted and not run.job.is_final:
-            self._finish(run.job, state.JobState.FAILED, now)
-
-    def _back_to_queue(self, run: state.StepRun, task: state.Task, now: float) -> None:
+    def back_to_queue(self, run: state.StepRun, task: state.Task, now: float) -> None:
+        """Let a task that occupies no worker wait again, with all of its gang."""
         task.phase = state.Phase.WAITING
         task.started_at = task.percent_at = 0.0
         run.waiting.add(task.index)
@@ -485,44 +327,15 @@
         if run.job.is_final:
             return
         run.ready_at = now
-        self._queue(run)
+        self.queue(run)
 
-    def _requeue(self, run: state.StepRun, task: state.Task, now: float) -> None:
+    def requeue(self, run: state.StepRun, task: state.Task, now: float) -> None:
+        """Take a task off its worker and let it wait again."""
         if task.phase in state.OCCUPYING:
             self.release(run, task)
-        self._back_to_queue(run, task, now)
+        self.back_to_queue(run, task, now)
         self.dirty[run.job.spec.id] = run.job
 
-    # Losses
-
-    def lapsed(self, worker: workers.Worker, now: float) -> None:
-        """Take note that a silent worker's lease is over: it runs nothing."""
-        worker.answering = worker.confirmed = False
-        structured.decide(log, "worker_lost", worker=worker.id, tasks=len(worker.held))
-        for held in list(worker.held.values()):
-            self._requeue(held.step, held.task, now)
-        worker.foreign.clear()
-
-    def stuck_tasks(self, worker: workers.Worker, now: float) -> list[workers.Held]:
-        """Return the tasks whose progress stands still although the worker answers."""
-        found = []
-        for held in worker.held.values():
-            task, step = held.task, held.step.step
-            if task.phase is not state.Phase.RUNNING or step.long_running:
-                continue
-            if not task.percent_at or now - task.percent_at < workers.STUCK_S:
-                continue
-            if step.gang and any(
-                other.phase is not state.Phase.RUNNING
-                or now - other.started_at < workers.STUCK_S
-                for other in held.step.tasks
-            ):
-                continue
-            # One percent of a long task takes longer than the usual limit.
-            if now - task.percent_at > workers.STUCK_S + step.estimate_ms / 1000 / 20:
-                found.append(held)
-        return found
-
     def pending(self, queue: str) -> int:
         """Return how many accepted jobs of a queue have not begun."""
         return sum(
--- /dev/null
+++ b/toucanspring/coordinator/fitting.py
@@ -0,0 +1,96 @@
+"""Which workers a task or a gang fits on, and which of them are better."""
+
+from __future__ import annotations
+
+from toucanspring import resources
+from toucanspring.coordinator import state, workers
+
+
+def suits(run: state.StepRun, worker: workers.Worker) -> bool:
+    """Return whether a worker could run tasks of a step if it were empty."""
+    step = run.step
+    if step.required_label and step.required_label not in worker.entry.labels:
+        return False
+    return step.occupied().fits(worker.entry.capacity)
+
+
+def allows(
+    run: state.StepRun,
+    task: state.Task,
+    worker: workers.Worker,
+    on_worker: dict[str, int],
+    now: float,
+) -> bool:
+    """Return whether a task may go to a worker beside those of its step there."""
+    limit = run.step.max_per_worker
+    if limit and on_worker.get(worker.id, 0) >= limit:
+        return False
+    return is_tried(task, worker, now)
+
+
+def is_tried(task: state.Task, worker: workers.Worker, now: float) -> bool:
+    """Return whether a task may go to a worker, where it may have failed before."""
+    return worker.id not in task.avoided or now >= task.avoid_until
+
+
+def count_on_workers(run: state.StepRun) -> dict[str, int]:
+    """Return how many tasks of a step each worker has, if that is limited."""
+    counts: dict[str, int] = {}
+    if run.step.max_per_worker:
+        for task in run.tasks:
+            if task.worker:
+                counts[task.worker] = counts.get(task.worker, 0) + 1
+    return counts
+
+
+def rank(
+    run: state.StepRun, worker: workers.Worker, free: resources.Resources
+) -> tuple:
+    """Prefer the rack of the data, then workers with few failures and little room."""
+    remote = bool(run.step.preferred_rack) and (
+        run.step.preferred_rack != worker.entry.rack
+    )
+    return remote, worker.failures, free.cpus
+
+
+def place_gang(
+    run: state.StepRun,
+    eligible: list[workers.Worker],
+    extra: dict[str, resources.Resources],
+) -> list[tuple[workers.Worker, int]] | None:
+    """Return workers with counts of members, in one rack if the step asks for it."""
+    if not run.step.same_rack:
+        return _fill(run, eligible, extra)
+    racks: dict[str, list[workers.Worker]] = {}
+    for worker in eligible:
+        racks.setdefault(worker.entry.rack, []).append(worker)
+    for members in racks.values():
+        chosen = _fill(run, members, extra)
+        if chosen is not None:
+            return chosen
+    return _fill(run, eligible, extra)
+
+
+def _fill(
+    run: state.StepRun,
+    eligible: list[workers.Worker],
+    extra: dict[str, resources.Resources],
+) -> list[tuple[workers.Worker, int]] | None:
+    demand = run.step.occupied()
+    room = []
+    for worker in eligible:
+        free = worker.free() + extra.get(worker.id, resources.ZERO)
+        count = demand.count_in(free)
+        if run.step.max_per_worker:
+            count = min(count, run.step.max_per_worker)
+        if count > 0:
+            room.append((count, worker))
+    room.sort(key=lambda each: (each[1].failures, -each[0]))
+    left, chosen = run.step.count, []
+    for count, worker in room:
+        share = min(count, left)
+        chosen.append((worker, share))
+        left -= share
+        if not left:
+            return chosen
+    return None
--- a/toucanspring/coordinator/orders.py
+++ b/toucanspring/coordinator/orders.py
@@ -12,7 +12,7 @@
 
 from toucanspring import errors
 from toucanspring import log as structured
-from toucanspring.coordinator import book, planner, ports, workers
+from toucanspring.coordinator import book, planner, ports, reports, workers
 
 log = logbook.Logger(__name__)
 
@@ -116,7 +116,7 @@
         """Give up the tasks of a worker whose lease is over; return whether it left."""
         if now > worker.lapses_at:
             if worker.held or worker.foreign:
-                self._owner.book.lapsed(worker, now)
+                reports.lapse(self._owner.book, worker, now)
                 self._owner.wake()
             if not worker.registered:
                 self._owner.book.remove_worker(worker.id)
@@ -156,11 +156,11 @@
         last = max((end.number for end in look.ended), default=worker.seen_end)
         fresh = last > worker.seen_end
         restarted = look.born != worker.born
-        touched = records.looked(worker, look, sent, now)
+        touched = reports.take_look(records, worker, look, sent, now)
         if restarted:
             last = max((end.number for end in look.ended), default=0)
             fresh = last > 0
-        for held in records.stuck_tasks(worker, now):
+        for held in reports.find_stuck(worker, now):
             structured.decide(
                 log,
                 "task_stuck",
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -8,7 +8,14 @@
 import dataclasses
 
 from toucanspring import resources
-from toucanspring.coordinator import book, catalogue, ports, state, workers
+from toucanspring.coordinator import (
+    book,
+    catalogue,
+    fitting,
+    ports,
+    state,
+    workers,
+)
 
 # An order travels and may be repeated before its ticket is read.
 TICKET_MARGIN_S = 0.15
@@ -114,7 +121,7 @@
         plan: Plan,
         now: float,
     ) -> None:
-        eligible = [worker for worker in usable if _suits(run, worker)]
+        eligible = [worker for worker in usable if fitting.suits(run, worker)]
         if not eligible:
             return
         if queue.approval is not None:
@@ -195,7 +202,7 @@
     ) -> None:
         demand = run.step.occupied()
         expired: list[str] = []
-        on_worker = _count_on_workers(run)
+        on_worker = fitting.count_on_workers(run)
         for index in sorted(run.waiting):
             if not self._within_ceiling(run, 1) or len(plan.starts) >= MAX_STARTS:
                 return
@@ -203,7 +210,7 @@
             best: workers.Worker | None = None
             best_key: tuple = ()
             for worker in eligible:
-                if not _allows(run, task, worker, on_worker, now):
+                if not fitting.allows(run, task, worker, on_worker, now):
                     continue
                 if worker.id in plan.reserved and queue.priority > 0:
                     continue
@@ -213,7 +220,7 @@
                 if self._ticket(run, queue, worker.id, now) is None:
                     expired.append(worker.id)
                     continue
-                key = _fit(run, worker, free)
+                key = fitting.rank(run, worker, free)
                 if best is None or key < best_key:
                     best, best_key = worker, key
             if best is None:
@@ -273,9 +280,9 @@
             worker
             for worker in eligible
             if worker.id not in plan.reserved
-            and all(_is_tried(task, worker, now) for task in run.tasks)
+            and all(fitting.is_tried(task, worker, now) for task in run.tasks)
         ]
-        chosen = _place_gang(run, open_workers, {})
+        chosen = fitting.place_gang(run, open_workers, {})
         if chosen is None:
             if now - run.ready_at >= GANG_PATIENCE_S:
                 self._make_room(run, queue, eligible, plan, now)
@@ -357,10 +364,10 @@
         }
         if now < run.reserved_until:
             kept = [each for each in open_workers if each.id in run.reserved]
-            chosen = _place_gang(run, kept, extra)
+            chosen = fitting.place_gang(run, kept, extra)
             if chosen is not None:
                 return chosen
-        chosen = _place_gang(run, open_workers, extra)
+        chosen = fitting.place_gang(run, open_workers, extra)
         if chosen is not None:
             run.reserved = frozenset(worker.id for worker, _ in chosen)
             run.reserved_until = now + RESERVATION_S
@@ -389,93 +396,6 @@
         return [held for _, held in found]
 
 
-def _suits(run: state.StepRun, worker: workers.Worker) -> bool:
-    step = run.step
-    if step.required_label and step.required_label not in worker.entry.labels:
-        return False
-    return step.occupied().fits(worker.entry.capacity)
-
-
-def _allows(
-    run: state.StepRun,
-    task: state.Task,
-    worker: workers.Worker,
-    on_worker: dict[str, int],
-    now: float,
-) -> bool:
-    limit = run.step.max_per_worker
-    if limit and on_worker.get(worker.id, 0) >= limit:
-        return False
-    return _is_tried(task, worker, now)
-
-
-def _is_tried(task: state.Task, worker: workers.Worker, now: float) -> bool:
-    """Return whether a task may go to a worker, where it may have failed before."""
-    return worker.id not in task.avoided or now >= task.avoid_until
-
-
-def _count_on_workers(run: state.StepRun) -> dict[str, int]:
-    counts: dict[str, int] = {}
-    if run.step.max_per_worker:
-        for task in run.tasks:
-            if task.worker:
-                counts[task.worker] = counts.get(task.worker, 0) + 1
-    return counts
-
-
-def _fit(
-    run: state.StepRun, worker: workers.Worker, free: resources.Resources
-) -> tuple:
-    """Prefer the rack of the data, then workers with few failures and little room."""
-    remote = bool(run.step.preferred_rack) and (
-        run.step.preferred_rack != worker.entry.rack
-    )
-    return remote, worker.failures, free.cpus
-
-
-def _place_gang(
-    run: state.StepRun,
-    eligible: list[workers.Worker],
-    extra: dict[str, resources.Resources],
-) -> list[tuple[workers.Worker, int]] | None:
-    """Return workers with counts of members, in one rack if the step asks for it."""
-    if not run.step.same_rack:
-        return _fill(run, eligible, extra)
-    racks: dict[str, list[workers.Worker]] = {}
-    for worker in eligible:
-        racks.setdefault(worker.entry.rack, []).append(worker)
-    for members in racks.values():
-        chosen = _fill(run, members, extra)
-        if chosen is not None:
-            return chosen
-    return _fill(run, eligible, extra)
-
-
-def _fill(
-    run: state.StepRun,
-    eligible: list[workers.Worker],
-    extra: dict[str, resources.Resources],
-) -> list[tuple[workers.Worker, int]] | None:
-    demand = run.step.occupied()
-    room = []
-    for worker in eligible:
-        free = worker.free() + extra.get(worker.id, resources.ZERO)
-        count = demand.count_in(free)
-        if run.step.max_per_worker:
-            count = min(count, run.step.max_per_worker)
-        if count > 0:
-            room.append((count, worker))
-    room.sort(key=lambda each: (each[1].failures, -each[0]))
-    left, chosen = run.step.count, []
-    for count, worker in room:
-        share = min(count, left)
-        chosen.append((worker, share))
-        left -= share
-        if not left:
-            return chosen
-    return None
-
-
 def take_answer(
     question: Question,
     tickets: dict[str, str],
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -24,6 +24,7 @@
     rows,
     seat,
     state,
+    succession,
     tenure,
     work,
 )
@@ -37,19 +38,6 @@
 RELAY_LINKS = 2  # processes beside the coordinator that calls may be relayed to
 ANNOUNCE = "seat"
 METHODS = ("status", "cancel", "pending")
-TAKE_OVER = "take over"
-REACHES = "reaches"
-# A coordinator whose writes fail for this long asks others, which may reach the store.
-HAND_OVER_AFTER_S = 0.2
-HAND_OVER_TRIES = 4
-HAND_OVER_TIMEOUT_S = 0.5
-# A coordinator without a stream for this long, to this process and another, is taken
-# for dead; processes later in the order wait longer, so that one claims.
-WATCH_S = 0.1
-DEAD_AFTER_S = 0.5
-RANK_DELAY_S = 0.1
-# One that took the seat a short while ago has not got all its streams.
-YOUNG_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -86,11 +74,12 @@
         self._draining = False
         self._looked = event.Event()
         self._vacated = 0  # epoch of a coordinator that is given up
-        self._handing_over: gevent.Greenlet | None = None
-        self._seat_since = 0.0
         self._members = feeds.Feed(store, rows.MEMBERS, self._take_member)
         self._intake = intake.Intake(store)
         self._approvals = approval_desk.Desk(kernel, approvals, self._answered)
+        self._succession = succession.Succession(
+            options.process, kernel.find("peers"), store, self._give_up, self._leave
+        )
         self._greenlets: list[gevent.Greenlet] = []
 
     # Life
@@ -101,21 +90,19 @@
         for method in METHODS:
             peers.handle(method, self._handler(method))
         peers.handle(approval_desk.METHOD, self._approvals.serve)
-        peers.handle(TAKE_OVER, self._serve_take_over)
-        peers.handle(REACHES, self._serve_reaches)
         peers.handle_notice(ANNOUNCE, self._take_announcement)
         self._intake.__enter__()
+        self._succession.__enter__()
         self._members.__enter__()
         self._greenlets = [
             gevent.spawn(self._register),
             gevent.spawn(self._run_for_seat),
             gevent.spawn(self._keep_streams),
-            gevent.spawn(self._watch_coordinator),
         ]
 
     def stop_accepting(self) -> None:
         """Leave the seat to others."""
-        self._draining = True
+        self._draining = self._succession.closing = True
         if self._tenure is not None:
             self._tenure.release()
         self._announce_vacancy()
@@ -125,6 +112,7 @@
         gevent.killall(self._greenlets, block=False)
         self._members.close()
         self._intake.__exit__()
+        self._succession.__exit__()
         place = ports.Place(rows.MEMBERS, "", self._options.process)
         row = self._members.rows.get(place)
         if row is not None:
@@ -308,93 +296,22 @@
         changed = self._seat is None or held.epoch != self._seat.epoch
         self._seat = held
         if changed:
-            self._seat_since = time.monotonic()
+            self._succession.follow(held)
             structured.decide(
                 log, "coordinator_known", process=held.process, epoch=held.epoch
             )
             self._set_targets()
 
-    # Early takeovers
-
-    def _writes_fail(self, for_s: float) -> None:
-        """Look for a process that reaches the store, while this one does not."""
-        if for_s < HAND_OVER_AFTER_S:
-            return
-        if self._handing_over is None or self._handing_over.ready():
-            self._handing_over = gevent.spawn(self._hand_over)
-
-    def _hand_over(self) -> None:
-        held, peers = self._tenure, self._kernel.find("peers")
-        if held is None:
-            return
-        names = peers.connected()
-        random.shuffle(names)
-        body = f"{held.epoch}".encode()
-        for name in names[:HAND_OVER_TRIES]:
-            answer = peers.call(name, TAKE_OVER, body, HAND_OVER_TIMEOUT_S)
-            if not isinstance(answer, errors.Failure):
-                held.superseded(f"handed over to {name}, which reaches the store")
-                return
-
-    def _serve_take_over(self, sender: str, body: bytes) -> bytes | errors.Failure:
-        """Claim the seat of a coordinator that cannot write."""
-        if self._draining:
-            return errors.Refused(reason="this process is stopping")
-        found = seat.read(self._store)
-        if isinstance(found, errors.Failure):
-            return found
-        structured.decide(log, "seat_offered", by=sender, epoch=body.decode())
-        self._give_up(int(body))
-        return b""
+    # The seat
 
     def _give_up(self, epoch: int) -> None:
+        """Claim the seat of an epoch although its lease may not be over."""
         self._vacated = epoch
         self._looked.set()
 
-    def _watch_coordinator(self) -> None:
-        """Give up a coordinator to which nobody has a stream any more."""
-        missing_since = None
-        while True:
-            gevent.sleep(WATCH_S)
-            held, now = self._seat, time.monotonic()
-            peers = self._kernel.find("peers")
-            connected = peers.connected()
-            if (
-                held is None
-                or self._draining
-                or held.process == self._options.process
-                or held.process in connected
-                or now - self._seat_since < YOUNG_S
-            ):
-                missing_since = None
-                continue
-            missing_since = missing_since or now
-            rank = sorted([*connected, self._options.process]).index(
-                self._options.process
-            )
-            if now - missing_since < DEAD_AFTER_S + rank * RANK_DELAY_S:
-                continue
-            if held.epoch != self._vacated and self._others_miss(held.process):
-                structured.decide(
-                    log, "coordinator_missing", process=held.process, epoch=held.epoch
-                )
-                self._give_up(held.epoch)
-
-    def _others_miss(self, process: str) -> bool:
-        """Return whether another process has no stream to it either."""
-        peers = self._kernel.find("peers")
-        for name in peers.connected()[:RELAY_LINKS]:
-            answer = peers.call(name, REACHES, process.encode(), HAND_OVER_TIMEOUT_S)
-            if answer == b"no":
-                return True
-        return False
-
-    def _serve_reaches(self, _sender: str, body: bytes) -> bytes:
-        connected = self._kernel.find("peers").connected()
-        name = body.decode()
-        return b"yes" if name in (*connected, self._options.process) else b"no"
-
-    # The seat
+    def _leave(self, reason: str) -> None:
+        if self._tenure is not None:
+            self._tenure.superseded(reason)
 
     def _run_for_seat(self) -> None:
         while True:
@@ -443,7 +360,7 @@
             self._clock,
             self._approvals.ask,
             self._options.max_lease_ms,
-            self._writes_fail,
+            self._succession.writes_fail,
         )
         self._set_targets()
         self._announce()
--- /dev/null
+++ b/toucanspring/coordinator/succession.py
@@ -0,0 +1,147 @@
+"""Takeovers of the seat from a holder that cannot write, is dead or leaves.
+
+To give a live holder up by mistake does no harm but the takeover; see `seat.claim`.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+
+import gevent
+import logbook
+
+from toucanspring import errors, peers
+from toucanspring import log as structured
+from toucanspring.coordinator import ports, rows, seat
+
+log = logbook.Logger(__name__)
+
+TAKE_OVER = "take over"
+REACHES = "reaches"
+# A coordinator whose writes fail for this long asks others, which may reach the store.
+HAND_OVER_AFTER_S = 0.2
+HAND_OVER_TRIES = 4
+HAND_OVER_TIMEOUT_S = 0.5
+# A coordinator without a stream for this long, to this process and another, is taken
+# for dead; processes later in the order wait longer, so that one claims.
+WATCH_S = 0.1
+DEAD_AFTER_S = 0.5
+RANK_DELAY_S = 0.1
+# One that took the seat a short while ago has not got all its streams.
+YOUNG_S = 3.0
+WITNESSES = 2  # processes asked whether they have a stream to the coordinator
+
+
+class Succession:
+    """Watch the holder of the seat and offer the own seat to others.
+
+    `give_up(epoch)` makes this process claim the seat of that epoch, `leave(reason)`
+    ends its own tenure.
+    """
+
+    def __init__(
+        self,
+        process: str,
+        streams: peers.Service,
+        store: ports.Store,
+        give_up: Callable[[int], None],
+        leave: Callable[[str], None],
+    ) -> None:
+        self.closing = False
+        self._process = process
+        self._peers = streams
+        self._store = store
+        self._give_up = give_up
+        self._leave = leave
+        self._seat: rows.Seat | None = None
+        self._since = 0.0
+        self._given_up = 0
+        self._handing_over: gevent.Greenlet | None = None
+        self._watching: gevent.Greenlet | None = None
+
+    def __enter__(self) -> Succession:
+        self._peers.handle(TAKE_OVER, self._serve_take_over)
+        self._peers.handle(REACHES, self._serve_reaches)
+        self._watching = gevent.spawn(self._watch_coordinator)
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        if self._watching is not None:
+            self._watching.kill(block=False)
+
+    def follow(self, held: rows.Seat) -> None:
+        """Take note of who holds the seat."""
+        self._seat, self._since = held, time.monotonic()
+
+    def writes_fail(self, for_s: float) -> None:
+        """Look for a process that reaches the store, while this one does not."""
+        if for_s < HAND_OVER_AFTER_S:
+            return
+        if self._handing_over is None or self._handing_over.ready():
+            self._handing_over = gevent.spawn(self._hand_over)
+
+    def _hand_over(self) -> None:
+        peers, epoch = self._peers, self._seat.epoch
+        names = peers.connected()
+        random.shuffle(names)
+        body = f"{epoch}".encode()
+        for name in names[:HAND_OVER_TRIES]:
+            answer = peers.call(name, TAKE_OVER, body, HAND_OVER_TIMEOUT_S)
+            if not isinstance(answer, errors.Failure):
+                self._leave(f"handed over to {name}, which reaches the store")
+                return
+
+    def _serve_take_over(self, sender: str, body: bytes) -> bytes | errors.Failure:
+        """Claim the seat of a coordinator that cannot write."""
+        if self.closing:
+            return errors.Refused(reason="this process is stopping")
+        found = seat.read(self._store)
+        if isinstance(found, errors.Failure):
+            return found
+        structured.decide(log, "seat_offered", by=sender, epoch=body.decode())
+        self._give_up(int(body))
+        return b""
+
+    def _watch_coordinator(self) -> None:
+        """Give up a coordinator to which nobody has a stream any more."""
+        missing_since = None
+        while True:
+            gevent.sleep(WATCH_S)
+            held, now = self._seat, time.monotonic()
+            connected = self._peers.connected()
+            if (
+                held is None
+                or self.closing
+                or held.process == self._process
+                or held.process in connected
+                or now - self._since < YOUNG_S
+            ):
+                missing_since = None
+                continue
+            missing_since = missing_since or now
+            rank = sorted([*connected, self._process]).index(self._process)
+            if now - missing_since < DEAD_AFTER_S + rank * RANK_DELAY_S:
+                continue
+            if held.epoch != self._given_up and self._others_miss(held.process):
+                structured.decide(
+                    log, "coordinator_missing", process=held.process, epoch=held.epoch
+                )
+                self._given_up = held.epoch
+                self._give_up(held.epoch)
+
+    def _others_miss(self, process: str) -> bool:
+        """Return whether another process has no stream to it either."""
+        for name in self._peers.connected()[:WITNESSES]:
+            answer = self._peers.call(
+                name, REACHES, process.encode(), HAND_OVER_TIMEOUT_S
+            )
+            if answer == b"no":
+                return True
+        return False
+
+    def _serve_reaches(self, _sender: str, body: bytes) -> bytes:
+        connected = self._peers.connected()
+        name = body.decode()
+        return b"yes" if name in (*connected, self._process) else b"no"
