Count the failure of a gang once over a takeover

Change: the latest failed run is part of a task's row. Test: restoring a gang with a recorded failure, failed before.

--- a/test/test_coordinator_reports.py
+++ b/test/test_coordinator_reports.py
@@ -194,6 +194,22 @@
         case.look(records, "w1", now=11.0)
         self.assertEqual(case.WAITING, case.phases(records)[1])
 
+    def test_a_gang_whose_failure_is_recorded_fails_once(self):
+        """Other members list their ends of the same run after the takeover."""
+        records = case.new_book(case.entry("w1"), case.entry("w2"), now=9.0)
+        tasks = (
+            rows.TaskRow(0, 1, failures=1, failed_run=1),
+            rows.TaskRow(1, 1, failures=1, failed_run=1, worker="w2", born=1),
+        )
+        progress = rows.Progress("active", (rows.StepRow(0, 0, tasks),))
+        spec = case.job(JOB, case.step(2, gang=True))
+        records.restore(spec, progress, 10.0, 0.0)
+        end = case.ended(1, f"{JOB}.0.0.1", how="failed")
+        case.look(records, "w2", ended=[end], now=11.0)
+        self.assertEqual(state.JobState.ACTIVE, records.jobs[JOB].state)
+        run = records.jobs[JOB].steps[0, 0]
+        self.assertEqual([1, 1], [task.failures for task in run.tasks])
+
     def test_a_run_of_before_that_was_given_up_is_stopped(self):
         records = self.restored(self.progress())
         case.look(records, "w1", running=[case.running(f"{JOB}.0.0.1", 1)], now=11.0)
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -8,7 +8,7 @@
 
 from toucanspring import log as structured
 from toucanspring import resources
-from toucanspring.coordinator import book, ports, state, workers
+from toucanspring.coordinator import book, ports, speeds, state, workers
 
 log = logbook.Logger(__name__)
 
@@ -72,6 +72,7 @@
         task = held.task
         if row.checkpoint:
             task.checkpoint = row.checkpoint
+        speeds.take_progress(worker, held, row.percent, now)
         if row.percent != task.percent or not task.percent_at:
             task.percent, task.percent_at = row.percent, now
         if task.phase is state.Phase.IN_DOUBT:
@@ -117,6 +118,8 @@
         worker=worker.id,
         lasted_s=round(now - task.started_at, 3) if task.started_at else 0,
     )
+    if end.how == DONE:
+        speeds.take_end(worker, workers.Held(run, task), now)
     records.release(run, task)
     if end.how == DONE:
         worker.note_success()
@@ -171,13 +174,12 @@
 def _failed(
     records: book.Book, run: state.StepRun, task: state.Task, worker_id: str, now: float
 ) -> None:
-    if run.step.gang:
-        if task.run not in run.failed_runs:
-            run.failed_runs.add(task.run)
-            for other in run.tasks:
-                other.failures += 1
-    else:
-        task.failures += 1
+    # A gang fails as a whole, however many of its members do in one run.
+    failing = run.tasks if run.step.gang else [task]
+    if task.run > max(each.failed_run for each in failing):
+        for each in failing:
+            each.failures += 1
+            each.failed_run = task.run
     task.avoided = task.avoided | {worker_id}
     task.avoid_until = now + book.AVOID_S
     records.back_to_queue(run, task, now)
--- a/toucanspring/coordinator/rows.py
+++ b/toucanspring/coordinator/rows.py
@@ -55,6 +55,7 @@
     born: int = 0
     checkpoint: str = ""
     done: bool = False
+    failed_run: int = 0
 
 
 class StepRow(msgspec.Struct, frozen=True, array_like=True):
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -43,6 +43,7 @@
     phase: Phase = Phase.WAITING
     run: int = 0
     failures: int = 0
+    failed_run: int = 0  # the latest run that failed
     worker: str = ""
     born: int = 0
     checkpoint: str = ""
@@ -56,6 +57,9 @@
     avoided: frozenset[str] = frozenset()
     avoid_until: float = 0.0
     preempted: int = 0
+    resumed: bool = False  # this run began at a checkpoint
+    sampled_at: float = 0.0  # progress as last taken for the speed of its worker
+    sampled_percent: int = 0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -70,7 +74,6 @@
     waiting: set[int]
     unfinished: int
     ready_at: float = 0.0
-    failed_runs: set[int] = dataclasses.field(default_factory=set)
     # Approval of workers: a known answer never changes, tickets expire.
     tickets: dict[str, ports.Ticket] = dataclasses.field(default_factory=dict)
     allowed: dict[str, bool] = dataclasses.field(default_factory=dict)
@@ -81,6 +84,8 @@
     # Workers that a gang waits for.
     reserved: frozenset[str] = frozenset()
     reserved_until: float = 0.0
+    # Latest rate of a task on each worker, as part of its work a second.
+    rates: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @property
     def id(self) -> str:
@@ -153,6 +158,7 @@
                 task.born if task.phase in OCCUPYING else 0,
                 task.checkpoint,
                 task.phase is Phase.DONE,
+                task.failed_run,
             )
             for task in run.tasks
             if task.run
@@ -179,6 +185,7 @@
         for saved in row.tasks:
             task = run.tasks[saved.index]
             task.run, task.failures = saved.run, saved.failures
+            task.failed_run = saved.failed_run
             task.checkpoint = saved.checkpoint
             if saved.done:
                 task.phase = Phase.DONE
