Find slow workers by the progress of tasks of the same step

Change: a worker whose tasks progress at under 0.35 of the rate of the same steps elsewhere gets nothing new for 4 s; tasks that would take twice as long there move.

--- a/toucanspring/coordinator/book.py
+++ b/toucanspring/coordinator/book.py
@@ -267,7 +267,9 @@
         task.run = number
         task.worker, task.born = worker.id, worker.born
         task.settled_at = float("inf")
-        task.percent = 0
+        task.percent = task.sampled_percent = 0
+        task.sampled_at = 0.0
+        task.resumed = bool(task.checkpoint)
         run.waiting.discard(task.index)
         if not run.waiting:
             self.ready.pop(run.id, None)
--- a/toucanspring/coordinator/tenure.py
+++ b/toucanspring/coordinator/tenure.py
@@ -23,6 +23,7 @@
     ports,
     rows,
     seat,
+    speeds,
     state,
     work,
     workers,
@@ -388,6 +389,14 @@
         if now - self._housekept_at < HOUSEKEEPING_S:
             return
         self._housekept_at = now
+        for worker in speeds.find_slow(self.book.workers.values(), now):
+            movable = speeds.find_movable(worker, now)
+            structured.decide(
+                log, "worker_slow", worker=worker.id, share=round(worker.slowness, 2),
+                tasks=len(worker.held), moved=len(movable),
+            )  # fmt: skip
+            for held in movable:
+                self.book.stop(held.step, held.task)
         self.book.due_occurrences(round(time.time() * 1000), now)
         for job_id in self.book.forget_ended(now):
             self._forget(job_id)
--- a/toucanspring/coordinator/workers.py
+++ b/toucanspring/coordinator/workers.py
@@ -51,6 +51,11 @@
     penalty_until: float = 0.0
     failures: int = 0
     failed_jobs: set[str] = dataclasses.field(default_factory=set)
+    # Rate of its tasks beside those of the same steps elsewhere.
+    speed: float = 1.0
+    samples: int = 0
+    slow_until: float = 0.0
+    slowness: float = 1.0  # its speed beside the others' when it was found slow
     quarantine_s: float = QUARANTINE_FIRST_S
     quarantined_until: float = 0.0
 
@@ -76,6 +81,7 @@
             and self.entry.zone not in zones_out
             and now >= self.penalty_until
             and now >= self.quarantined_until
+            and now >= self.slow_until
         )
 
     def estimate_clock(self, now: float) -> int:
@@ -103,7 +109,8 @@
         self.foreign.clear()
         self.clock_ms = self.lease_until_ms = 0
         self.lapses_at = float("inf")
-        self.failures = 0
+        self.failures = self.samples = 0
+        self.slow_until = 0.0
         self.failed_jobs.clear()
 
     def note_failure(self, job_id: str, now: float) -> bool:
