Explain a job from the logs: reasons to wait, whole placements, command story

Cause: the log named at most 20 starts of a round and never why a step waits, so an ID did not lead to the cause of a late job.

--- a/toucanspring/cli.py
+++ b/toucanspring/cli.py
@@ -29,6 +29,7 @@
     report,
     show,
     status,
+    story,
     submit,
     validate,
     wait,
@@ -53,6 +54,7 @@
     "partitions": {"show": partitions.show, "set": partitions.change},
     "workers": workers.run,
     "explain": explain.run,
+    "story": story.run,
     "report": report.run,
     "events": events.run,
 }
--- a/toucanspring/coordinator/approval_desk.py
+++ b/toucanspring/coordinator/approval_desk.py
@@ -130,6 +130,11 @@
             question.step.ask_again_at = now + planner.ASK_PAUSE_S
             gevent.spawn_later(planner.ASK_PAUSE_S, self._dispatch)
         else:
+            structured.decide(
+                log, "approval_answered", step=question.step.id,
+                asked=len(question.workers), allowed=len(answer),
+                caller=caller or "self", after_s=round(now - sent, 3),
+            )  # fmt: skip
             planner.take_answer(question, answer, now + question.validity_s)
         self._answered(question)
         self._dispatch()
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -21,6 +21,13 @@
 # Estimates are off by up to 0.9 either way; a job counts as late once this part of the
 # estimated time is missing.
 LATE_SHARE = 0.6
+# Why a step waits, as logged.
+NO_WORKER = "no usable worker"
+APPROVAL = "approval asked for"
+NOT_APPROVED = "no approved worker"
+CEILING = "ceiling of the organisation"
+NO_ROOM = "no room"
+MEMBERS = "members of the gang still run"
 # An order travels and may be repeated before its ticket is read.
 TICKET_MARGIN_S = 0.15
 # More steps than this are not looked at in one round, to bound its time.
@@ -66,15 +73,31 @@
     validity_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait:
+    """Say why a step has waiting tasks."""
+
+    step: state.StepRun
+    reason: str
+
+
 @dataclasses.dataclass(slots=True)
 class Plan:
     """Collect the decisions of one round; starts are already booked."""
 
     starts: list[Start] = dataclasses.field(default_factory=list)
     questions: list[Question] = dataclasses.field(default_factory=list)
+    # Steps that begin to wait for another reason than before.
+    waits: list[Wait] = dataclasses.field(default_factory=list)
     reserved: set[str] = dataclasses.field(default_factory=set)
     gangs_making_room: int = 0
 
+    def wait(self, run: state.StepRun, reason: str) -> None:
+        """Take note of why a step waits, once for each reason in turn."""
+        if run.waits_for != reason:
+            run.waits_for = reason
+            self.waits.append(Wait(run, reason))
+
 
 class Planner:
     """Decide for the jobs of one book."""
@@ -144,15 +167,19 @@
     ) -> None:
         eligible = [worker for worker in usable if fitting.suits(run, worker)]
         if not eligible:
+            plan.wait(run, NO_WORKER)
             return
         if queue.approval is not None:
             self._ask_new(run, queue, eligible, plan, now)
             run.unasked = [each for each in eligible if each.id not in run.allowed]
             eligible = [worker for worker in eligible if run.allowed.get(worker.id)]
+            if not eligible:
+                plan.wait(run, APPROVAL if run.asking else NOT_APPROVED)
         # Capacity alone decides here; without a change nothing new can fit.
         if run.blocked_at == self._book.capacity_version and not run.step.gang:
             return
-        if not self._within_ceiling(run, 1):
+        if not self._within_ceiling(run, run.step.count if run.step.gang else 1):
+            plan.wait(run, CEILING)
             return
         if run.step.gang:
             self._plan_gang(run, queue, eligible, plan, now)
@@ -246,6 +273,7 @@
                     best, best_key = worker, key
             if best is None:
                 names = expired or self._unasked_with_room(run, 1)
+                plan.wait(run, APPROVAL if names else NO_ROOM)
                 if names:
                     self._ask(run, queue, sorted(set(names)), plan, now)
                 elif not run.asking and now >= task.avoid_until:
@@ -293,7 +321,8 @@
         now: float,
     ) -> None:
         count = run.step.count
-        if len(run.waiting) < count or not self._within_ceiling(run, count):
+        if len(run.waiting) < count:
+            plan.wait(run, MEMBERS)
             return
         if len({run.tasks[index].checkpoint for index in run.waiting}) > 1:
             self._align_checkpoints(run)
@@ -305,6 +334,7 @@
         ]
         chosen = fitting.place_gang(run, open_workers, {})
         if chosen is None:
+            plan.wait(run, NO_ROOM)
             if now - run.ready_at >= GANG_PATIENCE_S:
                 self._make_room(run, queue, eligible, plan, now)
             return
@@ -314,6 +344,7 @@
             if self._ticket(run, queue, worker.id, now) is None
         ]
         if missing:
+            plan.wait(run, APPROVAL)
             # All that are allowed, as the room may have changed by the answer.
             names = [worker.id for worker in eligible]
             self._ask(run, queue, names, plan, now)
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -80,6 +80,7 @@
     unasked: list = dataclasses.field(default_factory=list)
     asking: bool = False
     ask_again_at: float = 0.0
+    waits_for: str = ""  # the reason told last
     blocked_at: int = -1  # capacity version at which no task found room
     # Workers that a gang waits for.
     reserved: frozenset[str] = frozenset()
--- a/toucanspring/coordinator/tenure.py
+++ b/toucanspring/coordinator/tenure.py
@@ -329,15 +329,24 @@
         self._take_operators()
         self._keep_house(now)
         plan = planner.Plan()
-        if self._directory.age(now) < MAX_VIEW_AGE_S and self._ledger.holds(now):
+        if self._view_age(now) < MAX_VIEW_AGE_S and self._ledger.holds(now):
             plan = self._planner.plan(now)
         for question in plan.questions:
             self._ask(question)
+        for wait in plan.waits:
+            structured.decide(
+                log, "step_waits", step=wait.step.id, reason=wait.reason,
+                tasks=len(wait.step.waiting),
+                since_s=round(now - wait.step.ready_at, 2),
+            )  # fmt: skip
         stops, self.book.stops[:] = list(self.book.stops), []
         for stop in stops:
             self._desk.stop(stop)
         self._commit(plan.starts, now)
 
+    def _view_age(self, now: float) -> float:
+        return self._directory.age(now)
+
     def _commit(self, starts: list[planner.Start], now: float) -> None:
         dirty = dict(self.book.dirty)
         self.book.dirty.clear()
@@ -366,11 +375,8 @@
         self._committed.set()
         if starts:
             structured.decide(
-                log, "starts_recorded", commit=self._ledger.writes,
-                tasks=[
-                    f"{start.step.task_id(start.task.index)}@{start.worker.id}"
-                    for start in starts[:20]
-                ],
+                log, "starts_recorded", commit=self._ledger.writes, epoch=self.epoch,
+                placed=_show_starts(starts), view_age_s=round(self._view_age(now), 2),
                 count=len(starts), took_ms=round((time.monotonic() - now) * 1000),
             )  # fmt: skip
         for start in starts:
@@ -416,6 +422,15 @@
         self._removals += [rows.copy_place(job_id), rows.progress_place(job_id)]
 
 
+def _show_starts(starts: list[planner.Start]) -> dict[str, list[str]]:
+    """Return for each step its runs as index, run and worker."""
+    shown: dict[str, list[str]] = {}
+    for start in starts:
+        runs = shown.setdefault(start.step.id, [])
+        runs.append(f"{start.task.index}#{start.run}@{start.worker.id}")
+    return shown
+
+
 def _age_s(spec: work.Job) -> float:
     """Return how long ago a job was accepted, by the wall clocks of two processes."""
     return max(0.0, min(600.0, time.time() - spec.accepted_at_ms / 1000))
