--- a/test/test_coordinator_planner.py
+++ b/test/test_coordinator_planner.py
@@ -33,6 +33,19 @@
         approve(question, ["w2"], 1.1)
         self.assertEqual({"w2"}, {each.worker.id for each in plans.plan(1.1).starts})
 
+    def test_the_reason_to_wait_is_told_once(self):
+        records = case.new_book(case.entry("w1"), catalogue_=self.catalogue)
+        records.accept(case.job(JOB, case.step(1, cpus=32_000)), 1.0)
+        records.accept(case.job("1" * 16, case.step(1, cpus=32_000)), 1.1)
+        plans = planner.Planner(records)
+        questions = plans.plan(1.1).questions
+        told = [wait.reason for _ in range(5) for wait in plans.plan(1.2).waits]
+        self.assertEqual([], told)
+        for question in questions:
+            approve(question, ["w1"], 1.3)
+        told = [wait.reason for _ in range(5) for wait in plans.plan(1.3).waits]
+        self.assertEqual([planner.NO_ROOM], told)
+
     def test_an_expired_ticket_is_asked_for_again(self):
         records = case.new_book(case.entry("w1"), catalogue_=self.catalogue)
         records.accept(case.job(JOB, case.step(1)), 1.0)
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -174,7 +174,11 @@
             run.unasked = [each for each in eligible if each.id not in run.allowed]
             eligible = [worker for worker in eligible if run.allowed.get(worker.id)]
             if not eligible:
+                names = self._unasked_with_room(run, 1)
+                if names:
+                    self._ask(run, queue, names, plan, now)
                 plan.wait(run, APPROVAL if run.asking else NOT_APPROVED)
+                return
         # Capacity alone decides here; without a change nothing new can fit.
         if run.blocked_at == self._book.capacity_version and not run.step.gang:
             return
