Model the coordinator, and bound what a replaced one may still order

Cause: the model spec/coordination.py has a rule that a coordinator without its seat gives no orders for long (`expiry`); without it a task runs in two places. The code broke it in two ways: a start whose intent was durable was sent however late, and a takeover before the end of the lease counted the predecessor's renewals from the claim, up to 2.5 s too early.

--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -8,7 +8,7 @@
 import sys
 import time
 
-from spec import model, moves_model, resizing, runs, search
+from spec import coordination, model, moves_model, resizing, runs, search
 
 
 def print_result(run: runs.Run, result: search.Result) -> bool:
@@ -32,7 +32,12 @@
     """Check all spaces and all removals; return 1 if one is not as expected."""
     started = time.monotonic()
     print("actions and their implementation:")
-    implemented = (model.ACTIONS, moves_model.ACTIONS, resizing.ACTIONS)
+    implemented = (
+        model.ACTIONS,
+        moves_model.ACTIONS,
+        resizing.ACTIONS,
+        coordination.ACTIONS,
+    )
     for action, function in itertools.chain(*(each.items() for each in implemented)):
         print(f"  {action}: {function}")
     spawn = multiprocessing.get_context("spawn")
--- /dev/null
+++ b/spec/coordination.py
@@ -0,0 +1,280 @@
+"""Model of one task under coordinators that may be paused or replaced at any time.
+
+A step that no coordinator takes models a pause. A claim may come at any time, as a
+takeover before the lease is over does. A write under way takes effect or fails at any
+later time, once more if its answer was lost; an order arrives at any time. Workers run,
+end and lapse. The rules are those of `ledger`, `tenure`, `orders` and `reports` of the
+coordinator, restated here, since these perform I/O; `ACTIONS` names them.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterator
+from typing import NamedTuple
+
+import minicheck
+
+ACTIONS = {
+    "claim": "toucanspring.coordinator.seat.claim",
+    "expire": "toucanspring.coordinator.tenure.Tenure.may_renew",
+    "intend": "toucanspring.coordinator.book.Book.begin",
+    "write": "toucanspring.coordinator.ledger.Ledger.commit",
+    "write fails": "toucanspring.coordinator.ledger.Ledger.commit",
+    "late copy": "toucanspring.coordinator.ledger.Ledger.commit",
+    "order": "toucanspring.coordinator.orders.Desk.start",
+    "arrive": "standins.lease_workers.LeaseWorkers.start",
+    "end": "standins.lease_workers.LeaseWorkers.look",
+    "lapse": "standins.lease_workers.LeaseWorkers.look",
+    "look": "toucanspring.coordinator.reports.take_look",
+    "note": "toucanspring.coordinator.tenure.Tenure.note",
+    "give up": "toucanspring.coordinator.reports.lapse",
+}
+NOWHERE = -1
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """Limit the space; all states within the bounds are visited."""
+
+    workers: int = 2
+    claims: int = 2
+    runs: int = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Rules:
+    """Say which rules are in force; removing one must break an invariant."""
+
+    intent: bool = True  # a start is ordered once its record is durable
+    seat_check: bool = True  # a write checks the seat's row
+    rewrite: bool = True  # and rewrites it, so that a late copy fails
+    fence: bool = True  # workers refuse lower epochs
+    durable_end: bool = True  # an end is noted once its record is durable
+    lease_wait: bool = True  # an unreachable worker is waited for
+    expiry: bool = True  # a coordinator without its seat gives no orders for long
+
+
+class Record(NamedTuple):
+    """The durable row of the task: its run, where it may be, and whether it is done."""
+
+    run: int = 0
+    worker: int = NOWHERE
+    done: bool = False
+
+
+class Coordinator(NamedTuple):
+    """A coordinator; `write` is under way, `placing` was written but not ordered."""
+
+    epoch: int
+    version: int
+    record: Record
+    write: Record | None = None
+    placing: bool = False
+    expired: bool = False
+
+
+class Worker(NamedTuple):
+    """A worker; `running` and `ended` are runs, 0 for none."""
+
+    epoch: int = 0
+    running: int = 0
+    ended: int = 0
+    highest: int = 0
+
+
+class State(NamedTuple):
+    """The rows of the store, late copies of writes, and who acts."""
+
+    epoch: int
+    version: int
+    record: Record
+    copies: frozenset[tuple[int, Record]]
+    noted: bool
+    coordinators: tuple[Coordinator, ...]
+    workers: tuple[Worker, ...]
+    orders: frozenset[tuple[int, int, int]]  # epoch, run, worker
+
+
+Steps = Iterator[tuple[str, State]]
+
+
+class Model:
+    """Enumerate the transitions under some rules and bounds."""
+
+    def __init__(self, rules: Rules, bounds: Bounds) -> None:
+        self._rules = rules
+        self._bounds = bounds
+
+    def protocol(self) -> minicheck.Protocol:
+        """Return the model in the form that minicheck checks."""
+        workers = tuple(Worker() for _ in range(self._bounds.workers))
+        initial = State(0, 0, Record(), frozenset(), False, (), workers, frozenset())
+        return minicheck.Protocol(
+            name="coordination",
+            candidate=False,
+            fields=State._fields,
+            initial=initial,
+            transitions=lambda state: list(self._steps(state)),
+            invariants=INVARIANTS,
+        )
+
+    def _steps(self, s: State) -> Steps:
+        if len(s.coordinators) < self._bounds.claims:
+            new = Coordinator(s.epoch + 1, s.version + 1, s.record)
+            yield (
+                "claim",
+                s._replace(
+                    epoch=s.epoch + 1,
+                    version=s.version + 1,
+                    coordinators=(*s.coordinators, new),
+                ),
+            )
+        for index, holder in enumerate(s.coordinators):
+            if not holder.expired:
+                # Only with a successor: alone it renews its lease.
+                if holder.epoch < s.epoch:
+                    yield "expire", _put(s, index, holder._replace(expired=True))
+                yield from self._decide(s, index, holder)
+                yield from self._look(s, index, holder)
+            if holder.write is not None:
+                yield self._write(s, index, holder)
+        for version, record in s.copies:
+            if version == s.version:
+                copied = s._replace(record=record, copies=frozenset())
+                yield "late copy", copied
+        yield from self._work(s)
+
+    def _decide(self, s: State, index: int, c: Coordinator) -> Steps:
+        record = c.record
+        free = c.write is None and not c.placing and not record.done
+        if free and record.worker == NOWHERE and record.run < self._bounds.runs:
+            for worker in range(self._bounds.workers):
+                placed = Record(record.run + 1, worker, False)
+                if self._rules.intent:
+                    yield "intend", _put(s, index, c._replace(write=placed))
+                else:
+                    chosen = c._replace(record=placed, placing=True)
+                    yield "intend", _put(s, index, chosen)
+        if c.placing:
+            order = (c.epoch, record.run, record.worker)
+            sent = _put(s, index, c._replace(placing=False))
+            yield "order", sent._replace(orders=s.orders | {order})
+        if free and record.worker != NOWHERE and self._is_lost(s, c):
+            gone = c._replace(record=record._replace(worker=NOWHERE))
+            yield "give up", _put(s, index, gone)
+
+    def _is_lost(self, s: State, c: Coordinator) -> bool:
+        """Return whether a worker's lease must be over, as far as rules demand it."""
+        if not self._rules.lease_wait:
+            return True
+        name = c.record.worker
+        under_way = any(order[2] == name for order in s.orders)
+        # A coordinator that was replaced may still give orders until it expires.
+        active = self._rules.expiry and any(
+            not other.expired for other in s.coordinators if other.epoch < c.epoch
+        )
+        return not (s.workers[name].running or under_way or active)
+
+    def _write(self, s: State, index: int, c: Coordinator) -> tuple[str, State]:
+        if self._rules.seat_check and c.version != s.version:
+            lost = c._replace(write=None, expired=True)
+            return "write fails", _put(s, index, lost)
+        version = s.version + 1 if self._rules.rewrite else s.version
+        started = c.write.worker != NOWHERE and not c.write.done
+        written = c._replace(
+            record=c.write, write=None, placing=started, version=version
+        )
+        after = _put(s, index, written)
+        return "write", after._replace(
+            record=c.write, version=version, copies=s.copies | {(s.version, c.write)}
+        )
+
+    def _look(self, s: State, index: int, c: Coordinator) -> Steps:
+        record = c.record
+        for name, worker in enumerate(s.workers):
+            if self._rules.fence and worker.epoch > c.epoch:
+                continue
+            seen = worker._replace(epoch=max(worker.epoch, c.epoch))
+            ours = record.worker == name and not c.placing and c.write is None
+            if worker.ended and worker.ended == record.run:
+                if not record.done and ours:
+                    ended = c._replace(write=record._replace(done=True))
+                    yield "look", _worker(_put(s, index, ended), name, seen)
+                if record.done or not self._rules.durable_end:
+                    noted = _worker(s, name, seen._replace(ended=0))
+                    yield "note", noted._replace(noted=True)
+                continue
+            if worker.running and worker.running != record.run:
+                # Not what this coordinator placed: it is stopped.
+                yield "look", _worker(s, name, seen._replace(running=0))
+                continue
+            answered = (c.epoch, record.run, name) not in s.orders
+            if ours and not record.done and not worker.running and answered:
+                free = c._replace(record=record._replace(worker=NOWHERE))
+                yield "look", _worker(_put(s, index, free), name, seen)
+            elif seen != worker:
+                yield "look", _worker(s, name, seen)
+
+    def _work(self, s: State) -> Steps:
+        for order in s.orders:
+            epoch, run, name = order
+            worker = s.workers[name]
+            left = s._replace(orders=s.orders - {order})
+            fenced = self._rules.fence and epoch < worker.epoch
+            if fenced or run <= worker.highest:
+                yield "arrive", left
+                continue
+            started = Worker(max(epoch, worker.epoch), run, worker.ended, run)
+            yield "arrive", _worker(left, name, started)
+        for name, worker in enumerate(s.workers):
+            if not worker.running:
+                continue
+            ended = worker._replace(running=0, ended=worker.running)
+            yield "end", _worker(s, name, ended)
+            # An order carries a lease, so what is under way is too late as well.
+            kept = frozenset(order for order in s.orders if order[2] != name)
+            lapsed = _worker(s, name, worker._replace(running=0))
+            yield "lapse", lapsed._replace(orders=kept)
+
+
+def _put(s: State, index: int, changed: Coordinator) -> State:
+    coordinators = (*s.coordinators[:index], changed, *s.coordinators[index + 1 :])
+    return s._replace(coordinators=coordinators)
+
+
+def _worker(s: State, name: int, changed: Worker) -> State:
+    return s._replace(workers=(*s.workers[:name], changed, *s.workers[name + 1 :]))
+
+
+def _runs_once(fields: dict) -> bool:
+    return sum(worker.running > 0 for worker in fields["workers"]) <= 1
+
+
+def _stays_ended(fields: dict) -> bool:
+    return not fields["noted"] or not any(each.running for each in fields["workers"])
+
+
+def _is_recorded(fields: dict) -> bool:
+    return not fields["noted"] or fields["record"].done
+
+
+INVARIANTS = {
+    "the task runs in one place": _runs_once,
+    "nothing runs after a noted end": _stays_ended,
+    "a noted end is recorded": _is_recorded,
+}
+SPACES = (
+    Bounds(workers=2, claims=2, runs=2),
+    Bounds(workers=1, claims=3, runs=2),
+)
+# Removed rule -> bounds that are large enough for the shortest counterexample.
+REMOVALS = {
+    "intent": Bounds(),
+    "seat_check": Bounds(),
+    "rewrite": Bounds(claims=1, runs=2),
+    "fence": Bounds(),
+    "durable_end": Bounds(claims=1, runs=1),
+    "lease_wait": Bounds(claims=1),
+    "expiry": Bounds(),
+}
--- a/spec/runs.py
+++ b/spec/runs.py
@@ -4,7 +4,15 @@
 
 import dataclasses
 
-from spec import model, moves_model, moves_world, resizing, search, world
+from spec import (
+    coordination,
+    model,
+    moves_model,
+    moves_world,
+    resizing,
+    search,
+    world,
+)
 
 MAX_STATES = 2_000_000
 # The search for a counterexample may stop early: a violation found is a violation.
@@ -18,7 +26,7 @@
     `without` is the removed rule; then a property must be broken.
     """
 
-    bounds: world.Bounds | moves_world.Bounds | resizing.Bounds
+    bounds: world.Bounds | moves_world.Bounds | resizing.Bounds | coordination.Bounds
     without: str = ""
 
 
@@ -72,13 +80,20 @@
     Run(bounds, rule) for rule, bounds in resizing.REMOVALS.items()
 )
 
+COORDINATION_SPACES = tuple(Run(bounds) for bounds in coordination.SPACES)
+COORDINATION_REMOVALS = tuple(
+    Run(bounds, rule) for rule, bounds in coordination.REMOVALS.items()
+)
+
 ALL = (
     *SPACES,
     *MOVES_SPACES,
     *RESIZING_SPACES,
+    *COORDINATION_SPACES,
     *REMOVALS,
     *MOVES_REMOVALS,
     *RESIZING_REMOVALS,
+    *COORDINATION_REMOVALS,
 )
 
 
@@ -92,6 +107,9 @@
     if isinstance(run.bounds, resizing.Bounds):
         protocol = resizing.Model(resizing.Rules(**removed), run.bounds).protocol()
         return search.check(protocol, most)
+    if isinstance(run.bounds, coordination.Bounds):
+        rules = coordination.Rules(**removed)
+        return search.check(coordination.Model(rules, run.bounds).protocol(), most)
     rules = moves_world.Rules(**removed)
     protocol = moves_model.Model(rules, run.bounds).protocol()
     return search.check(
--- a/test/test_coordinator_store.py
+++ b/test/test_coordinator_store.py
@@ -188,6 +188,8 @@
         taken = seat.claim(self.store, "two", "10.0.0.2", "two", vacated=1)
         self.assertEqual(2, taken.seat.epoch)
         self.assertTrue(taken.predecessor_may_live)
+        # It may renew leases of workers for as long as it believes in its own.
+        self.assertEqual(seat.LEASE_MS / 1000, taken.predecessor_holds_s)
         place = ports.Place("progress", rows.COORDINATOR_PART, "job")
         self.assertIsInstance(holder.commit({place: b"old"}), errors.Fenced)
         self.assertIsInstance(
--- a/test/test_coordinator_tenure.py
+++ b/test/test_coordinator_tenure.py
@@ -237,6 +237,15 @@
         gevent.sleep(0.6)
         self.assertEqual(lapses_at, worker.lapses_at)
 
+    def test_a_start_is_not_sent_long_after_the_seat_was_lost(self):
+        """Found by the model `spec.coordination`, rule `expiry`."""
+        held = self.coordinate()
+        self.accept(case.step(1))
+        held.may_renew = lambda _now: False
+        self.wait_for(lambda: self.progress() is not None)
+        gevent.sleep(0.1)
+        self.assertEqual(0, self.workers.starts)
+
     def test_other_work_starts_at_once_beside_a_silent_worker(self):
         self.coordinate()
         self.kill()
--- a/test/test_spec.py
+++ b/test/test_spec.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from spec import model, resizing, runs, world
+from spec import coordination, model, resizing, runs, world
 
 
 class SpecTest(testtools.TestCase):
@@ -39,6 +39,15 @@
             broken = runs.check(run).broken
             self.assertIn("an ID is accepted at most once", broken, run.without)
 
+    def test_a_task_runs_once_under_coordinators_that_come_and_go(self):
+        # Guards against a rule of the coordinator that is lost, or that nothing needs.
+        for run in runs.COORDINATION_SPACES:
+            result = runs.check(run)
+            self.assertTrue(result.proved, result.broken)
+            self.assertGreater(result.states, 5_000)
+        for run in runs.COORDINATION_REMOVALS:
+            self.assertNotEqual({}, runs.check(run).broken, run.without)
+
     def test_every_action_names_an_existing_implementation(self):
         # Guards against a model of functions that were renamed or removed.
         seen = set()
@@ -55,5 +64,9 @@
             self.assertNotEqual(set(), found, label)
             unseen -= found
         self.assertEqual({"restart worker"}, unseen)  # outside of these bounds
-        for name in [*model.ACTIONS.values(), *resizing.ACTIONS.values()]:
+        for name in [
+            *model.ACTIONS.values(),
+            *resizing.ACTIONS.values(),
+            *coordination.ACTIONS.values(),
+        ]:
             pkgutil.resolve_name(name)
--- a/toucanspring/coordinator/orders.py
+++ b/toucanspring/coordinator/orders.py
@@ -193,6 +193,8 @@
             return
         for attempt in range(START_TRIES):
             sent = self._clock()
+            if not self._owner.may_renew(sent):
+                return  # a successor counts on this
             until = worker.estimate_clock(sent) + self._max_lease_ms
             worker.promise_lease(until, sent)
             answer = self._client.start(
--- a/toucanspring/coordinator/seat.py
+++ b/toucanspring/coordinator/seat.py
@@ -42,8 +42,10 @@
 
     seat: rows.Seat
     version: int
-    # Whether the coordinator before may still renew leases of workers.
+    # Whether the coordinator before may still renew leases of workers, and for how
+    # many seconds it may still hold the seat by its own clock.
     predecessor_may_live: bool
+    predecessor_holds_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,7 +104,10 @@
     match answer:
         case ports.Committed(at=moment):
             may_live = seat is not None and seat.expires_ms > 0
-            return Tenure(wanted, moment.version, may_live and seat.process != process)
+            if not may_live or seat.process == process:
+                return Tenure(wanted, moment.version, False)
+            left_ms = max(0, seat.expires_ms - at.store_ms)
+            return Tenure(wanted, moment.version, True, left_ms / 1000)
         case ports.Rejected():
             return errors.Conflict(reason="another process took the seat")
         case _:
--- a/toucanspring/coordinator/succession.py
+++ b/toucanspring/coordinator/succession.py
@@ -94,12 +94,12 @@
             self._handing_over = gevent.spawn(self._hand_over)
 
     def _hand_over(self) -> None:
-        peers, epoch = self._peers, self._seat.epoch
-        names = peers.connected()
+        epoch = self._seat.epoch
+        names = self._peers.connected()
         random.shuffle(names)
         body = f"{epoch}".encode()
         for name in names[:HAND_OVER_TRIES]:
-            answer = peers.call(name, TAKE_OVER, body, HAND_OVER_TIMEOUT_S)
+            answer = self._peers.call(name, TAKE_OVER, body, HAND_OVER_TIMEOUT_S)
             if not isinstance(answer, errors.Failure):
                 self._leave(f"handed over to {name}, which reaches the store")
                 return
--- a/toucanspring/coordinator/tenure.py
+++ b/toucanspring/coordinator/tenure.py
@@ -274,7 +274,7 @@
                 self.book.restore(spec, found.get(spec.id), now, _age_s(spec))
         renewed_until = self._claimed_at + self._max_lease_s
         if self._taken.predecessor_may_live:
-            renewed_until += orders.OUTAGE_HOLD_S
+            renewed_until += self._taken.predecessor_holds_s + orders.OUTAGE_HOLD_S
         for worker in self.book.workers.values():
             worker.lapses_at = (
                 renewed_until
