--- a/test/test_coordinator_reports.py
+++ b/test/test_coordinator_reports.py
@@ -138,6 +138,21 @@
         self.assertEqual([], reports.find_stuck(worker, 3.0))
         self.assertEqual(1, len(reports.find_stuck(worker, 3.5)))
 
+    def test_a_member_that_waits_for_the_others_of_its_gang_is_not_stuck(self):
+        """Members are uneven; who is through stays at 100% until all are."""
+        records = case.new_book(case.entry("w1"), case.entry("w2"))
+        gang = case.step(2, cpus=20_000, gang=True)
+        records.accept(case.job(JOB, gang), 1.0)
+        start_all(records, 1.0)
+        for tick in range(20):
+            now = 1.5 + tick * 0.5
+            for name, percent in (("w1", 100), ("w2", 4 * tick)):
+                [task] = records.workers[name].held
+                row = case.running(task, percent=percent)
+                case.look(records, name, running=[row], now=now, sent_at=now)
+                worker = records.workers[name]
+                self.assertEqual([], reports.find_stuck(worker, now))
+
     def test_a_lapsed_worker_gives_its_tasks_back(self):
         start_all(self.records)
         reports.lapse(self.records, self.records.workers["w1"], 9.0)
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -15,6 +15,7 @@
 # How a run ended, as workers report it.
 DONE = "done"
 FAILED = "failed"
+ALL_DONE_PERCENT = 100
 # Without a queue in the configuration a job keeps the attempts of a careful one.
 DEFAULT_ATTEMPTS = 1
 
@@ -206,6 +207,9 @@
         task, step = held.task, held.step.step
         if task.phase is not state.Phase.RUNNING or step.long_running:
             continue
+        # A member of a gang that is through waits there for the others.
+        if task.percent >= ALL_DONE_PERCENT:
+            continue
         if not task.percent_at or now - task.percent_at < workers.STUCK_S:
             continue
         if step.gang and any(
