--- a/test/test_coordinator_planner.py
+++ b/test/test_coordinator_planner.py
@@ -4,14 +4,14 @@
 
 from test import coordinator_case as case
 from toucanspring import resources
-from toucanspring.coordinator import catalogue, planner
+from toucanspring.coordinator import catalogue, gangs, planner, plans
 
 JOB = "0" * 16
 APPROVED = catalogue.Approval(decision_s=0.05, per_worker_s=0.001, validity_s=2.5)
 
 
 def approve(question, names, now):
-    planner.take_answer(question, dict.fromkeys(names, "t"), now + 2.5)
+    plans.take_answer(question, dict.fromkeys(names, "t"), now + 2.5)
 
 
 class ApprovalTest(testtools.TestCase):
@@ -24,35 +24,35 @@
             case.entry("w1"), case.entry("w2"), catalogue_=self.catalogue
         )
         records.accept(case.job(JOB, case.step(4)), 1.0)
-        plans = planner.Planner(records)
-        plan = plans.plan(1.0)
+        chooser = planner.Planner(records)
+        plan = chooser.plan(1.0)
         self.assertEqual([], plan.starts)
         [question] = plan.questions
         self.assertEqual(("w1", "w2"), question.workers)
-        self.assertEqual([], plans.plan(1.01).questions)
+        self.assertEqual([], chooser.plan(1.01).questions)
         approve(question, ["w2"], 1.1)
-        self.assertEqual({"w2"}, {each.worker.id for each in plans.plan(1.1).starts})
+        self.assertEqual({"w2"}, {each.worker.id for each in chooser.plan(1.1).starts})
 
     def test_the_reason_to_wait_is_told_once(self):
         records = case.new_book(case.entry("w1"), catalogue_=self.catalogue)
         records.accept(case.job(JOB, case.step(1, cpus=32_000)), 1.0)
         records.accept(case.job("1" * 16, case.step(1, cpus=32_000)), 1.1)
-        plans = planner.Planner(records)
-        questions = plans.plan(1.1).questions
-        told = [wait.reason for _ in range(5) for wait in plans.plan(1.2).waits]
+        chooser = planner.Planner(records)
+        questions = chooser.plan(1.1).questions
+        told = [wait.reason for _ in range(5) for wait in chooser.plan(1.2).waits]
         self.assertEqual([], told)
         for question in questions:
             approve(question, ["w1"], 1.3)
-        told = [wait.reason for _ in range(5) for wait in plans.plan(1.3).waits]
-        self.assertEqual([planner.NO_ROOM], told)
+        told = [wait.reason for _ in range(5) for wait in chooser.plan(1.3).waits]
+        self.assertEqual([plans.NO_ROOM], told)
 
     def test_an_expired_ticket_is_asked_for_again(self):
         records = case.new_book(case.entry("w1"), catalogue_=self.catalogue)
         records.accept(case.job(JOB, case.step(1)), 1.0)
-        plans = planner.Planner(records)
-        [question] = plans.plan(1.0).questions
+        chooser = planner.Planner(records)
+        [question] = chooser.plan(1.0).questions
         approve(question, ["w1"], 1.1)
-        plan = plans.plan(5.0)
+        plan = chooser.plan(5.0)
         self.assertEqual([], plan.starts)
         self.assertEqual([("w1",)], [each.workers for each in plan.questions])
 
@@ -61,14 +61,14 @@
         entries = [case.entry(f"w{number}") for number in range(18)]
         records = case.new_book(*entries, catalogue_=self.catalogue)
         records.accept(case.job(JOB, case.step(40, cpus=1000)), 1.0)
-        plans = planner.Planner(records)
-        [question] = plans.plan(1.0).questions
+        chooser = planner.Planner(records)
+        [question] = chooser.plan(1.0).questions
         approve(question, ["w3"], 1.1)
-        self.assertEqual(32, len(plans.plan(1.1).starts))
+        self.assertEqual(32, len(chooser.plan(1.1).starts))
         for number in range(18, 22):  # too few to be asked about at once
             records.take_entry(case.entry(f"w{number}"))
             case.look(records, f"w{number}", now=1.2)
-        [question] = plans.plan(1.3).questions
+        [question] = chooser.plan(1.3).questions
         self.assertEqual(("w18", "w19", "w20", "w21"), question.workers)
 
 
@@ -112,12 +112,12 @@
     def test_a_failed_task_goes_elsewhere_then_back(self):
         records = case.new_book(case.entry("w1"))
         records.accept(case.job(JOB, case.step(1)), 1.0)
-        plans = planner.Planner(records)
-        case.confirm(records, plans.plan(1.0), 1.0)
+        chooser = planner.Planner(records)
+        case.confirm(records, chooser.plan(1.0), 1.0)
         end = case.ended(1, f"{JOB}.0.0.0", how="failed")
         case.look(records, "w1", ended=[end], now=1.5)
-        self.assertEqual([], plans.plan(1.6).starts)
-        self.assertEqual(1, len(plans.plan(4.0).starts))
+        self.assertEqual([], chooser.plan(1.6).starts)
+        self.assertEqual(1, len(chooser.plan(4.0).starts))
 
 
 class UrgencyTest(testtools.TestCase):
@@ -146,11 +146,11 @@
             catalogue_=case.configure(organisations=teams),
         )
         records.accept(case.job("a" * 16, case.step(9)), 1.0)
-        plans = planner.Planner(records)
-        plans.plan(1.0)
+        chooser = planner.Planner(records)
+        chooser.plan(1.0)
         records.accept(case.job("b" * 16, case.step(1)), 1.1)
         records.accept(case.job("c" * 16, case.step(1), organisation="labels"), 1.2)
-        [start] = plans.plan(1.3).starts
+        [start] = chooser.plan(1.3).starts
         self.assertEqual("c" * 16, start.step.job.spec.id)
 
 
@@ -230,28 +230,28 @@
                 case.queue("builds", priority=1), case.queue("labels", priority=2)
             ),
         )
-        self.plans = planner.Planner(self.records)
+        self.chooser = planner.Planner(self.records)
 
     def fill(self, now=1.0):
         labels = case.step(30, checkpointing=True)
         self.records.accept(case.job("a" * 16, labels, queue="labels"), now)
-        case.confirm(self.records, self.plans.plan(now), now)
+        case.confirm(self.records, self.chooser.plan(now), now)
 
     def test_a_gang_starts_whole_or_not_at_all(self):
         gang = case.step(4, cpus=9000, gang=True)
         self.records.accept(case.job(JOB, gang), 1.0)
-        self.assertEqual([], self.plans.plan(1.0).starts)
+        self.assertEqual([], self.chooser.plan(1.0).starts)
         smaller = case.step(3, cpus=9000, gang=True)
         self.records.accept(case.job("1" * 16, smaller), 1.1)
-        starts = self.plans.plan(1.1).starts
+        starts = self.chooser.plan(1.1).starts
         self.assertEqual([1, 1, 1], [start.run for start in starts])
 
     def test_a_gang_waits_for_ends_before_it_stops_work(self):
         self.fill()
         self.records.accept(case.job(JOB, case.step(1, cpus=9000, gang=True)), 1.0)
-        self.plans.plan(1.3)
+        self.chooser.plan(1.3)
         self.assertEqual([], self.records.stops)
-        self.plans.plan(1.0 + planner.PREEMPT_AFTER_S + 0.1)
+        self.chooser.plan(1.0 + gangs.PREEMPT_AFTER_S + 0.1)
         self.assertEqual(9, len(self.records.stops))
 
     def test_a_gang_with_time_to_spare_or_too_late_stops_nothing(self):
@@ -260,31 +260,31 @@
         self.records.accept(case.job(JOB, gang, queue="builds"), 1.0)
         record = self.records.jobs[JOB]
         record.due_at = 30.0
-        self.plans.plan(10.0)
+        self.chooser.plan(10.0)
         record.due_at = 9.0
-        self.plans.plan(10.0)
+        self.chooser.plan(10.0)
         self.assertEqual([], self.records.stops)
 
     def test_a_task_is_not_stopped_for_gangs_again_and_again(self):
         self.fill()
         for record in self.records.jobs.values():
             for task in record.steps[0, 0].tasks:
-                task.preempted = planner.MAX_PREEMPTIONS
+                task.preempted = gangs.MAX_PREEMPTIONS
         self.records.accept(case.job(JOB, case.step(1, cpus=9000, gang=True)), 1.0)
-        self.plans.plan(2.6)
+        self.chooser.plan(2.6)
         self.assertEqual([], self.records.stops)
 
     def test_a_gang_clears_the_same_workers_in_each_round(self):
         self.fill()
         self.records.accept(case.job(JOB, case.step(1, cpus=9000, gang=True)), 1.0)
         for tick in range(20):
-            self.plans.plan(2.6 + tick * 0.01)
+            self.chooser.plan(2.6 + tick * 0.01)
         self.assertEqual(1, len({stop.worker for stop in self.records.stops}))
 
     def test_no_other_work_takes_the_room_that_a_gang_waits_for(self):
         self.fill()
         self.records.accept(case.job(JOB, case.step(3, cpus=9000, gang=True)), 1.0)
-        self.plans.plan(1.3)
+        self.chooser.plan(1.3)
         ends = [
             case.ended(number + 1, f"{'a' * 16}.0.0.{held.task.index}")
             for number, held in enumerate(
@@ -293,4 +293,4 @@
         ]
         case.look(self.records, "w1", ended=ends, now=1.4, sent_at=0.0)
         self.records.accept(case.job("b" * 16, queue="labels"), 1.4)
-        self.assertEqual([], self.plans.plan(1.45).starts)
+        self.assertEqual([], self.chooser.plan(1.45).starts)
--- a/test/test_coordinator_speeds.py
+++ b/test/test_coordinator_speeds.py
@@ -15,11 +15,11 @@
         super().setUp()
         self.entries = [case.entry(f"w{n}", cpus=2000) for n in range(5)]
         self.records = case.new_book(*self.entries)
-        self.plans = planner.Planner(self.records)
+        self.chooser = planner.Planner(self.records)
 
     def run_steps(self, step, slow=("w0",), seconds=3.0):
         self.records.accept(case.job(JOB, step), 1.0)
-        case.confirm(self.records, self.plans.plan(1.0), 1.0)
+        case.confirm(self.records, self.chooser.plan(1.0), 1.0)
         for tick in range(1, int(seconds / 0.5) + 1):
             now = 1.0 + tick * 0.5
             for name, worker in self.records.workers.items():
@@ -35,7 +35,7 @@
         [slow] = speeds.find_slow(self.records.workers.values(), 4.0)
         self.assertEqual("w0", slow.id)
         self.records.accept(case.job("1" * 16, case.step(5, cpus=500)), 4.1)
-        starts = self.plans.plan(4.1).starts
+        starts = self.chooser.plan(4.1).starts
         self.assertNotIn("w0", {start.worker.id for start in starts})
         later = 4.1 + speeds.SLOW_S
         self.assertTrue(slow.is_usable(later, frozenset()))
--- a/toucanspring/coordinator/approval_desk.py
+++ b/toucanspring/coordinator/approval_desk.py
@@ -18,7 +18,7 @@
 
 from toucanspring import errors
 from toucanspring import log as structured
-from toucanspring.coordinator import planner, ports
+from toucanspring.coordinator import plans, ports
 
 log = logbook.Logger(__name__)
 
@@ -28,6 +28,7 @@
 # Questions this long must leave some callers free for the short ones.
 LONG_S = 0.1
 KEPT_FOR_SHORT = 2
+ASK_PAUSE_S = 0.25  # after a question that failed
 SELF = ""
 
 
@@ -46,12 +47,12 @@
         self,
         kernel: object,
         approvals: ports.Approvals,
-        answered: Callable[[planner.Question], None],
+        answered: Callable[[plans.Question], None],
     ) -> None:
         self._kernel = kernel
         self._approvals = approvals
         self._answered = answered
-        self._waiting: list[tuple[int, float, int, planner.Question]] = []
+        self._waiting: list[tuple[int, float, int, plans.Question]] = []
         self._order = itertools.count()
         self._busy: dict[str, float] = {}  # caller -> length of its question
         self._failed: dict[str, float] = {}  # caller -> when it may be tried again
@@ -61,7 +62,7 @@
         """Drop the questions of a tenure that has ended."""
         self._waiting.clear()
 
-    def ask(self, question: planner.Question) -> None:
+    def ask(self, question: plans.Question) -> None:
         """Put a question once a caller is free."""
         heapq.heappush(
             self._waiting,
@@ -105,7 +106,7 @@
             free.remove(SELF)
         return free[0] if free else None
 
-    def _put(self, caller: str, question: planner.Question) -> None:
+    def _put(self, caller: str, question: plans.Question) -> None:
         timeout_s = question.cost_s + SLACK_S
         sent = time.monotonic()
         names = list(question.workers)
@@ -125,16 +126,16 @@
                 log, "approval_failed", step=question.step.id, caller=caller or "self",
                 reason=answer.reason, after_s=round(now - sent, 3),
             )  # fmt: skip
-            self._failed[caller] = now + planner.ASK_PAUSE_S
+            self._failed[caller] = now + ASK_PAUSE_S
             question.step.asking = False
-            question.step.ask_again_at = now + planner.ASK_PAUSE_S
-            gevent.spawn_later(planner.ASK_PAUSE_S, self._dispatch)
+            question.step.ask_again_at = now + ASK_PAUSE_S
+            gevent.spawn_later(ASK_PAUSE_S, self._dispatch)
         else:
             structured.decide(
                 log, "approval_answered", step=question.step.id,
                 asked=len(question.workers), allowed=len(answer),
                 caller=caller or "self", after_s=round(now - sent, 3),
             )  # fmt: skip
-            planner.take_answer(question, answer, now + question.validity_s)
+            plans.take_answer(question, answer, now + question.validity_s)
         self._answered(question)
         self._dispatch()
--- a/toucanspring/coordinator/orders.py
+++ b/toucanspring/coordinator/orders.py
@@ -12,7 +12,7 @@
 
 from toucanspring import errors
 from toucanspring import log as structured
-from toucanspring.coordinator import book, planner, ports, reports, workers
+from toucanspring.coordinator import book, plans, ports, reports, workers
 
 log = logbook.Logger(__name__)
 
@@ -181,11 +181,11 @@
 
     # Starts and stops
 
-    def start(self, start: planner.Start) -> None:
+    def start(self, start: plans.Start) -> None:
         """Order a run whose intent is durable."""
         self._orders.spawn(self._start, start)
 
-    def _start(self, start: planner.Start) -> None:
+    def _start(self, start: plans.Start) -> None:
         records, worker, run = self._owner.book, start.worker, start.step
         task_id = run.task_id(start.task.index)
         if run.job.is_final or start.task.run != start.run:
@@ -236,7 +236,7 @@
             return
 
     def _refused(
-        self, start: planner.Start, reason: str, repeated: bool, now: float
+        self, start: plans.Start, reason: str, repeated: bool, now: float
     ) -> None:
         records, worker, run = self._owner.book, start.worker, start.step
         if reason == ports.FENCED:
--- a/toucanspring/coordinator/ports.py
+++ b/toucanspring/coordinator/ports.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
+from collections.abc import Callable
 from typing import Protocol
 
 from toucanspring import errors, resources
+from toucanspring.coordinator import catalogue
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -227,9 +230,19 @@
         """Return the tickets of the workers that may run the step."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Operators:
-    """Hold what operators ask for at one moment."""
+class Directory(Protocol):
+    """Know the operators' wishes and the workers, as kept up by the platform."""
 
-    catalogue: object  # catalogue.Catalogue, None before the first
+    catalogue: catalogue.Catalogue | None
     zones_out: frozenset[str]
+
+    def age(self, now: float) -> float:
+        """Return for how many seconds changes may have been missed."""
+
+    def entries(self) -> dict[str, WorkerEntry]:
+        """Return the registered workers."""
+
+    def follow_workers(
+        self, changed: Callable[[], None]
+    ) -> contextlib.AbstractContextManager[None]:
+        """Keep `entries` up to date while the returned context is open."""
--- /dev/null
+++ b/toucanspring/coordinator/restoring.py
@@ -0,0 +1,44 @@
+"""The book as the rows of the store tell it, after a takeover."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterable
+
+import logbook
+
+from toucanspring import errors
+from toucanspring.coordinator import book, feeds, ports, rows, work
+
+log = logbook.Logger(__name__)
+
+# Wall clocks of two processes may differ; an age beyond this says nothing.
+MAX_AGE_S = 600.0
+
+
+def restore(
+    records: book.Book,
+    jobs: Iterable[ports.Row],
+    progress: feeds.Reading,
+    now: float,
+) -> None:
+    """Take in all readable jobs, the oldest first, with what has become of them."""
+    found: dict[str, rows.Progress] = {}
+    for row in progress.rows.values():
+        decoded = rows.decode(rows.Progress, row.value)
+        if isinstance(decoded, errors.Malformed):
+            log.error("progress of {}: {}", row.place.key, decoded)
+            continue
+        found[row.place.key] = decoded
+    known = [rows.decode(work.Job, row.value) for row in jobs]
+    specs = [spec for spec in known if isinstance(spec, work.Job)]
+    if len(specs) < len(known):
+        log.error("{} job rows are unreadable", len(known) - len(specs))
+    for spec in sorted(specs, key=lambda each: each.accepted_at_ms):
+        if spec.id not in records.jobs:
+            records.restore(spec, found.get(spec.id), now, age_s(spec))
+
+
+def age_s(spec: work.Job) -> float:
+    """Return how long ago a job was accepted, by the wall clocks of two processes."""
+    return max(0.0, min(MAX_AGE_S, time.time() - spec.accepted_at_ms / 1000))
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -19,7 +19,7 @@
     approval_desk,
     feeds,
     intake,
-    planner,
+    plans,
     ports,
     rows,
     seat,
@@ -60,7 +60,7 @@
         store: ports.Store,
         client: ports.Workers,
         approvals: ports.Approvals,
-        directory: tenure.Directory,
+        directory: ports.Directory,
     ) -> None:
         self._kernel = kernel
         self._options = options
@@ -202,7 +202,7 @@
 
     # Approvals
 
-    def _answered(self, question: planner.Question) -> None:
+    def _answered(self, question: plans.Question) -> None:
         del question
         if self._tenure is not None:
             self._tenure.wake()
--- a/toucanspring/coordinator/tenure.py
+++ b/toucanspring/coordinator/tenure.py
@@ -5,7 +5,6 @@
 import dataclasses
 import time
 from collections.abc import Callable
-from typing import Protocol
 
 import gevent
 import logbook
@@ -15,12 +14,13 @@
 from toucanspring import log as structured
 from toucanspring.coordinator import (
     book,
-    catalogue,
     feeds,
     ledger,
     orders,
     planner,
+    plans,
     ports,
+    restoring,
     rows,
     seat,
     speeds,
@@ -44,22 +44,6 @@
 STATUS_DURABLE_LIMIT_S = 0.4
 
 
-class Directory(Protocol):
-    """Know the operators' wishes and the workers, as kept up by the platform."""
-
-    catalogue: catalogue.Catalogue | None
-    zones_out: frozenset[str]
-
-    def age(self, now: float) -> float:
-        """Return for how many seconds changes may have been missed."""
-
-    def entries(self) -> dict[str, ports.WorkerEntry]:
-        """Return the registered workers."""
-
-    def follow_workers(self, changed: Callable[[], None]) -> object:
-        """Keep `entries` up to date while the returned context is open."""
-
-
 @dataclasses.dataclass(slots=True)
 class Note:
     """Wait for jobs to become durable before a worker forgets its ends."""
@@ -76,10 +60,10 @@
         self,
         store: ports.Store,
         client: ports.Workers,
-        directory: Directory,
+        directory: ports.Directory,
         taken: seat.Tenure,
         store_clock: seat.StoreClock,
-        ask: Callable[[planner.Question], None],
+        ask: Callable[[plans.Question], None],
         max_lease_ms: int,
         on_failing: Callable[[float], None] = lambda _for_s: None,
     ) -> None:
@@ -257,21 +241,10 @@
                 return errors.Unavailable(reason="the coordinator's part is down")
         now = time.monotonic()
         self._take_operators()
-        found: dict[str, rows.Progress] = {}
-        for row in progress.rows.values():
-            decoded = rows.decode(rows.Progress, row.value)
-            if isinstance(decoded, errors.Malformed):
-                log.error("progress of {}: {}", row.place.key, decoded)
-                continue
-            found[row.place.key] = decoded
         self.book.jobs.clear()
         for entry in self._directory.entries().values():
             self.book.take_entry(entry)
-        specs = [rows.decode(work.Job, row.value) for row in self._jobs.rows.values()]
-        known = [spec for spec in specs if isinstance(spec, work.Job)]
-        for spec in sorted(known, key=lambda each: each.accepted_at_ms):
-            if spec.id not in self.book.jobs:
-                self.book.restore(spec, found.get(spec.id), now, _age_s(spec))
+        restoring.restore(self.book, self._jobs.rows.values(), progress, now)
         renewed_until = self._claimed_at + self._max_lease_s
         if self._taken.predecessor_may_live:
             renewed_until += self._taken.predecessor_holds_s + orders.OUTAGE_HOLD_S
@@ -294,10 +267,10 @@
         if isinstance(spec, errors.Malformed):
             log.error("job {}: {}", row.place.key, spec)
             return
-        self.book.accept(spec, time.monotonic(), _age_s(spec))
+        self.book.accept(spec, time.monotonic(), restoring.age_s(spec))
         structured.decide(
             log, "job_learned", job=spec.id, queue=spec.queue,
-            organisation=spec.organisation, age_s=round(_age_s(spec), 3),
+            organisation=spec.organisation, age_s=round(restoring.age_s(spec), 3),
         )  # fmt: skip
         self.wake()
 
@@ -328,7 +301,7 @@
         now = time.monotonic()
         self._take_operators()
         self._keep_house(now)
-        plan = planner.Plan()
+        plan = plans.Plan()
         if self._view_age(now) < MAX_VIEW_AGE_S and self._ledger.holds(now):
             plan = self._planner.plan(now)
         for question in plan.questions:
@@ -347,7 +320,7 @@
     def _view_age(self, now: float) -> float:
         return self._directory.age(now)
 
-    def _commit(self, starts: list[planner.Start], now: float) -> None:
+    def _commit(self, starts: list[plans.Start], now: float) -> None:
         dirty = dict(self.book.dirty)
         self.book.dirty.clear()
         notes, self._notes = self._notes, []
@@ -422,15 +395,10 @@
         self._removals += [rows.copy_place(job_id), rows.progress_place(job_id)]
 
 
-def _show_starts(starts: list[planner.Start]) -> dict[str, list[str]]:
+def _show_starts(starts: list[plans.Start]) -> dict[str, list[str]]:
     """Return for each step its runs as index, run and worker."""
     shown: dict[str, list[str]] = {}
     for start in starts:
         runs = shown.setdefault(start.step.id, [])
         runs.append(f"{start.task.index}#{start.run}@{start.worker.id}")
     return shown
-
-
-def _age_s(spec: work.Job) -> float:
-    """Return how long ago a job was accepted, by the wall clocks of two processes."""
-    return max(0.0, min(600.0, time.time() - spec.accepted_at_ms / 1000))
