--- /dev/null
+++ b/test/test_platform_ingress.py
@@ -0,0 +1,147 @@
+import json
+
+import testtools
+from gevent import event
+
+from test import platform_case  # noqa: F401  finds the adapter's modules
+from toucanspring import errors
+from toucanspring.coordinator import catalogue, state
+
+import ingress  # isort: skip
+
+JOB = "5c0e7a21d94b36f8"
+BODY = {"spec": "(text)", "phases": [{"count": 4, "cpu": 500, "mem_mb": 256}]}
+
+
+class Peers:
+    def __init__(self):
+        self.answers = {}
+        self.called = []
+
+    def handle(self, method, function):
+        self.handler = (method, function)
+
+    def call(self, name, _method, body, _timeout_s):
+        self.called.append((name, body))
+        return self.answers.get(name, errors.Unavailable(reason="no stream"))
+
+
+class Kernel:
+    def __init__(self):
+        self.peers = Peers()
+
+    def find(self, _name):
+        return self.peers
+
+
+class View:
+    def __init__(self):
+        queue = catalogue.Queue(
+            name="r-1", host="h.example", path_prefix="/q/", pool="p"
+        )
+        team = catalogue.Organisation(name="desk", keys=frozenset({"k"}))
+        self.catalogue = catalogue.Catalogue(
+            version=3, queues=(queue,), organisations={"desk": team}
+        )
+        self.configured = event.Event()
+        self.configured.set()
+        self.view_age = 0.1
+
+    def age(self, _now):
+        return self.view_age
+
+
+class Scheduler:
+    def __init__(self):
+        self.result = None
+        self.found = state.JobState.ACTIVE
+        self.jobs = []
+
+    def submit(self, spec, _timeout_s):
+        self.jobs.append(spec)
+        return self.result
+
+    def status(self, _job_id):
+        return self.found
+
+    cancel = status
+
+    def pending(self, _queue):
+        return 12
+
+    def relays(self):
+        return ["one", "two"]
+
+
+class FrontTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.kernel, self.view, self.scheduler = Kernel(), View(), Scheduler()
+        self.front = ingress.Front(self.kernel, self.view, self.scheduler)
+
+    def call(self, method="POST", path=f"/q/{JOB}", key="k", body=BODY):
+        content = body if isinstance(body, bytes) else json.dumps(body).encode()
+        request = ingress.Request(method, "h.example", path, key, content, 0.5)
+        return self.front.serve(request)
+
+    def test_a_submission_is_accepted_for_the_team_of_its_key(self):
+        self.assertEqual(200, self.call().status)
+        [spec] = self.scheduler.jobs
+        self.assertEqual(("desk", "r-1", 4), (
+            spec.organisation, spec.queue, spec.steps[0].count
+        ))  # fmt: skip
+
+    def test_unknown_keys_routes_and_ids_are_told_apart(self):
+        self.assertEqual(401, self.call(key="x").status)
+        self.assertEqual(404, self.call(path="/other/1").status)
+        self.assertEqual(404, self.call(path="/q/short").status)
+        self.assertEqual([], self.scheduler.jobs)
+
+    def test_a_faulty_body_is_refused(self):
+        for body in (b"", b"[]", {"spec": "x", "phases": []}, {"spec": 1}):
+            self.assertEqual(400, self.call(body=body).status)
+        later = {"spec": "x", "phases": [{"count": 1, "after": [0]}]}
+        self.assertEqual(400, self.call(body=later).status)
+
+    def test_a_refusal_says_when_to_come_back(self):
+        self.scheduler.result = errors.Unavailable(reason="store")
+        answer = self.call()
+        self.assertEqual((503, 1), (answer.status, answer.retry_after_s))
+
+    def test_what_may_be_accepted_is_never_called_refused(self):
+        self.scheduler.result = errors.Ambiguous(reason="no answer")
+        self.assertEqual(504, self.call().status)
+
+    def test_another_process_may_answer(self):
+        self.scheduler.result = errors.Unavailable(reason="store")
+        self.kernel.peers.answers["two"] = ingress._pack(ingress.Answer(200, b"{}"))
+        self.assertEqual(200, self.call().status)
+
+    def test_a_relayed_call_without_answer_may_be_accepted(self):
+        self.scheduler.result = errors.Unavailable(reason="store")
+        self.kernel.peers.answers["one"] = errors.Ambiguous(reason="cut")
+        self.assertEqual(504, self.call().status)
+
+    def test_an_old_view_answers_nothing_by_itself(self):
+        self.view.view_age = 5.0
+        self.assertEqual(503, self.call(key="x").status)
+        answer = ingress._pack(ingress.Answer(401))
+        self.kernel.peers.answers["one"] = answer
+        self.assertEqual(401, self.call(key="x").status)
+
+    def test_a_relayed_request_is_not_relayed_again(self):
+        self.scheduler.result = errors.Unavailable(reason="store")
+        _, serve = self.kernel.peers.handler
+        request = ingress.Request("POST", "h.example", f"/q/{JOB}", "k",
+                                  json.dumps(BODY).encode(), 0.5)  # fmt: skip
+        answer = ingress._relayed(serve("one", ingress._pack(request)))
+        self.assertEqual(503, answer.status)
+        self.assertEqual([], self.kernel.peers.called)
+
+    def test_states_and_queue_lengths_are_told(self):
+        answer = self.call("GET")
+        self.assertEqual({"state": "active"}, json.loads(answer.body))
+        self.assertEqual({"pending": 12}, json.loads(self.call("GET", "/q/").body))
+        self.scheduler.found = errors.NotFound(reason="no job")
+        self.assertEqual(410, self.call("GET").status)
+        self.assertEqual(410, self.call("DELETE").status)
