Work shares out once a round; let a failed task not hold up its step

Cause: the share of an organisation was worked out for each waiting step, 400 times 20 sums in a round on the grown sites; a task that avoids its worker for 2 s ended the look at its whole step. Change: once for each organisation and round; such a task is passed over.

--- a/test/test_coordinator_planner.py
+++ b/test/test_coordinator_planner.py
@@ -119,6 +119,16 @@
         self.assertEqual([], chooser.plan(1.6).starts)
         self.assertEqual(1, len(chooser.plan(4.0).starts))
 
+    def test_a_failed_task_does_not_hold_up_the_others_of_its_step(self):
+        records = case.new_book(case.entry("w1", cpus=1000))
+        records.accept(case.job(JOB, case.step(2)), 1.0)
+        chooser = planner.Planner(records)
+        case.confirm(records, chooser.plan(1.0), 1.0)
+        end = case.ended(1, f"{JOB}.0.0.0", how="failed")
+        case.look(records, "w1", ended=[end], now=1.5)
+        [start] = chooser.plan(1.6).starts
+        self.assertEqual(1, start.task.index)
+
 
 class UrgencyTest(testtools.TestCase):
     def test_urgent_work_and_work_due_sooner_start_first(self):
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -53,7 +53,7 @@
     ) -> None:
         """Book a run."""
 
-    def unasked_with_room(self, run: state.StepRun, count: int) -> list[str]:
+    def unasked_with_room(self, run: state.StepRun) -> list[str]:
         """Return workers with room that the approval service was not asked about."""
 
 
@@ -136,7 +136,7 @@
         }
         chosen = self._reserve(run, open_workers, victims, now)
         if chosen is None:
-            names = self._rounds.unasked_with_room(run, 1)
+            names = self._rounds.unasked_with_room(run)
             if names:
                 self._rounds.ask(run, queue, names, plan, now)
             return
--- a/toucanspring/coordinator/orders.py
+++ b/toucanspring/coordinator/orders.py
@@ -38,8 +38,8 @@
     def may_renew(self, now: float) -> bool:
         """Return whether leases of workers may be renewed."""
 
-    def note(self, worker: workers.Worker, last_end: int, jobs: list[str]) -> None:
-        """Forget ends at the worker once the changes of these jobs are durable."""
+    def note(self, worker: workers.Worker, last_end: int) -> None:
+        """Forget ends at the worker once the next write is durable."""
 
     def superseded(self, reason: str) -> None:
         """End the tenure, since a worker has seen a higher epoch."""
@@ -175,7 +175,7 @@
         if fresh:
             signal = self._noted[worker.id]
             signal.clear()
-            self._owner.note(worker, last, touched)
+            self._owner.note(worker, last)
             # A look before the ends are durable would only return them again.
             signal.wait(NOTE_LIMIT_S)
 
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-from toucanspring import resources
 from toucanspring.coordinator import (
     book,
     catalogue,
@@ -39,9 +38,9 @@
         """Return what to start and to ask now; takes the room for the starts."""
         plan = plans.Plan()
         usable: dict[str, list[workers.Worker]] = {}
-        capacity = workers.total_capacity(self._book.workers.values())
+        over = self._beyond_share()
         steps = sorted(
-            self._book.ready.values(), key=lambda run: self._rank(run, capacity, now)
+            self._book.ready.values(), key=lambda run: self._rank(run, over, now)
         )
         for run in steps[:MAX_STEPS]:
             if len(plan.starts) >= MAX_STARTS:
@@ -58,8 +57,20 @@
             self._plan_step(run, queue, usable[queue.pool], plan, now)
         return plan
 
+    def _beyond_share(self) -> frozenset[str]:
+        """Return the organisations that use more than their share of the cell."""
+        capacity = workers.total_capacity(self._book.workers.values())
+        organisations = self._book.catalogue.organisations.values()
+        total = sum(each.weight for each in organisations)
+        return frozenset(
+            each.name
+            for each in organisations
+            if each.weight > 0
+            and self._book.used[each.name].dominant(capacity) > each.weight / total
+        )
+
     def _rank(
-        self, run: state.StepRun, capacity: resources.Resources, now: float
+        self, run: state.StepRun, over: frozenset[str], now: float
     ) -> tuple[bool, bool, int, bool, bool, float]:
         """Order by entitlement and urgency, then by what can still be in time.
 
@@ -69,13 +80,6 @@
         spec = run.job.spec
         queue = self._book.catalogue.queue(spec.queue)
         priority = queue.priority if queue is not None else 9
-        organisations = self._book.catalogue.organisations
-        organisation = organisations.get(spec.organisation)
-        over = False
-        if organisation is not None and organisation.weight > 0:
-            total = sum(each.weight for each in organisations.values())
-            share = self._book.used[spec.organisation].dominant(capacity)
-            over = share > organisation.weight / total
         left_s = LATE_SHARE * run.step.estimate_ms / 1000
         late = now + left_s > run.job.due_at
         return (
@@ -83,7 +87,7 @@
             late and priority > MOST_URGENT,
             priority,
             late,
-            over,
+            spec.organisation in over,
             run.job.due_at,
         )
 
@@ -104,7 +108,7 @@
             run.unasked = [each for each in eligible if each.id not in run.allowed]
             eligible = [worker for worker in eligible if run.allowed.get(worker.id)]
             if not eligible:
-                names = self.unasked_with_room(run, 1)
+                names = self.unasked_with_room(run)
                 if names:
                     self.ask(run, queue, names, plan, now)
                 plan.wait(run, plans.APPROVAL if run.asking else plans.NOT_APPROVED)
@@ -157,11 +161,10 @@
         )
 
     @staticmethod
-    def unasked_with_room(run: state.StepRun, count: int) -> list[str]:
+    def unasked_with_room(run: state.StepRun) -> list[str]:
         """Return workers with room that the approval service was not asked about."""
         demand = run.step.occupied()
-        found = [each for each in run.unasked if demand.fits(each.free())]
-        return [worker.id for worker in found] if len(found) >= count else []
+        return [each.id for each in run.unasked if demand.fits(each.free())]
 
     def ticket(
         self, run: state.StepRun, queue: catalogue.Queue, worker: str, now: float
@@ -184,40 +187,52 @@
         plan: plans.Plan,
         now: float,
     ) -> None:
-        demand = run.step.occupied()
-        expired: list[str] = []
         on_worker = fitting.count_on_workers(run)
+        open_workers = eligible
+        if queue.priority > MOST_URGENT:
+            open_workers = [each for each in eligible if each.id not in plan.reserved]
         for index in sorted(run.waiting):
             if not self._within_ceiling(run, 1) or len(plan.starts) >= MAX_STARTS:
                 return
             task = run.tasks[index]
-            best: workers.Worker | None = None
-            best_key: tuple = ()
-            for worker in eligible:
-                if not fitting.allows(run, task, worker, on_worker, now):
-                    continue
-                if worker.id in plan.reserved and queue.priority > 0:
-                    continue
-                free = worker.free()
-                if not demand.fits(free):
-                    continue
-                if self.ticket(run, queue, worker.id, now) is None:
-                    expired.append(worker.id)
-                    continue
-                key = fitting.rank(run, worker, free)
-                if best is None or key < best_key:
-                    best, best_key = worker, key
-            if best is None:
-                names = expired or self.unasked_with_room(run, 1)
-                plan.wait(run, plans.APPROVAL if names else plans.NO_ROOM)
-                if names:
-                    self.ask(run, queue, sorted(set(names)), plan, now)
-                elif not run.asking and now >= task.avoid_until:
-                    run.blocked_at = self._book.capacity_version
+            fits = [
+                worker
+                for worker in open_workers
+                if fitting.allows(run, task, worker, on_worker, now)
+                and run.step.occupied().fits(worker.free())
+            ]
+            valid = [
+                worker
+                for worker in fits
+                if self.ticket(run, queue, worker.id, now) is not None
+            ]
+            if not valid and task.avoided and now < task.avoid_until:
+                continue  # the others of the step may still fit
+            if not valid:
+                self._block(run, queue, [each.id for each in fits], plan, now)
                 return
+            best = min(
+                valid, key=lambda worker: fitting.rank(run, worker, worker.free())
+            )
             on_worker[best.id] = on_worker.get(best.id, 0) + 1
             self.start(run, task, best, task.run + 1, queue, plan, now)
 
+    def _block(
+        self,
+        run: state.StepRun,
+        queue: catalogue.Queue,
+        without_ticket: list[str],
+        plan: plans.Plan,
+        now: float,
+    ) -> None:
+        """Ask about workers that have room, or wait until something has changed."""
+        names = without_ticket or self.unasked_with_room(run)
+        plan.wait(run, plans.APPROVAL if names else plans.NO_ROOM)
+        if names:
+            self.ask(run, queue, names, plan, now)
+        elif not run.asking:
+            run.blocked_at = self._book.capacity_version
+
     def start(
         self,
         run: state.StepRun,
--- a/toucanspring/coordinator/tenure.py
+++ b/toucanspring/coordinator/tenure.py
@@ -46,7 +46,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Note:
-    """Wait for jobs to become durable before a worker forgets its ends."""
+    """Hold the ends that a worker may forget once they are durable."""
 
     worker: workers.Worker
     last_end: int
@@ -143,9 +143,8 @@
         lost = self._ledger.lost
         return not lost and self._ledger.overdue_s(now) < orders.OUTAGE_HOLD_S
 
-    def note(self, worker: workers.Worker, last_end: int, jobs: list[str]) -> None:
-        """Forget ends at the worker once the changes of these jobs are durable."""
-        del jobs  # all changed jobs go into the next commit
+    def note(self, worker: workers.Worker, last_end: int) -> None:
+        """Forget ends at the worker once the next write is durable."""
         self._notes.append(Note(worker, last_end, worker.born))
         self.wake()
 
