Break the four import circles of the flat package

Cause: four groups of modules imported each other, partly under TYPE_CHECKING or inside functions, so none of them could be read or moved by itself.

A test lists modules that cannot be put in an order.

Behaviour is unchanged.

--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -13,7 +13,7 @@
 
 from demo import account, callers, entry
 from standins import cluster, facts, judge, processes
-from toucanspring import errors, text
+from toucanspring import errors, reader
 
 DAEMONS = 9
 EXAMPLES = processes.ROOT / "examples"
@@ -156,7 +156,7 @@
 def start(deployment: Deployment, say: Callable[[str], None]) -> Iterator[Run]:
     """Start stand-ins and daemons, apply the text and grant the keys."""
     source = (EXAMPLES / deployment.source).read_text()
-    cell = text.parse(source)
+    cell = reader.parse(source)
     if isinstance(cell, errors.Invalid):
         raise ValueError(cell)
     with cluster.Cluster(
--- a/scenarios/cell.py
+++ b/scenarios/cell.py
@@ -13,11 +13,7 @@
 
 from scenarios import client, history, loads
 from standins import cluster, facts, judge, ports, processes, violations
-from toucanspring import (
-    errors,
-    ownership_rows,
-    text,
-)
+from toucanspring import errors, ownership_rows, reader
 from toucanspring.adapters import tables
 
 EXAMPLES = processes.ROOT / "examples"
@@ -39,7 +35,7 @@
         self.cluster = running
         self.partitions = running.partitions
         self.source = source
-        self.model = text.parse(source)
+        self.model = reader.parse(source)
         self.daemons = [f"entry-{number}" for number in range(1, daemons + 1)]
         self.front = client.Client(running)
         self.history = history.History(running)
@@ -168,7 +164,7 @@
         after = time.monotonic()
         known = {item.team: item.amount for item in self.ceilings}
         self.source = source
-        self.model = text.parse(source)
+        self.model = reader.parse(source)
         for name, team in self.model.teams.items():
             former = known.get(name)
             if former != team.ceiling:
@@ -366,7 +362,7 @@
 ) -> Iterator[Cell]:
     """Run the stand-ins of a cell; daemons start by a step."""
     source = prepare(deployment)
-    model = text.parse(source)
+    model = reader.parse(source)
     service = next(iter(model.services.values())).backend_servers
     with cluster.Cluster(
         workers=workers,
--- a/scenarios/names.py
+++ b/scenarios/names.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from scenarios import cell, language
-from toucanspring import event_kinds, text
+from toucanspring import event_kinds, reader, text
 
 DEPLOYMENTS = ("kernhalde", "zimna-patna")
 # Verbs whose value at the given index is a daemon.
@@ -45,7 +45,7 @@
             f"there is no deployment {deployment}",
             " or ".join(DEPLOYMENTS),
         )
-    _Checker(scenario, text.parse(cell.prepare(deployment))).check(scenario.steps)
+    _Checker(scenario, reader.parse(cell.prepare(deployment))).check(scenario.steps)
 
 
 class _Checker:
--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -21,11 +21,11 @@
     layout,
     log_records,
     metrics,
+    reader,
     records,
     request_log,
     requests,
     survey,
-    text,
 )
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -59,7 +59,7 @@
     def __init__(self, source=KERNHALDE):
         self.text = source
         self.version = 1
-        self.parsed = text.parse(source)
+        self.parsed = reader.parse(source)
         self.out = frozenset()
         self.is_fresh = True
         self.secrets = {"desk-key": "desk", "labels-key": "labels"}
@@ -109,7 +109,7 @@
         if source == self.log[0].source:
             return self.version
         self.version += 1
-        self.parsed = text.parse(source)
+        self.parsed = reader.parse(source)
         entry = records.ConfigVersion(
             version=self.version, source=source, operator=operator
         )
--- a/test/fake_tables.py
+++ b/test/fake_tables.py
@@ -2,7 +2,15 @@
 
 import gevent
 
-from toucanspring import claims, documents, errors, kernel, layout, membership, peers
+from toucanspring import (
+    claims,
+    documents,
+    errors,
+    kernel,
+    layout,
+    membership,
+    peers,
+)
 from toucanspring import settings as settings_module
 from toucanspring.adapters import tables
 
@@ -121,7 +129,7 @@
 
 
 def parse(source):
-    """Stand in for text.parse: the cell is its text, `bad` is invalid."""
+    """Stand in for reader.parse: the cell is its text, `bad` is invalid."""
     return errors.Invalid(reason="bad", line=1) if "bad" in source else source
 
 
--- a/test/test_avoidance.py
+++ b/test/test_avoidance.py
@@ -1,7 +1,7 @@
 import testtools
 
 from test import cell
-from toucanspring import avoidance, job, resources
+from toucanspring import avoidance, failure_places, job, resources
 
 HALF = resources.Resources(16_000, 32_768, 0)
 STEP_S = 0.1
@@ -10,7 +10,7 @@
 class AvoidanceTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.avoidance = avoidance.Avoidance()
+        self.avoidance = failure_places.FailurePlaces()
 
     def fail(self, worker, now, rack="r"):
         self.avoidance.record(worker, rack, False, 0.1, now)
--- a/test/test_modules.py
+++ b/test/test_modules.py
@@ -40,3 +40,33 @@
                     and not hasattr(modules[node.value.id], node.attr)
                 ]
         self.assertEqual([], missing)
+
+    def test_no_modules_import_each_other_in_a_circle(self):
+        # A circle makes none of its modules readable, testable or movable by itself.
+        self.assertEqual([], find_circles(read_imports(ROOT / "toucanspring")))
+
+
+def read_imports(package):
+    """Return for each module of a package the modules of it that it imports."""
+    names = {
+        ".".join(path.relative_to(package.parent).with_suffix("").parts): path
+        for path in package.rglob("*.py")
+    }
+    found = {}
+    for name, path in names.items():
+        found[name] = {
+            f"{node.module}.{alias.name}"
+            for node in ast.walk(ast.parse(path.read_text()))
+            if isinstance(node, ast.ImportFrom)
+            for alias in node.names
+        } & names.keys()
+    return found
+
+
+def find_circles(imports):
+    """Return the modules that cannot be put in an order in which they build up."""
+    left = dict(imports)
+    while ready := [name for name, needs in left.items() if not needs & left.keys()]:
+        for name in ready:
+            del left[name]
+    return sorted(left)
--- a/test/test_submission.py
+++ b/test/test_submission.py
@@ -1,13 +1,13 @@
 import testtools
 
 from test import edge_fakes
-from toucanspring import api, submission, text
+from toucanspring import api, reader, submission
 
 
 class SubmissionTest(testtools.TestCase):
     def test_example_templates_are_accepted_as_they_are(self):
         # Guards against templates that pass the text and fail on submission.
-        cell = text.parse(edge_fakes.KERNHALDE)
+        cell = reader.parse(edge_fakes.KERNHALDE)
         core = edge_fakes.build()
         access = api.Access(core, edge_fakes.make_settings())
         for name, template in cell.jobs.items():
--- a/test/test_text.py
+++ b/test/test_text.py
@@ -3,7 +3,7 @@
 from hypothesis import strategies
 
 from test import edge_fakes
-from toucanspring import errors, job, resources, syntax, text
+from toucanspring import errors, job, reader, resources, syntax, text
 
 KERNHALDE = edge_fakes.KERNHALDE
 ZIMNA_PATNA = (edge_fakes.ROOT / "examples" / "zimna-patna.yaml").read_text()
@@ -82,13 +82,13 @@
         for old, new, path, reason in read_faults():
             source = KERNHALDE.replace(old, new, 1)
             self.assertNotEqual(KERNHALDE, source, old)
-            faults = text.parse_all(source)
+            faults = reader.parse_all(source)
             self.assertIsInstance(faults, list, new)
             found = {(fault.path, fault.reason): fault for fault in faults}
             self.assertIn((path, reason), found, faults)
             fault = found[(path, reason)]
             self.assertTrue(fault.expected, fault)
-            self.assertEqual(text.parse(source), faults[0])
+            self.assertEqual(reader.parse(source), faults[0])
             line = source.splitlines()[fault.line - 1]
             leaf = path.rpartition(".")[2]
             near = line if not leaf.isdigit() else path.split(".")[-2] + line
@@ -97,15 +97,15 @@
     def test_one_faulty_entry_does_not_hide_another(self):
         source = KERNHALDE.replace("share: 5", "share: x", 1)
         source = source.replace("kind: gang", "kind: gong", 1)
-        paths = [fault.path for fault in text.parse_all(source)]
+        paths = [fault.path for fault in reader.parse_all(source)]
         self.assertEqual(["teams.desk.share", "jobs.demand-model.kind"], paths)
 
     def test_oversized_and_deep_texts_are_refused_before_they_are_read(self):
         # Guards against a text that exhausts memory or the stack.
         large = KERNHALDE + "#" * syntax.MAX_TEXT_BYTES
-        self.assertEqual("the text is oversized", text.parse(large).reason)
+        self.assertEqual("the text is oversized", reader.parse(large).reason)
         for deep in ("[" * 100_000, "cell: " + "{a: " * 5_000, "- " * 50_000):
-            self.assertIsInstance(text.parse(deep), errors.Invalid)
+            self.assertIsInstance(reader.parse(deep), errors.Invalid)
 
     def test_a_long_chain_of_dependencies_is_no_cycle(self):
         # Guards against recursion over the operators' dependencies.
@@ -114,7 +114,7 @@
             f"  chain-{index}: {entry}, after: [chain-{index + 1}]}}\n"
             for index in range(2000)
         )
-        cell = text.parse(f"{KERNHALDE}{jobs}  chain-2000: {entry}}}\n")
+        cell = reader.parse(f"{KERNHALDE}{jobs}  chain-2000: {entry}}}\n")
         self.assertIsInstance(cell, text.Cell)
         specs = text.job_specs(cell, cell.jobs["chain-0"], "root")
         self.assertEqual(2001, len(specs))
@@ -122,7 +122,7 @@
         self.assertEqual(len(specs), len({spec.id for spec in specs}))
 
     def test_job_spec_carries_units_and_dependencies(self):
-        cell = text.parse(ZIMNA_PATNA)
+        cell = reader.parse(ZIMNA_PATNA)
         specs = text.job_specs(
             cell, cell.jobs["night-ensemble"], "run1", {"task_count": 3}
         )
@@ -135,12 +135,14 @@
 
     def test_an_edit_starts_a_job_again_only_with_a_new_run_number(self):
         # Guards against an edit of a comment or a limit that repeats work.
-        old = text.parse(KERNHALDE)
-        edited = text.parse(KERNHALDE.replace("run_time: 5 min", "run_time: 6 min", 1))
+        old = reader.parse(KERNHALDE)
+        edited = reader.parse(
+            KERNHALDE.replace("run_time: 5 min", "run_time: 6 min", 1)
+        )
         self.assertEqual([], text.introduced(old, edited))
         change = text.Changed("jobs", "listing-import", {"run_seconds": (300.0, 360.0)})
         self.assertEqual([change], text.diff(old, edited))
-        again = text.parse(
+        again = reader.parse(
             KERNHALDE.replace("class: urgent\n", "class: urgent\n    run: 2\n", 1)
         )
         started = [text.apply_id(item) for item in text.introduced(old, again)]
@@ -150,7 +152,7 @@
     @hypothesis.given(strategies.text(max_size=400))
     def test_any_text_gives_a_cell_or_faults(self, source):
         # Guards against an exception that reaches the operator as "internal error".
-        result = text.parse(source)
+        result = reader.parse(source)
         self.assertIsInstance(result, text.Cell | errors.Invalid)
 
     @SETTINGS
@@ -164,9 +166,9 @@
                 ["", "0", "-1", "1e99", ": ", "\n", "  ", "{", "]", "null", "desk", "é"]
             )
             source = source[:start] + data.draw(token) + source[end:]
-        result = text.parse_all(source)
+        result = reader.parse_all(source)
         if isinstance(result, text.Cell):
-            self.assertEqual([], text.diff(result, text.parse(source)))
+            self.assertEqual([], text.diff(result, reader.parse(source)))
             self.check_limits(result)
         else:
             lines = source.count("\n") + 2
--- a/toucanspring/api_operators.py
+++ b/toucanspring/api_operators.py
@@ -6,7 +6,7 @@
 import logbook
 import msgspec
 
-from toucanspring import api, errors, kernel, syntax, text
+from toucanspring import api, errors, kernel, reader, syntax, text
 
 log = logbook.Logger(__name__)
 
@@ -53,7 +53,7 @@
             source = body.decode()
         except UnicodeDecodeError as error:
             raise api.Failed(errors.Malformed(reason=f"not UTF-8: {error.reason}"))
-        cell = text.parse_all(source)
+        cell = reader.parse_all(source)
         if isinstance(cell, list):
             faults = [errors.to_dict(fault) for fault in cell]
             raise api.Failed(cell[0], extra={"faults": faults})
--- a/toucanspring/commands/apply.py
+++ b/toucanspring/commands/apply.py
@@ -4,7 +4,7 @@
 
 import gevent
 
-from toucanspring import client, console, errors, source, text
+from toucanspring import client, console, errors, reader, source, text
 
 CONFIRM_POLL_S = 0.2
 
@@ -26,7 +26,7 @@
     """
     new_source, new = source.parse(path)
     version, old_source = source.fetch(context.client)
-    old = text.parse(old_source)
+    old = reader.parse(old_source)
     changes = text.diff(old, new) if isinstance(old, text.Cell) else []
     given = version if base is None else base
     applied = _put(context.client, new_source, given)
--- a/toucanspring/commands/diff.py
+++ b/toucanspring/commands/diff.py
@@ -1,6 +1,6 @@
 """Command `diff`."""
 
-from toucanspring import console, source, text
+from toucanspring import console, reader, source, text
 
 
 def run(
@@ -14,7 +14,7 @@
     _, new = source.parse(path)
     if against is None:
         version, in_force = source.fetch(context.client)
-        old = console.unwrap(text.parse(in_force))
+        old = console.unwrap(reader.parse(in_force))
     else:
         version, (_, old) = 0, source.parse(against)
     changes = text.diff(old, new)
--- a/toucanspring/commands/validate.py
+++ b/toucanspring/commands/validate.py
@@ -1,6 +1,6 @@
 """Command `validate`."""
 
-from toucanspring import console, errors, source, text
+from toucanspring import console, errors, reader, source, text
 
 
 def run(_context: console.Context, path: str) -> console.Result:
@@ -8,7 +8,7 @@
 
     :param path: file with the text, or `-` for the standard input
     """
-    cell = text.parse_all(source.read(path))
+    cell = reader.parse_all(source.read(path))
     if isinstance(cell, text.Cell):
         counts = {name: len(getattr(cell, name)) for name in text.SECTIONS}
         summary = ", ".join(
--- a/toucanspring/departure.py
+++ b/toucanspring/departure.py
@@ -8,23 +8,45 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import msgspec
 
 from toucanspring import errors, ownership, renewal
 from toucanspring.adapters import tables
 
-if TYPE_CHECKING:
-    from toucanspring import membership
-
 ATTEMPTS = 5
 # Rows of members that own nothing are deleted after this time.
 DELETE_AFTER_S = 60.0
 
 
+class Members(Protocol):
+    """What this process knows of the others."""
+
+    identity: renewal.Member
+    own: renewal.OwnRow
+    timing: ownership.Timing
+    sightings: dict[str, ownership.Sighting]
+    rows: dict[str, tuple[int, renewal.MemberRow]]
+
+    def clock(self) -> float:
+        """Return the monotonic time in seconds."""
+
+    def reachable(self) -> set[str]:
+        """Return the processes with a recent heartbeat."""
+
+    def candidates(self) -> list[str]:
+        """Return the processes that may own partitions, sorted."""
+
+    def quiet(self) -> dict[str, ownership.Quiet]:
+        """Return the processes that have promised to claim nothing."""
+
+    def read_members(self) -> None | errors.Failure:
+        """Read the rows of all processes."""
+
+
 def confirm(
-    members: membership.Service, client: tables.TableClient, process: str
+    members: Members, client: tables.TableClient, process: str
 ) -> None | errors.Failure:
     """Replace the row of a dead process by one that fences it.
 
@@ -63,9 +85,7 @@
     return result
 
 
-def _is_alive(
-    members: membership.Service, process: str, row: renewal.MemberRow
-) -> bool:
+def _is_alive(members: Members, process: str, row: renewal.MemberRow) -> bool:
     """Return whether a process was heard, or renewed within its lease."""
     if process in members.reachable():
         return True
@@ -78,7 +98,7 @@
     return not ownership.is_silent(sighting, incarnation, now, members.timing)
 
 
-def delete_dead(members: membership.Service, client: tables.TableClient) -> None:
+def delete_dead(members: Members, client: tables.TableClient) -> None:
     """Delete rows of long dead members, from one process only.
 
     A member that owns a partition keeps its row: successors need its list. So does
--- a/toucanspring/documents.py
+++ b/toucanspring/documents.py
@@ -58,9 +58,9 @@
 
 def import_parser() -> Callable[[str], object]:
     """Return the parser of the configuration text."""
-    from toucanspring import text
+    from toucanspring import reader
 
-    return text.parse
+    return reader.parse
 
 
 class Service:
--- a/toucanspring/draining.py
+++ b/toucanspring/draining.py
@@ -2,12 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-from toucanspring import job, resources, task_table
-
-if TYPE_CHECKING:
-    from toucanspring import gang, lifecycle
+from toucanspring import job, lifecycle, reservation, resources, task_table
 
 OVERDUE_S = 1.0  # a task beyond its expected end is expected to end so soon
 # What a checkpoint costs a task beside its progress: storing it, and waiting and
@@ -34,7 +29,7 @@
     return cost
 
 
-def may_end(record: task_table.JobRecord, held: gang.Reservation) -> bool:
+def may_end(record: task_table.JobRecord, held: reservation.Reservation) -> bool:
     """Return whether checkpoints may end the draining of workers for a gang.
 
     Only deadline work is ahead of all classes whose work may be stopped.
--- a/toucanspring/former.py
+++ b/toucanspring/former.py
@@ -2,13 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from toucanspring import (
-        membership,
-        ownership_rows,
-    )
+from toucanspring import membership, ownership_rows
 
 
 def member_lists(
--- a/toucanspring/gang.py
+++ b/toucanspring/gang.py
@@ -4,41 +4,24 @@
 
 import dataclasses
 import math
-from typing import TYPE_CHECKING
 
 from toucanspring import (
     draining,
     event_kinds,
     interruption,
     job,
+    lifecycle,
     placement,
+    reservation,
     resources,
     task_table,
 )
 
-if TYPE_CHECKING:
-    from toucanspring import lifecycle
-
 RESERVATION_S = 1.0  # then the expected ends of tasks are looked at again
 # More reservations would leave little capacity for backfill.
 MAX_RESERVATIONS = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reservation:
-    """Keep workers free for a job that is expected to start at `starts_at`."""
-
-    workers: frozenset[str]
-    starts_at: float
-    expires: float
-    making_room: bool = False  # running tasks were stopped for it
-    exclusive: bool = True  # tasks of other jobs stay off the workers
-    # What waiting for `starts_at` leaves idle, in seconds of the whole cell.
-    idle_cost: float = 0.0
-    weighed: bool = False  # the cost was compared with that of checkpoints
-    moving: bool = False  # the job waits only once its task has stopped
-
-
 def excluded_for(
     core: lifecycle.Lifecycle, spec: job.JobSpec, now: float
 ) -> frozenset[str]:
@@ -56,20 +39,20 @@
     if not core.reservations:
         return excluded
     end = now + core.estimator.run_seconds(spec)
-    for job_id, reservation in core.reservations.items():
+    for job_id, held in core.reservations.items():
         service = spec.kind is job.Kind.SERVICE
-        if not reservation.exclusive or job_id == spec.id:
+        if not held.exclusive or job_id == spec.id:
             continue
-        if service or end > reservation.starts_at:
-            excluded |= reservation.workers
+        if service or end > held.starts_at:
+            excluded |= held.workers
     return excluded
 
 
 def expire(core: lifecycle.Lifecycle, now: float) -> None:
     """Drop reservations whose time is over or whose job no longer waits."""
-    for job_id, reservation in list(core.reservations.items()):
-        waits = job_id in core.queue or reservation.moving
-        if now >= reservation.expires or not waits:
+    for job_id, held in list(core.reservations.items()):
+        waits = job_id in core.queue or held.moving
+        if now >= held.expires or not waits:
             del core.reservations[job_id]
             core.changed = True
 
@@ -119,12 +102,12 @@
     if spec.id in core.reservations or len(core.reservations) >= MAX_RESERVATIONS:
         return
     taken = avoided
-    for reservation in core.reservations.values():
-        taken |= reservation.workers
+    for held in core.reservations.values():
+        taken |= held.workers
     found = earliest_room(core, spec, count, demand, taken, now)
     if found is not None:
         workers, starts_at = found
-        core.reservations[spec.id] = Reservation(
+        core.reservations[spec.id] = reservation.Reservation(
             workers,
             starts_at,
             now + RESERVATION_S,
--- a/toucanspring/interruption.py
+++ b/toucanspring/interruption.py
@@ -2,12 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-from toucanspring import event_kinds
-
-if TYPE_CHECKING:
-    from toucanspring import lifecycle, task_table
+from toucanspring import event_kinds, lifecycle, task_table
 
 
 def interrupt(
--- a/toucanspring/inventory.py
+++ b/toucanspring/inventory.py
@@ -4,13 +4,10 @@
 
 import math
 from collections.abc import Iterator
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from toucanspring import resources
 
-if TYPE_CHECKING:
-    from toucanspring import racks
-
 # Free processors and memory are sorted into size classes, four for each power of
 # two, so that a class differs from the next by at most 25%.
 CLASS_BITS = 2
@@ -44,6 +41,22 @@
 FLOORS = [class_floor(number) for number in range(CLASSES)]
 
 
+class Home(Protocol):
+    """Sums of the workers beside a worker, which hear of its changes."""
+
+    def count(self, entry: Worker, sign: int) -> None:
+        """Add what a worker has free to the sums, or take it out."""
+
+    def note_change(
+        self,
+        cpus_before: int,
+        memory_before: int,
+        accelerators_before: int,
+        entry: Worker,
+    ) -> None:
+        """Take in that other amounts are free on a worker."""
+
+
 class Worker:
     """Hold the state of one worker in the index."""
 
@@ -74,7 +87,7 @@
         self.accelerators = capacity.accelerators
         self.schedulable = True
         self.number = 0  # position in the list of all workers
-        self.home: racks.Rack | None = None
+        self.home: Home | None = None
         # Buckets and positions in them: in the cell's shelf, then in the zone's.
         self.buckets: tuple[Bucket, ...] = ()
         self.positions = [0, 0]
--- a/toucanspring/lifecycle.py
+++ b/toucanspring/lifecycle.py
@@ -6,6 +6,7 @@
 import heapq
 import random
 from collections.abc import Iterable
+from typing import Protocol
 
 from toucanspring import (
     allowance,
@@ -15,11 +16,11 @@
     estimate,
     event_kinds,
     fairness,
-    gang,
     job,
     need,
     placement,
     quarantine,
+    reservation,
     resources,
     task_table,
     waiting,
@@ -39,10 +40,34 @@
 FAILED_CANCELLED = job.Outcome(job.State.FAILED, CANCELLED)
 
 
+class GangRules(Protocol):
+    """What happens to a gang when one of its members ends or waits again."""
+
+    def member_ended(
+        self,
+        core: Lifecycle,
+        record: task_table.JobRecord,
+        outcome: job.Outcome,
+        now: float,
+    ) -> None:
+        """Go on after one member became final and others did not."""
+
+    def break_up(
+        self,
+        core: Lifecycle,
+        record: task_table.JobRecord,
+        reason: str,
+        now: float,
+        delay: float,
+    ) -> None:
+        """Stop all members, which start again together after `delay` seconds."""
+
+
 class Lifecycle:
     """Start, end, queue and finish the tasks of one partition."""
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, gangs: GangRules) -> None:
+        self._gangs = gangs
         self.rng = rng
         self.table = task_table.TaskTable()
         self.effects = collector.Collector()
@@ -66,7 +91,7 @@
         # Workers that may run tasks of the former owner, with their capacity.
         self.expected: dict[str, resources.Resources | None] = {}
         self.held_jobs: set[str] = set()  # jobs with tasks that may run there
-        self.reservations: dict[str, gang.Reservation] = {}
+        self.reservations: dict[str, reservation.Reservation] = {}
         self.paused: set[str] = set()  # workers that refused a start
         # Workers that get no new tasks: drained for a gang elsewhere, or being moved.
         self.withheld: set[str] = set()
@@ -344,7 +369,7 @@
                 job_outcome = self._close_job(record)
                 self.dependency_finished(record.spec.id, job_outcome, now)
         elif record.spec.kind is job.Kind.GANG:
-            gang.member_ended(self, record, outcome, now)
+            self._gangs.member_ended(self, record, outcome, now)
 
     def requeue(
         self,
@@ -360,7 +385,7 @@
             outcome = FAILED_CANCELLED if ran else NOT_RUN_CANCELLED
             self.finalize(record, index, outcome, now)
         elif record.spec.kind is job.Kind.GANG:
-            gang.break_up(self, record, reason, now, delay)
+            self._gangs.break_up(self, record, reason, now, delay)
         elif delay > 0:
             record.delayed.add(index)
             self.delay(record, index, now + delay)
--- a/toucanspring/overuse.py
+++ b/toucanspring/overuse.py
@@ -7,14 +7,17 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-from toucanspring import effects, event_kinds, interruption, preemption, resources
-
-if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
-
-    from toucanspring import lifecycle, task_table
+from collections.abc import Iterable, Mapping
+
+from toucanspring import (
+    effects,
+    event_kinds,
+    interruption,
+    lifecycle,
+    preemption,
+    resources,
+    task_table,
+)
 
 # Workers report every 4 s, with use of up to 1 s before: the effect of a change shows
 # only after this time.
--- a/toucanspring/preemption.py
+++ b/toucanspring/preemption.py
@@ -11,10 +11,10 @@
     avoidance,
     draining,
     event_kinds,
-    gang,
     interruption,
     job,
     lifecycle,
+    reservation,
     resources,
     task_table,
 )
@@ -265,7 +265,7 @@
     # Room taken back for a share goes to its owner by rank. Keeping whole workers for
     # it gave one job all of a worker for ROOM_S, far beyond its share.
     exclusive = together or is_pressing(core, record, now)
-    core.reservations[spec.id] = gang.Reservation(
+    core.reservations[spec.id] = reservation.Reservation(
         workers, now, now + ROOM_S, making_room=True, exclusive=exclusive
     )
 
--- a/toucanspring/reader.py
+++ b/toucanspring/reader.py
@@ -34,6 +34,10 @@
 }
 
 
+# A text with many faults is usually one mistake repeated; the first ones show it.
+MAX_FAULTS = 100
+
+
 class Faults:
     """Collect what is wrong with a text."""
 
@@ -54,6 +58,31 @@
         )
 
 
+def parse(source: str) -> text.Cell | errors.Invalid:
+    """Return the cell that a text declares, or its first fault."""
+    match parse_all(source):
+        case text.Cell() as cell:
+            return cell
+        case [first, *_]:
+            return first
+
+
+def parse_all(source: str) -> text.Cell | list[errors.Invalid]:
+    """Return the cell that a text declares, or its faults in the order of lines.
+
+    An empty text is the cell before the first configuration, without any entry.
+    """
+    if not source:
+        return text.Cell()
+    document = syntax.read(source)
+    if isinstance(document, errors.Invalid):
+        return [document]
+    cell, faults = read_cell(document)
+    if faults:
+        return sorted(faults, key=lambda fault: fault.line)[:MAX_FAULTS]
+    return cell
+
+
 def read_cell(document: syntax.Document) -> tuple[text.Cell, list[errors.Invalid]]:
     """Return the cell and the faults; with faults the cell is incomplete."""
     faults = Faults(document)
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduler.py
@@ -13,6 +13,7 @@
     errors,
     event_kinds,
     fairness,
+    gang,
     intake,
     job,
     lifecycle,
@@ -40,7 +41,7 @@
         spread_move_s: float = spreading.MOVE_S,
     ) -> None:
         self.partition = partition
-        self._core = lifecycle.Lifecycle(rng)
+        self._core = lifecycle.Lifecycle(rng, gang)
         self._dispatcher = dispatch.Dispatcher(self._core)
         self._spreader = spreading.Spreader(self._core, spread_move_s)
         self.moves = moves.Moves(self._core, self._dispatcher)
--- a/toucanspring/source.py
+++ b/toucanspring/source.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from toucanspring import client, console, errors, resources, syntax, text
+from toucanspring import client, console, errors, reader, resources, syntax, text
 
 
 def read(path: str) -> str:
@@ -33,7 +33,7 @@
 def parse(path: str) -> tuple[str, text.Cell]:
     """Return the text of a file and its cell, or end the command with its faults."""
     source = read(path)
-    cell = text.parse_all(source)
+    cell = reader.parse_all(source)
     if isinstance(cell, list):
         raise console.Failed(cell[0], show_faults(path, cell[1:]))
     return source, cell
--- a/toucanspring/spreading.py
+++ b/toucanspring/spreading.py
@@ -13,6 +13,7 @@
     job,
     lifecycle,
     placement,
+    reservation,
     task_table,
 )
 
@@ -170,7 +171,7 @@
             event_kinds.StopCause.SPREAD,
         )
         # Without it, waiting work would take the room before the task has stopped.
-        core.reservations[record.spec.id] = gang.Reservation(
+        core.reservations[record.spec.id] = reservation.Reservation(
             frozenset([target]), now, now + ROOM_S, moving=True
         )
         self._stopped = task
--- a/toucanspring/task_table.py
+++ b/toucanspring/task_table.py
@@ -5,7 +5,7 @@
 import collections
 from collections.abc import Iterator
 
-from toucanspring import avoidance, effects, errors, job, resources
+from toucanspring import effects, errors, failure_places, job, resources
 
 # Bounds the memory of an owner; older jobs are answered from the log or not at all.
 FINISHED_JOBS_KEPT = 50_000
@@ -62,7 +62,7 @@
         self.answers: dict[str, bytes] = {}
         self.attempts: dict[int, int] = {}  # last attempt, if not the first
         self.failures: dict[int, list[str]] = {}  # the workers of failed attempts
-        self.avoidance: avoidance.Avoidance | None = None  # after a failure
+        self.avoidance: failure_places.FailurePlaces | None = None  # after a failure
         self.losses: dict[int, int] = {}  # attempts lost with their worker
         self.ran: set[int] = set()  # waiting tasks of which an attempt ran
         self.progress: dict[int, bytes] = {}
--- a/toucanspring/text.py
+++ b/toucanspring/text.py
@@ -4,10 +4,8 @@
 
 import dataclasses
 
-from toucanspring import errors, job, resources, syntax
+from toucanspring import job, resources
 
-# A text with many faults is usually one mistake repeated; the first ones show it.
-MAX_FAULTS = 100
 APPLY_PREFIX = "apply"
 
 
@@ -170,34 +168,6 @@
 Change = Added | Removed | Changed
 
 
-def parse(source: str) -> Cell | errors.Invalid:
-    """Return the cell that a text declares, or its first fault."""
-    match parse_all(source):
-        case Cell() as cell:
-            return cell
-        case [first, *_]:
-            return first
-
-
-def parse_all(source: str) -> Cell | list[errors.Invalid]:
-    """Return the cell that a text declares, or its faults in the order of lines.
-
-    An empty text is the cell before the first configuration, without any entry.
-    """
-    if not source:
-        return Cell()
-    # Imported here because the reader builds the classes of this module.
-    from toucanspring import reader
-
-    document = syntax.read(source)
-    if isinstance(document, errors.Invalid):
-        return [document]
-    cell, faults = reader.read_cell(document)
-    if faults:
-        return sorted(faults, key=lambda fault: fault.line)[:MAX_FAULTS]
-    return cell
-
-
 def diff(old: Cell, new: Cell) -> list[Change]:
     """Return what changes from one cell to another, by section and name."""
     changes: list[Change] = []
--- a/toucanspring/transitions.py
+++ b/toucanspring/transitions.py
@@ -2,12 +2,24 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from toucanspring import event_kinds, ownership, renewal, rounds
+from toucanspring import event_kinds, kernel, ownership, renewal, rounds
 
-if TYPE_CHECKING:
-    from toucanspring import kernel, membership
+
+class Members(Protocol):
+    """What this process knows of its own standing."""
+
+    own: renewal.OwnRow
+
+    def clock(self) -> float:
+        """Return the monotonic time in seconds."""
+
+    def standing(self, now: float) -> ownership.Standing:
+        """Return whether the partitions are held, extended or narrowed."""
+
+    def store_age(self, now: float) -> float:
+        """Return the seconds since the last answer of the store was requested."""
 
 
 class Transitions:
@@ -60,7 +72,7 @@
 class Reporter:
     """Publish the transitions and pauses of this process."""
 
-    def __init__(self, members: membership.Service, core: kernel.Kernel) -> None:
+    def __init__(self, members: Members, core: kernel.Kernel) -> None:
         self._members = members
         self._kernel = core
         self._transitions = Transitions()
