Log the caller's request ID and let it lead to the job

Change: job_accepted, request_refused and the new outcome_told name the request, also through a relay; the story command leads from a request to its job.

--- a/test/test_platform_ingress.py
+++ b/test/test_platform_ingress.py
@@ -1,5 +1,6 @@
 import json
 
+import logbook
 import testtools
 from gevent import event
 
@@ -81,7 +82,7 @@
 
     def call(self, method="POST", path=f"/q/{JOB}", key="k", body=BODY):
         content = body if isinstance(body, bytes) else json.dumps(body).encode()
-        request = ingress.Request(method, "h.example", path, key, content, 0.5)
+        request = ingress.Request(method, "h.example", path, key, content, 0.5, "a1")
         return self.front.serve(request)
 
     def test_a_submission_is_accepted_for_the_team_of_its_key(self):
@@ -91,6 +92,29 @@
             spec.organisation, spec.queue, spec.steps[0].count
         ))  # fmt: skip
 
+    def test_the_log_links_the_request_of_a_caller_with_its_job(self):
+        with logbook.TestHandler() as handler:
+            self.call()
+            self.call("GET")
+            self.scheduler.found = state.JobState.COMPLETED
+            self.call("GET")
+            self.scheduler.found = errors.NotFound(reason="no such job")
+            self.call("GET")
+        told = [
+            (record.message, record.extra["decision"]) for record in handler.records
+        ]
+        self.assertEqual(
+            [
+                ("job_accepted", None),
+                ("outcome_told", "completed"),
+                ("outcome_told", "unknown"),
+            ],
+            [(name, fields.get("outcome")) for name, fields in told],
+        )
+        self.assertEqual(
+            [(JOB, "a1")] * 3, [(each["job"], each["request"]) for _, each in told]
+        )
+
     def test_unknown_keys_routes_and_ids_are_told_apart(self):
         self.assertEqual(401, self.call(key="x").status)
         self.assertEqual(404, self.call(path="/other/1").status)
--- a/test/test_story.py
+++ b/test/test_story.py
@@ -51,6 +51,23 @@
         [entry] = story.run(None, JOB, path).value
         self.assertEqual("edge-7", entry["process"])
 
+    def test_the_id_of_a_request_leads_to_its_job(self):
+        first = line(0, "request_refused", request="a1", path=f"/q/{JOB}", status=504)
+        other = line(0, "request_refused", request="b2", path="/q/" + "e" * 16)
+        path = self.write("entry-3.log", first, other)
+        result = story.run(None, "a1", self.entry, self.coordinator, path)
+        self.assertEqual(
+            [
+                "seat_taken",
+                "request_refused",
+                "job_accepted",
+                "starts_recorded",
+                "seat_taken",
+                "run_ended",
+            ],
+            [entry["message"] for entry in result.value],
+        )
+
     def test_an_unknown_id_is_not_found(self):
         failed = self.assertRaises(
             console.Failed, story.run, None, "0" * 16, self.entry
--- a/toucanspring/commands/story.py
+++ b/toucanspring/commands/story.py
@@ -10,12 +10,13 @@
 
 
 def run(_context: console.Context, request_id: str, *logs: str) -> console.Result:
-    """Print what the logs of several processes say of one job, in order of time.
+    """Print what the logs of several processes say of one request, in order of time.
 
     A line may have a prefix before its JSON object; its last word names the process.
-    Changes of the coordinator while the job was open are shown as well.
+    All lines of the job that the request was about are shown, and changes of the
+    coordinator while it was open.
 
-    :param request_id: ID of the job, as its caller sent it
+    :param request_id: ID of the job or of one request, as the caller sent it
     :param logs: files with the output of the processes
     """
     entries = []
@@ -49,14 +50,18 @@
 
 def select(entries: list[dict], request_id: str) -> list[dict]:
     """Return the entries of a job and the takeovers between the first and the last."""
-    own = [entry for entry in entries if names(entry, request_id)]
+    about = {request_id}
+    for entry in entries:
+        if entry.get("request") == request_id:
+            about.add(job_of(entry))
+    own = [entry for entry in entries if names(entry, about)]
     if not own:
         return []
     first, last = str(own[0]["time"]), str(own[-1]["time"])
     return [
         entry
         for entry in entries
-        if names(entry, request_id)
+        if names(entry, about)
         or (
             entry["message"] in ("seat_taken", "seat_left", "worker_lost")
             and first <= str(entry["time"]) <= last
@@ -64,10 +69,15 @@
     ]
 
 
-def names(entry: dict, request_id: str) -> bool:
-    """Return whether an entry is about a job."""
-    fields = (value for key, value in entry.items() if key not in HIDDEN)
-    return any(request_id in str(value) for value in fields)
+def job_of(entry: dict) -> str:
+    """Return the job that a request was about, by its field or the end of its path."""
+    return str(entry.get("job") or entry.get("path", "").rpartition("/")[2])
+
+
+def names(entry: dict, about: set[str]) -> bool:
+    """Return whether an entry is about one of some IDs."""
+    fields = [str(value) for key, value in entry.items() if key not in HIDDEN]
+    return any(name and name in field for name in about for field in fields)
 
 
 def show(entry: dict) -> str:
