--- a/test/test_coordinator_processes.py
+++ b/test/test_coordinator_processes.py
@@ -225,6 +225,19 @@
         self.wait_for(lambda: given_up)
         self.assertEqual({4}, set(given_up))
 
+    def test_only_a_coordinator_of_some_standing_that_is_heard_is_quiet(self):
+        watch = succession.Succession(
+            "two", Network().join("two"), self.store, None, None
+        )
+        self.assertFalse(watch.is_quiet())
+        watch.follow(rows.Seat("one", "10.0.0.1", 4, 1, 0, "life"))
+        self.assertFalse(watch.is_quiet())
+        watch._since -= succession.YOUNG_S
+        watch.heard("one")
+        self.assertTrue(watch.is_quiet())
+        watch._heard_at -= succession.SILENT_AFTER_S
+        self.assertFalse(watch.is_quiet())
+
     def test_a_coordinator_that_another_process_reaches_is_kept(self):
         given_up = []
         network = Network()
--- a/test/test_coordinator_store.py
+++ b/test/test_coordinator_store.py
@@ -135,6 +135,24 @@
         self.assertEqual(["a", "b"], self.keys())
         self.assertEqual(frozenset(), self.feed.unread)
 
+    def test_a_pause_bundles_the_changes_of_a_busy_table(self):
+        # The load: a table in which many writers change their rows all the time.
+        calls = []
+        follow = self.store.follow
+
+        def count(*arguments):
+            calls.append(arguments)
+            return follow(*arguments)
+
+        self.store.follow = count
+        with feeds.Feed(self.store, "t", self.seen.append, pause_s=0.2) as feed:
+            for number in range(30):
+                self.put(f"{number}")
+                gevent.sleep(0.01)
+            gevent.sleep(0.3)
+        self.assertEqual(30, len(feed.rows))
+        self.assertLess(len(calls), 10)
+
     def test_an_outage_makes_the_copy_age(self):
         clock = Clock()
         feed = feeds.Feed(self.store, "t", self.seen.append, clock)
--- a/toucanspring/coordinator/feeds.py
+++ b/toucanspring/coordinator/feeds.py
@@ -84,7 +84,11 @@
 
 
 class Feed:
-    """Own the copy of one table; `changed(row)` is called for each change."""
+    """Own the copy of one table; `changed(row)` is called for each change.
+
+    `wait_s` is the longest wait of one call for a change. `pause_s` after each call
+    bundles the changes of a busy table.
+    """
 
     def __init__(
         self,
@@ -92,6 +96,8 @@
         table: str,
         changed: Listener,
         clock: Callable[[], float] = time.monotonic,
+        wait_s: float = WAIT_S,
+        pause_s: float = 0.0,
     ) -> None:
         self.rows: dict[ports.Place, ports.Row] = {}
         # The copy holds everything that was in the store at this (monotonic) time.
@@ -100,6 +106,8 @@
         self._table = table
         self._changed = changed
         self._clock = clock
+        self._wait_s = wait_s
+        self._pause_s = pause_s
         self.unread: frozenset[str] = frozenset()  # parts that could not be read yet
         self._version: int | None = None
         self._greenlet: gevent.Greenlet | None = None
@@ -136,15 +144,15 @@
             self._version = read.version
             self.unread = frozenset(read.unread)
         else:
-            answer = self._store.follow(self._table, self._version, WAIT_S)
+            answer = self._store.follow(self._table, self._version, self._wait_s)
             match answer:
                 case ports.Changes(rows=rows, at=at):
                     for row in rows:
                         self._take(row)
                     self._version = max(self._version, at.version)
-                    if not rows and self._clock() - sent >= WAIT_S:
+                    if not rows and self._clock() - sent >= self._wait_s:
                         # The store found nothing until its wait was over.
-                        sent += WAIT_S
+                        sent += self._wait_s
                 case ports.HistoryGone():
                     log.info("table {}: reading all rows again", self._table)
                     self._version = None
@@ -181,6 +189,7 @@
                 if self._lost:
                     log.info("table {}: followed again", self._table)
                 self._lost, pause = False, RETRY_FIRST_S
+                gevent.sleep(self._pause_s)
                 continue
             if not self._lost:
                 log.warning("table {}: not followed: {}", self._table, failure)
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -33,6 +33,8 @@
 
 LOOK_AT_SEAT_S = 1.0
 RETRY_S = 0.15
+# Processes come and go rarely, and a change ends the wait.
+MEMBERS_WAIT_S = 4.0
 CALL_TIMEOUT_S = 1.2
 KEEPALIVE_S = 3.0  # streams of peers close after 10 s of silence
 RELAY_LINKS = 2  # processes beside the coordinator that calls may be relayed to
@@ -74,7 +76,9 @@
         self._draining = False
         self._looked = event.Event()
         self._vacated = 0  # epoch of a coordinator that is given up
-        self._members = feeds.Feed(store, rows.MEMBERS, self._take_member)
+        self._members = feeds.Feed(
+            store, rows.MEMBERS, self._take_member, wait_s=MEMBERS_WAIT_S
+        )
         self._intake = intake.Intake(store)
         self._approvals = approval_desk.Desk(kernel, approvals, self._answered)
         self._succession = succession.Succession(
@@ -334,7 +338,9 @@
                 case seat.Held(seat=held, expires_in_s=left_s):
                     if held.process:
                         self._take_seat(held)
-                    pause = min(LOOK_AT_SEAT_S, left_s + 0.05 * random.random())
+                    pause = left_s + 0.05 * random.random()
+                    if not self._succession.is_quiet():
+                        pause = min(LOOK_AT_SEAT_S, pause)
                     self._looked.wait(pause)
                 case errors.Conflict():
                     gevent.sleep(0.02)
--- a/toucanspring/coordinator/succession.py
+++ b/toucanspring/coordinator/succession.py
@@ -86,6 +86,15 @@
         if self._seat is not None and process == self._seat.process:
             self._heard_at = time.monotonic()
 
+    def is_quiet(self) -> bool:
+        """Return whether a coordinator of some standing is heard by itself."""
+        now = time.monotonic()
+        return (
+            self._seat is not None
+            and now - self._since >= YOUNG_S
+            and now - self._heard_at <= SILENT_AFTER_S
+        )
+
     def writes_fail(self, for_s: float) -> None:
         """Look for a process that reaches the store, while this one does not."""
         if for_s < HAND_OVER_AFTER_S:
