--- a/test/test_coordinator_reports.py
+++ b/test/test_coordinator_reports.py
@@ -3,7 +3,15 @@
 import testtools
 
 from test import coordinator_case as case
-from toucanspring.coordinator import book, planner, ports, reports, rows, state
+from toucanspring.coordinator import (
+    book,
+    orders,
+    planner,
+    ports,
+    reports,
+    rows,
+    state,
+)
 
 JOB = "0" * 16
 
@@ -138,6 +146,16 @@
         self.assertEqual([], reports.find_stuck(worker, 3.0))
         self.assertEqual(1, len(reports.find_stuck(worker, 3.5)))
 
+    def test_two_looks_without_an_end_between_them_find_a_stuck_task(self):
+        # The load: a worker on which everything stands still, so that looks time out.
+        start_all(self.records)
+        worker = self.records.workers["w1"]
+        standing = case.running(f"{JOB}.0.0.0", percent=7)
+        case.look(self.records, "w1", [standing], now=2.0)
+        now = 2.0 + orders.LOOK_WAIT_MS / 1000
+        case.look(self.records, "w1", [standing], now=now)
+        self.assertEqual(1, len(reports.find_stuck(worker, now)))
+
     def test_a_member_that_waits_for_the_others_of_its_gang_is_not_stuck(self):
         """Members are uneven; who is through stays at 100% until all are."""
         records = case.new_book(case.entry("w1"), case.entry("w2"))
--- a/toucanspring/coordinator/orders.py
+++ b/toucanspring/coordinator/orders.py
@@ -16,7 +16,9 @@
 
 log = logbook.Logger(__name__)
 
-LOOK_WAIT_MS = 1000
+# Above the time after which a task without progress counts as stuck, so that the second
+# of two looks tells.
+LOOK_WAIT_MS = 1400
 LOOK_RETRY_S = 0.15
 # A worker that answers no look for this long gets no new tasks.
 SILENT_S = 0.8
