Serve counters and latency histograms on a metrics address

Cause: on the platform nothing was served but logs; on-call engineers need rates and times of calls without counting lines.

Change: wrappers of the store, the workers and the approvals count calls by outcome and time those that wait for nothing; requests of callers, planning rounds and what a process believes are shown too. The deploy file names the port, for the platform and for the process.

--- a/test/test_coordinator_processes.py
+++ b/test/test_coordinator_processes.py
@@ -6,9 +6,10 @@
 from standins import lease_workers, rowstore
 from test import coordinator_case as case
 from test import test_coordinator_tenure as tenures
-from toucanspring import errors
+from toucanspring import errors, metrics
 from toucanspring.coordinator import (
     approval_desk,
+    metered,
     plans,
     rows,
     seat,
@@ -119,6 +120,7 @@
             self.workers,
             Approvals(),
             tenures.Directory(self.entry),
+            metered.Meters(metrics.Service(None, None)),
         )
         self.processes[name].start()
         return self.processes[name]
--- a/test/test_platform_directory.py
+++ b/test/test_platform_directory.py
@@ -127,12 +127,13 @@
 
 
 class DeploymentTest(testtools.TestCase):
-    def read(self, text):
+    def read(self, text, **environment):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         path = pathlib.Path(folder.name) / "local.toml"
         path.write_text(text)
-        return deployment.read({deployment.SETTINGS_VARIABLE: str(path)})
+        named = {deployment.SETTINGS_VARIABLE: str(path)}
+        return deployment.read({**named, **environment})
 
     SETTINGS = """
 node_name = "edge-1"
@@ -165,5 +166,14 @@
         ):
             self.assertIsInstance(self.read(text), errors.Invalid)
 
+    def test_the_port_of_the_metrics_is_checked(self):
+        name = deployment.METRICS_PORT_VARIABLE
+        self.assertEqual(0, self.read(self.SETTINGS).metrics_port)
+        found = self.read(self.SETTINGS, **{name: "9464"})
+        self.assertEqual(9464, found.metrics_port)
+        for text in ("x", "", "-1", "65536"):
+            found = self.read(self.SETTINGS, **{name: text})
+            self.assertIsInstance(found, errors.Invalid)
+
     def test_a_missing_file_is_invalid(self):
         self.assertIsInstance(deployment.read({}), errors.Invalid)
--- a/test/test_platform_ingress.py
+++ b/test/test_platform_ingress.py
@@ -1,12 +1,14 @@
 import json
 
+import falcon
+import falcon.testing
 import logbook
 import testtools
 from gevent import event
 
 from test import platform_case  # noqa: F401  finds the adapter's modules
-from toucanspring import errors
-from toucanspring.coordinator import catalogue, state
+from toucanspring import errors, metrics
+from toucanspring.coordinator import catalogue, metered, state
 
 import ingress  # isort: skip
 
@@ -78,7 +80,9 @@
     def setUp(self):
         super().setUp()
         self.kernel, self.view, self.scheduler = Kernel(), View(), Scheduler()
-        self.front = ingress.Front(self.kernel, self.view, self.scheduler)
+        self.registry = metrics.Service(None, None)
+        meters = metered.Meters(self.registry)
+        self.front = ingress.Front(self.kernel, self.view, self.scheduler, meters)
 
     def call(self, method="POST", path=f"/q/{JOB}", key="k", body=BODY):
         content = body if isinstance(body, bytes) else json.dumps(body).encode()
@@ -115,6 +119,22 @@
             [(JOB, "a1")] * 3, [(each["job"], each["request"]) for _, each in told]
         )
 
+    def test_requests_are_counted_for_the_metrics_address(self):
+        client = falcon.testing.TestClient(self.front.application())
+        headers = {"Toucanspring-Credential": "k", "Host": "h.example"}
+        client.simulate_get(f"/q/{JOB}", headers=headers)
+        client.simulate_get("/other/1", headers=headers)
+        app = falcon.App()
+        app.add_route("/metrics", ingress.Metrics(self.registry))
+        shown = falcon.testing.TestClient(app).simulate_get("/metrics").text
+        for status in (200, 404):
+            self.assertIn(
+                "toucanspring_caller_requests_total"
+                f'{{method="GET",status="{status}"}} 1',
+                shown,
+            )
+        self.assertIn('toucanspring_caller_seconds_count{method="GET"} 2', shown)
+
     def test_unknown_keys_routes_and_ids_are_told_apart(self):
         self.assertEqual(401, self.call(key="x").status)
         self.assertEqual(404, self.call(path="/other/1").status)
--- /dev/null
+++ b/toucanspring/coordinator/metered.py
@@ -0,0 +1,172 @@
+"""Counters and latency histograms of what a process calls and is called for."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import TypeVar
+
+from toucanspring import errors, metrics
+from toucanspring.coordinator import ports
+
+DONE = "done"
+Answer = TypeVar("Answer")
+
+
+class Meters:
+    """Own the instruments of one process."""
+
+    def __init__(self, registry: metrics.Service) -> None:
+        self._calls = registry.counter(
+            "toucanspring_calls_total",
+            "Calls of the store, workers and approvals by target, operation, outcome",
+        )
+        self._call_seconds = registry.histogram(
+            "toucanspring_call_seconds", "Time of calls that do not wait for an event"
+        )
+        self._requests = registry.counter(
+            "toucanspring_caller_requests_total",
+            "Requests of callers by method, status",
+        )
+        self._request_seconds = registry.histogram(
+            "toucanspring_caller_seconds", "Time of requests of callers by method"
+        )
+        self._round_seconds = registry.histogram(
+            "toucanspring_round_seconds", "Time of planning rounds with their write"
+        )
+        self._starts = registry.counter(
+            "toucanspring_runs_placed_total", "Runs whose intent is durable"
+        )
+        self._gauges = registry.gauge(
+            "toucanspring_coordinator", "State of this process by name"
+        )
+
+    def count_call(
+        self, target: str, operation: str, outcome: str, took_s: float, waits: bool
+    ) -> None:
+        """Count one call; the time of one that waits for an event tells nothing."""
+        self._calls.inc({"target": target, "operation": operation, "outcome": outcome})
+        if not waits:
+            self._call_seconds.add({"target": target, "operation": operation}, took_s)
+
+    def count_request(self, method: str, status: int, took_s: float) -> None:
+        """Count one request of a caller."""
+        self._requests.inc({"method": method, "status": f"{status}"})
+        self._request_seconds.add({"method": method}, took_s)
+
+    def count_round(self, starts: int, took_s: float) -> None:
+        """Count one planning round."""
+        self._round_seconds.add({}, took_s)
+        if starts:
+            self._starts.add({}, starts)
+
+    def show(self, values: dict[str, float]) -> None:
+        """Set the gauges."""
+        for name, value in values.items():
+            self._gauges.set({"name": name}, value)
+
+
+class _Metered:
+    """Measure calls of one target."""
+
+    target = ""
+
+    def __init__(self, inner: object, meters: Meters) -> None:
+        self._inner = inner
+        self._meters = meters
+
+    def _call(
+        self, operation: str, call: Callable[[], Answer], waits: bool = False
+    ) -> Answer:
+        started = time.monotonic()
+        answer = call()
+        outcome = answer.kind if isinstance(answer, errors.Failure) else DONE
+        took_s = time.monotonic() - started
+        self._meters.count_call(self.target, operation, outcome, took_s, waits)
+        return answer
+
+
+class Store(_Metered):
+    """Measure a store; implements `ports.Store`."""
+
+    target = "store"
+
+    def transact(
+        self,
+        checks: dict[ports.Place, int],
+        puts: dict[ports.Place, bytes],
+        removals: tuple[ports.Place, ...] = (),
+    ) -> ports.Committed | ports.Rejected | errors.Failure:
+        """Apply all changes if every checked row has its version, else none."""
+        return self._call(
+            "transact", lambda: self._inner.transact(checks, puts, removals)
+        )
+
+    def read(
+        self, table: str, part: str, start: str = "", stop: str = ""
+    ) -> ports.Page | errors.Failure:
+        """Return the rows from key `start` up to, not including, `stop`."""
+        return self._call("read", lambda: self._inner.read(table, part, start, stop))
+
+    def parts(self, table: str) -> list[str] | errors.Failure:
+        """Return the parts of a table that hold rows."""
+        return self._call("parts", lambda: self._inner.parts(table))
+
+    def follow(
+        self, table: str, after: int, wait_s: float
+    ) -> ports.Changes | ports.HistoryGone | errors.Failure:
+        """Return what changed in a table after a version, waiting for a change."""
+        return self._call(
+            f"follow {table}",
+            lambda: self._inner.follow(table, after, wait_s),
+            waits=True,
+        )
+
+
+class Workers(_Metered):
+    """Measure a client of workers; implements `ports.Workers`."""
+
+    target = "worker"
+
+    def start(
+        self, worker: ports.WorkerEntry, order: ports.Start
+    ) -> ports.Done | ports.OrderRefused | errors.Failure:
+        """Start a run; a repeat of the same run changes nothing."""
+        return self._call("start", lambda: self._inner.start(worker, order))
+
+    def stop(
+        self, worker: ports.WorkerEntry, task: str, run: int, epoch: int
+    ) -> ports.Done | ports.OrderRefused | errors.Failure:
+        """Stop a run, or forbid it if it has not started."""
+        return self._call("stop", lambda: self._inner.stop(worker, task, run, epoch))
+
+    def look(
+        self,
+        worker: ports.WorkerEntry,
+        epoch: int,
+        seen_end: int,
+        lease_until_ms: int | None,
+        wait_ms: int,
+    ) -> ports.Look | ports.OrderRefused | errors.Failure:
+        """Renew the lease, forget ends up to `seen_end` and return the others."""
+        return self._call(
+            "look",
+            lambda: self._inner.look(worker, epoch, seen_end, lease_until_ms, wait_ms),
+            waits=True,
+        )
+
+    def forget(self, worker_id: str) -> None:
+        """Close the connections to a worker that has left."""
+        self._inner.forget(worker_id)
+
+
+class Approvals(_Metered):
+    """Measure a client of the approval service; implements `ports.Approvals`."""
+
+    target = "approval"
+
+    def ask(
+        self, step: str, workers: list[str], timeout_s: float
+    ) -> dict[str, str] | errors.Failure:
+        """Return the tickets of the workers that may run the step."""
+        return self._call("ask", lambda: self._inner.ask(step, workers, timeout_s))
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -19,6 +19,7 @@
     approval_desk,
     feeds,
     intake,
+    metered,
     plans,
     ports,
     rows,
@@ -39,6 +40,7 @@
 KEEPALIVE_S = 3.0  # streams of peers close after 10 s of silence
 RELAY_LINKS = 2  # processes beside the coordinator that calls may be relayed to
 ANNOUNCE = "seat"
+UNKNOWN_AGE_S = 1e6  # shown for the age of a view that was never complete
 METHODS = ("status", "cancel", "pending")
 
 
@@ -63,12 +65,14 @@
         client: ports.Workers,
         approvals: ports.Approvals,
         directory: ports.Directory,
+        meters: metered.Meters,
     ) -> None:
         self._kernel = kernel
         self._options = options
-        self._store = store
-        self._client = client
+        self._store = store = metered.Store(store, meters)
+        self._client = metered.Workers(client, meters)
         self._directory = directory
+        self._meters = meters
         self._life = uuid.uuid4().hex[:12]
         self._clock = seat.StoreClock()
         self._seat: rows.Seat | None = None
@@ -80,7 +84,9 @@
             store, rows.MEMBERS, self._take_member, wait_s=MEMBERS_WAIT_S
         )
         self._intake = intake.Intake(store)
-        self._approvals = approval_desk.Desk(kernel, approvals, self._answered)
+        self._approvals = approval_desk.Desk(
+            kernel, metered.Approvals(approvals, meters), self._answered
+        )
         self._succession = succession.Succession(
             options.process, kernel.find("peers"), store, self._give_up, self._leave
         )
@@ -124,6 +130,19 @@
             if isinstance(answer, errors.Failure):
                 log.warning("the row of this process stays: {}", answer)
 
+    def measure(self) -> dict[str, float]:
+        """Return what this process believes, as numbers by name."""
+        held = self._tenure
+        known = {
+            "epoch": self._seat.epoch if self._seat is not None else 0,
+            "coordinates": float(held is not None and held.ready.is_set()),
+            "view_age_seconds": min(
+                UNKNOWN_AGE_S, self._directory.age(time.monotonic())
+            ),
+            "peers_connected": len(self._kernel.find("peers").connected()),
+        }
+        return {**known, **(held.measure() if held is not None else {})}
+
     # Calls
 
     def submit(self, spec: work.Job, timeout_s: float) -> None | errors.Failure:
@@ -369,6 +388,7 @@
             self._approvals.ask,
             self._options.max_lease_ms,
             self._succession.writes_fail,
+            self._meters.count_round,
         )
         self._set_targets()
         self._announce()
--- a/toucanspring/coordinator/tenure.py
+++ b/toucanspring/coordinator/tenure.py
@@ -66,6 +66,7 @@
         ask: Callable[[plans.Question], None],
         max_lease_ms: int,
         on_failing: Callable[[float], None] = lambda _for_s: None,
+        on_round: Callable[[int, float], None] = lambda _starts, _took_s: None,
     ) -> None:
         self.book = book.Book()
         self.epoch = taken.seat.epoch
@@ -77,6 +78,7 @@
         self._claimed_at = time.monotonic()
         self._ledger = ledger.Ledger(store, taken, store_clock)
         self._ledger.on_failing = on_failing
+        self._on_round = on_round
         self._planner = planner.Planner(self.book)
         self._desk = orders.Desk(self, client, max_lease_ms)
         self._max_lease_s = max_lease_ms / 1000
@@ -155,6 +157,23 @@
         self._ledger.lost = True
         self.wake()
 
+    def measure(self) -> dict[str, float]:
+        """Return how much work is known, as numbers by name."""
+        now = time.monotonic()
+        usable = [
+            worker
+            for worker in self.book.workers.values()
+            if worker.is_usable(now, self.book.zones_out)
+        ]
+        return {
+            "jobs": len(self.book.jobs),
+            "steps_waiting": len(self.book.ready),
+            "tasks_placed": sum(len(each.held) for each in self.book.workers.values()),
+            "workers": len(self.book.workers),
+            "workers_usable": len(usable),
+            "lease_overdue_seconds": self._ledger.overdue_s(now),
+        }
+
     # For callers
 
     def status(self, job_id: str) -> state.JobState | errors.Failure:
@@ -315,6 +334,7 @@
         for stop in stops:
             self._desk.stop(stop)
         self._commit(plan.starts, now)
+        self._on_round(len(plan.starts), time.monotonic() - now)
 
     def _view_age(self, now: float) -> float:
         return self._directory.age(now)
