Name the module of each service of the daemon

The name of a service in the kernel and the place of its module are two things, so that modules can move into folders. No behaviour changes; tests of the daemon pass.

--- a/bench/control.py
+++ b/bench/control.py
@@ -20,7 +20,7 @@
 BULK_LIMIT_S = 20.0
 IMPORTS = (
     "import importlib, sys; from toucanspring import daemon; "
-    "[importlib.import_module('toucanspring.' + name) for name in daemon.SERVICES]; "
+    "[importlib.import_module(n) for n in daemon.SERVICES.values()]; "
     "print(flush=True); sys.stdin.read()"
 )
 
--- a/test/test_daemon.py
+++ b/test/test_daemon.py
@@ -26,7 +26,7 @@
         )
         code = (
             "import importlib, sys; from toucanspring import daemon; "
-            "[importlib.import_module('toucanspring.' + n) for n in daemon.SERVICES]; "
+            "[importlib.import_module(n) for n in daemon.SERVICES.values()]; "
             f"print(*[name for name in {names!r} if name in sys.modules])"
         )
         found = subprocess.check_output([sys.executable, "-c", code], text=True)
--- a/toucanspring/daemon.py
+++ b/toucanspring/daemon.py
@@ -20,25 +20,26 @@
 
 logger = logbook.Logger(__name__)
 
-# In the order of start; a service that is not installed is left out.
-SERVICES = (
-    "metrics",
-    "store",
-    "peers",
-    "events",
-    "membership",
-    "layout",
-    "documents",
-    "claims",
-    "fleet",
-    "partitions",
-    "handover",
-    "mover",
-    "autostart",
-    "requests",
-    "budgets",
-    "gateway",
-)
+# Names in the kernel and modules, in the order of start; a service that is not
+# installed is left out.
+SERVICES = {
+    "metrics": "toucanspring.metrics",
+    "store": "toucanspring.store",
+    "peers": "toucanspring.peers",
+    "events": "toucanspring.events",
+    "membership": "toucanspring.membership",
+    "layout": "toucanspring.layout",
+    "documents": "toucanspring.documents",
+    "claims": "toucanspring.claims",
+    "fleet": "toucanspring.fleet",
+    "partitions": "toucanspring.partitions",
+    "handover": "toucanspring.handover",
+    "mover": "toucanspring.mover",
+    "autostart": "toucanspring.autostart",
+    "requests": "toucanspring.requests",
+    "budgets": "toucanspring.budgets",
+    "gateway": "toucanspring.gateway",
+}
 EXIT_SETTINGS = 2
 EXIT_REPLACED = 3
 IN_FLIGHT_POLL_S = 0.05
@@ -47,8 +48,8 @@
 def build_service(
     name: str, core: kernel.Kernel, chosen: settings.Settings
 ) -> kernel.Service | errors.Failure:
-    """Construct the service of the module with the given name."""
-    module = importlib.import_module(f"toucanspring.{name}")
+    """Construct the service with the given name."""
+    module = importlib.import_module(SERVICES[name])
     if name == "store":
         return module.connect(chosen.tables, chosen.objects, chosen.vms, chosen.process)
     return module.Service(core, chosen)
@@ -57,8 +58,8 @@
 def build(chosen: settings.Settings) -> kernel.Kernel | errors.Failure:
     """Register all installed services in a kernel."""
     core = kernel.Kernel()
-    for name in SERVICES:
-        if importlib.util.find_spec(f"toucanspring.{name}") is None:
+    for name, module in SERVICES.items():
+        if importlib.util.find_spec(module) is None:
             logger.warning("service {} is not installed", name)
             continue
         service = build_service(name, core, chosen)
