--- a/bench/outage.py
+++ b/bench/outage.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from bench import wait, work
-from toucanspring import effects, job
+from toucanspring import job
+from toucanspring.scheduling import effects
 
 DEADLINE_LOAD = 0.4  # of the capacity of all zones; two thirds of it remain
 SPAN_S = 1800.0  # in which jobs arrive
--- a/bench/packing.py
+++ b/bench/packing.py
@@ -10,7 +10,8 @@
 import random
 
 from bench import work
-from toucanspring import job, placement, resources, waiting
+from toucanspring import job, resources
+from toucanspring.scheduling import placement, waiting
 
 WORKERS = 24
 TASKS = 6000
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -15,7 +15,7 @@
 import time
 
 from bench import work
-from toucanspring import placement
+from toucanspring.scheduling import placement
 
 SMALL = 24
 LARGE = 26_000
--- a/bench/scheduler.py
+++ b/bench/scheduler.py
@@ -6,7 +6,8 @@
 
 import defopt
 
-from toucanspring import effects, fairness, job, resources, scheduler, wire
+from toucanspring import job, resources, wire
+from toucanspring.scheduling import effects, fairness, scheduler
 
 CAPACITY = resources.Resources(32_000, 65_536, 0)
 DEMAND = resources.Resources(1_000, 1_024, 0)
--- a/bench/share.py
+++ b/bench/share.py
@@ -13,7 +13,8 @@
 import random
 
 from bench import work
-from toucanspring import fairness, placement, resources
+from toucanspring import resources
+from toucanspring.scheduling import fairness, placement
 
 WORKERS = 24
 END_S = 60.0
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -15,7 +15,8 @@
 import defopt
 
 from bench import cell
-from toucanspring import fairness, job, log_records, resources, scheduler
+from toucanspring import job, log_records, resources
+from toucanspring.scheduling import fairness, scheduler
 
 WINDOW_S = 8.0  # a multiple of the 4 s between reports of workers with tasks
 IDLE_WORKERS_WINDOW_S = 28.0  # a multiple of the 7 s between reports without tasks
--- a/bench/spread.py
+++ b/bench/spread.py
@@ -8,7 +8,8 @@
 import random
 
 from bench import outage, wait, work
-from toucanspring import effects, fairness, job, resources, scheduler
+from toucanspring import job, resources
+from toucanspring.scheduling import effects, fairness, scheduler
 
 RATES_S = (0.0, 2.0, 10.0, 30.0)  # seconds for each move; 0 moves nothing
 SERVICES = 4
--- a/bench/wait.py
+++ b/bench/wait.py
@@ -16,7 +16,8 @@
 import random
 
 from bench import overload, work
-from toucanspring import effects, fairness, job, resources, scheduler, wire
+from toucanspring import job, resources, wire
+from toucanspring.scheduling import effects, fairness, scheduler
 
 LOAD = 1.5
 DEADLINE_LOAD = 0.6  # of the capacity, part of the load
--- a/spec/serving.py
+++ b/spec/serving.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from spec import world
-from toucanspring import attempt, recovery
+from toucanspring import recovery
+from toucanspring.scheduling import attempt
 
 
 class Serving:
--- a/test/cell.py
+++ b/test/cell.py
@@ -2,7 +2,8 @@
 
 import random
 
-from toucanspring import allowance, effects, fairness, job, resources, scheduler, wire
+from toucanspring import job, resources, wire
+from toucanspring.scheduling import allowance, effects, fairness, scheduler
 
 CAPACITY = resources.Resources(32_000, 65_536, 0)
 ONE = resources.Resources(1_000, 1_024, 0)
--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -11,7 +11,6 @@
 from toucanspring import (
     budgets,
     claims,
-    effects,
     errors,
     events,
     freshness,
@@ -27,6 +26,7 @@
     requests,
     survey,
 )
+from toucanspring.scheduling import effects
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KERNHALDE = (ROOT / "examples" / "kernhalde.yaml").read_text()
--- a/test/partitioned.py
+++ b/test/partitioned.py
@@ -10,10 +10,10 @@
     kernel,
     layout,
     mover,
-    need,
     ownership_rows,
     roster,
 )
+from toucanspring.scheduling import need
 
 STEP_S = 0.5
 
--- a/test/test_allowance.py
+++ b/test/test_allowance.py
@@ -2,7 +2,8 @@
 import testtools
 from hypothesis import strategies
 
-from toucanspring import allowance, effects, resources
+from toucanspring import resources
+from toucanspring.scheduling import allowance, effects
 
 AMOUNT = strategies.builds(resources.Resources, *[strategies.integers(0, 1000)] * 3)
 
--- a/test/test_allowance_contention.py
+++ b/test/test_allowance_contention.py
@@ -4,7 +4,8 @@
 
 import testtools
 
-from toucanspring import allowance, effects, resources
+from toucanspring import resources
+from toucanspring.scheduling import allowance, effects
 
 CEILING = resources.Resources(128_000, 256 * 1024)
 TASK = resources.Resources(2000, 3072)
--- a/test/test_allowances.py
+++ b/test/test_allowances.py
@@ -5,7 +5,8 @@
 import testtools
 
 from test import fake_tables
-from toucanspring import allowance, allowances, fairness, resources
+from toucanspring import allowances, resources
+from toucanspring.scheduling import allowance, fairness
 
 KEY = allowances.ROW_PREFIX + "team"
 TEN = resources.Resources(10_000, 10_240)
--- a/test/test_avoidance.py
+++ b/test/test_avoidance.py
@@ -1,7 +1,8 @@
 import testtools
 
 from test import cell
-from toucanspring import avoidance, failure_places, job, resources
+from toucanspring import job, resources
+from toucanspring.scheduling import avoidance, failure_places
 
 HALF = resources.Resources(16_000, 32_768, 0)
 STEP_S = 0.1
--- a/test/test_cli.py
+++ b/test/test_cli.py
@@ -12,7 +12,6 @@
     cli,
     client,
     console,
-    effects,
     errors,
     event_kinds,
     handover,
@@ -21,6 +20,7 @@
 )
 from toucanspring.adapters import exchange, vms
 from toucanspring.commands import partitions
+from toucanspring.scheduling import effects
 
 UNUSED = "127.0.0.1:1"
 
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -4,7 +4,8 @@
 import testtools
 
 from test import cell
-from toucanspring import effects, fairness, job, resources, scheduler, wire
+from toucanspring import job, resources, wire
+from toucanspring.scheduling import effects, fairness, scheduler
 
 CAPACITY = resources.Resources(32_000, 65_536)
 
--- a/test/test_estimate.py
+++ b/test/test_estimate.py
@@ -2,7 +2,8 @@
 
 import testtools
 
-from toucanspring import estimate, job, resources
+from toucanspring import job, resources
+from toucanspring.scheduling import estimate
 
 DECLARED = resources.Resources(1000, 1000, 2)
 
--- a/test/test_fairness.py
+++ b/test/test_fairness.py
@@ -2,7 +2,8 @@
 
 import testtools
 
-from toucanspring import fairness, resources
+from toucanspring import resources
+from toucanspring.scheduling import fairness
 
 TOTAL = resources.Resources(100_000, 100_000, 0)
 TASK = resources.Resources(1000, 1000, 0)
--- a/test/test_interruption.py
+++ b/test/test_interruption.py
@@ -3,7 +3,8 @@
 import testtools
 
 from test import cell
-from toucanspring import effects, event_kinds, fairness, job, overuse, resources
+from toucanspring import event_kinds, job, resources
+from toucanspring.scheduling import effects, fairness, overuse
 
 Cause = event_kinds.StopCause
 
--- a/test/test_mover.py
+++ b/test/test_mover.py
@@ -3,7 +3,8 @@
 import testtools
 
 from test import cell, partitioned
-from toucanspring import moves, roster
+from toucanspring import roster
+from toucanspring.scheduling import moves
 
 WHOLE = cell.CAPACITY
 ROW = roster.WORKERS_ROW
--- a/test/test_moves.py
+++ b/test/test_moves.py
@@ -1,7 +1,8 @@
 import testtools
 
 from test import cell, partitioned
-from toucanspring import job, moves, need, roster
+from toucanspring import job, roster
+from toucanspring.scheduling import moves, need
 
 WHOLE = cell.CAPACITY
 ROW = roster.WORKERS_ROW
--- a/test/test_overuse.py
+++ b/test/test_overuse.py
@@ -1,7 +1,8 @@
 import testtools
 
 from test import cell
-from toucanspring import effects, estimate, job, overuse, resources
+from toucanspring import job, resources
+from toucanspring.scheduling import effects, estimate, overuse
 
 EIGHT = resources.Resources(8_000, 8_192, 0)
 
--- a/test/test_pace.py
+++ b/test/test_pace.py
@@ -1,6 +1,6 @@
 import testtools
 
-from toucanspring import pace
+from toucanspring.scheduling import pace
 
 
 class RoundsTest(testtools.TestCase):
--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -3,7 +3,6 @@
 
 from test import partition_case
 from toucanspring import (
-    effects,
     errors,
     event_kinds,
     inbox,
@@ -12,6 +11,7 @@
     request_log,
     worker_link,
 )
+from toucanspring.scheduling import effects
 
 
 class PartitionTest(partition_case.PartitionCase):
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -2,7 +2,8 @@
 
 import testtools
 
-from toucanspring import placement, resources
+from toucanspring import resources
+from toucanspring.scheduling import placement
 
 SMALL = resources.Resources(1000, 2048, 0)
 PLAIN = resources.Resources(32_000, 65_536, 0)
--- a/test/test_plugins.py
+++ b/test/test_plugins.py
@@ -1,7 +1,8 @@
 import logbook
 import testtools
 
-from toucanspring import effects, errors, job, kernel, plugins
+from toucanspring import errors, job, kernel, plugins
+from toucanspring.scheduling import effects
 
 
 class PluginsTest(testtools.TestCase):
--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -1,6 +1,6 @@
 import testtools
 
-from toucanspring import quarantine
+from toucanspring.scheduling import quarantine
 
 YES, PROBE, NO = quarantine.Verdict
 
--- a/test/test_racks.py
+++ b/test/test_racks.py
@@ -2,7 +2,8 @@
 
 import testtools
 
-from toucanspring import placement, racks, resources
+from toucanspring import resources
+from toucanspring.scheduling import placement, racks
 
 CAPACITIES = (
     resources.Resources(32_000, 65_536, 0),
--- a/test/test_resizing.py
+++ b/test/test_resizing.py
@@ -1,6 +1,6 @@
 import testtools
 
-from toucanspring import resizing
+from toucanspring.scheduling import resizing
 
 
 def candidates(empty=(), busy=()):
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -5,7 +5,8 @@
 import testtools
 
 from test import cell
-from toucanspring import effects, errors, fairness, job, quarantine, resources
+from toucanspring import errors, job, resources
+from toucanspring.scheduling import effects, fairness, quarantine
 
 State = job.State
 
--- a/test/test_spec_moves.py
+++ b/test/test_spec_moves.py
@@ -16,13 +16,13 @@
     fleet,
     kernel,
     mover,
-    moves,
     ownership_rows,
     resources,
     roster,
     worker_link,
 )
 from toucanspring.adapters import vms
+from toucanspring.scheduling import moves
 
 ROW = roster.WORKERS_ROW
 VM = vms.Vm(
--- a/test/test_spreading.py
+++ b/test/test_spreading.py
@@ -3,7 +3,8 @@
 import testtools
 
 from test import cell
-from toucanspring import job, spreading
+from toucanspring import job
+from toucanspring.scheduling import spreading
 
 SERVICE = job.Kind.SERVICE
 
--- a/test/test_waiting.py
+++ b/test/test_waiting.py
@@ -2,7 +2,8 @@
 
 import testtools
 
-from toucanspring import job, waiting
+from toucanspring import job
+from toucanspring.scheduling import waiting
 
 
 def make_spec(name, job_class="normal", team="t", deadline=None, run=10.0):
--- a/toucanspring/acceptance.py
+++ b/toucanspring/acceptance.py
@@ -8,16 +8,8 @@
 import gevent
 import gevent.event
 
-from toucanspring import (
-    effects,
-    errors,
-    execution,
-    inbox,
-    job,
-    journal,
-    log_records,
-    scheduler,
-)
+from toucanspring import errors, execution, inbox, job, journal, log_records
+from toucanspring.scheduling import effects, scheduler
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/toucanspring/allowances.py
+++ b/toucanspring/allowances.py
@@ -12,8 +12,9 @@
 import logbook
 import msgspec
 
-from toucanspring import allowance, errors, fairness, kernel, resources
+from toucanspring import errors, kernel, resources
 from toucanspring.adapters import tables
+from toucanspring.scheduling import allowance, fairness
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/execution.py
+++ b/toucanspring/execution.py
@@ -11,16 +11,15 @@
 
 from toucanspring import (
     allowances,
-    effects,
     errors,
     inbox,
     job,
     journal,
     kernel,
     log_records,
-    scheduler,
     wire,
 )
+from toucanspring.scheduling import effects, scheduler
 
 WATCH_INTERVAL_S = 0.5
 # A job may be submitted a little later than the jobs that wait for it.
--- a/toucanspring/fleet.py
+++ b/toucanspring/fleet.py
@@ -12,7 +12,6 @@
 from toucanspring import (
     errors,
     kernel,
-    need,
     ownership_rows,
     resources,
     roster,
@@ -20,6 +19,7 @@
     worker_link,
 )
 from toucanspring.adapters import tables, vms
+from toucanspring.scheduling import need
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/heartbeat.py
+++ b/toucanspring/heartbeat.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from toucanspring import errors, freshness, need, ownership, resources
+from toucanspring import errors, freshness, ownership, resources
+from toucanspring.scheduling import need
 
 REACHABLE_S = 2.0
 MICROSECONDS = 1_000_000
--- a/toucanspring/inbox.py
+++ b/toucanspring/inbox.py
@@ -7,7 +7,8 @@
 
 import gevent.event
 
-from toucanspring import effects, errors, job, resources, scheduler
+from toucanspring import errors, job, resources
+from toucanspring.scheduling import effects, scheduler
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/toucanspring/log_records.py
+++ b/toucanspring/log_records.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from toucanspring import effects, job
+from toucanspring import job
+from toucanspring.scheduling import effects
 
 # Finished jobs and requests are kept for look-ups up to this number per partition.
 MAX_FINISHED_KEPT = 20_000
--- a/toucanspring/membership.py
+++ b/toucanspring/membership.py
@@ -14,7 +14,6 @@
     departure,
     errors,
     heartbeat,
-    need,
     ownership,
     renewal,
     resources,
@@ -22,6 +21,7 @@
     transitions,
 )
 from toucanspring.adapters import tables
+from toucanspring.scheduling import need
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/mover.py
+++ b/toucanspring/mover.py
@@ -15,14 +15,13 @@
     event_kinds,
     inbox,
     kernel,
-    moves,
-    need,
     ownership_rows,
     partition,
     roster,
     settings,
 )
 from toucanspring.adapters import tables
+from toucanspring.scheduling import moves, need
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/owner_calls.py
+++ b/toucanspring/owner_calls.py
@@ -11,7 +11,6 @@
 
 from toucanspring import (
     clearance,
-    effects,
     errors,
     inbox,
     job,
@@ -22,6 +21,7 @@
     routes,
     survey,
 )
+from toucanspring.scheduling import effects
 
 READY_LIMIT_S = 3.0
 
--- a/toucanspring/partition.py
+++ b/toucanspring/partition.py
@@ -14,23 +14,20 @@
 from toucanspring import (
     acceptance,
     allowances,
-    effects,
     errors,
     execution,
-    fairness,
     inbox,
     journal,
     kernel,
     log_records,
-    pace,
     request_log,
-    scheduler,
     seal,
     settings,
     wire,
     worker_link,
     worker_watch,
 )
+from toucanspring.scheduling import effects, fairness, pace, scheduler
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/partitions.py
+++ b/toucanspring/partitions.py
@@ -15,7 +15,6 @@
     claims,
     clearance,
     documents,
-    effects,
     errors,
     inbox,
     job,
@@ -31,6 +30,7 @@
     settings,
     survey,
 )
+from toucanspring.scheduling import effects
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/plugins/joblog.py
+++ b/toucanspring/plugins/joblog.py
@@ -4,7 +4,8 @@
 
 import logbook
 
-from toucanspring import effects, kernel
+from toucanspring import kernel
+from toucanspring.scheduling import effects
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/recovery.py
+++ b/toucanspring/recovery.py
@@ -4,17 +4,14 @@
 
 from collections.abc import Iterable, Mapping
 
-from toucanspring import (
+from toucanspring import job, log_records, resources, wire
+from toucanspring.scheduling import (
     attempt,
     effects,
     gang,
     intake,
-    job,
     lifecycle,
-    log_records,
-    resources,
     task_table,
-    wire,
     worker_state,
 )
 
--- a/toucanspring/report.py
+++ b/toucanspring/report.py
@@ -13,16 +13,8 @@
 import msgspec
 from gevent import event
 
-from toucanspring import (
-    budgets,
-    burn,
-    errors,
-    inbox,
-    kernel,
-    resources,
-    summary,
-    text,
-)
+from toucanspring import budgets, burn, errors, inbox, kernel, resources, text
+from toucanspring.scheduling import summary
 
 NAMES = ("share", "waiting", "burn")
 # A partition that loads its log answers late; the report does without it.
--- /dev/null
+++ b/toucanspring/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of one partition's scheduler and what they look at; no I/O."""
--- a/toucanspring/allowance.py
+++ b/toucanspring/scheduling/allowance.py
@@ -11,7 +11,8 @@
 
 import msgspec
 
-from toucanspring import accounts, effects, resources
+from toucanspring import resources
+from toucanspring.scheduling import accounts, effects
 
 RETURN_AFTER_S = 5.0  # unused for so long before it is given back
 CONTENDED_RETURN_AFTER_S = 0.5  # the same while other partitions want more
--- a/toucanspring/attempt.py
+++ b/toucanspring/scheduling/attempt.py
@@ -4,15 +4,13 @@
 
 from collections.abc import Iterable, Iterator
 
-from toucanspring import (
+from toucanspring import event_kinds, job, wire
+from toucanspring.scheduling import (
     avoidance,
     effects,
-    event_kinds,
-    job,
     lifecycle,
     quarantine,
     task_table,
-    wire,
 )
 
 SERVICE_STABLE_S = 60.0  # a service that ran so long starts with a fresh delay
--- a/toucanspring/avoidance.py
+++ b/toucanspring/scheduling/avoidance.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from toucanspring import event_kinds, failure_places, lifecycle, resources, task_table
+from toucanspring import event_kinds, resources
+from toucanspring.scheduling import failure_places, lifecycle, task_table
 
 
 def record_end(
--- a/toucanspring/collector.py
+++ b/toucanspring/scheduling/collector.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from toucanspring import effects, event_kinds, job, wire
+from toucanspring import event_kinds, job, wire
+from toucanspring.scheduling import effects
 
 
 class Collector:
--- a/toucanspring/dispatch.py
+++ b/toucanspring/scheduling/dispatch.py
@@ -6,10 +6,10 @@
 import itertools
 from collections.abc import Iterator
 
-from toucanspring import (
+from toucanspring import job
+from toucanspring.scheduling import (
     avoidance,
     gang,
-    job,
     lifecycle,
     placement,
     preemption,
--- a/toucanspring/draining.py
+++ b/toucanspring/scheduling/draining.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from toucanspring import job, lifecycle, reservation, resources, task_table
+from toucanspring import job, resources
+from toucanspring.scheduling import lifecycle, reservation, task_table
 
 OVERDUE_S = 1.0  # a task beyond its expected end is expected to end so soon
 # What a checkpoint costs a task beside its progress: storing it, and waiting and
--- a/toucanspring/failure_places.py
+++ b/toucanspring/scheduling/failure_places.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from toucanspring import quarantine
+from toucanspring.scheduling import quarantine
 
 FIRST_AVOID_S = 10.0
 AVOID_GROWTH = 2.0
--- a/toucanspring/gang.py
+++ b/toucanspring/scheduling/gang.py
@@ -5,15 +5,13 @@
 import dataclasses
 import math
 
-from toucanspring import (
+from toucanspring import event_kinds, job, resources
+from toucanspring.scheduling import (
     draining,
-    event_kinds,
     interruption,
-    job,
     lifecycle,
     placement,
     reservation,
-    resources,
     task_table,
 )
 
--- a/toucanspring/intake.py
+++ b/toucanspring/scheduling/intake.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from toucanspring import effects, job, lifecycle, task_table
+from toucanspring import job
+from toucanspring.scheduling import effects, lifecycle, task_table
 
 # Without a new worker for so long, all workers of the partition are known.
 FLEET_SETTLED_S = 5.0
--- a/toucanspring/interruption.py
+++ b/toucanspring/scheduling/interruption.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from toucanspring import event_kinds, lifecycle, task_table
+from toucanspring import event_kinds
+from toucanspring.scheduling import lifecycle, task_table
 
 
 def interrupt(
--- a/toucanspring/lifecycle.py
+++ b/toucanspring/scheduling/lifecycle.py
@@ -8,23 +8,20 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-from toucanspring import (
+from toucanspring import event_kinds, job, resources, wire
+from toucanspring.scheduling import (
     allowance,
     collector,
     decisions,
     effects,
     estimate,
-    event_kinds,
     fairness,
-    job,
     need,
     placement,
     quarantine,
     reservation,
-    resources,
     task_table,
     waiting,
-    wire,
     worker_state,
 )
 
--- a/toucanspring/moves.py
+++ b/toucanspring/scheduling/moves.py
@@ -6,11 +6,10 @@
 import math
 from collections.abc import Iterator, Mapping
 
-from toucanspring import (
+from toucanspring import event_kinds, job
+from toucanspring.scheduling import (
     dispatch,
-    event_kinds,
     interruption,
-    job,
     lifecycle,
     need,
     resizing,
--- a/toucanspring/overuse.py
+++ b/toucanspring/scheduling/overuse.py
@@ -9,13 +9,12 @@
 
 from collections.abc import Iterable, Mapping
 
-from toucanspring import (
+from toucanspring import event_kinds, resources
+from toucanspring.scheduling import (
     effects,
-    event_kinds,
     interruption,
     lifecycle,
     preemption,
-    resources,
     task_table,
 )
 
--- a/toucanspring/placement.py
+++ b/toucanspring/scheduling/placement.py
@@ -7,7 +7,8 @@
 import random
 from collections.abc import Mapping
 
-from toucanspring import inventory, racks, refusal, resources
+from toucanspring import resources
+from toucanspring.scheduling import inventory, racks, refusal
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/toucanspring/preemption.py
+++ b/toucanspring/scheduling/preemption.py
@@ -7,15 +7,13 @@
 import math
 from collections.abc import Callable, Iterable
 
-from toucanspring import (
+from toucanspring import event_kinds, job, resources
+from toucanspring.scheduling import (
     avoidance,
     draining,
-    event_kinds,
     interruption,
-    job,
     lifecycle,
     reservation,
-    resources,
     task_table,
 )
 
--- a/toucanspring/racks.py
+++ b/toucanspring/scheduling/racks.py
@@ -8,7 +8,8 @@
 import math
 from collections.abc import Iterable, Iterator, Mapping
 
-from toucanspring import inventory, resources
+from toucanspring import resources
+from toucanspring.scheduling import inventory
 
 NOBODY: frozenset[str] = frozenset()
 # MiB that are paired with a millicore for a lower bound on the room of a rack. Any
--- a/toucanspring/refusal.py
+++ b/toucanspring/scheduling/refusal.py
@@ -5,7 +5,8 @@
 import collections
 import random
 
-from toucanspring import inventory, resources
+from toucanspring import resources
+from toucanspring.scheduling import inventory
 
 # A refusal counts its reasons exactly in an index of up to EXACT_LIMIT workers, else
 # in a sample, so that it costs no more than a choice.
--- a/toucanspring/room.py
+++ b/toucanspring/scheduling/room.py
@@ -4,15 +4,8 @@
 
 from collections.abc import Iterator, Mapping
 
-from toucanspring import (
-    gang,
-    job,
-    lifecycle,
-    need,
-    resources,
-    task_table,
-    worker_state,
-)
+from toucanspring import job, resources
+from toucanspring.scheduling import gang, lifecycle, need, task_table, worker_state
 
 
 class Room:
--- a/toucanspring/scheduler.py
+++ b/toucanspring/scheduling/scheduler.py
@@ -7,25 +7,27 @@
 from collections.abc import Iterable, Mapping
 
 from toucanspring import (
+    errors,
+    event_kinds,
+    job,
+    log_records,
+    recovery,
+    resources,
+    wire,
+)
+from toucanspring.scheduling import (
     attempt,
     dispatch,
     effects,
-    errors,
-    event_kinds,
     fairness,
     gang,
     intake,
-    job,
     lifecycle,
-    log_records,
     moves,
     overuse,
     preemption,
-    recovery,
-    resources,
     spreading,
     summary,
-    wire,
 )
 
 TIMED_CHECKS_S = 0.1  # period of checks for ended pauses, probes and allowances
--- a/toucanspring/spreading.py
+++ b/toucanspring/scheduling/spreading.py
@@ -5,12 +5,11 @@
 import collections
 import dataclasses
 
-from toucanspring import (
+from toucanspring import event_kinds, job
+from toucanspring.scheduling import (
     avoidance,
-    event_kinds,
     gang,
     interruption,
-    job,
     lifecycle,
     placement,
     reservation,
--- a/toucanspring/summary.py
+++ b/toucanspring/scheduling/summary.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from toucanspring import lifecycle, resources
+from toucanspring import resources
+from toucanspring.scheduling import lifecycle
 
 
 class Waiting(msgspec.Struct, array_like=True):
--- a/toucanspring/task_table.py
+++ b/toucanspring/scheduling/task_table.py
@@ -5,7 +5,8 @@
 import collections
 from collections.abc import Iterator
 
-from toucanspring import effects, errors, failure_places, job, resources
+from toucanspring import errors, job, resources
+from toucanspring.scheduling import effects, failure_places
 
 # Bounds the memory of an owner; older jobs are answered from the log or not at all.
 FINISHED_JOBS_KEPT = 50_000
--- a/toucanspring/worker_state.py
+++ b/toucanspring/scheduling/worker_state.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from toucanspring import effects, wire
+from toucanspring import wire
+from toucanspring.scheduling import effects
 
 
 class WorkerState:
--- a/toucanspring/worker_watch.py
+++ b/toucanspring/worker_watch.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from toucanspring import effects, event_kinds, kernel, worker_link
+from toucanspring import event_kinds, kernel, worker_link
+from toucanspring.scheduling import effects
 
 
 class Watch:
