--- a/bench/roster.py
+++ b/bench/roster.py
@@ -18,8 +18,9 @@
 from gevent import event
 
 from test import cell, fake_tables, partitioned
-from toucanspring import errors, mover, roster
+from toucanspring import errors
 from toucanspring.adapters import tables
+from toucanspring.owners import mover, roster
 
 NEEDY = (2, 8, 32, 128)  # partitions; as many others have idle workers
 SPARE_WORKERS = 2  # of each donor, beside the one that it keeps
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -15,7 +15,8 @@
 import defopt
 
 from bench import cell
-from toucanspring import job, log_records, resources
+from toucanspring import job, resources
+from toucanspring.owners import log_records
 from toucanspring.scheduling import fairness, scheduler
 
 WINDOW_S = 8.0  # a multiple of the 4 s between reports of workers with tasks
--- a/spec/moves_hosting.py
+++ b/spec/moves_hosting.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from spec import moves_world
-from toucanspring import job, recovery
+from toucanspring import job
+from toucanspring.owners import recovery
 from toucanspring.scheduling import attempt
 
 
--- a/spec/moves_model.py
+++ b/spec/moves_model.py
@@ -11,37 +11,37 @@
 import minicheck
 
 from spec import moves_hosting, moves_world
-from toucanspring import recovery, roster
+from toucanspring.owners import recovery, roster
 
 # Action -> the function of the product that implements it.
 ACTIONS = {
-    "time passes": "toucanspring.worker_link.Link",
+    "time passes": "toucanspring.owners.worker_link.Link",
     "ownership ends": "toucanspring.ownership.judge",
     "owner dies": "toucanspring.claims.Service",
     "claim": "toucanspring.ownership.may_claim",
-    "load": "toucanspring.partition.Partition",
-    "read row": "toucanspring.fleet.Service.reread",
-    "attach": "toucanspring.recovery.attach",
-    "stream breaks": "toucanspring.worker_link.Link",
-    "renew": "toucanspring.worker_link.Link",
-    "lose": "toucanspring.recovery.lose",
+    "load": "toucanspring.owners.partition.Partition",
+    "read row": "toucanspring.owners.fleet.Service.reread",
+    "attach": "toucanspring.owners.recovery.attach",
+    "stream breaks": "toucanspring.owners.worker_link.Link",
+    "renew": "toucanspring.owners.worker_link.Link",
+    "lose": "toucanspring.owners.recovery.lose",
     "start on worker": "toucanspring.scheduling.lifecycle.Lifecycle.start",
     "start at home": "toucanspring.scheduling.lifecycle.Lifecycle.start",
     "end at home": "toucanspring.scheduling.attempt.report",
     "report": "toucanspring.scheduling.attempt.report",
     "plan move": "toucanspring.scheduling.moves.Moves.plan",
-    "plan drop": "toucanspring.fleet.Service",
-    "send transaction": "toucanspring.mover.Service.step",
-    "transaction": "toucanspring.roster.Roster.take",
-    "repeated transaction": "toucanspring.mover.Service",
-    "answer lost": "toucanspring.mover.Doubt",
-    "resolve": "toucanspring.roster.after_doubt",
-    "other write": "toucanspring.fleet.assign",
-    "assign": "toucanspring.fleet.assign",
-    "drop by another": "toucanspring.fleet.Service",
+    "plan drop": "toucanspring.owners.fleet.Service",
+    "send transaction": "toucanspring.owners.mover.Service.step",
+    "transaction": "toucanspring.owners.roster.Roster.take",
+    "repeated transaction": "toucanspring.owners.mover.Service",
+    "answer lost": "toucanspring.owners.mover.Doubt",
+    "resolve": "toucanspring.owners.roster.after_doubt",
+    "other write": "toucanspring.owners.fleet.assign",
+    "assign": "toucanspring.owners.fleet.assign",
+    "drop by another": "toucanspring.owners.fleet.Service",
     "start arrives": "standins.worker.Worker.handle",
     "task ends": "standins.worker.Worker",
-    "orphan stops": "toucanspring.recovery.attach",
+    "orphan stops": "toucanspring.owners.recovery.attach",
 }
 # Steps that nothing forces: faults, and moves that need not be made.
 UNFORCED = (
--- a/spec/serving.py
+++ b/spec/serving.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from spec import world
-from toucanspring import recovery
+from toucanspring.owners import recovery
 from toucanspring.scheduling import attempt
 
 
--- a/spec/tenure.py
+++ b/spec/tenure.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from spec import world
-from toucanspring import ownership, recovery
+from toucanspring import ownership
+from toucanspring.owners import recovery
 
 
 class Tenure:
--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -18,14 +18,13 @@
     job,
     kernel,
     layout,
-    log_records,
     metrics,
     reader,
     records,
-    request_log,
     requests,
     survey,
 )
+from toucanspring.owners import log_records, request_log
 from toucanspring.scheduling import effects
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
--- a/test/partition_case.py
+++ b/test/partition_case.py
@@ -7,19 +7,8 @@
 import testtools
 
 from test import fake_tables
-from toucanspring import (
-    inbox,
-    job,
-    kernel,
-    layout,
-    log_records,
-    partition,
-    resources,
-    settings,
-    text,
-    wire,
-    worker_link,
-)
+from toucanspring import job, kernel, layout, resources, settings, text, wire
+from toucanspring.owners import inbox, log_records, partition, worker_link
 
 CAPACITY = resources.Resources(32_000, 65_536, 0)
 TEAM = text.Team("labels", "kernhalde", 1.0, resources.UNLIMITED)
--- a/test/partitioned.py
+++ b/test/partitioned.py
@@ -3,16 +3,8 @@
 import types
 
 from test import cell, fake_tables
-from toucanspring import (
-    errors,
-    inbox,
-    job,
-    kernel,
-    layout,
-    mover,
-    ownership_rows,
-    roster,
-)
+from toucanspring import errors, job, kernel, layout, ownership_rows
+from toucanspring.owners import inbox, mover, roster
 from toucanspring.scheduling import need
 
 STEP_S = 0.5
--- a/test/request_fakes.py
+++ b/test/request_fakes.py
@@ -9,8 +9,9 @@
 import testtools
 
 from test import edge_fakes
-from toucanspring import errors, job, requests, runner
+from toucanspring import errors, job, requests
 from toucanspring.adapters import backend_servers, exchange, vms
+from toucanspring.owners import runner
 
 REFUSED = errors.NotRun(reason="slots")
 FENCED = errors.NotRun(reason="epoch")
--- a/test/resized.py
+++ b/test/resized.py
@@ -9,17 +9,14 @@
 from toucanspring import (
     claims,
     errors,
-    handover,
     job,
     kernel,
     layout,
-    log_records,
     ownership_rows,
-    partitions,
     resources,
-    roster,
     text,
 )
+from toucanspring.owners import handover, log_records, partitions, roster
 
 TEAM = text.Team("labels", "kernhalde", 1.0, resources.UNLIMITED)
 
--- a/test/test_allowances.py
+++ b/test/test_allowances.py
@@ -5,7 +5,8 @@
 import testtools
 
 from test import fake_tables
-from toucanspring import allowances, resources
+from toucanspring import resources
+from toucanspring.owners import allowances
 from toucanspring.scheduling import allowance, fairness
 
 KEY = allowances.ROW_PREFIX + "team"
--- a/test/test_cli.py
+++ b/test/test_cli.py
@@ -8,18 +8,10 @@
 import testtools
 
 from test import certificates, edge_fakes
-from toucanspring import (
-    cli,
-    client,
-    console,
-    errors,
-    event_kinds,
-    handover,
-    job,
-    survey,
-)
+from toucanspring import cli, client, console, errors, event_kinds, job, survey
 from toucanspring.adapters import exchange, vms
 from toucanspring.commands import partitions
+from toucanspring.owners import handover
 from toucanspring.scheduling import effects
 
 UNUSED = "127.0.0.1:1"
--- a/test/test_fleet.py
+++ b/test/test_fleet.py
@@ -7,8 +7,9 @@
 from standins import events, ports, task_runs, worker_reports
 from standins import worker as standin
 from test import fake_tables
-from toucanspring import fleet, resources, wire, worker_link
+from toucanspring import resources, wire
 from toucanspring.adapters import vms, workers
+from toucanspring.owners import fleet, worker_link
 
 CAPACITY = resources.Resources(4000, 4000)
 
--- a/test/test_fleet_drops.py
+++ b/test/test_fleet_drops.py
@@ -3,16 +3,9 @@
 import testtools
 
 from test import fake_tables
-from toucanspring import (
-    fleet,
-    kernel,
-    layout,
-    ownership_rows,
-    resources,
-    roster,
-    worker_link,
-)
+from toucanspring import kernel, layout, ownership_rows, resources
 from toucanspring.adapters import vms
+from toucanspring.owners import fleet, roster, worker_link
 
 ROW = roster.WORKERS_ROW
 
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -2,14 +2,8 @@
 import types
 
 from test import request_fakes
-from toucanspring import (
-    answers,
-    errors,
-    link,
-    outcomes,
-    request_log,
-    requests,
-)
+from toucanspring import answers, errors, link, requests
+from toucanspring.owners import outcomes, request_log
 
 
 class ForwardingTest(request_fakes.RequestsCase):
--- a/test/test_handover.py
+++ b/test/test_handover.py
@@ -2,7 +2,8 @@
 import testtools
 
 from test import resized
-from toucanspring import clearance, errors, job, request_log, routes
+from toucanspring import errors, job
+from toucanspring.owners import clearance, request_log, routes
 
 DONE = job.Outcome(job.State.DONE, "", b"answer")
 
--- a/test/test_journal.py
+++ b/test/test_journal.py
@@ -2,8 +2,9 @@
 import testtools
 
 from test import fake_tables
-from toucanspring import errors, job, journal, log_records
+from toucanspring import errors, job
 from toucanspring.adapters import tables
+from toucanspring.owners import journal, log_records
 
 
 class FakeObjects:
--- a/test/test_mover.py
+++ b/test/test_mover.py
@@ -3,7 +3,7 @@
 import testtools
 
 from test import cell, partitioned
-from toucanspring import roster
+from toucanspring.owners import roster
 from toucanspring.scheduling import moves
 
 WHOLE = cell.CAPACITY
--- a/test/test_moves.py
+++ b/test/test_moves.py
@@ -1,7 +1,8 @@
 import testtools
 
 from test import cell, partitioned
-from toucanspring import job, roster
+from toucanspring import job
+from toucanspring.owners import roster
 from toucanspring.scheduling import moves, need
 
 WHOLE = cell.CAPACITY
--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -2,15 +2,8 @@
 import gevent.event
 
 from test import partition_case
-from toucanspring import (
-    errors,
-    event_kinds,
-    inbox,
-    job,
-    log_records,
-    request_log,
-    worker_link,
-)
+from toucanspring import errors, event_kinds, job
+from toucanspring.owners import inbox, log_records, request_log, worker_link
 from toucanspring.scheduling import effects
 
 
--- a/test/test_partition_faults.py
+++ b/test/test_partition_faults.py
@@ -1,13 +1,8 @@
 import gevent
 
 from test import partition_case
-from toucanspring import (
-    errors,
-    job,
-    request_log,
-    wire,
-    worker_link,
-)
+from toucanspring import errors, job, wire
+from toucanspring.owners import request_log, worker_link
 
 
 class OutageTest(partition_case.PartitionCase):
--- a/test/test_partitions.py
+++ b/test/test_partitions.py
@@ -3,7 +3,8 @@
 import testtools
 
 from test import edge_fakes
-from toucanspring import claims, errors, inbox, job, partitions, reply
+from toucanspring import claims, errors, job, reply
+from toucanspring.owners import inbox, partitions
 
 JOB = job.JobSpec(id="a", name="proofs", team="labels")
 
--- a/test/test_recovery.py
+++ b/test/test_recovery.py
@@ -1,7 +1,8 @@
 import testtools
 
 from test import cell
-from toucanspring import job, recovery, resources, wire
+from toucanspring import job, resources, wire
+from toucanspring.owners import recovery
 
 State = job.State
 
--- a/test/test_request_log.py
+++ b/test/test_request_log.py
@@ -2,7 +2,8 @@
 
 import testtools
 
-from toucanspring import errors, job, log_records, request_log
+from toucanspring import errors, job
+from toucanspring.owners import log_records, request_log
 
 
 class Result:
--- a/test/test_roster.py
+++ b/test/test_roster.py
@@ -1,7 +1,7 @@
 import testtools
 
-from toucanspring import roster
 from toucanspring.adapters import tables
+from toucanspring.owners import roster
 
 
 def row(version, **partitions):
--- a/test/test_survey.py
+++ b/test/test_survey.py
@@ -4,8 +4,9 @@
 import testtools
 
 from test import edge_fakes
-from toucanspring import errors, fleet, partitions, reply, resources, routes, survey
+from toucanspring import errors, reply, resources, survey
 from toucanspring.adapters import tables, vms
+from toucanspring.owners import fleet, partitions, routes
 
 
 def make_vm(name, role=vms.Role.WORKER):
--- a/test/test_worker_watch.py
+++ b/test/test_worker_watch.py
@@ -2,7 +2,8 @@
 
 import testtools
 
-from toucanspring import event_kinds, kernel, resources, worker_link, worker_watch
+from toucanspring import event_kinds, kernel, resources
+from toucanspring.owners import worker_link, worker_watch
 from toucanspring.scheduling import effects
 
 
--- a/toucanspring/inquiry.py
+++ b/toucanspring/inquiry.py
@@ -7,8 +7,9 @@
 
 import gevent
 
-from toucanspring import answers, errors, outcomes
+from toucanspring import answers, errors
 from toucanspring.adapters import backend_servers
+from toucanspring.owners import outcomes
 
 # Whole answers are held in memory until they are durable.
 MAX_ANSWER_BYTES = 16 << 20
--- a/toucanspring/acceptance.py
+++ b/toucanspring/owners/acceptance.py
@@ -8,7 +8,8 @@
 import gevent
 import gevent.event
 
-from toucanspring import errors, execution, inbox, job, journal, log_records
+from toucanspring import errors, job
+from toucanspring.owners import execution, inbox, journal, log_records
 from toucanspring.scheduling import effects, scheduler
 
 
--- a/toucanspring/clearance.py
+++ b/toucanspring/owners/clearance.py
@@ -8,16 +8,8 @@
 import gevent
 import msgspec
 
-from toucanspring import (
-    errors,
-    job,
-    kernel,
-    layout,
-    log_records,
-    partition,
-    reply,
-    routes,
-)
+from toucanspring import errors, job, kernel, layout, reply
+from toucanspring.owners import log_records, partition, routes
 
 # Within the time that the caller of a submission waits for this owner's answer.
 ASK_LIMIT_S = 2.5
--- a/toucanspring/execution.py
+++ b/toucanspring/owners/execution.py
@@ -9,16 +9,8 @@
 import gevent
 import gevent.event
 
-from toucanspring import (
-    allowances,
-    errors,
-    inbox,
-    job,
-    journal,
-    kernel,
-    log_records,
-    wire,
-)
+from toucanspring import errors, job, kernel, wire
+from toucanspring.owners import allowances, inbox, journal, log_records
 from toucanspring.scheduling import effects, scheduler
 
 WATCH_INTERVAL_S = 0.5
--- a/toucanspring/fleet.py
+++ b/toucanspring/owners/fleet.py
@@ -9,16 +9,9 @@
 import gevent
 import logbook
 
-from toucanspring import (
-    errors,
-    kernel,
-    ownership_rows,
-    resources,
-    roster,
-    settings,
-    worker_link,
-)
+from toucanspring import errors, kernel, ownership_rows, resources, settings
 from toucanspring.adapters import tables, vms
+from toucanspring.owners import roster, worker_link
 from toucanspring.scheduling import need
 
 log = logbook.Logger(__name__)
--- a/toucanspring/handover.py
+++ b/toucanspring/owners/handover.py
@@ -16,20 +16,8 @@
 import logbook
 import msgspec
 
-from toucanspring import (
-    clearance,
-    errors,
-    job,
-    kernel,
-    layout,
-    log_records,
-    ownership_rows,
-    partition,
-    reply,
-    roster,
-    routes,
-    settings,
-)
+from toucanspring import errors, job, kernel, layout, ownership_rows, reply, settings
+from toucanspring.owners import clearance, log_records, partition, roster, routes
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/mover.py
+++ b/toucanspring/owners/mover.py
@@ -10,17 +10,9 @@
 import gevent
 import logbook
 
-from toucanspring import (
-    errors,
-    event_kinds,
-    inbox,
-    kernel,
-    ownership_rows,
-    partition,
-    roster,
-    settings,
-)
+from toucanspring import errors, event_kinds, kernel, ownership_rows, settings
 from toucanspring.adapters import tables
+from toucanspring.owners import inbox, partition, roster
 from toucanspring.scheduling import moves, need
 
 log = logbook.Logger(__name__)
--- a/toucanspring/owner_calls.py
+++ b/toucanspring/owners/owner_calls.py
@@ -9,18 +9,8 @@
 import gevent.event
 import msgspec
 
-from toucanspring import (
-    clearance,
-    errors,
-    inbox,
-    job,
-    kernel,
-    partition,
-    reply,
-    resources,
-    routes,
-    survey,
-)
+from toucanspring import errors, job, kernel, reply, resources, survey
+from toucanspring.owners import clearance, inbox, partition, routes
 from toucanspring.scheduling import effects
 
 READY_LIMIT_S = 3.0
--- a/toucanspring/partition.py
+++ b/toucanspring/owners/partition.py
@@ -11,19 +11,16 @@
 import gevent.queue
 import logbook
 
-from toucanspring import (
+from toucanspring import errors, kernel, settings, wire
+from toucanspring.owners import (
     acceptance,
     allowances,
-    errors,
     execution,
     inbox,
     journal,
-    kernel,
     log_records,
     request_log,
     seal,
-    settings,
-    wire,
     worker_link,
     worker_watch,
 )
--- a/toucanspring/partitions.py
+++ b/toucanspring/owners/partitions.py
@@ -13,22 +13,24 @@
 
 from toucanspring import (
     claims,
-    clearance,
     documents,
     errors,
-    inbox,
     job,
     kernel,
     layout,
+    reply,
+    settings,
+    survey,
+)
+from toucanspring.owners import (
+    clearance,
+    inbox,
     log_records,
     owner_calls,
     partition,
-    reply,
     request_log,
     routes,
     search,
-    settings,
-    survey,
 )
 from toucanspring.scheduling import effects
 
--- a/toucanspring/recovery.py
+++ b/toucanspring/owners/recovery.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Iterable, Mapping
 
-from toucanspring import job, log_records, resources, wire
+from toucanspring import job, resources, wire
+from toucanspring.owners import log_records
 from toucanspring.scheduling import (
     attempt,
     effects,
--- a/toucanspring/request_log.py
+++ b/toucanspring/owners/request_log.py
@@ -4,7 +4,8 @@
 
 import dataclasses
 
-from toucanspring import errors, job, journal, log_records
+from toucanspring import errors, job
+from toucanspring.owners import journal, log_records
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/toucanspring/runner.py
+++ b/toucanspring/owners/runner.py
@@ -23,12 +23,10 @@
     job,
     kernel,
     lane,
-    log_records,
-    outcomes,
-    request_log,
     routing,
 )
 from toucanspring.adapters import backend_servers
+from toucanspring.owners import log_records, outcomes, request_log
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/seal.py
+++ b/toucanspring/owners/seal.py
@@ -2,12 +2,8 @@
 
 from __future__ import annotations
 
-from toucanspring import (
-    errors,
-    journal,
-    kernel,
-    ownership_rows,
-)
+from toucanspring import errors, kernel, ownership_rows
+from toucanspring.owners import journal
 
 SETTLE_TIMEOUT_S = 3.0
 
--- a/toucanspring/worker_watch.py
+++ b/toucanspring/owners/worker_watch.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from toucanspring import event_kinds, kernel, worker_link
+from toucanspring import event_kinds, kernel
+from toucanspring.owners import worker_link
 from toucanspring.scheduling import effects
 
 
--- a/toucanspring/report.py
+++ b/toucanspring/report.py
@@ -13,7 +13,8 @@
 import msgspec
 from gevent import event
 
-from toucanspring import budgets, burn, errors, inbox, kernel, resources, text
+from toucanspring import budgets, burn, errors, kernel, resources, text
+from toucanspring.owners import inbox
 from toucanspring.scheduling import summary
 
 NAMES = ("share", "waiting", "burn")
--- a/toucanspring/requests.py
+++ b/toucanspring/requests.py
@@ -22,11 +22,10 @@
     link,
     listing,
     routing,
-    runner,
-    search,
     text,
 )
 from toucanspring.adapters import backend_servers, vms
+from toucanspring.owners import runner, search
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/scheduling/scheduler.py
+++ b/toucanspring/scheduling/scheduler.py
@@ -6,15 +6,8 @@
 import types
 from collections.abc import Iterable, Mapping
 
-from toucanspring import (
-    errors,
-    event_kinds,
-    job,
-    log_records,
-    recovery,
-    resources,
-    wire,
-)
+from toucanspring import errors, event_kinds, job, resources, wire
+from toucanspring.owners import log_records, recovery
 from toucanspring.scheduling import (
     attempt,
     dispatch,
--- a/toucanspring/survey.py
+++ b/toucanspring/survey.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
-from toucanspring import errors, kernel, resources, roster, worker_link
+from toucanspring import errors, kernel, resources
 from toucanspring.adapters import vms
+from toucanspring.owners import roster, worker_link
 
 _decode_assignment = msgspec.msgpack.Decoder(dict[str, int]).decode
 
