--- a/scenarios/cell.py
+++ b/scenarios/cell.py
@@ -13,8 +13,9 @@
 
 from scenarios import client, history, loads
 from standins import cluster, facts, judge, ports, processes, violations
-from toucanspring import errors, ownership_rows, reader
+from toucanspring import errors, reader
 from toucanspring.adapters import tables
+from toucanspring.cell import ownership_rows
 
 EXAMPLES = processes.ROOT / "examples"
 WATCH_S = 0.5
--- a/spec/model.py
+++ b/spec/model.py
@@ -19,14 +19,14 @@
 
 # Action -> the function of the product that implements it.
 ACTIONS = {
-    "time passes": "toucanspring.ownership.judge",
-    "send renewal": "toucanspring.ownership.renew",
-    "renewal reaches store": "toucanspring.ownership.observe",
-    "renewal answered": "toucanspring.ownership.renew",
-    "renewal answer lost": "toucanspring.ownership.judge",
-    "read member row": "toucanspring.ownership.observe",
-    "claim": "toucanspring.ownership.may_claim",
-    "claim answer lost": "toucanspring.ownership.may_claim",
+    "time passes": "toucanspring.cell.ownership.judge",
+    "send renewal": "toucanspring.cell.ownership.renew",
+    "renewal reaches store": "toucanspring.cell.ownership.observe",
+    "renewal answered": "toucanspring.cell.ownership.renew",
+    "renewal answer lost": "toucanspring.cell.ownership.judge",
+    "read member row": "toucanspring.cell.ownership.observe",
+    "claim": "toucanspring.cell.ownership.may_claim",
+    "claim answer lost": "toucanspring.cell.ownership.may_claim",
     "attach": "toucanspring.owners.recovery.attach",
     "stream breaks": "toucanspring.scheduling.scheduler.Scheduler.starts_unanswered",
     "renew worker": "toucanspring.owners.worker_link.Link",
--- a/spec/moves_model.py
+++ b/spec/moves_model.py
@@ -16,9 +16,9 @@
 # Action -> the function of the product that implements it.
 ACTIONS = {
     "time passes": "toucanspring.owners.worker_link.Link",
-    "ownership ends": "toucanspring.ownership.judge",
-    "owner dies": "toucanspring.claims.Service",
-    "claim": "toucanspring.ownership.may_claim",
+    "ownership ends": "toucanspring.cell.ownership.judge",
+    "owner dies": "toucanspring.cell.claims.Service",
+    "claim": "toucanspring.cell.ownership.may_claim",
     "load": "toucanspring.owners.partition.Partition",
     "read row": "toucanspring.owners.fleet.Service.reread",
     "attach": "toucanspring.owners.recovery.attach",
--- a/spec/resizing.py
+++ b/spec/resizing.py
@@ -17,9 +17,9 @@
 import minicheck
 
 ACTIONS = {
-    "change": "toucanspring.layout.Service.change",
-    "release": "toucanspring.layout.Service.release",
-    "read row": "toucanspring.layout.Service.reread",
+    "change": "toucanspring.cell.layout.Service.change",
+    "release": "toucanspring.cell.layout.Service.release",
+    "read row": "toucanspring.cell.layout.Service.reread",
     "say empty": "toucanspring.owners.handover.Service.step",
     "ask": "toucanspring.owners.clearance.Clearance.clear",
     "answer": "toucanspring.owners.seal.Seal.renew",
--- a/spec/tenure.py
+++ b/spec/tenure.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from spec import world
-from toucanspring import ownership
+from toucanspring.cell import ownership
 from toucanspring.owners import recovery
 
 
--- a/spec/world.py
+++ b/spec/world.py
@@ -6,7 +6,8 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from toucanspring import job, ownership
+from toucanspring import job
+from toucanspring.cell import ownership
 
 LEASE = 1  # units of time; a tenure holds while its age is below
 WORKER_LEASE = 2
--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -10,20 +10,18 @@
 from test import fake_tables
 from toucanspring import (
     budgets,
-    claims,
     errors,
     events,
-    freshness,
     gateway,
     job,
     kernel,
-    layout,
     metrics,
     reader,
     records,
     requests,
     survey,
 )
+from toucanspring.cell import claims, freshness, layout
 from toucanspring.owners import log_records, request_log
 from toucanspring.scheduling import effects
 
--- a/test/fake_cell.py
+++ b/test/fake_cell.py
@@ -3,7 +3,8 @@
 import gevent
 
 from test import fake_tables
-from toucanspring import claims, documents, kernel, layout, membership, ownership
+from toucanspring import documents, kernel
+from toucanspring.cell import claims, layout, membership, ownership
 
 STEP_S = 0.1
 
--- a/test/fake_tables.py
+++ b/test/fake_tables.py
@@ -2,17 +2,10 @@
 
 import gevent
 
-from toucanspring import (
-    claims,
-    documents,
-    errors,
-    kernel,
-    layout,
-    membership,
-    peers,
-)
+from toucanspring import documents, errors, kernel
 from toucanspring import settings as settings_module
 from toucanspring.adapters import tables
+from toucanspring.cell import claims, layout, membership, peers
 
 
 class FakeTables:
--- a/test/partitioned.py
+++ b/test/partitioned.py
@@ -3,7 +3,8 @@
 import types
 
 from test import cell, fake_tables
-from toucanspring import errors, job, kernel, layout, ownership_rows
+from toucanspring import errors, job, kernel
+from toucanspring.cell import layout, ownership_rows
 from toucanspring.owners import inbox, mover, roster
 from toucanspring.scheduling import need
 
--- a/test/resized.py
+++ b/test/resized.py
@@ -6,16 +6,8 @@
 import gevent
 
 from test import fake_tables
-from toucanspring import (
-    claims,
-    errors,
-    job,
-    kernel,
-    layout,
-    ownership_rows,
-    resources,
-    text,
-)
+from toucanspring import errors, job, kernel, resources, text
+from toucanspring.cell import claims, layout, ownership_rows
 from toucanspring.owners import handover, log_records, partitions, roster
 
 TEAM = text.Team("labels", "kernhalde", 1.0, resources.UNLIMITED)
--- a/test/test_assignment.py
+++ b/test/test_assignment.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from toucanspring import assignment
+from toucanspring.cell import assignment
 
 
 class AssignmentTest(testtools.TestCase):
--- a/test/test_claims.py
+++ b/test/test_claims.py
@@ -4,13 +4,8 @@
 from gevent import event
 
 from test import fake_cell
-from toucanspring import (
-    claims,
-    errors,
-    event_kinds,
-    ownership_rows,
-    renewal,
-)
+from toucanspring import errors, event_kinds
+from toucanspring.cell import claims, ownership_rows, renewal
 
 
 class ClaimsTest(testtools.TestCase):
--- a/test/test_departure.py
+++ b/test/test_departure.py
@@ -2,7 +2,8 @@
 import testtools
 
 from test import fake_cell
-from toucanspring import confirmation, errors, renewal
+from toucanspring import confirmation, errors
+from toucanspring.cell import renewal
 
 
 class DepartureTest(testtools.TestCase):
--- a/test/test_documents.py
+++ b/test/test_documents.py
@@ -8,7 +8,8 @@
 from testtools import content
 
 from test import fake_cell, fake_tables
-from toucanspring import changes, confirmation, documents, errors, freshness, records
+from toucanspring import changes, confirmation, documents, errors, records
+from toucanspring.cell import freshness
 
 
 class DocumentsTest(testtools.TestCase):
--- a/test/test_fleet_drops.py
+++ b/test/test_fleet_drops.py
@@ -3,8 +3,9 @@
 import testtools
 
 from test import fake_tables
-from toucanspring import kernel, layout, ownership_rows, resources
+from toucanspring import kernel, resources
 from toucanspring.adapters import vms
+from toucanspring.cell import layout, ownership_rows
 from toucanspring.owners import fleet, roster, worker_link
 
 ROW = roster.WORKERS_ROW
--- a/test/test_freshness.py
+++ b/test/test_freshness.py
@@ -1,6 +1,6 @@
 import testtools
 
-from toucanspring import freshness, ownership
+from toucanspring.cell import freshness, ownership
 
 TIMING = ownership.Timing()
 OLD = freshness.Versions(1, 1, 1)
--- a/test/test_heartbeat.py
+++ b/test/test_heartbeat.py
@@ -1,6 +1,7 @@
 import testtools
 
-from toucanspring import errors, freshness, heartbeat, ownership
+from toucanspring import errors
+from toucanspring.cell import freshness, heartbeat, ownership
 
 TIMING = ownership.Timing()
 OWN = 7
--- a/test/test_layout.py
+++ b/test/test_layout.py
@@ -1,8 +1,9 @@
 import testtools
 
 from test import fake_tables
-from toucanspring import errors, kernel, layout
+from toucanspring import errors, kernel
 from toucanspring.adapters import tables
+from toucanspring.cell import layout
 
 
 class Clock:
--- a/test/test_ownership.py
+++ b/test/test_ownership.py
@@ -5,7 +5,7 @@
 from testtools import content
 
 from test import fake_cell
-from toucanspring import ownership
+from toucanspring.cell import ownership
 
 TIMING = ownership.Timing()
 FIVE = ["a", "b", "c", "d", "e"]
--- a/test/test_partitions.py
+++ b/test/test_partitions.py
@@ -3,7 +3,8 @@
 import testtools
 
 from test import edge_fakes
-from toucanspring import claims, errors, job, reply
+from toucanspring import errors, job
+from toucanspring.cell import claims, reply
 from toucanspring.owners import inbox, partitions
 
 JOB = job.JobSpec(id="a", name="proofs", team="labels")
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -11,7 +11,8 @@
 from gevent import socket as gevent_socket
 
 from test import fake_tables
-from toucanspring import errors, frames, link, outbox, peers, stream, wire
+from toucanspring import errors, frames, outbox, stream, wire
+from toucanspring.cell import link, peers
 
 
 class PeersTest(testtools.TestCase):
--- a/test/test_renewal.py
+++ b/test/test_renewal.py
@@ -1,7 +1,8 @@
 import testtools
 
 from test import fake_cell
-from toucanspring import claims, errors, ownership, renewal
+from toucanspring import errors
+from toucanspring.cell import claims, ownership, renewal
 
 
 class RenewalTest(testtools.TestCase):
--- a/test/test_search.py
+++ b/test/test_search.py
@@ -2,7 +2,8 @@
 
 import testtools
 
-from toucanspring import errors, job, layout
+from toucanspring import errors, job
+from toucanspring.cell import layout
 from toucanspring.owners import search
 
 NAME = next(
--- a/test/test_spec_moves.py
+++ b/test/test_spec_moves.py
@@ -11,8 +11,9 @@
 
 from spec import moves_model, moves_world, runs
 from test import fake_tables
-from toucanspring import errors, kernel, ownership_rows, resources
+from toucanspring import errors, kernel, resources
 from toucanspring.adapters import vms
+from toucanspring.cell import ownership_rows
 from toucanspring.owners import fleet, mover, roster, worker_link
 from toucanspring.scheduling import moves
 
--- a/test/test_survey.py
+++ b/test/test_survey.py
@@ -4,8 +4,9 @@
 import testtools
 
 from test import edge_fakes
-from toucanspring import errors, reply, resources, survey
+from toucanspring import errors, resources, survey
 from toucanspring.adapters import tables, vms
+from toucanspring.cell import reply
 from toucanspring.owners import fleet, partitions, routes
 
 
--- a/test/test_transitions.py
+++ b/test/test_transitions.py
@@ -1,6 +1,7 @@
 import testtools
 
-from toucanspring import event_kinds, ownership, rounds, transitions
+from toucanspring import event_kinds, rounds
+from toucanspring.cell import ownership, transitions
 
 HELD = ownership.Standing.HELD
 EXTENDED = ownership.Standing.EXTENDED
--- a/toucanspring/api_partitions.py
+++ b/toucanspring/api_partitions.py
@@ -8,7 +8,8 @@
 import logbook
 import msgspec
 
-from toucanspring import api, api_operators, errors, layout, settings
+from toucanspring import api, api_operators, errors, settings
+from toucanspring.cell import layout
 from toucanspring.owners import handover
 
 log = logbook.Logger(__name__)
--- a/toucanspring/claims.py
+++ b/toucanspring/cell/claims.py
@@ -9,11 +9,10 @@
 import logbook
 from gevent import event
 
-from toucanspring import (
+from toucanspring import deliveries, errors, event_kinds
+from toucanspring.adapters import tables
+from toucanspring.cell import (
     assignment,
-    deliveries,
-    errors,
-    event_kinds,
     former,
     heartbeat,
     layout,
@@ -22,7 +21,6 @@
     ownership_rows,
     renewal,
 )
-from toucanspring.adapters import tables
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/departure.py
+++ b/toucanspring/cell/departure.py
@@ -12,8 +12,9 @@
 
 import msgspec
 
-from toucanspring import errors, ownership, renewal
+from toucanspring import errors
 from toucanspring.adapters import tables
+from toucanspring.cell import ownership, renewal
 
 ATTEMPTS = 5
 # Rows of members that own nothing are deleted after this time.
--- a/toucanspring/former.py
+++ b/toucanspring/cell/former.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from toucanspring import membership, ownership_rows
+from toucanspring.cell import membership, ownership_rows
 
 
 def member_lists(
--- a/toucanspring/freshness.py
+++ b/toucanspring/cell/freshness.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from toucanspring import ownership
+from toucanspring.cell import ownership
 
 MAX_AGE_S = 1.5
 # Promises count no longer than a view that was read: a member may confirm a change
--- a/toucanspring/heartbeat.py
+++ b/toucanspring/cell/heartbeat.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from toucanspring import errors, freshness, ownership, resources
+from toucanspring import errors, resources
+from toucanspring.cell import freshness, ownership
 from toucanspring.scheduling import need
 
 REACHABLE_S = 2.0
--- a/toucanspring/membership.py
+++ b/toucanspring/cell/membership.py
@@ -10,17 +10,9 @@
 import msgspec
 from gevent import pool
 
-from toucanspring import (
-    departure,
-    errors,
-    heartbeat,
-    ownership,
-    renewal,
-    resources,
-    rounds,
-    transitions,
-)
+from toucanspring import errors, resources, rounds
 from toucanspring.adapters import tables
+from toucanspring.cell import departure, heartbeat, ownership, renewal, transitions
 from toucanspring.scheduling import need
 
 log = logbook.Logger(__name__)
--- a/toucanspring/peers.py
+++ b/toucanspring/cell/peers.py
@@ -13,7 +13,8 @@
 from gevent import pool
 from gevent import socket as gevent_socket
 
-from toucanspring import deadline, errors, frames, link, outbox, stream
+from toucanspring import deadline, errors, frames, outbox, stream
+from toucanspring.cell import link
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/renewal.py
+++ b/toucanspring/cell/renewal.py
@@ -8,8 +8,9 @@
 import msgspec
 from gevent import lock
 
-from toucanspring import errors, ownership
+from toucanspring import errors
 from toucanspring.adapters import tables
+from toucanspring.cell import ownership
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/transitions.py
+++ b/toucanspring/cell/transitions.py
@@ -4,7 +4,8 @@
 
 from typing import Protocol
 
-from toucanspring import event_kinds, kernel, ownership, renewal, rounds
+from toucanspring import event_kinds, kernel, rounds
+from toucanspring.cell import ownership, renewal
 
 
 class Members(Protocol):
--- a/toucanspring/changes.py
+++ b/toucanspring/changes.py
@@ -11,8 +11,9 @@
 import gevent
 import msgspec
 
-from toucanspring import errors, freshness, records
+from toucanspring import errors, records
 from toucanspring.adapters import tables
+from toucanspring.cell import freshness
 
 KEPT_HISTORY = 1000
 RETRY_S = 0.1
--- a/toucanspring/confirmation.py
+++ b/toucanspring/confirmation.py
@@ -7,7 +7,8 @@
 
 from gevent import event
 
-from toucanspring import errors, freshness, membership
+from toucanspring import errors
+from toucanspring.cell import freshness, membership
 
 # How long a stored change waits until half of the members have it in force.
 LIMIT_S = 2.5
--- a/toucanspring/coordinator/succession.py
+++ b/toucanspring/coordinator/succession.py
@@ -12,8 +12,9 @@
 import gevent
 import logbook
 
-from toucanspring import errors, peers
+from toucanspring import errors
 from toucanspring import log as structured
+from toucanspring.cell import peers
 from toucanspring.coordinator import ports, rows, seat
 
 log = logbook.Logger(__name__)
--- a/toucanspring/daemon.py
+++ b/toucanspring/daemon.py
@@ -16,7 +16,8 @@
 import logbook  # noqa: E402
 from gevent import event  # noqa: E402
 
-from toucanspring import errors, kernel, log, ownership, plugins, settings  # noqa: E402
+from toucanspring import errors, kernel, log, plugins, settings  # noqa: E402
+from toucanspring.cell import ownership  # noqa: E402
 
 logger = logbook.Logger(__name__)
 
@@ -25,12 +26,12 @@
 SERVICES = {
     "metrics": "toucanspring.metrics",
     "store": "toucanspring.store",
-    "peers": "toucanspring.peers",
+    "peers": "toucanspring.cell.peers",
     "events": "toucanspring.events",
-    "membership": "toucanspring.membership",
-    "layout": "toucanspring.layout",
+    "membership": "toucanspring.cell.membership",
+    "layout": "toucanspring.cell.layout",
     "documents": "toucanspring.documents",
-    "claims": "toucanspring.claims",
+    "claims": "toucanspring.cell.claims",
     "fleet": "toucanspring.owners.fleet",
     "partitions": "toucanspring.owners.partitions",
     "handover": "toucanspring.owners.handover",
--- a/toucanspring/documents.py
+++ b/toucanspring/documents.py
@@ -11,19 +11,9 @@
 import msgspec
 from gevent import event, pool
 
-from toucanspring import (
-    changes,
-    confirmation,
-    errors,
-    event_kinds,
-    freshness,
-    heartbeat,
-    membership,
-    ownership,
-    records,
-    renewal,
-)
+from toucanspring import changes, confirmation, errors, event_kinds, records
 from toucanspring.adapters import tables
+from toucanspring.cell import freshness, heartbeat, membership, ownership, renewal
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/listing.py
+++ b/toucanspring/listing.py
@@ -7,8 +7,9 @@
 
 import logbook
 
-from toucanspring import errors, ownership
+from toucanspring import errors
 from toucanspring.adapters import vms
+from toucanspring.cell import ownership
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/owners/autostart.py
+++ b/toucanspring/owners/autostart.py
@@ -6,7 +6,8 @@
 import gevent.event
 import logbook
 
-from toucanspring import claims, documents, errors, job, kernel, settings, text
+from toucanspring import documents, errors, job, kernel, settings, text
+from toucanspring.cell import claims
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/owners/clearance.py
+++ b/toucanspring/owners/clearance.py
@@ -8,7 +8,8 @@
 import gevent
 import msgspec
 
-from toucanspring import errors, job, kernel, layout, reply
+from toucanspring import errors, job, kernel
+from toucanspring.cell import layout, reply
 from toucanspring.owners import log_records, partition, routes
 
 # Within the time that the caller of a submission waits for this owner's answer.
--- a/toucanspring/owners/fleet.py
+++ b/toucanspring/owners/fleet.py
@@ -9,8 +9,9 @@
 import gevent
 import logbook
 
-from toucanspring import errors, kernel, ownership_rows, resources, settings
+from toucanspring import errors, kernel, resources, settings
 from toucanspring.adapters import tables, vms
+from toucanspring.cell import ownership_rows
 from toucanspring.owners import roster, worker_link
 from toucanspring.scheduling import need
 
--- a/toucanspring/owners/handover.py
+++ b/toucanspring/owners/handover.py
@@ -16,7 +16,8 @@
 import logbook
 import msgspec
 
-from toucanspring import errors, job, kernel, layout, ownership_rows, reply, settings
+from toucanspring import errors, job, kernel, settings
+from toucanspring.cell import layout, ownership_rows, reply
 from toucanspring.owners import clearance, log_records, partition, roster, routes
 
 log = logbook.Logger(__name__)
--- a/toucanspring/owners/journal.py
+++ b/toucanspring/owners/journal.py
@@ -9,8 +9,9 @@
 import gevent.event
 import logbook
 
-from toucanspring import errors, layout
+from toucanspring import errors
 from toucanspring.adapters import tables
+from toucanspring.cell import layout
 from toucanspring.owners import log_records
 
 log = logbook.Logger(__name__)
--- a/toucanspring/owners/mover.py
+++ b/toucanspring/owners/mover.py
@@ -10,8 +10,9 @@
 import gevent
 import logbook
 
-from toucanspring import errors, event_kinds, kernel, ownership_rows, settings
+from toucanspring import errors, event_kinds, kernel, settings
 from toucanspring.adapters import tables
+from toucanspring.cell import ownership_rows
 from toucanspring.owners import inbox, partition, roster
 from toucanspring.scheduling import moves, need
 
--- a/toucanspring/owners/owner_calls.py
+++ b/toucanspring/owners/owner_calls.py
@@ -9,7 +9,8 @@
 import gevent.event
 import msgspec
 
-from toucanspring import errors, job, kernel, reply, resources, survey
+from toucanspring import errors, job, kernel, resources, survey
+from toucanspring.cell import reply
 from toucanspring.owners import clearance, inbox, partition, routes
 from toucanspring.scheduling import effects
 
--- a/toucanspring/owners/partitions.py
+++ b/toucanspring/owners/partitions.py
@@ -11,17 +11,8 @@
 import gevent.pool
 import logbook
 
-from toucanspring import (
-    claims,
-    documents,
-    errors,
-    job,
-    kernel,
-    layout,
-    reply,
-    settings,
-    survey,
-)
+from toucanspring import documents, errors, job, kernel, settings, survey
+from toucanspring.cell import claims, layout, reply
 from toucanspring.owners import (
     clearance,
     inbox,
--- a/toucanspring/owners/routes.py
+++ b/toucanspring/owners/routes.py
@@ -7,7 +7,8 @@
 
 import gevent
 
-from toucanspring import errors, kernel, reply
+from toucanspring import errors, kernel
+from toucanspring.cell import reply
 
 ROUTE_LIMIT_S = 8.0  # covers one takeover with its load from the store
 CALL_TIMEOUT_S = 4.0
--- a/toucanspring/owners/seal.py
+++ b/toucanspring/owners/seal.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from toucanspring import errors, kernel, ownership_rows
+from toucanspring import errors, kernel
+from toucanspring.cell import ownership_rows
 from toucanspring.owners import journal
 
 SETTLE_TIMEOUT_S = 3.0
--- a/toucanspring/owners/search.py
+++ b/toucanspring/owners/search.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Callable
 
-from toucanspring import errors, layout
+from toucanspring import errors
+from toucanspring.cell import layout
 
 # Each round follows another change of the layout or a handover.
 MAX_ROUNDS = 5
--- a/toucanspring/records.py
+++ b/toucanspring/records.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from toucanspring import errors, freshness
+from toucanspring import errors
+from toucanspring.cell import freshness
 
 HEAD = "head"
 CONFIG = "config/current"
--- a/toucanspring/requests.py
+++ b/toucanspring/requests.py
@@ -13,18 +13,17 @@
 from toucanspring import (
     answers,
     burn,
-    claims,
     errors,
     event_kinds,
     forwarding,
     kernel,
     lane,
-    link,
     listing,
     routing,
     text,
 )
 from toucanspring.adapters import backend_servers, vms
+from toucanspring.cell import claims, link
 from toucanspring.owners import runner, search
 
 log = logbook.Logger(__name__)
