--- a/bench/overload.py
+++ b/bench/overload.py
@@ -13,7 +13,8 @@
 import statistics
 
 from bench import work
-from toucanspring import admission, errors, job, routing
+from toucanspring import errors, job
+from toucanspring.callers import admission, routing
 
 ENTRIES = 9
 SERVERS = 24
--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -12,15 +12,14 @@
     budgets,
     errors,
     events,
-    gateway,
     job,
     kernel,
     metrics,
     reader,
     records,
-    requests,
     survey,
 )
+from toucanspring.callers import gateway, requests
 from toucanspring.cell import claims, freshness, layout
 from toucanspring.owners import log_records, request_log
 from toucanspring.scheduling import effects
--- a/test/gateway_case.py
+++ b/test/gateway_case.py
@@ -6,7 +6,7 @@
 import testtools
 
 from test import edge_fakes
-from toucanspring import answers
+from toucanspring.callers import answers
 
 DESK = "Bearer desk-key"
 OPERATOR = f"Bearer {edge_fakes.OPERATOR_KEY}"
--- a/test/request_fakes.py
+++ b/test/request_fakes.py
@@ -9,8 +9,9 @@
 import testtools
 
 from test import edge_fakes
-from toucanspring import errors, job, requests
+from toucanspring import errors, job
 from toucanspring.adapters import backend_servers, exchange, vms
+from toucanspring.callers import requests
 from toucanspring.owners import runner
 
 REFUSED = errors.NotRun(reason="slots")
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -2,7 +2,8 @@
 
 import testtools
 
-from toucanspring import admission, errors, job
+from toucanspring import errors, job
+from toucanspring.callers import admission
 
 CHECK, URGENT, DEADLINE, NORMAL, DEFERRABLE = job.JobClass
 
--- a/test/test_api.py
+++ b/test/test_api.py
@@ -1,5 +1,5 @@
 from test import edge_fakes, gateway_case
-from toucanspring import api
+from toucanspring.callers import api
 
 
 class AccessTest(gateway_case.GatewayCase):
--- a/test/test_api_events.py
+++ b/test/test_api_events.py
@@ -1,5 +1,6 @@
 from test import gateway_case
-from toucanspring import api_events, event_kinds, job
+from toucanspring import event_kinds, job
+from toucanspring.callers import api_events
 
 DESK, OPERATOR = gateway_case.DESK, gateway_case.OPERATOR
 STOPPED = event_kinds.TasksStopped(
--- a/test/test_api_jobs.py
+++ b/test/test_api_jobs.py
@@ -5,7 +5,8 @@
 from hypothesis import strategies
 
 from test import gateway_case
-from toucanspring import errors, handler, job
+from toucanspring import errors, job
+from toucanspring.callers import handler
 
 SETTINGS = hypothesis.settings(
     derandomize=True, deadline=None, max_examples=80, database=None
--- a/test/test_api_services.py
+++ b/test/test_api_services.py
@@ -5,7 +5,8 @@
 import gevent.event
 
 from test import gateway_case
-from toucanspring import answers, errors, handler, requests
+from toucanspring import errors
+from toucanspring.callers import answers, handler, requests
 
 
 class ServicesTest(gateway_case.GatewayCase):
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -2,7 +2,8 @@
 import types
 
 from test import request_fakes
-from toucanspring import answers, errors, requests
+from toucanspring import errors
+from toucanspring.callers import answers, requests
 from toucanspring.cell import link
 from toucanspring.owners import outcomes, request_log
 
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -5,7 +5,7 @@
 import gevent.event
 
 from test import gateway_case
-from toucanspring import gateway
+from toucanspring.callers import gateway
 
 PATH = "/v1/services/request-desk/requests"
 
@@ -56,7 +56,7 @@
 
     def ready_state(self):
         """Return what `/readyz` would say, since no new connection is accepted."""
-        from toucanspring import api_status
+        from toucanspring.callers import api_status
 
         response = type("Response", (), {"set_header": lambda *_: None})()
         service = self.core.find("gateway")
--- a/test/test_handler.py
+++ b/test/test_handler.py
@@ -8,7 +8,7 @@
 from gevent import event
 from hypothesis import strategies
 
-from toucanspring import handler, server
+from toucanspring.callers import handler, server
 
 SETTINGS = hypothesis.settings(
     derandomize=True, deadline=None, max_examples=60, database=None
--- a/test/test_listing.py
+++ b/test/test_listing.py
@@ -5,8 +5,9 @@
 import testtools
 
 from test import request_fakes
-from toucanspring import answers, errors, forwarding, lane, listing, routing
+from toucanspring import errors
 from toucanspring.adapters import vms
+from toucanspring.callers import answers, forwarding, lane, listing, routing
 
 LEAVING = vms.State.LEAVING
 
--- a/test/test_requests.py
+++ b/test/test_requests.py
@@ -6,14 +6,9 @@
 from hypothesis import strategies
 
 from test import edge_fakes, request_fakes
-from toucanspring import (
-    errors,
-    handler,
-    job,
-    listing,
-    requests,
-)
+from toucanspring import errors, job
 from toucanspring.adapters import vms
+from toucanspring.callers import handler, listing, requests
 
 SETTINGS = hypothesis.settings(
     derandomize=True, deadline=None, max_examples=60, database=None
--- a/test/test_routing.py
+++ b/test/test_routing.py
@@ -2,7 +2,8 @@
 
 import testtools
 
-from toucanspring import errors, routing
+from toucanspring import errors
+from toucanspring.callers import routing
 
 OK, REFUSED, FAILED = routing.Outcome
 
--- a/test/test_runner.py
+++ b/test/test_runner.py
@@ -3,8 +3,9 @@
 import gevent
 
 from test import edge_fakes, request_fakes
-from toucanspring import answers, errors, inquiry
+from toucanspring import errors
 from toucanspring.adapters import backend_servers
+from toucanspring.callers import answers, inquiry
 from toucanspring.owners import log_records, outcomes, runner
 
 LARGE = answers.MAX_LOGGED_BYTES + 1
--- a/test/test_server.py
+++ b/test/test_server.py
@@ -2,7 +2,7 @@
 import testtools
 
 from test import certificates, fake_tables, test_handler
-from toucanspring import listener, server
+from toucanspring.callers import listener, server
 
 
 class ServerTest(testtools.TestCase):
--- a/test/test_submission.py
+++ b/test/test_submission.py
@@ -1,7 +1,8 @@
 import testtools
 
 from test import edge_fakes
-from toucanspring import api, reader, submission
+from toucanspring import reader
+from toucanspring.callers import api, submission
 
 
 class SubmissionTest(testtools.TestCase):
--- a/toucanspring/api.py
+++ b/toucanspring/callers/api.py
@@ -12,7 +12,8 @@
 import logbook
 import msgspec
 
-from toucanspring import errors, handler, kernel
+from toucanspring import errors, kernel
+from toucanspring.callers import handler
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/api_events.py
+++ b/toucanspring/callers/api_events.py
@@ -7,7 +7,8 @@
 import falcon
 import msgspec
 
-from toucanspring import api, errors, event_kinds, event_rows, events, kernel
+from toucanspring import errors, event_kinds, event_rows, events, kernel
+from toucanspring.callers import api
 
 DEFAULT_SINCE_S = 3600.0
 RETENTION_S = event_rows.RETENTION_HOURS * 3600.0
--- a/toucanspring/api_jobs.py
+++ b/toucanspring/callers/api_jobs.py
@@ -9,7 +9,8 @@
 import msgspec
 from gevent import pool
 
-from toucanspring import api, api_events, errors, job, kernel, submission
+from toucanspring import errors, job, kernel
+from toucanspring.callers import api, api_events, submission
 
 MAX_SUBMISSION_BYTES = 16 << 20
 MAX_CANCELLATIONS = 1000
--- a/toucanspring/api_operators.py
+++ b/toucanspring/callers/api_operators.py
@@ -6,7 +6,8 @@
 import logbook
 import msgspec
 
-from toucanspring import api, errors, kernel, reader, syntax, text
+from toucanspring import errors, kernel, reader, syntax, text
+from toucanspring.callers import api
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/api_partitions.py
+++ b/toucanspring/callers/api_partitions.py
@@ -8,7 +8,8 @@
 import logbook
 import msgspec
 
-from toucanspring import api, api_operators, errors, settings
+from toucanspring import errors, settings
+from toucanspring.callers import api, api_operators
 from toucanspring.cell import layout
 from toucanspring.owners import handover
 
--- a/toucanspring/api_services.py
+++ b/toucanspring/callers/api_services.py
@@ -6,7 +6,8 @@
 
 import falcon
 
-from toucanspring import answers, api, errors, job, kernel, text
+from toucanspring import errors, job, kernel, text
+from toucanspring.callers import answers, api
 from toucanspring.owners import runner
 
 MAX_DEADLINE_MS = 3_600_000
--- a/toucanspring/api_status.py
+++ b/toucanspring/callers/api_status.py
@@ -9,7 +9,8 @@
 import msgspec
 from gevent import pool
 
-from toucanspring import api, errors, kernel, report, survey
+from toucanspring import errors, kernel, report, survey
+from toucanspring.callers import api
 
 REPORT_TIMEOUT_S = 2.0
 MAX_PEER_CALLS = 32
--- a/toucanspring/forwarding.py
+++ b/toucanspring/callers/forwarding.py
@@ -5,8 +5,9 @@
 import time
 from collections.abc import Callable, Iterator
 
-from toucanspring import answers, errors, handler, lane, routing
+from toucanspring import errors
 from toucanspring.adapters import backend_servers
+from toucanspring.callers import answers, handler, lane, routing
 
 # Part of an answer that is received before any of it is passed on. A failure within
 # it leads to a retry that the caller does not notice.
--- a/toucanspring/gateway.py
+++ b/toucanspring/callers/gateway.py
@@ -9,7 +9,8 @@
 import falcon
 import logbook
 
-from toucanspring import (
+from toucanspring import errors, kernel, report
+from toucanspring.callers import (
     answers,
     api,
     api_events,
@@ -18,10 +19,7 @@
     api_partitions,
     api_services,
     api_status,
-    errors,
     handler,
-    kernel,
-    report,
     server,
 )
 
--- a/toucanspring/inquiry.py
+++ b/toucanspring/callers/inquiry.py
@@ -7,8 +7,9 @@
 
 import gevent
 
-from toucanspring import answers, errors
+from toucanspring import errors
 from toucanspring.adapters import backend_servers
+from toucanspring.callers import answers
 from toucanspring.owners import outcomes
 
 # Whole answers are held in memory until they are durable.
--- a/toucanspring/lane.py
+++ b/toucanspring/callers/lane.py
@@ -12,7 +12,8 @@
 import gevent
 from gevent import event
 
-from toucanspring import admission, errors, job, routing, text
+from toucanspring import errors, job, text
+from toucanspring.callers import admission, routing
 
 # A server may free a slot at any moment without this process being told, so waiting
 # requests are offered again at this interval at least.
--- a/toucanspring/requests.py
+++ b/toucanspring/callers/requests.py
@@ -10,19 +10,9 @@
 import logbook
 import msgspec
 
-from toucanspring import (
-    answers,
-    burn,
-    errors,
-    event_kinds,
-    forwarding,
-    kernel,
-    lane,
-    listing,
-    routing,
-    text,
-)
+from toucanspring import burn, errors, event_kinds, kernel, text
 from toucanspring.adapters import backend_servers, vms
+from toucanspring.callers import answers, forwarding, lane, listing, routing
 from toucanspring.cell import claims, link
 from toucanspring.owners import runner, search
 
--- a/toucanspring/server.py
+++ b/toucanspring/callers/server.py
@@ -8,7 +8,7 @@
 import logbook
 from gevent import pool, pywsgi
 
-from toucanspring import handler, listener
+from toucanspring.callers import handler, listener
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/submission.py
+++ b/toucanspring/callers/submission.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from toucanspring import api, errors, job, model, resources, text
+from toucanspring import errors, job, model, resources, text
+from toucanspring.callers import api
 
 MAX_JOBS = 1000
 MAX_TASKS = 10_000
--- a/toucanspring/daemon.py
+++ b/toucanspring/daemon.py
@@ -37,9 +37,9 @@
     "handover": "toucanspring.owners.handover",
     "mover": "toucanspring.owners.mover",
     "autostart": "toucanspring.owners.autostart",
-    "requests": "toucanspring.requests",
+    "requests": "toucanspring.callers.requests",
     "budgets": "toucanspring.budgets",
-    "gateway": "toucanspring.gateway",
+    "gateway": "toucanspring.callers.gateway",
 }
 EXIT_SETTINGS = 2
 EXIT_REPLACED = 3
--- a/toucanspring/events.py
+++ b/toucanspring/events.py
@@ -18,8 +18,9 @@
 import logbook
 import msgspec
 
-from toucanspring import answers, errors, event_buffer, event_kinds, event_rows
+from toucanspring import errors, event_buffer, event_kinds, event_rows
 from toucanspring.adapters import tables
+from toucanspring.callers import answers
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/owners/outcomes.py
+++ b/toucanspring/owners/outcomes.py
@@ -9,7 +9,8 @@
 import logbook
 import msgspec
 
-from toucanspring import answers, errors, job, kernel
+from toucanspring import errors, job, kernel
+from toucanspring.callers import answers
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/owners/runner.py
+++ b/toucanspring/owners/runner.py
@@ -15,17 +15,9 @@
 import logbook
 from gevent import event
 
-from toucanspring import (
-    answers,
-    errors,
-    forwarding,
-    inquiry,
-    job,
-    kernel,
-    lane,
-    routing,
-)
+from toucanspring import errors, job, kernel
 from toucanspring.adapters import backend_servers
+from toucanspring.callers import answers, forwarding, inquiry, lane, routing
 from toucanspring.owners import log_records, outcomes, request_log
 
 log = logbook.Logger(__name__)
