--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -13,7 +13,8 @@
 
 from demo import account, callers, entry
 from standins import cluster, facts, judge, processes
-from toucanspring import errors, reader
+from toucanspring import errors
+from toucanspring.configuration import reader
 
 DAEMONS = 9
 EXAMPLES = processes.ROOT / "examples"
--- a/scenarios/cell.py
+++ b/scenarios/cell.py
@@ -13,9 +13,10 @@
 
 from scenarios import client, history, loads
 from standins import cluster, facts, judge, ports, processes, violations
-from toucanspring import errors, reader
+from toucanspring import errors
 from toucanspring.adapters import tables
 from toucanspring.cell import ownership_rows
+from toucanspring.configuration import reader
 
 EXAMPLES = processes.ROOT / "examples"
 WATCH_S = 0.5
--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -8,19 +8,10 @@
 import gevent
 
 from test import fake_tables
-from toucanspring import (
-    budgets,
-    errors,
-    events,
-    job,
-    kernel,
-    metrics,
-    reader,
-    records,
-    survey,
-)
+from toucanspring import budgets, errors, events, job, kernel, metrics, survey
 from toucanspring.callers import gateway, requests
 from toucanspring.cell import claims, freshness, layout
+from toucanspring.configuration import reader, records
 from toucanspring.owners import log_records, request_log
 from toucanspring.scheduling import effects
 
--- a/test/fake_cell.py
+++ b/test/fake_cell.py
@@ -3,8 +3,9 @@
 import gevent
 
 from test import fake_tables
-from toucanspring import documents, kernel
+from toucanspring import kernel
 from toucanspring.cell import claims, layout, membership, ownership
+from toucanspring.configuration import documents
 
 STEP_S = 0.1
 
--- a/test/fake_tables.py
+++ b/test/fake_tables.py
@@ -2,10 +2,11 @@
 
 import gevent
 
-from toucanspring import documents, errors, kernel
+from toucanspring import errors, kernel
 from toucanspring import settings as settings_module
 from toucanspring.adapters import tables
 from toucanspring.cell import claims, layout, membership, peers
+from toucanspring.configuration import documents
 
 
 class FakeTables:
--- a/test/partition_case.py
+++ b/test/partition_case.py
@@ -7,8 +7,9 @@
 import testtools
 
 from test import fake_tables
-from toucanspring import job, kernel, resources, settings, text, wire
+from toucanspring import job, kernel, resources, settings, wire
 from toucanspring.cell import layout
+from toucanspring.configuration import text
 from toucanspring.owners import inbox, log_records, partition, worker_link
 
 CAPACITY = resources.Resources(32_000, 65_536, 0)
--- a/test/resized.py
+++ b/test/resized.py
@@ -6,8 +6,9 @@
 import gevent
 
 from test import fake_tables
-from toucanspring import errors, job, kernel, resources, text
+from toucanspring import errors, job, kernel, resources
 from toucanspring.cell import claims, layout, ownership_rows
+from toucanspring.configuration import text
 from toucanspring.owners import handover, log_records, partitions, roster
 
 TEAM = text.Team("labels", "kernhalde", 1.0, resources.UNLIMITED)
--- a/test/test_departure.py
+++ b/test/test_departure.py
@@ -2,8 +2,9 @@
 import testtools
 
 from test import fake_cell
-from toucanspring import confirmation, errors
+from toucanspring import errors
 from toucanspring.cell import renewal
+from toucanspring.configuration import confirmation
 
 
 class DepartureTest(testtools.TestCase):
--- a/test/test_documents.py
+++ b/test/test_documents.py
@@ -8,8 +8,9 @@
 from testtools import content
 
 from test import fake_cell, fake_tables
-from toucanspring import changes, confirmation, documents, errors, records
+from toucanspring import errors
 from toucanspring.cell import freshness
+from toucanspring.configuration import changes, confirmation, documents, records
 
 
 class DocumentsTest(testtools.TestCase):
--- a/test/test_submission.py
+++ b/test/test_submission.py
@@ -1,8 +1,8 @@
 import testtools
 
 from test import edge_fakes
-from toucanspring import reader
 from toucanspring.callers import api, submission
+from toucanspring.configuration import reader
 
 
 class SubmissionTest(testtools.TestCase):
--- a/test/test_text.py
+++ b/test/test_text.py
@@ -3,7 +3,8 @@
 from hypothesis import strategies
 
 from test import edge_fakes
-from toucanspring import errors, job, reader, resources, syntax, text
+from toucanspring import errors, job, resources
+from toucanspring.configuration import reader, syntax, text
 
 KERNHALDE = edge_fakes.KERNHALDE
 ZIMNA_PATNA = (edge_fakes.ROOT / "examples" / "zimna-patna.yaml").read_text()
--- a/toucanspring/callers/api_operators.py
+++ b/toucanspring/callers/api_operators.py
@@ -6,8 +6,9 @@
 import logbook
 import msgspec
 
-from toucanspring import errors, kernel, reader, syntax, text
+from toucanspring import errors, kernel
 from toucanspring.callers import api
+from toucanspring.configuration import reader, syntax, text
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/callers/api_services.py
+++ b/toucanspring/callers/api_services.py
@@ -6,8 +6,9 @@
 
 import falcon
 
-from toucanspring import errors, job, kernel, text
+from toucanspring import errors, job, kernel
 from toucanspring.callers import answers, api
+from toucanspring.configuration import text
 from toucanspring.owners import runner
 
 MAX_DEADLINE_MS = 3_600_000
--- a/toucanspring/callers/lane.py
+++ b/toucanspring/callers/lane.py
@@ -12,8 +12,9 @@
 import gevent
 from gevent import event
 
-from toucanspring import errors, job, text
+from toucanspring import errors, job
 from toucanspring.callers import admission, routing
+from toucanspring.configuration import text
 
 # A server may free a slot at any moment without this process being told, so waiting
 # requests are offered again at this interval at least.
--- a/toucanspring/callers/submission.py
+++ b/toucanspring/callers/submission.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
-from toucanspring import errors, job, model, resources, text
+from toucanspring import errors, job, resources
 from toucanspring.callers import api
+from toucanspring.configuration import model, text
 
 MAX_JOBS = 1000
 MAX_TASKS = 10_000
--- a/toucanspring/commands/apply.py
+++ b/toucanspring/commands/apply.py
@@ -4,7 +4,8 @@
 
 import gevent
 
-from toucanspring import client, console, errors, reader, source, text
+from toucanspring import client, console, errors, source
+from toucanspring.configuration import reader, text
 
 CONFIRM_POLL_S = 0.2
 
--- a/toucanspring/commands/diff.py
+++ b/toucanspring/commands/diff.py
@@ -1,6 +1,7 @@
 """Command `diff`."""
 
-from toucanspring import console, reader, source, text
+from toucanspring import console, source
+from toucanspring.configuration import reader, text
 
 
 def run(
--- a/toucanspring/commands/validate.py
+++ b/toucanspring/commands/validate.py
@@ -1,6 +1,7 @@
 """Command `validate`."""
 
-from toucanspring import console, errors, reader, source, text
+from toucanspring import console, errors, source
+from toucanspring.configuration import reader, text
 
 
 def run(_context: console.Context, path: str) -> console.Result:
--- /dev/null
+++ b/toucanspring/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' text, keys and zones: read, checked, changed, kept fresh."""
--- a/toucanspring/changes.py
+++ b/toucanspring/configuration/changes.py
@@ -11,9 +11,10 @@
 import gevent
 import msgspec
 
-from toucanspring import errors, records
+from toucanspring import errors
 from toucanspring.adapters import tables
 from toucanspring.cell import freshness
+from toucanspring.configuration import records
 
 KEPT_HISTORY = 1000
 RETRY_S = 0.1
--- a/toucanspring/checks.py
+++ b/toucanspring/configuration/checks.py
@@ -4,7 +4,8 @@
 
 from typing import Protocol
 
-from toucanspring import job, model, resources, syntax, text
+from toucanspring import job, resources
+from toucanspring.configuration import model, syntax, text
 
 
 class Faults(Protocol):
--- a/toucanspring/documents.py
+++ b/toucanspring/configuration/documents.py
@@ -11,9 +11,10 @@
 import msgspec
 from gevent import event, pool
 
-from toucanspring import changes, confirmation, errors, event_kinds, records
+from toucanspring import errors, event_kinds
 from toucanspring.adapters import tables
 from toucanspring.cell import freshness, heartbeat, membership, ownership, renewal
+from toucanspring.configuration import changes, confirmation, records
 
 log = logbook.Logger(__name__)
 
@@ -48,7 +49,7 @@
 
 def import_parser() -> Callable[[str], object]:
     """Return the parser of the configuration text."""
-    from toucanspring import reader
+    from toucanspring.configuration import reader
 
     return reader.parse
 
--- a/toucanspring/reader.py
+++ b/toucanspring/configuration/reader.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from toucanspring import checks, errors, job, model, resources, syntax, text
+from toucanspring import errors, job, resources
+from toucanspring.configuration import checks, model, syntax, text
 
 SECTION_MODELS: dict[str, type[model.Model]] = {
     "availability_zones": model.AvailabilityZone,
--- a/toucanspring/daemon.py
+++ b/toucanspring/daemon.py
@@ -30,7 +30,7 @@
     "events": "toucanspring.events",
     "membership": "toucanspring.cell.membership",
     "layout": "toucanspring.cell.layout",
-    "documents": "toucanspring.documents",
+    "documents": "toucanspring.configuration.documents",
     "claims": "toucanspring.cell.claims",
     "fleet": "toucanspring.owners.fleet",
     "partitions": "toucanspring.owners.partitions",
--- a/toucanspring/owners/autostart.py
+++ b/toucanspring/owners/autostart.py
@@ -6,8 +6,9 @@
 import gevent.event
 import logbook
 
-from toucanspring import documents, errors, job, kernel, settings, text
+from toucanspring import errors, job, kernel, settings
 from toucanspring.cell import claims
+from toucanspring.configuration import documents, text
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/owners/partitions.py
+++ b/toucanspring/owners/partitions.py
@@ -11,8 +11,9 @@
 import gevent.pool
 import logbook
 
-from toucanspring import documents, errors, job, kernel, settings, survey
+from toucanspring import errors, job, kernel, settings, survey
 from toucanspring.cell import claims, layout, reply
+from toucanspring.configuration import documents
 from toucanspring.owners import (
     clearance,
     inbox,
--- a/toucanspring/report.py
+++ b/toucanspring/report.py
@@ -13,7 +13,8 @@
 import msgspec
 from gevent import event
 
-from toucanspring import budgets, burn, errors, kernel, resources, text
+from toucanspring import budgets, burn, errors, kernel, resources
+from toucanspring.configuration import text
 from toucanspring.owners import inbox
 from toucanspring.scheduling import summary
 
--- a/toucanspring/source.py
+++ b/toucanspring/source.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from toucanspring import client, console, errors, reader, resources, syntax, text
+from toucanspring import client, console, errors, resources
+from toucanspring.configuration import reader, syntax, text
 
 
 def read(path: str) -> str:
