--- a/bench/events.py
+++ b/bench/events.py
@@ -11,7 +11,7 @@
 import defopt
 
 from bench import cell
-from toucanspring import event_rows
+from toucanspring.reporting import event_rows
 
 # The documents in force are written 30 s after the first events of a start.
 SETTLE_S = 45.0
--- a/scenarios/disturbances.py
+++ b/scenarios/disturbances.py
@@ -8,8 +8,8 @@
 
 from scenarios import cell, expectations, language
 from standins import judge
-from toucanspring import event_rows
 from toucanspring.adapters import vms
+from toucanspring.reporting import event_rows
 
 ROW_PREFIXES = {
     "configuration": "config/",
--- a/scenarios/names.py
+++ b/scenarios/names.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from scenarios import cell, language
-from toucanspring import event_kinds
 from toucanspring.configuration import reader, text
+from toucanspring.reporting import event_kinds
 
 DEPLOYMENTS = ("kernhalde", "zimna-patna")
 # Verbs whose value at the given index is a daemon.
--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -8,11 +8,12 @@
 import gevent
 
 from test import fake_tables
-from toucanspring import budgets, errors, events, job, kernel, metrics, survey
+from toucanspring import errors, job, kernel, metrics
 from toucanspring.callers import gateway, requests
 from toucanspring.cell import claims, freshness, layout
 from toucanspring.configuration import reader, records
 from toucanspring.owners import log_records, request_log
+from toucanspring.reporting import budgets, events, survey
 from toucanspring.scheduling import effects
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
--- a/test/test_api_events.py
+++ b/test/test_api_events.py
@@ -1,6 +1,7 @@
 from test import gateway_case
-from toucanspring import event_kinds, job
+from toucanspring import job
 from toucanspring.callers import api_events
+from toucanspring.reporting import event_kinds
 
 DESK, OPERATOR = gateway_case.DESK, gateway_case.OPERATOR
 STOPPED = event_kinds.TasksStopped(
--- a/test/test_budgets.py
+++ b/test/test_budgets.py
@@ -4,7 +4,8 @@
 import testtools
 
 from test import fake_tables
-from toucanspring import budgets, burn, kernel, report
+from toucanspring import kernel
+from toucanspring.reporting import budgets, burn, report
 
 START = 2_000_000_000.0  # wall clock in seconds
 
--- a/test/test_burn.py
+++ b/test/test_burn.py
@@ -1,6 +1,6 @@
 import testtools
 
-from toucanspring import burn
+from toucanspring.reporting import burn
 
 NOW = 1_000_000.0
 
--- a/test/test_claims.py
+++ b/test/test_claims.py
@@ -4,8 +4,9 @@
 from gevent import event
 
 from test import fake_cell
-from toucanspring import errors, event_kinds
+from toucanspring import errors
 from toucanspring.cell import claims, ownership_rows, renewal
+from toucanspring.reporting import event_kinds
 
 
 class ClaimsTest(testtools.TestCase):
--- a/test/test_daemon.py
+++ b/test/test_daemon.py
@@ -22,7 +22,7 @@
             "docutils",
             "unittest",
             "toucanspring.cli",
-            "toucanspring.page",
+            "toucanspring.reporting.page",
         )
         code = (
             "import importlib, sys; from toucanspring import daemon; "
--- a/test/test_event_buffer.py
+++ b/test/test_event_buffer.py
@@ -1,6 +1,6 @@
 import testtools
 
-from toucanspring import event_buffer, event_kinds, event_rows
+from toucanspring.reporting import event_buffer, event_kinds, event_rows
 
 START = 2_000_000_000.0
 
--- a/test/test_events.py
+++ b/test/test_events.py
@@ -3,7 +3,8 @@
 import testtools
 
 from test import fake_tables
-from toucanspring import errors, event_kinds, event_rows, events, kernel
+from toucanspring import errors, kernel
+from toucanspring.reporting import event_kinds, event_rows, events
 
 START = 2_000_000_000.0
 
--- a/test/test_interruption.py
+++ b/test/test_interruption.py
@@ -3,7 +3,8 @@
 import testtools
 
 from test import cell
-from toucanspring import event_kinds, job, resources
+from toucanspring import job, resources
+from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import effects, fairness, overuse
 
 Cause = event_kinds.StopCause
--- a/test/test_page.py
+++ b/test/test_page.py
@@ -3,7 +3,7 @@
 
 import testtools
 
-from toucanspring import page
+from toucanspring.reporting import page
 
 # The text's rules allow no such names; a page must not depend on that.
 NAME = """<script>alert("x")</script>&'"""
--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -2,8 +2,9 @@
 import gevent.event
 
 from test import partition_case
-from toucanspring import errors, event_kinds, job
+from toucanspring import errors, job
 from toucanspring.owners import inbox, log_records, request_log, worker_link
+from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import effects
 
 
--- a/test/test_survey.py
+++ b/test/test_survey.py
@@ -4,10 +4,11 @@
 import testtools
 
 from test import edge_fakes
-from toucanspring import errors, resources, survey
+from toucanspring import errors, resources
 from toucanspring.adapters import tables, vms
 from toucanspring.cell import reply
 from toucanspring.owners import fleet, partitions, routes
+from toucanspring.reporting import survey
 
 
 def make_vm(name, role=vms.Role.WORKER):
--- a/test/test_transitions.py
+++ b/test/test_transitions.py
@@ -1,7 +1,8 @@
 import testtools
 
-from toucanspring import event_kinds, rounds
+from toucanspring import rounds
 from toucanspring.cell import ownership, transitions
+from toucanspring.reporting import event_kinds
 
 HELD = ownership.Standing.HELD
 EXTENDED = ownership.Standing.EXTENDED
--- a/test/test_worker_watch.py
+++ b/test/test_worker_watch.py
@@ -2,8 +2,9 @@
 
 import testtools
 
-from toucanspring import event_kinds, kernel, resources
+from toucanspring import kernel, resources
 from toucanspring.owners import worker_link, worker_watch
+from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import effects
 
 
--- a/toucanspring/callers/api_events.py
+++ b/toucanspring/callers/api_events.py
@@ -7,8 +7,9 @@
 import falcon
 import msgspec
 
-from toucanspring import errors, event_kinds, event_rows, events, kernel
+from toucanspring import errors, kernel
 from toucanspring.callers import api
+from toucanspring.reporting import event_kinds, event_rows, events
 
 DEFAULT_SINCE_S = 3600.0
 RETENTION_S = event_rows.RETENTION_HOURS * 3600.0
--- a/toucanspring/callers/api_status.py
+++ b/toucanspring/callers/api_status.py
@@ -9,8 +9,9 @@
 import msgspec
 from gevent import pool
 
-from toucanspring import errors, kernel, report, survey
+from toucanspring import errors, kernel
 from toucanspring.callers import api
+from toucanspring.reporting import report, survey
 
 REPORT_TIMEOUT_S = 2.0
 MAX_PEER_CALLS = 32
--- a/toucanspring/callers/gateway.py
+++ b/toucanspring/callers/gateway.py
@@ -9,7 +9,7 @@
 import falcon
 import logbook
 
-from toucanspring import errors, kernel, report
+from toucanspring import errors, kernel
 from toucanspring.callers import (
     answers,
     api,
@@ -22,6 +22,7 @@
     handler,
     server,
 )
+from toucanspring.reporting import report
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/callers/requests.py
+++ b/toucanspring/callers/requests.py
@@ -10,12 +10,13 @@
 import logbook
 import msgspec
 
-from toucanspring import burn, errors, event_kinds, kernel
+from toucanspring import errors, kernel
 from toucanspring.adapters import backend_servers, vms
 from toucanspring.callers import answers, forwarding, lane, listing, routing
 from toucanspring.cell import claims, link
 from toucanspring.configuration import text
 from toucanspring.owners import runner, search
+from toucanspring.reporting import burn, event_kinds
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/cell/claims.py
+++ b/toucanspring/cell/claims.py
@@ -9,7 +9,7 @@
 import logbook
 from gevent import event
 
-from toucanspring import deliveries, errors, event_kinds
+from toucanspring import errors
 from toucanspring.adapters import tables
 from toucanspring.cell import (
     assignment,
@@ -21,6 +21,7 @@
     ownership_rows,
     renewal,
 )
+from toucanspring.reporting import deliveries, event_kinds
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/cell/transitions.py
+++ b/toucanspring/cell/transitions.py
@@ -4,8 +4,9 @@
 
 from typing import Protocol
 
-from toucanspring import event_kinds, kernel, rounds
+from toucanspring import kernel, rounds
 from toucanspring.cell import ownership, renewal
+from toucanspring.reporting import event_kinds
 
 
 class Members(Protocol):
--- a/toucanspring/commands/report.py
+++ b/toucanspring/commands/report.py
@@ -3,7 +3,8 @@
 import pathlib
 from typing import Literal
 
-from toucanspring import console, errors, page
+from toucanspring import console, errors
+from toucanspring.reporting import page
 
 
 def run(
--- a/toucanspring/configuration/documents.py
+++ b/toucanspring/configuration/documents.py
@@ -11,10 +11,11 @@
 import msgspec
 from gevent import event, pool
 
-from toucanspring import errors, event_kinds
+from toucanspring import errors
 from toucanspring.adapters import tables
 from toucanspring.cell import freshness, heartbeat, membership, ownership, renewal
 from toucanspring.configuration import changes, confirmation, records
+from toucanspring.reporting import event_kinds
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/daemon.py
+++ b/toucanspring/daemon.py
@@ -27,7 +27,7 @@
     "metrics": "toucanspring.metrics",
     "store": "toucanspring.store",
     "peers": "toucanspring.cell.peers",
-    "events": "toucanspring.events",
+    "events": "toucanspring.reporting.events",
     "membership": "toucanspring.cell.membership",
     "layout": "toucanspring.cell.layout",
     "documents": "toucanspring.configuration.documents",
@@ -38,7 +38,7 @@
     "mover": "toucanspring.owners.mover",
     "autostart": "toucanspring.owners.autostart",
     "requests": "toucanspring.callers.requests",
-    "budgets": "toucanspring.budgets",
+    "budgets": "toucanspring.reporting.budgets",
     "gateway": "toucanspring.callers.gateway",
 }
 EXIT_SETTINGS = 2
--- a/toucanspring/owners/mover.py
+++ b/toucanspring/owners/mover.py
@@ -10,10 +10,11 @@
 import gevent
 import logbook
 
-from toucanspring import errors, event_kinds, kernel, settings
+from toucanspring import errors, kernel, settings
 from toucanspring.adapters import tables
 from toucanspring.cell import ownership_rows
 from toucanspring.owners import inbox, partition, roster
+from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import moves, need
 
 log = logbook.Logger(__name__)
--- a/toucanspring/owners/owner_calls.py
+++ b/toucanspring/owners/owner_calls.py
@@ -9,9 +9,10 @@
 import gevent.event
 import msgspec
 
-from toucanspring import errors, job, kernel, resources, survey
+from toucanspring import errors, job, kernel, resources
 from toucanspring.cell import reply
 from toucanspring.owners import clearance, inbox, partition, routes
+from toucanspring.reporting import survey
 from toucanspring.scheduling import effects
 
 READY_LIMIT_S = 3.0
--- a/toucanspring/owners/partitions.py
+++ b/toucanspring/owners/partitions.py
@@ -11,7 +11,7 @@
 import gevent.pool
 import logbook
 
-from toucanspring import errors, job, kernel, settings, survey
+from toucanspring import errors, job, kernel, settings
 from toucanspring.cell import claims, layout, reply
 from toucanspring.configuration import documents
 from toucanspring.owners import (
@@ -24,6 +24,7 @@
     routes,
     search,
 )
+from toucanspring.reporting import survey
 from toucanspring.scheduling import effects
 
 log = logbook.Logger(__name__)
--- a/toucanspring/owners/worker_watch.py
+++ b/toucanspring/owners/worker_watch.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from toucanspring import event_kinds, kernel
+from toucanspring import kernel
 from toucanspring.owners import worker_link
+from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import effects
 
 
--- /dev/null
+++ b/toucanspring/reporting/__init__.py
@@ -0,0 +1,1 @@
+"""Events, error budgets and reports for operators."""
--- a/toucanspring/budgets.py
+++ b/toucanspring/reporting/budgets.py
@@ -19,8 +19,9 @@
 import logbook
 import msgspec
 
-from toucanspring import burn, errors, kernel
+from toucanspring import errors, kernel
 from toucanspring.adapters import tables
+from toucanspring.reporting import burn
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/event_buffer.py
+++ b/toucanspring/reporting/event_buffer.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from toucanspring import event_kinds
+from toucanspring.reporting import event_kinds
 
 SEGMENT_BYTES = 8 * 1024
 # Bounds what a process writes in an hour, and with the retention its rows: 96 hours
--- a/toucanspring/event_rows.py
+++ b/toucanspring/reporting/event_rows.py
@@ -7,8 +7,9 @@
 import logbook
 import msgspec
 
-from toucanspring import errors, event_buffer, event_kinds
+from toucanspring import errors
 from toucanspring.adapters import tables
+from toucanspring.reporting import event_buffer, event_kinds
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/events.py
+++ b/toucanspring/reporting/events.py
@@ -18,9 +18,10 @@
 import logbook
 import msgspec
 
-from toucanspring import errors, event_buffer, event_kinds, event_rows
+from toucanspring import errors
 from toucanspring.adapters import tables
 from toucanspring.callers import answers
+from toucanspring.reporting import event_buffer, event_kinds, event_rows
 
 log = logbook.Logger(__name__)
 
--- a/toucanspring/report.py
+++ b/toucanspring/reporting/report.py
@@ -13,9 +13,10 @@
 import msgspec
 from gevent import event
 
-from toucanspring import budgets, burn, errors, kernel, resources
+from toucanspring import errors, kernel, resources
 from toucanspring.configuration import text
 from toucanspring.owners import inbox
+from toucanspring.reporting import budgets, burn
 from toucanspring.scheduling import summary
 
 NAMES = ("share", "waiting", "burn")
--- a/toucanspring/scheduling/attempt.py
+++ b/toucanspring/scheduling/attempt.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Iterable, Iterator
 
-from toucanspring import event_kinds, job, wire
+from toucanspring import job, wire
+from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import (
     avoidance,
     effects,
--- a/toucanspring/scheduling/avoidance.py
+++ b/toucanspring/scheduling/avoidance.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from toucanspring import event_kinds, resources
+from toucanspring import resources
+from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import failure_places, lifecycle, task_table
 
 
--- a/toucanspring/scheduling/collector.py
+++ b/toucanspring/scheduling/collector.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from toucanspring import event_kinds, job, wire
+from toucanspring import job, wire
+from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import effects
 
 
--- a/toucanspring/scheduling/effects.py
+++ b/toucanspring/scheduling/effects.py
@@ -29,7 +29,8 @@
 
 import dataclasses
 
-from toucanspring import event_kinds, job, resources, wire
+from toucanspring import job, resources, wire
+from toucanspring.reporting import event_kinds
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/toucanspring/scheduling/gang.py
+++ b/toucanspring/scheduling/gang.py
@@ -5,7 +5,8 @@
 import dataclasses
 import math
 
-from toucanspring import event_kinds, job, resources
+from toucanspring import job, resources
+from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import (
     draining,
     interruption,
--- a/toucanspring/scheduling/interruption.py
+++ b/toucanspring/scheduling/interruption.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from toucanspring import event_kinds
+from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import lifecycle, task_table
 
 
--- a/toucanspring/scheduling/lifecycle.py
+++ b/toucanspring/scheduling/lifecycle.py
@@ -8,7 +8,8 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-from toucanspring import event_kinds, job, resources, wire
+from toucanspring import job, resources, wire
+from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import (
     allowance,
     collector,
--- a/toucanspring/scheduling/moves.py
+++ b/toucanspring/scheduling/moves.py
@@ -6,7 +6,8 @@
 import math
 from collections.abc import Iterator, Mapping
 
-from toucanspring import event_kinds, job
+from toucanspring import job
+from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import (
     dispatch,
     interruption,
--- a/toucanspring/scheduling/overuse.py
+++ b/toucanspring/scheduling/overuse.py
@@ -9,7 +9,8 @@
 
 from collections.abc import Iterable, Mapping
 
-from toucanspring import event_kinds, resources
+from toucanspring import resources
+from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import (
     effects,
     interruption,
--- a/toucanspring/scheduling/preemption.py
+++ b/toucanspring/scheduling/preemption.py
@@ -7,7 +7,8 @@
 import math
 from collections.abc import Callable, Iterable
 
-from toucanspring import event_kinds, job, resources
+from toucanspring import job, resources
+from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import (
     avoidance,
     draining,
--- a/toucanspring/scheduling/scheduler.py
+++ b/toucanspring/scheduling/scheduler.py
@@ -6,8 +6,9 @@
 import types
 from collections.abc import Iterable, Mapping
 
-from toucanspring import errors, event_kinds, job, resources, wire
+from toucanspring import errors, job, resources, wire
 from toucanspring.owners import log_records, recovery
+from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import (
     attempt,
     dispatch,
--- a/toucanspring/scheduling/spreading.py
+++ b/toucanspring/scheduling/spreading.py
@@ -5,7 +5,8 @@
 import collections
 import dataclasses
 
-from toucanspring import event_kinds, job
+from toucanspring import job
+from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import (
     avoidance,
     gang,
