--- a/test/test_cli.py
+++ b/test/test_cli.py
@@ -8,12 +8,13 @@
 import testtools
 
 from test import certificates, edge_fakes
-from toucanspring import cli, client, console, errors, job
+from toucanspring import cli, errors, job
 from toucanspring.adapters import exchange, vms
 from toucanspring.commands import partitions
 from toucanspring.owners import handover
 from toucanspring.reporting import event_kinds, survey
 from toucanspring.scheduling import effects
+from toucanspring.terminal import client, console
 
 UNUSED = "127.0.0.1:1"
 
--- a/test/test_story.py
+++ b/test/test_story.py
@@ -4,8 +4,9 @@
 
 import testtools
 
-from toucanspring import console, errors
+from toucanspring import errors
 from toucanspring.commands import story
+from toucanspring.terminal import console
 
 JOB = "5c0e7a21d94b36f8"
 
--- a/toucanspring/cli.py
+++ b/toucanspring/cli.py
@@ -15,7 +15,7 @@
 
 import defopt
 
-from toucanspring import client, console, errors
+from toucanspring import errors
 from toucanspring.commands import (
     apply,
     cancel,
@@ -36,6 +36,7 @@
     workers,
     zone,
 )
+from toucanspring.terminal import client, console
 
 PREFIX = "TOUCANSPRING_"
 COMMANDS = {
--- a/toucanspring/commands/apply.py
+++ b/toucanspring/commands/apply.py
@@ -4,8 +4,9 @@
 
 import gevent
 
-from toucanspring import client, console, errors, source
+from toucanspring import errors
 from toucanspring.configuration import reader, text
+from toucanspring.terminal import client, console, source
 
 CONFIRM_POLL_S = 0.2
 
--- a/toucanspring/commands/cancel.py
+++ b/toucanspring/commands/cancel.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from toucanspring import console, errors
+from toucanspring import errors
+from toucanspring.terminal import console
 
 
 def run(context: console.Context, *jobs: str) -> console.Result:
--- a/toucanspring/commands/diff.py
+++ b/toucanspring/commands/diff.py
@@ -1,7 +1,7 @@
 """Command `diff`."""
 
-from toucanspring import console, source
 from toucanspring.configuration import reader, text
+from toucanspring.terminal import console, source
 
 
 def run(
--- a/toucanspring/commands/events.py
+++ b/toucanspring/commands/events.py
@@ -4,7 +4,8 @@
 import re
 import urllib.parse
 
-from toucanspring import console, errors
+from toucanspring import errors
+from toucanspring.terminal import console
 
 UNITS_S = {"s": 1, "m": 60, "h": 3600, "d": 86400}
 COMMON = ("time", "last", "count", "process", "kind")
--- a/toucanspring/commands/explain.py
+++ b/toucanspring/commands/explain.py
@@ -2,8 +2,8 @@
 
 import urllib.parse
 
-from toucanspring import console
 from toucanspring.commands import events
+from toucanspring.terminal import console
 
 
 def run(context: console.Context, job_id: str) -> console.Result:
--- a/toucanspring/commands/history.py
+++ b/toucanspring/commands/history.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from toucanspring import console
+from toucanspring.terminal import console
 
 
 def run(context: console.Context, *, limit: int = 20) -> console.Result:
--- a/toucanspring/commands/key.py
+++ b/toucanspring/commands/key.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from toucanspring import console
+from toucanspring.terminal import console
 
 
 def grant(context: console.Context, team: str) -> console.Result:
--- a/toucanspring/commands/member.py
+++ b/toucanspring/commands/member.py
@@ -2,7 +2,7 @@
 
 import urllib.parse
 
-from toucanspring import console
+from toucanspring.terminal import console
 
 
 def confirm_gone(context: console.Context, name: str) -> console.Result:
--- a/toucanspring/commands/partitions.py
+++ b/toucanspring/commands/partitions.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from toucanspring import console, errors
+from toucanspring import errors
+from toucanspring.terminal import console
 
 TARGET = "/v1/partitions"
 COLUMNS = ("PARTITION", "JOBS", "REQUESTS", "IN USE", "FORMER NUMBERS")
--- a/toucanspring/commands/report.py
+++ b/toucanspring/commands/report.py
@@ -3,8 +3,9 @@
 import pathlib
 from typing import Literal
 
-from toucanspring import console, errors
+from toucanspring import errors
 from toucanspring.reporting import page
+from toucanspring.terminal import console
 
 
 def run(
--- a/toucanspring/commands/show.py
+++ b/toucanspring/commands/show.py
@@ -1,6 +1,6 @@
 """Command `show`."""
 
-from toucanspring import console, source
+from toucanspring.terminal import console, source
 
 
 def run(context: console.Context) -> console.Result:
--- a/toucanspring/commands/status.py
+++ b/toucanspring/commands/status.py
@@ -2,7 +2,7 @@
 
 import urllib.parse
 
-from toucanspring import client, console
+from toucanspring.terminal import client, console
 
 
 def run(context: console.Context, *jobs: str) -> console.Result:
--- a/toucanspring/commands/story.py
+++ b/toucanspring/commands/story.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from toucanspring import console, errors
+from toucanspring import errors
+from toucanspring.terminal import console
 
 HIDDEN = ("time", "level", "logger", "message")
 
--- a/toucanspring/commands/submit.py
+++ b/toucanspring/commands/submit.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from toucanspring import console
 from toucanspring.commands import wait as wait_command
+from toucanspring.terminal import console
 
 
 def run(
--- a/toucanspring/commands/validate.py
+++ b/toucanspring/commands/validate.py
@@ -1,7 +1,8 @@
 """Command `validate`."""
 
-from toucanspring import console, errors, source
+from toucanspring import errors
 from toucanspring.configuration import reader, text
+from toucanspring.terminal import console, source
 
 
 def run(_context: console.Context, path: str) -> console.Result:
--- a/toucanspring/commands/wait.py
+++ b/toucanspring/commands/wait.py
@@ -4,8 +4,9 @@
 
 import gevent
 
-from toucanspring import console, errors
+from toucanspring import errors
 from toucanspring.commands import status
+from toucanspring.terminal import console
 
 FIRST_POLL_S = 0.2
 LONGEST_POLL_S = 2.0
--- a/toucanspring/commands/workers.py
+++ b/toucanspring/commands/workers.py
@@ -1,6 +1,6 @@
 """Command `workers`."""
 
-from toucanspring import console
+from toucanspring.terminal import console
 
 
 def run(context: console.Context) -> console.Result:
--- a/toucanspring/commands/zone.py
+++ b/toucanspring/commands/zone.py
@@ -2,7 +2,7 @@
 
 import urllib.parse
 
-from toucanspring import console
+from toucanspring.terminal import console
 
 
 def take_out(context: console.Context, name: str) -> console.Result:
--- /dev/null
+++ b/toucanspring/terminal/__init__.py
@@ -0,0 +1,1 @@
+"""What the files of the command line share."""
--- a/toucanspring/console.py
+++ b/toucanspring/terminal/console.py
@@ -10,7 +10,8 @@
 
 import msgspec
 
-from toucanspring import client, errors
+from toucanspring import errors
+from toucanspring.terminal import client
 
 EXIT_FAILURE = 1
 EXIT_USAGE = 2
--- a/toucanspring/source.py
+++ b/toucanspring/terminal/source.py
@@ -9,8 +9,9 @@
 
 import msgspec
 
-from toucanspring import client, console, errors, resources
+from toucanspring import errors, resources
 from toucanspring.configuration import reader, syntax, text
+from toucanspring.terminal import client, console
 
 
 def read(path: str) -> str:
