Acknowledge no ends to a worker that may have begun another life

Another life of a worker counts its ends from 1; a look that still acknowledged the numbers of the life before let it forget ends that nobody had read, and the task ran again.

Change: a look acknowledges nothing after a miss, after a start without answer, after an answer from a clock more than 3 s younger and after 0.2 s in which no look watched the worker (the store was slow to take the ends). A pending look of the stand-in ends with the life that it was sent to.

What stays assumed: no worker restarts within 0.2 s between two looks.

--- a/standins/lease_workers.py
+++ b/standins/lease_workers.py
@@ -164,10 +164,11 @@
         """Renew the lease, forget ends up to `seen_end` and return the others."""
         gevent.sleep(0)
         deadline = time.monotonic() + wait_ms / 1000
+        asked = self.lives[worker.id]
         while True:
-            if worker.id in self.silent:
-                return errors.Ambiguous(reason="no answer")
             life = self._life(worker.id)
+            if worker.id in self.silent or life is not asked:
+                return errors.Ambiguous(reason="no answer")
             if epoch < life.epoch:
                 return ports.OrderRefused(reason=ports.FENCED)
             life.epoch = epoch
--- a/test/test_coordinator_tenure.py
+++ b/test/test_coordinator_tenure.py
@@ -1,13 +1,14 @@
 """Whole tenures over a store and workers in memory, with takeovers and lost answers."""
 
 import contextlib
+import itertools
 
 import gevent
 import testtools
 
 from standins import lease_workers, rowstore
 from test import coordinator_case as case
-from toucanspring.coordinator import rows, seat, state, tenure
+from toucanspring.coordinator import ports, rows, seat, state, tenure
 
 JOB = "0" * 16
 MAX_LEASE_MS = 6000
@@ -277,6 +278,42 @@
         self.assertEqual(12, self.workers.starts)
         self.assert_promises_kept()
 
+    def test_a_look_after_a_miss_forgets_no_ends(self):
+        """Found by the soak, seeds 101 and 102: another life counts its ends anew."""
+        looks = []
+        look = self.workers.look
+
+        def record(worker, epoch, seen_end, *rest):
+            answer = look(worker, epoch, seen_end, *rest)
+            if worker.id == "w1":
+                looks.append((seen_end, isinstance(answer, ports.Look)))
+            return answer
+
+        self.workers.look = record
+        self.coordinate()
+        self.accept(case.step(8))
+        self.wait_for(self.is_complete)
+        self.wait_for(lambda: looks[-1][0] > 0)
+        self.workers.silent.add("w1")
+        self.wait_for(lambda: not looks[-1][1])
+        count = len(looks)
+        self.workers.silent.discard("w1")
+        self.wait_for(lambda: looks[-1][1] and len(looks) > count)
+        after_misses = [
+            seen
+            for (_, answered), (seen, _) in itertools.pairwise(looks)
+            if not answered
+        ]
+        self.assertEqual({0}, set(after_misses))
+
+    def test_a_look_after_a_start_without_answer_forgets_no_ends(self):
+        held = self.coordinate()
+        self.accept(case.step(1))
+        self.workers.lose = 1
+        self.wait_for(lambda: any(w.in_doubt for w in held.book.workers.values()))
+        self.wait_for(self.is_complete)
+        self.wait_for(lambda: not any(w.in_doubt for w in held.book.workers.values()))
+
     def test_an_unreadable_row_does_not_stop_the_others(self):
         self.store.put(rows.job_places("bad")[0], b"\xff")
         self.store.put(rows.progress_place("bad"), b"\xff")
--- a/test/test_coordinator_workers.py
+++ b/test/test_coordinator_workers.py
@@ -21,6 +21,14 @@
         worker.take_clock(5_100, received_at=12.0)
         self.assertEqual(5_000 + 1_960, worker.estimate_clock(12.0))
 
+    def test_a_clock_that_goes_back_puts_the_life_in_doubt(self):
+        worker = workers.Worker(case.entry("w1"))
+        worker.take_clock(60_000, 1.0)
+        worker.take_clock(59_800, 1.2)  # an answer that was delayed
+        self.assertFalse(worker.in_doubt)
+        worker.take_clock(40, 2.0)
+        self.assertTrue(worker.in_doubt)
+
     def test_a_lease_lapses_after_its_end_on_a_slow_clock(self):
         worker = workers.Worker(case.entry())
         worker.take_clock(1_000, received_at=10.0)
--- a/toucanspring/coordinator/orders.py
+++ b/toucanspring/coordinator/orders.py
@@ -25,6 +25,8 @@
 START_TRIES = 3
 STOP_RETRY_S = 0.25
 MAX_ORDERS = 400  # under way at once
+# A worker that no look watches for this long may begin another life unnoticed.
+UNWATCHED_S = 0.2
 NOTE_LIMIT_S = 1.0  # how long ends wait for the store before the lease is renewed
 # Within this time after the lease of the seat, leases of workers are still renewed,
 # since an outage of the store is then likelier than another coordinator.
@@ -132,15 +134,17 @@
         until = None
         # A look that is not answered may still arrive: without a lease in it, the work
         # of a worker that is gone is given up in time.
-        if worker.clock_ms and not worker.missed_look:
+        if worker.clock_ms and not worker.in_doubt:
             until = worker.estimate_clock(sent) + self._max_lease_ms
             worker.promise_lease(until, sent)
         wait_ms = LOOK_WAIT_MS if worker.confirmed and worker.answering else 0
+        # Another life counts its ends anew: it would forget some that nobody has read.
+        seen_end = 0 if worker.in_doubt else worker.seen_end
         answer = self._client.look(
-            worker.entry, self._owner.epoch, worker.seen_end, until, wait_ms
+            worker.entry, self._owner.epoch, seen_end, until, wait_ms
         )
         now = self._clock()
-        worker.missed_look = not isinstance(answer, ports.Look)
+        worker.in_doubt = not isinstance(answer, ports.Look)
         match answer:
             case ports.Look():
                 self._take(worker, answer, sent, now)
@@ -180,6 +184,8 @@
             self._owner.note(worker, last)
             # A look before the ends are durable would only return them again.
             signal.wait(NOTE_LIMIT_S)
+            if self._clock() - now > UNWATCHED_S:
+                worker.in_doubt = True
 
     # Starts and stops
 
@@ -219,6 +225,7 @@
                     self._owner.wake()
                     return
                 case errors.Ambiguous() if attempt + 1 < START_TRIES:
+                    worker.in_doubt = True
                     continue  # a repeat of the same run changes nothing
                 case errors.Ambiguous():
                     worker.penalty_until = now + workers.PENALTY_S
--- a/toucanspring/coordinator/workers.py
+++ b/toucanspring/coordinator/workers.py
@@ -11,6 +11,8 @@
 # A worker's clock may be this much slow, so that its leases last longer.
 CLOCK_SLOWNESS = 0.02
 LAPSE_SLACK_S = 0.3
+# Calls are given up before their answers are this old.
+OLDEST_ANSWER_MS = 3000
 # After so many failures in a row, of at least two jobs, a worker gets no work.
 FAILURES_IN_A_ROW = 2
 QUARANTINE_FIRST_S = 3.0
@@ -38,7 +40,9 @@
     registered: bool = True  # its entry is in the store
     confirmed: bool = False  # it has answered under the present epoch
     answering: bool = False
-    missed_look: bool = False  # it has not answered the latest look
+    # The latest look had no answer, or an answer came from a younger clock: the worker
+    # may have begun another life.
+    in_doubt: bool = False
     used: resources.Resources = resources.ZERO
     held: dict[str, Held] = dataclasses.field(default_factory=dict)
     # Tasks that it runs and that nobody asked this coordinator to keep.
@@ -90,8 +94,11 @@
 
     def take_clock(self, clock_ms: int, received_at: float) -> None:
         """Take in the worker's clock from an answer."""
-        if not self.clock_ms or clock_ms >= self.estimate_clock(received_at):
+        known_ms = self.estimate_clock(received_at) if self.clock_ms else 0
+        if clock_ms >= known_ms:
             self.clock_ms, self.clock_at = clock_ms, received_at
+        elif clock_ms < known_ms - OLDEST_ANSWER_MS:
+            self.in_doubt = True
 
     def promise_lease(self, until_ms: int, now: float) -> None:
         """Take note that an order carrying a lease is about to be sent."""
