Play random faults on the adapter's real processes

Change: soak/ starts them against an emulator of the platform (platform/emulator.py: the wire in front of the project's stand-ins) behind loopback proxies, plays faults of processes, connections, the store, workers and operators in series and at once, and checks what callers and workers see.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,10 @@
 VENV := .venv
 STAMP := $(VENV)/.installed
 
-.PHONY: all install demo test lint format scenarios spec clean
+SEED ?= 1
+COUNT ?= 50
+
+.PHONY: all install demo test lint format scenarios spec soak soak-short soak-many clean
 
 all: test
 
@@ -33,5 +36,14 @@
 spec: $(STAMP)
 	$(VENV)/bin/python -m spec
 
+soak: $(STAMP)
+	$(VENV)/bin/python -m soak --seed $(SEED)
+
+soak-short: $(STAMP)
+	$(VENV)/bin/python -m soak --seed 1 --seconds 8
+
+soak-many: $(STAMP)
+	$(VENV)/bin/python -m soak --seed $(SEED) --count $(COUNT) --keep target/soak
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults on real processes, with promises checked while they run."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,83 @@
+"""Play random faults on real processes: `python -m soak --seed N`."""
+
+import gevent.monkey
+
+gevent.monkey.patch_all()
+
+import argparse  # noqa: E402
+import json  # noqa: E402
+import pathlib  # noqa: E402
+import random  # noqa: E402
+import sys  # noqa: E402
+import tempfile  # noqa: E402
+import time  # noqa: E402
+
+import gevent  # noqa: E402
+
+from soak import callers, cell, faults, promises  # noqa: E402
+
+WARM_UP_S = 3.0
+# A worker's lease, a takeover and the work itself, several times over.
+SETTLE_S = 40.0
+POLL_S = 0.2
+
+
+def play(
+    seed: int, seconds: float, daemons: int, workers: int, folder: pathlib.Path
+) -> dict:
+    """Play one seed and return what was seen."""
+    rng = random.Random(seed)
+    with cell.Cell(random.Random(seed + 1), folder, daemons, workers) as running:
+        gevent.sleep(WARM_UP_S)
+        with callers.Callers(running, random.Random(seed + 2)) as clients:
+            with faults.Faults(running, rng) as injected:
+                gevent.sleep(seconds)
+                injected.stop()
+            clients.stop()
+            settle(running)
+        kept = running.promises
+        unfinished = kept.unfinished()
+        for job_id in unfinished[:5]:
+            kept.break_(f"{job_id} is not done {SETTLE_S} s after the last fault")
+        counts = {
+            each.value: sum(job.acceptance is each for job in kept.jobs.values())
+            for each in promises.Acceptance
+        }
+        return {
+            "seed": seed, "jobs": len(kept.jobs), **counts,
+            "starts": running.workers.starts, "faults": injected.played,
+            "unfinished": len(unfinished), "broken": kept.broken[:20],
+        }  # fmt: skip
+
+
+def settle(running: cell.Cell) -> None:
+    """Wait until all accepted jobs are done, or the time for that is over."""
+    deadline = time.monotonic() + SETTLE_S
+    while running.promises.unfinished() and time.monotonic() < deadline:
+        gevent.sleep(POLL_S)
+
+
+def main() -> int:
+    """Play the seeds; return 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--count", type=int, default=1, help="seeds in a row")
+    parser.add_argument("--seconds", type=float, default=20.0, help="time of faults")
+    parser.add_argument("--daemons", type=int, default=4)
+    parser.add_argument("--workers", type=int, default=6)
+    parser.add_argument("--keep", type=pathlib.Path, help="folder for the logs")
+    chosen = parser.parse_args()
+    broken = 0
+    for seed in range(chosen.seed, chosen.seed + chosen.count):
+        with tempfile.TemporaryDirectory() as temporary:
+            folder = chosen.keep / f"{seed}" if chosen.keep else temporary
+            folder = pathlib.Path(folder)
+            folder.mkdir(parents=True, exist_ok=True)
+            seen = play(seed, chosen.seconds, chosen.daemons, chosen.workers, folder)
+        print(json.dumps(seen), flush=True)
+        broken += bool(seen["broken"])
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/cell.py
@@ -0,0 +1,217 @@
+"""The processes under test, the platform around them and the proxies in between."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import pathlib
+import random
+import signal
+import sys
+import time
+
+import gevent
+
+from soak import promises, proxy
+from standins import lease_workers, ports, processes, rowstore
+from toucanspring import errors, resources
+from toucanspring.adapters import exchange
+from toucanspring.coordinator import catalogue, work
+from toucanspring.coordinator import ports as types
+
+PLATFORM = processes.ROOT / "platform"
+if str(PLATFORM) not in sys.path:
+    sys.path.append(str(PLATFORM))
+
+import emulator  # noqa: E402  from the folder of the adapter
+
+ADDRESS = "127.0.0.1"
+ZONES = ("a", "b", "c")
+POOL, PREFIX, KEY = "pool", "/jobs/", "key"
+PORTS_OF_PROCESS = 4
+HEARTBEAT_S = 1.5
+RESTART_S = 0.5  # the platform starts an ended process again after this time
+# No process is back within this time; the coordinator relies on 0.2 s.
+WORKER_RESTART_S = 0.3
+RUN_S = (0.05, 1.2)
+
+
+class Cell:
+    """Own the processes, the workers, the store and the proxies."""
+
+    def __init__(
+        self, rng: random.Random, folder: pathlib.Path, daemons: int, workers: int
+    ) -> None:
+        self.rng = rng
+        self.store = rowstore.MemoryStore()
+        self.workers = lease_workers.LeaseWorkers()
+        self.promises = promises.Promises(self.workers)
+        self.daemons = [f"entry-{number}" for number in range(1, daemons + 1)]
+        self.proxies: dict[str, proxy.Proxy] = {}
+        self.version = 0
+        self.down: set[str] = set()  # processes that the soak ended
+        self._folder = folder
+        self._running: dict[str, processes.ManagedProcess] = {}
+        self._settings: dict[str, pathlib.Path] = {}
+        self._stack = contextlib.ExitStack()
+        self._greenlets: list[gevent.Greenlet] = []
+        count = 2 + 2 * workers + (PORTS_OF_PROCESS + 2) * daemons
+        self._ports = iter(range(first := ports.find_ports(count), first + count))
+        self._add_platform()
+        for number in range(workers):
+            self._add_worker(f"w{number}", ZONES[number % len(ZONES)])
+        for number, name in enumerate(self.daemons):
+            self._add_process(name, ZONES[number % len(ZONES)])
+
+    def __enter__(self) -> Cell:
+        self.configure()
+        for name in self.daemons:
+            self.start(name)
+        self._greenlets = [gevent.spawn(self._beat), gevent.spawn(self._watch)]
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        gevent.killall(self._greenlets)
+        for each in self._running.values():
+            each.kill()
+        self._stack.close()
+
+    def _add_platform(self) -> None:
+        self._store_at = (ADDRESS, next(self._ports))
+        self._approvals_at = (ADDRESS, next(self._ports))
+        for address, resource in (
+            (self._store_at, emulator.StoreResource(self.store)),
+            (self._approvals_at, emulator.ApprovalResource()),
+        ):
+            listener = emulator.Listener(address, resource.application())
+            self._stack.enter_context(listener)
+
+    def _add_proxy(self, name: str, target: tuple[str, int]) -> str:
+        found = self.proxies[name] = proxy.Proxy(next(self._ports), target)
+        self._stack.enter_context(found)
+        return found.address
+
+    def _add_worker(self, name: str, zone: str) -> None:
+        own = (ADDRESS, next(self._ports))
+        entry = types.WorkerEntry(
+            id=name, pool=POOL, address=self._add_proxy(name, own), zone=zone,
+            rack=f"r-{zone}", labels=frozenset({"kind", f"r-{zone}"}),
+            capacity=resources.Resources(8000, 16_384, 0), born=_now_ms(),
+        )  # fmt: skip
+        self.workers.add(entry)
+
+        def check(order: object) -> str:
+            self.workers.run_s = self.rng.uniform(*RUN_S)
+            return self.promises.start_of(order.task, order.spec, zone)
+
+        app = emulator.ExecutorResource(self.workers, name, check).application()
+        self._stack.enter_context(emulator.Listener(own, app))
+        self._register(name)
+
+    def _add_process(self, name: str, zone: str) -> None:
+        first = next(self._ports)
+        for _ in range(PORTS_OF_PROCESS - 1):
+            next(self._ports)
+        store = self._add_proxy(f"store of {name}", self._store_at)
+        self._add_proxy(f"callers of {name}", (ADDRESS, first))
+        approvals = f"{self._approvals_at[0]}:{self._approvals_at[1]}"
+        text = emulator.write_settings(name, zone, first, ADDRESS, store, approvals)
+        self._settings[name] = self._folder / f"{name}.toml"
+        self._settings[name].write_text(text)
+
+    # The platform
+
+    def configure(self) -> None:
+        """Write a new version of the configuration."""
+        self.version += self.rng.randrange(1, 5)
+        queue = catalogue.Queue(
+            name="jobs", host=ADDRESS, path_prefix=PREFIX, pool=POOL, max_attempts=3,
+            stretch=3.0, target_s=2.0,
+            approval=catalogue.Approval(
+                decision_s=0.01, per_worker_s=0.0, validity_s=2.5
+            ),
+        )  # fmt: skip
+        team = catalogue.Organisation(name="team", keys=frozenset({KEY}), weight=50)
+        known = catalogue.Catalogue(
+            version=self.version, queues=(queue,), organisations={team.name: team}
+        )
+        row = types.Place("op", "", "config")
+        self.store.put(row, emulator.encode_configuration(known))
+
+    def set_zone(self, zone: str, out: bool) -> None:
+        """Take a zone out of service, or back."""
+        row = types.Place("op", "", f"evacuate/{zone}")
+        if out:
+            self.store.put(row, b"{}")
+            self.promises.out_since[zone] = time.monotonic()
+            return
+        self.store.remove(row)
+        self.promises.out_since.pop(zone, None)
+
+    def renew_worker(self, name: str) -> None:
+        """Let a worker crash and begin another life, which knows nothing."""
+        self.proxies[name].set_mode(proxy.Reset())
+        gevent.sleep(WORKER_RESTART_S)
+        old = self.workers.lives[name].entry
+        self.workers.add(dataclasses.replace(old, born=_now_ms()))
+        self.proxies[name].set_mode(proxy.Pass())
+        self._register(name)
+
+    def _register(self, name: str) -> None:
+        entry = self.workers.lives[name].entry
+        row = types.Place("servers", "", name)
+        self.store.put(row, emulator.encode_executor(entry, draining=False))
+
+    def _beat(self) -> None:
+        while True:
+            gevent.sleep(HEARTBEAT_S)
+            for name in self.workers.lives:
+                if self.store.reachable and name not in self.workers.silent:
+                    self._register(name)
+
+    # The processes
+
+    def start(self, name: str) -> None:
+        """Start a process."""
+        self.down.discard(name)
+        self._running[name] = processes.ManagedProcess(
+            name,
+            [sys.executable, str(PLATFORM)],
+            self._folder,
+            {"TOUCANSPRING_SETTINGS": str(self._settings[name])},
+        )
+
+    def call(
+        self, name: str, method: str, job: work.Job, timeout_s: float
+    ) -> exchange.Reply | errors.Failure:
+        """Send a caller's request about a job to a process, on its own connection."""
+        place = exchange.parse_address(self.proxies[f"callers of {name}"].address)
+        endpoint = exchange.Endpoint(*place, 1)
+        body = emulator.encode_job(job) if method == "POST" else b""
+        headers = emulator.caller_headers(KEY, timeout_s)
+        path = emulator.call_path(PREFIX, job.id)
+        try:
+            return endpoint.call(method, path, body, headers, timeout_s)
+        finally:
+            endpoint.close()
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a process."""
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self.down.add(name)
+        self._running[name].signal(number)
+
+    def _watch(self) -> None:
+        """Start processes again that have ended, as the platform does."""
+        while True:
+            gevent.sleep(RESTART_S)
+            for name, each in list(self._running.items()):
+                if each.status() is None:
+                    continue
+                if name not in self.down:
+                    self.promises.break_(f"{name} ended with {each.status()}")
+                self.start(name)
+
+
+def _now_ms() -> int:
+    return round(time.time() * 1000)
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,239 @@
+"""Faults of processes, connections, the store, workers and operators."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import signal
+
+import gevent
+
+from soak import cell, proxy
+from toucanspring.coordinator import rows
+
+MEAN_PAUSE_S = 1.2  # between the beginnings of two faults, which may overlap
+SHORTEST_S, LONGEST_S = 0.2, 4.0
+LATE_S = 1.0  # calls that are held back are carried out after this time
+
+
+@dataclasses.dataclass(frozen=True)
+class End:
+    """End processes with a signal."""
+
+    names: tuple[str, ...]
+    number: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Pause:
+    """Pause a process and let it go on."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Disturb:
+    """Treat the connections of a proxy in another way for a while."""
+
+    name: str
+    mode: proxy.Mode
+
+
+@dataclasses.dataclass(frozen=True)
+class Silence:
+    """Let the open connections of a proxy go silent for good."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreDown:
+    """Refuse calls of the store, all or those of some parts."""
+
+    parts: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreLoses:
+    """Carry transactions out without an answer, at once or late."""
+
+    count: int
+    late: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class DropHistory:
+    """Let the store forget what has changed."""
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkerSilent:
+    """Let a worker answer nothing while it runs on."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkerCrash:
+    """Let a worker begin another life."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True)
+class OrdersLost:
+    """Carry starts out without an answer, at once or late."""
+
+    count: int
+    late: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Reconfigure:
+    """Write a new configuration."""
+
+
+@dataclasses.dataclass(frozen=True)
+class ZoneOut:
+    """Take a zone out of service for a while."""
+
+    name: str
+
+
+Fault = (
+    End | Pause | Disturb | Silence | StoreDown | StoreLoses | DropHistory
+    | WorkerSilent | WorkerCrash | OrdersLost | Reconfigure | ZoneOut
+)  # fmt: skip
+
+
+def draw(rng: random.Random, running: cell.Cell) -> Fault:
+    """Return a fault."""
+    daemon = rng.choice(running.daemons)
+    worker = rng.choice(sorted(running.workers.lives))
+    link = rng.choice(sorted(running.proxies))
+    parts = [rows.COORDINATOR_PART, *map(str, range(rows.JOB_PARTS))]
+    mode = rng.choice(
+        (
+            proxy.Delay(rng.uniform(0.05, 0.5)),
+            proxy.Reset(),
+            proxy.Cut(),
+            proxy.Cut(to_client=False),
+            proxy.Cut(to_target=False),
+        )
+    )
+    everyone = tuple(running.daemons)
+    kinds: tuple[tuple[float, Fault], ...] = (
+        (3, End((daemon,), signal.SIGKILL)),
+        (2, End((daemon,), signal.SIGTERM)),
+        (1, End(everyone, signal.SIGKILL)),
+        (3, Pause(daemon)),
+        (6, Disturb(link, mode)),
+        (1, Silence(link)),
+        (1, StoreDown()),
+        (1, StoreDown(tuple(rng.sample(parts, 4)))),
+        (2, StoreLoses(rng.randrange(1, 6), rng.random() < 0.5)),
+        (1, DropHistory()),
+        (1, WorkerSilent(worker)),
+        (1, WorkerCrash(worker)),
+        (2, OrdersLost(rng.randrange(1, 8), rng.random() < 0.5)),
+        (1, Reconfigure()),
+        (1, ZoneOut(rng.choice(cell.ZONES))),
+    )
+    weights, choices = zip(*kinds, strict=True)
+    return rng.choices(choices, weights)[0]
+
+
+class Faults:
+    """Own the faults of one run."""
+
+    def __init__(self, running: cell.Cell, rng: random.Random) -> None:
+        self.played: list[str] = []
+        self._cell = running
+        self._rng = rng
+        self._source: gevent.Greenlet | None = None
+        self._open: list[gevent.Greenlet] = []
+
+    def __enter__(self) -> Faults:
+        self._source = gevent.spawn(self._run)
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        self._source.kill()
+        gevent.killall(self._open)
+
+    def stop(self) -> None:
+        """Begin no more faults and wait for those under way to end."""
+        self._source.kill()
+        gevent.joinall(self._open)
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(self._rng.expovariate(1 / MEAN_PAUSE_S))
+            fault = draw(self._rng, self._cell)
+            for_s = self._rng.uniform(SHORTEST_S, LONGEST_S)
+            self.played.append(f"{fault} for {for_s:.2f} s")
+            self._open.append(gevent.spawn(self._play, fault, for_s))
+
+    def _play(self, fault: Fault, for_s: float) -> None:
+        running = self._cell
+        match fault:
+            case End(names=names, number=number):
+                for name in names:
+                    running.signal(name, number)
+            case Pause(name=name):
+                running.signal(name, signal.SIGSTOP)
+                gevent.sleep(for_s)
+                running.signal(name, signal.SIGCONT)
+            case Disturb(name=name, mode=mode):
+                running.proxies[name].set_mode(mode)
+                gevent.sleep(for_s)
+                running.proxies[name].set_mode(proxy.Pass())
+            case Silence(name=name):
+                running.proxies[name].silence()
+            case WorkerCrash(name=name):
+                running.renew_worker(name)
+            case Reconfigure():
+                running.configure()
+            case ZoneOut(name=name):
+                running.set_zone(name, True)
+                gevent.sleep(for_s * 3)
+                running.set_zone(name, False)
+            case WorkerSilent(name=name):
+                running.workers.silent.add(name)
+                gevent.sleep(for_s * 2)
+                running.workers.silent.discard(name)
+            case OrdersLost(count=count, late=late):
+                self._lose_orders(count, late)
+            case _:
+                self._play_store(fault, for_s)
+
+    def _lose_orders(self, count: int, late: bool) -> None:
+        workers = self._cell.workers
+        if not late:
+            workers.lose = count
+            return
+        workers.hold_back = count
+        gevent.sleep(LATE_S)
+        workers.hold_back = 0
+        workers.carry_out_late()
+
+    def _play_store(self, fault: Fault, for_s: float) -> None:
+        store = self._cell.store
+        match fault:
+            case StoreDown(parts=()):
+                store.reachable = False
+                gevent.sleep(for_s)
+                store.reachable = True
+            case StoreDown(parts=parts):
+                store.parts_down = set(parts)
+                gevent.sleep(for_s)
+                store.parts_down = set()
+            case StoreLoses(count=count, late=False):
+                store.lose_answers = count
+            case StoreLoses(count=count):
+                store.delay = count
+                gevent.sleep(LATE_S)
+                store.delay = 0
+                store.carry_out_late()
+            case DropHistory():
+                store.drop_history()
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,136 @@
+"""Loopback proxy that delays, resets, cuts one way or silences its connections."""
+
+from __future__ import annotations
+
+import dataclasses
+import socket as sockets
+import struct
+
+import gevent
+from gevent import server, socket
+
+BLOCK_BYTES = 65_536
+CONNECT_TIMEOUT_S = 2.0
+POLL_S = 0.02
+# A linger time of zero makes close() send a reset.
+RESET = struct.pack("ii", 1, 0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Pass:
+    """Hand all bytes on."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Delay:
+    """Hand bytes on after a time in seconds."""
+
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Reset:
+    """Reset open connections once, and new ones at once."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Cut:
+    """Hold bytes back, in both directions or one, until the mode changes."""
+
+    to_target: bool = True
+    to_client: bool = True
+
+
+Mode = Pass | Delay | Reset | Cut
+
+
+class Proxy:
+    """Own a listening port in front of another."""
+
+    def __init__(self, port: int, target: tuple[str, int]) -> None:
+        self.address = f"127.0.0.1:{port}"
+        self._target = target
+        self._mode: Mode = Pass()
+        self._pairs: set[tuple[socket.socket, socket.socket]] = set()
+        self._server = server.StreamServer(("127.0.0.1", port), self._serve)
+
+    def __enter__(self) -> Proxy:
+        self._server.start()
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        self._server.stop(timeout=0)
+        self._reset_all()
+
+    def set_mode(self, mode: Mode) -> None:
+        """Treat connections in another way from now on."""
+        self._mode = mode
+        if isinstance(mode, Reset):
+            self._reset_all()
+
+    def silence(self) -> None:
+        """Let the open connections go silent for good, while new ones work."""
+        self._pairs = set()
+
+    def _reset_all(self) -> None:
+        for pair in list(self._pairs):
+            for end in pair:
+                _reset(end)
+        self._pairs.clear()
+
+    def _serve(self, client: socket.socket, _address: object) -> None:
+        if isinstance(self._mode, Reset):
+            _reset(client)
+            return
+        try:
+            target = socket.create_connection(self._target, CONNECT_TIMEOUT_S)
+        except OSError:
+            _reset(client)  # as from a port without a listener
+            return
+        target.settimeout(None)
+        for end in (client, target):
+            end.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+        pair = (client, target)
+        self._pairs.add(pair)
+        pumps = [
+            gevent.spawn(self._pump, pair, client, target, True),
+            gevent.spawn(self._pump, pair, target, client, False),
+        ]
+        gevent.joinall(pumps)
+        self._pairs.discard(pair)
+        for end in pair:
+            end.close()
+
+    def _pump(
+        self,
+        pair: tuple[socket.socket, socket.socket],
+        source: socket.socket,
+        sink: socket.socket,
+        to_target: bool,
+    ) -> None:
+        try:
+            while block := source.recv(BLOCK_BYTES):
+                while self._holds(pair, to_target):
+                    gevent.sleep(POLL_S)
+                if isinstance(self._mode, Delay):
+                    gevent.sleep(self._mode.seconds)
+                sink.sendall(block)
+            sink.shutdown(sockets.SHUT_WR)
+        except OSError:
+            return  # the connection was reset; the other end sees it too
+
+    def _holds(self, pair: tuple, to_target: bool) -> bool:
+        if pair not in self._pairs:
+            return True  # silenced
+        match self._mode:
+            case Cut() as cut:
+                return cut.to_target if to_target else cut.to_client
+        return False
+
+
+def _reset(end: socket.socket) -> None:
+    try:
+        end.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, RESET)
+    except OSError:
+        return  # closed already
+    end.close()
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -7,7 +7,7 @@
 import signal
 import subprocess
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 20.0
@@ -23,12 +23,17 @@
     """Own one child process whose output goes to a file."""
 
     def __init__(
-        self, name: str, command: Sequence[str], directory: pathlib.Path
+        self,
+        name: str,
+        command: Sequence[str],
+        directory: pathlib.Path,
+        variables: Mapping[str, str] | None = None,
     ) -> None:
         self.name = name
         self.command = list(command)
         self.output = directory / f"{name}.log"
-        environment = {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
+        own = {"PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
+        environment = {**os.environ, **own, **(variables or {})}
         with self.output.open("ab") as sink:
             self._child = subprocess.Popen(
                 self.command,
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -44,6 +44,10 @@
         """Write a row as an operator does."""
         self._apply({place: value}, ())
 
+    def remove(self, place: ports.Place) -> None:
+        """Remove a row as an operator does."""
+        self._apply({}, (place,))
+
     def drop_history(self) -> None:
         """Forget what has changed so far."""
         self._history.clear()
--- /dev/null
+++ b/test/test_soak.py
@@ -0,0 +1,135 @@
+"""The soak's proxy and the promises that it checks."""
+
+import time
+
+import gevent
+import testtools
+from gevent import server, socket
+
+from soak import promises, proxy
+from standins import lease_workers, ports
+from toucanspring import resources
+from toucanspring.coordinator import work
+
+JOB = "0" * 16
+TASK = f"{JOB}.0.0.0"
+
+
+def echo(sock, _address):
+    while block := sock.recv(100):
+        sock.sendall(block)
+
+
+class ProxyTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        first = ports.find_ports(2)
+        target = server.StreamServer(("127.0.0.1", first), echo)
+        target.start()
+        self.addCleanup(target.stop, timeout=0)
+        self.proxy = proxy.Proxy(first + 1, ("127.0.0.1", first))
+        self.proxy.__enter__()
+        self.addCleanup(self.proxy.__exit__)
+        self.address = ("127.0.0.1", first + 1)
+
+    def connect(self):
+        sock = socket.create_connection(self.address, 2.0)
+        self.addCleanup(sock.close)
+        sock.settimeout(0.2)
+        return sock
+
+    def ask(self, sock):
+        try:
+            sock.sendall(b"x")
+            return sock.recv(10)
+        except TimeoutError:
+            return "silent"
+        except ConnectionError:
+            return "reset"
+
+    def test_bytes_pass(self):
+        self.assertEqual(b"x", self.ask(self.connect()))
+
+    def test_a_cut_holds_bytes_back_until_it_ends(self):
+        for cut in (
+            proxy.Cut(),
+            proxy.Cut(to_client=False),
+            proxy.Cut(to_target=False),
+        ):
+            sock = self.connect()
+            self.proxy.set_mode(cut)
+            self.assertEqual("silent", self.ask(sock))
+            self.proxy.set_mode(proxy.Pass())
+            sock.settimeout(2.0)
+            self.assertEqual(b"x", sock.recv(1))
+
+    def test_a_reset_ends_open_and_new_connections(self):
+        sock = self.connect()
+        self.assertEqual(b"x", self.ask(sock))
+        self.proxy.set_mode(proxy.Reset())
+        gevent.sleep(0.05)
+        self.assertIn(self.ask(sock), ("reset", b""))
+        self.assertIn(self.ask(self.connect()), ("reset", b""))
+
+    def test_a_silenced_connection_stays_silent_while_new_ones_work(self):
+        sock = self.connect()
+        self.assertEqual(b"x", self.ask(sock))
+        self.proxy.silence()
+        self.assertEqual("silent", self.ask(sock))
+        self.assertEqual(b"x", self.ask(self.connect()))
+
+
+class PromisesTest(testtools.TestCase):
+    """Each check shows what it guards against."""
+
+    def setUp(self):
+        super().setUp()
+        self.workers = lease_workers.LeaseWorkers()
+        self.promises = promises.Promises(self.workers)
+        step = work.Step(count=1, demand=resources.Resources(100, 100, 0))
+        self.spec = work.Job(
+            id=JOB, queue="jobs", organisation="team", payload="p", steps=(step,)
+        )
+        self.ordered = self.promises.expect(self.spec)
+
+    def test_a_start_that_nobody_asked_for(self):
+        self.assertEqual("", self.promises.start_of(TASK, "p", "a"))
+        self.assertIn("nobody", self.promises.start_of("f" * 16 + ".0.0.0", "p", "a"))
+        self.assertIn("nobody", self.promises.start_of(TASK, "other", "a"))
+
+    def test_a_start_after_a_refusal_and_a_refusal_after_a_start(self):
+        self.ordered.acceptance = promises.Acceptance.REFUSED
+        self.assertIn("refused", self.promises.start_of(TASK, "p", "a"))
+        self.promises.refused(self.ordered)
+        self.assertIn("had started", self.promises.broken[0])
+
+    def test_a_start_long_after_a_cancellation_or_in_a_zone_that_is_out(self):
+        long_ago = time.monotonic() - 60
+        self.promises.out_since["a"] = long_ago
+        self.assertIn("zone", self.promises.start_of(TASK, "p", "a"))
+        self.ordered.cancelled_at = long_ago
+        self.assertIn("cancelled", self.promises.start_of(TASK, "p", "b"))
+
+    def test_outcomes_without_cause(self):
+        for shown, text in (
+            ("completed", "without"),
+            ("failed", "without cause"),
+            ("cancelled", "nobody"),
+        ):
+            self.promises.told(self.promises.expect(self.spec), shown)
+            self.assertIn(text, self.promises.broken[-1])
+
+    def test_an_outcome_that_changes(self):
+        self.workers.done[TASK] = 1
+        self.promises.told(self.ordered, "completed")
+        self.assertEqual([], self.promises.broken)
+        self.promises.told(self.ordered, "active")
+        self.assertIn("then active", self.promises.broken[0])
+
+    def test_an_accepted_job_that_is_unknown_or_never_done(self):
+        self.promises.unknown(self.ordered)
+        self.assertEqual([], self.promises.broken)
+        self.ordered.acceptance = promises.Acceptance.ACCEPTED
+        self.promises.unknown(self.ordered)
+        self.assertIn("unknown now", self.promises.broken[0])
+        self.assertEqual([JOB], self.promises.unfinished())
