--- a/test/test_platform_ingress.py
+++ b/test/test_platform_ingress.py
@@ -20,12 +20,14 @@
     def __init__(self):
         self.answers = {}
         self.called = []
+        self.timeouts = []
 
     def handle(self, method, function):
         self.handler = (method, function)
 
-    def call(self, name, _method, body, _timeout_s):
+    def call(self, name, _method, body, timeout_s):
         self.called.append((name, body))
+        self.timeouts.append(timeout_s)
         return self.answers.get(name, errors.Unavailable(reason="no stream"))
 
 
@@ -59,8 +61,10 @@
         self.result = None
         self.found = state.JobState.ACTIVE
         self.jobs = []
+        self.waits = []
 
-    def submit(self, spec, _timeout_s):
+    def submit(self, spec, timeout_s):
+        self.waits.append(timeout_s)
         self.jobs.append(spec)
         return self.result
 
@@ -84,9 +88,9 @@
         meters = metered.Meters(self.registry)
         self.front = ingress.Front(self.kernel, self.view, self.scheduler, meters)
 
-    def call(self, method="POST", path=f"/q/{JOB}", key="k", body=BODY):
+    def call(self, method="POST", path=f"/q/{JOB}", key="k", body=BODY, wait_s=0.5):
         content = body if isinstance(body, bytes) else json.dumps(body).encode()
-        request = ingress.Request(method, "h.example", path, key, content, 0.5, "a1")
+        request = ingress.Request(method, "h.example", path, key, content, wait_s, "a1")
         return self.front.serve(request)
 
     def test_a_submission_is_accepted_for_the_team_of_its_key(self):
@@ -166,6 +170,46 @@
         self.kernel.peers.answers["one"] = errors.Ambiguous(reason="cut")
         self.assertEqual(504, self.call().status)
 
+    def test_a_relay_that_hangs_leaves_time_for_another(self):
+        # The load: a machine that is cut off from the store and some other machines,
+        # whose streams to those are still open.
+        self.scheduler.result = errors.Unavailable(reason="store")
+        self.kernel.peers.answers["one"] = errors.Ambiguous(reason="no answer")
+        self.kernel.peers.answers["two"] = ingress._pack(ingress.Answer(200, b"{}"))
+        self.assertEqual(200, self.call(wait_s=3.0).status)
+        self.assertEqual({ingress.RELAY_WAIT_S}, set(self.kernel.peers.timeouts))
+
+    def test_a_write_that_hangs_leaves_time_for_another_process(self):
+        # The load: a machine that was cut off from the store a moment ago, which its
+        # view of the configuration does not show yet.
+        self.scheduler.result = errors.Ambiguous(reason="no answer")
+        self.kernel.peers.answers["one"] = ingress._pack(ingress.Answer(200, b"{}"))
+        self.assertEqual(200, self.call(wait_s=3.0).status)
+        self.assertEqual([ingress.OWN_WAIT_S], self.scheduler.waits)
+
+    def test_no_refusal_follows_a_write_without_answer(self):
+        # Found on zpa-sofia scale-2 during a trial: the key was withdrawn between the
+        # write, which took effect 12 s later, and the repeat by another process.
+        self.scheduler.result = errors.Ambiguous(reason="no answer")
+        for status in (401, 404, 409, 503):
+            self.kernel.peers.answers["one"] = ingress._pack(ingress.Answer(status))
+            self.assertEqual(504, self.call().status)
+
+    def test_a_relayed_write_uses_the_time_that_it_is_given(self):
+        serve = self.kernel.peers.handler[1]
+        content = json.dumps(BODY).encode()
+        request = ingress.Request("POST", "h.example", f"/q/{JOB}", "k", content, 2.0)
+        self.scheduler.result = errors.Ambiguous(reason="no answer")
+        answer = ingress._relayed(serve("one", ingress._pack(request)))
+        self.assertEqual(504, answer.status)
+        self.assertEqual([2.0 - ingress.ANSWER_SLACK_S], self.scheduler.waits)
+
+    def test_a_refusal_after_a_relay_without_answer_is_not_certain(self):
+        self.scheduler.result = errors.Unavailable(reason="store")
+        self.kernel.peers.answers["one"] = errors.Ambiguous(reason="no answer")
+        self.kernel.peers.answers["two"] = ingress._pack(ingress.Answer(503, b"{}"))
+        self.assertEqual(504, self.call().status)
+
     def test_an_old_view_answers_nothing_by_itself(self):
         self.view.view_age = 5.0
         self.assertEqual(503, self.call(key="x").status)
