--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -15,22 +15,20 @@
 import itertools
 import random
 
+from bench import arrivals
 from bench import work as measured
 from toucanspring import resources
 from toucanspring.coordinator import (
     book,
-    catalogue,
     planner,
     plans,
     ports,
     reports,
     state,
-    work,
 )
 
 LOADS = ("calm", "burst", "zone", "outage")
 DAYS = 3  # of each load, with seeds that follow each other
-END_S = 60.0
 DRAIN_S = 30.0  # after the last arrival
 ROUND_S = 0.015  # a round and its durable write
 ORDER_S = 0.01
@@ -39,150 +37,12 @@
 CHECKPOINT_S = 0.5
 RESTORE_S = 0.1
 CALLERS = 8  # of the approval service
-WORKERS, RACK = 24, 8
+RACK = 8
 ZONES = ("a", "b", "c")
-POOL = "pool"
-WIDEST_GANG = 0.5  # of what the approved workers hold when empty
 MISSED = 3.0  # times its time, after which a job is worth nothing
 LATE_WORTH = 0.2
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Kind:
-    """Describe jobs of one kind; times are seconds."""
-
-    rate: float  # jobs a second
-    steps: float
-    width: float
-    seconds: float
-    most_s: float
-    cpus: float  # thousandths
-    memory: int
-    worth: float
-    stretch: float
-    target_s: float
-    error: float  # part of the runs that fail
-    estimate_off: float
-    checkpointing: float  # part of the steps
-    gang: float
-    approved: float  # part of the workers
-    approval: catalogue.Approval
-
-
-def _approval(decision_s: float, per_worker_s: float) -> catalogue.Approval:
-    return catalogue.Approval(
-        decision_s=decision_s, per_worker_s=per_worker_s, validity_s=2.5
-    )
-
-
-KINDS = {
-    "check": Kind(
-        rate=15.0, steps=1.0, width=2.0, seconds=1.0, most_s=2.5, cpus=2600,
-        memory=4700, worth=0.46, stretch=1.5, target_s=0.25, error=0.005,
-        estimate_off=0.9, checkpointing=0.0, gang=0.3, approved=0.7,
-        approval=_approval(0.012, 0.0002),
-    ),
-    "build": Kind(
-        rate=0.82, steps=1.2, width=5.0, seconds=6.2, most_s=16.0, cpus=9000,
-        memory=9000, worth=9.8, stretch=2.2, target_s=1.0, error=0.02,
-        estimate_off=0.2, checkpointing=0.5, gang=1.0, approved=0.35,
-        approval=_approval(0.45, 0.0065),
-    ),
-    "proof": Kind(
-        rate=3.4, steps=1.5, width=10.0, seconds=2.2, most_s=5.4, cpus=1800,
-        memory=2600, worth=1.5, stretch=4.0, target_s=3.0, error=0.05,
-        estimate_off=0.5, checkpointing=0.8, gang=0.0, approved=0.45,
-        approval=_approval(0.053, 0.00075),
-    ),
-}  # fmt: skip
-PRIORITIES = {"check": 0, "build": 1, "proof": 2}
-
-
-def make_catalogue() -> catalogue.Catalogue:
-    """Return the queues of all kinds."""
-    return catalogue.Catalogue(
-        version=1,
-        queues=tuple(
-            catalogue.Queue(
-                name=name, host="h", path_prefix=f"/{name}/", pool=POOL,
-                priority=PRIORITIES[name], max_attempts=3, stretch=kind.stretch,
-                target_s=kind.target_s, approval=kind.approval,
-            )
-            for name, kind in KINDS.items()
-        ),
-    )  # fmt: skip
-
-
-@dataclasses.dataclass(eq=False)
-class Arrival:
-    """Hold a job with what only the simulation knows of it."""
-
-    spec: work.Job
-    kind: str
-    at: float
-    seconds: list[list[float]]  # of each task by step
-    due: float  # seconds after its arrival
-    worth: float
-    ended_at: float = 0.0
-
-
-def _spread(rng: random.Random, mean: float, spread: float, most: float) -> float:
-    return min(most, mean * rng.lognormvariate(-spread * spread / 2, spread))
-
-
-def make_arrivals(load: str, rng: random.Random) -> list[Arrival]:
-    """Draw the jobs of one day."""
-    found = []
-    for name, kind in KINDS.items():
-        now = 0.0
-        while True:
-            burst = load == "burst" and name == "check" and 20 <= now < 24
-            now += rng.expovariate(kind.rate * (3 if burst else 1))
-            if now > END_S:
-                break
-            found.append(_make_arrival(name, kind, now, len(found), rng))
-    return sorted(found, key=lambda each: each.at)
-
-
-def _make_arrival(
-    name: str, kind: Kind, at: float, number: int, rng: random.Random
-) -> Arrival:
-    steps, seconds, cost = [], [], 0.0
-    for position in range(1 if rng.random() > kind.steps - 1 else 2):
-        count = max(1, round(_spread(rng, kind.width, 0.7, kind.width * 5)))
-        base = _spread(rng, kind.seconds, 0.5, kind.most_s)
-        times = [base * rng.uniform(0.8, 1.2) for _ in range(count)]
-        cpus = round(_spread(rng, kind.cpus, 0.4, 15_000))
-        off = rng.uniform(1 - kind.estimate_off, 1 + kind.estimate_off)
-        gang = rng.random() < kind.gang
-        if gang:
-            slots = WORKERS * kind.approved * (32_000 // cpus)
-            count = min(count, max(1, int(slots * WIDEST_GANG)))
-        steps.append(
-            work.Step(
-                count=count,
-                demand=resources.Resources(cpus, kind.memory, 0),
-                estimate_ms=round(1000 * base * off),
-                after=(position - 1,) if position else (),
-                gang=gang,
-                checkpointing=rng.random() < kind.checkpointing,
-            )
-        )
-        if gang:
-            times = [max(times)] * count
-        seconds.append(times)
-        cost += cpus / 1000 * sum(times)
-    mean_cost = kind.steps * kind.width * kind.seconds * kind.cpus / 1000
-    size = min(4.0, 0.3 + 0.7 * cost / mean_cost)
-    chain_s = sum(max(times) for times in seconds)
-    spec = work.Job(
-        id=f"{number:016x}", queue=name, organisation="o", payload="",
-        steps=tuple(steps),
-    )  # fmt: skip
-    due = kind.stretch * chain_s + kind.target_s
-    return Arrival(spec, name, at, seconds, due, kind.worth * size)
-
-
 @dataclasses.dataclass(eq=False)
 class Run:
     """Hold one run of a task on a simulated worker."""
@@ -245,11 +105,12 @@
         self.load = load
         self.rng = random.Random(seed)
         self.book = book.Book()
-        self.book.catalogue = make_catalogue()
+        self.book.catalogue = arrivals.make_catalogue()
         self.planner = make_planner(self.book)
         self.machines: dict[str, Machine] = {}
-        self.arrivals = {
-            each.spec.id: each for each in make_arrivals(load, random.Random(seed))
+        self.expected = {
+            each.spec.id: each
+            for each in arrivals.make_arrivals(load, random.Random(seed))
         }
         self.stops = 0
         self.lost_core_s = 0.0
@@ -258,14 +119,14 @@
         self._questions: list[tuple[int, float, int, plans.Question]] = []
         self._callers = CALLERS
         self._allowed: dict[str, frozenset[str]] = {}
-        for number in range(WORKERS):
+        for number in range(arrivals.WORKERS):
             self._add_worker(number)
 
     def _add_worker(self, number: int) -> None:
         rack = f"r{number // RACK}"
         entry = ports.WorkerEntry(
-            id=f"w{number}", pool=POOL, address="x", zone=ZONES[number // RACK],
-            rack=rack, labels=frozenset({rack}),
+            id=f"w{number}", pool=arrivals.POOL, address="x",
+            zone=ZONES[number // RACK], rack=rack, labels=frozenset({rack}),
             capacity=resources.Resources(32_000, 65_536, 0), born=1,
         )  # fmt: skip
         machine = Machine(self.book.take_entry(entry))
@@ -278,7 +139,7 @@
 
     def run(self) -> None:
         """Play the day."""
-        for arrival in self.arrivals.values():
+        for arrival in self.expected.values():
             self.at(
                 arrival.at,
                 lambda now, each=arrival: self.book.accept(each.spec, now),
@@ -289,7 +150,7 @@
         for machine in self.machines.values():
             self.at(self.rng.random() * LOOK_S, self._looks(machine))
         now, planned_at = 0.0, -1.0
-        while self._events and now < END_S + DRAIN_S:
+        while self._events and now < arrivals.END_S + DRAIN_S:
             now = self._events[0][0]
             while self._events and self._events[0][0] <= now:
                 heapq.heappop(self._events)[2](now)
@@ -317,7 +178,7 @@
         reports.take_look(self.book, machine.worker, look, now, now)
         machine.worker.seen_end = machine.count
         for job_id in list(self.book.dirty):
-            record, arrival = self.book.jobs[job_id], self.arrivals[job_id]
+            record, arrival = self.book.jobs[job_id], self.expected[job_id]
             if record.state is state.JobState.COMPLETED and not arrival.ended_at:
                 arrival.ended_at = now
         self.book.dirty.clear()
@@ -347,7 +208,7 @@
         self._callers += 1
         step = question.step
         if step.id not in self._allowed:
-            kind = KINDS[step.job.spec.queue]
+            kind = arrivals.KINDS[step.job.spec.queue]
             draw = random.Random(step.id)
             self._allowed[step.id] = frozenset(
                 name for name in self.machines if draw.random() < kind.approved
@@ -362,8 +223,8 @@
         if run.job.is_final or task.run != start.run:
             self.book.not_started(run, task, start.run, now)
             return
-        arrival = self.arrivals[run.job.spec.id]
-        kind = KINDS[arrival.kind]
+        arrival = self.expected[run.job.spec.id]
+        kind = arrivals.KINDS[arrival.kind]
         saved = float(task.checkpoint or 0)
         simulated = Run(
             run.task_id(task.index), start.run, now + (RESTORE_S if saved else 0.0),
@@ -411,7 +272,7 @@
             if machine.runs.get(run.task) is not run:
                 return
             name = state.parse_task_id(run.task)
-            step = self.arrivals[name.job].spec.steps[name.step]
+            step = self.expected[name.job].spec.steps[name.step]
             saved = f"{run.progress_s(now):g}" if step.checkpointing else ""
             self._lose(run, then, saved)
             machine.end(run, "stopped", saved)
@@ -421,7 +282,7 @@
 
     def _lose(self, run: Run, now: float, saved: str) -> None:
         name = state.parse_task_id(run.task)
-        step = self.arrivals[name.job].spec.steps[name.step]
+        step = self.expected[name.job].spec.steps[name.step]
         lost_s = run.progress_s(now) - max(run.done_s, float(saved or 0))
         self.lost_core_s += max(0.0, lost_s) * step.demand.cpus / 1000
 
@@ -429,7 +290,7 @@
         """Return the worth earned as a part of all worth, by kind and in all."""
         owed: collections.Counter = collections.Counter()
         earned: collections.Counter = collections.Counter()
-        for each in self.arrivals.values():
+        for each in self.expected.values():
             took = each.ended_at - each.at if each.ended_at else float("inf")
             part = 1.0 if took <= each.due else LATE_WORTH
             if took > MISSED * each.due:
