--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,7 +20,7 @@
 JOBS_PER_S = 6.0
 CANCELLED = 0.08  # part of the jobs
 REPEATED = 0.1  # part of the jobs that are handed in again after the answer
-GIVE_UP_S = 45.0  # after which a caller stops asking
+GIVE_UP_S = 90.0  # after which a caller stops asking
 
 
 class Callers:
