--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -9,7 +9,9 @@
 from soak import __main__ as soak
 from soak import promises, proxy
 from standins import lease_workers, ports
+from test import coordinator_case as case
 from toucanspring import resources
+from toucanspring.coordinator import ports as coordinator_ports
 from toucanspring.coordinator import work
 
 JOB = "0" * 16
@@ -80,6 +82,36 @@
         self.assertEqual(b"x", self.ask(self.connect()))
 
 
+class NotedEndTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.workers = lease_workers.LeaseWorkers(run_s=0.0)
+        self.entry = case.entry("w1")
+        self.workers.add(self.entry)
+        step = work.Step(count=1, demand=resources.Resources(100, 100, 0))
+        self.workers.jobs[JOB] = case.job(JOB, step)
+
+    def run_once(self):
+        order = coordinator_ports.Start(
+            task=TASK, run=1, payload="", lease_until_ms=5000, epoch=1
+        )
+        self.workers.start(self.entry, order)
+        [end] = self.workers.look(self.entry, 1, 0, None, 0).ended
+        return end.number
+
+    def test_an_end_that_is_acknowledged_is_noted(self):
+        number = self.run_once()
+        self.workers.look(self.entry, 1, number, None, 0)
+        self.assertEqual({TASK}, self.workers.noted)
+
+    def test_an_end_before_the_lease_was_over_is_not_noted_later(self):
+        # Found by the soak, seed 303: a worker that was silent beyond its lease.
+        number = self.run_once()
+        self.workers.lives["w1"].lease_until_ms = 1
+        self.workers.look(self.entry, 1, number, None, 0)
+        self.assertEqual(set(), self.workers.noted)
+
+
 class SeedsTest(testtools.TestCase):
     def test_each_known_seed_has_a_cause(self):
         lines = soak.KNOWN.read_text().splitlines()
