Log what a new coordinator reads and where a slow round spends its time

`cell_restored` gives the size and the time of the reads apart from the restoring, `round_slow` the time of planning, of the write and of the orders, `heartbeat_late` the delay of the event loop, and `seat_taken` the holder before.

--- a/toucanspring/coordinator/leader_lease.py
+++ b/toucanspring/coordinator/leader_lease.py
@@ -55,6 +55,7 @@
     # and for how many more seconds it may consider its own lease valid.
     predecessor_may_run: bool
     predecessor_lease_left_s: float = 0.0
+    predecessor: str = ""  # its process, for the log; empty if there was none
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,10 +121,11 @@
     match answer:
         case ports.Committed(at=committed):
             may_run = lease is not None and lease.expires_ms > 0
-            if not may_run or lease.process == process:
-                return Acquired(wanted, committed.version, False)
-            left_ms = max(0, lease.expires_ms - at.store_ms)
-            return Acquired(wanted, committed.version, True, left_ms / 1000)
+            former = "" if lease is None else lease.process
+            if not may_run or former == process:
+                return Acquired(wanted, committed.version, False, 0.0, former)
+            left_s = max(0, lease.expires_ms - at.store_ms) / 1000
+            return Acquired(wanted, committed.version, True, left_s, former)
         case ports.Rejected():
             return errors.Conflict(reason="another process acquired the leader lease")
         case _:
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -47,6 +47,7 @@
 # again only much later.
 STATUS_ENDING_WAIT_S = 0.08
 STATUS_WRITE_WAIT_S = 0.4
+SLOW_ROUND_S = 0.15  # a longer round is logged with the time of its parts
 
 
 @dataclasses.dataclass(slots=True)
@@ -101,6 +102,9 @@
         self._removals: list[ports.RowId] = []
         self._housekeeping_at = 0.0
         self._release_requested = False
+        # Of the latest write, for the log.
+        self._write_s = 0.0
+        self._written_bytes = 0
 
     def run(self) -> None:
         """Coordinate until the leader lease is lost or released."""
@@ -263,6 +267,7 @@
         return False
 
     def _try_load(self) -> None | errors.Failure:
+        began = time.monotonic()
         # Once the lease is acquired, no write of an earlier epoch can take effect, so
         # the progress that is read here is final.
         progress = table_cache.read_table(self._store, rows.PROGRESS)
@@ -277,6 +282,7 @@
                     reason="the coordinator's part cannot be read"
                 )
         now = time.monotonic()
+        read = [*self._jobs.rows.values(), *progress.rows.values()]
         self._apply_operator_settings()
         self.cell.jobs.clear()
         for entry in self._directory.entries().values():
@@ -293,6 +299,12 @@
                 + self._max_lease_s * workers.MAX_CLOCK_DRIFT
                 + workers.LEASE_EXPIRY_SLACK_S
             )
+        structured.decide(
+            log, "cell_restored", epoch=self.epoch, jobs=len(self.cell.jobs),
+            rows=len(read), bytes=sum(len(row.value) for row in read),
+            unfinished=sum(not each.is_final for each in self.cell.jobs.values()),
+            read_ms=_to_ms(now - began), restore_ms=_to_ms(time.monotonic() - now),
+        )  # fmt: skip
         return None
 
     def _on_job_row(self, row: ports.Row) -> None:
@@ -350,8 +362,17 @@
         stops, self.cell.stops[:] = list(self.cell.stops), []
         for stop in stops:
             self._dispatcher.stop(stop)
+        planned_at, dirty = time.monotonic(), len(self.cell.dirty)
         self._commit(plan.starts, now)
-        self._on_round(len(plan.starts), time.monotonic() - now)
+        ended_at = time.monotonic()
+        self._on_round(len(plan.starts), ended_at - now)
+        if ended_at - now > SLOW_ROUND_S:
+            structured.decide(
+                log, "round_slow", epoch=self.epoch, starts=len(plan.starts),
+                plan_ms=_to_ms(planned_at - now), write_ms=_to_ms(self._write_s),
+                commit_ms=_to_ms(ended_at - planned_at), jobs_written=dirty,
+                bytes_written=self._written_bytes, steps_waiting=len(self.cell.ready),
+            )  # fmt: skip
 
     def _view_age(self, now: float) -> float:
         return self._directory.age(now)
@@ -361,6 +382,7 @@
         self.cell.dirty.clear()
         pending_acks, self._pending_acks = self._pending_acks, []
         cancel_waiters, self._cancel_waiters = self._cancel_waiters, []
+        self._write_s, self._written_bytes = 0.0, 0
         removals, self._removals = tuple(self._removals), []
         renewal_due = now - self._writer.committed_at >= leader_lease.RENEW_INTERVAL_S
         if not (dirty or cancel_waiters or removals or renewal_due):
@@ -374,7 +396,10 @@
             if not record.has_copy:
                 puts[rows.job_copy_row_id(job_id)] = rows.encode(record.spec)
         states = {job_id: record.state for job_id, record in dirty.items()}
+        self._written_bytes = sum(len(value) for value in puts.values())
+        sent_at = time.monotonic()
         failure = self._writer.commit(puts, removals)
+        self._write_s = time.monotonic() - sent_at
         if failure is not None:
             self._cancel_waiters.extend(cancel_waiters)
             return
@@ -435,6 +460,10 @@
         self._removals += [rows.job_copy_row_id(job_id), rows.progress_row_id(job_id)]
 
 
+def _to_ms(seconds: float) -> int:
+    return round(seconds * 1000)
+
+
 def _format_starts(starts: list[plans.Start]) -> dict[str, list[str]]:
     """Return the runs of each step, by its ID, as `index#run@worker`."""
     formatted: dict[str, list[str]] = {}
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -43,6 +43,8 @@
 CALL_TIMEOUT_S = 1.2
 KEEPALIVE_INTERVAL_S = 3.0  # streams between peers close after 10 s without traffic
 RELAY_PEERS = 2  # processes besides the coordinator that calls may be relayed to
+# The event loop of a coordinator whose heartbeats are later than this is overloaded.
+LATE_HEARTBEAT_S = 0.1
 HEARTBEAT_NOTICE = "seat"
 UNKNOWN_VIEW_AGE_S = 1e6  # reported until the view has been complete once
 METHODS = ("status", "cancel", "pending")
@@ -297,11 +299,16 @@
     def _send_heartbeats(self) -> None:
         while True:
             is_coordinator = self._leadership is not None
-            gevent.sleep(
+            interval_s = (
                 failover.HEARTBEAT_INTERVAL_S
                 if is_coordinator
                 else KEEPALIVE_INTERVAL_S
             )
+            due = time.monotonic() + interval_s
+            gevent.sleep(interval_s)
+            late_s = time.monotonic() - due
+            if is_coordinator and late_s > LATE_HEARTBEAT_S:
+                structured.decide(log, "heartbeat_late", late_ms=round(late_s * 1000))
             self._send_heartbeat()
 
     def _send_heartbeat(self) -> None:
@@ -396,7 +403,10 @@
 
     def _coordinate(self, acquired: leader_lease.Acquired) -> None:
         self._set_coordinator(acquired.lease)
-        structured.decide(log, "seat_taken", epoch=acquired.lease.epoch)
+        structured.decide(
+            log, "seat_taken", epoch=acquired.lease.epoch, after=acquired.predecessor,
+            left_s=round(acquired.predecessor_lease_left_s, 2),
+        )  # fmt: skip
         self._store_clock = leader_lease.StoreClock()
         self._store_clock.update(
             acquired.lease.expires_ms - leader_lease.LEASE_MS, time.monotonic()
