Look at a blocked step again when only time has made room

Cause: a step for which nothing fitted was skipped until the capacity version rose, and only events raised it. A worker that becomes usable by the passing of time (the end of a backoff, a quarantine, a pause for slowness), a reservation that is given up and an unknown task that leaves with a restart or for a smaller one raise nothing. In a quiet cell no other event follows: the step waits until some running task ends.

Change: the planner compares in each round what every available worker could take with the end of the round before (availability.py), and looks at blocked steps again if any worker could take more, whatever the reason. Steps that only a reservation holds back are not blocked.

--- /dev/null
+++ b/test/test_coordinator_progress.py
@@ -0,0 +1,125 @@
+"""Tests that a step which could run is not left waiting."""
+
+import testtools
+
+from test import coordinator_case as case
+from toucanspring.coordinator import planner
+
+JOB = "0" * 16
+OTHER = "1" * 16
+BUSY = "b" * 16
+
+
+class BlockedStepTest(testtools.TestCase):
+    """One worker is full for a long time, the others are left alone for a while."""
+
+    def setUp(self):
+        super().setUp()
+        entries = [case.entry(f"w{number}", cpus=10_000) for number in range(3)]
+        self.cell = case.new_cell(*entries)
+        self.cell_planner = planner.Planner(self.cell)
+
+    def fill(self, name="w0"):
+        """Start a task on one worker that leaves no room there."""
+        paused = [each for each in self.cell.workers.values() if each.id != name]
+        for worker in paused:
+            worker.backoff_until = 1.5
+        self.cell.accept(case.job(BUSY, case.step(1, cpus=10_000)), 1.0)
+        case.confirm(self.cell, self.cell_planner.plan(1.0), 1.0)
+
+    def block(self):
+        self.cell.accept(case.job(JOB, case.step(1)), 1.1)
+        self.assertEqual([], self.cell_planner.plan(1.1).starts)
+        self.assertEqual([], self.cell_planner.plan(1.2).starts)
+
+    def assert_starts(self, now):
+        [start] = self.cell_planner.plan(now).starts
+        self.assertEqual(JOB, start.step.job.spec.id)
+
+    def test_a_blocked_step_starts_when_a_backoff_ends(self):
+        """Guards against a step that waits although a backoff is over.
+
+        Only time passes: no worker reports anything.
+        """
+        self.fill()
+        self.block()
+        self.assert_starts(1.6)
+
+    def test_a_blocked_step_starts_when_a_quarantine_ends(self):
+        """Guards against a step that waits although a quarantine is over."""
+        self.fill()
+        for name in ("w1", "w2"):
+            self.cell.workers[name].quarantined_until = 4.2
+        self.block()
+        self.assert_starts(4.3)
+
+    def test_a_blocked_step_starts_when_a_slow_worker_may_be_used_again(self):
+        """Guards against a step that waits although the pause of a worker is over."""
+        self.fill()
+        for name in ("w1", "w2"):
+            self.cell.workers[name].slow_until = 5.1
+        self.block()
+        self.assert_starts(5.2)
+
+    def test_a_blocked_step_starts_when_a_restart_ends_unknown_tasks(self):
+        """Guards against a step that waits beside a worker that has restarted.
+
+        It ran a task that the coordinator does not know, and nothing else.
+        """
+        self.fill()
+        for name in ("w1", "w2"):
+            other = case.running("f" * 16 + ".0.0.0")
+            case.poll(self.cell, name, running=[other], now=1.05)
+        self.block()
+        self.assertEqual([], self.cell_planner.plan(1.6).starts)
+        case.poll(self.cell, "w1", now=1.7, incarnation=2)
+        self.assert_starts(1.8)
+
+    def test_a_blocked_step_starts_when_an_unknown_task_gives_way_to_a_small_one(self):
+        """Guards against a step that waits since the number of tasks is the same."""
+        self.fill()
+        self.cell.accept(case.job(OTHER, case.step(1)), 1.05)
+        self.cell.cancel(OTHER, 1.05)
+        for name in ("w1", "w2"):
+            other = case.running("f" * 16 + ".0.0.0")
+            case.poll(self.cell, name, running=[other], now=1.05)
+        self.block()
+        self.assertEqual([], self.cell_planner.plan(1.6).starts)
+        case.poll(self.cell, "w1", [case.running(f"{OTHER}.0.0.0")], now=1.7)
+        self.assert_starts(1.8)
+
+    def test_a_step_without_room_is_looked_at_when_room_returns_to_its_former_size(
+        self,
+    ):
+        """A round that fills a worker and an end that frees it leave no difference."""
+        self.fill()
+        self.cell.accept(case.job(OTHER, case.step(2, cpus=10_000)), 1.5)
+        plan = self.cell_planner.plan(1.6)
+        case.confirm(self.cell, plan, 1.6)
+        self.cell.accept(case.job(JOB, case.step(1)), 1.7)
+        self.assertEqual([], self.cell_planner.plan(1.7).starts)
+        [task] = self.cell.workers["w1"].allocations
+        case.poll(self.cell, "w1", ended=[case.ended(1, task)], now=2.0)
+        self.assert_starts(2.0)
+
+
+class ReservationTest(testtools.TestCase):
+    def test_a_blocked_step_starts_when_a_gang_gives_up_its_reservation(self):
+        """Guards against a step that waits for workers which nobody reserves."""
+        cell = case.new_cell(
+            case.entry("w1", cpus=10_000),
+            case.entry("w2", cpus=10_000),
+            catalogue_=case.configure(
+                case.queue("builds", priority=1), case.queue("labels", priority=2)
+            ),
+        )
+        cell_planner = planner.Planner(cell)
+        long = case.step(1, cpus=8000, checkpointing=True)
+        cell.accept(case.job(BUSY, long, queue="labels"), 1.0)
+        case.confirm(cell, cell_planner.plan(1.0), 1.0)
+        cell.accept(case.job(OTHER, case.step(2, cpus=9000, gang=True)), 1.0)
+        cell.accept(case.job(JOB, case.step(1), queue="labels"), 1.2)
+        self.assertEqual([], cell_planner.plan(1.3).starts)
+        cell.cancel(OTHER, 1.4)
+        [start] = cell_planner.plan(1.5).starts
+        self.assertEqual(JOB, start.step.job.spec.id)
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from toucanspring.coordinator import (
+    availability,
     catalogue,
     cell_state,
     gangs,
@@ -33,12 +34,13 @@
 
     def __init__(self, cell: cell_state.CellState) -> None:
         self._cell = cell
+        self._available = availability.Availability(cell)
         self._gangs = gangs.Gangs(cell, self)
 
     def plan(self, now: float) -> plans.Plan:
         """Plan one round and allocate the resources for its starts."""
         plan = plans.Plan()
-        usable: dict[str, list[workers.Worker]] = {}
+        self._available.begin_round(now)
         over_share = self._find_over_share()
         steps = sorted(
             self._cell.ready.values(),
@@ -50,13 +52,9 @@
             queue = self._cell.catalogue.queue(step_run.job.spec.queue)
             if queue is None or step_run.job.is_final:
                 continue
-            if queue.pool not in usable:
-                usable[queue.pool] = [
-                    worker
-                    for worker in self._cell.pool(queue.pool)
-                    if worker.is_usable(now, self._cell.zones_out)
-                ]
-            self._plan_step(step_run, queue, usable[queue.pool], plan, now)
+            pool = self._available.pool(queue.pool)
+            self._plan_step(step_run, queue, pool.usable, plan, now)
+        self._available.end_round()
         return plan
 
     def _find_over_share(self) -> frozenset[str]:
@@ -126,9 +124,9 @@
                     else plans.NOT_APPROVED,
                 )
                 return
-        # Only capacity is missing, so nothing fits until the capacity changes.
+        # Only capacity is missing, so nothing fits until a worker could take more.
         if (
-            step_run.blocked_version == self._cell.capacity_version
+            step_run.blocked_version == self._available.version
             and not step_run.step.gang
         ):
             return
@@ -240,8 +238,10 @@
             if not valid and task.avoided_workers and now < task.avoid_until:
                 continue  # other tasks of the step may still fit
             if not valid:
+                # Reservations may end at any time.
+                held_back = not fits and len(open_workers) < len(eligible)
                 self._request_or_block(
-                    step_run, queue, [each.id for each in fits], plan, now
+                    step_run, queue, [each.id for each in fits], held_back, plan, now
                 )
                 return
             best = min(
@@ -256,6 +256,7 @@
         step_run: state.StepRun,
         queue: catalogue.Queue,
         without_ticket: list[str],
+        held_back: bool,
         plan: plans.Plan,
         now: float,
     ) -> None:
@@ -264,8 +265,8 @@
         plan.record_wait(step_run, plans.AWAITING_APPROVAL if names else plans.NO_ROOM)
         if names:
             self.request_approval(step_run, queue, names, plan, now)
-        elif not step_run.approval_pending:
-            step_run.blocked_version = self._cell.capacity_version
+        elif not step_run.approval_pending and not held_back:
+            step_run.blocked_version = self._available.version
 
     def start(
         self,
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -83,7 +83,7 @@
     approval_pending: bool = False
     approval_retry_at: float = 0.0
     wait_reason: str = ""  # reason logged last
-    blocked_version: int = -1  # capacity version at which no task could be placed
+    blocked_version: int = -1  # of the availability at which nothing could be placed
     # Workers that are reserved for a gang.
     reserved: frozenset[str] = frozenset()
     reserved_until: float = 0.0
--- a/toucanspring/coordinator/workers.py
+++ b/toucanspring/coordinator/workers.py
@@ -78,19 +78,24 @@
             free = free - demand
         return free
 
-    def is_usable(self, now: float, zones_out: frozenset[str]) -> bool:
-        """Return whether new tasks may start on the worker."""
+    def is_available(self, zones_out: frozenset[str]) -> bool:
+        """Return whether the worker can be reached and may take new tasks."""
         return (
             self.confirmed
             and self.responsive
             and self.registered
             and not self.entry.draining
             and self.entry.zone not in zones_out
-            and now >= self.backoff_until
-            and now >= self.quarantined_until
-            and now >= self.slow_until
         )
 
+    def is_paused(self, now: float) -> bool:
+        """Return whether the worker is left alone because it failed or was slow."""
+        return now < max(self.backoff_until, self.quarantined_until, self.slow_until)
+
+    def is_usable(self, now: float, zones_out: frozenset[str]) -> bool:
+        """Return whether new tasks may start on the worker."""
+        return self.is_available(zones_out) and not self.is_paused(now)
+
     def estimate_clock(self, now: float) -> int:
         """Return a lower bound of the current time on the worker's clock, in ms."""
         return self.clock_ms + int(
