Complete a gang also for members that were requeued after the completion

Callers saw: a job with a gang was never completed although all had been done; its last member waited forever with the reason 'members of the gang still run'.

Cause: one reported end completes the members that are allocated. If the worker of another member restarts or is lost right after the completion, that member is requeued first and stays waiting, and a gang is planned only if all of its members wait.

Change: the end of a run completes every member of that run. A member with the same run number has taken part in it, since all members start together and end done together.

Evidence: test_a_gang_is_done_although_a_member_was_requeued_before on the old code: MismatchError, reference [DONE, DONE], actual [WAITING, DONE]; now it passes.

--- a/test/test_coordinator_reports.py
+++ b/test/test_coordinator_reports.py
@@ -280,3 +280,21 @@
         self.assertIsInstance(cell.workers["w9"].entry, ports.WorkerEntry)
         reports.mark_lost(cell, cell.workers["w9"], 20.0)
         self.assertEqual([case.WAITING], case.phases(cell))
+
+
+class LostGangMemberTest(testtools.TestCase):
+    """A worker restarts right after the gang on it has completed."""
+
+    def test_a_gang_is_done_although_a_member_was_requeued_before(self):
+        """Guards against a member that waits forever for members that are done."""
+        entries = [case.entry(f"w{n}", cpus=1000) for n in range(2)]
+        cell = case.new_cell(*entries)
+        cell.accept(case.job(JOB, case.step(2, gang=True)), 1.0)
+        start_all(cell)
+        case.poll(cell, "w0", now=2.0, incarnation=2)
+        self.assertIn(case.WAITING, case.phases(cell))
+        [task] = cell.workers["w1"].allocations
+        case.poll(cell, "w1", ended=[case.ended(1, task)], now=2.1)
+        self.assertEqual([case.DONE] * 2, case.phases(cell))
+        self.assertEqual(state.JobState.COMPLETED, cell.jobs[JOB].state)
+        self.assertEqual({}, cell.ready)
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -343,6 +343,14 @@
         if allocation is not None and allocation.task.run == run:
             allocation.task.confirmed_at = min(allocation.task.confirmed_at, now)
 
+    def complete(self, step_run: state.StepRun, task: state.Task) -> None:
+        """Mark a task without an allocation as done."""
+        task.phase = state.TaskPhase.DONE
+        step_run.unfinished -= 1
+        step_run.waiting.discard(task.index)
+        if not step_run.waiting:
+            self.ready.pop(step_run.id, None)
+
     # Requeueing
 
     def return_to_queue(
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -148,15 +148,16 @@
     if step_run.step.long_running:
         cell.return_to_queue(step_run, task, now)
         return
-    task.phase = state.TaskPhase.DONE
-    step_run.unfinished -= 1
+    cell.complete(step_run, task)
     if step_run.step.gang:
-        # Members complete together, so one report completes all of them.
+        # Members complete together, so one report completes all of them, also those
+        # that were requeued since their worker was lost after the completion.
         for other in step_run.tasks:
-            if other.phase in state.ALLOCATED_PHASES and other.run == task.run:
+            if other.phase is state.TaskPhase.DONE or other.run != task.run:
+                continue
+            if other.phase in state.ALLOCATED_PHASES:
                 cell.release(step_run, other)
-                other.phase = state.TaskPhase.DONE
-                step_run.unfinished -= 1
+            cell.complete(step_run, other)
     if step_run.unfinished == 0 and not step_run.job.is_final:
         _complete_step(cell, step_run, now)
 
