Order a stop again that had no effect

Callers saw: a gang waited forever for a member that was stopping, or a worker took no task any more since it held a run that nobody stopped.

Cause: a stop is ordered once. The order is dropped while the worker has no address (after a takeover it may register late), and for an unknown task a second run under the same name got no order. The task then stays allocated, and its gang is never planned.

Change: replies to polls that still show a run that must end order its stop again after 3 s; unknown runs are told apart by their number.

--- a/test/test_coordinator_reports.py
+++ b/test/test_coordinator_reports.py
@@ -298,3 +298,48 @@
         self.assertEqual([case.DONE] * 2, case.phases(cell))
         self.assertEqual(state.JobState.COMPLETED, cell.jobs[JOB].state)
         self.assertEqual({}, cell.ready)
+
+
+class DroppedStopTest(testtools.TestCase):
+    """A stop is not sent, or has no effect, and the worker goes on."""
+
+    def test_the_stop_of_a_member_on_an_unregistered_worker_is_ordered_again(self):
+        """Guards against a gang that waits forever for a member that is stopping.
+
+        After a takeover the worker of the member registers late: its stop could not be
+        sent without an address.
+        """
+        entries = [case.entry(f"w{n}", cpus=1000) for n in range(2)]
+        old = case.new_cell(*entries)
+        old.accept(case.job(JOB, case.step(2, gang=True)), 1.0)
+        start_all(old)
+        record = old.jobs[JOB]
+        cell = case.new_cell(entries[0])
+        cell.restore(record.spec, state.to_progress(record), 2.0, 1.0)
+        case.poll(cell, "w0", now=2.1)  # its member is gone, so the other is stopped
+        self.assertEqual(1, len(cell.stops))
+        cell.stops.clear()  # dropped: the worker has no address
+        cell.register_worker(entries[1])
+        [task] = cell.workers["w1"].allocations
+        row = case.running(task)
+        for tick in range(1, 5):
+            case.poll(cell, "w1", [row], now=2.1 + tick, sent_at=2.1 + tick)
+        self.assertEqual([cell_state.Stop("w1", task, 1)], cell.stops)
+
+    def test_another_run_of_an_unknown_task_is_stopped_too(self):
+        """Guards against a worker that stays full with a run nobody stops."""
+        cell = case.new_cell()
+        task = "f" * 16 + ".0.0.0"
+        case.poll(cell, "w1", running=[case.running(task, run=1)], now=1.0)
+        case.poll(cell, "w1", running=[case.running(task, run=2)], now=1.1)
+        self.assertEqual(
+            [cell_state.Stop("w1", task, 1), cell_state.Stop("w1", task, 2)], cell.stops
+        )
+
+    def test_an_unknown_task_that_goes_on_is_stopped_again(self):
+        """Guards against a worker that stays unusable after a stop was lost."""
+        cell = case.new_cell()
+        row = case.running("f" * 16 + ".0.0.0")
+        for now in (1.0, 2.0, 3.0, 4.1, 5.0):
+            case.poll(cell, "w1", running=[row], now=now)
+        self.assertEqual(2, len(cell.stops))
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -18,6 +18,9 @@
 COMPLETE_PERCENT = 100
 # Attempts of jobs whose queue is no longer configured.
 DEFAULT_ATTEMPTS = 1
+# A stop is ordered again if a run that must end is still held after this long; an order
+# may be dropped, for instance while the address of the worker is unknown.
+STOP_REPEAT_S = 3.0
 
 
 def apply_poll_reply(
@@ -39,7 +42,7 @@
     worker.confirmed = worker.responsive = True
     worker.update_clock(reply.clock_ms, now)
     listed = {(row.task, row.run) for row in reply.running}
-    changed_jobs = []
+    changed_jobs: list[str] = []
     for end in reply.ended:
         if end.number > worker.acked_end and _apply_end(cell, worker, end, now):
             changed_jobs.append(end.task.partition(".")[0])
@@ -53,9 +56,34 @@
             )
             cell.requeue(allocation.step, task, now)
             changed_jobs.append(allocation.step.job.spec.id)
+    _order_stops(cell, worker, reply.running, now)
     return changed_jobs
 
 
+def _order_stops(
+    cell: cell_state.CellState,
+    worker: workers.Worker,
+    running: Iterable[ports.RunningTask],
+    now: float,
+) -> None:
+    """Order stops of unknown runs, and all stops again that had no effect."""
+    due_at: dict[tuple[str, int], float] = {}
+    unknown = [
+        (row.task, row.run) for row in running if row.task in worker.unknown_tasks
+    ]
+    stopping = [
+        (task_id, allocation.task.run)
+        for task_id, allocation in worker.allocations.items()
+        if allocation.task.phase is state.TaskPhase.STOPPING
+    ]
+    for key in [*unknown, *stopping]:
+        due_at[key] = worker.stops_due_at.get(key, now + STOP_REPEAT_S)
+        if now >= due_at[key]:
+            due_at[key] = now + STOP_REPEAT_S
+            cell.stops.append(cell_state.Stop(worker.id, *key))
+    worker.stops_due_at = due_at
+
+
 def _reconcile_running(
     cell: cell_state.CellState,
     worker: workers.Worker,
@@ -67,8 +95,8 @@
         allocation = worker.allocations.get(row.task)
         if allocation is None or allocation.task.run != row.run:
             unknown_tasks[row.task] = _demand_of(cell, row.task)
-            if row.task not in worker.unknown_tasks:
-                cell.stops.append(cell_state.Stop(worker.id, row.task, row.run))
+            if (row.task, row.run) not in worker.stops_due_at:
+                worker.stops_due_at[row.task, row.run] = now
             continue
         task = allocation.task
         if row.checkpoint:
--- a/toucanspring/coordinator/workers.py
+++ b/toucanspring/coordinator/workers.py
@@ -50,6 +50,8 @@
     unknown_tasks: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
+    # When runs that must end are stopped (again), by task and number of the run.
+    stops_due_at: dict[tuple[str, int], float] = dataclasses.field(default_factory=dict)
     acked_end: int = 0
     clock_ms: int = 0
     clock_read_at: float = 0.0
@@ -126,6 +128,7 @@
         self.incarnation = incarnation
         self.acked_end = 0
         self.unknown_tasks.clear()
+        self.stops_due_at.clear()
         self.clock_ms = self.lease_until_ms = 0
         self.lease_expires_at = float("inf")
         self.failures = self.samples = 0
