Stop a gang's member that a takeover finds running alone

Callers saw: a gang waited with 'members of the gang still run' for as long as a member of its broken run went on.

Cause: the predecessor had requeued one member and was about to stop the others. The successor took the others, once listed, as running and never compared them with the member that waits.

Change: a run that is found running after a takeover is checked like one whose start is confirmed.

--- a/test/test_coordinator_reports.py
+++ b/test/test_coordinator_reports.py
@@ -343,3 +343,17 @@
         for now in (1.0, 2.0, 3.0, 4.1, 5.0):
             case.poll(cell, "w1", running=[row], now=now)
         self.assertEqual(2, len(cell.stops))
+
+    def test_a_member_that_runs_without_the_others_after_a_takeover_is_stopped(self):
+        """Guards against a gang that waits for a member of a broken run."""
+        entries = [case.entry(f"w{n}", cpus=1000) for n in range(2)]
+        old = case.new_cell(*entries)
+        old.accept(case.job(JOB, case.step(2, gang=True)), 1.0)
+        start_all(old)
+        case.poll(old, "w0", now=2.0, incarnation=2)
+        record = old.jobs[JOB]
+        cell = case.new_cell(*entries)
+        cell.restore(record.spec, state.to_progress(record), 2.0, 1.0)
+        [task] = cell.workers["w1"].allocations
+        case.poll(cell, "w1", [case.running(task)], now=2.1)
+        self.assertEqual([cell_state.Stop("w1", task, 1)], cell.stops)
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -310,10 +310,12 @@
         task.phase = state.TaskPhase.RUNNING
         task.started_at = task.progressed_at = now
         task.confirmed_at = now
-        if step_run.job.is_final or self._gang_broken(step_run, task):
+        if step_run.job.is_final or self.is_gang_broken(step_run, task):
             self.stop(step_run, task)
 
-    def _gang_broken(self, step_run: state.StepRun, task: state.Task) -> bool:
+    @staticmethod
+    def is_gang_broken(step_run: state.StepRun, task: state.Task) -> bool:
+        """Return whether a member runs without all others of its run."""
         return step_run.step.gang and any(
             other.run != task.run or other.phase is state.TaskPhase.WAITING
             for other in step_run.tasks
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -108,7 +108,9 @@
             task.phase = state.TaskPhase.RUNNING
             task.started_at = task.started_at or now
             task.confirmed_at = now
-            if allocation.step.job.is_final:
+            if allocation.step.job.is_final or cell.is_gang_broken(
+                allocation.step, task
+            ):
                 cell.stop(allocation.step, task)
     if len(unknown_tasks) < len(worker.unknown_tasks):
         cell.capacity_version += 1
