End every request to the approval service

Callers saw: a step stayed with 'approval asked for' while its workers were idle.

Cause: (1) an unreadable relayed answer, or any exception of the call, ended the greenlet before the step and the caller were set free, so both stayed occupied until the next takeover. (3) A long request at the head of the queue held up short ones behind it although callers are kept for short ones.

Change: an answer is recorded however the call ends; a non-empty queue without a request in flight is always dispatched again; short requests pass long ones without a caller.

Evidence, test_approval_dispatcher on the old code, 4 of 4 failed: 'AssertionError: no answer' for the unreadable answer, the exception and the retry, and 'MismatchError: [0.01, 0.5, 0.5] != [0.5, 0.5]' for the short request.

--- a/toucanspring/coordinator/approval_dispatcher.py
+++ b/toucanspring/coordinator/approval_dispatcher.py
@@ -59,6 +59,7 @@
         self._in_flight: dict[str, float] = {}
         self._retry_at: dict[str, float] = {}  # caller -> when it may be tried again
         self._calls = pool.Group()
+        self._retry: gevent.Greenlet | None = None
 
     def clear(self) -> None:
         """Drop the queued requests, once the leadership has ended."""
@@ -81,14 +82,28 @@
         return msgspec.msgpack.encode(answer)
 
     def _dispatch(self) -> None:
+        passed_over = []
         while self._queue:
-            request = self._queue[0][-1]
+            entry = heapq.heappop(self._queue)
+            request = entry[-1]
             caller = self._free_caller(request.cost_s)
-            if caller is None:
-                return
-            heapq.heappop(self._queue)
-            self._in_flight[caller] = request.cost_s
-            self._calls.spawn(self._send, caller, request)
+            if caller is not None:
+                self._in_flight[caller] = request.cost_s
+                self._calls.spawn(self._send, caller, request)
+                continue
+            # A short request behind a long one may still find a caller.
+            passed_over.append(entry)
+            if request.cost_s <= LONG_REQUEST_S:
+                break
+        for entry in passed_over:
+            heapq.heappush(self._queue, entry)
+        if self._queue and not self._in_flight and self._retry is None:
+            # No reply follows that would dispatch the rest.
+            self._retry = gevent.spawn_later(RETRY_DELAY_S, self._dispatch_later)
+
+    def _dispatch_later(self) -> None:
+        self._retry = None
+        self._dispatch()
 
     def _free_caller(self, cost_s: float) -> str | None:
         now = time.monotonic()
@@ -111,22 +126,42 @@
         return free[0] if free else None
 
     def _send(self, caller: str, request: plans.ApprovalRequest) -> None:
-        timeout_s = request.cost_s + TIMEOUT_SLACK_S
         sent_at = time.monotonic()
+        answer: dict[str, str] | errors.Failure = errors.Ambiguous(
+            reason="the call raised an exception"
+        )
+        try:
+            answer = self._ask(caller, request)
+        finally:
+            self._in_flight.pop(caller, None)
+            self._record_answer(caller, request, answer, sent_at)
+
+    def _ask(
+        self, caller: str, request: plans.ApprovalRequest
+    ) -> dict[str, str] | errors.Failure:
+        timeout_s = request.cost_s + TIMEOUT_SLACK_S
         names = list(request.workers)
         if caller == LOCAL:
-            answer = self._approvals.ask(request.step.id, names, timeout_s)
-        else:
-            body = msgspec.msgpack.encode(
-                RelayedRequest(request.step.id, names, timeout_s)
-            )
-            answer = self._kernel.find("peers").call(
-                caller, METHOD, body, timeout_s + TIMEOUT_SLACK_S
-            )
-            if not isinstance(answer, errors.Failure):
-                answer = msgspec.msgpack.decode(answer, type=dict[str, str])
+            return self._approvals.ask(request.step.id, names, timeout_s)
+        body = msgspec.msgpack.encode(RelayedRequest(request.step.id, names, timeout_s))
+        answer = self._kernel.find("peers").call(
+            caller, METHOD, body, timeout_s + TIMEOUT_SLACK_S
+        )
+        if isinstance(answer, errors.Failure):
+            return answer
+        try:
+            return msgspec.msgpack.decode(answer, type=dict[str, str])
+        except msgspec.MsgspecError as error:
+            return errors.Malformed(reason=f"relayed answer: {error}")
+
+    def _record_answer(
+        self,
+        caller: str,
+        request: plans.ApprovalRequest,
+        answer: dict[str, str] | errors.Failure,
+        sent_at: float,
+    ) -> None:
         now = time.monotonic()
-        self._in_flight.pop(caller, None)
         if isinstance(answer, errors.Failure):
             structured.decide(
                 log, "approval_failed", step=request.step.id, caller=caller or "self",
