Request approval for a gang of workers beside those it waits for

Callers saw: a gang on a queue with approvals waited while workers that it was never approved for, or whose tickets had expired, were empty.

Cause: (1) a gang asked about new workers only if it could not even be placed with preemptions, and only while it was one of three that reserve. A late gang preempts nothing, so it waited for the end of the tasks there. (2) Requests name 100 workers, the first of the approved ones; a chosen worker behind these was never among them.

Change: a gang that does not fit asks about workers with room at once; the chosen workers without a ticket come first in a request.

Evidence, test_coordinator_progress on the old code: 'MismatchError: [('w4',)] != []' and 'MismatchError: 2 != 0'; now both pass.

--- a/test/test_coordinator_progress.py
+++ b/test/test_coordinator_progress.py
@@ -3,11 +3,12 @@
 import testtools
 
 from test import coordinator_case as case
-from toucanspring.coordinator import planner
+from toucanspring.coordinator import catalogue, planner, plans
 
 JOB = "0" * 16
 OTHER = "1" * 16
 BUSY = "b" * 16
+APPROVED = catalogue.Approval(decision_s=0.05, per_worker_s=0.001, validity_s=2.5)
 
 
 class BlockedStepTest(testtools.TestCase):
@@ -123,3 +124,63 @@
         cell.cancel(OTHER, 1.4)
         [start] = cell_planner.plan(1.5).starts
         self.assertEqual(JOB, start.step.job.spec.id)
+
+
+class GangApprovalTest(testtools.TestCase):
+    """Gangs on a queue whose placements need approval."""
+
+    def setUp(self):
+        super().setUp()
+        self.catalogue = case.configure(
+            case.queue("builds", priority=1, approval=APPROVED),
+            case.queue("labels", priority=2),
+        )
+
+    def test_a_gang_requests_approval_of_workers_beside_those_it_waits_for(self):
+        """Guards against a gang that waits for a full worker while others are empty.
+
+        The tasks on the approved workers might be preempted, but are not, since the
+        gang is late.
+        """
+        cell = case.new_cell(
+            *(case.entry(f"w{number}", cpus=10_000) for number in range(5)),
+            catalogue_=self.catalogue,
+        )
+        cell_planner = planner.Planner(cell)
+        cell.workers["w4"].backoff_until = 2.0
+        long = case.step(4, cpus=9000, checkpointing=True)
+        cell.accept(case.job(BUSY, long, queue="labels"), 1.0)
+        case.confirm(cell, cell_planner.plan(1.0), 1.0)
+        cell.accept(case.job(JOB, case.step(1, cpus=9000, gang=True)), 1.0)
+        [request] = cell_planner.plan(1.1).approval_requests
+        self.assertEqual(("w0", "w1", "w2", "w3"), request.workers)
+        plans.record_approvals(request, dict.fromkeys(request.workers, "t"), 90.0)
+        cell.jobs[JOB].due_at = 1.0
+        requests = [
+            each.workers
+            for tick in range(20)
+            for each in cell_planner.plan(2.1 + tick / 10).approval_requests
+        ]
+        self.assertEqual([("w4",)], requests)
+
+    def test_expired_tickets_of_the_chosen_workers_are_among_those_requested(self):
+        """Guards against a gang that never asks about the worker it has chosen.
+
+        A request names 100 workers at most, and the free ones are not the first.
+        """
+        size = planner.MAX_WORKERS_PER_REQUEST + 4
+        cell = case.new_cell(
+            *(
+                case.entry(f"w{number}", cpus=10_000 if number < size - 2 else 20_000)
+                for number in range(size)
+            ),
+            catalogue_=self.catalogue,
+        )
+        cell_planner = planner.Planner(cell)
+        cell.accept(case.job(JOB, case.step(2, cpus=10_000, gang=True)), 1.0)
+        run = cell.jobs[JOB].steps[0, 0]
+        run.allowed = dict.fromkeys(cell.workers, True)
+        [request] = cell_planner.plan(1.0).approval_requests
+        tickets = dict.fromkeys(request.workers, "t")
+        plans.record_approvals(request, tickets, 3.5)
+        self.assertEqual(2, len(cell_planner.plan(1.1).starts))
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -97,6 +97,9 @@
         chosen = placement.place_gang(step_run, open_workers, {})
         if chosen is None:
             plan.record_wait(step_run, plans.NO_ROOM)
+            names = self._planner.not_requested_with_room(step_run)
+            if names:
+                self._planner.request_approval(step_run, queue, names, plan, now)
             if now - step_run.ready_at >= RESERVE_AFTER_S:
                 self._reserve_and_preempt(step_run, queue, eligible, plan, now)
             return
@@ -107,8 +110,9 @@
         ]
         if missing:
             plan.record_wait(step_run, plans.AWAITING_APPROVAL)
-            # Request all approved workers: capacity may change before the reply.
-            names = [worker.id for worker in eligible]
+            # Request all approved workers: capacity may change before the reply. The
+            # missing ones come first, since the size of a request is limited.
+            names = list(dict.fromkeys([*missing, *(worker.id for worker in eligible)]))
             self._planner.request_approval(step_run, queue, names, plan, now)
             plan.reserved.update(worker.id for worker, _ in chosen)
             return
@@ -147,9 +151,6 @@
         }
         chosen = self._choose_reservation(step_run, open_workers, victims, now)
         if chosen is None:
-            names = self._planner.not_requested_with_room(step_run)
-            if names:
-                self._planner.request_approval(step_run, queue, names, plan, now)
             return
         plan.reserved.update(worker.id for worker, _ in chosen)
         slack_s = step_run.job.due_at - now - step_run.step.estimate_ms / 1000
