Queue orders to workers so that no planning round waits for them

Callers saw cancellations without an answer and work that nothing started while many workers were silent: `_orders` was a pool of 400 whose `spawn` blocks when it is full, in the round before its write. `_stop` held a slot for as long as a worker did not answer, so 400 stops to silent workers stopped planning, and a round that waits renews no leader lease.

Orders now wait in a queue in front of the slots. Starts and stops have slots of their own (300 and 100), a worker has at most three starts and two stops in flight, and workers take turns. A stop without an answer is repeated after 0.25 s and holds no slot until then.

Seen failing before on: test_a_round_does_not_wait_for_stops_to_a_ silent_worker, `actual = Ambiguous(reason='the cancellation is not durable yet')`; the other tests are of the new module.

--- /dev/null
+++ b/test/test_coordinator_orders.py
@@ -0,0 +1,115 @@
+"""The coordinator's orders to workers: limits in flight, and rounds that go on."""
+
+import gevent
+import testtools
+from gevent import event
+
+from test import coordinator_case as case
+from test import test_coordinator_leadership as leadership_tests
+from toucanspring.coordinator import order_queue, state
+
+JOB, OTHER = "0" * 16, "1" * 16
+
+
+class OrderQueueTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.sent, self.silent = [], set()
+        self.release = event.Event()
+        self.queue = order_queue.OrderQueue(self.send, 4, 2)
+        self.addCleanup(self.queue.close)
+
+    def send(self, order):
+        worker, _ = order
+        self.sent.append(order)
+        if worker in self.silent:
+            self.release.wait()
+            return 0.01
+        gevent.sleep(0)
+        return 0.0
+
+    def submit(self, worker, count):
+        for number in range(count):
+            self.queue.submit(worker, (worker, number))
+
+    def settle(self):
+        for _ in range(50):
+            gevent.sleep(0)
+
+    def test_a_silent_worker_holds_few_slots(self):
+        """Guards against orders to one silent worker that hold up all others."""
+        self.silent.add("w1")
+        self.submit("w1", 50)
+        self.submit("w2", 10)
+        self.settle()
+        self.assertEqual(10, sum(worker == "w2" for worker, _ in self.sent))
+        self.assertEqual((2, 48), (self.queue.in_flight, self.queue.waiting))
+        self.assertEqual(0, self.queue.backlog)
+
+    def test_workers_take_turns(self):
+        self.silent.update({"w1", "w2", "w3"})
+        self.submit("w1", 10)
+        self.submit("w2", 10)
+        self.submit("w3", 10)
+        self.settle()
+        self.assertEqual(["w1", "w1", "w2", "w2"], sorted(w for w, _ in self.sent))
+        self.assertEqual(10, self.queue.backlog)
+
+    def test_an_order_that_waits_to_be_repeated_holds_no_slot(self):
+        self.silent.add("w1")
+        self.submit("w1", 2)
+        self.settle()
+        self.silent.clear()
+        self.release.set()
+        self.settle()
+        self.assertEqual((0, 2), (self.queue.in_flight, self.queue.waiting))
+        with gevent.Timeout(5.0, AssertionError("the orders were not repeated")):
+            while len(self.sent) < 4:
+                gevent.sleep(0.005)
+        self.settle()
+        self.assertEqual((0, 0), (self.queue.in_flight, self.queue.waiting))
+
+    def test_a_failing_order_frees_its_slot(self):
+        self.queue = order_queue.OrderQueue(lambda _order: 1 / 0, 1, 1)
+        self.patch(gevent.get_hub(), "handle_error", lambda *_error: None)
+        self.queue.submit("w1", 1)
+        self.queue.submit("w2", 2)
+        self.settle()
+        self.assertEqual((0, 0, 2), (
+            self.queue.in_flight, self.queue.waiting, self.queue.sent,
+        ))  # fmt: skip
+
+    def test_nothing_is_sent_after_close(self):
+        self.silent.add("w1")
+        self.submit("w1", 5)
+        self.settle()
+        self.queue.close()
+        self.settle()
+        self.assertEqual(2, len(self.sent))
+
+
+class RoundTest(leadership_tests.LeadershipCase):
+    def test_a_round_does_not_wait_for_stops_to_a_silent_worker(self):
+        """Guards against rounds that wait for orders and renew no leader lease.
+
+        A cancelled job had more running tasks on a silent worker than orders may be
+        in flight.
+        """
+        self.workers.run_s = 30
+        wide = case.entry("w1", cpus=500_000, memory=1_000_000)
+        self.workers.add(wide)
+        self.directory.known = {"w1": wide}
+        leader = self.coordinate()
+        self.accept(case.step(450))
+        self.wait_for(lambda: self.workers.starts == 450)
+        self.wait_for(lambda: set(case.phases(leader.cell)) == {case.RUNNING})
+        self.workers.silent.add("w1")
+        self.assertEqual(state.JobState.CANCELLED, leader.cancel(JOB))
+        self.wait_for(lambda: not leader.cell.workers["w1"].responsive)
+        self.workers.run_s = 0.02
+        narrow = case.entry("w2", cpus=4000)
+        self.workers.add(narrow)
+        self.directory.known = {"w1": wide, "w2": narrow}
+        self.directory.changed()
+        self.accept(case.step(2), job_id=OTHER)
+        self.wait_for(lambda: self.is_complete(OTHER), 2.0)
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -8,11 +8,18 @@
 
 import gevent
 import logbook
-from gevent import event, pool
+from gevent import event
 
 from toucanspring import errors
 from toucanspring import log as structured
-from toucanspring.coordinator import cell_state, plans, ports, reports, workers
+from toucanspring.coordinator import (
+    cell_state,
+    order_queue,
+    plans,
+    ports,
+    reports,
+    workers,
+)
 
 log = logbook.Logger(__name__)
 
@@ -24,7 +31,10 @@
 UNRESPONSIVE_AFTER_S = 0.8
 MAX_START_ATTEMPTS = 3
 STOP_RETRY_S = 0.25
-MAX_CONCURRENT_ORDERS = 400
+MAX_STARTS_IN_FLIGHT = 300
+MAX_STOPS_IN_FLIGHT = 100
+MAX_STARTS_PER_WORKER = 3  # in flight
+MAX_STOPS_PER_WORKER = 2  # in flight
 # A worker may restart unnoticed if it is not polled for this long.
 MAX_POLL_GAP_S = 0.2
 DURABLE_WAIT_S = 1.0  # limit of a wait for the store before the next lease renewal
@@ -68,14 +78,20 @@
         self._clock = clock
         self._loops: dict[str, gevent.Greenlet] = {}
         self._acknowledged: dict[str, event.Event] = {}
-        self._orders = pool.Pool(MAX_CONCURRENT_ORDERS)
+        self.starts = order_queue.OrderQueue(
+            self._start, MAX_STARTS_IN_FLIGHT, MAX_STARTS_PER_WORKER
+        )
+        self.stops = order_queue.OrderQueue(
+            self._stop, MAX_STOPS_IN_FLIGHT, MAX_STOPS_PER_WORKER
+        )
 
     def __enter__(self) -> Dispatcher:
         return self
 
     def __exit__(self, *_exc: object) -> None:
         gevent.killall(list(self._loops.values()), block=False)
-        self._orders.kill(block=False)
+        self.starts.close()
+        self.stops.close()
         self._loops.clear()
 
     def watch(self, worker: workers.Worker) -> None:
@@ -191,19 +207,20 @@
     # Starts and stops
 
     def start(self, start: plans.Start) -> None:
-        """Send a start order whose intent is durable."""
-        self._orders.spawn(self._start, start)
+        """Queue a start order whose intent is durable."""
+        self.starts.submit(start.worker.id, start)
 
-    def _start(self, start: plans.Start) -> None:
+    def _start(self, start: plans.Start) -> float:
+        """Send a start order until its outcome is known; return 0."""
         cell, worker, step_run = self._leader.cell, start.worker, start.step
         task_id = step_run.task_id(start.task.index)
         if step_run.job.is_final or start.task.run != start.run:
             cell.cancel_start(step_run, start.task, start.run, self._clock())
-            return
+            return 0.0
         for attempt in range(MAX_START_ATTEMPTS):
             sent = self._clock()
             if not self._leader.may_renew(sent):
-                return  # a successor relies on no lease being renewed
+                return 0.0  # a successor relies on no lease being renewed
             lease_until_ms = worker.estimate_clock(sent) + self._max_lease_ms
             worker.extend_lease(lease_until_ms, sent)
             answer = self._client.start(
@@ -224,7 +241,7 @@
                     worker.update_clock(clock_ms, now)
                     cell.confirm_start(step_run, start.task, start.run, now)
                     self._leader.wake()
-                    return
+                    return 0.0
                 case errors.Ambiguous() if attempt + 1 < MAX_START_ATTEMPTS:
                     worker.may_have_restarted = True
                     continue  # starting the same run again is idempotent
@@ -243,7 +260,8 @@
                 worker=worker.id, reason=answer.reason,
             )  # fmt: skip
             self._leader.wake()
-            return
+            break
+        return 0.0
 
     def _handle_refusal(
         self, start: plans.Start, reason: str, repeated: bool, now: float
@@ -266,36 +284,32 @@
             cell.cancel_start(step_run, start.task, start.run, now)
 
     def stop(self, order: cell_state.Stop) -> None:
-        """Send a stop order until it is confirmed or the run is gone."""
-        self._orders.spawn(self._stop, order)
+        """Queue a stop order, sent until it is confirmed or the run is gone."""
+        self.stops.submit(order.worker, order)
 
-    def _stop(self, order: cell_state.Stop) -> None:
-        while True:
-            worker = self._leader.cell.workers.get(order.worker)
-            if worker is None or not worker.entry.address:
-                return
-            allocation = worker.allocations.get(order.task)
-            if order.task not in worker.unknown_tasks and (
-                allocation is None or allocation.task.run != order.run
-            ):
-                return
-            answer = self._client.stop(
-                worker.entry, order.task, order.run, self._leader.epoch
-            )
-            now = self._clock()
-            match answer:
-                case ports.OrderDone(clock_ms=clock_ms):
-                    worker.update_clock(clock_ms, now)
-                    self._leader.cell.confirm_stop(
-                        worker.id, order.task, order.run, now
-                    )
-                    return
-                case ports.OrderRefused(reason=ports.FENCED):
-                    self._leader.step_down(f"worker {worker.id} refused a stop")
-                    return
-                case ports.OrderRefused(reason=ports.OLD_RUN | ports.OTHER_INCARNATION):
-                    self._leader.cell.confirm_stop(
-                        worker.id, order.task, order.run, now
-                    )
-                    return
-            gevent.sleep(STOP_RETRY_S)
+    def _stop(self, order: cell_state.Stop) -> float:
+        """Send a stop order once; return the seconds until it is repeated, or 0."""
+        worker = self._leader.cell.workers.get(order.worker)
+        if worker is None or not worker.entry.address:
+            return 0.0
+        allocation = worker.allocations.get(order.task)
+        if order.task not in worker.unknown_tasks and (
+            allocation is None or allocation.task.run != order.run
+        ):
+            return 0.0
+        answer = self._client.stop(
+            worker.entry, order.task, order.run, self._leader.epoch
+        )
+        now = self._clock()
+        match answer:
+            case ports.OrderDone(clock_ms=clock_ms):
+                worker.update_clock(clock_ms, now)
+            case ports.OrderRefused(reason=ports.FENCED):
+                self._leader.step_down(f"worker {worker.id} refused a stop")
+                return 0.0
+            case ports.OrderRefused(reason=ports.OLD_RUN | ports.OTHER_INCARNATION):
+                pass
+            case _:
+                return STOP_RETRY_S
+        self._leader.cell.confirm_stop(worker.id, order.task, order.run, now)
+        return 0.0
