Queue a start again that may not be sent or repeated any more

Callers saw a job that stayed active for ever after an outage of the store of over 8.5 s in which no other process took over. Cause: `_start` returned without a word when worker leases may not be renewed; the task stayed `STARTING`, which nothing but the loss of its worker ends.

A start that was not sent certainly has no effect and is queued again; one without an answer may run and is stopped, as after the last attempt. Both are safe for a successor: nothing is sent, and the next run has a higher number that is recorded only under the leader lease.

Seen failing before: test_a_start_that_was_not_sent_for_want_of_a_lease_is_ queued_again and test_a_start_without_an_answer_is_stopped_if_it_may_not_be_ repeated, both `AssertionError: the condition did not hold` (the job did not complete in 5 s).

--- a/test/test_coordinator_orders.py
+++ b/test/test_coordinator_orders.py
@@ -113,3 +113,41 @@
         self.directory.changed()
         self.accept(case.step(2), job_id=OTHER)
         self.wait_for(lambda: self.is_complete(OTHER), 2.0)
+
+
+class RenewalTest(leadership_tests.LeadershipCase):
+    def test_a_start_that_was_not_sent_for_want_of_a_lease_is_queued_again(self):
+        """Guards against a recorded start that is never ordered.
+
+        After a long outage of the store without a takeover its task never ran.
+        """
+        leader = self.coordinate()
+        leader.may_renew = lambda _now: False
+        self.accept(case.step(1))
+        self.wait_for(lambda: self.progress() is not None)
+        gevent.sleep(0.05)
+        self.assertEqual(0, self.workers.starts)
+        del leader.may_renew
+        self.wait_for(self.is_complete)
+        self.assert_no_violations()
+
+    def test_a_start_without_an_answer_is_stopped_if_it_may_not_be_repeated(self):
+        """Guards against a start that is neither repeated nor stopped."""
+        leader = self.coordinate()
+        start = self.workers.start
+
+        def lose(*order):
+            leader.may_renew = lambda _now: False
+            return start(*order)
+
+        self.workers.start = lose
+        self.workers.delay_starts = 1
+        self.accept(case.step(1))
+        self.wait_for(lambda: not self.workers.delay_starts)
+        gevent.sleep(0.05)
+        self.workers.start = start
+        del leader.may_renew
+        self.wait_for(self.is_complete)
+        self.workers.apply_delayed()
+        self.assertEqual({f"{JOB}.0.0.0": 1}, self.workers.done)
+        self.assert_no_violations()
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -220,7 +220,12 @@
         for attempt in range(MAX_START_ATTEMPTS):
             sent = self._clock()
             if not self._leader.may_renew(sent):
-                return 0.0  # a successor relies on no lease being renewed
+                # A successor relies on no lease being renewed.
+                if attempt:
+                    cell.mark_start_ambiguous(step_run, start.task, start.run)
+                else:
+                    cell.cancel_start(step_run, start.task, start.run, sent)
+                return 0.0
             lease_until_ms = worker.estimate_clock(sent) + self._max_lease_ms
             worker.extend_lease(lease_until_ms, sent)
             answer = self._client.start(
