Keep the stop of a task whose worker is not registered yet

Callers saw a task of a cancelled job run on after a takeover. Cause: a new coordinator knows a worker from restored tasks before its entry is back; the stop to it, which has no address yet, was dropped, and nothing ordered it again once the worker registered.

Seen failing before: test_a_worker_that_registers_late_is_told_to_stop, `AssertionError: the condition did not hold` (the run was still there 3 s after the worker was registered).

--- a/test/test_coordinator_orders.py
+++ b/test/test_coordinator_orders.py
@@ -151,3 +151,25 @@
         self.workers.apply_delayed()
         self.assertEqual({f"{JOB}.0.0.0": 1}, self.workers.done)
         self.assert_no_violations()
+
+
+class UnregisteredWorkerTest(leadership_tests.LeadershipCase):
+    def test_a_worker_that_registers_late_is_told_to_stop(self):
+        """Guards against a task of a cancelled job that runs on.
+
+        Its worker was not registered when the job was cancelled after a takeover.
+        """
+        self.workers.run_s = 30
+        self.coordinate()
+        self.accept(case.step(1))
+        self.wait_for(lambda: self.workers.starts == 1)
+        self.kill()
+        [busy] = [name for name, each in self.workers.incarnations.items() if each.runs]
+        registered = dict(self.directory.known)
+        del self.directory.known[busy]
+        leader = self.coordinate()
+        self.assertEqual(state.JobState.CANCELLED, leader.cancel(JOB))
+        gevent.sleep(0.05)
+        self.directory.known = registered
+        self.directory.changed()
+        self.wait_for(lambda: not self.workers.incarnations[busy].runs, 3.0)
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -295,13 +295,15 @@
     def _stop(self, order: cell_state.Stop) -> float:
         """Send a stop order once; return the seconds until it is repeated, or 0."""
         worker = self._leader.cell.workers.get(order.worker)
-        if worker is None or not worker.entry.address:
+        if worker is None:
             return 0.0
         allocation = worker.allocations.get(order.task)
         if order.task not in worker.unknown_tasks and (
             allocation is None or allocation.task.run != order.run
         ):
             return 0.0
+        if not worker.entry.address:
+            return STOP_RETRY_S  # known from restored tasks; it may register later
         answer = self._client.stop(
             worker.entry, order.task, order.run, self._leader.epoch
         )
