Keep tickets valid until the order arrives, and send no start with a void one

Cause: a ticket had to be valid for 0.15 s more at planning time, however long the write and the order took. Each refusal costs an intent, an order, a price and a requeue.

The margin now follows the measured time from planning to the answer of recent orders (nine tenths of them) and the latest writes, from 0.15 to 1 s, at most half of the validity so that a fresh ticket is always used. The ticket is checked again when the order is sent, and renewed ones are taken; a start whose ticket is void, or to whose worker an order has just failed, is cancelled without a call. `start_failed` says how old the order was when it was sent.

Seen failing before: test_a_start_whose_ticket_has_expired_is_not_sent and test_a_start_is_not_sent_to_a_worker_that_has_just_failed `MismatchError: 0 != 1`, test_a_start_uses_a_ticket_that_was_renewed_while_it_waited `['newer'] != ['t']`, test_no_start_is_sent_with_an_expired_ticket_while_writes_are_slow `[True]` instead of `[False]`.

--- /dev/null
+++ b/test/test_coordinator_pacing.py
@@ -0,0 +1,193 @@
+"""The margin of tickets, from measured times; controlled time."""
+
+import gevent
+import testtools
+
+from standins import lease_workers
+from test import coordinator_case as case
+from test import test_coordinator_leadership as leadership_tests
+from toucanspring.coordinator import (
+    catalogue,
+    dispatch,
+    order_pacing,
+    planner,
+    plans,
+    ports,
+)
+
+JOB = "0" * 16
+VALIDITY_S = 2.0
+APPROVED = catalogue.Approval(
+    decision_s=0.05, per_worker_s=0.001, validity_s=VALIDITY_S
+)
+
+
+class OrderPacingTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.pacing = order_pacing.OrderPacing()
+
+    def test_the_ticket_margin_follows_slow_writes(self):
+        self.assertEqual(
+            order_pacing.MIN_TICKET_MARGIN_S, self.pacing.ticket_margin_s()
+        )
+        self.pacing.record_write(0.4)
+        self.assertAlmostEqual(0.45, self.pacing.ticket_margin_s())
+        for _ in range(order_pacing.WRITE_SAMPLES):
+            self.pacing.record_write(0.01)
+        self.assertEqual(
+            order_pacing.MIN_TICKET_MARGIN_S, self.pacing.ticket_margin_s()
+        )
+
+    def test_the_ticket_margin_follows_late_orders_up_to_a_limit(self):
+        for _ in range(order_pacing.DELAY_SAMPLES):
+            self.pacing.record_delay(0.6)
+        self.assertAlmostEqual(0.65, self.pacing.ticket_margin_s())
+        for _ in range(order_pacing.DELAY_SAMPLES):
+            self.pacing.record_delay(5.0)
+        self.assertEqual(
+            order_pacing.MAX_TICKET_MARGIN_S, self.pacing.ticket_margin_s()
+        )
+
+    def test_a_few_late_orders_do_not_change_the_ticket_margin(self):
+        for number in range(order_pacing.DELAY_SAMPLES):
+            self.pacing.record_delay(0.5 if number % 20 == 0 else 0.01)
+        self.assertEqual(
+            order_pacing.MIN_TICKET_MARGIN_S, self.pacing.ticket_margin_s()
+        )
+
+
+class PlannerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.cell = case.new_cell(
+            case.entry("w1"),
+            catalogue_=case.configure(case.queue(approval=APPROVED)),
+        )
+        self.cell.accept(case.job(JOB, case.step(4)), 1.0)
+        self.planner = planner.Planner(self.cell)
+        [self.request] = self.planner.plan(1.0).approval_requests
+
+    def approve(self, expires_at):
+        plans.record_approvals(self.request, {"w1": "t"}, expires_at)
+
+    def test_a_ticket_that_expires_before_the_order_arrives_is_not_used(self):
+        """Guards against starts refused for their ticket while rounds are slow."""
+        self.approve(1.3)
+        self.planner.ticket_margin_s = 0.4
+        plan = self.planner.plan(1.0)
+        self.assertEqual([], plan.starts)
+        self.assertEqual(1, len(plan.approval_requests))
+
+    def test_a_fresh_ticket_is_used_however_late_orders_arrive(self):
+        self.approve(1.0 + VALIDITY_S * planner.MIN_USABLE_VALIDITY + 0.01)
+        self.planner.ticket_margin_s = 60.0
+        self.assertEqual(4, len(self.planner.plan(1.0).starts))
+
+
+class Leader:
+    """A coordinator that does nothing by itself."""
+
+    epoch = 1
+
+    def __init__(self, cell):
+        self.cell = cell
+
+    def may_renew(self, _now):
+        return True
+
+    def wake(self):
+        pass
+
+
+class QueuedStartTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 10.0
+        self.cell = case.new_cell(
+            case.entry("w1"),
+            catalogue_=case.configure(case.queue(approval=APPROVED)),
+            now=self.now,
+        )
+        spec = case.job(JOB, case.step(1))
+        self.cell.accept(spec, self.now)
+        cell_planner = planner.Planner(self.cell)
+        [request] = cell_planner.plan(self.now).approval_requests
+        plans.record_approvals(request, {"w1": "t"}, self.now + VALIDITY_S)
+        [self.start] = cell_planner.plan(self.now).starts
+        self.workers = lease_workers.LeaseWorkers()
+        self.workers.add(self.cell.workers["w1"].entry)
+        self.workers.jobs[JOB] = spec
+        self.dispatcher = dispatch.Dispatcher(
+            Leader(self.cell), self.workers, 6000, lambda: self.now
+        )
+
+    def send(self):
+        with self.dispatcher:
+            self.dispatcher.start(self.start, 10.0)
+            gevent.sleep(0.05)
+
+    def test_a_start_with_a_valid_ticket_is_sent(self):
+        self.send()
+        self.assertEqual(1, self.workers.starts)
+        self.assertEqual([case.RUNNING], case.phases(self.cell))
+
+    def test_a_start_whose_ticket_has_expired_is_not_sent(self):
+        """Guards against orders that their worker refuses for the ticket."""
+        self.now += VALIDITY_S
+        self.send()
+        self.assertEqual(0, self.workers.starts)
+        self.assertEqual([case.WAITING], case.phases(self.cell))
+        self.assertGreater(self.dispatcher.pacing.ticket_margin_s(), 0.9)
+
+    def test_a_start_uses_a_ticket_that_was_renewed_while_it_waited(self):
+        self.now += VALIDITY_S
+        self.start.step.tickets["w1"] = ports.Ticket("newer", self.now + VALIDITY_S)
+        sent = []
+        start = self.workers.start
+        self.workers.start = lambda worker, order: (
+            sent.append(order.ticket),
+            start(worker, order),
+        )[1]
+        self.send()
+        self.assertEqual(["newer"], sent)
+
+    def test_a_start_is_not_sent_to_a_worker_that_has_just_failed(self):
+        self.cell.workers["w1"].backoff_until = self.now + 0.5
+        self.send()
+        self.assertEqual(0, self.workers.starts)
+        self.assertEqual([case.WAITING], case.phases(self.cell))
+
+
+class SlowWriteTest(leadership_tests.LeadershipCase):
+    def test_no_start_is_sent_with_an_expired_ticket_while_writes_are_slow(self):
+        """Guards against refused starts, each with a write, an order and a requeue."""
+        self.directory.catalogue = case.configure(case.queue(approval=APPROVED))
+        clock = leadership_tests.leadership.time.monotonic
+        remaining_s = [0.2, 0.2, 0.2, VALIDITY_S]
+        late = []
+        transact, start = self.store.transact, self.workers.start
+
+        def transact_slowly(*changes):
+            gevent.sleep(0.3)
+            return transact(*changes)
+
+        def check(worker, order):
+            late.append(float(order.ticket) < clock())
+            return start(worker, order)
+
+        self.workers.start = check
+        leader = self.coordinate()
+        self.store.transact = transact_slowly
+
+        def approve(request):
+            left_s = remaining_s.pop(0) if len(remaining_s) > 1 else remaining_s[0]
+            expires_at = clock() + left_s
+            tickets = dict.fromkeys(request.workers, f"{expires_at}")
+            plans.record_approvals(request, tickets, expires_at)
+            leader.wake()
+
+        leader._request_approval = approve
+        self.accept(case.step(2))
+        self.wait_for(self.is_complete)
+        self.assertEqual({False}, set(late))
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -14,6 +15,7 @@
 from toucanspring import log as structured
 from toucanspring.coordinator import (
     cell_state,
+    order_pacing,
     order_queue,
     plans,
     ports,
@@ -41,6 +43,9 @@
 # Worker leases are renewed for this long after the leader lease has expired, since an
 # outage of the store is more likely then than another coordinator.
 STORE_OUTAGE_GRACE_S = 6.0
+# Reasons why a recorded start is cancelled before it is sent, as logged.
+TICKET_EXPIRED = "the ticket expired before the order was sent"
+WORKER_FAILED = "the worker failed before the order was sent"
 
 
 class Leader(Protocol):
@@ -62,6 +67,14 @@
         """Start a planning round soon."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueuedStart:
+    """A recorded start, planned at a monotonic time in seconds."""
+
+    start: plans.Start
+    planned_at: float
+
+
 class Dispatcher:
     """Orders in flight and a polling loop for each worker."""
 
@@ -78,6 +91,7 @@
         self._clock = clock
         self._loops: dict[str, gevent.Greenlet] = {}
         self._acknowledged: dict[str, event.Event] = {}
+        self.pacing = order_pacing.OrderPacing()
         self.starts = order_queue.OrderQueue(
             self._start, MAX_STARTS_IN_FLIGHT, MAX_STARTS_PER_WORKER
         )
@@ -206,17 +220,32 @@
 
     # Starts and stops
 
-    def start(self, start: plans.Start) -> None:
+    def start(self, start: plans.Start, planned_at: float) -> None:
         """Queue a start order whose intent is durable."""
-        self.starts.submit(start.worker.id, start)
+        self.starts.submit(start.worker.id, QueuedStart(start, planned_at))
 
-    def _start(self, start: plans.Start) -> float:
-        """Send a start order until its outcome is known; return 0."""
-        cell, worker, step_run = self._leader.cell, start.worker, start.step
-        task_id = step_run.task_id(start.task.index)
+    def _start(self, queued: QueuedStart) -> float:
+        """Send a start order, or cancel it if it is void by now; return 0."""
+        start = queued.start
+        cell, step_run = self._leader.cell, start.step
         if step_run.job.is_final or start.task.run != start.run:
             cell.cancel_start(step_run, start.task, start.run, self._clock())
             return 0.0
+        began = self._clock()
+        ticket, reason = self._check_start(start, began)
+        if reason:
+            if reason == TICKET_EXPIRED:
+                self.pacing.record_delay(began - queued.planned_at)
+            cell.cancel_start(step_run, start.task, start.run, began)
+            self._log_failure(queued, began, reason)
+        else:
+            self._send(queued, ticket)
+        return 0.0
+
+    def _send(self, queued: QueuedStart, ticket: str) -> None:
+        """Send a start order until its outcome is known."""
+        start, began = queued.start, self._clock()
+        cell, worker, step_run = self._leader.cell, start.worker, start.step
         for attempt in range(MAX_START_ATTEMPTS):
             sent = self._clock()
             if not self._leader.may_renew(sent):
@@ -225,28 +254,31 @@
                     cell.mark_start_ambiguous(step_run, start.task, start.run)
                 else:
                     cell.cancel_start(step_run, start.task, start.run, sent)
-                return 0.0
+                return
             lease_until_ms = worker.estimate_clock(sent) + self._max_lease_ms
             worker.extend_lease(lease_until_ms, sent)
             answer = self._client.start(
                 worker.entry,
                 ports.Start(
-                    task=task_id,
+                    task=step_run.task_id(start.task.index),
                     run=start.run,
                     payload=step_run.job.spec.payload,
                     lease_until_ms=lease_until_ms,
                     epoch=self._leader.epoch,
                     checkpoint=start.task.checkpoint,
-                    ticket=start.ticket,
+                    ticket=ticket,
                 ),
             )
             now = self._clock()
+            self.pacing.record_order(now - sent)
+            if not attempt and isinstance(answer, ports.OrderDone | ports.OrderRefused):
+                self.pacing.record_delay(now - queued.planned_at)
             match answer:
                 case ports.OrderDone(clock_ms=clock_ms):
                     worker.update_clock(clock_ms, now)
                     cell.confirm_start(step_run, start.task, start.run, now)
                     self._leader.wake()
-                    return 0.0
+                    return
                 case errors.Ambiguous() if attempt + 1 < MAX_START_ATTEMPTS:
                     worker.may_have_restarted = True
                     continue  # starting the same run again is idempotent
@@ -260,13 +292,29 @@
                 case _:
                     worker.backoff_until = now + workers.BACKOFF_S
                     cell.cancel_start(step_run, start.task, start.run, now)
-            structured.decide(
-                log, "start_failed", task=task_id, run=start.run,
-                worker=worker.id, reason=answer.reason,
-            )  # fmt: skip
-            self._leader.wake()
-            break
-        return 0.0
+            self._log_failure(queued, began, answer.reason)
+            return
+
+    def _check_start(self, start: plans.Start, now: float) -> tuple[str, str]:
+        """Return the ticket of a start, and why it must not be sent if so."""
+        worker = start.worker
+        if not worker.responsive or now < worker.backoff_until:
+            return "", WORKER_FAILED
+        if not start.ticket:
+            return "", ""
+        ticket = start.step.tickets.get(worker.id)
+        if ticket is None or ticket.expires_at <= now + self.pacing.order_s:
+            return "", TICKET_EXPIRED
+        return ticket.text, ""
+
+    def _log_failure(self, queued: QueuedStart, sent: float, reason: str) -> None:
+        start = queued.start
+        structured.decide(
+            log, "start_failed", task=start.step.task_id(start.task.index),
+            run=start.run, worker=start.worker.id, reason=reason,
+            age_s=round(sent - queued.planned_at, 3),
+        )  # fmt: skip
+        self._leader.wake()
 
     def _handle_refusal(
         self, start: plans.Start, reason: str, repeated: bool, now: float
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -350,6 +350,7 @@
         self._run_housekeeping(now)
         plan = plans.Plan()
         if self._view_age(now) < MAX_VIEW_AGE_S and self._writer.holds_lease(now):
+            self._planner.ticket_margin_s = self._dispatcher.pacing.ticket_margin_s()
             plan = self._planner.plan(now)
         for request in plan.approval_requests:
             self._request_approval(request)
@@ -400,6 +401,7 @@
         sent_at = time.monotonic()
         failure = self._writer.commit(puts, removals)
         self._write_s = time.monotonic() - sent_at
+        self._dispatcher.pacing.record_write(self._write_s)
         if failure is not None:
             self._cancel_waiters.extend(cancel_waiters)
             return
@@ -414,7 +416,7 @@
                 count=len(starts), took_ms=round((time.monotonic() - now) * 1000),
             )  # fmt: skip
         for start in starts:
-            self._dispatcher.start(start)
+            self._dispatcher.start(start, now)
         self._apply_acks(pending_acks)
         for waiter in cancel_waiters:
             waiter.set(None)
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -10,6 +10,7 @@
     catalogue,
     cell_state,
     gangs,
+    order_pacing,
     placement,
     plans,
     state,
@@ -20,8 +21,8 @@
 # A job counts as late once this fraction of its estimated run time does not fit before
 # the deadline; estimates are off by up to 0.9 in either direction.
 LATE_ESTIMATE_FRACTION = 0.6
-# Remaining validity of a ticket at a start: the order may be delayed and retried.
-TICKET_MARGIN_S = 0.15
+# A fresh ticket is used for this fraction of its validity, however late orders arrive.
+MIN_USABLE_VALIDITY = 0.5
 # Limits the duration of a round.
 MAX_STEPS_PER_ROUND = 400
 MAX_STARTS_PER_ROUND = 120
@@ -34,6 +35,8 @@
     def __init__(self, cell: cell_state.CellState) -> None:
         self._cell = cell
         self._gangs = gangs.Gangs(cell, self)
+        # Remaining validity of a ticket at a start: the order may be delayed.
+        self.ticket_margin_s = order_pacing.MIN_TICKET_MARGIN_S
 
     def plan(self, now: float) -> plans.Plan:
         """Plan one round and allocate the resources for its starts."""
@@ -201,7 +204,10 @@
         if queue.approval is None:
             return ""
         ticket = step_run.tickets.get(worker)
-        if ticket is None or ticket.expires_at < now + TICKET_MARGIN_S:
+        margin_s = min(
+            self.ticket_margin_s, MIN_USABLE_VALIDITY * queue.approval.validity_s
+        )
+        if ticket is None or ticket.expires_at < now + margin_s:
             return None
         return ticket.text
 
