--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -2,17 +2,26 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 from collections.abc import Callable
 from typing import Protocol
 
 import gevent
 import logbook
-from gevent import event, pool
+from gevent import event
 
 from toucanspring import errors
 from toucanspring import log as structured
-from toucanspring.coordinator import cell_state, plans, ports, reports, workers
+from toucanspring.coordinator import (
+    cell_state,
+    order_pacing,
+    order_queue,
+    plans,
+    ports,
+    reports,
+    workers,
+)
 
 log = logbook.Logger(__name__)
 
@@ -24,13 +33,19 @@
 UNRESPONSIVE_AFTER_S = 0.8
 MAX_START_ATTEMPTS = 3
 STOP_RETRY_S = 0.25
-MAX_CONCURRENT_ORDERS = 400
+MAX_STARTS_IN_FLIGHT = 300
+MAX_STOPS_IN_FLIGHT = 100
+MAX_STARTS_PER_WORKER = 3  # in flight
+MAX_STOPS_PER_WORKER = 2  # in flight
 # A worker may restart unnoticed if it is not polled for this long.
 MAX_POLL_GAP_S = 0.2
 DURABLE_WAIT_S = 1.0  # limit of a wait for the store before the next lease renewal
 # Worker leases are renewed for this long after the leader lease has expired, since an
 # outage of the store is more likely then than another coordinator.
 STORE_OUTAGE_GRACE_S = 6.0
+# Reasons why a recorded start is cancelled before it is sent, as logged.
+TICKET_EXPIRED = "the ticket expired before the order was sent"
+WORKER_FAILED = "the worker failed before the order was sent"
 
 
 class Leader(Protocol):
@@ -52,6 +67,14 @@
         """Start a planning round soon."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueuedStart:
+    """A recorded start, planned at a monotonic time in seconds."""
+
+    start: plans.Start
+    planned_at: float
+
+
 class Dispatcher:
     """Orders in flight and a polling loop for each worker."""
 
@@ -68,14 +91,21 @@
         self._clock = clock
         self._loops: dict[str, gevent.Greenlet] = {}
         self._acknowledged: dict[str, event.Event] = {}
-        self._orders = pool.Pool(MAX_CONCURRENT_ORDERS)
+        self.pacing = order_pacing.OrderPacing()
+        self.starts = order_queue.OrderQueue(
+            self._start, MAX_STARTS_IN_FLIGHT, MAX_STARTS_PER_WORKER
+        )
+        self.stops = order_queue.OrderQueue(
+            self._stop, MAX_STOPS_IN_FLIGHT, MAX_STOPS_PER_WORKER
+        )
 
     def __enter__(self) -> Dispatcher:
         return self
 
     def __exit__(self, *_exc: object) -> None:
         gevent.killall(list(self._loops.values()), block=False)
-        self._orders.kill(block=False)
+        self.starts.close()
+        self.stops.close()
         self._loops.clear()
 
     def watch(self, worker: workers.Worker) -> None:
@@ -190,35 +220,59 @@
 
     # Starts and stops
 
-    def start(self, start: plans.Start) -> None:
-        """Send a start order whose intent is durable."""
-        self._orders.spawn(self._start, start)
+    def start(self, start: plans.Start, planned_at: float) -> None:
+        """Queue a start order whose intent is durable."""
+        self.starts.submit(start.worker.id, QueuedStart(start, planned_at))
 
-    def _start(self, start: plans.Start) -> None:
-        cell, worker, step_run = self._leader.cell, start.worker, start.step
-        task_id = step_run.task_id(start.task.index)
+    def _start(self, queued: QueuedStart) -> float:
+        """Send a start order, or cancel it if it is void by now; return 0."""
+        start = queued.start
+        cell, step_run = self._leader.cell, start.step
         if step_run.job.is_final or start.task.run != start.run:
             cell.cancel_start(step_run, start.task, start.run, self._clock())
-            return
+            return 0.0
+        began = self._clock()
+        ticket, reason = self._check_start(start, began)
+        if reason:
+            if reason == TICKET_EXPIRED:
+                self.pacing.record_delay(began - queued.planned_at)
+            cell.cancel_start(step_run, start.task, start.run, began)
+            self._log_failure(queued, began, reason)
+        else:
+            self._send(queued, ticket)
+        return 0.0
+
+    def _send(self, queued: QueuedStart, ticket: str) -> None:
+        """Send a start order until its outcome is known."""
+        start, began = queued.start, self._clock()
+        cell, worker, step_run = self._leader.cell, start.worker, start.step
         for attempt in range(MAX_START_ATTEMPTS):
             sent = self._clock()
             if not self._leader.may_renew(sent):
-                return  # a successor relies on no lease being renewed
+                # A successor relies on no lease being renewed.
+                if attempt:
+                    cell.mark_start_ambiguous(step_run, start.task, start.run)
+                else:
+                    cell.cancel_start(step_run, start.task, start.run, sent)
+                return
             lease_until_ms = worker.estimate_clock(sent) + self._max_lease_ms
             worker.extend_lease(lease_until_ms, sent)
             answer = self._client.start(
                 worker.entry,
                 ports.Start(
-                    task=task_id,
+                    task=step_run.task_id(start.task.index),
                     run=start.run,
                     payload=step_run.job.spec.payload,
                     lease_until_ms=lease_until_ms,
                     epoch=self._leader.epoch,
                     checkpoint=start.task.checkpoint,
-                    ticket=start.ticket,
+                    ticket=ticket,
                 ),
             )
             now = self._clock()
+            self.pacing.record_order(now - sent)
+            if not attempt and isinstance(answer, ports.OrderDone | ports.OrderRefused):
+                self.pacing.record_delay(now - queued.planned_at)
             match answer:
                 case ports.OrderDone(clock_ms=clock_ms):
                     worker.update_clock(clock_ms, now)
@@ -238,13 +292,30 @@
                 case _:
                     worker.backoff_until = now + workers.BACKOFF_S
                     cell.cancel_start(step_run, start.task, start.run, now)
-            structured.decide(
-                log, "start_failed", task=task_id, run=start.run,
-                worker=worker.id, reason=answer.reason,
-            )  # fmt: skip
-            self._leader.wake()
+            self._log_failure(queued, began, answer.reason)
             return
 
+    def _check_start(self, start: plans.Start, now: float) -> tuple[str, str]:
+        """Return the ticket of a start, and why it must not be sent if so."""
+        worker = start.worker
+        if not worker.responsive or now < worker.backoff_until:
+            return "", WORKER_FAILED
+        if not start.ticket:
+            return "", ""
+        ticket = start.step.tickets.get(worker.id)
+        if ticket is None or ticket.expires_at <= now + self.pacing.order_s:
+            return "", TICKET_EXPIRED
+        return ticket.text, ""
+
+    def _log_failure(self, queued: QueuedStart, sent: float, reason: str) -> None:
+        start = queued.start
+        structured.decide(
+            log, "start_failed", task=start.step.task_id(start.task.index),
+            run=start.run, worker=start.worker.id, reason=reason,
+            age_s=round(sent - queued.planned_at, 3),
+        )  # fmt: skip
+        self._leader.wake()
+
     def _handle_refusal(
         self, start: plans.Start, reason: str, repeated: bool, now: float
     ) -> None:
@@ -266,36 +337,34 @@
             cell.cancel_start(step_run, start.task, start.run, now)
 
     def stop(self, order: cell_state.Stop) -> None:
-        """Send a stop order until it is confirmed or the run is gone."""
-        self._orders.spawn(self._stop, order)
+        """Queue a stop order, sent until it is confirmed or the run is gone."""
+        self.stops.submit(order.worker, order)
 
-    def _stop(self, order: cell_state.Stop) -> None:
-        while True:
-            worker = self._leader.cell.workers.get(order.worker)
-            if worker is None or not worker.entry.address:
-                return
-            allocation = worker.allocations.get(order.task)
-            if order.task not in worker.unknown_tasks and (
-                allocation is None or allocation.task.run != order.run
-            ):
-                return
-            answer = self._client.stop(
-                worker.entry, order.task, order.run, self._leader.epoch
-            )
-            now = self._clock()
-            match answer:
-                case ports.OrderDone(clock_ms=clock_ms):
-                    worker.update_clock(clock_ms, now)
-                    self._leader.cell.confirm_stop(
-                        worker.id, order.task, order.run, now
-                    )
-                    return
-                case ports.OrderRefused(reason=ports.FENCED):
-                    self._leader.step_down(f"worker {worker.id} refused a stop")
-                    return
-                case ports.OrderRefused(reason=ports.OLD_RUN | ports.OTHER_INCARNATION):
-                    self._leader.cell.confirm_stop(
-                        worker.id, order.task, order.run, now
-                    )
-                    return
-            gevent.sleep(STOP_RETRY_S)
+    def _stop(self, order: cell_state.Stop) -> float:
+        """Send a stop order once; return the seconds until it is repeated, or 0."""
+        worker = self._leader.cell.workers.get(order.worker)
+        if worker is None:
+            return 0.0
+        allocation = worker.allocations.get(order.task)
+        if order.task not in worker.unknown_tasks and (
+            allocation is None or allocation.task.run != order.run
+        ):
+            return 0.0
+        if not worker.entry.address:
+            return STOP_RETRY_S  # known from restored tasks; it may register later
+        answer = self._client.stop(
+            worker.entry, order.task, order.run, self._leader.epoch
+        )
+        now = self._clock()
+        match answer:
+            case ports.OrderDone(clock_ms=clock_ms):
+                worker.update_clock(clock_ms, now)
+            case ports.OrderRefused(reason=ports.FENCED):
+                self._leader.step_down(f"worker {worker.id} refused a stop")
+                return 0.0
+            case ports.OrderRefused(reason=ports.OLD_RUN | ports.OTHER_INCARNATION):
+                pass
+            case _:
+                return STOP_RETRY_S
+        self._leader.cell.confirm_stop(worker.id, order.task, order.run, now)
+        return 0.0
