Renew the leader lease while a new coordinator loads

Epochs 3 to 7 followed each other every 2.6 s.

Cause: a load of 2.6 to 3.1 s on a VM with 5 Mbit/s is longer than the leader lease of 2.5 s, and nothing renewed the lease before the first round. The next candidate acquired it, and read everything again.

Change: `recovery.Loader` reads in one greenlet while another writes a renewal every 0.7 s. The renewals end before the state is restored, and a renewal that was sent is awaited, so writes are still sent one at a time and each checks the version of the one before. Renewals write the lease's row only, so the progress that is read stays final. A load ends within 50 ms when the lease is lost, and a graceful stop during a load releases the lease.

The stand-in of the store can delay reads and limit the bandwidth of their replies.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -13,6 +13,10 @@
 from toucanspring.coordinator import ports
 
 HISTORY_ROWS = 10_000
+# The platform's store returns at most this many rows in one reply.
+MAX_PAGE_ROWS = 500
+PACKET_BYTES = 4096  # replies that share a slow link take turns by packets
+ROW_OVERHEAD_BYTES = 100  # names of fields, table, part and key of a row in JSON
 
 
 class MemoryStore:
@@ -20,7 +24,9 @@
 
     `reachable` false refuses all calls, `parts_down` those for some parts.
     `lose_answers` is how many of the next transactions take effect without a reply,
-    `delay_transactions` how many are delayed until `apply_delayed` is called.
+    `delay_transactions` how many are delayed until `apply_delayed` is called. Each read
+    takes `read_delay_s`. With `bytes_per_s`, replies to reads share a link of that
+    bandwidth, and one that takes longer than `read_timeout_s` is lost.
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
@@ -31,6 +37,11 @@
         self.lose_answers = 0
         self.delay_transactions = 0
         self.transactions = 0
+        self.reads = 0
+        self.read_delay_s = 0.0
+        self.bytes_per_s = 0
+        self.read_timeout_s = 1.2
+        self._link_free_at = 0.0
         self._delayed: list[tuple] = []
         self._history: collections.deque[ports.Row] = collections.deque()
         self._changed = event.Event()
@@ -83,10 +94,11 @@
         return answer
 
     def read(
-        self, table: str, part: str, start: str = "", stop: str = ""
+        self, table: str, part: str, start: str = "", stop: str = "", limit: int = 0
     ) -> ports.Page | errors.Failure:
         """Return the rows from key `start` up to, not including, `stop`."""
-        gevent.sleep(0)
+        gevent.sleep(self.read_delay_s)
+        self.reads += 1
         if not self.reachable or part in self.parts_down:
             return errors.Unavailable(reason="the store is unreachable")
         found = sorted(
@@ -99,7 +111,28 @@
             ),
             key=lambda row: row.id.key,
         )
-        return ports.Page(tuple(found), False, self.timestamp())
+        rows = tuple(found[: min(limit or MAX_PAGE_ROWS, MAX_PAGE_ROWS)])
+        page = ports.Page(rows, len(rows) < len(found), self.timestamp())
+        if self.bytes_per_s and not self._send(rows):
+            return errors.Unavailable(reason="no answer in time")
+        return page
+
+    def _send(self, rows: tuple[ports.Row, ...]) -> bool:
+        """Send rows over the slow link; return whether they arrive in time."""
+        # Values are sent in Base64.
+        left = sum(len(row.value) * 4 // 3 + ROW_OVERHEAD_BYTES for row in rows)
+        deadline = time.monotonic() + self.read_timeout_s
+        while left > 0:
+            packet = min(left, PACKET_BYTES)
+            left -= packet
+            now = time.monotonic()
+            if now > deadline:
+                return False
+            self._link_free_at = (
+                max(now, self._link_free_at) + packet / self.bytes_per_s
+            )
+            gevent.sleep(self._link_free_at - now)
+        return time.monotonic() <= deadline
 
     def parts(self, table: str) -> list[str] | errors.Failure:
         """Return the parts of a table that hold rows."""
--- a/test/test_coordinator_leadership.py
+++ b/test/test_coordinator_leadership.py
@@ -52,8 +52,13 @@
         for greenlet, _ in self.leaderships:
             greenlet.kill()
 
-    def coordinate(self, process="one"):
+    def coordinate(self, process="one", ready_within_s=2.0):
         """Acquire the leader lease, which must be free for it, and coordinate."""
+        leader = self.start_leadership(process)
+        self.assertTrue(leader.ready.wait(ready_within_s))
+        return leader
+
+    def start_leadership(self, process="one"):
         acquired = leader_lease.acquire(self.store, process, "10.0.0.1", process)
         self.assertIsInstance(acquired, leader_lease.Acquired)
         store_clock = leader_lease.StoreClock()
@@ -68,7 +73,6 @@
             MAX_LEASE_MS,
         )
         self.leaderships.append((gevent.spawn(leader.run), leader))
-        self.assertTrue(leader.ready.wait(2.0))
         return leader
 
     def kill(self):
--- /dev/null
+++ b/test/test_coordinator_load.py
@@ -0,0 +1,80 @@
+"""Loads of a new coordinator over slow links and through faults of the store."""
+
+import gevent
+
+from test import coordinator_case as case
+from test import test_coordinator_leadership
+from toucanspring.coordinator import leader_lease, rows
+
+LEASE_MS = 1500
+RENEW_INTERVAL_S = 0.3
+
+
+class LoadCase(test_coordinator_leadership.LeadershipCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(leader_lease, "LEASE_MS", LEASE_MS)
+        self.patch(leader_lease, "RENEW_INTERVAL_S", RENEW_INTERVAL_S)
+
+    def stored_epoch(self):
+        row = self.store.rows[rows.LEADER_LEASE_ROW]
+        return rows.decode(rows.LeaderLease, row.value).epoch
+
+    def compete(self):
+        """Acquire the leader lease for a second process as soon as it is free."""
+        while True:
+            found = leader_lease.acquire(self.store, "two", "10.0.0.2", "two")
+            if isinstance(found, leader_lease.Acquired):
+                return
+            gevent.sleep(0.05)
+
+    def start_candidate(self):
+        candidate = gevent.spawn(self.compete)
+        self.addCleanup(candidate.kill)
+
+    def slow_down_reads(self, read_delay_s):
+        """Delay all reads except those of the leader lease."""
+        read = self.store.read
+
+        def delay(table, *arguments):
+            if table != rows.LEADER_LEASE_TABLE:
+                gevent.sleep(read_delay_s)
+            return read(table, *arguments)
+
+        self.store.read = delay
+
+
+class LeaseDuringLoadTest(LoadCase):
+    # Guards against leases that expire during each load: new coordinators replaced one
+    # another and nothing ran.
+    def test_a_load_longer_than_the_lease_keeps_the_lease(self):
+        self.accept(case.step(3))
+        # The progress and the jobs are read one after the other.
+        self.slow_down_reads(0.75 * LEASE_MS / 1000)
+        self.start_leadership()
+        self.start_candidate()
+        self.wait_for(self.is_complete, limit_s=10.0)
+        self.assertEqual(1, self.stored_epoch())
+        self.assertEqual(3, self.workers.starts)
+        self.assert_no_violations()
+
+    # Guards against a candidate that goes on reading, which delays its next candidacy.
+    def test_a_candidate_that_lost_its_lease_gives_up_its_load_at_once(self):
+        self.slow_down_reads(30.0)
+        leader = self.start_leadership()
+        gevent.sleep(0.05)
+        leader_lease.acquire(self.store, "two", "10.0.0.2", "two", takeover_epoch=1)
+        self.assertTrue(leader.ended.wait(5.0))
+        self.assertFalse(leader.ready.is_set())
+
+    # Guards against a stop that waits for the load, and a lease that nobody may acquire
+    # for 2.5 s after it.
+    def test_a_graceful_stop_during_a_load_releases_the_lease(self):
+        self.slow_down_reads(30.0)
+        leader = self.start_leadership()
+        gevent.sleep(0.05)
+        leader.release()
+        self.assertTrue(leader.ended.is_set())
+        acquired = leader_lease.acquire(self.store, "two", "10.0.0.2", "two")
+        self.assertIsInstance(acquired, leader_lease.Acquired)
+        self.assertFalse(acquired.predecessor_may_run)
--- a/test/test_coordinator_store.py
+++ b/test/test_coordinator_store.py
@@ -302,3 +302,36 @@
         }
         self.assertIsNone(writer.commit(puts))
         self.assertEqual(3, writer.writes)
+
+    # Guards against two writes in flight at once: the second one would check a version
+    # that the first is about to change, and lose the lease.
+    def test_a_write_follows_the_last_renewal(self):
+        self.patch(leader_lease, "RENEW_INTERVAL_S", 0.01)
+        writer = self.make_writer(self.acquire())
+        transact, in_flight = self.store.transact, []
+
+        def delay(*arguments):
+            in_flight.append(len(in_flight))
+            gevent.sleep(0.03)
+            in_flight.pop()
+            self.assertEqual([], in_flight)
+            return transact(*arguments)
+
+        self.store.transact = delay
+        with writer.renew_lease():
+            gevent.sleep(0.1)
+            while not in_flight:
+                gevent.sleep(0.001)
+        renewals = writer.writes
+        self.assertGreater(renewals, 1)
+        self.assertIsNone(writer.commit({self.PLACE: b"1"}))
+        self.assertEqual(renewals + 1, writer.writes)
+
+    def test_renewals_end_when_another_process_has_the_lease(self):
+        self.patch(leader_lease, "RENEW_INTERVAL_S", 0.01)
+        writer = self.make_writer(self.acquire())
+        with writer.renew_lease():
+            leader_lease.acquire(self.store, "two", "10.0.0.2", "two", takeover_epoch=1)
+            gevent.sleep(0.1)
+            self.assertTrue(writer.lost)
+        self.assertEqual(1, writer.writes)
--- a/toucanspring/coordinator/fenced_writer.py
+++ b/toucanspring/coordinator/fenced_writer.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import gevent
 import logbook
+from gevent import event
 
 from toucanspring import errors
 from toucanspring.coordinator import leader_lease, ports, rows
@@ -81,6 +83,24 @@
             if failure is not None or not entries:
                 return failure
 
+    @contextlib.contextmanager
+    def renew_lease(self) -> Iterator[None]:
+        """Renew the lease regularly; no other write may be made in the context."""
+        stopping = event.Event()
+        renewals = gevent.spawn(self._renew_until, stopping)
+        try:
+            yield
+            stopping.set()
+            if not self.lost:
+                # The next write checks the version that the last renewal has written.
+                renewals.join()
+        finally:
+            renewals.kill(block=False)
+
+    def _renew_until(self, stopping: event.Event) -> None:
+        while not self.lost and not stopping.wait(leader_lease.RENEW_INTERVAL_S):
+            self.commit({})
+
     def release(self) -> None | errors.Failure:
         """Expire the lease now, so that another process can acquire it at once."""
         last = self._next_lease(expires_ms=0)
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -39,7 +39,6 @@
 # required reaction times to evacuations and configuration changes are 2 s and more.
 MAX_VIEW_AGE_S = 1.8
 HOUSEKEEPING_INTERVAL_S = 0.25
-LOAD_RETRY_S = 0.1
 CANCEL_TIMEOUT_S = 3.0
 RELEASE_TIMEOUT_S = 1.5  # part of the time for a graceful stop
 # A status request that arrives while the last tasks of a job end waits for the write in
@@ -255,57 +254,25 @@
     # Recovery
 
     def _load(self) -> bool:
-        """Read all jobs and their progress; return whether the lease is still held."""
-        while not self._writer.lost:
-            failure = self._try_load()
-            if failure is None:
-                return True
-            log.warning("epoch {}: loading jobs failed: {}", self.epoch, failure)
-            if self._writer.overdue_s(time.monotonic()):
-                return False
-            gevent.sleep(LOAD_RETRY_S)
-        return False
-
-    def _try_load(self) -> None | errors.Failure:
-        began = time.monotonic()
-        # Once the lease is acquired, no write of an earlier epoch can take effect, so
-        # the progress that is read here is final.
-        progress = table_cache.read_table(self._store, rows.PROGRESS)
-        if isinstance(progress, errors.Failure):
-            return progress
-        failure = self._jobs.poll()
-        if failure is not None:
-            return failure
-        for unread in (progress.unread_parts, self._jobs.unread_parts):
-            if rows.COORDINATOR_PART in unread:
-                return errors.Unavailable(
-                    reason="the coordinator's part cannot be read"
-                )
-        now = time.monotonic()
-        read = [*self._jobs.rows.values(), *progress.rows.values()]
+        """Restore all jobs; return whether the lease is still held."""
+        loader = recovery.Loader(
+            self._store, self._writer, self._jobs, lambda: self._release_requested
+        )
+        progress = loader.load()
+        if progress is None:
+            if self._release_requested and not self._writer.lost:
+                self._release_lease()
+            return False
         self._apply_operator_settings()
-        self.cell.jobs.clear()
         for entry in self._directory.entries().values():
             self.cell.register_worker(entry)
-        recovery.restore(self.cell, self._jobs.rows.values(), progress, now)
-        renewed_until = self._acquired_at + self._max_lease_s
-        if self._acquired.predecessor_may_run:
-            renewed_until += (
-                self._acquired.predecessor_lease_left_s + dispatch.STORE_OUTAGE_GRACE_S
-            )
-        for worker in self.cell.workers.values():
-            worker.lease_expires_at = (
-                renewed_until
-                + self._max_lease_s * workers.MAX_CLOCK_DRIFT
-                + workers.LEASE_EXPIRY_SLACK_S
-            )
-        structured.decide(
-            log, "cell_restored", epoch=self.epoch, jobs=len(self.cell.jobs),
-            rows=len(read), bytes=sum(len(row.value) for row in read),
-            unfinished=sum(not each.is_final for each in self.cell.jobs.values()),
-            read_ms=_to_ms(now - began), restore_ms=_to_ms(time.monotonic() - now),
-        )  # fmt: skip
-        return None
+        recovery.restore_cell(
+            self.cell, self.epoch, self._jobs.rows.values(), progress, loader.took_s
+        )
+        recovery.assume_leases(
+            self.cell, self._acquired, self._acquired_at, self._max_lease_s
+        )
+        return True
 
     def _on_job_row(self, row: ports.Row) -> None:
         if not row.version or row.id.key in self.cell.jobs or not self.ready.is_set():
--- a/toucanspring/coordinator/recovery.py
+++ b/toucanspring/coordinator/recovery.py
@@ -3,19 +3,139 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Collection, Iterable
 
+import gevent
 import logbook
 
 from toucanspring import errors
-from toucanspring.coordinator import cell_state, job_specs, ports, rows, table_cache
+from toucanspring import log as structured
+from toucanspring.coordinator import (
+    cell_state,
+    dispatch,
+    fenced_writer,
+    job_specs,
+    leader_lease,
+    ports,
+    rows,
+    table_cache,
+    workers,
+)
 
 log = logbook.Logger(__name__)
 
+LOAD_RETRY_S = 0.1
+INTERRUPTION_CHECK_S = 0.05
+
 # The wall clocks of two processes may differ, so longer ages are not meaningful.
 MAX_AGE_S = 600.0
 
 
+class Loader:
+    """Reads the rows that a new coordinator restores, and keeps its lease meanwhile.
+
+    The jobs are read into the copy `jobs`. The load ends as soon as the lease is lost
+    or `is_interrupted` returns true.
+    """
+
+    def __init__(
+        self,
+        store: ports.Store,
+        writer: fenced_writer.FencedWriter,
+        jobs: table_cache.TableCache,
+        is_interrupted: Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._writer = writer
+        self._jobs = jobs
+        self._is_interrupted = is_interrupted
+        self.took_s = 0.0
+
+    def load(self) -> table_cache.TableSnapshot | None:
+        """Return the progress of all jobs, or None if the load has ended early."""
+        began = time.monotonic()
+        with self._writer.renew_lease():
+            reading = gevent.spawn(self._read)
+            try:
+                while not (reading.ready() or self._has_to_end()):
+                    reading.join(INTERRUPTION_CHECK_S)
+            finally:
+                reading.kill(block=False)
+        self.took_s = time.monotonic() - began
+        return None if self._has_to_end() else reading.get()
+
+    def _has_to_end(self) -> bool:
+        return self._writer.lost or self._is_interrupted()
+
+    def _read(self) -> table_cache.TableSnapshot | None:
+        while True:
+            progress = self._try_read()
+            if isinstance(progress, table_cache.TableSnapshot):
+                return progress
+            log.warning(
+                "epoch {}: loading jobs failed: {}", self._writer.epoch, progress
+            )
+            if self._writer.overdue_s(time.monotonic()):
+                return None
+            gevent.sleep(LOAD_RETRY_S)
+
+    def _try_read(self) -> table_cache.TableSnapshot | errors.Failure:
+        # Once the lease is acquired, no write of an earlier epoch can take effect, so
+        # the progress that is read here is final.
+        progress = table_cache.read_table(self._store, rows.PROGRESS)
+        if isinstance(progress, errors.Failure):
+            return progress
+        failure = self._jobs.poll()
+        if failure is not None:
+            return failure
+        for unread in (progress.unread_parts, self._jobs.unread_parts):
+            if rows.COORDINATOR_PART in unread:
+                return errors.Unavailable(
+                    reason="the coordinator's part cannot be read"
+                )
+        return progress
+
+
+def restore_cell(
+    cell: cell_state.CellState,
+    epoch: int,
+    jobs: Collection[ports.Row],
+    progress: table_cache.TableSnapshot,
+    read_s: float,
+) -> None:
+    """Restore all jobs in the rows that were read within `read_s`, and log it."""
+    now = time.monotonic()
+    read = [*jobs, *progress.rows.values()]
+    restore(cell, jobs, progress, now)
+    structured.decide(
+        log, "cell_restored", epoch=epoch, jobs=len(cell.jobs),
+        rows=len(read), bytes=sum(len(row.value) for row in read),
+        unfinished=sum(not each.is_final for each in cell.jobs.values()),
+        read_ms=round(read_s * 1000),
+        restore_ms=round((time.monotonic() - now) * 1000),
+    )  # fmt: skip
+
+
+def assume_leases(
+    cell: cell_state.CellState,
+    acquired: leader_lease.Acquired,
+    acquired_at: float,
+    max_lease_s: float,
+) -> None:
+    """Assume for each worker the longest lease that a predecessor may have renewed."""
+    renewed_until = acquired_at + max_lease_s
+    if acquired.predecessor_may_run:
+        renewed_until += (
+            acquired.predecessor_lease_left_s + dispatch.STORE_OUTAGE_GRACE_S
+        )
+    for worker in cell.workers.values():
+        worker.lease_expires_at = (
+            renewed_until
+            + max_lease_s * workers.MAX_CLOCK_DRIFT
+            + workers.LEASE_EXPIRY_SLACK_S
+        )
+
+
 def restore(
     cell: cell_state.CellState,
     jobs: Iterable[ports.Row],
