Read tables in small pages, and go on where a read failed

Callers saw: LOST after a takeover by a VM with 5 Mbit/s: loads that take seconds, or that could fail for ever.

Causes, one for each test: - Up to 500 rows or 1 MB a page and eight pages at once: with payloads of 4,000 bytes no page arrives within the timeout of 1.2 s, at any attempt. - A failed page discarded all pages of its part, and a failed part of the coordinator the whole progress. - The parts were listed before the first read that gives the version from which the feed is followed. A row written in between to a part without rows was in neither, so an accepted job was unknown until the next takeover.

Change: `table_reader.TableReader` reads about 48 kB of values a page, the number of rows following the mean size (50 at first, half after a failure), four at a time, and keeps the pages between attempts. Part "" is read before the parts are listed. Rows that the feed has delivered since are not overwritten from kept pages.

--- a/test/test_coordinator_load.py
+++ b/test/test_coordinator_load.py
@@ -4,7 +4,8 @@
 
 from test import coordinator_case as case
 from test import test_coordinator_leadership
-from toucanspring.coordinator import leader_lease, rows
+from toucanspring import errors
+from toucanspring.coordinator import leader_lease, rows, state
 
 LEASE_MS = 1500
 RENEW_INTERVAL_S = 0.3
@@ -36,10 +37,10 @@
         """Delay all reads except those of the leader lease."""
         read = self.store.read
 
-        def delay(table, *arguments):
+        def delay(table, *arguments, **options):
             if table != rows.LEADER_LEASE_TABLE:
                 gevent.sleep(read_delay_s)
-            return read(table, *arguments)
+            return read(table, *arguments, **options)
 
         self.store.read = delay
 
@@ -78,3 +79,37 @@
         acquired = leader_lease.acquire(self.store, "two", "10.0.0.2", "two")
         self.assertIsInstance(acquired, leader_lease.Acquired)
         self.assertFalse(acquired.predecessor_may_run)
+
+
+class FailedReadTest(LoadCase):
+    # Guards against a load that starts again whenever one of its reads fails.
+    def test_a_load_goes_on_where_a_read_failed(self):
+        for number in range(600):
+            job_id = f"{number:016x}"
+            self.accept(case.step(1), job_id=job_id)
+            copy = rows.encode(self.workers.jobs[job_id])
+            progress = rows.Progress(state.JobState.COMPLETED.value)
+            self.store.put(rows.job_copy_row_id(job_id), copy)
+            self.store.put(rows.progress_row_id(job_id), rows.encode(progress))
+        read, calls = self.store.read, []
+        failing = {rows.PROGRESS: 2, rows.JOBS: 2}
+
+        def fail_later_pages(table, part, start="", *rest, **options):
+            calls.append((table, part, start))
+            is_first = part != rows.COORDINATOR_PART or not start
+            if not is_first and failing.get(table):
+                failing[table] -= 1
+                return errors.Unavailable(reason="no answer in time")
+            return read(table, part, start, *rest, **options)
+
+        for number in range(600):
+            job_id = f"{number:016x}"
+            self.store.put(
+                rows.job_copy_row_id(job_id), rows.encode(self.workers.jobs[job_id])
+            )
+        self.store.read = fail_later_pages
+        leader = self.coordinate()
+        self.assertEqual(600, len(leader.cell.jobs))
+        self.assertEqual({rows.PROGRESS: 0, rows.JOBS: 0}, failing)
+        loads = [call for call in calls if call[0] in failing]
+        self.assertEqual(4, len(loads) - len(set(loads)))
--- /dev/null
+++ b/test/test_coordinator_tables.py
@@ -0,0 +1,113 @@
+"""Copies of large tables over slow links and through failures of single reads."""
+
+import gevent
+import testtools
+
+from standins import rowstore
+from toucanspring import errors
+from toucanspring.coordinator import ports, rows, table_cache
+
+TABLE = "t"
+PAYLOAD_BYTES = 4000  # the largest that callers send
+# A link of 5 Mbit/s and a timeout of 1.2 s, both four times as fast.
+LINK_BYTES_PER_S = 2_500_000
+READ_TIMEOUT_S = 0.3
+FAILURE = errors.Unavailable(reason="no answer in time")
+
+
+class LargeTableTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.store = rowstore.MemoryStore()
+        self.seen = []
+        self.cache = table_cache.TableCache(self.store, TABLE, self.seen.append)
+        self.addCleanup(self.cache.close)
+
+    def put(self, key, part="", value=b"x"):
+        row_id = ports.RowId(TABLE, part, key)
+        self.store.put(row_id, value)
+        return row_id
+
+    def poll_until_read(self, limit_s=20.0):
+        with gevent.Timeout(limit_s, AssertionError("the table was not read")):
+            while self.cache.poll() is not None or self.cache.unread_parts:
+                gevent.sleep(0.01)
+
+    def fail_reads(self, is_failing):
+        """Fail the reads for which `is_failing(part, start)`; return all reads."""
+        read, calls = self.store.read, []
+
+        def call(table, part, start="", *rest, **options):
+            calls.append((part, start))
+            if is_failing(part, start):
+                return FAILURE
+            return read(table, part, start, *rest, **options)
+
+        self.store.read = call
+        return calls
+
+    # Guards against loads that fail for ever, since no page arrives within the timeout.
+    def test_a_table_is_read_over_a_link_too_slow_for_a_large_page(self):
+        for number in range(600):
+            self.put(f"{number:04}", f"{number % 4}", b"x" * PAYLOAD_BYTES)
+        self.store.bytes_per_s = LINK_BYTES_PER_S
+        self.store.read_timeout_s = READ_TIMEOUT_S
+        self.poll_until_read()
+        self.assertEqual(600, len(self.cache.rows))
+
+    # Guards against a load that starts again with each failed page.
+    def test_a_failed_page_is_read_again_and_the_others_are_kept(self):
+        for number in range(1000):
+            self.put(f"{number:04}", "p")
+        failing = [True, True]
+        calls = self.fail_reads(
+            lambda part, start: part == "p" and start > "0400" and bool(failing)
+            and failing.pop()
+        )  # fmt: skip
+        self.poll_until_read()
+        self.assertEqual(1000, len(self.cache.rows))
+        starts = [start for part, start in calls if part == "p"]
+        self.assertEqual(2, len(starts) - len(set(starts)))
+
+    # Guards against an accepted job that the coordinator never sees: its part held no
+    # rows when the parts were listed, and its row is older than the other reads.
+    def test_a_row_in_a_new_part_is_found_although_the_parts_are_listed_before(self):
+        self.put("a", "1")
+        parts = self.store.parts
+
+        def write_after_listing(table):
+            found = parts(table)
+            self.put("b", "2")
+            return found
+
+        self.store.parts = write_after_listing
+        self.cache.poll()
+        self.store.parts = parts
+        self.cache.poll()
+        self.assertEqual({"a", "b"}, {row_id.key for row_id in self.cache.rows})
+
+    # Guards against a removed job that is added again from a page read before.
+    def test_a_removed_row_does_not_return_from_a_kept_page(self):
+        removed = self.put("0000", "p")
+        for number in range(1, 1000):
+            self.put(f"{number:04}", "p")
+        failing = [True]
+        self.fail_reads(lambda _part, start: bool(start and failing))
+        self.cache.poll()
+        self.assertEqual({"p"}, self.cache.unread_parts)
+        self.store.remove(removed)
+        self.cache.poll()
+        failing.clear()
+        self.cache._read_missing_parts()
+        self.assertEqual(frozenset(), self.cache.unread_parts)
+        self.assertEqual(999, len(self.cache.rows))
+        self.assertNotIn(removed, self.cache.rows)
+
+    # Guards against a high price of small pages: 838 jobs in 32 parts and their copies.
+    def test_the_load_of_a_grown_site_takes_few_calls(self):
+        for number in range(838):
+            self.put(f"{number:04}", f"{number % rows.JOB_PARTS}", b"x" * 270)
+            self.put(f"{number:04}", rows.COORDINATOR_PART, b"x" * 270)
+        self.poll_until_read()
+        self.assertEqual(2 * 838, len(self.cache.rows))
+        self.assertLessEqual(self.store.reads, 45)
--- a/test/test_platform_rowstore.py
+++ b/test/test_platform_rowstore.py
@@ -56,12 +56,13 @@
     def test_a_range_is_read(self):
         row = {"table": "my", "part": "p7", "key": "owner", "value": "eA==", "ver": 3}
         answer = {"rows": [row], "has_more": True, "ver": 9, "now_ms": 5}
-        page = self.store(200, answer).read("my", "p7", "o", "p")
+        page = self.store(200, answer).read("my", "p7", "o", "p", 50)
         self.assertEqual((ports.Row(ROW_ID, b"x", 3),), page.rows)
         self.assertTrue(page.has_more)
         path = self.server.requests[0][1]
         self.assertIn("from=o", path)
         self.assertIn("target=p", path)
+        self.assertIn("limit=50", path)
 
     def test_a_removed_row_has_version_zero(self):
         row = {"table": "my", "part": "p7", "key": "owner", "removed": True, "ver": 8}
--- a/toucanspring/coordinator/metered.py
+++ b/toucanspring/coordinator/metered.py
@@ -103,10 +103,12 @@
         )
 
     def read(
-        self, table: str, part: str, start: str = "", stop: str = ""
+        self, table: str, part: str, start: str = "", stop: str = "", limit: int = 0
     ) -> ports.Page | errors.Failure:
         """Return the rows from key `start` up to, not including, `stop`."""
-        return self._call("read", lambda: self._inner.read(table, part, start, stop))
+        return self._call(
+            "read", lambda: self._inner.read(table, part, start, stop, limit)
+        )
 
     def parts(self, table: str) -> list[str] | errors.Failure:
         """Return the parts of a table that hold rows."""
--- a/toucanspring/coordinator/ports.py
+++ b/toucanspring/coordinator/ports.py
@@ -93,9 +93,12 @@
         """
 
     def read(
-        self, table: str, part: str, start: str = "", stop: str = ""
+        self, table: str, part: str, start: str = "", stop: str = "", limit: int = 0
     ) -> Page | errors.Failure:
-        """Return the rows from key `start` up to, not including, `stop`."""
+        """Return the rows from key `start` up to, not including, `stop`.
+
+        They are at most `limit`, if it is given.
+        """
 
     def parts(self, table: str) -> list[str] | errors.Failure:
         """Return the parts of a table that hold rows."""
--- a/toucanspring/coordinator/recovery.py
+++ b/toucanspring/coordinator/recovery.py
@@ -19,6 +19,7 @@
     ports,
     rows,
     table_cache,
+    table_reader,
     workers,
 )
 
@@ -45,13 +46,13 @@
         jobs: table_cache.TableCache,
         is_interrupted: Callable[[], bool],
     ) -> None:
-        self._store = store
         self._writer = writer
+        self._progress = table_reader.TableReader(store, rows.PROGRESS)
         self._jobs = jobs
         self._is_interrupted = is_interrupted
         self.took_s = 0.0
 
-    def load(self) -> table_cache.TableSnapshot | None:
+    def load(self) -> table_reader.TableSnapshot | None:
         """Return the progress of all jobs, or None if the load has ended early."""
         began = time.monotonic()
         with self._writer.renew_lease():
@@ -67,10 +68,10 @@
     def _has_to_end(self) -> bool:
         return self._writer.lost or self._is_interrupted()
 
-    def _read(self) -> table_cache.TableSnapshot | None:
+    def _read(self) -> table_reader.TableSnapshot | None:
         while True:
             progress = self._try_read()
-            if isinstance(progress, table_cache.TableSnapshot):
+            if isinstance(progress, table_reader.TableSnapshot):
                 return progress
             log.warning(
                 "epoch {}: loading jobs failed: {}", self._writer.epoch, progress
@@ -79,20 +80,19 @@
                 return None
             gevent.sleep(LOAD_RETRY_S)
 
-    def _try_read(self) -> table_cache.TableSnapshot | errors.Failure:
+    def _try_read(self) -> table_reader.TableSnapshot | errors.Failure:
         # Once the lease is acquired, no write of an earlier epoch can take effect, so
         # the progress that is read here is final.
-        progress = table_cache.read_table(self._store, rows.PROGRESS)
+        progress = self._progress.read()
         if isinstance(progress, errors.Failure):
             return progress
-        failure = self._jobs.poll()
+        if rows.COORDINATOR_PART in progress.unread_parts:
+            return progress.unread_parts[rows.COORDINATOR_PART]
+        failure = self._jobs.load()
         if failure is not None:
             return failure
-        for unread in (progress.unread_parts, self._jobs.unread_parts):
-            if rows.COORDINATOR_PART in unread:
-                return errors.Unavailable(
-                    reason="the coordinator's part cannot be read"
-                )
+        if rows.COORDINATOR_PART in self._jobs.unread_parts:
+            return errors.Unavailable(reason="the coordinator's part cannot be read")
         return progress
 
 
@@ -100,7 +100,7 @@
     cell: cell_state.CellState,
     epoch: int,
     jobs: Collection[ports.Row],
-    progress: table_cache.TableSnapshot,
+    progress: table_reader.TableSnapshot,
     read_s: float,
 ) -> None:
     """Restore all jobs in the rows that were read within `read_s`, and log it."""
@@ -139,7 +139,7 @@
 def restore(
     cell: cell_state.CellState,
     jobs: Iterable[ports.Row],
-    progress: table_cache.TableSnapshot,
+    progress: table_reader.TableSnapshot,
     now: float,
 ) -> None:
     """Restore all readable jobs with their progress, the oldest first."""
--- a/toucanspring/coordinator/table_cache.py
+++ b/toucanspring/coordinator/table_cache.py
@@ -2,87 +2,25 @@
 
 from __future__ import annotations
 
-import dataclasses
 import time
-from collections.abc import Callable, Container, Iterable
+from collections.abc import Callable, Container
 
 import gevent
 import logbook
-from gevent import pool
 
 from toucanspring import errors
-from toucanspring.coordinator import ports
+from toucanspring.coordinator import ports, table_reader
 
 log = logbook.Logger(__name__)
 
 # Timeout of a call that waits for changes; bounds the age of an unchanged copy.
 FOLLOW_TIMEOUT_S = 0.8
-MAX_PARALLEL_READS = 8
 RETRY_FIRST_S = 0.05
 RETRY_MAX_S = 0.4
 
 RowCallback = Callable[[ports.Row], None]
 
 
-@dataclasses.dataclass(slots=True)
-class TableSnapshot:
-    """Rows of a table as read part by part; complete up to `version`.
-
-    `unread_parts` maps each part that could not be read to the failure.
-    """
-
-    rows: dict[ports.RowId, ports.Row]
-    version: int
-    unread_parts: dict[str, errors.Failure]
-
-
-def read_table(store: ports.Store, table: str) -> TableSnapshot | errors.Failure:
-    """Read all parts of a table; a part may fail without failing the others."""
-    parts = store.parts(table)
-    if isinstance(parts, errors.Failure):
-        return parts
-    # The part "" is always read, since any reply carries the version of the store.
-    return read_parts(store, table, {"", *parts})
-
-
-def read_parts(
-    store: ports.Store, table: str, parts: Iterable[str]
-) -> TableSnapshot | errors.Failure:
-    """Read some parts of a table; fails only if none can be read."""
-    found: dict[ports.RowId, ports.Row] = {}
-    versions: list[int] = []
-    unread_parts: dict[str, errors.Failure] = {}
-    wanted = list(parts)
-    readers = pool.Pool(MAX_PARALLEL_READS)
-    answers = readers.imap(lambda part: _read_part(store, table, part), wanted)
-    for part, read in zip(wanted, answers, strict=True):
-        if isinstance(read, errors.Failure):
-            unread_parts[part] = read
-            continue
-        rows, version = read
-        found.update((row.id, row) for row in rows)
-        versions.append(version)
-    if not versions:
-        return next(iter(unread_parts.values()))
-    return TableSnapshot(found, min(versions), unread_parts)
-
-
-def _read_part(
-    store: ports.Store, table: str, part: str
-) -> tuple[list[ports.Row], int] | errors.Failure:
-    rows: list[ports.Row] = []
-    start, oldest = "", None
-    while True:
-        page = store.read(table, part, start)
-        if isinstance(page, errors.Failure):
-            return page
-        rows.extend(page.rows)
-        oldest = page.at.version if oldest is None else oldest
-        if not page.has_more:
-            return rows, oldest
-        start = page.rows[-1].id.key + "\0"
-
-
 class TableCache:
     """Copy of one table; `on_change(row)` is called for each changed row.
 
@@ -110,6 +48,11 @@
         self._pause_s = pause_s
         self.unread_parts: frozenset[str] = frozenset()  # could not be read yet
         self._version: int | None = None
+        # The read of the whole table while parts of it are missing, when it began, and
+        # the rows that have changed since; the feed delivers all their later changes.
+        self._reading: table_reader.TableReader | None = None
+        self._reading_since = 0.0
+        self._changed_since: set[ports.RowId] = set()
         self._greenlet: gevent.Greenlet | None = None
         self._reader: gevent.Greenlet | None = None
         self._failing = False
@@ -133,52 +76,74 @@
         """Return for how many seconds the copy may have missed changes."""
         return now - self.synced_at
 
-    def poll(self) -> None | errors.Failure:
-        """Read the whole table, or wait for its next changes and apply them."""
-        sent = self._clock()
+    def load(self) -> None | errors.Failure:
+        """Read the table, or those of its parts that could not be read before."""
+        if self._reading is None:
+            self._reading = table_reader.TableReader(self._store, self._table)
+            self._reading_since = self._clock()
+        reading = self._reading
+        read = reading.read()
+        if isinstance(read, errors.Failure):
+            return read
+        if self._reading is not reading:
+            return None  # the whole table is read again
         if self._version is None:
-            read = read_table(self._store, self._table)
-            if isinstance(read, errors.Failure):
-                return read
             self._apply_snapshot(read.rows, read.unread_parts)
             self._version = read.version
-            self.unread_parts = frozenset(read.unread_parts)
+            if not read.unread_parts:
+                self.synced_at = self._reading_since
         else:
-            answer = self._store.follow(self._table, self._version, self._wait_s)
-            match answer:
-                case ports.Changes(rows=rows, at=at):
-                    for row in rows:
-                        self._apply(row)
-                    self._version = max(self._version, at.version)
-                    if not rows and self._clock() - sent >= self._wait_s:
-                        # The table did not change while the store waited.
-                        sent += self._wait_s
-                case ports.HistoryGone():
-                    log.info(
-                        "table {}: change history has expired; reading all rows",
-                        self._table,
-                    )
-                    self._version = None
-                    return None
-                case errors.Failure():
-                    return answer
+            for row in read.rows.values():
+                known = self.rows.get(row.id)
+                if row.id not in self._changed_since and (
+                    known is None or known.version < row.version
+                ):
+                    self._apply(row)
+        self.unread_parts = frozenset(read.unread_parts)
         if not self.unread_parts:
-            self.synced_at = sent
-        elif self._reader is None or self._reader.ready():
+            self._end_reading()
+        return None
+
+    def _end_reading(self) -> None:
+        self._reading = None
+        self._changed_since.clear()
+
+    def poll(self) -> None | errors.Failure:
+        """Read the whole table, or wait for its next changes and apply them."""
+        if self._version is None:
+            return self.load()
+        if self.unread_parts and (self._reader is None or self._reader.ready()):
             self._reader = gevent.spawn(self._read_missing_parts)
+        sent = self._clock()
+        answer = self._store.follow(self._table, self._version, self._wait_s)
+        match answer:
+            case ports.Changes(rows=rows, at=at):
+                if self._reading is not None:
+                    self._changed_since.update(row.id for row in rows)
+                for row in rows:
+                    self._apply(row)
+                self._version = max(self._version, at.version)
+                if not rows and self._clock() - sent >= self._wait_s:
+                    # The table did not change while the store waited.
+                    sent += self._wait_s
+            case ports.HistoryGone():
+                log.info(
+                    "table {}: change history has expired; reading all rows",
+                    self._table,
+                )
+                self._version = None
+                self._end_reading()
+                return None
+            case errors.Failure():
+                return answer
+        if not self.unread_parts:
+            self.synced_at = sent
         return None
 
     def _read_missing_parts(self) -> None:
         """Retry the parts that could not be read; the feed does cover their changes."""
         gevent.sleep(RETRY_MAX_S)
-        read = read_parts(self._store, self._table, self.unread_parts)
-        if isinstance(read, errors.Failure):
-            return
-        for row in read.rows.values():
-            known = self.rows.get(row.id)
-            if known is None or known.version < row.version:
-                self._apply(row)
-        self.unread_parts = frozenset(read.unread_parts)
+        self.load()
 
     def _run(self) -> None:
         pause = RETRY_FIRST_S
