--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -26,23 +26,20 @@
     job_writer,
     leader_lease,
     leadership,
+    members,
     metered,
     plans,
     ports,
     rows,
     state,
-    table_cache,
 )
 
 log = logbook.Logger(__name__)
 
 LEASE_CHECK_INTERVAL_S = 1.0
 STORE_RETRY_S = 0.15
-# Processes rarely join or leave, and a change ends the wait.
-MEMBERS_WAIT_S = 4.0
 CALL_TIMEOUT_S = 1.2
 KEEPALIVE_INTERVAL_S = 3.0  # streams between peers close after 10 s without traffic
-RELAY_PEERS = 2  # processes besides the coordinator that calls may be relayed to
 # The event loop of a coordinator whose heartbeats are later than this is overloaded.
 LATE_HEARTBEAT_S = 0.1
 HEARTBEAT_NOTICE = "seat"
@@ -86,8 +83,10 @@
         self._draining = False
         self._takeover_event = event.Event()
         self._takeover_epoch = 0  # see `leader_lease.acquire`
-        self._members = table_cache.TableCache(
-            store, rows.MEMBERS, self._on_member_row, wait_s=MEMBERS_WAIT_S
+        self._members = members.Members(
+            rows.MemberRow(options.process, options.address, options.peer_port),
+            store,
+            kernel.find("peers"),
         )
         self._job_writer = job_writer.JobWriter(store)
         self._approval_dispatcher = approval_dispatcher.ApprovalDispatcher(
@@ -115,7 +114,6 @@
         self._failover.__enter__()
         self._members.__enter__()
         self._greenlets = [
-            gevent.spawn(self._register),
             gevent.spawn(self._run_election),
             gevent.spawn(self._send_heartbeats),
         ]
@@ -130,15 +128,9 @@
     def stop(self) -> None:
         """Stop all work and remove the member row of this process."""
         gevent.killall(self._greenlets, block=False)
-        self._members.close()
         self._job_writer.__exit__()
         self._failover.__exit__()
-        row_id = ports.RowId(rows.MEMBERS, "", self._options.process)
-        row = self._members.rows.get(row_id)
-        if row is not None:
-            answer = self._store.transact({row_id: row.version}, {}, (row_id,))
-            if isinstance(answer, errors.Failure):
-                log.warning("could not remove the member row: {}", answer)
+        self._members.__exit__()
 
     def measure(self) -> dict[str, float]:
         """Return the gauges of this process by name."""
@@ -179,7 +171,7 @@
 
     def relays(self) -> list[str]:
         """Return the processes that calls can be relayed to, the coordinator first."""
-        names = self._peer_targets()
+        names = self._members.targets()
         first = self._lease.process if self._lease is not None else ""
         return sorted(names, key=lambda name: (name != first, name))
 
@@ -242,59 +234,7 @@
         if self._leadership is not None:
             self._leadership.wake()
 
-    # Members
-
-    def _register(self) -> None:
-        """Write the member row of this process; retries until it is stored."""
-        options = self._options
-        row_id = ports.RowId(rows.MEMBERS, "", options.process)
-        value = rows.encode(
-            rows.MemberRow(options.process, options.address, options.peer_port)
-        )
-        while True:
-            answer = self._store.transact({}, {row_id: value})
-            if isinstance(answer, ports.Committed):
-                return
-            gevent.sleep(STORE_RETRY_S * (1 + random.random()))
-
-    def _on_member_row(self, _row: ports.Row) -> None:
-        self._update_peer_targets()
-
-    def _member_rows(self) -> dict[str, rows.MemberRow]:
-        found = {}
-        for row in self._members.rows.values():
-            member = rows.decode(rows.MemberRow, row.value)
-            if isinstance(member, rows.MemberRow):
-                found[member.process] = member
-        found.pop(self._options.process, None)
-        return found
-
-    def _peer_targets(self) -> list[str]:
-        """Return the processes to which this one keeps a stream open.
-
-        The coordinator is connected to all processes, the others to the coordinator and
-        to the next `RELAY_PEERS` processes in the ring of names.
-        """
-        members = sorted(self._member_rows())
-        if self._leadership is not None:
-            return members
-        chosen = members
-        own = self._options.process
-        ring = [name for name in members if name > own]
-        ring += [name for name in members if name < own]
-        chosen = ring[:RELAY_PEERS]
-        if self._lease is not None and self._lease.process in members:
-            chosen = [self._lease.process, *chosen]
-        return list(dict.fromkeys(chosen))
-
-    def _update_peer_targets(self) -> None:
-        members = self._member_rows()
-        self._kernel.find("peers").set_targets(
-            {
-                name: (members[name].address, members[name].port)
-                for name in self._peer_targets()
-            }
-        )
+    # Heartbeats
 
     def _send_heartbeats(self) -> None:
         while True:
@@ -316,7 +256,7 @@
         peers = self._kernel.find("peers")
         lease = self._lease
         body = rows.encode(lease) if lease is not None else b""
-        for name in self._peer_targets():
+        for name in self._members.targets():
             peers.notify(name, HEARTBEAT_NOTICE, body)
 
     def _announce_release(self) -> None:
@@ -324,7 +264,7 @@
         if lease is None or lease.process != self._options.process:
             return
         released = rows.LeaderLease("", "", lease.epoch, lease.sequence, 0, "")
-        for name in self._peer_targets():
+        for name in self._members.targets():
             self._kernel.find("peers").notify(
                 name, HEARTBEAT_NOTICE, rows.encode(released)
             )
@@ -349,10 +289,11 @@
         self._lease = lease
         if changed:
             self._failover.set_coordinator(lease)
+            self._members.coordinator = lease.process
             structured.decide(
                 log, "coordinator_known", process=lease.process, epoch=lease.epoch
             )
-            self._update_peer_targets()
+            self._members.update_streams()
 
     # Election
 
@@ -422,7 +363,8 @@
             self._failover.report_write_failure,
             self._meters.count_round,
         )
-        self._update_peer_targets()
+        self._members.coordinates = True
+        self._members.update_streams()
         self._send_heartbeat()
         try:
             self._leadership.run()
@@ -433,5 +375,6 @@
             )
         finally:
             self._leadership = None
+            self._members.coordinates = False
             self._approval_dispatcher.clear()
             structured.decide(log, "seat_left", epoch=acquired.lease.epoch)
