--- a/test/test_platform_directory.py
+++ b/test/test_platform_directory.py
@@ -159,6 +159,23 @@
         self.assertEqual(("10.1.0.17", 8183), found.callers)
         self.assertEqual((7420, 6000), (found.peer_port, found.max_lease_ms))
 
+    def test_what_the_vm_can_carry_is_read(self):
+        limits = """
+[limits]
+cpu_share = 0.717
+cores = 3
+memory_mb = 552
+link_mbps = 100.0
+"""
+        found = self.read(self.SETTINGS + limits).capacity
+        self.assertAlmostEqual(2.151, found.cores)
+        self.assertEqual((100.0, 552), (found.link_mbps, found.memory_mb))
+
+    def test_settings_without_limits_leave_the_capacity_unknown(self):
+        for text in ("", "[limits]\nnew_field = 1\n"):
+            found = self.read(self.SETTINGS + text).capacity
+            self.assertEqual((0, 0, 0), (found.cores, found.link_mbps, found.memory_mb))
+
     def test_invalid_settings_are_rejected(self):
         for text in (
             "",
--- a/toucanspring/coordinator/members.py
+++ b/toucanspring/coordinator/members.py
@@ -9,7 +9,7 @@
 
 from toucanspring import errors
 from toucanspring.cell import peers
-from toucanspring.coordinator import ports, rows, table_cache
+from toucanspring.coordinator import candidacy, ports, rows, table_cache
 
 log = logbook.Logger(__name__)
 
@@ -84,6 +84,13 @@
             {name: (others[name].address, others[name].port) for name in self.targets()}
         )
 
+    def strengths(self) -> dict[str, float]:
+        """Return the strength of each known process, this one included."""
+        return {
+            each.process: candidacy.find_strength(each.cores, each.link_mbps)
+            for each in (*self._others().values(), self._own)
+        }
+
     def _register(self) -> None:
         """Write the row of this process; retries until it is stored."""
         row_id = ports.RowId(rows.MEMBERS, "", self._own.process)
--- a/toucanspring/coordinator/rows.py
+++ b/toucanspring/coordinator/rows.py
@@ -40,11 +40,18 @@
 
 
 class MemberRow(msgspec.Struct, frozen=True, array_like=True):
-    """A process of the cell, with the address and port where peers connect to it."""
+    """A process of the cell, with the address and port where peers connect to it.
+
+    The other fields are what its VM can carry; 0 means unknown, as in the rows of
+    processes that do not write them.
+    """
 
     process: str
     address: str
     port: int
+    cores: float = 0.0
+    link_mbps: float = 0.0
+    memory_mb: float = 0.0
 
 
 class TaskRow(msgspec.Struct, frozen=True, array_like=True):
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -21,6 +21,7 @@
 from toucanspring import log as structured
 from toucanspring.coordinator import (
     approval_dispatcher,
+    candidacy,
     failover,
     job_specs,
     job_writer,
@@ -55,6 +56,7 @@
     address: str
     peer_port: int
     max_lease_ms: int
+    capacity: candidacy.Capacity = candidacy.Capacity()
 
 
 class Service:
@@ -84,7 +86,12 @@
         self._takeover_event = event.Event()
         self._takeover_epoch = 0  # see `leader_lease.acquire`
         self._members = members.Members(
-            rows.MemberRow(options.process, options.address, options.peer_port),
+            rows.MemberRow(
+                options.process,
+                options.address,
+                options.peer_port,
+                **dataclasses.asdict(options.capacity),
+            ),
             store,
             kernel.find("peers"),
         )
