Announce a released leader lease to all processes

Seen: after a graceful stop of the coordinator some processes went on without one until their next read of the lease, up to 1 s later, and whoever of the two ring neighbours was told took the seat. Cause: the notice is sent after the leadership has ended, when the process wants only streams to its neighbours. Change: it goes to all peers that are still connected. Evidence: test_a_released_lease_is_announced_to_all_processes failed before with "Items in expected but not in actual: ['five', 'four']"; 14 tests of test_coordinator_processes pass.

--- a/test/test_coordinator_processes.py
+++ b/test/test_coordinator_processes.py
@@ -189,6 +189,24 @@
         self.wait_for(lambda: self.is_coordinator(others[0]))
         self.assertEqual(2, self.stored_lease().epoch)
 
+    def test_a_released_lease_is_announced_to_all_processes(self):
+        # Guards against a notice that reaches only the neighbours in the ring, after
+        # which the others leave the cell without a coordinator until they read again.
+        first, others = self.start_cell("one", "two", "three", "four", "five")
+        told = []
+        for name in others:
+            self.network.members[name].handle_notice(
+                service.HEARTBEAT_NOTICE,
+                lambda _sender, body, name=name: told.append(
+                    (name, rows.decode(rows.LeaderLease, body).process)
+                ),
+            )
+        peers = self.network.members[first]
+        self.wait_for(lambda: peers.connected() == sorted(others))
+        self.processes[first].stop_accepting()
+        released = {name for name, holder in told if not holder}
+        self.assertEqual(set(others), released)
+
     def test_a_coordinator_that_cannot_write_hands_the_lease_over(self):
         first, others = self.start_cell("one", "two", "three")
         # The store is unavailable for this process only.
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -271,10 +271,11 @@
         if lease is None or lease.process != self._options.process:
             return
         released = rows.LeaderLease("", "", lease.epoch, lease.sequence, 0, "")
-        for name in self._members.targets():
-            self._kernel.find("peers").notify(
-                name, HEARTBEAT_NOTICE, rows.encode(released)
-            )
+        peers = self._kernel.find("peers")
+        # The streams to all processes are still open, although this one no longer
+        # coordinates and needs only a few of them.
+        for name in peers.connected():
+            peers.notify(name, HEARTBEAT_NOTICE, rows.encode(released))
 
     def _handle_heartbeat(self, sender: str, body: bytes) -> None:
         self._failover.record_heartbeat(sender)
