Let processes on strong VMs take over first

Cause: any process may acquire the lease, whatever its VM carries. A takeover was ranked by the names of the connected processes, of which several are first in their own list, and after a release or an expiry all raced. Change: candidacy.py orders the candidates. Weak ones, below half of the strongest present one, wait for 0.4 s more at an expiry, a release and a missing coordinator; equals act in the order of a ring and pass over those that they see gone. All waits are bounded. Unknown strength counts as strong.

--- a/toucanspring/coordinator/candidacy.py
+++ b/toucanspring/coordinator/candidacy.py
@@ -8,11 +8,20 @@
 
 import dataclasses
 import math
+from collections.abc import Container, Iterable, Mapping, Sequence
 
 # What one start costs the coordinator: its share of the planning, the write, the order
 # and the polls.
 PROCESSOR_MS_PER_START = 1.25
 LINK_KBIT_PER_START = 20.0
+# A process is weak if a present one is stronger by more than this.
+STRONG_SHARE = 0.5
+# A weak process leaves a free lease to the strong ones for this long. It is longer than
+# the last rank of these and a check of the peers together.
+WEAK_WAIT_S = 0.4
+RANK_WAIT_S = 0.1
+MAX_RANK = 2  # bounds the wait for processes that are gone
+STRONG_FIRST = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -32,3 +41,64 @@
     )
     known = [limit for limit in limits if math.isfinite(limit) and limit > 0]
     return min(known, default=0.0)
+
+
+def is_weak(strength: float, strengths: Iterable[float]) -> bool:
+    """Return whether a process of some strength is to leave the others the lead."""
+    return 0 < strength < STRONG_SHARE * max(strengths, default=0.0)
+
+
+def find_weak_wait_s(
+    process: str, strengths: Mapping[str, float], gone: Container[str]
+) -> float:
+    """Return how long a process leaves a free lease to stronger ones.
+
+    `strengths` has all known processes, `gone` those that are known to be gone.
+    """
+    present = _find_present(process, strengths, gone)
+    return WEAK_WAIT_S if is_weak(present[process], present.values()) else 0.0
+
+
+def find_takeover_wait_s(
+    process: str,
+    strengths: Mapping[str, float],
+    gone: Container[str],
+    coordinator: str,
+) -> float:
+    """Return how long a process waits before it replaces a coordinator.
+
+    Processes of the same tier act one after the other, against the ring of names from
+    the coordinator on: each has streams to those right before it in this order, and so
+    knows when they are gone.
+    """
+    present = _find_present(process, strengths, {coordinator, *gone})
+    weak = is_weak(present[process], present.values())
+    tier = [
+        name
+        for name, strength in present.items()
+        if is_weak(strength, present.values()) == weak
+    ]
+    order = sorted(tier, key=lambda name: (name < coordinator, name), reverse=True)
+    rank = min(order.index(process), MAX_RANK)
+    return rank * RANK_WAIT_S + (WEAK_WAIT_S if weak else 0.0)
+
+
+def order_successors(names: Sequence[str], strengths: Mapping[str, float]) -> list[str]:
+    """Return processes in the order in which a failing coordinator asks them.
+
+    The strong ones may be in the same trouble, so not all of them come first.
+    """
+    known = {name: strengths.get(name, 0.0) for name in names}
+    weak = [name for name in names if is_weak(known[name], known.values())]
+    strong = [name for name in names if name not in weak]
+    return [*strong[:STRONG_FIRST], *weak, *strong[STRONG_FIRST:]]
+
+
+def _find_present(
+    process: str, strengths: Mapping[str, float], gone: Container[str]
+) -> dict[str, float]:
+    present = {
+        name: strength for name, strength in strengths.items() if name not in gone
+    }
+    present[process] = strengths.get(process, 0.0)
+    return present
--- a/toucanspring/coordinator/failover.py
+++ b/toucanspring/coordinator/failover.py
@@ -17,7 +17,7 @@
 from toucanspring import errors
 from toucanspring import log as structured
 from toucanspring.cell import peers
-from toucanspring.coordinator import leader_lease, ports, rows
+from toucanspring.coordinator import candidacy, leader_lease, members, ports, rows
 
 log = logbook.Logger(__name__)
 
@@ -29,15 +29,13 @@
 HAND_OVER_ATTEMPTS = 4
 PEER_CALL_TIMEOUT_S = 0.5
 # A coordinator that is disconnected from this process and from another one for this
-# long is considered failed. Each next process in the order of names waits for
-# `RANK_DELAY_S` more, so that only one of them takes over.
+# long is considered failed.
 CHECK_INTERVAL_S = 0.1
 DISCONNECT_TIMEOUT_S = 0.5
 # The streams of a VM that loses its power stay open. The failure of a coordinator on it
 # is detected by missing heartbeats.
 HEARTBEAT_INTERVAL_S = 0.3
 HEARTBEAT_TIMEOUT_S = 1.0
-RANK_DELAY_S = 0.1
 # A new coordinator is not considered failed while it still connects to its peers.
 NEW_COORDINATOR_GRACE_S = 3.0
 # How many other peers are asked whether they reach the coordinator.
@@ -47,8 +45,8 @@
 class Failover:
     """Detects a failed coordinator, and hands the lease over while writes fail.
 
-    `take_over(epoch)` makes this process acquire the lease although a process holds it
-    under that epoch; `step_down(reason)` ends the leadership of this process.
+    `take_over(takeover)` makes this process acquire the lease although a process holds
+    it under that epoch; `step_down(reason)` ends the leadership of this process.
     """
 
     def __init__(
@@ -56,8 +54,9 @@
         process: str,
         streams: peers.Service,
         store: ports.Store,
-        take_over: Callable[[int], None],
+        take_over: Callable[[leader_lease.Takeover], None],
         step_down: Callable[[str], None],
+        cell: members.Members,
     ) -> None:
         self.closing = False
         self._process = process
@@ -65,6 +64,7 @@
         self._store = store
         self._take_over = take_over
         self._step_down = step_down
+        self._members = cell
         self._lease: rows.LeaderLease | None = None
         self._lease_seen_at = 0.0
         self._heartbeat_at = 0.0
@@ -104,6 +104,24 @@
             and now - self._heartbeat_at <= HEARTBEAT_TIMEOUT_S
         )
 
+    def find_takeover_wait_s(self) -> float:
+        """Return how long this process waits before it replaces the coordinator."""
+        return candidacy.find_takeover_wait_s(
+            self._process,
+            self._members.strengths(),
+            self._members.find_disconnected(),
+            "" if self._lease is None else self._lease.process,
+        )
+
+    def find_weak_wait_s(self) -> float:
+        """Return how long this process leaves a free lease to stronger ones."""
+        gone = self._members.find_disconnected()
+        if self._lease is not None:
+            gone.add(self._lease.process)
+        return candidacy.find_weak_wait_s(
+            self._process, self._members.strengths(), gone
+        )
+
     def report_write_failure(self, failing_for_s: float) -> None:
         """Start a handover to a process that reaches the store, if not under way.
 
@@ -118,6 +136,7 @@
         epoch = self._lease.epoch
         names = self._peers.connected()
         random.shuffle(names)
+        names = candidacy.order_successors(names, self._members.strengths())
         body = f"{epoch}".encode()
         for name in names[:HAND_OVER_ATTEMPTS]:
             answer = self._peers.call(name, TAKE_OVER, body, PEER_CALL_TIMEOUT_S)
@@ -133,7 +152,7 @@
         if isinstance(found, errors.Failure):
             return found
         structured.decide(log, "seat_offered", by=sender, epoch=body.decode())
-        self._take_over(int(body))
+        self._take_over(leader_lease.Takeover(int(body), leader_lease.Reason.OFFERED))
         return b""
 
     def _watch_coordinator(self) -> None:
@@ -142,7 +161,6 @@
         while True:
             gevent.sleep(CHECK_INTERVAL_S)
             lease, now = self._lease, time.monotonic()
-            connected = self._peers.connected()
             if (
                 lease is None
                 or self.closing
@@ -153,8 +171,8 @@
                 disconnected_since = None
                 continue
             disconnected_since = disconnected_since or now
-            rank = sorted([*connected, self._process]).index(self._process)
-            if now - disconnected_since < DISCONNECT_TIMEOUT_S + rank * RANK_DELAY_S:
+            wait_s = DISCONNECT_TIMEOUT_S + self.find_takeover_wait_s()
+            if now - disconnected_since < wait_s:
                 continue
             if lease.epoch != self._taken_over_epoch and self._confirm_unreachable(
                 lease.process
@@ -163,7 +181,9 @@
                     log, "coordinator_missing", process=lease.process, epoch=lease.epoch
                 )
                 self._taken_over_epoch = lease.epoch
-                self._take_over(lease.epoch)
+                self._take_over(
+                    leader_lease.Takeover(lease.epoch, leader_lease.Reason.MISSING)
+                )
 
     def _confirm_unreachable(self, process: str) -> bool:
         """Return whether one of the other peers cannot reach a process either."""
--- a/toucanspring/coordinator/leader_lease.py
+++ b/toucanspring/coordinator/leader_lease.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 
 from toucanspring import errors
 from toucanspring.coordinator import ports, rows
@@ -45,6 +46,28 @@
         return self._store_ms + round((now - self._sent_at) * 1000)
 
 
+class Reason(enum.StrEnum):
+    """Why a process acquired the lease."""
+
+    FIRST = "first"  # nobody has held it before
+    RESTARTED = "restarted"  # it is from an earlier run of the same process
+    EXPIRED = "expired"
+    RELEASED = "released"
+    OFFERED = "offered"
+    MISSING = "missing"  # the holder could not be reached
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Takeover:
+    """The epoch of a holder that is to be replaced before its lease expires."""
+
+    epoch: int = 0
+    reason: Reason = Reason.MISSING
+
+
+NO_TAKEOVER = Takeover()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Acquired:
     """The lease was acquired by this process; `version` is that of its row."""
@@ -55,7 +78,9 @@
     # and for how many more seconds it may consider its own lease valid.
     predecessor_may_run: bool
     predecessor_lease_left_s: float = 0.0
-    predecessor: str = ""  # its process, for the log; empty if there was none
+    # For the log; `predecessor` is its process, empty if there was none.
+    predecessor: str = ""
+    reason: Reason = Reason.FIRST
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,9 +91,30 @@
     expires_in_s: float
 
 
-def is_expired(lease: rows.LeaderLease, store_ms: int) -> bool:
-    """Return whether another process may acquire a lease at store time `store_ms`."""
-    return store_ms > lease.expires_ms + CLOCK_MARGIN_MS
+def is_released(lease: rows.LeaderLease) -> bool:
+    """Return whether the holder of a lease has given it up."""
+    return lease.expires_ms == 0
+
+
+def _find_left_s(lease: rows.LeaderLease, store_ms: int, patience_s: float) -> float:
+    """Return for how long a lease may not be acquired at store time `store_ms`."""
+    if is_released(lease):
+        return patience_s
+    # It has expired only after the last of the milliseconds.
+    left_ms = lease.expires_ms + CLOCK_MARGIN_MS + 1 - store_ms
+    return left_ms / 1000 + patience_s
+
+
+def _find_reason(
+    lease: rows.LeaderLease | None, process: str, takeover: Takeover
+) -> Reason:
+    if lease is None:
+        return Reason.FIRST
+    if lease.epoch == takeover.epoch:
+        return takeover.reason
+    if is_released(lease):
+        return Reason.RELEASED
+    return Reason.RESTARTED if lease.process == process else Reason.EXPIRED
 
 
 def read(
@@ -93,24 +139,28 @@
     process: str,
     address: str,
     instance_id: str,
-    takeover_epoch: int = 0,
+    takeover: Takeover = NO_TAKEOVER,
+    patience_s: float = 0.0,
 ) -> Acquired | HeldByOther | errors.Failure:
-    """Acquire the lease if it is free, expired or held under epoch `takeover_epoch`.
+    """Acquire the lease if it is free, expired or held under the epoch of `takeover`.
+
+    The holder of that epoch is considered failed or has offered its lease. Replacing a
+    live holder by mistake is safe and costs only the failover: its writes and its
+    orders to workers are fenced from then on.
 
-    `takeover_epoch` is the epoch of a holder that is considered failed or that has
-    offered its lease. Replacing a live holder by mistake is safe and costs only the
-    failover: its writes and its orders to workers are fenced from then on.
+    A lease that has been released or has expired is left to other processes for
+    `patience_s` more. The answer to a released one is then `HeldByOther` with this
+    time, after which a takeover of its epoch acquires it.
     """
     found = read(store)
     if isinstance(found, errors.Failure):
         return found
     lease, version, at = found
-    if lease is not None:
-        # A lease under this process's name is from an earlier run, which has ended.
-        free = lease.process == process or lease.epoch == takeover_epoch
-        if not free and not is_expired(lease, at.store_ms):
-            left_ms = lease.expires_ms + CLOCK_MARGIN_MS - at.store_ms
-            return HeldByOther(lease, left_ms / 1000)
+    # A lease under this process's name is from an earlier run, which has ended.
+    if lease is not None and process != lease.process and lease.epoch != takeover.epoch:
+        left_s = _find_left_s(lease, at.store_ms, patience_s)
+        if left_s > 0:
+            return HeldByOther(lease, left_s)
     epoch = 1 if lease is None else lease.epoch + 1
     wanted = rows.LeaderLease(
         process, address, epoch, 0, at.store_ms + LEASE_MS, instance_id
@@ -122,10 +172,11 @@
         case ports.Committed(at=committed):
             may_run = lease is not None and lease.expires_ms > 0
             former = "" if lease is None else lease.process
+            reason = _find_reason(lease, process, takeover)
             if not may_run or former == process:
-                return Acquired(wanted, committed.version, False, 0.0, former)
+                return Acquired(wanted, committed.version, False, 0.0, former, reason)
             left_s = max(0, lease.expires_ms - at.store_ms) / 1000
-            return Acquired(wanted, committed.version, True, left_s, former)
+            return Acquired(wanted, committed.version, True, left_s, former, reason)
         case ports.Rejected():
             return errors.Conflict(reason="another process acquired the leader lease")
         case _:
--- a/toucanspring/coordinator/members.py
+++ b/toucanspring/coordinator/members.py
@@ -84,6 +84,10 @@
             {name: (others[name].address, others[name].port) for name in self.targets()}
         )
 
+    def strength(self) -> float:
+        """Return the strength of this process; see `candidacy`."""
+        return candidacy.find_strength(self._own.cores, self._own.link_mbps)
+
     def strengths(self) -> dict[str, float]:
         """Return the strength of each known process, this one included."""
         return {
@@ -91,6 +95,10 @@
             for each in (*self._others().values(), self._own)
         }
 
+    def find_disconnected(self) -> set[str]:
+        """Return the processes that this one has no stream to although it wants one."""
+        return set(self.targets()) - set(self._peers.connected())
+
     def _register(self) -> None:
         """Write the row of this process; retries until it is stored."""
         row_id = ports.RowId(rows.MEMBERS, "", self._own.process)
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -84,7 +84,7 @@
         self._leadership: leadership.Leadership | None = None
         self._draining = False
         self._takeover_event = event.Event()
-        self._takeover_epoch = 0  # see `leader_lease.acquire`
+        self._takeover = leader_lease.NO_TAKEOVER
         self._members = members.Members(
             rows.MemberRow(
                 options.process,
@@ -105,6 +105,7 @@
             store,
             self._take_over,
             self._step_down,
+            self._members,
         )
         self._greenlets: list[gevent.Greenlet] = []
 
@@ -288,7 +289,7 @@
         known = self._lease
         if not announced.process:
             if known is None or announced.epoch >= known.epoch:
-                self._take_over(announced.epoch)  # its holder has released it
+                gevent.spawn(self._replace_released, announced.epoch)
         elif known is None or announced.epoch > known.epoch:
             self._set_coordinator(announced)
 
@@ -305,11 +306,18 @@
 
     # Election
 
-    def _take_over(self, epoch: int) -> None:
-        """Acquire the lease even if it is held under `epoch` and has not expired."""
-        self._takeover_epoch = epoch
+    def _take_over(self, takeover: leader_lease.Takeover) -> None:
+        """Acquire the lease even if it is held under this epoch and has not expired."""
+        self._takeover = takeover
         self._takeover_event.set()
 
+    def _replace_released(self, epoch: int) -> None:
+        """Acquire a lease that was released, unless another process is faster."""
+        gevent.sleep(self._failover.find_takeover_wait_s())
+        if self._lease is None or self._lease.epoch <= epoch:
+            reason = leader_lease.Reason.RELEASED
+            self._take_over(leader_lease.Takeover(epoch, reason))
+
     def _step_down(self, reason: str) -> None:
         if self._leadership is not None:
             self._leadership.step_down(reason)
@@ -324,7 +332,8 @@
                 self._options.process,
                 self._options.address,
                 self._instance_id,
-                self._takeover_epoch,
+                self._takeover,
+                self._failover.find_weak_wait_s(),
             )
             match found:
                 case leader_lease.Acquired():
@@ -333,6 +342,9 @@
                 case leader_lease.HeldByOther(lease=lease, expires_in_s=expires_in_s):
                     if lease.process:
                         self._set_coordinator(lease)
+                    if leader_lease.is_released(lease):
+                        self._await_released(lease, expires_in_s)
+                        continue
                     pause = expires_in_s + 0.05 * random.random()
                     if not self._failover.has_stable_coordinator():
                         pause = min(LEASE_CHECK_INTERVAL_S, pause)
@@ -344,6 +356,13 @@
                     gevent.sleep(STORE_RETRY_S * (1 + random.random()))
             self._takeover_event.clear()
 
+    def _await_released(self, lease: rows.LeaderLease, wait_s: float) -> None:
+        """Leave a released lease to stronger processes before acquiring it."""
+        if not self._takeover_event.wait(wait_s):
+            reason = leader_lease.Reason.RELEASED
+            self._takeover = leader_lease.Takeover(lease.epoch, reason)
+        self._takeover_event.clear()
+
     def _read_lease(self) -> None:
         found = leader_lease.read(self._store)
         if not isinstance(found, errors.Failure) and found[0] is not None:
@@ -355,6 +374,7 @@
         structured.decide(
             log, "seat_taken", epoch=acquired.lease.epoch, after=acquired.predecessor,
             left_s=round(acquired.predecessor_lease_left_s, 2),
+            why=acquired.reason.value, strength=round(self._members.strength()),
         )  # fmt: skip
         self._store_clock = leader_lease.StoreClock()
         self._store_clock.update(
