Take a deeply nested row as malformed instead of raising RecursionError

Seen by callers: an executor's entry with an unknown field nested 1,100 deep left the entry from before in use, since the change was dropped with an exception; a row of the coordinator's own tables of that kind ended each epoch in its recovery.

Cause: msgspec skips unknown fields recursively and raises RecursionError, which is no MsgspecError, so it left `decode_executor`, `decode_configuration` and `rows.decode`. `TableCache` logs it and goes on, but the worker stayed registered.

Change: `decoding.decode` turns each fault of the bytes into `errors.Malformed`.

The coordinator on in-memory stand-ins went on beside such an entry before, too; what failed was the entry that had been valid.

--- a/test/test_platform_directory.py
+++ b/test/test_platform_directory.py
@@ -45,6 +45,26 @@
 }
 
 
+def nest(depth, opening="[", closing="]"):
+    return f"{opening * depth}{closing * depth}"
+
+
+def nested_entries(good):
+    """Return entries with an unknown field that is nested too deep to be read."""
+    rest = json.dumps(good)[1:]
+    members = nest(1100, '{"x":', "}").replace(":}", ":1}")
+    return {
+        "lists 1,100 deep": f'{{"zz":{nest(1100)},{rest}'.encode(),
+        "lists 20,000 deep": f'{{"zz":{nest(20_000)},{rest}'.encode(),
+        "maps 1,100 deep": f'{{"zz":{members},{rest}'.encode(),
+    }
+
+
+def odd_entries(good):
+    """Return entries, by what is odd about them, that name no executor to use."""
+    return nested_entries(good)
+
+
 def encode(value):
     return json.dumps(value).encode()
 
@@ -95,6 +115,13 @@
             found = directory.decode_executor("i-1", value)
             self.assertIsInstance(found, errors.Malformed)
 
+    def test_odd_entries_of_another_writer_are_malformed(self):
+        # Guards against RecursionError and values that end later steps.
+        for name, value in odd_entries(EXECUTOR).items():
+            content = value if isinstance(value, bytes) else encode(value)
+            found = directory.decode_executor("i-1", content)
+            self.assertIsInstance(found, errors.Malformed, name)
+
 
 class DirectoryTest(testtools.TestCase):
     def setUp(self):
@@ -105,6 +132,12 @@
     def put(self, key, value, table="op"):
         self.store.put(ports.RowId(table, "", key), encode(value))
 
+    def test_a_deeply_nested_configuration_leaves_the_one_in_force(self):
+        # Guards against RecursionError, which is no error of the decoder's own.
+        value = f'{{"version":8,"zz":{nest(1100)}}}'.encode()
+        found = directory.decode_configuration(value)
+        self.assertIsInstance(found, errors.Malformed)
+
     def test_zones_are_taken_out_of_service_and_back(self):
         self.put("evacuate/bern-a", {})
         self.directory._operators.poll()
--- a/toucanspring/coordinator/rows.py
+++ b/toucanspring/coordinator/rows.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from toucanspring import errors
+from toucanspring import decoding, errors
 from toucanspring.coordinator import job_specs, ports
 
 JOBS = "jobs"
@@ -90,10 +90,7 @@
 
 def decode(kind: type, value: bytes) -> object | errors.Malformed:
     """Decode the value of a row."""
-    try:
-        return _decoders[kind].decode(value)
-    except msgspec.MsgspecError as error:
-        return errors.Malformed(reason=f"{kind.__name__} row: {error}")
+    return decoding.decode(_decoders[kind], value, f"{kind.__name__} row")
 
 
 def job_row_ids(job_id: str) -> list[ports.RowId]:
