Use no executor whose address or id no call can carry

Seen by callers: tasks of an executor whose entry turned odd never ended or moved (LOST), and an executor whose odd entry was mended got no work until the next takeover.

Cause: `parse_address` raised ValueError for a port of over 4,300 digits, for digits that `int` refuses and, in the resolver, for a null character; the resolver raised UnicodeError for labels that are empty or too long. A key that no header can hold raised in `Endpoint._head`. The exception ended the polling loop of that worker, which stayed in `Dispatcher._loops`, so no new loop was started and its lease never expired.

Change: `parse_address` accepts IP addresses and resolvable names with a port of at most five ASCII digits; `decode_executor` takes no entry without one.

--- a/test/test_exchange.py
+++ b/test/test_exchange.py
@@ -220,3 +220,33 @@
         self.assertEqual(("::1", 80), exchange.parse_address("[::1]:80"))
         for text in ("", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "a:70000", "a:-1"):
             self.assertIsInstance(exchange.parse_address(text), errors.Invalid, text)
+
+    def test_an_address_that_no_call_can_use_is_invalid(self):
+        # Guards against ValueError and UnicodeError, here or later from the resolver.
+        for text in (
+            f"10.0.0.1:{'9' * 5000}",
+            "10.0.0.1:\N{SUPERSCRIPT TWO}",
+            "10.0.0.1:\N{ARABIC-INDIC DIGIT THREE}",
+            "10.0.0.1:+80",
+            "10.0.0.1: 80",
+            ":80",
+            "a..b:80",
+            f"{'x' * 64}:80",
+            f"{'x.' * 130}x:80",
+            "a\0:80",
+            "a\r\nX-B\n:80",
+            "a b:80",
+            "user@a:80",
+            "\N{LATIN SMALL LETTER E WITH ACUTE}:80",
+            "fe80::1%\N{LATIN SMALL LETTER E WITH ACUTE}:80",
+            "[::g]:80",
+            "[:80",
+            "a/b:80",
+            "https://a:80",
+        ):
+            found = exchange.parse_address(text)
+            self.assertIsInstance(found, errors.Invalid, text[:40])
+
+    def test_host_names_are_addresses(self):
+        for text in ("localhost:80", "my_host-1.example:80", f"{'x' * 63}.a:80"):
+            self.assertIsInstance(exchange.parse_address(text), tuple)
--- a/test/test_platform_directory.py
+++ b/test/test_platform_directory.py
@@ -60,9 +60,30 @@
     }
 
 
+ODD_ADDRESSES = {
+    "an empty address": "",
+    "no port": "10.128.0.9",
+    "no host": ":8080",
+    "port 0": "10.128.0.9:0",
+    "port 65,536": "10.128.0.9:65536",
+    "a negative port": "10.128.0.9:-1",
+    "a port of 5,000 digits": f"10.128.0.9:{'9' * 5000}",
+    "a port that is no decimal number": "10.128.0.9:\N{SUPERSCRIPT TWO}",
+    "a port in other digits": "10.128.0.9:\N{ARABIC-INDIC DIGIT THREE}",
+    "an empty label": "a..b:8080",
+    "a label of 64 characters": f"{'x' * 64}:8080",
+    "a line break": "a\r\nX-B: 1\n:8080",
+    "a null character": "a\0:8080",
+    "a letter beyond ASCII": "\N{LATIN SMALL LETTER E WITH ACUTE}:8080",
+}
+
+
 def odd_entries(good):
     """Return entries, by what is odd about them, that name no executor to use."""
-    return nested_entries(good)
+    addresses = {
+        name: {**good, "address": address} for name, address in ODD_ADDRESSES.items()
+    }
+    return {**nested_entries(good), **addresses}
 
 
 def encode(value):
@@ -122,6 +143,12 @@
             found = directory.decode_executor("i-1", content)
             self.assertIsInstance(found, errors.Malformed, name)
 
+    def test_an_id_that_no_header_can_hold_names_no_executor(self):
+        # Guards against ValueError and UnicodeEncodeError when an order is sent.
+        for executor_id in ("", "i\r\nX-B: 1", "i\0", "\N{EURO SIGN}"):
+            found = directory.decode_executor(executor_id, encode(EXECUTOR))
+            self.assertIsInstance(found, errors.Malformed)
+
 
 class DirectoryTest(testtools.TestCase):
     def setUp(self):
--- a/test/test_platform_odd_entries.py
+++ b/test/test_platform_odd_entries.py
@@ -21,6 +21,7 @@
     "address": ADDRESS,
     "capacity": {"cpu": 4000, "mem_mb": 65536, "gpus": 0},
 }
+LIMIT_S = 5.0
 ODD = directory_case.odd_entries(GOOD)
 
 
@@ -59,7 +60,7 @@
         self.store.put(ports.RowId(directory.EXECUTORS_TABLE, "", name), value)
 
     def wait_for(self, condition, name=""):
-        limit = gevent.Timeout(3.0, AssertionError(f"did not hold: {name}"))
+        limit = gevent.Timeout(LIMIT_S, AssertionError(f"did not hold: {name}"))
         with limit:
             while not condition():
                 gevent.sleep(0.005)
@@ -71,25 +72,62 @@
         return leader
 
     def test_an_entry_that_turns_odd_names_no_worker_to_use(self):
-        # Guards against the use of the entry from before: RecursionError.
+        # Guards against the further use of the entry from before.
         leader = self.start_cell()
+        for name in ODD:
+            self.put(name, GOOD)
+        self.wait_for(lambda: ODD.keys() <= leader.cell.workers.keys())
         for name, odd in ODD.items():
-            self.put("g2", odd)
-            self.wait_for(lambda: not leader.cell.workers["g2"].registered, name)
-            self.assertEqual({"g1"}, set(self.directory.entries()), name)
-            self.put("g2", GOOD)
-            self.wait_for(lambda: leader.cell.workers["g2"].registered, name)
+            self.put(name, odd)
+        for name in ODD:
+            self.wait_for(lambda x=name: not leader.cell.workers[x].registered, name)
+        self.assertEqual({"g1", "g2"}, set(self.directory.entries()))
+        for name in ODD:
+            self.put(name, GOOD)
+        for name in ODD:
+            self.wait_for(lambda x=name: leader.cell.workers[x].registered, name)
 
     def test_good_workers_keep_their_work_beside_an_odd_entry(self):
         # Guards against one entry that ends the coordinator or the following of others.
         leader = self.start_cell()
-        for number, (name, odd) in enumerate(ODD.items()):
-            self.put("odd", odd)
-            job_id = f"{number:016x}"
-            self.accept(case.step(3), job_id=job_id)
-            self.wait_for(lambda job_id=job_id: self.is_complete(job_id), name)
-            self.put(f"g3-{number}", GOOD)
-            self.wait_for(lambda new=f"g3-{number}": new in leader.cell.workers, name)
-            self.assertNotIn("odd", leader.cell.workers, name)
+        for name, odd in ODD.items():
+            self.put(name, odd)
+        self.put("g3", GOOD)
+        self.wait_for(lambda: "g3" in leader.cell.workers)
+        self.assertEqual({"g1", "g2", "g3"}, set(leader.cell.workers))
+        self.accept(case.step(3))
+        self.wait_for(self.is_complete)
         self.assertFalse(self.leaderships[-1][0].ready())
         self.assert_no_violations()
+
+    def test_a_successor_coordinates_beside_odd_entries(self):
+        # Guards against an entry that ends each epoch in its recovery.
+        for name, odd in ODD.items():
+            self.put(name, odd)
+        self.start_cell()
+        self.accept(case.step(3))
+        self.wait_for(self.is_complete)
+
+    def test_a_worker_whose_entry_is_mended_is_polled(self):
+        # Guards against a polling loop that an unusable address ended for good.
+        self.start_cell()
+        for name, odd in ODD.items():
+            self.put(name, odd)
+        self.put("last", GOOD)
+        self.wait_for(lambda: "last" in self.workers.incarnations)
+        for name in ODD:
+            self.put(name, GOOD)
+        for name in ODD:
+            self.wait_for(lambda x=name: x in self.workers.incarnations, name)
+
+    def test_tasks_of_a_worker_whose_entry_turns_odd_end(self):
+        # Guards against tasks that wait for ever for a worker that is not polled.
+        self.workers.run_s = 2.5
+        leader = self.start_cell()
+        self.wait_for(lambda: all(x.confirmed for x in leader.cell.workers.values()))
+        self.accept(case.step(8))
+        self.wait_for(lambda: self.workers.starts == 8)
+        self.put("g2", ODD["a port of 5,000 digits"])
+        self.wait_for(self.is_complete)
+        self.assertEqual({1}, set(self.workers.done.values()))
+        self.assert_no_violations()
--- a/toucanspring/adapters/exchange.py
+++ b/toucanspring/adapters/exchange.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
+import ipaddress
 import math
+import re
 import socket
 import time
 from collections.abc import Iterator
@@ -19,6 +21,12 @@
 BLOCK_BYTES = 1 << 16
 MAX_BODY_BYTES = 1 << 28
 MAX_HEAD_BYTES = 1 << 18
+MAX_SHOWN_CHARS = 80  # of an invalid address in a message
+
+_PORT = re.compile(r"[0-9]{1,5}")
+# The resolver raises errors of other types for names that DNS does not permit.
+_HOST_LABEL = r"[A-Za-z0-9_](?:[A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?"
+_HOST = re.compile(rf"(?=.{{1,253}}\Z){_HOST_LABEL}(?:\.{_HOST_LABEL})*")
 
 
 class Pool(connectionpool.ConnectionPool):
@@ -290,9 +298,24 @@
 def parse_address(text: str) -> tuple[str, int] | errors.Invalid:
     """Split `address:port` or `http://address:port`, with IPv6 in brackets."""
     host_and_port = text.removeprefix("http://").rstrip("/")
-    address, separator, port = host_and_port.rpartition(":")
-    if not separator or not port.isdigit() or not 0 < int(port) < 65536:
+    host, _, port = host_and_port.rpartition(":")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    if not (_is_host(host) and _PORT.fullmatch(port) and 0 < int(port) < 65536):
         return errors.Invalid(
-            reason="not an address with a port", value=text, expected="address:port"
+            reason="not an address with a port",
+            value=text[:MAX_SHOWN_CHARS],
+            expected="address:port",
         )
-    return address.strip("[]"), int(port)
+    return host, int(port)
+
+
+def _is_host(text: str) -> bool:
+    """Return whether a text is an IP address or a name that can be resolved."""
+    if _HOST.fullmatch(text):
+        return True
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return text.isascii()
