Refuse entries and configurations with values beyond documented limits

Seen by callers: nothing at once; negative amounts and amounts, times and incarnations of more than 64 bits were taken into worker entries, queues and ceilings, where the planner counts with them.

Cause: the types of messages.py had no bounds, and msgspec reads integers of up to 4,300 digits; fields that are not used were not checked for their type, and an entry without labels counted as a worker without a rack.

--- a/test/test_platform_directory.py
+++ b/test/test_platform_directory.py
@@ -2,11 +2,15 @@
 import pathlib
 import tempfile
 
+import hypothesis
+import msgspec
 import testtools
+from hypothesis import strategies
 
 from standins import rowstore
 from test import platform_case  # noqa: F401  finds the adapter's modules
 from toucanspring import errors, resources
+from toucanspring.adapters import exchange
 from toucanspring.coordinator import ports
 
 import deployment  # isort: skip
@@ -45,6 +49,24 @@
 }
 
 
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.integers(-(10**25), 10**25)
+    | strategies.floats()
+    | strategies.text()
+    | strategies.sampled_from(("ready", "draining", "10.0.0.1:80", "a:1")),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(
+            strategies.sampled_from(("cpu", "mem_mb", "gpus", "x")), inner
+        )
+    ),
+    max_leaves=8,
+)
+
+
 def nest(depth, opening="[", closing="]"):
     return f"{opening * depth}{closing * depth}"
 
@@ -78,12 +100,51 @@
 }
 
 
+REQUIRED = ("service", "address", "zone", "state", "capacity", "labels")
+WRONG_TYPES = {
+    "service": (None, 5, "", ["huvo11a"]),
+    "address": (None, 5, {}),
+    "zone": (None, 5, ""),
+    "state": (None, 1, "", "READY", "gone"),
+    "capacity": (None, 5, "much", [], [16000, 32768, 0]),
+    "labels": (None, "a", [1], {"a": 1}),
+    "born": (None, "7", 7.5, -1, 10**20, 10**400),
+    "remaining_ms": ("7", 7.5, -2, 10**20, 10**400),
+    "version": (1, []),
+    "slots": ("8", -1, 10**20),
+    "seq": ("4", -1, 10**20),
+    "cold_remaining_ms": ("0", -1, 10**20),
+}
+ODD_AMOUNTS = (None, "1", 1.5, -1, -(10**20), 10**10, 2**63, 10**20, 10**400)
+UNREADABLE = {
+    "no bytes": b"",
+    "bytes beyond UTF-8": b"\xff\xfe\x00",
+    "half an entry": b'{"service":"huvo11a","addr',
+    "a list": b"[]",
+    "null": b"null",
+    "a number of 5,000 digits": b"9" * 5000,
+    "an infinite number": b"1e999",
+    "half a surrogate pair": b'{"service":"\\ud800"}',
+}
+
+
 def odd_entries(good):
     """Return entries, by what is odd about them, that name no executor to use."""
-    addresses = {
-        name: {**good, "address": address} for name, address in ODD_ADDRESSES.items()
-    }
-    return {**nested_entries(good), **addresses}
+    found = {**nested_entries(good), **UNREADABLE}
+    for name, address in ODD_ADDRESSES.items():
+        found[name] = {**good, "address": address}
+    for field in REQUIRED:
+        found[f"{field} missing"] = {
+            name: value for name, value in good.items() if name != field
+        }
+    for field, values in WRONG_TYPES.items():
+        for number, value in enumerate(values):
+            found[f"{field} odd {number}"] = {**good, field: value}
+    for field in good["capacity"]:
+        for number, value in enumerate(ODD_AMOUNTS):
+            capacity = {**good["capacity"], field: value}
+            found[f"{field} odd {number}"] = {**good, "capacity": capacity}
+    return found
 
 
 def encode(value):
@@ -149,6 +210,24 @@
             found = directory.decode_executor(executor_id, encode(EXECUTOR))
             self.assertIsInstance(found, errors.Malformed)
 
+    @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+    @hypothesis.given(strategies.data())
+    def test_each_entry_is_a_usable_worker_or_malformed(self, data):
+        # Guards against any other exception and against values beyond the limits.
+        field = data.draw(strategies.sampled_from(sorted(EXECUTOR)))
+        entry = {**EXECUTOR, field: data.draw(JSON)}
+        found = directory.decode_executor("i-1", encode(entry))
+        if isinstance(found, errors.Malformed):
+            return
+        amounts = (
+            found.capacity.cpus, found.capacity.memory, found.capacity.accelerators
+        )  # fmt: skip
+        self.assertTrue(all(0 <= each <= 10**9 for each in amounts))
+        self.assertTrue(0 <= found.incarnation <= 10**14)
+        self.assertTrue(-1 <= found.leaves_in_ms <= 10**12)
+        self.assertIsInstance(exchange.parse_address(found.address), tuple)
+        msgspec.msgpack.encode(found)
+
 
 class DirectoryTest(testtools.TestCase):
     def setUp(self):
@@ -159,6 +238,39 @@
     def put(self, key, value, table="op"):
         self.store.put(ports.RowId(table, "", key), encode(value))
 
+    def test_an_odd_route_or_tenant_leaves_the_configuration_in_force(self):
+        # Guards against numbers that end later steps of the coordinator.
+        self.put("config", {"version": 7, "routes": [ROUTE], "tenants": [TENANT]})
+        self.directory._operators.poll()
+        for field, value in (
+            ("priority", 10**20),
+            ("max_attempts", -1),
+            ("stretch", -1),
+            ("stretch", 10**400),
+            ("target_runtime_ms", 10**20),
+            ("advice", {"decision_ms": -1}),
+            ("advice", {"validity_ms": 1e300}),
+            ("public", 1),
+        ):
+            odd = {**ROUTE, field: value}
+            self.put("config", {"version": 8, "routes": [ROUTE, odd]})
+            self.directory._operators.poll()
+            self.assertEqual(7, self.directory.catalogue.version, (field, value))
+        for field, value in (
+            ("weight", -1),
+            ("weight", 10**400),
+            ("api_keys", [1]),
+            ("upper_bound", {"cpu": -1}),
+            ("upper_bound", {"cpu": 10**20}),
+        ):
+            odd = {**TENANT, field: value}
+            self.put("config", {"version": 8, "tenants": [TENANT, odd]})
+            self.directory._operators.poll()
+            self.assertEqual(7, self.directory.catalogue.version, (field, value))
+        self.put("config", {"version": 10**20})
+        self.directory._operators.poll()
+        self.assertEqual(7, self.directory.catalogue.version)
+
     def test_a_deeply_nested_configuration_leaves_the_one_in_force(self):
         # Guards against RecursionError, which is no error of the decoder's own.
         value = f'{{"version":8,"zz":{nest(1100)}}}'.encode()
