--- a/test/test_coordinator_load.py
+++ b/test/test_coordinator_load.py
@@ -64,7 +64,9 @@
         self.slow_down_reads(30.0)
         leader = self.start_leadership()
         gevent.sleep(0.05)
-        leader_lease.acquire(self.store, "two", "10.0.0.2", "two", takeover_epoch=1)
+        leader_lease.acquire(
+            self.store, "two", "10.0.0.2", "two", leader_lease.Takeover(1)
+        )
         self.assertTrue(leader.ended.wait(5.0))
         self.assertFalse(leader.ready.is_set())
 
--- a/test/test_coordinator_store.py
+++ b/test/test_coordinator_store.py
@@ -365,7 +365,9 @@
         self.patch(leader_lease, "RENEW_INTERVAL_S", 0.01)
         writer = self.make_writer(self.acquire())
         with writer.renew_lease():
-            leader_lease.acquire(self.store, "two", "10.0.0.2", "two", takeover_epoch=1)
+            leader_lease.acquire(
+                self.store, "two", "10.0.0.2", "two", leader_lease.Takeover(1)
+            )
             gevent.sleep(0.1)
             self.assertTrue(writer.lost)
         self.assertEqual(1, writer.writes)
