Let a step use paused and reserved workers of an idle pool

Callers saw: a job got nothing for up to 24 s, or for as long as another job's task ran, while most of the workers were empty (LOST: nothing running for 3 s, capacity twice over, under half in use).

Cause: a quarantine counts failures of different jobs in a row on a worker; two jobs that fail by their own fault on all workers put the whole pool into quarantine, 3 s at first and doubled for each further failure, and in a quiet cell no success ends it. A gang that waits for the end of one long task reserves all the workers it needs, and tasks and gangs behind it get none of them, however long it lasts.

Change: in a pool of which less than half is in use, a step of which nothing runs 1.5 s after it became ready may use workers that are paused or reserved, all others first. In a busier pool both remain as they are.

Not shown by a run: the effect on a pool whose workers are really faulty; there the last attempts of a job may be made on them sooner than before.

--- a/test/test_coordinator_progress.py
+++ b/test/test_coordinator_progress.py
@@ -184,3 +184,93 @@
         tickets = dict.fromkeys(request.workers, "t")
         plans.record_approvals(request, tickets, 3.5)
         self.assertEqual(2, len(cell_planner.plan(1.1).starts))
+
+
+class HeldBackTest(testtools.TestCase):
+    """Most of the pool is idle, but its workers are paused or reserved."""
+
+    def setUp(self):
+        super().setUp()
+        self.cell = case.new_cell(
+            *(case.entry(f"w{number}", cpus=10_000) for number in range(9)),
+            catalogue_=case.configure(
+                case.queue("builds", priority=1, max_attempts=1),
+                case.queue("labels", priority=2, max_attempts=1),
+            ),
+        )
+        self.cell_planner = planner.Planner(self.cell)
+
+    def first_start(self, job_id, since, limit_s=2.0):
+        for tick in range(round(limit_s * 20)):
+            now = since + tick / 20
+            plan = self.cell_planner.plan(now)
+            case.confirm(self.cell, plan, now)
+            for start in plan.starts:
+                if start.step.job.spec.id == job_id:
+                    return start
+        return None
+
+    def quarantine_all(self):
+        """Fail tasks of two jobs by their own fault on every worker."""
+        for number, job_id in enumerate((OTHER, BUSY)):
+            now = 1.0 + number
+            self.cell.accept(case.job(job_id, case.step(9, cpus=6000)), now)
+            case.confirm(self.cell, self.cell_planner.plan(now), now)
+            for name, worker in self.cell.workers.items():
+                ends = [
+                    case.ended(number + 1, task, how="failed")
+                    for task in worker.allocations
+                ]
+                case.poll(self.cell, name, ended=ends, now=now + 0.5)
+
+    def test_jobs_that_fail_everywhere_do_not_keep_others_waiting(self):
+        """Guards against an idle pool in which all workers are in quarantine."""
+        self.quarantine_all()
+        paused = [each.is_paused(2.6) for each in self.cell.workers.values()]
+        self.assertEqual([True] * 9, paused)
+        self.cell.accept(case.job(JOB, case.step(2)), 2.6)
+        self.assertIsNotNone(self.first_start(JOB, 2.6))
+
+    def test_a_gang_does_not_wait_for_the_end_of_all_quarantines(self):
+        """Guards against a gang that waits in an idle pool of paused workers."""
+        self.quarantine_all()
+        self.cell.accept(case.job(JOB, case.step(5, cpus=9000, gang=True)), 2.6)
+        self.assertIsNotNone(self.first_start(JOB, 2.6))
+
+    def test_a_worker_that_is_paused_is_used_after_the_others(self):
+        self.cell.accept(case.job(JOB, case.step(8, cpus=9000)), 1.0)
+        for number in range(1, 9):
+            self.cell.workers[f"w{number}"].quarantined_until = 90.0
+        self.cell.workers["w0"].failures = 1
+        self.assertEqual("w0", self.first_start(JOB, 1.0).worker.id)
+
+    def test_paused_workers_get_nothing_while_much_of_the_pool_is_in_use(self):
+        self.cell.accept(case.job(BUSY, case.step(5, cpus=10_000)), 1.0)
+        case.confirm(self.cell, self.cell_planner.plan(1.0), 1.0)
+        for worker in self.cell.workers.values():
+            if not worker.allocations:
+                worker.quarantined_until = 90.0
+        self.cell.accept(case.job(JOB), 1.1)
+        self.assertIsNone(self.first_start(JOB, 1.1, 5.0))
+
+    def reserve(self):
+        """Let a gang that has time wait for a long task of less urgency."""
+        long = case.step(1, cpus=8000, checkpointing=True)
+        self.cell.accept(case.job(BUSY, long, queue="labels"), 1.0)
+        case.confirm(self.cell, self.cell_planner.plan(1.0), 1.0)
+        self.cell.accept(case.job(OTHER, case.step(9, cpus=9000, gang=True)), 1.0)
+        self.cell.jobs[OTHER].due_at = 90.0
+
+    def test_a_task_does_not_wait_for_a_gang_that_waits_in_an_idle_pool(self):
+        """Guards against a reservation that keeps idle workers for long."""
+        self.reserve()
+        self.cell.accept(case.job(JOB, queue="labels"), 1.0)
+        self.assertIsNone(self.first_start(JOB, 1.3, 1.0))
+        self.assertIsNotNone(self.first_start(JOB, 2.3, 1.0))
+
+    def test_a_gang_does_not_wait_for_a_gang_that_waits_in_an_idle_pool(self):
+        """Guards against a reservation that keeps idle workers from other gangs."""
+        self.reserve()
+        gang = case.step(3, cpus=9000, gang=True)
+        self.cell.accept(case.job(JOB, gang, queue="labels"), 1.0)
+        self.assertIsNotNone(self.first_start(JOB, 1.3))
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -76,32 +76,41 @@
         step_run: state.StepRun,
         queue: catalogue.Queue,
         eligible: list[workers.Worker],
+        held_back: bool,
         plan: plans.Plan,
         now: float,
     ) -> None:
-        """Start a gang if it fits, else reserve workers and preempt tasks for it."""
+        """Start a gang if it fits, else reserve workers and preempt tasks for it.
+
+        Paused and reserved workers are used only by a gang that is held back.
+        """
         count = step_run.step.count
         if len(step_run.waiting) < count:
             plan.record_wait(step_run, plans.GANG_STILL_RUNNING)
             return
         if len({step_run.tasks[index].checkpoint for index in step_run.waiting}) > 1:
             self._align_checkpoints(step_run)
-        open_workers = [
+        allowed = [
             worker
             for worker in eligible
-            if worker.id not in plan.reserved
-            and all(
-                placement.may_retry_on(task, worker, now) for task in step_run.tasks
-            )
+            if all(placement.may_retry_on(task, worker, now) for task in step_run.tasks)
+        ]
+        open_workers = [
+            worker
+            for worker in allowed
+            if worker.id not in plan.reserved and not worker.is_paused(now)
         ]
         chosen = placement.place_gang(step_run, open_workers, {})
+        if chosen is None and held_back:
+            chosen = placement.place_gang(step_run, allowed, {})
         if chosen is None:
             plan.record_wait(step_run, plans.NO_ROOM)
             names = self._planner.not_requested_with_room(step_run)
             if names:
                 self._planner.request_approval(step_run, queue, names, plan, now)
             if now - step_run.ready_at >= RESERVE_AFTER_S:
-                self._reserve_and_preempt(step_run, queue, eligible, plan, now)
+                usable = [each for each in eligible if not each.is_paused(now)]
+                self._reserve_and_preempt(step_run, queue, usable, plan, now)
             return
         missing = [
             worker.id
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 from toucanspring.coordinator import (
     availability,
     catalogue,
@@ -23,6 +25,9 @@
 LATE_ESTIMATE_FRACTION = 0.6
 # Remaining validity of a ticket at a start: the order may be delayed and retried.
 TICKET_MARGIN_S = 0.15
+# A step of which nothing runs after this long in a lightly used pool may use workers
+# that are paused or reserved for gangs: a doubtful start is better than none.
+MAX_HELD_BACK_S = 1.5
 # Limits the duration of a round.
 MAX_STEPS_PER_ROUND = 400
 MAX_STARTS_PER_ROUND = 120
@@ -53,7 +58,7 @@
             if queue is None or step_run.job.is_final:
                 continue
             pool = self._available.pool(queue.pool)
-            self._plan_step(step_run, queue, pool.usable, plan, now)
+            self._plan_step(step_run, queue, pool, plan, now)
         self._available.end_round()
         return plan
 
@@ -95,12 +100,14 @@
         self,
         step_run: state.StepRun,
         queue: catalogue.Queue,
-        usable: list[workers.Worker],
+        pool: availability.Pool,
         plan: plans.Plan,
         now: float,
     ) -> None:
+        held_back = self._is_held_back(step_run, pool, now)
+        candidates = [*pool.usable, *pool.paused] if held_back else pool.usable
         eligible = [
-            worker for worker in usable if placement.is_eligible(step_run, worker)
+            worker for worker in candidates if placement.is_eligible(step_run, worker)
         ]
         if not eligible:
             plan.record_wait(step_run, plans.NO_USABLE_WORKER)
@@ -127,6 +134,7 @@
         # Only capacity is missing, so nothing fits until a worker could take more.
         if (
             step_run.blocked_version == self._available.version
+            and now < step_run.blocked_until
             and not step_run.step.gang
         ):
             return
@@ -136,9 +144,23 @@
             plan.record_wait(step_run, plans.ABOVE_CEILING)
             return
         if step_run.step.gang:
-            self._gangs.plan(step_run, queue, eligible, plan, now)
+            self._gangs.plan(step_run, queue, eligible, held_back, plan, now)
         else:
-            self._plan_tasks(step_run, queue, eligible, plan, now)
+            self._plan_tasks(step_run, queue, eligible, held_back, plan, now)
+
+    @staticmethod
+    def _is_held_back(
+        step_run: state.StepRun, pool: availability.Pool, now: float
+    ) -> bool:
+        """Return whether nothing of a step runs although its pool is mostly idle."""
+        return (
+            now - step_run.ready_at >= MAX_HELD_BACK_S
+            and pool.is_lightly_used()
+            and (
+                step_run.step.long_running
+                or not any(task.worker for task in step_run.tasks)
+            )
+        )
 
     # Approvals
 
@@ -210,12 +232,13 @@
         step_run: state.StepRun,
         queue: catalogue.Queue,
         eligible: list[workers.Worker],
+        held_back: bool,
         plan: plans.Plan,
         now: float,
     ) -> None:
         on_worker = placement.count_per_worker(step_run)
         open_workers = eligible
-        if queue.priority > TOP_PRIORITY:
+        if queue.priority > TOP_PRIORITY and not held_back:
             open_workers = [each for each in eligible if each.id not in plan.reserved]
         for index in sorted(step_run.waiting):
             if (
@@ -239,14 +262,17 @@
                 continue  # other tasks of the step may still fit
             if not valid:
                 # Reservations may end at any time.
-                held_back = not fits and len(open_workers) < len(eligible)
+                may_block = len(open_workers) == len(eligible)
                 self._request_or_block(
-                    step_run, queue, [each.id for each in fits], held_back, plan, now
+                    step_run, queue, [each.id for each in fits], may_block, plan, now
                 )
                 return
             best = min(
                 valid,
-                key=lambda worker: placement.rank(step_run, worker, worker.free()),
+                key=lambda worker: (
+                    held_back and (worker.is_paused(now) or worker.id in plan.reserved),
+                    placement.rank(step_run, worker, worker.free()),
+                ),
             )
             on_worker[best.id] = on_worker.get(best.id, 0) + 1
             self.start(step_run, task, best, task.run + 1, queue, plan, now)
@@ -256,7 +282,7 @@
         step_run: state.StepRun,
         queue: catalogue.Queue,
         without_ticket: list[str],
-        held_back: bool,
+        may_block: bool,
         plan: plans.Plan,
         now: float,
     ) -> None:
@@ -265,8 +291,10 @@
         plan.record_wait(step_run, plans.AWAITING_APPROVAL if names else plans.NO_ROOM)
         if names:
             self.request_approval(step_run, queue, names, plan, now)
-        elif not step_run.approval_pending and not held_back:
+        elif not step_run.approval_pending and may_block:
             step_run.blocked_version = self._available.version
+            held_back_at = step_run.ready_at + MAX_HELD_BACK_S
+            step_run.blocked_until = held_back_at if now < held_back_at else math.inf
 
     def start(
         self,
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -84,6 +84,7 @@
     approval_retry_at: float = 0.0
     wait_reason: str = ""  # reason logged last
     blocked_version: int = -1  # of the availability at which nothing could be placed
+    blocked_until: float = 0.0  # looked at then, also at the same availability
     # Workers that are reserved for a gang.
     reserved: frozenset[str] = frozenset()
     reserved_until: float = 0.0
