Leave steps that cannot run out of the budget of a round

Callers saw: with 400 steps at the top that had no worker, no room, no approval yet or an organisation at its ceiling, nothing behind them was started, although workers were idle.

Cause: a round looked at the first 400 steps by rank, whether they could start or not. Each cost a pass over all workers before the check whether it was blocked.

Change: blocked steps, steps above a ceiling or without any answer of the approval service and steps whose demand is known not to fit in this round are passed over before any worker is looked at and do not count. Steps without an eligible worker, with approvals for none, and gangs that could reserve nothing are blocked like those without room; a block ends when a worker could take more, at the time of a retry, or when the step may use paused workers.

Evidence, test_coordinator_progress.CrowdTest on the old code: five tests failed with 'MismatchError: [''] != []'; now all pass.

--- a/test/test_coordinator_progress.py
+++ b/test/test_coordinator_progress.py
@@ -3,6 +3,7 @@
 import testtools
 
 from test import coordinator_case as case
+from toucanspring import resources
 from toucanspring.coordinator import catalogue, planner, plans
 
 JOB = "0" * 16
@@ -274,3 +275,69 @@
         gang = case.step(3, cpus=9000, gang=True)
         self.cell.accept(case.job(JOB, gang, queue="labels"), 1.0)
         self.assertIsNotNone(self.first_start(JOB, 1.3))
+
+
+class CrowdTest(testtools.TestCase):
+    """More steps that cannot run wait ahead of a small one than a round looks at."""
+
+    def setUp(self):
+        super().setUp()
+        self.crowd = planner.MAX_STEPS_PER_ROUND + 50
+        held = catalogue.Organisation(
+            name="held", keys=frozenset(), weight=0, ceiling=resources.Resources(1)
+        )
+        self.cell = case.new_cell(
+            *(case.entry(f"w{number}", cpus=10_000) for number in range(3)),
+            catalogue_=case.configure(
+                case.queue("checks", priority=0),
+                case.queue("advised", priority=0, approval=APPROVED),
+                case.queue("labels", priority=2),
+                organisations=[held],
+            ),
+        )
+        self.cell_planner = planner.Planner(self.cell)
+
+    def crowd_with(self, step, **changes):
+        for number in range(self.crowd):
+            spec = case.job(f"c{number:015x}", step, **{"queue": "checks", **changes})
+            self.cell.accept(spec, 1.0)
+        self.cell.accept(case.job(JOB, queue="labels"), 1.0)
+
+    def assert_starts_soon(self):
+        """The rounds go on while tasks elsewhere end and free their room."""
+        started = []
+        for tick in range(4):
+            worker = self.cell.workers["w2"]
+            worker.backoff_until = 1.2 + tick / 10
+            plan = self.cell_planner.plan(1.1 + tick / 10)
+            started += [each.step.job.spec.id for each in plan.starts]
+        self.assertEqual([JOB], started)
+
+    def test_steps_without_a_worker_do_not_hold_up_later_ones(self):
+        """Guards against a round that is used up by a label no worker has."""
+        self.crowd_with(case.step(1, required_label="absent"))
+        self.assert_starts_soon()
+
+    def test_steps_above_a_ceiling_do_not_hold_up_later_ones(self):
+        """Guards against a round that is used up by one organisation's queue."""
+        self.crowd_with(case.step(1), organisation="held")
+        self.assert_starts_soon()
+
+    def test_steps_without_room_do_not_hold_up_later_ones(self):
+        """Guards against a round that is used up by steps that are too large."""
+        for worker in self.cell.workers.values():
+            worker.used = resources.Resources(5000)
+        self.crowd_with(case.step(1, cpus=6000))
+        self.assert_starts_soon()
+
+    def test_steps_that_await_approval_do_not_hold_up_later_ones(self):
+        """Guards against a round that is used up by requests without an answer."""
+        self.crowd_with(case.step(1), queue="advised")
+        self.assert_starts_soon()
+
+    def test_gangs_without_room_do_not_hold_up_later_ones(self):
+        """Guards against a round that is used up by gangs that wait."""
+        for worker in self.cell.workers.values():
+            worker.used = resources.Resources(5000)
+        self.crowd_with(case.step(4, cpus=6000, gang=True))
+        self.assert_starts_soon()
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Protocol
 
 from toucanspring import resources
@@ -25,6 +26,7 @@
 # A gang keeps its reserved workers for this long.
 RESERVATION_S = 3.0
 MAX_RESERVING_GANGS = 3
+GANG_RETRY_S = 0.2  # until a gang that could reserve nothing tries again
 # A preempted task without checkpoints loses its work; tasks that have run for longer
 # than this are not preempted.
 MAX_LOST_WORK_S = 0.5
@@ -60,6 +62,11 @@
     ) -> None:
         """Allocate resources for a run and add its start to the plan."""
 
+    def block(
+        self, step_run: state.StepRun, now: float, at_most_s: float = math.inf
+    ) -> None:
+        """Skip a step until a worker could take more, or it is held back for long."""
+
     def not_requested_with_room(self, step_run: state.StepRun) -> list[str]:
         """Return workers with free capacity that no approval was requested for."""
 
@@ -151,6 +158,7 @@
     ) -> None:
         """Reserve workers for a blocked gang; preempt tasks there if it is urgent."""
         if plan.reserving_gangs >= MAX_RESERVING_GANGS:
+            self._planner.block(step_run, now, GANG_RETRY_S)
             return
         plan.reserving_gangs += 1
         open_workers = [each for each in eligible if each.id not in plan.reserved]
@@ -160,6 +168,7 @@
         }
         chosen = self._choose_reservation(step_run, open_workers, victims, now)
         if chosen is None:
+            self._planner.block(step_run, now, GANG_RETRY_S)
             return
         plan.reserved.update(worker.id for worker, _ in chosen)
         slack_s = step_run.job.due_at - now - step_run.step.estimate_ms / 1000
--- a/toucanspring/coordinator/placement.py
+++ b/toucanspring/coordinator/placement.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from toucanspring import resources
 from toucanspring.coordinator import state, workers
 
 
-def is_eligible(step_run: state.StepRun, worker: workers.Worker) -> bool:
-    """Return whether an idle worker could run tasks of a step."""
-    step = step_run.step
-    if step.required_label and step.required_label not in worker.entry.labels:
-        return False
-    return step.occupied().fits(worker.entry.capacity)
+def find_eligible(
+    step_run: state.StepRun, candidates: Iterable[workers.Worker]
+) -> list[workers.Worker]:
+    """Return the workers that could run tasks of a step if they were idle."""
+    label, demand = step_run.step.required_label, step_run.step.occupied()
+    return [
+        worker
+        for worker in candidates
+        if (not label or label in worker.entry.labels)
+        and demand.fits(worker.entry.capacity)
+    ]
 
 
 def may_place(
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -51,17 +51,65 @@
             self._cell.ready.values(),
             key=lambda step_run: self._rank(step_run, over_share, now),
         )
-        for step_run in steps[:MAX_STEPS_PER_ROUND]:
-            if len(plan.starts) >= MAX_STARTS_PER_ROUND:
+        left = MAX_STEPS_PER_ROUND
+        for step_run in steps:
+            if not left or len(plan.starts) >= MAX_STARTS_PER_ROUND:
                 break
             queue = self._cell.catalogue.queue(step_run.job.spec.queue)
             if queue is None or step_run.job.is_final:
                 continue
-            pool = self._available.pool(queue.pool)
-            self._plan_step(step_run, queue, pool, plan, now)
+            if self._must_wait(step_run, queue, plan, now):
+                continue
+            left -= 1
+            self._plan_step(step_run, queue, plan, now)
         self._available.end_round()
         return plan
 
+    def _must_wait(
+        self,
+        step_run: state.StepRun,
+        queue: catalogue.Queue,
+        plan: plans.Plan,
+        now: float,
+    ) -> bool:
+        """Return whether a step need not be looked at; costs little for each step."""
+        if (
+            step_run.blocked_version == self._available.version
+            and now < step_run.blocked_until
+        ):
+            return True
+        if step_run.approval_pending and not step_run.tickets:
+            plan.record_wait(step_run, plans.AWAITING_APPROVAL)
+            return True
+        if queue.approval is None and not self._within_ceiling(step_run):
+            plan.record_wait(step_run, plans.ABOVE_CEILING)
+            return True
+        step = step_run.step
+        if (
+            queue.approval is None
+            and not step.gang
+            and plan.is_full_for((queue.pool, step.required_label), step.occupied())
+            and not self._is_held_back(step_run, self._available.pool(queue.pool), now)
+        ):
+            plan.record_wait(step_run, plans.NO_ROOM)
+            self.block(step_run, now)
+            return True
+        return False
+
+    def block(
+        self, step_run: state.StepRun, now: float, at_most_s: float = math.inf
+    ) -> None:
+        """Skip a step until a worker could take more, or it is held back for long."""
+        times = (
+            step_run.ready_at + MAX_HELD_BACK_S,
+            step_run.approval_retry_at,
+            now + at_most_s,
+        )
+        step_run.blocked_version = self._available.version
+        step_run.blocked_until = min(
+            (each for each in times if each > now), default=math.inf
+        )
+
     def _find_over_share(self) -> frozenset[str]:
         """Return the organisations that use more than their fair share of the cell."""
         capacity = workers.total_capacity(self._cell.workers.values())
@@ -100,17 +148,18 @@
         self,
         step_run: state.StepRun,
         queue: catalogue.Queue,
-        pool: availability.Pool,
         plan: plans.Plan,
         now: float,
     ) -> None:
+        pool = self._available.pool(queue.pool)
         held_back = self._is_held_back(step_run, pool, now)
         candidates = [*pool.usable, *pool.paused] if held_back else pool.usable
-        eligible = [
-            worker for worker in candidates if placement.is_eligible(step_run, worker)
-        ]
+        eligible = placement.find_eligible(step_run, candidates)
         if not eligible:
             plan.record_wait(step_run, plans.NO_USABLE_WORKER)
+            step = step_run.step
+            plan.record_full((queue.pool, step.required_label), step.occupied())
+            self.block(step_run, now)
             return
         if queue.approval is not None:
             self._request_new_approvals(step_run, queue, eligible, plan, now)
@@ -124,6 +173,8 @@
                 names = self.not_requested_with_room(step_run)
                 if names:
                     self.request_approval(step_run, queue, names, plan, now)
+                elif not step_run.approval_pending:
+                    self.block(step_run, now)
                 plan.record_wait(
                     step_run,
                     plans.AWAITING_APPROVAL
@@ -131,16 +182,7 @@
                     else plans.NOT_APPROVED,
                 )
                 return
-        # Only capacity is missing, so nothing fits until a worker could take more.
-        if (
-            step_run.blocked_version == self._available.version
-            and now < step_run.blocked_until
-            and not step_run.step.gang
-        ):
-            return
-        if not self._within_ceiling(
-            step_run, step_run.step.count if step_run.step.gang else 1
-        ):
+        if not self._within_ceiling(step_run):
             plan.record_wait(step_run, plans.ABOVE_CEILING)
             return
         if step_run.step.gang:
@@ -154,7 +196,7 @@
     ) -> bool:
         """Return whether nothing of a step runs although its pool is mostly idle."""
         return (
-            now - step_run.ready_at >= MAX_HELD_BACK_S
+            now >= step_run.ready_at + MAX_HELD_BACK_S
             and pool.is_lightly_used()
             and (
                 step_run.step.long_running
@@ -212,7 +254,7 @@
     def not_requested_with_room(step_run: state.StepRun) -> list[str]:
         """Return workers with free capacity that no approval was requested for."""
         demand = step_run.step.occupied()
-        return [each.id for each in step_run.not_requested if demand.fits(each.free())]
+        return [each.id for each in step_run.not_requested if each.has_room(demand)]
 
     def ticket(
         self, step_run: state.StepRun, queue: catalogue.Queue, worker: str, now: float
@@ -240,9 +282,10 @@
         open_workers = eligible
         if queue.priority > TOP_PRIORITY and not held_back:
             open_workers = [each for each in eligible if each.id not in plan.reserved]
+        demand = step_run.step.occupied()
         for index in sorted(step_run.waiting):
             if (
-                not self._within_ceiling(step_run, 1)
+                not self._within_ceiling(step_run)
                 or len(plan.starts) >= MAX_STARTS_PER_ROUND
             ):
                 return
@@ -250,8 +293,8 @@
             fits = [
                 worker
                 for worker in open_workers
-                if placement.may_place(step_run, task, worker, on_worker, now)
-                and step_run.step.occupied().fits(worker.free())
+                if worker.has_room(demand)
+                and placement.may_place(step_run, task, worker, on_worker, now)
             ]
             valid = [
                 worker
@@ -263,6 +306,13 @@
             if not valid:
                 # Reservations may end at any time.
                 may_block = len(open_workers) == len(eligible)
+                if (
+                    may_block
+                    and queue.approval is None
+                    and not step_run.step.max_per_worker
+                    and not task.avoided_workers
+                ):
+                    plan.record_full((queue.pool, step_run.step.required_label), demand)
                 self._request_or_block(
                     step_run, queue, [each.id for each in fits], may_block, plan, now
                 )
@@ -292,9 +342,7 @@
         if names:
             self.request_approval(step_run, queue, names, plan, now)
         elif not step_run.approval_pending and may_block:
-            step_run.blocked_version = self._available.version
-            held_back_at = step_run.ready_at + MAX_HELD_BACK_S
-            step_run.blocked_until = held_back_at if now < held_back_at else math.inf
+            self.block(step_run, now)
 
     def start(
         self,
@@ -311,7 +359,9 @@
         self._cell.allocate(step_run, task, worker, run_number)
         plan.starts.append(plans.Start(step_run, task, worker, run_number, ticket))
 
-    def _within_ceiling(self, step_run: state.StepRun, count: int) -> bool:
+    def _within_ceiling(self, step_run: state.StepRun) -> bool:
+        """Return whether one more task, or the whole gang, stays below the ceiling."""
+        count = step_run.step.count if step_run.step.gang else 1
         organisation = self._cell.catalogue.organisations.get(
             step_run.job.spec.organisation
         )
--- a/toucanspring/coordinator/plans.py
+++ b/toucanspring/coordinator/plans.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from toucanspring import resources
 from toucanspring.coordinator import ports, state, workers
 
 # Reasons why a step waits, as logged.
@@ -55,6 +56,21 @@
     waits: list[Wait] = dataclasses.field(default_factory=list)
     reserved: set[str] = dataclasses.field(default_factory=set)
     reserving_gangs: int = 0
+    # Demands that fit no usable worker of a pool with a label, the smallest ones.
+    full_for: dict[tuple[str, str], list[resources.Resources]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def record_full(self, key: tuple[str, str], demand: resources.Resources) -> None:
+        """Record that a demand fits no worker of a pool and label for the round."""
+        larger = self.full_for.get(key, [])
+        self.full_for[key] = [demand] + [
+            each for each in larger if not demand.fits(each)
+        ]
+
+    def is_full_for(self, key: tuple[str, str], demand: resources.Resources) -> bool:
+        """Return whether a demand as small as this is known to fit no worker."""
+        return any(each.fits(demand) for each in self.full_for.get(key, ()))
 
     def record_wait(self, step_run: state.StepRun, reason: str) -> None:
         """Record why a step waits, if the reason has changed."""
--- a/toucanspring/coordinator/workers.py
+++ b/toucanspring/coordinator/workers.py
@@ -80,6 +80,17 @@
             free = free - demand
         return free
 
+    def has_room(self, demand: resources.Resources) -> bool:
+        """Return whether `demand` fits into the free capacity."""
+        if self.unknown_tasks:
+            return demand.fits(self.free())
+        capacity, used = self.entry.capacity, self.used
+        return (
+            demand.cpus + used.cpus <= capacity.cpus
+            and demand.memory + used.memory <= capacity.memory
+            and demand.accelerators + used.accelerators <= capacity.accelerators
+        )
+
     def is_available(self, zones_out: frozenset[str]) -> bool:
         """Return whether the worker can be reached and may take new tasks."""
         return (
