Count only gangs with a reservation against its limit

Callers saw: a gang that needed workers to be kept free got none kept.

Cause: three gangs may reserve workers in a round; gangs that fit nowhere, even with preemption, were counted although they reserved nothing.

Evidence: test_gangs_that_fit_nowhere_leave_the_reservations_to_others on the old code: 'MismatchError: 3 != 0' reserved workers; now it passes.

--- a/test/test_coordinator_progress.py
+++ b/test/test_coordinator_progress.py
@@ -4,7 +4,7 @@
 
 from test import coordinator_case as case
 from toucanspring import resources
-from toucanspring.coordinator import catalogue, planner, plans
+from toucanspring.coordinator import catalogue, gangs, planner, plans
 
 JOB = "0" * 16
 OTHER = "1" * 16
@@ -341,3 +341,16 @@
             worker.used = resources.Resources(5000)
         self.crowd_with(case.step(4, cpus=6000, gang=True))
         self.assert_starts_soon()
+
+    def test_gangs_that_fit_nowhere_leave_the_reservations_to_others(self):
+        """Guards against gangs that hold all reservations and use none."""
+        for number in range(gangs.MAX_RESERVING_GANGS):
+            gang = case.step(4, cpus=9000, gang=True)
+            self.cell.accept(case.job(f"{number:016x}", gang, queue="checks"), 1.0)
+        long = case.step(1, cpus=8000, checkpointing=True)
+        self.cell.accept(case.job(BUSY, long, queue="labels"), 1.0)
+        case.confirm(self.cell, self.cell_planner.plan(1.0), 1.0)
+        gang = case.step(3, cpus=9000, gang=True)
+        self.cell.accept(case.job(OTHER, gang, queue="checks"), 1.1)
+        self.cell_planner.plan(1.5)
+        self.assertEqual(3, len(self.cell.jobs[OTHER].steps[0, 0].reserved))
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -160,7 +160,6 @@
         if plan.reserving_gangs >= MAX_RESERVING_GANGS:
             self._planner.block(step_run, now, GANG_RETRY_S)
             return
-        plan.reserving_gangs += 1
         open_workers = [each for each in eligible if each.id not in plan.reserved]
         victims = {
             worker.id: self._find_victims(worker, queue.priority, now)
@@ -170,6 +169,7 @@
         if chosen is None:
             self._planner.block(step_run, now, GANG_RETRY_S)
             return
+        plan.reserving_gangs += 1
         plan.reserved.update(worker.id for worker, _ in chosen)
         slack_s = step_run.job.due_at - now - step_run.step.estimate_ms / 1000
         waited_s = now - step_run.ready_at
