Look again at blocked steps when a pool becomes lightly used

Cause: a step that may use paused workers only in a lightly used pool was blocked until a worker could take more. A pool also becomes lightly used when its busy workers leave or fall silent, and a limit of tasks per worker is relaxed by an end whose room an unknown task takes at once; neither leaves a worker with more room.

Change: the version also rises when a pool becomes lightly used and when a worker has less allocated than at the end of the round before.

Evidence: test_a_pool_becomes_idle_when_its_busy_workers_leave on the code before: 'MismatchError: None matches Is(None)'; now it passes.

--- a/test/test_coordinator_progress.py
+++ b/test/test_coordinator_progress.py
@@ -254,6 +254,19 @@
         self.cell.accept(case.job(JOB), 1.1)
         self.assertIsNone(self.first_start(JOB, 1.1, 5.0))
 
+    def test_a_pool_becomes_idle_when_its_busy_workers_leave(self):
+        """Guards against a step that waits beside paused workers with room."""
+        self.cell.accept(case.job(BUSY, case.step(5, cpus=10_000)), 1.0)
+        case.confirm(self.cell, self.cell_planner.plan(1.0), 1.0)
+        for worker in self.cell.workers.values():
+            if not worker.allocations:
+                worker.quarantined_until = 90.0
+        self.cell.accept(case.job(JOB), 1.1)
+        self.assertIsNone(self.first_start(JOB, 1.1, 5.0))
+        for worker in self.cell.workers.values():
+            worker.responsive = not worker.allocations
+        self.assertIsNotNone(self.first_start(JOB, 6.2, 0.1))
+
     def reserve(self):
         """Let a gang that has time wait for a long task of less urgency."""
         long = case.step(1, cpus=8000, checkpointing=True)
--- a/toucanspring/coordinator/availability.py
+++ b/toucanspring/coordinator/availability.py
@@ -24,11 +24,7 @@
     paused: list[workers.Worker] = dataclasses.field(default_factory=list)
     capacity: resources.Resources = resources.ZERO
     free: resources.Resources = resources.ZERO
-
-    def is_lightly_used(self) -> bool:
-        """Return whether little of the capacity was in use at the start of a round."""
-        used = self.capacity - self.free
-        return used.dominant(self.capacity) < LIGHT_USE_SHARE
+    lightly_used: bool = False  # at the start of the round
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +34,7 @@
     entry: ports.WorkerEntry
     paused: bool
     free: resources.Resources
+    used: resources.Resources
 
 
 class Availability:
@@ -48,6 +45,7 @@
         self._cell = cell
         self._pools: dict[str, Pool] = {}
         self._seen: dict[str, Seen] = {}
+        self._lightly_used: set[str] = set()
         self._catalogue: catalogue.Catalogue | None = None
 
     def pool(self, name: str) -> Pool:
@@ -73,13 +71,20 @@
                 or before.entry is not worker.entry
                 or (before.paused and not paused)
                 or not free.fits(before.free)
+                or not before.used.fits(worker.used)
             )
+        for pool in self._pools.values():
+            used = pool.capacity - pool.free
+            pool.lightly_used = used.dominant(pool.capacity) < LIGHT_USE_SHARE
+        light = {name for name, pool in self._pools.items() if pool.lightly_used}
+        improved = improved or not light <= self._lightly_used
+        self._lightly_used = light
         self.version += improved
 
     def end_round(self) -> None:
         """Remember what each worker could still take after the starts of a round."""
         self._seen = {
-            worker.id: Seen(worker.entry, paused, worker.free())
+            worker.id: Seen(worker.entry, paused, worker.free(), worker.used)
             for pool in self._pools.values()
             for paused, found in ((False, pool.usable), (True, pool.paused))
             for worker in found
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -197,7 +197,7 @@
         """Return whether nothing of a step runs although its pool is mostly idle."""
         return (
             now >= step_run.ready_at + MAX_HELD_BACK_S
-            and pool.is_lightly_used()
+            and pool.lightly_used
             and (
                 step_run.step.long_running
                 or not any(task.worker for task in step_run.tasks)
