Double the limit of a task each time it is found stuck

Callers saw: a job whose task ran and was stopped again and again, and never ended.

Cause: a task counts as stuck after 1.2 s and a twentieth of its estimate without a new whole percent. Where 1% takes longer than that (an estimate that is far too low, a worker that is several times slower and the only one), every run is stopped, and without checkpoints each begins at zero.

Change: each stop for this reason doubles the limit of the task.

Evidence: test_a_task_is_not_found_stuck_over_and_over on the old code: 'MismatchError: 1 != 5' stops; now it passes.

--- a/test/test_coordinator_reports.py
+++ b/test/test_coordinator_reports.py
@@ -156,6 +156,30 @@
         case.poll(self.cell, "w1", [standing], now=now)
         self.assertEqual(1, len(reports.find_stuck(worker, now)))
 
+    def test_a_task_is_not_found_stuck_over_and_over(self):
+        """Guards against a task that is far slower than estimated and never ends.
+
+        It gains 1% in 2.5 s on each worker, and was stopped each time.
+        """
+        stops = 0
+        for run in range(1, 6):
+            began = run * 100.0
+            [start] = start_all(self.cell, began)
+            self.assertEqual(run, start.run)
+            for tick in range(100):
+                now = began + 0.5 + tick / 2
+                row = case.running(f"{JOB}.0.0.0", run, percent=tick // 5)
+                case.poll(self.cell, "w1", [row], now=now, sent_at=now)
+                worker = self.cell.workers["w1"]
+                if reports.find_stuck(worker, now):
+                    break
+            else:
+                break
+            stops += 1
+            end = case.ended(run, f"{JOB}.0.0.0", run, how="stopped")
+            case.poll(self.cell, "w1", ended=[end], now=now + 1)
+        self.assertEqual(1, stops)
+
     def test_a_member_that_waits_for_the_others_of_its_gang_is_not_stuck(self):
         """A member that is done stays at 100% until slower members are done too."""
         cell = case.new_cell(case.entry("w1"), case.entry("w2"))
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -244,7 +244,10 @@
 
 
 def find_stuck(worker: workers.Worker, now: float) -> list[workers.Allocation]:
-    """Return the tasks without progress although their worker responds."""
+    """Return the tasks without progress although their worker responds.
+
+    Each time a task is found its limit is doubled.
+    """
     found = []
     for allocation in worker.allocations.values():
         task, step = allocation.task, allocation.step.step
@@ -261,7 +264,10 @@
             for other in allocation.step.tasks
         ):
             continue
-        # Progress is in whole percent, and 1% of a long task may exceed the limit.
-        if now - task.progressed_at > workers.STUCK_S + step.estimate_ms / 1000 / 20:
+        # Progress is in whole percent, and 1% of a long task may exceed the limit. A
+        # task that was stopped before may be slower than its estimate says.
+        limit_s = workers.STUCK_S + step.estimate_ms / 1000 / 20
+        if now - task.progressed_at > limit_s * 2**task.times_stuck:
+            task.times_stuck += 1
             found.append(allocation)
     return found
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -59,6 +59,7 @@
     avoided_workers: frozenset[str] = frozenset()
     avoid_until: float = 0.0
     preemptions: int = 0
+    times_stuck: int = 0
     resumed: bool = False  # this run started from a checkpoint
     sampled_at: float = 0.0  # latest progress sample for the speed of the worker
     sampled_percent: int = 0
