--- a/test/test_coordinator_progress.py
+++ b/test/test_coordinator_progress.py
@@ -3,7 +3,8 @@
 import testtools
 
 from test import coordinator_case as case
-from toucanspring.coordinator import catalogue, planner, plans
+from toucanspring import resources
+from toucanspring.coordinator import catalogue, gangs, planner, plans
 
 JOB = "0" * 16
 OTHER = "1" * 16
@@ -184,3 +185,185 @@
         tickets = dict.fromkeys(request.workers, "t")
         plans.record_approvals(request, tickets, 3.5)
         self.assertEqual(2, len(cell_planner.plan(1.1).starts))
+
+
+class HeldBackTest(testtools.TestCase):
+    """Most of the pool is idle, but its workers are paused or reserved."""
+
+    def setUp(self):
+        super().setUp()
+        self.cell = case.new_cell(
+            *(case.entry(f"w{number}", cpus=10_000) for number in range(9)),
+            catalogue_=case.configure(
+                case.queue("builds", priority=1, max_attempts=1),
+                case.queue("labels", priority=2, max_attempts=1),
+            ),
+        )
+        self.cell_planner = planner.Planner(self.cell)
+
+    def first_start(self, job_id, since, limit_s=2.0):
+        for tick in range(round(limit_s * 20)):
+            now = since + tick / 20
+            plan = self.cell_planner.plan(now)
+            case.confirm(self.cell, plan, now)
+            for start in plan.starts:
+                if start.step.job.spec.id == job_id:
+                    return start
+        return None
+
+    def quarantine_all(self):
+        """Fail tasks of two jobs by their own fault on every worker."""
+        for number, job_id in enumerate((OTHER, BUSY)):
+            now = 1.0 + number
+            self.cell.accept(case.job(job_id, case.step(9, cpus=6000)), now)
+            case.confirm(self.cell, self.cell_planner.plan(now), now)
+            for name, worker in self.cell.workers.items():
+                ends = [
+                    case.ended(number + 1, task, how="failed")
+                    for task in worker.allocations
+                ]
+                case.poll(self.cell, name, ended=ends, now=now + 0.5)
+
+    def test_jobs_that_fail_everywhere_do_not_keep_others_waiting(self):
+        """Guards against an idle pool in which all workers are in quarantine."""
+        self.quarantine_all()
+        paused = [each.is_paused(2.6) for each in self.cell.workers.values()]
+        self.assertEqual([True] * 9, paused)
+        self.cell.accept(case.job(JOB, case.step(2)), 2.6)
+        self.assertIsNotNone(self.first_start(JOB, 2.6))
+
+    def test_a_gang_does_not_wait_for_the_end_of_all_quarantines(self):
+        """Guards against a gang that waits in an idle pool of paused workers."""
+        self.quarantine_all()
+        self.cell.accept(case.job(JOB, case.step(5, cpus=9000, gang=True)), 2.6)
+        self.assertIsNotNone(self.first_start(JOB, 2.6))
+
+    def test_a_worker_that_is_paused_is_used_after_the_others(self):
+        self.cell.accept(case.job(JOB, case.step(8, cpus=9000)), 1.0)
+        for number in range(1, 9):
+            self.cell.workers[f"w{number}"].quarantined_until = 90.0
+        self.cell.workers["w0"].failures = 1
+        self.assertEqual("w0", self.first_start(JOB, 1.0).worker.id)
+
+    def test_paused_workers_get_nothing_while_much_of_the_pool_is_in_use(self):
+        self.cell.accept(case.job(BUSY, case.step(5, cpus=10_000)), 1.0)
+        case.confirm(self.cell, self.cell_planner.plan(1.0), 1.0)
+        for worker in self.cell.workers.values():
+            if not worker.allocations:
+                worker.quarantined_until = 90.0
+        self.cell.accept(case.job(JOB), 1.1)
+        self.assertIsNone(self.first_start(JOB, 1.1, 5.0))
+
+    def test_a_pool_becomes_idle_when_its_busy_workers_leave(self):
+        """Guards against a step that waits beside paused workers with room."""
+        self.cell.accept(case.job(BUSY, case.step(5, cpus=10_000)), 1.0)
+        case.confirm(self.cell, self.cell_planner.plan(1.0), 1.0)
+        for worker in self.cell.workers.values():
+            if not worker.allocations:
+                worker.quarantined_until = 90.0
+        self.cell.accept(case.job(JOB), 1.1)
+        self.assertIsNone(self.first_start(JOB, 1.1, 5.0))
+        for worker in self.cell.workers.values():
+            worker.responsive = not worker.allocations
+        self.assertIsNotNone(self.first_start(JOB, 6.2, 0.1))
+
+    def reserve(self):
+        """Let a gang that has time wait for a long task of less urgency."""
+        long = case.step(1, cpus=8000, checkpointing=True)
+        self.cell.accept(case.job(BUSY, long, queue="labels"), 1.0)
+        case.confirm(self.cell, self.cell_planner.plan(1.0), 1.0)
+        self.cell.accept(case.job(OTHER, case.step(9, cpus=9000, gang=True)), 1.0)
+        self.cell.jobs[OTHER].due_at = 90.0
+
+    def test_a_task_does_not_wait_for_a_gang_that_waits_in_an_idle_pool(self):
+        """Guards against a reservation that keeps idle workers for long."""
+        self.reserve()
+        self.cell.accept(case.job(JOB, queue="labels"), 1.0)
+        self.assertIsNone(self.first_start(JOB, 1.3, 1.0))
+        self.assertIsNotNone(self.first_start(JOB, 2.3, 1.0))
+
+    def test_a_gang_does_not_wait_for_a_gang_that_waits_in_an_idle_pool(self):
+        """Guards against a reservation that keeps idle workers from other gangs."""
+        self.reserve()
+        gang = case.step(3, cpus=9000, gang=True)
+        self.cell.accept(case.job(JOB, gang, queue="labels"), 1.0)
+        self.assertIsNotNone(self.first_start(JOB, 1.3))
+
+
+class CrowdTest(testtools.TestCase):
+    """More steps that cannot run wait ahead of a small one than a round looks at."""
+
+    def setUp(self):
+        super().setUp()
+        self.crowd = planner.MAX_STEPS_PER_ROUND + 50
+        held = catalogue.Organisation(
+            name="held", keys=frozenset(), weight=0, ceiling=resources.Resources(1)
+        )
+        self.cell = case.new_cell(
+            *(case.entry(f"w{number}", cpus=10_000) for number in range(3)),
+            catalogue_=case.configure(
+                case.queue("checks", priority=0),
+                case.queue("advised", priority=0, approval=APPROVED),
+                case.queue("labels", priority=2),
+                organisations=[held],
+            ),
+        )
+        self.cell_planner = planner.Planner(self.cell)
+
+    def crowd_with(self, step, **changes):
+        for number in range(self.crowd):
+            spec = case.job(f"c{number:015x}", step, **{"queue": "checks", **changes})
+            self.cell.accept(spec, 1.0)
+        self.cell.accept(case.job(JOB, queue="labels"), 1.0)
+
+    def assert_starts_soon(self):
+        """The rounds go on while tasks elsewhere end and free their room."""
+        started = []
+        for tick in range(4):
+            worker = self.cell.workers["w2"]
+            worker.backoff_until = 1.2 + tick / 10
+            plan = self.cell_planner.plan(1.1 + tick / 10)
+            started += [each.step.job.spec.id for each in plan.starts]
+        self.assertEqual([JOB], started)
+
+    def test_steps_without_a_worker_do_not_hold_up_later_ones(self):
+        """Guards against a round that is used up by a label no worker has."""
+        self.crowd_with(case.step(1, required_label="absent"))
+        self.assert_starts_soon()
+
+    def test_steps_above_a_ceiling_do_not_hold_up_later_ones(self):
+        """Guards against a round that is used up by one organisation's queue."""
+        self.crowd_with(case.step(1), organisation="held")
+        self.assert_starts_soon()
+
+    def test_steps_without_room_do_not_hold_up_later_ones(self):
+        """Guards against a round that is used up by steps that are too large."""
+        for worker in self.cell.workers.values():
+            worker.used = resources.Resources(5000)
+        self.crowd_with(case.step(1, cpus=6000))
+        self.assert_starts_soon()
+
+    def test_steps_that_await_approval_do_not_hold_up_later_ones(self):
+        """Guards against a round that is used up by requests without an answer."""
+        self.crowd_with(case.step(1), queue="advised")
+        self.assert_starts_soon()
+
+    def test_gangs_without_room_do_not_hold_up_later_ones(self):
+        """Guards against a round that is used up by gangs that wait."""
+        for worker in self.cell.workers.values():
+            worker.used = resources.Resources(5000)
+        self.crowd_with(case.step(4, cpus=6000, gang=True))
+        self.assert_starts_soon()
+
+    def test_gangs_that_fit_nowhere_leave_the_reservations_to_others(self):
+        """Guards against gangs that hold all reservations and use none."""
+        for number in range(gangs.MAX_RESERVING_GANGS):
+            gang = case.step(4, cpus=9000, gang=True)
+            self.cell.accept(case.job(f"{number:016x}", gang, queue="checks"), 1.0)
+        long = case.step(1, cpus=8000, checkpointing=True)
+        self.cell.accept(case.job(BUSY, long, queue="labels"), 1.0)
+        case.confirm(self.cell, self.cell_planner.plan(1.0), 1.0)
+        gang = case.step(3, cpus=9000, gang=True)
+        self.cell.accept(case.job(OTHER, gang, queue="checks"), 1.1)
+        self.cell_planner.plan(1.5)
+        self.assertEqual(3, len(self.cell.jobs[OTHER].steps[0, 0].reserved))
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Protocol
 
 from toucanspring import resources
@@ -25,6 +26,7 @@
 # A gang keeps its reserved workers for this long.
 RESERVATION_S = 3.0
 MAX_RESERVING_GANGS = 3
+GANG_RETRY_S = 0.2  # until a gang that could reserve nothing tries again
 # A preempted task without checkpoints loses its work; tasks that have run for longer
 # than this are not preempted.
 MAX_LOST_WORK_S = 0.5
@@ -60,6 +62,11 @@
     ) -> None:
         """Allocate resources for a run and add its start to the plan."""
 
+    def block(
+        self, step_run: state.StepRun, now: float, at_most_s: float = math.inf
+    ) -> None:
+        """Skip a step until a worker could take more, or it is held back for long."""
+
     def not_requested_with_room(self, step_run: state.StepRun) -> list[str]:
         """Return workers with free capacity that no approval was requested for."""
 
@@ -76,32 +83,41 @@
         step_run: state.StepRun,
         queue: catalogue.Queue,
         eligible: list[workers.Worker],
+        held_back: bool,
         plan: plans.Plan,
         now: float,
     ) -> None:
-        """Start a gang if it fits, else reserve workers and preempt tasks for it."""
+        """Start a gang if it fits, else reserve workers and preempt tasks for it.
+
+        Paused and reserved workers are used only by a gang that is held back.
+        """
         count = step_run.step.count
         if len(step_run.waiting) < count:
             plan.record_wait(step_run, plans.GANG_STILL_RUNNING)
             return
         if len({step_run.tasks[index].checkpoint for index in step_run.waiting}) > 1:
             self._align_checkpoints(step_run)
-        open_workers = [
+        allowed = [
             worker
             for worker in eligible
-            if worker.id not in plan.reserved
-            and all(
-                placement.may_retry_on(task, worker, now) for task in step_run.tasks
-            )
+            if all(placement.may_retry_on(task, worker, now) for task in step_run.tasks)
+        ]
+        open_workers = [
+            worker
+            for worker in allowed
+            if worker.id not in plan.reserved and not worker.is_paused(now)
         ]
         chosen = placement.place_gang(step_run, open_workers, {})
+        if chosen is None and held_back:
+            chosen = placement.place_gang(step_run, allowed, {})
         if chosen is None:
             plan.record_wait(step_run, plans.NO_ROOM)
             names = self._planner.not_requested_with_room(step_run)
             if names:
                 self._planner.request_approval(step_run, queue, names, plan, now)
             if now - step_run.ready_at >= RESERVE_AFTER_S:
-                self._reserve_and_preempt(step_run, queue, eligible, plan, now)
+                usable = [each for each in eligible if not each.is_paused(now)]
+                self._reserve_and_preempt(step_run, queue, usable, plan, now)
             return
         missing = [
             worker.id
@@ -142,8 +158,8 @@
     ) -> None:
         """Reserve workers for a blocked gang; preempt tasks there if it is urgent."""
         if plan.reserving_gangs >= MAX_RESERVING_GANGS:
+            self._planner.block(step_run, now, GANG_RETRY_S)
             return
-        plan.reserving_gangs += 1
         open_workers = [each for each in eligible if each.id not in plan.reserved]
         victims = {
             worker.id: self._find_victims(worker, queue.priority, now)
@@ -151,7 +167,9 @@
         }
         chosen = self._choose_reservation(step_run, open_workers, victims, now)
         if chosen is None:
+            self._planner.block(step_run, now, GANG_RETRY_S)
             return
+        plan.reserving_gangs += 1
         plan.reserved.update(worker.id for worker, _ in chosen)
         slack_s = step_run.job.due_at - now - step_run.step.estimate_ms / 1000
         waited_s = now - step_run.ready_at
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 from toucanspring.coordinator import (
     availability,
     catalogue,
@@ -24,6 +26,9 @@
 LATE_ESTIMATE_FRACTION = 0.6
 # A fresh ticket is used for this fraction of its validity, however late orders arrive.
 MIN_USABLE_VALIDITY = 0.5
+# A step of which nothing runs after this long in a lightly used pool may use workers
+# that are paused or reserved for gangs: a doubtful start is better than none.
+MAX_HELD_BACK_S = 1.5
 # Limits the duration of a round.
 MAX_STEPS_PER_ROUND = 400
 MAX_STARTS_PER_ROUND = 120
@@ -49,17 +54,65 @@
             self._cell.ready.values(),
             key=lambda step_run: self._rank(step_run, over_share, now),
         )
-        for step_run in steps[:MAX_STEPS_PER_ROUND]:
-            if len(plan.starts) >= MAX_STARTS_PER_ROUND:
+        left = MAX_STEPS_PER_ROUND
+        for step_run in steps:
+            if not left or len(plan.starts) >= MAX_STARTS_PER_ROUND:
                 break
             queue = self._cell.catalogue.queue(step_run.job.spec.queue)
             if queue is None or step_run.job.is_final:
                 continue
-            pool = self._available.pool(queue.pool)
-            self._plan_step(step_run, queue, pool.usable, plan, now)
+            if self._must_wait(step_run, queue, plan, now):
+                continue
+            left -= 1
+            self._plan_step(step_run, queue, plan, now)
         self._available.end_round()
         return plan
 
+    def _must_wait(
+        self,
+        step_run: state.StepRun,
+        queue: catalogue.Queue,
+        plan: plans.Plan,
+        now: float,
+    ) -> bool:
+        """Return whether a step need not be looked at; costs little for each step."""
+        if (
+            step_run.blocked_version == self._available.version
+            and now < step_run.blocked_until
+        ):
+            return True
+        if step_run.approval_pending and not step_run.tickets:
+            plan.record_wait(step_run, plans.AWAITING_APPROVAL)
+            return True
+        if queue.approval is None and not self._within_ceiling(step_run):
+            plan.record_wait(step_run, plans.ABOVE_CEILING)
+            return True
+        step = step_run.step
+        if (
+            queue.approval is None
+            and not step.gang
+            and plan.is_full_for((queue.pool, step.required_label), step.occupied())
+            and not self._is_held_back(step_run, self._available.pool(queue.pool), now)
+        ):
+            plan.record_wait(step_run, plans.NO_ROOM)
+            self.block(step_run, now)
+            return True
+        return False
+
+    def block(
+        self, step_run: state.StepRun, now: float, at_most_s: float = math.inf
+    ) -> None:
+        """Skip a step until a worker could take more, or it is held back for long."""
+        times = (
+            step_run.ready_at + MAX_HELD_BACK_S,
+            step_run.approval_retry_at,
+            now + at_most_s,
+        )
+        step_run.blocked_version = self._available.version
+        step_run.blocked_until = min(
+            (each for each in times if each > now), default=math.inf
+        )
+
     def _find_over_share(self) -> frozenset[str]:
         """Return the organisations that use more than their fair share of the cell."""
         capacity = workers.total_capacity(self._cell.workers.values())
@@ -98,15 +151,18 @@
         self,
         step_run: state.StepRun,
         queue: catalogue.Queue,
-        usable: list[workers.Worker],
         plan: plans.Plan,
         now: float,
     ) -> None:
-        eligible = [
-            worker for worker in usable if placement.is_eligible(step_run, worker)
-        ]
+        pool = self._available.pool(queue.pool)
+        held_back = self._is_held_back(step_run, pool, now)
+        candidates = [*pool.usable, *pool.paused] if held_back else pool.usable
+        eligible = placement.find_eligible(step_run, candidates)
         if not eligible:
             plan.record_wait(step_run, plans.NO_USABLE_WORKER)
+            step = step_run.step
+            plan.record_full((queue.pool, step.required_label), step.occupied())
+            self.block(step_run, now)
             return
         if queue.approval is not None:
             self._request_new_approvals(step_run, queue, eligible, plan, now)
@@ -120,6 +176,8 @@
                 names = self.not_requested_with_room(step_run)
                 if names:
                     self.request_approval(step_run, queue, names, plan, now)
+                elif not step_run.approval_pending:
+                    self.block(step_run, now)
                 plan.record_wait(
                     step_run,
                     plans.AWAITING_APPROVAL
@@ -127,21 +185,27 @@
                     else plans.NOT_APPROVED,
                 )
                 return
-        # Only capacity is missing, so nothing fits until a worker could take more.
-        if (
-            step_run.blocked_version == self._available.version
-            and not step_run.step.gang
-        ):
-            return
-        if not self._within_ceiling(
-            step_run, step_run.step.count if step_run.step.gang else 1
-        ):
+        if not self._within_ceiling(step_run):
             plan.record_wait(step_run, plans.ABOVE_CEILING)
             return
         if step_run.step.gang:
-            self._gangs.plan(step_run, queue, eligible, plan, now)
+            self._gangs.plan(step_run, queue, eligible, held_back, plan, now)
         else:
-            self._plan_tasks(step_run, queue, eligible, plan, now)
+            self._plan_tasks(step_run, queue, eligible, held_back, plan, now)
+
+    @staticmethod
+    def _is_held_back(
+        step_run: state.StepRun, pool: availability.Pool, now: float
+    ) -> bool:
+        """Return whether nothing of a step runs although its pool is mostly idle."""
+        return (
+            now >= step_run.ready_at + MAX_HELD_BACK_S
+            and pool.lightly_used
+            and (
+                step_run.step.long_running
+                or not any(task.worker for task in step_run.tasks)
+            )
+        )
 
     # Approvals
 
@@ -193,7 +257,7 @@
     def not_requested_with_room(step_run: state.StepRun) -> list[str]:
         """Return workers with free capacity that no approval was requested for."""
         demand = step_run.step.occupied()
-        return [each.id for each in step_run.not_requested if demand.fits(each.free())]
+        return [each.id for each in step_run.not_requested if each.has_room(demand)]
 
     def ticket(
         self, step_run: state.StepRun, queue: catalogue.Queue, worker: str, now: float
@@ -216,16 +280,18 @@
         step_run: state.StepRun,
         queue: catalogue.Queue,
         eligible: list[workers.Worker],
+        held_back: bool,
         plan: plans.Plan,
         now: float,
     ) -> None:
         on_worker = placement.count_per_worker(step_run)
         open_workers = eligible
-        if queue.priority > TOP_PRIORITY:
+        if queue.priority > TOP_PRIORITY and not held_back:
             open_workers = [each for each in eligible if each.id not in plan.reserved]
+        demand = step_run.step.occupied()
         for index in sorted(step_run.waiting):
             if (
-                not self._within_ceiling(step_run, 1)
+                not self._within_ceiling(step_run)
                 or len(plan.starts) >= MAX_STARTS_PER_ROUND
             ):
                 return
@@ -233,8 +299,8 @@
             fits = [
                 worker
                 for worker in open_workers
-                if placement.may_place(step_run, task, worker, on_worker, now)
-                and step_run.step.occupied().fits(worker.free())
+                if worker.has_room(demand)
+                and placement.may_place(step_run, task, worker, on_worker, now)
             ]
             valid = [
                 worker
@@ -245,14 +311,24 @@
                 continue  # other tasks of the step may still fit
             if not valid:
                 # Reservations may end at any time.
-                held_back = not fits and len(open_workers) < len(eligible)
+                may_block = len(open_workers) == len(eligible)
+                if (
+                    may_block
+                    and queue.approval is None
+                    and not step_run.step.max_per_worker
+                    and not task.avoided_workers
+                ):
+                    plan.record_full((queue.pool, step_run.step.required_label), demand)
                 self._request_or_block(
-                    step_run, queue, [each.id for each in fits], held_back, plan, now
+                    step_run, queue, [each.id for each in fits], may_block, plan, now
                 )
                 return
             best = min(
                 valid,
-                key=lambda worker: placement.rank(step_run, worker, worker.free()),
+                key=lambda worker: (
+                    held_back and (worker.is_paused(now) or worker.id in plan.reserved),
+                    placement.rank(step_run, worker, worker.free()),
+                ),
             )
             on_worker[best.id] = on_worker.get(best.id, 0) + 1
             self.start(step_run, task, best, task.run + 1, queue, plan, now)
@@ -262,7 +338,7 @@
         step_run: state.StepRun,
         queue: catalogue.Queue,
         without_ticket: list[str],
-        held_back: bool,
+        may_block: bool,
         plan: plans.Plan,
         now: float,
     ) -> None:
@@ -271,8 +347,8 @@
         plan.record_wait(step_run, plans.AWAITING_APPROVAL if names else plans.NO_ROOM)
         if names:
             self.request_approval(step_run, queue, names, plan, now)
-        elif not step_run.approval_pending and not held_back:
-            step_run.blocked_version = self._available.version
+        elif not step_run.approval_pending and may_block:
+            self.block(step_run, now)
 
     def start(
         self,
@@ -289,7 +365,9 @@
         self._cell.allocate(step_run, task, worker, run_number)
         plan.starts.append(plans.Start(step_run, task, worker, run_number, ticket))
 
-    def _within_ceiling(self, step_run: state.StepRun, count: int) -> bool:
+    def _within_ceiling(self, step_run: state.StepRun) -> bool:
+        """Return whether one more task, or the whole gang, stays below the ceiling."""
+        count = step_run.step.count if step_run.step.gang else 1
         organisation = self._cell.catalogue.organisations.get(
             step_run.job.spec.organisation
         )
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -59,6 +59,7 @@
     avoided_workers: frozenset[str] = frozenset()
     avoid_until: float = 0.0
     preemptions: int = 0
+    times_stuck: int = 0
     resumed: bool = False  # this run started from a checkpoint
     sampled_at: float = 0.0  # latest progress sample for the speed of the worker
     sampled_percent: int = 0
@@ -84,6 +85,7 @@
     approval_retry_at: float = 0.0
     wait_reason: str = ""  # reason logged last
     blocked_version: int = -1  # of the availability at which nothing could be placed
+    blocked_until: float = 0.0  # looked at then, also at the same availability
     # Workers that are reserved for a gang.
     reserved: frozenset[str] = frozenset()
     reserved_until: float = 0.0
