Let the starts of a round follow the write before it and the orders answered

Callers saw work wait for a start with room free: a round planned at most 120 starts, which is 240 a second while a write takes 0.5 s, and 370 are wanted.

A round now plans 120 starts, or 800 for each second of the write before it, up to 400. While starts wait for a slot it plans no more than have ended since the last round, less those that wait. Starts in flight shrink to 60 while the median of orders takes over 0.15 s and grow to 300 while it is under 0.08 s. `round_slow` says how many starts and stops wait and are in flight.

Seen failing before: test_rounds_with_slow_writes_start_more_tasks `120 not greater than 200`, test_nothing_more_is_recorded_while_orders_wait `600 not less than 250`.

--- a/test/test_coordinator_orders.py
+++ b/test/test_coordinator_orders.py
@@ -76,7 +76,7 @@
         self.queue.submit("w2", 2)
         self.settle()
         self.assertEqual((0, 0, 2), (
-            self.queue.in_flight, self.queue.waiting, self.queue.sent,
+            self.queue.in_flight, self.queue.waiting, self.queue.ended,
         ))  # fmt: skip
 
     def test_nothing_is_sent_after_close(self):
--- a/test/test_coordinator_pacing.py
+++ b/test/test_coordinator_pacing.py
@@ -1,6 +1,7 @@
-"""The margin of tickets, from measured times; controlled time."""
+"""Limits of starts and the margin of tickets, from measured times; controlled time."""
 
 import gevent
+import gevent.event
 import testtools
 
 from standins import lease_workers
@@ -27,6 +28,10 @@
         super().setUp()
         self.pacing = order_pacing.OrderPacing()
 
+    def record_orders(self, order_s, count=order_pacing.ORDER_SAMPLES):
+        for _ in range(count):
+            self.pacing.record_order(order_s)
+
     def test_the_ticket_margin_follows_slow_writes(self):
         self.assertEqual(
             order_pacing.MIN_TICKET_MARGIN_S, self.pacing.ticket_margin_s()
@@ -56,6 +61,57 @@
             order_pacing.MIN_TICKET_MARGIN_S, self.pacing.ticket_margin_s()
         )
 
+    def test_a_round_after_a_slow_write_may_start_more(self):
+        """Guards against 240 starts a second while each round takes 0.5 s."""
+        self.record_orders(0.01, 10 * order_pacing.ORDER_SAMPLES)
+        self.pacing.record_write(0.5)
+        first = self.pacing.start_limit(0, 0, 100)
+        self.assertGreaterEqual(first, 200)
+        self.assertEqual(
+            order_pacing.MAX_STARTS_PER_ROUND, self.pacing.start_limit(0, 0, first)
+        )
+
+    def test_a_calm_round_may_start_as_many_as_before(self):
+        self.record_orders(0.01)
+        self.pacing.record_write(0.01)
+        self.assertEqual(
+            order_pacing.MIN_STARTS_PER_ROUND, self.pacing.start_limit(0, 0, 0)
+        )
+
+    def test_waiting_orders_reduce_the_starts_of_a_round(self):
+        """Guards against intents that get old before their orders are sent."""
+        self.pacing.record_write(0.5)
+        full = order_pacing.FIRST_IN_FLIGHT
+        self.assertEqual(70, self.pacing.start_limit(30, full, 100))
+        self.assertEqual(1, self.pacing.start_limit(300, full, 100))
+        self.assertEqual(1, self.pacing.start_limit(0, full, 0))
+        self.assertEqual(40, self.pacing.start_limit(0, full - 40, 0))
+
+    def test_the_waiting_orders_are_bounded_at_any_rate_of_dispatch(self):
+        self.pacing.record_write(0.5)
+        slots = order_pacing.FIRST_IN_FLIGHT
+        for rate in (10, 40, 100):  # orders that end during a round
+            unfinished = ended = 0
+            for _ in range(50):
+                backlog = max(0, unfinished - slots)
+                in_flight = min(unfinished, slots)
+                unfinished += self.pacing.start_limit(backlog, in_flight, ended)
+                ended = min(unfinished, rate)
+                unfinished -= ended
+            self.assertLessEqual(unfinished, 2 * slots)
+
+    def test_fewer_orders_are_in_flight_while_most_are_slow(self):
+        """Guards against orders without an answer because they fill the link."""
+        self.record_orders(0.35, 20 * order_pacing.ORDER_SAMPLES)
+        self.assertEqual(order_pacing.MIN_IN_FLIGHT, self.pacing.max_in_flight)
+        self.record_orders(0.01, 20 * order_pacing.ORDER_SAMPLES)
+        self.assertEqual(order_pacing.MAX_IN_FLIGHT, self.pacing.max_in_flight)
+
+    def test_some_silent_workers_do_not_reduce_the_orders_in_flight(self):
+        for number in range(20 * order_pacing.ORDER_SAMPLES):
+            self.pacing.record_order(0.4 if number % 3 == 0 else 0.01)
+        self.assertEqual(order_pacing.MAX_IN_FLIGHT, self.pacing.max_in_flight)
+
 
 class PlannerTest(testtools.TestCase):
     def setUp(self):
@@ -84,6 +140,11 @@
         self.planner.ticket_margin_s = 60.0
         self.assertEqual(4, len(self.planner.plan(1.0).starts))
 
+    def test_a_round_plans_no_more_than_its_limit(self):
+        self.approve(3.0)
+        self.planner.max_starts = 3
+        self.assertEqual(3, len(self.planner.plan(1.0).starts))
+
 
 class Leader:
     """A coordinator that does nothing by itself."""
@@ -191,3 +252,55 @@
         self.accept(case.step(2))
         self.wait_for(self.is_complete)
         self.assertEqual({False}, set(late))
+
+
+class StartLimitTest(leadership_tests.LeadershipCase):
+    def setUp(self):
+        super().setUp()
+        entries = [case.entry(f"w{number}", cpus=3000) for number in range(300)]
+        for each in entries:
+            self.workers.add(each)
+        self.directory.known = {each.id: each for each in entries}
+        self.rounds = []
+
+    def coordinate(self):
+        leader = super().coordinate()
+        leader._on_round = lambda starts, _took_s: self.rounds.append(starts)
+        self.wait_for(
+            lambda: all(each.confirmed for each in leader.cell.workers.values())
+        )
+        return leader
+
+    def test_rounds_with_slow_writes_start_more_tasks(self):
+        """Guards against 240 starts a second while a write takes 0.5 s."""
+        transact = self.store.transact
+
+        def transact_slowly(*changes):
+            gevent.sleep(0.3)
+            return transact(*changes)
+
+        self.workers.run_s = 30
+        self.coordinate()
+        self.store.transact = transact_slowly
+        self.accept(case.step(900))
+        self.wait_for(lambda: self.workers.starts == 900)
+        self.assertGreater(max(self.rounds), 200)
+
+    def test_nothing_more_is_recorded_while_orders_wait(self):
+        """Guards against intents that get old while their orders wait."""
+        answered = gevent.event.Event()
+        start = self.workers.start
+
+        def start_late(worker, order):
+            answered.wait()
+            return start(worker, order)
+
+        self.workers.run_s = 30
+        self.workers.start = start_late
+        leader = self.coordinate()
+        self.accept(case.step(900))
+        gevent.sleep(1.2)
+        recorded = leader.cell.jobs[JOB].steps[0, 0]
+        self.assertLess(900 - len(recorded.waiting), 250)
+        answered.set()
+        self.wait_for(lambda: self.workers.starts == 900)
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -33,9 +33,8 @@
 UNRESPONSIVE_AFTER_S = 0.8
 MAX_START_ATTEMPTS = 3
 STOP_RETRY_S = 0.25
-MAX_STARTS_IN_FLIGHT = 300
 MAX_STOPS_IN_FLIGHT = 100
-MAX_STARTS_PER_WORKER = 3  # in flight
+MAX_STARTS_PER_WORKER = 4  # in flight
 MAX_STOPS_PER_WORKER = 2  # in flight
 # A worker may restart unnoticed if it is not polled for this long.
 MAX_POLL_GAP_S = 0.2
@@ -93,8 +92,9 @@
         self._acknowledged: dict[str, event.Event] = {}
         self.pacing = order_pacing.OrderPacing()
         self.starts = order_queue.OrderQueue(
-            self._start, MAX_STARTS_IN_FLIGHT, MAX_STARTS_PER_WORKER
+            self._start, self.pacing.max_in_flight, MAX_STARTS_PER_WORKER
         )
+        self._ended_before = 0
         self.stops = order_queue.OrderQueue(
             self._stop, MAX_STOPS_IN_FLIGHT, MAX_STOPS_PER_WORKER
         )
@@ -220,6 +220,21 @@
 
     # Starts and stops
 
+    def count_orders(self) -> dict[str, int]:
+        """Return how many orders wait and are in flight, for the log."""
+        return {
+            "starts_waiting": self.starts.waiting,
+            "starts_in_flight": self.starts.in_flight,
+            "stops_waiting": self.stops.waiting,
+            "stops_in_flight": self.stops.in_flight,
+        }
+
+    def start_limit(self) -> int:
+        """Return how many starts the next round may plan."""
+        queue = self.starts
+        ended, self._ended_before = queue.ended - self._ended_before, queue.ended
+        return self.pacing.start_limit(queue.backlog, queue.in_flight, ended)
+
     def start(self, start: plans.Start, planned_at: float) -> None:
         """Queue a start order whose intent is durable."""
         self.starts.submit(start.worker.id, QueuedStart(start, planned_at))
@@ -271,6 +286,7 @@
             )
             now = self._clock()
             self.pacing.record_order(now - sent)
+            self.starts.max_in_flight = self.pacing.max_in_flight
             if not attempt and isinstance(answer, ports.OrderDone | ports.OrderRefused):
                 self.pacing.record_delay(now - queued.planned_at)
             match answer:
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -350,6 +350,7 @@
         self._run_housekeeping(now)
         plan = plans.Plan()
         if self._view_age(now) < MAX_VIEW_AGE_S and self._writer.holds_lease(now):
+            self._planner.max_starts = self._dispatcher.start_limit()
             self._planner.ticket_margin_s = self._dispatcher.pacing.ticket_margin_s()
             plan = self._planner.plan(now)
         for request in plan.approval_requests:
@@ -373,6 +374,7 @@
                 plan_ms=_to_ms(planned_at - now), write_ms=_to_ms(self._write_s),
                 commit_ms=_to_ms(ended_at - planned_at), jobs_written=dirty,
                 bytes_written=self._written_bytes, steps_waiting=len(self.cell.ready),
+                **self._dispatcher.count_orders(),
             )  # fmt: skip
 
     def _view_age(self, now: float) -> float:
--- a/toucanspring/coordinator/order_pacing.py
+++ b/toucanspring/coordinator/order_pacing.py
@@ -1,4 +1,4 @@
-"""Ticket margin of starts, from measured times.
+"""Pace of starts: how many a round plans, how many are in flight, ticket margin.
 
 It performs no I/O and reads no clock; times are seconds.
 """
@@ -15,13 +15,26 @@
 DELAY_SAMPLES = 100
 DELAY_QUANTILE = 0.9
 WRITE_SAMPLES = 5
+# The start limit of a round grows with the time of the write before it, during which
+# nothing can be planned.
+MIN_STARTS_PER_ROUND = 120
+MAX_STARTS_PER_ROUND = 400
+STARTS_PER_WRITE_S = 800
+# Starts in flight: fewer while most orders are slow, since more only queue on the link.
+MIN_IN_FLIGHT = 60
+MAX_IN_FLIGHT = 300
+FIRST_IN_FLIGHT = 100
 ORDER_SAMPLES = 32
+SLOW_ORDER_S = 0.15
+FAST_ORDER_S = 0.08
+SHRINK, GROW = 0.7, 1.3
 
 
 class OrderPacing:
-    """Measured times of writes and orders, and the margin that follows from them."""
+    """Measured times of writes and orders, and the limits that follow from them."""
 
     def __init__(self) -> None:
+        self.max_in_flight = FIRST_IN_FLIGHT
         self.order_s = 0.0  # median time from sending a start to its answer
         self._writes: collections.deque[float] = collections.deque(maxlen=WRITE_SAMPLES)
         self._delays: collections.deque[float] = collections.deque(maxlen=DELAY_SAMPLES)
@@ -42,6 +55,10 @@
             return
         self.order_s = statistics.median(self._orders)
         self._orders.clear()
+        if self.order_s > SLOW_ORDER_S:
+            self.max_in_flight = max(MIN_IN_FLIGHT, int(self.max_in_flight * SHRINK))
+        elif self.order_s < FAST_ORDER_S:
+            self.max_in_flight = min(MAX_IN_FLIGHT, int(self.max_in_flight * GROW))
 
     def ticket_margin_s(self) -> float:
         """Return the validity that a ticket needs at planning time."""
@@ -49,3 +66,16 @@
         delay_s = delays[int(DELAY_QUANTILE * len(delays))] if delays else 0.0
         expected_s = max(delay_s, *self._writes, 0.0) + MARGIN_SLACK_S
         return min(MAX_TICKET_MARGIN_S, max(MIN_TICKET_MARGIN_S, expected_s))
+
+    def start_limit(self, backlog: int, in_flight: int, ended: int) -> int:
+        """Return how many starts the next round may plan.
+
+        `backlog` starts wait for a free slot, `in_flight` wait for an answer, and
+        `ended` are over since the last round.
+        """
+        write_s = self._writes[-1] if self._writes else 0.0
+        limit = round(STARTS_PER_WRITE_S * write_s)
+        limit = min(MAX_STARTS_PER_ROUND, max(MIN_STARTS_PER_ROUND, limit))
+        if backlog:
+            return max(1, min(limit, ended) - backlog)
+        return max(1, min(limit, max(self.max_in_flight - in_flight, 2 * ended)))
--- a/toucanspring/coordinator/order_queue.py
+++ b/toucanspring/coordinator/order_queue.py
@@ -28,7 +28,7 @@
         self.max_in_flight = max_in_flight
         self.in_flight = 0
         self.waiting = 0
-        self.sent = 0
+        self.ended = 0  # attempts that are over
         self._send = send
         self._max_per_worker = max_per_worker
         self._lines: dict[str, collections.deque[Order]] = {}
@@ -66,7 +66,6 @@
                 del self._lines[name]
             self.waiting -= 1
             self.in_flight += 1
-            self.sent += 1
             self._busy[name] += 1
             self._queue_turn(name)
             self._greenlets.spawn(self._run, name, order)
@@ -85,6 +84,7 @@
             repeat_after_s = self._send(order)
         finally:
             self.in_flight -= 1
+            self.ended += 1
             self._busy[worker] -= 1
             if not self._busy[worker]:
                 del self._busy[worker]
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -25,7 +25,6 @@
 MIN_USABLE_VALIDITY = 0.5
 # Limits the duration of a round.
 MAX_STEPS_PER_ROUND = 400
-MAX_STARTS_PER_ROUND = 120
 MAX_WORKERS_PER_REQUEST = 100
 
 
@@ -35,6 +34,7 @@
     def __init__(self, cell: cell_state.CellState) -> None:
         self._cell = cell
         self._gangs = gangs.Gangs(cell, self)
+        self.max_starts = order_pacing.MIN_STARTS_PER_ROUND
         # Remaining validity of a ticket at a start: the order may be delayed.
         self.ticket_margin_s = order_pacing.MIN_TICKET_MARGIN_S
 
@@ -48,7 +48,7 @@
             key=lambda step_run: self._rank(step_run, over_share, now),
         )
         for step_run in steps[:MAX_STEPS_PER_ROUND]:
-            if len(plan.starts) >= MAX_STARTS_PER_ROUND:
+            if len(plan.starts) >= self.max_starts:
                 break
             queue = self._cell.catalogue.queue(step_run.job.spec.queue)
             if queue is None or step_run.job.is_final:
@@ -228,7 +228,7 @@
         for index in sorted(step_run.waiting):
             if (
                 not self._within_ceiling(step_run, 1)
-                or len(plan.starts) >= MAX_STARTS_PER_ROUND
+                or len(plan.starts) >= self.max_starts
             ):
                 return
             task = step_run.tasks[index]
