Count the validity of a ticket from the decision of the approval service

Callers saw work start late while approvals are relayed over slow links; starts were refused for their ticket although it was used 0.02 s after its planning. Cause: the validity was counted from the arrival of the answer.

The validity now counts from the earliest moment of the decision: the sending of the request and the service's own time for it, never later than the answer.

Seen failing before: test_a_ticket_is_valid_from_the_decision_on, `AssertionError: 2095.995272825 not less than 2095.894785679`.

--- a/test/test_coordinator_processes.py
+++ b/test/test_coordinator_processes.py
@@ -1,5 +1,7 @@
 """Several processes on one store: election, failover, approval requests and calls."""
 
+import time
+
 import gevent
 import testtools
 
@@ -311,6 +313,17 @@
         self.assertEqual(busy + 1, len(self.dispatchers["one"]._in_flight))
         self.wait_for_replies(6)
 
+    def test_a_ticket_is_valid_from_the_decision_on(self):
+        """Guards against starts refused for a ticket whose answer came late."""
+        request = self.request(0.01)
+        asked_at = time.monotonic()
+        for each in self.approvals.values():
+            ask = each.ask
+            each.ask = lambda *args, ask=ask: (gevent.sleep(0.4), ask(*args))[1]
+        self.dispatchers["one"].submit(request)
+        self.wait_for_replies(1)
+        self.assertLess(request.step.tickets["w1"].expires_at, asked_at + 2.5 + 0.3)
+
     def test_a_failed_request_may_be_retried_after_a_delay(self):
         for each in self.approvals.values():
             each.failure = errors.Unavailable(reason="busy")
--- a/toucanspring/coordinator/approval_dispatcher.py
+++ b/toucanspring/coordinator/approval_dispatcher.py
@@ -142,6 +142,8 @@
                 asked=len(request.workers), allowed=len(answer),
                 caller=caller or "self", after_s=round(now - sent_at, 3),
             )  # fmt: skip
-            plans.record_approvals(request, answer, now + request.validity_s)
+            # The answer may have been on its way for long after the decision.
+            decided_at = min(now, sent_at + request.cost_s)
+            plans.record_approvals(request, answer, decided_at + request.validity_s)
         self._on_reply(request)
         self._dispatch()
