Acknowledge ends and renew leases while writes to the store are slow

Cause: a poll after 0.2 s without one is a check that acknowledges nothing and renews no lease, since the worker may have restarted. After a reply with new ends the loop waits for their write; while a write takes over 0.2 s the next poll is a check, its reply has new ends, the loop waits again, and so on: no poll acknowledges or renews as long as each reply has a new end, and the lists grow. Only starts renewed such leases.

The poll after a check now follows at once and carries the lease and what is durable by then. Nothing changes while writes take less than 0.2 s and replies come.

--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -175,10 +175,15 @@
             worker.entry, self._leader.epoch, acked_end, lease_until_ms, wait_ms
         )
         now = self._clock()
+        unchecked = worker.may_have_restarted
         worker.may_have_restarted = not isinstance(answer, ports.PollReply)
         match answer:
             case ports.PollReply():
-                self._apply_reply(worker, answer, sent, now)
+                has_new_ends = self._apply_reply(worker, answer, sent, now)
+                # The poll after a check acknowledges and renews at once. A wait for
+                # the write first would need a check again.
+                if has_new_ends and (worker.may_have_restarted or not unchecked):
+                    self._await_acknowledgement(worker, now)
                 return True
             case ports.OrderRefused(reason=ports.FENCED):
                 self._leader.step_down(f"worker {worker.id} has seen a higher epoch")
@@ -188,7 +193,8 @@
 
     def _apply_reply(
         self, worker: workers.Worker, reply: ports.PollReply, sent: float, now: float
-    ) -> None:
+    ) -> bool:
+        """Apply a reply; return whether it lists ends that are not durable yet."""
         cell = self._leader.cell
         last = max((end.number for end in reply.ended), default=worker.acked_end)
         has_new_ends = last > worker.acked_end
@@ -210,13 +216,15 @@
         if changed_jobs or has_new_ends or cell.stops:
             self._leader.wake()
         if has_new_ends:
-            signal = self._acknowledged[worker.id]
-            signal.clear()
+            self._acknowledged[worker.id].clear()
             self._leader.acknowledge_ends(worker, last)
-            # A poll before the ends are durable would only return them again.
-            signal.wait(DURABLE_WAIT_S)
-            if self._clock() - now > MAX_POLL_GAP_S:
-                worker.may_have_restarted = True
+        return has_new_ends
+
+    def _await_acknowledgement(self, worker: workers.Worker, polled_at: float) -> None:
+        """Wait for the write of ends; a poll before it would only list them again."""
+        self._acknowledged[worker.id].wait(DURABLE_WAIT_S)
+        if self._clock() - polled_at > MAX_POLL_GAP_S:
+            worker.may_have_restarted = True
 
     # Starts and stops
 
