--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -33,9 +33,8 @@
 UNRESPONSIVE_AFTER_S = 0.8
 MAX_START_ATTEMPTS = 3
 STOP_RETRY_S = 0.25
-MAX_STARTS_IN_FLIGHT = 300
 MAX_STOPS_IN_FLIGHT = 100
-MAX_STARTS_PER_WORKER = 3  # in flight
+MAX_STARTS_PER_WORKER = 4  # in flight
 MAX_STOPS_PER_WORKER = 2  # in flight
 # A worker may restart unnoticed if it is not polled for this long.
 MAX_POLL_GAP_S = 0.2
@@ -93,8 +92,9 @@
         self._acknowledged: dict[str, event.Event] = {}
         self.pacing = order_pacing.OrderPacing()
         self.starts = order_queue.OrderQueue(
-            self._start, MAX_STARTS_IN_FLIGHT, MAX_STARTS_PER_WORKER
+            self._start, self.pacing.max_in_flight, MAX_STARTS_PER_WORKER
         )
+        self._ended_before = 0
         self.stops = order_queue.OrderQueue(
             self._stop, MAX_STOPS_IN_FLIGHT, MAX_STOPS_PER_WORKER
         )
@@ -175,10 +175,15 @@
             worker.entry, self._leader.epoch, acked_end, lease_until_ms, wait_ms
         )
         now = self._clock()
+        unchecked = worker.may_have_restarted
         worker.may_have_restarted = not isinstance(answer, ports.PollReply)
         match answer:
             case ports.PollReply():
-                self._apply_reply(worker, answer, sent, now)
+                has_new_ends = self._apply_reply(worker, answer, sent, now)
+                # The poll after a check acknowledges and renews at once. A wait for
+                # the write first would need a check again.
+                if has_new_ends and (worker.may_have_restarted or not unchecked):
+                    self._await_acknowledgement(worker, now)
                 return True
             case ports.OrderRefused(reason=ports.FENCED):
                 self._leader.step_down(f"worker {worker.id} has seen a higher epoch")
@@ -188,7 +193,8 @@
 
     def _apply_reply(
         self, worker: workers.Worker, reply: ports.PollReply, sent: float, now: float
-    ) -> None:
+    ) -> bool:
+        """Apply a reply; return whether it lists ends that are not durable yet."""
         cell = self._leader.cell
         last = max((end.number for end in reply.ended), default=worker.acked_end)
         has_new_ends = last > worker.acked_end
@@ -210,16 +216,33 @@
         if changed_jobs or has_new_ends or cell.stops:
             self._leader.wake()
         if has_new_ends:
-            signal = self._acknowledged[worker.id]
-            signal.clear()
+            self._acknowledged[worker.id].clear()
             self._leader.acknowledge_ends(worker, last)
-            # A poll before the ends are durable would only return them again.
-            signal.wait(DURABLE_WAIT_S)
-            if self._clock() - now > MAX_POLL_GAP_S:
-                worker.may_have_restarted = True
+        return has_new_ends
+
+    def _await_acknowledgement(self, worker: workers.Worker, polled_at: float) -> None:
+        """Wait for the write of ends; a poll before it would only list them again."""
+        self._acknowledged[worker.id].wait(DURABLE_WAIT_S)
+        if self._clock() - polled_at > MAX_POLL_GAP_S:
+            worker.may_have_restarted = True
 
     # Starts and stops
 
+    def count_orders(self) -> dict[str, int]:
+        """Return how many orders wait and are in flight, for the log."""
+        return {
+            "starts_waiting": self.starts.waiting,
+            "starts_in_flight": self.starts.in_flight,
+            "stops_waiting": self.stops.waiting,
+            "stops_in_flight": self.stops.in_flight,
+        }
+
+    def start_limit(self) -> int:
+        """Return how many starts the next round may plan."""
+        queue = self.starts
+        ended, self._ended_before = queue.ended - self._ended_before, queue.ended
+        return self.pacing.start_limit(queue.backlog, queue.in_flight, ended)
+
     def start(self, start: plans.Start, planned_at: float) -> None:
         """Queue a start order whose intent is durable."""
         self.starts.submit(start.worker.id, QueuedStart(start, planned_at))
@@ -271,6 +294,7 @@
             )
             now = self._clock()
             self.pacing.record_order(now - sent)
+            self.starts.max_in_flight = self.pacing.max_in_flight
             if not attempt and isinstance(answer, ports.OrderDone | ports.OrderRefused):
                 self.pacing.record_delay(now - queued.planned_at)
             match answer:
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -31,7 +31,6 @@
 MAX_HELD_BACK_S = 1.5
 # Limits the duration of a round.
 MAX_STEPS_PER_ROUND = 400
-MAX_STARTS_PER_ROUND = 120
 MAX_WORKERS_PER_REQUEST = 100
 
 
@@ -42,6 +41,7 @@
         self._cell = cell
         self._available = availability.Availability(cell)
         self._gangs = gangs.Gangs(cell, self)
+        self.max_starts = order_pacing.MIN_STARTS_PER_ROUND
         # Remaining validity of a ticket at a start: the order may be delayed.
         self.ticket_margin_s = order_pacing.MIN_TICKET_MARGIN_S
 
@@ -56,7 +56,7 @@
         )
         left = MAX_STEPS_PER_ROUND
         for step_run in steps:
-            if not left or len(plan.starts) >= MAX_STARTS_PER_ROUND:
+            if not left or len(plan.starts) >= self.max_starts:
                 break
             queue = self._cell.catalogue.queue(step_run.job.spec.queue)
             if queue is None or step_run.job.is_final:
@@ -292,7 +292,7 @@
         for index in sorted(step_run.waiting):
             if (
                 not self._within_ceiling(step_run)
-                or len(plan.starts) >= MAX_STARTS_PER_ROUND
+                or len(plan.starts) >= self.max_starts
             ):
                 return
             task = step_run.tasks[index]
