Read the workers' entries during the load, and apply them at once

Callers saw: after a takeover nothing starts until the workers' entries are read, which began only when all jobs were read; then a scan of all workers for each of 159 entries, on a VM with half a core.

Cause: `follow_workers` was entered after the load, and `Directory` called `changed`, which compares all entries, for each single row.

Evidence, on the code before: test_entries_that_came_together_are_notified_once failed at `self.assertEqual([1], calls)`; test_workers_are_followed_during_the_load_and_polled_ after_it at `self.assertEqual(leader._sync_workers, self.directory.changed)`.

Change: `TableCache` calls `on_batch` once after the changes of one answer; the directory notifies from there. `Leadership.run` follows the workers around the load. Until the jobs are restored changes of the entries are only kept, and no worker is polled; then the load registers all entries known.

--- a/test/test_coordinator_load.py
+++ b/test/test_coordinator_load.py
@@ -113,3 +113,26 @@
         self.assertEqual({rows.PROGRESS: 0, rows.JOBS: 0}, failing)
         loads = [call for call in calls if call[0] in failing]
         self.assertEqual(4, len(loads) - len(set(loads)))
+
+
+class WorkersDuringLoadTest(LoadCase):
+    # Guards against takeovers that read the workers' entries only after the jobs.
+    def test_workers_are_followed_during_the_load_and_polled_after_it(self):
+        polled = []
+        poll = self.workers.poll
+
+        def record(worker, *arguments):
+            polled.append(worker.id)
+            return poll(worker, *arguments)
+
+        self.workers.poll = record
+        self.slow_down_reads(0.2)
+        leader = self.start_leadership()
+        gevent.sleep(0.05)
+        self.assertEqual(leader._sync_workers, self.directory.changed)
+        self.directory.changed()
+        gevent.sleep(0.05)
+        self.assertFalse(leader.ready.is_set())
+        self.assertEqual([], polled)
+        self.assertTrue(leader.ready.wait(5.0))
+        self.wait_for(lambda: {"w1", "w2"} <= set(polled))
--- a/test/test_platform_directory.py
+++ b/test/test_platform_directory.py
@@ -2,6 +2,7 @@
 import pathlib
 import tempfile
 
+import gevent
 import testtools
 
 from standins import rowstore
@@ -127,6 +128,18 @@
         self.directory._operators.poll()
         self.assertEqual(7, self.directory.catalogue.version)
 
+    # Guards against a scan of all workers for each of the entries read at a takeover.
+    def test_entries_that_came_together_are_notified_once(self):
+        calls = []
+        for number in range(50):
+            self.put(f"i-{number}", EXECUTOR, "servers")
+        with self.directory.follow_workers(lambda: calls.append(1)):
+            while not calls:
+                gevent.sleep(0.001)
+            gevent.sleep(0.01)
+            self.assertEqual(50, len(self.directory.entries()))
+            self.assertEqual([1], calls)
+
 
 class DeploymentTest(testtools.TestCase):
     def read(self, text, **environment):
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -108,27 +108,10 @@
     def run(self) -> None:
         """Coordinate until the leader lease is lost or released."""
         try:
-            if not self._load():
-                return
-            with (
-                self._directory.follow_workers(self._sync_workers),
-                self._dispatcher,
-                self._jobs,
-            ):
-                self._sync_workers()
-                for worker in list(self.cell.workers.values()):
-                    self._dispatcher.watch(worker)
-                self.ready.set()
-                log.info(
-                    "epoch {}: coordinating {} jobs and {} workers",
-                    self.epoch, len(self.cell.jobs), len(self.cell.workers),
-                )  # fmt: skip
-                while not self._writer.lost:
-                    self._wake_event.wait(leader_lease.RENEW_INTERVAL_S / 4)
-                    self._wake_event.clear()
-                    self._run_round()
-                    if self._release_requested:
-                        self._release_lease()
+            # The workers' entries are read at the same time as the jobs.
+            with self._directory.follow_workers(self._sync_workers):
+                if self._load():
+                    self._coordinate()
         finally:
             self.ready.clear()
             self.ended.set()
@@ -138,6 +121,22 @@
             for waiter in self._cancel_waiters:
                 waiter.set(failure)
 
+    def _coordinate(self) -> None:
+        with self._dispatcher, self._jobs:
+            for worker in list(self.cell.workers.values()):
+                self._dispatcher.watch(worker)
+            self.ready.set()
+            log.info(
+                "epoch {}: coordinating {} jobs and {} workers",
+                self.epoch, len(self.cell.jobs), len(self.cell.workers),
+            )  # fmt: skip
+            while not self._writer.lost:
+                self._wake_event.wait(leader_lease.RENEW_INTERVAL_S / 4)
+                self._wake_event.clear()
+                self._run_round()
+                if self._release_requested:
+                    self._release_lease()
+
     def release(self) -> None:
         """Release the leader lease after the current round, for a graceful stop."""
         self._release_requested = True
@@ -289,6 +288,8 @@
         self.wake()
 
     def _sync_workers(self) -> None:
+        if not self.ready.is_set():
+            return  # the entries known at the end of the load are registered by it
         entries = self._directory.entries()
         for entry in entries.values():
             known = self.cell.workers.get(entry.id)
--- a/toucanspring/coordinator/ports.py
+++ b/toucanspring/coordinator/ports.py
@@ -264,5 +264,5 @@
     ) -> contextlib.AbstractContextManager[None]:
         """Keep `entries` up to date while the context is open.
 
-        Each change of the entries is followed by a call of `changed`.
+        Changes of the entries that came together are followed by one call of `changed`.
         """
--- a/toucanspring/coordinator/table_cache.py
+++ b/toucanspring/coordinator/table_cache.py
@@ -24,6 +24,7 @@
 class TableCache:
     """Copy of one table; `on_change(row)` is called for each changed row.
 
+    `on_batch()` is called after the changes that came together.
     `wait_s` is the timeout of one call that waits for changes. A pause of `pause_s`
     after each call batches the changes of a busy table.
     """
@@ -36,6 +37,7 @@
         clock: Callable[[], float] = time.monotonic,
         wait_s: float = FOLLOW_TIMEOUT_S,
         pause_s: float = 0.0,
+        on_batch: Callable[[], None] = lambda: None,
     ) -> None:
         self.rows: dict[ports.RowId, ports.Row] = {}
         # The copy includes every write made before this time (monotonic seconds).
@@ -43,6 +45,7 @@
         self._store = store
         self._table = table
         self._on_change = on_change
+        self._on_batch = on_batch
         self._clock = clock
         self._wait_s = wait_s
         self._pause_s = pause_s
@@ -102,6 +105,7 @@
         self.unread_parts = frozenset(read.unread_parts)
         if not self.unread_parts:
             self._end_reading()
+        self._on_batch()
         return None
 
     def _end_reading(self) -> None:
@@ -123,6 +127,8 @@
                 for row in rows:
                     self._apply(row)
                 self._version = max(self._version, at.version)
+                if rows:
+                    self._on_batch()
                 if not rows and self._clock() - sent >= self._wait_s:
                     # The table did not change while the store waited.
                     sent += self._wait_s
