--- a/test/test_platform_directory.py
+++ b/test/test_platform_directory.py
@@ -1,3 +1,4 @@
+import contextlib
 import json
 import pathlib
 import tempfile
@@ -140,6 +141,22 @@
             self.assertEqual(50, len(self.directory.entries()))
             self.assertEqual([1], calls)
 
+    # Guards against executors that stay although they left between two epochs.
+    def test_an_epoch_that_ends_by_an_error_leaves_no_entries(self):
+        self.put("i-1", EXECUTOR, "servers")
+        calls = []
+        with (
+            contextlib.suppress(KeyError),
+            self.directory.follow_workers(lambda: calls.append(1)),
+        ):
+            while not calls:
+                gevent.sleep(0.001)
+            raise KeyError
+        self.assertEqual({}, self.directory.entries())
+        self.put("evacuate/bern-a", {})
+        self.directory._operators.poll()
+        self.assertEqual([1], calls)
+
 
 class DeploymentTest(testtools.TestCase):
     def read(self, text, **environment):
