Hand the coordinator over from a weak VM to a strong one

Cause: a lease was handed over only while writes fail. Change: a coordinator offers its lease to a connected process that carries more than twice as much, also while it loads, by the existing call, which checks that the store is reached; a process without a configuration yet refuses now. The coordinator goes on until it is fenced or hears of the successor, so a refused offer costs nothing. Processes tell each other of handovers; at most one in 10 s. Strengths are decoded once for each change of a row. Evidence: before, test_a_weak_coordinator_hands_over_to_a_strong_process_that_joins, test_a_cell_that_starts_in_any_order_ends_with_a_strong_coordinator, test_a_process_without_a_view_refuses_the_lease and test_a_strong_process_that_restarts_often_is_not_offered_each_time failed with "AssertionError: the condition did not hold". 26 tests of test_coordinator_processes pass.

--- a/test/test_coordinator_candidacy.py
+++ b/test/test_coordinator_candidacy.py
@@ -126,3 +126,33 @@
         self.assertEqual(list("ab"), order[:2])
         self.assertEqual({"u", "v"}, set(order[2:4]))
         self.assertEqual(set("abcdefuv"), set(order))
+
+
+class HandoverTest(testtools.TestCase):
+    def test_a_weak_coordinator_hands_over_to_strong_processes_only(self):
+        strengths = {"a": SMALL, "b": SMALL, "c": LARGE, "d": LARGE * 0.9, "e": 0.0}
+        self.assertEqual(["c", "d"], candidacy.find_successors("a", strengths, "bcde"))
+        self.assertEqual([], candidacy.find_successors("a", strengths, "be"))
+        for name in "cde":
+            self.assertEqual([], candidacy.find_successors(name, strengths, "abcde"))
+
+    def test_a_lease_that_is_handed_over_goes_no_further(self):
+        # Guards against a lease that moves from process to process.
+        for seed in range(200):
+            luck = random.Random(seed)
+            strengths = {name: luck.uniform(0, LARGE) for name in "abcdefgh"}
+            for name in strengths:
+                for successor in candidacy.find_successors(name, strengths, strengths):
+                    self.assertEqual(
+                        [], candidacy.find_successors(successor, strengths, strengths)
+                    )
+
+    def test_handovers_are_limited_and_a_failed_one_is_repeated(self):
+        pace = candidacy.HandoverPace()
+        self.assertTrue(pace.may_offer(1, 0.0))
+        pace.offered_at = 0.0
+        pace.record_handover(1, 0.0)
+        self.assertFalse(pace.may_offer(1, candidacy.OFFER_RETRY_S * 0.9))
+        self.assertTrue(pace.may_offer(1, candidacy.OFFER_RETRY_S))
+        self.assertFalse(pace.may_offer(3, candidacy.OFFER_RETRY_S))
+        self.assertTrue(pace.may_offer(3, candidacy.HANDOVER_INTERVAL_S))
--- a/test/test_coordinator_processes.py
+++ b/test/test_coordinator_processes.py
@@ -5,6 +5,7 @@
 import gevent
 import msgspec
 import testtools
+from gevent import event
 
 from standins import lease_workers, rowstore
 from test import coordinator_case as case
@@ -101,7 +102,37 @@
     """Return the failure detection of a process; its takeovers are recorded."""
     own = rows.MemberRow(name, "10.0.0.1", 1)
     cell = members.Members(own, store, peers)
-    return failover.Failover(name, peers, store, takeovers.append, None, cell)
+    return failover.Failover(
+        name, peers, store, takeovers.append, None, cell, lambda: True
+    )
+
+
+class SlowStore:
+    """A store whose reads of the progress wait until `go_on` is set."""
+
+    def __init__(self, store):
+        self._store = store
+        self.waiting = False
+        self.go_on = event.Event()
+
+    def __getattr__(self, name):
+        return getattr(self._store, name)
+
+    def parts(self, table):
+        if table == rows.PROGRESS:
+            self.waiting = True
+            self.go_on.wait()
+        return self._store.parts(table)
+
+
+class SwitchedStore:
+    """A store that is replaced by `current` later."""
+
+    def __init__(self, current):
+        self.current = current
+
+    def __getattr__(self, name):
+        return getattr(self.current, name)
 
 
 class ProcessCase(testtools.TestCase):
@@ -127,7 +158,7 @@
             each._job_writer.__exit__()
             each._failover.__exit__()
 
-    def run_process(self, name, capacity=UNKNOWN):
+    def run_process(self, name, capacity=UNKNOWN, store=None):
         peers = self.network.join(name)
         options = service.Options(
             process=name,
@@ -139,7 +170,7 @@
         self.processes[name] = service.Service(
             Kernel(peers),
             options,
-            self.store,
+            store or self.store,
             self.workers,
             Approvals(),
             test_coordinator_leadership.Directory(self.entry),
@@ -415,6 +446,100 @@
         self.assertIn(self.await_successor(), others)
 
 
+class HandoverTest(ProcessCase):
+    def start_weak_cell(self, *names):
+        first, _ = self.start_cell(*names, capacities=dict.fromkeys(names, SMALL))
+        return first
+
+    def stay(self, epoch, for_s=1.2):
+        """Wait for longer than the pause between two offers; nothing may change."""
+        gevent.sleep(for_s)
+        self.assertEqual(epoch, self.stored_lease().epoch)
+
+    def test_a_weak_coordinator_hands_over_to_a_strong_process_that_joins(self):
+        # Guards against a cell that stays with a coordinator whose link is full.
+        first = self.start_weak_cell("a", "c", "d")
+        self.run_process("b", LARGE)
+        self.wait_for(lambda: self.is_coordinator("b"))
+        self.wait_for(lambda: self.processes[first]._leadership is None)
+        self.stay(2)
+
+    def test_a_cell_that_starts_in_any_order_ends_with_a_strong_coordinator(self):
+        for seed in range(4):
+            self.set_up_cell()
+            names = list("abcdefg")
+            random.Random(seed).shuffle(names)
+            for name in names:
+                self.run_process(name, LARGE if name in "be" else SMALL)
+            self.wait_for(lambda: self.is_coordinator("b") or self.is_coordinator("e"))
+            self.assertIn(self.stored_lease().epoch, (1, 2), f"seed {seed}")
+            self.stop_processes()
+
+    def test_a_weak_coordinator_hands_over_while_it_still_loads(self):
+        # Guards against waiting for a read of the state that takes seconds.
+        slow = SlowStore(self.store)
+        self.run_process("a", SMALL, slow)
+        self.wait_for(lambda: slow.waiting)
+        self.run_process("b", LARGE)
+        self.wait_for(lambda: self.is_coordinator("b"))
+        self.assertFalse(self.is_coordinator("a"))
+        held = self.processes["b"]._leadership._acquired
+        self.assertEqual(leader_lease.Reason.OFFERED, held.reason)
+        slow.go_on.set()
+        self.wait_for(lambda: self.processes["a"]._leadership is None)
+
+    def test_a_coordinator_hands_over_to_no_weak_equal_or_unknown_process(self):
+        # Guards against a lease that moves between processes without a gain.
+        for held, other in ((LARGE, SMALL), (SMALL, SMALL), (SMALL, UNKNOWN),
+                            (UNKNOWN, LARGE)):  # fmt: skip
+            self.set_up_cell()
+            self.run_process("a", held)
+            self.wait_for(lambda: self.is_coordinator("a"))
+            self.run_process("b", other)
+            self.stay(1, for_s=0.5)
+            self.stop_processes()
+
+    def test_a_refused_offer_costs_nothing_and_is_repeated(self):
+        first = self.start_weak_cell("a", "c")
+        alone = rowstore.MemoryStore()
+        alone.reachable = False
+        switched = SwitchedStore(alone)
+        self.run_process("b", LARGE, switched)
+        member = rows.MemberRow("b", "10.0.0.1", 1, 2.15, 100.0, 552)
+        self.store.put(ports.RowId(rows.MEMBERS, "", "b"), rows.encode(member))
+        peers = self.network.members[first]
+        self.wait_for(lambda: "b" in peers.connected())
+        self.stay(1)
+        self.assertTrue(self.is_coordinator(first))
+        switched.current = self.store
+        self.wait_for(lambda: self.is_coordinator("b"))
+
+    def test_a_process_without_a_view_refuses_the_lease(self):
+        first = self.start_weak_cell("a", "c")
+        joined = self.run_process("b", LARGE)
+        joined._directory.view_age = float("inf")
+        self.stay(1)
+        self.assertTrue(self.is_coordinator(first))
+        joined._directory.view_age = 0.0
+        self.wait_for(lambda: self.is_coordinator("b"))
+
+    def test_a_strong_process_that_restarts_often_is_not_offered_each_time(self):
+        # Guards against two changes of the coordinator for each crash of one process.
+        self.start_weak_cell("a", "c")
+        self.run_process("b", LARGE)
+        self.wait_for(lambda: self.is_coordinator("b"))
+        self.wait_for(lambda: self.network.members["b"].connected() == ["a", "c"])
+        self.kill("b")
+        self.wait_for(lambda: self.is_coordinator("a") or self.is_coordinator("c"))
+        epoch = self.stored_lease().epoch
+        self.run_process("b", LARGE)
+        self.stay(epoch)
+        for name in "ac":
+            pace = self.processes[name]._failover._pace
+            pace.handed_over_at -= candidacy.HANDOVER_INTERVAL_S
+        self.wait_for(lambda: self.is_coordinator("b"))
+
+
 class ApprovalDispatcherTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
--- a/toucanspring/coordinator/candidacy.py
+++ b/toucanspring/coordinator/candidacy.py
@@ -22,6 +22,10 @@
 RANK_WAIT_S = 0.1
 MAX_RANK = 2  # bounds the wait for processes that are gone
 STRONG_FIRST = 2
+# A handover costs the cell the successor's reads, polls and approvals, so it is not
+# repeated for each restart of an unstable strong process.
+HANDOVER_INTERVAL_S = 10.0
+OFFER_RETRY_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -83,6 +87,49 @@
     return rank * RANK_WAIT_S + (WEAK_WAIT_S if weak else 0.0)
 
 
+def find_successors(
+    process: str, strengths: Mapping[str, float], connected: Iterable[str]
+) -> list[str]:
+    """Return the connected processes that a weak coordinator may hand over to.
+
+    Each of them is stronger by more than `STRONG_SHARE` and not weak itself, so a lease
+    that is handed over never comes back in this way.
+    """
+    own = strengths.get(process, 0.0)
+    present = {name: strengths.get(name, 0.0) for name in connected}
+    return [
+        name
+        for name, strength in present.items()
+        if is_weak(own, [strength]) and not is_weak(strength, present.values())
+    ]
+
+
+@dataclasses.dataclass(slots=True)
+class HandoverPace:
+    """Limits how often the lease is offered to stronger processes.
+
+    Times are monotonic seconds. `epoch` is that of the last handover in the cell.
+    """
+
+    epoch: int = 0
+    handed_over_at: float = -math.inf
+    offered_at: float = -math.inf
+
+    def may_offer(self, epoch: int, now: float) -> bool:
+        """Return whether the holder of an epoch may offer its lease.
+
+        A lease that was handed over and not acquired is offered again.
+        """
+        if now - self.offered_at < OFFER_RETRY_S:
+            return False
+        return epoch == self.epoch or now - self.handed_over_at >= HANDOVER_INTERVAL_S
+
+    def record_handover(self, epoch: int, now: float) -> None:
+        """Record that the holder of an epoch has handed its lease over."""
+        if epoch > self.epoch:
+            self.epoch, self.handed_over_at = epoch, now
+
+
 def order_successors(names: Sequence[str], strengths: Mapping[str, float]) -> list[str]:
     """Return processes in the order in which a failing coordinator asks them.
 
--- a/toucanspring/coordinator/failover.py
+++ b/toucanspring/coordinator/failover.py
@@ -1,6 +1,7 @@
 """Failover before the leader lease expires: failure detection and handover.
 
-A coordinator that cannot reach the store hands the lease over to a process that can.
+A coordinator that cannot reach the store hands the lease over to a process that can,
+and one on a weak VM to a process on a much stronger one.
 One that is disconnected from its peers, or silent, is considered failed. Replacing a
 live coordinator by mistake is safe; see `leader_lease.acquire`.
 """
@@ -23,11 +24,14 @@
 
 TAKE_OVER = "take over"
 REACHES = "reaches"
+HANDOVER_NOTICE = "handed over"
 # A coordinator whose writes fail for this long asks its peers to take over, since they
 # may reach the store.
 HAND_OVER_AFTER_S = 0.2
 HAND_OVER_ATTEMPTS = 4
 PEER_CALL_TIMEOUT_S = 0.5
+# The link of a weak coordinator may be full.
+OFFER_TIMEOUT_S = 1.0
 # A coordinator that is disconnected from this process and from another one for this
 # long is considered failed.
 CHECK_INTERVAL_S = 0.1
@@ -57,6 +61,7 @@
         take_over: Callable[[leader_lease.Takeover], None],
         step_down: Callable[[str], None],
         cell: members.Members,
+        is_ready: Callable[[], bool],
     ) -> None:
         self.closing = False
         self._process = process
@@ -65,6 +70,8 @@
         self._take_over = take_over
         self._step_down = step_down
         self._members = cell
+        self._is_ready = is_ready
+        self._pace = candidacy.HandoverPace()
         self._lease: rows.LeaderLease | None = None
         self._lease_seen_at = 0.0
         self._heartbeat_at = 0.0
@@ -75,6 +82,7 @@
     def __enter__(self) -> Failover:
         self._peers.handle(TAKE_OVER, self._serve_take_over)
         self._peers.handle(REACHES, self._serve_reachability)
+        self._peers.handle_notice(HANDOVER_NOTICE, self._record_handover)
         self._watcher = gevent.spawn(self._watch_coordinator)
         return self
 
@@ -140,14 +148,59 @@
         body = f"{epoch}".encode()
         for name in names[:HAND_OVER_ATTEMPTS]:
             answer = self._peers.call(name, TAKE_OVER, body, PEER_CALL_TIMEOUT_S)
+            self._log_offer(name, epoch, "writes fail", answer)
             if not isinstance(answer, errors.Failure):
                 self._step_down(f"handed over to {name}, which reaches the store")
                 return
 
+    def _log_offer(
+        self, name: str, epoch: int, why: str, answer: bytes | errors.Failure
+    ) -> None:
+        refused = answer.reason if isinstance(answer, errors.Failure) else ""
+        strengths = self._members.strengths()
+        structured.decide(
+            log, "seat_offered", to=name, epoch=epoch, why=why, refused=refused,
+            strength=round(strengths.get(self._process, 0.0)),
+            strength_to=round(strengths.get(name, 0.0)),
+        )  # fmt: skip
+
+    def _offer_to_stronger(self, epoch: int, now: float) -> None:
+        """Hand the lease over to a connected process on a much stronger VM.
+
+        This process goes on coordinating until the other one has acquired the lease, so
+        that a refused or lost offer costs nothing.
+        """
+        if self.closing or not self._pace.may_offer(epoch, now):
+            return
+        names = candidacy.find_successors(
+            self._process, self._members.strengths(), self._peers.connected()
+        )
+        if not names:
+            return
+        self._pace.offered_at = now
+        name, body = random.choice(names), f"{epoch}".encode()
+        answer = self._peers.call(name, TAKE_OVER, body, OFFER_TIMEOUT_S)
+        self._log_offer(name, epoch, "weak", answer)
+        # An offer without an answer may have been taken.
+        if not isinstance(answer, errors.Failure) or isinstance(
+            answer, errors.Ambiguous
+        ):
+            self._pace.record_handover(epoch, now)
+            for peer in self._peers.connected():
+                self._peers.notify(peer, HANDOVER_NOTICE, body)
+
+    def _record_handover(self, sender: str, body: bytes) -> None:
+        if not body.isdigit():
+            log.warning("ignoring a malformed notice of {}: {!r}", sender, body[:20])
+            return
+        self._pace.record_handover(int(body), time.monotonic())
+
     def _serve_take_over(self, sender: str, body: bytes) -> bytes | errors.Failure:
-        """Take over from a coordinator that cannot write, if the store is reachable."""
+        """Take over from a coordinator that offers it, if the store is reachable."""
         if self.closing:
             return errors.Refused(reason="this process is stopping")
+        if not self._is_ready():
+            return errors.Refused(reason="this process has no configuration yet")
         found = leader_lease.read(self._store)
         if isinstance(found, errors.Failure):
             return found
@@ -161,6 +214,8 @@
         while True:
             gevent.sleep(CHECK_INTERVAL_S)
             lease, now = self._lease, time.monotonic()
+            if lease is not None and lease.process == self._process:
+                self._offer_to_stronger(lease.epoch, now)
             if (
                 lease is None
                 or self.closing
--- a/toucanspring/coordinator/members.py
+++ b/toucanspring/coordinator/members.py
@@ -34,6 +34,7 @@
         self._own = own
         self._store = store
         self._peers = streams
+        self._others: dict[str, rows.MemberRow] = {}
         self._cache = table_cache.TableCache(
             store, rows.MEMBERS, self._on_member_row, wait_s=MEMBERS_WAIT_S
         )
@@ -66,7 +67,7 @@
         The coordinator is connected to all processes, the others to the coordinator and
         to the next `RELAY_PEERS` processes in the ring of names.
         """
-        others = sorted(self._others())
+        others = sorted(self._others)
         if self.coordinates:
             return others
         own = self._own.process
@@ -79,7 +80,7 @@
 
     def update_streams(self) -> None:
         """Connect to the processes in `targets`, and close the other streams."""
-        others = self._others()
+        others = self._others
         self._peers.set_targets(
             {name: (others[name].address, others[name].port) for name in self.targets()}
         )
@@ -91,8 +92,8 @@
     def strengths(self) -> dict[str, float]:
         """Return the strength of each known process, this one included."""
         return {
-            each.process: candidacy.find_strength(each.cores, each.link_mbps)
-            for each in (*self._others().values(), self._own)
+            name: candidacy.find_strength(each.cores, each.link_mbps)
+            for name, each in (*self._others.items(), (self._own.process, self._own))
         }
 
     def find_disconnected(self) -> set[str]:
@@ -109,14 +110,10 @@
                 return
             gevent.sleep(STORE_RETRY_S * (1 + random.random()))
 
-    def _on_member_row(self, _row: ports.Row) -> None:
+    def _on_member_row(self, row: ports.Row) -> None:
+        member = rows.decode(rows.MemberRow, row.value) if row.version else None
+        if isinstance(member, rows.MemberRow) and row.id.key != self._own.process:
+            self._others[row.id.key] = member
+        else:
+            self._others.pop(row.id.key, None)
         self.update_streams()
-
-    def _others(self) -> dict[str, rows.MemberRow]:
-        found = {}
-        for row in self._cache.rows.values():
-            member = rows.decode(rows.MemberRow, row.value)
-            if isinstance(member, rows.MemberRow):
-                found[member.process] = member
-        found.pop(self._own.process, None)
-        return found
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -106,6 +106,7 @@
             self._take_over,
             self._step_down,
             self._members,
+            self._has_view,
         )
         self._greenlets: list[gevent.Greenlet] = []
 
@@ -153,6 +154,10 @@
         }
         return {**known, **(current.measure() if current is not None else {})}
 
+    def _has_view(self) -> bool:
+        """Return whether the operators' settings have been read once."""
+        return self._directory.age(time.monotonic()) < UNKNOWN_VIEW_AGE_S
+
     # Calls
 
     def submit(self, spec: job_specs.Job, timeout_s: float) -> None | errors.Failure:
@@ -299,6 +304,7 @@
         if changed:
             self._failover.set_coordinator(lease)
             self._members.coordinator = lease.process
+            self._step_down(f"{lease.process} coordinates under epoch {lease.epoch}")
             structured.decide(
                 log, "coordinator_known", process=lease.process, epoch=lease.epoch
             )
