Send heartbeats at once after a takeover

Cause: the loop of heartbeats was in the pause of a process that does not coordinate, up to 3 s, when it took over, and the one heartbeat sent then reaches only peers whose streams are already open. Change: the takeover ends the pause. Evidence: test_a_new_coordinator_sends_heartbeats_without_a_pause failed before with "AssertionError: the condition did not hold"; 72 tests of four modules pass.

--- a/test/test_coordinator_processes.py
+++ b/test/test_coordinator_processes.py
@@ -273,6 +273,19 @@
         released = {name for name, holder in told if not holder}
         self.assertEqual(set(others), released)
 
+    def test_a_new_coordinator_sends_heartbeats_without_a_pause(self):
+        # Guards against processes that learn of the coordinator late, since it was in
+        # the long pause of a process that does not coordinate when it took over.
+        self.patch(service, "KEEPALIVE_INTERVAL_S", 3600.0)
+        self.run_process("one")
+        self.wait_for(lambda: self.is_coordinator("one"))
+        heard = []
+        self.run_process("two")
+        self.network.members["two"].handle_notice(
+            service.HEARTBEAT_NOTICE, lambda sender, _body: heard.append(sender)
+        )
+        self.wait_for(lambda: "one" in heard)
+
     def test_a_coordinator_that_cannot_write_hands_the_lease_over(self):
         first, others = self.start_cell("one", "two", "three")
         # The store is unavailable for this process only.
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -84,6 +84,7 @@
         self._leadership: leadership.Leadership | None = None
         self._draining = False
         self._takeover_event = event.Event()
+        self._elected_event = event.Event()
         self._takeover = leader_lease.NO_TAKEOVER
         self._members = members.Members(
             rows.MemberRow(
@@ -258,7 +259,9 @@
                 else KEEPALIVE_INTERVAL_S
             )
             due = time.monotonic() + interval_s
-            gevent.sleep(interval_s)
+            self._elected_event.clear()
+            if self._elected_event.wait(interval_s):
+                continue  # the interval of a coordinator is shorter
             late_s = time.monotonic() - due
             if is_coordinator and late_s > LATE_HEARTBEAT_S:
                 structured.decide(log, "heartbeat_late", late_ms=round(late_s * 1000))
@@ -398,6 +401,7 @@
             self._meters.count_round,
         )
         self._members.coordinates = True
+        self._elected_event.set()
         self._members.update_streams()
         self._send_heartbeat()
         try:
