--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -84,6 +84,7 @@
         self._leadership: leadership.Leadership | None = None
         self._draining = False
         self._takeover_event = event.Event()
+        self._elected_event = event.Event()
         self._takeover = leader_lease.NO_TAKEOVER
         self._members = members.Members(
             rows.MemberRow(
@@ -106,6 +107,7 @@
             self._take_over,
             self._step_down,
             self._members,
+            self._has_view,
         )
         self._greenlets: list[gevent.Greenlet] = []
 
@@ -153,6 +155,10 @@
         }
         return {**known, **(current.measure() if current is not None else {})}
 
+    def _has_view(self) -> bool:
+        """Return whether the operators' settings have been read once."""
+        return self._directory.age(time.monotonic()) < UNKNOWN_VIEW_AGE_S
+
     # Calls
 
     def submit(self, spec: job_specs.Job, timeout_s: float) -> None | errors.Failure:
@@ -253,7 +259,9 @@
                 else KEEPALIVE_INTERVAL_S
             )
             due = time.monotonic() + interval_s
-            gevent.sleep(interval_s)
+            self._elected_event.clear()
+            if self._elected_event.wait(interval_s):
+                continue  # the interval of a coordinator is shorter
             late_s = time.monotonic() - due
             if is_coordinator and late_s > LATE_HEARTBEAT_S:
                 structured.decide(log, "heartbeat_late", late_ms=round(late_s * 1000))
@@ -299,6 +307,7 @@
         if changed:
             self._failover.set_coordinator(lease)
             self._members.coordinator = lease.process
+            self._step_down(f"{lease.process} coordinates under epoch {lease.epoch}")
             structured.decide(
                 log, "coordinator_known", process=lease.process, epoch=lease.epoch
             )
@@ -392,6 +401,7 @@
             self._meters.count_round,
         )
         self._members.coordinates = True
+        self._elected_event.set()
         self._members.update_streams()
         self._send_heartbeat()
         try:
