Run no job again whose progress cannot be read

Seen by callers: after a takeover all tasks of such a job ran once more, ended ones too (TWICE).

Cause: recovery skipped the row and restored the job as if it had no progress.

Change: `CellState.unreadable` holds these jobs; they are neither restored nor accepted, and a status or a cancellation fails.

--- /dev/null
+++ b/test/test_coordinator_unreadable.py
@@ -0,0 +1,34 @@
+import gevent
+
+from test import coordinator_case as case
+from test import test_coordinator_leadership as leadership_case
+from toucanspring import errors
+from toucanspring.coordinator import rows
+
+OTHER_JOB = "2" * 16
+
+
+class UnreadableRowTest(leadership_case.LeadershipCase):
+    def test_a_job_with_unreadable_progress_runs_nothing_again(self):
+        # Guards against progress that cannot be read and counts as absent.
+        for number, value in enumerate((b"\xc1", b"\x91" * 2000 + b"\x90", b"{}")):
+            job_id = f"{number:016x}"
+            self.accept(case.step(2), job_id=job_id)
+            self.store.put(rows.progress_row_id(job_id), value)
+        leader = self.coordinate()
+        self.accept(case.step(2), job_id=OTHER_JOB)
+        self.wait_for(lambda: self.is_complete(OTHER_JOB))
+        # A change of the job's own row is no reason to run it either.
+        self.accept(case.step(2), job_id=f"{0:016x}")
+        gevent.sleep(0.1)
+        self.assertEqual(2, self.workers.starts)
+        for call in (leader.status, leader.cancel):
+            self.assertIsInstance(call(f"{0:016x}"), errors.Malformed)
+        self.assert_no_violations()
+
+    def test_an_unreadable_lease_is_not_taken_as_free(self):
+        # Guards against a second coordinator with an epoch that was used before.
+        self.store.put(rows.LEADER_LEASE_ROW, b"\xc1")
+        found = leadership_case.leader_lease.acquire(self.store, "one", "a", "i")
+        self.assertIsInstance(found, errors.Malformed)
+        self.assertEqual(b"\xc1", self.store.rows[rows.LEADER_LEASE_ROW].value)
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -47,6 +47,7 @@
         self.catalogue = catalogue.Catalogue()
         self.zones_out: frozenset[str] = frozenset()
         self.jobs: dict[str, state.JobRecord] = {}
+        self.unreadable: set[str] = set()  # jobs whose progress cannot be read
         self.workers: dict[str, workers.Worker] = {}
         self.ready: dict[str, state.StepRun] = {}  # steps with waiting tasks, by ID
         self.used: dict[str, resources.Resources] = collections.defaultdict(
@@ -62,7 +63,7 @@
 
     def accept(self, spec: job_specs.Job, now: float, age_s: float = 0.0) -> None:
         """Add an accepted job, unless it is known already."""
-        if spec.id in self.jobs:
+        if spec.id in self.jobs or spec.id in self.unreadable:
             return
         record = self._add(spec, now, age_s)
         self.open_steps(record, now)
--- a/toucanspring/coordinator/recovery.py
+++ b/toucanspring/coordinator/recovery.py
@@ -22,12 +22,17 @@
     progress: table_cache.TableSnapshot,
     now: float,
 ) -> None:
-    """Restore all readable jobs with their progress, the oldest first."""
+    """Restore all readable jobs with their progress, the oldest first.
+
+    A job with unreadable progress is left alone: its tasks may have run or be running.
+    """
     found: dict[str, rows.Progress] = {}
+    cell.unreadable.clear()
     for row in progress.rows.values():
         decoded = rows.decode(rows.Progress, row.value)
         if isinstance(decoded, errors.Malformed):
-            log.error("ignoring unreadable progress of job {}: {}", row.id.key, decoded)
+            log.error("job {} is left alone: {}", row.id.key, decoded.reason)
+            cell.unreadable.add(row.id.key)
             continue
         found[row.id.key] = decoded
     decoded_jobs = [rows.decode(job_specs.Job, row.value) for row in jobs]
@@ -35,7 +40,7 @@
     if len(specs) < len(decoded_jobs):
         log.error("ignoring {} unreadable job rows", len(decoded_jobs) - len(specs))
     for spec in sorted(specs, key=lambda each: each.accepted_at_ms):
-        if spec.id not in cell.jobs:
+        if spec.id not in cell.jobs and spec.id not in cell.unreadable:
             cell.restore(spec, found.get(spec.id), now, age_s(spec))
 
 
