Decode the rows of the store one by one

Seen by callers: one row with a value that is no base64, or with a field of another type, made each read of its part and the feed of its table undecodable; the process followed the list no more, and with the operators' table started nothing.

Cause: `messages.Rows` decoded all rows at once, and RecursionError left the client.

Change: rows are kept raw and decoded one by one. An unreadable one keeps its id and a version above 0 with a value that no decoder reads, so that it counts as present in the coordinator's tables, and is logged once. A row that names nothing is skipped in the tables of operators and executors and fails the answer in others.

Evidence: on the code before, five tests of test_platform_rowstore fail, such as test_one_unreadable_row_does_not_hide_the_others with "'Malformed' object has no attribute 'rows'" and test_an_answer_that_is_nested_too_deep_is_a_failure with "RecursionError: maximum recursion depth exceeded".

--- a/test/test_platform_rowstore.py
+++ b/test/test_platform_rowstore.py
@@ -1,10 +1,11 @@
 import json
 
+import logbook
 import testtools
 
 from test import platform_case
 from toucanspring import errors
-from toucanspring.coordinator import ports
+from toucanspring.coordinator import job_specs, ports, rows
 
 import rowstore  # isort: skip
 
@@ -87,3 +88,86 @@
         self.server.stop()
         answer = store.transact({}, {ROW_ID: b"x"})
         self.assertIsInstance(answer, errors.Unavailable)
+
+    def rows_with_an_odd_one(self, **changes):
+        """Return an answer with a good row, an odd one and another good one."""
+        good = {"table": "my", "part": "p7", "key": "a", "value": "eA==", "ver": 3}
+        odd = {**good, "key": "b", "ver": 4, **changes}
+        odd = {name: value for name, value in odd.items() if value is not ...}
+        shown = [good, odd, {**good, "key": "c", "ver": 5}]
+        return {"rows": shown, "ver": 9, "now_ms": 5}
+
+    def test_one_unreadable_row_does_not_hide_the_others(self):
+        # Guards against one row that made each read and the feed fail.
+        good = [
+            ports.Row(ports.RowId("my", "p7", name), b"x", version)
+            for name, version in (("a", 3), ("c", 5))
+        ]
+        for field, value in (
+            ("value", "no base64!"),
+            ("value", "eA="),
+            ("value", 5),
+            ("value", {"x": [1]}),
+            ("ver", "4"),
+            ("ver", -4),
+            ("ver", 10**20),
+            ("removed", "yes"),
+        ):
+            store = self.store(200, self.rows_with_an_odd_one(**{field: value}))
+            for found in (store.read("my", "p7"), store.follow("my", 2, 0.1)):
+                self.assertEqual(good, [found.rows[0], found.rows[2]], field)
+                odd = found.rows[1]
+                self.assertEqual(ports.RowId("my", "p7", "b"), odd.id)
+                # Guards against an unreadable row that counts as absent.
+                self.assertTrue(odd.version)
+                for kind in (rows.Progress, job_specs.Job, rows.LeaderLease):
+                    self.assertIsInstance(
+                        rows.decode(kind, odd.value), errors.Malformed
+                    )
+
+    def test_an_unreadable_row_is_rejected_as_present(self):
+        # Guards against a write that takes such a row for its own or as absent.
+        answer = self.rows_with_an_odd_one(value=5)
+        found = self.store(412, answer).transact({ROW_ID: 0}, {})
+        self.assertEqual([3, 4, 5], [row.version for row in found.rows])
+        self.assertEqual(rowstore.UNREADABLE, found.rows[1].value)
+
+    def test_an_unreadable_row_is_logged_once(self):
+        store = self.store(200, self.rows_with_an_odd_one(value=5))
+        with logbook.TestHandler() as handler:
+            store.read("my", "p7")
+            store.read("my", "p7")
+        [record] = handler.records
+        self.assertIn("my b: unreadable", record.message)
+
+    def test_a_row_without_a_name_fails_a_read_of_the_systems_tables(self):
+        # Guards against a row of the coordinator's that is silently taken as absent.
+        for key in (..., 5, None):
+            answer = self.rows_with_an_odd_one(key=key)
+            store = self.store(200, answer)
+            self.assertIsInstance(store.read("my", "p7"), errors.Malformed)
+            self.assertIsInstance(store.follow("my", 2, 0.1), errors.Malformed)
+            self.assertIsInstance(
+                self.store(412, answer).transact({ROW_ID: 0}, {}), errors.Ambiguous
+            )
+
+    def test_a_row_without_a_name_is_skipped_in_tables_of_others(self):
+        # Guards against one row of another writer that hides all executors.
+        answer = self.rows_with_an_odd_one(key=5)
+        for table in ("servers", "op"):
+            store = self.store(200, answer)
+            for found in (store.read(table, ""), store.follow(table, 2, 0.1)):
+                self.assertEqual(["a", "c"], [row.id.key for row in found.rows])
+
+    def test_a_page_without_readable_rows_is_a_failure(self):
+        # Guards against IndexError where the next page is requested.
+        answer = {"rows": [{"table": "op", "key": 5}], "has_more": True, "ver": 9}
+        self.assertIsInstance(self.store(200, answer).read("op", ""), errors.Malformed)
+
+    def test_an_answer_that_is_nested_too_deep_is_a_failure(self):
+        # Guards against RecursionError in each caller of the store.
+        for depth in (1100, 20_000):
+            body = b'{"ver":1,"zz":' + b"[" * depth + b"]" * depth + b"}"
+            self.assertIsInstance(self.store(200, body).read("my", ""), errors.Failure)
+            answer = self.store(200, body).transact({}, {ROW_ID: b"x"})
+            self.assertIsInstance(answer, errors.Ambiguous)
