Refuse submissions that cannot be read or stored with 400

Seen by callers: 500 for a body nested 1,100 deep, for an odd port in the Host header and for a timeout header of 400 digits. A count of 10^9 was accepted.

Cause: RecursionError, ValueError and OverflowError left the handler; counts, amounts and times had no bounds, and `max_row_bytes` was read and not used.

A job is refused if its row, or the smallest progress row that its end needs (9 bytes for each task of a step, 5 for each step of an occurrence), exceeds `row_bytes`: the store would refuse the coordinator's write, which is repeated until it succeeds.

Evidence: on the code before (with the new argument ignored) four tests of test_platform_ingress fail: "RecursionError: maximum recursion depth exceeded", "400 != 500: ('Host', 'h.example:abc')" and "400 != 200" for the count of 10^9; the fourth checks the new constants.

--- a/test/test_platform_ingress.py
+++ b/test/test_platform_ingress.py
@@ -2,19 +2,25 @@
 
 import falcon
 import falcon.testing
+import hypothesis
 import logbook
 import testtools
 from gevent import event
+from hypothesis import strategies
 
 from test import platform_case  # noqa: F401  finds the adapter's modules
+from test import test_platform_directory as directory_case
 from toucanspring import errors, metrics
-from toucanspring.coordinator import catalogue, metered, state
+from toucanspring.coordinator import catalogue, metered, rows, state
 
 import ingress  # isort: skip
 
 JOB = "5c0e7a21d94b36f8"
 BODY = {"spec": "(text)", "phases": [{"count": 4, "cpu": 500, "mem_mb": 256}]}
 
+MAX_ROW_BYTES = 65_536
+STEP = {"count": 4, "cpu": 500, "mem_mb": 256}
+
 
 class Peers:
     def __init__(self):
@@ -86,7 +92,9 @@
         self.kernel, self.view, self.scheduler = Kernel(), View(), Scheduler()
         self.registry = metrics.Service(None, None)
         meters = metered.Meters(self.registry)
-        self.ingress = ingress.Ingress(self.kernel, self.view, self.scheduler, meters)
+        self.ingress = ingress.Ingress(
+            self.kernel, self.view, self.scheduler, meters, MAX_ROW_BYTES
+        )
 
     def call(self, method="POST", path=f"/q/{JOB}", key="k", body=BODY, timeout_s=0.5):
         content = body if isinstance(body, bytes) else json.dumps(body).encode()
@@ -153,6 +161,81 @@
         later = {"spec": "x", "phases": [{"count": 1, "after": [0]}]}
         self.assertEqual(400, self.call(body=later).status)
 
+    def test_each_odd_body_is_refused_at_once(self):
+        # Guards against RecursionError and OverflowError, which callers saw as 500.
+        deep = b"[" * 1100 + b"]" * 1100
+        bodies = [
+            b"\xff",
+            b'{"spec":"x","phases":[{"count":1}],"zz":' + deep + b"}",
+            b'{"spec":"x","phases":' + deep + b"}",
+            b'{"spec":"x","phases":[{"count":' + b"9" * 5000 + b"}]}",
+            b'{"spec":"\\ud800","phases":[{"count":1}]}',
+            {"spec": "x", "phases": [{"count": 1}] * 40_000},
+        ]
+        for field in ("cpu", "mem_mb", "gpus", "estimate_ms", "anti_affinity", "count"):
+            for value in (None, "1", 1.5, -1, 10**13, 2**63, 10**20, 10**400):
+                bodies.append({"spec": "x", "phases": [{**STEP, field: value}]})
+        for field in ("repeat_count", "start_at_ms", "interval_ms"):
+            for value in (None, "1", 1.5, -1, 10**15, 2**63, 10**20, 10**400):
+                bodies.append({"spec": "x", "phases": [STEP], field: value})
+        for value in (5, [0, "1"], [10**400], [-1]):
+            later = {**STEP, "after": value}
+            bodies.append({"spec": "x", "phases": [STEP, later]})
+        for body in bodies:
+            self.assertEqual(400, self.call(body=body).status, str(body)[:200])
+        self.assertEqual([], self.scheduler.jobs)
+
+    def test_a_job_whose_progress_no_row_can_hold_is_refused(self):
+        # Guards against counts that exhaust the memory of each coordinator in turn.
+        for changes in (
+            {"phases": [{**STEP, "count": 10**9}]},
+            {"phases": [{**STEP, "count": 7_300}]},
+            {"phases": [STEP], "repeat_count": 10**9},
+            {"phases": [STEP] * 100, "repeat_count": 140},
+        ):
+            self.assertEqual(400, self.call(body={"spec": "x", **changes}).status)
+        for changes in (
+            {"phases": [{**STEP, "count": 7_200}]},
+            {"phases": [STEP], "repeat_count": 13_000},
+        ):
+            self.assertEqual(200, self.call(body={"spec": "x", **changes}).status)
+
+    def test_the_smallest_progress_is_no_larger_than_stored(self):
+        # Guards against a refusal of a job that a row can hold.
+        task, step = rows.TaskRow(0, 1), rows.StepRow(0, 0, (), True)
+        self.assertEqual(ingress.MIN_TASK_BYTES, len(rows.encode(task)))
+        self.assertEqual(ingress.MIN_STEP_BYTES, len(rows.encode(step)))
+
+    def test_odd_headers_are_no_internal_error(self):
+        # Guards against ValueError and OverflowError, which callers saw as 500.
+        client = falcon.testing.TestClient(self.ingress.application())
+        for name, value, status in (
+            ("Host", "h.example:abc", 400),
+            (ingress.TIMEOUT_HEADER, "9" * 400, 200),
+            (ingress.TIMEOUT_HEADER, "9" * 5000, 200),
+            (ingress.TIMEOUT_HEADER, "-1", 200),
+            (ingress.TIMEOUT_HEADER, "1e9", 200),
+        ):
+            headers = {ingress.KEY_HEADER: "k", "Host": "h.example", name: value}
+            found = client.simulate_get(f"/q/{JOB}", headers=headers)
+            self.assertEqual(status, found.status_code, (name, value[:20]))
+        for text, expected in (("900", 0.9), ("9" * 15, 60.0), ("", 3.0)):
+            self.assertEqual(expected, ingress._timeout_s(text))
+
+    @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+    @hypothesis.given(strategies.data())
+    def test_each_body_is_accepted_or_refused(self, data):
+        # Guards against any exception, and against a job that no row can hold.
+        field = data.draw(strategies.sampled_from((*STEP, "estimate_ms", "after")))
+        step = {**STEP, field: data.draw(directory_case.JSON)}
+        field = data.draw(strategies.sampled_from((*BODY, "repeat_count", "x")))
+        body = {"spec": "x", "phases": [step], field: data.draw(directory_case.JSON)}
+        self.scheduler.jobs.clear()
+        status = self.call(body=body).status
+        self.assertIn(status, (200, 400))
+        for spec in self.scheduler.jobs:
+            self.assertLessEqual(len(rows.encode(spec)), MAX_ROW_BYTES)
+
     def test_a_refusal_says_when_to_retry(self):
         self.scheduler.result = errors.Unavailable(reason="store")
         answer = self.call()
