Report each odd settings file as invalid

Seen by operators: a traceback at the start instead of a reason, for a settings file nested too deep or with a number of 5,000 digits, and for such a port.

Cause: `tomllib` raises RecursionError, ValueError and UnicodeDecodeError besides its own error, and `int` refuses texts that `isdecimal` accepts in length.

Evidence: on the code before, test_each_odd_settings_file_is_invalid fails with "RecursionError: maximum recursion depth exceeded" and test_the_metrics_port_is_checked with "ValueError: Exceeds the limit (4300 digits)".

--- a/test/test_platform_directory.py
+++ b/test/test_platform_directory.py
@@ -305,7 +305,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         path = pathlib.Path(folder.name) / "local.toml"
-        path.write_text(text)
+        path.write_bytes(text if isinstance(text, bytes) else text.encode())
         named = {deployment.SETTINGS_VARIABLE: str(path)}
         return deployment.read({**named, **environment})
 
@@ -340,12 +340,37 @@
         ):
             self.assertIsInstance(self.read(text), errors.Invalid)
 
+    def test_each_odd_settings_file_is_invalid(self):
+        # Guards against a traceback instead of a reason when the process starts.
+        for text in (
+            f"zz = {nest(1100)}\n{self.SETTINGS}",
+            f"zz = {'9' * 5000}\n{self.SETTINGS}",
+            self.SETTINGS.replace('"edge-1"', '"\\ud800"'),
+            self.SETTINGS.replace("7420", "-1"),
+            self.SETTINGS.replace("7420", "70000"),
+            self.SETTINGS.replace("max_hold_ms = 6000", "max_hold_ms = 0"),
+            self.SETTINGS.replace("max_hold_ms = 6000", f"max_hold_ms = {10**20}"),
+            self.SETTINGS.replace("grace_s = 6", "grace_s = inf"),
+            self.SETTINGS.replace("grace_s = 6", "grace_s = nan"),
+            self.SETTINGS.replace("10.200.1.9:8182", f"10.200.1.9:{'9' * 5000}"),
+            self.SETTINGS.replace("10.200.1.9:8182", "a..b:8182"),
+            b"\xff" + self.SETTINGS.encode(),
+        ):
+            self.assertIsInstance(self.read(text), errors.Invalid, text[:60])
+
     def test_the_metrics_port_is_checked(self):
         name = deployment.METRICS_PORT_VARIABLE
         self.assertEqual(0, self.read(self.SETTINGS).metrics_port)
         found = self.read(self.SETTINGS, **{name: "9464"})
         self.assertEqual(9464, found.metrics_port)
-        for text in ("x", "", "-1", "65536"):
+        for text in (
+            "x",
+            "",
+            "-1",
+            "65536",
+            "9" * 5000,
+            "\N{ARABIC-INDIC DIGIT THREE}",
+        ):
             found = self.read(self.SETTINGS, **{name: text})
             self.assertIsInstance(found, errors.Invalid)
 
