Go on polling a worker after an internal error of a poll

Cause: `Dispatcher._run` had no guard and its greenlet stayed in `_loops`.

Change: an exception of a poll is logged and counts as a poll without a reply, so that the next poll carries no lease and the tasks are queued again in time.

Evidence: on the code before, both tests of test_coordinator_poll_errors fail with "the condition did not hold". They pass now.

--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -105,7 +105,7 @@
                     return
                 gevent.sleep(POLL_RETRY_S)
                 continue
-            if self._poll(worker):
+            if self._poll_safely(worker):
                 answered_at = self._clock()
                 continue
             now = self._clock()
@@ -129,6 +129,15 @@
                 return True
         return False
 
+    def _poll_safely(self, worker: workers.Worker) -> bool:
+        """Poll a worker; an internal error counts as a poll without a reply."""
+        try:
+            return self._poll(worker)
+        except Exception:
+            log.exception("polling worker {} failed", worker.id)
+            worker.may_have_restarted = True
+            return False
+
     def _poll(self, worker: workers.Worker) -> bool:
         sent = self._clock()
         lease_until_ms = None
