--- a/test/test_platform_directory.py
+++ b/test/test_platform_directory.py
@@ -3,6 +3,7 @@
 import tempfile
 
 import hypothesis
+import logbook
 import msgspec
 import testtools
 from hypothesis import strategies
@@ -238,6 +239,15 @@
     def put(self, key, value, table="op"):
         self.store.put(ports.RowId(table, "", key), encode(value))
 
+    def test_an_odd_entry_is_logged_once_for_each_reason(self):
+        # Guards against a line for each heartbeat of an odd entry.
+        row_id = ports.RowId("servers", "", "i-1")
+        with logbook.TestHandler() as handler:
+            for version, field in enumerate(("slots", "slots", "seq", "seq"), 1):
+                value = encode({**EXECUTOR, field: "odd"})
+                self.directory._apply_executor_row(ports.Row(row_id, value, version))
+        self.assertEqual(2, len(handler.records))
+
     def test_an_odd_route_or_tenant_leaves_the_configuration_in_force(self):
         # Guards against numbers that end later steps of the coordinator.
         self.put("config", {"version": 7, "routes": [ROUTE], "tenants": [TENANT]})
