--- a/test/test_platform_directory.py
+++ b/test/test_platform_directory.py
@@ -4,6 +4,7 @@
 import tempfile
 
 import hypothesis
+import logbook
 import msgspec
 import gevent
 import testtools
@@ -240,6 +241,15 @@
     def put(self, key, value, table="op"):
         self.store.put(ports.RowId(table, "", key), encode(value))
 
+    def test_an_odd_entry_is_logged_once_for_each_reason(self):
+        # Guards against a line for each heartbeat of an odd entry.
+        row_id = ports.RowId("servers", "", "i-1")
+        with logbook.TestHandler() as handler:
+            for version, field in enumerate(("slots", "slots", "seq", "seq"), 1):
+                value = encode({**EXECUTOR, field: "odd"})
+                self.directory._apply_executor_row(ports.Row(row_id, value, version))
+        self.assertEqual(2, len(handler.records))
+
     def test_an_odd_route_or_tenant_leaves_the_configuration_in_force(self):
         # Guards against numbers that end later steps of the coordinator.
         self.put("config", {"version": 7, "routes": [ROUTE], "tenants": [TENANT]})
@@ -335,7 +345,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         path = pathlib.Path(folder.name) / "local.toml"
-        path.write_text(text)
+        path.write_bytes(text if isinstance(text, bytes) else text.encode())
         named = {deployment.SETTINGS_VARIABLE: str(path)}
         return deployment.read({**named, **environment})
 
@@ -387,12 +397,37 @@
         ):
             self.assertIsInstance(self.read(text), errors.Invalid)
 
+    def test_each_odd_settings_file_is_invalid(self):
+        # Guards against a traceback instead of a reason when the process starts.
+        for text in (
+            f"zz = {nest(1100)}\n{self.SETTINGS}",
+            f"zz = {'9' * 5000}\n{self.SETTINGS}",
+            self.SETTINGS.replace('"edge-1"', '"\\ud800"'),
+            self.SETTINGS.replace("7420", "-1"),
+            self.SETTINGS.replace("7420", "70000"),
+            self.SETTINGS.replace("max_hold_ms = 6000", "max_hold_ms = 0"),
+            self.SETTINGS.replace("max_hold_ms = 6000", f"max_hold_ms = {10**20}"),
+            self.SETTINGS.replace("grace_s = 6", "grace_s = inf"),
+            self.SETTINGS.replace("grace_s = 6", "grace_s = nan"),
+            self.SETTINGS.replace("10.200.1.9:8182", f"10.200.1.9:{'9' * 5000}"),
+            self.SETTINGS.replace("10.200.1.9:8182", "a..b:8182"),
+            b"\xff" + self.SETTINGS.encode(),
+        ):
+            self.assertIsInstance(self.read(text), errors.Invalid, text[:60])
+
     def test_the_metrics_port_is_checked(self):
         name = deployment.METRICS_PORT_VARIABLE
         self.assertEqual(0, self.read(self.SETTINGS).metrics_port)
         found = self.read(self.SETTINGS, **{name: "9464"})
         self.assertEqual(9464, found.metrics_port)
-        for text in ("x", "", "-1", "65536"):
+        for text in (
+            "x",
+            "",
+            "-1",
+            "65536",
+            "9" * 5000,
+            "\N{ARABIC-INDIC DIGIT THREE}",
+        ):
             found = self.read(self.SETTINGS, **{name: text})
             self.assertIsInstance(found, errors.Invalid)
 
