Remove the capacity version, which nothing reads any more

The planner finds out by itself whether a worker could take more (availability.py), so events need not say so.

--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -165,7 +165,6 @@
 
     def _set_zones_out(self, zones: frozenset[str]) -> None:
         self.cell.zones_out = zones
-        self.cell.capacity_version += 1
 
     def _poll_regularly(self, machine: Machine):
         def poll(now: float) -> None:
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -54,7 +54,6 @@
         )
         self.dirty: dict[str, state.JobRecord] = {}
         self.stops: list[Stop] = []
-        self.capacity_version = 0
         self._rate_limits = rate_limits.RateLimits()
         self._pools: dict[str, list[workers.Worker]] = {}
 
@@ -203,7 +202,6 @@
         worker.entry = entry
         worker.registered = True
         self._pools.clear()
-        self.capacity_version += 1
         return worker
 
     def _reattach_tasks(self, worker: workers.Worker) -> None:
@@ -274,7 +272,6 @@
         owner = step_run.job.spec.organisation
         self.used[owner] = self.used[owner] - step_run.step.demand
         task.worker = ""
-        self.capacity_version += 1
 
     # Starts
 
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -335,12 +335,9 @@
 
     def _apply_operator_settings(self) -> None:
         catalogue = self._directory.catalogue
-        if catalogue is not None and self.cell.catalogue is not catalogue:
+        if catalogue is not None:
             self.cell.catalogue = catalogue
-            self.cell.capacity_version += 1
-        if self.cell.zones_out != self._directory.zones_out:
-            self.cell.zones_out = self._directory.zones_out
-            self.cell.capacity_version += 1
+        self.cell.zones_out = self._directory.zones_out
 
     # Rounds
 
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -37,8 +37,6 @@
                 log, "worker_restarted", worker=worker.id, held=len(worker.allocations)
             )
         worker.record_restart(reply.incarnation)
-    if not worker.confirmed or not worker.responsive:
-        cell.capacity_version += 1
     worker.confirmed = worker.responsive = True
     worker.update_clock(reply.clock_ms, now)
     listed = {(row.task, row.run) for row in reply.running}
@@ -112,8 +110,6 @@
                 allocation.step, task
             ):
                 cell.stop(allocation.step, task)
-    if len(unknown_tasks) < len(worker.unknown_tasks):
-        cell.capacity_version += 1
     worker.unknown_tasks = unknown_tasks
 
 
