Register a worker without a scan of all jobs

Callers saw: slow takeovers on VMs with half a core. No run measured the share of this scan, so that it mattered is suspected only.

Cause: `register_worker` went through all tasks of all jobs for each worker that was not known yet, to allocate restored tasks to it. The scan can find none: a task gets a worker only in `allocate`, where the worker is known, and in `restore`, which adds an unregistered worker with its allocations; a worker is removed only after all its allocations are requeued.

Evidence: test_registering_a_worker_scans_no_jobs failed on the code before with "all jobs were scanned".

--- a/test/test_coordinator_workers.py
+++ b/test/test_coordinator_workers.py
@@ -3,7 +3,7 @@
 import testtools
 
 from test import coordinator_case as case
-from toucanspring.coordinator import workers
+from toucanspring.coordinator import cell_state, rows, workers
 
 
 class LeaseTest(testtools.TestCase):
@@ -61,3 +61,40 @@
         self.assertTrue(worker.record_failure("c", 5.1))
         worker.record_success()
         self.assertFalse(worker.record_failure("d", 20.0))
+
+
+class UnscannedJobs(dict):
+    """Jobs that must not be gone through."""
+
+    def values(self):
+        raise AssertionError("all jobs were scanned")
+
+    items = __iter__ = values
+
+
+class RestoredTasksTest(testtools.TestCase):
+    def restore(self, cell):
+        tasks = (rows.TaskRow(0, 3, worker="w1", incarnation=1),)
+        progress = rows.Progress("active", (rows.StepRow(0, 0, tasks),))
+        cell.restore(case.job("0" * 16, case.step(2)), progress, 0.0, 0.0)
+
+    def test_a_restored_task_is_allocated_whenever_its_worker_registers(self):
+        for order in ("worker first", "task first"):
+            cell = cell_state.CellState()
+            cell.catalogue = case.configure()
+            if order == "worker first":
+                cell.register_worker(case.entry("w1"))
+            self.restore(cell)
+            worker = cell.register_worker(case.entry("w1"))
+            self.assertEqual([f"{'0' * 16}.0.0.0"], list(worker.allocations), order)
+            self.assertEqual(1000, worker.used.cpus, order)
+
+    # Guards against takeovers whose processor time grows with workers times tasks.
+    def test_registering_a_worker_scans_no_jobs(self):
+        cell = cell_state.CellState()
+        cell.catalogue = case.configure()
+        self.restore(cell)
+        cell.jobs = UnscannedJobs(cell.jobs)
+        cell.register_worker(case.entry("w1"))
+        cell.register_worker(case.entry("w2"))
+        self.assertEqual(2, len(cell.workers))
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -199,24 +199,12 @@
         worker = self.workers.get(entry.id)
         if worker is None:
             worker = self.workers[entry.id] = workers.Worker(entry)
-            self._reattach_tasks(worker)
         worker.entry = entry
         worker.registered = True
         self._pools.clear()
         self.capacity_version += 1
         return worker
 
-    def _reattach_tasks(self, worker: workers.Worker) -> None:
-        """Allocate restored tasks to their worker, which has just been added."""
-        for record in self.jobs.values():
-            for step_run in record.steps.values():
-                for task in step_run.tasks:
-                    if (
-                        task.worker == worker.id
-                        and task.phase in state.ALLOCATED_PHASES
-                    ):
-                        self._add_allocation(worker, step_run, task)
-
     def add_unregistered_worker(self, worker_id: str) -> workers.Worker:
         """Add a worker that restored tasks refer to but that is not registered."""
         entry = ports.WorkerEntry(
