--- a/test/test_platform_directory.py
+++ b/test/test_platform_directory.py
@@ -3,10 +3,10 @@
 import pathlib
 import tempfile
 
+import gevent
 import hypothesis
 import logbook
 import msgspec
-import gevent
 import testtools
 from hypothesis import strategies
 
