Send starts that were planned on a paused worker, and end failed ones

And a start that ended in an internal error left its task allocated for ever.

Cause: the check before sending takes any pause of the worker for one that came after the planning. A start now carries the pause that the planner saw; only a later one cancels it. A start that raises is stopped like one without an answer.

--- a/test/test_coordinator_pacing.py
+++ b/test/test_coordinator_pacing.py
@@ -1,5 +1,7 @@
 """Limits of starts and the margin of tickets, from measured times; controlled time."""
 
+import dataclasses
+
 import gevent
 import gevent.event
 import testtools
@@ -219,6 +221,24 @@
         self.assertEqual(0, self.workers.starts)
         self.assertEqual([case.WAITING], case.phases(self.cell))
 
+    def test_a_start_on_a_worker_that_was_paused_when_it_was_planned_is_sent(self):
+        """Guards against plans that use a paused worker and are never carried out."""
+        self.cell.workers["w1"].backoff_until = self.now + 0.5
+        self.start = dataclasses.replace(self.start, backoff_until=self.now + 0.5)
+        self.send()
+        self.assertEqual(1, self.workers.starts)
+
+    def test_a_start_that_ends_in_an_internal_error_is_stopped(self):
+        """Guards against a task that stays allocated since no order was confirmed."""
+
+        def fail(*_order):
+            raise RuntimeError("internal")
+
+        self.workers.start = fail
+        self.send()
+        self.assertEqual([case.STOPPING], case.phases(self.cell))
+        self.assertEqual(1, len(self.cell.stops))
+
 
 class SlowWriteTest(leadership_tests.LeadershipCase):
     def test_no_start_is_sent_with_an_expired_ticket_while_writes_are_slow(self):
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -270,8 +270,13 @@
                 self.pacing.record_delay(began - queued.planned_at)
             cell.cancel_start(step_run, start.task, start.run, began)
             self._log_failure(queued, began, reason)
-        else:
+            return 0.0
+        try:
             self._send(queued, ticket)
+        except Exception:
+            log.exception("starting {} failed", step_run.task_id(start.task.index))
+            cell.mark_start_ambiguous(step_run, start.task, start.run)
+            self._leader.wake()
         return 0.0
 
     def _send(self, queued: QueuedStart, ticket: str) -> None:
@@ -331,7 +336,8 @@
     def _check_start(self, start: plans.Start, now: float) -> tuple[str, str]:
         """Return the ticket of a start, and why it must not be sent if so."""
         worker = start.worker
-        if not worker.responsive or now < worker.backoff_until:
+        paused = start.backoff_until < worker.backoff_until
+        if not worker.responsive or (paused and now < worker.backoff_until):
             return "", WORKER_FAILED
         if not start.ticket:
             return "", ""
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -363,7 +363,11 @@
         """Allocate resources for a run and add its start to the plan."""
         ticket = self.ticket(step_run, queue, worker.id, now) or ""
         self._cell.allocate(step_run, task, worker, run_number)
-        plan.starts.append(plans.Start(step_run, task, worker, run_number, ticket))
+        plan.starts.append(
+            plans.Start(
+                step_run, task, worker, run_number, ticket, worker.backoff_until
+            )
+        )
 
     def _within_ceiling(self, step_run: state.StepRun) -> bool:
         """Return whether one more task, or the whole gang, stays below the ceiling."""
--- a/toucanspring/coordinator/plans.py
+++ b/toucanspring/coordinator/plans.py
@@ -25,6 +25,8 @@
     worker: workers.Worker
     run: int
     ticket: str
+    # The pause of the worker at planning time, which the planner may have ignored.
+    backoff_until: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
