Look again at a step whose own task ended, and at pools with an unknown task

A start that is cancelled unsent no longer counts as a run of its step, which began the wait for paused workers anew.

--- a/test/test_coordinator_progress.py
+++ b/test/test_coordinator_progress.py
@@ -47,6 +47,18 @@
         self.block()
         self.assert_starts(1.6)
 
+    def test_a_step_is_not_blocked_by_its_own_task_that_has_ended(self):
+        """Guards against a limit per worker that outlasts a task without demand."""
+        step = case.step(2, cpus=0, memory=0, max_per_worker=1)
+        cell = case.new_cell(case.entry("w0"))
+        cell_planner = planner.Planner(cell)
+        cell.accept(case.job(JOB, step), 1.0)
+        case.confirm(cell, cell_planner.plan(1.0), 1.0)
+        self.assertEqual([], cell_planner.plan(1.1).starts)
+        case.poll(cell, "w0", ended=[case.ended(1, f"{JOB}.0.0.0")], now=1.2)
+        [start] = cell_planner.plan(1.3).starts
+        self.assertEqual(1, start.task.index)
+
     def test_a_blocked_step_starts_when_a_quarantine_ends(self):
         """Guards against a step that waits although a quarantine is over."""
         self.fill()
@@ -232,6 +244,14 @@
         self.cell.accept(case.job(JOB, case.step(2)), 2.6)
         self.assertIsNotNone(self.first_start(JOB, 2.6))
 
+    def test_an_unknown_task_does_not_make_an_idle_pool_count_as_used(self):
+        """Guards against paused workers that stay unused beside one odd task."""
+        self.quarantine_all()
+        unknown = [case.running(f"{'e' * 16}.0.0.0")]
+        case.poll(self.cell, "w0", running=unknown, now=2.6)
+        self.cell.accept(case.job(JOB, case.step(2)), 2.6)
+        self.assertIsNotNone(self.first_start(JOB, 2.6))
+
     def test_a_gang_does_not_wait_for_the_end_of_all_quarantines(self):
         """Guards against a gang that waits in an idle pool of paused workers."""
         self.quarantine_all()
--- a/toucanspring/coordinator/availability.py
+++ b/toucanspring/coordinator/availability.py
@@ -64,7 +64,8 @@
             pool = self.pool(worker.entry.pool)
             (pool.paused if paused else pool.usable).append(worker)
             pool.capacity = pool.capacity + worker.entry.capacity
-            pool.free = pool.free + free
+            if resources.ZERO.fits(free):  # an unknown task may use any amount
+                pool.free = pool.free + free
             before = self._seen.get(worker.id)
             improved = improved or (
                 before is None
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -261,6 +261,7 @@
         owner = step_run.job.spec.organisation
         self.used[owner] = self.used[owner] - step_run.step.demand
         task.worker = ""
+        step_run.blocked_version = -1  # its own tasks may have been in the way
 
     # Starts
 
@@ -313,7 +314,9 @@
         """Requeue a task whose start order certainly has no effect."""
         if task.run != run_number or task.phase is not state.TaskPhase.STARTING:
             return
+        ready_at = step_run.ready_at
         self.requeue(step_run, task, now)
+        step_run.ready_at = ready_at  # the task has not run since
 
     def mark_start_ambiguous(
         self, step_run: state.StepRun, task: state.Task, run_number: int
