Send no members of a gang that lost one, and starts after slow orders again

Evidence, on the code before: test_members_of_a_gang_that_lost_one_are_not_sent '0 != 1', test_starts_are_sent_again_after_orders_were_slower_than_tickets_last 'no start was sent'.

--- a/test/test_coordinator_pacing.py
+++ b/test/test_coordinator_pacing.py
@@ -228,6 +228,34 @@
         self.send()
         self.assertEqual(1, self.workers.starts)
 
+    def test_starts_are_sent_again_after_orders_were_slower_than_tickets_last(self):
+        """Guards against tickets that all count as expired for good."""
+        self.dispatcher.pacing.order_s = 2 * VALIDITY_S
+        cell_planner = planner.Planner(self.cell)
+        for _ in range(5):
+            self.send()
+            if self.workers.starts:
+                return
+            plan = cell_planner.plan(self.now)
+            [self.start] = plan.starts
+        self.fail("no start was sent")
+
+    def test_members_of_a_gang_that_lost_one_are_not_sent(self):
+        """Guards against members that start only to be stopped again."""
+        cell = case.new_cell(case.entry("w1"))
+        spec = case.job(JOB, case.step(2, gang=True))
+        cell.accept(spec, self.now)
+        first, second = planner.Planner(cell).plan(self.now).starts
+        cell.cancel_start(first.step, first.task, first.run, self.now)
+        self.workers.jobs[JOB] = spec
+        self.dispatcher = dispatch.Dispatcher(
+            Leader(cell), self.workers, 6000, lambda: self.now
+        )
+        self.start = second
+        self.send()
+        self.assertEqual(0, self.workers.starts)
+        self.assertEqual([case.WAITING] * 2, case.phases(cell))
+
     def test_a_start_that_ends_in_an_internal_error_is_stopped(self):
         """Guards against a task that stays allocated since no order was confirmed."""
 
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -260,14 +260,18 @@
         """Send a start order, or cancel it if it is void by now; return 0."""
         start = queued.start
         cell, step_run = self._leader.cell, start.step
-        if step_run.job.is_final or start.task.run != start.run:
+        if (
+            step_run.job.is_final
+            or start.task.run != start.run
+            or cell.is_gang_broken(step_run, start.task)
+        ):
             cell.cancel_start(step_run, start.task, start.run, self._clock())
             return 0.0
         began = self._clock()
         ticket, reason = self._check_start(start, began)
         if reason:
             if reason == TICKET_EXPIRED:
-                self.pacing.record_delay(began - queued.planned_at)
+                self.pacing.record_void(began - queued.planned_at)
             cell.cancel_start(step_run, start.task, start.run, began)
             self._log_failure(queued, began, reason)
             return 0.0
--- a/toucanspring/coordinator/order_pacing.py
+++ b/toucanspring/coordinator/order_pacing.py
@@ -48,6 +48,14 @@
         """Record the time from the planning of a start to its arrival."""
         self._delays.append(delay_s)
 
+    def record_void(self, delay_s: float) -> None:
+        """Record the age of a start that was not sent since its ticket was too old.
+
+        If no order is sent any more, no order can show that orders are faster again.
+        """
+        self.record_delay(delay_s)
+        self.order_s *= SHRINK
+
     def record_order(self, order_s: float) -> None:
         """Record the time from sending a start to its answer or failure."""
         self._orders.append(order_s)
