Let a delayed start arrive while the next run is at work in its test

The test of a start without an answer passed with the start cancelled instead of stopped (mutation of the review), since the delayed order arrived after the end of the next run and at the same worker. Now it arrives while that run is at work on the other worker; with the mutation the task is done twice, without it once. Stricter than before.

--- a/test/test_coordinator_orders.py
+++ b/test/test_coordinator_orders.py
@@ -132,13 +132,18 @@
         self.assert_no_violations()
 
     def test_a_start_without_an_answer_is_stopped_if_it_may_not_be_repeated(self):
-        """Guards against a start that is neither repeated nor stopped."""
+        """Guards against a start that is neither repeated nor stopped.
+
+        It may still take effect while the next run is at work on another worker.
+        """
+        self.workers.run_s = 0.5
         leader = self.coordinate()
         start = self.workers.start
 
-        def lose(*order):
+        def lose(worker, order):
             leader.may_renew = lambda _now: False
-            return start(*order)
+            leader.cell.workers[worker.id].quarantined_until = float("inf")
+            return start(worker, order)
 
         self.workers.start = lose
         self.workers.delay_starts = 1
@@ -147,8 +152,9 @@
         gevent.sleep(0.05)
         self.workers.start = start
         del leader.may_renew
-        self.wait_for(self.is_complete)
+        self.wait_for(lambda: self.workers.starts == 1)
         self.workers.apply_delayed()
+        self.wait_for(self.is_complete)
         self.assertEqual({f"{JOB}.0.0.0": 1}, self.workers.done)
         self.assert_no_violations()
 
