Count the store's clock of a takeover from the sending of the read

Callers would see: after a takeover by slow calls the coordinator believes its lease valid after it has expired, and its renewals are due to expire early by the time the takeover took. Another process may acquire the lease while it is in use; its writes are fenced then, and the work is taken over needlessly.

Cause: the store time of the read in acquire was paired with the local time after the write that followed it. StoreClock keeps the smallest offset, so the error lasted until a later reply was quicker. Acquired now says when the read was sent, and gives the clock that follows from the two.

Evidence, test_coordinator_store.SlowTakeoverTest with calls of 0.8 s of controlled time and the time taken after the write, as before: test_a_renewal_after_a_slow_takeover_lasts_a_lease_less_one_call '0.9 not greater than or equal to 1.7', test_the_lease_is_not_held_beyond_its_expiry 'True is not false', test_the_store_clock_is_an_upper_bound_after_a_slow_takeover '1000400 not greater than or equal to 1001600'.

Why it works: the store reads its clock after the request is sent, so the offset of the pair is an upper bound, as for each later reply.

--- a/test/test_coordinator_store.py
+++ b/test/test_coordinator_store.py
@@ -275,6 +275,65 @@
         self.assertEqual(leader_lease.Reason.RELEASED, self.acquire("three").reason)
 
 
+class SlowStore(rowstore.MemoryStore):
+    """A store that applies each call half of `CALL_S` after it is sent."""
+
+    CALL_S = 0.8
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.clock = clock
+        self.expiries_left_s = []  # of the lease, when a transaction took effect
+
+    def read(self, *arguments, **options):
+        self.clock.now += self.CALL_S / 2
+        answer = super().read(*arguments, **options)
+        self.clock.now += self.CALL_S / 2
+        return answer
+
+    def transact(self, checks, puts, removals=()):
+        self.clock.now += self.CALL_S / 2
+        lease = rows.decode(rows.LeaderLease, puts[rows.LEADER_LEASE_ROW])
+        left_ms = lease.expires_ms - self.timestamp().store_ms
+        self.expiries_left_s.append(left_ms / 1000)
+        answer = super().transact(checks, puts, removals)
+        self.clock.now += self.CALL_S / 2
+        return answer
+
+
+class SlowTakeoverTest(testtools.TestCase):
+    """A takeover by slow calls must not make the coordinator outlive its lease."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = Clock()
+        self.store = SlowStore(self.clock)
+        self.acquired = leader_lease.acquire(
+            self.store, "one", "10.0.0.1", "one", clock=self.clock
+        )
+        self.store_clock = self.acquired.find_store_clock()
+        self.writer = fenced_writer.FencedWriter(
+            self.store, self.acquired, self.store_clock, self.clock
+        )
+
+    def test_the_store_clock_is_an_upper_bound_after_a_slow_takeover(self):
+        self.assertGreaterEqual(
+            self.store_clock.latest_ms(self.clock.now), self.store.timestamp().store_ms
+        )
+
+    def test_the_lease_is_not_held_beyond_its_expiry(self):
+        while self.store.timestamp().store_ms < self.acquired.lease.expires_ms:
+            self.clock.now += 0.05
+        self.assertFalse(self.writer.holds_lease(self.clock.now))
+
+    def test_a_renewal_after_a_slow_takeover_lasts_a_lease_less_one_call(self):
+        for _ in range(3):
+            self.assertIsNone(self.writer.commit({}))
+        shortest_s = leader_lease.LEASE_MS / 1000 - self.store.CALL_S
+        for left_s in self.store.expiries_left_s[1:]:
+            self.assertGreaterEqual(left_s, shortest_s)
+
+
 class FencedWriterTest(LeaderLeaseCase):
     PLACE = ports.RowId("progress", rows.COORDINATOR_PART, "job")
 
--- a/toucanspring/coordinator/leader_lease.py
+++ b/toucanspring/coordinator/leader_lease.py
@@ -8,6 +8,8 @@
 
 import dataclasses
 import enum
+import time
+from collections.abc import Callable
 
 from toucanspring import errors
 from toucanspring.coordinator import ports, rows
@@ -74,6 +76,8 @@
 
     lease: rows.LeaderLease
     version: int
+    # When the read was sent whose store time the lease counts from; monotonic seconds.
+    asked_at: float
     # Whether the previous coordinator may still be running and renewing worker leases,
     # and for how many more seconds it may consider its own lease valid.
     predecessor_may_run: bool
@@ -82,6 +86,12 @@
     predecessor: str = ""
     reason: Reason = Reason.FIRST
 
+    def find_store_clock(self) -> StoreClock:
+        """Return the store's clock as the read before the acquisition showed it."""
+        found = StoreClock()
+        found.update(self.lease.expires_ms - LEASE_MS, self.asked_at)
+        return found
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeldByOther:
@@ -141,6 +151,7 @@
     instance_id: str,
     takeover: Takeover = NO_TAKEOVER,
     patience_s: float = 0.0,
+    clock: Callable[[], float] = time.monotonic,
 ) -> Acquired | HeldByOther | errors.Failure:
     """Acquire the lease if it is free, expired or held under the epoch of `takeover`.
 
@@ -152,6 +163,7 @@
     `patience_s` more. The answer to a released one is then `HeldByOther` with this
     time, after which a takeover of its epoch acquires it.
     """
+    asked_at = clock()
     found = read(store)
     if isinstance(found, errors.Failure):
         return found
@@ -174,9 +186,12 @@
             former = "" if lease is None else lease.process
             reason = _find_reason(lease, process, takeover)
             if not may_run or former == process:
-                return Acquired(wanted, committed.version, False, 0.0, former, reason)
-            left_s = max(0, lease.expires_ms - at.store_ms) / 1000
-            return Acquired(wanted, committed.version, True, left_s, former, reason)
+                may_run, left_s = False, 0.0
+            else:
+                left_s = max(0, lease.expires_ms - at.store_ms) / 1000
+            return Acquired(
+                wanted, committed.version, asked_at, may_run, left_s, former, reason
+            )
         case ports.Rejected():
             return errors.Conflict(reason="another process acquired the leader lease")
         case _:
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -385,10 +385,7 @@
             left_s=round(acquired.predecessor_lease_left_s, 2),
             why=acquired.reason.value, strength=round(self._members.strength()),
         )  # fmt: skip
-        self._store_clock = leader_lease.StoreClock()
-        self._store_clock.update(
-            acquired.lease.expires_ms - leader_lease.LEASE_MS, time.monotonic()
-        )
+        self._store_clock = acquired.find_store_clock()
         self._leadership = leadership.Leadership(
             self._store,
             self._client,
