Follow the operators' table while the store is slow

Callers would see: with calls to the store of over 0.5 s nothing is started for as long as they last, since each follow of the operators' table fails and planning stops at a view of 1.8 s.

Cause: a follow had 0.5 s beyond its wait, other calls have 1.2 s. And with a wait of 0.8 s the age reaches 0.8 s plus two latencies, 1.8 s at 0.5 s.

After an answer that was over 0.2 s late the operators' table is asked with a wait of 0.4 s, until an empty answer is in time. MAX_VIEW_AGE_S is as before.

Why it works: the age is at most the wait plus two latencies, 1.6 s at 0.6 s. This holds for answers without changes. One with changes counts from its sending, so the age can be a wait more after it, 2.0 s at 0.6 s.

--- a/test/test_platform_directory.py
+++ b/test/test_platform_directory.py
@@ -14,7 +14,7 @@
 from test import platform_case  # noqa: F401  finds the adapter's modules
 from toucanspring import errors, resources
 from toucanspring.adapters import exchange
-from toucanspring.coordinator import ports
+from toucanspring.coordinator import leadership, ports
 
 import deployment  # isort: skip
 import directory  # isort: skip
@@ -52,6 +52,62 @@
 }
 
 
+class LateStore(rowstore.MemoryStore):
+    """A store without changes whose answers are late by `latency_s`."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.latency_s = 0.0
+        self.waits_s = []
+        self.on_answer = lambda: None
+
+    def clock(self):
+        return self.now
+
+    def follow(self, _table, _after, wait_s):
+        self.waits_s.append(wait_s)
+        self.now += wait_s + self.latency_s
+        self.on_answer()
+        return ports.Changes((), self.timestamp())
+
+
+class ViewAgeTest(testtools.TestCase):
+    """Nothing is planned while the view of the operators' settings is too old."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = LateStore()
+        self.directory = directory.Directory(self.store)
+        self.cache = self.directory._operators
+        self.cache._clock = self.store.clock
+        self.ages = []
+        self.store.on_answer = lambda: self.ages.append(
+            self.directory.age(self.store.now)
+        )
+        self.assertIsNone(self.cache.poll())
+
+    def follow(self, latency_s):
+        self.store.latency_s = latency_s
+        for _ in range(5):
+            self.assertIsNone(self.cache.poll())
+
+    def test_the_view_stays_young_enough_while_the_store_is_slow(self):
+        for latency_s in (0.01, 0.6, 0.01, 0.3, 0.6, 0.15, 0.6):
+            self.follow(latency_s)
+        self.assertLess(max(self.ages), leadership.MAX_VIEW_AGE_S)
+
+    def test_short_waits_are_made_only_while_answers_are_late(self):
+        self.follow(0.01)
+        usual = set(self.store.waits_s)
+        self.follow(0.6)
+        self.assertEqual(
+            {directory.OPERATORS_LATE_WAIT_S}, set(self.store.waits_s[-4:])
+        )
+        self.follow(0.01)
+        self.assertEqual(usual, set(self.store.waits_s[-4:]))
+
+
 JSON = strategies.recursive(
     strategies.none()
     | strategies.booleans()
--- a/test/test_platform_rowstore.py
+++ b/test/test_platform_rowstore.py
@@ -1,5 +1,6 @@
 import json
 
+import gevent
 import logbook
 import testtools
 
@@ -70,6 +71,17 @@
         changes = self.store(200, {"rows": [row], "ver": 9}).follow("my", 7, 0.1)
         self.assertEqual((ports.Row(ROW_ID, b"", 0),), changes.rows)
 
+    # Guards against a copy of a table that is never current while the store is slow.
+    def test_a_follow_is_given_as_long_as_other_calls_beyond_its_wait(self):
+        def answer_late(*_request):
+            gevent.sleep(0.1 + 0.75 * rowstore.TIMEOUT_S)
+            return 200, json.dumps({"rows": [], "ver": 9, "now_ms": 5}).encode()
+
+        server = platform_case.Server(answer_late)
+        self.addCleanup(server.stop)
+        found = rowstore.Store("127.0.0.1", server.port).follow("my", 7, 0.1)
+        self.assertIsInstance(found, ports.Changes)
+
     def test_dropped_history_has_a_failure_of_its_own(self):
         answer = self.store(410).follow("my", 7, 0.1)
         self.assertIsInstance(answer, ports.HistoryGone)
--- a/toucanspring/coordinator/table_cache.py
+++ b/toucanspring/coordinator/table_cache.py
@@ -15,6 +15,7 @@
 
 # Timeout of a call that waits for changes; bounds the age of an unchanged copy.
 FOLLOW_TIMEOUT_S = 0.8
+LATE_S = 0.2  # an answer that comes this much after the wait is late
 RETRY_FIRST_S = 0.05
 RETRY_MAX_S = 0.4
 
@@ -25,7 +26,8 @@
     """Copy of one table; `on_change(row)` is called for each changed row.
 
     `on_batch()` is called after the changes that came together.
-    `wait_s` is the timeout of one call that waits for changes. A pause of `pause_s`
+    `wait_s` is the timeout of one call that waits for changes, `late_wait_s` that of
+    calls after one whose answer was late, until one is in time. A pause of `pause_s`
     after each call batches the changes of a busy table.
     """
 
@@ -38,6 +40,7 @@
         wait_s: float = FOLLOW_TIMEOUT_S,
         pause_s: float = 0.0,
         on_batch: Callable[[], None] = lambda: None,
+        late_wait_s: float | None = None,
     ) -> None:
         self.rows: dict[ports.RowId, ports.Row] = {}
         # The copy includes every write made before this time (monotonic seconds).
@@ -48,6 +51,8 @@
         self._on_batch = on_batch
         self._clock = clock
         self._wait_s = wait_s
+        self._late_wait_s = wait_s if late_wait_s is None else late_wait_s
+        self._late = False
         self._pause_s = pause_s
         self.unread_parts: frozenset[str] = frozenset()  # could not be read yet
         self._version: int | None = None
@@ -119,7 +124,10 @@
         if self.unread_parts and (self._reader is None or self._reader.ready()):
             self._reader = gevent.spawn(self._read_missing_parts)
         sent = self._clock()
-        answer = self._store.follow(self._table, self._version, self._wait_s)
+        wait_s = self._late_wait_s if self._late else self._wait_s
+        answer = self._store.follow(self._table, self._version, wait_s)
+        took_s = self._clock() - sent
+        self._note_lateness(answer, took_s - wait_s)
         match answer:
             case ports.Changes(rows=rows, at=at):
                 if self._reading is not None:
@@ -129,9 +137,9 @@
                 self._version = max(self._version, at.version)
                 if rows:
                     self._on_batch()
-                if not rows and self._clock() - sent >= self._wait_s:
+                if not rows and took_s >= wait_s:
                     # The table did not change while the store waited.
-                    sent += self._wait_s
+                    sent += wait_s
             case ports.HistoryGone():
                 log.info(
                     "table {}: change history has expired; reading all rows",
@@ -146,6 +154,15 @@
             self.synced_at = sent
         return None
 
+    def _note_lateness(
+        self, answer: ports.Changes | errors.Failure, late_s: float
+    ) -> None:
+        if late_s > LATE_S:
+            self._late = True
+        elif isinstance(answer, ports.Changes) and not answer.rows:
+            # An answer with changes does not say how long the store has waited.
+            self._late = False
+
     def _read_missing_parts(self) -> None:
         """Retry the parts that could not be read; the feed does cover their changes."""
         gevent.sleep(RETRY_MAX_S)
