Read a table again whose changes no longer arrive in time

Callers would see: a process that has fallen behind on a slow link keeps its old copy of a table for ever, so that it plans nothing, or on workers that are gone.

Cause: each follow asks for all changes since the last one that arrived, with the same timeout; the answer only grows. After two follows in a row without an answer in time the table is read in pages. If none can be read, the store may be out: follows and reads then take turns, and a read goes on with the pages it has. A refusal comes at once and causes no read.

Evidence, test_coordinator_tables.FeedBehindTest on the code before: test_rows_removed_from_a_part_that_is_read_late_are_removed "{'1'} != frozenset()", test_a_silent_outage_is_followed_by_changes_alone '(7, 6) != (13, 0)'; test_a_table_is_read_again_after_two_follows_without_an_answer and test_pages_that_were_read_are_kept_while_the_table_is_read_again: the copy lacks the changed rows. With the removal in parts read late taken out, the first of these fails too. test_an_outage_that_refuses_calls_causes_no_reads passed before and guards the load.

Why it works: a page fits the link where the feed's answer doesn't, and the feed goes on from the version of the first page.

--- a/test/test_coordinator_tables.py
+++ b/test/test_coordinator_tables.py
@@ -111,3 +111,103 @@
         self.poll_until_read()
         self.assertEqual(2 * 838, len(self.cache.rows))
         self.assertLessEqual(self.store.reads, 45)
+
+
+class FeedBehindTest(testtools.TestCase):
+    """A feed with more changes than arrive in time is never caught up with."""
+
+    MAX_CHANGES = 10  # that arrive in time
+    TIMEOUT_S = 2.0
+
+    def setUp(self):
+        super().setUp()
+        self.store = rowstore.MemoryStore()
+        self.now = 0.0
+        self.follows = 0
+        self._follow, self.store.follow = self.store.follow, self.follow
+        self.cache = table_cache.TableCache(
+            self.store, TABLE, lambda _row: None, clock=lambda: self.now
+        )
+        self.addCleanup(self.cache.close)
+        self.silent = False
+        self.put(range(20))
+        self.assertIsNone(self.cache.poll())
+
+    def follow(self, table, after, wait_s):
+        self.follows += 1
+        answer = self._follow(table, after, 0.0)
+        many = isinstance(answer, ports.Changes) and len(answer.rows) > self.MAX_CHANGES
+        if self.silent or many:
+            self.now += self.TIMEOUT_S
+            return FAILURE
+        return answer
+
+    def put(self, numbers):
+        for number in numbers:
+            row_id = ports.RowId(TABLE, f"{number % 2}", f"{number:04}")
+            self.store.put(row_id, b"x" * 3000)
+
+    def remove(self, number):
+        self.store.remove(ports.RowId(TABLE, f"{number % 2}", f"{number:04}"))
+
+    def poll(self, times):
+        return [self.cache.poll() for _ in range(times)]
+
+    def test_a_table_is_read_again_after_two_follows_without_an_answer(self):
+        self.put(range(100, 200))
+        self.remove(3)
+        self.poll(4)
+        self.assertEqual(self.store.rows, self.cache.rows)
+        self.assertEqual(self.now, self.cache.synced_at)
+
+    def test_an_outage_that_refuses_calls_causes_no_reads(self):
+        reads = self.store.reads
+        self.store.reachable = False
+        self.poll(10)
+        self.assertEqual((10, reads), (self.follows, self.store.reads))
+
+    def test_a_silent_outage_is_followed_by_changes_alone(self):
+        reads = self.store.reads
+        self.silent, self.store.reachable = True, False
+        self.poll(13)
+        # Two calls to follow, then a read and a call to follow in turn.
+        self.assertEqual((7, 6), (self.follows, self.store.reads - reads))
+        self.silent, self.store.reachable = False, True
+        self.put([300])
+        self.remove(4)
+        reads = self.store.reads
+        self.poll(2)
+        self.assertEqual(self.store.rows, self.cache.rows)
+        self.assertEqual(reads, self.store.reads)
+
+    def test_rows_removed_from_a_part_that_is_read_late_are_removed(self):
+        self.put(range(100, 200))
+        self.remove(3)
+        self.store.parts_down = {"1"}
+        self.poll(3)
+        self.assertEqual({"1"}, self.cache.unread_parts)
+        self.store.parts_down = set()
+        self.cache._read_missing_parts()
+        self.poll(1)
+        self.assertEqual(self.store.rows, self.cache.rows)
+        self.assertEqual(frozenset(), self.cache.unread_parts)
+
+    def test_pages_that_were_read_are_kept_while_the_table_is_read_again(self):
+        self.put(range(100, 500))
+        read, starts = self.store.read, []
+        failing = {"0": 1, "1": 1}
+
+        def call(table, part, start="", *rest, **options):
+            starts.append((part, start))
+            if start and failing.get(part):
+                failing[part] -= 1
+                return FAILURE
+            return read(table, part, start, *rest, **options)
+
+        self.store.read = call
+        self.poll(3)
+        while self.cache.unread_parts:
+            self.cache._read_missing_parts()
+        self.poll(1)
+        self.assertEqual(self.store.rows, self.cache.rows)
+        self.assertEqual(2, len(starts) - len(set(starts)))
--- a/toucanspring/coordinator/table_cache.py
+++ b/toucanspring/coordinator/table_cache.py
@@ -16,6 +16,9 @@
 # Timeout of a call that waits for changes; bounds the age of an unchanged copy.
 FOLLOW_TIMEOUT_S = 0.8
 LATE_S = 0.2  # an answer that comes this much after the wait is late
+# After this many answers in a row that did not arrive in time, the changes since the
+# last one may be more than the link carries in that time.
+MAX_UNANSWERED = 2
 RETRY_FIRST_S = 0.05
 RETRY_MAX_S = 0.4
 
@@ -53,6 +56,9 @@
         self._wait_s = wait_s
         self._late_wait_s = wait_s if late_wait_s is None else late_wait_s
         self._late = False
+        self._unanswered = 0
+        # Whether the whole table is read since the feed may have fallen behind.
+        self._catching_up = False
         self._pause_s = pause_s
         self.unread_parts: frozenset[str] = frozenset()  # could not be read yet
         self._version: int | None = None
@@ -101,12 +107,7 @@
             if not read.unread_parts:
                 self.synced_at = self._reading_since
         else:
-            for row in read.rows.values():
-                known = self.rows.get(row.id)
-                if row.id not in self._changed_since and (
-                    known is None or known.version < row.version
-                ):
-                    self._apply(row)
+            self._apply_parts(read.rows, read.unread_parts)
         self.unread_parts = frozenset(read.unread_parts)
         if not self.unread_parts:
             self._end_reading()
@@ -121,6 +122,8 @@
         """Read the whole table, or wait for its next changes and apply them."""
         if self._version is None:
             return self.load()
+        if self._unanswered >= MAX_UNANSWERED:
+            return self._read_again()
         if self.unread_parts and (self._reader is None or self._reader.ready()):
             self._reader = gevent.spawn(self._read_missing_parts)
         sent = self._clock()
@@ -128,6 +131,7 @@
         answer = self._store.follow(self._table, self._version, wait_s)
         took_s = self._clock() - sent
         self._note_lateness(answer, took_s - wait_s)
+        self._note_progress(answer, took_s >= wait_s)
         match answer:
             case ports.Changes(rows=rows, at=at):
                 if self._reading is not None:
@@ -163,6 +167,37 @@
             # An answer with changes does not say how long the store has waited.
             self._late = False
 
+    def _note_progress(
+        self, answer: ports.Changes | errors.Failure, timed_out: bool
+    ) -> None:
+        if not isinstance(answer, errors.Failure):
+            self._unanswered = 0
+            if self._catching_up and not self.unread_parts:
+                self._end_reading()
+            self._catching_up = False
+        elif timed_out:
+            # A refusal comes at once; it says nothing of the number of changes.
+            self._unanswered += 1
+
+    def _read_again(self) -> None | errors.Failure:
+        """Read the whole table in pages, each of which fits a slow link."""
+        if not self._catching_up:
+            log.info("table {}: following has fallen behind; reading it", self._table)
+            self._catching_up = True
+            self._end_reading()
+            if self._reader is not None:
+                self._reader.kill(block=False)
+        behind, self._version = self._version, None
+        failure = self.load()
+        if failure is not None:
+            # The store may be out. The next call follows, which costs less than a read;
+            # a further read goes on where this one failed.
+            self._version = behind
+            self._unanswered -= 1
+            return failure
+        self._unanswered, self._catching_up = 0, False
+        return None
+
     def _read_missing_parts(self) -> None:
         """Retry the parts that could not be read; the feed does cover their changes."""
         gevent.sleep(RETRY_MAX_S)
@@ -203,6 +238,27 @@
             if known is None or known.version != row.version:
                 self._apply(row)
 
+    def _apply_parts(
+        self, rows: dict[ports.RowId, ports.Row], unread_parts: Container[str]
+    ) -> None:
+        """Apply parts that could not be read before; the feed has newer changes."""
+        gone = [
+            row_id
+            for row_id in self.rows
+            if row_id.part in self.unread_parts
+            and row_id.part not in unread_parts
+            and row_id not in rows
+            and row_id not in self._changed_since
+        ]
+        for row_id in gone:
+            self._apply(ports.Row(row_id, b"", 0))
+        for row in rows.values():
+            known = self.rows.get(row.id)
+            if row.id not in self._changed_since and (
+                known is None or known.version < row.version
+            ):
+                self._apply(row)
+
     def _apply(self, row: ports.Row) -> None:
         if row.version:
             self.rows[row.id] = row
