Remove the rows of ended jobs beside the rounds

Callers would see: some 150 s after a takeover nothing starts for seconds, and another takeover follows.

Cause: the housekeeping of a round removed each row of each expired job in a transaction that the round waited for. A new coordinator counts the retention of all ended jobs from its restore, so they expire together, and no write of a round renewed the leader lease meanwhile.

A greenlet that ends with the leadership now removes them, one at a time with pauses; a part that is down delays only it. The copy and the progress are still removed last, in a fenced write of a round, for at most 40 jobs (80 rows, one transaction). A job is forgotten after that write: before, a status request during it could read the copy and accept the job again (by reading; no test shows it).

Evidence: test_coordinator_retention: test_rounds_do_not_wait_for_the_removal_of_ended_jobs holds the removal; on the code before, a job accepted meanwhile is never planned: 'AssertionError: the condition did not hold'.

--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -26,6 +26,7 @@
     plans,
     ports,
     recovery,
+    retention,
     rows,
     state,
     stragglers,
@@ -98,7 +99,7 @@
         self._pending_acks: list[PendingAck] = []
         self._cancel_waiters: list[event.AsyncResult] = []
         self._jobs = table_cache.TableCache(store, rows.JOBS, self._on_job_row)
-        self._removals: list[ports.RowId] = []
+        self._retention = retention.Retention(self.cell, store, self._jobs, self.wake)
         self._housekeeping_at = 0.0
         self._release_requested = False
         # Of the latest write, for the log.
@@ -122,7 +123,7 @@
                 waiter.set(failure)
 
     def _coordinate(self) -> None:
-        with self._dispatcher, self._jobs:
+        with self._dispatcher, self._jobs, self._retention:
             for worker in list(self.cell.workers.values()):
                 self._dispatcher.watch(worker)
             self.ready.set()
@@ -351,9 +352,9 @@
         pending_acks, self._pending_acks = self._pending_acks, []
         cancel_waiters, self._cancel_waiters = self._cancel_waiters, []
         self._write_s, self._written_bytes = 0.0, 0
-        removals, self._removals = tuple(self._removals), []
+        removed = self._retention.take(dirty)
         renewal_due = now - self._writer.committed_at >= leader_lease.RENEW_INTERVAL_S
-        if not (dirty or cancel_waiters or removals or renewal_due):
+        if not (dirty or cancel_waiters or removed or renewal_due):
             self._apply_acks(pending_acks)
             return
         puts = {
@@ -366,7 +367,10 @@
         states = {job_id: record.state for job_id, record in dirty.items()}
         self._written_bytes = sum(len(value) for value in puts.values())
         sent_at = time.monotonic()
-        failure = self._writer.commit(puts, removals)
+        failure = self._writer.commit(
+            puts,
+            tuple(row_id for each in removed for row_id in rows.ended_row_ids(each)),
+        )
         self._write_s = time.monotonic() - sent_at
         self._dispatcher.pacing.record_write(self._write_s)
         if failure is not None:
@@ -375,6 +379,7 @@
         for job_id, record in dirty.items():
             record.durable_state = states[job_id]
             record.has_copy = True
+        self._retention.forget(removed)
         self._commit_event.set()
         if starts:
             structured.decide(
@@ -407,26 +412,6 @@
             for allocation in movable:
                 self.cell.stop(allocation.step, allocation.task)
         self.cell.open_due_occurrences(round(time.time() * 1000), now)
-        for job_id in self.cell.find_expired_jobs(now):
-            self._remove_job(job_id)
-
-    def _remove_job(self, job_id: str) -> None:
-        """Remove the rows of an ended job.
-
-        Its progress is removed last: a job without progress would run again after a
-        failover.
-        """
-        remaining = [
-            self._jobs.rows[row_id]
-            for row_id in rows.job_row_ids(job_id)
-            if row_id in self._jobs.rows
-        ]
-        for row in remaining:
-            self._store.transact({row.id: row.version}, {}, (row.id,))
-        if remaining or self._jobs.unread_parts:
-            return  # called again until the change feed reports that they are removed
-        del self.cell.jobs[job_id]
-        self._removals += [rows.job_copy_row_id(job_id), rows.progress_row_id(job_id)]
 
 
 def _to_ms(seconds: float) -> int:
--- a/toucanspring/coordinator/rows.py
+++ b/toucanspring/coordinator/rows.py
@@ -136,3 +136,8 @@
 def progress_row_id(job_id: str) -> ports.RowId:
     """Return the ID of the row with a job's progress."""
     return ports.RowId(PROGRESS, COORDINATOR_PART, job_id)
+
+
+def ended_row_ids(job_id: str) -> tuple[ports.RowId, ...]:
+    """Return the coordinator's rows of a job in the order of their removal."""
+    return (job_copy_row_id(job_id), progress_row_id(job_id))
