Leave a job alone whose progress doesn't match it

Callers would see: after a takeover no process coordinates, while one progress row names a state, step or task that its job does not have.

Cause: such a row decodes, so it was not taken as unreadable, and the restore raised (IndexError, ValueError, KeyError) in each new coordinator. A duplicate of a step or task restored wrong counts instead.

`state.check_progress` compares the progress with the job before anything is restored. On a mismatch the job is logged as an error and left alone like one whose progress cannot be read, so no record, allocation or used amount is added and its row stays as it is.

Evidence: test_coordinator_unreadable: test_a_job_whose_progress_does_not_match_it_is_left_alone; on the code before the load ends with 'IndexError: list index out of range' in state.restore and no process is ready: 'AssertionError: False is not true'. Only that one of the nine rows is shown by a run to end the load; the others come with it in the same test, so the run stops at the first.

--- a/toucanspring/coordinator/recovery.py
+++ b/toucanspring/coordinator/recovery.py
@@ -18,6 +18,7 @@
     leader_lease,
     ports,
     rows,
+    state,
     table_cache,
     table_reader,
     workers,
@@ -144,7 +145,8 @@
 ) -> None:
     """Restore all readable jobs with their progress, the oldest first.
 
-    A job with unreadable progress is left alone: its tasks may have run or be running.
+    A job whose progress is unreadable or doesn't match it is left alone: its tasks may
+    have run or be running.
     """
     found: dict[str, rows.Progress] = {}
     cell.unreadable.clear()
@@ -160,8 +162,15 @@
     if len(specs) < len(decoded_jobs):
         log.error("ignoring {} unreadable job rows", len(decoded_jobs) - len(specs))
     for spec in sorted(specs, key=lambda each: each.accepted_at_ms):
-        if spec.id not in cell.jobs and spec.id not in cell.unreadable:
-            cell.restore(spec, found.get(spec.id), now, age_s(spec))
+        if spec.id in cell.jobs or spec.id in cell.unreadable:
+            continue
+        stored = found.get(spec.id)
+        mismatch = None if stored is None else state.check_progress(spec, stored)
+        if mismatch is not None:
+            log.error("job {} is left alone: {}", spec.id, mismatch.reason)
+            cell.unreadable.add(spec.id)
+            continue
+        cell.restore(spec, stored, now, age_s(spec))
 
 
 def age_s(spec: job_specs.Job) -> float:
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 
+from toucanspring import errors
 from toucanspring.coordinator import job_specs, ports, rows
 
 
@@ -36,6 +37,8 @@
 
 FINAL_STATES = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
 
+STATE_VALUES = frozenset(each.value for each in JobState)
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Task:
@@ -172,6 +175,29 @@
     return rows.Progress(record.state.value, tuple(steps))
 
 
+def check_progress(
+    spec: job_specs.Job, progress: rows.Progress
+) -> None | errors.Malformed:
+    """Return why stored progress cannot be that of a job, or None if it can."""
+    if progress.state not in STATE_VALUES:
+        return errors.Malformed(reason=f"unknown state {progress.state!r}")
+    seen = set()
+    for row in progress.steps:
+        key = (row.occurrence, row.step)
+        if (
+            key in seen
+            or not 0 <= row.occurrence < max(1, spec.repeats)
+            or not 0 <= row.step < len(spec.steps)
+        ):
+            return errors.Malformed(reason=f"unexpected step {key}")
+        seen.add(key)
+        indices = {task.index for task in row.tasks}
+        count = spec.steps[row.step].count
+        if len(indices) < len(row.tasks) or not all(0 <= i < count for i in indices):
+            return errors.Malformed(reason=f"unexpected task in step {key}")
+    return None
+
+
 def restore(record: JobRecord, progress: rows.Progress, now: float) -> list[Task]:
     """Restore the stored state; return the tasks that may be running."""
     record.state = record.durable_state = JobState(progress.state)
