Play VMs of unlike strength, slow links and odd entries in the soak

Its processes were alike, its links as fast as the machine, and nobody else wrote to the workers' table.

Change: the settings files carry `[limits]`, one or two strong processes, the others weak (declared only; nothing enforces them). A second series of faults overlaps the first: links to the store that pass 15 to 250 kB/s in both directions together, odd entries (15 kinds) that are removed, mended or left to the end, and odd entries over those of real workers, which write theirs again after 0.4 s.

Known seeds: the second series and the limits draw from a random stream of their own (`second series of SEED`), so the first series is unchanged for every seed. Each line of soak/seeds.txt now has the version in which the seed failed; the four old ones have version 1, which has neither limits nor a second series, also with `--seed`. The test of the file's columns asks for one more word, for the version.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,6 +5,7 @@
 gevent.monkey.patch_all()
 
 import argparse  # noqa: E402
+import contextlib  # noqa: E402
 import json  # noqa: E402
 import pathlib  # noqa: E402
 import random  # noqa: E402
@@ -20,21 +21,45 @@
 # Several times as long as a worker's lease, a takeover and the work itself.
 SETTLE_S = 40.0
 POLL_S = 0.2
-# Each line has a seed and the cause of its violation.
+# Version 1 has equal processes and one series of faults, version 2 unlike processes
+# and a second series. A known seed keeps the version in which it failed.
+VERSION = 2
+# Each line has a seed, the version in which it failed and the cause of its violation.
 SEEDS_FILE = pathlib.Path(__file__).parent / "seeds.txt"
 
 
 def run_seed(
-    seed: int, seconds: float, daemons: int, workers: int, folder: pathlib.Path
+    seed: int,
+    version: int,
+    seconds: float,
+    daemons: int,
+    workers: int,
+    folder: pathlib.Path,
 ) -> dict:
     """Run one seed and return the results."""
     rng = random.Random(seed)
-    with cell.Cell(random.Random(seed + 1), folder, daemons, workers) as running:
+    second_rng = random.Random(f"second series of {seed}")
+    capacity_rng = second_rng if version > 1 else None
+    with cell.Cell(
+        random.Random(seed + 1), folder, daemons, workers, capacity_rng
+    ) as running:
         gevent.sleep(WARM_UP_S)
         with callers.Callers(running, random.Random(seed + 2)) as clients:
-            with faults.FaultInjector(running, rng) as injector:
+            with contextlib.ExitStack() as stack:
+                injectors = [faults.FaultInjector(running, rng)]
+                if version > 1:
+                    injectors.append(
+                        faults.FaultInjector(
+                            running,
+                            second_rng,
+                            faults.choose_second_fault,
+                            faults.SECOND_MEAN_PAUSE_S,
+                        )
+                    )
+                for each in injectors:
+                    stack.enter_context(each)
                 gevent.sleep(seconds)
-                injector.stop()
+                gevent.joinall([gevent.spawn(each.stop) for each in injectors])
             clients.stop()
             settle(running)
         checker = running.checker
@@ -49,7 +74,8 @@
         }
         return {
             "seed": seed, "jobs": len(checker.jobs), **counts,
-            "starts": running.workers.starts, "faults": injector.injected,
+            "starts": running.workers.starts, "version": version,
+            "faults": [fault for each in injectors for fault in each.injected],
             "unfinished": len(unfinished), "broken": checker.violations[:20],
         }  # fmt: skip
 
@@ -61,10 +87,11 @@
         gevent.sleep(POLL_S)
 
 
-def read_known_seeds() -> list[int]:
-    """Return the seeds that have ever violated an invariant."""
+def read_known_seeds() -> dict[int, int]:
+    """Return the seeds that have ever violated an invariant, with their versions."""
     lines = SEEDS_FILE.read_text().splitlines()
-    return [int(line.split(maxsplit=1)[0]) for line in lines]
+    found = [line.split(maxsplit=2)[:2] for line in lines]
+    return {int(seed): int(version) for seed, version in found}
 
 
 def main() -> int:
@@ -82,14 +109,16 @@
     options = parser.parse_args()
     seeds = range(options.seed, options.seed + options.count)
     failed_seeds = 0
-    for seed in read_known_seeds() if options.known else seeds:
+    known = read_known_seeds()
+    for seed in known if options.known else seeds:
         with tempfile.TemporaryDirectory() as temporary:
             folder = options.keep / f"{seed}" if options.keep else temporary
             folder = pathlib.Path(folder)
             folder.mkdir(parents=True, exist_ok=True)
             result = run_seed(
-                seed, options.seconds, options.daemons, options.workers, folder
-            )
+                seed, known.get(seed, VERSION), options.seconds, options.daemons,
+                options.workers, folder,
+            )  # fmt: skip
         print(json.dumps(result), flush=True)
         failed_seeds += bool(result["broken"])
     return 1 if failed_seeds else 0
--- a/soak/cell.py
+++ b/soak/cell.py
@@ -16,7 +16,7 @@
 from standins import lease_workers, ports, processes, rowstore
 from toucanspring import errors, resources
 from toucanspring.adapters import exchange
-from toucanspring.coordinator import catalogue, job_specs
+from toucanspring.coordinator import candidacy, catalogue, job_specs
 from toucanspring.coordinator import ports as types
 
 PLATFORM = processes.ROOT / "platform"
@@ -26,6 +26,7 @@
 import emulator  # noqa: E402  from the folder of the adapter
 
 ADDRESS = "127.0.0.1"
+NOWHERE = f"{ADDRESS}:1"  # a port without a listener
 ZONES = ("a", "b", "c")
 POOL, PREFIX, KEY = "pool", "/jobs/", "key"
 PORTS_PER_PROCESS = 4
@@ -34,19 +35,48 @@
 # No process restarts faster than this; the coordinator relies on 0.2 s.
 WORKER_RESTART_S = 0.3
 RUN_TIME_RANGE_S = (0.05, 1.2)
+STRONG = candidacy.Capacity(cores=3.6, link_mbps=1000.0, memory_mb=8192.0)
+WEAK_CORES_RANGE = (0.2, 1.2)
+WEAK_LINKS_MBPS = (5.0, 20.0, 100.0)
+WEAK_MEMORY_MB = 512.0
+
+
+def choose_capacities(
+    rng: random.Random, names: list[str]
+) -> dict[str, candidacy.Capacity]:
+    """Make one or two processes strong and the others weak."""
+    strong = rng.sample(names, min(len(names), rng.choice((1, 2))))
+    return {
+        name: STRONG
+        if name in strong
+        else candidacy.Capacity(
+            cores=round(rng.uniform(*WEAK_CORES_RANGE), 2),
+            link_mbps=rng.choice(WEAK_LINKS_MBPS),
+            memory_mb=WEAK_MEMORY_MB,
+        )
+        for name in names
+    }
 
 
 class Cell:
     """The processes, the workers, the store and the proxies, as a context manager."""
 
     def __init__(
-        self, rng: random.Random, folder: pathlib.Path, daemons: int, workers: int
+        self,
+        rng: random.Random,
+        folder: pathlib.Path,
+        daemons: int,
+        workers: int,
+        capacity_rng: random.Random | None = None,  # None: all alike
     ) -> None:
         self.rng = rng
         self.store = rowstore.MemoryStore()
         self.workers = lease_workers.LeaseWorkers()
         self.checker = invariants.InvariantChecker(self.workers)
         self.daemons = [f"entry-{number}" for number in range(1, daemons + 1)]
+        self.capacities: dict[str, candidacy.Capacity] = {}
+        if capacity_rng is not None:
+            self.capacities = choose_capacities(capacity_rng, self.daemons)
         self.proxies: dict[str, proxy.Proxy] = {}
         self.version = 0
         self.terminated: set[str] = set()  # processes that the soak has ended
@@ -118,7 +148,9 @@
         store = self._add_proxy(f"store of {name}", self._store_at)
         self._add_proxy(f"callers of {name}", (ADDRESS, first))
         approvals = f"{self._approvals_at[0]}:{self._approvals_at[1]}"
-        text = emulator.render_settings(name, zone, first, ADDRESS, store, approvals)
+        text = emulator.render_settings(
+            name, zone, first, ADDRESS, store, approvals, self.capacities.get(name)
+        )
         self._settings[name] = self._folder / f"{name}.toml"
         self._settings[name].write_text(text)
 
@@ -160,10 +192,44 @@
         self.proxies[name].set_mode(proxy.Pass())
         self._register(name)
 
+    @property
+    def odd_kinds(self) -> list[str]:
+        """Return the kinds of odd entries."""
+        return list(emulator.encode_odd_executors(self._find_entry("odd")))
+
+    def write_odd_entry(self, name: str, kind: str) -> None:
+        """Write an odd entry over that of a worker, or under a new name."""
+        entry = self._find_entry(name)
+        self.store.put(_worker_row(name), emulator.encode_odd_executors(entry)[kind])
+
+    def mend_odd_entry(self, name: str) -> None:
+        """Turn an odd entry into a good one of a worker that takes no tasks."""
+        entry = self._find_entry(name)
+        self.store.put(
+            _worker_row(name), emulator.encode_executor(entry, draining=True)
+        )
+
+    def mend_worker(self, name: str) -> None:
+        """Let a worker write its entry again, unless it is silent."""
+        if name not in self.workers.silent:
+            self._register(name)
+
+    def remove_entry(self, name: str) -> None:
+        """Remove the entry of a worker."""
+        self.store.remove(_worker_row(name))
+
+    def _find_entry(self, name: str) -> types.WorkerEntry:
+        """Return the entry of a worker, or one like it that nothing listens for."""
+        if name in self.workers.incarnations:
+            return self.workers.incarnations[name].entry
+        entry = next(iter(self.workers.incarnations.values())).entry
+        return dataclasses.replace(entry, id=name, address=NOWHERE)
+
     def _register(self, name: str) -> None:
         entry = self.workers.incarnations[name].entry
-        row = types.RowId("servers", "", name)
-        self.store.put(row, emulator.encode_executor(entry, draining=False))
+        self.store.put(
+            _worker_row(name), emulator.encode_executor(entry, draining=False)
+        )
 
     def _send_heartbeats(self) -> None:
         while True:
@@ -216,5 +282,9 @@
                 self.start(name)
 
 
+def _worker_row(name: str) -> types.RowId:
+    return types.RowId("servers", "", name)
+
+
 def _now_ms() -> int:
     return round(time.time() * 1000)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import random
 import signal
+from collections.abc import Callable
 
 import gevent
 
@@ -14,6 +16,12 @@
 MEAN_PAUSE_S = 1.2  # between the starts of two faults, which may overlap
 SHORTEST_S, LONGEST_S = 0.2, 4.0
 DELAY_S = 1.0  # delayed calls are executed after this time
+# The second series of faults, which overlaps the first.
+SECOND_MEAN_PAUSE_S = 2.0
+SLOW_KB_PER_S_RANGE = (15.0, 250.0)
+SLOW_FACTOR = 2.5  # a slow link lasts this much longer than other faults
+MOMENT_S = 0.4  # after which a worker spoiled by another writer writes its entry
+MAX_ODD_ENTRIES = 5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -100,9 +108,42 @@
     name: str
 
 
+@dataclasses.dataclass(frozen=True)
+class SlowLinks:
+    """Let the links of processes to the store carry few bytes for a while."""
+
+    names: tuple[str, ...]
+    kb_per_s: float
+
+
+class OddEnd(enum.Enum):
+    """What becomes of odd entries after a while."""
+
+    REMOVED = "removed"
+    MENDED = "mended"
+    LEFT = "left"  # until the end of the run
+
+
+@dataclasses.dataclass(frozen=True)
+class OddEntries:
+    """Write odd entries among those of the workers; mend or remove them later."""
+
+    kinds: tuple[str, ...]
+    end: OddEnd
+
+
+@dataclasses.dataclass(frozen=True)
+class SpoiledEntry:
+    """Write an odd entry over that of a worker, which soon writes it again."""
+
+    name: str
+    kind: str
+
+
 Fault = (
     End | Pause | Disturb | Silence | StoreDown | StoreLoses | DropHistory
     | WorkerSilent | WorkerCrash | OrdersLost | Reconfigure | ZoneOut
+    | SlowLinks | OddEntries | SpoiledEntry
 )  # fmt: skip
 
 
@@ -143,13 +184,41 @@
     return rng.choices(choices, weights)[0]
 
 
-class FaultInjector:
-    """Injects the faults of one run, as a context manager."""
+def choose_second_fault(rng: random.Random, running: cell.Cell) -> Fault:
+    """Choose a random fault of the second series by weight."""
+    count = rng.randrange(1, len(running.daemons) + 1)
+    kinds = running.odd_kinds
+    choices = (
+        SlowLinks(
+            tuple(f"store of {name}" for name in rng.sample(running.daemons, count)),
+            round(rng.uniform(*SLOW_KB_PER_S_RANGE), 1),
+        ),
+        OddEntries(
+            tuple(rng.sample(kinds, rng.randrange(1, MAX_ODD_ENTRIES + 1))),
+            rng.choice(list(OddEnd)),
+        ),
+        SpoiledEntry(
+            rng.choice(sorted(running.workers.incarnations)), rng.choice(kinds)
+        ),
+    )
+    return rng.choices(choices, (4, 2, 2))[0]
+
 
-    def __init__(self, running: cell.Cell, rng: random.Random) -> None:
+class FaultInjector:
+    """Injects one series of faults, as a context manager."""
+
+    def __init__(
+        self,
+        running: cell.Cell,
+        rng: random.Random,
+        choose: Callable[[random.Random, cell.Cell], Fault] = choose_fault,
+        mean_pause_s: float = MEAN_PAUSE_S,
+    ) -> None:
         self.injected: list[str] = []
         self._cell = running
         self._rng = rng
+        self._choose = choose
+        self._mean_pause_s = mean_pause_s
         self._injector: gevent.Greenlet | None = None
         self._active: list[gevent.Greenlet] = []
 
@@ -168,13 +237,14 @@
 
     def _run(self) -> None:
         while True:
-            gevent.sleep(self._rng.expovariate(1 / MEAN_PAUSE_S))
-            fault = choose_fault(self._rng, self._cell)
+            gevent.sleep(self._rng.expovariate(1 / self._mean_pause_s))
+            fault = self._choose(self._rng, self._cell)
             duration_s = self._rng.uniform(SHORTEST_S, LONGEST_S)
             self.injected.append(f"{fault} for {duration_s:.2f} s")
-            self._active.append(gevent.spawn(self._inject, fault, duration_s))
+            self._active.append(gevent.spawn(self.inject, fault, duration_s))
 
-    def _inject(self, fault: Fault, duration_s: float) -> None:
+    def inject(self, fault: Fault, duration_s: float) -> None:
+        """Apply a fault and end it after a while."""
         running = self._cell
         match fault:
             case End(names=names, number=number):
@@ -204,9 +274,47 @@
                 running.workers.silent.discard(name)
             case OrdersLost(count=count, late=late):
                 self._lose_orders(count, late)
+            case SlowLinks() | OddEntries() | SpoiledEntry():
+                self._inject_second_fault(fault, duration_s)
             case _:
                 self._inject_store_fault(fault, duration_s)
 
+    def _inject_second_fault(self, fault: Fault, duration_s: float) -> None:
+        match fault:
+            case SlowLinks(names=names, kb_per_s=kb_per_s):
+                self._slow_links(names, kb_per_s, duration_s * SLOW_FACTOR)
+            case OddEntries(kinds=kinds, end=end):
+                self._write_odd_entries(kinds, end, duration_s)
+            case SpoiledEntry(name=name, kind=kind):
+                self._cell.write_odd_entry(name, kind)
+                gevent.sleep(MOMENT_S)
+                self._cell.mend_worker(name)
+
+    def _slow_links(
+        self, names: tuple[str, ...], kb_per_s: float, duration_s: float
+    ) -> None:
+        links = {name: proxy.SlowLink(kb_per_s * 1000) for name in names}
+        for name, link in links.items():
+            self._cell.proxies[name].link = link
+        gevent.sleep(duration_s)
+        for name, link in links.items():
+            if self._cell.proxies[name].link is link:  # no later fault replaced it
+                self._cell.proxies[name].link = None
+
+    def _write_odd_entries(
+        self, kinds: tuple[str, ...], end: OddEnd, duration_s: float
+    ) -> None:
+        names = {f"odd-{kind.replace(' ', '-')}": kind for kind in kinds}
+        for name, kind in names.items():
+            self._cell.write_odd_entry(name, kind)
+        gevent.sleep(duration_s)
+        for name in names:
+            match end:
+                case OddEnd.MENDED:
+                    self._cell.mend_odd_entry(name)
+                case OddEnd.REMOVED:
+                    self._cell.remove_entry(name)
+
     def _lose_orders(self, count: int, late: bool) -> None:
         workers = self._cell.workers
         if not late:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,15 +1,17 @@
-"""Loopback proxy that delays, resets or blocks the traffic of its connections."""
+"""Loopback proxy that delays, slows, resets or blocks its connections."""
 
 from __future__ import annotations
 
 import dataclasses
 import socket as sockets
 import struct
+import time
 
 import gevent
 from gevent import server, socket
 
 BLOCK_BYTES = 65_536
+SLICE_BYTES = 4096  # passed at once over a slow link
 CONNECT_TIMEOUT_S = 2.0
 POLL_S = 0.02
 # A linger time of zero makes close() send a reset.
@@ -44,6 +46,20 @@
 Mode = Pass | Delay | Reset | Cut
 
 
+class SlowLink:
+    """A link that all connections of a proxy share, in both directions."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._free_at = 0.0  # monotonic seconds
+
+    def wait(self, count: int) -> None:
+        """Wait until the link has carried some bytes."""
+        now = time.monotonic()
+        self._free_at = max(self._free_at, now) + count / self._bytes_per_s
+        gevent.sleep(self._free_at - now)
+
+
 class Proxy:
     """Listens on a port and forwards connections to a target address."""
 
@@ -51,6 +67,7 @@
         self.address = f"127.0.0.1:{port}"
         self._target = target
         self._mode: Mode = Pass()
+        self.link: SlowLink | None = None  # None: as fast as the machine
         self._pairs: set[tuple[socket.socket, socket.socket]] = set()
         self._server = server.StreamServer(("127.0.0.1", port), self._serve)
 
@@ -114,11 +131,18 @@
                     gevent.sleep(POLL_S)
                 if isinstance(self._mode, Delay):
                     gevent.sleep(self._mode.seconds)
-                sink.sendall(block)
+                self._send(sink, block)
             sink.shutdown(sockets.SHUT_WR)
         except OSError:
             return  # the connection was reset; the other end sees it too
 
+    def _send(self, sink: socket.socket, block: bytes) -> None:
+        while block and (link := self.link) is not None:
+            part, block = block[:SLICE_BYTES], block[SLICE_BYTES:]
+            link.wait(len(part))
+            sink.sendall(part)
+        sink.sendall(block)
+
     def _is_held(self, pair: tuple, to_target: bool) -> bool:
         if pair not in self._pairs:
             return True  # silenced
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -1,21 +1,35 @@
 """The soak's proxy, its in-memory workers and the invariants that it checks."""
 
+import pathlib
+import random
+import signal
+import tempfile
 import time
+import tomllib
 
 import gevent
 import testtools
 from gevent import server, socket
 
 from soak import __main__ as soak
-from soak import invariants, proxy
+from soak import cell, faults, invariants, proxy
 from standins import lease_workers, ports
 from test import coordinator_case as case
-from toucanspring import resources
-from toucanspring.coordinator import job_specs
+from toucanspring import errors, resources
+from toucanspring.coordinator import candidacy, job_specs
 from toucanspring.coordinator import ports as coordinator_ports
 
+import directory  # isort: skip  from the adapter, which `soak.cell` puts on the path
+
 JOB = "0" * 16
 TASK = f"{JOB}.0.0.0"
+ENDS_WITHIN_S = 60.0  # a process without settings, on a busy machine
+# As drawn with 4 processes and 2 workers before there was a second version.
+FIRST_FAULTS_OF_101 = [
+    faults.End(("entry-2",), signal.SIGTERM),
+    faults.WorkerCrash("w1"),
+    faults.WorkerSilent("w1"),
+]
 
 
 def echo(sock, _address):
@@ -82,6 +96,182 @@
         self.assertEqual(b"x", self.ask(self.connect()))
 
 
+class SlowLinkTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.slept_s = 0.0
+        self.patch(proxy, "time", self)
+        self.patch(proxy.gevent, "sleep", self.sleep)
+
+    def monotonic(self):
+        return self.slept_s
+
+    def sleep(self, seconds):
+        self.slept_s += seconds
+
+    def test_both_directions_share_the_bytes_of_a_second(self):
+        first, second = socket.socketpair()
+        for sock in (first, second):
+            self.addCleanup(sock.close)
+        shared = proxy.Proxy(0, ("127.0.0.1", 0))
+        shared.link = proxy.SlowLink(10_000)
+        for sink, source in ((first, second), (second, first)):
+            shared._send(sink, b"x" * 10_000)
+            received = 0
+            while received < 10_000:
+                received += len(source.recv(10_000))
+        self.assertAlmostEqual(2.0, self.slept_s)
+
+    def test_a_transfer_is_fast_again_once_the_link_is(self):
+        first, second = socket.socketpair()
+        for sock in (first, second):
+            self.addCleanup(sock.close)
+        shared = proxy.Proxy(0, ("127.0.0.1", 0))
+        shared.link = proxy.SlowLink(proxy.SLICE_BYTES)
+
+        def lift(seconds):
+            self.slept_s += seconds
+            shared.link = None
+
+        self.patch(proxy.gevent, "sleep", lift)
+        shared._send(first, b"x" * 10_000)
+        self.assertAlmostEqual(1.0, self.slept_s)
+
+
+class SecondSeriesTest(testtools.TestCase):
+    """Guards against faults that are drawn and have no effect."""
+
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+
+    def make_cell(self, capacity_rng=None):
+        running = cell.Cell(random.Random(1), self.folder, 4, 2, capacity_rng)
+        self.addCleanup(running.__exit__)
+        return running
+
+    def read_entry(self, running, name):
+        page = running.store.read("servers", "", "", "", 100)
+        found = {row.id.key: row.value for row in page.rows}
+        if name not in found:
+            return None
+        return directory.decode_executor(name, found[name])
+
+    def read_limits(self):
+        settings = [
+            tomllib.loads(path.read_text()) for path in self.folder.glob("*.toml")
+        ]
+        return [each.get("limits") for each in settings]
+
+    def test_one_or_two_processes_are_strong_and_the_seed_chooses_them(self):
+        running = self.make_cell(random.Random(3))
+        limits = self.read_limits()
+        self.assertEqual(4, len(limits))
+        strong = [each for each in limits if each["link_mbps"] == 1000]
+        self.assertIn(len(strong), (1, 2))
+        for each in limits:
+            names = {"cpu_share", "cores", "link_mbps", "memory_mb"}
+            self.assertEqual(names, set(each))
+        strengths = [
+            candidacy.find_strength(
+                each["cpu_share"] * each["cores"], each["link_mbps"]
+            )
+            for each in limits
+        ]
+        weak = [candidacy.is_weak(strength, strengths) for strength in strengths]
+        self.assertEqual(4 - len(strong), sum(weak))
+        names = running.daemons
+        chosen = [cell.choose_capacities(random.Random(s), names) for s in (3, 3, 4)]
+        self.assertEqual(running.capacities, chosen[0])
+        self.assertEqual(chosen[0], chosen[1])
+        self.assertNotEqual(chosen[0], chosen[2])
+
+    def test_a_seed_of_the_first_version_plays_what_it_played(self):
+        running = self.make_cell()
+        self.assertEqual([None] * 4, self.read_limits())
+        rng = random.Random(101)
+        first = [faults.choose_fault(rng, running) for _ in range(3)]
+        self.assertEqual(FIRST_FAULTS_OF_101, first)
+        versions = soak.read_known_seeds()
+        self.assertEqual([1] * 4, [versions[seed] for seed in (101, 102, 104, 303)])
+
+    def test_each_kind_is_drawn(self):
+        running = self.make_cell()
+        rng = random.Random(1)
+        drawn = [faults.choose_second_fault(rng, running) for _ in range(1000)]
+        slow = [each for each in drawn if isinstance(each, faults.SlowLinks)]
+        odd = [each for each in drawn if isinstance(each, faults.OddEntries)]
+        spoiled = [each for each in drawn if isinstance(each, faults.SpoiledEntry)]
+        self.assertEqual({1, 2, 3, 4}, {len(each.names) for each in slow})
+        self.assertEqual(set(faults.OddEnd), {each.end for each in odd})
+        kinds = set(running.odd_kinds)
+        self.assertEqual(kinds, {kind for each in odd for kind in each.kinds})
+        self.assertEqual(kinds, {each.kind for each in spoiled})
+        self.assertEqual({"w0", "w1"}, {each.name for each in spoiled})
+
+    def test_a_slow_link_ends_unless_a_later_one_has_replaced_it(self):
+        running = self.make_cell()
+        injector = faults.FaultInjector(running, random.Random(1))
+        link = running.proxies["store of entry-1"]
+        fault = faults.SlowLinks(("store of entry-1",), 20.0)
+        slow = gevent.spawn(injector.inject, fault, 0.02)
+        gevent.sleep(0)
+        self.assertIsNotNone(link.link)
+        later = link.link = proxy.SlowLink(1000)
+        slow.get()
+        self.assertIs(later, link.link)
+        link.link = None
+        injector.inject(fault, 0.02)
+        self.assertIsNone(link.link)
+
+    def test_each_odd_entry_is_unreadable_until_it_is_mended_or_removed(self):
+        running = self.make_cell()
+        injector = faults.FaultInjector(running, random.Random(1))
+        good = self.read_entry(running, "w0")
+        for kind in running.odd_kinds:
+            name = f"odd-{kind.replace(' ', '-')}"
+            for end in faults.OddEnd:
+                fault = faults.OddEntries((kind,), end)
+                written = gevent.spawn(injector.inject, fault, 0.01)
+                gevent.sleep(0)
+                entry = self.read_entry(running, name)
+                self.assertIsInstance(entry, errors.Malformed, kind)
+                written.get()
+                entry = self.read_entry(running, name)
+                match end:
+                    case faults.OddEnd.REMOVED:
+                        self.assertIsNone(entry)
+                    case faults.OddEnd.MENDED:
+                        self.assertTrue(entry.draining)
+                    case faults.OddEnd.LEFT:
+                        self.assertIsInstance(entry, errors.Malformed)
+        self.assertEqual(good, self.read_entry(running, "w0"))
+
+    def test_a_spoiled_entry_is_written_again_unless_its_worker_is_silent(self):
+        running = self.make_cell()
+        self.patch(faults, "MOMENT_S", 0.01)
+        injector = faults.FaultInjector(running, random.Random(1))
+        good = self.read_entry(running, "w0")
+        spoiled = gevent.spawn(injector.inject, faults.SpoiledEntry("w0", "deep"), 0)
+        gevent.sleep(0)
+        self.assertIsInstance(self.read_entry(running, "w0"), errors.Malformed)
+        spoiled.get()
+        self.assertEqual(good, self.read_entry(running, "w0"))
+        running.workers.silent.add("w0")
+        injector.inject(faults.SpoiledEntry("w0", "deep"), 0)
+        self.assertIsInstance(self.read_entry(running, "w0"), errors.Malformed)
+
+    def test_a_process_that_ends_by_itself_is_a_violation(self):
+        running = cell.Cell(random.Random(1), self.folder, 1, 1)
+        (self.folder / "entry-1.toml").write_text("no settings")
+        with running, gevent.Timeout(ENDS_WITHIN_S):
+            while not running.checker.violations:
+                gevent.sleep(0.05)
+        self.assertIn("entry-1 ended with", running.checker.violations[0])
+
+
 class AcknowledgedEndTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -116,7 +306,7 @@
     def test_each_known_seed_has_a_cause(self):
         lines = soak.SEEDS_FILE.read_text().splitlines()
         self.assertEqual(len(lines), len(soak.read_known_seeds()))
-        self.assertTrue(all(len(line.split()) > 3 for line in lines))
+        self.assertTrue(all(len(line.split()) > 4 for line in lines))
 
 
 class InvariantCheckerTest(testtools.TestCase):
