Do not deny an outcome whose write is unanswered

A process that got no answer from the paused coordinator had read the outcome from the store, where the write had taken effect. The coordinator, whose write had not been answered yet, still answered with the state before.

Cause: two sources for one answer, and the one that is behind was believed.

Evidence: test_an_outcome_whose_write_is_unanswered_is_not_denied on the code before: the answer is JobState.ACTIVE.

--- a/test/test_coordinator_leadership.py
+++ b/test/test_coordinator_leadership.py
@@ -161,6 +161,25 @@
         self.directory.view_age = 0.0
         self.wait_for(self.is_complete)
 
+    def test_an_outcome_whose_write_is_unanswered_is_not_denied(self):
+        """Guards against an outcome that a caller was told and that is taken back.
+
+        Another process may read it from the store. Found by the soak, seed 2605.
+        """
+        leader = self.coordinate()
+        transact = self.store.transact
+
+        def transact_slowly(*changes):
+            answer = transact(*changes)
+            if self.is_complete():
+                gevent.sleep(1.0)
+            return answer
+
+        self.store.transact = transact_slowly
+        self.accept(case.step(1))
+        self.wait_for(self.is_complete)
+        self.assertEqual("Unavailable", leader.status(JOB).kind)
+
     def test_a_job_that_nobody_submitted_is_not_found(self):
         leader = self.coordinate()
         self.assertEqual("NotFound", leader.status("f" * 16).kind)
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -196,14 +196,16 @@
     # For callers
 
     def status(self, job_id: str) -> state.JobState | errors.Failure:
-        """Return the durable state of a job."""
+        """Return the durable state of a job; a failure if only the store knows it."""
         if job_id not in self.cell.jobs:
             failure = self._load_job(job_id)
             if failure is not None:
                 return failure
         return self._await_durable_state(self.cell.jobs[job_id])
 
-    def _await_durable_state(self, record: state.JobRecord) -> state.JobState:
+    def _await_durable_state(
+        self, record: state.JobRecord
+    ) -> state.JobState | errors.Unavailable:
         """Return the durable state, after a short wait if it is about to change."""
         asked_at = time.monotonic()
         while record.durable_state not in state.FINAL_STATES:
@@ -214,7 +216,11 @@
                 break
             self._commit_event.clear()
             self._commit_event.wait(left_s)
-        return record.durable_state
+        known = record.durable_state
+        if known not in state.FINAL_STATES and record.state in state.FINAL_STATES:
+            # Another process may have read the outcome from the store already.
+            return errors.Unavailable(reason="the write of the outcome is unanswered")
+        return known
 
     @staticmethod
     def _all_remaining_running(record: state.JobRecord) -> bool:
