Split writes and pages so that each fits a slow link

Callers would see: over a link of 5 Mbit/s a coordinator with much to write at once is cut off: the write does not arrive within 1.2 s, is repeated unchanged, and nothing else is stored until the lease is lost. Accepted jobs with large payloads and tables of large rows are alike.

Cause: a transaction of the coordinator held up to 700,000 bytes of values and one row more, 933 kB on the wire or 1.5 s; a batch of jobs up to 400,000 and one job more, 0.85 s of a link that all parts share; a page at least 5 rows. Now 200,000 bytes (0.43 s), 100,000 (0.21 s) and 1 row, and a row that exceeds the bound goes into the next write; one that exceeds it alone is sent alone. A retry still repeats the same rows, since a rejection after an uncertain attempt stands for all of them.

Evidence, on the code before: test_a_write_of_many_rows_is_split_so_that_each_part_fits '732031 not less than 281250.0', test_a_row_larger_than_a_write_should_be_is_written_alone '3 != 2', test_jobs_are_written_in_batches_that_fit '420840 not less than 281250.0', test_a_table_of_large_rows_is_read_over_a_slow_link 'the table was not read'.

Why it works: each part takes at most half of the timeout on an idle link. Job writers of many parts that are all full still share the link.

--- a/test/test_coordinator_store.py
+++ b/test/test_coordinator_store.py
@@ -90,6 +90,78 @@
         self.assertLessEqual(self.store.transactions, 2 * rows.JOB_PARTS)
 
 
+# A link of 5 Mbit/s and the time that a write may take of it, half of its timeout, so
+# that it arrives also while it shares the link with another. Values are sent in Base64.
+LINK_BYTES_PER_S = 625_000
+WRITE_S = 0.6
+FITTING_BYTES = LINK_BYTES_PER_S * WRITE_S * 3 / 4
+
+
+def record_sizes(store):
+    """Return a list that grows by the bytes of values of each transaction."""
+    sizes, transact = [], store.transact
+
+    def call(checks, puts, removals=()):
+        sizes.append(sum(len(value) for value in puts.values()))
+        return transact(checks, puts, removals)
+
+    store.transact = call
+    return sizes
+
+
+class LargeWriteTest(testtools.TestCase):
+    """A write that the link doesn't carry in time is repeated for ever."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = rowstore.MemoryStore()
+
+    def test_a_write_of_many_rows_is_split_so_that_each_part_fits(self):
+        acquired = leader_lease.acquire(self.store, "one", "10.0.0.1", "one")
+        writer = fenced_writer.FencedWriter(
+            self.store, acquired, acquired.find_store_clock()
+        )
+        sizes = record_sizes(self.store)
+        puts = {
+            ports.RowId("progress", rows.COORDINATOR_PART, f"{number}"): b"x" * size
+            for number, size in enumerate([60_000, 3000, 1, 9000, 50_000] * 20)
+        }
+        removed = ports.RowId("progress", rows.COORDINATOR_PART, "gone")
+        self.store.put(removed, b"x")
+        self.assertIsNone(writer.commit(puts, (removed,)))
+        stored = {row_id: row.value for row_id, row in self.store.rows.items()}
+        del stored[rows.LEADER_LEASE_ROW]
+        self.assertEqual(puts, stored)
+        self.assertLess(max(sizes), FITTING_BYTES)
+
+    def test_a_row_larger_than_a_write_should_be_is_written_alone(self):
+        acquired = leader_lease.acquire(self.store, "one", "10.0.0.1", "one")
+        writer = fenced_writer.FencedWriter(
+            self.store, acquired, acquired.find_store_clock()
+        )
+        sizes = record_sizes(self.store)
+        puts = {
+            ports.RowId("progress", rows.COORDINATOR_PART, key): b"x" * size
+            for key, size in (("a", 10), ("b", fenced_writer.MAX_BYTES + 1), ("c", 10))
+        }
+        self.assertIsNone(writer.commit(puts))
+        self.assertEqual(3, len(sizes))
+
+    def test_jobs_are_written_in_batches_that_fit(self):
+        sizes = record_sizes(self.store)
+        part = rows.job_row_ids("0" * 16)[0].part
+        jobs = [
+            case.job(f"{number:016x}", payload="x" * 30_000)
+            for number in range(1000)
+            if rows.job_row_ids(f"{number:016x}")[0].part == part
+        ]
+        with job_writer.JobWriter(self.store) as writer:
+            accepting = [gevent.spawn(writer.accept, each, 5.0) for each in jobs]
+            self.assertEqual({None}, {each.get() for each in accepting})
+        self.assertGreater(len(jobs), 20)
+        self.assertLess(max(sizes), FITTING_BYTES)
+
+
 class TableCacheTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
--- a/test/test_coordinator_tables.py
+++ b/test/test_coordinator_tables.py
@@ -55,6 +55,15 @@
         self.poll_until_read()
         self.assertEqual(600, len(self.cache.rows))
 
+    # Guards against pages of several rows that are too large together.
+    def test_a_table_of_large_rows_is_read_over_a_slow_link(self):
+        for number in range(24):
+            self.put(f"{number:04}", f"{number % 4}", b"x" * 60_000)
+        self.store.bytes_per_s = LINK_BYTES_PER_S
+        self.store.read_timeout_s = READ_TIMEOUT_S
+        self.poll_until_read()
+        self.assertEqual(24, len(self.cache.rows))
+
     # Guards against a load that starts again with each failed page.
     def test_a_failed_page_is_read_again_and_the_others_are_kept(self):
         for number in range(1000):
--- a/toucanspring/coordinator/fenced_writer.py
+++ b/toucanspring/coordinator/fenced_writer.py
@@ -22,7 +22,9 @@
 
 # A transaction takes at most 100 entries, and the lease's row is checked and written.
 MAX_ROWS = 95
-MAX_BYTES = 700_000  # the limit is 1 MB, and values grow by a third on the wire
+# Values of a transaction, which grow by a third on the wire: 0.43 s on an idle link of
+# 5 Mbit/s, a third of the timeout. A retry must repeat the same rows.
+MAX_BYTES = 200_000
 RETRY_FIRST_S = 0.02
 RETRY_MAX_S = 0.3
 
@@ -75,10 +77,11 @@
         ]
         while True:
             chunk, size = [], 0
-            while entries and len(chunk) < MAX_ROWS and size < MAX_BYTES:
-                entry = entries.pop(0)
-                chunk.append(entry)
-                size += len(entry[1] or b"")
+            while entries and len(chunk) < MAX_ROWS:
+                size += len(entries[0][1] or b"")
+                if chunk and size > MAX_BYTES:
+                    break
+                chunk.append(entries.pop(0))
             failure = self._write(chunk)
             if failure is not None or not entries:
                 return failure
--- a/toucanspring/coordinator/job_writer.py
+++ b/toucanspring/coordinator/job_writer.py
@@ -15,7 +15,9 @@
 log = logbook.Logger(__name__)
 
 MAX_JOBS_PER_WRITE = 40
-MAX_BYTES_PER_WRITE = 400_000
+# Values, which grow by a third on the wire: 0.21 s on an idle link of 5 Mbit/s, which
+# the writers of all parts share.
+MAX_BYTES_PER_WRITE = 100_000
 RETRY_FIRST_S = 0.03
 RETRY_MAX_S = 0.4
 
@@ -103,11 +105,13 @@
     @staticmethod
     def _take(queue: collections.deque[PendingJob]) -> list[PendingJob]:
         batch, size, job_ids = [], 0, set()
-        while queue and len(batch) < MAX_JOBS_PER_WRITE and size < MAX_BYTES_PER_WRITE:
+        while queue and len(batch) < MAX_JOBS_PER_WRITE:
             if queue[0].spec.id in job_ids:
                 break  # same ID: the second write has to find the row of the first
-            job_ids.add(queue[0].spec.id)
             size += len(queue[0].value)
+            if batch and size > MAX_BYTES_PER_WRITE:
+                break
+            job_ids.add(queue[0].spec.id)
             batch.append(queue.popleft())
         return batch
 
--- a/toucanspring/coordinator/table_reader.py
+++ b/toucanspring/coordinator/table_reader.py
@@ -14,7 +14,7 @@
 MAX_PARALLEL_READS = 4
 PAGE_BYTES = 48_000  # values of a page; a third more on the wire, and the rows' names
 FIRST_PAGE_ROWS = 50  # until the size of the rows is known
-MIN_PAGE_ROWS = 5
+MIN_PAGE_ROWS = 1  # rows may be larger than a page should be
 MAX_PAGE_ROWS = 300
 
 
