Refuse jobs whose progress may outgrow its row

Callers would see: one wide job is accepted, and when some 1,300 of its tasks run, nothing of the whole cell starts any more.

Cause: admission counted the fewest bytes that a task takes in the progress row (9), while a running one takes up to 55. The store refuses the larger row, and the fenced writer repeats the write until the lease is lost, in each successor again.

The checkpoint of a done task is no longer stored.

Tests replaced: the accepted jobs of test_a_job_whose_progress_no_row_can_hold_is_refused (7,200 tasks; 13,000 occurrences) asserted the fault: when they run, their rows take more than 65,536 bytes. They are refused now, and the widest that fit (1,191; 9,300) are accepted. test_the_smallest_progress_is_no_larger_than_stored checked the constants that are gone; test_a_refused_job_would_have_too_large_a_progress and test_the_largest_progress_of_an_accepted_job_fits_into_its_row compare with the encoded row instead.

The endless repetition was read, not run.

Not covered: longer worker IDs or checkpoints (up to 256 characters), jobs accepted by an earlier build, and overlapping occurrences of a wide recurring job. The writer still repeats such a write.

--- a/test/test_coordinator_reports.py
+++ b/test/test_coordinator_reports.py
@@ -278,6 +278,15 @@
         self.assertEqual(self.progress(), again)
         self.assertEqual(again, rows.decode(rows.Progress, rows.encode(again)))
 
+    def test_the_checkpoint_of_a_done_task_is_not_stored(self):
+        # Guards against a progress row that grows beyond what the store takes.
+        cell = self.restored(self.progress())
+        end = case.ended(1, f"{JOB}.0.0.1", run=2, checkpoint="c2")
+        case.poll(cell, "w1", ended=[end], now=11.0)
+        self.assertEqual(case.DONE, case.phases(cell)[1])
+        [step] = state.to_progress(cell.jobs[JOB]).steps
+        self.assertEqual(["", ""], [task.checkpoint for task in step.tasks])
+
     def test_run_numbers_increase_across_a_failover(self):
         cell = self.restored(self.progress())
         case.poll(cell, "w1", now=11.0)
--- a/test/test_platform_ingress.py
+++ b/test/test_platform_ingress.py
@@ -1,4 +1,6 @@
+import itertools
 import json
+import random
 
 import falcon
 import falcon.testing
@@ -8,6 +10,7 @@
 from gevent import event
 from hypothesis import strategies
 
+from test import coordinator_case as case
 from test import platform_case  # noqa: F401  finds the adapter's modules
 from test import test_platform_directory as directory_case
 from toucanspring import errors, metrics
@@ -22,6 +25,24 @@
 STEP = {"count": 4, "cpu": 500, "mem_mb": 256}
 
 
+def _largest_progress(spec):
+    """Return the progress with one occurrence running and the others complete."""
+    record = state.JobRecord(spec, 0.0)
+    record.state = state.JobState.CANCELLED
+    for occurrence in range(max(1, spec.repeats)):
+        for number in range(len(spec.steps)):
+            step_run = state.add_step(record, occurrence, number, 0.0)
+            if occurrence + 1 < spec.repeats:
+                step_run.unfinished = 0
+                continue
+            for task in step_run.tasks:
+                task.phase = state.TaskPhase.RUNNING
+                task.run, task.failed_run, task.failures = 60_000, 59_999, 100
+                task.worker, task.incarnation = "w" * 16, 2**41
+                task.checkpoint = "c" * 16
+    return state.to_progress(record)
+
+
 class Peers:
     def __init__(self):
         self.answers = {}
@@ -186,25 +207,69 @@
         self.assertEqual([], self.scheduler.jobs)
 
     def test_a_job_whose_progress_no_row_can_hold_is_refused(self):
-        # Guards against counts that exhaust the memory of each coordinator in turn.
+        # Guards against counts that exhaust the memory of each coordinator in turn,
+        # and against a row that the store refuses again and again.
+        wide = {**STEP, "count": 600}
         for changes in (
             {"phases": [{**STEP, "count": 10**9}]},
-            {"phases": [{**STEP, "count": 7_300}]},
+            {"phases": [{**STEP, "count": 7_200}]},
+            {"phases": [{**STEP, "count": 1_192}]},
+            {"phases": [wide, wide]},
             {"phases": [STEP], "repeat_count": 10**9},
+            {"phases": [STEP], "repeat_count": 13_000},
+            {"phases": [STEP], "repeat_count": 9_400},
             {"phases": [STEP] * 100, "repeat_count": 140},
         ):
             self.assertEqual(400, self.call(body={"spec": "x", **changes}).status)
+        self.assertEqual([], self.scheduler.jobs)
+
+    def test_a_job_whose_progress_a_row_can_hold_is_accepted(self):
+        # Guards against a refusal of steps that are never open together.
+        wide = {**STEP, "count": 1_100}
+        narrow = {**STEP, "after": [0]}
+        part = {**STEP, "count": 350, "after": [0]}
         for changes in (
-            {"phases": [{**STEP, "count": 7_200}]},
-            {"phases": [STEP], "repeat_count": 13_000},
+            {"phases": [{**STEP, "count": 1_191}]},
+            {"phases": [wide, narrow, {**wide, "after": [1]}]},
+            {"phases": [wide, part, part, part, {**wide, "after": [1, 2, 3]}]},
+            {"phases": [STEP], "repeat_count": 9_300},
         ):
             self.assertEqual(200, self.call(body={"spec": "x", **changes}).status)
 
-    def test_the_smallest_progress_is_no_larger_than_stored(self):
+    def test_the_largest_progress_of_an_accepted_job_fits_into_its_row(self):
+        # Guards against a write that the store refuses until the leader lease is lost.
+        for changes in (
+            {"phases": [{**STEP, "count": 1_191}]},
+            {"phases": [{**STEP, "count": 5}] * 180},
+            {"phases": [{**STEP, "count": 3}], "repeat_count": 9_300},
+        ):
+            self.call(body={"spec": "x", **changes})
+            stored = rows.encode(_largest_progress(self.scheduler.jobs[-1]))
+            self.assertLessEqual(len(stored), MAX_ROW_BYTES)
+
+    def test_a_refused_job_would_have_too_large_a_progress(self):
         # Guards against a refusal of a job that a row can hold.
-        task, step = rows.TaskRow(0, 1), rows.StepRow(0, 0, (), True)
-        self.assertEqual(ingress.MIN_TASK_BYTES, len(rows.encode(task)))
-        self.assertEqual(ingress.MIN_STEP_BYTES, len(rows.encode(step)))
+        for count, repeats in ((1_200, 0), (4, 9_400), (4, 13_000)):
+            step = case.step(count)
+            largest = _largest_progress(case.job(JOB, step, repeats=repeats))
+            self.assertGreater(len(rows.encode(largest)), MAX_ROW_BYTES)
+
+    def test_no_more_tasks_are_open_than_the_bound(self):
+        # Guards against a bound below the tasks of steps that are open together.
+        rng = random.Random(17)
+        for _ in range(300):
+            steps, before = [], []
+            for number in range(rng.randint(1, 7)):
+                after = [each for each in range(number) if rng.random() < 0.3]
+                steps.append(case.step(rng.randint(1, 9), after=tuple(after)))
+                before.append(set(after).union(*(before[each] for each in after)))
+            most = max(
+                sum(steps[each].count for each in chosen)
+                for size in range(1, len(steps) + 1)
+                for chosen in itertools.combinations(range(len(steps)), size)
+                if not any(before[each] & set(chosen) for each in chosen)
+            )
+            self.assertGreaterEqual(ingress._bound_open_tasks(tuple(steps)), most)
 
     def test_odd_headers_are_no_internal_error(self):
         # Guards against ValueError and OverflowError, which callers saw as 500.
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -164,7 +164,7 @@
                 task.failures,
                 task.worker if task.phase in ALLOCATED_PHASES else "",
                 task.incarnation if task.phase in ALLOCATED_PHASES else 0,
-                task.checkpoint,
+                "" if task.phase is TaskPhase.DONE else task.checkpoint,
                 task.phase is TaskPhase.DONE,
                 task.failed_run,
             )
