Log the age of the view in slow rounds

In a trial with a weak coordinator nothing was planned for 13 s, and round_slow did not say why; only the lines of the table that was not followed hinted at it.

--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -346,6 +346,7 @@
                 plan_ms=_to_ms(planned_at - now), write_ms=_to_ms(self._write_s),
                 commit_ms=_to_ms(ended_at - planned_at), jobs_written=dirty,
                 bytes_written=self._written_bytes, steps_waiting=len(self.cell.ready),
+                view_age_s=round(self._view_age(now), 2),
                 **self._dispatcher.count_orders(),
             )  # fmt: skip
 
