--- a/test/test_platform_ingress.py
+++ b/test/test_platform_ingress.py
@@ -14,7 +14,7 @@
 from test import platform_case  # noqa: F401  finds the adapter's modules
 from test import test_platform_directory as directory_case
 from toucanspring import errors, metrics
-from toucanspring.coordinator import catalogue, metered, rows, state
+from toucanspring.coordinator import catalogue, metered, row_sizes, rows, state
 
 import ingress  # isort: skip
 
@@ -269,7 +269,7 @@
                 for chosen in itertools.combinations(range(len(steps)), size)
                 if not any(before[each] & set(chosen) for each in chosen)
             )
-            self.assertGreaterEqual(ingress._bound_open_tasks(tuple(steps)), most)
+            self.assertGreaterEqual(row_sizes.bound_open_tasks(tuple(steps)), most)
 
     def test_odd_headers_are_no_internal_error(self):
         # Guards against ValueError and OverflowError, which callers saw as 500.
