Log which task exhausts its attempts, and by which configuration

'job_ended' said failed, not why, so a job judged without a configuration looked like one whose task had failed as often as its queue allows. 'attempts_exhausted' gives failures, attempts and the version of the configuration; 'cell_restored' the version that a new coordinator starts with. No change of logic.

--- a/toucanspring/coordinator/recovery.py
+++ b/toucanspring/coordinator/recovery.py
@@ -110,6 +110,7 @@
     restore(cell, jobs, progress, now)
     structured.decide(
         log, "cell_restored", epoch=epoch, jobs=len(cell.jobs),
+        configuration=cell.catalogue.version,
         rows=len(read), bytes=sum(len(row.value) for row in read),
         unfinished=sum(not each.is_final for each in cell.jobs.values()),
         read_ms=round(read_s * 1000),
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -225,6 +225,11 @@
     attempts = queue.max_attempts if queue is not None else DEFAULT_ATTEMPTS
     exhausted = task.failures >= attempts and not step_run.step.long_running
     if exhausted and not step_run.job.is_final:
+        structured.decide(
+            log, "attempts_exhausted", task=step_run.task_id(task.index), run=task.run,
+            failures=task.failures, attempts=attempts,
+            configuration=cell.catalogue.version,
+        )  # fmt: skip
         cell.finish(step_run.job, state.JobState.FAILED, now)
 
 
