Add failing tests of jobs that are failed without a configuration

Callers are shown 'failed' after one failed run of two allowed, when the coordinator has not read the configuration or the queue was removed meanwhile.

--- a/test/test_coordinator_processes.py
+++ b/test/test_coordinator_processes.py
@@ -249,6 +249,28 @@
         self.assertIsInstance(process.cancel(JOB), errors.Unavailable)
 
 
+class UnreadConfigurationTest(ProcessCase):
+    # Guards against jobs that a new coordinator judges and ranks by no configuration,
+    # after a power loss during an outage of the store.
+    def test_a_process_without_a_configuration_does_not_coordinate(self):
+        process = self.run_process("one")
+        process._directory.catalogue = None
+        gevent.sleep(0.3)
+        self.assertIsNone(self.stored_lease())
+        process._directory.catalogue = case.configure()
+        self.wait_for(lambda: self.is_coordinator("one"))
+
+    # Guards against a released lease that nobody takes, since the first process in line
+    # has not read the configuration yet.
+    def test_a_process_without_a_configuration_leaves_a_lease_to_the_others(self):
+        first, others = self.start_cell("one", "two", "three")
+        unread = self.processes[others[0]]
+        unread._directory.catalogue = None
+        self.processes[first].stop_accepting()
+        self.wait_for(lambda: self.is_coordinator(others[1]))
+        self.assertFalse(self.is_coordinator(others[0]))
+
+
 class FailoverTest(ProcessCase):
     def test_a_process_that_stops_releases_the_lease(self):
         first, others = self.start_cell("one", "two")
--- a/test/test_coordinator_reports.py
+++ b/test/test_coordinator_reports.py
@@ -4,6 +4,7 @@
 
 from test import coordinator_case as case
 from toucanspring.coordinator import (
+    catalogue,
     cell_state,
     dispatch,
     planner,
@@ -103,6 +104,52 @@
             self.assertEqual(1, len(start_all(cell, run * 10.0 + 5)))
 
 
+class UnknownQueueTest(testtools.TestCase):
+    """Failed runs of jobs whose queue is in no configuration that has been read."""
+
+    def fail(self, cell, run, number=1, now=2.0):
+        end = case.ended(number, f"{JOB}.0.0.0", run=run, how="failed")
+        case.poll(cell, "w1", ended=[end], now=now)
+
+    def restored(self, failures, catalogue_):
+        """Return a cell as restored while run 2 of a task may be running."""
+        cell = case.new_cell(catalogue_=catalogue_)
+        task = rows.TaskRow(
+            0, 2, failures, worker="w1", incarnation=1, failed_run=min(failures, 1)
+        )
+        progress = rows.Progress("active", (rows.StepRow(0, 0, (task,)),))
+        cell.restore(case.job(JOB, case.step(1)), progress, 1.0, 0.0)
+        return cell
+
+    # Guards against a job that is shown as failed after one failed run, since the
+    # coordinator that learned of the failure had not read the configuration.
+    def test_a_failure_ends_no_job_before_the_configuration_is_read(self):
+        cell = self.restored(0, catalogue.Catalogue())
+        self.fail(cell, run=2)
+        self.assertEqual([], start_all(cell, 5.0))
+        self.assertEqual(state.JobState.ACTIVE, cell.jobs[JOB].state)
+        cell.catalogue = case.configure()
+        [start] = start_all(cell, 5.1)
+        self.assertEqual(3, start.run)
+
+    # Guards against a task that starts again after as many failed runs as its queue
+    # allows, since the last failure was learned before the configuration.
+    def test_a_task_without_attempts_left_fails_once_the_configuration_is_read(self):
+        cell = self.restored(1, catalogue.Catalogue())
+        self.fail(cell, run=2)
+        cell.catalogue = case.configure()
+        self.assertEqual([], start_all(cell, 5.0))
+        self.assertEqual(state.JobState.FAILED, cell.jobs[JOB].state)
+
+    # Guards against a job that is shown as failed after one failed run, since its queue
+    # was removed while the task ran.
+    def test_a_failure_ends_no_job_whose_queue_was_removed(self):
+        cell = self.restored(0, case.configure(case.queue("other")))
+        self.fail(cell, run=2)
+        self.assertEqual([], start_all(cell, 5.0))
+        self.assertEqual(state.JobState.ACTIVE, cell.jobs[JOB].state)
+
+
 class PollTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
