Judge failed runs in planning rounds, by a recent configuration

Cause: a report of a worker was judged when it came. A coordinator that had not read the operators' table found no queue and took one attempt as the limit; the same held for a queue that was removed, and a view of any age counted.

Change: a report only records the failure. The failures are stored, so a successor judges them too. The default of one attempt is gone.

The changed test test_a_task_that_failed_too_often_fails_the_job runs the planning round, and also asserts that it starts nothing.

--- a/test/test_coordinator_reports.py
+++ b/test/test_coordinator_reports.py
@@ -64,6 +64,7 @@
         start_all(cell, 5.0)
         end = case.ended(2, f"{JOB}.0.0.0", run=2, how="failed")
         case.poll(cell, "w1", [other], [end], now=6.0)
+        self.assertEqual([], start_all(cell, 6.0))
         self.assertEqual(state.JobState.FAILED, cell.jobs[JOB].state)
         self.assertEqual([cell_state.Stop("w1", f"{JOB}.0.1.0", 1)], cell.stops)
 
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -9,6 +9,7 @@
 import math
 
 from toucanspring.coordinator import (
+    attempts,
     availability,
     catalogue,
     cell_state,
@@ -46,7 +47,12 @@
         self.ticket_margin_s = order_pacing.MIN_TICKET_MARGIN_S
 
     def plan(self, now: float) -> plans.Plan:
-        """Plan one round and allocate the resources for its starts."""
+        """Plan one round and allocate the resources for its starts.
+
+        Jobs without attempts left fail here, since this needs as recent a configuration
+        as starts do.
+        """
+        attempts.fail_exhausted(self._cell, now)
         plan = plans.Plan()
         self._available.begin_round(now)
         over_share = self._find_over_share()
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -16,8 +16,6 @@
 DONE = "done"
 FAILED = "failed"
 COMPLETE_PERCENT = 100
-# Attempts of jobs whose queue is no longer configured.
-DEFAULT_ATTEMPTS = 1
 # A stop is ordered again if a run that must end is still held after this long; an order
 # may be dropped, for instance while the address of the worker is unknown.
 STOP_REPEAT_S = 3.0
@@ -218,19 +216,10 @@
         for each in failing:
             each.failures += 1
             each.failed_run = task.run
+            step_run.most_failures = max(step_run.most_failures, each.failures)
     task.avoided_workers = task.avoided_workers | {worker_id}
     task.avoid_until = now + cell_state.FAILED_WORKER_AVOIDANCE_S
     cell.return_to_queue(step_run, task, now)
-    queue = cell.catalogue.queue(step_run.job.spec.queue)
-    attempts = queue.max_attempts if queue is not None else DEFAULT_ATTEMPTS
-    exhausted = task.failures >= attempts and not step_run.step.long_running
-    if exhausted and not step_run.job.is_final:
-        structured.decide(
-            log, "attempts_exhausted", task=step_run.task_id(task.index), run=task.run,
-            failures=task.failures, attempts=attempts,
-            configuration=cell.catalogue.version,
-        )  # fmt: skip
-        cell.finish(step_run.job, state.JobState.FAILED, now)
 
 
 def mark_lost(cell: cell_state.CellState, worker: workers.Worker, now: float) -> None:
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -80,6 +80,7 @@
     waiting: set[int]
     unfinished: int
     ready_at: float = 0.0
+    most_failures: int = 0  # of any of its tasks
     # Approval by worker ID: a decision is final, but tickets expire.
     tickets: dict[str, ports.Ticket] = dataclasses.field(default_factory=dict)
     allowed: dict[str, bool] = dataclasses.field(default_factory=dict)
@@ -217,6 +218,7 @@
             task = step_run.tasks[saved.index]
             task.run, task.failures = saved.run, saved.failures
             task.failed_run = saved.failed_run
+            step_run.most_failures = max(step_run.most_failures, saved.failures)
             task.checkpoint = saved.checkpoint
             if saved.done:
                 task.phase = TaskPhase.DONE
