Leave the leader lease to processes that have read the configuration

Cause: any process could take a free lease; one that had just started ranked and judged the jobs of the cell by no configuration until its read of the operators' table succeeded. Only an offered lease was refused without a view.

Change: a process without the operators' settings is no candidate at all. 'Has a view' also needs a configuration, not only an answered read of the table.

--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -39,6 +39,7 @@
 
 LEASE_CHECK_INTERVAL_S = 1.0
 STORE_RETRY_S = 0.15
+VIEW_CHECK_INTERVAL_S = 0.05  # of a process that has not read the settings yet
 CALL_TIMEOUT_S = 1.2
 KEEPALIVE_INTERVAL_S = 3.0  # streams between peers close after 10 s without traffic
 # The event loop of a coordinator whose heartbeats are later than this is overloaded.
@@ -156,8 +157,13 @@
         return {**known, **(current.measure() if current is not None else {})}
 
     def _has_view(self) -> bool:
-        """Return whether the operators' settings have been read once."""
-        return self._directory.age(time.monotonic()) < UNKNOWN_VIEW_AGE_S
+        """Return whether the operators' settings have been read once.
+
+        A process without them does not coordinate: the ranks of jobs, the rates of
+        organisations and the outcome of failed runs depend on them.
+        """
+        read = self._directory.age(time.monotonic()) < UNKNOWN_VIEW_AGE_S
+        return read and self._directory.catalogue is not None
 
     # Calls
 
@@ -336,6 +342,9 @@
             if self._draining:
                 self._read_lease()
                 continue
+            if not self._has_view():
+                gevent.sleep(VIEW_CHECK_INTERVAL_S)
+                continue
             found = leader_lease.acquire(
                 self._store,
                 self._options.process,
