Spread the retries of table reads

Cause: the pauses between failed reads were fixed and doubled up to 0.4 s. Processes that lost the store, or started, at the same moment retried in step, so after an outage the cell waited for the same retry of all and then read at the same moment.

Change: each pause is a random share, 0.3 to 1, of the former.

Test that failed before: test_copies_that_fail_together_retry_at_different_times ([0.05, 0.1, 0.2, 0.4, 0.4, 0.4] for both).

--- a/test/test_coordinator_tables.py
+++ b/test/test_coordinator_tables.py
@@ -1,5 +1,7 @@
 """Copies of large tables over slow links and through failures of single reads."""
 
+import types
+
 import gevent
 import testtools
 
@@ -220,3 +222,31 @@
         self.poll(1)
         self.assertEqual(self.store.rows, self.cache.rows)
         self.assertEqual(2, len(starts) - len(set(starts)))
+
+
+class RetryTest(testtools.TestCase):
+    # Guards against a cell whose processes all wait for the same retry after an outage
+    # of the store, and then read at the same moment.
+    def test_copies_that_fail_together_retry_at_different_times(self):
+        store = rowstore.MemoryStore()
+        store.parts = lambda _table: FAILURE
+        first, second = self.find_pauses(store), self.find_pauses(store)
+        self.assertNotEqual(first, second)
+        for pause in [*first, *second]:
+            self.assertLessEqual(pause, table_cache.RETRY_MAX_S)
+            self.assertGreater(pause, 0.0)
+
+    def find_pauses(self, store, count=6):
+        """Return the pauses between the attempts of one copy to read its table."""
+        pauses = []
+
+        def sleep(seconds):
+            pauses.append(seconds)
+            if len(pauses) == count:
+                raise gevent.GreenletExit
+
+        fake = types.SimpleNamespace(sleep=sleep, spawn=gevent.spawn)
+        self.patch(table_cache, "gevent", fake)
+        cache = table_cache.TableCache(store, TABLE, lambda _row: None)
+        self.assertRaises(gevent.GreenletExit, cache._run)
+        return pauses
--- a/toucanspring/coordinator/table_cache.py
+++ b/toucanspring/coordinator/table_cache.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 from collections.abc import Callable, Container
 
@@ -21,6 +22,7 @@
 MAX_UNANSWERED = 2
 RETRY_FIRST_S = 0.05
 RETRY_MAX_S = 0.4
+MIN_RETRY_SHARE = 0.3  # the shortest pause before a retry, as a share of the longest
 
 RowCallback = Callable[[ports.Row], None]
 
@@ -220,7 +222,8 @@
             if not self._failing:
                 log.warning("table {}: not followed: {}", self._table, failure)
             self._failing = True
-            gevent.sleep(pause)
+            # Processes that lost the store at the same moment retry at different times.
+            gevent.sleep(pause * random.uniform(MIN_RETRY_SHARE, 1.0))
             pause = min(RETRY_MAX_S, pause * 2)
 
     def _apply_snapshot(
