Replace no missing coordinator without a configuration

Seen by the review: a process without a configuration that found the coordinator missing kept the takeover until it had read the configuration, and then replaced a coordinator that was back. Safe, but it costs a failover.

Change: such a process looks on; it begins to count when it may coordinate. Test that failed before: test_a_process_without_a_configuration_replaces_no_coordinator ([] != [Takeover(epoch=4, reason=<Reason.MISSING>)]). 9 tests of FailoverTest pass.

--- a/test/test_coordinator_processes.py
+++ b/test/test_coordinator_processes.py
@@ -99,13 +99,11 @@
         return self.failure or dict.fromkeys(workers, "t")
 
 
-def watch(name, peers, store, takeovers):
+def watch(name, peers, store, takeovers, is_ready=lambda: True):
     """Return the failure detection of a process; its takeovers are recorded."""
     own = rows.MemberRow(name, "10.0.0.1", 1)
     cell = members.Members(own, store, peers)
-    return failover.Failover(
-        name, peers, store, takeovers.append, None, cell, lambda: True
-    )
+    return failover.Failover(name, peers, store, takeovers.append, None, cell, is_ready)
 
 
 class SlowStore:
@@ -352,6 +350,26 @@
         missing = leader_lease.Takeover(4, leader_lease.Reason.MISSING)
         self.assertEqual({missing}, set(takeovers))
 
+    # Guards against a takeover that a process without a configuration keeps, and
+    # carries out once it has read it, although the coordinator is back.
+    def test_a_process_without_a_configuration_replaces_no_coordinator(self):
+        takeovers, network, ready = [], Network(), []
+        peers = [network.join(name) for name in ("two", "three")]
+        network.join("one")
+        held = rows.LeaderLease("one", "10.0.0.1", 4, 1, 0, "instance")
+        for name, each in zip(("two", "three"), peers, strict=True):
+            each.targets = {"one": 0, "two": 0, "three": 0}
+            watcher = watch(name, each, self.store, takeovers, lambda: bool(ready))
+            watcher.set_coordinator(held)
+            watcher._lease_seen_at -= failover.NEW_COORDINATOR_GRACE_S
+            watcher.__enter__()
+            self.addCleanup(watcher.__exit__)
+        network.cut.add("one")
+        gevent.sleep(failover.HEARTBEAT_TIMEOUT_S + failover.DISCONNECT_TIMEOUT_S + 0.5)
+        self.assertEqual([], takeovers)
+        ready.append(True)
+        self.wait_for(lambda: takeovers)
+
     def test_a_coordinator_is_stable_after_its_grace_period_while_it_is_heard(self):
         first = watch("two", Network().join("two"), self.store, [])
         self.assertFalse(first.has_stable_coordinator())
--- a/toucanspring/coordinator/failover.py
+++ b/toucanspring/coordinator/failover.py
@@ -219,6 +219,7 @@
             if (
                 lease is None
                 or self.closing
+                or not self._is_ready()
                 or lease.process == self._process
                 or self._is_reachable(lease.process, now)
                 or now - self._lease_seen_at < NEW_COORDINATOR_GRACE_S
