Confirm no missing coordinator before knowing it for a while

Seen by the review: a process that had just started had no stream to the coordinator yet and told a peer that asked that it cannot be reached, so one broken stream of that peer was enough to replace a live coordinator.

--- a/test/test_coordinator_processes.py
+++ b/test/test_coordinator_processes.py
@@ -370,6 +370,24 @@
         ready.append(True)
         self.wait_for(lambda: takeovers)
 
+    # Guards against a coordinator that is replaced, since a process that has just
+    # started has no stream to it yet.
+    def test_a_process_that_has_just_started_confirms_no_missing_coordinator(self):
+        network = Network()
+        asking, started = network.join("two"), network.join("three")
+        asking.targets = {"three": 0}
+        watcher = watch("two", asking, self.store, [])
+        witness = watch("three", started, self.store, [])
+        for each in (watcher, witness):
+            each.__enter__()
+            self.addCleanup(each.__exit__)
+        self.assertFalse(watcher._confirm_unreachable("one"))
+        held = rows.LeaderLease("one", "10.0.0.1", 4, 1, 0, "instance")
+        witness.set_coordinator(held)
+        self.assertFalse(watcher._confirm_unreachable("one"))
+        witness._lease_seen_at -= failover.NEW_COORDINATOR_GRACE_S
+        self.assertTrue(watcher._confirm_unreachable("one"))
+
     def test_a_coordinator_is_stable_after_its_grace_period_while_it_is_heard(self):
         first = watch("two", Network().join("two"), self.store, [])
         self.assertFalse(first.has_stable_coordinator())
--- a/toucanspring/coordinator/failover.py
+++ b/toucanspring/coordinator/failover.py
@@ -252,8 +252,15 @@
         return False
 
     def _serve_reachability(self, _sender: str, body: bytes) -> bytes:
-        reached = self._is_reachable(body.decode(), time.monotonic())
-        return b"yes" if reached else b"no"
+        now = time.monotonic()
+        if self._is_reachable(body.decode(), now):
+            return b"yes"
+        # A process that has just started or learned of a coordinator still connects.
+        settled = (
+            self._lease is not None
+            and now - self._lease_seen_at >= NEW_COORDINATOR_GRACE_S
+        )
+        return b"no" if settled else b"unknown"
 
     def _is_reachable(self, process: str, now: float) -> bool:
         """Return whether a process is connected and, as coordinator, not silent."""
