Guard the condition and the restored failures of judged jobs

Judging on a view of any age now fails test_no_job_fails_while_the_view_of_the_configuration_is_old ('active' != 'failed'), forgetting the stored failures fails test_restored_failures_count (a start is planned). Both pass on the code as it is.

--- a/test/test_coordinator_leadership.py
+++ b/test/test_coordinator_leadership.py
@@ -161,6 +161,22 @@
         self.directory.view_age = 0.0
         self.wait_for(self.is_complete)
 
+    # Guards against a job that fails by a configuration that is no longer in force.
+    def test_no_job_fails_while_the_view_of_the_configuration_is_old(self):
+        self.directory.catalogue = case.configure(case.queue(max_attempts=1))
+        self.workers.failing.update(("w1", "w2"))
+        self.workers.run_s = 0.3
+        self.coordinate()
+        self.accept(case.step(1))
+        self.wait_for(lambda: self.workers.starts == 1)
+        self.directory.view_age = 5.0
+        self.wait_for(lambda: self.progress().steps[0].tasks[0].failures == 1)
+        gevent.sleep(0.2)
+        self.assertEqual(state.JobState.ACTIVE.value, self.progress().state)
+        self.directory.view_age = 0.0
+        self.wait_for(lambda: self.progress().state == state.JobState.FAILED.value)
+        self.assertEqual(1, self.workers.starts)
+
     def test_an_outcome_whose_write_is_unanswered_is_not_denied(self):
         """Guards against an outcome that a caller was told and that is taken back.
 
--- a/test/test_coordinator_reports.py
+++ b/test/test_coordinator_reports.py
@@ -142,6 +142,14 @@
         self.assertEqual([], start_all(cell, 5.0))
         self.assertEqual(state.JobState.FAILED, cell.jobs[JOB].state)
 
+    # Guards against a task that a successor starts again after the failures that its
+    # predecessor has recorded.
+    def test_restored_failures_count(self):
+        cell = self.restored(2, case.configure())
+        case.poll(cell, "w1", now=2.0)
+        self.assertEqual([], start_all(cell, 5.0))
+        self.assertEqual(state.JobState.FAILED, cell.jobs[JOB].state)
+
     # Guards against a job that is shown as failed after one failed run, since its queue
     # was removed while the task ran.
     def test_a_failure_ends_no_job_whose_queue_was_removed(self):
