Do not stop runs of jobs that are left alone

A job whose progress cannot be read, or doesn't match it, is left alone since its tasks may have run or be running. Its runs counted as unknown all the same and were stopped at the first poll of a successor, so the work was lost.

Change: such runs go on; nothing is started beside them, as before.

--- a/test/test_coordinator_reports.py
+++ b/test/test_coordinator_reports.py
@@ -415,6 +415,17 @@
             case.poll(cell, "w1", [row], now=2.1 + tick, sent_at=2.1 + tick)
         self.assertEqual([cell_state.Stop("w1", task, 1)], cell.stops)
 
+    # Guards against the loss of work of a job whose progress cannot be read: its runs
+    # were stopped as unknown.
+    def test_a_run_of_a_job_that_is_left_alone_is_not_stopped(self):
+        cell = case.new_cell()
+        cell.unreadable.add(JOB)
+        case.poll(cell, "w1", running=[case.running(f"{JOB}.0.0.0")], now=2.0)
+        case.poll(cell, "w1", running=[case.running(f"{JOB}.0.0.0")], now=9.0)
+        self.assertEqual([], cell.stops)
+        cell.accept(case.job("1" * 16), 9.0)
+        self.assertEqual([], start_all(cell, 9.1))  # the demand of the run is unknown
+
     def test_another_run_of_an_unknown_task_is_stopped_too(self):
         """Guards against a worker that stays full with a run nobody stops."""
         cell = case.new_cell()
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -62,10 +62,16 @@
     running: Iterable[ports.RunningTask],
     now: float,
 ) -> None:
-    """Order stops of unknown runs, and all stops again that had no effect."""
+    """Order stops of unknown runs, and all stops again that had no effect.
+
+    Runs of jobs whose progress cannot be read go on: they may be rightful.
+    """
     due_at: dict[tuple[str, int], float] = {}
     unknown = [
-        (row.task, row.run) for row in running if row.task in worker.unknown_tasks
+        (row.task, row.run)
+        for row in running
+        if row.task in worker.unknown_tasks
+        and row.task.partition(".")[0] not in cell.unreadable
     ]
     stopping = [
         (task_id, allocation.task.run)
