Store the copy of a job before its progress

Callers would see all tasks of a job run again after they were done.

Cause: the first write of a job has its progress and a copy of it, the progress first. A large write is split; one that ended between the two left progress without a copy, and a successor takes stored progress as a sign that the copy exists. If the part with the job's row can't be read at a later takeover, the progress is dropped, and the row, once read, is taken for a job that has not run.

Change: copies are written before all progress.

Ran: test_coordinator_leadership, _store, _unreadable pass. Test that failed before: test_no_progress_is_stored_before_the_copy_of_its_job (MismatchError: 3 != 6).

--- a/test/test_coordinator_leadership.py
+++ b/test/test_coordinator_leadership.py
@@ -8,7 +8,15 @@
 
 from standins import lease_workers, rowstore
 from test import coordinator_case as case
-from toucanspring.coordinator import leader_lease, leadership, ports, rows, state
+from toucanspring import errors
+from toucanspring.coordinator import (
+    fenced_writer,
+    leader_lease,
+    leadership,
+    ports,
+    rows,
+    state,
+)
 
 JOB = "0" * 16
 MAX_LEASE_MS = 6000
@@ -298,6 +306,34 @@
         self.assertEqual(8, self.workers.starts)
         self.assert_no_violations()
 
+    # Guards against a job that runs again, since its progress was stored without the
+    # copy of the job and the part with its row was down at a later failover.
+    def test_no_progress_is_stored_before_the_copy_of_its_job(self):
+        self.patch(fenced_writer, "MAX_ROWS", 1)
+        copy, transact = rows.job_copy_row_id(JOB), self.store.transact
+
+        def transact_in_part(checks, puts, removals=()):
+            if copy in puts:
+                return errors.Unavailable(reason="the store is unreachable")
+            return transact(checks, puts, removals)
+
+        self.store.transact = transact_in_part
+        self.accept(case.step(2), case.step(1, after=(0,)))
+        self.coordinate()
+        gevent.sleep(0.3)
+        self.kill()
+        self.store.transact = transact
+        self.coordinate()
+        self.wait_for(self.is_complete)
+        self.kill()
+        self.store.parts_down = {rows.job_row_ids(JOB)[0].part}
+        self.directory.known.pop("w1")  # which would refuse the same run
+        self.coordinate()
+        self.store.parts_down = set()
+        gevent.sleep(0.6)
+        self.assertEqual(3, self.workers.starts)
+        self.assert_no_violations()
+
     def test_a_restarted_worker_has_lost_its_earlier_tasks(self):
         self.workers.run_s = 0.3
         self.coordinate()
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -364,13 +364,15 @@
         if not (dirty or cancel_waiters or removed or renewal_due):
             self._apply_acks(pending_acks)
             return
+        # A write may be split and end early. Progress without a copy of its job is
+        # ignored by a successor that cannot read the part with the row of the job.
         puts = {
-            rows.progress_row_id(job_id): rows.encode(state.to_progress(record))
+            rows.job_copy_row_id(job_id): rows.encode(record.spec)
             for job_id, record in dirty.items()
+            if not record.has_copy
         }
         for job_id, record in dirty.items():
-            if not record.has_copy:
-                puts[rows.job_copy_row_id(job_id)] = rows.encode(record.spec)
+            puts[rows.progress_row_id(job_id)] = rows.encode(state.to_progress(record))
         states = {job_id: record.state for job_id, record in dirty.items()}
         self._written_bytes = sum(len(value) for value in puts.values())
         sent_at = time.monotonic()
