Move tasks only while tasks may start

Callers would wait longer: tasks stood still while the store was out or slow.

Cause: a coordinator stopped stuck tasks and tasks of slow workers also while its view of the operators' settings was too old or its lease had expired, when it starts nothing.

Change: both are looked for only under the condition of starts.

--- a/test/test_coordinator_polls.py
+++ b/test/test_coordinator_polls.py
@@ -47,3 +47,44 @@
         gevent.sleep(4.0)
         self.assertGreater(sum(lease is not None for _, lease in polls[4:]), 2)
         self.assertLess(len(self.workers.incarnations["w1"].ended), 10)
+
+
+class MoveTest(leadership_tests.LeadershipCase):
+    """Tasks are stopped to be moved only while they can start elsewhere."""
+
+    def setUp(self):
+        super().setUp()
+        self.workers.run_s = 30
+        for name in ("w3", "w4"):
+            entry = self.directory.known[name] = case.entry(name, cpus=4000)
+            self.workers.add(entry)
+        self.leader = self.coordinate()
+        self.accept(case.step(1))
+        self.wait_for(lambda: self.workers.starts == 1)
+        self.task = self.leader.cell.jobs[JOB].steps[0, 0].tasks[0]
+        self.wait_for(lambda: self.task.phase is case.RUNNING)
+
+    # Guards against stuck tasks that are stopped while nothing may start, so that their
+    # work stands still for as long as the view is too old.
+    def test_a_stuck_task_is_stopped_only_while_it_may_start_again(self):
+        self.directory.view_age = 5.0
+        self.task.progressed_at -= 60
+        self.task.percent = 50
+        gevent.sleep(2.0)
+        self.assertEqual((case.RUNNING, 0), (self.task.phase, self.task.times_stuck))
+        self.directory.view_age = 0.0
+        self.wait_for(lambda: self.workers.starts == 2)
+
+    # Guards against tasks of slow workers that are stopped while nothing may start.
+    def test_a_task_leaves_a_slow_worker_only_while_it_may_start_elsewhere(self):
+        self.directory.view_age = 5.0
+        gevent.sleep(0.3)
+        for worker in self.leader.cell.workers.values():
+            worker.samples = 3
+            worker.speed = 0.05 if worker.allocations else 1.0
+        self.task.percent = 50
+        self.task.started_at -= 10
+        gevent.sleep(0.6)
+        self.assertEqual((case.RUNNING, 1), (self.task.phase, self.workers.starts))
+        self.directory.view_age = 0.0
+        self.wait_for(lambda: self.workers.starts == 2)
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -56,6 +56,9 @@
     def may_renew(self, now: float) -> bool:
         """Return whether worker leases may be renewed."""
 
+    def may_start(self, now: float) -> bool:
+        """Return whether tasks may start, and so be stopped to start elsewhere."""
+
     def acknowledge_ends(self, worker: workers.Worker, last_end: int) -> None:
         """Acknowledge ends to the worker once the next write is durable."""
 
@@ -212,7 +215,8 @@
         if restarted:
             last = max((end.number for end in reply.ended), default=0)
             has_new_ends = last > 0
-        for allocation in reports.find_stuck(worker, now):
+        stuck = reports.find_stuck(worker, now) if self._leader.may_start(now) else ()
+        for allocation in stuck:
             structured.decide(
                 log,
                 "task_stuck",
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -162,6 +162,10 @@
         lost = self._writer.lost
         return not lost and self._writer.overdue_s(now) < dispatch.STORE_OUTAGE_GRACE_S
 
+    def may_start(self, now: float) -> bool:
+        """Return whether tasks may start, and so be stopped to start elsewhere."""
+        return self._view_age(now) < MAX_VIEW_AGE_S and self._writer.holds_lease(now)
+
     def acknowledge_ends(self, worker: workers.Worker, last_end: int) -> None:
         """Acknowledge ends up to `last_end` to a worker after the next write."""
         self._pending_acks.append(PendingAck(worker, last_end, worker.incarnation))
@@ -321,7 +325,7 @@
         self._apply_operator_settings()
         self._run_housekeeping(now)
         plan = plans.Plan()
-        if self._view_age(now) < MAX_VIEW_AGE_S and self._writer.holds_lease(now):
+        if self.may_start(now):
             self._planner.max_starts = self._dispatcher.start_limit()
             self._planner.ticket_margin_s = self._dispatcher.pacing.ticket_margin_s()
             plan = self._planner.plan(now)
@@ -412,6 +416,11 @@
         if now - self._housekeeping_at < HOUSEKEEPING_INTERVAL_S:
             return
         self._housekeeping_at = now
+        if self.may_start(now):
+            self._move_from_slow_workers(now)
+        self.cell.open_due_occurrences(round(time.time() * 1000), now)
+
+    def _move_from_slow_workers(self, now: float) -> None:
         for worker in stragglers.find_slow(self.cell.workers.values(), now):
             movable = stragglers.find_movable(worker, now)
             structured.decide(
@@ -420,7 +429,6 @@
             )  # fmt: skip
             for allocation in movable:
                 self.cell.stop(allocation.step, allocation.task)
-        self.cell.open_due_occurrences(round(time.time() * 1000), now)
 
 
 def _to_ms(seconds: float) -> int:
