Compute due times by the configuration in force

Callers would see a job wait behind all others that are not late, while the cell is full, although it could have been done in time.

Cause: the due time was computed once, when a coordinator learned of the job. With a queue that its configuration did not have yet it stayed 0, so that the job counted as late for ever and its gangs preempted nothing; by a configuration that was replaced since, for instance the one that a new coordinator restored with, it stayed wrong.

Change: a new configuration sets the due times of all jobs that have not ended. While a queue is missing its jobs keep their due times.

--- a/test/test_coordinator_planner.py
+++ b/test/test_coordinator_planner.py
@@ -173,6 +173,39 @@
         self.assertEqual("c" * 16, start.step.job.spec.id)
 
 
+class LaterConfigurationTest(testtools.TestCase):
+    """Jobs that were learned by an older configuration than the one in force."""
+
+    def plan(self, first, then):
+        """Plan for one of two jobs; the first one is learned by another catalogue."""
+        cell = case.new_cell(case.entry(cpus=1000), catalogue_=first)
+        cell.accept(case.job("a" * 16), 1.0)
+        cell.catalogue = then
+        cell.accept(case.job("b" * 16), 1.1)
+        [start] = planner.Planner(cell).plan(1.2).starts
+        return start.step.job.spec.id
+
+    # Guards against a job that counts as late for ever, since its queue was not known
+    # when the coordinator learned of it.
+    def test_a_job_of_a_queue_that_comes_later_gets_its_due_time(self):
+        in_force = case.configure(case.queue(priority=2))
+        first = case.configure(case.queue("other"))
+        self.assertEqual("a" * 16, self.plan(first, in_force))
+
+    # Guards against due times by a configuration that is no longer in force.
+    def test_due_times_follow_the_configuration(self):
+        in_force = case.configure(case.queue(priority=2))
+        first = case.configure(case.queue(priority=2, target_s=0.0, stretch=0.1))
+        self.assertEqual("a" * 16, self.plan(first, in_force))
+
+    def test_a_due_time_stays_when_the_queue_is_removed(self):
+        cell = case.new_cell()
+        cell.accept(case.job("a" * 16), 1.0)
+        due_at = cell.jobs["a" * 16].due_at
+        cell.catalogue = case.configure(case.queue("other"))
+        self.assertEqual((4.0, 4.0), (due_at, cell.jobs["a" * 16].due_at))
+
+
 class OverloadTest(testtools.TestCase):
     """Demand exceeds the cell's capacity for longer than the deadlines allow."""
 
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -44,7 +44,7 @@
     """Jobs and workers of the cell; owned by the elected coordinator."""
 
     def __init__(self) -> None:
-        self.catalogue = catalogue.Catalogue()
+        self._catalogue = catalogue.Catalogue()
         self.zones_out: frozenset[str] = frozenset()
         self.jobs: dict[str, state.JobRecord] = {}
         self.unreadable: set[str] = set()  # jobs whose progress cannot be read
@@ -58,6 +58,21 @@
         self._rate_limits = rate_limits.RateLimits()
         self._pools: dict[str, list[workers.Worker]] = {}
 
+    @property
+    def catalogue(self) -> catalogue.Catalogue:
+        """Return the configuration in force."""
+        return self._catalogue
+
+    @catalogue.setter
+    def catalogue(self, found: catalogue.Catalogue) -> None:
+        """Set the configuration in force, and the due times by it."""
+        if found is self._catalogue:
+            return
+        self._catalogue = found
+        for record in self.jobs.values():
+            if not record.is_final:
+                self._set_due_time(record)
+
     # Jobs
 
     def accept(self, spec: job_specs.Job, now: float, age_s: float = 0.0) -> None:
@@ -92,10 +107,7 @@
 
     def _add(self, spec: job_specs.Job, now: float, age_s: float) -> state.JobRecord:
         record = state.JobRecord(spec, now - age_s)
-        queue = self.catalogue.queue(spec.queue)
-        chain_s = sum(step.estimate_ms for step in spec.steps) / 1000
-        if queue is not None:
-            record.due_at = now - age_s + queue.stretch * chain_s + queue.target_s
+        self._set_due_time(record)
         record.over_rate = self._rate_limits.count_job(
             spec.organisation,
             self.catalogue.organisations.get(spec.organisation),
@@ -104,6 +116,15 @@
         self.jobs[spec.id] = record
         return record
 
+    def _set_due_time(self, record: state.JobRecord) -> None:
+        """Set when a job is due, if its queue is known."""
+        queue = self.catalogue.queue(record.spec.queue)
+        if queue is not None:
+            chain_s = sum(step.estimate_ms for step in record.spec.steps) / 1000
+            record.due_at = (
+                record.accepted_at + queue.stretch * chain_s + queue.target_s
+            )
+
     def open_steps(self, record: state.JobRecord, now: float) -> None:
         """Open the steps whose predecessors are done."""
         for occurrence in range(max(1, record.spec.repeats)):
