Start nothing for an organisation without a known ceiling

An operator would see an organisation above its ceiling.

Cause: an organisation that is missing from the coordinator's configuration had no ceiling. It is missing while the configuration is older than that of the process which accepted the job, and after it was removed while its jobs wait.

Change: a removed organisation keeps the ceiling that this process has known last. One that no known configuration has had starts nothing, and `step_waits` says so. Jobs of open queues without an organisation have no ceiling, as before. A process that takes over after the removal holds the jobs of that organisation back until it returns.

--- a/bench/arrivals.py
+++ b/bench/arrivals.py
@@ -145,7 +145,7 @@
     size = min(4.0, 0.3 + 0.7 * cost / mean_cost)
     chain_s = sum(max(times) for times in seconds)
     spec = job_specs.Job(
-        id=f"{number:016x}", queue=name, organisation="o", payload="",
+        id=f"{number:016x}", queue=name, organisation="", payload="",
         steps=tuple(steps),
     )  # fmt: skip
     due_s = kind.stretch * chain_s + kind.target_s
--- a/test/test_coordinator_planner.py
+++ b/test/test_coordinator_planner.py
@@ -102,6 +102,39 @@
         cell.accept(case.job(JOB, case.step(5)), 1.0)
         self.assertEqual(2, len(planner.Planner(cell).plan(1.0).starts))
 
+    def unlimited(self, *names):
+        return [
+            catalogue.Organisation(name=name, keys=frozenset(), weight=0.0)
+            for name in names
+        ]
+
+    # Guards against an organisation above its ceiling, since the configuration that
+    # the coordinator knows does not have it yet.
+    def test_nothing_starts_for_an_organisation_whose_ceiling_is_not_known(self):
+        cell = case.new_cell()
+        cell.accept(case.job(JOB, case.step(5), organisation="labels"), 1.0)
+        cell_planner = planner.Planner(cell)
+        plan = cell_planner.plan(1.0)
+        self.assertEqual([], plan.starts)
+        self.assertEqual([plans.UNKNOWN_ORGANISATION], [x.reason for x in plan.waits])
+        cell.catalogue = case.configure(organisations=self.unlimited("labels"))
+        self.assertEqual(5, len(cell_planner.plan(1.1).starts))
+
+    # Guards against an organisation without a ceiling once it is removed.
+    def test_a_removed_organisation_keeps_its_ceiling(self):
+        labels = catalogue.Organisation(
+            name="labels", keys=frozenset(), ceiling=resources.Resources(cpus=2500)
+        )
+        cell = case.new_cell(catalogue_=case.configure(organisations=[labels]))
+        cell.accept(case.job(JOB, case.step(5), organisation="labels"), 1.0)
+        cell.catalogue = case.configure()
+        self.assertEqual(2, len(planner.Planner(cell).plan(1.0).starts))
+
+    def test_a_job_without_an_organisation_has_no_ceiling(self):
+        cell = case.new_cell()
+        cell.accept(case.job(JOB, case.step(5), organisation=""), 1.0)
+        self.assertEqual(5, len(planner.Planner(cell).plan(1.0).starts))
+
     def test_a_draining_worker_and_a_zone_out_of_service_get_nothing(self):
         cell = case.new_cell(
             case.entry("w1", draining=True),
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -45,6 +45,8 @@
 
     def __init__(self) -> None:
         self._catalogue = catalogue.Catalogue()
+        # As last known, also those that were removed since: limits outlast a removal.
+        self.organisations: dict[str, catalogue.Organisation] = {}
         self.zones_out: frozenset[str] = frozenset()
         self.jobs: dict[str, state.JobRecord] = {}
         self.unreadable: set[str] = set()  # jobs whose progress cannot be read
@@ -69,6 +71,7 @@
         if found is self._catalogue:
             return
         self._catalogue = found
+        self.organisations.update(found.organisations)
         for record in self.jobs.values():
             if not record.is_final:
                 self._set_due_time(record)
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -8,6 +8,7 @@
 
 import math
 
+from toucanspring import resources
 from toucanspring.coordinator import (
     attempts,
     availability,
@@ -87,6 +88,9 @@
             and now < step_run.blocked_until
         ):
             return True
+        if self._ceiling(step_run) is None:
+            plan.record_wait(step_run, plans.UNKNOWN_ORGANISATION)
+            return True
         if step_run.approval_pending and not step_run.tickets:
             plan.record_wait(step_run, plans.AWAITING_APPROVAL)
             return True
@@ -375,16 +379,25 @@
             )
         )
 
+    def _ceiling(self, step_run: state.StepRun) -> resources.Resources | None:
+        """Return the ceiling of a step's organisation (0: no limit), None if unknown.
+
+        Jobs of open queues may have no organisation.
+        """
+        name = step_run.job.spec.organisation
+        if not name:
+            return resources.ZERO
+        organisation = self._cell.organisations.get(name)
+        return None if organisation is None else organisation.ceiling
+
     def _within_ceiling(self, step_run: state.StepRun) -> bool:
         """Return whether one more task, or the whole gang, stays below the ceiling."""
+        ceiling = self._ceiling(step_run)
+        if ceiling is None:
+            return False
         count = step_run.step.count if step_run.step.gang else 1
-        organisation = self._cell.catalogue.organisations.get(
-            step_run.job.spec.organisation
-        )
-        if organisation is None:
-            return True
-        ceiling = organisation.ceiling
-        wanted = self._cell.used[organisation.name] + step_run.step.demand.times(count)
+        used = self._cell.used[step_run.job.spec.organisation]
+        wanted = used + step_run.step.demand.times(count)
         return (
             (not ceiling.cpus or wanted.cpus <= ceiling.cpus)
             and (not ceiling.memory or wanted.memory <= ceiling.memory)
