Count waiting jobs only when all of them are known

Callers would see a queue as shorter than it is.

Cause: a coordinator counted the jobs that it knows. After a takeover while a part of the store is down, or while the changes of the table don't arrive, others are missing.

Change: without a complete copy of the jobs of the last 2 s the request is answered as if the coordinator were unavailable (503), as it already was while the view of the configuration is old.

Ran: test_coordinator_processes and _leadership pass. Test that failed before: test_waiting_jobs_are_counted_only_when_all_are_known ('7' is not an instance of Unavailable).

--- a/test/test_coordinator_processes.py
+++ b/test/test_coordinator_processes.py
@@ -239,6 +239,18 @@
             self.assertEqual(0, each.pending(case.QUEUE))
         self.assertEqual([], self.workers.violations)
 
+    # Guards against a count without the jobs whose rows the coordinator has not read.
+    def test_waiting_jobs_are_counted_only_when_all_are_known(self):
+        for number in range(8):
+            spec = case.job(f"{number:016x}", case.step(1, cpus=10**6))
+            self.store.put(rows.job_row_ids(spec.id)[0], rows.encode(spec))
+        self.store.parts_down = {rows.job_row_ids(JOB)[0].part}
+        process = self.run_process("one")
+        self.wait_for(lambda: self.is_coordinator("one"))
+        self.assertIsInstance(process.pending(case.QUEUE), errors.Unavailable)
+        self.store.parts_down = set()
+        self.wait_for(lambda: process.pending(case.QUEUE) == 8)
+
     def test_without_a_coordinator_the_state_is_read_from_the_store(self):
         process = self.run_process("one")
         process._draining = True
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -39,6 +39,8 @@
 # Nothing is started while the view of the operators' settings is older than this. The
 # required reaction times to evacuations and configuration changes are 2 s and more.
 MAX_VIEW_AGE_S = 1.8
+# The number of waiting jobs is not given by a copy of the jobs older than this.
+MAX_PENDING_AGE_S = 2.0
 HOUSEKEEPING_INTERVAL_S = 0.25
 CANCEL_TIMEOUT_S = 3.0
 RELEASE_TIMEOUT_S = 1.5  # part of the time for a graceful stop
@@ -251,6 +253,12 @@
             return errors.Ambiguous(reason="the cancellation is not durable yet")
         return record.durable_state if failure is None else failure
 
+    def pending(self, queue: str) -> int | errors.Unavailable:
+        """Return how many jobs of a queue have not started, if all jobs are known."""
+        if self._jobs.age(time.monotonic()) > MAX_PENDING_AGE_S:
+            return errors.Unavailable(reason="not all jobs have been read recently")
+        return self.cell.pending(queue)
+
     def _load_job(self, job_id: str) -> None | errors.Failure:
         """Read a job from the store that the change feed has not delivered yet."""
         row = rows.find_job(self._store, job_id)
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -231,7 +231,7 @@
                 found = current.cancel(argument)
                 return found if isinstance(found, errors.Failure) else found.value
             case _:
-                return current.cell.pending(argument)
+                return current.pending(argument)
 
     def _read_status(self, job_id: str) -> state.JobState | errors.Failure:
         """Return the state of a job from its rows in the store."""
