Leave tasks of a removed queue where they run

Callers would see the work of a job stand still once its queue is removed.

Cause: nothing starts for a queue that is not in the configuration, but its running tasks were stopped as stuck or slow, to start elsewhere.

Change: a job knows whether its queue is in the configuration in force, and the tasks of one without are not moved.

Ran: test_coordinator_polls, _stragglers, _reports, _progress, _planner pass. Test that failed before: test_tasks_of_a_removed_queue_stay_where_they_run ((RUNNING, 0) != (WAITING, 0)).

--- a/test/test_coordinator_polls.py
+++ b/test/test_coordinator_polls.py
@@ -88,3 +88,18 @@
         self.assertEqual((case.RUNNING, 1), (self.task.phase, self.workers.starts))
         self.directory.view_age = 0.0
         self.wait_for(lambda: self.workers.starts == 2)
+
+    # Guards against tasks that are stopped and never start again, since their queue was
+    # removed while they ran.
+    def test_tasks_of_a_removed_queue_stay_where_they_run(self):
+        self.directory.catalogue = case.configure(case.queue("other"))
+        self.task.progressed_at -= 60
+        self.task.percent = 50
+        for worker in self.leader.cell.workers.values():
+            worker.samples = 3
+            worker.speed = 0.05 if worker.allocations else 1.0
+        self.task.started_at -= 10
+        gevent.sleep(2.0)
+        self.assertEqual((case.RUNNING, 0), (self.task.phase, self.task.times_stuck))
+        self.directory.catalogue = case.configure()
+        self.wait_for(lambda: self.workers.starts == 2)
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -67,14 +67,14 @@
 
     @catalogue.setter
     def catalogue(self, found: catalogue.Catalogue) -> None:
-        """Set the configuration in force, and the due times by it."""
+        """Set the configuration in force, also for the jobs that have not ended."""
         if found is self._catalogue:
             return
         self._catalogue = found
         self.organisations.update(found.organisations)
         for record in self.jobs.values():
             if not record.is_final:
-                self._set_due_time(record)
+                self._configure(record)
 
     # Jobs
 
@@ -110,7 +110,7 @@
 
     def _add(self, spec: job_specs.Job, now: float, age_s: float) -> state.JobRecord:
         record = state.JobRecord(spec, now - age_s)
-        self._set_due_time(record)
+        self._configure(record)
         record.over_rate = self._rate_limits.count_job(
             spec.organisation,
             self.catalogue.organisations.get(spec.organisation),
@@ -119,9 +119,10 @@
         self.jobs[spec.id] = record
         return record
 
-    def _set_due_time(self, record: state.JobRecord) -> None:
-        """Set when a job is due, if its queue is known."""
+    def _configure(self, record: state.JobRecord) -> None:
+        """Set what the queue of a job decides; without it, the due time stays."""
         queue = self.catalogue.queue(record.spec.queue)
+        record.has_queue = queue is not None
         if queue is not None:
             chain_s = sum(step.estimate_ms for step in record.spec.steps) / 1000
             record.due_at = (
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -236,13 +236,16 @@
 def find_stuck(worker: workers.Worker, now: float) -> list[workers.Allocation]:
     """Return the tasks without progress although their worker responds.
 
-    Each time a task is found its limit is doubled.
+    Those that could not start again, since their queue is missing, are left alone. Each
+    time a task is found its limit is doubled.
     """
     found = []
     for allocation in worker.allocations.values():
         task, step = allocation.task, allocation.step.step
         if task.phase is not state.TaskPhase.RUNNING or step.long_running:
             continue
+        if not allocation.step.job.has_queue:
+            continue
         # A gang member that has completed its work waits for the other members.
         if task.percent >= COMPLETE_PERCENT:
             continue
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -115,6 +115,7 @@
     steps: dict[tuple[int, int], StepRun] = dataclasses.field(default_factory=dict)
     state: JobState = JobState.QUEUED
     durable_state: JobState = JobState.QUEUED  # as last written
+    has_queue: bool = False  # its queue is in the configuration in force
     due_at: float = 0.0  # deadline for the result
     ended_at: float = 0.0
     over_rate: bool = False  # submitted above the organisation's rate
--- a/toucanspring/coordinator/stragglers.py
+++ b/toucanspring/coordinator/stragglers.py
@@ -94,13 +94,16 @@
 def find_movable(worker: workers.Worker, now: float) -> list[workers.Allocation]:
     """Return the tasks of a slow worker that would end sooner on another worker.
 
-    The remaining time is derived from the progress, as estimates are too inaccurate.
+    A task whose queue is missing could not start there. The remaining time is derived
+    from the progress, as estimates are too inaccurate.
     """
     found = []
     for allocation in worker.allocations.values():
         task, step = allocation.task, allocation.step.step
         if task.phase is not state.TaskPhase.RUNNING or step.long_running:
             continue
+        if not allocation.step.job.has_queue:
+            continue
         ran_s = now - task.started_at
         done = max(task.percent, 1) / 100
         if task.resumed or ran_s < MIN_SAMPLE_S:
