Log that a job waits for a queue that is not configured

An operator would find no line that says why such a job waits.

Cause: the planner passed over steps of a missing queue without a reason.

Change: `step_waits` names the reason. The decision is the same.

Ran: test_coordinator_planner, _reports, _progress pass. Test that failed before: test_a_job_of_a_missing_queue_says_why_it_waits (['queue not in the configuration'] != []).

--- a/test/test_coordinator_planner.py
+++ b/test/test_coordinator_planner.py
@@ -231,6 +231,15 @@
         first = case.configure(case.queue(priority=2, target_s=0.0, stretch=0.1))
         self.assertEqual("a" * 16, self.plan(first, in_force))
 
+    # Guards against a job that waits without a line in the log that says why.
+    def test_a_job_of_a_missing_queue_says_why_it_waits(self):
+        cell = case.new_cell(catalogue_=case.configure(case.queue("other")))
+        cell.accept(case.job("a" * 16), 1.0)
+        plan = planner.Planner(cell).plan(1.0)
+        self.assertEqual(
+            ["queue not in the configuration"], [each.reason for each in plan.waits]
+        )
+
     def test_a_due_time_stays_when_the_queue_is_removed(self):
         cell = case.new_cell()
         cell.accept(case.job("a" * 16), 1.0)
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -66,7 +66,10 @@
             if not left or len(plan.starts) >= self.max_starts:
                 break
             queue = self._cell.catalogue.queue(step_run.job.spec.queue)
-            if queue is None or step_run.job.is_final:
+            if step_run.job.is_final:
+                continue
+            if queue is None:
+                plan.record_wait(step_run, plans.UNKNOWN_QUEUE)
                 continue
             if self._must_wait(step_run, queue, plan, now):
                 continue
--- a/toucanspring/coordinator/plans.py
+++ b/toucanspring/coordinator/plans.py
@@ -14,6 +14,7 @@
 ABOVE_CEILING = "ceiling of the organisation"
 NO_ROOM = "no room"
 GANG_STILL_RUNNING = "members of the gang still run"
+UNKNOWN_QUEUE = "queue not in the configuration"
 UNKNOWN_ORGANISATION = "organisation in no known configuration"
 
 
