Leave a free lease to others that are not known yet

Callers would see fewer starts after a power loss of all VMs: a coordinator on a weak VM, and a second handover soon after.

Cause: the strengths of the others come from their member rows. A process that had read the operators' settings, but not the member rows, took itself for the strongest and acquired a free lease at once.

Change: a process of known strength waits for its first read of the member rows, for at most the time that a weak process waits for stronger ones. It coordinates without them if they can't be read.

Test that failed before: test_a_weak_process_that_knows_no_others_leaves_them_the_lease (three of three runs, ('two', 1) != ('one', 1)).

--- a/test/test_coordinator_processes.py
+++ b/test/test_coordinator_processes.py
@@ -109,10 +109,11 @@
 
 
 class SlowStore:
-    """A store whose reads of the progress wait until `go_on` is set."""
+    """A store whose reads of one table wait until `go_on` is set."""
 
-    def __init__(self, store):
+    def __init__(self, store, table=rows.PROGRESS):
         self._store = store
+        self._table = table
         self.waiting = False
         self.go_on = event.Event()
 
@@ -120,7 +121,7 @@
         return getattr(self._store, name)
 
     def parts(self, table):
-        if table == rows.PROGRESS:
+        if table == self._table:
             self.waiting = True
             self.go_on.wait()
         return self._store.parts(table)
@@ -283,6 +284,20 @@
         self.assertFalse(self.is_coordinator(others[0]))
 
 
+class UnreadMembersTest(ProcessCase):
+    # Guards against a weak process that takes a free lease at once, since it has not
+    # read yet which others there are.
+    def test_a_weak_process_that_knows_no_others_leaves_them_the_lease(self):
+        weak = self.run_process("one", SMALL, store=SlowStore(self.store, rows.MEMBERS))
+        strong = self.run_process("two", LARGE, store=self.store)
+        self.wait_for(lambda: weak._lease is not None and strong._lease is not None)
+        self.assertEqual(("two", 1), (strong._lease.process, strong._lease.epoch))
+
+    def test_a_process_that_cannot_read_the_others_coordinates_all_the_same(self):
+        self.run_process("one", SMALL, store=SlowStore(self.store, rows.MEMBERS))
+        self.wait_for(lambda: self.is_coordinator("one"))
+
+
 class FailoverTest(ProcessCase):
     def test_a_process_that_stops_releases_the_lease(self):
         first, others = self.start_cell("one", "two")
--- a/toucanspring/coordinator/members.py
+++ b/toucanspring/coordinator/members.py
@@ -6,6 +6,7 @@
 
 import gevent
 import logbook
+from gevent import event
 
 from toucanspring import errors
 from toucanspring.cell import peers
@@ -36,8 +37,13 @@
         self._peers = streams
         self._others: dict[str, rows.MemberRow] = {}
         self._cache = table_cache.TableCache(
-            store, rows.MEMBERS, self._on_member_row, wait_s=MEMBERS_WAIT_S
+            store,
+            rows.MEMBERS,
+            self._on_member_row,
+            wait_s=MEMBERS_WAIT_S,
+            on_batch=self._note_read,
         )
+        self._read = event.Event()
         self._registration: gevent.Greenlet | None = None
 
     def __enter__(self) -> Members:
@@ -85,6 +91,14 @@
             {name: (others[name].address, others[name].port) for name in self.targets()}
         )
 
+    def await_others(self) -> None:
+        """Wait until the other processes are known, if this one may be a weak one.
+
+        It waits no longer than a weak process leaves a free lease to the others.
+        """
+        if self.strength():
+            self._read.wait(candidacy.WEAK_WAIT_S)
+
     def strength(self) -> float:
         """Return the strength of this process; see `candidacy`."""
         return candidacy.find_strength(self._own.cores, self._own.link_mbps)
@@ -110,6 +124,9 @@
                 return
             gevent.sleep(STORE_RETRY_S * (1 + random.random()))
 
+    def _note_read(self) -> None:
+        self._read.set()
+
     def _on_member_row(self, row: ports.Row) -> None:
         member = rows.decode(rows.MemberRow, row.value) if row.version else None
         if isinstance(member, rows.MemberRow) and row.id.key != self._own.process:
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -345,6 +345,9 @@
             if not self._has_view():
                 gevent.sleep(VIEW_CHECK_INTERVAL_S)
                 continue
+            self._members.await_others()
+            if self._draining:
+                continue
             found = leader_lease.acquire(
                 self._store,
                 self._options.process,
