Count jobs against a rate once their organisation is known

Callers of other organisations would wait behind jobs beyond the rate of one.

Cause: a job was counted when a coordinator learned of it. Without its organisation in the configuration it was taken as within the rate for good, and left the bucket full.

Change: it is counted once the organisation is known, in the order of acceptance.

Ran: test_coordinator_planner, _progress, _reports, _workers, _load pass. Test that failed before: test_jobs_of_an_organisation_that_comes_later_are_counted (MismatchError: 1 != 0).

--- a/test/test_coordinator_planner.py
+++ b/test/test_coordinator_planner.py
@@ -306,6 +306,22 @@
         self.assertEqual(4, names.count("hot"))
         self.assertEqual(2, names.count("desk"))
 
+    # Guards against jobs beyond the rate that go first, since the coordinator learned
+    # of them before it knew their organisation.
+    def test_jobs_of_an_organisation_that_comes_later_are_counted(self):
+        in_force = self.cell.catalogue
+        self.cell = case.new_cell(
+            case.entry(cpus=6000), catalogue_=case.configure(*in_force.queues)
+        )
+        for number in range(20):
+            spec = case.job(f"a{number:015x}", organisation="hot", queue="checks")
+            self.cell.accept(spec, 1.0)
+        self.cell.catalogue = in_force
+        self.cell.accept(case.job("b" * 16, queue="labels"), 1.1)
+        starts = planner.Planner(self.cell).plan(1.2).starts
+        names = [start.step.job.spec.organisation for start in starts]
+        self.assertEqual(1, names.count("desk"))
+
     def test_jobs_beyond_the_rate_start_while_there_is_room(self):
         for number in range(6):
             spec = case.job(f"a{number:015x}", organisation="hot", queue="checks")
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -111,23 +111,27 @@
     def _add(self, spec: job_specs.Job, now: float, age_s: float) -> state.JobRecord:
         record = state.JobRecord(spec, now - age_s)
         self._configure(record)
-        record.over_rate = self._rate_limits.count_job(
-            spec.organisation,
-            self.catalogue.organisations.get(spec.organisation),
-            now - age_s,
-        )
         self.jobs[spec.id] = record
         return record
 
     def _configure(self, record: state.JobRecord) -> None:
-        """Set what the queue of a job decides; without it, the due time stays."""
-        queue = self.catalogue.queue(record.spec.queue)
+        """Set what the queue and organisation of a job decide, as far as known.
+
+        Without its queue the due time stays. Each job is counted once.
+        """
+        spec = record.spec
+        queue = self.catalogue.queue(spec.queue)
         record.has_queue = queue is not None
         if queue is not None:
-            chain_s = sum(step.estimate_ms for step in record.spec.steps) / 1000
+            chain_s = sum(step.estimate_ms for step in spec.steps) / 1000
             record.due_at = (
                 record.accepted_at + queue.stretch * chain_s + queue.target_s
             )
+        organisation = self.organisations.get(spec.organisation)
+        if record.over_rate is None and organisation is not None:
+            record.over_rate = self._rate_limits.count_job(
+                spec.organisation, organisation, record.accepted_at
+            )
 
     def open_steps(self, record: state.JobRecord, now: float) -> None:
         """Open the steps whose predecessors are done."""
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -152,7 +152,7 @@
         needed_s = LATE_ESTIMATE_FRACTION * step_run.step.estimate_ms / 1000
         late = now + needed_s > step_run.job.due_at
         return (
-            step_run.job.over_rate,
+            bool(step_run.job.over_rate),
             late and priority > TOP_PRIORITY,
             priority,
             late,
--- a/toucanspring/coordinator/rate_limits.py
+++ b/toucanspring/coordinator/rate_limits.py
@@ -29,10 +29,10 @@
         self._buckets: dict[str, TokenBucket] = {}
 
     def count_job(
-        self, name: str, organisation: catalogue.Organisation | None, now: float
+        self, name: str, organisation: catalogue.Organisation, now: float
     ) -> bool:
         """Count one job; return whether it is above the rate."""
-        if organisation is None or organisation.weight <= 0:
+        if organisation.weight <= 0:
             return False
         capacity = max(MIN_BURST_JOBS, organisation.weight * BURST_S)
         bucket = self._buckets.setdefault(name, TokenBucket(capacity, now))
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -118,7 +118,8 @@
     has_queue: bool = False  # its queue is in the configuration in force
     due_at: float = 0.0  # deadline for the result
     ended_at: float = 0.0
-    over_rate: bool = False  # submitted above the organisation's rate
+    # Submitted above the organisation's rate; None until that is known.
+    over_rate: bool | None = None
     has_copy: bool = False  # a copy of the spec is stored in the coordinator's part
 
     @property
