Remove ended jobs only by a copy newer than their end

Callers would see a job run again 150 s after its end, by a coordinator whose copy of the jobs has not been updated all the while.

Cause: a job counts as removed from the store once the copy has no row of it. A row that the copy had not received yet stayed, the progress went, and the row, once received, was taken for a job that has not run.

Change: the copy must also be newer than the end of the job.

Ran: test_coordinator_retention, _leadership pass. Test that failed before: test_a_job_is_not_removed_by_an_old_copy_of_the_jobs ([RowId(table='jobs', part='4', key='')] is not false).

--- a/test/test_coordinator_retention.py
+++ b/test/test_coordinator_retention.py
@@ -2,10 +2,12 @@
 
 from unittest import mock
 
+import gevent
 from gevent import event
 
 from test import coordinator_case as case
 from test import test_coordinator_leadership as leadership_case
+from toucanspring import errors
 from toucanspring.coordinator import cell_state, rows
 
 OTHER_JOB = "2" * 16
@@ -48,3 +50,26 @@
         self.wait_for(lambda: self.removing.is_set() and not leader.cell.jobs)
         self.assertFalse([each for each in self.store.rows if each.key == "0" * 16])
         self.assertEqual(1, self.workers.starts)
+
+    def test_a_job_is_not_removed_by_an_old_copy_of_the_jobs(self):
+        # Guards against a job that runs again, since its row was not known when its
+        # progress was removed.
+        self.released.set()
+        leader, follow = self.coordinate(), self.store.follow
+
+        def follow_other_tables(table, *arguments):
+            if table == rows.JOBS:
+                gevent.sleep(0.05)
+                return errors.Unavailable(reason="the store is unreachable")
+            return follow(table, *arguments)
+
+        self.store.follow = follow_other_tables
+        gevent.sleep(1.0)  # the last call of the feed ends
+        self.accept(case.step(1))
+        leader.status(leadership_case.JOB)
+        self.wait_for(self.is_complete)
+        gevent.sleep(0.6)
+        self.store.follow = follow
+        self.wait_for(lambda: not leader.cell.jobs)
+        self.assertFalse([each for each in self.store.rows if each.key == "0" * 16])
+        self.assertEqual(1, self.workers.starts)
--- a/toucanspring/coordinator/retention.py
+++ b/toucanspring/coordinator/retention.py
@@ -78,7 +78,10 @@
             answer = self._store.transact({row.id: row.version}, {}, (row.id,))
             if isinstance(answer, errors.Failure):
                 return answer
-        if not (remaining or self._jobs.unread_parts):
+        # An older copy may not have all rows of the job.
+        ended_at = self._cell.jobs[job_id].ended_at
+        is_complete = not self._jobs.unread_parts and self._jobs.synced_at > ended_at
+        if is_complete and not remaining:
             self._removable[job_id] = None
             self._on_removable()
         return None
