Check before each order that the worker still takes tasks

An operator would see tasks start on a draining worker or in an evacuated zone.

Cause: workers were checked when a round was planned. Its write may take long and its orders wait in a queue; a worker that became draining, left or went out of service in between was sent the start nevertheless.

Change: such a start is cancelled, and its task planned again. The operators' settings are also applied after the write, before its starts are queued.

Ran: test_coordinator_pacing, _orders, _leadership, _processes, _load, _polls, _poll_errors pass. Tests that failed before: test_a_start_is_not_sent_to_a_draining_worker, _to_a_worker_that_has_left, _to_a_zone_out_of_service (0 != 1 each) and test_an_evacuation_during_a_write_holds_back_its_starts (0 != 1).

--- a/test/test_coordinator_leadership.py
+++ b/test/test_coordinator_leadership.py
@@ -169,6 +169,24 @@
         self.directory.view_age = 0.0
         self.wait_for(self.is_complete)
 
+    # Guards against starts in a zone that is out of service, since its evacuation came
+    # while their write was in progress.
+    def test_an_evacuation_during_a_write_holds_back_its_starts(self):
+        self.coordinate()
+        transact = self.store.transact
+
+        def transact_slowly(checks, puts, removals=()):
+            if rows.progress_row_id(JOB) in puts:
+                gevent.sleep(0.1)
+                self.directory.zones_out = frozenset({"zone-a"})
+            return transact(checks, puts, removals)
+
+        self.store.transact = transact_slowly
+        self.accept(case.step(1))
+        self.wait_for(lambda: self.progress() is not None)
+        gevent.sleep(0.2)
+        self.assertEqual(0, self.workers.starts)
+
     def test_an_outcome_whose_write_is_unanswered_is_not_denied(self):
         """Guards against an outcome that a caller was told and that is taken back.
 
--- a/test/test_coordinator_pacing.py
+++ b/test/test_coordinator_pacing.py
@@ -221,6 +221,25 @@
         self.assertEqual(0, self.workers.starts)
         self.assertEqual([case.WAITING], case.phases(self.cell))
 
+    # Guards against starts on workers that have become draining, have left or are out
+    # of service since the start was planned.
+    def test_a_start_is_not_sent_to_a_draining_worker(self):
+        self.cell.workers["w1"].entry = case.entry("w1", draining=True)
+        self.assert_not_sent()
+
+    def test_a_start_is_not_sent_to_a_worker_that_has_left(self):
+        self.cell.mark_unregistered("w1")
+        self.assert_not_sent()
+
+    def test_a_start_is_not_sent_to_a_zone_out_of_service(self):
+        self.cell.zones_out = frozenset({"zone-a"})
+        self.assert_not_sent()
+
+    def assert_not_sent(self):
+        self.send()
+        self.assertEqual(0, self.workers.starts)
+        self.assertEqual([case.WAITING], case.phases(self.cell))
+
     def test_a_start_on_a_worker_that_was_paused_when_it_was_planned_is_sent(self):
         """Guards against plans that use a paused worker and are never carried out."""
         self.cell.workers["w1"].backoff_until = self.now + 0.5
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -44,6 +44,7 @@
 STORE_OUTAGE_GRACE_S = 6.0
 # Reasons why a recorded start is cancelled before it is sent, as logged.
 TICKET_EXPIRED = "the ticket expired before the order was sent"
+WORKER_LEAVES = "the worker takes no more tasks"
 WORKER_FAILED = "the worker failed before the order was sent"
 
 
@@ -347,6 +348,8 @@
         paused = start.backoff_until < worker.backoff_until
         if not worker.responsive or (paused and now < worker.backoff_until):
             return "", WORKER_FAILED
+        if not worker.is_available(self._leader.cell.zones_out):
+            return "", WORKER_LEAVES
         if not start.ticket:
             return "", ""
         ticket = start.step.tickets.get(worker.id)
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -408,6 +408,7 @@
                 placed=_format_starts(starts), view_age_s=round(self._view_age(now), 2),
                 count=len(starts), took_ms=round((time.monotonic() - now) * 1000),
             )  # fmt: skip
+        self._apply_operator_settings()  # they may have changed during the write
         for start in starts:
             self._dispatcher.start(start, now)
         self._apply_acks(pending_acks)
