--- a/test/test_coordinator_planner.py
+++ b/test/test_coordinator_planner.py
@@ -102,6 +102,39 @@
         cell.accept(case.job(JOB, case.step(5)), 1.0)
         self.assertEqual(2, len(planner.Planner(cell).plan(1.0).starts))
 
+    def unlimited(self, *names):
+        return [
+            catalogue.Organisation(name=name, keys=frozenset(), weight=0.0)
+            for name in names
+        ]
+
+    # Guards against an organisation above its ceiling, since the configuration that
+    # the coordinator knows does not have it yet.
+    def test_nothing_starts_for_an_organisation_whose_ceiling_is_not_known(self):
+        cell = case.new_cell()
+        cell.accept(case.job(JOB, case.step(5), organisation="labels"), 1.0)
+        cell_planner = planner.Planner(cell)
+        plan = cell_planner.plan(1.0)
+        self.assertEqual([], plan.starts)
+        self.assertEqual([plans.UNKNOWN_ORGANISATION], [x.reason for x in plan.waits])
+        cell.catalogue = case.configure(organisations=self.unlimited("labels"))
+        self.assertEqual(5, len(cell_planner.plan(1.1).starts))
+
+    # Guards against an organisation without a ceiling once it is removed.
+    def test_a_removed_organisation_keeps_its_ceiling(self):
+        labels = catalogue.Organisation(
+            name="labels", keys=frozenset(), ceiling=resources.Resources(cpus=2500)
+        )
+        cell = case.new_cell(catalogue_=case.configure(organisations=[labels]))
+        cell.accept(case.job(JOB, case.step(5), organisation="labels"), 1.0)
+        cell.catalogue = case.configure()
+        self.assertEqual(2, len(planner.Planner(cell).plan(1.0).starts))
+
+    def test_a_job_without_an_organisation_has_no_ceiling(self):
+        cell = case.new_cell()
+        cell.accept(case.job(JOB, case.step(5), organisation=""), 1.0)
+        self.assertEqual(5, len(planner.Planner(cell).plan(1.0).starts))
+
     def test_a_draining_worker_and_a_zone_out_of_service_get_nothing(self):
         cell = case.new_cell(
             case.entry("w1", draining=True),
@@ -173,6 +206,48 @@
         self.assertEqual("c" * 16, start.step.job.spec.id)
 
 
+class LaterConfigurationTest(testtools.TestCase):
+    """Jobs that were learned by an older configuration than the one in force."""
+
+    def plan(self, first, then):
+        """Plan for one of two jobs; the first one is learned by another catalogue."""
+        cell = case.new_cell(case.entry(cpus=1000), catalogue_=first)
+        cell.accept(case.job("a" * 16), 1.0)
+        cell.catalogue = then
+        cell.accept(case.job("b" * 16), 1.1)
+        [start] = planner.Planner(cell).plan(1.2).starts
+        return start.step.job.spec.id
+
+    # Guards against a job that counts as late for ever, since its queue was not known
+    # when the coordinator learned of it.
+    def test_a_job_of_a_queue_that_comes_later_gets_its_due_time(self):
+        in_force = case.configure(case.queue(priority=2))
+        first = case.configure(case.queue("other"))
+        self.assertEqual("a" * 16, self.plan(first, in_force))
+
+    # Guards against due times by a configuration that is no longer in force.
+    def test_due_times_follow_the_configuration(self):
+        in_force = case.configure(case.queue(priority=2))
+        first = case.configure(case.queue(priority=2, target_s=0.0, stretch=0.1))
+        self.assertEqual("a" * 16, self.plan(first, in_force))
+
+    # Guards against a job that waits without a line in the log that says why.
+    def test_a_job_of_a_missing_queue_says_why_it_waits(self):
+        cell = case.new_cell(catalogue_=case.configure(case.queue("other")))
+        cell.accept(case.job("a" * 16), 1.0)
+        plan = planner.Planner(cell).plan(1.0)
+        self.assertEqual(
+            ["queue not in the configuration"], [each.reason for each in plan.waits]
+        )
+
+    def test_a_due_time_stays_when_the_queue_is_removed(self):
+        cell = case.new_cell()
+        cell.accept(case.job("a" * 16), 1.0)
+        due_at = cell.jobs["a" * 16].due_at
+        cell.catalogue = case.configure(case.queue("other"))
+        self.assertEqual((4.0, 4.0), (due_at, cell.jobs["a" * 16].due_at))
+
+
 class OverloadTest(testtools.TestCase):
     """Demand exceeds the cell's capacity for longer than the deadlines allow."""
 
@@ -231,6 +306,22 @@
         self.assertEqual(4, names.count("hot"))
         self.assertEqual(2, names.count("desk"))
 
+    # Guards against jobs beyond the rate that go first, since the coordinator learned
+    # of them before it knew their organisation.
+    def test_jobs_of_an_organisation_that_comes_later_are_counted(self):
+        in_force = self.cell.catalogue
+        self.cell = case.new_cell(
+            case.entry(cpus=6000), catalogue_=case.configure(*in_force.queues)
+        )
+        for number in range(20):
+            spec = case.job(f"a{number:015x}", organisation="hot", queue="checks")
+            self.cell.accept(spec, 1.0)
+        self.cell.catalogue = in_force
+        self.cell.accept(case.job("b" * 16, queue="labels"), 1.1)
+        starts = planner.Planner(self.cell).plan(1.2).starts
+        names = [start.step.job.spec.organisation for start in starts]
+        self.assertEqual(1, names.count("desk"))
+
     def test_jobs_beyond_the_rate_start_while_there_is_room(self):
         for number in range(6):
             spec = case.job(f"a{number:015x}", organisation="hot", queue="checks")
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -44,7 +44,9 @@
     """Jobs and workers of the cell; owned by the elected coordinator."""
 
     def __init__(self) -> None:
-        self.catalogue = catalogue.Catalogue()
+        self._catalogue = catalogue.Catalogue()
+        # As last known, also those that were removed since: limits outlast a removal.
+        self.organisations: dict[str, catalogue.Organisation] = {}
         self.zones_out: frozenset[str] = frozenset()
         self.jobs: dict[str, state.JobRecord] = {}
         self.unreadable: set[str] = set()  # jobs whose progress cannot be read
@@ -58,6 +60,22 @@
         self._rate_limits = rate_limits.RateLimits()
         self._pools: dict[str, list[workers.Worker]] = {}
 
+    @property
+    def catalogue(self) -> catalogue.Catalogue:
+        """Return the configuration in force."""
+        return self._catalogue
+
+    @catalogue.setter
+    def catalogue(self, found: catalogue.Catalogue) -> None:
+        """Set the configuration in force, also for the jobs that have not ended."""
+        if found is self._catalogue:
+            return
+        self._catalogue = found
+        self.organisations.update(found.organisations)
+        for record in self.jobs.values():
+            if not record.is_final:
+                self._configure(record)
+
     # Jobs
 
     def accept(self, spec: job_specs.Job, now: float, age_s: float = 0.0) -> None:
@@ -92,18 +110,29 @@
 
     def _add(self, spec: job_specs.Job, now: float, age_s: float) -> state.JobRecord:
         record = state.JobRecord(spec, now - age_s)
-        queue = self.catalogue.queue(spec.queue)
-        chain_s = sum(step.estimate_ms for step in spec.steps) / 1000
-        if queue is not None:
-            record.due_at = now - age_s + queue.stretch * chain_s + queue.target_s
-        record.over_rate = self._rate_limits.count_job(
-            spec.organisation,
-            self.catalogue.organisations.get(spec.organisation),
-            now - age_s,
-        )
+        self._configure(record)
         self.jobs[spec.id] = record
         return record
 
+    def _configure(self, record: state.JobRecord) -> None:
+        """Set what the queue and organisation of a job decide, as far as known.
+
+        Without its queue the due time stays. Each job is counted once.
+        """
+        spec = record.spec
+        queue = self.catalogue.queue(spec.queue)
+        record.has_queue = queue is not None
+        if queue is not None:
+            chain_s = sum(step.estimate_ms for step in spec.steps) / 1000
+            record.due_at = (
+                record.accepted_at + queue.stretch * chain_s + queue.target_s
+            )
+        organisation = self.organisations.get(spec.organisation)
+        if record.over_rate is None and organisation is not None:
+            record.over_rate = self._rate_limits.count_job(
+                spec.organisation, organisation, record.accepted_at
+            )
+
     def open_steps(self, record: state.JobRecord, now: float) -> None:
         """Open the steps whose predecessors are done."""
         for occurrence in range(max(1, record.spec.repeats)):
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -44,6 +44,7 @@
 STORE_OUTAGE_GRACE_S = 6.0
 # Reasons why a recorded start is cancelled before it is sent, as logged.
 TICKET_EXPIRED = "the ticket expired before the order was sent"
+WORKER_LEAVES = "the worker takes no more tasks"
 WORKER_FAILED = "the worker failed before the order was sent"
 
 
@@ -56,6 +57,9 @@
     def may_renew(self, now: float) -> bool:
         """Return whether worker leases may be renewed."""
 
+    def may_start(self, now: float) -> bool:
+        """Return whether tasks may start, and so be stopped to start elsewhere."""
+
     def acknowledge_ends(self, worker: workers.Worker, last_end: int) -> None:
         """Acknowledge ends to the worker once the next write is durable."""
 
@@ -212,7 +216,8 @@
         if restarted:
             last = max((end.number for end in reply.ended), default=0)
             has_new_ends = last > 0
-        for allocation in reports.find_stuck(worker, now):
+        stuck = reports.find_stuck(worker, now) if self._leader.may_start(now) else ()
+        for allocation in stuck:
             structured.decide(
                 log,
                 "task_stuck",
@@ -343,6 +348,8 @@
         paused = start.backoff_until < worker.backoff_until
         if not worker.responsive or (paused and now < worker.backoff_until):
             return "", WORKER_FAILED
+        if not worker.is_available(self._leader.cell.zones_out):
+            return "", WORKER_LEAVES
         if not start.ticket:
             return "", ""
         ticket = start.step.tickets.get(worker.id)
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -39,6 +39,8 @@
 # Nothing is started while the view of the operators' settings is older than this. The
 # required reaction times to evacuations and configuration changes are 2 s and more.
 MAX_VIEW_AGE_S = 1.8
+# The number of waiting jobs is not given by a copy of the jobs older than this.
+MAX_PENDING_AGE_S = 2.0
 HOUSEKEEPING_INTERVAL_S = 0.25
 CANCEL_TIMEOUT_S = 3.0
 RELEASE_TIMEOUT_S = 1.5  # part of the time for a graceful stop
@@ -162,6 +164,10 @@
         lost = self._writer.lost
         return not lost and self._writer.overdue_s(now) < dispatch.STORE_OUTAGE_GRACE_S
 
+    def may_start(self, now: float) -> bool:
+        """Return whether tasks may start, and so be stopped to start elsewhere."""
+        return self._view_age(now) < MAX_VIEW_AGE_S and self._writer.holds_lease(now)
+
     def acknowledge_ends(self, worker: workers.Worker, last_end: int) -> None:
         """Acknowledge ends up to `last_end` to a worker after the next write."""
         self._pending_acks.append(PendingAck(worker, last_end, worker.incarnation))
@@ -247,6 +253,12 @@
             return errors.Ambiguous(reason="the cancellation is not durable yet")
         return record.durable_state if failure is None else failure
 
+    def pending(self, queue: str) -> int | errors.Unavailable:
+        """Return how many jobs of a queue have not started, if all jobs are known."""
+        if self._jobs.age(time.monotonic()) > MAX_PENDING_AGE_S:
+            return errors.Unavailable(reason="not all jobs have been read recently")
+        return self.cell.pending(queue)
+
     def _load_job(self, job_id: str) -> None | errors.Failure:
         """Read a job from the store that the change feed has not delivered yet."""
         row = rows.find_job(self._store, job_id)
@@ -321,7 +333,7 @@
         self._apply_operator_settings()
         self._run_housekeeping(now)
         plan = plans.Plan()
-        if self._view_age(now) < MAX_VIEW_AGE_S and self._writer.holds_lease(now):
+        if self.may_start(now):
             self._planner.max_starts = self._dispatcher.start_limit()
             self._planner.ticket_margin_s = self._dispatcher.pacing.ticket_margin_s()
             plan = self._planner.plan(now)
@@ -364,13 +376,15 @@
         if not (dirty or cancel_waiters or removed or renewal_due):
             self._apply_acks(pending_acks)
             return
+        # A write may be split and end early. Progress without a copy of its job is
+        # ignored by a successor that cannot read the part with the row of the job.
         puts = {
-            rows.progress_row_id(job_id): rows.encode(state.to_progress(record))
+            rows.job_copy_row_id(job_id): rows.encode(record.spec)
             for job_id, record in dirty.items()
+            if not record.has_copy
         }
         for job_id, record in dirty.items():
-            if not record.has_copy:
-                puts[rows.job_copy_row_id(job_id)] = rows.encode(record.spec)
+            puts[rows.progress_row_id(job_id)] = rows.encode(state.to_progress(record))
         states = {job_id: record.state for job_id, record in dirty.items()}
         self._written_bytes = sum(len(value) for value in puts.values())
         sent_at = time.monotonic()
@@ -394,6 +408,7 @@
                 placed=_format_starts(starts), view_age_s=round(self._view_age(now), 2),
                 count=len(starts), took_ms=round((time.monotonic() - now) * 1000),
             )  # fmt: skip
+        self._apply_operator_settings()  # they may have changed during the write
         for start in starts:
             self._dispatcher.start(start, now)
         self._apply_acks(pending_acks)
@@ -410,6 +425,11 @@
         if now - self._housekeeping_at < HOUSEKEEPING_INTERVAL_S:
             return
         self._housekeeping_at = now
+        if self.may_start(now):
+            self._move_from_slow_workers(now)
+        self.cell.open_due_occurrences(round(time.time() * 1000), now)
+
+    def _move_from_slow_workers(self, now: float) -> None:
         for worker in stragglers.find_slow(self.cell.workers.values(), now):
             movable = stragglers.find_movable(worker, now)
             structured.decide(
@@ -418,7 +438,6 @@
             )  # fmt: skip
             for allocation in movable:
                 self.cell.stop(allocation.step, allocation.task)
-        self.cell.open_due_occurrences(round(time.time() * 1000), now)
 
 
 def _to_ms(seconds: float) -> int:
