Reject accepted jobs only by a configuration newer than them

Callers saw a job that was accepted with 202 end as not run, 'team X is not configured' or 'demand is above the team's ceiling', although the process that accepted it had the team or the raised ceiling in force.

Cause: the owner of the job's partition judged the job once its record was durable, by the configuration it had then. A change is reported as in force when half of the members have it, and a later one may be known to one process only; the outcome is final. An owner without any team skipped the check, and never made it later.

Change: such a job is held. While starts are allowed, which needs a view confirmed in the last 1.5 s, it is queued once the configuration allows it, and rejected if it has waited longer than that. explain names the reason.

Test that failed before: test_a_job_is_not_rejected_by_a_configuration_older_than_the_job (reference {}, actual {'a': Outcome(state=<State.NOT_RUN: 'not_run'>, reason='team zimna is not configured', ...)}). The changed test test_a_job_that_can_never_run_is_rejected_with_the_reason still asks for the same rejections and reasons, after 1.6 s for those of the configuration, and that nothing starts.

--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -126,8 +126,39 @@
         }
         for job_id, (spec, reason) in cases.items():
             c.submit(spec)
+            # A reason in the configuration needs one that is newer than the job.
+            self.assertEqual(
+                job_id not in ("size", "gang", "team"), job_id in c.finished
+            )
+            c.tick()
+            c.tick(1.6)
             self.assertIs(State.NOT_RUN, c.finished[job_id].state)
             self.assertIn(reason, c.finished[job_id].reason)
+            self.assertNotIn(f"{job_id}/0", c.starts)
+
+    def test_a_job_is_not_rejected_by_a_configuration_older_than_the_job(self):
+        # Guards against an accepted job that ends as not run, since the owner of its
+        # partition learns of a new team, or of a raised ceiling, after the job.
+        small = resources.Resources(500, 1024, 0)
+        for known in ({}, {"zimna": fairness.Team("zimna", ceiling=small)}):
+            c = cell.Cell(teams=[])
+            c.call("set_teams", {"kern": fairness.Team("kern"), **known})
+            c.tick(10)
+            c.submit(cell.spec("a"))
+            c.tick(1)
+            self.assertEqual({}, c.finished)
+            self.assertEqual({}, c.starts)
+            c.call("set_teams", {"zimna": fairness.Team("zimna")})
+            c.tick(0.1)
+            self.assertEqual({"a/0": 1}, c.starts)
+
+    def test_a_job_that_awaits_a_newer_configuration_can_be_cancelled(self):
+        c = cell.Cell(teams=[fairness.Team("kern")])
+        c.submit(cell.spec("a"))
+        c.cancel("a")
+        self.assertIs(State.NOT_RUN, c.finished["a"].state)
+        c.tick(10)
+        self.assertEqual({}, c.starts)
 
 
 class EndsTest(testtools.TestCase):
--- a/toucanspring/scheduling/admission.py
+++ b/toucanspring/scheduling/admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from toucanspring import job
+from toucanspring.cell import freshness
 from toucanspring.scheduling import effects, lifecycle, task_table
 
 # The workers of a partition are taken as complete once none was added for this time.
@@ -20,16 +21,39 @@
         return "a service is restarted when it ends, so it must be idempotent"
     if core.table.depends_on_itself(spec):
         return "the job depends on itself"
-    if core.teams:
-        team = core.teams.get(spec.team)
-        if team is None:
-            return f"team {spec.team} is not configured"
-        together = spec.task_count if spec.kind is job.Kind.GANG else 1
-        if not demand.times(together).fits(team.ceiling):
-            return f"demand of {together} task(s) is above the team's ceiling"
     return ""
 
 
+def limit_reason(core: lifecycle.Lifecycle, spec: job.JobSpec) -> str:
+    """Return why the known configuration does not allow a job, or an empty string."""
+    team = core.teams.get(spec.team)
+    if team is None:
+        return f"team {spec.team} is not configured"
+    together = spec.task_count if spec.kind is job.Kind.GANG else 1
+    if not spec.demand.times(together).fits(team.ceiling):
+        return f"demand of {together} task(s) is above the team's ceiling"
+    return ""
+
+
+def judge_limits(core: lifecycle.Lifecycle, now: float) -> None:
+    """Queue the jobs that the configuration now allows, and reject the others.
+
+    The process that accepted a job may know a later configuration. This is called only
+    with a view that was the latest at most `freshness.MAX_AGE_S` ago, so a job that was
+    added before that is judged by a configuration at least as new.
+    """
+    for job_id, added_at in list(core.unjudged.items()):
+        record = core.table.jobs[job_id]
+        reason = limit_reason(core, record.spec)
+        if record.outcome is not None or record.cancelled or not reason:
+            del core.unjudged[job_id]
+            if record.outcome is None and not record.cancelled:
+                _admit(core, record, now)
+        elif now - added_at > freshness.MAX_AGE_S:
+            del core.unjudged[job_id]
+            core.end_waiting(record, job.Outcome(job.State.NOT_RUN, reason), now)
+
+
 def is_too_large(core: lifecycle.Lifecycle, spec: job.JobSpec) -> bool:
     """Return whether a job would not fit even if all known workers were idle."""
     room = 0
@@ -89,7 +113,14 @@
         return
     if reason := rejection_reason(core, spec):
         core.end_waiting(record, job.Outcome(job.State.NOT_RUN, reason), now)
-        return
+    elif limit_reason(core, spec):
+        core.unjudged[spec.id] = now
+    else:
+        _admit(core, record, now)
+
+
+def _admit(core: lifecycle.Lifecycle, record: task_table.JobRecord, now: float) -> None:
+    spec = record.spec
     if core.other_partition_workers is None or is_too_large(core, spec):
         core.too_large.add(spec.id)
         reject_too_large(core, now)
--- a/toucanspring/scheduling/lifecycle.py
+++ b/toucanspring/scheduling/lifecycle.py
@@ -84,6 +84,8 @@
         self.new_worker_at = 0.0
         # Jobs whose size is checked again once all workers are known.
         self.too_large: set[str] = set()
+        # Jobs that the known configuration does not allow, and when they were added.
+        self.unjudged: dict[str, float] = {}
         self.teams: dict[str, fairness.Team] = {}
         self.zones_out: frozenset[str] = frozenset()
         # Tasks stopped in each zone that is out of service, until it returns.
--- a/toucanspring/scheduling/scheduler.py
+++ b/toucanspring/scheduling/scheduler.py
@@ -250,12 +250,16 @@
         return self._core.effects.take()
 
     def tick(self, now: float) -> list[effects.Effect]:
-        """Place waiting tasks and run the timed checks that are due."""
+        """Place waiting tasks and run the timed checks that are due.
+
+        Called only while starts are allowed, which needs a recent configuration.
+        """
         core = self._core
         core.queue_due_retries(now)
         if checks_due := now >= self._next_checks:
             self._next_checks = now + TIMED_CHECKS_INTERVAL_S
             core.end_pauses(now)
+            admission.judge_limits(core, now)
             admission.reject_too_large(core, now)
             preemption.enforce_ceilings(core, now)
             preemption.drain_workers(core, now)
@@ -275,6 +279,7 @@
             or core.retries
             or core.reservations
             or core.too_large
+            or core.unjudged
             or core.expected_workers
             or core.paused
             or core.leaving
@@ -314,6 +319,8 @@
             waits_for = [
                 f"worker {name}" for name in sorted(self._core.expected_workers)
             ]
+        elif job_id in self._core.unjudged:
+            waits_for = [admission.limit_reason(self._core, record.spec)]
         elif record.delayed:
             waits_for = ["retry delay"]
         elif self._core.collecting_gang == job_id:
