Watch the leases of workers that the VM list does not have

After a takeover callers would see accepted idempotent jobs wait for ever, explained by a worker that no longer exists; jobs that fit nowhere were not rejected either.

Cause: a link, which alone can tell that a lease is over, was made only for workers in the VM list that this process had read. A worker that left the list before its owner failed, or a list that was never read, left the worker expected without an end. It also never left the row, since only a lost worker with a link is removed. A process reads the list only while it owns a partition, so this needs no outage: a VM that is gone and then a takeover within 10 min.

Change: each worker in the row has a link. Without an address it does not connect, and the lease counts as for any worker that cannot be reached. The time of absence of a worker that was never listed counts from the first list without it.

Tests that failed before: UnlistedTest.test_a_worker_that_was_never_listed_is_lost_ after_its_lease (assertTrue(fake_tables.wait_for(lambda: lost in owner.posted, 5)): False is not true) and test_a_successor_drops_a_lost_worker_that_it_never_saw_listed (successor.links['b'].lose(): KeyError: 'b').

--- a/test/test_fleet_drops.py
+++ b/test/test_fleet_drops.py
@@ -29,6 +29,7 @@
     """Run the fleet of a process that owns one partition of two."""
 
     def __init__(self, tables, number, clock):
+        self.posted = []
         self.client = tables.client()
         self.listed = []
         key = ownership_rows.key_of(number)
@@ -37,11 +38,16 @@
         store.vms = types.SimpleNamespace(list=lambda _age: list(self.listed))
         core = kernel.Kernel()
         core.register("store", store)
-        core.register("claims", types.SimpleNamespace(row_version=lambda _: version))
+        owners = types.SimpleNamespace(
+            row_version=lambda _: version,
+            may_renew_workers=lambda _number, _now: True,
+            previous_owner_gone=lambda _number, _now: True,
+        )
+        core.register("claims", owners)
         options = fake_tables.settings_of(f"p{number}", partitions=2)
         core.register("layout", layout.Service(core, options))
         self.fleet = fleet.Service(core, options, clock)
-        self.fleet.add_partition(number, 1, version, lambda _message: None)
+        self.fleet.add_partition(number, 1, version, self.posted.append)
         self.links = self.fleet.links(number)
 
     def poll(self, *names):
@@ -103,6 +109,19 @@
         self.second.poll("a", "b")
         self.assertFalse(self.second.links["b"].closed)
 
+    def test_a_successor_drops_a_lost_worker_that_it_never_saw_listed(self):
+        # Guards against a worker that stays in the row for ever, since the VM list
+        # dropped it before the owner read the list for the first time.
+        successor = self.own(1)
+        successor.poll("a")
+        successor.links["b"].lose()
+        self.now += fleet.FORGET_ABSENT_S - 1
+        successor.poll("a")
+        self.assertEqual({"a": 0, "b": 1}, self.row())
+        self.now += 2
+        successor.poll("a")
+        self.assertEqual({"a": 0}, self.row())
+
     def test_a_former_owner_drops_nothing(self):
         # Guards against a worker that is removed while the successor uses it.
         self.link.lose()
@@ -125,3 +144,29 @@
         self.second.client.deliver_late()
         self.assertEqual({"a": 0, "b": 1, "c": 0}, self.row())
         self.assertIn("b", self.second.links)
+
+
+class UnlistedTest(testtools.TestCase):
+    def test_a_worker_that_was_never_listed_is_lost_after_its_lease(self):
+        # Guards against accepted work that waits for ever after a takeover, for a
+        # worker that left the VM list before the successor read it.
+        self.patch(worker_link, "WORKER_LEASE_S", 0.3)
+        self.patch(worker_link, "STOP_GRACE_S", 0.1)
+        self.patch(worker_link, "WATCH_INTERVAL_S", 0.02)
+        tables = fake_tables.FakeTables()
+        tables.client().transact({}, {ROW: roster.encode({"a": 1, "b": 0})})
+        owner = Owner(tables, 0, lambda: 100.0)
+        self.addCleanup(owner.fleet.remove_partition, 0)
+        self.assertEqual({"b": None}, owner.fleet.assigned(0))
+        owner.poll("a")
+        lost = worker_link.Lost("b")
+        self.assertTrue(fake_tables.wait_for(lambda: lost in owner.posted, 5))
+
+    def test_a_worker_that_is_listed_later_is_connected_to(self):
+        self.patch(worker_link, "Link", Link)
+        tables = fake_tables.FakeTables()
+        tables.client().transact({}, {ROW: roster.encode({"a": 1, "b": 0})})
+        owner = Owner(tables, 0, lambda: 100.0)
+        owner.poll("a")
+        owner.poll("a", "b")
+        self.assertEqual("z", owner.links["b"].vm.availability_zone)
--- a/toucanspring/owners/fleet.py
+++ b/toucanspring/owners/fleet.py
@@ -198,6 +198,8 @@
         if not isinstance(listed, errors.Failure):
             self._update_vms(listed)
         if self._read_assignment() is None:
+            if not isinstance(listed, errors.Failure):
+                self._note_unlisted()
             if 0 in self._ownerships:
                 self._assign_workers()
             for partition in list(self._ownerships):
@@ -225,6 +227,12 @@
                 self._leaving[worker] = leaving
                 self._post_leaving(worker, leaving)
 
+    def _note_unlisted(self) -> None:
+        """Note since when workers are absent that no VM list here has contained."""
+        now = self._clock()
+        for worker in self.roster.partitions.keys() - self._vms.keys():
+            self._absent_since.setdefault(worker, now)
+
     def _post_leaving(self, worker: str, leaving: bool) -> None:
         ownership = self._ownerships.get(self.roster.partitions.get(worker, -1))
         if ownership is not None:
@@ -323,7 +331,8 @@
         ownership = self._ownerships[partition]
         owners = self._kernel.find("claims")
         links = self._links[partition]
-        wanted = self.roster.workers_of(partition) & self._vms.keys()
+        # Also workers that are not listed: their tasks wait until their lease is over.
+        wanted = self.roster.workers_of(partition)
         removal = self._removals.get(partition)
         if removal is not None and removal.checked_version == self.roster.version:
             wanted -= removal.workers
@@ -331,7 +340,7 @@
             links[worker] = worker_link.Link(
                 partition,
                 ownership.epoch,
-                self._vms[worker],
+                self._vms.get(worker) or _describe_unlisted(worker),
                 ownership.post,
                 lambda: owners.may_renew_workers(partition, time.monotonic()),
                 lambda: owners.previous_owner_gone(partition, time.monotonic()),
@@ -339,13 +348,20 @@
             )
             if self._leaving.get(worker):
                 ownership.post(worker_link.Leaving(worker, True))
-        for worker in wanted & links.keys():
+        for worker in wanted & links.keys() & self._vms.keys():
             links[worker].vm = self._vms[worker]  # a replaced VM has a new address
         for worker in links.keys() - wanted:
             if links[worker].lost:
                 links.pop(worker).close()
 
 
+def _describe_unlisted(worker: str) -> vms.Vm:
+    """Return the entry of a worker whose address is not known."""
+    return vms.Vm(
+        id=worker, role=vms.Role.WORKER, availability_zone="", address="", port=0
+    )
+
+
 def assign(assigned: dict[str, int], new: list[str], partitions: int) -> None:
     """Assign each new worker to the partition with the fewest workers."""
     counts = dict.fromkeys(range(partitions), 0)
--- a/toucanspring/owners/worker_link.py
+++ b/toucanspring/owners/worker_link.py
@@ -186,6 +186,9 @@
     def _run(self) -> None:
         pause = RECONNECT_PAUSE_S
         while True:
+            if not self.vm.address:  # not in the VM list yet
+                gevent.sleep(RECONNECT_PAUSE_S)
+                continue
             closed = gevent.event.AsyncResult()
             opened = workers.connect(
                 self.vm.address,
