Let runs of the soak fail, and restart all processes while the store is away

The soak could not show LOST: no run failed by itself, so that any `failed` was a violation; the parts that it took down never included that of the operators' table, and feeds ignored them; all processes were killed at times independent of outages; one queue with three attempts never changed.

Change: seeds run version 3 with a third series of faults (all processes killed during an outage of the store, some parts or one table; attempts changed, a queue removed and put back), runs that fail, gangs and a second queue. New checks: a failed job has a task with as many failed runs as the lowest attempts allow; no run starts after as many acknowledged failures as the highest attempts allow; accepted jobs become final; `failed` stays. All new draws come from streams of their own.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,6 +6,7 @@
 
 import argparse  # noqa: E402
 import contextlib  # noqa: E402
+import functools  # noqa: E402
 import json  # noqa: E402
 import pathlib  # noqa: E402
 import random  # noqa: E402
@@ -15,15 +16,16 @@
 
 import gevent  # noqa: E402
 
-from soak import callers, cell, faults, invariants  # noqa: E402
+from soak import blackouts, callers, cell, faults, invariants  # noqa: E402
 
 WARM_UP_S = 3.0
 # Several times as long as a worker's lease, a takeover and the work itself.
 SETTLE_S = 40.0
 POLL_S = 0.2
 # Version 1 has equal processes and one series of faults, version 2 unlike processes
-# and a second series. A known seed keeps the version in which it failed.
-VERSION = 2
+# and a second series, version 3 a third one, runs that fail, gangs and two queues. A
+# known seed keeps the version in which it failed.
+VERSION = 3
 # Each line has a seed, the version in which it failed and the cause of its violation.
 SEEDS_FILE = pathlib.Path(__file__).parent / "seeds.txt"
 
@@ -40,11 +42,16 @@
     rng = random.Random(seed)
     second_rng = random.Random(f"second series of {seed}")
     capacity_rng = second_rng if version > 1 else None
+    third_rng = random.Random(f"third series of {seed}")
+    kind_rng = random.Random(f"kinds of jobs of {seed}") if version > 2 else None
+    queues = (cell.FIRST_QUEUE, cell.SECOND_QUEUE)[: 2 if version > 2 else 1]
     with cell.Cell(
-        random.Random(seed + 1), folder, daemons, workers, capacity_rng
+        random.Random(seed + 1), folder, daemons, workers, capacity_rng, queues
     ) as running:
+        if version > 2:
+            running.workers.fails = functools.partial(cell.draw_failure, seed)
         gevent.sleep(WARM_UP_S)
-        with callers.Callers(running, random.Random(seed + 2)) as clients:
+        with callers.Callers(running, random.Random(seed + 2), kind_rng) as clients:
             with contextlib.ExitStack() as stack:
                 injectors = [faults.FaultInjector(running, rng)]
                 if version > 1:
@@ -56,6 +63,15 @@
                             faults.SECOND_MEAN_PAUSE_S,
                         )
                     )
+                if version > 2:
+                    injectors.append(
+                        faults.FaultInjector(
+                            running,
+                            third_rng,
+                            blackouts.choose_fault,
+                            blackouts.MEAN_PAUSE_S,
+                        )
+                    )
                 for each in injectors:
                     stack.enter_context(each)
                 gevent.sleep(seconds)
@@ -76,6 +92,10 @@
             "seed": seed, "jobs": len(checker.jobs), **counts,
             "starts": running.workers.starts, "version": version,
             "faults": [fault for each in injectors for fault in each.injected],
+            "failed_runs": sum(map(len, running.workers.failed_runs.values())),
+            "failed_jobs": sum(
+                job.reported_state == "failed" for job in checker.jobs.values()
+            ),
             "unfinished": len(unfinished), "broken": checker.violations[:20],
         }  # fmt: skip
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,6 +19,7 @@
 POLL_S = 0.25
 JOBS_PER_S = 6.0
 CANCELLED_FRACTION = 0.08  # of the jobs
+GANG_FRACTION = 0.2  # of the steps, in runs that have gangs
 REPEATED_FRACTION = 0.1  # of the jobs are submitted again after their end
 GIVE_UP_S = 90.0  # after which a caller stops querying its job
 
@@ -26,9 +27,15 @@
 class Callers:
     """The callers of one run, as a context manager."""
 
-    def __init__(self, running: cell.Cell, rng: random.Random) -> None:
+    def __init__(
+        self,
+        running: cell.Cell,
+        rng: random.Random,
+        kind_rng: random.Random | None = None,  # None: one queue and no gangs
+    ) -> None:
         self._cell = running
         self._rng = rng
+        self._kind_rng = kind_rng
         self._group: set[gevent.Greenlet] = set()
         self._submitter: gevent.Greenlet | None = None
 
@@ -63,8 +70,17 @@
             for number in range(self._rng.choice((1, 1, 2)))
         )
         job_id = f"{self._rng.getrandbits(64):016x}"
+        queue = cell.FIRST_QUEUE
+        if self._kind_rng is not None:
+            queue = self._kind_rng.choice(sorted(self._cell.attempts))
+            steps = tuple(
+                msgspec.structs.replace(
+                    step, gang=self._kind_rng.random() < GANG_FRACTION
+                )
+                for step in steps
+            )
         return job_specs.Job(
-            id=job_id, queue="jobs", organisation="team", payload=f"work {job_id}",
+            id=job_id, queue=queue, organisation="team", payload=f"work {job_id}",
             steps=steps,
         )  # fmt: skip
 
@@ -78,7 +94,7 @@
             gevent.sleep(self._rng.random())
             self._cancel(submitted)
         with gevent.Timeout(GIVE_UP_S, False):
-            while submitted.reported_state not in ("completed", "cancelled", "failed"):
+            while submitted.reported_state not in invariants.FINAL_STATES:
                 self._query(submitted)
                 gevent.sleep(POLL_S)
             if self._rng.random() < REPEATED_FRACTION:
@@ -95,6 +111,8 @@
                     return
                 case exchange.Reply(status=503 | 429) | errors.Unavailable():
                     pass  # certainly not accepted
+                case exchange.Reply(status=404) if self._may_lack_queue(submitted):
+                    pass  # certainly not accepted either
                 case exchange.Reply(status=504) | errors.Failure():
                     ambiguous = True
                 case exchange.Reply(status=status):
@@ -124,9 +142,14 @@
         match reply:
             case exchange.Reply(status=200):
                 self._record_state(submitted, reply)
+            case exchange.Reply(status=404) if self._may_lack_queue(submitted):
+                pass  # the route is unknown, not the job
             case exchange.Reply(status=404 | 410):
                 self._cell.checker.record_unknown(submitted)
 
+    def _may_lack_queue(self, submitted: invariants.SubmittedJob) -> bool:
+        return None in self._cell.checker.find_attempts(submitted.spec.queue)
+
     def _record_state(
         self, submitted: invariants.SubmittedJob, reply: exchange.Reply
     ) -> None:
--- a/soak/cell.py
+++ b/soak/cell.py
@@ -28,13 +28,17 @@
 ADDRESS = "127.0.0.1"
 NOWHERE = f"{ADDRESS}:1"  # a port without a listener
 ZONES = ("a", "b", "c")
-POOL, PREFIX, KEY = "pool", "/jobs/", "key"
+POOL, KEY = "pool", "key"
+FIRST_QUEUE, SECOND_QUEUE = "jobs", "more"
+ATTEMPTS = {FIRST_QUEUE: 3, SECOND_QUEUE: 2}
 PORTS_PER_PROCESS = 4
 HEARTBEAT_S = 1.5
 RESTART_S = 0.5  # after which the platform restarts a process that has ended
 # No process restarts faster than this; the coordinator relies on 0.2 s.
 WORKER_RESTART_S = 0.3
 RUN_TIME_RANGE_S = (0.05, 1.2)
+FAILING_FRACTION = 0.4  # of the jobs have runs that fail
+FAILED_FRACTION = 0.4  # of the runs of these jobs
 STRONG = candidacy.Capacity(cores=3.6, link_mbps=1000.0, memory_mb=8192.0)
 WEAK_CORES_RANGE = (0.2, 1.2)
 WEAK_LINKS_MBPS = (5.0, 20.0, 100.0)
@@ -58,6 +62,14 @@
     }
 
 
+def draw_failure(seed: int, task: str, run: int) -> bool:
+    """Return whether a run fails by its own fault; depends on its name and the seed."""
+    job = random.Random(f"failing job {task.partition('.')[0]} of {seed}")
+    if job.random() >= FAILING_FRACTION:
+        return False
+    return random.Random(f"{task} {run} of {seed}").random() < FAILED_FRACTION
+
+
 class Cell:
     """The processes, the workers, the store and the proxies, as a context manager."""
 
@@ -68,6 +80,7 @@
         daemons: int,
         workers: int,
         capacity_rng: random.Random | None = None,  # None: all alike
+        queues: tuple[str, ...] = (FIRST_QUEUE,),
     ) -> None:
         self.rng = rng
         self.store = rowstore.MemoryStore()
@@ -79,6 +92,8 @@
             self.capacities = choose_capacities(capacity_rng, self.daemons)
         self.proxies: dict[str, proxy.Proxy] = {}
         self.version = 0
+        self.attempts = {name: ATTEMPTS[name] for name in queues}
+        self.removed_queues: set[str] = set()
         self.terminated: set[str] = set()  # processes that the soak has ended
         self._folder = folder
         self._running: dict[str, processes.ManagedProcess] = {}
@@ -159,17 +174,26 @@
     def configure(self) -> None:
         """Write a new version of the configuration."""
         self.version += self.rng.randrange(1, 5)
-        queue = catalogue.Queue(
-            name="jobs", host=ADDRESS, path_prefix=PREFIX, pool=POOL, max_attempts=3,
-            stretch=3.0, target_s=2.0,
-            approval=catalogue.Approval(
-                decision_s=0.01, per_worker_s=0.0, validity_s=2.5
-            ),
+        attempts = {
+            name: count
+            for name, count in self.attempts.items()
+            if name not in self.removed_queues
+        }
+        queues = tuple(
+            catalogue.Queue(
+                name=name, host=ADDRESS, path_prefix=f"/{name}/", pool=POOL,
+                max_attempts=count, stretch=3.0, target_s=2.0,
+                approval=catalogue.Approval(
+                    decision_s=0.01, per_worker_s=0.0, validity_s=2.5
+                ),
+            )
+            for name, count in attempts.items()
         )  # fmt: skip
         team = catalogue.Organisation(name="team", keys=frozenset({KEY}), weight=50)
         known = catalogue.Catalogue(
-            version=self.version, queues=(queue,), organisations={team.name: team}
+            version=self.version, queues=queues, organisations={team.name: team}
         )
+        self.checker.record_attempts(attempts)
         row = types.RowId("op", "", "config")
         self.store.put(row, emulator.encode_configuration(known))
 
@@ -258,7 +282,7 @@
         endpoint = exchange.Endpoint(*address, 1)
         body = emulator.encode_job(job) if method == "POST" else b""
         headers = emulator.caller_headers(KEY, timeout_s)
-        path = emulator.job_path(PREFIX, job.id)
+        path = emulator.job_path(f"/{job.queue}/", job.id)
         try:
             return endpoint.call(method, path, body, headers, timeout_s)
         finally:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,7 +10,7 @@
 
 import gevent
 
-from soak import cell, proxy
+from soak import blackouts, cell, proxy
 from toucanspring.coordinator import rows
 
 MEAN_PAUSE_S = 1.2  # between the starts of two faults, which may overlap
@@ -143,7 +143,7 @@
 Fault = (
     End | Pause | Disturb | Silence | StoreDown | StoreLoses | DropHistory
     | WorkerSilent | WorkerCrash | OrdersLost | Reconfigure | ZoneOut
-    | SlowLinks | OddEntries | SpoiledEntry
+    | SlowLinks | OddEntries | SpoiledEntry | blackouts.Fault
 )  # fmt: skip
 
 
@@ -345,3 +345,5 @@
                 store.apply_delayed()
             case DropHistory():
                 store.drop_history()
+            case blackouts.Blackout() | blackouts.Attempts():
+                blackouts.inject(self._cell, fault, duration_s)
--- a/standins/lease_workers.py
+++ b/standins/lease_workers.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import time
+from collections.abc import Callable
 
 import gevent
 
@@ -11,6 +12,8 @@
 from toucanspring.coordinator import job_specs, ports, state
 
 MAX_LEASE_MS = 6000
+COMPLETE_PERCENT = 100
+RUNNING_PERCENT = 50
 
 
 @dataclasses.dataclass(slots=True)
@@ -48,7 +51,9 @@
 
     `violations` lists broken invariants. Workers in `silent` send no replies;
     `lose_answers` is how many of the next starts are executed without a reply,
-    `delay_starts` how many are delayed until `apply_delayed` is called.
+    `delay_starts` how many are delayed until `apply_delayed` is called. `fails` tells
+    which runs fail, and `check_run` returns the violation that a run causes, or "".
+    Members of a gang complete together.
     """
 
     def __init__(self, run_s: float = 0.02) -> None:
@@ -63,6 +68,10 @@
         self.acknowledged: set[str] = set()  # tasks whose success was acknowledged
         self.starts = 0
         self.failing: set[str] = set()
+        self.fails: Callable[[str, int], bool] = lambda _task, _run: False
+        self.check_run: Callable[[str, int], str] = lambda _task, _run: ""
+        self.failed_runs: dict[str, set[int]] = {}  # by task
+        self.noted_failures: dict[str, set[int]] = {}  # those that were acknowledged
         self._delayed: list[tuple[ports.WorkerEntry, ports.Start]] = []
 
     def add(self, entry: ports.WorkerEntry) -> None:
@@ -111,6 +120,8 @@
         job = self.jobs[name.job]
         step = job.steps[name.step]
         self._check(incarnation, order, step)
+        if fault := self.check_run(order.task, order.run):
+            self.violations.append(fault)
         incarnation.highest_run[order.task] = order.run
         self.starts += 1
         incarnation.runs[order.task] = Run(
@@ -181,6 +192,8 @@
                 counts = incarnation.expired_end < end.number <= acked_end
                 if counts and end.outcome == "done":
                     self.acknowledged.add(end.task)
+                elif counts and end.outcome == "failed":
+                    self.noted_failures.setdefault(end.task, set()).add(end.run)
             incarnation.ended = [
                 end for end in incarnation.ended if end.number > acked_end
             ]
@@ -191,7 +204,7 @@
             incarnation.clock_ms(),
             incarnation.number,
             tuple(
-                ports.RunningTask(run.task, run.number, "", 50)
+                ports.RunningTask(run.task, run.number, "", _percent(run))
                 for run in incarnation.runs.values()
             ),
             tuple(incarnation.ended),
@@ -219,12 +232,43 @@
         for run in list(incarnation.runs.values()):
             if expired:
                 self._end(incarnation, run, "lapsed")
-            elif run.ends_at <= now:
-                outcome = "failed" if incarnation.entry.id in self.failing else "done"
-                self._end(incarnation, run, outcome)
+            elif run.ends_at > now or run.task not in incarnation.runs:
+                continue  # the latter: it has ended with its gang
+            elif incarnation.entry.id in self.failing or self.fails(
+                run.task, run.number
+            ):
+                self._end(incarnation, run, "failed")
+            elif (members := self._find_members(run)) is None:
+                self._end(incarnation, run, "done")
+            else:
+                self._complete_gang(run.number, members, now)
         if expired:
             incarnation.expired_end = incarnation.end_count
 
+    def _find_members(self, run: Run) -> list[str] | None:
+        """Return the tasks of the gang of a run, or None without a gang."""
+        name = state.parse_task_id(run.task)
+        step = self.jobs[name.job].steps[name.step]
+        if not step.gang:
+            return None
+        prefix = run.task.rpartition(".")[0]
+        return [f"{prefix}.{index}" for index in range(step.count)]
+
+    def _complete_gang(self, number: int, members: list[str], now: float) -> None:
+        """End all runs of a gang, if all are complete and none is to fail."""
+        held = [
+            (incarnation, run)
+            for incarnation in self.incarnations.values()
+            if incarnation.clock_ms() < incarnation.lease_until_ms
+            for task in members
+            if (run := incarnation.runs.get(task)) is not None
+            and (run.number, self.fails(task, number)) == (number, False)
+            and run.ends_at <= now
+        ]
+        if len(held) == len(members):
+            for incarnation, run in held:
+                self._end(incarnation, run, "done")
+
     def _end(self, incarnation: Incarnation, run: Run, outcome: str) -> None:
         del incarnation.runs[run.task]
         incarnation.end_count += 1
@@ -233,6 +277,8 @@
         )
         if outcome == "done":
             self.done[run.task] = self.done.get(run.task, 0) + 1
+        elif outcome == "failed":
+            self.failed_runs.setdefault(run.task, set()).add(run.number)
 
     @staticmethod
     def _renew(incarnation: Incarnation, until_ms: int) -> None:
@@ -240,3 +286,8 @@
         incarnation.lease_until_ms = max(
             incarnation.lease_until_ms, min(until_ms, longest)
         )
+
+
+def _percent(run: Run) -> int:
+    complete = run.ends_at <= time.monotonic()  # a member of a gang that waits
+    return COMPLETE_PERCENT if complete else RUNNING_PERCENT
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -22,7 +22,8 @@
 class MemoryStore:
     """Versioned rows in memory; implements `coordinator.ports.Store`.
 
-    `reachable` false refuses all calls, `parts_down` those for some parts.
+    `reachable` false refuses all calls, `parts_down` those for some parts (but not the
+    feeds), `tables_down` those for some tables.
     `lose_answers` is how many of the next transactions take effect without a reply,
     `delay_transactions` how many are delayed until `apply_delayed` is called. Each read
     takes `read_delay_s`. With `bytes_per_s`, replies to reads share a link of that
@@ -34,6 +35,7 @@
         self.version = 0
         self.reachable = True
         self.parts_down: set[str] = set()
+        self.tables_down: set[str] = set()
         self.lose_answers = 0
         self.delay_transactions = 0
         self.transactions = 0
@@ -79,7 +81,8 @@
         gevent.sleep(0)
         self.transactions += 1
         touched = {row_id.part for row_id in (*checks, *puts, *removals)}
-        if not self.reachable or touched & self.parts_down:
+        tables = {row_id.table for row_id in (*checks, *puts, *removals)}
+        if touched & self.parts_down or not self._serves(*tables):
             return errors.Unavailable(reason="the store is unreachable")
         if len(touched) > 1:
             raise ValueError("a transaction must not cover several parts")
@@ -99,7 +102,7 @@
         """Return the rows from key `start` up to, not including, `stop`."""
         gevent.sleep(self.read_delay_s)
         self.reads += 1
-        if not self.reachable or part in self.parts_down:
+        if part in self.parts_down or not self._serves(table):
             return errors.Unavailable(reason="the store is unreachable")
         found = sorted(
             (
@@ -137,7 +140,7 @@
     def parts(self, table: str) -> list[str] | errors.Failure:
         """Return the parts of a table that hold rows."""
         gevent.sleep(0)
-        if not self.reachable:
+        if not self._serves(table):
             return errors.Unavailable(reason="the store is unreachable")
         return sorted({row_id.part for row_id in self.rows if row_id.table == table})
 
@@ -148,7 +151,7 @@
         deadline = time.monotonic() + wait_s
         while True:
             gevent.sleep(0)
-            if not self.reachable:
+            if not self._serves(table):
                 return errors.Unavailable(reason="the store is unreachable")
             oldest = self._history[0].version if self._history else self.version + 1
             if after + 1 < oldest and after < self.version:
@@ -168,6 +171,9 @@
             self._changed.clear()
             self._changed.wait(remaining_s)
 
+    def _serves(self, *tables: str) -> bool:
+        return self.reachable and not self.tables_down.intersection(tables)
+
     def _transact(
         self,
         checks: dict[ports.RowId, int],
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -12,7 +12,7 @@
 from gevent import server, socket
 
 from soak import __main__ as soak
-from soak import cell, faults, invariants, proxy
+from soak import blackouts, callers, cell, faults, invariants, proxy
 from standins import lease_workers, ports
 from test import coordinator_case as case
 from toucanspring import errors, resources
@@ -30,6 +30,21 @@
     faults.WorkerCrash("w1"),
     faults.WorkerSilent("w1"),
 ]
+# As drawn before there was a third version.
+FIRST_SECOND_FAULTS_OF_2605 = [
+    faults.OddEntries(("deep unknown", "deep", "open", "null"), faults.OddEnd.REMOVED),
+    faults.SlowLinks(
+        (
+            "store of entry-4",
+            "store of entry-2",
+            "store of entry-3",
+            "store of entry-1",
+        ),
+        43.9,
+    ),
+    faults.SpoiledEntry("w1", "null"),
+]
+FIRST_JOB_OF_2605 = "72045a017d5b58c6"
 
 
 def echo(sock, _address):
@@ -197,6 +212,21 @@
         versions = soak.read_known_seeds()
         self.assertEqual([1] * 4, [versions[seed] for seed in (101, 102, 104, 303)])
 
+    def test_a_seed_of_the_second_version_plays_what_it_played(self):
+        running = self.make_cell()
+        rng = random.Random("second series of 2605")
+        first = [faults.choose_second_fault(rng, running) for _ in range(3)]
+        self.assertEqual(FIRST_SECOND_FAULTS_OF_2605, first)
+        self.assertEqual(2, soak.read_known_seeds()[2605])
+        self.assertEqual({"jobs": 3}, running.attempts)
+        drawn = [
+            callers.Callers(running, random.Random(2607), kind_rng)._generate_job()
+            for kind_rng in (None, random.Random(1))
+        ]
+        self.assertEqual([FIRST_JOB_OF_2605] * 2, [each.id for each in drawn])
+        self.assertEqual("jobs", drawn[0].queue)
+        self.assertFalse(any(step.gang for step in drawn[0].steps))
+
     def test_each_kind_is_drawn(self):
         running = self.make_cell()
         rng = random.Random(1)
@@ -368,3 +398,228 @@
         self.checker.record_unknown(self.submitted)
         self.assertIn("unknown now", self.checker.violations[0])
         self.assertEqual([JOB], self.checker.unfinished())
+
+
+class FailedRunsTest(testtools.TestCase):
+    """Each test guards against a wrong verdict on failed runs."""
+
+    def setUp(self):
+        super().setUp()
+        self.workers = lease_workers.LeaseWorkers(run_s=0.0)
+        self.checker = invariants.InvariantChecker(self.workers)
+        self.now = 100.0
+        self.patch(invariants.time, "monotonic", lambda: self.now)
+
+    def add_job(self, gang=False):
+        step = job_specs.Step(
+            count=2, demand=resources.Resources(100, 100, 0), gang=gang
+        )
+        return self.checker.add_job(
+            job_specs.Job(
+                id=JOB, queue="jobs", organisation="team", payload="p", steps=(step,)
+            )
+        )
+
+    def test_a_failed_job_has_a_task_that_failed_as_often_as_allowed(self):
+        self.checker.record_attempts({"jobs": 2})
+        submitted = self.add_job()
+        self.workers.failed_runs = {TASK: {1}, f"{JOB}.0.0.1": {2}}
+        self.checker.record_state(submitted, "failed")
+        self.assertIn("1 failed runs of 2", self.checker.violations.pop())
+        self.workers.failed_runs[TASK] = {1, 3}
+        self.checker.record_state(submitted, "failed")
+        self.assertEqual([], self.checker.violations)
+
+    def test_a_gang_fails_by_the_runs_of_all_members_each_counted_once(self):
+        self.checker.record_attempts({"jobs": 2})
+        submitted = self.add_job(gang=True)
+        self.workers.failed_runs = {TASK: {1}, f"{JOB}.0.0.1": {1}}
+        self.checker.record_state(submitted, "failed")
+        self.assertIn("1 failed runs of 2", self.checker.violations.pop())
+        self.workers.failed_runs[f"{JOB}.0.0.1"] = {2}
+        self.checker.record_state(submitted, "failed")
+        self.assertEqual([], self.checker.violations)
+
+    def test_the_lowest_attempts_since_the_submission_may_fail_a_job(self):
+        self.checker.record_attempts({"jobs": 2})
+        self.now += 1
+        self.checker.record_attempts({"jobs": 3})
+        submitted = self.add_job()
+        self.workers.failed_runs = {TASK: {1, 2}}
+        self.now += 100
+        self.checker.record_state(submitted, "failed")
+        self.assertEqual([], self.checker.violations)
+        self.checker.record_state(self.add_job(), "failed")
+        self.assertIn("2 failed runs of 3", self.checker.violations[0])
+
+    def test_no_run_starts_after_as_many_noted_failures_as_allowed(self):
+        self.checker.record_attempts({"jobs": 2})
+        self.add_job()
+        self.workers.noted_failures = {TASK: {1}, f"{JOB}.0.0.1": {1, 2}}
+        self.assertEqual("", self.checker.check_attempts(TASK, 2))
+        self.workers.noted_failures[TASK] = {1, 2}
+        self.assertEqual("", self.checker.check_attempts(TASK, 2))
+        self.assertIn("after 2 failed of 2", self.checker.check_attempts(TASK, 3))
+
+    def test_the_highest_attempts_that_may_be_in_force_allow_a_run(self):
+        self.checker.record_attempts({"jobs": 3})
+        self.add_job()
+        self.workers.noted_failures = {TASK: {1, 2}}
+        self.checker.record_attempts({"jobs": 2})
+        self.assertEqual("", self.checker.check_attempts(TASK, 3))
+        self.now += 100
+        self.assertIn("after 2 failed of 2", self.checker.check_attempts(TASK, 3))
+
+    def test_an_accepted_job_ends_unless_its_queue_is_removed(self):
+        submitted = self.add_job()
+        submitted.acceptance = invariants.Acceptance.ACCEPTED
+        self.checker.record_attempts({"jobs": 2})
+        self.assertEqual([JOB], self.checker.unfinished())
+        self.checker.record_attempts({})
+        self.assertEqual([], self.checker.unfinished())
+        self.assertEqual({2, None}, self.checker.find_attempts("jobs"))
+        self.checker.record_attempts({"jobs": 2})
+        for shown in invariants.FINAL_STATES:
+            submitted.reported_state = shown
+            self.assertEqual([], self.checker.unfinished())
+
+    def test_failed_and_cancelled_jobs_stay_so(self):
+        self.checker.record_attempts({"jobs": 1})
+        self.workers.failed_runs = {TASK: {1}}
+        for shown in ("failed", "cancelled"):
+            submitted = self.add_job()
+            submitted.cancelling = True
+            self.checker.record_state(submitted, shown)
+            self.assertEqual([], self.checker.violations)
+            self.checker.record_state(submitted, "active")
+            self.assertIn(f"{shown}, then active", self.checker.violations.pop())
+
+
+class FailingWorkersTest(testtools.TestCase):
+    """Guards against runs that fail, or gangs that complete, otherwise than told."""
+
+    def setUp(self):
+        super().setUp()
+        self.workers = lease_workers.LeaseWorkers(run_s=0.0)
+        self.entry = case.entry("w1")
+        self.workers.add(self.entry)
+
+    def run_gang(self, indices):
+        step = job_specs.Step(
+            count=2, demand=resources.Resources(100, 100, 0), gang=True
+        )
+        self.workers.jobs[JOB] = case.job(JOB, step)
+        for index in indices:
+            order = coordinator_ports.Start(
+                task=f"{JOB}.0.0.{index}", run=1, payload="", lease_until_ms=5000,
+                epoch=1,
+            )  # fmt: skip
+            self.workers.start(self.entry, order)
+        return self.workers.poll(self.entry, 1, 0, None, 0)
+
+    def test_a_member_of_a_gang_waits_for_the_others(self):
+        found = self.run_gang([0])
+        self.assertEqual((), found.ended)
+        self.assertEqual([100], [each.percent for each in found.running])
+        found = self.run_gang([1])
+        self.assertEqual(["done"] * 2, [each.outcome for each in found.ended])
+
+    def test_a_run_that_fails_is_counted_and_noted_once_acknowledged(self):
+        self.workers.fails = lambda task, _run: task == TASK
+        [end] = self.run_gang([0, 1]).ended
+        self.assertEqual((TASK, "failed"), (end.task, end.outcome))
+        self.assertEqual({TASK: {1}}, self.workers.failed_runs)
+        self.assertEqual({}, self.workers.noted_failures)
+        self.workers.poll(self.entry, 1, end.number, None, 0)
+        self.assertEqual({TASK: {1}}, self.workers.noted_failures)
+
+    def test_the_violation_of_a_run_is_recorded(self):
+        self.workers.check_run = lambda task, run: f"{task} {run} is one too many"
+        self.run_gang([0])
+        self.assertEqual([f"{TASK} 1 is one too many"], self.workers.violations)
+
+    def test_a_seed_fixes_which_runs_fail(self):
+        runs = [(f"{job:016x}.0.0.0", run) for job in range(100) for run in (1, 2)]
+        drawn = [
+            [cell.draw_failure(seed, task, run) for task, run in runs]
+            for seed in (1, 1, 2)
+        ]
+        self.assertEqual(drawn[0], drawn[1])
+        self.assertNotEqual(drawn[0], drawn[2])
+        self.assertIn(sum(drawn[0]), range(10, 60))
+
+
+class ThirdSeriesTest(testtools.TestCase):
+    """Guards against faults of the third series that are drawn and have no effect."""
+
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.running = cell.Cell(
+            random.Random(1), pathlib.Path(folder.name), 3, 2, None,
+            (cell.FIRST_QUEUE, cell.SECOND_QUEUE),
+        )  # fmt: skip
+        self.addCleanup(self.running.__exit__)
+        self.killed = []
+        self.patch(self.running, "signal", self.record_signal)
+        for name in ("BETWEEN_KILLS_S", "START_S"):
+            self.patch(blackouts, name, 0.01)
+
+    def record_signal(self, name, number):
+        self.assertIs(signal.SIGKILL, number)
+        self.killed.append((name, self.is_away("op"), self.is_away("servers")))
+
+    def is_away(self, table):
+        page = self.running.store.read(table, "", "", "", 1)
+        return isinstance(page, errors.Failure)
+
+    def read_attempts(self):
+        page = self.running.store.read("op", "", "", "", 1)
+        configuration = directory.decode_configuration(page.rows[0].value)
+        return {each.name: each.max_attempts for each in configuration.queues}
+
+    def test_each_kind_is_drawn(self):
+        rng = random.Random(1)
+        drawn = [blackouts.choose_fault(rng, self.running) for _ in range(500)]
+        attempts = {each for each in drawn if isinstance(each, blackouts.Attempts)}
+        changes = {None} | {
+            blackouts.Attempts(queue, count)
+            for queue in ("jobs", "more")
+            for count in (0, 2, 3, 4)
+        }
+        self.assertEqual(changes - {None}, attempts)
+        dark = [each for each in drawn if isinstance(each, blackouts.Blackout)]
+        self.assertEqual(changes, {each.change for each in dark})
+        self.assertEqual({1, 2}, {each.kills for each in dark})
+        self.assertEqual({(), ("op",), ("servers",)}, {each.tables for each in dark})
+        self.assertIn("", {part for each in dark for part in each.parts})
+
+    def test_all_processes_are_killed_while_the_store_is_away(self):
+        injector = faults.FaultInjector(self.running, random.Random(1))
+        for fault, away in (
+            (blackouts.Blackout(0.0, 1), (True, True)),
+            (blackouts.Blackout(0.0, 2, parts=("",)), (True, True)),
+            (blackouts.Blackout(0.0, 1, tables=("op",)), (True, False)),
+        ):
+            self.killed = []
+            injector.inject(fault, 0.01)
+            expected = [(name, *away) for name in self.running.daemons] * fault.kills
+            self.assertEqual(expected, self.killed)
+            self.assertFalse(self.is_away("op") or self.is_away("servers"))
+
+    def test_attempts_change_and_a_queue_is_removed_and_put_back(self):
+        self.running.configure()
+        self.assertEqual({"jobs": 3, "more": 2}, self.read_attempts())
+        injector = faults.FaultInjector(self.running, random.Random(1))
+        injector.inject(blackouts.Attempts("jobs", 4), 0.01)
+        self.assertEqual({"jobs": 4, "more": 2}, self.read_attempts())
+        change = blackouts.Attempts("more", 0)
+        removed = gevent.spawn(
+            injector.inject, blackouts.Blackout(0.0, 1, change=change), 0.05
+        )
+        gevent.sleep(0.02)
+        self.assertEqual({2, None}, self.running.checker.find_attempts("more"))
+        self.assertTrue(self.running.checker.find_attempts("jobs") >= {3, 4})
+        removed.get()
+        self.assertEqual({"jobs": 4, "more": 2}, self.read_attempts())
