Count jobs whose state a caller was shown as accepted

Change: once a caller is shown a state, the job must stay known and become final. On the code before, the test fails with "[''] != []".

--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -127,6 +127,8 @@
                 f"{job_id} was {submitted.reported_state}, then {job_state}"
             )
         submitted.reported_state = job_state
+        if submitted.acceptance is Acceptance.UNKNOWN:
+            submitted.acceptance = Acceptance.ACCEPTED  # there is such a job
         match job_state:
             case "completed":
                 missing = [
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -384,6 +384,14 @@
             self.checker.record_state(self.checker.add_job(self.spec), shown)
             self.assertIn(text, self.checker.violations[-1])
 
+    def test_a_job_without_an_answer_that_has_a_state_counts_as_accepted(self):
+        self.submitted.acceptance = invariants.Acceptance.UNKNOWN
+        self.assertEqual([], self.checker.unfinished())
+        self.checker.record_state(self.submitted, "active")
+        self.assertEqual([JOB], self.checker.unfinished())
+        self.checker.record_unknown(self.submitted)
+        self.assertIn("unknown now", self.checker.violations[0])
+
     def test_an_outcome_that_changes(self):
         self.workers.done[TASK] = 1
         self.checker.record_state(self.submitted, "completed")
