--- a/test/test_platform_rowstore.py
+++ b/test/test_platform_rowstore.py
@@ -3,6 +3,7 @@
 import gevent
 import logbook
 import testtools
+from gevent import event
 
 from test import platform_case
 from toucanspring import errors
@@ -66,6 +67,35 @@
         self.assertIn("target=p", path)
         self.assertIn("limit=50", path)
 
+    # Guards against accepted jobs that a new coordinator does not find for long, since
+    # callers who ask for unknown jobs take all connections for reads.
+    def test_tables_are_read_while_lookups_of_jobs_wait(self):
+        release = event.Event()
+
+        def answer(_method, path, *_request):
+            if "target=" in path and "seat" not in path:
+                release.wait()
+            body = {"rows": [], "ver": 9, "now_ms": 5, "parts": ["p7"]}
+            return 200, json.dumps(body).encode()
+
+        server = platform_case.Server(answer)
+        self.addCleanup(server.stop)
+        store = rowstore.Store("127.0.0.1", server.port)
+        lookups = [
+            gevent.spawn(rows.find_job, store, f"{number:016x}")
+            for number in range(4 * rowstore.READ_CONNECTIONS)
+        ]
+        gevent.sleep(0.1)
+        found = [
+            store.read(rows.JOBS, "p7", limit=50),
+            store.read(rows.PROGRESS, "p7", "key", limit=50),
+            store.read(rows.LEADER_LEASE_TABLE, "", "seat", "seat\0"),
+        ]
+        self.assertEqual([ports.Page] * 3, [type(each) for each in found])
+        self.assertEqual(["p7"], store.parts(rows.JOBS))
+        release.set()
+        gevent.joinall(lookups)
+
     def test_a_removed_row_has_version_zero(self):
         row = {"table": "my", "part": "p7", "key": "owner", "removed": True, "ver": 8}
         changes = self.store(200, {"rows": [row], "ver": 9}).follow("my", 7, 0.1)
