Keep runs that a full list of ends leaves out

Callers would see a task run again after its end, or more failed runs than allowed: an executor lists 500 ends at a time (docs of its protocol), and runs whose ends come later in the list were taken for gone and started again.

Cause: a list in part was taken as complete. Change: nothing is concluded from the absence of a run beside a full list; the next reply lists the rest.

Failed before: test_a_run_that_a_full_list_of_ends_leaves_out_is_not_gone MismatchError: <TaskPhase.RUNNING: 'running'> != <TaskPhase.WAITING: 'waiting'>

--- a/toucanspring/coordinator/ports.py
+++ b/toucanspring/coordinator/ports.py
@@ -150,9 +150,15 @@
     checkpoint: str
 
 
+MAX_LISTED_ENDS = 500
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PollReply:
-    """The tasks of a worker and the time of its clock."""
+    """The tasks of a worker and the time of its clock.
+
+    A worker lists at most `MAX_LISTED_ENDS` ends at a time, the oldest first.
+    """
 
     clock_ms: int
     incarnation: int
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -44,7 +44,10 @@
             changed_jobs.append(end.task.partition(".")[0])
         listed.add((end.task, end.run))
     _reconcile_running(cell, worker, reply.running, now)
-    for task_id, allocation in list(worker.allocations.items()):
+    # A full list of ends may leave out the ends of further runs.
+    is_complete = len(reply.ended) < ports.MAX_LISTED_ENDS
+    known = worker.allocations if is_complete else {}
+    for task_id, allocation in list(known.items()):
         task = allocation.task
         if (task_id, task.run) not in listed and task.confirmed_at < sent_at:
             structured.decide(
