Keep progress that is stored without the copy of its job

Callers would see a job active again after `cancelled` or `completed`, its tasks start again after their end, and failed runs not counted.

Cause: progress whose job was not read was dropped, so the job counted as new once its row was read. A restored job also counted as copied because it had progress, so no later write made up for the copy, and each later takeover could lose its progress.

Change: such progress is kept until the job is read. Only a copy that was read counts as one; without it the next write of the job contains it.

--- a/test/attempts_model.py
+++ b/test/attempts_model.py
@@ -45,6 +45,7 @@
         self.specs = {}
         self.stored = {}  # progress by job, encoded
         self.stored_failures = {}  # by job, as written with its progress
+        self.copies = set()  # jobs of which the coordinator's part has a copy
         self.published = []
         self.publish()
         count = self.rng.randint(3, 6)
@@ -193,9 +194,9 @@
         for machine in self.machines.values():
             self.cell.register_worker(machine.entry)
         listed = [
-            ports.Row(rows.job_copy_row_id(name), rows.encode(spec), 1)
+            ports.Row(self._row_id(name), rows.encode(spec), 1)
             for name, spec in self.specs.items()
-            if name in self.stored or rng.random() < 0.5
+            if name in self.copies or rng.random() < 0.5
         ]
         progress = {
             rows.progress_row_id(name): ports.Row(rows.progress_row_id(name), value, 1)
@@ -209,6 +210,12 @@
         self.counts["takeovers"] += 1
         self._check()
 
+    def _row_id(self, name):
+        """Return the row of a job that is read: the copy, or one of its own rows."""
+        if name in self.copies:
+            return rows.job_copy_row_id(name)
+        return rows.job_row_ids(name)[0]
+
     def _run_round(self):
         if self._plans:
             plan = self.planner.plan(self.now)
@@ -232,17 +239,20 @@
             name: (rows.encode(state.to_progress(record)), failures.of_job(name))
             for name, record in dirty.items()
         }
+        copies = [name for name, record in dirty.items() if not record.has_copy]
         states = {name: record.state for name, record in dirty.items()}
         if not self.calm and rng.random() < 0.3:
             self._poll_all(0.5)  # while the write is in flight
         if not self.calm and puts and rng.random() < 0.06:
             # Rows are written in several transactions, and the last answer is lost.
-            taken = list(puts.items())[: rng.randint(0, len(puts))]
-            self._store(dict(taken))
+            count = rng.randint(0, len(puts) + len(copies))
+            self._store(dict(list(puts.items())[:count]))
+            self.copies.update(copies[: max(0, count - len(puts))])
             self.counts["writes lost"] += 1
             self.take_over()
             return
         self._store(puts)
+        self.copies.update(copies)
         for name, record in dirty.items():
             record.durable_state, record.has_copy = states[name], True
         for worker, incarnation, last in acks:
--- a/test/attempts_observer.py
+++ b/test/attempts_observer.py
@@ -49,7 +49,9 @@
     def see(self, worker, end):
         """Record a failed run that the coordinator still has on the worker."""
         parsed = state.parse_task_id(end.task)
-        step = self._cell.jobs[parsed.job].steps[parsed.occurrence, parsed.step]
+        record = self._cell.jobs.get(parsed.job)
+        attempts_workers.require(record is not None, f"{parsed.job} is not known")
+        step = record.steps[parsed.occurrence, parsed.step]
         task = step.tasks[parsed.index]
         if task.run != end.run or task.worker != worker:
             return
--- a/test/test_coordinator_attempts.py
+++ b/test/test_coordinator_attempts.py
@@ -16,8 +16,18 @@
 
         Each history checks the rules of `attempts_model` after each event.
         """
+        self.assert_holds(SEEDS)
+
+    def test_a_job_whose_rows_are_read_late_keeps_its_progress(self):
+        """Guards against progress without a copy of its job that is overwritten.
+
+        With each seed a job was active after its end, or ran or failed again.
+        """
+        self.assert_holds((37, 100, 154, 170, 223, 239))
+
+    def assert_holds(self, seeds):
         found, counts = {}, 0
-        for seed in SEEDS:
+        for seed in seeds:
             history = attempts_model.History(seed)
             try:
                 history.run()
--- a/test/test_coordinator_unreadable.py
+++ b/test/test_coordinator_unreadable.py
@@ -1,10 +1,12 @@
 import gevent
+import testtools
 
 from test import coordinator_case as case
 from test import test_coordinator_leadership as leadership_case
 from toucanspring import errors
-from toucanspring.coordinator import rows
+from toucanspring.coordinator import planner, ports, recovery, rows, state, table_reader
 
+JOB = "0" * 16
 OTHER_JOB = "2" * 16
 
 
@@ -68,3 +70,46 @@
         found = leadership_case.leader_lease.acquire(self.store, "one", "a", "i")
         self.assertIsInstance(found, errors.Malformed)
         self.assertEqual(b"\xc1", self.store.rows[rows.LEADER_LEASE_ROW].value)
+
+
+class UnreadJobTest(testtools.TestCase):
+    """The progress of a job is stored, but the job itself is read later or elsewhere.
+
+    The write of its first progress was split, and the one with the copy failed.
+    """
+
+    def restore(self, spec, *row_ids):
+        cell = case.new_cell()
+        stored = ports.Row(
+            rows.progress_row_id(JOB), rows.encode(rows.Progress("cancelled")), 1
+        )
+        progress = table_reader.TableSnapshot({stored.id: stored}, 1, {})
+        listed = [ports.Row(each, rows.encode(spec), 1) for each in row_ids]
+        recovery.restore(cell, listed, progress, 1.0)
+        return cell
+
+    def test_a_job_that_is_read_after_its_progress_keeps_it(self):
+        # Guards against a cancelled job that is active again and runs.
+        spec = case.job(JOB, case.step(1))
+        cell = self.restore(spec)
+        cell.accept(spec, 2.0)
+        self.assertIs(state.JobState.CANCELLED, cell.jobs[JOB].state)
+        self.assertEqual([], planner.Planner(cell).plan(2.1).starts)
+
+    def test_a_job_without_a_copy_gets_one_with_its_next_write(self):
+        # Guards against progress that a successor cannot assign to its job.
+        spec = case.job(JOB, case.step(1))
+        copy = rows.job_copy_row_id(JOB)
+        own = rows.job_row_ids(JOB)[0]
+        self.assertTrue(self.restore(spec, own, copy).jobs[JOB].has_copy)
+        self.assertFalse(self.restore(spec, own).jobs[JOB].has_copy)
+        cell = self.restore(spec)
+        cell.accept(spec, 2.0)
+        self.assertFalse(cell.jobs[JOB].has_copy)
+
+    def test_progress_that_does_not_match_a_job_read_later_is_left_alone(self):
+        # Guards against a job that runs although its progress cannot be applied.
+        cell = self.restore(case.job(JOB))
+        cell.unclaimed[JOB] = rows.Progress("paused")
+        cell.accept(case.job(JOB), 2.0)
+        self.assertEqual(({JOB}, {}), (cell.unreadable, cell.jobs))
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -48,6 +48,8 @@
         self.zones_out: frozenset[str] = frozenset()
         self.jobs: dict[str, state.JobRecord] = {}
         self.unreadable: set[str] = set()  # jobs whose progress cannot be read
+        # Progress of jobs whose own rows have not been read yet, by ID.
+        self.unclaimed: dict[str, rows.Progress] = {}
         self.workers: dict[str, workers.Worker] = {}
         self.ready: dict[str, state.StepRun] = {}  # steps with waiting tasks, by ID
         self.used: dict[str, resources.Resources] = collections.defaultdict(
@@ -61,9 +63,13 @@
     # Jobs
 
     def accept(self, spec: job_specs.Job, now: float, age_s: float = 0.0) -> None:
-        """Add an accepted job, unless it is known already."""
+        """Add an accepted job with its progress if any, unless it is known already."""
         if spec.id in self.jobs or spec.id in self.unreadable:
             return
+        progress = self.unclaimed.pop(spec.id, None)
+        if progress is not None:
+            self.restore(spec, progress, now, age_s)
+            return
         record = self._add(spec, now, age_s)
         self.open_steps(record, now)
 
@@ -74,7 +80,17 @@
         now: float,
         age_s: float,
     ) -> None:
-        """Add a job with its stored progress after a failover."""
+        """Add a job with its stored progress after a failover.
+
+        A job whose progress doesn't match it is left alone: its tasks may have run or
+        be running.
+        """
+        if progress is not None:
+            mismatch = state.check_progress(spec, progress)
+            if mismatch is not None:
+                log.error("job {} is left alone: {}", spec.id, mismatch.reason)
+                self.unreadable.add(spec.id)
+                return
         record = self._add(spec, now, age_s)
         if progress is not None:
             state.restore(record, progress, now)
--- a/toucanspring/coordinator/recovery.py
+++ b/toucanspring/coordinator/recovery.py
@@ -18,7 +18,6 @@
     leader_lease,
     ports,
     rows,
-    state,
     table_cache,
     table_reader,
     workers,
@@ -146,8 +145,8 @@
 ) -> None:
     """Restore all readable jobs with their progress, the oldest first.
 
-    A job whose progress is unreadable or doesn't match it is left alone: its tasks may
-    have run or be running.
+    A job whose progress is unreadable is left alone: its tasks may have run or be
+    running. Progress whose job has not been read is kept until the job is.
     """
     found: dict[str, rows.Progress] = {}
     cell.unreadable.clear()
@@ -158,20 +157,19 @@
             cell.unreadable.add(row.id.key)
             continue
         found[row.id.key] = decoded
-    decoded_jobs = [rows.decode(job_specs.Job, row.value) for row in jobs]
+    listed = list(jobs)
+    copied = {row.id.key for row in listed if row.id.part == rows.COORDINATOR_PART}
+    decoded_jobs = [rows.decode(job_specs.Job, row.value) for row in listed]
     specs = [spec for spec in decoded_jobs if isinstance(spec, job_specs.Job)]
     if len(specs) < len(decoded_jobs):
         log.error("ignoring {} unreadable job rows", len(decoded_jobs) - len(specs))
     for spec in sorted(specs, key=lambda each: each.accepted_at_ms):
         if spec.id in cell.jobs or spec.id in cell.unreadable:
             continue
-        stored = found.get(spec.id)
-        mismatch = None if stored is None else state.check_progress(spec, stored)
-        if mismatch is not None:
-            log.error("job {} is left alone: {}", spec.id, mismatch.reason)
-            cell.unreadable.add(spec.id)
-            continue
-        cell.restore(spec, stored, now, age_s(spec))
+        cell.restore(spec, found.pop(spec.id, None), now, age_s(spec))
+        if spec.id in cell.jobs:
+            cell.jobs[spec.id].has_copy = spec.id in copied
+    cell.unclaimed = found
 
 
 def age_s(spec: job_specs.Job) -> float:
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -202,7 +202,6 @@
 def restore(record: JobRecord, progress: rows.Progress, now: float) -> list[Task]:
     """Restore the stored state; return the tasks that may be running."""
     record.state = record.durable_state = JobState(progress.state)
-    record.has_copy = True
     uncertain = []
     for row in progress.steps:
         step_run = record.steps.get((row.occurrence, row.step))
