Model failed runs and a configuration that is read late

spec/coordination.py: runs may fail, and each coordinator begins without the configuration, which allows two failed runs.

Without the rule that failed runs are judged only by a configuration that has been read: the job is failed only after the allowed number of failed runs: claim, read configuration, allocate, write, claim, order, order arrives, task fails, poll, write, fail job, write The model shows that the rule is needed; it says nothing about the code beyond that.

--- a/spec/coordination.py
+++ b/spec/coordination.py
@@ -3,9 +3,11 @@
 A paused coordinator takes no step while others do. Another process may acquire the
 leader lease at any time, even before it has expired. A write in flight takes effect or
 fails at any later time, and may take effect once more if its answer was lost. An order
-arrives at any time. Tasks run and end, and worker leases expire. The rules are those of
-`fenced_writer`, `leadership`, `dispatch` and `reports` of the coordinator, restated
-here, since these perform I/O; `ACTIONS` maps each action to its implementation.
+arrives at any time. Tasks run and end, and worker leases expire. With `failing` a run
+may fail, and a coordinator begins without the configuration, which says how many failed
+runs are allowed. The rules are those of `attempts`, `fenced_writer`, `leadership`,
+`dispatch` and `reports` of the coordinator, restated here, since these perform I/O;
+`ACTIONS` maps each action to its implementation.
 """
 
 from __future__ import annotations
@@ -30,8 +32,13 @@
     "poll": "toucanspring.coordinator.reports.apply_poll_reply",
     "acknowledge": "toucanspring.coordinator.leadership.Leadership.acknowledge_ends",
     "mark lost": "toucanspring.coordinator.reports.mark_lost",
+    "task fails": "standins.lease_workers.LeaseWorkers.poll",
+    "read configuration": "toucanspring.coordinator.leadership.Leadership",
+    "fail job": "toucanspring.coordinator.attempts.fail_exhausted",
 }
 NO_WORKER = -1
+ALLOWED_FAILURES = 2  # by the configuration
+DEFAULT_FAILURES = 1  # allowed by no configuration
 
 
 @dataclasses.dataclass(frozen=True)
@@ -41,6 +48,7 @@
     workers: int = 2
     claims: int = 2  # of the leader lease
     runs: int = 2  # starts of the task
+    failing: bool = False  # runs may fail, and configurations are read late
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,14 +62,18 @@
     durable_end: bool = True  # an end is acknowledged only once it is durable
     lease_wait: bool = True  # a worker is lost only once its lease has expired
     expiry: bool = True  # without its lease a coordinator soon stops giving orders
+    known_configuration: bool = True  # failed runs are judged by a configuration read
 
 
 class Record(NamedTuple):
-    """The durable row of the task: its run, its worker, and whether it is done."""
+    """The durable row of the task; `counted` is the latest run that failed."""
 
     run: int = 0
     worker: int = NO_WORKER
     done: bool = False
+    failures: int = 0
+    counted: int = 0
+    job_failed: bool = False
 
 
 class Coordinator(NamedTuple):
@@ -73,6 +85,7 @@
     write: Record | None = None
     placing: bool = False
     expired: bool = False
+    configured: bool = True
 
 
 class Worker(NamedTuple):
@@ -82,6 +95,7 @@
     running: int = 0
     ended: int = 0
     highest: int = 0
+    failed: bool = False  # the ended run
 
 
 class State(NamedTuple):
@@ -95,6 +109,8 @@
     coordinators: tuple[Coordinator, ...]
     workers: tuple[Worker, ...]
     orders: frozenset[tuple[int, int, int]]  # epoch, run, worker
+    failures: int = 0  # of runs
+    acknowledged_failures: int = 0
 
 
 Steps = Iterator[tuple[str, State]]
@@ -122,7 +138,12 @@
 
     def _steps(self, s: State) -> Steps:
         if len(s.coordinators) < self._bounds.claims:
-            new = Coordinator(s.epoch + 1, s.version + 1, s.record)
+            new = Coordinator(
+                s.epoch + 1,
+                s.version + 1,
+                s.record,
+                configured=not self._bounds.failing,
+            )
             yield (
                 "claim",
                 s._replace(
@@ -151,10 +172,18 @@
 
     def _decide(self, s: State, index: int, c: Coordinator) -> Steps:
         record = c.record
-        free = c.write is None and not c.placing and not record.done
-        if free and record.worker == NO_WORKER and record.run < self._bounds.runs:
+        if not c.configured:
+            known = c._replace(configured=True)
+            yield "read configuration", _with_coordinator(s, index, known)
+        ended = record.done or record.job_failed
+        free = c.write is None and not c.placing and not ended
+        waiting = free and record.worker == NO_WORKER
+        if waiting and self._is_exhausted(c):
+            failed = c._replace(write=record._replace(job_failed=True))
+            yield "fail job", _with_coordinator(s, index, failed)
+        elif waiting and c.configured and record.run < self._bounds.runs:
             for worker in range(self._bounds.workers):
-                placed = Record(record.run + 1, worker, False)
+                placed = record._replace(run=record.run + 1, worker=worker)
                 if self._rules.durable_intent:
                     yield (
                         "allocate",
@@ -171,6 +200,15 @@
             rescheduled = c._replace(record=record._replace(worker=NO_WORKER))
             yield "mark lost", _with_coordinator(s, index, rescheduled)
 
+    def _is_exhausted(self, c: Coordinator) -> bool:
+        """Return whether the rules in force let the job fail."""
+        if c.configured:
+            return c.record.failures >= ALLOWED_FAILURES
+        return (
+            not self._rules.known_configuration
+            and c.record.failures >= DEFAULT_FAILURES
+        )
+
     def _may_mark_lost(self, s: State, c: Coordinator) -> bool:
         """Return whether the rules in force allow to give up the worker of the task."""
         if not self._rules.lease_wait:
@@ -206,14 +244,23 @@
                 continue
             seen = worker._replace(epoch=max(worker.epoch, c.epoch))
             ours = record.worker == name and not c.placing and c.write is None
+            if worker.ended and worker.failed and worker.ended == record.counted:
+                acknowledged = _with_worker(s, name, seen._replace(ended=0))
+                yield (
+                    "acknowledge",
+                    acknowledged._replace(
+                        acknowledged_failures=s.acknowledged_failures + 1
+                    ),
+                )
+                continue
             if worker.ended and worker.ended == record.run:
                 if not record.done and ours:
-                    ended = c._replace(write=record._replace(done=True))
+                    ended = c._replace(write=_with_end(record, worker))
                     yield (
                         "poll",
                         _with_worker(_with_coordinator(s, index, ended), name, seen),
                     )
-                if record.done or not self._rules.durable_end:
+                if not worker.failed and (record.done or not self._rules.durable_end):
                     acknowledged = _with_worker(s, name, seen._replace(ended=0))
                     yield "acknowledge", acknowledged._replace(acknowledged=True)
                 continue
@@ -240,19 +287,32 @@
             if fenced or run <= worker.highest:
                 yield "order arrives", remaining
                 continue
-            started = Worker(max(epoch, worker.epoch), run, worker.ended, run)
+            started = worker._replace(
+                epoch=max(epoch, worker.epoch), running=run, highest=run
+            )
             yield "order arrives", _with_worker(remaining, name, started)
         for name, worker in enumerate(s.workers):
             if not worker.running:
                 continue
-            ended = worker._replace(running=0, ended=worker.running)
+            ended = worker._replace(running=0, ended=worker.running, failed=False)
             yield "task ends", _with_worker(s, name, ended)
+            if self._bounds.failing:
+                failed = _with_worker(s, name, ended._replace(failed=True))
+                yield "task fails", failed._replace(failures=s.failures + 1)
             # An order carries a lease, so the orders in flight have expired as well.
             kept = frozenset(order for order in s.orders if order[2] != name)
             expired_worker = _with_worker(s, name, worker._replace(running=0))
             yield "worker lease expires", expired_worker._replace(orders=kept)
 
 
+def _with_end(record: Record, worker: Worker) -> Record:
+    if not worker.failed:
+        return record._replace(done=True)
+    return record._replace(
+        worker=NO_WORKER, failures=record.failures + 1, counted=worker.ended
+    )
+
+
 def _with_coordinator(s: State, index: int, changed: Coordinator) -> State:
     coordinators = (*s.coordinators[:index], changed, *s.coordinators[index + 1 :])
     return s._replace(coordinators=coordinators)
@@ -276,14 +336,32 @@
     return not fields["acknowledged"] or fields["record"].done
 
 
+def _fails_with_cause(fields: dict) -> bool:
+    return not fields["record"].job_failed or fields["failures"] >= ALLOWED_FAILURES
+
+
+def _counts_failures(fields: dict) -> bool:
+    failures = fields["record"].failures
+    return fields["acknowledged_failures"] <= failures <= fields["failures"]
+
+
+def _starts_within_attempts(fields: dict) -> bool:
+    record = fields["record"]
+    return record.worker == NO_WORKER or record.failures < ALLOWED_FAILURES
+
+
 INVARIANTS = {
     "the task runs in one place": _runs_in_one_place,
     "nothing runs after an acknowledged end": _stays_ended,
     "an acknowledged end is recorded": _is_recorded,
+    "the job is failed only after the allowed number of failed runs": _fails_with_cause,
+    "a failed run is counted once, and before it is acknowledged": _counts_failures,
+    "no run starts after the allowed number of failed runs": _starts_within_attempts,
 }
 SPACES = (
     Bounds(workers=2, claims=2, runs=2),
     Bounds(workers=1, claims=3, runs=2),
+    Bounds(workers=1, claims=2, runs=3, failing=True),
 )
 # Removed rule -> bounds that are large enough for the shortest counterexample.
 REMOVALS = {
@@ -294,4 +372,5 @@
     "durable_end": Bounds(claims=1, runs=1),
     "lease_wait": Bounds(claims=1),
     "expiry": Bounds(),
+    "known_configuration": Bounds(workers=1, failing=True),
 }
--- a/test/test_spec.py
+++ b/test/test_spec.py
@@ -46,7 +46,11 @@
             self.assertTrue(result.proved, result.broken)
             self.assertGreater(result.states, 5_000)
         for run in runs.COORDINATION_REMOVALS:
-            self.assertNotEqual({}, runs.check(run).broken, run.without)
+            broken = runs.check(run).broken
+            self.assertNotEqual({}, broken, run.without)
+            if run.without == "known_configuration":
+                expected = "the job is failed only after the allowed number"
+                self.assertIn(expected, "".join(broken))
 
     def test_every_action_names_an_existing_implementation(self):
         # Guards against actions whose functions were renamed or removed.
