Set the configuration of a cell by a method

Cause: test_modules takes `catalogue.setter` for a name of the module `catalogue`, and the assignment had effects that its callers don't see (MismatchError: [] != ['cell_state.py:68 catalogue.setter']).

Change: `CellState.configure`; `catalogue` can only be read. No other change.

--- a/bench/planning.py
+++ b/bench/planning.py
@@ -37,7 +37,7 @@
     queue = catalogue.Queue(
         name="q", host="h", path_prefix="/q/", pool="p", priority=1, approval=approval
     )
-    cell.catalogue = catalogue.Catalogue(version=1, queues=(queue,))
+    cell.configure(catalogue.Catalogue(version=1, queues=(queue,)))
     for number in range(WORKERS):
         rack = f"r{number // RACK_SIZE}"
         entry = ports.WorkerEntry(
--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -106,7 +106,7 @@
         self.load = load
         self.rng = random.Random(seed)
         self.cell = cell_state.CellState()
-        self.cell.catalogue = arrivals.make_catalogue()
+        self.cell.configure(arrivals.make_catalogue())
         self.planner = make_planner(self.cell)
         self.machines: dict[str, Machine] = {}
         self.arrival_by_id = {
--- a/test/coordinator_case.py
+++ b/test/coordinator_case.py
@@ -70,7 +70,7 @@
 def new_cell(*entries, now=0.0, catalogue_=None):
     """Return a cell whose workers have replied to one poll."""
     cell = cell_state.CellState()
-    cell.catalogue = catalogue_ or configure()
+    cell.configure(catalogue_ or configure())
     for each in entries or (entry(),):
         worker = cell.register_worker(each)
         poll(cell, worker.id, now=now)
--- a/test/test_coordinator_planner.py
+++ b/test/test_coordinator_planner.py
@@ -117,7 +117,7 @@
         plan = cell_planner.plan(1.0)
         self.assertEqual([], plan.starts)
         self.assertEqual([plans.UNKNOWN_ORGANISATION], [x.reason for x in plan.waits])
-        cell.catalogue = case.configure(organisations=self.unlimited("labels"))
+        cell.configure(case.configure(organisations=self.unlimited("labels")))
         self.assertEqual(5, len(cell_planner.plan(1.1).starts))
 
     # Guards against an organisation without a ceiling once it is removed.
@@ -127,7 +127,7 @@
         )
         cell = case.new_cell(catalogue_=case.configure(organisations=[labels]))
         cell.accept(case.job(JOB, case.step(5), organisation="labels"), 1.0)
-        cell.catalogue = case.configure()
+        cell.configure(case.configure())
         self.assertEqual(2, len(planner.Planner(cell).plan(1.0).starts))
 
     def test_a_job_without_an_organisation_has_no_ceiling(self):
@@ -213,7 +213,7 @@
         """Plan for one of two jobs; the first one is learned by another catalogue."""
         cell = case.new_cell(case.entry(cpus=1000), catalogue_=first)
         cell.accept(case.job("a" * 16), 1.0)
-        cell.catalogue = then
+        cell.configure(then)
         cell.accept(case.job("b" * 16), 1.1)
         [start] = planner.Planner(cell).plan(1.2).starts
         return start.step.job.spec.id
@@ -244,7 +244,7 @@
         cell = case.new_cell()
         cell.accept(case.job("a" * 16), 1.0)
         due_at = cell.jobs["a" * 16].due_at
-        cell.catalogue = case.configure(case.queue("other"))
+        cell.configure(case.configure(case.queue("other")))
         self.assertEqual((4.0, 4.0), (due_at, cell.jobs["a" * 16].due_at))
 
 
@@ -316,7 +316,7 @@
         for number in range(20):
             spec = case.job(f"a{number:015x}", organisation="hot", queue="checks")
             self.cell.accept(spec, 1.0)
-        self.cell.catalogue = in_force
+        self.cell.configure(in_force)
         self.cell.accept(case.job("b" * 16, queue="labels"), 1.1)
         starts = planner.Planner(self.cell).plan(1.2).starts
         names = [start.step.job.spec.organisation for start in starts]
--- a/test/test_coordinator_reports.py
+++ b/test/test_coordinator_reports.py
@@ -129,7 +129,7 @@
         self.fail(cell, run=2)
         self.assertEqual([], start_all(cell, 5.0))
         self.assertEqual(state.JobState.ACTIVE, cell.jobs[JOB].state)
-        cell.catalogue = case.configure()
+        cell.configure(case.configure())
         [start] = start_all(cell, 5.1)
         self.assertEqual(3, start.run)
 
@@ -138,7 +138,7 @@
     def test_a_task_without_attempts_left_fails_once_the_configuration_is_read(self):
         cell = self.restored(1, catalogue.Catalogue())
         self.fail(cell, run=2)
-        cell.catalogue = case.configure()
+        cell.configure(case.configure())
         self.assertEqual([], start_all(cell, 5.0))
         self.assertEqual(state.JobState.FAILED, cell.jobs[JOB].state)
 
@@ -353,7 +353,7 @@
 
     def test_a_worker_known_from_restored_tasks_only_is_added(self):
         cell = cell_state.CellState()
-        cell.catalogue = case.configure()
+        cell.configure(case.configure())
         tasks = (rows.TaskRow(0, 1, worker="w9", incarnation=1),)
         progress = rows.Progress("active", (rows.StepRow(0, 0, tasks),))
         cell.restore(case.job(JOB, case.step(1)), progress, 1.0, 0.0)
--- a/test/test_coordinator_workers.py
+++ b/test/test_coordinator_workers.py
@@ -81,7 +81,7 @@
     def test_a_restored_task_is_allocated_whenever_its_worker_registers(self):
         for order in ("worker first", "task first"):
             cell = cell_state.CellState()
-            cell.catalogue = case.configure()
+            cell.configure(case.configure())
             if order == "worker first":
                 cell.register_worker(case.entry("w1"))
             self.restore(cell)
@@ -92,7 +92,7 @@
     # Guards against takeovers whose processor time grows with workers times tasks.
     def test_registering_a_worker_scans_no_jobs(self):
         cell = cell_state.CellState()
-        cell.catalogue = case.configure()
+        cell.configure(case.configure())
         self.restore(cell)
         cell.jobs = UnscannedJobs(cell.jobs)
         cell.register_worker(case.entry("w1"))
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -65,8 +65,7 @@
         """Return the configuration in force."""
         return self._catalogue
 
-    @catalogue.setter
-    def catalogue(self, found: catalogue.Catalogue) -> None:
+    def configure(self, found: catalogue.Catalogue) -> None:
         """Set the configuration in force, also for the jobs that have not ended."""
         if found is self._catalogue:
             return
@@ -74,7 +73,7 @@
         self.organisations.update(found.organisations)
         for record in self.jobs.values():
             if not record.is_final:
-                self._configure(record)
+                self._configure_job(record)
 
     # Jobs
 
@@ -110,11 +109,11 @@
 
     def _add(self, spec: job_specs.Job, now: float, age_s: float) -> state.JobRecord:
         record = state.JobRecord(spec, now - age_s)
-        self._configure(record)
+        self._configure_job(record)
         self.jobs[spec.id] = record
         return record
 
-    def _configure(self, record: state.JobRecord) -> None:
+    def _configure_job(self, record: state.JobRecord) -> None:
         """Set what the queue and organisation of a job decide, as far as known.
 
         Without its queue the due time stays. Each job is counted once.
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -323,7 +323,7 @@
     def _apply_operator_settings(self) -> None:
         catalogue = self._directory.catalogue
         if catalogue is not None:
-            self.cell.catalogue = catalogue
+            self.cell.configure(catalogue)
         self.cell.zones_out = self._directory.zones_out
 
     # Rounds
