Adapt the random histories to known organisations and 'configure'

The model published configurations without the organisation of its jobs, which start nothing since ('left waiting: ... organisation in no known configuration'), and assigned the catalogue, which replaced by a method. The 4 tests pass.

--- a/test/attempts_model.py
+++ b/test/attempts_model.py
@@ -105,11 +105,15 @@
         ]
         version = len(self.published) + 1
         self.published.append(
-            catalogue.Catalogue(version=version, queues=tuple(queues))
+            catalogue.Catalogue(
+                version=version,
+                queues=tuple(queues),
+                organisations=case.configure().organisations,
+            )
         )
 
     def _read_configuration(self):
-        self.cell.catalogue = self.published[-1]
+        self.cell.configure(self.published[-1])
 
     @property
     def _plans(self):
@@ -189,7 +193,7 @@
         self.held = {}
         self.cell = cell_state.CellState()
         if rng.random() < 0.7:
-            self.cell.catalogue = rng.choice(self.published)
+            self.cell.configure(rng.choice(self.published))
         self.planner = planner.Planner(self.cell)
         for machine in self.machines.values():
             self.cell.register_worker(machine.entry)
