Do not deny a service that only the request's owner does not know

A caller of a non-idempotent request was answered 404 'no service X' by a process that has the service, if the owner of the request ID had not read the configuration yet, or had an older one. Calls between processes pass no startup guard.

Cause: the owner took a service missing from its configuration as one that does not exist, which is final, and before it looked the ID up in its log.

Change: the log is asked first, so a known outcome is returned in any case. Then a missing service is Unavailable, which the process of the caller repeats until the deadline. That process still answers 404 itself by its own configuration.

--- a/test/test_requests.py
+++ b/test/test_requests.py
@@ -8,7 +8,8 @@
 from test import edge_fakes, request_fakes
 from toucanspring import errors, job
 from toucanspring.adapters import vms
-from toucanspring.callers import handler, listing, requests
+from toucanspring.callers import answers, handler, listing, requests
+from toucanspring.configuration import reader
 
 SETTINGS = hypothesis.settings(
     derandomize=True, deadline=None, max_examples=60, database=None
@@ -68,6 +69,32 @@
         self.assertEqual(1, len(self.client.sent))
         self.assertEqual(2, owners[-1])
 
+    def test_an_owner_without_the_configuration_does_not_deny_a_service(self):
+        # Guards against a caller that is told that a service does not exist, since
+        # the owner of the request ID has not read the configuration yet.
+        self.start(b"whole")
+        documents = self.core.find("documents")
+        present = documents.parsed
+        documents.parsed = reader.parse("")
+        request = request_fakes.make_request("r1", idempotent=False)
+        serve = self.core.find("peers").handlers["request"]
+        refused = serve("entry-2", answers.encode(request))
+        self.assertIsInstance(refused, requests.RETRYABLE_FAILURES)
+        self.assertEqual([], self.client.sent)
+        documents.parsed = present
+        chunks = serve("entry-2", answers.encode(request))
+        self.assertEqual(b"whole", b"".join(chunks)[-5:])
+
+    def test_an_outcome_is_known_without_the_configuration(self):
+        self.start(b"whole")
+        self.check_whole(self.serve(idempotent=False))
+        self.core.find("documents").parsed = reader.parse("")
+        request = request_fakes.make_request("r1", idempotent=False)
+        serve = self.core.find("peers").handlers["request"]
+        chunks = serve("entry-2", answers.encode(request))
+        self.assertEqual(b"whole", b"".join(chunks)[-5:])
+        self.assertEqual(1, len(self.client.sent))
+
     def test_a_lost_answer_makes_the_outcome_unknown(self):
         # Guards against "not run" for a request that a server may have started.
         for script in (
--- a/toucanspring/owners/runner.py
+++ b/toucanspring/owners/runner.py
@@ -165,9 +165,6 @@
         self, request: answers.Request, digest: bytes
     ) -> answers.Stored | errors.Failure:
         deadline = self._clock() + request.deadline_s
-        target = self._pool_of(request.service)
-        if target is None:
-            return errors.NotFound(reason=f"no service {request.service}")
         if self._epoch(request.id) is None:
             return errors.Refused(reason="not the owner of this request ID")
         partitions = self._kernel.find("partitions")
@@ -176,6 +173,13 @@
         entry = partitions.request_entry(request.id)
         if not isinstance(entry, errors.NotFound):
             return self._resume(request.id, entry)
+        target = self._pool_of(request.service)
+        if target is None:
+            # The process that received the request has a configuration with it.
+            return errors.Unavailable(
+                reason=f"the owner of this request ID knows no service "
+                f"{request.service} yet"
+            )
         server = self._find_server(request, target, deadline)
         if isinstance(server, errors.Failure):
             if self._epoch(request.id) is None:
