Count an unknown dependency as not run only after answers that say so

Callers would see an accepted job end as not run, 'no job X exists', right after an outage, although the job it depends on could not be submitted meanwhile.

Cause: the limit of 30 s for a dependency that is submitted later counted from the first look-up, also while look-ups had no answer. The first NotFound after that ended the job.

Change: the time counts from the first NotFound, and starts again after any other answer.

Test that failed before: test_time_without_answers_does_not_count_as_time_without_the_job (MismatchError: <State.NOT_RUN: 'not_run'> is not None).

--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -3,7 +3,7 @@
 
 from test import partition_case
 from toucanspring import errors, job
-from toucanspring.owners import inbox, log_records, request_log, worker_link
+from toucanspring.owners import execution, inbox, log_records, request_log, worker_link
 from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import effects
 
@@ -120,6 +120,25 @@
         )
         self.assertIsInstance(found, errors.Unknown)
 
+    def test_time_without_answers_does_not_count_as_time_without_the_job(self):
+        # Guards against an accepted job that ends as not run right after an outage in
+        # which the job that it depends on could not be submitted.
+        self.patch(execution, "WATCH_INTERVAL_S", 0.01)
+        self.patch(execution, "UNKNOWN_JOB_LIMIT_S", 0.2)
+        unanswered = errors.Unavailable(reason="no owner")
+        answer = [unanswered]
+        self.owner._kernel.find("partitions").lookup = lambda _name: answer[0]
+        self.attach(self.owner)
+        self.submit(self.owner, "a", after=("other",))
+        gevent.sleep(0.3)
+        answer[0] = errors.NotFound(reason="no job other")
+        gevent.sleep(0.05)
+        answer[0] = unanswered
+        gevent.sleep(0.05)
+        self.assertIsNone(self.state(self.owner, "a"))
+        answer[0] = errors.NotFound(reason="no job other")
+        self.wait(lambda: self.state(self.owner, "a") is job.State.NOT_RUN)
+
     def test_a_finished_job_is_published(self):
         events = []
         core = self.owner._kernel
--- a/toucanspring/owners/execution.py
+++ b/toucanspring/owners/execution.py
@@ -15,7 +15,7 @@
 
 WATCH_INTERVAL_S = 0.5
 # A dependency may be submitted after the jobs that wait for it. If it is still unknown
-# after this time, it counts as not run.
+# in all answers of this time, it counts as not run.
 UNKNOWN_JOB_LIMIT_S = 30.0
 
 
@@ -199,18 +199,23 @@
 
     def _poll_outcome(self, job_id: str) -> None:
         """Poll a job until it has an outcome or is found not to exist."""
-        first_asked_at = time.monotonic()
+        unknown_since: float | None = None
         while True:
             status = self._kernel.find("partitions").lookup(job_id)
             match status:
                 case effects.JobStatus(outcome=job.Outcome() as outcome):
                     break
                 case errors.NotFound():
-                    if time.monotonic() - first_asked_at > UNKNOWN_JOB_LIMIT_S:
+                    now = time.monotonic()
+                    unknown_since = unknown_since or now
+                    if now - unknown_since > UNKNOWN_JOB_LIMIT_S:
                         outcome = job.Outcome(
                             job.State.NOT_RUN, f"no job {job_id} exists"
                         )
                         break
+                case _:
+                    # Without an answer, nor could the job be submitted.
+                    unknown_since = None
             gevent.sleep(WATCH_INTERVAL_S)
         self._watched.pop(job_id, None)
         self._post(inbox.DependencyFinished(job_id, outcome))
