Start nothing of a team whose ceiling was never known

A team could run without any ceiling after a takeover: if it had been removed from the configuration while it had waiting jobs, the new owner started all of them; likewise if the owner did not have the configuration with it yet.

Cause: a team without an entry had the same value as a team with an unlimited ceiling. The former owner kept the ceiling that it knew, the new one had none to keep.

Change: a team that no configuration of this owner contained starts nothing, and explain says that it is not configured. An owner that has known the team keeps to the last ceiling, as before; running tasks go on.

Test that failed before: test_a_successor_starts_nothing_of_a_team_that_it_does_not_know (MismatchError: {'a/0': 1} != {'a/0': 1, 'a/1': 1, 'a/2': 1}).

--- a/test/test_recovery.py
+++ b/test/test_recovery.py
@@ -3,6 +3,7 @@
 from test import cell
 from toucanspring import job, resources, wire
 from toucanspring.owners import recovery
+from toucanspring.scheduling import fairness
 
 State = job.State
 
@@ -104,6 +105,27 @@
         c.tick()
         self.assertEqual({}, c.running("new"))
 
+    def test_a_successor_starts_nothing_of_a_team_that_it_does_not_know(self):
+        # Guards against a team that runs without any ceiling after a takeover, since
+        # the configuration that its new owner has does not contain the team.
+        limit = resources.Resources(1_000, 1 << 20, 0)
+        c = cell.Cell(workers=1, teams=[fairness.Team("zimna", ceiling=limit)])
+        c.grant("zimna", limit)
+        c.submit(cell.spec("a", task_count=3))
+        c.tick()
+        self.assertEqual({"a/0": 1}, c.starts)
+        c.rows, c.teams = {}, {"kern": fairness.Team("kern")}
+        c.take_over()
+        c.attach("w0")
+        c.tick(1)
+        c.tick(10)
+        self.assertEqual({"a/0": 1}, c.starts)
+        explanation = c.scheduler.explain("a")
+        self.assertIn("team zimna is not configured", explanation.waits_for)
+        c.call("set_teams", {"zimna": fairness.Team("zimna")})
+        c.tick(1)
+        self.assertEqual({"a/0": 1, "a/1": 1, "a/2": 1}, c.starts)
+
     def test_an_older_ended_attempt_does_not_hide_the_running_one(self):
         # Guards against a second copy if the acknowledgement was lost before a retry on
         # the same worker.
--- a/toucanspring/scheduling/allowance.py
+++ b/toucanspring/scheduling/allowance.py
@@ -152,6 +152,11 @@
             limits = _as_tuple(ceiling)
             allowance = self._allowance(team)
             allowance.ceiling = None if limits == UNLIMITED else limits
+            allowance.ceiling_known = True
+
+    def knows_ceiling(self, team: str) -> bool:
+        """Return whether any configuration had the team, even if it was unlimited."""
+        return self._allowance(team).ceiling_known
 
     def set_held(self, held: Mapping[str, resources.Resources], now: float) -> None:
         """Set the parts that the rows assign to this partition."""
--- a/toucanspring/scheduling/dispatch.py
+++ b/toucanspring/scheduling/dispatch.py
@@ -162,6 +162,10 @@
     ) -> int:
         core, spec = self._core, group.spec
         record = core.table.jobs[spec.id]
+        if not core.allowances.knows_ceiling(spec.team):
+            reason = f"team {spec.team} is not configured"
+            core.decisions.record_wait(spec.id, rank, reason)
+            return 0
         is_gang = spec.kind is job.Kind.GANG
         count = len(group) if is_gang else min(len(group), limit)
         demand = core.demand(spec)
--- a/toucanspring/scheduling/team_allowance.py
+++ b/toucanspring/scheduling/team_allowance.py
@@ -15,6 +15,7 @@
     __slots__ = (
         "requested_at",
         "ceiling",
+        "ceiling_known",
         "held",
         "row_read",
         "limit",
@@ -28,6 +29,7 @@
 
     def __init__(self) -> None:
         self.ceiling: Amount | None = None  # None for a team without a ceiling
+        self.ceiling_known = False  # a configuration had the team
         self.held = ZERO  # this partition's part in the row
         self.limit: Amount | None = None  # set while other partitions contend
         self.row_read = False  # the row has been read at least once
