Do not deny by a view that may be out of date

A caller of a process that had lost the store and its peers was told 404 'no service X', or 400 'unknown name' or 'the job can never run', for what a later configuration declares and all other processes know. An operator was told that a zone to be taken out does not exist.

Cause: only the first read of the documents was waited for. Later, names missing from the last configuration read counted as not declared, however old it was.

Change: while the view is not fresh, these answers are 503 Unavailable, 'the configuration may be out of date; not run', which callers may repeat elsewhere. Known services and open queues are served as before.

Test that failed before: test_a_stale_view_does_not_deny_what_it_does_not_have (MismatchError: 503 != 404: (404, {'error': {'type': 'NotFound', 'reason': 'no service other; not run'}}, ...)).

--- a/test/test_api.py
+++ b/test/test_api.py
@@ -52,6 +52,32 @@
         self.check_failure(self.submit(gateway_case.JOB), 503, "Unavailable")
         self.check_failure(self.call("GET", "/v1/jobs/a"), 503, "Unavailable")
 
+    def test_a_stale_view_does_not_deny_what_it_does_not_have(self):
+        # Guards against a final refusal by a process that has lost its peers and the
+        # store, of a service, queue, template, zone or team that a later configuration
+        # declares.
+        job = gateway_case.JOB
+        big = {
+            **job,
+            "queue": "label-previews",
+            "resources": {"cpus": 9999, "memory": "1 GiB"},
+        }
+        operator = gateway_case.OPERATOR
+        calls = [
+            (404, "/v1/services/other/requests", "ask", None),
+            (404, "/v1/zones/other/out", None, operator),
+            (404, "/v1/keys", {"team": "other"}, operator),
+            (400, "/v1/jobs", {"jobs": [{**job, "queue": "other"}]}, None),
+            (400, "/v1/jobs", {"jobs": [{**job, "template": "other"}]}, None),
+            (400, "/v1/jobs", {"jobs": [{**big, "zones": ["other"]}]}, None),
+            (400, "/v1/jobs", {"jobs": [big]}, None),
+        ]
+        for status, path, body, key in calls:
+            for is_fresh in (True, False):
+                self.documents.is_fresh = is_fresh
+                found = self.call("POST", path, body, key)
+                self.assertEqual(status if is_fresh else 503, found[0], found)
+
     def test_open_and_keyed_ids_are_separate(self):
         # Guards against callers without a key that read keyed work or take its ID.
         open_job = {**gateway_case.JOB, "queue": "label-previews"}
--- a/toucanspring/callers/api.py
+++ b/toucanspring/callers/api.py
@@ -174,6 +174,17 @@
     return value
 
 
+def deny(core: kernel.Kernel, failure: errors.Failure) -> ApiError:
+    """Return the error for something that the configuration here does not have.
+
+    A view that may be out of date cannot tell that it does not exist.
+    """
+    if core.find("documents").fresh(time.monotonic()):
+        return ApiError(failure)
+    reason = f"the configuration may be out of date; not run: {failure.reason}"
+    return ApiError(errors.Unavailable(reason=reason))
+
+
 class Access:
     """Check keys of teams and of operators."""
 
--- a/toucanspring/callers/api_jobs.py
+++ b/toucanspring/callers/api_jobs.py
@@ -42,7 +42,10 @@
         built: list[job.JobSpec] = []
         ends: list[int] = []  # index of the job of each submission in `built`
         for index, item in enumerate(bulk.jobs):
-            built += specs.build(item, f"jobs.{index}")
+            try:
+                built += specs.build(item, f"jobs.{index}")
+            except submission.NotConfigured as error:
+                raise api.deny(self._kernel, error.failure)
             ends.append(len(built) - 1)
         submission.check_total(built)
         results = self._kernel.find("partitions").submit(built)
--- a/toucanspring/callers/api_operators.py
+++ b/toucanspring/callers/api_operators.py
@@ -170,9 +170,8 @@
         documents = self._documents
         known = name in documents.cell().availability_zones
         if not known and not (name in documents.zones_out() and not self._out):
-            raise api.ApiError(
-                errors.NotFound(reason=f"no availability zone {name[:80]}")
-            )
+            unknown = errors.NotFound(reason=f"no availability zone {name[:80]}")
+            raise api.deny(self._kernel, unknown)
         version = api.unwrap(documents.set_zone(name, self._out, operator))
         log.info(
             "operator {} {} availability zone {}",
@@ -207,7 +206,8 @@
         operator = self._access.require_operator(request)
         body = api.read_json(request, KeyRequest, MAX_KEY_REQUEST_BYTES)
         if body.team not in self._documents.cell().teams:
-            raise api.ApiError(errors.NotFound(reason=f"no team {body.team[:80]}"))
+            unknown = errors.NotFound(reason=f"no team {body.team[:80]}")
+            raise api.deny(self._kernel, unknown)
         granted = api.unwrap(self._documents.grant_key(body.team, operator))
         log.info("operator {} granted key {} to {}", operator, granted.id, body.team)
         api.send_json(response, granted, 201, Cache_Control="no-store")
--- a/toucanspring/callers/api_services.py
+++ b/toucanspring/callers/api_services.py
@@ -79,9 +79,8 @@
         cell = self._kernel.find("documents").cell()
         service = cell.services.get(name)
         if service is None:
-            raise api.ApiError(
-                errors.NotFound(reason=f"no service {name[:80]}; not run")
-            )
+            unknown = errors.NotFound(reason=f"no service {name[:80]}; not run")
+            raise api.deny(self._kernel, unknown)
         queue = cell.queues[service.queue]
         team = queue.team
         if not queue.is_open:
--- a/toucanspring/callers/submission.py
+++ b/toucanspring/callers/submission.py
@@ -45,8 +45,18 @@
     jobs: Annotated[list[Submission], msgspec.Meta(min_length=1, max_length=MAX_JOBS)]
 
 
-def _invalid(path: str, value: object, expected: str, reason: str) -> api.ApiError:
-    return api.ApiError(
+class NotConfigured(api.ApiError):
+    """Raised for a job that the known configuration does not allow."""
+
+
+def _invalid(
+    path: str,
+    value: object,
+    expected: str,
+    reason: str,
+    kind: type[api.ApiError] = api.ApiError,
+) -> api.ApiError:
+    return kind(
         errors.Invalid(
             reason=reason, path=path, value=str(value)[:80], expected=expected
         )
@@ -110,7 +120,9 @@
         for zone in item.zones:
             if zone not in cell.availability_zones:
                 expected = "an availability zone of the configuration"
-                raise _invalid(f"{path}.zones", zone, expected, "unknown name")
+                raise _invalid(
+                    f"{path}.zones", zone, expected, "unknown name", NotConfigured
+                )
         fields["availability_zones"] = tuple(item.zones)
     if item.placement is not None:
         if item.placement not in ("any", "compact", "spread"):
@@ -136,7 +148,9 @@
     template = cell.jobs.get(item.template)
     if template is None:
         expected = "a job of the configuration"
-        raise _invalid(f"{path}.template", item.template, expected, "unknown name")
+        raise _invalid(
+            f"{path}.template", item.template, expected, "unknown name", NotConfigured
+        )
     if item.queue and item.queue != template.queue:
         raise _invalid(
             f"{path}.queue",
@@ -164,7 +178,9 @@
         queue = cell.queues.get(name)
         if queue is None:
             expected = "a queue of the configuration"
-            raise _invalid(f"{path}.queue", name, expected, "unknown name")
+            raise _invalid(
+                f"{path}.queue", name, expected, "unknown name", NotConfigured
+            )
         if item.team and item.team != queue.team:
             raise _invalid(
                 f"{path}.team",
@@ -219,7 +235,9 @@
         if not together.fits(ceiling) or not spec.demand.fits(largest):
             expected = "at most the ceiling of the team and the largest worker"
             reason = "the job can never run; not run"
-            raise _invalid(f"{path}.resources", together, expected, reason)
+            raise _invalid(
+                f"{path}.resources", together, expected, reason, NotConfigured
+            )
 
 
 def check_total(built: list[job.JobSpec]) -> None:
