Count workers that are lost before they attach when rejecting by size

After a takeover callers would see an accepted job end as not run, 'no worker is large enough in the allowed availability zones', while the only worker that is large enough had no power. Under the former owner the same job would have waited.

Cause: an owner counts the workers that have ever attached to it. A worker that was lost before its first attach was forgotten, although the VM list gave its capacity.

Change: such a worker counts with that capacity, in any zone. If its capacity is not known, as for one that is not listed, rejections wait for 600 s, the time after which an unlisted worker leaves the row.

Test that failed before: test_a_worker_that_was_lost_before_it_attached_can_still_be_large_enough (reference {}, actual {'a': Outcome(state=<State.NOT_RUN: 'not_run'>, reason='no worker is large enough in the allowed availability zones', ...)}).

--- a/test/test_recovery.py
+++ b/test/test_recovery.py
@@ -126,6 +126,37 @@
         c.tick(1)
         self.assertEqual({"a/0": 1, "a/1": 1, "a/2": 1}, c.starts)
 
+    def test_a_worker_that_was_lost_before_it_attached_can_still_be_large_enough(self):
+        # Guards against a job that is rejected for its size by a successor, while the
+        # only worker that is large enough has no power.
+        large = resources.Resources(64_000, 1 << 20, 0)
+        for capacity in (large, None):
+            c = cell.Cell(workers=1)
+            c.take_over()
+            c.scheduler.restore([], {}, {}, (), {"w0": None, "large": capacity}, c.now)
+            c.attach("w0")
+            c.call("worker_lost", "large")
+            c.submit(cell.spec("a", demand=cell.CAPACITY.times(2)))
+            c.tick(10)
+            c.tick(10)
+            self.assertEqual({}, c.finished)
+            c.workers["large"] = cell.Worker("large", "z0", large)
+            c.attach("large")
+            c.tick(1)
+            self.assertEqual({"a/0": 1}, c.starts)
+
+    def test_a_lost_worker_of_unknown_size_delays_a_rejection_only(self):
+        c = cell.Cell(workers=1)
+        c.take_over()
+        c.scheduler.restore([], {}, {}, (), {"w0": None, "gone": None}, c.now)
+        c.attach("w0")
+        c.call("worker_lost", "gone")
+        c.submit(cell.spec("a", demand=cell.CAPACITY.times(2)))
+        c.tick(590)
+        self.assertEqual({}, c.finished)
+        c.tick(20)
+        self.assertIs(State.NOT_RUN, c.finished["a"].state)
+
     def test_an_older_ended_attempt_does_not_hide_the_running_one(self):
         # Guards against a second copy if the acknowledgement was lost before a retry on
         # the same worker.
--- a/toucanspring/owners/recovery.py
+++ b/toucanspring/owners/recovery.py
@@ -253,7 +253,12 @@
         _drop_orphans(core, state)
     core.index.remove(worker)
     core.shares.set_total(core.index.total())
-    core.expected_workers.pop(worker, None)
+    if worker in core.expected_workers:
+        amount = core.expected_workers.pop(worker)
+        if amount is None:
+            core.unlisted_until[worker] = now + admission.UNLISTED_LIMIT_S
+        else:
+            core.unseen_workers[worker] = amount
     for task in list(core.tasks_on.pop(worker, {}).values()):
         if task.id in core.table.live:
             attempt.lost(core, task, f"worker {worker} was lost", now)
--- a/toucanspring/scheduling/admission.py
+++ b/toucanspring/scheduling/admission.py
@@ -8,6 +8,9 @@
 
 # The workers of a partition are taken as complete once none was added for this time.
 WORKERS_SETTLED_S = 5.0
+# A lost worker of unknown capacity may be large enough for this time, after which a
+# worker that the VM list does not have leaves the partition.
+UNLISTED_LIMIT_S = 600.0
 
 
 def rejection_reason(core: lifecycle.Lifecycle, spec: job.JobSpec) -> str:
@@ -64,6 +67,10 @@
             room += spec.demand.count_in(facts.capacity)
             if room >= needed:
                 return False
+    for amount in core.unseen_workers.values():
+        room += spec.demand.count_in(amount)  # in a zone that is not known
+        if room >= needed:
+            return False
     for worker, listed in (core.other_partition_workers or {}).items():
         if worker in core.known_workers:
             continue  # counted above; it has moved to another partition
@@ -82,6 +89,8 @@
     """Record the capacity and zone of a worker."""
     if facts.worker not in core.known_workers:
         core.new_worker_at = now
+    core.unseen_workers.pop(facts.worker, None)
+    core.unlisted_until.pop(facts.worker, None)
     core.known_workers[facts.worker] = facts
 
 
@@ -97,6 +106,8 @@
         return
     if now - core.new_worker_at < WORKERS_SETTLED_S:
         return
+    if any(now < until for until in core.unlisted_until.values()):
+        return
     job_ids, core.too_large = core.too_large, set()
     for job_id in sorted(job_ids):
         record = core.table.jobs.get(job_id)
--- a/toucanspring/scheduling/lifecycle.py
+++ b/toucanspring/scheduling/lifecycle.py
@@ -81,6 +81,10 @@
         self.tasks_on: dict[str, dict[str, task_table.LiveTask]] = {}
         # All workers that were ever attached, including those that are gone.
         self.known_workers: dict[str, effects.WorkerFacts] = {}
+        # Capacity of workers that were lost before they attached here.
+        self.unseen_workers: dict[str, resources.Resources] = {}
+        # Such workers of unknown capacity, and until when they may still attach.
+        self.unlisted_until: dict[str, float] = {}
         self.new_worker_at = 0.0
         # Jobs whose size is checked again once all workers are known.
         self.too_large: set[str] = set()
