Use the latest documents in each planning round

A round could judge jobs by teams, or start them below ceilings, of an earlier configuration than the one that permits starts; right after a start of the process, of none.

Cause: the permission to start looks at the documents in force in the process, while the scheduler gets teams and zones by a message, of which at most 256 are handled before a round.

Change: a round first applies documents that differ from those applied last.

Test that failed before: test_a_round_uses_the_documents_whose_notice_still_waits (assertTrue(fake_tables.wait_for(condition, 5)): False is not true). The fake documents of partition_case now keep one parsed cell, as the service does.

--- a/test/partition_case.py
+++ b/test/partition_case.py
@@ -44,9 +44,10 @@
     def __init__(self):
         self.out = frozenset()
         self.is_fresh = True
+        self.parsed = text.Cell(teams={"labels": TEAM})
 
     def cell(self):
-        return text.Cell(teams={"labels": TEAM})
+        return self.parsed
 
     def zones_out(self):
         return self.out
--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -2,7 +2,8 @@
 import gevent.event
 
 from test import partition_case
-from toucanspring import errors, job
+from toucanspring import errors, job, resources
+from toucanspring.configuration import text
 from toucanspring.owners import execution, inbox, log_records, request_log, worker_link
 from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import effects
@@ -74,6 +75,17 @@
             setattr(holder, name, True)
             self.wait(lambda name=name: f"{name}/0" in self.fleet.found["w1"].started)
 
+    def test_a_round_uses_the_documents_whose_notice_still_waits(self):
+        # Guards against rounds that judge or start jobs by an earlier configuration
+        # than the one that permits them, while the notice waits in a long inbox.
+        self.attach(self.owner)
+        self.submit(self.owner, "a", team="proofs")
+        gevent.sleep(0.1)
+        self.assertEqual([], self.fleet.found["w1"].started)
+        team = text.Team("proofs", "kernhalde", 1.0, resources.UNLIMITED)
+        self.documents.parsed = text.Cell(teams={"proofs": team})
+        self.wait(lambda: self.fleet.found["w1"].started == ["a/0"])
+
     def test_a_job_that_has_ended_cannot_be_cancelled(self):
         # Guards against "cancelled" as the result for a job that has completed.
         self.attach(self.owner)
--- a/toucanspring/owners/partition.py
+++ b/toucanspring/owners/partition.py
@@ -58,6 +58,8 @@
         self._greenlet: gevent.Greenlet | None = None
         self._layout = core.find("layout")
         count = self._layout.layout.count
+        self._applied_cell: object | None = None
+        self._applied_zones_out: frozenset[str] = frozenset()
         self._moves_possible = False  # whether workers can move between partitions
         self._apply_partition_count(count)
         # The version of this epoch. If this process claims the partition again, the
@@ -177,6 +179,7 @@
                 last_tick = now
                 found: list[effects.Effect] = []
                 if self._executor.may_start(now):
+                    self._apply_changed_documents(now)
                     found = self._scheduler.tick(now)
                     self._executor.carry_out(found)
                 idle_ticks = 0 if handled or found else idle_ticks + 1
@@ -292,8 +295,22 @@
         self._executor.workers.pop(worker, None)
         self._executor.carry_out(self._scheduler.worker_lost(worker, now))
 
+    def _apply_changed_documents(self, now: float) -> None:
+        """Apply documents whose notice still waits in the inbox.
+
+        The permission to start refers to the latest documents of the process.
+        """
+        documents = self._kernel.find("documents")
+        if (
+            documents.cell() is not self._applied_cell
+            or documents.zones_out() != self._applied_zones_out
+        ):
+            self._apply_documents(now)
+
     def _apply_documents(self, now: float) -> None:
         documents = self._kernel.find("documents")
+        self._applied_cell = documents.cell()
+        self._applied_zones_out = documents.zones_out()
         teams = {
             team.name: fairness.Team(
                 team.name, team.organisation, team.share, team.ceiling
