--- a/test/test_recovery.py
+++ b/test/test_recovery.py
@@ -3,6 +3,7 @@
 from test import cell
 from toucanspring import job, resources, wire
 from toucanspring.owners import recovery
+from toucanspring.scheduling import fairness
 
 State = job.State
 
@@ -104,6 +105,58 @@
         c.tick()
         self.assertEqual({}, c.running("new"))
 
+    def test_a_successor_starts_nothing_of_a_team_that_it_does_not_know(self):
+        # Guards against a team that runs without any ceiling after a takeover, since
+        # the configuration that its new owner has does not contain the team.
+        limit = resources.Resources(1_000, 1 << 20, 0)
+        c = cell.Cell(workers=1, teams=[fairness.Team("zimna", ceiling=limit)])
+        c.grant("zimna", limit)
+        c.submit(cell.spec("a", task_count=3))
+        c.tick()
+        self.assertEqual({"a/0": 1}, c.starts)
+        c.rows, c.teams = {}, {"kern": fairness.Team("kern")}
+        c.take_over()
+        c.attach("w0")
+        c.tick(1)
+        c.tick(10)
+        self.assertEqual({"a/0": 1}, c.starts)
+        explanation = c.scheduler.explain("a")
+        self.assertIn("team zimna is not configured", explanation.waits_for)
+        c.call("set_teams", {"zimna": fairness.Team("zimna")})
+        c.tick(1)
+        self.assertEqual({"a/0": 1, "a/1": 1, "a/2": 1}, c.starts)
+
+    def test_a_worker_that_was_lost_before_it_attached_can_still_be_large_enough(self):
+        # Guards against a job that is rejected for its size by a successor, while the
+        # only worker that is large enough has no power.
+        large = resources.Resources(64_000, 1 << 20, 0)
+        for capacity in (large, None):
+            c = cell.Cell(workers=1)
+            c.take_over()
+            c.scheduler.restore([], {}, {}, (), {"w0": None, "large": capacity}, c.now)
+            c.attach("w0")
+            c.call("worker_lost", "large")
+            c.submit(cell.spec("a", demand=cell.CAPACITY.times(2)))
+            c.tick(10)
+            c.tick(10)
+            self.assertEqual({}, c.finished)
+            c.workers["large"] = cell.Worker("large", "z0", large)
+            c.attach("large")
+            c.tick(1)
+            self.assertEqual({"a/0": 1}, c.starts)
+
+    def test_a_lost_worker_of_unknown_size_delays_a_rejection_only(self):
+        c = cell.Cell(workers=1)
+        c.take_over()
+        c.scheduler.restore([], {}, {}, (), {"w0": None, "gone": None}, c.now)
+        c.attach("w0")
+        c.call("worker_lost", "gone")
+        c.submit(cell.spec("a", demand=cell.CAPACITY.times(2)))
+        c.tick(590)
+        self.assertEqual({}, c.finished)
+        c.tick(20)
+        self.assertIs(State.NOT_RUN, c.finished["a"].state)
+
     def test_an_older_ended_attempt_does_not_hide_the_running_one(self):
         # Guards against a second copy if the acknowledgement was lost before a retry on
         # the same worker.
