Send a start only while its task still waits for it

Callers would see a task run twice at a time, and a worker would be sent more than it has room for: a start could wait in the queue of orders until its worker was lost and had come back. Its task was requeued by then, and the order went out all the same.

Cause: the dispatcher compared the number of the run, not the phase of the task. Change: `CellState.may_order` also requires that the task is being started. The model asks it too, and holds orders back for up to 5 s.

The further fault changes the histories of all seeds.

--- a/test/attempts_model.py
+++ b/test/attempts_model.py
@@ -31,6 +31,7 @@
 UNRESPONSIVE_AFTER_S = 0.8
 QUEUES = ("first", "second")
 MAX_JOBS = 8
+FAULTS = ("publish", "take over", "restart", "silent", "busy", "slow", "cancel")
 
 
 class History:
@@ -40,6 +41,7 @@
         self.rng = random.Random(seed)
         self.now = 1.0
         self.calm = False
+        self.busy_until = 0.0  # starts wait in the queue of orders until then
         self.epoch = 0
         self.counts = collections.Counter()
         self.specs = {}
@@ -127,15 +129,24 @@
             self._read_configuration()
         if rng.random() > 0.3:
             return
-        machine = rng.choice(list(self.machines.values()))
-        worker = self.cell.workers[machine.entry.id]
-        match rng.choice(
-            ("publish", "take over", "restart", "silent", "slow", "cancel")
-        ):
+        match rng.choice(FAULTS):
             case "publish":
                 self.publish()
             case "take over":
                 self.take_over()
+            case "busy":
+                self.busy_until = self.now + rng.choice((0.5, 5.0))
+            case "cancel":
+                if self.cell.jobs and rng.random() < 0.3:
+                    self.cell.cancel(rng.choice(list(self.cell.jobs)), self.now)
+            case fault:
+                self._disturb_worker(fault)
+        self._check()
+
+    def _disturb_worker(self, fault):
+        rng = self.rng
+        machine = rng.choice(list(self.machines.values()))
+        match fault:
             case "restart":
                 machine.restart()
                 if rng.random() < 0.5:
@@ -143,11 +154,7 @@
             case "silent":
                 machine.silent_until = self.now + rng.choice((0.5, 1.5, 5.0))
             case "slow":
-                worker.slow_until = self.now + 4.0
-            case "cancel":
-                if self.cell.jobs and rng.random() < 0.3:
-                    self.cell.cancel(rng.choice(list(self.cell.jobs)), self.now)
-        self._check()
+                self.cell.workers[machine.entry.id].slow_until = self.now + 4.0
 
     def _submit(self):
         rng = self.rng
@@ -278,7 +285,9 @@
     def _send_starts(self):
         orders, self.orders = self.orders, []
         for start in orders:
-            if not self.calm and self.rng.random() < 0.2:
+            if self.now < self.busy_until or (
+                not self.calm and self.rng.random() < 0.2
+            ):
                 self.orders.append(start)
                 continue
             self._send_start(start)
@@ -287,12 +296,7 @@
     def _send_start(self, start):
         cell, step, task, worker = self.cell, start.step, start.task, start.worker
         machine = self.machines[worker.id]
-        if (
-            step.job.is_final
-            or task.run != start.run
-            or cell.is_gang_broken(step, task)
-            or not worker.responsive
-        ):
+        if not (cell.may_order(step, task, start.run) and worker.responsive):
             cell.cancel_start(step, task, start.run, self.now)
             return
         fate = self.rng.random() if not self.calm else 1.0
--- a/test/test_coordinator_attempts.py
+++ b/test/test_coordinator_attempts.py
@@ -23,7 +23,14 @@
 
         With each seed a job was active after its end, or ran or failed again.
         """
-        self.assert_holds((37, 100, 154, 170, 223, 239))
+        self.assert_holds((47, 106, 108, 142, 162, 172))
+
+    def test_a_start_that_waited_in_the_queue_is_sent_only_if_it_is_still_wanted(self):
+        """Guards against starts of tasks that were requeued since.
+
+        With each seed a worker ran more than its capacity.
+        """
+        self.assert_holds((219, 235, 290, 422, 538))
 
     def assert_holds(self, seeds):
         found, counts = {}, 0
--- a/test/test_coordinator_orders.py
+++ b/test/test_coordinator_orders.py
@@ -1,12 +1,21 @@
 """The coordinator's orders to workers: limits in flight, and rounds that go on."""
 
+import types
+
 import gevent
 import testtools
 from gevent import event
 
 from test import coordinator_case as case
 from test import test_coordinator_leadership as leadership_tests
-from toucanspring.coordinator import order_queue, state
+from toucanspring.coordinator import (
+    dispatch,
+    order_queue,
+    planner,
+    ports,
+    reports,
+    state,
+)
 
 JOB, OTHER = "0" * 16, "1" * 16
 
@@ -115,6 +124,32 @@
         self.wait_for(lambda: self.is_complete(OTHER), 2.0)
 
 
+class QueuedStartTest(testtools.TestCase):
+    def test_a_start_whose_worker_was_lost_meanwhile_is_not_sent(self):
+        """Guards against two runs of a task at the same time.
+
+        The start waited in the queue until the worker was lost and had come back.
+        """
+        cell = case.new_cell()
+        cell.accept(case.job(JOB, case.step(1)), 1.0)
+        [start] = planner.Planner(cell).plan(1.0).starts
+        reports.mark_lost(cell, cell.workers["w1"], 9.0)
+        case.poll(cell, "w1", now=10.0)
+        leader = types.SimpleNamespace(
+            cell=cell, epoch=1, may_renew=lambda _now: True, wake=lambda: None
+        )
+        sent = []
+        client = types.SimpleNamespace(
+            start=lambda _worker, order: sent.append(order) or ports.OrderDone(10_000)
+        )
+        with dispatch.Dispatcher(leader, client, 6000, lambda: 10.0) as orders:
+            orders.start(start, 1.0)
+            while orders.starts.waiting or orders.starts.in_flight:
+                gevent.sleep(0)
+        self.assertEqual([], sent)
+        self.assertEqual([case.WAITING], case.phases(cell))
+
+
 class RenewalTest(leadership_tests.LeadershipCase):
     def test_a_start_that_was_not_sent_for_want_of_a_lease_is_queued_again(self):
         """Guards against a recorded start that is never ordered.
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -324,6 +324,15 @@
             for other in step_run.tasks
         )
 
+    def may_order(self, step_run: state.StepRun, task: state.Task, run: int) -> bool:
+        """Return whether a recorded start is still wanted."""
+        return not (
+            step_run.job.is_final
+            or task.run != run
+            or task.phase is not state.TaskPhase.STARTING
+            or self.is_gang_broken(step_run, task)
+        )
+
     def cancel_start(
         self, step_run: state.StepRun, task: state.Task, run_number: int, now: float
     ) -> None:
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -260,11 +260,7 @@
         """Send a start order, or cancel it if it is void by now; return 0."""
         start = queued.start
         cell, step_run = self._leader.cell, start.step
-        if (
-            step_run.job.is_final
-            or start.task.run != start.run
-            or cell.is_gang_broken(step_run, start.task)
-        ):
+        if not cell.may_order(step_run, start.task, start.run):
             cell.cancel_start(step_run, start.task, start.run, self._clock())
             return 0.0
         began = self._clock()
