--- a/test/attempts_model.py
+++ b/test/attempts_model.py
@@ -187,7 +187,8 @@
         rng = self.rng
         if self.epoch:
             for start in self.orders:
-                if rng.random() < 0.5:
+                wanted = self.cell.may_order(start.step, start.task, start.run)
+                if rng.random() < 0.5 and wanted and start.worker.responsive:
                     self._deliver_start(start)  # its confirmation is lost
         self.epoch += 1
         self.orders = []
