Await the leases of workers of a job that is read late

Seen by reading: a job that is read after its progress may refer to a worker that has left the list. It was added without an end of its lease and without a loop that awaits it, so the task could not run again until that worker returned.

Change: such workers get the longest lease that a predecessor may have renewed, as those that are known when the jobs are restored, and are watched.

--- a/test/test_coordinator_unreadable.py
+++ b/test/test_coordinator_unreadable.py
@@ -64,6 +64,21 @@
                 self.assertIsInstance(call(job_id), errors.Malformed)
         self.assert_no_violations()
 
+    # Guards against a task that waits for ever for a worker which is gone, since the
+    # job was read after its progress.
+    def test_a_job_read_late_waits_only_for_the_lease_of_a_worker_that_is_gone(self):
+        task = rows.TaskRow(0, 1, 0, "gone", 1)
+        progress = rows.Progress("active", (rows.StepRow(0, 0, (task,)),))
+        self.store.put(rows.progress_row_id(OTHER_JOB), rows.encode(progress))
+        leader = self.coordinate()
+        self.accept(case.step(1), job_id=OTHER_JOB)
+        self.wait_for(lambda: "gone" in leader.cell.workers)
+        worker = leader.cell.workers["gone"]
+        self.assertEqual(leader._longest_lease_at, worker.lease_expires_at)
+        worker.lease_expires_at = 0.0  # it is over
+        self.wait_for(lambda: self.is_complete(OTHER_JOB))
+        self.assert_no_violations()
+
     def test_an_unreadable_lease_is_not_taken_as_free(self):
         # Guards against a second coordinator with an epoch that was used before.
         self.store.put(rows.LEADER_LEASE_ROW, b"\xc1")
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -112,9 +112,13 @@
         self.stops.close()
         self._loops.clear()
 
+    def watches(self, worker: workers.Worker) -> bool:
+        """Return whether a worker is polled, or its lease awaited."""
+        return worker.id in self._loops
+
     def watch(self, worker: workers.Worker) -> None:
         """Poll a worker until its lease has expired and it is unregistered."""
-        if worker.id not in self._loops:
+        if not self.watches(worker):
             self._acknowledged[worker.id] = event.Event()
             self._loops[worker.id] = gevent.spawn(self._run, worker)
 
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -94,7 +94,9 @@
         self._on_round = on_round
         self._planner = planner.Planner(self.cell)
         self._dispatcher = dispatch.Dispatcher(self, client, max_lease_ms)
-        self._max_lease_s = max_lease_ms / 1000
+        self._longest_lease_at = recovery.find_longest_lease(
+            acquired, self._acquired_at, max_lease_ms / 1000
+        )
         self._request_approval = request_approval
         self._wake_event = event.Event()
         self._commit_event = event.Event()
@@ -287,9 +289,8 @@
         recovery.restore_cell(
             self.cell, self.epoch, self._jobs.rows.values(), progress, loader.took_s
         )
-        recovery.assume_leases(
-            self.cell, self._acquired, self._acquired_at, self._max_lease_s
-        )
+        for worker in self.cell.workers.values():
+            worker.lease_expires_at = self._longest_lease_at
         return True
 
     def _on_job_row(self, row: ports.Row) -> None:
@@ -299,13 +300,23 @@
         if isinstance(spec, errors.Malformed):
             log.error("ignoring unreadable job {}: {}", row.id.key, spec)
             return
+        has_progress = spec.id in self.cell.unclaimed
         self.cell.accept(spec, time.monotonic(), recovery.age_s(spec))
+        if has_progress:
+            self._watch_restored_workers()
         structured.decide(
             log, "job_learned", job=spec.id, queue=spec.queue,
             organisation=spec.organisation, age_s=round(recovery.age_s(spec), 3),
         )  # fmt: skip
         self.wake()
 
+    def _watch_restored_workers(self) -> None:
+        """Wait for the leases of workers that only restored tasks refer to."""
+        for worker in list(self.cell.workers.values()):
+            if not self._dispatcher.watches(worker):
+                worker.lease_expires_at = self._longest_lease_at
+                self._dispatcher.watch(worker)
+
     def _sync_workers(self) -> None:
         if not self.ready.is_set():
             return  # the entries known at the end of the load are registered by it
--- a/toucanspring/coordinator/recovery.py
+++ b/toucanspring/coordinator/recovery.py
@@ -117,24 +117,20 @@
     )  # fmt: skip
 
 
-def assume_leases(
-    cell: cell_state.CellState,
-    acquired: leader_lease.Acquired,
-    acquired_at: float,
-    max_lease_s: float,
-) -> None:
-    """Assume for each worker the longest lease that a predecessor may have renewed."""
+def find_longest_lease(
+    acquired: leader_lease.Acquired, acquired_at: float, max_lease_s: float
+) -> float:
+    """Return when each lease of a worker that a predecessor has renewed is over."""
     renewed_until = acquired_at + max_lease_s
     if acquired.predecessor_may_run:
         renewed_until += (
             acquired.predecessor_lease_left_s + dispatch.STORE_OUTAGE_GRACE_S
         )
-    for worker in cell.workers.values():
-        worker.lease_expires_at = (
-            renewed_until
-            + max_lease_s * workers.MAX_CLOCK_DRIFT
-            + workers.LEASE_EXPIRY_SLACK_S
-        )
+    return (
+        renewed_until
+        + max_lease_s * workers.MAX_CLOCK_DRIFT
+        + workers.LEASE_EXPIRY_SLACK_S
+    )
 
 
 def restore(
