--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -387,8 +387,8 @@
         if not (dirty or cancel_waiters or removed or renewal_due):
             self._apply_acks(pending_acks)
             return
-        # A write may be split and end early. Progress without a copy of its job is
-        # ignored by a successor that cannot read the part with the row of the job.
+        # A write may be split and end early. A successor that cannot read the part with
+        # the row of a job needs the copy to apply its progress.
         puts = {
             rows.job_copy_row_id(job_id): rows.encode(record.spec)
             for job_id, record in dirty.items()
