Move the waits of callers for a write out of leadership.py

What callers wait for until a write has taken effect is a module of its own now; nothing else changes. 98 tests of leadership, processes, polls, load, retention, unreadable rows, modules and documents pass.

--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -10,7 +10,6 @@
 import time
 from collections.abc import Callable
 
-import gevent
 import logbook
 from gevent import event
 
@@ -22,6 +21,7 @@
     fenced_writer,
     job_specs,
     leader_lease,
+    outcome_waits,
     planner,
     plans,
     ports,
@@ -42,13 +42,7 @@
 # The number of waiting jobs is not given by a copy of the jobs older than this.
 MAX_PENDING_AGE_S = 2.0
 HOUSEKEEPING_INTERVAL_S = 0.25
-CANCEL_TIMEOUT_S = 3.0
 RELEASE_TIMEOUT_S = 1.5  # part of the time for a graceful stop
-# A status request that arrives while the last tasks of a job end waits for the write in
-# progress: after an answer that is stale by a few milliseconds, the caller would ask
-# again only much later.
-STATUS_ENDING_WAIT_S = 0.08
-STATUS_WRITE_WAIT_S = 0.4
 SLOW_ROUND_S = 0.15  # a longer round is logged with the time of its parts
 
 
@@ -99,9 +93,8 @@
         )
         self._request_approval = request_approval
         self._wake_event = event.Event()
-        self._commit_event = event.Event()
         self._pending_acks: list[PendingAck] = []
-        self._cancel_waiters: list[event.AsyncResult] = []
+        self._waits = outcome_waits.OutcomeWaits()
         self._jobs = table_cache.TableCache(store, rows.JOBS, self._on_job_row)
         self._retention = retention.Retention(self.cell, store, self._jobs, self.wake)
         self._housekeeping_at = 0.0
@@ -123,8 +116,7 @@
             failure = errors.Unavailable(
                 reason="this process is no longer the coordinator"
             )
-            for waiter in self._cancel_waiters:
-                waiter.set(failure)
+            self._waits.end(failure)
 
     def _coordinate(self) -> None:
         with self._dispatcher, self._jobs, self._retention:
@@ -209,33 +201,7 @@
             failure = self._load_job(job_id)
             if failure is not None:
                 return failure
-        return self._await_durable_state(self.cell.jobs[job_id])
-
-    def _await_durable_state(
-        self, record: state.JobRecord
-    ) -> state.JobState | errors.Unavailable:
-        """Return the durable state, after a short wait if it is about to change."""
-        asked_at = time.monotonic()
-        while record.durable_state not in state.FINAL_STATES:
-            has_ended = record.state in state.FINAL_STATES
-            limit_s = STATUS_WRITE_WAIT_S if has_ended else STATUS_ENDING_WAIT_S
-            left_s = asked_at + limit_s - time.monotonic()
-            if left_s <= 0 or not (has_ended or self._all_remaining_running(record)):
-                break
-            self._commit_event.clear()
-            self._commit_event.wait(left_s)
-        known = record.durable_state
-        if known not in state.FINAL_STATES and record.state in state.FINAL_STATES:
-            # Another process may have read the outcome from the store already.
-            return errors.Unavailable(reason="the write of the outcome is unanswered")
-        return known
-
-    @staticmethod
-    def _all_remaining_running(record: state.JobRecord) -> bool:
-        """Return whether no task of a job waits to be started."""
-        return not record.spec.repeats and all(
-            not run.waiting for run in record.steps.values()
-        )
+        return self._waits.await_state(self.cell.jobs[job_id])
 
     def cancel(self, job_id: str) -> state.JobState | errors.Failure:
         """Cancel a job durably and return its state; an ended job keeps its outcome."""
@@ -246,14 +212,9 @@
         record = self.cell.cancel(job_id, time.monotonic())
         if record.durable_state is record.state:
             return record.durable_state
-        waiter = event.AsyncResult()
-        self._cancel_waiters.append(waiter)
+        waiter = self._waits.add_cancellation()
         self.wake()
-        try:
-            failure = waiter.get(timeout=CANCEL_TIMEOUT_S)
-        except gevent.Timeout:
-            return errors.Ambiguous(reason="the cancellation is not durable yet")
-        return record.durable_state if failure is None else failure
+        return outcome_waits.await_cancellation(record, waiter)
 
     def pending(self, queue: str) -> int | errors.Unavailable:
         """Return how many jobs of a queue have not started, if all jobs are known."""
@@ -380,11 +341,11 @@
         dirty = dict(self.cell.dirty)
         self.cell.dirty.clear()
         pending_acks, self._pending_acks = self._pending_acks, []
-        cancel_waiters, self._cancel_waiters = self._cancel_waiters, []
+        cancellations = self._waits.take_cancellations()
         self._write_s, self._written_bytes = 0.0, 0
         removed = self._retention.take(dirty)
         renewal_due = now - self._writer.committed_at >= leader_lease.RENEW_INTERVAL_S
-        if not (dirty or cancel_waiters or removed or renewal_due):
+        if not (dirty or cancellations or removed or renewal_due):
             self._apply_acks(pending_acks)
             return
         # A write may be split and end early. A successor that cannot read the part with
@@ -406,13 +367,13 @@
         self._write_s = time.monotonic() - sent_at
         self._dispatcher.pacing.record_write(self._write_s)
         if failure is not None:
-            self._cancel_waiters.extend(cancel_waiters)
+            self._waits.put_back(cancellations)
             return
         for job_id, record in dirty.items():
             record.durable_state = states[job_id]
             record.has_copy = True
         self._retention.forget(removed)
-        self._commit_event.set()
+        self._waits.note_commit(cancellations)
         if starts:
             structured.decide(
                 log, "starts_recorded", commit=self._writer.writes, epoch=self.epoch,
@@ -423,8 +384,6 @@
         for start in starts:
             self._dispatcher.start(start, now)
         self._apply_acks(pending_acks)
-        for waiter in cancel_waiters:
-            waiter.set(None)
 
     def _apply_acks(self, pending_acks: list[PendingAck]) -> None:
         for ack in pending_acks:
