Request approval of as many workers as a step needs

Cause: each step asked about every worker of its pool, 100 at a time. Change: approvals.py names as many workers as the waiting tasks need, by the share that the queue's requests approve, with room, in turn; twice the spare for gangs. A step looks at its approved workers only. A pool that was found full is not looked at again in a round. Renewals name the workers that are needed. The ceilings move into ceilings.py and victims into preemption.py, behaviour unchanged. Test: a step that was approved on one full worker is tested as before; it answers all requests first, since one no longer names all workers.

--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -328,7 +328,7 @@
                 if worker.is_usable(now, self._cell.zones_out)
             ]
             if any(worker.id not in step_run.allowed for worker in usable):
-                self._planner.request_approval(
+                self._planner.approvals.request(
                     step_run, queue, [each.id for each in usable], plan, now
                 )
                 continue
@@ -336,10 +336,10 @@
                 step_run, [each for each in usable if step_run.allowed[each.id]]
             )
             if chosen and any(
-                self._planner.ticket(step_run, queue, worker.id, now) is None
+                self._planner.approvals.ticket(step_run, queue, worker.id, now) is None
                 for worker in chosen
             ):
-                self._planner.request_approval(
+                self._planner.approvals.request(
                     step_run, queue, [each.id for each in usable], plan, now
                 )
                 continue
--- a/test/test_coordinator_pacing.py
+++ b/test/test_coordinator_pacing.py
@@ -10,6 +10,7 @@
 from test import coordinator_case as case
 from test import test_coordinator_leadership as leadership_tests
 from toucanspring.coordinator import (
+    approvals,
     catalogue,
     dispatch,
     order_pacing,
@@ -132,14 +133,14 @@
     def test_a_ticket_that_expires_before_the_order_arrives_is_not_used(self):
         """Guards against starts refused for their ticket while rounds are slow."""
         self.approve(1.3)
-        self.planner.ticket_margin_s = 0.4
+        self.planner.approvals.ticket_margin_s = 0.4
         plan = self.planner.plan(1.0)
         self.assertEqual([], plan.starts)
         self.assertEqual(1, len(plan.approval_requests))
 
     def test_a_fresh_ticket_is_used_however_late_orders_arrive(self):
-        self.approve(1.0 + VALIDITY_S * planner.MIN_USABLE_VALIDITY + 0.01)
-        self.planner.ticket_margin_s = 60.0
+        self.approve(1.0 + VALIDITY_S * approvals.MIN_USABLE_VALIDITY + 0.01)
+        self.planner.approvals.ticket_margin_s = 60.0
         self.assertEqual(4, len(self.planner.plan(1.0).starts))
 
     def test_a_round_plans_no_more_than_its_limit(self):
--- a/test/test_coordinator_planner.py
+++ b/test/test_coordinator_planner.py
@@ -4,7 +4,7 @@
 
 from test import coordinator_case as case
 from toucanspring import resources
-from toucanspring.coordinator import catalogue, gangs, planner, plans
+from toucanspring.coordinator import catalogue, gangs, planner, plans, preemption
 
 JOB = "0" * 16
 APPROVED = catalogue.Approval(decision_s=0.05, per_worker_s=0.001, validity_s=2.5)
@@ -19,6 +19,18 @@
         super().setUp()
         self.catalogue = case.configure(case.queue(approval=APPROVED))
 
+    def answer_all(self, cell_planner, now, approved):
+        """Plan and answer until nothing more is requested; return the starts."""
+        starts = []
+        while True:
+            plan = cell_planner.plan(now)
+            starts += plan.starts
+            if not plan.approval_requests:
+                return starts
+            for question in plan.approval_requests:
+                names = [name for name in question.workers if name in approved]
+                approve(question, names, now)
+
     def test_a_step_starts_only_on_approved_workers(self):
         cell = case.new_cell(
             case.entry("w1"), case.entry("w2"), catalogue_=self.catalogue
@@ -71,9 +83,8 @@
         cell = case.new_cell(*entries, catalogue_=self.catalogue)
         cell.accept(case.job(JOB, case.step(40, cpus=1000)), 1.0)
         cell_planner = planner.Planner(cell)
-        [question] = cell_planner.plan(1.0).approval_requests
-        approve(question, ["w3"], 1.1)
-        self.assertEqual(32, len(cell_planner.plan(1.1).starts))
+        starts = self.answer_all(cell_planner, 1.0, approved=["w3"])
+        self.assertEqual(32, len(starts))
         for number in range(18, 22):  # too few for a request before the step is blocked
             cell.register_worker(case.entry(f"w{number}"))
             case.poll(cell, f"w{number}", now=1.2)
@@ -379,7 +390,7 @@
         self.fill()
         for record in self.cell.jobs.values():
             for task in record.steps[0, 0].tasks:
-                task.preemptions = gangs.MAX_PREEMPTIONS
+                task.preemptions = preemption.MAX_PREEMPTIONS
         self.cell.accept(case.job(JOB, case.step(1, cpus=9000, gang=True)), 1.0)
         self.cell_planner.plan(2.6)
         self.assertEqual([], self.cell.stops)
--- a/test/test_coordinator_progress.py
+++ b/test/test_coordinator_progress.py
@@ -4,7 +4,7 @@
 
 from test import coordinator_case as case
 from toucanspring import resources
-from toucanspring.coordinator import catalogue, gangs, planner, plans
+from toucanspring.coordinator import approvals, catalogue, gangs, planner, plans
 
 JOB = "0" * 16
 OTHER = "1" * 16
@@ -181,7 +181,7 @@
 
         A request names 100 workers at most, and the free ones are not the first.
         """
-        size = planner.MAX_WORKERS_PER_REQUEST + 4
+        size = approvals.MAX_WORKERS_PER_REQUEST + 4
         cell = case.new_cell(
             *(
                 case.entry(f"w{number}", cpus=10_000 if number < size - 2 else 20_000)
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -7,10 +7,12 @@
 
 from toucanspring import resources
 from toucanspring.coordinator import (
+    approvals,
     catalogue,
     cell_state,
     placement,
     plans,
+    preemption,
     state,
     workers,
 )
@@ -21,35 +23,15 @@
 PREEMPT_AFTER_S = 1.5
 # A gang preempts only if its slack to the deadline is positive and below this.
 MAX_PREEMPTING_SLACK_S = 4.0
-# For each task; a preemption costs up to a second of the task's allocation.
-MAX_PREEMPTIONS = 2
 # A gang keeps its reserved workers for this long.
 RESERVATION_S = 3.0
 MAX_RESERVING_GANGS = 3
 GANG_RETRY_S = 0.2  # until a gang that could reserve nothing tries again
-# A preempted task without checkpoints loses its work; tasks that have run for longer
-# than this are not preempted.
-MAX_LOST_WORK_S = 0.5
 
 
 class PlannerInterface(Protocol):
     """Methods of the planner that single tasks and gangs share."""
 
-    def request_approval(
-        self,
-        step_run: state.StepRun,
-        queue: catalogue.Queue,
-        names: list[str],
-        plan: plans.Plan,
-        now: float,
-    ) -> None:
-        """Request approval of workers, unless a request is pending or must wait."""
-
-    def ticket(
-        self, step_run: state.StepRun, queue: catalogue.Queue, worker: str, now: float
-    ) -> str | None:
-        """Return a valid ticket, "" if none is needed, or None if there is none."""
-
     def start(
         self,
         step_run: state.StepRun,
@@ -67,16 +49,29 @@
     ) -> None:
         """Skip a step until a worker could take more, or it is held back for long."""
 
-    def not_requested_with_room(self, step_run: state.StepRun) -> list[str]:
-        """Return workers with free capacity that no approval was requested for."""
+    def request_further(
+        self,
+        step_run: state.StepRun,
+        queue: catalogue.Queue,
+        held_back: bool,
+        plan: plans.Plan,
+        now: float,
+    ) -> bool:
+        """Request approval of further workers with room; return whether any are."""
 
 
 class Gangs:
     """Planner for the gangs of one cell."""
 
-    def __init__(self, cell: cell_state.CellState, planner: PlannerInterface) -> None:
+    def __init__(
+        self,
+        cell: cell_state.CellState,
+        planner: PlannerInterface,
+        requests: approvals.Approvals,
+    ) -> None:
         self._cell = cell
         self._planner = planner
+        self._approvals = requests
 
     def plan(
         self,
@@ -112,24 +107,23 @@
             chosen = placement.place_gang(step_run, allowed, {})
         if chosen is None:
             plan.record_wait(step_run, plans.NO_ROOM)
-            names = self._planner.not_requested_with_room(step_run)
-            if names:
-                self._planner.request_approval(step_run, queue, names, plan, now)
+            self._planner.request_further(step_run, queue, held_back, plan, now)
             if now - step_run.ready_at >= RESERVE_AFTER_S:
                 usable = [each for each in eligible if not each.is_paused(now)]
                 self._reserve_and_preempt(step_run, queue, usable, plan, now)
             return
         missing = [
-            worker.id
+            worker
             for worker, _ in chosen
-            if self._planner.ticket(step_run, queue, worker.id, now) is None
+            if self._approvals.ticket(step_run, queue, worker.id, now) is None
         ]
         if missing:
             plan.record_wait(step_run, plans.AWAITING_APPROVAL)
-            # Request all approved workers: capacity may change before the reply. The
-            # missing ones come first, since the size of a request is limited.
-            names = list(dict.fromkeys([*missing, *(worker.id for worker in eligible)]))
-            self._planner.request_approval(step_run, queue, names, plan, now)
+            # Others too, since capacity may change before the reply. The missing ones
+            # come first, since the size of a request is limited.
+            named = dict.fromkeys([*missing, *open_workers])
+            names = self._approvals.choose_again(step_run, named)
+            self._approvals.request(step_run, queue, names, plan, now)
             plan.reserved.update(worker.id for worker, _ in chosen)
             return
         run_number = max(task.run for task in step_run.tasks) + 1
@@ -162,7 +156,7 @@
             return
         open_workers = [each for each in eligible if each.id not in plan.reserved]
         victims = {
-            worker.id: self._find_victims(worker, queue.priority, now)
+            worker.id: preemption.find_victims(self._cell, worker, queue.priority, now)
             for worker in open_workers
         }
         chosen = self._choose_reservation(step_run, open_workers, victims, now)
@@ -183,8 +177,7 @@
                     break
                 free = free + allocation.step.step.occupied()
                 if allocation.task.phase is state.TaskPhase.RUNNING:
-                    allocation.task.preemptions += 1
-                    self._cell.stop(allocation.step, allocation.task)
+                    preemption.preempt(self._cell, allocation)
 
     @staticmethod
     def _choose_reservation(
@@ -211,30 +204,3 @@
             step_run.reserved = frozenset(worker.id for worker, _ in chosen)
             step_run.reserved_until = now + RESERVATION_S
         return chosen
-
-    def _find_victims(
-        self, worker: workers.Worker, priority: int, now: float
-    ) -> list[workers.Allocation]:
-        """Return the tasks that may be preempted, those already stopping first."""
-        found: list[tuple[float, workers.Allocation]] = []
-        for allocation in worker.allocations.values():
-            if allocation.task.phase is state.TaskPhase.STOPPING:
-                found.append((-1.0, allocation))
-                continue
-            if (
-                allocation.task.phase is not state.TaskPhase.RUNNING
-                or allocation.step.step.gang
-            ):
-                continue
-            if allocation.task.preemptions >= MAX_PREEMPTIONS:
-                continue
-            other = self._cell.catalogue.queue(allocation.step.job.spec.queue)
-            if other is None or other.priority <= priority:
-                continue
-            lost_s = now - allocation.task.started_at
-            if allocation.step.step.checkpointing:
-                lost_s = 0.0
-            if lost_s <= MAX_LOST_WORK_S:
-                found.append((lost_s, allocation))
-        found.sort(key=lambda each: each[0])
-        return [allocation for _, allocation in found]
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -307,7 +307,9 @@
         plan = plans.Plan()
         if self.may_start(now):
             self._planner.max_starts = self._dispatcher.start_limit()
-            self._planner.ticket_margin_s = self._dispatcher.pacing.ticket_margin_s()
+            self._planner.approvals.ticket_margin_s = (
+                self._dispatcher.pacing.ticket_margin_s()
+            )
             plan = self._planner.plan(now)
         for request in plan.approval_requests:
             self._request_approval(request)
--- a/toucanspring/coordinator/placement.py
+++ b/toucanspring/coordinator/placement.py
@@ -21,6 +21,24 @@
     ]
 
 
+def is_eligible(step_run: state.StepRun, worker: workers.Worker) -> bool:
+    """Return whether a worker could run a task of a step if it was idle."""
+    label = step_run.step.required_label
+    return (
+        not label or label in worker.entry.labels
+    ) and step_run.step.occupied().fits(worker.entry.capacity)
+
+
+def count_slots(step_run: state.StepRun, worker: workers.Worker) -> int:
+    """Return how many tasks of a step fit into the free capacity of a worker."""
+    demand = step_run.step.occupied()
+    if not worker.has_room(demand):
+        return 0
+    count = demand.count_in(worker.free())
+    limit = step_run.step.max_per_worker
+    return min(count, limit) if limit else count
+
+
 def may_place(
     step_run: state.StepRun,
     task: state.Task,
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -8,11 +8,14 @@
 
 import math
 
-from toucanspring import resources
+import logbook
+
 from toucanspring.coordinator import (
+    approvals,
     attempts,
     availability,
     catalogue,
+    ceilings,
     cell_state,
     gangs,
     order_pacing,
@@ -22,18 +25,18 @@
     workers,
 )
 
+log = logbook.Logger(__name__)
+
 TOP_PRIORITY = 0
 # A job counts as late once this fraction of its estimated run time does not fit before
 # the deadline; estimates are off by up to 0.9 in either direction.
 LATE_ESTIMATE_FRACTION = 0.6
-# A fresh ticket is used for this fraction of its validity, however late orders arrive.
-MIN_USABLE_VALIDITY = 0.5
 # A step of which nothing runs after this long in a lightly used pool may use workers
 # that are paused or reserved for gangs: a doubtful start is better than none.
 MAX_HELD_BACK_S = 1.5
 # Limits the duration of a round.
 MAX_STEPS_PER_ROUND = 400
-MAX_WORKERS_PER_REQUEST = 100
+FAILED_STEP_PAUSE_S = 1.0  # of a step whose planning raised an exception
 
 
 class Planner:
@@ -42,10 +45,10 @@
     def __init__(self, cell: cell_state.CellState) -> None:
         self._cell = cell
         self._available = availability.Availability(cell)
-        self._gangs = gangs.Gangs(cell, self)
+        self.approvals = approvals.Approvals()
+        self._gangs = gangs.Gangs(cell, self, self.approvals)
+        self._ceilings = ceilings.Ceilings(cell)
         self.max_starts = order_pacing.MIN_STARTS_PER_ROUND
-        # Remaining validity of a ticket at a start: the order may be delayed.
-        self.ticket_margin_s = order_pacing.MIN_TICKET_MARGIN_S
 
     def plan(self, now: float) -> plans.Plan:
         """Plan one round and allocate the resources for its starts.
@@ -56,6 +59,7 @@
         attempts.fail_exhausted(self._cell, now)
         plan = plans.Plan()
         self._available.begin_round(now)
+        self._ceilings.begin_round()
         over_share = self._find_over_share()
         steps = sorted(
             self._cell.ready.values(),
@@ -65,19 +69,23 @@
         for step_run in steps:
             if not left or len(plan.starts) >= self.max_starts:
                 break
-            queue = self._cell.catalogue.queue(step_run.job.spec.queue)
-            if step_run.job.is_final:
-                continue
-            if queue is None:
-                plan.record_wait(step_run, plans.UNKNOWN_QUEUE)
+            if step_run.job.is_final or now < step_run.skipped_until:
                 continue
-            if self._must_wait(step_run, queue, plan, now):
-                continue
-            left -= 1
-            self._plan_step(step_run, queue, plan, now)
+            left -= self._look_at(step_run, plan, now)
         self._available.end_round()
         return plan
 
+    def _look_at(self, step_run: state.StepRun, plan: plans.Plan, now: float) -> bool:
+        """Plan a step unless it must wait; return whether it was planned."""
+        queue = self._cell.catalogue.queue(step_run.job.spec.queue)
+        if queue is None:
+            plan.record_wait(step_run, plans.UNKNOWN_QUEUE)
+            return False
+        if self._must_wait(step_run, queue, plan, now):
+            return False
+        self._plan_step(step_run, queue, plan, now)
+        return True
+
     def _must_wait(
         self,
         step_run: state.StepRun,
@@ -91,14 +99,14 @@
             and now < step_run.blocked_until
         ):
             return True
-        if self._ceiling(step_run) is None:
+        if self._ceilings.limit(step_run) is None:
             plan.record_wait(step_run, plans.UNKNOWN_ORGANISATION)
             return True
         if step_run.approval_pending and not step_run.tickets:
             plan.record_wait(step_run, plans.AWAITING_APPROVAL)
             return True
-        if queue.approval is None and not self._within_ceiling(step_run):
-            plan.record_wait(step_run, plans.ABOVE_CEILING)
+        if queue.approval is None and not self._ceilings.permits(step_run):
+            self._await_allowance(step_run, queue, plan, now)
             return True
         step = step_run.step
         if (
@@ -128,7 +136,7 @@
 
     def _find_over_share(self) -> frozenset[str]:
         """Return the organisations that use more than their fair share of the cell."""
-        capacity = workers.total_capacity(self._cell.workers.values())
+        capacity = self._cell.capacity()
         organisations = self._cell.catalogue.organisations.values()
         total = sum(each.weight for each in organisations)
         return frozenset(
@@ -149,8 +157,7 @@
         spec = step_run.job.spec
         queue = self._cell.catalogue.queue(spec.queue)
         priority = queue.priority if queue is not None else 9
-        needed_s = LATE_ESTIMATE_FRACTION * step_run.step.estimate_ms / 1000
-        late = now + needed_s > step_run.job.due_at
+        late = self._is_late(step_run, now)
         return (
             bool(step_run.job.over_rate),
             late and priority > TOP_PRIORITY,
@@ -167,45 +174,72 @@
         plan: plans.Plan,
         now: float,
     ) -> None:
-        pool = self._available.pool(queue.pool)
-        held_back = self._is_held_back(step_run, pool, now)
-        candidates = [*pool.usable, *pool.paused] if held_back else pool.usable
-        eligible = placement.find_eligible(step_run, candidates)
+        held_back = self._is_held_back(step_run, self._available.pool(queue.pool), now)
+        eligible = self._find_eligible(step_run, queue, held_back, now)
         if not eligible:
-            plan.record_wait(step_run, plans.NO_USABLE_WORKER)
-            step = step_run.step
-            plan.record_full((queue.pool, step.required_label), step.occupied())
-            self.block(step_run, now)
+            self._await_worker(step_run, queue, held_back, plan, now)
             return
-        if queue.approval is not None:
-            self._request_new_approvals(step_run, queue, eligible, plan, now)
-            step_run.not_requested = [
-                each for each in eligible if each.id not in step_run.allowed
-            ]
-            eligible = [
-                worker for worker in eligible if step_run.allowed.get(worker.id)
-            ]
-            if not eligible:
-                names = self.not_requested_with_room(step_run)
-                if names:
-                    self.request_approval(step_run, queue, names, plan, now)
-                elif not step_run.approval_pending:
-                    self.block(step_run, now)
-                plan.record_wait(
-                    step_run,
-                    plans.AWAITING_APPROVAL
-                    if step_run.approval_pending
-                    else plans.NOT_APPROVED,
-                )
-                return
-        if not self._within_ceiling(step_run):
-            plan.record_wait(step_run, plans.ABOVE_CEILING)
+        if not self._ceilings.permits(step_run):
+            self._await_allowance(step_run, queue, plan, now)
             return
         if step_run.step.gang:
             self._gangs.plan(step_run, queue, eligible, held_back, plan, now)
         else:
             self._plan_tasks(step_run, queue, eligible, held_back, plan, now)
 
+    def _candidates(
+        self, queue: catalogue.Queue, held_back: bool
+    ) -> list[workers.Worker]:
+        pool = self._available.pool(queue.pool)
+        return [*pool.usable, *pool.paused] if held_back else pool.usable
+
+    def _find_eligible(
+        self,
+        step_run: state.StepRun,
+        queue: catalogue.Queue,
+        held_back: bool,
+        now: float,
+    ) -> list[workers.Worker]:
+        """Return the workers that may run tasks of a step if they have room."""
+        if queue.approval is None:
+            candidates = self._candidates(queue, held_back)
+            return placement.find_eligible(step_run, candidates)
+        found = []
+        for name, allowed in step_run.allowed.items():
+            worker = self._cell.workers.get(name) if allowed else None
+            if worker is None or worker.entry.pool != queue.pool:
+                continue
+            if worker.is_available(self._cell.zones_out) and (
+                held_back or not worker.is_paused(now)
+            ):
+                found.append(worker)
+        return placement.find_eligible(step_run, found)
+
+    def _await_worker(
+        self,
+        step_run: state.StepRun,
+        queue: catalogue.Queue,
+        held_back: bool,
+        plan: plans.Plan,
+        now: float,
+    ) -> None:
+        """Request approval for a step without an eligible worker, or block it."""
+        candidates = self._candidates(queue, held_back)
+        if queue.approval is not None and not step_run.approval_pending:
+            names = self.approvals.choose(step_run, queue, candidates)
+            if names:
+                self.approvals.request(step_run, queue, names, plan, now)
+        if step_run.approval_pending:
+            plan.record_wait(step_run, plans.AWAITING_APPROVAL)
+            return
+        if queue.approval is None or not placement.find_eligible(step_run, candidates):
+            plan.record_wait(step_run, plans.NO_USABLE_WORKER)
+            step = step_run.step
+            plan.record_full((queue.pool, step.required_label), step.occupied())
+        else:
+            plan.record_wait(step_run, plans.NOT_APPROVED)
+        self.block(step_run, now)
+
     @staticmethod
     def _is_held_back(
         step_run: state.StepRun, pool: availability.Pool, now: float
@@ -222,69 +256,27 @@
 
     # Approvals
 
-    def _request_new_approvals(
+    def request_further(
         self,
         step_run: state.StepRun,
         queue: catalogue.Queue,
-        eligible: list[workers.Worker],
-        plan: plans.Plan,
-        now: float,
-    ) -> None:
-        unknown = [
-            worker.id for worker in eligible if worker.id not in step_run.allowed
-        ]
-        known = len(eligible) - len(unknown)
-        # A few new workers are not worth a request while others have a decision.
-        if unknown and len(unknown) * 3 > known:
-            self.request_approval(step_run, queue, unknown, plan, now)
-
-    def request_approval(
-        self,
-        step_run: state.StepRun,
-        queue: catalogue.Queue,
-        names: list[str],
+        held_back: bool,
         plan: plans.Plan,
         now: float,
-    ) -> None:
-        """Request approval of workers, unless a request is pending or must wait."""
-        if (
-            step_run.approval_pending
-            or now < step_run.approval_retry_at
-            or queue.approval is None
-        ):
-            return
-        step_run.approval_pending = True
-        names = names[:MAX_WORKERS_PER_REQUEST]
-        cost_s = queue.approval.decision_s + queue.approval.per_worker_s * len(names)
-        plan.approval_requests.append(
-            plans.ApprovalRequest(
-                step_run,
-                tuple(names),
-                cost_s,
-                queue.priority,
-                queue.approval.validity_s,
-            )
-        )
-
-    @staticmethod
-    def not_requested_with_room(step_run: state.StepRun) -> list[str]:
-        """Return workers with free capacity that no approval was requested for."""
-        demand = step_run.step.occupied()
-        return [each.id for each in step_run.not_requested if each.has_room(demand)]
+    ) -> bool:
+        """Request approval of further workers with room; return whether any are.
 
-    def ticket(
-        self, step_run: state.StepRun, queue: catalogue.Queue, worker: str, now: float
-    ) -> str | None:
-        """Return a valid ticket, "" if none is needed, or None if there is none."""
-        if queue.approval is None:
-            return ""
-        ticket = step_run.tickets.get(worker)
-        margin_s = min(
-            self.ticket_margin_s, MIN_USABLE_VALIDITY * queue.approval.validity_s
+        Paused workers count only for a step that is held back.
+        """
+        if queue.approval is None or step_run.approval_pending:
+            return False
+        candidates = self._candidates(queue, held_back)
+        names = self.approvals.choose_with_room(
+            step_run, queue, candidates, None if held_back else plan
         )
-        if ticket is None or ticket.expires_at < now + margin_s:
-            return None
-        return ticket.text
+        if names:
+            self.approvals.request(step_run, queue, names, plan, now)
+        return bool(names)
 
     # Single tasks
 
@@ -303,10 +295,10 @@
             open_workers = [each for each in eligible if each.id not in plan.reserved]
         demand = step_run.step.occupied()
         for index in sorted(step_run.waiting):
-            if (
-                not self._within_ceiling(step_run)
-                or len(plan.starts) >= self.max_starts
-            ):
+            if len(plan.starts) >= self.max_starts:
+                return
+            if not self._ceilings.permits(step_run):
+                self._await_allowance(step_run, queue, plan, now)
                 return
             task = step_run.tasks[index]
             fits = [
@@ -318,7 +310,7 @@
             valid = [
                 worker
                 for worker in fits
-                if self.ticket(step_run, queue, worker.id, now) is not None
+                if self.approvals.ticket(step_run, queue, worker.id, now) is not None
             ]
             if not valid and task.avoided_workers and now < task.avoid_until:
                 continue  # other tasks of the step may still fit
@@ -333,7 +325,7 @@
                 ):
                     plan.record_full((queue.pool, step_run.step.required_label), demand)
                 self._request_or_block(
-                    step_run, queue, [each.id for each in fits], may_block, plan, now
+                    step_run, queue, fits, held_back, may_block, plan, now
                 )
                 return
             best = min(
@@ -350,17 +342,24 @@
         self,
         step_run: state.StepRun,
         queue: catalogue.Queue,
-        without_ticket: list[str],
+        without_ticket: list[workers.Worker],
+        held_back: bool,
         may_block: bool,
         plan: plans.Plan,
         now: float,
     ) -> None:
         """Request approval of workers with capacity, or block the step without any."""
-        names = without_ticket or self.not_requested_with_room(step_run)
-        plan.record_wait(step_run, plans.AWAITING_APPROVAL if names else plans.NO_ROOM)
-        if names:
-            self.request_approval(step_run, queue, names, plan, now)
-        elif not step_run.approval_pending and may_block:
+        if without_ticket:
+            names = self.approvals.choose_again(step_run, without_ticket)
+            self.approvals.request(step_run, queue, names, plan, now)
+            requested = True
+        else:
+            requested = self.request_further(step_run, queue, held_back, plan, now)
+        if requested or step_run.approval_pending:
+            plan.record_wait(step_run, plans.AWAITING_APPROVAL)
+            return
+        plan.record_wait(step_run, plans.NO_ROOM)
+        if may_block:
             self.block(step_run, now)
 
     def start(
@@ -374,7 +373,7 @@
         now: float,
     ) -> None:
         """Allocate resources for a run and add its start to the plan."""
-        ticket = self.ticket(step_run, queue, worker.id, now) or ""
+        ticket = self.approvals.ticket(step_run, queue, worker.id, now) or ""
         self._cell.allocate(step_run, task, worker, run_number)
         plan.starts.append(
             plans.Start(
@@ -382,29 +381,17 @@
             )
         )
 
-    def _ceiling(self, step_run: state.StepRun) -> resources.Resources | None:
-        """Return the ceiling of a step's organisation (0: no limit), None if unknown.
+    def _await_allowance(
+        self,
+        step_run: state.StepRun,
+        queue: catalogue.Queue,
+        plan: plans.Plan,
+        now: float,
+    ) -> None:
+        """Leave a step waiting at the ceiling; make way for it if it is urgent."""
+        plan.record_wait(step_run, plans.ABOVE_CEILING)
 
-        Jobs of open queues may have no organisation.
-        """
-        name = step_run.job.spec.organisation
-        if not name:
-            return resources.ZERO
-        organisation = self._cell.organisations.get(name)
-        return None if organisation is None else organisation.ceiling
-
-    def _within_ceiling(self, step_run: state.StepRun) -> bool:
-        """Return whether one more task, or the whole gang, stays below the ceiling."""
-        ceiling = self._ceiling(step_run)
-        if ceiling is None:
-            return False
-        count = step_run.step.count if step_run.step.gang else 1
-        used = self._cell.used[step_run.job.spec.organisation]
-        wanted = used + step_run.step.demand.times(count)
-        return (
-            (not ceiling.cpus or wanted.cpus <= ceiling.cpus)
-            and (not ceiling.memory or wanted.memory <= ceiling.memory)
-            and (
-                not ceiling.accelerators or wanted.accelerators <= ceiling.accelerators
-            )
-        )
+    @staticmethod
+    def _is_late(step_run: state.StepRun, now: float) -> bool:
+        needed_s = LATE_ESTIMATE_FRACTION * step_run.step.estimate_ms / 1000
+        return now + needed_s > step_run.job.due_at
--- a/toucanspring/coordinator/plans.py
+++ b/toucanspring/coordinator/plans.py
@@ -16,6 +16,10 @@
 GANG_STILL_RUNNING = "members of the gang still run"
 UNKNOWN_QUEUE = "queue not in the configuration"
 UNKNOWN_ORGANISATION = "organisation in no known configuration"
+# Until the answers to a queue's requests show its own.
+FIRST_APPROVAL_SHARE = 0.5
+MIN_APPROVAL_SHARE = 0.1
+APPROVAL_SHARE_SMOOTHING = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,6 +35,19 @@
     backoff_until: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class ApprovalShare:
+    """Moving average of the share of workers that a queue's requests approve."""
+
+    value: float = FIRST_APPROVAL_SHARE
+
+    def record(self, asked: int, approved: int) -> None:
+        """Record the answer to a request."""
+        if asked:
+            moved = APPROVAL_SHARE_SMOOTHING * (approved / asked - self.value)
+            self.value = max(MIN_APPROVAL_SHARE, self.value + moved)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ApprovalRequest:
     """Request to approve workers for a step; durations are seconds."""
@@ -40,6 +57,7 @@
     cost_s: float
     priority: int
     validity_s: float
+    share: ApprovalShare | None = None  # of the queue; None for workers approved before
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +108,8 @@
 ) -> None:
     """Store the reply of the approval service in the step."""
     step_run = request.step
+    if request.share is not None:
+        request.share.record(len(request.workers), len(tickets))
     for name in request.workers:
         step_run.allowed[name] = name in tickets
         if name in tickets:
--- /dev/null
+++ b/toucanspring/coordinator/preemption.py
@@ -0,0 +1,64 @@
+"""Running tasks that may be stopped so that more urgent work can start."""
+
+from __future__ import annotations
+
+from toucanspring.coordinator import cell_state, state, workers
+
+# For each task; a preemption costs up to a second of the task's allocation.
+MAX_PREEMPTIONS = 2
+# A preempted task without checkpoints loses its work; tasks that have run for longer
+# than this are not preempted.
+MAX_LOST_WORK_S = 0.5
+# A task that is nearly complete ends about as soon as a stop would take.
+MAX_PERCENT = 80
+
+
+def find_victims(
+    cell: cell_state.CellState, worker: workers.Worker, priority: int, now: float
+) -> list[workers.Allocation]:
+    """Return the tasks that may be preempted, those already stopping first."""
+    found: list[tuple[float, workers.Allocation]] = []
+    for allocation in worker.allocations.values():
+        if allocation.task.phase is state.TaskPhase.STOPPING:
+            found.append((-1.0, allocation))
+            continue
+        if not _is_preemptible(cell, allocation, priority):
+            continue
+        lost_s = now - allocation.task.started_at
+        if allocation.step.step.checkpointing:
+            lost_s = 0.0
+        if lost_s <= MAX_LOST_WORK_S:
+            found.append((lost_s, allocation))
+    found.sort(key=lambda each: each[0])
+    return [allocation for _, allocation in found]
+
+
+def preempt(cell: cell_state.CellState, allocation: workers.Allocation) -> None:
+    """Stop a task; it goes on from its checkpoint once it starts again."""
+    allocation.task.preemptions += 1
+    cell.stop(allocation.step, allocation.task)
+
+
+def _is_preemptible(
+    cell: cell_state.CellState, allocation: workers.Allocation, priority: int
+) -> bool:
+    task = allocation.task
+    if task.phase is not state.TaskPhase.RUNNING or allocation.step.step.gang:
+        return False
+    if task.preemptions >= MAX_PREEMPTIONS:
+        return False
+    queue = cell.catalogue.queue(allocation.step.job.spec.queue)
+    return queue is not None and queue.priority > priority
+
+
+def loses_nothing(
+    cell: cell_state.CellState, allocation: workers.Allocation, priority: int
+) -> bool:
+    """Return whether a task may be preempted and goes on where it was stopped."""
+    step = allocation.step.step
+    return (
+        step.checkpointing
+        and not step.long_running
+        and allocation.task.percent < MAX_PERCENT
+        and _is_preemptible(cell, allocation, priority)
+    )
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -84,12 +84,12 @@
     # Approval by worker ID: a decision is final, but tickets expire.
     tickets: dict[str, ports.Ticket] = dataclasses.field(default_factory=dict)
     allowed: dict[str, bool] = dataclasses.field(default_factory=dict)
-    not_requested: list = dataclasses.field(default_factory=list)
     approval_pending: bool = False
     approval_retry_at: float = 0.0
     wait_reason: str = ""  # reason logged last
     blocked_version: int = -1  # of the availability at which nothing could be placed
     blocked_until: float = 0.0  # looked at then, also at the same availability
+    skipped_until: float = 0.0  # its planning raised an exception
     # Workers that are reserved for a gang.
     reserved: frozenset[str] = frozenset()
     reserved_until: float = 0.0
