Let urgent steps at a ceiling stop work of their organisation that can wait

Change: a step of the top priority that is in time and within the rate claims the allowance it waits for. Services, gangs and tasks that would lose work go on.

--- a/test/test_coordinator_planner.py
+++ b/test/test_coordinator_planner.py
@@ -340,6 +340,96 @@
         self.assertEqual(6, len(planner.Planner(self.cell).plan(1.2).starts))
 
 
+class CeilingTest(testtools.TestCase):
+    """An organisation at its ceiling submits urgent and less urgent work."""
+
+    def setUp(self):
+        super().setUp()
+        hot = catalogue.Organisation(
+            name="hot",
+            keys=frozenset(),
+            weight=50.0,
+            ceiling=resources.Resources(cpus=10_000),
+        )
+        self.cell = case.new_cell(
+            *(case.entry(f"w{number}") for number in range(4)),
+            catalogue_=case.configure(
+                case.queue("checks", priority=0, target_s=2.0),
+                case.queue("labels", priority=2),
+                organisations=[hot],
+            ),
+        )
+        self.planner = planner.Planner(self.cell)
+
+    def submit(self, number, step, queue, now=1.0):
+        name = f"{number:016x}"
+        spec = case.job(name, step, organisation="hot", queue=queue)
+        self.cell.accept(spec, now)
+        return name
+
+    def fill(self, **changes):
+        step = case.step(5, cpus=2000, **{"checkpointing": True, **changes})
+        self.labels = self.submit(1, step, "labels")
+        case.confirm(self.cell, self.planner.plan(1.0), 1.0)
+
+    # Guards against urgent work that waits for the organisation's own work which can
+    # wait, although the workers have room.
+    def test_urgent_work_stops_as_much_as_it_needs(self):
+        self.fill()
+        self.submit(2, case.step(3, cpus=1000), "checks")
+        self.planner.plan(1.2)
+        self.assertEqual(2, len(self.cell.stops))
+        self.planner.plan(1.3)
+        self.assertEqual(2, len(self.cell.stops))
+
+    def test_the_allowance_goes_to_the_urgent_work(self):
+        self.fill()
+        self.submit(2, case.step(2, cpus=1000), "checks")
+        self.planner.plan(1.2)
+        [stop] = self.cell.stops
+        end = case.ended(1, stop.task, how="stopped", checkpoint="c")
+        case.poll(self.cell, stop.worker, ended=[end], now=1.4, sent_at=0.0)
+        starts = self.planner.plan(1.5).starts
+        self.assertEqual(["checks"] * 2, [x.step.job.spec.queue for x in starts])
+
+    # Guards against less urgent work that takes the allowance in small pieces.
+    def test_less_urgent_work_leaves_the_allowance_to_waiting_urgent_work(self):
+        self.fill(max_per_worker=1)
+        self.submit(2, case.step(1, cpus=4000), "checks")
+        self.submit(3, case.step(5, cpus=500), "labels")
+        starts = self.planner.plan(1.2).starts
+        self.assertEqual([], [x for x in starts if x.step.job.spec.queue == "labels"])
+
+    def test_work_without_checkpoints_goes_on(self):
+        self.fill(checkpointing=False)
+        self.submit(2, case.step(3), "checks")
+        self.planner.plan(1.2)
+        self.assertEqual([], self.cell.stops)
+
+    def test_services_go_on(self):
+        self.fill(long_running=True)
+        self.submit(2, case.step(3), "checks")
+        self.planner.plan(1.2)
+        self.assertEqual([], self.cell.stops)
+
+    def test_work_that_is_late_or_beyond_the_rate_stops_nothing(self):
+        self.fill()
+        late = self.submit(2, case.step(3), "checks")
+        self.cell.jobs[late].due_at = 1.1
+        beyond = self.submit(3, case.step(3), "checks")
+        self.cell.jobs[beyond].over_rate = True
+        self.planner.plan(1.2)
+        self.assertEqual([], self.cell.stops)
+
+    def test_each_task_is_stopped_for_others_a_limited_number_of_times(self):
+        self.fill()
+        for task in self.cell.jobs[self.labels].steps[0, 0].tasks:
+            task.preemptions = preemption.MAX_PREEMPTIONS
+        self.submit(2, case.step(3), "checks")
+        self.planner.plan(1.2)
+        self.assertEqual([], self.cell.stops)
+
+
 class GangTest(testtools.TestCase):
     """Gangs are submitted while tasks of lower priority fill the workers."""
 
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -390,6 +390,12 @@
     ) -> None:
         """Leave a step waiting at the ceiling; make way for it if it is urgent."""
         plan.record_wait(step_run, plans.ABOVE_CEILING)
+        if (
+            queue.priority == TOP_PRIORITY
+            and not step_run.job.over_rate
+            and not self._is_late(step_run, now)
+        ):
+            self._ceilings.claim(step_run, queue.priority)
 
     @staticmethod
     def _is_late(step_run: state.StepRun, now: float) -> bool:
