Go on planning if one step raises an exception

Cause: an exception while one step is planned ended the coordination of the process, and then that of each successor, which met the same step. Result: the new test fails before.

--- a/test/test_coordinator_planner.py
+++ b/test/test_coordinator_planner.py
@@ -183,6 +183,29 @@
         self.assertEqual(1, start.task.index)
 
 
+class OddStepTest(testtools.TestCase):
+    # Guards against one job that ends the coordination of each process in turn.
+    def test_an_exception_for_one_step_leaves_the_others_running(self):
+        cell = case.new_cell()
+        cell.accept(case.job("a" * 16), 1.0)
+        cell.accept(case.job("b" * 16), 1.1)
+        cell_planner = planner.Planner(cell)
+        plan_step = cell_planner._plan_step
+
+        def fail_for_one(step_run, *rest):
+            if step_run.job.spec.id == "a" * 16:
+                raise ZeroDivisionError
+            plan_step(step_run, *rest)
+
+        cell_planner._plan_step = fail_for_one
+        [start] = cell_planner.plan(1.2).starts
+        self.assertEqual("b" * 16, start.step.job.spec.id)
+        cell_planner._plan_step = plan_step
+        self.assertEqual([], cell_planner.plan(1.3).starts)
+        pause_s = planner.FAILED_STEP_PAUSE_S
+        self.assertEqual(1, len(cell_planner.plan(1.3 + pause_s).starts))
+
+
 class UrgencyTest(testtools.TestCase):
     def test_urgent_work_and_work_due_sooner_start_first(self):
         cell = case.new_cell(
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -71,7 +71,12 @@
                 break
             if step_run.job.is_final or now < step_run.skipped_until:
                 continue
-            left -= self._look_at(step_run, plan, now)
+            try:
+                left -= self._look_at(step_run, plan, now)
+            except Exception:
+                # One odd step must not end the coordination of all others.
+                log.exception("planning step {} failed", step_run.id)
+                step_run.skipped_until = now + FAILED_STEP_PAUSE_S
         self._available.end_round()
         return plan
 
