--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -61,6 +61,7 @@
         self.stops: list[Stop] = []
         self._rate_limits = rate_limits.RateLimits()
         self._pools: dict[str, list[workers.Worker]] = {}
+        self._capacity: resources.Resources | None = None
 
     @property
     def catalogue(self) -> catalogue.Catalogue:
@@ -245,7 +246,7 @@
             worker = self.workers[entry.id] = workers.Worker(entry)
         worker.entry = entry
         worker.registered = True
-        self._pools.clear()
+        self._forget_pools()
         return worker
 
     def add_unregistered_worker(self, worker_id: str) -> workers.Worker:
@@ -262,12 +263,22 @@
         worker = self.workers.get(worker_id)
         if worker is not None:
             worker.registered = False
-            self._pools.clear()
+            self._forget_pools()
 
     def remove_worker(self, worker_id: str) -> None:
         """Remove a worker that has no allocations."""
         self.workers.pop(worker_id, None)
+        self._forget_pools()
+
+    def _forget_pools(self) -> None:
         self._pools.clear()
+        self._capacity = None
+
+    def capacity(self) -> resources.Resources:
+        """Return the capacity of all registered workers."""
+        if self._capacity is None:
+            self._capacity = workers.total_capacity(self.workers.values())
+        return self._capacity
 
     def pool(self, name: str) -> list[workers.Worker]:
         """Return the registered workers of a pool."""
