Keep short and long requests for approval in queues of their own

Cause: each reply looked through all waiting requests, which is quadratic once the service is behind, and requests of jobs that had ended were sent all the same. Change: two queues; the first request that finds no caller ends the search in its queue; requests of ended jobs are dropped.

--- a/test/test_approval_dispatcher.py
+++ b/test/test_approval_dispatcher.py
@@ -7,7 +7,7 @@
 
 from test import coordinator_case as case
 from test import test_coordinator_processes as processes
-from toucanspring.coordinator import approval_dispatcher, plans
+from toucanspring.coordinator import approval_dispatcher, plans, state
 
 JOB = "0" * 16
 NAMES = ("one", "two", "three", "four")
@@ -86,3 +86,20 @@
         dispatcher._retry_at[approval_dispatcher.LOCAL] = time.monotonic() + 0.05
         dispatcher.submit(self.request(0.01))
         self.wait_for_replies(1)
+
+    def test_a_request_of_a_job_that_has_ended_is_not_sent(self):
+        """Guards against a service that is busy with jobs that were cancelled."""
+        request = self.request(0.01)
+        request.step.job.state = state.JobState.CANCELLED
+        self.dispatchers["one"].submit(request)
+        self.assertEqual({}, self.dispatchers["one"]._in_flight)
+
+    def test_waiting_requests_cost_little_for_each_reply(self):
+        """Guards against replies that each look at all of the waiting requests."""
+        dispatcher = self.dispatchers["one"]
+        for _ in range(300):
+            dispatcher.submit(self.request(0.5))
+        calls, find = [], dispatcher._free_caller
+        dispatcher._free_caller = lambda cost_s: calls.append(1) or find(cost_s)
+        dispatcher._dispatch()
+        self.assertLessEqual(len(calls), 2)
--- a/toucanspring/coordinator/approval_dispatcher.py
+++ b/toucanspring/coordinator/approval_dispatcher.py
@@ -42,7 +42,10 @@
 
 
 class ApprovalDispatcher:
-    """Assigns queued requests to free callers, by priority, then the shortest first."""
+    """Assigns queued requests to free callers, by priority, then the shortest first.
+
+    Requests of jobs that have ended are dropped.
+    """
 
     def __init__(
         self,
@@ -53,7 +56,8 @@
         self._kernel = kernel
         self._approvals = approvals
         self._on_reply = on_reply
-        self._queue: list[tuple[int, float, int, plans.ApprovalRequest]] = []
+        self._short: list[tuple[int, float, int, plans.ApprovalRequest]] = []
+        self._long: list[tuple[int, float, int, plans.ApprovalRequest]] = []
         self._sequence = itertools.count()
         # Caller -> expected duration of its request in seconds.
         self._in_flight: dict[str, float] = {}
@@ -63,12 +67,13 @@
 
     def clear(self) -> None:
         """Drop the queued requests, once the leadership has ended."""
-        self._queue.clear()
+        self._short.clear()
+        self._long.clear()
 
     def submit(self, request: plans.ApprovalRequest) -> None:
         """Queue a request; it is sent once a caller is free."""
         heapq.heappush(
-            self._queue,
+            self._long if request.cost_s > LONG_REQUEST_S else self._short,
             (request.priority, request.cost_s, next(self._sequence), request),
         )
         self._dispatch()
@@ -82,22 +87,20 @@
         return msgspec.msgpack.encode(answer)
 
     def _dispatch(self) -> None:
-        passed_over = []
-        while self._queue:
-            entry = heapq.heappop(self._queue)
-            request = entry[-1]
-            caller = self._free_caller(request.cost_s)
-            if caller is not None:
+        # A short request may find a caller while the long ones wait for one.
+        for waiting in (self._short, self._long):
+            while waiting:
+                request = waiting[0][-1]
+                if request.step.job.is_final:
+                    heapq.heappop(waiting)
+                    continue
+                caller = self._free_caller(request.cost_s)
+                if caller is None:
+                    break
+                heapq.heappop(waiting)
                 self._in_flight[caller] = request.cost_s
                 self._calls.spawn(self._send, caller, request)
-                continue
-            # A short request behind a long one may still find a caller.
-            passed_over.append(entry)
-            if request.cost_s <= LONG_REQUEST_S:
-                break
-        for entry in passed_over:
-            heapq.heappush(self._queue, entry)
-        if self._queue and not self._in_flight and self._retry is None:
+        if (self._short or self._long) and not self._in_flight and self._retry is None:
             # No reply follows that would dispatch the rest.
             self._retry = gevent.spawn_later(RETRY_DELAY_S, self._dispatch_later)
 
