Repeat lost orders after a few times what orders take

Cause: with one order in twenty lost (applied_late), two in five steps of ten tasks wait 0.4 s for the repetition of a start, and each lost poll hides ends for 1.9 s. Change: the first attempt of a start has four times the median time of orders, 0.1 to 0.4 s, and each further one twice as much; a start has four attempts instead of three, so that a slow worker has as long as before. While calls are lost often, polls of workers with tasks wait 0.5 s instead of 1.4 s.

--- a/test/test_coordinator_pacing.py
+++ b/test/test_coordinator_pacing.py
@@ -372,3 +372,51 @@
         self.assertLess(900 - len(recorded.waiting), 250)
         answered.set()
         self.wait_for(lambda: self.workers.starts == 900)
+
+
+class LostCallsTest(testtools.TestCase):
+    """Orders that get no answer and are carried out late, or never."""
+
+    def setUp(self):
+        super().setUp()
+        self.pacing = order_pacing.OrderPacing()
+
+    # Guards against a step of ten tasks that waits 0.4 s for one of its starts in two
+    # out of five cases, at one lost order in twenty.
+    def test_a_lost_start_is_repeated_soon_where_orders_are_fast(self):
+        for _ in range(order_pacing.ORDER_SAMPLES):
+            self.pacing.record_order(0.004)
+        self.assertEqual(
+            order_pacing.MIN_ORDER_TIMEOUT_S, self.pacing.order_timeout_s(0)
+        )
+        self.assertEqual(
+            order_pacing.MAX_ORDER_TIMEOUT_S, self.pacing.order_timeout_s(3)
+        )
+
+    def test_a_start_has_the_time_that_orders_take(self):
+        for _ in range(order_pacing.ORDER_SAMPLES):
+            self.pacing.record_order(0.3)
+        self.assertEqual(
+            order_pacing.MAX_ORDER_TIMEOUT_S, self.pacing.order_timeout_s(0)
+        )
+
+    # The time limit itself must not hide that orders take longer.
+    def test_starts_that_all_time_out_get_more_time(self):
+        for _ in range(order_pacing.ORDER_SAMPLES):
+            self.pacing.record_order(self.pacing.order_timeout_s(0))
+        self.assertEqual(
+            order_pacing.MAX_ORDER_TIMEOUT_S, self.pacing.order_timeout_s(0)
+        )
+
+    def test_one_call_in_twenty_counts_as_frequent_and_is_forgotten(self):
+        losses = self.pacing.losses
+        for number in range(100):
+            losses.record(number % 20 != 0, 10.0)
+        self.assertTrue(losses.is_frequent(10.5))
+        self.assertFalse(losses.is_frequent(10.5 + 2 * order_pacing.LOSS_WINDOW_S))
+
+    def test_single_lost_calls_are_not_frequent(self):
+        losses = self.pacing.losses
+        for number in range(1000):
+            losses.record(number % 500 != 0, 10.0)
+        self.assertFalse(losses.is_frequent(10.5))
--- a/test/test_coordinator_polls.py
+++ b/test/test_coordinator_polls.py
@@ -1,10 +1,12 @@
 """Polls of workers: acknowledged ends and leases while the store is slow."""
 
+import time
+
 import gevent
 
 from test import coordinator_case as case
 from test import test_coordinator_leadership as leadership_tests
-from toucanspring.coordinator import ports
+from toucanspring.coordinator import dispatch, ports
 
 JOB = "0" * 16
 
@@ -49,6 +51,27 @@
         self.assertLess(len(self.workers.incarnations["w1"].ended), 10)
 
 
+class LossyWorkersTest(leadership_tests.LeadershipCase):
+    # Guards against an end that is seen two seconds late, since the poll that was to
+    # return it was lost.
+    def test_polls_wait_for_less_long_while_calls_are_lost(self):
+        waits = []
+        poll = self.workers.poll
+
+        def poll_and_note(worker, epoch, acked_end, lease_until_ms, wait_ms):
+            waits.append(wait_ms)
+            return poll(worker, epoch, acked_end, lease_until_ms, wait_ms)
+
+        self.workers.run_s = 30
+        self.workers.poll = poll_and_note
+        leader = self.coordinate()
+        self.accept(case.step(1))
+        self.wait_for(lambda: self.workers.starts == 1)
+        for _ in range(10):
+            leader._dispatcher.pacing.losses.record(False, time.monotonic())
+        self.wait_for(lambda: dispatch.LOSSY_POLL_WAIT_MS in waits)
+
+
 class MoveTest(leadership_tests.LeadershipCase):
     """Tasks are stopped to be moved only while they can start elsewhere."""
 
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -28,10 +28,12 @@
 # Exceeds the time without progress after which a task is stuck, so that two successive
 # polls detect it.
 POLL_WAIT_MS = 1400
+# While calls are lost often, a poll that is lost hides the ends of tasks for less long.
+LOSSY_POLL_WAIT_MS = 500
 POLL_RETRY_S = 0.15
 # A worker that replies to no poll for this long gets no new tasks.
 UNRESPONSIVE_AFTER_S = 0.8
-MAX_START_ATTEMPTS = 3
+MAX_START_ATTEMPTS = 4
 STOP_RETRY_S = 0.25
 MAX_STOPS_IN_FLIGHT = 100
 MAX_STARTS_PER_WORKER = 4  # in flight
@@ -184,7 +186,7 @@
         if worker.clock_ms and not worker.may_have_restarted:
             lease_until_ms = worker.estimate_clock(sent) + self._max_lease_ms
             worker.extend_lease(lease_until_ms, sent)
-        wait_ms = POLL_WAIT_MS if worker.confirmed and worker.responsive else 0
+        wait_ms = self._poll_wait_ms(worker, sent)
         # A new incarnation counts ends from 1, so acknowledging an old number would
         # drop ends that were never read.
         acked_end = 0 if worker.may_have_restarted else worker.acked_end
@@ -192,6 +194,7 @@
             worker.entry, self._leader.epoch, acked_end, lease_until_ms, wait_ms
         )
         now = self._clock()
+        self._record_call(worker, answer, now)
         unchecked = worker.may_have_restarted
         worker.may_have_restarted = not isinstance(answer, ports.PollReply)
         match answer:
@@ -208,6 +211,18 @@
                 log.info("worker {} is not the registered incarnation", worker.id)
         return False
 
+    def _poll_wait_ms(self, worker: workers.Worker, now: float) -> int:
+        if not (worker.confirmed and worker.responsive):
+            return 0
+        if worker.allocations and self.pacing.losses.is_frequent(now):
+            return LOSSY_POLL_WAIT_MS
+        return POLL_WAIT_MS
+
+    def _record_call(self, worker: workers.Worker, answer: object, now: float) -> None:
+        if worker.responsive:
+            lost = isinstance(answer, errors.Ambiguous)
+            self.pacing.losses.record(not lost, now)
+
     def _apply_reply(
         self, worker: workers.Worker, reply: ports.PollReply, sent: float, now: float
     ) -> bool:
@@ -313,9 +328,11 @@
                     epoch=self._leader.epoch,
                     checkpoint=start.task.checkpoint,
                     ticket=ticket,
+                    timeout_s=self.pacing.order_timeout_s(attempt),
                 ),
             )
             now = self._clock()
+            self._record_call(worker, answer, now)
             self.pacing.record_order(now - sent)
             self.starts.max_in_flight = self.pacing.max_in_flight
             if not attempt and isinstance(answer, ports.OrderDone | ports.OrderRefused):
--- a/toucanspring/coordinator/order_pacing.py
+++ b/toucanspring/coordinator/order_pacing.py
@@ -1,4 +1,4 @@
-"""Pace of starts: how many a round plans, how many are in flight, ticket margin.
+"""Pace of orders: starts of a round and in flight, ticket margin, time limits.
 
 It performs no I/O and reads no clock; times are seconds.
 """
@@ -28,6 +28,45 @@
 SLOW_ORDER_S = 0.15
 FAST_ORDER_S = 0.08
 SHRINK, GROW = 0.7, 1.3
+# Time limits of a start. Repeating it has no further effect, so an order that is lost
+# is repeated after a few times what orders usually take.
+MIN_ORDER_TIMEOUT_S = 0.1
+MAX_ORDER_TIMEOUT_S = 0.4
+TIMEOUT_FACTOR = 4.0
+# Calls without an answer count as frequent from this number and share on, within two
+# windows of this length.
+LOSS_WINDOW_S = 2.0
+MIN_LOST_CALLS = 3
+FREQUENT_LOSS_SHARE = 0.01
+
+
+class LossTracker:
+    """Share of calls to responsive workers that got no answer lately."""
+
+    def __init__(self) -> None:
+        self._began_at = 0.0
+        self._calls = [0, 0]  # in the window before and in the current one
+        self._lost = [0, 0]
+
+    def record(self, answered: bool, now: float) -> None:
+        """Record a call that has ended."""
+        self._advance(now)
+        self._calls[1] += 1
+        self._lost[1] += not answered
+
+    def is_frequent(self, now: float) -> bool:
+        """Return whether enough calls are lost to reckon with the next one."""
+        self._advance(now)
+        lost = sum(self._lost)
+        return lost >= MIN_LOST_CALLS and lost > FREQUENT_LOSS_SHARE * sum(self._calls)
+
+    def _advance(self, now: float) -> None:
+        if now - self._began_at < LOSS_WINDOW_S:
+            return
+        is_next = now - self._began_at < 2 * LOSS_WINDOW_S
+        self._calls = [self._calls[1] if is_next else 0, 0]
+        self._lost = [self._lost[1] if is_next else 0, 0]
+        self._began_at = now
 
 
 class OrderPacing:
@@ -39,6 +78,7 @@
         self._writes: collections.deque[float] = collections.deque(maxlen=WRITE_SAMPLES)
         self._delays: collections.deque[float] = collections.deque(maxlen=DELAY_SAMPLES)
         self._orders: list[float] = []
+        self.losses = LossTracker()
 
     def record_write(self, write_s: float) -> None:
         """Record the time of the write of a round."""
@@ -68,6 +108,11 @@
         elif self.order_s < FAST_ORDER_S:
             self.max_in_flight = min(MAX_IN_FLIGHT, int(self.max_in_flight * GROW))
 
+    def order_timeout_s(self, attempt: int) -> float:
+        """Return the time limit of an attempt, counted from 0, to send a start."""
+        limit_s = max(MIN_ORDER_TIMEOUT_S, TIMEOUT_FACTOR * self.order_s)
+        return min(MAX_ORDER_TIMEOUT_S, limit_s * 2**attempt)
+
     def ticket_margin_s(self) -> float:
         """Return the validity that a ticket needs at planning time."""
         delays = sorted(self._delays)
--- a/toucanspring/coordinator/ports.py
+++ b/toucanspring/coordinator/ports.py
@@ -199,6 +199,7 @@
     epoch: int
     checkpoint: str = ""
     ticket: str = ""
+    timeout_s: float = 0.4  # until the order counts as unanswered
 
 
 class Workers(Protocol):
