Let the coordinator write jobs while the store is slow

Change: a process whose write took more than 0.3 s sends submissions to the coordinator for 4 s, which writes those of all processes of a part together.

--- a/test/test_coordinator_store.py
+++ b/test/test_coordinator_store.py
@@ -1,5 +1,7 @@
 """Job writes, table caches, the leader lease and fenced writes on a faulty store."""
 
+import time
+
 import gevent
 import testtools
 from gevent import event
@@ -134,6 +136,15 @@
         self.assertIsNone(self.writer.accept(case.job(), 1.0))
         self.assertEqual(["0" * 16], self.stored())
 
+    def test_a_slow_write_is_remembered_for_a_while(self):
+        self.writer.accept(case.job(), 1.0)
+        self.assertFalse(self.writer.is_slow(time.monotonic()))
+        self.patch(job_writer, "SLOW_WRITE_S", 0.0)
+        self.writer.accept(case.job("1" * 16), 1.0)
+        self.assertTrue(self.writer.is_slow(time.monotonic()))
+        later = time.monotonic() + job_writer.SLOW_PERIOD_S
+        self.assertFalse(self.writer.is_slow(later + 0.1))
+
     def test_concurrent_jobs_are_written_in_batches(self):
         jobs = [case.job(f"{number:016x}") for number in range(200)]
         accepting = [gevent.spawn(self.writer.accept, each, 2.0) for each in jobs]
--- a/test/test_platform_ingress.py
+++ b/test/test_platform_ingress.py
@@ -86,6 +86,7 @@
 class Scheduler:
     def __init__(self):
         self.result = None
+        self.slow = False
         self.found = state.JobState.ACTIVE
         self.jobs = []
         self.timeouts = []
@@ -95,6 +96,9 @@
         self.jobs.append(spec)
         return self.result
 
+    def has_faster_writer(self):
+        return self.slow
+
     def status(self, _job_id):
         return self.found
 
@@ -339,6 +343,26 @@
         self.assertEqual(200, self.call(timeout_s=3.0).status)
         self.assertEqual([ingress.LOCAL_SUBMIT_TIMEOUT_S], self.scheduler.timeouts)
 
+    # Guards against a slow store that writes a job of each process by itself, until all
+    # submissions time out.
+    def test_a_submission_goes_to_the_coordinator_while_writes_are_slow(self):
+        self.scheduler.slow = True
+        accepted = ingress._pack(ingress.Answer(200, b"{}"))
+        self.kernel.peers.answers["one"] = accepted
+        self.assertEqual(200, self.call(timeout_s=3.0).status)
+        self.assertEqual([], self.scheduler.jobs)
+        self.assertEqual([ingress.SLOW_WRITE_TIMEOUT_S], self.kernel.peers.timeouts)
+        self.assertEqual(200, self.call("GET").status)
+        self.assertEqual(1, len(self.kernel.peers.called))
+
+    def test_a_relayed_submission_is_written_although_writes_are_slow(self):
+        self.scheduler.slow = True
+        request = ingress.Request(
+            "POST", "h.example", f"/q/{JOB}", "k", json.dumps(BODY).encode(), 0.5
+        )
+        self.assertEqual(200, self.ingress.serve(request, relay=False).status)
+        self.assertEqual(1, len(self.scheduler.jobs))
+
     def test_no_refusal_follows_a_write_without_answer(self):
         # Guards against refusing a job that runs (seen in zpa-sofia scale-2): the key
         # was withdrawn between the write, which took effect 12 s later, and its
--- a/toucanspring/coordinator/job_writer.py
+++ b/toucanspring/coordinator/job_writer.py
@@ -18,6 +18,11 @@
 # Values, which grow by a third on the wire: 0.21 s on an idle link of 5 Mbit/s, which
 # the writers of all parts share.
 MAX_BYTES_PER_WRITE = 100_000
+# The store writes one transaction of a part after the other. Once they take this long,
+# the transactions of many processes queue up, and one that batches them is faster.
+SLOW_WRITE_S = 0.3
+# Until a process tries by itself again; all of them together are to write little.
+SLOW_PERIOD_S = 4.0
 RETRY_FIRST_S = 0.03
 RETRY_MAX_S = 0.4
 
@@ -48,6 +53,11 @@
         self._queues: dict[str, collections.deque[PendingJob]] = {}
         self._wake_events: dict[str, event.Event] = {}
         self._greenlets: list[gevent.Greenlet] = []
+        self._slow_until = 0.0
+
+    def is_slow(self, now: float) -> bool:
+        """Return whether a write of this process has lately taken long."""
+        return now < self._slow_until
 
     def __enter__(self) -> JobWriter:
         for number in range(rows.JOB_PARTS):
@@ -118,10 +128,14 @@
     def _write(self, batch: list[PendingJob]) -> None:
         while batch:
             by_row_id = {each.row_id: each for each in batch}
+            sent_at = time.monotonic()
             answer = self._store.transact(
                 dict.fromkeys(by_row_id, 0),
                 {row_id: each.value for row_id, each in by_row_id.items()},
             )
+            now = time.monotonic()
+            if now - sent_at > SLOW_WRITE_S:
+                self._slow_until = now + SLOW_PERIOD_S
             match answer:
                 case ports.Committed():
                     self._set_results(batch, None)
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -171,6 +171,18 @@
         """Store an accepted job; see `job_writer.JobWriter.accept`."""
         return self._job_writer.accept(spec, timeout_s)
 
+    def has_faster_writer(self) -> bool:
+        """Return whether the coordinator writes jobs for all processes for now.
+
+        It batches them, which a slow store needs, and it reaches the store.
+        """
+        lease = self._lease
+        return (
+            lease is not None
+            and lease.process not in ("", self._options.process)
+            and self._job_writer.is_slow(time.monotonic())
+        )
+
     def status(self, job_id: str) -> state.JobState | errors.Failure:
         """Return the state of a job, from the store if the coordinator fails."""
         answer = self._call("status", job_id)
