Treat a malformed answer of another process as one without an answer

Answers of processes were decoded without a guard: a malformed one ended the request of the caller with an internal error, which says nothing about the job. Change: relayed answers and answers of the coordinator are decoded by toucanspring.decoding; a malformed one of a submission counts as uncertain (504). Result: the new test fails before.

--- a/test/test_platform_ingress.py
+++ b/test/test_platform_ingress.py
@@ -355,6 +355,13 @@
         self.assertEqual(200, self.call("GET").status)
         self.assertEqual(1, len(self.kernel.peers.called))
 
+    # Guards against an internal error, which says nothing about the job.
+    def test_a_malformed_answer_of_a_process_is_no_refusal(self):
+        self.scheduler.result = errors.Unavailable(reason="store")
+        for answer in (b"", b"\xc1", b"\x93", b"\x91\xa1x"):
+            self.kernel.peers.answers = {"one": answer}
+            self.assertEqual(504, self.call().status)
+
     def test_a_relayed_submission_is_written_although_writes_are_slow(self):
         self.scheduler.slow = True
         request = ingress.Request(
@@ -377,7 +384,7 @@
         content = json.dumps(BODY).encode()
         request = ingress.Request("POST", "h.example", f"/q/{JOB}", "k", content, 2.0)
         self.scheduler.result = errors.Ambiguous(reason="no answer")
-        answer = ingress._decode_answer(serve("one", ingress._pack(request)))
+        answer = ingress._answer_decoder.decode(serve("one", ingress._pack(request)))
         self.assertEqual(504, answer.status)
         self.assertEqual([2.0 - ingress.RESPONSE_MARGIN_S], self.scheduler.timeouts)
 
@@ -403,7 +410,9 @@
             request = ingress.Request(
                 "GET", "h.example", f"/q/{JOB}", "k", b"", 0.5, version=version
             )
-            answer = ingress._decode_answer(serve("one", ingress._pack(request)))
+            answer = ingress._answer_decoder.decode(
+                serve("one", ingress._pack(request))
+            )
             self.assertEqual(status, answer.status)
 
     def test_a_relayed_request_carries_the_version_of_its_sender(self):
@@ -426,7 +435,7 @@
         _, serve = self.kernel.peers.handler
         request = ingress.Request("POST", "h.example", f"/q/{JOB}", "k",
                                   json.dumps(BODY).encode(), 0.5)  # fmt: skip
-        answer = ingress._decode_answer(serve("one", ingress._pack(request)))
+        answer = ingress._answer_decoder.decode(serve("one", ingress._pack(request)))
         self.assertEqual(503, answer.status)
         self.assertEqual([], self.kernel.peers.called)
 
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -17,7 +17,7 @@
 import msgspec
 from gevent import event
 
-from toucanspring import errors
+from toucanspring import decoding, errors
 from toucanspring import log as structured
 from toucanspring.coordinator import (
     approval_dispatcher,
@@ -48,6 +48,8 @@
 UNKNOWN_VIEW_AGE_S = 1e6  # reported until the view has been complete once
 METHODS = ("status", "cancel", "pending")
 
+_body_decoder = msgspec.msgpack.Decoder(str | int)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Options:
@@ -190,12 +192,12 @@
             answer, errors.NotFound
         ):
             return self._read_status(job_id)
-        return answer if isinstance(answer, errors.Failure) else state.JobState(answer)
+        return _to_state(answer)
 
     def cancel(self, job_id: str) -> state.JobState | errors.Failure:
         """Cancel a job; returns once the cancellation is durable."""
         answer = self._call("cancel", job_id)
-        return answer if isinstance(answer, errors.Failure) else state.JobState(answer)
+        return _to_state(answer)
 
     def pending(self, queue: str) -> int | errors.Failure:
         """Return how many accepted jobs of a queue have not started."""
@@ -218,7 +220,7 @@
         )
         if isinstance(body, errors.Failure):
             return body
-        return msgspec.msgpack.decode(body)
+        return decoding.decode(_body_decoder, body, f"answer of {lease.process}")
 
     def _make_handler(
         self, method: str
@@ -437,3 +439,12 @@
             self._members.coordinates = False
             self._approval_dispatcher.clear()
             structured.decide(log, "seat_left", epoch=acquired.lease.epoch)
+
+
+def _to_state(answer: object | errors.Failure) -> state.JobState | errors.Failure:
+    """Return the state that another process has answered."""
+    if isinstance(answer, errors.Failure):
+        return answer
+    if answer not in state.STATE_VALUES:
+        return errors.Malformed(reason=f"unknown state {answer!r}")
+    return state.JobState(answer)
