Do not count the silence of a worker as standstill of its tasks

The progress of a task was compared with that of the last reply, however long ago. So tasks of a worker that was paused for two seconds were stopped with its first reply, and counted as samples of a slow worker. Change: standstill and samples count from the first reply after a silence of 1.8 s. Result: the new test fails before.

--- a/test/test_coordinator_reports.py
+++ b/test/test_coordinator_reports.py
@@ -202,6 +202,18 @@
         self.assertEqual([], reports.find_stuck(worker, 3.0))
         self.assertEqual(1, len(reports.find_stuck(worker, 3.5)))
 
+    # Guards against a worker that was only paused or silent and whose tasks start again
+    # elsewhere as soon as it is back.
+    def test_the_silence_of_a_worker_is_no_standstill_of_its_tasks(self):
+        start_all(self.cell, 1.0)
+        worker = self.cell.workers["w1"]
+        standing = case.running(f"{JOB}.0.0.0", percent=20)
+        for now in (1.5, 2.0, 6.0, 6.5):
+            case.poll(self.cell, "w1", running=[standing], now=now, sent_at=now)
+        self.assertEqual([], reports.find_stuck(worker, 6.5))
+        case.poll(self.cell, "w1", running=[standing], now=7.5, sent_at=7.5)
+        self.assertEqual(1, len(reports.find_stuck(worker, 7.5)))
+
     def test_two_polls_without_an_end_between_them_find_a_stuck_task(self):
         # Nothing progresses or ends on the worker, so each poll lasts its full wait.
         start_all(self.cell)
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -36,6 +36,7 @@
             )
         worker.record_restart(reply.incarnation)
     worker.confirmed = worker.responsive = True
+    worker.record_reply(now)
     worker.update_clock(reply.clock_ms, now)
     listed = {(row.task, row.run) for row in reply.running}
     changed_jobs: list[str] = []
@@ -245,8 +246,9 @@
 def find_stuck(worker: workers.Worker, now: float) -> list[workers.Allocation]:
     """Return the tasks without progress although their worker responds.
 
-    Those that could not start again, since their queue is missing, are left alone. Each
-    time a task is found its limit is doubled.
+    A worker that was silent may have been paused as a whole, so the time of its silence
+    does not count. Tasks that could not start again, since their queue is missing, are
+    left alone. Each time a task is found its limit is doubled.
     """
     found = []
     for allocation in worker.allocations.values():
@@ -258,7 +260,10 @@
         # A gang member that has completed its work waits for the other members.
         if task.percent >= COMPLETE_PERCENT:
             continue
-        if not task.progressed_at or now - task.progressed_at < workers.STUCK_S:
+        if not task.progressed_at:
+            continue
+        stands_for_s = now - max(task.progressed_at, worker.returned_at)
+        if stands_for_s < workers.STUCK_S:
             continue
         if step.gang and any(
             other.phase is not state.TaskPhase.RUNNING
@@ -269,7 +274,7 @@
         # Progress is in whole percent, and 1% of a long task may exceed the limit. A
         # task that was stopped before may be slower than its estimate says.
         limit_s = workers.STUCK_S + step.estimate_ms / 1000 / 20
-        if now - task.progressed_at > limit_s * 2**task.times_stuck:
+        if stands_for_s > limit_s * 2**task.times_stuck:
             task.times_stuck += 1
             found.append(allocation)
     return found
--- a/toucanspring/coordinator/stragglers.py
+++ b/toucanspring/coordinator/stragglers.py
@@ -39,7 +39,8 @@
     task, step = allocation.task, allocation.step.step
     if step.gang or step.long_running:
         return
-    if not task.sampled_at or percent < task.sampled_percent:
+    paused = task.sampled_at < worker.returned_at  # perhaps; a silence tells nothing
+    if not task.sampled_at or percent < task.sampled_percent or paused:
         task.sampled_at, task.sampled_percent = now, percent
         return
     elapsed_s = now - task.sampled_at
--- a/toucanspring/coordinator/workers.py
+++ b/toucanspring/coordinator/workers.py
@@ -22,6 +22,9 @@
 # A task is stuck if its progress has not changed for this long while its worker
 # responds.
 STUCK_S = 1.2
+# A reply that comes this long after the one before ends a silence of the worker. It
+# exceeds the time that a poll waits at the worker.
+SILENCE_S = 1.8
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -44,6 +47,9 @@
     # The latest poll had no reply, or a reply carried an earlier clock time than
     # expected.
     may_have_restarted: bool = False
+    replied_at: float = float("-inf")  # the latest reply to a poll
+    # The first reply after a silence: a worker that was paused has made no progress.
+    returned_at: float = float("-inf")
     used: resources.Resources = resources.ZERO
     allocations: dict[str, Allocation] = dataclasses.field(default_factory=dict)
     # Resources of tasks that the worker runs without an allocation.
@@ -134,6 +140,12 @@
             now + left_ms / 1000 / (1 - MAX_CLOCK_DRIFT) + LEASE_EXPIRY_SLACK_S
         )
 
+    def record_reply(self, now: float) -> None:
+        """Record a reply to a poll."""
+        if now - self.replied_at > SILENCE_S:
+            self.returned_at = now
+        self.replied_at = now
+
     def record_restart(self, incarnation: int) -> None:
         """Reset the state for a new incarnation, which runs no tasks."""
         self.incarnation = incarnation
