Check the permission to start again when a start is sent

Cause: looked for after a report of similar systems (a paused process acted on a permission that had run out). A process paused between the write of an intent and its order sent the start although its lease and its view of the settings had run out: only the renewal of worker leases was checked, which goes on for 6 s longer. Change: a start that was not sent yet is queued again unless it may start at that time. Result: the new test fails before. The fake leaders of the tests know the method.

--- a/test/test_coordinator_orders.py
+++ b/test/test_coordinator_orders.py
@@ -136,7 +136,11 @@
         reports.mark_lost(cell, cell.workers["w1"], 9.0)
         case.poll(cell, "w1", now=10.0)
         leader = types.SimpleNamespace(
-            cell=cell, epoch=1, may_renew=lambda _now: True, wake=lambda: None
+            cell=cell,
+            epoch=1,
+            may_renew=lambda _now: True,
+            may_start=lambda _now: True,
+            wake=lambda: None,
         )
         sent = []
         client = types.SimpleNamespace(
@@ -149,6 +153,27 @@
         self.assertEqual([], sent)
         self.assertEqual([case.WAITING], case.phases(cell))
 
+    # Guards against a process that was paused between the write of an intent and its
+    # order, and starts tasks on a lease and a view of the settings that have run out.
+    def test_a_start_whose_permission_has_run_out_is_not_sent(self):
+        cell = case.new_cell()
+        cell.accept(case.job(JOB, case.step(1)), 1.0)
+        [start] = planner.Planner(cell).plan(1.0).starts
+        sent = []
+        leader = types.SimpleNamespace(
+            cell=cell, epoch=1, may_renew=lambda _now: True,
+            may_start=lambda now: now < 3.5, wake=lambda: None,
+        )  # fmt: skip
+        client = types.SimpleNamespace(
+            start=lambda _worker, order: sent.append(order) or ports.OrderDone(10_000)
+        )
+        with dispatch.Dispatcher(leader, client, 6000, lambda: 6.0) as orders:
+            orders.start(start, 1.0)
+            while orders.starts.waiting or orders.starts.in_flight:
+                gevent.sleep(0)
+        self.assertEqual([], sent)
+        self.assertEqual([case.WAITING], case.phases(cell))
+
 
 class RenewalTest(leadership_tests.LeadershipCase):
     def test_a_start_that_was_not_sent_for_want_of_a_lease_is_queued_again(self):
--- a/test/test_coordinator_pacing.py
+++ b/test/test_coordinator_pacing.py
@@ -160,6 +160,9 @@
     def may_renew(self, _now):
         return True
 
+    def may_start(self, _now):
+        return True
+
     def wake(self):
         pass
 
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -48,6 +48,9 @@
 TICKET_EXPIRED = "the ticket expired before the order was sent"
 WORKER_LEAVES = "the worker takes no more tasks"
 WORKER_FAILED = "the worker failed before the order was sent"
+NOT_PERMITTED = (
+    "the lease or the view of the settings ran out before the order was sent"
+)
 
 
 class Leader(Protocol):
@@ -362,6 +365,8 @@
     def _check_start(self, start: plans.Start, now: float) -> tuple[str, str]:
         """Return the ticket of a start, and why it must not be sent if so."""
         worker = start.worker
+        if not self._leader.may_start(now):
+            return "", NOT_PERMITTED
         paused = start.backoff_until < worker.backoff_until
         if not worker.responsive or (paused and now < worker.backoff_until):
             return "", WORKER_FAILED
