--- a/test/test_platform_rowstore.py
+++ b/test/test_platform_rowstore.py
@@ -37,6 +37,29 @@
             json.loads(body),
         )
 
+    # Guards against a coordinator that cannot write since submissions use all
+    # connections to a store that is slow.
+    def test_writes_of_the_coordinator_do_not_wait_for_those_of_jobs(self):
+        release = event.Event()
+
+        def answer(_method, _path, body, *_rest):
+            if rows.LEADER_LEASE_TABLE.encode() not in body:
+                release.wait()
+            return 200, json.dumps({"ver": 1, "now_ms": 1}).encode()
+
+        server = platform_case.Server(answer)
+        self.addCleanup(server.stop)
+        store = rowstore.Store("127.0.0.1", server.port)
+        writes = [
+            gevent.spawn(store.transact, {ROW_ID: 0}, {})
+            for _ in range(2 * rowstore.WRITE_CONNECTIONS)
+        ]
+        gevent.sleep(0.05)
+        answer = store.transact({rows.LEADER_LEASE_ROW: 1}, {})
+        self.assertIsInstance(answer, ports.Committed)
+        release.set()
+        gevent.joinall(writes, timeout=5.0)
+
     def test_a_failed_precondition_returns_the_rows(self):
         row = {"table": "my", "part": "p7", "key": "owner", "value": "eA==", "ver": 3}
         answer = self.store(412, {"rows": [row]}).transact({ROW_ID: 0}, {})
