Let gangs know several times the workers that they need

Half of the gangs had their first start after 1.4 s, a tenth after more than 11 s. Change: a gang asks, also about workers without room now, until it knows workers whose capacity is six times its members. A gang at its organisation's ceiling claims the allowance like an urgent step.

--- a/toucanspring/coordinator/approvals.py
+++ b/toucanspring/coordinator/approvals.py
@@ -26,10 +26,11 @@
 MAX_WITHOUT_ROOM = 30
 # A fresh ticket is used for this fraction of its validity, however late orders arrive.
 MIN_USABLE_VALIDITY = 0.5
-# Other steps take capacity until the answer arrives. A gang needs it all at once, and
-# waits where single tasks would start one after the other.
+# Other steps take capacity until the answer arrives.
 SPARE_FACTOR = 1.5
-GANG_SPARE_FACTOR = 3.0
+# A gang needs room for all members at once, so it has to know workers whose capacity,
+# not only what is free of it, is several times as much.
+GANG_SPARE_FACTOR = 6.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -77,6 +78,8 @@
         """Return workers to request approval for, those with room first."""
         choice = self._begin(step_run, self.share(queue.name).value)
         full: list[workers.Worker] = []
+        is_gang = step_run.step.gang
+        max_without_room = MAX_WORKERS_PER_REQUEST if is_gang else MAX_WITHOUT_ROOM
         first, visited = self._next.get(queue.pool, 0), 0
         for worker in _in_turn(step_run, candidates, first):
             if choice.is_enough:
@@ -87,18 +90,32 @@
             ):
                 continue
             slots = placement.count_slots(step_run, worker)
+            if slots and is_gang:
+                slots = placement.count_capacity_slots(step_run, worker)
             if slots:
                 choice.add(worker, slots)
-            elif len(full) < MAX_WITHOUT_ROOM:
+            elif len(full) < max_without_room:
                 full.append(worker)
         if candidates:
             self._next[queue.pool] = (first + visited) % len(candidates)
         for worker in full:
-            if choice.is_enough or len(choice.names) >= MAX_WITHOUT_ROOM:
+            if choice.is_enough or len(choice.names) >= max_without_room:
                 break
-            choice.add(worker, 1)
+            choice.add(
+                worker,
+                placement.count_capacity_slots(step_run, worker) if is_gang else 1,
+            )
         return choice.names
 
+    def is_gang_informed(
+        self, step_run: state.StepRun, approved: Iterable[workers.Worker]
+    ) -> bool:
+        """Return whether a gang knows enough approved workers to wait for room."""
+        slots = sum(
+            placement.count_capacity_slots(step_run, worker) for worker in approved
+        )
+        return slots >= GANG_SPARE_FACTOR * step_run.step.count
+
     def choose_with_room(
         self,
         step_run: state.StepRun,
@@ -136,7 +153,7 @@
         self, step_run: state.StepRun, approved: Iterable[workers.Worker]
     ) -> list[str]:
         """Return approved workers whose tickets are to be renewed."""
-        choice = self._begin(step_run, 1.0)
+        choice = _Choice(SPARE_FACTOR * len(step_run.waiting), 1.0)
         for worker in approved:
             if choice.is_enough:
                 break
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -276,7 +276,12 @@
         if queue.approval is None or step_run.approval_pending:
             return False
         candidates = self._candidates(queue, held_back)
-        names = self.approvals.choose_with_room(
+        names = []
+        if step_run.step.gang:
+            approved = self._find_eligible(step_run, queue, held_back, now)
+            if not self.approvals.is_gang_informed(step_run, approved):
+                names = self.approvals.choose(step_run, queue, candidates)
+        names = names or self.approvals.choose_with_room(
             step_run, queue, candidates, None if held_back else plan
         )
         if names:
@@ -396,7 +401,7 @@
         """Leave a step waiting at the ceiling; make way for it if it is urgent."""
         plan.record_wait(step_run, plans.ABOVE_CEILING)
         if (
-            queue.priority == TOP_PRIORITY
+            (queue.priority == TOP_PRIORITY or step_run.step.gang)
             and not step_run.job.over_rate
             and not self._is_late(step_run, now)
         ):
