Stop only less urgent work for a claim below a ceiling

Cause: found by reading. The tasks that may make way were found once in a round for the first claim of an organisation, so a gang that claimed after a step of the top priority could stop tasks as urgent as itself. Change: they are kept with their priority, for all organisations in one pass, and each claim takes less urgent ones only. Result: the new test fails before.

--- a/test/test_coordinator_planner.py
+++ b/test/test_coordinator_planner.py
@@ -378,6 +378,8 @@
             *(case.entry(f"w{number}") for number in range(4)),
             catalogue_=case.configure(
                 case.queue("checks", priority=0, target_s=2.0),
+                case.queue("builds", priority=1, target_s=9.0),
+                case.queue("proofs", priority=1),
                 case.queue("labels", priority=2),
                 organisations=[hot],
             ),
@@ -444,6 +446,17 @@
         self.planner.plan(1.2)
         self.assertEqual([], self.cell.stops)
 
+    # Guards against a gang that stops work as urgent as itself, since a more urgent
+    # step has claimed something in the same round.
+    def test_a_gang_stops_only_less_urgent_work(self):
+        step = case.step(5, cpus=2000, checkpointing=True)
+        self.submit(1, step, "proofs")
+        case.confirm(self.cell, self.planner.plan(1.0), 1.0)
+        self.submit(2, case.step(1, cpus=1000), "checks")
+        self.submit(3, case.step(3, cpus=2000, gang=True), "builds")
+        self.planner.plan(1.2)
+        self.assertEqual(1, len(self.cell.stops))
+
     def test_each_task_is_stopped_for_others_a_limited_number_of_times(self):
         self.fill()
         for task in self.cell.jobs[self.labels].steps[0, 0].tasks:
--- a/toucanspring/coordinator/ceilings.py
+++ b/toucanspring/coordinator/ceilings.py
@@ -13,21 +13,24 @@
 class Ceilings:
     """Ceilings of organisations, and what their urgent steps wait for in a round.
 
-    The tasks of an organisation are looked at once in a round, and only if it needs it.
+    The running tasks are looked at once in a round, and only if a step claims some.
     """
 
     def __init__(self, cell: cell_state.CellState) -> None:
         self._cell = cell
         # Of this round, by organisation.
         self._claimed: dict[str, resources.Resources] = {}
-        self._victims: dict[str, list[workers.Allocation]] = {}
+        # Tasks that lose nothing if they are stopped, with the priority of their queue.
+        self._victims: dict[str, list[tuple[int, workers.Allocation]]] = {}
         self._freeing: dict[str, resources.Resources] = {}
+        self._has_collected = False
 
     def begin_round(self) -> None:
         """Forget the claims of the round before."""
         self._claimed.clear()
         self._victims.clear()
         self._freeing.clear()
+        self._has_collected = False
 
     def limit(self, step_run: state.StepRun) -> resources.Resources | None:
         """Return the ceiling of a step's organisation (0: no limit), None if unknown.
@@ -55,43 +58,46 @@
         return wanted.fits(_without_zeros(ceiling))
 
     def claim(self, step_run: state.StepRun, priority: int) -> None:
-        """Claim the allowance that a step waits for; stop tasks that hold it."""
+        """Claim the allowance that a step waits for; stop less urgent tasks for it."""
         ceiling = self.limit(step_run)
         if ceiling is None:
             return
         name = step_run.job.spec.organisation
-        if name not in self._victims:
-            self._collect(name, priority)
+        if not self._has_collected:
+            self._collect()
         wanted = step_run.step.demand.times(len(step_run.waiting))
-        self._claimed[name] = self._claimed.get(name, resources.ZERO) + wanted
-        excess = self._cell.used[name] + self._claimed[name] - self._freeing[name]
-        victims = self._victims[name]
-        while victims and not excess.fits(_without_zeros(ceiling)):
-            victim = victims.pop()
+        claimed = self._claimed.get(name, resources.ZERO) + wanted
+        self._claimed[name] = claimed
+        freeing = self._freeing.get(name, resources.ZERO)
+        excess = self._cell.used[name] + claimed - freeing
+        victims = self._victims.get(name, [])
+        while (
+            victims
+            and victims[-1][0] > priority
+            and not excess.fits(_without_zeros(ceiling))
+        ):
+            _, victim = victims.pop()
             demand = victim.step.step.demand
-            self._freeing[name] = self._freeing[name] + demand
+            freeing = freeing + demand
             excess = excess - demand
             preemption.preempt(self._cell, victim)
+        self._freeing[name] = freeing
 
-    def _collect(self, name: str, priority: int) -> None:
-        """Find the organisation's preemptible tasks, the best one last."""
-        freeing, victims = resources.ZERO, []
+    def _collect(self) -> None:
+        """Find the preemptible tasks of each organisation, the best one last."""
+        self._has_collected = True
         for worker in self._cell.workers.values():
             for allocation in worker.allocations.values():
-                step_run = allocation.step
-                if step_run.job.spec.organisation != name:
-                    continue
+                name = allocation.step.job.spec.organisation
                 if allocation.task.phase is state.TaskPhase.STOPPING:
-                    freeing = freeing + step_run.step.demand
-                elif preemption.loses_nothing(self._cell, allocation, priority):
-                    victims.append(allocation)
-        victims.sort(key=lambda each: (_priority(self._cell, each), -each.task.percent))
-        self._freeing[name], self._victims[name] = freeing, victims
-
-
-def _priority(cell: cell_state.CellState, allocation: workers.Allocation) -> int:
-    queue = cell.catalogue.queue(allocation.step.job.spec.queue)
-    return queue.priority if queue is not None else 0
+                    freeing = self._freeing.get(name, resources.ZERO)
+                    self._freeing[name] = freeing + allocation.step.step.demand
+                    continue
+                priority = preemption.find_cheap(self._cell, allocation)
+                if priority is not None:
+                    self._victims.setdefault(name, []).append((priority, allocation))
+        for victims in self._victims.values():
+            victims.sort(key=lambda each: (each[0], -each[1].task.percent))
 
 
 def _without_zeros(ceiling: resources.Resources) -> resources.Resources:
--- a/toucanspring/coordinator/preemption.py
+++ b/toucanspring/coordinator/preemption.py
@@ -22,7 +22,8 @@
         if allocation.task.phase is state.TaskPhase.STOPPING:
             found.append((-1.0, allocation))
             continue
-        if not _is_preemptible(cell, allocation, priority):
+        own_priority = _find_priority(cell, allocation)
+        if own_priority is None or own_priority <= priority:
             continue
         lost_s = now - allocation.task.started_at
         if allocation.step.step.checkpointing:
@@ -39,26 +40,28 @@
     cell.stop(allocation.step, allocation.task)
 
 
-def _is_preemptible(
-    cell: cell_state.CellState, allocation: workers.Allocation, priority: int
-) -> bool:
+def find_cheap(
+    cell: cell_state.CellState, allocation: workers.Allocation
+) -> int | None:
+    """Return the priority of a task that goes on where it was stopped, else None."""
+    step = allocation.step.step
+    if (
+        not step.checkpointing
+        or step.long_running
+        or allocation.task.percent >= MAX_PERCENT
+    ):
+        return None
+    return _find_priority(cell, allocation)
+
+
+def _find_priority(
+    cell: cell_state.CellState, allocation: workers.Allocation
+) -> int | None:
+    """Return the priority of a task's queue, None if the task is not preemptible."""
     task = allocation.task
     if task.phase is not state.TaskPhase.RUNNING or allocation.step.step.gang:
-        return False
+        return None
     if task.preemptions >= MAX_PREEMPTIONS:
-        return False
+        return None
     queue = cell.catalogue.queue(allocation.step.job.spec.queue)
-    return queue is not None and queue.priority > priority
-
-
-def loses_nothing(
-    cell: cell_state.CellState, allocation: workers.Allocation, priority: int
-) -> bool:
-    """Return whether a task may be preempted and goes on where it was stopped."""
-    step = allocation.step.step
-    return (
-        step.checkpointing
-        and not step.long_running
-        and allocation.task.percent < MAX_PERCENT
-        and _is_preemptible(cell, allocation, priority)
-    )
+    return None if queue is None else queue.priority
