--- a/toucanspring/coordinator/ceilings.py
+++ b/toucanspring/coordinator/ceilings.py
@@ -80,7 +80,7 @@
             demand = victim.step.step.demand
             freeing = freeing + demand
             excess = excess - demand
-            preemption.preempt(self._cell, victim)
+            preemption.preempt(self._cell, victim, step_run)
         self._freeing[name] = freeing
 
     def _collect(self) -> None:
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -177,7 +177,7 @@
                     break
                 free = free + allocation.step.step.occupied()
                 if allocation.task.phase is state.TaskPhase.RUNNING:
-                    preemption.preempt(self._cell, allocation)
+                    preemption.preempt(self._cell, allocation, step_run)
 
     @staticmethod
     def _choose_reservation(
--- a/toucanspring/coordinator/job_writer.py
+++ b/toucanspring/coordinator/job_writer.py
@@ -10,6 +10,7 @@
 from gevent import event
 
 from toucanspring import errors
+from toucanspring import log as structured
 from toucanspring.coordinator import job_specs, ports, rows
 
 log = logbook.Logger(__name__)
@@ -133,9 +134,7 @@
                 dict.fromkeys(by_row_id, 0),
                 {row_id: each.value for row_id, each in by_row_id.items()},
             )
-            now = time.monotonic()
-            if now - sent_at > SLOW_WRITE_S:
-                self._slow_until = now + SLOW_PERIOD_S
+            self._note_duration(sent_at, time.monotonic())
             match answer:
                 case ports.Committed():
                     self._set_results(batch, None)
@@ -148,6 +147,14 @@
                         self._retry_in_next_part(each, answer)
                     return
 
+    def _note_duration(self, sent_at: float, now: float) -> None:
+        took_s = now - sent_at
+        if took_s <= SLOW_WRITE_S:
+            return
+        if not self.is_slow(now):
+            structured.decide(log, "writes_slow", took_ms=round(took_s * 1000))
+        self._slow_until = now + SLOW_PERIOD_S
+
     def _retry_in_next_part(self, pending: PendingJob, failure: errors.Failure) -> None:
         """Retry in the next part of the store, which may be available."""
         pending.attempts += 1
--- a/toucanspring/coordinator/preemption.py
+++ b/toucanspring/coordinator/preemption.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import logbook
+
+from toucanspring import log as structured
 from toucanspring.coordinator import cell_state, state, workers
 
+log = logbook.Logger(__name__)
+
 # For each task; a preemption costs up to a second of the task's allocation.
 MAX_PREEMPTIONS = 2
 # A preempted task without checkpoints loses its work; tasks that have run for longer
@@ -34,9 +39,16 @@
     return [allocation for _, allocation in found]
 
 
-def preempt(cell: cell_state.CellState, allocation: workers.Allocation) -> None:
-    """Stop a task; it goes on from its checkpoint once it starts again."""
-    allocation.task.preemptions += 1
+def preempt(
+    cell: cell_state.CellState, allocation: workers.Allocation, step_run: state.StepRun
+) -> None:
+    """Stop a task for a more urgent step; it starts again from its checkpoint if any."""
+    task = allocation.task
+    structured.decide(
+        log, "task_preempted", task=allocation.step.task_id(task.index),
+        worker=task.worker, percent=task.percent, step=step_run.id,
+    )  # fmt: skip
+    task.preemptions += 1
     cell.stop(allocation.step, allocation.task)
 
 
