--- a/toucanspring/coordinator/preemption.py
+++ b/toucanspring/coordinator/preemption.py
@@ -42,7 +42,7 @@
 def preempt(
     cell: cell_state.CellState, allocation: workers.Allocation, step_run: state.StepRun
 ) -> None:
-    """Stop a task for a more urgent step; it starts again from its checkpoint if any."""
+    """Stop a task for a more urgent step; it goes on from its checkpoint, if any."""
     task = allocation.task
     structured.decide(
         log, "task_preempted", task=allocation.step.task_id(task.index),
