--- a/test/test_coordinator_orders.py
+++ b/test/test_coordinator_orders.py
@@ -125,54 +125,42 @@
 
 
 class QueuedStartTest(testtools.TestCase):
-    def test_a_start_whose_worker_was_lost_meanwhile_is_not_sent(self):
-        """Guards against two runs of a task at the same time.
+    def setUp(self):
+        super().setUp()
+        self.cell = case.new_cell()
+        self.cell.accept(case.job(JOB, case.step(1)), 1.0)
+        [self.start] = planner.Planner(self.cell).plan(1.0).starts
 
-        The start waited in the queue until the worker was lost and had come back.
-        """
-        cell = case.new_cell()
-        cell.accept(case.job(JOB, case.step(1)), 1.0)
-        [start] = planner.Planner(cell).plan(1.0).starts
-        reports.mark_lost(cell, cell.workers["w1"], 9.0)
-        case.poll(cell, "w1", now=10.0)
+    def assert_not_sent(self, now, may_start=lambda _now: True):
+        """Queue the start at a later time; it is not sent, and its task waits again."""
         leader = types.SimpleNamespace(
-            cell=cell,
-            epoch=1,
-            may_renew=lambda _now: True,
-            may_start=lambda _now: True,
+            cell=self.cell, epoch=1, may_renew=lambda _now: True, may_start=may_start,
             wake=lambda: None,
-        )
+        )  # fmt: skip
         sent = []
         client = types.SimpleNamespace(
             start=lambda _worker, order: sent.append(order) or ports.OrderDone(10_000)
         )
-        with dispatch.Dispatcher(leader, client, 6000, lambda: 10.0) as orders:
-            orders.start(start, 1.0)
+        with dispatch.Dispatcher(leader, client, 6000, lambda: now) as orders:
+            orders.start(self.start, 1.0)
             while orders.starts.waiting or orders.starts.in_flight:
                 gevent.sleep(0)
         self.assertEqual([], sent)
-        self.assertEqual([case.WAITING], case.phases(cell))
+        self.assertEqual([case.WAITING], case.phases(self.cell))
+
+    def test_a_start_whose_worker_was_lost_meanwhile_is_not_sent(self):
+        """Guards against two runs of a task at the same time.
+
+        The start waited in the queue until the worker was lost and had come back.
+        """
+        reports.mark_lost(self.cell, self.cell.workers["w1"], 9.0)
+        case.poll(self.cell, "w1", now=10.0)
+        self.assert_not_sent(10.0)
 
     # Guards against a process that was paused between the write of an intent and its
     # order, and starts tasks on a lease and a view of the settings that have run out.
     def test_a_start_whose_permission_has_run_out_is_not_sent(self):
-        cell = case.new_cell()
-        cell.accept(case.job(JOB, case.step(1)), 1.0)
-        [start] = planner.Planner(cell).plan(1.0).starts
-        sent = []
-        leader = types.SimpleNamespace(
-            cell=cell, epoch=1, may_renew=lambda _now: True,
-            may_start=lambda now: now < 3.5, wake=lambda: None,
-        )  # fmt: skip
-        client = types.SimpleNamespace(
-            start=lambda _worker, order: sent.append(order) or ports.OrderDone(10_000)
-        )
-        with dispatch.Dispatcher(leader, client, 6000, lambda: 6.0) as orders:
-            orders.start(start, 1.0)
-            while orders.starts.waiting or orders.starts.in_flight:
-                gevent.sleep(0)
-        self.assertEqual([], sent)
-        self.assertEqual([case.WAITING], case.phases(cell))
+        self.assert_not_sent(6.0, may_start=lambda now: now < 3.5)
 
 
 class RenewalTest(leadership_tests.LeadershipCase):
