--- a/test/test_platform_rowstore.py
+++ b/test/test_platform_rowstore.py
@@ -57,6 +57,7 @@
         gevent.sleep(0.05)
         answer = store.transact({rows.LEADER_LEASE_ROW: 1}, {})
         self.assertIsInstance(answer, ports.Committed)
+        self.assertEqual([], [each for each in writes if each.ready()])
         release.set()
         gevent.joinall(writes, timeout=5.0)
 
