--- a/test/request_fakes.py
+++ b/test/request_fakes.py
@@ -2,14 +2,13 @@
 
 import collections
 import math
-import time
 import types
 
 import gevent
 import testtools
 
 from test import edge_fakes
-from toucanspring import errors, job
+from toucanspring import errors, job, uptime
 from toucanspring.adapters import backend_servers, exchange, vms
 from toucanspring.callers import requests
 from toucanspring.owners import runner
@@ -25,7 +24,7 @@
     """Clock that advances only during sleeps."""
 
     def __init__(self):
-        self.started_at = self.now = time.monotonic()
+        self.started_at = self.now = uptime.now()
         self.gevent = types.SimpleNamespace(spawn=gevent.spawn, sleep=self.sleep)
 
     def __call__(self):
--- a/test/test_approval_dispatcher.py
+++ b/test/test_approval_dispatcher.py
@@ -1,12 +1,11 @@
 """Tests that every request to the approval service ends."""
 
-import time
-
 import gevent
 import testtools
 
 from test import coordinator_case as case
 from test import test_coordinator_processes as processes
+from toucanspring import uptime
 from toucanspring.coordinator import approval_dispatcher, plans, state
 
 JOB = "0" * 16
@@ -83,7 +82,7 @@
         for name in ("two", "three", "four"):
             self.network.members["one"].targets.pop(name)
         dispatcher = self.dispatchers["one"]
-        dispatcher._retry_at[approval_dispatcher.LOCAL] = time.monotonic() + 0.05
+        dispatcher._retry_at[approval_dispatcher.LOCAL] = uptime.now() + 0.05
         dispatcher.submit(self.request(0.01))
         self.wait_for_replies(1)
 
--- a/test/test_coordinator_leadership.py
+++ b/test/test_coordinator_leadership.py
@@ -70,7 +70,7 @@
         acquired = leader_lease.acquire(self.store, process, "10.0.0.1", process)
         self.assertIsInstance(acquired, leader_lease.Acquired)
         store_clock = leader_lease.StoreClock()
-        store_clock.update(self.store.timestamp().store_ms, leadership.time.monotonic())
+        store_clock.update(self.store.timestamp().store_ms, leadership.uptime.now())
         leader = leadership.Leadership(
             self.store,
             self.workers,
--- a/test/test_coordinator_pacing.py
+++ b/test/test_coordinator_pacing.py
@@ -295,7 +295,7 @@
     def test_no_start_is_sent_with_an_expired_ticket_while_writes_are_slow(self):
         """Guards against refused starts, each with a write, an order and a requeue."""
         self.directory.catalogue = case.configure(case.queue(approval=APPROVED))
-        clock = leadership_tests.leadership.time.monotonic
+        clock = leadership_tests.leadership.uptime.now
         remaining_s = [0.2, 0.2, 0.2, VALIDITY_S]
         late = []
         transact, start = self.store.transact, self.workers.start
--- a/test/test_coordinator_polls.py
+++ b/test/test_coordinator_polls.py
@@ -1,11 +1,10 @@
 """Polls of workers: acknowledged ends and leases while the store is slow."""
 
-import time
-
 import gevent
 
 from test import coordinator_case as case
 from test import test_coordinator_leadership as leadership_tests
+from toucanspring import uptime
 from toucanspring.coordinator import dispatch, ports
 
 JOB = "0" * 16
@@ -68,7 +67,7 @@
         self.accept(case.step(1))
         self.wait_for(lambda: self.workers.starts == 1)
         for _ in range(10):
-            leader._dispatcher.pacing.losses.record(False, time.monotonic())
+            leader._dispatcher.pacing.losses.record(False, uptime.now())
         self.wait_for(lambda: dispatch.LOSSY_POLL_WAIT_MS in waits)
 
 
--- a/test/test_coordinator_processes.py
+++ b/test/test_coordinator_processes.py
@@ -1,7 +1,6 @@
 """Several processes on one store: election, failover, approval requests and calls."""
 
 import random
-import time
 
 import gevent
 import msgspec
@@ -11,7 +10,7 @@
 from standins import lease_workers, rowstore
 from test import coordinator_case as case
 from test import test_coordinator_leadership
-from toucanspring import errors, metrics
+from toucanspring import errors, metrics, uptime
 from toucanspring.coordinator import (
     approval_dispatcher,
     candidacy,
@@ -691,7 +690,7 @@
     def test_a_ticket_is_valid_from_the_decision_on(self):
         """Guards against starts refused for a ticket whose answer came late."""
         request = self.request(0.01)
-        asked_at = time.monotonic()
+        asked_at = uptime.now()
         for each in self.approvals.values():
             ask = each.ask
             each.ask = lambda *args, ask=ask: (gevent.sleep(0.4), ask(*args))[1]
--- a/test/test_coordinator_store.py
+++ b/test/test_coordinator_store.py
@@ -1,14 +1,12 @@
 """Job writes, table caches, the leader lease and fenced writes on a faulty store."""
 
-import time
-
 import gevent
 import testtools
 from gevent import event
 
 from standins import rowstore
 from test import coordinator_case as case
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring.coordinator import (
     fenced_writer,
     job_specs,
@@ -138,11 +136,11 @@
 
     def test_a_slow_write_is_remembered_for_a_while(self):
         self.writer.accept(case.job(), 1.0)
-        self.assertFalse(self.writer.is_slow(time.monotonic()))
+        self.assertFalse(self.writer.is_slow(uptime.now()))
         self.patch(job_writer, "SLOW_WRITE_S", 0.0)
         self.writer.accept(case.job("1" * 16), 1.0)
-        self.assertTrue(self.writer.is_slow(time.monotonic()))
-        later = time.monotonic() + job_writer.SLOW_PERIOD_S
+        self.assertTrue(self.writer.is_slow(uptime.now()))
+        later = uptime.now() + job_writer.SLOW_PERIOD_S
         self.assertFalse(self.writer.is_slow(later + 0.1))
 
     def test_concurrent_jobs_are_written_in_batches(self):
--- a/test/test_daemon.py
+++ b/test/test_daemon.py
@@ -3,13 +3,12 @@
 import re
 import subprocess
 import sys
-import time
 
 import testtools
 
 from standins import cluster, processes
 from test import certificates, fake_tables
-from toucanspring import daemon, kernel
+from toucanspring import daemon, kernel, uptime
 
 
 class ImportsTest(testtools.TestCase):
@@ -76,9 +75,9 @@
 
     def test_waiting_for_requests_is_limited(self):
         core, _ = self.make(requests=10**9)
-        started = time.monotonic()
+        started = uptime.now()
         self.assertFalse(daemon.drain(core, 0.2))
-        self.assertTrue(time.monotonic() - started < 1.0)
+        self.assertTrue(uptime.now() - started < 1.0)
 
 
 class DaemonTest(testtools.TestCase):
--- a/test/test_documents.py
+++ b/test/test_documents.py
@@ -1,6 +1,5 @@
 import dataclasses
 import random
-import time
 
 import gevent
 import logbook
@@ -8,7 +7,7 @@
 from testtools import content
 
 from test import fake_cell, fake_tables
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring.cell import freshness
 from toucanspring.configuration import changes, confirmation, documents, records
 
@@ -29,7 +28,7 @@
         joined = fake_tables.wait_for(
             lambda: all(
                 len(p.membership.members()) == len(p.membership.reachable()) == count
-                and p.documents.fresh(time.monotonic())
+                and p.documents.fresh(uptime.now())
                 for p in self.processes
             )
         )
@@ -41,10 +40,10 @@
 
     def test_a_change_is_in_force_everywhere_and_confirmed(self):
         cell = self.start(3)
-        started = time.monotonic()
+        started = uptime.now()
         self.assertEqual(1, cell[0].documents.apply("one", 0, "operator"))
         self.assert_soon(lambda: all(p.documents.cell() == "one" for p in cell))
-        self.assertTrue(time.monotonic() - started < 1.0)
+        self.assertTrue(uptime.now() - started < 1.0)
         self.assert_soon(lambda: all(cell[0].documents.confirmations(1).values()))
         (version,) = cell[2].documents.history()
         self.assertEqual(("one", "operator"), (version.source, version.operator))
@@ -142,12 +141,12 @@
         process.client.stale_rows = {
             key: stale.get(key, absent) for key in (records.HEAD, records.CONFIG)
         }
-        self.assert_soon(lambda: not process.documents.fresh(time.monotonic()))
+        self.assert_soon(lambda: not process.documents.fresh(uptime.now()))
         self.assertEqual("one", process.documents.cell())
         refused = process.documents.apply("two", 0, "operator")
         self.assertIsInstance(refused, errors.Refused)
         process.client.stale_rows = {}
-        self.assert_soon(lambda: process.documents.fresh(time.monotonic()))
+        self.assert_soon(lambda: process.documents.fresh(uptime.now()))
 
     def test_a_process_without_the_store_follows_its_peers(self):
         # Guards against a process that serves an old view, and against one that stops
@@ -159,7 +158,7 @@
         self.assert_soon(lambda: cell[2].documents.keys())
         self.assertEqual("one", cell[2].documents.cell())
         gevent.sleep(1.8)
-        self.assertTrue(cell[2].documents.fresh(time.monotonic()))
+        self.assertTrue(cell[2].documents.fresh(uptime.now()))
         self.assertEqual("team", cell[2].documents.check_key(granted.secret).team)
         cell[0].documents.withdraw_key(granted.id, "operator")
         self.assert_soon(lambda: not cell[2].documents.keys(), 1.5)
@@ -169,11 +168,11 @@
         for process in cell:
             process.client.down = True
         gevent.sleep(2.2)
-        now = time.monotonic()
+        now = uptime.now()
         self.assertEqual([True] * 3, [p.documents.fresh(now) for p in cell])
         for process in cell[1:]:
             process.kill()
-        self.assert_soon(lambda: not cell[0].documents.fresh(time.monotonic()))
+        self.assert_soon(lambda: not cell[0].documents.fresh(uptime.now()))
 
     def test_a_change_that_half_of_the_members_did_not_confirm_is_ambiguous(self):
         # Guards against an accepted change that an outage right after it could hide.
@@ -201,7 +200,7 @@
         self.assertEqual(1, cell[0].documents.apply("new", 0, "operator"))
         gevent.sleep(2.0)
         self.assertEqual({"p0": True, "p1": False}, cell[0].documents.confirmations(1))
-        self.assertFalse(cell[1].documents.fresh(time.monotonic()))
+        self.assertFalse(cell[1].documents.fresh(uptime.now()))
 
 
 class SimulatedChangesTest(testtools.TestCase):
--- a/test/test_exchange.py
+++ b/test/test_exchange.py
@@ -1,12 +1,11 @@
 import contextlib
-import time
 
 import gevent
 import testtools
 from gevent import event, server
 
 from standins import service
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring.adapters import exchange
 
 OK_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: "
@@ -148,7 +147,7 @@
         # server that was chosen too long ago.
         started = self.serve(OK_HEAD + b"0\r\n\r\n", end=False)
         endpoint = self.endpoint(started.port)
-        late = endpoint.open("POST", "/", send_by=time.monotonic() - 0.001)
+        late = endpoint.open("POST", "/", send_by=uptime.now() - 0.001)
         self.assertIsInstance(late, errors.Overloaded)
         self.assertEqual(200, endpoint.call("POST", "/").status)
         self.assertEqual(1, started.connections)  # returned to the pool unused
--- a/test/test_fleet.py
+++ b/test/test_fleet.py
@@ -1,5 +1,4 @@
 import random
-import time
 
 import gevent
 import testtools
@@ -7,7 +6,7 @@
 from standins import events, ports, task_runs, worker_reports
 from standins import worker as standin
 from test import fake_tables
-from toucanspring import resources, wire
+from toucanspring import resources, uptime, wire
 from toucanspring.adapters import vms, workers
 from toucanspring.owners import fleet, worker_link
 
@@ -98,7 +97,7 @@
         def post(message):
             self.posted.append(message)
             if isinstance(message, worker_link.Lost):
-                lost_at.append(time.monotonic())
+                lost_at.append(uptime.now())
 
         link = self.open(post=post)
         self.start_task(link)
@@ -149,7 +148,7 @@
         self.wait(lambda: link.attached)
         self.assertEqual(0.0, self.worker._lease_until)
         self.may_renew = True
-        self.wait(lambda: self.worker._lease_until > time.monotonic())
+        self.wait(lambda: self.worker._lease_until > uptime.now())
 
     def test_a_start_with_an_old_tick_asks_for_a_new_one(self):
         # Guards against refusals by workers that report rarely.
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -15,7 +15,7 @@
         self.start()
         if clock is not None:  # the poller already sleeps in real time
             self.patch(requests, "gevent", clock.gevent)
-            self.patch(requests, "time", types.SimpleNamespace(monotonic=clock))
+            self.patch(requests, "uptime", types.SimpleNamespace(now=clock))
         self.core.find("claims").owner = "entry-2"
         script = collections.deque(results)
         self.calls = 0
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -1,10 +1,10 @@
 import json
-import time
 
 import gevent
 import gevent.event
 
 from test import gateway_case
+from toucanspring import uptime
 from toucanspring.callers import gateway
 
 PATH = "/v1/services/request-desk/requests"
@@ -17,8 +17,8 @@
         service = self.core.find("gateway")
         waited = []
         self.patch(service._server, "drain", lambda limit_s: waited.append(limit_s))
-        now = time.monotonic()
-        self.patch(gateway.time, "monotonic", lambda: now)
+        now = uptime.now()
+        self.patch(gateway.uptime, "now", lambda: now)
         service.stop_accepting()
         now += 4.0
         service.stop()
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -2,7 +2,6 @@
 import socket
 import struct
 import tempfile
-import time
 
 import gevent
 import logbook
@@ -11,7 +10,7 @@
 from gevent import socket as gevent_socket
 
 from test import fake_tables
-from toucanspring import errors, frames, outbox, stream, wire
+from toucanspring import errors, frames, outbox, stream, uptime, wire
 from toucanspring.cell import peers, rpc
 
 
@@ -237,9 +236,9 @@
         gevent.sleep(0)
         box = caller._connections["callee"]._outbox
         self.assertTrue(box._bytes <= outbox.MAX_QUEUED_BYTES)
-        started = time.monotonic()
+        started = uptime.now()
         gevent.joinall(calls)
-        self.assertTrue(time.monotonic() - started < 1.5)
+        self.assertTrue(uptime.now() - started < 1.5)
         kinds = {type(call.value) for call in calls}
         self.assertEqual({errors.Unavailable, errors.Ambiguous}, kinds)
 
--- a/test/test_scenario_checks.py
+++ b/test/test_scenario_checks.py
@@ -3,14 +3,13 @@
 import collections
 import dataclasses
 import json
-import time
 import types
 
 import testtools
 
 from scenarios import actions, cell, client, language, loads
 from standins import checker, events, executions, facts, violations
-from toucanspring import resources
+from toucanspring import resources, uptime
 
 
 def reply(status, body=None, **more):
@@ -90,7 +89,7 @@
     def test_the_checker_finds_late_acceptance_of_a_withdrawn_key(self):
         load, _ = self.send(client.Reply(200, b"x"))
         known = facts.RunFacts(
-            key_uses=tuple(load.key_uses), withdrawn_keys={"k1": time.monotonic() - 4}
+            key_uses=tuple(load.key_uses), withdrawn_keys={"k1": uptime.now() - 4}
         )
         (violation,) = checker.check({}, known)
         self.assertIsInstance(violation, violations.KeyAccepted)
@@ -249,7 +248,7 @@
     def test_a_lowered_ceiling_counts_from_its_acceptance(self):
         self.cell.source = cell.read_deployment("kernhalde")
         self.cell.record_in_force(self.cell.source, 1, before=5.0)
-        before = time.monotonic()
+        before = uptime.now()
         lowered = cell.with_ceilings(self.cell.source, {"desk": 10})
         self.cell.record_in_force(lowered, 2, before)
         last = self.cell.ceilings[-1]
--- a/test/test_store.py
+++ b/test/test_store.py
@@ -1,12 +1,11 @@
 import random
-import time
 
 import testtools
 from gevent import server
 
 from standins import events, injection, service
 from standins import tables as standin_tables
-from toucanspring import errors, store
+from toucanspring import errors, store, uptime
 from toucanspring.adapters import tables
 
 LOST = errors.Ambiguous(reason="lost")
@@ -231,11 +230,11 @@
     def test_a_limited_service_makes_calls_wait(self):
         # Guards against benchmarks on a table service without a rate limit.
         self.faults(calls_per_second={"/v1/transactions": 50})
-        began = time.monotonic()
+        began = uptime.now()
         for _ in range(11):
             self.client.transact({}, {"a": b"1"})
         # Only the lower bound: a busy machine may take longer, but never less.
-        elapsed_s = time.monotonic() - began
+        elapsed_s = uptime.now() - began
         self.assertTrue(elapsed_s > 0.19, elapsed_s)
 
     def test_only_named_clients_are_blocked(self):
--- a/test/test_worker_faults.py
+++ b/test/test_worker_faults.py
@@ -1,6 +1,5 @@
 import dataclasses
 import random
-import time
 
 import gevent
 import msgspec
@@ -8,7 +7,7 @@
 
 from standins import checker, events, ports, task_runs, violations
 from standins import worker as standin
-from toucanspring import errors, resources, wire
+from toucanspring import errors, resources, uptime, wire
 from toucanspring.adapters import vms, workers
 
 LEASE_S = 0.4
@@ -44,14 +43,14 @@
         )
 
     def own(self, owned, until):
-        while time.monotonic() < until and len(self.done) < TASKS:
+        while uptime.now() < until and len(self.done) < TASKS:
             self.step(owned)
             gevent.sleep(0.01)
         if owned.link is not None:
             owned.link.close()
 
     def step(self, owned):
-        now = time.monotonic()
+        now = uptime.now()
         if owned.link is None or owned.link.closed:
             wait_s = LEASE_S + GRACE_S * 1.05 if self.waits_for_leases else 0.0
             if now > owned.renewed_at + wait_s:
@@ -148,9 +147,9 @@
 
     def run_owner(self, waits_for_leases):
         owner = Owner(self.ports, waits_for_leases)
-        began = time.monotonic()
+        began = uptime.now()
         running = gevent.spawn(owner.run, began + 15)
-        while time.monotonic() < began + 4:
+        while uptime.now() < began + 4:
             gevent.sleep(0.25)
             fault = self.rng.choice(
                 [
--- a/test/test_worker_reports.py
+++ b/test/test_worker_reports.py
@@ -1,10 +1,9 @@
-import time
-
 import gevent
 import testtools
 
 from standins import events, task_runs
 from test import test_workers
+from toucanspring import uptime
 from toucanspring.adapters import vms
 
 
@@ -46,7 +45,7 @@
         host._flushed_at = -2 * task_runs.FINISH_BATCH_S
         for names in (["a/0", "a/1"], ["a/2"], ["a/3"]):
             for name in names:
-                host._run(test_workers.task(name, run_ms=0), 0, 1, time.monotonic(), 0)
+                host._run(test_workers.task(name, run_ms=0), 0, 1, uptime.now(), 0)
             ends = [item for item in host.timers if item[1]]
             host.timers = [item for item in host.timers if not item[1]]
             for function, args in ends:
--- a/test/test_workers.py
+++ b/test/test_workers.py
@@ -1,5 +1,4 @@
 import random
-import time
 
 import gevent
 import msgspec
@@ -8,7 +7,7 @@
 
 from standins import checker, events, ports, service, task_runs, worker_reports
 from standins import worker as standin
-from toucanspring import errors, resources, wire
+from toucanspring import errors, resources, uptime, wire
 from toucanspring.adapters import vms, workers
 
 CORE = resources.Resources(1000, 1000)
@@ -58,9 +57,9 @@
 
 
 def wait(condition, timeout_s=3.0):
-    deadline = time.monotonic() + timeout_s
+    deadline = uptime.now() + timeout_s
     while not condition():
-        if time.monotonic() > deadline:
+        if uptime.now() > deadline:
             raise AssertionError("the condition did not become true in time")
         gevent.sleep(0.005)
 
@@ -152,7 +151,7 @@
         self.patch(worker, "_report", sent.append)
         pauses = []
         clock = task_runs.Clock()
-        clock.at = lambda due, *_: pauses.append(round(due - time.monotonic()))
+        clock.at = lambda due, *_: pauses.append(round(due - uptime.now()))
         self.patch(worker, "_clock", clock)
         for _ in range(4):
             worker._report_periodically(worker._report_series)
@@ -210,7 +209,7 @@
         owner = self.own(lease_ms=300)
         owner.link.start(1, [task("j/0", run_ms=60_000)])
         gevent.sleep(0.15)
-        owner.link.renew(1, 300, self.worker._tick(time.monotonic()))
+        owner.link.renew(1, 300, self.worker._tick(uptime.now()))
         gevent.sleep(0.25)
         self.assertEqual({}, owner.finished)
         wait(lambda: owner.finished)
@@ -219,7 +218,7 @@
         owner.link.start(1, [task("k/0")])
         wait(lambda: owner.refused)
         self.assertEqual({"k/0": "lease"}, owner.refused)
-        owner.link.renew(1, LEASE_MS, self.worker._tick(time.monotonic()))
+        owner.link.renew(1, LEASE_MS, self.worker._tick(uptime.now()))
         rest_ms = msgspec.json.decode(saved.answer)["done_ms"] + 40
         owner.link.start(1, [task("j/0", 1, progress=saved.answer, run_ms=rest_ms)])
         wait(lambda: owner.finished["j/0"].state == "done", timeout_s=0.3)
@@ -227,7 +226,7 @@
     def test_a_late_renewal_does_not_extend_the_lease(self):
         # Guards against a lease that lasts longer than its sender expects.
         owner = self.own(lease_ms=100)
-        late = self.worker._tick(time.monotonic())
+        late = self.worker._tick(uptime.now())
         gevent.sleep(0.25)
         for tick in (late, late + 60_000):  # too old, and of another incarnation
             owner.link.renew(1, 200, tick)
--- a/toucanspring/adapters/backend_servers.py
+++ b/toucanspring/adapters/backend_servers.py
@@ -78,7 +78,7 @@
         `NotRun` (refused, or no connection was free) and `Unavailable` (the server was
         not reached) mean that it certainly did not run, `Ambiguous` that it may have.
         `epoch` is given for non-idempotent requests. Nothing is sent after `send_by`
-        (monotonic seconds).
+        (seconds of `uptime`).
         """
 
     def lookup(
--- a/toucanspring/adapters/exchange.py
+++ b/toucanspring/adapters/exchange.py
@@ -7,14 +7,13 @@
 import math
 import re
 import socket
-import time
 from collections.abc import Iterator
 
 import gevent
 from gevent import socket as gevent_socket
 from geventhttpclient import connectionpool, response
 
-from toucanspring import errors, stream
+from toucanspring import errors, stream, uptime
 
 CONNECT_TIMEOUT_S = 1.0
 TIMEOUT_S = 5.0
@@ -117,7 +116,7 @@
 
 
 class OpenReply:
-    """Read the body of one answer in blocks until `deadline` (monotonic seconds)."""
+    """Read the body of one answer in blocks until `deadline` (seconds of `uptime`)."""
 
     def __init__(self, parsed: ParsedReply, deadline: float) -> None:
         self._parsed = parsed
@@ -139,7 +138,7 @@
         limit = None
         try:
             while True:
-                limit = gevent.Timeout(max(0.001, self._deadline - time.monotonic()))
+                limit = gevent.Timeout(max(0.001, self._deadline - uptime.now()))
                 with limit:
                     block = self._parsed.read_available()
                 if not block:
@@ -213,14 +212,14 @@
         was sent.
         """
         head = self._head(method, target, headers or {}, len(body))
-        deadline = time.monotonic() + timeout_s
+        deadline = uptime.now() + timeout_s
         sock = None
         sent = False
         limit = gevent.Timeout(timeout_s)
         try:
             with limit:
                 sock = self._pool.get_socket()
-                if time.monotonic() > send_by:
+                if uptime.now() > send_by:
                     self._pool.return_socket(sock)
                     sock = None
                     return errors.Overloaded(reason="no connection became free in time")
--- a/toucanspring/adapters/vms.py
+++ b/toucanspring/adapters/vms.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import enum
-import time
 from typing import Protocol
 
 import msgspec
 
-from toucanspring import errors, resources
+from toucanspring import errors, resources, uptime
 from toucanspring.adapters import exchange, platform
 
 # The list is read once a second; `callers.listing` relies on a limit for each read.
@@ -75,7 +74,7 @@
 
     def list(self, max_age_s: float = 0.0) -> list[Vm] | errors.Failure:
         """Return all listed VMs; the same list object while nothing has changed."""
-        requested_at = time.monotonic()
+        requested_at = uptime.now()
         if requested_at - self._read_at < max_age_s:
             return self._listed
         reply = self._endpoint.call(
--- a/toucanspring/bounded_output.py
+++ b/toucanspring/bounded_output.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import os
-import time
 from collections.abc import Callable
 
 import gevent.os
 
+from toucanspring import uptime
+
 # A busy coordinator writes about 200 lines per second. Repeated failures could write
 # many more; lines beyond this rate are dropped.
 LINES_PER_S = 400
@@ -22,7 +23,7 @@
         descriptor: int,
         lines_per_s: float = LINES_PER_S,
         burst: int = BURST_LINES,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = uptime.now,
     ) -> None:
         gevent.os.make_nonblocking(descriptor)
         self._descriptor = descriptor
--- a/toucanspring/callers/api.py
+++ b/toucanspring/callers/api.py
@@ -5,14 +5,13 @@
 import hashlib
 import hmac
 import re
-import time
 
 import falcon
 import gevent
 import logbook
 import msgspec
 
-from toucanspring import errors, kernel
+from toucanspring import errors, kernel, uptime
 from toucanspring.callers import handler
 
 log = logbook.Logger(__name__)
@@ -179,7 +178,7 @@
 
     A view that may be out of date cannot tell that it does not exist.
     """
-    if core.find("documents").fresh(time.monotonic()):
+    if core.find("documents").fresh(uptime.now()):
         return ApiError(failure)
     reason = f"the configuration may be out of date; not run: {failure.reason}"
     return ApiError(errors.Unavailable(reason=reason))
@@ -229,7 +228,7 @@
         withdrawn key has to stop working within 3 s.
         """
         documents = self._kernel.find("documents")
-        if not documents.fresh(time.monotonic()):
+        if not documents.fresh(uptime.now()):
             raise ApiError(
                 errors.NotRun(reason="not run: the view of keys may be out of date")
             )
--- a/toucanspring/callers/api_status.py
+++ b/toucanspring/callers/api_status.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import falcon
 import msgspec
 from gevent import pool
 
-from toucanspring import errors, kernel
+from toucanspring import errors, kernel, uptime
 from toucanspring.callers import api
 from toucanspring.reporting import report, survey
 
@@ -57,7 +56,7 @@
                 "answered_by": own,
                 "members": members,
                 "versions": msgspec.structs.asdict(documents.versions()),
-                "fresh": documents.fresh(time.monotonic()),
+                "fresh": documents.fresh(uptime.now()),
             },
         )
 
--- a/toucanspring/callers/backend_pool.py
+++ b/toucanspring/callers/backend_pool.py
@@ -6,13 +6,12 @@
 import itertools
 import math
 import random
-import time
 from collections.abc import Callable
 
 import gevent
 from gevent import event
 
-from toucanspring import errors, job
+from toucanspring import errors, job, uptime
 from toucanspring.callers import admission, routing
 from toucanspring.configuration import text
 
@@ -50,7 +49,7 @@
         self,
         service: text.Service,
         rng: random.Random,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = uptime.now,
         usable_until: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self.service = service
--- a/toucanspring/callers/forwarding.py
+++ b/toucanspring/callers/forwarding.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Iterator
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring.adapters import backend_servers
 from toucanspring.callers import answers, backend_pool, handler, routing
 
@@ -89,7 +88,7 @@
         target: backend_pool.BackendPool,
         client: backend_servers.BackendServerClient,
         request: answers.Request,
-        clock: Clock = time.monotonic,
+        clock: Clock = uptime.now,
     ) -> None:
         self._pool = target
         self._client = client
--- a/toucanspring/callers/gateway.py
+++ b/toucanspring/callers/gateway.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import mimetypes
-import time
 from collections.abc import Iterator
 
 import falcon
 import logbook
 
-from toucanspring import errors, kernel
+from toucanspring import errors, kernel, uptime
 from toucanspring.callers import (
     answers,
     api,
@@ -41,7 +40,7 @@
 
     def process_request(self, request: falcon.Request, _response) -> None:
         """Record when a request started."""
-        request.context.started = time.monotonic()
+        request.context.started = uptime.now()
 
     def process_response(
         self, request: falcon.Request, response: falcon.Response, _resource, _ok
@@ -50,7 +49,7 @@
         route = request.uri_template or "none"
         status = response.status[:3]
         self._requests.inc({"route": route, "status": status})
-        seconds = time.monotonic() - request.context.started
+        seconds = uptime.now() - request.context.started
         self._seconds.add({"route": route}, seconds)
 
 
@@ -73,7 +72,7 @@
         """
         if not self._was_fresh:
             documents = self._kernel.find("documents")
-            self._was_fresh = documents.fresh(time.monotonic())
+            self._was_fresh = documents.fresh(uptime.now())
         return self._was_fresh
 
     def process_request(self, request: falcon.Request, _response) -> None:
@@ -162,7 +161,7 @@
         self._settings = settings
         self._server: server.Server | None = None
         self._draining = False
-        self._drain_until = 0.0  # monotonic seconds
+        self._drain_until = 0.0  # seconds of `uptime`
 
     @property
     def port(self) -> int:
@@ -185,7 +184,7 @@
     def stop_accepting(self) -> None:
         """Close the listener; each connection ends with its current answer."""
         if not self._draining:
-            self._drain_until = time.monotonic() + self._settings.drain_s
+            self._drain_until = uptime.now() + self._settings.drain_s
         self._draining = True
         if self._server is not None:
             self._server.stop_accepting_connections()
@@ -200,7 +199,7 @@
             return
         self.stop_accepting()
         # The daemon has already waited; both waits together take `drain_s` at most.
-        left_s = max(0.0, self._drain_until - time.monotonic())
+        left_s = max(0.0, self._drain_until - uptime.now())
         interrupted = self._server.drain(left_s)
         if interrupted:
             log.warning("{} requests were interrupted by the stop", interrupted)
--- a/toucanspring/callers/listing.py
+++ b/toucanspring/callers/listing.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import logbook
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring.adapters import vms
 from toucanspring.cell import ownership
 
@@ -27,7 +26,7 @@
     def __init__(
         self,
         read: Callable[[], list[vms.Vm] | errors.Failure],
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = uptime.now,
     ) -> None:
         self.vms: list[vms.Vm] = []
         self._read = read
--- a/toucanspring/callers/outcome_lookup.py
+++ b/toucanspring/callers/outcome_lookup.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import gevent
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring.adapters import backend_servers
 from toucanspring.callers import answers
 from toucanspring.owners import outcomes
@@ -29,7 +28,7 @@
     def __init__(
         self,
         client: backend_servers.BackendServerClient,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = uptime.now,
     ) -> None:
         self._client = client
         self._clock = clock
--- a/toucanspring/callers/requests.py
+++ b/toucanspring/callers/requests.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Iterator
 
 import gevent
 import logbook
 import msgspec
 
-from toucanspring import errors, kernel
+from toucanspring import errors, kernel, uptime
 from toucanspring.adapters import backend_servers, vms
 from toucanspring.callers import answers, backend_pool, forwarding, listing, routing
 from toucanspring.cell import claims, rpc
@@ -107,7 +106,7 @@
         target = self._pool_of(request.service)
         if target is None:
             return errors.NotFound(reason=f"no service {request.service}")
-        started = time.monotonic()
+        started = uptime.now()
         self._serving += 1
         try:
             if request.idempotent:
@@ -116,7 +115,7 @@
                 result = self._forward(request)
         finally:
             self._serving -= 1
-        now = time.monotonic()
+        now = uptime.now()
         self._record(target.service, request, result, now - started, now)
         if isinstance(result, errors.Overloaded):
             self._kernel.publish(
@@ -124,7 +123,7 @@
             )
         if isinstance(result, Answer) and isinstance(result.chunks, forwarding.Stream):
             result.chunks.on_abort = lambda: self.burn.record(
-                request.service, request.team, False, time.monotonic()
+                request.service, request.team, False, uptime.now()
             )
         return result
 
@@ -132,17 +131,17 @@
         self, request_id: str
     ) -> answers.Stored | runner.Running | errors.Failure:
         """Return the outcome of a non-idempotent request from the owner of its ID."""
-        deadline = time.monotonic() + STATUS_TIMEOUT_S
+        deadline = uptime.now() + STATUS_TIMEOUT_S
         while True:
             result = search.find(
                 self._kernel.find("layout"),
                 request_id,
                 lambda number: self._query_status(
-                    number, request_id, deadline - time.monotonic()
+                    number, request_id, deadline - uptime.now()
                 ),
             )
             retry = isinstance(result, RETRYABLE_FAILURES + AMBIGUOUS_FAILURES)
-            if not retry or time.monotonic() + RETRY_S >= deadline:
+            if not retry or uptime.now() + RETRY_S >= deadline:
                 break
             gevent.sleep(RETRY_S)
         if isinstance(result, AMBIGUOUS_FAILURES):
@@ -172,11 +171,11 @@
 
         The owner runs an ID at most once, so a retry is always safe.
         """
-        deadline = time.monotonic() + request.deadline_s
+        deadline = uptime.now() + request.deadline_s
         ambiguous: errors.Failure | None = None
         number: int | None = None  # set if another partition has the request
         while True:
-            left_s = deadline - time.monotonic()
+            left_s = deadline - uptime.now()
             result = self._forward_once(request, number, max(0.001, left_s))
             number = None
             match result:
@@ -193,7 +192,7 @@
                 ambiguous = result
             elif not isinstance(result, RETRYABLE_FAILURES):
                 return result
-            if time.monotonic() + RETRY_S >= deadline:
+            if uptime.now() + RETRY_S >= deadline:
                 break
             gevent.sleep(RETRY_S)
         if ambiguous is not None:
--- a/toucanspring/callers/server.py
+++ b/toucanspring/callers/server.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import time
-
 import gevent
 import logbook
 from gevent import pool, pywsgi
 
+from toucanspring import uptime
 from toucanspring.callers import handler, listener
 
 log = logbook.Logger(__name__)
@@ -60,7 +59,7 @@
         self._handshakes = 0  # TLS handshakes in progress
         self.connections: set[handler.Handler] = set()
         self.draining = False
-        self._idle_until = 0.0  # monotonic seconds
+        self._idle_until = 0.0  # seconds of `uptime`
         self._first_requests_until = 0.0
 
     def update_environ(self) -> None:
@@ -104,7 +103,7 @@
         pending = sum(each.has_pending_request() for each in self.connections)
         # The handlers of newly accepted connections have not run yet.
         pending += max(0, len(self.pool) - len(self.connections) - self._handshakes)
-        now = time.monotonic()
+        now = uptime.now()
         if now < self._idle_until:
             return pending + bool(self.connections) + self._handshakes
         if now < self._first_requests_until:
@@ -117,7 +116,7 @@
         if self.draining:
             return
         self.draining = True
-        now = time.monotonic() + TCP_HANDSHAKE_S
+        now = uptime.now() + TCP_HANDSHAKE_S
         self._idle_until = now + DRAIN_IDLE_S
         self._first_requests_until = now + FIRST_REQUEST_S
         if listener.ignore_new_connections(self.socket):
@@ -129,8 +128,8 @@
     def drain(self, limit_s: float) -> int:
         """Stop accepting, wait for requests, and return how many were interrupted."""
         self.stop_accepting_connections()
-        deadline = time.monotonic() + limit_s
-        while self.in_flight() and time.monotonic() < deadline:
+        deadline = uptime.now() + limit_s
+        while self.in_flight() and uptime.now() < deadline:
             gevent.sleep(0.02)
         interrupted = sum(each.has_pending_request() for each in self.connections)
         self.pool.kill(timeout=handler.LINGER_S)
--- a/toucanspring/cell/layout.py
+++ b/toucanspring/cell/layout.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import dataclasses
-import time
 import uuid
 from collections.abc import Callable, Mapping
 
@@ -16,7 +15,7 @@
 import logbook
 import msgspec
 
-from toucanspring import errors, job, kernel, settings, shared_read
+from toucanspring import errors, job, kernel, settings, shared_read, uptime
 from toucanspring.adapters import tables
 
 log = logbook.Logger(__name__)
@@ -112,7 +111,7 @@
         self,
         core: kernel.Kernel,
         options: settings.Settings,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = uptime.now,
     ) -> None:
         self._kernel = core
         self._clock = clock
--- a/toucanspring/cell/member_removal.py
+++ b/toucanspring/cell/member_removal.py
@@ -32,7 +32,7 @@
     rows: dict[str, tuple[int, member_rows.MemberRow]]
 
     def clock(self) -> float:
-        """Return the monotonic time in seconds."""
+        """Return the time in seconds of `uptime`."""
 
     def reachable(self) -> set[str]:
         """Return the processes with a recent heartbeat."""
--- a/toucanspring/cell/membership.py
+++ b/toucanspring/cell/membership.py
@@ -10,7 +10,7 @@
 import msgspec
 from gevent import pool
 
-from toucanspring import errors, periodic, resources
+from toucanspring import errors, periodic, resources, uptime
 from toucanspring.adapters import tables
 from toucanspring.cell import (
     heartbeat,
@@ -43,7 +43,7 @@
         self,
         kernel: object,
         settings: object,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = uptime.now,
     ) -> None:
         self._kernel = kernel
         self._settings = settings
--- a/toucanspring/cell/ownership.py
+++ b/toucanspring/cell/ownership.py
@@ -2,8 +2,8 @@
 
 An owner renews a lease in the store. While neither it nor a majority of the members
 reaches the store, the lease is extended by promises of these members to claim nothing.
-All functions are pure. Times are monotonic seconds of the process that evaluates them;
-no time of another process is ever compared with them.
+All functions are pure. Times are seconds of `uptime` in the process that evaluates
+them; no time of another process is ever compared with them.
 """
 
 from __future__ import annotations
--- a/toucanspring/cell/peers.py
+++ b/toucanspring/cell/peers.py
@@ -5,7 +5,6 @@
 import hmac
 import random
 import socket
-import time
 from collections.abc import Callable, Iterator
 
 import gevent
@@ -13,7 +12,7 @@
 from gevent import pool
 from gevent import socket as gevent_socket
 
-from toucanspring import deadline, errors, frames, outbox, stream
+from toucanspring import deadline, errors, frames, outbox, stream, uptime
 from toucanspring.cell import rpc
 
 log = logbook.Logger(__name__)
@@ -131,11 +130,11 @@
             return chunks
         parts = []
         size = 0
-        deadline = time.monotonic() + timeout_s
+        deadline = uptime.now() + timeout_s
         try:
             for chunk in chunks:
                 size += len(chunk)
-                if time.monotonic() > deadline:
+                if uptime.now() > deadline:
                     chunks.close()
                     return errors.Ambiguous(reason=f"no complete answer to {method}")
                 if size > rpc.MAX_JOINED_BYTES:
--- a/toucanspring/cell/transitions.py
+++ b/toucanspring/cell/transitions.py
@@ -15,7 +15,7 @@
     local_member: member_rows.LocalMember
 
     def clock(self) -> float:
-        """Return the monotonic time in seconds."""
+        """Return the time in seconds of `uptime`."""
 
     def lease_state(self, now: float) -> ownership.LeaseState:
         """Return the state of the lease of this process."""
@@ -25,7 +25,7 @@
 
 
 class TransitionDetector:
-    """Detect changes between successive updates; times are monotonic seconds."""
+    """Detect changes between successive updates; times are seconds of `uptime`."""
 
     def __init__(self) -> None:
         self._state = ownership.LeaseState.HELD
--- a/toucanspring/commands/apply.py
+++ b/toucanspring/commands/apply.py
@@ -1,10 +1,8 @@
 """Command `apply`."""
 
-import time
-
 import gevent
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring.configuration import reader, text
 from toucanspring.terminal import client, console, source
 
@@ -74,7 +72,7 @@
     connection: client.Client, version: int, limit_s: float
 ) -> tuple[list[str], list[str]]:
     """Return the processes that confirmed a version, and the unreachable ones."""
-    deadline = time.monotonic() + limit_s
+    deadline = uptime.now() + limit_s
     progress = console.Progress()
     while True:
         answer = console.unwrap(
@@ -95,7 +93,7 @@
         progress.show(
             f"version {version}: {len(found) - len(missing)} of {len(found)} confirmed"
         )
-        if time.monotonic() > deadline:
+        if uptime.now() > deadline:
             progress.end()
             names = ", ".join(missing)
             raise console.CommandError(
--- a/toucanspring/commands/wait.py
+++ b/toucanspring/commands/wait.py
@@ -1,10 +1,8 @@
 """Command `wait`."""
 
-import time
-
 import gevent
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring.commands import status
 from toucanspring.terminal import console
 
@@ -18,7 +16,7 @@
     :param jobs: job IDs
     :param limit_s: limit on the wait in seconds; 0 means none
     """
-    started = time.monotonic()
+    started = uptime.now()
     progress = console.Progress()
     open_jobs = list(jobs)
     statuses: dict[str, dict[str, object]] = {}
@@ -29,7 +27,7 @@
         open_jobs = [job_id for job_id in open_jobs if not statuses[job_id]["outcome"]]
         if not open_jobs:
             break
-        waited_s = time.monotonic() - started
+        waited_s = uptime.now() - started
         progress.show(_describe(statuses, open_jobs, waited_s))
         if limit_s and waited_s >= limit_s:
             progress.end()
--- a/toucanspring/configuration/changes.py
+++ b/toucanspring/configuration/changes.py
@@ -11,7 +11,7 @@
 import gevent
 import msgspec
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring.adapters import tables
 from toucanspring.cell import freshness
 from toucanspring.configuration import records
@@ -190,7 +190,7 @@
     client: tables.TableClient,
     change: Change,
     in_force: Callable[[], freshness.Versions],
-    clock: Callable[[], float] = time.monotonic,
+    clock: Callable[[], float] = uptime.now,
 ) -> records.Document | errors.Failure:
     """Commit a change and its version in the head row, with retries.
 
--- a/toucanspring/configuration/confirmation.py
+++ b/toucanspring/configuration/confirmation.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 from gevent import event
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring.cell import freshness, membership
 
 # Limit on the wait until half of the members have a stored change in force.
@@ -53,7 +52,7 @@
         A majority that confirms an old view during a store outage then always includes
         a member that knows the change.
         """
-        deadline = time.monotonic() + LIMIT_S
+        deadline = uptime.now() + LIMIT_S
         # A member that registered before the change must be counted even if its row
         # was not read yet.
         scanned = False
@@ -64,7 +63,7 @@
             rows = self._members.member_lists()
             if scanned and freshness.is_accepted(rows, confirmed):
                 return None
-            wait_s = deadline - time.monotonic()
+            wait_s = deadline - uptime.now()
             if wait_s <= 0:
                 return errors.Ambiguous(
                     reason=f"version {version} is stored, but too few "
--- a/toucanspring/coordinator/approval_dispatcher.py
+++ b/toucanspring/coordinator/approval_dispatcher.py
@@ -8,7 +8,6 @@
 
 import heapq
 import itertools
-import time
 from collections.abc import Callable
 
 import gevent
@@ -16,7 +15,7 @@
 import msgspec
 from gevent import pool
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring import log as structured
 from toucanspring.coordinator import plans, ports
 
@@ -109,7 +108,7 @@
         self._dispatch()
 
     def _free_caller(self, cost_s: float) -> str | None:
-        now = time.monotonic()
+        now = uptime.now()
         peers = self._kernel.find("peers")
         callers = [LOCAL, *peers.connected()]
         free = [
@@ -129,7 +128,7 @@
         return free[0] if free else None
 
     def _send(self, caller: str, request: plans.ApprovalRequest) -> None:
-        sent_at = time.monotonic()
+        sent_at = uptime.now()
         answer: dict[str, str] | errors.Failure = errors.Ambiguous(
             reason="the call raised an exception"
         )
@@ -164,7 +163,7 @@
         answer: dict[str, str] | errors.Failure,
         sent_at: float,
     ) -> None:
-        now = time.monotonic()
+        now = uptime.now()
         if isinstance(answer, errors.Failure):
             structured.decide(
                 log, "approval_failed", step=request.step.id, caller=caller or "self",
--- a/toucanspring/coordinator/candidacy.py
+++ b/toucanspring/coordinator/candidacy.py
@@ -108,7 +108,7 @@
 class HandoverPace:
     """Limits how often the lease is offered to stronger processes.
 
-    Times are monotonic seconds. `epoch` is that of the last handover in the cell.
+    Times are seconds of `uptime`. `epoch` is that of the last handover in the cell.
     """
 
     epoch: int = 0
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -11,7 +10,7 @@
 import logbook
 from gevent import event
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring import log as structured
 from toucanspring.coordinator import (
     cell_state,
@@ -77,7 +76,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueuedStart:
-    """A recorded start, planned at a monotonic time in seconds."""
+    """A recorded start, planned at a time in seconds of `uptime`."""
 
     start: plans.Start
     planned_at: float
@@ -91,7 +90,7 @@
         leader: Leader,
         client: ports.Workers,
         max_lease_ms: int,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = uptime.now,
     ) -> None:
         self._leader = leader
         self._client = client
--- a/toucanspring/coordinator/failover.py
+++ b/toucanspring/coordinator/failover.py
@@ -9,13 +9,12 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 
 import gevent
 import logbook
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring import log as structured
 from toucanspring.cell import peers
 from toucanspring.coordinator import candidacy, leader_lease, members, ports, rows
@@ -92,20 +91,20 @@
 
     def set_coordinator(self, lease: rows.LeaderLease) -> None:
         """Watch the holder of a lease from now on."""
-        self._lease, self._lease_seen_at = lease, time.monotonic()
+        self._lease, self._lease_seen_at = lease, uptime.now()
         self._heartbeat_at = self._lease_seen_at
 
     def record_heartbeat(self, process: str) -> None:
         """Record a heartbeat if it is from the coordinator."""
         if self._lease is not None and process == self._lease.process:
-            self._heartbeat_at = time.monotonic()
+            self._heartbeat_at = uptime.now()
 
     def has_stable_coordinator(self) -> bool:
         """Return whether the coordinator is past its grace period and alive.
 
         Only its own heartbeats count.
         """
-        now = time.monotonic()
+        now = uptime.now()
         return (
             self._lease is not None
             and now - self._lease_seen_at >= NEW_COORDINATOR_GRACE_S
@@ -193,7 +192,7 @@
         if not body.isdigit():
             log.warning("ignoring a malformed notice of {}: {!r}", sender, body[:20])
             return
-        self._pace.record_handover(int(body), time.monotonic())
+        self._pace.record_handover(int(body), uptime.now())
 
     def _serve_take_over(self, sender: str, body: bytes) -> bytes | errors.Failure:
         """Take over from a coordinator that offers it, if the store is reachable."""
@@ -213,7 +212,7 @@
         disconnected_since = None
         while True:
             gevent.sleep(CHECK_INTERVAL_S)
-            lease, now = self._lease, time.monotonic()
+            lease, now = self._lease, uptime.now()
             if lease is not None and lease.process == self._process:
                 self._offer_to_stronger(lease.epoch, now)
             if (
@@ -252,7 +251,7 @@
         return False
 
     def _serve_reachability(self, _sender: str, body: bytes) -> bytes:
-        now = time.monotonic()
+        now = uptime.now()
         if self._is_reachable(body.decode(), now):
             return b"yes"
         # A process that has just started or learned of a coordinator still connects.
--- a/toucanspring/coordinator/fenced_writer.py
+++ b/toucanspring/coordinator/fenced_writer.py
@@ -8,14 +8,13 @@
 from __future__ import annotations
 
 import contextlib
-import time
 from collections.abc import Callable, Iterator
 
 import gevent
 import logbook
 from gevent import event
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring.coordinator import leader_lease, ports, rows
 
 log = logbook.Logger(__name__)
@@ -37,7 +36,7 @@
         store: ports.Store,
         acquired: leader_lease.Acquired,
         store_clock: leader_lease.StoreClock,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = uptime.now,
     ) -> None:
         self._store = store
         self._lease = acquired.lease
--- a/toucanspring/coordinator/job_writer.py
+++ b/toucanspring/coordinator/job_writer.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import collections
-import time
 
 import gevent
 import logbook
 from gevent import event
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring import log as structured
 from toucanspring.coordinator import job_specs, ports, rows
 
@@ -77,7 +76,7 @@
         `Unavailable` means that this call did not and will not store the job,
         `Ambiguous` that it may have, and `Conflict` that another job has the same ID.
         """
-        pending = PendingJob(spec, time.monotonic() + timeout_s)
+        pending = PendingJob(spec, uptime.now() + timeout_s)
         self._enqueue(pending)
         try:
             return pending.result.get(timeout=timeout_s)
@@ -129,12 +128,12 @@
     def _write(self, batch: list[PendingJob]) -> None:
         while batch:
             by_row_id = {each.row_id: each for each in batch}
-            sent_at = time.monotonic()
+            sent_at = uptime.now()
             answer = self._store.transact(
                 dict.fromkeys(by_row_id, 0),
                 {row_id: each.value for row_id, each in by_row_id.items()},
             )
-            self._note_duration(sent_at, time.monotonic())
+            self._note_duration(sent_at, uptime.now())
             match answer:
                 case ports.Committed():
                     self._set_results(batch, None)
@@ -161,7 +160,7 @@
         rounds, part_index = divmod(pending.attempts, len(pending.row_ids))
         if part_index == 0 and not pending.uncertain:
             pending.result.set(failure)
-        elif pending.result.ready() or time.monotonic() >= pending.give_up_at:
+        elif pending.result.ready() or uptime.now() >= pending.give_up_at:
             pending.result.set(errors.Ambiguous(reason="the store did not reply"))
         elif part_index == 0:
             pause = min(RETRY_MAX_S, RETRY_FIRST_S * 2**rounds)
--- a/toucanspring/coordinator/leader_lease.py
+++ b/toucanspring/coordinator/leader_lease.py
@@ -8,10 +8,9 @@
 
 import dataclasses
 import enum
-import time
 from collections.abc import Callable
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring.coordinator import ports, rows
 
 # A failed coordinator is replaced within this time plus one read. With a renewal every
@@ -27,7 +26,7 @@
 class StoreClock:
     """Upper bound of the store's clock, derived from the times in its replies.
 
-    Local times are monotonic seconds.
+    Local times are seconds of `uptime`.
     """
 
     _store_ms: int = 0
@@ -76,7 +75,7 @@
 
     lease: rows.LeaderLease
     version: int
-    # When the read was sent whose store time the lease counts from; monotonic seconds.
+    # When the read was sent whose store time the lease counts from, by `uptime`.
     asked_at: float
     # Whether the previous coordinator may still be running and renewing worker leases,
     # and for how many more seconds it may consider its own lease valid.
@@ -151,7 +150,7 @@
     instance_id: str,
     takeover: Takeover = NO_TAKEOVER,
     patience_s: float = 0.0,
-    clock: Callable[[], float] = time.monotonic,
+    clock: Callable[[], float] = uptime.now,
 ) -> Acquired | HeldByOther | errors.Failure:
     """Acquire the lease if it is free, expired or held under the epoch of `takeover`.
 
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -13,7 +13,7 @@
 import logbook
 from gevent import event
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring import log as structured
 from toucanspring.coordinator import (
     cell_state,
@@ -82,7 +82,7 @@
         self._store = store
         self._directory = directory
         self._acquired = acquired
-        self._acquired_at = time.monotonic()
+        self._acquired_at = uptime.now()
         self._writer = fenced_writer.FencedWriter(store, acquired, store_clock)
         self._writer.on_failing = on_failing
         self._on_round = on_round
@@ -176,7 +176,7 @@
 
     def measure(self) -> dict[str, float]:
         """Return the gauges of the known work by name."""
-        now = time.monotonic()
+        now = uptime.now()
         usable = [
             worker
             for worker in self.cell.workers.values()
@@ -209,7 +209,7 @@
             failure = self._load_job(job_id)
             if failure is not None:
                 return failure
-        record = self.cell.cancel(job_id, time.monotonic())
+        record = self.cell.cancel(job_id, uptime.now())
         if record.durable_state is record.state:
             return record.durable_state
         waiter = self._waits.add_cancellation()
@@ -218,7 +218,7 @@
 
     def pending(self, queue: str) -> int | errors.Unavailable:
         """Return how many jobs of a queue have not started, if all jobs are known."""
-        if self._jobs.age(time.monotonic()) > MAX_PENDING_AGE_S:
+        if self._jobs.age(uptime.now()) > MAX_PENDING_AGE_S:
             return errors.Unavailable(reason="not all jobs have been read recently")
         return self.cell.pending(queue)
 
@@ -262,7 +262,7 @@
             log.error("ignoring unreadable job {}: {}", row.id.key, spec)
             return
         has_progress = spec.id in self.cell.unclaimed
-        self.cell.accept(spec, time.monotonic(), recovery.age_s(spec))
+        self.cell.accept(spec, uptime.now(), recovery.age_s(spec))
         if has_progress:
             self._watch_restored_workers()
         structured.decide(
@@ -301,7 +301,7 @@
     # Rounds
 
     def _run_round(self) -> None:
-        now = time.monotonic()
+        now = uptime.now()
         self._apply_operator_settings()
         self._run_housekeeping(now)
         plan = plans.Plan()
@@ -322,9 +322,9 @@
         stops, self.cell.stops[:] = list(self.cell.stops), []
         for stop in stops:
             self._dispatcher.stop(stop)
-        planned_at, dirty = time.monotonic(), len(self.cell.dirty)
+        planned_at, dirty = uptime.now(), len(self.cell.dirty)
         self._commit(plan.starts, now)
-        ended_at = time.monotonic()
+        ended_at = uptime.now()
         self._on_round(len(plan.starts), ended_at - now)
         if ended_at - now > SLOW_ROUND_S:
             structured.decide(
@@ -361,12 +361,12 @@
             puts[rows.progress_row_id(job_id)] = rows.encode(state.to_progress(record))
         states = {job_id: record.state for job_id, record in dirty.items()}
         self._written_bytes = sum(len(value) for value in puts.values())
-        sent_at = time.monotonic()
+        sent_at = uptime.now()
         failure = self._writer.commit(
             puts,
             tuple(row_id for each in removed for row_id in rows.ended_row_ids(each)),
         )
-        self._write_s = time.monotonic() - sent_at
+        self._write_s = uptime.now() - sent_at
         self._dispatcher.pacing.record_write(self._write_s)
         if failure is not None:
             self._waits.put_back(cancellations)
@@ -380,7 +380,7 @@
             structured.decide(
                 log, "starts_recorded", commit=self._writer.writes, epoch=self.epoch,
                 placed=_format_starts(starts), view_age_s=round(self._view_age(now), 2),
-                count=len(starts), took_ms=round((time.monotonic() - now) * 1000),
+                count=len(starts), took_ms=round((uptime.now() - now) * 1000),
             )  # fmt: skip
         self._apply_operator_settings()  # they may have changed during the write
         for start in starts:
--- a/toucanspring/coordinator/metered.py
+++ b/toucanspring/coordinator/metered.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from typing import TypeVar
 
-from toucanspring import errors, metrics
+from toucanspring import errors, metrics, uptime
 from toucanspring.coordinator import ports
 
 DONE = "done"
@@ -78,10 +77,10 @@
     def _call(
         self, operation: str, call: Callable[[], Answer], waits: bool = False
     ) -> Answer:
-        started = time.monotonic()
+        started = uptime.now()
         answer = call()
         outcome = answer.kind if isinstance(answer, errors.Failure) else DONE
-        took_s = time.monotonic() - started
+        took_s = uptime.now() - started
         self._meters.count_call(self.target, operation, outcome, took_s, waits)
         return answer
 
--- a/toucanspring/coordinator/outcome_waits.py
+++ b/toucanspring/coordinator/outcome_waits.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import time
-
 import gevent
 from gevent import event
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring.coordinator import state
 
 CANCEL_TIMEOUT_S = 3.0
@@ -29,11 +27,11 @@
         self, record: state.JobRecord
     ) -> state.JobState | errors.Unavailable:
         """Return the durable state, after a short wait if it is about to change."""
-        asked_at = time.monotonic()
+        asked_at = uptime.now()
         while record.durable_state not in state.FINAL_STATES:
             has_ended = record.state in state.FINAL_STATES
             limit_s = STATUS_WRITE_WAIT_S if has_ended else STATUS_ENDING_WAIT_S
-            left_s = asked_at + limit_s - time.monotonic()
+            left_s = asked_at + limit_s - uptime.now()
             if left_s <= 0 or not (has_ended or _are_all_running(record)):
                 break
             self._committed.clear()
--- a/toucanspring/coordinator/ports.py
+++ b/toucanspring/coordinator/ports.py
@@ -236,7 +236,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticket:
-    """Approval for one step on one worker, valid until monotonic time `expires_at`."""
+    """Approval for one step on one worker, valid until time `expires_at`."""
 
     text: str
     expires_at: float
--- a/toucanspring/coordinator/rate_limits.py
+++ b/toucanspring/coordinator/rate_limits.py
@@ -16,7 +16,7 @@
 
 @dataclasses.dataclass(slots=True)
 class TokenBucket:
-    """Token bucket of one organisation; times are monotonic seconds."""
+    """Token bucket of one organisation; times are seconds of `uptime`."""
 
     tokens: float
     refilled_at: float
--- a/toucanspring/coordinator/recovery.py
+++ b/toucanspring/coordinator/recovery.py
@@ -8,7 +8,7 @@
 import gevent
 import logbook
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring import log as structured
 from toucanspring.coordinator import (
     cell_state,
@@ -54,7 +54,7 @@
 
     def load(self) -> table_reader.TableSnapshot | None:
         """Return the progress of all jobs, or None if the load has ended early."""
-        began = time.monotonic()
+        began = uptime.now()
         with self._writer.renew_lease():
             reading = gevent.spawn(self._read)
             try:
@@ -62,7 +62,7 @@
                     reading.join(INTERRUPTION_CHECK_S)
             finally:
                 reading.kill(block=False)
-        self.took_s = time.monotonic() - began
+        self.took_s = uptime.now() - began
         return None if self._has_to_end() else reading.get()
 
     def _has_to_end(self) -> bool:
@@ -76,7 +76,7 @@
             log.warning(
                 "epoch {}: loading jobs failed: {}", self._writer.epoch, progress
             )
-            if self._writer.overdue_s(time.monotonic()):
+            if self._writer.overdue_s(uptime.now()):
                 return None
             gevent.sleep(LOAD_RETRY_S)
 
@@ -104,7 +104,7 @@
     read_s: float,
 ) -> None:
     """Restore all jobs in the rows that were read within `read_s`, and log it."""
-    now = time.monotonic()
+    now = uptime.now()
     read = [*jobs, *progress.rows.values()]
     restore(cell, jobs, progress, now)
     structured.decide(
@@ -113,7 +113,7 @@
         rows=len(read), bytes=sum(len(row.value) for row in read),
         unfinished=sum(not each.is_final for each in cell.jobs.values()),
         read_ms=round(read_s * 1000),
-        restore_ms=round((time.monotonic() - now) * 1000),
+        restore_ms=round((uptime.now() - now) * 1000),
     )  # fmt: skip
 
 
--- a/toucanspring/coordinator/retention.py
+++ b/toucanspring/coordinator/retention.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Collection
 
 import gevent
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring.coordinator import cell_state, ports, rows, table_cache
 
 PASS_INTERVAL_S = 0.25
@@ -61,7 +60,7 @@
             gevent.sleep(PASS_INTERVAL_S)
 
     def _remove_expired(self) -> None:
-        for job_id in self._cell.find_expired_jobs(time.monotonic()):
+        for job_id in self._cell.find_expired_jobs(uptime.now()):
             if job_id in self._removable:
                 continue
             failed = isinstance(self._remove_job_rows(job_id), errors.Failure)
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -8,7 +8,6 @@
 
 import dataclasses
 import random
-import time
 import uuid
 from collections.abc import Callable
 
@@ -17,7 +16,7 @@
 import msgspec
 from gevent import event
 
-from toucanspring import decoding, errors
+from toucanspring import decoding, errors, uptime
 from toucanspring import log as structured
 from toucanspring.coordinator import (
     approval_dispatcher,
@@ -152,7 +151,7 @@
             "epoch": self._lease.epoch if self._lease is not None else 0,
             "coordinates": float(current is not None and current.ready.is_set()),
             "view_age_seconds": min(
-                UNKNOWN_VIEW_AGE_S, self._directory.age(time.monotonic())
+                UNKNOWN_VIEW_AGE_S, self._directory.age(uptime.now())
             ),
             "peers_connected": len(self._kernel.find("peers").connected()),
         }
@@ -164,7 +163,7 @@
         A process without them does not coordinate: the ranks of jobs, the rates of
         organisations and the outcome of failed runs depend on them.
         """
-        read = self._directory.age(time.monotonic()) < UNKNOWN_VIEW_AGE_S
+        read = self._directory.age(uptime.now()) < UNKNOWN_VIEW_AGE_S
         return read and self._directory.catalogue is not None
 
     # Calls
@@ -182,7 +181,7 @@
         return (
             lease is not None
             and lease.process not in ("", self._options.process)
-            and self._job_writer.is_slow(time.monotonic())
+            and self._job_writer.is_slow(uptime.now())
         )
 
     def status(self, job_id: str) -> state.JobState | errors.Failure:
@@ -278,11 +277,11 @@
                 if is_coordinator
                 else KEEPALIVE_INTERVAL_S
             )
-            due = time.monotonic() + interval_s
+            due = uptime.now() + interval_s
             self._elected_event.clear()
             if self._elected_event.wait(interval_s):
                 continue  # the interval of a coordinator is shorter
-            late_s = time.monotonic() - due
+            late_s = uptime.now() - due
             if is_coordinator and late_s > LATE_HEARTBEAT_S:
                 structured.decide(log, "heartbeat_late", late_ms=round(late_s * 1000))
             self._send_heartbeat()
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -42,7 +42,7 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Task:
-    """State of one task; times are monotonic seconds."""
+    """State of one task; times are seconds of `uptime`."""
 
     index: int
     phase: TaskPhase = TaskPhase.WAITING
--- a/toucanspring/coordinator/table_cache.py
+++ b/toucanspring/coordinator/table_cache.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable, Container
 
 import gevent
 import logbook
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring.coordinator import ports, table_reader
 
 log = logbook.Logger(__name__)
@@ -41,14 +40,14 @@
         store: ports.Store,
         table: str,
         on_change: RowCallback,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = uptime.now,
         wait_s: float = FOLLOW_TIMEOUT_S,
         pause_s: float = 0.0,
         on_batch: Callable[[], None] = lambda: None,
         late_wait_s: float | None = None,
     ) -> None:
         self.rows: dict[ports.RowId, ports.Row] = {}
-        # The copy includes every write made before this time (monotonic seconds).
+        # The copy includes every write made before this time (seconds of `uptime`).
         self.synced_at = float("-inf")
         self._store = store
         self._table = table
--- a/toucanspring/coordinator/workers.py
+++ b/toucanspring/coordinator/workers.py
@@ -37,7 +37,7 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Worker:
-    """State of one worker; times are monotonic seconds."""
+    """State of one worker; times are seconds of `uptime`."""
 
     entry: ports.WorkerEntry
     incarnation: int = 0
--- a/toucanspring/daemon.py
+++ b/toucanspring/daemon.py
@@ -10,13 +10,12 @@
 import os  # noqa: E402
 import signal  # noqa: E402
 import sys  # noqa: E402
-import time  # noqa: E402
 
 import gevent  # noqa: E402
 import logbook  # noqa: E402
 from gevent import event  # noqa: E402
 
-from toucanspring import errors, kernel, log, plugins, settings  # noqa: E402
+from toucanspring import errors, kernel, log, plugins, settings, uptime  # noqa: E402
 from toucanspring.cell import ownership  # noqa: E402
 
 logger = logbook.Logger(__name__)
@@ -126,7 +125,7 @@
     A service may have `stop_accepting()`, which refuses new work, and `in_flight()`,
     the number of requests that it still serves.
     """
-    deadline = time.monotonic() + limit_s
+    deadline = uptime.now() + limit_s
     services = [find(core, name) for name in reversed(SERVICES)]
     for service in services:
         if hasattr(service, "stop_accepting"):
@@ -137,7 +136,7 @@
         service for service in services if hasattr(service, "in_flight")
     ]
     while any(service.in_flight() for service in request_services):
-        if time.monotonic() >= deadline:
+        if uptime.now() >= deadline:
             return False
         gevent.sleep(IN_FLIGHT_POLL_S)
     return True
--- a/toucanspring/deadline.py
+++ b/toucanspring/deadline.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import gevent
 
+from toucanspring import uptime
+
 
 class Deadline:
     """Call `on_expiry` once a limit has passed; it runs in the hub and must not block.
@@ -24,7 +25,7 @@
 
     def set(self, delay_s: float) -> None:
         """Set the limit to `delay_s` from now."""
-        self._due_at = due_at = time.monotonic() + delay_s
+        self._due_at = due_at = uptime.now() + delay_s
         if self._timer is None or due_at < self._fires_at:
             self._start_timer(delay_s)
 
@@ -47,13 +48,13 @@
     def _start_timer(self, delay_s: float) -> None:
         if self._timer is not None:
             self._timer.close()
-        self._fires_at = time.monotonic() + delay_s
+        self._fires_at = uptime.now() + delay_s
         self._timer = gevent.get_hub().loop.timer(delay_s)
         self._timer.start(self._fire)
 
     def _fire(self) -> None:
         due_at = self._due_at
-        left_s = 0.0 if due_at is None else due_at - time.monotonic()
+        left_s = 0.0 if due_at is None else due_at - uptime.now()
         if left_s > 0:
             self._start_timer(left_s)
             return
--- a/toucanspring/owners/acceptance.py
+++ b/toucanspring/owners/acceptance.py
@@ -8,7 +8,7 @@
 import gevent
 import gevent.event
 
-from toucanspring import errors, job
+from toucanspring import errors, job, uptime
 from toucanspring.owners import execution, inbox, journal, log_records
 from toucanspring.scheduling import effects, scheduler
 
@@ -75,7 +75,7 @@
             self._accepting.pop(spec.id, None)
             if failure is not None:
                 return []
-            return self._scheduler.submit([spec], time.monotonic())
+            return self._scheduler.submit([spec], uptime.now())
 
         self._executor.when_written(written, add_to_scheduler)
         return written
@@ -114,7 +114,7 @@
             if failure is not None:
                 result.set(answers)
                 return []
-            found = self._scheduler.cancel(known, time.monotonic())
+            found = self._scheduler.cancel(known, uptime.now())
             result.set(answers)
             return found
 
--- a/toucanspring/owners/allowances.py
+++ b/toucanspring/owners/allowances.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import math
-import time
 from collections.abc import Callable, Mapping
 
 import gevent
@@ -12,7 +11,7 @@
 import logbook
 import msgspec
 
-from toucanspring import errors, kernel, resources
+from toucanspring import errors, kernel, resources, uptime
 from toucanspring.adapters import tables
 from toucanspring.scheduling import allowance, fairness
 
@@ -106,7 +105,7 @@
     ) -> None:
         """Request exactly `target` of a team's ceiling, or at least `least` of it."""
         self._targets[team] = Target(target, least)
-        self._requested_at[team] = time.monotonic()
+        self._requested_at[team] = uptime.now()
         self._wakeup.set()
 
     def _run(self) -> None:
@@ -262,4 +261,4 @@
         """Return whether an unmet want is recent enough to stay in the row."""
         if self._partition not in current.wants:
             return False
-        return time.monotonic() - self._requested_at.get(team, 0.0) < WANT_LIMIT_S
+        return uptime.now() - self._requested_at.get(team, 0.0) < WANT_LIMIT_S
--- a/toucanspring/owners/execution.py
+++ b/toucanspring/owners/execution.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import collections
-import time
 from collections.abc import Callable
 
 import gevent
 import gevent.event
 
-from toucanspring import errors, job, kernel, wire
+from toucanspring import errors, job, kernel, uptime, wire
 from toucanspring.owners import allowances, inbox, journal, log_records
 from toucanspring.scheduling import effects, scheduler
 
@@ -104,7 +103,7 @@
         """
 
         def is_allowed() -> bool:
-            return self._may_send(worker, time.monotonic())
+            return self._may_send(worker, uptime.now())
 
         if is_allowed():
             link = self._kernel.find("fleet").link(self._number, worker)
@@ -112,7 +111,7 @@
                 return
         refused = [(task.task_id, "the worker is not available") for task in tasks]
         self.carry_out(
-            self._scheduler.starts_answered(worker, [], refused, time.monotonic())
+            self._scheduler.starts_answered(worker, [], refused, uptime.now())
         )
 
     def _may_send(self, worker: str, now: float) -> bool:
@@ -161,7 +160,7 @@
         written = self._journal.append(log_records.Intended(intents), droppable=True)
 
         def resume(failure: errors.Failure | None) -> list[effects.Effect]:
-            now = time.monotonic()
+            now = uptime.now()
             if failure is not None or not self.may_start(now):
                 return self._scheduler.intents_failed(intents, now)
             return self._scheduler.intents_durable(intents, now)
@@ -206,7 +205,7 @@
                 case effects.JobStatus(outcome=job.Outcome() as outcome):
                     break
                 case errors.NotFound():
-                    now = time.monotonic()
+                    now = uptime.now()
                     unknown_since = unknown_since or now
                     if now - unknown_since > UNKNOWN_JOB_LIMIT_S:
                         outcome = job.Outcome(
--- a/toucanspring/owners/fleet.py
+++ b/toucanspring/owners/fleet.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
-import time
 from collections.abc import Callable
 
 import gevent
 import logbook
 
-from toucanspring import errors, kernel, resources, settings
+from toucanspring import errors, kernel, resources, settings, uptime
 from toucanspring.adapters import tables, vms
 from toucanspring.cell import ownership_rows
 from toucanspring.owners import roster, worker_link
@@ -50,7 +49,7 @@
         self,
         core: kernel.Kernel,
         options: settings.Settings,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = uptime.now,
     ) -> None:
         self._kernel = core
         self._settings = options
@@ -243,7 +242,7 @@
         if isinstance(rows, errors.Failure):
             return rows
         row = rows[WORKERS_ROW]
-        self.roster.apply_row(row, time.monotonic())
+        self.roster.apply_row(row, uptime.now())
         return None
 
     def _assign_workers(self) -> None:
@@ -342,8 +341,8 @@
                 ownership.epoch,
                 self._vms.get(worker) or _describe_unlisted(worker),
                 ownership.post,
-                lambda: owners.may_renew_workers(partition, time.monotonic()),
-                lambda: owners.previous_owner_gone(partition, time.monotonic()),
+                lambda: owners.may_renew_workers(partition, uptime.now()),
+                lambda: owners.previous_owner_gone(partition, uptime.now()),
                 self._settings.process,
             )
             if self._leaving.get(worker):
--- a/toucanspring/owners/handover.py
+++ b/toucanspring/owners/handover.py
@@ -10,14 +10,13 @@
 
 import collections
 import dataclasses
-import time
 from collections.abc import Callable
 
 import gevent
 import logbook
 import msgspec
 
-from toucanspring import errors, job, kernel, settings
+from toucanspring import errors, job, kernel, settings, uptime
 from toucanspring.cell import layout, ownership_rows, reply
 from toucanspring.owners import duplicate_check, log_records, partition, roster, routes
 
@@ -74,7 +73,7 @@
         self,
         core: kernel.Kernel,
         options: settings.Settings,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = uptime.now,
     ) -> None:
         del options
         self._kernel = core
--- a/toucanspring/owners/mover.py
+++ b/toucanspring/owners/mover.py
@@ -4,13 +4,12 @@
 
 import collections
 import dataclasses
-import time
 from collections.abc import Callable
 
 import gevent
 import logbook
 
-from toucanspring import errors, kernel, settings
+from toucanspring import errors, kernel, settings, uptime
 from toucanspring.adapters import tables
 from toucanspring.cell import ownership_rows
 from toucanspring.owners import inbox, partition, roster
@@ -43,7 +42,7 @@
         self,
         core: kernel.Kernel,
         options: settings.Settings,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = uptime.now,
     ) -> None:
         self._kernel = core
         self._clock = clock
--- a/toucanspring/owners/partition.py
+++ b/toucanspring/owners/partition.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 
 import gevent
@@ -11,7 +10,7 @@
 import gevent.queue
 import logbook
 
-from toucanspring import errors, kernel, settings, wire
+from toucanspring import errors, kernel, settings, uptime, wire
 from toucanspring.owners import (
     acceptance,
     allowances,
@@ -174,7 +173,7 @@
         idle_ticks = 0
         while not self.journal.fenced:
             handled = self._handle_messages(interval_s)
-            now = time.monotonic()
+            now = uptime.now()
             if handled or now - last_tick >= interval_s:
                 last_tick = now
                 found: list[effects.Effect] = []
@@ -221,7 +220,7 @@
             self.journal.state = log_records.State()
             gevent.sleep(LOAD_RETRY_S)
         state = self.journal.state
-        now = time.monotonic()
+        now = uptime.now()
         self._apply_documents(now)
         self._executor.carry_out(
             self._scheduler.restore(
@@ -246,7 +245,7 @@
         )
 
     def _handle(self, message: object) -> None:
-        now = time.monotonic()
+        now = uptime.now()
         match message:
             case worker_link.FromWorker(worker=worker, message=content):
                 self._handle_worker(worker, content, now)
--- a/toucanspring/owners/partitions.py
+++ b/toucanspring/owners/partitions.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-import time
 from collections.abc import Mapping
 
 import gevent
@@ -11,7 +10,7 @@
 import gevent.pool
 import logbook
 
-from toucanspring import errors, job, kernel, settings
+from toucanspring import errors, job, kernel, settings, uptime
 from toucanspring.cell import claims, layout, reply
 from toucanspring.configuration import documents
 from toucanspring.owners import (
@@ -110,7 +109,7 @@
         """
         answers: list[str | errors.Failure] = [errors.Unavailable()] * len(specs)
         remaining = list(range(len(specs)))
-        deadline = time.monotonic() + routes.ROUTE_LIMIT_S
+        deadline = uptime.now() + routes.ROUTE_LIMIT_S
         while remaining:
             self._submit_once(specs, remaining, answers)
             remaining = [
@@ -118,7 +117,7 @@
                 for index in remaining
                 if isinstance(answers[index], errors.LayoutChanged)
             ]
-            if not remaining or time.monotonic() >= deadline:
+            if not remaining or uptime.now() >= deadline:
                 break
             gevent.sleep(routes.RETRY_PAUSE_S)
             self._layout.reread()
@@ -319,6 +318,6 @@
         if owned is None or not owned.ready.wait(ASK_TIMEOUT_S):
             # Not `NotFound`, which would mean that the log has no such request.
             return errors.Refused(reason="this process does not own the partition")
-        if not self._kernel.find("claims").may_start(owned.number, time.monotonic()):
+        if not self._kernel.find("claims").may_start(owned.number, uptime.now()):
             return errors.Unavailable(reason="ownership of the partition is uncertain")
         return owned
--- a/toucanspring/owners/routes.py
+++ b/toucanspring/owners/routes.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Container
 
 import gevent
 
-from toucanspring import errors, kernel
+from toucanspring import errors, kernel, uptime
 from toucanspring.cell import reply
 
 ROUTE_LIMIT_S = 8.0  # covers one takeover, including reading the log
@@ -42,12 +41,12 @@
 
         All routed methods are idempotent, so a call without a response is repeated.
         """
-        deadline = time.monotonic() + (ROUTE_LIMIT_S if limit_s is None else limit_s)
+        deadline = uptime.now() + (ROUTE_LIMIT_S if limit_s is None else limit_s)
         timeout_s = min(CALL_TIMEOUT_S, limit_s or CALL_TIMEOUT_S)
         envelope = reply.encode((number, body))
         last: errors.Failure = errors.Unavailable(reason="no owner")
         sent = False
-        while time.monotonic() < deadline:
+        while uptime.now() < deadline:
             found = self._call_owner(number, method, envelope, timeout_s)
             match found:
                 case bytes():
--- a/toucanspring/owners/runner.py
+++ b/toucanspring/owners/runner.py
@@ -8,14 +8,13 @@
 from __future__ import annotations
 
 import dataclasses
-import time
 from collections.abc import Callable
 
 import gevent
 import logbook
 from gevent import event
 
-from toucanspring import errors, job, kernel
+from toucanspring import errors, job, kernel, uptime
 from toucanspring.adapters import backend_servers
 from toucanspring.callers import (
     answers,
@@ -70,7 +69,7 @@
         core: kernel.Kernel,
         pool_of: Callable[[str], backend_pool.BackendPool | None],
         client: backend_servers.BackendServerClient,
-        clock: Clock = time.monotonic,
+        clock: Clock = uptime.now,
     ) -> None:
         self._kernel = core
         self._pool_of = pool_of
--- a/toucanspring/owners/worker_link.py
+++ b/toucanspring/owners/worker_link.py
@@ -4,14 +4,13 @@
 
 import dataclasses
 import random
-import time
 from collections.abc import Callable
 
 import gevent
 import gevent.event
 import logbook
 
-from toucanspring import errors, wire
+from toucanspring import errors, uptime, wire
 from toucanspring.adapters import vms, workers
 
 log = logbook.Logger(__name__)
@@ -143,7 +142,7 @@
         """
         if not self.attached or self._stream is None or self._stream.closed:
             return False
-        age_s = time.monotonic() - self._tick_received_at
+        age_s = uptime.now() - self._tick_received_at
         if not self._deferred and age_s <= MAX_TICK_AGE_S:
             self._stream.start(self.epoch, tasks)
             return True
@@ -218,7 +217,7 @@
                 self._post(EpochRefused(self.vm.id, answer.epoch))
             return False
         self._stream = opened
-        self._tick_received_at = time.monotonic()
+        self._tick_received_at = uptime.now()
         self._renewed_at = 0.0
         self.attached = True
         self.lost = False
@@ -243,7 +242,7 @@
 
     def _receive(self, message: workers.WorkerEvent) -> None:
         if isinstance(message, wire.Report):
-            self._tick_received_at = time.monotonic()
+            self._tick_received_at = uptime.now()
             if self._tick_received_at - self._renewed_at >= RENEW_INTERVAL_S:
                 self._renew()
             if self._deferred:
@@ -273,7 +272,7 @@
             self._post(FromWorker(self.vm.id, wire.Started(0, [], refused)))
 
     def _renew(self) -> None:
-        self._check_former_lease(time.monotonic())
+        self._check_former_lease(uptime.now())
         if self._stream is None:
             return
         if not self._may_renew():
@@ -283,7 +282,7 @@
         # The worker counts the lease from the tick, which it read before it sent the
         # report. An expiry counted from the receipt of that report is never too early.
         self._lease_base = self._tick_received_at
-        self._renewed_at = time.monotonic()
+        self._renewed_at = uptime.now()
         self._stream.renew(self.epoch, int(WORKER_LEASE_S * 1000), self._stream.tick)
 
     def _request_report(self) -> None:
@@ -304,7 +303,7 @@
         """
         while not self.lost:
             gevent.sleep(WATCH_INTERVAL_S)
-            now = time.monotonic()
+            now = uptime.now()
             self._check_former_lease(now)
             if self._former_over_at is None:
                 continue
--- a/toucanspring/reporting/budgets.py
+++ b/toucanspring/reporting/budgets.py
@@ -19,7 +19,7 @@
 import logbook
 import msgspec
 
-from toucanspring import errors, kernel
+from toucanspring import errors, kernel, uptime
 from toucanspring.adapters import tables
 from toucanspring.reporting import burn
 
@@ -147,7 +147,7 @@
         self,
         core: kernel.Kernel,
         settings: object,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = uptime.now,
         wall_clock: Callable[[], float] = time.time,
         rng: random.Random | None = None,
     ) -> None:
--- a/toucanspring/reporting/burn.py
+++ b/toucanspring/reporting/burn.py
@@ -46,7 +46,7 @@
 
 
 class Recorder:
-    """Counter of good and bad requests by minute; times are monotonic seconds."""
+    """Counter of good and bad requests by minute; times are seconds of `uptime`."""
 
     def __init__(self) -> None:
         self._buckets: dict[Key, collections.deque[Bucket]] = {}
--- a/toucanspring/reporting/events.py
+++ b/toucanspring/reporting/events.py
@@ -18,7 +18,7 @@
 import logbook
 import msgspec
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring.adapters import tables
 from toucanspring.callers import answers
 from toucanspring.reporting import event_buffer, event_kinds, event_rows
@@ -60,7 +60,7 @@
         self,
         core: object,
         settings: object,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = uptime.now,
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self._kernel = core
--- a/toucanspring/reporting/report.py
+++ b/toucanspring/reporting/report.py
@@ -13,7 +13,7 @@
 import msgspec
 from gevent import event
 
-from toucanspring import errors, kernel, resources
+from toucanspring import errors, kernel, resources, uptime
 from toucanspring.configuration import text
 from toucanspring.owners import inbox
 from toucanspring.reporting import budgets, burn
@@ -60,7 +60,7 @@
 
 def _summarise_owned(core: kernel.Kernel) -> summary.Summary:
     """Return the sums over the partitions of this process that answer in time."""
-    now = time.monotonic()
+    now = uptime.now()
     results = []
     for owned in core.find("partitions").owned().values():
         result = event.AsyncResult()
--- a/toucanspring/scheduling/task_table.py
+++ b/toucanspring/scheduling/task_table.py
@@ -20,7 +20,7 @@
     demand: resources.Resources = resources.ZERO
     team: str = ""
     incarnation: int = 0
-    expected_end: float = 0.0  # monotonic seconds
+    expected_end: float = 0.0  # seconds of `uptime`
     stop_reason: str = ""  # set once a stop was requested
     stop_mode: str = ""
     usage: resources.Resources = resources.ZERO  # as last reported
--- a/toucanspring/shared_read.py
+++ b/toucanspring/shared_read.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import gevent
 
+from toucanspring import uptime
+
 
 class SharedRead:
     """Start at most one read per interval and share its result among the callers.
@@ -19,12 +20,12 @@
         self,
         read: Callable[[], object],
         interval_s: float,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = uptime.now,
     ) -> None:
         self._read = read
         self._interval_s = interval_s
         self._clock = clock
-        self._began_at = float("-inf")  # monotonic seconds
+        self._began_at = float("-inf")  # seconds of `uptime`
         self._next: gevent.Greenlet | None = None  # has not begun its read
 
     def get(self) -> object:
--- a/toucanspring/store.py
+++ b/toucanspring/store.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import collections
-import time
 from collections.abc import Callable
 
 import gevent
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring.adapters import exchange, objects, tables, vms
 
 RATE_WINDOW_S = 10
@@ -20,7 +19,7 @@
 class OperationRate:
     """Count operations by kind and second of a monotonic clock."""
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, clock: Callable[[], float] = uptime.now) -> None:
         self._clock = clock
         self._seconds: collections.deque[tuple[int, collections.Counter]] = (
             collections.deque(maxlen=RATE_WINDOW_S + 1)
@@ -167,7 +166,7 @@
     guard |= {key: checks[key] for key in deletes if checks.get(key)}
     if not guard:
         raise ValueError("no written row is checked, so a retry could apply twice")
-    deadline = time.monotonic() + timeout_s
+    deadline = uptime.now() + timeout_s
     delay_s = RETRY_FIRST_S
     ambiguous: errors.Ambiguous | None = None
     while True:
@@ -186,7 +185,7 @@
             # rejects the earlier attempt if that is still in flight.
             if effect is None and isinstance(result, errors.Conflict):
                 return result
-        if time.monotonic() + delay_s > deadline:
+        if uptime.now() + delay_s > deadline:
             return ambiguous
         gevent.sleep(delay_s)
         delay_s = min(2 * delay_s, RETRY_MAX_S)
--- a/toucanspring/terminal/console.py
+++ b/toucanspring/terminal/console.py
@@ -4,13 +4,12 @@
 
 import dataclasses
 import sys
-import time
 from collections.abc import Iterable, Sequence
 from typing import TextIO
 
 import msgspec
 
-from toucanspring import errors
+from toucanspring import errors, uptime
 from toucanspring.terminal import client
 
 EXIT_FAILURE = 1
@@ -140,7 +139,7 @@
     def __init__(self, output: TextIO | None = None) -> None:
         self._output = output or sys.stderr
         self._is_terminal = self._output.isatty()
-        self._shown_at = time.monotonic()
+        self._shown_at = uptime.now()
         self._width = 0
 
     def show(self, text: str) -> None:
@@ -149,8 +148,8 @@
             self._output.write("\r" + text.ljust(self._width))
             self._width = len(text)
             self._output.flush()
-        elif time.monotonic() - self._shown_at >= LINE_INTERVAL_S:
-            self._shown_at = time.monotonic()
+        elif uptime.now() - self._shown_at >= LINE_INTERVAL_S:
+            self._shown_at = uptime.now()
             print(text, file=self._output, flush=True)
 
     def end(self) -> None:
