Let a process call back one that it knows by its stream only

Once entry-3 had claimed a partition, entry-2 knew from its heartbeats that it is the owner, but not where it listens. Callers of entry-2 waited for the 8 s of a takeover ("process entry-3 is not known", 39 times in the trace) and gave up after 5 s.

Change: the hello of a stream says where its process listens, and a call to a process that is known by an open stream only dials it. A hello without these fields, of an earlier build, is as good as before.

--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -53,6 +53,30 @@
         opened.send(frames.Frame(frames.Kind.HELLO, 0, hello))
         return opened
 
+    def test_a_process_that_was_called_by_an_unknown_one_can_call_it(self):
+        # Guards against callers that wait for an owner which is known by its heartbeats
+        # only, since the store was lost before its member row was read.
+        caller, callee = self.pair()
+        caller.handle("echo", lambda sender, body: sender.encode() + body)
+        answered = fake_tables.wait_for(
+            lambda: callee.call("caller", "echo", b"x", 1) == b"calleex"
+        )
+        self.assertTrue(answered)
+
+    def test_a_process_whose_stream_has_ended_is_not_dialled(self):
+        caller, callee = self.pair()
+        caller.stop()
+        self.assertTrue(fake_tables.wait_for(lambda: not callee._callers))
+        self.assertIsInstance(callee.call("caller", "echo", b"", 1), errors.Unavailable)
+        self.assertEqual({}, callee._connections)
+
+    def test_a_process_of_the_previous_build_is_not_dialled(self):
+        callee = self.start("callee")
+        opened = self.dial_as(callee)
+        self.assertEqual(frames.Kind.WELCOME, opened.receive().kind)
+        self.assertIsInstance(callee.call("raw", "echo", b"", 1), errors.Unavailable)
+        self.assertEqual({}, callee._connections)
+
     def test_calls_return_answers_and_typed_failures(self):
         caller, callee = self.pair()
         conflict = errors.Conflict(key="k", current_version=2, given_version=1)
--- a/toucanspring/cell/peers.py
+++ b/toucanspring/cell/peers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import dataclasses
 import hmac
 import random
 import socket
@@ -31,6 +33,14 @@
 NoticeHandler = Callable[[str, bytes], None]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Caller:
+    """A process that has a stream to this one; `target` is where it listens."""
+
+    stream: stream.Stream
+    target: tuple[str, int]
+
+
 def tls_contexts(settings: object) -> tuple[object, object] | None:
     """Return the server and client TLS contexts, or `None` without certificates."""
     if not settings.tls_certificate:
@@ -62,6 +72,8 @@
         self._handlers: dict[str, Handler] = {}
         self._notice_handlers: dict[str, NoticeHandler] = {}
         self._connections: dict[str, rpc.PeerConnection] = {}
+        # Where the processes listen that have a stream to this one.
+        self._callers: dict[str, Caller] = {}
         self._accepted: dict[stream.Stream, outbox.Outbox | None] = {}
         self._pending_handshakes = 0
         self._listener: socket.socket | None = None
@@ -161,11 +173,24 @@
         `timeout_s` limits the wait for the first chunk and for each further one. The
         iterator raises `StreamBrokenError` if the answer ends early.
         """
-        target = self._connections.get(process)
+        target = self._connections.get(process) or self._dial_back(process)
         if target is None:
             return errors.Unavailable(reason=f"process {process} is not known")
         return target.call(method, body, timeout_s, abandon)
 
+    def _dial_back(self, process: str) -> rpc.PeerConnection | None:
+        """Connect to a process that has connected to this one.
+
+        A process that lost the store before it read the member row of another one knows
+        that one by its heartbeats only.
+        """
+        caller = self._callers.get(process)
+        if caller is None:
+            return None
+        connection = rpc.PeerConnection(self, process, caller.target)
+        self._connections[process] = connection
+        return connection
+
     def notify(self, process: str, method: str, body: bytes) -> bool:
         """Queue a notice; return `False` if the stream is down or its queue is full."""
         target = self._connections.get(process)
@@ -189,6 +214,8 @@
             self.incarnation,
             self.settings.cell,
             self.settings.peer_token,
+            self.settings.address,
+            self.port,
         )
 
     def _count_closed(self, sent: int, received: int) -> None:
@@ -219,11 +246,12 @@
         accepted = None
         try:
             try:
-                accepted, sender = self._handshake(sock, address)
+                accepted, hello = self._handshake(sock, address)
             finally:
                 self._pending_handshakes -= 1
-            if sender is not None:
-                self._serve_peer(accepted, sender)
+            if hello is not None:
+                with self._introduce(accepted, hello):
+                    self._serve_peer(accepted, hello.process)
         finally:
             (accepted or sock).close()
             if accepted is not None:
@@ -232,8 +260,8 @@
 
     def _handshake(
         self, sock: socket.socket, address: tuple[str, int]
-    ) -> tuple[stream.Stream | None, str | None]:
-        """Return the stream, and the name of the dialling process if it is accepted."""
+    ) -> tuple[stream.Stream | None, frames.Hello | None]:
+        """Return the stream, and what the dialling process says if it is accepted."""
         try:
             with gevent.Timeout(HANDSHAKE_TIMEOUT_S):
                 if self._server_tls is not None:
@@ -251,7 +279,21 @@
         accepted.set_max_frame_bytes()
         welcome = frames.Welcome(self.settings.process, self.incarnation)
         accepted.send(frames.Frame(frames.Kind.WELCOME, 0, frames.encode(welcome)))
-        return accepted, frames.decode_as(frames.Hello, message.body).process
+        return accepted, frames.decode_as(frames.Hello, message.body)
+
+    @contextlib.contextmanager
+    def _introduce(
+        self, accepted: stream.Stream, hello: frames.Hello
+    ) -> Iterator[None]:
+        """Know where a process listens while its stream is open."""
+        if hello.port:
+            self._callers[hello.process] = Caller(accepted, (hello.address, hello.port))
+        try:
+            yield
+        finally:
+            known = self._callers.get(hello.process)
+            if known is not None and known.stream is accepted:
+                del self._callers[hello.process]
 
     def _check_hello(self, message: object) -> str | None:
         """Return why the first message is refused, or `None` if it is valid."""
--- a/toucanspring/frames.py
+++ b/toucanspring/frames.py
@@ -44,6 +44,9 @@
     incarnation: int
     cell: str
     token: str
+    # Where it listens; an earlier version does not say so.
+    address: str = ""
+    port: int = 0
 
 
 class Welcome(msgspec.Struct, frozen=True, array_like=True):
