Send submissions to the coordinator while a write of one has no answer yet

Relays could last beyond the caller's timeout (3.8 s), and the other process gave up later than the one that had asked it, so its refusal never arrived.

Change: a write that has had no answer for 0.3 s counts as slow while it lasts; a relay goes on beside the process's own write, and the first success counts; relays share the caller's timeout, and the other process gives up 0.05 s before the one that waits.

Tests, of that load: test_coordinator_load, each process writes one submission; test_coordinator_store, a write without answer; test_platform_ingress, five tests.

--- a/test/test_coordinator_load.py
+++ b/test/test_coordinator_load.py
@@ -1,11 +1,14 @@
 """Loads of a new coordinator over slow links and through faults of the store."""
 
 import gevent
+import testtools
+from gevent import event
 
+from standins import rowstore
 from test import coordinator_case as case
-from test import test_coordinator_leadership
-from toucanspring import errors
-from toucanspring.coordinator import leader_lease, rows, state
+from test import fake_tables, test_coordinator_leadership
+from toucanspring import errors, uptime
+from toucanspring.coordinator import job_writer, leader_lease, rows, state
 
 LEASE_MS = 1500
 RENEW_INTERVAL_S = 0.3
@@ -138,3 +141,40 @@
         self.assertEqual([], polled)
         self.assertTrue(leader.ready.wait(5.0))
         self.wait_for(lambda: {"w1", "w2"} <= set(polled))
+
+
+class SlowStoreTest(testtools.TestCase):
+    """All processes write submissions while the store takes 63 times its usual time."""
+
+    PROCESSES = 97
+
+    def setUp(self):
+        super().setUp()
+        self.store = rowstore.MemoryStore()
+        self.answering = event.Event()
+        self.addCleanup(self.answering.set)
+        transact = self.store.transact
+
+        def transact_slowly(*args):
+            self.answering.wait()
+            return transact(*args)
+
+        self.patch(self.store, "transact", transact_slowly)
+
+    # Guards against a queue of transactions in the store that grows until the writers
+    # know that it is slow: each of them would fill it with several of its own.
+    def test_each_process_writes_one_submission_before_it_leaves_them_to_one(self):
+        writers = [job_writer.JobWriter(self.store) for _ in range(self.PROCESSES)]
+        for number, writer in enumerate(writers):
+            writer.__enter__()
+            self.addCleanup(writer.__exit__)
+            gevent.spawn(writer.accept, case.job(f"{number:016x}"), 0.8)
+        waiting = fake_tables.wait_for(
+            lambda: all(writer._in_flight for writer in writers)
+        )
+        self.assertTrue(waiting)
+        later = uptime.now() + job_writer.SLOW_WRITE_S
+        self.assertTrue(all(writer.is_slow(later) for writer in writers))
+        self.answering.set()
+        gevent.sleep(0.05)
+        self.assertEqual(self.PROCESSES, self.store.transactions)
--- a/test/test_coordinator_store.py
+++ b/test/test_coordinator_store.py
@@ -143,6 +143,28 @@
         later = uptime.now() + job_writer.SLOW_PERIOD_S
         self.assertFalse(self.writer.is_slow(later + 0.1))
 
+    # Guards against a slow store that gets several writes of each process before the
+    # first one has shown that it is slow.
+    def test_a_write_without_answer_is_slow_while_it_lasts(self):
+        answering, transact = event.Event(), self.store.transact
+
+        def delay(*args):
+            answering.wait()
+            return transact(*args)
+
+        self.patch(job_writer, "SLOW_WRITE_S", 60.0)
+        self.patch(self.store, "transact", delay)
+        self.assertIsInstance(self.writer.accept(case.job(), 0.01), errors.Ambiguous)
+        now = uptime.now()
+        self.assertFalse(self.writer.is_slow(now))
+        self.assertTrue(self.writer.is_slow(now + job_writer.SLOW_WRITE_S))
+        written = self.writer.find_write("0" * 16)
+        self.assertFalse(written.ready())
+        answering.set()
+        self.assertIsNone(written.get(timeout=1.0))
+        self.assertIsNone(self.writer.find_write("0" * 16))
+        self.assertFalse(self.writer.is_slow(uptime.now()))
+
     def test_concurrent_jobs_are_written_in_batches(self):
         jobs = [case.job(f"{number:016x}") for number in range(200)]
         accepting = [gevent.spawn(self.writer.accept, each, 2.0) for each in jobs]
--- a/test/test_platform_ingress.py
+++ b/test/test_platform_ingress.py
@@ -4,6 +4,7 @@
 
 import falcon
 import falcon.testing
+import gevent
 import hypothesis
 import logbook
 import testtools
@@ -90,6 +91,10 @@
         self.found = state.JobState.ACTIVE
         self.jobs = []
         self.timeouts = []
+        self.write = None
+
+    def find_write(self, _job_id):
+        return self.write
 
     def submit(self, spec, timeout_s):
         self.timeouts.append(timeout_s)
@@ -355,6 +360,66 @@
         self.assertEqual(200, self.call("GET").status)
         self.assertEqual(1, len(self.kernel.peers.called))
 
+    # Guards against 504 for jobs that are stored a little later: with a store at 63
+    # times its usual time, own writes took 0.6 to 1.6 s and were given up after 0.8 s.
+    def test_a_write_that_is_answered_beside_its_relay_is_accepted(self):
+        self.scheduler.result = errors.Ambiguous(reason="no answer yet")
+        self.scheduler.write = event.AsyncResult()
+        hanging = event.Event()
+
+        def hang(*_args):
+            hanging.wait(5.0)
+            return errors.Ambiguous(reason="no answer")
+
+        self.kernel.peers.call = hang
+        self.addCleanup(hanging.set)
+        answering = gevent.spawn(self.call, timeout_s=3.0)
+        gevent.sleep(0.01)
+        self.scheduler.write.set(None)
+        self.assertEqual(200, answering.get(timeout=1.0).status)
+
+    def test_a_write_that_is_answered_after_its_relay_failed_is_accepted(self):
+        self.scheduler.result = errors.Ambiguous(reason="no answer yet")
+        self.scheduler.write = event.AsyncResult()
+        answering = gevent.spawn(self.call, timeout_s=3.0)
+        gevent.sleep(0.01)
+        self.assertFalse(answering.ready())
+        self.scheduler.write.set(None)
+        self.assertEqual(200, answering.get(timeout=1.0).status)
+
+    def test_a_relay_is_accepted_beside_a_write_that_hangs(self):
+        self.scheduler.result = errors.Ambiguous(reason="no answer yet")
+        self.scheduler.write = event.AsyncResult()
+        self.kernel.peers.answers["one"] = ingress._pack(ingress.Answer(200, b"{}"))
+        self.assertEqual(200, self.call(timeout_s=3.0).status)
+
+    def test_a_write_that_fails_beside_its_relay_is_no_refusal(self):
+        self.scheduler.result = errors.Ambiguous(reason="no answer yet")
+        self.scheduler.write = event.AsyncResult()
+        self.scheduler.write.set(errors.Ambiguous(reason="no answer"))
+        self.kernel.peers.answers["one"] = ingress._pack(ingress.Answer(503))
+        self.assertEqual(504, self.call(timeout_s=3.0).status)
+
+    # Guards against answers after the caller has left, 3.8 s after its request.
+    def test_relays_end_before_the_timeout_of_the_caller(self):
+        now = [100.0]
+        self.patch(ingress.uptime, "now", lambda: now[0])
+        self.scheduler.slow = True
+        asked = []
+
+        def hang(_name, _method, body, timeout_s):
+            asked.append((ingress._decode_request(body).timeout_s, timeout_s))
+            now[0] += timeout_s
+            return errors.Ambiguous(reason="no answer")
+
+        self.kernel.peers.call = hang
+        self.assertEqual(504, self.call(timeout_s=3.0).status)
+        self.assertEqual(2, len(asked))
+        self.assertLessEqual(now[0], 103.0)
+        for given_s, waited_s in asked:
+            # The other process reserves a part of the time for the way back.
+            self.assertLess(given_s - ingress.RESPONSE_MARGIN_S, waited_s)
+
     # Guards against an internal error, which says nothing about the job.
     def test_a_malformed_answer_of_a_process_is_no_refusal(self):
         self.scheduler.result = errors.Unavailable(reason="store")
--- a/toucanspring/coordinator/job_writer.py
+++ b/toucanspring/coordinator/job_writer.py
@@ -54,10 +54,18 @@
         self._wake_events: dict[str, event.Event] = {}
         self._greenlets: list[gevent.Greenlet] = []
         self._slow_until = 0.0
+        self._in_flight: dict[str, float] = {}  # part -> when its write was sent
+        self._unfinished: dict[str, PendingJob] = {}
 
     def is_slow(self, now: float) -> bool:
-        """Return whether a write of this process has lately taken long."""
-        return now < self._slow_until
+        """Return whether a write of this process takes long or has lately done so."""
+        oldest = min(self._in_flight.values(), default=now)
+        return now < self._slow_until or now - oldest > SLOW_WRITE_S
+
+    def find_write(self, job_id: str) -> event.AsyncResult | None:
+        """Return the result to come of a write of a job that is under way."""
+        pending = self._unfinished.get(job_id)
+        return None if pending is None else pending.result
 
     def __enter__(self) -> JobWriter:
         for number in range(rows.JOB_PARTS):
@@ -77,12 +85,18 @@
         `Ambiguous` that it may have, and `Conflict` that another job has the same ID.
         """
         pending = PendingJob(spec, uptime.now() + timeout_s)
+        self._unfinished[spec.id] = pending
+        pending.result.rawlink(lambda _result: self._forget(pending))
         self._enqueue(pending)
         try:
             return pending.result.get(timeout=timeout_s)
         except gevent.Timeout:
             return self._withdraw(pending)
 
+    def _forget(self, pending: PendingJob) -> None:
+        if self._unfinished.get(pending.spec.id) is pending:
+            del self._unfinished[pending.spec.id]
+
     def _enqueue(self, pending: PendingJob) -> None:
         part = pending.row_id.part
         self._queues[part].append(pending)
@@ -93,6 +107,7 @@
         queue = self._queues[pending.row_id.part]
         if pending in queue:
             queue.remove(pending)
+            self._forget(pending)
             if not pending.uncertain:
                 return errors.Unavailable(
                     reason="the write did not begin before the timeout"
@@ -128,12 +143,7 @@
     def _write(self, batch: list[PendingJob]) -> None:
         while batch:
             by_row_id = {each.row_id: each for each in batch}
-            sent_at = uptime.now()
-            answer = self._store.transact(
-                dict.fromkeys(by_row_id, 0),
-                {row_id: each.value for row_id, each in by_row_id.items()},
-            )
-            self._note_duration(sent_at, uptime.now())
+            answer = self._transact(by_row_id)
             match answer:
                 case ports.Committed():
                     self._set_results(batch, None)
@@ -146,11 +156,26 @@
                         self._retry_in_next_part(each, answer)
                     return
 
+    def _transact(
+        self, by_row_id: dict[ports.RowId, PendingJob]
+    ) -> ports.Committed | ports.Rejected | errors.Failure:
+        """Write new rows of one part, and note how long it takes."""
+        part = next(iter(by_row_id)).part
+        sent_at = self._in_flight[part] = uptime.now()
+        try:
+            return self._store.transact(
+                dict.fromkeys(by_row_id, 0),
+                {row_id: each.value for row_id, each in by_row_id.items()},
+            )
+        finally:
+            del self._in_flight[part]
+            self._note_duration(sent_at, uptime.now())
+
     def _note_duration(self, sent_at: float, now: float) -> None:
         took_s = now - sent_at
         if took_s <= SLOW_WRITE_S:
             return
-        if not self.is_slow(now):
+        if now >= self._slow_until:
             structured.decide(log, "writes_slow", took_ms=round(took_s * 1000))
         self._slow_until = now + SLOW_PERIOD_S
 
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -172,6 +172,10 @@
         """Store an accepted job; see `job_writer.JobWriter.accept`."""
         return self._job_writer.accept(spec, timeout_s)
 
+    def find_write(self, job_id: str) -> event.AsyncResult | None:
+        """Return the result to come of a write of a job by this process, if any."""
+        return self._job_writer.find_write(job_id)
+
     def has_faster_writer(self) -> bool:
         """Return whether the coordinator writes jobs for all processes for now.
 
