--- a/review/cell.py
+++ b/review/cell.py
@@ -65,15 +65,20 @@
         self._file.close()
 
 
+_given_ports: set[int] = set()  # a process binds its ports only when it starts
+
+
 def find_ports(count: int) -> list[int]:
-    """Return ports that are free at present."""
+    """Return ports that are free at present and were not returned before."""
     found: list[int] = []
     while len(found) < count:
         port = random.randrange(FIRST_PORT, LAST_PORT)
+        if port in _given_ports:
+            continue
         with contextlib.suppress(OSError), socket.socket() as sock:
             sock.bind((ADDRESS, port))
-            if port not in found:
-                found.append(port)
+            found.append(port)
+            _given_ports.add(port)
     return found
 
 
