Show that failing services keep another tenant's task from starting

Two services that fail after each start have all executors with room left alone for 24 s, so that another tenant's task that lasts is away for more than 9 s although there is room for it. The stand-in of the executors plays tasks that last from now on.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Crash executors that come back as another kind, while work waits for the first."""
+"""Let the tasks of one tenant's services fail; another's must be started again."""
 
 from __future__ import annotations
 
@@ -12,61 +12,79 @@
 import cell  # noqa: E402  from the folder of the cases
 
 NODES, EXECUTORS, CPU = 3, 24, 32_000
-FIRST_KIND, OTHER_KIND = "a", "b"
-# More tasks than the executors of the first kind can take at a time.
-TASKS, TASK_CPU, LASTS_MS = 300, 8000, 3000
-CRASH_AT_S, DOWN_S = (4.0, 9.0, 14.0), 2.5
-CRASHED = 3  # of 24 executors at a time, 0.125
-END_S = 20.0
+# A service that takes 480 of 768 cores and never fails.
+LARGE_TASKS, LARGE_CPU = 160, 3000
+# Two services whose tasks fail after their start, in ms, and the time without trouble.
+SERVICES, SERVICE_TASKS, SERVICE_CPU = 2, 6, 500
+FAILS_MS, STAYS_MS = 200, 3_600_000
+# The service of another tenant: one task, which fails now and then.
+OTHER_CPU, OTHER_FAILS_MS = 500, 1500
+OTHER_AT_S, SERVICES_AT_S, END_S = 3.0, 6.0, 75.0
+# A task that lasts may be away from 6 s after its last run for less than 3 s.
+AWAY_S = 6.0 + 3.0
+SAMPLE_S = 0.1
 
 
 async def play(world: cell.Cell, trouble: bool) -> list[str]:
     """Return the breaks of the rule."""
-    tenant = cell.Tenant("kette", "key-kette")
-    world.tenants = [tenant]
+    large, failing, other = (
+        cell.Tenant(name, f"key-{name}") for name in ("kette", "laden", "schule")
+    )
+    world.tenants = [large, failing, other]
     await world.open(NODES, EXECUTORS)
-    breaks = []
-
-    def check(executor: object, task: str, run: int, _spec: str) -> None:
-        if executor.machine.kind != FIRST_KIND:
-            age_ms = executor.clock_ms()
-            text = (
-                f"ROUTE: {task} run {run} requires {FIRST_KIND} and was started on "
-                f"{executor.name}, of kind {executor.machine.kind} since {age_ms} ms"
-            )
-            world.record("broken", text=text)
-            breaks.append(text)
-
-    for number, executor in enumerate(world.executors):
-        executor.on_start = check
-        kind = FIRST_KIND if number % 2 else OTHER_KIND
-        await executor.boot(cell.executors.Machine(kind, CPU))
+    for executor in world.executors:
+        await executor.boot(cell.executors.Machine("a", CPU))
     await world.configure()
     for node in world.nodes:
         node.start()
     await world.await_ready()
     began = world.record.now()
-    accepted = await world.submit(cell.make_id(), tenant.key, {
-        "spec": f"{LASTS_MS} {TASK_CPU}",
-        "phases": [{"count": TASKS, "cpu": TASK_CPU, "mem_mb": 128,
-                    "estimate_ms": LASTS_MS, "requires": FIRST_KIND}],
-    })  # fmt: skip
+    body = make_body(LARGE_TASKS, STAYS_MS, LARGE_CPU)
+    accepted = await world.submit(cell.make_id(), large.key, body)
+    await asyncio.sleep(OTHER_AT_S)
+    job = cell.make_id()
+    body = make_body(1, OTHER_FAILS_MS, OTHER_CPU)
+    accepted &= await world.submit(job, other.key, body)
+    await asyncio.sleep(SERVICES_AT_S - OTHER_AT_S)
+    for _ in range(SERVICES):
+        lasts_ms = FAILS_MS if trouble else STAYS_MS
+        body = make_body(SERVICE_TASKS, lasts_ms, SERVICE_CPU)
+        accepted &= await world.submit(cell.make_id(), failing.key, body)
     if not accepted:
-        raise cell.NotRun("the job was not accepted")
-    first = [each for each in world.executors if each.machine.kind == FIRST_KIND]
-    for at_s in CRASH_AT_S:
-        await asyncio.sleep(max(0.0, began + at_s - world.record.now()))
-        if not trouble:
-            continue
-        chosen, first = first[:CRASHED], first[CRASHED:]
-        for executor in chosen:
-            executor.crash()
-        await asyncio.sleep(DOWN_S)
-        for executor in chosen:
-            await executor.boot(cell.executors.Machine(OTHER_KIND, CPU))
-    await asyncio.sleep(max(0.0, began + END_S - world.record.now()))
-    if not any(executor.running for executor in world.executors):
-        raise cell.NotRun("no work was left")
+        raise cell.NotRun("a job was not accepted")
+    return await watch(world, f"{job}.0.0.0", began + END_S)
+
+
+def make_body(count: int, fails_ms: int, cpu: int) -> dict:
+    """Return a submission of tasks that last; each run fails after `fails_ms`."""
+    phase = {"count": count, "cpu": cpu, "mem_mb": 128, "estimate_ms": 1000}
+    return {
+        "spec": f"{fails_ms} {cpu} failed",
+        "phases": [phase | {"long_running": True}],
+    }
+
+
+async def watch(world: cell.Cell, task: str, end: float) -> list[str]:
+    """Return for how long the task was away while there was room for two of it."""
+    breaks: list[str] = []
+    away_since = world.record.now()
+    reported = False
+    while world.record.now() < end:
+        await asyncio.sleep(SAMPLE_S)
+        now = world.record.now()
+        room = max(CPU - executor.used_cpu() for executor in world.executors)
+        runs = any(task in executor.running for executor in world.executors)
+        if runs or room < 2 * OTHER_CPU:
+            away_since, reported = now, False
+        elif now - away_since > AWAY_S and not reported:
+            reported = True
+            used = sum(executor.used_cpu() for executor in world.executors)
+            breaks.append(
+                f"LOST: {task} lasts and has not run since {away_since:.1f} s, for "
+                f"{now - away_since:.1f} s; room for it on one executor: "
+                f"{room // OTHER_CPU}; in use: {used / (EXECUTORS * CPU):.0%}"
+            )
+            world.record("broken", text=breaks[-1])
     return breaks
 
 
--- a/review/executors.py
+++ b/review/executors.py
@@ -1,4 +1,8 @@
-"""Stand-in of the platform's executors; a run lasts as many ms as its spec says."""
+"""Stand-in of the platform's executors.
+
+The spec of a run says how many ms it lasts, how many thousandths of a core it occupies
+and, for a task that lasts, how it ends.
+"""
 
 from __future__ import annotations
 
@@ -29,6 +33,13 @@
     lasts_s: float
     timer: asyncio.TimerHandle | None = None
     stopping: bool = False
+    lasting: bool = False
+
+    def percent(self) -> int:
+        """Return the progress; a task that lasts has 100 while it is at work."""
+        if self.lasting:
+            return 100
+        return min(99, int(100 * (time.monotonic() - self.started_at) / self.lasts_s))
 
 
 @dataclasses.dataclass(slots=True)
@@ -61,6 +72,8 @@
         self.born = 0
         # Called for each start with the machine as it is: (executor, task, run, spec).
         self.on_start: Callable[[Executor, str, int, str], None] = lambda *_: None
+        # Called for each end of a run: (executor, task, run, how).
+        self.on_end: Callable[[Executor, str, int, str], None] = lambda *_: None
         # Called after a hold has been answered: (executor, fence number).
         self.on_hold: Callable[[Executor, int], None] = lambda *_: None
         self.fence = 0
@@ -160,6 +173,7 @@
         self._record("ended", executor=self.name, task=run.task, run=run.number,
                      how=how)  # fmt: skip
         self._news.set()
+        self.on_end(self, run.task, run.number, how)
 
     def _forbid(self, task: str, number: int) -> None:
         self._forbidden[task] = max(number, self._forbidden.get(task, 0))
@@ -196,10 +210,11 @@
         self._extend(call["deadline_ms"])
         if number <= self._forbidden.get(task, 0) or known is not None:
             return 409, {**answer, "reason": "old"}
-        lasts_ms, cpu = (int(text) for text in call["spec"].split()[:2])
-        run = Run(task, number, cpu, time.monotonic(), lasts_ms / 1000)
+        lasts_ms, cpu, *end = call["spec"].split()
+        run = Run(task, number, int(cpu), time.monotonic(), int(lasts_ms) / 1000)
+        run.lasting = bool(end)
         run.timer = asyncio.get_running_loop().call_later(
-            run.lasts_s, lambda: self._end(run, "done")
+            run.lasts_s, lambda: self._end(run, end[0] if end else "done")
         )
         self.running[task] = run
         self._record("started", executor=self.name, task=task, run=number,
@@ -229,12 +244,10 @@
                     await self._news.wait()
             except TimeoutError:
                 pass
-        now = time.monotonic()
         running = [
-            [run.task, run.number, "",
-             min(99, int(100 * (now - run.started_at) / run.lasts_s)), run.cpu]
+            [run.task, run.number, "", run.percent(), run.cpu]
             for run in self.running.values()
-        ]  # fmt: skip
+        ]
         asyncio.get_running_loop().call_soon(self.on_hold, self, fence)
         return 200, {"clock_ms": self.clock_ms(), "born": self.born,
                      "running": running,
