Check cases 1 and 2 over 3 s and for room twice over

As the rule is written: nothing of the submission runs for 3 s, there is room for it twice over and under half of the capacity is in use, in each sample.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,7 +20,6 @@
 # Small jobs of another tenant, the last traffic of the day.
 SMALL_AT_S, SMALL_JOBS, SMALL_LASTS_S = 76.0, 4, 1.0
 FINISH_S = 14.0  # after the end of the traffic the submissions are asked for
-IDLE_S = 3.0  # for which nothing of a submission may run while its turn has come
 
 
 async def play(world: cell.Cell, trouble: bool) -> list[str]:
@@ -29,16 +28,7 @@
     wide, small = cell.Tenant("kette", "key-kette"), cell.Tenant("laden", "key-laden")
     world.tenants = [wide, small]
     await world.open(NODES, EXECUTORS)
-    started: dict[str, float] = {}
-    ran = set()
-
-    def note(_executor: object, task: str, _run: int, _spec: str) -> None:
-        job = task.partition(".")[0]
-        ran.add(job)
-        started.setdefault(job, record.now())
-
     for executor in world.executors:
-        executor.on_start = note
         await executor.boot(cell.executors.Machine("a", CPU))
     await world.configure()
     for node in world.nodes:
@@ -70,44 +60,19 @@
             node.start()
         await world.await_ready()
     await wait_until(SMALL_AT_S)
-    jobs = []
+    jobs = {}
     for _ in range(SMALL_JOBS):
         job = cell.make_id()
         body = {"spec": f"{SMALL_LASTS_S * 1000:.0f} 1000",
                 "phases": [{"count": 2, "cpu": 1000, "mem_mb": 128,
                             "estimate_ms": 1000}]}  # fmt: skip
         if await world.submit(job, small.key, body):
-            jobs.append((job, record.now()))
+            jobs[job] = cell.Demand(small.key, 2, 1000)
         await asyncio.sleep(0.25)
     if not jobs:
         raise cell.NotRun("no small job was accepted")
     await asyncio.sleep(FINISH_S)
-    return await check(world, small, jobs, started)
-
-
-async def check(
-    world: cell.Cell,
-    tenant: cell.Tenant,
-    jobs: list[tuple[str, float]],
-    started: dict[str, float],
-) -> list[str]:
-    """Ask for the small jobs, and find those that nothing was done for."""
-    used = sum(executor.used_cpu() for executor in world.executors)
-    share = used / (EXECUTORS * CPU)
-    world.record("capacity", used_share=round(share, 3),
-                 refused=dict(world.store.refused))  # fmt: skip
-    if share >= 0.5:
-        raise cell.NotRun("half of the capacity is in use")
-    breaks = []
-    for job, accepted_at in jobs:
-        state = await world.read_state(job, tenant.key)
-        waited_s = started.get(job, world.record.now()) - accepted_at
-        if state != "completed" and job not in started and waited_s > IDLE_S:
-            breaks.append(
-                f"LOST: {job} was accepted at {accepted_at:.1f} s, is {state or '?'} "
-                f"and nothing of it ran for {waited_s:.1f} s; in use: {share:.0%}"
-            )
-    return breaks
+    return await world.find_idle(jobs)
 
 
 if __name__ == "__main__":
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,12 +19,10 @@
 LOST_AFTER_S = 0.1  # from the first hold of the new coordinator
 LONG_AT_S, SHORT_AT_S, KILL_AT_S = 1.0, 3.0, 3.7
 FINISH_S = 14.0  # after the end of the traffic the submissions are asked for
-IDLE_S = 3.0  # for which nothing of a submission may run while its turn has come
 
 
 async def play(world: cell.Cell, trouble: bool) -> list[str]:
     """Return the breaks of the rule."""
-    record = world.record
     tenant = cell.Tenant("kette", "key-kette")
     world.tenants = [tenant]
     await world.open(NODES, EXECUTORS)
@@ -48,9 +46,10 @@
     await asyncio.sleep(KILL_AT_S - SHORT_AT_S)
     if trouble:
         await disrupt(world)
-    ended_at = record.now()
     await asyncio.sleep(FINISH_S)
-    return await check(world, tenant, [*jobs, short], record.now() - ended_at)
+    demands = {job: cell.Demand(tenant.key, 1, LONG_CPU) for job in jobs}
+    demands[short] = cell.Demand(tenant.key, SHORT_TASKS, SHORT_CPU)
+    return await world.find_idle(demands)
 
 
 def make_body(count: int, lasts_ms: int, cpu: int) -> dict:
@@ -93,27 +92,5 @@
     world.record("store_normal")
 
 
-async def check(
-    world: cell.Cell, tenant: cell.Tenant, jobs: list[str], waited_s: float
-) -> list[str]:
-    """Ask for the jobs, and find those that nothing is done for."""
-    running = {
-        task.partition(".")[0]
-        for executor in world.executors
-        for task in executor.running
-    }
-    used = sum(executor.used_cpu() for executor in world.executors)
-    share = used / (EXECUTORS * CPU)
-    breaks = []
-    for job in jobs:
-        state = await world.read_state(job, tenant.key)
-        if state != "completed" and job not in running:
-            breaks.append(
-                f"LOST: {job} is {state or '?'} and nothing of it runs "
-                f"{waited_s:.1f} s after the last disruption; in use: {share:.0%}"
-            )
-    return breaks
-
-
 if __name__ == "__main__":
     sys.exit(cell.run(HERE, play))
--- a/review/cell.py
+++ b/review/cell.py
@@ -35,6 +35,8 @@
 RETRIES = 4
 STATE_TRIES = 2
 RETRY_PAUSE_S = 0.5
+IDLE_S = 3.0  # for which nothing of a submission may run while its turn has come
+SAMPLE_S = 0.1
 LIMIT_S = 112.0  # of a case, so that it ends within 120 s with all its processes
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -95,6 +97,15 @@
         return {"name": self.name, "api_keys": [self.key], "weight": self.weight}
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """Hold the key of a submission and what its tasks need at the same time."""
+
+    key: str
+    count: int
+    cpu: int
+
+
 class Node:
     """Run one process of the deploy file's role, and start it again if it ends."""
 
@@ -364,6 +375,40 @@
             await asyncio.sleep(RETRY_PAUSE_S)
         return ""
 
+    async def find_idle(self, jobs: dict[str, Demand]) -> list[str]:
+        """Return the breaks of LOST: jobs of which nothing runs for 3 s.
+
+        Counted only while there is room for the job twice over and less than half of
+        the capacity is in use, in each sample; no tenant here has an upper bound.
+        """
+        left = set()
+        for job, demand in jobs.items():
+            if await self.read_state(job, demand.key) != "completed":
+                left.add(job)
+        began = time.monotonic()
+        while left and time.monotonic() - began <= IDLE_S:
+            up = [each for each in self.executors if each.up]
+            free = [each.machine.cpu - each.used_cpu() for each in up]
+            used = 1 - sum(free) / sum(each.machine.cpu for each in up)
+            running = {task.partition(".")[0] for each in up for task in each.running}
+            left = {
+                job
+                for job in left - running
+                if used < 0.5
+                and sum(cpu // jobs[job].cpu for cpu in free) >= 2 * jobs[job].count
+            }
+            await asyncio.sleep(SAMPLE_S)
+        breaks = []
+        for job in sorted(left):
+            state = await self.read_state(job, jobs[job].key)
+            if state != "completed":
+                breaks.append(
+                    f"LOST: {job} is {state or '?'} and nothing of it ran for "
+                    f"{IDLE_S:.0f} s, with room for it twice over; in use: {used:.0%}"
+                )
+                self.record("broken", text=breaks[-1])
+        return breaks
+
     async def close(self) -> None:
         """End the processes and the stand-ins."""
         await asyncio.gather(*(node.stop() for node in self.nodes))
