Show that a submission that can never be done blocks its tenant

A gang above its tenant's upper bound claims the whole allowance, so that nothing of less urgent queues starts in an idle cell. The stand-in of the store could skip a change that came as a feed's wait ended; it looks at the rows again now.

--- a/review/cell.py
+++ b/review/cell.py
@@ -86,15 +86,40 @@
 
 @dataclasses.dataclass(slots=True)
 class Tenant:
-    """Hold a tenant with one key and no limit."""
+    """Hold a tenant with one key; a `max_cpu` of 0 means no upper bound."""
 
     name: str
     key: str
     weight: float = 100.0
+    max_cpu: int = 0  # in thousandths of a core
 
     def show(self) -> dict:
         """Return the tenant as the configuration shows it."""
-        return {"name": self.name, "api_keys": [self.key], "weight": self.weight}
+        shown = {"name": self.name, "api_keys": [self.key], "weight": self.weight}
+        if self.max_cpu:
+            shown["upper_bound"] = {"cpu": self.max_cpu}
+        return shown
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Queue:
+    """Hold a queue as the configuration shows it."""
+
+    name: str
+    prefix: str
+    priority: int = 1
+    max_attempts: int = 3
+    stretch: float = 4.0
+    target_ms: int = 3000
+
+    def show(self) -> dict:
+        """Return the route of the queue."""
+        return {
+            "name": self.name, "host": HOST, "path_prefix": self.prefix,
+            "service": SERVICE, "priority": self.priority,
+            "max_attempts": self.max_attempts, "stretch": self.stretch,
+            "target_runtime_ms": self.target_ms,
+        }  # fmt: skip
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,6 +129,8 @@
     key: str
     count: int
     cpu: int
+    prefix: str = PREFIX
+    max_cpu: int = 0  # upper bound of its tenant
 
 
 class Node:
@@ -278,35 +305,35 @@
         await self.store.server.start((ADDRESS, port))
         for number in range(count):
             zone = ZONES[number % len(ZONES)]
-            self.executors.append(
-                executors.Executor(
-                    secrets.token_hex(8),
-                    SERVICE,
-                    zone,
-                    f"{zone}-{number // per_rack}",
-                    (ADDRESS, free[number]),
-                    self.store,
-                    self.record,
-                )
-            )
+            rack = f"{zone}-{number // per_rack}"
+            self._add_executor(secrets.token_hex(8), zone, rack, free[number])
         for number in range(nodes):
             zone = ZONES[number % len(ZONES)]
             self.nodes.append(
                 Node(f"edge-{zone}-{number}", zone, port, self._folder, self.record)
             )
 
-    async def configure(self, max_attempts: int = 3) -> None:
-        """Write the next version of the configuration."""
+    def _add_executor(
+        self, name: str, zone: str, rack: str, port: int
+    ) -> executors.Executor:
+        added = executors.Executor(
+            name, SERVICE, zone, rack, (ADDRESS, port), self.store, self.record
+        )
+        self.executors.append(added)
+        return added
+
+    async def replace(self, lost: executors.Executor, name: str) -> None:
+        """Boot an executor with another id on the machine of one that has crashed."""
+        added = self._add_executor(name, lost.zone, lost.rack, lost.address[1])
+        added.on_start, added.on_end = lost.on_start, lost.on_end
+        await added.boot(lost.machine)
+
+    async def configure(self, *queues: Queue) -> None:
+        """Write the next version of the configuration, with one queue by default."""
         self._version += 3
-        routes = [
-            {
-                "name": "proofs", "host": HOST, "path_prefix": PREFIX,
-                "service": SERVICE, "priority": 1, "max_attempts": max_attempts,
-                "stretch": 4.0, "target_runtime_ms": 3000,
-            }
-        ]  # fmt: skip
+        shown = queues or [Queue("proofs", PREFIX)]
         value = {
-            "version": self._version, "routes": routes,
+            "version": self._version, "routes": [queue.show() for queue in shown],
             "services": [{"name": SERVICE, "rejects_overload": False}],
             "tenants": [tenant.show() for tenant in self.tenants], "limits": {},
         }  # fmt: skip
@@ -336,6 +363,7 @@
         key: str,
         body: bytes = b"",
         node: Node | None = None,
+        prefix: str = PREFIX,
     ) -> tuple[int, bytes] | None:
         """Send one request of a caller to a node, any one by default."""
         node = node or random.choice(self.nodes)
@@ -346,7 +374,7 @@
             "Toucanspring-Timeout-Ms": f"{TIMEOUT_S * 1000:.0f}",
         }
         answer = await httpio.call(
-            node.front, method, f"{PREFIX}{job}", headers, body, TIMEOUT_S
+            node.front, method, f"{prefix}{job}", headers, body, TIMEOUT_S
         )
         status = answer[0] if answer is not None else "none"
         text = answer[1].decode(errors="replace") if answer is not None else ""
@@ -354,20 +382,22 @@
                     answer=text)  # fmt: skip
         return answer
 
-    async def submit(self, job: str, key: str, submission: dict) -> bool:
+    async def submit(
+        self, job: str, key: str, submission: dict, prefix: str = PREFIX
+    ) -> bool:
         """Submit a job with a caller's retries; return whether it was accepted."""
         body = json.dumps(submission).encode()
         for _ in range(1 + RETRIES):
-            answer = await self.call("POST", job, key, body)
+            answer = await self.call("POST", job, key, body, prefix=prefix)
             if answer is not None and 200 <= answer[0] < 300:
                 return True
             await asyncio.sleep(RETRY_PAUSE_S)
         return False
 
-    async def read_state(self, job: str, key: str) -> str:
+    async def read_state(self, job: str, key: str, prefix: str = PREFIX) -> str:
         """Return the state of a job, or "" if no node tells it in some tries."""
         for _ in range(STATE_TRIES):
-            answer = await self.call("GET", job, key)
+            answer = await self.call("GET", job, key, prefix=prefix)
             if answer is not None and answer[0] == 200:
                 return json.loads(answer[1])["state"]
             if answer is not None and answer[0] == 410:
@@ -379,28 +409,32 @@
         """Return the breaks of LOST: jobs of which nothing runs for 3 s.
 
         Counted only while there is room for the job twice over and less than half of
-        the capacity is in use, in each sample; no tenant here has an upper bound.
+        the capacity is in use, in each sample. Where its tenant has an upper bound, all
+        tenants together must have less than half of it running.
         """
         left = set()
         for job, demand in jobs.items():
-            if await self.read_state(job, demand.key) != "completed":
+            state = await self.read_state(job, demand.key, demand.prefix)
+            if state != "completed":
                 left.add(job)
         began = time.monotonic()
         while left and time.monotonic() - began <= IDLE_S:
             up = [each for each in self.executors if each.up]
             free = [each.machine.cpu - each.used_cpu() for each in up]
             used = 1 - sum(free) / sum(each.machine.cpu for each in up)
+            in_use = sum(each.used_cpu() for each in up)
             running = {task.partition(".")[0] for each in up for task in each.running}
             left = {
                 job
                 for job in left - running
                 if used < 0.5
                 and sum(cpu // jobs[job].cpu for cpu in free) >= 2 * jobs[job].count
+                and (not jobs[job].max_cpu or 2 * in_use < jobs[job].max_cpu)
             }
             await asyncio.sleep(SAMPLE_S)
         breaks = []
         for job in sorted(left):
-            state = await self.read_state(job, jobs[job].key)
+            state = await self.read_state(job, jobs[job].key, jobs[job].prefix)
             if state != "completed":
                 breaks.append(
                     f"LOST: {job} is {state or '?'} and nothing of it ran for "
--- a/review/executors.py
+++ b/review/executors.py
@@ -77,7 +77,9 @@
         # Called after a hold has been answered: (executor, fence number).
         self.on_hold: Callable[[Executor, int], None] = lambda *_: None
         self.fence = 0
-        self._service, self._zone, self._rack = service, zone, rack
+        self.unhealthy = False  # it refuses all starts with 503
+        self.zone, self.rack = zone, rack
+        self._service = service
         self._store, self._record = platform, record
         self._ended: list[list] = []
         self._last_end = 0
@@ -130,9 +132,9 @@
     async def _register(self) -> None:
         entry = {
             "service": self._service, "address": "{}:{}".format(*self.address),
-            "zone": self._zone, "version": "1", "slots": 8, "state": "ready",
+            "zone": self.zone, "version": "1", "slots": 8, "state": "ready",
             "cold_remaining_ms": 0, "seq": self._seq, "born": self.born,
-            "labels": [self.machine.kind, self._rack],
+            "labels": [self.machine.kind, self.rack],
             "capacity": {"cpu": self.machine.cpu, "mem_mb": self.machine.mem_mb,
                          "gpus": 0},
         }  # fmt: skip
@@ -191,6 +193,8 @@
             return 409, {"clock_ms": self.clock_ms(), "reason": "fence"}
         self.fence = call.get("fence_token", 0)
         match request.path:
+            case "/toucanspring/run-start" if self.unhealthy:
+                return 503, {}
             case "/toucanspring/run-start":
                 return self._start(call)
             case "/toucanspring/run-stop":
--- a/review/store.py
+++ b/review/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import collections
+import contextlib
 import dataclasses
 import json
 import time
@@ -159,11 +160,10 @@
             left_s = deadline - time.monotonic()
             if left_s <= 0:
                 break
-            try:
+            # A change may come just as the wait ends, so the rows are looked at again.
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(left_s), self._changed:
                     await self._changed.wait()
-            except TimeoutError:
-                break
         rows = [
             _show(key, self.rows[key])
             if key in self.rows
