--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Submissions of a tenant beside one of its own that can never be done."""
+"""Kill the coordinator on a slow store; an executor is lost just after the takeover."""
 
 from __future__ import annotations
 
@@ -6,83 +6,91 @@
 import pathlib
 import sys
 
-FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
+HERE = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent))
 
-import cell  # noqa: E402
-import executors  # noqa: E402
+import cell  # noqa: E402  from the folder of the cases
 
-NODES, EXECUTORS, CPU = 3, 24, 32_000
-MAX_CPU = 300_000  # upper bound of the tenant; the executors have 768,000
-BUILDS = cell.Queue("builds", "/lohu930/", priority=1, stretch=2.2, target_ms=1000)
-PROOFS = cell.Queue("proofs", "/mira417/", priority=2)
-# Within the largest width, steps, processors and duration of the site's kind of
-# request, and above the upper bound, its overage and one task more.
-WIDTH, BUILD_CPU, BUILD_MS = 26, 15_000, 16_000
-SMALL_CPU, SMALL_MS = 9000, 1000
-PROOF_TASKS, PROOF_CPU, PROOF_MS = 10, 1800, 2200
-# One of 21 builds can never be done, a share of less than 0.05.
-BUILDS_BEFORE, BUILDS_AFTER, PROOFS_AFTER = 10, 10, 5
-PAUSE_S = 0.1
-FINISH_S = 14.0
+NODES, EXECUTORS, CPU = 3, 8, 32_000
+# One-task jobs for each executor, and a job whose tasks end during the takeover.
+LONG_JOBS, LONG_MS, LONG_CPU = 12, 12_000, 9000
+SHORT_TASKS, SHORT_MS, SHORT_CPU = 16, 1000, 4000
+SLOWNESS, SLOW_S = 60.0, 4.5
+LOST_AFTER_S = 0.1  # from the first hold of the new coordinator
+LONG_AT_S, SHORT_AT_S, KILL_AT_S = 1.0, 3.0, 3.7
+FINISH_S = 14.0  # after the end of the traffic the submissions are asked for
 
 
-def _make_hopeless() -> dict:
-    step = {
-        "cpu": BUILD_CPU, "mem_mb": 9000, "estimate_ms": BUILD_MS, "gang": True,
-        "checkpointing": True,
-    }  # fmt: skip
-    return {
-        "spec": f"{BUILD_MS} {BUILD_CPU}",
-        "phases": [{"count": WIDTH, **step}, {"count": 4, "after": [0], **step}],
-    }
-
-
-def _make(tasks: int, cpu: int, lasts_ms: int) -> dict:
-    step = {"count": tasks, "cpu": cpu, "mem_mb": 2600, "estimate_ms": lasts_ms}
-    return {"spec": f"{lasts_ms} {cpu}", "phases": [step]}
-
-
-async def _submit(
-    world: cell.Cell, tenant: cell.Tenant, queue: cell.Queue, submission: dict
-) -> dict[str, cell.Demand]:
-    job, step = cell.make_id(), submission["phases"][0]
-    if not await world.submit(job, tenant.key, submission, queue.prefix):
-        raise cell.NotRun(f"{job} was not accepted")
-    await asyncio.sleep(PAUSE_S)
-    demand = cell.Demand(
-        tenant.key, step["count"], step["cpu"], queue.prefix, tenant.max_cpu
-    )
-    return {job: demand}
-
-
-async def _play(world: cell.Cell, trouble: bool) -> list[str]:
-    tenant = cell.Tenant("desk", "key-of-desk", max_cpu=MAX_CPU)
-    world.tenants.append(tenant)
+async def play(world: cell.Cell, trouble: bool) -> list[str]:
+    """Return the breaks of the rule."""
+    tenant = cell.Tenant("kette", "key-kette")
+    world.tenants = [tenant]
     await world.open(NODES, EXECUTORS)
-    await world.configure(BUILDS, PROOFS)
     for executor in world.executors:
-        await executor.boot(executors.Machine("a", CPU))
+        await executor.boot(cell.executors.Machine("a", CPU))
+    await world.configure()
     for node in world.nodes:
         node.start()
     await world.await_ready()
-    await asyncio.sleep(3.0)
-    build = _make(1, SMALL_CPU, SMALL_MS)
-    proof = _make(PROOF_TASKS, PROOF_CPU, PROOF_MS)
-    jobs: dict[str, cell.Demand] = {}
-    for _ in range(BUILDS_BEFORE):
-        jobs |= await _submit(world, tenant, BUILDS, build)
+    await asyncio.sleep(LONG_AT_S)
+    jobs = []
+    for _ in range(LONG_JOBS):
+        job = cell.make_id()
+        if await world.submit(job, tenant.key, make_body(1, LONG_MS, LONG_CPU)):
+            jobs.append(job)
+    await asyncio.sleep(SHORT_AT_S - LONG_AT_S)
+    short = cell.make_id()
+    body = make_body(SHORT_TASKS, SHORT_MS, SHORT_CPU)
+    if len(jobs) < LONG_JOBS or not await world.submit(short, tenant.key, body):
+        raise cell.NotRun("a job was not accepted")
+    await asyncio.sleep(KILL_AT_S - SHORT_AT_S)
     if trouble:
-        hopeless = await _submit(world, tenant, BUILDS, _make_hopeless())
-        world.record("hopeless_submission", job=next(iter(hopeless)))
-    for _ in range(BUILDS_AFTER):
-        jobs |= await _submit(world, tenant, BUILDS, build)
-    for _ in range(PROOFS_AFTER):
-        jobs |= await _submit(world, tenant, PROOFS, proof)
-    world.record("traffic_ended")
+        await disrupt(world)
     await asyncio.sleep(FINISH_S)
-    return await world.find_idle(jobs)
+    demands = {job: cell.Demand(tenant.key, 1, LONG_CPU) for job in jobs}
+    demands[short] = cell.Demand(tenant.key, SHORT_TASKS, SHORT_CPU)
+    return await world.find_idle(demands)
+
+
+def make_body(count: int, lasts_ms: int, cpu: int) -> dict:
+    """Return a submission of one step."""
+    return {
+        "spec": f"{lasts_ms} {cpu}",
+        "phases": [{"count": count, "cpu": cpu, "mem_mb": 128,
+                    "estimate_ms": lasts_ms}],
+    }  # fmt: skip
+
+
+async def disrupt(world: cell.Cell) -> None:
+    """Slow the store, kill the coordinator and lose an executor after the takeover."""
+    leader = world.find_leader()
+    if leader is None:
+        raise cell.NotRun("no process coordinates")
+    fence = max(executor.fence for executor in world.executors)
+    lost = asyncio.get_running_loop().create_future()
+
+    def note(executor: object, seen: int) -> None:
+        busy = executor.running and executor.has_ends()
+        if seen > fence and busy and not lost.done():
+            lost.set_result(executor)
+
+    for executor in world.executors:
+        executor.on_hold = note
+    world.store.slowness = SLOWNESS
+    world.record("store_slow", times=SLOWNESS)
+    leader.send(cell.signal.SIGKILL)
+    slow_until = world.record.now() + SLOW_S
+    try:
+        executor = await asyncio.wait_for(lost, SLOW_S)
+    except TimeoutError:
+        raise cell.NotRun("no process took over while the store was slow") from None
+    await asyncio.sleep(LOST_AFTER_S)
+    world.record("lost", executor=executor.name, tasks=",".join(executor.running))
+    executor.crash()
+    await asyncio.sleep(max(0.0, slow_until - world.record.now()))
+    world.store.slowness = 1.0
+    world.record("store_normal")
 
 
 if __name__ == "__main__":
-    sys.exit(cell.run(FOLDER, _play))
+    sys.exit(cell.run(HERE, play))
