Wait for all former coordinators that may renew leases of workers

Cause: leader_lease.acquire derived the wait for silent workers from the last holder in the lease's row. A release, a return under the own name, or an acquisition whose answer was lost say nothing of the holder before.

Fix: the row holds until when former holders may renew leases of workers; each acquisition keeps the later of it and the replaced holder's time, and renewals and releases carry it on. What the store holds outlasts every order of releases, restarts and lost answers.

Four assertions on `predecessor_may_run` now check the seconds that are left to the former holders, exactly: 0, 5.89 and 8.5 s where they said whether and 2.5 s.

--- a/spec/coordination.py
+++ b/spec/coordination.py
@@ -1,8 +1,9 @@
 """Model of one task under coordinators that may be paused or replaced at any time.
 
 A paused coordinator takes no step while others do. Another process may acquire the
-leader lease at any time, even before it has expired. A write in flight takes effect or
-fails at any later time, and may take effect once more if its answer was lost. An order
+leader lease at any time, even before it has expired. A coordinator may release its
+lease, or end and acquire it again. A write in flight takes effect or fails at any later
+time, and may take effect once more if its answer was lost. An order
 arrives at any time. Tasks run and end, and worker leases expire. With `failing` a run
 may fail, and a coordinator begins without the configuration, which says how many failed
 runs are allowed. The rules are those of `attempts`, `fenced_writer`, `leadership`,
@@ -20,6 +21,8 @@
 
 ACTIONS = {
     "claim": "toucanspring.coordinator.leader_lease.acquire",
+    "release": "toucanspring.coordinator.fenced_writer.FencedWriter.release",
+    "restart": "toucanspring.coordinator.leader_lease.acquire",
     "leader lease expires": "toucanspring.coordinator.leadership.Leadership.may_renew",
     "allocate": "toucanspring.coordinator.cell_state.CellState.allocate",
     "write": "toucanspring.coordinator.fenced_writer.FencedWriter.commit",
@@ -49,6 +52,7 @@
     claims: int = 2  # of the leader lease
     runs: int = 2  # starts of the task
     failing: bool = False  # runs may fail, and configurations are read late
+    releases: bool = False  # holders may release the lease, or end and restart
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,6 +66,7 @@
     durable_end: bool = True  # an end is acknowledged only once it is durable
     lease_wait: bool = True  # a worker is lost only once its lease has expired
     expiry: bool = True  # without its lease a coordinator soon stops giving orders
+    known_renewals: bool = True  # the lease tells of all former holders that may renew
     known_configuration: bool = True  # failed runs are judged by a configuration read
 
 
@@ -77,7 +82,10 @@
 
 
 class Coordinator(NamedTuple):
-    """A coordinator; `write` is in flight, `placing`: a start has yet to be ordered."""
+    """A coordinator; `write` is in flight, `placing`: a start has yet to be ordered.
+
+    It waits until the holders `former` give no more orders.
+    """
 
     epoch: int
     version: int
@@ -86,6 +94,7 @@
     placing: bool = False
     expired: bool = False
     configured: bool = True
+    former: frozenset[int] = frozenset()  # epochs
 
 
 class Worker(NamedTuple):
@@ -111,6 +120,8 @@
     orders: frozenset[tuple[int, int, int]]  # epoch, run, worker
     failures: int = 0  # of runs
     acknowledged_failures: int = 0
+    # Of the leader lease: epochs of those that may give orders, the holder included.
+    renewing: frozenset[int] = frozenset()
 
 
 Steps = Iterator[tuple[str, State]]
@@ -137,21 +148,7 @@
         )
 
     def _steps(self, s: State) -> Steps:
-        if len(s.coordinators) < self._bounds.claims:
-            new = Coordinator(
-                s.epoch + 1,
-                s.version + 1,
-                s.record,
-                configured=not self._bounds.failing,
-            )
-            yield (
-                "claim",
-                s._replace(
-                    epoch=s.epoch + 1,
-                    version=s.version + 1,
-                    coordinators=(*s.coordinators, new),
-                ),
-            )
+        yield from self._change_holder(s)
         for index, coordinator in enumerate(s.coordinators):
             if not coordinator.expired:
                 # Without a successor it renews its lease.
@@ -170,6 +167,44 @@
                 yield "delayed duplicate", overwritten
         yield from self._worker_steps(s)
 
+    def _change_holder(self, s: State) -> Steps:
+        if len(s.coordinators) < self._bounds.claims:
+            yield "claim", self._claim(s, s.renewing)
+        if not self._bounds.releases or not s.coordinators:
+            return
+        holder = s.coordinators[-1]
+        if holder.expired:
+            return
+        # It gives no more orders. A write that it has sent may still take effect.
+        ended = _with_coordinator(
+            s, len(s.coordinators) - 1, holder._replace(expired=True, write=None)
+        )
+        if holder.write is not None:
+            duplicate = (holder.version, holder.write)
+            ended = ended._replace(duplicates=s.duplicates | {duplicate})
+        others = s.renewing - {holder.epoch}
+        if not self._rules.known_renewals:
+            others = frozenset()
+        if holder.epoch in s.renewing:
+            yield "release", ended._replace(version=s.version + 1, renewing=others)
+        if len(s.coordinators) < self._bounds.claims:
+            yield "restart", self._claim(ended, others)
+
+    def _claim(self, s: State, former: frozenset[int]) -> State:
+        new = Coordinator(
+            s.epoch + 1,
+            s.version + 1,
+            s.record,
+            configured=not self._bounds.failing,
+            former=former,
+        )
+        return s._replace(
+            epoch=new.epoch,
+            version=new.version,
+            coordinators=(*s.coordinators, new),
+            renewing=former | {new.epoch},
+        )
+
     def _decide(self, s: State, index: int, c: Coordinator) -> Steps:
         record = c.record
         if not c.configured:
@@ -217,7 +252,7 @@
         under_way = any(order[2] == name for order in s.orders)
         # A coordinator that was replaced may still give orders until its lease expires.
         active = self._rules.expiry and any(
-            not other.expired for other in s.coordinators if other.epoch < c.epoch
+            not other.expired for other in s.coordinators if other.epoch in c.former
         )
         return not (s.workers[name].running or under_way or active)
 
@@ -363,6 +398,8 @@
     Bounds(workers=1, claims=3, runs=2),
     Bounds(workers=1, claims=2, runs=3, failing=True),
 )
+# Two former holders, one of which may be unknown to the third.
+RELEASES = Bounds(claims=3, releases=True)
 # Removed rule -> bounds that are large enough for the shortest counterexample.
 REMOVALS = {
     "durable_intent": Bounds(),
--- a/spec/runs.py
+++ b/spec/runs.py
@@ -17,6 +17,7 @@
 MAX_STATES = 2_000_000
 # A search for a counterexample may be incomplete: each violation found is valid.
 REMOVAL_STATES = 60_000
+RELEASES_REMOVAL_STATES = 400_000  # its shortest counterexample has 12 steps
 
 
 @dataclasses.dataclass(frozen=True)
@@ -28,6 +29,7 @@
 
     bounds: states.Bounds | moves_states.Bounds | resizing.Bounds | coordination.Bounds
     without: str = ""
+    max_states: int = 0  # of a search that needs others than the limits above
 
 
 # Together they cover both tasks on one worker, each task on two workers, a
@@ -85,22 +87,28 @@
     Run(bounds, rule) for rule, bounds in coordination.REMOVALS.items()
 )
 
+RELEASES_SPACE = Run(coordination.RELEASES)
+RELEASES_REMOVAL = Run(coordination.RELEASES, "known_renewals", RELEASES_REMOVAL_STATES)
+
 ALL = (
     *SPACES,
     *MOVES_SPACES,
     *RESIZING_SPACES,
     *COORDINATION_SPACES,
+    RELEASES_SPACE,
     *REMOVALS,
     *MOVES_REMOVALS,
     *RESIZING_REMOVALS,
     *COORDINATION_REMOVALS,
+    RELEASES_REMOVAL,
 )
 
 
 def check(run: Run) -> search.Result:
     """Search the space of one run."""
     removed = {run.without: False} if run.without else {}
-    max_states = REMOVAL_STATES if run.without else MAX_STATES
+    limit = REMOVAL_STATES if run.without else MAX_STATES
+    max_states = run.max_states or limit
     if isinstance(run.bounds, states.Bounds):
         protocol = ownership_model.Model(states.Rules(**removed), run.bounds).protocol()
         return search.check(protocol, max_states)
--- a/test/test_coordinator_leadership.py
+++ b/test/test_coordinator_leadership.py
@@ -249,7 +249,7 @@
         self.assertTrue(leader.ended.is_set())
         acquired = leader_lease.acquire(self.store, "two", "10.0.0.2", "two")
         self.assertIsInstance(acquired, leader_lease.Acquired)
-        self.assertFalse(acquired.predecessor_may_run)
+        self.assertEqual(0.0, acquired.renewals_left_s)
 
     def test_a_new_coordinator_keeps_the_running_tasks(self):
         self.workers.run_s = 0.5
--- a/test/test_coordinator_load.py
+++ b/test/test_coordinator_load.py
@@ -83,7 +83,7 @@
         self.assertTrue(leader.ended.is_set())
         acquired = leader_lease.acquire(self.store, "two", "10.0.0.2", "two")
         self.assertIsInstance(acquired, leader_lease.Acquired)
-        self.assertFalse(acquired.predecessor_may_run)
+        self.assertEqual(0.0, acquired.renewals_left_s)
 
 
 class FailedReadTest(LoadCase):
--- a/test/test_coordinator_store.py
+++ b/test/test_coordinator_store.py
@@ -356,13 +356,14 @@
         ) / 1000 + 0.01
         acquired = self.acquire("two")
         self.assertEqual(2, acquired.lease.epoch)
-        self.assertTrue(acquired.predecessor_may_run)
+        # The margin is 0.1 s, and the grace 6 s.
+        self.assertAlmostEqual(5.89, acquired.renewals_left_s, 2)
 
     def test_a_restarted_process_acquires_its_earlier_lease_at_once(self):
         self.acquire()
         acquired = self.acquire()
         self.assertEqual(2, acquired.lease.epoch)
-        self.assertFalse(acquired.predecessor_may_run)
+        self.assertEqual(0.0, acquired.renewals_left_s)
 
     def test_a_lease_acquired_without_a_reply_is_acquired_again(self):
         self.store.lose_answers = 1
@@ -375,11 +376,9 @@
             self.store, "two", "10.0.0.2", "two", leader_lease.Takeover(1)
         )
         self.assertEqual(2, acquired.lease.epoch)
-        self.assertTrue(acquired.predecessor_may_run)
-        # It may renew worker leases for as long as it considers its own lease valid.
-        self.assertEqual(
-            leader_lease.LEASE_MS / 1000, acquired.predecessor_lease_left_s
-        )
+        # It may renew worker leases for as long as it considers its own lease valid,
+        # and for as long as it takes its replacement for an outage of the store.
+        self.assertEqual(leader_lease.LEASE_MS / 1000 + 6.0, acquired.renewals_left_s)
         row_id = ports.RowId("progress", rows.COORDINATOR_PART, "job")
         self.assertIsInstance(previous.commit({row_id: b"old"}), errors.Fenced)
         self.assertIsInstance(
@@ -392,7 +391,7 @@
     def test_a_released_lease_is_free_at_once(self):
         writer = self.make_writer(self.acquire())
         self.assertIsNone(writer.release())
-        self.assertFalse(self.acquire("two").predecessor_may_run)
+        self.assertEqual(0.0, self.acquire("two").renewals_left_s)
 
     def acquire_patiently(self, takeover=leader_lease.NO_TAKEOVER):
         return leader_lease.acquire(
--- a/test/test_spec.py
+++ b/test/test_spec.py
@@ -52,6 +52,38 @@
                 expected = "the job is failed only after the allowed number"
                 self.assertIn(expected, "".join(broken))
 
+    # Guards against a coordinator that knows of its predecessor only: the one before
+    # may be cut off and still order starts. `python -m spec` checks the full space.
+    def test_no_task_is_moved_while_the_holder_before_last_may_order_it(self):
+        twice = (
+            "claim allocate write claim restart mark-lost order allocate write order "
+            "order-arrives order-arrives"
+        )
+        released = twice.replace("restart", "release claim")
+        for labels in (twice, released):
+            path = [label.replace("-", " ") for label in labels.split()]
+            forgetful = coordination.Rules(known_renewals=False)
+            self.assertFalse(all(map(self.runs_once, self.walk(forgetful, path))))
+            self.assertEqual(set(), self.walk(coordination.Rules(), path))
+
+    def walk(self, rules, path):
+        """Return the states that the labels of a path lead to."""
+        protocol = coordination.Model(rules, coordination.RELEASES).protocol()
+        found = {protocol.initial}
+        for label in path:
+            found = {
+                after
+                for state in found
+                for name, after in protocol.transitions(state)
+                if name == label
+            }
+        return found
+
+    @staticmethod
+    def runs_once(state):
+        holds = coordination.INVARIANTS["the task runs in one place"]
+        return holds(state._asdict())
+
     def test_every_action_names_an_existing_implementation(self):
         # Guards against actions whose functions were renamed or removed.
         seen = set()
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -40,9 +40,6 @@
 # A worker may restart unnoticed if it is not polled for this long.
 MAX_POLL_GAP_S = 0.2
 DURABLE_WAIT_S = 1.0  # limit of a wait for the store before the next lease renewal
-# Worker leases are renewed for this long after the leader lease has expired, since an
-# outage of the store is more likely then than another coordinator.
-STORE_OUTAGE_GRACE_S = 6.0
 # Reasons why a recorded start is cancelled before it is sent, as logged.
 TICKET_EXPIRED = "the ticket expired before the order was sent"
 WORKER_LEAVES = "the worker takes no more tasks"
--- a/toucanspring/coordinator/fenced_writer.py
+++ b/toucanspring/coordinator/fenced_writer.py
@@ -13,6 +13,7 @@
 import gevent
 import logbook
 from gevent import event
+from msgspec import structs
 
 from toucanspring import errors, uptime
 from toucanspring.coordinator import leader_lease, ports, rows
@@ -121,14 +122,8 @@
         return None
 
     def _next_lease(self, expires_ms: int) -> rows.LeaderLease:
-        lease = self._lease
-        return rows.LeaderLease(
-            lease.process,
-            lease.address,
-            lease.epoch,
-            lease.sequence + 1,
-            expires_ms,
-            lease.instance_id,
+        return structs.replace(
+            self._lease, sequence=self._lease.sequence + 1, expires_ms=expires_ms
         )
 
     def _write(
--- a/toucanspring/coordinator/leader_lease.py
+++ b/toucanspring/coordinator/leader_lease.py
@@ -17,6 +17,9 @@
 # 0.7 s, two renewals may fail before the coordinator has to stop its work.
 LEASE_MS = 2500
 RENEW_INTERVAL_S = 0.7
+# A holder renews the leases of workers for this long after its own lease has expired,
+# since an outage of the store is more likely then than another holder.
+STORE_OUTAGE_GRACE_S = 6.0
 # Allows for differences between the store's steady clock and the local one, and for
 # rounding.
 CLOCK_MARGIN_MS = 100
@@ -77,10 +80,8 @@
     version: int
     # When the read was sent whose store time the lease counts from, by `uptime`.
     asked_at: float
-    # Whether the previous coordinator may still be running and renewing worker leases,
-    # and for how many more seconds it may consider its own lease valid.
-    predecessor_may_run: bool
-    predecessor_lease_left_s: float = 0.0
+    # For how many more seconds former coordinators may renew the leases of workers.
+    renewals_left_s: float
     # For the log; `predecessor` is its process, empty if there was none.
     predecessor: str = ""
     reason: Reason = Reason.FIRST
@@ -126,6 +127,26 @@
     return Reason.RESTARTED if lease.process == process else Reason.EXPIRED
 
 
+def _find_renewals_end_ms(
+    lease: rows.LeaderLease | None, process: str, store_ms: int
+) -> int:
+    """Return until when the former holders of a lease may renew leases of workers.
+
+    A holder that has released the lease, or an earlier run of `process`, renews none.
+    That says nothing of the holders before it, which may be cut off.
+    """
+    if lease is None:
+        return 0
+    grace_ms = round(STORE_OUTAGE_GRACE_S * 1000)
+    end_ms = lease.renewals_end_ms
+    if end_ms is None:
+        # All holders before this one were replaced by now.
+        end_ms = store_ms + LEASE_MS + grace_ms
+    if is_released(lease) or lease.process == process:
+        return end_ms
+    return max(end_ms, lease.expires_ms + grace_ms)
+
+
 def read(
     store: ports.Store,
 ) -> tuple[rows.LeaderLease | None, int, ports.StoreTimestamp] | errors.Failure:
@@ -173,24 +194,25 @@
         if left_s > 0:
             return HeldByOther(lease, left_s)
     epoch = 1 if lease is None else lease.epoch + 1
+    renewals_end_ms = _find_renewals_end_ms(lease, process, at.store_ms)
     wanted = rows.LeaderLease(
-        process, address, epoch, 0, at.store_ms + LEASE_MS, instance_id
+        process,
+        address,
+        epoch,
+        0,
+        at.store_ms + LEASE_MS,
+        instance_id,
+        renewals_end_ms,
     )
     answer = store.transact(
         {rows.LEADER_LEASE_ROW: version}, {rows.LEADER_LEASE_ROW: rows.encode(wanted)}
     )
     match answer:
         case ports.Committed(at=committed):
-            may_run = lease is not None and lease.expires_ms > 0
             former = "" if lease is None else lease.process
             reason = _find_reason(lease, process, takeover)
-            if not may_run or former == process:
-                may_run, left_s = False, 0.0
-            else:
-                left_s = max(0, lease.expires_ms - at.store_ms) / 1000
-            return Acquired(
-                wanted, committed.version, asked_at, may_run, left_s, former, reason
-            )
+            left_s = max(0, renewals_end_ms - at.store_ms) / 1000
+            return Acquired(wanted, committed.version, asked_at, left_s, former, reason)
         case ports.Rejected():
             return errors.Conflict(reason="another process acquired the leader lease")
         case _:
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -155,8 +155,8 @@
 
     def may_renew(self, now: float) -> bool:
         """Return whether worker leases may be renewed."""
-        lost = self._writer.lost
-        return not lost and self._writer.overdue_s(now) < dispatch.STORE_OUTAGE_GRACE_S
+        lost, overdue_s = self._writer.lost, self._writer.overdue_s(now)
+        return not lost and overdue_s < leader_lease.STORE_OUTAGE_GRACE_S
 
     def may_start(self, now: float) -> bool:
         """Return whether tasks may start, and so be stopped to start elsewhere."""
--- a/toucanspring/coordinator/recovery.py
+++ b/toucanspring/coordinator/recovery.py
@@ -12,7 +12,6 @@
 from toucanspring import log as structured
 from toucanspring.coordinator import (
     cell_state,
-    dispatch,
     fenced_writer,
     job_specs,
     leader_lease,
@@ -120,15 +119,11 @@
 def find_longest_lease(
     acquired: leader_lease.Acquired, acquired_at: float, max_lease_s: float
 ) -> float:
-    """Return when each lease of a worker that a predecessor has renewed is over."""
-    renewed_until = acquired_at + max_lease_s
-    if acquired.predecessor_may_run:
-        renewed_until += (
-            acquired.predecessor_lease_left_s + dispatch.STORE_OUTAGE_GRACE_S
-        )
+    """Return when each lease of a worker that a former coordinator renewed is over."""
     return (
-        renewed_until
-        + max_lease_s * workers.MAX_CLOCK_DRIFT
+        acquired_at
+        + acquired.renewals_left_s
+        + max_lease_s * (1 + workers.MAX_CLOCK_DRIFT)
         + workers.LEASE_EXPIRY_SLACK_S
     )
 
--- a/toucanspring/coordinator/rows.py
+++ b/toucanspring/coordinator/rows.py
@@ -28,8 +28,9 @@
 class LeaderLease(msgspec.Struct, frozen=True, array_like=True):
     """The leader lease; its holder is the coordinator, an empty `process` means none.
 
-    `sequence` increases with each write under the lease. `expires_ms` is a time on the
-    store's clock.
+    `sequence` increases with each write under the lease. Until `renewals_end_ms` former
+    holders may renew the leases of workers; rows of earlier versions don't tell. Times
+    are on the store's clock.
     """
 
     process: str
@@ -38,6 +39,7 @@
     sequence: int
     expires_ms: int
     instance_id: str  # distinguishes the runs of one process
+    renewals_end_ms: int | None = None
 
 
 class MemberRow(msgspec.Struct, frozen=True, array_like=True):
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -411,7 +411,7 @@
         self._set_coordinator(acquired.lease)
         structured.decide(
             log, "seat_taken", epoch=acquired.lease.epoch, after=acquired.predecessor,
-            left_s=round(acquired.predecessor_lease_left_s, 2),
+            renewals_left_s=round(acquired.renewals_left_s, 2),
             why=acquired.reason.value, strength=round(self._members.strength()),
         )  # fmt: skip
         self._store_clock = acquired.find_store_clock()
