Let no lease of a worker end at infinity

Cause: the first answer counts as a restart, which set the end of the worker's lease to infinity until the next order. The next poll is a check without a lease if the write of the listed ends takes over 0.2 s; if it is not answered, nothing sets the end any more. Workers also began with the infinity, so one that never answers and is named by progress that is read late was waited for as well.

Fix: a worker begins with the end of all leases of former coordinators, and a restart leaves the end as it was. Each order sets it before it is sent, so it covers every lease that the new incarnation may have.

--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -48,6 +48,8 @@
         # As last known, also those that were removed since: limits outlast a removal.
         self.organisations: dict[str, catalogue.Organisation] = {}
         self.zones_out: frozenset[str] = frozenset()
+        # When all leases of workers are over that former coordinators have renewed.
+        self.former_leases_end_at = 0.0
         self.jobs: dict[str, state.JobRecord] = {}
         self.unreadable: set[str] = set()  # jobs whose progress cannot be read
         # Progress of jobs whose own rows have not been read yet, by ID.
@@ -243,7 +245,7 @@
         """Add or update a worker from its directory entry."""
         worker = self.workers.get(entry.id)
         if worker is None:
-            worker = self.workers[entry.id] = workers.Worker(entry)
+            worker = self._add_worker(entry)
         worker.entry = entry
         worker.registered = True
         self._forget_pools()
@@ -255,7 +257,13 @@
             id=worker_id, pool="", address="", zone="", rack="",
             labels=frozenset(), capacity=resources.ZERO,
         )  # fmt: skip
-        worker = self.workers[worker_id] = workers.Worker(entry, registered=False)
+        worker = self._add_worker(entry)
+        worker.registered = False
+        return worker
+
+    def _add_worker(self, entry: ports.WorkerEntry) -> workers.Worker:
+        worker = workers.Worker(entry, lease_expires_at=self.former_leases_end_at)
+        self.workers[entry.id] = worker
         return worker
 
     def mark_unregistered(self, worker_id: str) -> None:
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -88,7 +88,7 @@
         self._on_round = on_round
         self._planner = planner.Planner(self.cell)
         self._dispatcher = dispatch.Dispatcher(self, client, max_lease_ms)
-        self._longest_lease_at = recovery.find_longest_lease(
+        self.cell.former_leases_end_at = recovery.find_longest_lease(
             acquired, self._acquired_at, max_lease_ms / 1000
         )
         self._request_approval = request_approval
@@ -250,8 +250,6 @@
         recovery.restore_cell(
             self.cell, self.epoch, self._jobs.rows.values(), progress, loader.took_s
         )
-        for worker in self.cell.workers.values():
-            worker.lease_expires_at = self._longest_lease_at
         return True
 
     def _on_job_row(self, row: ports.Row) -> None:
@@ -275,7 +273,6 @@
         """Wait for the leases of workers that only restored tasks refer to."""
         for worker in list(self.cell.workers.values()):
             if not self._dispatcher.watches(worker):
-                worker.lease_expires_at = self._longest_lease_at
                 self._dispatcher.watch(worker)
 
     def _sync_workers(self) -> None:
--- a/toucanspring/coordinator/workers.py
+++ b/toucanspring/coordinator/workers.py
@@ -62,7 +62,8 @@
     clock_ms: int = 0
     clock_read_at: float = 0.0
     lease_until_ms: int = 0
-    lease_expires_at: float = float("inf")
+    # Until then it may run tasks; always finite, so that no task waits for ever.
+    lease_expires_at: float = 0.0
     backoff_until: float = 0.0
     failures: int = 0
     failed_jobs: set[str] = dataclasses.field(default_factory=set)
@@ -147,13 +148,16 @@
         self.replied_at = now
 
     def record_restart(self, incarnation: int) -> None:
-        """Reset the state for a new incarnation, which runs no tasks."""
+        """Reset the state for a new incarnation, which runs no tasks.
+
+        The first answer to a coordinator counts as one. The worker may be lost before
+        the next order to it, so that the end of its lease stays as it was.
+        """
         self.incarnation = incarnation
         self.acked_end = 0
         self.unknown_tasks.clear()
         self.stops_due_at.clear()
         self.clock_ms = self.lease_until_ms = 0
-        self.lease_expires_at = float("inf")
         self.failures = self.samples = 0
         self.slow_until = 0.0
         self.failed_jobs.clear()
