Claim allowance only for what can run

Cause: Ceilings.claim did not ask whether a claim can be met. The same holds where the workers are too few, too small, without the label or denied, where a step has a limit for each worker, and where services leave too little below the ceiling.

Fix: what exceeds the ceiling by itself is not planned, until a version raises the ceiling, and asks for no approval. Other claims cover no more tasks than the workers could run at once if all but services had ended; a gang that does not fit then claims nothing.

--- a/toucanspring/coordinator/ceilings.py
+++ b/toucanspring/coordinator/ceilings.py
@@ -7,13 +7,21 @@
 from __future__ import annotations
 
 from toucanspring import resources
-from toucanspring.coordinator import cell_state, preemption, state, workers
+from toucanspring.coordinator import (
+    catalogue,
+    cell_state,
+    placement,
+    preemption,
+    state,
+    workers,
+)
 
 
 class Ceilings:
     """Ceilings of organisations, and what their urgent steps wait for in a round.
 
-    The running tasks are looked at once in a round, and only if a step claims some.
+    The running tasks are looked at once in a round, and only if a step claims some. A
+    claim that can't be met, also once all that ends has ended, holds nobody back.
     """
 
     def __init__(self, cell: cell_state.CellState) -> None:
@@ -23,6 +31,10 @@
         # Tasks that lose nothing if they are stopped, with the priority of their queue.
         self._victims: dict[str, list[tuple[int, workers.Allocation]]] = {}
         self._freeing: dict[str, resources.Resources] = {}
+        # What long-running tasks use, by organisation and by worker.
+        self._lasting: dict[str, resources.Resources] = {}
+        self._lasting_on: dict[str, resources.Resources] = {}
+        self._slots: dict[tuple, int] = {}  # for tasks of like steps
         self._has_collected = False
 
     def begin_round(self) -> None:
@@ -30,6 +42,9 @@
         self._claimed.clear()
         self._victims.clear()
         self._freeing.clear()
+        self._lasting.clear()
+        self._lasting_on.clear()
+        self._slots.clear()
         self._has_collected = False
 
     def limit(self, step_run: state.StepRun) -> resources.Resources | None:
@@ -57,15 +72,29 @@
         wanted = used + step_run.step.demand.times(count)
         return wanted.fits(_without_zeros(ceiling))
 
-    def claim(self, step_run: state.StepRun, priority: int) -> None:
-        """Claim the allowance that a step waits for; stop less urgent tasks for it."""
+    def exceeds_alone(self, step_run: state.StepRun) -> bool:
+        """Return whether one task, or the whole gang, exceeds the ceiling by itself."""
+        ceiling = self.limit(step_run)
+        count = step_run.step.count if step_run.step.gang else 1
+        return ceiling is not None and not step_run.step.demand.times(count).fits(
+            _without_zeros(ceiling)
+        )
+
+    def claim(self, step_run: state.StepRun, queue: catalogue.Queue) -> None:
+        """Claim the allowance that a step waits for; stop less urgent tasks for it.
+
+        No more is claimed than the step can use at once.
+        """
         ceiling = self.limit(step_run)
         if ceiling is None:
             return
-        name = step_run.job.spec.organisation
+        name, priority = step_run.job.spec.organisation, queue.priority
         if not self._has_collected:
             self._collect()
-        wanted = step_run.step.demand.times(len(step_run.waiting))
+        count = self._count_claimable(step_run, queue, _without_zeros(ceiling))
+        if not count:
+            return
+        wanted = step_run.step.demand.times(count)
         claimed = self._claimed.get(name, resources.ZERO) + wanted
         self._claimed[name] = claimed
         freeing = self._freeing.get(name, resources.ZERO)
@@ -83,12 +112,58 @@
             preemption.preempt(self._cell, victim, step_run)
         self._freeing[name] = freeing
 
+    def _count_claimable(
+        self,
+        step_run: state.StepRun,
+        queue: catalogue.Queue,
+        ceiling: resources.Resources,
+    ) -> int:
+        """Return how many waiting tasks could run once what runs has ended."""
+        step = step_run.step
+        lasting = self._lasting.get(step_run.job.spec.organisation, resources.ZERO)
+        slots = min(
+            step.demand.count_in(ceiling - lasting),
+            self._count_slots(step_run, queue),
+        )
+        if step.gang:
+            return len(step_run.waiting) if slots >= step.count else 0
+        allocated = sum(bool(task.worker) for task in step_run.tasks)
+        if step.long_running:
+            slots += allocated  # its own tasks count as lasting
+        return max(0, min(len(step_run.waiting), slots - allocated))
+
+    def _count_slots(self, step_run: state.StepRun, queue: catalogue.Queue) -> int:
+        """Return how many tasks of a step the workers could run at once."""
+        step = step_run.step
+        denied = {name for name, allowed in step_run.allowed.items() if not allowed}
+        key = (queue.pool, step.required_label, step.occupied(), step.max_per_worker)
+        if not denied and key in self._slots:
+            return self._slots[key]
+        found = sum(
+            placement.count_capacity_slots(
+                step_run, worker, self._lasting_on.get(worker.id, resources.ZERO)
+            )
+            for worker in self._cell.pool(queue.pool)
+            if worker.id not in denied
+            and not worker.entry.draining
+            and worker.entry.zone not in self._cell.zones_out
+            and placement.is_eligible(step_run, worker)
+        )
+        if not denied:
+            self._slots[key] = found
+        return found
+
     def _collect(self) -> None:
         """Find the preemptible tasks of each organisation, the best one last."""
         self._has_collected = True
         for worker in self._cell.workers.values():
             for allocation in worker.allocations.values():
-                name = allocation.step.job.spec.organisation
+                name, step = allocation.step.job.spec.organisation, allocation.step.step
+                if step.long_running:
+                    lasting = self._lasting.get(name, resources.ZERO)
+                    self._lasting[name] = lasting + step.demand
+                    lasting = self._lasting_on.get(worker.id, resources.ZERO)
+                    self._lasting_on[worker.id] = lasting + step.occupied()
                 if allocation.task.phase is state.TaskPhase.STOPPING:
                     freeing = self._freeing.get(name, resources.ZERO)
                     self._freeing[name] = freeing + allocation.step.step.demand
--- a/toucanspring/coordinator/placement.py
+++ b/toucanspring/coordinator/placement.py
@@ -39,9 +39,13 @@
     return min(count, limit) if limit else count
 
 
-def count_capacity_slots(step_run: state.StepRun, worker: workers.Worker) -> int:
-    """Return how many tasks of a step fit into a worker that is idle."""
-    count = step_run.step.occupied().count_in(worker.entry.capacity)
+def count_capacity_slots(
+    step_run: state.StepRun,
+    worker: workers.Worker,
+    used: resources.Resources = resources.ZERO,
+) -> int:
+    """Return how many tasks of a step fit into a worker that is idle but for `used`."""
+    count = step_run.step.occupied().count_in(worker.entry.capacity - used)
     limit = step_run.step.max_per_worker
     return min(count, limit) if limit else count
 
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -108,6 +108,10 @@
         if self._ceilings.limit(step_run) is None:
             plan.record_wait(step_run, plans.UNKNOWN_ORGANISATION)
             return True
+        if self._ceilings.exceeds_alone(step_run):
+            # Looked at in each round, since the next configuration may raise it.
+            plan.record_wait(step_run, plans.EXCEEDS_CEILING)
+            return True
         if step_run.approval_pending and not step_run.tickets:
             plan.record_wait(step_run, plans.AWAITING_APPROVAL)
             return True
@@ -406,7 +410,7 @@
             and not step_run.job.over_rate
             and not self._is_late(step_run, now)
         ):
-            self._ceilings.claim(step_run, queue.priority)
+            self._ceilings.claim(step_run, queue)
 
     @staticmethod
     def _is_late(step_run: state.StepRun, now: float) -> bool:
