Count a job as begun by runs that workers have told of

Cause: CellState.allocate made a job active when a start was planned; nothing took it back. The count, the state that callers see and the stored state all counted the plan.

Fix: a job becomes active with a confirmed start, a listed run or an end. The state is stored with the next write, and callers see it at once; only outcomes wait to be durable. Rows say that their state is of that kind; those of earlier versions count as active by what their tasks tell, else the workers tell.

The round trip of stored progress is checked with the new field, as strictly as before.

--- a/test/test_coordinator_reports.py
+++ b/test/test_coordinator_reports.py
@@ -302,7 +302,7 @@
             rows.TaskRow(0, 1, done=True),
             rows.TaskRow(1, 2, worker="w1", incarnation=1, checkpoint="c"),
         )
-        return rows.Progress("active", (rows.StepRow(0, 0, tasks),))
+        return rows.Progress("active", (rows.StepRow(0, 0, tasks),), True)
 
     def test_done_tasks_stay_done_and_recorded_starts_are_in_doubt(self):
         cell = self.restored(self.progress())
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -60,6 +60,8 @@
             lambda: resources.ZERO
         )
         self.dirty: dict[str, state.JobRecord] = {}
+        # Jobs whose first run has been seen: to be written with other changes.
+        self.begun: dict[str, state.JobRecord] = {}
         self.stops: list[Stop] = []
         self._rate_limits = rate_limits.RateLimits()
         self._pools: dict[str, list[workers.Worker]] = {}
@@ -351,14 +353,19 @@
         if not step_run.waiting:
             self.ready.pop(step_run.id, None)
         self._add_usage(step_run, task)
-        if step_run.job.state is state.JobState.QUEUED:
-            step_run.job.state = state.JobState.ACTIVE
         self.dirty[step_run.job.spec.id] = step_run.job
 
+    def note_begun(self, record: state.JobRecord) -> None:
+        """Record that a worker has told of a run of a job; a planned start is none."""
+        if record.state is state.JobState.QUEUED:
+            record.state = state.JobState.ACTIVE
+            self.begun[record.spec.id] = record
+
     def confirm_start(
         self, step_run: state.StepRun, task: state.Task, run_number: int, now: float
     ) -> None:
         """Mark a run as running once its worker has confirmed the start."""
+        self.note_begun(step_run.job)
         if task.run != run_number or task.phase is not state.TaskPhase.STARTING:
             return
         task.phase = state.TaskPhase.RUNNING
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -358,6 +358,7 @@
         if not (dirty or cancellations or removed or renewal_due):
             self._apply_acks(pending_acks)
             return
+        self._add_begun(dirty, now)
         # A write may be split and end early. A successor that cannot read the part with
         # the row of a job needs the copy to apply its progress.
         puts = {
@@ -426,6 +427,14 @@
             del self.cell.dirty[job_id]
         return dirty
 
+    def _add_begun(self, dirty: dict[str, state.JobRecord], now: float) -> None:
+        """Add the jobs of which only the first run is new to those to be written."""
+        for job_id, record in list(self.cell.begun.items()):
+            if now >= record.set_aside_until:
+                del self.cell.begun[job_id]
+                if not record.is_final:
+                    dirty.setdefault(job_id, record)
+
     def _set_aside(
         self, refused: dict[str, str], starts: list[plans.Start], now: float
     ) -> None:
--- a/toucanspring/coordinator/outcome_waits.py
+++ b/toucanspring/coordinator/outcome_waits.py
@@ -26,7 +26,7 @@
     def await_state(
         self, record: state.JobRecord
     ) -> state.JobState | errors.Unavailable:
-        """Return the durable state, after a short wait if it is about to change."""
+        """Return the state, after a short wait if it is about to become final."""
         asked_at = uptime.now()
         while record.durable_state not in state.FINAL_STATES:
             has_ended = record.state in state.FINAL_STATES
@@ -40,7 +40,8 @@
         if known not in state.FINAL_STATES and record.state in state.FINAL_STATES:
             # Another process may have read the outcome from the store already.
             return errors.Unavailable(reason="the write of the outcome is unanswered")
-        return known
+        # Only an outcome has to be durable before callers learn of it.
+        return known if known in state.FINAL_STATES else record.state
 
     def add_cancellation(self) -> event.AsyncResult:
         """Return what the next write of the coordinator sets."""
--- a/toucanspring/coordinator/progress_rows.py
+++ b/toucanspring/coordinator/progress_rows.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 
 import logbook
+from msgspec import structs
 
 from toucanspring import errors
 from toucanspring.coordinator import ports, row_sizes, rows, state
@@ -35,7 +36,8 @@
         value = rows.encode(rows.Progress("", tuple(steps)))
         if record.written_occurrences.get(occurrence) != hash(value):
             found[rows.occurrence_row_id(record.spec.id, occurrence)] = value
-    found[row_id] = rows.encode(rows.Progress(progress.state))
+    without_steps = structs.replace(progress, steps=())
+    found[row_id] = rows.encode(without_steps)
     return found
 
 
@@ -95,4 +97,4 @@
     """Return progress with the steps of occurrences that have rows of their own."""
     own = {step.occurrence for step in steps}
     kept = [step for step in progress.steps if step.occurrence not in own]
-    return rows.Progress(progress.state, (*kept, *steps))
+    return structs.replace(progress, steps=(*kept, *steps))
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -105,6 +105,7 @@
                 worker.stops_due_at[row.task, row.run] = now
             continue
         task = allocation.task
+        cell.note_begun(allocation.step.job)
         if row.checkpoint:
             task.checkpoint = row.checkpoint
         stragglers.record_progress(worker, allocation, row.percent, now)
@@ -144,6 +145,7 @@
     task = step_run.tasks[parsed_id.index]
     if task.run != end.run or task.phase not in state.ALLOCATED_PHASES:
         return False
+    cell.note_begun(record)
     if end.checkpoint:
         task.checkpoint = end.checkpoint
     structured.decide(
--- a/toucanspring/coordinator/rows.py
+++ b/toucanspring/coordinator/rows.py
@@ -83,10 +83,15 @@
 
 
 class Progress(msgspec.Struct, frozen=True, array_like=True):
-    """The durable progress of a job; `state` is a value of `state.JobState`."""
+    """The durable progress of a job; `state` is a value of `state.JobState`.
+
+    With `is_observed` it is active only if a run has been seen. Rows of earlier
+    versions are active from the record of the first start on.
+    """
 
     state: str
     steps: tuple[StepRow, ...] = ()
+    is_observed: bool = False
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -189,7 +189,7 @@
             if task.run
         )
         steps.append(rows.StepRow(occurrence, number, tasks))
-    return rows.Progress(record.state.value, tuple(steps))
+    return rows.Progress(record.state.value, tuple(steps), True)
 
 
 def check_progress(
@@ -215,9 +215,25 @@
     return None
 
 
+def _find_state(progress: rows.Progress) -> JobState:
+    """Return the stored state of a job, active only if one of its runs has been seen.
+
+    If the row doesn't tell, the workers will.
+    """
+    found = JobState(progress.state)
+    if found is not JobState.ACTIVE or progress.is_observed:
+        return found
+    has_begun = any(
+        step.complete
+        or any(task.done or task.failures or task.checkpoint for task in step.tasks)
+        for step in progress.steps
+    )
+    return JobState.ACTIVE if has_begun else JobState.QUEUED
+
+
 def restore(record: JobRecord, progress: rows.Progress, now: float) -> list[Task]:
     """Restore the stored state; return the tasks that may be running."""
-    record.state = record.durable_state = JobState(progress.state)
+    record.state = record.durable_state = _find_state(progress)
     uncertain = []
     for row in progress.steps:
         step_run = record.steps.get((row.occurrence, row.step))
