Start nothing on a worker before the entry of its incarnation is known

Cause: the restart is known by the answer to a poll, the new labels and capacity by the entry, which the change feed brings later. Until then the former entry counted.

Fix: a worker takes new tasks, also recorded starts that wait to be sent, only while its entry and its latest answer are of the same incarnation.

One test of the quarantine marks its worker as answered by hand and now sets the incarnation as well.

--- a/test/test_coordinator_orders.py
+++ b/test/test_coordinator_orders.py
@@ -148,6 +148,12 @@
         self.assertEqual([], sent)
         self.assertEqual([case.WAITING], case.phases(self.cell))
 
+    # Guards against a start on a worker that has come back as another kind while the
+    # start was being written.
+    def test_a_start_is_not_sent_to_an_incarnation_whose_entry_is_not_known(self):
+        case.poll(self.cell, "w1", now=1.1, incarnation=2)
+        self.assert_not_sent(1.2)
+
     def test_a_start_whose_worker_was_lost_meanwhile_is_not_sent(self):
         """Guards against two runs of a task at the same time.
 
--- a/test/test_coordinator_workers.py
+++ b/test/test_coordinator_workers.py
@@ -59,6 +59,7 @@
         worker.record_failure("a", 1.0)
         self.assertTrue(worker.record_failure("b", 1.1))
         worker.confirmed = worker.responsive = True
+        worker.incarnation = worker.entry.incarnation
         self.assertFalse(worker.is_usable(1.2, frozenset()))
         self.assertTrue(worker.is_usable(5.0, frozenset()))
         self.assertTrue(worker.record_failure("c", 5.1))
--- a/toucanspring/coordinator/workers.py
+++ b/toucanspring/coordinator/workers.py
@@ -104,10 +104,18 @@
             self.confirmed
             and self.responsive
             and self.registered
+            and self.is_described()
             and not self.entry.draining
             and self.entry.zone not in zones_out
         )
 
+    def is_described(self) -> bool:
+        """Return whether the entry is of the incarnation that has answered.
+
+        A worker may restart under its ID with other labels and another capacity.
+        """
+        return self.entry.incarnation in (0, self.incarnation)
+
     def is_paused(self, now: float) -> bool:
         """Return whether the worker is left alone because it failed or was slow."""
         return now < max(self.backoff_until, self.quarantined_until, self.slow_until)
