Leave no workers alone for jobs that fail wherever they run

Causes: failures of two jobs pause a worker, although the jobs fail everywhere, and tasks that last never end well, which would reset the count; and paused workers were used only while less than half of the pool is.

Fix: a failure does not count against a worker if the job has failed on two others in the last 10 s and ended well on none. A step of tasks that last uses paused workers after 1.5 s in any pool.

--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -31,8 +31,9 @@
 # A job counts as late once this fraction of its estimated run time does not fit before
 # the deadline; estimates are off by up to 0.9 in either direction.
 LATE_ESTIMATE_FRACTION = 0.6
-# A step of which nothing runs after this long in a lightly used pool may use workers
-# that are paused or reserved for gangs: a doubtful start is better than none.
+# A step of which nothing runs after this long in a lightly used pool, and a step of
+# tasks that last in any, may use workers that are paused or reserved for gangs: a
+# doubtful start is better than none.
 MAX_HELD_BACK_S = 1.5
 # Limits the duration of a round.
 MAX_STEPS_PER_ROUND = 400
@@ -254,14 +255,14 @@
     def _is_held_back(
         step_run: state.StepRun, pool: availability.Pool, now: float
     ) -> bool:
-        """Return whether nothing of a step runs although its pool is mostly idle."""
-        return (
-            now >= step_run.ready_at + MAX_HELD_BACK_S
-            and pool.lightly_used
-            and (
-                step_run.step.long_running
-                or not any(task.worker for task in step_run.tasks)
-            )
+        """Return whether a step has waited for too long for paused workers.
+
+        That is if its tasks last, or if nothing of it runs and its pool is mostly idle.
+        """
+        if now < step_run.ready_at + MAX_HELD_BACK_S:
+            return False
+        return step_run.step.long_running or (
+            pool.lightly_used and not any(task.worker for task in step_run.tasks)
         )
 
     # Approvals
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -16,6 +16,10 @@
 DONE = "done"
 FAILED = "failed"
 COMPLETE_PERCENT = 100
+# A job that has failed on so many other workers lately, and ended well on none, fails
+# by its own fault: the worker is not left alone for it.
+OWN_FAULT_WORKERS = 2
+OWN_FAULT_PERIOD_S = 10.0
 # A stop is ordered again if a run that must end is still held after this long; an order
 # may be dropped, for instance while the address of the worker is unknown.
 STOP_REPEAT_S = 3.0
@@ -162,9 +166,12 @@
     cell.release(step_run, task)
     if end.outcome == DONE:
         worker.record_success()
+        record.failed_on.clear()
         _complete_task(cell, step_run, task, now)
     elif end.outcome == FAILED:
-        if worker.record_failure(record.spec.id, now):
+        is_own_fault = _fails_everywhere(record, worker, now)
+        record.failed_on[worker.id] = now
+        if not is_own_fault and worker.record_failure(record.spec.id, now):
             structured.decide(
                 log,
                 "worker_quarantined",
@@ -178,6 +185,18 @@
     return True
 
 
+def _fails_everywhere(
+    record: state.JobRecord, worker: workers.Worker, now: float
+) -> bool:
+    """Return whether the runs of a job fail on other workers than this one as well."""
+    others = [
+        name
+        for name, failed_at in record.failed_on.items()
+        if name != worker.id and now - failed_at < OWN_FAULT_PERIOD_S
+    ]
+    return len(others) >= OWN_FAULT_WORKERS
+
+
 def _complete_task(
     cell: cell_state.CellState, step_run: state.StepRun, task: state.Task, now: float
 ) -> None:
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -121,6 +121,8 @@
     # Submitted above the organisation's rate; None until that is known.
     over_rate: bool | None = None
     has_copy: bool = False  # a copy of the spec is stored in the coordinator's part
+    # When runs failed, by worker, since one ended well.
+    failed_on: dict[str, float] = dataclasses.field(default_factory=dict)
     # Of a job with a row for each occurrence: the hash of the value written last.
     written_occurrences: dict[int, int] = dataclasses.field(default_factory=dict)
     # The store has refused a row of the job: its checkpoints are not stored any more,
