Count a worker as ended once a later one has its address

Cause: that the address of a worker answers for another one was logged only.

Fix: if it does, and a registered worker that was started later has the address, the earlier one has ended with all that it ran, and its lease is over.

--- a/test/test_coordinator_lost_workers.py
+++ b/test/test_coordinator_lost_workers.py
@@ -120,3 +120,33 @@
         gevent.sleep(0.2)
         self.workers.poll = poll
         self.assert_runs_elsewhere()
+
+    # Guards against tasks that wait for the longest lease that their worker may have,
+    # although another worker has started at its address, as after the loss of a zone.
+    def test_a_worker_whose_address_belongs_to_a_later_one_is_lost_at_once(self):
+        self.patch(leadership_case, "MAX_LEASE_MS", 6000)
+        self.workers.run_s = 60
+        self.directory.known.pop("w2")
+        self.accept(case.step(1))
+        self.coordinate()
+        self.wait_for(lambda: self.workers.starts == 1)
+        self.kill()
+        poll = self.workers.poll
+
+        def refuse(worker, *rest):
+            if worker.id == "w1":
+                return ports.OrderRefused(reason=ports.OTHER_INCARNATION)
+            return poll(worker, *rest)
+
+        self.workers.poll = refuse
+        self.workers.incarnations["w1"].runs.clear()
+        leader = self.coordinate("one")
+        gevent.sleep(0.5)
+        self.assertEqual(1, self.workers.starts)  # the answer alone is not enough
+        later = case.entry("w3", cpus=4000, incarnation=2)
+        self.workers.add(later)
+        self.directory.known["w3"] = later
+        self.directory.changed()
+        self.wait_for(lambda: self.workers.starts == 2, limit_s=2.0)
+        self.assertEqual({}, leader.cell.workers["w1"].allocations)
+        self.assert_no_violations()
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -272,6 +272,20 @@
         self.workers[entry.id] = worker
         return worker
 
+    def is_replaced(self, worker: workers.Worker) -> bool:
+        """Return whether a worker that was started later has the address of this one.
+
+        Once another one answers there, this one has ended, with all that it ran.
+        """
+        address, started_at = worker.entry.address, worker.entry.incarnation
+        return bool(address and started_at) and any(
+            other.registered
+            and other.id != worker.id
+            and other.entry.address == address
+            and other.entry.incarnation > started_at
+            for other in self.workers.values()
+        )
+
     def mark_unregistered(self, worker_id: str) -> None:
         """Mark a worker whose entry is gone; it may still run tasks."""
         worker = self.workers.get(worker_id)
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -210,6 +210,8 @@
                 self._leader.step_down(f"worker {worker.id} has seen a higher epoch")
             case ports.OrderRefused(reason=ports.OTHER_INCARNATION):
                 log.info("worker {} is not the registered incarnation", worker.id)
+                if self._leader.cell.is_replaced(worker):
+                    worker.lease_expires_at = 0.0
         return False
 
     def _poll_wait_ms(self, worker: workers.Worker, now: float) -> int:
