Move the writing of changed jobs out of the leadership

The round's write held the encoding of changed jobs, what the store refuses and which ends may be acknowledged beside the round itself, and its module had grown to 495 lines. They are `job_changes.py` now; no decision changes.

--- a/test/test_coordinator_progress_rows.py
+++ b/test/test_coordinator_progress_rows.py
@@ -11,8 +11,8 @@
 from toucanspring import errors
 from toucanspring.coordinator import (
     fenced_writer,
+    job_changes,
     job_writer,
-    leadership,
     ports,
     progress_rows,
     row_sizes,
@@ -156,7 +156,7 @@
 class RefusedJobTest(leadership_case.LeadershipCase):
     def setUp(self):
         super().setUp()
-        self.patch(leadership, "REFUSED_JOB_PAUSE_S", 0.1)
+        self.patch(job_changes, "REFUSED_JOB_PAUSE_S", 0.1)
 
     def refuse(self, job_id):
         """Refuse the progress of a job, however small."""
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -19,6 +19,7 @@
     cell_state,
     dispatch,
     fenced_writer,
+    job_changes,
     job_specs,
     leader_lease,
     outcome_waits,
@@ -43,8 +44,6 @@
 # The number of waiting jobs is not given by a copy of the jobs older than this.
 MAX_PENDING_AGE_S = 2.0
 HOUSEKEEPING_INTERVAL_S = 0.25
-# A job of which the store refuses a row starts and writes nothing for this long.
-REFUSED_JOB_PAUSE_S = 1.0
 RELEASE_TIMEOUT_S = 1.5  # part of the time for a graceful stop
 SLOW_ROUND_S = 0.15  # a longer round is logged with the time of its parts
 
@@ -101,8 +100,7 @@
         self._request_approval = request_approval
         self._wake_event = event.Event()
         self._pending_acks: list[PendingAck] = []
-        # Jobs whose latest changes the store refuses to hold.
-        self._set_aside_jobs: dict[str, state.JobRecord] = {}
+        self._changes = job_changes.JobChanges(self.cell, self.epoch)
         self._waits = outcome_waits.OutcomeWaits()
         self._jobs = table_cache.TableCache(store, rows.JOBS, self._on_job_row)
         self._retention = retention.Retention(self.cell, store, self._jobs, self.wake)
@@ -349,7 +347,7 @@
         return self._directory.age(now)
 
     def _commit(self, starts: list[plans.Start], now: float) -> None:
-        dirty = self._take_dirty(now)
+        dirty = self._changes.take(now)
         pending_acks, self._pending_acks = self._pending_acks, []
         cancellations = self._waits.take_cancellations()
         self._write_s, self._written_bytes = 0.0, 0
@@ -358,51 +356,22 @@
         if not (dirty or cancellations or removed or renewal_due):
             self._apply_acks(pending_acks)
             return
-        self._add_begun(dirty, now)
-        # A write may be split and end early. A successor that cannot read the part with
-        # the row of a job needs the copy to apply its progress.
-        puts = {
-            rows.job_copy_row_id(job_id): rows.encode(record.spec)
-            for job_id, record in dirty.items()
-            if not record.has_copy
-        }
-        written = {
-            job_id: progress_rows.encode(record) for job_id, record in dirty.items()
-        }
-        for progress in written.values():
-            puts |= progress
-        states = {job_id: record.state for job_id, record in dirty.items()}
-        self._written_bytes = sum(len(value) for value in puts.values())
-        sent_at = uptime.now()
+        batch = self._changes.encode(dirty, now)
+        self._written_bytes = sum(len(value) for value in batch.puts.values())
         removals = [
             row_id
             for job_id in removed
             for row_id in progress_rows.ended_row_ids(self.cell.jobs[job_id])
         ]
-        failure = self._writer.commit(puts, tuple(removals))
+        sent_at = uptime.now()
+        failure = self._writer.commit(batch.puts, tuple(removals))
         self._write_s = uptime.now() - sent_at
         self._dispatcher.pacing.record_write(self._write_s)
-        refused: dict[str, str] = {}
-        match failure:
-            case fenced_writer.PartlyWritten():
-                refused = {
-                    rows.parse_progress_key(row_id.key)[0]: reason
-                    for row_id, reason in failure.refused.items()
-                }
-                self._set_aside(refused, starts, now)
-                starts = [
-                    each for each in starts if each.step.job.spec.id not in refused
-                ]
-            case errors.Fenced():
-                self._waits.put_back(cancellations)
-                return
-        for job_id, record in dirty.items():
-            if job_id in refused:
-                continue
-            record.durable_state = states[job_id]
-            record.has_copy = True
-            self._set_aside_jobs.pop(job_id, None)
-            progress_rows.record_written(record, written[job_id])
+        if isinstance(failure, errors.Fenced):
+            self._waits.put_back(cancellations)
+            return
+        refused = self._changes.confirm(batch, failure, starts, now)
+        starts = [each for each in starts if each.step.job.spec.id not in refused]
         self._retention.forget([each for each in removed if each not in refused])
         self._waits.note_commit(cancellations)
         if starts:
@@ -416,48 +385,9 @@
             self._dispatcher.start(start, now)
         self._apply_acks(pending_acks)
 
-    def _take_dirty(self, now: float) -> dict[str, state.JobRecord]:
-        """Return the changed jobs to write now."""
-        dirty = {
-            job_id: record
-            for job_id, record in self.cell.dirty.items()
-            if now >= record.set_aside_until
-        }
-        for job_id in dirty:
-            del self.cell.dirty[job_id]
-        return dirty
-
-    def _add_begun(self, dirty: dict[str, state.JobRecord], now: float) -> None:
-        """Add the jobs of which only the first run is new to those to be written."""
-        for job_id, record in list(self.cell.begun.items()):
-            if now >= record.set_aside_until:
-                del self.cell.begun[job_id]
-                if not record.is_final:
-                    dirty.setdefault(job_id, record)
-
-    def _set_aside(
-        self, refused: dict[str, str], starts: list[plans.Start], now: float
-    ) -> None:
-        """Leave out jobs of which the store refuses a row, without their new starts.
-
-        What has been written of them stays valid. The next attempt is smaller: it has
-        no checkpoints and no starts.
-        """
-        for job_id, reason in refused.items():
-            record = self.cell.jobs[job_id]
-            record.is_refused = True
-            record.set_aside_until = now + REFUSED_JOB_PAUSE_S
-            self.cell.dirty[job_id] = self._set_aside_jobs[job_id] = record
-            structured.decide(
-                log, "rows_refused", job=job_id, epoch=self.epoch, reason=reason
-            )
-        for start in starts:
-            if start.step.job.spec.id in refused:
-                self.cell.cancel_start(start.step, start.task, start.run, now)
-
     def _apply_acks(self, pending_acks: list[PendingAck]) -> None:
         for ack in pending_acks:
-            if not self._set_aside_jobs.keys().isdisjoint(ack.jobs):
+            if not self._changes.may_acknowledge(ack.jobs):
                 continue  # the worker lists the ends again
             if ack.worker.incarnation == ack.incarnation:
                 ack.worker.acked_end = max(ack.worker.acked_end, ack.last_end)
