Run accepted jobs to their end after their queue is removed

Cause: only the newest configuration said how jobs run, and a step without its queue there was skipped.

Fix: a submission is stored with the settings of its queue. They hold once no configuration in force has the queue, also after takeovers; before a configuration is known nothing is decided.

--- a/test/test_platform_ingress.py
+++ b/test/test_platform_ingress.py
@@ -139,6 +139,9 @@
         self.assertEqual(("desk", "r-1", 4), (
             spec.organisation, spec.queue, spec.steps[0].count
         ))  # fmt: skip
+        # Guards against a job that never runs once its queue has been removed.
+        [queue] = self.view.catalogue.queues
+        self.assertEqual(catalogue.to_settings(queue), spec.queue_settings)
 
     def test_the_log_links_the_request_of_a_caller_with_its_job(self):
         with logbook.TestHandler() as handler:
--- a/toucanspring/coordinator/attempts.py
+++ b/toucanspring/coordinator/attempts.py
@@ -13,13 +13,12 @@
 def fail_exhausted(cell: cell_state.CellState, now: float) -> None:
     """Fail the jobs of which a waiting task has no attempts left.
 
-    A job whose queue is in no known configuration is left as it is: how many attempts
-    its tasks have is not known.
+    A job whose queue is not known is left as it is: so is the number of its attempts.
     """
     for step_run in list(cell.ready.values()):
         if not step_run.most_failures or step_run.step.long_running:
             continue
-        queue = cell.catalogue.queue(step_run.job.spec.queue)
+        queue = step_run.job.queue
         if queue is None or step_run.job.is_final:
             continue
         task = _find_exhausted(step_run, queue.max_attempts)
--- a/toucanspring/coordinator/catalogue.py
+++ b/toucanspring/coordinator/catalogue.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from toucanspring import errors, resources
+from toucanspring.coordinator import job_specs
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -40,6 +41,38 @@
     approval: Approval | None = None
 
 
+def to_settings(queue: Queue) -> job_specs.QueueSettings:
+    """Return what is stored of a queue with each of its jobs."""
+    approval = queue.approval
+    return job_specs.QueueSettings(
+        pool=queue.pool,
+        priority=queue.priority,
+        max_attempts=queue.max_attempts,
+        stretch=queue.stretch,
+        target_s=queue.target_s,
+        approval=approval and dataclasses.astuple(approval),
+    )
+
+
+def restore_queue(name: str, settings: job_specs.QueueSettings) -> Queue:
+    """Return a queue that no configuration has any more, without a route."""
+    approval = settings.approval
+    return Queue(
+        name=name,
+        host="",
+        path_prefix="",
+        pool=settings.pool,
+        priority=settings.priority,
+        max_attempts=settings.max_attempts,
+        stretch=settings.stretch,
+        target_s=settings.target_s,
+        approval=approval
+        and Approval(
+            decision_s=approval[0], per_worker_s=approval[1], validity_s=approval[2]
+        ),
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Organisation:
     """An organisation with its fair-share weight and ceiling (0: no limit)."""
--- a/toucanspring/coordinator/ceilings.py
+++ b/toucanspring/coordinator/ceilings.py
@@ -168,7 +168,7 @@
                     freeing = self._freeing.get(name, resources.ZERO)
                     self._freeing[name] = freeing + allocation.step.step.demand
                     continue
-                priority = preemption.find_cheap(self._cell, allocation)
+                priority = preemption.find_cheap(allocation)
                 if priority is not None:
                     self._victims.setdefault(name, []).append((priority, allocation))
         for victims in self._victims.values():
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -141,11 +141,14 @@
     def _configure_job(self, record: state.JobRecord) -> None:
         """Set what the queue and organisation of a job decide, as far as known.
 
-        Without its queue the due time stays. Each job is counted once.
+        Without its queue the due time stays. Each job is counted once. A job outlasts
+        the removal of its queue, since it was accepted.
         """
         spec = record.spec
         queue = self.catalogue.queue(spec.queue)
-        record.has_queue = queue is not None
+        if queue is None and spec.queue_settings is not None and self.catalogue.version:
+            queue = catalogue.restore_queue(spec.queue, spec.queue_settings)
+        record.queue = queue
         if queue is not None:
             chain_s = sum(step.estimate_ms for step in spec.steps) / 1000
             record.due_at = (
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -156,7 +156,7 @@
             return
         open_workers = [each for each in eligible if each.id not in plan.reserved]
         victims = {
-            worker.id: preemption.find_victims(self._cell, worker, queue.priority, now)
+            worker.id: preemption.find_victims(worker, queue.priority, now)
             for worker in open_workers
         }
         chosen = self._choose_reservation(step_run, open_workers, victims, now)
--- a/toucanspring/coordinator/job_specs.py
+++ b/toucanspring/coordinator/job_specs.py
@@ -35,11 +35,26 @@
         return self.demand
 
 
+class QueueSettings(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """What decides how the jobs of a queue run; see `catalogue.Queue`.
+
+    `approval` holds the seconds of `catalogue.Approval`, if the queue has one.
+    """
+
+    pool: str
+    priority: int
+    max_attempts: int
+    stretch: float
+    target_s: float
+    approval: tuple[float, float, float] | None = None
+
+
 class Job(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """A job as submitted; the payload is opaque and passed on to the tasks.
 
     With `repeats` above 0 the steps run that many times, first at `first_at_ms`
-    (Unix milliseconds), then every `interval_ms`.
+    (Unix milliseconds), then every `interval_ms`. `queue_settings` are those at its
+    acceptance, which hold once the queue is in no configuration any more.
     """
 
     id: str
@@ -51,6 +66,7 @@
     first_at_ms: int = 0
     interval_ms: int = 0
     accepted_at_ms: int = 0
+    queue_settings: QueueSettings | None = None
 
 
 class TaskId(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -84,7 +84,7 @@
 
     def _look_at(self, step_run: state.StepRun, plan: plans.Plan, now: float) -> bool:
         """Plan a step unless it must wait; return whether it was planned."""
-        queue = self._cell.catalogue.queue(step_run.job.spec.queue)
+        queue = step_run.job.queue
         if queue is None:
             plan.record_wait(step_run, plans.UNKNOWN_QUEUE)
             return False
@@ -166,7 +166,7 @@
         jobs wait for jobs that are not, except at the top priority.
         """
         spec = step_run.job.spec
-        queue = self._cell.catalogue.queue(spec.queue)
+        queue = step_run.job.queue
         priority = queue.priority if queue is not None else 9
         late = self._is_late(step_run, now)
         return (
--- a/toucanspring/coordinator/preemption.py
+++ b/toucanspring/coordinator/preemption.py
@@ -19,7 +19,7 @@
 
 
 def find_victims(
-    cell: cell_state.CellState, worker: workers.Worker, priority: int, now: float
+    worker: workers.Worker, priority: int, now: float
 ) -> list[workers.Allocation]:
     """Return the tasks that may be preempted, those already stopping first."""
     found: list[tuple[float, workers.Allocation]] = []
@@ -27,7 +27,7 @@
         if allocation.task.phase is state.TaskPhase.STOPPING:
             found.append((-1.0, allocation))
             continue
-        own_priority = _find_priority(cell, allocation)
+        own_priority = _find_priority(allocation)
         if own_priority is None or own_priority <= priority:
             continue
         lost_s = now - allocation.task.started_at
@@ -52,9 +52,7 @@
     cell.stop(allocation.step, allocation.task)
 
 
-def find_cheap(
-    cell: cell_state.CellState, allocation: workers.Allocation
-) -> int | None:
+def find_cheap(allocation: workers.Allocation) -> int | None:
     """Return the priority of a task that goes on where it was stopped, else None."""
     step = allocation.step.step
     if (
@@ -63,17 +61,15 @@
         or allocation.task.percent >= MAX_PERCENT
     ):
         return None
-    return _find_priority(cell, allocation)
+    return _find_priority(allocation)
 
 
-def _find_priority(
-    cell: cell_state.CellState, allocation: workers.Allocation
-) -> int | None:
+def _find_priority(allocation: workers.Allocation) -> int | None:
     """Return the priority of a task's queue, None if the task is not preemptible."""
     task = allocation.task
     if task.phase is not state.TaskPhase.RUNNING or allocation.step.step.gang:
         return None
     if task.preemptions >= MAX_PREEMPTIONS:
         return None
-    queue = cell.catalogue.queue(allocation.step.job.spec.queue)
+    queue = allocation.step.job.queue
     return None if queue is None else queue.priority
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -274,7 +274,7 @@
         task, step = allocation.task, allocation.step.step
         if task.phase is not state.TaskPhase.RUNNING or step.long_running:
             continue
-        if not allocation.step.job.has_queue:
+        if allocation.step.job.queue is None:
             continue
         # A gang member that has completed its work waits for the other members.
         if task.percent >= COMPLETE_PERCENT:
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -6,7 +6,7 @@
 import enum
 
 from toucanspring import errors
-from toucanspring.coordinator import job_specs, ports, rows
+from toucanspring.coordinator import catalogue, job_specs, ports, rows
 
 
 class TaskPhase(enum.Enum):
@@ -115,7 +115,9 @@
     steps: dict[tuple[int, int], StepRun] = dataclasses.field(default_factory=dict)
     state: JobState = JobState.QUEUED
     durable_state: JobState = JobState.QUEUED  # as last written
-    has_queue: bool = False  # its queue is in the configuration in force
+    # As in the configuration in force, else as at the acceptance of the job; None while
+    # no configuration is known.
+    queue: catalogue.Queue | None = None
     due_at: float = 0.0  # deadline for the result
     ended_at: float = 0.0
     # Submitted above the organisation's rate; None until that is known.
--- a/toucanspring/coordinator/stragglers.py
+++ b/toucanspring/coordinator/stragglers.py
@@ -103,7 +103,7 @@
         task, step = allocation.task, allocation.step.step
         if task.phase is not state.TaskPhase.RUNNING or step.long_running:
             continue
-        if not allocation.step.job.has_queue:
+        if allocation.step.job.queue is None:
             continue
         ran_s = now - task.started_at
         done = max(task.percent, 1) / 100
