Look at the workers for a claim only when they have changed

Cause, by reading: a step that waits at its ceiling went through all 350 workers and all approvals in each round, and each waiting step compared its demand with the ceiling again.

Change: both are known per step until the workers, its approvals, the services or the ceiling change.

--- a/toucanspring/coordinator/ceilings.py
+++ b/toucanspring/coordinator/ceilings.py
@@ -34,7 +34,7 @@
         # What long-running tasks use, by organisation and by worker.
         self._lasting: dict[str, resources.Resources] = {}
         self._lasting_on: dict[str, resources.Resources] = {}
-        self._slots: dict[tuple, int] = {}  # for tasks of like steps
+        self._lasting_total = resources.ZERO
         self._has_collected = False
 
     def begin_round(self) -> None:
@@ -44,7 +44,7 @@
         self._freeing.clear()
         self._lasting.clear()
         self._lasting_on.clear()
-        self._slots.clear()
+        self._lasting_total = resources.ZERO
         self._has_collected = False
 
     def limit(self, step_run: state.StepRun) -> resources.Resources | None:
@@ -73,12 +73,19 @@
         return wanted.fits(_without_zeros(ceiling))
 
     def exceeds_alone(self, step_run: state.StepRun) -> bool:
-        """Return whether one task, or the whole gang, exceeds the ceiling by itself."""
+        """Return whether one task, or the whole gang, exceeds the ceiling by itself.
+
+        Costs little for each step and round.
+        """
         ceiling = self.limit(step_run)
-        count = step_run.step.count if step_run.step.gang else 1
-        return ceiling is not None and not step_run.step.demand.times(count).fits(
-            _without_zeros(ceiling)
-        )
+        if ceiling is not step_run.checked_ceiling:
+            count = step_run.step.count if step_run.step.gang else 1
+            wanted = step_run.step.demand.times(count)
+            step_run.checked_ceiling = ceiling
+            step_run.exceeds_ceiling = ceiling is not None and not wanted.fits(
+                _without_zeros(ceiling)
+            )
+        return step_run.exceeds_ceiling
 
     def claim(self, step_run: state.StepRun, queue: catalogue.Queue) -> None:
         """Claim the allowance that a step waits for; stop less urgent tasks for it.
@@ -133,25 +140,27 @@
         return max(0, min(len(step_run.waiting), slots - allocated))
 
     def _count_slots(self, step_run: state.StepRun, queue: catalogue.Queue) -> int:
-        """Return how many tasks of a step the workers could run at once."""
-        step = step_run.step
-        denied = {name for name, allowed in step_run.allowed.items() if not allowed}
-        key = (queue.pool, step.required_label, step.occupied(), step.max_per_worker)
-        if not denied and key in self._slots:
-            return self._slots[key]
-        found = sum(
+        """Return how many tasks of a step the workers could run at once.
+
+        All workers are looked at only if they, the approvals of the step or the
+        services have changed.
+        """
+        pool, zones_out = self._cell.pool(queue.pool), self._cell.zones_out
+        key = (len(step_run.allowed), zones_out, self._lasting_total)
+        if step_run.slots_pool is pool and step_run.slots_key == key:
+            return step_run.slots
+        step_run.slots = sum(
             placement.count_capacity_slots(
                 step_run, worker, self._lasting_on.get(worker.id, resources.ZERO)
             )
-            for worker in self._cell.pool(queue.pool)
-            if worker.id not in denied
+            for worker in pool
+            if step_run.allowed.get(worker.id, True)
             and not worker.entry.draining
-            and worker.entry.zone not in self._cell.zones_out
+            and worker.entry.zone not in zones_out
             and placement.is_eligible(step_run, worker)
         )
-        if not denied:
-            self._slots[key] = found
-        return found
+        step_run.slots_pool, step_run.slots_key = pool, key
+        return step_run.slots
 
     def _collect(self) -> None:
         """Find the preemptible tasks of each organisation, the best one last."""
@@ -164,6 +173,7 @@
                     self._lasting[name] = lasting + step.demand
                     lasting = self._lasting_on.get(worker.id, resources.ZERO)
                     self._lasting_on[worker.id] = lasting + step.occupied()
+                    self._lasting_total = self._lasting_total + step.occupied()
                 if allocation.task.phase is state.TaskPhase.STOPPING:
                     freeing = self._freeing.get(name, resources.ZERO)
                     self._freeing[name] = freeing + allocation.step.step.demand
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -5,7 +5,7 @@
 import dataclasses
 import enum
 
-from toucanspring import errors
+from toucanspring import errors, resources
 from toucanspring.coordinator import catalogue, job_specs, ports, rows
 
 
@@ -90,6 +90,13 @@
     blocked_version: int = -1  # of the availability at which nothing could be placed
     blocked_until: float = 0.0  # looked at then, also at the same availability
     skipped_until: float = 0.0  # its planning raised an exception
+    # The ceiling for which it is known whether the step exceeds it by itself.
+    checked_ceiling: resources.Resources | None = None
+    exceeds_ceiling: bool = False
+    # How many of its tasks the workers could run at once, and what that depends on.
+    slots: int = 0
+    slots_pool: list | None = None
+    slots_key: tuple = ()
     # Workers that are reserved for a gang.
     reserved: frozenset[str] = frozenset()
     reserved_until: float = 0.0
