--- a/review/8/case.py
+++ b/review/8/case.py
@@ -14,7 +14,7 @@
 CPUS = 32_000
 CANCEL_S, STOP_TIMEOUT_S = 4.0, 0.4
 STOP_S = (0.15, 0.35)
-CYCLES, CYCLE_S, START_S = 6, 14.0, 3.0
+CYCLES, CYCLE_S, START_S = 4, 14.0, 3.0
 RUN_S = (12.0, 16.0)
 STEP = {"count": 150, "cpu": 500, "mem_mb": 256, "estimate_ms": 14_000}
 
