Review case 8: cancel one submission of four, as give_up allows

A check of the claims against the limits of the site: the case cancelled all of its submissions, where give_up lets a quarter of the clients leave.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -16,6 +16,8 @@
 STOP_S = (0.15, 0.35)
 CYCLES, CYCLE_S, START_S = 4, 14.0, 3.0
 RUN_S = (12.0, 16.0)
+OTHERS = 3  # submissions beside each one that is cancelled, a quarter of all
+SMALL = {"count": 2, "cpu": 500, "mem_mb": 256, "estimate_ms": 14_000}
 STEP = {"count": 150, "cpu": 500, "mem_mb": 256, "estimate_ms": 14_000}
 
 
@@ -60,6 +62,8 @@
     async with cell:
         for _ in range(CYCLES):
             job_id = await load.submit(cell, STEP)
+            for _ in range(OTHERS):
+                await load.submit(cell, SMALL)
             await asyncio.sleep(START_S)
             if load.TROUBLE:
                 await cancel(cell, job_id)
