--- a/bench/arrivals.py
+++ b/bench/arrivals.py
@@ -34,7 +34,8 @@
     approval: catalogue.Approval
 
 
-def _approval(decision_s: float, per_worker_s: float) -> catalogue.Approval:
+def approval(decision_s: float, per_worker_s: float) -> catalogue.Approval:
+    """Return approval settings whose tickets are valid for 2.5 s."""
     return catalogue.Approval(
         decision_s=decision_s, per_worker_s=per_worker_s, validity_s=2.5
     )
@@ -45,19 +46,19 @@
         rate=15.0, mean_steps=1.0, mean_width=2.0, mean_s=1.0, max_s=2.5, cpus=2600,
         memory=4700, value=0.46, stretch=1.5, target_s=0.25, failure_fraction=0.005,
         estimate_error=0.9, checkpointing=0.0, gang=0.3, approved=0.7,
-        approval=_approval(0.012, 0.0002),
+        approval=approval(0.012, 0.0002),
     ),
     "build": JobKind(
         rate=0.82, mean_steps=1.2, mean_width=5.0, mean_s=6.2, max_s=16.0, cpus=9000,
         memory=9000, value=9.8, stretch=2.2, target_s=1.0, failure_fraction=0.02,
         estimate_error=0.2, checkpointing=0.5, gang=1.0, approved=0.35,
-        approval=_approval(0.45, 0.0065),
+        approval=approval(0.45, 0.0065),
     ),
     "proof": JobKind(
         rate=3.4, mean_steps=1.5, mean_width=10.0, mean_s=2.2, max_s=5.4, cpus=1800,
         memory=2600, value=1.5, stretch=4.0, target_s=3.0, failure_fraction=0.05,
         estimate_error=0.5, checkpointing=0.8, gang=0.0, approved=0.45,
-        approval=_approval(0.053, 0.00075),
+        approval=approval(0.053, 0.00075),
     ),
 }  # fmt: skip
 PRIORITIES = {"check": 0, "build": 1, "proof": 2}
@@ -65,16 +66,20 @@
 
 def make_catalogue() -> catalogue.Catalogue:
     """Return the queues of all kinds."""
-    return catalogue.Catalogue(
-        version=1,
-        queues=tuple(
-            catalogue.Queue(
-                name=name, host="h", path_prefix=f"/{name}/", pool=POOL,
-                priority=PRIORITIES[name], max_attempts=3, stretch=kind.stretch,
-                target_s=kind.target_s, approval=kind.approval,
-            )
-            for name, kind in KINDS.items()
-        ),
+    return catalogue.Catalogue(version=1, queues=make_queues(KINDS, PRIORITIES))
+
+
+def make_queues(
+    kinds: dict[str, JobKind], priorities: dict[str, int]
+) -> tuple[catalogue.Queue, ...]:
+    """Return a queue for each kind."""
+    return tuple(
+        catalogue.Queue(
+            name=name, host="h", path_prefix=f"/{name}/", pool=POOL,
+            priority=priorities[name], max_attempts=3, stretch=kind.stretch,
+            target_s=kind.target_s, approval=kind.approval,
+        )
+        for name, kind in kinds.items()
     )  # fmt: skip
 
 
@@ -107,13 +112,20 @@
             now += rng.expovariate(kind.rate * (3 if burst else 1))
             if now > END_S:
                 break
-            arrivals.append(_make_arrival(name, kind, now, len(arrivals), rng))
+            arrivals.append(make_arrival(name, kind, now, len(arrivals), rng))
     return sorted(arrivals, key=lambda each: each.at)
 
 
-def _make_arrival(
-    name: str, kind: JobKind, at: float, number: int, rng: random.Random
+def make_arrival(
+    name: str,
+    kind: JobKind,
+    at: float,
+    number: int,
+    rng: random.Random,
+    workers: int = WORKERS,
+    organisation: str = "",
 ) -> Arrival:
+    """Draw one job; a gang fits into half of the workers that may run it."""
     steps, seconds, cost = [], [], 0.0
     for position in range(1 if rng.random() > kind.mean_steps - 1 else 2):
         count = max(
@@ -125,7 +137,7 @@
         estimate_factor = rng.uniform(1 - kind.estimate_error, 1 + kind.estimate_error)
         gang = rng.random() < kind.gang
         if gang:
-            slots = WORKERS * kind.approved * (32_000 // cpus)
+            slots = workers * kind.approved * (32_000 // cpus)
             count = min(count, max(1, int(slots * MAX_GANG_FRACTION)))
         steps.append(
             job_specs.Step(
@@ -145,7 +157,7 @@
     size = min(4.0, 0.3 + 0.7 * cost / mean_cost)
     chain_s = sum(max(times) for times in seconds)
     spec = job_specs.Job(
-        id=f"{number:016x}", queue=name, organisation="", payload="",
+        id=f"{number:016x}", queue=name, organisation=organisation, payload="",
         steps=tuple(steps),
     )  # fmt: skip
     due_s = kind.stretch * chain_s + kind.target_s
--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -41,6 +41,7 @@
 RACK_SIZE = 8
 ZONES = ("a", "b", "c")
 WORTHLESS_AFTER = 3.0  # multiple of the target time after which a job has no value
+WINDOW_S = 4.0  # of arrivals, for the worst seconds
 LATE_VALUE = 0.2  # fraction of the value of a job that ends late
 
 
@@ -55,10 +56,12 @@
     total_s: float
     fails: bool
     stopping: bool = False
+    speed: float = 1.0
 
     def progress_s(self, now: float) -> float:
         """Return the completed work in seconds."""
-        return min(self.total_s, self.done_s + max(0.0, now - self.started_at))
+        worked_s = self.speed * max(0.0, now - self.started_at)
+        return min(self.total_s, self.done_s + worked_s)
 
 
 class Machine:
@@ -102,16 +105,16 @@
 class Simulation:
     """Simulate one load with one planner."""
 
-    def __init__(self, load: str, seed: int, make_planner) -> None:
+    def __init__(self, load: str, seed: int, make_planner, site=arrivals) -> None:
         self.load = load
+        self.site = site
         self.rng = random.Random(seed)
         self.cell = cell_state.CellState()
-        self.cell.configure(arrivals.make_catalogue())
+        self.cell.configure(site.make_catalogue())
         self.planner = make_planner(self.cell)
         self.machines: dict[str, Machine] = {}
         self.arrival_by_id = {
-            each.spec.id: each
-            for each in arrivals.make_arrivals(load, random.Random(seed))
+            each.spec.id: each for each in site.make_arrivals(load, random.Random(seed))
         }
         self.stops = 0
         self.lost_core_s = 0.0
@@ -120,16 +123,17 @@
         self._approval_requests: list[
             tuple[int, float, int, plans.ApprovalRequest]
         ] = []
-        self._free_approval_calls = MAX_APPROVAL_CALLS
+        self._free_approval_calls = getattr(site, "APPROVAL_CALLS", MAX_APPROVAL_CALLS)
         self._approved: dict[str, frozenset[str]] = {}
-        for number in range(arrivals.WORKERS):
+        for number in range(site.WORKERS):
             self._add_worker(number)
 
     def _add_worker(self, number: int) -> None:
         rack = f"r{number // RACK_SIZE}"
         entry = ports.WorkerEntry(
-            id=f"w{number}", pool=arrivals.POOL, address="x",
-            zone=ZONES[number // RACK_SIZE], rack=rack, labels=frozenset({rack}),
+            id=f"w{number}", pool=self.site.POOL, address="x",
+            zone=ZONES[number // RACK_SIZE % len(ZONES)], rack=rack,
+            labels=frozenset({rack}),
             capacity=resources.Resources(32_000, 65_536, 0), incarnation=1,
         )  # fmt: skip
         machine = Machine(self.cell.register_worker(entry))
@@ -153,7 +157,7 @@
         for machine in self.machines.values():
             self.at(self.rng.random() * POLL_S, self._poll_regularly(machine))
         now, planned_at = 0.0, -1.0
-        while self._events and now < arrivals.END_S + DRAIN_S:
+        while self._events and now < self.site.END_S + DRAIN_S:
             now = self._events[0][0]
             while self._events and self._events[0][0] <= now:
                 heapq.heappop(self._events)[2](now)
@@ -210,7 +214,7 @@
         self._free_approval_calls += 1
         step = request.step
         if step.id not in self._approved:
-            kind = arrivals.KINDS[step.job.spec.queue]
+            kind = self.site.KINDS[step.job.spec.queue]
             rng = random.Random(step.id)
             self._approved[step.id] = frozenset(
                 name for name in self.machines if rng.random() < kind.approved
@@ -226,7 +230,7 @@
             self.cell.cancel_start(step_run, task, start.run, now)
             return
         arrival = self.arrival_by_id[step_run.job.spec.id]
-        kind = arrivals.KINDS[arrival.kind]
+        kind = self.site.KINDS[arrival.kind]
         saved = float(task.checkpoint or 0)
         simulated = Run(
             step_run.task_id(task.index), start.run,
@@ -237,14 +241,25 @@
         )  # fmt: skip
         machine = self.machines[start.worker.id]
         machine.runs[simulated.task] = simulated
+        simulated.speed = self._speed(step_run, start.worker.id)
         self.cell.confirm_start(step_run, task, start.run, now)
-        remaining_s = simulated.total_s - saved
+        remaining_s = (simulated.total_s - saved) / simulated.speed
         ends = simulated.started_at + remaining_s * (
             self.rng.random() if simulated.fails else 1
         )
         outcome = reports.FAILED if simulated.fails else reports.DONE
         self.at(ends, lambda then: self._end(machine, simulated, outcome, then))
 
+    def _speed(self, step_run: state.StepRun, worker: str) -> float:
+        """Return the speed of a run; the members of a gang wait for each other."""
+        find_speed = getattr(self.site, "speed", None)
+        if find_speed is None:
+            return 1.0
+        names = [worker]
+        if step_run.step.gang:
+            names = [task.worker for task in step_run.tasks if task.worker]
+        return min(find_speed(int(name[1:])) for name in names)
+
     def _end(self, machine: Machine, run: Run, outcome: str, now: float) -> None:
         if machine.runs.get(run.task) is not run:
             return
@@ -297,18 +312,46 @@
         total: collections.Counter = collections.Counter()
         earned: collections.Counter = collections.Counter()
         for each in self.arrival_by_id.values():
+            if self.cell.jobs[each.spec.id].over_rate:
+                continue  # not owed to its organisation
             took = each.ended_at - each.at if each.ended_at else float("inf")
             fraction = 1.0 if took <= each.due_s else LATE_VALUE
             if took > WORTHLESS_AFTER * each.due_s:
                 fraction = 0.0
-            for name in (each.kind, "all"):
+            names = [each.kind, "all"]
+            if each.spec.organisation:
+                names += [each.spec.organisation, int(each.at / WINDOW_S)]
+            for name in names:
                 total[name] += each.value
                 earned[name] += each.value * fraction
-        shares = {name: round(earned[name] / total[name], 3) for name in sorted(total)}
+        worst = self._worst(total, earned)
+        shares = {
+            name: round(earned[name] / total[name], 3)
+            for name in sorted(
+                each for each in total if each in self.site.KINDS or each == "all"
+            )
+        }
         return {
-            **shares, "stops": self.stops, "lost_core_s": round(self.lost_core_s),
+            **shares, **worst, "stops": self.stops,
+            "lost_core_s": round(self.lost_core_s),
         }  # fmt: skip
 
+    @staticmethod
+    def _worst(total: collections.Counter, earned: collections.Counter) -> dict:
+        """Return the shares of the worst tenth of organisations and of two windows."""
+        fractions = {name: earned[name] / total[name] for name in total if total[name]}
+        windows = sorted(v for name, v in fractions.items() if isinstance(name, int))
+        organisations = sorted(
+            v for name, v in fractions.items() if str(name).startswith("o")
+        )
+        if not windows:
+            return {}
+        tenth = max(1, len(organisations) // 10)
+        return {
+            "worst_windows": round(sum(windows[:2]) / 2, 3),
+            "worst_organisations": round(sum(organisations[:tenth]) / tenth, 3),
+        }
+
 
 class FirstFit:
     """Start jobs in order of arrival on the first workers with room."""
