Ask for changes without waiting after a failure of the store

Cause: a process answers from a view of the configuration that is at most 1.5 s old. The call for changes that was under way had 2.0 s for its answer, and the next one waited up to 0.8 s for a change. Change: after a failure, a call for changes waits for none and has 0.4 s for its answer. The only answers that take longer than 0.4 s, large ones over slow links, are left to the read of the whole table, as before.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -149,7 +149,11 @@
         return sorted({row_id.part for row_id in self.rows if row_id.table == table})
 
     def follow(
-        self, table: str, after: int, wait_s: float
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+        _answer_timeout_s: float | None = None,
     ) -> ports.Changes | ports.HistoryGone | errors.Failure:
         """Return the changes of a table after a version; wait for one if none exist."""
         deadline = time.monotonic() + wait_s
--- a/test/test_coordinator_tables.py
+++ b/test/test_coordinator_tables.py
@@ -144,7 +144,7 @@
         self.put(range(20))
         self.assertIsNone(self.cache.poll())
 
-    def follow(self, table, after, wait_s):
+    def follow(self, table, after, wait_s, answer_timeout_s=None):
         self.follows += 1
         answer = self._follow(table, after, 0.0)
         many = isinstance(answer, ports.Changes) and len(answer.rows) > self.MAX_CHANGES
@@ -250,3 +250,57 @@
         cache = table_cache.TableCache(store, TABLE, lambda _row: None)
         self.assertRaises(gevent.GreenletExit, cache._run)
         return pauses
+
+
+class ReturningStoreTest(testtools.TestCase):
+    """The store gives no answer for some seconds, then answers at once again."""
+
+    TIMEOUT_S = 1.2  # of an answer
+    ANSWER_S = 0.004
+    OUTAGE = (1.0, 5.0)
+
+    def setUp(self):
+        super().setUp()
+        self.now = 0.0
+        self.store = rowstore.MemoryStore()
+        self._follow, self.store.follow = self.store.follow, self.follow
+        self._read, self.store.read = self.store.read, self.read
+        self._parts, self.store.parts = self.store.parts, self.parts
+        self.cache = table_cache.TableCache(
+            self.store, TABLE, lambda _row: None, clock=lambda: self.now
+        )
+        self.addCleanup(self.cache.close)
+
+    def is_silent(self, timeout_s):
+        """Return whether a call gets no answer; let its time pass."""
+        silent = self.OUTAGE[0] <= self.now < self.OUTAGE[1]
+        self.now += timeout_s if silent else self.ANSWER_S
+        return silent
+
+    def follow(self, table, after, wait_s, answer_timeout_s=None):
+        limit_s = self.TIMEOUT_S if answer_timeout_s is None else answer_timeout_s
+        if self.is_silent(wait_s + limit_s):
+            return FAILURE
+        self.now += wait_s  # nothing changes
+        return self._follow(table, after, 0.0)
+
+    def read(self, *args, **options):
+        silent = self.is_silent(self.TIMEOUT_S)
+        return FAILURE if silent else self._read(*args, **options)
+
+    def parts(self, table):
+        return FAILURE if self.is_silent(self.TIMEOUT_S) else self._parts(table)
+
+    # Guards against callers that are refused for up to two seconds after an outage: the
+    # call under way had the longest timeout, and the next one waited for a change.
+    def test_the_copy_is_current_soon_after_the_outage(self):
+        delays = []
+        for shift in range(20):
+            self.now, self.OUTAGE = 0.0, (1.0, 4.0 + shift / 10)
+            while self.cache.synced_at < self.OUTAGE[1]:
+                if self.cache.poll() is not None:
+                    self.now += table_cache.RETRY_MAX_S
+            delays.append(self.now - self.OUTAGE[1])
+            self.cache.synced_at = float("-inf")
+        self.assertLess(sum(delays) / len(delays), 0.8)
+        self.assertLess(max(delays), 1.7)
--- a/test/test_platform_directory.py
+++ b/test/test_platform_directory.py
@@ -65,7 +65,7 @@
     def clock(self):
         return self.now
 
-    def follow(self, _table, _after, wait_s):
+    def follow(self, _table, _after, wait_s, _answer_timeout_s=None):
         self.waits_s.append(wait_s)
         self.now += wait_s + self.latency_s
         self.on_answer()
--- a/toucanspring/coordinator/metered.py
+++ b/toucanspring/coordinator/metered.py
@@ -114,12 +114,16 @@
         return self._call("parts", lambda: self._inner.parts(table))
 
     def follow(
-        self, table: str, after: int, wait_s: float
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+        answer_timeout_s: float | None = None,
     ) -> ports.Changes | ports.HistoryGone | errors.Failure:
         """Return the changes of a table; see `ports.Store.follow`."""
         return self._call(
             f"follow {table}",
-            lambda: self._inner.follow(table, after, wait_s),
+            lambda: self._inner.follow(table, after, wait_s, answer_timeout_s),
             waits=True,
         )
 
--- a/toucanspring/coordinator/ports.py
+++ b/toucanspring/coordinator/ports.py
@@ -109,9 +109,16 @@
         """Return the parts of a table that hold rows."""
 
     def follow(
-        self, table: str, after: int, wait_s: float
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+        answer_timeout_s: float | None = None,
     ) -> Changes | HistoryGone | errors.Failure:
-        """Return the changes of a table after a version; wait for one if none exist."""
+        """Return the changes of a table after a version; wait for one if none exist.
+
+        `answer_timeout_s` limits the time for the answer beyond `wait_s`.
+        """
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/toucanspring/coordinator/table_cache.py
+++ b/toucanspring/coordinator/table_cache.py
@@ -19,6 +19,10 @@
 # After this many answers in a row that did not arrive in time, the changes since the
 # last one may be more than the link carries in that time.
 MAX_UNANSWERED = 2
+# After a failure, a call waits for no change and has a short timeout, so that the copy
+# is current soon after the store is back. An answer takes up to 0.3 s while the store
+# is slow; one that takes longer is left to the read of the whole table.
+PROBE_TIMEOUT_S = 0.4
 RETRY_FIRST_S = 0.05
 RETRY_MAX_S = 0.4
 MIN_RETRY_SHARE = 0.3  # the shortest pause before a retry, as a share of the longest
@@ -58,6 +62,7 @@
         self._late_wait_s = wait_s if late_wait_s is None else late_wait_s
         self._late = False
         self._unanswered = 0
+        self._probing = False  # the latest call failed
         # Whether the whole table is read since the feed may have fallen behind.
         self._catching_up = False
         self._pause_s = pause_s
@@ -128,11 +133,12 @@
         if self.unread_parts and (self._reader is None or self._reader.ready()):
             self._reader = gevent.spawn(self._read_missing_parts)
         sent = self._clock()
-        wait_s = self._late_wait_s if self._late else self._wait_s
-        answer = self._store.follow(self._table, self._version, wait_s)
+        wait_s, timeout_s = self._limit_call()
+        answer = self._store.follow(self._table, self._version, wait_s, timeout_s)
         took_s = self._clock() - sent
         self._note_lateness(answer, took_s - wait_s)
-        self._note_progress(answer, took_s >= wait_s)
+        self._note_progress(answer, took_s >= (timeout_s or wait_s))
+        self._probing = isinstance(answer, errors.Failure)
         match answer:
             case ports.Changes(rows=rows, at=at):
                 if self._reading is not None:
@@ -159,6 +165,12 @@
             self.synced_at = sent
         return None
 
+    def _limit_call(self) -> tuple[float, float | None]:
+        """Return how long a call waits for changes, and the timeout of its answer."""
+        if self._probing:
+            return 0.0, PROBE_TIMEOUT_S
+        return (self._late_wait_s if self._late else self._wait_s), None
+
     def _note_lateness(
         self, answer: ports.Changes | errors.Failure, late_s: float
     ) -> None:
