Move fair shares into the decisions that both schedulers share

The coordinator ranks organisations by one bit, toucanspringd by weighted max-min shares with a window. scheduling/fairness.py becomes policy/fair_share.py without a change of its code, so that both can use it; its tests and benchmarks come along.

--- a/bench/scheduler.py
+++ b/bench/scheduler.py
@@ -7,7 +7,8 @@
 import defopt
 
 from toucanspring import job, resources, wire
-from toucanspring.scheduling import effects, fairness, scheduler
+from toucanspring.policy import fair_share
+from toucanspring.scheduling import effects, scheduler
 
 CAPACITY = resources.Resources(32_000, 65_536, 0)
 DEMAND = resources.Resources(1_000, 1_024, 0)
@@ -17,7 +18,7 @@
     """Print and return the microseconds of processor time per task."""
     machine = scheduler.Scheduler(0, random.Random(1))
     now = 0.0
-    machine.set_teams({"zimna": fairness.Team("zimna")}, now)
+    machine.set_teams({"zimna": fair_share.Team("zimna")}, now)
     for number in range(workers):
         zone = f"z{number % 3}"
         facts = effects.WorkerFacts(
--- a/bench/share.py
+++ b/bench/share.py
@@ -14,7 +14,8 @@
 
 from bench import work
 from toucanspring import resources
-from toucanspring.scheduling import fairness, placement
+from toucanspring.policy import fair_share
+from toucanspring.scheduling import placement
 
 WORKERS = 24
 END_S = 60.0
@@ -67,8 +68,10 @@
 
     def __init__(self, seed: int) -> None:
         self.index = placement.WorkerIndex(random.Random(seed))
-        teams = [fairness.Team(name, share=kind.share) for name, kind in TEAMS.items()]
-        self.tracker = fairness.ShareTracker(teams, WINDOW_S)
+        teams = [
+            fair_share.Team(name, share=kind.share) for name, kind in TEAMS.items()
+        ]
+        self.tracker = fair_share.ShareTracker(teams, WINDOW_S)
         self._backlogs: dict[str, collections.deque] = {}
 
     def prepare(self, backlogs: dict[str, list], total: resources.Resources) -> None:
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -17,7 +17,8 @@
 from bench import cell
 from toucanspring import job, resources
 from toucanspring.owners import log_records
-from toucanspring.scheduling import fairness, scheduler
+from toucanspring.policy import fair_share
+from toucanspring.scheduling import scheduler
 
 WINDOW_S = 8.0  # a multiple of the 4 s between reports of workers with tasks
 IDLE_WORKERS_WINDOW_S = 28.0  # a multiple of the 7 s between reports without tasks
@@ -174,7 +175,7 @@
         for record in log_records.decode_batch(content).records:
             state.apply(record)
         machine = scheduler.Scheduler(0, random.Random(seed))
-        machine.set_teams({"sofia-roads": fairness.Team("sofia-roads")}, 0.0)
+        machine.set_teams({"sofia-roads": fair_share.Team("sofia-roads")}, 0.0)
         machine.restore(
             list(state.specs.values()),
             state.outcome_map(),
--- a/bench/spread.py
+++ b/bench/spread.py
@@ -10,7 +10,8 @@
 
 from bench import outage, wait, work
 from toucanspring import job, resources
-from toucanspring.scheduling import effects, fairness, scheduler
+from toucanspring.policy import fair_share
+from toucanspring.scheduling import effects, scheduler
 
 RATES_S = (0.0, 2.0, 10.0, 30.0)  # seconds per move; 0 disables moves
 SERVICES = 4
@@ -28,7 +29,7 @@
     def __init__(self, seed: int, spread_move_s: float) -> None:
         super().__init__(seed)
         self._scheduler = scheduler.Scheduler(0, random.Random(seed), spread_move_s)
-        self._scheduler.set_teams({wait.TEAM: fairness.Team(wait.TEAM)}, 0.0)
+        self._scheduler.set_teams({wait.TEAM: fair_share.Team(wait.TEAM)}, 0.0)
         self._is_out = False
         self.stops: list[float] = []  # times after the return
         self.even_at: float | None = None  # when all services were evenly spread again
--- a/bench/wait.py
+++ b/bench/wait.py
@@ -17,7 +17,8 @@
 
 from bench import overload, work
 from toucanspring import job, resources, wire
-from toucanspring.scheduling import effects, fairness, scheduler
+from toucanspring.policy import fair_share
+from toucanspring.scheduling import effects, scheduler
 
 LOAD = 1.5
 DEADLINE_LOAD = 0.6  # fraction of the capacity; included in LOAD
@@ -88,7 +89,7 @@
 
     def __init__(self, seed: int) -> None:
         self._scheduler = scheduler.Scheduler(0, random.Random(seed))
-        self._scheduler.set_teams({TEAM: fairness.Team(TEAM)}, 0.0)
+        self._scheduler.set_teams({TEAM: fair_share.Team(TEAM)}, 0.0)
         self._seconds_left: dict[str, float] = {}
         self._running: dict[str, tuple[int, float, str]] = {}  # attempt, start, worker
         self._ends: list[tuple[float, str, int]] = []
--- a/test/cell.py
+++ b/test/cell.py
@@ -3,12 +3,13 @@
 import random
 
 from toucanspring import job, resources, wire
-from toucanspring.scheduling import allowance, effects, fairness, scheduler
+from toucanspring.policy import fair_share
+from toucanspring.scheduling import allowance, effects, scheduler
 
 CAPACITY = resources.Resources(32_000, 65_536, 0)
 ONE = resources.Resources(1_000, 1_024, 0)
 UNLIMITED = resources.UNLIMITED
-TEAMS = (fairness.Team("zimna"), fairness.Team("kern"))
+TEAMS = (fair_share.Team("zimna"), fair_share.Team("kern"))
 
 
 def spec(job_id="a", **fields):
--- a/test/test_allowances.py
+++ b/test/test_allowances.py
@@ -7,7 +7,8 @@
 from test import fake_tables
 from toucanspring import resources
 from toucanspring.owners import allowances
-from toucanspring.scheduling import allowance, fairness
+from toucanspring.policy import fair_share
+from toucanspring.scheduling import allowance
 
 KEY = allowances.ROW_PREFIX + "team"
 TEN = resources.Resources(10_000, 10_240)
@@ -32,7 +33,7 @@
         self.delivered, self.limits = held, limits
 
     def set_ceiling(self, ceiling):
-        self.manager.set_teams({"team": fairness.Team("team", ceiling=ceiling)})
+        self.manager.set_teams({"team": fair_share.Team("team", ceiling=ceiling)})
 
     def row(self):
         return self.table.read([KEY])[KEY]
@@ -78,8 +79,12 @@
 
     def test_only_rows_in_use_are_read(self):
         # Guards against a read of 700 rows by each partition in each poll.
-        limited = {f"t{number}": fairness.Team("", ceiling=TEN) for number in range(64)}
-        self.manager.set_teams({"team": fairness.Team("team", ceiling=TEN), **limited})
+        limited = {
+            f"t{number}": fair_share.Team("", ceiling=TEN) for number in range(64)
+        }
+        self.manager.set_teams(
+            {"team": fair_share.Team("team", ceiling=TEN), **limited}
+        )
         self.manager._update_rows()
         reads = [self.manager.watched_keys() for _ in range(64)]
         self.assertTrue(all(len(keys) == 2 and KEY in keys for keys in reads))
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -5,7 +5,8 @@
 
 from test import cell
 from toucanspring import job, resources, wire
-from toucanspring.scheduling import effects, fairness, scheduler
+from toucanspring.policy import fair_share
+from toucanspring.scheduling import effects, scheduler
 
 CAPACITY = resources.Resources(32_000, 65_536)
 
@@ -22,7 +23,7 @@
         """Return the mean CPU usage of each team after the first ten seconds."""
         owner = scheduler.Scheduler(0, random.Random(3))
         teams = {
-            name: fairness.Team(name, "o", share) for name, share in shares.items()
+            name: fair_share.Team(name, "o", share) for name, share in shares.items()
         }
         owner.set_teams(teams, 0.0)
         facts = effects.WorkerFacts("w1", 1, CAPACITY, "zone-a", "rack-1")
@@ -74,7 +75,7 @@
     def test_a_job_behind_many_unplaceable_ones_starts(self):
         # Guards against a job that is never examined although it would fit.
         owner = scheduler.Scheduler(0, random.Random(3))
-        owner.set_teams({"a": fairness.Team("a", "o", 1.0)}, 0.0)
+        owner.set_teams({"a": fair_share.Team("a", "o", 1.0)}, 0.0)
         facts = effects.WorkerFacts("w1", 1, CAPACITY, "zone-a", "rack-1")
         owner.worker_attached(facts, [], [], 0.0)
         owner.submit([spec("held", "a", 12_000)], 0.0)
--- a/test/test_interruption.py
+++ b/test/test_interruption.py
@@ -4,8 +4,9 @@
 
 from test import cell
 from toucanspring import job, resources
+from toucanspring.policy import fair_share
 from toucanspring.reporting import event_kinds
-from toucanspring.scheduling import effects, fairness, overuse
+from toucanspring.scheduling import effects, overuse
 
 Cause = event_kinds.StopCause
 
@@ -64,7 +65,7 @@
 
     def test_a_lowered_ceiling_is_the_cause_of_its_stops(self):
         limit = resources.Resources(16_000, 1 << 20, 8)
-        self.cell = c = cell.Cell(teams=[fairness.Team("zimna", ceiling=limit)])
+        self.cell = c = cell.Cell(teams=[fair_share.Team("zimna", ceiling=limit)])
         c.grant("zimna", limit)
         c.submit(cell.spec(task_count=4))
         c.tick()
--- a/test/test_recovery.py
+++ b/test/test_recovery.py
@@ -3,7 +3,7 @@
 from test import cell
 from toucanspring import job, resources, wire
 from toucanspring.owners import recovery
-from toucanspring.scheduling import fairness
+from toucanspring.policy import fair_share
 
 State = job.State
 
@@ -93,7 +93,7 @@
     def test_work_that_may_run_elsewhere_counts_against_the_allowance(self):
         # Guards against a team above its ceiling while a worker is unreachable.
         limit = resources.Resources(40_000, 1 << 20, 8)
-        c = cell.Cell(workers=2, teams=[cell.fairness.Team("zimna", ceiling=limit)])
+        c = cell.Cell(workers=2, teams=[cell.fair_share.Team("zimna", ceiling=limit)])
         c.grant("zimna", limit)
         c.submit(cell.spec(task_count=100))
         c.tick()
@@ -109,12 +109,12 @@
         # Guards against a team that runs without any ceiling after a takeover, since
         # the configuration that its new owner has does not contain the team.
         limit = resources.Resources(1_000, 1 << 20, 0)
-        c = cell.Cell(workers=1, teams=[fairness.Team("zimna", ceiling=limit)])
+        c = cell.Cell(workers=1, teams=[fair_share.Team("zimna", ceiling=limit)])
         c.grant("zimna", limit)
         c.submit(cell.spec("a", task_count=3))
         c.tick()
         self.assertEqual({"a/0": 1}, c.starts)
-        c.rows, c.teams = {}, {"kern": fairness.Team("kern")}
+        c.rows, c.teams = {}, {"kern": fair_share.Team("kern")}
         c.take_over()
         c.attach("w0")
         c.tick(1)
@@ -122,7 +122,7 @@
         self.assertEqual({"a/0": 1}, c.starts)
         explanation = c.scheduler.explain("a")
         self.assertIn("team zimna is not configured", explanation.waits_for)
-        c.call("set_teams", {"zimna": fairness.Team("zimna")})
+        c.call("set_teams", {"zimna": fair_share.Team("zimna")})
         c.tick(1)
         self.assertEqual({"a/0": 1, "a/1": 1, "a/2": 1}, c.starts)
 
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -6,7 +6,8 @@
 
 from test import cell
 from toucanspring import errors, job, resources
-from toucanspring.scheduling import effects, fairness, quarantine
+from toucanspring.policy import fair_share
+from toucanspring.scheduling import effects, quarantine
 
 State = job.State
 
@@ -55,7 +56,7 @@
     def test_work_waits_for_allowance_and_asks_for_a_chunk(self):
         # Guards against starts beyond this partition's part of the ceiling.
         limit = resources.Resources(16_000, 1 << 20, 8)
-        c = cell.Cell(teams=[fairness.Team("zimna", ceiling=limit)])
+        c = cell.Cell(teams=[fair_share.Team("zimna", ceiling=limit)])
         c.submit(cell.spec(task_count=20))
         self.assertEqual([], c.tick())  # the row has not been read yet
         c.grant("zimna", resources.ZERO)
@@ -71,7 +72,7 @@
         # Guards against decisions that are up to a second late because a partition with
         # pending timers ticks at the quiescent interval.
         limit = resources.Resources(16_000, 1 << 20, 8)
-        c = cell.Cell(teams=[fairness.Team("zimna", ceiling=limit)])
+        c = cell.Cell(teams=[fair_share.Team("zimna", ceiling=limit)])
         is_quiescent = c.scheduler.is_quiescent
         self.assertTrue(is_quiescent())
         c.submit(cell.spec())
@@ -98,7 +99,7 @@
     def test_a_lowered_allowance_stops_the_latest_tasks(self):
         # Guards against a team that stays above a lowered ceiling.
         limit = resources.Resources(16_000, 1 << 20, 8)
-        c = cell.Cell(teams=[fairness.Team("zimna", ceiling=limit)])
+        c = cell.Cell(teams=[fair_share.Team("zimna", ceiling=limit)])
         c.grant("zimna", limit)
         c.submit(cell.spec("old", task_count=4))
         c.tick()
@@ -110,7 +111,7 @@
 
     def test_a_job_that_can_never_run_is_rejected_with_the_reason(self):
         # Guards against jobs that wait forever.
-        c = cell.Cell(teams=[fairness.Team("zimna", ceiling=cell.CAPACITY)])
+        c = cell.Cell(teams=[fair_share.Team("zimna", ceiling=cell.CAPACITY)])
         c.tick(10)  # all workers are known by then
         big = cell.CAPACITY.times(2)
         cases = {
@@ -140,20 +141,20 @@
         # Guards against an accepted job that ends as not run, since the owner of its
         # partition learns of a new team, or of a raised ceiling, after the job.
         small = resources.Resources(500, 1024, 0)
-        for known in ({}, {"zimna": fairness.Team("zimna", ceiling=small)}):
+        for known in ({}, {"zimna": fair_share.Team("zimna", ceiling=small)}):
             c = cell.Cell(teams=[])
-            c.call("set_teams", {"kern": fairness.Team("kern"), **known})
+            c.call("set_teams", {"kern": fair_share.Team("kern"), **known})
             c.tick(10)
             c.submit(cell.spec("a"))
             c.tick(1)
             self.assertEqual({}, c.finished)
             self.assertEqual({}, c.starts)
-            c.call("set_teams", {"zimna": fairness.Team("zimna")})
+            c.call("set_teams", {"zimna": fair_share.Team("zimna")})
             c.tick(0.1)
             self.assertEqual({"a/0": 1}, c.starts)
 
     def test_a_job_that_awaits_a_newer_configuration_can_be_cancelled(self):
-        c = cell.Cell(teams=[fairness.Team("kern")])
+        c = cell.Cell(teams=[fair_share.Team("kern")])
         c.submit(cell.spec("a"))
         c.cancel("a")
         self.assertIs(State.NOT_RUN, c.finished["a"].state)
--- a/test/test_scheduler_faults.py
+++ b/test/test_scheduler_faults.py
@@ -16,8 +16,8 @@
         self.rng = random.Random(seed)
         ceiling = cell.resources.Resources(120_000, cell.UNLIMITED.memory, 0)
         teams = (
-            cell.fairness.Team("zimna"),
-            cell.fairness.Team("kern", ceiling=ceiling),
+            cell.fair_share.Team("zimna"),
+            cell.fair_share.Team("kern", ceiling=ceiling),
         )
         self.cell = cell.Cell(workers=6, seed=seed, teams=teams)
         self.cell.hold_intents = True
--- a/toucanspring/owners/allowances.py
+++ b/toucanspring/owners/allowances.py
@@ -13,7 +13,8 @@
 
 from toucanspring import errors, kernel, resources, uptime
 from toucanspring.adapters import tables
-from toucanspring.scheduling import allowance, fairness
+from toucanspring.policy import fair_share
+from toucanspring.scheduling import allowance
 
 log = logbook.Logger(__name__)
 
@@ -90,7 +91,7 @@
         used, _ = self._split_teams(self._targets)
         return bool(used)
 
-    def set_teams(self, teams: Mapping[str, fairness.Team]) -> None:
+    def set_teams(self, teams: Mapping[str, fair_share.Team]) -> None:
         """Set the current ceilings; lower ones reduce the parts in the rows."""
         ceilings = {name: team.ceiling for name, team in teams.items()}
         if ceilings != self._ceilings:
--- a/toucanspring/owners/partition.py
+++ b/toucanspring/owners/partition.py
@@ -23,7 +23,8 @@
     worker_events,
     worker_link,
 )
-from toucanspring.scheduling import effects, fairness, scheduler, tick_interval
+from toucanspring.policy import fair_share
+from toucanspring.scheduling import effects, scheduler, tick_interval
 
 log = logbook.Logger(__name__)
 
@@ -311,7 +312,7 @@
         self._applied_cell = documents.cell()
         self._applied_zones_out = documents.zones_out()
         teams = {
-            team.name: fairness.Team(
+            team.name: fair_share.Team(
                 team.name, team.organisation, team.share, team.ceiling
             )
             for team in documents.cell().teams.values()
--- /dev/null
+++ b/toucanspring/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling decisions that both schedulers share."""
--- a/toucanspring/scheduling/__init__.py
+++ b/toucanspring/scheduling/__init__.py
@@ -1,1 +1,1 @@
-"""Scheduler of one partition: placement, fairness and task lifecycle, without I/O."""
+"""Scheduler of one partition: placement and task lifecycle, without I/O."""
--- a/toucanspring/scheduling/effects.py
+++ b/toucanspring/scheduling/effects.py
@@ -21,7 +21,7 @@
 - `worker_lost(worker, now)`: its lease and grace period must have expired
 - `worker_leaving(worker, leaving: bool, now)`: no starts while leaving
 - `set_availability_zones(out: frozenset[str], now)`
-- `set_teams(teams: dict[str, fairness.Team], now)`
+- `set_teams(teams: dict[str, fair_share.Team], now)`
 - `set_allowances(held: dict[str, Resources], now)`
 - `intents_durable(intents: list[Intent], now)` and `intents_failed(intents, now)`
 - `dependency_finished(job_id, outcome, now)`: response to `WatchJobs`
--- a/toucanspring/scheduling/lifecycle.py
+++ b/toucanspring/scheduling/lifecycle.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from toucanspring import job, resources, wire
+from toucanspring.policy import fair_share
 from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import (
     allowance,
@@ -17,7 +18,6 @@
     decisions,
     effects,
     estimate,
-    fairness,
     placement,
     quarantine,
     reservation,
@@ -71,7 +71,7 @@
         self.table = task_table.TaskTable()
         self.effects = collector.Collector()
         self.index = placement.WorkerIndex(rng)
-        self.shares = fairness.ShareTracker([])
+        self.shares = fair_share.ShareTracker([])
         self.allowances = allowance.AllowanceTracker()
         self.queue = waiting.WaitingQueue()
         self.estimator = estimate.Estimator()
@@ -90,7 +90,7 @@
         self.too_large: set[str] = set()
         # Jobs that the known configuration does not allow, and when they were added.
         self.unjudged: dict[str, float] = {}
-        self.teams: dict[str, fairness.Team] = {}
+        self.teams: dict[str, fair_share.Team] = {}
         self.zones_out: frozenset[str] = frozenset()
         # Tasks stopped in each zone that is out of service, until it returns.
         self.evacuated_tasks: collections.Counter[str] = collections.Counter()
--- a/toucanspring/scheduling/scheduler.py
+++ b/toucanspring/scheduling/scheduler.py
@@ -8,13 +8,13 @@
 
 from toucanspring import errors, job, resources, wire
 from toucanspring.owners import log_records, recovery
+from toucanspring.policy import fair_share
 from toucanspring.reporting import event_kinds
 from toucanspring.scheduling import (
     admission,
     attempt,
     dispatch,
     effects,
-    fairness,
     gang,
     lifecycle,
     move_planner,
@@ -199,7 +199,7 @@
 
     def set_teams(
         self,
-        teams: Mapping[str, fairness.Team],
+        teams: Mapping[str, fair_share.Team],
         now: float,  # noqa: ARG002
     ) -> list[effects.Effect]:
         """Set the shares and ceilings of all teams."""
