Count stopped runs and the work they lose by cause

Each stop now has a cause; ended runs are counted by it in toucanspring_runs_stopped_total, their work in toucanspring_stopped_core_seconds_total, and a line runs_stopped sums them up every 2 s.

--- a/toucanspring/coordinator/ceilings.py
+++ b/toucanspring/coordinator/ceilings.py
@@ -13,6 +13,7 @@
     placement,
     preemption,
     state,
+    stop_causes,
     workers,
 )
 
@@ -116,7 +117,9 @@
             demand = victim.step.step.demand
             freeing = freeing + demand
             excess = excess - demand
-            preemption.preempt(self._cell, victim, step_run)
+            preemption.preempt(
+                self._cell, victim, step_run, stop_causes.StopCause.CEILING_PREEMPTION
+            )
         self._freeing[name] = freeing
 
     def _count_claimable(
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -20,6 +20,7 @@
     rate_limits,
     rows,
     state,
+    stop_causes,
     workers,
 )
 
@@ -38,6 +39,9 @@
     worker: str
     task: str
     run: int
+    cause: stop_causes.StopCause = dataclasses.field(
+        default=stop_causes.StopCause.UNKNOWN_RUN, compare=False
+    )
 
 
 class CellState:
@@ -63,6 +67,7 @@
         # Jobs whose first run has been seen: to be written with other changes.
         self.begun: dict[str, state.JobRecord] = {}
         self.stops: list[Stop] = []
+        self.stop_counts = stop_causes.StopCounts()
         self._rate_limits = rate_limits.RateLimits()
         self._pools: dict[str, list[workers.Worker]] = {}
         self._capacity: resources.Resources | None = None
@@ -229,14 +234,19 @@
         for step_run in record.steps.values():
             self.ready.pop(step_run.id, None)
             for task in step_run.tasks:
-                self.stop(step_run, task)
+                self.stop(step_run, task, stop_causes.StopCause.JOB_ENDED)
 
-    def stop(self, step_run: state.StepRun, task: state.Task) -> None:
+    def stop(
+        self, step_run: state.StepRun, task: state.Task, cause: stop_causes.StopCause
+    ) -> None:
         """Queue an order to stop a task, if it is or may be running."""
         if task.phase in (state.TaskPhase.RUNNING, state.TaskPhase.IN_DOUBT):
             task.phase = state.TaskPhase.STOPPING
+            task.stop_cause = cause
             task.confirmed_at = float("inf")
-            self.stops.append(Stop(task.worker, step_run.task_id(task.index), task.run))
+            self.stops.append(
+                Stop(task.worker, step_run.task_id(task.index), task.run, cause)
+            )
 
     def find_expired_jobs(self, now: float) -> list[str]:
         """Return the IDs of ended jobs whose retention time is over."""
@@ -388,8 +398,14 @@
         task.phase = state.TaskPhase.RUNNING
         task.started_at = task.progressed_at = now
         task.confirmed_at = now
-        if step_run.job.is_final or self.is_gang_broken(step_run, task):
-            self.stop(step_run, task)
+        self.stop_unwanted(step_run, task)
+
+    def stop_unwanted(self, step_run: state.StepRun, task: state.Task) -> None:
+        """Stop a run whose job has ended or whose gang is incomplete."""
+        if step_run.job.is_final:
+            self.stop(step_run, task, stop_causes.StopCause.JOB_ENDED)
+        elif self.is_gang_broken(step_run, task):
+            self.stop(step_run, task, stop_causes.StopCause.GANG_BROKEN)
 
     @staticmethod
     def is_gang_broken(step_run: state.StepRun, task: state.Task) -> bool:
@@ -425,7 +441,7 @@
         if task.run != run_number or task.phase is not state.TaskPhase.STARTING:
             return
         task.phase = state.TaskPhase.IN_DOUBT
-        self.stop(step_run, task)
+        self.stop(step_run, task, stop_causes.StopCause.IN_DOUBT)
 
     def confirm_stop(self, worker_id: str, task_id: str, run: int, now: float) -> None:
         """Record a confirmed stop; the run ends or never starts."""
@@ -453,7 +469,7 @@
         step_run.waiting.add(task.index)
         if step_run.step.gang:
             for other in step_run.tasks:
-                self.stop(step_run, other)
+                self.stop(step_run, other, stop_causes.StopCause.GANG_BROKEN)
         if step_run.job.is_final:
             return
         step_run.ready_at = now
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -19,6 +19,7 @@
     plans,
     ports,
     reports,
+    stop_causes,
     workers,
 )
 
@@ -248,7 +249,7 @@
                 percent=allocation.task.percent,
             )
             worker.backoff_until = now + workers.MIN_QUARANTINE_S
-            cell.stop(allocation.step, allocation.task)
+            cell.stop(allocation.step, allocation.task, stop_causes.StopCause.STUCK)
         if changed_jobs or has_new_ends or cell.stops:
             self._leader.wake()
         if has_new_ends:
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -14,6 +14,7 @@
     plans,
     preemption,
     state,
+    stop_causes,
     workers,
 )
 
@@ -177,7 +178,12 @@
                     break
                 free = free + allocation.step.step.occupied()
                 if allocation.task.phase is state.TaskPhase.RUNNING:
-                    preemption.preempt(self._cell, allocation, step_run)
+                    preemption.preempt(
+                        self._cell,
+                        allocation,
+                        step_run,
+                        stop_causes.StopCause.GANG_PREEMPTION,
+                    )
 
     @staticmethod
     def _choose_reservation(
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -31,6 +31,7 @@
     retention,
     rows,
     state,
+    stop_causes,
     stragglers,
     table_cache,
     workers,
@@ -44,6 +45,7 @@
 # The number of waiting jobs is not given by a copy of the jobs older than this.
 MAX_PENDING_AGE_S = 2.0
 HOUSEKEEPING_INTERVAL_S = 0.25
+STOPS_REPORT_INTERVAL_S = 2.0  # at most one line and one update of the counters
 RELEASE_TIMEOUT_S = 1.5  # part of the time for a graceful stop
 SLOW_ROUND_S = 0.15  # a longer round is logged with the time of its parts
 
@@ -66,7 +68,8 @@
 
     `request_approval` queues a request to the approval service, `on_failing` is called
     while a write fails, with the seconds since its first attempt, and `on_round` after
-    each round, with its number of starts and its duration.
+    each round, with its number of starts and its duration. `on_stops` gets the counts
+    of the runs that ended since they were stopped.
     """
 
     def __init__(
@@ -80,6 +83,7 @@
         max_lease_ms: int,
         on_failing: Callable[[float], None] = lambda _for_s: None,
         on_round: Callable[[int, float], None] = lambda _starts, _took_s: None,
+        on_stops: Callable[[stop_causes.StopCounts], None] = lambda _counts: None,
     ) -> None:
         self.cell = cell_state.CellState()
         self.epoch = acquired.lease.epoch
@@ -92,6 +96,8 @@
         self._writer = fenced_writer.FencedWriter(store, acquired, store_clock)
         self._writer.on_failing = on_failing
         self._on_round = on_round
+        self._on_stops = on_stops
+        self._stops_reported_at = 0.0
         self._planner = planner.Planner(self.cell)
         self._dispatcher = dispatch.Dispatcher(self, client, max_lease_ms)
         self.cell.former_leases_end_at = recovery.find_longest_lease(
@@ -400,6 +406,23 @@
         if self.may_start(now):
             self._move_from_slow_workers(now)
         self.cell.open_due_occurrences(round(time.time() * 1000), now)
+        self._report_stops(now)
+
+    def _report_stops(self, now: float) -> None:
+        if now - self._stops_reported_at < STOPS_REPORT_INTERVAL_S:
+            return
+        self._stops_reported_at = now
+        counts = self.cell.stop_counts.take()
+        if not counts.runs:
+            return
+        self._on_stops(counts)
+        structured.decide(
+            log, "runs_stopped",
+            runs={cause.value: count for cause, count in counts.runs.items()},
+            lost_core_s={
+                cause.value: round(lost) for cause, lost in counts.lost_core_s.items()
+            },
+        )  # fmt: skip
 
     def _move_from_slow_workers(self, now: float) -> None:
         for worker in stragglers.find_slow(self.cell.workers.values(), now):
@@ -409,7 +432,9 @@
                 tasks=len(worker.allocations), moved=len(movable),
             )  # fmt: skip
             for allocation in movable:
-                self.cell.stop(allocation.step, allocation.task)
+                self.cell.stop(
+                    allocation.step, allocation.task, stop_causes.StopCause.SLOW_WORKER
+                )
 
 
 def _to_ms(seconds: float) -> int:
--- a/toucanspring/coordinator/metered.py
+++ b/toucanspring/coordinator/metered.py
@@ -6,7 +6,7 @@
 from typing import TypeVar
 
 from toucanspring import errors, metrics, uptime
-from toucanspring.coordinator import ports
+from toucanspring.coordinator import ports, stop_causes
 
 DONE = "done"
 Answer = TypeVar("Answer")
@@ -36,6 +36,14 @@
         self._starts = registry.counter(
             "toucanspring_runs_placed_total", "Runs whose intent is durable"
         )
+        self._stops = registry.counter(
+            "toucanspring_runs_stopped_total",
+            "Runs that ended since the coordinator stopped them, by cause",
+        )
+        self._lost_core_seconds = registry.counter(
+            "toucanspring_stopped_core_seconds_total",
+            "Work of stopped runs that no checkpoint holds, by cause",
+        )
         self._gauges = registry.gauge(
             "toucanspring_coordinator", "State of this process by name"
         )
@@ -59,6 +67,13 @@
         if starts:
             self._starts.add({}, starts)
 
+    def count_stops(self, counts: stop_causes.StopCounts) -> None:
+        """Count the runs that ended since they were stopped."""
+        for cause, count in counts.runs.items():
+            self._stops.add({"cause": cause.value}, count)
+        for cause, core_s in counts.lost_core_s.items():
+            self._lost_core_seconds.add({"cause": cause.value}, core_s)
+
     def set_gauges(self, values: dict[str, float]) -> None:
         """Set the gauges to the given values by name."""
         for name, value in values.items():
--- a/toucanspring/coordinator/preemption.py
+++ b/toucanspring/coordinator/preemption.py
@@ -5,7 +5,7 @@
 import logbook
 
 from toucanspring import log as structured
-from toucanspring.coordinator import cell_state, state, workers
+from toucanspring.coordinator import cell_state, state, stop_causes, workers
 
 log = logbook.Logger(__name__)
 
@@ -40,7 +40,10 @@
 
 
 def preempt(
-    cell: cell_state.CellState, allocation: workers.Allocation, step_run: state.StepRun
+    cell: cell_state.CellState,
+    allocation: workers.Allocation,
+    step_run: state.StepRun,
+    cause: stop_causes.StopCause,
 ) -> None:
     """Stop a task for a more urgent step; it goes on from its checkpoint, if any."""
     task = allocation.task
@@ -49,7 +52,7 @@
         worker=task.worker, percent=task.percent, step=step_run.id,
     )  # fmt: skip
     task.preemptions += 1
-    cell.stop(allocation.step, allocation.task)
+    cell.stop(allocation.step, allocation.task, cause)
 
 
 def find_cheap(allocation: workers.Allocation) -> int | None:
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -119,10 +119,7 @@
             task.phase = state.TaskPhase.RUNNING
             task.started_at = task.started_at or now
             task.confirmed_at = now
-            if allocation.step.job.is_final or cell.is_gang_broken(
-                allocation.step, task
-            ):
-                cell.stop(allocation.step, task)
+            cell.stop_unwanted(allocation.step, task)
     worker.unknown_tasks = unknown_tasks
 
 
@@ -163,6 +160,7 @@
     )
     if end.outcome == DONE:
         stragglers.record_completion(worker, workers.Allocation(step_run, task), now)
+    _count_stop(cell, step_run, task, end, now)
     cell.release(step_run, task)
     if end.outcome == DONE:
         worker.record_success()
@@ -185,6 +183,22 @@
     return True
 
 
+def _count_stop(
+    cell: cell_state.CellState,
+    step_run: state.StepRun,
+    task: state.Task,
+    end: ports.EndedTask,
+    now: float,
+) -> None:
+    """Count a run that ended since it was stopped."""
+    if task.phase is not state.TaskPhase.STOPPING or end.outcome in (DONE, FAILED):
+        return
+    ran_s = now - task.started_at if task.started_at else 0.0
+    core_s = ran_s * step_run.step.demand.cpus / 1000
+    saved = bool(end.checkpoint) and not step_run.job.is_final
+    cell.stop_counts.record(task.stop_cause, core_s, saved)
+
+
 def _fails_everywhere(
     record: state.JobRecord, worker: workers.Worker, now: float
 ) -> bool:
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -425,6 +425,7 @@
             self._options.max_lease_ms,
             self._failover.report_write_failure,
             self._meters.count_round,
+            self._meters.count_stops,
         )
         self._members.coordinates = True
         self._elected_event.set()
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -6,7 +6,7 @@
 import enum
 
 from toucanspring import errors, resources
-from toucanspring.coordinator import catalogue, job_specs, ports, rows
+from toucanspring.coordinator import catalogue, job_specs, ports, rows, stop_causes
 
 
 class TaskPhase(enum.Enum):
@@ -64,6 +64,7 @@
     preemptions: int = 0
     times_stuck: int = 0
     resumed: bool = False  # this run started from a checkpoint
+    stop_cause: stop_causes.StopCause | None = None  # of the latest stop
     sampled_at: float = 0.0  # latest progress sample for the speed of the worker
     sampled_percent: int = 0
 
