Order approval requests with aging, hold and renew for waiting gangs

Cause: the dispatcher sent the cheapest request first, so that the widest waited for ever beside narrower ones. A gang was placed on the workers with the most room, with or without tickets, and these changed with each task that started or ended; nothing kept them while the approval was in flight. Change: requests are ordered by a fixed time to send them (approval_queue), long ones are divided over free callers; a gang starts where it has tickets, holds the workers whose tickets are on their way for 3 s at most, renews tickets of reserved workers ahead of their expiry, and has others avoid workers where it can preempt nothing. Tasks take workers that gangs reserve last. The learned share is weighted by the workers asked for.

--- a/test/test_approval_dispatcher.py
+++ b/test/test_approval_dispatcher.py
@@ -5,7 +5,7 @@
 
 from test import coordinator_case as case
 from test import test_coordinator_processes as processes
-from toucanspring import uptime
+from toucanspring import errors, uptime
 from toucanspring.coordinator import approval_dispatcher, plans, state
 
 JOB = "0" * 16
@@ -102,3 +102,104 @@
         dispatcher._free_caller = lambda cost_s: calls.append(1) or find(cost_s)
         dispatcher._dispatch()
         self.assertLessEqual(len(calls), 2)
+
+
+class DivisionTest(testtools.TestCase):
+    """A wide request that several callers answer together."""
+
+    NAMES = tuple(f"p{number}" for number in range(12))
+
+    def setUp(self):
+        super().setUp()
+        network = processes.Network()
+        self.approvals, self.replied = {}, []
+        for name in self.NAMES:
+            peers = network.join(name)
+            peers.targets = {other: 0 for other in self.NAMES if other != name}
+            self.approvals[name] = processes.Approvals()
+            dispatcher = approval_dispatcher.ApprovalDispatcher(
+                processes.Kernel(peers), self.approvals[name], self.replied.append
+            )
+            peers.handle(approval_dispatcher.METHOD, dispatcher.serve)
+            if name == "p0":
+                self.dispatcher = dispatcher
+
+    def request(self, workers=60, **changes):
+        cell = case.new_cell()
+        cell.accept(case.job(JOB), 1.0)
+        run = cell.jobs[JOB].steps[0, 0]
+        run.approval_pending = True
+        names = tuple(f"w{number}" for number in range(workers))
+        cost_s = 0.3 + 0.005 * workers
+        return plans.ApprovalRequest(
+            run, names, cost_s, 1, 2.5, per_worker_s=0.005, **changes
+        )
+
+    def wait_for_end(self, request):
+        with gevent.Timeout(5.0, AssertionError("no answer")):
+            while request.step.approval_pending:
+                gevent.sleep(0.005)
+
+    def test_the_answers_of_all_calls_count(self):
+        """Guards against workers without an answer, and an answer taken for the last.
+
+        A step that may ask again before all answers asks for the same workers twice.
+        """
+        pending = []
+        request = self.request()
+        self.dispatcher._on_reply = lambda part: pending.append(
+            part.step.approval_pending
+        )
+        self.dispatcher.submit(request)
+        calls = len(self.dispatcher._in_flight)
+        self.assertGreater(calls, 1)
+        self.assertLessEqual(calls, len(self.NAMES) / 2)
+        self.wait_for_end(request)
+        self.assertEqual([True] * (calls - 1) + [False], pending)
+        self.assertEqual(set(request.workers), set(request.step.allowed))
+        self.assertEqual({}, self.dispatcher._in_flight)
+
+    def test_a_failed_call_leaves_the_answers_of_the_others(self):
+        """Guards against a caller that is lost and takes all answers with it."""
+        failing = self.approvals["p1"]
+        failing.failure = errors.Unavailable(reason="busy")
+        request = self.request()
+        self.dispatcher.submit(request)
+        calls = len(self.dispatcher._in_flight)
+        self.wait_for_end(request)
+        known = len(request.step.allowed)
+        self.assertEqual(len(request.workers) * (calls - 1) // calls, known)
+        self.assertGreater(request.step.approval_retry_at, 0.0)
+
+    def test_more_workers_than_a_call_takes_are_asked_for_in_turn(self):
+        """Guards against a request that never ends where only one caller is left."""
+        self.dispatcher._kernel.find("peers").targets.clear()
+        self.approvals["p0"].ask = lambda *_request: {}["absent"]
+        request = self.request(workers=150)
+        self.dispatcher.submit(request)
+        self.wait_for_end(request)
+        self.assertEqual({}, self.dispatcher._in_flight)
+
+    def test_one_request_takes_no_callers_that_others_wait_for(self):
+        """Guards against a wide request that delays those behind it."""
+        requests = [self.request() for _ in range(12)]
+        for request in requests:
+            self.dispatcher.submit(request)
+        long = len(self.dispatcher._in_flight)
+        most = len(self.NAMES) - approval_dispatcher.CALLERS_FOR_SHORT_REQUESTS
+        self.assertLessEqual(long, most)
+        for request in requests:
+            self.wait_for_end(request)
+            self.assertEqual(set(request.workers), set(request.step.allowed))
+
+    def test_an_optional_request_is_dropped_without_a_free_caller(self):
+        """Guards against renewals that delay first requests, and against steps that
+        wait for the answer to a request that was dropped.
+        """
+        for _ in range(12):
+            self.dispatcher.submit(self.request())
+        optional = self.request(is_optional=True)
+        self.dispatcher.submit(optional)
+        self.assertFalse(optional.step.approval_pending)
+        self.assertGreater(optional.step.approval_retry_at, 0.0)
+        self.assertEqual(1, self.dispatcher.measure()["approvals_dropped"])
--- a/toucanspring/coordinator/approval_dispatcher.py
+++ b/toucanspring/coordinator/approval_dispatcher.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
+import collections
+import dataclasses
 from collections.abc import Callable
 
 import gevent
@@ -17,7 +17,7 @@
 
 from toucanspring import errors, uptime
 from toucanspring import log as structured
-from toucanspring.coordinator import plans, ports
+from toucanspring.coordinator import approval_queue, plans, ports
 
 log = logbook.Logger(__name__)
 
@@ -29,7 +29,10 @@
 LONG_REQUEST_S = 0.1
 CALLERS_FOR_SHORT_REQUESTS = 2
 RETRY_DELAY_S = 0.25  # after a failed request
+LOGGED_WAIT_S = 0.25  # a request that waited for a caller for longer is logged
 LOCAL = ""
+# Of the free callers, the part over which one request may be divided.
+MAX_FRACTION_FOR_ONE_REQUEST = 0.5
 
 
 class RelayedRequest(msgspec.Struct, array_like=True):
@@ -40,10 +43,21 @@
     timeout_s: float
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _Division:
+    """The calls of one request: those without an answer, and the sum of the others."""
+
+    calls: int
+    unanswered: int
+    asked: int = 0
+    allowed: int = 0
+
+
 class ApprovalDispatcher:
-    """Assigns queued requests to free callers, by priority, then the shortest first.
+    """Assigns queued requests to free callers, in the order of `ApprovalQueue`.
 
-    Requests of jobs that have ended are dropped.
+    Wide requests are divided over several callers while these are free. Requests of
+    jobs that have ended are dropped.
     """
 
     def __init__(
@@ -55,9 +69,10 @@
         self._kernel = kernel
         self._approvals = approvals
         self._on_reply = on_reply
-        self._short: list[tuple[int, float, int, plans.ApprovalRequest]] = []
-        self._long: list[tuple[int, float, int, plans.ApprovalRequest]] = []
-        self._sequence = itertools.count()
+        self._short = approval_queue.ApprovalQueue()
+        self._long = approval_queue.ApprovalQueue()
+        self._counts: collections.Counter[str] = collections.Counter()
+        self._longest_wait_s = 0.0
         # Caller -> expected duration of its request in seconds.
         self._in_flight: dict[str, float] = {}
         self._retry_at: dict[str, float] = {}  # caller -> when it may be tried again
@@ -70,13 +85,41 @@
         self._long.clear()
 
     def submit(self, request: plans.ApprovalRequest) -> None:
-        """Queue a request; it is sent once a caller is free."""
-        heapq.heappush(
-            self._long if request.cost_s > LONG_REQUEST_S else self._short,
-            (request.priority, request.cost_s, next(self._sequence), request),
-        )
+        """Queue a request; it is sent once a caller is free.
+
+        An optional request is dropped unless one is free now.
+        """
+        now = uptime.now()
+        queue = self._long if request.cost_s > LONG_REQUEST_S else self._short
+        if request.is_optional and (
+            queue.first() is not None or self._free_caller(request.cost_s) is None
+        ):
+            self._counts["dropped"] += 1
+            structured.decide(
+                log, "approval_dropped", step=request.step.id,
+                workers=len(request.workers), waiting=len(queue),
+            )  # fmt: skip
+            request.step.approval_pending = False
+            request.step.approval_retry_at = now + RETRY_DELAY_S
+            return
+        queue.add(request, now)
         self._dispatch()
 
+    def measure(self) -> dict[str, float]:
+        """Return the gauges of the requests that this process has handled, by name.
+
+        The longest wait is that of the requests sent since the last call.
+        """
+        longest_wait_s, self._longest_wait_s = self._longest_wait_s, 0.0
+        return {
+            "approvals_waiting": len(self._short) + len(self._long),
+            "approvals_in_flight": len(self._in_flight),
+            "approvals_longest_wait_seconds": longest_wait_s,
+            "approvals_sent": self._counts["sent"],
+            "approvals_divided": self._counts["divided"],
+            "approvals_dropped": self._counts["dropped"],
+        }
+
     def serve(self, _sender: str, body: bytes) -> bytes | errors.Failure:
         """Send a request on behalf of the coordinator and return the reply."""
         relayed = msgspec.msgpack.decode(body, type=RelayedRequest)
@@ -88,21 +131,59 @@
     def _dispatch(self) -> None:
         # A short request may find a caller while the long ones wait for one.
         for waiting in (self._short, self._long):
-            while waiting:
-                request = waiting[0][-1]
-                if request.step.job.is_final:
-                    heapq.heappop(waiting)
-                    continue
+            while (request := waiting.first()) is not None:
                 caller = self._free_caller(request.cost_s)
                 if caller is None:
                     break
-                heapq.heappop(waiting)
-                self._in_flight[caller] = request.cost_s
-                self._calls.spawn(self._send, caller, request)
+                _, waited_s = waiting.pop(uptime.now())
+                self._start_calls(request, caller, waited_s)
         if (self._short or self._long) and not self._in_flight and self._retry is None:
             # No reply follows that would dispatch the rest.
             self._retry = gevent.spawn_later(RETRY_DELAY_S, self._dispatch_later)
 
+    def _start_calls(
+        self, request: plans.ApprovalRequest, caller: str, waited_s: float
+    ) -> None:
+        """Send a request through a caller, and others if that shortens the answer."""
+        callers = [caller]
+        self._in_flight[caller] = request.cost_s
+        most = 1
+        if request.cost_s > LONG_REQUEST_S and self._long.first() is None:
+            most = int(MAX_FRACTION_FOR_ONE_REQUEST * self._count_free_callers())
+        calls = approval_queue.count_calls(request, most)
+        while len(callers) < calls:
+            other = self._free_caller(request.cost_s)
+            if other is None:
+                break
+            self._in_flight[other] = request.cost_s
+            callers.append(other)
+        calls = approval_queue.count_calls(request, len(callers))
+        parts = approval_queue.split(request, calls)
+        self._counts["sent"] += 1
+        self._counts["divided"] += calls > 1
+        self._longest_wait_s = max(self._longest_wait_s, waited_s)
+        if calls > 1 or waited_s >= LOGGED_WAIT_S:
+            structured.decide(
+                log, "approval_sent", step=request.step.id,
+                workers=len(request.workers), calls=calls, callers=len(callers),
+                queued_s=round(waited_s, 3), step_waited_s=round(request.waited_s, 2),
+                slack_s=round(request.slack_s, 2), waiting=len(self._long),
+            )  # fmt: skip
+        division = _Division(calls, calls)
+        for number, name in enumerate(callers):
+            # With fewer callers than calls, each sends its calls one after the other.
+            own = parts[number :: len(callers)]
+            self._in_flight[name] = sum(each.cost_s for each in own)
+            self._calls.spawn(self._send, name, own, division)
+
+    def _count_free_callers(self) -> int:
+        now = uptime.now()
+        callers = [LOCAL, *self._kernel.find("peers").connected()]
+        return sum(
+            name not in self._in_flight and self._retry_at.get(name, 0.0) <= now
+            for name in callers
+        )
+
     def _dispatch_later(self) -> None:
         self._retry = None
         self._dispatch()
@@ -127,16 +208,34 @@
             free.remove(LOCAL)
         return free[0] if free else None
 
-    def _send(self, caller: str, request: plans.ApprovalRequest) -> None:
+    def _send(
+        self, caller: str, parts: list[plans.ApprovalRequest], division: _Division
+    ) -> None:
+        try:
+            self._send_part(caller, parts[0], division, is_last_of_caller=not parts[1:])
+        finally:
+            if parts[1:]:
+                self._send(caller, parts[1:], division)
+
+    def _send_part(
+        self,
+        caller: str,
+        part: plans.ApprovalRequest,
+        division: _Division,
+        *,
+        is_last_of_caller: bool = False,
+    ) -> None:
         sent_at = uptime.now()
         answer: dict[str, str] | errors.Failure = errors.Ambiguous(
             reason="the call raised an exception"
         )
         try:
-            answer = self._ask(caller, request)
+            answer = self._ask(caller, part)
         finally:
-            self._in_flight.pop(caller, None)
-            self._record_answer(caller, request, answer, sent_at)
+            if is_last_of_caller:
+                self._in_flight.pop(caller, None)
+            division.unanswered -= 1
+            self._record_answer(caller, part, answer, sent_at, division)
 
     def _ask(
         self, caller: str, request: plans.ApprovalRequest
@@ -162,25 +261,32 @@
         request: plans.ApprovalRequest,
         answer: dict[str, str] | errors.Failure,
         sent_at: float,
+        division: _Division,
     ) -> None:
         now = uptime.now()
+        is_last = not division.unanswered
         if isinstance(answer, errors.Failure):
             structured.decide(
                 log, "approval_failed", step=request.step.id, caller=caller or "self",
                 reason=answer.reason, after_s=round(now - sent_at, 3),
             )  # fmt: skip
             self._retry_at[caller] = now + RETRY_DELAY_S
-            request.step.approval_pending = False
+            if is_last:
+                request.step.approval_pending = False
             request.step.approval_retry_at = now + RETRY_DELAY_S
             gevent.spawn_later(RETRY_DELAY_S, self._dispatch)
         else:
+            # The answer may have been on its way for long after the decision.
+            decided_at = min(now, sent_at + request.cost_s)
+            expires_at = decided_at + request.validity_s
+            plans.record_approvals(request, answer, expires_at, is_last=is_last)
+            division.asked += len(request.workers)
+            division.allowed += len(answer)
+        if is_last and division.asked:
             structured.decide(
                 log, "approval_answered", step=request.step.id,
-                asked=len(request.workers), allowed=len(answer),
+                asked=division.asked, allowed=division.allowed, calls=division.calls,
                 caller=caller or "self", after_s=round(now - sent_at, 3),
             )  # fmt: skip
-            # The answer may have been on its way for long after the decision.
-            decided_at = min(now, sent_at + request.cost_s)
-            plans.record_approvals(request, answer, decided_at + request.validity_s)
         self._on_reply(request)
         self._dispatch()
--- /dev/null
+++ b/toucanspring/coordinator/approval_queue.py
@@ -0,0 +1,112 @@
+"""Order of requests to the approval service and their division into calls.
+
+Does no I/O and reads no clock.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import itertools
+import math
+
+from toucanspring.coordinator import plans
+
+# Time that its step has waited before, of which a request gets credit for at most this
+# much. With the bounds below, a request can be passed only by those that are submitted
+# within the next 8 s, so none waits for ever.
+MAX_CREDIT_S = 3.0
+# The patience of a request grows with each of these, so that it is sent later than
+# requests submitted at the same time.
+PRIORITY_PATIENCE_S = 1.0  # for each priority below the top one
+MAX_PRIORITIES = 2
+MAX_SLACK_PATIENCE_S = 1.0
+SLACK_PATIENCE_SHARE = 0.5
+MAX_COST_PATIENCE_S = 1.0
+# Requests of late steps come behind all others with the same priority and cost, since
+# most of the value of these steps is lost.
+LATE_PATIENCE_S = 2.0
+TOP_PRIORITY = 0
+MAX_WORKERS_PER_CALL = 100  # limit of the service
+MIN_WORKERS_PER_CALL = 10
+# One more call has to bring the answer forward by this much.
+MIN_SAVING_S = 0.02
+
+
+def send_by(request: plans.ApprovalRequest, now: float) -> float:
+    """Return the time that orders a request among others; it never changes.
+
+    The request is submitted at `now`. All ranks improve at the same rate while time
+    passes, so fixed times give the same order as a rank that ages.
+    """
+    patience_s = PRIORITY_PATIENCE_S * min(request.priority, MAX_PRIORITIES)
+    patience_s += min(request.cost_s, MAX_COST_PATIENCE_S)
+    slack_s = max(0.0, request.slack_s)
+    patience_s += min(SLACK_PATIENCE_SHARE * slack_s, MAX_SLACK_PATIENCE_S)
+    if request.slack_s < 0 and request.priority > TOP_PRIORITY:
+        patience_s += LATE_PATIENCE_S
+    return now - min(request.waited_s, MAX_CREDIT_S) + patience_s
+
+
+class ApprovalQueue:
+    """Waiting requests; those of jobs that have ended are dropped."""
+
+    def __init__(self) -> None:
+        self._waiting: list[tuple[float, int, float, plans.ApprovalRequest]] = []
+        self._sequence = itertools.count()
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def add(self, request: plans.ApprovalRequest, now: float) -> None:
+        """Add a request that is submitted at `now`."""
+        entry = (send_by(request, now), next(self._sequence), now, request)
+        heapq.heappush(self._waiting, entry)
+
+    def first(self) -> plans.ApprovalRequest | None:
+        """Return the request to send next, without removing it."""
+        while self._waiting:
+            request = self._waiting[0][-1]
+            if not request.step.job.is_final:
+                return request
+            heapq.heappop(self._waiting)
+        return None
+
+    def pop(self, now: float) -> tuple[plans.ApprovalRequest, float] | None:
+        """Remove the request to send next; return it and how long it has waited."""
+        if self.first() is None:
+            return None
+        _, _, submitted_at, request = heapq.heappop(self._waiting)
+        return request, now - submitted_at
+
+    def clear(self) -> None:
+        """Remove all requests."""
+        self._waiting.clear()
+
+
+def count_calls(request: plans.ApprovalRequest, callers: int) -> int:
+    """Return over how many calls to divide a request that `callers` are free for."""
+    named = len(request.workers)
+    calls = max(1, math.ceil(named / MAX_WORKERS_PER_CALL))
+    while (
+        calls < callers
+        and named >= MIN_WORKERS_PER_CALL * (calls + 1)
+        and request.per_worker_s
+        * (math.ceil(named / calls) - math.ceil(named / (calls + 1)))
+        >= MIN_SAVING_S
+    ):
+        calls += 1
+    return calls
+
+
+def split(request: plans.ApprovalRequest, calls: int) -> list[plans.ApprovalRequest]:
+    """Return the parts of a request, one for each call, of about the same size."""
+    if calls <= 1:
+        return [request]
+    parts = []
+    for number in range(calls):
+        names = request.workers[number::calls]
+        omitted = len(request.workers) - len(names)
+        cost_s = request.cost_s - request.per_worker_s * omitted
+        parts.append(dataclasses.replace(request, workers=names, cost_s=cost_s))
+    return parts
--- a/toucanspring/coordinator/approvals.py
+++ b/toucanspring/coordinator/approvals.py
@@ -20,6 +20,8 @@
 )
 
 MAX_WORKERS_PER_REQUEST = 100
+# A gang that needs more would ask again at once; the dispatcher divides its request.
+MAX_WORKERS_PER_GANG_REQUEST = 200
 # Smaller requests save little, and some of the workers may fail.
 MIN_WORKERS_PER_REQUEST = 10
 # Workers without room are named only up to this number; they may have room soon.
@@ -39,6 +41,7 @@
 
     wanted: float
     share: float
+    limit: int = MAX_WORKERS_PER_REQUEST
     names: list[str] = dataclasses.field(default_factory=list)
     slots: float = 0.0
 
@@ -46,7 +49,7 @@
     def is_enough(self) -> bool:
         """Return whether the request needs no further worker."""
         count = len(self.names)
-        return count >= MAX_WORKERS_PER_REQUEST or (
+        return count >= self.limit or (
             count >= MIN_WORKERS_PER_REQUEST and self.slots >= self.wanted
         )
 
@@ -79,7 +82,7 @@
         choice = self._begin(step_run, self.share(queue.name).value)
         full: list[workers.Worker] = []
         is_gang = step_run.step.gang
-        max_without_room = MAX_WORKERS_PER_REQUEST if is_gang else MAX_WITHOUT_ROOM
+        max_without_room = choice.limit if is_gang else MAX_WITHOUT_ROOM
         first, visited = self._next.get(queue.pool, 0), 0
         for worker in _in_turn(step_run, candidates, first):
             if choice.is_enough:
@@ -136,8 +139,6 @@
         has_room = False
         first = self._next.get(queue.pool, 0)
         for worker in _in_turn(step_run, candidates, first):
-            if choice.is_enough:
-                break
             if not worker.has_room(demand):
                 continue
             if not placement.is_eligible(step_run, worker):
@@ -145,6 +146,8 @@
             has_room = True
             if worker.id not in step_run.allowed:
                 choice.add(worker, placement.count_slots(step_run, worker))
+                if choice.is_enough:
+                    break
         if not has_room and plan is not None:
             plan.record_full(key, demand)
         return choice.names
@@ -153,7 +156,7 @@
         self, step_run: state.StepRun, approved: Iterable[workers.Worker]
     ) -> list[str]:
         """Return approved workers whose tickets are to be renewed."""
-        choice = _Choice(SPARE_FACTOR * len(step_run.waiting), 1.0)
+        choice = _Choice(SPARE_FACTOR * len(step_run.waiting), 1.0, _limit(step_run))
         for worker in approved:
             if choice.is_enough:
                 break
@@ -169,6 +172,8 @@
         names: list[str],
         plan: plans.Plan,
         now: float,
+        *,
+        is_optional: bool = False,
     ) -> None:
         """Request approval of workers, unless a request is pending or must wait."""
         if (
@@ -178,17 +183,21 @@
         ):
             return
         step_run.approval_pending = True
-        names = names[:MAX_WORKERS_PER_REQUEST]
+        names = names[: _limit(step_run)]
         is_first = all(name not in step_run.allowed for name in names)
-        cost_s = queue.approval.decision_s + queue.approval.per_worker_s * len(names)
+        slack_s = step_run.job.due_at - now - step_run.step.estimate_ms / 1000
         plan.approval_requests.append(
             plans.ApprovalRequest(
                 step_run,
                 tuple(names),
-                cost_s,
+                answer_s(queue.approval, len(names)),
                 queue.priority,
                 queue.approval.validity_s,
                 self.share(queue.name) if is_first else None,
+                queue.approval.per_worker_s,
+                now - step_run.ready_at,
+                slack_s,
+                is_optional,
             )
         )
 
@@ -209,7 +218,17 @@
     @staticmethod
     def _begin(step_run: state.StepRun, share: float) -> _Choice:
         spare = GANG_SPARE_FACTOR if step_run.step.gang else SPARE_FACTOR
-        return _Choice(spare * len(step_run.waiting), share)
+        return _Choice(spare * len(step_run.waiting), share, _limit(step_run))
+
+
+def answer_s(approval: catalogue.Approval, count: int) -> float:
+    """Return how long the service takes for one call that names `count` workers."""
+    return approval.decision_s + approval.per_worker_s * count
+
+
+def _limit(step_run: state.StepRun) -> int:
+    is_gang = step_run.step.gang
+    return MAX_WORKERS_PER_GANG_REQUEST if is_gang else MAX_WORKERS_PER_REQUEST
 
 
 def _in_turn(
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -23,10 +23,22 @@
 PREEMPT_AFTER_S = 1.5
 # A gang preempts only if its slack to the deadline is positive and below this.
 MAX_PREEMPTING_SLACK_S = 4.0
+# A blocked gang that cannot reserve workers, since tasks that it may not preempt run
+# there, has others avoid as many workers as it needs after this time.
+DRAIN_AFTER_S = 0.8
 # A gang keeps its reserved workers for this long.
 RESERVATION_S = 3.0
 MAX_RESERVING_GANGS = 3
 GANG_RETRY_S = 0.2  # until a gang that could reserve nothing tries again
+# A gang holds the workers that it was placed on while it waits for their tickets, but
+# not for longer than this, since the service may be slow; then it pauses.
+MAX_HOLD_S = 3.0
+HOLD_PAUSE_S = 1.0
+# Of all workers; the oldest hold counts also above it.
+MAX_HELD_FRACTION = 0.5
+# Added to the time of an answer when tickets are renewed ahead of their expiry, for
+# the queue of the service and the network.
+RENEWAL_SLACK_S = 0.3
 
 
 class PlannerInterface(Protocol):
@@ -72,6 +84,28 @@
         self._cell = cell
         self._planner = planner
         self._approvals = requests
+        # Gangs that hold or reserve workers, by step ID, the oldest first.
+        self._keeping: dict[str, state.StepRun] = {}
+
+    def begin_round(self, plan: plans.Plan, now: float) -> None:
+        """Keep the workers that gangs have held or reserved since earlier rounds."""
+        most = MAX_HELD_FRACTION * len(self._cell.workers)
+        for name, step_run in list(self._keeping.items()):
+            if step_run.job.is_final or len(step_run.waiting) < step_run.step.count:
+                step_run.held = frozenset()
+                del self._keeping[name]
+                continue
+            if step_run.held and now >= step_run.held_since + MAX_HOLD_S:
+                _record(plan, plans.GANG_HOLD_ENDED, step_run, len(step_run.held))
+                step_run.held = frozenset()
+            if plan.reserved and len(plan.reserved | step_run.held) > most:
+                step_run.held = frozenset()
+            plan.reserved |= step_run.held
+            plan.kept |= step_run.held
+            if now < step_run.reserved_until:
+                plan.kept |= step_run.reserved
+            elif not step_run.held:
+                del self._keeping[name]
 
     def plan(
         self,
@@ -100,12 +134,14 @@
         open_workers = [
             worker
             for worker in allowed
-            if worker.id not in plan.reserved and not worker.is_paused(now)
+            if (worker.id not in plan.reserved or worker.id in step_run.held)
+            and not worker.is_paused(now)
         ]
-        chosen = placement.place_gang(step_run, open_workers, {})
+        chosen = self._place(step_run, queue, open_workers, now)
         if chosen is None and held_back:
             chosen = placement.place_gang(step_run, allowed, {})
         if chosen is None:
+            step_run.held = frozenset()
             plan.record_wait(step_run, plans.NO_ROOM)
             self._planner.request_further(step_run, queue, held_back, plan, now)
             if now - step_run.ready_at >= RESERVE_AFTER_S:
@@ -120,11 +156,14 @@
         if missing:
             plan.record_wait(step_run, plans.AWAITING_APPROVAL)
             # Others too, since capacity may change before the reply. The missing ones
-            # come first, since the size of a request is limited.
-            named = dict.fromkeys([*missing, *open_workers])
+            # come first, since the size of a request is limited, and then the other
+            # chosen ones, so that the tickets of all members are valid together.
+            placed = [worker for worker, _ in chosen]
+            named = dict.fromkeys([*missing, *placed, *open_workers])
             names = self._approvals.choose_again(step_run, named)
             self._approvals.request(step_run, queue, names, plan, now)
-            plan.reserved.update(worker.id for worker, _ in chosen)
+            plan.reserved.update(worker.id for worker in placed)
+            self._hold(step_run, placed, plan, now)
             return
         run_number = max(task.run for task in step_run.tasks) + 1
         indices = iter(sorted(step_run.waiting))
@@ -135,6 +174,71 @@
                     step_run, task, worker, run_number, queue, plan, now
                 )
 
+    def _place(
+        self,
+        step_run: state.StepRun,
+        queue: catalogue.Queue,
+        open_workers: list[workers.Worker],
+        now: float,
+    ) -> list[tuple[workers.Worker, int]] | None:
+        """Place a gang, if possible where it has tickets, else where it holds workers.
+
+        The workers with the most room change with each task that starts or ends. A gang
+        that is placed on these lacks a ticket again after each answer.
+        """
+        if queue.approval is not None:
+            with_ticket = [
+                worker
+                for worker in open_workers
+                if self._approvals.ticket(step_run, queue, worker.id, now) is not None
+            ]
+            held = [worker for worker in open_workers if worker.id in step_run.held]
+            for preferred in (with_ticket, held):
+                chosen = placement.place_gang(step_run, preferred, {})
+                if chosen is not None:
+                    return chosen
+        return placement.place_gang(step_run, open_workers, {})
+
+    def _hold(
+        self,
+        step_run: state.StepRun,
+        placed: list[workers.Worker],
+        plan: plans.Plan,
+        now: float,
+    ) -> None:
+        """Hold the workers that a gang was placed on until their tickets arrive."""
+        if now >= step_run.held_since + MAX_HOLD_S + HOLD_PAUSE_S:
+            step_run.held_since = now
+        if now >= step_run.held_since + MAX_HOLD_S:
+            return
+        if not step_run.held:
+            _record(plan, plans.GANG_HELD, step_run, len(placed))
+        step_run.held = frozenset(worker.id for worker in placed)
+        self._keeping[step_run.id] = step_run
+
+    def _renew_tickets(
+        self,
+        step_run: state.StepRun,
+        queue: catalogue.Queue,
+        chosen: list[tuple[workers.Worker, int]],
+        plan: plans.Plan,
+        now: float,
+    ) -> None:
+        """Renew tickets of reserved workers if a renewal takes until their expiry."""
+        if queue.approval is None or step_run.approval_pending:
+            return
+        lead_s = approvals.answer_s(queue.approval, len(chosen)) + RENEWAL_SLACK_S
+        if all(
+            self._approvals.ticket(step_run, queue, worker.id, now + lead_s) is not None
+            for worker, _ in chosen
+        ):
+            return
+        names = [worker.id for worker, _ in chosen]
+        requested = len(plan.approval_requests)
+        self._approvals.request(step_run, queue, names, plan, now, is_optional=True)
+        if len(plan.approval_requests) > requested:
+            _record(plan, plans.GANG_TICKETS_RENEWED, step_run, len(names))
+
     @staticmethod
     def _align_checkpoints(step_run: state.StepRun) -> None:
         """Set the latest checkpoint for all members; it is valid for each of them."""
@@ -161,10 +265,14 @@
         }
         chosen = self._choose_reservation(step_run, open_workers, victims, now)
         if chosen is None:
+            if now - step_run.ready_at >= DRAIN_AFTER_S:
+                self._drain(step_run, queue, open_workers, plan, now)
             self._planner.block(step_run, now, GANG_RETRY_S)
             return
         plan.reserving_gangs += 1
         plan.reserved.update(worker.id for worker, _ in chosen)
+        self._keeping[step_run.id] = step_run
+        self._renew_tickets(step_run, queue, chosen, plan, now)
         slack_s = step_run.job.due_at - now - step_run.step.estimate_ms / 1000
         waited_s = now - step_run.ready_at
         if waited_s < PREEMPT_AFTER_S or not 0 < slack_s < MAX_PREEMPTING_SLACK_S:
@@ -179,6 +287,35 @@
                 if allocation.task.phase is state.TaskPhase.RUNNING:
                     preemption.preempt(self._cell, allocation, step_run)
 
+    def _drain(
+        self,
+        step_run: state.StepRun,
+        queue: catalogue.Queue,
+        open_workers: list[workers.Worker],
+        plan: plans.Plan,
+        now: float,
+    ) -> None:
+        """Have tasks that fit elsewhere avoid workers until a gang has room there.
+
+        Nothing stays idle for it: tasks that fit nowhere else start there.
+        """
+        if now >= step_run.reserved_until:
+            chosen = placement.place_gang(
+                step_run,
+                sorted(open_workers, key=lambda worker: -worker.free().cpus),
+                {worker.id: worker.used for worker in open_workers},
+            )
+            if chosen is None:
+                return
+            step_run.reserved = frozenset(worker.id for worker, _ in chosen)
+            step_run.reserved_until = now + RESERVATION_S
+            _record(plan, plans.GANG_DRAINS, step_run, len(chosen))
+        plan.reserving_gangs += 1
+        plan.kept |= step_run.reserved
+        self._keeping[step_run.id] = step_run
+        reserved = [(each, 1) for each in open_workers if each.id in step_run.reserved]
+        self._renew_tickets(step_run, queue, reserved, plan, now)
+
     @staticmethod
     def _choose_reservation(
         step_run: state.StepRun,
@@ -204,3 +341,7 @@
             step_run.reserved = frozenset(worker.id for worker, _ in chosen)
             step_run.reserved_until = now + RESERVATION_S
         return chosen
+
+
+def _record(plan: plans.Plan, kind: str, step_run: state.StepRun, count: int) -> None:
+    plan.gang_decisions.append(plans.GangDecision(step_run, kind, count))
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import time
 from collections.abc import Callable
@@ -105,6 +106,7 @@
         self._jobs = table_cache.TableCache(store, rows.JOBS, self._on_job_row)
         self._retention = retention.Retention(self.cell, store, self._jobs, self.wake)
         self._housekeeping_at = 0.0
+        self._gang_decisions: collections.Counter[str] = collections.Counter()
         self._release_requested = False
         # Of the latest write, for the log.
         self._write_s = 0.0
@@ -201,6 +203,7 @@
             "workers": len(self.cell.workers),
             "workers_usable": len(usable),
             "lease_overdue_seconds": self._writer.overdue_s(now),
+            **{kind: self._gang_decisions[kind] for kind in plans.GANG_DECISIONS},
         }
 
     # For callers
@@ -326,6 +329,13 @@
                 tasks=len(wait.step.waiting),
                 since_s=round(now - wait.step.ready_at, 2),
             )  # fmt: skip
+        for decision in plan.gang_decisions:
+            self._gang_decisions[decision.kind] += 1
+            structured.decide(
+                log, decision.kind, step=decision.step.id, workers=decision.workers,
+                tasks=len(decision.step.waiting),
+                since_s=round(now - decision.step.ready_at, 2),
+            )  # fmt: skip
         stops, self.cell.stops[:] = list(self.cell.stops), []
         for stop in stops:
             self._dispatcher.stop(stop)
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -61,6 +61,7 @@
         plan = plans.Plan()
         self._available.begin_round(now)
         self._ceilings.begin_round()
+        self._gangs.begin_round(plan, now)
         over_share = self._find_over_share()
         steps = sorted(
             self._cell.ready.values(),
@@ -348,6 +349,7 @@
                 valid,
                 key=lambda worker: (
                     held_back and (worker.is_paused(now) or worker.id in plan.reserved),
+                    worker.id in plan.kept,
                     placement.rank(step_run, worker, worker.free()),
                 ),
             )
--- a/toucanspring/coordinator/plans.py
+++ b/toucanspring/coordinator/plans.py
@@ -20,7 +20,9 @@
 # Until the answers to a queue's requests show its own.
 FIRST_APPROVAL_SHARE = 0.5
 MIN_APPROVAL_SHARE = 0.1
+# Weight of an answer about so many workers.
 APPROVAL_SHARE_SMOOTHING = 0.1
+APPROVAL_SHARE_WORKERS = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,9 +45,10 @@
     value: float = FIRST_APPROVAL_SHARE
 
     def record(self, asked: int, approved: int) -> None:
-        """Record the answer to a request."""
+        """Record the answer to a request, weighted by the workers that it names."""
         if asked:
-            moved = APPROVAL_SHARE_SMOOTHING * (approved / asked - self.value)
+            kept = (1 - APPROVAL_SHARE_SMOOTHING) ** (asked / APPROVAL_SHARE_WORKERS)
+            moved = (1 - kept) * (approved / asked - self.value)
             self.value = max(MIN_APPROVAL_SHARE, self.value + moved)
 
 
@@ -59,6 +62,11 @@
     priority: int
     validity_s: float
     share: ApprovalShare | None = None  # of the queue; None for workers approved before
+    per_worker_s: float = 0.0  # part of `cost_s` for each worker
+    waited_s: float = 0.0  # since the step was ready
+    slack_s: float = 0.0  # to the deadline of the job, beyond the step's run time
+    # Dropped unless a caller is free, since the step gains little by it.
+    is_optional: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,6 +77,25 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GangDecision:
+    """Decision on the workers that a gang waits for, as logged and counted."""
+
+    step: state.StepRun
+    kind: str
+    workers: int
+
+
+# Kinds of decisions on gangs.
+GANG_HELD = "gang_held"  # workers are held while an approval is in flight
+GANG_HOLD_ENDED = "gang_hold_ended"  # by its bound
+GANG_DRAINS = "gang_drains"  # other tasks avoid workers for it
+GANG_TICKETS_RENEWED = "gang_tickets_renewed"  # renewal of reserved workers requested
+
+
+GANG_DECISIONS = (GANG_HELD, GANG_HOLD_ENDED, GANG_DRAINS, GANG_TICKETS_RENEWED)
+
+
 @dataclasses.dataclass(slots=True)
 class Plan:
     """Decisions of one round; resources for the starts are already allocated."""
@@ -78,7 +105,10 @@
     # Steps whose reason to wait has changed.
     waits: list[Wait] = dataclasses.field(default_factory=list)
     reserved: set[str] = dataclasses.field(default_factory=set)
+    # Reserved or held for gangs since earlier rounds: other tasks take them last.
+    kept: set[str] = dataclasses.field(default_factory=set)
     reserving_gangs: int = 0
+    gang_decisions: list[GangDecision] = dataclasses.field(default_factory=list)
     # Demands that fit no usable worker of a pool with a label, the smallest ones.
     full_for: dict[tuple[str, str], list[resources.Resources]] = dataclasses.field(
         default_factory=dict
@@ -106,8 +136,13 @@
     request: ApprovalRequest,
     tickets: dict[str, str],
     expires_at: float,
+    *,
+    is_last: bool = True,
 ) -> None:
-    """Store the reply of the approval service in the step."""
+    """Store the reply of the approval service in the step.
+
+    The step may ask again after the last of the replies to its request.
+    """
     step_run = request.step
     if request.share is not None:
         request.share.record(len(request.workers), len(tickets))
@@ -115,5 +150,6 @@
         step_run.allowed[name] = name in tickets
         if name in tickets:
             step_run.tickets[name] = ports.Ticket(tickets[name], expires_at)
-    step_run.approval_pending = False
+    if is_last:
+        step_run.approval_pending = False
     step_run.blocked_version = -1
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -154,6 +154,7 @@
                 UNKNOWN_VIEW_AGE_S, self._directory.age(uptime.now())
             ),
             "peers_connected": len(self._kernel.find("peers").connected()),
+            **self._approval_dispatcher.measure(),
         }
         return {**known, **(current.measure() if current is not None else {})}
 
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -100,6 +100,9 @@
     # Workers that are reserved for a gang.
     reserved: frozenset[str] = frozenset()
     reserved_until: float = 0.0
+    # Workers that a gang holds while it waits for their tickets.
+    held: frozenset[str] = frozenset()
+    held_since: float = float("-inf")
     # Latest progress rate of a task by worker ID, as a fraction of the task per second.
     task_rates: dict[str, float] = dataclasses.field(default_factory=dict)
 
