Learn the speeds of workers; place gangs on workers of one class

Cause: a gang is as fast as its slowest worker, but gangs were spread over workers of speed 0.7 and 1.7 alike.

Where workers are alike, placement is as before. bench.rounds has two loads with workers of unequal speed.

--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -8,7 +8,8 @@
 
 Loads: `calm`; `burst`, three times the rate of checks for 4 s; `zone`, a third of the
 workers out of service for half of the time; `outage`, no planning rounds for 4 s while
-jobs arrive.
+jobs arrive; `speeds`, workers of availability zone a have speed 1.7, the others 0.7;
+`kinds`, as `speeds` by a label of every third worker.
 """
 
 import collections
@@ -26,9 +27,10 @@
     ports,
     reports,
     state,
+    workers,
 )
 
-LOADS = ("calm", "burst", "zone", "outage")
+LOADS = ("calm", "burst", "zone", "outage", "speeds", "kinds")
 RUNS_PER_LOAD = 3  # with consecutive seeds
 DRAIN_S = 30.0  # time for jobs to end after the last arrival
 ROUND_S = 0.015  # a planning round and its durable write
@@ -40,6 +42,7 @@
 MAX_APPROVAL_CALLS = 8  # concurrent calls of the approval service
 RACK_SIZE = 8
 ZONES = ("a", "b", "c")
+FAST, SLOW = 1.7, 0.7  # speeds of workers
 WORTHLESS_AFTER = 3.0  # multiple of the target time after which a job has no value
 LATE_VALUE = 0.2  # fraction of the value of a job that ends late
 
@@ -54,11 +57,13 @@
     done_s: float  # work saved by a checkpoint
     total_s: float
     fails: bool
+    speed: float = 1.0
     stopping: bool = False
 
     def progress_s(self, now: float) -> float:
         """Return the completed work in seconds."""
-        return min(self.total_s, self.done_s + max(0.0, now - self.started_at))
+        ran_s = max(0.0, now - self.started_at)
+        return min(self.total_s, self.done_s + ran_s * self.speed)
 
 
 class Machine:
@@ -129,13 +134,33 @@
         rack = f"r{number // RACK_SIZE}"
         entry = ports.WorkerEntry(
             id=f"w{number}", pool=arrivals.POOL, address="x",
-            zone=ZONES[number // RACK_SIZE], rack=rack, labels=frozenset({rack}),
+            zone=ZONES[number // RACK_SIZE], rack=rack,
+            labels=frozenset({rack, "a" if number % 3 else "b"}),
             capacity=resources.Resources(32_000, 65_536, 0), incarnation=1,
         )  # fmt: skip
         machine = Machine(self.cell.register_worker(entry))
         self.machines[entry.id] = machine
         reports.apply_poll_reply(self.cell, machine.worker, machine.poll(0.0), 0.0, 0.0)
 
+    def _find_speed(self, step_run: state.StepRun, worker: workers.Worker) -> float:
+        """Return the speed of a task; members of a gang wait for the slowest."""
+        members = [worker]
+        if step_run.step.gang:
+            members += [
+                self.machines[task.worker].worker
+                for task in step_run.tasks
+                if task.worker
+            ]
+        return min(self._speed_of(each) for each in members)
+
+    def _speed_of(self, worker: workers.Worker) -> float:
+        if self.load not in ("speeds", "kinds"):
+            return 1.0
+        fast = "b" in worker.entry.labels
+        if self.load == "speeds":
+            fast = worker.entry.zone == "a"
+        return FAST if fast else SLOW
+
     def at(self, when: float, action) -> None:
         """Call `action(now)` at a time."""
         heapq.heappush(self._events, (when, next(self._sequence), action))
@@ -234,11 +259,12 @@
             arrival.task_seconds[step_run.number][task.index],
             self.rng.random() < kind.failure_fraction
             / (step_run.step.count if step_run.step.gang else 1),
+            speed=self._find_speed(step_run, start.worker),
         )  # fmt: skip
         machine = self.machines[start.worker.id]
         machine.runs[simulated.task] = simulated
         self.cell.confirm_start(step_run, task, start.run, now)
-        remaining_s = simulated.total_s - saved
+        remaining_s = (simulated.total_s - saved) / simulated.speed
         ends = simulated.started_at + remaining_s * (
             self.rng.random() if simulated.fails else 1
         )
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -22,6 +22,7 @@
     state,
     workers,
 )
+from toucanspring.policy import speeds
 
 log = logbook.Logger(__name__)
 
@@ -63,6 +64,7 @@
         # Jobs whose first run has been seen: to be written with other changes.
         self.begun: dict[str, state.JobRecord] = {}
         self.stops: list[Stop] = []
+        self.speeds = speeds.Speeds()
         self._rate_limits = rate_limits.RateLimits()
         self._pools: dict[str, list[workers.Worker]] = {}
         self._capacity: resources.Resources | None = None
@@ -299,6 +301,7 @@
     def remove_worker(self, worker_id: str) -> None:
         """Remove a worker that has no allocations."""
         self.workers.pop(worker_id, None)
+        self.speeds.forget(worker_id)
         self._forget_pools()
 
     def _forget_pools(self) -> None:
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -102,7 +102,12 @@
             for worker in allowed
             if worker.id not in plan.reserved and not worker.is_paused(now)
         ]
-        chosen = placement.place_gang(step_run, open_workers, {})
+        chosen = placement.choose_gang(
+            step_run,
+            open_workers,
+            self._cell.speeds,
+            lambda found: self._find_delay(step_run, queue, found, now),
+        )
         if chosen is None and held_back:
             chosen = placement.place_gang(step_run, allowed, {})
         if chosen is None:
@@ -135,6 +140,22 @@
                     step_run, task, worker, run_number, queue, plan, now
                 )
 
+    def _find_delay(
+        self,
+        step_run: state.StepRun,
+        queue: catalogue.Queue,
+        chosen: list[tuple[workers.Worker, int]],
+        now: float,
+    ) -> float:
+        """Return the seconds until workers are approved again."""
+        missing = sum(
+            self._approvals.ticket(step_run, queue, worker.id, now) is None
+            for worker, _ in chosen
+        )
+        if not missing or queue.approval is None:
+            return 0.0
+        return queue.approval.decision_s + missing * queue.approval.per_worker_s
+
     @staticmethod
     def _align_checkpoints(step_run: state.StepRun) -> None:
         """Set the latest checkpoint for all members; it is valid for each of them."""
--- a/toucanspring/coordinator/placement.py
+++ b/toucanspring/coordinator/placement.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from toucanspring import resources
-from toucanspring.coordinator import state, workers
+from toucanspring.coordinator import job_times, state, workers
+from toucanspring.policy import speeds
 
 
 def find_eligible(
@@ -79,14 +80,71 @@
     return counts
 
 
+def order_by_speed(
+    step_run: state.StepRun,
+    candidates: Iterable[workers.Worker],
+    known: speeds.Speeds,
+    now: float,
+) -> dict[str, int]:
+    """Return the order in which a step takes classes of workers, by worker ID.
+
+    A step that could not end in time on the slowest class takes fast workers first;
+    one with slack leaves them to others. Without differing speeds the result is empty.
+    """
+    if not known.differ:
+        return {}
+    found = {each.id: known.rank(each.id, each.kind) for each in candidates}
+    slowest = min((known.speed(each.id, each.kind) for each in candidates), default=1.0)
+    needed_s = job_times.remaining_chain_s(step_run) / slowest
+    if now + needed_s <= step_run.job.due_at:
+        return found
+    return {name: -each for name, each in found.items()}
+
+
 def rank(
-    step_run: state.StepRun, worker: workers.Worker, free: resources.Resources
+    step_run: state.StepRun,
+    worker: workers.Worker,
+    free: resources.Resources,
+    speed_order: dict[str, int],
 ) -> tuple:
-    """Return a sort key: preferred rack, fewest failures, then best fit by CPUs."""
+    """Return a sort key: preferred rack, failures, speed, then best fit by CPUs."""
     remote = bool(step_run.step.preferred_rack) and (
         step_run.step.preferred_rack != worker.entry.rack
     )
-    return remote, worker.failures, free.cpus
+    return remote, worker.failures, speed_order.get(worker.id, 0), free.cpus
+
+
+def choose_gang(
+    step_run: state.StepRun,
+    eligible: list[workers.Worker],
+    known: speeds.Speeds,
+    find_delay: Callable[[list[tuple[workers.Worker, int]]], float],
+) -> list[tuple[workers.Worker, int]] | None:
+    """Return workers with counts of members so that the gang ends as early as possible.
+
+    A gang is as fast as its slowest worker, so it is placed within the fastest class,
+    within the others or anywhere. It does not wait until fast workers have room.
+    `find_delay` returns the seconds until the gang could start on given workers.
+    """
+    if not known.differ:
+        return place_gang(step_run, eligible, {})
+    ranks = {each.id: known.rank(each.id, each.kind) for each in eligible}
+    fastest = max(ranks.values(), default=0)
+    groups = [
+        [each for each in eligible if ranks[each.id] == fastest],
+        [each for each in eligible if ranks[each.id] < fastest],
+    ]
+    options = [place_gang(step_run, each, {}) for each in groups if each]
+    found = [each for each in options if each is not None]
+    if not found:
+        return place_gang(step_run, eligible, {})
+    run_s = step_run.step.estimate_ms / 1000
+
+    def find_end(chosen: list[tuple[workers.Worker, int]]) -> float:
+        slowest = min(known.speed(each.id, each.kind) for each, _ in chosen)
+        return find_delay(chosen) + run_s / slowest
+
+    return min(found, key=find_end)
 
 
 def place_gang(
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -310,6 +310,9 @@
         if queue.priority > TOP_PRIORITY and not held_back:
             open_workers = [each for each in eligible if each.id not in plan.reserved]
         demand = step_run.step.occupied()
+        speed_order = placement.order_by_speed(
+            step_run, open_workers, self._cell.speeds, now
+        )
         for index in sorted(step_run.waiting):
             if len(plan.starts) >= self.max_starts:
                 return
@@ -348,7 +351,7 @@
                 valid,
                 key=lambda worker: (
                     held_back and (worker.is_paused(now) or worker.id in plan.reserved),
-                    placement.rank(step_run, worker, worker.free()),
+                    placement.rank(step_run, worker, worker.free(), speed_order),
                 ),
             )
             on_worker[best.id] = on_worker.get(best.id, 0) + 1
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -39,6 +39,7 @@
                 log, "worker_restarted", worker=worker.id, held=len(worker.allocations)
             )
         worker.record_restart(reply.incarnation)
+        cell.speeds.forget(worker.id)
     worker.confirmed = worker.responsive = True
     worker.record_reply(now)
     worker.update_clock(reply.clock_ms, now)
@@ -112,7 +113,7 @@
         cell.note_begun(allocation.step.job)
         if row.checkpoint:
             task.checkpoint = row.checkpoint
-        stragglers.record_progress(worker, allocation, row.percent, now)
+        stragglers.record_progress(cell.speeds, worker, allocation, row.percent, now)
         if row.percent != task.percent or not task.progressed_at:
             task.percent, task.progressed_at = row.percent, now
         if task.phase is state.TaskPhase.IN_DOUBT:
@@ -162,7 +163,8 @@
         lasted_s=round(now - task.started_at, 3) if task.started_at else 0,
     )
     if end.outcome == DONE:
-        stragglers.record_completion(worker, workers.Allocation(step_run, task), now)
+        allocation = workers.Allocation(step_run, task)
+        stragglers.record_completion(cell.speeds, worker, allocation, now)
     cell.release(step_run, task)
     if end.outcome == DONE:
         worker.record_success()
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -102,6 +102,8 @@
     reserved_until: float = 0.0
     # Latest progress rate of a task by worker ID, as a fraction of the task per second.
     task_rates: dict[str, float] = dataclasses.field(default_factory=dict)
+    # The same at nominal speed, by the speeds that were known then.
+    nominal_rates: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @property
     def id(self) -> str:
--- a/toucanspring/coordinator/stragglers.py
+++ b/toucanspring/coordinator/stragglers.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 
 from toucanspring.coordinator import state, workers
+from toucanspring.policy import speeds
 
 # Weight of a new sample in the moving average of a worker's speed.
 SAMPLE_WEIGHT = 0.25
@@ -30,7 +31,11 @@
 
 
 def record_progress(
-    worker: workers.Worker, allocation: workers.Allocation, percent: int, now: float
+    known: speeds.Speeds,
+    worker: workers.Worker,
+    allocation: workers.Allocation,
+    percent: int,
+    now: float,
 ) -> None:
     """Sample the progress of a task.
 
@@ -48,11 +53,14 @@
         return
     done = (percent - task.sampled_percent) / 100
     task.sampled_at, task.sampled_percent = now, percent
-    _record_rate(worker, allocation.step, done / elapsed_s)
+    _record_rate(known, worker, allocation.step, done / elapsed_s)
 
 
 def record_completion(
-    worker: workers.Worker, allocation: workers.Allocation, now: float
+    known: speeds.Speeds,
+    worker: workers.Worker,
+    allocation: workers.Allocation,
+    now: float,
 ) -> None:
     """Sample the run time of a task that completed."""
     task, step = allocation.task, allocation.step.step
@@ -60,11 +68,19 @@
         return
     run_time_s = now - task.started_at
     if task.started_at and run_time_s > 0:
-        _record_rate(worker, allocation.step, 1 / run_time_s)
+        _record_rate(known, worker, allocation.step, 1 / run_time_s)
 
 
-def _record_rate(worker: workers.Worker, step_run: state.StepRun, rate: float) -> None:
+def _record_rate(
+    known: speeds.Speeds, worker: workers.Worker, step_run: state.StepRun, rate: float
+) -> None:
     """Update a worker's speed from a rate, in fractions of a task per second."""
+    step_run.nominal_rates.pop(worker.id, None)
+    if step_run.nominal_rates:
+        nominal = statistics.median(step_run.nominal_rates.values())
+        known.observe(worker.id, worker.kind, rate / nominal)
+    if rate > 0:
+        step_run.nominal_rates[worker.id] = rate / known.speed(worker.id, worker.kind)
     step_run.task_rates[worker.id] = rate
     others = [each for name, each in step_run.task_rates.items() if name != worker.id]
     if not others or not any(others):
--- a/toucanspring/coordinator/workers.py
+++ b/toucanspring/coordinator/workers.py
@@ -80,6 +80,11 @@
         """Return the ID of the worker."""
         return self.entry.id
 
+    @property
+    def kind(self) -> tuple[str, ...]:
+        """Return the attributes that may explain the speed of the worker."""
+        return f"zone={self.entry.zone}", *self.entry.labels
+
     def free(self) -> resources.Resources:
         """Return the capacity that no known task uses."""
         free = self.entry.capacity - self.used
--- /dev/null
+++ b/toucanspring/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that both schedulers share; no I/O and no clock."""
