--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -23,6 +23,7 @@
     stop_causes,
     workers,
 )
+from toucanspring.policy import speeds
 
 log = logbook.Logger(__name__)
 
@@ -68,6 +69,7 @@
         self.begun: dict[str, state.JobRecord] = {}
         self.stops: list[Stop] = []
         self.stop_counts = stop_causes.StopCounts()
+        self.speeds = speeds.Speeds()
         self._rate_limits = rate_limits.RateLimits()
         self._pools: dict[str, list[workers.Worker]] = {}
         self._capacity: resources.Resources | None = None
@@ -309,6 +311,7 @@
     def remove_worker(self, worker_id: str) -> None:
         """Remove a worker that has no allocations."""
         self.workers.pop(worker_id, None)
+        self.speeds.forget(worker_id)
         self._forget_pools()
 
     def _forget_pools(self) -> None:
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -187,6 +187,7 @@
         The workers with the most room change with each task that starts or ends. A gang
         that is placed on these lacks a ticket again after each answer.
         """
+        preferred = [open_workers]
         if queue.approval is not None:
             with_ticket = [
                 worker
@@ -194,11 +195,26 @@
                 if self._approvals.ticket(step_run, queue, worker.id, now) is not None
             ]
             held = [worker for worker in open_workers if worker.id in step_run.held]
-            for preferred in (with_ticket, held):
-                chosen = placement.place_gang(step_run, preferred, {})
-                if chosen is not None:
-                    return chosen
-        return placement.place_gang(step_run, open_workers, {})
+            preferred = [with_ticket, held, open_workers]
+        speeds = self._cell.speeds
+        best, best_end_s = None, math.inf
+        for candidates in preferred:
+            chosen = placement.choose_gang(
+                step_run,
+                candidates,
+                speeds,
+                lambda found: self._find_delay(step_run, queue, found, now),
+            )
+            if chosen is None:
+                continue
+            if not speeds.differ:
+                return chosen
+            end_s = placement.estimate_gang_end(
+                step_run, chosen, speeds, self._find_delay(step_run, queue, chosen, now)
+            )
+            if end_s < best_end_s:
+                best, best_end_s = chosen, end_s
+        return best
 
     def _hold(
         self,
@@ -217,6 +233,22 @@
         step_run.held = frozenset(worker.id for worker in placed)
         self._keeping[step_run.id] = step_run
 
+    def _find_delay(
+        self,
+        step_run: state.StepRun,
+        queue: catalogue.Queue,
+        chosen: list[tuple[workers.Worker, int]],
+        now: float,
+    ) -> float:
+        """Return the seconds until workers are approved again."""
+        missing = sum(
+            self._approvals.ticket(step_run, queue, worker.id, now) is None
+            for worker, _ in chosen
+        )
+        if not missing or queue.approval is None:
+            return 0.0
+        return queue.approval.decision_s + missing * queue.approval.per_worker_s
+
     def _renew_tickets(
         self,
         step_run: state.StepRun,
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -311,6 +311,9 @@
         if queue.priority > TOP_PRIORITY and not held_back:
             open_workers = [each for each in eligible if each.id not in plan.reserved]
         demand = step_run.step.occupied()
+        speed_order = placement.order_by_speed(
+            step_run, open_workers, self._cell.speeds, now
+        )
         for index in sorted(step_run.waiting):
             if len(plan.starts) >= self.max_starts:
                 return
@@ -350,7 +353,7 @@
                 key=lambda worker: (
                     held_back and (worker.is_paused(now) or worker.id in plan.reserved),
                     worker.id in plan.kept,
-                    placement.rank(step_run, worker, worker.free()),
+                    placement.rank(step_run, worker, worker.free(), speed_order),
                 ),
             )
             on_worker[best.id] = on_worker.get(best.id, 0) + 1
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -106,6 +106,8 @@
     held_since: float = float("-inf")
     # Latest progress rate of a task by worker ID, as a fraction of the task per second.
     task_rates: dict[str, float] = dataclasses.field(default_factory=dict)
+    # The same at nominal speed, by the speeds that were known then.
+    nominal_rates: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @property
     def id(self) -> str:
--- a/toucanspring/policy/__init__.py
+++ b/toucanspring/policy/__init__.py
@@ -1,1 +1,1 @@
-"""Scheduling decisions that both schedulers share."""
+"""Decisions that both schedulers share; no I/O and no clock."""
