--- a/test/test_coordinator_speeds.py
+++ b/test/test_coordinator_speeds.py
@@ -202,3 +202,29 @@
         case.poll(cell, "w0", now=now, incarnation=2)
         self.assertNotIn("w0", cell.speeds._samples)
         self.assertEqual(1, cell.speeds.rank("w0", worker.kind))
+
+
+class TailSamplesTest(testtools.TestCase):
+    """A step of two tasks, of which one takes seven times as long as the other."""
+
+    # Guards against a worker that counts as slow since one of its tasks is in the tail:
+    # it runs for several polls, each of which gave a sample.
+    def test_a_run_gives_one_sample_of_its_worker(self):
+        cell = case.new_cell(*entries(2, cpus=1000))
+        cell.accept(case.job(JOB, case.step(2, checkpointing=True)), 0.0)
+        plan = planner.Planner(cell).plan(1.0)
+        case.confirm(cell, plan, 1.0)
+        samples = []
+        cell.speeds.observe = lambda worker, _kind, speed: samples.append(worker)
+        names = {start.task.index: start.worker.id for start in plan.starts}
+        for number in range(1, 8):
+            now = 1.0 + number
+            row = case.running(f"{JOB}.0.0.0", percent=number * 10)
+            case.poll(cell, names[0], running=[row], now=now)
+            row = case.running(f"{JOB}.0.0.1", percent=number)
+            case.poll(cell, names[1], running=[row], now=now)
+        self.assertEqual({names[0]: 1, names[1]: 1}, _count(samples))
+
+
+def _count(names):
+    return {name: names.count(name) for name in names}
