Keep room and allowance for a waiting gang at the same time

What callers saw: on a deployment with ceilings of twice the share, gangs of 20 and more tasks waited for up to 20 s; their steps alternated every 0.1 s between no room and the ceiling of the organisation, and preempted tasks each time (some 150 for one gang). Cause: a gang that waits for room claimed no allowance, so that its organisation's less urgent steps took it; one that waits for allowance reserved no workers, so that others took the room. Change: a gang with reserved or held workers keeps its allowance unless it is late, and one whose claim is met once stopped tasks have ended reserves workers. The new test fails without the hold.

--- a/toucanspring/coordinator/ceilings.py
+++ b/toucanspring/coordinator/ceilings.py
@@ -88,20 +88,31 @@
             )
         return step_run.exceeds_ceiling
 
-    def claim(self, step_run: state.StepRun, queue: catalogue.Queue) -> None:
+    def hold(self, step_run: state.StepRun) -> None:
+        """Keep the allowance of a permitted gang from the steps ranked behind it.
+
+        A gang needs room and allowance at the same time. Without a hold, its
+        organisation's other steps take the allowance while it waits for room.
+        """
+        name = step_run.job.spec.organisation
+        wanted = step_run.step.demand.times(step_run.step.count)
+        self._claimed[name] = self._claimed.get(name, resources.ZERO) + wanted
+
+    def claim(self, step_run: state.StepRun, queue: catalogue.Queue) -> bool:
         """Claim the allowance that a step waits for; stop less urgent tasks for it.
 
-        No more is claimed than the step can use at once.
+        No more is claimed than the step can use at once. Return whether the claim is
+        met once the stopped tasks have ended.
         """
         ceiling = self.limit(step_run)
         if ceiling is None:
-            return
+            return False
         name, priority = step_run.job.spec.organisation, queue.priority
         if not self._has_collected:
             self._collect()
         count = self._count_claimable(step_run, queue, _without_zeros(ceiling))
         if not count:
-            return
+            return False
         wanted = step_run.step.demand.times(count)
         claimed = self._claimed.get(name, resources.ZERO) + wanted
         self._claimed[name] = claimed
@@ -121,6 +132,7 @@
                 self._cell, victim, step_run, stop_causes.StopCause.CEILING_PREEMPTION
             )
         self._freeing[name] = freeing
+        return excess.fits(_without_zeros(ceiling))
 
     def _count_claimable(
         self,
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -62,6 +62,9 @@
     ) -> None:
         """Skip a step until a worker could take more, or it is held back for long."""
 
+    def hold_allowance(self, step_run: state.StepRun, now: float) -> None:
+        """Keep the allowance of a gang that waits for room, unless it is late."""
+
     def request_further(
         self,
         step_run: state.StepRun,
@@ -165,6 +168,7 @@
             self._approvals.request(step_run, queue, names, plan, now)
             plan.reserved.update(worker.id for worker in placed)
             self._hold(step_run, placed, plan, now)
+            self._planner.hold_allowance(step_run, now)
             return
         run_number = max(task.run for task in step_run.tasks) + 1
         indices = iter(sorted(step_run.waiting))
@@ -272,6 +276,21 @@
         if len(plan.approval_requests) > requested:
             _record(plan, plans.GANG_TICKETS_RENEWED, step_run, len(names))
 
+    def reserve(
+        self,
+        step_run: state.StepRun,
+        queue: catalogue.Queue,
+        eligible: list[workers.Worker],
+        plan: plans.Plan,
+        now: float,
+    ) -> None:
+        """Reserve workers for a gang whose allowance is about to suffice.
+
+        Otherwise others take the room meanwhile, and room and allowance alternate.
+        """
+        usable = [each for each in eligible if not each.is_paused(now)]
+        self._reserve_and_preempt(step_run, queue, usable, plan, now, False)
+
     @staticmethod
     def _align_checkpoints(step_run: state.StepRun) -> None:
         """Set the latest checkpoint for all members; it is valid for each of them."""
@@ -286,6 +305,7 @@
         eligible: list[workers.Worker],
         plan: plans.Plan,
         now: float,
+        may_preempt: bool = True,
     ) -> None:
         """Reserve workers for a blocked gang; preempt tasks there if it is urgent."""
         if plan.reserving_gangs >= MAX_RESERVING_GANGS:
@@ -306,6 +326,9 @@
         plan.reserved.update(worker.id for worker, _ in chosen)
         self._keeping[step_run.id] = step_run
         self._renew_tickets(step_run, queue, chosen, plan, now)
+        if not may_preempt:
+            return
+        self._planner.hold_allowance(step_run, now)
         slack_s = step_run.job.due_at - now - step_run.step.estimate_ms / 1000
         waited_s = now - step_run.ready_at
         if waited_s < PREEMPT_AFTER_S or not 0 < slack_s < MAX_PREEMPTING_SLACK_S:
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -192,7 +192,9 @@
             self._await_worker(step_run, queue, held_back, plan, now)
             return
         if not self._ceilings.permits(step_run):
-            self._await_allowance(step_run, queue, plan, now)
+            is_met_soon = self._await_allowance(step_run, queue, plan, now)
+            if is_met_soon and step_run.step.gang:
+                self._gangs.reserve(step_run, queue, eligible, plan, now)
             return
         if step_run.step.gang:
             self._gangs.plan(step_run, queue, eligible, held_back, plan, now)
@@ -408,15 +410,23 @@
         queue: catalogue.Queue,
         plan: plans.Plan,
         now: float,
-    ) -> None:
-        """Leave a step waiting at the ceiling; make way for it if it is urgent."""
+    ) -> bool:
+        """Leave a step waiting at the ceiling; make way for it if it is urgent.
+
+        Return whether the allowance suffices once the tasks stopped for it have ended.
+        """
         plan.record_wait(step_run, plans.ABOVE_CEILING)
-        if (
+        return (
             (queue.priority == TOP_PRIORITY or step_run.step.gang)
             and not step_run.job.over_rate
             and not self._is_late(step_run, now)
-        ):
-            self._ceilings.claim(step_run, queue)
+            and self._ceilings.claim(step_run, queue)
+        )
+
+    def hold_allowance(self, step_run: state.StepRun, now: float) -> None:
+        """Keep the allowance of a gang that waits for room, unless it is late."""
+        if not step_run.job.over_rate and not self._is_late(step_run, now):
+            self._ceilings.hold(step_run)
 
     @staticmethod
     def _is_late(step_run: state.StepRun, now: float) -> bool:
