Let steps ranked before a waiting gang take its held workers last

Cause: holds kept out every other step, also gangs of the top priority, for up to 3 s; single tasks of the lowest priority lost value. Change: steps ranked before the gang take held workers last; steps ranked behind it do not take them, as before.

--- a/test/test_approval_starvation.py
+++ b/test/test_approval_starvation.py
@@ -4,7 +4,7 @@
 
 from test import approval_model
 from test import coordinator_case as case
-from toucanspring.coordinator import approvals, gangs, planner, plans
+from toucanspring.coordinator import approvals, gangs, planner, plans, ports
 
 # The requirement: a step whose turn has come does not wait for longer if there is free
 # capacity for it twice over.
@@ -81,6 +81,8 @@
         self.cell.accept(case.job("a" * 16, case.step(2, cpus=9000, gang=True)), 1.0)
         self.gang = self.cell.jobs["a" * 16].steps[0, 0]
         self.gang.allowed = dict.fromkeys(("w0", "w1"), True)
+        expired = ports.Ticket("t", 0.5)
+        self.gang.tickets = dict.fromkeys(("w0", "w1"), expired)
         [self.request] = self.planner.plan(1.0).approval_requests
 
     def submit(self, job_id, queue, cpus=9000, count=1):
@@ -107,6 +109,12 @@
         self.submit("c" * 16, "checks")
         self.assertIn(self.start(1.2), ({("c", "w0")}, {("c", "w1")}))
 
+    def test_an_urgent_gang_does_not_wait_for_a_hold(self):
+        """Guards against an urgent gang that waits for a less urgent one."""
+        gang = case.step(4, cpus=9000, gang=True)
+        self.cell.accept(case.job("b" * 16, gang, queue="checks"), 1.05)
+        self.assertEqual({("b", f"w{number}") for number in range(4)}, self.start(1.1))
+
     def test_a_hold_is_bounded(self):
         """Guards against capacity that stays idle while the service is slow."""
         self.submit("b" * 16, "labels", count=4)
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -34,8 +34,6 @@
 # not for longer than this, since the service may be slow; then it pauses.
 MAX_HOLD_S = 3.0
 HOLD_PAUSE_S = 1.0
-# Of all workers; the oldest hold counts also above it.
-MAX_HELD_FRACTION = 0.5
 # Added to the time of an answer when tickets are renewed ahead of their expiry, for
 # the queue of the service and the network.
 RENEWAL_SLACK_S = 0.3
@@ -88,8 +86,11 @@
         self._keeping: dict[str, state.StepRun] = {}
 
     def begin_round(self, plan: plans.Plan, now: float) -> None:
-        """Keep the workers that gangs have held or reserved since earlier rounds."""
-        most = MAX_HELD_FRACTION * len(self._cell.workers)
+        """Keep the workers that gangs have held or reserved since earlier rounds.
+
+        Steps ranked before such a gang take them last; steps ranked behind it do not
+        take them once the gang has been looked at.
+        """
         for name, step_run in list(self._keeping.items()):
             if step_run.job.is_final or len(step_run.waiting) < step_run.step.count:
                 step_run.held = frozenset()
@@ -98,9 +99,6 @@
             if step_run.held and now >= step_run.held_since + MAX_HOLD_S:
                 _record(plan, plans.GANG_HOLD_ENDED, step_run, len(step_run.held))
                 step_run.held = frozenset()
-            if plan.reserved and len(plan.reserved | step_run.held) > most:
-                step_run.held = frozenset()
-            plan.reserved |= step_run.held
             plan.kept |= step_run.held
             if now < step_run.reserved_until:
                 plan.kept |= step_run.reserved
@@ -134,8 +132,7 @@
         open_workers = [
             worker
             for worker in allowed
-            if (worker.id not in plan.reserved or worker.id in step_run.held)
-            and not worker.is_paused(now)
+            if worker.id not in plan.reserved and not worker.is_paused(now)
         ]
         chosen = self._place(step_run, queue, open_workers, now)
         if chosen is None and held_back:
