Bound draining gangs apart from reserving ones

Cause: a gang that has others avoid workers used up one of the three reservations of a round, although it reserves nothing, and could keep a gang that may preempt from one. Change: such gangs have a bound of their own (6 with a reservation of any kind).

--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -29,6 +29,8 @@
 # A gang keeps its reserved workers for this long.
 RESERVATION_S = 3.0
 MAX_RESERVING_GANGS = 3
+# Gangs with a reservation, beyond which no further one has others avoid workers.
+MAX_KEEPING_GANGS = 6
 GANG_RETRY_S = 0.2  # until a gang that could reserve nothing tries again
 # A gang holds the workers that it was placed on while it waits for their tickets, but
 # not for longer than this, since the service may be slow; then it pauses.
@@ -297,6 +299,9 @@
         Nothing stays idle for it: tasks that fit nowhere else start there.
         """
         if now >= step_run.reserved_until:
+            keeping = sum(now < each.reserved_until for each in self._keeping.values())
+            if keeping >= MAX_KEEPING_GANGS:
+                return
             chosen = placement.place_gang(
                 step_run,
                 sorted(open_workers, key=lambda worker: -worker.free().cpus),
@@ -307,7 +312,6 @@
             step_run.reserved = frozenset(worker.id for worker, _ in chosen)
             step_run.reserved_until = now + RESERVATION_S
             _record(plan, plans.GANG_DRAINS, step_run, len(chosen))
-        plan.reserving_gangs += 1
         plan.kept |= step_run.reserved
         self._keeping[step_run.id] = step_run
         reserved = [(each, 1) for each in open_workers if each.id in step_run.reserved]
