--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -30,13 +30,13 @@
 # A gang keeps its reserved workers for this long.
 RESERVATION_S = 3.0
 MAX_RESERVING_GANGS = 3
+# Gangs with a reservation, beyond which no further one has others avoid workers.
+MAX_KEEPING_GANGS = 6
 GANG_RETRY_S = 0.2  # until a gang that could reserve nothing tries again
 # A gang holds the workers that it was placed on while it waits for their tickets, but
 # not for longer than this, since the service may be slow; then it pauses.
 MAX_HOLD_S = 3.0
 HOLD_PAUSE_S = 1.0
-# Of all workers; the oldest hold counts also above it.
-MAX_HELD_FRACTION = 0.5
 # Added to the time of an answer when tickets are renewed ahead of their expiry, for
 # the queue of the service and the network.
 RENEWAL_SLACK_S = 0.3
@@ -92,8 +92,11 @@
         self._keeping: dict[str, state.StepRun] = {}
 
     def begin_round(self, plan: plans.Plan, now: float) -> None:
-        """Keep the workers that gangs have held or reserved since earlier rounds."""
-        most = MAX_HELD_FRACTION * len(self._cell.workers)
+        """Keep the workers that gangs have held or reserved since earlier rounds.
+
+        Steps ranked before such a gang take them last; steps ranked behind it do not
+        take them once the gang has been looked at.
+        """
         for name, step_run in list(self._keeping.items()):
             if step_run.job.is_final or len(step_run.waiting) < step_run.step.count:
                 step_run.held = frozenset()
@@ -102,9 +105,6 @@
             if step_run.held and now >= step_run.held_since + MAX_HOLD_S:
                 _record(plan, plans.GANG_HOLD_ENDED, step_run, len(step_run.held))
                 step_run.held = frozenset()
-            if plan.reserved and len(plan.reserved | step_run.held) > most:
-                step_run.held = frozenset()
-            plan.reserved |= step_run.held
             plan.kept |= step_run.held
             if now < step_run.reserved_until:
                 plan.kept |= step_run.reserved
@@ -138,8 +138,7 @@
         open_workers = [
             worker
             for worker in allowed
-            if (worker.id not in plan.reserved or worker.id in step_run.held)
-            and not worker.is_paused(now)
+            if worker.id not in plan.reserved and not worker.is_paused(now)
         ]
         chosen = self._place(step_run, queue, open_workers, now)
         if chosen is None and held_back:
@@ -361,6 +360,9 @@
         Nothing stays idle for it: tasks that fit nowhere else start there.
         """
         if now >= step_run.reserved_until:
+            keeping = sum(now < each.reserved_until for each in self._keeping.values())
+            if keeping >= MAX_KEEPING_GANGS:
+                return
             chosen = placement.place_gang(
                 step_run,
                 sorted(open_workers, key=lambda worker: -worker.free().cpus),
@@ -371,7 +373,6 @@
             step_run.reserved = frozenset(worker.id for worker, _ in chosen)
             step_run.reserved_until = now + RESERVATION_S
             _record(plan, plans.GANG_DRAINS, step_run, len(chosen))
-        plan.reserving_gangs += 1
         plan.kept |= step_run.reserved
         self._keeping[step_run.id] = step_run
         reserved = [(each, 1) for each in open_workers if each.id in step_run.reserved]
