Divide requests for approval only where that saves enough time of callers

Cause: wide requests were divided into five calls, each of which takes its caller for the whole decision, so that requests waited 1.3 s (0.9 quantile: 4.5 s) for a caller; two callers for short requests are too few for 110 of them a second. Change: a further call has to save a quarter of the decision's time, and the callers left to short requests follow their load.

--- a/toucanspring/coordinator/approval_dispatcher.py
+++ b/toucanspring/coordinator/approval_dispatcher.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Callable
 
 import gevent
@@ -28,6 +29,10 @@
 # caller is a process that sends requests to the service.
 LONG_REQUEST_S = 0.1
 CALLERS_FOR_SHORT_REQUESTS = 2
+# More are left free while the short requests keep more than that busy: two for each, as
+# they come in bursts, up to this part of all callers.
+CALLERS_BY_SHORT_LOAD = 2.0
+MAX_FRACTION_FOR_SHORT_REQUESTS = 0.5
 RETRY_DELAY_S = 0.25  # after a failed request
 LOGGED_WAIT_S = 0.25  # a request that waited for a caller for longer is logged
 LOCAL = ""
@@ -73,6 +78,7 @@
         self._long = approval_queue.ApprovalQueue()
         self._counts: collections.Counter[str] = collections.Counter()
         self._longest_wait_s = 0.0
+        self._short_load = approval_queue.Load()
         # Caller -> expected duration of its request in seconds.
         self._in_flight: dict[str, float] = {}
         self._retry_at: dict[str, float] = {}  # caller -> when it may be tried again
@@ -102,6 +108,8 @@
             request.step.approval_pending = False
             request.step.approval_retry_at = now + RETRY_DELAY_S
             return
+        if queue is self._short:
+            self._short_load.add(request.cost_s, now)
         queue.add(request, now)
         self._dispatch()
 
@@ -176,6 +184,12 @@
             self._in_flight[name] = sum(each.cost_s for each in own)
             self._calls.spawn(self._send, name, own, division)
 
+    def _count_reserved(self, callers: int, now: float) -> int:
+        """Return how many callers long requests leave to the short ones."""
+        wanted = math.ceil(CALLERS_BY_SHORT_LOAD * self._short_load.value(now))
+        most = int(MAX_FRACTION_FOR_SHORT_REQUESTS * callers)
+        return max(CALLERS_FOR_SHORT_REQUESTS, min(wanted, most))
+
     def _count_free_callers(self) -> int:
         now = uptime.now()
         callers = [LOCAL, *self._kernel.find("peers").connected()]
@@ -201,7 +215,7 @@
             long_requests = sum(
                 each > LONG_REQUEST_S for each in self._in_flight.values()
             )
-            if long_requests >= len(callers) - CALLERS_FOR_SHORT_REQUESTS:
+            if long_requests >= len(callers) - self._count_reserved(len(callers), now):
                 return None
         # The coordinator is kept for short requests, which it sends without a relay.
         if cost_s > LONG_REQUEST_S and len(free) > 1 and LOCAL in free:
--- a/toucanspring/coordinator/approval_queue.py
+++ b/toucanspring/coordinator/approval_queue.py
@@ -29,8 +29,11 @@
 TOP_PRIORITY = 0
 MAX_WORKERS_PER_CALL = 100  # limit of the service
 MIN_WORKERS_PER_CALL = 10
-# One more call has to bring the answer forward by this much.
+# One more call has to bring the answer forward by this much, and by this part of the
+# time that it takes of its caller apart from the workers. Calls that saved less took
+# all callers at a busy time, and every request waited for seconds.
 MIN_SAVING_S = 0.02
+MIN_SAVING_SHARE = 0.25
 
 
 def send_by(request: plans.ApprovalRequest, now: float) -> float:
@@ -48,6 +51,26 @@
     return now - min(request.waited_s, MAX_CREDIT_S) + patience_s
 
 
+class Load:
+    """Time of callers that requests take for each second, over the last seconds."""
+
+    WINDOW_S = 2.0
+
+    def __init__(self) -> None:
+        self._value = 0.0
+        self._updated_at = 0.0
+
+    def add(self, cost_s: float, now: float) -> None:
+        """Count a request that takes a caller `cost_s` seconds."""
+        self._value = self.value(now) + cost_s / self.WINDOW_S
+        self._updated_at = now
+
+    def value(self, now: float) -> float:
+        """Return how many callers the requests keep busy."""
+        age_s = max(0.0, now - self._updated_at)
+        return self._value * math.exp(-age_s / self.WINDOW_S)
+
+
 class ApprovalQueue:
     """Waiting requests; those of jobs that have ended are dropped."""
 
@@ -87,13 +110,15 @@
 def count_calls(request: plans.ApprovalRequest, callers: int) -> int:
     """Return over how many calls to divide a request that `callers` are free for."""
     named = len(request.workers)
+    decision_s = request.cost_s - request.per_worker_s * named
+    min_saving_s = max(MIN_SAVING_S, MIN_SAVING_SHARE * decision_s)
     calls = max(1, math.ceil(named / MAX_WORKERS_PER_CALL))
     while (
         calls < callers
         and named >= MIN_WORKERS_PER_CALL * (calls + 1)
         and request.per_worker_s
         * (math.ceil(named / calls) - math.ceil(named / (calls + 1)))
-        >= MIN_SAVING_S
+        >= min_saving_s
     ):
         calls += 1
     return calls
