Count the load of the cell and decide on submissions by it

Cause: under overload everything is accepted and waits; callers learn nothing.

`coordinator/load_report.py` counts the load twice a second and keeps the newest report in each process. Nothing uses them yet.

--- /dev/null
+++ b/toucanspring/coordinator/load_report.py
@@ -0,0 +1,446 @@
+"""The load of the cell: counted by the coordinator, kept by each process."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+
+import msgspec
+
+from toucanspring import decoding, errors, resources
+from toucanspring.coordinator import catalogue, cell_state, job_specs, plans, state
+from toucanspring.policy import admission
+
+NOTICE = "load"
+INTERVAL_S = 0.5  # a process knows of a change within twice this time
+# Time constant of the drain rate: some run times of common tasks.
+SMOOTHING_S = 4.0
+# Younger work may only wait for the next round or an approval, so that nothing tells
+# yet how fast the backlog drains.
+MIN_WAITED_S = 1.0
+# Workers register again within some seconds after a total failure.
+WORKERS_KNOWN_AFTER_S = 10.0
+LATE_ESTIMATE_FRACTION = 0.6  # as in `planner`
+MAX_LARGEST = 8  # bounds the notice; with more kinds the size of tasks is not judged
+# The clocks of two processes may differ in speed by less than this.
+MAX_CLOCK_DRIFT = 0.05
+
+
+class PriorityRow(msgspec.Struct, frozen=True, array_like=True):
+    """Load of one priority and all more urgent ones of a pool, in pool milliseconds.
+
+    `fair` counts the organisations within their share only. `drain` is in thousandths.
+    """
+
+    priority: int
+    backlog_ms: int
+    timely_ms: int
+    fair_backlog_ms: int
+    fair_timely_ms: int
+    drain: int
+    oldest_ms: int
+
+
+class PoolRow(msgspec.Struct, frozen=True, array_like=True):
+    """A pool: cores, thousandths in use, its largest workers (none: not known)."""
+
+    name: str
+    cores: int
+    used: int
+    largest: tuple[resources.Resources, ...]
+    priorities: tuple[PriorityRow, ...]
+
+
+class OrganisationRow(msgspec.Struct, frozen=True, array_like=True):
+    """Thousandths of the cell in use, waiting core-seconds, whether over its share."""
+
+    name: str
+    used: int
+    demand_s: int
+    is_over_share: bool
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True):
+    """The load that the coordinator of an epoch counted at a time of its own clock."""
+
+    epoch: int
+    sequence: int
+    counted_ms: int  # since the epoch began
+    pools: tuple[PoolRow, ...]
+    organisations: tuple[OrganisationRow, ...]
+
+
+encode = msgspec.msgpack.Encoder().encode
+_decoder = msgspec.msgpack.Decoder(Report)
+
+
+def decode(body: bytes) -> Report | errors.Malformed:
+    """Decode a report of another process."""
+    return decoding.decode(_decoder, body, "load report")
+
+
+def estimate_s(step: job_specs.Step) -> float:
+    """Return the expected run time of one task of a step."""
+    return step.estimate_ms / 1000
+
+
+def find_chain_s(steps: tuple[job_specs.Step, ...]) -> float:
+    """Return the expected time of the longest chain of steps."""
+    ends: list[float] = []
+    for step in steps:
+        begins = max((ends[each] for each in step.after), default=0.0)
+        ends.append(begins + estimate_s(step))
+    return max(ends, default=0.0)
+
+
+def find_demands(
+    steps: tuple[job_specs.Step, ...],
+) -> list[tuple[resources.Resources, resources.Resources]]:
+    """Return what one task of each step occupies, and takes at least of the ceiling."""
+    return [
+        (step.occupied(), step.demand.times(step.count if step.gang else 1))
+        for step in steps
+    ]
+
+
+def is_judged(job: job_specs.Job) -> bool:
+    """Return whether the time when a job would end can be told at all."""
+    return not job.repeats and all(
+        step.estimate_ms and not step.long_running and not step.uses_idle_cpus
+        for step in job.steps
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class _Sums:
+    """Waiting core-seconds of one pool and priority."""
+
+    backlog: float = 0.0
+    timely: float = 0.0
+    fair_backlog: float = 0.0
+    fair_timely: float = 0.0
+    oldest_s: float = 0.0
+
+    def add(self, amount: float, timely: bool, fair: bool, age_s: float) -> None:
+        self.backlog += amount
+        self.timely += amount * timely
+        self.fair_backlog += amount * fair
+        self.fair_timely += amount * (timely and fair)
+        self.oldest_s = max(self.oldest_s, age_s)
+
+    def merge(self, other: _Sums) -> None:
+        self.backlog += other.backlog
+        self.timely += other.timely
+        self.fair_backlog += other.fair_backlog
+        self.fair_timely += other.fair_timely
+        self.oldest_s = max(self.oldest_s, other.oldest_s)
+
+
+class Builder:
+    """Counts the load of a cell under one epoch.
+
+    Starts are counted as they are planned, waiting steps once for each report.
+    """
+
+    def __init__(self, cell: cell_state.CellState, epoch: int, now: float) -> None:
+        self._cell = cell
+        self._epoch = epoch
+        self._began_at = self._counted_at = now
+        self._sequence = 0
+        self._started: dict[tuple[str, int], float] = collections.defaultdict(float)
+        self._drains: dict[tuple[str, int], float] = {}
+        self._largest: dict[str, tuple[resources.Resources, ...]] = {}
+        self._paused = False  # nothing might start in a round since the last count
+
+    def record_round(self, starts: list[plans.Start], may_start: bool) -> None:
+        """Count the runs that a round has planned, if anything may start."""
+        self._paused = self._paused or not may_start
+        for start in starts:
+            queue = start.step.job.queue
+            if queue is not None:
+                key = (queue.pool, queue.priority)
+                self._started[key] += _core_s(start.step, 1)
+
+    def build(self, now: float) -> Report:
+        """Count the load.
+
+        The drain rates stay as they are if nothing might start since the last count: a
+        backlog of an outage says nothing of the rate after it.
+        """
+        over_share = self._find_over_share()
+        sums, demands = self._count_waiting(over_share, now)
+        pools = tuple(self._make_pool(name, sums, now) for name in self._find_pools())
+        self._started.clear()
+        self._paused = False
+        self._counted_at = now
+        self._sequence += 1
+        capacity = self._cell.capacity()
+        organisations = tuple(
+            OrganisationRow(
+                name,
+                _to_thousandths(self._cell.used[name].dominant(capacity)),
+                round(demands.get(name, 0.0)),
+                name in over_share,
+            )
+            for name in sorted(self._cell.catalogue.organisations)
+        )
+        counted_ms = round((now - self._began_at) * 1000)
+        return Report(self._epoch, self._sequence, counted_ms, pools, organisations)
+
+    def _find_pools(self) -> list[str]:
+        found = {queue.pool for queue in self._cell.catalogue.queues}
+        return sorted(found)
+
+    def _find_over_share(self) -> frozenset[str]:
+        capacity = self._cell.capacity()
+        organisations = self._cell.catalogue.organisations.values()
+        total = sum(each.weight for each in organisations)
+        return frozenset(
+            each.name
+            for each in organisations
+            if each.weight > 0
+            and self._cell.used[each.name].dominant(capacity) > each.weight / total
+        )
+
+    def _count_waiting(
+        self, over_share: frozenset[str], now: float
+    ) -> tuple[dict[tuple[str, int], _Sums], dict[str, float]]:
+        sums: dict[tuple[str, int], _Sums] = collections.defaultdict(_Sums)
+        demands: dict[str, float] = collections.defaultdict(float)
+        for step_run in self._cell.ready.values():
+            job, step = step_run.job, step_run.step
+            queue = job.queue
+            if queue is None or step.long_running or job.is_final:
+                continue
+            amount = _core_s(step_run, len(step_run.waiting))
+            name = job.spec.organisation
+            demands[name] += amount
+            if job.over_rate or self._is_at_ceiling(step_run):
+                continue
+            timely = now + LATE_ESTIMATE_FRACTION * estimate_s(step) <= job.due_at
+            sums[queue.pool, queue.priority].add(
+                amount, timely, name not in over_share, now - step_run.ready_at
+            )
+        return sums, demands
+
+    def _is_at_ceiling(self, step_run: state.StepRun) -> bool:
+        name = step_run.job.spec.organisation
+        organisation = self._cell.organisations.get(name)
+        if organisation is None:
+            return bool(name)  # nothing starts for an unknown organisation
+        ceiling = organisation.ceiling
+        if not (ceiling.cpus or ceiling.memory or ceiling.accelerators):
+            return False
+        count = step_run.step.count if step_run.step.gang else 1
+        wanted = self._cell.used[name] + step_run.step.demand.times(count)
+        return any(
+            limit and amount > limit
+            for amount, limit in zip(
+                (wanted.cpus, wanted.memory, wanted.accelerators),
+                (ceiling.cpus, ceiling.memory, ceiling.accelerators),
+                strict=True,
+            )
+        )
+
+    def _make_pool(
+        self,
+        name: str,
+        sums: dict[tuple[str, int], _Sums],
+        now: float,
+    ) -> PoolRow:
+        capacity = used = resources.ZERO
+        largest = self._largest.get(name, ())
+        for worker in self._cell.pool(name):
+            # Workers that have not answered a new coordinator yet count, too: without
+            # them the backlog would seem many times as long.
+            zones_out = self._cell.zones_out
+            if not worker.entry.draining and worker.entry.zone not in zones_out:
+                capacity = capacity + worker.entry.capacity
+                used = used + worker.used
+            if not any(worker.entry.capacity.fits(each) for each in largest):
+                kept = [
+                    each for each in largest if not each.fits(worker.entry.capacity)
+                ]
+                largest = (*kept, worker.entry.capacity)
+        self._largest[name] = largest
+        cores = capacity.cpus / 1000
+        rows, total, started, passed_s = [], _Sums(), 0.0, now - self._counted_at
+        queues = self._cell.catalogue.queues
+        priorities = {queue.priority for queue in queues if queue.pool == name}
+        priorities |= {priority for pool, priority in sums if pool == name}
+        for priority in sorted(priorities):
+            total.merge(sums.get((name, priority), _Sums()))
+            started += self._started.get((name, priority), 0.0)
+            key = (name, priority)
+            if cores and not self._paused and passed_s > 0:
+                self._smooth(key, started / cores / passed_s, total.oldest_s, passed_s)
+            rows.append(_make_row(priority, total, cores, self._drains.get(key, 1.0)))
+        known = now - self._began_at >= WORKERS_KNOWN_AFTER_S
+        return PoolRow(
+            name,
+            round(cores),
+            _to_thousandths(used.dominant(capacity)),
+            largest if known and len(largest) <= MAX_LARGEST else (),
+            tuple(rows),
+        )
+
+    def _smooth(
+        self, key: tuple[str, int], rate: float, oldest_s: float, passed_s: float
+    ) -> None:
+        """Follow the drain rate; it is 1 while nothing waits for longer."""
+        sample = rate if oldest_s >= MIN_WAITED_S else max(1.0, rate)
+        before = self._drains.get(key, 1.0)
+        weight = 1 - math.exp(-passed_s / SMOOTHING_S)
+        self._drains[key] = before + weight * (sample - before)
+
+
+def _core_s(step_run: state.StepRun, tasks: int) -> float:
+    step = step_run.step
+    millicores = 0 if step.uses_idle_cpus else step.demand.cpus
+    return tasks * millicores / 1000 * estimate_s(step)
+
+
+def _make_row(priority: int, total: _Sums, cores: float, drain: float) -> PriorityRow:
+    scale = 1000 / cores if cores else 0.0
+    return PriorityRow(
+        priority,
+        round(total.backlog * scale),
+        round(total.timely * scale),
+        round(total.fair_backlog * scale),
+        round(total.fair_timely * scale),
+        _to_thousandths(drain),
+        round(total.oldest_s * 1000),
+    )
+
+
+def _to_thousandths(value: float) -> int:
+    return round(value * 1000)
+
+
+class View:
+    """The latest report of the newest epoch in one process, and its decisions."""
+
+    def __init__(self) -> None:
+        self.report: Report | None = None
+        self._counted_at = -math.inf
+        self._received_at = -math.inf
+        self._offset_s = math.inf  # of the clock of the coordinator, with the way here
+        self._pools: dict[str, PoolRow] = {}
+        self._over_share: frozenset[str] = frozenset()
+        # Of the wait for all work and for the work in time.
+        self._bands: dict[tuple[str, int, bool], list[admission.Band]] = {}
+        self._shown: dict[tuple[str, int, bool], tuple[float, float]] = {}
+
+    def receive(self, report: Report, now: float) -> bool:
+        """Keep a report unless a newer one is known; return whether it was kept."""
+        known = self.report
+        if known is not None and (report.epoch, report.sequence) <= (
+            known.epoch,
+            known.sequence,
+        ):
+            return False
+        if known is None or known.epoch != report.epoch:
+            self._offset_s = math.inf
+            self._bands.clear()
+        self._note_time(report.counted_ms / 1000, now)
+        self.report = report
+        self._pools = {pool.name: pool for pool in report.pools}
+        self._over_share = frozenset(
+            each.name for each in report.organisations if each.is_over_share
+        )
+        self._show_waits()
+        return True
+
+    def _note_time(self, counted_s: float, now: float) -> None:
+        """Find when a report was counted, by the fastest way here that was seen."""
+        drift_s = MAX_CLOCK_DRIFT * (now - self._received_at)
+        self._offset_s = min(self._offset_s + drift_s, now - counted_s)
+        self._received_at = now
+        self._counted_at = counted_s + self._offset_s
+
+    def age(self, now: float) -> float:
+        """Return the age of the report in seconds; infinite without one."""
+        return now - self._counted_at
+
+    def find_load(
+        self, pool: str, priority: int, organisation: str
+    ) -> admission.PoolLoad | None:
+        """Return the load ahead of a new job of an organisation, None if unknown."""
+        found = self._pools.get(pool)
+        if found is None:
+            return None
+        over = organisation in self._over_share
+        for row in found.priorities:
+            if row.priority == priority:
+                return _to_load(found, row, over)
+        return None
+
+    def decide(
+        self,
+        job: job_specs.Job,
+        queue: catalogue.Queue,
+        ceiling: resources.Resources,
+        now: float,
+        fraction: float,
+    ) -> admission.Accept | admission.Refuse:
+        """Accept or refuse a submission by this view; see `policy.admission`."""
+        age_s = self.age(now)
+        pool = self._pools.get(queue.pool)
+        current = pool is not None and age_s <= admission.MAX_VIEW_AGE_S
+        found = admission.judge_size(
+            find_demands(job.steps), pool.largest if current else (), ceiling, fraction
+        )
+        if isinstance(found, admission.Refuse) or not current or not is_judged(job):
+            return found
+        chain_s = find_chain_s(job.steps)
+        objective_s = admission.find_objective_s(chain_s, queue.stretch, queue.target_s)
+        over = job.organisation in self._over_share
+        waits = self._shown.get((queue.pool, queue.priority, over), (0.0, 0.0))
+        return admission.decide(
+            admission.Work(chain_s, objective_s),
+            self.find_load(queue.pool, queue.priority, job.organisation),
+            *waits,
+            age_s,
+            fraction,
+        )
+
+    def measure(self, now: float) -> dict[str, float]:
+        """Return the gauges of the known load by name."""
+        rows = [(pool, row) for pool in self._pools.values() for row in pool.priorities]
+        return {
+            "load_view_age_seconds": min(1e6, self.age(now)),
+            "load_epoch": self.report.epoch if self.report is not None else 0,
+            **{
+                f"load_backlog_seconds_{pool.name}_{row.priority}": row.backlog_ms / 1e3
+                for pool, row in rows
+            },
+            **{
+                f"load_drain_{pool.name}_{row.priority}": row.drain / 1e3
+                for pool, row in rows
+            },
+        }
+
+    def _show_waits(self) -> None:
+        for pool in self._pools.values():
+            for row in pool.priorities:
+                for over in (False, True):
+                    key = (pool.name, row.priority, over)
+                    bands = self._bands.setdefault(
+                        key, [admission.Band(), admission.Band()]
+                    )
+                    load = _to_load(pool, row, over)
+                    self._shown[key] = (
+                        bands[0].update(load.wait_s()),
+                        bands[1].update(load.timely_wait_s()),
+                    )
+
+
+def _to_load(pool: PoolRow, row: PriorityRow, over: bool) -> admission.PoolLoad:
+    return admission.PoolLoad(
+        (row.backlog_ms if over else row.fair_backlog_ms) / 1000,
+        (row.timely_ms if over else row.fair_timely_ms) / 1000,
+        row.drain / 1000,
+        pool.used / 1000,
+        row.oldest_ms / 1000,
+    )
--- /dev/null
+++ b/toucanspring/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions shared by the schedulers; no I/O, no clock, no randomness."""
