--- a/test/test_load_processes.py
+++ b/test/test_load_processes.py
@@ -1,10 +1,19 @@
 """The load report between several processes on one store."""
 
+import time
+
 import gevent
 
 from test import coordinator_case as case
 from test import test_coordinator_processes
-from toucanspring.coordinator import load_report
+from toucanspring import metrics, resources, uptime
+from toucanspring.coordinator import (
+    job_specs,
+    load_report,
+    metered,
+    submission_gate,
+)
+from toucanspring.policy import admission
 
 WIDE = case.step(200, cpus=8000)
 
@@ -45,6 +54,32 @@
         )
         self.await_backlog(others)
 
+    # Guards against parts that work by themselves and not together: a job that waits
+    # for a full cell makes another process refuse, and is itself never refused.
+    def test_a_process_refuses_by_the_report_of_the_coordinator(self):
+        first, others = self.start_cell("one", "two")
+        process = self.processes[others[0]]
+        gate = submission_gate.Gate(
+            process, metered.Meters(metrics.Service(None, None)), uptime.now
+        )
+        long = job_specs.Step(
+            count=200, demand=resources.Resources(8000, 1024), estimate_ms=60_000
+        )
+
+        accepted_at_ms = round(time.time() * 1000)  # else it would be late
+
+        def make_job(number):
+            name = f"{number:016x}"
+            return case.job(name, long, accepted_at_ms=accepted_at_ms)
+
+        def judge(number):
+            return gate.judge(make_job(number), case.queue(), None)
+
+        self.assertIsInstance(judge(1), admission.Accept)
+        self.assertIsNone(process.submit(make_job(1), 2.0))
+        self.wait_for(lambda: isinstance(judge(2), admission.Refuse))
+        self.assertIsNone(judge(1))
+
     def test_the_coordinator_tells_which_jobs_it_holds(self):
         first, others = self.start_cell("one", "two", "three")
         self.submit(first, 1)
--- a/test/test_load_report.py
+++ b/test/test_load_report.py
@@ -4,7 +4,7 @@
 
 from test import coordinator_case as case
 from toucanspring import errors, resources
-from toucanspring.coordinator import catalogue, load_report, planner
+from toucanspring.coordinator import catalogue, load_report, load_view, planner
 from toucanspring.policy import admission
 
 CORES = 64.0
@@ -111,15 +111,37 @@
     # Guards against refusals after an outage, in which nothing drains.
     def test_the_drain_is_not_measured_while_nothing_may_start(self):
         cell = Cell()
-        cell.submit("labels", 0.0)
+        for _ in range(2):
+            cell.submit("labels", 0.0)
+        cell.plan(0.0)  # they fill the pool
+        cell.submit("checks", 0.0)
         for half in range(1, 20):
             cell.builder.record_round([], False)
             report = cell.builder.build(half / 2)
-        self.assertEqual(1000, find_row(report, 2).drain)
+        self.assertEqual(1000, find_row(report, 0).drain)
         for half in range(20, 40):
             cell.builder.record_round([], True)
             report = cell.builder.build(half / 2)
-        self.assertLess(find_row(report, 2).drain, 200)
+        self.assertLess(find_row(report, 0).drain, 200)
+
+    # Guards against refusals between the starts of tasks that last for a minute.
+    def test_long_tasks_drain_by_the_share_that_they_hold(self):
+        cell = Cell()
+        for _ in range(3):
+            cell.submit("labels", 0.0)
+        cell.plan(0.0)  # two of three fill the pool
+        for half in range(1, 60):
+            report = cell.builder.build(half / 2)
+        self.assertAlmostEqual(1000, find_row(report, 2).drain, delta=5)
+
+    # Guards against refusals at the start of a burst: under light load little starts
+    # each second, and steps wait for their approvals.
+    def test_the_drain_is_not_measured_in_a_pool_with_room(self):
+        cell = Cell()
+        cell.submit("labels", 0.0)
+        for half in range(1, 20):
+            report = cell.builder.build(half / 2)
+        self.assertEqual(1000, find_row(report, 2).drain)
 
     # Guards against refusals by a new coordinator whose workers have not answered yet.
     def test_workers_that_have_not_answered_count_as_capacity(self):
@@ -162,7 +184,7 @@
 class ViewTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.view = load_report.View()
+        self.view = load_view.View()
         self.queue = case.queue("labels", priority=2)
         self.job = case.job()
 
--- a/test/test_policy_admission.py
+++ b/test/test_policy_admission.py
@@ -314,6 +314,7 @@
         settled = pool.refusals_per_second(25, 60)
         mean = sum(settled) / len(settled)
         self.assertGreater(mean, 0)
+        self.assertGreater(min(settled), 0)
         swing = max(settled) - min(settled)
         self.assertLess(swing, self.CAPACITY)
         # The backlog stays bounded, unlike before.
--- a/test/test_submission_gate.py
+++ b/test/test_submission_gate.py
@@ -15,7 +15,7 @@
 from toucanspring.coordinator import (
     catalogue,
     job_specs,
-    load_report,
+    load_view,
     metered,
     ports,
     rows,
@@ -39,7 +39,7 @@
 
     def __init__(self):
         super().__init__()
-        self.load = load_report.View()
+        self.load = load_view.View()
         self.stored = {}
         self.in_memory = set()  # of the coordinator
         self.down = False
@@ -205,6 +205,17 @@
         spec = case.job(JOB)
         self.assertIsInstance(self.gate._find_accepted(spec), errors.Ambiguous)
 
+    def test_a_slow_lookup_permits_no_refusal(self):
+        self.overload()
+        read = self.scheduler.read_job
+
+        def read_slowly(job_id):
+            self.now += submission_gate.MAX_LOOKUP_S + 0.01
+            return read(job_id)
+
+        self.scheduler.read_job = read_slowly
+        self.assertEqual(200, self.call().status)
+
     def test_the_memory_of_written_jobs_is_bounded(self):
         self.patch(submission_gate, "MAX_WRITTEN", 10)
         for number in range(50):
@@ -234,7 +245,7 @@
     def test_two_entries_with_different_views_keep_their_promises(self):
         self.overload()
         refusing = self.ingress
-        self.scheduler.load, full = load_report.View(), self.scheduler.load
+        self.scheduler.load, full = load_view.View(), self.scheduler.load
         accepting = self.start_entry()
         self.assertEqual(200, self.call(entry=accepting).status)
         self.scheduler.load = full
@@ -257,7 +268,7 @@
 
     def test_a_job_accepted_by_this_process_is_not_refused(self):
         self.scheduler.result, self.scheduler.down = None, False
-        self.scheduler.load = load_report.View()
+        self.scheduler.load = load_view.View()
         self.assertEqual(200, self.call().status)
         self.scheduler.result, self.scheduler.down = OUTAGE, True
         self.assertEqual(504, self.call().status)
@@ -273,7 +284,7 @@
         self.assertEqual([[3, 4], [2, 3], [1, 2]], [found[n] for n in (1, 2, 3)])
         self.assertEqual([1, 2], found[6])
         self.scheduler.result = None
-        self.scheduler.load = load_report.View()
+        self.scheduler.load = load_view.View()
         self.assertEqual(200, self.call(OTHER).status)
         self.scheduler.result = OUTAGE
         self.assertIn(self.call("8" * 16).retry_after_s, (1, 2))
--- a/toucanspring/coordinator/load_report.py
+++ b/toucanspring/coordinator/load_report.py
@@ -1,4 +1,4 @@
-"""The load of the cell: counted by the coordinator, kept by each process."""
+"""The load of the cell, as the coordinator counts and sends it; see `load_view`."""
 
 from __future__ import annotations
 
@@ -9,7 +9,13 @@
 import msgspec
 
 from toucanspring import decoding, errors, resources
-from toucanspring.coordinator import catalogue, cell_state, job_specs, plans, state
+from toucanspring.coordinator import (
+    cell_state,
+    job_specs,
+    plans,
+    state,
+    workers,
+)
 from toucanspring.policy import admission
 
 NOTICE = "load"
@@ -19,12 +25,13 @@
 # Younger work may only wait for the next round or an approval, so that nothing tells
 # yet how fast the backlog drains.
 MIN_WAITED_S = 1.0
+# Starts come in lumps, e.g. when a pool fills with tasks of a minute. Declared times
+# may be twice the true ones, so that work drains at up to twice the time of the pool.
+MAX_RATE = 2.0
 # Workers register again within some seconds after a total failure.
 WORKERS_KNOWN_AFTER_S = 10.0
 LATE_ESTIMATE_FRACTION = 0.6  # as in `planner`
 MAX_LARGEST = 8  # bounds the notice; with more kinds the size of tasks is not judged
-# The clocks of two processes may differ in speed by less than this.
-MAX_CLOCK_DRIFT = 0.05
 
 
 class PriorityRow(msgspec.Struct, frozen=True, array_like=True):
@@ -251,6 +258,7 @@
     ) -> PoolRow:
         capacity = used = resources.ZERO
         largest = self._largest.get(name, ())
+        occupied: dict[int, int] = collections.defaultdict(int)  # by priority
         for worker in self._cell.pool(name):
             # Workers that have not answered a new coordinator yet count, too: without
             # them the backlog would seem many times as long.
@@ -258,6 +266,7 @@
             if not worker.entry.draining and worker.entry.zone not in zones_out:
                 capacity = capacity + worker.entry.capacity
                 used = used + worker.used
+                _add_occupied(worker, occupied)
             if not any(worker.entry.capacity.fits(each) for each in largest):
                 kept = [
                     each for each in largest if not each.fits(worker.entry.capacity)
@@ -265,34 +274,48 @@
                 largest = (*kept, worker.entry.capacity)
         self._largest[name] = largest
         cores = capacity.cpus / 1000
-        rows, total, started, passed_s = [], _Sums(), 0.0, now - self._counted_at
+        share = used.dominant(capacity)
+        is_full = share >= admission.SATURATED_SHARE
+        rows, total, passed_s = [], _Sums(), now - self._counted_at
+        started, running = 0.0, 0.0
         queues = self._cell.catalogue.queues
         priorities = {queue.priority for queue in queues if queue.pool == name}
         priorities |= {priority for pool, priority in sums if pool == name}
         for priority in sorted(priorities):
             total.merge(sums.get((name, priority), _Sums()))
             started += self._started.get((name, priority), 0.0)
+            running += occupied[priority] / 1000
             key = (name, priority)
             if cores and not self._paused and passed_s > 0:
-                self._smooth(key, started / cores / passed_s, total.oldest_s, passed_s)
+                # Between the starts of long tasks, the share that they hold tells.
+                rate = min(MAX_RATE, started / cores / passed_s)
+                rate = max(rate, running / cores)
+                if not is_full or total.oldest_s < MIN_WAITED_S:
+                    rate = max(1.0, rate)  # what waits may wait for something else
+                self._smooth(key, rate, passed_s)
             rows.append(_make_row(priority, total, cores, self._drains.get(key, 1.0)))
         known = now - self._began_at >= WORKERS_KNOWN_AFTER_S
         return PoolRow(
             name,
             round(cores),
-            _to_thousandths(used.dominant(capacity)),
+            _to_thousandths(share),
             largest if known and len(largest) <= MAX_LARGEST else (),
             tuple(rows),
         )
 
-    def _smooth(
-        self, key: tuple[str, int], rate: float, oldest_s: float, passed_s: float
-    ) -> None:
-        """Follow the drain rate; it is 1 while nothing waits for longer."""
-        sample = rate if oldest_s >= MIN_WAITED_S else max(1.0, rate)
+    def _smooth(self, key: tuple[str, int], rate: float, passed_s: float) -> None:
+        """Follow the drain rate, which begins at 1."""
         before = self._drains.get(key, 1.0)
         weight = 1 - math.exp(-passed_s / SMOOTHING_S)
-        self._drains[key] = before + weight * (sample - before)
+        self._drains[key] = before + weight * (rate - before)
+
+
+def _add_occupied(worker: workers.Worker, occupied: dict[int, int]) -> None:
+    """Add the millicores that the tasks of a worker hold, by priority."""
+    for allocation in worker.allocations.values():
+        queue, step = allocation.step.job.queue, allocation.step.step
+        if queue is not None and not step.long_running:
+            occupied[queue.priority] += step.occupied().cpus
 
 
 def _core_s(step_run: state.StepRun, tasks: int) -> float:
@@ -316,131 +339,3 @@
 
 def _to_thousandths(value: float) -> int:
     return round(value * 1000)
-
-
-class View:
-    """The latest report of the newest epoch in one process, and its decisions."""
-
-    def __init__(self) -> None:
-        self.report: Report | None = None
-        self._counted_at = -math.inf
-        self._received_at = -math.inf
-        self._offset_s = math.inf  # of the clock of the coordinator, with the way here
-        self._pools: dict[str, PoolRow] = {}
-        self._over_share: frozenset[str] = frozenset()
-        # Of the wait for all work and for the work in time.
-        self._bands: dict[tuple[str, int, bool], list[admission.Band]] = {}
-        self._shown: dict[tuple[str, int, bool], tuple[float, float]] = {}
-
-    def receive(self, report: Report, now: float) -> bool:
-        """Keep a report unless a newer one is known; return whether it was kept."""
-        known = self.report
-        if known is not None and (report.epoch, report.sequence) <= (
-            known.epoch,
-            known.sequence,
-        ):
-            return False
-        if known is None or known.epoch != report.epoch:
-            self._offset_s = math.inf
-            self._bands.clear()
-        self._note_time(report.counted_ms / 1000, now)
-        self.report = report
-        self._pools = {pool.name: pool for pool in report.pools}
-        self._over_share = frozenset(
-            each.name for each in report.organisations if each.is_over_share
-        )
-        self._show_waits()
-        return True
-
-    def _note_time(self, counted_s: float, now: float) -> None:
-        """Find when a report was counted, by the fastest way here that was seen."""
-        drift_s = MAX_CLOCK_DRIFT * (now - self._received_at)
-        self._offset_s = min(self._offset_s + drift_s, now - counted_s)
-        self._received_at = now
-        self._counted_at = counted_s + self._offset_s
-
-    def age(self, now: float) -> float:
-        """Return the age of the report in seconds; infinite without one."""
-        return now - self._counted_at
-
-    def find_load(
-        self, pool: str, priority: int, organisation: str
-    ) -> admission.PoolLoad | None:
-        """Return the load ahead of a new job of an organisation, None if unknown."""
-        found = self._pools.get(pool)
-        if found is None:
-            return None
-        over = organisation in self._over_share
-        for row in found.priorities:
-            if row.priority == priority:
-                return _to_load(found, row, over)
-        return None
-
-    def decide(
-        self,
-        job: job_specs.Job,
-        queue: catalogue.Queue,
-        ceiling: resources.Resources,
-        now: float,
-        fraction: float,
-    ) -> admission.Accept | admission.Refuse:
-        """Accept or refuse a submission by this view; see `policy.admission`."""
-        age_s = self.age(now)
-        pool = self._pools.get(queue.pool)
-        current = pool is not None and age_s <= admission.MAX_VIEW_AGE_S
-        found = admission.judge_size(
-            find_demands(job.steps), pool.largest if current else (), ceiling, fraction
-        )
-        if isinstance(found, admission.Refuse) or not current or not is_judged(job):
-            return found
-        chain_s = find_chain_s(job.steps)
-        objective_s = admission.find_objective_s(chain_s, queue.stretch, queue.target_s)
-        over = job.organisation in self._over_share
-        waits = self._shown.get((queue.pool, queue.priority, over), (0.0, 0.0))
-        return admission.decide(
-            admission.Work(chain_s, objective_s),
-            self.find_load(queue.pool, queue.priority, job.organisation),
-            *waits,
-            age_s,
-            fraction,
-        )
-
-    def measure(self, now: float) -> dict[str, float]:
-        """Return the gauges of the known load by name."""
-        rows = [(pool, row) for pool in self._pools.values() for row in pool.priorities]
-        return {
-            "load_view_age_seconds": min(1e6, self.age(now)),
-            "load_epoch": self.report.epoch if self.report is not None else 0,
-            **{
-                f"load_backlog_seconds_{pool.name}_{row.priority}": row.backlog_ms / 1e3
-                for pool, row in rows
-            },
-            **{
-                f"load_drain_{pool.name}_{row.priority}": row.drain / 1e3
-                for pool, row in rows
-            },
-        }
-
-    def _show_waits(self) -> None:
-        for pool in self._pools.values():
-            for row in pool.priorities:
-                for over in (False, True):
-                    key = (pool.name, row.priority, over)
-                    bands = self._bands.setdefault(
-                        key, [admission.Band(), admission.Band()]
-                    )
-                    load = _to_load(pool, row, over)
-                    self._shown[key] = (
-                        bands[0].update(load.wait_s()),
-                        bands[1].update(load.timely_wait_s()),
-                    )
-
-
-def _to_load(pool: PoolRow, row: PriorityRow, over: bool) -> admission.PoolLoad:
-    return admission.PoolLoad(
-        (row.backlog_ms if over else row.fair_backlog_ms) / 1000,
-        (row.timely_ms if over else row.fair_timely_ms) / 1000,
-        row.drain / 1000,
-        pool.used / 1000,
-        row.oldest_ms / 1000,
-    )
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -27,6 +27,7 @@
     leader_lease,
     leadership,
     load_report,
+    load_view,
     members,
     metered,
     plans,
@@ -90,7 +91,7 @@
         self._lease: rows.LeaderLease | None = None
         self._leadership: leadership.Leadership | None = None
         self._draining = False
-        self.load = load_report.View()
+        self.load = load_view.View()
         self._takeover_event = event.Event()
         self._elected_event = event.Event()
         self._takeover = leader_lease.NO_TAKEOVER
--- a/toucanspring/coordinator/submission_gate.py
+++ b/toucanspring/coordinator/submission_gate.py
@@ -14,7 +14,7 @@
 from toucanspring.coordinator import (
     catalogue,
     job_specs,
-    load_report,
+    load_view,
     metered,
     ports,
     rows,
@@ -41,7 +41,7 @@
 class Scheduler(Protocol):
     """What a gate asks of `service.Service`."""
 
-    load: load_report.View
+    load: load_view.View
 
     def has_slow_writes(self) -> bool:
         """Return whether writes of this process are or have lately been slow."""
