--- a/toucanspring/coordinator/metered.py
+++ b/toucanspring/coordinator/metered.py
@@ -44,6 +44,10 @@
             "toucanspring_stopped_core_seconds_total",
             "Work of stopped runs that no checkpoint holds, by cause",
         )
+        self._admissions = registry.counter(
+            "toucanspring_admissions_total",
+            "Submissions by queue and decision before their write",
+        )
         self._gauges = registry.gauge(
             "toucanspring_coordinator", "State of this process by name"
         )
@@ -74,6 +78,10 @@
         for cause, core_s in counts.lost_core_s.items():
             self._lost_core_seconds.add({"cause": cause.value}, core_s)
 
+    def count_admission(self, queue: str, decision: str) -> None:
+        """Count a decision on a submission: accepted, or why not."""
+        self._admissions.inc({"queue": queue, "decision": decision})
+
     def set_gauges(self, values: dict[str, float]) -> None:
         """Set the gauges to the given values by name."""
         for name, value in values.items():
