Send calls to a worker only to the incarnation that they were decided for

Cause: a restart of a worker under its ID breaks its idle connections, and the client opened others without a check. MAX_POLL_GAP_S assumed that no worker restarts within 0.2 s.

Change: the endpoint numbers connections and requests and knows up to which number connections reach only the incarnation that answered last. Polls with a lease and an acknowledgement, starts, their repetitions and stops use such connections. A new connection of orders gets one poll without either first. The assumption is gone. The stand-in of workers refuses calls to another incarnation. Tests of the client's messages use a server without incarnations, so they call any; the fake of test_platform_odd_entries takes the incarnation from the entry, as the first poll names none.

--- a/standins/lease_workers.py
+++ b/standins/lease_workers.py
@@ -105,6 +105,8 @@
         self, worker: ports.WorkerEntry, order: ports.Start
     ) -> ports.OrderDone | ports.OrderRefused:
         incarnation = self._current_incarnation(worker.id)
+        if worker.incarnation not in (0, incarnation.number):
+            return ports.OrderRefused(reason=ports.OTHER_INCARNATION)
         if order.epoch < incarnation.epoch:
             return ports.OrderRefused(reason=ports.FENCED)
         incarnation.epoch = order.epoch
@@ -158,6 +160,8 @@
         if worker.id in self.silent:
             return errors.Ambiguous(reason="no answer")
         incarnation = self._current_incarnation(worker.id)
+        if worker.incarnation not in (0, incarnation.number):
+            return ports.OrderRefused(reason=ports.OTHER_INCARNATION)
         if epoch < incarnation.epoch:
             return ports.OrderRefused(reason=ports.FENCED)
         incarnation.epoch = epoch
@@ -179,6 +183,8 @@
         gevent.sleep(0)
         deadline = time.monotonic() + wait_ms / 1000
         polled = self.incarnations[worker.id]
+        if worker.incarnation not in (0, polled.number):
+            return errors.Unconfirmed(reason="another incarnation")
         while True:
             incarnation = self._current_incarnation(worker.id)
             if worker.id in self.silent or incarnation is not polled:
--- a/test/test_coordinator_incarnations.py
+++ b/test/test_coordinator_incarnations.py
@@ -4,7 +4,8 @@
 import testtools
 
 from test import coordinator_case as case
-from test import platform_case, worker_sockets
+from test import platform_case  # noqa: F401  finds the adapter's modules
+from test import worker_sockets
 from toucanspring import uptime
 from toucanspring.coordinator import dispatch, planner
 
@@ -17,7 +18,6 @@
 class IncarnationCase(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        assert platform_case.FOLDER
         self.fake = worker_sockets.Worker(self)
         self.cell = case.new_cell(now=uptime.now())
         self.cell.accept(case.job(JOB, case.step(1)), uptime.now())
--- a/test/test_platform_executors.py
+++ b/test/test_platform_executors.py
@@ -1,3 +1,4 @@
+import dataclasses
 import json
 
 import gevent
@@ -24,7 +25,9 @@
         content = body if isinstance(body, bytes) else json.dumps(body or {}).encode()
         self.server = platform_case.Server(lambda *_request: (status, content))
         self.addCleanup(self.server.stop)
-        self.worker = case.entry(address=f"127.0.0.1:{self.server.port}")
+        # Calls to any incarnation, since the answers of the server tell of none.
+        address = f"127.0.0.1:{self.server.port}"
+        self.worker = case.entry(address=address, incarnation=0)
         return executors.Executors()
 
     def order(self, **changes):
@@ -179,7 +182,10 @@
         if worker.id != "w2" or self.body is None:
             return self.good_poll(worker, *arguments)
         gevent.sleep(0.01)
-        return self.adapter.poll(self.odd_worker, *arguments)
+        odd_worker = dataclasses.replace(
+            self.odd_worker, incarnation=worker.incarnation
+        )
+        return self.adapter.poll(odd_worker, *arguments)
 
     def test_an_odd_answer_stops_neither_the_coordinator_nor_later_polls(self):
         # Guards against an answer that ends each epoch, or the polls of its worker.
--- a/test/test_platform_odd_entries.py
+++ b/test/test_platform_odd_entries.py
@@ -1,5 +1,6 @@
 """Entries of another writer among the executors' entries, seen by the coordinator."""
 
+import dataclasses
 import json
 
 import gevent
@@ -36,7 +37,8 @@
         if worker.address != ADDRESS:
             return self.adapter.poll(worker, *arguments)
         if worker.id not in self.incarnations:
-            self.add(worker)
+            # The first poll is for any incarnation.
+            self.add(dataclasses.replace(worker, incarnation=GOOD["born"]))
         return super().poll(worker, *arguments)
 
     def start(self, worker, order):
--- a/toucanspring/adapters/exchange.py
+++ b/toucanspring/adapters/exchange.py
@@ -4,9 +4,11 @@
 
 import dataclasses
 import ipaddress
+import itertools
 import math
 import re
 import socket
+import weakref
 from collections.abc import Iterator
 
 import gevent
@@ -36,6 +38,36 @@
 
     tls: object | None = None
 
+    def __init__(self, *arguments: object, **options: object) -> None:
+        super().__init__(*arguments, **options)
+        # One sequence for opened connections and sent requests.
+        self.sequence = itertools.count(1)
+        self._opened: weakref.WeakKeyDictionary[gevent_socket.socket, int] = (
+            weakref.WeakKeyDictionary()
+        )
+
+    def get_idle_socket(self, opened_before: int) -> gevent_socket.socket | None:
+        """Return an idle connection opened before a number of `sequence`, if any.
+
+        Waits like `get_socket` while all connections are in use.
+        """
+        self._semaphore.acquire()
+        younger: list[gevent_socket.socket] = []
+        found = None
+        while found is None and not self._socket_queue.empty():
+            sock = self._socket_queue.get(block=False)
+            if not self._is_socket_alive(sock):
+                sock.close()
+            elif self._opened[sock] < opened_before:
+                found = sock
+            else:
+                younger.append(sock)
+        for sock in reversed(younger):
+            self._socket_queue.put(sock)
+        if found is None:
+            self._semaphore.release()
+        return found
+
     @property
     def exhausted(self) -> bool:
         """Return whether all connections are in use."""
@@ -54,6 +86,9 @@
         except BaseException:
             sock.close()
             raise
+        # Numbered once it is connected: a peer that answers a later request was not
+        # started after this.
+        self._opened[sock] = next(self.sequence)
         return sock
 
     def _is_socket_alive(self, sock: gevent_socket.socket | None) -> bool:
@@ -100,11 +135,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """Hold a complete answer; header names are in lower case."""
+    """Hold a complete answer; header names are in lower case.
+
+    `sent` is the number of its request in the sequence of the endpoint.
+    """
 
     status: int
     headers: dict[str, str]
     body: bytes
+    sent: int = 0
 
 
 class BrokenAnswer(Exception):
@@ -118,9 +157,10 @@
 class OpenReply:
     """Read the body of one answer in blocks until `deadline` (seconds of `uptime`)."""
 
-    def __init__(self, parsed: ParsedReply, deadline: float) -> None:
+    def __init__(self, parsed: ParsedReply, deadline: float, sent: int = 0) -> None:
         self._parsed = parsed
         self._deadline = deadline
+        self.sent = sent
         self.status: int = parsed.get_code()
         self.headers = {name.lower(): str(value) for name, value in parsed.items()}
 
@@ -167,7 +207,13 @@
 
 
 class Endpoint:
-    """Call one HTTP server; calls beyond `connections` wait for a free connection."""
+    """Call one HTTP server; calls beyond `connections` wait for a free connection.
+
+    The server may be replaced by another process, a *peer*, which ends its connections.
+    `confirm` states which peer gave an answer. From then on a call with `peer` is sent
+    only on connections that were open when the answered request was sent: they reach
+    this peer or, if it or an earlier one has ended, nothing.
+    """
 
     def __init__(
         self,
@@ -187,6 +233,8 @@
             connection_timeout=connect_timeout_s,
         )
         self._pool.tls = tls
+        self.peer: int | None = None  # the one confirmed last
+        self._confirmed_at = 0  # number of its latest answered request
         host = f"[{address}]" if ":" in address else address
         self._common = f"Host: {host}:{port}\r\n"
         if client:
@@ -196,6 +244,12 @@
         """Close the idle connections; those in use close when returned."""
         self._pool.close()
 
+    def confirm(self, peer: int, reply: Reply) -> None:
+        """State that `peer` gave an answer."""
+        # An answer that is read late must not replace a later peer.
+        if reply.sent > self._confirmed_at:
+            self.peer, self._confirmed_at = peer, reply.sent
+
     def open(
         self,
         method: str,
@@ -204,12 +258,14 @@
         headers: dict[str, str] | None = None,
         timeout_s: float = TIMEOUT_S,
         send_by: float = math.inf,
+        peer: int | None = None,
     ) -> OpenReply | errors.Unavailable | errors.Overloaded | errors.Ambiguous:
         """Send a request and return once the head of its answer has arrived.
 
         `Overloaded` means that no connection became free before `send_by` (monotonic
         seconds), `Unavailable` that the server was not reached; in both cases nothing
-        was sent.
+        was sent. With `peer` no connection is opened; `Unconfirmed` means that none is
+        idle that reaches only this peer.
         """
         head = self._head(method, target, headers or {}, len(body))
         deadline = uptime.now() + timeout_s
@@ -218,19 +274,22 @@
         limit = gevent.Timeout(timeout_s)
         try:
             with limit:
-                sock = self._pool.get_socket()
+                sock = self._connection(peer)
+                if sock is None:
+                    return errors.Unconfirmed(reason="no connection to this peer")
                 if uptime.now() > send_by:
                     self._pool.return_socket(sock)
                     sock = None
                     return errors.Overloaded(reason="no connection became free in time")
                 sent = True
+                number = next(self._pool.sequence)
                 sock.sendall(head + body)
                 # From here on the response releases the socket.
                 transferred, sock = sock, None
                 parsed = ParsedReply(
                     transferred, self._pool, block_size=BLOCK_BYTES, method=method
                 )
-                return OpenReply(parsed, deadline)
+                return OpenReply(parsed, deadline, number)
         except gevent.Timeout as expired:
             if expired is not limit:
                 raise
@@ -248,6 +307,13 @@
             return errors.Ambiguous(reason=reason)
         return errors.Unavailable(reason=reason)
 
+    def _connection(self, peer: int | None) -> gevent_socket.socket | None:
+        if peer is None:
+            return self._pool.get_socket()
+        if peer != self.peer:
+            return None
+        return self._pool.get_idle_socket(self._confirmed_at)
+
     def _head(
         self, method: str, target: str, headers: dict[str, str], length: int
     ) -> bytes:
@@ -266,9 +332,10 @@
         headers: dict[str, str] | None = None,
         timeout_s: float = TIMEOUT_S,
         max_bytes: int = MAX_BODY_BYTES,
+        peer: int | None = None,
     ) -> Reply | errors.Unavailable | errors.Ambiguous | errors.Oversized:
         """Send a request and return a complete answer of at most `max_bytes`."""
-        opened = self.open(method, target, body, headers, timeout_s)
+        opened = self.open(method, target, body, headers, timeout_s, peer=peer)
         if isinstance(opened, errors.Overloaded):
             return errors.Unavailable(reason=opened.reason)
         if isinstance(opened, errors.Failure):
@@ -291,7 +358,7 @@
                 )
     except BrokenAnswer as broken:
         return broken.failure
-    return Reply(opened.status, opened.headers, bytes(received))
+    return Reply(opened.status, opened.headers, bytes(received), opened.sent)
 
 
 def parse_address(text: str) -> tuple[str, int] | errors.Invalid:
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -37,13 +37,12 @@
 MAX_STOPS_IN_FLIGHT = 100
 MAX_STARTS_PER_WORKER = 4  # in flight
 MAX_STOPS_PER_WORKER = 2  # in flight
-# A worker may restart unnoticed if it is not polled for this long.
-MAX_POLL_GAP_S = 0.2
 DURABLE_WAIT_S = 1.0  # limit of a wait for the store before the next lease renewal
 # Reasons why a recorded start is cancelled before it is sent, as logged.
 TICKET_EXPIRED = "the ticket expired before the order was sent"
 WORKER_LEAVES = "the worker takes no more tasks"
 WORKER_FAILED = "the worker failed before the order was sent"
+WORKER_RESTARTED = "the worker restarted before the order was sent"
 NOT_PERMITTED = (
     "the lease or the view of the settings ran out before the order was sent"
 )
@@ -181,19 +180,26 @@
 
     def _poll(self, worker: workers.Worker) -> bool:
         sent = self._clock()
-        lease_until_ms = None
-        # A poll without a reply may still arrive and extend the lease. Further polls
-        # carry no lease, so that the tasks of a lost worker are requeued in time.
+        answer: object = errors.Unconfirmed(reason="the incarnation is not known")
         if worker.clock_ms and not worker.may_have_restarted:
+            # A poll without a reply may still arrive and extend the lease. Further
+            # polls carry no lease, so that the tasks of a lost worker are requeued in
+            # time.
             lease_until_ms = worker.estimate_clock(sent) + self._max_lease_ms
             worker.extend_lease(lease_until_ms, sent)
-        wait_ms = self._poll_wait_ms(worker, sent)
-        # A new incarnation counts ends from 1, so acknowledging an old number would
-        # drop ends that were never read.
-        acked_end = 0 if worker.may_have_restarted else worker.acked_end
-        answer = self._client.poll(
-            worker.entry, self._leader.epoch, acked_end, lease_until_ms, wait_ms
-        )
+            answer = self._client.poll(
+                worker.target(worker.incarnation),
+                self._leader.epoch,
+                worker.acked_end,
+                lease_until_ms,
+                self._poll_wait_ms(worker, sent),
+            )
+        if isinstance(answer, errors.Unconfirmed):
+            # Another incarnation may answer this poll. It counts ends from 1, so that
+            # an old number would drop ends that were never read, and has another clock.
+            worker.may_have_restarted = True
+            sent = self._clock()
+            answer = self._client.poll(worker.target(0), self._leader.epoch, 0, None, 0)
         now = self._clock()
         self._record_call(worker, answer, now)
         unchecked = worker.may_have_restarted
@@ -201,10 +207,10 @@
         match answer:
             case ports.PollReply():
                 has_new_ends = self._apply_reply(worker, answer, sent, now)
-                # The poll after a check acknowledges and renews at once. A wait for
-                # the write first would need a check again.
+                # The poll after a check renews the lease at once. Otherwise one before
+                # the write of the ends would only list them again.
                 if has_new_ends and (worker.may_have_restarted or not unchecked):
-                    self._await_acknowledgement(worker, now)
+                    self._acknowledged[worker.id].wait(DURABLE_WAIT_S)
                 return True
             case ports.OrderRefused(reason=ports.FENCED):
                 self._leader.step_down(f"worker {worker.id} has seen a higher epoch")
@@ -257,12 +263,6 @@
             self._leader.acknowledge_ends(worker, last, jobs)
         return has_new_ends
 
-    def _await_acknowledgement(self, worker: workers.Worker, polled_at: float) -> None:
-        """Wait for the write of ends; a poll before it would only list them again."""
-        self._acknowledged[worker.id].wait(DURABLE_WAIT_S)
-        if self._clock() - polled_at > MAX_POLL_GAP_S:
-            worker.may_have_restarted = True
-
     # Starts and stops
 
     def count_orders(self) -> dict[str, int]:
@@ -320,10 +320,15 @@
                 else:
                     cell.cancel_start(step_run, start.task, start.run, sent)
                 return
+            if worker.incarnation != start.incarnation:
+                # The clock that the lease is stated on is not known any more.
+                self._handle_refusal(start, ports.OTHER_INCARNATION, attempt > 0, sent)
+                self._log_failure(queued, began, WORKER_RESTARTED)
+                return
             lease_until_ms = worker.estimate_clock(sent) + self._max_lease_ms
             worker.extend_lease(lease_until_ms, sent)
             answer = self._client.start(
-                worker.entry,
+                worker.target(start.incarnation),
                 ports.Start(
                     task=step_run.task_id(start.task.index),
                     run=start.run,
@@ -342,6 +347,10 @@
             if not attempt and isinstance(answer, ports.OrderDone | ports.OrderRefused):
                 self.pacing.record_delay(now - queued.planned_at)
             match answer:
+                case ports.OrderDone() if worker.incarnation != start.incarnation:
+                    # The run ended with the incarnation that answered.
+                    cell.mark_start_ambiguous(step_run, start.task, start.run)
+                    answer = ports.OrderRefused(reason=ports.OTHER_INCARNATION)
                 case ports.OrderDone(clock_ms=clock_ms):
                     worker.update_clock(clock_ms, now)
                     cell.confirm_start(step_run, start.task, start.run, now)
@@ -368,6 +377,8 @@
         worker = start.worker
         if not self._leader.may_start(now):
             return "", NOT_PERMITTED
+        if worker.incarnation != start.incarnation:
+            return "", WORKER_RESTARTED
         paused = start.backoff_until < worker.backoff_until
         if not worker.responsive or (paused and now < worker.backoff_until):
             return "", WORKER_FAILED
@@ -398,7 +409,7 @@
             return
         if reason == ports.NO_TICKET:
             step_run.tickets.pop(worker.id, None)
-        elif reason in (ports.NO_ROOM, ports.UNHEALTHY):
+        elif reason in (ports.NO_ROOM, ports.UNHEALTHY, ports.OTHER_INCARNATION):
             worker.backoff_until = now + workers.BACKOFF_S
         elif reason == ports.INVALID:
             start.task.avoided_workers = start.task.avoided_workers | {worker.id}
@@ -423,15 +434,19 @@
             allocation is None or allocation.task.run != order.run
         ):
             return 0.0
-        if not worker.entry.address:
-            return STOP_RETRY_S  # known from restored tasks; it may register later
+        if not (worker.entry.address and worker.confirmed):
+            # Known from restored tasks, it may register later; or a poll has to tell
+            # first which incarnation it is.
+            return STOP_RETRY_S
+        incarnation = worker.incarnation
         answer = self._client.stop(
-            worker.entry, order.task, order.run, self._leader.epoch
+            worker.target(incarnation), order.task, order.run, self._leader.epoch
         )
         now = self._clock()
         match answer:
             case ports.OrderDone(clock_ms=clock_ms):
-                worker.update_clock(clock_ms, now)
+                if incarnation == worker.incarnation:
+                    worker.update_clock(clock_ms, now)
             case ports.OrderRefused(reason=ports.FENCED):
                 self._leader.step_down(f"worker {worker.id} refused a stop")
                 return 0.0
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -393,7 +393,13 @@
         self._cell.allocate(step_run, task, worker, run_number)
         plan.starts.append(
             plans.Start(
-                step_run, task, worker, run_number, ticket, worker.backoff_until
+                step_run,
+                task,
+                worker,
+                run_number,
+                ticket,
+                worker.backoff_until,
+                worker.incarnation,
             )
         )
 
--- a/toucanspring/coordinator/plans.py
+++ b/toucanspring/coordinator/plans.py
@@ -34,6 +34,7 @@
     ticket: str
     # The pause of the worker at planning time, which the planner may have ignored.
     backoff_until: float = 0.0
+    incarnation: int = 0  # of the worker at planning time
 
 
 @dataclasses.dataclass(slots=True)
--- a/toucanspring/coordinator/workers.py
+++ b/toucanspring/coordinator/workers.py
@@ -80,6 +80,12 @@
         """Return the ID of the worker."""
         return self.entry.id
 
+    def target(self, incarnation: int) -> ports.WorkerEntry:
+        """Return the entry for a call to an incarnation; 0 stands for any."""
+        if self.entry.incarnation == incarnation:
+            return self.entry
+        return dataclasses.replace(self.entry, incarnation=incarnation)
+
     def free(self) -> resources.Resources:
         """Return the capacity that no known task uses."""
         free = self.entry.capacity - self.used
--- a/toucanspring/errors.py
+++ b/toucanspring/errors.py
@@ -49,6 +49,11 @@
     """The service was not reached; the call certainly had no effect."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Unconfirmed(Unavailable):
+    """No idle connection is known to reach the wanted peer; nothing was sent."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StoreUnavailable(Unavailable):
     """The table service could not be reached; nothing was written."""
