--- a/toucanspring/coordinator/ports.py
+++ b/toucanspring/coordinator/ports.py
@@ -210,8 +210,8 @@
 class Workers(Protocol):
     """Client of the workers.
 
-    A call reaches the incarnation that `worker` names and no other; incarnation 0 stands
-    for any. An order for an incarnation that has been replaced is refused with
+    A call reaches the incarnation that `worker` names and no other; incarnation 0
+    stands for any. An order for an incarnation that has been replaced is refused with
     `OTHER_INCARNATION` and certainly has no effect. A poll whose incarnation cannot be
     told without another poll is not sent and returns `errors.Unconfirmed`.
     """
