--- /dev/null
+++ b/test/test_coordinator_stops.py
@@ -0,0 +1,157 @@
+"""Stops of many runs on one worker: bounded in time, and none holds up the others."""
+
+import types
+
+import gevent
+import testtools
+from gevent import event
+
+from test import coordinator_case as case
+from test import worker_sockets
+from toucanspring import errors, resources
+from toucanspring.coordinator import cell_state, dispatch, planner, ports
+
+JOB = "0" * 16
+# How many stops may follow each other within the permitted time of a cancellation
+# (4.0 s), each as slow as permitted (0.4 s), so that one may be lost: 0.6 s until it
+# counts as lost, 0.25 s of pause and its repetition.
+MOST_IN_A_ROW = 6
+
+
+class StopCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.cell = case.new_cell()
+        self.worker = self.cell.workers["w1"]
+        self.sent = []
+        self.lost = set()  # tasks whose stops get no answer
+        self.release = None  # an event that the stops in flight wait for
+        client = types.SimpleNamespace(stop=self.answer, start=self.start)
+        leader = worker_sockets.Leader(self.cell)
+        self.orders = dispatch.Dispatcher(leader, client, 6000, lambda: 1.0)
+        self.addCleanup(self.orders.__exit__)
+
+    def answer(self, worker, task, _run, _epoch):
+        self.sent.append(task)
+        if self.release is not None:
+            self.release.wait()
+        if task in self.lost or worker.id in self.lost:
+            return errors.Ambiguous(reason="no answer")
+        self.cell.workers[worker.id].unknown_tasks.pop(task, None)
+        return ports.OrderDone(10_000)
+
+    def start(self, _worker, order):
+        raise AssertionError(order)
+
+    def submit(self, count, worker="w1"):
+        """Order stops of runs that a worker holds."""
+        for number in range(count):
+            order = cell_state.Stop(worker, f"{JOB}.0.0.{number}", 1)
+            held = self.cell.workers[worker].unknown_tasks
+            held[order.task] = resources.ZERO
+            self.orders.stop(order)
+
+    def settle(self):
+        for _ in range(30):
+            gevent.sleep(0)
+
+    def count_rounds(self):
+        """Return how many stops follow each other until all are answered."""
+        rounds = 0
+        self.settle()
+        while self.orders.stops.in_flight:
+            rounds += 1
+            answered, self.release = self.release, event.Event()
+            answered.set()
+            self.settle()
+        return rounds
+
+
+class ManyStopsTest(StopCase):
+    # Guards against tasks of a cancelled job that run on after the permitted time: 64
+    # of them on one worker were stopped two at a time.
+    def test_few_stops_follow_each_other_however_many_a_worker_holds(self):
+        for count in (1, 64, 150, 600):
+            self.release = event.Event()
+            self.submit(count)
+            self.assertLessEqual(self.count_rounds(), MOST_IN_A_ROW, count)
+            self.assertEqual({}, self.worker.unknown_tasks)
+
+    # As above, for a job that is as wide as all workers together.
+    def test_stops_of_many_workers_do_not_wait_for_each_other(self):
+        names = [f"x{number}" for number in range(40)]
+        for name in names:
+            self.cell.register_worker(case.entry(name))
+            case.poll(self.cell, name)
+        self.release = event.Event()
+        for name in names:
+            self.submit(64, name)
+        self.assertLessEqual(self.count_rounds(), MOST_IN_A_ROW)
+
+    # Guards against connections that are opened to a worker for a few stops.
+    def test_few_stops_use_few_connections(self):
+        self.release = event.Event()
+        self.submit(2 * MOST_IN_A_ROW)
+        self.settle()
+        self.assertEqual(2, self.orders.stops.in_flight)
+
+    # Guards against slots and connections that are held for a worker which is gone.
+    def test_a_silent_worker_gets_few_stops_at_a_time(self):
+        self.release = event.Event()
+        self.submit(150)
+        self.settle()
+        self.lost.add("w1")
+        self.release.set()
+        self.release = event.Event()
+        self.settle()
+        self.assertEqual(2, self.orders.stops.in_flight)
+
+
+class SlowStopTest(StopCase):
+    # Guards against one stop without an answer that pauses all others of its worker.
+    def test_a_stop_without_an_answer_does_not_hold_up_the_others(self):
+        self.lost.add(f"{JOB}.0.0.0")
+        self.submit(40)
+        for _ in range(4):
+            self.settle()
+        self.assertEqual(40, len(set(self.sent)))
+        self.assertEqual([f"{JOB}.0.0.0"], list(self.worker.unknown_tasks))
+
+    # Guards against stops that are ordered again while they wait, so that the queue of
+    # a worker grows with the time.
+    def test_a_stop_that_waits_is_not_queued_twice(self):
+        self.release = event.Event()
+        self.submit(30)
+        self.submit(30)
+        orders = self.orders.count_orders()
+        self.assertEqual(30, orders["stops_waiting"] + orders["stops_in_flight"])
+        self.count_rounds()
+        self.assertEqual(30, len(self.sent))
+
+
+class CancelledStartTest(StopCase):
+    def start(self, _worker, order):
+        """Lose a start, whose job is cancelled meanwhile."""
+        self.sent.append(order.task)
+        self.interrupt()
+        return errors.Ambiguous(reason="no answer")
+
+    def send(self, interrupt):
+        self.interrupt = interrupt
+        self.cell.accept(case.job(JOB, case.step(1)), 1.0)
+        [start] = planner.Planner(self.cell).plan(1.0).starts
+        self.orders.start(start, 1.0)
+        self.settle()
+        self.assertEqual(1, len(self.sent))
+        self.assertEqual([case.STOPPING], case.phases(self.cell))
+        self.assertEqual(1, len(self.cell.stops))
+
+    # Guards against a start that is repeated for up to 1.6 s after the cancellation of
+    # its job, before which nothing stops it.
+    def test_an_unanswered_start_of_a_cancelled_job_is_stopped_at_once(self):
+        self.send(lambda: self.cell.cancel(JOB, 1.0))
+
+    # Guards against a start that is repeated on a worker whose availability zone is
+    # taken out of service, or that leaves.
+    def test_an_unanswered_start_in_a_zone_out_of_service_is_stopped_at_once(self):
+        self.send(lambda: setattr(self.cell, "zones_out", frozenset({"zone-a"})))
