Bound the time of stops, and let none hold up the others of its worker

A stop without an answer within 0.4 s, which is also the longest permitted time of a stop, paused all stops of its worker for 0.25 s. An unanswered start was repeated for up to 1.6 s after the cancellation of its job.

Change: stops in flight to a worker follow the most that waited, so that six follow each other; 128 for a worker, 500 in all. Only the unanswered stop pauses, and a worker that answers none gets two at a time. The starts have a module of their own.

--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Callable
-from typing import Protocol
 
 import gevent
 import logbook
@@ -14,11 +12,13 @@
 from toucanspring import log as structured
 from toucanspring.coordinator import (
     cell_state,
+    leader,
     order_pacing,
     order_queue,
     plans,
     ports,
     reports,
+    start_orders,
     workers,
 )
 
@@ -32,52 +32,18 @@
 POLL_RETRY_S = 0.15
 # A worker that replies to no poll for this long gets no new tasks.
 UNRESPONSIVE_AFTER_S = 0.8
-MAX_START_ATTEMPTS = 4
 STOP_RETRY_S = 0.25
-MAX_STOPS_IN_FLIGHT = 100
 MAX_STARTS_PER_WORKER = 4  # in flight
-MAX_STOPS_PER_WORKER = 2  # in flight
+# A platform permits 0.4 s for a stop and 4 s from a cancellation to the last one. Six
+# in a row leave 1.6 s: the write, and one stop that is lost (0.6 s until it counts as
+# lost, STOP_RETRY_S, 0.4 s for its repetition).
+STOPS_IN_A_ROW = 6
+STOPS_PER_WORKER = 2  # in flight; more for a worker with many stops
+# Bound the connections of a process. All running tasks of the largest deployment known
+# are fewer than STOPS_IN_A_ROW * MAX_STOPS_IN_FLIGHT.
+MAX_STOPS_PER_WORKER = 128
+MAX_STOPS_IN_FLIGHT = 500
 DURABLE_WAIT_S = 1.0  # limit of a wait for the store before the next lease renewal
-# Reasons why a recorded start is cancelled before it is sent, as logged.
-TICKET_EXPIRED = "the ticket expired before the order was sent"
-WORKER_LEAVES = "the worker takes no more tasks"
-WORKER_FAILED = "the worker failed before the order was sent"
-WORKER_RESTARTED = "the worker restarted before the order was sent"
-NOT_PERMITTED = (
-    "the lease or the view of the settings ran out before the order was sent"
-)
-
-
-class Leader(Protocol):
-    """The coordinator on whose behalf orders are sent."""
-
-    cell: cell_state.CellState
-    epoch: int
-
-    def may_renew(self, now: float) -> bool:
-        """Return whether worker leases may be renewed."""
-
-    def may_start(self, now: float) -> bool:
-        """Return whether tasks may start, and so be stopped to start elsewhere."""
-
-    def acknowledge_ends(
-        self, worker: workers.Worker, last_end: int, jobs: frozenset[str]
-    ) -> None:
-        """Acknowledge ends of `jobs` to the worker once they are durable."""
-
-    def step_down(self, reason: str) -> None:
-        """Stop coordinating, since a worker has seen a higher epoch."""
-
-    def wake(self) -> None:
-        """Start a planning round soon."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class QueuedStart:
-    """A recorded start, planned at a time in seconds of `uptime`."""
-
-    start: plans.Start
-    planned_at: float
 
 
 class Dispatcher:
@@ -85,25 +51,37 @@
 
     def __init__(
         self,
-        leader: Leader,
+        coordinator: leader.Leader,
         client: ports.Workers,
         max_lease_ms: int,
         clock: Callable[[], float] = uptime.now,
     ) -> None:
-        self._leader = leader
+        self._leader = coordinator
         self._client = client
         self._max_lease_ms = max_lease_ms
         self._clock = clock
         self._loops: dict[str, gevent.Greenlet] = {}
         self._acknowledged: dict[str, event.Event] = {}
         self.pacing = order_pacing.OrderPacing()
-        self.starts = order_queue.OrderQueue(
-            self._start, self.pacing.max_in_flight, MAX_STARTS_PER_WORKER
+        self._start_orders = start_orders.StartOrders(
+            coordinator,
+            client,
+            max_lease_ms,
+            MAX_STARTS_PER_WORKER,
+            self.pacing,
+            self._record_call,
+            clock,
         )
+        self.starts = self._start_orders.queue
         self._ended_before = 0
         self.stops = order_queue.OrderQueue(
-            self._stop, MAX_STOPS_IN_FLIGHT, MAX_STOPS_PER_WORKER
+            self._stop,
+            MAX_STOPS_IN_FLIGHT,
+            STOPS_PER_WORKER,
+            STOPS_IN_A_ROW,
+            MAX_STOPS_PER_WORKER,
         )
+        self._pending_stops: set[cell_state.Stop] = set()
 
     def __enter__(self) -> Dispatcher:
         return self
@@ -282,150 +260,25 @@
 
     def start(self, start: plans.Start, planned_at: float) -> None:
         """Queue a start order whose intent is durable."""
-        self.starts.submit(start.worker.id, QueuedStart(start, planned_at))
-
-    def _start(self, queued: QueuedStart) -> float:
-        """Send a start order, or cancel it if it is void by now; return 0."""
-        start = queued.start
-        cell, step_run = self._leader.cell, start.step
-        if not cell.may_order(step_run, start.task, start.run):
-            cell.cancel_start(step_run, start.task, start.run, self._clock())
-            return 0.0
-        began = self._clock()
-        ticket, reason = self._check_start(start, began)
-        if reason:
-            if reason == TICKET_EXPIRED:
-                self.pacing.record_void(began - queued.planned_at)
-            cell.cancel_start(step_run, start.task, start.run, began)
-            self._log_failure(queued, began, reason)
-            return 0.0
-        try:
-            self._send(queued, ticket)
-        except Exception:
-            log.exception("starting {} failed", step_run.task_id(start.task.index))
-            cell.mark_start_ambiguous(step_run, start.task, start.run)
-            self._leader.wake()
-        return 0.0
-
-    def _send(self, queued: QueuedStart, ticket: str) -> None:
-        """Send a start order until its outcome is known."""
-        start, began = queued.start, self._clock()
-        cell, worker, step_run = self._leader.cell, start.worker, start.step
-        for attempt in range(MAX_START_ATTEMPTS):
-            sent = self._clock()
-            if not self._leader.may_renew(sent):
-                # A successor relies on no lease being renewed.
-                if attempt:
-                    cell.mark_start_ambiguous(step_run, start.task, start.run)
-                else:
-                    cell.cancel_start(step_run, start.task, start.run, sent)
-                return
-            if worker.incarnation != start.incarnation:
-                # The clock that the lease is stated on is not known any more.
-                self._handle_refusal(start, ports.OTHER_INCARNATION, attempt > 0, sent)
-                self._log_failure(queued, began, WORKER_RESTARTED)
-                return
-            lease_until_ms = worker.estimate_clock(sent) + self._max_lease_ms
-            worker.extend_lease(lease_until_ms, sent)
-            answer = self._client.start(
-                worker.target(start.incarnation),
-                ports.Start(
-                    task=step_run.task_id(start.task.index),
-                    run=start.run,
-                    payload=step_run.job.spec.payload,
-                    lease_until_ms=lease_until_ms,
-                    epoch=self._leader.epoch,
-                    checkpoint=start.task.checkpoint,
-                    ticket=ticket,
-                    timeout_s=self.pacing.order_timeout_s(attempt),
-                ),
-            )
-            now = self._clock()
-            self._record_call(worker, answer, now)
-            self.pacing.record_order(now - sent)
-            self.starts.max_in_flight = self.pacing.max_in_flight
-            if not attempt and isinstance(answer, ports.OrderDone | ports.OrderRefused):
-                self.pacing.record_delay(now - queued.planned_at)
-            match answer:
-                case ports.OrderDone() if worker.incarnation != start.incarnation:
-                    # The run ended with the incarnation that answered.
-                    cell.mark_start_ambiguous(step_run, start.task, start.run)
-                    answer = ports.OrderRefused(reason=ports.OTHER_INCARNATION)
-                case ports.OrderDone(clock_ms=clock_ms):
-                    worker.update_clock(clock_ms, now)
-                    cell.confirm_start(step_run, start.task, start.run, now)
-                    self._leader.wake()
-                    return
-                case errors.Ambiguous() if attempt + 1 < MAX_START_ATTEMPTS:
-                    worker.may_have_restarted = True
-                    continue  # starting the same run again is idempotent
-                case errors.Ambiguous():
-                    worker.backoff_until = now + workers.BACKOFF_S
-                    cell.mark_start_ambiguous(step_run, start.task, start.run)
-                case ports.OrderRefused(reason=reason):
-                    self._handle_refusal(start, reason, attempt > 0, now)
-                case _ if attempt > 0:
-                    cell.mark_start_ambiguous(step_run, start.task, start.run)
-                case _:
-                    worker.backoff_until = now + workers.BACKOFF_S
-                    cell.cancel_start(step_run, start.task, start.run, now)
-            self._log_failure(queued, began, answer.reason)
-            return
-
-    def _check_start(self, start: plans.Start, now: float) -> tuple[str, str]:
-        """Return the ticket of a start, and why it must not be sent if so."""
-        worker = start.worker
-        if not self._leader.may_start(now):
-            return "", NOT_PERMITTED
-        if worker.incarnation != start.incarnation:
-            return "", WORKER_RESTARTED
-        paused = start.backoff_until < worker.backoff_until
-        if not worker.responsive or (paused and now < worker.backoff_until):
-            return "", WORKER_FAILED
-        if not worker.is_available(self._leader.cell.zones_out):
-            return "", WORKER_LEAVES
-        if not start.ticket:
-            return "", ""
-        ticket = start.step.tickets.get(worker.id)
-        if ticket is None or ticket.expires_at <= now + self.pacing.order_s:
-            return "", TICKET_EXPIRED
-        return ticket.text, ""
-
-    def _log_failure(self, queued: QueuedStart, sent: float, reason: str) -> None:
-        start = queued.start
-        structured.decide(
-            log, "start_failed", task=start.step.task_id(start.task.index),
-            run=start.run, worker=start.worker.id, reason=reason,
-            age_s=round(sent - queued.planned_at, 3),
-        )  # fmt: skip
-        self._leader.wake()
-
-    def _handle_refusal(
-        self, start: plans.Start, reason: str, repeated: bool, now: float
-    ) -> None:
-        cell, worker, step_run = self._leader.cell, start.worker, start.step
-        if reason == ports.FENCED:
-            self._leader.step_down(f"worker {worker.id} has seen a higher epoch")
-            return
-        if reason == ports.NO_TICKET:
-            step_run.tickets.pop(worker.id, None)
-        elif reason in (ports.NO_ROOM, ports.UNHEALTHY, ports.OTHER_INCARNATION):
-            worker.backoff_until = now + workers.BACKOFF_S
-        elif reason == ports.INVALID:
-            start.task.avoided_workers = start.task.avoided_workers | {worker.id}
-            start.task.avoid_until = now + cell_state.FAILED_WORKER_AVOIDANCE_S
-        if repeated or reason == ports.OLD_RUN:
-            # The first order may have taken effect, and its run may have ended.
-            cell.mark_start_ambiguous(step_run, start.task, start.run)
-        else:
-            cell.cancel_start(step_run, start.task, start.run, now)
+        self._start_orders.submit(start, planned_at)
 
     def stop(self, order: cell_state.Stop) -> None:
         """Queue a stop order, sent until it is confirmed or the run is gone."""
-        self.stops.submit(order.worker, order)
+        if order not in self._pending_stops:
+            self._pending_stops.add(order)
+            self.stops.submit(order.worker, order)
 
     def _stop(self, order: cell_state.Stop) -> float:
         """Send a stop order once; return the seconds until it is repeated, or 0."""
+        repeat_after_s = 0.0
+        try:
+            repeat_after_s = self._send_stop(order)
+        finally:
+            if not repeat_after_s:
+                self._pending_stops.discard(order)
+        return repeat_after_s
+
+    def _send_stop(self, order: cell_state.Stop) -> float:
         worker = self._leader.cell.workers.get(order.worker)
         if worker is None:
             return 0.0
--- a/toucanspring/coordinator/order_queue.py
+++ b/toucanspring/coordinator/order_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
@@ -11,12 +12,19 @@
 
 Order = TypeVar("Order")
 
+# After so many attempts in a row without an answer a worker gets few orders at a time.
+MAX_FAILED_ATTEMPTS = 4
+
 
 class OrderQueue(Generic[Order]):
     """Sends orders in the background; workers with waiting orders take turns.
 
     `send` returns 0, or the seconds after which the order is to be repeated. An order
-    that waits to be repeated is not in flight, and its worker gets no other order.
+    that waits to be repeated is not in flight and holds up no other order.
+
+    A worker has at most `max_per_worker` orders in flight. With `rounds` it may have
+    more, up to `max_wide`, so that at most `rounds` orders follow each other in a slot
+    however many there are; not while it leaves all orders unanswered.
     """
 
     def __init__(
@@ -24,6 +32,8 @@
         send: Callable[[Order], float],
         max_in_flight: int,
         max_per_worker: int,
+        rounds: int = 0,
+        max_wide: int = 0,
     ) -> None:
         self.max_in_flight = max_in_flight
         self.in_flight = 0
@@ -31,9 +41,13 @@
         self.ended = 0  # attempts that are over
         self._send = send
         self._max_per_worker = max_per_worker
+        self._rounds = rounds
+        self._max_wide = max_wide
         self._lines: dict[str, collections.deque[Order]] = {}
         self._busy: collections.Counter[str] = collections.Counter()
-        self._resting: set[str] = set()
+        # The most orders of a worker at a time since it last had none.
+        self._peaks: collections.Counter[str] = collections.Counter()
+        self._failed: collections.Counter[str] = collections.Counter()  # in a row
         # Workers whose next order waits only for a free slot.
         self._turns: collections.OrderedDict[str, None] = collections.OrderedDict()
         self._greenlets = pool.Group()
@@ -45,9 +59,8 @@
 
     def submit(self, worker: str, order: Order) -> None:
         """Queue an order; never blocks."""
-        self._lines.setdefault(worker, collections.deque()).append(order)
         self.waiting += 1
-        self._dispatch(worker)
+        self._enqueue(worker, order)
 
     def close(self) -> None:
         """Drop the waiting orders and end those in flight."""
@@ -56,6 +69,12 @@
         self.waiting = 0
         self._greenlets.kill(block=False)
 
+    def _enqueue(self, worker: str, order: Order) -> None:
+        line = self._lines.setdefault(worker, collections.deque())
+        line.append(order)
+        self._peaks[worker] = max(self._peaks[worker], len(line) + self._busy[worker])
+        self._dispatch(worker)
+
     def _dispatch(self, worker: str) -> None:
         """Give a worker its turn and send the orders that have a free slot."""
         self._queue_turn(worker)
@@ -71,13 +90,16 @@
             self._greenlets.spawn(self._run, name, order)
 
     def _queue_turn(self, worker: str) -> None:
-        if (
-            worker in self._lines
-            and worker not in self._resting
-            and self._busy[worker] < self._max_per_worker
-        ):
+        if worker in self._lines and self._busy[worker] < self._width(worker):
             self._turns.setdefault(worker)
 
+    def _width(self, worker: str) -> int:
+        """Return how many orders a worker may have in flight."""
+        if not self._rounds or self._failed[worker] >= MAX_FAILED_ATTEMPTS:
+            return self._max_per_worker
+        wide = min(self._max_wide, math.ceil(self._peaks[worker] / self._rounds))
+        return max(self._max_per_worker, wide)
+
     def _run(self, worker: str, order: Order) -> None:
         repeat_after_s = 0.0
         try:
@@ -86,22 +108,20 @@
             self.in_flight -= 1
             self.ended += 1
             self._busy[worker] -= 1
+            if repeat_after_s:
+                self._failed[worker] += 1
+                self._repeat(worker, order, repeat_after_s)
+            else:
+                self._failed.pop(worker, None)
             if not self._busy[worker]:
                 del self._busy[worker]
-            if repeat_after_s:
-                self._rest(worker, order, repeat_after_s)
+                if worker not in self._lines:
+                    self._peaks.pop(worker, None)
+                    self._failed.pop(worker, None)
             self._dispatch(worker)
 
-    def _rest(self, worker: str, order: Order, for_s: float) -> None:
-        self._lines.setdefault(worker, collections.deque()).append(order)
+    def _repeat(self, worker: str, order: Order, after_s: float) -> None:
         self.waiting += 1
-        self._turns.pop(worker, None)
-        if worker not in self._resting:
-            self._resting.add(worker)
-            greenlet = gevent.Greenlet(self._end_rest, worker)
-            self._greenlets.add(greenlet)
-            greenlet.start_later(for_s)
-
-    def _end_rest(self, worker: str) -> None:
-        self._resting.discard(worker)
-        self._dispatch(worker)
+        greenlet = gevent.Greenlet(self._enqueue, worker, order)
+        self._greenlets.add(greenlet)
+        greenlet.start_later(after_s)
