Send orders of toucanspringd only to the incarnation that its owner knows

Cause: a link attaches to a restarted worker by itself. Until the owner has read the messages about it, a start that was planned for the capacity and zone of the former incarnation, an acknowledgement of its results, a stop or a throttling went to the new one. On a stream itself nothing can reach another incarnation, since it is attached once.

Change: the link tells the incarnation that its stream is attached to, and the owner uses the link only if it is the one that it knows.

--- a/test/partition_case.py
+++ b/test/partition_case.py
@@ -84,6 +84,7 @@
         self.stopped = []
         self.acknowledged = []
         self.before_start = None
+        self.incarnation = None  # that the stream is attached to
         self.vm = types.SimpleNamespace(availability_zone="z0", rack="r0")
 
     def start(self, tasks, _allowed):
@@ -163,6 +164,7 @@
         zone = {"w1": "zone-a", "w2": "zone-b"}[worker]
         facts = (worker, incarnation, CAPACITY, zone, "rack-1", 5)
         message = wire.Attached(*facts, list(running), list(finished))
+        self.fleet.found[worker].incarnation = incarnation
         owner.post(worker_link.FromWorker(worker, message))
 
     def finish(self, owner, name, worker="w1"):
--- a/toucanspring/owners/execution.py
+++ b/toucanspring/owners/execution.py
@@ -9,7 +9,13 @@
 import gevent.event
 
 from toucanspring import errors, job, kernel, uptime, wire
-from toucanspring.owners import allowances, inbox, journal, log_records
+from toucanspring.owners import (
+    allowances,
+    inbox,
+    journal,
+    log_records,
+    worker_link,
+)
 from toucanspring.scheduling import effects, scheduler
 
 WATCH_INTERVAL_S = 0.5
@@ -106,7 +112,7 @@
             return self._may_send(worker, uptime.now())
 
         if is_allowed():
-            link = self._kernel.find("fleet").link(self._number, worker)
+            link = self._link(worker)
             if link is not None and link.start(tasks, is_allowed):
                 return
         refused = [(task.task_id, "the worker is not available") for task in tasks]
@@ -114,6 +120,17 @@
             self._scheduler.starts_answered(worker, [], refused, uptime.now())
         )
 
+    def _link(self, worker: str) -> worker_link.Link | None:
+        """Return the link to a worker if its stream reaches the known incarnation.
+
+        The link attaches anew by itself, and its messages about that may still wait.
+        """
+        link = self._kernel.find("fleet").link(self._number, worker)
+        facts = self.workers.get(worker)
+        if link is None or facts is None or link.incarnation != facts.incarnation:
+            return None
+        return link
+
     def _may_send(self, worker: str, now: float) -> bool:
         facts = self.workers.get(worker)
         zones_out = self._kernel.find("documents").zones_out()
@@ -124,12 +141,12 @@
         )
 
     def _stop(self, worker: str, task_ids: list[str], mode: str) -> None:
-        link = self._kernel.find("fleet").link(self._number, worker)
+        link = self._link(worker)
         if link is not None:
             link.stop(task_ids, mode)
 
     def _throttle(self, effect: effects.ThrottleTask) -> None:
-        link = self._kernel.find("fleet").link(self._number, effect.worker)
+        link = self._link(effect.worker)
         if link is not None:
             link.throttle(effect.task_id, effect.fraction)
 
@@ -179,7 +196,7 @@
             if failure is None:
                 if written is not None:
                     self.unacknowledged -= collections.Counter([worker])
-                link = self._kernel.find("fleet").link(self._number, worker)
+                link = self._link(worker)
                 if link is not None:
                     link.acknowledge(task_ids)
             return []
--- a/toucanspring/owners/worker_link.py
+++ b/toucanspring/owners/worker_link.py
@@ -106,6 +106,7 @@
         self.epoch = epoch
         self.vm = vm
         self.attached = False
+        self.incarnation: int | None = None  # that the stream is attached to
         self.lost = False
         self._post = post
         self._may_renew = may_renew
@@ -219,6 +220,7 @@
         self._stream = opened
         self._tick_received_at = uptime.now()
         self._renewed_at = 0.0
+        self.incarnation = answer.incarnation
         self.attached = True
         self.lost = False
         self._watcher.kill(block=False)
@@ -232,6 +234,7 @@
     def _detach(self, failure: errors.Failure, unanswered: list[str]) -> None:
         log.info("worker {}: disconnected: {}", self.vm.id, failure.reason)
         self.attached = False
+        self.incarnation = None
         self._stream = None
         self._watcher = gevent.spawn(self._watch_lease)
         deferred, self._deferred = self._deferred, []
