--- a/test/test_platform_executors.py
+++ b/test/test_platform_executors.py
@@ -178,6 +178,18 @@
 class OddAnswerTest(leadership_case.LeadershipCase):
     """Answers of one executor, decoded by the adapter, beside a good one."""
 
+    def wait_for(self, condition, turns=1000):
+        """Wait for a condition for 5 s, or longer while the event loop is held up.
+
+        Two polls take some ten turns of the loop. With a limit of real time the test
+        failed on a machine so busy that a turn took 0.9 s.
+        """
+        for _ in range(turns):
+            if condition():
+                return
+            gevent.sleep(0.005)
+        self.fail("the condition did not hold")
+
     def poll(self, worker, *arguments):
         if worker.id != "w2" or self.body is None:
             return self.good_poll(worker, *arguments)
