Test the choice of connections for a peer

Cause: the rule for restarted workers rests on which connections count as confirmed, which was tested through the dispatcher only.

--- a/test/test_exchange.py
+++ b/test/test_exchange.py
@@ -249,3 +249,75 @@
     def test_host_names_are_addresses(self):
         for text in ("localhost:80", "my_host-1.example:80", f"{'x' * 63}.a:80"):
             self.assertIsInstance(exchange.parse_address(text), tuple)
+
+
+class PeerTest(testtools.TestCase):
+    """Calls to one of the processes that may follow each other behind an address."""
+
+    REPLY = OK_HEAD + b"0\r\n\r\n"
+    serve, endpoint = ExchangeTest.serve, ExchangeTest.endpoint
+
+    def setUp(self):
+        super().setUp()
+        self.server = self.serve(self.REPLY, end=False)
+        self.client = self.endpoint(self.server.port, connections=3)
+
+    def call(self, peer=None):
+        return self.client.call("POST", "/x", peer=peer, timeout_s=2.0)
+
+    def test_nothing_is_sent_to_a_peer_that_has_not_answered(self):
+        # Guards against a call that reaches whatever process is at the address.
+        self.call()
+        self.assertIsInstance(self.call(peer=1), errors.Unconfirmed)
+        self.client.confirm(2, self.call())
+        self.assertIsInstance(self.call(peer=1), errors.Unconfirmed)
+        self.assertEqual((2, 1), (len(self.server.requests), self.server.connections))
+
+    def test_a_confirmed_connection_is_used_again(self):
+        # Guards against a connection or a check for each call.
+        self.client.confirm(1, self.call())
+        for _ in range(5):
+            self.assertEqual(200, self.call(peer=1).status)
+        self.assertEqual((6, 1), (len(self.server.requests), self.server.connections))
+
+    def test_a_connection_opened_after_the_answered_request_is_not_confirmed(self):
+        # Guards against a call on a connection that a later process has accepted.
+        release = event.Event()
+        self.server = self.serve(OK_HEAD + b"1\r\n\r\n", release, b"x", end=False)
+        self.client = self.endpoint(self.server.port, connections=3)
+        early, late = (self.client.open("POST", "/x") for _ in range(2))
+        release.set()
+        reply = exchange.read_reply(early, 100)
+        exchange.read_reply(late, 100)
+        self.client.confirm(1, reply)
+        release.clear()
+        held = self.client.open("POST", "/x", peer=1)
+        self.assertIsInstance(
+            self.client.open("POST", "/x", peer=1), errors.Unconfirmed
+        )
+        release.set()
+        # The answer to this later request confirms the other connection as well.
+        self.client.confirm(1, exchange.read_reply(held, 100))
+        release.clear()
+        both = [self.client.open("POST", "/x", peer=1) for _ in range(2)]
+        release.set()
+        for each in both:
+            self.assertEqual(200, exchange.read_reply(each, 100).status)
+        self.assertEqual(2, self.server.connections)
+
+    def test_an_answer_that_is_read_late_does_not_replace_a_later_peer(self):
+        # Guards against calls for a process that has ended.
+        first, second = self.call(), self.call()
+        self.client.confirm(2, second)
+        self.client.confirm(1, first)
+        self.assertEqual(200, self.call(peer=2).status)
+        self.assertIsInstance(self.call(peer=1), errors.Unconfirmed)
+
+    def test_a_broken_idle_connection_is_not_replaced(self):
+        # Guards against the first call to the process that follows.
+        self.server = self.serve(self.REPLY, end=True)
+        self.client = self.endpoint(self.server.port)
+        self.client.confirm(1, self.call())
+        gevent.sleep(0.05)
+        self.assertIsInstance(self.call(peer=1), errors.Unconfirmed)
+        self.assertEqual(1, self.server.connections)
