--- a/test/test_coordinator_incarnations.py
+++ b/test/test_coordinator_incarnations.py
@@ -170,5 +170,21 @@
         self.assertEqual(1, self.fake.connections)
         self.assertLessEqual(len(self.fake.current.calls_of("hold")), 1)
 
+    def test_orders_beside_polls_need_a_short_poll_for_each_connection(self):
+        # Guards against checks that grow with the orders in flight and the polls.
+        self.orders.watch(self.worker)
+        for number in range(1, 32):
+            self.cell.accept(case.job(f"{number:016x}", case.step(1)), uptime.now())
+        plan = planner.Planner(self.cell).plan(uptime.now())
+        for start in plan.starts:
+            self.orders.start(start, uptime.now())
+        self.wait_for(lambda: not (self.orders.starts.in_flight or self.waits()))
+        self.assertEqual(32, len(self.fake.current.calls_of("run-start")))
+        # As many as calls in flight at a time.
+        most = dispatch.MAX_STARTS_PER_WORKER + 1
+        self.assertLessEqual(self.fake.connections, most)
+        polls = self.fake.current.calls_of("hold")
+        self.assertLessEqual(sum("wait_ms" not in each for each in polls), most)
+
     def hold(self, incarnation, _body):
         return {"clock_ms": incarnation.clock_ms(), "born": incarnation.born}
