--- a/test/request_fakes.py
+++ b/test/request_fakes.py
@@ -46,6 +46,7 @@
         self.parts = parts
         self.status = status
         self.headers = {"x-a": "1"}
+        self.sent = 0
         self.truncated = truncated
         self.closed = False
 
