--- a/toucanspring/coordinator/workers.py
+++ b/toucanspring/coordinator/workers.py
@@ -85,6 +85,12 @@
         """Return the attributes that may explain the speed of the worker."""
         return f"zone={self.entry.zone}", *self.entry.labels
 
+    def target(self, incarnation: int) -> ports.WorkerEntry:
+        """Return the entry for a call to an incarnation; 0 stands for any."""
+        if self.entry.incarnation == incarnation:
+            return self.entry
+        return dataclasses.replace(self.entry, incarnation=incarnation)
+
     def free(self) -> resources.Resources:
         """Return the capacity that no known task uses."""
         free = self.entry.capacity - self.used
