--- a/toucanspring/scheduling/estimate.py
+++ b/toucanspring/scheduling/estimate.py
@@ -6,12 +6,12 @@
 import math
 
 from toucanspring import job, resources
+from toucanspring.policy import run_times
 
 MAX_NAMES = 20_000  # names kept; evicts the least recently observed
 MAX_SAMPLES = 32  # latest tasks kept per name
 MIN_SAMPLES = 5  # with fewer, observations can only raise an estimate
 SIZE_QUANTILE = 0.95
-RUN_QUANTILE = 0.9
 HEADROOM = 1.15  # factor applied to the observed quantile
 # Limits an estimate with fewer than MIN_SAMPLES observations, as a multiple of the
 # declared size, which is often inaccurate.
@@ -25,38 +25,23 @@
 class Samples:
     """Latest observations of one job name of a team."""
 
-    __slots__ = ("cached_quantiles", "cpus", "memory", "run_seconds")
+    __slots__ = ("cached_quantiles", "cpus", "memory")
 
     def __init__(self) -> None:
         self.cpus: collections.deque[int] = collections.deque(maxlen=MAX_SAMPLES)
         self.memory: collections.deque[int] = collections.deque(maxlen=MAX_SAMPLES)
-        self.run_seconds: collections.deque[float] = collections.deque(
-            maxlen=MAX_SAMPLES
-        )
-        self.cached_quantiles: tuple[int, int, float] | None = None
+        self.cached_quantiles: tuple[int, int] | None = None
 
-    def quantiles(self) -> tuple[int, int, float]:
-        """Return the high quantiles of CPU, memory and run time."""
+    def quantiles(self) -> tuple[int, int]:
+        """Return the high quantiles of CPU and memory."""
         if self.cached_quantiles is None:
             self.cached_quantiles = (
-                quantile(self.cpus, SIZE_QUANTILE),
-                quantile(self.memory, SIZE_QUANTILE),
-                quantile(self.run_seconds, RUN_QUANTILE),
+                run_times.quantile(self.cpus, SIZE_QUANTILE),
+                run_times.quantile(self.memory, SIZE_QUANTILE),
             )
         return self.cached_quantiles
 
 
-def quantile(values: collections.deque, fraction: float) -> float:
-    """Return the smallest value that at least `fraction` of values do not exceed.
-
-    Without values the result is 0.
-    """
-    if not values:
-        return 0
-    ordered = sorted(values)
-    return ordered[max(0, math.ceil(fraction * len(ordered)) - 1)]
-
-
 class Estimator:
     """Learn demands and run times by team and job name."""
 
@@ -64,6 +49,8 @@
         self._samples: collections.OrderedDict[tuple[str, str], Samples] = (
             collections.OrderedDict()
         )
+        # Ratios to 1 s: most jobs leave the declared time at its default.
+        self._run_times = run_times.RunTimes()
 
     def observe(
         self,
@@ -76,7 +63,7 @@
         """Record the peak usage and the run time of one finished task."""
         samples = self._samples_of(name, team)
         _add_size(samples, declared, usage)
-        samples.run_seconds.append(run_seconds)
+        self._run_times.observe((team, name), 1.0, run_seconds)
         samples.cached_quantiles = None
 
     def _samples_of(self, name: str, team: str) -> Samples:
@@ -110,7 +97,7 @@
         samples = self._samples.get((spec.team, spec.name))
         if samples is None or not samples.cpus:
             return declared
-        cpus, memory, _ = samples.quantiles()
+        cpus, memory = samples.quantiles()
         cpus = _cap_learned(declared.cpus, math.ceil(cpus * HEADROOM))
         memory = _cap_learned(declared.memory, math.ceil(memory * HEADROOM))
         if len(samples.cpus) < MIN_SAMPLES:
@@ -120,13 +107,12 @@
 
     def run_seconds(self, spec: job.JobSpec) -> float:
         """Return a high quantile of the run times of tasks with this name."""
-        samples = self._samples.get((spec.team, spec.name))
-        if samples is None:
+        found = self._run_times.find((spec.team, spec.name))
+        if found is None:
             return spec.run_seconds
-        seconds = samples.quantiles()[2]
-        if len(samples.run_seconds) < MIN_SAMPLES:
-            return max(seconds, spec.run_seconds)
-        return seconds
+        if found.count < run_times.MIN_SAMPLES:
+            return max(*found.latest, spec.run_seconds)
+        return found.quantiles()[1]
 
     def latest_start(self, spec: job.JobSpec, accepted_at: float) -> float:
         """Return the latest start that meets the deadline, or inf without one."""
