Learn run times in the coordinator; move tail tasks to fast workers

Cause: declared run times deviate by up to 0.9, and 3 in 100 tasks take seven times as long as their siblings. On a slow worker, such a task delays its job most.

Change: the coordinator learns run times at nominal speed from ends and progress. job_times.py tells the run time of a task and the remaining chain and slack of a job. Gangs weigh the wait for tickets of fast workers against the learned run time. A checkpointing task in the tail moves once to a fast worker with room if that pays. Run times and classes of workers are logged, and gauges tell of classes and moves.

--- a/test/test_coordinator_stragglers.py
+++ b/test/test_coordinator_stragglers.py
@@ -3,6 +3,7 @@
 import testtools
 
 from test import coordinator_case as case
+from toucanspring import resources
 from toucanspring.coordinator import planner, stragglers
 
 JOB = "0" * 16
@@ -55,3 +56,99 @@
     def test_gang_members_do_not_affect_the_speed_of_workers(self):
         self.run_steps(case.step(5, cpus=1500, gang=True))
         self.assertEqual([], stragglers.find_slow(self.cell.workers.values(), 4.0))
+
+
+class TailTest(testtools.TestCase):
+    """One task of a step on slow workers takes seven times as long as its siblings."""
+
+    def setUp(self):
+        super().setUp()
+        slow = [case.entry(f"w{n}", cpus=2000) for n in range(6)]
+        fast = [
+            case.entry(f"f{n}", cpus=2000, labels=frozenset({"b"})) for n in range(3)
+        ]
+        self.cell = case.new_cell(
+            *slow, *fast, catalogue_=case.configure(case.queue(stretch=10.0))
+        )
+        self.cell_planner = planner.Planner(self.cell)
+        self.teach(1.7, 0.7)
+
+    def teach(self, fast, slow):
+        for _ in range(100):
+            for worker in self.cell.workers.values():
+                speed = fast if "b" in worker.entry.labels else slow
+                self.cell.speeds.observe(worker.id, worker.kind, speed)
+
+    def run_step(self, step, rates=None, count=6):
+        """Let tasks run for 2 s; the first one is in the tail."""
+        self.cell.accept(case.job(JOB, step), 1.0)
+        case.confirm(self.cell, self.cell_planner.plan(1.0), 1.0)
+        step_run = self.cell.jobs[JOB].steps[0, 0]
+        rates = rates or [5] + [35] * (count - 1)
+        for seconds in (0.7, 2):
+            for task, rate in zip(step_run.tasks, rates, strict=True):
+                percent = round(seconds * rate)
+                row = case.running(step_run.task_id(task.index), percent=percent)
+                case.poll(self.cell, task.worker, [row], now=1.0 + seconds, sent_at=0.0)
+        return step_run
+
+    def find(self, now=3.0):
+        return [each.task.index for each in stragglers.find_tails(self.cell, now)]
+
+    def test_a_tail_with_a_checkpoint_moves_to_a_fast_worker_once(self):
+        # Guards against a job that waits for one task on a slow worker.
+        step_run = self.run_step(case.step(6, cpus=1500, checkpointing=True))
+        task = step_run.tasks[0]
+        self.assertTrue(task.worker.startswith("w"))
+        self.assertEqual([0], self.find())
+        self.assertEqual([], self.find())
+        self.cell.stop(step_run, task)
+        end = case.ended(1, step_run.task_id(0), how="stopped", checkpoint="c")
+        case.poll(self.cell, task.worker, [], [end], now=3.2)
+        [start] = self.cell_planner.plan(3.3).starts
+        self.assertTrue(start.worker.id.startswith("f"))
+
+    def test_a_tail_without_a_checkpoint_stays(self):
+        # Guards against work that is done twice.
+        self.run_step(case.step(6, cpus=1500))
+        self.assertEqual([], self.find())
+
+    def test_a_tail_stays_without_room_on_fast_workers(self):
+        # Guards against a stop after which the task only waits.
+        self.run_step(case.step(6, cpus=1500, checkpointing=True))
+        for number in range(3):
+            worker = self.cell.workers[f"f{number}"]
+            worker.used = worker.entry.capacity
+        self.assertEqual([], self.find())
+
+    def test_a_tail_that_is_almost_done_stays(self):
+        # Guards against a move that takes longer than the rest of the task.
+        step_run = self.run_step(case.step(6, cpus=1500, checkpointing=True))
+        step_run.tasks[0].percent = 95
+        self.assertEqual([], self.find())
+
+    def test_tasks_on_a_slow_worker_are_no_tails(self):
+        # Guards against stops of all tasks of slow workers: their learned speed
+        # explains that they take 4 times as long as most siblings.
+        self.teach(1.6, 0.4)
+        step_run = self.run_step(
+            case.step(9, cpus=1500, checkpointing=True), rates=[10] * 9
+        )
+        slow = [task for task in step_run.tasks if task.worker.startswith("w")]
+        self.assertEqual(6, len(slow))
+        # Most of the step has ended on fast workers, which have room again.
+        for number in range(3):
+            self.cell.workers[f"f{number}"].used = resources.ZERO
+        step_run.run_times_s.extend([2.5 * 1.5] * 16)
+        self.assertEqual([], self.find())
+        # The same progress is a tail where the worker isn't slow.
+        for task in slow:
+            self.cell.speeds._speeds[task.worker] = 1.3
+        self.cell.speeds._bounds = [1.4]
+        self.assertEqual([0, 1, 2], self.find())
+
+    def test_nothing_moves_where_all_workers_are_alike(self):
+        # Guards against stops on deployments that have nowhere faster to go.
+        self.teach(1.0, 1.0)
+        self.run_step(case.step(6, cpus=1500, checkpointing=True))
+        self.assertEqual([], self.find())
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -22,7 +22,7 @@
     state,
     workers,
 )
-from toucanspring.policy import speeds
+from toucanspring.policy import run_times, speeds
 
 log = logbook.Logger(__name__)
 
@@ -65,6 +65,7 @@
         self.begun: dict[str, state.JobRecord] = {}
         self.stops: list[Stop] = []
         self.speeds = speeds.Speeds()
+        self.run_times = run_times.RunTimes()
         self._rate_limits = rate_limits.RateLimits()
         self._pools: dict[str, list[workers.Worker]] = {}
         self._capacity: resources.Resources | None = None
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -105,7 +105,7 @@
         chosen = placement.choose_gang(
             step_run,
             open_workers,
-            self._cell.speeds,
+            self._cell,
             lambda found: self._find_delay(step_run, queue, found, now),
         )
         if chosen is None and held_back:
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -22,6 +22,7 @@
     job_changes,
     job_specs,
     leader_lease,
+    learning,
     outcome_waits,
     planner,
     plans,
@@ -104,7 +105,7 @@
         self._waits = outcome_waits.OutcomeWaits()
         self._jobs = table_cache.TableCache(store, rows.JOBS, self._on_job_row)
         self._retention = retention.Retention(self.cell, store, self._jobs, self.wake)
-        self._speed_classes = 1
+        self._learning = learning.Learning(self.cell, self.epoch)
         self._housekeeping_at = 0.0
         self._release_requested = False
         # Of the latest write, for the log.
@@ -201,7 +202,7 @@
             ),
             "workers": len(self.cell.workers),
             "workers_usable": len(usable),
-            "speed_classes": len(self.cell.speeds.summarise()),
+            **self._learning.measure(),
             "lease_overdue_seconds": self._writer.overdue_s(now),
         }
 
@@ -401,18 +402,10 @@
         self._housekeeping_at = now
         if self.may_start(now):
             self._move_from_slow_workers(now)
-        self._log_speeds()
+            self._learning.move_tails(now)
+        self._learning.log(now)
         self.cell.open_due_occurrences(round(time.time() * 1000), now)
 
-    def _log_speeds(self) -> None:
-        found = self.cell.speeds.summarise()
-        if len(found) != self._speed_classes:
-            self._speed_classes = len(found)
-            structured.decide(
-                log, "speeds_learned", epoch=self.epoch,
-                classes=[(count, round(speed, 2)) for count, speed in found],
-            )  # fmt: skip
-
     def _move_from_slow_workers(self, now: float) -> None:
         for worker in stragglers.find_slow(self.cell.workers.values(), now):
             movable = stragglers.find_movable(worker, now)
--- a/toucanspring/coordinator/placement.py
+++ b/toucanspring/coordinator/placement.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable
 
 from toucanspring import resources
-from toucanspring.coordinator import job_times, state, workers
+from toucanspring.coordinator import cell_state, job_times, state, workers
 from toucanspring.policy import speeds
 
+# A job with less time than this many times its run time on the slowest workers has
+# little slack: half of its time goes into waiting already when the load is high.
+MIN_SLACK_RATIO = 2.0
+
 
 def find_eligible(
     step_run: state.StepRun, candidates: Iterable[workers.Worker]
@@ -84,21 +89,28 @@
     step_run: state.StepRun,
     candidates: Iterable[workers.Worker],
     known: speeds.Speeds,
-    now: float,
 ) -> dict[str, int]:
     """Return the order in which a step takes classes of workers, by worker ID.
 
-    A step that could not end in time on the slowest class takes fast workers first;
-    one with slack leaves them to others. Without differing speeds the result is empty.
+    The step of a job with little slack takes fast workers first, and so does a task
+    that was moved since it is in the tail. Others keep best fit: sending them to slow
+    workers by preference lowered the value earned. What counts is the time that the job
+    was given, not what is left of it: late work would else take fast workers from
+    gangs. Without differing speeds the result is empty.
     """
     if not known.differ:
         return {}
-    found = {each.id: known.rank(each.id, each.kind) for each in candidates}
-    slowest = min((known.speed(each.id, each.kind) for each in candidates), default=1.0)
-    needed_s = job_times.remaining_chain_s(step_run) / slowest
-    if now + needed_s <= step_run.job.due_at:
-        return found
-    return {name: -each for name, each in found.items()}
+    ranks, slowest = {}, math.inf
+    for worker in candidates:
+        ranks[worker.id] = known.rank(worker.id, worker.kind)
+        slowest = min(slowest, known.speed(worker.id, worker.kind))
+    job = step_run.job
+    chain_s = sum(step.estimate_ms for step in job.spec.steps) / 1000
+    has_tail = any(step_run.tasks[each].moved_as_tail for each in step_run.waiting)
+    given_s = job.due_at - job.accepted_at
+    if has_tail or given_s * slowest < MIN_SLACK_RATIO * chain_s:
+        return {name: -each for name, each in ranks.items()}
+    return {}
 
 
 def rank(
@@ -117,7 +129,7 @@
 def choose_gang(
     step_run: state.StepRun,
     eligible: list[workers.Worker],
-    known: speeds.Speeds,
+    cell: cell_state.CellState,
     find_delay: Callable[[list[tuple[workers.Worker, int]]], float],
 ) -> list[tuple[workers.Worker, int]] | None:
     """Return workers with counts of members so that the gang ends as early as possible.
@@ -126,6 +138,7 @@
     within the others or anywhere. It does not wait until fast workers have room.
     `find_delay` returns the seconds until the gang could start on given workers.
     """
+    known = cell.speeds
     if not known.differ:
         return place_gang(step_run, eligible, {})
     ranks = {each.id: known.rank(each.id, each.kind) for each in eligible}
@@ -138,7 +151,7 @@
     found = [each for each in options if each is not None]
     if not found:
         return place_gang(step_run, eligible, {})
-    run_s = step_run.step.estimate_ms / 1000
+    run_s = job_times.task_s(cell, step_run)
 
     def find_end(chosen: list[tuple[workers.Worker, int]]) -> float:
         slowest = min(known.speed(each.id, each.kind) for each, _ in chosen)
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -311,7 +311,7 @@
             open_workers = [each for each in eligible if each.id not in plan.reserved]
         demand = step_run.step.occupied()
         speed_order = placement.order_by_speed(
-            step_run, open_workers, self._cell.speeds, now
+            step_run, open_workers, self._cell.speeds
         )
         for index in sorted(step_run.waiting):
             if len(plan.starts) >= self.max_starts:
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -8,7 +8,14 @@
 
 from toucanspring import log as structured
 from toucanspring import resources
-from toucanspring.coordinator import cell_state, ports, state, stragglers, workers
+from toucanspring.coordinator import (
+    cell_state,
+    job_times,
+    ports,
+    state,
+    stragglers,
+    workers,
+)
 
 log = logbook.Logger(__name__)
 
@@ -165,6 +172,7 @@
     if end.outcome == DONE:
         allocation = workers.Allocation(step_run, task)
         stragglers.record_completion(cell.speeds, worker, allocation, now)
+        job_times.record_end(cell, step_run, task, now)
     cell.release(step_run, task)
     if end.outcome == DONE:
         worker.record_success()
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -66,6 +66,7 @@
     resumed: bool = False  # this run started from a checkpoint
     sampled_at: float = 0.0  # latest progress sample for the speed of the worker
     sampled_percent: int = 0
+    moved_as_tail: bool = False
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -104,6 +105,11 @@
     task_rates: dict[str, float] = dataclasses.field(default_factory=dict)
     # The same at nominal speed, by the speeds that were known then.
     nominal_rates: dict[str, float] = dataclasses.field(default_factory=dict)
+    # Latest run times at nominal speed, and the remaining time of the step and those
+    # that need it; see `job_times`.
+    run_times_s: list[float] = dataclasses.field(default_factory=list)
+    remaining_s: float = 0.0
+    remaining_until: float = 0.0
 
     @property
     def id(self) -> str:
--- a/toucanspring/coordinator/stragglers.py
+++ b/toucanspring/coordinator/stragglers.py
@@ -10,7 +10,7 @@
 import statistics
 from collections.abc import Iterable
 
-from toucanspring.coordinator import state, workers
+from toucanspring.coordinator import cell_state, job_times, state, workers
 from toucanspring.policy import speeds
 
 # Weight of a new sample in the moving average of a worker's speed.
@@ -28,6 +28,10 @@
 # A task is moved if staying would take this many times as long as moving it.
 MIN_MOVE_GAIN = 2.0
 RESTART_COST_S = 0.6  # for a stop, a checkpoint read and a start
+# A task that takes this many times as long as its siblings at nominal speed is in the
+# tail. Siblings differ by 0.15, tails take seven times as long.
+TAIL_FACTOR = 3.0
+MIN_TAIL_S = 1.0
 
 
 def record_progress(
@@ -131,3 +135,88 @@
         if remaining_s > MIN_MOVE_GAIN * moved_s:
             found.append(allocation)
     return found
+
+
+def find_tails(cell: cell_state.CellState, now: float) -> list[workers.Allocation]:
+    """Return the tasks in the tail that would end sooner on a fast worker with room.
+
+    They keep their work by a checkpoint, and each is moved once. The run time by its
+    progress is compared with the siblings at nominal speed, so a task that is late
+    since its worker is slow does not count.
+    """
+    known = cell.speeds
+    if not known.differ:
+        return []
+    ranks = {each.id: known.rank(each.id, each.kind) for each in cell.workers.values()}
+    fastest = max(ranks.values(), default=0)
+    targets = [
+        each
+        for each in cell.workers.values()
+        if ranks[each.id] == fastest
+        and each.is_usable(now, cell.zones_out)
+        and each.free().cpus > 0
+    ]
+    found: list[workers.Allocation] = []
+    typical_s: dict[str, float] = {}
+    for worker in cell.workers.values():
+        if not targets:
+            break
+        if ranks[worker.id] == fastest:
+            continue
+        own = known.speed(worker.id, worker.kind)
+        for allocation in worker.allocations.values():
+            if not _may_be_tail(worker, allocation, now):
+                continue
+            task, step_run = allocation.task, allocation.step
+            total_s = (task.progressed_at - task.started_at) * 100 / task.percent
+            if step_run.id not in typical_s:
+                typical_s[step_run.id] = job_times.task_s(cell, step_run)
+            if total_s * own < TAIL_FACTOR * typical_s[step_run.id]:
+                continue
+            target = _find_target(allocation, targets)
+            if target is None:
+                continue
+            stay_s = total_s - (now - task.started_at)
+            moved_s = stay_s * own / known.speed(target.id, target.kind)
+            # Twice the cost, since the room may be taken before the task starts there.
+            if stay_s > moved_s + 2 * RESTART_COST_S:
+                targets.remove(target)
+                task.moved_as_tail = True
+                found.append(allocation)
+    return found
+
+
+def _may_be_tail(
+    worker: workers.Worker, allocation: workers.Allocation, now: float
+) -> bool:
+    """Return whether a task would keep its work and has run for long enough."""
+    task, step = allocation.task, allocation.step.step
+    return (
+        step.checkpointing
+        and not step.gang
+        and not step.long_running
+        and task.phase is state.TaskPhase.RUNNING
+        and not task.moved_as_tail
+        and not task.resumed
+        and task.percent > 0
+        and allocation.step.job.queue is not None
+        and now - task.started_at >= MIN_TAIL_S
+        and worker.returned_at <= task.started_at  # else perhaps paused meanwhile
+    )
+
+
+def _find_target(
+    allocation: workers.Allocation, targets: list[workers.Worker]
+) -> workers.Worker | None:
+    """Return a worker that could take a task at once."""
+    step_run = allocation.step
+    label, demand = step_run.step.required_label, step_run.step.occupied()
+    for worker in targets:
+        if (
+            worker.entry.pool == step_run.job.queue.pool
+            and (not label or label in worker.entry.labels)
+            and worker.has_room(demand)
+            and (step_run.job.queue.approval is None or step_run.allowed.get(worker.id))
+        ):
+            return worker
+    return None
