--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -23,7 +23,7 @@
     stop_causes,
     workers,
 )
-from toucanspring.policy import speeds
+from toucanspring.policy import run_times, speeds
 
 log = logbook.Logger(__name__)
 
@@ -70,6 +70,7 @@
         self.stops: list[Stop] = []
         self.stop_counts = stop_causes.StopCounts()
         self.speeds = speeds.Speeds()
+        self.run_times = run_times.RunTimes()
         self._rate_limits = rate_limits.RateLimits()
         self._pools: dict[str, list[workers.Worker]] = {}
         self._capacity: resources.Resources | None = None
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -199,21 +199,23 @@
             ]
             held = [worker for worker in open_workers if worker.id in step_run.held]
             preferred = [with_ticket, held, open_workers]
-        speeds = self._cell.speeds
         best, best_end_s = None, math.inf
         for candidates in preferred:
             chosen = placement.choose_gang(
                 step_run,
                 candidates,
-                speeds,
+                self._cell,
                 lambda found: self._find_delay(step_run, queue, found, now),
             )
             if chosen is None:
                 continue
-            if not speeds.differ:
+            if not self._cell.speeds.differ:
                 return chosen
             end_s = placement.estimate_gang_end(
-                step_run, chosen, speeds, self._find_delay(step_run, queue, chosen, now)
+                self._cell,
+                step_run,
+                chosen,
+                self._find_delay(step_run, queue, chosen, now),
             )
             if end_s < best_end_s:
                 best, best_end_s = chosen, end_s
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -23,6 +23,7 @@
     job_changes,
     job_specs,
     leader_lease,
+    learning,
     load_report,
     outcome_waits,
     planner,
@@ -115,7 +116,7 @@
         self._waits = outcome_waits.OutcomeWaits()
         self._jobs = table_cache.TableCache(store, rows.JOBS, self._on_job_row)
         self._retention = retention.Retention(self.cell, store, self._jobs, self.wake)
-        self._speed_classes = 1
+        self._learning = learning.Learning(self.cell, self.epoch)
         self._housekeeping_at = 0.0
         self._gang_decisions: collections.Counter[str] = collections.Counter()
         self._release_requested = False
@@ -213,7 +214,7 @@
             ),
             "workers": len(self.cell.workers),
             "workers_usable": len(usable),
-            "speed_classes": len(self.cell.speeds.summarise()),
+            **self._learning.measure(),
             "lease_overdue_seconds": self._writer.overdue_s(now),
             **{kind: self._gang_decisions[kind] for kind in plans.GANG_DECISIONS},
         }
@@ -431,7 +432,8 @@
         self._housekeeping_at = now
         if self.may_start(now):
             self._move_from_slow_workers(now)
-        self._log_speeds()
+            self._learning.move_tails(now)
+        self._learning.log(now)
         self.cell.open_due_occurrences(round(time.time() * 1000), now)
         self._report_stops(now)
 
@@ -451,15 +453,6 @@
             },
         )  # fmt: skip
 
-    def _log_speeds(self) -> None:
-        found = self.cell.speeds.summarise()
-        if len(found) != self._speed_classes:
-            self._speed_classes = len(found)
-            structured.decide(
-                log, "speeds_learned", epoch=self.epoch,
-                classes=[(count, round(speed, 2)) for count, speed in found],
-            )  # fmt: skip
-
     def _move_from_slow_workers(self, now: float) -> None:
         for worker in stragglers.find_slow(self.cell.workers.values(), now):
             movable = stragglers.find_movable(worker, now)
