--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -36,6 +36,9 @@
 # not for longer than this, since the service may be slow; then it pauses.
 MAX_HOLD_S = 3.0
 HOLD_PAUSE_S = 1.0
+# Share of the members for which there has to be room, since a step has one request
+# under way at a time, and a renewal delays a request for workers with room.
+MIN_ROOM_FOR_RENEWAL = 0.75
 # Added to the time of an answer when tickets are renewed ahead of their expiry, for
 # the queue of the service and the network.
 RENEWAL_SLACK_S = 0.3
@@ -226,6 +229,12 @@
         """Renew tickets of reserved workers if a renewal takes until their expiry."""
         if queue.approval is None or step_run.approval_pending:
             return
+        room = sum(
+            min(share, placement.count_slots(step_run, worker))
+            for worker, share in chosen
+        )
+        if room < MIN_ROOM_FOR_RENEWAL * step_run.step.count:
+            return
         lead_s = approvals.answer_s(queue.approval, len(chosen)) + RENEWAL_SLACK_S
         if all(
             self._approvals.ticket(step_run, queue, worker.id, now + lead_s) is not None
@@ -314,7 +323,11 @@
             _record(plan, plans.GANG_DRAINS, step_run, len(chosen))
         plan.kept |= step_run.reserved
         self._keeping[step_run.id] = step_run
-        reserved = [(each, 1) for each in open_workers if each.id in step_run.reserved]
+        reserved = [
+            (each, placement.count_slots(step_run, each))
+            for each in open_workers
+            if each.id in step_run.reserved
+        ]
         self._renew_tickets(step_run, queue, reserved, plan, now)
 
     @staticmethod
