--- a/test/progress_model.py
+++ b/test/progress_model.py
@@ -17,6 +17,7 @@
     ports,
     reports,
     state,
+    stop_causes,
     stragglers,
     workers,
 )
@@ -126,7 +127,9 @@
             if tick % 5 == 0:
                 for slow in stragglers.find_slow(self.cell.workers.values(), now):
                     for each in stragglers.find_movable(slow, now):
-                        self.cell.stop(each.step, each.task)
+                        self.cell.stop(
+                            each.step, each.task, stop_causes.StopCause.SLOW_WORKER
+                        )
             started = self._plan(now)
             found = self._find_idle(now, started)
             if found is not None:
@@ -255,7 +258,7 @@
         machine.ends.clear()
         for each in reports.find_stuck(worker, now):
             worker.backoff_until = now + workers.MIN_QUARANTINE_S
-            self.cell.stop(each.step, each.task)
+            self.cell.stop(each.step, each.task, stop_causes.StopCause.STUCK)
 
     # Decisions
 
--- a/test/test_coordinator_stragglers.py
+++ b/test/test_coordinator_stragglers.py
@@ -4,7 +4,7 @@
 
 from test import coordinator_case as case
 from toucanspring import resources
-from toucanspring.coordinator import planner, stragglers
+from toucanspring.coordinator import planner, stop_causes, stragglers
 
 JOB = "0" * 16
 
@@ -102,7 +102,7 @@
         self.assertTrue(task.worker.startswith("w"))
         self.assertEqual([0], self.find())
         self.assertEqual([], self.find())
-        self.cell.stop(step_run, task)
+        self.cell.stop(step_run, task, stop_causes.StopCause.TAIL)
         end = case.ended(1, step_run.task_id(0), how="stopped", checkpoint="c")
         case.poll(self.cell, task.worker, [], [end], now=3.2)
         [start] = self.cell_planner.plan(3.3).starts
--- a/toucanspring/coordinator/learning.py
+++ b/toucanspring/coordinator/learning.py
@@ -5,7 +5,7 @@
 import logbook
 
 from toucanspring import log as structured
-from toucanspring.coordinator import cell_state, stragglers
+from toucanspring.coordinator import cell_state, stop_causes, stragglers
 
 log = logbook.Logger(__name__)
 
@@ -39,7 +39,7 @@
                 worker=task.worker, percent=task.percent,
                 ran_s=round(now - task.started_at, 2),
             )  # fmt: skip
-            self._cell.stop(allocation.step, task)
+            self._cell.stop(allocation.step, task, stop_causes.StopCause.TAIL)
 
     def log(self, now: float) -> None:
         """Log a changed number of classes of workers, and run times now and then."""
--- a/toucanspring/coordinator/stop_causes.py
+++ b/toucanspring/coordinator/stop_causes.py
@@ -17,6 +17,7 @@
     CEILING_PREEMPTION = "ceiling_preemption"  # a more urgent step of the organisation
     SLOW_WORKER = "slow_worker"
     STUCK = "stuck"  # no progress
+    TAIL = "tail"  # takes far longer than its siblings, and moves to a fast worker
     UNKNOWN_RUN = "unknown_run"  # the worker holds a run that is not allocated to it
 
 
