--- a/test/test_coordinator_speeds.py
+++ b/test/test_coordinator_speeds.py
@@ -230,8 +230,8 @@
             case.poll(cell, names[0], running=[row], now=now)
             row = case.running(f"{JOB}.0.0.1", percent=number)
             case.poll(cell, names[1], running=[row], now=now)
-        self.assertEqual({names[0]: 1, names[1]: 1}, _count(samples))
-
-
-def _count(names):
-    return {name: names.count(name) for name in names}
+        self.assertEqual([], samples)
+        for index, name in names.items():
+            end = case.ended(1, f"{JOB}.0.0.{index}")
+            case.poll(cell, name, ended=[end], now=9.0)
+        self.assertEqual(sorted(names.values()), sorted(samples))
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -67,7 +67,6 @@
     stop_cause: stop_causes.StopCause | None = None  # of the latest stop
     sampled_at: float = 0.0  # latest progress sample for the speed of the worker
     sampled_percent: int = 0
-    speed_sampled_run: int = 0  # the latest run that gave a sample of a worker's speed
     moved_as_tail: bool = False
 
 
--- a/toucanspring/coordinator/stragglers.py
+++ b/toucanspring/coordinator/stragglers.py
@@ -57,7 +57,7 @@
         return
     done = (percent - task.sampled_percent) / 100
     task.sampled_at, task.sampled_percent = now, percent
-    _record_rate(known, worker, allocation, done / elapsed_s)
+    _record_rate(known, worker, allocation.step, done / elapsed_s)
 
 
 def record_completion(
@@ -72,18 +72,32 @@
         return
     run_time_s = now - task.started_at
     if task.started_at and run_time_s > 0:
-        _record_rate(known, worker, allocation, 1 / run_time_s)
+        _observe(known, worker, allocation.step, 1 / run_time_s)
+        _record_rate(known, worker, allocation.step, 1 / run_time_s)
+
+
+def _observe(
+    known: speeds.Speeds, worker: workers.Worker, step_run: state.StepRun, rate: float
+) -> None:
+    """Compare a whole run with its siblings at nominal speed.
+
+    Progress gives no samples: a task in the tail is polled seven times as often, and
+    workers that held one such task counted as seven times slower.
+    """
+    others = [
+        each for name, each in step_run.nominal_rates.items() if name != worker.id
+    ]
+    if others:
+        known.observe(worker.id, worker.kind, rate / statistics.median(others))
 
 
 def _record_rate(
-    known: speeds.Speeds,
-    worker: workers.Worker,
-    allocation: workers.Allocation,
-    rate: float,
+    known: speeds.Speeds, worker: workers.Worker, step_run: state.StepRun, rate: float
 ) -> None:
     """Update a worker's speed from a rate, in fractions of a task per second."""
-    step_run = allocation.step
-    _observe(known, worker, allocation, rate)
+    step_run.nominal_rates.pop(worker.id, None)
+    if rate > 0:
+        step_run.nominal_rates[worker.id] = rate / known.speed(worker.id, worker.kind)
     step_run.task_rates[worker.id] = rate
     others = [each for name, each in step_run.task_rates.items() if name != worker.id]
     if not others or not any(others):
@@ -95,26 +109,6 @@
     worker.samples += 1
 
 
-def _observe(
-    known: speeds.Speeds,
-    worker: workers.Worker,
-    allocation: workers.Allocation,
-    rate: float,
-) -> None:
-    """Record one sample of each run for the learned speeds.
-
-    A task in the tail runs for several polls. With a sample for each of them, workers
-    that held one such task counted as seven times slower.
-    """
-    rates, task = allocation.step.nominal_rates, allocation.task
-    rates.pop(worker.id, None)
-    if rates and task.speed_sampled_run != task.run:
-        task.speed_sampled_run = task.run
-        known.observe(worker.id, worker.kind, rate / statistics.median(rates.values()))
-    if rate > 0:
-        rates[worker.id] = rate / known.speed(worker.id, worker.kind)
-
-
 def find_slow(candidates: Iterable[workers.Worker], now: float) -> list[workers.Worker]:
     """Return the workers that have become slow and exclude them from new starts."""
     sampled = [
