--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -310,9 +310,7 @@
         if queue.priority > TOP_PRIORITY and not held_back:
             open_workers = [each for each in eligible if each.id not in plan.reserved]
         demand = step_run.step.occupied()
-        speed_order = placement.order_by_speed(
-            step_run, open_workers, self._cell.speeds
-        )
+        speed_order = None  # found once a worker has room, which is rare under load
         for index in sorted(step_run.waiting):
             if len(plan.starts) >= self.max_starts:
                 return
@@ -347,6 +345,10 @@
                     step_run, queue, fits, held_back, may_block, plan, now
                 )
                 return
+            if speed_order is None:
+                speed_order = placement.order_by_speed(
+                    step_run, open_workers, self._cell.speeds
+                )
             best = min(
                 valid,
                 key=lambda worker: (
