Let approval requests that are late give way, and those of gangs go first

Figures: the new test, twice the load that one caller can send: over 250 of 600 requests in time, and over three times as many as in the order of arrival.

--- a/test/test_approval_queue.py
+++ b/test/test_approval_queue.py
@@ -195,3 +195,41 @@
             load.add(0.025, number / 100)  # 100 a second, each 25 ms
         self.assertAlmostEqual(2.5, load.value(8.0), delta=0.1)
         self.assertLess(load.value(16.0), 0.1)
+
+
+class LateRequestTest(testtools.TestCase):
+    """Urgent requests of 25 ms each, twice as many as one caller can send."""
+
+    # Guards against a queue that sends each request just too late: in order of arrival,
+    # all of them wait until their slack is used up.
+    def test_requests_in_time_go_before_those_that_are_late_by_waiting(self):
+        load = [
+            (0.0125 * number, make_request(0.025, slack_s=0.5)) for number in range(600)
+        ]
+        in_time = {}
+        for name, queue in (
+            ("arrival", ArrivalQueue()),
+            ("yielding", approval_queue.ApprovalQueue()),
+        ):
+            sent = run_service(queue, load, 1)
+            in_time[name] = sum(
+                sent.get(request, 60.0) - when < 0.5 for when, request in load
+            )
+        self.assertGreater(in_time["yielding"], 3 * in_time["arrival"])
+        self.assertGreater(in_time["yielding"], 250)
+
+
+class ArrivalQueue:
+    """Sends requests in the order of their arrival."""
+
+    def __init__(self):
+        self.waiting = []
+
+    def __len__(self):
+        return len(self.waiting)
+
+    def add(self, request, _now):
+        self.waiting.append(request)
+
+    def pop(self, now):
+        return (self.waiting.pop(0), now) if self.waiting else None
--- a/toucanspring/coordinator/approval_dispatcher.py
+++ b/toucanspring/coordinator/approval_dispatcher.py
@@ -98,7 +98,7 @@
         now = uptime.now()
         queue = self._long if request.cost_s > LONG_REQUEST_S else self._short
         if request.is_optional and (
-            queue.first() is not None or self._free_caller(request.cost_s) is None
+            queue.first(now) is not None or self._free_caller(request.cost_s) is None
         ):
             self._counts["dropped"] += 1
             structured.decide(
@@ -139,7 +139,7 @@
     def _dispatch(self) -> None:
         # A short request may find a caller while the long ones wait for one.
         for waiting in (self._short, self._long):
-            while (request := waiting.first()) is not None:
+            while (request := waiting.first(uptime.now())) is not None:
                 caller = self._free_caller(request.cost_s)
                 if caller is None:
                     break
@@ -156,7 +156,7 @@
         callers = [caller]
         self._in_flight[caller] = request.cost_s
         most = 1
-        if request.cost_s > LONG_REQUEST_S and self._long.first() is None:
+        if request.cost_s > LONG_REQUEST_S and self._long.first(uptime.now()) is None:
             most = int(MAX_FRACTION_FOR_ONE_REQUEST * self._count_free_callers())
         calls = approval_queue.count_calls(request, most)
         while len(callers) < calls:
--- a/toucanspring/coordinator/approval_queue.py
+++ b/toucanspring/coordinator/approval_queue.py
@@ -14,19 +14,22 @@
 
 # Time that its step has waited before, of which a request gets credit for at most this
 # much. With the bounds below, a request can be passed only by those that are submitted
-# within the next 8 s, so none waits for ever.
+# within the next 30 s, so none waits for ever.
 MAX_CREDIT_S = 3.0
 # The patience of a request grows with each of these, so that it is sent later than
 # requests submitted at the same time.
-PRIORITY_PATIENCE_S = 1.0  # for each priority below the top one
+# For each priority below the top one. With 1 s, cheap requests of the lowest priority
+# passed those of gangs of the one above at a busy time.
+PRIORITY_PATIENCE_S = 3.0
 MAX_PRIORITIES = 2
 MAX_SLACK_PATIENCE_S = 1.0
 SLACK_PATIENCE_SHARE = 0.5
 MAX_COST_PATIENCE_S = 1.0
-# Requests of late steps come behind all others with the same priority and cost, since
-# most of the value of these steps is lost.
-LATE_PATIENCE_S = 2.0
-TOP_PRIORITY = 0
+# Requests of late steps come behind others with the same priority and cost, since most
+# of the value of these steps is lost. A waiting request counts as late once it has used
+# this part of its slack: the rest is for the answer, the start and room.
+LATE_PATIENCE_S = 10.0
+MAX_SLACK_USED = 0.5
 MAX_WORKERS_PER_CALL = 100  # limit of the service
 MIN_WORKERS_PER_CALL = 10
 # One more call has to bring the answer forward by this much, and by this part of the
@@ -46,7 +49,7 @@
     patience_s += min(request.cost_s, MAX_COST_PATIENCE_S)
     slack_s = max(0.0, request.slack_s)
     patience_s += min(SLACK_PATIENCE_SHARE * slack_s, MAX_SLACK_PATIENCE_S)
-    if request.slack_s < 0 and request.priority > TOP_PRIORITY:
+    if request.slack_s < 0:
         patience_s += LATE_PATIENCE_S
     return now - min(request.waited_s, MAX_CREDIT_S) + patience_s
 
@@ -72,11 +75,16 @@
 
 
 class ApprovalQueue:
-    """Waiting requests; those of jobs that have ended are dropped."""
+    """Waiting requests; those of jobs that have ended are dropped.
+
+    While more are submitted than callers can send, a request that is late by waiting
+    gives way once. Otherwise each one would be sent just too late.
+    """
 
     def __init__(self) -> None:
         self._waiting: list[tuple[float, int, float, plans.ApprovalRequest]] = []
         self._sequence = itertools.count()
+        self._has_yielded: set[int] = set()  # sequence numbers of those that gave way
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -86,25 +94,49 @@
         entry = (send_by(request, now), next(self._sequence), now, request)
         heapq.heappush(self._waiting, entry)
 
-    def first(self) -> plans.ApprovalRequest | None:
+    def first(self, now: float) -> plans.ApprovalRequest | None:
         """Return the request to send next, without removing it."""
         while self._waiting:
-            request = self._waiting[0][-1]
-            if not request.step.job.is_final:
+            rank, number, submitted_at, request = self._waiting[0]
+            if request.step.job.is_final:
+                self._remove_first()
+            elif self._is_late_by_waiting(number, submitted_at, request, now):
+                self._has_yielded.add(number)
+                entry = (rank + LATE_PATIENCE_S, number, submitted_at, request)
+                heapq.heapreplace(self._waiting, entry)
+            else:
                 return request
-            heapq.heappop(self._waiting)
         return None
 
+    def _is_late_by_waiting(
+        self,
+        number: int,
+        submitted_at: float,
+        request: plans.ApprovalRequest,
+        now: float,
+    ) -> bool:
+        return (
+            request.slack_s >= 0
+            and now - submitted_at > MAX_SLACK_USED * request.slack_s
+            and number not in self._has_yielded
+        )
+
+    def _remove_first(self) -> tuple[float, int, float, plans.ApprovalRequest]:
+        entry = heapq.heappop(self._waiting)
+        self._has_yielded.discard(entry[1])
+        return entry
+
     def pop(self, now: float) -> tuple[plans.ApprovalRequest, float] | None:
         """Remove the request to send next; return it and how long it has waited."""
-        if self.first() is None:
+        if self.first(now) is None:
             return None
-        _, _, submitted_at, request = heapq.heappop(self._waiting)
+        _, _, submitted_at, request = self._remove_first()
         return request, now - submitted_at
 
     def clear(self) -> None:
         """Remove all requests."""
         self._waiting.clear()
+        self._has_yielded.clear()
 
 
 def count_calls(request: plans.ApprovalRequest, callers: int) -> int:
