--- /dev/null
+++ b/test/test_client_limits_daemon.py
@@ -0,0 +1,62 @@
+"""Clients outside the limits, against one `toucanspringd`."""
+
+from test import client_limits_case
+
+BODIES = 15  # of 15 MB each
+LARGE_CROWD = 400
+SMALL_CROWD = 20
+UNREAD_CROWD = 80
+DEPTH = 400_000
+
+
+class DaemonLimitsTest(client_limits_case.DaemonCase):
+    # Guards against bodies, each inside the limit of a call, that together exceed the
+    # memory of the VM.
+    def test_large_announced_bodies(self):
+        self.check_callers("announced", BODIES)
+
+    def test_large_bodies_in_chunks(self):
+        self.check_callers("chunked", BODIES)
+
+    def test_bodies_of_one_large_chunk(self):
+        self.check_callers("one_chunk", BODIES)
+
+    def test_bodies_that_go_on_after_the_announced_length(self):
+        self.check_callers("past_announced", BODIES)
+
+    def test_bodies_sent_byte_by_byte(self):
+        self.check_callers("trickle", SMALL_CROWD)
+
+    def test_trailers_without_end(self):
+        self.check_callers("trailers", SMALL_CROWD)
+
+    # Guards against connections that use up descriptors or memory before a request.
+    def test_half_sent_heads(self):
+        self.check_callers("half_head", LARGE_CROWD)
+
+    def test_heads_without_end(self):
+        self.check_callers("endless_head", SMALL_CROWD)
+
+    def test_heads_of_many_fields(self):
+        self.check_callers("many_fields", SMALL_CROWD)
+
+    def test_connections_that_are_opened_and_abandoned(self):
+        self.check_callers("abandoned", LARGE_CROWD)
+
+    def test_pipelined_requests_whose_answers_are_not_read(self):
+        self.check_callers("pipelined", SMALL_CROWD)
+
+    def test_metrics_that_are_not_read(self):
+        self.check_callers("unread_metrics", UNREAD_CROWD)
+
+    # Guards against a body that ends the process when it is decoded.
+    def test_deeply_nested_bodies(self):
+        headers = {"Authorization": f"Bearer {self.key}"}
+        for body in (b"[" * DEPTH, b"[" * DEPTH + b"]" * DEPTH):
+            status, _ = client_limits_case.request(
+                self.port, "POST", "/v1/jobs", body, headers
+            )
+            self.assertEqual(400, status)
+        self.check_ordinary()
+        self.check_bounds()
+        self.assertIsNone(self.process.status())
