Bound what clients hold in a process before it is read

Cause: only one body was bounded (16 MB), not their sum; `platform/ingress.py` read the whole body before key, route or size; each listener accepted 4,096 connections, whatever the descriptors and memory of its VM, and kept idle ones for 75 s; the metrics and readiness listeners had the same. A submission's size was checked only after sets of its steps were built, in proportion to their square, and the length of a list only after all of it was decoded.

Change: a table for each listener decides which connections and how many bytes clients may hold, for one address and for all (`callers/client_limits.py`). Bodies are reserved before they are read; idle, incomplete and slow connections make room for new ones; what does not fit is refused with 413, 408 or 503 or closed before anything has run. Route and key are checked before the body of a submission is read. Defaults follow the VM's memory and descriptors; settings `max_body_bytes`, `held_body_bytes`, `max_connections`, `client_share`. Refusals are counted by reason and logged once in 10 s.

New: tests of the decisions, of refusals, and two of the daemon for bodies that are large once decoded. `test_platform_ingress` takes the metrics resource from its new module, and the fake settings of the gateway have the new fields.

Not covered: the stream between processes, socket buffers of the kernel, and `limits` of the operators' configuration, which is not read.

--- a/test/edge_fakes.py
+++ b/test/edge_fakes.py
@@ -9,7 +9,7 @@
 
 from test import fake_tables
 from toucanspring import errors, job, kernel, metrics
-from toucanspring.callers import gateway, requests
+from toucanspring.callers import client_limits, gateway, requests
 from toucanspring.cell import claims, freshness, layout
 from toucanspring.configuration import reader, records
 from toucanspring.owners import log_records, request_log
@@ -28,6 +28,7 @@
         "http_port": 0,
         "partitions": 3,
         "drain_s": 5.0,
+        **dataclasses.asdict(client_limits.Limits()),
         "http_certificate": "",
         "http_key": "",
         "operator_key_hash": hashlib.sha256(OPERATOR_KEY.encode()).hexdigest(),
--- a/test/test_client_limits.py
+++ b/test/test_client_limits.py
@@ -1,6 +1,8 @@
 """Clients outside the limits, against one `platform` process that coordinates."""
 
+import contextlib
 import json
+import socket
 
 from test import client_crowd, client_limits_case
 
@@ -60,6 +62,43 @@
         self.assertEqual(410, status)
 
 
+class RefusalsTest(client_limits_case.PlatformCase):
+    def exchange(self, data):
+        """Send bytes; return what is answered until the connection ends."""
+        sock = socket.create_connection((client_limits_case.HOST, self.port), 20)
+        with contextlib.closing(sock):
+            sock.sendall(data)
+            return b"".join(iter(lambda: sock.recv(65536), b""))
+
+    # Guards against bodies that clients without a key may hold.
+    def test_a_client_without_a_key_is_refused_before_its_body_is_read(self):
+        fields = "Content-Length: 9\r\nConnection: close\r\n"
+        head = client_crowd.head("POST", client_crowd.PATH, "", fields)
+        strange = head.replace(b"Credential: key", b"Credential: none")
+        self.assertTrue(self.exchange(strange).startswith(b"HTTP/1.1 401"))
+
+    # Guards against submissions in chunks whose body is taken for empty.
+    def test_a_body_in_chunks_is_served_up_to_the_limit(self):
+        body = b'{"spec":"x","phases":[{"count":3,"cpu":1000}]}'
+        for size, status in ((len(body), b"200"), (300_000, b"413")):
+            chunk = body.ljust(size)
+            fields = "Transfer-Encoding: chunked\r\nConnection: close\r\n"
+            answer = self.exchange(
+                client_crowd.head("POST", client_crowd.PATH, "", fields)
+                + b"%x\r\n%s\r\n0\r\n\r\n" % (size, chunk)
+            )
+            self.assertTrue(answer.startswith(b"HTTP/1.1 " + status), answer)
+
+    # Guards against refusals that operators do not see, or that fill the log.
+    def test_refusals_are_counted_by_reason_and_logged_once(self):
+        for _ in range(20):
+            self.submit(b" " * 300_000)
+        _, text = client_limits_case.request(self.metrics_port, "GET", "/metrics")
+        expected = b'refused_total{listener="callers",reason="body_size"} 20'
+        self.assertIn(expected, text)
+        self.assertEqual(1, self.process.read_output().count("clients_refused"))
+
+
 class SmallMemoryTest(client_limits_case.PlatformCase):
     memory_mb = 100
 
--- a/test/test_client_limits_daemon.py
+++ b/test/test_client_limits_daemon.py
@@ -7,6 +7,8 @@
 SMALL_CROWD = 20
 UNREAD_CROWD = 80
 DEPTH = 400_000
+MANY_JOBS = 880_000  # 15 MB
+MANY_NAMES = 3_000_000  # 15 MB
 
 
 class DaemonLimitsTest(client_limits_case.DaemonCase):
@@ -60,3 +62,24 @@
         self.check_ordinary()
         self.check_bounds()
         self.assertIsNone(self.process.status())
+
+    # Guards against a body that takes many times its size once it is decoded.
+    def test_many_small_jobs_in_one_body(self):
+        jobs = b",".join([b'{"template":"x"}'] * MANY_JOBS)
+        self.check_refused(b'{"jobs":[' + jobs + b"]}")
+
+    def test_long_lists_in_one_job(self):
+        names = b",".join([b'"ab"'] * MANY_NAMES)
+        for field in (b"after", b"zones"):
+            job = b'{"template":"x","' + field + b'":[' + names + b"]}"
+            self.check_refused(b'{"jobs":[' + job + b"]}")
+
+    def check_refused(self, body):
+        headers = {"Authorization": f"Bearer {self.key}"}
+        status, _ = client_limits_case.request(
+            self.port, "POST", "/v1/jobs", body, headers
+        )
+        self.assertIn(status, (400, 413))
+        self.check_ordinary()
+        self.check_bounds()
+        self.assertIsNone(self.process.status())
--- a/test/test_platform_ingress.py
+++ b/test/test_platform_ingress.py
@@ -18,6 +18,7 @@
 from toucanspring.coordinator import catalogue, metered, row_sizes, rows, state
 
 import ingress  # isort: skip
+import probes  # isort: skip
 
 JOB = "5c0e7a21d94b36f8"
 BODY = {"spec": "(text)", "phases": [{"count": 4, "cpu": 500, "mem_mb": 256}]}
@@ -172,7 +173,7 @@
         client.simulate_get(f"/q/{JOB}", headers=headers)
         client.simulate_get("/other/1", headers=headers)
         app = falcon.App()
-        app.add_route("/metrics", ingress.MetricsResource(self.registry))
+        app.add_route("/metrics", probes.MetricsResource(self.registry))
         shown = falcon.testing.TestClient(app).simulate_get("/metrics").text
         for status in (200, 404):
             self.assertIn(
--- a/toucanspring/callers/api.py
+++ b/toucanspring/callers/api.py
@@ -5,6 +5,7 @@
 import hashlib
 import hmac
 import re
+from collections.abc import Callable
 
 import falcon
 import gevent
@@ -12,7 +13,7 @@
 import msgspec
 
 from toucanspring import errors, kernel, uptime
-from toucanspring.callers import handler
+from toucanspring.callers import handler, request_body
 
 log = logbook.Logger(__name__)
 
@@ -23,8 +24,6 @@
 # IDs with this prefix belong to work of open queues. It keeps callers without a key
 # from taking IDs of keyed work, and lets them read back their own.
 OPEN_PREFIX = "open."
-# Size of one blocking read of a body; the total time is bounded as well.
-READ_BYTES = 64 * 1024
 
 # Callers depend on this mapping; it changes only together with the API version.
 HTTP_STATUS: dict[type[errors.Failure], int] = {
@@ -134,19 +133,31 @@
     )
     try:
         with gevent.Timeout(handler.BODY_TIMEOUT_S, ApiError(slow, 408)):
-            while chunk := source.read(READ_BYTES):
+            for chunk in request_body.read_blocks(source):
                 received += chunk
                 if len(received) > limit:
                     raise ApiError(oversized)
+    except request_body.BodyRefused as refused:
+        raise ApiError(refused.failure, refused.status)
     except OSError as error:
         raise ApiError(errors.Malformed(reason=f"the body ended early: {error}"))
     return bytes(received)
 
 
-def read_json(request: falcon.Request, kind: type, limit: int) -> object:
-    """Return the body decoded from JSON and checked against a model."""
+def read_json(
+    request: falcon.Request,
+    kind: type,
+    limit: int,
+    check: Callable[[bytes], None] | None = None,
+) -> object:
+    """Return the body decoded from JSON and checked against a model.
+
+    `check` raises `msgspec.ValidationError` for a body that is not to be decoded.
+    """
     body = read_body(request, limit)
     try:
+        if check is not None:
+            check(body)
         return msgspec.json.decode(body, type=kind)
     except msgspec.ValidationError as error:
         path = (
--- a/toucanspring/callers/api_jobs.py
+++ b/toucanspring/callers/api_jobs.py
@@ -10,7 +10,7 @@
 from gevent import pool
 
 from toucanspring import errors, job, kernel
-from toucanspring.callers import api, api_events, submission
+from toucanspring.callers import api, api_events, outline, submission
 
 MAX_SUBMISSION_BYTES = 16 << 20
 MAX_CANCELLATIONS = 1000
@@ -34,7 +34,9 @@
 
     def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
         """Accept jobs; the answer follows once they are durable."""
-        bulk = api.read_json(request, submission.BulkSubmission, MAX_SUBMISSION_BYTES)
+        bulk = api.read_json(
+            request, submission.BulkSubmission, MAX_SUBMISSION_BYTES, outline.check
+        )
         cell = self._kernel.find("documents").cell()
         specs = submission.JobSpecBuilder(
             cell, self._access, self._access.secret(request)
--- a/toucanspring/callers/gateway.py
+++ b/toucanspring/callers/gateway.py
@@ -18,7 +18,10 @@
     api_partitions,
     api_services,
     api_status,
+    client_limits,
     handler,
+    machine,
+    refusals,
     server,
 )
 from toucanspring.reporting import report
@@ -174,11 +177,20 @@
         application = build_application(
             self._kernel, self._settings, lambda: self._draining
         )
+        registry = self._kernel.find("metrics")
+        refused = refusals.Refusals(registry, "callers")
+        defaults = client_limits.choose(
+            machine.read_memory_bytes(), machine.read_max_fds()
+        )
         self._server = server.Server(
             (self._settings.address, self._settings.http_port),
             application,
             load_certificate(self._settings),
+            client_limits.select(self._settings, defaults),
+            refused,
         )
+        table = self._server.table
+        registry.on_render(lambda: refused.measure(table))
         self._server.start()
 
     def stop_accepting(self) -> None:
--- a/toucanspring/callers/handler.py
+++ b/toucanspring/callers/handler.py
@@ -17,15 +17,15 @@
 import msgspec
 from gevent import pywsgi
 
-from toucanspring import errors, stream
+from toucanspring import errors, stream, uptime
+from toucanspring.callers import client_limits, request_body
 
 log = logbook.Logger(__name__)
 
 MAX_HEAD_BYTES = 32 * 1024
 MAX_HEADERS = 100
-MAX_BODY_BYTES = 16 << 20
-# A connection with a larger unread rest of a body is closed rather than reused.
-MAX_DISCARDED_BYTES = 64 * 1024
+MAX_BODY_BYTES = client_limits.MAX_BODY_BYTES
+RETRY_AFTER_S = 1
 HEAD_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 30.0
 # A client that reads nothing of its answer for this long is disconnected.
@@ -46,19 +46,11 @@
     413: "Content Too Large",
     414: "URI Too Long",
     431: "Request Header Fields Too Large",
+    503: "Service Unavailable",
     505: "HTTP Version Not Supported",
 }
 
 
-class BadRequest(ValueError):
-    """Raised while a request is read; `status` is the HTTP status to answer."""
-
-    def __init__(self, status: int, failure: errors.Failure) -> None:
-        super().__init__(failure.reason)
-        self.status = status
-        self.failure = failure
-
-
 class AnswerAborted(Exception):
     """Raised by an application to abort an answer that was sent in part."""
 
@@ -82,34 +74,10 @@
         if self._left < 0:
             reason = f"the request head exceeds {MAX_HEAD_BYTES} bytes"
             failure = errors.Oversized(reason=reason, limit=MAX_HEAD_BYTES)
-            raise BadRequest(431, failure)
+            raise request_body.BadRequest(431, failure)
         return line
 
 
-class Input(pywsgi.Input):
-    """Read a request body; close the connection instead of discarding a large rest."""
-
-    __slots__ = ("handler",)
-
-    def _discard(self) -> None:
-        if self._chunked_input_error:
-            return
-        if self.handler.close_connection:
-            return
-        left = (self.content_length or 0) - self.position
-        waits_for_continue = self.socket is not None
-        if waits_for_continue or left > MAX_DISCARDED_BYTES:
-            self.handler.close_connection = True
-            return
-        if self.chunked_input:
-            discarded = len(self.read(MAX_DISCARDED_BYTES))
-            if discarded >= MAX_DISCARDED_BYTES:
-                self.handler.close_connection = True
-        elif left > 0:
-            with gevent.Timeout(BODY_TIMEOUT_S, OSError("slow body")):
-                self.read(left)
-
-
 class Handler(pywsgi.WSGIHandler):
     """Serve the requests of one connection."""
 
@@ -120,6 +88,7 @@
         """Serve requests until either side ends the connection."""
         stream.disable_nagle(self.socket)
         self.server.connections.add(self)
+        self.connection = self.server.find_connection(self.client_address)
         self.busy = False
         self.aborted = False
         try:
@@ -145,6 +114,7 @@
     def handle_one_request(self) -> object:
         """Wait for a request, read its head within a time limit, and answer it."""
         self.busy = False
+        self._enter(client_limits.Phase.WAITING)
         try:
             self.socket.settimeout(self.server.idle_timeout())
             line = self.rfile.readline(pywsgi.MAX_REQUEST_LINE)
@@ -159,16 +129,24 @@
             with gevent.Timeout(HEAD_TIMEOUT_S, _timeout_error("head", HEAD_TIMEOUT_S)):
                 if len(line) >= pywsgi.MAX_REQUEST_LINE:
                     reason = f"the request line exceeds {len(line)} bytes"
-                    raise BadRequest(414, errors.Oversized(reason=reason))
+                    raise request_body.BadRequest(414, errors.Oversized(reason=reason))
                 self._read_head(line.decode("latin-1"))
-        except BadRequest as error:
+                self._expect_body()
+        except request_body.BodyRefused as error:
+            return error.status, _error_response(error)
+        except request_body.BadRequest as error:
+            self._count_refusal(client_limits.Reason.HEAD)
             return error.status, _error_response(error)
         except (ValueError, client.HTTPException) as error:
+            self._count_refusal(client_limits.Reason.HEAD)
             failure = errors.Malformed(reason=str(error) or "unreadable request")
-            return 400, _error_response(BadRequest(400, failure))
+            return 400, _error_response(request_body.BadRequest(400, failure))
         self.environ = self.get_environ()
         self.application = self.server.application
-        self.handle_one_response()
+        try:
+            self.handle_one_response()
+        finally:
+            self.server.table.release(self.connection)
         if self.aborted:
             return None
         if self.close_connection:
@@ -194,18 +172,68 @@
     def _read_head(self, line: str) -> None:
         words = line.split()
         if len(words) != 3 or not _METHOD.fullmatch(words[0]):
-            raise BadRequest(400, errors.Malformed(reason="not an HTTP/1.1 request"))
+            raise request_body.BadRequest(
+                400, errors.Malformed(reason="not an HTTP/1.1 request")
+            )
         if not _VERSION.fullmatch(words[2]):
             reason = "only HTTP/1.0 and HTTP/1.1 are served"
-            raise BadRequest(505, errors.Malformed(reason=reason))
+            raise request_body.BadRequest(505, errors.Malformed(reason=reason))
         unbounded, self.rfile = self.rfile, HeadReader(self.rfile)
         try:
             self.read_request(line)
         finally:
             self.rfile = unbounded
-        if (self.content_length or 0) > MAX_BODY_BYTES:
-            reason = f"the body exceeds {MAX_BODY_BYTES} bytes"
-            raise BadRequest(413, errors.Oversized(reason=reason, limit=MAX_BODY_BYTES))
+        if (self.content_length or 0) > self.server.limits.max_body_bytes:
+            raise request_body.BodyRefused(*self.oversized())
+
+    def oversized(self) -> tuple[int, errors.Failure]:
+        """Count a body over the limit; return status and failure of its refusal."""
+        self._count_refusal(client_limits.Reason.BODY_SIZE)
+        limit = self.server.limits.max_body_bytes
+        reason = f"the body exceeds {limit} bytes"
+        return 413, errors.Oversized(reason=reason, limit=limit)
+
+    def hold_body(self, size: int) -> None:
+        """Reserve bytes of the body before they are read; raise `BodyRefused`."""
+        if self._hold(size - self.connection.held_bytes):
+            return
+        self.close_connection = True
+        reason = "too many bodies are being received; not run"
+        overloaded = errors.Overloaded(reason=reason, retry_after_s=RETRY_AFTER_S)
+        raise request_body.BodyRefused(503, overloaded)
+
+    def _hold(self, size: int) -> bool:
+        if size <= 0:
+            return not self.connection.displaced
+        now = uptime.now()
+        held, displaced = self.server.table.hold(self.connection, size, now)
+        self.server.disconnect(displaced)
+        if not held:
+            self._count_refusal(client_limits.Reason.BODIES)
+        return held
+
+    def _expect_body(self) -> None:
+        """Reserve a body that was announced; a chunked one is as it is read."""
+        is_chunked = "transfer-encoding" in self.headers
+        if not self.content_length and not is_chunked:
+            self._enter(client_limits.Phase.ANSWERING)
+            return
+        self.begin_body()
+        self.hold_body(self.content_length or 0)
+
+    def begin_body(self) -> None:
+        """Record that the connection waits for bytes of a body."""
+        self._enter(client_limits.Phase.READING)
+
+    def end_body(self) -> None:
+        """Record that the application has read the body and begins its work."""
+        self._enter(client_limits.Phase.ANSWERING)
+
+    def _enter(self, phase: client_limits.Phase) -> None:
+        self.server.table.set_phase(self.connection, phase, uptime.now())
+
+    def _count_refusal(self, reason: client_limits.Reason) -> None:
+        self.server.refusals.count(reason, self.connection.client)
 
     def MessageClass(self, *arguments):  # noqa: N802 - name of the base class
         """Parse the headers; reject conflicting framings or lengths of the body.
@@ -217,22 +245,29 @@
         coding = [name.lower() for name in headers.get_all("transfer-encoding", [])]
         lengths = headers.get_all("content-length", [])
         if coding and (lengths or coding != ["chunked"]):
-            raise BadRequest(400, errors.Malformed(reason="ambiguous body framing"))
+            raise request_body.BadRequest(
+                400, errors.Malformed(reason="ambiguous body framing")
+            )
         if len(lengths) > 1 or not all(map(_CONTENT_LENGTH.fullmatch, lengths)):
-            raise BadRequest(400, errors.Malformed(reason="ambiguous body length"))
+            raise request_body.BadRequest(
+                400, errors.Malformed(reason="ambiguous body length")
+            )
         return headers
 
     def get_environ(self) -> dict[str, object]:
         """Return the WSGI environment with an input that bounds what it discards."""
         environ = super().get_environ()
         unbounded = self.wsgi_input
-        bounded = Input(
+        bounded = request_body.Input(
             unbounded.rfile,
             unbounded.content_length,
             socket=unbounded.socket,
             chunked_input=unbounded.chunked_input,
         )
         bounded.handler = self
+        bounded.received = 0
+        bounded.limit_s = BODY_TIMEOUT_S
+        bounded.until = uptime.now() + BODY_TIMEOUT_S
         self.wsgi_input = bounded
         environ["wsgi.input"] = bounded
         environ["wsgi.input_terminated"] = True
@@ -266,6 +301,18 @@
             del self._sendall  # restores the method of the class
         send_all(bytes(head_buffer))
 
+    def _sendall(self, data: bytes) -> None:
+        """Send bytes; they count as held until the client has read them."""
+        before = self.connection.held_bytes
+        if len(data) > MAX_COALESCED_BYTES and not self._hold(len(data)):
+            raise AnswerAborted("too many answers wait for their readers")
+        self._enter(client_limits.Phase.SENDING)
+        try:
+            super()._sendall(data)
+        finally:
+            self.server.table.release(self.connection, before)
+            self._enter(client_limits.Phase.ANSWERING)
+
     def _write(self, data: bytes) -> None:
         self.body_length += len(data)
         super()._write(data)
@@ -284,6 +331,9 @@
         if isinstance(value, OSError):
             status = "400 Bad Request"
             failure = errors.Malformed(reason="the body ended early")
+        if isinstance(value, request_body.BodyRefused):
+            status = f"{value.status} {_REASON_PHRASES[value.status]}"
+            failure = value.failure
         body = render(failure)
         with contextlib.suppress(OSError):
             self.start_response(
@@ -314,8 +364,10 @@
         with contextlib.suppress(OSError, gevent.Timeout):
             self.socket.shutdown(socket.SHUT_WR)
             with gevent.Timeout(LINGER_S):
-                left = 4 * MAX_DISCARDED_BYTES
-                while left > 0 and (got := len(self.socket.recv(MAX_DISCARDED_BYTES))):
+                left = 4 * request_body.MAX_DISCARDED_BYTES
+                while left > 0 and (
+                    got := len(self.socket.recv(request_body.MAX_DISCARDED_BYTES))
+                ):
                     left -= got
 
     def _close(self) -> None:
@@ -342,16 +394,18 @@
             encryption.shutdown()
 
 
-def _timeout_error(part: str, limit_s: float) -> BadRequest:
+def _timeout_error(part: str, limit_s: float) -> request_body.BadRequest:
     reason = f"the request {part} took longer than {limit_s:g} s"
-    return BadRequest(408, errors.Timeout(reason=reason))
+    return request_body.BadRequest(408, errors.Timeout(reason=reason))
 
 
-def _error_response(error: BadRequest) -> bytes:
+def _error_response(error: request_body.BadRequest) -> bytes:
     body = render(error.failure)
     head = (
         f"HTTP/1.1 {error.status} {_REASON_PHRASES[error.status]}\r\n"
         "Content-Type: application/json\r\n"
-        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        f"Content-Length: {len(body)}\r\nConnection: close\r\n"
     )
-    return head.encode() + body
+    if error.status == 503:
+        head += f"Retry-After: {RETRY_AFTER_S}\r\n"
+    return head.encode() + b"\r\n" + body
--- a/toucanspring/callers/server.py
+++ b/toucanspring/callers/server.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
+import contextlib
+import dataclasses
+import socket
+
 import gevent
 import logbook
 from gevent import pool, pywsgi
 
 from toucanspring import uptime
-from toucanspring.callers import handler, listener
+from toucanspring.callers import client_limits, handler, listener
+from toucanspring.callers import refusals as refusals_module
 
 log = logbook.Logger(__name__)
 
-MAX_CONNECTIONS = 4096
+MAX_CONNECTIONS = client_limits.MAX_CONNECTIONS
 IDLE_TIMEOUT_S = 75.0
-# Above this fraction of MAX_CONNECTIONS, idle connections are closed sooner.
+# Connections that were displaced and are still closing, as a fraction of the limit.
+CLOSING_FRACTION = 0.125
+# Above this fraction of the connections, idle connections are closed sooner.
 BUSY_FRACTION = 0.75
 BUSY_IDLE_TIMEOUT_S = 1.0
 # Idle connections stay open for this time after a graceful stop begins; one more
@@ -27,6 +34,11 @@
 FIRST_REQUEST_S = 3.0
 # The TLS handshake has its own limit, since handler.HEAD_TIMEOUT_S begins after it.
 TLS_HANDSHAKE_S = 10.0
+# Sent to a client whose connection is refused, without reading any of its request.
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+    b"Retry-After: 1\r\nConnection: close\r\n\r\n"
+)
 
 
 class _ErrorLog:
@@ -40,24 +52,43 @@
         """Do nothing; the log flushes itself."""
 
 
+@dataclasses.dataclass(slots=True)
+class _Accepted:
+    connection: client_limits.Connection
+    socket: object
+    greenlet: gevent.Greenlet | None = None
+
+
 class Server(pywsgi.WSGIServer):
     """Accept connections up to a limit and stop without interrupting requests."""
 
     handler_class = handler.Handler
 
     def __init__(
-        self, address: object, application: object, tls: object | None = None
+        self,
+        address: object,
+        application: object,
+        tls: object | None = None,
+        limits: client_limits.Limits | None = None,
+        refusals: refusals_module.Refusals | None = None,
     ) -> None:
+        self.limits = limits or client_limits.Limits()
+        self.refusals = refusals or refusals_module.Refusals(None, "")
+        self.table = client_limits.Table(self.limits)
+        closing = max(1, int(self.limits.max_connections * CLOSING_FRACTION))
         super().__init__(
             address,
             application,
-            spawn=pool.Pool(MAX_CONNECTIONS),
+            spawn=pool.Pool(self.limits.max_connections + closing),
             log=None,
             error_log=_ErrorLog(),
             **({} if tls is None else {"ssl_context": tls}),
         )
         self._handshakes = 0  # TLS handshakes in progress
         self.connections: set[handler.Handler] = set()
+        # By address and port of the client; its socket and, in a TLS handshake, its
+        # greenlet.
+        self._accepted: dict[object, _Accepted] = {}
         self.draining = False
         self._idle_until = 0.0  # seconds of `uptime`
         self._first_requests_until = 0.0
@@ -72,9 +103,53 @@
             self.environ.setdefault("SERVER_NAME", str(self.address[0]))
         super().update_environ()
 
+    def do_handle(self, client_socket, address) -> None:
+        """Serve a new connection, or refuse it before anything is read."""
+        phase = client_limits.Phase.WAITING
+        if self.ssl_enabled:
+            phase = client_limits.Phase.HANDSHAKE
+        client = str(address[0]) if isinstance(address, tuple) else ""
+        admitted, displaced = self.table.admit(client, phase, uptime.now())
+        if admitted is None:
+            self.refusals.count(client_limits.Reason.CONNECTIONS, client)
+            if not self.ssl_enabled:
+                with contextlib.suppress(OSError):
+                    client_socket._sock.send(REFUSAL, socket.MSG_DONTWAIT)
+            client_socket.close()
+            return
+        if displaced is not None:
+            self.disconnect([displaced])
+        admitted.key = address
+        self._accepted[address] = _Accepted(admitted, client_socket)
+        super().do_handle(client_socket, address)
+
+    def do_close(self, client_socket, address) -> None:
+        """Close a connection and forget what it held."""
+        accepted = self._accepted.pop(address, None)
+        if accepted is not None:
+            self.table.remove(accepted.connection)
+        super().do_close(client_socket, address)
+
+    def find_connection(self, address: object) -> client_limits.Connection:
+        """Return the state of an accepted connection by the client's address."""
+        return self._accepted[address].connection
+
+    def disconnect(self, displaced: list[client_limits.Connection]) -> None:
+        """Close connections in favour of others; their greenlets end by that."""
+        for connection in displaced:
+            self.refusals.count(client_limits.Reason.DISPLACED, connection.client)
+            accepted = self._accepted[connection.key]
+            if accepted.greenlet is not None:
+                accepted.greenlet.kill(OSError("displaced"), block=False)
+                continue
+            with contextlib.suppress(OSError):
+                accepted.socket._sock.shutdown(socket.SHUT_RDWR)
+
     def wrap_socket_and_handle(self, client_socket, address) -> None:
         """Serve a caller after the TLS handshake, which has a time limit."""
         self._handshakes += 1
+        accepted = self._accepted[address]
+        accepted.greenlet = gevent.getcurrent()
         try:
             with gevent.Timeout(TLS_HANDSHAKE_S, TimeoutError("slow TLS handshake")):
                 wrapped = self.wrap_socket(client_socket, **self.ssl_args)
@@ -83,12 +158,15 @@
             return
         finally:
             self._handshakes -= 1
+            accepted.greenlet = None
+        accepted.socket = wrapped
         with wrapped:
             self.handle(wrapped, address)
 
     def idle_timeout(self) -> float:
         """Return how many seconds a connection may wait for its next request."""
-        if len(self.connections) > MAX_CONNECTIONS * BUSY_FRACTION:
+        most = min(MAX_CONNECTIONS, self.limits.max_connections)
+        if len(self.connections) > most * BUSY_FRACTION:
             return BUSY_IDLE_TIMEOUT_S
         return IDLE_TIMEOUT_S
 
--- a/toucanspring/coordinator/row_sizes.py
+++ b/toucanspring/coordinator/row_sizes.py
@@ -32,8 +32,12 @@
     All tasks of the steps that may be open at once count as running: those of one
     occurrence if each has a row of its own, else those of all.
     """
-    in_one_row = 1 if is_split(spec) else max(1, spec.repeats)
     count = len(spec.steps)
+    # First, since the bound of the open tasks takes memory and time in proportion to
+    # the square of the number of steps.
+    if STEP_BYTES * count > max_row_bytes or len(rows.encode(spec)) > max_row_bytes:
+        return False
+    in_one_row = 1 if is_split(spec) else max(1, spec.repeats)
     step_bytes = STEP_BYTES + _number_bytes(count) + _number_bytes(spec.repeats)
     progress_bytes = (
         PROGRESS_BYTES
@@ -41,7 +45,7 @@
         + OPEN_STEP_BYTES * count
         + TASK_BYTES * in_one_row * bound_open_tasks(spec.steps)
     )
-    return progress_bytes <= max_row_bytes and len(rows.encode(spec)) <= max_row_bytes
+    return progress_bytes <= max_row_bytes
 
 
 def _number_bytes(limit: int) -> int:
--- a/toucanspring/settings.py
+++ b/toucanspring/settings.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping, Sequence
 
 from toucanspring import errors
+from toucanspring.callers import client_limits
 
 PREFIX = "TOUCANSPRING_"
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
@@ -49,6 +50,10 @@
     :param drain_s: limit on waiting for in-flight requests at shutdown
     :param moves: on, or off to keep each worker in its first partition
     :param spread_move_s: interval of moves of services to emptier zones; 0 for none
+    :param max_body_bytes: largest body of one call of a client
+    :param held_body_bytes: bytes of all bodies and unread answers; 0: by memory
+    :param max_connections: connections of clients; 0: by memory and descriptors
+    :param client_share: share of held_body_bytes and max_connections for one address
     :param plugins: names of plugins to load, separated by commas
     """
 
@@ -78,6 +83,10 @@
     drain_s: float = 30.0
     moves: str = "on"
     spread_move_s: float = 10.0
+    max_body_bytes: int = client_limits.MAX_BODY_BYTES
+    held_body_bytes: int = 0
+    max_connections: int = 0
+    client_share: float = client_limits.CLIENT_SHARE
     plugins: str = ""
 
 
@@ -125,7 +134,7 @@
                 value=str(getattr(settings, name)),
                 expected=expected,
             )
-    return None
+    return client_limits.select(settings, client_limits.Limits()).check()
 
 
 def from_environment(environment: Mapping[str, str]) -> dict | errors.Invalid:
