Run no request whose connection was closed in favour of another one

Cause: a connection could be displaced while the rest of its request was already in the buffer; the request was then carried out, although the metric and the pages say that nothing of a displaced request has run. Found by reading; no test shows it, as it needs an eviction within one read.

Change: the request is dropped when it is complete and its connection was displaced.

--- a/toucanspring/callers/handler.py
+++ b/toucanspring/callers/handler.py
@@ -216,7 +216,7 @@
         """Reserve a body that was announced; a chunked one is as it is read."""
         is_chunked = "transfer-encoding" in self.headers
         if not self.content_length and not is_chunked:
-            self._enter(client_limits.Phase.ANSWERING)
+            self.end_body()
             return
         self.begin_body()
         self.hold_body(self.content_length or 0)
@@ -226,7 +226,13 @@
         self._enter(client_limits.Phase.READING)
 
     def end_body(self) -> None:
-        """Record that the application has read the body and begins its work."""
+        """Record that the request is complete and the application begins its work.
+
+        Raises `OSError` if the connection was closed in favour of another one, as the
+        request counts as not run then.
+        """
+        if self.connection.displaced:
+            raise OSError("the connection was closed in favour of another one")
         self._enter(client_limits.Phase.ANSWERING)
 
     def _enter(self, phase: client_limits.Phase) -> None:
