--- a/toucanspring/coordinator/load_report.py
+++ b/toucanspring/coordinator/load_report.py
@@ -14,6 +14,7 @@
     job_specs,
     plans,
     state,
+    urgency,
     workers,
 )
 from toucanspring.policy import admission
@@ -33,7 +34,6 @@
 # An organisation at its ceiling has room for a task now and then, while all its other
 # work goes on waiting for the ceiling.
 NEAR_CEILING_SHARE = 0.9
-LATE_ESTIMATE_FRACTION = 0.6  # as in `planner`
 MAX_LARGEST = 8  # bounds the notice; with more kinds the size of tasks is not judged
 
 
@@ -178,7 +178,7 @@
         The drain rates stay as they are if nothing might start since the last count: a
         backlog of an outage says nothing of the rate after it.
         """
-        over_share = self._find_over_share()
+        over_share = urgency.find_over_share(self._cell)
         sums, demands = self._count_waiting(over_share, now)
         pools = tuple(self._make_pool(name, sums, now) for name in self._find_pools())
         self._started.clear()
@@ -202,17 +202,6 @@
         found = {queue.pool for queue in self._cell.catalogue.queues}
         return sorted(found)
 
-    def _find_over_share(self) -> frozenset[str]:
-        capacity = self._cell.capacity()
-        organisations = self._cell.catalogue.organisations.values()
-        total = sum(each.weight for each in organisations)
-        return frozenset(
-            each.name
-            for each in organisations
-            if each.weight > 0
-            and self._cell.used[each.name].dominant(capacity) > each.weight / total
-        )
-
     def _count_waiting(
         self, over_share: frozenset[str], now: float
     ) -> tuple[dict[tuple[str, int], _Sums], dict[str, float]]:
@@ -228,7 +217,7 @@
             demands[name] += amount
             if job.over_rate or self._is_at_ceiling(step_run):
                 continue
-            timely = now + LATE_ESTIMATE_FRACTION * estimate_s(step) <= job.due_at
+            timely = not urgency.is_late(step_run, now)
             sums[queue.pool, queue.priority].add(
                 amount, timely, name not in over_share, now - step_run.ready_at
             )
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -22,15 +22,13 @@
     placement,
     plans,
     state,
+    urgency,
     workers,
 )
 
 log = logbook.Logger(__name__)
 
 TOP_PRIORITY = 0
-# A job counts as late once this fraction of its estimated run time does not fit before
-# the deadline; estimates are off by up to 0.9 in either direction.
-LATE_ESTIMATE_FRACTION = 0.6
 # A step of which nothing runs after this long in a lightly used pool, and a step of
 # tasks that last in any, may use workers that are paused or reserved for gangs: a
 # doubtful start is better than none.
@@ -62,7 +60,7 @@
         self._available.begin_round(now)
         self._ceilings.begin_round()
         self._gangs.begin_round(plan, now)
-        over_share = self._find_over_share()
+        over_share = urgency.find_over_share(self._cell)
         steps = sorted(
             self._cell.ready.values(),
             key=lambda step_run: self._rank(step_run, over_share, now),
@@ -146,18 +144,6 @@
             (each for each in times if each > now), default=math.inf
         )
 
-    def _find_over_share(self) -> frozenset[str]:
-        """Return the organisations that use more than their fair share of the cell."""
-        capacity = self._cell.capacity()
-        organisations = self._cell.catalogue.organisations.values()
-        total = sum(each.weight for each in organisations)
-        return frozenset(
-            each.name
-            for each in organisations
-            if each.weight > 0
-            and self._cell.used[each.name].dominant(capacity) > each.weight / total
-        )
-
     def _rank(
         self, step_run: state.StepRun, over_share: frozenset[str], now: float
     ) -> tuple[bool, bool, int, bool, bool, float]:
@@ -169,7 +155,7 @@
         spec = step_run.job.spec
         queue = step_run.job.queue
         priority = queue.priority if queue is not None else 9
-        late = self._is_late(step_run, now)
+        late = urgency.is_late(step_run, now)
         return (
             bool(step_run.job.over_rate),
             late and priority > TOP_PRIORITY,
@@ -427,16 +413,11 @@
         return (
             (queue.priority == TOP_PRIORITY or step_run.step.gang)
             and not step_run.job.over_rate
-            and not self._is_late(step_run, now)
+            and not urgency.is_late(step_run, now)
             and self._ceilings.claim(step_run, queue)
         )
 
     def hold_allowance(self, step_run: state.StepRun, now: float) -> None:
         """Keep the allowance of a gang that waits for room, unless it is late."""
-        if not step_run.job.over_rate and not self._is_late(step_run, now):
+        if not step_run.job.over_rate and not urgency.is_late(step_run, now):
             self._ceilings.hold(step_run)
-
-    @staticmethod
-    def _is_late(step_run: state.StepRun, now: float) -> bool:
-        needed_s = LATE_ESTIMATE_FRACTION * step_run.step.estimate_ms / 1000
-        return now + needed_s > step_run.job.due_at
