--- a/toucanspring/coordinator/approval_queue.py
+++ b/toucanspring/coordinator/approval_queue.py
@@ -14,21 +14,27 @@
 
 # Time that its step has waited before, of which a request gets credit for at most this
 # much. With the bounds below, a request can be passed only by those that are submitted
-# within the next 30 s, so none waits for ever.
+# within the next 40 s, so none waits for ever.
 MAX_CREDIT_S = 3.0
 # The patience of a request grows with each of these, so that it is sent later than
 # requests submitted at the same time.
 # For each priority below the top one. With 1 s, cheap requests of the lowest priority
 # passed those of gangs of the one above at a busy time.
-PRIORITY_PATIENCE_S = 3.0
+PRIORITY_PATIENCE_S = 8.0
 MAX_PRIORITIES = 2
 MAX_SLACK_PATIENCE_S = 1.0
 SLACK_PATIENCE_SHARE = 0.5
-MAX_COST_PATIENCE_S = 1.0
+# Several cheap requests are answered in the time of one that is expensive.
+COST_PATIENCE_FACTOR = 4.0
+MAX_COST_PATIENCE_S = 6.0
 # Requests of late steps come behind others with the same priority and cost, since most
-# of the value of these steps is lost. A waiting request counts as late once it has used
-# this part of its slack: the rest is for the answer, the start and room.
-LATE_PATIENCE_S = 10.0
+# of the value of these steps is lost; those of the top priority further behind, as they
+# are short and lose the rest soon.
+LATE_PATIENCE_S = 2.0
+TOP_LATE_PATIENCE_S = 10.0
+TOP_PRIORITY = 0
+# A request of the top priority counts as late by waiting once it has used this part of
+# its slack: the rest is for the answer, the start and room.
 MAX_SLACK_USED = 0.5
 MAX_WORKERS_PER_CALL = 100  # limit of the service
 MIN_WORKERS_PER_CALL = 10
@@ -46,11 +52,12 @@
     passes, so fixed times give the same order as a rank that ages.
     """
     patience_s = PRIORITY_PATIENCE_S * min(request.priority, MAX_PRIORITIES)
-    patience_s += min(request.cost_s, MAX_COST_PATIENCE_S)
+    patience_s += min(COST_PATIENCE_FACTOR * request.cost_s, MAX_COST_PATIENCE_S)
     slack_s = max(0.0, request.slack_s)
     patience_s += min(SLACK_PATIENCE_SHARE * slack_s, MAX_SLACK_PATIENCE_S)
     if request.slack_s < 0:
-        patience_s += LATE_PATIENCE_S
+        is_top = request.priority <= TOP_PRIORITY
+        patience_s += TOP_LATE_PATIENCE_S if is_top else LATE_PATIENCE_S
     return now - min(request.waited_s, MAX_CREDIT_S) + patience_s
 
 
@@ -102,7 +109,7 @@
                 self._remove_first()
             elif self._is_late_by_waiting(number, submitted_at, request, now):
                 self._has_yielded.add(number)
-                entry = (rank + LATE_PATIENCE_S, number, submitted_at, request)
+                entry = (rank + TOP_LATE_PATIENCE_S, number, submitted_at, request)
                 heapq.heapreplace(self._waiting, entry)
             else:
                 return request
@@ -116,7 +123,8 @@
         now: float,
     ) -> bool:
         return (
-            request.slack_s >= 0
+            request.priority <= TOP_PRIORITY
+            and request.slack_s >= 0
             and now - submitted_at > MAX_SLACK_USED * request.slack_s
             and number not in self._has_yielded
         )
