Find classes of speed by variance, not by gaps

Change: workers are divided where the variance within the parts is least, if that explains three quarters of it.

--- a/toucanspring/policy/speeds.py
+++ b/toucanspring/policy/speeds.py
@@ -22,6 +22,9 @@
 # Classes of workers differ by at least this factor. A smaller difference is within the
 # spread of the tasks of one step (0.15), so that callers do not notice it.
 MIN_CLASS_RATIO = 1.15
+# Of the variance, by the division into two classes. The best division of normally
+# distributed speeds explains 0.64 of it.
+MIN_EXPLAINED = 0.75
 # Each class has at least this share of the workers: single slow workers are paused.
 MIN_CLASS_SHARE = 0.1
 MAX_CLASSES = 3
@@ -174,21 +177,37 @@
 
 
 def _find_bounds(speeds: list[float]) -> list[float]:
-    """Return the speeds between classes, at the widest gaps; `speeds` ascend."""
+    """Return the speeds between classes; `speeds` ascend."""
     least = max(MIN_GROUP_WORKERS, math.ceil(MIN_CLASS_SHARE * len(speeds)))
-    gaps = sorted(
-        (
-            (speeds[number] / speeds[number - 1], number)
-            for number in range(least, len(speeds) - least + 1)
-            if speeds[number] >= MIN_CLASS_RATIO * speeds[number - 1]
-        ),
-        reverse=True,
-    )
-    kept: list[int] = []
-    for _, number in gaps:
-        if all(abs(number - other) >= least for other in kept):
-            kept.append(number)
-    return sorted(
-        math.sqrt(speeds[number] * speeds[number - 1])
-        for number in kept[: MAX_CLASSES - 1]
-    )
+    bounds: list[float] = []
+    parts = [speeds]
+    while parts and len(bounds) < MAX_CLASSES - 1:
+        part = parts.pop(0)
+        number = _find_split(part, least)
+        if number:
+            bounds.append(math.sqrt(part[number] * part[number - 1]))
+            parts += [part[:number], part[number:]]
+    return sorted(bounds)
+
+
+def _find_split(speeds: list[float], least: int) -> int:
+    """Return where to divide ascending speeds into two classes, or 0.
+
+    The division with the least variance within its parts counts if it explains most of
+    the variance. A gap is no sign: workers with few samples lie between the classes.
+    """
+    logs = [math.log(each) for each in speeds]
+    total, count = sum(logs), len(logs)
+    squares = sum(each * each for each in logs) - total * total / max(1, count)
+    best, best_between, left = 0, 0.0, 0.0
+    for number in range(1, count):
+        left += logs[number - 1]
+        difference = (total - left) / (count - number) - left / number
+        between = difference * difference * number * (count - number) / count
+        if (
+            least <= number <= count - least
+            and between > best_between
+            and difference >= math.log(MIN_CLASS_RATIO)
+        ):
+            best, best_between = number, between
+    return best if best_between >= MIN_EXPLAINED * squares else 0
