Ask the approval service about few workers only where that is cheap

Change: a gang that knows enough approved workers leaves such requests out if a decision takes over 0.1 s.

--- a/test/test_coordinator_approvals.py
+++ b/test/test_coordinator_approvals.py
@@ -102,3 +102,22 @@
         plan = self.planner.plan(1.0)
         self.assertEqual([plans.NO_USABLE_WORKER], [x.reason for x in plan.waits])
         self.assertEqual([], plan.approval_requests)
+
+
+class WastefulRequestTest(testtools.TestCase):
+    # Guards against an approval service that is busy with requests of waiting gangs
+    # about one or two workers each, at the price of a whole decision.
+    def test_an_informed_gang_asks_about_few_workers_only_where_that_is_cheap(self):
+        cheap, dear = (
+            case.queue(
+                approval=catalogue.Approval(
+                    decision_s=seconds, per_worker_s=0.001, validity_s=2.5
+                )
+            )
+            for seconds in (0.02, 0.9)
+        )
+        few = ["w1", "w2"]
+        many = [f"w{number}" for number in range(approvals.MIN_WORKERS_PER_REQUEST)]
+        self.assertTrue(approvals.Approvals.is_wasteful(dear, few))
+        self.assertFalse(approvals.Approvals.is_wasteful(cheap, few))
+        self.assertFalse(approvals.Approvals.is_wasteful(dear, many))
--- a/toucanspring/coordinator/approvals.py
+++ b/toucanspring/coordinator/approvals.py
@@ -24,6 +24,8 @@
 MAX_WORKERS_PER_GANG_REQUEST = 200
 # Smaller requests save little, and some of the workers may fail.
 MIN_WORKERS_PER_REQUEST = 10
+# A decision that takes longer is made about several workers at once.
+MAX_CHEAP_DECISION_S = 0.1
 # Workers without room are named only up to this number; they may have room soon.
 MAX_WITHOUT_ROOM = 30
 # A fresh ticket is used for this fraction of its validity, however late orders arrive.
@@ -119,6 +121,19 @@
         )
         return slots >= GANG_SPARE_FACTOR * step_run.step.count
 
+    @staticmethod
+    def is_wasteful(queue: catalogue.Queue, names: Sequence[str]) -> bool:
+        """Return whether a request brings an informed gang little for its cost.
+
+        Such a gang waits for room on workers that it knows. Requests about the one or
+        two that have room besides took 40% of the service's time at a busy time.
+        """
+        return (
+            0 < len(names) < MIN_WORKERS_PER_REQUEST
+            and queue.approval is not None
+            and queue.approval.decision_s > MAX_CHEAP_DECISION_S
+        )
+
     def choose_with_room(
         self,
         step_run: state.StepRun,
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -271,14 +271,17 @@
         if queue.approval is None or step_run.approval_pending:
             return False
         candidates = self._candidates(queue, held_back)
-        names = []
+        names, is_informed = [], False
         if step_run.step.gang:
             approved = self._find_eligible(step_run, queue, held_back, now)
-            if not self.approvals.is_gang_informed(step_run, approved):
+            is_informed = self.approvals.is_gang_informed(step_run, approved)
+            if not is_informed:
                 names = self.approvals.choose(step_run, queue, candidates)
         names = names or self.approvals.choose_with_room(
             step_run, queue, candidates, None if held_back else plan
         )
+        if is_informed and self.approvals.is_wasteful(queue, names):
+            return False
         if names:
             self.approvals.request(step_run, queue, names, plan, now)
         return bool(names)
