--- a/toucanspring/coordinator/approval_dispatcher.py
+++ b/toucanspring/coordinator/approval_dispatcher.py
@@ -38,6 +38,9 @@
 LOCAL = ""
 # Of the free callers, the part over which one request may be divided.
 MAX_FRACTION_FOR_ONE_REQUEST = 0.5
+# Each further call takes its caller for a whole decision, which others need at a busy
+# time: nothing is divided while more of the callers than this send long requests.
+MAX_LONG_FRACTION_TO_DIVIDE = 0.25
 
 
 class RelayedRequest(msgspec.Struct, array_like=True):
@@ -156,7 +159,7 @@
         callers = [caller]
         self._in_flight[caller] = request.cost_s
         most = 1
-        if request.cost_s > LONG_REQUEST_S and self._long.first(uptime.now()) is None:
+        if request.cost_s > LONG_REQUEST_S and not self._is_busy():
             most = int(MAX_FRACTION_FOR_ONE_REQUEST * self._count_free_callers())
         calls = approval_queue.count_calls(request, most)
         while len(callers) < calls:
@@ -184,6 +187,15 @@
             self._in_flight[name] = sum(each.cost_s for each in own)
             self._calls.spawn(self._send, name, own, division)
 
+    def _is_busy(self) -> bool:
+        """Return whether other long requests wait, or are about to, for a caller."""
+        callers = 1 + len(self._kernel.find("peers").connected())
+        long_requests = sum(each > LONG_REQUEST_S for each in self._in_flight.values())
+        return (
+            self._long.first(uptime.now()) is not None
+            or long_requests > MAX_LONG_FRACTION_TO_DIVIDE * callers
+        )
+
     def _count_reserved(self, callers: int, now: float) -> int:
         """Return how many callers long requests leave to the short ones."""
         wanted = math.ceil(CALLERS_BY_SHORT_LOAD * self._short_load.value(now))
--- a/toucanspring/coordinator/approvals.py
+++ b/toucanspring/coordinator/approvals.py
@@ -19,9 +19,9 @@
     workers,
 )
 
+# Of one call. Two calls for a gang that needs more took the callers of other requests
+# at a busy time.
 MAX_WORKERS_PER_REQUEST = 100
-# A gang that needs more would ask again at once; the dispatcher divides its request.
-MAX_WORKERS_PER_GANG_REQUEST = 200
 # Smaller requests save little, and some of the workers may fail.
 MIN_WORKERS_PER_REQUEST = 10
 # A decision that takes longer is made about several workers at once.
@@ -43,7 +43,6 @@
 
     wanted: float
     share: float
-    limit: int = MAX_WORKERS_PER_REQUEST
     names: list[str] = dataclasses.field(default_factory=list)
     slots: float = 0.0
 
@@ -51,7 +50,7 @@
     def is_enough(self) -> bool:
         """Return whether the request needs no further worker."""
         count = len(self.names)
-        return count >= self.limit or (
+        return count >= MAX_WORKERS_PER_REQUEST or (
             count >= MIN_WORKERS_PER_REQUEST and self.slots >= self.wanted
         )
 
@@ -84,7 +83,7 @@
         choice = self._begin(step_run, self.share(queue.name).value)
         full: list[workers.Worker] = []
         is_gang = step_run.step.gang
-        max_without_room = choice.limit if is_gang else MAX_WITHOUT_ROOM
+        max_without_room = MAX_WORKERS_PER_REQUEST if is_gang else MAX_WITHOUT_ROOM
         first, visited = self._next.get(queue.pool, 0), 0
         for worker in _in_turn(step_run, candidates, first):
             if choice.is_enough:
@@ -171,7 +170,7 @@
         self, step_run: state.StepRun, approved: Iterable[workers.Worker]
     ) -> list[str]:
         """Return approved workers whose tickets are to be renewed."""
-        choice = _Choice(SPARE_FACTOR * len(step_run.waiting), 1.0, _limit(step_run))
+        choice = _Choice(SPARE_FACTOR * len(step_run.waiting), 1.0)
         for worker in approved:
             if choice.is_enough:
                 break
@@ -198,7 +197,7 @@
         ):
             return
         step_run.approval_pending = True
-        names = names[: _limit(step_run)]
+        names = names[:MAX_WORKERS_PER_REQUEST]
         is_first = all(name not in step_run.allowed for name in names)
         slack_s = step_run.job.due_at - now - step_run.step.estimate_ms / 1000
         plan.approval_requests.append(
@@ -233,7 +232,7 @@
     @staticmethod
     def _begin(step_run: state.StepRun, share: float) -> _Choice:
         spare = GANG_SPARE_FACTOR if step_run.step.gang else SPARE_FACTOR
-        return _Choice(spare * len(step_run.waiting), share, _limit(step_run))
+        return _Choice(spare * len(step_run.waiting), share)
 
 
 def answer_s(approval: catalogue.Approval, count: int) -> float:
@@ -241,11 +240,6 @@
     return approval.decision_s + approval.per_worker_s * count
 
 
-def _limit(step_run: state.StepRun) -> int:
-    is_gang = step_run.step.gang
-    return MAX_WORKERS_PER_GANG_REQUEST if is_gang else MAX_WORKERS_PER_REQUEST
-
-
 def _in_turn(
     step_run: state.StepRun, candidates: Sequence[workers.Worker], first: int
 ) -> list[workers.Worker]:
