Derive how many stops follow each other from the platform's limits

Cause: six stops followed each other in a slot under all limits. That fits stops of 0.4 s and 4 s, not 0.9 s and 3 s: the sixth is sent after 4.5 s. cancel_ms of the settings was not read.

Change: StopLimits holds both limits and gives the number of rounds, one of which may be lost. 0.4 s and 4 s, as before, 6; 0.9 s and 3 s: 2.

--- a/test/test_coordinator_stops.py
+++ b/test/test_coordinator_stops.py
@@ -9,7 +9,7 @@
 from test import coordinator_case as case
 from test import worker_sockets
 from toucanspring import errors, resources
-from toucanspring.coordinator import cell_state, dispatch, planner, ports
+from toucanspring.coordinator import cell_state, dispatch, planner, ports, stop_limits
 
 JOB = "0" * 16
 # How many stops may follow each other within the permitted time of a cancellation
@@ -27,8 +27,15 @@
         self.lost = set()  # tasks whose stops get no answer
         self.release = None  # an event that the stops in flight wait for
         client = types.SimpleNamespace(stop=self.answer, start=self.start)
+        self.client = client
+        self.use(stop_limits.DEFAULT)
+
+    def use(self, limits):
+        """Order stops under the limits of a platform from now on."""
         leader = worker_sockets.Leader(self.cell)
-        self.orders = dispatch.Dispatcher(leader, client, 6000, lambda: 1.0)
+        self.orders = dispatch.Dispatcher(
+            leader, self.client, 6000, lambda: 1.0, limits
+        )
         self.addCleanup(self.orders.__exit__)
 
     def answer(self, worker, task, _run, _epoch):
@@ -88,6 +95,20 @@
             self.submit(64, name)
         self.assertLessEqual(self.count_rounds(), MOST_IN_A_ROW)
 
+    # Guards against tasks of a cancelled job that run on where stops may take longer or
+    # a cancellation less time: six stops followed each other under all limits.
+    def test_the_last_stop_is_in_time_under_the_limits_of_each_platform(self):
+        for stop_s, cancel_s in ((0.2, 3.0), (0.4, 3.0), (0.9, 3.0), (0.9, 4.0)):
+            self.use(stop_limits.StopLimits(stop_s, cancel_s))
+            self.release = event.Event()
+            self.submit(64)
+            rounds = self.count_rounds()
+            # One stop gets no answer, for as long as a call waits, and is repeated.
+            lost_s = stop_s + 0.2 + 0.25
+            self.assertLessEqual(
+                (rounds - 1) * stop_s + lost_s, cancel_s, (stop_s, cancel_s)
+            )
+
     # Guards against connections that are opened to a worker for a few stops.
     def test_few_stops_use_few_connections(self):
         self.release = event.Event()
--- a/test/test_platform_directory.py
+++ b/test/test_platform_directory.py
@@ -427,6 +427,13 @@
         self.assertEqual(("10.1.0.17", 8183), found.callers)
         self.assertEqual((7420, 6000), (found.peer_port, found.max_lease_ms))
 
+    # Guards against stops that are planned for the limits of another platform.
+    def test_the_limits_of_stops_are_read(self):
+        text = "grace_s = 6\nstop_timeout_ms = 900\ncancel_ms = 3000"
+        found = self.read(self.SETTINGS.replace("grace_s = 6", text)).stop_limits
+        self.assertEqual((0.9, 3.0), (found.stop_s, found.cancel_s))
+        self.assertEqual(2, found.count_rounds())
+
     def test_what_the_vm_can_carry_is_read(self):
         limits = """
 [limits]
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -20,6 +20,7 @@
     reports,
     start_orders,
     stop_causes,
+    stop_limits,
     workers,
 )
 
@@ -33,15 +34,9 @@
 POLL_RETRY_S = 0.15
 # A worker that replies to no poll for this long gets no new tasks.
 UNRESPONSIVE_AFTER_S = 0.8
-STOP_RETRY_S = 0.25
 MAX_STARTS_PER_WORKER = 4  # in flight
-# A platform permits 0.4 s for a stop and 4 s from a cancellation to the last one. Six
-# in a row leave 1.6 s: the write, and one stop that is lost (0.6 s until it counts as
-# lost, STOP_RETRY_S, 0.4 s for its repetition).
-STOPS_IN_A_ROW = 6
 STOPS_PER_WORKER = 2  # in flight; more for a worker with many stops
-# Bound the connections of a process. All running tasks of the largest deployment known
-# are fewer than STOPS_IN_A_ROW * MAX_STOPS_IN_FLIGHT.
+# Bound the connections of a process.
 MAX_STOPS_PER_WORKER = 128
 MAX_STOPS_IN_FLIGHT = 500
 DURABLE_WAIT_S = 1.0  # limit of a wait for the store before the next lease renewal
@@ -56,6 +51,7 @@
         client: ports.Workers,
         max_lease_ms: int,
         clock: Callable[[], float] = uptime.now,
+        limits: stop_limits.StopLimits = stop_limits.DEFAULT,
     ) -> None:
         self._leader = coordinator
         self._client = client
@@ -79,7 +75,7 @@
             self._stop,
             MAX_STOPS_IN_FLIGHT,
             STOPS_PER_WORKER,
-            STOPS_IN_A_ROW,
+            limits.count_rounds(),
             MAX_STOPS_PER_WORKER,
         )
         self._pending_stops: set[cell_state.Stop] = set()
@@ -291,7 +287,7 @@
         if not (worker.entry.address and worker.confirmed):
             # Known from restored tasks, it may register later; or a poll has to tell
             # first which incarnation it is.
-            return STOP_RETRY_S
+            return stop_limits.RETRY_S
         incarnation = worker.incarnation
         answer = self._client.stop(
             worker.target(incarnation), order.task, order.run, self._leader.epoch
@@ -307,6 +303,6 @@
             case ports.OrderRefused(reason=ports.OLD_RUN | ports.OTHER_INCARNATION):
                 pass
             case _:
-                return STOP_RETRY_S
+                return stop_limits.RETRY_S
         self._leader.cell.confirm_stop(worker.id, order.task, order.run, now)
         return 0.0
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -35,6 +35,7 @@
     rows,
     state,
     stop_causes,
+    stop_limits,
     stragglers,
     table_cache,
     workers,
@@ -84,6 +85,7 @@
         store_clock: leader_lease.StoreClock,
         request_approval: Callable[[plans.ApprovalRequest], None],
         max_lease_ms: int,
+        limits: stop_limits.StopLimits = stop_limits.DEFAULT,
         on_failing: Callable[[float], None] = lambda _for_s: None,
         on_round: Callable[[int, float], None] = lambda _starts, _took_s: None,
         on_stops: Callable[[stop_causes.StopCounts], None] = lambda _counts: None,
@@ -105,7 +107,9 @@
         self._load_builder = load_report.Builder(
             self.cell, self.epoch, self._acquired_at
         )
-        self._dispatcher = dispatch.Dispatcher(self, client, max_lease_ms)
+        self._dispatcher = dispatch.Dispatcher(
+            self, client, max_lease_ms, limits=limits
+        )
         self.cell.former_leases_end_at = recovery.find_longest_lease(
             acquired, self._acquired_at, max_lease_ms / 1000
         )
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -34,6 +34,7 @@
     ports,
     rows,
     state,
+    stop_limits,
 )
 
 log = logbook.Logger(__name__)
@@ -65,6 +66,7 @@
     peer_port: int
     max_lease_ms: int
     capacity: candidacy.Capacity = candidacy.Capacity()
+    stop_limits: stop_limits.StopLimits = stop_limits.DEFAULT
 
 
 class Service:
@@ -491,6 +493,7 @@
             self._store_clock,
             self._approval_dispatcher.submit,
             self._options.max_lease_ms,
+            self._options.stop_limits,
             self._failover.report_write_failure,
             self._meters.count_round,
             self._meters.count_stops,
