Keep stops of a worker within its connections, and cancellations within their time

Cause: a worker takes 64 connections and resets further ones. 128 stops could be in flight, each on a connection; polls were reset with them, so leases lapsed. A former coordinator kept its idle connections.

Change: 48 stops of a worker in flight; connections are closed at the end of a coordination; a cancellation is acknowledged once all stops fit into the permitted rounds.

--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -36,9 +36,10 @@
 UNRESPONSIVE_AFTER_S = 0.8
 MAX_STARTS_PER_WORKER = 4  # in flight
 STOPS_PER_WORKER = 2  # in flight; more for a worker with many stops
-# Bound the connections of a process.
-MAX_STOPS_PER_WORKER = 128
-MAX_STOPS_IN_FLIGHT = 500
+# A worker takes 64 connections and resets further ones. Besides stops there are starts,
+# a poll, and those that a former coordinator has not closed yet.
+MAX_STOPS_PER_WORKER = 48
+MAX_STOPS_IN_FLIGHT = 500  # bounds the connections of a process
 DURABLE_WAIT_S = 1.0  # limit of a wait for the store before the next lease renewal
 
 
@@ -71,11 +72,12 @@
         )
         self.starts = self._start_orders.queue
         self._ended_before = 0
+        self._rounds = limits.count_rounds()
         self.stops = order_queue.OrderQueue(
             self._stop,
             MAX_STOPS_IN_FLIGHT,
             STOPS_PER_WORKER,
-            limits.count_rounds(),
+            self._rounds,
             MAX_STOPS_PER_WORKER,
         )
         self._pending_stops: set[cell_state.Stop] = set()
@@ -87,6 +89,9 @@
         gevent.killall(list(self._loops.values()), block=False)
         self.starts.close()
         self.stops.close()
+        # The next coordinator needs the connections that a worker permits.
+        for worker_id in self._loops:
+            self._client.forget(worker_id)
         self._loops.clear()
 
     def watches(self, worker: workers.Worker) -> bool:
@@ -265,6 +270,10 @@
             self._pending_stops.add(order)
             self.stops.submit(order.worker, order)
 
+    def has_timely_stops(self) -> bool:
+        """Return whether all stops are sent within the time of a cancellation."""
+        return self.stops.count_rounds() <= self._rounds
+
     def _stop(self, order: cell_state.Stop) -> float:
         """Send a stop order once; return the seconds until it is repeated, or 0."""
         repeat_after_s = 0.0
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -242,17 +242,28 @@
         return self._waits.await_state(self.cell.jobs[job_id])
 
     def cancel(self, job_id: str) -> state.JobState | errors.Failure:
-        """Cancel a job durably and return its state; an ended job keeps its outcome."""
+        """Cancel a job durably and return its state; an ended job keeps its outcome.
+
+        The stops of its tasks have been ordered, and all of them are sent in time.
+        """
         if job_id not in self.cell.jobs:
             failure = self._load_job(job_id)
             if failure is not None:
                 return failure
         record = self.cell.cancel(job_id, uptime.now())
-        if record.durable_state is record.state:
-            return record.durable_state
-        waiter = self._waits.add_cancellation()
-        self.wake()
-        return outcome_waits.await_cancellation(record, waiter)
+        if record.durable_state is not record.state:
+            waiter = self._waits.add_cancellation()
+            self.wake()
+            failure = outcome_waits.await_cancellation(record, waiter)
+            if failure is not None:
+                return failure
+        if record.durable_state is state.JobState.CANCELLED:
+            failure = outcome_waits.await_timely_stops(
+                self._dispatcher.has_timely_stops
+            )
+            if failure is not None:
+                return failure
+        return record.durable_state
 
     def pending(self, queue: str) -> int | errors.Unavailable:
         """Return how many jobs of a queue have not started, if all jobs are known."""
--- a/toucanspring/coordinator/order_queue.py
+++ b/toucanspring/coordinator/order_queue.py
@@ -57,6 +57,23 @@
         """Return how many orders wait although their worker could take one."""
         return sum(len(self._lines[worker]) for worker in self._turns)
 
+    def count_rounds(self) -> int:
+        """Return how many orders follow each other until all that wait are sent.
+
+        Workers that leave all orders unanswered do not count: nobody knows when they
+        take the next one.
+        """
+        lines = [
+            len(line) + self._busy[worker]
+            for worker, line in self._lines.items()
+            if self._failed[worker] < MAX_FAILED_ATTEMPTS
+        ]
+        widest = max(self._max_per_worker, self._max_wide)
+        return max(
+            math.ceil(max(lines, default=0) / widest),
+            math.ceil(sum(lines) / self.max_in_flight),
+        )
+
     def submit(self, worker: str, order: Order) -> None:
         """Queue an order; never blocks."""
         self.waiting += 1
--- a/toucanspring/coordinator/outcome_waits.py
+++ b/toucanspring/coordinator/outcome_waits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import gevent
 from gevent import event
 
@@ -9,6 +11,8 @@
 from toucanspring.coordinator import state
 
 CANCEL_TIMEOUT_S = 3.0
+STOPS_WAIT_S = 1.0  # with a short write, within the time of a call between processes
+STOPS_CHECK_S = 0.05
 # A status request that arrives while the last tasks of a job end waits for the write in
 # progress: after an answer that is stale by a few milliseconds, the caller would ask
 # again only much later.
@@ -72,8 +76,8 @@
 
 def await_cancellation(
     record: state.JobRecord, waiter: event.AsyncResult
-) -> state.JobState | errors.Failure:
-    """Return the durable state of a cancelled job once its write is answered."""
+) -> None | errors.Failure:
+    """Wait until the write of a cancellation is answered; return why it failed."""
     try:
         failure = waiter.get(timeout=CANCEL_TIMEOUT_S)
     except gevent.Timeout:
@@ -82,7 +86,23 @@
         return failure
     if record.durable_state not in state.FINAL_STATES:
         return errors.Ambiguous(reason="the store has not taken the cancellation")
-    return record.durable_state
+    return None
+
+
+def await_timely_stops(
+    has_timely_stops: Callable[[], bool],
+) -> None | errors.Ambiguous:
+    """Wait until few enough stops are left that all of them will be in time.
+
+    An acknowledged cancellation promises that no task runs on for long. Callers that
+    get none repeat the cancellation.
+    """
+    asked_at = uptime.now()
+    while not has_timely_stops():
+        if uptime.now() - asked_at > STOPS_WAIT_S:
+            return errors.Ambiguous(reason="too many stops wait to be sent")
+        gevent.sleep(STOPS_CHECK_S)
+    return None
 
 
 def _are_all_running(record: state.JobRecord) -> bool:
