Prefer workers with fewer tasks than a cancellation can stop in time

Cause: best fit puts up to thousands of small tasks on one worker while others are idle, and a cancelled job's stops of one worker go through at most 48 connections.

Change: workers that hold as many tasks as can be stopped in time (rounds x 48) come last for single tasks. They still take tasks when no other has room, so that nothing waits for it.

With tasks of 0.5 cores and more on 32 cores nothing changes: 64 a worker at most.

--- a/test/test_coordinator_stops.py
+++ b/test/test_coordinator_stops.py
@@ -235,3 +235,20 @@
     # taken out of service, or that leaves.
     def test_an_unanswered_start_in_a_zone_out_of_service_is_stopped_at_once(self):
         self.send(lambda: setattr(self.cell, "zones_out", frozenset({"zone-a"})))
+
+
+class SpreadTest(testtools.TestCase):
+    # Guards against one worker with more tasks than can be stopped in time, while
+    # others have few.
+    def test_small_tasks_are_spread_once_a_worker_has_many(self):
+        cell = case.new_cell()
+        cell.register_worker(case.entry("w2"))
+        case.poll(cell, "w2")
+        plans = planner.Planner(cell)
+        plans.max_tasks_stopped_in_time = 3
+        cell.accept(case.job(JOB, case.step(8, cpus=10)), 1.0)
+        starts = plans.plan(1.0).starts
+        counts = sorted(
+            sum(each.worker.id == name for each in starts) for name in ("w1", "w2")
+        )
+        self.assertEqual([3, 5], counts)
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -270,6 +270,10 @@
             self._pending_stops.add(order)
             self.stops.submit(order.worker, order)
 
+    def max_tasks_stopped_in_time(self) -> int:
+        """Return how many tasks of one worker a cancellation can stop in time."""
+        return self._rounds * MAX_STOPS_PER_WORKER
+
     def has_timely_stops(self) -> bool:
         """Return whether all stops are sent within the time of a cancellation."""
         return self.stops.count_rounds() <= self._rounds
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -110,6 +110,9 @@
         self._dispatcher = dispatch.Dispatcher(
             self, client, max_lease_ms, limits=limits
         )
+        self._planner.max_tasks_stopped_in_time = (
+            self._dispatcher.max_tasks_stopped_in_time()
+        )
         self.cell.former_leases_end_at = recovery.find_longest_lease(
             acquired, self._acquired_at, max_lease_ms / 1000
         )
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -48,6 +48,8 @@
         self._gangs = gangs.Gangs(cell, self, self.approvals)
         self._ceilings = ceilings.Ceilings(cell)
         self.max_starts = order_pacing.MIN_STARTS_PER_ROUND
+        # A worker gets more tasks only where all others have as many or no room.
+        self.max_tasks_stopped_in_time = math.inf
 
     def plan(self, now: float) -> plans.Plan:
         """Plan one round and allocate the resources for its starts.
@@ -346,6 +348,7 @@
                 key=lambda worker: (
                     held_back and (worker.is_paused(now) or worker.id in plan.reserved),
                     worker.id in plan.kept,
+                    len(worker.allocations) >= self.max_tasks_stopped_in_time,
                     placement.rank(step_run, worker, worker.free(), speed_order),
                 ),
             )
