Look again whether a start is permitted after its connection was checked

What callers would see: tasks that start up to 3.8 s after their zone was taken out of service, their worker began to leave, or a ceiling was lowered; 2 s are permitted.

Cause: the permission, with a view of up to 1.8 s, was checked before the adapter polls a worker without a confirmed connection, up to four times 0.5 s.

Change: the order carries may_send, asked after each check.

Test: a zone that leaves service during the check; the start was sent before (MismatchError on the starts of the worker), and is not now.

--- a/test/test_coordinator_incarnations.py
+++ b/test/test_coordinator_incarnations.py
@@ -131,6 +131,21 @@
         self.send(start)
         self.assertEqual([1, 0], [len(each) for each in self.starts()])
 
+    # Guards against a start on a worker whose availability zone was taken out of
+    # service while the connection for the start was checked, for up to 2 s.
+    def test_a_start_is_not_sent_that_is_no_longer_permitted_after_a_check(self):
+        start = self.plan()
+        self.fake.answers["hold"] = self.take_zone_out
+        self.send(start)
+        self.assertEqual(1, len(self.fake.current.calls_of("hold")))
+        self.assertEqual([[]], self.starts())
+        self.assertEqual([case.WAITING], case.phases(self.cell))
+
+    def take_zone_out(self, incarnation, _body):
+        """Answer a check, during which the zone of the worker leaves service."""
+        self.cell.zones_out = frozenset({self.worker.entry.zone})
+        return {"clock_ms": incarnation.clock_ms(), "born": incarnation.born}
+
     def test_a_repeated_start_does_not_reach_the_next_incarnation(self):
         # Guards against a start that the former incarnation left unanswered.
         self.connect()
--- a/toucanspring/coordinator/ports.py
+++ b/toucanspring/coordinator/ports.py
@@ -200,9 +200,18 @@
 INVALID = "invalid"
 
 
+def always() -> bool:
+    """Permit an order at any time."""
+    return True
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Start:
-    """An order to start one run of a task."""
+    """An order to start one run of a task.
+
+    `may_send` tells whether the order is still permitted after the client has waited
+    for anything before it was sent; if not, the client returns `errors.Unavailable`.
+    """
 
     task: str
     run: int
@@ -212,6 +221,7 @@
     checkpoint: str = ""
     ticket: str = ""
     timeout_s: float = 0.4  # until the order counts as unanswered
+    may_send: Callable[[], bool] = always
 
 
 class Workers(Protocol):
--- a/toucanspring/coordinator/start_orders.py
+++ b/toucanspring/coordinator/start_orders.py
@@ -149,6 +149,7 @@
                 checkpoint=start.task.checkpoint,
                 ticket=ticket,
                 timeout_s=self._pacing.order_timeout_s(attempt),
+                may_send=lambda: self._may_send(start),
             ),
         )
         now = self._clock()
@@ -157,6 +158,11 @@
         self.queue.max_in_flight = self._pacing.max_in_flight
         return answer
 
+    def _may_send(self, start: plans.Start) -> bool:
+        """Return whether a start that was to be sent some time ago may still be."""
+        is_wanted = self._leader.cell.may_order(start.step, start.task, start.run)
+        return is_wanted and not self._check_start(start, self._clock())[1]
+
     def _check_start(self, start: plans.Start, now: float) -> tuple[str, str]:
         """Return the ticket of a start, and why it must not be sent if so."""
         worker = start.worker
