Test that a new coordinator's stops are not sent two at a time

A stop for a worker that the coordinator does not know yet is repeated after 0.25 s, and four such in a row could have counted as a worker that leaves all unanswered. They do not: the count ends once no stop is in flight or queued.

--- a/test/test_coordinator_stops.py
+++ b/test/test_coordinator_stops.py
@@ -186,6 +186,22 @@
             self.settle()
         self.assertEqual(2, self.orders.stops.in_flight)
 
+    # Guards against stops that a new coordinator sends two at a time, since it could
+    # send none before it knew the worker.
+    def test_a_worker_gets_many_stops_at_a_time_once_it_is_known(self):
+        self.release = event.Event()
+        self.worker.confirmed = False
+        self.submit(64)
+        self.settle()
+        self.assertEqual(0, self.orders.stops.in_flight)
+        running = [
+            ports.RunningTask(task, 1, "", 5) for task in self.worker.unknown_tasks
+        ]
+        reply = ports.PollReply(10_000, 1, tuple(running), ())
+        self.orders._apply_reply(self.worker, reply, 1.0, 1.0)
+        gevent.sleep(0.3)  # until the stops are repeated
+        self.assertEqual(11, self.orders.stops.in_flight)
+
 
 class SlowStopTest(StopCase):
     # Guards against one stop without an answer that pauses all others of its worker.
