--- a/toucanspring/coordinator/order_queue.py
+++ b/toucanspring/coordinator/order_queue.py
@@ -50,6 +50,7 @@
         # The most orders of a worker at a time since it last had none.
         self._peaks: collections.Counter[str] = collections.Counter()
         self._failed: collections.Counter[str] = collections.Counter()  # in a row
+        # Workers whose answers come too late, until they have no orders left.
         self._late: set[str] = set()
         # Workers whose next order waits only for a free slot.
         self._turns: collections.OrderedDict[str, None] = collections.OrderedDict()
--- a/toucanspring/coordinator/outcome_waits.py
+++ b/toucanspring/coordinator/outcome_waits.py
@@ -11,7 +11,8 @@
 from toucanspring.coordinator import state
 
 CANCEL_TIMEOUT_S = 3.0
-STOPS_WAIT_S = 1.0  # with a short write, within the time of a call between processes
+# With a short write, less than another process waits for the answer.
+STOPS_WAIT_S = 1.0
 STOPS_CHECK_S = 0.05
 # A status request that arrives while the last tasks of a job end waits for the write in
 # progress: after an answer that is stale by a few milliseconds, the caller would ask
