--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -36,8 +36,8 @@
 UNRESPONSIVE_AFTER_S = 0.8
 MAX_STARTS_PER_WORKER = 4  # in flight
 STOPS_PER_WORKER = 2  # in flight; more for a worker with many stops
-# A worker resets connections beyond 64. Besides stops there are starts, a poll, and those
-# that a former coordinator has not closed yet.
+# A worker resets connections beyond 64. Besides stops there are starts, a poll, and
+# those that a former coordinator has not closed yet.
 MAX_STOPS_PER_WORKER = 48
 MAX_STOPS_IN_FLIGHT = 500  # bounds the connections of a process
 DURABLE_WAIT_S = 1.0  # limit of a wait for the store before the next lease renewal
