Wait for connections in a test of idle ones, not for 0.05 s

Cause: the test. How long a connection may be idle is found when its wait begins, and the limit of two counts as near only with both connections at the server. The test waited 0.05 s for that. Shown by a run whose second connection comes after the first one has been answered: the same TimeoutError.

Change: it waits until the server has both. The checks are the same; the module passes.

--- a/test/test_handler.py
+++ b/test/test_handler.py
@@ -149,7 +149,10 @@
         self.patch(server, "MAX_CONNECTIONS", 2)
         self.patch(server, "BUSY_IDLE_TIMEOUT_S", 0.1)
         idle = [self.connect() for _ in range(2)]
-        gevent.sleep(0.05)  # until both handshakes have ended at the server
+        # The time that a connection may be idle is found when its wait begins.
+        with gevent.Timeout(10, AssertionError("the connections were not taken")):
+            while len(self.server.connections) < 2:
+                gevent.sleep(0.005)
         for connection in idle:
             connection.send(b"GET / HTTP/1.1\r\n\r\n")
         for connection in idle:
