--- a/test/test_coordinator_stops.py
+++ b/test/test_coordinator_stops.py
@@ -67,6 +67,16 @@
             held[order.task] = resources.ZERO
             self.orders.stop(order)
 
+    def submit_to_workers(self, count):
+        """Order 64 stops of each of further workers, and leave them unanswered."""
+        names = [f"x{number}" for number in range(count)]
+        for name in names:
+            self.cell.register_worker(case.entry(name))
+            case.poll(self.cell, name)
+        self.release = event.Event()
+        for name in names:
+            self.submit(64, name)
+
     def settle(self):
         for _ in range(30):
             gevent.sleep(0)
@@ -112,13 +122,7 @@
     # Guards against cancellations that are acknowledged while the stops of many
     # workers together wait for longer than permitted.
     def test_a_cancellation_waits_for_stops_of_all_workers_together(self):
-        names = [f"x{number}" for number in range(70)]
-        for name in names:
-            self.cell.register_worker(case.entry(name))
-            case.poll(self.cell, name)
-        self.release = event.Event()
-        for name in names:
-            self.submit(64, name)
+        self.submit_to_workers(70)
         self.assertFalse(self.orders.has_timely_stops())
         self.assertLessEqual(self.count_rounds(), MOST_IN_A_ROW)
 
@@ -147,13 +151,7 @@
 
     # As above, for a job that is as wide as all workers together.
     def test_stops_of_many_workers_do_not_wait_for_each_other(self):
-        names = [f"x{number}" for number in range(40)]
-        for name in names:
-            self.cell.register_worker(case.entry(name))
-            case.poll(self.cell, name)
-        self.release = event.Event()
-        for name in names:
-            self.submit(64, name)
+        self.submit_to_workers(40)
         self.assertLessEqual(self.count_rounds(), MOST_IN_A_ROW)
 
     # Guards against tasks of a cancelled job that run on where stops may take longer or
