--- a/review/standin_3/deployment.py
+++ b/review/standin_3/deployment.py
@@ -100,6 +100,14 @@
         """Return whether the program has been started and has not ended."""
         return self.program is not None and self.program.poll() is None
 
+    def memory_mb(self) -> int:
+        """Return the memory that the program uses, in millions of bytes."""
+        if not self.is_running():
+            return 0
+        status = pathlib.Path(f"/proc/{self.program.pid}/status").read_text()
+        lines = [line for line in status.splitlines() if line.startswith("VmRSS:")]
+        return int(lines[0].split()[1]) * 1024 // 1_000_000 if lines else 0
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the program."""
         if self.is_running():
