--- a/review/standin_3/executors.py
+++ b/review/standin_3/executors.py
@@ -44,6 +44,9 @@
         # Decides by fence number whether a call arrives, and whether it is answered.
         self.passes: Callable[[int], bool] = lambda _fence: True
         self.on_order: Callable[[str, dict], None] = lambda _kind, _body: None
+        # Seconds that a stop takes; with `late_stops` it is answered when it is done.
+        self.stop_s = STOP_S
+        self.late_stops = False
         self._history = history
         self._max_hold_ms = max_hold_ms
         self._rate = rate
@@ -91,7 +94,7 @@
             case "run-start":
                 return self._start(body)
             case "run-stop":
-                return self._stop(body)
+                return await self._stop(body)
             case "hold":
                 return await self._hold(body)
         return 404, {}
@@ -117,12 +120,14 @@
         self._history.append(run)
         return 200, self._stamp({})
 
-    def _stop(self, body: dict) -> tuple[int, dict]:
+    async def _stop(self, body: dict) -> tuple[int, dict]:
         task, number = body["task"], body["run"]
         self._highest[task] = max(number, self._highest.get(task, 0))
         run = self._running.get(task)
         if run is not None and run.number <= number and run.stop_at is None:
-            run.stop_at = time.monotonic() + STOP_S
+            run.stop_at = time.monotonic() + self.stop_s
+            if self.late_stops:
+                await asyncio.sleep(self.stop_s)
         return 200, self._stamp({})
 
     async def _hold(self, body: dict) -> tuple[int, dict] | None:
