Give objects only to tasks that have begun, and open what is next

Cause: open_due_occurrences opened all due occurrences, and an open step had an object and a set entry for each of its tasks, 314 bytes each. Rows of one job were bounded, tasks in memory and their sum over jobs were not.

Change: a task gets an object when it begins; waiting and done tasks are bits. Of the steps of one kind of a job (same demand, labels and limits) at most 64 without a run are open, the next ones once half of them have begun. Done steps are bits, and an ended job drops what doesn't run. A restored row without runs opens nothing.

Why it works: memory grows with what runs and with the number of jobs. Steps of one kind are interchangeable, so that opening more of them would start nothing sooner; another kind has its own bound and doesn't wait behind them.

attempts_observer compared the failures of each task. It still does for all that may start again; done tasks and those of ended jobs are not kept.

--- a/toucanspring/coordinator/attempts.py
+++ b/toucanspring/coordinator/attempts.py
@@ -35,5 +35,9 @@
 def _find_exhausted(step_run: state.StepRun, max_attempts: int) -> state.Task | None:
     if step_run.most_failures < max_attempts:
         return None
-    tasks = (step_run.tasks[index] for index in sorted(step_run.waiting))
-    return next((task for task in tasks if task.failures >= max_attempts), None)
+    exhausted = [
+        task
+        for task in step_run.tasks.known()
+        if task.failures >= max_attempts and task.index in step_run.waiting
+    ]
+    return min(exhausted, key=lambda task: task.index, default=None)
--- a/toucanspring/coordinator/ceilings.py
+++ b/toucanspring/coordinator/ceilings.py
@@ -149,7 +149,7 @@
         )
         if step.gang:
             return len(step_run.waiting) if slots >= step.count else 0
-        allocated = sum(bool(task.worker) for task in step_run.tasks)
+        allocated = sum(bool(task.worker) for task in step_run.tasks.known())
         if step.long_running:
             slots += allocated  # its own tasks count as lasting
         return max(0, min(len(step_run.waiting), slots - allocated))
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -16,6 +16,7 @@
 from toucanspring.coordinator import (
     catalogue,
     job_specs,
+    openings,
     ports,
     rate_limits,
     rows,
@@ -64,6 +65,8 @@
         self.used: dict[str, resources.Resources] = collections.defaultdict(
             lambda: resources.ZERO
         )
+        # Jobs that may open further steps, since some have begun.
+        self._with_unopened: dict[str, state.JobRecord] = {}
         self.dirty: dict[str, state.JobRecord] = {}
         # Jobs whose first run has been seen: to be written with other changes.
         self.begun: dict[str, state.JobRecord] = {}
@@ -125,7 +128,7 @@
         if progress is not None:
             state.restore(record, progress, now)
         for step_run in record.steps.values():
-            for task in step_run.tasks:
+            for task in step_run.tasks.known():
                 if task.phase is state.TaskPhase.IN_DOUBT:
                     self._add_usage(step_run, task)
         if not record.is_final:
@@ -169,40 +172,25 @@
             )
 
     def open_steps(self, record: state.JobRecord, now: float) -> None:
-        """Open the steps whose predecessors are done."""
-        for occurrence in range(max(1, record.spec.repeats)):
-            for number, step in enumerate(record.spec.steps):
-                if (occurrence, number) in record.steps:
-                    continue
-                if self.may_open(record, occurrence, step):
-                    self.enqueue(state.add_step(record, occurrence, number, now))
+        """Open the steps whose turn has come, as many as may be open."""
+        for step_run in openings.open_steps(record, now):
+            self.enqueue(step_run)
+
+    def open_further_steps(self, now: float) -> None:
+        """Open steps of jobs that had the most open ones, and began some of them."""
+        records, self._with_unopened = self._with_unopened, {}
+        for record in records.values():
+            if not record.is_final:
+                self.open_steps(record, now)
 
     def open_due_occurrences(self, unix_ms: int, now: float) -> None:
         """Open the first steps of the occurrences that are due."""
         for record in self.jobs.values():
             if record.spec.repeats and not record.is_final:
-                due = (unix_ms - record.spec.first_at_ms) // max(
-                    1, record.spec.interval_ms
-                ) + 1
-                for occurrence in range(min(due, record.spec.repeats)):
-                    for number, step in enumerate(record.spec.steps):
-                        key = (occurrence, number)
-                        if key not in record.steps and not step.after:
-                            self.enqueue(
-                                state.add_step(record, occurrence, number, now)
-                            )
-
-    def may_open(
-        self, record: state.JobRecord, occurrence: int, step: job_specs.Step
-    ) -> bool:
-        """Return whether all predecessors of a step are done."""
-        if record.spec.repeats and not step.after:
-            return False  # opened by `open_due_occurrences`
-        return all(
-            (found := record.steps.get((occurrence, before))) is not None
-            and found.unfinished == 0
-            for before in step.after
-        )
+                due = openings.find_due(record, unix_ms)
+                if due > record.due:
+                    record.due = due
+                    self.open_steps(record, now)
 
     def enqueue(self, step_run: state.StepRun) -> None:
         """Queue a step that has waiting tasks for planning."""
@@ -234,10 +222,20 @@
         )
 
     def _stop_all(self, record: state.JobRecord) -> None:
-        for step_run in record.steps.values():
+        """Stop the tasks of a job that has ended, and drop what does not run."""
+        for step_run in list(record.steps.values()):
             self.ready.pop(step_run.id, None)
-            for task in step_run.tasks:
+            for task in list(step_run.tasks.known()):
                 self.stop(step_run, task, stop_causes.StopCause.JOB_ENDED)
+                if not task.worker:
+                    step_run.tasks.forget(task.index)
+            self._forget_idle(step_run)
+
+    @staticmethod
+    def _forget_idle(step_run: state.StepRun) -> None:
+        """Drop a step of an ended job unless some of it runs."""
+        if not step_run.tasks.known():
+            step_run.job.steps.forget((step_run.occurrence, step_run.number))
 
     def stop(
         self, step_run: state.StepRun, task: state.Task, cause: stop_causes.StopCause
@@ -385,6 +383,9 @@
             self.ready.pop(step_run.id, None)
         self._add_usage(step_run, task)
         self.dirty[step_run.job.spec.id] = step_run.job
+        state.note_begun(step_run)
+        if openings.may_open_more(step_run):
+            self._with_unopened[step_run.job.spec.id] = step_run.job
 
     def note_begun(self, record: state.JobRecord) -> None:
         """Record that a worker has told of a run of a job; a planned start is none."""
@@ -414,9 +415,12 @@
     @staticmethod
     def is_gang_broken(step_run: state.StepRun, task: state.Task) -> bool:
         """Return whether a member runs without all others of its run."""
-        return step_run.step.gang and any(
-            other.run != task.run or other.phase is state.TaskPhase.WAITING
-            for other in step_run.tasks
+        return step_run.step.gang and (
+            step_run.tasks.unknown() > 0
+            or any(
+                other.run != task.run or other.phase is state.TaskPhase.WAITING
+                for other in step_run.tasks.known()
+            )
         )
 
     def may_order(self, step_run: state.StepRun, task: state.Task, run: int) -> bool:
@@ -457,6 +461,7 @@
     def complete(self, step_run: state.StepRun, task: state.Task) -> None:
         """Mark a task without an allocation as done."""
         task.phase = state.TaskPhase.DONE
+        step_run.tasks.complete(task.index)
         step_run.unfinished -= 1
         step_run.waiting.discard(task.index)
         if not step_run.waiting:
@@ -472,9 +477,11 @@
         task.started_at = task.progressed_at = 0.0
         step_run.waiting.add(task.index)
         if step_run.step.gang:
-            for other in step_run.tasks:
+            for other in list(step_run.tasks.known()):
                 self.stop(step_run, other, stop_causes.StopCause.GANG_BROKEN)
         if step_run.job.is_final:
+            step_run.tasks.forget(task.index)
+            self._forget_idle(step_run)
             return
         step_run.ready_at = now
         self.enqueue(step_run)
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -131,12 +131,19 @@
         if len(step_run.waiting) < count:
             plan.record_wait(step_run, plans.GANG_STILL_RUNNING)
             return
-        if len({step_run.tasks[index].checkpoint for index in step_run.waiting}) > 1:
+        # A member that has not begun has none.
+        checkpoints = {task.checkpoint for task in step_run.tasks.known()}
+        if step_run.tasks.unknown():
+            checkpoints.add("")
+        if len(checkpoints) > 1:
             self._align_checkpoints(step_run)
         allowed = [
             worker
             for worker in eligible
-            if all(placement.may_retry_on(task, worker, now) for task in step_run.tasks)
+            if all(
+                placement.may_retry_on(task, worker, now)
+                for task in step_run.tasks.known()
+            )
         ]
         open_workers = [
             worker
@@ -172,8 +179,8 @@
             self._hold(step_run, placed, plan, now)
             self._planner.hold_allowance(step_run, now)
             return
-        run_number = max(task.run for task in step_run.tasks) + 1
-        indices = iter(sorted(step_run.waiting))
+        run_number = 1 + max((task.run for task in step_run.tasks.known()), default=0)
+        indices = iter(step_run.waiting)
         for worker, share in chosen:
             for _ in range(share):
                 task = step_run.tasks[next(indices)]
--- a/toucanspring/coordinator/job_times.py
+++ b/toucanspring/coordinator/job_times.py
@@ -36,7 +36,7 @@
     """
     known = list(step_run.run_times_s)
     gang_speed = _find_gang_speed(cell, step_run)
-    for task in step_run.tasks:
+    for task in step_run.tasks.known():
         total_s = _extrapolate(cell, task, gang_speed)
         if total_s is not None:
             known.append(total_s)
@@ -54,7 +54,7 @@
     The progress of what runs counts.
     """
     if now >= step_run.remaining_until:
-        runs = any(task.started_at for task in step_run.tasks)
+        runs = any(task.started_at for task in step_run.tasks.known())
         validity_s = RUNNING_VALIDITY_S if runs else WAITING_VALIDITY_S
         step_run.remaining_until = now + validity_s
         step_run.remaining_s = _remaining_s(cell, step_run, now) + _find_following_s(
@@ -87,8 +87,8 @@
     """Return the seconds of the task of a step that has most left."""
     typical_s = task_s(cell, step_run)
     gang_speed = _find_gang_speed(cell, step_run)
-    longest_s = 0.0
-    for task in step_run.tasks:
+    longest_s = typical_s if step_run.tasks.unknown() else 0.0
+    for task in step_run.tasks.known():
         if task.phase is state.TaskPhase.DONE:
             continue
         left_s = typical_s
@@ -124,7 +124,11 @@
     if not step_run.step.gang:
         return None
     return min(
-        (_find_speed(cell, task, None) for task in step_run.tasks if task.worker),
+        (
+            _find_speed(cell, task, None)
+            for task in step_run.tasks.known()
+            if task.worker
+        ),
         default=1.0,
     )
 
--- a/toucanspring/coordinator/outcome_waits.py
+++ b/toucanspring/coordinator/outcome_waits.py
@@ -108,6 +108,6 @@
 
 def _are_all_running(record: state.JobRecord) -> bool:
     """Return whether no task of a job waits to be started."""
-    return not record.spec.repeats and all(
+    return not (record.spec.repeats or record.has_unopened) and all(
         not run.waiting for run in record.steps.values()
     )
--- a/toucanspring/coordinator/placement.py
+++ b/toucanspring/coordinator/placement.py
@@ -79,7 +79,7 @@
     """Return the number of a step's tasks by worker, if the step limits it."""
     counts: dict[str, int] = {}
     if step_run.step.max_per_worker:
-        for task in step_run.tasks:
+        for task in step_run.tasks.known():
             if task.worker:
                 counts[task.worker] = counts.get(task.worker, 0) + 1
     return counts
@@ -106,7 +106,10 @@
         slowest = min(slowest, known.speed(worker.id, worker.kind))
     job = step_run.job
     chain_s = sum(step.estimate_ms for step in job.spec.steps) / 1000
-    has_tail = any(step_run.tasks[each].moved_as_tail for each in step_run.waiting)
+    has_tail = any(
+        task.moved_as_tail and task.index in step_run.waiting
+        for task in step_run.tasks.known()
+    )
     given_s = job.due_at - job.accepted_at
     if has_tail or given_s * slowest < MIN_SLACK_RATIO * chain_s:
         return {name: -each for name, each in ranks.items()}
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -57,6 +57,7 @@
         Jobs without attempts left fail here, since this needs as recent a configuration
         as starts do.
         """
+        self._cell.open_further_steps(now)
         attempts.fail_exhausted(self._cell, now)
         plan = plans.Plan()
         self._available.begin_round(now)
@@ -253,7 +254,8 @@
         if now < step_run.ready_at + MAX_HELD_BACK_S:
             return False
         return step_run.step.long_running or (
-            pool.lightly_used and not any(task.worker for task in step_run.tasks)
+            pool.lightly_used
+            and not any(task.worker for task in step_run.tasks.known())
         )
 
     # Approvals
@@ -305,7 +307,7 @@
             open_workers = [each for each in eligible if each.id not in plan.reserved]
         demand = step_run.step.occupied()
         speed_order = None  # found once a worker has room, which is rare under load
-        for index in sorted(step_run.waiting):
+        for index in step_run.waiting:
             if len(plan.starts) >= self.max_starts:
                 return
             if not self._ceilings.permits(step_run):
--- a/toucanspring/coordinator/progress_rows.py
+++ b/toucanspring/coordinator/progress_rows.py
@@ -24,20 +24,23 @@
     of the job: a write may end between two rows, and rows of earlier versions hold all
     occurrences, so they must not be replaced first.
     """
-    progress = state.to_progress(record)
     row_id = rows.progress_row_id(record.spec.id)
     if not row_sizes.is_split(record.spec):
-        return {row_id: rows.encode(progress)}
-    by_occurrence: dict[int, list[rows.StepRow]] = {}
-    for step in progress.steps:
-        by_occurrence.setdefault(step.occurrence, []).append(step)
+        return {row_id: rows.encode(state.to_progress(record))}
     found = {}
-    for occurrence, steps in by_occurrence.items():
-        value = rows.encode(rows.Progress("", tuple(steps)))
-        if record.written_occurrences.get(occurrence) != hash(value):
+    # Those with a hash include the ones whose steps were dropped as the job ended.
+    for occurrence in dict.fromkeys(
+        [
+            *record.steps.unfinished_occurrences(),
+            *record.written_hashes,
+            *record.steps.finished().minus(record.written_done),
+        ]
+    ):
+        steps = tuple(state.to_step_rows(record, occurrence))
+        value = rows.encode(rows.Progress("", steps))
+        if record.written_hashes.get(occurrence) != hash(value):
             found[rows.occurrence_row_id(record.spec.id, occurrence)] = value
-    without_steps = structs.replace(progress, steps=())
-    found[row_id] = rows.encode(without_steps)
+    found[row_id] = rows.encode(rows.Progress(record.state.value, (), True))
     return found
 
 
@@ -45,8 +48,22 @@
     """Record the rows of a job that have been written."""
     for row_id, value in written.items():
         _, occurrence = rows.parse_progress_key(row_id.key)
-        if occurrence is not None:
-            record.written_occurrences[occurrence] = hash(value)
+        if occurrence is None:
+            continue
+        record.stored.add(occurrence)
+        if value == _encode_done(record, occurrence):
+            record.written_hashes.pop(occurrence, None)
+            record.written_done.add(occurrence)
+        else:
+            record.written_hashes[occurrence] = hash(value)
+
+
+def _encode_done(record: state.JobRecord, occurrence: int) -> bytes | None:
+    """Return the last row of an occurrence, None if not all its steps are done."""
+    if occurrence not in record.steps.finished():
+        return None
+    steps = tuple(state.to_step_rows(record, occurrence))
+    return rows.encode(rows.Progress("", steps))
 
 
 def ended_row_ids(record: state.JobRecord) -> list[ports.RowId]:
@@ -55,9 +72,7 @@
     The row of the job is removed last: without it, the job would run again.
     """
     job_id = record.spec.id
-    occurrences: Iterable[int] = ()
-    if row_sizes.is_split(record.spec):
-        occurrences = dict.fromkeys(occurrence for occurrence, _ in record.steps)
+    occurrences = record.stored if row_sizes.is_split(record.spec) else ()
     return [
         rows.job_copy_row_id(job_id),
         *(rows.occurrence_row_id(job_id, each) for each in occurrences),
--- a/toucanspring/coordinator/reports.py
+++ b/toucanspring/coordinator/reports.py
@@ -11,6 +11,7 @@
 from toucanspring.coordinator import (
     cell_state,
     job_times,
+    openings,
     ports,
     state,
     stragglers,
@@ -147,12 +148,12 @@
     parsed_id = state.parse_task_id(end.task)
     record = cell.jobs.get(parsed_id.job) if parsed_id is not None else None
     step_run = (
-        record.steps.get((parsed_id.occurrence, parsed_id.step)) if record else None
+        record.steps.get_open((parsed_id.occurrence, parsed_id.step))
+        if record
+        else None
     )
-    if step_run is None or parsed_id.index >= len(step_run.tasks):
-        return False
-    task = step_run.tasks[parsed_id.index]
-    if task.run != end.run or task.phase not in state.ALLOCATED_PHASES:
+    task = step_run.tasks.find(parsed_id.index) if step_run else None
+    if task is None or task.run != end.run or task.phase not in state.ALLOCATED_PHASES:
         return False
     cell.note_begun(record)
     if end.checkpoint:
@@ -231,8 +232,8 @@
     if step_run.step.gang:
         # Members complete together, so one report completes all of them, also those
         # that were requeued since their worker was lost after the completion.
-        for other in step_run.tasks:
-            if other.phase is state.TaskPhase.DONE or other.run != task.run:
+        for other in list(step_run.tasks.known()):
+            if other.run != task.run:
                 continue
             if other.phase in state.ALLOCATED_PHASES:
                 cell.release(step_run, other)
@@ -245,15 +246,12 @@
     cell: cell_state.CellState, step_run: state.StepRun, now: float
 ) -> None:
     record = step_run.job
+    record.steps.complete((step_run.occurrence, step_run.number))
     if state.is_complete(record):
         cell.finish(record, state.JobState.COMPLETED, now)
         return
-    for number, step in enumerate(record.spec.steps):
-        key = (step_run.occurrence, number)
-        if key in record.steps or not step.after:
-            continue
-        if cell.may_open(record, step_run.occurrence, step):
-            cell.enqueue(state.add_step(record, step_run.occurrence, number, now))
+    for opened in openings.open_occurrence(record, step_run.occurrence, now):
+        cell.enqueue(opened)
 
 
 def _fail_task(
@@ -264,7 +262,9 @@
     now: float,
 ) -> None:
     # A gang fails as a whole: several failed members of one run count once.
-    failing = step_run.tasks if step_run.step.gang else [task]
+    failing = [task]
+    if step_run.step.gang:
+        failing = list(step_run.tasks.known())
     if task.run > max(each.failed_run for each in failing):
         for each in failing:
             each.failures += 1
@@ -311,7 +311,7 @@
         if step.gang and any(
             other.phase is not state.TaskPhase.RUNNING
             or now - other.started_at < workers.STUCK_S
-            for other in allocation.step.tasks
+            for other in allocation.step.tasks.known()
         ):
             continue
         # Progress is in whole percent, and 1% of a long task may exceed the limit. A
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -6,7 +6,15 @@
 import enum
 
 from toucanspring import errors, resources
-from toucanspring.coordinator import catalogue, job_specs, ports, rows, stop_causes
+from toucanspring.coordinator import (
+    catalogue,
+    index_set,
+    job_specs,
+    ports,
+    rows,
+    step_table,
+    stop_causes,
+)
 
 
 class TaskPhase(enum.Enum):
@@ -78,10 +86,11 @@
     occurrence: int
     number: int
     step: job_specs.Step
-    tasks: list[Task]
-    waiting: set[int]
+    tasks: step_table.TaskTable[Task]
+    waiting: index_set.IndexSet
     unfinished: int
     ready_at: float = 0.0
+    has_begun: bool = False  # a run of one of its tasks was planned once
     most_failures: int = 0  # of any of its tasks
     # Approval by worker ID: a decision is final, but tickets expire.
     tickets: dict[str, ports.Ticket] = dataclasses.field(default_factory=dict)
@@ -131,7 +140,13 @@
 
     spec: job_specs.Job
     accepted_at: float
-    steps: dict[tuple[int, int], StepRun] = dataclasses.field(default_factory=dict)
+    steps: step_table.StepTable[StepRun] = dataclasses.field(init=False)
+    # Steps of one kind are interchangeable, so only some that have not begun are open
+    # at a time; see `openings`. By step number, the kind; by kind, how many are open.
+    kinds: tuple[int, ...] = dataclasses.field(init=False)
+    not_begun: list[int] = dataclasses.field(init=False)
+    due: int = 0  # occurrences whose time has come
+    has_unopened: bool = False  # steps whose turn has come are not open
     state: JobState = JobState.QUEUED
     durable_state: JobState = JobState.QUEUED  # as last written
     # As in the configuration in force, else as at the acceptance of the job; None while
@@ -144,13 +159,30 @@
     has_copy: bool = False  # a copy of the spec is stored in the coordinator's part
     # When runs failed, by worker, since one ended well.
     failed_on: dict[str, float] = dataclasses.field(default_factory=dict)
-    # Of a job with a row for each occurrence: the hash of the value written last.
-    written_occurrences: dict[int, int] = dataclasses.field(default_factory=dict)
+    # Of a job with a row for each occurrence: the occurrences that may have one, those
+    # that are written as done, and the hash of the value written last of the others.
+    stored: index_set.IndexSet = dataclasses.field(default_factory=index_set.IndexSet)
+    written_done: index_set.IndexSet = dataclasses.field(
+        default_factory=index_set.IndexSet
+    )
+    written_hashes: dict[int, int] = dataclasses.field(default_factory=dict)
     # The store has refused a row of the job: its checkpoints are not stored any more,
     # and until then nothing of it starts or is written.
     is_refused: bool = False
     set_aside_until: float = 0.0
 
+    def __post_init__(self) -> None:
+        self.steps = step_table.StepTable(
+            len(self.spec.steps), lambda key: _make_step(self, *key, is_done=True)
+        )
+        numbers: dict[tuple, int] = {}
+        self.kinds = tuple(
+            numbers.setdefault(_find_kind(step), len(numbers))
+            for step in self.spec.steps
+        )
+        self.not_begun = [0] * len(numbers)
+        self.due = 0 if self.spec.repeats else 1
+
     @property
     def is_final(self) -> bool:
         """Return whether the job has ended."""
@@ -159,8 +191,17 @@
 
 def is_complete(record: JobRecord) -> bool:
     """Return whether all tasks of all occurrences are done."""
-    done = sum(step_run.unfinished == 0 for step_run in record.steps.values())
-    return done == max(1, record.spec.repeats) * len(record.spec.steps)
+    total = max(1, record.spec.repeats) * len(record.spec.steps)
+    return record.steps.count_done() == total
+
+
+def _find_kind(step: job_specs.Step) -> tuple:
+    """Return what decides where and when the tasks of a step may start."""
+    return (
+        step.demand, step.gang and step.count, step.same_rack, step.required_label,
+        step.preferred_rack, step.max_per_worker, step.long_running,
+        step.uses_idle_cpus,
+    )  # fmt: skip
 
 
 def parse_task_id(text: str) -> job_specs.TaskId | None:
@@ -173,46 +214,87 @@
 
 def add_step(record: JobRecord, occurrence: int, number: int, now: float) -> StepRun:
     """Add a step to a job with all tasks waiting."""
+    step_run = _make_step(record, occurrence, number, now)
+    record.steps[occurrence, number] = step_run
+    record.not_begun[record.kinds[number]] += 1
+    return step_run
+
+
+def _make_step(
+    record: JobRecord,
+    occurrence: int,
+    number: int,
+    now: float = 0.0,
+    is_done: bool = False,
+) -> StepRun:
     step = record.spec.steps[number]
-    step_run = StepRun(
+    left = 0 if is_done else step.count
+    return StepRun(
         record,
         occurrence,
         number,
         step,
-        [Task(index) for index in range(step.count)],
-        set(range(step.count)),
-        step.count,
+        step_table.TaskTable(step.count, Task, _make_done_task, is_done),
+        index_set.IndexSet.below(left),
+        left,
         ready_at=now,
+        has_begun=is_done,
     )
-    record.steps[occurrence, number] = step_run
-    return step_run
+
+
+def _make_done_task(index: int) -> Task:
+    return Task(index, phase=TaskPhase.DONE, run=1)
+
+
+def note_begun(step_run: StepRun) -> None:
+    """Record that a run of a step was planned; it counts no longer as not begun."""
+    if not step_run.has_begun:
+        step_run.has_begun = True
+        step_run.job.not_begun[step_run.job.kinds[step_run.number]] -= 1
 
 
 def to_progress(record: JobRecord) -> rows.Progress:
     """Return the part of a job's state that is stored."""
-    steps = []
-    for (occurrence, number), step_run in record.steps.items():
-        if step_run.unfinished == 0:
-            steps.append(rows.StepRow(occurrence, number, (), True))
+    occurrences = [*record.steps.unfinished_occurrences(), *record.steps.finished()]
+    steps = [row for each in occurrences for row in to_step_rows(record, each)]
+    return rows.Progress(record.state.value, tuple(steps), True)
+
+
+def to_step_rows(record: JobRecord, occurrence: int) -> list[rows.StepRow]:
+    """Return the part of the state of one occurrence that is stored."""
+    found = []
+    done = set(record.steps.done_of(occurrence))
+    for number in range(len(record.spec.steps)):
+        if number in done:
+            found.append(rows.StepRow(occurrence, number, (), True))
             continue
-        tasks = tuple(
-            rows.TaskRow(
-                task.index,
-                task.run,
-                task.failures,
-                task.worker if task.phase in ALLOCATED_PHASES else "",
-                task.incarnation if task.phase in ALLOCATED_PHASES else 0,
-                ""
-                if task.phase is TaskPhase.DONE or record.is_refused
-                else task.checkpoint,
-                task.phase is TaskPhase.DONE,
-                task.failed_run,
-            )
-            for task in step_run.tasks
-            if task.run
+        step_run = record.steps.get_open((occurrence, number))
+        if step_run is not None:
+            tasks = _to_task_rows(step_run)
+            found.append(rows.StepRow(occurrence, number, tasks))
+    return found
+
+
+def _to_task_rows(step_run: StepRun) -> tuple[rows.TaskRow, ...]:
+    """Return the rows of the tasks that have begun or are done."""
+    done = [rows.TaskRow(index, 1, done=True) for index in step_run.tasks.done()]
+    begun = [
+        rows.TaskRow(
+            task.index,
+            task.run,
+            task.failures,
+            task.worker if task.phase in ALLOCATED_PHASES else "",
+            task.incarnation if task.phase in ALLOCATED_PHASES else 0,
+            ""
+            if task.phase is TaskPhase.DONE or step_run.job.is_refused
+            else task.checkpoint,
+            task.phase is TaskPhase.DONE,
+            task.failed_run,
         )
-        steps.append(rows.StepRow(occurrence, number, tasks))
-    return rows.Progress(record.state.value, tuple(steps), True)
+        for task in step_run.tasks.known()
+        if task.run
+    ]
+    return tuple(sorted([*done, *begun], key=lambda row: row.index))
 
 
 def check_progress(
@@ -259,29 +341,37 @@
     record.state = record.durable_state = _find_state(progress)
     uncertain = []
     for row in progress.steps:
-        step_run = record.steps.get((row.occurrence, row.step))
-        if step_run is None:
-            step_run = add_step(record, row.occurrence, row.step, now)
+        key = (row.occurrence, row.step)
         if row.complete:
-            for task in step_run.tasks:
-                task.phase = TaskPhase.DONE
-            step_run.waiting.clear()
-            step_run.unfinished = 0
+            record.steps.complete(key)
+        elif row.tasks:
+            step_run = add_step(record, *key, now)
+            note_begun(step_run)
+            uncertain.extend(_restore_tasks(step_run, row))
+            if not step_run.unfinished:
+                record.steps.complete(key)
+        record.stored.add(row.occurrence)
+    return uncertain
+
+
+def _restore_tasks(step_run: StepRun, row: rows.StepRow) -> list[Task]:
+    """Restore the tasks of a step; return those that may be running."""
+    uncertain = []
+    for saved in row.tasks:
+        if saved.done:
+            step_run.tasks.complete(saved.index)
+            step_run.waiting.discard(saved.index)
+            step_run.unfinished -= 1
             continue
-        for saved in row.tasks:
-            task = step_run.tasks[saved.index]
-            task.run, task.failures = saved.run, saved.failures
-            task.failed_run = saved.failed_run
-            step_run.most_failures = max(step_run.most_failures, saved.failures)
-            task.checkpoint = saved.checkpoint
-            if saved.done:
-                task.phase = TaskPhase.DONE
-                step_run.waiting.discard(task.index)
-                step_run.unfinished -= 1
-            elif saved.worker:
-                task.phase = TaskPhase.IN_DOUBT
-                task.worker, task.incarnation = saved.worker, saved.incarnation
-                task.confirmed_at = 0.0  # the new epoch fences all earlier orders
-                step_run.waiting.discard(task.index)
-                uncertain.append(task)
+        task = step_run.tasks[saved.index]
+        task.run, task.failures = saved.run, saved.failures
+        task.failed_run = saved.failed_run
+        step_run.most_failures = max(step_run.most_failures, saved.failures)
+        task.checkpoint = saved.checkpoint
+        if saved.worker:
+            task.phase = TaskPhase.IN_DOUBT
+            task.worker, task.incarnation = saved.worker, saved.incarnation
+            task.confirmed_at = 0.0  # the new epoch fences all earlier orders
+            step_run.waiting.discard(task.index)
+            uncertain.append(task)
     return uncertain
