Mark unknown jobs as cancelled before their cancellation is answered

Seconds later the store did a write of the submission whose answer had been lost, and all of its steps ran.

Cause: Leadership.cancel answered NotFound once the store had no row, and left nothing behind that would apply to a row that comes later.

Change: before the answer, the coordinator stores a mark, the progress row of a cancelled job, in the fenced write of its round. A job that comes later takes its progress from there and has ended before it starts; a successor reads the mark with all other progress. The call between processes has a new name, since an earlier version would look for a job of another ID.

Why it works: no step of a job is opened before the progress under its ID was looked at, by this coordinator or a successor.

--- a/test/test_platform_ingress.py
+++ b/test/test_platform_ingress.py
@@ -108,7 +108,8 @@
     def status(self, _job_id):
         return self.found
 
-    cancel = status
+    def cancel(self, job_id, _organisation):
+        return self.status(job_id)
 
     def pending(self, _queue):
         return 12
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -17,6 +17,7 @@
 from toucanspring import errors, uptime
 from toucanspring import log as structured
 from toucanspring.coordinator import (
+    cancel_marks,
     cell_state,
     dispatch,
     fenced_writer,
@@ -120,6 +121,7 @@
         self._wake_event = event.Event()
         self._pending_acks: list[PendingAck] = []
         self._changes = job_changes.JobChanges(self.cell, self.epoch)
+        self._marks = cancel_marks.CancelMarks(self.cell)
         self._waits = outcome_waits.OutcomeWaits()
         self._jobs = table_cache.TableCache(store, rows.JOBS, self._on_job_row)
         self._retention = retention.Retention(self.cell, store, self._jobs, self.wake)
@@ -215,6 +217,7 @@
         ]
         return {
             "jobs": len(self.cell.jobs),
+            "cancel_marks": len(self._marks),
             "steps_waiting": len(self.cell.ready),
             "tasks_placed": sum(
                 len(each.allocations) for each in self.cell.workers.values()
@@ -244,14 +247,19 @@
                 return failure
         return self._waits.await_state(self.cell.jobs[job_id])
 
-    def cancel(self, job_id: str) -> state.JobState | errors.Failure:
+    def cancel(
+        self, job_id: str, organisation: str = ""
+    ) -> state.JobState | errors.Failure:
         """Cancel a job durably and return its state; an ended job keeps its outcome.
 
-        The stops of its tasks have been ordered, and all of them are sent in time.
+        The stops of its tasks have been ordered, and all of them are sent in time. An
+        unknown job is marked for `organisation`: it does not start if it comes later.
         """
         if job_id not in self.cell.jobs:
             failure = self._load_job(job_id)
-            if failure is not None:
+            if isinstance(failure, errors.NotFound):
+                failure = self._cancel_unknown(job_id, organisation) or failure
+            if failure is not None and job_id not in self.cell.jobs:
                 return failure
         record = self.cell.cancel(job_id, uptime.now())
         if record.durable_state is not record.state:
@@ -268,6 +276,17 @@
                 return failure
         return record.durable_state
 
+    def _cancel_unknown(self, job_id: str, organisation: str) -> None | errors.Failure:
+        """Store that a job is cancelled which may be written later."""
+        refusal = self._marks.add(job_id, organisation, uptime.now())
+        if refusal is not None:
+            return refusal
+        if self._marks.is_stored(job_id):
+            return None
+        waiter = self._waits.add_cancellation()
+        self.wake()
+        return outcome_waits.await_write(waiter)
+
     def pending(self, queue: str) -> int | errors.Unavailable:
         """Return how many jobs of a queue have not started, if all jobs are known."""
         if self._jobs.age(uptime.now()) > MAX_PENDING_AGE_S:
@@ -302,6 +321,7 @@
         recovery.restore_cell(
             self.cell, self.epoch, self._jobs.rows.values(), progress, loader.took_s
         )
+        self._marks.restore(uptime.now())
         return True
 
     def _on_job_row(self, row: ports.Row) -> None:
@@ -314,6 +334,7 @@
         has_progress = spec.id in self.cell.unclaimed
         self.cell.accept(spec, uptime.now(), recovery.age_s(spec))
         if has_progress:
+            self._apply_mark(spec.id)
             self._watch_restored_workers()
         structured.decide(
             log, "job_learned", job=spec.id, queue=spec.queue,
@@ -321,6 +342,15 @@
         )  # fmt: skip
         self.wake()
 
+    def _apply_mark(self, job_id: str) -> None:
+        """Record that a job came after its cancellation."""
+        record = self.cell.jobs.get(job_id)
+        if record is not None and self._marks.claim(record):
+            structured.decide(
+                log, "late_job_cancelled", job=job_id, epoch=self.epoch,
+                organisation=record.spec.organisation,
+            )  # fmt: skip
+
     def _watch_restored_workers(self) -> None:
         """Wait for the leases of workers that only restored tasks refer to."""
         for worker in list(self.cell.workers.values()):
@@ -403,19 +433,22 @@
         cancellations = self._waits.take_cancellations()
         self._write_s, self._written_bytes = 0.0, 0
         removed = self._retention.take(dirty)
+        marks, old_marks = self._marks.take(), self._marks.find_expired(now)
         renewal_due = now - self._writer.committed_at >= leader_lease.RENEW_INTERVAL_S
-        if not (dirty or cancellations or removed or renewal_due):
+        if not (dirty or cancellations or removed or marks or old_marks or renewal_due):
             self._apply_acks(pending_acks)
             return
         batch = self._changes.encode(dirty, now)
-        self._written_bytes = sum(len(value) for value in batch.puts.values())
+        puts = marks | batch.puts
+        self._written_bytes = sum(len(value) for value in puts.values())
         removals = [
             row_id
             for job_id in removed
             for row_id in progress_rows.ended_row_ids(self.cell.jobs[job_id])
         ]
+        removals += [rows.progress_row_id(job_id) for job_id in old_marks]
         sent_at = uptime.now()
-        failure = self._writer.commit(batch.puts, tuple(removals))
+        failure = self._writer.commit(puts, tuple(removals))
         self._write_s = uptime.now() - sent_at
         self._dispatcher.pacing.record_write(self._write_s)
         if isinstance(failure, errors.Fenced):
@@ -424,6 +457,8 @@
         refused = self._changes.confirm(batch, failure, starts, now)
         starts = [each for each in starts if each.step.job.spec.id not in refused]
         self._retention.forget([each for each in removed if each not in refused])
+        self._marks.confirm(marks)
+        self._marks.forget(old_marks)
         self._waits.note_commit(cancellations)
         if starts:
             structured.decide(
--- a/toucanspring/coordinator/outcome_waits.py
+++ b/toucanspring/coordinator/outcome_waits.py
@@ -79,10 +79,7 @@
     record: state.JobRecord, waiter: event.AsyncResult
 ) -> None | errors.Failure:
     """Wait until the write of a cancellation is answered; return why it failed."""
-    try:
-        failure = waiter.get(timeout=CANCEL_TIMEOUT_S)
-    except gevent.Timeout:
-        return errors.Ambiguous(reason="the cancellation is not durable yet")
+    failure = await_write(waiter)
     if failure is not None:
         return failure
     if record.durable_state not in state.FINAL_STATES:
@@ -90,6 +87,14 @@
     return None
 
 
+def await_write(waiter: event.AsyncResult) -> None | errors.Failure:
+    """Wait until the write that a cancellation waits for is answered."""
+    try:
+        return waiter.get(timeout=CANCEL_TIMEOUT_S)
+    except gevent.Timeout:
+        return errors.Ambiguous(reason="the cancellation is not durable yet")
+
+
 def await_timely_stops(
     has_timely_stops: Callable[[], bool],
 ) -> None | errors.Ambiguous:
--- a/toucanspring/coordinator/rows.py
+++ b/toucanspring/coordinator/rows.py
@@ -86,12 +86,17 @@
     """The durable progress of a job; `state` is a value of `state.JobState`.
 
     With `is_observed` it is active only if a run has been seen. Rows of earlier
-    versions are active from the record of the first start on.
+    versions are active from the record of the first start on. With `is_mark` the job
+    was cancelled before it was known; see `cancel_marks`.
     """
 
     state: str
     steps: tuple[StepRow, ...] = ()
     is_observed: bool = False
+    is_mark: bool = False
+
+
+CANCEL_MARK = Progress("cancelled", (), True, True)
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -49,7 +49,10 @@
 HEARTBEAT_NOTICE = "seat"
 UNKNOWN_VIEW_AGE_S = 1e6  # reported until the view has been complete once
 HOLDS = "holds"
-METHODS = ("status", "cancel", "pending", HOLDS)
+# Earlier versions know "cancel", which leaves no mark of an unknown job. They refuse
+# this one.
+CANCEL = "cancel_marked"
+METHODS = ("status", CANCEL, "pending", HOLDS)
 # Counting the load takes at most this share of the time of the coordinator. 20,000
 # waiting steps take 0.14 s, which still gives a report each second.
 MAX_COUNT_SHARE = 0.15
@@ -222,9 +225,14 @@
             return self._read_status(job_id)
         return _to_state(answer)
 
-    def cancel(self, job_id: str) -> state.JobState | errors.Failure:
-        """Cancel a job; returns once the cancellation is durable."""
-        answer = self._call("cancel", job_id)
+    def cancel(
+        self, job_id: str, organisation: str = ""
+    ) -> state.JobState | errors.Failure:
+        """Cancel a job; returns once the cancellation is durable.
+
+        After `NotFound` a write of the job that is under way has no effect either.
+        """
+        answer = self._call(CANCEL, f"{job_id}/{organisation}")
         return _to_state(answer)
 
     def pending(self, queue: str) -> int | errors.Failure:
@@ -271,8 +279,9 @@
             case "status":
                 found = current.status(argument)
                 return found if isinstance(found, errors.Failure) else found.value
-            case "cancel":
-                found = current.cancel(argument)
+            case _ if method == CANCEL:
+                job_id, _, organisation = argument.partition("/")
+                found = current.cancel(job_id, organisation)
                 return found if isinstance(found, errors.Failure) else found.value
             case _ if method == HOLDS:
                 return int(current.holds(argument))
@@ -289,9 +298,12 @@
             progress = rows.decode(rows.Progress, page.rows[0].value)
             if isinstance(progress, errors.Malformed):
                 return progress
-            return state.JobState(progress.state)
+            if not progress.is_mark:
+                return state.JobState(progress.state)
         found = rows.find_job(self._store, job_id)
-        return found if isinstance(found, errors.Failure) else state.JobState.QUEUED
+        if isinstance(found, errors.Failure):
+            return found
+        return state.JobState.CANCELLED if page.rows else state.JobState.QUEUED
 
     # Approvals
 
