Repeat a cancellation while its caller waits

Cause: a coordinator whose write gets no answer hands over after 1.2 s; the process that had the cancellation asked it once, two others once, and gave up, just before the successor could have written it.

A refusal with a time to come back ends it at once.

Why it works: a cancellation may be repeated at any time, and the successor is there within the time of ordinary callers.

--- a/test/test_platform_ingress.py
+++ b/test/test_platform_ingress.py
@@ -1,6 +1,7 @@
 import itertools
 import json
 import random
+from unittest import mock
 
 import falcon
 import falcon.testing
@@ -14,7 +15,7 @@
 from test import coordinator_case as case
 from test import platform_case  # noqa: F401  finds the adapter's modules
 from test import test_platform_directory as directory_case
-from toucanspring import errors, metrics
+from toucanspring import errors, metrics, uptime
 from toucanspring.coordinator import catalogue, metered, row_sizes, rows, state
 
 import ingress  # isort: skip
@@ -405,6 +406,34 @@
         self.kernel.peers.answers["one"] = ingress._pack(ingress.Answer(503))
         self.assertEqual(504, self.call(timeout_s=3.0).status)
 
+    # Guards against a cancellation that gets 504 since the coordinator can't write it,
+    # although another one can within the time of the caller.
+    def test_a_cancellation_is_repeated_until_another_process_coordinates(self):
+        cancel = mock.Mock(
+            side_effect=[
+                errors.Ambiguous(reason="no answer"),
+                errors.Unavailable(reason="no coordinator"),
+                errors.NotFound(reason="no such job"),
+            ]
+        )
+        self.scheduler.cancel = cancel
+        self.assertEqual(410, self.call("DELETE", timeout_s=3.0).status)
+        self.assertEqual(3, cancel.call_count)
+
+    def test_a_cancellation_that_nobody_answers_ends_in_time(self):
+        self.scheduler.found = errors.Ambiguous(reason="no answer")
+        began = uptime.now()
+        self.assertEqual(504, self.call("DELETE", timeout_s=1.0).status)
+        self.assertLess(uptime.now() - began, 1.0)
+
+    # Guards against repeats of what is known to be refused.
+    def test_a_refused_cancellation_is_answered_at_once(self):
+        refused = errors.Overloaded(reason="too many", retry_after_s=3.2)
+        self.scheduler.cancel = mock.Mock(return_value=refused)
+        answer = self.call("DELETE", timeout_s=3.0)
+        self.assertEqual((503, 4), (answer.status, answer.retry_after_s))
+        self.assertEqual(1, self.scheduler.cancel.call_count)
+
     # Guards against answers after the caller has left, 3.8 s after its request.
     def test_relays_end_before_the_timeout_of_the_caller(self):
         now = [100.0]
