Don't pass over a late job of which nothing runs beside idle workers

Cause: late jobs rank by deadline. The large job's was earlier, and its 1.5 million tasks took all starts of each round; the rate of starts was the bound, not room.

Change: among jobs of one priority that are alike in being late, one of which nothing runs and that has waited 1.5 s comes first, if its pool is less than half in use or the round before ended at its bound.

Why it works: such a job waits at most for one start of each one before it. Where rounds end for want of room the order is as it was.

--- a/test/test_coordinator_sizes.py
+++ b/test/test_coordinator_sizes.py
@@ -174,6 +174,32 @@
         started = {each.step.id for each in runner.run_round(now).starts}
         self.assertIn(f"{'f' * 16}.0.0", started)
 
+    # Guards against a small late job that waits beside idle workers for the end of a
+    # large one.
+    def test_a_late_job_is_not_passed_over_beside_free_room(self):
+        cell = case.new_cell()
+        accept_all(cell, [recurring(1, 500, 3000)])
+        cell.accept(case.job("f" * 16, small_step(2)), 0.0)
+        runner = Runner(cell)
+        runner.planner.max_starts = 100
+        now = 20.0
+        runner.run_round(now, done=False)
+        started = {each.step.id for each in runner.run_round(now).starts}
+        self.assertIn(f"{'f' * 16}.0.0", started)
+
+    # Guards against starts that wait to be sent and make a pool seem full.
+    def test_a_late_job_is_not_passed_over_beside_starts_that_wait(self):
+        cell = case.new_cell()
+        accept_all(cell, [recurring(1, 500, 3000)])
+        runner = Runner(cell)
+        runner.planner.max_starts = 100
+        now = 20.0
+        for _ in range(20):
+            runner.run_round(now, done=False)  # 2,000 of 3,200
+        cell.accept(case.job("f" * 16, small_step(2)), 0.0)
+        started = {each.step.id for each in runner.run_round(now + 2.0).starts}
+        self.assertIn(f"{'f' * 16}.0.0", started)
+
     # Guards against cancellations that leave what was cancelled in memory.
     def test_a_cancelled_job_holds_nothing(self):
         cell = case.new_cell()
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -347,6 +347,7 @@
         if worker is None:
             worker = self.add_unregistered_worker(task.worker)
         self._add_allocation(worker, step_run, task)
+        step_run.job.allocated += 1
         owner = step_run.job.spec.organisation
         self.used[owner] = self.used[owner] + step_run.step.demand
 
@@ -356,6 +357,7 @@
         task_id = step_run.task_id(task.index)
         if worker is not None and worker.allocations.pop(task_id, None) is not None:
             worker.used = worker.used - step_run.step.occupied()
+        step_run.job.allocated -= 1
         owner = step_run.job.spec.organisation
         self.used[owner] = self.used[owner] - step_run.step.demand
         task.worker = ""
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -50,6 +50,8 @@
         self.max_starts = order_pacing.MIN_STARTS_PER_ROUND
         # A worker gets more tasks only where all others have as many or no room.
         self.max_tasks_stopped_in_time = math.inf
+        # The latest round ended before all steps were looked at.
+        self._was_cut_short = False
 
     def plan(self, now: float) -> plans.Plan:
         """Plan one round and allocate the resources for its starts.
@@ -69,8 +71,10 @@
             key=lambda step_run: self._rank(step_run, over_share, now),
         )
         left = MAX_STEPS_PER_ROUND
+        self._was_cut_short = False
         for step_run in steps:
             if not left or len(plan.starts) >= self.max_starts:
+                self._was_cut_short = True
                 break
             skipped_until = max(step_run.skipped_until, step_run.job.set_aside_until)
             if step_run.job.is_final or now < skipped_until:
@@ -149,11 +153,13 @@
 
     def _rank(
         self, step_run: state.StepRun, over_share: frozenset[str], now: float
-    ) -> tuple[bool, bool, int, bool, bool, float]:
+    ) -> tuple[bool, bool, int, bool, bool, bool, float]:
         """Return a sort key: fair share and priority first, then the deadline.
 
         Under overload, earliest deadline first alone would make all jobs late. So late
-        jobs wait for jobs that are not, except at the top priority.
+        jobs wait for jobs that are not, except at the top priority. Among those alike,
+        one that has waited beside free room comes first until something of it runs: a
+        job of many tasks would else take all starts for as long as it lasts.
         """
         spec = step_run.job.spec
         queue = step_run.job.queue
@@ -164,10 +170,25 @@
             late and priority > TOP_PRIORITY,
             priority,
             late,
+            not self._is_passed_over(step_run, now),
             spec.organisation in over_share,
             step_run.job.due_at,
         )
 
+    def _is_passed_over(self, step_run: state.StepRun, now: float) -> bool:
+        """Return whether nothing of a job runs although there may be room for it.
+
+        Tasks whose start has not been sent yet count as using the pool, so that it may
+        seem full while the rate of starts is the bound.
+        """
+        job = step_run.job
+        if job.allocated or job.queue is None:
+            return False
+        if now < step_run.ready_at + MAX_HELD_BACK_S:
+            return False
+        pool = self._available.pool(job.queue.pool)
+        return pool.lightly_used or self._was_cut_short
+
     def _plan_step(
         self,
         step_run: state.StepRun,
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -157,6 +157,7 @@
     # Submitted above the organisation's rate; None until that is known.
     over_rate: bool | None = None
     has_copy: bool = False  # a copy of the spec is stored in the coordinator's part
+    allocated: int = 0  # tasks that are allocated to a worker
     # When runs failed, by worker, since one ended well.
     failed_on: dict[str, float] = dataclasses.field(default_factory=dict)
     # Of a job with a row for each occurrence: the occurrences that may have one, those
