Spread tasks evenly once all workers have as many as can be stopped

Cause: below a limit of tasks a worker was preferred; beyond it best fit sent everything to the fullest one, which gets 4 starts and 48 stops at a time.

Change: beyond the limit, the worker with the fewest tasks comes first.

Why it works: the number of orders for one worker is the mean over those with room, not the sum.

Evidence: the test of two workers with a limit of three expected 3 and 5 tasks, which is the fault. It expects 4 and 4 now, which is stricter, and fails without the change.

--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -48,7 +48,8 @@
         self._gangs = gangs.Gangs(cell, self, self.approvals)
         self._ceilings = ceilings.Ceilings(cell)
         self.max_starts = order_pacing.MIN_STARTS_PER_ROUND
-        # A worker gets more tasks only where all others have as many or no room.
+        # A worker gets more tasks only where all others have as many or no room; then
+        # the one with the fewest does.
         self.max_tasks_stopped_in_time = math.inf
         # The latest round ended before all steps were looked at.
         self._was_cut_short = False
@@ -371,7 +372,7 @@
                 key=lambda worker: (
                     held_back and (worker.is_paused(now) or worker.id in plan.reserved),
                     worker.id in plan.kept,
-                    len(worker.allocations) >= self.max_tasks_stopped_in_time,
+                    max(0, len(worker.allocations) - self.max_tasks_stopped_in_time),
                     placement.rank(step_run, worker, worker.free(), speed_order),
                 ),
             )
