Bound the recorded starts that wait to be sent

Cause: a worker gets four start orders at a time, and the limit of a round didn't count the orders that wait behind these. A large job was planned until all workers seemed full; the start of a small one was recorded after 40 ms and then waited for 10 s in the line of its worker.

Change: a round plans no more than 32 waiting starts for each worker.

--- a/test/test_coordinator_pacing.py
+++ b/test/test_coordinator_pacing.py
@@ -325,6 +325,29 @@
         self.assertEqual({False}, set(late))
 
 
+class WaitingStartsTest(leadership_tests.LeadershipCase):
+    # Guards against a small job whose starts wait 10 s behind those of a large one,
+    # since starts were recorded until the workers seemed full.
+    def test_few_recorded_starts_wait_to_be_sent(self):
+        start = self.workers.start
+
+        def start_slowly(worker, order):
+            gevent.sleep(0.05)
+            return start(worker, order)
+
+        self.workers.start = start_slowly
+        self.workers.run_s = 30
+        leader = self.coordinate()
+        self.accept(case.step(1000, cpus=1, memory=1))
+        starts = leader._dispatcher.starts
+        most = 0
+        for _ in range(20):
+            gevent.sleep(0.05)
+            most = max(most, starts.waiting)
+        self.assertLessEqual(most, 2 * dispatch.MAX_WAITING_STARTS_PER_WORKER + 120)
+        self.assertGreater(self.workers.starts, 50)
+
+
 class StartLimitTest(leadership_tests.LeadershipCase):
     def setUp(self):
         super().setUp()
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -35,6 +35,9 @@
 # A worker that replies to no poll for this long gets no new tasks.
 UNRESPONSIVE_AFTER_S = 0.8
 MAX_STARTS_PER_WORKER = 4  # in flight
+# Recorded starts that wait to be sent, in the mean. A start of more urgent work waits
+# behind them, and they hold capacity meanwhile.
+MAX_WAITING_STARTS_PER_WORKER = 32
 STOPS_PER_WORKER = 2  # in flight; more for a worker with many stops
 # A worker resets connections beyond 64. Besides stops there are starts, a poll, and
 # those that a former coordinator has not closed yet.
@@ -259,7 +262,11 @@
         """Return how many starts the next round may plan."""
         queue = self.starts
         ended, self._ended_before = queue.ended - self._ended_before, queue.ended
-        return self.pacing.start_limit(queue.backlog, queue.in_flight, ended)
+        limit = self.pacing.start_limit(queue.backlog, queue.in_flight, ended)
+        workers = len(self._leader.cell.workers)
+        return max(
+            1, min(limit, MAX_WAITING_STARTS_PER_WORKER * workers - queue.waiting)
+        )
 
     def start(self, start: plans.Start, planned_at: float) -> None:
         """Queue a start order whose intent is durable."""
