Let jobs wait in the store while others fill the memory for jobs

What callers saw: computed, not seen. A job of 2,500 different steps, a row of 55 kB, took 3.4 MB of a coordinator, so that 50 of them fill the smallest VM, at acceptance and again at each takeover.

Cause: all unfinished jobs, those ended in the last 150 s and all their rows were in memory; only one job was bounded.

Beyond that a job waits in the store, in the line of its organisation and of small or large jobs; a line may hold as much as it leaves free for the others. Jobs that may be running are always held. An ended job drops its steps, the copy of the table its values, and a takeover keeps a bounded part of the rows and an outline of the other jobs.

Why it works: memory is bounded by what runs, by the bound and by some 0.3 kB for a job that waits. It is opened as memory becomes free, without an event from outside, and the first jobs of others always have room.

--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -8,12 +8,15 @@
 
 import collections
 import dataclasses
+import math
 
 import logbook
+from msgspec import structs
 
 from toucanspring import log as structured
 from toucanspring import resources
 from toucanspring.coordinator import (
+    backlog,
     catalogue,
     job_specs,
     openings,
@@ -32,6 +35,8 @@
 # attempts, so each should be made on another worker.
 FAILED_WORKER_AVOIDANCE_S = 2.0
 ENDED_JOB_RETENTION_S = 150.0  # callers may query a job for 120 s
+# Runs that are listed late are still counted with their demand if a job has few steps.
+MAX_ENDED_STEPS = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,7 +54,7 @@
 class CellState:
     """Jobs and workers of the cell; owned by the elected coordinator."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_job_bytes: float = math.inf) -> None:
         self._catalogue = catalogue.Catalogue()
         # As last known, also those that were removed since: limits outlast a removal.
         self.organisations: dict[str, catalogue.Organisation] = {}
@@ -57,6 +62,8 @@
         # When all leases of workers are over that former coordinators have renewed.
         self.former_leases_end_at = 0.0
         self.jobs: dict[str, state.JobRecord] = {}
+        # Accepted jobs that wait in the store until there is memory for them.
+        self.backlog = backlog.Backlog(max_job_bytes)
         self.unreadable: set[str] = set()  # jobs whose progress cannot be read
         # Progress of jobs whose own rows have not been read yet, by ID.
         self.unclaimed: dict[str, rows.Progress] = {}
@@ -95,13 +102,24 @@
 
     # Jobs
 
-    def accept(self, spec: job_specs.Job, now: float, age_s: float = 0.0) -> None:
-        """Add an accepted job with its progress if any, unless it is known already."""
+    def accept(
+        self,
+        spec: job_specs.Job,
+        now: float,
+        age_s: float = 0.0,
+        must_hold: bool = False,
+    ) -> None:
+        """Add an accepted job with its progress if any, unless it is known already.
+
+        It waits in the backlog while there is no memory for it, unless it must be held.
+        """
         if spec.id in self.jobs or spec.id in self.unreadable:
             return
         progress = self.unclaimed.pop(spec.id, None)
         if progress is not None:
-            self.restore(spec, progress, now, age_s)
+            self.restore(spec, progress, now, age_s, must_hold)
+            return
+        if self._has_to_wait(spec, None, must_hold):
             return
         record = self._add(spec, now, age_s)
         self.open_steps(record, now)
@@ -112,6 +130,7 @@
         progress: rows.Progress | None,
         now: float,
         age_s: float,
+        must_hold: bool = False,
     ) -> None:
         """Add a job with its stored progress after a failover.
 
@@ -124,6 +143,8 @@
                 log.error("job {} is left alone: {}", spec.id, mismatch.reason)
                 self.unreadable.add(spec.id)
                 return
+        if self._has_to_wait(spec, progress, must_hold):
+            return
         record = self._add(spec, now, age_s)
         if progress is not None:
             state.restore(record, progress, now)
@@ -142,6 +163,76 @@
             return
         record.ended_at = now
         self._stop_all(record)
+        self.shrink(record)
+
+    def restore_outline(
+        self,
+        spec: job_specs.Job,
+        size: int,
+        is_split: bool,
+        progress: rows.Progress | None,
+        now: float,
+        age_s: float,
+    ) -> None:
+        """Add a job of which only the outline was kept; it waits unless it has ended.
+
+        `spec` has no steps, `size` is the memory in bytes of the one that has them.
+        """
+        known = (
+            state.JobState.QUEUED if progress is None else state.find_state(progress)
+        )
+        if known not in state.FINAL_STATES:
+            entry = backlog.Entry(
+                spec.organisation, spec.queue, spec.repeats > 0, size, known,
+                progress is not None,
+            )  # fmt: skip
+            self.backlog.add(spec.id, entry)
+            return
+        record = self._add(spec, now, age_s)
+        record.state = record.durable_state = known
+        record.is_split, record.is_shrunk, record.ended_at = is_split, True, now
+        for step in progress.steps:
+            record.stored.add(step.occurrence)
+
+    def _has_to_wait(
+        self, spec: job_specs.Job, progress: rows.Progress | None, must_hold: bool
+    ) -> bool:
+        """Let a job wait in the backlog unless there is memory for it; return if so.
+
+        One that has ended takes little, and one that may be running is needed.
+        """
+        known = (
+            state.JobState.QUEUED if progress is None else state.find_state(progress)
+        )
+        entry = backlog.Entry(
+            spec.organisation,
+            spec.queue,
+            spec.repeats > 0,
+            backlog.find_size(spec),
+            known,
+            progress is not None,
+        )
+        if (
+            must_hold
+            or known in state.FINAL_STATES
+            or (progress is not None and state.may_be_running(progress))
+            or self.backlog.has_room(entry)
+        ):
+            self.backlog.hold(spec.id, entry)
+            return False
+        self.backlog.add(spec.id, entry)
+        return True
+
+    def shrink(self, record: state.JobRecord) -> None:
+        """Drop the steps of a job that has ended durably, once nothing of it runs."""
+        if not record.is_final or record.durable_state is not record.state:
+            return
+        if len(record.steps):
+            return
+        self.backlog.release(record.spec.id)
+        if len(record.spec.steps) > MAX_ENDED_STEPS:
+            record.spec = structs.replace(record.spec, steps=(), payload="")
+            record.kinds, record.is_shrunk = (), True
 
     def _add(self, spec: job_specs.Job, now: float, age_s: float) -> state.JobRecord:
         record = state.JobRecord(spec, now - age_s)
@@ -502,4 +593,4 @@
             and record.state is state.JobState.QUEUED
             and not record.spec.repeats
             for record in self.jobs.values()
-        )
+        ) + self.backlog.count_queued(queue)
--- a/toucanspring/coordinator/job_changes.py
+++ b/toucanspring/coordinator/job_changes.py
@@ -66,7 +66,7 @@
         puts = {
             rows.job_copy_row_id(job_id): rows.encode(record.spec)
             for job_id, record in jobs.items()
-            if not record.has_copy
+            if not (record.has_copy or record.is_shrunk)
         }
         for each in progress.values():
             puts |= each
@@ -99,6 +99,7 @@
             record.has_copy = True
             self._refused.discard(job_id)
             progress_rows.record_written(record, batch.progress[job_id])
+            self._cell.shrink(record)
         for start in starts:
             if start.step.job.spec.id in refused:
                 self._cell.cancel_start(start.step, start.task, start.run, now)
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import dataclasses
+import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
+import gevent
 import logbook
 from gevent import event
 
@@ -22,6 +25,7 @@
     dispatch,
     fenced_writer,
     job_changes,
+    job_rows,
     job_specs,
     leader_lease,
     learning,
@@ -39,6 +43,7 @@
     stop_limits,
     stragglers,
     table_cache,
+    table_reader,
     workers,
 )
 
@@ -52,6 +57,8 @@
 HOUSEKEEPING_INTERVAL_S = 0.25
 STOPS_REPORT_INTERVAL_S = 2.0  # at most one line and one update of the counters
 RELEASE_TIMEOUT_S = 1.5  # part of the time for a graceful stop
+BACKLOG_INTERVAL_S = 0.05  # between looks for memory for jobs in the backlog
+BACKLOG_RETRY_S = 0.2  # after a job could not be read
 SLOW_ROUND_S = 0.15  # a longer round is logged with the time of its parts
 
 
@@ -74,7 +81,8 @@
     `request_approval` queues a request to the approval service, `on_failing` is called
     while a write fails, with the seconds since its first attempt, and `on_round` after
     each round, with its number of starts and its duration. `on_stops` gets the counts
-    of the runs that ended since they were stopped.
+    of the runs that ended since they were stopped. Jobs of which nothing runs take at
+    most `max_job_bytes` of memory.
     """
 
     def __init__(
@@ -90,8 +98,9 @@
         on_failing: Callable[[float], None] = lambda _for_s: None,
         on_round: Callable[[int, float], None] = lambda _starts, _took_s: None,
         on_stops: Callable[[stop_causes.StopCounts], None] = lambda _counts: None,
+        max_job_bytes: float = math.inf,
     ) -> None:
-        self.cell = cell_state.CellState()
+        self.cell = cell_state.CellState(max_job_bytes)
         self.epoch = acquired.lease.epoch
         self.ready = event.Event()
         self.ended = event.Event()
@@ -123,7 +132,10 @@
         self._changes = job_changes.JobChanges(self.cell, self.epoch)
         self._marks = cancel_marks.CancelMarks(self.cell)
         self._waits = outcome_waits.OutcomeWaits()
-        self._jobs = table_cache.TableCache(store, rows.JOBS, self._on_job_row)
+        self._job_rows = job_rows.JobRows(self.cell, max_job_bytes)
+        self._jobs = table_cache.TableCache(
+            store, rows.JOBS, self._on_job_row, digest=self._job_rows.digest
+        )
         self._retention = retention.Retention(self.cell, store, self._jobs, self.wake)
         self._learning = learning.Learning(self.cell, self.epoch)
         self._housekeeping_at = 0.0
@@ -149,7 +161,7 @@
             self._waits.end(failure)
 
     def _coordinate(self) -> None:
-        with self._dispatcher, self._jobs, self._retention:
+        with self._dispatcher, self._jobs, self._retention, self._take_from_backlog():
             for worker in list(self.cell.workers.values()):
                 self._dispatcher.watch(worker)
             self.ready.set()
@@ -217,6 +229,8 @@
         ]
         return {
             "jobs": len(self.cell.jobs),
+            "jobs_in_backlog": len(self.cell.backlog),
+            "job_bytes": self.cell.backlog.held_bytes(),
             "cancel_marks": len(self._marks),
             "steps_waiting": len(self.cell.ready),
             "tasks_placed": sum(
@@ -237,14 +251,17 @@
 
     def holds(self, job_id: str) -> bool:
         """Return whether a job is in memory, and so has been accepted."""
-        return job_id in self.cell.jobs
+        return job_id in self.cell.jobs or job_id in self.cell.backlog
 
     def status(self, job_id: str) -> state.JobState | errors.Failure:
         """Return the durable state of a job; a failure if only the store knows it."""
-        if job_id not in self.cell.jobs:
+        if not self.holds(job_id):
             failure = self._load_job(job_id)
             if failure is not None:
                 return failure
+        entry = self.cell.backlog.get(job_id)
+        if entry is not None:
+            return entry.state
         return self._waits.await_state(self.cell.jobs[job_id])
 
     def cancel(
@@ -256,7 +273,7 @@
         unknown job is marked for `organisation`: it does not start if it comes later.
         """
         if job_id not in self.cell.jobs:
-            failure = self._load_job(job_id)
+            failure = self._load_job(job_id, must_hold=True)
             if isinstance(failure, errors.NotFound):
                 failure = self._cancel_unknown(job_id, organisation) or failure
             if failure is not None and job_id not in self.cell.jobs:
@@ -293,23 +310,62 @@
             return errors.Unavailable(reason="not all jobs have been read recently")
         return self.cell.pending(queue)
 
-    def _load_job(self, job_id: str) -> None | errors.Failure:
-        """Read a job from the store that the change feed has not delivered yet."""
+    def _load_job(self, job_id: str, must_hold: bool = False) -> None | errors.Failure:
+        """Read a job from the store that is in the backlog or not known yet.
+
+        With `must_hold` it is held whatever memory there is.
+        """
+        entry = self.cell.backlog.get(job_id)
         row = rows.find_job(self._store, job_id)
         if isinstance(row, errors.Failure):
             return row
-        self._on_job_row(row)
-        if job_id not in self.cell.jobs:
+        if entry is not None and entry.has_progress:
+            progress = job_rows.read_progress(self._store, job_id)
+            if isinstance(progress, errors.Failure):
+                return progress
+            if progress is not None and job_id in self.cell.backlog:
+                self.cell.unclaimed[job_id] = progress
+        self.cell.backlog.remove(job_id)
+        self._accept_row(row, must_hold)
+        if not self.holds(job_id):
             return errors.Malformed(reason=f"job {job_id} is unreadable")
         return None
 
+    # Backlog
+
+    @contextlib.contextmanager
+    def _take_from_backlog(self) -> Iterator[None]:
+        """Hold jobs that wait in the store as soon as there is memory for them."""
+        taking = gevent.spawn(self._run_backlog)
+        try:
+            yield
+        finally:
+            taking.kill(block=False)
+
+    def _run_backlog(self) -> None:
+        while True:
+            job_id = self.cell.backlog.find_next()
+            if job_id is None:
+                gevent.sleep(BACKLOG_INTERVAL_S)
+                continue
+            failure = self._load_job(job_id, must_hold=True)
+            if failure is None:
+                continue
+            log.warning("job {} stays in the backlog: {}", job_id, failure)
+            entry = self.cell.backlog.get(job_id)
+            if entry is not None:
+                self.cell.backlog.remove(job_id)
+                self.cell.backlog.add(job_id, entry)  # behind the others of its line
+            gevent.sleep(BACKLOG_RETRY_S)
+
     # Recovery
 
     def _load(self) -> bool:
         """Restore all jobs; return whether the lease is still held."""
         loader = recovery.Loader(
-            self._store, self._writer, self._jobs, lambda: self._release_requested
-        )
+            self._store, self._writer, self._jobs, lambda: self._release_requested,
+            self._note_progress,
+        )  # fmt: skip
         progress = loader.load()
         if progress is None:
             if self._release_requested and not self._writer.lost:
@@ -319,20 +375,34 @@
         for entry in self._directory.entries().values():
             self.cell.register_worker(entry)
         recovery.restore_cell(
-            self.cell, self.epoch, self._jobs.rows.values(), progress, loader.took_s
-        )
+            self.cell, self.epoch, self._jobs.rows.values(), progress, loader.took_s,
+            self._job_rows.outlines,
+        )  # fmt: skip
+        self._job_rows.end_load()
+        self._jobs.digest_all()
         self._marks.restore(uptime.now())
         return True
 
+    def _note_progress(self, progress: table_reader.TableSnapshot) -> None:
+        """Keep the rows of the jobs of which a run may go on."""
+        found, _ = progress_rows.read_all(progress.rows.values())
+        self._job_rows.needed = frozenset(
+            job_id for job_id, each in found.items() if state.may_be_running(each)
+        )
+
     def _on_job_row(self, row: ports.Row) -> None:
-        if not row.version or row.id.key in self.cell.jobs or not self.ready.is_set():
+        if row.version and self.ready.is_set() and not self.holds(row.id.key):
+            self._accept_row(row)
+
+    def _accept_row(self, row: ports.Row, must_hold: bool = False) -> None:
+        if row.id.key in self.cell.jobs:
             return
         spec = rows.decode(job_specs.Job, row.value)
         if isinstance(spec, errors.Malformed):
             log.error("ignoring unreadable job {}: {}", row.id.key, spec)
             return
         has_progress = spec.id in self.cell.unclaimed
-        self.cell.accept(spec, uptime.now(), recovery.age_s(spec))
+        self.cell.accept(spec, uptime.now(), recovery.age_s(spec), must_hold)
         if has_progress:
             self._apply_mark(spec.id)
             self._watch_restored_workers()
--- a/toucanspring/coordinator/progress_rows.py
+++ b/toucanspring/coordinator/progress_rows.py
@@ -12,7 +12,7 @@
 from msgspec import structs
 
 from toucanspring import errors
-from toucanspring.coordinator import ports, row_sizes, rows, state
+from toucanspring.coordinator import ports, rows, state
 
 log = logbook.Logger(__name__)
 
@@ -25,7 +25,7 @@
     occurrences, so they must not be replaced first.
     """
     row_id = rows.progress_row_id(record.spec.id)
-    if not row_sizes.is_split(record.spec):
+    if not record.is_split:
         return {row_id: rows.encode(state.to_progress(record))}
     found = {}
     # Those with a hash include the ones whose steps were dropped as the job ended.
@@ -72,7 +72,7 @@
     The row of the job is removed last: without it, the job would run again.
     """
     job_id = record.spec.id
-    occurrences = record.stored if row_sizes.is_split(record.spec) else ()
+    occurrences = record.stored if record.is_split else ()
     return [
         rows.job_copy_row_id(job_id),
         *(rows.occurrence_row_id(job_id, each) for each in occurrences),
--- a/toucanspring/coordinator/recovery.py
+++ b/toucanspring/coordinator/recovery.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
+from types import MappingProxyType
 
 import gevent
 import logbook
@@ -13,6 +14,7 @@
 from toucanspring.coordinator import (
     cell_state,
     fenced_writer,
+    job_rows,
     job_specs,
     leader_lease,
     ports,
@@ -36,7 +38,8 @@
     """Reads the rows that a new coordinator restores, and keeps its lease meanwhile.
 
     The jobs are read into the copy `jobs`. The load ends as soon as the lease is lost
-    or `is_interrupted` returns true.
+    or `is_interrupted` returns true. `on_progress` gets the progress before the jobs
+    are read.
     """
 
     def __init__(
@@ -45,11 +48,15 @@
         writer: fenced_writer.FencedWriter,
         jobs: table_cache.TableCache,
         is_interrupted: Callable[[], bool],
+        on_progress: Callable[[table_reader.TableSnapshot], None] = lambda _progress: (
+            None
+        ),
     ) -> None:
         self._writer = writer
         self._progress = table_reader.TableReader(store, rows.PROGRESS)
         self._jobs = jobs
         self._is_interrupted = is_interrupted
+        self._on_progress = on_progress
         self.took_s = 0.0
 
     def load(self) -> table_reader.TableSnapshot | None:
@@ -88,6 +95,7 @@
             return progress
         if rows.COORDINATOR_PART in progress.unread_parts:
             return progress.unread_parts[rows.COORDINATOR_PART]
+        self._on_progress(progress)
         failure = self._jobs.load()
         if failure is not None:
             return failure
@@ -102,16 +110,18 @@
     jobs: Collection[ports.Row],
     progress: table_reader.TableSnapshot,
     read_s: float,
+    outlines: Mapping[str, job_rows.Outline] = MappingProxyType({}),
 ) -> None:
     """Restore all jobs in the rows that were read within `read_s`, and log it."""
     now = uptime.now()
     read = [*jobs, *progress.rows.values()]
-    restore(cell, jobs, progress, now)
+    restore(cell, jobs, progress, now, outlines)
     structured.decide(
         log, "cell_restored", epoch=epoch, jobs=len(cell.jobs),
         configuration=cell.catalogue.version,
         rows=len(read), bytes=sum(len(row.value) for row in read),
         unfinished=sum(not each.is_final for each in cell.jobs.values()),
+        backlog=len(cell.backlog), job_bytes=cell.backlog.held_bytes(),
         read_ms=round(read_s * 1000),
         restore_ms=round((uptime.now() - now) * 1000),
     )  # fmt: skip
@@ -134,6 +144,7 @@
     jobs: Iterable[ports.Row],
     progress: table_reader.TableSnapshot,
     now: float,
+    outlines: Mapping[str, job_rows.Outline] = MappingProxyType({}),
 ) -> None:
     """Restore all readable jobs with their progress, the oldest first.
 
@@ -143,16 +154,35 @@
     found, cell.unreadable = progress_rows.read_all(progress.rows.values())
     listed = list(jobs)
     copied = {row.id.key for row in listed if row.id.part == rows.COORDINATOR_PART}
-    decoded_jobs = [rows.decode(job_specs.Job, row.value) for row in listed]
-    specs = [spec for spec in decoded_jobs if isinstance(spec, job_specs.Job)]
-    if len(specs) < len(decoded_jobs):
-        log.error("ignoring {} unreadable job rows", len(decoded_jobs) - len(specs))
-    for spec in sorted(specs, key=lambda each: each.accepted_at_ms):
-        if spec.id in cell.jobs or spec.id in cell.unreadable:
+    # One job at a time is decoded: its steps take many times the memory of its row.
+    accepted_at_ms = {
+        job_id: outline.spec.accepted_at_ms for job_id, outline in outlines.items()
+    }
+    values: dict[str, bytes] = {}
+    unreadable = 0
+    for row in listed:
+        spec = rows.decode(job_specs.Job, row.value) if row.value else None
+        if isinstance(spec, job_specs.Job):
+            accepted_at_ms[spec.id] = spec.accepted_at_ms
+            values[spec.id] = row.value
+        unreadable += isinstance(spec, errors.Malformed)
+    if unreadable:
+        log.error("ignoring {} unreadable job rows", unreadable)
+    for job_id in sorted(accepted_at_ms, key=accepted_at_ms.__getitem__):
+        if job_id in cell.unreadable:
             continue
-        cell.restore(spec, found.pop(spec.id, None), now, age_s(spec))
-        if spec.id in cell.jobs:
-            cell.jobs[spec.id].has_copy = spec.id in copied
+        known = found.pop(job_id, None)
+        if job_id in values:
+            spec = rows.decode(job_specs.Job, values[job_id])
+            cell.restore(spec, known, now, age_s(spec))
+        else:
+            outline = outlines[job_id]
+            age = age_s(outline.spec)
+            cell.restore_outline(
+                outline.spec, outline.size, outline.is_split, known, now, age
+            )
+        if job_id in cell.jobs:
+            cell.jobs[job_id].has_copy = job_id in copied
     cell.unclaimed = found
 
 
--- a/toucanspring/coordinator/retention.py
+++ b/toucanspring/coordinator/retention.py
@@ -53,6 +53,7 @@
         for job_id in job_ids:
             self._removable.pop(job_id, None)
             self._cell.jobs.pop(job_id, None)
+            self._cell.backlog.release(job_id)
 
     def _run(self) -> None:
         while True:
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 import uuid
 from collections.abc import Callable
@@ -62,7 +63,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Options:
-    """Settings of one process; `max_lease_ms` is the longest worker lease."""
+    """Settings of one process; `max_lease_ms` is the longest worker lease.
+
+    Jobs of which nothing runs take at most `max_job_bytes` of a coordinator's memory.
+    """
 
     process: str
     address: str
@@ -70,6 +74,7 @@
     max_lease_ms: int
     capacity: candidacy.Capacity = candidacy.Capacity()
     stop_limits: stop_limits.StopLimits = stop_limits.DEFAULT
+    max_job_bytes: float = math.inf
 
 
 class Service:
@@ -509,6 +514,7 @@
             self._failover.report_write_failure,
             self._meters.count_round,
             self._meters.count_stops,
+            self._options.max_job_bytes,
         )
         self._members.coordinates = True
         self._elected_event.set()
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -11,6 +11,7 @@
     index_set,
     job_specs,
     ports,
+    row_sizes,
     rows,
     step_table,
     stop_causes,
@@ -167,9 +168,11 @@
         default_factory=index_set.IndexSet
     )
     written_hashes: dict[int, int] = dataclasses.field(default_factory=dict)
+    is_split: bool = dataclasses.field(init=False)  # a row for each occurrence
     # The store has refused a row of the job: its checkpoints are not stored any more,
     # and until then nothing of it starts or is written.
     is_refused: bool = False
+    is_shrunk: bool = False  # it has ended, and its steps were dropped from `spec`
     set_aside_until: float = 0.0
 
     def __post_init__(self) -> None:
@@ -178,11 +181,12 @@
         )
         numbers: dict[tuple, int] = {}
         self.kinds = tuple(
-            numbers.setdefault(_find_kind(step), len(numbers))
+            numbers.setdefault(find_kind(step), len(numbers))
             for step in self.spec.steps
         )
         self.not_begun = [0] * len(numbers)
         self.due = 0 if self.spec.repeats else 1
+        self.is_split = row_sizes.is_split(self.spec)
 
     @property
     def is_final(self) -> bool:
@@ -196,7 +200,7 @@
     return record.steps.count_done() == total
 
 
-def _find_kind(step: job_specs.Step) -> tuple:
+def find_kind(step: job_specs.Step) -> tuple:
     """Return what decides where and when the tasks of a step may start."""
     return (
         step.demand, step.gang and step.count, step.same_rack, step.required_label,
@@ -321,7 +325,12 @@
     return None
 
 
-def _find_state(progress: rows.Progress) -> JobState:
+def may_be_running(progress: rows.Progress) -> bool:
+    """Return whether a run of a job with stored progress may go on."""
+    return any(task.worker for step in progress.steps for task in step.tasks)
+
+
+def find_state(progress: rows.Progress) -> JobState:
     """Return the stored state of a job, active only if one of its runs has been seen.
 
     If the row doesn't tell, the workers will.
@@ -339,7 +348,7 @@
 
 def restore(record: JobRecord, progress: rows.Progress, now: float) -> list[Task]:
     """Restore the stored state; return the tasks that may be running."""
-    record.state = record.durable_state = _find_state(progress)
+    record.state = record.durable_state = find_state(progress)
     uncertain = []
     for row in progress.steps:
         key = (row.occurrence, row.step)
--- a/toucanspring/coordinator/table_cache.py
+++ b/toucanspring/coordinator/table_cache.py
@@ -36,7 +36,8 @@
     `on_batch()` is called after the changes that came together.
     `wait_s` is the timeout of one call that waits for changes, `late_wait_s` that of
     calls after one whose answer was late, until one is in time. A pause of `pause_s`
-    after each call batches the changes of a busy table.
+    after each call batches the changes of a busy table. `digest` returns what is kept
+    of a row: of a read one before, of a changed one after `on_change`.
     """
 
     def __init__(
@@ -49,12 +50,14 @@
         pause_s: float = 0.0,
         on_batch: Callable[[], None] = lambda: None,
         late_wait_s: float | None = None,
+        digest: Callable[[ports.Row], ports.Row] = lambda row: row,
     ) -> None:
         self.rows: dict[ports.RowId, ports.Row] = {}
         # The copy includes every write made before this time (seconds of `uptime`).
         self.synced_at = float("-inf")
         self._store = store
         self._table = table
+        self._digest = digest
         self._on_change = on_change
         self._on_batch = on_batch
         self._clock = clock
@@ -99,7 +102,9 @@
     def load(self) -> None | errors.Failure:
         """Read the table, or those of its parts that could not be read before."""
         if self._reading is None:
-            self._reading = table_reader.TableReader(self._store, self._table)
+            self._reading = table_reader.TableReader(
+                self._store, self._table, self._digest
+            )
             self._reading_since = self._clock()
         reading = self._reading
         read = reading.read()
@@ -273,6 +278,11 @@
             ):
                 self._apply(row)
 
+    def digest_all(self) -> None:
+        """Keep of each row what `digest` returns now."""
+        for row_id, row in self.rows.items():
+            self.rows[row_id] = self._digest(row)
+
     def _apply(self, row: ports.Row) -> None:
         if row.version:
             self.rows[row.id] = row
@@ -282,3 +292,5 @@
             self._on_change(row)
         except Exception:
             log.exception("table {}: handling row {} failed", self._table, row.id.key)
+        if row.version:
+            self.rows[row.id] = self._digest(row)
--- a/toucanspring/coordinator/table_reader.py
+++ b/toucanspring/coordinator/table_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Callable
 
 from gevent import pool
 
@@ -43,11 +44,20 @@
 
 
 class TableReader:
-    """Reads one table; `read` continues where the call before it failed."""
+    """Reads one table; `read` continues where the call before it failed.
 
-    def __init__(self, store: ports.Store, table: str) -> None:
+    `digest` returns what is kept of a row, at the time when its page is read.
+    """
+
+    def __init__(
+        self,
+        store: ports.Store,
+        table: str,
+        digest: Callable[[ports.Row], ports.Row] = lambda row: row,
+    ) -> None:
         self._store = store
         self._table = table
+        self._digest = digest
         self._parts = {"": _Part("")}
         self._all_listed = False
         self._max_rows = FIRST_PAGE_ROWS
@@ -106,7 +116,7 @@
                 self._max_rows = max(MIN_PAGE_ROWS, limit // 2)
                 return
             part.failure = None
-            part.rows.extend(page.rows)
+            part.rows.extend(self._digest(row) for row in page.rows)
             if part.version is None:
                 part.version = page.at.version
             part.complete = not page.has_more
