Refuse submissions while too many jobs wait in the store

What callers saw: not seen. The names of jobs that wait for memory take 0.7 kB each in a coordinator (measured), and nothing bounded their number.

Change: once they take half as much as jobs may, the load report says so, and all processes refuse submissions with 429, the reason "backlog" and 5 to 10 s to come back.

Why it works: the report reaches all processes twice a second, so that the bound is passed by the submissions of about a second.

Evidence: FullBacklogTest; without the change no submission was refused.

--- a/test/test_coordinator_backlog.py
+++ b/test/test_coordinator_backlog.py
@@ -14,6 +14,8 @@
     backlog,
     cell_state,
     job_rows,
+    load_report,
+    load_view,
     progress_rows,
     recovery,
     rows,
@@ -21,6 +23,7 @@
     table_cache,
     table_reader,
 )
+from toucanspring.policy import admission
 
 MAX_BYTES = 2_000_000
 
@@ -108,6 +111,23 @@
             self.assertGreater(used, cell.backlog.held_bytes() / 4)
 
 
+class FullBacklogTest(testtools.TestCase):
+    # Guards against names of waiting jobs that fill the memory instead of the jobs.
+    def test_a_submission_is_refused_while_too_many_jobs_wait(self):
+        cell = cell_state.CellState(16_000)
+        cell.configure(case.configure())
+        builder = load_report.Builder(cell, 1, 0.0)
+        view, spec = load_view.View(), case.job("f" * 16)
+        for number in range(16):
+            view.receive(builder.build(1.0 + number / 10), 1.0 + number / 10)
+            found = view.decide(spec, case.queue(), case.resources.ZERO, 2.6, 0.5)
+            is_refused = isinstance(found, admission.Refuse)
+            self.assertEqual(len(cell.backlog) >= 10, is_refused)
+            cell.accept(wide_job(number, steps=200), 0.0)
+        self.assertEqual(admission.BACKLOG, found.reason)
+        self.assertGreaterEqual(found.retry_after_s, 5)
+
+
 class BacklogTest(leadership_case.LeadershipCase):
     def setUp(self):
         super().setUp()
--- a/toucanspring/coordinator/backlog.py
+++ b/toucanspring/coordinator/backlog.py
@@ -19,6 +19,9 @@
 SMALL_BYTES = 16_000
 RESERVED_BYTES = 32_000  # for the small jobs of an organisation, however much is held
 
+ENTRY_BYTES = 800  # of a job that waits, with the names of its rows
+MAX_ENTRIES_SHARE = 0.5  # of the memory for jobs, beside it
+
 Line = tuple[str, bool]  # organisation, whether its jobs are small
 
 
@@ -80,6 +83,10 @@
         """Return a job that waits, None if it does not."""
         return self._entries.get(job_id)
 
+    def is_full(self) -> bool:
+        """Return whether so many jobs wait that no more should be accepted."""
+        return len(self) * ENTRY_BYTES >= self._max_bytes * MAX_ENTRIES_SHARE
+
     def held_bytes(self) -> int:
         """Return the memory that is counted for the jobs in memory."""
         return self._total
--- a/toucanspring/coordinator/load_report.py
+++ b/toucanspring/coordinator/load_report.py
@@ -79,6 +79,7 @@
     counted_ms: int  # since the epoch began
     pools: tuple[PoolRow, ...]
     organisations: tuple[OrganisationRow, ...]
+    is_full: bool = False  # no more jobs should be accepted; see `backlog`
 
 
 encode = msgspec.msgpack.Encoder().encode
@@ -196,7 +197,10 @@
             for name in sorted(self._cell.catalogue.organisations)
         )
         counted_ms = round((now - self._began_at) * 1000)
-        return Report(self._epoch, self._sequence, counted_ms, pools, organisations)
+        is_full = self._cell.backlog.is_full()
+        return Report(
+            self._epoch, self._sequence, counted_ms, pools, organisations, is_full
+        )
 
     def _find_pools(self) -> list[str]:
         found = {queue.pool for queue in self._cell.catalogue.queues}
--- a/toucanspring/coordinator/load_view.py
+++ b/toucanspring/coordinator/load_view.py
@@ -80,6 +80,12 @@
     ) -> admission.Accept | admission.Refuse:
         """Accept or refuse a submission by this view; see `policy.admission`."""
         age_s = self.age(now)
+        if (
+            self.report is not None
+            and self.report.is_full
+            and age_s <= admission.MAX_VIEW_AGE_S
+        ):
+            return admission.refuse_for_backlog(fraction)
         pool = self._pools.get(queue.pool)
         current = pool is not None and age_s <= admission.MAX_VIEW_AGE_S
         found = admission.judge_size(
--- a/toucanspring/policy/admission.py
+++ b/toucanspring/policy/admission.py
@@ -32,6 +32,7 @@
 RAMP = 0.5
 MAX_RETRY_AFTER_S = 30
 NEVER_FITS_RETRY_S = 10
+BACKLOG_RETRY_S = 5.0
 # Outages of the store last 4 to 9 s. Shorter failures are interruptions, e.g. one part
 # of the store or a link.
 INTERRUPTION_S = 1.0
@@ -107,6 +108,7 @@
 OVERLOAD = "overload"
 NEVER_FITS = "never_fits"
 OVER_CEILING = "over_ceiling"
+BACKLOG = "backlog"
 
 
 def find_objective_s(chain_s: float, stretch: float, target_s: float) -> float:
@@ -145,6 +147,11 @@
     return Refuse(_to_retry_after(left_s * (1 + spread) + 2 * spread), OVERLOAD)
 
 
+def refuse_for_backlog(fraction: float) -> Refuse:
+    """Refuse a job since the coordinator can't hold the names of more of them."""
+    return Refuse(_to_retry_after(BACKLOG_RETRY_S * (1 + _spread(fraction))), BACKLOG)
+
+
 def judge_size(
     demands: list[tuple[resources.Resources, resources.Resources]],
     largest: tuple[resources.Resources, ...],
