--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -409,6 +409,7 @@
         structured.decide(
             log, "job_learned", job=spec.id, queue=spec.queue,
             organisation=spec.organisation, age_s=round(recovery.age_s(spec), 3),
+            in_backlog=spec.id in self.cell.backlog,
         )  # fmt: skip
         self.wake()
 
