--- a/toucanspring/coordinator/cancel_marks.py
+++ b/toucanspring/coordinator/cancel_marks.py
@@ -17,7 +17,6 @@
 # As long as callers may ask for an ended job. Submissions are given up after a minute,
 # and the store may do a write some seconds after that.
 RETENTION_S = cell_state.ENDED_JOB_RETENTION_S
-# A mark takes about 0.4 kB of memory, and 0.2 kB on the link of a new coordinator.
 MAX_MARKS = 4096
 MAX_MARKS_OF_ORGANISATION = 1024
 MAX_REMOVALS = 40  # in one write
