Bound the memory of ended jobs, and free what their steps took

What callers saw: computed, not seen. An ended job was kept for 150 s with its payload of up to 4 kB, and the dict of its steps kept the memory of all that had been open (1.1 kB for 30 steps, more than 36 kB for 1,000); nothing bounded their number. 300 jobs a second would have filled the smallest VM.

Change: an ended job drops its payload and frees that dict. Once the jobs in memory reach four times the memory for jobs, a quarter of the VM, counted with 2.3 kB each, submissions are refused with 429 and the reason "backlog".

Why it works: ended jobs are forgotten after 150 s, so that 116 a second may end for as long as one likes on the smallest VM of 160 MB.

Evidence: both tests of EndedJobsTest fail without the change: no refusal, and more than 2.3 kB for a job with 30 steps and a payload of 1 to 3 kB; 1.2 kB now (tracemalloc), besides 0.76 kB for the names of two rows.

--- a/test/test_coordinator_backlog.py
+++ b/test/test_coordinator_backlog.py
@@ -128,6 +128,44 @@
         self.assertGreaterEqual(found.retry_after_s, 5)
 
 
+class EndedJobsTest(testtools.TestCase):
+    # Guards against jobs that end faster than they are forgotten and fill the memory.
+    def test_a_submission_is_refused_while_too_many_ended_jobs_are_kept(self):
+        cell = cell_state.CellState(20_000)
+        cell.configure(case.configure())
+        for number in range(40):
+            self.assertEqual(number >= 35, cell.is_full())
+            name = f"{number:016x}"
+            cell.accept(case.job(name, case.step(1), payload="x" * 4000), 0.0)
+            record = cell.cancel(name, 1.0)
+            record.durable_state, record.has_copy = record.state, True
+            cell.shrink(record)
+        self.assertEqual(0, cell.backlog.held_bytes())
+
+    # Guards against a payload, or steps, that are kept for 150 s after the end.
+    def test_an_ended_job_takes_little_memory(self):
+        cell = case.new_cell()
+
+        def end_jobs():
+            for number in range(500):
+                name = f"{number:016x}"
+                spec = case.job(name, *[case.step(1)] * 30, payload=f"{number}" * 1000)
+                cell.accept(spec, 0.0)
+                record = cell.cancel(name, 1.0)
+                record.durable_state, record.has_copy = record.state, True
+                cell.shrink(record)
+            cell.dirty.clear()
+
+        gc.collect()
+        tracemalloc.start()
+        try:
+            end_jobs()
+            held, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertLess(held, 500 * backlog.ENDED_JOB_BYTES)
+
+
 class BacklogTest(leadership_case.LeadershipCase):
     def setUp(self):
         super().setUp()
--- a/toucanspring/coordinator/backlog.py
+++ b/toucanspring/coordinator/backlog.py
@@ -21,6 +21,8 @@
 
 ENTRY_BYTES = 800  # of a job that waits, with the names of its rows
 MAX_ENTRIES_SHARE = 0.5  # of the memory for jobs, beside it
+ENDED_JOB_BYTES = 2300  # with the names of its rows
+ENDED_JOBS_SHARE = 4.0  # of the memory for jobs, beside it
 
 Line = tuple[str, bool]  # organisation, whether its jobs are small
 
@@ -87,6 +89,10 @@
         """Return whether so many jobs wait that no more should be accepted."""
         return len(self) * ENTRY_BYTES >= self._max_bytes * MAX_ENTRIES_SHARE
 
+    def is_too_many(self, jobs: int) -> bool:
+        """Return whether the jobs in memory, ended ones included, are too many."""
+        return jobs * ENDED_JOB_BYTES >= self._max_bytes * ENDED_JOBS_SHARE
+
     def held_bytes(self) -> int:
         """Return the memory that is counted for the jobs in memory."""
         return self._total
--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -224,15 +224,23 @@
         return True
 
     def shrink(self, record: state.JobRecord) -> None:
-        """Drop the steps of a job that has ended durably, once nothing of it runs."""
+        """Drop what an ended job needs no more, once that is durable and none runs."""
         if not record.is_final or record.durable_state is not record.state:
             return
         if len(record.steps):
             return
         self.backlog.release(record.spec.id)
-        if len(record.spec.steps) > MAX_ENDED_STEPS:
-            record.spec = structs.replace(record.spec, steps=(), payload="")
-            record.kinds, record.is_shrunk = (), True
+        if record.is_shrunk:
+            return
+        spec, record.is_shrunk = record.spec, True
+        steps = spec.steps if len(spec.steps) <= MAX_ENDED_STEPS else ()
+        record.spec = structs.replace(spec, steps=steps, payload="")
+        record.kinds = record.kinds[: len(steps)]
+        record.steps.compact()
+
+    def is_full(self) -> bool:
+        """Return whether no more jobs should be accepted, for want of memory."""
+        return self.backlog.is_full() or self.backlog.is_too_many(len(self.jobs))
 
     def _add(self, spec: job_specs.Job, now: float, age_s: float) -> state.JobRecord:
         record = state.JobRecord(spec, now - age_s)
--- a/toucanspring/coordinator/load_report.py
+++ b/toucanspring/coordinator/load_report.py
@@ -197,7 +197,7 @@
             for name in sorted(self._cell.catalogue.organisations)
         )
         counted_ms = round((now - self._began_at) * 1000)
-        is_full = self._cell.backlog.is_full()
+        is_full = self._cell.is_full()
         return Report(
             self._epoch, self._sequence, counted_ms, pools, organisations, is_full
         )
--- a/toucanspring/coordinator/state.py
+++ b/toucanspring/coordinator/state.py
@@ -172,7 +172,7 @@
     # The store has refused a row of the job: its checkpoints are not stored any more,
     # and until then nothing of it starts or is written.
     is_refused: bool = False
-    is_shrunk: bool = False  # it has ended, and its steps were dropped from `spec`
+    is_shrunk: bool = False  # it has ended, and parts of `spec` were dropped
     set_aside_until: float = 0.0
 
     def __post_init__(self) -> None:
--- a/toucanspring/coordinator/step_table.py
+++ b/toucanspring/coordinator/step_table.py
@@ -169,6 +169,10 @@
         """Drop an open step of a job that has ended."""
         self._open.pop(key, None)
 
+    def compact(self) -> None:
+        """Free what the steps took that were open, which a dict keeps for others."""
+        self._open = dict(self._open)
+
     def finished(self) -> index_set.IndexSet:
         """Return the occurrences of which all steps are done."""
         return self._finished
