Write a cancelled job again that comes as its mark is removed

What callers would see: a job cancelled 150 s before, whose submission comes while its mark is being removed, is shown as cancelled and runs after the next takeover, as the removal takes the row of its progress.

Cause: the job took over the mark, and its row with it, during the write that removes the row.

Change: a job that came meanwhile counts as not durable and is written again.

Why it works: its next write is after the removal, in the same epoch.

Evidence: the test ends with a row missing (error) without the change.

--- a/test/test_coordinator_cancel_marks.py
+++ b/test/test_coordinator_cancel_marks.py
@@ -99,6 +99,29 @@
         self.wait_for(lambda: not leader.cell.unclaimed)
         self.assertEqual(0, leader.measure()["cancel_marks"])
 
+    # Guards against a job without progress, which would run after a takeover, since its
+    # mark was just being removed as it came.
+    def test_a_job_that_comes_as_its_mark_is_removed_is_written_again(self):
+        leader = self.coordinate()
+        leader.cancel(JOB, "desk")
+        transact, held = self.store.transact, gevent.event.Event()
+
+        def hold(checks, puts, removals=()):
+            if MARK in removals:
+                held.wait()
+            return transact(checks, puts, removals)
+
+        self.store.transact = hold
+        self.patch(cancel_marks, "RETENTION_S", 0.0)
+        gevent.sleep(0.3)  # the removal is under way
+        self.put_late()
+        self.wait_for(lambda: JOB in leader.cell.jobs)
+        held.set()
+        self.wait_for(lambda: self.progress() is not None)
+        gevent.sleep(0.2)
+        self.assertEqual("cancelled", self.progress().state)
+        self.assert_stays_cancelled(leader)
+
     def test_a_late_job_is_removed_as_any_ended_one(self):
         leader = self.coordinate()
         leader.cancel(JOB, "desk")
--- a/toucanspring/coordinator/cancel_marks.py
+++ b/toucanspring/coordinator/cancel_marks.py
@@ -112,9 +112,16 @@
         return [job_id for job_id, mark in oldest if now - mark.made_at > RETENTION_S]
 
     def forget(self, job_ids: list[str]) -> None:
-        """Forget marks whose rows have been removed, unless their job has come."""
+        """Forget marks whose rows have been removed.
+
+        A job that came meanwhile is written again.
+        """
         for job_id in job_ids:
             mark = self._marks.pop(job_id, None)
+            record = self._cell.jobs.get(job_id)
             if mark is not None:
                 self._counts[mark.organisation] -= 1
                 self._cell.unclaimed.pop(job_id, None)
+            elif record is not None:
+                record.durable_state = state.JobState.QUEUED
+                self._cell.dirty[job_id] = record
