Go on with the backlog after a job that raises an exception

What callers would see: one odd job in the backlog, and no job that waits is ever read by this coordinator.

Cause: the loop that reads jobs ended by the exception, and the job had been taken out of the backlog before.

Change: the exception is logged, the job goes behind the others of its line.

Why it works: the loop goes on, and the job leaves the backlog only once it is held or known as unreadable.

Evidence: the test of one such job among four fails without the change.

--- a/test/test_coordinator_backlog.py
+++ b/test/test_coordinator_backlog.py
@@ -232,6 +232,26 @@
         self.wait_for(lambda: leader.cell.backlog.held_bytes() == 0)
         self.assert_no_violations()
 
+    # Guards against one odd job that ends the reading of all others.
+    def test_the_others_are_read_after_one_that_raises(self):
+        leader = self.coordinate()
+        self.put_wide(4)
+        self.wait_for(lambda: len(leader.cell.backlog) == 3)
+        odd = next(iter(leader.cell.backlog._entries))
+        accept = leader.cell.accept
+
+        def raise_for_one(spec, *arguments):
+            if spec.id == odd:
+                raise ValueError(spec.id)
+            accept(spec, *arguments)
+
+        leader.cell.accept = raise_for_one
+        leader.cell.backlog._max_bytes = 20 * MAX_BYTES
+        self.wait_for(lambda: len(leader.cell.jobs) == 3)
+        self.assertIn(odd, leader.cell.backlog)
+        leader.cell.accept = accept
+        self.wait_for(lambda: odd in leader.cell.jobs)
+
     def test_a_job_in_the_backlog_is_cancelled(self):
         leader = self.coordinate()
         self.put_wide(4)
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -250,7 +250,7 @@
     # For callers
 
     def holds(self, job_id: str) -> bool:
-        """Return whether a job is in memory, and so has been accepted."""
+        """Return whether a job is known here, and so has been accepted."""
         return job_id in self.cell.jobs or job_id in self.cell.backlog
 
     def status(self, job_id: str) -> state.JobState | errors.Failure:
@@ -325,8 +325,9 @@
                 return progress
             if progress is not None and job_id in self.cell.backlog:
                 self.cell.unclaimed[job_id] = progress
-        self.cell.backlog.remove(job_id)
         self._accept_row(row, must_hold)
+        if must_hold and job_id not in self.cell.jobs:
+            self.cell.backlog.remove(job_id)
         if not self.holds(job_id):
             return errors.Malformed(reason=f"job {job_id} is unreadable")
         return None
@@ -348,7 +349,11 @@
             if job_id is None:
                 gevent.sleep(BACKLOG_INTERVAL_S)
                 continue
-            failure = self._load_job(job_id, must_hold=True)
+            try:
+                failure = self._load_job(job_id, must_hold=True)
+            except Exception:
+                log.exception("reading job {} failed", job_id)
+                failure = errors.Unknown(reason="internal error")
             if failure is None:
                 continue
             log.warning("job {} stays in the backlog: {}", job_id, failure)
