--- a/toucanspring/coordinator/recovery.py
+++ b/toucanspring/coordinator/recovery.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import time
+import types
 from collections.abc import Callable, Collection, Iterable, Mapping
-from types import MappingProxyType
 
 import gevent
 import logbook
@@ -110,7 +110,7 @@
     jobs: Collection[ports.Row],
     progress: table_reader.TableSnapshot,
     read_s: float,
-    outlines: Mapping[str, job_rows.Outline] = MappingProxyType({}),
+    outlines: Mapping[str, job_rows.Outline] = types.MappingProxyType({}),
 ) -> None:
     """Restore all jobs in the rows that were read within `read_s`, and log it."""
     now = uptime.now()
@@ -144,7 +144,7 @@
     jobs: Iterable[ports.Row],
     progress: table_reader.TableSnapshot,
     now: float,
-    outlines: Mapping[str, job_rows.Outline] = MappingProxyType({}),
+    outlines: Mapping[str, job_rows.Outline] = types.MappingProxyType({}),
 ) -> None:
     """Restore all readable jobs with their progress, the oldest first.
 
