Compute the mean speed of a step's workers without fractions

Cause: each listed task of each poll updates the speed of its worker, and `statistics.mean` adds exact fractions.

Change: `statistics.fmean`.

--- a/toucanspring/coordinator/stragglers.py
+++ b/toucanspring/coordinator/stragglers.py
@@ -102,7 +102,7 @@
     others = [each for name, each in step_run.task_rates.items() if name != worker.id]
     if not others or not any(others):
         return
-    speed = min(MAX_SPEED, rate / statistics.mean(others))
+    speed = min(MAX_SPEED, rate / statistics.fmean(others))
     if worker.samples:
         speed = SAMPLE_WEIGHT * speed + (1 - SAMPLE_WEIGHT) * worker.speed
     worker.speed = speed
