Close the connections to a worker that only many stops needed

Cause: a wide cancellation opens up to 48 connections to each worker, and the client's pool kept all of them. The bound of stops in flight doesn't bound what stays open: 53 connections to each of 176 workers are more than the 4,100 descriptors of a VM.

Tests: test_connections_that_only_stops_needed_are_closed_after_them and TrimTest; without the change nothing is closed (released stays empty, and there was no way to close them).

--- a/standins/lease_workers.py
+++ b/standins/lease_workers.py
@@ -219,6 +219,9 @@
     def forget(self, worker_id: str) -> None:
         """Do nothing; there are no connections."""
 
+    def release(self, worker_id: str) -> None:
+        """Do nothing; there are no connections."""
+
     def advance(self) -> None:
         """End the runs that are complete or whose lease has expired."""
         for incarnation in self.incarnations.values():
--- a/test/test_coordinator_stops.py
+++ b/test/test_coordinator_stops.py
@@ -32,9 +32,11 @@
         self.are_late = False  # stops take effect, and their answers come too late
         self.release = None  # an event that the stops in flight wait for
         self.forgotten = []
+        self.released = []
         self.client = types.SimpleNamespace(
-            stop=self.answer, start=self.start, forget=self.forgotten.append
-        )
+            stop=self.answer, start=self.start, forget=self.forgotten.append,
+            release=self.released.append, poll=lambda *_poll: event.Event().wait(),
+        )  # fmt: skip
         self.use(stop_limits.DEFAULT)
 
     def use(self, limits):
@@ -149,6 +151,16 @@
         self.orders.__exit__()
         self.assertEqual(["w1"], self.forgotten)
 
+    # Guards against connections that stay open after a wide cancellation: in time to
+    # each worker as many as its stops needed, and so more than a process may open.
+    def test_connections_that_only_stops_needed_are_closed_after_them(self):
+        self.release = event.Event()
+        self.submit(150)
+        self.settle()
+        self.assertEqual([], self.released)
+        self.count_rounds()
+        self.assertEqual(["w1"], self.released)
+
     # As above, for a job that is as wide as all workers together.
     def test_stops_of_many_workers_do_not_wait_for_each_other(self):
         self.submit_to_workers(40)
--- a/test/test_exchange.py
+++ b/test/test_exchange.py
@@ -46,6 +46,26 @@
         self._server.stop(timeout=0)
 
 
+class TrimTest(testtools.TestCase):
+    # Guards against idle connections that take the descriptors of a process.
+    def test_idle_connections_beyond_a_number_are_closed(self):
+        release = event.Event()
+        started = RawServer(release, OK_HEAD + b"0\r\n\r\n", end=False)
+        self.addCleanup(started.stop)
+        opened = exchange.Endpoint("127.0.0.1", started.port, 12)
+        self.addCleanup(opened.close)
+        calls = [gevent.spawn(opened.call, "GET", "/") for _ in range(12)]
+        while started.connections < 12:
+            gevent.sleep(0.005)
+        release.set()
+        gevent.joinall(calls)
+        opened.trim(7)
+        self.assertEqual(7, opened._pool._socket_queue.qsize())
+        for _ in range(7):
+            self.assertEqual(200, opened.call("GET", "/").status)
+        self.assertEqual(12, started.connections)
+
+
 class ExchangeTest(testtools.TestCase):
     def serve(self, *script, **options):
         started = RawServer(*script, **options)
--- a/toucanspring/adapters/exchange.py
+++ b/toucanspring/adapters/exchange.py
@@ -68,6 +68,11 @@
             self._semaphore.release()
         return found
 
+    def trim(self, kept: int) -> None:
+        """Close idle connections beyond a number."""
+        while self._socket_queue.qsize() > kept:
+            self._socket_queue.get(block=False).close()
+
     @property
     def exhausted(self) -> bool:
         """Return whether all connections are in use."""
@@ -244,6 +249,10 @@
         """Close the idle connections; those in use close when returned."""
         self._pool.close()
 
+    def trim(self, kept: int) -> None:
+        """Close idle connections beyond a number."""
+        self._pool.trim(kept)
+
     def confirm(self, peer: int, reply: Reply) -> None:
         """State that `peer` gave an answer."""
         # An answer that is read late must not replace a later peer.
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -82,6 +82,7 @@
             STOPS_PER_WORKER,
             self._rounds,
             MAX_STOPS_PER_WORKER,
+            client.release,
         )
         self._pending_stops: set[cell_state.Stop] = set()
 
--- a/toucanspring/coordinator/metered.py
+++ b/toucanspring/coordinator/metered.py
@@ -191,6 +191,10 @@
         """Close the connections to a worker that is gone."""
         self._inner.forget(worker_id)
 
+    def release(self, worker_id: str) -> None:
+        """Close the idle connections to a worker that only many orders need."""
+        self._inner.release(worker_id)
+
 
 class Approvals(_Metered):
     """Measures the calls of the approval service; implements `ports.Approvals`."""
--- a/toucanspring/coordinator/order_queue.py
+++ b/toucanspring/coordinator/order_queue.py
@@ -27,6 +27,8 @@
     however many there are. A worker that leaves several in a row unanswered gets few
     orders at a time, unless it answers other calls: its answers are late then, each
     round takes longer, and it gets as many as it may have.
+
+    `on_idle` is called with each worker that had orders and has none left.
     """
 
     def __init__(
@@ -36,6 +38,7 @@
         max_per_worker: int,
         rounds: int = 0,
         max_wide: int = 0,
+        on_idle: Callable[[str], None] = lambda _worker: None,
     ) -> None:
         self.max_in_flight = max_in_flight
         self.in_flight = 0
@@ -45,6 +48,7 @@
         self._max_per_worker = max_per_worker
         self._rounds = rounds
         self._max_wide = max_wide
+        self._on_idle = on_idle
         self._lines: dict[str, collections.deque[Order]] = {}
         self._busy: collections.Counter[str] = collections.Counter()
         # The most orders of a worker at a time since it last had none.
@@ -148,6 +152,7 @@
                     self._peaks.pop(worker, None)
                     self._failed.pop(worker, None)
                     self._late.discard(worker)
+                    self._on_idle(worker)
             self._dispatch(worker)
 
     def _repeat(self, worker: str, order: Order, after_s: float) -> None:
--- a/toucanspring/coordinator/ports.py
+++ b/toucanspring/coordinator/ports.py
@@ -261,6 +261,9 @@
     def forget(self, worker_id: str) -> None:
         """Close the connections to a worker that is gone."""
 
+    def release(self, worker_id: str) -> None:
+        """Close the idle connections to a worker that only many orders need."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticket:
--- a/toucanspring/coordinator/stop_limits.py
+++ b/toucanspring/coordinator/stop_limits.py
@@ -14,6 +14,8 @@
 ORDER_S = 0.05
 # Capacity of stopped tasks becomes free early also where more time is permitted.
 MAX_ROUNDS = 6
+# To a worker between orders: starts, few stops and a poll.
+KEPT_CONNECTIONS = 7
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
