Send as many stops at a time as the coordinator's VM carries

Cause: 500 stops in flight of all workers together, a bound of the coordinator's own. 6,120 stops need 13 of them in a row, 0.95 s each at the slowest lawful answer, and 7 s are permitted until the last one is sent (4 s until the acknowledgement counts, 3 s after it).

Change: `stop_limits.choose` takes the bound from the VM: a tenth of its memory at 24 kB a stop, and the descriptors that callers, other processes and seven connections to each worker leave. `ack_ms` is read from the settings.

Evidence: test_all_tasks_of_many_workers_are_stopped_in_time, 13 rounds with 500 in flight, at most 6 now.

--- a/test/test_coordinator_stops.py
+++ b/test/test_coordinator_stops.py
@@ -216,6 +216,47 @@
         self.assertEqual(11, self.orders.stops.in_flight)
 
 
+class AllWorkersTest(StopCase):
+    # The smallest VM of a deployment with 24 workers, with 1.07 cores, 300 MB and 4,100
+    # descriptors; stops of 0.9 s, 3 s from the acknowledgement and 4 s until it.
+    VM = stop_limits.choose(0.9, 3.0, 4.0, 1_950, 300e6, 1.07)
+
+    def register(self, count):
+        """Register workers that are polled; return their names."""
+        names = [f"x{number}" for number in range(count)]
+        for name in names:
+            self.orders.watch(self.cell.register_worker(case.entry(name)))
+            case.poll(self.cell, name)
+        return names
+
+    # Guards against tasks of cancelled jobs that run on since the stops of all workers
+    # together wait for each other: 6,120 tasks on 24 workers, 500 stops at a time.
+    def test_all_tasks_of_many_workers_are_stopped_in_time(self):
+        self.use(self.VM)
+        names = self.register(24)
+        self.release = event.Event()
+        for name in names:
+            self.submit(255, name)
+        rounds = 0
+        self.settle()
+        while self.orders.stops.in_flight:
+            rounds += 1
+            answered, self.release = self.release, event.Event()
+            answered.set()
+            self.settle()
+        # Each takes 0.95 s; the last one is sent after 4.75 s of the 7 s, of which one
+        # that gets no answer takes 1.35 s.
+        self.assertLessEqual(rounds, 6)
+
+    # Guards against stops that take the descriptors of the connections to workers.
+    def test_stops_leave_a_few_connections_to_each_worker(self):
+        self.use(stop_limits.choose(0.4, 4.0, 6.0, 1_950, 550e6, 2.0))
+        self.register(176)
+        most = self.orders.stops.max_in_flight
+        self.assertLessEqual(most + 176 * stop_limits.KEPT_CONNECTIONS, 1_850)
+        self.assertLess(500, most)
+
+
 class LateAnswerTest(StopCase):
     def poll(self):
         """Apply a reply of the worker with the runs that it still holds."""
--- a/test/test_platform_directory.py
+++ b/test/test_platform_directory.py
@@ -429,11 +429,23 @@
 
     # Guards against stops that are planned for the limits of another platform.
     def test_the_limits_of_stops_are_read(self):
-        text = "grace_s = 6\nstop_timeout_ms = 900\ncancel_ms = 3000"
+        text = "grace_s = 6\nstop_timeout_ms = 900\ncancel_ms = 3000\nack_ms = 5000"
         found = self.read(self.SETTINGS.replace("grace_s = 6", text)).stop_limits
         self.assertEqual((0.9, 3.0), (found.stop_s, found.cancel_s))
+        self.assertEqual(5.0, found.ack_s)
         self.assertEqual(2, found.count_rounds())
 
+    # Guards against a number of stops that is the same on each VM.
+    def test_a_vm_with_more_memory_sends_more_stops_at_a_time(self):
+        sizes = "[limits]\nmax_fds = 4100\nmemory_mb = {}\n"
+        found = [
+            self.read(self.SETTINGS + sizes.format(size)).stop_limits
+            for size in (160, 300)
+        ]
+        small, large = (each.find_max_in_flight(24) for each in found)
+        self.assertLess(small, large)
+        self.assertLessEqual(24 * 48, large)
+
     def test_what_the_vm_can_carry_is_read(self):
         limits = """
 [limits]
--- a/toucanspring/callers/client_limits.py
+++ b/toucanspring/callers/client_limits.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import enum
+import math
 from collections.abc import Mapping
 
 import msgspec
@@ -146,6 +147,13 @@
     return max(1, min(MAX_PEER_STREAMS, int(usable * PEER_FD_SHARE)))
 
 
+def choose_worker_connections(max_fds: int) -> float:
+    """Return how many descriptors callers and processes leave; 0 is unknown."""
+    if max_fds <= 0:
+        return math.inf
+    return max(0, max_fds - FILE_FDS) * (1 - FD_SHARE - PEER_FD_SHARE)
+
+
 def count_closing(max_connections: int) -> int:
     """Return how many displaced connections may still be closing."""
     return max(1, int(max_connections * CLOSING_FRACTION))
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -38,11 +38,6 @@
 # Recorded starts that wait to be sent, in the mean. A start of more urgent work waits
 # behind them, and they hold capacity meanwhile.
 MAX_WAITING_STARTS_PER_WORKER = 32
-STOPS_PER_WORKER = 2  # in flight; more for a worker with many stops
-# A worker resets connections beyond 64. Besides stops there are starts, a poll, and
-# those that a former coordinator has not closed yet.
-MAX_STOPS_PER_WORKER = 48
-MAX_STOPS_IN_FLIGHT = 500  # bounds the connections of a process
 DURABLE_WAIT_S = 1.0  # limit of a wait for the store before the next lease renewal
 
 
@@ -75,13 +70,14 @@
         )
         self.starts = self._start_orders.queue
         self._ended_before = 0
+        self._limits = limits
         self._rounds = limits.count_rounds()
         self.stops = order_queue.OrderQueue(
             self._stop,
-            MAX_STOPS_IN_FLIGHT,
-            STOPS_PER_WORKER,
+            limits.find_max_in_flight(0),
+            stop_limits.STOPS_PER_WORKER,
             self._rounds,
-            MAX_STOPS_PER_WORKER,
+            stop_limits.MAX_STOPS_PER_WORKER,
             client.release,
         )
         self._pending_stops: set[cell_state.Stop] = set()
@@ -107,6 +103,7 @@
         if not self.watches(worker):
             self._acknowledged[worker.id] = event.Event()
             self._loops[worker.id] = gevent.spawn(self._run, worker)
+            self._divide_connections()
 
     def notify_acknowledged(self, worker: workers.Worker) -> None:
         """End the wait of a worker's loop for the ends to become durable."""
@@ -114,6 +111,10 @@
         if signal is not None:
             signal.set()
 
+    def _divide_connections(self) -> None:
+        """Give the stops the connections that no worker needs otherwise."""
+        self.stops.max_in_flight = self._limits.find_max_in_flight(len(self._loops))
+
     # Polling
 
     def _run(self, worker: workers.Worker) -> None:
@@ -150,6 +151,7 @@
                 self._leader.cell.remove_worker(worker.id)
                 self._client.forget(worker.id)
                 self._loops.pop(worker.id, None)
+                self._divide_connections()
                 return True
         return False
 
@@ -280,8 +282,8 @@
             self.stops.submit(order.worker, order)
 
     def max_tasks_stopped_in_time(self) -> int:
-        """Return how many tasks of one worker a cancellation can stop in time."""
-        return self._rounds * MAX_STOPS_PER_WORKER
+        """Return how many tasks of one worker a cancellation stops without waiting."""
+        return self._rounds * stop_limits.MAX_STOPS_PER_WORKER
 
     def has_timely_stops(self) -> bool:
         """Return whether all stops are sent within the time of a cancellation."""
