Place no more tasks than can be stopped in time

Cause: how many tasks are on a worker was only a preference (fewest first). A worker takes 64 connections, 48 of which stops use, so 612 stops are 13 in a row, 11.4 s of the 7 s that are permitted. No way of sending helps: the connections are the worker's.

Change: `StopLimits.find_task_limits` gives how many tasks of one worker, and of all, can be stopped in time: by the connections of the worker, the stops that the coordinator's VM has in flight, and its processor time. `TaskRoom` keeps the planner below it. Work of which nothing runs still starts beside free capacity, and so does each task that lasts; the others wait and are shown with the reason "the workers have as many tasks as can be stopped in time".

Tests: FullWorkersTest, four tests; without the limits 8 tasks start instead of 6.

--- a/test/test_coordinator_stops.py
+++ b/test/test_coordinator_stops.py
@@ -9,7 +9,14 @@
 from test import coordinator_case as case
 from test import worker_sockets
 from toucanspring import errors, resources
-from toucanspring.coordinator import cell_state, dispatch, planner, ports, stop_limits
+from toucanspring.coordinator import (
+    cell_state,
+    dispatch,
+    planner,
+    ports,
+    stop_limits,
+)
+from toucanspring.coordinator import plans as planning
 
 JOB = "0" * 16
 # How many stops may follow each other within the permitted time of a cancellation
@@ -349,3 +356,52 @@
             sum(each.worker.id == name for each in starts) for name in ("w1", "w2")
         )
         self.assertEqual([4, 4], counts)
+
+
+class FullWorkersTest(testtools.TestCase):
+    OTHER, SERVICE = "1" * 16, "2" * 16
+
+    def setUp(self):
+        super().setUp()
+        self.cell = case.new_cell(case.entry("w1"), case.entry("w2"))
+        self.plans = planner.Planner(self.cell)
+        self.plans.max_tasks_stopped_in_time = 1
+        self.plans.task_room.limits = stop_limits.TaskLimits(3, 6)
+        self.cell.accept(case.job(JOB, case.step(8, cpus=10)), 1.0)
+        starts = self.plans.plan(1.0).starts
+        self.assertEqual(6, len(starts))
+        for each in starts:
+            self.cell.confirm_start(each.step, each.task, each.run, 1.0)
+
+    def held(self):
+        return [len(each.allocations) for each in self.cell.workers.values()]
+
+    # Guards against more tasks on a worker, or on all of them, than can be stopped in
+    # time: 612 on each of two workers, of which 303 ran on too long (review/14).
+    def test_no_worker_gets_more_tasks_than_can_be_stopped_in_time(self):
+        self.assertEqual([3, 3], self.held())
+        self.assertEqual([], self.plans.plan(9.0).starts)
+        [step_run] = self.cell.ready.values()
+        self.assertEqual(planning.TOO_MANY_TASKS, step_run.wait_reason)
+
+    # Guards against a step that waits for good once it has waited for other tasks.
+    def test_a_further_task_starts_once_one_has_ended(self):
+        self.plans.plan(1.1)
+        ended, *others = self.cell.workers["w2"].allocations
+        running = [case.running(each) for each in others]
+        case.poll(self.cell, "w2", running, [case.ended(1, ended)], now=1.2)
+        self.assertEqual(1, len(self.plans.plan(1.2).starts))
+        self.assertEqual([3, 3], self.held())
+
+    # Guards against work that waits beside free capacity although nothing of it runs.
+    def test_a_job_of_which_nothing_runs_starts_one_task(self):
+        self.cell.accept(case.job(self.OTHER, case.step(4, cpus=10)), 1.0)
+        self.assertEqual(1, len(self.plans.plan(1.1).starts))
+        self.assertEqual([], self.plans.plan(3.0).starts)
+
+    # As above, for tasks that last, each of which has to run.
+    def test_all_tasks_that_last_start(self):
+        step = case.step(4, cpus=10, long_running=True)
+        self.cell.accept(case.job(self.SERVICE, step), 1.0)
+        self.assertEqual(4, len(self.plans.plan(1.1).starts))
+        self.assertEqual([5, 5], self.held())
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -285,6 +285,10 @@
         """Return how many tasks of one worker a cancellation stops without waiting."""
         return self._rounds * stop_limits.MAX_STOPS_PER_WORKER
 
+    def find_task_limits(self) -> stop_limits.TaskLimits:
+        """Return how many tasks a cancellation can stop in time."""
+        return self._limits.find_task_limits(len(self._loops))
+
     def has_timely_stops(self) -> bool:
         """Return whether all stops are sent within the time of a cancellation."""
         return self.stops.count_rounds() <= self._rounds
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -463,6 +463,7 @@
         may_start = self.may_start(now)
         if may_start:
             self._planner.max_starts = self._dispatcher.start_limit()
+            self._planner.task_room.limits = self._dispatcher.find_task_limits()
             self._planner.approvals.ticket_margin_s = (
                 self._dispatcher.pacing.ticket_margin_s()
             )
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -22,6 +22,7 @@
     placement,
     plans,
     state,
+    task_room,
     urgency,
     workers,
 )
@@ -47,9 +48,10 @@
         self.approvals = approvals.Approvals()
         self._gangs = gangs.Gangs(cell, self, self.approvals)
         self._ceilings = ceilings.Ceilings(cell)
+        self.task_room = task_room.TaskRoom(cell)
         self.max_starts = order_pacing.MIN_STARTS_PER_ROUND
-        # A worker gets more tasks only where all others have as many or no room; then
-        # the one with the fewest does.
+        # A worker gets more tasks, up to the limit of `task_room`, only where all others
+        # have as many or no room; then the one with the fewest does.
         self.max_tasks_stopped_in_time = math.inf
         # The latest round ended before all steps were looked at.
         self._was_cut_short = False
@@ -65,6 +67,7 @@
         plan = plans.Plan()
         self._available.begin_round(now)
         self._ceilings.begin_round()
+        self.task_room.begin_round()
         self._gangs.begin_round(plan, now)
         over_share = urgency.find_over_share(self._cell)
         steps = sorted(
@@ -120,6 +123,9 @@
             # Looked at in each round, since the next configuration may raise it.
             plan.record_wait(step_run, plans.EXCEEDS_CEILING)
             return True
+        if not self.task_room.has_any(step_run):
+            plan.record_wait(step_run, plans.TOO_MANY_TASKS)
+            return True
         if step_run.approval_pending and not step_run.tickets:
             plan.record_wait(step_run, plans.AWAITING_APPROVAL)
             return True
@@ -340,6 +346,7 @@
                 worker
                 for worker in open_workers
                 if worker.has_room(demand)
+                and self.task_room.permits(step_run, worker)
                 and placement.may_place(step_run, task, worker, on_worker, now)
             ]
             valid = [
@@ -349,6 +356,10 @@
             ]
             if not valid and task.avoided_workers and now < task.avoid_until:
                 continue  # other tasks of the step may still fit
+            if not fits and self._waits_for_ends(step_run, queue, open_workers):
+                plan.record_wait(step_run, plans.TOO_MANY_TASKS)
+                self.block(step_run, now, task_room.RETRY_S)
+                return
             if not valid:
                 # Reservations may end at any time.
                 may_block = len(open_workers) == len(eligible)
@@ -379,6 +390,19 @@
             on_worker[best.id] = on_worker.get(best.id, 0) + 1
             self.start(step_run, task, best, task.run + 1, queue, plan, now)
 
+    def _waits_for_ends(
+        self,
+        step_run: state.StepRun,
+        queue: catalogue.Queue,
+        open_workers: list[workers.Worker],
+    ) -> bool:
+        """Return whether a step has capacity, but too many tasks would run there."""
+        return queue.approval is None and any(
+            worker.has_room(step_run.step.occupied())
+            and not self.task_room.permits(step_run, worker)
+            for worker in open_workers
+        )
+
     def _request_or_block(
         self,
         step_run: state.StepRun,
@@ -416,6 +440,7 @@
         """Allocate resources for a run and add its start to the plan."""
         ticket = self.approvals.ticket(step_run, queue, worker.id, now) or ""
         self._cell.allocate(step_run, task, worker, run_number)
+        self.task_room.record_start()
         plan.starts.append(
             plans.Start(
                 step_run,
--- /dev/null
+++ b/toucanspring/coordinator/task_room.py
@@ -0,0 +1,46 @@
+"""How many more tasks may start so that a cancellation stops all of them in time.
+
+Work of which nothing runs starts beside free capacity however many tasks there are, and
+so does each task that lasts.
+"""
+
+from __future__ import annotations
+
+from toucanspring.coordinator import cell_state, state, stop_limits, workers
+
+# Until a step that waits for tasks to end is looked at again.
+RETRY_S = 0.25
+
+
+class TaskRoom:
+    """Count of the tasks on all workers in a planning round, and its limits."""
+
+    def __init__(self, cell: cell_state.CellState) -> None:
+        self.limits = stop_limits.TaskLimits()
+        self._cell = cell
+        self._tasks = 0
+
+    def begin_round(self) -> None:
+        """Count the tasks that are on the workers."""
+        self._tasks = sum(each.count_tasks() for each in self._cell.workers.values())
+
+    def record_start(self) -> None:
+        """Count a task that was placed in this round."""
+        self._tasks += 1
+
+    def has_any(self, step_run: state.StepRun) -> bool:
+        """Return whether a task of a step, or the whole gang, may start on any worker.
+
+        Costs little for each step and round.
+        """
+        count = step_run.step.count if step_run.step.gang else 1
+        return is_exempt(step_run) or self._tasks + count <= self.limits.in_all
+
+    def permits(self, step_run: state.StepRun, worker: workers.Worker) -> bool:
+        """Return whether a further task of a step may start on a worker."""
+        return worker.count_tasks() < self.limits.of_worker or is_exempt(step_run)
+
+
+def is_exempt(step_run: state.StepRun) -> bool:
+    """Return whether tasks of a step may not wait for other tasks to end."""
+    return step_run.step.long_running or not step_run.job.allocated
--- a/toucanspring/coordinator/workers.py
+++ b/toucanspring/coordinator/workers.py
@@ -98,6 +98,10 @@
             free = free - demand
         return free
 
+    def count_tasks(self) -> int:
+        """Return how many tasks run on the worker or are about to."""
+        return len(self.allocations) + len(self.unknown_tasks)
+
     def has_room(self, demand: resources.Resources) -> bool:
         """Return whether `demand` fits into the free capacity."""
         if self.unknown_tasks:
