Spread a gang that is wider than can be stopped without waiting

Change: members are packed up to what a cancellation stops without waiting; beyond that they are spread as evenly as the capacity permits. The preference for single tasks permitted one task more than its limit; that is corrected, and runs that a worker holds without an allocation count.

Tests: SpreadGangTest; three of four fail before ([0, 0, 12] instead of [4, 4, 4] twice, [1, 2, 12] instead of [1, 1, 1]).

--- a/test/test_coordinator_stops.py
+++ b/test/test_coordinator_stops.py
@@ -358,6 +358,48 @@
         self.assertEqual([4, 4], counts)
 
 
+class SpreadGangTest(testtools.TestCase):
+    def plan(self, step, limits, soft):
+        cell = case.new_cell(*(case.entry(f"w{number}") for number in range(3)))
+        plans = planner.Planner(cell)
+        plans.max_tasks_stopped_in_time = soft
+        plans.task_room.limits = limits
+        cell.accept(case.job(JOB, *step), 1.0)
+        plan = plans.plan(1.0)
+        case.confirm(cell, plan, 1.0)
+        return plans, sorted(len(each.allocations) for each in cell.workers.values())
+
+    # Guards against a gang whose members all go to one worker, so that their stops
+    # take longer than a cancellation may, beside workers that have none.
+    def test_a_wide_gang_is_spread(self):
+        gang = case.step(12, cpus=10, gang=True)
+        limits = stop_limits.TaskLimits(6, 18)
+        self.assertEqual([4, 4, 4], self.plan([gang], limits, 3)[1])
+
+    def test_a_narrow_gang_stays_together(self):
+        gang = case.step(3, cpus=10, gang=True)
+        limits = stop_limits.TaskLimits(6, 18)
+        self.assertEqual([0, 0, 3], self.plan([gang], limits, 3)[1])
+
+    # Guards against a gang that waits beside free capacity although nothing of its job
+    # runs; it is still spread.
+    def test_a_gang_beyond_the_limit_starts_if_nothing_of_its_job_runs(self):
+        gang = case.step(12, cpus=10, gang=True)
+        limits = stop_limits.TaskLimits(3, 9)
+        self.assertEqual([4, 4, 4], self.plan([gang], limits, 2)[1])
+
+    # Guards against a gang that places more tasks than can be stopped in time, or stops
+    # others to make room, while other tasks of its job run.
+    def test_a_gang_beyond_the_limit_waits_while_its_job_runs(self):
+        steps = [case.step(3, cpus=10), case.step(12, cpus=10, gang=True)]
+        limits = stop_limits.TaskLimits(3, 99)
+        plans, counts = self.plan(steps, limits, 1)
+        self.assertEqual([1, 1, 1], counts)
+        self.assertEqual([], plans.plan(9.0).starts)
+        reasons = {each.wait_reason for each in plans._cell.ready.values()}
+        self.assertEqual({planning.TOO_MANY_TASKS}, reasons)
+
+
 class FullWorkersTest(testtools.TestCase):
     OTHER, SERVICE = "1" * 16, "2" * 16
 
--- a/toucanspring/coordinator/gangs.py
+++ b/toucanspring/coordinator/gangs.py
@@ -15,6 +15,7 @@
     preemption,
     state,
     stop_causes,
+    task_room,
     workers,
 )
 
@@ -46,7 +47,10 @@
 
 
 class PlannerInterface(Protocol):
-    """Methods of the planner that single tasks and gangs share."""
+    """What single tasks and gangs share of the planner."""
+
+    max_tasks_stopped_in_time: float
+    task_room: task_room.TaskRoom
 
     def start(
         self,
@@ -150,9 +154,15 @@
             for worker in allowed
             if worker.id not in plan.reserved and not worker.is_paused(now)
         ]
-        chosen = self._place(step_run, queue, open_workers, now)
+        max_tasks = self._find_max_tasks(step_run, open_workers)
+        if not max_tasks:
+            plan.record_wait(step_run, plans.TOO_MANY_TASKS)
+            self._planner.block(step_run, now, task_room.RETRY_S)
+            return
+        chosen = self._place(step_run, queue, open_workers, now, max_tasks)
         if chosen is None and held_back:
-            chosen = placement.place_gang(step_run, allowed, {})
+            max_tasks = self._find_max_tasks(step_run, allowed)
+            chosen = placement.place_gang(step_run, allowed, {}, max_tasks)
         if chosen is None:
             step_run.held = frozenset()
             plan.record_wait(step_run, plans.NO_ROOM)
@@ -188,12 +198,21 @@
                     step_run, task, worker, run_number, queue, plan, now
                 )
 
+    def _find_max_tasks(
+        self, step_run: state.StepRun, eligible: list[workers.Worker]
+    ) -> float:
+        """Return how many tasks a worker may have with a gang; 0 if it has to wait."""
+        return self._planner.task_room.find_max_with_gang(
+            step_run, eligible, self._planner.max_tasks_stopped_in_time
+        )
+
     def _place(
         self,
         step_run: state.StepRun,
         queue: catalogue.Queue,
         open_workers: list[workers.Worker],
         now: float,
+        max_tasks: float,
     ) -> list[tuple[workers.Worker, int]] | None:
         """Place a gang, if possible where it has tickets, else where it holds workers.
 
@@ -216,6 +235,7 @@
                 candidates,
                 self._cell,
                 lambda found: self._find_delay(step_run, queue, found, now),
+                max_tasks,
             )
             if chosen is None:
                 continue
--- a/toucanspring/coordinator/placement.py
+++ b/toucanspring/coordinator/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import math
 from collections.abc import Callable, Iterable
 
@@ -134,26 +135,28 @@
     eligible: list[workers.Worker],
     cell: cell_state.CellState,
     find_delay: Callable[[list[tuple[workers.Worker, int]]], float],
+    max_tasks: float = math.inf,
 ) -> list[tuple[workers.Worker, int]] | None:
     """Return workers with counts of members so that the gang ends as early as possible.
 
     A gang is as fast as its slowest worker, so it is placed within the fastest class,
     within the others or anywhere. It does not wait until fast workers have room.
-    `find_delay` returns the seconds until the gang could start on given workers.
+    `find_delay` returns the seconds until the gang could start on given workers, which
+    have at most `max_tasks` tasks each with it.
     """
     known = cell.speeds
     if not known.differ:
-        return place_gang(step_run, eligible, {})
+        return place_gang(step_run, eligible, {}, max_tasks)
     ranks = {each.id: known.rank(each.id, each.kind) for each in eligible}
     fastest = max(ranks.values(), default=0)
     groups = [
         [each for each in eligible if ranks[each.id] == fastest],
         [each for each in eligible if ranks[each.id] < fastest],
     ]
-    options = [place_gang(step_run, each, {}) for each in groups if each]
+    options = [place_gang(step_run, each, {}, max_tasks) for each in groups if each]
     found = [each for each in options if each is not None]
     if not found:
-        return place_gang(step_run, eligible, {})
+        return place_gang(step_run, eligible, {}, max_tasks)
     return min(
         found,
         key=lambda chosen: estimate_gang_end(
@@ -178,28 +181,49 @@
     step_run: state.StepRun,
     eligible: list[workers.Worker],
     reclaimable: dict[str, resources.Resources],
+    max_tasks: float = math.inf,
 ) -> list[tuple[workers.Worker, int]] | None:
     """Return workers with counts of members, or None if the gang does not fit.
 
     With `same_rack` a single rack is preferred. `reclaimable` is capacity by worker ID
-    that preemption could free.
+    that preemption could free. No worker has more than `max_tasks` tasks with them.
     """
     if not step_run.step.same_rack:
-        return _pack(step_run, eligible, reclaimable)
+        return _pack(step_run, eligible, reclaimable, max_tasks)
     racks: dict[str, list[workers.Worker]] = {}
     for worker in eligible:
         racks.setdefault(worker.entry.rack, []).append(worker)
     for members in racks.values():
-        chosen = _pack(step_run, members, reclaimable)
+        chosen = _pack(step_run, members, reclaimable, max_tasks)
         if chosen is not None:
             return chosen
-    return _pack(step_run, eligible, reclaimable)
+    return _pack(step_run, eligible, reclaimable, max_tasks)
+
+
+def find_level(step_run: state.StepRun, eligible: list[workers.Worker]) -> int | None:
+    """Return how many tasks the fullest worker has at least if a gang is spread.
+
+    It is None if the workers have no room for the gang.
+    """
+    rooms = [
+        (worker.count_tasks(), count_slots(step_run, worker)) for worker in eligible
+    ]
+    count = step_run.step.count
+    if sum(slots for _, slots in rooms) < count:
+        return None
+
+    def has_room(level: int) -> bool:
+        return count <= sum(min(slots, max(0, level - tasks)) for tasks, slots in rooms)
+
+    highest = max(tasks for tasks, _ in rooms) + count
+    return bisect.bisect_left(range(highest), True, key=has_room)
 
 
 def _pack(
     step_run: state.StepRun,
     eligible: list[workers.Worker],
     reclaimable: dict[str, resources.Resources],
+    max_tasks: float,
 ) -> list[tuple[workers.Worker, int]] | None:
     demand = step_run.step.occupied()
     fitting_workers = []
@@ -208,6 +232,7 @@
         count = demand.count_in(free)
         if step_run.step.max_per_worker:
             count = min(count, step_run.step.max_per_worker)
+        count = int(min(count, max_tasks - worker.count_tasks()))
         if count > 0:
             fitting_workers.append((count, worker))
     fitting_workers.sort(key=lambda each: (each[1].failures, -each[0]))
--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -50,8 +50,8 @@
         self._ceilings = ceilings.Ceilings(cell)
         self.task_room = task_room.TaskRoom(cell)
         self.max_starts = order_pacing.MIN_STARTS_PER_ROUND
-        # A worker gets more tasks, up to the limit of `task_room`, only where all others
-        # have as many or no room; then the one with the fewest does.
+        # A worker gets more tasks, up to the limit of `task_room`, only where all
+        # others have as many or no room; then the one with the fewest does.
         self.max_tasks_stopped_in_time = math.inf
         # The latest round ended before all steps were looked at.
         self._was_cut_short = False
@@ -383,7 +383,7 @@
                 key=lambda worker: (
                     held_back and (worker.is_paused(now) or worker.id in plan.reserved),
                     worker.id in plan.kept,
-                    max(0, len(worker.allocations) - self.max_tasks_stopped_in_time),
+                    max(0, worker.count_tasks() + 1 - self.max_tasks_stopped_in_time),
                     placement.rank(step_run, worker, worker.free(), speed_order),
                 ),
             )
--- a/toucanspring/coordinator/task_room.py
+++ b/toucanspring/coordinator/task_room.py
@@ -6,7 +6,15 @@
 
 from __future__ import annotations
 
-from toucanspring.coordinator import cell_state, state, stop_limits, workers
+import math
+
+from toucanspring.coordinator import (
+    cell_state,
+    placement,
+    state,
+    stop_limits,
+    workers,
+)
 
 # Until a step that waits for tasks to end is looked at again.
 RETRY_S = 0.25
@@ -40,6 +48,26 @@
         """Return whether a further task of a step may start on a worker."""
         return worker.count_tasks() < self.limits.of_worker or is_exempt(step_run)
 
+    def find_max_with_gang(
+        self,
+        step_run: state.StepRun,
+        eligible: list[workers.Worker],
+        preferred: float,
+    ) -> float:
+        """Return how many tasks a worker may have with members of a gang.
+
+        They are `preferred` or, if the gang doesn't fit so, as few as possible. The
+        result is 0 if the gang has to wait for other tasks to end.
+        """
+        if math.isinf(preferred):
+            return math.inf
+        level = placement.find_level(step_run, eligible)
+        if level is None:
+            return math.inf  # no limit is in its way
+        if level > self.limits.of_worker and not is_exempt(step_run):
+            return 0
+        return max(preferred, level)
+
 
 def is_exempt(step_run: state.StepRun) -> bool:
     """Return whether tasks of a step may not wait for other tasks to end."""
