Keep 500 stops in flight with any number of workers

A fleet of 540 workers (as the large site has) would have 100 stops in flight on a VM of 4,100 descriptors, fewer than the 500 before.

Change: the bound is at least 500. Open: at 540 workers with seven connections each, 500 stops and all connections that callers and processes may open, the sum is more than 3,900 descriptors, as it was before.

--- a/toucanspring/coordinator/stop_limits.py
+++ b/toucanspring/coordinator/stop_limits.py
@@ -32,7 +32,9 @@
 # the write; and the part of the VM's processor that may go into that.
 PROCESSOR_S = 0.0007
 PROCESSOR_SHARE = 3 / 4
-MIN_IN_FLIGHT = 100
+# Also with so many workers that all connections were taken if each had as many as it
+# may keep: most have fewer.
+MIN_IN_FLIGHT = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
