Don't send starts that wait above a lowered ceiling

A start that is sent later than `config_apply_ms` after the ceiling was lowered breaks QUOTA.

Change: a start is checked against the present ceiling when it is sent, and again before it is repeated; one above it goes back to the queue.

Test: test_starts_that_wait_are_not_sent_above_a_lowered_ceiling; 8 starts are sent before, 5 now.

--- a/test/test_coordinator_stops.py
+++ b/test/test_coordinator_stops.py
@@ -1,5 +1,6 @@
 """Stops of many runs on one worker: bounded in time, and none holds up the others."""
 
+import dataclasses
 import types
 
 import gevent
@@ -341,6 +342,30 @@
         self.send(lambda: setattr(self.cell, "zones_out", frozenset({"zone-a"})))
 
 
+class LoweredCeilingTest(StopCase):
+    def start(self, _worker, order):
+        self.sent.append(order.task)
+        return ports.OrderDone(10_000)
+
+    def configure(self, cpus):
+        desk = dataclasses.replace(case.DESK, ceiling=resources.Resources(cpus=cpus))
+        self.cell.configure(case.configure(organisations=[desk]))
+
+    # Guards against starts that wait for a slot of their worker and are sent after the
+    # ceiling was lowered: with slow answers the last of 120 waits for seconds.
+    def test_starts_that_wait_are_not_sent_above_a_lowered_ceiling(self):
+        self.configure(8000)
+        self.cell.accept(case.job(JOB, case.step(8)), 1.0)
+        starts = planner.Planner(self.cell).plan(1.0).starts
+        self.assertEqual(8, len(starts))
+        self.configure(5000)
+        for each in starts:
+            self.orders.start(each, 1.0)
+        self.settle()
+        self.assertEqual(5, len(self.sent))
+        self.assertEqual(3, case.phases(self.cell).count(case.WAITING))
+
+
 class SpreadTest(testtools.TestCase):
     # Guards against one worker with more tasks than can be stopped in time, while
     # others have few.
--- a/toucanspring/coordinator/ceilings.py
+++ b/toucanspring/coordinator/ceilings.py
@@ -53,11 +53,7 @@
 
         Jobs of open queues may have no organisation.
         """
-        name = step_run.job.spec.organisation
-        if not name:
-            return resources.ZERO
-        organisation = self._cell.organisations.get(name)
-        return None if organisation is None else organisation.ceiling
+        return find(self._cell, step_run)
 
     def permits(self, step_run: state.StepRun) -> bool:
         """Return whether one more task, or the whole gang, stays below the ceiling.
@@ -200,6 +196,24 @@
             victims.sort(key=lambda each: (each[0], -each[1].task.percent))
 
 
+def find(
+    cell: cell_state.CellState, step_run: state.StepRun
+) -> resources.Resources | None:
+    """Return the ceiling of a step's organisation (0: no limit), None if unknown."""
+    name = step_run.job.spec.organisation
+    if not name:
+        return resources.ZERO
+    organisation = cell.organisations.get(name)
+    return None if organisation is None else organisation.ceiling
+
+
+def are_exceeded(cell: cell_state.CellState, step_run: state.StepRun) -> bool:
+    """Return whether a step's organisation has more placed than its ceiling permits."""
+    ceiling = find(cell, step_run)
+    used = cell.used[step_run.job.spec.organisation]
+    return ceiling is not None and not used.fits(_without_zeros(ceiling))
+
+
 def _without_zeros(ceiling: resources.Resources) -> resources.Resources:
     """Return a ceiling in which 0 does not stand for no limit."""
     unlimited = resources.UNLIMITED
--- a/toucanspring/coordinator/start_orders.py
+++ b/toucanspring/coordinator/start_orders.py
@@ -10,6 +10,7 @@
 from toucanspring import errors
 from toucanspring import log as structured
 from toucanspring.coordinator import (
+    ceilings,
     cell_state,
     leader,
     order_pacing,
@@ -28,6 +29,7 @@
 WORKER_FAILED = "the worker failed before the order was sent"
 WORKER_RESTARTED = "the worker restarted before the order was sent"
 NOT_WANTED = "the job was cancelled before the order was repeated"
+ABOVE_CEILING = "the ceiling of the organisation was lowered before the order was sent"
 NOT_PERMITTED = (
     "the lease or the view of the settings ran out before the order was sent"
 )
@@ -175,6 +177,8 @@
             return "", WORKER_FAILED
         if not worker.is_available(self._leader.cell.zones_out):
             return "", WORKER_LEAVES
+        if ceilings.are_exceeded(self._leader.cell, start.step):
+            return "", ABOVE_CEILING
         if not start.ticket:
             return "", ""
         ticket = start.step.tickets.get(worker.id)
@@ -193,6 +197,8 @@
             return WORKER_RESTARTED
         if not start.worker.is_available(self._leader.cell.zones_out):
             return WORKER_LEAVES
+        if ceilings.are_exceeded(self._leader.cell, start.step):
+            return ABOVE_CEILING
         return ""
 
     def _log_failure(self, queued: QueuedStart, sent: float, reason: str) -> None:
