--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -78,7 +78,7 @@
             stop_limits.STOPS_PER_WORKER,
             self._rounds,
             stop_limits.MAX_STOPS_PER_WORKER,
-            client.release,
+            lambda worker_id: client.release(worker_id),
         )
         self._pending_stops: set[cell_state.Stop] = set()
 
