Answer a cancellation once the stops of its own job are in time

Cause: the acknowledgement waited until few enough stops of all jobs were left. At a new coordinator it was answered too early instead: stops that were read with the job and not queued yet did not count.

Change: stops are counted by job. A cancellation waits while stops of its job are left and more rounds than may follow, or while some are not queued.

--- a/toucanspring/coordinator/cell_state.py
+++ b/toucanspring/coordinator/cell_state.py
@@ -50,6 +50,11 @@
         default=stop_causes.StopCause.UNKNOWN_RUN, compare=False
     )
 
+    @property
+    def job(self) -> str:
+        """Return the ID of the job of the task."""
+        return self.task.partition(".")[0]
+
 
 class CellState:
     """Jobs and workers of the cell; owned by the elected coordinator."""
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Callable
 
 import gevent
@@ -81,6 +82,7 @@
             lambda worker_id: client.release(worker_id),
         )
         self._pending_stops: set[cell_state.Stop] = set()
+        self._pending_of_job: collections.Counter[str] = collections.Counter()
 
     def __enter__(self) -> Dispatcher:
         return self
@@ -279,6 +281,7 @@
         """Queue a stop order, sent until it is confirmed or the run is gone."""
         if order not in self._pending_stops:
             self._pending_stops.add(order)
+            self._pending_of_job[order.job] += 1
             self.stops.submit(order.worker, order)
 
     def max_tasks_stopped_in_time(self) -> int:
@@ -289,8 +292,15 @@
         """Return how many tasks a cancellation can stop in time."""
         return self._limits.find_task_limits(len(self._loops))
 
-    def has_timely_stops(self) -> bool:
-        """Return whether all stops are sent within the time of a cancellation."""
+    def has_timely_stops(self, job_id: str) -> bool:
+        """Return whether all stops of a job are sent within a cancellation's time.
+
+        Stops of other jobs don't count once those of the job are confirmed.
+        """
+        if any(order.job == job_id for order in self._leader.cell.stops):
+            return False  # not queued yet
+        if job_id not in self._pending_of_job:
+            return True
         return self.stops.count_rounds() <= self._rounds
 
     def _stop(self, order: cell_state.Stop) -> float:
@@ -300,9 +310,15 @@
             repeat_after_s = self._send_stop(order)
         finally:
             if not repeat_after_s:
-                self._pending_stops.discard(order)
+                self._note_confirmed(order)
         return repeat_after_s
 
+    def _note_confirmed(self, order: cell_state.Stop) -> None:
+        self._pending_stops.discard(order)
+        self._pending_of_job[order.job] -= 1
+        if not self._pending_of_job[order.job]:
+            del self._pending_of_job[order.job]
+
     def _send_stop(self, order: cell_state.Stop) -> float:
         worker = self._leader.cell.workers.get(order.worker)
         if worker is None:
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -287,7 +287,7 @@
                 return failure
         if record.durable_state is state.JobState.CANCELLED:
             failure = outcome_waits.await_timely_stops(
-                self._dispatcher.has_timely_stops
+                lambda: self._dispatcher.has_timely_stops(job_id)
             )
             if failure is not None:
                 return failure
