Don't refuse a job that another process may have written

Cause: a process knows of its own unanswered writes only. One that reaches the store well looks the job up, finds nothing and refuses.

Change: a process that answers 504 tells the coordinator, and that one all processes; they treat the job like one that they may have written themselves for 120 s: they write it, or answer 504.

Evidence: test_a_job_that_another_process_may_have_written_is_not_refused gets 429 without the message. DoubtsTest: all of three processes hear it from each; it is passed on once, also if all take themselves for the coordinator.

Left: a process that ends, or is cut off from the coordinator, before it has told; the doubts of a call that gets no answer in 0.5 s. A mark for each refusal would close that at the cost of a write for each.

--- a/test/test_coordinator_processes.py
+++ b/test/test_coordinator_processes.py
@@ -264,6 +264,36 @@
         self.assertIsInstance(process.cancel(JOB), errors.Unavailable)
 
 
+class DoubtsTest(ProcessCase):
+    # Guards against a refusal by a process that doesn't know of the write of another.
+    def test_all_processes_learn_of_a_job_in_doubt(self):
+        self.start_cell("a", "b", "c")
+        for teller in "abc":
+            heard = {name: set() for name in self.processes}
+            for name, each in self.processes.items():
+                each.doubts.on_doubt = heard[name].add
+            self.processes[teller].doubts.tell(JOB)
+            others = [heard[name] for name in heard if name != teller]
+            self.wait_for(lambda others=others: all(JOB in each for each in others))
+
+    # Guards against a doubt that processes pass on to each other for ever, if two take
+    # themselves for the coordinator.
+    def test_a_doubt_is_passed_on_once(self):
+        self.start_cell("a", "b", "c")
+        heard = []
+        for each in self.processes.values():
+            each.doubts.on_doubt = heard.append
+            each.doubts._find_receivers = lambda: (["a", "b", "c"], True)
+        self.processes["a"].doubts.tell(JOB)
+        gevent.sleep(0.3)
+        self.assertEqual([JOB] * 2, heard)
+
+    def test_a_malformed_doubt_is_refused(self):
+        self.start_cell("a")
+        answer = self.processes["a"].doubts._serve("x", b"\xc1")
+        self.assertIsInstance(answer, errors.Malformed)
+
+
 class UnreadConfigurationTest(ProcessCase):
     # Guards against jobs that a new coordinator judges and ranks by no configuration,
     # after a power loss during an outage of the store.
--- a/test/test_platform_ingress.py
+++ b/test/test_platform_ingress.py
@@ -1,6 +1,7 @@
 import itertools
 import json
 import random
+import types
 from unittest import mock
 
 import falcon
@@ -94,6 +95,7 @@
         self.jobs = []
         self.timeouts = []
         self.write = None
+        self.doubts = types.SimpleNamespace(tell=lambda _job_id: None)
 
     def find_write(self, _job_id):
         return self.write
--- a/test/test_submission_gate.py
+++ b/test/test_submission_gate.py
@@ -80,12 +80,20 @@
         self.kernel = test_platform_ingress.Kernel()
         self.registry = metrics.Service(None, None)
         self.set_ceiling(resources.ZERO)
+        self.gates = []
+        self.scheduler.doubts = self
         self.ingress = self.start_entry()
 
+    def tell(self, job_id):
+        """Pass a doubt on to all processes."""
+        for gate in self.gates:
+            gate.note_doubt(job_id)
+
     def start_entry(self):
         """Return another entry process on the same store."""
         meters = metered.Meters(self.registry)
         self.gate = submission_gate.Gate(self.scheduler, meters, lambda: self.now)
+        self.gates.append(self.gate)
         return ingress.Ingress(
             self.kernel, self.view, self.scheduler, meters, 65_536, self.gate
         )
@@ -190,6 +198,18 @@
         self.assertEqual(200, self.call().status)
         self.assertEqual(429, self.call("7" * 16).status)
 
+    # Guards against "never runs" for a job that another process may have written: its
+    # write got no answer and is done seconds later.
+    def test_a_job_that_another_process_may_have_written_is_not_refused(self):
+        other = self.start_entry()
+        self.scheduler.result = LOST
+        self.assertEqual(504, self.call().status)
+        self.scheduler.result = None
+        self.scheduler.stored.clear()  # the write is still on its way
+        self.overload()
+        self.assertEqual(200, self.call(entry=other).status)
+        self.assertEqual(429, self.call("7" * 16, entry=other).status)
+
     def test_what_cannot_be_looked_up_is_accepted_as_before(self):
         self.overload()
         self.scheduler.down = True
--- a/toucanspring/coordinator/service.py
+++ b/toucanspring/coordinator/service.py
@@ -22,6 +22,7 @@
 from toucanspring.coordinator import (
     approval_dispatcher,
     candidacy,
+    doubts,
     failover,
     job_specs,
     job_writer,
@@ -128,6 +129,7 @@
             self._members,
             self._has_view,
         )
+        self.doubts = doubts.Doubts(kernel, self._find_doubt_receivers)
         self._greenlets: list[gevent.Greenlet] = []
 
     # Lifecycle
@@ -143,6 +145,7 @@
         self._job_writer.__enter__()
         self._failover.__enter__()
         self._members.__enter__()
+        self.doubts.__enter__()
         self._greenlets = [
             gevent.spawn(self._run_election),
             gevent.spawn(self._send_heartbeats),
@@ -162,6 +165,7 @@
         self._job_writer.__exit__()
         self._failover.__exit__()
         self._members.__exit__()
+        self.doubts.__exit__()
 
     def measure(self) -> dict[str, float]:
         """Return the gauges of this process by name."""
@@ -250,6 +254,12 @@
         first = self._lease.process if self._lease is not None else ""
         return sorted(names, key=lambda name: (name != first, name))
 
+    def _find_doubt_receivers(self) -> tuple[list[str], bool]:
+        """Return the processes to tell of doubts, and whether this one coordinates."""
+        if self._leadership is not None:
+            return self._members.targets(), True
+        return self.relays()[:1], False
+
     def _call(
         self, method: str, argument: str, timeout_s: float = CALL_TIMEOUT_S
     ) -> object | errors.Failure:
--- a/toucanspring/coordinator/submission_gate.py
+++ b/toucanspring/coordinator/submission_gate.py
@@ -111,7 +111,7 @@
         if self._failing_since is not None or self._scheduler.has_slow_writes():
             return errors.Ambiguous(reason="earlier writes may still take effect")
         if self._may_have_written(job.id):
-            return errors.Ambiguous(reason="written by this process")
+            return errors.Ambiguous(reason="written by this process or another one")
         asked_at = self._clock()
         row = self._scheduler.read_job(job.id)
         if isinstance(row, errors.Failure):
@@ -159,12 +159,17 @@
                 self._note_store(True, now)
                 return
             case _:
-                self._written[job_id] = now
-                self._written.move_to_end(job_id)
-        self._forget_written(now)
+                self.note_doubt(job_id)
         failed = isinstance(failure, errors.Unavailable | errors.Ambiguous)
         self._note_store(not failed, now)
 
+    def note_doubt(self, job_id: str) -> None:
+        """Record that another process may have written a job."""
+        now = self._clock()
+        self._written[job_id] = now
+        self._written.move_to_end(job_id)
+        self._forget_written(now)
+
     def _forget_written(self, now: float) -> None:
         while self._written:
             oldest = next(iter(self._written.values()))
