Decode the progress of one job at a time at a takeover

Cause: a new coordinator decoded the progress of all jobs before it restored the first.

Change: rows are grouped by job, and each job is decoded where it is used.

Evidence: test_the_progress_of_one_job_at_a_time_is_decoded, 100 jobs of 2,900 done tasks; before, the peak is over the 5 MB that the test permits.

Changes to tests: `progress_rows.read_all` is gone; its four callers in test_coordinator_progress_rows ask `read` for the job, with the same expectations; an unreadable row is `Malformed` instead of a member of a set.

Left: the rows themselves are still read at once, without a bound of their own.

--- a/test/test_coordinator_progress_rows.py
+++ b/test/test_coordinator_progress_rows.py
@@ -68,11 +68,10 @@
     def test_the_progress_is_read_as_it_was_written(self):
         for spec in (recurring(), recurring(width=2, repeats=3)):
             record = make_record(spec, 3)
-            found, unreadable = progress_rows.read_all(
-                to_rows(progress_rows.encode(record))
-            )
-            self.assertEqual({JOB: state.to_progress(record)}, found)
-            self.assertEqual(set(), unreadable)
+            stored = progress_rows.group(to_rows(progress_rows.encode(record)))
+            self.assertEqual([JOB], list(stored))
+            found = progress_rows.read(JOB, stored[JOB])
+            self.assertEqual(state.to_progress(record), found)
 
     # Guards against writes that grow with the past of a job.
     def test_only_the_occurrences_that_have_changed_are_written(self):
@@ -93,18 +92,18 @@
         stored = {rows.progress_row_id(JOB): rows.encode(known)}
         for row_id, value in progress_rows.encode(record).items():
             stored[row_id] = value
-            found, _ = progress_rows.read_all(to_rows(stored))
+            found = progress_rows.read(JOB, to_rows(stored))
             self.assertEqual(
                 sorted(known.steps, key=lambda each: each.occurrence),
-                sorted(found[JOB].steps, key=lambda each: each.occurrence),
+                sorted(found.steps, key=lambda each: each.occurrence),
             )
 
     # Guards against a job that runs again, since only some of its rows are stored.
     def test_a_first_write_that_ends_early_is_read(self):
         record = make_record(recurring(), 2)
         first, *_ = to_rows(progress_rows.encode(record))
-        found, _ = progress_rows.read_all([first])
-        self.assertEqual(WIDTH, len(found[JOB].steps[0].tasks))
+        found = progress_rows.read(JOB, [first])
+        self.assertEqual(WIDTH, len(found.steps[0].tasks))
 
     # Guards against half of a job's progress that counts as all of it.
     def test_a_job_with_an_unreadable_row_is_unreadable(self):
@@ -112,8 +111,7 @@
         for number in range(len(written)):
             odd = [*written]
             odd[number] = ports.Row(odd[number].id, b"\xc1", 1)
-            found, unreadable = progress_rows.read_all(odd)
-            self.assertEqual(({}, {JOB}), (found, unreadable))
+            self.assertIsInstance(progress_rows.read(JOB, odd), errors.Malformed)
 
 
 class RefusedRowTest(store_case.LeaderLeaseCase):
--- a/test/test_coordinator_sizes.py
+++ b/test/test_coordinator_sizes.py
@@ -206,3 +206,29 @@
         accept_all(cell, [recurring(1, 500, 3000)])
         record = cell.cancel(f"{1:016x}", 1.0)
         self.assertEqual((0, {}), (len(record.steps), cell.ready))
+
+
+class ProgressTest(testtools.TestCase):
+    # Guards against a successor that ends for want of memory, as each one after it: the
+    # progress of all jobs was decoded at once, at many times the size of its rows.
+    def test_the_progress_of_one_job_at_a_time_is_decoded(self):
+        cell, stored = case.new_cell(), {}
+        jobs = [case.job(f"{number:016x}", small_step(3000)) for number in range(100)]
+        tasks = tuple(rows.TaskRow(index, 1, done=True) for index in range(2900))
+        value = rows.encode(rows.Progress("active", (rows.StepRow(0, 0, tasks),), True))
+        for each in jobs:
+            row_id = rows.progress_row_id(each.id)
+            stored[row_id] = ports.Row(row_id, value, 1)
+        progress = table_reader.TableSnapshot(stored, 1, {})
+        found = [
+            ports.Row(rows.job_row_ids(each.id)[0], rows.encode(each), 1)
+            for each in jobs
+        ]
+        tracemalloc.start()
+        try:
+            recovery.restore(cell, found, progress, 1.0)
+            peak = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        self.assertEqual(100, len(cell.jobs))
+        self.assertLess(peak, 5_000_000)
--- a/toucanspring/coordinator/job_rows.py
+++ b/toucanspring/coordinator/job_rows.py
@@ -107,7 +107,4 @@
         if not page.has_more:
             break
         start = page.rows[-1].id.key + "\0"
-    progress, unreadable = progress_rows.read_all(found)
-    if job_id in unreadable:
-        return errors.Malformed(reason=f"the progress of job {job_id} is unreadable")
-    return progress.get(job_id)
+    return progress_rows.read(job_id, found) if found else None
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -390,9 +390,10 @@
 
     def _note_progress(self, progress: table_reader.TableSnapshot) -> None:
         """Keep the rows of the jobs of which a run may go on."""
-        found, _ = progress_rows.read_all(progress.rows.values())
         self._job_rows.needed = frozenset(
-            job_id for job_id, each in found.items() if state.may_be_running(each)
+            job_id
+            for job_id, found in progress_rows.group(progress.rows.values()).items()
+            if _may_be_running(progress_rows.read(job_id, found))
         )
 
     def _on_job_row(self, row: ports.Row) -> None:
@@ -607,3 +608,7 @@
         runs = formatted.setdefault(start.step.id, [])
         runs.append(f"{start.task.index}#{start.run}@{start.worker.id}")
     return formatted
+
+
+def _may_be_running(progress: rows.Progress | errors.Malformed) -> bool:
+    return isinstance(progress, rows.Progress) and state.may_be_running(progress)
--- a/toucanspring/coordinator/progress_rows.py
+++ b/toucanspring/coordinator/progress_rows.py
@@ -80,30 +80,32 @@
     ]
 
 
-def read_all(
-    found: Iterable[ports.Row],
-) -> tuple[dict[str, rows.Progress], set[str]]:
-    """Return the progress of jobs by ID, and the IDs of those that cannot be read."""
-    progress: dict[str, rows.Progress] = {}
-    occurrences: dict[str, list[rows.StepRow]] = {}
-    unreadable = set()
+def group(found: Iterable[ports.Row]) -> dict[str, list[ports.Row]]:
+    """Return the rows of each job by its ID."""
+    grouped: dict[str, list[ports.Row]] = {}
     for row in found:
-        job_id, occurrence = rows.parse_progress_key(row.id.key)
+        job_id, _ = rows.parse_progress_key(row.id.key)
+        grouped.setdefault(job_id, []).append(row)
+    return grouped
+
+
+def read(job_id: str, found: Iterable[ports.Row]) -> rows.Progress | errors.Malformed:
+    """Return the progress of one job; decoded, it takes many times its rows."""
+    progress: rows.Progress | None = None
+    steps: list[rows.StepRow] = []
+    for row in found:
+        _, occurrence = rows.parse_progress_key(row.id.key)
         decoded = rows.decode(rows.Progress, row.value)
         if isinstance(decoded, errors.Malformed):
             log.error("job {} is left alone: {}", job_id, decoded.reason)
-            unreadable.add(job_id)
-        elif occurrence is None:
-            progress[job_id] = decoded
+            return decoded
+        if occurrence is None:
+            progress = decoded
         else:
-            occurrences.setdefault(job_id, []).extend(decoded.steps)
-    for job_id, steps in occurrences.items():
-        # Without the row of the job, its first write has ended before that row.
-        known = progress.get(job_id, rows.Progress(state.JobState.QUEUED.value))
-        progress[job_id] = _add_occurrences(known, steps)
-    for job_id in unreadable:
-        progress.pop(job_id, None)
-    return progress, unreadable
+            steps.extend(decoded.steps)
+    # Without the row of the job, its first write has ended before that row.
+    progress = progress or rows.Progress(state.JobState.QUEUED.value)
+    return _add_occurrences(progress, steps) if steps else progress
 
 
 def _add_occurrences(
--- a/toucanspring/coordinator/recovery.py
+++ b/toucanspring/coordinator/recovery.py
@@ -151,10 +151,11 @@
     A job whose progress is unreadable is left alone: its tasks may have run or be
     running. Progress whose job has not been read is kept until the job is.
     """
-    found, cell.unreadable = progress_rows.read_all(progress.rows.values())
+    stored = progress_rows.group(progress.rows.values())
     listed = list(jobs)
     copied = {row.id.key for row in listed if row.id.part == rows.COORDINATOR_PART}
-    # One job at a time is decoded: its steps take many times the memory of its row.
+    # One job at a time is decoded: its steps and its progress take many times the
+    # memory of their rows.
     accepted_at_ms = {
         job_id: outline.spec.accepted_at_ms for job_id, outline in outlines.items()
     }
@@ -169,9 +170,12 @@
     if unreadable:
         log.error("ignoring {} unreadable job rows", unreadable)
     for job_id in sorted(accepted_at_ms, key=accepted_at_ms.__getitem__):
-        if job_id in cell.unreadable:
+        known = None
+        if job_id in stored:
+            known = progress_rows.read(job_id, stored.pop(job_id))
+        if isinstance(known, errors.Malformed):
+            cell.unreadable.add(job_id)
             continue
-        known = found.pop(job_id, None)
         if job_id in values:
             spec = rows.decode(job_specs.Job, values[job_id])
             cell.restore(spec, known, now, age_s(spec))
@@ -183,7 +187,12 @@
             )
         if job_id in cell.jobs:
             cell.jobs[job_id].has_copy = job_id in copied
-    cell.unclaimed = found
+    for job_id, found in stored.items():
+        known = progress_rows.read(job_id, found)
+        if isinstance(known, errors.Malformed):
+            cell.unreadable.add(job_id)
+        else:
+            cell.unclaimed[job_id] = known
 
 
 def age_s(spec: job_specs.Job) -> float:
