Don't answer a cancellation while the coordinator changes

Cause: an ended dispatcher has no stops that wait, which counted as "all are sent in time"; so did stops that wait to be repeated, which at a new coordinator are all those of workers that it has not polled yet.

Change: an ended coordination answers no waiting cancellation, the next one does; stops that wait to be repeated count; during the first 0.8 s of a coordinator a cancellation waits for workers that hold tasks of its job and have not answered yet.

Evidence: test_a_cancellation_is_not_answered_as_the_coordination_ends, ..._waits_for_the_first_answers_of_workers and test_orders_that_wait_to_be_repeated_are_counted fail before.

--- a/test/test_coordinator_orders.py
+++ b/test/test_coordinator_orders.py
@@ -64,6 +64,16 @@
         self.assertEqual(["w1", "w1", "w2", "w2"], sorted(w for w, _ in self.sent))
         self.assertEqual(10, self.queue.backlog)
 
+    # Guards against a promise that all orders are sent soon while some that a worker
+    # could not take yet are about to be repeated.
+    def test_orders_that_wait_to_be_repeated_are_counted(self):
+        self.silent.add("w1")
+        self.release.set()
+        self.submit("w1", 3)
+        self.settle()
+        self.assertEqual((0, 3), (self.queue.in_flight, self.queue.waiting))
+        self.assertEqual(2, self.queue.count_rounds())
+
     def test_an_order_that_waits_to_be_repeated_holds_no_slot(self):
         self.silent.add("w1")
         self.submit("w1", 2)
--- a/test/test_coordinator_stops.py
+++ b/test/test_coordinator_stops.py
@@ -37,6 +37,7 @@
         self.worker = self.cell.workers["w1"]
         self.sent = []
         self.lost = set()  # tasks whose stops get no answer
+        self.now = 1.0
         self.are_late = False  # stops take effect, and their answers come too late
         self.release = None  # an event that the stops in flight wait for
         self.forgotten = []
@@ -51,7 +52,7 @@
         """Order stops under the limits of a platform from now on."""
         leader = worker_sockets.Leader(self.cell)
         self.orders = dispatch.Dispatcher(
-            leader, self.client, 6000, lambda: 1.0, limits
+            leader, self.client, 6000, lambda: self.now, limits
         )
         self.addCleanup(self.orders.__exit__)
 
@@ -150,6 +151,31 @@
         self.cell.stops.append(cell_state.Stop("w1", f"{JOB}.0.0.1", 1))
         self.assertFalse(self.orders.has_timely_stops(JOB))
 
+    # Guards against a cancellation that is answered as the coordination ends, while the
+    # stops of its job are left to the next coordinator.
+    def test_a_cancellation_is_not_answered_as_the_coordination_ends(self):
+        self.release = event.Event()
+        self.submit(600)
+        self.orders.__exit__()
+        self.assertFalse(self.orders.has_timely_stops(JOB))
+
+    # As above, for a new coordinator that has not polled the worker yet.
+    def test_a_cancellation_waits_for_the_first_answers_of_workers(self):
+        self.worker.confirmed = False
+        self.submit(600)
+        self.settle()
+        self.assertFalse(self.orders.has_timely_stops(JOB))
+        self.worker.confirmed = True
+        self.orders.stops.note_answer("w1")
+        self.assertFalse(self.orders.has_timely_stops(JOB))
+
+    def test_a_cancellation_does_not_wait_for_a_worker_that_never_answers(self):
+        self.worker.confirmed = False
+        self.submit(600)
+        self.settle()
+        self.now += 1.0
+        self.assertTrue(self.orders.has_timely_stops(JOB))
+
     # Guards against a worker that is cut off and keeps all cancellations waiting.
     def test_a_cancellation_does_not_wait_for_stops_of_a_silent_worker(self):
         self.lost.add("w1")
--- a/toucanspring/coordinator/dispatch.py
+++ b/toucanspring/coordinator/dispatch.py
@@ -71,6 +71,8 @@
         )
         self.starts = self._start_orders.queue
         self._ended_before = 0
+        self._began_at = clock()
+        self._closed = False
         self._limits = limits
         self._rounds = limits.count_rounds()
         self.stops = order_queue.OrderQueue(
@@ -88,6 +90,7 @@
         return self
 
     def __exit__(self, *_exc: object) -> None:
+        self._closed = True
         gevent.killall(list(self._loops.values()), block=False)
         self.starts.close()
         self.stops.close()
@@ -297,10 +300,18 @@
 
         Stops of other jobs don't count once those of the job are confirmed.
         """
-        if any(order.job == job_id for order in self._leader.cell.stops):
-            return False  # not queued yet
+        if self._closed or any(
+            order.job == job_id for order in self._leader.cell.stops
+        ):
+            return False  # not queued, or left to the next coordinator
         if job_id not in self._pending_of_job:
             return True
+        is_new = self._clock() - self._began_at < UNRESPONSIVE_AFTER_S
+        if is_new and any(
+            order.job == job_id and not self._is_confirmed(order.worker)
+            for order in self._pending_stops
+        ):
+            return False  # it may answer its first poll and take all its stops then
         return self.stops.count_rounds() <= self._rounds
 
     def _stop(self, order: cell_state.Stop) -> float:
@@ -313,6 +324,10 @@
                 self._note_confirmed(order)
         return repeat_after_s
 
+    def _is_confirmed(self, worker_id: str) -> bool:
+        worker = self._leader.cell.workers.get(worker_id)
+        return worker is None or worker.confirmed
+
     def _note_confirmed(self, order: cell_state.Stop) -> None:
         self._pending_stops.discard(order)
         self._pending_of_job[order.job] -= 1
--- a/toucanspring/coordinator/leadership.py
+++ b/toucanspring/coordinator/leadership.py
@@ -287,7 +287,8 @@
                 return failure
         if record.durable_state is state.JobState.CANCELLED:
             failure = outcome_waits.await_timely_stops(
-                lambda: self._dispatcher.has_timely_stops(job_id)
+                lambda: self._dispatcher.has_timely_stops(job_id),
+                self.ended.is_set,
             )
             if failure is not None:
                 return failure
--- a/toucanspring/coordinator/order_queue.py
+++ b/toucanspring/coordinator/order_queue.py
@@ -51,6 +51,8 @@
         self._on_idle = on_idle
         self._lines: dict[str, collections.deque[Order]] = {}
         self._busy: collections.Counter[str] = collections.Counter()
+        # Orders that wait to be repeated.
+        self._paused: collections.Counter[str] = collections.Counter()
         # The most orders of a worker at a time since it last had none.
         self._peaks: collections.Counter[str] = collections.Counter()
         self._failed: collections.Counter[str] = collections.Counter()  # in a row
@@ -72,8 +74,8 @@
         take the next one.
         """
         lines = [
-            len(line) + self._busy[worker]
-            for worker, line in self._lines.items()
+            len(self._lines.get(worker, ())) + self._busy[worker] + self._paused[worker]
+            for worker in self._lines.keys() | self._paused.keys()
             if self._failed[worker] < MAX_FAILED_ATTEMPTS
         ]
         widest = max(self._max_per_worker, self._max_wide)
@@ -157,6 +159,13 @@
 
     def _repeat(self, worker: str, order: Order, after_s: float) -> None:
         self.waiting += 1
-        greenlet = gevent.Greenlet(self._enqueue, worker, order)
+        self._paused[worker] += 1
+        greenlet = gevent.Greenlet(self._resume, worker, order)
         self._greenlets.add(greenlet)
         greenlet.start_later(after_s)
+
+    def _resume(self, worker: str, order: Order) -> None:
+        self._paused[worker] -= 1
+        if not self._paused[worker]:
+            del self._paused[worker]
+        self._enqueue(worker, order)
--- a/toucanspring/coordinator/outcome_waits.py
+++ b/toucanspring/coordinator/outcome_waits.py
@@ -96,7 +96,7 @@
 
 
 def await_timely_stops(
-    has_timely_stops: Callable[[], bool],
+    has_timely_stops: Callable[[], bool], has_ended: Callable[[], bool]
 ) -> None | errors.Ambiguous:
     """Wait until few enough stops are left that all of them will be in time.
 
@@ -105,6 +105,8 @@
     """
     asked_at = uptime.now()
     while not has_timely_stops():
+        if has_ended():
+            return errors.Ambiguous(reason="the next coordinator sends the stops")
         if uptime.now() - asked_at > STOPS_WAIT_S:
             return errors.Ambiguous(reason="too many stops wait to be sent")
         gevent.sleep(STOPS_CHECK_S)
