--- a/toucanspring/coordinator/planner.py
+++ b/toucanspring/coordinator/planner.py
@@ -342,11 +342,12 @@
                 self._await_allowance(step_run, queue, plan, now)
                 return
             task = step_run.tasks[index]
+            max_tasks = self.task_room.max_per_worker(step_run)
             fits = [
                 worker
                 for worker in open_workers
                 if worker.has_room(demand)
-                and self.task_room.permits(step_run, worker)
+                and worker.count_tasks() < max_tasks
                 and placement.may_place(step_run, task, worker, on_worker, now)
             ]
             valid = [
@@ -399,7 +400,7 @@
         """Return whether a step has capacity, but too many tasks would run there."""
         return queue.approval is None and any(
             worker.has_room(step_run.step.occupied())
-            and not self.task_room.permits(step_run, worker)
+            and worker.count_tasks() >= self.task_room.max_per_worker(step_run)
             for worker in open_workers
         )
 
--- a/toucanspring/coordinator/task_room.py
+++ b/toucanspring/coordinator/task_room.py
@@ -44,9 +44,9 @@
         count = step_run.step.count if step_run.step.gang else 1
         return is_exempt(step_run) or self._tasks + count <= self.limits.in_all
 
-    def permits(self, step_run: state.StepRun, worker: workers.Worker) -> bool:
-        """Return whether a further task of a step may start on a worker."""
-        return worker.count_tasks() < self.limits.of_worker or is_exempt(step_run)
+    def max_per_worker(self, step_run: state.StepRun) -> float:
+        """Return how many tasks a worker may have with a further one of a step."""
+        return math.inf if is_exempt(step_run) else self.limits.of_worker
 
     def find_max_with_gang(
         self,
