Share the checks of new connections to a worker

Cause: an order on a new connection first polls the worker, to learn which incarnation it reaches, and each answer lists all that the worker runs. A wide cancellation opens 48 connections to each worker at a moment: 48 lists of 255 tasks from each of 24 workers, encoded there and decoded here, before the first stop is sent. The processor time of this grows with the square of the tasks. A check without an answer within 0.5 s counts as not sent and comes again behind all others of its worker.

--- a/test/test_coordinator_incarnations.py
+++ b/test/test_coordinator_incarnations.py
@@ -8,8 +8,8 @@
     platform_case,  # noqa: F401  finds the adapter's modules
     worker_sockets,
 )
-from toucanspring import uptime
-from toucanspring.coordinator import dispatch, planner
+from toucanspring import resources, uptime
+from toucanspring.coordinator import cell_state, dispatch, planner
 
 import executors  # isort: skip
 
@@ -201,5 +201,19 @@
         polls = self.fake.current.calls_of("hold")
         self.assertLessEqual(sum("wait_ms" not in each for each in polls), most)
 
+    # Guards against stops that are late since each new connection asks for a list of
+    # all that the worker runs: 48 lists of 255 tasks for one cancellation.
+    def test_many_stops_share_their_checks(self):
+        for number in range(96):
+            order = cell_state.Stop("w1", f"{JOB}.0.0.{number}", 1)
+            self.worker.unknown_tasks[order.task] = resources.ZERO
+            self.orders.stop(order)
+        stops = self.orders.stops
+        self.wait_for(lambda: not (stops.in_flight or stops.waiting))
+        calls = self.fake.current.calls_of
+        self.assertEqual(96, len(calls("run-stop")))
+        self.assertLessEqual(self.fake.connections, 48)
+        self.assertLessEqual(len(calls("hold")), 8)
+
     def hold(self, incarnation, _body):
         return {"clock_ms": incarnation.clock_ms(), "born": incarnation.born}
--- a/toucanspring/adapters/exchange.py
+++ b/toucanspring/adapters/exchange.py
@@ -68,6 +68,16 @@
             self._semaphore.release()
         return found
 
+    def open_idle(self) -> None:
+        """Open one more connection unless there are as many as may be."""
+        self._semaphore.acquire()
+        try:
+            in_use = self.size - self._semaphore.counter
+            if in_use + self._socket_queue.qsize() <= self.size:
+                self._socket_queue.put(self._create_socket())
+        finally:
+            self._semaphore.release()
+
     def trim(self, kept: int) -> None:
         """Close idle connections beyond a number."""
         while self._socket_queue.qsize() > kept:
@@ -249,6 +259,17 @@
         """Close the idle connections; those in use close when returned."""
         self._pool.close()
 
+    def open_idle(self) -> None | errors.Unavailable:
+        """Open one more connection, unless there are as many as may be.
+
+        It serves calls with `peer` once a later request has been answered.
+        """
+        try:
+            self._pool.open_idle()
+        except (gevent.Timeout, OSError) as error:
+            return errors.Unavailable(reason=str(error) or type(error).__name__)
+        return None
+
     def trim(self, kept: int) -> None:
         """Close idle connections beyond a number."""
         self._pool.trim(kept)
