Repeat a lost order before those that came later

Cause: an order without an answer was repeated at the end of the line of its worker. A cancellation that was answered while few stops were left promises that one of them may be lost; jobs that are cancelled after it put their stops before the repeated one, up to all rounds of a full worker.

Test: test_a_repeated_order_goes_before_those_that_came_later; the first order comes last before, and fourth now.

--- a/test/test_coordinator_orders.py
+++ b/test/test_coordinator_orders.py
@@ -64,6 +64,27 @@
         self.assertEqual(["w1", "w1", "w2", "w2"], sorted(w for w, _ in self.sent))
         self.assertEqual(10, self.queue.backlog)
 
+    # Guards against a stop of a job whose cancellation was answered that waits behind
+    # those of all jobs that were cancelled later, since it was lost once.
+    def test_a_repeated_order_goes_before_those_that_came_later(self):
+        self.queue._send = self.lose_first
+        self.submit("w1", 1)
+        self.settle()
+        for number in range(1, 7):
+            self.queue.submit("w1", ("w1", number))
+        gevent.sleep(0.03)
+        self.release.set()
+        self.settle()
+        self.assertEqual([0, 1, 2, 0, 3, 4, 5, 6], [number for _, number in self.sent])
+
+    def lose_first(self, order):
+        """Leave the first order unanswered once; others wait for `release`."""
+        self.sent.append(order)
+        if len(self.sent) == 1:
+            return 0.01
+        self.release.wait()
+        return 0.0
+
     # Guards against a promise that all orders are sent soon while some that a worker
     # could not take yet are about to be repeated.
     def test_orders_that_wait_to_be_repeated_are_counted(self):
--- a/toucanspring/coordinator/order_queue.py
+++ b/toucanspring/coordinator/order_queue.py
@@ -102,9 +102,12 @@
         self.waiting = 0
         self._greenlets.kill(block=False)
 
-    def _enqueue(self, worker: str, order: Order) -> None:
+    def _enqueue(self, worker: str, order: Order, is_first: bool = False) -> None:
         line = self._lines.setdefault(worker, collections.deque())
-        line.append(order)
+        if is_first:
+            line.appendleft(order)
+        else:
+            line.append(order)
         self._peaks[worker] = max(self._peaks[worker], len(line) + self._busy[worker])
         self._dispatch(worker)
 
@@ -168,4 +171,5 @@
         self._paused[worker] -= 1
         if not self._paused[worker]:
             del self._paused[worker]
-        self._enqueue(worker, order)
+        # What was submitted later does not delay it, unless the worker answers nothing.
+        self._enqueue(worker, order, self._failed[worker] < MAX_FAILED_ATTEMPTS)
