Close a connection that was opened for a worker that has left

Cause: `Pool.open_idle` put a new connection among the idle ones of its pool even if the pool was closed while the connection was made. Nobody closes it then until the pool itself is collected. Found by reading; no run showed it.

Change: it returns the connection as calls do, which closes it in a closed pool. The count of those that may be open is unchanged, and now has a test.

Measured: test_exchange.OpenIdleTest.test_a_connection_to_a_closed_endpoint_does_not_stay fails before (one idle connection in a closed pool) and passes after; test_exchange and test_platform_executors pass (40 tests).

--- a/test/test_exchange.py
+++ b/test/test_exchange.py
@@ -66,6 +66,31 @@
         self.assertEqual(12, started.connections)
 
 
+class OpenIdleTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        started = RawServer(OK_HEAD + b"0\r\n\r\n", end=False)
+        self.addCleanup(started.stop)
+        self.endpoint = exchange.Endpoint("127.0.0.1", started.port, 2)
+        self.addCleanup(self.endpoint.close)
+
+    # Guards against a connection to a worker that has left, which nobody closes.
+    def test_a_connection_to_a_closed_endpoint_does_not_stay(self):
+        opening = gevent.spawn(self.endpoint.open_idle)
+        gevent.sleep(0)  # until it waits for the server
+        self.endpoint.close()
+        opening.join(5)
+        self.assertTrue(opening.successful())
+        self.assertEqual(0, self.endpoint._pool._socket_queue.qsize())
+
+    # Guards against checks that take connections beyond those that may be open.
+    def test_as_many_are_opened_as_may_be(self):
+        for _ in range(3):
+            self.assertIsNone(self.endpoint.open_idle())
+        self.assertEqual(2, self.endpoint._pool._socket_queue.qsize())
+        self.assertFalse(self.endpoint._pool.exhausted)
+
+
 class ExchangeTest(testtools.TestCase):
     def serve(self, *script, **options):
         started = RawServer(*script, **options)
--- a/toucanspring/adapters/exchange.py
+++ b/toucanspring/adapters/exchange.py
@@ -71,12 +71,16 @@
     def open_idle(self) -> None:
         """Open one more connection unless there are as many as may be."""
         self._semaphore.acquire()
+        in_use = self.size - self._semaphore.counter
+        if in_use + self._socket_queue.qsize() > self.size:
+            self._semaphore.release()
+            return
         try:
-            in_use = self.size - self._semaphore.counter
-            if in_use + self._socket_queue.qsize() <= self.size:
-                self._socket_queue.put(self._create_socket())
-        finally:
+            sock = self._create_socket()
+        except BaseException:
             self._semaphore.release()
+            raise
+        self.return_socket(sock)  # closes it if the pool was closed meanwhile
 
     def trim(self, kept: int) -> None:
         """Close idle connections beyond a number."""
