Sample the speed of a worker over several percent of a task

Cause: progress comes in whole percent and a sample was taken each 0.25 s, in which a task of 100 s does a quarter of one: the rate of a sample was 0 or four times too high, and a mean of some four such samples falls below 0.35 of the median by chance.

Change: a sample spans 3% of the task, or of what its siblings do meanwhile, so that a worker that stands still is sampled as well. Tasks of up to 8 s are sampled as before.

Measured: test_equal_workers_with_long_tasks_are_not_slow found w0 slow three times in 30 s before, none now; workers at a tenth of the speed and at none are found before and after.

--- a/test/test_coordinator_stragglers.py
+++ b/test/test_coordinator_stragglers.py
@@ -53,6 +53,37 @@
         self.run_steps(case.step(5, cpus=1500), slow=())
         self.assertEqual([], stragglers.find_slow(self.cell.workers.values(), 4.0))
 
+    def run_long_tasks(self, rates, seconds=30.0):
+        """Poll workers with tasks that last 100 s; return those found slow."""
+        self.cell.accept(case.job(JOB, case.step(40, cpus=200)), 1.0)
+        case.confirm(self.cell, self.cell_planner.plan(1.0), 1.0)
+        found = []
+        for tick in range(1, int(seconds / 0.05)):
+            now = 1.0 + tick * 0.05
+            for number, (name, worker) in enumerate(self.cell.workers.items()):
+                if (tick + number) % (6 + number):
+                    continue  # polls take 0.3 to 0.5 s
+                ran_s = (now - 1.0) * rates.get(name, 1.0)
+                rows = [
+                    case.running(task, percent=int(ran_s + index / 8))
+                    for index, task in enumerate(worker.allocations)
+                ]
+                case.poll(self.cell, name, rows, now=now, sent_at=0.0)
+            slow = stragglers.find_slow(self.cell.workers.values(), now)
+            found += [each.id for each in slow]
+        return found
+
+    # Guards against long tasks that are stopped and begun again on and on, since they
+    # are polled before they have done one percent: 190 of 120 in 16 s.
+    def test_equal_workers_with_long_tasks_are_not_slow(self):
+        self.assertEqual([], self.run_long_tasks({}))
+
+    def test_a_slow_worker_with_long_tasks_is_found(self):
+        self.assertEqual({"w0"}, set(self.run_long_tasks({"w0": 0.1})))
+
+    def test_a_worker_with_long_tasks_that_stand_still_is_found(self):
+        self.assertEqual({"w0"}, set(self.run_long_tasks({"w0": 0.0})))
+
     def test_gang_members_do_not_affect_the_speed_of_workers(self):
         self.run_steps(case.step(5, cpus=1500, gang=True))
         self.assertEqual([], stragglers.find_slow(self.cell.workers.values(), 4.0))
--- a/toucanspring/coordinator/stragglers.py
+++ b/toucanspring/coordinator/stragglers.py
@@ -18,8 +18,10 @@
 MIN_SAMPLES = 3
 # Limits the speed of the other workers when one worker of a step is slow.
 MAX_SPEED = 1.5
-# Progress is reported in whole percent, so a sample has to span several.
 MIN_SAMPLE_S = 0.25
+# Progress is reported in whole percent, so a sample has to span several: of the task,
+# or of what its siblings on other workers do meanwhile.
+MIN_SAMPLE_SHARE = 0.03
 # Slow workers are below this fraction of the median speed; the speeds of different
 # kinds of worker differ by a factor of 1.6.
 SLOW_FRACTION = 0.35
@@ -56,6 +58,10 @@
     if elapsed_s < MIN_SAMPLE_S:
         return
     done = (percent - task.sampled_percent) / 100
+    if done < MIN_SAMPLE_SHARE:
+        others = _find_rates_of_others(worker, allocation.step)
+        if not others or statistics.fmean(others) * elapsed_s < MIN_SAMPLE_SHARE:
+            return
     task.sampled_at, task.sampled_percent = now, percent
     _record_rate(known, worker, allocation.step, done / elapsed_s)
 
@@ -99,8 +105,8 @@
     if rate > 0:
         step_run.nominal_rates[worker.id] = rate / known.speed(worker.id, worker.kind)
     step_run.task_rates[worker.id] = rate
-    others = [each for name, each in step_run.task_rates.items() if name != worker.id]
-    if not others or not any(others):
+    others = _find_rates_of_others(worker, step_run)
+    if not any(others):
         return
     speed = min(MAX_SPEED, rate / statistics.fmean(others))
     if worker.samples:
@@ -109,6 +115,13 @@
     worker.samples += 1
 
 
+def _find_rates_of_others(
+    worker: workers.Worker, step_run: state.StepRun
+) -> list[float]:
+    """Return the latest rates of a step's tasks on the other workers."""
+    return [each for name, each in step_run.task_rates.items() if name != worker.id]
+
+
 def find_slow(candidates: Iterable[workers.Worker], now: float) -> list[workers.Worker]:
     """Return the workers that have become slow and exclude them from new starts."""
     sampled = [
